Workspace, state types, message types, platform traits

The layers of the design stand as crates before any behaviour, so that the parts can be built side by side against the same types. One revision log carries configuration and placement: a confirmed plan must change both at once, and two logs would let another write come between. Assignments delegate loads to an engine's owner, so that an idle model wakes without a write to the key-value service.

--- /dev/null
+++ b/crates/croftrill-platform/src/lib.rs
@@ -0,0 +1,8 @@
+//! The platform's services, each behind one small trait with one HTTP adapter.
+//! The users' own bench will define the real protocols; only the adapters know
+//! the present ones.
+
+pub mod engine;
+pub mod key_value;
+pub mod machine_list;
+pub mod weight_store;
--- /dev/null
+++ b/crates/croftrill-protocol/src/operator.rs
@@ -0,0 +1,164 @@
+//! The operators' intent API: JSON over HTTP on any node.
+//!
+//! - `POST /v1/plans` with [`IntentRequest`] answers a [`Plan`]; nothing changes.
+//! - `GET /v1/plans/{id}` answers the plan.
+//! - `POST /v1/plans/{id}/confirm` answers [`ConfirmOutcome`].
+//! - `GET /v1/status`, `/v1/groups`, `/v1/models/configured`, `/v1/adapters`.
+
+use croftrill_state::entry::{Intent, PlacementStep};
+use croftrill_state::{EngineId, ModelId, PlanId, Revision};
+use serde::{Deserialize, Serialize};
+
+/// What an operator wants, in order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct IntentRequest {
+    /// The intents.
+    pub intents: Vec<Intent>,
+}
+
+/// What a plan does to one replica, for people to read.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "action")]
+pub enum PlanAction {
+    /// A replica is loaded and kept.
+    Load {
+        /// The model.
+        model: ModelId,
+        /// The engine.
+        engine: EngineId,
+        /// Memory on all its accelerators, in MiB.
+        memory_mib: u64,
+        /// Expected time, in milliseconds.
+        expected_millis: u64,
+    },
+    /// A replica may be loaded there when asked for.
+    Allow {
+        /// The model.
+        model: ModelId,
+        /// The engine.
+        engine: EngineId,
+        /// Memory on all its accelerators when loaded, in MiB.
+        memory_mib: u64,
+    },
+    /// A replica moves.
+    Move {
+        /// The model.
+        model: ModelId,
+        /// From this engine.
+        from: EngineId,
+        /// To this engine.
+        to: EngineId,
+        /// Memory on all its accelerators, in MiB.
+        memory_mib: u64,
+        /// Expected time, in milliseconds.
+        expected_millis: u64,
+    },
+    /// A replica is drained and unloaded.
+    Stop {
+        /// The model.
+        model: ModelId,
+        /// The engine.
+        engine: EngineId,
+        /// Memory given back, in MiB.
+        memory_mib: u64,
+    },
+}
+
+/// An answer to an intent. It changes nothing until confirmed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Its identifier.
+    pub id: PlanId,
+    /// The revision that it was made from.
+    pub base: Revision,
+    /// What the operator wanted.
+    pub intents: Vec<Intent>,
+    /// What would be written.
+    pub steps: Vec<PlacementStep>,
+    /// The same for people to read.
+    pub actions: Vec<PlanAction>,
+    /// What the operator should know, such as a model that fits nowhere.
+    pub warnings: Vec<String>,
+}
+
+/// Answer to a confirmation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum ConfirmOutcome {
+    /// In force from this revision on.
+    Confirmed {
+        /// The revision.
+        revision: Revision,
+    },
+    /// The plan no longer fits the state; a fresh one is offered.
+    Stale {
+        /// Why.
+        reason: String,
+        /// The fresh plan, if the intent can still be planned.
+        fresh: Option<Plan>,
+    },
+    /// No such plan.
+    Unknown,
+    /// The key-value service cannot be reached; nothing was changed.
+    Unavailable {
+        /// When to try again, in milliseconds.
+        retry_after_millis: u64,
+    },
+    /// The write may or may not have taken effect; confirm again to learn it.
+    /// Confirming twice is safe.
+    OutcomeUnknown,
+}
+
+/// An error answer of the API.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ApiError {
+    /// What went wrong.
+    pub error: String,
+}
+
+/// One engine in the status.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// Its name.
+    pub engine: EngineId,
+    /// Its zone.
+    pub zone: String,
+    /// Its owner, if any.
+    pub owner: Option<String>,
+    /// `live` or `leaving`.
+    pub lifecycle: String,
+    /// Memory of each accelerator, in MiB.
+    pub accelerator_memory_mib: Vec<u64>,
+    /// Models assigned to it.
+    pub models: Vec<ModelId>,
+}
+
+/// One node in the status.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Its name.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: String,
+    /// `live` or `leaving`.
+    pub lifecycle: String,
+}
+
+/// What a node knows of the whole system.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The node that answers.
+    pub node: String,
+    /// Its last applied revision.
+    pub revision: Revision,
+    /// The coordinator of its cell, if known.
+    pub coordinator: Option<String>,
+    /// Whether it reached the key-value service lately.
+    pub key_value_reachable: bool,
+    /// Nodes.
+    pub nodes: Vec<NodeStatus>,
+    /// Engines.
+    pub engines: Vec<EngineStatus>,
+}
--- /dev/null
+++ b/crates/croftrill-state/src/cluster.rs
@@ -0,0 +1,170 @@
+//! The state that the revision log builds, applied entry by entry.
+//!
+//! Every node applies the same entries in the same order, so every node accepts
+//! and rejects the same ones. A rejected entry keeps its revision and changes
+//! nothing else.
+//!
+//! Invariants after every entry, checked by [`ClusterState::check`]:
+//! - a model has at most `max_replicas` assignments that count as replicas;
+//! - on every accelerator the resident assignments fit the memory;
+//! - every on-demand assignment fits beside the residents of its engine.
+
+mod apply;
+mod memory;
+
+use crate::configuration::{Adapter, Group, Model};
+use crate::identifiers::{AdapterId, CellId, EngineId, GroupId, ModelId, NodeId, PlanId, Revision, Term};
+use crate::placement::{Assignment, AssignmentState, Engine, Node};
+use nanoserde::{DeBin, SerBin};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Confirmed plans that are remembered, so that a second confirmation of the
+/// same plan is answered with the first one's revision.
+pub const REMEMBERED_PLANS: usize = 1024;
+
+/// A value with the revision that last changed it.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct Versioned<T> {
+    /// The revision of the entry that wrote it.
+    pub changed_at: Revision,
+    /// The value.
+    pub value: T,
+}
+
+/// The present coordinator of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Coordinator {
+    /// The node.
+    pub node: NodeId,
+    /// Its term.
+    pub term: Term,
+}
+
+/// Why an entry was rejected.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ApplyError {
+    /// The entry does not follow the last applied one.
+    #[error("entry {found} does not follow revision {applied}")]
+    OutOfOrder {
+        /// The last applied revision.
+        applied: Revision,
+        /// The entry's revision.
+        found: Revision,
+    },
+    /// An object that the plan names changed after the plan was made.
+    #[error("{object} changed at revision {changed_at}, after the plan's base {base}")]
+    Stale {
+        /// Kind and name of the object.
+        object: String,
+        /// When it changed.
+        changed_at: Revision,
+        /// The base of the plan.
+        base: Revision,
+    },
+    /// The plan was confirmed before.
+    #[error("plan {plan} was confirmed at revision {at}")]
+    AlreadyConfirmed {
+        /// The plan.
+        plan: PlanId,
+        /// Its revision.
+        at: Revision,
+    },
+    /// The author's term is not the present one of the cell.
+    #[error("term {found} is not the present term {present} of the cell")]
+    StaleTerm {
+        /// The present term.
+        present: Term,
+        /// The author's term.
+        found: Term,
+    },
+    /// The result would break an invariant or name a missing object.
+    #[error("{0}")]
+    Invalid(String),
+}
+
+/// Everything that the log decides, at one revision.
+#[derive(Clone, Debug, Default, PartialEq, SerBin, DeBin)]
+pub struct ClusterState {
+    /// The last applied revision.
+    pub revision: Revision,
+    /// Research groups.
+    pub groups: BTreeMap<GroupId, Versioned<Group>>,
+    /// Models.
+    pub models: BTreeMap<ModelId, Versioned<Model>>,
+    /// Adapters.
+    pub adapters: BTreeMap<AdapterId, Versioned<Adapter>>,
+    /// Nodes.
+    pub nodes: BTreeMap<NodeId, Versioned<Node>>,
+    /// Engines.
+    pub engines: BTreeMap<EngineId, Versioned<Engine>>,
+    /// Assignments by model, then engine.
+    pub assignments: BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>,
+    /// Coordinators.
+    pub coordinators: BTreeMap<CellId, Coordinator>,
+    /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
+    pub confirmed_plans: BTreeMap<Revision, PlanId>,
+}
+
+impl ClusterState {
+    /// All assignments.
+    pub fn all_assignments(&self) -> impl Iterator<Item = &Assignment> {
+        self.assignments
+            .values()
+            .flat_map(|by_engine| by_engine.values())
+            .map(|versioned| &versioned.value)
+    }
+
+    /// The assignments of one model.
+    pub fn assignments_of_model<'a>(
+        &'a self,
+        model: &ModelId,
+    ) -> impl Iterator<Item = &'a Assignment> + use<'a> {
+        self.assignments
+            .get(model)
+            .into_iter()
+            .flat_map(|by_engine| by_engine.values())
+            .map(|versioned| &versioned.value)
+    }
+
+    /// The assignments on one engine.
+    pub fn assignments_on_engine<'a>(
+        &'a self,
+        engine: &'a EngineId,
+    ) -> impl Iterator<Item = &'a Assignment> + 'a {
+        self.assignments
+            .values()
+            .filter_map(move |by_engine| by_engine.get(engine))
+            .map(|versioned| &versioned.value)
+    }
+
+    /// The base model that serves a name, which may be a model or an adapter.
+    pub fn resolve(&self, name: &str) -> Option<Target> {
+        let model = ModelId::from(name);
+        if self.models.contains_key(&model) {
+            return Some(Target { model, adapter: None });
+        }
+        let adapter = AdapterId::from(name);
+        let found = self.adapters.get(&adapter)?;
+        Some(Target {
+            model: found.value.base.clone(),
+            adapter: Some(adapter),
+        })
+    }
+
+    /// Replicas of a model that the log lets exist at once.
+    pub fn decided_replicas(&self, model: &ModelId) -> usize {
+        self.assignments_of_model(model)
+            .filter(|assignment| !matches!(assignment.state, AssignmentState::WaitingFor { .. }))
+            .count()
+    }
+}
+
+/// What a caller's model name stands for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, SerBin, DeBin)]
+pub struct Target {
+    /// The base model.
+    pub model: ModelId,
+    /// The adapter, if the name is one's.
+    pub adapter: Option<AdapterId>,
+}
--- /dev/null
+++ b/crates/croftrill-state/src/replica_queue.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
