HTTP adapters of the platform's services

Each trait gets one adapter over hyper-util's pooled client, with the JSON bodies in croftrill-platform::wire so that the stand-ins share them. EngineRequest carries the idempotency key so that an engine's ledger can show duplicates.

--- a/crates/croftrill-platform/src/engine.rs
+++ b/crates/croftrill-platform/src/engine.rs
@@ -2,12 +2,14 @@
 
 use async_trait::async_trait;
 use croftrill_state::configuration::PriorityClass;
-use croftrill_state::{AdapterId, AttemptId, FencingToken, ModelId};
+use croftrill_state::{AdapterId, AttemptId, FencingToken, IdempotencyKey, ModelId};
 use futures::stream::BoxStream;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Where an engine finds a checkpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum CheckpointSource {
     /// In the machine's memory.
     Memory,
@@ -18,7 +20,7 @@
 }
 
 /// An order to load a model.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadModel {
     /// The model.
     pub model: ModelId,
@@ -33,7 +35,7 @@
 }
 
 /// An order to load an adapter beside its loaded base model.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadAdapter {
     /// The adapter.
     pub adapter: AdapterId,
@@ -46,7 +48,8 @@
 }
 
 /// Progress of what an engine holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LoadState {
     /// Being loaded; its memory is taken.
     Loading,
@@ -55,7 +58,7 @@
 }
 
 /// A model that an engine holds.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HeldModel {
     /// The model.
     pub model: ModelId,
@@ -72,7 +75,7 @@
 }
 
 /// An adapter that an engine holds.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HeldAdapter {
     /// The adapter.
     pub adapter: AdapterId,
@@ -83,7 +86,7 @@
 }
 
 /// What an engine holds and runs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Inventory {
     /// The highest token seen.
     pub fencing_token: FencingToken,
@@ -98,7 +101,8 @@
 }
 
 /// Result of an order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
 pub enum OrderOutcome {
     /// Carried out (an unload), or begun (a load: poll `inventory`).
     Accepted,
@@ -117,12 +121,14 @@
 }
 
 /// A request as an engine takes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineRequest {
     /// The attempt; names the stream for `cancel`.
     pub attempt: AttemptId,
     /// The owner's token.
     pub fencing_token: FencingToken,
+    /// The key of an unrepeatable request; the engine only records it.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The model.
     pub model: ModelId,
     /// The adapter.
@@ -146,7 +152,8 @@
 }
 
 /// What an engine streams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "event")]
 pub enum EngineEvent {
     /// Some tokens.
     Tokens {
--- a/crates/croftrill-platform/src/key_value.rs
+++ b/crates/croftrill-platform/src/key_value.rs
@@ -1,25 +1,29 @@
 //! The key-value service: compare-and-swap, leases, watches.
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A stored value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredValue {
     /// The key.
     pub key: String,
     /// The bytes.
+    #[serde(with = "crate::wire::base64_bytes")]
     pub value: Vec<u8>,
     /// Changes with each write of the key; used for compare-and-swap.
     pub version: u64,
 }
 
 /// A lease granted by the service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct LeaseId(pub u64);
 
 /// Result of a conditional write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum WriteOutcome {
     /// Written; the new version.
     Written(u64),
--- a/crates/croftrill-platform/src/lib.rs
+++ b/crates/croftrill-platform/src/lib.rs
@@ -3,6 +3,12 @@
 //! the present ones.
 
 pub mod engine;
+pub mod http;
 pub mod key_value;
 pub mod machine_list;
 pub mod weight_store;
+pub mod wire;
+
+pub use http::{
+    HttpEndpoint, HttpEngineClient, HttpEngineConfig, HttpKeyValueService, HttpMachineList, HttpWeightStore,
+};
--- a/crates/croftrill-platform/src/machine_list.rs
+++ b/crates/croftrill-platform/src/machine_list.rs
@@ -3,10 +3,12 @@
 use async_trait::async_trait;
 use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{EngineId, NodeId};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A machine of the list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
 pub enum Machine {
     /// It runs the daemon.
     Node(Node),
--- a/crates/croftrill-platform/src/weight_store.rs
+++ b/crates/croftrill-platform/src/weight_store.rs
@@ -2,10 +2,11 @@
 //! from it; the system only decides when.
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// What the store says of its present state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightStoreLimits {
     /// Loads that it starts a second, in thousandths.
     pub loads_per_second_thousandths: u64,
