Gateway, first version

Cause: callers need the completions and chat interfaces. Each request runs as a task of its own, so that its claim is finished and its attempt cancelled also when the caller hangs up; driving it inside the response body was ruled out for that reason.

--- /dev/null
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -0,0 +1,343 @@
+//! One request from its claim to its final answer. It runs as a task of its
+//! own, so that it is brought to its end also when the caller hangs up.
+
+use crate::attempt_run::{AttemptEnd, AttemptRun};
+use crate::caller_request::{CallerRequest, RunOnce};
+use crate::claims::ClaimDecision;
+use crate::dispatch::{AnswerEvent, AnswerSummary, Dispatcher};
+use crate::interruption::{Interruption, InterruptionWatch};
+use crate::metrics::RequestOutcome;
+use crate::retry_policy::{next_step, NextStep};
+use crate::routing::Candidate;
+use croftrill_protocol::peer::ClaimResult;
+use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
+use croftrill_state::stream_assembly::StreamAssembly;
+use croftrill_state::{EngineId, Revision};
+use log::{info, warn};
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// When a caller should come back if nothing better is known, in milliseconds.
+const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
+/// First pause before an engine is tried again, in milliseconds; it doubles.
+const FIRST_PAUSE_MILLIS: u64 = 50;
+/// Longest wait for the holder of a key to free it, before the caller is told
+/// that the request did not run.
+const FREE_KEY_WAIT: Duration = Duration::from_millis(250);
+
+/// How a request ended.
+enum Ending {
+    Whole(AnswerSummary),
+    Refused(Refusal),
+    CallerGone,
+}
+
+/// A request under way.
+pub(crate) struct RequestRun {
+    dispatcher: Arc<Dispatcher>,
+    request: CallerRequest,
+    watch: InterruptionWatch,
+    assembly: StreamAssembly,
+    /// Whether an attempt was made that is not provably not run.
+    may_have_run: bool,
+    /// Whether the holder of the key may count this request as its owner.
+    claim_open: bool,
+    attempts_made: u32,
+    pauses_made: u32,
+    tried: HashSet<EngineId>,
+    last_failure: Option<Refusal>,
+}
+
+impl RequestRun {
+    pub fn new(
+        dispatcher: Arc<Dispatcher>,
+        request: CallerRequest,
+        caller: mpsc::Sender<AnswerEvent>,
+    ) -> Self {
+        let watch = InterruptionWatch {
+            clock: dispatcher.clock,
+            caller,
+            deadline: request.first_token_deadline,
+        };
+        Self {
+            dispatcher,
+            request,
+            watch,
+            assembly: StreamAssembly::new(),
+            may_have_run: false,
+            claim_open: false,
+            attempts_made: 0,
+            pauses_made: 0,
+            tried: HashSet::new(),
+            last_failure: None,
+        }
+    }
+
+    /// Runs to the final answer and finishes the claim.
+    pub async fn run(mut self) {
+        let ending = match self.claim().await {
+            Ok(()) => self.serve().await,
+            Err(ending) => ending,
+        };
+        self.record(&ending);
+        let claim_result = self.claim_result(&ending);
+        if claim_result == ClaimResult::NotRun {
+            // The caller may try again as soon as it is told.
+            self.finish_claim(claim_result).await;
+            self.answer(ending).await;
+        } else {
+            self.answer(ending).await;
+            self.finish_claim(claim_result).await;
+        }
+    }
+
+    /// Claims the key of an unrepeatable request.
+    async fn claim(&mut self) -> Result<(), Ending> {
+        let Some(RunOnce { key, from_caller }) = self.request.run_once.clone() else {
+            return Ok(());
+        };
+        self.claim_open = true;
+        let claim = self.dispatcher.claims.claim(&key, self.request.id);
+        let decision = self.watch.run(claim).await;
+        // Until the claim is granted, an earlier request with the caller's key
+        // may have run. Nobody else uses a key that the gateway made.
+        let unknown = |cause, retry_after_millis| {
+            Ending::Refused(Refusal {
+                execution: if from_caller {
+                    Execution::MayHaveRun
+                } else {
+                    Execution::NotRun
+                },
+                cause,
+                retry_after_millis,
+            })
+        };
+        match decision {
+            Ok(ClaimDecision::Granted) => Ok(()),
+            Ok(ClaimDecision::Taken { finished }) => {
+                self.claim_open = false;
+                info!(
+                    "gateway: key taken request={} key={key} finished={finished}",
+                    self.request.id
+                );
+                let refusal = Refusal::may_have_run(RefusalCause::DuplicateKey, DEFAULT_RETRY_AFTER_MILLIS);
+                Err(Ending::Refused(refusal))
+            }
+            Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
+                self.claim_open = false;
+                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
+            }
+            Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
+                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
+            }
+            Err(Interruption::DeadlinePassed) => {
+                Err(unknown(RefusalCause::DeadlineExpired, DEFAULT_RETRY_AFTER_MILLIS))
+            }
+            Err(Interruption::CallerGone) => Err(Ending::CallerGone),
+        }
+    }
+
+    /// Makes attempts until one gives the whole answer or none may follow.
+    async fn serve(&mut self) -> Ending {
+        loop {
+            let (revision, candidate) = match self.next_candidate().await {
+                Ok(found) => found,
+                Err(ending) => return ending,
+            };
+            match self.attempt(revision, &candidate).await {
+                AttemptEnd::Whole(summary) => return Ending::Whole(summary),
+                AttemptEnd::Interrupted(interruption) => {
+                    self.may_have_run = true;
+                    return self.interrupted(interruption);
+                }
+                AttemptEnd::Failed(failure) => {
+                    if let Some(ending) = self.after_failure(failure, candidate.engine) {
+                        return ending;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn attempt(&mut self, revision: Revision, candidate: &Candidate) -> AttemptEnd {
+        self.attempts_made += 1;
+        let attempt = AttemptRun {
+            dispatcher: &self.dispatcher,
+            request: &self.request,
+            candidate,
+            revision,
+            watch: &mut self.watch,
+            assembly: &mut self.assembly,
+        };
+        attempt.run().await
+    }
+
+    /// The next engine to try. When all were tried and one may recover, they
+    /// are tried again after a pause.
+    async fn next_candidate(&mut self) -> Result<(Revision, Candidate), Ending> {
+        if let Some(found) = self.untried_candidate() {
+            return Ok(found);
+        }
+        let Some(failure) = &self.last_failure else {
+            let refusal = Refusal::not_run(RefusalCause::NoReplica, DEFAULT_RETRY_AFTER_MILLIS);
+            return Err(Ending::Refused(refusal));
+        };
+        if self.next_step(failure) != NextStep::AnyEngine {
+            return Err(self.give_up());
+        }
+        let pause = Duration::from_millis(FIRST_PAUSE_MILLIS << self.pauses_made.min(8));
+        self.pauses_made += 1;
+        self.watch
+            .run(sleep(pause))
+            .await
+            .map_err(|interruption| self.interrupted(interruption))?;
+        self.tried.clear();
+        self.untried_candidate().ok_or_else(|| self.give_up())
+    }
+
+    fn untried_candidate(&self) -> Option<(Revision, Candidate)> {
+        let (revision, candidates) = self.dispatcher.route(&self.request);
+        let untried = candidates
+            .into_iter()
+            .find(|candidate| !self.tried.contains(&candidate.engine))?;
+        Some((revision, untried))
+    }
+
+    /// Decides whether another attempt may follow a failed one; returns the
+    /// ending if not.
+    fn after_failure(&mut self, failure: Refusal, engine: EngineId) -> Option<Ending> {
+        self.may_have_run |= failure.execution == Execution::MayHaveRun;
+        self.tried.insert(engine);
+        self.last_failure = Some(failure.clone());
+        let attempts_left = self.attempts_made < self.dispatcher.config.most_attempts;
+        if !attempts_left || self.next_step(&failure) == NextStep::GiveUp {
+            return Some(self.give_up());
+        }
+        let now = self.dispatcher.clock.now();
+        let mut budget = self.dispatcher.retry_budget();
+        if !budget.try_retry(now) {
+            let until = budget
+                .millis_until_retry(now)
+                .unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
+            drop(budget);
+            return Some(self.refuse(RefusalCause::RetryBudgetExhausted, until));
+        }
+        drop(budget);
+        self.dispatcher.metrics.record_retry(&failure);
+        None
+    }
+
+    /// What may follow a failure. An unrepeatable request is never dispatched
+    /// again once any of its attempts may have run.
+    fn next_step(&self, failure: &Refusal) -> NextStep {
+        let run_once = self.request.run_once.is_some();
+        if run_once && self.execution() == Execution::MayHaveRun {
+            return NextStep::GiveUp;
+        }
+        next_step(failure.cause)
+    }
+
+    /// The last failure is the answer.
+    fn give_up(&self) -> Ending {
+        match &self.last_failure {
+            Some(failure) => self.refuse(failure.cause, failure.retry_after_millis),
+            None => self.refuse(RefusalCause::NoReplica, DEFAULT_RETRY_AFTER_MILLIS),
+        }
+    }
+
+    fn interrupted(&self, interruption: Interruption) -> Ending {
+        match interruption {
+            Interruption::CallerGone => Ending::CallerGone,
+            Interruption::DeadlinePassed => {
+                self.refuse(RefusalCause::DeadlineExpired, DEFAULT_RETRY_AFTER_MILLIS)
+            }
+        }
+    }
+
+    fn refuse(&self, cause: RefusalCause, retry_after_millis: u64) -> Ending {
+        Ending::Refused(Refusal {
+            execution: self.execution(),
+            cause,
+            retry_after_millis: retry_after_millis.max(1),
+        })
+    }
+
+    fn execution(&self) -> Execution {
+        if self.may_have_run || self.assembly.tokens() > 0 {
+            Execution::MayHaveRun
+        } else {
+            Execution::NotRun
+        }
+    }
+
+    fn claim_result(&self, ending: &Ending) -> ClaimResult {
+        match (ending, self.execution()) {
+            (Ending::Whole(_), _) => ClaimResult::Finished,
+            (_, Execution::NotRun) => ClaimResult::NotRun,
+            (_, Execution::MayHaveRun) => ClaimResult::Unknown,
+        }
+    }
+
+    fn record(&self, ending: &Ending) {
+        let metrics = &self.dispatcher.metrics;
+        let id = self.request.id;
+        let attempts = self.attempts_made;
+        match ending {
+            Ending::Whole(summary) => {
+                self.dispatcher.retry_budget().record_success();
+                metrics.record_request(RequestOutcome::Served);
+                info!(
+                    "gateway: request served request={id} attempts={attempts} tokens={}",
+                    summary.tokens
+                );
+            }
+            Ending::Refused(refusal) => {
+                metrics.record_request(RequestOutcome::Refused(refusal));
+                info!(
+                    "gateway: request refused request={id} attempts={attempts} cause={:?} execution={:?}",
+                    refusal.cause, refusal.execution
+                );
+            }
+            Ending::CallerGone => {
+                metrics.record_request(RequestOutcome::Cancelled);
+                info!("gateway: caller gone request={id} attempts={attempts}");
+            }
+        }
+    }
+
+    async fn answer(&mut self, ending: Ending) {
+        let last = match ending {
+            Ending::Whole(summary) => AnswerEvent::Finished(summary),
+            Ending::Refused(refusal) => AnswerEvent::Failed(refusal),
+            Ending::CallerGone => return,
+        };
+        // A caller that reads too slowly must not hold the request for ever.
+        let send = self.watch.caller.send(last);
+        let limit = Duration::from_millis(self.dispatcher.config.slow_caller_millis);
+        if timeout(limit, send).await.is_err() {
+            warn!("gateway: caller does not read request={}", self.request.id);
+        }
+    }
+
+    /// Tells the holder how the request ended. A holder that is slow does not
+    /// hold up the caller for long.
+    async fn finish_claim(&mut self, result: ClaimResult) {
+        if !std::mem::take(&mut self.claim_open) {
+            return;
+        }
+        let Some(RunOnce { key, .. }) = self.request.run_once.clone() else {
+            return;
+        };
+        let claims = self.dispatcher.claims.clone();
+        let request = self.request.id;
+        let finishing = tokio::spawn(async move { claims.finish(&key, request, result).await });
+        let limit = match result {
+            ClaimResult::NotRun => FREE_KEY_WAIT,
+            ClaimResult::Finished | ClaimResult::Unknown => Duration::MAX,
+        };
+        let _ = timeout(limit, finishing).await;
+    }
+}
