Membership and claims as pure state machines

Cause: liveness must cost a node the same at any size, and an unrepeatable request must run at most once although claims live in memory only. The cluster state counts the changes of a cell's live nodes, so that no holder misses one. Not tested yet.

--- a/crates/croftrill-protocol/src/peer.rs
+++ b/crates/croftrill-protocol/src/peer.rs
@@ -1,5 +1,9 @@
 //! The service that every node offers its peers, over `tarpc`.
 
+pub use croftrill_state::claims::{
+    ClaimHandOver, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, FinishOutcome, HandOverEnd,
+    HandOverOutcome,
+};
 use croftrill_state::entry::LogEntry;
 use croftrill_state::{
     AttemptId, ClusterState, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision,
@@ -15,66 +19,6 @@
     Snapshot(ClusterState),
 }
 
-/// Asks the holder of a key for the right to run an unrepeatable request.
-#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
-pub struct ClaimRequest {
-    /// The key.
-    pub key: IdempotencyKey,
-    /// The request that claims it.
-    pub request: RequestId,
-    /// The log revision by which the holder was chosen.
-    pub revision: Revision,
-}
-
-/// The holder's answer.
-#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
-pub enum ClaimOutcome {
-    /// The request, and no other, may be dispatched, once.
-    Granted,
-    /// Another request holds the key and runs or ran.
-    Taken {
-        /// That request.
-        by: RequestId,
-        /// Whether it is known to have finished.
-        finished: bool,
-    },
-    /// The holder may not know the key's history; it must not run.
-    HistoryUnknown {
-        /// Until the holder knows, in milliseconds.
-        retry_after_millis: u64,
-    },
-    /// The caller chose the holder by another membership; it should catch up
-    /// to this revision and ask again.
-    WrongHolder {
-        /// The holder's revision.
-        revision: Revision,
-    },
-}
-
-/// How a claimed request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub enum ClaimResult {
-    /// It ran and its answer is whole.
-    Finished,
-    /// It provably did not run; the key is free again.
-    NotRun,
-    /// Nobody can say whether it ran; the key stays taken.
-    Unknown,
-}
-
-/// A key and what its holder knows of it; moved when the holder changes.
-#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
-pub struct ClaimRecord {
-    /// The key.
-    pub key: IdempotencyKey,
-    /// The request that claimed it.
-    pub request: RequestId,
-    /// Its end, if known.
-    pub result: Option<ClaimResult>,
-    /// Milliseconds since the claim.
-    pub age_millis: u64,
-}
-
 /// Asks the cell's coordinator for the right to start a load.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub struct LoadPermitRequest {
@@ -139,9 +83,9 @@
     /// Claims an idempotency key.
     async fn claim(request: ClaimRequest) -> ClaimOutcome;
     /// Tells the holder how a claimed request ended.
-    async fn finish_claim(key: IdempotencyKey, request: RequestId, result: ClaimResult) -> ReportOutcome;
-    /// Hands claims to their new holder.
-    async fn hand_over_claims(from_revision: Revision, records: Vec<ClaimRecord>) -> ReportOutcome;
+    async fn finish_claim(key: IdempotencyKey, request: RequestId, result: ClaimResult) -> FinishOutcome;
+    /// Hands a part of the claims to their new holder.
+    async fn hand_over_claims(part: ClaimHandOver) -> HandOverOutcome;
     /// Asks the coordinator for a load.
     async fn request_load(request: LoadPermitRequest) -> LoadPermit;
     /// Reports the end of a load to the coordinator.
--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -41,6 +41,15 @@
     pub term: Term,
 }
 
+/// Which of the sets of live nodes that a cell had is the present one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct CellMembership {
+    /// The revision of the entry that last changed the cell's live nodes.
+    pub changed_at: Revision,
+    /// Counts these changes, so that nobody misses one between two states.
+    pub version: u64,
+}
+
 /// Why an entry was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ApplyError {
@@ -102,6 +111,8 @@
     pub assignments: BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>,
     /// Coordinators.
     pub coordinators: BTreeMap<CellId, Coordinator>,
+    /// Changes of the live nodes of each cell.
+    pub cell_memberships: BTreeMap<CellId, CellMembership>,
     /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
     pub confirmed_plans: BTreeMap<Revision, PlanId>,
 }
--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -195,8 +195,10 @@
                     .nodes
                     .get_mut(id)
                     .ok_or_else(|| missing("node", id.as_str()))?;
+                let left = live_cell(&node.value);
                 node.value.lifecycle = Lifecycle::Leaving;
                 node.changed_at = at;
+                self.note_membership_change(left, at);
             }
             Intent::DrainEngine(id) => {
                 let engine = self
@@ -286,11 +288,31 @@
     }
 
     fn put_node(&mut self, node: &Node, at: Revision) {
-        self.nodes.insert(node.id.clone(), versioned(at, node));
+        let replaced = self.nodes.insert(node.id.clone(), versioned(at, node));
+        let before = replaced.and_then(|found| live_cell(&found.value));
+        let after = live_cell(node);
+        if before != after {
+            self.note_membership_change(before, at);
+            self.note_membership_change(after, at);
+        }
     }
 
-    fn remove_node(&mut self, id: &NodeId, _at: Revision) {
-        self.nodes.remove(id);
+    /// Counts one change an entry, however many nodes it changes.
+    fn note_membership_change(&mut self, cell: Option<CellId>, at: Revision) {
+        let Some(cell) = cell else {
+            return;
+        };
+        let membership = self.cell_memberships.entry(cell).or_default();
+        if membership.changed_at != at {
+            membership.changed_at = at;
+            membership.version += 1;
+        }
+    }
+
+    fn remove_node(&mut self, id: &NodeId, at: Revision) {
+        if let Some(removed) = self.nodes.remove(id) {
+            self.note_membership_change(live_cell(&removed.value), at);
+        }
         for engine in self.engines.values_mut() {
             if engine.value.owner.as_ref() == Some(id) {
                 engine.value.owner = None;
@@ -392,6 +414,11 @@
     }
 }
 
+/// The cell that a node is a live member of.
+fn live_cell(node: &Node) -> Option<CellId> {
+    (node.lifecycle == Lifecycle::Live).then(|| node.cell.clone())
+}
+
 fn versioned<T: Clone>(at: Revision, value: &T) -> Versioned<T> {
     Versioned {
         changed_at: at,
