--- a/crates/croftrill-state/src/membership.rs
+++ b/crates/croftrill-state/src/membership.rs
@@ -21,7 +21,7 @@
 mod view;
 
 pub use config::MembershipConfig;
-pub use message::{Health, MemberUpdate, Probe, ProbeKind, MAX_DATAGRAM_BYTES};
+pub use message::{DatagramError, Health, MemberUpdate, Probe, ProbeKind, MAX_DATAGRAM_BYTES};
 pub use view::{MemberView, MembershipView};
 
 use crate::identifiers::{NodeId, Revision};
--- a/crates/croftrill-state/src/membership/probing.rs
+++ b/crates/croftrill-state/src/membership/probing.rs
@@ -1,7 +1,7 @@
 //! The probe cycle: ping, ask others to ping, suspect, declare dead.
 
 use super::config::spreading_rounds;
-use super::message::{Health, MemberUpdate, Probe, ProbeKind};
+use super::message::{Health, MemberUpdate, Probe, ProbeKind, CHECKSUM_BYTES};
 use super::{Membership, MembershipAction, MembershipEvent};
 use crate::identifiers::NodeId;
 use crate::time::Instant;
@@ -335,7 +335,7 @@
                 .into_iter()
                 .collect(),
         };
-        let used = probe.serialize_bin().len();
+        let used = CHECKSUM_BYTES + probe.serialize_bin().len();
         let free = self.config.max_datagram_bytes.saturating_sub(used);
         let limit = self.config.retransmit_multiplier * spreading_rounds(self.live_count()) as u32;
         probe.updates.extend(self.updates.take(free, limit));
