--- a/crates/croftrill-coordination/src/peer_service.rs
+++ b/crates/croftrill-coordination/src/peer_service.rs
@@ -1,1 +1,153 @@
-//! Placeholder.
+//! The service that every node offers its peers, composed of the node's parts.
+
+use crate::load_permits::LoadPermitService;
+use crate::replication::{ProposeOutcome, Replica};
+use async_trait::async_trait;
+use croftrill_protocol::peer::{
+    ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, LoadPermit, LoadPermitRequest, LoadReport, LogPage,
+    Peer, ReportOutcome,
+};
+use croftrill_state::cluster::ApplyError;
+use croftrill_state::entry::Change;
+use croftrill_state::placement::AssignmentState;
+use croftrill_state::{
+    AttemptId, ClusterState, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision, Term,
+};
+use std::sync::Arc;
+use tarpc::context::Context;
+
+/// Most entries in one answer, whatever the caller asks for.
+const MOST_ENTRIES: u32 = 1_000;
+
+/// Knows the plans that this node made.
+#[async_trait]
+pub trait PlanSource: Send + Sync {
+    /// JSON of the plan; empty if unknown.
+    async fn plan_json(&self, plan: &PlanId) -> String;
+}
+
+/// Holds claims of idempotency keys.
+#[async_trait]
+pub trait ClaimHolder: Send + Sync {
+    /// Claims a key.
+    async fn claim(&self, request: ClaimRequest) -> ClaimOutcome;
+    /// Takes in how a claimed request ended.
+    async fn finish(&self, key: IdempotencyKey, request: RequestId, result: ClaimResult) -> ReportOutcome;
+    /// Takes over claims from a former holder.
+    async fn hand_over(&self, from_revision: Revision, records: Vec<ClaimRecord>) -> ReportOutcome;
+}
+
+/// Drops attempts whose gateway gave up.
+#[async_trait]
+pub trait AttemptCanceller: Send + Sync {
+    /// Drops an attempt, if it is here.
+    async fn cancel(&self, attempt: AttemptId) -> ReportOutcome;
+}
+
+/// The parts behind the service.
+pub struct PeerParts {
+    /// The node's copy of the log.
+    pub replica: Arc<Replica>,
+    /// The coordinator's load permits.
+    pub permits: Arc<LoadPermitService>,
+    /// Plans made here.
+    pub plans: Arc<dyn PlanSource>,
+    /// Claims held here.
+    pub claims: Arc<dyn ClaimHolder>,
+    /// Attempts queued or running here.
+    pub attempts: Arc<dyn AttemptCanceller>,
+}
+
+/// The service; cloned for every call.
+#[derive(Clone)]
+pub struct PeerService {
+    parts: Arc<PeerParts>,
+}
+
+impl PeerService {
+    /// The service over its parts.
+    pub fn new(parts: PeerParts) -> Self {
+        Self {
+            parts: Arc::new(parts),
+        }
+    }
+
+    /// Records a confirmed unload in the log.
+    pub async fn record_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
+        let replica = &self.parts.replica;
+        if !is_releasing(&replica.state(), &model, &engine) {
+            // Our copy may only be behind.
+            let read = replica.catch_up_from_log().await;
+            if !is_releasing(&replica.state(), &model, &engine) {
+                return read.map_or(ReportOutcome::TryLater, |()| ReportOutcome::Recorded);
+            }
+        }
+        let change = Change::Released { model, engine };
+        match replica.propose(change, Term(0)).await {
+            ProposeOutcome::Applied(_) => ReportOutcome::Recorded,
+            ProposeOutcome::Rejected(ApplyError::Invalid(reason)) => {
+                log::info!("coordinator: release rejected reason=\"{reason}\"");
+                ReportOutcome::TryLater
+            }
+            outcome => {
+                log::warn!("coordinator: release not recorded outcome={outcome:?}");
+                ReportOutcome::TryLater
+            }
+        }
+    }
+}
+
+fn is_releasing(state: &ClusterState, model: &ModelId, engine: &EngineId) -> bool {
+    let by_engine = state.assignments.get(model);
+    let assignment = by_engine.and_then(|by_engine| by_engine.get(engine));
+    assignment.is_some_and(|found| found.value.state == AssignmentState::Releasing)
+}
+
+impl Peer for PeerService {
+    async fn fetch_log(self, _context: Context, after: Revision, limit: u32) -> LogPage {
+        self.parts.replica.log_page(after, limit.min(MOST_ENTRIES))
+    }
+
+    async fn claim(self, _context: Context, request: ClaimRequest) -> ClaimOutcome {
+        self.parts.claims.claim(request).await
+    }
+
+    async fn finish_claim(
+        self,
+        _context: Context,
+        key: IdempotencyKey,
+        request: RequestId,
+        result: ClaimResult,
+    ) -> ReportOutcome {
+        self.parts.claims.finish(key, request, result).await
+    }
+
+    async fn hand_over_claims(
+        self,
+        _context: Context,
+        from_revision: Revision,
+        records: Vec<ClaimRecord>,
+    ) -> ReportOutcome {
+        self.parts.claims.hand_over(from_revision, records).await
+    }
+
+    async fn request_load(self, _context: Context, request: LoadPermitRequest) -> LoadPermit {
+        self.parts.permits.request_load(&request)
+    }
+
+    async fn finish_load(self, _context: Context, report: LoadReport) -> ReportOutcome {
+        self.parts.permits.finish_load(&report)
+    }
+
+    async fn report_release(self, _context: Context, model: ModelId, engine: EngineId) -> ReportOutcome {
+        self.record_release(model, engine).await
+    }
+
+    async fn cancel_attempt(self, _context: Context, attempt: AttemptId) -> ReportOutcome {
+        self.parts.attempts.cancel(attempt).await
+    }
+
+    async fn fetch_plan(self, _context: Context, plan: PlanId) -> String {
+        self.parts.plans.plan_json(&plan).await
+    }
+}
--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -219,12 +219,7 @@
         for step in steps {
             match step {
                 PlacementStep::Assign { assignment } => self.assign(assignment, at, touched),
-                PlacementStep::Release { model, engine } => {
-                    let assignment = self.assignment_mut(model, engine)?;
-                    assignment.value.state = AssignmentState::Releasing;
-                    assignment.changed_at = at;
-                    touched.engines.insert(engine.clone());
-                }
+                PlacementStep::Release { model, engine } => self.release(model, engine, at, touched)?,
                 PlacementStep::SetOwner { engine, owner } => self.set_owner(engine, owner, at)?,
             }
         }
@@ -240,6 +235,26 @@
             .insert(assignment.engine.clone(), versioned(at, assignment));
     }
 
+    /// A replica that never could be loaded is gone at once; any other one
+    /// still counts until its unload is confirmed.
+    fn release(
+        &mut self,
+        model: &ModelId,
+        engine: &EngineId,
+        at: Revision,
+        touched: &mut Touched,
+    ) -> Result<(), ApplyError> {
+        let assignment = self.assignment_mut(model, engine)?;
+        if matches!(assignment.value.state, AssignmentState::WaitingFor { .. }) {
+            self.remove_assignment(model, engine, at);
+        } else {
+            assignment.value.state = AssignmentState::Releasing;
+            assignment.changed_at = at;
+        }
+        touched.engines.insert(engine.clone());
+        Ok(())
+    }
+
     fn assignment_mut(
         &mut self,
         model: &ModelId,
--- a/crates/croftrill-state/src/lib.rs
+++ b/crates/croftrill-state/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod planner;
+pub mod reconcile;
 pub mod rendezvous;
 pub mod replica_queue;
 pub mod retry_budget;
