Owner service: fences, loads on demand, queues, dispatches, streams

Each owned engine gets one task that alone changes its queue and its memory plan; calls to the engine and the coordinator run beside it and report back as messages, so a slow engine never holds up admission.

The memory plan already reserves before it orders and frees only what a later inventory shows to be gone.

--- /dev/null
+++ b/crates/croftrill-owner/src/actor/attempts.rs
@@ -0,0 +1,252 @@
+//! Attempts on their way through the queue: admission, dispatch, end.
+
+use super::{EngineActor, Message, Retired, RunningAttempt, REMEMBERED_ATTEMPTS};
+use crate::runner::{self, Run, RunEnd};
+use crate::submission::{Submission, SubmissionId};
+use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest};
+use croftrill_state::outcome::{Refusal, RefusalCause};
+use croftrill_state::placement::Lifecycle;
+use croftrill_state::replica_queue::{QueueItem, Wake, Work};
+use croftrill_state::{AttemptId, Instant};
+use log::debug;
+use tokio_util::sync::CancellationToken;
+
+/// Bytes of a prompt that count as one token when its cost is estimated.
+const BYTES_PER_TOKEN: usize = 4;
+
+impl EngineActor {
+    pub(super) fn submit(&mut self, mut submission: Submission) {
+        let attempt = submission.request.attempt;
+        let now = self.now();
+        if self.is_known(attempt) {
+            let refusal = Refusal::may_have_run(RefusalCause::Invalid, 0);
+            self.refuse(submission, refusal);
+            return;
+        }
+        if let Some(cause) = self.cause_to_refuse(&submission.request) {
+            let refusal = self.refusal(cause);
+            self.refuse(submission, refusal);
+            return;
+        }
+        let item = queue_item(&submission.request, submission.arrival);
+        let wake = self.memory_wake(&item.target, now);
+        submission.cold = wake != Wake::Ready;
+        let target = item.target.clone();
+        let slack = item.first_token_deadline.millis_since(now);
+        match self.queue.push(item, wake, now) {
+            Ok(()) => {
+                self.memory.requested(&target, slack, now);
+                self.accept(submission);
+            }
+            Err(refusal) => self.refuse(submission, refusal),
+        }
+    }
+
+    fn is_known(&self, attempt: AttemptId) -> bool {
+        let open = self.waiting.contains_key(&attempt) || self.running.contains_key(&attempt);
+        open || self.ended_set.contains(&attempt)
+    }
+
+    fn cause_to_refuse(&self, request: &AttemptRequest) -> Option<RefusalCause> {
+        if self.retired.is_some() || request.fencing_token != self.token {
+            return Some(RefusalCause::NotOwner);
+        }
+        if self.engine.lifecycle == Lifecycle::Leaving || self.shared.is_leaving() {
+            return Some(RefusalCause::Leaving);
+        }
+        self.link.has_failed().then_some(RefusalCause::EngineFailed)
+    }
+
+    /// Before the first inventory nothing is known to be loaded, and waiting
+    /// for it costs one round trip.
+    fn memory_wake(&self, target: &croftrill_state::cluster::Target, now: Instant) -> Wake {
+        if self.link.is_up() {
+            self.memory.wake(target, now)
+        } else {
+            Wake::In(0)
+        }
+    }
+
+    fn accept(&mut self, submission: Submission) {
+        let attempt = submission.request.attempt;
+        self.publish_load();
+        submission.send_early(AttemptEvent::Accepted {
+            attempt,
+            load: self.load.get(),
+        });
+        debug!(
+            "owner: attempt queued engine={} attempt={attempt}",
+            self.engine.id
+        );
+        self.waiting.insert(attempt, submission);
+    }
+
+    pub(super) fn refuse(&self, submission: Submission, refusal: Refusal) {
+        debug!(
+            "owner: attempt refused engine={} attempt={} cause={:?}",
+            self.engine.id, submission.request.attempt, refusal.cause
+        );
+        self.shared.metrics.refused(refusal.cause);
+        submission.refuse(refusal, self.load.get());
+    }
+
+    pub(super) fn refuse_late(&mut self, now: Instant) {
+        let up = self.link.is_up();
+        let memory = &self.memory;
+        let refused = self.queue.expire(
+            now,
+            |target| {
+                if up {
+                    memory.wake(target, now)
+                } else {
+                    Wake::In(0)
+                }
+            },
+        );
+        for (item, refusal) in refused {
+            if let Some(submission) = self.waiting.remove(&item.attempt) {
+                self.refuse(submission, refusal);
+            }
+        }
+    }
+
+    pub(super) fn refuse_waiting(&mut self, cause: RefusalCause) {
+        self.queue.take_waiting();
+        let refusal = self.refusal(cause);
+        for submission in std::mem::take(&mut self.waiting).into_values() {
+            self.refuse(submission, refusal.clone());
+        }
+    }
+
+    pub(super) fn abandoned(&mut self, attempt: AttemptId, submission: SubmissionId) {
+        let waits = self
+            .waiting
+            .get(&attempt)
+            .is_some_and(|found| found.id == submission);
+        let runs = self
+            .running
+            .get(&attempt)
+            .is_some_and(|found| found.submission == submission);
+        if waits || runs {
+            self.cancel(attempt);
+        }
+    }
+
+    /// Drops a waiting attempt, or stops a running one.
+    pub(super) fn cancel(&mut self, attempt: AttemptId) {
+        self.queue.cancel(attempt);
+        if let Some(submission) = self.waiting.remove(&attempt) {
+            let refusal = Refusal::not_run(RefusalCause::DeadlineExpired, 0);
+            submission.refuse(refusal, self.load.get());
+            self.remember(attempt);
+        }
+        if let Some(running) = self.running.get(&attempt) {
+            running.cancel.cancel();
+        }
+    }
+
+    pub(super) fn dispatch(&mut self, now: Instant) {
+        loop {
+            let memory = &self.memory;
+            let Some(item) = self.queue.pop_ready(|target| memory.is_usable(target), now) else {
+                return;
+            };
+            match self.waiting.remove(&item.attempt) {
+                Some(submission) => self.start(item, submission, now),
+                None => self.queue.finish(item.attempt, now),
+            }
+        }
+    }
+
+    fn start(&mut self, item: QueueItem, submission: Submission, now: Instant) {
+        let attempt = item.attempt;
+        self.memory.use_started(&item.target, now);
+        if submission.cold {
+            self.shared
+                .metrics
+                .cold_start(now.millis_since(submission.arrival));
+        }
+        let cancel = CancellationToken::new();
+        let running = RunningAttempt {
+            submission: submission.id,
+            target: item.target.clone(),
+            cancel: cancel.clone(),
+        };
+        self.running.insert(attempt, running);
+        let run = self.prepare_run(&item, submission, cancel);
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let end = runner::run(run).await;
+            let _ = sender.send(Message::RunEnded { attempt, end });
+        });
+    }
+
+    fn prepare_run(&self, item: &QueueItem, submission: Submission, cancel: CancellationToken) -> Run {
+        let config = &self.shared.config;
+        let sender = self.sender.clone();
+        let metrics = self.shared.metrics.clone();
+        let clock = self.shared.clock;
+        let arrival = submission.arrival;
+        let attempt = item.attempt;
+        Run {
+            submission,
+            client: self.client.clone(),
+            token: self.token,
+            clock,
+            load: self.load.clone(),
+            cancel,
+            first_token_deadline: item.first_token_deadline,
+            total_deadline: item.total_deadline,
+            cut_late_first_token: config.cut_late_first_token,
+            call_timeout: self.call_timeout(),
+            retry_after_millis: config.engine_backoff_millis,
+            on_first_token: Box::new(move || {
+                metrics.first_token(clock.now().millis_since(arrival));
+                let _ = sender.send(Message::FirstToken(attempt));
+            }),
+        }
+    }
+
+    pub(super) fn run_ended(&mut self, attempt: AttemptId, end: RunEnd) {
+        let now = self.now();
+        self.queue.finish(attempt, now);
+        if let Some(running) = self.running.remove(&attempt) {
+            self.memory.use_ended(&running.target, now);
+        }
+        self.remember(attempt);
+        match end {
+            RunEnd::Finished | RunEnd::Cancelled => {}
+            RunEnd::EngineFailed | RunEnd::EngineRefused => self.link.ask_soon(now),
+            RunEnd::Fenced => self.retire(Retired::ByEngine),
+        }
+    }
+
+    fn remember(&mut self, attempt: AttemptId) {
+        if !self.ended_set.insert(attempt) {
+            return;
+        }
+        self.ended.push_back(attempt);
+        if self.ended.len() > REMEMBERED_ATTEMPTS {
+            if let Some(oldest) = self.ended.pop_front() {
+                self.ended_set.remove(&oldest);
+            }
+        }
+    }
+}
+
+fn queue_item(request: &AttemptRequest, arrival: Instant) -> QueueItem {
+    let done = request.resume.as_ref().map_or(0, |resume| resume.tokens);
+    let prompt_tokens = request.generation.prompt.len() / BYTES_PER_TOKEN;
+    QueueItem {
+        attempt: request.attempt,
+        target: request.target.clone(),
+        group: request.group.clone(),
+        priority: request.priority,
+        first_token_deadline: arrival + request.first_token_deadline_millis,
+        total_deadline: arrival + request.total_deadline_millis,
+        work: Work {
+            prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+            output_tokens: request.generation.max_tokens.saturating_sub(done),
+        },
+    }
+}
--- /dev/null
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -0,0 +1,421 @@
+//! Which loads and unloads to order next.
+
+use super::eviction::Room;
+use super::reconcile::base_of;
+use super::{AssignedModel, Demand, EngineMemory, MemoryAction, Phase, Replica, UnloadReason};
+use crate::cluster::Target;
+use crate::configuration::{Adapter, Model};
+use crate::identifiers::{AdapterId, ModelId};
+use crate::placement::{AssignmentState, Residency};
+use crate::time::Instant;
+use std::collections::BTreeMap;
+
+impl EngineMemory {
+    /// The orders to give now. What they load is reserved and what they unload
+    /// is out of use at once; call `load_accepted`, `load_not_begun`,
+    /// `order_uncertain` or `adapter_answered` with each answer.
+    pub fn decide(&mut self, demands: &[Demand], now: Instant) -> Vec<MemoryAction> {
+        if self.inventory.is_none() {
+            return Vec::new();
+        }
+        self.latest = now;
+        let mut actions = Vec::new();
+        for replica in self.replicas.values_mut() {
+            replica.yielding = false;
+        }
+        self.unload_undecided(now, &mut actions);
+        self.load_residents(now, &mut actions);
+        for demand in by_urgency(demands) {
+            self.serve_demand(demand, demands, now, &mut actions);
+        }
+        self.unload_idle(demands, now, &mut actions);
+        actions
+    }
+
+    /// Unloads what the log does not (any longer) let the engine hold.
+    fn unload_undecided(&mut self, now: Instant, actions: &mut Vec<MemoryAction>) {
+        let ids: Vec<ModelId> = self.replicas.keys().cloned().collect();
+        for id in ids {
+            if let Some(reason) = self.reason_to_unload(&id) {
+                self.unload(&id, reason, now, actions);
+            } else {
+                self.unload_undecided_adapters(&id, now, actions);
+            }
+        }
+    }
+
+    fn reason_to_unload(&self, id: &ModelId) -> Option<UnloadReason> {
+        let replica = self.replicas.get(id)?;
+        let Some(assigned) = self.assigned.get(id) else {
+            return Some(UnloadReason::NotAssigned);
+        };
+        match assigned.state {
+            AssignmentState::WaitingFor { .. } => Some(UnloadReason::NotAssigned),
+            AssignmentState::Releasing => Some(UnloadReason::Released),
+            AssignmentState::Active if replica.version != assigned.model.version => {
+                Some(UnloadReason::OldVersion)
+            }
+            AssignmentState::Active if misplaced(assigned, replica) => Some(UnloadReason::NotAssigned),
+            AssignmentState::Active => None,
+        }
+    }
+
+    fn unload_undecided_adapters(&mut self, base: &ModelId, now: Instant, actions: &mut Vec<MemoryAction>) {
+        let stale: Vec<AdapterId> = self.replicas[base]
+            .adapters
+            .iter()
+            .filter(|(id, held)| {
+                let decided = self.adapters.get(*id);
+                !decided.is_some_and(|d| d.base == *base && d.version == held.version)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for adapter in stale {
+            self.unload_adapter(base, &adapter, now, actions);
+        }
+    }
+
+    fn load_residents(&mut self, now: Instant, actions: &mut Vec<MemoryAction>) {
+        let missing: Vec<(Model, Vec<u32>)> = self
+            .assigned
+            .values()
+            .filter(|a| a.state == AssignmentState::Active && !self.replicas.contains_key(&a.model.id))
+            .filter_map(|a| match &a.residency {
+                Residency::Resident { accelerators } => Some((a.model.clone(), accelerators.clone())),
+                Residency::OnDemand => None,
+            })
+            .collect();
+        for (model, accelerators) in missing {
+            if self.backoff_millis(&base_of(&model.id), now) > 0 {
+                continue;
+            }
+            let need = model.memory_mib_per_accelerator;
+            if self.fits(&accelerators, need, Some(&model.id)) {
+                self.reserve(&model, accelerators, now, actions);
+            } else {
+                let room = self.room_on(&accelerators, need, Some(&model.id), &|_| true);
+                self.make_room(room, now, actions);
+            }
+        }
+    }
+
+    fn serve_demand(
+        &mut self,
+        demand: &Demand,
+        all: &[Demand],
+        now: Instant,
+        actions: &mut Vec<MemoryAction>,
+    ) {
+        let target = &demand.target;
+        let Some(assigned) = self.assigned.get(&target.model).cloned() else {
+            return;
+        };
+        let loadable = assigned.state == AssignmentState::Active
+            && !self.is_usable(target)
+            && self.backoff_millis(target, now) == 0;
+        if !loadable || !self.helps_in_time(demand, now) {
+            return;
+        }
+        match self.replicas.get(&target.model).map(|replica| replica.phase) {
+            None if assigned.residency == Residency::OnDemand => {
+                self.wake_model(&assigned.model, demand, all, now, actions);
+            }
+            Some(Phase::Loaded) => self.wake_adapter(demand, all, now, actions),
+            _ => {}
+        }
+    }
+
+    /// Whether a load that starts now is expected to be done before the last
+    /// waiting request is due.
+    fn helps_in_time(&self, demand: &Demand, now: Instant) -> bool {
+        match self.wake(&demand.target, now) {
+            crate::replica_queue::Wake::In(millis) => now + millis <= demand.latest_deadline,
+            _ => true,
+        }
+    }
+
+    fn wake_model(
+        &mut self,
+        model: &Model,
+        demand: &Demand,
+        all: &[Demand],
+        now: Instant,
+        actions: &mut Vec<MemoryAction>,
+    ) {
+        let count = model.accelerators as usize;
+        let need = model.memory_mib_per_accelerator;
+        if let Some(accelerators) = self.free_accelerators(count, need) {
+            self.reserve(model, accelerators, now, actions);
+            return;
+        }
+        let idle = self.victim_filter(demand, all, now, false);
+        let mut room = self.room_anywhere(count, need, &|id| idle.contains(id));
+        if room.is_none() {
+            let busy = self.victim_filter(demand, all, now, true);
+            room = self.room_anywhere(count, need, &|id| busy.contains(id));
+        }
+        self.make_room(room, now, actions);
+    }
+
+    /// The tightest accelerators that fit, so that large models find room.
+    fn free_accelerators(&self, count: usize, need: u64) -> Option<Vec<u32>> {
+        let mut fitting: Vec<(u64, u32)> = self
+            .free(None)
+            .into_iter()
+            .enumerate()
+            .filter(|(_, free)| *free >= need)
+            .map(|(index, free)| (free, index as u32))
+            .collect();
+        if fitting.len() < count {
+            return None;
+        }
+        fitting.sort_unstable();
+        let mut chosen: Vec<u32> = fitting.into_iter().take(count).map(|(_, index)| index).collect();
+        chosen.sort_unstable();
+        Some(chosen)
+    }
+
+    fn wake_adapter(
+        &mut self,
+        demand: &Demand,
+        all: &[Demand],
+        now: Instant,
+        actions: &mut Vec<MemoryAction>,
+    ) {
+        let Some(adapter) = demand
+            .target
+            .adapter
+            .as_ref()
+            .and_then(|id| self.adapters.get(id))
+            .cloned()
+        else {
+            return;
+        };
+        let replica = &self.replicas[&adapter.base];
+        if replica.adapters.contains_key(&adapter.id) {
+            return;
+        }
+        let accelerators = replica.accelerators.clone();
+        let need = adapter.memory_mib_per_accelerator;
+        if self.fits(&accelerators, need, None) {
+            self.reserve_adapter(&adapter, now);
+            actions.push(MemoryAction::LoadAdapter { adapter });
+            return;
+        }
+        if let Some(idle) = self.idle_adapter_beside(&adapter, all) {
+            self.unload_adapter(&adapter.base, &idle, now, actions);
+            return;
+        }
+        let victims = self.victim_filter(demand, all, now, false);
+        let room = self.room_on(&accelerators, need, None, &|id| victims.contains(id));
+        self.make_room(room, now, actions);
+    }
+
+    /// The least recently used idle adapter of the same base that nobody waits
+    /// for.
+    fn idle_adapter_beside(&self, adapter: &Adapter, all: &[Demand]) -> Option<AdapterId> {
+        let replica = &self.replicas[&adapter.base];
+        replica
+            .adapters
+            .iter()
+            .filter(|(_, held)| held.phase == Phase::Loaded)
+            .map(|(id, _)| Target {
+                model: adapter.base.clone(),
+                adapter: Some(id.clone()),
+            })
+            .filter(|target| !self.target_in_use(target) && !all.iter().any(|d| d.target == *target))
+            .min_by_key(|target| self.usage.get(target).map(|usage| usage.last_used))
+            .and_then(|target| target.adapter)
+    }
+
+    fn make_room(&mut self, room: Option<Room>, now: Instant, actions: &mut Vec<MemoryAction>) {
+        for victim in room.map(|room| room.victims).unwrap_or_default() {
+            if self.in_use(&victim) {
+                if let Some(replica) = self.replicas.get_mut(&victim) {
+                    replica.yielding = true;
+                }
+            } else {
+                self.unload(&victim, UnloadReason::Evicted, now, actions);
+            }
+        }
+    }
+
+    fn unload_idle(&mut self, demands: &[Demand], now: Instant, actions: &mut Vec<MemoryAction>) {
+        let idle: Vec<ModelId> = self
+            .replicas
+            .keys()
+            .filter(|id| self.is_idle_on_demand(id, demands, now))
+            .cloned()
+            .collect();
+        for id in idle {
+            self.unload(&id, UnloadReason::Idle, now, actions);
+        }
+    }
+
+    fn is_idle_on_demand(&self, id: &ModelId, demands: &[Demand], now: Instant) -> bool {
+        let on_demand = self
+            .assigned
+            .get(id)
+            .is_some_and(|assigned| assigned.residency == Residency::OnDemand);
+        let wanted = demands.iter().any(|demand| demand.target.model == *id);
+        on_demand && !wanted && self.idle_until(id).is_some_and(|until| now >= until)
+    }
+
+    /// When a loaded model counts as idle, if nobody asks for it until then.
+    fn idle_until(&self, id: &ModelId) -> Option<Instant> {
+        let replica = self.replicas.get(id)?;
+        if replica.phase != Phase::Loaded || self.in_use(id) {
+            return None;
+        }
+        let usages = self.usage.iter().filter(|(target, _)| target.model == *id);
+        let mut last_used = replica.loaded_at;
+        let mut tight = false;
+        for (_, usage) in usages {
+            last_used = last_used.max(usage.last_used);
+            tight |= usage.tight;
+        }
+        let pause = if tight {
+            self.config.tight_idle_unload_millis
+        } else {
+            self.config.idle_unload_millis
+        };
+        Some(last_used + pause)
+    }
+
+    /// Whether a load that is decided and not yet ordered still helps anybody.
+    pub fn is_load_wanted(&self, id: &ModelId, demands: &[Demand], now: Instant) -> bool {
+        let Some(assigned) = self.assigned.get(id) else {
+            return false;
+        };
+        let current = self
+            .replicas
+            .get(id)
+            .is_some_and(|replica| replica.version == assigned.model.version);
+        if assigned.state != AssignmentState::Active || !current {
+            return false;
+        }
+        let resident = matches!(assigned.residency, Residency::Resident { .. });
+        let mut waiting = demands.iter().filter(|demand| demand.target.model == *id);
+        resident || waiting.any(|demand| self.helps_in_time(demand, now))
+    }
+
+    /// When `decide` should be called again even if nothing happens.
+    pub fn next_decision(&self, now: Instant) -> Option<Instant> {
+        let idle = self.replicas.keys().filter_map(|id| self.idle_until(id));
+        let backoff = self.backoff.values().map(|backoff| backoff.until);
+        idle.chain(backoff).filter(|at| *at > now).min()
+    }
+
+    pub(super) fn fits(&self, accelerators: &[u32], need: u64, beside: Option<&ModelId>) -> bool {
+        let free = self.free(beside);
+        accelerators
+            .iter()
+            .all(|index| free.get(*index as usize).is_some_and(|free| *free >= need))
+    }
+
+    fn reserve(
+        &mut self,
+        model: &Model,
+        accelerators: Vec<u32>,
+        now: Instant,
+        actions: &mut Vec<MemoryAction>,
+    ) {
+        self.sequence += 1;
+        let replica = Replica {
+            version: model.version,
+            accelerators: accelerators.clone(),
+            memory: model.memory_mib_per_accelerator,
+            phase: Phase::Reserved,
+            changed: self.sequence,
+            loaded_at: now,
+            expected_at: now + self.load_millis(model, now),
+            yielding: false,
+            adapters: BTreeMap::new(),
+        };
+        self.replicas.insert(model.id.clone(), replica);
+        actions.push(MemoryAction::Load {
+            model: model.clone(),
+            accelerators,
+            source: self.source(&model.id),
+        });
+    }
+
+    /// Orders an unload, unless the model is in use or an order is under way.
+    fn unload(&mut self, id: &ModelId, reason: UnloadReason, now: Instant, actions: &mut Vec<MemoryAction>) {
+        let waits = self.in_use(id) || self.backoff_millis(&base_of(id), now) > 0;
+        let orders_open = |replica: &Replica| {
+            replica.phase != Phase::Loaded && replica.phase != Phase::Loading
+                || replica
+                    .adapters
+                    .values()
+                    .any(|a| matches!(a.phase, Phase::Reserved | Phase::Unloading))
+        };
+        if waits || self.replicas.get(id).is_none_or(orders_open) {
+            return;
+        }
+        self.sequence += 1;
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.phase = Phase::Unloading;
+            replica.changed = self.sequence;
+        }
+        actions.push(MemoryAction::Unload {
+            model: id.clone(),
+            reason,
+        });
+    }
+
+    fn unload_adapter(
+        &mut self,
+        base: &ModelId,
+        adapter: &AdapterId,
+        now: Instant,
+        actions: &mut Vec<MemoryAction>,
+    ) {
+        let target = Target {
+            model: base.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        if self.target_in_use(&target) || self.backoff_millis(&target, now) > 0 {
+            return;
+        }
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let held = self
+            .replicas
+            .get_mut(base)
+            .and_then(|r| r.adapters.get_mut(adapter));
+        let Some(held) = held.filter(|held| held.phase == Phase::Loaded) else {
+            return;
+        };
+        held.phase = Phase::Unloading;
+        held.changed = sequence;
+        actions.push(MemoryAction::UnloadAdapter {
+            adapter: adapter.clone(),
+            base: base.clone(),
+        });
+    }
+
+    pub(super) fn target_in_use(&self, target: &Target) -> bool {
+        self.usage.get(target).is_some_and(|usage| usage.running > 0)
+    }
+}
+
+/// A resident on other accelerators than those reserved for it.
+fn misplaced(assigned: &AssignedModel, replica: &Replica) -> bool {
+    match &assigned.residency {
+        Residency::OnDemand => false,
+        Residency::Resident { accelerators } => {
+            let mut decided = accelerators.clone();
+            let mut held = replica.accelerators.clone();
+            decided.sort_unstable();
+            held.sort_unstable();
+            decided != held
+        }
+    }
+}
+
+fn by_urgency(demands: &[Demand]) -> Vec<&Demand> {
+    let mut sorted: Vec<&Demand> = demands.iter().collect();
+    sorted.sort_by_key(|demand| (demand.priority, demand.earliest_deadline));
+    sorted
+}
