Cluster state: remember deletions, so that stale plans revive nothing

Cause: an absent object counted as changed at revision 0, so a plan made before a deletion was accepted and brought the object back.

Deletions are remembered in a bounded map; past the bound every absent object counts as changed at the latest dropped deletion, which refuses more and never less.

Found on the way and mended: lowering max_replicas was refused as long as the surplus was releasing; two assignments that waited for one engine would both become active; a releasing replica counted with its model's new memory instead of what it holds; a stale machine list undid an operator's drain. A deleted model is now kept as retiring until its replicas are released.

--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -5,18 +5,29 @@
 //! nothing else.
 //!
 //! Invariants after every entry, checked by [`ClusterState::check`]:
-//! - a model has at most `max_replicas` assignments that count as replicas;
+//! - a model has at most `max_replicas` assignments that are not releasing;
+//! - while it has more than `max_replicas` that count as replicas (its most was
+//!   lowered and releases are not confirmed yet), none becomes active;
+//! - a deleted model has only releasing assignments;
 //! - on every accelerator the resident assignments fit the memory;
-//! - every on-demand assignment fits beside the residents of its engine.
+//! - every on-demand assignment that is not releasing fits beside the residents
+//!   of its engine.
 
 mod apply;
+mod intents;
+mod machines;
 mod memory;
+mod staleness;
+mod steps;
+mod tombstones;
+
+pub use tombstones::{ObjectName, Tombstones, REMEMBERED_DELETIONS};
 
 use crate::configuration::{Adapter, Group, Model};
 use crate::identifiers::{AdapterId, CellId, EngineId, GroupId, ModelId, NodeId, PlanId, Revision, Term};
-use crate::placement::{Assignment, AssignmentState, Engine, Node};
+use crate::placement::{Assignment, Engine, Node};
 use nanoserde::{DeBin, SerBin};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
 /// Confirmed plans that are remembered, so that a second confirmation of the
@@ -104,6 +115,14 @@
     pub coordinators: BTreeMap<CellId, Coordinator>,
     /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
     pub confirmed_plans: BTreeMap<Revision, PlanId>,
+    /// Deleted models whose replicas are not all released yet. They are not
+    /// served any more.
+    pub retiring_models: BTreeSet<ModelId>,
+    /// Memory that each releasing replica holds on each of its accelerators, in
+    /// MiB, by model, then engine.
+    pub releasing_memory_mib: BTreeMap<ModelId, BTreeMap<EngineId, u64>>,
+    /// When deleted objects were deleted.
+    pub tombstones: Tombstones,
 }
 
 impl ClusterState {
@@ -141,6 +160,9 @@
     /// The base model that serves a name, which may be a model or an adapter.
     pub fn resolve(&self, name: &str) -> Option<Target> {
         let model = ModelId::from(name);
+        if self.is_retiring(&model) {
+            return None;
+        }
         if self.models.contains_key(&model) {
             return Some(Target { model, adapter: None });
         }
@@ -155,9 +177,31 @@
     /// Replicas of a model that the log lets exist at once.
     pub fn decided_replicas(&self, model: &ModelId) -> usize {
         self.assignments_of_model(model)
-            .filter(|assignment| !matches!(assignment.state, AssignmentState::WaitingFor { .. }))
+            .filter(|assignment| assignment.counts_as_replica())
             .count()
     }
+
+    /// The assignment of a model to an engine.
+    pub fn assignment(&self, model: &ModelId, engine: &EngineId) -> Option<&Assignment> {
+        let found = self.assignments.get(model)?.get(engine)?;
+        Some(&found.value)
+    }
+
+    /// Whether a model was deleted but still has replicas to release.
+    pub fn is_retiring(&self, model: &ModelId) -> bool {
+        self.retiring_models.contains(model)
+    }
+}
+
+fn versioned<T: Clone>(at: Revision, value: &T) -> Versioned<T> {
+    Versioned {
+        changed_at: at,
+        value: value.clone(),
+    }
+}
+
+fn missing(kind: &str, name: &str) -> ApplyError {
+    ApplyError::Invalid(format!("{kind} {name} does not exist"))
 }
 
 /// What a caller's model name stands for.
--- a/crates/croftrill-state/src/placement.rs
+++ b/crates/croftrill-state/src/placement.rs
@@ -107,3 +107,10 @@
     /// Progress.
     pub state: AssignmentState,
 }
+
+impl Assignment {
+    /// Whether a replica may exist because of it: true unless it only waits.
+    pub fn counts_as_replica(&self) -> bool {
+        !matches!(self.state, AssignmentState::WaitingFor { .. })
+    }
+}
