--- a/crates/croftrill-protocol/src/operator.rs
+++ b/crates/croftrill-protocol/src/operator.rs
@@ -9,6 +9,8 @@
 use croftrill_state::{EngineId, ModelId, PlanId, Revision};
 use serde::{Deserialize, Serialize};
 
+pub use croftrill_state::planner::PlanAction;
+
 /// What an operator wants, in order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct IntentRequest {
@@ -16,54 +18,6 @@
     pub intents: Vec<Intent>,
 }
 
-/// What a plan does to one replica, for people to read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "action")]
-pub enum PlanAction {
-    /// A replica is loaded and kept.
-    Load {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory on all its accelerators, in MiB.
-        memory_mib: u64,
-        /// Expected time, in milliseconds.
-        expected_millis: u64,
-    },
-    /// A replica may be loaded there when asked for.
-    Allow {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory on all its accelerators when loaded, in MiB.
-        memory_mib: u64,
-    },
-    /// A replica moves.
-    Move {
-        /// The model.
-        model: ModelId,
-        /// From this engine.
-        from: EngineId,
-        /// To this engine.
-        to: EngineId,
-        /// Memory on all its accelerators, in MiB.
-        memory_mib: u64,
-        /// Expected time, in milliseconds.
-        expected_millis: u64,
-    },
-    /// A replica is drained and unloaded.
-    Stop {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory given back, in MiB.
-        memory_mib: u64,
-    },
-}
-
 /// An answer to an intent. It changes nothing until confirmed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
