--- a/crates/croftrill-protocol/src/operator.rs
+++ b/crates/croftrill-protocol/src/operator.rs
@@ -3,9 +3,16 @@
 //! - `POST /v1/plans` with [`IntentRequest`] answers a [`Plan`]; nothing changes.
 //! - `GET /v1/plans/{id}` answers the plan.
 //! - `POST /v1/plans/{id}/confirm` answers [`ConfirmOutcome`].
-//! - `GET /v1/status`, `/v1/groups`, `/v1/models/configured`, `/v1/adapters`.
+//! - `GET /v1/status` answers [`Status`], `/v1/groups` a list of groups,
+//!   `/v1/models/configured` a list of [`ModelListing`], `/v1/adapters` a list of
+//!   adapters.
+//!
+//! Plan identifiers contain a slash and are percent-encoded in paths. Every error
+//! is an [`ApiError`].
 
+use croftrill_state::configuration::Model;
 use croftrill_state::entry::{Intent, PlacementStep};
+use croftrill_state::placement::Assignment;
 use croftrill_state::{EngineId, ModelId, PlanId, Revision};
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +62,8 @@
     Unknown,
     /// The key-value service cannot be reached; nothing was changed.
     Unavailable {
+        /// Why, for people to read.
+        reason: String,
         /// When to try again, in milliseconds.
         retry_after_millis: u64,
     },
@@ -68,6 +77,21 @@
 pub struct ApiError {
     /// What went wrong.
     pub error: String,
+    /// Each problem of the request, if there are several to tell apart.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub findings: Vec<String>,
+}
+
+/// One model as configured and placed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelListing {
+    /// The model.
+    #[serde(flatten)]
+    pub model: Model,
+    /// Whether it was deleted and only waits for its replicas to be released.
+    pub retiring: bool,
+    /// Where it may be loaded.
+    pub assignments: Vec<Assignment>,
 }
 
 /// One engine in the status.
