--- a/crates/croftrill-protocol/src/operator.rs
+++ b/crates/croftrill-protocol/src/operator.rs
@@ -3,12 +3,21 @@
 //! - `POST /v1/plans` with [`IntentRequest`] answers a [`Plan`]; nothing changes.
 //! - `GET /v1/plans/{id}` answers the plan.
 //! - `POST /v1/plans/{id}/confirm` answers [`ConfirmOutcome`].
-//! - `GET /v1/status`, `/v1/groups`, `/v1/models/configured`, `/v1/adapters`.
+//! - `GET /v1/status` answers [`Status`], `/v1/groups` a list of groups,
+//!   `/v1/models/configured` a list of [`ModelListing`], `/v1/adapters` a list of
+//!   adapters.
+//!
+//! Plan identifiers contain a slash and are percent-encoded in paths. Every error
+//! is an [`ApiError`].
 
+use croftrill_state::configuration::Model;
 use croftrill_state::entry::{Intent, PlacementStep};
+use croftrill_state::placement::Assignment;
 use croftrill_state::{EngineId, ModelId, PlanId, Revision};
 use serde::{Deserialize, Serialize};
 
+pub use croftrill_state::planner::PlanAction;
+
 /// What an operator wants, in order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct IntentRequest {
@@ -16,54 +25,6 @@
     pub intents: Vec<Intent>,
 }
 
-/// What a plan does to one replica, for people to read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "action")]
-pub enum PlanAction {
-    /// A replica is loaded and kept.
-    Load {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory on all its accelerators, in MiB.
-        memory_mib: u64,
-        /// Expected time, in milliseconds.
-        expected_millis: u64,
-    },
-    /// A replica may be loaded there when asked for.
-    Allow {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory on all its accelerators when loaded, in MiB.
-        memory_mib: u64,
-    },
-    /// A replica moves.
-    Move {
-        /// The model.
-        model: ModelId,
-        /// From this engine.
-        from: EngineId,
-        /// To this engine.
-        to: EngineId,
-        /// Memory on all its accelerators, in MiB.
-        memory_mib: u64,
-        /// Expected time, in milliseconds.
-        expected_millis: u64,
-    },
-    /// A replica is drained and unloaded.
-    Stop {
-        /// The model.
-        model: ModelId,
-        /// The engine.
-        engine: EngineId,
-        /// Memory given back, in MiB.
-        memory_mib: u64,
-    },
-}
-
 /// An answer to an intent. It changes nothing until confirmed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -101,6 +62,8 @@
     Unknown,
     /// The key-value service cannot be reached; nothing was changed.
     Unavailable {
+        /// Why, for people to read.
+        reason: String,
         /// When to try again, in milliseconds.
         retry_after_millis: u64,
     },
@@ -114,6 +77,21 @@
 pub struct ApiError {
     /// What went wrong.
     pub error: String,
+    /// Each problem of the request, if there are several to tell apart.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub findings: Vec<String>,
+}
+
+/// One model as configured and placed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelListing {
+    /// The model.
+    #[serde(flatten)]
+    pub model: Model,
+    /// Whether it was deleted and only waits for its replicas to be released.
+    pub retiring: bool,
+    /// Where it may be loaded.
+    pub assignments: Vec<Assignment>,
 }
 
 /// One engine in the status.
