--- a/crates/croftrill-platform/src/http.rs
+++ b/crates/croftrill-platform/src/http.rs
@@ -15,4 +15,4 @@
 pub use engine::{HttpEngineClient, HttpEngineConfig};
 pub use key_value::HttpKeyValueService;
 pub use machine_list::HttpMachineList;
-pub use weight_store::HttpWeightStore;
+pub use weight_store::{HttpWeightStore, ReadOutcome};
