--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -66,6 +66,7 @@
         let mut applying = Applying::new(entry.revision, self);
         next.apply_change(entry, &mut applying)?;
         next.finish(&mut applying);
+        next.note_membership_changes(self, entry.revision);
         next.check_touched(&applying)?;
         Ok(next)
     }
