--- a/crates/croftrill-coordination/src/peer_service.rs
+++ b/crates/croftrill-coordination/src/peer_service.rs
@@ -4,8 +4,8 @@
 use crate::replication::{ProposeOutcome, Replica};
 use async_trait::async_trait;
 use croftrill_protocol::peer::{
-    ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, LoadPermit, LoadPermitRequest, LoadReport, LogPage,
-    Peer, ReportOutcome,
+    ClaimHandOver, ClaimOutcome, ClaimRequest, ClaimResult, FinishOutcome, HandOverOutcome, LoadPermit,
+    LoadPermitRequest, LoadReport, LogPage, Peer, ReportOutcome,
 };
 use croftrill_state::cluster::ApplyError;
 use croftrill_state::entry::Change;
@@ -32,9 +32,9 @@
     /// Claims a key.
     async fn claim(&self, request: ClaimRequest) -> ClaimOutcome;
     /// Takes in how a claimed request ended.
-    async fn finish(&self, key: IdempotencyKey, request: RequestId, result: ClaimResult) -> ReportOutcome;
-    /// Takes over claims from a former holder.
-    async fn hand_over(&self, from_revision: Revision, records: Vec<ClaimRecord>) -> ReportOutcome;
+    async fn finish(&self, key: IdempotencyKey, request: RequestId, result: ClaimResult) -> FinishOutcome;
+    /// Takes over a part of the claims of a former holder.
+    async fn hand_over(&self, part: ClaimHandOver) -> HandOverOutcome;
 }
 
 /// Drops attempts whose gateway gave up.
@@ -118,17 +118,12 @@
         key: IdempotencyKey,
         request: RequestId,
         result: ClaimResult,
-    ) -> ReportOutcome {
+    ) -> FinishOutcome {
         self.parts.claims.finish(key, request, result).await
     }
 
-    async fn hand_over_claims(
-        self,
-        _context: Context,
-        from_revision: Revision,
-        records: Vec<ClaimRecord>,
-    ) -> ReportOutcome {
-        self.parts.claims.hand_over(from_revision, records).await
+    async fn hand_over_claims(self, _context: Context, part: ClaimHandOver) -> HandOverOutcome {
+        self.parts.claims.hand_over(part).await
     }
 
     async fn request_load(self, _context: Context, request: LoadPermitRequest) -> LoadPermit {
--- /dev/null
+++ b/crates/croftrill-daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- a/crates/croftrill-owner/src/runner.rs
+++ b/crates/croftrill-owner/src/runner.rs
@@ -186,6 +186,7 @@
             stop: request.generation.stop.clone(),
             resume_tokens: resume.tokens,
             resume_text: resume.text,
+            idempotency_key: request.unrepeatable.clone(),
         }
     }
 
