--- a/crates/croftrill-daemon/src/control_thread.rs
+++ b/crates/croftrill-daemon/src/control_thread.rs
@@ -7,15 +7,35 @@
 use anyhow::Context;
 use std::future::Future;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// The thread's name, as debuggers show it.
 const THREAD_NAME: &str = "control";
+/// Longest wait for the tasks to end after they were told to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Where the parts on the control thread spawn their tasks.
+#[derive(Clone, Default)]
+pub struct ControlTasks {
+    /// The tasks that a stop waits for.
+    pub tracker: TaskTracker,
+    /// Cancelled when the thread is to stop.
+    pub stop: CancellationToken,
+}
+
+impl ControlTasks {
+    /// Runs a task until it ends; it should end soon after `stop`.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tracker.spawn(task);
+    }
+}
 
 /// A running control thread.
 pub struct ControlThread {
-    stop: CancellationToken,
+    tasks: ControlTasks,
     thread: JoinHandle<()>,
 }
 
@@ -26,22 +46,24 @@
     where
         T: Send + 'static,
         F: Future<Output = anyhow::Result<T>>,
-        S: FnOnce() -> F + Send + 'static,
+        S: FnOnce(ControlTasks) -> F + Send + 'static,
     {
-        let stop = CancellationToken::new();
-        let stopped = stop.clone();
+        let tasks = ControlTasks::default();
+        let given = tasks.clone();
         let (sender, receiver) = oneshot::channel();
         let thread = std::thread::Builder::new()
             .name(THREAD_NAME.to_string())
-            .spawn(move || run(start, sender, stopped))
+            .spawn(move || run(start, sender, given))
             .context("the control thread cannot be started")?;
-        let made = receiver.await.context("the control thread ended at its start")??;
-        Ok((ControlThread { stop, thread }, made))
+        let made = receiver
+            .await
+            .context("the control thread ended at its start")??;
+        Ok((ControlThread { tasks, thread }, made))
     }
 
     /// Ends the thread and everything on it.
     pub async fn stop(self) {
-        self.stop.cancel();
+        self.tasks.stop.cancel();
         let joined = tokio::task::spawn_blocking(move || self.thread.join()).await;
         if !matches!(joined, Ok(Ok(()))) {
             log::error!("daemon: control thread ended badly");
@@ -49,10 +71,10 @@
     }
 }
 
-fn run<T, F, S>(start: S, sender: oneshot::Sender<anyhow::Result<T>>, stopped: CancellationToken)
+fn run<T, F, S>(start: S, sender: oneshot::Sender<anyhow::Result<T>>, tasks: ControlTasks)
 where
     F: Future<Output = anyhow::Result<T>>,
-    S: FnOnce() -> F,
+    S: FnOnce(ControlTasks) -> F,
 {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -62,11 +84,18 @@
         }
     };
     runtime.block_on(async move {
-        let made = start().await;
+        let made = start(tasks.clone()).await;
         let failed = made.is_err();
         if sender.send(made).is_err() || failed {
             return;
         }
-        stopped.cancelled().await;
+        tasks.stop.cancelled().await;
+        tasks.tracker.close();
+        if tokio::time::timeout(STOP_LIMIT, tasks.tracker.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("daemon: control tasks did not end tasks={}", tasks.tracker.len());
+        }
     });
 }
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The daemon: wires the parts and nothing else.
+//!
+//! Control parts (log, membership, claims, coordinator, operators' API) run on
+//! the control thread; the gateway and the owner run on the caller's runtime,
+//! which is the traffic threads. The two meet in immutable snapshots.
+
+pub mod command_line;
+mod control;
+mod control_thread;
+mod daemon;
+mod gateway_claims;
+mod learned_admission;
+mod listeners;
+pub mod logging;
+mod operator_ports;
+mod operator_server;
+mod owner_ports;
+mod peer_calls;
+mod peer_parts;
+pub mod signals;
+mod traffic;
+
+pub use daemon::{Daemon, DaemonAddresses};
