--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -5,6 +5,7 @@
 //! nothing else.
 //!
 //! Invariants after every entry, checked by [`ClusterState::check`]:
+//! - every assignment's model and engine exist;
 //! - a model has at most `max_replicas` assignments that are not releasing;
 //! - while it has more than `max_replicas` that count as replicas (its most was
 //!   lowered and releases are not confirmed yet), none becomes active;
--- a/crates/croftrill-state/src/cluster/memory.rs
+++ b/crates/croftrill-state/src/cluster/memory.rs
@@ -113,19 +113,19 @@
     }
 
     fn check_replica_count(&self, id: &ModelId) -> Result<(), ApplyError> {
+        if !self.assignments.contains_key(id) {
+            return Ok(());
+        }
+        let most = self.required_model(id)?.max_replicas as usize;
         let wanted = self
             .assignments_of_model(id)
             .filter(|assignment| assignment.state != AssignmentState::Releasing)
             .count();
-        if wanted == 0 {
-            return Ok(());
-        }
-        if self.is_retiring(id) {
+        if wanted > 0 && self.is_retiring(id) {
             return Err(ApplyError::Invalid(format!(
                 "model {id} is deleted but keeps {wanted} replicas"
             )));
         }
-        let most = self.required_model(id)?.max_replicas as usize;
         if wanted > most {
             return Err(ApplyError::Invalid(format!(
                 "model {id} would have {wanted} replicas, more than {most}"
--- a/crates/croftrill-state/src/cluster/steps.rs
+++ b/crates/croftrill-state/src/cluster/steps.rs
@@ -57,40 +57,35 @@
                 "model {model} is not assigned to engine {engine}"
             )));
         };
+        if present.state == AssignmentState::Releasing {
+            return Ok(());
+        }
         applying.touch(model, engine);
-        match present.state {
-            AssignmentState::Releasing => Ok(()),
-            AssignmentState::WaitingFor { .. } => {
-                // Nothing was ever loaded there, so nobody has to confirm.
-                self.remove_assignment(model, engine, applying);
-                Ok(())
-            }
-            AssignmentState::Active => {
-                self.start_release(model, engine, applying);
-                Ok(())
-            }
+        match applying.before.assignment(model, engine) {
+            Some(before) if before.counts_as_replica() => self.start_release(before, applying),
+            // Nothing was ever loaded there, so nobody has to confirm.
+            _ => self.remove_assignment(model, engine, applying),
         }
+        Ok(())
     }
 
-    fn start_release(&mut self, model: &ModelId, engine: &EngineId, applying: &Applying) {
-        let held = applying
-            .before
-            .models
-            .get(model)
-            .or_else(|| self.models.get(model))
-            .map_or(0, |found| found.value.memory_mib_per_accelerator);
+    /// Marks a replica that may be loaded as it was before the entry.
+    fn start_release(&mut self, before: &Assignment, applying: &Applying) {
+        let Assignment { model, engine, .. } = before;
+        let held = applying.before.models.get(model);
+        let held = held.map_or(0, |found| found.value.memory_mib_per_accelerator);
         self.releasing_memory_mib
             .entry(model.clone())
             .or_default()
             .insert(engine.clone(), held);
-        let present = self
-            .assignments
-            .get_mut(model)
-            .and_then(|by_engine| by_engine.get_mut(engine));
-        if let Some(assignment) = present {
-            assignment.value.state = AssignmentState::Releasing;
-            assignment.changed_at = applying.at;
-        }
+        let releasing = Assignment {
+            state: AssignmentState::Releasing,
+            ..before.clone()
+        };
+        self.assignments
+            .entry(model.clone())
+            .or_default()
+            .insert(engine.clone(), versioned(applying.at, &releasing));
     }
 
     fn set_owner(&mut self, id: &EngineId, owner: &NodeId, at: Revision) -> Result<(), ApplyError> {
