--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -23,6 +23,7 @@
     peak_replicas, AcceleratorRecord, EngineLedger, FencedRecord, LoadRecord, RunEnd, RunRecord,
 };
 
+use crate::control::{FAULTS_PATH, LEDGER_PATH};
 use crate::server::{self, json, not_found, ok, read_json, Body, ConnectionCutter, Handler};
 use crate::server::{now_millis, HandlerResult, Rejection, RunningServer};
 use checkpoint_cache::CheckpointCache;
@@ -36,7 +37,7 @@
 use hyper::body::Incoming;
 use prefix_cache::PrefixCache;
 use slots::Slots;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -61,6 +62,8 @@
     prefix_cache: PrefixCache,
     /// Cancels the runs.
     runs: BTreeMap<AttemptId, CancellationToken>,
+    /// Every attempt accepted so far.
+    known_attempts: HashSet<AttemptId>,
     faults: EngineFaults,
     down_until: Option<Instant>,
     load_report: (Instant, wire::LoadReport),
@@ -130,6 +133,7 @@
         state.down_until = Some(Instant::now() + restart_after);
         state.ledger.crashes += 1;
         state.highest_token = FencingToken::default();
+        state.known_attempts.clear();
         state.memory_cache.clear();
         state.prefix_cache = PrefixCache::new(self.config.prefix_cache_blocks);
         for (attempt, cancel) in std::mem::take(&mut state.runs) {
@@ -171,11 +175,11 @@
 
     async fn control(&self, request: Request<Incoming>) -> HandlerResult {
         match request.uri().path() {
-            "/control/faults" => {
+            FAULTS_PATH => {
                 self.set_faults(read_json(request).await?);
                 Ok(ok(&()))
             }
-            "/control/ledger" => Ok(ok(&self.lock().ledger)),
+            LEDGER_PATH => Ok(ok(&self.lock().ledger)),
             _ => Ok(not_found()),
         }
     }
@@ -237,6 +241,7 @@
             disk_cache: CheckpointCache::new(config.disk_cache_mib),
             prefix_cache: PrefixCache::new(config.prefix_cache_blocks),
             runs: BTreeMap::new(),
+            known_attempts: HashSet::new(),
             faults: EngineFaults::default(),
             down_until: None,
             load_report: (Instant::now(), wire::LoadReport::default()),
--- a/crates/croftrill-standin/src/engine/runs.rs
+++ b/crates/croftrill-standin/src/engine/runs.rs
@@ -54,7 +54,7 @@
                 "the model or adapter is not loaded",
                 0,
             ))
-        } else if state.ledger.runs.iter().any(|run| run.attempt == request.attempt) {
+        } else if state.known_attempts.contains(&request.attempt) {
             Some(refuse(StatusCode::CONFLICT, "the attempt is known already", 0))
         } else if running >= self.config.max_running && waiting >= self.config.max_waiting {
             Some(refuse(
@@ -70,6 +70,7 @@
             return Err(refusal.into());
         }
         let cancel = CancellationToken::new();
+        state.known_attempts.insert(request.attempt);
         state.runs.insert(request.attempt, cancel.clone());
         state.ledger.run_accepted(request);
         Ok(cancel)
@@ -122,11 +123,18 @@
     }
 
     async fn prefill(&self, request: &EngineRequest) {
-        let cached_share = self.lock().prefix_cache.look_up(request);
-        let prompt = f64::from(prompt_tokens(&request.prompt)) * (1.0 - cached_share);
-        let tokens = prompt + f64::from(request.resume_tokens);
-        let time = tokens / self.config.prefill_tokens_per_second;
-        tokio::time::sleep(Duration::try_from_secs_f64(time).unwrap_or_default()).await;
+        let tokens = {
+            let mut state = self.lock();
+            let uncached = 1.0 - state.prefix_cache.look_up(request);
+            let prompt = f64::from(prompt_tokens(&request.prompt)) * uncached;
+            let tokens = prompt.round() as u32 + request.resume_tokens;
+            if let Some(run) = state.ledger.open_run(request.attempt) {
+                run.prefill_tokens = tokens;
+            }
+            tokens
+        };
+        let seconds = f64::from(tokens) / self.config.prefill_tokens_per_second;
+        tokio::time::sleep(Duration::try_from_secs_f64(seconds).unwrap_or_default()).await;
         self.thawed().await;
     }
 
--- a/crates/croftrill-standin/src/key_value.rs
+++ b/crates/croftrill-standin/src/key_value.rs
@@ -6,6 +6,7 @@
 
 mod store;
 
+use crate::control::{FAULTS_PATH, LEDGER_PATH};
 use crate::rate_limit::RateLimit;
 use crate::server::{self, not_found, ok, read_json, refuse, ConnectionCutter, Handler};
 use crate::server::{now_millis, Body, HandlerResult, Rejection, RunningServer};
@@ -233,12 +234,12 @@
 
     async fn control(&self, request: Request<Incoming>) -> HandlerResult {
         match request.uri().path() {
-            "/control/faults" => {
+            FAULTS_PATH => {
                 let faults = read_json(request).await?;
                 self.lock().faults = faults;
                 Ok(ok(&()))
             }
-            "/control/ledger" => Ok(ok(&self.lock().store.ledger())),
+            LEDGER_PATH => Ok(ok(&self.lock().store.ledger())),
             _ => Ok(not_found()),
         }
     }
--- a/crates/croftrill-standin/src/lib.rs
+++ b/crates/croftrill-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! from the state that it answers from, so that tests can check the promises of
 //! the system without trusting it.
 
+pub mod control;
 pub mod engine;
 pub mod key_value;
 pub mod machine_list;
@@ -11,6 +12,7 @@
 pub mod server;
 pub mod weight_store;
 
+pub use control::ControlClient;
 pub use engine::{expected_answer, Engine, EngineConfig, EngineFaults, EngineLedger, RunningEngine};
 pub use key_value::{KeyValue, KeyValueConfig, KeyValueFaults, RunningKeyValue};
 pub use machine_list::{MachineChange, MachineListConfig, MachineListService, RunningMachineList};
--- a/crates/croftrill-standin/src/machine_list.rs
+++ b/crates/croftrill-standin/src/machine_list.rs
@@ -1,10 +1,11 @@
 //! Stand-in of the machine list. Changes posted to `/control/machines` (a JSON
 //! list of [`MachineChange`]s) become visible only after a lag.
 
+use crate::control::MACHINES_PATH;
 use crate::server::{self, not_found, ok, read_json, ConnectionCutter, Handler};
 use crate::server::{HandlerResult, RunningServer};
 use croftrill_platform::machine_list::Machine;
-use croftrill_platform::wire::machine_list::{MachinesAnswer, MACHINES_PATH};
+use croftrill_platform::wire::machine_list::{self as wire, MachinesAnswer};
 use croftrill_state::placement::Lifecycle;
 use http::Request;
 use hyper::body::Incoming;
@@ -15,9 +16,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Path of the changes.
-const CHANGES_PATH: &str = "/control/machines";
-
 /// Settings of the stand-in.
 #[derive(Clone, Debug)]
 pub struct MachineListConfig {
@@ -126,10 +124,10 @@
 
     async fn answer(&self, request: Request<Incoming>) -> HandlerResult {
         match request.uri().path() {
-            MACHINES_PATH => Ok(ok(&MachinesAnswer {
+            wire::MACHINES_PATH => Ok(ok(&MachinesAnswer {
                 machines: self.machines(),
             })),
-            CHANGES_PATH => {
+            MACHINES_PATH => {
                 self.change(read_json(request).await?);
                 Ok(ok(&()))
             }
--- a/crates/croftrill-standin/src/proxy.rs
+++ b/crates/croftrill-standin/src/proxy.rs
@@ -2,6 +2,7 @@
 //! `POST /control/mode` on its control address, and applies at once to present
 //! and new connections.
 
+use crate::control::MODE_PATH;
 use crate::server::{self, not_found, ok, read_json, ConnectionCutter, Handler};
 use crate::server::{HandlerResult, RunningServer};
 use http::Request;
@@ -121,7 +122,7 @@
 
 impl Control {
     async fn answer(&self, request: Request<Incoming>) -> HandlerResult {
-        if request.uri().path() != "/control/mode" {
+        if request.uri().path() != MODE_PATH {
             return Ok(not_found());
         }
         self.mode.send_replace(read_json(request).await?);
@@ -170,22 +171,28 @@
     }
 }
 
-/// Forwards one connection until an end closes it or the mode is `Cut`.
-async fn forward(client: TcpStream, upstream: SocketAddr, mode: watch::Receiver<ProxyMode>) {
-    // Closing such a socket resets the connection instead of ending it.
-    let _ = client.set_zero_linger();
-    let Ok(server) = TcpStream::connect(upstream).await else {
+/// Forwards one connection until both ends have closed it or the mode is `Cut`.
+async fn forward(mut client: TcpStream, upstream: SocketAddr, mode: watch::Receiver<ProxyMode>) {
+    let Ok(mut server) = TcpStream::connect(upstream).await else {
         return;
     };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    let mut cut = mode.clone();
-    tokio::select! {
-        _ = cut.wait_for(|mode| *mode == ProxyMode::Cut) => {}
-        _ = copy(client_read, server_write, mode.clone(), Direction::Request) => {}
-        _ = copy(server_read, client_write, mode, Direction::Reply) => {}
+    let is_cut = {
+        let mut cut = mode.clone();
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        let requests = copy(client_read, server_write, mode.clone(), Direction::Request);
+        let replies = copy(server_read, client_write, mode, Direction::Reply);
+        tokio::select! {
+            _ = cut.wait_for(|mode| *mode == ProxyMode::Cut) => true,
+            _ = futures::future::try_join(requests, replies) => false,
+        }
+    };
+    if is_cut {
+        // Closing such a socket resets the connection instead of ending it.
+        let _ = client.set_zero_linger();
+        let _ = server.set_zero_linger();
     }
 }
 
--- a/crates/croftrill-standin/src/weight_store.rs
+++ b/crates/croftrill-standin/src/weight_store.rs
@@ -2,6 +2,7 @@
 //! all of them when too many run at once. `POST /control/faults` sets
 //! [`WeightStoreFaults`]; `GET /control/ledger` answers a [`WeightStoreLedger`].
 
+use crate::control::{FAULTS_PATH, LEDGER_PATH};
 use crate::rate_limit::RateLimit;
 use crate::server::{self, not_found, ok, read_json, refuse, Body, ConnectionCutter, Handler};
 use crate::server::{HandlerResult, RunningServer};
@@ -173,8 +174,8 @@
     async fn answer(&self, request: Request<Incoming>) -> HandlerResult {
         match request.uri().path() {
             LIMITS_PATH => Ok(ok(&self.limits())),
-            "/control/ledger" => Ok(ok(&self.lock().ledger)),
-            "/control/faults" => {
+            LEDGER_PATH => Ok(ok(&self.lock().ledger)),
+            FAULTS_PATH => {
                 let faults = read_json(request).await?;
                 self.lock().faults = faults;
                 Ok(ok(&()))
--- a/crates/croftrill-standin/tests/support/mod.rs
+++ b/crates/croftrill-standin/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use croftrill_state::configuration::PriorityClass;
 use croftrill_state::{AttemptId, FencingToken, ModelId};
 use futures::StreamExt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for a condition.
@@ -111,3 +112,9 @@
     }
     collected
 }
+
+/// An address where nothing listens.
+pub fn refused_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
