Fair queue with learned waits; evictions by expected wake cost

The queue now goes by class with a bound on starvation, by deficit round robin over groups inside a class, and by deadline inside a group. It refuses at once what the learned service times and the expected wake show to come too late. In a full queue the group that holds the most for its weight gives way.

The memory plan chooses victims by load time times request rate (least recently used stays selectable), stops new work of a busy model only for a more urgent class or after a minimum residence, and keeps what a lost order may still do reserved for a while. A caller that was refused because the load is too slow is awaited, since otherwise a model with tight deadlines would never wake.

--- a/crates/croftrill-owner/src/actor.rs
+++ b/crates/croftrill-owner/src/actor.rs
@@ -17,6 +17,7 @@
 use croftrill_protocol::attempt::QueueLoad;
 use croftrill_protocol::peer::{LoadPermit, ReportOutcome};
 use croftrill_state::cluster::Target;
+use croftrill_state::configuration::PriorityClass;
 use croftrill_state::engine_memory::{AssignedModel, EngineMemory, InventoryTicket, MemoryAction};
 use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::placement::Engine;
@@ -85,6 +86,7 @@
 struct RunningAttempt {
     submission: SubmissionId,
     target: Target,
+    priority: PriorityClass,
     cancel: CancellationToken,
 }
 
@@ -307,7 +309,7 @@
     }
 
     fn publish_load(&self) {
-        let estimate = self.queue.estimate();
+        let estimate = self.queue.estimate(self.now());
         let load = QueueLoad {
             waiting: estimate.waiting,
             running: estimate.running,
--- a/crates/croftrill-owner/src/actor/attempts.rs
+++ b/crates/croftrill-owner/src/actor/attempts.rs
@@ -4,6 +4,8 @@
 use crate::runner::{self, Run, RunEnd};
 use crate::submission::{Submission, SubmissionId};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest};
+use croftrill_state::cluster::Target;
+use croftrill_state::engine_memory::EngineMemory;
 use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::placement::Lifecycle;
 use croftrill_state::replica_queue::{QueueItem, Wake, Work};
@@ -28,20 +30,46 @@
             self.refuse(submission, refusal);
             return;
         }
-        let item = queue_item(&submission.request, submission.arrival);
-        let wake = self.memory_wake(&item.target, now);
-        submission.cold = wake != Wake::Ready;
-        let target = item.target.clone();
-        let slack = item.first_token_deadline.millis_since(now);
-        match self.queue.push(item, wake, now) {
-            Ok(()) => {
+        let item = self.queue_item(&submission.request, submission.arrival);
+        let (target, slack) = (item.target.clone(), item.first_token_deadline.millis_since(now));
+        submission.cold = self.wake(&target, now) != Wake::Ready;
+        let (link_up, memory) = (self.link.is_up(), &self.memory);
+        let pushed = self
+            .queue
+            .push(item, |target| wake_of(link_up, memory, target, now), now);
+        match pushed {
+            Ok(displaced) => {
                 self.memory.requested(&target, slack, now);
                 self.accept(submission);
+                self.refuse_items(displaced);
             }
-            Err(refusal) => self.refuse(submission, refusal),
+            Err(refusal) => {
+                self.await_return(&target, &refusal, now);
+                self.refuse(submission, refusal);
+            }
+        }
+    }
+
+    /// A caller that was refused since the load takes too long will come back.
+    fn await_return(&mut self, target: &Target, refusal: &Refusal, now: Instant) {
+        if refusal.cause == RefusalCause::LoadTooSlow {
+            self.memory
+                .told_to_come_back(target, refusal.retry_after_millis, now);
         }
     }
 
+    fn refuse_items(&mut self, refused: impl IntoIterator<Item = (QueueItem, Refusal)>) {
+        for (item, refusal) in refused {
+            if let Some(submission) = self.waiting.remove(&item.attempt) {
+                self.refuse(submission, refusal);
+            }
+        }
+    }
+
+    fn wake(&self, target: &Target, now: Instant) -> Wake {
+        wake_of(self.link.is_up(), &self.memory, target, now)
+    }
+
     fn is_known(&self, attempt: AttemptId) -> bool {
         let open = self.waiting.contains_key(&attempt) || self.running.contains_key(&attempt);
         open || self.ended_set.contains(&attempt)
@@ -57,16 +85,6 @@
         self.link.has_failed().then_some(RefusalCause::EngineFailed)
     }
 
-    /// Before the first inventory nothing is known to be loaded, and waiting
-    /// for it costs one round trip.
-    fn memory_wake(&self, target: &croftrill_state::cluster::Target, now: Instant) -> Wake {
-        if self.link.is_up() {
-            self.memory.wake(target, now)
-        } else {
-            Wake::In(0)
-        }
-    }
-
     fn accept(&mut self, submission: Submission) {
         let attempt = submission.request.attempt;
         self.publish_load();
@@ -91,23 +109,14 @@
     }
 
     pub(super) fn refuse_late(&mut self, now: Instant) {
-        let up = self.link.is_up();
-        let memory = &self.memory;
-        let refused = self.queue.expire(
-            now,
-            |target| {
-                if up {
-                    memory.wake(target, now)
-                } else {
-                    Wake::In(0)
-                }
-            },
-        );
-        for (item, refusal) in refused {
-            if let Some(submission) = self.waiting.remove(&item.attempt) {
-                self.refuse(submission, refusal);
-            }
+        let (link_up, memory) = (self.link.is_up(), &self.memory);
+        let refused = self
+            .queue
+            .expire(now, |target| wake_of(link_up, memory, target, now));
+        for (item, refusal) in &refused {
+            self.await_return(&item.target, refusal, now);
         }
+        self.refuse_items(refused);
     }
 
     pub(super) fn refuse_waiting(&mut self, cause: RefusalCause) {
@@ -153,14 +162,14 @@
             };
             match self.waiting.remove(&item.attempt) {
                 Some(submission) => self.start(item, submission, now),
-                None => self.queue.finish(item.attempt, now),
+                None => self.queue.finish(item.attempt, None, now),
             }
         }
     }
 
     fn start(&mut self, item: QueueItem, submission: Submission, now: Instant) {
         let attempt = item.attempt;
-        self.memory.use_started(&item.target, now);
+        self.memory.use_started(&item.target, item.priority, now);
         if submission.cold {
             self.shared
                 .metrics
@@ -170,6 +179,7 @@
         let running = RunningAttempt {
             submission: submission.id,
             target: item.target.clone(),
+            priority: item.priority,
             cancel: cancel.clone(),
         };
         self.running.insert(attempt, running);
@@ -209,13 +219,13 @@
 
     pub(super) fn run_ended(&mut self, attempt: AttemptId, end: RunEnd) {
         let now = self.now();
-        self.queue.finish(attempt, now);
+        self.queue.finish(attempt, served(&end), now);
         if let Some(running) = self.running.remove(&attempt) {
-            self.memory.use_ended(&running.target, now);
+            self.memory.use_ended(&running.target, running.priority, now);
         }
         self.remember(attempt);
         match end {
-            RunEnd::Finished | RunEnd::Cancelled => {}
+            RunEnd::Finished { .. } | RunEnd::Cancelled => {}
             RunEnd::EngineFailed | RunEnd::EngineRefused => self.link.ask_soon(now),
             RunEnd::Fenced => self.retire(Retired::ByEngine),
         }
@@ -232,21 +242,47 @@
             }
         }
     }
+
+    fn queue_item(&self, request: &AttemptRequest, arrival: Instant) -> QueueItem {
+        let done = request.resume.as_ref().map_or(0, |resume| resume.tokens);
+        let prompt_tokens = request.generation.prompt.len() / BYTES_PER_TOKEN;
+        QueueItem {
+            attempt: request.attempt,
+            target: request.target.clone(),
+            group: request.group.clone(),
+            priority: request.priority,
+            first_token_deadline: arrival + request.first_token_deadline_millis,
+            total_deadline: arrival + request.total_deadline_millis,
+            work: Work {
+                prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+                output_tokens: request.generation.max_tokens.saturating_sub(done),
+                load_mib: self.memory.load_mib_if_absent(&request.target.model),
+            },
+        }
+    }
+}
+
+/// Before the first inventory nothing is known to be loaded, and waiting for it
+/// costs one round trip.
+fn wake_of(link_up: bool, memory: &EngineMemory, target: &Target, now: Instant) -> Wake {
+    if link_up {
+        memory.wake(target, now)
+    } else {
+        Wake::In(0)
+    }
 }
 
-fn queue_item(request: &AttemptRequest, arrival: Instant) -> QueueItem {
-    let done = request.resume.as_ref().map_or(0, |resume| resume.tokens);
-    let prompt_tokens = request.generation.prompt.len() / BYTES_PER_TOKEN;
-    QueueItem {
-        attempt: request.attempt,
-        target: request.target.clone(),
-        group: request.group.clone(),
-        priority: request.priority,
-        first_token_deadline: arrival + request.first_token_deadline_millis,
-        total_deadline: arrival + request.total_deadline_millis,
-        work: Work {
-            prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
-            output_tokens: request.generation.max_tokens.saturating_sub(done),
-        },
+/// What a run took of the engine, if its answer is whole.
+fn served(end: &RunEnd) -> Option<Work> {
+    match end {
+        RunEnd::Finished {
+            prompt_tokens,
+            generated_tokens,
+        } => Some(Work {
+            prompt_tokens: *prompt_tokens,
+            output_tokens: *generated_tokens,
+            load_mib: 0,
+        }),
+        _ => None,
     }
 }
--- a/crates/croftrill-owner/src/actor/loads.rs
+++ b/crates/croftrill-owner/src/actor/loads.rs
@@ -85,7 +85,7 @@
                 self.ask_permit(&id, demands, now);
             } else {
                 self.loads.remove(&id);
-                self.memory.load_not_begun(&id);
+                self.memory.load_given_up(&id);
             }
         }
     }
--- a/crates/croftrill-owner/src/actor/orders.rs
+++ b/crates/croftrill-owner/src/actor/orders.rs
@@ -2,23 +2,11 @@
 
 use super::{EngineActor, Message, Retired};
 use croftrill_platform::engine::{EngineClient, EngineError, LoadAdapter, LoadModel, OrderOutcome};
-use croftrill_state::configuration::{Adapter, Model};
-use croftrill_state::engine_memory::{Demand, MemoryAction};
-use croftrill_state::{AdapterId, FencingToken, Instant, ModelId};
+use croftrill_state::engine_memory::{Demand, MemoryAction, OrderAnswer};
+use croftrill_state::{FencingToken, Instant, ModelId};
 use log::{info, warn};
 use std::sync::Arc;
 
-/// What an answer says of the order's effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Effect {
-    /// Carried out, begun, or so already.
-    Done,
-    /// Certainly none.
-    Nothing,
-    /// Nobody can say.
-    Unknown,
-}
-
 impl EngineActor {
     /// Gives the orders that are due.
     pub(super) fn order(&mut self, now: Instant) {
@@ -80,60 +68,30 @@
         if is_fenced(&result) {
             self.retire(Retired::ByEngine);
         }
-        let effect = effect_of(&result);
-        if effect != Effect::Done {
+        let answer = answer_of(&result);
+        if answer != OrderAnswer::Done {
             warn!(
                 "owner: order failed engine={} order={action:?} answer={result:?}",
                 self.engine.id
             );
         }
         match action {
-            MemoryAction::Load { model, .. } => self.load_ordered(&model, effect, now),
-            MemoryAction::Unload { model, .. } => self.unload_ordered(&model, effect, now),
-            MemoryAction::LoadAdapter { adapter } => self.adapter_loaded(&adapter, effect, now),
+            MemoryAction::Load { model, .. } => self.load_ordered(&model.id, answer, now),
+            MemoryAction::Unload { model, .. } => self.memory.unload_answered(&model, answer, now),
+            MemoryAction::LoadAdapter { adapter } => {
+                self.memory.adapter_load_answered(&adapter, answer, now);
+            }
             MemoryAction::UnloadAdapter { adapter, base } => {
-                self.adapter_unloaded(&adapter, &base, effect, now);
+                self.memory.adapter_unload_answered(&adapter, &base, answer, now);
             }
         }
         self.link.ask_soon(now);
     }
 
-    fn load_ordered(&mut self, model: &Model, effect: Effect, now: Instant) {
-        match effect {
-            Effect::Done => self.memory.load_accepted(&model.id),
-            Effect::Unknown => self.memory.order_uncertain(&model.id),
-            Effect::Nothing => {
-                self.memory.load_not_begun(&model.id);
-                self.memory.failed(&model.id, None, now);
-                self.load_ended(&model.id, false, now);
-            }
-        }
-    }
-
-    fn unload_ordered(&mut self, model: &ModelId, effect: Effect, now: Instant) {
-        self.memory.order_uncertain(model);
-        if effect != Effect::Done {
-            self.memory.failed(model, None, now);
-        }
-    }
-
-    fn adapter_loaded(&mut self, adapter: &Adapter, effect: Effect, now: Instant) {
-        let held = match effect {
-            Effect::Done => Some(true),
-            Effect::Nothing => Some(false),
-            Effect::Unknown => None,
-        };
-        self.memory
-            .adapter_answered(&adapter.id, &adapter.base, held, now);
-        if effect != Effect::Done {
-            self.memory.failed(&adapter.base, Some(&adapter.id), now);
-        }
-    }
-
-    fn adapter_unloaded(&mut self, adapter: &AdapterId, base: &ModelId, effect: Effect, now: Instant) {
-        self.memory.adapter_answered(adapter, base, None, now);
-        if effect != Effect::Done {
-            self.memory.failed(base, Some(adapter), now);
+    fn load_ordered(&mut self, model: &ModelId, answer: OrderAnswer, now: Instant) {
+        self.memory.load_answered(model, answer, now);
+        if answer == OrderAnswer::NoEffect {
+            self.load_ended(model, false, now);
         }
     }
 }
@@ -177,11 +135,11 @@
     )
 }
 
-fn effect_of(result: &Result<OrderOutcome, EngineError>) -> Effect {
+fn answer_of(result: &Result<OrderOutcome, EngineError>) -> OrderAnswer {
     match result {
-        Ok(OrderOutcome::Accepted | OrderOutcome::AlreadySo) => Effect::Done,
-        Ok(OrderOutcome::Fenced { .. } | OrderOutcome::Rejected { .. }) => Effect::Nothing,
-        Err(EngineError::Broken(_)) => Effect::Unknown,
-        Err(_) => Effect::Nothing,
+        Ok(OrderOutcome::Accepted | OrderOutcome::AlreadySo) => OrderAnswer::Done,
+        Ok(OrderOutcome::Fenced { .. } | OrderOutcome::Rejected { .. }) => OrderAnswer::NoEffect,
+        Err(EngineError::Broken(_)) => OrderAnswer::Lost,
+        Err(_) => OrderAnswer::NoEffect,
     }
 }
--- a/crates/croftrill-state/src/engine_memory/accounting.rs
+++ b/crates/croftrill-state/src/engine_memory/accounting.rs
@@ -1,17 +1,9 @@
 //! Memory of each accelerator: what is held, reserved and free.
 
-use super::{EngineMemory, Replica};
+use super::EngineMemory;
 use crate::identifiers::ModelId;
 use crate::placement::Residency;
 
-impl Replica {
-    /// Memory that the replica and its adapters take on each accelerator.
-    pub(super) fn footprint(&self) -> u64 {
-        let adapters: u64 = self.adapters.values().map(|adapter| adapter.memory).sum();
-        self.memory + adapters
-    }
-}
-
 impl EngineMemory {
     /// Memory taken on each accelerator by everything held, reserved or not
     /// confirmed as unloaded, in MiB.
--- a/crates/croftrill-state/src/engine_memory/decide.rs
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -1,24 +1,26 @@
 //! Which loads and unloads to order next.
 
 use super::eviction::Room;
+use super::held::{Phase, Replica, Usage};
 use super::reconcile::base_of;
-use super::{AssignedModel, Demand, EngineMemory, MemoryAction, Phase, Replica, UnloadReason};
+use super::{AssignedModel, Demand, EngineMemory, MemoryAction, UnloadReason};
 use crate::cluster::Target;
-use crate::configuration::{Adapter, Model};
+use crate::configuration::{Adapter, Model, PriorityClass};
 use crate::identifiers::{AdapterId, ModelId};
 use crate::placement::{AssignmentState, Residency};
 use crate::time::Instant;
-use std::collections::BTreeMap;
 
 impl EngineMemory {
     /// The orders to give now. What they load is reserved and what they unload
-    /// is out of use at once; call `load_accepted`, `load_not_begun`,
-    /// `order_uncertain` or `adapter_answered` with each answer.
+    /// is out of use at once; each needs its answer: `load_answered`,
+    /// `unload_answered`, `adapter_load_answered`, `adapter_unload_answered`, or
+    /// `load_given_up` if it is not given.
     pub fn decide(&mut self, demands: &[Demand], now: Instant) -> Vec<MemoryAction> {
         if self.inventory.is_none() {
             return Vec::new();
         }
-        self.latest = now;
+        self.revisit_at = None;
+        self.awaited.retain(|_, until| *until > now);
         let mut actions = Vec::new();
         for replica in self.replicas.values_mut() {
             replica.yielding = false;
@@ -28,10 +30,30 @@
         for demand in by_urgency(demands) {
             self.serve_demand(demand, demands, now, &mut actions);
         }
+        for returning in self.returning(demands, now) {
+            self.serve_demand(&returning, demands, now, &mut actions);
+        }
         self.unload_idle(demands, now, &mut actions);
         actions
     }
 
+    /// Demands of callers that were told to come back, as far as none of them
+    /// waits already.
+    fn returning(&self, demands: &[Demand], now: Instant) -> Vec<Demand> {
+        let waits = |target: &Target| demands.iter().any(|demand| demand.target == *target);
+        self.awaited
+            .iter()
+            .filter(|(target, _)| !waits(target))
+            .map(|(target, until)| Demand {
+                target: target.clone(),
+                priority: PriorityClass::Batch,
+                earliest_deadline: *until,
+                latest_deadline: *until,
+                oldest_arrival: now,
+            })
+            .collect()
+    }
+
     /// Unloads what the log does not (any longer) let the engine hold.
     fn unload_undecided(&mut self, now: Instant, actions: &mut Vec<MemoryAction>) {
         let ids: Vec<ModelId> = self.replicas.keys().cloned().collect();
@@ -93,7 +115,7 @@
             if self.fits(&accelerators, need, Some(&model.id)) {
                 self.reserve(&model, accelerators, now, actions);
             } else {
-                let room = self.room_on(&accelerators, need, Some(&model.id), &|_| true);
+                let room = self.room_on(&accelerators, need, Some(&model.id), &|_| true, now);
                 self.make_room(room, now, actions);
             }
         }
@@ -149,10 +171,14 @@
             return;
         }
         let idle = self.victim_filter(demand, all, now, false);
-        let mut room = self.room_anywhere(count, need, &|id| idle.contains(id));
+        let mut room = self.room_anywhere(count, need, &|id| idle.contains(id), now);
         if room.is_none() {
             let busy = self.victim_filter(demand, all, now, true);
-            room = self.room_anywhere(count, need, &|id| busy.contains(id));
+            room = self.room_anywhere(count, need, &|id| busy.contains(id), now);
+        }
+        if room.is_none() {
+            let next = self.next_displacement(demand, now);
+            self.revisit_at = earlier(self.revisit_at, next);
         }
         self.make_room(room, now, actions);
     }
@@ -198,7 +224,7 @@
         let accelerators = replica.accelerators.clone();
         let need = adapter.memory_mib_per_accelerator;
         if self.fits(&accelerators, need, None) {
-            self.reserve_adapter(&adapter, now);
+            self.reserve_adapter(&adapter);
             actions.push(MemoryAction::LoadAdapter { adapter });
             return;
         }
@@ -207,7 +233,7 @@
             return;
         }
         let victims = self.victim_filter(demand, all, now, false);
-        let room = self.room_on(&accelerators, need, None, &|id| victims.contains(id));
+        let room = self.room_on(&accelerators, need, None, &|id| victims.contains(id), now);
         self.make_room(room, now, actions);
     }
 
@@ -267,19 +293,14 @@
         if replica.phase != Phase::Loaded || self.in_use(id) {
             return None;
         }
-        let usages = self.usage.iter().filter(|(target, _)| target.model == *id);
-        let mut last_used = replica.loaded_at;
-        let mut tight = false;
-        for (_, usage) in usages {
-            last_used = last_used.max(usage.last_used);
-            tight |= usage.tight;
+        let mut until = replica.loaded_at + self.config.idle_unload_millis;
+        for usage in self.usage_of(id) {
+            until = until.max(usage.last_used + self.config.idle_unload_millis);
+            if let Some(last_tight) = usage.last_tight {
+                until = until.max(last_tight + self.config.tight_idle_unload_millis);
+            }
         }
-        let pause = if tight {
-            self.config.tight_idle_unload_millis
-        } else {
-            self.config.idle_unload_millis
-        };
-        Some(last_used + pause)
+        Some(until)
     }
 
     /// Whether a load that is decided and not yet ordered still helps anybody.
@@ -295,15 +316,19 @@
             return false;
         }
         let resident = matches!(assigned.residency, Residency::Resident { .. });
+        let awaited = self.awaited.keys().any(|target| target.model == *id);
         let mut waiting = demands.iter().filter(|demand| demand.target.model == *id);
-        resident || waiting.any(|demand| self.helps_in_time(demand, now))
+        resident || awaited || waiting.any(|demand| self.helps_in_time(demand, now))
     }
 
     /// When `decide` should be called again even if nothing happens.
     pub fn next_decision(&self, now: Instant) -> Option<Instant> {
         let idle = self.replicas.keys().filter_map(|id| self.idle_until(id));
         let backoff = self.backoff.values().map(|backoff| backoff.until);
-        idle.chain(backoff).filter(|at| *at > now).min()
+        idle.chain(backoff)
+            .chain(self.revisit_at)
+            .filter(|at| *at > now)
+            .min()
     }
 
     pub(super) fn fits(&self, accelerators: &[u32], need: u64, beside: Option<&ModelId>) -> bool {
@@ -313,90 +338,8 @@
             .all(|index| free.get(*index as usize).is_some_and(|free| *free >= need))
     }
 
-    fn reserve(
-        &mut self,
-        model: &Model,
-        accelerators: Vec<u32>,
-        now: Instant,
-        actions: &mut Vec<MemoryAction>,
-    ) {
-        self.sequence += 1;
-        let replica = Replica {
-            version: model.version,
-            accelerators: accelerators.clone(),
-            memory: model.memory_mib_per_accelerator,
-            phase: Phase::Reserved,
-            changed: self.sequence,
-            loaded_at: now,
-            expected_at: now + self.load_millis(model, now),
-            yielding: false,
-            adapters: BTreeMap::new(),
-        };
-        self.replicas.insert(model.id.clone(), replica);
-        actions.push(MemoryAction::Load {
-            model: model.clone(),
-            accelerators,
-            source: self.source(&model.id),
-        });
-    }
-
-    /// Orders an unload, unless the model is in use or an order is under way.
-    fn unload(&mut self, id: &ModelId, reason: UnloadReason, now: Instant, actions: &mut Vec<MemoryAction>) {
-        let waits = self.in_use(id) || self.backoff_millis(&base_of(id), now) > 0;
-        let orders_open = |replica: &Replica| {
-            replica.phase != Phase::Loaded && replica.phase != Phase::Loading
-                || replica
-                    .adapters
-                    .values()
-                    .any(|a| matches!(a.phase, Phase::Reserved | Phase::Unloading))
-        };
-        if waits || self.replicas.get(id).is_none_or(orders_open) {
-            return;
-        }
-        self.sequence += 1;
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.phase = Phase::Unloading;
-            replica.changed = self.sequence;
-        }
-        actions.push(MemoryAction::Unload {
-            model: id.clone(),
-            reason,
-        });
-    }
-
-    fn unload_adapter(
-        &mut self,
-        base: &ModelId,
-        adapter: &AdapterId,
-        now: Instant,
-        actions: &mut Vec<MemoryAction>,
-    ) {
-        let target = Target {
-            model: base.clone(),
-            adapter: Some(adapter.clone()),
-        };
-        if self.target_in_use(&target) || self.backoff_millis(&target, now) > 0 {
-            return;
-        }
-        self.sequence += 1;
-        let sequence = self.sequence;
-        let held = self
-            .replicas
-            .get_mut(base)
-            .and_then(|r| r.adapters.get_mut(adapter));
-        let Some(held) = held.filter(|held| held.phase == Phase::Loaded) else {
-            return;
-        };
-        held.phase = Phase::Unloading;
-        held.changed = sequence;
-        actions.push(MemoryAction::UnloadAdapter {
-            adapter: adapter.clone(),
-            base: base.clone(),
-        });
-    }
-
     pub(super) fn target_in_use(&self, target: &Target) -> bool {
-        self.usage.get(target).is_some_and(|usage| usage.running > 0)
+        self.usage.get(target).is_some_and(Usage::in_use)
     }
 }
 
@@ -414,6 +357,10 @@
     }
 }
 
+fn earlier(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
+    a.into_iter().chain(b).min()
+}
+
 fn by_urgency(demands: &[Demand]) -> Vec<&Demand> {
     let mut sorted: Vec<&Demand> = demands.iter().collect();
     sorted.sort_by_key(|demand| (demand.priority, demand.earliest_deadline));
--- a/crates/croftrill-state/src/engine_memory/eviction.rs
+++ b/crates/croftrill-state/src/engine_memory/eviction.rs
@@ -1,6 +1,7 @@
 //! Which models give way.
 
-use super::{decayed_rate, Demand, EngineMemory, EvictionPolicy, Phase};
+use super::held::Phase;
+use super::{AssignedModel, Demand, EngineMemory, EvictionPolicy};
 use crate::configuration::PriorityClass;
 use crate::identifiers::ModelId;
 use crate::placement::Residency;
@@ -48,32 +49,58 @@
         wanted: Option<PriorityClass>,
         now: Instant,
     ) -> bool {
-        let running = self.running_class(id);
-        let theirs = match (wanted, running) {
-            (Some(wanted), Some(running)) => Some(wanted.min(running)),
-            (wanted, running) => wanted.or(running),
-        };
+        let theirs = [wanted, self.running_class(id)].into_iter().flatten().min();
         match theirs {
             None => true,
             Some(theirs) if demand.priority < theirs => true,
             Some(theirs) if demand.priority > theirs => false,
-            Some(_) => {
-                let waited = now.millis_since(demand.oldest_arrival);
-                let worked = self.replicas[id].loaded_at;
-                waited >= self.config.displace_after_millis
-                    && now.millis_since(worked) >= self.config.minimum_residence_millis
-            }
+            Some(_) => now >= self.displaceable_at(demand, id),
         }
     }
 
+    /// When a demand of the same class may take a busy model's place.
+    fn displaceable_at(&self, demand: &Demand, id: &ModelId) -> Instant {
+        let waited = demand.oldest_arrival + self.config.displace_after_millis;
+        let worked = self.replicas[id].loaded_at + self.config.minimum_residence_millis;
+        waited.max(worked)
+    }
+
+    /// When one of the busy models may give way, if none may now.
+    pub(super) fn next_displacement(&self, demand: &Demand, now: Instant) -> Option<Instant> {
+        let on_demand = self.replicas.iter().filter(|(id, replica)| {
+            **id != demand.target.model && replica.phase == Phase::Loaded && self.is_on_demand(id)
+        });
+        let times = on_demand.map(|(id, _)| self.displaceable_at(demand, id));
+        times.filter(|at| *at > now).min()
+    }
+
+    /// Estimated time until a load of the model finds memory: none if memory is
+    /// free or an idle model can go, else until a busy one may be stopped.
+    pub(super) fn blocked_millis(&self, assigned: &AssignedModel, now: Instant) -> u64 {
+        let Residency::OnDemand = assigned.residency else {
+            return 0;
+        };
+        let count = assigned.model.accelerators as usize;
+        let need = assigned.model.memory_mib_per_accelerator;
+        let idle = |id: &ModelId| !self.in_use(id);
+        if self.room_anywhere(count, need, &idle, now).is_some() {
+            return 0;
+        }
+        let residence = self.config.minimum_residence_millis;
+        let on_demand = self.replicas.iter().filter(|(id, _)| self.is_on_demand(id));
+        let worked = on_demand.map(|(_, replica)| (replica.loaded_at + residence).millis_since(now));
+        worked.min().unwrap_or(0).max(self.config.displace_after_millis)
+    }
+
     /// The cheapest victims that free `need` MiB on `count` accelerators.
     pub(super) fn room_anywhere(
         &self,
         count: usize,
         need: u64,
         may_go: &dyn Fn(&ModelId) -> bool,
+        now: Instant,
     ) -> Option<Room> {
-        let costs = self.candidate_costs(may_go);
+        let costs = self.candidate_costs(may_go, now);
         let free = self.free(None);
         let mut room = Room::default();
         let mut left: Vec<usize> = (0..free.len()).collect();
@@ -85,7 +112,7 @@
             left.retain(|index| *index != best.0);
             room = best.1;
         }
-        Some(self.without_superfluous(room, count, need, &free))
+        Some(self.without_superfluous(room, count, need, &free, &costs))
     }
 
     /// The cheapest victims that free `need` MiB on each of the accelerators.
@@ -95,8 +122,9 @@
         need: u64,
         beside: Option<&ModelId>,
         may_go: &dyn Fn(&ModelId) -> bool,
+        now: Instant,
     ) -> Option<Room> {
-        let costs = self.candidate_costs(may_go);
+        let costs = self.candidate_costs(may_go, now);
         let free = self.free(beside);
         let mut room = Room::default();
         for index in accelerators {
@@ -143,12 +171,16 @@
     }
 
     /// Spares victims without which there is still room, the dearest first.
-    fn without_superfluous(&self, mut room: Room, count: usize, need: u64, free: &[u64]) -> Room {
-        let mut dearest: Vec<(ModelId, f64)> = room
-            .victims
-            .iter()
-            .map(|id| (id.clone(), self.wake_cost(id)))
-            .collect();
+    fn without_superfluous(
+        &self,
+        mut room: Room,
+        count: usize,
+        need: u64,
+        free: &[u64],
+        costs: &BTreeMap<ModelId, f64>,
+    ) -> Room {
+        let victims = room.victims.iter();
+        let mut dearest: Vec<(ModelId, f64)> = victims.map(|id| (id.clone(), costs[id])).collect();
         dearest.sort_by(|a, b| b.1.total_cmp(&a.1));
         for (id, cost) in dearest {
             let mut fewer = room.victims.clone();
@@ -164,11 +196,11 @@
         room
     }
 
-    fn candidate_costs(&self, may_go: &dyn Fn(&ModelId) -> bool) -> BTreeMap<ModelId, f64> {
+    fn candidate_costs(&self, may_go: &dyn Fn(&ModelId) -> bool, now: Instant) -> BTreeMap<ModelId, f64> {
         self.replicas
             .iter()
             .filter(|(id, replica)| replica.phase == Phase::Loaded && self.is_on_demand(id) && may_go(id))
-            .map(|(id, _)| (id.clone(), self.wake_cost(id)))
+            .map(|(id, _)| (id.clone(), self.wake_cost(id, now)))
             .collect()
     }
 
@@ -179,8 +211,7 @@
     }
 
     /// What an unload of the model is expected to cost.
-    fn wake_cost(&self, id: &ModelId) -> f64 {
-        let now = self.latest;
+    fn wake_cost(&self, id: &ModelId, now: Instant) -> f64 {
         match self.config.eviction {
             EvictionPolicy::LeastRecentlyUsed => self.last_used(id).0 as f64,
             EvictionPolicy::ExpectedWakeCost => self.expected_wake_cost(id, now),
@@ -191,27 +222,23 @@
         let Some(assigned) = self.assigned.get(id) else {
             return 0.0;
         };
-        let window = self.config.rate_window_millis.max(1) as f64;
-        let rate: f64 = self
-            .usage
-            .iter()
-            .filter(|(target, _)| target.model == *id)
-            .map(|(_, usage)| decayed_rate(usage, window, now))
-            .sum();
+        let window = self.config.rate_window_millis;
+        let rate: f64 = self.usage_of(id).map(|usage| usage.rate(window, now)).sum();
         self.load_millis(&assigned.model, now) as f64 * rate
     }
 
     fn last_used(&self, id: &ModelId) -> Instant {
-        self.usage
-            .iter()
-            .filter(|(target, _)| target.model == *id)
-            .map(|(_, usage)| usage.last_used)
-            .max()
-            .unwrap_or_default()
+        let used = self.usage_of(id).map(|usage| usage.last_used);
+        used.max().unwrap_or_default()
     }
 
+    /// The most urgent class that runs on the model.
     fn running_class(&self, id: &ModelId) -> Option<PriorityClass> {
-        self.in_use(id).then_some(PriorityClass::Standard)
+        let running = self.usage_of(id).flat_map(|usage| usage.running.iter());
+        running
+            .filter(|(_, count)| **count > 0)
+            .map(|(class, _)| *class)
+            .min()
     }
 }
 
--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -1,8 +1,9 @@
 //! Answers of the engine: inventories and outcomes of orders.
 
+use super::held::{AdapterReplica, Phase, Replica};
 use super::{
-    AdapterReplica, EngineMemory, HeldAdapterReplica, HeldReplica, HeldReport, InventoryTicket, Phase,
-    Replica,
+    CheckpointLocality, EngineMemory, HeldAdapterReplica, HeldReplica, HeldReport, InventoryTicket,
+    OrderAnswer, Settled,
 };
 use crate::cluster::Target;
 use crate::configuration::Adapter;
@@ -13,15 +14,11 @@
 /// Doublings of the pause after failed orders.
 const MAX_BACKOFF_DOUBLINGS: u32 = 6;
 
-/// What an inventory showed of loads and unloads under way.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Settled {
-    /// The model is loaded now.
-    Loaded(ModelId),
-    /// The model that was being loaded is not there: the load failed.
-    LoadFailed(ModelId),
-    /// The model is gone.
-    Gone(ModelId),
+/// An inventory as it is judged: asked for at `ticket`, answered at `now`.
+#[derive(Clone, Copy)]
+struct Judgement {
+    ticket: InventoryTicket,
+    now: Instant,
 }
 
 impl EngineMemory {
@@ -34,171 +31,172 @@
     /// Takes in what the engine holds. What changed after the inventory was
     /// asked for, and what an unanswered order is about, keeps its state.
     pub fn reconcile(&mut self, ticket: InventoryTicket, report: HeldReport, now: Instant) -> Vec<Settled> {
-        if self.inventory.is_some_and(|newest| newest >= ticket.0) {
+        if self.inventory.is_some_and(|newest| newest >= ticket) {
             return Vec::new();
         }
-        self.inventory = Some(ticket.0);
+        self.inventory = Some(ticket);
         self.cached_in_memory = report.cached_in_memory;
         self.cached_on_disk = report.cached_on_disk;
-        let mut settled = Vec::new();
-        let held: BTreeMap<ModelId, HeldReplica> = report
-            .replicas
-            .into_iter()
-            .map(|h| (h.model.clone(), h))
-            .collect();
-        self.remove_absent(&held, ticket, now, &mut settled);
+        let judgement = Judgement { ticket, now };
+        let replicas = report.replicas.into_iter();
+        let held: BTreeMap<ModelId, HeldReplica> = replicas.map(|held| (held.model.clone(), held)).collect();
+        let mut settled = self.remove_absent(&held, judgement);
         for held in held.into_values() {
-            self.take_in(held, ticket, now, &mut settled);
+            settled.extend(self.take_in(held, judgement));
         }
         settled
     }
 
-    fn remove_absent(
-        &mut self,
-        held: &BTreeMap<ModelId, HeldReplica>,
-        ticket: InventoryTicket,
-        now: Instant,
-        settled: &mut Vec<Settled>,
-    ) {
+    fn remove_absent(&mut self, held: &BTreeMap<ModelId, HeldReplica>, judgement: Judgement) -> Vec<Settled> {
         let absent: Vec<(ModelId, Phase)> = self
             .replicas
             .iter()
-            .filter(|(id, replica)| {
-                !held.contains_key(*id) && is_judged(replica.phase, replica.changed, ticket)
+            .filter(|(id, _)| !held.contains_key(*id))
+            .filter(|(_, replica)| {
+                let orders_open = replica
+                    .adapters
+                    .values()
+                    .any(|adapter| adapter.phase.is_unanswered());
+                !orders_open && judgement.shows_absent(replica.phase, replica.changed, replica.hold_until)
             })
             .map(|(id, replica)| (id.clone(), replica.phase))
             .collect();
-        for (model, phase) in absent {
-            self.replicas.remove(&model);
-            if phase == Phase::Loading {
-                self.failed(&model, None, now);
-                settled.push(Settled::LoadFailed(model));
-            } else {
-                settled.push(Settled::Gone(model));
-            }
+        absent
+            .into_iter()
+            .map(|(model, phase)| self.remove(model, phase, judgement.now))
+            .collect()
+    }
+
+    fn remove(&mut self, model: ModelId, phase: Phase, now: Instant) -> Settled {
+        self.replicas.remove(&model);
+        if matches!(phase, Phase::Loading | Phase::LostLoad) {
+            self.failed(&model, None, now);
+            return Settled::LoadFailed(model);
         }
+        self.backoff.remove(&base_of(&model));
+        Settled::Gone(model)
     }
 
-    fn take_in(
-        &mut self,
-        held: HeldReplica,
-        ticket: InventoryTicket,
-        now: Instant,
-        settled: &mut Vec<Settled>,
-    ) {
-        let expected_at = self.expected_at(&held, now);
+    fn take_in(&mut self, held: HeldReplica, judgement: Judgement) -> Option<Settled> {
+        let now = judgement.now;
         let model = held.model.clone();
-        let replica = self.replicas.entry(model.clone()).or_insert_with(|| Replica {
-            version: held.version,
-            accelerators: held.accelerators.clone(),
-            memory: held.memory_mib_per_accelerator,
-            phase: Phase::Uncertain,
-            changed: 0,
-            loaded_at: now,
-            expected_at,
-            yielding: false,
-            adapters: BTreeMap::new(),
-        });
-        if !is_judged(replica.phase, replica.changed, ticket) {
-            return;
+        let expected_at = self.expected_at(&model, now);
+        let entry = self.replicas.entry(model.clone());
+        let replica = entry.or_insert_with(|| Replica::found(&held, expected_at, now));
+        if !judgement.shows_present(replica.phase, replica.changed, replica.hold_until) {
+            return None;
         }
         replica.version = held.version;
         replica.accelerators = held.accelerators;
         replica.memory = held.memory_mib_per_accelerator;
-        let next = if held.loaded {
+        let was_loaded = replica.phase == Phase::Loaded;
+        replica.phase = if held.loaded {
             Phase::Loaded
         } else {
             Phase::Loading
         };
-        if next == Phase::Loaded && replica.phase != Phase::Loaded {
-            replica.loaded_at = now;
-            settled.push(Settled::Loaded(model.clone()));
-        }
-        replica.phase = next;
-        take_in_adapters(replica, held.adapters, ticket, now);
-        if next == Phase::Loaded {
-            self.backoff.remove(&base_of(&model));
+        take_in_adapters(replica, held.adapters, judgement);
+        if !held.loaded || was_loaded {
+            return None;
         }
+        replica.loaded_at = now;
+        self.backoff.remove(&base_of(&model));
+        Some(Settled::Loaded(model))
     }
 
-    fn expected_at(&self, held: &HeldReplica, now: Instant) -> Instant {
-        match self.assigned.get(&held.model) {
+    fn expected_at(&self, model: &ModelId, now: Instant) -> Instant {
+        match self.assigned.get(model) {
             Some(assigned) => now + self.load_millis(&assigned.model, now),
             None => now,
         }
     }
 
-    /// The engine accepted the load of a model.
-    pub fn load_accepted(&mut self, model: &ModelId) {
-        self.set_phase(model, Phase::Loading);
-    }
-
-    /// The load of a model was certainly not begun: its reservation ends.
-    pub fn load_not_begun(&mut self, model: &ModelId) {
-        let reserved = |replica: &Replica| replica.phase == Phase::Reserved;
-        if self.replicas.get(model).is_some_and(reserved) {
+    /// A load that `decide` reserved was given up before it was ordered.
+    pub fn load_given_up(&mut self, model: &ModelId) {
+        let replica = self.replicas.get(model);
+        if replica.is_some_and(|replica| replica.phase == Phase::Reserved) {
             self.replicas.remove(model);
         }
     }
 
-    /// An order about a model was answered, or its answer was lost; the next
-    /// inventory tells what the engine holds.
-    pub fn order_uncertain(&mut self, model: &ModelId) {
-        self.set_phase(model, Phase::Uncertain);
+    /// The engine's answer to the order to load a model.
+    pub fn load_answered(&mut self, model: &ModelId, answer: OrderAnswer, now: Instant) {
+        match answer {
+            OrderAnswer::Done => self.set_phase(model, Phase::Loading, now),
+            OrderAnswer::Lost => self.set_phase(model, Phase::LostLoad, self.lost_until(now)),
+            OrderAnswer::NoEffect => {
+                self.load_given_up(model);
+                self.failed(model, None, now);
+            }
+        }
     }
 
-    /// Tells when a load under way is expected to be done.
-    pub fn expect_loaded(&mut self, model: &ModelId, at: Instant) {
-        if let Some(replica) = self.replicas.get_mut(model) {
-            replica.expected_at = at;
+    /// The engine's answer to the order to unload a model. Its memory is free
+    /// only when a later inventory shows that it is gone.
+    pub fn unload_answered(&mut self, model: &ModelId, answer: OrderAnswer, now: Instant) {
+        match answer {
+            OrderAnswer::Done => self.set_phase(model, Phase::Answered, now),
+            OrderAnswer::Lost => self.set_phase(model, Phase::LostUnload, self.lost_until(now)),
+            OrderAnswer::NoEffect => {
+                self.set_phase(model, Phase::Answered, now);
+                self.failed(model, None, now);
+            }
         }
     }
 
-    /// Learns from a load that ended.
-    pub fn observe_load(
-        &mut self,
-        model: &ModelId,
-        source: super::CheckpointLocality,
-        millis: u64,
-        now: Instant,
-    ) {
-        if let Some(assigned) = self.assigned.get(model) {
-            let mib = assigned.model.checkpoint_mib;
-            self.load_time.observe(source, mib, millis, now);
+    /// The engine's answer to the order to load an adapter.
+    pub fn adapter_load_answered(&mut self, adapter: &Adapter, answer: OrderAnswer, now: Instant) {
+        let timeout = now + self.config.adapter_load_timeout_millis;
+        match answer {
+            OrderAnswer::Done => self.set_adapter_phase(&adapter.base, &adapter.id, Phase::Loading, timeout),
+            OrderAnswer::Lost => {
+                let until = self.lost_until(now);
+                self.set_adapter_phase(&adapter.base, &adapter.id, Phase::LostLoad, until);
+            }
+            OrderAnswer::NoEffect => {
+                if let Some(replica) = self.replicas.get_mut(&adapter.base) {
+                    replica.adapters.remove(&adapter.id);
+                }
+                self.failed(&adapter.base, Some(&adapter.id), now);
+            }
         }
     }
 
-    /// An order about an adapter was answered; `held` tells whether the engine
-    /// holds it now, `None` that nobody can say.
-    pub fn adapter_answered(
+    /// The engine's answer to the order to unload an adapter.
+    pub fn adapter_unload_answered(
         &mut self,
         adapter: &AdapterId,
         base: &ModelId,
-        held: Option<bool>,
+        answer: OrderAnswer,
         now: Instant,
     ) {
-        self.sequence += 1;
-        let sequence = self.sequence;
-        let Some(replica) = self.replicas.get_mut(base) else {
-            return;
+        let (phase, until) = match answer {
+            OrderAnswer::Lost => (Phase::LostUnload, self.lost_until(now)),
+            OrderAnswer::Done | OrderAnswer::NoEffect => (Phase::Answered, now),
         };
-        if held == Some(false) {
-            replica.adapters.remove(adapter);
-            return;
+        self.set_adapter_phase(base, adapter, phase, until);
+        if answer != OrderAnswer::Done {
+            self.failed(base, Some(adapter), now);
         }
-        if let Some(entry) = replica.adapters.get_mut(adapter) {
-            entry.phase = if held.is_some() {
-                Phase::Loaded
-            } else {
-                Phase::Uncertain
-            };
-            entry.changed = sequence;
-            entry.loaded_at = now;
+    }
+
+    /// Tells when a load under way is expected to be done.
+    pub fn expect_loaded(&mut self, model: &ModelId, at: Instant) {
+        if let Some(replica) = self.replicas.get_mut(model) {
+            replica.expected_at = at;
+        }
+    }
+
+    /// Learns from a load that ended.
+    pub fn observe_load(&mut self, model: &ModelId, source: CheckpointLocality, millis: u64, now: Instant) {
+        if let Some(assigned) = self.assigned.get(model) {
+            let mib = assigned.model.checkpoint_mib;
+            self.load_time.observe(source, mib, millis, now);
         }
     }
 
     /// Pauses orders about a model or adapter after a failure.
-    pub fn failed(&mut self, model: &ModelId, adapter: Option<&AdapterId>, now: Instant) {
+    fn failed(&mut self, model: &ModelId, adapter: Option<&AdapterId>, now: Instant) {
         let key = Target {
             model: model.clone(),
             adapter: adapter.cloned(),
@@ -210,55 +208,68 @@
         backoff.failures += 1;
     }
 
-    fn set_phase(&mut self, model: &ModelId, phase: Phase) {
+    fn lost_until(&self, now: Instant) -> Instant {
+        now + self.config.lost_order_hold_millis
+    }
+
+    fn set_phase(&mut self, model: &ModelId, phase: Phase, hold_until: Instant) {
         self.sequence += 1;
         if let Some(replica) = self.replicas.get_mut(model) {
             replica.phase = phase;
             replica.changed = self.sequence;
+            replica.hold_until = hold_until;
         }
     }
 
-    pub(super) fn reserve_adapter(&mut self, adapter: &Adapter, now: Instant) {
+    fn set_adapter_phase(&mut self, base: &ModelId, adapter: &AdapterId, phase: Phase, hold_until: Instant) {
         self.sequence += 1;
-        let entry = AdapterReplica {
-            version: adapter.version,
-            memory: adapter.memory_mib_per_accelerator,
-            phase: Phase::Reserved,
-            changed: self.sequence,
-            loaded_at: now,
-        };
-        if let Some(replica) = self.replicas.get_mut(&adapter.base) {
-            replica.adapters.insert(adapter.id.clone(), entry);
+        let replica = self.replicas.get_mut(base);
+        if let Some(entry) = replica.and_then(|replica| replica.adapters.get_mut(adapter)) {
+            entry.phase = phase;
+            entry.changed = self.sequence;
+            entry.hold_until = hold_until;
         }
     }
 }
 
-/// Whether an inventory asked for at `ticket` tells the truth about an entry.
-fn is_judged(phase: Phase, changed: u64, ticket: InventoryTicket) -> bool {
-    let order_unanswered = matches!(phase, Phase::Reserved | Phase::Unloading);
-    !order_unanswered && changed < ticket.0
+impl Judgement {
+    fn is_later_than(&self, phase: Phase, changed: u64) -> bool {
+        !phase.is_unanswered() && changed < self.ticket.0
+    }
+
+    /// Whether absence from the inventory means that the engine does not hold
+    /// it. An order whose answer was lost may still arrive.
+    fn shows_absent(&self, phase: Phase, changed: u64, hold_until: Instant) -> bool {
+        let may_arrive = phase == Phase::LostLoad && self.now < hold_until;
+        self.is_later_than(phase, changed) && !may_arrive
+    }
+
+    /// Whether presence in the inventory means that the engine goes on holding
+    /// it.
+    fn shows_present(&self, phase: Phase, changed: u64, hold_until: Instant) -> bool {
+        let may_arrive = phase == Phase::LostUnload && self.now < hold_until;
+        self.is_later_than(phase, changed) && !may_arrive
+    }
+
+    /// As `shows_absent`; an engine lists an adapter only when it is loaded.
+    fn shows_adapter_absent(&self, entry: &AdapterReplica) -> bool {
+        let loads = entry.phase == Phase::Loading && self.now < entry.hold_until;
+        self.shows_absent(entry.phase, entry.changed, entry.hold_until) && !loads
+    }
 }
 
-fn take_in_adapters(
-    replica: &mut Replica,
-    held: Vec<HeldAdapterReplica>,
-    ticket: InventoryTicket,
-    now: Instant,
-) {
-    let present: BTreeMap<AdapterId, HeldAdapterReplica> =
-        held.into_iter().map(|h| (h.adapter.clone(), h)).collect();
+fn take_in_adapters(replica: &mut Replica, held: Vec<HeldAdapterReplica>, judgement: Judgement) {
+    let held: BTreeMap<AdapterId, HeldAdapterReplica> = held
+        .into_iter()
+        .map(|held| (held.adapter.clone(), held))
+        .collect();
     replica
         .adapters
-        .retain(|id, entry| present.contains_key(id) || !is_judged(entry.phase, entry.changed, ticket));
-    for (id, held) in present {
-        let entry = replica.adapters.entry(id).or_insert_with(|| AdapterReplica {
-            version: held.version,
-            memory: held.memory_mib_per_accelerator,
-            phase: Phase::Loaded,
-            changed: 0,
-            loaded_at: now,
-        });
-        if is_judged(entry.phase, entry.changed, ticket) {
+        .retain(|id, entry| held.contains_key(id) || !judgement.shows_adapter_absent(entry));
+    for (id, held) in held {
+        let entry = replica.adapters.entry(id);
+        let entry = entry.or_insert_with(|| AdapterReplica::found(&held));
+        if judgement.shows_present(entry.phase, entry.changed, entry.hold_until) {
             entry.version = held.version;
             entry.memory = held.memory_mib_per_accelerator;
             entry.phase = Phase::Loaded;
