Tests of the gateway against scripted owners

Covered: whole and streamed answers, resume of broken and damaged streams, late and crossed events, retries of what did not run, unrepeatable requests, claims, deadlines, hang-up, shutdown, malformed input, the order of candidates. Found by writing them: the end of another attempt's stream ended the stream of the live one; the client now only ends at the last event of its own attempt.

--- a/crates/croftrill-transport/src/attempt_client.rs
+++ b/crates/croftrill-transport/src/attempt_client.rs
@@ -7,6 +7,7 @@
 use crate::event_frames;
 use bytes::{Bytes, BytesMut};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest, ATTEMPT_PATH, MAX_ATTEMPT_BYTES};
+use croftrill_state::AttemptId;
 use futures::Stream;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -114,6 +115,7 @@
         };
         check_status(&response)?;
         Ok(AttemptStream {
+            attempt: request.attempt,
             body: response.into_body(),
             buffer: BytesMut::new(),
             ended: false,
@@ -178,9 +180,11 @@
     }
 }
 
-/// The events of one attempt. It ends after `Finished` or `Refused`; if the
-/// connection or the owner fails earlier, its last item is an error.
+/// The events of one attempt. It ends after the attempt's `Finished` or
+/// `Refused`; if the connection or the owner fails earlier, its last item is an
+/// error. Events of other attempts are passed on as they come.
 pub struct AttemptStream {
+    attempt: AttemptId,
     body: Incoming,
     buffer: BytesMut,
     ended: bool,
@@ -203,7 +207,7 @@
             }
             match event_frames::decode(&mut self.buffer) {
                 Ok(Some(event)) => {
-                    self.ended = is_last(&event);
+                    self.ended = event.attempt() == self.attempt && is_last(&event);
                     return Poll::Ready(Some(Ok(event)));
                 }
                 Ok(None) => {}
