Retry budget that starts full, pauses with a random part, cheaper pings

Cause: at 380 gateways a floor of 10 retries/s each would exceed the whole load of 3100 requests/s; the floor is 2/s now, and the bucket starts full so that a first failure is mended. Requests that fail together no longer come back together. The owner's pings go to idle connections as well (the library cannot confine them), so they come later than gateways close idle connections; a gateway pings only while streams are open.

--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -68,7 +68,7 @@
             longest_deadline_millis: 3_600_000,
             most_tokens: 32_768,
             default_group: None,
-            most_attempts: 6,
+            most_attempts: 8,
             slow_caller_millis: 10_000,
             retry_budget: RetryBudgetConfig::default(),
         }
--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -24,6 +24,7 @@
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
 /// First pause before an engine is tried again, in milliseconds; it doubles.
 const FIRST_PAUSE_MILLIS: u64 = 50;
+const MOST_DOUBLINGS: u32 = 6;
 /// Longest wait for the holder of a key to free it, before the caller is told
 /// that the request did not run.
 const FREE_KEY_WAIT: Duration = Duration::from_millis(250);
@@ -188,8 +189,7 @@
         if self.next_step(failure) != NextStep::AnyEngine {
             return Err(self.give_up());
         }
-        let pause = Duration::from_millis(FIRST_PAUSE_MILLIS << self.pauses_made.min(8));
-        self.pauses_made += 1;
+        let pause = self.next_pause();
         self.watch
             .run(sleep(pause))
             .await
@@ -198,6 +198,14 @@
         self.untried_candidate().ok_or_else(|| self.give_up())
     }
 
+    /// A pause that doubles, with a random part, so that requests which failed
+    /// together do not come back together.
+    fn next_pause(&mut self) -> Duration {
+        let whole = FIRST_PAUSE_MILLIS << self.pauses_made.min(MOST_DOUBLINGS);
+        self.pauses_made += 1;
+        Duration::from_millis(rand::random_range(whole / 2..=whole))
+    }
+
     fn untried_candidate(&self) -> Option<(Revision, Candidate)> {
         let (revision, candidates) = self.dispatcher.route(&self.request);
         let untried = candidates
--- a/crates/croftrill-state/src/retry_budget.rs
+++ b/crates/croftrill-state/src/retry_budget.rs
@@ -1,7 +1,7 @@
 //! A budget of retries, so that a failing engine does not multiply load.
 //!
-//! Invariant: over any time since the start, retries are at most the initial
-//! allowance plus the configured ratio of the successful requests plus the
+//! Invariant: over any time since the start, retries are at most
+//! `most_saved` plus the configured ratio of the successful requests plus the
 //! configured floor times the time passed.
 
 use crate::time::Instant;
@@ -26,8 +26,8 @@
     fn default() -> Self {
         Self {
             retries_per_thousand_successes: 200,
-            floor_per_second: 10,
-            most_saved: 100,
+            floor_per_second: 2,
+            most_saved: 50,
         }
     }
 }
@@ -41,16 +41,14 @@
 }
 
 impl RetryBudget {
-    /// Starts with one second of the floor.
+    /// Starts with the most that may be saved, so that the first failure after
+    /// a start can be mended.
     pub fn new(config: RetryBudgetConfig, now: Instant) -> Self {
-        let initial = u64::from(config.floor_per_second) * RETRY_COST;
-        let mut budget = Self {
+        Self {
+            saved: u64::from(config.most_saved) * RETRY_COST,
             config,
-            saved: 0,
             refilled_at: now,
-        };
-        budget.add(initial);
-        budget
+        }
     }
 
     /// Notes a request that succeeded.
--- a/crates/croftrill-transport/src/attempt_client.rs
+++ b/crates/croftrill-transport/src/attempt_client.rs
@@ -49,7 +49,8 @@
     /// A connection that nobody asked for during this time is closed when its
     /// streams have ended.
     pub idle_limit: Duration,
-    /// Time between pings while streams are open.
+    /// After this time without any byte from the owner, while streams are open,
+    /// a ping is sent. Idle connections cost nothing.
     pub ping_interval: Duration,
     /// Longest wait for the answer to a ping; then the connection is broken.
     pub ping_timeout: Duration,
@@ -59,8 +60,8 @@
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_secs(1),
-            idle_limit: Duration::from_secs(60),
-            ping_interval: Duration::from_secs(1),
+            idle_limit: Duration::from_secs(45),
+            ping_interval: Duration::from_secs(2),
             ping_timeout: Duration::from_secs(2),
         }
     }
--- a/crates/croftrill-transport/src/attempt_server.rs
+++ b/crates/croftrill-transport/src/attempt_server.rs
@@ -21,6 +21,11 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// A gateway that vanished without closing its connections is noticed after
+/// this time. It is longer than gateways keep idle connections, because the
+/// server's pings cannot be confined to connections with open streams, and
+/// pings on all idle connections of many gateways would cost too much.
+const PING_INTERVAL: Duration = Duration::from_secs(60);
 /// Longest wait for the request of an attempt.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -38,9 +43,23 @@
     /// Serves until the token is cancelled, then finishes the streams that run.
     pub async fn serve(listener: TcpListener, handler: Arc<dyn AttemptHandler>, shutdown: CancellationToken) {
         let config = HttpServerConfig {
-            http2_only: true,
+            ping_interval: PING_INTERVAL,
             ..HttpServerConfig::default()
         };
+        Self::serve_with(listener, handler, config, shutdown).await;
+    }
+
+    /// The same with other settings; HTTP/2 is spoken in any case.
+    pub async fn serve_with(
+        listener: TcpListener,
+        handler: Arc<dyn AttemptHandler>,
+        config: HttpServerConfig,
+        shutdown: CancellationToken,
+    ) {
+        let config = HttpServerConfig {
+            http2_only: true,
+            ..config
+        };
         let service = service_fn(move |request| {
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(respond(request, handler).await) }
--- a/crates/croftrill-transport/src/http_server.rs
+++ b/crates/croftrill-transport/src/http_server.rs
@@ -33,7 +33,8 @@
     pub http2_only: bool,
     /// Longest wait for the head of a request, also on an idle connection.
     pub header_timeout: Duration,
-    /// Time between HTTP/2 pings.
+    /// After this time without any byte from an HTTP/2 client a ping is sent,
+    /// also on an idle connection.
     pub ping_interval: Duration,
     /// Longest wait for the answer to a ping.
     pub ping_timeout: Duration,
