--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -35,6 +35,9 @@
 /// Longest wait for the answer to one call of the claim holders to each other.
 const HAND_OVER_CALL_LIMIT: Duration = Duration::from_secs(2);
 
+/// Stands for the rate of a weight store that limits none.
+const UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS: u64 = 1_000_000;
+
 /// What the control parts are made of.
 pub struct ControlInput {
     /// The daemon's settings.
@@ -341,12 +344,20 @@
     Ok(())
 }
 
+/// A store that states no rate limits none.
+fn stated_rate(thousandths: u64) -> u64 {
+    match thousandths {
+        0 => UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS,
+        limited => limited,
+    }
+}
+
 /// The store's stated limits, or cautious ones while it cannot be asked.
 async fn admission_config(store: &dyn WeightStore) -> LoadAdmissionConfig {
     let defaults = LoadAdmissionConfig::default();
     match store.limits().await {
         Ok(limits) => LoadAdmissionConfig {
-            loads_per_second_thousandths: limits.loads_per_second_thousandths,
+            loads_per_second_thousandths: stated_rate(limits.loads_per_second_thousandths),
             concurrent_loads: limits.concurrent_loads,
             ..defaults
         },
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! One running daemon.
 
 use crate::control::{Control, ControlInput};
+use crate::control_metrics::ControlMetrics;
 use crate::control_thread::ControlThread;
 use crate::listeners::Listeners;
 use crate::operator_ports::{PeerPlans, ReplicaLog};
@@ -71,6 +72,7 @@
         let operators = make_operator_api(&settings, &replica, &calls);
         let operator_server = Arc::new(OperatorServer {
             operators: operators.clone(),
+            control_metrics: ControlMetrics::register(&mut registry),
             registry,
             replica: replica.clone(),
             control: OnceLock::new(),
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod command_line;
 mod control;
+mod control_metrics;
 mod control_thread;
 mod daemon;
 mod gateway_claims;
--- a/crates/croftrill-daemon/src/operator_server.rs
+++ b/crates/croftrill-daemon/src/operator_server.rs
@@ -1,6 +1,7 @@
 //! HTTP for operators: the intent API, health, readiness and metrics.
 
 use crate::control::Control;
+use crate::control_metrics::ControlMetrics;
 use bytes::Bytes;
 use croftrill_coordination::replication::Replica;
 use croftrill_operator_api::OperatorApi;
@@ -33,6 +34,8 @@
     pub operators: Arc<OperatorApi>,
     /// All metrics.
     pub registry: Registry,
+    /// Those of them that are set when scraped.
+    pub control_metrics: ControlMetrics,
     /// The node's copy of the log.
     pub replica: Arc<Replica>,
     /// The control parts, once started.
@@ -71,6 +74,7 @@
     }
 
     fn metrics(&self) -> Response<HttpBody> {
+        self.control_metrics.update(&self.replica, self.control.get());
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!("daemon: metrics not encoded error={error}");
--- a/crates/croftrill-daemon/tests/support/process.rs
+++ b/crates/croftrill-daemon/tests/support/process.rs
@@ -85,7 +85,10 @@
     let mut reader = BufReader::new(stdout);
     let mut line = String::new();
     reader.read_line(&mut line).expect("stdout can be read");
-    assert!(line.starts_with("listening"), "{name} printed {line:?} instead of its addresses");
+    assert!(
+        line.starts_with("listening"),
+        "{name} printed {line:?} instead of its addresses"
+    );
     // The rest of the output is drained so that the child never blocks on it.
     std::thread::spawn(move || for _ in reader.lines() {});
     line.split_whitespace()
@@ -101,7 +104,11 @@
     directory.pop();
     directory.pop();
     let path = directory.join(program);
-    assert!(path.exists(), "{} is missing; run `cargo test --workspace`", path.display());
+    assert!(
+        path.exists(),
+        "{} is missing; run `cargo test --workspace`",
+        path.display()
+    );
     path
 }
 
--- a/crates/croftrill-platform/src/weight_store.rs
+++ b/crates/croftrill-platform/src/weight_store.rs
@@ -8,7 +8,7 @@
 /// What the store says of its present state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightStoreLimits {
-    /// Loads that it starts a second, in thousandths.
+    /// Loads that it starts a second, in thousandths; 0 if it limits no rate.
     pub loads_per_second_thousandths: u64,
     /// Loads at once that still run at full speed.
     pub concurrent_loads: u32,
--- a/crates/croftrill-transport/src/peer/codec.rs
+++ b/crates/croftrill-transport/src/peer/codec.rs
@@ -43,6 +43,8 @@
 }
 
 #[derive(SerBin, DeBin)]
+// Built once an answer and written at once, never stored: boxing would gain nothing.
+#[allow(clippy::large_enum_variant)]
 enum WireResponse {
     Answer { id: u64, body: PeerResponse },
     Failed { id: u64, detail: String },
--- a/crates/croftrill-transport/tests/peer.rs
+++ b/crates/croftrill-transport/tests/peer.rs
@@ -1,8 +1,8 @@
 //! Peer calls over loopback.
 
 use croftrill_protocol::peer::{
-    ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, LoadPermit, LoadPermitRequest, LoadReport, LogPage,
-    Peer, ReportOutcome,
+    ClaimHandOver, ClaimOutcome, ClaimRequest, ClaimResult, FinishOutcome, HandOverOutcome, LoadPermit,
+    LoadPermitRequest, LoadReport, LogPage, Peer, ReportOutcome,
 };
 use croftrill_state::{AttemptId, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision};
 use croftrill_transport::peer::{
@@ -59,17 +59,12 @@
         _key: IdempotencyKey,
         _request: RequestId,
         _result: ClaimResult,
-    ) -> ReportOutcome {
-        ReportOutcome::Recorded
+    ) -> FinishOutcome {
+        FinishOutcome::Recorded
     }
 
-    async fn hand_over_claims(
-        self,
-        _: Context,
-        _from: Revision,
-        _records: Vec<ClaimRecord>,
-    ) -> ReportOutcome {
-        ReportOutcome::Recorded
+    async fn hand_over_claims(self, _: Context, _part: ClaimHandOver) -> HandOverOutcome {
+        HandOverOutcome::Recorded
     }
 
     async fn request_load(self, _: Context, _request: LoadPermitRequest) -> LoadPermit {
