--- a/crates/croftrill-standin/src/engine/ledger.rs
+++ b/crates/croftrill-standin/src/engine/ledger.rs
@@ -22,6 +22,9 @@
     pub fenced: Vec<FencedRecord>,
     /// Requests refused before they ran, for other reasons.
     pub requests_refused: u32,
+    /// Requests that resumed with a text or token count that was not the
+    /// beginning of their answer.
+    pub wrong_resumes: u32,
     /// Crashes by fault control.
     pub crashes: u32,
 }
--- a/crates/croftrill-standin/src/engine/runs.rs
+++ b/crates/croftrill-standin/src/engine/runs.rs
@@ -101,6 +101,9 @@
         }
         self.prefill(request).await;
         let mut generation = Generation::new(request);
+        if !generation.agrees_with_resume() {
+            self.lock().ledger.wrong_resumes += 1;
+        }
         let interval = Duration::from_micros(self.config.token_interval_micros);
         let mut next_token_at = Instant::now();
         while let Some(event) = generation.next() {
@@ -185,15 +188,24 @@
 }
 
 impl<'a> Generation<'a> {
+    /// Generates anew what an earlier attempt generated, since only that shows
+    /// where a stop text began.
     fn new(request: &'a EngineRequest) -> Self {
         let adapter = request.adapter.as_ref();
-        Self {
+        let mut generation = Self {
             request,
             answer: Answer::new(&request.model, adapter, &request.prompt, request.seed),
-            text: request.resume_text.clone(),
-            tokens: request.resume_tokens,
+            text: String::new(),
+            tokens: 0,
             stopped: false,
-        }
+        };
+        while generation.tokens < request.resume_tokens && generation.next().is_some() {}
+        generation
+    }
+
+    /// Whether the caller knows the earlier text exactly.
+    fn agrees_with_resume(&self) -> bool {
+        self.tokens == self.request.resume_tokens && self.text == self.request.resume_text
     }
 
     fn next(&mut self) -> Option<EngineEvent> {
