--- a/crates/croftrill-coordination/src/replication/proposals.rs
+++ b/crates/croftrill-coordination/src/replication/proposals.rs
@@ -103,9 +103,12 @@
                 self.refresh(winner.revision).await;
                 Offer::Again
             }
-            AppendOutcome::Compacted => {
+            AppendOutcome::Compacted { may_have_effect } => {
                 self.refresh(entry.revision).await;
-                Offer::Done(ProposeOutcome::OutcomeUnknown)
+                if may_have_effect {
+                    return Offer::Done(ProposeOutcome::OutcomeUnknown);
+                }
+                Offer::Again
             }
             AppendOutcome::Unavailable { retry_after_millis } => {
                 Offer::Done(ProposeOutcome::Unavailable { retry_after_millis })
--- a/crates/croftrill-coordination/src/revision_log.rs
+++ b/crates/croftrill-coordination/src/revision_log.rs
@@ -68,9 +68,11 @@
     /// Another entry has this revision; ours took no effect.
     LostRace(Box<LogEntry>),
     /// The log has moved on so far that this revision is no longer kept; the
-    /// writer must start from the snapshot. Whether the entry was in the log
-    /// cannot be told.
-    Compacted,
+    /// writer must start from the snapshot.
+    Compacted {
+        /// Whether the entry may have been in the log before that.
+        may_have_effect: bool,
+    },
     /// The service refused or was not reached; the entry took no effect.
     Unavailable {
         /// When to try again, in milliseconds.
@@ -122,7 +124,7 @@
     pub async fn append(&self, entry: &LogEntry) -> AppendOutcome {
         match self.create(entry).await {
             Ok(WriteOutcome::Written(_)) => self.confirm_kept(entry).await,
-            Ok(WriteOutcome::Conflict(Some(found))) => self.compare(entry, &found).await,
+            Ok(WriteOutcome::Conflict(Some(found))) => self.compare(entry, &found, false).await,
             Ok(WriteOutcome::Conflict(None)) => self.resolve(entry).await,
             Err(error) if is_unknown(&error) => self.resolve(entry).await,
             Err(error) => AppendOutcome::Unavailable {
@@ -164,31 +166,61 @@
             .await
     }
 
-    /// A key that was deleted by a compaction can be created again. The floor
-    /// rises before the deletion, so reading it now shows that case.
     async fn confirm_kept(&self, entry: &LogEntry) -> AppendOutcome {
-        for attempt in 0..self.config.resolve_attempts {
-            self.pause_before_retry(attempt).await;
-            match self.floor().await {
-                Ok(floor) if entry.revision < floor => return AppendOutcome::Compacted,
-                Ok(_) => return AppendOutcome::Appended,
-                Err(error) => log::debug!("log: floor not read error=\"{error}\""),
-            }
+        match self.is_kept(entry.revision).await {
+            Some(true) => AppendOutcome::Appended,
+            Some(false) => AppendOutcome::Compacted {
+                may_have_effect: true,
+            },
+            None => AppendOutcome::OutcomeUnknown,
         }
-        AppendOutcome::OutcomeUnknown
     }
 
-    async fn compare(&self, entry: &LogEntry, found: &StoredValue) -> AppendOutcome {
-        match decode_entry(found) {
-            Ok(present) if present.entry_id == entry.entry_id => self.confirm_kept(entry).await,
-            Ok(present) => AppendOutcome::LostRace(Box::new(present)),
+    /// Judges what is stored at an entry's revision. `offered_before` tells
+    /// that an earlier write of the entry may have taken effect.
+    async fn compare(&self, entry: &LogEntry, found: &StoredValue, offered_before: bool) -> AppendOutcome {
+        let present = match decode_entry(found) {
+            Ok(present) => present,
             Err(error) => {
                 log::error!("log: entry unreadable error=\"{error}\"");
-                AppendOutcome::Unavailable {
-                    retry_after_millis: self.config.unreachable_retry_millis,
-                }
+                return self.not_appended(offered_before);
+            }
+        };
+        if present.entry_id == entry.entry_id {
+            return self.confirm_kept(entry).await;
+        }
+        match self.is_kept(entry.revision).await {
+            Some(true) => AppendOutcome::LostRace(Box::new(present)),
+            Some(false) => AppendOutcome::Compacted {
+                may_have_effect: offered_before,
+            },
+            None => self.not_appended(offered_before),
+        }
+    }
+
+    fn not_appended(&self, offered_before: bool) -> AppendOutcome {
+        if offered_before {
+            return AppendOutcome::OutcomeUnknown;
+        }
+        AppendOutcome::Unavailable {
+            retry_after_millis: self.config.unreachable_retry_millis,
+        }
+    }
+
+    /// Whether entries of a revision are still kept; `None` if that cannot be
+    /// learned. A key that was deleted by a compaction can be created again by
+    /// a writer that was paused; such an entry is void, for its writer and for
+    /// whoever finds it. The floor rises before the deletion, so reading it
+    /// after the entry shows that case.
+    async fn is_kept(&self, revision: Revision) -> Option<bool> {
+        for attempt in 0..self.config.resolve_attempts {
+            self.pause_before_retry(attempt).await;
+            match self.floor().await {
+                Ok(floor) => return Some(revision >= floor),
+                Err(error) => log::debug!("log: floor not read error=\"{error}\""),
             }
         }
+        None
     }
 
     /// Learns what became of a write whose answer was lost.
@@ -197,10 +229,12 @@
         for attempt in 0..self.config.resolve_attempts {
             self.pause_before_retry(attempt).await;
             match self.service.get(&key).await {
-                Ok(Some(found)) => return self.compare(entry, &found).await,
+                Ok(Some(found)) => return self.compare(entry, &found, true).await,
                 Ok(None) => match self.create(entry).await {
                     Ok(WriteOutcome::Written(_)) => return self.confirm_kept(entry).await,
-                    Ok(WriteOutcome::Conflict(Some(found))) => return self.compare(entry, &found).await,
+                    Ok(WriteOutcome::Conflict(Some(found))) => {
+                        return self.compare(entry, &found, true).await
+                    }
                     Ok(WriteOutcome::Conflict(None)) | Err(_) => continue,
                 },
                 Err(error) => log::debug!("log: entry not read back error=\"{error}\""),
