--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -218,7 +218,7 @@
     ) -> Result<(), ApplyError> {
         for step in steps {
             match step {
-                PlacementStep::Assign { assignment } => self.assign(assignment, at, touched),
+                PlacementStep::Assign { assignment } => self.assign(assignment, at, touched)?,
                 PlacementStep::Release { model, engine } => self.release(model, engine, at, touched)?,
                 PlacementStep::SetOwner { engine, owner } => self.set_owner(engine, owner, at)?,
             }
@@ -226,13 +226,36 @@
         Ok(())
     }
 
-    fn assign(&mut self, assignment: &Assignment, at: Revision, touched: &mut Touched) {
+    fn assign(
+        &mut self,
+        assignment: &Assignment,
+        at: Revision,
+        touched: &mut Touched,
+    ) -> Result<(), ApplyError> {
+        self.require_still_counted(assignment)?;
         touched.models.insert(assignment.model.clone());
         touched.engines.insert(assignment.engine.clone());
         self.assignments
             .entry(assignment.model.clone())
             .or_default()
             .insert(assignment.engine.clone(), versioned(at, assignment));
+        Ok(())
+    }
+
+    /// A replica that may be loaded cannot become one that does not count; it
+    /// must be released.
+    fn require_still_counted(&self, assignment: &Assignment) -> Result<(), ApplyError> {
+        let waits = |state: &AssignmentState| matches!(state, AssignmentState::WaitingFor { .. });
+        let by_engine = self.assignments.get(&assignment.model);
+        let present = by_engine.and_then(|by_engine| by_engine.get(&assignment.engine));
+        let counted = present.is_some_and(|found| !waits(&found.value.state));
+        if counted && waits(&assignment.state) {
+            return Err(ApplyError::Invalid(format!(
+                "model {} on engine {} may be loaded and cannot wait",
+                assignment.model, assignment.engine
+            )));
+        }
+        Ok(())
     }
 
     /// A replica that never could be loaded is gone at once; any other one
