--- a/crates/croftrill-state/src/cluster/steps.rs
+++ b/crates/croftrill-state/src/cluster/steps.rs
@@ -38,6 +38,13 @@
                 "model {model} is still being released from engine {engine}"
             )));
         }
+        // It may be loaded, so it counts until it is released.
+        let waits = matches!(assignment.state, AssignmentState::WaitingFor { .. });
+        if waits && present == Some(&AssignmentState::Active) {
+            return Err(ApplyError::Invalid(format!(
+                "model {model} may be loaded on engine {engine} and cannot wait"
+            )));
+        }
         applying.touch(model, engine);
         self.assignments
             .entry(model.clone())
