--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -122,15 +122,32 @@
         }
         self.link.up = true;
         self.link.failures = 0;
-        for settled in self.memory.reconcile(ticket, held_report(inventory), now) {
+        let report = self.held_report(inventory);
+        for settled in self.memory.reconcile(ticket, report, now) {
             self.settled(settled, now);
         }
-        let pause = if self.memory.is_settled() {
-            self.shared.config.inventory_refresh_millis
+        self.link.ask_at = now + self.inventory_pause();
+    }
+
+    fn inventory_pause(&self) -> u64 {
+        let config = &self.shared.config;
+        if !self.memory.is_settled() {
+            config.inventory_poll_millis
+        } else if self.memory.others_running() {
+            config.others_poll_millis
         } else {
-            self.shared.config.inventory_poll_millis
-        };
-        self.link.ask_at = now + pause;
+            config.inventory_refresh_millis
+        }
+    }
+
+    fn held_report(&self, inventory: Inventory) -> HeldReport {
+        let ours = |attempt| self.running.contains_key(attempt) || self.ended_set.contains(attempt);
+        HeldReport {
+            others_running: !inventory.running.iter().all(ours),
+            replicas: inventory.models.into_iter().map(held_replica).collect(),
+            cached_in_memory: inventory.cached_in_memory.into_iter().collect(),
+            cached_on_disk: inventory.cached_on_disk.into_iter().collect(),
+        }
     }
 
     fn settled(&mut self, settled: Settled, now: Instant) {
@@ -156,14 +173,6 @@
     }
 }
 
-fn held_report(inventory: Inventory) -> HeldReport {
-    HeldReport {
-        replicas: inventory.models.into_iter().map(held_replica).collect(),
-        cached_in_memory: inventory.cached_in_memory.into_iter().collect(),
-        cached_on_disk: inventory.cached_on_disk.into_iter().collect(),
-    }
-}
-
 fn held_replica(held: HeldModel) -> HeldReplica {
     let adapters = held.adapters.into_iter().map(|adapter| HeldAdapterReplica {
         adapter: adapter.adapter,
--- a/crates/croftrill-owner/src/config.rs
+++ b/crates/croftrill-owner/src/config.rs
@@ -20,6 +20,9 @@
     /// Pause between inventories while a load or unload is under way, in
     /// milliseconds.
     pub inventory_poll_millis: u64,
+    /// Pause between inventories while requests of a former owner run, in
+    /// milliseconds.
+    pub others_poll_millis: u64,
     /// Pause between inventories otherwise, in milliseconds.
     pub inventory_refresh_millis: u64,
     /// First pause after an engine could not be reached, in milliseconds.
@@ -55,6 +58,7 @@
             catch_up_millis: 500,
             engine_call_timeout_millis: 5_000,
             inventory_poll_millis: 50,
+            others_poll_millis: 1_000,
             inventory_refresh_millis: 30_000,
             engine_backoff_millis: 250,
             engine_backoff_max_millis: 10_000,
--- a/crates/croftrill-state/src/engine_memory.rs
+++ b/crates/croftrill-state/src/engine_memory.rs
@@ -4,7 +4,8 @@
 //! - the memory of everything held, reserved or not yet confirmed as unloaded
 //!   fits on every accelerator, beside the reservations of the residents;
 //! - only a model with an active assignment is loaded;
-//! - a model or adapter in use is never unloaded;
+//! - a model or adapter in use is never unloaded, nor any while requests of a
+//!   former owner still run;
 //! - memory is reserved before a load is ordered, and free only after an
 //!   inventory asked for later than the unload shows that the engine let go.
 
@@ -48,6 +49,7 @@
     awaited: BTreeMap<Target, Instant>,
     cached_in_memory: BTreeSet<ModelId>,
     cached_on_disk: BTreeSet<ModelId>,
+    others_running: bool,
     load_time: LoadTimeEstimator,
     sequence: u64,
     /// When a decision that was only too early should be looked at again.
@@ -73,6 +75,7 @@
             revisit_at: None,
             cached_in_memory: BTreeSet::new(),
             cached_on_disk: BTreeSet::new(),
+            others_running: false,
             load_time,
             sequence: 0,
             inventory: None,
@@ -175,6 +178,12 @@
             .all(|r| settled(r.phase) && r.adapters.values().all(|a| settled(a.phase)))
     }
 
+    /// Whether requests of a former owner still run; nothing is unloaded until
+    /// they have ended.
+    pub fn others_running(&self) -> bool {
+        self.others_running
+    }
+
     /// Models whose assignment is being released and which the engine confirmed
     /// not to hold.
     pub fn released(&self) -> Vec<ModelId> {
--- a/crates/croftrill-state/src/engine_memory/decide.rs
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -5,7 +5,7 @@
 use super::reconcile::base_of;
 use super::{AssignedModel, Demand, EngineMemory, MemoryAction, UnloadReason};
 use crate::cluster::Target;
-use crate::configuration::{Adapter, Model, PriorityClass};
+use crate::configuration::{Model, PriorityClass};
 use crate::identifiers::{AdapterId, ModelId};
 use crate::placement::{AssignmentState, Residency};
 use crate::time::Instant;
@@ -115,7 +115,12 @@
             if self.fits(&accelerators, need, Some(&model.id)) {
                 self.reserve(&model, accelerators, now, actions);
             } else {
-                let room = self.room_on(&accelerators, need, Some(&model.id), &|_| true, now);
+                let room = self.room_on(
+                    &accelerators,
+                    need,
+                    Some(&model.id),
+                    &self.candidates_for_resident(now),
+                );
                 self.make_room(room, now, actions);
             }
         }
@@ -170,11 +175,9 @@
             self.reserve(model, accelerators, now, actions);
             return;
         }
-        let idle = self.victim_filter(demand, all, now, false);
-        let mut room = self.room_anywhere(count, need, &|id| idle.contains(id), now);
+        let mut room = self.room_anywhere(count, need, &self.idle_candidates(all, now));
         if room.is_none() {
-            let busy = self.victim_filter(demand, all, now, true);
-            room = self.room_anywhere(count, need, &|id| busy.contains(id), now);
+            room = self.room_anywhere(count, need, &self.busy_candidates(demand, all, now));
         }
         if room.is_none() {
             let next = self.next_displacement(demand, now);
@@ -228,44 +231,33 @@
             actions.push(MemoryAction::LoadAdapter { adapter });
             return;
         }
-        if let Some(idle) = self.idle_adapter_beside(&adapter, all) {
-            self.unload_adapter(&adapter.base, &idle, now, actions);
-            return;
-        }
-        let victims = self.victim_filter(demand, all, now, false);
-        let room = self.room_on(&accelerators, need, None, &|id| victims.contains(id), now);
+        let room = self.room_on(&accelerators, need, None, &self.idle_candidates(all, now));
         self.make_room(room, now, actions);
     }
 
-    /// The least recently used idle adapter of the same base that nobody waits
-    /// for.
-    fn idle_adapter_beside(&self, adapter: &Adapter, all: &[Demand]) -> Option<AdapterId> {
-        let replica = &self.replicas[&adapter.base];
-        replica
-            .adapters
-            .iter()
-            .filter(|(_, held)| held.phase == Phase::Loaded)
-            .map(|(id, _)| Target {
-                model: adapter.base.clone(),
-                adapter: Some(id.clone()),
-            })
-            .filter(|target| !self.target_in_use(target) && !all.iter().any(|d| d.target == *target))
-            .min_by_key(|target| self.usage.get(target).map(|usage| usage.last_used))
-            .and_then(|target| target.adapter)
-    }
-
     fn make_room(&mut self, room: Option<Room>, now: Instant, actions: &mut Vec<MemoryAction>) {
-        for victim in room.map(|room| room.victims).unwrap_or_default() {
-            if self.in_use(&victim) {
-                if let Some(replica) = self.replicas.get_mut(&victim) {
-                    replica.yielding = true;
-                }
+        let victims = room.map(|room| room.victims).unwrap_or_default();
+        for victim in &victims {
+            let goes_with_base = victim.adapter.is_some() && victims.contains(&base_of(&victim.model));
+            if goes_with_base {
+                continue;
+            }
+            if let Some(adapter) = &victim.adapter {
+                self.unload_adapter(&victim.model, adapter, now, actions);
+            } else if self.in_use(&victim.model) {
+                self.stop_new_work(&victim.model);
             } else {
-                self.unload(&victim, UnloadReason::Evicted, now, actions);
+                self.unload(&victim.model, UnloadReason::Evicted, now, actions);
             }
         }
     }
 
+    fn stop_new_work(&mut self, id: &ModelId) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.yielding = true;
+        }
+    }
+
     fn unload_idle(&mut self, demands: &[Demand], now: Instant, actions: &mut Vec<MemoryAction>) {
         let idle: Vec<ModelId> = self
             .replicas
@@ -276,6 +268,26 @@
         for id in idle {
             self.unload(&id, UnloadReason::Idle, now, actions);
         }
+        let adapters: Vec<Target> = self
+            .loaded_adapters()
+            .filter(|target| !demands.iter().any(|demand| demand.target == *target))
+            .filter(|target| self.adapter_idle_until(target).is_some_and(|until| now >= until))
+            .collect();
+        for target in adapters {
+            if let Some(adapter) = &target.adapter {
+                self.unload_adapter(&target.model, adapter, now, actions);
+            }
+        }
+    }
+
+    /// When a loaded adapter counts as idle, if nobody asks for it until then.
+    fn adapter_idle_until(&self, target: &Target) -> Option<Instant> {
+        if self.target_in_use(target) {
+            return None;
+        }
+        let loaded_at = self.replicas.get(&target.model)?.loaded_at;
+        let last_used = self.usage.get(target).map(|usage| usage.last_used);
+        Some(last_used.unwrap_or(loaded_at) + self.config.idle_unload_millis)
     }
 
     fn is_idle_on_demand(&self, id: &ModelId, demands: &[Demand], now: Instant) -> bool {
--- a/crates/croftrill-state/src/engine_memory/estimate.rs
+++ b/crates/croftrill-state/src/engine_memory/estimate.rs
@@ -59,6 +59,17 @@
         }
     }
 
+    /// Estimated time to load a model or adapter again, in milliseconds.
+    pub(super) fn reload_millis(&self, target: &Target, now: Instant) -> u64 {
+        let adapter = target.adapter.as_ref().and_then(|id| self.adapters.get(id));
+        if let Some(adapter) = adapter {
+            let mib = adapter.memory_mib_per_accelerator;
+            return self.load_time.estimate(CheckpointLocality::Remote, mib, now);
+        }
+        let assigned = self.assigned.get(&target.model);
+        assigned.map_or(0, |assigned| self.load_millis(&assigned.model, now))
+    }
+
     fn holds_adapter(&self, adapter: &Adapter) -> bool {
         let base = self.replicas.get(&adapter.base);
         let held = base.and_then(|base| base.adapters.get(&adapter.id));
--- a/crates/croftrill-state/src/engine_memory/orders.rs
+++ b/crates/croftrill-state/src/engine_memory/orders.rs
@@ -44,7 +44,7 @@
         now: Instant,
         actions: &mut Vec<MemoryAction>,
     ) {
-        let waits = self.in_use(id) || self.backoff_millis(&base_of(id), now) > 0;
+        let waits = self.others_running || self.in_use(id) || self.backoff_millis(&base_of(id), now) > 0;
         let orders_open = |replica: &Replica| {
             replica.phase != Phase::Loaded && replica.phase != Phase::Loading
                 || replica
@@ -77,7 +77,7 @@
             model: base.clone(),
             adapter: Some(adapter.clone()),
         };
-        if self.target_in_use(&target) || self.backoff_millis(&target, now) > 0 {
+        if self.others_running || self.target_in_use(&target) || self.backoff_millis(&target, now) > 0 {
             return;
         }
         self.sequence += 1;
--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -37,6 +37,7 @@
         self.inventory = Some(ticket);
         self.cached_in_memory = report.cached_in_memory;
         self.cached_on_disk = report.cached_on_disk;
+        self.others_running = report.others_running;
         let judgement = Judgement { ticket, now };
         let replicas = report.replicas.into_iter();
         let held: BTreeMap<ModelId, HeldReplica> = replicas.map(|held| (held.model.clone(), held)).collect();
--- a/crates/croftrill-state/src/engine_memory/types.rs
+++ b/crates/croftrill-state/src/engine_memory/types.rs
@@ -66,6 +66,9 @@
     pub cached_in_memory: BTreeSet<ModelId>,
     /// Checkpoints on the machine's disk.
     pub cached_on_disk: BTreeSet<ModelId>,
+    /// Whether requests of a former owner still run, on models that are not
+    /// known.
+    pub others_running: bool,
 }
 
 /// Marks the moment when an inventory was asked for. What changed later than
