--- a/crates/croftrill-owner/src/actor.rs
+++ b/crates/croftrill-owner/src/actor.rs
@@ -210,9 +210,11 @@
             self.refuse_late(now);
             if self.link.is_up() {
                 self.order(now);
-                self.dispatch(now);
                 self.report_releases(now);
             }
+            if self.link.takes_requests() {
+                self.dispatch(now);
+            }
         }
         self.publish_load();
     }
--- a/crates/croftrill-owner/src/actor/attempts.rs
+++ b/crates/croftrill-owner/src/actor/attempts.rs
@@ -226,7 +226,8 @@
         self.remember(attempt);
         match end {
             RunEnd::Finished { .. } | RunEnd::Cancelled => {}
-            RunEnd::EngineFailed | RunEnd::EngineRefused => self.link.ask_soon(now),
+            RunEnd::EngineFailed => self.link.request_failed(now),
+            RunEnd::EngineRefused => self.link.ask_soon(now),
             RunEnd::Fenced => self.retire(Retired::ByEngine),
         }
     }
--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -15,6 +15,8 @@
 pub(super) struct EngineLink {
     /// The engine took our token and told what it holds.
     up: bool,
+    /// A request failed on it; nothing is dispatched until it answers.
+    suspect: bool,
     failures: u32,
     asking: bool,
     ask_at: Instant,
@@ -24,6 +26,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             up: false,
+            suspect: false,
             failures: 0,
             asking: false,
             ask_at: now,
@@ -39,6 +42,17 @@
         self.failures > 0
     }
 
+    /// Whether requests may be handed to the engine.
+    pub(super) fn takes_requests(&self) -> bool {
+        self.up && !self.suspect
+    }
+
+    /// A request failed on the engine.
+    pub(super) fn request_failed(&mut self, now: Instant) {
+        self.suspect = true;
+        self.ask_soon(now);
+    }
+
     pub(super) fn retry_in(&self, now: Instant) -> u64 {
         self.ask_at.millis_since(now)
     }
@@ -121,6 +135,7 @@
             );
         }
         self.link.up = true;
+        self.link.suspect = false;
         self.link.failures = 0;
         let report = self.held_report(inventory);
         for settled in self.memory.reconcile(ticket, report, now) {
