--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -71,7 +71,7 @@
             return;
         }
         self.link.asking = true;
-        let ticket = self.memory.inventory_asked();
+        let ticket = self.memory.inventory_asked(now);
         let client = self.client.clone();
         let sender = self.sender.clone();
         let limit = self.call_timeout();
--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -23,9 +23,12 @@
 
 impl EngineMemory {
     /// Call when asking for an inventory, and pass the ticket with its answer.
-    pub fn inventory_asked(&mut self) -> InventoryTicket {
+    pub fn inventory_asked(&mut self, now: Instant) -> InventoryTicket {
         self.sequence += 1;
-        InventoryTicket(self.sequence)
+        InventoryTicket {
+            sequence: self.sequence,
+            asked_at: now,
+        }
     }
 
     /// Takes in what the engine holds. What changed after the inventory was
@@ -235,26 +238,27 @@
 
 impl Judgement {
     fn is_later_than(&self, phase: Phase, changed: u64) -> bool {
-        !phase.is_unanswered() && changed < self.ticket.0
+        !phase.is_unanswered() && changed < self.ticket.sequence
     }
 
     /// Whether absence from the inventory means that the engine does not hold
-    /// it. An order whose answer was lost may still arrive.
+    /// it. An order whose answer was lost may have arrived since the inventory
+    /// was asked for.
     fn shows_absent(&self, phase: Phase, changed: u64, hold_until: Instant) -> bool {
-        let may_arrive = phase == Phase::LostLoad && self.now < hold_until;
+        let may_arrive = phase == Phase::LostLoad && self.ticket.asked_at < hold_until;
         self.is_later_than(phase, changed) && !may_arrive
     }
 
     /// Whether presence in the inventory means that the engine goes on holding
     /// it.
     fn shows_present(&self, phase: Phase, changed: u64, hold_until: Instant) -> bool {
-        let may_arrive = phase == Phase::LostUnload && self.now < hold_until;
+        let may_arrive = phase == Phase::LostUnload && self.ticket.asked_at < hold_until;
         self.is_later_than(phase, changed) && !may_arrive
     }
 
     /// As `shows_absent`; an engine lists an adapter only when it is loaded.
     fn shows_adapter_absent(&self, entry: &AdapterReplica) -> bool {
-        let loads = entry.phase == Phase::Loading && self.now < entry.hold_until;
+        let loads = entry.phase == Phase::Loading && self.ticket.asked_at < entry.hold_until;
         self.shows_absent(entry.phase, entry.changed, entry.hold_until) && !loads
     }
 }
--- a/crates/croftrill-state/src/engine_memory/types.rs
+++ b/crates/croftrill-state/src/engine_memory/types.rs
@@ -74,7 +74,10 @@
 /// Marks the moment when an inventory was asked for. What changed later than
 /// that is not judged by its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct InventoryTicket(pub(super) u64);
+pub struct InventoryTicket {
+    pub(super) sequence: u64,
+    pub(super) asked_at: Instant,
+}
 
 /// A target that requests wait for.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/croftrill-state/tests/engine_memory_model.rs
+++ b/crates/croftrill-state/tests/engine_memory_model.rs
@@ -165,3 +165,22 @@
     world.demand(target(0, false), 10_000);
     assert_eq!(world.memory.decide(&world.demands(), Instant(0)), []);
 }
+
+#[test]
+fn a_delayed_load_stays_reserved_until_an_inventory_asked_for_after_it_can_have_arrived() {
+    let mut world = World::new(EvictionPolicy::default());
+    let events = [
+        Event::AssignOnDemand(0),
+        Event::Demand(0, false, 10_000),
+        Event::Decide,
+        Event::DelayOrder(0),
+        Event::Pass(693),
+        Event::AskInventory,
+        Event::ArriveLate(0),
+        Event::Pass(1_307),
+        Event::TakeInventory(0),
+    ];
+    for event in events {
+        apply(&mut world, event);
+    }
+}
--- a/crates/croftrill-state/tests/engine_memory_support/mod.rs
+++ b/crates/croftrill-state/tests/engine_memory_support/mod.rs
@@ -469,7 +469,7 @@
     // Inventories.
 
     pub fn ask_inventory(&mut self) {
-        let ticket = self.memory.inventory_asked();
+        let ticket = self.memory.inventory_asked(self.now);
         let replicas = self.engine.iter().map(|(id, held)| HeldReplica {
             model: id.clone(),
             version: held.version,
