--- a/crates/croftrill-state/src/engine_memory/types.rs
+++ b/crates/croftrill-state/src/engine_memory/types.rs
@@ -66,12 +66,18 @@
     pub cached_in_memory: BTreeSet<ModelId>,
     /// Checkpoints on the machine's disk.
     pub cached_on_disk: BTreeSet<ModelId>,
+    /// Whether requests of a former owner still run, on models that are not
+    /// known.
+    pub others_running: bool,
 }
 
 /// Marks the moment when an inventory was asked for. What changed later than
 /// that is not judged by its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct InventoryTicket(pub(super) u64);
+pub struct InventoryTicket {
+    pub(super) sequence: u64,
+    pub(super) asked_at: Instant,
+}
 
 /// A target that requests wait for.
 #[derive(Clone, Debug, PartialEq)]
