--- a/crates/croftrill-protocol/src/peer.rs
+++ b/crates/croftrill-protocol/src/peer.rs
@@ -7,8 +7,6 @@
 use nanoserde::{DeBin, SerBin};
 
 /// A node's answer to `fetch_log`.
-// A page is built once a call and moved, never stored: boxing would gain nothing.
-#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum LogPage {
     /// The entries that follow the asked revision, in order; empty if none.
--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -18,10 +18,12 @@
 mod intents;
 mod machines;
 mod memory;
+mod shared;
 mod staleness;
 mod steps;
 mod tombstones;
 
+pub use shared::Shared;
 pub use tombstones::{ObjectName, Tombstones, REMEMBERED_DELETIONS};
 
 use crate::configuration::{Adapter, Group, Model};
@@ -101,29 +103,29 @@
     /// The last applied revision.
     pub revision: Revision,
     /// Research groups.
-    pub groups: BTreeMap<GroupId, Versioned<Group>>,
+    pub groups: Shared<BTreeMap<GroupId, Versioned<Group>>>,
     /// Models.
-    pub models: BTreeMap<ModelId, Versioned<Model>>,
+    pub models: Shared<BTreeMap<ModelId, Versioned<Model>>>,
     /// Adapters.
-    pub adapters: BTreeMap<AdapterId, Versioned<Adapter>>,
+    pub adapters: Shared<BTreeMap<AdapterId, Versioned<Adapter>>>,
     /// Nodes.
-    pub nodes: BTreeMap<NodeId, Versioned<Node>>,
+    pub nodes: Shared<BTreeMap<NodeId, Versioned<Node>>>,
     /// Engines.
-    pub engines: BTreeMap<EngineId, Versioned<Engine>>,
+    pub engines: Shared<BTreeMap<EngineId, Versioned<Engine>>>,
     /// Assignments by model, then engine.
-    pub assignments: BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>,
+    pub assignments: Shared<BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>>,
     /// Coordinators.
-    pub coordinators: BTreeMap<CellId, Coordinator>,
+    pub coordinators: Shared<BTreeMap<CellId, Coordinator>>,
     /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
-    pub confirmed_plans: BTreeMap<Revision, PlanId>,
+    pub confirmed_plans: Shared<BTreeMap<Revision, PlanId>>,
     /// Deleted models whose replicas are not all released yet. They are not
     /// served any more.
-    pub retiring_models: BTreeSet<ModelId>,
+    pub retiring_models: Shared<BTreeSet<ModelId>>,
     /// Memory that each releasing replica holds on each of its accelerators, in
     /// MiB, by model, then engine.
-    pub releasing_memory_mib: BTreeMap<ModelId, BTreeMap<EngineId, u64>>,
+    pub releasing_memory_mib: Shared<BTreeMap<ModelId, BTreeMap<EngineId, u64>>>,
     /// When deleted objects were deleted.
-    pub tombstones: Tombstones,
+    pub tombstones: Shared<Tombstones>,
 }
 
 impl ClusterState {
