--- a/crates/croftrill-settings/src/document.rs
+++ b/crates/croftrill-settings/src/document.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Located {
     pub value: Value,
     pub place: Place,
+    /// Whether it was given rather than taken from the defaults.
+    pub given: bool,
 }
 
 /// What a file says, and every problem found in it.
@@ -109,7 +111,11 @@
         match values::read(key.kind, item) {
             Ok(value) => {
                 let place = self.place(span);
-                let located = Located { value, place };
+                let located = Located {
+                    value,
+                    place,
+                    given: true,
+                };
                 self.document.values.insert(key.path, located);
             }
             Err(problem) => {
--- a/crates/croftrill-settings/src/load.rs
+++ b/crates/croftrill-settings/src/load.rs
@@ -42,8 +42,12 @@
             let checked = keys::find(path).map_or(Ok(()), |key| value.check(key.kind));
             match checked {
                 Ok(()) => {
-                    let place = Place::Flags;
-                    self.document.values.insert(path, Located { value, place });
+                    let located = Located {
+                        value,
+                        place: Place::Flags,
+                        given: true,
+                    };
+                    self.document.values.insert(path, located);
                 }
                 Err(problem) => {
                     self.document.unreadable.push(path);
@@ -78,7 +82,12 @@
             .and_then(|value| values::read(key.kind, &toml_edit::Item::Value(value)));
         match read {
             Ok(value) => {
-                self.document.values.insert(key.path, Located { value, place });
+                let located = Located {
+                    value,
+                    place,
+                    given: false,
+                };
+                self.document.values.insert(key.path, located);
             }
             Err(problem) => self.report(place, format!("default of {} {problem}", key.path)),
         }
@@ -130,7 +139,8 @@
             return;
         };
         if small > large {
-            let place = self.place_of(smaller);
+            let given = self.document.values.get(smaller).is_some_and(|found| found.given);
+            let place = self.place_of(if given { smaller } else { larger });
             self.report(place, format!("{smaller} {small} is more than {larger} {large}"));
         }
     }
--- a/crates/croftrill-settings/src/values.rs
+++ b/crates/croftrill-settings/src/values.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use toml_edit::Item;
 
+/// What a name must be.
+const NAME: &str = "a text without white space and slashes";
+
 /// A value that suits its key.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Value {
@@ -32,7 +35,7 @@
 pub(crate) fn read(kind: Kind, item: &Item) -> Result<Value, String> {
     match kind {
         Kind::Name => {
-            let name = text(item, "a text without white space")?;
+            let name = text(item, NAME)?;
             check_name(name)?;
             Ok(Value::Name(name.to_string()))
         }
@@ -70,7 +73,7 @@
 fn check_name(name: &str) -> Result<(), String> {
     let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '/';
     if name.is_empty() || !name.chars().all(plain) {
-        return Err(must_be("a text without white space and slashes"));
+        return Err(must_be(NAME));
     }
     Ok(())
 }
