--- a/crates/croftrill-state/src/cluster/membership_version.rs
+++ b/crates/croftrill-state/src/cluster/membership_version.rs
@@ -13,6 +13,9 @@
 impl ClusterState {
     /// Counts one change of each cell whose live nodes differ from `before`.
     pub(super) fn note_membership_changes(&mut self, before: &ClusterState, at: Revision) {
+        if self.nodes.is_same(&before.nodes) {
+            return;
+        }
         let changed = changed_cells(&before.live_nodes(), &self.live_nodes());
         for cell in changed {
             let membership = self.cell_memberships.entry(cell).or_default();
