Retries: engines that refused are left out, those that failed come back

Cause: when the last of several engines refused, engines that had only failed for a moment were given up with it; and a refusal that nothing followed still cost a retry. Now the two kinds are kept apart, the budget is charged when an attempt really follows, and an engine without an owner is waited for during at most 7 doubling pauses (6.4 s together).

--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -24,7 +24,8 @@
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
 /// First pause before an engine is tried again, in milliseconds; it doubles.
 const FIRST_PAUSE_MILLIS: u64 = 50;
-const MOST_DOUBLINGS: u32 = 6;
+/// Pauses of one request; all together at most 6.4 s.
+const MOST_PAUSES: u32 = 7;
 /// Longest wait for the holder of a key to free it, before the caller is told
 /// that the request did not run.
 const FREE_KEY_WAIT: Duration = Duration::from_millis(250);
@@ -48,7 +49,10 @@
     claim_open: bool,
     attempts_made: u32,
     pauses_made: u32,
-    tried: HashSet<EngineId>,
+    /// Engines that refused and would refuse again.
+    refused_by: HashSet<EngineId>,
+    /// Engines that failed and may recover after a pause.
+    failed_at: HashSet<EngineId>,
     last_failure: Option<Refusal>,
 }
 
@@ -72,7 +76,8 @@
             claim_open: false,
             attempts_made: 0,
             pauses_made: 0,
-            tried: HashSet::new(),
+            refused_by: HashSet::new(),
+            failed_at: HashSet::new(),
             last_failure: None,
         }
     }
@@ -148,6 +153,9 @@
                 Ok(found) => found,
                 Err(ending) => return ending,
             };
+            if let Err(ending) = self.spend_retry() {
+                return ending;
+            }
             match self.attempt(revision, &candidate).await {
                 AttemptEnd::Whole(summary) => return Ending::Whole(summary),
                 AttemptEnd::Interrupted(interruption) => {
@@ -176,32 +184,47 @@
         attempt.run().await
     }
 
-    /// The next engine to try. When all were tried and one may recover, they
-    /// are tried again after a pause.
+    /// The next engine to try. When all were tried, those that may recover are
+    /// tried again after a pause, and so is an engine that has no owner now but
+    /// may get one.
     async fn next_candidate(&mut self) -> Result<(Revision, Candidate), Ending> {
-        if let Some(found) = self.untried_candidate() {
-            return Ok(found);
+        let may_recover = !self.failed_at.is_empty();
+        loop {
+            if let Some(found) = self.untried_candidate() {
+                return Ok(found);
+            }
+            if !may_recover || self.pauses_made >= MOST_PAUSES {
+                return Err(self.give_up());
+            }
+            let pause = self.next_pause();
+            self.watch
+                .run(sleep(pause))
+                .await
+                .map_err(|interruption| self.interrupted(interruption))?;
+            self.failed_at.clear();
         }
+    }
+
+    /// Takes an attempt after a failed one out of the retry budget.
+    fn spend_retry(&self) -> Result<(), Ending> {
         let Some(failure) = &self.last_failure else {
-            let refusal = Refusal::not_run(RefusalCause::NoReplica, DEFAULT_RETRY_AFTER_MILLIS);
-            return Err(Ending::Refused(refusal));
+            return Ok(());
         };
-        if self.next_step(failure) != NextStep::AnyEngine {
-            return Err(self.give_up());
+        let now = self.dispatcher.clock.now();
+        let mut budget = self.dispatcher.retry_budget();
+        if budget.try_retry(now) {
+            self.dispatcher.metrics.record_retry(failure);
+            return Ok(());
         }
-        let pause = self.next_pause();
-        self.watch
-            .run(sleep(pause))
-            .await
-            .map_err(|interruption| self.interrupted(interruption))?;
-        self.tried.clear();
-        self.untried_candidate().ok_or_else(|| self.give_up())
+        let until = budget.millis_until_retry(now);
+        let retry_after_millis = until.unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
+        Err(self.refuse(RefusalCause::RetryBudgetExhausted, retry_after_millis))
     }
 
     /// A pause that doubles, with a random part, so that requests which failed
     /// together do not come back together.
     fn next_pause(&mut self) -> Duration {
-        let whole = FIRST_PAUSE_MILLIS << self.pauses_made.min(MOST_DOUBLINGS);
+        let whole = FIRST_PAUSE_MILLIS << self.pauses_made;
         self.pauses_made += 1;
         Duration::from_millis(rand::random_range(whole / 2..=whole))
     }
@@ -210,31 +233,28 @@
         let (revision, candidates) = self.dispatcher.route(&self.request);
         let untried = candidates
             .into_iter()
-            .find(|candidate| !self.tried.contains(&candidate.engine))?;
+            .find(|candidate| !self.was_tried(&candidate.engine))?;
         Some((revision, untried))
     }
 
+    fn was_tried(&self, engine: &EngineId) -> bool {
+        self.refused_by.contains(engine) || self.failed_at.contains(engine)
+    }
+
     /// Decides whether another attempt may follow a failed one; returns the
     /// ending if not.
     fn after_failure(&mut self, failure: Refusal, engine: EngineId) -> Option<Ending> {
         self.may_have_run |= failure.execution == Execution::MayHaveRun;
-        self.tried.insert(engine);
-        self.last_failure = Some(failure.clone());
-        let attempts_left = self.attempts_made < self.dispatcher.config.most_attempts;
-        if !attempts_left || self.next_step(&failure) == NextStep::GiveUp {
+        let step = self.next_step(&failure);
+        self.last_failure = Some(failure);
+        if self.attempts_made >= self.dispatcher.config.most_attempts {
             return Some(self.give_up());
         }
-        let now = self.dispatcher.clock.now();
-        let mut budget = self.dispatcher.retry_budget();
-        if !budget.try_retry(now) {
-            let until = budget
-                .millis_until_retry(now)
-                .unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
-            drop(budget);
-            return Some(self.refuse(RefusalCause::RetryBudgetExhausted, until));
-        }
-        drop(budget);
-        self.dispatcher.metrics.record_retry(&failure);
+        match step {
+            NextStep::GiveUp => return Some(self.give_up()),
+            NextStep::OtherEngine => self.refused_by.insert(engine),
+            NextStep::AnyEngine => self.failed_at.insert(engine),
+        };
         None
     }
 
--- a/crates/croftrill-gateway/tests/failures.rs
+++ b/crates/croftrill-gateway/tests/failures.rs
@@ -7,9 +7,10 @@
 use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::placement::Lifecycle;
 use croftrill_state::retry_budget::RetryBudgetConfig;
-use croftrill_state::{ClusterState, NodeId};
+use croftrill_state::{ClusterState, EngineId, NodeId};
 use http::StatusCode;
 use std::sync::Arc;
+use std::time::Duration;
 use support::owner::{answer_text, Script, ScriptedOwner};
 use support::{Answer, TestGateway};
 use tokio::net::TcpListener;
@@ -183,18 +184,54 @@
     assert_eq!(answer.last_error()["execution"], "may_have_run");
 }
 
-#[tokio::test]
-async fn retries_stop_when_the_budget_is_used_up() {
-    let config = GatewayConfig {
+fn without_retries() -> GatewayConfig {
+    GatewayConfig {
         retry_budget: RetryBudgetConfig {
             retries_per_thousand_successes: 0,
             floor_per_second: 0,
             most_saved: 0,
         },
         ..GatewayConfig::default()
-    };
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_that_nothing_follows_costs_no_retry() {
+    let owner = ScriptedOwner::start([Script::not_run(RefusalCause::QueueFull)]).await;
+    let gateway = TestGateway::start_with(&[&owner.address], without_retries(), Vec::new()).await;
+    let answer = gateway.complete(false, &[]).await;
+    assert_eq!(answer.cause(), "queue_full");
+}
+
+/// The engine has no owner for a while after its owner failed.
+#[tokio::test]
+async fn a_broken_stream_waits_for_the_engine_s_next_owner() {
+    let mut scripts = vec![Script::BreakAt(4)];
+    scripts.resize(10, Script::not_run(RefusalCause::NotOwner));
+    let failing = ScriptedOwner::start(scripts).await;
+    let next = ScriptedOwner::start([]).await;
+    let gateway = TestGateway::start(&[&failing.address]).await;
+    let response = gateway.send(support::completion(true, &[])).await;
+    let mut state = ClusterState::clone(&gateway.state.load());
+    let engine = state.engines.get_mut(&EngineId::from("engine-0")).unwrap();
+    engine.value.owner = None;
+    state.revision = state.revision.next();
+    gateway.state.store(Arc::new(state.clone()));
+    let node = state.nodes.get_mut(&NodeId::from("node-0")).unwrap();
+    node.value.attempt_address = next.address.clone();
+    let engine = state.engines.get_mut(&EngineId::from("engine-0")).unwrap();
+    engine.value.owner = Some(NodeId::from("node-0"));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    gateway.state.store(Arc::new(state));
+    let answer = Answer::read(response).await;
+    assert_eq!(answer.text(), answer_text());
+    assert_eq!(next.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn retries_stop_when_the_budget_is_used_up() {
     let owner = ScriptedOwner::start(vec![Script::BreakAtOnce; 3]).await;
-    let gateway = TestGateway::start_with(&[&owner.address], config, Vec::new()).await;
+    let gateway = TestGateway::start_with(&[&owner.address], without_retries(), Vec::new()).await;
     let answer = gateway.complete(false, &[]).await;
     assert_eq!(answer.cause(), "retry_budget_exhausted");
     assert_eq!(answer.execution(), "may_have_run");
--- a/crates/croftrill-gateway/tests/serving.rs
+++ b/crates/croftrill-gateway/tests/serving.rs
@@ -9,9 +9,12 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde_json::{json, Value};
 use support::owner::{answer_text, Script, ScriptedOwner, ANSWER_TOKENS};
 use support::{completion, post, TestGateway, GROUP, MODEL};
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn a_completion_is_answered_whole() {
@@ -173,3 +176,19 @@
     assert_eq!(answer.text(), answer_text());
     gateway.task.await.unwrap();
 }
+
+#[tokio::test]
+async fn callers_may_speak_http_2() {
+    let owner = ScriptedOwner::start([]).await;
+    let gateway = TestGateway::start(&[&owner.address]).await;
+    let stream = TcpStream::connect(&gateway.address).await.unwrap();
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.unwrap();
+    tokio::spawn(connection);
+    let mut request = completion(true, &[]);
+    request.headers_mut().remove("host");
+    *request.uri_mut() = "http://gateway/v1/completions".parse().unwrap();
+    let response = sender.send_request(request).await.unwrap();
+    let answer = support::Answer::read(response).await;
+    assert_eq!(answer.text(), answer_text());
+}
--- a/crates/croftrill-gateway/tests/support/owner.rs
+++ b/crates/croftrill-gateway/tests/support/owner.rs
@@ -1,7 +1,7 @@
 //! An owner that answers each attempt by a script.
 
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest, FinishReason, QueueLoad};
-use croftrill_state::outcome::{Refusal, RefusalCause};
+use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
 use croftrill_state::AttemptId;
 use croftrill_transport::attempt_server::{AttemptHandler, AttemptServer};
 use futures::stream::{self, BoxStream};
@@ -50,6 +50,14 @@
 }
 
 impl Script {
+    /// Whether an attempt with this script may have run.
+    pub fn may_run(&self) -> bool {
+        let (Script::Refuse(refusal) | Script::RefuseAfterStart(refusal)) = self else {
+            return true;
+        };
+        refusal.execution == Execution::MayHaveRun
+    }
+
     pub fn not_run(cause: RefusalCause) -> Self {
         Script::Refuse(Refusal::not_run(cause, 2500))
     }
@@ -62,7 +70,7 @@
 #[derive(Default)]
 struct Shared {
     scripts: Mutex<VecDeque<Script>>,
-    seen: Mutex<Vec<AttemptRequest>>,
+    played: Mutex<Vec<(AttemptRequest, Script)>>,
     cancelled: Notify,
 }
 
@@ -87,7 +95,13 @@
 
     /// Attempts that came so far.
     pub fn seen(&self) -> Vec<AttemptRequest> {
-        self.shared.seen.lock().unwrap().clone()
+        let played = self.played();
+        played.into_iter().map(|(attempt, _)| attempt).collect()
+    }
+
+    /// Attempts that came so far, and what was done with each.
+    pub fn played(&self) -> Vec<(AttemptRequest, Script)> {
+        self.shared.played.lock().unwrap().clone()
     }
 
     /// Returns when a hanging attempt was cancelled.
@@ -101,8 +115,10 @@
 impl AttemptHandler for Handler {
     fn handle(&self, request: AttemptRequest) -> BoxStream<'static, AttemptEvent> {
         let script = self.0.scripts.lock().unwrap().pop_front();
-        self.0.seen.lock().unwrap().push(request.clone());
-        play(script.unwrap_or(Script::Serve), &request, self.0.clone())
+        let script = script.unwrap_or(Script::Serve);
+        let played = (request.clone(), script.clone());
+        self.0.played.lock().unwrap().push(played);
+        play(script, &request, self.0.clone())
     }
 }
 
