The claim of a request in a module of its own

Cause: the run of a request had grown large, and a claim's end could outlive the gateway's drain. The holder is now told at once when the request ended, and the drain waits for it.

--- /dev/null
+++ b/crates/croftrill-gateway/src/claim_ticket.rs
@@ -0,0 +1,109 @@
+//! The claim of one unrepeatable request, from asking for it to its end.
+
+use crate::caller_request::RunOnce;
+use crate::claims::{ClaimAuthority, ClaimDecision};
+use crate::interruption::{Interruption, InterruptionWatch};
+use croftrill_protocol::peer::ClaimResult;
+use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
+use croftrill_state::RequestId;
+use log::info;
+use std::sync::Arc;
+use tokio::task::JoinHandle;
+
+/// When a caller should come back if nothing better is known, in milliseconds.
+const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
+
+/// Why a request may not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimFailure {
+    /// It is refused.
+    Refused(Refusal),
+    /// Nobody waits for it.
+    CallerGone,
+}
+
+/// The claim of a request; of a repeatable one it is always granted.
+pub(crate) struct ClaimTicket {
+    claims: Arc<dyn ClaimAuthority>,
+    request: RequestId,
+    run_once: Option<RunOnce>,
+    /// Whether the key's holder may count the request as the key's owner.
+    open: bool,
+}
+
+impl ClaimTicket {
+    pub fn new(claims: Arc<dyn ClaimAuthority>, request: RequestId, run_once: Option<RunOnce>) -> Self {
+        Self {
+            claims,
+            request,
+            run_once,
+            open: false,
+        }
+    }
+
+    /// Asks for the claim; the request may run only if it is granted.
+    pub async fn ask(&mut self, watch: &InterruptionWatch) -> Result<(), ClaimFailure> {
+        let Some(RunOnce { key, from_caller }) = &self.run_once else {
+            return Ok(());
+        };
+        // As long as the answer is not known, the claim may have been granted.
+        self.open = true;
+        let decision = watch.run(self.claims.claim(key, self.request)).await;
+        let from_caller = *from_caller;
+        match decision {
+            Ok(ClaimDecision::Granted) => Ok(()),
+            Ok(ClaimDecision::Taken { finished }) => {
+                self.open = false;
+                info!(
+                    "gateway: key taken request={} key={key} finished={finished}",
+                    self.request
+                );
+                let refusal = Refusal::may_have_run(RefusalCause::DuplicateKey, DEFAULT_RETRY_AFTER_MILLIS);
+                Err(ClaimFailure::Refused(refusal))
+            }
+            Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
+                self.open = false;
+                let cause = RefusalCause::KeyHistoryUnknown;
+                Err(not_granted(from_caller, cause, retry_after_millis))
+            }
+            Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
+                let cause = RefusalCause::KeyHistoryUnknown;
+                Err(not_granted(from_caller, cause, retry_after_millis))
+            }
+            Err(Interruption::DeadlinePassed) => {
+                let cause = RefusalCause::DeadlineExpired;
+                Err(not_granted(from_caller, cause, DEFAULT_RETRY_AFTER_MILLIS))
+            }
+            Err(Interruption::CallerGone) => Err(ClaimFailure::CallerGone),
+        }
+    }
+
+    /// Begins to tell the holder how the request ended; `None` if there is
+    /// nothing to tell.
+    pub fn finish(&mut self, result: ClaimResult) -> Option<JoinHandle<()>> {
+        if !std::mem::take(&mut self.open) {
+            return None;
+        }
+        let key = self.run_once.as_ref()?.key.clone();
+        let claims = self.claims.clone();
+        let request = self.request;
+        Some(tokio::spawn(
+            async move { claims.finish(&key, request, result).await },
+        ))
+    }
+}
+
+/// Until the claim is granted, an earlier request with the caller's key may have
+/// run. Nobody else uses a key that the gateway made.
+fn not_granted(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
+    let execution = if from_caller {
+        Execution::MayHaveRun
+    } else {
+        Execution::NotRun
+    };
+    ClaimFailure::Refused(Refusal {
+        execution,
+        cause,
+        retry_after_millis: retry_after_millis.max(1),
+    })
+}
--- a/crates/croftrill-gateway/src/lib.rs
+++ b/crates/croftrill-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod answers;
 mod attempt_run;
 mod caller_request;
+mod claim_ticket;
 mod clock;
 mod dispatch;
 mod errors;
--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -2,8 +2,8 @@
 //! own, so that it is brought to its end also when the caller hangs up.
 
 use crate::attempt_run::{AttemptEnd, AttemptRun};
-use crate::caller_request::{CallerRequest, RunOnce};
-use crate::claims::ClaimDecision;
+use crate::caller_request::CallerRequest;
+use crate::claim_ticket::{ClaimFailure, ClaimTicket};
 use crate::dispatch::{AnswerEvent, AnswerSummary, Dispatcher};
 use crate::interruption::{Interruption, InterruptionWatch};
 use crate::metrics::RequestOutcome;
@@ -45,8 +45,7 @@
     assembly: StreamAssembly,
     /// Whether an attempt was made that is not provably not run.
     may_have_run: bool,
-    /// Whether the holder of the key may count this request as its owner.
-    claim_open: bool,
+    claim: ClaimTicket,
     attempts_made: u32,
     pauses_made: u32,
     /// Engines that refused and would refuse again.
@@ -67,13 +66,15 @@
             caller,
             deadline: request.first_token_deadline,
         };
+        let claims = dispatcher.claims.clone();
+        let claim = ClaimTicket::new(claims, request.id, request.run_once.clone());
         Self {
             dispatcher,
             request,
             watch,
             assembly: StreamAssembly::new(),
             may_have_run: false,
-            claim_open: false,
+            claim,
             attempts_made: 0,
             pauses_made: 0,
             refused_by: HashSet::new(),
@@ -84,65 +85,21 @@
 
     /// Runs to the final answer and finishes the claim.
     pub async fn run(mut self) {
-        let ending = match self.claim().await {
+        let ending = match self.claim.ask(&self.watch).await {
             Ok(()) => self.serve().await,
-            Err(ending) => ending,
+            Err(ClaimFailure::Refused(refusal)) => Ending::Refused(refusal),
+            Err(ClaimFailure::CallerGone) => Ending::CallerGone,
         };
         self.record(&ending);
-        let claim_result = self.claim_result(&ending);
-        if claim_result == ClaimResult::NotRun {
+        let result = self.claim_result(&ending);
+        let mut finishing = self.claim.finish(result);
+        if let (Some(finishing), ClaimResult::NotRun) = (&mut finishing, result) {
             // The caller may try again as soon as it is told.
-            self.finish_claim(claim_result).await;
-            self.answer(ending).await;
-        } else {
-            self.answer(ending).await;
-            self.finish_claim(claim_result).await;
+            let _ = timeout(FREE_KEY_WAIT, finishing).await;
         }
-    }
-
-    /// Claims the key of an unrepeatable request.
-    async fn claim(&mut self) -> Result<(), Ending> {
-        let Some(RunOnce { key, from_caller }) = self.request.run_once.clone() else {
-            return Ok(());
-        };
-        self.claim_open = true;
-        let claim = self.dispatcher.claims.claim(&key, self.request.id);
-        let decision = self.watch.run(claim).await;
-        // Until the claim is granted, an earlier request with the caller's key
-        // may have run. Nobody else uses a key that the gateway made.
-        let unknown = |cause, retry_after_millis| {
-            Ending::Refused(Refusal {
-                execution: if from_caller {
-                    Execution::MayHaveRun
-                } else {
-                    Execution::NotRun
-                },
-                cause,
-                retry_after_millis,
-            })
-        };
-        match decision {
-            Ok(ClaimDecision::Granted) => Ok(()),
-            Ok(ClaimDecision::Taken { finished }) => {
-                self.claim_open = false;
-                info!(
-                    "gateway: key taken request={} key={key} finished={finished}",
-                    self.request.id
-                );
-                let refusal = Refusal::may_have_run(RefusalCause::DuplicateKey, DEFAULT_RETRY_AFTER_MILLIS);
-                Err(Ending::Refused(refusal))
-            }
-            Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
-                self.claim_open = false;
-                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
-            }
-            Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
-                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
-            }
-            Err(Interruption::DeadlinePassed) => {
-                Err(unknown(RefusalCause::DeadlineExpired, DEFAULT_RETRY_AFTER_MILLIS))
-            }
-            Err(Interruption::CallerGone) => Err(Ending::CallerGone),
+        self.answer(ending).await;
+        if let Some(finishing) = finishing.filter(|finishing| !finishing.is_finished()) {
+            let _ = finishing.await;
         }
     }
 
@@ -349,23 +306,4 @@
             warn!("gateway: caller does not read request={}", self.request.id);
         }
     }
-
-    /// Tells the holder how the request ended. A holder that is slow does not
-    /// hold up the caller for long.
-    async fn finish_claim(&mut self, result: ClaimResult) {
-        if !std::mem::take(&mut self.claim_open) {
-            return;
-        }
-        let Some(RunOnce { key, .. }) = self.request.run_once.clone() else {
-            return;
-        };
-        let claims = self.dispatcher.claims.clone();
-        let request = self.request.id;
-        let finishing = tokio::spawn(async move { claims.finish(&key, request, result).await });
-        let limit = match result {
-            ClaimResult::NotRun => FREE_KEY_WAIT,
-            ClaimResult::Finished | ClaimResult::Unknown => Duration::MAX,
-        };
-        let _ = timeout(limit, finishing).await;
-    }
 }
