--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -2,8 +2,8 @@
 //! own, so that it is brought to its end also when the caller hangs up.
 
 use crate::attempt_run::{AttemptEnd, AttemptRun};
-use crate::caller_request::{CallerRequest, RunOnce};
-use crate::claims::ClaimDecision;
+use crate::caller_request::CallerRequest;
+use crate::claim_ticket::{ClaimFailure, ClaimTicket};
 use crate::dispatch::{AnswerEvent, AnswerSummary, Dispatcher};
 use crate::interruption::{Interruption, InterruptionWatch};
 use crate::metrics::RequestOutcome;
@@ -24,7 +24,8 @@
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
 /// First pause before an engine is tried again, in milliseconds; it doubles.
 const FIRST_PAUSE_MILLIS: u64 = 50;
-const MOST_DOUBLINGS: u32 = 6;
+/// Pauses of one request; all together at most 6.4 s.
+const MOST_PAUSES: u32 = 7;
 /// Longest wait for the holder of a key to free it, before the caller is told
 /// that the request did not run.
 const FREE_KEY_WAIT: Duration = Duration::from_millis(250);
@@ -44,11 +45,13 @@
     assembly: StreamAssembly,
     /// Whether an attempt was made that is not provably not run.
     may_have_run: bool,
-    /// Whether the holder of the key may count this request as its owner.
-    claim_open: bool,
+    claim: ClaimTicket,
     attempts_made: u32,
     pauses_made: u32,
-    tried: HashSet<EngineId>,
+    /// Engines that refused and would refuse again.
+    refused_by: HashSet<EngineId>,
+    /// Engines that failed and may recover after a pause.
+    failed_at: HashSet<EngineId>,
     last_failure: Option<Refusal>,
 }
 
@@ -63,81 +66,40 @@
             caller,
             deadline: request.first_token_deadline,
         };
+        let claims = dispatcher.claims.clone();
+        let claim = ClaimTicket::new(claims, request.id, request.run_once.clone());
         Self {
             dispatcher,
             request,
             watch,
             assembly: StreamAssembly::new(),
             may_have_run: false,
-            claim_open: false,
+            claim,
             attempts_made: 0,
             pauses_made: 0,
-            tried: HashSet::new(),
+            refused_by: HashSet::new(),
+            failed_at: HashSet::new(),
             last_failure: None,
         }
     }
 
     /// Runs to the final answer and finishes the claim.
     pub async fn run(mut self) {
-        let ending = match self.claim().await {
+        let ending = match self.claim.ask(&self.watch).await {
             Ok(()) => self.serve().await,
-            Err(ending) => ending,
+            Err(ClaimFailure::Refused(refusal)) => Ending::Refused(refusal),
+            Err(ClaimFailure::CallerGone) => Ending::CallerGone,
         };
         self.record(&ending);
-        let claim_result = self.claim_result(&ending);
-        if claim_result == ClaimResult::NotRun {
+        let result = self.claim_result(&ending);
+        let mut finishing = self.claim.finish(result);
+        if let (Some(finishing), ClaimResult::NotRun) = (&mut finishing, result) {
             // The caller may try again as soon as it is told.
-            self.finish_claim(claim_result).await;
-            self.answer(ending).await;
-        } else {
-            self.answer(ending).await;
-            self.finish_claim(claim_result).await;
+            let _ = timeout(FREE_KEY_WAIT, finishing).await;
         }
-    }
-
-    /// Claims the key of an unrepeatable request.
-    async fn claim(&mut self) -> Result<(), Ending> {
-        let Some(RunOnce { key, from_caller }) = self.request.run_once.clone() else {
-            return Ok(());
-        };
-        self.claim_open = true;
-        let claim = self.dispatcher.claims.claim(&key, self.request.id);
-        let decision = self.watch.run(claim).await;
-        // Until the claim is granted, an earlier request with the caller's key
-        // may have run. Nobody else uses a key that the gateway made.
-        let unknown = |cause, retry_after_millis| {
-            Ending::Refused(Refusal {
-                execution: if from_caller {
-                    Execution::MayHaveRun
-                } else {
-                    Execution::NotRun
-                },
-                cause,
-                retry_after_millis,
-            })
-        };
-        match decision {
-            Ok(ClaimDecision::Granted) => Ok(()),
-            Ok(ClaimDecision::Taken { finished }) => {
-                self.claim_open = false;
-                info!(
-                    "gateway: key taken request={} key={key} finished={finished}",
-                    self.request.id
-                );
-                let refusal = Refusal::may_have_run(RefusalCause::DuplicateKey, DEFAULT_RETRY_AFTER_MILLIS);
-                Err(Ending::Refused(refusal))
-            }
-            Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
-                self.claim_open = false;
-                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
-            }
-            Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
-                Err(unknown(RefusalCause::KeyHistoryUnknown, retry_after_millis))
-            }
-            Err(Interruption::DeadlinePassed) => {
-                Err(unknown(RefusalCause::DeadlineExpired, DEFAULT_RETRY_AFTER_MILLIS))
-            }
-            Err(Interruption::CallerGone) => Err(Ending::CallerGone),
+        self.answer(ending).await;
+        if let Some(finishing) = finishing.filter(|finishing| !finishing.is_finished()) {
+            let _ = finishing.await;
         }
     }
 
@@ -148,6 +110,9 @@
                 Ok(found) => found,
                 Err(ending) => return ending,
             };
+            if let Err(ending) = self.spend_retry() {
+                return ending;
+            }
             match self.attempt(revision, &candidate).await {
                 AttemptEnd::Whole(summary) => return Ending::Whole(summary),
                 AttemptEnd::Interrupted(interruption) => {
@@ -176,32 +141,47 @@
         attempt.run().await
     }
 
-    /// The next engine to try. When all were tried and one may recover, they
-    /// are tried again after a pause.
+    /// The next engine to try. When all were tried, those that may recover are
+    /// tried again after a pause, and so is an engine that has no owner now but
+    /// may get one.
     async fn next_candidate(&mut self) -> Result<(Revision, Candidate), Ending> {
-        if let Some(found) = self.untried_candidate() {
-            return Ok(found);
+        let may_recover = !self.failed_at.is_empty();
+        loop {
+            if let Some(found) = self.untried_candidate() {
+                return Ok(found);
+            }
+            if !may_recover || self.pauses_made >= MOST_PAUSES {
+                return Err(self.give_up());
+            }
+            let pause = self.next_pause();
+            self.watch
+                .run(sleep(pause))
+                .await
+                .map_err(|interruption| self.interrupted(interruption))?;
+            self.failed_at.clear();
         }
+    }
+
+    /// Takes an attempt after a failed one out of the retry budget.
+    fn spend_retry(&self) -> Result<(), Ending> {
         let Some(failure) = &self.last_failure else {
-            let refusal = Refusal::not_run(RefusalCause::NoReplica, DEFAULT_RETRY_AFTER_MILLIS);
-            return Err(Ending::Refused(refusal));
+            return Ok(());
         };
-        if self.next_step(failure) != NextStep::AnyEngine {
-            return Err(self.give_up());
+        let now = self.dispatcher.clock.now();
+        let mut budget = self.dispatcher.retry_budget();
+        if budget.try_retry(now) {
+            self.dispatcher.metrics.record_retry(failure);
+            return Ok(());
         }
-        let pause = self.next_pause();
-        self.watch
-            .run(sleep(pause))
-            .await
-            .map_err(|interruption| self.interrupted(interruption))?;
-        self.tried.clear();
-        self.untried_candidate().ok_or_else(|| self.give_up())
+        let until = budget.millis_until_retry(now);
+        let retry_after_millis = until.unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
+        Err(self.refuse(RefusalCause::RetryBudgetExhausted, retry_after_millis))
     }
 
     /// A pause that doubles, with a random part, so that requests which failed
     /// together do not come back together.
     fn next_pause(&mut self) -> Duration {
-        let whole = FIRST_PAUSE_MILLIS << self.pauses_made.min(MOST_DOUBLINGS);
+        let whole = FIRST_PAUSE_MILLIS << self.pauses_made;
         self.pauses_made += 1;
         Duration::from_millis(rand::random_range(whole / 2..=whole))
     }
@@ -210,31 +190,28 @@
         let (revision, candidates) = self.dispatcher.route(&self.request);
         let untried = candidates
             .into_iter()
-            .find(|candidate| !self.tried.contains(&candidate.engine))?;
+            .find(|candidate| !self.was_tried(&candidate.engine))?;
         Some((revision, untried))
     }
 
+    fn was_tried(&self, engine: &EngineId) -> bool {
+        self.refused_by.contains(engine) || self.failed_at.contains(engine)
+    }
+
     /// Decides whether another attempt may follow a failed one; returns the
     /// ending if not.
     fn after_failure(&mut self, failure: Refusal, engine: EngineId) -> Option<Ending> {
         self.may_have_run |= failure.execution == Execution::MayHaveRun;
-        self.tried.insert(engine);
-        self.last_failure = Some(failure.clone());
-        let attempts_left = self.attempts_made < self.dispatcher.config.most_attempts;
-        if !attempts_left || self.next_step(&failure) == NextStep::GiveUp {
+        let step = self.next_step(&failure);
+        self.last_failure = Some(failure);
+        if self.attempts_made >= self.dispatcher.config.most_attempts {
             return Some(self.give_up());
         }
-        let now = self.dispatcher.clock.now();
-        let mut budget = self.dispatcher.retry_budget();
-        if !budget.try_retry(now) {
-            let until = budget
-                .millis_until_retry(now)
-                .unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
-            drop(budget);
-            return Some(self.refuse(RefusalCause::RetryBudgetExhausted, until));
-        }
-        drop(budget);
-        self.dispatcher.metrics.record_retry(&failure);
+        match step {
+            NextStep::GiveUp => return Some(self.give_up()),
+            NextStep::OtherEngine => self.refused_by.insert(engine),
+            NextStep::AnyEngine => self.failed_at.insert(engine),
+        };
         None
     }
 
@@ -329,23 +306,4 @@
             warn!("gateway: caller does not read request={}", self.request.id);
         }
     }
-
-    /// Tells the holder how the request ended. A holder that is slow does not
-    /// hold up the caller for long.
-    async fn finish_claim(&mut self, result: ClaimResult) {
-        if !std::mem::take(&mut self.claim_open) {
-            return;
-        }
-        let Some(RunOnce { key, .. }) = self.request.run_once.clone() else {
-            return;
-        };
-        let claims = self.dispatcher.claims.clone();
-        let request = self.request.id;
-        let finishing = tokio::spawn(async move { claims.finish(&key, request, result).await });
-        let limit = match result {
-            ClaimResult::NotRun => FREE_KEY_WAIT,
-            ClaimResult::Finished | ClaimResult::Unknown => Duration::MAX,
-        };
-        let _ = timeout(limit, finishing).await;
-    }
 }
