--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -29,6 +29,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 /// Time between two ticks of the membership state machine.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
@@ -80,7 +81,11 @@
         let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
         tasks.spawn(observe_heads(input.replica.clone(), events));
-        tasks.spawn(announce_heads(input.replica.clone(), membership.clone()));
+        tasks.spawn(announce_heads(
+            input.replica.clone(),
+            membership.clone(),
+            tasks.stop.clone(),
+        ));
 
         let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
         let follower = Arc::new(Follower::new(
@@ -172,10 +177,14 @@
 }
 
 /// Tells peers of each new head, and membership of each new list of nodes.
-async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle) {
+async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle, stop: CancellationToken) {
     let mut heads = replica.new_heads();
     let mut listed = Revision(0);
-    while heads.changed().await.is_ok() {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            changed = heads.changed() => if changed.is_err() { return },
+        }
         let head = *heads.borrow_and_update();
         membership.new_head(head);
         let state = replica.state();
