Orders about adapters that may still arrive keep their base accounted

With deeper sequences (models woken in one step of the generator) the property test reaches states in which an adapter's order is on its way while its base vanished. The base now stays in the books, unusable, until the order was answered or can no longer arrive; else it would find the next replica.

--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -52,33 +52,34 @@
     }
 
     fn remove_absent(&mut self, held: &BTreeMap<ModelId, HeldReplica>, judgement: Judgement) -> Vec<Settled> {
-        let absent: Vec<(ModelId, Phase)> = self
+        let absent: Vec<ModelId> = self
             .replicas
             .iter()
             .filter(|(id, _)| !held.contains_key(*id))
-            .filter(|(_, replica)| {
-                let orders_open = replica
-                    .adapters
-                    .values()
-                    .any(|adapter| adapter.phase.is_unanswered());
-                !orders_open && judgement.shows_absent(replica.phase, replica.changed, replica.hold_until)
-            })
-            .map(|(id, replica)| (id.clone(), replica.phase))
+            .filter(|(_, replica)| judgement.shows_absent(replica.phase, replica.changed, replica.hold_until))
+            .map(|(id, _)| id.clone())
             .collect();
         absent
             .into_iter()
-            .map(|(model, phase)| self.remove(model, phase, judgement.now))
+            .filter_map(|model| self.remove(model, judgement))
             .collect()
     }
 
-    fn remove(&mut self, model: ModelId, phase: Phase, now: Instant) -> Settled {
-        self.replicas.remove(&model);
+    /// Takes an absent replica out of the books, unless an order about one of
+    /// its adapters is on its way, which would find the next replica.
+    fn remove(&mut self, model: ModelId, judgement: Judgement) -> Option<Settled> {
+        let replica = self.replicas.get_mut(&model)?;
+        let phase = std::mem::replace(&mut replica.phase, Phase::Answered);
+        let kept = judgement.adapter_order_may_arrive(replica);
+        if !kept {
+            self.replicas.remove(&model);
+        }
         if matches!(phase, Phase::Loading | Phase::LostLoad) {
-            self.failed(&model, None, now);
-            return Settled::LoadFailed(model);
+            self.failed(&model, None, judgement.now);
+            return Some(Settled::LoadFailed(model));
         }
         self.backoff.remove(&base_of(&model));
-        Settled::Gone(model)
+        (!kept).then_some(Settled::Gone(model))
     }
 
     fn take_in(&mut self, held: HeldReplica, judgement: Judgement) -> Option<Settled> {
@@ -256,6 +257,13 @@
         self.is_later_than(phase, changed) && !may_arrive
     }
 
+    fn adapter_order_may_arrive(&self, replica: &Replica) -> bool {
+        replica.adapters.values().any(|adapter| {
+            let lost = matches!(adapter.phase, Phase::LostLoad | Phase::LostUnload);
+            adapter.phase.is_unanswered() || lost && self.ticket.asked_at < adapter.hold_until
+        })
+    }
+
     /// As `shows_absent`; an engine lists an adapter only when it is loaded.
     fn shows_adapter_absent(&self, entry: &AdapterReplica) -> bool {
         let loads = entry.phase == Phase::Loading && self.ticket.asked_at < entry.hold_until;
--- a/crates/croftrill-state/tests/engine_memory_model.rs
+++ b/crates/croftrill-state/tests/engine_memory_model.rs
@@ -46,6 +46,10 @@
     OwnerChanges,
     FormerOwnersRequestsEnd,
     Pass(u64),
+    /// The model or adapter is assigned and woken without failures.
+    Wake(usize, bool),
+    /// An inventory is asked for and answered at once.
+    Look,
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -74,11 +78,13 @@
         6 => Just(Event::AskInventory),
         6 => any::<usize>().prop_map(Event::TakeInventory),
         4 => Just(Event::LoadsFinish),
-        1 => model.prop_map(Event::LoadFails),
+        1 => model.clone().prop_map(Event::LoadFails),
         1 => Just(Event::EngineRestarts),
         1 => Just(Event::OwnerChanges),
         2 => Just(Event::FormerOwnersRequestsEnd),
         4 => (0..3_000u64).prop_map(Event::Pass),
+        6 => (model.clone(), any::<bool>()).prop_map(|(m, a)| Event::Wake(m, a)),
+        4 => Just(Event::Look),
     ]
 }
 
@@ -121,6 +127,11 @@
         Event::OwnerChanges => world.owner_changes(),
         Event::FormerOwnersRequestsEnd => world.former_owners_requests_end(),
         Event::Pass(millis) => world.pass(millis),
+        Event::Wake(number, adapter) => {
+            world.assign(number, Residency::OnDemand, AssignmentState::Active);
+            world.wake(&target(number, adapter));
+        }
+        Event::Look => world.look(),
     }
     world.check();
 }
--- a/crates/croftrill-state/tests/engine_memory_support/mod.rs
+++ b/crates/croftrill-state/tests/engine_memory_support/mod.rs
@@ -514,6 +514,27 @@
         }
     }
 
+    /// An inventory without delay; older answers are lost.
+    pub fn look(&mut self) {
+        self.snapshots.clear();
+        self.ask_inventory();
+        self.take_inventory(0);
+    }
+
+    /// Everything that waking a target takes, without failures.
+    pub fn wake(&mut self, target: &Target) {
+        self.demand(target.clone(), 20_000);
+        for _ in 0..3 {
+            self.decide();
+            while !self.orders.is_empty() {
+                self.deliver(0, Delivery::Answered);
+            }
+            self.loads_finish();
+            self.look();
+        }
+        self.withdraw(target);
+    }
+
     // The engine.
 
     pub fn loads_finish(&mut self) {
