--- a/crates/croftrill-state/src/replica_queue/fair_share.rs
+++ b/crates/croftrill-state/src/replica_queue/fair_share.rs
@@ -5,7 +5,7 @@
 use crate::cluster::Target;
 use crate::identifiers::GroupId;
 use crate::time::Instant;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Place of an item among those of its group: by deadline, then by arrival.
 pub(super) type Place = (Instant, u64);
@@ -43,7 +43,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ClassQueue {
     pub(super) groups: BTreeMap<GroupId, GroupQueue>,
-    ring: VecDeque<GroupId>,
+    /// The groups in the order of their turns.
+    ring: Vec<GroupId>,
 }
 
 /// The next item of a group that is ready.
@@ -58,7 +59,7 @@
     pub(super) fn push(&mut self, waiting: Waiting) {
         let group = waiting.item.group.clone();
         if !self.groups.contains_key(&group) {
-            self.ring.push_back(group.clone());
+            self.ring.push(group.clone());
         }
         let queue = self.groups.entry(group).or_default();
         let of_target = queue.units_by_target.entry(waiting.item.target.clone());
@@ -110,7 +111,6 @@
             .find(|candidate| self.groups[&candidate.group].deficit >= candidate.units)?;
         let queue = self.groups.get_mut(&next.group)?;
         queue.deficit -= next.units;
-        self.rotate_to(&next.group);
         self.remove(&next.group, next.place)
     }
 
@@ -151,13 +151,6 @@
         }
     }
 
-    /// The groups before the served one had their turn.
-    fn rotate_to(&mut self, group: &GroupId) {
-        if let Some(position) = self.ring.iter().position(|other| other == group) {
-            self.ring.rotate_left(position);
-        }
-    }
-
     /// Corrects a group's charge when the true cost is known.
     pub(super) fn correct(&mut self, group: &GroupId, charged: u64, actual: u64) {
         if let Some(queue) = self.groups.get_mut(group) {
