--- a/crates/croftrill-state/src/engine_memory/held.rs
+++ b/crates/croftrill-state/src/engine_memory/held.rs
@@ -30,6 +30,11 @@
     pub(super) fn is_unanswered(self) -> bool {
         matches!(self, Phase::Reserved | Phase::Unloading)
     }
+
+    /// Whether the answer to an order was lost.
+    pub(super) fn is_lost(self) -> bool {
+        matches!(self, Phase::LostLoad | Phase::LostUnload)
+    }
 }
 
 /// A model on the engine.
--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -242,11 +242,11 @@
         !phase.is_unanswered() && changed < self.ticket.sequence
     }
 
-    /// Whether absence from the inventory means that the engine does not hold
-    /// it. An order whose answer was lost may have arrived since the inventory
-    /// was asked for.
+    /// Whether absence from the inventory means that the books can be closed.
+    /// An order whose answer was lost may still arrive: a load would take the
+    /// memory, and an unload would hit the next replica.
     fn shows_absent(&self, phase: Phase, changed: u64, hold_until: Instant) -> bool {
-        let may_arrive = phase == Phase::LostLoad && self.ticket.asked_at < hold_until;
+        let may_arrive = phase.is_lost() && self.ticket.asked_at < hold_until;
         self.is_later_than(phase, changed) && !may_arrive
     }
 
@@ -259,8 +259,8 @@
 
     fn adapter_order_may_arrive(&self, replica: &Replica) -> bool {
         replica.adapters.values().any(|adapter| {
-            let lost = matches!(adapter.phase, Phase::LostLoad | Phase::LostUnload);
-            adapter.phase.is_unanswered() || lost && self.ticket.asked_at < adapter.hold_until
+            adapter.phase.is_unanswered()
+                || adapter.phase.is_lost() && self.ticket.asked_at < adapter.hold_until
         })
     }
 
--- a/crates/croftrill-state/tests/engine_memory_model.rs
+++ b/crates/croftrill-state/tests/engine_memory_model.rs
@@ -195,3 +195,23 @@
         apply(&mut world, event);
     }
 }
+
+#[test]
+fn a_delayed_unload_does_not_hit_the_next_replica() {
+    let mut world = World::new(EvictionPolicy::default());
+    let events = [
+        Event::Wake(5, false),
+        Event::Unassign(5),
+        Event::Demand(5, true, 10_000),
+        Event::Decide,
+        Event::EngineRestarts,
+        Event::DelayOrder(0),
+        Event::AssignOnDemand(5),
+        Event::Wake(0, false),
+        Event::ArriveLate(0),
+        Event::Use(5, false),
+    ];
+    for event in events {
+        apply(&mut world, event);
+    }
+}
