--- a/crates/croftrill-state/src/replica_queue/admission.rs
+++ b/crates/croftrill-state/src/replica_queue/admission.rs
@@ -93,13 +93,15 @@
 
     /// Waiting items that can no longer be served in time. Unlike at admission
     /// only the time until dispatch counts, so that an admitted item is not
-    /// given up because of a small change of the estimates.
+    /// given up because of a small change of the estimates. The wait of one
+    /// item is looked at closely only if the wait behind everything is too long.
     pub(super) fn hopeless(&self, now: Instant, wake: impl Fn(&Target) -> Wake) -> Vec<(Waiting, Refusal)> {
         let backlog = self.backlog(wake);
         let mut found = Vec::new();
         for class in PriorityClass::ALL {
+            let longest_wait = self.whole_wait_millis(class, now);
             for queue in self.class(class).groups.values() {
-                self.hopeless_of_group(class, queue, &backlog, now, &mut found);
+                found.extend(self.hopeless_of_group(class, queue, &backlog, longest_wait, now));
             }
         }
         found
@@ -110,9 +112,10 @@
         class: PriorityClass,
         queue: &GroupQueue,
         backlog: &Backlog,
+        longest_wait: u64,
         now: Instant,
-        found: &mut Vec<(Waiting, Refusal)>,
-    ) {
+    ) -> Vec<(Waiting, Refusal)> {
+        let mut found = Vec::new();
         let mut ready_before = 0;
         let mut cold_before: BTreeMap<&Target, u64> = BTreeMap::new();
         for waiting in queue.items.values() {
@@ -125,8 +128,12 @@
                 units: waiting.units,
                 own_before: ready_before + cold,
             };
-            let wait = self.wait_millis(&position, backlog, now);
-            if let Some(refusal) = too_late(item, backlog.wakes[&item.target], wait, 0, 0, now) {
+            let wake = backlog.wakes[&item.target];
+            let refusal = too_late(item, wake, longest_wait, 0, 0, now).and_then(|_| {
+                let wait = self.wait_millis(&position, backlog, now);
+                too_late(item, wake, wait, 0, 0, now)
+            });
+            if let Some(refusal) = refusal {
                 found.push((waiting.clone(), refusal));
             } else if backlog.is_ready(&item.target) {
                 ready_before += waiting.units;
@@ -134,6 +141,7 @@
                 *cold_before.entry(&item.target).or_default() += waiting.units;
             }
         }
+        found
     }
 
     /// Estimated time until an item is dispatched. What waits for other models
