Idle time counted by what was idle; inventories fewer; late alerts not cut

- Idle accelerator time is counted with what was idle at the end of the step before, not after it: work that just ended no longer counts as idle.
- While a load's expected end is far, inventories are asked for at an eighth of the time left, at most every second, instead of every 50 ms.
- An unrepeatable request is not cut when its first token is late: a late alert is better than one whose outcome nobody knows.

--- a/crates/croftrill-owner/src/actor.rs
+++ b/crates/croftrill-owner/src/actor.rs
@@ -111,6 +111,7 @@
     loads: BTreeMap<ModelId, LoadProgress>,
     releases: BTreeMap<ModelId, ReleaseProgress>,
     accounted_until: Instant,
+    idle_accelerators: usize,
 }
 
 impl EngineActor {
@@ -143,6 +144,7 @@
             loads: BTreeMap::new(),
             releases: BTreeMap::new(),
             accounted_until: now,
+            idle_accelerators: 0,
             engine,
             shared,
         }
@@ -216,6 +218,7 @@
                 self.dispatch(now);
             }
         }
+        self.idle_accelerators = self.memory.idle_accelerators();
         self.publish_load();
     }
 
@@ -303,10 +306,11 @@
         self.shared.metrics.remove_engine(self.engine.id.as_str());
     }
 
+    /// Counts the time since the last step with what was idle at its end.
     fn account_idle_time(&mut self, now: Instant) {
         let millis = now.millis_since(self.accounted_until);
-        let idle = self.memory.idle_accelerators();
-        self.shared.metrics.idle_accelerators(idle, millis);
+        let metrics = &self.shared.metrics;
+        metrics.idle_accelerators(self.idle_accelerators, millis);
         self.accounted_until = now;
     }
 
--- a/crates/croftrill-owner/src/actor/attempts.rs
+++ b/crates/croftrill-owner/src/actor/attempts.rs
@@ -198,6 +198,7 @@
         let clock = self.shared.clock;
         let arrival = submission.arrival;
         let attempt = item.attempt;
+        let repeatable = submission.request.unrepeatable.is_none();
         Run {
             submission,
             client: self.client.clone(),
@@ -207,7 +208,7 @@
             cancel,
             first_token_deadline: item.first_token_deadline,
             total_deadline: item.total_deadline,
-            cut_late_first_token: config.cut_late_first_token,
+            cut_late_first_token: config.cut_late_first_token && repeatable,
             call_timeout: self.call_timeout(),
             retry_after_millis: config.engine_backoff_millis,
             on_first_token: Box::new(move || {
--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -141,17 +141,15 @@
         for settled in self.memory.reconcile(ticket, report, now) {
             self.settled(settled, now);
         }
-        self.link.ask_at = now + self.inventory_pause();
+        self.link.ask_at = now + self.inventory_pause(now);
     }
 
-    fn inventory_pause(&self) -> u64 {
+    fn inventory_pause(&self, now: Instant) -> u64 {
         let config = &self.shared.config;
-        if !self.memory.is_settled() {
-            config.inventory_poll_millis
-        } else if self.memory.others_running() {
-            config.others_poll_millis
-        } else {
-            config.inventory_refresh_millis
+        match self.memory.inventory_due_in(now) {
+            Some(due) => due.clamp(config.inventory_poll_millis, config.inventory_poll_max_millis),
+            None if self.memory.others_running() => config.others_poll_millis,
+            None => config.inventory_refresh_millis,
         }
     }
 
--- a/crates/croftrill-owner/src/config.rs
+++ b/crates/croftrill-owner/src/config.rs
@@ -17,9 +17,12 @@
     pub catch_up_millis: u64,
     /// Longest wait for the answer to an order or inventory, in milliseconds.
     pub engine_call_timeout_millis: u64,
-    /// Pause between inventories while a load or unload is under way, in
-    /// milliseconds.
+    /// Shortest pause between inventories while a load or unload is under way,
+    /// in milliseconds.
     pub inventory_poll_millis: u64,
+    /// Longest pause between inventories while a load is under way whose
+    /// expected end is far, in milliseconds.
+    pub inventory_poll_max_millis: u64,
     /// Pause between inventories while requests of a former owner run, in
     /// milliseconds.
     pub others_poll_millis: u64,
@@ -43,8 +46,9 @@
     pub local_load_max_spacing_millis: u64,
     /// Longest time that a drain waits for work to end, in milliseconds.
     pub drain_bound_millis: u64,
-    /// Whether a dispatched request is cut when its first token is late. Its
-    /// total deadline always cuts it.
+    /// Whether a dispatched request is cut when its first token is late, unless
+    /// it is unrepeatable: then a late answer is better than an outcome that
+    /// nobody knows. Its total deadline always cuts it.
     pub cut_late_first_token: bool,
 }
 
@@ -58,6 +62,7 @@
             catch_up_millis: 500,
             engine_call_timeout_millis: 5_000,
             inventory_poll_millis: 50,
+            inventory_poll_max_millis: 1_000,
             others_poll_millis: 1_000,
             inventory_refresh_millis: 30_000,
             engine_backoff_millis: 250,
--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -211,3 +211,22 @@
     let reports = world.coordinator.reports.lock().unwrap().clone();
     assert!(!reports.is_empty() && reports.iter().all(|report| !report.succeeded));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_late_first_token_cuts_only_what_may_be_repeated() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    whole_text(&world.events_of(world.request("m")).await);
+    world.engine.behave(|behaviour| behaviour.token_millis = 1_000);
+    let mut request = world.request("m");
+    request.first_token_deadline_millis = 500;
+    let refused = refusal(&world.events_of(request.clone()).await);
+    assert_eq!(
+        (refused.cause, refused.execution),
+        (RefusalCause::DeadlineExpired, Execution::MayHaveRun)
+    );
+    let mut unrepeatable = world.request("m");
+    unrepeatable.first_token_deadline_millis = 500;
+    unrepeatable.unrepeatable = Some("alert-1".into());
+    whole_text(&world.events_of(unrepeatable).await);
+}
--- a/crates/croftrill-owner/tests/loading.rs
+++ b/crates/croftrill-owner/tests/loading.rs
@@ -237,6 +237,38 @@
     assert!(text.contains("owner_cold_start_seconds_count 1"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn time_with_running_work_is_not_idle_time() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    world.engine.behave(|behaviour| behaviour.token_millis = 3_000);
+    whole_text(&world.events_of(world.request("m")).await);
+    let text = metrics(&world);
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("owner_idle_accelerator_seconds_total"))
+        .unwrap();
+    let seconds: f64 = line.split(' ').nth(1).unwrap().parse().unwrap();
+    assert!(seconds < 1.0, "{line}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_long_load_is_looked_at_rarely_until_its_end_is_near() {
+    let world = world_with(|config| config.memory.load_time.fixed_millis = 10_000);
+    world.assign(
+        "m",
+        50,
+        Residency::Resident {
+            accelerators: vec![0],
+        },
+    );
+    world.engine.behave(|behaviour| behaviour.load_millis = 10_000);
+    pass(12_000).await;
+    assert!(world.engine.holds("m"));
+    let inventories = world.engine.inventories();
+    assert!((5..60).contains(&inventories), "{inventories}");
+}
+
 fn metrics(world: &World) -> String {
     let mut text = String::new();
     prometheus_client::encoding::text::encode(&mut text, &world.registry).unwrap();
--- a/crates/croftrill-owner/tests/support/engine.rs
+++ b/crates/croftrill-owner/tests/support/engine.rs
@@ -63,6 +63,7 @@
     running: BTreeMap<AttemptId, ModelId>,
     cached_in_memory: Vec<ModelId>,
     records: Vec<Record>,
+    inventories: usize,
     behaviour: Behaviour,
 }
 
@@ -116,6 +117,10 @@
         self.records().iter().filter(is_load).count()
     }
 
+    pub fn inventories(&self) -> usize {
+        self.inner.lock().unwrap().inventories
+    }
+
     pub fn holds(&self, model: &str) -> bool {
         self.inner
             .lock()
@@ -265,6 +270,7 @@
 
     async fn inventory(&self) -> Result<Inventory, EngineError> {
         self.reach().await?;
+        self.inner.lock().unwrap().inventories += 1;
         Ok(self.snapshot())
     }
 
--- a/crates/croftrill-state/src/engine_memory.rs
+++ b/crates/croftrill-state/src/engine_memory.rs
@@ -35,6 +35,10 @@
 use held::{Backoff, Phase, Replica, Usage};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A load is looked at again after this part of the time until its expected
+/// end.
+const INVENTORIES_UNTIL_EXPECTED_END: u64 = 8;
+
 /// What one engine holds and should hold.
 pub struct EngineMemory {
     config: MemoryConfig,
@@ -169,13 +173,20 @@
         }
     }
 
-    /// Whether any load or order is not finished, so that inventories should
-    /// be asked for soon.
-    pub fn is_settled(&self) -> bool {
-        let settled = |phase: Phase| phase == Phase::Loaded;
-        self.replicas
-            .values()
-            .all(|r| settled(r.phase) && r.adapters.values().all(|a| settled(a.phase)))
+    /// When the next inventory is worth asking for, in milliseconds; `None` if
+    /// no load or order is under way. The nearer the expected end of a load, the
+    /// sooner.
+    pub fn inventory_due_in(&self, now: Instant) -> Option<u64> {
+        let phases = self.replicas.values().flat_map(|replica| {
+            let adapters = replica.adapters.values().map(|adapter| (adapter.phase, now));
+            adapters.chain([(replica.phase, replica.expected_at)])
+        });
+        let due = phases.filter_map(|(phase, expected_at)| match phase {
+            Phase::Loaded => None,
+            Phase::Loading => Some(distance_millis(expected_at, now) / INVENTORIES_UNTIL_EXPECTED_END),
+            _ => Some(0),
+        });
+        due.min()
     }
 
     /// Whether requests of a former owner still run; nothing is unloaded until
@@ -232,3 +243,7 @@
         assigned.map_or(0, |assigned| assigned.model.checkpoint_mib)
     }
 }
+
+fn distance_millis(a: Instant, b: Instant) -> u64 {
+    a.millis_since(b) + b.millis_since(a)
+}
