Runs whose first answer is lost are reconciled too

Mutations on a scratch copy showed that no test had an engine whose answer to the request itself is lost, or whose stream breaks before the first token. Both now have a test, and the campaign generates them.

--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -53,6 +53,21 @@
     assert_eq!(refusal.execution, Execution::MayHaveRun);
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_breaks_before_the_first_token_may_have_run_too() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    world
+        .engine
+        .behave(|behaviour| behaviour.break_after_tokens = Some(0));
+    let broken = refusal(&world.events_of(world.request("m")).await);
+    assert_eq!(broken.execution, Execution::MayHaveRun);
+    world.engine.behave(|behaviour| behaviour.lose_run_answers = true);
+    pass(100).await;
+    let lost = refusal(&world.events_of(world.request("m")).await);
+    assert_eq!(lost.execution, Execution::MayHaveRun);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_the_engine_refuses_did_not_run() {
     let world = world();
--- a/crates/croftrill-owner/tests/ledger.rs
+++ b/crates/croftrill-owner/tests/ledger.rs
@@ -36,7 +36,8 @@
     LoseAnswers(bool),
     FailLoads(bool),
     RefuseRuns(bool),
-    BreakStreams(bool),
+    BreakStreams(Option<u32>),
+    LoseRunAnswers(bool),
     SlowTokens(u64),
     EngineRestarts,
     HigherTokenSeen,
@@ -63,7 +64,8 @@
         1 => any::<bool>().prop_map(Event::LoseAnswers),
         1 => any::<bool>().prop_map(Event::FailLoads),
         1 => any::<bool>().prop_map(Event::RefuseRuns),
-        1 => any::<bool>().prop_map(Event::BreakStreams),
+        1 => proptest::option::of(0..3u32).prop_map(Event::BreakStreams),
+        1 => any::<bool>().prop_map(Event::LoseRunAnswers),
         2 => (1..400u64).prop_map(Event::SlowTokens),
         1 => Just(Event::EngineRestarts),
         1 => Just(Event::HigherTokenSeen),
@@ -132,9 +134,8 @@
             Event::LoseAnswers(is) => engine.behave(|behaviour| behaviour.lose_order_answers = is),
             Event::FailLoads(is) => engine.behave(|behaviour| behaviour.fail_loads = is),
             Event::RefuseRuns(is) => engine.behave(|behaviour| behaviour.refuse_runs = is),
-            Event::BreakStreams(is) => {
-                engine.behave(|behaviour| behaviour.break_after_tokens = is.then_some(1))
-            }
+            Event::BreakStreams(after) => engine.behave(|behaviour| behaviour.break_after_tokens = after),
+            Event::LoseRunAnswers(is) => engine.behave(|behaviour| behaviour.lose_run_answers = is),
             Event::SlowTokens(millis) => engine.behave(|behaviour| behaviour.token_millis = millis),
             Event::EngineRestarts => engine.restart(),
             Event::HigherTokenSeen => {
--- a/crates/croftrill-owner/tests/support/engine.rs
+++ b/crates/croftrill-owner/tests/support/engine.rs
@@ -20,6 +20,8 @@
     /// Break each stream after so many tokens.
     pub break_after_tokens: Option<u32>,
     pub refuse_runs: bool,
+    /// Requests start, but the answer that says so is lost.
+    pub lose_run_answers: bool,
     /// Answer orders and inventories after this long.
     pub answer_millis: u64,
 }
@@ -34,6 +36,7 @@
             fail_loads: false,
             break_after_tokens: None,
             refuse_runs: false,
+            lose_run_answers: false,
             answer_millis: 1,
         }
     }
@@ -385,6 +388,9 @@
             engine: self.clone(),
             attempt: request.attempt,
         };
+        if behaviour.lose_run_answers {
+            return Err(EngineError::Broken("answer lost".to_string()));
+        }
         let first = request.resume_tokens;
         let steps = futures::stream::unfold((first, false, guard), move |(offset, done, guard)| {
             let behaviour = behaviour.clone();
