Reconcile: a change that the state refuses does not hold up the others

A plan was appended whole or rejected whole, so one assignment that the state refuses (of a model that is being deleted, say) stopped all reconciliation of the cell. A refused plan is now cut down by halving to what is accepted.

Without it the new test fails: the plan is rejected.

--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -10,8 +10,10 @@
 //!   is empty;
 //! - no model gets more replicas than it may have, and no engine more than fits:
 //!   a replacement at the limit waits for the release that makes room;
+//! - a change that the state refuses does not hold up the others;
 //! - one plan has a bounded size; the next one continues.
 
+mod acceptance;
 mod assignments;
 mod draft;
 mod engine_room;
@@ -90,7 +92,7 @@
     }
 
     /// What to change now, if anything. The change is made for exactly this
-    /// state and must not be appended after any other entry.
+    /// state, which accepts it, and must not be appended after any other entry.
     pub fn plan(&mut self, state: &ClusterState, observation: &Observation) -> Option<Change> {
         self.observe(state, observation);
         let mut draft = Draft::new(state, self.cell.clone(), self.config.most_changes);
@@ -99,7 +101,8 @@
         }
         self.draft_owners(&mut draft, observation);
         assignments::draft_assignments(&mut draft, observation.alive);
-        draft.into_change()
+        let change = draft.into_change()?;
+        acceptance::accepted_part(state, change)
     }
 
     /// Notes since when nodes do not answer and machines are not listed.
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -119,6 +119,11 @@
     }
 
     fn append(&mut self, change: Change) {
+        self.append_unchecked(change);
+        self.state.check().unwrap();
+    }
+
+    fn append_unchecked(&mut self, change: Change) {
         let entry = LogEntry {
             revision: self.state.revision.next(),
             entry_id: EntryId(self.state.revision.0),
@@ -129,7 +134,6 @@
         if let Err(error) = self.state.apply(&entry) {
             panic!("{error}: {entry:?}");
         }
-        self.state.check().unwrap();
     }
 
     fn plan(&mut self) -> Option<Change> {
@@ -463,6 +467,39 @@
     assert!(world.state.after(&entry).is_err());
 }
 
+#[test]
+fn a_change_that_the_state_refuses_does_not_hold_up_the_others() {
+    let mut world = two_zones();
+    world.put_model(model("model", 0, 4, 10));
+    world.settle();
+    // A fault that no entry can bring about: every change of this engine would
+    // leave its memory overcommitted, so the state refuses it.
+    let broken = EngineId::from("a-engine-0");
+    let engines = world.state.engines.get_mut(&broken).unwrap();
+    engines.value.accelerator_memory_mib = vec![1, 1];
+    let mut moved = world.engine("a-engine-0").clone();
+    moved.address = "elsewhere".to_string();
+    world.list_engine(moved);
+    let mut moved = world.engine("b-engine-0").clone();
+    moved.address = "elsewhere".to_string();
+    world.list_engine(moved);
+    world.list_node(node("c-node", "c"));
+    world.list_engine(engine("c-engine", "c"));
+    world
+        .dead
+        .extend([NodeId::from("b-node-0"), NodeId::from("b-node-1")]);
+    for millis in [0, OWNER_DEAD_MILLIS] {
+        world.now = world.now + millis;
+        while let Some(change) = world.plan() {
+            world.append_unchecked(change);
+        }
+    }
+    assert_eq!(world.engine("a-engine-0").address, "a-engine-0");
+    assert_eq!(world.engine("b-engine-0").address, "elsewhere");
+    assert_eq!(world.owner("c-engine"), Some(&NodeId::from("c-node")));
+    assert!(!world.dead.contains(world.owner("b-engine-1").unwrap()));
+}
+
 /// Two drained engines with one replica each, and one engine that waits for
 /// one of them.
 fn two_releases_and_one_waiter() -> (World, EngineId) {
