Load permits: tests, and a new term forgets what an earlier one permitted

Found by the tests: a waiting load that asked again with a later deadline than its own earlier one counted itself as more urgent and was never admitted.

The admission of a node that becomes coordinator again is told so (take_over), since loads that it remembers may have ended with another coordinator. Recording a release moved to the replica, where the tests reach it.

--- a/crates/croftrill-coordination/src/load_permits.rs
+++ b/crates/croftrill-coordination/src/load_permits.rs
@@ -14,7 +14,7 @@
 
 use crate::replication::Replica;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
-use croftrill_state::{CellId, Instant};
+use croftrill_state::{CellId, Instant, Term};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Decides which loads may start. Pure: the time is passed in.
@@ -25,6 +25,10 @@
 
     /// Takes in the end of a load.
     fn finish(&mut self, now: Instant, report: &LoadReport);
+
+    /// This node became coordinator: loads that another one permitted may run,
+    /// and what is remembered of an earlier term is out of date.
+    fn take_over(&mut self, _now: Instant) {}
 }
 
 /// The coordinator's side of load permits. Every node has one; it answers only
@@ -32,47 +36,59 @@
 pub struct LoadPermitService {
     replica: Arc<Replica>,
     cell: CellId,
-    admission: Mutex<Box<dyn LoadAdmission>>,
+    guarded: Mutex<Guarded>,
     started: tokio::time::Instant,
 }
 
+struct Guarded {
+    admission: Box<dyn LoadAdmission>,
+    /// The term in which the admission was used last.
+    term: Term,
+}
+
 impl LoadPermitService {
     /// A service over an admission policy.
     pub fn new(replica: Arc<Replica>, cell: CellId, admission: Box<dyn LoadAdmission>) -> Self {
         Self {
             replica,
             cell,
-            admission: Mutex::new(admission),
+            guarded: Mutex::new(Guarded {
+                admission,
+                term: Term(0),
+            }),
             started: tokio::time::Instant::now(),
         }
     }
 
     /// Answers an owner that wants to load.
     pub fn request_load(&self, request: &LoadPermitRequest) -> LoadPermit {
-        if !self.is_coordinator() {
-            return LoadPermit::NotCoordinator;
-        }
-        self.with_admission(|admission, now| admission.request(now, request))
+        self.as_coordinator(|admission, now| admission.request(now, request))
+            .unwrap_or(LoadPermit::NotCoordinator)
     }
 
     /// Takes in the end of a load.
     pub fn finish_load(&self, report: &LoadReport) -> ReportOutcome {
-        if !self.is_coordinator() {
-            return ReportOutcome::TryLater;
+        match self.as_coordinator(|admission, now| admission.finish(now, report)) {
+            Some(()) => ReportOutcome::Recorded,
+            None => ReportOutcome::TryLater,
         }
-        self.with_admission(|admission, now| admission.finish(now, report));
-        ReportOutcome::Recorded
     }
 
-    fn is_coordinator(&self) -> bool {
+    /// This node's term, while the log names it as coordinator.
+    fn present_term(&self) -> Option<Term> {
         let state = self.replica.state();
-        let present = state.coordinators.get(&self.cell);
-        present.is_some_and(|coordinator| coordinator.node == *self.replica.node())
+        let present = state.coordinators.get(&self.cell)?;
+        (present.node == *self.replica.node()).then_some(present.term)
     }
 
-    fn with_admission<T>(&self, act: impl FnOnce(&mut dyn LoadAdmission, Instant) -> T) -> T {
+    fn as_coordinator<T>(&self, act: impl FnOnce(&mut dyn LoadAdmission, Instant) -> T) -> Option<T> {
+        let term = self.present_term()?;
         let now = Instant(self.started.elapsed().as_millis() as u64);
-        let mut admission = self.admission.lock().unwrap_or_else(PoisonError::into_inner);
-        act(admission.as_mut(), now)
+        let mut guarded = self.guarded.lock().unwrap_or_else(PoisonError::into_inner);
+        if guarded.term != term {
+            guarded.term = term;
+            guarded.admission.take_over(now);
+        }
+        Some(act(guarded.admission.as_mut(), now))
     }
 }
--- a/crates/croftrill-coordination/src/load_permits/simple_admission.rs
+++ b/crates/croftrill-coordination/src/load_permits/simple_admission.rs
@@ -90,12 +90,12 @@
         self.next_start = self.next_start.max(now) + self.between_starts();
     }
 
-    /// Waiting loads with an earlier deadline.
+    /// Other waiting loads with an earlier deadline.
     fn more_urgent(&self, key: &LoadKey, deadline: Instant) -> usize {
         let mine = (deadline, key);
         self.waiting
             .iter()
-            .filter(|(other, waiting)| (waiting.deadline, *other) < mine)
+            .filter(|(other, waiting)| *other != key && (waiting.deadline, *other) < mine)
             .count()
     }
 
@@ -134,7 +134,7 @@
         let deadline = now + request.deadline_millis;
         let ahead = self.more_urgent(&key, deadline);
         let free = (self.config.concurrent_loads as usize).saturating_sub(self.running.len());
-        if ahead < free && ahead == 0 && now >= self.next_start {
+        if ahead < free && now >= self.next_start {
             self.start(now, key);
             return LoadPermit::Granted { expected_millis };
         }
@@ -148,4 +148,9 @@
         };
         self.running.remove(&key);
     }
+
+    fn take_over(&mut self, _now: Instant) {
+        self.running.clear();
+        self.waiting.clear();
+    }
 }
--- a/crates/croftrill-coordination/src/peer_service.rs
+++ b/crates/croftrill-coordination/src/peer_service.rs
@@ -1,18 +1,13 @@
 //! The service that every node offers its peers, composed of the node's parts.
 
 use crate::load_permits::LoadPermitService;
-use crate::replication::{ProposeOutcome, Replica};
+use crate::replication::Replica;
 use async_trait::async_trait;
 use croftrill_protocol::peer::{
     ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, LoadPermit, LoadPermitRequest, LoadReport, LogPage,
     Peer, ReportOutcome,
 };
-use croftrill_state::cluster::ApplyError;
-use croftrill_state::entry::Change;
-use croftrill_state::placement::AssignmentState;
-use croftrill_state::{
-    AttemptId, ClusterState, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision, Term,
-};
+use croftrill_state::{AttemptId, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision};
 use std::sync::Arc;
 use tarpc::context::Context;
 
@@ -74,35 +69,10 @@
 
     /// Records a confirmed unload in the log.
     pub async fn record_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
-        let replica = &self.parts.replica;
-        if !is_releasing(&replica.state(), &model, &engine) {
-            // Our copy may only be behind.
-            let read = replica.catch_up_from_log().await;
-            if !is_releasing(&replica.state(), &model, &engine) {
-                return read.map_or(ReportOutcome::TryLater, |()| ReportOutcome::Recorded);
-            }
-        }
-        let change = Change::Released { model, engine };
-        match replica.propose(change, Term(0)).await {
-            ProposeOutcome::Applied(_) => ReportOutcome::Recorded,
-            ProposeOutcome::Rejected(ApplyError::Invalid(reason)) => {
-                log::info!("coordinator: release rejected reason=\"{reason}\"");
-                ReportOutcome::TryLater
-            }
-            outcome => {
-                log::warn!("coordinator: release not recorded outcome={outcome:?}");
-                ReportOutcome::TryLater
-            }
-        }
+        self.parts.replica.record_release(model, engine).await
     }
 }
 
-fn is_releasing(state: &ClusterState, model: &ModelId, engine: &EngineId) -> bool {
-    let by_engine = state.assignments.get(model);
-    let assignment = by_engine.and_then(|by_engine| by_engine.get(engine));
-    assignment.is_some_and(|found| found.value.state == AssignmentState::Releasing)
-}
-
 impl Peer for PeerService {
     async fn fetch_log(self, _context: Context, after: Revision, limit: u32) -> LogPage {
         self.parts.replica.log_page(after, limit.min(MOST_ENTRIES))
--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -13,6 +13,7 @@
 mod peer_connector;
 mod proposals;
 mod recent_entries;
+mod releases;
 
 pub(crate) use follower::{jittered, Backoff};
 pub use follower::{Follower, FollowerConfig};
--- a/crates/croftrill-coordination/tests/support/surroundings.rs
+++ b/crates/croftrill-coordination/tests/support/surroundings.rs
@@ -1,7 +1,7 @@
 //! Peers, membership and the machine list, in memory.
 
 use async_trait::async_trait;
-use croftrill_coordination::peer_service::PeerService;
+use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_coordination::replication::{LiveMembers, PeerConnector, PeerError, Replica};
 use croftrill_platform::machine_list::{Machine, MachineList, MachineListError};
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, LogPage, ReportOutcome};
@@ -13,7 +13,7 @@
 #[derive(Default)]
 pub struct SimulatedPeers {
     replicas: Mutex<BTreeMap<String, Arc<Replica>>>,
-    services: Mutex<BTreeMap<String, PeerService>>,
+    permits: Mutex<BTreeMap<String, Arc<LoadPermitService>>>,
 }
 
 impl SimulatedPeers {
@@ -21,13 +21,13 @@
         self.replicas.lock().unwrap().insert(address.to_string(), replica);
     }
 
-    pub fn add_service(&self, address: &str, service: PeerService) {
-        self.services.lock().unwrap().insert(address.to_string(), service);
+    pub fn add_permits(&self, address: &str, service: Arc<LoadPermitService>) {
+        self.permits.lock().unwrap().insert(address.to_string(), service);
     }
 
     pub fn remove(&self, address: &str) {
         self.replicas.lock().unwrap().remove(address);
-        self.services.lock().unwrap().remove(address);
+        self.permits.lock().unwrap().remove(address);
     }
 
     fn replica(&self, address: &str) -> Result<Arc<Replica>, PeerError> {
@@ -35,8 +35,8 @@
         found.ok_or_else(|| unreachable_peer(address))
     }
 
-    fn service(&self, address: &str) -> Result<PeerService, PeerError> {
-        let found = self.services.lock().unwrap().get(address).cloned();
+    fn permits(&self, address: &str) -> Result<Arc<LoadPermitService>, PeerError> {
+        let found = self.permits.lock().unwrap().get(address).cloned();
         found.ok_or_else(|| unreachable_peer(address))
     }
 }
@@ -55,15 +55,11 @@
     }
 
     async fn request_load(&self, address: &str, request: LoadPermitRequest) -> Result<LoadPermit, PeerError> {
-        use croftrill_protocol::peer::Peer;
-        let service = self.service(address)?;
-        Ok(service.request_load(tarpc::context::current(), request).await)
+        Ok(self.permits(address)?.request_load(&request))
     }
 
     async fn finish_load(&self, address: &str, report: LoadReport) -> Result<ReportOutcome, PeerError> {
-        use croftrill_protocol::peer::Peer;
-        let service = self.service(address)?;
-        Ok(service.finish_load(tarpc::context::current(), report).await)
+        Ok(self.permits(address)?.finish_load(&report))
     }
 
     async fn report_release(
@@ -72,7 +68,7 @@
         model: ModelId,
         engine: EngineId,
     ) -> Result<ReportOutcome, PeerError> {
-        Ok(self.service(address)?.record_release(model, engine).await)
+        Ok(self.replica(address)?.record_release(model, engine).await)
     }
 }
 
