Coordinator: gives the role up when it sees fewer than half of its cell alive

If most of the cell is really gone it gets the role back and goes on.

Without the check the new test fails: the cut-off node owns more than its own engine.

--- a/crates/croftrill-coordination/src/coordinator.rs
+++ b/crates/croftrill-coordination/src/coordinator.rs
@@ -5,8 +5,12 @@
 //! entries of an earlier term are rejected. A holder that was paused therefore
 //! changes nothing, however late it wakes up. Every plan is made for one
 //! revision and appended directly after it or not at all.
+//!
+//! A node that reaches the service but not its peers would see everybody dead
+//! and take all engines. It gives the role up before that.
 
 mod candidacy;
+mod isolation;
 mod lease;
 mod machine_watch;
 
@@ -27,6 +31,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// Looks at membership before a coordinator counts as isolated.
+const ISOLATION_LOOKS: u64 = 4;
+
 /// How a coordinator and the candidates behave.
 #[derive(Clone, Debug)]
 pub struct CoordinatorConfig {
@@ -46,6 +53,13 @@
     pub watching_candidates: usize,
     /// Between two such looks, in milliseconds.
     pub lease_look_millis: u64,
+    /// A candidate that sees fewer than half of the cell's nodes alive lets all
+    /// others try for this long first, in milliseconds.
+    pub isolated_delay_millis: u64,
+    /// A coordinator that sees fewer than half of the cell's nodes alive for
+    /// this long gives the role up, in milliseconds. Shorter than the time
+    /// after which it would take their engines away.
+    pub isolated_after_millis: u64,
     /// Longest pause of a candidate after the service failed, in milliseconds.
     pub longest_backoff_millis: u64,
     /// Entries after which a new snapshot is written.
@@ -65,6 +79,8 @@
             rank_delay_millis: 1_500,
             watching_candidates: 3,
             lease_look_millis: 10_000,
+            isolated_delay_millis: 10_000,
+            isolated_after_millis: 2_000,
             longest_backoff_millis: 15_000,
             snapshot_every: 500,
             reconcile: ReconcileConfig::default(),
@@ -99,6 +115,7 @@
 enum TermEnd {
     LeaseLost,
     Superseded,
+    Isolated,
     Shutdown,
 }
 
@@ -178,6 +195,7 @@
             () = shutdown.cancelled() => TermEnd::Shutdown,
             () = lease.keep() => TermEnd::LeaseLost,
             () = self.superseded(term) => TermEnd::Superseded,
+            () = self.became_isolated() => TermEnd::Isolated,
             () = self.work(term) => TermEnd::Superseded,
             () = self.keep_snapshots() => TermEnd::Shutdown,
         }
@@ -205,6 +223,32 @@
         }
     }
 
+    /// Returns once this node saw most of the cell alive and then, for a while,
+    /// did not. If most of the cell is really gone, the node gets the role back
+    /// after the others had their chance.
+    async fn became_isolated(&self) {
+        let look = Duration::from_millis(self.config.isolated_after_millis / ISOLATION_LOOKS);
+        let mut was_connected = false;
+        let mut looks = 0;
+        loop {
+            if self.is_isolated() {
+                looks += 1;
+            } else {
+                was_connected = true;
+                looks = 0;
+            }
+            if was_connected && looks >= ISOLATION_LOOKS {
+                return;
+            }
+            tokio::time::sleep(look).await;
+        }
+    }
+
+    fn is_isolated(&self) -> bool {
+        let state = self.parts.replica.state();
+        isolation::is_isolated(&state, &self.config.cell, self.parts.members.as_ref())
+    }
+
     /// Reconciles until it finds that its term is over.
     async fn work(&self, term: Term) {
         let mut machines = MachineWatch::new(self.parts.machines.clone(), self.config.machine_poll_millis);
--- a/crates/croftrill-coordination/src/coordinator/candidacy.rs
+++ b/crates/croftrill-coordination/src/coordinator/candidacy.rs
@@ -5,6 +5,7 @@
 //! after the other, in the order of rendezvous hashing, so that the rate of
 //! attempts is the same at any number of nodes.
 
+use super::isolation::is_isolated;
 use super::lease::{CoordinatorLease, LeaseError};
 use super::{CoordinatorConfig, CoordinatorParts};
 use crate::replication::{jittered, Backoff};
@@ -64,7 +65,7 @@
             }
             Turn::TryAfter(rank) => {
                 let since = *self.vacant_since.get_or_insert_with(Instant::now);
-                let delay = self.config.rank_delay_millis * rank as u64;
+                let delay = self.config.rank_delay_millis * rank as u64 + self.isolated_delay();
                 self.try_when_due(since + Duration::from_millis(delay)).await
             }
         }
@@ -115,6 +116,15 @@
         self.vacant_since = Some(now + Duration::from_millis(pause));
     }
 
+    fn isolated_delay(&self) -> u64 {
+        let state = self.parts.replica.state();
+        let members = self.parts.members.as_ref();
+        if is_isolated(&state, &self.config.cell, members) {
+            return self.config.isolated_delay_millis;
+        }
+        0
+    }
+
     fn turn(&self) -> Turn {
         let state = self.parts.replica.state();
         let node = self.parts.replica.node();
--- a/crates/croftrill-coordination/tests/coordinator.rs
+++ b/crates/croftrill-coordination/tests/coordinator.rs
@@ -12,8 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::{
-    cell, engine, model, node, put_model, replica_over, Fault, SimulatedClient, SimulatedMachines,
-    SimulatedMembers, SimulatedPeers, SimulatedService,
+    cell, engine, model, node, put_model, replica_over, Fault, MembersSeenBy, SimulatedClient,
+    SimulatedMachines, SimulatedMembers, SimulatedPeers, SimulatedService,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -62,12 +62,16 @@
     fn start(&self, name: &str) -> Candidate {
         let client = self.service.client();
         let replica = replica_over(name, client.clone());
+        let members = Arc::new(MembersSeenBy {
+            node: NodeId::from(name),
+            members: self.members.clone(),
+        });
         self.peers.add(name, replica.clone());
         let follower = Arc::new(Follower::new(
             FollowerConfig::default(),
             replica.clone(),
             self.peers.clone(),
-            self.members.clone(),
+            members.clone(),
         ));
         let config = CoordinatorConfig {
             snapshot_every: 20,
@@ -78,7 +82,7 @@
             follower: follower.clone(),
             service: client.clone(),
             machines: self.machines.clone(),
-            members: self.members.clone(),
+            members,
         };
         let coordinator = Coordinator::new(config, parts);
         let role = coordinator.role();
@@ -238,6 +242,46 @@
     assert_ne!(cell.holder().name, cut_off);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_coordinator_cut_off_from_its_peers_takes_no_engines_and_hands_the_role_on() {
+    let cell = Cell::of(5);
+    cell.pass(20).await;
+    let cut_off = cell.holder().name.clone();
+    let mine = |cell: &Cell| {
+        let state = cell.candidates[0].replica.state();
+        let owners = state.engines.values().map(|engine| engine.value.owner.clone());
+        owners
+            .filter(|owner| *owner == Some(NodeId::new(cut_off.clone())))
+            .count()
+    };
+    assert_eq!(mine(&cell), 1);
+    // It reaches the service, but no peer; the peers hold it for dead.
+    cell.members.set_alive(&cut_off, false);
+    for _ in 0..40 {
+        cell.pass(1).await;
+        assert!(mine(&cell) <= 1);
+    }
+    assert_ne!(cell.holder().name, cut_off);
+    assert_eq!(mine(&cell), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_last_node_of_a_cell_takes_the_role_and_the_engines() {
+    let cell = Cell::of(5);
+    cell.pass(20).await;
+    for index in 0..4 {
+        cell.crash(&format!("node-{index}"));
+    }
+    cell.pass(60).await;
+    let state = cell.holder().replica.state();
+    assert_eq!(cell.holder().name, "node-4");
+    let owned = state
+        .engines
+        .values()
+        .filter(|e| e.value.owner == Some(NodeId::from("node-4")));
+    assert_eq!(owned.count(), 5);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_coordinator_outlives_lost_answers_and_refusals_of_the_service() {
     let cell = Cell::of(3);
--- a/crates/croftrill-coordination/tests/support/mod.rs
+++ b/crates/croftrill-coordination/tests/support/mod.rs
@@ -7,7 +7,7 @@
 mod surroundings;
 
 pub use key_value::{Fault, SimulatedClient, SimulatedService};
-pub use surroundings::{SimulatedMachines, SimulatedMembers, SimulatedPeers};
+pub use surroundings::{MembersSeenBy, SimulatedMachines, SimulatedMembers, SimulatedPeers};
 
 use croftrill_coordination::replication::{Replica, ReplicaConfig};
 use croftrill_coordination::revision_log::{RevisionLog, RevisionLogConfig};
--- a/crates/croftrill-coordination/tests/support/surroundings.rs
+++ b/crates/croftrill-coordination/tests/support/surroundings.rs
@@ -72,12 +72,34 @@
     }
 }
 
-/// Who is alive, the same for every node.
+/// Who is alive, the same for every node that is not cut off.
 #[derive(Default)]
 pub struct SimulatedMembers {
     alive: Mutex<BTreeSet<NodeId>>,
 }
 
+/// What one node sees of the members.
+pub struct MembersSeenBy {
+    pub node: NodeId,
+    pub members: Arc<SimulatedMembers>,
+}
+
+impl LiveMembers for MembersSeenBy {
+    fn alive(&self) -> Vec<NodeId> {
+        let mut alive = self.members.alive();
+        alive.push(self.node.clone());
+        alive.retain(|node| self.is_alive(node));
+        alive.sort();
+        alive.dedup();
+        alive
+    }
+
+    /// A member that the others hold for dead is one that reaches nobody.
+    fn is_alive(&self, node: &NodeId) -> bool {
+        *node == self.node || (self.members.is_alive(&self.node) && self.members.is_alive(node))
+    }
+}
+
 impl SimulatedMembers {
     pub fn of(names: &[&str]) -> Arc<Self> {
         let members = Self::default();
