Followers judge their isolation by membership, not by news of the log

A node took silence about the log for isolation, and membership reports heads only when they are news.

A coordinator that hears nobody gives its role up for the same reason, before it holds its peers for dead one by one.

--- a/crates/croftrill-coordination/src/coordinator/isolation.rs
+++ b/crates/croftrill-coordination/src/coordinator/isolation.rs
@@ -4,7 +4,9 @@
 use croftrill_state::placement::Lifecycle;
 use croftrill_state::{CellId, ClusterState};
 
-/// Whether fewer than half of the cell's live nodes seem alive.
+/// Whether fewer than half of the cell's live nodes seem alive, or none of the
+/// others is heard. The latter shows a cut at once; until each member is held
+/// for dead takes longer the more there are.
 pub(super) fn is_isolated(state: &ClusterState, cell: &CellId, members: &dyn LiveMembers) -> bool {
     let mut all = 0;
     let mut alive = 0;
@@ -18,5 +20,5 @@
             alive += 1;
         }
     }
-    2 * alive < all
+    2 * alive < all || (all > 1 && !members.hears_others())
 }
--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -29,7 +29,6 @@
 use recent_entries::RecentEntries;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{watch, Notify};
-use tokio::time::Instant;
 
 /// Peers whose heads are remembered at once.
 const REMEMBERED_HEADS: usize = 8;
@@ -76,7 +75,6 @@
 struct Guarded {
     recent: RecentEntries,
     told: Vec<ToldHead>,
-    last_peer_contact: Option<Instant>,
 }
 
 /// The node's copy of the log.
@@ -103,7 +101,6 @@
             guarded: Mutex::new(Guarded {
                 recent,
                 told: Vec::new(),
-                last_peer_contact: None,
             }),
             proposing: tokio::sync::Mutex::new(()),
             told_heads: Notify::new(),
@@ -135,11 +132,10 @@
         self.heads.subscribe()
     }
 
-    /// Takes in that a peer has applied the log up to `head`. Called for every
-    /// probe; fetching is the follower's job.
+    /// Takes in that a peer has applied the log up to `head`; fetching what is
+    /// missing is the follower's job.
     pub fn observe_head(&self, from_address: String, head: Revision) {
         let mut guarded = self.guarded();
-        guarded.last_peer_contact = Some(Instant::now());
         if head <= self.head() {
             return;
         }
--- a/crates/croftrill-coordination/src/replication/follower.rs
+++ b/crates/croftrill-coordination/src/replication/follower.rs
@@ -32,9 +32,9 @@
     pub readers: usize,
     /// Length of one wait, in milliseconds.
     pub wait_millis: u64,
-    /// Without a word from any peer for this long, a node reads the service
-    /// itself, in milliseconds.
-    pub isolated_after_millis: u64,
+    /// Between two looks whether any peer is heard; a node that hears none reads
+    /// the service itself, in milliseconds.
+    pub isolated_look_millis: u64,
     /// First pause after a failure, in milliseconds; doubles each time.
     pub first_backoff_millis: u64,
     /// Longest pause after a failure, in milliseconds.
@@ -49,7 +49,7 @@
             fetch_limit: 256,
             readers: 2,
             wait_millis: 20_000,
-            isolated_after_millis: 20_000,
+            isolated_look_millis: 20_000,
             first_backoff_millis: 250,
             longest_backoff_millis: 15_000,
         }
@@ -205,10 +205,9 @@
     }
 
     async fn pause_as_learner(&self) {
-        let pause = Duration::from_millis(jittered(self.config.isolated_after_millis));
+        let pause = Duration::from_millis(jittered(self.config.isolated_look_millis));
         tokio::time::sleep(pause).await;
-        let heard = self.replica.heard_from_peer_within(pause);
-        if !heard && !self.reads_service() {
+        if !self.members.hears_others() && !self.reads_service() {
             self.read_service().await;
         }
     }
@@ -241,12 +240,6 @@
         let best = (0..guarded.told.len()).max_by_key(|&index| guarded.told[index].head)?;
         Some(guarded.told.swap_remove(best))
     }
-
-    fn heard_from_peer_within(&self, duration: Duration) -> bool {
-        self.guarded()
-            .last_peer_contact
-            .is_some_and(|at| at.elapsed() <= duration)
-    }
 }
 
 /// Pauses that double, each drawn at random from half to all of its length.
--- a/crates/croftrill-coordination/src/replication/live_members.rs
+++ b/crates/croftrill-coordination/src/replication/live_members.rs
@@ -10,4 +10,10 @@
 
     /// Whether a member is believed to be alive.
     fn is_alive(&self, node: &NodeId) -> bool;
+
+    /// Whether any other member was heard in the last few seconds. A node that
+    /// was cut off notices this long before it holds the last member for dead.
+    fn hears_others(&self) -> bool {
+        self.alive().len() > 1
+    }
 }
--- a/crates/croftrill-coordination/tests/coordinator.rs
+++ b/crates/croftrill-coordination/tests/coordinator.rs
@@ -265,6 +265,18 @@
     assert_eq!(mine(&cell), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_coordinator_that_hears_nobody_gives_the_role_up_at_once() {
+    let cell = Cell::of(5);
+    cell.pass(20).await;
+    let deaf = cell.holder().name.clone();
+    cell.members.set_deaf(&deaf);
+    cell.pass(3).await;
+    assert!(cell.holders().iter().all(|holder| holder.name != deaf));
+    cell.pass(30).await;
+    assert_ne!(cell.holder().name, deaf);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_last_node_of_a_cell_takes_the_role_and_the_engines() {
     let cell = Cell::of(5);
--- a/crates/croftrill-coordination/tests/support/surroundings.rs
+++ b/crates/croftrill-coordination/tests/support/surroundings.rs
@@ -76,6 +76,8 @@
 #[derive(Default)]
 pub struct SimulatedMembers {
     alive: Mutex<BTreeSet<NodeId>>,
+    /// These hear nobody, and do not yet hold the others for dead.
+    deaf: Mutex<BTreeSet<NodeId>>,
 }
 
 /// What one node sees of the members.
@@ -94,6 +96,11 @@
         alive
     }
 
+    fn hears_others(&self) -> bool {
+        let deaf = self.members.deaf.lock().unwrap().contains(&self.node);
+        !deaf && self.alive().len() > 1
+    }
+
     /// A member that the others hold for dead is one that reaches nobody.
     fn is_alive(&self, node: &NodeId) -> bool {
         *node == self.node || (self.members.is_alive(&self.node) && self.members.is_alive(node))
@@ -109,6 +116,10 @@
         Arc::new(members)
     }
 
+    pub fn set_deaf(&self, name: &str) {
+        self.deaf.lock().unwrap().insert(NodeId::from(name));
+    }
+
     pub fn set_alive(&self, name: &str, alive: bool) {
         let mut members = self.alive.lock().unwrap();
         if alive {
