--- a/crates/croftrill-coordination/src/replication/follower.rs
+++ b/crates/croftrill-coordination/src/replication/follower.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<String>,
     /// Rounds of asking the seeds before the service is asked.
     pub seed_rounds: u32,
+    /// Time for membership to form before readers are chosen, in milliseconds.
+    pub settle_millis: u64,
     /// Entries asked from a peer at once.
     pub fetch_limit: u32,
     /// Live members that wait on the key-value service.
@@ -46,6 +48,7 @@
         Self {
             seeds: Vec::new(),
             seed_rounds: 3,
+            settle_millis: 4_000,
             fetch_limit: 256,
             readers: 2,
             wait_millis: 20_000,
@@ -187,7 +190,17 @@
         }
     }
 
+    /// At the start a node knows few members and would choose itself as reader,
+    /// so it first lets membership form.
+    async fn let_membership_form(&self) {
+        if !self.config.seeds.is_empty() {
+            let pause = jittered(self.config.settle_millis);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
     async fn follow_service(&self) {
+        self.let_membership_form().await;
         let mut backoff = self.backoff();
         loop {
             if self.reads_service() {
--- a/crates/croftrill-coordination/tests/load_permits.rs
+++ b/crates/croftrill-coordination/tests/load_permits.rs
@@ -286,6 +286,11 @@
     let cell = Cell::new().await;
     let change = put_model("model", model("model", 0, 1), cell.holder.head());
     applied(cell.holder.propose(change, Term(0)).await);
+    assign_and_release(&cell).await;
+    cell
+}
+
+async fn assign_and_release(cell: &Cell) {
     let assignment = Assignment {
         model: ModelId::from("model"),
         engine: EngineId::from("engine"),
@@ -298,7 +303,6 @@
         engine: EngineId::from("engine"),
     };
     cell.steps(vec![release]).await;
-    cell
 }
 
 async fn report_release(cell: &Cell) -> ReportOutcome {
@@ -336,3 +340,28 @@
     assert_eq!(report_release(&cell).await, ReportOutcome::Recorded);
     assert_eq!(behind.state().all_assignments().count(), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_late_report_does_not_end_a_second_release() {
+    let cell = releasing().await;
+    let client = cell.service.client();
+    let paused = replica_over("paused", client.clone());
+    paused.catch_up_from_log().await.unwrap();
+    client.fail_next([
+        Fault::CallLost,
+        Fault::Unreachable,
+        Fault::Unreachable,
+        Fault::Unreachable,
+    ]);
+    let late = paused.record_release(ModelId::from("model"), EngineId::from("engine"));
+    let meanwhile = async {
+        assert_eq!(report_release(&cell).await, ReportOutcome::Recorded);
+        assign_and_release(&cell).await;
+    };
+    tokio::join!(late, meanwhile);
+    cell.catch_up().await;
+    let state = cell.holder.state();
+    let left: Vec<&Assignment> = state.all_assignments().collect();
+    assert_eq!(left.len(), 1);
+    assert_eq!(left[0].state, AssignmentState::Releasing);
+}
