Claims: a change of the ring counts from when half of the former ring knows it

Cause: the property test of claims (an independent ledger of grants over arbitrary changes of the ring, crashes, pauses, partitions, lost and late messages) failed: a holder paused over a change of the ring came back, heard from a majority and granted a key 750 ms after its successor learned of the change, with a window of 1000 ms, an authority time of 200 ms and a limit for being behind of 50 ms; the successor granted the key again 520 ms later. Ruled out: longer waits, since the time that a node is cut off has no bound. Conclusion: a holder grants only while a majority of its ring was heard lately and none of it is ahead in the log; a successor counts the time from when it heard that half of the former ring knows of the change. Any majority and that half share a node, so the order is certain without trust in clocks of others or in the coordinator. Restarted nodes count only once they caught up with the log; the cluster state remembers the last four sets of live nodes of a cell for processes that start late.

--- a/crates/croftrill-coordination/src/claim_service/holder.rs
+++ b/crates/croftrill-coordination/src/claim_service/holder.rs
@@ -6,9 +6,9 @@
 use croftrill_protocol::peer::{
     ClaimHandOver, ClaimOutcome, ClaimRequest, ClaimResult, FinishOutcome, HandOverOutcome,
 };
-use croftrill_state::claims::{Authority, ClaimConfig, ClaimHolder, ClaimRing, ClaimTable};
+use croftrill_state::claims::{ClaimConfig, ClaimHolder, ClaimRing, ClaimTable};
 use croftrill_state::membership::MembershipView;
-use croftrill_state::{CellId, ClusterState, IdempotencyKey, Instant, NodeId, RequestId};
+use croftrill_state::{CellId, ClusterState, IdempotencyKey, NodeId, RequestId};
 use futures::{stream, StreamExt};
 use log::{info, warn};
 use std::collections::BTreeMap;
@@ -23,6 +23,9 @@
 /// Pause before a failed hand-over is tried again.
 const HAND_OVER_RETRY: Duration = Duration::from_millis(300);
 
+/// Time between two looks at the membership.
+const OBSERVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Settings of the holder's side.
 #[derive(Clone, Debug)]
 pub struct ClaimHolderConfig {
@@ -73,9 +76,9 @@
         }
     }
 
-    /// Takes a later state. The first one must be caught up with the log since
-    /// this process started. Call it after each entry: if two changes of the
-    /// ring are seen as one, the history of all keys counts as unknown.
+    /// Takes a later state. The first one must be caught up with the key-value
+    /// service's log since this process started. Call it after each entry: if
+    /// two changes of the ring are seen as one, nothing can be handed over.
     pub fn apply_state(&self, state: &ClusterState) {
         let ring = ClaimRing::of_cell(state, &self.config.cell);
         let mut held = self.held();
@@ -83,13 +86,12 @@
             return;
         }
         let now = self.clock.now();
-        let authority = self.authority(&held.table, now);
         info!(
             "claims: ring changed revision={} nodes={}",
             ring.revision,
             ring.nodes.len()
         );
-        held.table.observe_ring(ring, authority, now);
+        held.table.observe_ring(ring, &self.membership.load(), now);
         // Former members stay, for hand-overs that still go to them.
         let present = state.nodes.values().map(|node| &node.value);
         let addresses = present.map(|node| (node.id.clone(), node.peer_address.clone()));
@@ -101,9 +103,8 @@
     /// Answers a claim.
     pub async fn claim(&self, request: ClaimRequest) -> ClaimOutcome {
         let now = self.clock.now();
-        let mut held = self.held();
-        let authority = self.authority(&held.table, now);
-        held.table.claim(&request, authority, now)
+        let view = self.membership.load();
+        self.held().table.claim(&request, &view, now)
     }
 
     /// Takes the report of a request's end.
@@ -144,13 +145,29 @@
         true
     }
 
-    /// Hands over records until `stop`.
+    /// Hands over records and learns who knows of changes of the ring, until
+    /// `stop`.
     pub async fn run(&self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.hand_over_for_ever() => {}
+            () = self.observe_members_for_ever() => {}
+        }
+    }
+
+    async fn observe_members_for_ever(&self) {
+        let mut interval = tokio::time::interval(OBSERVE_INTERVAL);
         loop {
-            tokio::select! {
-                () = stop.cancelled() => return,
-                () = self.hand_over_all() => {}
-            }
+            interval.tick().await;
+            let now = self.clock.now();
+            let view = self.membership.load();
+            self.held().table.observe_members(&view, now);
+        }
+    }
+
+    async fn hand_over_for_ever(&self) {
+        loop {
+            self.hand_over_all().await;
         }
     }
 
@@ -192,10 +209,6 @@
         Some((address, part))
     }
 
-    fn authority(&self, table: &ClaimTable, now: Instant) -> Authority {
-        Authority::of(&self.membership.load(), table.ring(), &self.config.claims, now)
-    }
-
     fn held(&self) -> MutexGuard<'_, HeldClaims> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/croftrill-coordination/src/membership_driver.rs
+++ b/crates/croftrill-coordination/src/membership_driver.rs
@@ -64,6 +64,7 @@
 enum Command {
     ListMembers(Vec<(NodeId, String)>),
     NewHead(Revision),
+    CaughtUp,
     Leave,
 }
 
@@ -107,6 +108,13 @@
         self.command(Command::NewHead(head));
     }
 
+    /// This process has applied all that the key-value service's log had at some
+    /// time since the process started. Until then it counts for no one's
+    /// majority.
+    pub fn set_caught_up(&self) {
+        self.command(Command::CaughtUp);
+    }
+
     /// Announces that this node stops on purpose. It goes on answering probes
     /// until the driver is stopped.
     pub fn leave(&self) {
@@ -213,6 +221,10 @@
                 self.publish(now);
                 actions
             }
+            Command::CaughtUp => {
+                self.membership.set_caught_up();
+                Vec::new()
+            }
             Command::Leave => self.membership.leave(),
         }
     }
--- a/crates/croftrill-state/src/claims.rs
+++ b/crates/croftrill-state/src/claims.rs
@@ -10,9 +10,11 @@
 //! - a holder grants only keys whose history it knows: those it held itself, or
 //!   that the former holder handed over completely, or whose former holder was
 //!   replaced so long ago that its grants are out of their window;
-//! - a holder grants only while it has [`Authority`], so it stops before its
-//!   successor may start by the passing of time;
-//! - the ring is changed only by a coordinator that [`may_change_ring`];
+//! - a holder grants only while it has [`Authority`]: it heard lately from a
+//!   majority of its ring, none of which was ahead of it in the log. Its
+//!   successor lets the time pass only from when half of the former ring is
+//!   known to be ahead, so the one stops before the other starts, however the
+//!   network is cut and whoever changed the ring;
 //! - a gateway drops a grant that took too long to arrive;
 //! - a full holder refuses new claims; it does not forget old ones.
 
@@ -31,9 +33,10 @@
     HandOverOutcome,
 };
 pub use outgoing::HAND_OVER_PART;
-pub use ring::{membership_revision, ClaimRing};
+pub use ring::{membership_revision, ClaimRing, FormerRing};
 
 use crate::identifiers::{IdempotencyKey, NodeId, RequestId, Revision};
+use crate::membership::MembershipView;
 use crate::time::Instant;
 use history::{KeyHistory, RingChange, RingHistory};
 use outgoing::OutgoingHandOver;
@@ -76,11 +79,7 @@
 impl ClaimTable {
     /// An empty table that knows no ring.
     pub fn new(config: ClaimConfig, holder: ClaimHolder) -> Self {
-        let history = RingHistory::new(
-            holder.node.clone(),
-            config.cold_millis(),
-            holder.witnessed_empty_log,
-        );
+        let history = RingHistory::new(holder.node.clone(), &config, holder.witnessed_empty_log);
         let records = ClaimRecords::new(config.window_millis);
         Self {
             config,
@@ -98,18 +97,31 @@
     }
 
     /// Takes the ring of a later state. The first one must be that of a state
-    /// caught up with the log since this process started; missing one between
-    /// makes the history of all keys unknown. `authority` is by the ring before.
-    pub fn observe_ring(&mut self, ring: ClaimRing, authority: Authority, now: Instant) {
+    /// caught up with the key-value service's log since this process started.
+    /// `view` is the membership before.
+    pub fn observe_ring(&mut self, ring: ClaimRing, view: &MembershipView, now: Instant) {
         self.advance(now);
+        let authority = self.authority(view, now);
         if let RingChange::Next(replaced) = self.history.observe(ring, now) {
             self.start_hand_overs(&replaced, authority, now);
         }
     }
 
-    /// Answers a claim.
-    pub fn claim(&mut self, request: &ClaimRequest, authority: Authority, now: Instant) -> ClaimOutcome {
+    /// Learns from the membership who knows of changes of the ring. Call it
+    /// every few seconds; the time that keys are refused counts from what it
+    /// learns.
+    pub fn observe_members(&mut self, view: &MembershipView, now: Instant) {
+        self.history.confirm(view, now);
         self.advance(now);
+    }
+
+    fn authority(&self, view: &MembershipView, now: Instant) -> Authority {
+        Authority::of(view, self.history.current(), &self.config, now)
+    }
+
+    /// Answers a claim.
+    pub fn claim(&mut self, request: &ClaimRequest, view: &MembershipView, now: Instant) -> ClaimOutcome {
+        self.observe_members(view, now);
         let ring = self.history.current();
         let is_holder = ring.holder(&request.key) == Some(&self.holder.node);
         if request.revision != ring.revision || !is_holder {
@@ -120,7 +132,7 @@
         if let Some(taken) = self.taken_by_another(request) {
             return taken;
         }
-        if authority == Authority::Lacking {
+        if self.authority(view, now) == Authority::Lacking {
             return history_unknown(RETRY_MILLIS);
         }
         if let KeyHistory::Unknown { until } = self.history.key(&request.key, now) {
@@ -233,7 +245,7 @@
         HandOverOutcome::Recorded
     }
 
-    fn start_hand_overs(&mut self, replaced: &ClaimRing, authority: Authority, now: Instant) {
+    fn start_hand_overs(&mut self, replaced: &FormerRing, authority: Authority, now: Instant) {
         if !replaced.nodes.contains(&self.holder.node) {
             return;
         }
--- a/crates/croftrill-state/src/claims/authority.rs
+++ b/crates/croftrill-state/src/claims/authority.rs
@@ -14,7 +14,7 @@
 /// Whether this node may grant claims now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Authority {
-    /// It hears from a majority of its ring and is not behind.
+    /// It hears from a majority of its ring, none of which is ahead of it.
     Held,
     /// It may have been replaced.
     Lacking,
@@ -24,11 +24,8 @@
     /// What the membership says about this node's right to grant.
     pub fn of(view: &MembershipView, ring: &ClaimRing, config: &ClaimConfig, now: Instant) -> Self {
         let stale = now.millis_since(view.taken_at) > config.view_limit_millis;
-        let behind = view
-            .behind_since
-            .is_some_and(|since| now.millis_since(since) > config.behind_limit_millis);
-        let heard = view.heard_from_majority(&ring.nodes, now, config.authority_millis);
-        if !stale && !behind && heard {
+        let in_step = view.in_step_with_majority(&ring.nodes, now, config.authority_millis);
+        if !stale && in_step {
             return Authority::Held;
         }
         Authority::Lacking
@@ -36,8 +33,8 @@
 }
 
 /// Whether the coordinator of a cell may change its ring now: it must hear from
-/// a majority of the nodes that the present ring has. Without this rule a
-/// minority could replace holders that still grant. Nodes in `gone`, whose
+/// a majority of the nodes that the present ring has. Otherwise the new ring may
+/// be one that nobody confirms, whose keys are refused for long. Nodes in `gone`, whose
 /// machines the platform itself reports as stopped, grant nothing any more and
 /// do not count.
 pub fn may_change_ring(
--- a/crates/croftrill-state/src/claims/history.rs
+++ b/crates/croftrill-state/src/claims/history.rs
@@ -1,14 +1,21 @@
 //! Which keys this node knows the history of.
 //!
-//! A key's history is known if this node held the key itself since the last
-//! holder that vouched for it, or since every grant by others is out of its
-//! window.
+//! A key's history is known if, of the rings within memory, this node held the
+//! key itself in all since one whose holder handed it over, or since every grant
+//! by others is out of its window. The latter is measured from when at least
+//! half of the former ring was heard to know of its replacement: a former holder
+//! needs a majority that does not.
 
-use super::ring::ClaimRing;
+use super::config::ClaimConfig;
+use super::ring::{ClaimRing, FormerRing};
 use crate::identifiers::{IdempotencyKey, NodeId, Revision};
+use crate::membership::MembershipView;
 use crate::time::Instant;
 use std::collections::{BTreeSet, VecDeque};
 
+/// Rings remembered at most. More changes within a window are not expected.
+const MAX_PAST_RINGS: usize = 64;
+
 /// Whether the history of a key is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum KeyHistory {
@@ -16,7 +23,7 @@
     Known,
     /// Another process may have granted the key.
     Unknown {
-        /// When it will be known at the latest.
+        /// When it will be known, by what is known now.
         until: Instant,
     },
 }
@@ -24,9 +31,10 @@
 /// A ring that was replaced.
 #[derive(Debug)]
 struct PastRing {
-    ring: ClaimRing,
-    replaced_at: Instant,
+    ring: FormerRing,
     replaced_by: Revision,
+    replaced_at: Instant,
+    confirmed_at: Option<Instant>,
     complete_hand_overs: BTreeSet<NodeId>,
 }
 
@@ -36,9 +44,9 @@
     /// The ring is the same.
     Same,
     /// This ring was replaced by the next one.
-    Next(ClaimRing),
+    Next(FormerRing),
     /// It is the first one known, or rings between were missed.
-    Restarted,
+    Missed,
 }
 
 /// The present ring and those that were replaced lately.
@@ -46,6 +54,7 @@
 pub(super) struct RingHistory {
     local: NodeId,
     cold_millis: u64,
+    unconfirmed_millis: u64,
     witnessed_first: bool,
     current: ClaimRing,
     past: VecDeque<PastRing>,
@@ -54,10 +63,11 @@
 }
 
 impl RingHistory {
-    pub(super) fn new(local: NodeId, cold_millis: u64, witnessed_first: bool) -> Self {
+    pub(super) fn new(local: NodeId, config: &ClaimConfig, witnessed_first: bool) -> Self {
         Self {
             local,
-            cold_millis,
+            cold_millis: config.cold_millis(),
+            unconfirmed_millis: config.unconfirmed_millis,
             witnessed_first,
             current: ClaimRing::default(),
             past: VecDeque::new(),
@@ -74,43 +84,89 @@
         if ring.version <= self.current.version {
             return RingChange::Same;
         }
-        let follows = ring.version == self.current.version + 1;
         let first = self.current.version == 0;
-        let next_revision = ring.revision;
-        let replaced = std::mem::replace(&mut self.current, ring);
-        if first || !follows {
-            let brand_new = first && follows && self.witnessed_first;
-            self.past.clear();
-            self.unknown_before = (!brand_new).then_some(now);
-            return RingChange::Restarted;
+        let change = if !first && ring.version == self.current.version + 1 {
+            RingChange::Next(self.current.to_former())
+        } else {
+            RingChange::Missed
+        };
+        self.remember_replaced(&ring, now);
+        let brand_new = first && ring.version == 1 && self.witnessed_first;
+        if change == RingChange::Missed && !brand_new && !self.is_connected(&ring) {
+            self.unknown_before = Some(now);
+        }
+        self.current = ring;
+        change
+    }
+
+    /// Remembers the present ring and those between it and the next one.
+    fn remember_replaced(&mut self, next: &ClaimRing, now: Instant) {
+        let mut replaced: Vec<FormerRing> = Vec::new();
+        if self.current.version > 0 {
+            replaced.push(self.current.to_former());
+        }
+        let known = self.current.revision;
+        replaced.extend(
+            next.former
+                .iter()
+                .filter(|former| former.revision > known)
+                .cloned(),
+        );
+        let successors: Vec<Revision> = replaced.iter().skip(1).map(|ring| ring.revision).collect();
+        let successors = successors.into_iter().chain([next.revision]);
+        for (ring, replaced_by) in replaced.iter().cloned().zip(successors) {
+            self.past.push_back(PastRing {
+                ring,
+                replaced_by,
+                replaced_at: now,
+                confirmed_at: None,
+                complete_hand_overs: BTreeSet::new(),
+            });
+        }
+        while self.past.len() > MAX_PAST_RINGS {
+            self.past.pop_front();
+            self.unknown_before = Some(now);
+        }
+    }
+
+    /// Whether no ring between the present and the next one is missing.
+    fn is_connected(&self, next: &ClaimRing) -> bool {
+        let missed = next.version - self.current.version - 1;
+        self.current.version > 0 && missed <= next.former.len() as u64
+    }
+
+    /// Learns which nodes know of changes of the ring.
+    pub(super) fn confirm(&mut self, view: &MembershipView, now: Instant) {
+        for past in &mut self.past {
+            let known =
+                past.confirmed_at.is_some() || view.is_known_to_half(&past.ring.nodes, past.replaced_by);
+            if known {
+                past.confirmed_at.get_or_insert(now);
+            }
         }
-        self.past.push_back(PastRing {
-            ring: replaced.clone(),
-            replaced_at: now,
-            replaced_by: next_revision,
-            complete_hand_overs: BTreeSet::new(),
-        });
-        RingChange::Next(replaced)
     }
 
     /// Forgets what no longer matters.
     pub(super) fn prune(&mut self, now: Instant) {
-        let cold = self.cold_millis;
-        while self
-            .past
-            .front()
-            .is_some_and(|past| now >= past.replaced_at + cold)
-        {
+        while self.past.front().is_some_and(|past| now >= self.cold_until(past)) {
             self.past.pop_front();
-            self.unknown_before = None;
         }
+        let cold = self.cold_millis;
         if self.unknown_before.is_some_and(|at| now >= at + cold) {
             self.unknown_before = None;
         }
     }
 
+    fn cold_until(&self, past: &PastRing) -> Instant {
+        let known_at = past
+            .confirmed_at
+            .unwrap_or(past.replaced_at + self.unconfirmed_millis);
+        known_at + self.cold_millis
+    }
+
     /// Whether the history of a key that this node holds now is known.
     pub(super) fn key(&self, key: &IdempotencyKey, now: Instant) -> KeyHistory {
+        let mut until = Instant(0);
         for past in self.past.iter().rev() {
             let Some(holder) = past.ring.holder(key) else {
                 continue;
@@ -119,28 +175,20 @@
                 continue;
             }
             if past.complete_hand_overs.contains(holder) {
-                return KeyHistory::Known;
+                return known_from(until, now);
             }
-            return self.known_from(past.replaced_at, now);
+            until = until.max(self.cold_until(past));
         }
-        match self.unknown_before {
-            None => KeyHistory::Known,
-            Some(at) => self.known_from(at, now),
+        if let Some(at) = self.unknown_before {
+            until = until.max(at + self.cold_millis);
         }
-    }
-
-    fn known_from(&self, changed_at: Instant, now: Instant) -> KeyHistory {
-        let until = changed_at + self.cold_millis;
-        if now >= until {
-            return KeyHistory::Known;
-        }
-        KeyHistory::Unknown { until }
+        known_from(until, now)
     }
 
     /// Whether the history of all keys that this node held under the ring before
     /// the present one was known.
     pub(super) fn knew_all_keys(&self) -> bool {
-        let mut next: Option<&ClaimRing> = None;
+        let mut next: Option<&FormerRing> = None;
         for past in self.past.iter().rev() {
             // Its keys came from nodes of a ring further back.
             if past.ring.nodes.is_empty() {
@@ -161,7 +209,7 @@
     }
 
     /// Whether all nodes that lost keys to this one handed them over.
-    fn all_handed_over(&self, past: &PastRing, next: &ClaimRing) -> bool {
+    fn all_handed_over(&self, past: &PastRing, next: &FormerRing) -> bool {
         let joined = !past.ring.nodes.contains(&self.local);
         past.ring
             .nodes
@@ -170,7 +218,7 @@
             .all(|node| past.complete_hand_overs.contains(node))
     }
 
-    /// Whether this node learned of the ring that another one hands over by.
+    /// Whether this node has yet to learn of the ring that another hands over by.
     pub(super) fn is_before(&self, revision: Revision) -> bool {
         self.current.revision < revision
     }
@@ -199,3 +247,10 @@
         self.ring.revision == from_revision && self.replaced_by == to_revision
     }
 }
+
+fn known_from(until: Instant, now: Instant) -> KeyHistory {
+    if now >= until {
+        return KeyHistory::Known;
+    }
+    KeyHistory::Unknown { until }
+}
--- a/crates/croftrill-state/src/claims/ring.rs
+++ b/crates/croftrill-state/src/claims/ring.rs
@@ -15,6 +15,24 @@
     pub version: u64,
     /// The live nodes.
     pub nodes: BTreeSet<NodeId>,
+    /// The rings before, the latest last, as far as remembered.
+    pub former: Vec<FormerRing>,
+}
+
+/// A ring that was replaced.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FormerRing {
+    /// The revision of the entry that made it.
+    pub revision: Revision,
+    /// Its nodes.
+    pub nodes: BTreeSet<NodeId>,
+}
+
+impl FormerRing {
+    /// The node that held a key.
+    pub fn holder(&self, key: &IdempotencyKey) -> Option<&NodeId> {
+        rendezvous::highest(key.as_str(), &self.nodes)
+    }
 }
 
 impl ClaimRing {
@@ -28,10 +46,27 @@
             .filter(|node| node.cell == *cell && node.lifecycle == Lifecycle::Live)
             .map(|node| node.id.clone())
             .collect();
+        let former = membership
+            .former
+            .into_iter()
+            .map(|former| FormerRing {
+                revision: former.changed_at,
+                nodes: former.nodes.into_iter().collect(),
+            })
+            .collect();
         Self {
             revision: membership.changed_at,
             version: membership.version,
             nodes,
+            former,
+        }
+    }
+
+    /// This ring as one that was replaced.
+    pub fn to_former(&self) -> FormerRing {
+        FormerRing {
+            revision: self.revision,
+            nodes: self.nodes.clone(),
         }
     }
 
--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -48,6 +48,20 @@
     pub changed_at: Revision,
     /// Counts these changes, so that nobody misses one between two states.
     pub version: u64,
+    /// The sets before, the latest last; at most [`FORMER_MEMBERSHIPS`].
+    pub former: Vec<FormerMembership>,
+}
+
+/// Sets of live nodes of a cell that are remembered besides the present one.
+pub const FORMER_MEMBERSHIPS: usize = 4;
+
+/// A set of live nodes that a cell had.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FormerMembership {
+    /// The revision of the entry that made it.
+    pub changed_at: Revision,
+    /// The live nodes.
+    pub nodes: Vec<NodeId>,
 }
 
 /// Why an entry was rejected.
--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -1,6 +1,8 @@
 //! Applying entries.
 
-use super::{ApplyError, ClusterState, Coordinator, Versioned, REMEMBERED_PLANS};
+use super::{
+    ApplyError, ClusterState, Coordinator, FormerMembership, Versioned, FORMER_MEMBERSHIPS, REMEMBERED_PLANS,
+};
 use crate::entry::{Change, Intent, LogEntry, PlacementStep};
 use crate::identifiers::{CellId, EngineId, FencingToken, ModelId, NodeId, PlanId, Revision, Term};
 use crate::placement::{Assignment, AssignmentState, Engine, Lifecycle, Node};
@@ -191,14 +193,10 @@
                     .ok_or_else(|| missing("adapter", id.as_str()))?;
             }
             Intent::DrainNode(id) => {
-                let node = self
-                    .nodes
-                    .get_mut(id)
-                    .ok_or_else(|| missing("node", id.as_str()))?;
-                let left = live_cell(&node.value);
-                node.value.lifecycle = Lifecycle::Leaving;
-                node.changed_at = at;
-                self.note_membership_change(left, at);
+                let found = self.nodes.get(id).ok_or_else(|| missing("node", id.as_str()))?;
+                let mut node = found.value.clone();
+                node.lifecycle = Lifecycle::Leaving;
+                self.put_node(&node, at);
             }
             Intent::DrainEngine(id) => {
                 let engine = self
@@ -288,31 +286,51 @@
     }
 
     fn put_node(&mut self, node: &Node, at: Revision) {
-        let replaced = self.nodes.insert(node.id.clone(), versioned(at, node));
-        let before = replaced.and_then(|found| live_cell(&found.value));
+        let before = self.nodes.get(&node.id).and_then(|found| live_cell(&found.value));
         let after = live_cell(node);
         if before != after {
             self.note_membership_change(before, at);
             self.note_membership_change(after, at);
         }
+        self.nodes.insert(node.id.clone(), versioned(at, node));
     }
 
-    /// Counts one change an entry, however many nodes it changes.
+    /// To be called before the live nodes of a cell change. Counts one change an
+    /// entry, however many nodes it changes.
     fn note_membership_change(&mut self, cell: Option<CellId>, at: Revision) {
         let Some(cell) = cell else {
             return;
         };
+        let nodes = self.live_nodes(&cell);
         let membership = self.cell_memberships.entry(cell).or_default();
-        if membership.changed_at != at {
-            membership.changed_at = at;
-            membership.version += 1;
+        if membership.changed_at == at {
+            return;
+        }
+        if membership.version > 0 {
+            membership.former.push(FormerMembership {
+                changed_at: membership.changed_at,
+                nodes,
+            });
         }
+        if membership.former.len() > FORMER_MEMBERSHIPS {
+            membership.former.remove(0);
+        }
+        membership.changed_at = at;
+        membership.version += 1;
+    }
+
+    fn live_nodes(&self, cell: &CellId) -> Vec<NodeId> {
+        self.nodes
+            .values()
+            .filter(|node| live_cell(&node.value).as_ref() == Some(cell))
+            .map(|node| node.value.id.clone())
+            .collect()
     }
 
     fn remove_node(&mut self, id: &NodeId, at: Revision) {
-        if let Some(removed) = self.nodes.remove(id) {
-            self.note_membership_change(live_cell(&removed.value), at);
-        }
+        let cell = self.nodes.get(id).and_then(|found| live_cell(&found.value));
+        self.note_membership_change(cell, at);
+        self.nodes.remove(id);
         for engine in self.engines.values_mut() {
             if engine.value.owner.as_ref() == Some(id) {
                 engine.value.owner = None;
--- a/crates/croftrill-state/src/membership.rs
+++ b/crates/croftrill-state/src/membership.rs
@@ -92,14 +92,9 @@
     health: Health,
     changed_at: Instant,
     heard_at: Option<Instant>,
-    listed: bool,
-}
-
-/// The newest log head seen and not applied yet.
-#[derive(Clone, Copy, Debug)]
-struct MissingHead {
     head: Revision,
-    since: Instant,
+    caught_up: bool,
+    listed: bool,
 }
 
 /// One node's view of the others. See the module documentation.
@@ -121,8 +116,7 @@
     listening_from_sequence: u64,
     judging_from: Instant,
     head: Revision,
-    highest_head: Revision,
-    missing_head: Option<MissingHead>,
+    caught_up: bool,
     pushed_at: Option<Instant>,
     push_due: bool,
 }
@@ -163,8 +157,7 @@
             listening_from_sequence: next_sequence,
             judging_from: now,
             head: Revision(0),
-            highest_head: Revision(0),
-            missing_head: None,
+            caught_up: false,
             pushed_at: None,
             push_due: false,
         }
@@ -199,19 +192,16 @@
             return Vec::new();
         }
         self.head = head;
-        self.highest_head = self.highest_head.max(head);
-        let caught_up = self.missing_head.is_some_and(|missing| missing.head <= head);
-        if caught_up {
-            let behind = self.highest_head > head;
-            self.missing_head = behind.then_some(MissingHead {
-                head: self.highest_head,
-                since: now,
-            });
-        }
         self.push_due = true;
         self.push_head_if_due(now)
     }
 
+    /// This process has applied all that the key-value service's log had at some
+    /// time since the process started.
+    pub fn set_caught_up(&mut self) {
+        self.caught_up = true;
+    }
+
     /// Announces that this node stops on purpose.
     pub fn leave(&mut self) -> Vec<MembershipAction> {
         if self.local.health == Health::Leaving {
@@ -229,10 +219,8 @@
             return actions;
         }
         self.apply_update(&probe.sender, now, &mut actions);
-        if self.is_recent(&probe, now) {
-            self.note_heard(&probe.sender.node, now);
-        }
-        self.note_head(&probe, now, &mut actions);
+        self.note_heard(&probe, now);
+        self.note_head(&probe, &mut actions);
         for update in &probe.updates {
             self.apply_update(update, now, &mut actions);
         }
@@ -240,21 +228,22 @@
         actions
     }
 
-    fn note_heard(&mut self, node: &NodeId, now: Instant) {
-        if let Some(member) = self.members.get_mut(node) {
+    fn note_heard(&mut self, probe: &Probe, now: Instant) {
+        let recent = self.is_recent(probe, now);
+        let Some(member) = self.members.get_mut(&probe.sender.node) else {
+            return;
+        };
+        member.head = member.head.max(probe.head);
+        member.caught_up = probe.caught_up;
+        if recent {
             member.heard_at = Some(now);
         }
     }
 
-    fn note_head(&mut self, probe: &Probe, now: Instant, actions: &mut Vec<MembershipAction>) {
+    fn note_head(&self, probe: &Probe, actions: &mut Vec<MembershipAction>) {
         if probe.head <= self.head {
             return;
         }
-        self.highest_head = self.highest_head.max(probe.head);
-        self.missing_head.get_or_insert(MissingHead {
-            head: probe.head,
-            since: now,
-        });
         actions.push(MembershipAction::Report(MembershipEvent::HeadSeen {
             node: probe.sender.node.clone(),
             address: probe.sender.address.clone(),
@@ -326,6 +315,8 @@
             health,
             changed_at: now,
             heard_at: None,
+            head: Revision(0),
+            caught_up: false,
             listed,
         };
         self.members.insert(node.clone(), member);
--- a/crates/croftrill-state/src/membership/message.rs
+++ b/crates/croftrill-state/src/membership/message.rs
@@ -70,6 +70,10 @@
     pub kind: ProbeKind,
     /// The sender's last applied revision.
     pub head: Revision,
+    /// Whether the sender has applied all that the key-value service's log had
+    /// at some time since the sender's process started. Until then its head may
+    /// be lower than that of an earlier process of its node.
+    pub caught_up: bool,
     /// News, the least often told first.
     pub updates: Vec<MemberUpdate>,
 }
--- a/crates/croftrill-state/src/membership/probing.rs
+++ b/crates/croftrill-state/src/membership/probing.rs
@@ -356,6 +356,7 @@
             sequence,
             kind,
             head: self.head,
+            caught_up: self.caught_up,
             updates: receiver
                 .and_then(|node| self.doubt_about(node))
                 .into_iter()
--- a/crates/croftrill-state/src/membership/view.rs
+++ b/crates/croftrill-state/src/membership/view.rs
@@ -1,7 +1,7 @@
 //! What the rest of the node may ask of the membership.
 
 use super::message::Health;
-use super::{Member, Membership, MissingHead};
+use super::{Member, Membership};
 use crate::identifiers::{NodeId, Revision};
 use crate::time::Instant;
 use std::collections::BTreeMap;
@@ -16,6 +16,11 @@
     /// When a datagram of it last arrived; none since the start or the last
     /// pause of this process.
     pub heard_at: Option<Instant>,
+    /// The highest log head that it announced.
+    pub head: Revision,
+    /// Whether its last datagram said that its head is as high as that of any
+    /// earlier process of its node.
+    pub caught_up: bool,
 }
 
 /// An immutable snapshot of a [`Membership`].
@@ -29,8 +34,6 @@
     pub members: BTreeMap<NodeId, MemberView>,
     /// This node's last applied revision.
     pub head: Revision,
-    /// Since when a later revision has been known and not been applied.
-    pub behind_since: Option<Instant>,
 }
 
 impl MembershipView {
@@ -57,26 +60,61 @@
         now: Instant,
         window_millis: u64,
     ) -> bool {
-        let mut total = 0;
-        let mut heard = 0;
+        is_majority(nodes, |node| {
+            *node == self.local || self.heard_within(node, now, window_millis).is_some()
+        })
+    }
+
+    /// Whether more than half of `nodes` were heard directly within the last
+    /// `window_millis` and had then applied nothing that this node has not. This
+    /// node counts as one of them.
+    pub fn in_step_with_majority<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a NodeId>,
+        now: Instant,
+        window_millis: u64,
+    ) -> bool {
+        is_majority(nodes, |node| {
+            let heard = self.heard_within(node, now, window_millis);
+            let in_step = heard.is_some_and(|member| member.caught_up && member.head <= self.head);
+            *node == self.local || in_step
+        })
+    }
+
+    /// Whether at least half of `nodes` are known to have applied `revision`, so
+    /// that no majority of them is without one that has.
+    pub fn is_known_to_half<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a NodeId>,
+        revision: Revision,
+    ) -> bool {
+        let (mut total, mut knowing) = (0, 0);
         for node in nodes {
             total += 1;
-            if self.heard_within(node, now, window_millis) {
-                heard += 1;
-            }
+            let head = match self.members.get(node) {
+                _ if *node == self.local => self.head,
+                Some(member) => member.head,
+                None => Revision(0),
+            };
+            knowing += usize::from(head >= revision);
         }
-        heard * 2 > total
+        knowing * 2 >= total
     }
 
-    fn heard_within(&self, node: &NodeId, now: Instant, window_millis: u64) -> bool {
-        if *node == self.local {
-            return true;
-        }
-        self.members
-            .get(node)
-            .and_then(|member| member.heard_at)
-            .is_some_and(|at| now.millis_since(at) <= window_millis)
+    fn heard_within(&self, node: &NodeId, now: Instant, window_millis: u64) -> Option<&MemberView> {
+        let member = self.members.get(node)?;
+        let heard_at = member.heard_at?;
+        (now.millis_since(heard_at) <= window_millis).then_some(member)
+    }
+}
+
+fn is_majority<'a>(nodes: impl IntoIterator<Item = &'a NodeId>, counts: impl Fn(&NodeId) -> bool) -> bool {
+    let (mut total, mut counted) = (0, 0);
+    for node in nodes {
+        total += 1;
+        counted += usize::from(counts(node));
     }
+    counted * 2 > total
 }
 
 impl Membership {
@@ -92,7 +130,6 @@
             taken_at: now,
             members,
             head: self.head,
-            behind_since: self.missing_head.map(|missing: MissingHead| missing.since),
         }
     }
 
@@ -101,6 +138,8 @@
             address: member.address.clone(),
             health: member.health,
             heard_at: member.heard_at.filter(|at| *at >= self.listening_since),
+            head: member.head,
+            caught_up: member.caught_up,
         }
     }
 
--- a/crates/croftrill-state/tests/membership.rs
+++ b/crates/croftrill-state/tests/membership.rs
@@ -296,6 +296,7 @@
             sequence: 0,
             kind: ProbeKind::NewHead,
             head: Revision(0),
+            caught_up: true,
             updates: Vec::new(),
         };
         membership.receive(probe, now);
