--- a/crates/croftrill-settings/src/lib.rs
+++ b/crates/croftrill-settings/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use findings::{Finding, Findings, Place};
 pub use settings::{
-    AdvertisedAddresses, Deadlines, HttpEndpoint, Limits, ListenAddresses, LogLevel, NodeIdentity, Overrides,
-    PlatformEndpoints, Policy, Settings, Timings,
+    AdvertisedAddresses, Deadlines, HttpEndpoint, KeyOverride, Limits, ListenAddresses, LogLevel,
+    NodeIdentity, Overrides, PlatformEndpoints, Policy, Settings, Timings,
 };
--- a/crates/croftrill-settings/src/load.rs
+++ b/crates/croftrill-settings/src/load.rs
@@ -37,22 +37,40 @@
     }
 
     fn apply_overrides(&mut self, overrides: &Overrides) {
+        for given in &overrides.keys {
+            self.apply_key_override(given);
+        }
         for (path, value) in overrides.values() {
-            self.document.unreadable.retain(|unreadable| *unreadable != path);
             let checked = keys::find(path).map_or(Ok(()), |key| value.check(key.kind));
-            match checked {
-                Ok(()) => {
-                    let located = Located {
-                        value,
-                        place: Place::Flags,
-                        given: true,
-                    };
-                    self.document.values.insert(path, located);
-                }
-                Err(problem) => {
-                    self.document.unreadable.push(path);
-                    self.report(Place::Flags, format!("{path} {problem}"));
-                }
+            self.apply_override(path, checked.map(|()| value));
+        }
+    }
+
+    fn apply_key_override(&mut self, given: &KeyOverride) {
+        let Some(key) = keys::find(&given.key) else {
+            self.report(Place::Flags, format!("unknown key {}", given.key));
+            return;
+        };
+        let value = given.value.parse::<toml_edit::Value>();
+        let value = value.unwrap_or_else(|_| given.value.as_str().into());
+        let item = toml_edit::Item::Value(value);
+        self.apply_override(key.path, values::read(key.kind, &item));
+    }
+
+    fn apply_override(&mut self, path: &'static str, value: Result<Value, String>) {
+        self.document.unreadable.retain(|unreadable| *unreadable != path);
+        match value {
+            Ok(value) => {
+                let located = Located {
+                    value,
+                    place: Place::Flags,
+                    given: true,
+                };
+                self.document.values.insert(path, located);
+            }
+            Err(problem) => {
+                self.document.unreadable.push(path);
+                self.report(Place::Flags, format!("{path} {problem}"));
             }
         }
     }
--- a/crates/croftrill-settings/src/settings.rs
+++ b/crates/croftrill-settings/src/settings.rs
@@ -208,6 +208,27 @@
     }
 }
 
+/// The value of any key, given by a flag such as `--set key=value`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyOverride {
+    /// `table.key`.
+    pub key: String,
+    /// The value as it would stand in the file; quotes around texts may be left
+    /// out.
+    pub value: String,
+}
+
+impl KeyOverride {
+    /// Reads `key=value`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (key, value) = text.split_once('=')?;
+        Some(Self {
+            key: key.trim().to_string(),
+            value: value.trim().to_string(),
+        })
+    }
+}
+
 /// Values of flags; each replaces the one of the file.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overrides {
@@ -241,10 +262,12 @@
     pub cold_start_weight: Option<f64>,
     /// `log.level`.
     pub log_level: Option<LogLevel>,
+    /// Any key; the fields above win.
+    pub keys: Vec<KeyOverride>,
 }
 
 impl Overrides {
-    /// The overrides by key.
+    /// The typed overrides by key.
     pub(crate) fn values(&self) -> Vec<(&'static str, Value)> {
         let mut values = Vec::new();
         let mut add = |path, value: Option<Value>| values.extend(value.map(|value| (path, value)));
--- a/crates/croftrill-settings/tests/settings.rs
+++ b/crates/croftrill-settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Reading settings: values, defaults, overrides and findings with places.
 
-use croftrill_settings::{Findings, HttpEndpoint, LogLevel, Overrides, Place, Settings};
+use croftrill_settings::{Findings, HttpEndpoint, KeyOverride, LogLevel, Overrides, Place, Settings};
 use std::time::Duration;
 
 const WHOLE: &str = r#"
@@ -186,3 +186,34 @@
          flags: policy.cold_start_weight must be a number from 0 to 1"
     );
 }
+
+#[test]
+fn a_flag_sets_any_key() {
+    let flags = [
+        "timings.lease_millis=2500",
+        "log.level = debug",
+        "node.zone=\"z9\"",
+    ];
+    let overrides = Overrides {
+        keys: flags.iter().filter_map(|flag| KeyOverride::parse(flag)).collect(),
+        zone: Some("zone-b".to_string()),
+        ..Overrides::default()
+    };
+    let settings = Settings::load("node.toml", WHOLE, &overrides).unwrap();
+    assert_eq!(settings.timings.lease, Duration::from_millis(2500));
+    assert_eq!(settings.log_level, LogLevel::Debug);
+    assert_eq!(settings.node.zone, "zone-b".into(), "the flag of its own wins");
+
+    let wrong = ["timings.lease_millis=soon", "timings.leese=1"];
+    let overrides = Overrides {
+        keys: wrong.iter().filter_map(|flag| KeyOverride::parse(flag)).collect(),
+        ..Overrides::default()
+    };
+    let findings = Settings::load("node.toml", WHOLE, &overrides).expect_err("both are wrong");
+    assert_eq!(
+        findings.to_string(),
+        "flags: timings.lease_millis must be a whole number from 100 to 86400000\n\
+         flags: unknown key timings.leese"
+    );
+    assert_eq!(KeyOverride::parse("timings.lease_millis"), None);
+}
