--- a/crates/croftrill-state/examples/apply_cost.rs
+++ b/crates/croftrill-state/examples/apply_cost.rs
@@ -7,8 +7,9 @@
 use croftrill_state::entry::{Change, Intent, LogEntry, PlacementStep};
 use croftrill_state::placement::{AssignmentState, Engine, Lifecycle, Node};
 use croftrill_state::planner::{plan, plan_repair, EngineFacts};
-use croftrill_state::{ClusterState, EntryId, FencingToken, NodeId, PlanId, Term};
+use croftrill_state::{ClusterState, EngineId, EntryId, FencingToken, NodeId, PlanId, Term, ZoneId};
 use nanoserde::{DeBin, SerBin};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 const NODES: usize = 380;
@@ -43,7 +44,7 @@
         let adapters = (0..ADAPTERS).map(|number| Intent::PutAdapter(adapter(number)));
         confirm(&mut state, groups.chain(adapters).collect());
     });
-    println!("assignments: {}", state.all_assignments().count());
+    print_balance(&state);
 
     let snapshot = state.serialize_bin();
     println!("snapshot: {} KiB", snapshot.len() / 1024);
@@ -79,6 +80,25 @@
     });
 }
 
+/// Prints how evenly the planner spread the replicas.
+fn print_balance(state: &ClusterState) {
+    let mut engines: BTreeMap<&EngineId, usize> = state.engines.keys().map(|id| (id, 0)).collect();
+    let mut same_zone = 0;
+    for by_engine in state.assignments.values() {
+        let zones: BTreeSet<&ZoneId> = by_engine.keys().map(|id| &state.engines[id].value.zone).collect();
+        same_zone += usize::from(zones.len() < by_engine.len().min(ZONES));
+        for engine in by_engine.keys() {
+            *engines.entry(engine).or_default() += 1;
+        }
+    }
+    println!(
+        "assignments: {}, on one engine {} to {}, models with two replicas in a zone: {same_zone}",
+        state.all_assignments().count(),
+        engines.values().min().unwrap_or(&0),
+        engines.values().max().unwrap_or(&0),
+    );
+}
+
 fn measure(what: &str, rounds: u32, mut work: impl FnMut()) {
     let started = Instant::now();
     for _ in 0..rounds {
