--- a/crates/croftrill-state/src/cluster/shared.rs
+++ b/crates/croftrill-state/src/cluster/shared.rs
@@ -17,6 +17,12 @@
     pub fn new(value: T) -> Self {
         Self(Arc::new(value))
     }
+
+    /// Whether both are the very same value, neither changed since they were
+    /// copies of each other. Equal values may still be different ones.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
 }
 
 impl<T> From<T> for Shared<T> {
