--- a/crates/croftrill-cli/src/main.rs
+++ b/crates/croftrill-cli/src/main.rs
@@ -13,6 +13,7 @@
         }
     };
     let node = std::env::var(croftrill_cli::NODE_VARIABLE).ok();
+    let node = node.filter(|node| !node.is_empty());
     let arguments = std::env::args_os().skip(1);
     let mut output = stdout();
     let mut complaints = stderr();
