Load admission: a permit given back unused frees its slot

Owners return a permit that came too late with a size of 0, which was ignored as a local load, so that the slot stayed taken until its lease ended. Shown by a_permit_given_back_unused_frees_its_slot.

--- a/crates/croftrill-state/src/load_admission.rs
+++ b/crates/croftrill-state/src/load_admission.rs
@@ -24,6 +24,11 @@
 use store_speed::{RunningEvidence, StoreSpeed};
 use token_bucket::TokenBucket;
 
+/// An asker whose deadline cannot be met asks again after at least this long,
+/// in milliseconds: by then it has refused the request, and perhaps asks for
+/// one that can wait longer.
+const LEAST_RETRY_OUT_OF_TIME_MILLIS: u64 = 20;
+
 /// Limits of the weight store and how to keep them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadAdmissionConfig {
@@ -211,7 +216,8 @@
         }
     }
 
-    /// Records the end of a load that was granted.
+    /// Records the end of a load that was granted; a permit that was not used
+    /// is given back with `remote_mib` 0.
     pub fn finish(
         &mut self,
         now: Instant,
@@ -221,11 +227,8 @@
         duration_millis: u64,
         succeeded: bool,
     ) {
-        if remote_mib == 0 {
-            return;
-        }
         self.running.remove(&load_key(engine, model));
-        if succeeded {
+        if succeeded && remote_mib > 0 {
             self.speed.observe(remote_mib, duration_millis);
             self.last_news = Some(now);
         }
@@ -324,14 +327,14 @@
         let start_after_millis = schedule.add(duration);
         let done_after_millis = start_after_millis + duration;
         let in_time = now + done_after_millis <= asker.deadline;
-        let retry_after_millis = if in_time {
-            start_after_millis
+        let least_retry_millis = if in_time {
+            1
         } else {
-            self.config.most_retry_millis
+            LEAST_RETRY_OUT_OF_TIME_MILLIS
         };
         Place {
             grantable: start_after_millis == 0 && (in_time || self.probe_is_due(now)),
-            retry_after_millis: retry_after_millis.clamp(1, self.config.most_retry_millis),
+            retry_after_millis: start_after_millis.clamp(least_retry_millis, self.config.most_retry_millis),
             done_after_millis,
         }
     }
