croftrill-bench: croftrill's policy from the daemon's decision code

Routers use the gateway's routing, load table and retry rules; owners the replica queue and engine memory; the coordinator the load admission; models are placed by the planner. Only the drivers around them are the emulator's. Variants, each different in one thing, and the baselines are listed in workloads/policies.toml.

The gateway's retry rules become public, so that they need not stand twice.

Adapters are loaded by the emulated engine itself under every policy; failures, claims and membership are not emulated.

--- a/crates/croftrill-bench/src/command_line.rs
+++ b/crates/croftrill-bench/src/command_line.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::compare::{run_policy, workload, PolicyKind};
+use crate::compare::{run_policy, workload, PolicySpec};
 use crate::identifiers::SECOND;
 use crate::report;
 use crate::scenario::{Scenario, DEPLOYMENTS};
@@ -23,6 +23,7 @@
   --workload FILE     a scenario in TOML in place of --deployment
   --seed N            seed of requests and caches (default 1); may be repeated
   --duration SECONDS  time over which requests arrive (default 1800)
+  --policies FILE     policies in TOML in place of the built-in ones
   --policy NAME       run only this policy; may be repeated
   --output DIR        write report.json, report.md and SVG plots there
   --help              print this
@@ -46,7 +47,7 @@
     scenario: Scenario,
     seeds: Vec<u64>,
     duration_seconds: u64,
-    policies: Vec<PolicyKind>,
+    policies: Vec<PolicySpec>,
     output: Option<PathBuf>,
 }
 
@@ -54,6 +55,8 @@
 pub fn parse(arguments: impl IntoIterator<Item = std::ffi::OsString>) -> Result<Command> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut compare = false;
+    let mut policies = PolicySpec::built_in()?;
+    let mut names: Vec<String> = Vec::new();
     let mut options = CompareOptions {
         scenario: Scenario::built_in(DEPLOYMENTS[0])?,
         seeds: Vec::new(),
@@ -70,7 +73,8 @@
             Long("workload") => options.scenario = read_scenario(parser.value()?.into())?,
             Long("seed") => options.seeds.push(parser.value()?.parse()?),
             Long("duration") => options.duration_seconds = parser.value()?.parse()?,
-            Long("policy") => options.policies.push(parse_policy(&parser.value()?.string()?)?),
+            Long("policies") => policies = read_policies(parser.value()?.into())?,
+            Long("policy") => names.push(parser.value()?.string()?),
             Long("output") => options.output = Some(parser.value()?.into()),
             _ => return Err(argument.unexpected().into()),
         }
@@ -81,9 +85,7 @@
     if options.seeds.is_empty() {
         options.seeds.push(1);
     }
-    if options.policies.is_empty() {
-        options.policies.extend(PolicyKind::ALL);
-    }
+    options.policies = choose_policies(policies, &names)?;
     Ok(Command::Compare(Box::new(options)))
 }
 
@@ -92,9 +94,19 @@
     Scenario::parse(&text).with_context(|| path.display().to_string())
 }
 
-fn parse_policy(name: &str) -> Result<PolicyKind> {
-    let known: Vec<&str> = PolicyKind::ALL.iter().map(|kind| kind.name()).collect();
-    PolicyKind::from_name(name).with_context(|| format!("unknown policy {name}; known: {}", known.join(", ")))
+fn read_policies(path: PathBuf) -> Result<Vec<PolicySpec>> {
+    let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))?;
+    PolicySpec::parse(&text).with_context(|| path.display().to_string())
+}
+
+/// The named policies, or all if none is named.
+fn choose_policies(policies: Vec<PolicySpec>, names: &[String]) -> Result<Vec<PolicySpec>> {
+    let known: Vec<&str> = policies.iter().map(PolicySpec::name).collect();
+    if let Some(unknown) = names.iter().find(|name| !known.contains(&name.as_str())) {
+        bail!("unknown policy {unknown}; known: {}", known.join(", "));
+    }
+    let wanted = |policy: &PolicySpec| names.is_empty() || names.iter().any(|name| name == policy.name());
+    Ok(policies.into_iter().filter(wanted).collect())
 }
 
 /// Runs `compare` and prints its tables.
@@ -121,8 +133,8 @@
     let mut runs = Vec::new();
     for (index, policy) in options.policies.iter().enumerate() {
         let before = index as u64 * options.duration_seconds;
-        bar.set_message(policy.name());
-        let run = run_policy(*policy, &options.scenario, &workload, &mut |micros| {
+        bar.set_message(policy.name().to_string());
+        let run = run_policy(policy, &options.scenario, &workload, &mut |micros| {
             bar.set_position(before + (micros / SECOND).min(options.duration_seconds));
         });
         runs.push(run);
--- a/crates/croftrill-bench/src/compare.rs
+++ b/crates/croftrill-bench/src/compare.rs
@@ -2,49 +2,69 @@
 
 use crate::identifiers::SECOND;
 use crate::measurement::Measurement;
-use crate::policy::{OnDemandLru, StaticPlacement};
+use crate::policy::{Croftrill, CroftrillConfig, OnDemandLru, StaticPlacement};
 use crate::scenario::Scenario;
 use crate::simulation::{simulate, Progress};
 use crate::workload::Workload;
+use anyhow::{Context, Result};
+use serde::Deserialize;
 
-/// A policy that can be run by name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PolicyKind {
+const POLICIES: &str = include_str!("../workloads/policies.toml");
+
+/// A policy and its settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum PolicySpec {
     /// Load at the first router, evict the least recently used.
     OnDemandLru,
     /// Place once.
     StaticPlacement,
+    /// The policy of croftrill.
+    Croftrill(CroftrillConfig),
 }
 
-impl PolicyKind {
-    /// Every policy, baselines first.
-    pub const ALL: [PolicyKind; 2] = [PolicyKind::OnDemandLru, PolicyKind::StaticPlacement];
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PolicyFile {
+    policies: Vec<PolicySpec>,
+}
+
+impl PolicySpec {
+    /// The policies of `workloads/policies.toml`.
+    pub fn built_in() -> Result<Vec<Self>> {
+        Self::parse(POLICIES)
+    }
+
+    /// Policies from TOML.
+    pub fn parse(text: &str) -> Result<Vec<Self>> {
+        let file: PolicyFile = toml_edit::de::from_str(text).context("the policies cannot be read")?;
+        Ok(file.policies)
+    }
 
     /// Its name on the command line and in reports.
-    pub fn name(self) -> &'static str {
+    pub fn name(&self) -> &str {
         match self {
-            PolicyKind::OnDemandLru => "on-demand-lru",
-            PolicyKind::StaticPlacement => "static-placement",
+            PolicySpec::OnDemandLru => "on-demand-lru",
+            PolicySpec::StaticPlacement => "static-placement",
+            PolicySpec::Croftrill(config) => &config.name,
         }
     }
-
-    /// The policy of that name.
-    pub fn from_name(name: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|kind| kind.name() == name)
-    }
 }
 
 /// Runs one policy.
 pub fn run_policy(
-    kind: PolicyKind,
+    policy: &PolicySpec,
     scenario: &Scenario,
     workload: &Workload,
     progress: Progress<'_>,
 ) -> Measurement {
     let engines = scenario.places.engines;
-    match kind {
-        PolicyKind::OnDemandLru => simulate(scenario, workload, OnDemandLru::new(engines), progress),
-        PolicyKind::StaticPlacement => simulate(scenario, workload, StaticPlacement::new(engines), progress),
+    match policy {
+        PolicySpec::OnDemandLru => simulate(scenario, workload, OnDemandLru::new(engines), progress),
+        PolicySpec::StaticPlacement => simulate(scenario, workload, StaticPlacement::new(engines), progress),
+        PolicySpec::Croftrill(config) => {
+            simulate(scenario, workload, Croftrill::new(config.clone()), progress)
+        }
     }
 }
 
--- a/crates/croftrill-bench/src/policy.rs
+++ b/crates/croftrill-bench/src/policy.rs
@@ -2,9 +2,11 @@
 //! which order requests start, and which are refused.
 
 mod arrival_order;
+mod croftrill;
 mod on_demand_lru;
 mod static_placement;
 
+pub use croftrill::{AdmissionKind, ColdChoice, Croftrill, CroftrillConfig, Eviction};
 pub use on_demand_lru::OnDemandLru;
 pub use static_placement::StaticPlacement;
 
--- a/crates/croftrill-bench/src/simulation/checkpoint_cache.rs
+++ b/crates/croftrill-bench/src/simulation/checkpoint_cache.rs
@@ -72,6 +72,14 @@
         self.disk.put(model, mib);
     }
 
+    pub(super) fn in_memory(&self) -> impl Iterator<Item = ModelIndex> + '_ {
+        self.memory.held.iter().map(|(model, _)| *model)
+    }
+
+    pub(super) fn on_disk(&self) -> impl Iterator<Item = ModelIndex> + '_ {
+        self.disk.held.iter().map(|(model, _)| *model)
+    }
+
     pub(super) fn source(&self, model: ModelIndex) -> CheckpointSource {
         if self.memory.holds(model) {
             CheckpointSource::Memory
--- a/crates/croftrill-bench/src/simulation/engine.rs
+++ b/crates/croftrill-bench/src/simulation/engine.rs
@@ -96,6 +96,16 @@
         }
     }
 
+    /// Checkpoints in the machine's memory.
+    pub fn cached_in_memory(&self) -> impl Iterator<Item = ModelIndex> + '_ {
+        self.cache.in_memory()
+    }
+
+    /// Checkpoints on the machine's disk.
+    pub fn cached_on_disk(&self) -> impl Iterator<Item = ModelIndex> + '_ {
+        self.cache.on_disk()
+    }
+
     /// Whether a model is ready.
     pub fn is_loaded(&self, model: ModelIndex) -> bool {
         self.held
--- a/crates/croftrill-gateway/src/lib.rs
+++ b/crates/croftrill-gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod json_input;
 pub mod load_table;
 mod request_run;
-mod retry_policy;
+pub mod retry_policy;
 
 pub use claims::{ClaimAuthority, ClaimDecision};
 pub use gateway::{Gateway, GatewayConfig};
--- a/crates/croftrill-gateway/src/retry_policy.rs
+++ b/crates/croftrill-gateway/src/retry_policy.rs
@@ -4,7 +4,7 @@
 
 /// What may follow a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NextStep {
+pub enum NextStep {
     /// Nothing; the failure is the answer.
     GiveUp,
     /// Another engine may do better; the same one would not.
@@ -14,7 +14,7 @@
 }
 
 /// What may follow a failure of a request that may be repeated.
-pub(crate) fn next_step(cause: RefusalCause) -> NextStep {
+pub fn next_step(cause: RefusalCause) -> NextStep {
     match cause {
         RefusalCause::Invalid
         | RefusalCause::DeadlineExpired
@@ -35,7 +35,7 @@
 }
 
 /// Whether a refusal shows that the engine does not hold the model now.
-pub(crate) fn shows_not_loaded(cause: RefusalCause) -> bool {
+pub fn shows_not_loaded(cause: RefusalCause) -> bool {
     matches!(
         cause,
         RefusalCause::NoReplica
