--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -15,6 +15,8 @@
 pub(super) struct EngineLink {
     /// The engine took our token and told what it holds.
     up: bool,
+    /// A request failed on it; nothing is dispatched until it answers.
+    suspect: bool,
     failures: u32,
     asking: bool,
     ask_at: Instant,
@@ -24,6 +26,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             up: false,
+            suspect: false,
             failures: 0,
             asking: false,
             ask_at: now,
@@ -39,6 +42,17 @@
         self.failures > 0
     }
 
+    /// Whether requests may be handed to the engine.
+    pub(super) fn takes_requests(&self) -> bool {
+        self.up && !self.suspect
+    }
+
+    /// A request failed on the engine.
+    pub(super) fn request_failed(&mut self, now: Instant) {
+        self.suspect = true;
+        self.ask_soon(now);
+    }
+
     pub(super) fn retry_in(&self, now: Instant) -> u64 {
         self.ask_at.millis_since(now)
     }
@@ -121,16 +135,34 @@
             );
         }
         self.link.up = true;
+        self.link.suspect = false;
         self.link.failures = 0;
-        for settled in self.memory.reconcile(ticket, held_report(inventory), now) {
+        let report = self.held_report(inventory);
+        for settled in self.memory.reconcile(ticket, report, now) {
             self.settled(settled, now);
         }
-        let pause = if self.memory.is_settled() {
-            self.shared.config.inventory_refresh_millis
+        self.link.ask_at = now + self.inventory_pause();
+    }
+
+    fn inventory_pause(&self) -> u64 {
+        let config = &self.shared.config;
+        if !self.memory.is_settled() {
+            config.inventory_poll_millis
+        } else if self.memory.others_running() {
+            config.others_poll_millis
         } else {
-            self.shared.config.inventory_poll_millis
-        };
-        self.link.ask_at = now + pause;
+            config.inventory_refresh_millis
+        }
+    }
+
+    fn held_report(&self, inventory: Inventory) -> HeldReport {
+        let ours = |attempt| self.running.contains_key(attempt) || self.ended_set.contains(attempt);
+        HeldReport {
+            others_running: !inventory.running.iter().all(ours),
+            replicas: inventory.models.into_iter().map(held_replica).collect(),
+            cached_in_memory: inventory.cached_in_memory.into_iter().collect(),
+            cached_on_disk: inventory.cached_on_disk.into_iter().collect(),
+        }
     }
 
     fn settled(&mut self, settled: Settled, now: Instant) {
@@ -156,14 +188,6 @@
     }
 }
 
-fn held_report(inventory: Inventory) -> HeldReport {
-    HeldReport {
-        replicas: inventory.models.into_iter().map(held_replica).collect(),
-        cached_in_memory: inventory.cached_in_memory.into_iter().collect(),
-        cached_on_disk: inventory.cached_on_disk.into_iter().collect(),
-    }
-}
-
 fn held_replica(held: HeldModel) -> HeldReplica {
     let adapters = held.adapters.into_iter().map(|adapter| HeldAdapterReplica {
         adapter: adapter.adapter,
