--- a/crates/croftrill-bench/src/command_line.rs
+++ b/crates/croftrill-bench/src/command_line.rs
@@ -21,7 +21,8 @@
 Options:
   --deployment NAME   granite-ledger (default) or surakshita-yatra
   --workload FILE     a scenario in TOML in place of --deployment
-  --seed N            seed of requests and caches (default 1); may be repeated
+  --seed N            seed of requests and caches (default 1); may be repeated,
+                      then the means are printed
   --duration SECONDS  time over which requests arrive (default 1800)
   --policies FILE     policies in TOML in place of the built-in ones
   --policy NAME       run only this policy; may be repeated
@@ -109,17 +110,29 @@
     Ok(policies.into_iter().filter(wanted).collect())
 }
 
-/// Runs `compare` and prints its tables.
+/// Runs `compare` and prints its tables: each seed's in full, or with several
+/// seeds their means alone.
 pub fn compare(options: &CompareOptions) -> Result<()> {
+    let mut seeds = Vec::new();
     for seed in &options.seeds {
         let runs = run_seed(options, *seed);
-        println!("{}", report::table(&runs));
+        if options.seeds.len() == 1 {
+            println!("{}", report::table(&runs));
+        }
         if let Some(directory) = &options.output {
             report::write(
                 &runs,
                 &directory.join(format!("{}-seed-{seed}", options.scenario.name)),
             )?;
         }
+        seeds.push(runs);
+    }
+    if seeds.len() > 1 {
+        println!(
+            "{}, means over seeds {:?}\n",
+            options.scenario.name, options.seeds
+        );
+        println!("{}", report::mean_table(&seeds));
     }
     Ok(())
 }
--- a/crates/croftrill-bench/src/policy/croftrill/config.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/config.rs
@@ -1,6 +1,7 @@
 //! Settings of the policy, and its variants for comparison.
 
 use croftrill_state::engine_memory::EvictionPolicy;
+use croftrill_state::replica_queue::{CombinedCost, CostUnit};
 use serde::Deserialize;
 
 /// How loads are admitted to the weight store.
@@ -48,6 +49,29 @@
     }
 }
 
+/// What groups are charged for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cost {
+    /// The same for each request.
+    Request,
+    /// The same for each token.
+    Token,
+    /// One non-linear unit for prefill, decode and load.
+    #[default]
+    Combined,
+}
+
+impl From<Cost> for CostUnit {
+    fn from(cost: Cost) -> Self {
+        match cost {
+            Cost::Request => CostUnit::PerRequest,
+            Cost::Token => CostUnit::PerToken,
+            Cost::Combined => CostUnit::Combined(CombinedCost::default()),
+        }
+    }
+}
+
 /// Settings of the policy.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -66,6 +90,16 @@
     pub idle_unload_seconds: u64,
     /// The same for models with tight deadlines.
     pub tight_idle_unload_seconds: u64,
+    /// How long after the named time the return of a refused caller is awaited,
+    /// in seconds; 0 starts no load for it.
+    pub return_grace_seconds: u64,
+    /// A request that waited this long may stop new work of a busy model of the
+    /// same class, in milliseconds.
+    pub displace_after_millis: u64,
+    /// Time that a loaded model may work before that, in milliseconds.
+    pub minimum_residence_millis: u64,
+    /// What groups are charged.
+    pub cost: Cost,
     /// Classes whose models keep one replica loaded.
     pub resident_classes: Vec<String>,
 }
@@ -80,6 +114,10 @@
             cache_facts: true,
             idle_unload_seconds: 300,
             tight_idle_unload_seconds: 900,
+            return_grace_seconds: 10,
+            displace_after_millis: 1_000,
+            minimum_residence_millis: 5_000,
+            cost: Cost::default(),
             resident_classes: Vec::new(),
         }
     }
--- a/crates/croftrill-bench/src/policy/croftrill/owner.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/owner.rs
@@ -11,10 +11,10 @@
 use croftrill_state::configuration::Model;
 use croftrill_state::engine_memory::{
     AssignedModel, CheckpointLocality, Demand, EngineMemory, HeldReplica, HeldReport, LoadTimeConfig,
-    MemoryAction, MemoryConfig, Settled,
+    MemoryAction, MemoryConfig, OrderAnswer, Settled,
 };
 use croftrill_state::load_admission::Permit;
-use croftrill_state::outcome::Refusal;
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::replica_queue::{QueueConfig, QueueItem, ReplicaQueue, Work};
 use croftrill_state::{AttemptId, ClusterState, Instant};
 use std::collections::BTreeMap;
@@ -24,7 +24,6 @@
 const INVENTORY_LAG_MILLIS: u64 = 25;
 /// Deadline named for a load that nobody waits for, in milliseconds.
 const NO_DEADLINE_MILLIS: u64 = 600_000;
-/// Where the engine's answers take this long, in microseconds.
 const MILLIS_IN_SECOND: u64 = 1000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +69,7 @@
         let profile = &world.scenario().engine;
         let mut queue = ReplicaQueue::new(QueueConfig {
             max_running: profile.max_running as u32,
+            cost: config.cost.into(),
             ..QueueConfig::default()
         });
         let weights = state.groups.values().map(|group| &group.value);
@@ -101,20 +101,53 @@
     /// A router's attempt.
     pub(super) fn submit(&mut self, world: &mut Sim<'_>, names: &Names, request: RequestIndex) {
         let now = world.instant();
-        let item = queue_item(world, names, request);
+        let item = self.queue_item(world, names, request);
         let target = item.target.clone();
         let slack = item.first_token_deadline.millis_since(now);
-        let wake = self.memory.wake(&target, now);
-        match self.queue.push(item, wake, now) {
-            Ok(()) => {
+        let memory = &self.memory;
+        match self.queue.push(item, |target| memory.wake(target, now), now) {
+            Ok(displaced) => {
                 self.memory.requested(&target, slack, now);
                 self.tell(world, request, News::Accepted);
+                if let Some((item, refusal)) = displaced {
+                    self.refuse(world, request_of(item.attempt), refusal);
+                }
+            }
+            Err(refusal) => {
+                self.await_return(&target, &refusal, now);
+                self.refuse(world, request, refusal);
             }
-            Err(refusal) => self.refuse(world, request, refusal),
         }
         self.step(world, names);
     }
 
+    /// A caller that was refused since the load takes too long will come back.
+    fn await_return(&mut self, target: &Target, refusal: &Refusal, now: Instant) {
+        if refusal.cause == RefusalCause::LoadTooSlow {
+            self.memory
+                .told_to_come_back(target, refusal.retry_after_millis, now);
+        }
+    }
+
+    fn queue_item(&self, world: &Sim<'_>, names: &Names, request: RequestIndex) -> QueueItem {
+        let spec = world.request(request);
+        let target = target_of(world, names, request);
+        let load_mib = self.memory.load_mib_if_absent(&target.model);
+        QueueItem {
+            attempt: attempt_of(request),
+            target,
+            group: names.group(spec.group).clone(),
+            priority: world.class(spec.class).priority,
+            first_token_deadline: Instant(spec.first_token_deadline / MILLISECOND),
+            total_deadline: Instant(spec.total_deadline / MILLISECOND),
+            work: Work {
+                prompt_tokens: spec.prompt_tokens,
+                output_tokens: spec.answer_tokens,
+                load_mib,
+            },
+        }
+    }
+
     /// The timer of `due` fired.
     pub(super) fn due(&mut self, world: &mut Sim<'_>, names: &Names) {
         if self.next_due.is_some_and(|at| at <= world.instant()) {
@@ -144,7 +177,9 @@
     }
 
     pub(super) fn unload_answered(&mut self, world: &mut Sim<'_>, names: &Names, model: ModelIndex) {
-        self.memory.order_uncertain(names.model(model));
+        let now = world.instant();
+        self.memory
+            .unload_answered(names.model(model), OrderAnswer::Done, now);
         self.take_inventory(world, names);
     }
 
@@ -155,8 +190,16 @@
 
     pub(super) fn finished(&mut self, world: &mut Sim<'_>, names: &Names, request: RequestIndex) {
         let now = world.instant();
-        self.queue.finish(attempt_of(request), now);
-        self.memory.use_ended(&target_of(world, names, request), now);
+        let spec = world.request(request);
+        let served = Work {
+            prompt_tokens: spec.prompt_tokens,
+            output_tokens: spec.answer_tokens,
+            load_mib: 0,
+        };
+        self.queue.finish(attempt_of(request), Some(served), now);
+        let priority = world.class(spec.class).priority;
+        self.memory
+            .use_ended(&target_of(world, names, request), priority, now);
         self.tell(world, request, News::Finished);
         self.step(world, names);
     }
@@ -177,6 +220,7 @@
         let memory = &self.memory;
         let refused = self.queue.expire(now, |target| memory.wake(target, now));
         for (item, refusal) in refused {
+            self.await_return(&item.target, &refusal, now);
             self.refuse(world, request_of(item.attempt), refusal);
         }
     }
@@ -185,7 +229,7 @@
         let delay = world.delay(world.request(request).router, self.engine);
         world.send(
             delay,
-            Message::Refused(request, self.engine, refusal, self.queue_load()),
+            Message::Refused(request, self.engine, refusal, self.queue_load(world.instant())),
         );
     }
 
@@ -193,12 +237,12 @@
         let delay = world.delay(world.request(request).router, self.engine);
         world.send(
             delay,
-            Message::News(request, self.engine, self.queue_load(), news),
+            Message::News(request, self.engine, self.queue_load(world.instant()), news),
         );
     }
 
-    fn queue_load(&self) -> QueueLoad {
-        let estimate = self.queue.estimate();
+    fn queue_load(&self, now: Instant) -> QueueLoad {
+        let estimate = self.queue.estimate(now);
         QueueLoad {
             waiting: estimate.waiting,
             running: estimate.running,
@@ -243,7 +287,7 @@
                     .model_index(&model)
                     .is_some_and(|index| world.unload(self.engine, index));
                 if !unloaded {
-                    self.memory.order_uncertain(&model);
+                    self.memory.unload_answered(&model, OrderAnswer::NoEffect, now);
                 }
             }
             MemoryAction::LoadAdapter { .. } | MemoryAction::UnloadAdapter { .. } => {}
@@ -263,7 +307,7 @@
                 self.ask_permit(world, names, model, demands, now);
             } else {
                 self.loads.remove(&model);
-                self.memory.load_not_begun(id);
+                self.memory.load_given_up(id);
             }
         }
     }
@@ -336,10 +380,9 @@
         let accelerators = load.accelerators.iter().map(|index| *index as usize).collect();
         let id = names.model(model);
         match world.start_load_on(self.engine, model, accelerators) {
-            Ok(()) => self.memory.load_accepted(id),
+            Ok(()) => self.memory.load_answered(id, OrderAnswer::Done, now),
             Err(_) => {
-                self.memory.load_not_begun(id);
-                self.memory.failed(id, None, now);
+                self.memory.load_answered(id, OrderAnswer::NoEffect, now);
                 self.report(world, model, now, false);
                 self.loads.remove(&model);
             }
@@ -389,7 +432,8 @@
                 return;
             };
             let request = request_of(item.attempt);
-            self.memory.use_started(&target_of(world, names, request), now);
+            self.memory
+                .use_started(&target_of(world, names, request), item.priority, now);
             world.dispatch(request, self.engine);
         }
     }
@@ -420,6 +464,9 @@
         eviction: config.eviction.into(),
         idle_unload_millis: config.idle_unload_seconds * MILLIS_IN_SECOND,
         tight_idle_unload_millis: config.tight_idle_unload_seconds * MILLIS_IN_SECOND,
+        displace_after_millis: config.displace_after_millis,
+        minimum_residence_millis: config.minimum_residence_millis,
+        return_grace_millis: config.return_grace_seconds * MILLIS_IN_SECOND,
         load_time: LoadTimeConfig {
             fixed_millis: profile.load_fixed_millis,
             memory_mib_per_second: profile.memory_mib_per_second,
@@ -451,22 +498,7 @@
             .cached_on_disk()
             .map(|model| names.model(model).clone())
             .collect(),
-    }
-}
-
-fn queue_item(world: &Sim<'_>, names: &Names, request: RequestIndex) -> QueueItem {
-    let spec = world.request(request);
-    QueueItem {
-        attempt: attempt_of(request),
-        target: target_of(world, names, request),
-        group: names.group(spec.group).clone(),
-        priority: world.class(spec.class).priority,
-        first_token_deadline: Instant(spec.first_token_deadline / MILLISECOND),
-        total_deadline: Instant(spec.total_deadline / MILLISECOND),
-        work: Work {
-            prompt_tokens: spec.prompt_tokens,
-            output_tokens: spec.answer_tokens,
-        },
+        others_running: false,
     }
 }
 
--- a/crates/croftrill-bench/src/report.rs
+++ b/crates/croftrill-bench/src/report.rs
@@ -1,8 +1,10 @@
 //! Runs as a table, as JSON, and as plots.
 
+mod means;
 mod plots;
 mod table;
 
+pub use means::mean_table;
 pub use plots::write_plots;
 pub use table::{summary_table, table};
 
--- a/crates/croftrill-bench/tests/simulation.rs
+++ b/crates/croftrill-bench/tests/simulation.rs
@@ -50,7 +50,7 @@
     let start = text.find("slowdowns = [").unwrap();
     let end = start + text[start..].find("\n]").unwrap() + 2;
     let text = format!("{}{slowdowns}{}", &text[..start], &text[end..]);
-    let text = text.replace("initial_disk_part = 0.3", "initial_disk_part = 0.0");
+    let text = text.replace("initial_disk_part = 0.15", "initial_disk_part = 0.0");
     let text = text.replace("checkpoint_part = 0.8", "checkpoint_part = 0.0");
     Scenario::parse(&text).unwrap()
 }
