--- a/crates/croftrill-bench/src/policy/croftrill/owner.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/owner.rs
@@ -166,7 +166,7 @@
     /// Reads what the engine holds.
     pub(super) fn take_inventory(&mut self, world: &mut Sim<'_>, names: &Names) {
         let now = world.instant();
-        let ticket = self.memory.inventory_asked();
+        let ticket = self.memory.inventory_asked(now);
         let report = held_report(world, names, self.engine);
         for settled in self.memory.reconcile(ticket, report, now) {
             if let Settled::Loaded(model) = settled {
