Reconcile: leave deleted models alone, and count what releasing replicas hold

Cause: a deleted model keeps its record until its replicas are released. The coordinator gave it new replicas, the state refused the entry, and with it every other change the coordinator had to make, until the last release was confirmed.

A property test of operators' plans and coordinator's changes in turn then found a second refusal: a releasing resident was counted with its model's present memory instead of what it holds, so a shrunk model looked smaller than it is.

--- a/crates/croftrill-state/src/reconcile/assignments.rs
+++ b/crates/croftrill-state/src/reconcile/assignments.rs
@@ -37,7 +37,7 @@
     let state = draft.state;
     for versioned in state.models.values() {
         let model = &versioned.value;
-        if !looks_after(draft, model, alive) {
+        if state.is_retiring(&model.id) || !looks_after(draft, model, alive) {
             continue;
         }
         let holdings = holdings(draft, model, &engines);
@@ -150,8 +150,15 @@
         .map(|engine| (engine.id.clone(), EngineRoom::new(engine)))
         .collect();
     for assignment in draft.state.all_assignments() {
-        let model = draft.state.models.get(&assignment.model);
-        if let (Some(room), Some(model)) = (rooms.get_mut(&assignment.engine), model) {
+        let Some(room) = rooms.get_mut(&assignment.engine) else {
+            continue;
+        };
+        if assignment.state == AssignmentState::Releasing {
+            let held = draft
+                .state
+                .releasing_memory(&assignment.model, &assignment.engine);
+            room.count_releasing(assignment, held);
+        } else if let Some(model) = draft.state.models.get(&assignment.model) {
             room.count(assignment, &model.value);
         }
     }
--- a/crates/croftrill-state/src/reconcile/engine_room.rs
+++ b/crates/croftrill-state/src/reconcile/engine_room.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::Model;
 use crate::identifiers::{EngineId, ModelId, ZoneId};
-use crate::placement::{Assignment, AssignmentState, Engine, Residency};
+use crate::placement::{Assignment, Engine, Residency};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Memory that an on-demand assignment needs beside the residents.
@@ -35,19 +35,30 @@
         }
     }
 
-    /// Counts an assignment that the engine has.
+    /// Counts an assignment that is not being released.
     pub(super) fn count(&mut self, assignment: &Assignment, model: &Model) {
-        self.promised_mib += need_of(model).accelerators as u64 * model.memory_mib_per_accelerator;
+        let need = need_of(model);
+        self.promised_mib += need.accelerators as u64 * need.memory_mib;
         match &assignment.residency {
-            Residency::Resident { accelerators } => {
-                for accelerator in accelerators {
-                    if let Some(free) = self.free_mib.get_mut(*accelerator as usize) {
-                        *free = free.saturating_sub(model.memory_mib_per_accelerator);
-                    }
-                }
+            Residency::Resident { accelerators } => self.take(accelerators, need.memory_mib),
+            Residency::OnDemand => self.on_demand.push(need),
+        }
+    }
+
+    /// Counts the memory that a releasing replica holds on each of its
+    /// accelerators, whatever its model's record says by now.
+    pub(super) fn count_releasing(&mut self, assignment: &Assignment, held_mib: u64) {
+        if let Residency::Resident { accelerators } = &assignment.residency {
+            self.promised_mib += accelerators.len() as u64 * held_mib;
+            self.take(accelerators, held_mib);
+        }
+    }
+
+    fn take(&mut self, accelerators: &[u32], memory_mib: u64) {
+        for accelerator in accelerators {
+            if let Some(free) = self.free_mib.get_mut(*accelerator as usize) {
+                *free = free.saturating_sub(memory_mib);
             }
-            Residency::OnDemand if assignment.state == AssignmentState::Releasing => {}
-            Residency::OnDemand => self.on_demand.push(need_of(model)),
         }
     }
 
