Reconcile: engines move back, one by one, after nodes returned

After a lost zone its engines stayed with owners in other zones for good, and a new node never got an engine. One engine moves in five seconds, only to a node that answered for thirty, into its own zone or away from an owner with three engines more than another.

Ruled out: moving all at once, since a move refuses what waits in the former owner's queue.

--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -18,6 +18,7 @@
 mod draft;
 mod engine_room;
 mod machines;
+mod moves;
 mod ownership;
 
 use crate::cluster::ClusterState;
@@ -36,6 +37,11 @@
     pub owner_dead_millis: u64,
     /// A machine missing from the list for this long is gone, in milliseconds.
     pub machine_absent_millis: u64,
+    /// A node that answers for this long may be given engines that have a usable
+    /// owner, in milliseconds.
+    pub steady_node_millis: u64,
+    /// Between two such moves, in milliseconds.
+    pub between_moves_millis: u64,
     /// Most changes in one plan.
     pub most_changes: usize,
 }
@@ -45,6 +51,8 @@
         Self {
             owner_dead_millis: 4_000,
             machine_absent_millis: 30_000,
+            steady_node_millis: 30_000,
+            between_moves_millis: 5_000,
             most_changes: 400,
         }
     }
@@ -75,6 +83,8 @@
     config: ReconcileConfig,
     cell: CellId,
     dead_since: BTreeMap<NodeId, Instant>,
+    alive_since: BTreeMap<NodeId, Instant>,
+    moved_at: Option<Instant>,
     node_absent_since: BTreeMap<NodeId, Instant>,
     engine_absent_since: BTreeMap<EngineId, Instant>,
 }
@@ -86,6 +96,8 @@
             config,
             cell,
             dead_since: BTreeMap::new(),
+            alive_since: BTreeMap::new(),
+            moved_at: None,
             node_absent_since: BTreeMap::new(),
             engine_absent_since: BTreeMap::new(),
         }
@@ -100,6 +112,7 @@
             self.draft_machines(&mut draft, machines, observation);
         }
         self.draft_owners(&mut draft, observation);
+        self.draft_move(&mut draft, observation);
         assignments::draft_assignments(&mut draft, observation.alive);
         let change = draft.into_change()?;
         acceptance::accepted_part(state, change)
@@ -110,6 +123,8 @@
         let now = observation.now;
         let dead = state.nodes.keys().filter(|id| !(observation.alive)(id));
         note_since(&mut self.dead_since, dead, now);
+        let alive = state.nodes.keys().filter(|id| (observation.alive)(id));
+        note_since(&mut self.alive_since, alive, now);
         let Some(machines) = usable(observation.machines) else {
             return;
         };
--- a/crates/croftrill-state/src/reconcile/ownership.rs
+++ b/crates/croftrill-state/src/reconcile/ownership.rs
@@ -9,14 +9,14 @@
 use std::collections::BTreeMap;
 
 /// A node that may own engines.
-struct Candidate {
-    id: NodeId,
-    zone: ZoneId,
-    owned: usize,
+pub(super) struct Candidate {
+    pub(super) id: NodeId,
+    pub(super) zone: ZoneId,
+    pub(super) owned: usize,
 }
 
 /// An engine without a usable owner.
-struct Orphan {
+pub(super) struct Orphan {
     id: EngineId,
     zone: ZoneId,
 }
@@ -43,7 +43,7 @@
         }
     }
 
-    fn orphans(&self, draft: &Draft, observation: &Observation) -> Vec<Orphan> {
+    pub(super) fn orphans(&self, draft: &Draft, observation: &Observation) -> Vec<Orphan> {
         let nodes: BTreeMap<&NodeId, &Node> = draft.nodes().map(|node| (&node.id, node)).collect();
         draft
             .engines()
@@ -70,7 +70,7 @@
     }
 }
 
-fn candidates(draft: &Draft, observation: &Observation) -> Vec<Candidate> {
+pub(super) fn candidates(draft: &Draft, observation: &Observation) -> Vec<Candidate> {
     let mut owned: BTreeMap<&NodeId, usize> = BTreeMap::new();
     for owner in draft.engines().filter_map(|engine| engine.owner.as_ref()) {
         *owned.entry(owner).or_default() += 1;
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -13,6 +13,8 @@
 const FIXED_SEED: u64 = 20_260_102;
 const OWNER_DEAD_MILLIS: u64 = 4_000;
 const MACHINE_ABSENT_MILLIS: u64 = 30_000;
+const STEADY_NODE_MILLIS: u64 = 30_000;
+const BETWEEN_MOVES_MILLIS: u64 = 5_000;
 const MOST_CHANGES: usize = 400;
 /// More plans than any change of the world takes.
 const MOST_PLANS: usize = 100;
@@ -82,6 +84,8 @@
         let config = ReconcileConfig {
             owner_dead_millis: OWNER_DEAD_MILLIS,
             machine_absent_millis: MACHINE_ABSENT_MILLIS,
+            steady_node_millis: STEADY_NODE_MILLIS,
+            between_moves_millis: BETWEEN_MOVES_MILLIS,
             most_changes,
         };
         Self {
@@ -276,6 +280,51 @@
     }
 }
 
+#[test]
+fn engines_return_one_by_one_to_a_zone_that_came_back() {
+    let mut world = two_zones();
+    let zone = [NodeId::from("a-node-0"), NodeId::from("a-node-1")];
+    world.dead.extend(zone.clone());
+    world.pass(OWNER_DEAD_MILLIS);
+    world.dead.clear();
+    world.pass(STEADY_NODE_MILLIS - 1);
+    let away = |world: &World| {
+        let engines = ["a-engine-0", "a-engine-1"].iter();
+        let away = engines.filter(|engine| !zone.contains(world.owner(engine).unwrap()));
+        away.count()
+    };
+    assert_eq!(away(&world), 2);
+    world.pass(1);
+    assert_eq!(away(&world), 1);
+    world.pass(BETWEEN_MOVES_MILLIS - 1);
+    assert_eq!(away(&world), 1);
+    world.pass(1);
+    assert_eq!(away(&world), 0);
+    assert_ne!(world.owner("a-engine-0"), world.owner("a-engine-1"));
+}
+
+#[test]
+fn a_new_node_gets_engines_of_one_that_has_clearly_more() {
+    let mut world = World::new();
+    world.list_node(node("old", "a"));
+    for index in 0..6 {
+        world.list_engine(engine(&format!("engine-{index}"), "a"));
+    }
+    world.settle();
+    world.list_node(node("new", "a"));
+    world.pass(STEADY_NODE_MILLIS);
+    for _ in 0..20 {
+        world.pass(BETWEEN_MOVES_MILLIS);
+    }
+    let new = NodeId::from("new");
+    let moved = world
+        .state
+        .engines
+        .values()
+        .filter(|e| e.value.owner.as_ref() == Some(&new));
+    assert_eq!(moved.count(), 2, "until neither has clearly more");
+}
+
 #[test]
 fn a_leaving_owner_loses_its_engines_at_once() {
     let mut world = two_zones();
@@ -720,6 +769,17 @@
         }
     }
 
+    /// Each move takes its time, and there are few.
+    fn check_moves_end(&mut self) {
+        self.pass(STEADY_NODE_MILLIS);
+        for _ in 0..self.state.engines.len() * 2 {
+            self.pass(BETWEEN_MOVES_MILLIS);
+        }
+        let head = self.state.revision;
+        self.pass(10 * BETWEEN_MOVES_MILLIS);
+        assert_eq!(self.state.revision, head);
+    }
+
     /// Nothing that takes new work is left where it should not be.
     fn check_settled(&self) {
         let nodes = &self.state.nodes;
@@ -775,5 +835,6 @@
         world.settle();
         world.pass(OWNER_DEAD_MILLIS);
         world.check_settled();
+        world.check_moves_end();
     }
 }
