Owners read only what changed; permits time out sooner

An actor took in all adapters of the cluster at every revision; now those of its own models, and only when a map that matters was changed. A coordinator that does not answer costs a cold start a second, not five.

--- a/crates/croftrill-owner/src/actor.rs
+++ b/crates/croftrill-owner/src/actor.rs
@@ -17,7 +17,7 @@
 use croftrill_protocol::attempt::QueueLoad;
 use croftrill_protocol::peer::{LoadPermit, ReportOutcome};
 use croftrill_state::cluster::Target;
-use croftrill_state::configuration::PriorityClass;
+use croftrill_state::configuration::{Adapter, PriorityClass};
 use croftrill_state::engine_memory::{AssignedModel, EngineMemory, InventoryTicket, MemoryAction};
 use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::placement::Engine;
@@ -110,6 +110,8 @@
     ended_set: BTreeSet<AttemptId>,
     loads: BTreeMap<ModelId, LoadProgress>,
     releases: BTreeMap<ModelId, ReleaseProgress>,
+    /// The state that was last taken in.
+    applied: Option<Arc<ClusterState>>,
     accounted_until: Instant,
     idle_accelerators: usize,
 }
@@ -143,6 +145,7 @@
             ended_set: BTreeSet::new(),
             loads: BTreeMap::new(),
             releases: BTreeMap::new(),
+            applied: None,
             accounted_until: now,
             idle_accelerators: 0,
             engine,
@@ -156,8 +159,7 @@
             "owner: engine taken over engine={} token={}",
             self.engine.id, self.token
         );
-        let state = self.shared.state.load_full();
-        self.apply_state(&state);
+        self.apply_state();
         while !self.is_done() {
             self.step();
             self.wait().await;
@@ -248,11 +250,11 @@
             self.retire(Retired::ByLog);
             return;
         }
-        let state = self.shared.state.load_full();
-        self.apply_state(&state);
+        self.apply_state();
     }
 
-    fn apply_state(&mut self, state: &ClusterState) {
+    fn apply_state(&mut self) {
+        let state = self.shared.state.load_full();
         let Some(engine) = state
             .engines
             .get(&self.engine.id)
@@ -270,12 +272,33 @@
             self.client = self.shared.engines.connect(&engine);
         }
         self.queue.set_max_running(engine.max_running);
-        self.queue.set_share_weights(share_weights(state));
-        let assigned = assigned_models(state, &engine.id);
-        let adapters = state.adapters.values().map(|found| found.value.clone()).collect();
-        self.memory
-            .set_assignments(engine.accelerator_memory_mib.clone(), assigned, adapters);
         self.engine = engine;
+        self.apply_groups(&state);
+        self.apply_assignments(&state);
+        self.applied = Some(state);
+    }
+
+    fn apply_groups(&mut self, state: &ClusterState) {
+        let applied = self.applied.as_ref();
+        if !applied.is_some_and(|applied| applied.groups.is_same(&state.groups)) {
+            self.queue.set_share_weights(share_weights(state));
+        }
+    }
+
+    fn apply_assignments(&mut self, state: &ClusterState) {
+        let unchanged = self.applied.as_ref().is_some_and(|applied| {
+            applied.models.is_same(&state.models)
+                && applied.adapters.is_same(&state.adapters)
+                && applied.engines.is_same(&state.engines)
+                && applied.assignments.is_same(&state.assignments)
+        });
+        if unchanged {
+            return;
+        }
+        let capacity = self.engine.accelerator_memory_mib.clone();
+        let assigned = assigned_models(state, &self.engine.id);
+        let adapters = adapters_of(state, &assigned);
+        self.memory.set_assignments(capacity, assigned, adapters);
     }
 
     fn retire(&mut self, retired: Retired) {
@@ -363,3 +386,13 @@
         })
         .collect()
 }
+
+/// The adapters of the models that the engine may hold.
+fn adapters_of(state: &ClusterState, assigned: &[AssignedModel]) -> Vec<Adapter> {
+    let bases: BTreeSet<&ModelId> = assigned.iter().map(|assigned| &assigned.model.id).collect();
+    let adapters = state.adapters.values().map(|found| &found.value);
+    adapters
+        .filter(|adapter| bases.contains(&adapter.base))
+        .cloned()
+        .collect()
+}
--- a/crates/croftrill-owner/src/actor/loads.rs
+++ b/crates/croftrill-owner/src/actor/loads.rs
@@ -108,7 +108,7 @@
         };
         let permits = self.shared.permits.clone();
         let sender = self.sender.clone();
-        let limit = self.call_timeout();
+        let limit = Duration::from_millis(self.shared.config.permit_timeout_millis);
         let model = id.clone();
         tokio::spawn(async move {
             let answer = tokio::time::timeout(limit, permits.request_load(request)).await;
--- a/crates/croftrill-owner/src/config.rs
+++ b/crates/croftrill-owner/src/config.rs
@@ -17,6 +17,9 @@
     pub catch_up_millis: u64,
     /// Longest wait for the answer to an order or inventory, in milliseconds.
     pub engine_call_timeout_millis: u64,
+    /// Longest wait for the coordinator's answer about a load, in milliseconds;
+    /// then the local rate decides.
+    pub permit_timeout_millis: u64,
     /// Shortest pause between inventories while a load or unload is under way,
     /// in milliseconds.
     pub inventory_poll_millis: u64,
@@ -61,6 +64,7 @@
             memory: MemoryConfig::default(),
             catch_up_millis: 500,
             engine_call_timeout_millis: 5_000,
+            permit_timeout_millis: 1_000,
             inventory_poll_millis: 50,
             inventory_poll_max_millis: 1_000,
             others_poll_millis: 1_000,
--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -97,9 +97,11 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_lost_engine_gets_no_more_orders_and_its_streams_run_on() {
-    let world = world();
+    let world = world_with(|config| config.memory.idle_unload_millis = 500);
+    world.assign("idle", 50, Residency::OnDemand);
     world.assign("m", 50, Residency::OnDemand);
     whole_text(&world.events_of(world.request("m")).await);
+    whole_text(&world.events_of(world.request("idle")).await);
     world.engine.behave(|behaviour| behaviour.token_millis = 500);
     let running: Vec<_> = (0..4).map(|_| world.spawn(world.request("m"))).collect();
     pass(100).await;
@@ -117,6 +119,10 @@
     }
     pass(60_000).await;
     assert_eq!(world.engine.records().len(), before);
+    assert!(
+        world.engine.holds("idle"),
+        "unloaded by an owner that lost the engine"
+    );
     assert_eq!(world.service.open_attempts(), 0);
 }
 
