A model that callers were told to come back for is kept until they can

It counted as never asked for, so that it was the first to give way once it was loaded. Refused requests now count in the observed rate, and an awaited model is neither evicted as idle nor unloaded as idle.

--- a/crates/croftrill-owner/src/actor/attempts.rs
+++ b/crates/croftrill-owner/src/actor/attempts.rs
@@ -32,14 +32,17 @@
         }
         let item = self.queue_item(&submission.request, submission.arrival);
         let (target, slack) = (item.target.clone(), item.first_token_deadline.millis_since(now));
-        submission.cold = self.wake(&target, now) != Wake::Ready;
+        let wake = self.wake(&target, now);
+        submission.cold = wake != Wake::Ready;
+        if !matches!(wake, Wake::Never { .. }) {
+            self.memory.requested(&target, slack, now);
+        }
         let (link_up, memory) = (self.link.is_up(), &self.memory);
         let pushed = self
             .queue
             .push(item, |target| wake_of(link_up, memory, target, now), now);
         match pushed {
             Ok(displaced) => {
-                self.memory.requested(&target, slack, now);
                 self.accept(submission);
                 self.refuse_items(displaced);
             }
--- a/crates/croftrill-state/src/engine_memory.rs
+++ b/crates/croftrill-state/src/engine_memory.rs
@@ -222,6 +222,11 @@
         holding.difference(&busy).count()
     }
 
+    /// Whether a caller was told to come back for the model.
+    fn is_awaited(&self, model: &ModelId) -> bool {
+        self.awaited.keys().any(|target| target.model == *model)
+    }
+
     fn usage_of<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Usage> + 'a {
         self.usage
             .iter()
--- a/crates/croftrill-state/src/engine_memory/decide.rs
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -296,7 +296,7 @@
             .get(id)
             .is_some_and(|assigned| assigned.residency == Residency::OnDemand);
         let wanted = demands.iter().any(|demand| demand.target.model == *id);
-        on_demand && !wanted && self.idle_until(id).is_some_and(|until| now >= until)
+        on_demand && !wanted && !self.is_awaited(id) && self.idle_until(id).is_some_and(|until| now >= until)
     }
 
     /// When a loaded model counts as idle, if nobody asks for it until then.
@@ -328,9 +328,8 @@
             return false;
         }
         let resident = matches!(assigned.residency, Residency::Resident { .. });
-        let awaited = self.awaited.keys().any(|target| target.model == *id);
         let mut waiting = demands.iter().filter(|demand| demand.target.model == *id);
-        resident || awaited || waiting.any(|demand| self.helps_in_time(demand, now))
+        resident || self.is_awaited(id) || waiting.any(|demand| self.helps_in_time(demand, now))
     }
 
     /// When `decide` should be called again even if nothing happens.
--- a/crates/croftrill-state/src/engine_memory/eviction.rs
+++ b/crates/croftrill-state/src/engine_memory/eviction.rs
@@ -25,7 +25,7 @@
     pub(super) fn idle_candidates(&self, all: &[Demand], now: Instant) -> Candidates {
         let models = self.loaded_on_demand().filter(|id| {
             let wanted = all.iter().any(|demand| demand.target.model == **id);
-            !wanted && !self.in_use(id)
+            !wanted && !self.is_awaited(id) && !self.in_use(id)
         });
         let mut candidates: Candidates = models.map(|id| self.with_cost(model(id), now)).collect();
         candidates.extend(self.idle_adapters(all, now));
--- a/crates/croftrill-state/tests/engine_memory_policy.rs
+++ b/crates/croftrill-state/tests/engine_memory_policy.rs
@@ -162,6 +162,15 @@
     }
 }
 
+#[test]
+fn a_model_that_a_caller_may_come_back_for_is_not_evicted_as_idle() {
+    let mut memory = full_memory(MemoryConfig::default());
+    let now = Instant(10 * SECOND);
+    memory.told_to_come_back(&target("b"), 1_000, now);
+    let demands = [demand("c", PriorityClass::Batch, now, 60 * SECOND)];
+    assert_eq!(evicted(&memory.decide(&demands, now)), ["a"]);
+}
+
 #[test]
 fn idle_models_are_unloaded_later_if_their_deadlines_are_tight() {
     let config = MemoryConfig::default();
