--- a/crates/croftrill-daemon/src/command_line.rs
+++ b/crates/croftrill-daemon/src/command_line.rs
@@ -1,6 +1,6 @@
 //! The daemon's command line.
 
-use croftrill_settings::{Findings, HttpEndpoint, LogLevel, Overrides, Settings};
+use croftrill_settings::{Findings, HttpEndpoint, KeyOverride, LogLevel, Overrides, Settings};
 use lexopt::prelude::*;
 use std::path::PathBuf;
 
@@ -26,6 +26,7 @@
       --machine-list URL      platform.machine_list
       --weight-store URL      platform.weight_store
       --log-level LEVEL       log.level (off, error, warn, info, debug, trace)
+      --set KEY=VALUE         any key of the settings file, may be repeated
   -h, --help                  print this help
   -V, --version               print the version
 
@@ -98,6 +99,7 @@
             Long("key-value") => overrides.key_value = Some(endpoint(&mut parser)?),
             Long("machine-list") => overrides.machine_list = Some(endpoint(&mut parser)?),
             Long("weight-store") => overrides.weight_store = Some(endpoint(&mut parser)?),
+            Long("set") => overrides.keys.push(key_override(&mut parser)?),
             Long("log-level") => overrides.log_level = Some(log_level(&mut parser)?),
             other => return Err(other.unexpected()),
         }
@@ -110,6 +112,11 @@
     HttpEndpoint::parse(&text).ok_or_else(|| format!("{text:?} is not of the form http://ip:port").into())
 }
 
+fn key_override(parser: &mut lexopt::Parser) -> Result<KeyOverride, lexopt::Error> {
+    let text = parser.value()?.string()?;
+    KeyOverride::parse(&text).ok_or_else(|| format!("{text:?} is not of the form key=value").into())
+}
+
 fn log_level(parser: &mut lexopt::Parser) -> Result<LogLevel, lexopt::Error> {
     let text = parser.value()?.string()?;
     LogLevel::parse(&text).ok_or_else(|| format!("{text:?} is not a log level").into())
--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -6,10 +6,10 @@
 use croftrill_coordination::claim_service::{ClaimClient, ClaimClientConfig};
 use croftrill_coordination::load_permits::{FallbackRate, LoadPermitClient};
 use croftrill_coordination::replication::Replica;
-use croftrill_gateway::{Gateway, GatewayConfig};
+use croftrill_gateway::{ClassDeadlines, Gateway, GatewayConfig};
 use croftrill_owner::{OwnerConfig, OwnerService};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest};
-use croftrill_settings::Settings;
+use croftrill_settings::{Deadlines, Settings};
 use croftrill_transport::attempt_client::{AttemptClientConfig, AttemptClients};
 use croftrill_transport::attempt_server::{AttemptHandler, AttemptServer};
 use futures::stream::BoxStream;
@@ -119,10 +119,20 @@
     )
 }
 
+fn class_deadlines(deadlines: &Deadlines) -> ClassDeadlines {
+    ClassDeadlines {
+        critical_millis: deadlines.critical.as_millis() as u64,
+        interactive_millis: deadlines.interactive.as_millis() as u64,
+        standard_millis: deadlines.standard.as_millis() as u64,
+        batch_millis: deadlines.batch.as_millis() as u64,
+    }
+}
+
 fn gateway_config(settings: &Settings) -> GatewayConfig {
     let limits = &settings.limits;
     let mut config = GatewayConfig {
         max_body_bytes: limits.body_bytes,
+        default_first_token_deadlines: class_deadlines(&limits.deadlines),
         longest_deadline_millis: limits.deadlines.longest.as_millis() as u64,
         most_attempts: limits.attempts,
         ..GatewayConfig::default()
--- a/crates/croftrill-gateway/src/answers.rs
+++ b/crates/croftrill-gateway/src/answers.rs
@@ -221,7 +221,8 @@
 
 /// The list of models and adapters.
 pub(crate) fn model_list(state: &ClusterState) -> Value {
-    let models = state.models.keys().map(|model| model.as_str());
+    let served = state.models.keys().filter(|model| !state.is_retiring(model));
+    let models = served.map(|model| model.as_str());
     let adapters = state.adapters.keys().map(|adapter| adapter.as_str());
     let entries: Vec<Value> = models
         .chain(adapters)
--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::answers::{model_list, AnswerFormat, Interface};
 use crate::caller_request::CallerRequest;
 use crate::claims::ClaimAuthority;
+use crate::class_deadlines::ClassDeadlines;
 use crate::dispatch::Dispatcher;
 use crate::errors::CallerError;
 use crate::json_input::{parse_chat, parse_completion, GenerationInput};
@@ -40,8 +41,8 @@
     pub max_body_bytes: usize,
     /// Longest wait for a request body, in milliseconds.
     pub body_timeout_millis: u64,
-    /// Deadline of the first token if the caller names none, in milliseconds.
-    pub default_first_token_deadline_millis: u64,
+    /// Deadlines of the first token if the caller names none.
+    pub default_first_token_deadlines: ClassDeadlines,
     /// Deadline of the whole answer if the caller names none, in milliseconds.
     pub default_total_deadline_millis: u64,
     /// Longest deadline that a caller may have, in milliseconds.
@@ -63,7 +64,7 @@
         Self {
             max_body_bytes: 4 * 1024 * 1024,
             body_timeout_millis: 10_000,
-            default_first_token_deadline_millis: 60_000,
+            default_first_token_deadlines: ClassDeadlines::default(),
             default_total_deadline_millis: 600_000,
             longest_deadline_millis: 3_600_000,
             most_tokens: 32_768,
--- a/crates/croftrill-gateway/src/lib.rs
+++ b/crates/croftrill-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - a claim that was asked for is always finished.
 
 pub mod claims;
+mod class_deadlines;
 pub mod gateway;
 pub mod metrics;
 pub mod routing;
@@ -28,4 +29,5 @@
 pub mod retry_policy;
 
 pub use claims::{ClaimAuthority, ClaimDecision};
+pub use class_deadlines::ClassDeadlines;
 pub use gateway::{Gateway, GatewayConfig};
