Gateway: a node without a copy of the log says so

Cause: after a restart of all nodes while the key-value service was away, a gateway answered callers by its empty state: 403 "there is no group tests", which tells them to give up. The failing runs:

whole_system_restarted_in_an_outage_waits_for_the_log: left: 403 right: 503 cause unknown_group, "there is no group tests" a_node_without_a_copy_of_the_log_asks_to_come_back: left: 403 right: 503

Ruled out: keeping the callers' listener closed until then; a refused connection tells neither that nothing ran nor when to come back. After: both pass; the answer is 503, not run, with the time to come back, also for the list of models. Conclusion: revision 0 is "nothing known yet", never "nothing configured".

--- a/crates/croftrill-gateway/src/errors.rs
+++ b/crates/croftrill-gateway/src/errors.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 
 const MILLIS_PER_SECOND: u64 = 1000;
+/// When to come back to a node that has no copy of the log yet, in milliseconds.
+const NO_COPY_RETRY_MILLIS: u64 = 1_000;
 
 /// A final answer that is not the model's.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +50,16 @@
         Self::invalid(StatusCode::BAD_REQUEST, RefusalCause::Invalid, message)
     }
 
+    /// The node has just started and knows nothing of the configuration yet, so
+    /// it cannot say whether the request is right.
+    pub fn no_copy_yet() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            message: "this node has no copy of the configuration yet; the request did not run".to_string(),
+            refusal: Refusal::not_run(RefusalCause::NoReplica, NO_COPY_RETRY_MILLIS),
+        }
+    }
+
     /// A refusal that was decided behind the API.
     pub fn refused(refusal: Refusal) -> Self {
         Self {
--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use croftrill_state::outcome::RefusalCause;
 use croftrill_state::retry_budget::RetryBudgetConfig;
-use croftrill_state::{ClusterState, GroupId, IdempotencyKey, Instant, RequestId};
+use croftrill_state::{ClusterState, GroupId, IdempotencyKey, Instant, RequestId, Revision};
 use croftrill_transport::attempt_client::AttemptClients;
 use croftrill_transport::http_server::{self, json_answer, read_body, BodyError, HttpBody, HttpServerConfig};
 use http::header::HeaderValue;
@@ -117,7 +117,7 @@
         let result = match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/completions") => self.generate(id, Interface::Completions, request).await,
             (&Method::POST, "/v1/chat/completions") => self.generate(id, Interface::Chat, request).await,
-            (&Method::GET, "/v1/models") => Ok(self.models()),
+            (&Method::GET, "/v1/models") => self.models(),
             (_, "/v1/completions" | "/v1/chat/completions" | "/v1/models") => Err(not_here(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "the path has no such method",
@@ -131,9 +131,19 @@
         response
     }
 
-    fn models(&self) -> Response<HttpBody> {
-        let list = model_list(&self.dispatcher.state.load());
-        json_answer(StatusCode::OK, list.to_string())
+    fn models(&self) -> Result<Response<HttpBody>, CallerError> {
+        let state = self.known_state()?;
+        let list = model_list(&state);
+        Ok(json_answer(StatusCode::OK, list.to_string()))
+    }
+
+    /// The present state. At revision 0 there is none: the node has just started.
+    fn known_state(&self) -> Result<Arc<ClusterState>, CallerError> {
+        let state = self.dispatcher.state.load_full();
+        if state.revision == Revision(0) {
+            return Err(CallerError::no_copy_yet());
+        }
+        Ok(state)
     }
 
     async fn generate(
@@ -179,7 +189,7 @@
         input: GenerationInput,
         arrived_at: Instant,
     ) -> Result<CallerRequest, CallerError> {
-        let state = self.dispatcher.state.load();
+        let state = self.known_state()?;
         CallerRequest::new(
             id,
             &parts.headers,
--- a/crates/croftrill-gateway/tests/bad_input.rs
+++ b/crates/croftrill-gateway/tests/bad_input.rs
@@ -146,3 +146,17 @@
     assert_eq!(&answer, b"HTTP/1.1 413");
     assert!(owner.seen().is_empty());
 }
+
+/// A node that has just started knows no group and no model, and must not say
+/// that there are none.
+#[tokio::test]
+async fn a_node_without_a_copy_of_the_log_asks_to_come_back() {
+    let (gateway, _owner) = gateway().await;
+    gateway.state.store(Default::default());
+    let answer = gateway.complete(false, &[]).await;
+    assert_refused(&answer, StatusCode::SERVICE_UNAVAILABLE, "no_replica");
+    assert!(answer.headers.contains_key("retry-after"));
+    let request = Request::get("/v1/models").header("host", "gateway");
+    let listed = gateway.call(request.body(Full::default()).unwrap()).await;
+    assert_eq!(listed.status, StatusCode::SERVICE_UNAVAILABLE, "{}", listed.body);
+}
