Log: the first copy of a node is whole

Cause: a node publishes each page as it comes, and counts as ready and serves from revision 1 on. A node that started while the log was longer than one page was ready with a configuration that had been replaced long before. The failing runs:

the_first_copy_from_the_service_is_whole_or_none: after 5 calls: 15 (of 45) the_first_copy_from_a_peer_is_whole: left: Revision(4) right: Revision(12)

Ruled out: a flag "ready" beside the state, since each reader (gateway, owner, claims, readiness) would have to heed it; the traffic threads know only states. Conclusion: the first published state is one that some node or the service had when the node started, so a restarted node never shows an older one.

--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -5,9 +5,12 @@
 //!   always one that every node passes through;
 //! - the published revision never goes back, whatever a peer or the service
 //!   answers;
+//! - the first published state is a whole copy of what a peer or the service
+//!   had, never a part of the log: a node serves as soon as it has one;
 //! - a proposal takes effect at most once: it is offered at the next revision
 //!   only after another entry was seen to have won the last one.
 
+mod first_copy;
 mod follower;
 mod live_members;
 mod peer_connector;
@@ -161,6 +164,9 @@
         if after >= state.revision {
             return LogPage::Entries(Vec::new());
         }
+        if after == Revision(0) {
+            return LogPage::Snapshot((*state).clone());
+        }
         match guarded.recent.page(after, limit as usize, self.config.page_bytes) {
             Some(entries) => LogPage::Entries(entries),
             None => LogPage::Snapshot((*state).clone()),
@@ -178,7 +184,7 @@
     /// Reads the key-value service until nothing newer is there.
     pub async fn catch_up_from_log(&self) -> Result<(), ReadError> {
         if self.head() == Revision(0) {
-            self.read_latest_snapshot().await?;
+            self.read_first_copy().await?;
         }
         loop {
             let before = self.head();
@@ -248,12 +254,7 @@
                 break;
             }
             let state = next.get_or_insert_with(|| (*self.state()).clone());
-            if let Err(error) = state.apply(entry) {
-                log::info!(
-                    "log: entry rejected revision={} error=\"{error}\"",
-                    entry.revision
-                );
-            }
+            apply(state, entry);
             guarded.recent.push(entry.clone());
         }
         match next {
@@ -287,3 +288,13 @@
         self.guarded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Applies an entry; one that the state rejects only advances the revision.
+fn apply(state: &mut ClusterState, entry: &LogEntry) {
+    if let Err(error) = state.apply(entry) {
+        log::info!(
+            "log: entry rejected revision={} error=\"{error}\"",
+            entry.revision
+        );
+    }
+}
--- a/crates/croftrill-coordination/tests/replication.rs
+++ b/crates/croftrill-coordination/tests/replication.rs
@@ -192,6 +192,42 @@
     assert_eq!(*late.state(), *writer.state());
 }
 
+/// A node serves as soon as it has a copy, so the first one must not be a part
+/// of the log.
+#[tokio::test(start_paused = true)]
+async fn the_first_copy_from_the_service_is_whole_or_none() {
+    let service = SimulatedService::new();
+    let writer = replica_over("writer", service.client());
+    put_many(&writer, 15).await;
+    writer.write_snapshot().await.unwrap();
+    put_many_from(&writer, 15, 30).await;
+    let calls_of_a_copy = 40;
+    for calls_before_the_fault in 0..calls_of_a_copy {
+        let client = service.client();
+        let late = replica_over("late", client.clone());
+        client.fail_next(vec![Fault::None; calls_before_the_fault]);
+        client.fail_next([Fault::Unreachable]);
+        let result = late.catch_up_from_log().await;
+        let expected = if result.is_ok() { 45 } else { 0 };
+        let whole_or_none = late.head() == Revision(expected) || late.head() == Revision(45);
+        assert!(
+            whole_or_none,
+            "after {calls_before_the_fault} calls: {}",
+            late.head()
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_copy_from_a_peer_is_whole() {
+    let service = SimulatedService::new();
+    let peer = replica_over("peer", service.client());
+    put_many(&peer, 12).await;
+    let late = replica_over("late", service.client());
+    assert!(late.apply_page(peer.log_page(Revision(0), 4)));
+    assert_eq!(late.head(), Revision(12));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_node_behind_a_compaction_goes_on_from_the_snapshot() {
     let service = SimulatedService::new();
