Proposals wait a moment for the rate limit of the key-value service

Cause: a change was refused as "the key-value service is not available ... Try again in 20 ms" as soon as the service asked for 20 ms of patience: `croftrill model create` ended with code 4 on a healthy service limited to 20 calls a second. The failing run:

a_proposal_waits_a_moment_for_the_rate_limit_and_not_for_an_outage: left: Unavailable { retry_after_millis: 7 } right: Applied(Revision(1))

Ruled out: waiting inside the append, whose contract is that a refused write is told at once; the coordinator has its own pause. After: the test passes. One proposal waits 1.5 s all in all, each time as long as the service says; an unreachable service (2 s) is told at once as before.

--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -51,6 +51,9 @@
     pub page_bytes: usize,
     /// Most lost races of one proposal before it is given up as unavailable.
     pub propose_attempts: u32,
+    /// Longest time that one proposal waits, all in all, because the service
+    /// asks for a moment's patience, in milliseconds.
+    pub propose_patience_millis: u64,
 }
 
 impl ReplicaConfig {
@@ -63,6 +66,7 @@
             read_limit: 64,
             page_bytes: 1024 * 1024,
             propose_attempts: 20,
+            propose_patience_millis: 1_500,
         }
     }
 }
--- a/crates/croftrill-coordination/src/replication/proposals.rs
+++ b/crates/croftrill-coordination/src/replication/proposals.rs
@@ -5,6 +5,7 @@
 use croftrill_state::cluster::ApplyError;
 use croftrill_state::entry::{Change, LogEntry};
 use croftrill_state::{EntryId, Revision, Term};
+use std::time::Duration;
 
 /// When to come back after too many lost races, in milliseconds.
 const CONTENDED_RETRY_MILLIS: u64 = 1_000;
@@ -42,6 +43,7 @@
     pub async fn propose(&self, change: Change, term: Term) -> ProposeOutcome {
         let _turn = self.proposing.lock().await;
         let mut refreshed = false;
+        let mut patience_millis = self.config.propose_patience_millis;
         for _ in 0..self.config.propose_attempts {
             let state = self.state();
             let entry = self.next_entry(state.revision, change.clone(), term);
@@ -54,6 +56,14 @@
                 continue;
             }
             match self.offer(&entry).await {
+                // A rate limit names the moment; nobody need be sent away for it.
+                Offer::Done(ProposeOutcome::Unavailable { retry_after_millis })
+                    if retry_after_millis <= patience_millis =>
+                {
+                    let pause = retry_after_millis.max(1);
+                    patience_millis = patience_millis.saturating_sub(pause);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                }
                 Offer::Done(outcome) => return outcome,
                 Offer::Again => {}
             }
--- a/crates/croftrill-coordination/tests/replication.rs
+++ b/crates/croftrill-coordination/tests/replication.rs
@@ -68,6 +68,34 @@
     assert_eq!(revisions, [1, 2, 3, 4, 5]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_proposal_waits_a_moment_for_the_rate_limit_and_not_for_an_outage() {
+    let service = SimulatedService::new();
+    let client = service.client();
+    let replica = replica_over("node", client.clone());
+    client.fail_next([Fault::RateLimited; 3]);
+    assert_eq!(
+        put(&replica, "limited").await,
+        ProposeOutcome::Applied(Revision(1))
+    );
+
+    client.fail_next([Fault::RateLimited; 1_000]);
+    let refused = put(&replica, "limited-for-long").await;
+    assert!(
+        matches!(refused, ProposeOutcome::Unavailable { .. }),
+        "{refused:?}"
+    );
+    client.clear_faults();
+
+    client.fail_next([Fault::Unreachable]);
+    let refused = put(&replica, "unreachable").await;
+    assert!(
+        matches!(refused, ProposeOutcome::Unavailable { .. }),
+        "{refused:?}"
+    );
+    assert_eq!(service.keys("croftrill/log/").len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_plan_from_a_stale_view_is_rejected_with_the_change_that_came_first() {
     let service = SimulatedService::new();
