A gateway dispatches nothing after its grant is too old

Cause: a claim's grant names the time after which no attempt may be dispatched, because the key may be free for others by then. The daemon dropped it on the way to the gateway, so a gateway that was paused after its grant could dispatch in spite of it.

Ruled out: a check only when the grant arrives. The pause may come later, and a retry of what did not run is a dispatch as well; so the check is made right before each attempt.

Conclusion: such a request is refused as key_history_unknown. With a caller's key it says may_have_run, since another request may have used the key.

--- a/crates/croftrill-daemon/src/gateway_claims.rs
+++ b/crates/croftrill-daemon/src/gateway_claims.rs
@@ -19,7 +19,9 @@
     async fn claim(&self, key: &IdempotencyKey, request: RequestId) -> ClaimDecision {
         let deadline = tokio::time::Instant::now() + CLAIM_LIMIT;
         match self.0.claim(key, request, deadline).await {
-            claim_service::ClaimDecision::Granted(_) => ClaimDecision::Granted,
+            claim_service::ClaimDecision::Granted(grant) => ClaimDecision::Granted {
+                dispatch_before: grant.dispatch_before,
+            },
             claim_service::ClaimDecision::Duplicate { finished, .. } => ClaimDecision::Taken { finished },
             claim_service::ClaimDecision::HistoryUnknown { retry_after_millis } => {
                 ClaimDecision::HistoryUnknown { retry_after_millis }
--- a/crates/croftrill-gateway/src/attempt_run.rs
+++ b/crates/croftrill-gateway/src/attempt_run.rs
@@ -1,6 +1,7 @@
 //! One attempt at one engine.
 
 use crate::caller_request::CallerRequest;
+use crate::claim_ticket::ClaimTicket;
 use crate::dispatch::{AnswerEvent, AnswerSummary, Dispatcher};
 use crate::interruption::{Interruption, InterruptionWatch};
 use crate::retry_policy::shows_not_loaded;
@@ -37,6 +38,7 @@
 pub(crate) struct AttemptRun<'a> {
     pub dispatcher: &'a Arc<Dispatcher>,
     pub request: &'a CallerRequest,
+    pub claim: &'a ClaimTicket,
     pub candidate: &'a Candidate,
     pub revision: Revision,
     pub watch: &'a mut InterruptionWatch,
@@ -46,6 +48,10 @@
 impl AttemptRun<'_> {
     /// Runs to the end; dropping the stream at any end cancels what still runs.
     pub async fn run(mut self) -> AttemptEnd {
+        // Right before the dispatch, since the process may have been paused.
+        if let Err(refusal) = self.claim.check_dispatch(tokio::time::Instant::now()) {
+            return AttemptEnd::Failed(refusal);
+        }
         let attempt = AttemptId(rand::random());
         let progress = self.assembly.begin_attempt(attempt);
         if progress.is_some() {
--- a/crates/croftrill-gateway/src/claim_ticket.rs
+++ b/crates/croftrill-gateway/src/claim_ticket.rs
@@ -6,9 +6,10 @@
 use croftrill_protocol::peer::ClaimResult;
 use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
 use croftrill_state::RequestId;
-use log::info;
+use log::{info, warn};
 use std::sync::Arc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// When a caller should come back if nothing better is known, in milliseconds.
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
@@ -29,6 +30,8 @@
     run_once: Option<RunOnce>,
     /// Whether the key's holder may count the request as the key's owner.
     open: bool,
+    /// Set by the grant: no attempt may be dispatched later.
+    dispatch_before: Option<Instant>,
 }
 
 impl ClaimTicket {
@@ -38,9 +41,31 @@
             request,
             run_once,
             open: false,
+            dispatch_before: None,
         }
     }
 
+    /// Whether the request may be dispatched at `now`. A gateway that was paused
+    /// after its grant may find the key free for others.
+    pub fn check_dispatch(&self, now: Instant) -> Result<(), Refusal> {
+        let (Some(run_once), Some(before)) = (&self.run_once, self.dispatch_before) else {
+            return Ok(());
+        };
+        if now < before {
+            return Ok(());
+        }
+        warn!(
+            "gateway: grant too old to dispatch request={} key={}",
+            self.request, run_once.key
+        );
+        let cause = RefusalCause::KeyHistoryUnknown;
+        Err(not_granted(
+            run_once.from_caller,
+            cause,
+            DEFAULT_RETRY_AFTER_MILLIS,
+        ))
+    }
+
     /// Asks for the claim; the request may run only if it is granted.
     pub async fn ask(&mut self, watch: &InterruptionWatch) -> Result<(), ClaimFailure> {
         let Some(RunOnce { key, from_caller }) = &self.run_once else {
@@ -51,7 +76,10 @@
         let decision = watch.run(self.claims.claim(key, self.request)).await;
         let from_caller = *from_caller;
         match decision {
-            Ok(ClaimDecision::Granted) => Ok(()),
+            Ok(ClaimDecision::Granted { dispatch_before }) => {
+                self.dispatch_before = Some(dispatch_before);
+                Ok(())
+            }
             Ok(ClaimDecision::Taken { finished }) => {
                 self.open = false;
                 info!(
@@ -64,15 +92,15 @@
             Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
                 self.open = false;
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(not_granted(from_caller, cause, retry_after_millis))
+                Err(refused(from_caller, cause, retry_after_millis))
             }
             Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(not_granted(from_caller, cause, retry_after_millis))
+                Err(refused(from_caller, cause, retry_after_millis))
             }
             Err(Interruption::DeadlinePassed) => {
                 let cause = RefusalCause::DeadlineExpired;
-                Err(not_granted(from_caller, cause, DEFAULT_RETRY_AFTER_MILLIS))
+                Err(refused(from_caller, cause, DEFAULT_RETRY_AFTER_MILLIS))
             }
             Err(Interruption::CallerGone) => Err(ClaimFailure::CallerGone),
         }
@@ -93,17 +121,21 @@
     }
 }
 
-/// Until the claim is granted, an earlier request with the caller's key may have
+/// Without a claim in force, an earlier request with the caller's key may have
 /// run. Nobody else uses a key that the gateway made.
-fn not_granted(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
+fn not_granted(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> Refusal {
     let execution = if from_caller {
         Execution::MayHaveRun
     } else {
         Execution::NotRun
     };
-    ClaimFailure::Refused(Refusal {
+    Refusal {
         execution,
         cause,
         retry_after_millis: retry_after_millis.max(1),
-    })
+    }
+}
+
+fn refused(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
+    ClaimFailure::Refused(not_granted(from_caller, cause, retry_after_millis))
 }
--- a/crates/croftrill-gateway/src/claims.rs
+++ b/crates/croftrill-gateway/src/claims.rs
@@ -3,12 +3,17 @@
 use async_trait::async_trait;
 use croftrill_protocol::peer::ClaimResult;
 use croftrill_state::{IdempotencyKey, RequestId};
+use tokio::time::Instant;
 
 /// The answer to a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClaimDecision {
     /// This request, and no other, may run.
-    Granted,
+    Granted {
+        /// No attempt may be dispatched after this time, because the key may be
+        /// free for others later.
+        dispatch_before: Instant,
+    },
     /// Another request holds the key.
     Taken {
         /// Whether it is known to have finished.
--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -133,6 +133,7 @@
         let attempt = AttemptRun {
             dispatcher: &self.dispatcher,
             request: &self.request,
+            claim: &self.claim,
             candidate,
             revision,
             watch: &mut self.watch,
--- a/crates/croftrill-gateway/tests/failures.rs
+++ b/crates/croftrill-gateway/tests/failures.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::owner::{answer_text, Script, ScriptedOwner};
-use support::{Answer, TestGateway};
+use support::{granted, Answer, TestGateway};
 use tokio::net::TcpListener;
 
 const KEY: [(&str, &str); 1] = [("idempotency-key", "alert-17")];
@@ -297,12 +297,11 @@
 
 #[tokio::test]
 async fn a_claim_is_finished_as_the_request_ended() {
-    let granted = ClaimDecision::Granted;
-    let (answer, _, result) = with_decision(granted, &[], &KEY).await;
+    let (answer, _, result) = with_decision(granted(), &[], &KEY).await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(result, Some(ClaimResult::Finished));
     let refusing = [Script::not_run(RefusalCause::QueueFull)];
-    let (answer, _, result) = with_decision(granted, &refusing, &KEY).await;
+    let (answer, _, result) = with_decision(granted(), &refusing, &KEY).await;
     assert_eq!(answer.execution(), "not_run");
     assert_eq!(result, Some(ClaimResult::NotRun));
 }
@@ -341,6 +340,25 @@
     }
 }
 
+/// A gateway that was paused after its grant: meanwhile the key may have become
+/// free for others.
+#[tokio::test]
+async fn a_grant_that_is_too_old_dispatches_nothing() {
+    let old = ClaimDecision::Granted {
+        dispatch_before: tokio::time::Instant::now(),
+    };
+    let (answer, attempts, result) = with_decision(old, &[], &KEY).await;
+    assert_eq!(attempts, 0);
+    assert_eq!(answer.cause(), "key_history_unknown");
+    assert_eq!(answer.execution(), "may_have_run", "a later request may have run");
+    assert_eq!(result, Some(ClaimResult::Unknown));
+    let own_key = [("x-croftrill-unrepeatable", "true")];
+    let (answer, attempts, result) = with_decision(old, &[], &own_key).await;
+    assert_eq!(attempts, 0);
+    assert_eq!(answer.execution(), "not_run", "nobody else uses a made key");
+    assert_eq!(result, Some(ClaimResult::NotRun));
+}
+
 #[tokio::test]
 async fn a_claim_whose_answer_is_unknown_is_given_back() {
     let decision = ClaimDecision::Unavailable {
--- a/crates/croftrill-gateway/tests/support/mod.rs
+++ b/crates/croftrill-gateway/tests/support/mod.rs
@@ -24,9 +24,11 @@
 use prometheus_client::registry::Registry;
 use serde_json::{json, Value};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 pub const MODEL: &str = "lookup";
@@ -43,7 +45,7 @@
     async fn claim(&self, _key: &IdempotencyKey, _request: RequestId) -> ClaimDecision {
         let mut decisions = self.decisions.lock().unwrap();
         if decisions.is_empty() {
-            return ClaimDecision::Granted;
+            return granted();
         }
         decisions.remove(0)
     }
@@ -53,6 +55,13 @@
     }
 }
 
+/// A grant that is in force much longer than any test.
+pub fn granted() -> ClaimDecision {
+    ClaimDecision::Granted {
+        dispatch_before: Instant::now() + Duration::from_secs(600),
+    }
+}
+
 pub struct TestGateway {
     pub address: String,
     pub state: Arc<ArcSwap<ClusterState>>,
