--- a/crates/croftrill-daemon/tests/support/caller.rs
+++ b/crates/croftrill-daemon/tests/support/caller.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// The value of one of its headers.
+    pub fn header_value(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers
+            .find(|(found, _)| found == name)
+            .map(|(_, value)| value.as_str())
+    }
+
     /// With a header more.
     pub fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_string(), value.to_string()));
--- a/crates/croftrill-daemon/tests/support/cluster.rs
+++ b/crates/croftrill-daemon/tests/support/cluster.rs
@@ -2,11 +2,12 @@
 
 use super::{eventually, Caller, Process};
 use croftrill_platform::machine_list::Machine;
-use croftrill_standin::control::{LEDGER_PATH, MACHINES_PATH};
-use croftrill_standin::{ControlClient, EngineLedger, MachineChange};
+use croftrill_standin::control::{FAULTS_PATH, LEDGER_PATH, MACHINES_PATH, MODE_PATH};
+use croftrill_standin::{ControlClient, EngineFaults, EngineLedger, MachineChange, ProxyMode};
 use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{CellId, EngineId, FencingToken, NodeId, ZoneId};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Memory of each accelerator of a test's engine, in MiB.
 const ACCELERATOR_MEMORY_MIB: u64 = 80_000;
@@ -17,6 +18,9 @@
 /// The cell of all machines of a test.
 const CELL: &str = "cell-1";
 
+/// Nodes that this process started so far.
+static STARTED_NODES: AtomicU32 = AtomicU32::new(0);
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct ClusterPlan {
@@ -34,6 +38,8 @@
     pub settings: String,
     /// Lag of the machine list, in milliseconds.
     pub machine_list_lag_millis: u64,
+    /// Whether nodes reach each engine through a fault-injecting proxy.
+    pub engine_proxies: bool,
 }
 
 impl Default for ClusterPlan {
@@ -46,6 +52,7 @@
             weight_store_flags: Vec::new(),
             settings: String::new(),
             machine_list_lag_millis: 0,
+            engine_proxies: false,
         }
     }
 }
@@ -58,9 +65,28 @@
     pub process: Process,
     /// Its control paths.
     pub control: ControlClient,
+    /// The proxy before it, if the plan asks for proxies.
+    pub proxy: Option<Process>,
 }
 
 impl EngineProcess {
+    /// Sets the faults in force.
+    pub async fn set_faults(&self, faults: EngineFaults) {
+        self.control
+            .post(FAULTS_PATH, &faults)
+            .await
+            .expect("the engine takes faults");
+    }
+
+    /// Sets what its proxy does.
+    pub async fn set_proxy_mode(&self, mode: ProxyMode) {
+        let proxy = self.proxy.as_ref().expect("the plan asks for proxies");
+        ControlClient::new(proxy.address("control"))
+            .post(MODE_PATH, &mode)
+            .await
+            .expect("the proxy takes a mode");
+    }
+
     /// What it did, by its own record.
     pub async fn ledger(&self) -> EngineLedger {
         self.control.get(LEDGER_PATH).await.expect("the engine's ledger")
@@ -147,12 +173,14 @@
         ];
         flags.extend(self.plan.engine_flags.iter().cloned());
         let process = standin("engine", &flags);
-        let address = process.address("address");
+        let control = ControlClient::new(process.address("address"));
+        let proxy = self.plan.engine_proxies.then(|| proxy_of(&process));
+        let address = proxy.as_ref().unwrap_or(&process).address("address");
         let engine = Engine {
             id: EngineId::from(name),
             zone: ZoneId::from("zone-a"),
             cell: CellId::from(CELL),
-            address: address.clone(),
+            address,
             accelerator_memory_mib: vec![ACCELERATOR_MEMORY_MIB; ACCELERATORS],
             max_running: MAX_RUNNING,
             owner: None,
@@ -166,10 +194,19 @@
         self.engines.push(EngineProcess {
             id: EngineId::from(name),
             process,
-            control: ControlClient::new(address),
+            control,
+            proxy,
         });
     }
 
+    /// Starts a killed node again under its name, with other addresses.
+    pub async fn restart_node(&mut self, index: usize) {
+        let name = self.nodes[index].id.to_string();
+        self.start_node(&name).await;
+        let started = self.nodes.pop().expect("a node was started");
+        self.nodes[index] = started;
+    }
+
     /// Starts one more node and puts it on the machine list.
     pub async fn start_node(&mut self, name: &str) {
         let process = Process::start("croftrilld", name, &self.node_flags(name));
@@ -192,7 +229,10 @@
     }
 
     fn node_flags(&self, name: &str) -> Vec<String> {
-        let path = std::env::temp_dir().join(format!("croftrill-{}-{name}.toml", std::process::id()));
+        // Tests of one process run in parallel and each has a node of this name.
+        let started = STARTED_NODES.fetch_add(1, Ordering::Relaxed);
+        let file = format!("croftrill-{}-{started}-{name}.toml", std::process::id());
+        let path = std::env::temp_dir().join(file);
         std::fs::write(&path, &self.plan.settings).expect("the settings can be written");
         let url = |process: &Process| format!("http://{}", process.address("address"));
         let mut flags = vec![
@@ -304,6 +344,27 @@
             .is_some_and(|all| all.iter().any(|object| object["id"] == name))
     }
 
+    /// The place of the node that owns an engine, as another node tells.
+    pub async fn owner_of(&self, engine: usize, asked: &NodeProcess) -> Option<usize> {
+        let status = self.status(asked).await?;
+        let engines = status["engines"].as_array()?.clone();
+        let id = self.engines[engine].id.to_string();
+        let found = engines.iter().find(|found| found["engine"] == id.as_str())?;
+        let owner = found["owner"].as_str()?;
+        self.nodes.iter().position(|node| node.id.as_str() == owner)
+    }
+
+    /// The records of all engines, once none runs anything.
+    pub async fn quiet_ledgers(&self) -> Vec<EngineLedger> {
+        eventually("no engine runs anything", || async {
+            let ledgers = self.ledgers().await;
+            let mut runs = ledgers.iter().flat_map(|ledger| &ledger.runs);
+            runs.all(|run| run.end.is_some())
+        })
+        .await;
+        self.ledgers().await
+    }
+
     /// The records of all engines.
     pub async fn ledgers(&self) -> Vec<EngineLedger> {
         let mut ledgers = Vec::new();
@@ -319,3 +380,7 @@
     arguments.extend(flags.iter().cloned());
     Process::start("croftrill-standin", service, &arguments)
 }
+
+fn proxy_of(engine: &Process) -> Process {
+    standin("proxy", &["--upstream".to_string(), engine.address("address")])
+}
--- a/crates/croftrill-daemon/tests/support/process.rs
+++ b/crates/croftrill-daemon/tests/support/process.rs
@@ -6,6 +6,10 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Children that this process started so far; tells their logs apart.
+static STARTED: AtomicU32 = AtomicU32::new(0);
 
 /// A running child process.
 pub struct Process {
@@ -117,7 +121,8 @@
     let Ok(directory) = std::env::var("CROFTRILL_TEST_LOGS") else {
         return Stdio::null();
     };
-    let path = PathBuf::from(directory).join(format!("{name}.{}.log", std::process::id()));
+    let started = STARTED.fetch_add(1, Ordering::Relaxed);
+    let path = PathBuf::from(directory).join(format!("{name}.{}.{started}.log", std::process::id()));
     match std::fs::File::create(path) {
         Ok(file) => file.into(),
         Err(_) => Stdio::null(),
--- a/crates/croftrill-standin/src/engine/ledger.rs
+++ b/crates/croftrill-standin/src/engine/ledger.rs
@@ -38,6 +38,8 @@
     pub model: ModelId,
     /// The adapter.
     pub adapter: Option<AdapterId>,
+    /// The prompt, by which a test finds the runs of one of its requests.
+    pub prompt: String,
     /// The key of an unrepeatable request.
     pub idempotency_key: Option<IdempotencyKey>,
     /// The owner's token.
@@ -144,6 +146,7 @@
             attempt: request.attempt,
             model: request.model.clone(),
             adapter: request.adapter.clone(),
+            prompt: request.prompt.clone(),
             idempotency_key: request.idempotency_key.clone(),
             fencing_token: request.fencing_token,
             resume_tokens: request.resume_tokens,
