Without a coordinator owners expect the load times that they learned

Cause: there were two fallbacks for loads without a coordinator. The client of permits answered first, expecting 300 MiB/s, so a cold model of 20,000 MiB was expected to take 66 s and every request with the usual deadline of 60 s was refused as load_too_slow, while the load itself took 2 s. The owner's own fallback (one load at a time, growing pauses, learned times) was never reached.

Ruled out: another constant, which would be wrong for the next store.

--- a/crates/croftrill-coordination/src/load_permits.rs
+++ b/crates/croftrill-coordination/src/load_permits.rs
@@ -9,7 +9,7 @@
 mod client;
 mod simple_admission;
 
-pub use client::{FallbackRate, LoadPermitClient};
+pub use client::LoadPermitClient;
 pub use simple_admission::{SimpleAdmission, SimpleAdmissionConfig};
 
 use crate::replication::Replica;
--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -4,7 +4,7 @@
 use crate::owner_ports::{CoordinatorPermits, HttpEngines};
 use crate::peer_calls::PeerCalls;
 use croftrill_coordination::claim_service::{ClaimClient, ClaimClientConfig};
-use croftrill_coordination::load_permits::{FallbackRate, LoadPermitClient};
+use croftrill_coordination::load_permits::LoadPermitClient;
 use croftrill_coordination::replication::Replica;
 use croftrill_gateway::{Gateway, GatewayConfig};
 use croftrill_owner::{OwnerConfig, OwnerService};
@@ -79,12 +79,7 @@
     calls: &Arc<PeerCalls>,
     registry: &mut Registry,
 ) -> OwnerService {
-    let permits = LoadPermitClient::new(
-        replica.clone(),
-        calls.clone(),
-        settings.node.cell.clone(),
-        FallbackRate::default(),
-    );
+    let permits = LoadPermitClient::new(replica.clone(), calls.clone(), settings.node.cell.clone());
     OwnerService::new(
         owner_config(settings),
         replica.published(),
