--- a/crates/croftrill-state/src/claims.rs
+++ b/crates/croftrill-state/src/claims.rs
@@ -53,10 +53,10 @@
     pub node: NodeId,
     /// Random, not 0; differs from that of every other process of the node.
     pub instance: u64,
-    /// Whether the log was certainly empty while this process ran, so that no
-    /// other process can have granted anything under an earlier ring or as an
-    /// earlier process of this node.
-    pub witnessed_empty_log: bool,
+    /// Whether the cell certainly had no ring yet at a moment while this process
+    /// ran, so that no other process can have granted anything under an earlier
+    /// ring or as an earlier process of this node.
+    pub witnessed_no_ring: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,7 +79,7 @@
 impl ClaimTable {
     /// An empty table that knows no ring.
     pub fn new(config: ClaimConfig, holder: ClaimHolder) -> Self {
-        let history = RingHistory::new(holder.node.clone(), &config, holder.witnessed_empty_log);
+        let history = RingHistory::new(holder.node.clone(), &config, holder.witnessed_no_ring);
         let records = ClaimRecords::new(config.window_millis);
         Self {
             config,
