Hollow nodes: the control parts of many daemons in one process

Cause: what control costs at 380 nodes has to be measured on this project, and one machine cannot run that many daemons.

The control parts no longer ask for the owner and the operators' API but for the two traits of the peer service that they need, so a hollow node is the same Control on a control thread of its own. Peer calls are counted in frames and bytes and shown as metrics, beside those of the probes. The tool's first experiment measures the steady state at growing sizes.

--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -4,17 +4,15 @@
 use crate::control_thread::ControlTasks;
 use crate::learned_admission::LearnedAdmission;
 use crate::peer_calls::PeerCalls;
-use crate::peer_parts::{OwnAttempts, OwnPlans, StartedClaims};
+use crate::peer_parts::StartedClaims;
 use croftrill_coordination::claim_service::{ClaimHolderConfig, ClaimHolderService};
 use croftrill_coordination::coordinator::{Coordinator, CoordinatorConfig, CoordinatorParts, LeaseConfig};
 use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_coordination::membership_driver::{
     MembershipDriver, MembershipDriverConfig, MembershipHandle, MonotonicClock,
 };
-use croftrill_coordination::peer_service::{PeerParts, PeerService};
+use croftrill_coordination::peer_service::{AttemptCanceller, PeerParts, PeerService, PlanSource};
 use croftrill_coordination::replication::{Follower, FollowerConfig, LiveMembers, Replica};
-use croftrill_operator_api::OperatorApi;
-use croftrill_owner::OwnerService;
 use croftrill_platform::key_value::KeyValueService;
 use croftrill_platform::machine_list::MachineList;
 use croftrill_platform::weight_store::WeightStore;
@@ -23,7 +21,7 @@
 use croftrill_state::load_admission::LoadAdmissionConfig;
 use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
 use croftrill_state::{ClusterState, NodeId, Revision, Term};
-use croftrill_transport::peer::PeerServer;
+use croftrill_transport::peer::{PeerServer, PeerTraffic};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -50,10 +48,10 @@
     pub machines: Arc<dyn MachineList>,
     /// The platform's weight store, for its limits.
     pub weight_store: Arc<dyn WeightStore>,
-    /// The node's owner service.
-    pub owner: OwnerService,
-    /// The node's operators' API.
-    pub operators: Arc<OperatorApi>,
+    /// Attempts at the node's owner service.
+    pub attempts: Arc<dyn AttemptCanceller>,
+    /// Plans of the node's operators' API.
+    pub plans: Arc<dyn PlanSource>,
     /// Calls to peers from the control thread.
     pub calls: Arc<PeerCalls>,
     /// The bound socket of the peer service.
@@ -69,6 +67,8 @@
     pub claims: StartedClaims,
     /// The term in which this node coordinates its cell.
     pub role: watch::Receiver<Option<Term>>,
+    /// Frames of peer calls, made and served.
+    pub peer_traffic: Arc<PeerTraffic>,
 }
 
 impl Control {
@@ -102,12 +102,14 @@
             },
             tasks.clone(),
         ));
+        let peer_traffic = input.calls.traffic().clone();
         let role = start_coordinator(&input, follower, members, &tasks);
         serve_peers(input, claims.clone(), &tasks).await?;
         Ok(Control {
             membership,
             claims,
             role,
+            peer_traffic,
         })
     }
 }
@@ -335,12 +337,14 @@
     let service = PeerService::new(PeerParts {
         replica: input.replica,
         permits: Arc::new(permits),
-        plans: Arc::new(OwnPlans(input.operators)),
+        plans: input.plans,
         claims: Arc::new(claims),
-        attempts: Arc::new(OwnAttempts(input.owner)),
+        attempts: input.attempts,
     });
     let listener = TcpListener::from_std(input.peer_listener)?;
-    tasks.spawn(PeerServer::serve(listener, service, tasks.stop.clone()));
+    let traffic = input.calls.traffic().clone();
+    let stop = tasks.stop.clone();
+    tasks.spawn(PeerServer::serve_counted(listener, service, traffic, stop));
     Ok(())
 }
 
--- a/crates/croftrill-daemon/src/control_metrics.rs
+++ b/crates/croftrill-daemon/src/control_metrics.rs
@@ -13,6 +13,8 @@
     alive_members: Gauge,
     probe_bytes_sent: Gauge,
     probe_bytes_received: Gauge,
+    peer_bytes_sent: Gauge,
+    peer_bytes_received: Gauge,
 }
 
 impl ControlMetrics {
@@ -41,6 +43,16 @@
                 "Bytes of membership probes received since the start",
                 &metrics.probe_bytes_received,
             ),
+            (
+                "peer_sent_bytes",
+                "Bytes of peer calls of the control parts sent since the start",
+                &metrics.peer_bytes_sent,
+            ),
+            (
+                "peer_received_bytes",
+                "Bytes of peer calls of the control parts received since the start",
+                &metrics.peer_bytes_received,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -60,5 +72,8 @@
             .set(control.membership.view().alive_count() as i64);
         self.probe_bytes_sent.set(traffic.bytes_sent as i64);
         self.probe_bytes_received.set(traffic.bytes_received as i64);
+        let peer_traffic = control.peer_traffic.counts();
+        self.peer_bytes_sent.set(peer_traffic.bytes_sent as i64);
+        self.peer_bytes_received.set(peer_traffic.bytes_received as i64);
     }
 }
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::operator_ports::{PeerPlans, ReplicaLog};
 use crate::operator_server::OperatorServer;
 use crate::peer_calls::PeerCalls;
+use crate::peer_parts::{OwnAttempts, OwnPlans};
 use crate::traffic::Traffic;
 use croftrill_coordination::replication::{Replica, ReplicaConfig};
 use croftrill_coordination::revision_log::{RevisionLog, RevisionLogConfig};
@@ -84,8 +85,8 @@
             settings,
             replica,
             key_value,
-            owner: traffic.owner.clone(),
-            operators,
+            attempts: Arc::new(OwnAttempts(traffic.owner.clone())),
+            plans: Arc::new(OwnPlans(operators)),
             calls,
             peer_listener: listeners.peers,
         };
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -21,4 +21,8 @@
 pub mod signals;
 mod traffic;
 
+pub use control::{Control, ControlInput};
+pub use control_thread::ControlTasks;
 pub use daemon::{Daemon, DaemonAddresses};
+pub use peer_calls::PeerCalls;
+pub use peer_parts::StartedClaims;
--- a/crates/croftrill-daemon/src/peer_calls.rs
+++ b/crates/croftrill-daemon/src/peer_calls.rs
@@ -8,8 +8,9 @@
     LoadPermitRequest, LoadReport, LogPage, PeerClient, ReportOutcome,
 };
 use croftrill_state::{EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision};
-use croftrill_transport::peer::{call_context, PeerClients, PeerClientsConfig};
+use croftrill_transport::peer::{call_context, PeerClients, PeerClientsConfig, PeerTraffic};
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 use tarpc::client::RpcError;
 
@@ -21,6 +22,12 @@
     clients: PeerClients,
 }
 
+impl Default for PeerCalls {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl PeerCalls {
     /// No connection yet.
     pub fn new() -> Self {
@@ -29,6 +36,11 @@
         }
     }
 
+    /// Counts the frames of these calls; the node's peer service counts in it too.
+    pub fn traffic(&self) -> &Arc<PeerTraffic> {
+        self.clients.traffic()
+    }
+
     /// Fetches a plan that the node at `address` made.
     pub async fn fetch_plan(&self, address: &str, plan: &PlanId) -> Result<String, PeerError> {
         let plan = plan.clone();
--- /dev/null
+++ b/crates/croftrill-hollow/src/experiments/mod.rs
@@ -0,0 +1,3 @@
+//! The experiments. Each prints one table or more.
+
+pub mod steady;
--- /dev/null
+++ b/crates/croftrill-hollow/src/main.rs
@@ -0,0 +1,24 @@
+//! `croftrill-hollow`: measures what control costs at many nodes.
+
+use croftrill_hollow::command_line::{self, Command, Experiment, Options, HELP};
+use croftrill_hollow::experiments::steady;
+use simplelog::{Config, LevelFilter, WriteLogger};
+use std::io::stderr;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> anyhow::Result<()> {
+    match command_line::parse(lexopt::Parser::from_env())? {
+        Command::Help => print!("{HELP}"),
+        Command::Run(experiment, options) => {
+            WriteLogger::init(LevelFilter::Error, Config::default(), stderr())?;
+            run(experiment, options).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn run(experiment: Experiment, options: Options) -> anyhow::Result<()> {
+    match experiment {
+        Experiment::Steady => steady::run(options.steady(), options.format).await,
+    }
+}
--- a/crates/croftrill-transport/src/peer/clients.rs
+++ b/crates/croftrill-transport/src/peer/clients.rs
@@ -1,10 +1,12 @@
 //! The calling side of peer calls: a small pool of connections.
 
 use super::codec::ClientCodec;
+use super::traffic::PeerTraffic;
 use crate::connection_pool::{Connection, ConnectionPool};
 use croftrill_protocol::peer::PeerClient;
 use log::debug;
 use std::io;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::{client, context};
 use thiserror::Error;
@@ -54,13 +56,18 @@
 pub struct PeerClients {
     config: PeerClientsConfig,
     pool: ConnectionPool<PeerClient>,
+    traffic: Arc<PeerTraffic>,
 }
 
 impl PeerClients {
     /// No connection yet.
     pub fn new(config: PeerClientsConfig) -> Self {
         let pool = ConnectionPool::new(config.idle_limit);
-        Self { config, pool }
+        Self {
+            config,
+            pool,
+            traffic: Arc::default(),
+        }
     }
 
     /// A client of the peer at `ip:port`. A call that gets no answer ends at the
@@ -78,6 +85,11 @@
         self.pool.discard(address);
     }
 
+    /// Counts the frames of all connections.
+    pub fn traffic(&self) -> &Arc<PeerTraffic> {
+        &self.traffic
+    }
+
     /// Open connections and connects under way.
     pub fn connections(&self) -> usize {
         self.pool.len()
@@ -94,7 +106,7 @@
                 address: address.to_string(),
                 source,
             })?;
-        let transport = Framed::new(stream, ClientCodec::default());
+        let transport = Framed::new(stream, ClientCodec::counted(self.traffic.clone()));
         let new_client = PeerClient::new(client::Config::default(), transport);
         let closed = CancellationToken::new();
         let ended = closed.clone().drop_guard();
--- a/crates/croftrill-transport/src/peer/codec.rs
+++ b/crates/croftrill-transport/src/peer/codec.rs
@@ -3,10 +3,12 @@
 //! A deadline travels as the time that remains, because the clocks of two
 //! machines are never compared.
 
+use super::traffic::PeerTraffic;
 use bytes::{Bytes, BytesMut};
 use croftrill_protocol::peer::{PeerRequest, PeerResponse};
 use nanoserde::{DeBin, SerBin};
 use std::io;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::{context, ClientMessage, Request, Response, ServerError};
 use thiserror::Error;
@@ -15,6 +17,8 @@
 /// Largest frame sent or accepted, in bytes. The largest message is a snapshot
 /// of the whole state.
 pub const MAX_PEER_FRAME_BYTES: usize = 32 * 1024 * 1024;
+/// Length of the field before each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
 
 /// Why a connection between peers is given up.
 #[derive(Debug, Error)]
@@ -56,26 +60,55 @@
         .new_codec()
 }
 
-fn decode_frame<T: DeBin>(
-    frames: &mut LengthDelimitedCodec,
-    source: &mut BytesMut,
-) -> Result<Option<T>, CodecError> {
-    let Some(frame) = frames.decode(source)? else {
-        return Ok(None);
-    };
-    T::deserialize_bin(&frame)
-        .map(Some)
-        .map_err(|error| CodecError::Malformed(error.to_string()))
+/// Frames of one connection, counted.
+struct CountedFrames {
+    frames: LengthDelimitedCodec,
+    traffic: Arc<PeerTraffic>,
+}
+
+impl CountedFrames {
+    fn new(traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            frames: frames(),
+            traffic,
+        }
+    }
+
+    fn encode<T: SerBin>(&mut self, message: &T, output: &mut BytesMut) -> Result<(), CodecError> {
+        let before = output.len();
+        self.frames.encode(Bytes::from(message.serialize_bin()), output)?;
+        self.traffic.count_sent(output.len() - before);
+        Ok(())
+    }
+
+    fn decode<T: DeBin>(&mut self, source: &mut BytesMut) -> Result<Option<T>, CodecError> {
+        let Some(frame) = self.frames.decode(source)? else {
+            return Ok(None);
+        };
+        self.traffic.count_received(frame.len() + LENGTH_BYTES);
+        T::deserialize_bin(&frame)
+            .map(Some)
+            .map_err(|error| CodecError::Malformed(error.to_string()))
+    }
 }
 
 /// The calling side.
 pub struct ClientCodec {
-    frames: LengthDelimitedCodec,
+    frames: CountedFrames,
+}
+
+impl ClientCodec {
+    /// Counts its frames in `traffic`.
+    pub fn counted(traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            frames: CountedFrames::new(traffic),
+        }
+    }
 }
 
 impl Default for ClientCodec {
     fn default() -> Self {
-        Self { frames: frames() }
+        Self::counted(Arc::default())
     }
 }
 
@@ -96,8 +129,7 @@
             ClientMessage::Cancel { request_id, .. } => WireRequest::Cancel { id: request_id },
             _ => return Err(CodecError::Unsupported),
         };
-        self.frames.encode(Bytes::from(wire.serialize_bin()), output)?;
-        Ok(())
+        self.frames.encode(&wire, output)
     }
 }
 
@@ -106,7 +138,7 @@
     type Error = CodecError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, CodecError> {
-        let wire = decode_frame(&mut self.frames, source)?;
+        let wire = self.frames.decode(source)?;
         Ok(wire.map(|wire| match wire {
             WireResponse::Answer { id, body } => Response {
                 request_id: id,
@@ -122,12 +154,21 @@
 
 /// The answering side.
 pub struct ServerCodec {
-    frames: LengthDelimitedCodec,
+    frames: CountedFrames,
+}
+
+impl ServerCodec {
+    /// Counts its frames in `traffic`.
+    pub fn counted(traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            frames: CountedFrames::new(traffic),
+        }
+    }
 }
 
 impl Default for ServerCodec {
     fn default() -> Self {
-        Self { frames: frames() }
+        Self::counted(Arc::default())
     }
 }
 
@@ -143,8 +184,7 @@
                 detail: error.to_string(),
             },
         };
-        self.frames.encode(Bytes::from(wire.serialize_bin()), output)?;
-        Ok(())
+        self.frames.encode(&wire, output)
     }
 }
 
@@ -153,7 +193,7 @@
     type Error = CodecError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, CodecError> {
-        let wire = decode_frame(&mut self.frames, source)?;
+        let wire = self.frames.decode(source)?;
         Ok(wire.map(|wire| match wire {
             WireRequest::Call {
                 id,
--- a/crates/croftrill-transport/src/peer/server.rs
+++ b/crates/croftrill-transport/src/peer/server.rs
@@ -1,10 +1,12 @@
 //! The answering side of peer calls.
 
 use super::codec::ServerCodec;
+use super::traffic::PeerTraffic;
 use croftrill_protocol::peer::Peer;
 use futures::stream::FuturesUnordered;
 use futures::StreamExt;
 use log::{debug, warn};
+use std::sync::Arc;
 use std::time::Duration;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,6 +35,18 @@
     pub async fn serve<H>(listener: TcpListener, handler: H, shutdown: CancellationToken)
     where
         H: Peer + Clone + Send + 'static,
+    {
+        Self::serve_counted(listener, handler, Arc::default(), shutdown).await;
+    }
+
+    /// The same; counts the frames of all connections in `traffic`.
+    pub async fn serve_counted<H>(
+        listener: TcpListener,
+        handler: H,
+        traffic: Arc<PeerTraffic>,
+        shutdown: CancellationToken,
+    ) where
+        H: Peer + Clone + Send + 'static,
     {
         let mut connections = FuturesUnordered::new();
         loop {
@@ -40,7 +54,8 @@
                 () = shutdown.cancelled() => break,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        connections.push(serve_connection(stream, handler.clone(), shutdown.clone()));
+                        let codec = ServerCodec::counted(traffic.clone());
+                        connections.push(serve_connection(stream, codec, handler.clone(), shutdown.clone()));
                     }
                     Err(error) => {
                         warn!("peer: accept failed error={error}");
@@ -55,14 +70,14 @@
     }
 }
 
-async fn serve_connection<H>(stream: TcpStream, handler: H, shutdown: CancellationToken)
+async fn serve_connection<H>(stream: TcpStream, codec: ServerCodec, handler: H, shutdown: CancellationToken)
 where
     H: Peer + Clone + Send + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
         debug!("peer: no-delay not set error={error}");
     }
-    let channel = BaseChannel::with_defaults(Framed::new(stream, ServerCodec::default()));
+    let channel = BaseChannel::with_defaults(Framed::new(stream, codec));
     let mut incoming = std::pin::pin!(channel.execute(handler.serve()));
     let mut calls = FuturesUnordered::new();
     loop {
