--- a/crates/croftrill-hollow/src/cluster.rs
+++ b/crates/croftrill-hollow/src/cluster.rs
@@ -52,6 +52,21 @@
         Ok(cluster)
     }
 
+    /// The cluster in `kept` grown to a size, or a new one.
+    pub async fn at_size(
+        kept: &mut Option<HollowCluster>,
+        nodes: usize,
+        population: Population,
+    ) -> anyhow::Result<&mut HollowCluster> {
+        match kept {
+            None => Ok(kept.insert(Self::start(nodes, population).await?)),
+            Some(cluster) => {
+                cluster.grow_to(nodes).await?;
+                Ok(cluster)
+            }
+        }
+    }
+
     /// Adds nodes, and engines in proportion, and waits until all know all.
     pub async fn grow_to(&mut self, nodes: usize) -> anyhow::Result<()> {
         let mut listeners = Vec::new();
@@ -131,11 +146,12 @@
     /// Waits until all running nodes know each other and the same log, and all
     /// engines have an owner.
     pub async fn wait_settled(&self) -> anyhow::Result<()> {
-        self.wait_for("all know all", || self.is_settled()).await
+        self.wait_for("all know all", || self.is_settled()).await?;
+        Ok(())
     }
 
     /// Waits for a condition of the cluster; returns how long it took.
-    pub async fn wait_for(&self, what: &str, condition: impl Fn() -> bool) -> anyhow::Result<()> {
+    pub async fn wait_for(&self, what: &str, condition: impl Fn() -> bool) -> anyhow::Result<Duration> {
         let started = Instant::now();
         while !condition() {
             ensure!(
@@ -145,9 +161,11 @@
             );
             tokio::time::sleep(LOOK_PERIOD).await;
         }
-        Ok(())
+        Ok(started.elapsed())
     }
 
+    /// Whether all running nodes know each other and the same log, and all
+    /// engines have an owner.
     fn is_settled(&self) -> bool {
         let running = self.nodes().count();
         let head = self.highest_head();
--- a/crates/croftrill-hollow/src/command_line.rs
+++ b/crates/croftrill-hollow/src/command_line.rs
@@ -1,6 +1,10 @@
 //! The command line.
 
+use crate::experiments::propagate::PropagateConfig;
+use crate::experiments::restart::RestartConfig;
+use crate::experiments::state_size::StateSizeConfig;
 use crate::experiments::steady::SteadyConfig;
+use crate::experiments::takeover::TakeoverConfig;
 use crate::population::Population;
 use crate::report::Format;
 use anyhow::{bail, ensure};
@@ -16,12 +20,21 @@
 
 Experiments:
   steady      Cost while nothing happens, at growing sizes
+  state-size  Memory, snapshot and operations of the cluster state
+  propagate   Time and cost of a change of configuration at every node
+  restart     A sixth of the nodes (a zone) fails and starts again at once
+  takeover    The coordinator of a cell fails
 
 Options:
   --sizes N,N,..     Numbers of nodes, rising (default 24,48,95)
   --population P     Models and adapters, in percent of 730 and 8300 (default 100)
   --window SECONDS   Length of each measurement (default 30)
   --settle SECONDS   Pause before each measurement (default 10)
+  --percents P,P,..  Parts of the full size (state-size; default 25,50,100)
+  --changes N        Changes at each size (propagate; default 30)
+  --gap MILLIS       Pause after each change (propagate; default 1000)
+  --down SECONDS     Time between end and start (restart; default 2)
+  --failures N       Failures at each size (takeover; default 3)
   --output FORMAT    table or json (default table)
   -h, --help         Print this help
 ";
@@ -39,6 +52,14 @@
 pub enum Experiment {
     /// Cost while nothing happens.
     Steady,
+    /// The cluster state itself.
+    StateSize,
+    /// A change of configuration.
+    Propagate,
+    /// A zone restarted at once.
+    Restart,
+    /// A coordinator's failure.
+    Takeover,
 }
 
 /// Options of all experiments.
@@ -52,6 +73,16 @@
     pub window: Duration,
     /// Pause before each measurement.
     pub settle: Duration,
+    /// Parts of the full size, in percent, rising.
+    pub percents: Vec<usize>,
+    /// Changes at each size.
+    pub changes: usize,
+    /// Pause after each change.
+    pub gap: Duration,
+    /// Time between the end of nodes and their start.
+    pub down: Duration,
+    /// Failures at each size.
+    pub failures: usize,
     /// How the report is written.
     pub format: Format,
 }
@@ -63,6 +94,11 @@
             population: Population::percent(100),
             window: Duration::from_secs(30),
             settle: Duration::from_secs(10),
+            percents: vec![25, 50, 100],
+            changes: 30,
+            gap: Duration::from_millis(1000),
+            down: Duration::from_secs(2),
+            failures: 3,
             format: Format::Table,
         }
     }
@@ -78,6 +114,44 @@
             window: self.window,
         }
     }
+
+    /// The settings of `state-size`.
+    pub fn state_size(&self) -> StateSizeConfig {
+        StateSizeConfig {
+            percents: self.percents.clone(),
+        }
+    }
+
+    /// The settings of `propagate`.
+    pub fn propagate(&self) -> PropagateConfig {
+        PropagateConfig {
+            sizes: self.sizes.clone(),
+            population: self.population,
+            changes: self.changes,
+            gap: self.gap,
+            settle: self.settle,
+        }
+    }
+
+    /// The settings of `restart`.
+    pub fn restart(&self) -> RestartConfig {
+        RestartConfig {
+            sizes: self.sizes.clone(),
+            population: self.population,
+            down: self.down,
+            settle: self.settle,
+        }
+    }
+
+    /// The settings of `takeover`.
+    pub fn takeover(&self) -> TakeoverConfig {
+        TakeoverConfig {
+            sizes: self.sizes.clone(),
+            population: self.population,
+            failures: self.failures,
+            settle: self.settle,
+        }
+    }
 }
 
 /// Reads the command line.
@@ -91,6 +165,11 @@
             Long("population") => options.population = Population::percent(parser.value()?.parse()?),
             Long("window") => options.window = Duration::from_secs(parser.value()?.parse()?),
             Long("settle") => options.settle = Duration::from_secs(parser.value()?.parse()?),
+            Long("percents") => options.percents = sizes(&parser.value()?.string()?)?,
+            Long("changes") => options.changes = parser.value()?.parse()?,
+            Long("gap") => options.gap = Duration::from_millis(parser.value()?.parse()?),
+            Long("down") => options.down = Duration::from_secs(parser.value()?.parse()?),
+            Long("failures") => options.failures = parser.value()?.parse()?,
             Long("output") => options.format = format(&parser.value()?.string()?)?,
             Value(name) if experiment.is_none() => experiment = Some(named(&name.string()?)?),
             other => return Err(other.unexpected().into()),
@@ -105,6 +184,10 @@
 fn named(name: &str) -> anyhow::Result<Experiment> {
     match name {
         "steady" => Ok(Experiment::Steady),
+        "state-size" => Ok(Experiment::StateSize),
+        "propagate" => Ok(Experiment::Propagate),
+        "restart" => Ok(Experiment::Restart),
+        "takeover" => Ok(Experiment::Takeover),
         other => bail!("no experiment is called {other}; see --help"),
     }
 }
@@ -114,7 +197,7 @@
     let sizes = sizes?;
     ensure!(
         !sizes.is_empty() && sizes[0] > 0 && sizes.is_sorted(),
-        "--sizes must rise from at least 1"
+        "a list of sizes must rise from at least 1"
     );
     Ok(sizes)
 }
--- a/crates/croftrill-hollow/src/experiments/mod.rs
+++ b/crates/croftrill-hollow/src/experiments/mod.rs
@@ -1,3 +1,7 @@
 //! The experiments. Each prints one table or more.
 
+pub mod propagate;
+pub mod restart;
+pub mod state_size;
 pub mod steady;
+pub mod takeover;
--- a/crates/croftrill-hollow/src/experiments/steady.rs
+++ b/crates/croftrill-hollow/src/experiments/steady.rs
@@ -46,13 +46,7 @@
     let mut resident = Vec::new();
     let mut cluster: Option<HollowCluster> = None;
     for &size in &config.sizes {
-        let cluster = match &mut cluster {
-            None => cluster.insert(HollowCluster::start(size, config.population).await?),
-            Some(grown) => {
-                grown.grow_to(size).await?;
-                grown
-            }
-        };
+        let cluster = HollowCluster::at_size(&mut cluster, size, config.population).await?;
         tokio::time::sleep(config.settle).await;
         let before = Sample::take(cluster)?;
         tokio::time::sleep(config.window).await;
--- a/crates/croftrill-hollow/src/main.rs
+++ b/crates/croftrill-hollow/src/main.rs
@@ -1,7 +1,7 @@
 //! `croftrill-hollow`: measures what control costs at many nodes.
 
 use croftrill_hollow::command_line::{self, Command, Experiment, Options, HELP};
-use croftrill_hollow::experiments::steady;
+use croftrill_hollow::experiments::{propagate, restart, state_size, steady, takeover};
 use simplelog::{Config, LevelFilter, WriteLogger};
 use std::io::stderr;
 
@@ -20,5 +20,9 @@
 async fn run(experiment: Experiment, options: Options) -> anyhow::Result<()> {
     match experiment {
         Experiment::Steady => steady::run(options.steady(), options.format).await,
+        Experiment::StateSize => state_size::run(&options.state_size(), options.format),
+        Experiment::Propagate => propagate::run(options.propagate(), options.format).await,
+        Experiment::Restart => restart::run(options.restart(), options.format).await,
+        Experiment::Takeover => takeover::run(options.takeover(), options.format).await,
     }
 }
--- a/crates/croftrill-hollow/src/usage.rs
+++ b/crates/croftrill-hollow/src/usage.rs
@@ -31,11 +31,25 @@
     coordinates: bool,
 }
 
+impl NodeSample {
+    fn not_started(thread: ThreadId) -> Self {
+        Self {
+            thread,
+            probes: ProbeTrafficCounts::default(),
+            peers: PeerTrafficCounts::default(),
+            calls: CallCounts::default(),
+            coordinates: false,
+        }
+    }
+}
+
 /// What one node used in a time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NodeUsage {
     /// Whether it coordinated at the end.
     pub coordinates: bool,
+    /// Whether it was started during this time.
+    pub started: bool,
     /// Processor time, in seconds.
     pub processor_seconds: f64,
     /// Bytes of probes, both ways, with headers.
@@ -59,7 +73,7 @@
 pub struct Usage {
     /// Length of the time, in seconds.
     pub seconds: f64,
-    /// By node; nodes that were not running at both samples are left out.
+    /// By node, for the nodes that ran at the end.
     pub nodes: BTreeMap<NodeId, NodeUsage>,
     /// Processor time of the platform's stand-ins, in seconds.
     pub platform_processor_seconds: f64,
@@ -89,24 +103,28 @@
 
     /// What was used after `earlier`.
     pub fn since(&self, earlier: &Sample) -> Usage {
-        let both = self.nodes.iter().filter_map(|(id, now)| {
-            let before = earlier.nodes.get(id)?;
-            (before.thread == now.thread).then(|| (id.clone(), self.node_usage(earlier, before, now)))
+        let nodes = self.nodes.iter().map(|(id, now)| {
+            let before = earlier.nodes.get(id).filter(|before| before.thread == now.thread);
+            (id.clone(), self.node_usage(earlier, before, now))
         });
         Usage {
             seconds: (self.at - earlier.at).as_secs_f64(),
-            nodes: both.collect(),
+            nodes: nodes.collect(),
             platform_processor_seconds: self.times.used_since(&earlier.times, self.platform).as_secs_f64(),
         }
     }
 
-    fn node_usage(&self, earlier: &Sample, before: &NodeSample, now: &NodeSample) -> NodeUsage {
+    fn node_usage(&self, earlier: &Sample, before: Option<&NodeSample>, now: &NodeSample) -> NodeUsage {
+        let started = before.is_none();
+        let zero = NodeSample::not_started(now.thread);
+        let before = before.unwrap_or(&zero);
         let probes = |counts: &ProbeTrafficCounts| counts.bytes_sent + counts.bytes_received;
         let sent = |counts: &PeerTrafficCounts| counts.bytes_sent + counts.frames_sent * TCP_FRAME_BYTES;
         let received =
             |counts: &PeerTrafficCounts| counts.bytes_received + counts.frames_received * TCP_FRAME_BYTES;
         NodeUsage {
             coordinates: now.coordinates,
+            started,
             processor_seconds: self.times.used_since(&earlier.times, now.thread).as_secs_f64(),
             probe_bytes: probes(&now.probes) - probes(&before.probes),
             peer_bytes_sent: sent(&now.peers) - sent(&before.peers),
@@ -129,6 +147,12 @@
         coordinators.map(figure).collect()
     }
 
+    /// One figure of each node, chosen by whether it was started in the time.
+    pub fn by_start(&self, started: bool, figure: impl Fn(&NodeUsage) -> f64) -> Vec<f64> {
+        let chosen = self.nodes.values().filter(|usage| usage.started == started);
+        chosen.map(figure).collect()
+    }
+
     /// Calls of all nodes.
     pub fn calls(&self) -> CallCounts {
         let calls = self.nodes.values().map(|usage| usage.calls);
