--- a/crates/croftrill-bench/src/command_line.rs
+++ b/crates/croftrill-bench/src/command_line.rs
@@ -21,6 +21,8 @@
 Options:
   --deployment NAME   granite-ledger (default) or surakshita-yatra
   --workload FILE     a scenario in TOML in place of --deployment
+  --no-caches         engines cache no checkpoints: every load reads from the
+                      weight store
   --seed N            seed of requests and caches (default 1); may be repeated,
                       then the means are printed
   --duration SECONDS  time over which requests arrive (default 1800)
@@ -58,6 +60,7 @@
     let mut compare = false;
     let mut policies = PolicySpec::built_in()?;
     let mut names: Vec<String> = Vec::new();
+    let mut no_caches = false;
     let mut options = CompareOptions {
         scenario: Scenario::built_in(DEPLOYMENTS[0])?,
         seeds: Vec::new(),
@@ -72,6 +75,7 @@
             Value(command) if command == "compare" => compare = true,
             Long("deployment") => options.scenario = Scenario::built_in(&parser.value()?.string()?)?,
             Long("workload") => options.scenario = read_scenario(parser.value()?.into())?,
+            Long("no-caches") => no_caches = true,
             Long("seed") => options.seeds.push(parser.value()?.parse()?),
             Long("duration") => options.duration_seconds = parser.value()?.parse()?,
             Long("policies") => policies = read_policies(parser.value()?.into())?,
@@ -83,6 +87,9 @@
     if !compare {
         bail!("no command given; see --help");
     }
+    if no_caches {
+        options.scenario = options.scenario.without_caches();
+    }
     if options.seeds.is_empty() {
         options.seeds.push(1);
     }
--- a/crates/croftrill-bench/src/scenario.rs
+++ b/crates/croftrill-bench/src/scenario.rs
@@ -218,6 +218,14 @@
         Ok(scenario)
     }
 
+    /// The same with engines that cache no checkpoints.
+    pub fn without_caches(mut self) -> Self {
+        self.name.push_str("-no-caches");
+        self.engine.memory_cache_mib = 0;
+        self.engine.disk_cache_mib = 0;
+        self
+    }
+
     fn check(&self) -> Result<()> {
         ensure!(self.places.zones > 0, "places.zones must be at least 1");
         ensure!(self.places.engines > 0, "places.engines must be at least 1");
