--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -5,18 +5,33 @@
 //! nothing else.
 //!
 //! Invariants after every entry, checked by [`ClusterState::check`]:
-//! - a model has at most `max_replicas` assignments that count as replicas;
+//! - every assignment's model and engine exist;
+//! - a model has at most `max_replicas` assignments that are not releasing;
+//! - while it has more than `max_replicas` that count as replicas (its most was
+//!   lowered and releases are not confirmed yet), none becomes active;
+//! - a deleted model has only releasing assignments;
 //! - on every accelerator the resident assignments fit the memory;
-//! - every on-demand assignment fits beside the residents of its engine.
+//! - every on-demand assignment that is not releasing fits beside the residents
+//!   of its engine.
 
 mod apply;
+mod intents;
+mod machines;
+mod membership_version;
 mod memory;
+mod shared;
+mod staleness;
+mod steps;
+mod tombstones;
+
+pub use shared::Shared;
+pub use tombstones::{ObjectName, Tombstones, REMEMBERED_DELETIONS};
 
 use crate::configuration::{Adapter, Group, Model};
 use crate::identifiers::{AdapterId, CellId, EngineId, GroupId, ModelId, NodeId, PlanId, Revision, Term};
-use crate::placement::{Assignment, AssignmentState, Engine, Node};
+use crate::placement::{Assignment, Engine, Node};
 use nanoserde::{DeBin, SerBin};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
 /// Confirmed plans that are remembered, so that a second confirmation of the
@@ -112,23 +127,31 @@
     /// The last applied revision.
     pub revision: Revision,
     /// Research groups.
-    pub groups: BTreeMap<GroupId, Versioned<Group>>,
+    pub groups: Shared<BTreeMap<GroupId, Versioned<Group>>>,
     /// Models.
-    pub models: BTreeMap<ModelId, Versioned<Model>>,
+    pub models: Shared<BTreeMap<ModelId, Versioned<Model>>>,
     /// Adapters.
-    pub adapters: BTreeMap<AdapterId, Versioned<Adapter>>,
+    pub adapters: Shared<BTreeMap<AdapterId, Versioned<Adapter>>>,
     /// Nodes.
-    pub nodes: BTreeMap<NodeId, Versioned<Node>>,
+    pub nodes: Shared<BTreeMap<NodeId, Versioned<Node>>>,
     /// Engines.
-    pub engines: BTreeMap<EngineId, Versioned<Engine>>,
+    pub engines: Shared<BTreeMap<EngineId, Versioned<Engine>>>,
     /// Assignments by model, then engine.
-    pub assignments: BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>,
+    pub assignments: Shared<BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>>,
     /// Coordinators.
-    pub coordinators: BTreeMap<CellId, Coordinator>,
+    pub coordinators: Shared<BTreeMap<CellId, Coordinator>>,
     /// Changes of the live nodes of each cell.
-    pub cell_memberships: BTreeMap<CellId, CellMembership>,
+    pub cell_memberships: Shared<BTreeMap<CellId, CellMembership>>,
     /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
-    pub confirmed_plans: BTreeMap<Revision, PlanId>,
+    pub confirmed_plans: Shared<BTreeMap<Revision, PlanId>>,
+    /// Deleted models whose replicas are not all released yet. They are not
+    /// served any more.
+    pub retiring_models: Shared<BTreeSet<ModelId>>,
+    /// Memory that each releasing replica holds on each of its accelerators, in
+    /// MiB, by model, then engine.
+    pub releasing_memory_mib: Shared<BTreeMap<ModelId, BTreeMap<EngineId, u64>>>,
+    /// When deleted objects were deleted.
+    pub tombstones: Shared<Tombstones>,
 }
 
 impl ClusterState {
@@ -166,6 +189,9 @@
     /// The base model that serves a name, which may be a model or an adapter.
     pub fn resolve(&self, name: &str) -> Option<Target> {
         let model = ModelId::from(name);
+        if self.is_retiring(&model) {
+            return None;
+        }
         if self.models.contains_key(&model) {
             return Some(Target { model, adapter: None });
         }
@@ -180,9 +206,31 @@
     /// Replicas of a model that the log lets exist at once.
     pub fn decided_replicas(&self, model: &ModelId) -> usize {
         self.assignments_of_model(model)
-            .filter(|assignment| !matches!(assignment.state, AssignmentState::WaitingFor { .. }))
+            .filter(|assignment| assignment.counts_as_replica())
             .count()
     }
+
+    /// The assignment of a model to an engine.
+    pub fn assignment(&self, model: &ModelId, engine: &EngineId) -> Option<&Assignment> {
+        let found = self.assignments.get(model)?.get(engine)?;
+        Some(&found.value)
+    }
+
+    /// Whether a model was deleted but still has replicas to release.
+    pub fn is_retiring(&self, model: &ModelId) -> bool {
+        self.retiring_models.contains(model)
+    }
+}
+
+fn versioned<T: Clone>(at: Revision, value: &T) -> Versioned<T> {
+    Versioned {
+        changed_at: at,
+        value: value.clone(),
+    }
+}
+
+fn missing(kind: &str, name: &str) -> ApplyError {
+    ApplyError::Invalid(format!("{kind} {name} does not exist"))
 }
 
 /// What a caller's model name stands for.
