Stand-in: the key-value service counts its calls

Cause: whether a recovery from an outage storms the rate-limited service could not be told from its ledger, which records changes only. Conclusion: GET /control/calls tells the calls let through, refused by the rate limit and refused in an outage; shown by calls_are_counted_by_what_became_of_them.

--- a/crates/croftrill-standin/src/control.rs
+++ b/crates/croftrill-standin/src/control.rs
@@ -14,6 +14,8 @@
 pub const FAULTS_PATH: &str = "/control/faults";
 /// Path of the ledger of each stand-in but the machine list and the proxy.
 pub const LEDGER_PATH: &str = "/control/ledger";
+/// Path of the counts of calls of the key-value service.
+pub const CALLS_PATH: &str = "/control/calls";
 /// Path of the changes of the machine list.
 pub const MACHINES_PATH: &str = "/control/machines";
 /// Path of the mode of the proxy.
--- a/crates/croftrill-standin/src/key_value.rs
+++ b/crates/croftrill-standin/src/key_value.rs
@@ -2,11 +2,12 @@
 //! watches, a rate limit and faults.
 //!
 //! `POST /control/faults` sets [`KeyValueFaults`]; `GET /control/ledger`
-//! answers every change, in order, as [`KeyValueChange`]s.
+//! answers every change, in order, as [`KeyValueChange`]s, and `GET
+//! /control/calls` answers [`KeyValueCalls`].
 
 mod store;
 
-use crate::control::{FAULTS_PATH, LEDGER_PATH};
+use crate::control::{CALLS_PATH, FAULTS_PATH, LEDGER_PATH};
 use crate::rate_limit::RateLimit;
 use crate::server::{self, not_found, ok, read_json, refuse, ConnectionCutter, Handler};
 use crate::server::{now_millis, Body, HandlerResult, Rejection, RunningServer};
@@ -91,6 +92,24 @@
     LeaseEnded,
 }
 
+/// Calls so far, by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyValueCalls {
+    /// Let through.
+    pub admitted: u64,
+    /// Refused by the rate limit.
+    pub rate_limited: u64,
+    /// Refused by an outage.
+    pub refused_in_outage: u64,
+}
+
+impl KeyValueCalls {
+    /// All of them.
+    pub fn all(&self) -> u64 {
+        self.admitted + self.rate_limited + self.refused_in_outage
+    }
+}
+
 /// The stand-in.
 pub struct KeyValue {
     state: Mutex<State>,
@@ -102,6 +121,7 @@
     store: Store,
     rate_limit: RateLimit,
     faults: KeyValueFaults,
+    calls: KeyValueCalls,
 }
 
 /// A running stand-in; stops when dropped.
@@ -130,6 +150,7 @@
             store: Store::default(),
             rate_limit: RateLimit::new(config.rate_per_second, config.burst),
             faults: KeyValueFaults::default(),
+            calls: KeyValueCalls::default(),
         };
         let service = Arc::new(Self {
             state: Mutex::new(state),
@@ -155,10 +176,14 @@
     fn admit(&self) -> Result<Duration, Rejection> {
         let mut state = self.lock();
         if state.faults.outage {
+            state.calls.refused_in_outage += 1;
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "outage", OUTAGE_RETRY_MILLIS).into());
         }
-        let taken = state.rate_limit.take();
-        taken.map_err(|wait| refuse(StatusCode::TOO_MANY_REQUESTS, "rate limited", wait))?;
+        if let Err(wait) = state.rate_limit.take() {
+            state.calls.rate_limited += 1;
+            return Err(refuse(StatusCode::TOO_MANY_REQUESTS, "rate limited", wait).into());
+        }
+        state.calls.admitted += 1;
         Ok(Duration::from_millis(state.faults.latency_millis / 2))
     }
 
@@ -250,6 +275,7 @@
                 Ok(ok(&()))
             }
             LEDGER_PATH => Ok(ok(&self.lock().store.ledger())),
+            CALLS_PATH => Ok(ok(&self.lock().calls)),
             _ => Ok(not_found()),
         }
     }
--- a/crates/croftrill-standin/src/lib.rs
+++ b/crates/croftrill-standin/src/lib.rs
@@ -14,7 +14,9 @@
 
 pub use control::ControlClient;
 pub use engine::{expected_answer, Engine, EngineConfig, EngineFaults, EngineLedger, RunningEngine};
-pub use key_value::{KeyValue, KeyValueConfig, KeyValueFaults, RunningKeyValue};
+pub use key_value::{
+    ChangeKind, KeyValue, KeyValueCalls, KeyValueChange, KeyValueConfig, KeyValueFaults, RunningKeyValue,
+};
 pub use machine_list::{MachineChange, MachineListConfig, MachineListService, RunningMachineList};
 pub use proxy::{ProxyConfig, ProxyMode, RunningProxy};
 pub use weight_store::{RunningWeightStore, WeightStoreConfig, WeightStoreFaults, WeightStoreService};
--- a/crates/croftrill-standin/tests/key_value.rs
+++ b/crates/croftrill-standin/tests/key_value.rs
@@ -5,9 +5,12 @@
 
 use croftrill_platform::key_value::{KeyValueError, KeyValueService, WriteOutcome};
 use croftrill_platform::{HttpEndpoint, HttpKeyValueService};
+use croftrill_standin::control::CALLS_PATH;
 use croftrill_standin::key_value::ChangeKind;
 use croftrill_standin::proxy::{self, ProxyConfig, ProxyMode, RunningProxy};
-use croftrill_standin::{KeyValue, KeyValueConfig, KeyValueFaults, RunningKeyValue};
+use croftrill_standin::{
+    ControlClient, KeyValue, KeyValueCalls, KeyValueConfig, KeyValueFaults, RunningKeyValue,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::{eventually, refused_address, until};
@@ -290,3 +293,31 @@
     written(client.write_if("k", vec![1], None, None).await.unwrap());
     assert_eq!(service.ledger().len(), 1);
 }
+
+#[tokio::test]
+async fn calls_are_counted_by_what_became_of_them() {
+    let config = KeyValueConfig {
+        rate_per_second: 0.001,
+        burst: 2.0,
+        ..KeyValueConfig::default()
+    };
+    let service = KeyValue::start(config).await.unwrap();
+    let client = client(service.server.address());
+    for _ in 0..3 {
+        let _ = client.get("k").await;
+    }
+    service.set_faults(KeyValueFaults {
+        outage: true,
+        ..KeyValueFaults::default()
+    });
+    let _ = client.get("k").await;
+    let control = ControlClient::new(service.server.address().to_string());
+    let calls: KeyValueCalls = control.get(CALLS_PATH).await.unwrap();
+    let expected = KeyValueCalls {
+        admitted: 2,
+        rate_limited: 1,
+        refused_in_outage: 1,
+    };
+    assert_eq!(calls, expected);
+    assert_eq!(calls.all(), 4);
+}
