Tests of the control side under failure, with real processes

The harness can start a node again on its addresses, put a proxy before the key-value service of each node, and shows statuses, metrics and the ledger. Settings files are named by cluster, since tests of one file run side by side.

--- a/crates/croftrill-daemon/tests/support/cluster.rs
+++ b/crates/croftrill-daemon/tests/support/cluster.rs
@@ -7,6 +7,7 @@
 use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{CellId, EngineId, FencingToken, NodeId, ZoneId};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Memory of each accelerator of a test's engine, in MiB.
 const ACCELERATOR_MEMORY_MIB: u64 = 80_000;
@@ -16,6 +17,8 @@
 const MAX_RUNNING: u32 = 16;
 /// The cell of all machines of a test.
 const CELL: &str = "cell-1";
+/// Clusters that this test process has started.
+static CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
 /// What to start.
 #[derive(Clone, Debug)]
@@ -34,6 +37,9 @@
     pub settings: String,
     /// Lag of the machine list, in milliseconds.
     pub machine_list_lag_millis: u64,
+    /// Whether each node reaches the key-value service through a proxy of its
+    /// own.
+    pub key_value_proxies: bool,
 }
 
 impl Default for ClusterPlan {
@@ -46,6 +52,7 @@
             weight_store_flags: Vec::new(),
             settings: String::new(),
             machine_list_lag_millis: 0,
+            key_value_proxies: false,
         }
     }
 }
@@ -73,6 +80,8 @@
     pub id: NodeId,
     /// The process.
     pub process: Process,
+    /// The proxy between it and the key-value service, if asked for.
+    pub key_value_proxy: Option<Process>,
 }
 
 impl NodeProcess {
@@ -89,7 +98,9 @@
 
 /// A whole running system.
 pub struct Cluster {
-    plan: ClusterPlan,
+    pub(super) plan: ClusterPlan,
+    /// Tells apart the clusters of one test process.
+    number: u32,
     /// The key-value service.
     pub key_value: Process,
     /// Its control paths.
@@ -122,6 +133,7 @@
             engines: Vec::new(),
             nodes: Vec::new(),
             plan,
+            number: CLUSTERS.fetch_add(1, Ordering::Relaxed),
         };
         for index in 0..cluster.plan.engines {
             cluster.start_engine(&format!("engine-{index}")).await;
@@ -172,7 +184,13 @@
 
     /// Starts one more node and puts it on the machine list.
     pub async fn start_node(&mut self, name: &str) {
-        let process = Process::start("croftrilld", name, &self.node_flags(name));
+        let key_value_proxy = self.plan.key_value_proxies.then(|| {
+            let upstream = self.key_value.address("address");
+            standin("proxy", &["--upstream".to_string(), upstream])
+        });
+        let proxy = key_value_proxy.as_ref().unwrap_or(&self.key_value);
+        let key_value = proxy.address("address");
+        let process = Process::start("croftrilld", name, &self.node_flags(name, &key_value, None));
         let node = Node {
             id: NodeId::from(name),
             zone: ZoneId::from("zone-a"),
@@ -188,11 +206,23 @@
         self.nodes.push(NodeProcess {
             id: NodeId::from(name),
             process,
+            key_value_proxy,
         });
     }
 
-    fn node_flags(&self, name: &str) -> Vec<String> {
-        let path = std::env::temp_dir().join(format!("croftrill-{}-{name}.toml", std::process::id()));
+    /// Starts a node again, under its name and on its addresses; its former
+    /// process has ended.
+    pub fn restart_node(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let name = node.id.to_string();
+        let key_value = node.key_value_proxy.as_ref().unwrap_or(&self.key_value);
+        let flags = self.node_flags(&name, &key_value.address("address"), Some(&node.process));
+        self.nodes[index].process = Process::start("croftrilld", &name, &flags);
+    }
+
+    fn node_flags(&self, name: &str, key_value: &str, former: Option<&Process>) -> Vec<String> {
+        let file = format!("croftrill-{}-{}-{name}.toml", std::process::id(), self.number);
+        let path = std::env::temp_dir().join(file);
         std::fs::write(&path, &self.plan.settings).expect("the settings can be written");
         let url = |process: &Process| format!("http://{}", process.address("address"));
         let mut flags = vec![
@@ -200,20 +230,21 @@
             ("--node-id", name.to_string()),
             ("--zone", "zone-a".to_string()),
             ("--cell", CELL.to_string()),
-            ("--key-value", url(&self.key_value)),
+            ("--key-value", format!("http://{key_value}")),
             ("--machine-list", url(&self.machine_list)),
             ("--weight-store", url(&self.weight_store)),
             ("--log-level", "debug".to_string()),
         ];
-        for listener in [
-            "--listen-callers",
-            "--listen-operators",
-            "--listen-peers",
-            "--listen-attempts",
+        for (listener, field) in [
+            ("--listen-callers", "callers"),
+            ("--listen-operators", "operators"),
+            ("--listen-peers", "peers"),
+            ("--listen-attempts", "attempts"),
         ] {
-            flags.push((listener, "127.0.0.1:0".to_string()));
+            let any = || "127.0.0.1:0".to_string();
+            flags.push((listener, former.map_or_else(any, |former| former.address(field))));
         }
-        for node in &self.nodes {
+        for node in self.nodes.iter().filter(|node| node.id.as_str() != name) {
             flags.push(("--seed", node.process.address("peers")));
         }
         flags
--- a/crates/croftrill-daemon/tests/support/mod.rs
+++ b/crates/croftrill-daemon/tests/support/mod.rs
@@ -5,10 +5,14 @@
 
 mod caller;
 mod cluster;
+mod control_view;
 mod process;
+mod steady_callers;
 mod waiting;
 
 pub use caller::{Answer, Caller, Completion};
 pub use cluster::{Cluster, ClusterPlan, EngineProcess, NodeProcess};
+pub use control_view::{NodeHttp, StatusSample, MODEL_OPTIONS, SHORT_TIMINGS};
 pub use process::Process;
+pub use steady_callers::SteadyCallers;
 pub use waiting::eventually;
--- a/crates/croftrill-daemon/tests/support/process.rs
+++ b/crates/croftrill-daemon/tests/support/process.rs
@@ -69,6 +69,12 @@
         self.child.wait().expect("the child can be waited for").success()
     }
 
+    /// Whether the process ended by itself, and then whether successfully.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("the child can be waited for");
+        status.map(|status| status.success())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         kill(pid, signal).unwrap_or_else(|error| panic!("{signal} to {}: {error}", self.name));
