--- a/crates/croftrill-coordination/tests/claim_service.rs
+++ b/crates/croftrill-coordination/tests/claim_service.rs
@@ -199,7 +199,7 @@
             holder: ClaimHolder {
                 node: NodeId::from(id),
                 instance,
-                witnessed_empty_log: true,
+                witnessed_no_ring: true,
             },
             claims: claims(),
             call_limit: Duration::from_secs(1),
--- a/crates/croftrill-state/tests/claims.rs
+++ b/crates/croftrill-state/tests/claims.rs
@@ -52,11 +52,11 @@
     }
 }
 
-fn table_of(node: &str, instance: u64, witnessed_empty_log: bool, first: &ClaimRing) -> ClaimTable {
+fn table_of(node: &str, instance: u64, witnessed_no_ring: bool, first: &ClaimRing) -> ClaimTable {
     let holder = ClaimHolder {
         node: NodeId::from(node),
         instance,
-        witnessed_empty_log,
+        witnessed_no_ring,
     };
     let mut table = ClaimTable::new(config(), holder);
     table.observe_ring(first.clone(), &MembershipView::default(), START);
@@ -536,7 +536,7 @@
     let holder = ClaimHolder {
         node: NodeId::from("a"),
         instance: 1,
-        witnessed_empty_log: true,
+        witnessed_no_ring: true,
     };
     let small = ClaimConfig {
         max_records: 2,
