What provably did not run does not count against the limit of attempts

Cause: every attempt counted, also those that an owner refused at once because its engine restarts. Two engines that crashed one after the other used up even eight attempts within 0.3 s, though they served again after 0.5 s, and the caller got a broken stream.

Ruled out: longer pauses alone; a request with other engines would wait for nothing. Such attempts stay limited: each engine once between pauses, seven pauses that double (6.4 s at most), and the retry budget.

--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -50,7 +50,7 @@
     pub most_tokens: u32,
     /// The group of callers that name none; without one they are refused.
     pub default_group: Option<GroupId>,
-    /// Most attempts for one request.
+    /// Most attempts for one request that may have cost an engine work.
     pub most_attempts: u32,
     /// Longest wait for a caller that does not read, in milliseconds.
     pub slow_caller_millis: u64,
--- a/crates/croftrill-gateway/src/request_run.rs
+++ b/crates/croftrill-gateway/src/request_run.rs
@@ -47,6 +47,9 @@
     may_have_run: bool,
     claim: ClaimTicket,
     attempts_made: u32,
+    /// Those that may have cost an engine work; only they count against the
+    /// limit of attempts. The others are limited by the pauses.
+    attempts_that_may_have_run: u32,
     pauses_made: u32,
     /// Engines that refused and would refuse again.
     refused_by: HashSet<EngineId>,
@@ -76,6 +79,7 @@
             may_have_run: false,
             claim,
             attempts_made: 0,
+            attempts_that_may_have_run: 0,
             pauses_made: 0,
             refused_by: HashSet::new(),
             failed_at: HashSet::new(),
@@ -204,8 +208,11 @@
     fn after_failure(&mut self, failure: Refusal, engine: EngineId) -> Option<Ending> {
         self.may_have_run |= failure.execution == Execution::MayHaveRun;
         let step = self.next_step(&failure);
+        if failure.execution == Execution::MayHaveRun {
+            self.attempts_that_may_have_run += 1;
+        }
         self.last_failure = Some(failure);
-        if self.attempts_made >= self.dispatcher.config.most_attempts {
+        if self.attempts_that_may_have_run >= self.dispatcher.config.most_attempts {
             return Some(self.give_up());
         }
         match step {
--- a/crates/croftrill-gateway/tests/failures.rs
+++ b/crates/croftrill-gateway/tests/failures.rs
@@ -106,6 +106,22 @@
     assert_eq!(attempts, 1);
 }
 
+/// An engine that restarts refuses for a while; that costs it nothing.
+#[tokio::test]
+async fn what_did_not_run_does_not_count_against_the_limit_of_attempts() {
+    let mut scripts = vec![Script::BreakAt(3)];
+    scripts.extend(vec![Script::not_run(RefusalCause::EngineFailed); 4]);
+    let owner = ScriptedOwner::start(scripts).await;
+    let config = GatewayConfig {
+        most_attempts: 2,
+        ..GatewayConfig::default()
+    };
+    let gateway = TestGateway::start_with(&[&owner.address], config, Vec::new()).await;
+    let answer = gateway.complete(true, &[]).await;
+    assert_eq!(answer.text(), answer_text());
+    assert_eq!(owner.seen().len(), 6);
+}
+
 #[tokio::test]
 async fn an_owner_that_stays_away_is_given_up_truthfully() {
     let unreachable = unused_address().await;
