Hollow nodes: cost of a request and of an operator's call

Two whole daemons on named threads before one engine stand-in tell the processor time of one request at the gateway and at the owner; the operators' calls are timed on a state of the size to design for.

--- a/crates/croftrill-hollow/src/cluster.rs
+++ b/crates/croftrill-hollow/src/cluster.rs
@@ -75,9 +75,9 @@
             self.specs.push(NodeSpec::new(index, listener.local_addr()?));
             listeners.push((index, listener));
         }
-        let machines = listeners
-            .iter()
-            .map(|(index, _)| population::node_machine(*index, self.specs[*index].address));
+        let machines = listeners.iter().map(|(index, _)| {
+            population::node_machine(*index, self.specs[*index].address, self.specs[*index].address)
+        });
         let engines = population::engines_for(nodes);
         let new_engines = (self.engines..engines).map(population::engine_machine);
         self.platform.put_machines(machines.chain(new_engines).collect());
--- a/crates/croftrill-hollow/src/command_line.rs
+++ b/crates/croftrill-hollow/src/command_line.rs
@@ -1,10 +1,12 @@
 //! The command line.
 
+use crate::experiments::operator::OperatorConfig;
 use crate::experiments::propagate::PropagateConfig;
 use crate::experiments::restart::RestartConfig;
 use crate::experiments::state_size::StateSizeConfig;
 use crate::experiments::steady::SteadyConfig;
 use crate::experiments::takeover::TakeoverConfig;
+use crate::experiments::traffic::TrafficConfig;
 use crate::population::Population;
 use crate::report::Format;
 use anyhow::{bail, ensure};
@@ -24,17 +26,22 @@
   propagate   Time and cost of a change of configuration at every node
   restart     A sixth of the nodes (a zone) fails and starts again at once
   takeover    The coordinator of a cell fails
+  traffic     Processor time of a request at the gateway and at the owner
+  operator    The operators' calls: plan, status, listings
 
 Options:
   --sizes N,N,..     Numbers of nodes, rising (default 24,48,95)
   --population P     Models and adapters, in percent of 730 and 8300 (default 100)
   --window SECONDS   Length of each measurement (default 30)
   --settle SECONDS   Pause before each measurement (default 10)
-  --percents P,P,..  Parts of the full size (state-size; default 25,50,100)
+  --percents P,P,..  Parts of the full size (state-size, operator; default
+                     25,50,100)
   --changes N        Changes at each size (propagate; default 30)
   --gap MILLIS       Pause after each change (propagate; default 1000)
   --down SECONDS     Time between end and start (restart; default 2)
   --failures N       Failures at each size (takeover; default 3)
+  --rates N,N,..     Requests a second (traffic; default 10,20,40)
+  --tokens N,N,..    Tokens of an answer (traffic; default 50,100,200)
   --output FORMAT    table or json (default table)
   -h, --help         Print this help
 ";
@@ -44,7 +51,7 @@
     /// Print the help.
     Help,
     /// Run an experiment.
-    Run(Experiment, Options),
+    Run(Experiment, Box<Options>),
 }
 
 /// The experiments.
@@ -60,6 +67,10 @@
     Restart,
     /// A coordinator's failure.
     Takeover,
+    /// Requests.
+    Traffic,
+    /// Operators' calls.
+    Operator,
 }
 
 /// Options of all experiments.
@@ -83,6 +94,10 @@
     pub down: Duration,
     /// Failures at each size.
     pub failures: usize,
+    /// Requests a second.
+    pub rates: Vec<usize>,
+    /// Tokens of an answer.
+    pub tokens: Vec<usize>,
     /// How the report is written.
     pub format: Format,
 }
@@ -99,6 +114,8 @@
             gap: Duration::from_millis(1000),
             down: Duration::from_secs(2),
             failures: 3,
+            rates: vec![10, 20, 40],
+            tokens: vec![50, 100, 200],
             format: Format::Table,
         }
     }
@@ -122,6 +139,22 @@
         }
     }
 
+    /// The settings of `operator`.
+    pub fn operator(&self) -> OperatorConfig {
+        OperatorConfig {
+            percents: self.percents.clone(),
+        }
+    }
+
+    /// The settings of `traffic`.
+    pub fn traffic(&self) -> TrafficConfig {
+        TrafficConfig {
+            rates: self.rates.clone(),
+            tokens: self.tokens.clone(),
+            window: self.window,
+        }
+    }
+
     /// The settings of `propagate`.
     pub fn propagate(&self) -> PropagateConfig {
         PropagateConfig {
@@ -170,13 +203,15 @@
             Long("gap") => options.gap = Duration::from_millis(parser.value()?.parse()?),
             Long("down") => options.down = Duration::from_secs(parser.value()?.parse()?),
             Long("failures") => options.failures = parser.value()?.parse()?,
+            Long("rates") => options.rates = sizes(&parser.value()?.string()?)?,
+            Long("tokens") => options.tokens = sizes(&parser.value()?.string()?)?,
             Long("output") => options.format = format(&parser.value()?.string()?)?,
             Value(name) if experiment.is_none() => experiment = Some(named(&name.string()?)?),
             other => return Err(other.unexpected().into()),
         }
     }
     match experiment {
-        Some(experiment) => Ok(Command::Run(experiment, options)),
+        Some(experiment) => Ok(Command::Run(experiment, Box::new(options))),
         None => bail!("no experiment given; see --help"),
     }
 }
@@ -188,6 +223,8 @@
         "propagate" => Ok(Experiment::Propagate),
         "restart" => Ok(Experiment::Restart),
         "takeover" => Ok(Experiment::Takeover),
+        "traffic" => Ok(Experiment::Traffic),
+        "operator" => Ok(Experiment::Operator),
         other => bail!("no experiment is called {other}; see --help"),
     }
 }
--- a/crates/croftrill-hollow/src/experiments/steady.rs
+++ b/crates/croftrill-hollow/src/experiments/steady.rs
@@ -104,7 +104,7 @@
 /// Size of one answer of the machine list, as JSON.
 pub fn machine_list_bytes(nodes: usize) -> usize {
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], 40_000));
-    let nodes_listed = (0..nodes).map(|index| population::node_machine(index, address));
+    let nodes_listed = (0..nodes).map(|index| population::node_machine(index, address, address));
     let engines = (0..population::engines_for(nodes)).map(population::engine_machine);
     let answer = MachinesAnswer {
         machines: nodes_listed.chain(engines).collect(),
--- a/crates/croftrill-hollow/src/lib.rs
+++ b/crates/croftrill-hollow/src/lib.rs
@@ -7,11 +7,14 @@
 //! and machine list are the stand-ins, on a thread of their own, so that their
 //! processor time is told apart.
 
+pub mod built_state;
+pub mod caller;
 pub mod cluster;
 pub mod command_line;
 pub mod counted_platform;
 pub mod experiments;
 pub mod meter;
+pub mod named_runtime;
 pub mod node;
 pub mod platform;
 pub mod population;
--- a/crates/croftrill-hollow/src/main.rs
+++ b/crates/croftrill-hollow/src/main.rs
@@ -1,7 +1,7 @@
 //! `croftrill-hollow`: measures what control costs at many nodes.
 
 use croftrill_hollow::command_line::{self, Command, Experiment, Options, HELP};
-use croftrill_hollow::experiments::{propagate, restart, state_size, steady, takeover};
+use croftrill_hollow::experiments::{operator, propagate, restart, state_size, steady, takeover, traffic};
 use simplelog::{Config, LevelFilter, WriteLogger};
 use std::io::stderr;
 
@@ -11,7 +11,7 @@
         Command::Help => print!("{HELP}"),
         Command::Run(experiment, options) => {
             WriteLogger::init(LevelFilter::Error, Config::default(), stderr())?;
-            run(experiment, options).await?;
+            run(experiment, *options).await?;
         }
     }
     Ok(())
@@ -24,5 +24,7 @@
         Experiment::Propagate => propagate::run(options.propagate(), options.format).await,
         Experiment::Restart => restart::run(options.restart(), options.format).await,
         Experiment::Takeover => takeover::run(options.takeover(), options.format).await,
+        Experiment::Traffic => traffic::run(options.traffic(), options.format).await,
+        Experiment::Operator => operator::run(options.operator(), options.format).await,
     }
 }
--- a/crates/croftrill-hollow/src/meter.rs
+++ b/crates/croftrill-hollow/src/meter.rs
@@ -18,7 +18,13 @@
 
 /// Processor time of each thread since its start.
 #[derive(Clone, Debug, Default)]
-pub struct ProcessorTimes(HashMap<ThreadId, Duration>);
+pub struct ProcessorTimes(HashMap<ThreadId, Used>);
+
+#[derive(Clone, Debug, Default)]
+struct Used {
+    name: String,
+    time: Duration,
+}
 
 impl ProcessorTimes {
     /// Reads the present times.
@@ -28,8 +34,12 @@
         for task in process.tasks()? {
             let task = task?;
             // A thread may end between the listing and this reading.
-            if let Ok(time) = task.schedstat() {
-                times.insert(ThreadId(task.tid), Duration::from_nanos(time.sum_exec_runtime));
+            if let (Ok(time), Ok(stat)) = (task.schedstat(), task.stat()) {
+                let used = Used {
+                    name: stat.comm,
+                    time: Duration::from_nanos(time.sum_exec_runtime),
+                };
+                times.insert(ThreadId(task.tid), used);
             }
         }
         Ok(Self(times))
@@ -37,9 +47,17 @@
 
     /// What a thread used after `earlier`.
     pub fn used_since(&self, earlier: &ProcessorTimes, thread: ThreadId) -> Duration {
-        let now = self.0.get(&thread).copied().unwrap_or_default();
-        let before = earlier.0.get(&thread).copied().unwrap_or_default();
-        now.saturating_sub(before)
+        self.time(thread).saturating_sub(earlier.time(thread))
+    }
+
+    /// What all threads with a name used after `earlier`.
+    pub fn used_by_name(&self, earlier: &ProcessorTimes, name: &str) -> Duration {
+        let named = self.0.iter().filter(|(_, used)| used.name == name);
+        named.map(|(thread, _)| self.used_since(earlier, *thread)).sum()
+    }
+
+    fn time(&self, thread: ThreadId) -> Duration {
+        self.0.get(&thread).map_or(Duration::ZERO, |used| used.time)
     }
 }
 
--- a/crates/croftrill-hollow/src/node.rs
+++ b/crates/croftrill-hollow/src/node.rs
@@ -88,7 +88,7 @@
         platform: &Platform,
     ) -> anyhow::Result<HollowNode> {
         listener.set_nonblocking(true)?;
-        let settings = settings(&spec, seeds, platform)?;
+        let settings = settings(spec.index, spec.address, seeds, platform)?;
         let calls = Arc::new(PlatformCalls::default());
         let key_value = Arc::new(CountedKeyValue {
             service: HttpKeyValueService::new(HttpEndpoint {
@@ -200,23 +200,28 @@
     let _ = tokio::time::timeout(STOP_LIMIT, tasks.tracker.wait()).await;
 }
 
-/// The settings of a node: every default is the daemon's.
-fn settings(spec: &NodeSpec, seeds: &[SocketAddr], platform: &Platform) -> anyhow::Result<Settings> {
+/// The settings of a node that listens for peers at an address: every default
+/// is the daemon's.
+pub fn settings(
+    index: usize,
+    peers: SocketAddr,
+    seeds: &[SocketAddr],
+    platform: &Platform,
+) -> anyhow::Result<Settings> {
     let unused = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let endpoint = |address| Some(croftrill_settings::HttpEndpoint { address });
     let overrides = Overrides {
-        node_id: Some(spec.id.to_string()),
-        zone: Some(population::zone_of(spec.index).to_string()),
-        cell: Some(spec.cell.to_string()),
+        node_id: Some(population::node_id(index).to_string()),
+        zone: Some(population::zone_of(index).to_string()),
+        cell: Some(population::cell_of(index).to_string()),
         listen_callers: Some(unused),
         listen_operators: Some(unused),
-        listen_peers: Some(spec.address),
+        listen_peers: Some(peers),
         listen_attempts: Some(unused),
-        advertise_attempts: Some(spec.address),
         seeds: seeds.to_vec(),
         key_value: endpoint(platform.key_value_address()),
         machine_list: endpoint(platform.machine_list_address()),
-        weight_store: endpoint(platform.key_value_address()),
+        weight_store: endpoint(platform.weight_store_address()),
         ..Overrides::default()
     };
     Settings::load("hollow", "", &overrides).map_err(|findings| anyhow!("{findings}"))
--- a/crates/croftrill-hollow/src/platform.rs
+++ b/crates/croftrill-hollow/src/platform.rs
@@ -5,27 +5,30 @@
 use croftrill_platform::machine_list::Machine;
 use croftrill_standin::{
     KeyValue, KeyValueConfig, MachineChange, MachineListConfig, MachineListService, RunningKeyValue,
-    RunningMachineList,
+    RunningMachineList, RunningWeightStore, WeightStoreConfig, WeightStoreService,
 };
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-/// Running stand-ins of the key-value service and the machine list.
+/// Running stand-ins of the key-value service, the machine list and the weight
+/// store.
 pub struct Platform {
     /// The key-value service.
     pub key_value: RunningKeyValue,
     /// The machine list.
     pub machines: RunningMachineList,
-    /// The thread that both run on.
+    /// The weight store.
+    pub weight_store: RunningWeightStore,
+    /// The thread that all run on.
     pub thread: ThreadId,
     stop: CancellationToken,
     joined: Option<JoinHandle<()>>,
 }
 
 impl Platform {
-    /// Starts both with nothing in them.
+    /// Starts all with nothing in them.
     pub async fn start() -> anyhow::Result<Platform> {
         let stop = CancellationToken::new();
         let stopped = stop.clone();
@@ -34,11 +37,12 @@
             .name("platform".to_string())
             .spawn(move || run(sender, stopped))
             .context("the platform's thread cannot be started")?;
-        let (key_value, machines, thread) = receiver.await.context("the platform's thread ended")??;
+        let started = receiver.await.context("the platform's thread ended")??;
         Ok(Platform {
-            key_value,
-            machines,
-            thread,
+            key_value: started.key_value,
+            machines: started.machines,
+            weight_store: started.weight_store,
+            thread: started.thread,
             stop,
             joined: Some(joined),
         })
@@ -54,6 +58,11 @@
         self.machines.server.address()
     }
 
+    /// Where the weight store listens.
+    pub fn weight_store_address(&self) -> SocketAddr {
+        self.weight_store.server.address()
+    }
+
     /// Adds or replaces machines.
     pub fn put_machines(&self, machines: Vec<Machine>) {
         let changes = machines.into_iter().map(|machine| MachineChange::Put { machine });
@@ -70,7 +79,12 @@
     }
 }
 
-type Started = (RunningKeyValue, RunningMachineList, ThreadId);
+struct Started {
+    key_value: RunningKeyValue,
+    machines: RunningMachineList,
+    weight_store: RunningWeightStore,
+    thread: ThreadId,
+}
 
 fn run(sender: oneshot::Sender<anyhow::Result<Started>>, stop: CancellationToken) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -88,7 +102,10 @@
 }
 
 async fn start() -> anyhow::Result<Started> {
-    let key_value = KeyValue::start(KeyValueConfig::default()).await?;
-    let machines = MachineListService::start(MachineListConfig::default()).await?;
-    Ok((key_value, machines, ThreadId::current()))
+    Ok(Started {
+        key_value: KeyValue::start(KeyValueConfig::default()).await?,
+        machines: MachineListService::start(MachineListConfig::default()).await?,
+        weight_store: WeightStoreService::start(WeightStoreConfig::default()).await?,
+        thread: ThreadId::current(),
+    })
 }
--- a/crates/croftrill-hollow/src/population.rs
+++ b/crates/croftrill-hollow/src/population.rs
@@ -90,15 +90,21 @@
     }
 }
 
+/// The name of a group.
+pub fn group_id(index: usize) -> GroupId {
+    GroupId::new(format!("group-{index:03}"))
+}
+
 fn group(index: usize) -> Group {
     Group {
-        id: GroupId::new(format!("group-{index:03}")),
+        id: group_id(index),
         share_weight: 1 + index as u32 % 5,
         highest_priority: PriorityClass::Interactive,
     }
 }
 
-fn model_id(index: usize) -> ModelId {
+/// The name of a model.
+pub fn model_id(index: usize) -> ModelId {
     ModelId::new(format!("model-{index:04}"))
 }
 
@@ -135,13 +141,13 @@
 }
 
 /// A node as the machine list tells it.
-pub fn node_machine(index: usize, address: SocketAddr) -> Machine {
+pub fn node_machine(index: usize, peers: SocketAddr, attempts: SocketAddr) -> Machine {
     Machine::Node(Node {
         id: node_id(index),
         zone: zone_of(index),
         cell: cell_of(index),
-        peer_address: address.to_string(),
-        attempt_address: address.to_string(),
+        peer_address: peers.to_string(),
+        attempt_address: attempts.to_string(),
         lifecycle: Lifecycle::Live,
     })
 }
