Engines list adapters that are being loaded

An inventory listed an adapter only once it was loaded, so an owner that took over did not count the memory of one that its predecessor was loading. The listing now tells its progress, as for models; a load that failed is seen at once instead of after a timeout.

--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -190,6 +190,7 @@
     let adapters = held.adapters.into_iter().map(|adapter| HeldAdapterReplica {
         adapter: adapter.adapter,
         version: adapter.version,
+        loaded: adapter.state == LoadState::Loaded,
         memory_mib_per_accelerator: adapter.memory_mib_per_accelerator,
     });
     HeldReplica {
--- a/crates/croftrill-platform/src/engine.rs
+++ b/crates/croftrill-platform/src/engine.rs
@@ -81,6 +81,8 @@
     pub adapter: AdapterId,
     /// Its version.
     pub version: u32,
+    /// Progress; one that is being loaded takes its memory already.
+    pub state: LoadState,
     /// Memory on each accelerator of the base, in MiB.
     pub memory_mib_per_accelerator: u64,
 }
--- a/crates/croftrill-state/src/engine_memory/config.rs
+++ b/crates/croftrill-state/src/engine_memory/config.rs
@@ -36,9 +36,6 @@
     /// How long an order whose answer was lost may still arrive, in
     /// milliseconds.
     pub lost_order_hold_millis: u64,
-    /// Time after which an adapter whose load was accepted counts as failed, in
-    /// milliseconds.
-    pub adapter_load_timeout_millis: u64,
     /// Time constant of the observed request rates, in milliseconds.
     pub rate_window_millis: u64,
     /// How long after the named time a refused caller's return is expected, in
@@ -59,7 +56,6 @@
             minimum_residence_millis: 5_000,
             order_backoff_millis: 500,
             lost_order_hold_millis: 5_000,
-            adapter_load_timeout_millis: 30_000,
             rate_window_millis: 600_000,
             return_grace_millis: 10_000,
             load_time: LoadTimeConfig::default(),
--- a/crates/croftrill-state/src/engine_memory/held.rs
+++ b/crates/croftrill-state/src/engine_memory/held.rs
@@ -119,7 +119,7 @@
         Self {
             version: held.version,
             memory: held.memory_mib_per_accelerator,
-            phase: Phase::Loaded,
+            phase: Phase::Answered,
             changed: 0,
             hold_until: Instant::default(),
         }
--- a/crates/croftrill-state/src/engine_memory/reconcile.rs
+++ b/crates/croftrill-state/src/engine_memory/reconcile.rs
@@ -100,13 +100,29 @@
         } else {
             Phase::Loading
         };
-        take_in_adapters(replica, held.adapters, judgement);
-        if !held.loaded || was_loaded {
-            return None;
+        let newly_loaded = held.loaded && !was_loaded;
+        if newly_loaded {
+            replica.loaded_at = now;
         }
-        replica.loaded_at = now;
-        self.backoff.remove(&base_of(&model));
-        Some(Settled::Loaded(model))
+        let adapters = take_in_adapters(replica, held.adapters, judgement);
+        for (adapter, loaded) in adapters {
+            self.adapter_load_ended(&model, adapter, loaded, now);
+        }
+        if newly_loaded {
+            self.backoff.remove(&base_of(&model));
+        }
+        newly_loaded.then_some(Settled::Loaded(model))
+    }
+
+    fn adapter_load_ended(&mut self, base: &ModelId, adapter: AdapterId, loaded: bool, now: Instant) {
+        if !loaded {
+            self.failed(base, Some(&adapter), now);
+            return;
+        }
+        self.backoff.remove(&Target {
+            model: base.clone(),
+            adapter: Some(adapter),
+        });
     }
 
     fn expected_at(&self, model: &ModelId, now: Instant) -> Instant {
@@ -151,9 +167,8 @@
 
     /// The engine's answer to the order to load an adapter.
     pub fn adapter_load_answered(&mut self, adapter: &Adapter, answer: OrderAnswer, now: Instant) {
-        let timeout = now + self.config.adapter_load_timeout_millis;
         match answer {
-            OrderAnswer::Done => self.set_adapter_phase(&adapter.base, &adapter.id, Phase::Loading, timeout),
+            OrderAnswer::Done => self.set_adapter_phase(&adapter.base, &adapter.id, Phase::Loading, now),
             OrderAnswer::Lost => {
                 let until = self.lost_until(now);
                 self.set_adapter_phase(&adapter.base, &adapter.id, Phase::LostLoad, until);
@@ -263,31 +278,45 @@
                 || adapter.phase.is_lost() && self.ticket.asked_at < adapter.hold_until
         })
     }
-
-    /// As `shows_absent`; an engine lists an adapter only when it is loaded.
-    fn shows_adapter_absent(&self, entry: &AdapterReplica) -> bool {
-        let loads = entry.phase == Phase::Loading && self.ticket.asked_at < entry.hold_until;
-        self.shows_absent(entry.phase, entry.changed, entry.hold_until) && !loads
-    }
 }
 
-fn take_in_adapters(replica: &mut Replica, held: Vec<HeldAdapterReplica>, judgement: Judgement) {
+/// Takes in the adapters of a replica; returns those whose load ended and
+/// whether they are loaded.
+fn take_in_adapters(
+    replica: &mut Replica,
+    held: Vec<HeldAdapterReplica>,
+    judgement: Judgement,
+) -> Vec<(AdapterId, bool)> {
     let held: BTreeMap<AdapterId, HeldAdapterReplica> = held
         .into_iter()
         .map(|held| (held.adapter.clone(), held))
         .collect();
-    replica
-        .adapters
-        .retain(|id, entry| held.contains_key(id) || !judgement.shows_adapter_absent(entry));
+    let mut ended = Vec::new();
+    replica.adapters.retain(|id, entry| {
+        let absent = !held.contains_key(id);
+        let gone = absent && judgement.shows_absent(entry.phase, entry.changed, entry.hold_until);
+        if gone && matches!(entry.phase, Phase::Loading | Phase::LostLoad) {
+            ended.push((id.clone(), false));
+        }
+        !gone
+    });
     for (id, held) in held {
-        let entry = replica.adapters.entry(id);
+        let entry = replica.adapters.entry(id.clone());
         let entry = entry.or_insert_with(|| AdapterReplica::found(&held));
         if judgement.shows_present(entry.phase, entry.changed, entry.hold_until) {
             entry.version = held.version;
             entry.memory = held.memory_mib_per_accelerator;
-            entry.phase = Phase::Loaded;
+            if held.loaded && entry.phase != Phase::Loaded {
+                ended.push((id, true));
+            }
+            entry.phase = if held.loaded {
+                Phase::Loaded
+            } else {
+                Phase::Loading
+            };
         }
     }
+    ended
 }
 
 pub(super) fn base_of(model: &ModelId) -> Target {
--- a/crates/croftrill-state/src/engine_memory/types.rs
+++ b/crates/croftrill-state/src/engine_memory/types.rs
@@ -53,6 +53,8 @@
     pub adapter: AdapterId,
     /// Its version.
     pub version: u32,
+    /// Whether it is ready; otherwise it is being loaded.
+    pub loaded: bool,
     /// Memory on each accelerator of the base, in MiB.
     pub memory_mib_per_accelerator: u64,
 }
