--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -180,6 +180,24 @@
     assert_eq!(world.service.open_attempts(), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_engine_is_told_to_stop_what_nobody_reads_any_more() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    whole_text(&world.events_of(world.request("m")).await);
+    world.engine.behave(|behaviour| {
+        behaviour.ignore_closed_streams = true;
+        behaviour.token_millis = 1_000;
+    });
+    let mut late = world.request("m");
+    late.first_token_deadline_millis = 200;
+    let run = world.spawn(late);
+    pass(100).await;
+    assert_eq!(world.engine.running(), 1);
+    refusal(&run.await.unwrap());
+    assert_eq!(world.engine.running(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_cancelled_attempt_ends_with_a_refusal() {
     let world = world();
--- a/crates/croftrill-owner/tests/support/engine.rs
+++ b/crates/croftrill-owner/tests/support/engine.rs
@@ -23,6 +23,8 @@
     pub refuse_runs: bool,
     /// Requests start, but the answer that says so is lost.
     pub lose_run_answers: bool,
+    /// A closed stream does not end its run; only a cancellation does.
+    pub ignore_closed_streams: bool,
     /// Answer orders and inventories after this long.
     pub answer_millis: u64,
 }
@@ -39,6 +41,7 @@
             break_after_tokens: None,
             refuse_runs: false,
             lose_run_answers: false,
+            ignore_closed_streams: false,
             answer_millis: 1,
         }
     }
@@ -50,6 +53,7 @@
     Ran(AttemptId, FencingToken),
     LoadOrdered(ModelId),
     Unloaded(ModelId),
+    RunFenced(AttemptId),
     AdapterLoaded(AdapterId),
     AdapterUnloaded(AdapterId),
     Breach(String),
@@ -97,7 +101,10 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.engine.end_run(self.attempt);
+        let ignored = self.engine.inner.lock().unwrap().behaviour.ignore_closed_streams;
+        if !ignored {
+            self.engine.end_run(self.attempt);
+        }
     }
 }
 
@@ -132,6 +139,10 @@
         self.records().iter().filter(is_load).count()
     }
 
+    pub fn running(&self) -> usize {
+        self.inner.lock().unwrap().running.len()
+    }
+
     pub fn inventories(&self) -> usize {
         self.inner.lock().unwrap().inventories
     }
@@ -253,6 +264,7 @@
         self.snapshot();
         let mut inner = self.inner.lock().unwrap();
         if request.fencing_token < inner.token {
+            inner.records.push(Record::RunFenced(request.attempt));
             return Err(EngineError::Fenced { highest: inner.token });
         }
         let refuse_runs = inner.behaviour.refuse_runs;
