Coordination: one seeded source of random numbers for each node

Jitter, entry ids and the names of lease attempts came from the thread's generator, so the tests were not the same each time.

--- a/crates/croftrill-coordination/src/coordinator.rs
+++ b/crates/croftrill-coordination/src/coordinator.rs
@@ -317,7 +317,7 @@
                 Ok(()) => backoff.reset(),
                 Err(error) => {
                     log::warn!("coordinator: snapshot not written error=\"{error}\"");
-                    backoff.pause().await;
+                    backoff.pause(replica.random()).await;
                     continue;
                 }
             }
--- a/crates/croftrill-coordination/src/coordinator/candidacy.rs
+++ b/crates/croftrill-coordination/src/coordinator/candidacy.rs
@@ -8,7 +8,7 @@
 use super::isolation::is_isolated;
 use super::lease::{CoordinatorLease, LeaseError};
 use super::{CoordinatorConfig, CoordinatorParts};
-use crate::replication::{jittered, Backoff};
+use crate::replication::Backoff;
 use croftrill_state::placement::Lifecycle;
 use croftrill_state::{rendezvous, ClusterState, NodeId};
 use std::time::Duration;
@@ -46,14 +46,14 @@
             config,
             parts,
             vacant_since: None,
-            next_look: Instant::now() + Duration::from_millis(jittered(config.lease_look_millis)),
+            next_look: Instant::now() + parts.replica.random().jittered(config.lease_look_millis),
             backoff: Backoff::new(config.rank_delay_millis, config.longest_backoff_millis),
         }
     }
 
     /// Waits for this node's turn and tries to take the lease once.
     pub(super) async fn next_lease(&mut self) -> Option<CoordinatorLease> {
-        tokio::time::sleep(Duration::from_millis(jittered(LOOK_MILLIS))).await;
+        tokio::time::sleep(self.parts.replica.random().jittered(LOOK_MILLIS)).await;
         match self.turn() {
             Turn::Idle => {
                 self.vacant_since = None;
@@ -74,7 +74,7 @@
     /// A coordinator that lost its role lets others try first.
     pub(super) async fn pause_after_term(&mut self) {
         self.vacant_since = None;
-        self.backoff.pause().await;
+        self.backoff.pause(self.parts.replica.random()).await;
     }
 
     async fn try_when_due(&mut self, due: Instant) -> Option<CoordinatorLease> {
@@ -85,6 +85,7 @@
             self.parts.service.clone(),
             &self.config.cell,
             self.parts.replica.node(),
+            self.parts.replica.random().unique(),
             self.config.lease.clone(),
         );
         match taken.await {
@@ -100,7 +101,7 @@
             }
             Err(LeaseError::Service(error)) => {
                 log::debug!("coordinator: lease not taken error=\"{error}\"");
-                self.backoff.pause().await;
+                self.backoff.pause(self.parts.replica.random()).await;
                 None
             }
         }
@@ -111,7 +112,12 @@
     /// of them ask before it ends.
     fn look_later(&mut self) {
         let now = Instant::now();
-        self.next_look = now + Duration::from_millis(jittered(self.config.lease_look_millis));
+        self.next_look = now
+            + self
+                .parts
+                .replica
+                .random()
+                .jittered(self.config.lease_look_millis);
         let pause = self.config.lease.ttl_millis / LOOKS_PER_LEASE;
         self.vacant_since = Some(now + Duration::from_millis(pause));
     }
--- a/crates/croftrill-coordination/src/coordinator/lease.rs
+++ b/crates/croftrill-coordination/src/coordinator/lease.rs
@@ -58,11 +58,13 @@
         Ok(service.get(&key(cell)).await?.is_some())
     }
 
-    /// Takes the lease if nobody holds it.
+    /// Takes the lease if nobody holds it. `attempt` is a random number that
+    /// names this attempt, so that a lost answer can be resolved.
     pub async fn take(
         service: Arc<dyn KeyValueService>,
         cell: &CellId,
         node: &NodeId,
+        attempt: u64,
         config: LeaseConfig,
     ) -> Result<Self, LeaseError> {
         if let Some(present) = service.get(&key(cell)).await? {
@@ -76,7 +78,7 @@
             service,
             id,
         };
-        match lease.write_key(cell, node).await {
+        match lease.write_key(cell, node, attempt).await {
             Ok(()) => Ok(lease),
             Err(error) => {
                 lease.give_back().await;
@@ -85,9 +87,8 @@
         }
     }
 
-    /// The value names this attempt, so that a lost answer can be resolved.
-    async fn write_key(&self, cell: &CellId, node: &NodeId) -> Result<(), LeaseError> {
-        let value = format!("{node} {:016x}", rand::random::<u64>()).into_bytes();
+    async fn write_key(&self, cell: &CellId, node: &NodeId, attempt: u64) -> Result<(), LeaseError> {
+        let value = format!("{node} {:016x}", attempt).into_bytes();
         let written = self
             .service
             .write_if(&key(cell), value.clone(), None, Some(self.id))
--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -8,14 +8,16 @@
 //! - a proposal takes effect at most once: it is offered at the next revision
 //!   only after another entry was seen to have won the last one.
 
+mod backoff;
 mod follower;
 mod live_members;
 mod peer_connector;
 mod proposals;
+mod random_source;
 mod recent_entries;
 mod releases;
 
-pub(crate) use follower::{jittered, Backoff};
+pub(crate) use backoff::Backoff;
 pub use follower::{Follower, FollowerConfig};
 pub use live_members::LiveMembers;
 pub use peer_connector::{PeerConnector, PeerError};
@@ -26,6 +28,7 @@
 use croftrill_protocol::peer::LogPage;
 use croftrill_state::entry::LogEntry;
 use croftrill_state::{ClusterState, NodeId, Revision};
+use random_source::RandomSource;
 use recent_entries::RecentEntries;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{watch, Notify};
@@ -46,6 +49,9 @@
     pub read_limit: u32,
     /// Most bytes of entries in one answer to a peer.
     pub page_bytes: usize,
+    /// Decides every random choice of the node's coordination parts. Must differ
+    /// from that of any other process, also of an earlier one of the node.
+    pub random_seed: u64,
     /// Most lost races of one proposal before it is given up as unavailable.
     pub propose_attempts: u32,
 }
@@ -59,6 +65,7 @@
             kept_bytes: 4 * 1024 * 1024,
             read_limit: 64,
             page_bytes: 1024 * 1024,
+            random_seed: rand::random(),
             propose_attempts: 20,
         }
     }
@@ -87,15 +94,18 @@
     /// Serializes this node's own proposals, so that they do not race.
     proposing: tokio::sync::Mutex<()>,
     told_heads: Notify,
+    random: RandomSource,
 }
 
 impl Replica {
     /// An empty copy, at revision 0.
     pub fn new(config: ReplicaConfig, log: RevisionLog) -> Self {
         let recent = RecentEntries::new(config.kept_entries, config.kept_bytes);
+        let random = RandomSource::new(config.random_seed);
         Self {
             config,
             log,
+            random,
             published: Arc::new(ArcSwap::from_pointee(ClusterState::default())),
             heads: watch::Sender::new(Revision(0)),
             guarded: Mutex::new(Guarded {
@@ -112,6 +122,11 @@
         &self.config.node
     }
 
+    /// The node's random numbers.
+    pub(crate) fn random(&self) -> &RandomSource {
+        &self.random
+    }
+
     /// The present state.
     pub fn state(&self) -> Arc<ClusterState> {
         self.published.load_full()
@@ -198,7 +213,7 @@
     /// Writes the present state as a snapshot and deletes what it replaces.
     pub async fn write_snapshot(&self) -> Result<(), SnapshotError> {
         let state = self.state();
-        self.log.write_snapshot(&state, rand::random()).await?;
+        self.log.write_snapshot(&state, self.random.unique()).await?;
         let deleted = self.log.compact().await?;
         log::info!(
             "log: snapshot written revision={} deleted={deleted}",
--- a/crates/croftrill-coordination/src/replication/follower.rs
+++ b/crates/croftrill-coordination/src/replication/follower.rs
@@ -6,14 +6,11 @@
 //! peers. The service therefore sees the same rate at any number of nodes. A
 //! node that hears from no peer at all reads the service itself.
 
-use super::{LiveMembers, PeerConnector, Replica, ToldHead};
+use super::{Backoff, LiveMembers, PeerConnector, Replica, ToldHead};
 use croftrill_state::{rendezvous, Revision};
-use rand::seq::SliceRandom;
-use rand::Rng;
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
 /// Chooses the members that wait on the key-value service.
@@ -112,7 +109,7 @@
                 return;
             }
             rounds += 1;
-            backoff.pause().await;
+            backoff.pause(self.replica.random()).await;
         }
     }
 
@@ -135,7 +132,7 @@
     /// Whether any seed gave a copy of a log that has begun.
     async fn fetch_from_seeds(&self) -> bool {
         let mut seeds = self.config.seeds.clone();
-        seeds.shuffle(&mut rand::rng());
+        self.replica.random().shuffle(&mut seeds);
         for seed in seeds {
             self.fetch_from(&seed).await;
             if self.replica.head() > Revision(0) {
@@ -194,8 +191,8 @@
     /// so it first lets membership form.
     async fn let_membership_form(&self) {
         if !self.config.seeds.is_empty() {
-            let pause = jittered(self.config.settle_millis);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let pause = self.replica.random().jittered(self.config.settle_millis);
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -208,7 +205,7 @@
                     Ok(()) => backoff.reset(),
                     Err(error) => {
                         log::debug!("log: service not watched error=\"{error}\"");
-                        backoff.pause().await;
+                        backoff.pause(self.replica.random()).await;
                     }
                 }
             } else {
@@ -218,7 +215,7 @@
     }
 
     async fn pause_as_learner(&self) {
-        let pause = Duration::from_millis(jittered(self.config.isolated_look_millis));
+        let pause = self.replica.random().jittered(self.config.isolated_look_millis);
         tokio::time::sleep(pause).await;
         if !self.members.hears_others() && !self.reads_service() {
             self.read_service().await;
@@ -255,38 +252,6 @@
     }
 }
 
-/// Pauses that double, each drawn at random from half to all of its length.
-pub(crate) struct Backoff {
-    first: u64,
-    longest: u64,
-    next: u64,
-}
-
-impl Backoff {
-    pub(crate) fn new(first: u64, longest: u64) -> Self {
-        Self {
-            first,
-            longest,
-            next: first,
-        }
-    }
-
-    pub(crate) async fn pause(&mut self) {
-        let pause = jittered(self.next);
-        self.next = (self.next * 2).min(self.longest);
-        tokio::time::sleep(Duration::from_millis(pause)).await;
-    }
-
-    pub(crate) fn reset(&mut self) {
-        self.next = self.first;
-    }
-}
-
-/// A random duration from half to all of `millis`.
-pub(crate) fn jittered(millis: u64) -> u64 {
-    rand::rng().random_range(millis / 2..=millis)
-}
-
 /// Runs a task until it ends or the token is cancelled; true if cancelled.
 pub(crate) async fn stopped(token: &CancellationToken, task: impl Future<Output = ()>) -> bool {
     tokio::select! {
--- a/crates/croftrill-coordination/src/replication/proposals.rs
+++ b/crates/croftrill-coordination/src/replication/proposals.rs
@@ -84,7 +84,7 @@
     fn next_entry(&self, base: Revision, change: Change, term: Term) -> LogEntry {
         LogEntry {
             revision: base.next(),
-            entry_id: EntryId(rand::random()),
+            entry_id: EntryId(self.random.unique()),
             author: self.config.node.clone(),
             term,
             change,
--- a/crates/croftrill-coordination/tests/support/mod.rs
+++ b/crates/croftrill-coordination/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use croftrill_state::entry::{Change, Intent};
 use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{CellId, EngineId, FencingToken, GroupId, ModelId, NodeId, PlanId, Revision, ZoneId};
+use std::cell::Cell;
 use std::sync::Arc;
 
 /// The only cell of most tests.
@@ -37,9 +38,14 @@
     RevisionLog::new(service, config)
 }
 
-/// A replica that keeps few entries.
+/// A replica that keeps few entries. Each one of a test has its own seed.
 pub fn replica_over(name: &str, service: Arc<dyn KeyValueService>) -> Arc<Replica> {
+    thread_local! {
+        static NEXT_SEED: Cell<u64> = const { Cell::new(1) };
+    }
+    let random_seed = NEXT_SEED.with(|next| next.replace(next.get() + 1));
     let config = ReplicaConfig {
+        random_seed,
         kept_entries: 20,
         read_limit: 7,
         ..ReplicaConfig::new(NodeId::from(name))
