Reconcile: a deleted model is not placed again

Its assignments were drafted in every plan and cut out again as refused by the state, which cost a few trial applications a second until it was released.

--- a/crates/croftrill-state/src/reconcile/assignments.rs
+++ b/crates/croftrill-state/src/reconcile/assignments.rs
@@ -37,7 +37,7 @@
     let state = draft.state;
     for versioned in state.models.values() {
         let model = &versioned.value;
-        if !looks_after(draft, model, alive) {
+        if state.is_retiring(&model.id) || !looks_after(draft, model, alive) {
             continue;
         }
         let holdings = holdings(draft, model, &engines);
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -549,6 +549,32 @@
     assert!(!world.dead.contains(world.owner("b-engine-1").unwrap()));
 }
 
+#[test]
+fn a_deleted_model_is_released_and_not_placed_again() {
+    let mut world = two_zones();
+    for name in ["deleted", "kept"] {
+        world.put_model(model(name, 1, 2, 10));
+    }
+    world.settle();
+    let release = |assignment: Assignment| PlacementStep::Release {
+        model: assignment.model,
+        engine: assignment.engine,
+    };
+    let steps = world.assignments("deleted").into_iter().map(release).collect();
+    world.append(Change::ConfirmPlan {
+        plan: PlanId::from("delete"),
+        base: world.state.revision,
+        intents: vec![Intent::DeleteModel(ModelId::from("deleted"))],
+        steps,
+    });
+    assert_eq!(world.plan(), None);
+    world.release_all();
+    world.settle();
+    assert!(world.assignments("deleted").is_empty());
+    assert_eq!(world.assignments("kept").len(), 2);
+    assert_eq!(world.state.models.len(), 1);
+}
+
 /// Two drained engines with one replica each, and one engine that waits for
 /// one of them.
 fn two_releases_and_one_waiter() -> (World, EngineId) {
