--- a/crates/croftrill-state/tests/membership.rs
+++ b/crates/croftrill-state/tests/membership.rs
@@ -27,6 +27,31 @@
     assert_eq!(simulation.reports, Vec::new());
 }
 
+#[test]
+fn nobody_is_declared_dead_on_a_lossy_network() {
+    let network = Network {
+        loss: 0.05,
+        duplicates: 0.05,
+        latency_millis: (1, 100),
+    };
+    let mut simulation = simulation(50, network, 20);
+    simulation.run_for(180_000);
+    let judged = |health| {
+        let judgement = |event: &MembershipEvent| matches!(event, MembershipEvent::HealthChanged { health: seen, .. } if *seen == health);
+        simulation
+            .reports
+            .iter()
+            .filter(|(_, _, event)| judgement(event))
+            .count()
+    };
+    println!(
+        "lossy network suspicions={} deaths={}",
+        judged(Health::Suspect),
+        judged(Health::Dead)
+    );
+    assert_eq!(judged(Health::Dead), 0);
+}
+
 #[test]
 fn a_crash_is_detected_everywhere_within_the_suspicion_time_and_a_few_periods() {
     for (count, seed) in [(3, 1), (10, 2), (50, 3), (150, 4)] {
