Claims start once a node has caught up with the log

Cause: a node counts for a majority only once it said that it had caught up with the key-value service's log, and nobody told membership so; every unrepeatable request of a fresh system was refused with key_history_unknown.

The start of the claim holder moves to a module of its own. Load admission forgets an earlier term when this node takes the role, and a node that heard nobody for four seconds holds itself for cut off.

--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -1,11 +1,11 @@
 //! The parts on the control thread: the node's copy of the log, membership,
 //! claims, the coordinator's role, the peer service.
 
+use crate::claim_start::{claim_config, ClaimStart};
 use crate::control_thread::ControlTasks;
 use crate::learned_admission::LearnedAdmission;
 use crate::peer_calls::PeerCalls;
 use crate::peer_parts::StartedClaims;
-use croftrill_coordination::claim_service::{ClaimHolderConfig, ClaimHolderService};
 use croftrill_coordination::coordinator::{Coordinator, CoordinatorConfig, CoordinatorParts, LeaseConfig};
 use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_coordination::membership_driver::{
@@ -17,10 +17,9 @@
 use croftrill_platform::machine_list::MachineList;
 use croftrill_platform::weight_store::WeightStore;
 use croftrill_settings::Settings;
-use croftrill_state::claims::{membership_revision, ClaimConfig, ClaimHolder};
 use croftrill_state::load_admission::LoadAdmissionConfig;
 use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
-use croftrill_state::{CellId, ClusterState, NodeId, Revision, Term};
+use croftrill_state::{ClusterState, NodeId, Revision, Term};
 use croftrill_transport::peer::{PeerServer, PeerTraffic};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,9 +30,8 @@
 
 /// Time between two ticks of the membership state machine.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
-/// Longest wait for the answer to one call of the claim holders to each other.
-const HAND_OVER_CALL_LIMIT: Duration = Duration::from_secs(2);
-
+/// A node that heard nobody for this long holds itself for cut off.
+const HEARD_LATELY_MILLIS: u64 = 4_000;
 /// Stands for the rate of a weight store that limits none.
 const UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS: u64 = 1_000_000;
 
@@ -98,12 +96,14 @@
         tasks.spawn(follow(
             follower.clone(),
             ClaimStart {
-                config: claim_holder_parts(&input.settings),
+                cell: input.settings.node.cell.clone(),
+                node: input.settings.node.id.clone(),
+                claims: claim_config(&input.settings),
                 replica: input.replica.clone(),
                 membership: membership.clone(),
                 clock,
                 calls: input.calls.clone(),
-                claims: claims.clone(),
+                started: claims.clone(),
             },
             tasks.clone(),
         ));
@@ -132,6 +132,14 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.0.view().is_alive(node)
     }
+
+    fn hears_others(&self) -> bool {
+        let view = self.0.view();
+        let heard = view.members.values().filter_map(|member| member.heard_at);
+        heard
+            .map(|at| view.taken_at.millis_since(at))
+            .any(|age_millis| age_millis <= HEARD_LATELY_MILLIS)
+    }
 }
 
 fn membership_config(settings: &Settings, bound: SocketAddr) -> MembershipDriverConfig {
@@ -212,96 +220,17 @@
         .collect()
 }
 
-/// What the claim holder is made of.
-struct ClaimStart {
-    config: ClaimHolderParts,
-    replica: Arc<Replica>,
-    membership: MembershipHandle,
-    clock: MonotonicClock,
-    calls: Arc<PeerCalls>,
-    claims: StartedClaims,
-}
-
-struct ClaimHolderParts {
-    settings: Settings,
-    claims: ClaimConfig,
-}
-
-fn claim_holder_parts(settings: &Settings) -> ClaimHolderParts {
-    ClaimHolderParts {
-        settings: settings.clone(),
-        claims: claim_config(settings),
-    }
-}
-
-/// Settings of claims; the authority window stays well inside the claim window.
-pub fn claim_config(settings: &Settings) -> ClaimConfig {
-    let defaults = ClaimConfig::default();
-    let window_millis = settings.timings.claim_window.as_millis() as u64;
-    ClaimConfig {
-        window_millis,
-        authority_millis: defaults.authority_millis.min(window_millis / 2),
-        ..defaults
-    }
-}
-
-/// Gets the first copy of the log, starts the claim holder, follows the log.
-async fn follow(follower: Arc<Follower>, start: ClaimStart, tasks: ControlTasks) {
+/// Gets the first copy of the log, then follows the log beside the claims.
+async fn follow(follower: Arc<Follower>, claims: ClaimStart, tasks: ControlTasks) {
     let stop = tasks.stop.clone();
     tokio::select! {
         () = stop.cancelled() => return,
         () = follower.bootstrap() => {}
     }
-    start_claims(start, &tasks).await;
+    tasks.spawn(claims.run(tasks.clone()));
     follower.run(stop).await;
 }
 
-async fn start_claims(start: ClaimStart, tasks: &ControlTasks) {
-    let witnessed_no_ring = no_ring_yet(&start.replica, &start.config.settings.node.cell).await;
-    let config = ClaimHolderConfig {
-        cell: start.config.settings.node.cell.clone(),
-        holder: ClaimHolder {
-            node: start.config.settings.node.id.clone(),
-            instance: rand::random::<u64>().max(1),
-            witnessed_no_ring,
-        },
-        claims: start.config.claims,
-        call_limit: HAND_OVER_CALL_LIMIT,
-    };
-    let view = start.membership.shared_view();
-    let holder = Arc::new(ClaimHolderService::new(config, view, start.clock, start.calls));
-    holder.apply_state(&start.replica.state());
-    let running = holder.clone();
-    let stop = tasks.stop.clone();
-    tasks.spawn(async move { running.run(stop).await });
-    tasks.spawn(follow_rings(holder.clone(), start.replica, tasks.clone()));
-    let _ = start.claims.0.set(holder);
-}
-
-/// Whether no node of the cell was ever listed. Only the service can tell, since
-/// a peer may be behind; it is asked only if no peer knew of a ring. The log may
-/// have begun: nodes that start together find the coordinator's first entries.
-async fn no_ring_yet(replica: &Replica, cell: &CellId) -> bool {
-    let without_ring = || membership_revision(&replica.state(), cell) == Revision(0);
-    without_ring() && replica.catch_up_from_log().await.is_ok() && without_ring()
-}
-
-/// Tells the claim holder of each applied revision.
-async fn follow_rings(
-    holder: Arc<ClaimHolderService<PeerCalls>>,
-    replica: Arc<Replica>,
-    tasks: ControlTasks,
-) {
-    let mut heads = replica.new_heads();
-    loop {
-        holder.apply_state(&replica.state());
-        tokio::select! {
-            () = tasks.stop.cancelled() => return,
-            changed = heads.changed() => if changed.is_err() { return },
-        }
-    }
-}
-
 fn start_coordinator(
     input: &ControlInput,
     follower: Arc<Follower>,
--- a/crates/croftrill-daemon/src/learned_admission.rs
+++ b/crates/croftrill-daemon/src/learned_admission.rs
@@ -49,6 +49,10 @@
         }
     }
 
+    fn take_over(&mut self, _now: Instant) {
+        self.admission = None;
+    }
+
     fn finish(&mut self, now: Instant, report: &LoadReport) {
         self.admission(now).finish(
             now,
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! the control thread; the gateway and the owner run on the caller's runtime,
 //! which is the traffic threads. The two meet in immutable snapshots.
 
+mod claim_start;
 pub mod command_line;
 mod control;
 mod control_metrics;
--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -103,7 +103,10 @@
     calls: &Arc<PeerCalls>,
     registry: &mut Registry,
 ) -> Arc<Gateway> {
-    let claims = ClaimClientConfig::new(settings.node.cell.clone(), crate::control::claim_config(settings));
+    let claims = ClaimClientConfig::new(
+        settings.node.cell.clone(),
+        crate::claim_start::claim_config(settings),
+    );
     let claims = ClaimClient::new(claims, replica.published(), calls.clone());
     Gateway::new(
         gateway_config(settings),
