Claims: a holder that lacks authority for a moment is asked again

A holder grants only while no majority peer is ahead of it in the log, so just after a change of the log it answers history unknown for some hundred milliseconds. Callers were refused although the gateway's deadline for the claim was seconds away. The client now asks again within its limit of calls.

--- a/crates/croftrill-coordination/src/claim_service/client.rs
+++ b/crates/croftrill-coordination/src/claim_service/client.rs
@@ -10,6 +10,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A holder that lacks authority for no longer than this is asked again, in
+/// milliseconds: after each change of the log it waits until its peers have
+/// applied as much as it has.
+const BRIEF_MILLIS: u64 = 1_000;
 /// Told to a caller if no holder could be asked, in milliseconds.
 const UNREACHABLE_RETRY_MILLIS: u64 = 2_000;
 
@@ -162,6 +166,9 @@
             Ok(ClaimOutcome::Taken { by, finished }) => {
                 Step::Decided(ClaimDecision::Duplicate { by, finished })
             }
+            Ok(ClaimOutcome::HistoryUnknown { retry_after_millis }) if retry_after_millis <= BRIEF_MILLIS => {
+                Step::Retry { sent: false }
+            }
             Ok(ClaimOutcome::HistoryUnknown { retry_after_millis }) => {
                 Step::Decided(ClaimDecision::HistoryUnknown { retry_after_millis })
             }
