Daemon: a planned stop ends when its tasks end, and tells if it cut one off

Cause: the task that announces new heads had no end, so each planned stop waited the whole 5 s and then dropped it: "daemon: control tasks did not end tasks=1", "owner drained" at 21.487 and "stopped" at 26.492. Nobody noticed, since the process reported success.

Ruled out: a shorter limit; it would hide tasks that should end.

--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -80,7 +80,8 @@
         let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
         tasks.spawn(observe_heads(input.replica.clone(), events));
-        tasks.spawn(announce_heads(input.replica.clone(), membership.clone()));
+        let announcing = announce_heads(input.replica.clone(), membership.clone());
+        tasks.spawn_until_stop(announcing);
 
         let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
         let follower = Arc::new(Follower::new(
--- a/crates/croftrill-daemon/src/control_thread.rs
+++ b/crates/croftrill-daemon/src/control_thread.rs
@@ -31,12 +31,31 @@
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.tracker.spawn(task);
     }
+
+    /// Runs a task that has no end of its own; it is dropped at `stop`.
+    pub fn spawn_until_stop(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        self.spawn(async move {
+            stop.run_until_cancelled(task).await;
+        });
+    }
 }
 
 /// A running control thread.
 pub struct ControlThread {
     tasks: ControlTasks,
-    thread: JoinHandle<()>,
+    thread: JoinHandle<Ended>,
+}
+
+/// How the thread ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// After the start had failed.
+    NeverRan,
+    /// All tasks ended by themselves.
+    Whole,
+    /// Some tasks were cut off.
+    CutOff,
 }
 
 impl ControlThread {
@@ -61,17 +80,21 @@
         Ok((ControlThread { tasks, thread }, made))
     }
 
-    /// Ends the thread and everything on it.
-    pub async fn stop(self) {
+    /// Ends the thread and everything on it. Whether all tasks ended by
+    /// themselves.
+    pub async fn stop(self) -> bool {
         self.tasks.stop.cancel();
-        let joined = tokio::task::spawn_blocking(move || self.thread.join()).await;
-        if !matches!(joined, Ok(Ok(()))) {
-            log::error!("daemon: control thread ended badly");
+        match tokio::task::spawn_blocking(move || self.thread.join()).await {
+            Ok(Ok(ended)) => ended == Ended::Whole,
+            _ => {
+                log::error!("daemon: control thread ended badly");
+                false
+            }
         }
     }
 }
 
-fn run<T, F, S>(start: S, sender: oneshot::Sender<anyhow::Result<T>>, tasks: ControlTasks)
+fn run<T, F, S>(start: S, sender: oneshot::Sender<anyhow::Result<T>>, tasks: ControlTasks) -> Ended
 where
     F: Future<Output = anyhow::Result<T>>,
     S: FnOnce(ControlTasks) -> F,
@@ -80,22 +103,22 @@
         Ok(runtime) => runtime,
         Err(error) => {
             let _ = sender.send(Err(error.into()));
-            return;
+            return Ended::NeverRan;
         }
     };
     runtime.block_on(async move {
         let made = start(tasks.clone()).await;
         let failed = made.is_err();
         if sender.send(made).is_err() || failed {
-            return;
+            return Ended::NeverRan;
         }
         tasks.stop.cancelled().await;
         tasks.tracker.close();
-        if tokio::time::timeout(STOP_LIMIT, tasks.tracker.wait())
-            .await
-            .is_err()
-        {
-            log::warn!("daemon: control tasks did not end tasks={}", tasks.tracker.len());
+        let ended = tokio::time::timeout(STOP_LIMIT, tasks.tracker.wait()).await;
+        if ended.is_ok() {
+            return Ended::Whole;
         }
-    });
+        log::error!("daemon: control tasks did not end tasks={}", tasks.tracker.len());
+        Ended::CutOff
+    })
 }
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -119,8 +119,9 @@
         self.addresses
     }
 
-    /// A planned stop: tells the others, finishes all requests, hands over.
-    pub async fn stop(self) {
+    /// A planned stop: tells the others, finishes all requests, hands over. Fails
+    /// if something had to be cut off.
+    pub async fn stop(self) -> anyhow::Result<()> {
         log::info!("daemon: stopping");
         self.operator_server.leaving.store(true, Ordering::Relaxed);
         self.control.membership.leave();
@@ -128,8 +129,10 @@
         if let Some(claims) = self.control.claims.0.get() {
             claims.wait_handed_over(HAND_OVER_LIMIT).await;
         }
-        self.control_thread.stop().await;
+        let whole = self.control_thread.stop().await;
+        anyhow::ensure!(whole, "some control tasks did not end at the planned stop");
         log::info!("daemon: stopped");
+        Ok(())
     }
 }
 
--- a/crates/croftrill-daemon/src/main.rs
+++ b/crates/croftrill-daemon/src/main.rs
@@ -52,8 +52,7 @@
     print_addresses(&daemon);
     let signal = signals::planned_stop().await?;
     log::info!("daemon: planned stop signal={signal}");
-    daemon.stop().await;
-    Ok(())
+    daemon.stop().await
 }
 
 /// One line for scripts and tests that chose port 0.
