Planned stop: engines and keys move at once, and nothing is refused meanwhile

Cause: nobody acted on the announcement that a node leaves. Its engines moved only after it had not answered for 4 s, it refused all requests for them meanwhile, and since it stayed in the ring of claims, its claims were lost: each stop waited 10 s in vain for a hand-over, and a whole claim window of "history unknown" for its keys followed.

So there is a third lifecycle, stopping, which the node's own word sets and the answer of its next process takes back, without the machine list.

Not covered: a stop while the key-value service is away moves nothing; what the node owned waits for its next process.

--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -22,6 +22,7 @@
 use croftrill_state::claims::{ClaimConfig, ClaimHolder};
 use croftrill_state::load_admission::LoadAdmissionConfig;
 use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
+use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{ClusterState, NodeId, Revision, Term};
 use croftrill_transport::peer::PeerServer;
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 /// Time between two ticks of the membership state machine.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
@@ -69,6 +71,9 @@
     pub claims: StartedClaims,
     /// The term in which this node coordinates its cell.
     pub role: watch::Receiver<Option<Term>>,
+    /// The node's copy of the log.
+    replica: Arc<Replica>,
+    coordinator_stop: CancellationToken,
 }
 
 impl Control {
@@ -103,14 +108,45 @@
             },
             tasks.clone(),
         ));
-        let role = start_coordinator(&input, follower, members, &tasks);
+        let replica = input.replica.clone();
+        let coordinator_stop = tasks.stop.child_token();
+        let role = start_coordinator(&input, follower, members, &tasks, coordinator_stop.clone());
         serve_peers(input, claims.clone(), &tasks).await?;
         Ok(Control {
             membership,
             claims,
             role,
+            replica,
+            coordinator_stop,
         })
     }
+
+    /// Tells the cell that this node stops on purpose, and gives up the role of
+    /// coordinator, so that another node moves this one's engines away.
+    pub fn announce_stop(&self) {
+        self.membership.leave();
+        self.coordinator_stop.cancel();
+    }
+
+    /// Waits until the log gives this node no engine and no keys any more.
+    /// `false` if that did not happen within `limit`, as while the key-value
+    /// service is away, or if nobody else is there to take them.
+    pub async fn wait_relieved(&self, limit: Duration) -> bool {
+        if self.membership.view().alive_count() <= 1 {
+            return false;
+        }
+        let mut heads = self.replica.new_heads();
+        let relieved = heads.wait_for(|_| is_relieved(&self.replica.state(), self.replica.node()));
+        let waited = tokio::time::timeout(limit, relieved).await;
+        waited.is_ok_and(|relieved| relieved.is_ok())
+    }
+}
+
+fn is_relieved(state: &ClusterState, node: &NodeId) -> bool {
+    let is_live = |node: &Node| node.lifecycle == Lifecycle::Live;
+    let takes_part = state.nodes.get(node).is_some_and(|found| is_live(&found.value));
+    let owns = |engine: &Engine| engine.owner.as_ref() == Some(node);
+    !takes_part && !state.engines.values().any(|found| owns(&found.value))
 }
 
 /// Membership's view, as the log's parts ask for it.
@@ -126,6 +162,10 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.0.view().is_alive(node)
     }
+
+    fn is_leaving(&self, node: &NodeId) -> bool {
+        self.0.view().is_leaving(node)
+    }
 }
 
 fn membership_config(settings: &Settings, bound: SocketAddr) -> MembershipDriverConfig {
@@ -298,6 +338,7 @@
     follower: Arc<Follower>,
     members: Arc<dyn LiveMembers>,
     tasks: &ControlTasks,
+    stop: CancellationToken,
 ) -> watch::Receiver<Option<Term>> {
     let parts = CoordinatorParts {
         replica: input.replica.clone(),
@@ -308,7 +349,6 @@
     };
     let coordinator = Arc::new(Coordinator::new(coordinator_config(&input.settings), parts));
     let role = coordinator.role();
-    let stop = tasks.stop.clone();
     tasks.spawn(async move { coordinator.run(stop).await });
     role
 }
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -22,6 +22,9 @@
 
 /// Prefix of every metric's name.
 const METRICS_PREFIX: &str = "croftrill";
+/// Longest time that a node goes on serving at a planned stop, for another one
+/// to take its engines.
+const RELIEF_LIMIT: Duration = Duration::from_secs(5);
 /// Longest wait for the claims to reach their new holders at a planned stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
 
@@ -119,12 +122,15 @@
         self.addresses
     }
 
-    /// A planned stop: tells the others, finishes all requests, hands over. Fails
-    /// if something had to be cut off.
+    /// A planned stop: tells the others, serves until they took its engines,
+    /// finishes all requests, hands over. Fails if something had to be cut off.
     pub async fn stop(self) -> anyhow::Result<()> {
         log::info!("daemon: stopping");
         self.operator_server.leaving.store(true, Ordering::Relaxed);
-        self.control.membership.leave();
+        self.control.announce_stop();
+        if !self.control.wait_relieved(RELIEF_LIMIT).await {
+            log::warn!("daemon: nobody took over in time limit={RELIEF_LIMIT:?}");
+        }
         self.traffic.drain().await;
         if let Some(claims) = self.control.claims.0.get() {
             claims.wait_handed_over(HAND_OVER_LIMIT).await;
--- a/crates/croftrill-operator-api/src/listings.rs
+++ b/crates/croftrill-operator-api/src/listings.rs
@@ -66,6 +66,7 @@
     match lifecycle {
         Lifecycle::Live => "live".to_string(),
         Lifecycle::Leaving => "leaving".to_string(),
+        Lifecycle::Stopping => "stopping".to_string(),
     }
 }
 
--- a/crates/croftrill-state/src/cluster/machines.rs
+++ b/crates/croftrill-state/src/cluster/machines.rs
@@ -1,7 +1,8 @@
 //! Applying what the coordinator learned about machines.
 //!
 //! A machine marked as leaving stays so until it is removed: the lagging list
-//! of the platform must not undo an operator's drain.
+//! of the platform must not undo an operator's drain. A node that stopped is no
+//! drained machine; its next process takes part again.
 
 use super::apply::Applying;
 use super::{versioned, ClusterState, ObjectName, Versioned};
@@ -72,7 +73,7 @@
 fn merged_lifecycle(present: Lifecycle, listed: Lifecycle) -> Lifecycle {
     match present {
         Lifecycle::Leaving => Lifecycle::Leaving,
-        Lifecycle::Live => listed,
+        Lifecycle::Live | Lifecycle::Stopping => listed,
     }
 }
 
--- a/crates/croftrill-state/src/membership/view.rs
+++ b/crates/croftrill-state/src/membership/view.rs
@@ -44,6 +44,12 @@
         matches!(health, Some(Health::Alive | Health::Suspect))
     }
 
+    /// Whether another node announced that it stops on purpose.
+    pub fn is_leaving(&self, node: &NodeId) -> bool {
+        let health = self.members.get(node).map(|member| member.health);
+        health == Some(Health::Leaving)
+    }
+
     /// Members that are alive, this node included.
     pub fn alive_count(&self) -> usize {
         1 + self.members.keys().filter(|node| self.is_alive(node)).count()
--- a/crates/croftrill-state/src/placement.rs
+++ b/crates/croftrill-state/src/placement.rs
@@ -22,6 +22,9 @@
     Live,
     /// Finishes what it has and takes nothing new.
     Leaving,
+    /// A node whose process announced a planned stop; it finishes what it has
+    /// and takes nothing new. Live again once a new process of it answers.
+    Stopping,
 }
 
 /// A machine that runs the daemon.
--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -5,6 +5,8 @@
 //! Invariants:
 //! - a machine on its way out never becomes live again while it stays listed,
 //!   so an operator's drain is not undone by a lagging list;
+//! - a node that announced its planned stop loses its engines at once, however
+//!   the list lags, and is live again when a new process of it answers;
 //! - a machine is removed only after it was missing from the list for a while
 //!   (and, if it is a node, does not answer either), and never because the list
 //!   is empty;
@@ -61,8 +63,10 @@
 pub struct Observation<'a> {
     /// The machine list; `None` while it cannot be read.
     pub machines: Option<&'a ListedMachines>,
-    /// Whether membership believes a node to be alive.
+    /// Whether membership believes a node to be alive, and not leaving.
     pub alive: &'a dyn Fn(&NodeId) -> bool,
+    /// Whether a node announced to membership that it stops on purpose.
+    pub leaving: &'a dyn Fn(&NodeId) -> bool,
     /// The time.
     pub now: Instant,
 }
@@ -94,6 +98,7 @@
     pub fn plan(&mut self, state: &ClusterState, observation: &Observation) -> Option<Change> {
         self.observe(state, observation);
         let mut draft = Draft::new(state, self.cell.clone(), self.config.most_changes);
+        self.draft_stops(&mut draft, observation);
         if let Some(machines) = observation.machines {
             self.draft_machines(&mut draft, machines, observation);
         }
--- a/crates/croftrill-state/src/reconcile/machines.rs
+++ b/crates/croftrill-state/src/reconcile/machines.rs
@@ -5,6 +5,20 @@
 use crate::placement::{Engine, Lifecycle, Node};
 
 impl Reconciler {
+    /// Nodes that announced a planned stop, and those that came back from one.
+    /// What the nodes themselves say needs no machine list.
+    pub(super) fn draft_stops(&self, draft: &mut Draft, observation: &Observation) {
+        for versioned in draft.state.nodes.values() {
+            let node = &versioned.value;
+            let lifecycle = by_own_word(node, observation);
+            if node.cell == draft.cell && lifecycle != node.lifecycle && draft.has_room(1) {
+                let mut next = node.clone();
+                next.lifecycle = lifecycle;
+                draft.put_node(next);
+            }
+        }
+    }
+
     pub(super) fn draft_machines(
         &self,
         draft: &mut Draft,
@@ -12,7 +26,7 @@
         observation: &Observation,
     ) {
         for node in machines.nodes.values().filter(|node| node.cell == self.cell) {
-            draft_node(draft, node);
+            draft_node(draft, node, observation);
         }
         for engine in machines.engines.values().filter(|e| e.cell == self.cell) {
             draft_engine(draft, engine);
@@ -49,11 +63,11 @@
     }
 }
 
-fn draft_node(draft: &mut Draft, listed: &Node) {
+fn draft_node(draft: &mut Draft, listed: &Node, observation: &Observation) {
     let present = draft.state.nodes.get(&listed.id).map(|found| &found.value);
     let mut next = listed.clone();
     if let Some(present) = present {
-        next.lifecycle = later(present.lifecycle, listed.lifecycle);
+        next.lifecycle = later(by_own_word(present, observation), listed.lifecycle);
     }
     if present != Some(&next) && draft.has_room(1) {
         draft.put_node(next);
@@ -86,10 +100,21 @@
     }
 }
 
-/// A drain is not taken back while the machine stays listed.
+/// What a node's own announcements make of its present lifecycle.
+fn by_own_word(node: &Node, observation: &Observation) -> Lifecycle {
+    match node.lifecycle {
+        Lifecycle::Live if (observation.leaving)(&node.id) => Lifecycle::Stopping,
+        Lifecycle::Stopping if (observation.alive)(&node.id) => Lifecycle::Live,
+        present => present,
+    }
+}
+
+/// A drain is not taken back while the machine stays listed, and a list that
+/// lags does not take back a stop.
 fn later(present: Lifecycle, listed: Lifecycle) -> Lifecycle {
-    if present == Lifecycle::Leaving {
-        return Lifecycle::Leaving;
+    match present {
+        Lifecycle::Leaving => Lifecycle::Leaving,
+        Lifecycle::Stopping if listed == Lifecycle::Live => Lifecycle::Stopping,
+        Lifecycle::Live | Lifecycle::Stopping => listed,
     }
-    listed
 }
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -64,6 +64,9 @@
     reconciler: Reconciler,
     machines: ListedMachines,
     dead: BTreeSet<NodeId>,
+    /// Nodes that announced a planned stop and have not ended yet.
+    leaving: BTreeSet<NodeId>,
+    list_is_readable: bool,
     now: Instant,
 }
 
@@ -89,6 +92,8 @@
             reconciler: Reconciler::new(cell(), config),
             machines: ListedMachines::default(),
             dead: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            list_is_readable: true,
             now: Instant(0),
         }
     }
@@ -133,10 +138,11 @@
     }
 
     fn plan(&mut self) -> Option<Change> {
-        let dead = &self.dead;
+        let (dead, leaving) = (&self.dead, &self.leaving);
         let observation = Observation {
-            machines: Some(&self.machines),
-            alive: &|node| !dead.contains(node),
+            machines: self.list_is_readable.then_some(&self.machines),
+            alive: &|node| !dead.contains(node) && !leaving.contains(node),
+            leaving: &|node| leaving.contains(node),
             now: self.now,
         };
         self.reconciler.plan(&self.state, &observation)
@@ -281,6 +287,61 @@
     assert_ne!(world.owner("a-engine-0"), Some(&owner));
 }
 
+fn lifecycle(world: &World, node: &str) -> Lifecycle {
+    world.state.nodes[&NodeId::from(node)].value.lifecycle
+}
+
+#[test]
+fn a_node_that_announced_its_stop_loses_its_engines_at_once_whatever_the_list_says() {
+    for list_is_readable in [true, false] {
+        let mut world = two_zones();
+        let owner = world.owner("a-engine-0").unwrap().clone();
+        let version = world.state.cell_memberships[&cell()].version;
+        world.list_is_readable = list_is_readable;
+        world.leaving.insert(owner.clone());
+        world.settle();
+        assert_ne!(world.owner("a-engine-0"), Some(&owner));
+        assert_eq!(lifecycle(&world, owner.as_str()), Lifecycle::Stopping);
+        assert_eq!(world.state.cell_memberships[&cell()].version, version + 1);
+    }
+}
+
+#[test]
+fn a_stopped_node_takes_part_again_when_a_new_process_answers_and_not_before() {
+    let mut world = two_zones();
+    let stopped = NodeId::from("a-node-0");
+    world.leaving.insert(stopped.clone());
+    world.settle();
+    world.leaving.clear();
+    world.dead.insert(stopped.clone());
+    world.pass(OWNER_DEAD_MILLIS);
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Stopping);
+    world.dead.clear();
+    world.settle();
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Live);
+}
+
+#[test]
+fn a_drained_node_stays_drained_through_a_stop() {
+    let mut world = two_zones();
+    let node = NodeId::from("a-node-0");
+    world.confirm(Intent::DrainNode(node.clone()));
+    world.leaving.insert(node);
+    world.settle();
+    world.leaving.clear();
+    world.settle();
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Leaving);
+    let mut leaving = two_zones();
+    leaving.leaving.insert(NodeId::from("a-node-0"));
+    leaving.settle();
+    let mut listed = self::node("a-node-0", "a");
+    listed.lifecycle = Lifecycle::Leaving;
+    leaving.list_node(listed);
+    leaving.leaving.clear();
+    leaving.settle();
+    assert_eq!(lifecycle(&leaving, "a-node-0"), Lifecycle::Leaving);
+}
+
 #[test]
 fn a_list_that_lags_does_not_undo_a_drain() {
     let mut world = two_zones();
@@ -597,6 +658,7 @@
     ListNode(u8, bool),
     ListEngine(u8, bool, u64),
     Answers(u8, bool),
+    AnnouncesStop(u8),
     PutModel(u8, u32, u32, u32, u64),
     DrainNode(u8),
     DrainEngine(u8),
@@ -613,6 +675,7 @@
             size * 20
         )),
         (0..6u8, any::<bool>()).prop_map(|(n, answers)| Event::Answers(n, answers)),
+        (0..6u8).prop_map(Event::AnnouncesStop),
         (0..6u8, 0..3u32, 0..3u32, 1..3u32, 1..40u64)
             .prop_map(|(n, min, more, wide, memory)| Event::PutModel(n, min, more, wide, memory)),
         (0..6u8).prop_map(Event::DrainNode),
@@ -639,11 +702,16 @@
                     .engines
                     .remove(&EngineId::new(format!("engine-{n}")));
             }
-            Event::Answers(n, true) => {
-                self.dead.remove(&NodeId::new(format!("node-{n}")));
+            Event::Answers(n, answers) => {
+                let id = NodeId::new(format!("node-{n}"));
+                self.leaving.remove(&id);
+                self.dead.remove(&id);
+                if !answers {
+                    self.dead.insert(id);
+                }
             }
-            Event::Answers(n, false) => {
-                self.dead.insert(NodeId::new(format!("node-{n}")));
+            Event::AnnouncesStop(n) => {
+                self.leaving.insert(NodeId::new(format!("node-{n}")));
             }
             Event::PutModel(n, min, more, wide, memory) => {
                 let name = format!("model-{n}");
@@ -688,7 +756,8 @@
         let nodes = &self.state.nodes;
         let usable = |id: &NodeId| {
             let node: Option<&Versioned<Node>> = nodes.get(id);
-            node.is_some_and(|node| node.value.lifecycle == Lifecycle::Live) && !self.dead.contains(id)
+            let takes_part = !self.dead.contains(id) && !self.leaving.contains(id);
+            node.is_some_and(|node| node.value.lifecycle == Lifecycle::Live) && takes_part
         };
         let any_usable = nodes.keys().any(usable);
         for engine in self.state.engines.values() {
