--- a/crates/croftrill-daemon/tests/failures_control_coordinator.rs
+++ b/crates/croftrill-daemon/tests/failures_control_coordinator.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::time::Duration;
 use support::{eventually, Cluster, ClusterPlan, MODEL_OPTIONS, SHORT_TIMINGS};
 
 async fn start(nodes: usize, engines: usize) -> Cluster {
@@ -103,3 +104,27 @@
     cluster.wait_one_coordinator(&[old, witness, third]).await;
     cluster.check_log_written_once().await;
 }
+
+/// Two failures together: the coordinator is paused, and the key-value service
+/// goes away for longer than the lease before anybody can take over.
+#[tokio::test(flavor = "multi_thread")]
+async fn coordinator_paused_through_an_outage_changes_nothing_when_resumed() {
+    let cluster = start(3, 2).await;
+    let old = cluster.coordinator_seen_by(0).await.expect("a coordinator");
+    let others: Vec<usize> = (0..3).filter(|&index| index != old).collect();
+
+    cluster.nodes[old].process.pause();
+    cluster.set_key_value_outage(true).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    cluster.nodes[old].process.resume();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.nodes[old].process.pause();
+    cluster.set_key_value_outage(false).await;
+    cluster.wait_other_coordinator(others[0], old).await;
+    cluster.wait_owned_without(others[0], &[old]).await;
+    cluster.nodes[old].process.resume();
+
+    cluster.wait_agreement(&[0, 1, 2]).await;
+    cluster.wait_one_coordinator(&[0, 1, 2]).await;
+    cluster.check_log_written_once().await;
+}
--- a/crates/croftrill-daemon/tests/failures_control_key_value.rs
+++ b/crates/croftrill-daemon/tests/failures_control_key_value.rs
@@ -109,8 +109,8 @@
     cluster.check_log_written_once().await;
 }
 
-/// Everything that must go on in an outage, with a node that is killed in it
-/// and starts again on its name.
+/// Everything that must go on in an outage, with the coordinator killed in it and
+/// started again on its name.
 #[tokio::test(flavor = "multi_thread")]
 async fn outage_leaves_traffic_untouched_and_nodes_restart_in_it() {
     let mut cluster = start(ClusterPlan {
@@ -125,6 +125,7 @@
         assert!(is_served(&node.caller(), "warm").await);
     }
     let revision = cluster.nodes[0].http().sample().await.expect("a status").revision;
+    let killed = cluster.coordinator_seen_by(0).await.expect("a coordinator");
 
     cluster.set_key_value_outage(true).await;
     let calls_before = cluster.key_value_calls().await;
@@ -143,16 +144,16 @@
         assert!(answer.is_served(), "{completion:?}: {answer:?}");
     }
 
-    cluster.nodes[2].process.kill();
-    cluster.restart_node(2);
-    cluster.wait_node_ready(2).await;
-    let restarted = cluster.nodes[2].http().sample().await.expect("a status");
+    cluster.nodes[killed].process.kill();
+    cluster.restart_node(killed);
+    cluster.wait_node_ready(killed).await;
+    let restarted = cluster.nodes[killed].http().sample().await.expect("a status");
     assert!(restarted.revision >= revision, "{restarted:?} before {revision}");
     for model in ["warm", "idle"] {
-        let gateway = cluster.nodes[2].caller();
+        let gateway = cluster.nodes[killed].caller();
         eventually("the restarted node serves", || is_served(&gateway, model)).await;
     }
-    let node = &cluster.nodes[2];
+    let node = &cluster.nodes[killed];
     let (code, printed) = cluster.operate_for_code(node, &["group", "create", "g", "--share", "1", "--yes"]);
     assert_eq!(code, UNAVAILABLE, "{printed}");
 
@@ -221,3 +222,76 @@
     }
     cluster.check_log_written_once().await;
 }
+
+/// The service takes connections and never answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_service_is_like_an_outage() {
+    let cluster = start(ClusterPlan {
+        key_value_proxies: true,
+        ..ClusterPlan::default()
+    })
+    .await;
+    cluster.wait_agreement(&[0, 1]).await;
+    for node in &cluster.nodes {
+        assert!(is_served(&node.caller(), "warm").await);
+    }
+    for node in &cluster.nodes {
+        node.set_key_value_mode(ProxyMode::HalfOpen).await;
+    }
+    let gateways = cluster.nodes.iter().map(|node| node.caller()).collect();
+    let steady = SteadyCallers::start(gateways, "warm", 5);
+    for node in &cluster.nodes {
+        assert!(is_served(&node.caller(), "idle").await, "an idle model wakes");
+        let create = ["group", "create", "g", "--share", "1", "--yes"];
+        let (code, printed) = cluster.operate_for_code(node, &create);
+        assert_eq!(code, UNAVAILABLE, "{printed}");
+    }
+    for (completion, answer) in steady.stop().await {
+        assert!(answer.is_served(), "{completion:?}: {answer:?}");
+    }
+    for node in &cluster.nodes {
+        node.set_key_value_mode(ProxyMode::Pass).await;
+    }
+    eventually("operators go on", || async {
+        let create = ["group", "create", "h", "--share", "1", "--yes"];
+        cluster.operate_for_code(&cluster.nodes[0], &create).0 == 0
+    })
+    .await;
+    cluster.wait_one_coordinator(&[0, 1]).await;
+    cluster.wait_agreement(&[0, 1]).await;
+    cluster.check_log_written_once().await;
+}
+
+/// Nothing can be moved in an outage; the node ends all the same, and its next
+/// process serves what it owned.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_told_to_stop_in_an_outage_ends_and_comes_back() {
+    let mut cluster = start(ClusterPlan::default()).await;
+    cluster.wait_agreement(&[0, 1]).await;
+    cluster.set_key_value_outage(true).await;
+    let long = Completion::new("warm", "Tell the long story.", 500);
+    let run = {
+        let (caller, long) = (cluster.nodes[1].caller(), long.clone());
+        tokio::spawn(async move { caller.complete(&long).await })
+    };
+    eventually("the long run has begun", || async {
+        let ledgers = cluster.ledgers().await;
+        let mut runs = ledgers.iter().flat_map(|ledger| &ledger.runs);
+        runs.any(|run| run.tokens > 0)
+    })
+    .await;
+    cluster.nodes[1].process.terminate();
+    let answer = run.await.expect("the caller does not panic");
+    assert!(answer.is_served(), "{answer:?}");
+    assert!(cluster.wait_node_ended(1).await, "the process failed");
+    cluster.restart_node(1);
+    cluster.wait_node_ready(1).await;
+    for node in &cluster.nodes {
+        let gateway = node.caller();
+        eventually("the node serves", || is_served(&gateway, "idle")).await;
+    }
+    cluster.set_key_value_outage(false).await;
+    cluster.wait_one_coordinator(&[0, 1]).await;
+    cluster.wait_agreement(&[0, 1]).await;
+    cluster.check_log_written_once().await;
+}
