--- a/crates/croftrill-daemon/tests/failures_control_key_value.rs
+++ b/crates/croftrill-daemon/tests/failures_control_key_value.rs
@@ -10,6 +10,8 @@
 use support::{SteadyCallers, MODEL_OPTIONS, SHORT_TIMINGS};
 
 const UNAVAILABLE: i32 = 4;
+/// Shortens what a service that never answers costs; follows the timings.
+const SHORT_CALLS: &str = "key_value_timeout_millis = 500\n";
 /// Calls a second that three nodes may make, in an outage and after it; half of
 /// the rate that the service of the test lets through.
 const MOST_CALLS_A_SECOND: f64 = 10.0;
@@ -18,7 +20,7 @@
 
 async fn start(plan: ClusterPlan) -> Cluster {
     let plan = ClusterPlan {
-        settings: SHORT_TIMINGS.to_string(),
+        settings: format!("{SHORT_TIMINGS}{SHORT_CALLS}"),
         ..plan
     };
     let cluster = Cluster::start(plan).await;
