--- a/crates/croftrill-coordination/src/replication/live_members.rs
+++ b/crates/croftrill-coordination/src/replication/live_members.rs
@@ -16,4 +16,7 @@
     fn hears_others(&self) -> bool {
         self.alive().len() > 1
     }
+
+    /// Whether a member announced that it stops on purpose.
+    fn is_leaving(&self, node: &NodeId) -> bool;
 }
--- a/crates/croftrill-state/tests/planner_reconcile.rs
+++ b/crates/croftrill-state/tests/planner_reconcile.rs
@@ -62,6 +62,7 @@
             let observation = Observation {
                 machines: Some(&self.machines),
                 alive: &alive,
+                leaving: &|_| false,
                 now: Instant(0),
             };
             let Some(change) = self.reconciler.plan(&self.state, &observation) else {
