A load that only just started does not hide a slow weight store

Cause: the speed that running loads prove took the second slowest of several loads, so that one stuck load counts for little. A load that had run for half a second then counted as proof that the store is fast: when a second engine began to load, what the first one had shown was forgotten, and the requests of the next cold model were held as long as those of the first.

Ruled out: to ignore the number of loads; a stuck load would then slow every estimate for as long as its lease.

Conclusion: an overdue load counts unless one that started later ended well.

--- a/crates/croftrill-state/src/load_admission.rs
+++ b/crates/croftrill-state/src/load_admission.rs
@@ -271,6 +271,7 @@
             .map(|load| RunningEvidence {
                 remote_mib: load.remote_mib,
                 elapsed_millis: now.millis_since(load.started),
+                overtaken: self.last_news.is_some_and(|news| news > load.started),
             })
             .collect()
     }
--- a/crates/croftrill-state/src/load_admission/store_speed.rs
+++ b/crates/croftrill-state/src/load_admission/store_speed.rs
@@ -20,6 +20,9 @@
     pub remote_mib: u64,
     /// Time since its start, in milliseconds.
     pub elapsed_millis: u64,
+    /// Whether another load ended well since its start, which shows that the
+    /// store is not what holds it up.
+    pub overtaken: bool,
 }
 
 /// The estimate.
@@ -56,19 +59,21 @@
     }
 
     /// The time for one MiB that running loads prove. Two of them must agree,
-    /// since one may be stuck for a reason of its own; a lone load counts, but
-    /// at most `LARGEST_STEP` times the estimate.
+    /// since one may be stuck for a reason of its own. A single one counts, but
+    /// at most `LARGEST_STEP` times the estimate, if it is alone or was not
+    /// overtaken: loads that only just started say nothing against it.
     fn proved_by(&self, running: &[RunningEvidence]) -> f64 {
         let mut slowest = 0.0_f64;
         let mut second_slowest = 0.0_f64;
+        let mut single = 0.0_f64;
         for load in running {
             let millis_per_mib = load.elapsed_millis as f64 / load.remote_mib as f64;
             second_slowest = second_slowest.max(millis_per_mib.min(slowest));
             slowest = slowest.max(millis_per_mib);
+            if running.len() == 1 || !load.overtaken {
+                single = single.max(millis_per_mib);
+            }
         }
-        if running.len() == 1 {
-            return slowest.min(self.millis_per_mib * LARGEST_STEP);
-        }
-        second_slowest
+        second_slowest.max(single.min(self.millis_per_mib * LARGEST_STEP))
     }
 }
