A node that stops on purpose gives its role and its engines away at once

Cause: two things. A coordinator that was told to stop kept its lease until its last stream had ended, up to the bound of a drain (15 minutes), and believes itself to be alive, so it never took its own engines away; meanwhile it refused all new requests for them. And an engine of any other stopping node waited for the four seconds after which an owner counts as dead.

Ruled out: to mark a stopping node as leaving in the log. A drain is not taken back while the machine stays listed, so the node would stay out after its restart.

Left: a stopping node stays in the ring of claims, so it waits 10 s for a hand-over that never begins ('claims: stopped before all was handed over'), and after its restart its share of the keys is unknown for a window.

--- a/crates/croftrill-state/src/reconcile/ownership.rs
+++ b/crates/croftrill-state/src/reconcile/ownership.rs
@@ -66,7 +66,9 @@
             self.config.owner_dead_millis,
             observation.now,
         );
-        node.lifecycle == Lifecycle::Live && node.cell == *cell && !dead
+        // One that stops on purpose takes nothing new: nobody waits for it.
+        let leaving = (observation.leaving)(&node.id);
+        node.lifecycle == Lifecycle::Live && node.cell == *cell && !dead && !leaving
     }
 }
 
