--- a/crates/croftrill-hollow/src/cluster.rs
+++ b/crates/croftrill-hollow/src/cluster.rs
@@ -80,7 +80,7 @@
         });
         let engines = population::engines_for(nodes);
         let new_engines = (self.engines..engines).map(population::engine_machine);
-        self.platform.put_machines(machines.chain(new_engines).collect());
+        let listed = machines.chain(new_engines).collect();
         self.engines = engines;
         if self.seeds.is_empty() {
             self.seeds = self.specs.iter().take(ZONES).map(|spec| spec.address).collect();
@@ -89,6 +89,8 @@
             self.running.push(None);
             self.start_node(index, listener).await?;
         }
+        // A machine is listed once it runs.
+        self.platform.put_machines(listed);
         self.wait_settled().await
     }
 
--- a/crates/croftrill-hollow/src/experiments/steady.rs
+++ b/crates/croftrill-hollow/src/experiments/steady.rs
@@ -1,6 +1,7 @@
 //! What control costs while nothing happens, at growing sizes.
 
 use crate::cluster::HollowCluster;
+use crate::meter::open_files;
 use crate::population::{self, Population};
 use crate::report::{mean, quantile, Format, Line, Table};
 use crate::usage::{NodeUsage, Sample, Usage};
@@ -41,6 +42,8 @@
             "coordinator_list_bytes",
             "key_value_calls_all",
             "resident_mib_process",
+            "open_files",
+            "revision",
         ],
     );
     let mut resident = Vec::new();
@@ -57,6 +60,7 @@
             &after.since(&before),
             after.resident_bytes as f64 / MIB,
         ));
+        table.extend_last(vec![json!(open_files()?), json!(cluster.highest_head().0)]);
     }
     print!("{}", table.render(format));
     print!("{}", memory_slope(&resident).render(format));
--- a/crates/croftrill-hollow/src/meter.rs
+++ b/crates/croftrill-hollow/src/meter.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// Files and sockets that this process holds open.
+pub fn open_files() -> anyhow::Result<usize> {
+    Ok(Process::myself()?.fd_count()?)
+}
+
 /// Memory of this process that is in use and resident, in bytes.
 pub fn resident_bytes() -> anyhow::Result<u64> {
     let memory = Process::myself()?.statm().context("no memory account")?;
--- a/crates/croftrill-hollow/src/report.rs
+++ b/crates/croftrill-hollow/src/report.rs
@@ -35,6 +35,13 @@
         self.rows.push(figures);
     }
 
+    /// Adds figures to the last row.
+    pub fn extend_last(&mut self, figures: Vec<Value>) {
+        if let Some(row) = self.rows.last_mut() {
+            row.extend(figures);
+        }
+    }
+
     /// The table as text.
     pub fn render(&self, format: Format) -> String {
         match format {
