--- a/crates/croftrill-state/src/claims.rs
+++ b/crates/croftrill-state/src/claims.rs
@@ -17,6 +17,11 @@
 //!   network is cut and whoever changed the ring;
 //! - a gateway drops a grant that took too long to arrive;
 //! - a full holder refuses new claims; it does not forget old ones.
+//!
+//! Limits: the rules see the last four rings before the one that a process
+//! started with, and a former ring that is lost as a whole is given up after
+//! [`ClaimConfig::unconfirmed_millis`]. Gateways of two cells ask two holders, so
+//! a caller's key is unique within its gateway's cell only.
 
 mod authority;
 mod config;
