--- a/crates/croftrill-daemon/tests/support/mod.rs
+++ b/crates/croftrill-daemon/tests/support/mod.rs
@@ -16,5 +16,7 @@
 pub use process::Process;
 pub use readiness::wait_ready;
 pub use reconciliation::{Counts, Fate, Reconciliation, Sent};
-pub use traffic::{quick_plan, wait_served, wait_streaming, warm_up, Burst, QUICK_SETTINGS, TWO_REPLICAS};
+pub use traffic::{
+    quick_plan, wait_served, wait_streaming, warm_up, Burst, QUICK_SETTINGS, SMALL_CHECKPOINT, TWO_REPLICAS,
+};
 pub use waiting::eventually;
--- a/crates/croftrill-daemon/tests/support/traffic.rs
+++ b/crates/croftrill-daemon/tests/support/traffic.rs
@@ -15,6 +15,19 @@
     "2",
 ];
 
+/// The same with a checkpoint whose load is expected to take a second, so that
+/// requests with deadlines of some seconds may wake it.
+pub const SMALL_CHECKPOINT: [&str; 8] = [
+    "--memory-mib",
+    "30000",
+    "--checkpoint-mib",
+    "2000",
+    "--accelerators",
+    "1",
+    "--max-replicas",
+    "2",
+];
+
 /// Settings that notice failures faster than the defaults, and whose retries
 /// do not run out in a test that makes most requests fail.
 pub const QUICK_SETTINGS: &str = "
