--- a/crates/croftrill-coordination/src/coordinator.rs
+++ b/crates/croftrill-coordination/src/coordinator.rs
@@ -234,7 +234,6 @@
         let observation = Observation {
             machines: machines.listed(),
             alive: &|node| members.is_alive(node),
-            leaving: &|node| members.is_leaving(node),
             now: croftrill_state::Instant(self.started.elapsed().as_millis() as u64),
         };
         let change = reconciler.plan(&state, &observation)?;
--- a/crates/croftrill-coordination/src/replication/live_members.rs
+++ b/crates/croftrill-coordination/src/replication/live_members.rs
@@ -10,7 +10,4 @@
 
     /// Whether a member is believed to be alive.
     fn is_alive(&self, node: &NodeId) -> bool;
-
-    /// Whether a member said that it is stopping on purpose.
-    fn is_leaving(&self, node: &NodeId) -> bool;
 }
--- a/crates/croftrill-coordination/tests/support/surroundings.rs
+++ b/crates/croftrill-coordination/tests/support/surroundings.rs
@@ -109,10 +109,6 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.alive.lock().unwrap().contains(node)
     }
-
-    fn is_leaving(&self, _node: &NodeId) -> bool {
-        false
-    }
 }
 
 /// The machine list.
--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -21,7 +21,7 @@
 use croftrill_settings::Settings;
 use croftrill_state::claims::{membership_revision, ClaimConfig, ClaimHolder};
 use croftrill_state::load_admission::LoadAdmissionConfig;
-use croftrill_state::membership::{Health, LocalMember, MembershipConfig, MembershipEvent, MembershipView};
+use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
 use croftrill_state::{CellId, ClusterState, NodeId, Revision, Term};
 use croftrill_transport::peer::PeerServer;
 use std::net::SocketAddr;
@@ -29,7 +29,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio_util::sync::CancellationToken;
 
 /// Time between two ticks of the membership state machine.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
@@ -70,7 +69,6 @@
     pub claims: StartedClaims,
     /// The term in which this node coordinates its cell.
     pub role: watch::Receiver<Option<Term>>,
-    coordinator_stop: CancellationToken,
 }
 
 impl Control {
@@ -82,9 +80,7 @@
         let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
         tasks.spawn(observe_heads(input.replica.clone(), events));
-        let announcing = announce_heads(input.replica.clone(), membership.clone());
-        let stop = tasks.stop.clone();
-        tasks.spawn(async move { stop.run_until_cancelled(announcing).await.unwrap_or_default() });
+        tasks.spawn(announce_heads(input.replica.clone(), membership.clone()));
 
         let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
         let follower = Arc::new(Follower::new(
@@ -106,23 +102,14 @@
             },
             tasks.clone(),
         ));
-        let coordinator_stop = tasks.stop.child_token();
-        let role = start_coordinator(&input, follower, members, &tasks, coordinator_stop.clone());
+        let role = start_coordinator(&input, follower, members, &tasks);
         serve_peers(input, claims.clone(), &tasks).await?;
         Ok(Control {
             membership,
             claims,
             role,
-            coordinator_stop,
         })
     }
-
-    /// For a planned stop: tells the others, and lets another node coordinate.
-    /// A coordinator that went on would not take its own engines away.
-    pub fn leave(&self) {
-        self.membership.leave();
-        self.coordinator_stop.cancel();
-    }
 }
 
 /// Membership's view, as the log's parts ask for it.
@@ -138,12 +125,6 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.0.view().is_alive(node)
     }
-
-    fn is_leaving(&self, node: &NodeId) -> bool {
-        let view = self.0.view();
-        let member = view.members.get(node);
-        member.is_some_and(|member| member.health == Health::Leaving)
-    }
 }
 
 fn membership_config(settings: &Settings, bound: SocketAddr) -> MembershipDriverConfig {
@@ -315,7 +296,6 @@
     follower: Arc<Follower>,
     members: Arc<dyn LiveMembers>,
     tasks: &ControlTasks,
-    stop: CancellationToken,
 ) -> watch::Receiver<Option<Term>> {
     let parts = CoordinatorParts {
         replica: input.replica.clone(),
@@ -326,6 +306,7 @@
     };
     let coordinator = Arc::new(Coordinator::new(coordinator_config(&input.settings), parts));
     let role = coordinator.role();
+    let stop = tasks.stop.clone();
     tasks.spawn(async move { coordinator.run(stop).await });
     role
 }
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -123,7 +123,7 @@
     pub async fn stop(self) {
         log::info!("daemon: stopping");
         self.operator_server.leaving.store(true, Ordering::Relaxed);
-        self.control.leave();
+        self.control.membership.leave();
         self.traffic.drain().await;
         if let Some(claims) = self.control.claims.0.get() {
             claims.wait_handed_over(HAND_OVER_LIMIT).await;
--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -63,8 +63,6 @@
     pub machines: Option<&'a ListedMachines>,
     /// Whether membership believes a node to be alive.
     pub alive: &'a dyn Fn(&NodeId) -> bool,
-    /// Whether a node said that it is stopping on purpose.
-    pub leaving: &'a dyn Fn(&NodeId) -> bool,
     /// The time.
     pub now: Instant,
 }
--- a/crates/croftrill-state/src/reconcile/ownership.rs
+++ b/crates/croftrill-state/src/reconcile/ownership.rs
@@ -66,9 +66,7 @@
             self.config.owner_dead_millis,
             observation.now,
         );
-        // One that stops on purpose takes nothing new: nobody waits for it.
-        let leaving = (observation.leaving)(&node.id);
-        node.lifecycle == Lifecycle::Live && node.cell == *cell && !dead && !leaving
+        node.lifecycle == Lifecycle::Live && node.cell == *cell && !dead
     }
 }
 
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -64,7 +64,6 @@
     reconciler: Reconciler,
     machines: ListedMachines,
     dead: BTreeSet<NodeId>,
-    leaving: BTreeSet<NodeId>,
     now: Instant,
 }
 
@@ -90,7 +89,6 @@
             reconciler: Reconciler::new(cell(), config),
             machines: ListedMachines::default(),
             dead: BTreeSet::new(),
-            leaving: BTreeSet::new(),
             now: Instant(0),
         }
     }
@@ -135,11 +133,10 @@
     }
 
     fn plan(&mut self) -> Option<Change> {
-        let (dead, leaving) = (&self.dead, &self.leaving);
+        let dead = &self.dead;
         let observation = Observation {
             machines: Some(&self.machines),
-            alive: &|node| !dead.contains(node) && !leaving.contains(node),
-            leaving: &|node| leaving.contains(node),
+            alive: &|node| !dead.contains(node),
             now: self.now,
         };
         self.reconciler.plan(&self.state, &observation)
@@ -284,15 +281,6 @@
     assert_ne!(world.owner("a-engine-0"), Some(&owner));
 }
 
-#[test]
-fn an_owner_that_stops_on_purpose_loses_its_engines_at_once() {
-    let mut world = two_zones();
-    let owner = world.owner("a-engine-0").unwrap().clone();
-    world.leaving.insert(owner.clone());
-    world.settle();
-    assert_ne!(world.owner("a-engine-0"), Some(&owner));
-}
-
 #[test]
 fn a_list_that_lags_does_not_undo_a_drain() {
     let mut world = two_zones();
