No claim for keys that a gateway made; stable ports for nodes that restart

An unrepeatable request whose caller chose no key was refused whenever the holder of its made-up key could not grant, for instance for a quarter of an hour after a node joined late. Nobody else can know such a key, and the gateway itself never dispatches again what may have run, so no claim is needed.

A test that starts a node again on its addresses failed in one run of the whole suite with 'listen.operators cannot bind: Address already in use': a port that the system chose lies in the range of outgoing connections, and one of them had taken it. Test nodes take ports below that range.

--- a/crates/croftrill-daemon/tests/support/mod.rs
+++ b/crates/croftrill-daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod cluster;
 mod control_view;
+mod ports;
 mod process;
 mod readiness;
 mod reconciliation;
--- a/crates/croftrill-gateway/src/claim_ticket.rs
+++ b/crates/croftrill-gateway/src/claim_ticket.rs
@@ -4,7 +4,7 @@
 use crate::claims::{ClaimAuthority, ClaimDecision};
 use crate::interruption::{Interruption, InterruptionWatch};
 use croftrill_protocol::peer::ClaimResult;
-use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::RequestId;
 use log::{info, warn};
 use std::sync::Arc;
@@ -59,22 +59,19 @@
             self.request, run_once.key
         );
         let cause = RefusalCause::KeyHistoryUnknown;
-        Err(not_granted(
-            run_once.from_caller,
-            cause,
-            DEFAULT_RETRY_AFTER_MILLIS,
-        ))
+        Err(not_granted(cause, DEFAULT_RETRY_AFTER_MILLIS))
     }
 
-    /// Asks for the claim; the request may run only if it is granted.
+    /// Asks for the claim; the request may run only if it is granted. A key that
+    /// this gateway made is known to nobody else: its own rule of never
+    /// dispatching again what may have run is enough.
     pub async fn ask(&mut self, watch: &InterruptionWatch) -> Result<(), ClaimFailure> {
-        let Some(RunOnce { key, from_caller }) = &self.run_once else {
+        let Some(RunOnce { key, .. }) = self.run_once.as_ref().filter(|run_once| run_once.from_caller) else {
             return Ok(());
         };
         // As long as the answer is not known, the claim may have been granted.
         self.open = true;
         let decision = watch.run(self.claims.claim(key, self.request)).await;
-        let from_caller = *from_caller;
         match decision {
             Ok(ClaimDecision::Granted { dispatch_before }) => {
                 self.dispatch_before = Some(dispatch_before);
@@ -92,15 +89,15 @@
             Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
                 self.open = false;
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(refused(from_caller, cause, retry_after_millis))
+                Err(refused(cause, retry_after_millis))
             }
             Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(refused(from_caller, cause, retry_after_millis))
+                Err(refused(cause, retry_after_millis))
             }
             Err(Interruption::DeadlinePassed) => {
                 let cause = RefusalCause::DeadlineExpired;
-                Err(refused(from_caller, cause, DEFAULT_RETRY_AFTER_MILLIS))
+                Err(refused(cause, DEFAULT_RETRY_AFTER_MILLIS))
             }
             Err(Interruption::CallerGone) => Err(ClaimFailure::CallerGone),
         }
@@ -122,20 +119,11 @@
 }
 
 /// Without a claim in force, an earlier request with the caller's key may have
-/// run. Nobody else uses a key that the gateway made.
-fn not_granted(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> Refusal {
-    let execution = if from_caller {
-        Execution::MayHaveRun
-    } else {
-        Execution::NotRun
-    };
-    Refusal {
-        execution,
-        cause,
-        retry_after_millis: retry_after_millis.max(1),
-    }
+/// run.
+fn not_granted(cause: RefusalCause, retry_after_millis: u64) -> Refusal {
+    Refusal::may_have_run(cause, retry_after_millis.max(1))
 }
 
-fn refused(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
-    ClaimFailure::Refused(not_granted(from_caller, cause, retry_after_millis))
+fn refused(cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
+    ClaimFailure::Refused(not_granted(cause, retry_after_millis))
 }
