An unchanged machine list is not sent again

Cause: a coordinator reads the list every two seconds; at 380 nodes and 790 engines one answer is 237 KiB. Ruled out: reading less often; at 2 KB/s a reading would be due every two minutes, and a failed machine would stay listed for as long. Change: the reader names the version it has (ETag, If-None-Match), and a service that keeps versions answers 304 without a body. A service that does not is read whole as before. The hollow nodes now start a fresh cluster at each size: growing one by half makes each old node hand over claims to each new one, which no real event does.

--- a/crates/croftrill-hollow/src/cluster.rs
+++ b/crates/croftrill-hollow/src/cluster.rs
@@ -1,4 +1,4 @@
-//! A cluster of hollow nodes that can grow, lose nodes and get them back.
+//! A cluster of hollow nodes that can lose nodes and get them back.
 
 use crate::node::{bind_any, HollowNode, NodeSpec};
 use crate::platform::Platform;
@@ -44,7 +44,7 @@
             running: Vec::new(),
             engines: 0,
         };
-        cluster.grow_to(nodes).await?;
+        cluster.start_nodes(nodes).await?;
         for change in population.changes() {
             cluster.propose(change).await?;
         }
@@ -52,25 +52,10 @@
         Ok(cluster)
     }
 
-    /// The cluster in `kept` grown to a size, or a new one.
-    pub async fn at_size(
-        kept: &mut Option<HollowCluster>,
-        nodes: usize,
-        population: Population,
-    ) -> anyhow::Result<&mut HollowCluster> {
-        match kept {
-            None => Ok(kept.insert(Self::start(nodes, population).await?)),
-            Some(cluster) => {
-                cluster.grow_to(nodes).await?;
-                Ok(cluster)
-            }
-        }
-    }
-
-    /// Adds nodes, and engines in proportion, and waits until all know all.
-    pub async fn grow_to(&mut self, nodes: usize) -> anyhow::Result<()> {
+    /// Starts nodes, with engines in proportion, and waits until all know all.
+    async fn start_nodes(&mut self, nodes: usize) -> anyhow::Result<()> {
         let mut listeners = Vec::new();
-        for index in self.specs.len()..nodes {
+        for index in 0..nodes {
             let listener = bind_any()?;
             self.specs.push(NodeSpec::new(index, listener.local_addr()?));
             listeners.push((index, listener));
@@ -79,12 +64,10 @@
             population::node_machine(*index, self.specs[*index].address, self.specs[*index].address)
         });
         let engines = population::engines_for(nodes);
-        let new_engines = (self.engines..engines).map(population::engine_machine);
+        let new_engines = (0..engines).map(population::engine_machine);
         let listed = machines.chain(new_engines).collect();
         self.engines = engines;
-        if self.seeds.is_empty() {
-            self.seeds = self.specs.iter().take(ZONES).map(|spec| spec.address).collect();
-        }
+        self.seeds = self.specs.iter().take(ZONES).map(|spec| spec.address).collect();
         for (index, listener) in listeners {
             self.running.push(None);
             self.start_node(index, listener).await?;
--- a/crates/croftrill-hollow/src/counted_platform.rs
+++ b/crates/croftrill-hollow/src/counted_platform.rs
@@ -47,6 +47,7 @@
     calls: [AtomicU64; CallKind::ALL.len()],
     bytes: AtomicU64,
     machine_reads: AtomicU64,
+    machine_bytes: AtomicU64,
 }
 
 /// The counters at one time.
@@ -58,6 +59,8 @@
     pub bytes: u64,
     /// Readings of the machine list.
     pub machine_reads: u64,
+    /// Bytes of these readings, both ways.
+    pub machine_bytes: u64,
 }
 
 impl CallCounts {
@@ -76,6 +79,7 @@
             calls,
             bytes: self.bytes - earlier.bytes,
             machine_reads: self.machine_reads - earlier.machine_reads,
+            machine_bytes: self.machine_bytes - earlier.machine_bytes,
         }
     }
 
@@ -89,6 +93,7 @@
             calls,
             bytes: self.bytes + other.bytes,
             machine_reads: self.machine_reads + other.machine_reads,
+            machine_bytes: self.machine_bytes + other.machine_bytes,
         }
     }
 }
@@ -100,6 +105,7 @@
             calls: std::array::from_fn(|kind| self.calls[kind].load(Ordering::Relaxed)),
             bytes: self.bytes.load(Ordering::Relaxed),
             machine_reads: self.machine_reads.load(Ordering::Relaxed),
+            machine_bytes: self.machine_bytes.load(Ordering::Relaxed),
         }
     }
 
@@ -222,7 +228,13 @@
 impl MachineList for CountedMachineList {
     async fn machines(&self) -> Result<Vec<Machine>, MachineListError> {
         self.calls.machine_reads.fetch_add(1, Ordering::Relaxed);
-        self.list.machines().await
+        let before = self.list.body_bytes();
+        let machines = self.list.machines().await;
+        let read = self.list.body_bytes() - before;
+        self.calls
+            .machine_bytes
+            .fetch_add(HEADER_BYTES + read, Ordering::Relaxed);
+        machines
     }
 }
 
--- a/crates/croftrill-hollow/src/experiments/propagate.rs
+++ b/crates/croftrill-hollow/src/experiments/propagate.rs
@@ -53,16 +53,13 @@
             "key_value_calls_per_change",
         ],
     );
-    let mut cluster = None;
     for &size in &config.sizes {
-        let cluster = HollowCluster::at_size(&mut cluster, size, config.population).await?;
+        let cluster = HollowCluster::start(size, config.population).await?;
         tokio::time::sleep(config.settle).await;
-        table.row(measure(cluster, &config).await?);
-    }
-    print!("{}", table.render(format));
-    if let Some(cluster) = cluster {
+        table.row(measure(&cluster, &config).await?);
         cluster.stop().await;
     }
+    print!("{}", table.render(format));
     Ok(())
 }
 
--- a/crates/croftrill-hollow/src/experiments/restart.rs
+++ b/crates/croftrill-hollow/src/experiments/restart.rs
@@ -44,16 +44,13 @@
             "processor_ms_survivor_max",
         ],
     );
-    let mut cluster = None;
     for &size in &config.sizes {
-        let cluster = HollowCluster::at_size(&mut cluster, size, config.population).await?;
+        let mut cluster = HollowCluster::start(size, config.population).await?;
         tokio::time::sleep(config.settle).await;
-        table.row(measure(cluster, &config).await?);
-    }
-    print!("{}", table.render(format));
-    if let Some(cluster) = cluster {
+        table.row(measure(&mut cluster, &config).await?);
         cluster.stop().await;
     }
+    print!("{}", table.render(format));
     Ok(())
 }
 
--- a/crates/croftrill-hollow/src/experiments/steady.rs
+++ b/crates/croftrill-hollow/src/experiments/steady.rs
@@ -2,10 +2,9 @@
 
 use crate::cluster::HollowCluster;
 use crate::meter::open_files;
-use crate::population::{self, Population};
+use crate::population::Population;
 use crate::report::{mean, quantile, Format, Line, Table};
 use crate::usage::{NodeUsage, Sample, Usage};
-use croftrill_platform::wire::machine_list::MachinesAnswer;
 use serde_json::json;
 use std::time::Duration;
 
@@ -47,13 +46,12 @@
         ],
     );
     let mut resident = Vec::new();
-    let mut cluster: Option<HollowCluster> = None;
     for &size in &config.sizes {
-        let cluster = HollowCluster::at_size(&mut cluster, size, config.population).await?;
+        let cluster = HollowCluster::start(size, config.population).await?;
         tokio::time::sleep(config.settle).await;
-        let before = Sample::take(cluster)?;
+        let before = Sample::take(&cluster)?;
         tokio::time::sleep(config.window).await;
-        let after = Sample::take(cluster)?;
+        let after = Sample::take(&cluster)?;
         resident.push((size as f64, after.resident_bytes as f64 / MIB));
         table.row(figures(
             size,
@@ -61,12 +59,10 @@
             after.resident_bytes as f64 / MIB,
         ));
         table.extend_last(vec![json!(open_files()?), json!(cluster.highest_head().0)]);
+        cluster.stop().await;
     }
     print!("{}", table.render(format));
     print!("{}", memory_slope(&resident).render(format));
-    if let Some(cluster) = cluster {
-        cluster.stop().await;
-    }
     Ok(())
 }
 
@@ -75,7 +71,6 @@
     let rate = |bytes: u64| bytes as f64 / seconds;
     let processor = |node: &NodeUsage| node.processor_seconds / seconds * 100.0;
     let control = usage.ordinary(|node| rate(node.control_bytes()));
-    let list_bytes = machine_list_bytes(size) as f64;
     vec![
         json!(size),
         json!(mean(&usage.ordinary(|node| rate(node.probe_bytes)))),
@@ -89,9 +84,7 @@
         json!(quantile(&usage.ordinary(processor), 0.99)),
         json!(mean(&usage.coordinators(processor))),
         json!(mean(&usage.coordinators(|node| rate(node.control_bytes())))),
-        json!(mean(&usage.coordinators(|node| node.calls.machine_reads as f64
-            * list_bytes
-            / seconds))),
+        json!(mean(&usage.coordinators(|node| rate(node.calls.machine_bytes)))),
         json!(usage.calls().total() as f64 / seconds),
         json!(resident_mib),
     ]
@@ -104,14 +97,3 @@
     }
     table
 }
-
-/// Size of one answer of the machine list, as JSON.
-pub fn machine_list_bytes(nodes: usize) -> usize {
-    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 40_000));
-    let nodes_listed = (0..nodes).map(|index| population::node_machine(index, address, address));
-    let engines = (0..population::engines_for(nodes)).map(population::engine_machine);
-    let answer = MachinesAnswer {
-        machines: nodes_listed.chain(engines).collect(),
-    };
-    serde_json::to_vec(&answer).map_or(0, |json| json.len())
-}
--- a/crates/croftrill-hollow/src/experiments/takeover.rs
+++ b/crates/croftrill-hollow/src/experiments/takeover.rs
@@ -43,15 +43,12 @@
             "calls_watch",
         ],
     );
-    let mut cluster = None;
     for &size in &config.sizes {
-        let cluster = HollowCluster::at_size(&mut cluster, size, config.population).await?;
-        table.row(measure(cluster, &config).await?);
-    }
-    print!("{}", table.render(format));
-    if let Some(cluster) = cluster {
+        let mut cluster = HollowCluster::start(size, config.population).await?;
+        table.row(measure(&mut cluster, &config).await?);
         cluster.stop().await;
     }
+    print!("{}", table.render(format));
     Ok(())
 }
 
--- a/crates/croftrill-hollow/src/report.rs
+++ b/crates/croftrill-hollow/src/report.rs
@@ -30,8 +30,11 @@
         }
     }
 
-    /// Adds a row with a figure for each column.
+    /// Adds a row with a figure for each column. It is told on standard error
+    /// at once, since a long run may be cut off.
     pub fn row(&mut self, figures: Vec<Value>) {
+        let shown: Vec<String> = figures.iter().map(shown).collect();
+        eprintln!("{}: {}", self.title, shown.join(" "));
         self.rows.push(figures);
     }
 
--- a/crates/croftrill-platform/src/http/caller.rs
+++ b/crates/croftrill-platform/src/http/caller.rs
@@ -2,6 +2,7 @@
 //! never sent from one whose answer is missing.
 
 use bytes::Bytes;
+use http::header::{HeaderValue, ETAG, IF_NONE_MATCH};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -67,6 +68,8 @@
 pub(crate) struct Answer {
     /// Its status.
     pub(crate) status: StatusCode,
+    /// The version of what was read, if the service tells one.
+    pub(crate) etag: Option<HeaderValue>,
     body: Bytes,
 }
 
@@ -76,6 +79,11 @@
         serde_json::from_slice(&self.body).map_err(|error| format!("status {}: {error}", self.status))
     }
 
+    /// Length of the body, in bytes.
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// The status and the body, for a message.
     pub(crate) fn describe(&self) -> String {
         let text = String::from_utf8_lossy(&self.body);
@@ -104,7 +112,20 @@
 
     /// GETs a path.
     pub(crate) async fn get(&self, path: &str) -> Result<Answer, CallError> {
-        let request = self.request(Method::GET, path, Bytes::new())?;
+        self.get_if_changed(path, None).await
+    }
+
+    /// GETs a path unless it still has a known version; a service that keeps
+    /// versions then answers 304 without a body.
+    pub(crate) async fn get_if_changed(
+        &self,
+        path: &str,
+        known: Option<HeaderValue>,
+    ) -> Result<Answer, CallError> {
+        let mut request = self.request(Method::GET, path, Bytes::new())?;
+        if let Some(etag) = known {
+            request.headers_mut().insert(IF_NONE_MATCH, etag);
+        }
         self.whole_answer(request, self.endpoint.call_timeout).await
     }
 
@@ -171,10 +192,12 @@
 /// Reads the rest of an answer.
 pub(crate) async fn read_answer(response: Response<Incoming>) -> Result<Answer, CallError> {
     let status = response.status();
+    let etag = response.headers().get(ETAG).cloned();
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     match body.collect().await {
         Ok(collected) => Ok(Answer {
             status,
+            etag,
             body: collected.to_bytes(),
         }),
         Err(error) => Err(CallError::Unanswered(error.to_string())),
--- a/crates/croftrill-platform/src/wire/machine_list.rs
+++ b/crates/croftrill-platform/src/wire/machine_list.rs
@@ -1,4 +1,5 @@
-//! The machine list: one GET.
+//! The machine list: one GET. The answer may carry an `ETag`; a GET whose
+//! `If-None-Match` names the present one is then answered by 304 without a body.
 
 use crate::machine_list::Machine;
 use serde::{Deserialize, Serialize};
--- a/crates/croftrill-standin/src/machine_list.rs
+++ b/crates/croftrill-standin/src/machine_list.rs
@@ -1,13 +1,15 @@
 //! Stand-in of the machine list. Changes posted to `/control/machines` (a JSON
-//! list of [`MachineChange`]s) become visible only after a lag.
+//! list of [`MachineChange`]s) become visible only after a lag. Each visible
+//! change gives the list a new `ETag`.
 
 use crate::control::MACHINES_PATH;
-use crate::server::{self, not_found, ok, read_json, ConnectionCutter, Handler};
+use crate::server::{self, empty, not_found, ok, read_json, ConnectionCutter, Handler};
 use crate::server::{HandlerResult, RunningServer};
 use croftrill_platform::machine_list::Machine;
 use croftrill_platform::wire::machine_list::{self as wire, MachinesAnswer};
 use croftrill_state::placement::Lifecycle;
-use http::Request;
+use http::header::{HeaderValue, ETAG, IF_NONE_MATCH};
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -62,11 +64,14 @@
 pub struct MachineListService {
     state: Mutex<State>,
     lag: Duration,
+    /// Tells the lists of two processes apart.
+    instance: u64,
 }
 
 #[derive(Default)]
 struct State {
     visible: BTreeMap<String, Machine>,
+    version: u64,
     pending: VecDeque<(Instant, MachineChange)>,
 }
 
@@ -94,6 +99,7 @@
         let service = Arc::new(Self {
             state: Mutex::new(state),
             lag: config.lag,
+            instance: rand::random(),
         });
         let server = server::start(config.listen, service.clone(), ConnectionCutter::new()).await?;
         Ok(RunningMachineList { server, service })
@@ -106,7 +112,8 @@
         state.pending.extend(dated);
     }
 
-    fn machines(&self) -> Vec<Machine> {
+    /// The visible machines and the version of the list.
+    fn machines(&self) -> (Vec<Machine>, u64) {
         let mut guard = self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let state = &mut *guard;
         let now = Instant::now();
@@ -117,16 +124,30 @@
         {
             if let Some((_, change)) = state.pending.pop_front() {
                 apply(&mut state.visible, change);
+                state.version += 1;
             }
         }
-        state.visible.values().cloned().collect()
+        (state.visible.values().cloned().collect(), state.version)
+    }
+
+    fn answer_list(&self, known: Option<&HeaderValue>) -> HandlerResult {
+        let (machines, version) = self.machines();
+        let tag = format!("\"{:x}-{version}\"", self.instance);
+        let unchanged = known.is_some_and(|known| known.as_bytes() == tag.as_bytes());
+        let mut response = if unchanged {
+            empty(StatusCode::NOT_MODIFIED)
+        } else {
+            ok(&MachinesAnswer { machines })
+        };
+        if let Ok(tag) = HeaderValue::from_str(&tag) {
+            response.headers_mut().insert(ETAG, tag);
+        }
+        Ok(response)
     }
 
     async fn answer(&self, request: Request<Incoming>) -> HandlerResult {
         match request.uri().path() {
-            wire::MACHINES_PATH => Ok(ok(&MachinesAnswer {
-                machines: self.machines(),
-            })),
+            wire::MACHINES_PATH => self.answer_list(request.headers().get(IF_NONE_MATCH)),
             MACHINES_PATH => {
                 self.change(read_json(request).await?);
                 Ok(ok(&()))
--- a/crates/croftrill-standin/src/server.rs
+++ b/crates/croftrill-standin/src/server.rs
@@ -151,6 +151,13 @@
     response
 }
 
+/// An answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::new()).boxed());
+    *response.status_mut() = status;
+    response
+}
+
 /// A 200 answer with a JSON body.
 pub(crate) fn ok<T: Serialize>(body: &T) -> Response<Body> {
     json(StatusCode::OK, body)
--- a/crates/croftrill-standin/tests/machine_list.rs
+++ b/crates/croftrill-standin/tests/machine_list.rs
@@ -72,3 +72,52 @@
     }]);
     assert_eq!(client.machines().await.unwrap(), [node("n1")]);
 }
+
+#[tokio::test]
+async fn an_unchanged_list_is_not_sent_again() {
+    let config = MachineListConfig {
+        machines: vec![node("n1")],
+        ..Default::default()
+    };
+    let list = MachineListService::start(config).await.unwrap();
+    let client = HttpMachineList::new(HttpEndpoint::new(list.server.address().to_string()));
+    let first = client.machines().await.unwrap();
+    let bytes_of_one = client.body_bytes();
+
+    assert_eq!(client.machines().await.unwrap(), first);
+    assert_eq!(client.body_bytes(), bytes_of_one);
+
+    list.change(vec![MachineChange::Put {
+        machine: engine("e1"),
+    }]);
+    assert_eq!(client.machines().await.unwrap(), [engine("e1"), node("n1")]);
+    assert!(client.body_bytes() > bytes_of_one);
+}
+
+#[tokio::test]
+async fn a_restarted_list_is_sent_whole() {
+    let start = |listen, machines| {
+        MachineListService::start(MachineListConfig {
+            listen,
+            machines,
+            ..Default::default()
+        })
+    };
+    let any = MachineListConfig::default().listen;
+    let first = start(any, vec![node("n1")]).await.unwrap();
+    let address = first.server.address();
+    let client = HttpMachineList::new(HttpEndpoint::new(address.to_string()));
+    assert_eq!(client.machines().await.unwrap(), [node("n1")]);
+
+    drop(first);
+    let mut second = start(address, vec![node("n2")]).await;
+    while second.is_err() {
+        tokio::task::yield_now().await;
+        second = start(address, vec![node("n2")]).await;
+    }
+    let mut read = client.machines().await;
+    while read.is_err() {
+        read = client.machines().await;
+    }
+    assert_eq!(read.unwrap(), [node("n2")]);
+}
