--- a/crates/croftrill-hollow/src/experiments/restart.rs
+++ b/crates/croftrill-hollow/src/experiments/restart.rs
@@ -10,6 +10,8 @@
 
 /// The zone that is restarted; it holds one of the seeds.
 const ZONE: usize = 1;
+/// How long the survivors are watched from the start of the zone.
+const WATCHED: Duration = Duration::from_secs(60);
 const KIB: f64 = 1024.0;
 
 /// Settings of the experiment.
@@ -42,6 +44,9 @@
             "served_kib_survivor_max",
             "processor_ms_restarted",
             "processor_ms_survivor_max",
+            "survivor_bytes_per_second_worst",
+            "survivor_bytes_per_second_minute",
+            "key_value_calls_minute",
         ],
     );
     for &size in &config.sizes {
@@ -70,6 +75,7 @@
     let before = Sample::take(cluster)?;
     let head = cluster.highest_head();
     let started = Instant::now();
+    let mut seconds = Seconds::from(&before);
     for &index in &zone {
         cluster.restart(index).await?;
     }
@@ -91,7 +97,14 @@
     let log_all = started.elapsed().as_secs_f64();
     cluster.wait_settled().await?;
     let settled = started.elapsed().as_secs_f64();
-    let usage = Sample::take(cluster)?.since(&before);
+    let settled_sample = Sample::take(cluster)?;
+    let usage = settled_sample.since(&before);
+    seconds.note(settled_sample);
+    while started.elapsed() < WATCHED {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        seconds.note(Sample::take(cluster)?);
+    }
+    let minute = Sample::take(cluster)?.since(&before);
     let served = usage.by_start(false, |node| node.peer_bytes_sent as f64 / KIB);
     let calls = usage.calls().total() as f64;
     Ok(vec![
@@ -114,5 +127,32 @@
             &usage.by_start(false, |node| node.processor_seconds * 1000.0),
             1.0
         )),
+        json!(seconds.worst_bytes),
+        json!(mean(
+            &minute.by_start(false, |node| node.control_bytes() as f64 / minute.seconds)
+        )),
+        json!(minute.calls().total()),
     ])
 }
+
+/// The busiest time between two samples, mean of the survivors.
+struct Seconds {
+    last: Sample,
+    worst_bytes: f64,
+}
+
+impl Seconds {
+    fn from(first: &Sample) -> Self {
+        Self {
+            last: first.clone(),
+            worst_bytes: 0.0,
+        }
+    }
+
+    fn note(&mut self, sample: Sample) {
+        let usage = sample.since(&self.last);
+        let bytes = usage.by_start(false, |node| node.control_bytes() as f64 / usage.seconds);
+        self.worst_bytes = self.worst_bytes.max(mean(&bytes));
+        self.last = sample;
+    }
+}
--- a/crates/croftrill-hollow/src/usage.rs
+++ b/crates/croftrill-hollow/src/usage.rs
@@ -13,6 +13,7 @@
 const TCP_FRAME_BYTES: u64 = 104;
 
 /// All counters at one time.
+#[derive(Clone)]
 pub struct Sample {
     at: Instant,
     times: ProcessorTimes,
