Stand-in: an outage can follow the last lost answer

Cause: a writer that lost an answer reads back at once, so an outcome that stays unknown could not be provoked between two calls from outside. Conclusion: the fault outage_follows starts the outage with the lost answer itself.

--- a/crates/croftrill-standin/src/key_value.rs
+++ b/crates/croftrill-standin/src/key_value.rs
@@ -61,6 +61,9 @@
     /// The answers of so many writes and deletes that took effect are lost: the
     /// connection is closed instead.
     pub lose_answers: u32,
+    /// An outage begins with the last lost answer, so that the writer cannot
+    /// read back what it wrote.
+    pub outage_follows: bool,
 }
 
 /// A change that took effect.
@@ -241,6 +244,9 @@
             let mut state = self.lock();
             if state.faults.lose_answers > 0 {
                 state.faults.lose_answers -= 1;
+                if state.faults.lose_answers == 0 && state.faults.outage_follows {
+                    state.faults.outage = true;
+                }
                 state.store.mark_answer_lost(version);
                 return Err(Rejection::ConnectionCut);
             }
