Proposals read the log first, so that an outage is refused with certainty

Cause: in an outage the first thing that a confirmation did was the write. The failing runs:

a_proposal_in_an_outage_is_refused_with_certainty: CallLost: OutcomeUnknown outage_leaves_traffic_untouched_and_nodes_restart_in_it: code 4, but the text lacks "nothing was changed"

Ruled out: taking a 503 for "no effect", which a service behind a balancer does not promise (an_outage_has_no_effect_but_promises_nothing pins that). After: both pass.

Three tests named calls by their order or met the unknown outcome by the old order. They are replaced by ones as strict: the writer that meets a deleted key is now one that does not read first (propose_at), and must succeed with its next proposal; the lost answer comes after the reads; and the unknown outcome with real processes is made by an outage that begins with the lost answer.

--- a/crates/croftrill-coordination/src/replication/proposals.rs
+++ b/crates/croftrill-coordination/src/replication/proposals.rs
@@ -37,13 +37,38 @@
     Again,
 }
 
+/// What is left of the time that one proposal waits for the rate limit.
+struct Patience {
+    left_millis: u64,
+}
+
+impl Patience {
+    /// Waits as long as the service asks for, or tells that it is too long.
+    async fn wait(&mut self, asked_millis: u64) -> bool {
+        let pause = asked_millis.max(1);
+        if pause > self.left_millis {
+            return false;
+        }
+        self.left_millis -= pause;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        true
+    }
+}
+
 impl Replica {
     /// Appends a change, at the first revision that nobody else takes. `term`
-    /// is this node's term as coordinator, 0 if it is not one.
+    /// is this node's term as coordinator, 0 if it is not one. The log is read
+    /// first: while the service is away nothing is offered, so that the refusal
+    /// is certain.
     pub async fn propose(&self, change: Change, term: Term) -> ProposeOutcome {
         let _turn = self.proposing.lock().await;
         let mut refreshed = false;
-        let mut patience_millis = self.config.propose_patience_millis;
+        let mut patience = Patience {
+            left_millis: self.config.propose_patience_millis,
+        };
+        if let Err(retry_after_millis) = self.read_patiently(&mut patience).await {
+            return ProposeOutcome::Unavailable { retry_after_millis };
+        }
         for _ in 0..self.config.propose_attempts {
             let state = self.state();
             let entry = self.next_entry(state.revision, change.clone(), term);
@@ -56,13 +81,10 @@
                 continue;
             }
             match self.offer(&entry).await {
-                // A rate limit names the moment; nobody need be sent away for it.
-                Offer::Done(ProposeOutcome::Unavailable { retry_after_millis })
-                    if retry_after_millis <= patience_millis =>
-                {
-                    let pause = retry_after_millis.max(1);
-                    patience_millis = patience_millis.saturating_sub(pause);
-                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                Offer::Done(ProposeOutcome::Unavailable { retry_after_millis }) => {
+                    if !patience.wait(retry_after_millis).await {
+                        return ProposeOutcome::Unavailable { retry_after_millis };
+                    }
                 }
                 Offer::Done(outcome) => return outcome,
                 Offer::Again => {}
@@ -91,6 +113,20 @@
         }
     }
 
+    /// Reads the log; when to come back if it cannot be read, in milliseconds.
+    async fn read_patiently(&self, patience: &mut Patience) -> Result<(), u64> {
+        loop {
+            let Err(error) = self.catch_up_from_log().await else {
+                return Ok(());
+            };
+            let retry_after_millis = self.log.retry_after_read(&error);
+            if !patience.wait(retry_after_millis).await {
+                log::debug!("log: nothing proposed, log not read error=\"{error}\"");
+                return Err(retry_after_millis);
+            }
+        }
+    }
+
     fn next_entry(&self, base: Revision, change: Change, term: Term) -> LogEntry {
         LogEntry {
             revision: base.next(),
--- a/crates/croftrill-coordination/src/revision_log.rs
+++ b/crates/croftrill-coordination/src/revision_log.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// The same after the log could not be read.
+    pub fn retry_after_read(&self, error: &ReadError) -> u64 {
+        match error {
+            ReadError::Service(error) => self.retry_after(error),
+            ReadError::Malformed { .. } => self.config.unreachable_retry_millis,
+        }
+    }
+
     async fn create(&self, entry: &LogEntry) -> Result<WriteOutcome, KeyValueError> {
         let key = keys::entry(entry.revision);
         self.service
--- a/crates/croftrill-coordination/tests/replication.rs
+++ b/crates/croftrill-coordination/tests/replication.rs
@@ -96,6 +96,24 @@
     assert_eq!(service.keys("croftrill/log/").len(), 1);
 }
 
+/// While the service does not answer, or answers what may mean anything, a
+/// proposal is refused with certainty and not left unknown.
+#[tokio::test(start_paused = true)]
+async fn a_proposal_in_an_outage_is_refused_with_certainty() {
+    for fault in [Fault::Unreachable, Fault::CallLost, Fault::AnswerLost] {
+        let service = SimulatedService::new();
+        let client = service.client();
+        let replica = replica_over("node", client.clone());
+        client.fail_next([fault; 100]);
+        let refused = put(&replica, "plan").await;
+        assert!(
+            matches!(refused, ProposeOutcome::Unavailable { .. }),
+            "{fault:?}: {refused:?}"
+        );
+        assert!(service.keys("croftrill/log/").is_empty());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_plan_from_a_stale_view_is_rejected_with_the_change_that_came_first() {
     let service = SimulatedService::new();
@@ -121,6 +139,8 @@
     let replica = replica_over("first", service.client());
     let client = service.client();
     let other = replica_over("second", client.clone());
+    // The snapshot and the log are read first.
+    client.fail_next([Fault::None; 3]);
     client.fail_next([Fault::AnswerLost]);
     client.fail_next([Fault::Unreachable; 20]);
     assert_eq!(put(&other, "plan").await, ProposeOutcome::OutcomeUnknown);
@@ -266,9 +286,11 @@
     put_many_from(&writer, 2, 20).await;
     writer.write_snapshot().await.unwrap();
     // Its revision's key is absent again; the write must not count.
-    let outcome = put(&paused, "paused").await;
+    let change = put_group("paused", "paused", Revision(2));
+    let outcome = paused.propose_at(Revision(2), change, NO_TERM).await;
     assert_eq!(outcome, ProposeOutcome::OutcomeUnknown);
     assert_eq!(*paused.state(), *writer.state());
+    assert_eq!(put(&paused, "again").await, ProposeOutcome::Applied(Revision(23)));
 }
 
 /// A node with its follower.
--- a/crates/croftrill-daemon/tests/failures_control_key_value.rs
+++ b/crates/croftrill-daemon/tests/failures_control_key_value.rs
@@ -6,10 +6,11 @@
 use croftrill_standin::{expected_answer, KeyValueFaults, ProxyMode};
 use croftrill_state::ModelId;
 use std::time::Duration;
-use support::{eventually, Caller, Cluster, ClusterPlan, Completion};
+use support::{eventually, Caller, Cluster, ClusterPlan, Completion, NodeProcess};
 use support::{SteadyCallers, MODEL_OPTIONS, SHORT_TIMINGS};
 
 const UNAVAILABLE: i32 = 4;
+const NOTHING_CHANGED: &str = "nothing was changed";
 /// Shortens what a service that never answers costs; follows the timings.
 const SHORT_CALLS: &str = "key_value_timeout_millis = 500\n";
 /// Calls a second that three nodes may make, in an outage and after it; half of
@@ -36,6 +37,14 @@
     answer.is_served() && answer.text == expected
 }
 
+/// An operator learns at once that nothing was changed.
+fn check_clear_refusal(cluster: &Cluster, node: &NodeProcess) {
+    let create = ["group", "create", "g", "--share", "1", "--yes"];
+    let (code, printed) = cluster.operate_for_code(node, &create);
+    assert_eq!(code, UNAVAILABLE, "{printed}");
+    assert!(printed.contains(NOTHING_CHANGED), "{printed}");
+}
+
 /// Waits until the log stood still for a while.
 async fn wait_quiet(cluster: &Cluster) {
     eventually("the log stands still", || async {
@@ -76,23 +85,27 @@
     cluster.check_log_written_once().await;
 }
 
-/// The write goes through, and nothing at all comes back: the operator is told
-/// that the outcome is unknown, and learns it by confirming again.
+/// The write takes effect, its answer is lost and the service is away from then
+/// on: the operator is told that the outcome is unknown, and learns it by
+/// confirming again.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_outcome_is_learned_by_confirming_again() {
-    let cluster = start(ClusterPlan {
-        key_value_proxies: true,
-        ..ClusterPlan::default()
-    })
-    .await;
+    let cluster = start(ClusterPlan::default()).await;
     wait_quiet(&cluster).await;
     let node = &cluster.nodes[0];
     let plan = cluster.make_plan(node, &["group", "create", "group-a", "--share", "2"]);
+    let before = cluster.log_changes().await.len();
 
-    node.set_key_value_mode(ProxyMode::DropReplies).await;
+    let faults = KeyValueFaults {
+        lose_answers: 1,
+        outage_follows: true,
+        ..KeyValueFaults::default()
+    };
+    cluster.set_key_value_faults(faults).await;
     let (code, printed) = cluster.operate_for_code(node, &["plan", "confirm", &plan]);
     assert_eq!(code, UNAVAILABLE, "{printed}");
-    node.set_key_value_mode(ProxyMode::Pass).await;
+    assert!(!printed.contains(NOTHING_CHANGED), "{printed}");
+    cluster.set_key_value_outage(false).await;
 
     eventually("the confirmation succeeds", || async {
         cluster.operate_for_code(node, &["plan", "confirm", &plan]).0 == 0
@@ -100,6 +113,7 @@
     .await;
     let (code, printed) = cluster.operate_for_code(&cluster.nodes[1], &["plan", "confirm", &plan]);
     assert_eq!(code, 0, "{printed}");
+    assert!(cluster.log_changes().await[before].answer_lost);
     let groups = cluster.nodes[1]
         .http()
         .json("/v1/groups")
@@ -136,9 +150,7 @@
     let steady = SteadyCallers::start(gateways, "warm", 5);
     for node in &cluster.nodes {
         assert!(is_served(&node.caller(), "idle").await, "an idle model wakes");
-        let (code, printed) =
-            cluster.operate_for_code(node, &["group", "create", "g", "--share", "1", "--yes"]);
-        assert_eq!(code, UNAVAILABLE, "{printed}");
+        check_clear_refusal(&cluster, node);
     }
     // Longer than any lease.
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -155,9 +167,7 @@
         let gateway = cluster.nodes[killed].caller();
         eventually("the restarted node serves", || is_served(&gateway, model)).await;
     }
-    let node = &cluster.nodes[killed];
-    let (code, printed) = cluster.operate_for_code(node, &["group", "create", "g", "--share", "1", "--yes"]);
-    assert_eq!(code, UNAVAILABLE, "{printed}");
+    check_clear_refusal(&cluster, &cluster.nodes[killed]);
 
     let outage_seconds = began.elapsed().as_secs_f64();
     let calls_in_outage = cluster.key_value_calls().await.all() - calls_before.all();
@@ -244,9 +254,7 @@
     let steady = SteadyCallers::start(gateways, "warm", 5);
     for node in &cluster.nodes {
         assert!(is_served(&node.caller(), "idle").await, "an idle model wakes");
-        let create = ["group", "create", "g", "--share", "1", "--yes"];
-        let (code, printed) = cluster.operate_for_code(node, &create);
-        assert_eq!(code, UNAVAILABLE, "{printed}");
+        check_clear_refusal(&cluster, node);
     }
     for (completion, answer) in steady.stop().await {
         assert!(answer.is_served(), "{completion:?}: {answer:?}");
