Requests without a deadline get the one of their class

Cause: the settings limits.deadline_critical_millis and its three siblings were read and checked, but never reached the gateway, which took 60 s for all.

--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -6,15 +6,16 @@
 use croftrill_coordination::claim_service::{ClaimClient, ClaimClientConfig};
 use croftrill_coordination::load_permits::LoadPermitClient;
 use croftrill_coordination::replication::Replica;
-use croftrill_gateway::{Gateway, GatewayConfig};
+use croftrill_gateway::{DeadlinesByClass, Gateway, GatewayConfig};
 use croftrill_owner::{OwnerConfig, OwnerService};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest};
-use croftrill_settings::Settings;
+use croftrill_settings::{Deadlines, Settings};
 use croftrill_transport::attempt_client::{AttemptClientConfig, AttemptClients};
 use croftrill_transport::attempt_server::{AttemptHandler, AttemptServer};
 use futures::stream::BoxStream;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -118,6 +119,7 @@
     let limits = &settings.limits;
     let mut config = GatewayConfig {
         max_body_bytes: limits.body_bytes,
+        default_first_token_deadlines: default_deadlines(&limits.deadlines),
         longest_deadline_millis: limits.deadlines.longest.as_millis() as u64,
         most_attempts: limits.attempts,
         ..GatewayConfig::default()
@@ -125,3 +127,13 @@
     config.retry_budget.retries_per_thousand_successes = limits.retry_budget_percent * 10;
     config
 }
+
+fn default_deadlines(configured: &Deadlines) -> DeadlinesByClass {
+    let millis = |deadline: Duration| deadline.as_millis() as u64;
+    DeadlinesByClass {
+        critical_millis: millis(configured.critical),
+        interactive_millis: millis(configured.interactive),
+        standard_millis: millis(configured.standard),
+        batch_millis: millis(configured.batch),
+    }
+}
--- a/crates/croftrill-gateway/src/caller_request.rs
+++ b/crates/croftrill-gateway/src/caller_request.rs
@@ -63,7 +63,7 @@
     ) -> Result<Self, CallerError> {
         let (group, priority) = group_and_priority(headers, state, config)?;
         let target = resolve(&input.model, state)?;
-        let default_first_token = config.default_first_token_deadline_millis;
+        let default_first_token = config.default_first_token_deadlines.of(priority);
         let first_token = deadline(headers, FIRST_TOKEN_DEADLINE_HEADER, default_first_token, config)?;
         let total = deadline(
             headers,
--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::metrics::{GatewayMetrics, RequestOutcome};
 use crate::request_run::RequestRun;
 use arc_swap::ArcSwap;
+use croftrill_state::configuration::PriorityClass;
 use croftrill_state::outcome::RefusalCause;
 use croftrill_state::retry_budget::RetryBudgetConfig;
 use croftrill_state::{ClusterState, GroupId, IdempotencyKey, Instant, RequestId, Revision};
@@ -33,6 +34,42 @@
 /// Parts of an answer that may wait for a caller that reads slowly.
 const ANSWER_BUFFER: usize = 64;
 
+/// A deadline for each class, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeadlinesByClass {
+    /// Of critical requests.
+    pub critical_millis: u64,
+    /// Of interactive requests.
+    pub interactive_millis: u64,
+    /// Of standard requests.
+    pub standard_millis: u64,
+    /// Of batch requests.
+    pub batch_millis: u64,
+}
+
+impl Default for DeadlinesByClass {
+    fn default() -> Self {
+        Self {
+            critical_millis: 5_000,
+            interactive_millis: 15_000,
+            standard_millis: 60_000,
+            batch_millis: 600_000,
+        }
+    }
+}
+
+impl DeadlinesByClass {
+    /// The deadline of a class, in milliseconds.
+    pub fn of(&self, class: PriorityClass) -> u64 {
+        match class {
+            PriorityClass::Critical => self.critical_millis,
+            PriorityClass::Interactive => self.interactive_millis,
+            PriorityClass::Standard => self.standard_millis,
+            PriorityClass::Batch => self.batch_millis,
+        }
+    }
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -40,8 +77,8 @@
     pub max_body_bytes: usize,
     /// Longest wait for a request body, in milliseconds.
     pub body_timeout_millis: u64,
-    /// Deadline of the first token if the caller names none, in milliseconds.
-    pub default_first_token_deadline_millis: u64,
+    /// Deadlines of the first token if the caller names none.
+    pub default_first_token_deadlines: DeadlinesByClass,
     /// Deadline of the whole answer if the caller names none, in milliseconds.
     pub default_total_deadline_millis: u64,
     /// Longest deadline that a caller may have, in milliseconds.
@@ -63,7 +100,7 @@
         Self {
             max_body_bytes: 4 * 1024 * 1024,
             body_timeout_millis: 10_000,
-            default_first_token_deadline_millis: 60_000,
+            default_first_token_deadlines: DeadlinesByClass::default(),
             default_total_deadline_millis: 600_000,
             longest_deadline_millis: 3_600_000,
             most_tokens: 32_768,
--- a/crates/croftrill-gateway/src/lib.rs
+++ b/crates/croftrill-gateway/src/lib.rs
@@ -28,4 +28,4 @@
 mod retry_policy;
 
 pub use claims::{ClaimAuthority, ClaimDecision};
-pub use gateway::{Gateway, GatewayConfig};
+pub use gateway::{DeadlinesByClass, Gateway, GatewayConfig};
--- a/crates/croftrill-gateway/tests/serving.rs
+++ b/crates/croftrill-gateway/tests/serving.rs
@@ -192,3 +192,13 @@
     let answer = support::Answer::read(response).await;
     assert_eq!(answer.text(), answer_text());
 }
+
+#[tokio::test]
+async fn a_request_that_names_no_deadline_gets_the_one_of_its_class() {
+    for (class, millis) in [("interactive", 15_000), ("standard", 60_000), ("batch", 600_000)] {
+        let attempt = seen_attempt(&[("x-croftrill-priority", class)]).await;
+        let expected = millis / 2..millis;
+        let told = attempt.first_token_deadline_millis;
+        assert!(expected.contains(&told), "{class}: {told}");
+    }
+}
