Load admission: the fixed part of a load is not the store's speed

A load's duration has a part that the engine needs whatever the size. Counted as transfer it made small checkpoints look slow and large ones too fast, so that some requests were refused for no reason and others kept too long. It becomes a setting (0 by default) and is taken off before the speed is learned.

--- a/crates/croftrill-bench/src/policy/croftrill/coordinator.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/coordinator.rs
@@ -34,6 +34,7 @@
             loads_per_second_thousandths: (store.loads_per_second * 1000.0) as u64,
             concurrent_loads: store.concurrent_loads as u32,
             initial_mib_per_second: store.mib_per_second,
+            fixed_load_millis: world.scenario().engine.load_fixed_millis,
             ..LoadAdmissionConfig::default()
         };
         Self {
--- a/crates/croftrill-state/src/load_admission.rs
+++ b/crates/croftrill-state/src/load_admission.rs
@@ -38,6 +38,9 @@
     pub concurrent_loads: u32,
     /// Speed of one load before any was reported, in MiB a second.
     pub initial_mib_per_second: u64,
+    /// Part of each load's duration that does not depend on its size, in
+    /// milliseconds.
+    pub fixed_load_millis: u64,
     /// A lease lasts this many times the expected duration of its load.
     pub lease_factor: u32,
     /// Shortest lease, in milliseconds.
@@ -67,6 +70,7 @@
             loads_per_second_thousandths: 3000,
             concurrent_loads: 6,
             initial_mib_per_second: 2048,
+            fixed_load_millis: 0,
             lease_factor: 4,
             least_lease_millis: 10_000,
             most_lease_millis: 120_000,
@@ -154,7 +158,7 @@
         now: Instant,
         earlier_coordinator: bool,
     ) -> Self {
-        let speed = StoreSpeed::new(config.initial_mib_per_second);
+        let speed = StoreSpeed::new(config.initial_mib_per_second, config.fixed_load_millis);
         Self {
             config,
             bucket,
--- a/crates/croftrill-state/src/load_admission/store_speed.rs
+++ b/crates/croftrill-state/src/load_admission/store_speed.rs
@@ -1,5 +1,8 @@
 //! A learned estimate of the weight store's present speed.
 //!
+//! A load takes a fixed time, which the engine needs whatever the size, and the
+//! time of the transfer, which is learned.
+//!
 //! Reports move a weighted average of the time for one MiB. A report counts at
 //! most `LARGEST_STEP` times the present estimate, so that one stray report
 //! does little, while a true slowdown is learned within a few loads. Loads that
@@ -25,13 +28,15 @@
 /// The estimate.
 #[derive(Clone, Debug)]
 pub(super) struct StoreSpeed {
+    fixed_millis: u64,
     millis_per_mib: f64,
 }
 
 impl StoreSpeed {
     /// An estimate before any report.
-    pub(super) fn new(mib_per_second: u64) -> Self {
+    pub(super) fn new(mib_per_second: u64, fixed_millis: u64) -> Self {
         Self {
+            fixed_millis,
             millis_per_mib: 1000.0 / mib_per_second.max(1) as f64,
         }
     }
@@ -40,7 +45,9 @@
     pub(super) fn observe(&mut self, remote_mib: u64, duration_millis: u64) {
         let lowest = self.millis_per_mib / LARGEST_STEP;
         let highest = self.millis_per_mib * LARGEST_STEP;
-        let sample = (duration_millis.max(1) as f64 / remote_mib as f64).clamp(lowest, highest);
+        let sample = self
+            .transfer_millis_per_mib(remote_mib, duration_millis)
+            .clamp(lowest, highest);
         let weight = if sample > self.millis_per_mib {
             SLOWER_WEIGHT
         } else {
@@ -52,7 +59,11 @@
     /// Expected duration of a load, in milliseconds, given what runs now.
     pub(super) fn expected_millis(&self, remote_mib: u64, running: &[RunningEvidence]) -> u64 {
         let millis_per_mib = self.millis_per_mib.max(self.proved_by(running));
-        (millis_per_mib * remote_mib as f64).ceil() as u64
+        self.fixed_millis + (millis_per_mib * remote_mib as f64).ceil() as u64
+    }
+
+    fn transfer_millis_per_mib(&self, remote_mib: u64, duration_millis: u64) -> f64 {
+        duration_millis.saturating_sub(self.fixed_millis) as f64 / remote_mib as f64
     }
 
     /// The time for one MiB that running loads prove. Two of them must agree,
@@ -62,7 +73,7 @@
         let mut slowest = 0.0_f64;
         let mut second_slowest = 0.0_f64;
         for load in running {
-            let millis_per_mib = load.elapsed_millis as f64 / load.remote_mib as f64;
+            let millis_per_mib = self.transfer_millis_per_mib(load.remote_mib, load.elapsed_millis);
             second_slowest = second_slowest.max(millis_per_mib.min(slowest));
             slowest = slowest.max(millis_per_mib);
         }
--- a/crates/croftrill-state/tests/load_admission.rs
+++ b/crates/croftrill-state/tests/load_admission.rs
@@ -241,3 +241,17 @@
     admission.finish(Instant(10), &engine, &model, 0, 0, false);
     assert_eq!(admission.running_loads(), 0);
 }
+
+#[test]
+fn the_fixed_part_of_a_load_is_not_taken_for_the_stores_speed() {
+    let config = LoadAdmissionConfig {
+        fixed_load_millis: 900,
+        ..config()
+    };
+    let mut admission = LoadAdmission::new(config, Instant(0));
+    for _ in 0..20 {
+        let (engine, model) = (EngineId::from("engine"), ModelId::from("small"));
+        admission.finish(Instant(0), &engine, &model, 100, 900 + 100, true);
+    }
+    assert_eq!(admission.expected_millis(Instant(0), LOAD_MIB), 900 + LOAD_MIB);
+}
