--- a/crates/croftrill-bench/src/measurement.rs
+++ b/crates/croftrill-bench/src/measurement.rs
@@ -26,6 +26,7 @@
     pub unused_loads: u64,
     pub idle_accelerator_micros: Micros,
     pub store_busy_slot_micros: f64,
+    pub returns: u64,
     pub store_most_at_once: usize,
     pub store_moved_mib: f64,
 }
@@ -112,6 +113,8 @@
     pub in_time: u64,
     /// Requests refused.
     pub refused: u64,
+    /// Times that refused callers came back.
+    pub returns: u64,
     /// Requests that never ended; must be 0.
     pub lost: u64,
     /// Time of the first token of requests that waited for a load.
@@ -249,6 +252,7 @@
         served: classes.iter().map(|class| class.served).sum(),
         in_time: classes.iter().map(|class| class.in_time).sum(),
         refused: classes.iter().flat_map(|class| class.refused.values()).sum(),
+        returns: counters.returns,
         lost,
         cold_start: quantiles(&cold_start),
         classes,
--- a/crates/croftrill-bench/src/policy/croftrill/router.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/router.rs
@@ -19,6 +19,10 @@
 /// Most attempts for one request, as the gateway's default.
 const MOST_ATTEMPTS: usize = 6;
 
+/// When a caller should come back if nothing better is known, as in the
+/// gateway, in milliseconds.
+const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
+
 /// A router.
 pub(super) struct Router {
     node: NodeIndex,
@@ -63,7 +67,11 @@
                 let delay = world.delay(self.node, engine);
                 world.send(delay, Message::Attempt(request, engine));
             }
-            None => self.give_up(world, request, RefusalCause::NoReplica),
+            None => self.give_up(
+                world,
+                request,
+                &Refusal::not_run(RefusalCause::NoReplica, DEFAULT_RETRY_AFTER_MILLIS),
+            ),
         }
     }
 
@@ -113,11 +121,16 @@
         let gives_up = next_step(refusal.cause) == NextStep::GiveUp || tried.len() >= MOST_ATTEMPTS;
         let tried_all = tried.len() >= world.model(world.request(request).model).max_replicas as usize;
         if gives_up || tried_all {
-            self.give_up(world, request, refusal.cause);
+            self.give_up(world, request, &refusal);
             return false;
         }
         if !self.retry_budget.try_retry(now) {
-            self.give_up(world, request, RefusalCause::RetryBudgetExhausted);
+            let until = self
+                .retry_budget
+                .millis_until_retry(now)
+                .unwrap_or(DEFAULT_RETRY_AFTER_MILLIS);
+            let refusal = Refusal::not_run(RefusalCause::RetryBudgetExhausted, until.max(1));
+            self.give_up(world, request, &refusal);
             return false;
         }
         true
@@ -148,9 +161,8 @@
         }
     }
 
-    fn give_up(&mut self, world: &mut Sim<'_>, request: RequestIndex, cause: RefusalCause) {
+    fn give_up(&mut self, world: &mut Sim<'_>, request: RequestIndex, refusal: &Refusal) {
         self.tried.remove(&request);
-        let zone = world.zone_of_node(self.node);
-        world.refuse(request, cause, zone);
+        world.refuse(request, refusal);
     }
 }
--- a/crates/croftrill-bench/src/policy/on_demand_lru.rs
+++ b/crates/croftrill-bench/src/policy/on_demand_lru.rs
@@ -7,7 +7,7 @@
 use super::{LoadDone, Policy};
 use crate::identifiers::{EngineIndex, ModelIndex, NodeIndex, RequestIndex};
 use crate::simulation::{HeldState, World};
-use croftrill_state::outcome::RefusalCause;
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use std::collections::BTreeMap;
 
 /// What travels or fires later.
@@ -106,8 +106,7 @@
             }
             Message::Expired(request) => {
                 if world.is_waiting(request) {
-                    let zone = world.zone_of_node(world.request(request).router);
-                    world.refuse(request, RefusalCause::DeadlineExpired, zone);
+                    world.refuse(request, &Refusal::not_run(RefusalCause::DeadlineExpired, 0));
                 }
             }
         }
--- a/crates/croftrill-bench/src/policy/static_placement.rs
+++ b/crates/croftrill-bench/src/policy/static_placement.rs
@@ -5,9 +5,12 @@
 use super::{LoadDone, Policy};
 use crate::identifiers::{EngineIndex, ModelIndex, RequestIndex};
 use crate::simulation::World;
-use croftrill_state::outcome::RefusalCause;
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use std::collections::BTreeMap;
 
+/// A model without a replica never gets one, so nobody need come back.
+const NEVER_MILLIS: u64 = 86_400_000;
+
 /// What travels or fires later.
 pub enum Message {
     /// A request reached an engine.
@@ -83,8 +86,7 @@
             .iter()
             .min_by_key(|engine| self.queues.len(**engine) + world.engine(**engine).running());
         let Some(engine) = least_loaded.copied() else {
-            let zone = world.zone_of_node(spec.router);
-            world.refuse(request, RefusalCause::NoReplica, zone);
+            world.refuse(request, &Refusal::not_run(RefusalCause::NoReplica, NEVER_MILLIS));
             return;
         };
         world.send(spec.total_deadline - world.now(), Message::Expired(request));
@@ -102,8 +104,7 @@
             }
             Message::Expired(request) => {
                 if world.is_waiting(request) {
-                    let zone = world.zone_of_node(world.request(request).router);
-                    world.refuse(request, RefusalCause::DeadlineExpired, zone);
+                    world.refuse(request, &Refusal::not_run(RefusalCause::DeadlineExpired, 0));
                 }
             }
         }
--- a/crates/croftrill-bench/src/report/means.rs
+++ b/crates/croftrill-bench/src/report/means.rs
@@ -7,9 +7,9 @@
 /// the same policies in the same order.
 pub fn mean_table(seeds: &[Vec<Measurement>]) -> String {
     let mut text = String::from(
-        "| policy | in time | of the tightest class | missed | refused | cold starts | cold p50 ms | p95 | p99 | p99.9 \
+        "| policy | in time | of the tightest class | late | refused for good | came back | cold starts | cold p50 ms | p95 | p99 | p99.9 \
          | idle hours | loads | from store | unused loads | store use | used / owed, least group |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     let policies = seeds.first().map_or(0, Vec::len);
     for policy in 0..policies {
@@ -23,12 +23,13 @@
     let cold = |part: fn(&Quantiles) -> f64| mean(runs, |run| part(&run.cold_start));
     let _ = writeln!(
         text,
-        "| {} | {:.2} % | {:.2} % | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {:.0} | {:.0} | {:.0} | {:.1} % | {:.2} |",
+        "| {} | {:.2} % | {:.2} % | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {:.0} | {:.0} | {:.0} | {:.1} % | {:.2} |",
         runs[0].policy,
         mean(runs, |run| percent(run.in_time, run.sent)),
         mean(runs, tightest_class),
         mean(runs, |run| (run.served - run.in_time) as f64),
         mean(runs, |run| run.refused as f64),
+        mean(runs, |run| run.returns as f64),
         cold(|quantiles| quantiles.count as f64),
         cold(|quantiles| quantiles.p50),
         cold(|quantiles| quantiles.p95),
--- a/crates/croftrill-bench/src/scenario.rs
+++ b/crates/croftrill-bench/src/scenario.rs
@@ -31,6 +31,8 @@
     pub classes: Vec<ClassProfile>,
     /// First requests for one model at many routers at once.
     pub bursts: BurstProfile,
+    /// What callers do after a refusal.
+    pub callers: CallerProfile,
     /// A group that sends far more than its share for a while.
     pub flood: Option<FloodProfile>,
 }
@@ -185,6 +187,18 @@
     pub spread_millis: u64,
 }
 
+/// Callers that are refused and told when to come back.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerProfile {
+    /// Part of them that comes back at the named time, with new deadlines.
+    pub return_part: f64,
+    /// Times that one caller comes back at most.
+    pub most_returns: u32,
+    /// Longest named time that a caller waits for, in milliseconds.
+    pub most_wait_millis: u64,
+}
+
 /// A flood from one group.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/croftrill-bench/src/simulation/world.rs
+++ b/crates/croftrill-bench/src/simulation/world.rs
@@ -11,7 +11,7 @@
 use crate::policy::LoadDone;
 use crate::scenario::Scenario;
 use crate::workload::{ModelSpec, RequestSpec, Workload};
-use croftrill_state::outcome::RefusalCause;
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::Instant;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -24,6 +24,8 @@
 /// Set apart from the seeds of workloads, so that caches and requests are
 /// drawn independently.
 const CACHE_SEED: u64 = 0x6361_6368_6573;
+/// The same for what callers do.
+const CALLER_SEED: u64 = 0x6361_6c6c_6572;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +95,10 @@
     loads: BTreeMap<u64, RunningLoad>,
     next_load: u64,
     loaded_at: BTreeMap<(EngineIndex, ModelIndex), Micros>,
+    /// Requests as their callers last sent them.
+    requests: Vec<RequestSpec>,
+    returns: Vec<u32>,
+    callers: SmallRng,
     outcomes: Vec<Outcome>,
     dispatched: Vec<Dispatched>,
     counters: Counters,
@@ -127,6 +133,9 @@
             loads: BTreeMap::new(),
             next_load: 0,
             loaded_at: BTreeMap::new(),
+            requests: workload.requests.clone(),
+            returns: vec![0; workload.requests.len()],
+            callers: SmallRng::seed_from_u64(workload.seed ^ CALLER_SEED),
             outcomes: vec![Outcome::Open; workload.requests.len()],
             dispatched: vec![Dispatched::default(); workload.requests.len()],
             counters: Counters::default(),
@@ -197,9 +206,9 @@
         &self.workload.models[model.0]
     }
 
-    /// A request.
-    pub fn request(&self, request: RequestIndex) -> &'a RequestSpec {
-        &self.workload.requests[request.0]
+    /// A request as its caller last sent it.
+    pub fn request(&self, request: RequestIndex) -> RequestSpec {
+        self.requests[request.0]
     }
 
     /// How a request ended.
@@ -403,7 +412,7 @@
         assert!(state.is_loaded(spec.model), "the model is loaded");
         assert!(state.free_slots() > 0, "the engine has a free slot");
         let adapter_load = self.scenario.adapters.load_millis * MILLISECOND;
-        state.add_sequence(self.now, request, spec, adapter_load);
+        state.add_sequence(self.now, request, &spec, adapter_load);
         let arrived = spec.sent + self.scenario.places.client_delay_micros;
         let loaded = self.loaded_at.get(&(engine, spec.model)).copied().unwrap_or(0);
         self.dispatched[request.0].started = true;
@@ -456,22 +465,47 @@
         }
     }
 
-    /// Refuses a request that never ran; the refusal travels from `place`, a
-    /// zone, to the client.
-    pub fn refuse(&mut self, request: RequestIndex, cause: RefusalCause, place: usize) {
+    /// Refuses a request that never ran; the refusal travels from its router to
+    /// the caller, who may come back at the named time.
+    pub fn refuse(&mut self, request: RequestIndex, refusal: &Refusal) {
         assert_eq!(self.outcomes[request.0], Outcome::Open, "a request ends once");
         assert!(
             !self.dispatched[request.0].started,
             "a started request is not refused"
         );
-        let router_zone = self.zone_of_node(self.request(request).router);
-        let delay = self.zone_delay(place, router_zone) + self.scenario.places.client_delay_micros;
+        let at = self.now + self.scenario.places.client_delay_micros;
+        if self.comes_back(request, refusal) {
+            self.come_back(request, at + refusal.retry_after_millis * MILLISECOND);
+            return;
+        }
         self.outcomes[request.0] = Outcome::Refused {
-            cause,
-            at: self.now + delay,
+            cause: refusal.cause,
+            at,
         };
     }
 
+    fn comes_back(&mut self, request: RequestIndex, refusal: &Refusal) -> bool {
+        let callers = &self.scenario.callers;
+        let would = self.callers.random::<f64>() < callers.return_part;
+        would
+            && refusal.cause != RefusalCause::DeadlineExpired
+            && refusal.retry_after_millis <= callers.most_wait_millis
+            && self.returns[request.0] < callers.most_returns
+    }
+
+    /// The caller sends its request again with new deadlines.
+    fn come_back(&mut self, request: RequestIndex, sent: Micros) {
+        self.returns[request.0] += 1;
+        self.counters.returns += 1;
+        let spec = &mut self.requests[request.0];
+        let later = sent - spec.sent;
+        spec.sent += later;
+        spec.first_token_deadline += later;
+        spec.total_deadline += later;
+        let arrives = sent + self.scenario.places.client_delay_micros;
+        self.events.push(arrives, Event::Arrival(request));
+    }
+
     /// Whether a request neither ended nor started.
     pub fn is_waiting(&self, request: RequestIndex) -> bool {
         self.outcomes[request.0] == Outcome::Open && !self.dispatched[request.0].started
--- a/crates/croftrill-bench/src/workload.rs
+++ b/crates/croftrill-bench/src/workload.rs
@@ -36,7 +36,7 @@
 }
 
 /// A request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct RequestSpec {
     /// When the client sends it.
     pub sent: Micros,
--- a/crates/croftrill-bench/tests/simulation.rs
+++ b/crates/croftrill-bench/tests/simulation.rs
@@ -5,6 +5,7 @@
 use croftrill_bench::scenario::Scenario;
 use croftrill_bench::simulation::{simulate, CheckpointSource, EventQueue, World};
 use croftrill_bench::workload::Workload;
+use croftrill_state::outcome::{Refusal, RefusalCause};
 
 /// Loads the models of the first requests on engine 0 at once, and serves.
 struct LoadAllAtOnce {
@@ -30,10 +31,9 @@
     }
 
     fn arrived(&mut self, world: &mut World<'_, ()>, request: RequestIndex) {
-        let zone = world.zone_of_node(world.request(request).router);
-        let cause = croftrill_state::outcome::RefusalCause::NoReplica;
         self.waiting.push(request);
-        world.refuse(request, cause, zone);
+        let refusal = Refusal::not_run(RefusalCause::DeadlineExpired, 0);
+        world.refuse(request, &refusal);
     }
 
     fn message(&mut self, _world: &mut World<'_, ()>, _message: ()) {}
