--- a/crates/croftrill-bench/src/policy/croftrill.rs
+++ b/crates/croftrill-bench/src/policy/croftrill.rs
@@ -122,7 +122,9 @@
         self.state = cluster::build(world, &self.names, &self.config);
         let places = &world.scenario().places;
         let nodes = places.engines + places.application_replicas;
-        self.routers = (0..nodes).map(|node| Router::new(node, &self.config)).collect();
+        self.routers = (0..nodes)
+            .map(|node| Router::new(node, self.config.cold_choice))
+            .collect();
         self.owners = (0..places.engines)
             .map(|engine| Owner::new(EngineIndex(engine), world, &self.state, &self.names, &self.config))
             .collect();
--- a/crates/croftrill-bench/src/policy/croftrill/config.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/config.rs
@@ -27,9 +27,6 @@
     /// All routers choose the same one, so that a burst starts one load.
     #[default]
     Rendezvous,
-    /// The same, but an engine that last told a wait of a second or more comes
-    /// after the others.
-    IdleFirst,
 }
 
 /// Which idle model gives way.
@@ -93,9 +90,6 @@
     pub idle_unload_seconds: u64,
     /// The same for models with tight deadlines.
     pub tight_idle_unload_seconds: u64,
-    /// Above this wait at the replicas known to be loaded, a router tries an
-    /// engine that may load another one first, in milliseconds; 0: never.
-    pub spread_above_millis: u64,
     /// How long after the named time the return of a refused caller is awaited,
     /// in seconds; 0 starts no load for it.
     pub return_grace_seconds: u64,
@@ -120,7 +114,6 @@
             cache_facts: true,
             idle_unload_seconds: 300,
             tight_idle_unload_seconds: 900,
-            spread_above_millis: 0,
             return_grace_seconds: 10,
             displace_after_millis: 1_000,
             minimum_residence_millis: 5_000,
--- a/crates/croftrill-bench/src/policy/croftrill/router.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/router.rs
@@ -2,7 +2,7 @@
 //! gateway's own rules.
 
 use super::names::Names;
-use super::{ColdChoice, CroftrillConfig, Message, News, Sim};
+use super::{ColdChoice, Message, News, Sim};
 use crate::identifiers::{EngineIndex, ModelIndex, NodeIndex, RequestIndex};
 use croftrill_gateway::load_table::LoadTable;
 use croftrill_gateway::retry_policy::{next_step, shows_not_loaded, NextStep};
@@ -19,8 +19,6 @@
 /// Most attempts for one request, as the gateway's default.
 const MOST_ATTEMPTS: usize = 6;
 
-/// An engine with this wait is busy, in milliseconds.
-const BUSY_MILLIS: u64 = 1000;
 /// When a caller should come back if nothing better is known, as in the
 /// gateway, in milliseconds.
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
@@ -29,7 +27,6 @@
 pub(super) struct Router {
     node: NodeIndex,
     cold_choice: ColdChoice,
-    spread_above_millis: u64,
     loads: LoadTable,
     retry_budget: RetryBudget,
     random: SmallRng,
@@ -38,11 +35,10 @@
 }
 
 impl Router {
-    pub(super) fn new(node: usize, config: &CroftrillConfig) -> Self {
+    pub(super) fn new(node: usize, cold_choice: ColdChoice) -> Self {
         Self {
             node: NodeIndex(node),
-            cold_choice: config.cold_choice,
-            spread_above_millis: config.spread_above_millis,
+            cold_choice,
             loads: LoadTable::default(),
             retry_budget: RetryBudget::new(RetryBudgetConfig::default(), Instant(0)),
             random: SmallRng::seed_from_u64(node as u64),
@@ -88,35 +84,18 @@
     ) -> Vec<Candidate> {
         let id = names.model(model);
         let now = world.instant();
-        let candidates = routing::candidates(state, id);
-        let ordered = routing::order(candidates, id, &self.loads, now, &mut self.random);
-        let (mut loaded, mut cold): (Vec<_>, Vec<_>) = ordered
-            .into_iter()
-            .partition(|candidate| self.loads.is_known_loaded(id, &candidate.engine, now));
-        match self.cold_choice {
-            ColdChoice::Random => cold.shuffle(&mut self.random),
-            ColdChoice::Rendezvous => {}
-            ColdChoice::IdleFirst => cold.sort_by_key(|candidate| self.is_busy(candidate, now)),
-        }
-        if self.should_spread(&loaded, now) {
-            cold.append(&mut loaded);
-            return cold;
+        let mut candidates = routing::candidates(state, id);
+        if self.cold_choice == ColdChoice::Random {
+            let (mut loaded, mut cold): (Vec<_>, Vec<_>) = candidates
+                .into_iter()
+                .partition(|candidate| self.loads.is_known_loaded(id, &candidate.engine, now));
+            cold.shuffle(&mut self.random);
+            loaded = routing::order(loaded, id, &self.loads, now, &mut self.random);
+            loaded.extend(cold);
+            return loaded;
         }
-        loaded.append(&mut cold);
-        loaded
-    }
-
-    fn is_busy(&self, candidate: &Candidate, now: Instant) -> bool {
-        self.loads.expected_wait(&candidate.engine, now).millis >= BUSY_MILLIS
-    }
-
-    /// Whether every loaded replica makes a request wait too long.
-    fn should_spread(&self, loaded: &[Candidate], now: Instant) -> bool {
-        let wait = loaded
-            .iter()
-            .map(|candidate| self.loads.expected_wait(&candidate.engine, now).millis)
-            .min();
-        self.spread_above_millis > 0 && wait.is_some_and(|wait| wait > self.spread_above_millis)
+        candidates = routing::order(candidates, id, &self.loads, now, &mut self.random);
+        candidates
     }
 
     /// Takes a refusal; tells whether the request should be routed again.
