--- a/crates/croftrill-bench/src/measurement.rs
+++ b/crates/croftrill-bench/src/measurement.rs
@@ -84,6 +84,8 @@
 pub struct GroupMeasurement {
     /// Its name.
     pub name: String,
+    /// Whether it floods.
+    pub floods: bool,
     /// Requests sent.
     pub sent: u64,
     /// Requests served in time.
@@ -280,6 +282,11 @@
         .enumerate()
         .map(|(index, group)| GroupMeasurement {
             name: group.name.clone(),
+            floods: run
+                .scenario
+                .flood
+                .as_ref()
+                .is_some_and(|flood| flood.group == group.name),
             sent: 0,
             in_time: 0,
             engine_seconds: engine_seconds(run.group_micros, index),
--- a/crates/croftrill-bench/src/policy/croftrill.rs
+++ b/crates/croftrill-bench/src/policy/croftrill.rs
@@ -118,7 +118,7 @@
     }
 
     fn start(&mut self, world: &mut Sim<'_>) {
-        self.names = Names::new(world);
+        self.names = Names::new(world, self.config.fair_shares);
         self.state = cluster::build(world, &self.names, &self.config);
         let places = &world.scenario().places;
         let nodes = places.engines + places.application_replicas;
--- a/crates/croftrill-bench/src/policy/croftrill/config.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/config.rs
@@ -98,6 +98,9 @@
     pub displace_after_millis: u64,
     /// Time that a loaded model may work before that, in milliseconds.
     pub minimum_residence_millis: u64,
+    /// Whether groups share by weight; otherwise all requests count as one
+    /// group's.
+    pub fair_shares: bool,
     /// What groups are charged.
     pub cost: Cost,
     /// Classes whose models keep one replica loaded.
@@ -117,6 +120,7 @@
             return_grace_seconds: 10,
             displace_after_millis: 1_000,
             minimum_residence_millis: 5_000,
+            fair_shares: true,
             cost: Cost::default(),
             resident_classes: Vec::new(),
         }
--- a/crates/croftrill-bench/src/policy/croftrill/names.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/names.rs
@@ -6,6 +6,9 @@
 use croftrill_state::{EngineId, GroupId, ModelId, NodeId};
 use std::collections::BTreeMap;
 
+/// The group of all requests when groups do not share by weight.
+const ONE_GROUP: &str = "all";
+
 /// The names.
 #[derive(Default)]
 pub(super) struct Names {
@@ -17,7 +20,7 @@
 }
 
 impl Names {
-    pub(super) fn new<M>(world: &World<'_, M>) -> Self {
+    pub(super) fn new<M>(world: &World<'_, M>, fair_shares: bool) -> Self {
         let engines: Vec<EngineId> = (0..world.engines().len())
             .map(|engine| EngineId::new(format!("engine-{engine:02}")))
             .collect();
@@ -40,7 +43,16 @@
                 .map(|(index, id)| (id.clone(), ModelIndex(index)))
                 .collect(),
             models,
-            groups: groups.map(|group| GroupId::from(group.name.as_str())).collect(),
+            groups: groups
+                .map(|group| {
+                    if fair_shares {
+                        group.name.as_str()
+                    } else {
+                        ONE_GROUP
+                    }
+                })
+                .map(GroupId::from)
+                .collect(),
         }
     }
 
