--- a/crates/croftrill-bench/src/command_line.rs
+++ b/crates/croftrill-bench/src/command_line.rs
@@ -2,6 +2,7 @@
 
 use crate::compare::{run_policy, workload, PolicySpec};
 use crate::identifiers::SECOND;
+use crate::measurement::Measurement;
 use crate::report;
 use crate::scenario::{Scenario, DEPLOYMENTS};
 use anyhow::{bail, Context, Result};
@@ -23,6 +24,7 @@
   --workload FILE     a scenario in TOML in place of --deployment
   --no-caches         engines cache no checkpoints: every load reads from the
                       weight store
+  --flood-factor F    the flooding group sends F times as much (default 1)
   --seed N            seed of requests and caches (default 1); may be repeated,
                       then the means are printed
   --duration SECONDS  time over which requests arrive (default 1800)
@@ -61,6 +63,7 @@
     let mut policies = PolicySpec::built_in()?;
     let mut names: Vec<String> = Vec::new();
     let mut no_caches = false;
+    let mut flood_factor = 1.0;
     let mut options = CompareOptions {
         scenario: Scenario::built_in(DEPLOYMENTS[0])?,
         seeds: Vec::new(),
@@ -75,6 +78,7 @@
             Value(command) if command == "compare" => compare = true,
             Long("deployment") => options.scenario = Scenario::built_in(&parser.value()?.string()?)?,
             Long("workload") => options.scenario = read_scenario(parser.value()?.into())?,
+            Long("flood-factor") => flood_factor = parser.value()?.parse()?,
             Long("no-caches") => no_caches = true,
             Long("seed") => options.seeds.push(parser.value()?.parse()?),
             Long("duration") => options.duration_seconds = parser.value()?.parse()?,
@@ -87,6 +91,7 @@
     if !compare {
         bail!("no command given; see --help");
     }
+    options.scenario = options.scenario.with_flood(flood_factor);
     if no_caches {
         options.scenario = options.scenario.without_caches();
     }
@@ -132,6 +137,7 @@
                 &directory.join(format!("{}-seed-{seed}", options.scenario.name)),
             )?;
         }
+        require_none_lost(&runs)?;
         seeds.push(runs);
     }
     if seeds.len() > 1 {
@@ -144,7 +150,17 @@
     Ok(())
 }
 
-fn run_seed(options: &CompareOptions, seed: u64) -> Vec<crate::measurement::Measurement> {
+/// A run that lost a request proves nothing else.
+fn require_none_lost(runs: &[Measurement]) -> Result<()> {
+    for run in runs {
+        if run.lost > 0 {
+            bail!("{} lost {} requests with seed {}", run.policy, run.lost, run.seed);
+        }
+    }
+    Ok(())
+}
+
+fn run_seed(options: &CompareOptions, seed: u64) -> Vec<Measurement> {
     let workload = workload(&options.scenario, seed, options.duration_seconds);
     let bar = ProgressBar::new(options.duration_seconds * options.policies.len() as u64);
     if let Ok(style) = ProgressStyle::with_template("{msg:24} {bar:40} {pos}/{len} simulated s, {eta} left") {
--- a/crates/croftrill-bench/src/scenario.rs
+++ b/crates/croftrill-bench/src/scenario.rs
@@ -232,6 +232,14 @@
         Ok(scenario)
     }
 
+    /// The same with `factor` times the flood.
+    pub fn with_flood(mut self, factor: f64) -> Self {
+        if let Some(flood) = &mut self.flood {
+            flood.requests_per_second *= factor;
+        }
+        self
+    }
+
     /// The same with engines that cache no checkpoints.
     pub fn without_caches(mut self) -> Self {
         self.name.push_str("-no-caches");
