--- a/crates/croftrill-bench/src/scenario.rs
+++ b/crates/croftrill-bench/src/scenario.rs
@@ -31,6 +31,8 @@
     pub classes: Vec<ClassProfile>,
     /// First requests for one model at many routers at once.
     pub bursts: BurstProfile,
+    /// What callers do after a refusal.
+    pub callers: CallerProfile,
     /// A group that sends far more than its share for a while.
     pub flood: Option<FloodProfile>,
 }
@@ -185,6 +187,18 @@
     pub spread_millis: u64,
 }
 
+/// Callers that are refused and told when to come back.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerProfile {
+    /// Part of them that comes back at the named time, with new deadlines.
+    pub return_part: f64,
+    /// Times that one caller comes back at most.
+    pub most_returns: u32,
+    /// Longest named time that a caller waits for, in milliseconds.
+    pub most_wait_millis: u64,
+}
+
 /// A flood from one group.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -218,6 +232,14 @@
         Ok(scenario)
     }
 
+    /// The same with `factor` times the flood.
+    pub fn with_flood(mut self, factor: f64) -> Self {
+        if let Some(flood) = &mut self.flood {
+            flood.requests_per_second *= factor;
+        }
+        self
+    }
+
     /// The same with engines that cache no checkpoints.
     pub fn without_caches(mut self) -> Self {
         self.name.push_str("-no-caches");
