--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -85,8 +85,11 @@
         let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
         tasks.spawn(observe_heads(input.replica.clone(), events));
-        let announcing = announce_heads(input.replica.clone(), membership.clone());
-        tasks.spawn_until_stop(announcing);
+        tasks.spawn(announce_heads(
+            input.replica.clone(),
+            membership.clone(),
+            tasks.stop.clone(),
+        ));
 
         let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
         let follower = Arc::new(Follower::new(
@@ -213,10 +216,14 @@
 }
 
 /// Tells peers of each new head, and membership of each new list of nodes.
-async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle) {
+async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle, stop: CancellationToken) {
     let mut heads = replica.new_heads();
     let mut listed = Revision(0);
-    while heads.changed().await.is_ok() {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            changed = heads.changed() => if changed.is_err() { return },
+        }
         let head = *heads.borrow_and_update();
         membership.new_head(head);
         let state = replica.state();
--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -53,6 +53,21 @@
     assert_eq!(refusal.execution, Execution::MayHaveRun);
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_breaks_before_the_first_token_may_have_run_too() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    world
+        .engine
+        .behave(|behaviour| behaviour.break_after_tokens = Some(0));
+    let broken = refusal(&world.events_of(world.request("m")).await);
+    assert_eq!(broken.execution, Execution::MayHaveRun);
+    world.engine.behave(|behaviour| behaviour.lose_run_answers = true);
+    pass(100).await;
+    let lost = refusal(&world.events_of(world.request("m")).await);
+    assert_eq!(lost.execution, Execution::MayHaveRun);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_the_engine_refuses_did_not_run() {
     let world = world();
@@ -211,3 +226,22 @@
     let reports = world.coordinator.reports.lock().unwrap().clone();
     assert!(!reports.is_empty() && reports.iter().all(|report| !report.succeeded));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_late_first_token_cuts_only_what_may_be_repeated() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    whole_text(&world.events_of(world.request("m")).await);
+    world.engine.behave(|behaviour| behaviour.token_millis = 1_000);
+    let mut request = world.request("m");
+    request.first_token_deadline_millis = 500;
+    let refused = refusal(&world.events_of(request.clone()).await);
+    assert_eq!(
+        (refused.cause, refused.execution),
+        (RefusalCause::DeadlineExpired, Execution::MayHaveRun)
+    );
+    let mut unrepeatable = world.request("m");
+    unrepeatable.first_token_deadline_millis = 500;
+    unrepeatable.unrepeatable = Some("alert-1".into());
+    whole_text(&world.events_of(unrepeatable).await);
+}
--- a/crates/croftrill-owner/tests/support/engine.rs
+++ b/crates/croftrill-owner/tests/support/engine.rs
@@ -20,6 +20,8 @@
     /// Break each stream after so many tokens.
     pub break_after_tokens: Option<u32>,
     pub refuse_runs: bool,
+    /// Requests start, but the answer that says so is lost.
+    pub lose_run_answers: bool,
     /// Answer orders and inventories after this long.
     pub answer_millis: u64,
 }
@@ -34,6 +36,7 @@
             fail_loads: false,
             break_after_tokens: None,
             refuse_runs: false,
+            lose_run_answers: false,
             answer_millis: 1,
         }
     }
@@ -63,6 +66,7 @@
     running: BTreeMap<AttemptId, ModelId>,
     cached_in_memory: Vec<ModelId>,
     records: Vec<Record>,
+    inventories: usize,
     behaviour: Behaviour,
 }
 
@@ -116,6 +120,10 @@
         self.records().iter().filter(is_load).count()
     }
 
+    pub fn inventories(&self) -> usize {
+        self.inner.lock().unwrap().inventories
+    }
+
     pub fn holds(&self, model: &str) -> bool {
         self.inner
             .lock()
@@ -265,6 +273,7 @@
 
     async fn inventory(&self) -> Result<Inventory, EngineError> {
         self.reach().await?;
+        self.inner.lock().unwrap().inventories += 1;
         Ok(self.snapshot())
     }
 
@@ -379,6 +388,9 @@
             engine: self.clone(),
             attempt: request.attempt,
         };
+        if behaviour.lose_run_answers {
+            return Err(EngineError::Broken("answer lost".to_string()));
+        }
         let first = request.resume_tokens;
         let steps = futures::stream::unfold((first, false, guard), move |(offset, done, guard)| {
             let behaviour = behaviour.clone();
--- a/crates/croftrill-state/src/cluster/membership_version.rs
+++ b/crates/croftrill-state/src/cluster/membership_version.rs
@@ -3,7 +3,7 @@
 //! Holders of claims are chosen among a cell's live nodes; the version tells
 //! whether two nodes chose by the same set, however it came to change.
 
-use super::ClusterState;
+use super::{CellMembership, ClusterState, FormerMembership, FORMER_MEMBERSHIPS};
 use crate::identifiers::{CellId, NodeId, Revision};
 use crate::placement::Lifecycle;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,11 +16,12 @@
         if self.nodes.is_same(&before.nodes) {
             return;
         }
-        let changed = changed_cells(&before.live_nodes(), &self.live_nodes());
-        for cell in changed {
+        let former = before.live_nodes();
+        for cell in changed_cells(&former, &self.live_nodes()) {
+            let nodes = former.get(&cell).into_iter().flatten();
+            let nodes = nodes.map(|node| (*node).clone()).collect();
             let membership = self.cell_memberships.entry(cell).or_default();
-            membership.changed_at = at;
-            membership.version += 1;
+            membership.replace(nodes, at);
         }
     }
 
@@ -35,6 +36,23 @@
     }
 }
 
+impl CellMembership {
+    /// Counts one change, made at `at`; `former` are the live nodes before it.
+    fn replace(&mut self, former: Vec<NodeId>, at: Revision) {
+        if self.version > 0 {
+            self.former.push(FormerMembership {
+                changed_at: self.changed_at,
+                nodes: former,
+            });
+        }
+        if self.former.len() > FORMER_MEMBERSHIPS {
+            self.former.remove(0);
+        }
+        self.changed_at = at;
+        self.version += 1;
+    }
+}
+
 fn changed_cells(before: &LiveNodes<'_>, after: &LiveNodes<'_>) -> Vec<CellId> {
     let cells: BTreeSet<&CellId> = before.keys().chain(after.keys()).copied().collect();
     cells
