--- a/crates/croftrill-daemon/tests/failures_control_owners.rs
+++ b/crates/croftrill-daemon/tests/failures_control_owners.rs
@@ -72,6 +72,15 @@
     let unrepeatable = |index: usize| {
         Completion::new(MODEL, "Send the letter.", 5).header(IDEMPOTENCY_KEY, &format!("letter-{index}"))
     };
+    // Holders grant once they heard from a majority of the others.
+    eventually("some key is granted", || async {
+        let number: u64 = rand::random();
+        let probe =
+            Completion::new(MODEL, "Send the letter.", 5).header(IDEMPOTENCY_KEY, &format!("probe-{number}"));
+        let answer = cluster.nodes[others[0]].caller().complete(&probe).await;
+        is_whole(&probe, &answer)
+    })
+    .await;
     let mut sent = Vec::new();
     for index in 0..KEYS {
         let completion = unrepeatable(index);
