A rejected confirmation offers a plan made from the present state

Proposals read the log first, so the shortcut is dropped: the fresh plan is made from the state that refused the old one. The in-memory log of the API's tests wrote rejected changes, which the real one never does; it checks them before writing now, and the number of written entries is asserted as before.

--- a/crates/croftrill-daemon/src/control_thread.rs
+++ b/crates/croftrill-daemon/src/control_thread.rs
@@ -31,14 +31,6 @@
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.tracker.spawn(task);
     }
-
-    /// Runs a task that has no end of its own; it is dropped at `stop`.
-    pub fn spawn_until_stop(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let stop = self.stop.clone();
-        self.spawn(async move {
-            stop.run_until_cancelled(task).await;
-        });
-    }
 }
 
 /// A running control thread.
--- a/crates/croftrill-operator-api/src/confirming.rs
+++ b/crates/croftrill-operator-api/src/confirming.rs
@@ -3,8 +3,8 @@
 use crate::{FetchedPlan, OperatorApi, ProposeOutcome};
 use croftrill_protocol::operator::{ConfirmOutcome, IntentRequest, Plan};
 use croftrill_state::cluster::ApplyError;
-use croftrill_state::entry::{Change, LogEntry};
-use croftrill_state::{EntryId, PlanId, Term};
+use croftrill_state::entry::Change;
+use croftrill_state::PlanId;
 use std::fmt;
 
 /// Milliseconds to come back when the node that made a plan cannot be reached.
@@ -46,9 +46,6 @@
                 }
             }
         };
-        if let Some(rejected) = self.rejected_here(&plan) {
-            return self.rejected(&plan, rejected);
-        }
         let outcome = self.log.propose(change_of(&plan)).await;
         self.confirm_outcome(&plan, outcome)
     }
@@ -87,23 +84,6 @@
         }
     }
 
-    /// Why this node already knows that the plan would be rejected. A node that
-    /// is behind the plan's base knows nothing.
-    fn rejected_here(&self, plan: &Plan) -> Option<ApplyError> {
-        let state = self.state.load();
-        if state.revision < plan.base {
-            return None;
-        }
-        let entry = LogEntry {
-            revision: state.revision.next(),
-            entry_id: EntryId(0),
-            author: self.config.node.clone(),
-            term: Term(0),
-            change: change_of(plan),
-        };
-        state.after(&entry).err()
-    }
-
     fn confirm_outcome(&self, plan: &Plan, outcome: ProposeOutcome) -> ConfirmOutcome {
         match outcome {
             ProposeOutcome::Accepted { revision } => {
--- a/crates/croftrill-operator-api/tests/support/mod.rs
+++ b/crates/croftrill-operator-api/tests/support/mod.rs
@@ -30,7 +30,7 @@
 pub struct FakeLog {
     pub state: Arc<ArcSwap<ClusterState>>,
     pub mode: Mutex<Mode>,
-    /// Entries that were written, accepted or not.
+    /// Entries that were written.
     pub written: Mutex<usize>,
 }
 
@@ -39,9 +39,10 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// Like the real log, writes nothing that the state would reject.
     pub fn apply(&self, change: Change) -> ProposeOutcome {
         let mut written = self.written.lock().unwrap();
-        let mut state = ClusterState::clone(&self.state.load());
+        let state = self.state.load_full();
         let revision = state.revision.next();
         let entry = LogEntry {
             revision,
@@ -50,11 +51,12 @@
             term: Term(1),
             change,
         };
-        *written += 1;
-        let outcome = state.apply(&entry);
-        self.state.store(Arc::new(state));
-        match outcome {
-            Ok(()) => ProposeOutcome::Accepted { revision },
+        match state.after(&entry) {
+            Ok(next) => {
+                *written += 1;
+                self.state.store(Arc::new(next));
+                ProposeOutcome::Accepted { revision }
+            }
             Err(error) => ProposeOutcome::Rejected(error),
         }
     }
