--- a/crates/croftrill-bench/src/measurement.rs
+++ b/crates/croftrill-bench/src/measurement.rs
@@ -2,6 +2,8 @@
 
 mod shares;
 
+pub use shares::fair_shares;
+
 use crate::identifiers::{ClassIndex, GroupIndex, Micros, MILLISECOND, SECOND};
 use crate::scenario::Scenario;
 use crate::simulation::Outcome;
