--- a/crates/croftrill-coordination/src/peer_service.rs
+++ b/crates/croftrill-coordination/src/peer_service.rs
@@ -1,18 +1,13 @@
 //! The service that every node offers its peers, composed of the node's parts.
 
 use crate::load_permits::LoadPermitService;
-use crate::replication::{ProposeOutcome, Replica};
+use crate::replication::Replica;
 use async_trait::async_trait;
 use croftrill_protocol::peer::{
-    ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, LoadPermit, LoadPermitRequest, LoadReport, LogPage,
-    Peer, ReportOutcome,
-};
-use croftrill_state::cluster::ApplyError;
-use croftrill_state::entry::Change;
-use croftrill_state::placement::AssignmentState;
-use croftrill_state::{
-    AttemptId, ClusterState, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision, Term,
+    ClaimHandOver, ClaimOutcome, ClaimRequest, ClaimResult, FinishOutcome, HandOverOutcome, LoadPermit,
+    LoadPermitRequest, LoadReport, LogPage, Peer, ReportOutcome,
 };
+use croftrill_state::{AttemptId, EngineId, IdempotencyKey, ModelId, PlanId, RequestId, Revision};
 use std::sync::Arc;
 use tarpc::context::Context;
 
@@ -32,9 +27,9 @@
     /// Claims a key.
     async fn claim(&self, request: ClaimRequest) -> ClaimOutcome;
     /// Takes in how a claimed request ended.
-    async fn finish(&self, key: IdempotencyKey, request: RequestId, result: ClaimResult) -> ReportOutcome;
-    /// Takes over claims from a former holder.
-    async fn hand_over(&self, from_revision: Revision, records: Vec<ClaimRecord>) -> ReportOutcome;
+    async fn finish(&self, key: IdempotencyKey, request: RequestId, result: ClaimResult) -> FinishOutcome;
+    /// Takes over a part of the claims of a former holder.
+    async fn hand_over(&self, part: ClaimHandOver) -> HandOverOutcome;
 }
 
 /// Drops attempts whose gateway gave up.
@@ -74,35 +69,10 @@
 
     /// Records a confirmed unload in the log.
     pub async fn record_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
-        let replica = &self.parts.replica;
-        if !is_releasing(&replica.state(), &model, &engine) {
-            // Our copy may only be behind.
-            let read = replica.catch_up_from_log().await;
-            if !is_releasing(&replica.state(), &model, &engine) {
-                return read.map_or(ReportOutcome::TryLater, |()| ReportOutcome::Recorded);
-            }
-        }
-        let change = Change::Released { model, engine };
-        match replica.propose(change, Term(0)).await {
-            ProposeOutcome::Applied(_) => ReportOutcome::Recorded,
-            ProposeOutcome::Rejected(ApplyError::Invalid(reason)) => {
-                log::info!("coordinator: release rejected reason=\"{reason}\"");
-                ReportOutcome::TryLater
-            }
-            outcome => {
-                log::warn!("coordinator: release not recorded outcome={outcome:?}");
-                ReportOutcome::TryLater
-            }
-        }
+        self.parts.replica.record_release(model, engine).await
     }
 }
 
-fn is_releasing(state: &ClusterState, model: &ModelId, engine: &EngineId) -> bool {
-    let by_engine = state.assignments.get(model);
-    let assignment = by_engine.and_then(|by_engine| by_engine.get(engine));
-    assignment.is_some_and(|found| found.value.state == AssignmentState::Releasing)
-}
-
 impl Peer for PeerService {
     async fn fetch_log(self, _context: Context, after: Revision, limit: u32) -> LogPage {
         self.parts.replica.log_page(after, limit.min(MOST_ENTRIES))
@@ -118,17 +88,12 @@
         key: IdempotencyKey,
         request: RequestId,
         result: ClaimResult,
-    ) -> ReportOutcome {
+    ) -> FinishOutcome {
         self.parts.claims.finish(key, request, result).await
     }
 
-    async fn hand_over_claims(
-        self,
-        _context: Context,
-        from_revision: Revision,
-        records: Vec<ClaimRecord>,
-    ) -> ReportOutcome {
-        self.parts.claims.hand_over(from_revision, records).await
+    async fn hand_over_claims(self, _context: Context, part: ClaimHandOver) -> HandOverOutcome {
+        self.parts.claims.hand_over(part).await
     }
 
     async fn request_load(self, _context: Context, request: LoadPermitRequest) -> LoadPermit {
--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -5,6 +5,7 @@
 //! nothing else.
 //!
 //! Invariants after every entry, checked by [`ClusterState::check`]:
+//! - every assignment's model and engine exist;
 //! - a model has at most `max_replicas` assignments that are not releasing;
 //! - while it has more than `max_replicas` that count as replicas (its most was
 //!   lowered and releases are not confirmed yet), none becomes active;
@@ -18,10 +19,12 @@
 mod machines;
 mod membership_version;
 mod memory;
+mod shared;
 mod staleness;
 mod steps;
 mod tombstones;
 
+pub use shared::Shared;
 pub use tombstones::{ObjectName, Tombstones, REMEMBERED_DELETIONS};
 
 use crate::configuration::{Adapter, Group, Model};
@@ -60,6 +63,20 @@
     pub changed_at: Revision,
     /// Counts these changes, so that nobody misses one between two states.
     pub version: u64,
+    /// The sets before, the latest last; at most [`FORMER_MEMBERSHIPS`].
+    pub former: Vec<FormerMembership>,
+}
+
+/// Sets of live nodes of a cell that are remembered besides the present one.
+pub const FORMER_MEMBERSHIPS: usize = 4;
+
+/// A set of live nodes that a cell had.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FormerMembership {
+    /// The revision of the entry that made it.
+    pub changed_at: Revision,
+    /// The live nodes.
+    pub nodes: Vec<NodeId>,
 }
 
 /// Why an entry was rejected.
@@ -110,31 +127,31 @@
     /// The last applied revision.
     pub revision: Revision,
     /// Research groups.
-    pub groups: BTreeMap<GroupId, Versioned<Group>>,
+    pub groups: Shared<BTreeMap<GroupId, Versioned<Group>>>,
     /// Models.
-    pub models: BTreeMap<ModelId, Versioned<Model>>,
+    pub models: Shared<BTreeMap<ModelId, Versioned<Model>>>,
     /// Adapters.
-    pub adapters: BTreeMap<AdapterId, Versioned<Adapter>>,
+    pub adapters: Shared<BTreeMap<AdapterId, Versioned<Adapter>>>,
     /// Nodes.
-    pub nodes: BTreeMap<NodeId, Versioned<Node>>,
+    pub nodes: Shared<BTreeMap<NodeId, Versioned<Node>>>,
     /// Engines.
-    pub engines: BTreeMap<EngineId, Versioned<Engine>>,
+    pub engines: Shared<BTreeMap<EngineId, Versioned<Engine>>>,
     /// Assignments by model, then engine.
-    pub assignments: BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>,
+    pub assignments: Shared<BTreeMap<ModelId, BTreeMap<EngineId, Versioned<Assignment>>>>,
     /// Coordinators.
-    pub coordinators: BTreeMap<CellId, Coordinator>,
+    pub coordinators: Shared<BTreeMap<CellId, Coordinator>>,
     /// Changes of the live nodes of each cell.
-    pub cell_memberships: BTreeMap<CellId, CellMembership>,
+    pub cell_memberships: Shared<BTreeMap<CellId, CellMembership>>,
     /// Confirmed plans and their revisions, the latest [`REMEMBERED_PLANS`].
-    pub confirmed_plans: BTreeMap<Revision, PlanId>,
+    pub confirmed_plans: Shared<BTreeMap<Revision, PlanId>>,
     /// Deleted models whose replicas are not all released yet. They are not
     /// served any more.
-    pub retiring_models: BTreeSet<ModelId>,
+    pub retiring_models: Shared<BTreeSet<ModelId>>,
     /// Memory that each releasing replica holds on each of its accelerators, in
     /// MiB, by model, then engine.
-    pub releasing_memory_mib: BTreeMap<ModelId, BTreeMap<EngineId, u64>>,
+    pub releasing_memory_mib: Shared<BTreeMap<ModelId, BTreeMap<EngineId, u64>>>,
     /// When deleted objects were deleted.
-    pub tombstones: Tombstones,
+    pub tombstones: Shared<Tombstones>,
 }
 
 impl ClusterState {
--- a/crates/croftrill-state/src/membership/message.rs
+++ b/crates/croftrill-state/src/membership/message.rs
@@ -27,7 +27,8 @@
 pub struct MemberUpdate {
     /// The member.
     pub node: NodeId,
-    /// `ip:port` of its probe socket and peer service.
+    /// `ip:port` of its probe socket and peer service. Empty in what others say
+    /// of a suspect or dead member, to save bytes.
     pub address: String,
     /// Raised by the member itself to refute a suspicion; the higher wins.
     pub incarnation: u64,
@@ -69,6 +70,10 @@
     pub kind: ProbeKind,
     /// The sender's last applied revision.
     pub head: Revision,
+    /// Whether the sender has applied all that the key-value service's log had
+    /// at some time since the sender's process started. Until then its head may
+    /// be lower than that of an earlier process of its node.
+    pub caught_up: bool,
     /// News, the least often told first.
     pub updates: Vec<MemberUpdate>,
 }
--- a/crates/croftrill-transport/src/attempt_client.rs
+++ b/crates/croftrill-transport/src/attempt_client.rs
@@ -7,6 +7,7 @@
 use crate::event_frames;
 use bytes::{Bytes, BytesMut};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest, ATTEMPT_PATH, MAX_ATTEMPT_BYTES};
+use croftrill_state::AttemptId;
 use futures::Stream;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -48,7 +49,8 @@
     /// A connection that nobody asked for during this time is closed when its
     /// streams have ended.
     pub idle_limit: Duration,
-    /// Time between pings while streams are open.
+    /// After this time without any byte from the owner, while streams are open,
+    /// a ping is sent. Idle connections cost nothing.
     pub ping_interval: Duration,
     /// Longest wait for the answer to a ping; then the connection is broken.
     pub ping_timeout: Duration,
@@ -58,8 +60,8 @@
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_secs(1),
-            idle_limit: Duration::from_secs(60),
-            ping_interval: Duration::from_secs(1),
+            idle_limit: Duration::from_secs(45),
+            ping_interval: Duration::from_secs(2),
             ping_timeout: Duration::from_secs(2),
         }
     }
@@ -114,6 +116,7 @@
         };
         check_status(&response)?;
         Ok(AttemptStream {
+            attempt: request.attempt,
             body: response.into_body(),
             buffer: BytesMut::new(),
             ended: false,
@@ -178,9 +181,11 @@
     }
 }
 
-/// The events of one attempt. It ends after `Finished` or `Refused`; if the
-/// connection or the owner fails earlier, its last item is an error.
+/// The events of one attempt. It ends after the attempt's `Finished` or
+/// `Refused`; if the connection or the owner fails earlier, its last item is an
+/// error. Events of other attempts are passed on as they come.
 pub struct AttemptStream {
+    attempt: AttemptId,
     body: Incoming,
     buffer: BytesMut,
     ended: bool,
@@ -203,7 +208,7 @@
             }
             match event_frames::decode(&mut self.buffer) {
                 Ok(Some(event)) => {
-                    self.ended = is_last(&event);
+                    self.ended = event.attempt() == self.attempt && is_last(&event);
                     return Poll::Ready(Some(Ok(event)));
                 }
                 Ok(None) => {}
