--- a/crates/croftrill-coordination/src/coordinator.rs
+++ b/crates/croftrill-coordination/src/coordinator.rs
@@ -278,6 +278,7 @@
         let observation = Observation {
             machines: machines.listed(),
             alive: &|node| members.is_alive(node),
+            leaving: &|node| members.is_leaving(node),
             now: croftrill_state::Instant(self.started.elapsed().as_millis() as u64),
         };
         let change = reconciler.plan(&state, &observation)?;
@@ -317,7 +318,7 @@
                 Ok(()) => backoff.reset(),
                 Err(error) => {
                     log::warn!("coordinator: snapshot not written error=\"{error}\"");
-                    backoff.pause().await;
+                    backoff.pause(replica.random()).await;
                     continue;
                 }
             }
--- a/crates/croftrill-coordination/src/replication.rs
+++ b/crates/croftrill-coordination/src/replication.rs
@@ -5,17 +5,22 @@
 //!   always one that every node passes through;
 //! - the published revision never goes back, whatever a peer or the service
 //!   answers;
+//! - the first published state is a whole copy of what a peer or the service
+//!   had, never a part of the log: a node serves as soon as it has one;
 //! - a proposal takes effect at most once: it is offered at the next revision
 //!   only after another entry was seen to have won the last one.
 
+mod backoff;
+mod first_copy;
 mod follower;
 mod live_members;
 mod peer_connector;
 mod proposals;
+mod random_source;
 mod recent_entries;
 mod releases;
 
-pub(crate) use follower::{jittered, Backoff};
+pub(crate) use backoff::Backoff;
 pub use follower::{Follower, FollowerConfig};
 pub use live_members::LiveMembers;
 pub use peer_connector::{PeerConnector, PeerError};
@@ -26,6 +31,7 @@
 use croftrill_protocol::peer::LogPage;
 use croftrill_state::entry::LogEntry;
 use croftrill_state::{ClusterState, NodeId, Revision};
+use random_source::RandomSource;
 use recent_entries::RecentEntries;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{watch, Notify};
@@ -46,8 +52,14 @@
     pub read_limit: u32,
     /// Most bytes of entries in one answer to a peer.
     pub page_bytes: usize,
+    /// Decides every random choice of the node's coordination parts. Must differ
+    /// from that of any other process, also of an earlier one of the node.
+    pub random_seed: u64,
     /// Most lost races of one proposal before it is given up as unavailable.
     pub propose_attempts: u32,
+    /// Longest time that one proposal waits, all in all, because the service
+    /// asks for a moment's patience, in milliseconds.
+    pub propose_patience_millis: u64,
 }
 
 impl ReplicaConfig {
@@ -59,7 +71,9 @@
             kept_bytes: 4 * 1024 * 1024,
             read_limit: 64,
             page_bytes: 1024 * 1024,
+            random_seed: rand::random(),
             propose_attempts: 20,
+            propose_patience_millis: 1_500,
         }
     }
 }
@@ -87,15 +101,18 @@
     /// Serializes this node's own proposals, so that they do not race.
     proposing: tokio::sync::Mutex<()>,
     told_heads: Notify,
+    random: RandomSource,
 }
 
 impl Replica {
     /// An empty copy, at revision 0.
     pub fn new(config: ReplicaConfig, log: RevisionLog) -> Self {
         let recent = RecentEntries::new(config.kept_entries, config.kept_bytes);
+        let random = RandomSource::new(config.random_seed);
         Self {
             config,
             log,
+            random,
             published: Arc::new(ArcSwap::from_pointee(ClusterState::default())),
             heads: watch::Sender::new(Revision(0)),
             guarded: Mutex::new(Guarded {
@@ -112,6 +129,11 @@
         &self.config.node
     }
 
+    /// The node's random numbers.
+    pub(crate) fn random(&self) -> &RandomSource {
+        &self.random
+    }
+
     /// The present state.
     pub fn state(&self) -> Arc<ClusterState> {
         self.published.load_full()
@@ -158,6 +180,9 @@
         if after >= state.revision {
             return LogPage::Entries(Vec::new());
         }
+        if after == Revision(0) {
+            return LogPage::Snapshot((*state).clone());
+        }
         match guarded.recent.page(after, limit as usize, self.config.page_bytes) {
             Some(entries) => LogPage::Entries(entries),
             None => LogPage::Snapshot((*state).clone()),
@@ -175,7 +200,7 @@
     /// Reads the key-value service until nothing newer is there.
     pub async fn catch_up_from_log(&self) -> Result<(), ReadError> {
         if self.head() == Revision(0) {
-            self.read_latest_snapshot().await?;
+            self.read_first_copy().await?;
         }
         loop {
             let before = self.head();
@@ -198,7 +223,7 @@
     /// Writes the present state as a snapshot and deletes what it replaces.
     pub async fn write_snapshot(&self) -> Result<(), SnapshotError> {
         let state = self.state();
-        self.log.write_snapshot(&state, rand::random()).await?;
+        self.log.write_snapshot(&state, self.random.unique()).await?;
         let deleted = self.log.compact().await?;
         log::info!(
             "log: snapshot written revision={} deleted={deleted}",
@@ -245,12 +270,7 @@
                 break;
             }
             let state = next.get_or_insert_with(|| (*self.state()).clone());
-            if let Err(error) = state.apply(entry) {
-                log::info!(
-                    "log: entry rejected revision={} error=\"{error}\"",
-                    entry.revision
-                );
-            }
+            apply(state, entry);
             guarded.recent.push(entry.clone());
         }
         match next {
@@ -284,3 +304,13 @@
         self.guarded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Applies an entry; one that the state rejects only advances the revision.
+fn apply(state: &mut ClusterState, entry: &LogEntry) {
+    if let Err(error) = state.apply(entry) {
+        log::info!(
+            "log: entry rejected revision={} error=\"{error}\"",
+            entry.revision
+        );
+    }
+}
--- a/crates/croftrill-coordination/tests/replication.rs
+++ b/crates/croftrill-coordination/tests/replication.rs
@@ -71,6 +71,52 @@
     assert_eq!(revisions, [1, 2, 3, 4, 5]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_proposal_waits_a_moment_for_the_rate_limit_and_not_for_an_outage() {
+    let service = SimulatedService::new();
+    let client = service.client();
+    let replica = replica_over("node", client.clone());
+    client.fail_next([Fault::RateLimited; 3]);
+    assert_eq!(
+        put(&replica, "limited").await,
+        ProposeOutcome::Applied(Revision(1))
+    );
+
+    client.fail_next([Fault::RateLimited; 1_000]);
+    let refused = put(&replica, "limited-for-long").await;
+    assert!(
+        matches!(refused, ProposeOutcome::Unavailable { .. }),
+        "{refused:?}"
+    );
+    client.clear_faults();
+
+    client.fail_next([Fault::Unreachable]);
+    let refused = put(&replica, "unreachable").await;
+    assert!(
+        matches!(refused, ProposeOutcome::Unavailable { .. }),
+        "{refused:?}"
+    );
+    assert_eq!(service.keys("croftrill/log/").len(), 1);
+}
+
+/// While the service does not answer, or answers what may mean anything, a
+/// proposal is refused with certainty and not left unknown.
+#[tokio::test(start_paused = true)]
+async fn a_proposal_in_an_outage_is_refused_with_certainty() {
+    for fault in [Fault::Unreachable, Fault::CallLost, Fault::AnswerLost] {
+        let service = SimulatedService::new();
+        let client = service.client();
+        let replica = replica_over("node", client.clone());
+        client.fail_next([fault; 100]);
+        let refused = put(&replica, "plan").await;
+        assert!(
+            matches!(refused, ProposeOutcome::Unavailable { .. }),
+            "{fault:?}: {refused:?}"
+        );
+        assert!(service.keys("croftrill/log/").is_empty());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_plan_from_a_stale_view_is_rejected_with_the_change_that_came_first() {
     let service = SimulatedService::new();
@@ -96,6 +142,8 @@
     let replica = replica_over("first", service.client());
     let client = service.client();
     let other = replica_over("second", client.clone());
+    // The snapshot and the log are read first.
+    client.fail_next([Fault::None; 3]);
     client.fail_next([Fault::AnswerLost]);
     client.fail_next([Fault::Unreachable; 20]);
     assert_eq!(put(&other, "plan").await, ProposeOutcome::OutcomeUnknown);
@@ -195,6 +243,42 @@
     assert_eq!(*late.state(), *writer.state());
 }
 
+/// A node serves as soon as it has a copy, so the first one must not be a part
+/// of the log.
+#[tokio::test(start_paused = true)]
+async fn the_first_copy_from_the_service_is_whole_or_none() {
+    let service = SimulatedService::new();
+    let writer = replica_over("writer", service.client());
+    put_many(&writer, 15).await;
+    writer.write_snapshot().await.unwrap();
+    put_many_from(&writer, 15, 30).await;
+    let calls_of_a_copy = 40;
+    for calls_before_the_fault in 0..calls_of_a_copy {
+        let client = service.client();
+        let late = replica_over("late", client.clone());
+        client.fail_next(vec![Fault::None; calls_before_the_fault]);
+        client.fail_next([Fault::Unreachable]);
+        let result = late.catch_up_from_log().await;
+        let expected = if result.is_ok() { 45 } else { 0 };
+        let whole_or_none = late.head() == Revision(expected) || late.head() == Revision(45);
+        assert!(
+            whole_or_none,
+            "after {calls_before_the_fault} calls: {}",
+            late.head()
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_copy_from_a_peer_is_whole() {
+    let service = SimulatedService::new();
+    let peer = replica_over("peer", service.client());
+    put_many(&peer, 12).await;
+    let late = replica_over("late", service.client());
+    assert!(late.apply_page(peer.log_page(Revision(0), 4)));
+    assert_eq!(late.head(), Revision(12));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_node_behind_a_compaction_goes_on_from_the_snapshot() {
     let service = SimulatedService::new();
@@ -205,9 +289,11 @@
     put_many_from(&writer, 2, 20).await;
     writer.write_snapshot().await.unwrap();
     // Its revision's key is absent again; the write must not count.
-    let outcome = put(&paused, "paused").await;
+    let change = put_group("paused", "paused", Revision(2));
+    let outcome = paused.propose_at(Revision(2), change, NO_TERM).await;
     assert_eq!(outcome, ProposeOutcome::OutcomeUnknown);
     assert_eq!(*paused.state(), *writer.state());
+    assert_eq!(put(&paused, "again").await, ProposeOutcome::Applied(Revision(23)));
 }
 
 /// A node with its follower.
--- a/crates/croftrill-coordination/tests/support/surroundings.rs
+++ b/crates/croftrill-coordination/tests/support/surroundings.rs
@@ -105,6 +105,10 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         *node == self.node || (self.members.is_alive(&self.node) && self.members.is_alive(node))
     }
+
+    fn is_leaving(&self, _node: &NodeId) -> bool {
+        false
+    }
 }
 
 impl SimulatedMembers {
@@ -138,6 +142,10 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.alive.lock().unwrap().contains(node)
     }
+
+    fn is_leaving(&self, _node: &NodeId) -> bool {
+        false
+    }
 }
 
 /// The machine list.
--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -1,29 +1,27 @@
 //! The parts on the control thread: the node's copy of the log, membership,
 //! claims, the coordinator's role, the peer service.
 
+use crate::claim_start::{claim_config, ClaimStart};
 use crate::control_thread::ControlTasks;
 use crate::learned_admission::LearnedAdmission;
 use crate::peer_calls::PeerCalls;
-use crate::peer_parts::{OwnAttempts, OwnPlans, StartedClaims};
-use croftrill_coordination::claim_service::{ClaimHolderConfig, ClaimHolderService};
+use crate::peer_parts::StartedClaims;
 use croftrill_coordination::coordinator::{Coordinator, CoordinatorConfig, CoordinatorParts, LeaseConfig};
 use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_coordination::membership_driver::{
     MembershipDriver, MembershipDriverConfig, MembershipHandle, MonotonicClock,
 };
-use croftrill_coordination::peer_service::{PeerParts, PeerService};
+use croftrill_coordination::peer_service::{AttemptCanceller, PeerParts, PeerService, PlanSource};
 use croftrill_coordination::replication::{Follower, FollowerConfig, LiveMembers, Replica};
-use croftrill_operator_api::OperatorApi;
-use croftrill_owner::OwnerService;
 use croftrill_platform::key_value::KeyValueService;
 use croftrill_platform::machine_list::MachineList;
 use croftrill_platform::weight_store::WeightStore;
 use croftrill_settings::Settings;
-use croftrill_state::claims::{ClaimConfig, ClaimHolder};
 use croftrill_state::load_admission::LoadAdmissionConfig;
 use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
+use croftrill_state::placement::{Engine, Lifecycle, Node};
 use croftrill_state::{ClusterState, NodeId, Revision, Term};
-use croftrill_transport::peer::PeerServer;
+use croftrill_transport::peer::{PeerServer, PeerTraffic};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,9 +31,8 @@
 
 /// Time between two ticks of the membership state machine.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
-/// Longest wait for the answer to one call of the claim holders to each other.
-const HAND_OVER_CALL_LIMIT: Duration = Duration::from_secs(2);
-
+/// A node that heard nobody for this long holds itself for cut off.
+const HEARD_LATELY_MILLIS: u64 = 4_000;
 /// Stands for the rate of a weight store that limits none.
 const UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS: u64 = 1_000_000;
 
@@ -51,10 +48,10 @@
     pub machines: Arc<dyn MachineList>,
     /// The platform's weight store, for its limits.
     pub weight_store: Arc<dyn WeightStore>,
-    /// The node's owner service.
-    pub owner: OwnerService,
-    /// The node's operators' API.
-    pub operators: Arc<OperatorApi>,
+    /// Attempts at the node's owner service.
+    pub attempts: Arc<dyn AttemptCanceller>,
+    /// Plans of the node's operators' API.
+    pub plans: Arc<dyn PlanSource>,
     /// Calls to peers from the control thread.
     pub calls: Arc<PeerCalls>,
     /// The bound socket of the peer service.
@@ -70,6 +67,11 @@
     pub claims: StartedClaims,
     /// The term in which this node coordinates its cell.
     pub role: watch::Receiver<Option<Term>>,
+    /// Frames of peer calls, made and served.
+    pub peer_traffic: Arc<PeerTraffic>,
+    /// The node's copy of the log.
+    replica: Arc<Replica>,
+    coordinator_stop: CancellationToken,
 }
 
 impl Control {
@@ -81,11 +83,8 @@
         let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
         tasks.spawn(observe_heads(input.replica.clone(), events));
-        tasks.spawn(announce_heads(
-            input.replica.clone(),
-            membership.clone(),
-            tasks.stop.clone(),
-        ));
+        let announcing = announce_heads(input.replica.clone(), membership.clone());
+        tasks.spawn_until_stop(announcing);
 
         let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
         let follower = Arc::new(Follower::new(
@@ -98,23 +97,58 @@
         tasks.spawn(follow(
             follower.clone(),
             ClaimStart {
-                config: claim_holder_parts(&input.settings),
+                cell: input.settings.node.cell.clone(),
+                node: input.settings.node.id.clone(),
+                claims: claim_config(&input.settings),
                 replica: input.replica.clone(),
                 membership: membership.clone(),
                 clock,
                 calls: input.calls.clone(),
-                claims: claims.clone(),
+                started: claims.clone(),
             },
             tasks.clone(),
         ));
-        let role = start_coordinator(&input, follower, members, &tasks);
+        let peer_traffic = input.calls.traffic().clone();
+        let replica = input.replica.clone();
+        let coordinator_stop = tasks.stop.child_token();
+        let role = start_coordinator(&input, follower, members, &tasks, coordinator_stop.clone());
         serve_peers(input, claims.clone(), &tasks).await?;
         Ok(Control {
             membership,
             claims,
             role,
+            peer_traffic,
+            replica,
+            coordinator_stop,
         })
     }
+
+    /// Tells the cell that this node stops on purpose, and gives up the role of
+    /// coordinator, so that another node moves this one's engines away.
+    pub fn announce_stop(&self) {
+        self.membership.leave();
+        self.coordinator_stop.cancel();
+    }
+
+    /// Waits until the log gives this node no engine and no keys any more.
+    /// `false` if that did not happen within `limit`, as while the key-value
+    /// service is away, or if nobody else is there to take them.
+    pub async fn wait_relieved(&self, limit: Duration) -> bool {
+        if self.membership.view().alive_count() <= 1 {
+            return false;
+        }
+        let mut heads = self.replica.new_heads();
+        let relieved = heads.wait_for(|_| is_relieved(&self.replica.state(), self.replica.node()));
+        let waited = tokio::time::timeout(limit, relieved).await;
+        waited.is_ok_and(|relieved| relieved.is_ok())
+    }
+}
+
+fn is_relieved(state: &ClusterState, node: &NodeId) -> bool {
+    let is_live = |node: &Node| node.lifecycle == Lifecycle::Live;
+    let takes_part = state.nodes.get(node).is_some_and(|found| is_live(&found.value));
+    let owns = |engine: &Engine| engine.owner.as_ref() == Some(node);
+    !takes_part && !state.engines.values().any(|found| owns(&found.value))
 }
 
 /// Membership's view, as the log's parts ask for it.
@@ -130,6 +164,18 @@
     fn is_alive(&self, node: &NodeId) -> bool {
         self.0.view().is_alive(node)
     }
+
+    fn hears_others(&self) -> bool {
+        let view = self.0.view();
+        let heard = view.members.values().filter_map(|member| member.heard_at);
+        heard
+            .map(|at| view.taken_at.millis_since(at))
+            .any(|age_millis| age_millis <= HEARD_LATELY_MILLIS)
+    }
+
+    fn is_leaving(&self, node: &NodeId) -> bool {
+        self.0.view().is_leaving(node)
+    }
 }
 
 fn membership_config(settings: &Settings, bound: SocketAddr) -> MembershipDriverConfig {
@@ -177,14 +223,10 @@
 }
 
 /// Tells peers of each new head, and membership of each new list of nodes.
-async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle, stop: CancellationToken) {
+async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle) {
     let mut heads = replica.new_heads();
     let mut listed = Revision(0);
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            changed = heads.changed() => if changed.is_err() { return },
-        }
+    while heads.changed().await.is_ok() {
         let head = *heads.borrow_and_update();
         membership.new_head(head);
         let state = replica.state();
@@ -210,102 +252,23 @@
         .collect()
 }
 
-/// What the claim holder is made of.
-struct ClaimStart {
-    config: ClaimHolderParts,
-    replica: Arc<Replica>,
-    membership: MembershipHandle,
-    clock: MonotonicClock,
-    calls: Arc<PeerCalls>,
-    claims: StartedClaims,
-}
-
-struct ClaimHolderParts {
-    settings: Settings,
-    claims: ClaimConfig,
-}
-
-fn claim_holder_parts(settings: &Settings) -> ClaimHolderParts {
-    ClaimHolderParts {
-        settings: settings.clone(),
-        claims: claim_config(settings),
-    }
-}
-
-/// Settings of claims; the authority window stays well inside the claim window.
-pub fn claim_config(settings: &Settings) -> ClaimConfig {
-    let defaults = ClaimConfig::default();
-    let window_millis = settings.timings.claim_window.as_millis() as u64;
-    ClaimConfig {
-        window_millis,
-        authority_millis: defaults.authority_millis.min(window_millis / 2),
-        ..defaults
-    }
-}
-
-/// Gets the first copy of the log, starts the claim holder, follows the log.
-async fn follow(follower: Arc<Follower>, start: ClaimStart, tasks: ControlTasks) {
+/// Gets the first copy of the log, then follows the log beside the claims.
+async fn follow(follower: Arc<Follower>, claims: ClaimStart, tasks: ControlTasks) {
     let stop = tasks.stop.clone();
     tokio::select! {
         () = stop.cancelled() => return,
         () = follower.bootstrap() => {}
     }
-    start_claims(start, &tasks).await;
+    tasks.spawn(claims.run(tasks.clone()));
     follower.run(stop).await;
 }
 
-async fn start_claims(start: ClaimStart, tasks: &ControlTasks) {
-    let witnessed_empty_log = log_is_empty(&start.replica).await;
-    let config = ClaimHolderConfig {
-        cell: start.config.settings.node.cell.clone(),
-        holder: ClaimHolder {
-            node: start.config.settings.node.id.clone(),
-            instance: rand::random::<u64>().max(1),
-            witnessed_empty_log,
-        },
-        claims: start.config.claims,
-        call_limit: HAND_OVER_CALL_LIMIT,
-    };
-    let view = start.membership.shared_view();
-    let holder = Arc::new(ClaimHolderService::new(config, view, start.clock, start.calls));
-    holder.apply_state(&start.replica.state());
-    let running = holder.clone();
-    let stop = tasks.stop.clone();
-    tasks.spawn(async move { running.run(stop).await });
-    tasks.spawn(follow_rings(holder.clone(), start.replica, tasks.clone()));
-    let _ = start.claims.0.set(holder);
-}
-
-/// Whether no entry was ever written. Only the service can tell; it is asked
-/// only if no peer knew of an entry.
-async fn log_is_empty(replica: &Replica) -> bool {
-    if replica.head() > Revision(0) {
-        return false;
-    }
-    replica.catch_up_from_log().await.is_ok() && replica.head() == Revision(0)
-}
-
-/// Tells the claim holder of each applied revision.
-async fn follow_rings(
-    holder: Arc<ClaimHolderService<PeerCalls>>,
-    replica: Arc<Replica>,
-    tasks: ControlTasks,
-) {
-    let mut heads = replica.new_heads();
-    loop {
-        holder.apply_state(&replica.state());
-        tokio::select! {
-            () = tasks.stop.cancelled() => return,
-            changed = heads.changed() => if changed.is_err() { return },
-        }
-    }
-}
-
 fn start_coordinator(
     input: &ControlInput,
     follower: Arc<Follower>,
     members: Arc<dyn LiveMembers>,
     tasks: &ControlTasks,
+    stop: CancellationToken,
 ) -> watch::Receiver<Option<Term>> {
     let parts = CoordinatorParts {
         replica: input.replica.clone(),
@@ -316,7 +279,6 @@
     };
     let coordinator = Arc::new(Coordinator::new(coordinator_config(&input.settings), parts));
     let role = coordinator.role();
-    let stop = tasks.stop.clone();
     tasks.spawn(async move { coordinator.run(stop).await });
     role
 }
@@ -344,12 +306,14 @@
     let service = PeerService::new(PeerParts {
         replica: input.replica,
         permits: Arc::new(permits),
-        plans: Arc::new(OwnPlans(input.operators)),
+        plans: input.plans,
         claims: Arc::new(claims),
-        attempts: Arc::new(OwnAttempts(input.owner)),
+        attempts: input.attempts,
     });
     let listener = TcpListener::from_std(input.peer_listener)?;
-    tasks.spawn(PeerServer::serve(listener, service, tasks.stop.clone()));
+    let traffic = input.calls.traffic().clone();
+    let stop = tasks.stop.clone();
+    tasks.spawn(PeerServer::serve_counted(listener, service, traffic, stop));
     Ok(())
 }
 
--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::operator_ports::{PeerPlans, ReplicaLog};
 use crate::operator_server::OperatorServer;
 use crate::peer_calls::PeerCalls;
+use crate::peer_parts::{OwnAttempts, OwnPlans};
 use crate::traffic::Traffic;
 use croftrill_coordination::replication::{Replica, ReplicaConfig};
 use croftrill_coordination::revision_log::{RevisionLog, RevisionLogConfig};
@@ -22,6 +23,9 @@
 
 /// Prefix of every metric's name.
 const METRICS_PREFIX: &str = "croftrill";
+/// Longest time that a node goes on serving at a planned stop, for another one
+/// to take its engines.
+const RELIEF_LIMIT: Duration = Duration::from_secs(5);
 /// Longest wait for the claims to reach their new holders at a planned stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
 
@@ -84,8 +88,8 @@
             settings,
             replica,
             key_value,
-            owner: traffic.owner.clone(),
-            operators,
+            attempts: Arc::new(OwnAttempts(traffic.owner.clone())),
+            plans: Arc::new(OwnPlans(operators)),
             calls,
             peer_listener: listeners.peers,
         };
@@ -119,17 +123,25 @@
         self.addresses
     }
 
-    /// A planned stop: tells the others, finishes all requests, hands over.
-    pub async fn stop(self) {
+    /// A planned stop: tells the others, serves until they took its engines,
+    /// finishes all requests, hands over. Fails if something had to be cut off.
+    pub async fn stop(self) -> anyhow::Result<()> {
         log::info!("daemon: stopping");
         self.operator_server.leaving.store(true, Ordering::Relaxed);
-        self.control.membership.leave();
+        self.control.announce_stop();
+        let relieved = self.control.wait_relieved(RELIEF_LIMIT).await;
+        if !relieved {
+            log::warn!("daemon: nobody took over in time limit={RELIEF_LIMIT:?}");
+        }
         self.traffic.drain().await;
-        if let Some(claims) = self.control.claims.0.get() {
+        // Without a successor in the log there is nobody to hand claims to.
+        if let Some(claims) = self.control.claims.0.get().filter(|_| relieved) {
             claims.wait_handed_over(HAND_OVER_LIMIT).await;
         }
-        self.control_thread.stop().await;
+        let whole = self.control_thread.stop().await;
+        anyhow::ensure!(whole, "some control tasks did not end at the planned stop");
         log::info!("daemon: stopped");
+        Ok(())
     }
 }
 
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! the control thread; the gateway and the owner run on the caller's runtime,
 //! which is the traffic threads. The two meet in immutable snapshots.
 
+mod claim_start;
 pub mod command_line;
 mod control;
 mod control_metrics;
@@ -21,4 +22,8 @@
 pub mod signals;
 mod traffic;
 
+pub use control::{Control, ControlInput};
+pub use control_thread::ControlTasks;
 pub use daemon::{Daemon, DaemonAddresses};
+pub use peer_calls::PeerCalls;
+pub use peer_parts::StartedClaims;
--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -5,6 +5,8 @@
 //! Invariants:
 //! - a machine on its way out never becomes live again while it stays listed,
 //!   so an operator's drain is not undone by a lagging list;
+//! - a node that announced its planned stop loses its engines at once, however
+//!   the list lags, and is live again when a new process of it answers;
 //! - a machine is removed only after it was missing from the list for a while
 //!   (and, if it is a node, does not answer either), and never because the list
 //!   is empty;
@@ -18,6 +20,7 @@
 mod draft;
 mod engine_room;
 mod machines;
+mod moves;
 mod ownership;
 
 use crate::cluster::ClusterState;
@@ -36,6 +39,11 @@
     pub owner_dead_millis: u64,
     /// A machine missing from the list for this long is gone, in milliseconds.
     pub machine_absent_millis: u64,
+    /// A node that answers for this long may be given engines that have a usable
+    /// owner, in milliseconds.
+    pub steady_node_millis: u64,
+    /// Between two such moves, in milliseconds.
+    pub between_moves_millis: u64,
     /// Most changes in one plan.
     pub most_changes: usize,
 }
@@ -45,6 +53,8 @@
         Self {
             owner_dead_millis: 4_000,
             machine_absent_millis: 30_000,
+            steady_node_millis: 30_000,
+            between_moves_millis: 5_000,
             most_changes: 400,
         }
     }
@@ -63,8 +73,10 @@
 pub struct Observation<'a> {
     /// The machine list; `None` while it cannot be read.
     pub machines: Option<&'a ListedMachines>,
-    /// Whether membership believes a node to be alive.
+    /// Whether membership believes a node to be alive, and not leaving.
     pub alive: &'a dyn Fn(&NodeId) -> bool,
+    /// Whether a node announced to membership that it stops on purpose.
+    pub leaving: &'a dyn Fn(&NodeId) -> bool,
     /// The time.
     pub now: Instant,
 }
@@ -75,6 +87,8 @@
     config: ReconcileConfig,
     cell: CellId,
     dead_since: BTreeMap<NodeId, Instant>,
+    alive_since: BTreeMap<NodeId, Instant>,
+    moved_at: Option<Instant>,
     node_absent_since: BTreeMap<NodeId, Instant>,
     engine_absent_since: BTreeMap<EngineId, Instant>,
 }
@@ -86,6 +100,8 @@
             config,
             cell,
             dead_since: BTreeMap::new(),
+            alive_since: BTreeMap::new(),
+            moved_at: None,
             node_absent_since: BTreeMap::new(),
             engine_absent_since: BTreeMap::new(),
         }
@@ -96,10 +112,12 @@
     pub fn plan(&mut self, state: &ClusterState, observation: &Observation) -> Option<Change> {
         self.observe(state, observation);
         let mut draft = Draft::new(state, self.cell.clone(), self.config.most_changes);
+        self.draft_stops(&mut draft, observation);
         if let Some(machines) = observation.machines {
             self.draft_machines(&mut draft, machines, observation);
         }
         self.draft_owners(&mut draft, observation);
+        self.draft_move(&mut draft, observation);
         assignments::draft_assignments(&mut draft, observation.alive);
         let change = draft.into_change()?;
         acceptance::accepted_part(state, change)
@@ -110,6 +128,8 @@
         let now = observation.now;
         let dead = state.nodes.keys().filter(|id| !(observation.alive)(id));
         note_since(&mut self.dead_since, dead, now);
+        let alive = state.nodes.keys().filter(|id| (observation.alive)(id));
+        note_since(&mut self.alive_since, alive, now);
         let Some(machines) = usable(observation.machines) else {
             return;
         };
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -13,6 +13,8 @@
 const FIXED_SEED: u64 = 20_260_102;
 const OWNER_DEAD_MILLIS: u64 = 4_000;
 const MACHINE_ABSENT_MILLIS: u64 = 30_000;
+const STEADY_NODE_MILLIS: u64 = 30_000;
+const BETWEEN_MOVES_MILLIS: u64 = 5_000;
 const MOST_CHANGES: usize = 400;
 /// More plans than any change of the world takes.
 const MOST_PLANS: usize = 100;
@@ -64,6 +66,9 @@
     reconciler: Reconciler,
     machines: ListedMachines,
     dead: BTreeSet<NodeId>,
+    /// Nodes that announced a planned stop and have not ended yet.
+    leaving: BTreeSet<NodeId>,
+    list_is_readable: bool,
     now: Instant,
 }
 
@@ -82,6 +87,8 @@
         let config = ReconcileConfig {
             owner_dead_millis: OWNER_DEAD_MILLIS,
             machine_absent_millis: MACHINE_ABSENT_MILLIS,
+            steady_node_millis: STEADY_NODE_MILLIS,
+            between_moves_millis: BETWEEN_MOVES_MILLIS,
             most_changes,
         };
         Self {
@@ -89,6 +96,8 @@
             reconciler: Reconciler::new(cell(), config),
             machines: ListedMachines::default(),
             dead: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            list_is_readable: true,
             now: Instant(0),
         }
     }
@@ -137,10 +146,11 @@
     }
 
     fn plan(&mut self) -> Option<Change> {
-        let dead = &self.dead;
+        let (dead, leaving) = (&self.dead, &self.leaving);
         let observation = Observation {
-            machines: Some(&self.machines),
-            alive: &|node| !dead.contains(node),
+            machines: self.list_is_readable.then_some(&self.machines),
+            alive: &|node| !dead.contains(node) && !leaving.contains(node),
+            leaving: &|node| leaving.contains(node),
             now: self.now,
         };
         self.reconciler.plan(&self.state, &observation)
@@ -276,6 +286,51 @@
     }
 }
 
+#[test]
+fn engines_return_one_by_one_to_a_zone_that_came_back() {
+    let mut world = two_zones();
+    let zone = [NodeId::from("a-node-0"), NodeId::from("a-node-1")];
+    world.dead.extend(zone.clone());
+    world.pass(OWNER_DEAD_MILLIS);
+    world.dead.clear();
+    world.pass(STEADY_NODE_MILLIS - 1);
+    let away = |world: &World| {
+        let engines = ["a-engine-0", "a-engine-1"].iter();
+        let away = engines.filter(|engine| !zone.contains(world.owner(engine).unwrap()));
+        away.count()
+    };
+    assert_eq!(away(&world), 2);
+    world.pass(1);
+    assert_eq!(away(&world), 1);
+    world.pass(BETWEEN_MOVES_MILLIS - 1);
+    assert_eq!(away(&world), 1);
+    world.pass(1);
+    assert_eq!(away(&world), 0);
+    assert_ne!(world.owner("a-engine-0"), world.owner("a-engine-1"));
+}
+
+#[test]
+fn a_new_node_gets_engines_of_one_that_has_clearly_more() {
+    let mut world = World::new();
+    world.list_node(node("old", "a"));
+    for index in 0..6 {
+        world.list_engine(engine(&format!("engine-{index}"), "a"));
+    }
+    world.settle();
+    world.list_node(node("new", "a"));
+    world.pass(STEADY_NODE_MILLIS);
+    for _ in 0..20 {
+        world.pass(BETWEEN_MOVES_MILLIS);
+    }
+    let new = NodeId::from("new");
+    let moved = world
+        .state
+        .engines
+        .values()
+        .filter(|e| e.value.owner.as_ref() == Some(&new));
+    assert_eq!(moved.count(), 2, "until neither has clearly more");
+}
+
 #[test]
 fn a_leaving_owner_loses_its_engines_at_once() {
     let mut world = two_zones();
@@ -285,6 +340,61 @@
     assert_ne!(world.owner("a-engine-0"), Some(&owner));
 }
 
+fn lifecycle(world: &World, node: &str) -> Lifecycle {
+    world.state.nodes[&NodeId::from(node)].value.lifecycle
+}
+
+#[test]
+fn a_node_that_announced_its_stop_loses_its_engines_at_once_whatever_the_list_says() {
+    for list_is_readable in [true, false] {
+        let mut world = two_zones();
+        let owner = world.owner("a-engine-0").unwrap().clone();
+        let version = world.state.cell_memberships[&cell()].version;
+        world.list_is_readable = list_is_readable;
+        world.leaving.insert(owner.clone());
+        world.settle();
+        assert_ne!(world.owner("a-engine-0"), Some(&owner));
+        assert_eq!(lifecycle(&world, owner.as_str()), Lifecycle::Stopping);
+        assert_eq!(world.state.cell_memberships[&cell()].version, version + 1);
+    }
+}
+
+#[test]
+fn a_stopped_node_takes_part_again_when_a_new_process_answers_and_not_before() {
+    let mut world = two_zones();
+    let stopped = NodeId::from("a-node-0");
+    world.leaving.insert(stopped.clone());
+    world.settle();
+    world.leaving.clear();
+    world.dead.insert(stopped.clone());
+    world.pass(OWNER_DEAD_MILLIS);
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Stopping);
+    world.dead.clear();
+    world.settle();
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Live);
+}
+
+#[test]
+fn a_drained_node_stays_drained_through_a_stop() {
+    let mut world = two_zones();
+    let node = NodeId::from("a-node-0");
+    world.confirm(Intent::DrainNode(node.clone()));
+    world.leaving.insert(node);
+    world.settle();
+    world.leaving.clear();
+    world.settle();
+    assert_eq!(lifecycle(&world, "a-node-0"), Lifecycle::Leaving);
+    let mut leaving = two_zones();
+    leaving.leaving.insert(NodeId::from("a-node-0"));
+    leaving.settle();
+    let mut listed = self::node("a-node-0", "a");
+    listed.lifecycle = Lifecycle::Leaving;
+    leaving.list_node(listed);
+    leaving.leaving.clear();
+    leaving.settle();
+    assert_eq!(lifecycle(&leaving, "a-node-0"), Lifecycle::Leaving);
+}
+
 #[test]
 fn a_list_that_lags_does_not_undo_a_drain() {
     let mut world = two_zones();
@@ -500,6 +610,32 @@
     assert!(!world.dead.contains(world.owner("b-engine-1").unwrap()));
 }
 
+#[test]
+fn a_deleted_model_is_released_and_not_placed_again() {
+    let mut world = two_zones();
+    for name in ["deleted", "kept"] {
+        world.put_model(model(name, 1, 2, 10));
+    }
+    world.settle();
+    let release = |assignment: Assignment| PlacementStep::Release {
+        model: assignment.model,
+        engine: assignment.engine,
+    };
+    let steps = world.assignments("deleted").into_iter().map(release).collect();
+    world.append(Change::ConfirmPlan {
+        plan: PlanId::from("delete"),
+        base: world.state.revision,
+        intents: vec![Intent::DeleteModel(ModelId::from("deleted"))],
+        steps,
+    });
+    assert_eq!(world.plan(), None);
+    world.release_all();
+    world.settle();
+    assert!(world.assignments("deleted").is_empty());
+    assert_eq!(world.assignments("kept").len(), 2);
+    assert_eq!(world.state.models.len(), 1);
+}
+
 /// Two drained engines with one replica each, and one engine that waits for
 /// one of them.
 fn two_releases_and_one_waiter() -> (World, EngineId) {
@@ -634,6 +770,7 @@
     ListNode(u8, bool),
     ListEngine(u8, bool, u64),
     Answers(u8, bool),
+    AnnouncesStop(u8),
     PutModel(u8, u32, u32, u32, u64),
     DrainNode(u8),
     DrainEngine(u8),
@@ -650,6 +787,7 @@
             size * 20
         )),
         (0..6u8, any::<bool>()).prop_map(|(n, answers)| Event::Answers(n, answers)),
+        (0..6u8).prop_map(Event::AnnouncesStop),
         (0..6u8, 0..3u32, 0..3u32, 1..3u32, 1..40u64)
             .prop_map(|(n, min, more, wide, memory)| Event::PutModel(n, min, more, wide, memory)),
         (0..6u8).prop_map(Event::DrainNode),
@@ -676,11 +814,16 @@
                     .engines
                     .remove(&EngineId::new(format!("engine-{n}")));
             }
-            Event::Answers(n, true) => {
-                self.dead.remove(&NodeId::new(format!("node-{n}")));
+            Event::Answers(n, answers) => {
+                let id = NodeId::new(format!("node-{n}"));
+                self.leaving.remove(&id);
+                self.dead.remove(&id);
+                if !answers {
+                    self.dead.insert(id);
+                }
             }
-            Event::Answers(n, false) => {
-                self.dead.insert(NodeId::new(format!("node-{n}")));
+            Event::AnnouncesStop(n) => {
+                self.leaving.insert(NodeId::new(format!("node-{n}")));
             }
             Event::PutModel(n, min, more, wide, memory) => {
                 let name = format!("model-{n}");
@@ -720,12 +863,24 @@
         }
     }
 
+    /// Each move takes its time, and there are few.
+    fn check_moves_end(&mut self) {
+        self.pass(STEADY_NODE_MILLIS);
+        for _ in 0..self.state.engines.len() * 2 {
+            self.pass(BETWEEN_MOVES_MILLIS);
+        }
+        let head = self.state.revision;
+        self.pass(10 * BETWEEN_MOVES_MILLIS);
+        assert_eq!(self.state.revision, head);
+    }
+
     /// Nothing that takes new work is left where it should not be.
     fn check_settled(&self) {
         let nodes = &self.state.nodes;
         let usable = |id: &NodeId| {
             let node: Option<&Versioned<Node>> = nodes.get(id);
-            node.is_some_and(|node| node.value.lifecycle == Lifecycle::Live) && !self.dead.contains(id)
+            let takes_part = !self.dead.contains(id) && !self.leaving.contains(id);
+            node.is_some_and(|node| node.value.lifecycle == Lifecycle::Live) && takes_part
         };
         let any_usable = nodes.keys().any(usable);
         for engine in self.state.engines.values() {
@@ -775,5 +930,6 @@
         world.settle();
         world.pass(OWNER_DEAD_MILLIS);
         world.check_settled();
+        world.check_moves_end();
     }
 }
