--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod control_thread;
 mod daemon;
 mod gateway_claims;
+pub mod idle_policy;
 mod learned_admission;
 mod listeners;
 pub mod logging;
--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -1,6 +1,7 @@
 //! The parts on the traffic threads: the gateway, the owner, the attempt service.
 
 use crate::gateway_claims::CellClaims;
+use crate::idle_policy;
 use crate::owner_ports::{CoordinatorPermits, HttpEngines};
 use crate::peer_calls::PeerCalls;
 use croftrill_coordination::claim_service::{ClaimClient, ClaimClientConfig};
@@ -93,6 +94,7 @@
 fn owner_config(settings: &Settings) -> OwnerConfig {
     let mut config = OwnerConfig::new(settings.node.id.clone());
     config.queue.capacity = settings.limits.queue_length;
+    config.memory = idle_policy::memory_config(settings.policy.cold_start_weight);
     config.drain_bound_millis = settings.timings.drain.as_millis() as u64;
     config
 }
--- a/crates/croftrill-state/src/engine_memory/config.rs
+++ b/crates/croftrill-state/src/engine_memory/config.rs
@@ -7,9 +7,10 @@
 pub enum EvictionPolicy {
     /// The one that is cheapest to wake again: time of a load from where its
     /// checkpoint is, times the rate of its requests.
-    #[default]
     ExpectedWakeCost,
-    /// The least recently used one (the baseline).
+    /// The least recently used one. The default, since the expected wake cost
+    /// was measured to be no better.
+    #[default]
     LeastRecentlyUsed,
 }
 
@@ -57,7 +58,7 @@
             order_backoff_millis: 500,
             lost_order_hold_millis: 5_000,
             rate_window_millis: 600_000,
-            return_grace_millis: 10_000,
+            return_grace_millis: 3_000,
             load_time: LoadTimeConfig::default(),
         }
     }
--- a/crates/croftrill-state/tests/engine_memory_policy.rs
+++ b/crates/croftrill-state/tests/engine_memory_policy.rs
@@ -86,6 +86,14 @@
     memory
 }
 
+/// Under it `b` is the victim; by least recent use it would be `a`.
+fn by_wake_cost() -> MemoryConfig {
+    MemoryConfig {
+        eviction: EvictionPolicy::ExpectedWakeCost,
+        ..MemoryConfig::default()
+    }
+}
+
 fn evicted(actions: &[MemoryAction]) -> Vec<&str> {
     let unloads = actions.iter().filter_map(|action| match action {
         MemoryAction::Unload {
@@ -101,7 +109,7 @@
 fn the_model_that_is_cheapest_to_wake_again_gives_way() {
     let now = Instant(10 * SECOND);
     let demands = [demand("c", PriorityClass::Standard, now, 60 * SECOND)];
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     assert_eq!(evicted(&memory.decide(&demands, now)), ["b"]);
     let mut memory = full_memory(MemoryConfig {
         eviction: EvictionPolicy::LeastRecentlyUsed,
@@ -112,7 +120,7 @@
 
 #[test]
 fn a_busy_model_yields_only_to_more_urgent_or_long_waiting_requests() {
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     let now = Instant(10 * SECOND);
     for name in ["a", "b"] {
         memory.use_started(&target(name), PriorityClass::Standard, now);
@@ -137,7 +145,7 @@
 
 #[test]
 fn no_load_is_started_that_helps_nobody_unless_a_caller_was_told_to_come_back() {
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     let now = Instant(10 * SECOND);
     let Wake::In(millis) = memory.wake(&target("c"), now) else {
         panic!("it can be woken");
@@ -150,7 +158,7 @@
 
 #[test]
 fn a_caller_that_may_come_back_stops_nobodys_work() {
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     let now = Instant(60 * SECOND);
     for name in ["a", "b"] {
         memory.use_started(&target(name), PriorityClass::Batch, now);
@@ -164,7 +172,7 @@
 
 #[test]
 fn a_model_that_a_caller_may_come_back_for_is_not_evicted_as_idle() {
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     let now = Instant(10 * SECOND);
     memory.told_to_come_back(&target("b"), 1_000, now);
     let demands = [demand("c", PriorityClass::Batch, now, 60 * SECOND)];
@@ -224,7 +232,7 @@
 
 #[test]
 fn nothing_is_unloaded_while_a_former_owners_requests_run() {
-    let mut memory = full_memory(MemoryConfig::default());
+    let mut memory = full_memory(by_wake_cost());
     let later = Instant(3_600 * SECOND);
     for (others_running, unloads) in [(true, 0), (false, 2)] {
         let ticket = memory.inventory_asked(later);
