A report of a release names the release, and ends no other

Cause: Change::Released named the replica alone. A report that waited in the socket of a paused coordinator and was handled after a second release of the same replica ended that second release, though the engine had not confirmed its unload: a model could then have more replicas loaded than decided. Recording compared the release at the start of the call with the one at its end, which covers a pause within the call only.

Change: a release is named by the revision that began it, from the owner's view of the assignments through report_release and record_release to the log, which accepts a report only for the release under way. The owner takes the revision from the assignments that its actor applied, and confirms a release only by an inventory asked for after it learned of it; it asks for one at once where nothing else is missing.

--- a/crates/croftrill-bench/src/policy/croftrill/owner.rs
+++ b/crates/croftrill-bench/src/policy/croftrill/owner.rs
@@ -85,6 +85,7 @@
                 model: state.models[&assignment.model].value.clone(),
                 residency: assignment.residency.clone(),
                 state: assignment.state.clone(),
+                changed_at: state.assignments[&assignment.model][names.engine(engine)].changed_at,
             })
             .collect();
         let capacity = vec![profile.accelerator_memory_mib; profile.accelerators];
--- a/crates/croftrill-coordination/src/load_permits/client.rs
+++ b/crates/croftrill-coordination/src/load_permits/client.rs
@@ -2,7 +2,7 @@
 
 use crate::replication::{PeerConnector, Replica};
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
-use croftrill_state::{CellId, EngineId, ModelId};
+use croftrill_state::{CellId, EngineId, ModelId, Revision};
 use std::sync::Arc;
 
 /// Asks the present coordinator of the cell.
@@ -49,12 +49,17 @@
         }
     }
 
-    /// Reports a confirmed unload; to be repeated until it is recorded.
-    pub async fn report_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
+    /// Reports the confirmed unload of the replica that the entry at `release`
+    /// released; to be repeated until it is recorded.
+    pub async fn report_release(&self, model: ModelId, engine: EngineId, release: Revision) -> ReportOutcome {
         let Some(address) = self.coordinator_address() else {
             return ReportOutcome::TryLater;
         };
-        match self.connector.report_release(&address, model, engine).await {
+        let answer = self
+            .connector
+            .report_release(&address, model, engine, release)
+            .await;
+        match answer {
             Ok(outcome) => outcome,
             Err(error) => {
                 log::warn!("permits: release not reported error=\"{error}\"");
--- a/crates/croftrill-coordination/src/peer_service.rs
+++ b/crates/croftrill-coordination/src/peer_service.rs
@@ -68,8 +68,8 @@
     }
 
     /// Records a confirmed unload in the log.
-    pub async fn record_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
-        self.parts.replica.record_release(model, engine).await
+    pub async fn record_release(&self, model: ModelId, engine: EngineId, release: Revision) -> ReportOutcome {
+        self.parts.replica.record_release(model, engine, release).await
     }
 }
 
@@ -104,8 +104,14 @@
         self.parts.permits.finish_load(&report)
     }
 
-    async fn report_release(self, _context: Context, model: ModelId, engine: EngineId) -> ReportOutcome {
-        self.record_release(model, engine).await
+    async fn report_release(
+        self,
+        _context: Context,
+        model: ModelId,
+        engine: EngineId,
+        release: Revision,
+    ) -> ReportOutcome {
+        self.record_release(model, engine, release).await
     }
 
     async fn cancel_attempt(self, _context: Context, attempt: AttemptId) -> ReportOutcome {
--- a/crates/croftrill-coordination/src/replication/peer_connector.rs
+++ b/crates/croftrill-coordination/src/replication/peer_connector.rs
@@ -27,11 +27,13 @@
     /// Reports the end of a load to the coordinator.
     async fn finish_load(&self, address: &str, report: LoadReport) -> Result<ReportOutcome, PeerError>;
 
-    /// Reports a confirmed unload to the coordinator.
+    /// Reports to the coordinator the confirmed unload of the replica that the
+    /// entry at `release` released.
     async fn report_release(
         &self,
         address: &str,
         model: ModelId,
         engine: EngineId,
+        release: Revision,
     ) -> Result<ReportOutcome, PeerError>;
 }
--- a/crates/croftrill-daemon/src/owner_ports.rs
+++ b/crates/croftrill-daemon/src/owner_ports.rs
@@ -7,7 +7,7 @@
 use croftrill_platform::http::{HttpEngineClient, HttpEngineConfig};
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
 use croftrill_state::placement::Engine;
-use croftrill_state::{EngineId, ModelId};
+use croftrill_state::{EngineId, ModelId, Revision};
 use std::sync::Arc;
 
 /// Engines over HTTP.
@@ -34,7 +34,7 @@
         self.0.finish(report).await
     }
 
-    async fn report_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome {
-        self.0.report_release(model, engine).await
+    async fn report_release(&self, model: ModelId, engine: EngineId, release: Revision) -> ReportOutcome {
+        self.0.report_release(model, engine, release).await
     }
 }
--- a/crates/croftrill-daemon/src/peer_calls.rs
+++ b/crates/croftrill-daemon/src/peer_calls.rs
@@ -115,10 +115,11 @@
         address: &str,
         model: ModelId,
         engine: EngineId,
+        release: Revision,
     ) -> Result<ReportOutcome, PeerError> {
         self.call(address, |client| async move {
             client
-                .report_release(call_context(CALL_LIMIT), model, engine)
+                .report_release(call_context(CALL_LIMIT), model, engine, release)
                 .await
         })
         .await
--- a/crates/croftrill-owner/src/actor.rs
+++ b/crates/croftrill-owner/src/actor.rs
@@ -18,7 +18,9 @@
 use croftrill_protocol::peer::{LoadPermit, ReportOutcome};
 use croftrill_state::cluster::Target;
 use croftrill_state::configuration::{Adapter, PriorityClass};
-use croftrill_state::engine_memory::{AssignedModel, EngineMemory, InventoryTicket, MemoryAction};
+use croftrill_state::engine_memory::{
+    AssignedModel, ConfirmedRelease, EngineMemory, InventoryTicket, MemoryAction,
+};
 use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::placement::Engine;
 use croftrill_state::replica_queue::ReplicaQueue;
@@ -67,7 +69,10 @@
         permit: Option<LoadPermit>,
     },
     /// The coordinator's answer to a report of a release.
-    ReleaseReported { model: ModelId, outcome: ReportOutcome },
+    ReleaseReported {
+        released: ConfirmedRelease,
+        outcome: ReportOutcome,
+    },
     /// The first token of an attempt came.
     FirstToken(AttemptId),
     /// A dispatched attempt ended.
@@ -109,7 +114,7 @@
     ended: VecDeque<AttemptId>,
     ended_set: BTreeSet<AttemptId>,
     loads: BTreeMap<ModelId, LoadProgress>,
-    releases: BTreeMap<ModelId, ReleaseProgress>,
+    releases: BTreeMap<ConfirmedRelease, ReleaseProgress>,
     /// The state that was last taken in.
     applied: Option<Arc<ClusterState>>,
     accounted_until: Instant,
@@ -199,7 +204,7 @@
             Message::Inventory { ticket, result } => self.inventory_answered(ticket, result),
             Message::Ordered { action, result } => self.ordered(action, result),
             Message::Permit { model, permit } => self.permit_answered(&model, permit),
-            Message::ReleaseReported { model, outcome } => self.release_reported(&model, outcome),
+            Message::ReleaseReported { released, outcome } => self.release_reported(&released, outcome),
             Message::FirstToken(attempt) => self.queue.first_token(attempt, self.now()),
             Message::RunEnded { attempt, end } => self.run_ended(attempt, end),
         }
@@ -375,13 +380,16 @@
 
 fn assigned_models(state: &ClusterState, engine: &EngineId) -> Vec<AssignedModel> {
     state
-        .assignments_on_engine(engine)
-        .filter_map(|assignment| {
-            let model = state.models.get(&assignment.model)?;
+        .assignments
+        .iter()
+        .filter_map(|(model, by_engine)| {
+            let assignment = by_engine.get(engine)?;
+            let model = state.models.get(model)?;
             Some(AssignedModel {
                 model: model.value.clone(),
-                residency: assignment.residency.clone(),
-                state: assignment.state.clone(),
+                residency: assignment.value.residency.clone(),
+                state: assignment.value.state.clone(),
+                changed_at: assignment.changed_at,
             })
         })
         .collect()
--- a/crates/croftrill-owner/src/actor/engine_link.rs
+++ b/crates/croftrill-owner/src/actor/engine_link.rs
@@ -67,6 +67,9 @@
 impl EngineActor {
     /// Fences the engine, or asks what it holds, when that is due.
     pub(super) fn keep_link(&mut self, now: Instant) {
+        if self.memory.release_awaits_inventory() {
+            self.link.ask_soon(now);
+        }
         if self.link.asking || now < self.link.ask_at {
             return;
         }
--- a/crates/croftrill-owner/src/ports.rs
+++ b/crates/croftrill-owner/src/ports.rs
@@ -4,7 +4,7 @@
 use croftrill_platform::engine::EngineClient;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
 use croftrill_state::placement::Engine;
-use croftrill_state::{EngineId, ModelId};
+use croftrill_state::{EngineId, ModelId, Revision};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -27,6 +27,7 @@
     async fn request_load(&self, request: LoadPermitRequest) -> Result<LoadPermit, PermitsUnreachable>;
     /// Reports the end of a permitted load.
     async fn finish_load(&self, report: LoadReport) -> ReportOutcome;
-    /// Reports that the engine confirmed the unload of a releasing replica.
-    async fn report_release(&self, model: ModelId, engine: EngineId) -> ReportOutcome;
+    /// Reports that the engine confirmed the unload of the replica that the
+    /// entry at `release` released.
+    async fn report_release(&self, model: ModelId, engine: EngineId, release: Revision) -> ReportOutcome;
 }
--- a/crates/croftrill-protocol/src/peer.rs
+++ b/crates/croftrill-protocol/src/peer.rs
@@ -90,8 +90,9 @@
     async fn request_load(request: LoadPermitRequest) -> LoadPermit;
     /// Reports the end of a load to the coordinator.
     async fn finish_load(report: LoadReport) -> ReportOutcome;
-    /// Reports to the coordinator that the engine confirmed an unload.
-    async fn report_release(model: ModelId, engine: EngineId) -> ReportOutcome;
+    /// Reports to the coordinator that the engine confirmed the unload of the
+    /// replica that the entry at `release` released.
+    async fn report_release(model: ModelId, engine: EngineId, release: Revision) -> ReportOutcome;
     /// Tells an owner to drop an attempt whose gateway gave up.
     async fn cancel_attempt(attempt: AttemptId) -> ReportOutcome;
     /// A plan that this node made, as JSON of `operator::Plan`; empty if unknown.
--- a/crates/croftrill-state/examples/apply_cost.rs
+++ b/crates/croftrill-state/examples/apply_cost.rs
@@ -141,7 +141,13 @@
         .map(|assignment| (assignment.model.clone(), assignment.engine.clone()))
         .collect();
     for (model, engine) in releasing {
-        apply(state, Change::Released { model, engine });
+        let release = state.release_revision(&model, &engine);
+        let change = Change::Released {
+            model,
+            engine,
+            release: release.expect("the replica is being released"),
+        };
+        apply(state, change);
     }
 }
 
--- a/crates/croftrill-state/src/cluster.rs
+++ b/crates/croftrill-state/src/cluster.rs
@@ -29,7 +29,7 @@
 
 use crate::configuration::{Adapter, Group, Model};
 use crate::identifiers::{AdapterId, CellId, EngineId, GroupId, ModelId, NodeId, PlanId, Revision, Term};
-use crate::placement::{Assignment, Engine, Node};
+use crate::placement::{Assignment, AssignmentState, Engine, Node};
 use nanoserde::{DeBin, SerBin};
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
@@ -216,6 +216,14 @@
         Some(&found.value)
     }
 
+    /// The revision of the entry that released a model from an engine, while the
+    /// release is not over. It tells this release from every other one.
+    pub fn release_revision(&self, model: &ModelId, engine: &EngineId) -> Option<Revision> {
+        let found = self.assignments.get(model)?.get(engine)?;
+        let releasing = found.value.state == AssignmentState::Releasing;
+        releasing.then_some(found.changed_at)
+    }
+
     /// Whether a model was deleted but still has replicas to release.
     pub fn is_retiring(&self, model: &ModelId) -> bool {
         self.retiring_models.contains(model)
--- a/crates/croftrill-state/src/cluster/apply.rs
+++ b/crates/croftrill-state/src/cluster/apply.rs
@@ -85,7 +85,11 @@
             }
             Change::ElectCoordinator { cell, .. } => self.require_later_term(cell, entry.term),
             Change::Reconcile { cell, .. } => self.require_present_term(cell, entry.term),
-            Change::Released { model, engine } => self.require_releasing(model, engine),
+            Change::Released {
+                model,
+                engine,
+                release,
+            } => self.require_releasing(model, engine, *release),
         }
     }
 
@@ -121,7 +125,7 @@
                 self.remove_engines(remove_engines, applying);
                 self.apply_steps(steps, applying)
             }
-            Change::Released { model, engine } => {
+            Change::Released { model, engine, .. } => {
                 self.remove_assignment(model, engine, applying);
                 Ok(())
             }
--- a/crates/croftrill-state/src/cluster/steps.rs
+++ b/crates/croftrill-state/src/cluster/steps.rs
@@ -108,13 +108,18 @@
         Ok(())
     }
 
-    pub(super) fn require_releasing(&self, model: &ModelId, engine: &EngineId) -> Result<(), ApplyError> {
-        let state = self.assignment(model, engine).map(|found| &found.state);
-        if state == Some(&AssignmentState::Releasing) {
+    /// Whether exactly this release is under way.
+    pub(super) fn require_releasing(
+        &self,
+        model: &ModelId,
+        engine: &EngineId,
+        release: Revision,
+    ) -> Result<(), ApplyError> {
+        if self.release_revision(model, engine) == Some(release) {
             return Ok(());
         }
         Err(ApplyError::Invalid(format!(
-            "model {model} is not being released from engine {engine}"
+            "model {model} is not being released from engine {engine} since revision {release}"
         )))
     }
 
--- a/crates/croftrill-state/src/engine_memory.rs
+++ b/crates/croftrill-state/src/engine_memory.rs
@@ -7,7 +7,9 @@
 //! - a model or adapter in use is never unloaded, nor any while requests of a
 //!   former owner still run;
 //! - memory is reserved before a load is ordered, and free only after an
-//!   inventory asked for later than the unload shows that the engine let go.
+//!   inventory asked for later than the unload shows that the engine let go;
+//! - a release is confirmed only by an inventory asked for after the release was
+//!   learned, so that what was seen in an earlier release confirms no later one.
 
 mod accounting;
 mod config;
@@ -18,13 +20,14 @@
 mod load_time;
 mod orders;
 mod reconcile;
+mod releases;
 mod types;
 
 pub use config::{EvictionPolicy, MemoryConfig};
 pub use load_time::{LoadTimeConfig, LoadTimeEstimator};
 pub use types::{
-    AssignedModel, CheckpointLocality, Demand, HeldAdapterReplica, HeldReplica, HeldReport, InventoryTicket,
-    MemoryAction, OrderAnswer, Settled, UnloadReason,
+    AssignedModel, CheckpointLocality, ConfirmedRelease, Demand, HeldAdapterReplica, HeldReplica, HeldReport,
+    InventoryTicket, MemoryAction, OrderAnswer, Settled, UnloadReason,
 };
 
 use crate::cluster::Target;
@@ -33,6 +36,7 @@
 use crate::placement::AssignmentState;
 use crate::time::Instant;
 use held::{Backoff, Phase, Replica, Usage};
+use releases::LearnedRelease;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A load is looked at again after this part of the time until its expected
@@ -46,6 +50,8 @@
     assigned: BTreeMap<ModelId, AssignedModel>,
     adapters: BTreeMap<AdapterId, Adapter>,
     replicas: BTreeMap<ModelId, Replica>,
+    /// The releases that are under way.
+    releases: BTreeMap<ModelId, LearnedRelease>,
     usage: BTreeMap<Target, Usage>,
     backoff: BTreeMap<Target, Backoff>,
     /// Targets whose callers were told to come back when a load would be done,
@@ -73,6 +79,7 @@
             assigned: BTreeMap::new(),
             adapters: BTreeMap::new(),
             replicas: BTreeMap::new(),
+            releases: BTreeMap::new(),
             usage: BTreeMap::new(),
             backoff: BTreeMap::new(),
             awaited: BTreeMap::new(),
@@ -98,6 +105,7 @@
         self.assigned = assigned.into_iter().map(|a| (a.model.id.clone(), a)).collect();
         self.adapters = adapters.into_iter().map(|a| (a.id.clone(), a)).collect();
         self.forget_unassigned();
+        self.learn_releases();
     }
 
     fn forget_unassigned(&mut self) {
@@ -195,20 +203,6 @@
         self.others_running
     }
 
-    /// Models whose assignment is being released and which the engine confirmed
-    /// not to hold.
-    pub fn released(&self) -> Vec<ModelId> {
-        if self.inventory.is_none() {
-            return Vec::new();
-        }
-        self.assigned
-            .values()
-            .filter(|assigned| assigned.state == AssignmentState::Releasing)
-            .map(|assigned| assigned.model.id.clone())
-            .filter(|id| !self.replicas.contains_key(id))
-            .collect()
-    }
-
     /// Accelerators that hold memory, and whether any request runs on them.
     pub fn idle_accelerators(&self) -> usize {
         let mut holding: BTreeSet<u32> = BTreeSet::new();
--- a/crates/croftrill-state/src/engine_memory/types.rs
+++ b/crates/croftrill-state/src/engine_memory/types.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::Target;
 use crate::configuration::{Adapter, Model, PriorityClass};
-use crate::identifiers::{AdapterId, ModelId};
+use crate::identifiers::{AdapterId, ModelId, Revision};
 use crate::placement::{AssignmentState, Residency};
 use crate::time::Instant;
 use std::collections::BTreeSet;
@@ -27,6 +27,17 @@
     pub residency: Residency,
     /// Progress.
     pub state: AssignmentState,
+    /// The revision of the entry that last changed the assignment.
+    pub changed_at: Revision,
+}
+
+/// A release that the engine confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConfirmedRelease {
+    /// The model that the engine does not hold any more.
+    pub model: ModelId,
+    /// The revision of the entry that released it.
+    pub release: Revision,
 }
 
 /// A model that the engine says it holds.
--- a/crates/croftrill-state/src/entry.rs
+++ b/crates/croftrill-state/src/entry.rs
@@ -101,6 +101,9 @@
         model: ModelId,
         /// The engine.
         engine: EngineId,
+        /// The revision of the entry that released it. A report of an earlier
+        /// release of the same replica says nothing about the present one.
+        release: Revision,
     },
 }
 
