Owner: a test fails if a report names another entry than the release

The report's revision taken from the state instead of the assignment passed the tests, as no other entry came between.

--- a/crates/croftrill-owner/tests/loading.rs
+++ b/crates/croftrill-owner/tests/loading.rs
@@ -157,6 +157,11 @@
     world.set_assignment("m", AssignmentState::Releasing);
     let second = world.revision_of("m");
     pass(1_000).await;
+    // An entry about another model begins no release of this one.
+    let before = world.coordinator.releases.lock().unwrap().len();
+    world.assign("other", 30, Residency::OnDemand);
+    pass(120_000).await;
+    assert!(world.coordinator.releases.lock().unwrap().len() > before);
     let reported = world.coordinator.releases.lock().unwrap().clone();
     let mut releases: Vec<Revision> = reported.iter().map(|report| report.release).collect();
     releases.dedup();
