--- a/crates/croftrill-hollow/src/experiments/restart.rs
+++ b/crates/croftrill-hollow/src/experiments/restart.rs
@@ -97,9 +97,7 @@
     let log_all = started.elapsed().as_secs_f64();
     cluster.wait_settled().await?;
     let settled = started.elapsed().as_secs_f64();
-    let settled_sample = Sample::take(cluster)?;
-    let usage = settled_sample.since(&before);
-    seconds.note(settled_sample);
+    let usage = Sample::take(cluster)?.since(&before);
     while started.elapsed() < WATCHED {
         tokio::time::sleep(Duration::from_secs(1)).await;
         seconds.note(Sample::take(cluster)?);
@@ -135,7 +133,8 @@
     ])
 }
 
-/// The busiest time between two samples, mean of the survivors.
+/// The busiest time between two samples, a second or more apart; mean of the
+/// survivors.
 struct Seconds {
     last: Sample,
     worst_bytes: f64,
