--- a/crates/croftrill-bench/src/measurement.rs
+++ b/crates/croftrill-bench/src/measurement.rs
@@ -26,6 +26,7 @@
     pub unused_loads: u64,
     pub idle_accelerator_micros: Micros,
     pub store_busy_slot_micros: f64,
+    pub returns: u64,
     pub store_most_at_once: usize,
     pub store_moved_mib: f64,
 }
@@ -83,6 +84,8 @@
 pub struct GroupMeasurement {
     /// Its name.
     pub name: String,
+    /// Whether it floods.
+    pub floods: bool,
     /// Requests sent.
     pub sent: u64,
     /// Requests served in time.
@@ -112,6 +115,8 @@
     pub in_time: u64,
     /// Requests refused.
     pub refused: u64,
+    /// Times that refused callers came back.
+    pub returns: u64,
     /// Requests that never ended; must be 0.
     pub lost: u64,
     /// Time of the first token of requests that waited for a load.
@@ -249,6 +254,7 @@
         served: classes.iter().map(|class| class.served).sum(),
         in_time: classes.iter().map(|class| class.in_time).sum(),
         refused: classes.iter().flat_map(|class| class.refused.values()).sum(),
+        returns: counters.returns,
         lost,
         cold_start: quantiles(&cold_start),
         classes,
@@ -276,6 +282,11 @@
         .enumerate()
         .map(|(index, group)| GroupMeasurement {
             name: group.name.clone(),
+            floods: run
+                .scenario
+                .flood
+                .as_ref()
+                .is_some_and(|flood| flood.group == group.name),
             sent: 0,
             in_time: 0,
             engine_seconds: engine_seconds(run.group_micros, index),
--- a/crates/croftrill-daemon/src/traffic.rs
+++ b/crates/croftrill-daemon/src/traffic.rs
@@ -4,12 +4,12 @@
 use crate::owner_ports::{CoordinatorPermits, HttpEngines};
 use crate::peer_calls::PeerCalls;
 use croftrill_coordination::claim_service::{ClaimClient, ClaimClientConfig};
-use croftrill_coordination::load_permits::{FallbackRate, LoadPermitClient};
+use croftrill_coordination::load_permits::LoadPermitClient;
 use croftrill_coordination::replication::Replica;
-use croftrill_gateway::{Gateway, GatewayConfig};
+use croftrill_gateway::{ClassDeadlines, Gateway, GatewayConfig};
 use croftrill_owner::{OwnerConfig, OwnerService};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest};
-use croftrill_settings::Settings;
+use croftrill_settings::{Deadlines, Settings};
 use croftrill_transport::attempt_client::{AttemptClientConfig, AttemptClients};
 use croftrill_transport::attempt_server::{AttemptHandler, AttemptServer};
 use futures::stream::BoxStream;
@@ -79,12 +79,7 @@
     calls: &Arc<PeerCalls>,
     registry: &mut Registry,
 ) -> OwnerService {
-    let permits = LoadPermitClient::new(
-        replica.clone(),
-        calls.clone(),
-        settings.node.cell.clone(),
-        FallbackRate::default(),
-    );
+    let permits = LoadPermitClient::new(replica.clone(), calls.clone(), settings.node.cell.clone());
     OwnerService::new(
         owner_config(settings),
         replica.published(),
@@ -108,7 +103,10 @@
     calls: &Arc<PeerCalls>,
     registry: &mut Registry,
 ) -> Arc<Gateway> {
-    let claims = ClaimClientConfig::new(settings.node.cell.clone(), crate::control::claim_config(settings));
+    let claims = ClaimClientConfig::new(
+        settings.node.cell.clone(),
+        crate::claim_start::claim_config(settings),
+    );
     let claims = ClaimClient::new(claims, replica.published(), calls.clone());
     Gateway::new(
         gateway_config(settings),
@@ -119,10 +117,20 @@
     )
 }
 
+fn class_deadlines(deadlines: &Deadlines) -> ClassDeadlines {
+    ClassDeadlines {
+        critical_millis: deadlines.critical.as_millis() as u64,
+        interactive_millis: deadlines.interactive.as_millis() as u64,
+        standard_millis: deadlines.standard.as_millis() as u64,
+        batch_millis: deadlines.batch.as_millis() as u64,
+    }
+}
+
 fn gateway_config(settings: &Settings) -> GatewayConfig {
     let limits = &settings.limits;
     let mut config = GatewayConfig {
         max_body_bytes: limits.body_bytes,
+        default_first_token_deadlines: class_deadlines(&limits.deadlines),
         longest_deadline_millis: limits.deadlines.longest.as_millis() as u64,
         most_attempts: limits.attempts,
         ..GatewayConfig::default()
--- a/crates/croftrill-gateway/src/claim_ticket.rs
+++ b/crates/croftrill-gateway/src/claim_ticket.rs
@@ -4,11 +4,12 @@
 use crate::claims::{ClaimAuthority, ClaimDecision};
 use crate::interruption::{Interruption, InterruptionWatch};
 use croftrill_protocol::peer::ClaimResult;
-use croftrill_state::outcome::{Execution, Refusal, RefusalCause};
+use croftrill_state::outcome::{Refusal, RefusalCause};
 use croftrill_state::RequestId;
-use log::info;
+use log::{info, warn};
 use std::sync::Arc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// When a caller should come back if nothing better is known, in milliseconds.
 const DEFAULT_RETRY_AFTER_MILLIS: u64 = 1000;
@@ -29,6 +30,8 @@
     run_once: Option<RunOnce>,
     /// Whether the key's holder may count the request as the key's owner.
     open: bool,
+    /// Set by the grant: no attempt may be dispatched later.
+    dispatch_before: Option<Instant>,
 }
 
 impl ClaimTicket {
@@ -38,20 +41,42 @@
             request,
             run_once,
             open: false,
+            dispatch_before: None,
         }
     }
 
-    /// Asks for the claim; the request may run only if it is granted.
+    /// Whether the request may be dispatched at `now`. A gateway that was paused
+    /// after its grant may find the key free for others.
+    pub fn check_dispatch(&self, now: Instant) -> Result<(), Refusal> {
+        let (Some(run_once), Some(before)) = (&self.run_once, self.dispatch_before) else {
+            return Ok(());
+        };
+        if now < before {
+            return Ok(());
+        }
+        warn!(
+            "gateway: grant too old to dispatch request={} key={}",
+            self.request, run_once.key
+        );
+        let cause = RefusalCause::KeyHistoryUnknown;
+        Err(not_granted(cause, DEFAULT_RETRY_AFTER_MILLIS))
+    }
+
+    /// Asks for the claim; the request may run only if it is granted. A key that
+    /// this gateway made is known to nobody else: its own rule of never
+    /// dispatching again what may have run is enough.
     pub async fn ask(&mut self, watch: &InterruptionWatch) -> Result<(), ClaimFailure> {
-        let Some(RunOnce { key, from_caller }) = &self.run_once else {
+        let Some(RunOnce { key, .. }) = self.run_once.as_ref().filter(|run_once| run_once.from_caller) else {
             return Ok(());
         };
         // As long as the answer is not known, the claim may have been granted.
         self.open = true;
         let decision = watch.run(self.claims.claim(key, self.request)).await;
-        let from_caller = *from_caller;
         match decision {
-            Ok(ClaimDecision::Granted) => Ok(()),
+            Ok(ClaimDecision::Granted { dispatch_before }) => {
+                self.dispatch_before = Some(dispatch_before);
+                Ok(())
+            }
             Ok(ClaimDecision::Taken { finished }) => {
                 self.open = false;
                 info!(
@@ -64,15 +89,15 @@
             Ok(ClaimDecision::HistoryUnknown { retry_after_millis }) => {
                 self.open = false;
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(not_granted(from_caller, cause, retry_after_millis))
+                Err(refused(cause, retry_after_millis))
             }
             Ok(ClaimDecision::Unavailable { retry_after_millis }) => {
                 let cause = RefusalCause::KeyHistoryUnknown;
-                Err(not_granted(from_caller, cause, retry_after_millis))
+                Err(refused(cause, retry_after_millis))
             }
             Err(Interruption::DeadlinePassed) => {
                 let cause = RefusalCause::DeadlineExpired;
-                Err(not_granted(from_caller, cause, DEFAULT_RETRY_AFTER_MILLIS))
+                Err(refused(cause, DEFAULT_RETRY_AFTER_MILLIS))
             }
             Err(Interruption::CallerGone) => Err(ClaimFailure::CallerGone),
         }
@@ -93,17 +118,12 @@
     }
 }
 
-/// Until the claim is granted, an earlier request with the caller's key may have
-/// run. Nobody else uses a key that the gateway made.
-fn not_granted(from_caller: bool, cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
-    let execution = if from_caller {
-        Execution::MayHaveRun
-    } else {
-        Execution::NotRun
-    };
-    ClaimFailure::Refused(Refusal {
-        execution,
-        cause,
-        retry_after_millis: retry_after_millis.max(1),
-    })
+/// Without a claim in force, an earlier request with the caller's key may have
+/// run.
+fn not_granted(cause: RefusalCause, retry_after_millis: u64) -> Refusal {
+    Refusal::may_have_run(cause, retry_after_millis.max(1))
+}
+
+fn refused(cause: RefusalCause, retry_after_millis: u64) -> ClaimFailure {
+    ClaimFailure::Refused(not_granted(cause, retry_after_millis))
 }
--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::answers::{model_list, AnswerFormat, Interface};
 use crate::caller_request::CallerRequest;
 use crate::claims::ClaimAuthority;
+use crate::class_deadlines::ClassDeadlines;
 use crate::dispatch::Dispatcher;
 use crate::errors::CallerError;
 use crate::json_input::{parse_chat, parse_completion, GenerationInput};
@@ -11,7 +12,7 @@
 use arc_swap::ArcSwap;
 use croftrill_state::outcome::RefusalCause;
 use croftrill_state::retry_budget::RetryBudgetConfig;
-use croftrill_state::{ClusterState, GroupId, IdempotencyKey, Instant, RequestId};
+use croftrill_state::{ClusterState, GroupId, IdempotencyKey, Instant, RequestId, Revision};
 use croftrill_transport::attempt_client::AttemptClients;
 use croftrill_transport::http_server::{self, json_answer, read_body, BodyError, HttpBody, HttpServerConfig};
 use http::header::HeaderValue;
@@ -40,8 +41,8 @@
     pub max_body_bytes: usize,
     /// Longest wait for a request body, in milliseconds.
     pub body_timeout_millis: u64,
-    /// Deadline of the first token if the caller names none, in milliseconds.
-    pub default_first_token_deadline_millis: u64,
+    /// Deadlines of the first token if the caller names none.
+    pub default_first_token_deadlines: ClassDeadlines,
     /// Deadline of the whole answer if the caller names none, in milliseconds.
     pub default_total_deadline_millis: u64,
     /// Longest deadline that a caller may have, in milliseconds.
@@ -50,7 +51,7 @@
     pub most_tokens: u32,
     /// The group of callers that name none; without one they are refused.
     pub default_group: Option<GroupId>,
-    /// Most attempts for one request.
+    /// Most attempts for one request that may have cost an engine work.
     pub most_attempts: u32,
     /// Longest wait for a caller that does not read, in milliseconds.
     pub slow_caller_millis: u64,
@@ -63,7 +64,7 @@
         Self {
             max_body_bytes: 4 * 1024 * 1024,
             body_timeout_millis: 10_000,
-            default_first_token_deadline_millis: 60_000,
+            default_first_token_deadlines: ClassDeadlines::default(),
             default_total_deadline_millis: 600_000,
             longest_deadline_millis: 3_600_000,
             most_tokens: 32_768,
@@ -117,7 +118,7 @@
         let result = match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/completions") => self.generate(id, Interface::Completions, request).await,
             (&Method::POST, "/v1/chat/completions") => self.generate(id, Interface::Chat, request).await,
-            (&Method::GET, "/v1/models") => Ok(self.models()),
+            (&Method::GET, "/v1/models") => self.models(),
             (_, "/v1/completions" | "/v1/chat/completions" | "/v1/models") => Err(not_here(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "the path has no such method",
@@ -131,9 +132,19 @@
         response
     }
 
-    fn models(&self) -> Response<HttpBody> {
-        let list = model_list(&self.dispatcher.state.load());
-        json_answer(StatusCode::OK, list.to_string())
+    fn models(&self) -> Result<Response<HttpBody>, CallerError> {
+        let state = self.known_state()?;
+        let list = model_list(&state);
+        Ok(json_answer(StatusCode::OK, list.to_string()))
+    }
+
+    /// The present state. At revision 0 there is none: the node has just started.
+    fn known_state(&self) -> Result<Arc<ClusterState>, CallerError> {
+        let state = self.dispatcher.state.load_full();
+        if state.revision == Revision(0) {
+            return Err(CallerError::no_copy_yet());
+        }
+        Ok(state)
     }
 
     async fn generate(
@@ -179,7 +190,7 @@
         input: GenerationInput,
         arrived_at: Instant,
     ) -> Result<CallerRequest, CallerError> {
-        let state = self.dispatcher.state.load();
+        let state = self.known_state()?;
         CallerRequest::new(
             id,
             &parts.headers,
--- a/crates/croftrill-hollow/src/built_state.rs
+++ b/crates/croftrill-hollow/src/built_state.rs
@@ -67,6 +67,7 @@
         let observation = Observation {
             machines: Some(&self.machines),
             alive: &|_| true,
+            leaving: &|_| false,
             now: Instant(0),
         };
         reconciler.plan(&self.state, &observation)
--- a/crates/croftrill-state/src/claims.rs
+++ b/crates/croftrill-state/src/claims.rs
@@ -17,6 +17,11 @@
 //!   network is cut and whoever changed the ring;
 //! - a gateway drops a grant that took too long to arrive;
 //! - a full holder refuses new claims; it does not forget old ones.
+//!
+//! Limits: the rules see the last four rings before the one that a process
+//! started with, and a former ring that is lost as a whole is given up after
+//! [`ClaimConfig::unconfirmed_millis`]. Gateways of two cells ask two holders, so
+//! a caller's key is unique within its gateway's cell only.
 
 mod authority;
 mod config;
@@ -53,10 +58,10 @@
     pub node: NodeId,
     /// Random, not 0; differs from that of every other process of the node.
     pub instance: u64,
-    /// Whether the log was certainly empty while this process ran, so that no
-    /// other process can have granted anything under an earlier ring or as an
-    /// earlier process of this node.
-    pub witnessed_empty_log: bool,
+    /// Whether the cell certainly had no ring yet at a moment while this process
+    /// ran, so that no other process can have granted anything under an earlier
+    /// ring or as an earlier process of this node.
+    pub witnessed_no_ring: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,7 +84,7 @@
 impl ClaimTable {
     /// An empty table that knows no ring.
     pub fn new(config: ClaimConfig, holder: ClaimHolder) -> Self {
-        let history = RingHistory::new(holder.node.clone(), &config, holder.witnessed_empty_log);
+        let history = RingHistory::new(holder.node.clone(), &config, holder.witnessed_no_ring);
         let records = ClaimRecords::new(config.window_millis);
         Self {
             config,
