State: planner and coordinator judge engines' memory by one module

Cause: the memory that residents leave free, and whether a replica fits beside them, stood twice: in the planner's occupancy and in the coordinator's engine_room. The two had already grown apart: the planner places a resident on the emptiest accelerators if the fullest are needed by an on-demand model, the coordinator gave up and made it on-demand.

Now `occupancy` serves both: free memory, fitting, accelerators of a resident, replicas by zone, and the choice of the best engine, which takes the cost as an argument. The costs stay two on purpose: the planner weighs pressure and caches, a coordinator's plan is given no facts about caches.

A new test holds that rule for the coordinator.

--- a/crates/croftrill-state/src/lib.rs
+++ b/crates/croftrill-state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod identifiers;
 pub mod load_admission;
 pub mod membership;
+mod occupancy;
 pub mod outcome;
 pub mod placement;
 pub mod planner;
--- a/crates/croftrill-state/src/planner/occupancy.rs
+++ b/crates/croftrill-state/src/occupancy.rs
@@ -1,5 +1,10 @@
-//! Memory of the engines while a plan is made: what residents leave free and
-//! how much on-demand replicas share it.
+//! Memory of the engines while assignments are planned: what residents leave
+//! free and how much on-demand replicas share it.
+//!
+//! Serves the planner of operators' intents and the coordinator's own plans, so
+//! that both judge alike whether a replica fits. Invariant: a replica that fits
+//! here is one that the state accepts: it fits beside the residents, and takes
+//! the last room of no on-demand replica.
 
 use crate::configuration::Model;
 use crate::identifiers::{EngineId, ModelId, ZoneId};
@@ -39,7 +44,7 @@
 
 /// One engine.
 #[derive(Clone, Debug)]
-pub(super) struct EngineOccupancy {
+pub(crate) struct EngineOccupancy {
     /// Its zone.
     pub zone: ZoneId,
     /// Whether it takes new work.
@@ -47,6 +52,8 @@
     /// Memory of each accelerator that residents leave free, in MiB; negative
     /// if a machine came back smaller than what it still holds.
     free_mib: Vec<i64>,
+    /// Memory of all its accelerators, in MiB.
+    total_mib: u64,
     on_demand: BTreeMap<ModelId, Need>,
 }
 
@@ -61,6 +68,7 @@
                 .copied()
                 .map(signed)
                 .collect(),
+            total_mib: engine.accelerator_memory_mib.iter().sum(),
             on_demand: BTreeMap::new(),
         }
     }
@@ -136,9 +144,22 @@
     }
 
     fn pressure(&self, more_mib: u64) -> u64 {
-        let present: u64 = self.on_demand.values().map(Need::total_mib).sum();
         let free: i64 = self.free_mib.iter().map(|&memory| memory.max(0)).sum();
-        present.saturating_add(more_mib).saturating_mul(FULL_THOUSANDTHS) / free.max(1).unsigned_abs()
+        let wanted = self.on_demand_mib().saturating_add(more_mib);
+        wanted.saturating_mul(FULL_THOUSANDTHS) / free.max(1).unsigned_abs()
+    }
+
+    /// Memory promised to residents and on-demand replicas, in thousandths of
+    /// all of it. Above 1000 they cannot all be loaded at once.
+    pub fn promised_thousandths(&self) -> u64 {
+        let free: i64 = self.free_mib.iter().sum();
+        let residents = signed(self.total_mib).saturating_sub(free).max(0).unsigned_abs();
+        let promised = residents.saturating_add(self.on_demand_mib());
+        promised.saturating_mul(FULL_THOUSANDTHS) / self.total_mib.max(1)
+    }
+
+    fn on_demand_mib(&self) -> u64 {
+        self.on_demand.values().map(Need::total_mib).sum()
     }
 }
 
@@ -152,9 +173,17 @@
     accelerators
 }
 
+/// What is known of a model's replicas when an engine is chosen for one more.
+pub(crate) struct ReplicaSpread<'a> {
+    /// Engines that cannot take another replica of the model.
+    pub taken: &'a BTreeSet<EngineId>,
+    /// Replicas of the model in each zone.
+    pub by_zone: BTreeMap<ZoneId, usize>,
+}
+
 /// All engines with all that is assigned to them.
 #[derive(Clone, Debug)]
-pub(super) struct Occupancy {
+pub(crate) struct Occupancy {
     /// By name.
     pub engines: BTreeMap<EngineId, EngineOccupancy>,
 }
@@ -162,10 +191,13 @@
 impl Occupancy {
     /// The occupancy that a state decides.
     pub fn of(state: &ClusterState) -> Self {
-        let engines = state
-            .engines
-            .iter()
-            .map(|(id, engine)| (id.clone(), EngineOccupancy::empty(&engine.value)))
+        Self::of_engines(state, state.engines.values().map(|engine| &engine.value))
+    }
+
+    /// The same for these engines only, which may differ from the state's.
+    pub fn of_engines<'e>(state: &ClusterState, engines: impl Iterator<Item = &'e Engine>) -> Self {
+        let engines = engines
+            .map(|engine| (engine.id.clone(), EngineOccupancy::empty(engine)))
             .collect();
         let mut occupancy = Self { engines };
         for assignment in state.all_assignments() {
@@ -219,6 +251,39 @@
         }
     }
 
+    /// Replicas in each zone, of those on the given engines.
+    pub fn replicas_by_zone<'e>(
+        &self,
+        engines: impl Iterator<Item = &'e EngineId>,
+    ) -> BTreeMap<ZoneId, usize> {
+        let mut zones = BTreeMap::new();
+        for engine in engines.filter_map(|id| self.engines.get(id)) {
+            *zones.entry(engine.zone.clone()).or_default() += 1;
+        }
+        zones
+    }
+
+    /// The best live engine for one more replica of a model, with what `fits`
+    /// said of it: in the zone with the fewest replicas, there with the lowest
+    /// cost.
+    pub fn best_engine<T, C: Ord>(
+        &self,
+        spread: &ReplicaSpread,
+        fits: impl Fn(&EngineOccupancy) -> Option<T>,
+        cost: impl Fn(&EngineId, &EngineOccupancy) -> C,
+    ) -> Option<(EngineId, T)> {
+        let fitting = self.engines.iter().filter_map(|(id, engine)| {
+            if !engine.live || spread.taken.contains(id) {
+                return None;
+            }
+            let fitting = fits(engine)?;
+            let in_zone = spread.by_zone.get(&engine.zone).copied().unwrap_or(0);
+            Some(((in_zone, cost(id, engine), id), fitting))
+        });
+        let (key, fitting) = fitting.min_by(|(left, _), (right, _)| left.cmp(right))?;
+        Some((key.2.clone(), fitting))
+    }
+
     /// Notes the memory that a releasing resident still holds.
     pub fn hold(&mut self, assignment: &Assignment, held_mib: u64) {
         let Residency::Resident { accelerators } = &assignment.residency else {
--- a/crates/croftrill-state/src/planner.rs
+++ b/crates/croftrill-state/src/planner.rs
@@ -8,7 +8,6 @@
 //! - every problem of the intents is found and reported together.
 
 mod changes;
-mod occupancy;
 mod placing;
 mod validation;
 
--- a/crates/croftrill-state/src/planner/placing.rs
+++ b/crates/croftrill-state/src/planner/placing.rs
@@ -4,10 +4,10 @@
 //! fewest replicas of the model, there to the engine with the lowest cost: the
 //! pressure on its memory plus a penalty for a checkpoint that is not cached.
 
-use super::occupancy::{EngineOccupancy, Occupancy};
 use super::{CacheLevel, EngineFacts};
 use crate::configuration::Model;
 use crate::identifiers::{EngineId, ZoneId};
+use crate::occupancy::{EngineOccupancy, Occupancy, ReplicaSpread};
 use crate::placement::{Assignment, AssignmentState, Residency};
 use crate::ClusterState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -140,7 +140,7 @@
 
     fn release_surplus(&mut self, model: &Model, kept: &mut Vec<Assignment>, placement: &mut ModelPlacement) {
         while kept.len() > model.max_replicas as usize {
-            let zones = self.replicas_by_zone(kept.iter().map(|a| &a.engine));
+            let zones = self.occupancy.replicas_by_zone(kept.iter().map(|a| &a.engine));
             let victim = (0..kept.len()).max_by_key(|&index| self.surplus_order(model, &kept[index], &zones));
             let Some(index) = victim else {
                 return;
@@ -168,14 +168,6 @@
         )
     }
 
-    fn replicas_by_zone<'e>(&self, engines: impl Iterator<Item = &'e EngineId>) -> BTreeMap<ZoneId, usize> {
-        let mut zones = BTreeMap::new();
-        for engine in engines.filter_map(|id| self.occupancy.engines.get(id)) {
-            *zones.entry(engine.zone.clone()).or_default() += 1;
-        }
-        zones
-    }
-
     /// Residents beyond `min_replicas` become on-demand.
     fn convert_to_on_demand(&mut self, model: &Model, replicas: &mut Replicas) {
         for index in (0..replicas.kept.len()).rev() {
@@ -269,18 +261,13 @@
         replicas: &Replicas,
         fits: impl Fn(&EngineOccupancy) -> Option<T>,
     ) -> Option<(EngineId, T)> {
-        let zones = self.replicas_by_zone(replicas.engines());
-        let candidates = self.occupancy.engines.iter().filter_map(|(id, engine)| {
-            if !engine.live || replicas.used.contains(id) {
-                return None;
-            }
-            let fitting = fits(engine)?;
-            let in_zone = zones.get(&engine.zone).copied().unwrap_or(0);
-            let cost = engine.pressure_with(model) + self.locality_penalty(id, model);
-            Some(((in_zone, cost, id), fitting))
-        });
-        let (key, fitting) = candidates.min_by(|(left, _), (right, _)| left.cmp(right))?;
-        Some((key.2.clone(), fitting))
+        let spread = ReplicaSpread {
+            taken: &replicas.used,
+            by_zone: self.occupancy.replicas_by_zone(replicas.engines()),
+        };
+        self.occupancy.best_engine(&spread, fits, |id, engine| {
+            engine.pressure_with(model) + self.locality_penalty(id, model)
+        })
     }
 
     fn locality_penalty(&self, engine: &EngineId, model: &Model) -> u64 {
--- a/crates/croftrill-state/src/reconcile.rs
+++ b/crates/croftrill-state/src/reconcile.rs
@@ -18,7 +18,7 @@
 mod acceptance;
 mod assignments;
 mod draft;
-mod engine_room;
+mod holdings;
 mod machines;
 mod moves;
 mod ownership;
--- a/crates/croftrill-state/tests/reconcile.rs
+++ b/crates/croftrill-state/tests/reconcile.rs
@@ -503,6 +503,30 @@
     assert_eq!(residents, 1);
 }
 
+#[test]
+fn a_resident_goes_to_the_emptiest_accelerators_if_the_fullest_are_needed() {
+    let mut world = World::new();
+    world.list_node(node("node", "a"));
+    world.list_engine(engine("engine", "a"));
+    world.settle();
+    world.put_model(model("first", 1, 1, 10));
+    world.settle();
+    world.put_model(Model {
+        accelerators: 2,
+        ..model("wide", 0, 1, 25)
+    });
+    world.settle();
+    world.put_model(model("second", 1, 1, 10));
+    world.settle();
+    let residency = &world.assignments("second")[0].residency;
+    assert_eq!(
+        *residency,
+        Residency::Resident {
+            accelerators: vec![1]
+        }
+    );
+}
+
 #[test]
 fn a_drained_engine_hands_its_models_on_one_by_one() {
     let mut world = two_zones();
