State: plan_repair goes, the coordinator places what plans leave open

Cause: `plan_repair` was called by two tests and an example, by nothing that runs. What its comment promised (places again when machines joined or left) the coordinator's reconciler does.

Its tests ask the same of the reconciler now: a model that found no engine is placed in three zones once engines join, with its resident, and only once (planner_reconcile; the number of residents is new); the event of the property test of plans mixes in the coordinator's plan, which must be accepted. The warning without engines stays asserted in tests/planner. The example measures the coordinator's plan in its place.

--- a/crates/croftrill-state/examples/apply_cost.rs
+++ b/crates/croftrill-state/examples/apply_cost.rs
@@ -6,7 +6,8 @@
 use croftrill_state::configuration::{Adapter, Group, Model, PriorityClass};
 use croftrill_state::entry::{Change, Intent, LogEntry, PlacementStep};
 use croftrill_state::placement::{AssignmentState, Engine, Lifecycle, Node};
-use croftrill_state::planner::{plan, plan_repair, EngineFacts};
+use croftrill_state::planner::{plan, EngineFacts};
+use croftrill_state::reconcile::{Observation, ReconcileConfig, Reconciler};
 use croftrill_state::{ClusterState, EngineId, EntryId, FencingToken, NodeId, PlanId, Term, ZoneId};
 use nanoserde::{DeBin, SerBin};
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,8 +70,8 @@
         let intents = [Intent::PutModel(model(0, REPLICAS + 1))];
         std::hint::black_box(plan(&state, &EngineFacts::default(), &intents)).expect("it can be planned");
     });
-    measure("plan a repair of everything", 10, || {
-        std::hint::black_box(plan_repair(&state, &EngineFacts::default())).expect("it can be planned");
+    measure("plan the coordinator's own changes", 10, || {
+        std::hint::black_box(own_changes(&state)).expect("engines lack owners");
     });
     let mut replicas = REPLICAS;
     measure("plan, confirm and release a change of a model", ROUNDS, || {
@@ -129,6 +130,18 @@
     apply(state, change);
 }
 
+/// What a new coordinator plans, which cannot read the machine list.
+fn own_changes(state: &ClusterState) -> Option<Change> {
+    let mut reconciler = Reconciler::new("cell".into(), ReconcileConfig::default());
+    let observation = Observation {
+        machines: None,
+        alive: &|_| true,
+        leaving: &|_| false,
+        now: croftrill_state::Instant(0),
+    };
+    reconciler.plan(state, &observation)
+}
+
 fn confirm(state: &mut ClusterState, intents: Vec<Intent>) {
     let planned = plan(state, &EngineFacts::default(), &intents).expect("the intents can be planned");
     apply_plan(state, intents, planned.steps);
--- a/crates/croftrill-state/src/planner.rs
+++ b/crates/croftrill-state/src/planner.rs
@@ -217,16 +217,8 @@
     Ok(planned)
 }
 
-/// Plans what the present state leaves open: models with fewer assignments than
-/// they may have, and assignments on engines that are leaving. A coordinator
-/// calls it when machines joined or left.
-pub fn plan_repair(state: &ClusterState, facts: &EngineFacts) -> Result<PlannedChange, PlanError> {
-    let planned = changes::plan_repair(state, facts);
-    require_applicable(state, &[], &planned)?;
-    Ok(planned)
-}
-
-/// The last line of defence: what is offered would also be accepted.
+/// What is offered would also be accepted: a fault of the solver is found here
+/// and not by an operator who confirms the plan.
 fn require_applicable(
     state: &ClusterState,
     intents: &[Intent],
--- a/crates/croftrill-state/src/planner/changes.rs
+++ b/crates/croftrill-state/src/planner/changes.rs
@@ -33,15 +33,6 @@
     planning.finish()
 }
 
-/// Plans every model of the state anew.
-pub(super) fn plan_repair(state: &ClusterState, facts: &EngineFacts) -> PlannedChange {
-    let mut planning = Planning::new(state, state, facts);
-    for model in state.models.keys() {
-        planning.place(model);
-    }
-    planning.finish()
-}
-
 /// Models whose placement the intents may change, in order.
 fn concerned_models(before: &ClusterState, intents: &[Intent]) -> Vec<ModelId> {
     let mut models: Vec<ModelId> = Vec::new();
--- a/crates/croftrill-state/tests/planner.rs
+++ b/crates/croftrill-state/tests/planner.rs
@@ -5,7 +5,7 @@
 use cluster_support::*;
 use croftrill_state::entry::{Intent, PlacementStep};
 use croftrill_state::placement::{Assignment, AssignmentState, Residency};
-use croftrill_state::planner::{plan, plan_repair, EngineFacts, PlanAction, PlannedChange};
+use croftrill_state::planner::{plan, EngineFacts, PlanAction, PlannedChange};
 use croftrill_state::ClusterState;
 use std::collections::BTreeSet;
 
@@ -28,13 +28,9 @@
 
     let placed = assignments(&state, "m");
     let residents = placed.iter().filter(|a| a.residency != Residency::OnDemand);
-    let zones: BTreeSet<String> = placed
-        .iter()
-        .map(|a| state.engines[&a.engine].value.zone.to_string())
-        .collect();
     assert_eq!(placed.len(), 3);
     assert_eq!(residents.count(), 1);
-    assert_eq!(zones.len(), 3);
+    assert_eq!(zones_of(&state, "m").len(), 3);
     assert!(placed.iter().all(|a| a.state == AssignmentState::Active));
 }
 
@@ -324,20 +320,10 @@
 }
 
 #[test]
-fn without_engines_a_model_is_accepted_with_a_warning_and_placed_by_a_repair() {
+fn without_engines_a_model_is_accepted_with_a_warning() {
     let mut state = cluster(vec![node("n1", "z1")], vec![]);
     let planned = plan_and_apply(&mut state, vec![Intent::PutModel(model("m", 1, 3))]);
     assert!(planned
         .warnings
         .contains(&"model m: fits on no engine now; its requests will be refused".to_string()));
-
-    let engines = (1..=3).map(|number| engine(&format!("e{number}"), &format!("z{number}"), 1));
-    apply(&mut state, reconcile(vec![], engines.collect())).unwrap();
-    let repair = plan_repair(&state, &EngineFacts::default()).unwrap();
-    apply_plan(&mut state, vec![], repair.steps).unwrap();
-
-    assert_eq!(assignments(&state, "m").len(), 3);
-    assert_eq!(zones_of(&state, "m").len(), 3);
-    let again = plan_repair(&state, &EngineFacts::default()).unwrap();
-    assert!(again.steps.is_empty(), "a repair is done once: {again:?}");
 }
--- a/crates/croftrill-state/tests/planner_properties.rs
+++ b/crates/croftrill-state/tests/planner_properties.rs
@@ -6,8 +6,9 @@
 use croftrill_state::configuration::Model;
 use croftrill_state::entry::Intent;
 use croftrill_state::placement::{Assignment, AssignmentState, Residency};
-use croftrill_state::planner::{plan, plan_repair, EngineFacts, PlanError};
-use croftrill_state::{ClusterState, Revision};
+use croftrill_state::planner::{plan, EngineFacts, PlanError};
+use croftrill_state::reconcile::{Observation, ReconcileConfig, Reconciler};
+use croftrill_state::{ClusterState, Instant, Revision};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -16,7 +17,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Plan(Vec<Intent>),
-    Repair,
+    /// The coordinator places what the plans left open.
+    Coordinate,
     /// Some releases are confirmed: those whose bit is set.
     Released(u32),
     /// An engine joins, or joins again.
@@ -54,7 +56,7 @@
     ];
     prop_oneof![
         6 => vec(intent, 1..=3).prop_map(Event::Plan),
-        1 => Just(Event::Repair),
+        1 => Just(Event::Coordinate),
         3 => any::<u32>().prop_map(Event::Released),
         1 => (1..=5_u32).prop_map(Event::Joined),
         1 => (1..=5_u32).prop_map(Event::Gone),
@@ -89,6 +91,21 @@
     apply(state, change).expect("the machines are accepted");
 }
 
+/// One plan of a coordinator that cannot read the machine list.
+fn coordinate(state: &mut ClusterState) -> Result<(), TestCaseError> {
+    let mut reconciler = Reconciler::new(CELL.into(), ReconcileConfig::default());
+    let observation = Observation {
+        machines: None,
+        alive: &|_| true,
+        leaving: &|_| false,
+        now: Instant(0),
+    };
+    if let Some(change) = reconciler.plan(state, &observation) {
+        prop_assert_eq!(apply(state, change), Ok(()));
+    }
+    Ok(())
+}
+
 /// Findings about the plan itself, not about the intents, are faults of the
 /// planner.
 fn require_sound(error: &PlanError) -> Result<(), TestCaseError> {
@@ -143,11 +160,7 @@
                     }
                     Err(error) => require_sound(&error)?,
                 },
-                Event::Repair => {
-                    let planned = plan_repair(&state, &EngineFacts::default());
-                    let planned = planned.map_err(|error| TestCaseError::fail(error.to_string()))?;
-                    prop_assert_eq!(apply_plan(&mut state, vec![], planned.steps), Ok(()));
-                }
+                Event::Coordinate => coordinate(&mut state)?,
                 Event::Released(bits) => confirm_releases(&mut state, bits),
                 Event::Joined(number) => change_machines(&mut state, Some(number), None),
                 Event::Gone(number) => change_machines(&mut state, None, Some(number)),
--- a/crates/croftrill-state/tests/planner_reconcile.rs
+++ b/crates/croftrill-state/tests/planner_reconcile.rs
@@ -7,13 +7,14 @@
 use cluster_support::*;
 use croftrill_state::configuration::Model;
 use croftrill_state::entry::Intent;
-use croftrill_state::placement::{Assignment, AssignmentState};
+use croftrill_state::placement::{Assignment, AssignmentState, Residency};
 use croftrill_state::planner::{plan, EngineFacts};
 use croftrill_state::reconcile::{ListedMachines, Observation, ReconcileConfig, Reconciler};
-use croftrill_state::{ClusterState, Instant, NodeId};
+use croftrill_state::{ClusterState, Instant, NodeId, ZoneId};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use std::collections::BTreeSet;
 
 /// More changes than a coordinator needs to come to rest here.
 const MOST_CHANGES: usize = 50;
@@ -90,6 +91,29 @@
     }
 }
 
+#[test]
+fn a_model_that_found_no_engine_is_placed_once_engines_join() {
+    let mut world = World::new(0);
+    assert!(world.operator(vec![Intent::PutModel(model("m", 1, 3))]));
+    assert_eq!(world.state.all_assignments().count(), 0);
+    for number in 1..=3 {
+        let joined = engine(&format!("e{number}"), &format!("z{number}"), 1);
+        world.machines.engines.insert(joined.id.clone(), joined);
+    }
+    assert_eq!(world.coordinate(), Ok(()));
+
+    let assignments: Vec<&Assignment> = world.state.all_assignments().collect();
+    let zones: BTreeSet<&ZoneId> = assignments
+        .iter()
+        .map(|assignment| &world.state.engines[&assignment.engine].value.zone)
+        .collect();
+    let residents = assignments.iter().filter(|a| a.residency != Residency::OnDemand);
+    assert_eq!((assignments.len(), zones.len(), residents.count()), (3, 3, 1));
+    let head = world.state.revision;
+    assert_eq!(world.coordinate(), Ok(()));
+    assert_eq!(world.state.revision, head, "it is done once");
+}
+
 #[test]
 fn a_deleted_model_does_not_stop_the_coordinator() {
     let mut world = World::new(3);
