--- a/crates/croftrill-state/tests/claims.rs
+++ b/crates/croftrill-state/tests/claims.rs
@@ -1,96 +1,17 @@
-//! The rules of claims one by one, on tables driven by hand.
+//! The rules of claims one by one, on tables driven by hand. Those of hand-overs
+//! are in `claims_hand_over`.
 
+mod claims_support;
+
+use claims_support::*;
 use croftrill_state::claims::{
-    may_change_ring, ClaimConfig, ClaimHandOver, ClaimHolder, ClaimOutcome, ClaimRecord, ClaimRequest,
-    ClaimResult, ClaimRing, ClaimTable, FinishOutcome, HandOverEnd, HandOverOutcome,
+    may_change_ring, ClaimConfig, ClaimHolder, ClaimOutcome, ClaimResult, ClaimRing, ClaimTable,
+    FinishOutcome,
 };
-use croftrill_state::membership::{Health, MemberView, MembershipView};
-use croftrill_state::{IdempotencyKey, Instant, NodeId, RequestId, Revision};
+use croftrill_state::membership::MembershipView;
+use croftrill_state::{IdempotencyKey, NodeId, Revision};
 use std::collections::BTreeSet;
 
-const START: Instant = Instant(1_000_000);
-const FIRST: RequestId = RequestId(1);
-const SECOND: RequestId = RequestId(2);
-
-fn config() -> ClaimConfig {
-    ClaimConfig::default()
-}
-
-fn ring(version: u64, nodes: &[&str]) -> ClaimRing {
-    ClaimRing {
-        revision: Revision(version * 10),
-        version,
-        nodes: nodes.iter().map(|node| NodeId::from(*node)).collect(),
-        former: Vec::new(),
-    }
-}
-
-fn following(ring_before: &ClaimRing, nodes: &[&str]) -> ClaimRing {
-    ClaimRing {
-        former: vec![ring_before.to_former()],
-        ..ring(ring_before.version + 1, nodes)
-    }
-}
-
-/// What `local` knows if it heard from all others now, with their heads.
-fn view(local: &str, head: u64, now: Instant, others: &[(&str, u64)]) -> MembershipView {
-    let members = others.iter().map(|(node, head)| {
-        let member = MemberView {
-            address: String::new(),
-            health: Health::Alive,
-            heard_at: Some(now),
-            head: Revision(*head),
-            caught_up: true,
-        };
-        (NodeId::from(*node), member)
-    });
-    MembershipView {
-        local: NodeId::from(local),
-        taken_at: now,
-        members: members.collect(),
-        head: Revision(head),
-    }
-}
-
-fn table_of(node: &str, instance: u64, witnessed_no_ring: bool, first: &ClaimRing) -> ClaimTable {
-    let holder = ClaimHolder {
-        node: NodeId::from(node),
-        instance,
-        witnessed_no_ring,
-    };
-    let mut table = ClaimTable::new(config(), holder);
-    table.observe_ring(first.clone(), &MembershipView::default(), START);
-    table
-}
-
-/// A key that `ring` gives to `node`.
-fn key_of(ring: &ClaimRing, node: &str) -> IdempotencyKey {
-    key_where(|key| ring.holder(key) == Some(&NodeId::from(node)))
-}
-
-fn key_where(accepts: impl Fn(&IdempotencyKey) -> bool) -> IdempotencyKey {
-    (0..10_000)
-        .map(|number| IdempotencyKey(format!("key-{number}")))
-        .find(accepts)
-        .expect("some key is accepted")
-}
-
-fn request(key: &IdempotencyKey, request: RequestId, ring: &ClaimRing) -> ClaimRequest {
-    ClaimRequest {
-        key: key.clone(),
-        request,
-        revision: ring.revision,
-    }
-}
-
-fn unknown_for(retry_after_millis: u64) -> ClaimOutcome {
-    ClaimOutcome::HistoryUnknown { retry_after_millis }
-}
-
-fn is_unknown(outcome: &ClaimOutcome) -> bool {
-    matches!(outcome, ClaimOutcome::HistoryUnknown { .. })
-}
-
 /// One node that saw the log empty, with its ring and a key.
 fn single() -> (ClaimTable, ClaimRing, IdempotencyKey) {
     let ring = ring(1, &["a"]);
@@ -241,9 +162,7 @@
 fn the_time_of_a_change_counts_from_when_half_of_the_former_ring_knows() {
     let first = ring(1, &["a", "b", "c", "d"]);
     let second = following(&first, &["b", "c", "d"]);
-    let key = key_where(|key| {
-        first.holder(key) == Some(&NodeId::from("a")) && second.holder(key) == Some(&NodeId::from("b"))
-    });
+    let key = moving_key(&first, &second, "a", "b");
     let mut table = table_of("b", 1, true, &first);
     let seen = view("b", 10, START, &[("c", 10), ("d", 10)]);
     table.observe_ring(second.clone(), &seen, START);
@@ -283,9 +202,7 @@
 fn a_former_holder_stops_a_window_before_its_successor_starts() {
     let first = ring(1, &["a", "b", "c"]);
     let second = following(&first, &["b", "c"]);
-    let key = key_where(|key| {
-        first.holder(key) == Some(&NodeId::from("a")) && second.holder(key) == Some(&NodeId::from("b"))
-    });
+    let key = moving_key(&first, &second, "a", "b");
     let mut former = table_of("a", 1, true, &first);
     let mut successor = table_of("b", 2, true, &first);
     // The former holder hears from `c` for the last time, then `c` learns of the
@@ -312,224 +229,6 @@
     assert!(started_at.millis_since(stopped_at) >= config().window_millis);
 }
 
-/// Node `a` gives way to `b`, and holds one claim.
-struct Move {
-    first: ClaimRing,
-    second: ClaimRing,
-    former: ClaimTable,
-    successor: ClaimTable,
-    key: IdempotencyKey,
-}
-
-impl Move {
-    fn new(former_knows: bool, former_hears: bool) -> Self {
-        let first = ring(1, &["a", "c"]);
-        let second = following(&first, &["b", "c"]);
-        let key = key_where(|key| {
-            first.holder(key) == Some(&NodeId::from("a")) && second.holder(key) == Some(&NodeId::from("b"))
-        });
-        let mut former = table_of("a", 1, former_knows, &first);
-        let mut successor = table_of("b", 2, false, &first);
-        let heard: &[(&str, u64)] = &[("b", 10), ("c", 10)];
-        former.claim(&request(&key, FIRST, &first), &view("a", 10, START, heard), START);
-        let heard_by_former = if former_hears { heard } else { &[] };
-        former.observe_ring(second.clone(), &view("a", 10, START, heard_by_former), START);
-        successor.observe_ring(second.clone(), &view("b", 10, START, heard), START);
-        Self {
-            first,
-            second,
-            former,
-            successor,
-            key,
-        }
-    }
-
-    fn part(&mut self, now: Instant) -> Option<ClaimHandOver> {
-        self.former.next_hand_over(&NodeId::from("b"), now)
-    }
-
-    fn deliver(&mut self, part: &ClaimHandOver, now: Instant) -> HandOverOutcome {
-        let outcome = self.successor.receive_hand_over(part, now);
-        self.former
-            .take_hand_over_outcome(&NodeId::from("b"), part, outcome);
-        outcome
-    }
-
-    fn hand_over(&mut self, now: Instant) {
-        while let Some(part) = self.part(now) {
-            self.deliver(&part, now);
-        }
-    }
-
-    fn claim(&mut self, key: &IdempotencyKey, id: RequestId, now: Instant) -> ClaimOutcome {
-        let seen = view("b", 20, now, &[("a", 20), ("c", 20)]);
-        self.successor.claim(&request(key, id, &self.second), &seen, now)
-    }
-
-    /// Another key that moves from `a` to `b`.
-    fn unused_key(&self) -> IdempotencyKey {
-        key_where(|key| {
-            let moves = self.first.holder(key) == Some(&NodeId::from("a"));
-            moves && self.second.holder(key) == Some(&NodeId::from("b")) && *key != self.key
-        })
-    }
-}
-
-#[test]
-fn a_hand_over_makes_the_history_known_at_once() {
-    let mut moved = Move::new(true, true);
-    let unused = moved.unused_key();
-    assert!(is_unknown(&moved.claim(&unused, SECOND, START)));
-    moved.hand_over(START);
-    assert_eq!(moved.claim(&unused, SECOND, START), ClaimOutcome::Granted);
-    let key = moved.key.clone();
-    let taken = moved.claim(&key, SECOND, START);
-    assert!(matches!(taken, ClaimOutcome::Taken { by: FIRST, .. }));
-    // The request whose grant was lost asks the new holder.
-    assert_eq!(moved.claim(&key, FIRST, START), ClaimOutcome::Granted);
-    assert!(!moved.former.hand_over_targets().contains(&NodeId::from("b")));
-}
-
-#[test]
-fn a_former_holder_that_did_not_know_vouches_for_nothing() {
-    for (knows, hears) in [(false, true), (true, false)] {
-        let mut moved = Move::new(knows, hears);
-        let unused = moved.unused_key();
-        moved.hand_over(START);
-        assert!(!moved.former.hand_over_targets().contains(&NodeId::from("b")));
-        let outcome = moved.claim(&unused, SECOND, START);
-        assert!(is_unknown(&outcome), "knows={knows} hears={hears} {outcome:?}");
-    }
-}
-
-#[test]
-fn a_hand_over_to_an_earlier_process_is_refused() {
-    let mut moved = Move::new(true, true);
-    let ask = moved.part(START).expect("a hand-over is owed");
-    let outcome = moved.deliver(&ask, START);
-    assert_eq!(outcome, HandOverOutcome::OtherInstance { instance: 2 });
-    let mut part = moved.part(START).expect("a hand-over is owed");
-    part.to_instance = 1;
-    assert_eq!(
-        moved.successor.receive_hand_over(&part, START),
-        HandOverOutcome::OtherInstance { instance: 2 }
-    );
-}
-
-#[test]
-fn a_hand_over_whose_end_was_sent_does_not_go_on_to_the_next_process() {
-    let mut moved = Move::new(true, true);
-    let ask = moved.part(START).expect("a hand-over is owed");
-    moved.deliver(&ask, START);
-    let end = moved.part(START).expect("a hand-over is owed");
-    assert!(end.end.is_some());
-    // The first process got it, granted keys by it, and died before it answered.
-    let target = NodeId::from("b");
-    let other = HandOverOutcome::OtherInstance { instance: 3 };
-    moved.former.take_hand_over_outcome(&target, &end, other);
-    assert!(!moved.former.hand_over_targets().contains(&NodeId::from("b")));
-}
-
-#[test]
-fn a_hand_over_with_missing_parts_is_started_again() {
-    let mut moved = Move::new(true, true);
-    let ask = moved.part(START).expect("a hand-over is owed");
-    moved.deliver(&ask, START);
-    let whole = moved.part(START).expect("a hand-over is owed");
-    let without_records = ClaimHandOver {
-        records: Vec::new(),
-        ..whole.clone()
-    };
-    assert_eq!(whole.records.len(), 1);
-    assert_eq!(
-        moved.deliver(&without_records, START),
-        HandOverOutcome::Incomplete
-    );
-    let unused = moved.unused_key();
-    assert!(is_unknown(&moved.claim(&unused, SECOND, START)));
-    assert_eq!(moved.part(START), Some(whole));
-    moved.hand_over(START);
-    assert_eq!(moved.claim(&unused, SECOND, START), ClaimOutcome::Granted);
-}
-
-#[test]
-fn a_hand_over_is_given_up_before_the_successor_may_start_alone() {
-    let mut moved = Move::new(true, true);
-    let limit = config().hand_over_millis();
-    assert!(limit < config().window_millis);
-    assert!(moved.part(START + (limit - 1)).is_some());
-    assert!(moved.part(START + limit).is_none());
-}
-
-#[test]
-fn a_hand_over_by_an_unknown_change_is_refused() {
-    let mut moved = Move::new(true, true);
-    let part = ClaimHandOver {
-        from: NodeId::from("a"),
-        from_revision: Revision(10),
-        to_revision: Revision(30),
-        to_instance: 2,
-        records: Vec::new(),
-        end: Some(HandOverEnd {
-            total: 0,
-            complete: true,
-        }),
-    };
-    let early = moved.successor.receive_hand_over(&part, START);
-    assert_eq!(early, HandOverOutcome::TryLater);
-    let stranger = ClaimHandOver {
-        from: NodeId::from("x"),
-        to_revision: Revision(20),
-        ..part
-    };
-    let refused = moved.successor.receive_hand_over(&stranger, START);
-    assert_eq!(refused, HandOverOutcome::Rejected);
-}
-
-#[test]
-fn a_late_record_does_not_undo_what_the_new_holder_knows() {
-    let mut moved = Move::new(true, true);
-    let key = moved.key.clone();
-    let ask = moved.part(START).expect("a hand-over is owed");
-    moved.deliver(&ask, START);
-    let part = moved.part(START).expect("a hand-over is owed");
-    moved.deliver(&part, START);
-    moved.successor.finish(&key, FIRST, ClaimResult::NotRun, START);
-    assert_eq!(
-        moved.successor.receive_hand_over(&part, START),
-        HandOverOutcome::Recorded
-    );
-    assert_eq!(moved.claim(&key, SECOND, START), ClaimOutcome::Granted);
-    assert_eq!(
-        moved.successor.receive_hand_over(&part, START),
-        HandOverOutcome::Recorded
-    );
-    let third = moved.claim(&key, RequestId(3), START);
-    assert!(matches!(third, ClaimOutcome::Taken { by: SECOND, .. }));
-}
-
-#[test]
-fn a_record_keeps_its_age_when_it_moves() {
-    let mut moved = Move::new(true, true);
-    let key = moved.key.clone();
-    let ask = moved.part(START).expect("a hand-over is owed");
-    moved.deliver(&ask, START);
-    let later = START + 1_000;
-    let part = moved.part(later).expect("a hand-over is owed");
-    let record = ClaimRecord {
-        key: key.clone(),
-        request: FIRST,
-        result: None,
-        age_millis: 1_000,
-    };
-    assert_eq!(part.records, vec![record]);
-    moved.deliver(&part, later);
-    let window = config().window_millis;
-    let early = moved.claim(&key, SECOND, START + (window - 1));
-    assert!(matches!(early, ClaimOutcome::Taken { by: FIRST, .. }));
-    assert_eq!(moved.claim(&key, SECOND, START + window), ClaimOutcome::Granted);
-}
-
 #[test]
 fn a_full_holder_refuses_new_keys_and_forgets_none() {
     let ring = ring(1, &["a"]);
