State: one rule for who owns an engine

Cause: the planner, which gives away a drained node's engines, and the coordinator, which replaces dead owners, each counted engines by owner and chose by the same order: own zone, fewest engines, name.

`engine_owners` holds both. Engines without a usable owner are called so instead of orphans.

--- a/crates/croftrill-state/src/lib.rs
+++ b/crates/croftrill-state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod configuration;
 pub mod engine_memory;
+mod engine_owners;
 pub mod entry;
 pub mod identifiers;
 pub mod load_admission;
--- a/crates/croftrill-state/src/planner/changes.rs
+++ b/crates/croftrill-state/src/planner/changes.rs
@@ -4,9 +4,10 @@
 use super::placing::{ModelPlacement, Placer};
 use super::{EngineFacts, PlanAction, PlannedChange};
 use crate::configuration::Model;
+use crate::engine_owners;
 use crate::entry::{Intent, PlacementStep};
 use crate::identifiers::{EngineId, ModelId, NodeId};
-use crate::placement::{Assignment, AssignmentState, Engine, Lifecycle, Residency};
+use crate::placement::{Assignment, AssignmentState, Lifecycle, Residency};
 use crate::ClusterState;
 use std::collections::BTreeMap;
 
@@ -213,17 +214,19 @@
 
     /// Gives the engines of a drained node to other nodes.
     fn give_engines_away(&mut self, leaving: &NodeId) {
-        let mut load = self.engines_by_owner();
+        let nodes = self.wanted.nodes.values().map(|found| &found.value);
+        let engines = self.wanted.engines.values().map(|found| &found.value);
+        let live = nodes.filter(|node| node.lifecycle == Lifecycle::Live);
+        let mut candidates = engine_owners::candidates(live, engines);
         let owned = self.wanted.engines.values().map(|found| &found.value);
         for engine in owned.filter(|engine| engine.owner.as_ref() == Some(leaving)) {
-            let Some(owner) = self.choose_owner(engine, &load) else {
+            let Some(owner) = engine_owners::choose_owner(&mut candidates, engine) else {
                 self.warnings.push(format!(
                     "engine {}: no other live node can own it; its models will not be served",
                     engine.id
                 ));
                 continue;
             };
-            *load.entry(owner.clone()).or_default() += 1;
             self.actions.push(PlanAction::ChangeOwner {
                 engine: engine.id.clone(),
                 owner: owner.clone(),
@@ -235,28 +238,6 @@
         }
     }
 
-    fn engines_by_owner(&self) -> BTreeMap<NodeId, usize> {
-        let mut load = BTreeMap::new();
-        for engine in self.wanted.engines.values() {
-            if let Some(owner) = &engine.value.owner {
-                *load.entry(owner.clone()).or_default() += 1;
-            }
-        }
-        load
-    }
-
-    /// A live node of the engine's cell, best of its zone, with few engines.
-    fn choose_owner(&self, engine: &Engine, load: &BTreeMap<NodeId, usize>) -> Option<NodeId> {
-        let nodes = self.wanted.nodes.values().map(|found| &found.value);
-        nodes
-            .filter(|node| node.lifecycle == Lifecycle::Live && node.cell == engine.cell)
-            .min_by_key(|node| {
-                let engines = load.get(&node.id).copied().unwrap_or(0);
-                (node.zone != engine.zone, engines, &node.id)
-            })
-            .map(|node| node.id.clone())
-    }
-
     fn finish(mut self) -> PlannedChange {
         self.warn_of_pressure();
         let mut steps = self.releases;
--- a/crates/croftrill-state/src/reconcile/moves.rs
+++ b/crates/croftrill-state/src/reconcile/moves.rs
@@ -7,8 +7,9 @@
 //! another one; each move makes one of the two rarer, so moves come to an end.
 
 use super::draft::Draft;
-use super::ownership::{candidates, Candidate};
+use super::ownership::candidates;
 use super::{lasted, Observation, Reconciler};
+use crate::engine_owners::OwnerCandidate;
 use crate::entry::PlacementStep;
 use crate::identifiers::NodeId;
 use crate::placement::{Engine, Lifecycle};
@@ -21,7 +22,7 @@
         let now = observation.now;
         let pause = self.config.between_moves_millis;
         let paused = self.moved_at.is_some_and(|at| now.millis_since(at) < pause);
-        if paused || !draft.has_room(1) || !self.orphans(draft, observation).is_empty() {
+        if paused || !draft.has_room(1) || !self.without_owner(draft, observation).is_empty() {
             return;
         }
         let steady = self.steady_candidates(draft, observation);
@@ -35,7 +36,7 @@
         }
     }
 
-    fn steady_candidates(&self, draft: &Draft, observation: &Observation) -> Vec<Candidate> {
+    fn steady_candidates(&self, draft: &Draft, observation: &Observation) -> Vec<OwnerCandidate> {
         let patience = self.config.steady_node_millis;
         let mut steady = candidates(draft, observation);
         steady.retain(|candidate| lasted(&self.alive_since, &candidate.id, patience, observation.now));
@@ -43,7 +44,7 @@
     }
 }
 
-fn better_owner(engine: &Engine, steady: &[Candidate]) -> Option<NodeId> {
+fn better_owner(engine: &Engine, steady: &[OwnerCandidate]) -> Option<NodeId> {
     let present = steady.iter().find(|c| Some(&c.id) == engine.owner.as_ref())?;
     let same_zone = || steady.iter().filter(|c| c.zone == engine.zone);
     let best_of_zone = same_zone().min_by_key(|c| (c.owned, &c.id));
--- a/crates/croftrill-state/src/reconcile/ownership.rs
+++ b/crates/croftrill-state/src/reconcile/ownership.rs
@@ -3,47 +3,35 @@
 
 use super::draft::Draft;
 use super::{lasted, Observation, Reconciler};
+use crate::engine_owners::{self, choose_owner, OwnerCandidate};
 use crate::entry::PlacementStep;
-use crate::identifiers::{CellId, EngineId, NodeId, ZoneId};
-use crate::placement::{Lifecycle, Node};
+use crate::identifiers::{CellId, NodeId};
+use crate::placement::{Engine, Lifecycle, Node};
 use std::collections::BTreeMap;
 
-/// A node that may own engines.
-pub(super) struct Candidate {
-    pub(super) id: NodeId,
-    pub(super) zone: ZoneId,
-    pub(super) owned: usize,
-}
-
-/// An engine without a usable owner.
-pub(super) struct Orphan {
-    id: EngineId,
-    zone: ZoneId,
-}
-
 impl Reconciler {
     pub(super) fn draft_owners(&self, draft: &mut Draft, observation: &Observation) {
-        let orphans = self.orphans(draft, observation);
-        if orphans.is_empty() {
+        let unowned = self.without_owner(draft, observation);
+        if unowned.is_empty() {
             return;
         }
         let mut candidates = candidates(draft, observation);
-        for orphan in orphans {
+        for engine in unowned {
             if !draft.has_room(1) {
                 return;
             }
-            let Some(chosen) = choose(&mut candidates, &orphan) else {
+            let Some(owner) = choose_owner(&mut candidates, &engine) else {
                 return;
             };
-            chosen.owned += 1;
             draft.step(PlacementStep::SetOwner {
-                engine: orphan.id,
-                owner: chosen.id.clone(),
+                engine: engine.id,
+                owner,
             });
         }
     }
 
-    pub(super) fn orphans(&self, draft: &Draft, observation: &Observation) -> Vec<Orphan> {
+    /// Engines of the cell without a usable owner.
+    pub(super) fn without_owner(&self, draft: &Draft, observation: &Observation) -> Vec<Engine> {
         let nodes: BTreeMap<&NodeId, &Node> = draft.nodes().map(|node| (&node.id, node)).collect();
         draft
             .engines()
@@ -52,10 +40,7 @@
                 let owner = engine.owner.as_ref().and_then(|id| nodes.get(id));
                 !owner.is_some_and(|node| self.keeps_engines(node, &draft.cell, observation))
             })
-            .map(|engine| Orphan {
-                id: engine.id.clone(),
-                zone: engine.zone.clone(),
-            })
+            .cloned()
             .collect()
     }
 
@@ -70,28 +55,12 @@
     }
 }
 
-pub(super) fn candidates(draft: &Draft, observation: &Observation) -> Vec<Candidate> {
-    let mut owned: BTreeMap<&NodeId, usize> = BTreeMap::new();
-    for owner in draft.engines().filter_map(|engine| engine.owner.as_ref()) {
-        *owned.entry(owner).or_default() += 1;
-    }
-    draft
+/// The live nodes of the cell that answer.
+pub(super) fn candidates(draft: &Draft, observation: &Observation) -> Vec<OwnerCandidate> {
+    let usable = draft
         .nodes()
         .filter(|node| node.cell == draft.cell)
         .filter(|node| node.lifecycle == Lifecycle::Live)
-        .filter(|node| (observation.alive)(&node.id))
-        .map(|node| Candidate {
-            id: node.id.clone(),
-            zone: node.zone.clone(),
-            owned: owned.get(&node.id).copied().unwrap_or(0),
-        })
-        .collect()
-}
-
-fn choose<'a>(candidates: &'a mut [Candidate], orphan: &Orphan) -> Option<&'a mut Candidate> {
-    candidates.iter_mut().min_by(|left, right| {
-        let left_key = (left.zone != orphan.zone, left.owned, &left.id);
-        let right_key = (right.zone != orphan.zone, right.owned, &right.id);
-        left_key.cmp(&right_key)
-    })
+        .filter(|node| (observation.alive)(&node.id));
+    engine_owners::candidates(usable, draft.engines())
 }
