State: plainer names, and what the fields of the state machines mean

Cause: read as a newcomer. Two modules were called reconcile, the one of the engine's memory takes in inventories and is called so; replicas that take no new work were yielding and are draining; items that cannot be served in time were hopeless; the speed of the weight store had news. Fields whose meaning had to be guessed (membership's round and listening, progress of a hand-over, leases of loads) say it. A comment about an argument that is gone is corrected. No behaviour changes.

--- a/crates/croftrill-state/src/claims.rs
+++ b/crates/croftrill-state/src/claims.rs
@@ -64,6 +64,7 @@
     pub witnessed_no_ring: bool,
 }
 
+/// Names a hand-over to this node: who sends it, by which change of the ring.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct IncomingId {
     from: NodeId,
@@ -77,6 +78,7 @@
     holder: ClaimHolder,
     history: RingHistory,
     records: ClaimRecords,
+    /// Keys received so far of each hand-over that has not ended.
     incoming: BTreeMap<IncomingId, BTreeSet<IdempotencyKey>>,
     outgoing: Vec<OutgoingHandOver>,
 }
--- a/crates/croftrill-state/src/claims/authority.rs
+++ b/crates/croftrill-state/src/claims/authority.rs
@@ -34,9 +34,9 @@
 
 /// Whether the coordinator of a cell may change its ring now: it must hear from
 /// a majority of the nodes that the present ring has. Otherwise the new ring may
-/// be one that nobody confirms, whose keys are refused for long. Nodes in `gone`, whose
-/// machines the platform itself reports as stopped, grant nothing any more and
-/// do not count.
+/// be one that nobody confirms, whose keys are refused for long. Nodes in `gone`,
+/// whose machines the platform itself reports as stopped, grant nothing any more
+/// and do not count.
 pub fn may_change_ring(
     view: &MembershipView,
     ring: &ClaimRing,
--- a/crates/croftrill-state/src/claims/config.rs
+++ b/crates/croftrill-state/src/claims/config.rs
@@ -6,8 +6,9 @@
     /// A key stays taken for so long after its grant.
     pub window_millis: u64,
     /// A holder grants only if it heard within this time from a majority of its
-    /// ring, none of which was ahead of it in the log. With one ping a period, a node of `n` hears from a majority in
-    /// about `n / 3` periods, which this must exceed.
+    /// ring, none of which was ahead of it in the log. With one ping a period, a
+    /// node of `n` hears from a majority in about `n / 3` periods, which this
+    /// must exceed.
     pub authority_millis: u64,
     /// Age that a probe may have when it is read.
     pub probe_delay_millis: u64,
--- a/crates/croftrill-state/src/claims/outgoing.rs
+++ b/crates/croftrill-state/src/claims/outgoing.rs
@@ -23,9 +23,13 @@
 /// How far a hand-over is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Progress {
+    /// The receiving process; 0 until it is known.
     instance: u64,
+    /// Records that the receiver has.
     sent: usize,
+    /// Whether the last part was sent, answered or not.
     end_sent: bool,
+    /// Whether nothing more is to be sent.
     pub(super) over: bool,
 }
 
@@ -60,7 +64,7 @@
         }
     }
 
-    /// Takes the answer to a part of `count` records.
+    /// Takes the receiver's answer to a part.
     pub(super) fn take_outcome(&mut self, part: &ClaimHandOver, outcome: HandOverOutcome) {
         match outcome {
             HandOverOutcome::Recorded => {
--- a/crates/croftrill-state/src/cluster/steps.rs
+++ b/crates/croftrill-state/src/cluster/steps.rs
@@ -8,6 +8,7 @@
 use crate::entry::PlacementStep;
 use crate::identifiers::{EngineId, FencingToken, ModelId, NodeId, Revision};
 use crate::placement::{Assignment, AssignmentState};
+use std::collections::BTreeMap;
 
 impl ClusterState {
     pub(super) fn apply_steps(
@@ -174,8 +175,9 @@
     }
 }
 
+/// Removes one entry, and the model's map with its last one.
 fn remove_inner<T>(
-    by_model: &mut std::collections::BTreeMap<ModelId, std::collections::BTreeMap<EngineId, T>>,
+    by_model: &mut BTreeMap<ModelId, BTreeMap<EngineId, T>>,
     model: &ModelId,
     engine: &EngineId,
 ) {
--- a/crates/croftrill-state/src/engine_memory.rs
+++ b/crates/croftrill-state/src/engine_memory.rs
@@ -17,9 +17,9 @@
 mod estimate;
 mod eviction;
 mod held;
+mod inventory;
 mod load_time;
 mod orders;
-mod reconcile;
 mod releases;
 mod types;
 
@@ -46,9 +46,12 @@
 /// What one engine holds and should hold.
 pub struct EngineMemory {
     config: MemoryConfig,
+    /// Memory of each accelerator, in MiB.
     capacity: Vec<u64>,
+    /// What the log lets the engine hold.
     assigned: BTreeMap<ModelId, AssignedModel>,
     adapters: BTreeMap<AdapterId, Adapter>,
+    /// What the engine holds, is told to hold, or may hold.
     replicas: BTreeMap<ModelId, Replica>,
     /// The releases that are under way.
     releases: BTreeMap<ModelId, LearnedRelease>,
@@ -59,8 +62,10 @@
     awaited: BTreeMap<Target, Instant>,
     cached_in_memory: BTreeSet<ModelId>,
     cached_on_disk: BTreeSet<ModelId>,
+    /// Requests of a former owner still run.
     others_running: bool,
     load_time: LoadTimeEstimator,
+    /// Numbers inventories and changes in the order in which they were started.
     sequence: u64,
     /// When a decision that was only too early should be looked at again.
     revisit_at: Option<Instant>,
@@ -163,7 +168,7 @@
             return false;
         };
         let base_usable = replica.phase == Phase::Loaded
-            && !replica.yielding
+            && !replica.draining
             && assigned.state == AssignmentState::Active
             && replica.version == assigned.model.version;
         base_usable && self.adapter_usable(target, replica)
--- a/crates/croftrill-state/src/engine_memory/decide.rs
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -2,7 +2,7 @@
 
 use super::eviction::Room;
 use super::held::{Phase, Replica, Usage};
-use super::reconcile::base_of;
+use super::inventory::base_of;
 use super::{AssignedModel, Demand, EngineMemory, MemoryAction, UnloadReason};
 use crate::cluster::Target;
 use crate::configuration::{Model, PriorityClass};
@@ -23,7 +23,7 @@
         self.awaited.retain(|_, until| *until > now);
         let mut actions = Vec::new();
         for replica in self.replicas.values_mut() {
-            replica.yielding = false;
+            replica.draining = false;
         }
         self.unload_undecided(now, &mut actions);
         self.load_residents(now, &mut actions);
@@ -254,7 +254,7 @@
 
     fn stop_new_work(&mut self, id: &ModelId) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.yielding = true;
+            replica.draining = true;
         }
     }
 
--- a/crates/croftrill-state/src/engine_memory/estimate.rs
+++ b/crates/croftrill-state/src/engine_memory/estimate.rs
@@ -38,7 +38,7 @@
 
     fn base_wake_millis(&self, assigned: &AssignedModel, now: Instant) -> u64 {
         let model = &assigned.model;
-        let current = |replica: &&Replica| replica.version == model.version && !replica.yielding;
+        let current = |replica: &&Replica| replica.version == model.version && !replica.draining;
         match self.replicas.get(&model.id).filter(current) {
             Some(replica) if replica.phase == Phase::Loaded => 0,
             Some(replica) if matches!(replica.phase, Phase::Loading | Phase::Reserved) => {
--- a/crates/croftrill-state/src/engine_memory/held.rs
+++ b/crates/croftrill-state/src/engine_memory/held.rs
@@ -53,7 +53,7 @@
     /// When the load is expected to be done.
     pub(super) expected_at: Instant,
     /// No new work: it is to make room.
-    pub(super) yielding: bool,
+    pub(super) draining: bool,
     pub(super) adapters: BTreeMap<AdapterId, AdapterReplica>,
 }
 
@@ -69,7 +69,7 @@
             hold_until: now,
             loaded_at: now,
             expected_at,
-            yielding: false,
+            draining: false,
             adapters: BTreeMap::new(),
         }
     }
@@ -91,7 +91,7 @@
             hold_until: now,
             loaded_at: now,
             expected_at,
-            yielding: false,
+            draining: false,
             adapters: BTreeMap::new(),
         }
     }
--- a/crates/croftrill-state/src/engine_memory/orders.rs
+++ b/crates/croftrill-state/src/engine_memory/orders.rs
@@ -2,7 +2,7 @@
 //! unload.
 
 use super::held::{AdapterReplica, Phase, Replica};
-use super::reconcile::base_of;
+use super::inventory::base_of;
 use super::{EngineMemory, MemoryAction, UnloadReason};
 use crate::cluster::Target;
 use crate::configuration::{Adapter, Model};
--- a/crates/croftrill-state/src/load_admission.rs
+++ b/crates/croftrill-state/src/load_admission.rs
@@ -59,18 +59,22 @@
     model: ModelId,
 }
 
+/// A load that holds a permit.
 #[derive(Clone, Debug)]
 struct RunningLoad {
     remote_mib: u64,
     started: Instant,
+    /// When its owner last asked for it, which its lease counts from.
     renewed: Instant,
 }
 
+/// A load whose owner was told to ask again.
 #[derive(Clone, Debug)]
 struct WaitingLoad {
     remote_mib: u64,
     deadline: Instant,
     first_asked: Instant,
+    /// Its owner no longer wants it if it has not asked again until then.
     forget_after: Instant,
 }
 
@@ -83,8 +87,10 @@
     running: BTreeMap<LoadKey, RunningLoad>,
     waiting: BTreeMap<LoadKey, WaitingLoad>,
     created: Instant,
+    /// Whether loads that an earlier coordinator granted may still run.
     earlier_coordinator: bool,
-    last_news: Option<Instant>,
+    /// When a load's end last told the store's speed.
+    last_measured: Option<Instant>,
 }
 
 impl LoadAdmission {
@@ -116,7 +122,7 @@
             waiting: BTreeMap::new(),
             created: now,
             earlier_coordinator,
-            last_news: None,
+            last_measured: None,
         }
     }
 
@@ -183,7 +189,7 @@
         self.running.remove(&load_key(engine, model));
         if succeeded && remote_mib > 0 {
             self.speed.observe(remote_mib, duration_millis);
-            self.last_news = Some(now);
+            self.last_measured = Some(now);
         }
     }
 
@@ -227,7 +233,7 @@
             .map(|load| RunningEvidence {
                 remote_mib: load.remote_mib,
                 elapsed_millis: now.millis_since(load.started),
-                overtaken: self.last_news.is_some_and(|news| news > load.started),
+                overtaken: self.last_measured.is_some_and(|at| at > load.started),
             })
             .collect()
     }
@@ -296,7 +302,7 @@
     /// Without it, an estimate that is too slow would never be corrected: no
     /// load would seem worth starting.
     fn probe_is_due(&self, now: Instant) -> bool {
-        let quiet_since = self.last_news.unwrap_or(self.created);
+        let quiet_since = self.last_measured.unwrap_or(self.created);
         self.running.is_empty() && now.millis_since(quiet_since) >= self.config.probe_interval_millis
     }
 
--- a/crates/croftrill-state/src/membership.rs
+++ b/crates/croftrill-state/src/membership.rs
@@ -85,15 +85,20 @@
     pub incarnation: u64,
 }
 
+/// What this node knows of another.
 #[derive(Debug)]
 struct Member {
     address: String,
     incarnation: u64,
     health: Health,
+    /// Since when its health counts; a suspicion starts anew after a pause here.
     changed_at: Instant,
+    /// When a datagram of its own last proved that it runs.
     heard_at: Option<Instant>,
+    /// The last revision that it was heard to have applied.
     head: Revision,
     caught_up: bool,
+    /// Whether the cluster state lists it.
     listed: bool,
 }
 
@@ -105,19 +110,28 @@
     random: SmallRng,
     members: BTreeMap<NodeId, Member>,
     updates: UpdateQueue,
+    /// Members that are still to be pinged before a new round is shuffled.
     round: Vec<NodeId>,
     pending: Option<PendingPing>,
+    /// Pings sent for others, by their sequence numbers here.
     relays: BTreeMap<u64, Relay>,
     next_sequence: u64,
+    /// Periods since the start.
     periods: u64,
     period_started_at: Instant,
     ticked_at: Instant,
+    /// Only what was heard since then counts: the start, or the end of a pause.
     listening_since: Instant,
+    /// Pings before this one were sent before the last pause.
     listening_from_sequence: u64,
+    /// Before this time nobody is judged, since this node was paused.
     judging_from: Instant,
+    /// The last revision that this node applied.
     head: Revision,
     caught_up: bool,
+    /// When the head was last told to members at once.
     pushed_at: Option<Instant>,
+    /// Whether a head is still to be told.
     push_due: bool,
 }
 
--- a/crates/croftrill-state/src/planner/changes.rs
+++ b/crates/croftrill-state/src/planner/changes.rs
@@ -1,4 +1,4 @@
-//! Gathers the placements of all models that a plan concerns, and tells them as
+//! Gathers the placements of all models that a plan concerns, and turns them into
 //! steps, actions and warnings.
 
 use super::placing::{ModelPlacement, Placer};
@@ -28,7 +28,7 @@
     }
     for intent in intents {
         if let Intent::DrainNode(node) = intent {
-            planning.give_engines_away(node);
+            planning.reassign_engines(node);
         }
     }
     planning.finish()
@@ -93,7 +93,7 @@
             self.placer.place(model)
         };
         self.warn(model, &placement);
-        self.tell_actions(model, &placement);
+        self.describe_actions(model, &placement);
         self.add_steps(placement);
     }
 
@@ -109,7 +109,7 @@
         }
     }
 
-    fn tell_actions(&mut self, model: &Model, placement: &ModelPlacement) {
+    fn describe_actions(&mut self, model: &Model, placement: &ModelPlacement) {
         if self.must_reload(model) {
             let residents = placement.kept.iter().filter(|a| is_resident(a));
             let reloads: Vec<PlanAction> = residents.map(|a| self.start(model, a)).collect();
@@ -213,7 +213,7 @@
     }
 
     /// Gives the engines of a drained node to other nodes.
-    fn give_engines_away(&mut self, leaving: &NodeId) {
+    fn reassign_engines(&mut self, leaving: &NodeId) {
         let nodes = self.wanted.nodes.values().map(|found| &found.value);
         let engines = self.wanted.engines.values().map(|found| &found.value);
         let live = nodes.filter(|node| node.lifecycle == Lifecycle::Live);
--- a/crates/croftrill-state/src/planner/placing.rs
+++ b/crates/croftrill-state/src/planner/placing.rs
@@ -141,8 +141,8 @@
     fn release_surplus(&mut self, model: &Model, kept: &mut Vec<Assignment>, placement: &mut ModelPlacement) {
         while kept.len() > model.max_replicas as usize {
             let zones = self.occupancy.replicas_by_zone(kept.iter().map(|a| &a.engine));
-            let victim = (0..kept.len()).max_by_key(|&index| self.surplus_order(model, &kept[index], &zones));
-            let Some(index) = victim else {
+            let first = (0..kept.len()).max_by_key(|&index| self.surplus_order(model, &kept[index], &zones));
+            let Some(index) = first else {
                 return;
             };
             let assignment = kept.remove(index);
--- a/crates/croftrill-state/src/replica_queue.rs
+++ b/crates/croftrill-state/src/replica_queue.rs
@@ -239,11 +239,11 @@
 
     /// Takes out every item that can no longer be served in time.
     pub fn expire(&mut self, now: Instant, wake: impl Fn(&Target) -> Wake) -> Vec<(QueueItem, Refusal)> {
-        let hopeless = self.hopeless(now, wake);
-        for (waiting, _) in &hopeless {
+        let beyond_deadline = self.beyond_deadline(now, wake);
+        for (waiting, _) in &beyond_deadline {
             self.remove(waiting.item.attempt);
         }
-        hopeless
+        beyond_deadline
             .into_iter()
             .map(|(waiting, refusal)| (waiting.item, refusal))
             .collect()
--- a/crates/croftrill-state/src/replica_queue/admission.rs
+++ b/crates/croftrill-state/src/replica_queue/admission.rs
@@ -95,19 +95,23 @@
     /// only the time until dispatch counts, so that an admitted item is not
     /// given up because of a small change of the estimates. The wait of one
     /// item is looked at closely only if the wait behind everything is too long.
-    pub(super) fn hopeless(&self, now: Instant, wake: impl Fn(&Target) -> Wake) -> Vec<(Waiting, Refusal)> {
+    pub(super) fn beyond_deadline(
+        &self,
+        now: Instant,
+        wake: impl Fn(&Target) -> Wake,
+    ) -> Vec<(Waiting, Refusal)> {
         let backlog = self.backlog(wake);
         let mut found = Vec::new();
         for class in PriorityClass::ALL {
             let longest_wait = self.whole_wait_millis(class, now);
             for queue in self.class(class).groups.values() {
-                found.extend(self.hopeless_of_group(class, queue, &backlog, longest_wait, now));
+                found.extend(self.beyond_deadline_of_group(class, queue, &backlog, longest_wait, now));
             }
         }
         found
     }
 
-    fn hopeless_of_group(
+    fn beyond_deadline_of_group(
         &self,
         class: PriorityClass,
         queue: &GroupQueue,
