--- a/crates/croftrill-state/src/planner/changes.rs
+++ b/crates/croftrill-state/src/planner/changes.rs
@@ -1,12 +1,13 @@
-//! Gathers the placements of all models that a plan concerns, and tells them as
+//! Gathers the placements of all models that a plan concerns, and turns them into
 //! steps, actions and warnings.
 
 use super::placing::{ModelPlacement, Placer};
 use super::{EngineFacts, PlanAction, PlannedChange};
 use crate::configuration::Model;
+use crate::engine_owners;
 use crate::entry::{Intent, PlacementStep};
 use crate::identifiers::{EngineId, ModelId, NodeId};
-use crate::placement::{Assignment, AssignmentState, Engine, Lifecycle, Residency};
+use crate::placement::{Assignment, AssignmentState, Lifecycle, Residency};
 use crate::ClusterState;
 use std::collections::BTreeMap;
 
@@ -27,21 +28,12 @@
     }
     for intent in intents {
         if let Intent::DrainNode(node) = intent {
-            planning.give_engines_away(node);
+            planning.reassign_engines(node);
         }
     }
     planning.finish()
 }
 
-/// Plans every model of the state anew.
-pub(super) fn plan_repair(state: &ClusterState, facts: &EngineFacts) -> PlannedChange {
-    let mut planning = Planning::new(state, state, facts);
-    for model in state.models.keys() {
-        planning.place(model);
-    }
-    planning.finish()
-}
-
 /// Models whose placement the intents may change, in order.
 fn concerned_models(before: &ClusterState, intents: &[Intent]) -> Vec<ModelId> {
     let mut models: Vec<ModelId> = Vec::new();
@@ -101,7 +93,7 @@
             self.placer.place(model)
         };
         self.warn(model, &placement);
-        self.tell_actions(model, &placement);
+        self.describe_actions(model, &placement);
         self.add_steps(placement);
     }
 
@@ -117,7 +109,7 @@
         }
     }
 
-    fn tell_actions(&mut self, model: &Model, placement: &ModelPlacement) {
+    fn describe_actions(&mut self, model: &Model, placement: &ModelPlacement) {
         if self.must_reload(model) {
             let residents = placement.kept.iter().filter(|a| is_resident(a));
             let reloads: Vec<PlanAction> = residents.map(|a| self.start(model, a)).collect();
@@ -221,18 +213,20 @@
     }
 
     /// Gives the engines of a drained node to other nodes.
-    fn give_engines_away(&mut self, leaving: &NodeId) {
-        let mut load = self.engines_by_owner();
+    fn reassign_engines(&mut self, leaving: &NodeId) {
+        let nodes = self.wanted.nodes.values().map(|found| &found.value);
+        let engines = self.wanted.engines.values().map(|found| &found.value);
+        let live = nodes.filter(|node| node.lifecycle == Lifecycle::Live);
+        let mut candidates = engine_owners::candidates(live, engines);
         let owned = self.wanted.engines.values().map(|found| &found.value);
         for engine in owned.filter(|engine| engine.owner.as_ref() == Some(leaving)) {
-            let Some(owner) = self.choose_owner(engine, &load) else {
+            let Some(owner) = engine_owners::choose_owner(&mut candidates, engine) else {
                 self.warnings.push(format!(
                     "engine {}: no other live node can own it; its models will not be served",
                     engine.id
                 ));
                 continue;
             };
-            *load.entry(owner.clone()).or_default() += 1;
             self.actions.push(PlanAction::ChangeOwner {
                 engine: engine.id.clone(),
                 owner: owner.clone(),
@@ -244,28 +238,6 @@
         }
     }
 
-    fn engines_by_owner(&self) -> BTreeMap<NodeId, usize> {
-        let mut load = BTreeMap::new();
-        for engine in self.wanted.engines.values() {
-            if let Some(owner) = &engine.value.owner {
-                *load.entry(owner.clone()).or_default() += 1;
-            }
-        }
-        load
-    }
-
-    /// A live node of the engine's cell, best of its zone, with few engines.
-    fn choose_owner(&self, engine: &Engine, load: &BTreeMap<NodeId, usize>) -> Option<NodeId> {
-        let nodes = self.wanted.nodes.values().map(|found| &found.value);
-        nodes
-            .filter(|node| node.lifecycle == Lifecycle::Live && node.cell == engine.cell)
-            .min_by_key(|node| {
-                let engines = load.get(&node.id).copied().unwrap_or(0);
-                (node.zone != engine.zone, engines, &node.id)
-            })
-            .map(|node| node.id.clone())
-    }
-
     fn finish(mut self) -> PlannedChange {
         self.warn_of_pressure();
         let mut steps = self.releases;
