Daemon: the weight store's limits are asked beside the start

Cause: Control::start waited for the store's answer before the node served its peers. A store that took connections and never answered held up claims, log pages and permits until the call's limit, and a store that was down at the start left the cautious limits in force for the life of the process, since it was asked once. Now the limits are asked in a task of their own, again with growing pauses until they are known, and set in the permit service, where they outlast a term. The pause that catching up with the log used is shared.

--- a/crates/croftrill-coordination/src/load_permits.rs
+++ b/crates/croftrill-coordination/src/load_permits.rs
@@ -13,9 +13,22 @@
 pub use simple_admission::{SimpleAdmission, SimpleAdmissionConfig};
 
 use crate::replication::Replica;
+use croftrill_platform::weight_store::WeightStoreLimits;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
 use croftrill_state::{CellId, Instant, Term};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Stands for the rate of a store that limits none.
+const UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS: u64 = 1_000_000;
+
+/// Loads that a store starts a second, in thousandths; one that states no rate
+/// limits none.
+pub fn rate_of(limits: &WeightStoreLimits) -> u64 {
+    match limits.loads_per_second_thousandths {
+        0 => UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS,
+        limited => limited,
+    }
+}
 
 /// Decides which loads may start. Pure: the time is passed in.
 pub trait LoadAdmission: Send {
@@ -29,6 +42,9 @@
     /// This node became coordinator: loads that another one permitted may run,
     /// and what is remembered of an earlier term is out of date.
     fn take_over(&mut self, _now: Instant) {}
+
+    /// The store told its limits; they hold in later terms too.
+    fn set_limits(&mut self, now: Instant, limits: &WeightStoreLimits);
 }
 
 /// The coordinator's side of load permits. Every node has one; it answers only
@@ -74,6 +90,12 @@
         }
     }
 
+    /// Takes in the limits of the store, whoever coordinates now.
+    pub fn set_limits(&self, limits: &WeightStoreLimits) {
+        let now = self.now();
+        self.guarded().admission.set_limits(now, limits);
+    }
+
     /// This node's term, while the log names it as coordinator.
     fn present_term(&self) -> Option<Term> {
         let state = self.replica.state();
@@ -83,12 +105,20 @@
 
     fn as_coordinator<T>(&self, act: impl FnOnce(&mut dyn LoadAdmission, Instant) -> T) -> Option<T> {
         let term = self.present_term()?;
-        let now = Instant(self.started.elapsed().as_millis() as u64);
-        let mut guarded = self.guarded.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.now();
+        let mut guarded = self.guarded();
         if guarded.term != term {
             guarded.term = term;
             guarded.admission.take_over(now);
         }
         Some(act(guarded.admission.as_mut(), now))
     }
+
+    fn now(&self) -> Instant {
+        Instant(self.started.elapsed().as_millis() as u64)
+    }
+
+    fn guarded(&self) -> MutexGuard<'_, Guarded> {
+        self.guarded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/croftrill-coordination/src/load_permits/simple_admission.rs
+++ b/crates/croftrill-coordination/src/load_permits/simple_admission.rs
@@ -1,6 +1,7 @@
 //! Admission by the weight store's stated limits, the most urgent load first.
 
-use super::LoadAdmission;
+use super::{rate_of, LoadAdmission};
+use croftrill_platform::weight_store::WeightStoreLimits;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport};
 use croftrill_state::{EngineId, Instant, ModelId};
 use std::collections::BTreeMap;
@@ -153,4 +154,9 @@
         self.running.clear();
         self.waiting.clear();
     }
+
+    fn set_limits(&mut self, _now: Instant, limits: &WeightStoreLimits) {
+        self.config.loads_per_second_thousandths = rate_of(limits);
+        self.config.concurrent_loads = limits.concurrent_loads;
+    }
 }
--- a/crates/croftrill-coordination/tests/load_permits.rs
+++ b/crates/croftrill-coordination/tests/load_permits.rs
@@ -6,6 +6,7 @@
     LoadAdmission, LoadPermitClient, LoadPermitService, SimpleAdmission, SimpleAdmissionConfig,
 };
 use croftrill_coordination::replication::{ProposeOutcome, Replica};
+use croftrill_platform::weight_store::WeightStoreLimits;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport, ReportOutcome};
 use croftrill_state::entry::{Change, PlacementStep};
 use croftrill_state::placement::{Assignment, AssignmentState, Residency};
@@ -268,6 +269,23 @@
     assert!(is_granted(&permits.request_load(&request("c", 9_000))));
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_limits_of_the_store_hold_from_when_they_are_told_and_in_later_terms() {
+    let cell = Cell::new().await;
+    let permits = permits_of(cell.holder.clone());
+    permits.set_limits(&WeightStoreLimits {
+        loads_per_second_thousandths: 0,
+        concurrent_loads: 1,
+        running_loads: 0,
+    });
+    for term in [2, 3] {
+        assert!(is_granted(&permits.request_load(&request("a", 9_000))));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!is_granted(&permits.request_load(&request("b", 9_000))));
+        cell.elect("holder", term).await;
+    }
+}
+
 /// A model that is being released from the engine.
 async fn releasing() -> Cell {
     let cell = Cell::new().await;
--- a/crates/croftrill-daemon/src/claim_start.rs
+++ b/crates/croftrill-daemon/src/claim_start.rs
@@ -7,6 +7,7 @@
 use crate::control_thread::ControlTasks;
 use crate::peer_calls::PeerCalls;
 use crate::peer_parts::StartedClaims;
+use crate::retry_pause::RetryPause;
 use croftrill_coordination::claim_service::{ClaimHolderConfig, ClaimHolderService};
 use croftrill_coordination::membership_driver::{MembershipHandle, MonotonicClock};
 use croftrill_coordination::replication::Replica;
@@ -18,10 +19,6 @@
 
 /// Longest wait for the answer to one call of the claim holders to each other.
 const HAND_OVER_CALL_LIMIT: Duration = Duration::from_secs(2);
-/// Pause after the first failure to read the log; doubles each time.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-/// Longest pause between two readings of the log.
-const LONGEST_PAUSE: Duration = Duration::from_secs(15);
 
 /// What the claim holder is made of.
 pub struct ClaimStart {
@@ -88,11 +85,10 @@
 }
 
 async fn catch_up(replica: &Replica) {
-    let mut pause = FIRST_PAUSE;
+    let mut pause = RetryPause::new();
     while let Err(error) = replica.catch_up_from_log().await {
         log::debug!("claims: log not read yet error=\"{error}\"");
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        pause.sleep().await;
     }
 }
 
--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -6,6 +6,7 @@
 use crate::learned_admission::LearnedAdmission;
 use crate::peer_calls::PeerCalls;
 use crate::peer_parts::StartedClaims;
+use crate::store_limits;
 use croftrill_coordination::coordinator::{Coordinator, CoordinatorConfig, CoordinatorParts, LeaseConfig};
 use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_coordination::membership_driver::{
@@ -33,8 +34,6 @@
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
 /// A node that heard nobody for this long holds itself for cut off.
 const HEARD_LATELY_MILLIS: u64 = 4_000;
-/// Stands for the rate of a weight store that limits none.
-const UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS: u64 = 1_000_000;
 
 /// What the control parts are made of.
 pub struct ControlInput {
@@ -115,7 +114,7 @@
         let replica = input.replica.clone();
         let coordinator_stop = tasks.stop.child_token();
         let role = start_coordinator(&input, follower, members, &tasks, coordinator_stop.clone());
-        serve_peers(input, claims.clone(), &tasks).await?;
+        serve_peers(input, claims.clone(), &tasks)?;
         Ok(Control {
             membership,
             claims,
@@ -303,16 +302,31 @@
     }
 }
 
-async fn serve_peers(input: ControlInput, claims: StartedClaims, tasks: &ControlTasks) -> anyhow::Result<()> {
-    let admission = admission_config(input.weight_store.as_ref()).await;
-    let permits = LoadPermitService::new(
+async fn learn_store_limits(
+    store: Arc<dyn WeightStore>,
+    permits: Arc<LoadPermitService>,
+    stop: CancellationToken,
+) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        limits = store_limits::ask_until_known(store.as_ref()) => permits.set_limits(&limits),
+    }
+}
+
+fn serve_peers(input: ControlInput, claims: StartedClaims, tasks: &ControlTasks) -> anyhow::Result<()> {
+    let permits = Arc::new(LoadPermitService::new(
         input.replica.clone(),
         input.settings.node.cell.clone(),
-        Box::new(LearnedAdmission::new(admission)),
-    );
+        Box::new(LearnedAdmission::new(LoadAdmissionConfig::default())),
+    ));
+    tasks.spawn(learn_store_limits(
+        input.weight_store,
+        permits.clone(),
+        tasks.stop.clone(),
+    ));
     let service = PeerService::new(PeerParts {
         replica: input.replica,
-        permits: Arc::new(permits),
+        permits,
         plans: input.plans,
         claims: Arc::new(claims),
         attempts: input.attempts,
@@ -323,27 +337,3 @@
     tasks.spawn(PeerServer::serve_counted(listener, service, traffic, stop));
     Ok(())
 }
-
-/// A store that states no rate limits none.
-fn stated_rate(thousandths: u64) -> u64 {
-    match thousandths {
-        0 => UNLIMITED_LOADS_PER_SECOND_THOUSANDTHS,
-        limited => limited,
-    }
-}
-
-/// The store's stated limits, or cautious ones while it cannot be asked.
-async fn admission_config(store: &dyn WeightStore) -> LoadAdmissionConfig {
-    let defaults = LoadAdmissionConfig::default();
-    match store.limits().await {
-        Ok(limits) => LoadAdmissionConfig {
-            loads_per_second_thousandths: stated_rate(limits.loads_per_second_thousandths),
-            concurrent_loads: limits.concurrent_loads,
-            ..defaults
-        },
-        Err(error) => {
-            log::warn!("permits: limits of the weight store unknown error=\"{error}\"");
-            defaults
-        }
-    }
-}
--- a/crates/croftrill-daemon/src/learned_admission.rs
+++ b/crates/croftrill-daemon/src/learned_admission.rs
@@ -1,6 +1,7 @@
 //! The learned admission of loads behind the coordinator's permit service.
 
-use croftrill_coordination::load_permits::LoadAdmission;
+use croftrill_coordination::load_permits::{rate_of, LoadAdmission};
+use croftrill_platform::weight_store::WeightStoreLimits;
 use croftrill_protocol::peer::{LoadPermit, LoadPermitRequest, LoadReport};
 use croftrill_state::load_admission::{self, LoadAdmissionConfig, Permit};
 use croftrill_state::Instant;
@@ -53,6 +54,18 @@
         self.admission = None;
     }
 
+    fn set_limits(&mut self, now: Instant, limits: &WeightStoreLimits) {
+        self.config.loads_per_second_thousandths = rate_of(limits);
+        self.config.concurrent_loads = limits.concurrent_loads;
+        if let Some(admission) = &mut self.admission {
+            admission.set_limits(
+                now,
+                self.config.loads_per_second_thousandths,
+                self.config.concurrent_loads,
+            );
+        }
+    }
+
     fn finish(&mut self, now: Instant, report: &LoadReport) {
         self.admission(now).finish(
             now,
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -20,7 +20,9 @@
 mod owner_ports;
 mod peer_calls;
 mod peer_parts;
+mod retry_pause;
 pub mod signals;
+pub mod store_limits;
 mod traffic;
 
 pub use control::{Control, ControlInput};
