Daemon: limits on the age of probes follow their period; membership apart

Cause: a node held itself for cut off after 4 s without a probe, and a view of membership for stale after 3 s, whatever timings.probe_period_millis said. Views are published once a period, and settings accept any period up to the lease's length (5 s by default), so a node with a period of 4 s would have given the coordinator's role up again and again and refused keys between two probes. Found by reading; the functions are tested, a cluster with such a period was not run. Shorter periods keep the limits that they had. control.rs is split: membership's wiring has a module of its own, learning the store's limits too.

--- a/crates/croftrill-coordination/src/replication/follower.rs
+++ b/crates/croftrill-coordination/src/replication/follower.rs
@@ -92,6 +92,11 @@
         if stopped(&shutdown, self.bootstrap()).await {
             return;
         }
+        self.keep_up(shutdown).await;
+    }
+
+    /// Keeps a replica that has its first copy up to date.
+    pub async fn keep_up(&self, shutdown: CancellationToken) {
         tokio::join!(
             stopped(&shutdown, self.follow_peers()),
             stopped(&shutdown, self.follow_service()),
--- a/crates/croftrill-daemon/src/claim_start.rs
+++ b/crates/croftrill-daemon/src/claim_start.rs
@@ -7,6 +7,7 @@
 use crate::control_thread::ControlTasks;
 use crate::peer_calls::PeerCalls;
 use crate::peer_parts::StartedClaims;
+use crate::probe_limits;
 use crate::retry_pause::RetryPause;
 use croftrill_coordination::claim_service::{ClaimHolderConfig, ClaimHolderService};
 use croftrill_coordination::membership_driver::{MembershipHandle, MonotonicClock};
@@ -47,6 +48,7 @@
     ClaimConfig {
         window_millis,
         authority_millis: defaults.authority_millis.min(window_millis / 2),
+        view_limit_millis: probe_limits::view_limit(settings.timings.probe_period).as_millis() as u64,
         ..defaults
     }
 }
--- a/crates/croftrill-daemon/src/control.rs
+++ b/crates/croftrill-daemon/src/control.rs
@@ -1,17 +1,20 @@
 //! The parts on the control thread: the node's copy of the log, membership,
 //! claims, the coordinator's role, the peer service.
+//!
+//! The start waits for none of the platform's services: what needs an answer of
+//! theirs is learned beside it. Peers are served at once, so that a node without
+//! a copy of the log tells them so.
 
 use crate::claim_start::{claim_config, ClaimStart};
 use crate::control_thread::ControlTasks;
 use crate::learned_admission::LearnedAdmission;
+use crate::membership::{self, ViewedMembers};
 use crate::peer_calls::PeerCalls;
 use crate::peer_parts::StartedClaims;
 use crate::store_limits;
 use croftrill_coordination::coordinator::{Coordinator, CoordinatorConfig, CoordinatorParts, LeaseConfig};
 use croftrill_coordination::load_permits::LoadPermitService;
-use croftrill_coordination::membership_driver::{
-    MembershipDriver, MembershipDriverConfig, MembershipHandle, MonotonicClock,
-};
+use croftrill_coordination::membership_driver::{MembershipDriver, MembershipHandle, MonotonicClock};
 use croftrill_coordination::peer_service::{AttemptCanceller, PeerParts, PeerService, PlanSource};
 use croftrill_coordination::replication::{Follower, FollowerConfig, LiveMembers, Replica};
 use croftrill_platform::key_value::KeyValueService;
@@ -19,22 +22,16 @@
 use croftrill_platform::weight_store::WeightStore;
 use croftrill_settings::Settings;
 use croftrill_state::load_admission::LoadAdmissionConfig;
-use croftrill_state::membership::{LocalMember, MembershipConfig, MembershipEvent, MembershipView};
 use croftrill_state::placement::{Engine, Lifecycle, Node};
-use croftrill_state::{ClusterState, NodeId, Revision, Term};
+use croftrill_state::{ClusterState, NodeId, Term};
 use croftrill_transport::peer::{PeerServer, PeerTraffic};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Time between two ticks of the membership state machine.
-const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
-/// A node that heard nobody for this long holds itself for cut off.
-const HEARD_LATELY_MILLIS: u64 = 4_000;
-
 /// What the control parts are made of.
 pub struct ControlInput {
     /// The daemon's settings.
@@ -78,17 +75,20 @@
     pub async fn start(input: ControlInput, tasks: ControlTasks) -> anyhow::Result<Control> {
         let bound = input.peer_listener.local_addr()?;
         let clock = MonotonicClock::start();
-        let config = membership_config(&input.settings, bound);
-        let (driver, membership, events) = MembershipDriver::bind(config, clock).await?;
+        let config = membership::driver_config(&input.settings, bound);
+        let (driver, handle, events) = MembershipDriver::bind(config, clock).await?;
         tasks.spawn(driver.run(tasks.stop.clone()));
-        tasks.spawn(observe_heads(input.replica.clone(), events));
-        tasks.spawn(announce_heads(
+        tasks.spawn(membership::observe_heads(input.replica.clone(), events));
+        tasks.spawn(membership::announce_heads(
             input.replica.clone(),
-            membership.clone(),
+            handle.clone(),
             tasks.stop.clone(),
         ));
 
-        let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers(membership.clone()));
+        let members: Arc<dyn LiveMembers> = Arc::new(ViewedMembers::new(
+            handle.clone(),
+            input.settings.timings.probe_period,
+        ));
         let follower = Arc::new(Follower::new(
             follower_config(&input.settings),
             input.replica.clone(),
@@ -103,7 +103,7 @@
                 node: input.settings.node.id.clone(),
                 claims: claim_config(&input.settings),
                 replica: input.replica.clone(),
-                membership: membership.clone(),
+                membership: handle.clone(),
                 clock,
                 calls: input.calls.clone(),
                 started: claims.clone(),
@@ -116,7 +116,7 @@
         let role = start_coordinator(&input, follower, members, &tasks, coordinator_stop.clone());
         serve_peers(input, claims.clone(), &tasks)?;
         Ok(Control {
-            membership,
+            membership: handle,
             claims,
             role,
             peer_traffic,
@@ -153,57 +153,6 @@
     !takes_part && !state.engines.values().any(|found| owns(&found.value))
 }
 
-/// Membership's view, as the log's parts ask for it.
-struct ViewedMembers(MembershipHandle);
-
-impl LiveMembers for ViewedMembers {
-    fn alive(&self) -> Vec<NodeId> {
-        let view: Arc<MembershipView> = self.0.view();
-        let others = view.members.keys().filter(|node| view.is_alive(node)).cloned();
-        others.chain(std::iter::once(view.local.clone())).collect()
-    }
-
-    fn is_alive(&self, node: &NodeId) -> bool {
-        self.0.view().is_alive(node)
-    }
-
-    fn hears_others(&self) -> bool {
-        let view = self.0.view();
-        let heard = view.members.values().filter_map(|member| member.heard_at);
-        heard
-            .map(|at| view.taken_at.millis_since(at))
-            .any(|age_millis| age_millis <= HEARD_LATELY_MILLIS)
-    }
-
-    fn is_leaving(&self, node: &NodeId) -> bool {
-        self.0.view().is_leaving(node)
-    }
-}
-
-fn membership_config(settings: &Settings, bound: SocketAddr) -> MembershipDriverConfig {
-    MembershipDriverConfig {
-        bind: bound,
-        local: LocalMember {
-            node: settings.node.id.clone(),
-            address: settings.advertise.peers_or(bound).to_string(),
-            incarnation: start_time_millis(),
-        },
-        seeds: settings.seeds.iter().map(SocketAddr::to_string).collect(),
-        random_seed: rand::random(),
-        membership: MembershipConfig {
-            period_millis: settings.timings.probe_period.as_millis() as u64,
-            ..MembershipConfig::default()
-        },
-        tick: MEMBERSHIP_TICK,
-    }
-}
-
-fn start_time_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(1, |elapsed| elapsed.as_millis() as u64)
-}
-
 fn follower_config(settings: &Settings) -> FollowerConfig {
     FollowerConfig {
         seeds: settings.seeds.iter().map(SocketAddr::to_string).collect(),
@@ -211,53 +160,6 @@
     }
 }
 
-/// Heads that peers told on their probes.
-async fn observe_heads(replica: Arc<Replica>, mut events: mpsc::Receiver<MembershipEvent>) {
-    while let Some(event) = events.recv().await {
-        match event {
-            MembershipEvent::HeadSeen { address, head, .. } => replica.observe_head(address, head),
-            MembershipEvent::HealthChanged { node, health } => {
-                log::info!("membership: health changed node={node} health={health:?}");
-            }
-            other => log::debug!("membership: event={other:?}"),
-        }
-    }
-}
-
-/// Tells peers of each new head, and membership of each new list of nodes.
-async fn announce_heads(replica: Arc<Replica>, membership: MembershipHandle, stop: CancellationToken) {
-    let mut heads = replica.new_heads();
-    let mut listed = Revision(0);
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            changed = heads.changed() => if changed.is_err() { return },
-        }
-        let head = *heads.borrow_and_update();
-        membership.new_head(head);
-        let state = replica.state();
-        if let Some(changed_at) = nodes_changed_at(&state).filter(|changed_at| *changed_at != listed) {
-            listed = changed_at;
-            membership.list_members(listed_members(&state));
-        }
-    }
-}
-
-fn nodes_changed_at(state: &ClusterState) -> Option<Revision> {
-    state
-        .cell_memberships
-        .values()
-        .map(|membership| membership.changed_at)
-        .max()
-}
-
-fn listed_members(state: &ClusterState) -> Vec<(NodeId, String)> {
-    let nodes = state.nodes.values().map(|node| &node.value);
-    nodes
-        .map(|node| (node.id.clone(), node.peer_address.clone()))
-        .collect()
-}
-
 /// Gets the first copy of the log, then follows the log beside the claims.
 async fn follow(follower: Arc<Follower>, claims: ClaimStart, tasks: ControlTasks) {
     let stop = tasks.stop.clone();
@@ -266,7 +168,7 @@
         () = follower.bootstrap() => {}
     }
     tasks.spawn(claims.run(tasks.clone()));
-    follower.run(stop).await;
+    follower.keep_up(stop).await;
 }
 
 fn start_coordinator(
@@ -302,24 +204,13 @@
     }
 }
 
-async fn learn_store_limits(
-    store: Arc<dyn WeightStore>,
-    permits: Arc<LoadPermitService>,
-    stop: CancellationToken,
-) {
-    tokio::select! {
-        () = stop.cancelled() => {}
-        limits = store_limits::ask_until_known(store.as_ref()) => permits.set_limits(&limits),
-    }
-}
-
 fn serve_peers(input: ControlInput, claims: StartedClaims, tasks: &ControlTasks) -> anyhow::Result<()> {
     let permits = Arc::new(LoadPermitService::new(
         input.replica.clone(),
         input.settings.node.cell.clone(),
         Box::new(LearnedAdmission::new(LoadAdmissionConfig::default())),
     ));
-    tasks.spawn(learn_store_limits(
+    tasks.spawn(store_limits::learn(
         input.weight_store,
         permits.clone(),
         tasks.stop.clone(),
--- a/crates/croftrill-daemon/src/store_limits.rs
+++ b/crates/croftrill-daemon/src/store_limits.rs
@@ -5,7 +5,18 @@
 //! [`croftrill_state::load_admission::LoadAdmissionConfig`].
 
 use crate::retry_pause::RetryPause;
+use croftrill_coordination::load_permits::LoadPermitService;
 use croftrill_platform::weight_store::{WeightStore, WeightStoreLimits};
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// Learns the limits and sets them in the permit service.
+pub async fn learn(store: Arc<dyn WeightStore>, permits: Arc<LoadPermitService>, stop: CancellationToken) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        limits = ask_until_known(store.as_ref()) => permits.set_limits(&limits),
+    }
+}
 
 /// Asks the store, however often it fails, until it tells its limits.
 pub async fn ask_until_known(store: &dyn WeightStore) -> WeightStoreLimits {
