Tests of owners and of the whole path: what was written twice is shared

No assertion changed: the owner of an engine, the warm engine and the two bursts of long streams have one place each; the options of the whole path's models are those of the tests of traffic.

--- a/crates/croftrill-daemon/tests/failures_traffic_owners.rs
+++ b/crates/croftrill-daemon/tests/failures_traffic_owners.rs
@@ -28,6 +28,26 @@
     callers
 }
 
+async fn owner_of(cluster: &Cluster, engine: usize) -> usize {
+    let owner = cluster.owner_of(engine, &cluster.nodes[0]).await;
+    owner.expect("an owner")
+}
+
+/// The engine that holds the loaded model, and its owner.
+async fn warm_engine(cluster: &Cluster, record: &Reconciliation) -> (usize, usize) {
+    let any = cluster.nodes[0].caller();
+    let engine = warm_up(cluster, record, &any, MODEL).await;
+    (engine, owner_of(cluster, engine).await)
+}
+
+/// Streams that a failure meets: those that may be repeated and those that may
+/// not.
+fn long_streams() -> (Burst<'static>, Burst<'static>) {
+    let repeatable = Burst::new(MODEL, "repeatable", STREAMS, TOKENS);
+    let once = Burst::new(MODEL, "once", STREAMS, TOKENS).unrepeatable();
+    (repeatable, once)
+}
+
 async fn wait_owner(cluster: &Cluster, engine: usize, former: usize) {
     let asked = &cluster.nodes[(former + 1) % NODES];
     eventually("another node owns the engine", || async {
@@ -40,15 +60,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_killed_in_mid_stream_doubles_nothing() {
     let (mut cluster, record) = start(quick_plan(NODES, 2)).await;
-    let any = cluster.nodes[0].caller();
-    let engine = warm_up(&cluster, &record, &any, MODEL).await;
-    let owner = cluster
-        .owner_of(engine, &cluster.nodes[0])
-        .await
-        .expect("an owner");
+    let (engine, owner) = warm_engine(&cluster, &record).await;
     let callers = callers_without(&cluster, owner);
-    let repeatable = Burst::new(MODEL, "repeatable", STREAMS, TOKENS);
-    let once = Burst::new(MODEL, "once", STREAMS, TOKENS).unrepeatable();
+    let (repeatable, once) = long_streams();
     let kill = async {
         wait_streaming(&cluster, engine, "repeatable", STREAMS).await;
         wait_streaming(&cluster, engine, "once", STREAMS).await;
@@ -101,10 +115,7 @@
     let ledgers = cluster.ledgers().await;
     let engine = ledgers.iter().position(|ledger| !ledger.loads.is_empty());
     let engine = engine.expect("a load is under way");
-    let owner = cluster
-        .owner_of(engine, &cluster.nodes[0])
-        .await
-        .expect("an owner");
+    let owner = owner_of(&cluster, engine).await;
     cluster.nodes[owner].process.kill();
     let (repeatable, _) = sending.await;
 
@@ -127,15 +138,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_paused_past_its_takeover_changes_nothing_when_it_goes_on() {
     let (cluster, record) = start(quick_plan(NODES, 2)).await;
-    let any = cluster.nodes[0].caller();
-    let engine = warm_up(&cluster, &record, &any, MODEL).await;
-    let owner = cluster
-        .owner_of(engine, &cluster.nodes[0])
-        .await
-        .expect("an owner");
+    let (engine, owner) = warm_engine(&cluster, &record).await;
     let callers = callers_without(&cluster, owner);
-    let repeatable = Burst::new(MODEL, "repeatable", STREAMS, TOKENS);
-    let once = Burst::new(MODEL, "once", STREAMS, TOKENS).unrepeatable();
+    let (repeatable, once) = long_streams();
     let pause = async {
         wait_streaming(&cluster, engine, "repeatable", 1).await;
         cluster.nodes[owner].process.pause();
--- a/crates/croftrill-daemon/tests/whole_path.rs
+++ b/crates/croftrill-daemon/tests/whole_path.rs
@@ -6,19 +6,7 @@
 use croftrill_standin::expected_answer;
 use croftrill_state::ModelId;
 use futures::future::join_all;
-use support::{Cluster, ClusterPlan, Completion};
-
-/// Options of the tests' models.
-const MODEL_OPTIONS: [&str; 8] = [
-    "--memory-mib",
-    "30000",
-    "--checkpoint-mib",
-    "20000",
-    "--accelerators",
-    "1",
-    "--max-replicas",
-    "2",
-];
+use support::{Cluster, ClusterPlan, Completion, TWO_REPLICAS};
 
 fn expected(model: &str, prompt: &str, max_tokens: u32) -> String {
     expected_answer(&ModelId::from(model), None, prompt, None, max_tokens)
@@ -27,7 +15,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cold_model_wakes_and_answers_whole() {
     let cluster = Cluster::start(ClusterPlan::default()).await;
-    cluster.create_model("tender-review", &MODEL_OPTIONS).await;
+    cluster.create_model("tender-review", &TWO_REPLICAS).await;
 
     let completion = Completion::new("tender-review", "Review the bid of the county.", 40);
     let answer = cluster.nodes[1].caller().complete(&completion).await;
@@ -45,7 +33,7 @@
         ..ClusterPlan::default()
     };
     let cluster = Cluster::start(plan).await;
-    cluster.create_model("clause-lookup", &MODEL_OPTIONS).await;
+    cluster.create_model("clause-lookup", &TWO_REPLICAS).await;
 
     let requests = (0..REQUESTS).map(|index| {
         let caller = cluster.nodes[index % GATEWAYS].caller();
