--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -15,12 +15,16 @@
 mod learned_admission;
 mod listeners;
 pub mod logging;
+mod membership;
 mod operator_ports;
 mod operator_server;
 mod owner_ports;
 mod peer_calls;
 mod peer_parts;
+pub mod probe_limits;
+mod retry_pause;
 pub mod signals;
+pub mod store_limits;
 mod traffic;
 
 pub use control::{Control, ControlInput};
