Transport: no frame is decoded before its checksum is right

Cause: nanoserde reserves whatever length it reads. A damaged length in a peer frame or an attempt ended in a panic or in an allocation of any size; a panic in a peer frame ends the task that serves all peers. Ruled out: a limit on lengths, since the derived decoder has no hook for it. The checksum is the one that probes already had; it now has a module of its own. It guards against damage, not against a peer that means harm.

--- a/crates/croftrill-state/src/lib.rs
+++ b/crates/croftrill-state/src/lib.rs
@@ -5,6 +5,7 @@
 //! sockets and the clocks. This is what makes the promises testable: property
 //! tests drive these types through arbitrary failures.
 
+pub mod checked_message;
 pub mod claims;
 pub mod cluster;
 pub mod configuration;
--- a/crates/croftrill-state/src/membership/message.rs
+++ b/crates/croftrill-state/src/membership/message.rs
@@ -1,9 +1,9 @@
 //! Messages of the membership protocol, one a datagram.
 
+use crate::checked_message::{self, MessageError};
 use crate::identifiers::{NodeId, Revision};
 use nanoserde::{DeBin, SerBin};
 use thiserror::Error;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Largest datagram, in bytes; fits one Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -78,12 +78,6 @@
     pub updates: Vec<MemberUpdate>,
 }
 
-/// Bytes of the checksum before the message.
-pub(super) const CHECKSUM_BYTES: usize = 8;
-
-/// Mixed into the checksum, so that datagrams of other programs are refused.
-const CHECKSUM_SEED: u64 = 0x6372_6f66_7472_696c;
-
 /// Why a datagram was dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum DatagramError {
@@ -95,25 +89,23 @@
     Malformed(String),
 }
 
+impl From<MessageError> for DatagramError {
+    fn from(error: MessageError) -> Self {
+        match error {
+            MessageError::Checksum => Self::Checksum,
+            MessageError::Malformed(reason) => Self::Malformed(reason),
+        }
+    }
+}
+
 impl Probe {
     /// The datagram of this probe.
     pub fn encode(&self) -> Vec<u8> {
-        let body = self.serialize_bin();
-        let mut datagram = Vec::with_capacity(CHECKSUM_BYTES + body.len());
-        datagram.extend_from_slice(&xxh3_64_with_seed(&body, CHECKSUM_SEED).to_le_bytes());
-        datagram.extend_from_slice(&body);
-        datagram
+        checked_message::encode(self)
     }
 
-    /// The probe of a datagram. The checksum comes first, because the decoder
-    /// trusts the lengths that it finds.
+    /// The probe of a datagram.
     pub fn decode(datagram: &[u8]) -> Result<Self, DatagramError> {
-        let (checksum, body) = datagram
-            .split_first_chunk::<CHECKSUM_BYTES>()
-            .ok_or(DatagramError::Checksum)?;
-        if u64::from_le_bytes(*checksum) != xxh3_64_with_seed(body, CHECKSUM_SEED) {
-            return Err(DatagramError::Checksum);
-        }
-        Self::deserialize_bin(body).map_err(|error| DatagramError::Malformed(error.to_string()))
+        Ok(checked_message::decode(datagram)?)
     }
 }
--- a/crates/croftrill-state/src/membership/probing.rs
+++ b/crates/croftrill-state/src/membership/probing.rs
@@ -1,8 +1,9 @@
 //! The probe cycle: ping, ask others to ping, suspect, declare dead.
 
 use super::config::spreading_rounds;
-use super::message::{Health, MemberUpdate, Probe, ProbeKind, CHECKSUM_BYTES};
+use super::message::{Health, MemberUpdate, Probe, ProbeKind};
 use super::{Membership, MembershipAction, MembershipEvent};
+use crate::checked_message::CHECKSUM_BYTES;
 use crate::identifiers::NodeId;
 use crate::time::Instant;
 use nanoserde::SerBin;
--- a/crates/croftrill-transport/src/attempt_client.rs
+++ b/crates/croftrill-transport/src/attempt_client.rs
@@ -7,7 +7,7 @@
 use crate::event_frames;
 use bytes::{Bytes, BytesMut};
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest, ATTEMPT_PATH, MAX_ATTEMPT_BYTES};
-use croftrill_state::AttemptId;
+use croftrill_state::{checked_message, AttemptId};
 use futures::Stream;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -15,7 +15,6 @@
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use log::debug;
-use nanoserde::SerBin;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -89,7 +88,7 @@
         address: &str,
         request: &AttemptRequest,
     ) -> Result<AttemptStream, AttemptError> {
-        let body = Bytes::from(request.serialize_bin());
+        let body = Bytes::from(checked_message::encode(request));
         if body.len() > MAX_ATTEMPT_BYTES {
             let reason = format!(
                 "the request has {} bytes, the limit is {MAX_ATTEMPT_BYTES}",
--- a/crates/croftrill-transport/src/attempt_server.rs
+++ b/crates/croftrill-transport/src/attempt_server.rs
@@ -7,6 +7,7 @@
 use crate::http_server::{self, read_body, text_answer, BodyError, HttpBody, HttpServerConfig};
 use bytes::Bytes;
 use croftrill_protocol::attempt::{AttemptEvent, AttemptRequest, ATTEMPT_PATH, MAX_ATTEMPT_BYTES};
+use croftrill_state::checked_message;
 use futures::stream::BoxStream;
 use futures::StreamExt;
 use http::{Method, Request, Response, StatusCode};
@@ -14,7 +15,6 @@
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use log::warn;
-use nanoserde::DeBin;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,7 +93,7 @@
     let body = read_body(request.into_body(), MAX_ATTEMPT_BYTES, REQUEST_TIMEOUT)
         .await
         .map_err(|error| (body_status(&error), error.to_string()))?;
-    AttemptRequest::deserialize_bin(&body).map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))
+    checked_message::decode(&body).map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))
 }
 
 fn body_status(error: &BodyError) -> StatusCode {
--- a/crates/croftrill-transport/src/event_frames.rs
+++ b/crates/croftrill-transport/src/event_frames.rs
@@ -1,8 +1,9 @@
-//! Frames of attempt events: a 4-byte big-endian length and one encoded event.
+//! Frames of attempt events: a 4-byte big-endian length and one encoded event
+//! behind its checksum.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use croftrill_protocol::attempt::AttemptEvent;
-use nanoserde::{DeBin, SerBin};
+use croftrill_state::checked_message::{self, MessageError};
 use thiserror::Error;
 
 /// Largest event accepted, in bytes.
@@ -18,12 +19,12 @@
     TooLarge(usize),
     /// The frame holds no event.
     #[error("an event cannot be decoded: {0}")]
-    Malformed(String),
+    Malformed(#[from] MessageError),
 }
 
 /// An event as one frame.
 pub(crate) fn encode(event: &AttemptEvent) -> Bytes {
-    let body = event.serialize_bin();
+    let body = checked_message::encode(event);
     let mut frame = BytesMut::with_capacity(LENGTH_BYTES + body.len());
     frame.put_u32(body.len() as u32);
     frame.put_slice(&body);
@@ -45,7 +46,5 @@
     }
     buffer.advance(LENGTH_BYTES);
     let body = buffer.split_to(length);
-    AttemptEvent::deserialize_bin(&body)
-        .map(Some)
-        .map_err(|error| FrameError::Malformed(error.to_string()))
+    Ok(Some(checked_message::decode(&body)?))
 }
--- a/crates/croftrill-transport/src/peer/codec.rs
+++ b/crates/croftrill-transport/src/peer/codec.rs
@@ -1,4 +1,4 @@
-//! Peer calls as length-delimited frames.
+//! Peer calls as length-delimited frames, each behind its checksum.
 //!
 //! A deadline travels as the time that remains, because the clocks of two
 //! machines are never compared.
@@ -6,6 +6,7 @@
 use super::traffic::PeerTraffic;
 use bytes::{Bytes, BytesMut};
 use croftrill_protocol::peer::{PeerRequest, PeerResponse};
+use croftrill_state::checked_message::{self, MessageError};
 use nanoserde::{DeBin, SerBin};
 use std::io;
 use std::sync::Arc;
@@ -28,7 +29,7 @@
     Connection(#[from] io::Error),
     /// A frame holds no message.
     #[error("peer frame cannot be decoded: {0}")]
-    Malformed(String),
+    Malformed(#[from] MessageError),
     /// `tarpc` asks to send something that this protocol has no message for.
     #[error("peer message of an unknown kind")]
     Unsupported,
@@ -76,7 +77,8 @@
 
     fn encode<T: SerBin>(&mut self, message: &T, output: &mut BytesMut) -> Result<(), CodecError> {
         let before = output.len();
-        self.frames.encode(Bytes::from(message.serialize_bin()), output)?;
+        self.frames
+            .encode(Bytes::from(checked_message::encode(message)), output)?;
         self.traffic.count_sent(output.len() - before);
         Ok(())
     }
@@ -86,9 +88,7 @@
             return Ok(None);
         };
         self.traffic.count_received(frame.len() + LENGTH_BYTES);
-        T::deserialize_bin(&frame)
-            .map(Some)
-            .map_err(|error| CodecError::Malformed(error.to_string()))
+        Ok(Some(checked_message::decode(&frame)?))
     }
 }
 
