Gateway: the default deadline of a whole answer is at most the longest

Cause: only deadlines named by callers were limited. With a longest deadline and a claim window of a minute, a request that named none could run for ten, after its key was free for others: a second run of one key. Settings already demand that the window is no shorter than the longest deadline; now nothing runs for longer than that.

--- a/crates/croftrill-gateway/src/caller_request.rs
+++ b/crates/croftrill-gateway/src/caller_request.rs
@@ -142,22 +142,29 @@
     })
 }
 
+/// The deadline that a header names, else the default one; neither is longer
+/// than the longest, because idempotency keys are remembered only for so long.
 fn deadline(
     headers: &HeaderMap,
     name: &str,
     default_millis: u64,
     config: &GatewayConfig,
 ) -> Result<u64, CallerError> {
-    let Some(value) = text(headers, name)? else {
-        return Ok(default_millis);
+    let millis = match text(headers, name)? {
+        None => default_millis,
+        Some(value) => deadline_value(name, value)?,
     };
-    let millis: u64 = value
+    Ok(millis.min(config.longest_deadline_millis))
+}
+
+fn deadline_value(name: &str, value: &str) -> Result<u64, CallerError> {
+    let millis = value
         .parse()
         .map_err(|_| CallerError::malformed(format!("{name} must be a number of milliseconds")))?;
     if millis == 0 {
         return Err(CallerError::malformed(format!("{name} has expired")));
     }
-    Ok(millis.min(config.longest_deadline_millis))
+    Ok(millis)
 }
 
 fn run_once(
--- a/crates/croftrill-gateway/src/gateway.rs
+++ b/crates/croftrill-gateway/src/gateway.rs
@@ -43,9 +43,11 @@
     pub body_timeout_millis: u64,
     /// Deadlines of the first token if the caller names none.
     pub default_first_token_deadlines: ClassDeadlines,
-    /// Deadline of the whole answer if the caller names none, in milliseconds.
+    /// Deadline of the whole answer if the caller names none, in milliseconds; at
+    /// most the longest.
     pub default_total_deadline_millis: u64,
-    /// Longest deadline that a caller may have, in milliseconds.
+    /// Longest deadline of any request, in milliseconds. Must not be more than
+    /// idempotency keys are remembered.
     pub longest_deadline_millis: u64,
     /// Most tokens that a caller may ask for.
     pub most_tokens: u32,
@@ -53,7 +55,8 @@
     pub default_group: Option<GroupId>,
     /// Most attempts for one request that may have cost an engine work.
     pub most_attempts: u32,
-    /// Longest wait for a caller that does not read, in milliseconds.
+    /// Longest wait for a caller that does not read, to take the last event, in
+    /// milliseconds. Text waits for it until the deadline of the whole answer.
     pub slow_caller_millis: u64,
     /// How many requests may be retried.
     pub retry_budget: RetryBudgetConfig,
--- a/crates/croftrill-gateway/tests/serving.rs
+++ b/crates/croftrill-gateway/tests/serving.rs
@@ -114,6 +114,27 @@
     assert_eq!(attempt.unrepeatable.unwrap().as_str(), "alert-17");
 }
 
+/// A key is remembered for at least the longest deadline, so nothing may run
+/// for longer.
+#[tokio::test]
+async fn no_deadline_is_longer_than_the_longest_also_if_the_caller_names_none() {
+    let owner = ScriptedOwner::start([]).await;
+    let config = GatewayConfig {
+        longest_deadline_millis: 30_000,
+        ..GatewayConfig::default()
+    };
+    let gateway = TestGateway::start_with(&[&owner.address], config, Vec::new()).await;
+    let long = [("x-croftrill-total-deadline-ms", "90000")];
+    for headers in [&[][..], &long] {
+        let answer = gateway.complete(false, headers).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    for attempt in owner.seen() {
+        assert!(attempt.total_deadline_millis <= 30_000);
+        assert!(attempt.first_token_deadline_millis <= 30_000);
+    }
+}
+
 #[tokio::test]
 async fn a_class_above_the_group_s_own_is_lowered_to_it() {
     let attempt = seen_attempt(&[("x-croftrill-priority", "critical")]).await;
