Owner: an error before the first token is no first token

Cause: the runner noted the first token at the first item of the engine's stream, also if that was an error or its end. It went into the histogram and into the queue's estimate of the time to a first token, so an engine that fails fast looked fast. The test failed before the change. The tests' copy of the metrics' text moved to the support of the tests.

--- a/crates/croftrill-owner/src/runner.rs
+++ b/crates/croftrill-owner/src/runner.rs
@@ -109,7 +109,9 @@
             Err(_) => return Outcome::Late,
             Ok(first) => first,
         };
-        (self.on_first_token)();
+        if matches!(first, Some(Ok(_))) {
+            (self.on_first_token)();
+        }
         self.pass_rest(first, &mut stream).await
     }
 
--- a/crates/croftrill-owner/tests/failures.rs
+++ b/crates/croftrill-owner/tests/failures.rs
@@ -68,6 +68,23 @@
     assert_eq!(lost.execution, Execution::MayHaveRun);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_error_is_not_counted_as_a_first_token() {
+    let world = world();
+    world.assign("m", 50, Residency::OnDemand);
+    world
+        .engine
+        .behave(|behaviour| behaviour.break_after_tokens = Some(0));
+    refusal(&world.events_of(world.request("m")).await);
+    assert!(world.metrics().contains("owner_first_token_seconds_count 0"));
+    world
+        .engine
+        .behave(|behaviour| behaviour.break_after_tokens = None);
+    pass(100).await;
+    whole_text(&world.events_of(world.request("m")).await);
+    assert!(world.metrics().contains("owner_first_token_seconds_count 1"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_the_engine_refuses_did_not_run() {
     let world = world();
--- a/crates/croftrill-owner/tests/loading.rs
+++ b/crates/croftrill-owner/tests/loading.rs
@@ -255,7 +255,7 @@
     whole_text(&world.events_of(world.request("m")).await);
     pass(400_000).await;
     assert!(!world.engine.holds("m"));
-    let text = metrics(&world);
+    let text = world.metrics();
     let line = text
         .lines()
         .find(|line| line.starts_with("owner_idle_accelerator_seconds_total"))
@@ -273,7 +273,7 @@
     world.assign("m", 50, Residency::OnDemand);
     world.engine.behave(|behaviour| behaviour.token_millis = 3_000);
     whole_text(&world.events_of(world.request("m")).await);
-    let text = metrics(&world);
+    let text = world.metrics();
     let line = text
         .lines()
         .find(|line| line.starts_with("owner_idle_accelerator_seconds_total"))
@@ -298,9 +298,3 @@
     let inventories = world.engine.inventories();
     assert!((5..60).contains(&inventories), "{inventories}");
 }
-
-fn metrics(world: &World) -> String {
-    let mut text = String::new();
-    prometheus_client::encoding::text::encode(&mut text, &world.registry).unwrap();
-    text
-}
--- a/crates/croftrill-owner/tests/support/world.rs
+++ b/crates/croftrill-owner/tests/support/world.rs
@@ -161,6 +161,13 @@
 }
 
 impl World {
+    /// What `/metrics` would print of the owner.
+    pub fn metrics(&self) -> String {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.registry).unwrap();
+        text
+    }
+
     /// Changes the state as a new log entry would.
     pub fn change(&self, change: impl FnOnce(&mut ClusterState)) {
         let mut next = (**self.state.load()).clone();
