--- a/crates/croftrill-daemon/src/operator_ports.rs
+++ b/crates/croftrill-daemon/src/operator_ports.rs
@@ -73,7 +73,7 @@
             Ok(json) if json.is_empty() => FetchedPlan::Unknown,
             Ok(json) => FetchedPlan::Found(json),
             Err(error) => {
-                log::warn!("operators: plan not fetched plan={plan} error=\"{error}\"");
+                log::warn!("operator: plan not fetched plan={plan} error=\"{error}\"");
                 FetchedPlan::Unreachable
             }
         }
