--- a/crates/croftrill-protocol/src/attempt.rs
+++ b/crates/croftrill-protocol/src/attempt.rs
@@ -3,7 +3,8 @@
 //!
 //! Carried over HTTP/2: the request body is one encoded [`AttemptRequest`]; the
 //! response body is a sequence of frames, each a 4-byte big-endian length and
-//! one encoded [`AttemptEvent`]. Closing the stream cancels the attempt.
+//! one encoded [`AttemptEvent`]. Every message stands behind its checksum
+//! (`croftrill_state::checked_message`). Closing the stream cancels the attempt.
 
 use croftrill_state::cluster::Target;
 use croftrill_state::configuration::PriorityClass;
