Engine memory: models of callers that may come back do not evict one another

Cause: a model that a refused caller may come back for was no idle victim, but any demand, also one made up for another such caller, found it as a busy one without work and took its place at once. Two of them evicted each other in turn. The estimate of a wake, however, counted such a model as blocked, so more callers were refused and told to come back. Now a returning caller takes only what is idle; a waiting one takes the place of an awaited model as before, and the estimate says so. The end of an awaited return is a time to decide again. The three new tests failed before.

--- a/crates/croftrill-state/src/engine_memory/decide.rs
+++ b/crates/croftrill-state/src/engine_memory/decide.rs
@@ -10,6 +10,16 @@
 use crate::placement::{AssignmentState, Residency};
 use crate::time::Instant;
 
+/// Whose demand is served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asker {
+    /// Its callers wait now.
+    Waiting,
+    /// Its callers were told to come back. Only what is idle gives way to them,
+    /// else models that are awaited would evict one another in turn.
+    Returning,
+}
+
 impl EngineMemory {
     /// The orders to give now. What they load is reserved and what they unload
     /// is out of use at once; each needs its answer: `load_answered`,
@@ -28,10 +38,10 @@
         self.unload_undecided(now, &mut actions);
         self.load_residents(now, &mut actions);
         for demand in by_urgency(demands) {
-            self.serve_demand(demand, demands, now, &mut actions);
+            self.serve_demand(Asker::Waiting, demand, demands, now, &mut actions);
         }
         for returning in self.returning(demands, now) {
-            self.serve_demand(&returning, demands, now, &mut actions);
+            self.serve_demand(Asker::Returning, &returning, demands, now, &mut actions);
         }
         self.unload_idle(demands, now, &mut actions);
         actions
@@ -128,6 +138,7 @@
 
     fn serve_demand(
         &mut self,
+        asker: Asker,
         demand: &Demand,
         all: &[Demand],
         now: Instant,
@@ -145,7 +156,7 @@
         }
         match self.replicas.get(&target.model).map(|replica| replica.phase) {
             None if assigned.residency == Residency::OnDemand => {
-                self.wake_model(&assigned.model, demand, all, now, actions);
+                self.wake_model(&assigned.model, asker, demand, all, now, actions);
             }
             Some(Phase::Loaded) => self.wake_adapter(demand, all, now, actions),
             _ => {}
@@ -164,6 +175,7 @@
     fn wake_model(
         &mut self,
         model: &Model,
+        asker: Asker,
         demand: &Demand,
         all: &[Demand],
         now: Instant,
@@ -176,10 +188,11 @@
             return;
         }
         let mut room = self.room_anywhere(count, need, &self.idle_candidates(all, now));
-        if room.is_none() {
+        let may_displace = asker == Asker::Waiting;
+        if room.is_none() && may_displace {
             room = self.room_anywhere(count, need, &self.busy_candidates(demand, all, now));
         }
-        if room.is_none() {
+        if room.is_none() && may_displace {
             let next = self.next_displacement(demand, now);
             self.revisit_at = earlier(self.revisit_at, next);
         }
@@ -336,7 +349,9 @@
     pub fn next_decision(&self, now: Instant) -> Option<Instant> {
         let idle = self.replicas.keys().filter_map(|id| self.idle_until(id));
         let backoff = self.backoff.values().map(|backoff| backoff.until);
+        let awaited = self.awaited.values().copied();
         idle.chain(backoff)
+            .chain(awaited)
             .chain(self.revisit_at)
             .filter(|at| *at > now)
             .min()
--- a/crates/croftrill-state/src/engine_memory/eviction.rs
+++ b/crates/croftrill-state/src/engine_memory/eviction.rs
@@ -23,15 +23,29 @@
     /// What may give way to a demand without stopping anybody's work: on-demand
     /// models and adapters that are idle and that nobody waits for.
     pub(super) fn idle_candidates(&self, all: &[Demand], now: Instant) -> Candidates {
-        let models = self.loaded_on_demand().filter(|id| {
-            let wanted = all.iter().any(|demand| demand.target.model == **id);
-            !wanted && !self.is_awaited(id) && !self.in_use(id)
-        });
+        let models = self.idle_models(all).filter(|id| !self.is_awaited(id));
         let mut candidates: Candidates = models.map(|id| self.with_cost(model(id), now)).collect();
         candidates.extend(self.idle_adapters(all, now));
         candidates
     }
 
+    /// The same with the models that callers may come back for: they give way to
+    /// a caller that waits.
+    fn idle_or_awaited_candidates(&self, now: Instant) -> Candidates {
+        let models = self.idle_models(&[]);
+        let mut candidates: Candidates = models.map(|id| self.with_cost(model(id), now)).collect();
+        candidates.extend(self.idle_adapters(&[], now));
+        candidates
+    }
+
+    /// On-demand models that neither work nor are waited for.
+    fn idle_models<'a>(&'a self, all: &'a [Demand]) -> impl Iterator<Item = &'a ModelId> {
+        self.loaded_on_demand().filter(|id| {
+            let wanted = all.iter().any(|demand| demand.target.model == **id);
+            !wanted && !self.in_use(id)
+        })
+    }
+
     /// What may give way to a demand if nothing idle is enough: busy models too,
     /// to a more urgent class, or after the demand waited and they worked long
     /// enough.
@@ -151,7 +165,7 @@
         let count = assigned.model.accelerators as usize;
         let need = assigned.model.memory_mib_per_accelerator;
         if self
-            .room_anywhere(count, need, &self.idle_candidates(&[], now))
+            .room_anywhere(count, need, &self.idle_or_awaited_candidates(now))
             .is_some()
         {
             return 0;
--- a/crates/croftrill-state/tests/engine_memory_policy.rs
+++ b/crates/croftrill-state/tests/engine_memory_policy.rs
@@ -171,6 +171,47 @@
     }
 }
 
+#[test]
+fn callers_that_may_come_back_do_not_evict_one_anothers_models() {
+    let mut memory = full_memory(MemoryConfig::default());
+    let now = Instant(10 * SECOND);
+    for name in ["a", "b", "c"] {
+        memory.told_to_come_back(&target(name), 20 * SECOND, now);
+    }
+    for seconds in 0..20 {
+        assert_eq!(memory.decide(&[], now + seconds * SECOND), []);
+    }
+    // A caller that is here goes before those that are only awaited.
+    let demands = [demand("c", PriorityClass::Batch, now, 60 * SECOND)];
+    assert_eq!(evicted(&memory.decide(&demands, now + 20 * SECOND)).len(), 1);
+}
+
+#[test]
+fn a_caller_that_waits_need_not_wait_for_models_that_are_only_awaited() {
+    let mut memory = full_memory(MemoryConfig::default());
+    let now = Instant(10 * SECOND);
+    let when_idle = memory.wake(&target("c"), now);
+    for name in ["a", "b"] {
+        memory.told_to_come_back(&target(name), 20 * SECOND, now);
+    }
+    assert_eq!(memory.wake(&target("c"), now), when_idle);
+    memory.use_started(&target("a"), PriorityClass::Batch, now);
+    memory.use_started(&target("b"), PriorityClass::Batch, now);
+    assert_ne!(memory.wake(&target("c"), now), when_idle);
+}
+
+#[test]
+fn a_load_that_waits_for_the_end_of_an_awaited_return_is_looked_at_again() {
+    let mut memory = full_memory(MemoryConfig::default());
+    let now = Instant(10 * SECOND);
+    for (name, seconds) in [("a", 5), ("b", 30), ("c", 30)] {
+        memory.told_to_come_back(&target(name), seconds * SECOND, now);
+    }
+    assert_eq!(memory.decide(&[], now), []);
+    let again = memory.next_decision(now).unwrap();
+    assert_eq!(evicted(&memory.decide(&[], again)), ["a"]);
+}
+
 #[test]
 fn a_model_that_a_caller_may_come_back_for_is_not_evicted_as_idle() {
     let mut memory = full_memory(by_wake_cost());
