--- a/crates/croftrill-coordination/src/coordinator/lease.rs
+++ b/crates/croftrill-coordination/src/coordinator/lease.rs
@@ -53,11 +53,6 @@
 }
 
 impl CoordinatorLease {
-    /// Whether somebody holds the lease of a cell.
-    pub async fn is_held(service: &dyn KeyValueService, cell: &CellId) -> Result<bool, KeyValueError> {
-        Ok(service.get(&key(cell)).await?.is_some())
-    }
-
     /// Takes the lease if nobody holds it. `attempt` is a random number that
     /// names this attempt, so that a lost answer can be resolved.
     pub async fn take(
