--- /dev/null
+++ b/crates/croftrill-node/src/connection.rs
@@ -0,0 +1,266 @@
+//! Outgoing HTTP connections: dialling, keeping, and dropping them.
+//!
+//! A dropped [`Connection`] closes its socket at once, which tells the other
+//! side to stop working on the request.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, Instant};
+
+/// How connections are made and kept.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionConfig {
+    /// Longest time for a connection to come up.
+    pub connect_timeout: Duration,
+    /// Unanswered bytes or probes for so long mean that the other side is gone;
+    /// `None`: wait as long as the operating system does.
+    pub silence_limit: Option<Duration>,
+    /// Longest rest of a connection that is used again.
+    pub longest_rest: Duration,
+    /// Most resting connections to one address.
+    pub most_resting: usize,
+}
+
+impl Default for ConnectionConfig {
+    fn default() -> Self {
+        ConnectionConfig {
+            connect_timeout: Duration::from_millis(400),
+            silence_limit: Some(Duration::from_millis(1000)),
+            longest_rest: Duration::from_millis(3000),
+            most_resting: 8,
+        }
+    }
+}
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// No connection came up: nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    /// The connection closed before the request was written: nothing was sent.
+    #[error("connection closed before the request was sent")]
+    NotSent,
+    /// It broke after the request may have been written.
+    #[error("connection broke: {0}")]
+    Broken(hyper::Error),
+    /// No whole answer in time.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+impl ExchangeError {
+    /// True if the other side cannot have seen the request.
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, ExchangeError::Connect(_) | ExchangeError::NotSent)
+    }
+}
+
+/// One connection; its socket closes when it is dropped.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    resting_since: Instant,
+    longest_rest: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
+        if self.sender.ready().await.is_err() {
+            return Err(ExchangeError::NotSent);
+        }
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => ExchangeError::NotSent,
+                None => ExchangeError::Broken(error.into_error()),
+            })
+    }
+}
+
+/// Opens connections, and keeps some that rest for further use.
+pub struct ConnectionPool {
+    config: ConnectionConfig,
+    resting: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    opened: RefCell<u64>,
+}
+
+impl ConnectionPool {
+    /// A pool without connections.
+    pub fn new(config: ConnectionConfig) -> Self {
+        ConnectionPool {
+            config,
+            resting: RefCell::default(),
+            opened: RefCell::new(0),
+        }
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        *self.opened.borrow()
+    }
+
+    /// A new connection.
+    pub async fn dial(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
+        let connecting = timeout(self.config.connect_timeout, TcpStream::connect(address));
+        let stream = match connecting.await {
+            Ok(connected) => connected.map_err(ExchangeError::Connect)?,
+            Err(_) => return Err(ExchangeError::Connect(io::ErrorKind::TimedOut.into())),
+        };
+        tune(&stream, self.config.silence_limit).map_err(ExchangeError::Connect)?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|_| ExchangeError::NotSent)?;
+        *self.opened.borrow_mut() += 1;
+        let driver = tokio::task::spawn_local(async move {
+            // Errors reach the sender of the request.
+            let _ = connection.await;
+        });
+        let longest_rest = self.config.longest_rest;
+        Ok(Connection {
+            address,
+            sender,
+            driver,
+            resting_since: Instant::now(),
+            longest_rest,
+        })
+    }
+
+    /// A resting connection, if a usable one exists.
+    pub fn take_resting(&self, address: SocketAddr) -> Option<Connection> {
+        let mut resting = self.resting.borrow_mut();
+        let connections = resting.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            let fresh = connection.resting_since.elapsed() < connection.longest_rest;
+            if fresh && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// A resting connection or a new one.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
+        match self.take_resting(address) {
+            Some(connection) => Ok(connection),
+            None => self.dial(address).await,
+        }
+    }
+
+    /// Takes back a connection whose answer was read whole. `headers`: of that answer.
+    pub fn put_back(&self, mut connection: Connection, headers: &HeaderMap) {
+        if connection.sender.is_closed() || closes(headers) {
+            return;
+        }
+        connection.resting_since = Instant::now();
+        connection.longest_rest = self.config.longest_rest.min(keep_alive(headers));
+        let mut resting = self.resting.borrow_mut();
+        let connections = resting.entry(connection.address).or_default();
+        connections.retain(|other| other.resting_since.elapsed() < other.longest_rest);
+        if connections.len() < self.config.most_resting {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes resting connections that are too old to be used again.
+    pub fn drop_old(&self) {
+        self.resting.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| connection.resting_since.elapsed() < connection.longest_rest);
+            !connections.is_empty()
+        });
+    }
+
+    /// Sends a request on a resting or new connection and reads the whole answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        timeout(limit, self.exchange_unbounded(address, request))
+            .await
+            .unwrap_or(Err(ExchangeError::TimedOut))
+    }
+
+    async fn exchange_unbounded(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let again = request.clone();
+        let mut connection = self.connect(address).await?;
+        let answer = match connection.send(request).await {
+            Err(ExchangeError::NotSent) => {
+                connection = self.dial(address).await?;
+                connection.send(again).await?
+            }
+            other => other?,
+        };
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(ExchangeError::Broken)?.to_bytes();
+        self.put_back(connection, &head.headers);
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+/// Largest buffer of one connection, in bytes.
+const READ_BUFFER: usize = 64 * 1024;
+/// Taken off the rest that the other side allows.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
+
+fn closes(headers: &HeaderMap) -> bool {
+    let connection = headers
+        .get(http::header::CONNECTION)
+        .and_then(|value| value.to_str().ok());
+    connection.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// The rest that an answer's `Keep-Alive` allows, less a margin.
+fn keep_alive(headers: &HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = value.and_then(|value| {
+        let told = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        told.unwrap_or(value).trim().parse::<u64>().ok()
+    });
+    seconds.map_or(Duration::MAX, |seconds| {
+        Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN)
+    })
+}
+
+fn tune(stream: &TcpStream, silence_limit: Option<Duration>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let Some(limit) = silence_limit else { return Ok(()) };
+    let socket = SockRef::from(stream);
+    // Whole seconds are the finest that keep-alive probes have.
+    let keep_alive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(1);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
--- /dev/null
+++ b/crates/croftrill-node/src/front.rs
@@ -0,0 +1,99 @@
+//! The listener for callers' requests.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{HeaderValue, CONNECTION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::node::{Lifecycle, Node};
+use crate::ports::Platform;
+use crate::request;
+
+/// Pause after a failed accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after the request to stop in which resting connections still take a request.
+const STOP_LINGER: Duration = Duration::from_millis(2000);
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8192;
+
+/// Accepts callers until the process ends.
+pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(target: "front", event = "accept failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one caller's connection until either side closes it.
+async fn serve_connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let limits = node
+        .configuration()
+        .map(|configuration| configuration.limits)
+        .unwrap_or_default();
+    let service_node = node.clone();
+    let service = service_fn(move |request| {
+        let node = service_node.clone();
+        async move {
+            let mut response = request::serve(&node, request).await;
+            if node.lifecycle() == Lifecycle::Stopping {
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stopped(&node) => {}
+    }
+    // Resting connections close now; one that is in use closes after its answer.
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Ends some time after the node was asked to stop.
+async fn stopped<P: Platform>(node: &Node<P>) {
+    while node.lifecycle() != Lifecycle::Stopping {
+        node.stop_requested.notified().await;
+    }
+    sleep(STOP_LINGER).await;
+}
+
+/// Waits until a stopping node may end: nothing is in flight, or the grace is over.
+pub async fn finish<P: Platform>(node: &Node<P>) {
+    /// Part of the grace that is left for the end itself.
+    const END_MARGIN: Duration = Duration::from_millis(700);
+    /// Time between two looks.
+    const LOOK_EVERY: Duration = Duration::from_millis(50);
+    let grace = node.settings.bounds.stop_grace.saturating_sub(END_MARGIN);
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < grace {
+        let idle = node.in_flight.get() == 0;
+        if idle && started.elapsed() >= STOP_LINGER + LOOK_EVERY * 4 {
+            break;
+        }
+        sleep(LOOK_EVERY).await;
+    }
+    tracing::info!(target: "node", event = "stop", in_flight = node.in_flight.get());
+}
--- /dev/null
+++ b/crates/croftrill-node/src/lib.rs
@@ -0,0 +1,24 @@
+//! One node of the serving system.
+//!
+//! A node takes callers' requests and sends them to replicas, follows the
+//! configuration and the list of replicas in a key-value store, and may hold
+//! the lease under which orders are given. It runs on one thread: control state
+//! is never shared, and a node has only part of a core.
+//!
+//! What the surroundings speak is behind the traits of [`ports`].
+
+pub mod clock;
+pub mod connection;
+pub mod directory;
+pub mod front;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod node;
+pub mod orderer_task;
+pub mod peer;
+pub mod peer_link;
+pub mod ports;
+pub mod request;
+pub mod settings;
+pub mod stream;
--- /dev/null
+++ b/crates/croftrill-node/src/membership.rs
@@ -0,0 +1,156 @@
+//! The nodes of the system: each keeps an entry in the store under a lease.
+//!
+//! An entry that ends with its lease removes a dead node from the addresses
+//! that callers are told. While the store is away the last known entries stay.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use nanoserde::{DeBin, SerBin};
+use tokio::time::sleep;
+
+use crate::node::{Lifecycle, Node};
+use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError};
+
+/// Prefix of the nodes' entries.
+const MEMBER_PREFIX: &str = "croftrill/nodes/";
+/// Key of the orderer's entry.
+pub const ORDERER_KEY: &str = "croftrill/orderer";
+
+/// A node as its entry describes it.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct MemberEntry {
+    /// Name of the node.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Address for callers.
+    pub front: String,
+    /// Address for other nodes.
+    pub peer: String,
+    /// Tells this process from a former one of the same name.
+    pub incarnation: u64,
+}
+
+impl MemberEntry {
+    /// Address for callers.
+    pub fn front_address(&self) -> Option<SocketAddr> {
+        self.front.parse().ok()
+    }
+
+    /// Address for other nodes.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer.parse().ok()
+    }
+}
+
+/// Reads an entry of a node or of the orderer.
+pub fn read_entry(item: &Item) -> Option<MemberEntry> {
+    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key == ORDERER_KEY;
+    ours.then(|| DeBin::deserialize_bin(&item.value).ok()).flatten()
+}
+
+/// All known entries.
+#[derive(Debug, Default)]
+pub struct Members {
+    entries: BTreeMap<String, MemberEntry>,
+}
+
+impl Members {
+    /// An entry was written.
+    pub fn written(&mut self, key: &str, entry: MemberEntry) {
+        self.entries.insert(key.to_string(), entry);
+    }
+
+    /// A key was removed.
+    pub fn removed(&mut self, key: &str) {
+        self.entries.remove(key);
+    }
+
+    /// Keeps just the entries for whose key `keep` holds.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.entries.retain(|key, _| keep(key));
+    }
+
+    /// The node that holds the orderer's key.
+    pub fn orderer(&self) -> Option<&MemberEntry> {
+        self.entries.get(ORDERER_KEY)
+    }
+
+    /// The live nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries
+            .iter()
+            .filter(|(key, _)| key.starts_with(MEMBER_PREFIX))
+            .map(|(_, entry)| entry)
+    }
+
+    /// Number of live nodes, at least one.
+    pub fn node_count(&self) -> usize {
+        self.nodes().count().max(1)
+    }
+}
+
+/// The entry of this node. `incarnation` tells this process from a former one.
+pub fn own_entry<P: Platform>(node: &Node<P>, incarnation: u64) -> MemberEntry {
+    let identity = &node.settings.identity;
+    MemberEntry {
+        name: identity.name.clone(),
+        zone: identity.zone.clone(),
+        front: identity.front.to_string(),
+        peer: identity.peer.to_string(),
+        incarnation,
+    }
+}
+
+/// Keeps this node's entry until it stops.
+pub async fn keep_entry<P: Platform>(node: Rc<Node<P>>, incarnation: u64) {
+    let entry = own_entry(&node, incarnation);
+    let key = format!("{MEMBER_PREFIX}{}", entry.name);
+    let value = Bytes::from(SerBin::serialize_bin(&entry));
+    let mut lease = None;
+    while node.lifecycle() != Lifecycle::Stopping {
+        if node.lifecycle() == Lifecycle::Ready {
+            lease = refresh(&node, lease, &key, &value).await;
+        }
+        tokio::select! {
+            () = sleep(node.settings.pace.membership_renewal) => {}
+            () = node.stop_requested.notified() => {}
+            () = node.view_changed.notified(), if lease.is_none() => {}
+        }
+    }
+    if let Some(lease) = lease {
+        let ended = node.platform.store().end_lease(lease).await;
+        tracing::info!(target: "membership", event = "left", ended = ended.is_ok());
+    }
+}
+
+/// Renews the lease, or writes the entry anew under a new one.
+async fn refresh<P: Platform>(node: &Node<P>, lease: Option<u64>, key: &str, value: &Bytes) -> Option<u64> {
+    let store = node.platform.store();
+    if let Some(lease) = lease {
+        match store.renew_lease(lease).await {
+            Err(StoreError::NoSuchLease) => {}
+            _ => return Some(lease),
+        }
+    }
+    let lease = store
+        .grant_lease(node.settings.pace.membership_lease)
+        .await
+        .ok()?;
+    let put = ConditionalPut {
+        key: key.into(),
+        expected_revision: None,
+        value: value.clone(),
+        lease,
+    };
+    let written = store.put(put).await;
+    tracing::info!(target: "membership", event = "entry written", ok = written.is_ok(), lease);
+    match written {
+        Ok(_) => Some(lease),
+        // Without an answer it may stand; it is written again under a new lease.
+        Err(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/metrics.rs
@@ -0,0 +1,141 @@
+//! Counters and histograms, in the Prometheus text format.
+
+use std::fmt::Write;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Labels of a counter by outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// What kind of thing is counted.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// All metrics of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route kind and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Sends beyond a request's first, by cause.
+    pub retries: Family<OutcomeLabels, Counter>,
+    /// Orders by kind and outcome.
+    pub orders: Family<OutcomeLabels, Counter>,
+    /// Calls to the store by kind and outcome.
+    pub store_calls: Family<OutcomeLabels, Counter>,
+    /// Seconds from arrival to the head of the answer.
+    pub first_byte_seconds: Histogram,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Replicas known.
+    pub replicas: Gauge,
+    /// 1 while this node may give orders.
+    pub is_orderer: Gauge,
+    /// Requests being served.
+    pub in_flight: Gauge,
+    /// Messages to the orderer that were left out.
+    pub messages_left_out: Counter,
+    /// Log lines that were left out.
+    pub log_lines_left_out: Counter,
+}
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+impl Metrics {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("croftrill");
+        let requests = Family::default();
+        registry.register("requests", "Requests by route kind and outcome", requests.clone());
+        let retries = Family::default();
+        registry.register(
+            "retries",
+            "Sends beyond a request's first, by cause",
+            retries.clone(),
+        );
+        let orders = Family::default();
+        registry.register("orders", "Orders to replicas by kind and outcome", orders.clone());
+        let store_calls = Family::default();
+        registry.register(
+            "store_calls",
+            "Calls to the store by kind and outcome",
+            store_calls.clone(),
+        );
+        let first_byte_seconds = Histogram::new(LATENCY_BUCKETS);
+        registry.register(
+            "first_byte_seconds",
+            "Arrival to the answer's head",
+            first_byte_seconds.clone(),
+        );
+        let configuration_version = Gauge::default();
+        registry.register(
+            "configuration_version",
+            "Version in force",
+            configuration_version.clone(),
+        );
+        let replicas = Gauge::default();
+        registry.register("replicas", "Replicas known", replicas.clone());
+        let is_orderer = Gauge::default();
+        registry.register(
+            "is_orderer",
+            "1 while this node may give orders",
+            is_orderer.clone(),
+        );
+        let in_flight = Gauge::default();
+        registry.register("in_flight", "Requests being served", in_flight.clone());
+        let messages_left_out = Counter::default();
+        registry.register(
+            "messages_left_out",
+            "Messages to the orderer left out",
+            messages_left_out.clone(),
+        );
+        let log_lines_left_out = Counter::default();
+        registry.register(
+            "log_lines_left_out",
+            "Log lines left out",
+            log_lines_left_out.clone(),
+        );
+        Metrics {
+            registry,
+            requests,
+            retries,
+            orders,
+            store_calls,
+            first_byte_seconds,
+            configuration_version,
+            replicas,
+            is_orderer,
+            in_flight,
+            messages_left_out,
+            log_lines_left_out,
+        }
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            let _ = writeln!(text, "# metrics cannot be encoded");
+        }
+        text
+    }
+
+    /// Counts one thing by kind and outcome.
+    pub fn count(family: &Family<OutcomeLabels, Counter>, kind: &'static str, outcome: &'static str) {
+        family.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/node.rs
@@ -0,0 +1,172 @@
+//! What the parts of one node share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use croftrill_scheduler::catalog::Configuration;
+use croftrill_scheduler::replica_table::ReplicaTable;
+use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
+use tokio::sync::{mpsc, Notify};
+
+use crate::clock::Clock;
+use crate::connection::{ConnectionConfig, ConnectionPool};
+use crate::membership::Members;
+use crate::metrics::Metrics;
+use crate::orderer_task::OrdererInput;
+use crate::peer::{DemandBatch, ToOrderer};
+use crate::ports::Platform;
+use crate::settings::NodeSettings;
+
+/// Where a node is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// It has no configuration yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It was asked to stop and finishes what it has.
+    Stopping,
+}
+
+/// Part of the common retry budget that is used; the rest covers requests that
+/// the nodes and the platform count differently.
+const RETRY_SAFETY: f64 = 0.8;
+/// Messages to the orderer that may wait to be sent.
+const ORDERER_QUEUE: usize = 1024;
+
+/// State that changes.
+pub struct NodeState {
+    /// The newest configuration.
+    pub configuration: Option<Arc<Configuration>>,
+    /// All known replicas.
+    pub replicas: ReplicaTable,
+    /// This node's share of the retry budget.
+    pub retry_budget: RetryBudget,
+    /// Demand that the orderer has not been told yet.
+    pub demand: DemandBatch,
+    /// The nodes, and who gives orders.
+    pub members: Members,
+    /// Where the node is in its life.
+    pub lifecycle: Lifecycle,
+}
+
+/// One node.
+pub struct Node<P: Platform> {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// The platform that it runs on.
+    pub platform: P,
+    /// Its steady clock.
+    pub clock: Clock,
+    /// State that changes; never borrowed across an await.
+    pub state: RefCell<NodeState>,
+    /// Told whenever the view of replicas or the configuration changes.
+    pub view_changed: Notify,
+    /// Told when the node is asked to stop.
+    pub stop_requested: Notify,
+    /// Connections for requests that may be repeated, and for orders and reports.
+    pub pool: ConnectionPool,
+    /// Connections for requests that must not be ended for mere silence.
+    pub patient_pool: ConnectionPool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Requests being served.
+    pub in_flight: Cell<usize>,
+    to_orderer: mpsc::Sender<ToOrderer>,
+    orderer_inbox: mpsc::Sender<OrdererInput>,
+}
+
+/// Receiving ends of a node's queues, for the tasks that drain them.
+pub struct NodeQueues {
+    /// Messages for the present orderer, wherever it is.
+    pub to_orderer: mpsc::Receiver<ToOrderer>,
+    /// Events for this node's own orderer task.
+    pub orderer_inbox: mpsc::Receiver<OrdererInput>,
+}
+
+impl<P: Platform> Node<P> {
+    /// A node without a configuration.
+    pub fn new(settings: NodeSettings, platform: P) -> (Rc<Self>, NodeQueues) {
+        let (to_orderer, to_orderer_queue) = mpsc::channel(ORDERER_QUEUE);
+        let (orderer_inbox, orderer_queue) = mpsc::channel(ORDERER_QUEUE);
+        let bounds = &settings.bounds;
+        let retry_budget = RetryBudget::new(RetryBudgetConfig {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+            safety: RETRY_SAFETY,
+        });
+        let state = NodeState {
+            configuration: None,
+            replicas: ReplicaTable::new(),
+            retry_budget,
+            demand: DemandBatch::default(),
+            members: Members::default(),
+            lifecycle: Lifecycle::Starting,
+        };
+        let patient = ConnectionConfig {
+            silence_limit: None,
+            ..ConnectionConfig::default()
+        };
+        let node = Node {
+            settings,
+            platform,
+            clock: Clock::start(),
+            state: RefCell::new(state),
+            view_changed: Notify::new(),
+            stop_requested: Notify::new(),
+            pool: ConnectionPool::new(ConnectionConfig::default()),
+            patient_pool: ConnectionPool::new(patient),
+            metrics: Metrics::new(),
+            in_flight: Cell::new(0),
+            to_orderer,
+            orderer_inbox,
+        };
+        let queues = NodeQueues {
+            to_orderer: to_orderer_queue,
+            orderer_inbox: orderer_queue,
+        };
+        (Rc::new(node), queues)
+    }
+
+    /// Where the node is in its life.
+    pub fn lifecycle(&self) -> Lifecycle {
+        self.state.borrow().lifecycle
+    }
+
+    /// The newest configuration.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.state.borrow().configuration.clone()
+    }
+
+    /// A message for the present orderer; left out if too many wait.
+    pub fn tell_orderer(&self, message: ToOrderer) {
+        if self.to_orderer.try_send(message).is_err() {
+            self.metrics.messages_left_out.inc();
+        }
+    }
+
+    /// An event for this node's own orderer task.
+    pub fn inform_orderer_task(&self, input: OrdererInput) {
+        // Lost events are made up for: the task reads the whole table on every sync.
+        let _ = self.orderer_inbox.try_send(input);
+    }
+
+    /// The queue of this node's own orderer task.
+    pub fn orderer_inbox(&self) -> mpsc::Sender<OrdererInput> {
+        self.orderer_inbox.clone()
+    }
+
+    /// Begins to stop: not ready any more, gives no orders, takes what still comes.
+    pub fn begin_stop(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.lifecycle == Lifecycle::Stopping {
+            return;
+        }
+        state.lifecycle = Lifecycle::Stopping;
+        drop(state);
+        tracing::info!(target: "node", event = "stop requested", in_flight = self.in_flight.get());
+        self.stop_requested.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/peer.rs
@@ -0,0 +1,177 @@
+//! Messages between nodes: binary, in frames with a length.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::{HeldModel, Holdings};
+use croftrill_scheduler::replica_table::{Arrival, Placement};
+use croftrill_scheduler::time::Moment;
+use nanoserde::{DeBin, SerBin};
+
+/// A model or adapter of a service, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireModel {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Adapter; empty for none.
+    pub adapter: String,
+}
+
+impl WireModel {
+    /// The message form of a key.
+    pub fn from_key(key: &ModelKey) -> Self {
+        WireModel {
+            service: key.service.to_string(),
+            model: key.model.to_string(),
+            adapter: key.adapter.as_deref().unwrap_or_default().to_string(),
+        }
+    }
+
+    /// The key.
+    pub fn to_key(&self) -> ModelKey {
+        ModelKey {
+            service: self.service.as_str().into(),
+            model: self.model.as_str().into(),
+            adapter: (!self.adapter.is_empty()).then(|| self.adapter.as_str().into()),
+        }
+    }
+}
+
+/// Requests for one model since the last message.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct DemandItem {
+    /// What was asked for.
+    pub model: WireModel,
+    /// Requests.
+    pub requests: u32,
+    /// Their cost, in tokens.
+    pub tokens: u64,
+}
+
+/// A message to the orderer.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum ToOrderer {
+    /// Requests that arrived at a node.
+    Demand(Vec<DemandItem>),
+    /// Requests wait for something that is not held.
+    Waiting(WireModel),
+}
+
+/// A model on its way, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireArrival {
+    /// The model.
+    pub model: String,
+    /// Milliseconds until it should be ready.
+    pub ready_in_ms: u32,
+}
+
+/// A model with its adapters, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireHeldModel {
+    /// The model.
+    pub model: String,
+    /// Its adapters that are present.
+    pub adapters: Vec<String>,
+}
+
+/// What the orderer tells of one replica, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WirePlacement {
+    /// The replica.
+    pub replica: String,
+    /// Orders that it has taken.
+    pub sequence: u64,
+    /// What requests may rely on.
+    pub models: Vec<WireHeldModel>,
+    /// What is on its way.
+    pub arriving: Vec<WireArrival>,
+}
+
+/// A message from the orderer.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum FromOrderer {
+    /// What it knows of some replicas.
+    Placements(Vec<WirePlacement>),
+    /// It is alive and holds the lease.
+    Alive,
+}
+
+impl WirePlacement {
+    /// The message form of a placement.
+    pub fn from_placement(placement: &Placement, now: Moment) -> Self {
+        let models = placement.usable.models.iter().map(|held| WireHeldModel {
+            model: held.model.to_string(),
+            adapters: held.adapters.iter().map(ToString::to_string).collect(),
+        });
+        let arriving = placement.arriving.iter().map(|arrival| WireArrival {
+            model: arrival.model.to_string(),
+            ready_in_ms: arrival.ready_at.since(now).as_millis() as u32,
+        });
+        WirePlacement {
+            replica: placement.replica.to_string(),
+            sequence: placement.usable.sequence,
+            models: models.collect(),
+            arriving: arriving.collect(),
+        }
+    }
+
+    /// The placement.
+    pub fn to_placement(&self, now: Moment) -> Placement {
+        let models = self.models.iter().map(|held| HeldModel {
+            model: held.model.as_str().into(),
+            adapters: held
+                .adapters
+                .iter()
+                .map(|adapter| adapter.as_str().into())
+                .collect(),
+        });
+        let arriving = self.arriving.iter().map(|arrival| Arrival {
+            model: arrival.model.as_str().into(),
+            ready_at: now + Duration::from_millis(u64::from(arrival.ready_in_ms)),
+        });
+        let usable = Holdings {
+            sequence: self.sequence,
+            models: models.collect(),
+            copies: Default::default(),
+        };
+        Placement {
+            replica: self.replica.as_str().into(),
+            usable,
+            arriving: arriving.collect(),
+        }
+    }
+}
+
+/// Demand that has not been told yet.
+#[derive(Debug, Default)]
+pub struct DemandBatch {
+    items: BTreeMap<ModelKey, (u32, u64)>,
+}
+
+impl DemandBatch {
+    /// Counts a request and its cost.
+    pub fn add(&mut self, key: ModelKey, tokens: u64) {
+        let item = self.items.entry(key).or_default();
+        item.0 += 1;
+        item.1 += tokens;
+    }
+
+    /// Takes what was counted, as a message; `None` if there is nothing.
+    pub fn take(&mut self) -> Option<ToOrderer> {
+        if self.items.is_empty() {
+            return None;
+        }
+        let items = std::mem::take(&mut self.items)
+            .into_iter()
+            .map(|(key, (requests, tokens))| DemandItem {
+                model: WireModel::from_key(&key),
+                requests,
+                tokens,
+            });
+        Some(ToOrderer::Demand(items.collect()))
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -0,0 +1,197 @@
+//! Links between nodes: everyone listens to the orderer and tells it of demand.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use nanoserde::{DeBin, SerBin};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::node::Node;
+use crate::orderer_task::{OrdererInput, Subscription};
+use crate::peer::{FromOrderer, ToOrderer};
+use crate::ports::Platform;
+
+type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Largest message between nodes, in bytes.
+const MOST_MESSAGE_BYTES: usize = 1024 * 1024;
+/// Longest time for a link to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before a link is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Heartbeats that may be missed before a link counts as dead.
+const MISSED_HEARTBEATS: u32 = 3;
+/// Longest wait for the own orderer task to take a subscriber.
+const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+fn framed(stream: TcpStream) -> PeerStream {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MOST_MESSAGE_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Accepts links of other nodes.
+pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_link(node.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(target: "peer", event = "accept failed", %error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one listening node, as long as this node gives orders.
+async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (reply, subscribed) = oneshot::channel();
+    let inbox = node.orderer_inbox();
+    if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
+        return;
+    }
+    let Ok(Ok(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribed).await else {
+        return;
+    };
+    let _ = exchange_messages(framed(stream), subscription, inbox).await;
+}
+
+/// Passes changes to the listener and its messages to the orderer, until either ends.
+async fn exchange_messages(
+    mut link: PeerStream,
+    subscription: Subscription,
+    inbox: mpsc::Sender<OrdererInput>,
+) -> io::Result<()> {
+    let mut changes = subscription.changes;
+    link.send(Bytes::from(subscription.first.serialize_bin())).await?;
+    loop {
+        tokio::select! {
+            change = changes.recv() => match change {
+                Ok(change) => link.send(Bytes::from(change.serialize_bin())).await?,
+                // The listener fell behind: it connects anew and gets everything.
+                Err(broadcast::error::RecvError::Lagged(_) | broadcast::error::RecvError::Closed) => return Ok(()),
+            },
+            frame = link.next() => {
+                let Some(frame) = frame else { return Ok(()) };
+                let message = ToOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
+                if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Follows the present orderer, wherever it is, until the process ends.
+pub async fn follow_orderer<P: Platform>(node: Rc<Node<P>>, mut outgoing: mpsc::Receiver<ToOrderer>) {
+    loop {
+        match orderer_address(&node) {
+            Some(address) if address == node.settings.identity.peer => {
+                pass_to_own(&node, &mut outgoing).await;
+            }
+            Some(address) => {
+                if let Err(error) = listen_to(&node, address, &mut outgoing).await {
+                    tracing::warn!(target: "peer", event = "link to the orderer ended", %address, %error);
+                }
+                node.state.borrow_mut().replicas.orderer_lost();
+                sleep(RETRY_PAUSE).await;
+            }
+            None => {
+                while outgoing.try_recv().is_ok() {}
+                tokio::select! {
+                    () = sleep(RETRY_PAUSE) => {}
+                    () = node.view_changed.notified() => {}
+                }
+            }
+        }
+    }
+}
+
+fn orderer_address<P: Platform>(node: &Node<P>) -> Option<SocketAddr> {
+    node.state
+        .borrow()
+        .members
+        .orderer()
+        .and_then(|member| member.peer_address())
+}
+
+/// This node gives the orders itself.
+async fn pass_to_own<P: Platform>(node: &Node<P>, outgoing: &mut mpsc::Receiver<ToOrderer>) {
+    let inbox = node.orderer_inbox();
+    while orderer_address(node) == Some(node.settings.identity.peer) {
+        tokio::select! {
+            message = outgoing.recv() => {
+                let Some(message) = message else { return };
+                let _ = inbox.send(OrdererInput::FromNode(message)).await;
+            }
+            () = sleep(RETRY_PAUSE) => {}
+        }
+    }
+}
+
+/// Listens to another node, until it falls silent or is not the orderer any more.
+async fn listen_to<P: Platform>(
+    node: &Node<P>,
+    address: SocketAddr,
+    outgoing: &mut mpsc::Receiver<ToOrderer>,
+) -> io::Result<()> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let mut link = framed(stream);
+    let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
+    let mut heard = tokio::time::Instant::now();
+    while orderer_address(node) == Some(address) {
+        tokio::select! {
+            frame = link.next() => {
+                let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                apply_message(node, FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?);
+                heard = tokio::time::Instant::now();
+            }
+            message = outgoing.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                link.send(Bytes::from(message.serialize_bin())).await?;
+            }
+            () = tokio::time::sleep_until(heard + silence_limit) => return Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+    Ok(())
+}
+
+fn apply_message<P: Platform>(node: &Node<P>, message: FromOrderer) {
+    let FromOrderer::Placements(placements) = message else {
+        return;
+    };
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    for placement in placements {
+        state.replicas.apply_placement(placement.to_placement(now));
+    }
+    drop(state);
+    node.view_changed.notify_waiters();
+}
+
+/// Tells the orderer of demand at intervals.
+pub async fn tell_demand<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(node.settings.pace.demand_every).await;
+        let message = node.state.borrow_mut().demand.take();
+        if let Some(message) = message {
+            node.tell_orderer(message);
+        }
+    }
+}
+
+fn invalid_message(error: nanoserde::DeBinErr) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
+}
--- /dev/null
+++ b/crates/croftrill-node/src/ports.rs
@@ -0,0 +1,282 @@
+//! What a node needs of its surroundings, as traits with typed messages.
+//!
+//! An adapter implements them for a platform; tests implement them in memory.
+//! All futures stay on the node's one thread, so none must be `Send`.
+#![allow(async_fn_in_trait)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::catalog::{AdapterName, Configuration, ModelName};
+use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport};
+use http::{request, response, HeaderMap};
+
+/// One item of the key-value store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Bytes,
+    /// Store revision of its last change.
+    pub revision: u64,
+}
+
+/// A change of one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The item was written.
+    Written(Item),
+    /// The key was removed.
+    Removed(String),
+}
+
+/// All items under a prefix.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    /// The items.
+    pub items: Vec<Item>,
+    /// Revision from which a watch misses nothing.
+    pub revision: u64,
+}
+
+/// Changes since a revision.
+#[derive(Debug, Clone, Default)]
+pub struct Changes {
+    /// The changes in order.
+    pub events: Vec<StoreEvent>,
+    /// Revision from which the next watch goes on.
+    pub revision: u64,
+}
+
+/// A change of one key under the condition that it stands at a revision (0: absent).
+#[derive(Debug, Clone)]
+pub struct ConditionalPut {
+    /// The key.
+    pub key: String,
+    /// Expected revision; `None`: no condition.
+    pub expected_revision: Option<u64>,
+    /// The new value.
+    pub value: Bytes,
+    /// Lease that the key goes with.
+    pub lease: u64,
+}
+
+/// What became of a conditional put.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PutOutcome {
+    /// It was done, at this revision.
+    Done {
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// The condition did not hold.
+    Rejected,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// It could not be reached; nothing was done.
+    #[error("store cannot be reached")]
+    Unreachable,
+    /// No answer came; the call may have been done, or may be done later.
+    #[error("no answer from the store")]
+    NoAnswer,
+    /// The store said that it did nothing.
+    #[error("store is not available")]
+    Unavailable,
+    /// Too many calls.
+    #[error("store is throttling")]
+    Throttled,
+    /// The asked-for history is gone; read everything again.
+    #[error("history is gone")]
+    HistoryGone,
+    /// The lease is over.
+    #[error("no such lease")]
+    NoSuchLease,
+    /// The answer could not be understood.
+    #[error("unexpected answer: {0}")]
+    Protocol(String),
+}
+
+/// A linearizable key-value store with revisions, leases and watches.
+pub trait KeyValueStore {
+    /// Reads all items whose key begins with `prefix`.
+    async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError>;
+    /// Waits up to `wait` for changes after a revision.
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
+    /// Reads one item.
+    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError>;
+    /// Writes one key under a condition.
+    async fn put(&self, put: ConditionalPut) -> Result<PutOutcome, StoreError>;
+    /// Asks for a lease; answers its number.
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, StoreError>;
+    /// Renews a lease.
+    async fn renew_lease(&self, lease: u64) -> Result<(), StoreError>;
+    /// Ends a lease; its keys go with it.
+    async fn end_lease(&self, lease: u64) -> Result<(), StoreError>;
+}
+
+/// What an item of the store means to the node.
+#[derive(Debug, Clone)]
+pub enum Record {
+    /// The operators' configuration.
+    Configuration(Arc<Configuration>),
+    /// A replica as listed.
+    Replica(ReplicaListing),
+    /// A value that should be one of these but cannot be read.
+    Malformed(String),
+    /// Something else: a node's own item, or nothing that concerns it.
+    Other,
+}
+
+/// Reads the store's items.
+pub trait RecordReader {
+    /// What an item means.
+    fn read(&self, item: &Item) -> Record;
+    /// The replica that a key stands for.
+    fn replica_of(&self, key: &str) -> Option<ReplicaId>;
+}
+
+/// Where an order or question goes.
+#[derive(Debug, Clone)]
+pub struct EngineAddress {
+    /// The incarnation that is meant.
+    pub replica: ReplicaId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// An order with its authority.
+#[derive(Debug, Clone)]
+pub struct FencedOrder {
+    /// What to do.
+    pub order: Order,
+    /// Name of the node that orders.
+    pub holder: String,
+    /// Fencing token of its lease.
+    pub fencing_token: u64,
+    /// Number of orders that the replica must have taken before.
+    pub expected_sequence: u64,
+}
+
+/// Orders and questions to model replicas.
+pub trait EngineControl {
+    /// Sends an order.
+    async fn order(&self, target: &EngineAddress, order: &FencedOrder) -> OrderOutcome;
+    /// Asks for a report; `None` if none came.
+    async fn report(&self, target: &EngineAddress) -> Option<ReplicaReport>;
+}
+
+/// A part of a prompt that requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Hash of the part.
+    pub hash: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// What the headers of a request tell.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// Time that the caller will wait.
+    pub deadline: Option<Duration>,
+    /// The model, if one is named.
+    pub model: Option<ModelName>,
+    /// An adapter of it.
+    pub adapter: Option<AdapterName>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens of the answer.
+    pub output_tokens: u64,
+    /// Parts of the prompt in order.
+    pub parts: Vec<PromptPart>,
+    /// The event after which a stream goes on.
+    pub last_event_id: Option<String>,
+}
+
+/// Why a request's headers cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BadRequest {
+    /// No id.
+    #[error("the request has no attempt id")]
+    NoId,
+    /// A header's value cannot be read.
+    #[error("header {0} cannot be read")]
+    Header(&'static str),
+}
+
+/// What the system adds to a request for a replica.
+#[derive(Debug, Clone)]
+pub struct Forwarding<'a> {
+    /// The incarnation that may run it.
+    pub replica: &'a str,
+    /// Time that is left.
+    pub time_left: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// The event after which the stream goes on.
+    pub resume_after: Option<&'a str>,
+}
+
+/// Whether a replica ran the request that it answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Execution {
+    /// It says that it did not and will not.
+    NotExecuted,
+    /// It did, or may have.
+    Executed,
+}
+
+/// What the head of a replica's answer tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// True if it answers this request and not another.
+    pub is_ours: bool,
+    /// True if it carries the replica's signature.
+    pub is_signed: bool,
+    /// True if its body is the replica's own bytes, without an encoding.
+    pub is_plain: bool,
+    /// Whether the request ran.
+    pub execution: Execution,
+    /// True if it tells that the replica is another incarnation or lacks the model.
+    pub is_misdirected: bool,
+    /// Requests running and waiting there, if told.
+    pub load: Option<u32>,
+}
+
+/// How requests and answers are written on the wire.
+pub trait Dialect {
+    /// Reads a request's headers.
+    fn request_facts(&self, head: &request::Parts) -> Result<RequestFacts, BadRequest>;
+    /// Sets the system's own headers of a request for a replica.
+    fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
+    /// Reads the head of a replica's answer to the request with that id.
+    fn answer_facts(&self, id: &str, head: &response::Parts) -> AnswerFacts;
+}
+
+/// A platform: the implementations that a node runs on.
+pub trait Platform: 'static {
+    /// The store.
+    type Store: KeyValueStore;
+    /// Reader of its items.
+    type Records: RecordReader;
+    /// Orders to replicas.
+    type Engine: EngineControl;
+    /// The wire of requests.
+    type Dialect: Dialect;
+    /// The store.
+    fn store(&self) -> &Self::Store;
+    /// Reader of its items.
+    fn records(&self) -> &Self::Records;
+    /// Orders to replicas.
+    fn engine(&self) -> &Self::Engine;
+    /// The wire of requests.
+    fn dialect(&self) -> &Self::Dialect;
+}
--- /dev/null
+++ b/crates/croftrill-node/src/settings.rs
@@ -0,0 +1,86 @@
+//! The typed settings of a node. Where they come from is the caller's concern.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Who and where a node is.
+#[derive(Debug, Clone)]
+pub struct NodeIdentity {
+    /// Unique name of the node.
+    pub name: String,
+    /// Zone it runs in.
+    pub zone: String,
+    /// Address at which callers reach it.
+    pub front: SocketAddr,
+    /// Address at which other nodes reach it.
+    pub peer: SocketAddr,
+}
+
+/// Bounds that hold for all nodes together.
+#[derive(Debug, Clone)]
+pub struct ClusterBounds {
+    /// Time within which one orderer must not follow another at a replica.
+    pub order_gap: Duration,
+    /// Sliding window of the ceiling on loads from the weight store.
+    pub ceiling_window: Duration,
+    /// Repeats allowed for each request.
+    pub retry_ratio: f64,
+    /// Repeats allowed besides in a window.
+    pub retry_slack: f64,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+    /// Time between the request to stop and the end of the process.
+    pub stop_grace: Duration,
+    /// Shortest lease that the store grants.
+    pub least_lease: Duration,
+}
+
+/// All settings of a node.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Who and where it is.
+    pub identity: NodeIdentity,
+    /// Bounds for all nodes.
+    pub bounds: ClusterBounds,
+    /// Intervals of the node's own work.
+    pub pace: Pace,
+}
+
+/// Intervals of a node's own work.
+#[derive(Debug, Clone)]
+pub struct Pace {
+    /// Least time between two watch calls.
+    pub watch_every: Duration,
+    /// Longest time that one watch call waits.
+    pub watch_wait: Duration,
+    /// Time to live of the node's own entry.
+    pub membership_lease: Duration,
+    /// Time between renewals of it.
+    pub membership_renewal: Duration,
+    /// Time to live of the orderer's lease.
+    pub orderer_lease: Duration,
+    /// Time between renewals of it.
+    pub orderer_renewal: Duration,
+    /// Time between two plans of the orderer.
+    pub plan_every: Duration,
+    /// Time between reports of demand to the orderer.
+    pub demand_every: Duration,
+    /// Time between signs of life on a link between nodes.
+    pub peer_heartbeat: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            watch_every: Duration::from_millis(600),
+            watch_wait: Duration::from_secs(10),
+            membership_lease: Duration::from_secs(3),
+            membership_renewal: Duration::from_millis(900),
+            orderer_lease: Duration::from_millis(1500),
+            orderer_renewal: Duration::from_millis(400),
+            plan_every: Duration::from_millis(20),
+            demand_every: Duration::from_millis(250),
+            peer_heartbeat: Duration::from_millis(400),
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -0,0 +1,128 @@
+//! Demand for models and adapters, as a rate that fades with time.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::catalog::{AdapterName, ModelName, ServiceName};
+use crate::time::Moment;
+
+/// A model of a service, or an adapter of it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ModelKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The model.
+    pub model: ModelName,
+    /// An adapter of it; `None`: the model, with or without adapters.
+    pub adapter: Option<AdapterName>,
+}
+
+impl ModelKey {
+    /// The same model without an adapter.
+    pub fn base(&self) -> ModelKey {
+        ModelKey {
+            adapter: None,
+            ..self.clone()
+        }
+    }
+}
+
+/// Time constant of the fading rate.
+const RATE_MEMORY: Duration = Duration::from_secs(6);
+/// After this time without a request a waiting mark is over.
+const WAITING_FOR: Duration = Duration::from_millis(1500);
+
+/// Demand for one model or adapter.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rate {
+    requests: f64,
+    tokens: f64,
+    updated: Moment,
+    waiting_until: Option<Moment>,
+    waiting_since: Option<Moment>,
+}
+
+impl Rate {
+    fn fade_to(&mut self, now: Moment) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        let fade = (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
+        self.requests *= fade;
+        self.tokens *= fade;
+        self.updated = now;
+    }
+}
+
+/// Demand of all nodes together.
+#[derive(Debug, Default)]
+pub struct Demand {
+    rates: HashMap<ModelKey, Rate>,
+}
+
+impl Demand {
+    /// No demand yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts requests; for an adapter its model is counted too.
+    pub fn count(&mut self, key: &ModelKey, requests: f64, tokens: f64, now: Moment) {
+        if key.adapter.is_some() {
+            self.count(&key.base(), requests, tokens, now);
+        }
+        let rate = self.rates.entry(key.clone()).or_default();
+        rate.fade_to(now);
+        rate.requests += requests;
+        rate.tokens += tokens;
+    }
+
+    /// Requests wait for this model or adapter.
+    pub fn mark_waiting(&mut self, key: &ModelKey, now: Moment) {
+        let rate = self.rates.entry(key.clone()).or_default();
+        let over = rate.waiting_until.is_none_or(|until| until < now);
+        if over {
+            rate.waiting_since = Some(now);
+        }
+        rate.waiting_until = Some(now + WAITING_FOR);
+    }
+
+    /// What was waited for is there.
+    pub fn clear_waiting(&mut self, key: &ModelKey) {
+        if let Some(rate) = self.rates.get_mut(key) {
+            rate.waiting_until = None;
+        }
+    }
+
+    /// Models and adapters that are waited for, those waiting longest first.
+    pub fn waiting(&self, now: Moment) -> Vec<ModelKey> {
+        let mut waiting: Vec<(Moment, &ModelKey)> = self
+            .rates
+            .iter()
+            .filter(|(_, rate)| rate.waiting_until.is_some_and(|until| now <= until))
+            .map(|(key, rate)| (rate.waiting_since.unwrap_or(now), key))
+            .collect();
+        waiting.sort();
+        waiting.into_iter().map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Requests a second.
+    pub fn requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
+        self.faded(key, now, |rate| rate.requests)
+    }
+
+    /// Cost tokens a second.
+    pub fn tokens_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
+        self.faded(key, now, |rate| rate.tokens)
+    }
+
+    /// All keys with demand, models and adapters.
+    pub fn keys(&self) -> impl Iterator<Item = &ModelKey> {
+        self.rates.keys()
+    }
+
+    fn faded(&self, key: &ModelKey, now: Moment, part: impl Fn(&Rate) -> f64) -> f64 {
+        self.rates.get(key).map_or(0.0, |rate| {
+            let elapsed = now.since(rate.updated).as_secs_f64();
+            part(rate) * (-elapsed / RATE_MEMORY.as_secs_f64()).exp() / RATE_MEMORY.as_secs_f64()
+        })
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -0,0 +1,19 @@
+//! The decisions of the serving system, without input or output.
+//!
+//! Every module is a state machine or a pure function: events and the present
+//! time go in, decisions come out. `croftrill-node` applies them.
+
+pub mod admission;
+pub mod catalog;
+pub mod demand;
+pub mod health;
+pub mod lease;
+pub mod load_ceiling;
+pub mod orderer;
+pub mod placement;
+pub mod replica;
+pub mod replica_ledger;
+pub mod replica_table;
+pub mod retry_budget;
+pub mod routing;
+pub mod time;
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -0,0 +1,314 @@
+//! Which models and adapters should be where.
+//!
+//! Pure choices over one service's replicas: how many holders a model deserves,
+//! which replica loads a model next, what makes way for it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::catalog::{AdapterName, EngineSpec, ModelName, ServiceName};
+use crate::demand::{Demand, ModelKey};
+use crate::replica::{Holdings, ReplicaId, ReplicaState};
+use crate::replica_ledger::ReplicaLedger;
+use crate::time::Moment;
+
+/// Tunable figures of placement.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementConfig {
+    /// Cost tokens a second that one holder of a model should carry at most.
+    pub tokens_per_holder: f64,
+    /// Requests a second from which a model gets a second holder.
+    pub second_holder_from: f64,
+    /// A further holder must be worth so many times what makes way for it.
+    pub least_gain: f64,
+    /// Seconds of load time that losing a model with one holder's load of demand counts as.
+    pub displacement_seconds: f64,
+    /// Adapters' requests a second on a replica, from which it is spared weights orders.
+    pub adapter_block_seconds: f64,
+}
+
+impl Default for PlacementConfig {
+    fn default() -> Self {
+        PlacementConfig {
+            tokens_per_holder: 9_000.0,
+            second_holder_from: 0.7,
+            least_gain: 2.0,
+            displacement_seconds: 4.0,
+            adapter_block_seconds: 1.0,
+        }
+    }
+}
+
+/// One replica as placement sees it.
+#[derive(Debug)]
+pub struct PlacedReplica {
+    /// Whether it takes requests.
+    pub state: ReplicaState,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Its account.
+    pub ledger: ReplicaLedger,
+    /// A model that it should load next.
+    pub goal: Option<ModelName>,
+    /// A model that gets no more requests, since when, because it makes way.
+    pub withdrawn: Option<(ModelName, Moment)>,
+}
+
+impl PlacedReplica {
+    /// True if the replica holds the model and will go on holding it.
+    pub fn keeps(&self, model: &str) -> bool {
+        let withdrawn = self.withdrawn.as_ref().is_some_and(|(name, _)| &**name == model);
+        !withdrawn && self.state == ReplicaState::Ready && self.ledger.holdings().serves(model, None)
+    }
+
+    /// True if the model is on its way to the replica.
+    pub fn awaits(&self, model: &str) -> bool {
+        self.state == ReplicaState::Ready && self.goal.as_deref() == Some(model)
+    }
+}
+
+/// Where a replica would take a model's weights from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WeightSource {
+    /// Its main memory.
+    Memory,
+    /// Its disk.
+    Disk,
+    /// The weight store, which is rate-limited.
+    Store,
+}
+
+/// Where the replica would load the model from.
+pub fn weight_source(holdings: &Holdings, model: &str) -> WeightSource {
+    if holdings.copies.in_memory.iter().any(|name| &**name == model) {
+        WeightSource::Memory
+    } else if holdings.copies.on_disk.iter().any(|name| &**name == model) {
+        WeightSource::Disk
+    } else {
+        WeightSource::Store
+    }
+}
+
+/// Expected time of a load; `None` if the model is not in the configuration.
+pub fn load_time(engine: &EngineSpec, holdings: &Holdings, model: &str) -> Option<Duration> {
+    let spec = engine.models.get(model)?;
+    Some(match weight_source(holdings, model) {
+        WeightSource::Memory => spec.memory_load,
+        WeightSource::Disk => spec.disk_load,
+        WeightSource::Store => spec.store_load,
+    })
+}
+
+/// Memory for weights and adapters in use, in MB. Unknown models count as filling the replica.
+pub fn memory_used(engine: &EngineSpec, holdings: &Holdings) -> f64 {
+    let memory_of = |held: &crate::replica::HeldModel| match engine.models.get(&held.model) {
+        Some(spec) => spec.weights_mb + spec.adapter_mb * held.adapters.len() as f64,
+        None => engine.weights_mb,
+    };
+    holdings.models.iter().map(memory_of).sum()
+}
+
+/// The replicas of one service with the demand they face.
+pub struct ServicePlacement<'a> {
+    /// Tunable figures.
+    pub config: &'a PlacementConfig,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// What its replicas can hold.
+    pub engine: &'a EngineSpec,
+    /// Demand of all nodes.
+    pub demand: &'a Demand,
+    /// All replicas; those of other services are passed over.
+    pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
+    /// The present time.
+    pub now: Moment,
+}
+
+impl ServicePlacement<'_> {
+    /// The service's replicas.
+    pub fn members(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
+        self.replicas
+            .iter()
+            .filter(|(_, replica)| replica.service == *self.service)
+    }
+
+    /// Replicas that hold each model, and those that await it.
+    pub fn holders(&self) -> HashMap<ModelName, usize> {
+        let mut holders: HashMap<ModelName, usize> = HashMap::new();
+        for (_, replica) in self.members() {
+            for held in &replica.ledger.holdings().models {
+                if replica.keeps(&held.model) {
+                    *holders.entry(held.model.clone()).or_default() += 1;
+                }
+            }
+            if let Some(goal) = replica.goal.as_ref().filter(|goal| !replica.keeps(goal)) {
+                *holders.entry(goal.clone()).or_default() += 1;
+            }
+        }
+        holders
+    }
+
+    fn key(&self, model: &ModelName) -> ModelKey {
+        ModelKey {
+            service: self.service.clone(),
+            model: model.clone(),
+            adapter: None,
+        }
+    }
+
+    /// Holders that a model's demand deserves.
+    pub fn deserved_holders(&self, model: &ModelName) -> usize {
+        let key = self.key(model);
+        let tokens = self.demand.tokens_per_second(&key, self.now);
+        let requests = self.demand.requests_per_second(&key, self.now);
+        let by_load = (tokens / self.config.tokens_per_holder).ceil() as usize;
+        let least = if requests >= self.config.second_holder_from {
+            2
+        } else {
+            1
+        };
+        by_load.max(least).min(self.members().count())
+    }
+
+    /// Cost tokens a second that depend on one of a model's holders.
+    /// Holders beyond what the demand deserves count little.
+    pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
+        const SURPLUS_SHARE: f64 = 0.05;
+        let tokens = self.demand.tokens_per_second(&self.key(model), self.now);
+        let each = tokens / holders.max(1) as f64;
+        if holders > self.deserved_holders(model) {
+            each * SURPLUS_SHARE
+        } else {
+            each
+        }
+    }
+
+    /// The model that makes way first on a replica: the least valuable, and of
+    /// equals the one with most holders.
+    pub fn victim(&self, replica: &PlacedReplica, holders: &HashMap<ModelName, usize>) -> Option<ModelName> {
+        let present = &replica.ledger.holdings().models;
+        let worth = |model: &ModelName| {
+            let count = holders.get(model).copied().unwrap_or(1);
+            (self.value_of_holder(model, count), std::cmp::Reverse(count))
+        };
+        present
+            .iter()
+            .map(|held| &held.model)
+            .filter(|model| replica.goal.as_ref() != Some(model))
+            .min_by(|left, right| {
+                let (left, right) = (worth(left), worth(right));
+                left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+            })
+            .cloned()
+    }
+
+    /// Value of what a replica must drop to make room for a model.
+    fn displaced_value(
+        &self,
+        replica: &PlacedReplica,
+        model: &ModelName,
+        holders: &HashMap<ModelName, usize>,
+    ) -> Option<f64> {
+        let holdings = replica.ledger.holdings();
+        let needed = self.engine.models.get(model)?.weights_mb;
+        let mut free = self.engine.weights_mb - memory_used(self.engine, holdings);
+        let mut values: Vec<(f64, f64)> = holdings
+            .models
+            .iter()
+            .map(|held| {
+                let count = holders.get(&held.model).copied().unwrap_or(1);
+                let memory = self
+                    .engine
+                    .models
+                    .get(&held.model)
+                    .map_or(0.0, |spec| spec.weights_mb);
+                (self.value_of_holder(&held.model, count), memory)
+            })
+            .collect();
+        values.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let mut displaced = 0.0;
+        for (value, memory) in values {
+            if free >= needed {
+                break;
+            }
+            free += memory;
+            displaced += value;
+        }
+        (free >= needed).then_some(displaced)
+    }
+
+    /// Requests a second for adapters on a replica, which its weights orders hold up.
+    fn adapter_requests(&self, replica: &PlacedReplica) -> f64 {
+        let held = &replica.ledger.holdings().models;
+        let keys = held.iter().flat_map(|held| {
+            held.adapters.iter().map(|adapter| ModelKey {
+                adapter: Some(adapter.clone()),
+                ..self.key(&held.model)
+            })
+        });
+        keys.map(|key| self.demand.requests_per_second(&key, self.now))
+            .sum()
+    }
+
+    /// The replica that should load a model next, with the value it displaces.
+    pub fn best_place(
+        &self,
+        model: &ModelName,
+        holders: &HashMap<ModelName, usize>,
+        store_allowed: bool,
+    ) -> Option<(ReplicaId, f64)> {
+        let cost = |replica: &PlacedReplica| -> Option<(f64, f64)> {
+            let holdings = replica.ledger.holdings();
+            let displaced = self.displaced_value(replica, model, holders)?;
+            let load = load_time(self.engine, holdings, model)?.as_secs_f64();
+            let displacement = displaced / self.config.tokens_per_holder * self.config.displacement_seconds;
+            let adapters = self.adapter_requests(replica) * self.config.adapter_block_seconds;
+            Some((load + displacement + adapters, displaced))
+        };
+        self.members()
+            .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
+            .filter(|(_, replica)| replica.ledger.is_idle() && !replica.ledger.holdings().serves(model, None))
+            .filter(|(_, replica)| {
+                store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
+            })
+            .filter_map(|(id, replica)| cost(replica).map(|(cost, displaced)| (cost, displaced, id)))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, displaced, id)| (id.clone(), displaced))
+    }
+
+    /// The replica that should load an adapter: of those that keep its model
+    /// and are idle, the one with most free places, then with the least
+    /// demanded adapter to drop.
+    pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
+        self.members()
+            .filter(|(_, replica)| replica.keeps(model) && replica.goal.is_none() && replica.ledger.is_idle())
+            .min_by(|(_, left), (_, right)| {
+                let used = |replica: &PlacedReplica| replica.ledger.holdings().adapter_count();
+                let load = |replica: &PlacedReplica| self.adapter_requests(replica);
+                used(left)
+                    .cmp(&used(right))
+                    .then(load(left).total_cmp(&load(right)))
+            })
+            .map(|(id, _)| id.clone())
+    }
+
+    /// The adapter that makes way first on a replica: the least demanded.
+    pub fn adapter_victim(&self, replica: &PlacedReplica) -> Option<(ModelName, AdapterName)> {
+        let held = &replica.ledger.holdings().models;
+        let adapters = held.iter().flat_map(|held| {
+            held.adapters
+                .iter()
+                .map(move |adapter| (held.model.clone(), adapter.clone()))
+        });
+        adapters.min_by(|left, right| {
+            let rate = |(model, adapter): &(ModelName, AdapterName)| {
+                let key = ModelKey {
+                    adapter: Some(adapter.clone()),
+                    ..self.key(model)
+                };
+                self.demand.requests_per_second(&key, self.now)
+            };
+            rate(left).total_cmp(&rate(right))
+        })
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -0,0 +1,158 @@
+//! What is known of a replica: identity, state, and the models it holds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::catalog::{AdapterName, ModelName, ServiceName};
+
+/// Identity of one incarnation of a replica.
+pub type ReplicaId = Arc<str>;
+
+/// Whether a replica takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplicaState {
+    /// Takes requests.
+    Ready,
+    /// Is about to leave and takes no new requests.
+    Draining,
+}
+
+/// One model that a replica holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// Name of the model.
+    pub model: ModelName,
+    /// Adapters that are present.
+    pub adapters: Vec<AdapterName>,
+}
+
+/// Copies of weights that a replica keeps outside its accelerator.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WeightCopies {
+    /// Models in main memory: the fastest load.
+    pub in_memory: Vec<ModelName>,
+    /// Models on the replica's disk.
+    pub on_disk: Vec<ModelName>,
+}
+
+/// What a replica holds, as of a number of orders taken.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Holdings {
+    /// Orders that the replica had taken.
+    pub sequence: u64,
+    /// Models with their adapters.
+    pub models: Vec<HeldModel>,
+    /// Copies outside the accelerator.
+    pub copies: WeightCopies,
+}
+
+impl Holdings {
+    /// The entry of a model, if it is held.
+    pub fn model(&self, model: &str) -> Option<&HeldModel> {
+        self.models.iter().find(|held| &*held.model == model)
+    }
+
+    /// True if the model, and the adapter if one is asked for, is held.
+    pub fn serves(&self, model: &str, adapter: Option<&str>) -> bool {
+        self.model(model).is_some_and(|held| match adapter {
+            None => true,
+            Some(adapter) => held.adapters.iter().any(|present| &**present == adapter),
+        })
+    }
+
+    /// Number of adapters that are present.
+    pub fn adapter_count(&self) -> usize {
+        self.models.iter().map(|held| held.adapters.len()).sum()
+    }
+}
+
+/// A replica as the directory lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReplicaListing {
+    /// Identity of the incarnation.
+    pub id: ReplicaId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// `IP:PORT`.
+    pub address: Arc<str>,
+    /// Zone it runs in.
+    pub zone: Arc<str>,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: ReplicaState,
+    /// Time it has left, if it is taken away at short notice.
+    pub leaves_in: Option<Duration>,
+    /// What it holds; empty for services without models.
+    pub holdings: Holdings,
+}
+
+/// A replica's own report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReplicaReport {
+    /// What it holds.
+    pub holdings: Holdings,
+    /// True while a weights order is under way.
+    pub busy: bool,
+    /// Requests waiting there.
+    pub waiting: u32,
+    /// Requests running there.
+    pub running: u32,
+}
+
+/// An order to a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Load a model.
+    LoadModel(ModelName),
+    /// Drop a model, its adapters and its prompt memory.
+    UnloadModel(ModelName),
+    /// Load an adapter of a model that is present.
+    LoadAdapter(ModelName, AdapterName),
+    /// Drop an adapter.
+    UnloadAdapter(ModelName, AdapterName),
+}
+
+impl Order {
+    /// The model that the order is about.
+    pub fn model(&self) -> &ModelName {
+        match self {
+            Order::LoadModel(model) | Order::UnloadModel(model) => model,
+            Order::LoadAdapter(model, _) | Order::UnloadAdapter(model, _) => model,
+        }
+    }
+
+    /// True if `holdings` show the order's effect.
+    pub fn holds_in(&self, holdings: &Holdings) -> bool {
+        match self {
+            Order::LoadModel(model) => holdings.serves(model, None),
+            Order::UnloadModel(model) => !holdings.serves(model, None),
+            Order::LoadAdapter(model, adapter) => holdings.serves(model, Some(adapter)),
+            Order::UnloadAdapter(model, adapter) => !holdings.serves(model, Some(adapter)),
+        }
+    }
+
+    /// True for orders about weights, of which a replica carries out one at a time.
+    pub fn is_weights(&self) -> bool {
+        matches!(self, Order::LoadModel(_) | Order::UnloadModel(_))
+    }
+}
+
+/// How a replica answered an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is in progress.
+    Accepted,
+    /// It already holds.
+    AlreadyHolds,
+    /// Another order is in progress, or the expected sequence is not the present one.
+    Conflict,
+    /// A newer fencing token has been seen.
+    Fenced,
+    /// Another incarnation answered.
+    OtherIncarnation,
+    /// The replica rejected the order as such.
+    Rejected,
+    /// No answer: it may have been taken, or may be carried out later.
+    Unknown,
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/retry_budget.rs
@@ -0,0 +1,75 @@
+//! One node's share of the budget for sends beyond a request's first.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::catalog::ServiceName;
+use crate::time::Moment;
+
+/// Bounds of the budget, as they hold for all nodes together.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryBudgetConfig {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed in a window besides.
+    pub slack: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Part of ratio and slack that is used, for requests that nodes count differently.
+    pub safety: f64,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    requests: VecDeque<Moment>,
+    repeats: VecDeque<Moment>,
+}
+
+/// Repeats of one node, by service, over a sliding window.
+///
+/// Invariant: repeats within any window are at most `safety` x (`ratio` x the
+/// requests seen here in that window + `slack` / nodes). Summed over the nodes
+/// this stays under the common budget.
+#[derive(Debug)]
+pub struct RetryBudget {
+    config: RetryBudgetConfig,
+    services: HashMap<ServiceName, ServiceWindow>,
+}
+
+impl RetryBudget {
+    /// An unused budget.
+    pub fn new(config: RetryBudgetConfig) -> Self {
+        RetryBudget {
+            config,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&mut self, service: &ServiceName, now: Moment) {
+        let window = self.services.entry(service.clone()).or_default();
+        window.requests.push_back(now);
+        drop_before(&mut window.requests, now, self.config.window);
+    }
+
+    /// Takes one repeat from the budget, shared by `nodes`; false if it is used up.
+    pub fn take(&mut self, service: &ServiceName, nodes: usize, now: Moment) -> bool {
+        let config = self.config;
+        let window = self.services.entry(service.clone()).or_default();
+        drop_before(&mut window.requests, now, config.window);
+        drop_before(&mut window.repeats, now, config.window);
+        let slack = config.slack / nodes.max(1) as f64;
+        let allowed = config.safety * (config.ratio * window.requests.len() as f64 + slack);
+        if window.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        window.repeats.push_back(now);
+        true
+    }
+}
+
+fn drop_before(moments: &mut VecDeque<Moment>, now: Moment, window: Duration) {
+    while moments.front().is_some_and(|moment| now.since(*moment) > window) {
+        moments.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/time.rs
@@ -0,0 +1,37 @@
+//! Monotonic time as the state machines see it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A moment of the process's steady clock, in nanoseconds since an arbitrary
+/// start. Unlike the time of day it never jumps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The moment that lies `elapsed` after the start of the clock.
+    pub fn from_start(elapsed: Duration) -> Self {
+        Moment(elapsed.as_nanos() as u64)
+    }
+
+    /// Time from `earlier` to this moment; zero if `earlier` is later.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_add(duration.as_nanos() as u64))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    fn sub(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_sub(duration.as_nanos() as u64))
+    }
+}
