Orders: a listing's sequence counts heartbeats, only reports tell orders taken

Cause: accounts never became confirmed, since the list's sequence (heartbeats) was compared with the reports' (orders taken): no order was given and reports were asked for every 60 ms. Ruled out: reports missing (all came, none stale).

--- a/crates/croftrill-node/src/directory.rs
+++ b/crates/croftrill-node/src/directory.rs
@@ -111,7 +111,7 @@
         Record::Configuration(configuration) => apply_configuration(node, configuration, item.revision),
         Record::Replica(listing) => {
             tracing::debug!(target: "directory", event = "replica listed", replica = &*listing.id,
-                state = ?listing.state, sequence = listing.holdings.sequence, revision = item.revision);
+                state = ?listing.state, revision = item.revision);
             node.state.borrow_mut().replicas.apply_listing(listing);
         }
         Record::Malformed(reason) => {
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -38,7 +38,7 @@
 /// What a replica holds, as of a number of orders taken.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Holdings {
-    /// Orders that the replica had taken.
+    /// Orders that the replica had taken; zero where a listing does not tell.
     pub sequence: u64,
     /// Models with their adapters.
     pub models: Vec<HeldModel>,
--- a/crates/croftrill-scheduler/src/replica_ledger.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger.rs
@@ -121,9 +121,10 @@
         }
     }
 
-    /// The directory lists newer holdings.
+    /// The directory lists holdings. A listing may be older than an order, so it
+    /// counts only until a report has confirmed the account.
     pub fn listed(&mut self, listed: &Holdings) -> LedgerChange {
-        if self.confirmed || listed.sequence <= self.holdings.sequence {
+        if self.confirmed || self.pending.is_some() || *listed == self.holdings {
             return LedgerChange::None;
         }
         self.holdings = listed.clone();
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -107,7 +107,8 @@
         Self::default()
     }
 
-    /// Takes in a listing. Holdings that are older than what the orderer told are not believed.
+    /// Takes in a listing. Its holdings may be older than an order, so they are
+    /// believed only while no orderer tells of this replica.
     pub fn apply_listing(&mut self, listing: ReplicaListing) {
         let Some(entry) = self.replicas.get_mut(&listing.id) else {
             self.by_service
@@ -118,17 +119,13 @@
                 .insert(listing.id.clone(), ReplicaEntry::new(listing));
             return;
         };
-        let newer = listing.holdings.sequence > entry.listing.holdings.sequence;
-        let keep_holdings = entry.from_orderer && !newer;
-        let holdings = if keep_holdings {
-            entry.listing.holdings.clone()
+        if entry.from_orderer {
+            let holdings = entry.listing.holdings.clone();
+            entry.listing = ReplicaListing { holdings, ..listing };
         } else {
-            listing.holdings.clone()
-        };
-        if !keep_holdings {
             entry.absent.clear();
+            entry.listing = listing;
         }
-        entry.listing = ReplicaListing { holdings, ..listing };
     }
 
     /// Forgets a replica that is gone.
@@ -153,9 +150,6 @@
         let Some(entry) = self.replicas.get_mut(&placement.replica) else {
             return false;
         };
-        if placement.usable.sequence < entry.listing.holdings.sequence {
-            return false;
-        }
         entry.from_orderer = true;
         entry.absent.clear();
         entry.listing.holdings = placement.usable;
