Stopping nodes refuse what waits; watches begin anew when they are overtaken

Renewals of the node's lease, and a cheap stale read of the revision, now tell that the path is dead or the watch has been overtaken. Ruled out: clock, lost events, stale ranges (logged, all fine).

--- a/crates/croftrill-node/src/directory.rs
+++ b/crates/croftrill-node/src/directory.rs
@@ -20,6 +20,10 @@
 
 /// The prefix that is followed: all keys.
 const EVERYTHING: &str = "";
+/// Time between two looks at whether a waiting watch has been overtaken.
+const AUDIT_EVERY: Duration = Duration::from_millis(700);
+/// Time that a watch has to answer after the store moved on.
+const AUDIT_SLACK: Duration = Duration::from_millis(300);
 /// Shortest pause after a failed call.
 const LEAST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -47,14 +51,22 @@
 /// Watches from a revision until history is gone; answers the last revision.
 async fn follow_changes<P: Platform>(node: &Node<P>, mut after: u64, backoff: &mut Backoff) -> u64 {
     let pace = &node.settings.pace;
+    let mut stalled = false;
     loop {
-        sleep(pace.watch_every).await;
-        match node
-            .platform
-            .store()
-            .watch(EVERYTHING, after, pace.watch_wait)
-            .await
-        {
+        if !std::mem::take(&mut stalled) {
+            sleep(pace.watch_every).await;
+        }
+        let watch = node.platform.store().watch(EVERYTHING, after, pace.watch_wait);
+        let watched = tokio::select! {
+            watched = watch => watched,
+            () = node.store_path.changed() => Err(StoreError::NoAnswer),
+            reached = overtaken(node, after) => {
+                tracing::warn!(target: "directory", event = "watch says nothing of a change", after, reached);
+                stalled = true;
+                continue;
+            }
+        };
+        match watched {
             Ok(changes) => {
                 backoff.succeeded();
                 after = after.max(changes.revision);
@@ -71,6 +83,21 @@
     }
 }
 
+/// Ends when the store has moved past `after` and a waiting watch has had time
+/// to say so: its answer was lost, or its path is dead.
+async fn overtaken<P: Platform>(node: &Node<P>, after: u64) -> u64 {
+    loop {
+        sleep(AUDIT_EVERY).await;
+        match node.platform.store().reached_revision().await {
+            Ok(reached) if reached > after => {
+                sleep(AUDIT_SLACK).await;
+                return reached;
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Takes in all items and forgets replicas and nodes that are not among them.
 fn apply_snapshot<P: Platform>(node: &Node<P>, snapshot: Snapshot) {
     let records = node.platform.records();
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -131,15 +131,16 @@
 async fn refresh<P: Platform>(node: &Node<P>, lease: Option<u64>, key: &str, value: &Bytes) -> Option<u64> {
     let store = node.platform.store();
     if let Some(lease) = lease {
-        match store.renew_lease(lease).await {
-            Err(StoreError::NoSuchLease) => {}
-            _ => return Some(lease),
+        let renewed = store.renew_lease(lease).await;
+        let is_over = renewed == Err(StoreError::NoSuchLease);
+        node.store_path.call_ended(renewed.is_ok() || is_over);
+        if !is_over {
+            return Some(lease);
         }
     }
-    let lease = store
-        .grant_lease(node.settings.pace.membership_lease)
-        .await
-        .ok()?;
+    let granted = store.grant_lease(node.settings.pace.membership_lease).await;
+    node.store_path.call_ended(granted.is_ok());
+    let lease = granted.ok()?;
     let put = ConditionalPut {
         key: key.into(),
         expected_revision: None,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -51,6 +51,30 @@
     pub lifecycle: Lifecycle,
 }
 
+/// Whether the store answers. A watch that waits cannot tell a quiet store from
+/// a dead path; renewals, which are short and regular, can.
+#[derive(Debug, Default)]
+pub struct StorePath {
+    is_lost: Cell<bool>,
+    changed: Notify,
+}
+
+impl StorePath {
+    /// A short call ended. While calls fail, and at the first that succeeds
+    /// again, calls that wait are told to begin anew.
+    pub fn call_ended(&self, answered: bool) {
+        let was_lost = self.is_lost.replace(!answered);
+        if was_lost || !answered {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Ends when a waiting call should begin anew.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
 /// One node.
 pub struct Node<P: Platform> {
     /// Its settings.
@@ -65,6 +89,8 @@
     pub view_changed: Notify,
     /// Told when the node is asked to stop.
     pub stop_requested: Notify,
+    /// Whether the store answers, as renewals of the node's own lease show.
+    pub store_path: StorePath,
     /// Connections for requests that may be repeated, and for orders and reports.
     pub pool: ConnectionPool,
     /// Connections for requests that must not be ended for mere silence.
@@ -116,6 +142,7 @@
             state: RefCell::new(state),
             view_changed: Notify::new(),
             stop_requested: Notify::new(),
+            store_path: StorePath::default(),
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
             metrics: Metrics::new(),
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -108,6 +108,8 @@
     async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError>;
     /// Waits up to `wait` for changes after a revision.
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
+    /// A revision that the store has reached: cheap, and possibly seconds old.
+    async fn reached_revision(&self) -> Result<u64, StoreError>;
     /// Reads one item.
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError>;
     /// Writes one key under a condition.
--- a/crates/croftrill-node/src/request.rs
+++ b/crates/croftrill-node/src/request.rs
@@ -345,7 +345,12 @@
             if Instant::now() >= self.until {
                 return NextReplica::GiveUp("out of time", None);
             }
-            match self.cold_decision() {
+            let decision = self.cold_decision();
+            if decision.is_some() && self.node.lifecycle() == Lifecycle::Stopping {
+                // Another node can wait for the model; this one may end before it comes.
+                return NextReplica::GiveUp("the node is stopping", self.come_back_after());
+            }
+            match decision {
                 None => return NextReplica::GiveUp("no replica", Some(DEFAULT_RETURN)),
                 Some(ColdDecision::Refuse { come_back_after }) => {
                     return NextReplica::GiveUp("model not loaded", Some(come_back_after));
@@ -427,6 +432,11 @@
         Some(ORDER_DELAY + spec.disk_load.min(MODEL_READY_IN))
     }
 
+    /// When the model should be there, for a caller that is sent away.
+    fn come_back_after(&self) -> Option<Duration> {
+        self.model_key().and_then(|key| self.ready_in(&key))
+    }
+
     fn remind_orderer(&self, key: &ModelKey) {
         let now = Instant::now();
         if self
@@ -443,7 +453,13 @@
 
     async fn wait_for_view(&self) {
         let longest = Instant::now() + Duration::from_millis(100);
-        let _ = timeout_at(longest.min(self.until), self.node.view_changed.notified()).await;
+        let wake = async {
+            tokio::select! {
+                () = self.node.view_changed.notified() => {}
+                () = self.node.stop_requested.notified() => {}
+            }
+        };
+        let _ = timeout_at(longest.min(self.until), wake).await;
     }
 
     fn first_event_after(&self) -> Duration {
