--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -12,12 +12,16 @@
 use tokio::time::sleep;
 
 use crate::node::{Lifecycle, Node};
-use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError};
+use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
 
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
-/// Key of the orderer's entry.
+/// Prefix of the keys about the orderer.
+pub const ORDERER_PREFIX: &str = "croftrill/orderer";
+/// Key of the orderer's entry, which goes with its lease.
 pub const ORDERER_KEY: &str = "croftrill/orderer";
+/// Key of the entry of the node that last became the orderer; it stays.
+pub const LAST_ORDERER_KEY: &str = "croftrill/orderer-last";
 
 /// A node as its entry describes it.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
@@ -48,7 +52,7 @@
 
 /// Reads an entry of a node or of the orderer.
 pub fn read_entry(item: &Item) -> Option<MemberEntry> {
-    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key == ORDERER_KEY;
+    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key.starts_with(ORDERER_PREFIX);
     ours.then(|| DeBin::deserialize_bin(&item.value).ok()).flatten()
 }
 
@@ -79,6 +83,11 @@
         self.entries.get(ORDERER_KEY)
     }
 
+    /// The node that last became the orderer.
+    pub fn last_orderer(&self) -> Option<&MemberEntry> {
+        self.entries.get(LAST_ORDERER_KEY)
+    }
+
     /// The live nodes.
     pub fn nodes(&self) -> impl Iterator<Item = &MemberEntry> {
         self.entries
@@ -141,12 +150,15 @@
     let granted = store.grant_lease(node.settings.pace.membership_lease).await;
     node.store_path.call_ended(granted.is_ok());
     let lease = granted.ok()?;
-    let put = ConditionalPut {
+    let write = Write {
         key: key.into(),
-        expected_revision: None,
         value: value.clone(),
         lease,
     };
+    let put = ConditionalPut {
+        conditions: Vec::new(),
+        writes: vec![write],
+    };
     let written = store.put(put).await;
     tracing::info!(target: "membership", event = "entry written", ok = written.is_ok(), lease);
     match written {
--- a/crates/croftrill-node/src/orderer_task.rs
+++ b/crates/croftrill-node/src/orderer_task.rs
@@ -14,13 +14,13 @@
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::time::sleep;
 
-use crate::membership::{own_entry, read_entry, MemberEntry, ORDERER_KEY};
+use crate::membership::{own_entry, read_entry, MemberEntry, LAST_ORDERER_KEY, ORDERER_KEY, ORDERER_PREFIX};
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
 use crate::peer::{FromOrderer, ToOrderer, WirePlacement};
 use crate::ports::{
-    ConditionalPut, EngineAddress, EngineControl, FencedOrder, KeyValueStore, Platform, PutOutcome,
-    StoreError,
+    ConditionalPut, EngineAddress, EngineControl, Expectation, FencedOrder, KeyValueStore, Platform,
+    PutOutcome, StoreError, Write,
 };
 
 /// An event for the orderer task.
@@ -103,13 +103,32 @@
     while inbox.try_recv().is_ok() {}
 }
 
-/// Takes the lease if nobody holds it.
+/// What the store holds about the orderer.
+#[derive(Debug, Default)]
+struct OrdererKeys {
+    present: Option<(MemberEntry, u64)>,
+    last: Option<(MemberEntry, u64)>,
+}
+
+/// Takes the lease if nobody else holds it.
+///
+/// Safety: each acquisition also writes, in the same transaction and at the
+/// revision that was read, who acquired last. A machine that finds itself there
+/// knows that no other machine gave orders since, and need not wait.
 async fn become_orderer<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> Option<OrdererLease> {
-    if node.lifecycle() != Lifecycle::Ready || is_taken(node) {
+    if !may_try(node, entry) {
         return None;
     }
     sleep(CANDIDACY_STEP * place_in_line(node, &entry.name)).await;
-    if node.lifecycle() != Lifecycle::Ready || is_taken(node) {
+    if !may_try(node, entry) {
+        return None;
+    }
+    let keys = read_keys(node).await?;
+    if keys
+        .present
+        .as_ref()
+        .is_some_and(|(holder, _)| holder.name != entry.name)
+    {
         return None;
     }
     let pace = &node.settings.pace;
@@ -117,51 +136,100 @@
     let asked_at = node.clock.now();
     let store = node.platform.store();
     let lease = store.grant_lease(time_to_live).await.ok()?;
-    let fencing_token = claim_key(node, entry, lease).await;
-    let Some(fencing_token) = fencing_token else {
+    let Some(fencing_token) = claim_key(node, entry, lease, &keys).await else {
         let _ = store.end_lease(lease).await;
         return None;
     };
+    let continues = keys.last.is_some_and(|(last, _)| last.name == entry.name);
+    let gap = node.settings.bounds.order_gap + GAP_MARGIN;
     let mut held = OrdererLease::new(LeaseConfig {
         time_to_live,
         margin: LEASE_MARGIN,
         renew_every: pace.orderer_renewal,
-        quiet_period: node.settings.bounds.order_gap + GAP_MARGIN,
+        quiet_period: if continues { Duration::ZERO } else { gap },
     });
     held.acquired(lease, fencing_token, asked_at, node.clock.now());
-    tracing::info!(target: "orderer", event = "lease acquired", fencing_token, lease);
+    tracing::info!(target: "orderer", event = "lease acquired", fencing_token, lease, continues);
     Some(held)
 }
 
-fn is_taken<P: Platform>(node: &Node<P>) -> bool {
-    node.state.borrow().members.orderer().is_some()
+/// True if this node should try: it takes requests, and no other node is known to hold the lease.
+fn may_try<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> bool {
+    let state = node.state.borrow();
+    let free = state
+        .members
+        .orderer()
+        .is_none_or(|holder| holder.name == entry.name);
+    state.lifecycle == Lifecycle::Ready && free
 }
 
-/// This node's place among the live nodes, which spreads their attempts.
+/// This node's place in line: the last orderer first, then the live nodes in order.
 fn place_in_line<P: Platform>(node: &Node<P>, name: &str) -> u32 {
-    node.state
-        .borrow()
+    let state = node.state.borrow();
+    if state.members.last_orderer().is_some_and(|last| last.name == name) {
+        return 0;
+    }
+    1 + state
         .members
         .nodes()
         .take_while(|member| member.name != name)
         .count() as u32
 }
 
-/// Creates the orderer's key; answers its revision, which is the fencing token.
-async fn claim_key<P: Platform>(node: &Node<P>, entry: &MemberEntry, lease: u64) -> Option<u64> {
-    let store = node.platform.store();
+async fn read_keys<P: Platform>(node: &Node<P>) -> Option<OrdererKeys> {
+    let snapshot = node.platform.store().range(ORDERER_PREFIX).await.ok()?;
+    let mut keys = OrdererKeys::default();
+    for item in &snapshot.items {
+        let entry = read_entry(item).map(|entry| (entry, item.revision));
+        match item.key.as_str() {
+            ORDERER_KEY => keys.present = entry,
+            LAST_ORDERER_KEY => keys.last = entry,
+            _ => {}
+        }
+    }
+    Some(keys)
+}
+
+/// Writes the orderer's keys; answers the revision, which is the fencing token.
+async fn claim_key<P: Platform>(
+    node: &Node<P>,
+    entry: &MemberEntry,
+    lease: u64,
+    keys: &OrdererKeys,
+) -> Option<u64> {
+    let revision_of = |read: &Option<(MemberEntry, u64)>| read.as_ref().map_or(0, |(_, revision)| *revision);
+    let present = revision_of(&keys.present);
+    let value = Bytes::from(SerBin::serialize_bin(entry));
     let put = ConditionalPut {
-        key: ORDERER_KEY.into(),
-        expected_revision: Some(0),
-        value: Bytes::from(SerBin::serialize_bin(entry)),
-        lease,
+        conditions: vec![
+            Expectation {
+                key: ORDERER_KEY.into(),
+                revision: present,
+            },
+            Expectation {
+                key: LAST_ORDERER_KEY.into(),
+                revision: revision_of(&keys.last),
+            },
+        ],
+        writes: vec![
+            Write {
+                key: ORDERER_KEY.into(),
+                value: value.clone(),
+                lease,
+            },
+            Write {
+                key: LAST_ORDERER_KEY.into(),
+                value,
+                lease: 0,
+            },
+        ],
     };
-    match store.put(put).await {
+    match node.platform.store().put(put).await {
         Ok(PutOutcome::Done { revision }) => Some(revision),
         Err(StoreError::NoAnswer) => {
-            // It may have been done: the key then carries this very process.
-            let item = store.get(ORDERER_KEY).await.ok().flatten()?;
-            (read_entry(&item).as_ref() == Some(entry)).then_some(item.revision)
+            // It may have been done: the key then carries this very process, at a later revision.
+            let (holder, revision) = read_keys(node).await?.present?;
+            (holder == *entry && revision > present).then_some(revision)
         }
         _ => None,
     }
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -51,19 +51,35 @@
     pub revision: u64,
 }
 
-/// A change of one key under the condition that it stands at a revision (0: absent).
+/// One key's new value.
 #[derive(Debug, Clone)]
-pub struct ConditionalPut {
+pub struct Write {
     /// The key.
     pub key: String,
-    /// Expected revision; `None`: no condition.
-    pub expected_revision: Option<u64>,
     /// The new value.
     pub value: Bytes,
-    /// Lease that the key goes with.
+    /// Lease that the key goes with; 0: it stays.
     pub lease: u64,
 }
 
+/// A key and the revision at which it must stand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Expectation {
+    /// The key.
+    pub key: String,
+    /// Its expected revision; 0: it is absent.
+    pub revision: u64,
+}
+
+/// Writes that are done all or not at all, and only if every condition holds.
+#[derive(Debug, Clone)]
+pub struct ConditionalPut {
+    /// What must hold.
+    pub conditions: Vec<Expectation>,
+    /// What is written.
+    pub writes: Vec<Write>,
+}
+
 /// What became of a conditional put.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PutOutcome {
@@ -110,9 +126,8 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
     /// A revision that the store has reached: cheap, and possibly seconds old.
     async fn reached_revision(&self) -> Result<u64, StoreError>;
-    /// Reads one item.
-    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError>;
-    /// Writes one key under a condition.
+
+    /// Writes under a condition.
     async fn put(&self, put: ConditionalPut) -> Result<PutOutcome, StoreError>;
     /// Asks for a lease; answers its number.
     async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, StoreError>;
