--- a/crates/croftrill-node/src/request.rs
+++ b/crates/croftrill-node/src/request.rs
@@ -108,6 +108,8 @@
         refused_by: None,
         may_have_run: false,
         last_reminder: Cell::new(None),
+        sent_after: None,
+        answered_after: None,
     };
     run.serve().await
 }
@@ -216,6 +218,10 @@
     refused_by: Option<ReplicaId>,
     may_have_run: bool,
     last_reminder: Cell<Option<Instant>>,
+    /// Time from arrival to the first send.
+    sent_after: Option<Duration>,
+    /// Time from arrival to the head of the answer.
+    answered_after: Option<Duration>,
 }
 
 /// Where to send next.
@@ -516,6 +522,7 @@
         };
         let request = self.engine_request(replica, resume_after);
         self.sends += 1;
+        self.sent_after.get_or_insert(self.arrival.elapsed());
         let until = limit.map_or(self.until, |limit| limit.min(self.until));
         let answer = match timeout_at(until, connection.send(request)).await {
             Ok(Ok(answer)) => answer,
@@ -529,6 +536,7 @@
             }
         };
         send.prompt_done();
+        self.answered_after = Some(self.arrival.elapsed());
         self.judge_answer(replica, answer, connection, send).await
     }
 
@@ -821,10 +829,16 @@
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome,
             replica = &**replica, sends = self.sends, model = self.facts.model.as_deref(),
+            adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
+            answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
             elapsed_ms = self.arrival.elapsed().as_millis() as u64, version = self.configuration.version);
     }
 }
 
+fn millis(time: Option<Duration>) -> Option<u64> {
+    time.map(|time| time.as_millis() as u64)
+}
+
 type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, io::Error>>;
 
 /// How a replica's part of a stream ended.
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -109,6 +109,15 @@
         self.faded(key, now, |rate| rate.requests)
     }
 
+    /// Requests a second for all adapters of a model.
+    pub fn adapter_requests_per_second(&self, service: &str, model: &str, now: Moment) -> f64 {
+        let adapters = self
+            .rates
+            .keys()
+            .filter(|key| key.adapter.is_some() && &*key.service == service && &*key.model == model);
+        adapters.map(|key| self.requests_per_second(key, now)).sum()
+    }
+
     /// Cost tokens a second.
     pub fn tokens_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
         self.faded(key, now, |rate| rate.tokens)
--- a/crates/croftrill-scheduler/src/orderer.rs
+++ b/crates/croftrill-scheduler/src/orderer.rs
@@ -102,6 +102,7 @@
                 ledger: ReplicaLedger::new(ledger_config, listing.holdings.clone(), now),
                 goal: None,
                 withdrawn: None,
+                loaded_at: Default::default(),
             });
         replica.state = listing.state;
         if listing.state == ReplicaState::Draining {
@@ -141,7 +142,7 @@
             return;
         };
         let change = replica.ledger.answered(outcome, expected_in, now);
-        self.after_change(id, change);
+        self.after_change(id, change, now);
     }
 
     /// A replica reported, or did not.
@@ -156,7 +157,7 @@
                 LedgerChange::None
             }
         };
-        self.after_change(id, change);
+        self.after_change(id, change, now);
     }
 
     /// Plans: what should be asked and ordered now. Orders are planned only if `may_order`.
@@ -174,8 +175,8 @@
         for service in services {
             if let Some(engine) = &service.engine {
                 self.set_goals(&service.name, engine, now);
-                self.step_goals(&service.name, engine, now, &mut actions);
                 self.place_adapters(&service.name, engine, now, &mut actions);
+                self.step_goals(&service.name, engine, now, &mut actions);
             }
         }
         actions
@@ -454,7 +455,7 @@
             })
     }
 
-    fn after_change(&mut self, id: &str, change: LedgerChange) {
+    fn after_change(&mut self, id: &str, change: LedgerChange, now: Moment) {
         let Some((id, replica)) = self.replicas.get_key_value(id) else {
             return;
         };
@@ -462,13 +463,13 @@
         match &change {
             LedgerChange::None => return,
             LedgerChange::Holdings => {}
-            LedgerChange::Done(order) => self.order_done(&id, &service, order),
+            LedgerChange::Done(order) => self.order_done(&id, &service, order, now),
             LedgerChange::Failed(_) => {}
         }
         self.changed.insert(id);
     }
 
-    fn order_done(&mut self, id: &ReplicaId, service: &ServiceName, order: &Order) {
+    fn order_done(&mut self, id: &ReplicaId, service: &ServiceName, order: &Order, now: Moment) {
         match order {
             Order::LoadModel(model) => {
                 let key = ModelKey {
@@ -478,6 +479,9 @@
                 };
                 self.demand.clear_waiting(&key);
                 self.drop_goal(id);
+                if let Some(replica) = self.replicas.get_mut(id) {
+                    replica.loaded_at.insert(model.clone(), now);
+                }
             }
             Order::LoadAdapter(model, adapter) => {
                 let adapter = Some(adapter.clone());
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -23,8 +23,10 @@
     pub least_gain: f64,
     /// Seconds of load time that losing a model with one holder's load of demand counts as.
     pub displacement_seconds: f64,
-    /// Adapters' requests a second on a replica, from which it is spared weights orders.
+    /// Seconds of load time that holding up one adapter request a second counts as.
     pub adapter_block_seconds: f64,
+    /// Time for which a model that was just loaded does not make way.
+    pub least_residence: Duration,
 }
 
 impl Default for PlacementConfig {
@@ -35,6 +37,7 @@
             least_gain: 2.0,
             displacement_seconds: 4.0,
             adapter_block_seconds: 1.0,
+            least_residence: Duration::from_millis(3000),
         }
     }
 }
@@ -52,9 +55,18 @@
     pub goal: Option<ModelName>,
     /// A model that gets no more requests, since when, because it makes way.
     pub withdrawn: Option<(ModelName, Moment)>,
+    /// When models were loaded here.
+    pub loaded_at: HashMap<ModelName, Moment>,
 }
 
 impl PlacedReplica {
+    /// True if the model was loaded less than `residence` ago.
+    fn is_fresh(&self, model: &str, residence: Duration, now: Moment) -> bool {
+        self.loaded_at
+            .get(model)
+            .is_some_and(|loaded| now.since(*loaded) < residence)
+    }
+
     /// True if the replica holds the model and will go on holding it.
     pub fn keeps(&self, model: &str) -> bool {
         let withdrawn = self.withdrawn.as_ref().is_some_and(|(name, _)| &**name == model);
@@ -195,6 +207,7 @@
             .iter()
             .map(|held| &held.model)
             .filter(|model| replica.goal.as_ref() != Some(model))
+            .filter(|model| !replica.is_fresh(model, self.config.least_residence, self.now))
             .min_by(|left, right| {
                 let (left, right) = (worth(left), worth(right));
                 left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
@@ -215,6 +228,7 @@
         let mut values: Vec<(f64, f64)> = holdings
             .models
             .iter()
+            .filter(|held| !replica.is_fresh(&held.model, self.config.least_residence, self.now))
             .map(|held| {
                 let count = holders.get(&held.model).copied().unwrap_or(1);
                 let memory = self
@@ -238,16 +252,15 @@
     }
 
     /// Requests a second for adapters on a replica, which its weights orders hold up.
-    fn adapter_requests(&self, replica: &PlacedReplica) -> f64 {
-        let held = &replica.ledger.holdings().models;
-        let keys = held.iter().flat_map(|held| {
-            held.adapters.iter().map(|adapter| ModelKey {
-                adapter: Some(adapter.clone()),
-                ..self.key(&held.model)
-            })
+    fn adapter_requests(&self, replica: &PlacedReplica, holders: &HashMap<ModelName, usize>) -> f64 {
+        let held = replica.ledger.holdings().models.iter();
+        let rates = held.map(|held| {
+            let count = holders.get(&held.model).copied().unwrap_or(1).max(1);
+            self.demand
+                .adapter_requests_per_second(self.service, &held.model, self.now)
+                / count as f64
         });
-        keys.map(|key| self.demand.requests_per_second(&key, self.now))
-            .sum()
+        rates.sum()
     }
 
     /// The replica that should load a model next, with the value it displaces.
@@ -262,7 +275,7 @@
             let displaced = self.displaced_value(replica, model, holders)?;
             let load = load_time(self.engine, holdings, model)?.as_secs_f64();
             let displacement = displaced / self.config.tokens_per_holder * self.config.displacement_seconds;
-            let adapters = self.adapter_requests(replica) * self.config.adapter_block_seconds;
+            let adapters = self.adapter_requests(replica, holders) * self.config.adapter_block_seconds;
             Some((load + displacement + adapters, displaced))
         };
         self.members()
@@ -277,18 +290,11 @@
     }
 
     /// The replica that should load an adapter: of those that keep its model
-    /// and are idle, the one with most free places, then with the least
-    /// demanded adapter to drop.
+    /// and are idle, the one with the fewest adapters.
     pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
         self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.goal.is_none() && replica.ledger.is_idle())
-            .min_by(|(_, left), (_, right)| {
-                let used = |replica: &PlacedReplica| replica.ledger.holdings().adapter_count();
-                let load = |replica: &PlacedReplica| self.adapter_requests(replica);
-                used(left)
-                    .cmp(&used(right))
-                    .then(load(left).total_cmp(&load(right)))
-            })
+            .filter(|(_, replica)| replica.keeps(model) && replica.ledger.is_idle())
+            .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
             .map(|(id, _)| id.clone())
     }
 
