Placement: models listed after busy ones are expected to rise

Cause: after each shift of demand the next models of the list were cold, some dropped seconds before.

--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -25,6 +25,11 @@
     pub displacement_seconds: f64,
     /// Seconds of load time that holding up one adapter request a second counts as.
     pub adapter_block_seconds: f64,
+    /// Demand that a model is expected to take over from one listed shortly
+    /// before it, for each place between them.
+    pub succession: [f64; 2],
+    /// Expected cost tokens a second from which a model is loaded before it is asked for.
+    pub least_expected: f64,
     /// Time for which a model that was just loaded does not make way.
     pub least_residence: Duration,
 }
@@ -37,6 +42,8 @@
             least_gain: 2.0,
             displacement_seconds: 4.0,
             adapter_block_seconds: 1.0,
+            succession: [0.15, 0.15],
+            least_expected: 1_500.0,
             least_residence: Duration::from_millis(3000),
         }
     }
@@ -168,6 +175,36 @@
         }
     }
 
+    /// Cost tokens a second that a model has, or is expected to have soon.
+    ///
+    /// Demand moves along the configuration's list of models: when the busiest
+    /// fall silent, the ones listed next rise. So a model inherits a part of the
+    /// demand of the models shortly before it.
+    fn expected_tokens(&self, model: &ModelName) -> f64 {
+        let own = self.demand.tokens_per_second(&self.key(model), self.now);
+        let order = &self.engine.model_order;
+        let Some(place) = order.iter().position(|name| name == model) else {
+            return own;
+        };
+        let inherited = self
+            .config
+            .succession
+            .iter()
+            .enumerate()
+            .map(|(distance, share)| {
+                let before = place.checked_sub(distance + 1).map(|place| &order[place]);
+                before.map_or(0.0, |before| {
+                    share * self.demand.tokens_per_second(&self.key(before), self.now)
+                })
+            });
+        own.max(inherited.fold(0.0, f64::max))
+    }
+
+    /// True if a model without demand of its own is expected to rise.
+    pub fn is_expected(&self, model: &ModelName) -> bool {
+        self.expected_tokens(model) >= self.config.least_expected
+    }
+
     /// Holders that a model's demand deserves.
     pub fn deserved_holders(&self, model: &ModelName) -> usize {
         let key = self.key(model);
@@ -186,8 +223,7 @@
     /// Holders beyond what the demand deserves count little.
     pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
         const SURPLUS_SHARE: f64 = 0.05;
-        let tokens = self.demand.tokens_per_second(&self.key(model), self.now);
-        let each = tokens / holders.max(1) as f64;
+        let each = self.expected_tokens(model) / holders.max(1) as f64;
         if holders > self.deserved_holders(model) {
             each * SURPLUS_SHARE
         } else {
