--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -30,7 +30,7 @@
 /// Time constant of the fading rate.
 const RATE_MEMORY: Duration = Duration::from_secs(6);
 /// After this time without a request a waiting mark is over.
-const WAITING_FOR: Duration = Duration::from_millis(1500);
+const WAITING_FOR: Duration = Duration::from_millis(4000);
 
 /// Demand for one model or adapter.
 #[derive(Debug, Clone, Copy, Default)]
