--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -37,7 +37,7 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            tokens_per_holder: 22_000.0,
+            tokens_per_holder: 50_000.0,
             second_holder_from: 0.7,
             least_gain: 2.0,
             displacement_seconds: 4.0,
