--- /dev/null
+++ b/crates/croftrill-scheduler/tests/orderer_simulation.rs
@@ -0,0 +1,162 @@
+//! The orderer against replicas that lose answers and carry orders out late.
+
+mod simulation;
+
+use std::time::Duration;
+
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::Order;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use simulation::*;
+
+fn key(model: &str, adapter: Option<&str>) -> ModelKey {
+    ModelKey {
+        service: "llm".into(),
+        model: model.into(),
+        adapter: adapter.map(Into::into),
+    }
+}
+
+fn holds(world: &World, model: &str) -> bool {
+    world
+        .replicas
+        .values()
+        .any(|replica| replica.holdings.serves(model, None))
+}
+
+#[test]
+fn a_model_that_is_waited_for_is_loaded() {
+    let mut world = World::new(8, &[&["m1", "m2"], &["m1", "m4"]]);
+    world.run(6000);
+    world
+        .orderer
+        .count_demand(&key("m5", None), 1.0, 5000.0, world.now);
+    world.orderer.mark_waiting(&key("m5", None), world.now);
+    world.run(4000);
+    assert!(holds(&world, "m5"), "orders: {:?}", world.orders);
+}
+
+#[test]
+fn an_adapter_that_is_waited_for_is_loaded_on_a_holder_of_its_model() {
+    let mut world = World::new(4, &[&["m1"], &["m2"]]);
+    world.run(1000);
+    world.orderer.mark_waiting(&key("m2", Some("a1")), world.now);
+    world.run(600);
+    let holder = &world.replicas["r1"].holdings;
+    assert!(holder.serves("m2", Some("a1")), "orders: {:?}", world.orders);
+}
+
+/// A model loaded for one waiting request was dropped on arrival, as it had the
+/// least demand of all: loaded at 9.2 s, dropped at 11.5 s, loaded elsewhere.
+#[test]
+fn a_model_that_was_just_loaded_does_not_make_way() {
+    let mut world = World::new(8, &[&["m1", "m2"]]);
+    world.run(6000);
+    for model in ["m1", "m2"] {
+        world
+            .orderer
+            .count_demand(&key(model, None), 50.0, 500_000.0, world.now);
+    }
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.run(2600);
+    assert!(holds(&world, "m4"), "orders: {:?}", world.orders);
+    world.orderer.mark_waiting(&key("m5", None), world.now);
+    world.run(1000);
+    assert!(
+        holds(&world, "m4"),
+        "the fresh model stays; orders: {:?}",
+        world.orders
+    );
+}
+
+/// Replicas with a goal took no adapter orders, so an adapter of a model with
+/// one holder waited for as long as goals followed each other there.
+#[test]
+fn adapters_go_before_weights_orders() {
+    let mut world = World::new(8, &[&["m1", "m2"]]);
+    world.run(6000);
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.orderer.mark_waiting(&key("m1", Some("a1")), world.now);
+    world.run(40);
+    let first = &world.orders.first().expect("an order was given").2;
+    assert_eq!(*first, Order::LoadAdapter("m1".into(), "a1".into()));
+}
+
+#[test]
+fn a_draining_replica_gets_no_load() {
+    let mut world = World::new(6, &[&["m1"], &["m2"]]);
+    world.run(6000);
+    let id = "r0".into();
+    let mut draining = listing(&id, &world.replicas["r0"].holdings);
+    draining.state = croftrill_scheduler::replica::ReplicaState::Draining;
+    world.orderer.listed(&draining, world.now);
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.run(3000);
+    assert!(
+        world.orders.iter().all(|(_, replica, _)| &**replica == "r1"),
+        "{:?}",
+        world.orders
+    );
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => (600u64..9000).prop_map(Fate::Late),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever answers are lost and whenever orders are carried out: no replica
+    /// is told to hold more than fits, and the weight store's ceiling is kept.
+    #[test]
+    fn limits_hold_whatever_happens_to_orders(
+        fates in prop::collection::vec(fate(), 0..60),
+        wishes in prop::collection::vec((0usize..14, 0usize..5, 20u64..900), 1..50),
+    ) {
+        let mut world = World::new(14, &[&["m1", "m2"], &["m3", "m4"], &["m0", "m6", "m9"]]);
+        world.fates = fates.into();
+        world.run(500);
+        for (model, adapter, pause) in wishes {
+            let model = format!("m{model}");
+            let adapter = (adapter > 0).then(|| format!("a{adapter}"));
+            let wished = key(&model, adapter.as_deref());
+            world.orderer.count_demand(&wished, 1.0, 3000.0, world.now);
+            world.orderer.mark_waiting(&wished.base(), world.now);
+            world.orderer.mark_waiting(&wished, world.now);
+            world.run(pause);
+        }
+        world.run(12_000);
+        for (id, replica) in &world.replicas {
+            prop_assert!(replica.most_memory <= WEIGHTS_MB, "{id}: {} MB", replica.most_memory);
+            prop_assert!(replica.most_adapters <= ADAPTER_SLOTS, "{id}: {} adapters", replica.most_adapters);
+        }
+        let ceiling = (LOADS_PER_SECOND * CEILING_WINDOW.as_secs_f64() * 1.1) as usize + 3;
+        prop_assert!(most_in_window(&world.store_loads, CEILING_WINDOW) <= ceiling);
+    }
+}
+
+#[test]
+fn the_first_loads_of_an_orderer_count_the_formers() {
+    let mut world = World::new(12, &[&[], &[], &[], &[]]);
+    for model in 0..12 {
+        world
+            .orderer
+            .mark_waiting(&key(&format!("m{model}"), None), world.now);
+    }
+    world.run(4500);
+    assert!(
+        world.store_loads.is_empty(),
+        "within the window the former's loads count"
+    );
+    assert_eq!(most_in_window(&world.store_loads, Duration::from_secs(5)), 0);
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -0,0 +1,122 @@
+//! The orderer's account of one replica.
+
+use std::time::Duration;
+
+use croftrill_scheduler::replica::{HeldModel, Holdings, Order, OrderOutcome, ReplicaReport};
+use croftrill_scheduler::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
+use croftrill_scheduler::time::Moment;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+fn holdings(sequence: u64, models: &[&str]) -> Holdings {
+    let models = models.iter().map(|model| HeldModel {
+        model: (*model).into(),
+        adapters: Vec::new(),
+    });
+    Holdings {
+        sequence,
+        models: models.collect(),
+        copies: Default::default(),
+    }
+}
+
+fn report(sequence: u64, models: &[&str], busy: bool) -> ReplicaReport {
+    ReplicaReport {
+        holdings: holdings(sequence, models),
+        busy,
+        waiting: 0,
+        running: 0,
+    }
+}
+
+/// An account that a report has confirmed at sequence 5.
+fn confirmed() -> ReplicaLedger {
+    let mut ledger = ReplicaLedger::new(LedgerConfig::default(), holdings(0, &["m1"]), at(0));
+    assert!(ledger.wants_report(at(0)));
+    ledger.reported(&report(5, &["m1"], false), at(0), at(10));
+    ledger
+}
+
+#[test]
+fn no_order_before_a_report() {
+    let ledger = ReplicaLedger::new(LedgerConfig::default(), holdings(0, &["m1"]), at(0));
+    assert!(!ledger.is_idle());
+    assert!(confirmed().is_idle());
+}
+
+#[test]
+fn an_order_names_the_sequence_of_the_last_report() {
+    assert_eq!(confirmed().send(Order::LoadModel("m2".into()), at(100)), 5);
+}
+
+#[test]
+fn a_report_from_before_the_order_settles_nothing() {
+    let mut ledger = confirmed();
+    ledger.send(Order::LoadModel("m2".into()), at(100));
+    ledger.answered(OrderOutcome::Accepted, Duration::from_millis(500), at(110));
+    assert_eq!(
+        ledger.reported(&report(5, &["m1"], false), at(600), at(610)),
+        LedgerChange::None
+    );
+    assert!(!ledger.is_idle());
+    let done = ledger.reported(&report(6, &["m1", "m2"], false), at(700), at(710));
+    assert_eq!(done, LedgerChange::Done(Order::LoadModel("m2".into())));
+    assert!(ledger.is_idle());
+}
+
+#[test]
+fn an_order_without_an_answer_is_settled_by_a_later_report() {
+    let mut ledger = confirmed();
+    ledger.send(Order::LoadModel("m2".into()), at(100));
+    ledger.answered(OrderOutcome::Unknown, Duration::ZERO, at(600));
+    assert_eq!(
+        ledger.reported(&report(5, &["m1"], false), at(700), at(710)),
+        LedgerChange::None
+    );
+    assert!(!ledger.is_idle(), "the report may be older than the order");
+    let settled = ledger.reported(&report(5, &["m1"], false), at(900), at(910));
+    assert_eq!(settled, LedgerChange::Failed(Order::LoadModel("m2".into())));
+    assert!(ledger.is_idle());
+    assert_eq!(
+        ledger.send(Order::LoadModel("m3".into()), at(920)),
+        5,
+        "only one of both can be taken"
+    );
+}
+
+#[test]
+fn an_order_without_an_answer_that_was_taken_goes_on() {
+    let mut ledger = confirmed();
+    ledger.send(Order::LoadModel("m2".into()), at(100));
+    ledger.answered(OrderOutcome::Unknown, Duration::ZERO, at(600));
+    assert!(!matches!(
+        ledger.reported(&report(6, &["m1"], true), at(900), at(910)),
+        LedgerChange::Failed(_)
+    ));
+    assert!(!ledger.is_idle());
+    let done = ledger.reported(&report(6, &["m1", "m2"], false), at(2000), at(2010));
+    assert_eq!(done, LedgerChange::Done(Order::LoadModel("m2".into())));
+}
+
+#[test]
+fn after_a_conflict_a_report_is_needed() {
+    let mut ledger = confirmed();
+    ledger.send(Order::UnloadModel("m1".into()), at(100));
+    ledger.answered(OrderOutcome::Conflict, Duration::ZERO, at(110));
+    assert!(!ledger.is_idle());
+    assert!(!ledger.wants_report(at(200)), "a report may be a while behind");
+    assert!(ledger.wants_report(at(400)));
+    ledger.reported(&report(7, &["m2"], false), at(400), at(410));
+    assert!(ledger.is_idle());
+    assert!(ledger.holdings().serves("m2", None));
+}
+
+/// The list's sequence counts heartbeats: it made every report look old.
+#[test]
+fn listings_do_not_count_once_a_report_came() {
+    let mut ledger = confirmed();
+    assert_eq!(ledger.listed(&holdings(90, &["m9"])), LedgerChange::None);
+    assert!(ledger.holdings().serves("m1", None));
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/simulation/mod.rs
@@ -0,0 +1,383 @@
+//! A model of replicas that take orders, for driving the orderer in simulated time.
+//! Answers can be lost, and orders carried out late, as the platform's pages allow.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::{CallerLimits, Configuration, EngineSpec, ModelSpec, Service};
+use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
+use croftrill_scheduler::placement::PlacementConfig;
+use croftrill_scheduler::replica::{
+    HeldModel, Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
+};
+use croftrill_scheduler::replica_ledger::LedgerConfig;
+use croftrill_scheduler::time::Moment;
+
+/// Age of the reports that replicas give.
+const REPORT_LAG: Duration = Duration::from_millis(150);
+
+/// Memory of a replica in the simulation, in MB.
+pub const WEIGHTS_MB: f64 = 200.0;
+/// Places for adapters.
+pub const ADAPTER_SLOTS: usize = 3;
+/// Loads from the weight store in a second.
+pub const LOADS_PER_SECOND: f64 = 2.0;
+/// Window of the ceiling.
+pub const CEILING_WINDOW: Duration = Duration::from_secs(5);
+
+pub fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+pub fn configuration(models: usize) -> Arc<Configuration> {
+    let specs: Vec<ModelSpec> = (0..models)
+        .map(|index| ModelSpec {
+            name: format!("m{index}").into(),
+            weights_mb: if index % 3 == 0 { 45.0 } else { 72.0 },
+            adapter_mb: 2.0,
+            adapter_count: 4,
+            store_load: Duration::from_millis(2000),
+            disk_load: Duration::from_millis(800),
+            memory_load: Duration::from_millis(400),
+        })
+        .collect();
+    let engine = EngineSpec {
+        model_order: specs.iter().map(|spec| spec.name.clone()).collect(),
+        models: specs.into_iter().map(|spec| (spec.name.clone(), spec)).collect(),
+        weights_mb: WEIGHTS_MB,
+        adapter_slots: ADAPTER_SLOTS,
+        loads_per_second: LOADS_PER_SECOND,
+        kv_capacity: 100_000,
+    };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    Arc::new(Configuration::new(
+        1,
+        CallerLimits::default(),
+        vec![service],
+        Vec::new(),
+    ))
+}
+
+pub fn orderer_config() -> OrdererConfig {
+    OrdererConfig {
+        placement: PlacementConfig::default(),
+        ledger: LedgerConfig::default(),
+        ceiling_window: CEILING_WINDOW,
+        withdraw_notice: Duration::from_millis(30),
+        adapter_load: Duration::from_millis(30),
+        unload: Duration::from_millis(200),
+    }
+}
+
+#[derive(Clone)]
+struct Running {
+    order: Order,
+    done_at: Moment,
+}
+
+/// A replica that carries out orders.
+pub struct SimulatedReplica {
+    pub holdings: Holdings,
+    running: Vec<Running>,
+    late: Vec<(Moment, Order, u64)>,
+    history: VecDeque<(Moment, ReplicaReport)>,
+    pub most_memory: f64,
+    pub most_adapters: usize,
+}
+
+impl SimulatedReplica {
+    fn new(models: &[&str]) -> Self {
+        let held = models.iter().map(|model| HeldModel {
+            model: (*model).into(),
+            adapters: Vec::new(),
+        });
+        SimulatedReplica {
+            holdings: Holdings {
+                sequence: 0,
+                models: held.collect(),
+                copies: Default::default(),
+            },
+            running: Vec::new(),
+            late: Vec::new(),
+            history: VecDeque::new(),
+            most_memory: 0.0,
+            most_adapters: 0,
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.running.iter().any(|running| running.order.is_weights())
+    }
+
+    /// Takes an order; answers what the replica would answer.
+    fn take(&mut self, order: &Order, expected: u64, now: Moment, spec: &EngineSpec) -> (OrderOutcome, bool) {
+        if expected != self.holdings.sequence || self.is_busy() {
+            return (OrderOutcome::Conflict, false);
+        }
+        if let Order::UnloadAdapter(..) = order {
+            self.holdings.sequence += 1;
+            self.apply(order);
+            return (OrderOutcome::AlreadyHolds, false);
+        }
+        if order.holds_in(&self.holdings) {
+            return (OrderOutcome::AlreadyHolds, false);
+        }
+        self.holdings.sequence += 1;
+        let copied = self.holdings.copies.on_disk.contains(order.model());
+        let takes = match order {
+            Order::LoadModel(model) if copied => spec.models[model].disk_load,
+            Order::LoadModel(model) => spec.models[model].store_load,
+            Order::UnloadModel(_) => Duration::from_millis(150),
+            _ => Duration::from_millis(20),
+        };
+        self.running.push(Running {
+            order: order.clone(),
+            done_at: now + takes,
+        });
+        self.measure(spec);
+        (
+            OrderOutcome::Accepted,
+            matches!(order, Order::LoadModel(_)) && !copied,
+        )
+    }
+
+    fn apply(&mut self, order: &Order) {
+        match order {
+            Order::LoadModel(model) => {
+                self.holdings.models.push(HeldModel {
+                    model: model.clone(),
+                    adapters: Vec::new(),
+                });
+                if !self.holdings.copies.on_disk.contains(model) {
+                    self.holdings.copies.on_disk.push(model.clone());
+                }
+            }
+            Order::UnloadModel(model) => self.holdings.models.retain(|held| held.model != *model),
+            Order::LoadAdapter(model, adapter) => {
+                if let Some(held) = self.holdings.models.iter_mut().find(|held| held.model == *model) {
+                    held.adapters.push(adapter.clone());
+                }
+            }
+            Order::UnloadAdapter(model, adapter) => {
+                if let Some(held) = self.holdings.models.iter_mut().find(|held| held.model == *model) {
+                    held.adapters.retain(|present| present != adapter);
+                }
+            }
+        }
+    }
+
+    /// What is held or on its way, as the replica's limits count it.
+    fn measure(&mut self, spec: &EngineSpec) {
+        let mut memory: f64 = self
+            .holdings
+            .models
+            .iter()
+            .map(|held| spec.models[&held.model].weights_mb + 2.0 * held.adapters.len() as f64)
+            .sum();
+        let mut adapters = self.holdings.adapter_count();
+        for running in &self.running {
+            match &running.order {
+                Order::LoadModel(model) => memory += spec.models[model].weights_mb,
+                Order::LoadAdapter(..) => {
+                    memory += 2.0;
+                    adapters += 1;
+                }
+                _ => {}
+            }
+        }
+        self.most_memory = self.most_memory.max(memory);
+        self.most_adapters = self.most_adapters.max(adapters);
+    }
+
+    fn step(&mut self, now: Moment, spec: &EngineSpec) -> usize {
+        let done: Vec<Running> = self
+            .running
+            .iter()
+            .filter(|running| running.done_at <= now)
+            .cloned()
+            .collect();
+        self.running.retain(|running| running.done_at > now);
+        for running in done {
+            self.apply(&running.order);
+        }
+        let due: Vec<(Moment, Order, u64)> = self.late.iter().filter(|late| late.0 <= now).cloned().collect();
+        self.late.retain(|late| late.0 > now);
+        let mut store_loads = 0;
+        for (_, order, expected) in due {
+            store_loads += usize::from(self.take(&order, expected, now, spec).1);
+        }
+        let report = ReplicaReport {
+            holdings: self.holdings.clone(),
+            busy: self.is_busy(),
+            waiting: 0,
+            running: 0,
+        };
+        self.history.push_back((now, report));
+        while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
+            self.history.pop_front();
+        }
+        store_loads
+    }
+
+    fn report(&self) -> Option<ReplicaReport> {
+        self.history.front().map(|(_, report)| report.clone())
+    }
+}
+
+/// What becomes of one order's answer.
+#[derive(Debug, Clone, Copy)]
+pub enum Fate {
+    /// Answered.
+    Answered,
+    /// Carried out, the answer lost.
+    AnswerLost,
+    /// No answer; carried out after so many milliseconds.
+    Late(u64),
+}
+
+/// Orderer and replicas in simulated time.
+pub struct World {
+    pub configuration: Arc<Configuration>,
+    pub orderer: Orderer,
+    pub replicas: BTreeMap<ReplicaId, SimulatedReplica>,
+    pub orders: Vec<(Moment, ReplicaId, Order)>,
+    pub store_loads: Vec<Moment>,
+    pub fates: VecDeque<Fate>,
+    answers: Vec<(Moment, ReplicaId, OrderOutcome)>,
+    reports: Vec<(Moment, ReplicaId, Moment)>,
+    pub now: Moment,
+}
+
+impl World {
+    pub fn new(models: usize, holdings: &[&[&str]]) -> Self {
+        let configuration = configuration(models);
+        let mut orderer = Orderer::new(orderer_config(), configuration.clone());
+        let mut replicas = BTreeMap::new();
+        for (index, models) in holdings.iter().enumerate() {
+            let id: ReplicaId = format!("r{index}").into();
+            let replica = SimulatedReplica::new(models);
+            orderer.listed(&listing(&id, &replica.holdings), at(0));
+            replicas.insert(id, replica);
+        }
+        World {
+            configuration,
+            orderer,
+            replicas,
+            orders: Vec::new(),
+            store_loads: Vec::new(),
+            fates: VecDeque::new(),
+            answers: Vec::new(),
+            reports: Vec::new(),
+            now: at(0),
+        }
+    }
+
+    fn spec(&self) -> EngineSpec {
+        let service = self.configuration.service("llm").expect("the service exists");
+        service.engine.clone().expect("it serves models")
+    }
+
+    /// Runs for a time in steps of 20 ms.
+    pub fn run(&mut self, millis: u64) {
+        let spec = self.spec();
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(20);
+            let now = self.now;
+            for replica in self.replicas.values_mut() {
+                let loads = replica.step(now, &spec);
+                self.store_loads.extend(std::iter::repeat_n(now, loads));
+            }
+            self.deliver(now);
+            for action in self.orderer.plan(true, now) {
+                self.carry_out(action, &spec);
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Moment) {
+        let (due, later) = self.answers.drain(..).partition(|answer| answer.0 <= now);
+        self.answers = later;
+        let due: Vec<(Moment, ReplicaId, OrderOutcome)> = due;
+        for (_, id, outcome) in due {
+            self.orderer.order_answered(&id, outcome, now);
+        }
+        let (due, later) = self.reports.drain(..).partition(|report| report.0 <= now);
+        self.reports = later;
+        let due: Vec<(Moment, ReplicaId, Moment)> = due;
+        for (_, id, asked_at) in due {
+            let report = self.replicas.get(&id).and_then(SimulatedReplica::report);
+            self.orderer.reported(&id, report.as_ref(), asked_at, now);
+        }
+    }
+
+    fn carry_out(&mut self, action: OrdererAction, spec: &EngineSpec) {
+        let now = self.now;
+        match action {
+            OrdererAction::Report { replica } => {
+                self.reports.push((now + Duration::from_millis(20), replica, now));
+            }
+            OrdererAction::Order {
+                replica,
+                order,
+                expected_sequence,
+            } => {
+                self.orders.push((now, replica.clone(), order.clone()));
+                let target = self.replicas.get_mut(&replica).expect("the replica exists");
+                let fate = self.fates.pop_front().unwrap_or(Fate::Answered);
+                let outcome = match fate {
+                    Fate::Late(delay) => {
+                        target
+                            .late
+                            .push((now + Duration::from_millis(delay), order, expected_sequence));
+                        None
+                    }
+                    Fate::Answered | Fate::AnswerLost => {
+                        let (outcome, from_store) = target.take(&order, expected_sequence, now, spec);
+                        if from_store {
+                            self.store_loads.push(now);
+                        }
+                        matches!(fate, Fate::Answered).then_some(outcome)
+                    }
+                };
+                let (delay, outcome) = match outcome {
+                    Some(outcome) => (20, outcome),
+                    None => (500, OrderOutcome::Unknown),
+                };
+                self.answers
+                    .push((now + Duration::from_millis(delay), replica, outcome));
+            }
+        }
+    }
+}
+
+pub fn listing(id: &ReplicaId, holdings: &Holdings) -> ReplicaListing {
+    ReplicaListing {
+        id: id.clone(),
+        service: "llm".into(),
+        address: "10.0.0.1:1".into(),
+        zone: "a".into(),
+        slots: 8,
+        state: ReplicaState::Ready,
+        leaves_in: None,
+        holdings: holdings.clone(),
+    }
+}
+
+/// Most events in any window of that length.
+pub fn most_in_window(moments: &[Moment], window: Duration) -> usize {
+    let mut counts: HashMap<usize, usize> = HashMap::new();
+    for (index, first) in moments.iter().enumerate() {
+        let count = moments[index..]
+            .iter()
+            .take_while(|other| other.since(*first) <= window)
+            .count();
+        counts.insert(index, count);
+    }
+    counts.into_values().max().unwrap_or(0)
+}
