--- /dev/null
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -0,0 +1,131 @@
+//! What the orderer and its messages cost at a size, measured on this machine.
+
+use std::time::{Duration, Instant};
+
+use croftrill_node::peer::{FromOrderer, WirePlacement};
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::ReplicaReport;
+use nanoserde::SerBin;
+
+use crate::emulator::{at, World};
+
+/// A size to measure.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Replicas.
+    pub replicas: usize,
+    /// Models.
+    pub models: usize,
+}
+
+/// Sizes that are measured; the last is the one to design for.
+pub const SIZES: [Size; 4] = [
+    Size {
+        replicas: 18,
+        models: 61,
+    },
+    Size {
+        replicas: 100,
+        models: 200,
+    },
+    Size {
+        replicas: 300,
+        models: 400,
+    },
+    Size {
+        replicas: 790,
+        models: 730,
+    },
+];
+
+/// What a size costs.
+#[derive(Debug, Clone, Copy)]
+pub struct Cost {
+    /// Time of one plan while nothing waits.
+    pub idle_plan: Duration,
+    /// Time of one plan while a tenth of the models wait.
+    pub busy_plan: Duration,
+    /// Bytes of all placements, as a node gets them once.
+    pub snapshot_bytes: usize,
+    /// Bytes of one change.
+    pub change_bytes: usize,
+}
+
+/// Plans over which a time is averaged.
+const PLANS: u32 = 20;
+
+/// Measures a size.
+pub fn measure(size: Size) -> Cost {
+    let held: Vec<Vec<String>> = (0..size.replicas)
+        .map(|replica| {
+            (0..2)
+                .map(|place| format!("m{}", (replica * 2 + place) % size.models))
+                .collect()
+        })
+        .collect();
+    let names: Vec<Vec<&str>> = held
+        .iter()
+        .map(|models| models.iter().map(String::as_str).collect())
+        .collect();
+    let slices: Vec<&[&str]> = names.iter().map(Vec::as_slice).collect();
+    let mut world = World::new(size.models, &slices);
+    confirm(&mut world);
+    let now = at(100);
+    for model in 0..size.models {
+        world.orderer.count_demand(&key(model), 1.0, 5000.0, now);
+    }
+    let idle_plan = time_of_plans(&mut world);
+    for model in (0..size.models).step_by(10) {
+        world.orderer.mark_waiting(&key(model), now);
+    }
+    let busy_plan = time_of_plans(&mut world);
+    let placements: Vec<WirePlacement> = world
+        .orderer
+        .all_placements(now)
+        .iter()
+        .map(|placement| WirePlacement::from_placement(placement, now))
+        .collect();
+    let one = placements.first().cloned().into_iter().collect();
+    Cost {
+        idle_plan,
+        busy_plan,
+        snapshot_bytes: FromOrderer::Placements(placements).serialize_bin().len(),
+        change_bytes: FromOrderer::Placements(one).serialize_bin().len(),
+    }
+}
+
+/// Confirms every replica by a report of what it holds.
+fn confirm(world: &mut World) {
+    let reports: Vec<_> = world
+        .replicas
+        .iter()
+        .map(|(id, replica)| {
+            let report = ReplicaReport {
+                holdings: replica.holdings.clone(),
+                busy: false,
+                waiting: 0,
+                running: 0,
+            };
+            (id.clone(), report)
+        })
+        .collect();
+    for (id, report) in reports {
+        world.orderer.reported(&id, Some(&report), at(10), at(20));
+    }
+}
+
+fn time_of_plans(world: &mut World) -> Duration {
+    let started = Instant::now();
+    for step in 0..PLANS {
+        world.orderer.plan(true, at(200 + u64::from(step)));
+    }
+    started.elapsed() / PLANS
+}
+
+fn key(model: usize) -> ModelKey {
+    ModelKey {
+        service: "llm".into(),
+        model: format!("m{model}").into(),
+        adapter: None,
+    }
+}
--- a/crates/croftrill-scheduler/tests/simulation/mod.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -1,5 +1,7 @@
-//! A model of replicas that take orders, for driving the orderer in simulated time.
-//! Answers can be lost, and orders carried out late, as the platform's pages allow.
+//! Replicas that take orders, and the orderer, in simulated time.
+//!
+//! Answers can be lost and orders carried out late; reports lag. The orderer is
+//! the scheduler's own code.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -26,10 +28,12 @@
 /// Window of the ceiling.
 pub const CEILING_WINDOW: Duration = Duration::from_secs(5);
 
+/// The moment so many milliseconds after the start.
 pub fn at(millis: u64) -> Moment {
     Moment::from_start(Duration::from_millis(1_000_000 + millis))
 }
 
+/// A service with models of two sizes: every third one is small.
 pub fn configuration(models: usize) -> Arc<Configuration> {
     let specs: Vec<ModelSpec> = (0..models)
         .map(|index| ModelSpec {
@@ -63,6 +67,7 @@
     ))
 }
 
+/// The orderer's figures as a node uses them.
 pub fn orderer_config() -> OrdererConfig {
     OrdererConfig {
         placement: PlacementConfig::default(),
@@ -82,11 +87,14 @@
 
 /// A replica that carries out orders.
 pub struct SimulatedReplica {
+    /// What it holds.
     pub holdings: Holdings,
     running: Vec<Running>,
     late: Vec<(Moment, Order, u64)>,
     history: VecDeque<(Moment, ReplicaReport)>,
+    /// Most memory that was held or on its way, in MB.
     pub most_memory: f64,
+    /// Most adapters that were held or on their way.
     pub most_adapters: usize,
 }
 
@@ -242,21 +250,34 @@
 
 /// Orderer and replicas in simulated time.
 pub struct World {
+    /// The configuration in force.
     pub configuration: Arc<Configuration>,
+    /// The orderer.
     pub orderer: Orderer,
+    /// The replicas.
     pub replicas: BTreeMap<ReplicaId, SimulatedReplica>,
+    /// Orders that were sent.
     pub orders: Vec<(Moment, ReplicaId, Order)>,
+    /// When loads from the weight store began.
     pub store_loads: Vec<Moment>,
+    /// What becomes of the next orders' answers; answered when there are no more.
     pub fates: VecDeque<Fate>,
     answers: Vec<(Moment, ReplicaId, OrderOutcome)>,
     reports: Vec<(Moment, ReplicaId, Moment)>,
+    /// The present moment.
     pub now: Moment,
 }
 
 impl World {
+    /// Replicas that hold some models each, under an orderer that has just begun.
     pub fn new(models: usize, holdings: &[&[&str]]) -> Self {
         let configuration = configuration(models);
-        let mut orderer = Orderer::new(orderer_config(), configuration.clone());
+        Self::with(configuration, orderer_config(), holdings)
+    }
+
+    /// The same with a configuration and figures of one's own.
+    pub fn with(configuration: Arc<Configuration>, config: OrdererConfig, holdings: &[&[&str]]) -> Self {
+        let mut orderer = Orderer::new(config, configuration.clone());
         let mut replicas = BTreeMap::new();
         for (index, models) in holdings.iter().enumerate() {
             let id: ReplicaId = format!("r{index}").into();
@@ -356,6 +377,7 @@
     }
 }
 
+/// A replica as a directory lists it.
 pub fn listing(id: &ReplicaId, holdings: &Holdings) -> ReplicaListing {
     ReplicaListing {
         id: id.clone(),
--- /dev/null
+++ b/crates/croftrill-bench/src/experiment.rs
@@ -0,0 +1,223 @@
+//! Compares placement policies under a load of many rarely used models.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::orderer::OrdererConfig;
+use croftrill_scheduler::placement::PlacementConfig;
+use croftrill_scheduler::time::Moment;
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::emulator::{configuration, orderer_config, World};
+
+/// A load: requests for a few busy models, and for each of many others now and then.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Models.
+    pub models: usize,
+    /// Replicas.
+    pub replicas: usize,
+    /// Models that take most requests.
+    pub busy_models: usize,
+    /// Requests a second for busy models.
+    pub busy_per_second: f64,
+    /// Requests a second for all others together.
+    pub rare_per_second: f64,
+    /// Tokens of a request.
+    pub tokens: f64,
+    /// Simulated seconds.
+    pub seconds: u64,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load {
+            models: 61,
+            replicas: 18,
+            busy_models: 4,
+            busy_per_second: 25.0,
+            rare_per_second: 3.6,
+            tokens: 9000.0,
+            seconds: 60,
+            seed: 1,
+        }
+    }
+}
+
+/// A policy to compare.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// Name, for the report.
+    pub name: &'static str,
+    /// Its figures.
+    pub placement: PlacementConfig,
+}
+
+/// The policies that are compared: the nodes' own, one with many holders for
+/// busy models, and one that drops by demand alone as soon as it may.
+pub fn policies() -> [Policy; 3] {
+    let usual = PlacementConfig::default();
+    [
+        Policy {
+            name: "usual",
+            placement: usual,
+        },
+        Policy {
+            name: "many-holders",
+            placement: PlacementConfig {
+                tokens_per_holder: 9_000.0,
+                ..usual
+            },
+        },
+        Policy {
+            name: "no-residence",
+            placement: PlacementConfig {
+                least_residence: Duration::ZERO,
+                succession: [0.0, 0.0],
+                ..usual
+            },
+        },
+    ]
+}
+
+/// What a policy did under a load.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// Requests.
+    pub requests: u64,
+    /// Requests that found their model present.
+    pub warm: u64,
+    /// Requests whose model never came.
+    pub unserved: u64,
+    /// Milliseconds that the others waited for their model.
+    pub cold_millis: Histogram<u64>,
+    /// Loads of weights that were ordered.
+    pub loads: usize,
+}
+
+/// Longest wait for a model that is still counted as served.
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
+/// Simulated time between two looks.
+const STEP_MILLIS: u64 = 20;
+/// Time before the first request, in which replicas are confirmed.
+const LEAD_MILLIS: u64 = 6000;
+
+/// Plays a load under a policy.
+pub fn play(load: &Load, policy: &Policy) -> Outcome {
+    let config = OrdererConfig {
+        placement: policy.placement,
+        ..orderer_config()
+    };
+    let held: Vec<Vec<String>> = (0..load.replicas)
+        .map(|replica| {
+            (0..2)
+                .map(|place| format!("m{}", (replica * 2 + place) % load.models))
+                .collect()
+        })
+        .collect();
+    let names: Vec<Vec<&str>> = held
+        .iter()
+        .map(|models| models.iter().map(String::as_str).collect())
+        .collect();
+    let slices: Vec<&[&str]> = names.iter().map(Vec::as_slice).collect();
+    let mut world = World::with(configuration(load.models), config, &slices);
+    world.run(LEAD_MILLIS);
+    let mut arrivals = Arrivals::new(load);
+    let mut outcome = Outcome {
+        requests: 0,
+        warm: 0,
+        unserved: 0,
+        cold_millis: Histogram::new(3).expect("three digits are valid"),
+        loads: 0,
+    };
+    let mut waiting: BTreeMap<ModelKey, Vec<Moment>> = BTreeMap::new();
+    for _ in 0..load.seconds * 1000 / STEP_MILLIS {
+        for key in arrivals.step() {
+            outcome.requests += 1;
+            world.orderer.count_demand(&key, 1.0, load.tokens, world.now);
+            if is_held(&world, &key) {
+                outcome.warm += 1;
+            } else {
+                world.orderer.mark_waiting(&key, world.now);
+                waiting.entry(key).or_default().push(world.now);
+            }
+        }
+        world.run(STEP_MILLIS);
+        settle(&world, &mut waiting, &mut outcome);
+    }
+    outcome.unserved += waiting.values().map(|since| since.len() as u64).sum::<u64>();
+    outcome.loads = world.store_loads.len();
+    outcome
+}
+
+/// Counts the waiting requests whose model came, or whose time is over.
+fn settle(world: &World, waiting: &mut BTreeMap<ModelKey, Vec<Moment>>, outcome: &mut Outcome) {
+    waiting.retain(|key, since| {
+        if is_held(world, key) {
+            for moment in since.drain(..) {
+                let _ = outcome
+                    .cold_millis
+                    .record(world.now.since(moment).as_millis() as u64);
+            }
+        }
+        let before = since.len();
+        since.retain(|moment| world.now.since(*moment) < LONGEST_WAIT);
+        outcome.unserved += (before - since.len()) as u64;
+        !since.is_empty()
+    });
+}
+
+fn is_held(world: &World, key: &ModelKey) -> bool {
+    world
+        .replicas
+        .values()
+        .any(|replica| replica.holdings.serves(&key.model, None))
+}
+
+/// Random arrivals of a load.
+struct Arrivals {
+    load: Load,
+    random: SmallRng,
+}
+
+impl Arrivals {
+    fn new(load: &Load) -> Self {
+        Arrivals {
+            load: *load,
+            random: SmallRng::seed_from_u64(load.seed),
+        }
+    }
+
+    /// Requests of one step.
+    fn step(&mut self) -> Vec<ModelKey> {
+        let seconds = STEP_MILLIS as f64 / 1000.0;
+        let (busy, models) = (self.load.busy_models, self.load.models);
+        let mut keys = Vec::new();
+        if self
+            .random
+            .random_bool((self.load.busy_per_second * seconds).min(1.0))
+        {
+            keys.push(key(self.random.random_range(0..busy)));
+        }
+        if self
+            .random
+            .random_bool((self.load.rare_per_second * seconds).min(1.0))
+        {
+            keys.push(key(self.random.random_range(busy..models)));
+        }
+        keys
+    }
+}
+
+fn key(model: usize) -> ModelKey {
+    ModelKey {
+        service: "llm".into(),
+        model: format!("m{model}").into(),
+        adapter: None,
+    }
+}
--- a/crates/croftrill-bench/src/lib.rs
+++ b/crates/croftrill-bench/src/lib.rs
@@ -1,17 +1,8 @@
-//! An emulator of deployments in simulated time, and policies to compare in it.
+//! The project's emulator: the scheduler's own decisions in simulated time.
 //!
-//! The [`simulation`] holds what is physical: engines, their memory, caches and
-//! batches, the weight store, delays. A [`policy`] makes every decision; the
-//! policies of croftrill make them with the same code as the daemon. All
-//! policies see the same requests, which [`workload`] generates from a
-//! [`scenario`] and a seed. [`report`] turns a run into tables, JSON and plots.
+//! It answers placement questions in seconds, without processes or sockets,
+//! and measures what the orderer costs at a size.
 
-pub mod command_line;
-pub mod compare;
-pub mod identifiers;
-pub mod measurement;
-pub mod policy;
-pub mod report;
-pub mod scenario;
-pub mod simulation;
-pub mod workload;
+pub mod capacity;
+pub mod emulator;
+pub mod experiment;
--- a/crates/croftrill-bench/src/main.rs
+++ b/crates/croftrill-bench/src/main.rs
@@ -1,34 +1,83 @@
-//! The experiment tool.
+//! `croftrill-bench`: experiments with placement, and what the orderer costs.
 
-use anyhow::Result;
-use croftrill_bench::command_line::{compare, parse, Command, HELP};
-use std::process::ExitCode;
+use croftrill_bench::capacity::{measure, SIZES};
+use croftrill_bench::experiment::{play, policies, Load};
+use lexopt::prelude::*;
 
-/// Exit code for a command line that cannot be understood.
-const USAGE_ERROR: u8 = 2;
+const HELP: &str = "\
+Plays loads against the scheduler's own code in simulated time.
 
-fn main() -> ExitCode {
-    let command = match parse(std::env::args_os().skip(1)) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("croftrill-bench: {error:#}");
-            return ExitCode::from(USAGE_ERROR);
+Usage: croftrill-bench experiment [--models N] [--replicas N] [--rare PER_S]
+                                  [--busy PER_S] [--seconds N] [--seeds N]
+       croftrill-bench capacity
+";
+
+fn main() -> anyhow::Result<()> {
+    let mut load = Load::default();
+    let mut seeds = 5;
+    let mut command = String::new();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(word) if command.is_empty() => command = word.string()?,
+            Long("models") => load.models = parser.value()?.parse()?,
+            Long("replicas") => load.replicas = parser.value()?.parse()?,
+            Long("rare") => load.rare_per_second = parser.value()?.parse()?,
+            Long("busy") => load.busy_per_second = parser.value()?.parse()?,
+            Long("seconds") => load.seconds = parser.value()?.parse()?,
+            Long("seeds") => seeds = parser.value()?.parse()?,
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            other => return Err(other.unexpected().into()),
         }
-    };
-    match run(command) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("croftrill-bench: {error:#}");
-            ExitCode::FAILURE
+    }
+    match command.as_str() {
+        "experiment" => experiment(&load, seeds),
+        "capacity" => capacity(),
+        _ => print!("{HELP}"),
+    }
+    Ok(())
+}
+
+fn experiment(load: &Load, seeds: u64) {
+    println!(
+        "{:<14} {:>4} {:>8} {:>7} {:>9} {:>8} {:>8} {:>6}",
+        "policy", "seed", "requests", "warm %", "unserved", "p50 ms", "p95 ms", "loads"
+    );
+    for policy in policies() {
+        for seed in 1..=seeds {
+            let outcome = play(&Load { seed, ..*load }, &policy);
+            let warm = 100.0 * outcome.warm as f64 / outcome.requests.max(1) as f64;
+            println!(
+                "{:<14} {seed:>4} {:>8} {warm:>7.1} {:>9} {:>8} {:>8} {:>6}",
+                policy.name,
+                outcome.requests,
+                outcome.unserved,
+                outcome.cold_millis.value_at_quantile(0.5),
+                outcome.cold_millis.value_at_quantile(0.95),
+                outcome.loads,
+            );
         }
     }
 }
 
-fn run(command: Command) -> Result<()> {
-    match command {
-        Command::Help => print!("{HELP}"),
-        Command::Version => println!("croftrill-bench {}", env!("CARGO_PKG_VERSION")),
-        Command::Compare(options) => compare(&options)?,
+fn capacity() {
+    println!(
+        "{:>8} {:>7} {:>13} {:>13} {:>14} {:>12}",
+        "replicas", "models", "idle plan us", "busy plan us", "snapshot B", "change B"
+    );
+    for size in SIZES {
+        let cost = measure(size);
+        println!(
+            "{:>8} {:>7} {:>13} {:>13} {:>14} {:>12}",
+            size.replicas,
+            size.models,
+            cost.idle_plan.as_micros(),
+            cost.busy_plan.as_micros(),
+            cost.snapshot_bytes,
+            cost.change_bytes,
+        );
     }
-    Ok(())
 }
--- a/crates/croftrill-scheduler/tests/orderer_simulation.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -1,14 +1,12 @@
 //! The orderer against replicas that lose answers and carry orders out late.
 
-mod simulation;
-
 use std::time::Duration;
 
+use croftrill_bench::emulator::*;
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::Order;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use simulation::*;
 
 fn key(model: &str, adapter: Option<&str>) -> ModelKey {
     ModelKey {
--- a/crates/croftrill-cli/src/main.rs
+++ b/crates/croftrill-cli/src/main.rs
@@ -1,22 +1,133 @@
-//! The operators' command line client.
-
-use std::io::{stderr, stdout};
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("croftrill: the runtime cannot start: {error}");
-            return ExitCode::FAILURE;
+//! `croftrill`: the operators' command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use anyhow::{bail, Context};
+use bytes::Bytes;
+use croftrill_cli::{client, render};
+use http::Method;
+use lexopt::prelude::*;
+use serde_json::Value;
+use tokio::task::LocalSet;
+
+const HELP: &str = "\
+Asks a node what it believes, and changes what the system serves.
+
+Usage: croftrill --node IP:PORT status [--json]
+       croftrill --node IP:PORT document
+       croftrill --node IP:PORT plan FILE.toml [--out PLAN.json]
+       croftrill --node IP:PORT confirm PLAN.json
+
+  --node IP:PORT  operators' address of a node
+  --json          the answer as it came
+  --out FILE      where the plan is kept for its confirmation; default: plan.json
+  --help, --version
+";
+
+#[derive(Default)]
+struct Arguments {
+    node: Option<SocketAddr>,
+    words: Vec<String>,
+    json: bool,
+    out: Option<PathBuf>,
+}
+
+fn arguments() -> anyhow::Result<Option<Arguments>> {
+    let mut parsed = Arguments::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("node") => parsed.node = Some(parser.value()?.parse()?),
+            Long("json") => parsed.json = true,
+            Long("out") => parsed.out = Some(parser.value()?.into()),
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            Long("version") => {
+                println!("croftrill {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            lexopt::Arg::Value(word) => parsed.words.push(word.string()?),
+            other => return Err(other.unexpected().into()),
         }
+    }
+    Ok(Some(parsed))
+}
+
+fn main() -> anyhow::Result<()> {
+    let Some(arguments) = arguments()? else {
+        return Ok(());
     };
-    let node = std::env::var(croftrill_cli::NODE_VARIABLE).ok();
-    let node = node.filter(|node| !node.is_empty());
-    let arguments = std::env::args_os().skip(1);
-    let mut output = stdout();
-    let mut complaints = stderr();
-    let run = croftrill_cli::run(arguments, node, &mut output, &mut complaints);
-    ExitCode::from(runtime.block_on(run).code())
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(arguments))
+}
+
+async fn run(arguments: Arguments) -> anyhow::Result<()> {
+    let node = arguments.node.context("--node IP:PORT is missing; see --help")?;
+    let words: Vec<&str> = arguments.words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["status"] => {
+            let status = ask(node, Method::GET, "/v1/status", Bytes::new()).await?;
+            print!(
+                "{}",
+                if arguments.json {
+                    format!("{status}\n")
+                } else {
+                    render::status(&status)
+                }
+            );
+        }
+        ["document"] => {
+            let document = ask(node, Method::GET, "/v1/document", Bytes::new()).await?;
+            println!("{}", serde_json::to_string_pretty(&document)?);
+        }
+        ["plan", file] => {
+            let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
+            let wished: Value = toml_edit::de::from_str(&text).with_context(|| file.to_string())?;
+            let plan = ask(
+                node,
+                Method::POST,
+                "/v1/plan",
+                serde_json::to_vec(&wished)?.into(),
+            )
+            .await?;
+            print!("{}", render::plan(&plan));
+            let out = arguments.out.unwrap_or_else(|| "plan.json".into());
+            std::fs::write(&out, serde_json::to_vec_pretty(&plan)?)?;
+            println!(
+                "nothing has changed yet; to go ahead: croftrill --node {node} confirm {}",
+                out.display()
+            );
+        }
+        ["confirm", file] => {
+            let plan = std::fs::read(file).with_context(|| format!("cannot read {file}"))?;
+            let confirmed = ask(node, Method::POST, "/v1/confirm", plan.into()).await?;
+            println!(
+                "in force: version {} at revision {}",
+                confirmed["version"], confirmed["revision"]
+            );
+        }
+        _ => bail!("unknown call; see --help"),
+    }
+    Ok(())
+}
+
+async fn ask(node: SocketAddr, method: Method, path: &str, body: Bytes) -> anyhow::Result<Value> {
+    let answer = client::call(node, method, path, body).await?;
+    let value: Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    if answer.status().is_success() {
+        return Ok(value);
+    }
+    if !value["new_plan"].is_null() {
+        bail!(
+            "{}\n{}",
+            render::failure(&value),
+            render::plan(&value["new_plan"])
+        );
+    }
+    bail!("{}", render::failure(&value))
 }
--- /dev/null
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -0,0 +1,294 @@
+//! The operators' API: status, metrics, and intent, plan, confirmation.
+//!
+//! An operator sends a wished document and gets a plan: the steps it would
+//! take, and the revision of the document it was made for. Nothing changes
+//! until the plan is confirmed; the confirmation is a conditional write at that
+//! revision. If another change came first, it is rejected with a new plan.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_http::document::Document;
+use croftrill_http::own_platform::OwnPlatform;
+use croftrill_http::records::DOCUMENT_KEY;
+use croftrill_node::node::{Lifecycle, Node};
+use croftrill_node::ports::{
+    ConditionalPut, Expectation, Item, KeyValueStore, Platform, PutOutcome, StoreError, Write,
+};
+use croftrill_node::stream::AnswerBody;
+use croftrill_scheduler::planner::{plan, PlannedStep};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::status::status;
+
+/// Tells whether the node takes requests.
+pub const READY_PATH: &str = "/ready";
+/// Metrics as text.
+pub const METRICS_PATH: &str = "/metrics";
+/// What the node believes.
+pub const STATUS_PATH: &str = "/v1/status";
+/// The document in force.
+pub const DOCUMENT_PATH: &str = "/v1/document";
+/// Makes a plan for a wished document.
+pub const PLAN_PATH: &str = "/v1/plan";
+/// Confirms a plan.
+pub const CONFIRM_PATH: &str = "/v1/confirm";
+/// Largest body that operators may send, in bytes.
+const MOST_BODY: usize = 4 * 1024 * 1024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A plan: what would change, and what it was made for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlanDocument {
+    /// Revision of the document in force; 0: none.
+    pub base_revision: u64,
+    /// The wished document.
+    pub document: Document,
+    /// Steps, in words.
+    pub steps: Vec<String>,
+}
+
+/// A plan that came into force.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Confirmed {
+    /// Revision at which it came into force.
+    pub revision: u64,
+    /// Version of the document.
+    pub version: u64,
+}
+
+/// Why a call failed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Failure {
+    /// In words.
+    pub error: String,
+    /// What is wrong, each with its place.
+    #[serde(default)]
+    pub findings: Vec<String>,
+    /// A plan for the present state, if another change came first.
+    #[serde(default)]
+    pub new_plan: Option<PlanDocument>,
+}
+
+type Answer = Response<AnswerBody>;
+type OwnNode = Rc<Node<OwnPlatform>>;
+
+/// Serves operators until the process ends.
+pub async fn serve(node: OwnNode, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = node.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| {
+                let node = node.clone();
+                async move { Ok::<_, Infallible>(answer(&node, request).await) }
+            });
+            // A caller that breaks off ends just its own connection.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(node: &OwnNode, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MOST_BODY).collect().await else {
+        return failure(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body cannot be taken",
+            Vec::new(),
+            None,
+        );
+    };
+    let body = body.to_bytes();
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, READY_PATH) if node.lifecycle() == Lifecycle::Ready => text("ready".to_string()),
+        (&Method::GET, READY_PATH) => failure(StatusCode::SERVICE_UNAVAILABLE, "not ready", Vec::new(), None),
+        (&Method::GET, METRICS_PATH) => text(node.metrics.text()),
+        (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status(node)),
+        (&Method::GET, DOCUMENT_PATH) => document(node).await,
+        (&Method::POST, PLAN_PATH) => make_plan(node, &body).await,
+        (&Method::POST, CONFIRM_PATH) => confirm(node, &body).await,
+        _ => failure(StatusCode::NOT_FOUND, "no such call", Vec::new(), None),
+    }
+}
+
+async fn present(node: &OwnNode) -> Result<Option<(Document, u64)>, StoreError> {
+    let snapshot = node.platform.store().range(DOCUMENT_KEY).await?;
+    let item = snapshot.items.into_iter().find(|item| item.key == DOCUMENT_KEY);
+    item.map(|item: Item| {
+        let document =
+            serde_json::from_slice(&item.value).map_err(|error| StoreError::Protocol(error.to_string()))?;
+        Ok((document, item.revision))
+    })
+    .transpose()
+}
+
+async fn document(node: &OwnNode) -> Answer {
+    match present(node).await {
+        Ok(Some((document, _))) => json(StatusCode::OK, &document),
+        Ok(None) => failure(StatusCode::NOT_FOUND, "no document yet", Vec::new(), None),
+        Err(error) => store_failure(&error),
+    }
+}
+
+async fn make_plan(node: &OwnNode, body: &Bytes) -> Answer {
+    let wished: Document = match serde_json::from_slice(body) {
+        Ok(wished) => wished,
+        Err(error) => {
+            let findings = vec![error.to_string()];
+            return failure(
+                StatusCode::BAD_REQUEST,
+                "the document cannot be read",
+                findings,
+                None,
+            );
+        }
+    };
+    let findings = wished.findings();
+    if !findings.is_empty() {
+        return failure(
+            StatusCode::BAD_REQUEST,
+            "the document has findings",
+            findings,
+            None,
+        );
+    }
+    match plan_for(node, wished).await {
+        Ok(plan) => json(StatusCode::OK, &plan),
+        Err(error) => store_failure(&error),
+    }
+}
+
+async fn plan_for(node: &OwnNode, wished: Document) -> Result<PlanDocument, StoreError> {
+    let (present, base_revision) = match present(node).await? {
+        Some((document, revision)) => (document.configuration(), revision),
+        None => (Default::default(), 0),
+    };
+    let steps = plan(&present, &wished.configuration(), &node.state.borrow().replicas);
+    Ok(PlanDocument {
+        base_revision,
+        document: wished,
+        steps: steps.iter().map(in_words).collect(),
+    })
+}
+
+async fn confirm(node: &OwnNode, body: &Bytes) -> Answer {
+    let plan: PlanDocument = match serde_json::from_slice(body) {
+        Ok(plan) => plan,
+        Err(error) => {
+            let findings = vec![error.to_string()];
+            return failure(StatusCode::BAD_REQUEST, "the plan cannot be read", findings, None);
+        }
+    };
+    match try_confirm(node, &plan).await {
+        Ok(Some(confirmed)) => json(StatusCode::OK, &confirmed),
+        Ok(None) => match plan_for(node, plan.document).await {
+            Ok(new_plan) => {
+                let reason = "another change came first; here is a plan for the present state";
+                failure(StatusCode::CONFLICT, reason, Vec::new(), Some(new_plan))
+            }
+            Err(error) => store_failure(&error),
+        },
+        Err(error) => store_failure(&error),
+    }
+}
+
+/// Writes the plan's document at the revision it was made for; `None` if that is past.
+async fn try_confirm(node: &OwnNode, plan: &PlanDocument) -> Result<Option<Confirmed>, StoreError> {
+    let version = present(node).await?.map_or(0, |(document, _)| document.version) + 1;
+    let document = Document {
+        version,
+        ..plan.document.clone()
+    };
+    let value = serde_json::to_vec(&document).map_err(|error| StoreError::Protocol(error.to_string()))?;
+    let put = ConditionalPut {
+        conditions: vec![Expectation {
+            key: DOCUMENT_KEY.into(),
+            revision: plan.base_revision,
+        }],
+        writes: vec![Write {
+            key: DOCUMENT_KEY.into(),
+            value: value.into(),
+            lease: 0,
+        }],
+    };
+    match node.platform.store().put(put).await {
+        Ok(PutOutcome::Done { revision }) => {
+            tracing::info!(target: "operator", event = "plan confirmed", version, revision);
+            Ok(Some(Confirmed { revision, version }))
+        }
+        Ok(PutOutcome::Rejected) => Ok(None),
+        Err(StoreError::NoAnswer) => confirmed_after_all(node, &document).await,
+        Err(error) => Err(error),
+    }
+}
+
+/// After a write without an answer: whether the document stands as it was written.
+async fn confirmed_after_all(node: &OwnNode, written: &Document) -> Result<Option<Confirmed>, StoreError> {
+    match present(node).await? {
+        Some((document, revision)) if document == *written => Ok(Some(Confirmed {
+            revision,
+            version: document.version,
+        })),
+        _ => Err(StoreError::NoAnswer),
+    }
+}
+
+fn in_words(step: &PlannedStep) -> String {
+    match step {
+        PlannedStep::AddModel { model, .. } => {
+            format!("add model {model}; it is loaded when first asked for")
+        }
+        PlannedStep::RemoveModel { model, .. } => format!("remove model {model}"),
+        PlannedStep::ChangeModel { model, .. } => format!("change model {model}"),
+        PlannedStep::StopReplica { replica, model } => {
+            format!("stop using model {model} on replica {replica}")
+        }
+    }
+}
+
+fn text(body: String) -> Answer {
+    Response::new(AnswerBody::whole(body))
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let mut answer = Response::new(AnswerBody::whole(serde_json::to_vec(value).unwrap_or_default()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn failure(status: StatusCode, error: &str, findings: Vec<String>, new_plan: Option<PlanDocument>) -> Answer {
+    json(
+        status,
+        &Failure {
+            error: error.to_string(),
+            findings,
+            new_plan,
+        },
+    )
+}
+
+fn store_failure(error: &StoreError) -> Answer {
+    failure(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &format!("nothing is known to have changed: {error}"),
+        Vec::new(),
+        None,
+    )
+}
--- /dev/null
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -0,0 +1,151 @@
+//! The settings file of `croftrilld`, in TOML.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use croftrill_node::settings::{ClusterBounds, NodeIdentity, NodeSettings, Pace};
+use serde::Deserialize;
+
+/// The settings file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of the node.
+    pub name: String,
+    /// Zone it runs in.
+    #[serde(default)]
+    pub zone: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Address for operators and metrics.
+    pub operator: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Seconds to finish what is in hand when asked to stop.
+    #[serde(default = "usual_stop_grace")]
+    pub stop_grace_seconds: f64,
+    /// Least milliseconds between orders of two machines.
+    #[serde(default = "usual_order_gap")]
+    pub order_gap_ms: u64,
+    /// Most requests served at the same time; 0: not bounded.
+    #[serde(default)]
+    pub most_in_service: usize,
+    /// Bounds on sends beyond a request's first.
+    #[serde(default)]
+    pub retry: RetrySettings,
+}
+
+/// Bounds on sends beyond a request's first, for all nodes together.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetrySettings {
+    /// For each request.
+    pub ratio: f64,
+    /// In a window besides.
+    pub slack: f64,
+    /// Length of the window.
+    pub window_seconds: f64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        RetrySettings {
+            ratio: 0.2,
+            slack: 20.0,
+            window_seconds: 10.0,
+        }
+    }
+}
+
+fn usual_stop_grace() -> f64 {
+    8.0
+}
+
+fn usual_order_gap() -> u64 {
+    3000
+}
+
+/// Shortest lease that the store is asked for.
+const LEAST_LEASE: Duration = Duration::from_secs(1);
+/// Sliding window of the ceiling on loads from the weight store.
+const CEILING_WINDOW: Duration = Duration::from_secs(5);
+
+impl Settings {
+    /// Reads settings; answers everything that is wrong, each with its place.
+    pub fn parse(text: &str) -> Result<Self, Vec<String>> {
+        let settings: Settings =
+            toml_edit::de::from_str(text).map_err(|error| vec![error.to_string().trim().to_string()])?;
+        let findings = settings.findings();
+        if findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(findings)
+        }
+    }
+
+    fn findings(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        if self.name.is_empty() {
+            findings.push("name: must not be empty".to_string());
+        }
+        let positive = [
+            ("stop_grace_seconds", self.stop_grace_seconds),
+            ("retry.window_seconds", self.retry.window_seconds),
+        ];
+        for (place, value) in positive {
+            if value.is_nan() || value <= 0.0 {
+                findings.push(format!("{place}: must be above zero"));
+            }
+        }
+        for (place, value) in [
+            ("retry.ratio", self.retry.ratio),
+            ("retry.slack", self.retry.slack),
+        ] {
+            if value.is_nan() || value < 0.0 {
+                findings.push(format!("{place}: must not be below zero"));
+            }
+        }
+        let addresses = [
+            ("listen", self.listen),
+            ("peer", self.peer),
+            ("operator", self.operator),
+        ];
+        for (index, (place, address)) in addresses.iter().enumerate() {
+            let taken = addresses[..index]
+                .iter()
+                .find(|(_, other)| other == address && address.port() != 0);
+            if let Some((other, _)) = taken {
+                findings.push(format!("{place}: the same address as {other}"));
+            }
+        }
+        findings
+    }
+
+    /// The node's settings.
+    pub fn node_settings(&self) -> NodeSettings {
+        NodeSettings {
+            identity: NodeIdentity {
+                name: self.name.clone(),
+                zone: self.zone.clone(),
+                front: self.listen,
+                peer: self.peer,
+            },
+            bounds: ClusterBounds {
+                order_gap: Duration::from_millis(self.order_gap_ms),
+                ceiling_window: CEILING_WINDOW,
+                retry_ratio: self.retry.ratio,
+                retry_slack: self.retry.slack,
+                retry_window: Duration::from_secs_f64(self.retry.window_seconds),
+                stop_grace: Duration::from_secs_f64(self.stop_grace_seconds),
+                least_lease: LEAST_LEASE,
+            },
+            pace: Pace {
+                watch_every: Duration::from_millis(100),
+                ..Pace::default()
+            },
+            most_in_service: (self.most_in_service > 0).then_some(self.most_in_service),
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-daemon/src/status.rs
@@ -0,0 +1,93 @@
+//! What a node believes, as operators see it.
+
+use croftrill_node::node::{Lifecycle, Node};
+use croftrill_node::ports::Platform;
+use serde::{Deserialize, Serialize};
+
+/// What a node believes of a replica.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReplicaStatus {
+    /// Identity.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: String,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Models it holds; adapters after a slash.
+    pub models: Vec<String>,
+    /// Models on their way.
+    pub arriving: Vec<String>,
+}
+
+/// What a node believes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Name of the node.
+    pub node: String,
+    /// Where it is in its life.
+    pub lifecycle: String,
+    /// Version of the configuration in force; 0: none.
+    pub configuration_version: u64,
+    /// The node that gives orders.
+    pub orderer: Option<String>,
+    /// Live nodes.
+    pub nodes: Vec<String>,
+    /// Requests being served.
+    pub in_flight: usize,
+    /// Requests that wait for a place.
+    pub waiting: usize,
+    /// Replicas.
+    pub replicas: Vec<ReplicaStatus>,
+}
+
+/// What the node believes now.
+pub fn status<P: Platform>(node: &Node<P>) -> NodeStatus {
+    let state = node.state.borrow();
+    let replicas = state.replicas.iter().map(|entry| {
+        let held = entry.listing.holdings.models.iter();
+        let models = held.flat_map(|held| {
+            let adapters = held
+                .adapters
+                .iter()
+                .map(|adapter| format!("{}/{adapter}", held.model));
+            std::iter::once(held.model.to_string())
+                .chain(adapters)
+                .collect::<Vec<_>>()
+        });
+        ReplicaStatus {
+            id: entry.listing.id.to_string(),
+            service: entry.listing.service.to_string(),
+            address: entry.listing.address.to_string(),
+            ready: entry.is_ready(),
+            models: models.collect(),
+            arriving: entry
+                .arriving
+                .iter()
+                .map(|arrival| arrival.model.to_string())
+                .collect(),
+        }
+    });
+    NodeStatus {
+        node: node.settings.identity.name.clone(),
+        lifecycle: lifecycle_name(state.lifecycle).to_string(),
+        configuration_version: state
+            .configuration
+            .as_ref()
+            .map_or(0, |configuration| configuration.version),
+        orderer: state.members.orderer().map(|member| member.name.clone()),
+        nodes: state.members.nodes().map(|member| member.name.clone()).collect(),
+        in_flight: node.in_flight.get(),
+        waiting: state.fair_queue.waiting(),
+        replicas: replicas.collect(),
+    }
+}
+
+fn lifecycle_name(lifecycle: Lifecycle) -> &'static str {
+    match lifecycle {
+        Lifecycle::Starting => "starting",
+        Lifecycle::Ready => "ready",
+        Lifecycle::Stopping => "stopping",
+    }
+}
--- a/crates/croftrill-demo/src/lib.rs
+++ b/crates/croftrill-demo/src/lib.rs
@@ -1,7 +1,4 @@
-//! A whole system in one process on loopback: stand-ins of the platform, two
-//! engines, two nodes, one group and two models. For trying croftrill out.
+//! A whole system in one process: stand-ins of the platform, nodes, and a caller.
 
-mod operators;
-mod system;
-
-pub use system::{DemoConfig, DemoSystem};
+pub mod caller;
+pub mod system;
--- a/crates/croftrill-demo/src/main.rs
+++ b/crates/croftrill-demo/src/main.rs
@@ -1,94 +1,69 @@
-//! `croftrill-demo`: a whole system in one process, for trying it out.
+//! Runs a whole system on loopback, calls it, and stays up.
 
-use croftrill_daemon::{logging, signals};
-use croftrill_demo::{DemoConfig, DemoSystem};
+use std::time::Duration;
+
+use croftrill_demo::caller::{call, Call};
+use croftrill_demo::system::{System, MODELS};
+use croftrill_http::dialect::ATTEMPT_HEADER;
 use lexopt::prelude::*;
-use std::process::ExitCode;
+use tokio::task::LocalSet;
 
 const HELP: &str = "\
-croftrill-demo: a whole croftrill system on loopback, with stand-ins of the platform
+Runs a store, three model replicas and two nodes on loopback, calls every model
+once, prints what happened, and stays up until it is interrupted.
 
-Usage: croftrill-demo [--callers IP:PORT] [--operators IP:PORT] [--log-level LEVEL]
+Usage: croftrill-demo [--once]
 
-It prints lines to paste and stays up until it is interrupted. Addresses default
-to free ports of 127.0.0.1, the log level to warn.
+  --once  end after the calls
 ";
 
-/// Exit code of wrong usage.
-const EXIT_USAGE: u8 = 2;
-
-struct Arguments {
-    config: DemoConfig,
-    log_level: log::LevelFilter,
-}
-
-fn main() -> ExitCode {
-    match parse(lexopt::Parser::from_env()) {
-        Ok(None) => {
-            print!("{HELP}");
-            ExitCode::SUCCESS
-        }
-        Ok(Some(arguments)) => run(arguments),
-        Err(error) => {
-            eprintln!("croftrill-demo: {error}; see --help");
-            ExitCode::from(EXIT_USAGE)
-        }
-    }
-}
-
-/// `None` stands for `--help`.
-fn parse(mut parser: lexopt::Parser) -> Result<Option<Arguments>, lexopt::Error> {
-    let mut arguments = Arguments {
-        config: DemoConfig::default(),
-        log_level: log::LevelFilter::Warn,
-    };
+fn main() -> anyhow::Result<()> {
+    let mut once = false;
+    let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
-            Short('h') | Long("help") => return Ok(None),
-            Long("callers") => arguments.config.callers = parser.value()?.parse()?,
-            Long("operators") => arguments.config.operators = parser.value()?.parse()?,
-            Long("log-level") => arguments.log_level = parser.value()?.parse()?,
-            other => return Err(other.unexpected()),
+            Long("once") => once = true,
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            other => return Err(other.unexpected().into()),
         }
     }
-    Ok(Some(arguments))
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(once))
 }
 
-fn run(arguments: Arguments) -> ExitCode {
-    match serve(arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("croftrill-demo: {error:#}");
-            ExitCode::FAILURE
-        }
+async fn run(once: bool) -> anyhow::Result<()> {
+    let system = System::start(3, 2).await?;
+    println!("{:<14} {:>9}  outcome", "model", "ms");
+    for (index, model) in MODELS.iter().chain([&"maple/a1"]).enumerate() {
+        let node = system.nodes[index % system.nodes.len()].settings.listen;
+        let request = Call {
+            attempt: format!("demo-{index}"),
+            model: (*model).to_string(),
+            events: 8,
+            deadline: Duration::from_secs(10),
+            group: Some("tenders".to_string()),
+        };
+        let (end, took) = call(node, &request).await;
+        println!("{model:<14} {:>9}  {end:?}", took.as_millis());
     }
-}
-
-#[tokio::main]
-async fn serve(arguments: Arguments) -> anyhow::Result<()> {
-    logging::start(arguments.log_level)?;
-    let system = DemoSystem::start(arguments.config).await?;
-    print_hints(&system);
-    signals::planned_stop().await?;
-    system.stop().await;
-    Ok(())
-}
-
-fn print_hints(system: &DemoSystem) {
-    let callers = system.callers();
-    let operators = system.operators();
+    if once {
+        return Ok(());
+    }
+    let node = &system.nodes[0].settings;
     println!(
-        "croftrill runs: 2 nodes, 2 engines, models clause-lookup (loaded) and bid-review (asleep).
-
-Ask the sleeping model; the first answer waits for its load:
-
-  curl -N http://{callers}/v1/completions -H 'X-Croftrill-Group: demo' -d '{{\"model\":\"bid-review\",\"prompt\":\"Review the bid.\",\"max_tokens\":32,\"stream\":true}}'
-
-Operate it:
-
-  cargo run -q -p croftrill-cli -- --node {operators} status
-  curl http://{operators}/metrics
-
-Interrupt (Ctrl-C) for a planned stop."
+        "\ntry it:\n  curl -sN http://{}/v1/completions -H '{ATTEMPT_HEADER}: me-1' \\",
+        node.listen
     );
+    println!("    -d '{{\"model\":\"rowan\",\"prompt\":\"hello\",\"max_tokens\":8,\"stream\":true}}'");
+    println!(
+        "  cargo run -p croftrill-cli --bin croftrill -- --node {} status",
+        node.operator
+    );
+    tokio::signal::ctrl_c().await?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/croftrill-http/src/dialect.rs
@@ -0,0 +1,147 @@
+//! The callers' API: completions as language-model clients already speak them.
+//!
+//! The model stands in the body as `model` or `model/adapter`. Headers carry
+//! the attempt's id, the deadline and the group.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_node::ports::{
+    AnswerFacts, BadRequest, Dialect, Execution, Forwarding, PromptPart, RequestFacts,
+};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{request, response, StatusCode};
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::engine_wire::{INCARNATION_HEADER, LOAD_HEADER, NOT_EXECUTED_HEADER};
+
+/// Id of the attempt, repeated in its answer.
+pub const ATTEMPT_HEADER: &str = "croftrill-attempt";
+/// Milliseconds that the caller waits.
+pub const DEADLINE_HEADER: &str = "croftrill-deadline-ms";
+/// Group that the request counts for.
+pub const GROUP_HEADER: &str = "croftrill-group";
+/// Rank, 0 first.
+pub const PRIORITY_HEADER: &str = "croftrill-priority";
+/// Bytes of a prompt that are taken for one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Bytes at the start of a prompt by which prompts are taken to share a part.
+const SHARED_BYTES: usize = 256;
+/// Tokens of an answer without a bound of its own.
+const USUAL_OUTPUT_TOKENS: u64 = 256;
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+/// The completions API.
+#[derive(Debug, Default)]
+pub struct Completions;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .map(str::trim)
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+impl Dialect for Completions {
+    fn request_facts(&self, head: &request::Parts) -> Result<RequestFacts, BadRequest> {
+        let id = text(&head.headers, ATTEMPT_HEADER)
+            .filter(|id| !id.is_empty())
+            .ok_or(BadRequest::NoId)?;
+        let deadline = match text(&head.headers, DEADLINE_HEADER) {
+            None => None,
+            Some(value) => {
+                let millis = value.parse().map_err(|_| BadRequest::Header(DEADLINE_HEADER))?;
+                Some(Duration::from_millis(millis))
+            }
+        };
+        let group = text(&head.headers, GROUP_HEADER).map(str::to_string);
+        Ok(RequestFacts {
+            id: id.to_string(),
+            deadline,
+            group,
+            ..RequestFacts::default()
+        })
+    }
+
+    fn read_body(&self, facts: &mut RequestFacts, body: &Bytes) -> Result<(), BadRequest> {
+        let completion: CompletionBody =
+            serde_json::from_slice(body).map_err(|error| BadRequest::Body(error.to_string()))?;
+        let (model, adapter) = match completion.model.split_once('/') {
+            Some((model, adapter)) => (model, Some(adapter.into())),
+            None => (completion.model.as_str(), None),
+        };
+        let messages: String = completion
+            .messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .collect();
+        let prompt = completion.prompt + &messages;
+        let shared = &prompt.as_bytes()[..prompt.len().min(SHARED_BYTES)];
+        facts.model = Some(model.into());
+        facts.adapter = adapter;
+        facts.prompt_tokens = prompt.len() as u64 / BYTES_PER_TOKEN;
+        facts.output_tokens = completion.max_tokens.unwrap_or(USUAL_OUTPUT_TOKENS);
+        facts.parts = vec![PromptPart {
+            hash: xxh3_64(shared),
+            tokens: shared.len() as u64 / BYTES_PER_TOKEN,
+        }];
+        Ok(())
+    }
+
+    fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
+        set(headers, INCARNATION_HEADER, forwarding.replica);
+        set(
+            headers,
+            DEADLINE_HEADER,
+            &forwarding.time_left.as_millis().to_string(),
+        );
+        headers.remove(PRIORITY_HEADER);
+        if let Some(priority) = forwarding.priority {
+            set(headers, PRIORITY_HEADER, &priority.to_string());
+        }
+        if let Some(last) = forwarding.resume_after {
+            set(headers, "last-event-id", last);
+        }
+    }
+
+    fn answer_facts(&self, id: &str, head: &response::Parts) -> AnswerFacts {
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let not_executed = is_misdirected || head.headers.contains_key(NOT_EXECUTED_HEADER);
+        let is_ours = text(&head.headers, ATTEMPT_HEADER) == Some(id);
+        AnswerFacts {
+            is_ours,
+            is_signed: is_ours,
+            is_plain: !head.headers.contains_key(http::header::CONTENT_ENCODING),
+            execution: if not_executed {
+                Execution::NotExecuted
+            } else {
+                Execution::Executed
+            },
+            is_misdirected,
+            load: text(&head.headers, LOAD_HEADER).and_then(|value| value.parse().ok()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-http/src/document.rs
@@ -0,0 +1,166 @@
+//! The operators' document: models, groups and limits, as one whole version.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::{
+    Backend, CallerLimits, Configuration, EngineSpec, ModelSpec, Route, RouteKind, Service, ANY_HOST,
+};
+use serde::{Deserialize, Serialize};
+
+/// Service that all models of the document belong to.
+pub const MODEL_SERVICE: &str = "models";
+/// Paths that callers use.
+pub const COMPLETION_PATHS: [&str; 2] = ["/v1/completions", "/v1/chat/completions"];
+
+/// A model with its adapters.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelDocument {
+    /// Name.
+    pub name: String,
+    /// Memory of its weights, in MB.
+    pub weights_mb: f64,
+    /// Seconds of a load from the weight store.
+    pub load_seconds: f64,
+    /// Seconds of a load from a replica's disk; without it, as from the store.
+    #[serde(default)]
+    pub disk_load_seconds: Option<f64>,
+    /// Number of adapters, named `a1`, `a2` and so on.
+    #[serde(default)]
+    pub adapters: u32,
+    /// Memory of an adapter, in MB.
+    #[serde(default)]
+    pub adapter_mb: f64,
+}
+
+/// A group of callers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupDocument {
+    /// Name, as callers give it.
+    pub name: String,
+    /// Share of a node's places under contention, relative to other groups.
+    pub share: u32,
+}
+
+/// The whole document.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Rises with every change; set when the document is confirmed.
+    #[serde(default)]
+    pub version: u64,
+    /// Memory of a replica for weights and adapters, in MB.
+    pub replica_weights_mb: f64,
+    /// Places for adapters of a replica.
+    pub adapter_slots: usize,
+    /// Loads from the weight store that may begin in a second.
+    pub loads_per_second: f64,
+    /// Time within which the first event should come, in milliseconds.
+    pub objective_ms: u64,
+    /// Longest time that a request is held, in milliseconds.
+    pub timeout_ms: u64,
+    /// Models.
+    #[serde(default)]
+    pub models: Vec<ModelDocument>,
+    /// Groups of callers.
+    #[serde(default)]
+    pub groups: Vec<GroupDocument>,
+}
+
+impl Document {
+    /// What is wrong with the document, each with its place.
+    pub fn findings(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        if self.timeout_ms == 0 {
+            findings.push("timeout_ms: must be above zero".to_string());
+        }
+        for (index, model) in self.models.iter().enumerate() {
+            let place = format!("models[{index}] ({})", model.name);
+            if model.name.is_empty() || model.name.contains('/') {
+                findings.push(format!("{place}: a name must not be empty or contain a slash"));
+            }
+            if self.models[..index].iter().any(|other| other.name == model.name) {
+                findings.push(format!("{place}: the name stands twice"));
+            }
+            if model.weights_mb <= 0.0 || model.weights_mb > self.replica_weights_mb {
+                findings.push(format!(
+                    "{place}: weights_mb must be above zero and fit a replica"
+                ));
+            }
+        }
+        for (index, group) in self.groups.iter().enumerate() {
+            if group.share == 0 {
+                findings.push(format!(
+                    "groups[{index}] ({}): share must be above zero",
+                    group.name
+                ));
+            }
+        }
+        findings
+    }
+
+    /// The configuration that the document describes.
+    pub fn configuration(&self) -> Configuration {
+        let models: Vec<ModelSpec> = self.models.iter().map(model_spec).collect();
+        let engine = EngineSpec {
+            model_order: models.iter().map(|model| model.name.clone()).collect(),
+            models: models
+                .into_iter()
+                .map(|model| (model.name.clone(), model))
+                .collect(),
+            weights_mb: self.replica_weights_mb,
+            adapter_slots: self.adapter_slots,
+            loads_per_second: self.loads_per_second,
+            kv_capacity: 0,
+        };
+        let service = Service {
+            name: MODEL_SERVICE.into(),
+            max_connections: usize::MAX,
+            engine: Some(engine),
+        };
+        let routes = COMPLETION_PATHS.iter().map(|path| self.route(path)).collect();
+        let shares: HashMap<_, _> = self
+            .groups
+            .iter()
+            .map(|group| (group.name.as_str().into(), group.share))
+            .collect();
+        Configuration::new(self.version, CallerLimits::default(), vec![service], routes)
+            .with_group_shares(shares)
+    }
+
+    fn route(&self, path: &str) -> Route {
+        Route {
+            name: path.into(),
+            host: ANY_HOST.into(),
+            path_prefix: path.into(),
+            kind: RouteKind::Streaming,
+            timeout: Some(Duration::from_millis(self.timeout_ms)),
+            objective: Duration::from_millis(self.objective_ms),
+            pause_objective: None,
+            priority: 1,
+            backends: vec![Backend {
+                service: MODEL_SERVICE.into(),
+                weight: 1,
+            }],
+            max_attempts: 2,
+            resumable: false,
+        }
+    }
+}
+
+fn model_spec(model: &ModelDocument) -> ModelSpec {
+    let seconds = |value: f64| Duration::try_from_secs_f64(value).unwrap_or_default();
+    let store_load = seconds(model.load_seconds);
+    let disk_load = model.disk_load_seconds.map_or(store_load, seconds);
+    ModelSpec {
+        name: model.name.as_str().into(),
+        weights_mb: model.weights_mb,
+        adapter_mb: model.adapter_mb,
+        adapter_count: model.adapters,
+        store_load,
+        disk_load,
+        memory_load: disk_load,
+    }
+}
--- /dev/null
+++ b/crates/croftrill-http/src/engine.rs
@@ -0,0 +1,104 @@
+//! Client of model replicas: orders and reports.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_node::ports::{EngineAddress, EngineControl, FencedOrder};
+use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaReport};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::engine_wire::{Operation, WireOrder, WireReport, INCARNATION_HEADER, ORDER_PATH, REPORT_PATH};
+
+/// Longest wait for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Replicas over HTTP.
+pub struct EngineClient {
+    pool: ConnectionPool,
+}
+
+impl EngineClient {
+    /// A client without connections.
+    pub fn new() -> Self {
+        EngineClient {
+            pool: ConnectionPool::new(ConnectionConfig::default()),
+        }
+    }
+}
+
+impl Default for EngineClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn wire_order(fenced: &FencedOrder) -> WireOrder {
+    let (operation, adapter) = match &fenced.order {
+        Order::LoadModel(_) => (Operation::Load, None),
+        Order::UnloadModel(_) => (Operation::Unload, None),
+        Order::LoadAdapter(_, adapter) => (Operation::Load, Some(adapter.to_string())),
+        Order::UnloadAdapter(_, adapter) => (Operation::Unload, Some(adapter.to_string())),
+    };
+    WireOrder {
+        operation,
+        model: fenced.order.model().to_string(),
+        adapter,
+        holder: fenced.holder.clone(),
+        fencing_token: fenced.fencing_token,
+        expected_sequence: fenced.expected_sequence,
+    }
+}
+
+fn outcome(status: StatusCode) -> OrderOutcome {
+    match status {
+        StatusCode::ACCEPTED => OrderOutcome::Accepted,
+        StatusCode::OK => OrderOutcome::AlreadyHolds,
+        StatusCode::CONFLICT => OrderOutcome::Conflict,
+        StatusCode::PRECONDITION_FAILED => OrderOutcome::Fenced,
+        StatusCode::MISDIRECTED_REQUEST => OrderOutcome::OtherIncarnation,
+        StatusCode::BAD_REQUEST => OrderOutcome::Rejected,
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+fn request(target: &EngineAddress, method: Method, path: &str, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", target.address.to_string())
+        .header(INCARNATION_HEADER, &*target.replica)
+        .body(Full::new(body))
+        .ok()
+}
+
+impl EngineControl for EngineClient {
+    async fn order(&self, target: &EngineAddress, order: &FencedOrder) -> OrderOutcome {
+        let body = serde_json::to_vec(&wire_order(order)).unwrap_or_default();
+        let Some(request) = request(target, Method::POST, ORDER_PATH, body.into()) else {
+            return OrderOutcome::Rejected;
+        };
+        match self.pool.exchange(target.address, request, CALL_TIMEOUT).await {
+            Ok(answer) => outcome(answer.status()),
+            Err(error) if error.nothing_sent() => OrderOutcome::Conflict,
+            Err(_) => OrderOutcome::Unknown,
+        }
+    }
+
+    async fn report(&self, target: &EngineAddress) -> Option<ReplicaReport> {
+        let request = request(target, Method::GET, REPORT_PATH, Bytes::new())?;
+        let answer = self
+            .pool
+            .exchange(target.address, request, CALL_TIMEOUT)
+            .await
+            .ok()?;
+        let wire: WireReport = serde_json::from_slice(answer.body()).ok()?;
+        Some(ReplicaReport {
+            holdings: wire.holdings.into(),
+            busy: wire.busy,
+            waiting: wire.waiting,
+            running: wire.running,
+        })
+    }
+}
--- /dev/null
+++ b/crates/croftrill-http/src/lib.rs
@@ -0,0 +1,15 @@
+//! The product's own wire: what croftrill speaks where no platform prescribes it.
+//!
+//! - a key-value store with revisions, leases and watches ([`store_wire`], [`store`]);
+//! - model replicas that take fenced orders ([`engine_wire`], [`engine`]);
+//! - callers that speak the usual completions API ([`dialect`]);
+//! - the operators' document of models, groups and limits ([`document`]).
+
+pub mod dialect;
+pub mod document;
+pub mod engine;
+pub mod engine_wire;
+pub mod own_platform;
+pub mod records;
+pub mod store;
+pub mod store_wire;
--- /dev/null
+++ b/crates/croftrill-http/src/records.rs
@@ -0,0 +1,58 @@
+//! The items of the store: the operators' document and the replicas' entries.
+
+use std::sync::Arc;
+
+use croftrill_node::ports::{Item, Record, RecordReader};
+use croftrill_scheduler::replica::{ReplicaId, ReplicaListing, ReplicaState};
+
+use crate::document::Document;
+use crate::engine_wire::WireReplica;
+
+/// Key of the operators' document.
+pub const DOCUMENT_KEY: &str = "croftrill/document";
+/// Prefix of the replicas' entries.
+pub const REPLICA_PREFIX: &str = "replicas/";
+
+/// Reads the store's items.
+#[derive(Debug, Default)]
+pub struct OwnRecords;
+
+fn listing(id: &str, value: &[u8]) -> Result<ReplicaListing, serde_json::Error> {
+    let wire: WireReplica = serde_json::from_slice(value)?;
+    Ok(ReplicaListing {
+        id: id.into(),
+        service: wire.service.into(),
+        address: wire.address.into(),
+        zone: wire.zone.into(),
+        slots: wire.slots,
+        state: if wire.draining {
+            ReplicaState::Draining
+        } else {
+            ReplicaState::Ready
+        },
+        leaves_in: None,
+        holdings: wire.holdings.into(),
+    })
+}
+
+impl RecordReader for OwnRecords {
+    fn read(&self, item: &Item) -> Record {
+        if item.key == DOCUMENT_KEY {
+            return match serde_json::from_slice::<Document>(&item.value) {
+                Ok(document) => Record::Configuration(Arc::new(document.configuration())),
+                Err(error) => Record::Malformed(error.to_string()),
+            };
+        }
+        match item.key.strip_prefix(REPLICA_PREFIX) {
+            Some(id) => match listing(id, &item.value) {
+                Ok(listing) => Record::Replica(listing),
+                Err(error) => Record::Malformed(error.to_string()),
+            },
+            None => Record::Other,
+        }
+    }
+
+    fn replica_of(&self, key: &str) -> Option<ReplicaId> {
+        key.strip_prefix(REPLICA_PREFIX).map(Arc::from)
+    }
+}
--- /dev/null
+++ b/crates/croftrill-http/src/store.rs
@@ -0,0 +1,191 @@
+//! Client of the key-value store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use bytes::Bytes;
+use croftrill_node::connection::{ConnectionConfig, ConnectionPool, ExchangeError};
+use croftrill_node::ports::{
+    Changes, ConditionalPut, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
+};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::store_wire::{
+    WireExpectation, WireItem, WireItems, WireLease, WireLeaseRequest, WireRevision, WireTransaction,
+    WireWrite, CHANGES_PATH, ITEMS_PATH, LEASES_PATH, REVISION_PATH, WRITE_PATH,
+};
+
+/// Longest wait for a plain call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Added to the wait of a watch.
+const WATCH_MARGIN: Duration = Duration::from_secs(1);
+
+/// The store at one address.
+pub struct StoreClient {
+    address: SocketAddr,
+    pool: ConnectionPool,
+}
+
+impl StoreClient {
+    /// A client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        StoreClient {
+            address,
+            pool: ConnectionPool::new(ConnectionConfig::default()),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(target)
+            .header("host", self.address.to_string())
+            .body(Full::new(body))
+            .map_err(|error| StoreError::Protocol(error.to_string()))?;
+        let answer = self
+            .pool
+            .exchange(self.address, request, limit)
+            .await
+            .map_err(|error| match error {
+                ExchangeError::Connect(_) | ExchangeError::NotSent => StoreError::Unreachable,
+                ExchangeError::Broken(_) | ExchangeError::TimedOut => StoreError::NoAnswer,
+            })?;
+        match answer.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            StatusCode::NOT_FOUND => Err(StoreError::NoSuchLease),
+            _ => Ok(answer),
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, target: &str, limit: Duration) -> Result<T, StoreError> {
+        parse(&self.call(Method::GET, target, Bytes::new(), limit).await?)
+    }
+
+    async fn post<B: Serialize>(&self, target: &str, body: &B) -> Result<Response<Bytes>, StoreError> {
+        let body = serde_json::to_vec(body).map_err(|error| StoreError::Protocol(error.to_string()))?;
+        self.call(Method::POST, target, body.into(), CALL_TIMEOUT).await
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, StoreError> {
+    if !answer.status().is_success() {
+        return Err(StoreError::Protocol(answer.status().to_string()));
+    }
+    serde_json::from_slice(answer.body()).map_err(|error| StoreError::Protocol(error.to_string()))
+}
+
+fn query(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
+
+fn event(wire: WireItem) -> Result<StoreEvent, StoreError> {
+    let Some(value) = wire.value else {
+        return Ok(StoreEvent::Removed(wire.key));
+    };
+    let value = BASE64_STANDARD
+        .decode(value)
+        .map_err(|error| StoreError::Protocol(error.to_string()))?;
+    Ok(StoreEvent::Written(Item {
+        key: wire.key,
+        value: value.into(),
+        revision: wire.revision,
+    }))
+}
+
+fn transaction(put: &ConditionalPut) -> WireTransaction {
+    let conditions = put.conditions.iter().map(|expectation| WireExpectation {
+        key: expectation.key.clone(),
+        revision: expectation.revision,
+    });
+    let writes = put.writes.iter().map(|write| WireWrite {
+        key: write.key.clone(),
+        value: BASE64_STANDARD.encode(&write.value),
+        lease: write.lease,
+    });
+    WireTransaction {
+        conditions: conditions.collect(),
+        writes: writes.collect(),
+    }
+}
+
+impl KeyValueStore for StoreClient {
+    async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        let answer: WireItems = self
+            .get(&format!("{ITEMS_PATH}?prefix={}", query(prefix)), CALL_TIMEOUT)
+            .await?;
+        let mut items = Vec::with_capacity(answer.items.len());
+        for wire in answer.items {
+            if let StoreEvent::Written(item) = event(wire)? {
+                items.push(item);
+            }
+        }
+        Ok(Snapshot {
+            items,
+            revision: answer.revision,
+        })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
+        let target = format!(
+            "{CHANGES_PATH}?prefix={}&after={after}&wait_ms={}",
+            query(prefix),
+            wait.as_millis()
+        );
+        let answer: WireItems = self.get(&target, wait + WATCH_MARGIN).await?;
+        let events = answer.items.into_iter().map(event).collect::<Result<_, _>>()?;
+        Ok(Changes {
+            events,
+            revision: answer.revision,
+        })
+    }
+
+    async fn reached_revision(&self) -> Result<u64, StoreError> {
+        self.get(REVISION_PATH, CALL_TIMEOUT)
+            .await
+            .map(|answer: WireRevision| answer.revision)
+    }
+
+    async fn put(&self, put: ConditionalPut) -> Result<PutOutcome, StoreError> {
+        let answer = self.post(WRITE_PATH, &transaction(&put)).await?;
+        if answer.status() == StatusCode::CONFLICT {
+            return Ok(PutOutcome::Rejected);
+        }
+        parse(&answer).map(|answer: WireRevision| PutOutcome::Done {
+            revision: answer.revision,
+        })
+    }
+
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, StoreError> {
+        let request = WireLeaseRequest {
+            time_to_live_ms: time_to_live.as_millis() as u64,
+        };
+        parse(&self.post(LEASES_PATH, &request).await?).map(|answer: WireLease| answer.lease)
+    }
+
+    async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
+        let target = format!("{LEASES_PATH}/{lease}");
+        self.call(Method::POST, &target, Bytes::new(), CALL_TIMEOUT)
+            .await
+            .map(|_| ())
+    }
+
+    async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
+        let target = format!("{LEASES_PATH}/{lease}");
+        self.call(Method::DELETE, &target, Bytes::new(), CALL_TIMEOUT)
+            .await
+            .map(|_| ())
+    }
+}
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod peer_link;
 pub mod ports;
 pub mod request;
+pub mod runtime;
 pub mod settings;
 pub mod stream;
--- a/crates/croftrill-node/src/logging.rs
+++ b/crates/croftrill-node/src/logging.rs
@@ -4,9 +4,10 @@
 //! reader stalls, lines are left out and counted. A budget a second bounds the
 //! volume under load.
 
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tracing::{Event, Subscriber};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -14,6 +15,9 @@
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::{fmt, Layer, Registry};
 
+use crate::node::Node;
+use crate::ports::Platform;
+
 /// Bounds of the log.
 #[derive(Debug, Clone, Copy)]
 pub struct LogConfig {
@@ -95,6 +99,26 @@
     _writer: WorkerGuard,
 }
 
+/// Time between two looks at what the log left out.
+const REVIEW_EVERY: Duration = Duration::from_secs(5);
+
+impl Log {
+    /// Says from time to time what the log left out, until the process ends.
+    pub async fn review<P: Platform>(self, node: Rc<Node<P>>) {
+        let mut lost_before = 0;
+        loop {
+            tokio::time::sleep(REVIEW_EVERY).await;
+            let lost_in_queue = self.queue_losses.dropped_lines();
+            let left_out = self.budget.take_left_out() + (lost_in_queue - lost_before) as u64;
+            lost_before = lost_in_queue;
+            if left_out > 0 {
+                node.metrics.log_lines_left_out.inc_by(left_out);
+                tracing::warn!(target: "log", event = "lines left out", lines = left_out);
+            }
+        }
+    }
+}
+
 /// A subscriber that writes to `output` under the bounds of `config`.
 pub fn subscriber<W>(output: W, config: LogConfig) -> (impl Subscriber + Send + Sync, Log)
 where
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use croftrill_scheduler::catalog::Configuration;
+use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use tokio::sync::{mpsc, Notify};
@@ -43,6 +44,8 @@
     pub replicas: ReplicaTable,
     /// This node's share of the retry budget.
     pub retry_budget: RetryBudget,
+    /// Requests that wait for a place, by group.
+    pub fair_queue: FairQueue,
     /// Demand that the orderer has not been told yet.
     pub demand: DemandBatch,
     /// The nodes, and who gives orders.
@@ -89,6 +92,8 @@
     pub view_changed: Notify,
     /// Told when the node is asked to stop.
     pub stop_requested: Notify,
+    /// Told when a request leaves, so that a waiting one may start.
+    pub place_freed: Notify,
     /// Whether the store answers, as renewals of the node's own lease show.
     pub store_path: StorePath,
     /// Connections for requests that may be repeated, and for orders and reports.
@@ -127,6 +132,7 @@
             configuration: None,
             replicas: ReplicaTable::new(),
             retry_budget,
+            fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
             demand: DemandBatch::default(),
             members: Members::default(),
             lifecycle: Lifecycle::Starting,
@@ -142,6 +148,7 @@
             state: RefCell::new(state),
             view_changed: Notify::new(),
             stop_requested: Notify::new(),
+            place_freed: Notify::new(),
             store_path: StorePath::default(),
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -216,6 +216,8 @@
     pub parts: Vec<PromptPart>,
     /// The event after which a stream goes on.
     pub last_event_id: Option<String>,
+    /// The group of callers that the request counts for.
+    pub group: Option<String>,
 }
 
 /// Why a request's headers cannot be read.
@@ -227,6 +229,9 @@
     /// A header's value cannot be read.
     #[error("header {0} cannot be read")]
     Header(&'static str),
+    /// The body cannot be read.
+    #[error("the body cannot be read: {0}")]
+    Body(String),
 }
 
 /// What the system adds to a request for a replica.
@@ -272,6 +277,10 @@
 pub trait Dialect {
     /// Reads a request's headers.
     fn request_facts(&self, head: &request::Parts) -> Result<RequestFacts, BadRequest>;
+    /// Adds what the body tells, in dialects that put the model there.
+    fn read_body(&self, _facts: &mut RequestFacts, _body: &Bytes) -> Result<(), BadRequest> {
+        Ok(())
+    }
     /// Sets the system's own headers of a request for a replica.
     fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
     /// Reads the head of a replica's answer to the request with that id.
--- a/crates/croftrill-node/src/request.rs
+++ b/crates/croftrill-node/src/request.rs
@@ -91,7 +91,18 @@
             )
         }
     };
+    let mut facts = facts;
+    if let Err(error) = node.platform.dialect().read_body(&mut facts, &body) {
+        return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None);
+    }
     let service = pick_backend(&route, &facts.id);
+    let Ok(place) = timeout_at(until, take_place(node, &configuration, &facts)).await else {
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "other groups come first",
+            Some(DEFAULT_RETURN),
+        );
+    };
     let run = RequestRun {
         node: node.clone(),
         facts,
@@ -103,6 +114,7 @@
         arrival,
         until,
         flight: Some(flight),
+        place,
         sends: 0,
         tried: Vec::new(),
         refused_by: None,
@@ -130,6 +142,58 @@
     }
 }
 
+/// A place among the requests that the node serves at the same time.
+struct Place<P: Platform> {
+    node: Rc<Node<P>>,
+}
+
+impl<P: Platform> Drop for Place<P> {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().fair_queue.release();
+        self.node.place_freed.notify_waiters();
+    }
+}
+
+/// Group of requests that name none.
+const NO_GROUP: &str = "";
+
+/// Waits for a place, in the order that the groups' shares give. `None` where
+/// the number of places is not bounded.
+async fn take_place<P: Platform>(
+    node: &Rc<Node<P>>,
+    configuration: &Configuration,
+    facts: &RequestFacts,
+) -> Option<Place<P>> {
+    node.settings.most_in_service?;
+    let group: Arc<str> = facts.group.as_deref().unwrap_or(NO_GROUP).into();
+    let share = configuration.group_shares.get(&group).copied().unwrap_or(1);
+    let cost = facts.prompt_tokens + OUTPUT_TOKEN_COST * facts.output_tokens;
+    let ticket = Ticket {
+        node: node.clone(),
+        number: node.state.borrow_mut().fair_queue.enter(&group, share, cost),
+    };
+    loop {
+        let freed = node.place_freed.notified();
+        if node.state.borrow_mut().fair_queue.try_start(ticket.number) {
+            return Some(Place { node: node.clone() });
+        }
+        freed.await;
+    }
+}
+
+/// A waiting request; leaves the queue if it is given up.
+struct Ticket<P: Platform> {
+    node: Rc<Node<P>>,
+    number: u64,
+}
+
+impl<P: Platform> Drop for Ticket<P> {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().fair_queue.leave(self.number);
+        self.node.place_freed.notify_waiters();
+    }
+}
+
 /// Counts a request as sent to a replica while it lives.
 struct Send<P: Platform> {
     node: Rc<Node<P>>,
@@ -213,6 +277,7 @@
     arrival: Instant,
     until: Instant,
     flight: Option<Flight<P>>,
+    place: Option<Place<P>>,
     sends: usize,
     tried: Vec<ReplicaId>,
     refused_by: Option<ReplicaId>,
@@ -696,9 +761,9 @@
             .metrics
             .first_byte_seconds
             .observe(self.arrival.elapsed().as_secs_f64());
-        let flight = self.flight.take();
+        let (flight, place) = (self.flight.take(), self.place.take());
         tokio::task::spawn_local(async move {
-            let _flight = flight;
+            let _held = (flight, place);
             self.pump(streaming, sender).await;
         });
         answer
--- /dev/null
+++ b/crates/croftrill-node/src/runtime.rs
@@ -0,0 +1,65 @@
+//! Starts the tasks of a node, and stops it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, JoinHandle};
+
+use crate::node::{Node, NodeQueues};
+use crate::ports::Platform;
+use crate::{directory, front, membership, orderer_task, peer_link};
+
+/// Longest wait for the node's entries in the store to be withdrawn at the end.
+const WITHDRAWAL: Duration = Duration::from_millis(300);
+/// Time between two rounds that close old connections.
+const CLEANING: Duration = Duration::from_secs(5);
+
+/// The running tasks of a node.
+pub struct Running<P: Platform> {
+    node: Rc<Node<P>>,
+    membership: JoinHandle<()>,
+    orderer: JoinHandle<()>,
+}
+
+/// Starts a node on two listeners: for callers and for other nodes. Must run
+/// within a `LocalSet`. `incarnation` tells this process from a former one.
+pub fn start<P: Platform>(
+    node: &Rc<Node<P>>,
+    queues: NodeQueues,
+    front_listener: TcpListener,
+    peer_listener: TcpListener,
+    incarnation: u64,
+) -> Running<P> {
+    spawn_local(front::accept(node.clone(), front_listener));
+    spawn_local(peer_link::accept(node.clone(), peer_listener));
+    spawn_local(peer_link::follow_orderer(node.clone(), queues.to_orderer));
+    spawn_local(peer_link::tell_demand(node.clone()));
+    spawn_local(directory::follow(node.clone()));
+    spawn_local(close_old_connections(node.clone()));
+    Running {
+        node: node.clone(),
+        membership: spawn_local(membership::keep_entry(node.clone(), incarnation)),
+        orderer: spawn_local(orderer_task::run(node.clone(), queues.orderer_inbox, incarnation)),
+    }
+}
+
+impl<P: Platform> Running<P> {
+    /// Stops the node: takes no new work, ends what it has within its grace.
+    pub async fn stop(self) {
+        self.node.begin_stop();
+        front::finish(&self.node).await;
+        let withdrawn = async {
+            let _ = self.membership.await;
+            let _ = self.orderer.await;
+        };
+        let _ = tokio::time::timeout(WITHDRAWAL, withdrawn).await;
+    }
+}
+
+async fn close_old_connections<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        tokio::time::sleep(CLEANING).await;
+        node.pool.drop_old();
+    }
+}
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -44,6 +44,9 @@
     pub bounds: ClusterBounds,
     /// Intervals of the node's own work.
     pub pace: Pace,
+    /// Most requests that the node serves at the same time; what comes beyond
+    /// waits by its group's share. `None`: replicas alone queue and rank.
+    pub most_in_service: Option<usize>,
 }
 
 /// Intervals of a node's own work.
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -11,6 +11,9 @@
 /// Name of a service: a group of interchangeable replicas.
 pub type ServiceName = Arc<str>;
 
+/// Host of routes that hold for every host without a route of its own for the path.
+pub const ANY_HOST: &str = "*";
+
 /// What a route says about running a request more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -147,6 +150,8 @@
     pub version: u64,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// Share of each group of callers; a group without one has a share of 1.
+    pub group_shares: HashMap<Arc<str>, u32>,
     services: HashMap<ServiceName, Arc<Service>>,
     /// Routes of a host, the longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -172,6 +177,7 @@
         Configuration {
             version,
             limits,
+            group_shares: HashMap::new(),
             services,
             routes_by_host,
         }
@@ -180,8 +186,11 @@
     /// The route of a request: of the host's routes the one with the longest
     /// prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes_by_host.get(host)?;
-        routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+        let of_host = |host: &str| {
+            let routes = self.routes_by_host.get(host)?;
+            routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+        };
+        of_host(host).or_else(|| of_host(ANY_HOST))
     }
 
     /// The service of that name.
@@ -194,6 +203,12 @@
         self.services.values()
     }
 
+    /// The same configuration with shares for groups of callers.
+    pub fn with_group_shares(mut self, group_shares: HashMap<Arc<str>, u32>) -> Self {
+        self.group_shares = group_shares;
+        self
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes_by_host.values().map(Vec::len).sum()
--- /dev/null
+++ b/crates/croftrill-scheduler/src/fair_queue.rs
@@ -0,0 +1,87 @@
+//! Shares one node's places fairly among groups of callers.
+//!
+//! Start-time fair queueing: each group has a virtual time that grows by cost
+//! over share, and the waiting request with the least start tag goes first. A
+//! group that was idle begins at the present virtual time, so it neither saves
+//! up nor loses its share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// A waiting request.
+#[derive(Debug, Clone)]
+struct Waiting {
+    start_tag: f64,
+}
+
+/// Requests that wait for a place, by group.
+///
+/// Invariant: at most `places` requests are started and not released.
+#[derive(Debug)]
+pub struct FairQueue {
+    places: usize,
+    started: usize,
+    virtual_time: f64,
+    finish_tags: HashMap<Arc<str>, f64>,
+    waiting: BTreeMap<u64, Waiting>,
+    next_number: u64,
+}
+
+impl FairQueue {
+    /// A queue before so many places.
+    pub fn new(places: usize) -> Self {
+        FairQueue {
+            places,
+            started: 0,
+            virtual_time: 0.0,
+            finish_tags: HashMap::new(),
+            waiting: BTreeMap::new(),
+            next_number: 0,
+        }
+    }
+
+    /// A request of a group arrives, with its cost in tokens; answers its number.
+    pub fn enter(&mut self, group: &Arc<str>, share: u32, cost: u64) -> u64 {
+        let finish_tag = self.finish_tags.entry(group.clone()).or_insert(0.0);
+        let start_tag = finish_tag.max(self.virtual_time);
+        *finish_tag = start_tag + cost.max(1) as f64 / f64::from(share.max(1));
+        self.next_number += 1;
+        self.waiting.insert(self.next_number, Waiting { start_tag });
+        self.next_number
+    }
+
+    /// Starts a request if a place is free and no other comes before it.
+    pub fn try_start(&mut self, number: u64) -> bool {
+        if self.started >= self.places || self.first() != Some(number) {
+            return false;
+        }
+        if let Some(waiting) = self.waiting.remove(&number) {
+            self.virtual_time = self.virtual_time.max(waiting.start_tag);
+            self.started += 1;
+        }
+        true
+    }
+
+    /// A request that has not started is given up.
+    pub fn leave(&mut self, number: u64) {
+        self.waiting.remove(&number);
+    }
+
+    /// A started request is over.
+    pub fn release(&mut self) {
+        self.started = self.started.saturating_sub(1);
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn first(&self) -> Option<u64> {
+        let least = self
+            .waiting
+            .iter()
+            .min_by(|left, right| left.1.start_tag.total_cmp(&right.1.start_tag));
+        least.map(|(number, _)| *number)
+    }
+}
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod admission;
 pub mod catalog;
 pub mod demand;
+pub mod fair_queue;
 pub mod health;
 pub mod lease;
 pub mod load_ceiling;
 pub mod orderer;
 pub mod placement;
+pub mod planner;
 pub mod replica;
 pub mod replica_ledger;
 pub mod replica_table;
--- /dev/null
+++ b/crates/croftrill-scheduler/src/planner.rs
@@ -0,0 +1,122 @@
+//! What a wished configuration would change, before anything changes.
+
+use std::collections::BTreeSet;
+
+use crate::catalog::{Configuration, EngineSpec, ModelName, ServiceName};
+use crate::replica::ReplicaId;
+use crate::replica_table::ReplicaTable;
+
+/// One step that follows from a wished configuration.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PlannedStep {
+    /// A model becomes known; it is loaded when it is first asked for.
+    AddModel {
+        /// The service.
+        service: ServiceName,
+        /// The model.
+        model: ModelName,
+    },
+    /// A model is no longer served.
+    RemoveModel {
+        /// The service.
+        service: ServiceName,
+        /// The model.
+        model: ModelName,
+    },
+    /// A model's sizes or times change.
+    ChangeModel {
+        /// The service.
+        service: ServiceName,
+        /// The model.
+        model: ModelName,
+    },
+    /// A replica holds a model that is no longer served; it makes way when room is needed.
+    StopReplica {
+        /// The replica.
+        replica: ReplicaId,
+        /// The model.
+        model: ModelName,
+    },
+}
+
+/// Why a wished configuration cannot come into force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlanFinding {
+    /// No replica has the memory for the model.
+    TooLarge {
+        /// The service.
+        service: ServiceName,
+        /// The model.
+        model: ModelName,
+    },
+}
+
+/// Steps from the present to the wished configuration, in a fixed order.
+pub fn plan(present: &Configuration, wished: &Configuration, replicas: &ReplicaTable) -> Vec<PlannedStep> {
+    let mut steps = BTreeSet::new();
+    for (service, engine) in engines(wished) {
+        let before = engine_of(present, service);
+        for (model, spec) in &engine.models {
+            let step = match before.and_then(|before| before.models.get(model)) {
+                None => PlannedStep::AddModel {
+                    service: service.clone(),
+                    model: model.clone(),
+                },
+                Some(old) if old != spec => PlannedStep::ChangeModel {
+                    service: service.clone(),
+                    model: model.clone(),
+                },
+                Some(_) => continue,
+            };
+            steps.insert(step);
+        }
+    }
+    for (service, engine) in engines(present) {
+        let after = engine_of(wished, service);
+        for model in engine.models.keys() {
+            if after.is_some_and(|after| after.models.contains_key(model)) {
+                continue;
+            }
+            steps.insert(PlannedStep::RemoveModel {
+                service: service.clone(),
+                model: model.clone(),
+            });
+            for entry in replicas
+                .of_service(service)
+                .filter(|entry| entry.serves(model, None))
+            {
+                steps.insert(PlannedStep::StopReplica {
+                    replica: entry.listing.id.clone(),
+                    model: model.clone(),
+                });
+            }
+        }
+    }
+    steps.into_iter().collect()
+}
+
+/// What stands against a wished configuration.
+pub fn findings(wished: &Configuration) -> Vec<PlanFinding> {
+    let mut findings = Vec::new();
+    for (service, engine) in engines(wished) {
+        for model in engine.model_order.iter() {
+            if engine.models[model].weights_mb > engine.weights_mb {
+                findings.push(PlanFinding::TooLarge {
+                    service: service.clone(),
+                    model: model.clone(),
+                });
+            }
+        }
+    }
+    findings
+}
+
+fn engines(configuration: &Configuration) -> impl Iterator<Item = (&ServiceName, &EngineSpec)> {
+    configuration
+        .services()
+        .filter_map(|service| Some((&service.name, service.engine.as_ref()?)))
+}
+
+fn engine_of<'a>(configuration: &'a Configuration, service: &str) -> Option<&'a EngineSpec> {
+    configuration.service(service)?.engine.as_ref()
+}
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -1,288 +1,260 @@
-//! Stand-in of a model engine: fenced orders, limited accelerator memory,
-//! continuous batching with priorities, a prefix cache, resumable streams with
-//! a known text, lagging load reports.
-//!
-//! `POST /control/faults` sets [`EngineFaults`]; `GET /control/ledger` answers
-//! an [`EngineLedger`]. A crash forgets everything but the ledger and the disk
-//! cache, as a new process on the same machine would.
+//! The stand-in replica's server. It keeps its own entry in the store.
 
-mod answer;
-mod checkpoint_cache;
-mod config;
-mod held;
-mod ledger;
-mod loading;
-mod orders;
-mod prefix_cache;
-mod runs;
-mod slots;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-pub use answer::expected_answer;
-pub use config::{EngineConfig, EngineFaults};
-pub use ledger::{
-    peak_replicas, AcceleratorRecord, EngineLedger, FencedRecord, LoadRecord, RunEnd, RunRecord,
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use bytes::Bytes;
+use croftrill_http::dialect::ATTEMPT_HEADER;
+use croftrill_http::document::{COMPLETION_PATHS, MODEL_SERVICE};
+use croftrill_http::engine_wire::{
+    WireOrder, WireReplica, INCARNATION_HEADER, LOAD_HEADER, NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
 };
-
-use crate::control::{FAULTS_PATH, LEDGER_PATH};
-use crate::server::{self, json, not_found, ok, read_json, Body, ConnectionCutter, Handler};
-use crate::server::{now_millis, HandlerResult, Rejection, RunningServer};
-use checkpoint_cache::CheckpointCache;
-use croftrill_platform::engine::Inventory;
-use croftrill_platform::wire::engine as wire;
-use croftrill_platform::wire::RefusalBody;
-use croftrill_platform::{HttpEndpoint, HttpWeightStore};
-use croftrill_state::{AttemptId, FencingToken};
-use held::HeldModels;
+use croftrill_http::records::REPLICA_PREFIX;
+use croftrill_http::store::StoreClient;
+use croftrill_node::ports::{ConditionalPut, KeyValueStore, StoreError, Write};
+use croftrill_node::stream::AnswerBody;
+use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
-use prefix_cache::PrefixCache;
-use slots::Slots;
-use std::collections::{BTreeMap, HashSet};
-use std::io;
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
-/// The stand-in.
-pub struct Engine {
-    config: EngineConfig,
-    weight_store: Option<HttpWeightStore>,
-    cutter: ConnectionCutter,
-    slots: Arc<Slots>,
-    frozen: watch::Sender<bool>,
-    state: Mutex<State>,
-}
+use crate::engine_state::{BeginOutcome, EngineConfig, EngineState, OrderAnswer};
+use crate::http_server::{json, serve, status, Answer};
+
+/// Path of what the replica ran and saw broken.
+pub const LEDGER_PATH: &str = "/standin/ledger";
+/// Time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Time to live of the replica's entry.
+const ENTRY_TIME_TO_LIVE: Duration = Duration::from_millis(1500);
+/// Events of an answer without a bound of its own.
+const USUAL_EVENTS: u64 = 8;
 
-struct State {
-    highest_token: FencingToken,
-    held: HeldModels,
-    memory_cache: CheckpointCache,
-    disk_cache: CheckpointCache,
-    prefix_cache: PrefixCache,
-    /// Cancels the runs.
-    runs: BTreeMap<AttemptId, CancellationToken>,
-    /// Every attempt accepted so far.
-    known_attempts: HashSet<AttemptId>,
-    faults: EngineFaults,
-    down_until: Option<Instant>,
-    load_report: (Instant, wire::LoadReport),
-    ledger: EngineLedger,
+/// What a replica ran, and which promises it saw broken.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Runs by attempt.
+    pub runs: std::collections::BTreeMap<String, u32>,
+    /// Broken promises.
+    pub violations: Vec<String>,
 }
 
-/// A running stand-in; stops when dropped.
-pub struct RunningEngine {
-    /// The server.
-    pub server: RunningServer,
-    engine: Arc<Engine>,
+/// Where a replica stands.
+#[derive(Debug, Clone)]
+pub struct EngineIdentity {
+    /// Identity of the incarnation.
+    pub id: String,
+    /// Zone.
+    pub zone: String,
+    /// Address that the system is told, which may be a proxy's.
+    pub address: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
 }
 
-impl RunningEngine {
-    /// What happened so far.
-    pub fn ledger(&self) -> EngineLedger {
-        self.engine.lock().ledger.clone()
-    }
+/// A replica in memory.
+pub struct EngineStandin {
+    identity: EngineIdentity,
+    state: RefCell<EngineState>,
+    slots: u32,
+}
 
-    /// Sets the faults in force.
-    pub fn set_faults(&self, faults: EngineFaults) {
-        self.engine.set_faults(faults);
-    }
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
 }
 
-impl Engine {
-    /// Starts the stand-in.
-    pub async fn start(config: EngineConfig) -> io::Result<RunningEngine> {
-        let listen = config.listen;
-        let cutter = ConnectionCutter::new();
-        let weight_store = config.weight_store.as_ref();
-        let engine = Arc::new(Self {
-            weight_store: weight_store.map(|address| HttpWeightStore::new(HttpEndpoint::new(address))),
-            cutter: cutter.clone(),
-            slots: Slots::new(config.max_running),
-            frozen: watch::Sender::new(false),
-            state: Mutex::new(State::new(&config)),
-            config,
+impl EngineStandin {
+    /// Starts a replica on a listener; must run within a `LocalSet`.
+    pub fn start(
+        listener: TcpListener,
+        identity: EngineIdentity,
+        config: EngineConfig,
+        models: &[String],
+        on_disk: &[String],
+    ) -> Rc<Self> {
+        let slots = config.slots as u32;
+        let state = RefCell::new(EngineState::new(config, models, on_disk));
+        let engine = Rc::new(EngineStandin {
+            identity,
+            state,
+            slots,
         });
-        let server = server::start(listen, engine.clone(), cutter).await?;
-        let reports = engine.clone().report_load();
-        tokio::spawn(server.stop_token().run_until_cancelled_owned(reports));
-        Ok(RunningEngine { server, engine })
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    fn set_faults(&self, faults: EngineFaults) {
-        self.frozen.send_replace(faults.freeze);
-        self.lock().faults = faults;
+        let served = engine.clone();
+        spawn_local(serve(listener, move |request| {
+            let engine = served.clone();
+            async move { engine.answer(&request) }
+        }));
+        spawn_local(engine.clone().keep_entry());
+        engine
     }
 
-    /// Returns when the engine is not frozen.
-    async fn thawed(&self) {
-        // The sender lives as long as `self`.
-        let _ = self.frozen.subscribe().wait_for(|frozen| !frozen).await;
+    /// What it ran and saw broken.
+    pub fn ledger(&self) -> Ledger {
+        let state = self.state.borrow();
+        Ledger {
+            runs: state.runs().clone(),
+            violations: state.violations().to_vec(),
+        }
     }
 
-    /// Forgets what a process would forget, and closes all connections.
-    fn crash(&self) {
-        let mut guard = self.lock();
-        let state = &mut *guard;
-        let restart_after = Duration::from_millis(state.faults.restart_after_millis);
-        state.faults.crash_after_tokens = None;
-        state.down_until = Some(Instant::now() + restart_after);
-        state.ledger.crashes += 1;
-        state.highest_token = FencingToken::default();
-        state.known_attempts.clear();
-        state.memory_cache.clear();
-        state.prefix_cache = PrefixCache::new(self.config.prefix_cache_blocks);
-        for (attempt, cancel) in std::mem::take(&mut state.runs) {
-            state.ledger.run_ended(attempt, RunEnd::Crashed);
-            cancel.cancel();
+    fn answer(self: &Rc<Self>, request: &Request<Bytes>) -> Answer {
+        let path = request.uri().path();
+        if path == LEDGER_PATH {
+            return json(&self.ledger());
         }
-        let models: Vec<_> = state.held.models.keys().cloned().collect();
-        for model in models {
-            state.release(&model, false);
+        let expected = request
+            .headers()
+            .get(INCARNATION_HEADER)
+            .and_then(|value| value.to_str().ok());
+        if expected.is_some_and(|expected| expected != self.identity.id) {
+            return self.stamped(status(StatusCode::MISDIRECTED_REQUEST), request);
         }
-        drop(guard);
-        self.cutter.cut_all();
-    }
-
-    async fn report_load(self: Arc<Self>) {
-        let mut ticks = tokio::time::interval(Duration::from_millis(
-            self.config.load_report_interval_millis.max(1),
-        ));
-        loop {
-            ticks.tick().await;
-            let (running, waiting) = self.slots.counts();
-            let mut state = self.lock();
-            let report = wire::LoadReport {
-                age_millis: 0,
-                running,
-                waiting,
-                max_running: self.config.max_running,
-                used_memory_mib: state.held.used_mib(),
-            };
-            state.load_report = (Instant::now(), report);
+        match path {
+            REPORT_PATH => json(&self.state.borrow_mut().report(Instant::now())),
+            ORDER_PATH => self.order(request),
+            path if COMPLETION_PATHS.contains(&path) => self.complete(request),
+            _ => status(StatusCode::NOT_FOUND),
         }
     }
 
-    fn present_load_report(&self) -> wire::LoadReport {
-        let (taken_at, mut report) = self.lock().load_report.clone();
-        report.age_millis = taken_at.elapsed().as_millis() as u64;
-        report
-    }
-
-    async fn control(&self, request: Request<Incoming>) -> HandlerResult {
-        match request.uri().path() {
-            FAULTS_PATH => {
-                self.set_faults(read_json(request).await?);
-                Ok(ok(&()))
-            }
-            LEDGER_PATH => Ok(ok(&self.lock().ledger)),
-            _ => Ok(not_found()),
-        }
+    fn order(&self, request: &Request<Bytes>) -> Answer {
+        let Ok(order) = serde_json::from_slice::<WireOrder>(request.body()) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        status(match self.state.borrow_mut().order(order, Instant::now()) {
+            OrderAnswer::Accepted => StatusCode::ACCEPTED,
+            OrderAnswer::AlreadyHolds => StatusCode::OK,
+            OrderAnswer::Conflict => StatusCode::CONFLICT,
+            OrderAnswer::Fenced => StatusCode::PRECONDITION_FAILED,
+            OrderAnswer::Rejected => StatusCode::BAD_REQUEST,
+        })
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HandlerResult {
-        match request.uri().path() {
-            wire::INVENTORY_PATH => Ok(ok(&self.lock().inventory())),
-            wire::LOAD_PATH => Ok(ok(&self.present_load_report())),
-            wire::FENCE_PATH => {
-                let body: wire::FenceRequest = read_json(request).await?;
-                let mut state = self.lock();
-                state
-                    .check_token(body.fencing_token, wire::FENCE_PATH)
-                    .map_err(fenced)?;
-                Ok(ok(&state.inventory()))
+    fn complete(self: &Rc<Self>, request: &Request<Bytes>) -> Answer {
+        let attempt = request
+            .headers()
+            .get(ATTEMPT_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let completion = serde_json::from_slice::<Completion>(request.body());
+        let (Some(attempt), Ok(completion)) = (attempt, completion) else {
+            return not_executed(status(StatusCode::BAD_REQUEST));
+        };
+        let (model, adapter) = match completion.model.split_once('/') {
+            Some((model, adapter)) => (model, Some(adapter)),
+            None => (completion.model.as_str(), None),
+        };
+        let begun = self
+            .state
+            .borrow_mut()
+            .begin(attempt, model, adapter, Instant::now());
+        match begun {
+            BeginOutcome::Absent => self.stamped(status(StatusCode::MISDIRECTED_REQUEST), request),
+            BeginOutcome::Full => {
+                self.stamped(not_executed(status(StatusCode::SERVICE_UNAVAILABLE)), request)
             }
-            wire::LOAD_MODEL_PATH => Ok(ok(&self.load_model(read_json(request).await?))),
-            wire::UNLOAD_MODEL_PATH => Ok(ok(&self.unload_model(read_json(request).await?))),
-            wire::LOAD_ADAPTER_PATH => Ok(ok(&self.load_adapter(read_json(request).await?))),
-            wire::UNLOAD_ADAPTER_PATH => Ok(ok(&self.unload_adapter(read_json(request).await?))),
-            wire::RUN_PATH => {
-                let body = read_json(request).await?;
-                self.run(body)
+            BeginOutcome::Running => {
+                let events = completion.max_tokens.unwrap_or(USUAL_EVENTS);
+                self.stamped(self.stream(attempt.to_string(), events), request)
             }
-            wire::CANCEL_PATH => {
-                let body: wire::CancelRequest = read_json(request).await?;
-                self.cancel(body.attempt);
-                Ok(ok(&serde_json::Map::new()))
-            }
-            _ => Ok(not_found()),
         }
     }
 
-    fn is_down(&self) -> bool {
-        let down_until = self.lock().down_until;
-        down_until.is_some_and(|until| Instant::now() < until)
+    /// Streams numbered events, then the end mark.
+    fn stream(self: &Rc<Self>, attempt: String, events: u64) -> Answer {
+        let (sender, body) = AnswerBody::stream();
+        let engine = self.clone();
+        let pause = self.state.borrow().event_time();
+        spawn_local(async move {
+            for index in 0..events {
+                sleep(pause).await;
+                let event = format!(
+                    "id: {index}\ndata: {{\"attempt\":\"{attempt}\",\"index\":{index},\"of\":{events}}}\n\n"
+                );
+                if sender.send(Ok::<_, io::Error>(event.into())).await.is_err() {
+                    break;
+                }
+            }
+            let _ = sender.send(Ok("data: [DONE]\n\n".into())).await;
+            engine.state.borrow_mut().end();
+        });
+        let mut answer = Response::new(body);
+        let kind = HeaderValue::from_static("text/event-stream");
+        answer.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        answer
     }
-}
 
-impl Handler for Engine {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> HandlerResult {
-        if request.uri().path().starts_with("/control/") {
-            return self.control(request).await;
+    /// Repeats the attempt's id and tells the load.
+    fn stamped(&self, mut answer: Answer, request: &Request<Bytes>) -> Answer {
+        if let Some(attempt) = request.headers().get(ATTEMPT_HEADER) {
+            answer.headers_mut().insert(ATTEMPT_HEADER, attempt.clone());
         }
-        if self.is_down() {
-            return Err(Rejection::ConnectionCut);
-        }
-        self.thawed().await;
-        self.answer(request).await
+        answer.headers_mut().insert(
+            LOAD_HEADER,
+            HeaderValue::from(self.state.borrow().running() as u64),
+        );
+        answer
     }
-}
 
-impl State {
-    fn new(config: &EngineConfig) -> Self {
-        Self {
-            highest_token: FencingToken::default(),
-            held: HeldModels::new(config.accelerator_memory_mib.clone()),
-            memory_cache: CheckpointCache::new(config.memory_cache_mib),
-            disk_cache: CheckpointCache::new(config.disk_cache_mib),
-            prefix_cache: PrefixCache::new(config.prefix_cache_blocks),
-            runs: BTreeMap::new(),
-            known_attempts: HashSet::new(),
-            faults: EngineFaults::default(),
-            down_until: None,
-            load_report: (Instant::now(), wire::LoadReport::default()),
-            ledger: EngineLedger::new(&config.accelerator_memory_mib),
+    /// Keeps the replica's entry in the store: written when it changes, under a lease.
+    async fn keep_entry(self: Rc<Self>) {
+        let store = StoreClient::new(self.identity.store);
+        let mut lease = None;
+        let mut written = None;
+        loop {
+            let entry = self.entry();
+            let known = match lease {
+                Some(lease) if store.renew_lease(lease).await != Err(StoreError::NoSuchLease) => Some(lease),
+                _ => store.grant_lease(ENTRY_TIME_TO_LIVE).await.ok(),
+            };
+            if let Some(number) = known {
+                if known != lease || written.as_ref() != Some(&entry) {
+                    let write = Write {
+                        key: format!("{REPLICA_PREFIX}{}", self.identity.id),
+                        value: entry.clone(),
+                        lease: number,
+                    };
+                    let put = ConditionalPut {
+                        conditions: Vec::new(),
+                        writes: vec![write],
+                    };
+                    written = store.put(put).await.is_ok().then_some(entry);
+                }
+            }
+            lease = known;
+            sleep(HEARTBEAT).await;
         }
     }
 
-    /// Refuses a token lower than the highest seen, else remembers it. The
-    /// error is the highest.
-    fn check_token(&mut self, token: FencingToken, call: &str) -> Result<(), FencingToken> {
-        let highest = self.highest_token;
-        if token < highest {
-            let at_millis = now_millis();
-            self.ledger.fenced.push(FencedRecord {
-                at_millis,
-                call: call.to_string(),
-                token,
-                highest,
-            });
-            return Err(highest);
-        }
-        self.highest_token = token;
-        Ok(())
+    fn entry(&self) -> Bytes {
+        let replica = WireReplica {
+            service: MODEL_SERVICE.to_string(),
+            address: self.identity.address.to_string(),
+            zone: self.identity.zone.clone(),
+            slots: self.slots,
+            draining: false,
+            holdings: self.state.borrow_mut().holdings(Instant::now()),
+        };
+        serde_json::to_vec(&replica).unwrap_or_default().into()
     }
+}
 
-    fn inventory(&self) -> Inventory {
-        Inventory {
-            fencing_token: self.highest_token,
-            models: self.held.report(),
-            running: self.runs.keys().copied().collect(),
-            cached_in_memory: self.memory_cache.models(),
-            cached_on_disk: self.disk_cache.models(),
-        }
-    }
+fn not_executed(mut answer: Answer) -> Answer {
+    answer
+        .headers_mut()
+        .insert(NOT_EXECUTED_HEADER, HeaderValue::from_static("1"));
+    answer
 }
 
-fn fenced(highest: FencingToken) -> Response<Body> {
-    let body = RefusalBody {
-        reason: format!("fenced by token {highest}"),
-        retry_after_millis: 0,
-        highest_fencing_token: Some(highest),
-    };
-    json(StatusCode::CONFLICT, &body)
+/// A value as the store keeps it, for tools that write it directly.
+pub fn stored_value(value: &[u8]) -> String {
+    BASE64_STANDARD.encode(value)
 }
--- a/crates/croftrill-standin/src/main.rs
+++ b/crates/croftrill-standin/src/main.rs
@@ -1,52 +1,99 @@
-//! Runs one stand-in as a process, until it is killed. The first line of
-//! standard output tells where it listens.
+//! Runs one stand-in as a process: `store` or `engine`.
 
-mod command_line;
-
-use anyhow::Result;
-use command_line::Command;
-use croftrill_standin::{proxy, Engine, KeyValue, MachineListService, WeightStoreService};
-use simplelog::{Config, LevelFilter, WriteLogger};
-use std::future::pending;
-use std::io::{stderr, stdout, Write};
 use std::net::SocketAddr;
 
-#[tokio::main]
-async fn main() -> Result<()> {
-    let command = command_line::parse(lexopt::Parser::from_env())?;
-    WriteLogger::init(LevelFilter::Info, Config::default(), stderr())?;
-    match command {
-        Command::Help => println!("{}", command_line::HELP),
-        Command::Engine(config) => {
-            let running = Engine::start(config).await?;
-            stay_up(running.server.address(), None).await?;
-        }
-        Command::WeightStore(config) => {
-            let running = WeightStoreService::start(config).await?;
-            stay_up(running.server.address(), None).await?;
-        }
-        Command::KeyValue(config) => {
-            let running = KeyValue::start(config).await?;
-            stay_up(running.server.address(), None).await?;
-        }
-        Command::MachineList(config) => {
-            let running = MachineListService::start(config).await?;
-            stay_up(running.server.address(), None).await?;
-        }
-        Command::Proxy(config) => {
-            let running = proxy::start(config).await?;
-            stay_up(running.address(), Some(running.control_address())).await?;
+use anyhow::Context;
+use croftrill_standin::engine::{EngineIdentity, EngineStandin};
+use croftrill_standin::engine_state::EngineConfig;
+use croftrill_standin::store::StoreStandin;
+use lexopt::prelude::*;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+const HELP: &str = "\
+Runs a stand-in of the platform, for trials and tests.
+
+Usage: croftrill-standin store  --listen IP:PORT
+       croftrill-standin engine --listen IP:PORT --store IP:PORT --id ID
+                                [--told IP:PORT] [--zone ZONE] [--models A,B] [--disk C,D]
+";
+
+#[derive(Default)]
+struct Arguments {
+    kind: String,
+    listen: Option<SocketAddr>,
+    store: Option<SocketAddr>,
+    told: Option<SocketAddr>,
+    id: String,
+    zone: String,
+    models: Vec<String>,
+    disk: Vec<String>,
+}
+
+fn list(text: &str) -> Vec<String> {
+    text.split(',')
+        .filter(|name| !name.is_empty())
+        .map(str::to_string)
+        .collect()
+}
+
+fn arguments() -> anyhow::Result<Option<Arguments>> {
+    let mut parsed = Arguments::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(kind) if parsed.kind.is_empty() => parsed.kind = kind.string()?,
+            Long("listen") => parsed.listen = Some(parser.value()?.parse()?),
+            Long("store") => parsed.store = Some(parser.value()?.parse()?),
+            Long("told") => parsed.told = Some(parser.value()?.parse()?),
+            Long("id") => parsed.id = parser.value()?.string()?,
+            Long("zone") => parsed.zone = parser.value()?.string()?,
+            Long("models") => parsed.models = list(&parser.value()?.string()?),
+            Long("disk") => parsed.disk = list(&parser.value()?.string()?),
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            other => return Err(other.unexpected().into()),
         }
     }
-    Ok(())
+    Ok(Some(parsed))
 }
 
-/// Tells the address and waits until the process is killed.
-async fn stay_up(address: SocketAddr, control: Option<SocketAddr>) -> Result<()> {
-    match control {
-        None => println!("listening address={address}"),
-        Some(control) => println!("listening address={address} control={control}"),
+fn main() -> anyhow::Result<()> {
+    let Some(arguments) = arguments()? else {
+        return Ok(());
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(arguments))
+}
+
+async fn run(arguments: Arguments) -> anyhow::Result<()> {
+    let listen = arguments.listen.context("--listen is missing")?;
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    println!("listening on {address}");
+    match arguments.kind.as_str() {
+        "store" => drop(StoreStandin::start(listener)),
+        "engine" => {
+            let identity = EngineIdentity {
+                id: arguments.id,
+                zone: arguments.zone,
+                address: arguments.told.unwrap_or(address),
+                store: arguments.store.context("--store is missing")?,
+            };
+            drop(EngineStandin::start(
+                listener,
+                identity,
+                EngineConfig::default(),
+                &arguments.models,
+                &arguments.disk,
+            ));
+        }
+        other => anyhow::bail!("unknown stand-in: {other}"),
     }
-    stdout().flush()?;
-    pending().await
+    tokio::signal::ctrl_c().await?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/croftrill-standin/src/store_state.rs
@@ -0,0 +1,190 @@
+//! The state of the stand-in store: items, leases, history.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use croftrill_http::store_wire::{WireItem, WireItems, WireTransaction};
+
+/// Changes that watches can still be told.
+const HISTORY: usize = 4096;
+
+#[derive(Debug, Clone)]
+struct Stored {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    time_to_live: Duration,
+    expires: Instant,
+}
+
+/// Why watched changes cannot be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HistoryGone;
+
+/// What became of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransactionOutcome {
+    /// Done, at this revision.
+    Done(u64),
+    /// A condition did not hold.
+    Rejected,
+    /// A lease was over.
+    NoSuchLease,
+}
+
+/// Items with revisions and leases.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    history: VecDeque<WireItem>,
+    forgotten_up_to: u64,
+    next_lease: u64,
+}
+
+impl StoreState {
+    /// An empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The present revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// All items under a prefix.
+    pub fn items(&self, prefix: &str) -> WireItems {
+        let under = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items = under.map(|(key, stored)| WireItem {
+            key: key.clone(),
+            value: Some(stored.value.clone()),
+            revision: stored.revision,
+        });
+        WireItems {
+            items: items.collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// Changes under a prefix after a revision.
+    pub fn changes(&self, prefix: &str, after: u64) -> Result<WireItems, HistoryGone> {
+        if after < self.forgotten_up_to {
+            return Err(HistoryGone);
+        }
+        let changes = self
+            .history
+            .iter()
+            .filter(|item| item.revision > after && item.key.starts_with(prefix));
+        Ok(WireItems {
+            items: changes.cloned().collect(),
+            revision: self.revision,
+        })
+    }
+
+    /// Forgets all history.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.forgotten_up_to = self.revision;
+    }
+
+    /// Does a transaction, all or nothing.
+    pub fn transact(&mut self, transaction: &WireTransaction) -> TransactionOutcome {
+        let holds = transaction.conditions.iter().all(|condition| {
+            self.items.get(&condition.key).map_or(0, |stored| stored.revision) == condition.revision
+        });
+        if !holds {
+            return TransactionOutcome::Rejected;
+        }
+        let leases_live = |lease: u64| lease == 0 || self.leases.contains_key(&lease);
+        if !transaction.writes.iter().all(|write| leases_live(write.lease)) {
+            return TransactionOutcome::NoSuchLease;
+        }
+        self.revision += 1;
+        for write in &transaction.writes {
+            let stored = Stored {
+                value: write.value.clone(),
+                revision: self.revision,
+                lease: write.lease,
+            };
+            self.remember(write.key.clone(), Some(write.value.clone()));
+            self.items.insert(write.key.clone(), stored);
+        }
+        TransactionOutcome::Done(self.revision)
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, time_to_live: Duration, now: Instant) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(
+            self.next_lease,
+            Lease {
+                time_to_live,
+                expires: now + time_to_live,
+            },
+        );
+        self.next_lease
+    }
+
+    /// Renews a lease; false if it is over.
+    pub fn renew(&mut self, lease: u64, now: Instant) -> bool {
+        let Some(known) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        known.expires = now + known.time_to_live;
+        true
+    }
+
+    /// Ends a lease; its keys go.
+    pub fn end(&mut self, lease: u64) -> bool {
+        if self.leases.remove(&lease).is_none() {
+            return false;
+        }
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, stored)| stored.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.items.remove(&key);
+            self.remember(key, None);
+        }
+        true
+    }
+
+    /// Ends the leases whose time is over; true if keys may have gone.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.expires <= now)
+            .map(|(number, _)| *number)
+            .collect();
+        for lease in &over {
+            self.end(*lease);
+        }
+        !over.is_empty()
+    }
+
+    fn remember(&mut self, key: String, value: Option<String>) {
+        self.history.push_back(WireItem {
+            key,
+            value,
+            revision: self.revision,
+        });
+        while self.history.len() > HISTORY {
+            if let Some(forgotten) = self.history.pop_front() {
+                self.forgotten_up_to = forgotten.revision;
+            }
+        }
+    }
+}
