Tests: the platform's wire against stand-ins, node parts, shares, plans; a fault soak

The soak runs croftrilld as processes; faults come from outside (proxies, signals, the store); it checks at-most-once, truthful refusals, whole answers, tokens, memory, the newest document, and recovery.

--- /dev/null
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -0,0 +1,147 @@
+//! Calls during a round, and the promises judged from them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_demo::caller::{call, Call, CallEnd};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::cluster::{status, Cluster, MODELS, NODES};
+
+/// Time between two calls.
+const CALL_EVERY: Duration = Duration::from_millis(25);
+/// Longest time for a call.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Longest time after the faults until every node serves every model.
+const RECOVERY: Duration = Duration::from_secs(40);
+
+/// A call and its end.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    pub attempt: String,
+    pub end: CallEnd,
+}
+
+fn draw_call(random: &mut SmallRng, seed: u64, number: usize) -> Call {
+    let model = MODELS[random.random_range(0..MODELS.len())];
+    let adapter = if random.random_bool(0.2) { "/a1" } else { "" };
+    Call {
+        attempt: format!("s{seed}-{number}"),
+        model: format!("{model}{adapter}"),
+        events: random.random_range(2..12),
+        deadline: DEADLINE,
+        group: None,
+    }
+}
+
+/// Calls all nodes in turn for a time; waits for the last answers.
+pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0xca11);
+    let ended = Rc::new(RefCell::new(Vec::new()));
+    let until = Instant::now() + round;
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let drawn = draw_call(&mut random, seed, number);
+        let (front, ended) = (cluster.nodes[number % NODES].front, ended.clone());
+        tasks.push(spawn_local(async move {
+            let (end, _) = call(front, &drawn).await;
+            ended.borrow_mut().push(Ended {
+                attempt: drawn.attempt,
+                end,
+            });
+        }));
+        sleep(CALL_EVERY).await;
+    }
+    for task in tasks {
+        task.await.expect("a call ends");
+    }
+    ended.take()
+}
+
+/// Waits until every node serves every model, and has the newest document in force.
+pub async fn recovery(cluster: &mut Cluster, seed: u64) {
+    let until = Instant::now() + RECOVERY;
+    let newest = cluster.document.borrow().version;
+    for index in 0..NODES {
+        for model in MODELS {
+            let mut number = 0;
+            loop {
+                number += 1;
+                let request = Call {
+                    attempt: format!("r{seed}-{index}-{model}-{number}"),
+                    model: model.to_string(),
+                    events: 2,
+                    deadline: DEADLINE,
+                    group: None,
+                };
+                let (end, _) = call(cluster.nodes[index].front, &request).await;
+                if end == CallEnd::Whole {
+                    break;
+                }
+                assert!(
+                    Instant::now() < until,
+                    "seed {seed}: node {index} does not serve {model}: {end:?}"
+                );
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+        let believed = status(&cluster.nodes[index])
+            .await
+            .map(|status| status.configuration_version);
+        assert_eq!(
+            believed,
+            Some(newest),
+            "seed {seed}: node {index} has not the newest document"
+        );
+    }
+}
+
+/// Judges the promises by what callers and replicas saw.
+pub fn promises(cluster: &Cluster, calls: &[Ended], seed: u64) {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for engine in &cluster.engines {
+        let ledger = engine.ledger();
+        assert!(
+            ledger.violations.is_empty(),
+            "seed {seed}: {:?}",
+            ledger.violations
+        );
+        for (attempt, count) in ledger.runs {
+            *runs.entry(attempt).or_default() += count;
+        }
+    }
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for ended in calls {
+        let count = runs.get(&ended.attempt).copied().unwrap_or(0);
+        let name = match &ended.end {
+            CallEnd::Whole => "whole",
+            CallEnd::Refused { .. } => "refused",
+            CallEnd::Failed(_) => "failed",
+            CallEnd::Broken => "broken",
+            CallEnd::NotSent => "not sent",
+            CallEnd::Wrong(what) => panic!("seed {seed}: {} got {what}", ended.attempt),
+        };
+        *counts.entry(name).or_default() += 1;
+        assert!(count <= 1, "seed {seed}: {} ran {count} times", ended.attempt);
+        match ended.end {
+            CallEnd::Whole => assert_eq!(count, 1, "seed {seed}: {} is whole without a run", ended.attempt),
+            CallEnd::Refused { .. } | CallEnd::NotSent => {
+                assert_eq!(count, 0, "seed {seed}: {} was refused, yet it ran", ended.attempt);
+            }
+            _ => {}
+        }
+    }
+    println!("seed {seed}: {} calls, {counts:?}", calls.len());
+    assert!(
+        counts.get("whole").copied().unwrap_or(0) * 5 >= calls.len(),
+        "seed {seed}: {counts:?}"
+    );
+}
--- /dev/null
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -0,0 +1,248 @@
+//! Daemons as processes, with stand-ins of store and replicas behind proxies.
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_daemon::status::NodeStatus;
+use croftrill_http::document::{Document, ModelDocument};
+use croftrill_http::records::DOCUMENT_KEY;
+use croftrill_http::store_wire::{WireTransaction, WireWrite};
+use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_standin::engine::{stored_value, EngineIdentity, EngineStandin};
+use croftrill_standin::engine_state::EngineConfig;
+use croftrill_standin::http_server::listen;
+use croftrill_standin::proxy::{Fault, Proxy};
+use croftrill_standin::store::{StoreFault, StoreStandin};
+use http::Request;
+use http_body_util::Full;
+use tokio::time::sleep;
+
+/// Models; more than the replicas hold at the same time.
+pub const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
+/// Nodes.
+pub const NODES: usize = 3;
+/// Replicas.
+pub const ENGINES: usize = 2;
+/// Longest wait for a cluster to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A daemon's process. It is killed when it is dropped.
+pub struct NodeProcess {
+    pub front: SocketAddr,
+    pub operator: SocketAddr,
+    config: PathBuf,
+    child: RefCell<Child>,
+}
+
+impl NodeProcess {
+    /// Sends a signal by the process's id.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.borrow().id().to_string();
+        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+    }
+
+    /// Kills the process, or waits for its end after a request to stop, and starts it anew.
+    pub async fn restart(&self, kindly: bool) {
+        self.signal(if kindly { "TERM" } else { "KILL" });
+        loop {
+            if self
+                .child
+                .borrow_mut()
+                .try_wait()
+                .expect("the child is ours")
+                .is_some()
+            {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        *self.child.borrow_mut() = spawn(&self.config);
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.get_mut().kill();
+        let _ = self.child.get_mut().wait();
+    }
+}
+
+fn spawn(config: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_croftrilld"))
+        .arg("--config")
+        .arg(config)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the daemon starts")
+}
+
+pub struct Cluster {
+    pub store: Rc<StoreStandin>,
+    /// Each node's way to the store.
+    pub store_proxies: Vec<Rc<Proxy>>,
+    pub engines: Vec<Rc<EngineStandin>>,
+    /// The nodes' way to each replica.
+    pub engine_proxies: Vec<Rc<Proxy>>,
+    pub nodes: Vec<NodeProcess>,
+    pub document: RefCell<Document>,
+    directory: PathBuf,
+}
+
+fn document() -> Document {
+    let models = MODELS.iter().map(|name| ModelDocument {
+        name: (*name).to_string(),
+        weights_mb: 90.0,
+        load_seconds: 0.6,
+        disk_load_seconds: Some(0.2),
+        adapters: 2,
+        adapter_mb: 1.0,
+    });
+    Document {
+        version: 1,
+        replica_weights_mb: 190.0,
+        adapter_slots: 4,
+        loads_per_second: 10.0,
+        objective_ms: 3000,
+        timeout_ms: 4000,
+        models: models.collect(),
+        groups: Vec::new(),
+    }
+}
+
+/// A free port of the loopback address, free again when this returns.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl Cluster {
+    pub async fn start(name: &str) -> Self {
+        let directory = std::env::temp_dir().join(format!("croftrill-soak-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let (listener, store_address) = listen().await.expect("a port");
+        let store = StoreStandin::start(listener);
+        let mut cluster = Cluster {
+            store,
+            store_proxies: Vec::new(),
+            engines: Vec::new(),
+            engine_proxies: Vec::new(),
+            nodes: Vec::new(),
+            document: RefCell::new(document()),
+            directory,
+        };
+        cluster.write_document();
+        for index in 0..ENGINES {
+            cluster.add_engine(index, store_address).await;
+        }
+        for index in 0..NODES {
+            cluster.add_node(index, store_address).await;
+        }
+        tokio::time::timeout(START_TIMEOUT, cluster.until_ready())
+            .await
+            .expect("the cluster gets ready");
+        cluster
+    }
+
+    /// Writes the document as the operators' newest.
+    pub fn write_document(&self) {
+        let value = serde_json::to_vec(&*self.document.borrow()).expect("a document");
+        let write = WireWrite {
+            key: DOCUMENT_KEY.to_string(),
+            value: stored_value(&value),
+            lease: 0,
+        };
+        let transaction = WireTransaction {
+            conditions: Vec::new(),
+            writes: vec![write],
+        };
+        self.store.with_state(|state| state.transact(&transaction));
+    }
+
+    async fn add_engine(&mut self, index: usize, store: SocketAddr) {
+        let (listener, upstream) = listen().await.expect("a port");
+        let (proxy_listener, address) = listen().await.expect("a port");
+        let identity = EngineIdentity {
+            id: format!("e{index}"),
+            zone: "z".to_string(),
+            address,
+            store,
+        };
+        let models = vec![MODELS[index].to_string()];
+        let on_disk = vec![MODELS[2].to_string(), MODELS[3].to_string()];
+        let config = EngineConfig::default();
+        self.engines.push(EngineStandin::start(
+            listener, identity, config, &models, &on_disk,
+        ));
+        self.engine_proxies.push(Proxy::start(proxy_listener, upstream));
+    }
+
+    async fn add_node(&mut self, index: usize, store: SocketAddr) {
+        let (proxy_listener, way) = listen().await.expect("a port");
+        self.store_proxies.push(Proxy::start(proxy_listener, store));
+        let (front, peer, operator) = (free_address(), free_address(), free_address());
+        let config = self.directory.join(format!("node-{index}.toml"));
+        let text = format!(
+            "name = \"n{index}\"\nzone = \"z\"\nlisten = \"{front}\"\npeer = \"{peer}\"\n\
+             operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n"
+        );
+        std::fs::write(&config, text).expect("the settings are written");
+        let child = RefCell::new(spawn(&config));
+        self.nodes.push(NodeProcess {
+            front,
+            operator,
+            config,
+            child,
+        });
+    }
+
+    async fn until_ready(&self) {
+        for node in &self.nodes {
+            loop {
+                let status = status(node).await;
+                if status
+                    .is_some_and(|status| status.lifecycle == "ready" && status.replicas.len() == ENGINES)
+                {
+                    break;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Takes every fault away.
+    pub async fn mend(&self) {
+        self.store.set_fault(StoreFault::None);
+        for proxy in self.store_proxies.iter().chain(&self.engine_proxies) {
+            proxy.set(Fault::None);
+        }
+        for node in &self.nodes {
+            node.signal("CONT");
+        }
+        tokio::time::timeout(START_TIMEOUT, self.until_ready())
+            .await
+            .expect("every node is back");
+    }
+
+    pub async fn stop(self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// What a node believes, if it answers.
+pub async fn status(node: &NodeProcess) -> Option<NodeStatus> {
+    let pool = ConnectionPool::new(ConnectionConfig::default());
+    let request = Request::builder()
+        .uri("/v1/status")
+        .header("host", node.operator.to_string())
+        .body(Full::default())
+        .expect("a request");
+    let answer = pool
+        .exchange(node.operator, request, Duration::from_secs(1))
+        .await
+        .ok()?;
+    serde_json::from_slice(answer.body()).ok()
+}
--- /dev/null
+++ b/crates/croftrill-node/tests/parts.rs
@@ -0,0 +1,132 @@
+//! Parts of a node that need no sockets.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use croftrill_node::logging::{subscriber, LineBudget, LogConfig};
+use croftrill_node::peer::{DemandBatch, FromOrderer, ToOrderer, WireModel, WirePlacement};
+use croftrill_node::stream::EventCutter;
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::{HeldModel, Holdings};
+use croftrill_scheduler::replica_table::{Arrival, Placement};
+use croftrill_scheduler::time::Moment;
+use nanoserde::{DeBin, SerBin};
+
+#[test]
+fn only_whole_events_pass_and_the_last_id_is_known() {
+    let mut cutter = EventCutter::after(None);
+    assert_eq!(cutter.push(b"id: 1\nda"), None);
+    assert_eq!(
+        cutter.push(b"ta: x\n\nid: 2\n\nid: 3").as_deref(),
+        Some(b"id: 1\ndata: x\n\nid: 2\n\n".as_slice())
+    );
+    assert_eq!(cutter.last_id(), Some("2"));
+    cutter.drop_partial();
+    assert!(cutter.take_rest().is_empty());
+}
+
+#[test]
+fn a_line_budget_counts_what_it_leaves_out() {
+    let budget = LineBudget::new(3);
+    let taken = (0..10).filter(|_| budget.take()).count();
+    assert!(taken >= 3, "a second may pass in between");
+    assert_eq!(budget.take_left_out() + taken as u64, 10);
+    assert_eq!(budget.take_left_out(), 0);
+}
+
+/// A reader that never reads.
+struct Stalled(Arc<Mutex<()>>);
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        drop(self.0.lock());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn logging_does_not_block_on_a_stalled_reader() {
+    let reader = Arc::new(Mutex::new(()));
+    let stalled = reader.lock().expect("the lock");
+    let config = LogConfig {
+        lines_per_second: 100_000,
+        queue_lines: 16,
+    };
+    let (subscriber, log) = subscriber(Stalled(reader.clone()), config);
+    tracing::subscriber::with_default(subscriber, || {
+        for number in 0..1000 {
+            tracing::info!(target: "test", number);
+        }
+    });
+    assert!(
+        log.queue_losses.dropped_lines() > 900,
+        "lines beyond the queue are left out and counted"
+    );
+    drop(stalled);
+}
+
+#[test]
+fn messages_between_nodes_survive_the_wire() {
+    let now = Moment::from_start(Duration::from_secs(50));
+    let key = ModelKey {
+        service: "s".into(),
+        model: "m".into(),
+        adapter: Some("a1".into()),
+    };
+    let mut batch = DemandBatch::default();
+    batch.add(key.clone(), 70);
+    batch.add(key.clone(), 30);
+    let message = batch.take().expect("demand");
+    assert_eq!(
+        ToOrderer::deserialize_bin(&message.serialize_bin()).expect("decoded"),
+        message
+    );
+    let ToOrderer::Demand(items) = message else {
+        panic!("demand")
+    };
+    assert_eq!(
+        (items[0].requests, items[0].tokens, items[0].model.to_key()),
+        (2, 100, key)
+    );
+    assert!(batch.take().is_none());
+    let placement = Placement {
+        replica: "r".into(),
+        usable: Holdings {
+            sequence: 4,
+            models: vec![HeldModel {
+                model: "m".into(),
+                adapters: vec!["a1".into()],
+            }],
+            copies: Default::default(),
+        },
+        arriving: vec![Arrival {
+            model: "n".into(),
+            ready_at: now + Duration::from_millis(250),
+        }],
+    };
+    let wire = FromOrderer::Placements(vec![WirePlacement::from_placement(&placement, now)]);
+    let decoded = FromOrderer::deserialize_bin(&wire.serialize_bin()).expect("decoded");
+    let FromOrderer::Placements(decoded) = decoded else {
+        panic!("placements")
+    };
+    assert_eq!(decoded[0].to_placement(now), placement);
+}
+
+#[test]
+fn damaged_messages_are_errors() {
+    let model = WireModel {
+        service: "s".into(),
+        model: "m".into(),
+        adapter: String::new(),
+    };
+    let bytes = ToOrderer::Waiting(model).serialize_bin();
+    for length in 0..bytes.len() {
+        assert!(ToOrderer::deserialize_bin(&bytes[..length]).is_err());
+    }
+    assert!(FromOrderer::deserialize_bin(&[9, 9, 9]).is_err());
+}
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -43,9 +43,26 @@
 }
 
 impl Rate {
+    fn add(&mut self, requests: f64, tokens: f64, now: Moment) {
+        self.fade_to(now);
+        self.requests += requests;
+        self.tokens += tokens;
+    }
+
+    fn requests_per_second(&self, now: Moment) -> f64 {
+        self.requests * self.fade(now) / RATE_MEMORY.as_secs_f64()
+    }
+
+    fn tokens_per_second(&self, now: Moment) -> f64 {
+        self.tokens * self.fade(now) / RATE_MEMORY.as_secs_f64()
+    }
+
+    fn fade(&self, now: Moment) -> f64 {
+        (-now.since(self.updated).as_secs_f64() / RATE_MEMORY.as_secs_f64()).exp()
+    }
+
     fn fade_to(&mut self, now: Moment) {
-        let elapsed = now.since(self.updated).as_secs_f64();
-        let fade = (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
+        let fade = self.fade(now);
         self.requests *= fade;
         self.tokens *= fade;
         self.updated = now;
@@ -56,6 +73,8 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     rates: HashMap<ModelKey, Rate>,
+    /// Demand for all adapters of a model together.
+    adapters_of: HashMap<ModelKey, Rate>,
 }
 
 impl Demand {
@@ -68,11 +87,15 @@
     pub fn count(&mut self, key: &ModelKey, requests: f64, tokens: f64, now: Moment) {
         if key.adapter.is_some() {
             self.count(&key.base(), requests, tokens, now);
+            self.adapters_of
+                .entry(key.base())
+                .or_default()
+                .add(requests, tokens, now);
         }
-        let rate = self.rates.entry(key.clone()).or_default();
-        rate.fade_to(now);
-        rate.requests += requests;
-        rate.tokens += tokens;
+        self.rates
+            .entry(key.clone())
+            .or_default()
+            .add(requests, tokens, now);
     }
 
     /// Requests wait for this model or adapter.
@@ -106,32 +129,22 @@
 
     /// Requests a second.
     pub fn requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
-        self.faded(key, now, |rate| rate.requests)
+        self.rates
+            .get(key)
+            .map_or(0.0, |rate| rate.requests_per_second(now))
     }
 
     /// Requests a second for all adapters of a model.
-    pub fn adapter_requests_per_second(&self, service: &str, model: &str, now: Moment) -> f64 {
-        let adapters = self
-            .rates
-            .keys()
-            .filter(|key| key.adapter.is_some() && &*key.service == service && &*key.model == model);
-        adapters.map(|key| self.requests_per_second(key, now)).sum()
+    pub fn adapter_requests_per_second(&self, model: &ModelKey, now: Moment) -> f64 {
+        self.adapters_of
+            .get(model)
+            .map_or(0.0, |rate| rate.requests_per_second(now))
     }
 
     /// Cost tokens a second.
     pub fn tokens_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
-        self.faded(key, now, |rate| rate.tokens)
-    }
-
-    /// All keys with demand, models and adapters.
-    pub fn keys(&self) -> impl Iterator<Item = &ModelKey> {
-        self.rates.keys()
-    }
-
-    fn faded(&self, key: &ModelKey, now: Moment, part: impl Fn(&Rate) -> f64) -> f64 {
-        self.rates.get(key).map_or(0.0, |rate| {
-            let elapsed = now.since(rate.updated).as_secs_f64();
-            part(rate) * (-elapsed / RATE_MEMORY.as_secs_f64()).exp() / RATE_MEMORY.as_secs_f64()
-        })
+        self.rates
+            .get(key)
+            .map_or(0.0, |rate| rate.tokens_per_second(now))
     }
 }
--- a/crates/croftrill-scheduler/src/orderer.rs
+++ b/crates/croftrill-scheduler/src/orderer.rs
@@ -35,6 +35,9 @@
     pub unload: Duration,
 }
 
+/// Time between two looks at whether a model deserves one more holder.
+const BALANCE_EVERY: Duration = Duration::from_millis(250);
+
 /// Something that the orderer wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OrdererAction {
@@ -64,6 +67,7 @@
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
     changed: BTreeSet<ReplicaId>,
     told: BTreeMap<ReplicaId, Placement>,
+    next_balance: Moment,
 }
 
 impl Orderer {
@@ -77,6 +81,7 @@
             ceilings: BTreeMap::new(),
             changed: BTreeSet::new(),
             told: BTreeMap::new(),
+            next_balance: Moment::default(),
         }
     }
 
@@ -175,11 +180,19 @@
         if !may_order {
             return actions;
         }
+        let waiting = self.demand.waiting(now);
+        let balances = now >= self.next_balance;
+        if balances {
+            self.next_balance = now + BALANCE_EVERY;
+        }
         let services: Vec<Arc<Service>> = self.configuration.services().cloned().collect();
         for service in services {
             if let Some(engine) = &service.engine {
-                self.set_goals(&service.name, engine, now);
-                self.place_adapters(&service.name, engine, now, &mut actions);
+                self.set_goals(&service.name, engine, &waiting, now);
+                if balances {
+                    self.add_holders(&service.name, engine, now);
+                }
+                self.place_adapters(&service.name, engine, &waiting, now, &mut actions);
                 self.step_goals(&service.name, engine, now, &mut actions);
             }
         }
@@ -246,32 +259,33 @@
         }
     }
 
-    /// Sets goals: first models that are waited for and held nowhere, then
-    /// models that deserve more holders.
-    fn set_goals(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
-        let store_allowed = self.store_allowed(service, engine, now);
-        let mut wanted: Vec<ModelName> = self
-            .demand
-            .waiting(now)
+    /// Sets goals for models that are waited for and held nowhere.
+    fn set_goals(&mut self, service: &ServiceName, engine: &EngineSpec, waiting: &[ModelKey], now: Moment) {
+        let mut wanted: Vec<&ModelName> = waiting
             .iter()
             .filter(|key| key.service == *service)
-            .map(|key| key.model.clone())
+            .map(|key| &key.model)
             .collect();
         wanted.dedup();
+        if wanted.is_empty() {
+            return;
+        }
+        let store_allowed = self.store_allowed(service, engine, now);
         for model in wanted {
             let view = self.placement_of(service, engine, now);
             let holders = view.holders();
-            if holders.get(&model).copied().unwrap_or(0) > 0 {
+            if holders.get(model).copied().unwrap_or(0) > 0 {
                 continue;
             }
-            if let Some((id, _)) = view.best_place(&model, &holders, store_allowed) {
-                self.set_goal(&id, model);
+            if let Some((id, _)) = view.best_place(model, &holders, store_allowed) {
+                self.set_goal(&id, model.clone());
             }
         }
-        self.add_holders(service, engine, store_allowed, now);
     }
 
-    fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, store_allowed: bool, now: Moment) {
+    /// Gives one more holder to the model that deserves it most.
+    fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
+        let store_allowed = self.store_allowed(service, engine, now);
         let view = self.placement_of(service, engine, now);
         let holders = view.holders();
         let mut lacking: Vec<(f64, ModelName)> = engine
@@ -405,14 +419,15 @@
         &mut self,
         service: &ServiceName,
         engine: &EngineSpec,
+        waiting: &[ModelKey],
         now: Moment,
         actions: &mut Vec<OrdererAction>,
     ) {
-        for key in self.demand.waiting(now) {
+        for key in waiting {
             let Some(adapter) = key.adapter.clone().filter(|_| key.service == *service) else {
                 continue;
             };
-            if self.is_held(&key) || self.is_ordered(&key) {
+            if self.is_held(key) || self.is_ordered(key) {
                 continue;
             }
             let view = self.placement_of(service, engine, now);
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -293,7 +293,7 @@
         let rates = held.map(|held| {
             let count = holders.get(&held.model).copied().unwrap_or(1).max(1);
             self.demand
-                .adapter_requests_per_second(self.service, &held.model, self.now)
+                .adapter_requests_per_second(&self.key(&held.model), self.now)
                 / count as f64
         });
         rates.sum()
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/shares_and_plans.rs
@@ -0,0 +1,147 @@
+//! Shares of groups, and plans for wished configurations.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::{CallerLimits, Configuration, EngineSpec, ModelSpec, Service};
+use croftrill_scheduler::fair_queue::FairQueue;
+use croftrill_scheduler::planner::{findings, plan, PlanFinding, PlannedStep};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica_table::ReplicaTable;
+
+#[test]
+fn groups_get_places_by_their_shares() {
+    let (large, small): (Arc<str>, Arc<str>) = ("large".into(), "small".into());
+    let mut queue = FairQueue::new(1);
+    let mut waiting = Vec::new();
+    for _ in 0..60 {
+        waiting.push((queue.enter(&large, 3, 100), true));
+        waiting.push((queue.enter(&small, 1, 100), false));
+    }
+    let mut served_large = 0;
+    for _ in 0..40 {
+        let place = waiting
+            .iter()
+            .position(|(number, _)| queue.try_start(*number))
+            .expect("one is first");
+        served_large += usize::from(waiting.remove(place).1);
+        queue.release();
+    }
+    assert!((28..=32).contains(&served_large), "{served_large} of 40");
+}
+
+#[test]
+fn an_idle_group_neither_saves_up_nor_loses() {
+    let (busy, idle): (Arc<str>, Arc<str>) = ("busy".into(), "idle".into());
+    let mut queue = FairQueue::new(1);
+    for _ in 0..10 {
+        let number = queue.enter(&busy, 1, 100);
+        assert!(queue.try_start(number));
+        queue.release();
+    }
+    let first = queue.enter(&idle, 1, 100);
+    let second = queue.enter(&idle, 1, 100);
+    let other = queue.enter(&busy, 1, 100);
+    assert!(queue.try_start(first));
+    queue.release();
+    assert!(!queue.try_start(second) || !queue.try_start(other), "one place");
+}
+
+#[test]
+fn no_more_start_than_there_are_places_and_a_leaver_blocks_nobody() {
+    let group: Arc<str> = "g".into();
+    let mut queue = FairQueue::new(2);
+    let numbers: Vec<u64> = (0..4).map(|_| queue.enter(&group, 1, 1)).collect();
+    assert!(queue.try_start(numbers[0]) && queue.try_start(numbers[1]) && !queue.try_start(numbers[2]));
+    queue.leave(numbers[2]);
+    queue.release();
+    assert!(queue.try_start(numbers[3]));
+    assert_eq!(queue.waiting(), 0);
+}
+
+fn configuration(models: &[(&str, f64)]) -> Configuration {
+    let specs: Vec<ModelSpec> = models
+        .iter()
+        .map(|(name, weights_mb)| ModelSpec {
+            name: (*name).into(),
+            weights_mb: *weights_mb,
+            adapter_mb: 1.0,
+            adapter_count: 0,
+            store_load: Duration::from_secs(1),
+            disk_load: Duration::from_secs(1),
+            memory_load: Duration::from_secs(1),
+        })
+        .collect();
+    let engine = EngineSpec {
+        model_order: specs.iter().map(|spec| spec.name.clone()).collect(),
+        models: specs.into_iter().map(|spec| (spec.name.clone(), spec)).collect(),
+        weights_mb: 200.0,
+        adapter_slots: 1,
+        loads_per_second: 1.0,
+        kv_capacity: 0,
+    };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 1,
+        engine: Some(engine),
+    };
+    Configuration::new(1, CallerLimits::default(), vec![service], Vec::new())
+}
+
+#[test]
+fn a_plan_names_what_changes_and_nothing_else() {
+    let present = configuration(&[("kept", 50.0), ("changed", 50.0), ("gone", 50.0)]);
+    let wished = configuration(&[("kept", 50.0), ("changed", 60.0), ("new", 50.0)]);
+    let mut replicas = ReplicaTable::new();
+    replicas.apply_listing(ReplicaListing {
+        id: "r1".into(),
+        service: "llm".into(),
+        address: "10.0.0.1:1".into(),
+        zone: "a".into(),
+        slots: 1,
+        state: ReplicaState::Ready,
+        leaves_in: None,
+        holdings: Holdings {
+            sequence: 0,
+            models: vec![HeldModel {
+                model: "gone".into(),
+                adapters: Vec::new(),
+            }],
+            copies: Default::default(),
+        },
+    });
+    let steps = plan(&present, &wished, &replicas);
+    let service: Arc<str> = "llm".into();
+    let expected = [
+        PlannedStep::AddModel {
+            service: service.clone(),
+            model: "new".into(),
+        },
+        PlannedStep::RemoveModel {
+            service: service.clone(),
+            model: "gone".into(),
+        },
+        PlannedStep::ChangeModel {
+            service,
+            model: "changed".into(),
+        },
+        PlannedStep::StopReplica {
+            replica: "r1".into(),
+            model: "gone".into(),
+        },
+    ];
+    assert_eq!(steps, expected);
+    assert!(plan(&present, &present, &replicas).is_empty());
+}
+
+#[test]
+fn a_model_that_fits_no_replica_is_a_finding() {
+    let wished = configuration(&[("large", 300.0)]);
+    assert_eq!(
+        findings(&wished),
+        [PlanFinding::TooLarge {
+            service: "llm".into(),
+            model: "large".into()
+        }]
+    );
+}
