--- /dev/null
+++ b/crates/croftrill-bench/tests/experiment.rs
@@ -0,0 +1,45 @@
+//! Experiments repeat, and the usual policy is no worse than its baselines.
+
+use croftrill_bench::capacity::{measure, Size};
+use croftrill_bench::experiment::{play, policies, Load};
+
+#[test]
+fn the_same_seed_gives_the_same_outcome() {
+    let load = Load {
+        seconds: 10,
+        ..Load::default()
+    };
+    let usual = policies()[0];
+    let (first, second) = (play(&load, &usual), play(&load, &usual));
+    assert_eq!(
+        (first.requests, first.warm, first.loads),
+        (second.requests, second.warm, second.loads)
+    );
+}
+
+#[test]
+fn fewer_holders_of_busy_models_leave_more_requests_warm() {
+    let load = Load {
+        seconds: 40,
+        ..Load::default()
+    };
+    let [usual, many_holders, _] = policies();
+    let (usual, many_holders) = (play(&load, &usual), play(&load, &many_holders));
+    assert!(usual.warm > many_holders.warm);
+    assert!(usual.loads < many_holders.loads);
+    assert!(usual.unserved <= many_holders.unserved);
+}
+
+#[test]
+fn a_change_costs_the_same_bytes_at_any_size() {
+    let small = measure(Size {
+        replicas: 18,
+        models: 61,
+    });
+    let large = measure(Size {
+        replicas: 100,
+        models: 200,
+    });
+    assert!(large.change_bytes <= small.change_bytes + 16);
+    assert!(large.snapshot_bytes < 100 * 120);
+}
--- /dev/null
+++ b/crates/croftrill-cli/tests/commands.rs
@@ -0,0 +1,60 @@
+//! The operators' command line.
+
+use std::process::Command;
+
+use croftrill_cli::render;
+use serde_json::json;
+
+fn croftrill(arguments: &[&str]) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_croftrill"))
+        .args(arguments)
+        .output()
+        .expect("it runs");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.success(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+#[test]
+fn help_version_and_errors() {
+    let (ok, text) = croftrill(&["--help"]);
+    assert!(ok && text.contains("confirm"));
+    assert!(croftrill(&["--version"]).0);
+    let (ok, text) = croftrill(&["status"]);
+    assert!(!ok && text.contains("--node"), "{text}");
+    let (ok, text) = croftrill(&["--node", "127.0.0.1:1", "status"]);
+    assert!(!ok && text.contains("127.0.0.1:1"), "{text}");
+    assert!(!croftrill(&["--node", "127.0.0.1:1", "dance"]).0);
+}
+
+#[test]
+fn a_status_is_a_table() {
+    let status = json!({
+        "node": "n1", "lifecycle": "ready", "configuration_version": 7, "orderer": "n2", "nodes": ["n1", "n2"],
+        "in_flight": 3, "waiting": 1,
+        "replicas": [{"id": "r1", "ready": false, "models": ["m1", "m1/a1"]}],
+    });
+    let table = render::status(&status);
+    for part in [
+        "n1 (ready)",
+        "version 7",
+        "n2",
+        "3 (waiting 1)",
+        "r1 leaving  m1 m1/a1",
+    ] {
+        assert!(table.contains(part), "{part}: {table}");
+    }
+}
+
+#[test]
+fn plans_and_failures_are_told_whole() {
+    assert_eq!(
+        render::plan(&json!({"steps": ["add model m"]})),
+        "- add model m\n"
+    );
+    assert_eq!(render::plan(&json!({"steps": []})), "nothing would change\n");
+    let failure = json!({"error": "bad", "findings": ["models[0]: x", "models[1]: y"]});
+    assert_eq!(render::failure(&failure), "bad\n  models[0]: x\n  models[1]: y");
+}
--- /dev/null
+++ b/crates/croftrill-daemon/tests/operators.rs
@@ -0,0 +1,183 @@
+//! Operators: status, intent, plan, confirmation, and races between them.
+
+use bytes::Bytes;
+use croftrill_daemon::daemon::Daemon;
+use croftrill_daemon::operator_api::{Confirmed, Failure, PlanDocument};
+use croftrill_daemon::status::NodeStatus;
+use croftrill_demo::system::{document, node_settings, write_document};
+use croftrill_http::document::{Document, ModelDocument};
+use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_standin::http_server::listen;
+use croftrill_standin::store::{StoreFault, StoreStandin};
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+struct Fixture {
+    store: Rc<StoreStandin>,
+    daemon: Daemon,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let (listener, address) = listen().await.expect("a port");
+        let store = StoreStandin::start(listener);
+        write_document(&store, &document());
+        let daemon = Daemon::start(node_settings("n1", address))
+            .await
+            .expect("it starts");
+        while daemon.node.configuration().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Fixture { store, daemon }
+    }
+
+    async fn call<B: Serialize>(&self, method: Method, path: &str, body: Option<&B>) -> Response<Bytes> {
+        let body = body
+            .map(|body| serde_json::to_vec(body).expect("json"))
+            .unwrap_or_default();
+        let address = self.daemon.settings.operator;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", address.to_string())
+            .body(Full::new(Bytes::from(body)))
+            .expect("a request");
+        let pool = ConnectionPool::new(ConnectionConfig::default());
+        pool.exchange(address, request, Duration::from_secs(10))
+            .await
+            .expect("an answer")
+    }
+
+    async fn plan(&self, wished: &Document) -> PlanDocument {
+        read(&self.call(Method::POST, "/v1/plan", Some(wished)).await)
+    }
+}
+
+fn read<T: DeserializeOwned>(answer: &Response<Bytes>) -> T {
+    serde_json::from_slice(answer.body()).expect("it can be read")
+}
+
+fn wished(name: &str) -> Document {
+    let mut wished = document();
+    let model = ModelDocument {
+        name: name.to_string(),
+        ..wished.models[0].clone()
+    };
+    wished.models.push(model);
+    wished
+}
+
+fn run<F: std::future::Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn nothing_changes_until_a_plan_is_confirmed() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let plan = fixture.plan(&wished("willow")).await;
+        assert_eq!(plan.steps.len(), 1, "{:?}", plan.steps);
+        assert!(plan.steps[0].contains("willow"));
+        let before: Document = read(&fixture.call::<()>(Method::GET, "/v1/document", None).await);
+        assert_eq!(before, document());
+        let confirmed: Confirmed = read(&fixture.call(Method::POST, "/v1/confirm", Some(&plan)).await);
+        assert_eq!(confirmed.version, 2);
+        while fixture.daemon.node.configuration().expect("one").version != 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let status: NodeStatus = read(&fixture.call::<()>(Method::GET, "/v1/status", None).await);
+        assert_eq!(
+            (status.configuration_version, status.lifecycle.as_str()),
+            (2, "ready")
+        );
+    });
+}
+
+#[test]
+fn of_two_plans_for_the_same_state_one_wins_and_the_other_gets_a_new_plan() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let (first, second) = (
+            fixture.plan(&wished("willow")).await,
+            fixture.plan(&wished("aspen")).await,
+        );
+        assert_eq!(
+            fixture
+                .call(Method::POST, "/v1/confirm", Some(&second))
+                .await
+                .status(),
+            200
+        );
+        let rejected = fixture.call(Method::POST, "/v1/confirm", Some(&first)).await;
+        assert_eq!(rejected.status(), 409);
+        let failure: Failure = read(&rejected);
+        let new_plan = failure.new_plan.expect("a plan for the present state");
+        assert!(
+            new_plan
+                .steps
+                .iter()
+                .any(|step| step.contains("remove model aspen")),
+            "{:?}",
+            new_plan.steps
+        );
+        assert_eq!(
+            fixture
+                .call(Method::POST, "/v1/confirm", Some(&new_plan))
+                .await
+                .status(),
+            200
+        );
+    });
+}
+
+#[test]
+fn findings_of_a_document_are_told_together() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let mut bad = wished("too/large");
+        bad.models[0].weights_mb = 1e9;
+        let answer = fixture.call(Method::POST, "/v1/plan", Some(&bad)).await;
+        assert_eq!(answer.status(), 400);
+        assert_eq!(read::<Failure>(&answer).findings.len(), 2);
+    });
+}
+
+#[test]
+fn while_the_store_is_away_operators_are_told_that_nothing_is_known_to_have_changed() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let plan = fixture.plan(&wished("willow")).await;
+        fixture.store.set_fault(StoreFault::Refusing);
+        let answer = fixture.call(Method::POST, "/v1/confirm", Some(&plan)).await;
+        assert_eq!(answer.status(), 503);
+        let ready = fixture.call::<()>(Method::GET, "/ready", None).await;
+        assert_eq!(ready.status(), 200, "traffic goes on");
+    });
+}
+
+/// Every metric that the operators' page names is served.
+#[test]
+fn the_metrics_of_the_page_are_served() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let served = fixture.call::<()>(Method::GET, "/metrics", None).await;
+        let served = String::from_utf8_lossy(served.body()).into_owned();
+        let page = include_str!("../../../docs/OPERATIONS.md");
+        let named = page.split('`').filter(|word| word.starts_with("croftrill_"));
+        for metric in named {
+            assert!(
+                served.contains(metric.trim_end_matches("_total")),
+                "{metric} is not served"
+            );
+        }
+    });
+}
--- a/crates/croftrill-node/src/orderer_task.rs
+++ b/crates/croftrill-node/src/orderer_task.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::lease::{LeaseConfig, OrdererLease};
-use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
+use croftrill_scheduler::orderer::{Decision, Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaReport};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
@@ -333,6 +333,9 @@
         for action in self.orderer.plan(may_order, now) {
             self.carry_out(action);
         }
+        for decision in self.orderer.take_decisions() {
+            log_decision(&decision);
+        }
         self.publish(now);
     }
 
@@ -562,6 +565,30 @@
     }
 }
 
+fn log_decision(decision: &Decision) {
+    match decision {
+        Decision::Goal {
+            replica,
+            model,
+            reason,
+            holders,
+            source,
+        } => {
+            tracing::info!(target: "placement", decision = "load", replica = &**replica, model = &**model,
+                ?reason, holders, ?source);
+        }
+        Decision::MakeWay {
+            replica,
+            model,
+            value,
+            holders,
+        } => {
+            tracing::info!(target: "placement", decision = "make way", replica = &**replica,
+                model = &**model, tokens_per_second = *value as u64, holders);
+        }
+    }
+}
+
 fn encode(placements: &[Placement], now: Moment) -> Bytes {
     let wire = placements
         .iter()
--- /dev/null
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -0,0 +1,95 @@
+//! Final answers, and the line that each request leaves in the log.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::catalog::RouteKind;
+use croftrill_scheduler::replica::ReplicaId;
+use http::header::{self, HeaderValue};
+use http::{response, Method, Response, StatusCode};
+use tokio::time::Instant;
+
+use super::forwarding::end_to_end;
+use super::{Answer, RequestRun, DEFAULT_RETURN};
+use crate::metrics::Metrics;
+use crate::ports::Platform;
+use crate::stream::AnswerBody;
+
+impl<P: Platform> RequestRun<P> {
+    /// Passes on a whole answer.
+    pub(super) fn answer_whole(self, replica: &ReplicaId, mut head: response::Parts, body: Bytes) -> Answer {
+        head.headers = end_to_end(&head.headers);
+        if self.head.method != Method::HEAD {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
+        self.log_end(
+            replica,
+            if head.status.is_success() {
+                "served"
+            } else {
+                "failed at the replica"
+            },
+        );
+        let mut answer = Response::new(AnswerBody::whole(body));
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = head.headers;
+        answer
+    }
+
+    /// The final answer to a request that is given up.
+    pub(super) fn give_up(&self, cause: &'static str, come_back: Option<Duration>) -> Answer {
+        let status = match (self.may_have_run, Instant::now() >= self.until) {
+            (false, _) => StatusCode::SERVICE_UNAVAILABLE,
+            (true, true) => StatusCode::GATEWAY_TIMEOUT,
+            (true, false) => StatusCode::BAD_GATEWAY,
+        };
+        let come_back = if self.may_have_run {
+            None
+        } else {
+            Some(come_back.unwrap_or(DEFAULT_RETURN))
+        };
+        Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), "refused");
+        tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome = "given up",
+            cause, status = status.as_u16(), sends = self.sends, model = self.facts.model.as_deref(),
+            adapter = self.facts.adapter.as_deref(), waited_ms = self.arrival.elapsed().as_millis() as u64,
+            come_back_ms = come_back.map(|time| time.as_millis() as u64), version = self.configuration.version);
+        refuse(status, cause, come_back)
+    }
+
+    pub(super) fn log_end(&self, replica: &ReplicaId, outcome: &'static str) {
+        let metric = if outcome == "served" { "served" } else { "failed" };
+        Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
+        tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome,
+            replica = &**replica, sends = self.sends, model = self.facts.model.as_deref(),
+            adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
+            answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
+            elapsed_ms = self.arrival.elapsed().as_millis() as u64, version = self.configuration.version);
+    }
+}
+
+pub(super) fn millis(time: Option<Duration>) -> Option<u64> {
+    time.map(|time| time.as_millis() as u64)
+}
+
+pub(super) fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Safe => "safe",
+        RouteKind::Unsafe => "unsafe",
+        RouteKind::Streaming => "streaming",
+    }
+}
+
+/// An answer of the system's own.
+pub fn refuse(status: StatusCode, reason: &str, come_back: Option<Duration>) -> Answer {
+    let body = format!("{{\"error\":\"{}\"}}", reason.replace(['"', '\\'], "'"));
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(time) = come_back {
+        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", time.as_secs_f64())) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -0,0 +1,200 @@
+//! Requests whose model or adapter is not there yet: wait, or refuse with a time.
+
+use std::time::Duration;
+
+use croftrill_scheduler::admission::{caller_patience, decide_cold, ColdDecision, ColdRequest};
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use tokio::time::{timeout_at, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{RequestRun, DEFAULT_RETURN};
+use crate::node::Lifecycle;
+use crate::peer::{ToOrderer, WireModel};
+use crate::ports::Platform;
+
+/// Expected time to read one token of a prompt.
+const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
+/// Expected time until an adapter is there once it was asked for.
+const ADAPTER_READY_IN: Duration = Duration::from_millis(120);
+/// Expected time until a model of unknown load time is there.
+const MODEL_READY_IN: Duration = Duration::from_millis(1500);
+/// Expected time from the first mention of a model to its order.
+const ORDER_DELAY: Duration = Duration::from_millis(350);
+/// Expected time until a model is there while no node gives orders.
+const NO_ORDERER_READY_IN: Duration = Duration::from_millis(3000);
+/// Time between two reminders to the orderer of a waiting request.
+const REMIND_EVERY: Duration = Duration::from_millis(500);
+/// Longest time between two looks at the view while a request waits.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Part of the objective for which a request waits for a replica to come back.
+const WAIT_FOR_REPLICA: u32 = 4;
+
+/// Where to send next.
+pub(super) enum NextReplica {
+    Send(ReplicaId),
+    GiveUp(&'static str, Option<Duration>),
+}
+
+impl<P: Platform> RequestRun<P> {
+    /// The replica that takes the request; waits for its model if that helps.
+    pub(super) async fn next_replica(&mut self) -> NextReplica {
+        if let Some(replica) = self.refused_by.take() {
+            return NextReplica::Send(replica);
+        }
+        loop {
+            if let Some(replica) = self.choose() {
+                return NextReplica::Send(replica);
+            }
+            if Instant::now() >= self.until {
+                return NextReplica::GiveUp("out of time", None);
+            }
+            let decision = self.cold_decision();
+            if decision.is_some() && self.node.lifecycle() == Lifecycle::Stopping {
+                // Another node can wait for the model; this one may end before it comes.
+                return NextReplica::GiveUp("the node is stopping", self.come_back_after());
+            }
+            match decision {
+                None => return NextReplica::GiveUp("no replica", Some(DEFAULT_RETURN)),
+                Some(ColdDecision::Refuse { come_back_after }) => {
+                    return NextReplica::GiveUp("model not loaded", Some(come_back_after));
+                }
+                Some(ColdDecision::Wait) => self.wait_for_view().await,
+            }
+        }
+    }
+
+    pub(super) fn choose(&self) -> Option<ReplicaId> {
+        let now = self.node.clock.now();
+        let state = self.node.state.borrow();
+        let request = RoutingRequest {
+            service: &self.service,
+            need: self.model_need(),
+            zone: &self.node.settings.identity.zone,
+            tried: &self.tried,
+            salt: xxh3_64(self.facts.id.as_bytes()),
+        };
+        choose(&state.replicas, &request, now)
+    }
+
+    pub(super) fn model_need(&self) -> Option<ModelNeed<'_>> {
+        let key = self.model_key()?;
+        let shared = self
+            .facts
+            .parts
+            .len()
+            .saturating_sub(1)
+            .max(1)
+            .min(self.facts.parts.len());
+        let shared_parts = &self.facts.parts[..shared];
+        let model_hash = xxh3_64(key.model.as_bytes());
+        let adapter_hash = key
+            .adapter
+            .as_ref()
+            .map_or(0, |adapter| xxh3_64(adapter.as_bytes()));
+        Some(ModelNeed {
+            model: self.facts.model.as_deref()?,
+            adapter: self.facts.adapter.as_deref(),
+            shared_part: shared_parts
+                .last()
+                .map(|part| part.hash ^ model_hash ^ adapter_hash),
+            shared_tokens: shared_parts.iter().map(|part| part.tokens).sum(),
+        })
+    }
+
+    /// What to do while no replica can take the request; `None` if waiting is no use.
+    pub(super) fn cold_decision(&self) -> Option<ColdDecision> {
+        let Some(key) = self.model_key() else {
+            // A service without models: a replica may come back soon.
+            let waited = self.arrival.elapsed();
+            return (waited < self.route.objective / WAIT_FOR_REPLICA).then_some(ColdDecision::Wait);
+        };
+        let ready_in = self.ready_in(&key)?;
+        let is_first = self.last_reminder.get().is_none();
+        self.remind_orderer(&key);
+        let request = ColdRequest {
+            waited: self.arrival.elapsed(),
+            ready_in,
+            first_event_after: self.first_event_after(),
+            objective: self.route.objective,
+            patience: self.patience(),
+            left: self.until.saturating_duration_since(Instant::now()),
+        };
+        let decision = decide_cold(&request);
+        if is_first || decision != ColdDecision::Wait {
+            self.log_cold(&key, &request, decision);
+        }
+        Some(decision)
+    }
+
+    /// One line for the decision, with what it was made from.
+    fn log_cold(&self, key: &ModelKey, request: &ColdRequest, decision: ColdDecision) {
+        let state = self.node.state.borrow();
+        tracing::info!(target: "cold", id = self.facts.id, model = &*key.model, adapter = key.adapter.as_deref(),
+            ?decision, waited_ms = request.waited.as_millis() as u64,
+            ready_in_ms = request.ready_in.as_millis() as u64, objective_ms = request.objective.as_millis() as u64,
+            patience_ms = request.patience.as_millis() as u64,
+            holders = state.replicas.holders(&self.service, &key.model),
+            orderer = state.members.orderer().map(|member| member.name.as_str()));
+    }
+
+    /// Expected time until the model and adapter are there; `None` if the
+    /// configuration does not know the model.
+    pub(super) fn ready_in(&self, key: &ModelKey) -> Option<Duration> {
+        let engine = self.configuration.service(&self.service)?.engine.as_ref()?;
+        let spec = engine.models.get(&key.model)?;
+        let now = self.node.clock.now();
+        let state = self.node.state.borrow();
+        if state.replicas.holders(&self.service, &key.model) > 0 {
+            return Some(ADAPTER_READY_IN);
+        }
+        if let Some(ready_at) = state.replicas.arrival(&self.service, &key.model) {
+            return Some(ready_at.since(now).max(Duration::from_millis(20)));
+        }
+        if state.members.orderer().is_none() {
+            return Some(NO_ORDERER_READY_IN);
+        }
+        Some(ORDER_DELAY + spec.disk_load.min(MODEL_READY_IN))
+    }
+
+    /// Time from arrival to when the caller or the route ends the request.
+    pub(super) fn patience(&self) -> Duration {
+        let whole = self.until - self.arrival;
+        caller_patience(&self.route).map_or(whole, |patience| patience.min(whole))
+    }
+
+    /// When the model should be there, for a caller that is sent away.
+    pub(super) fn come_back_after(&self) -> Option<Duration> {
+        self.model_key().and_then(|key| self.ready_in(&key))
+    }
+
+    pub(super) fn remind_orderer(&self, key: &ModelKey) {
+        let now = Instant::now();
+        if self
+            .last_reminder
+            .get()
+            .is_some_and(|last| now - last < REMIND_EVERY)
+        {
+            return;
+        }
+        self.last_reminder.set(Some(now));
+        self.node
+            .tell_orderer(ToOrderer::Waiting(WireModel::from_key(key)));
+    }
+
+    pub(super) async fn wait_for_view(&self) {
+        let longest = Instant::now() + LOOK_EVERY;
+        let wake = async {
+            tokio::select! {
+                () = self.node.view_changed.notified() => {}
+                () = self.node.stop_requested.notified() => {}
+            }
+        };
+        let _ = timeout_at(longest.min(self.until), wake).await;
+    }
+
+    pub(super) fn first_event_after(&self) -> Duration {
+        TIME_PER_PROMPT_TOKEN * self.facts.prompt_tokens as u32
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -0,0 +1,127 @@
+//! What a request holds while it lives: its count, its place, its sends.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use croftrill_scheduler::catalog::Configuration;
+use croftrill_scheduler::health::SendOutcome;
+use croftrill_scheduler::replica::ReplicaId;
+
+use super::cost;
+use crate::node::Node;
+use crate::ports::{Platform, RequestFacts};
+
+/// Counts a request as in flight while it lives.
+pub(super) struct Flight<P: Platform>(Rc<Node<P>>);
+
+impl<P: Platform> Flight<P> {
+    pub(super) fn begin(node: &Rc<Node<P>>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        Flight(node.clone())
+    }
+}
+
+impl<P: Platform> Drop for Flight<P> {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// A place among the requests that the node serves at the same time.
+pub(super) struct Place<P: Platform> {
+    pub(super) node: Rc<Node<P>>,
+}
+
+impl<P: Platform> Drop for Place<P> {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().fair_queue.release();
+        self.node.place_freed.notify_waiters();
+    }
+}
+
+/// Group of requests that name none.
+const NO_GROUP: &str = "";
+
+/// Waits for a place, in the order that the groups' shares give. `None` where
+/// the number of places is not bounded.
+pub(super) async fn take_place<P: Platform>(
+    node: &Rc<Node<P>>,
+    configuration: &Configuration,
+    facts: &RequestFacts,
+) -> Option<Place<P>> {
+    node.settings.most_in_service?;
+    let group: Arc<str> = facts.group.as_deref().unwrap_or(NO_GROUP).into();
+    let share = configuration.group_shares.get(&group).copied().unwrap_or(1);
+    let cost = cost(facts);
+    let ticket = Ticket {
+        node: node.clone(),
+        number: node.state.borrow_mut().fair_queue.enter(&group, share, cost),
+    };
+    loop {
+        let freed = node.place_freed.notified();
+        if node.state.borrow_mut().fair_queue.try_start(ticket.number) {
+            return Some(Place { node: node.clone() });
+        }
+        freed.await;
+    }
+}
+
+/// A waiting request; leaves the queue if it is given up.
+pub(super) struct Ticket<P: Platform> {
+    pub(super) node: Rc<Node<P>>,
+    pub(super) number: u64,
+}
+
+impl<P: Platform> Drop for Ticket<P> {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().fair_queue.leave(self.number);
+        self.node.place_freed.notify_waiters();
+    }
+}
+
+/// Counts a request as sent to a replica while it lives.
+pub(super) struct Send<P: Platform> {
+    pub(super) node: Rc<Node<P>>,
+    pub(super) replica: ReplicaId,
+    pub(super) tokens: u64,
+    pub(super) reading: bool,
+}
+
+impl<P: Platform> Send<P> {
+    pub(super) fn begin(node: &Rc<Node<P>>, replica: &ReplicaId, tokens: u64) -> Self {
+        node.state.borrow_mut().replicas.begin_send(replica, tokens);
+        Send {
+            node: node.clone(),
+            replica: replica.clone(),
+            tokens,
+            reading: true,
+        }
+    }
+
+    /// The first token came: the prompt has been read.
+    pub(super) fn prompt_done(&mut self) {
+        if std::mem::take(&mut self.reading) {
+            self.node
+                .state
+                .borrow_mut()
+                .replicas
+                .prompt_done(&self.replica, self.tokens);
+        }
+    }
+
+    pub(super) fn record(&self, outcome: SendOutcome) {
+        let now = self.node.clock.now();
+        self.node
+            .state
+            .borrow_mut()
+            .replicas
+            .record_outcome(&self.replica, outcome, now);
+    }
+}
+
+impl<P: Platform> Drop for Send<P> {
+    fn drop(&mut self) {
+        self.prompt_done();
+        self.node.state.borrow_mut().replicas.end_send(&self.replica);
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -0,0 +1,263 @@
+//! One request from its arrival to the end of its answer.
+//!
+//! [`serve`] reads it, finds its route and its place; [`RequestRun`] then sends
+//! it until it is answered or given up. The parts: [`guards`] what it holds,
+//! [`cold`] waiting for models, [`sending`] one send, [`streaming`] event
+//! streams, [`answers`] final answers, [`forwarding`] headers and targets.
+//!
+//! Safety: a request that must not be repeated goes to a second replica only if
+//! the first provably did not run it; and a refusal that promises "not run" is
+//! given only if every replica it went to provably did not run it.
+
+mod answers;
+mod cold;
+mod forwarding;
+mod guards;
+mod sending;
+mod streaming;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::replica::ReplicaId;
+use http::{request, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::{timeout_at, Instant};
+
+use self::answers::kind_name;
+pub use self::answers::refuse;
+use self::cold::NextReplica;
+use self::forwarding::{find_route, pick_backend, read_body};
+use self::guards::{take_place, Flight, Place};
+use self::sending::SendEnd;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::ports::{Dialect, Platform, RequestFacts};
+use crate::stream::AnswerBody;
+
+/// Time that a caller without a deadline is taken to wait.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Cost of a generated token, in prompt tokens.
+const OUTPUT_TOKEN_COST: u64 = 10;
+/// Time to come back after a refusal without a better estimate.
+const DEFAULT_RETURN: Duration = Duration::from_millis(400);
+/// Pause before a request goes once more to the replica that refused it.
+const SAME_REPLICA_PAUSE: Duration = Duration::from_millis(60);
+/// Sends of one request, at most, whatever the route allows.
+const MOST_SENDS: usize = 4;
+
+type Answer = Response<AnswerBody>;
+
+/// Cost of a request, in prompt tokens.
+fn cost(facts: &RequestFacts) -> u64 {
+    facts.prompt_tokens + OUTPUT_TOKEN_COST * facts.output_tokens
+}
+
+/// Serves one request.
+pub async fn serve<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Answer {
+    let arrival = Instant::now();
+    let flight = Flight::begin(node);
+    let (head, body) = request.into_parts();
+    let facts = match node.platform.dialect().request_facts(&head) {
+        Ok(facts) => facts,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None),
+    };
+    let Some(configuration) = node.configuration() else {
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration yet",
+            Some(DEFAULT_RETURN),
+        );
+    };
+    let Some(route) = find_route(&configuration, &head) else {
+        tracing::info!(target: "request", id = facts.id, outcome = "no route", version = configuration.version);
+        return refuse(StatusCode::NOT_FOUND, "no such route", None);
+    };
+    let deadline = arrival + facts.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let until = route
+        .timeout
+        .map_or(deadline, |timeout| deadline.min(arrival + timeout));
+    let body = match timeout_at(until, read_body(body, &head, configuration.limits.max_body_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(status)) => return refuse(status, "the body cannot be taken", None),
+        Err(_) => {
+            return refuse(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+                None,
+            )
+        }
+    };
+    let mut facts = facts;
+    if let Err(error) = node.platform.dialect().read_body(&mut facts, &body) {
+        return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None);
+    }
+    let service = pick_backend(&route, &facts.id);
+    let Ok(place) = timeout_at(until, take_place(node, &configuration, &facts)).await else {
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "other groups come first",
+            Some(DEFAULT_RETURN),
+        );
+    };
+    let run = RequestRun {
+        node: node.clone(),
+        facts,
+        route,
+        service,
+        configuration,
+        head: Rc::new(head),
+        body,
+        arrival,
+        until,
+        flight: Some(flight),
+        place,
+        sends: 0,
+        tried: Vec::new(),
+        refused_by: None,
+        may_have_run: false,
+        last_reminder: Cell::new(None),
+        sent_after: None,
+        answered_after: None,
+    };
+    run.serve().await
+}
+
+struct RequestRun<P: Platform> {
+    node: Rc<Node<P>>,
+    facts: RequestFacts,
+    route: Arc<Route>,
+    service: ServiceName,
+    configuration: Arc<Configuration>,
+    head: Rc<request::Parts>,
+    body: Bytes,
+    arrival: Instant,
+    until: Instant,
+    flight: Option<Flight<P>>,
+    place: Option<Place<P>>,
+    sends: usize,
+    tried: Vec<ReplicaId>,
+    refused_by: Option<ReplicaId>,
+    may_have_run: bool,
+    last_reminder: Cell<Option<Instant>>,
+    /// Time from arrival to the first send.
+    sent_after: Option<Duration>,
+    /// Time from arrival to the head of the answer.
+    answered_after: Option<Duration>,
+}
+
+impl<P: Platform> RequestRun<P> {
+    async fn serve(mut self) -> Answer {
+        self.count_arrival();
+        loop {
+            let replica = match self.next_replica().await {
+                NextReplica::Send(replica) => replica,
+                NextReplica::GiveUp(cause, come_back) => return self.give_up(cause, come_back),
+            };
+            if self.sends > 0 && !self.take_retry(&replica) {
+                return self.give_up("retry budget used up", Some(DEFAULT_RETURN));
+            }
+            let end = self.send(&replica, None, self.attempt_limit()).await;
+            match end {
+                SendEnd::Streaming(streaming) => return self.answer_stream(*streaming),
+                SendEnd::Whole { head, body } => {
+                    let failed = head.status.is_server_error();
+                    if !failed || !self.may_repeat_after(&replica) {
+                        return self.answer_whole(&replica, head, body);
+                    }
+                }
+                SendEnd::NotSent => self.exclude(replica),
+                SendEnd::NotExecuted { misdirected } => {
+                    if !self.after_refusal(replica, misdirected).await {
+                        return self.give_up("the replica refused", Some(DEFAULT_RETURN));
+                    }
+                }
+                SendEnd::Broken { cause } => {
+                    self.may_have_run = true;
+                    if !self.may_repeat_after(&replica) {
+                        return self.give_up(cause, None);
+                    }
+                }
+                SendEnd::OutOfTime => {
+                    self.may_have_run = true;
+                    return self.give_up("out of time", None);
+                }
+            }
+        }
+    }
+
+    fn count_arrival(&self) {
+        let now = self.node.clock.now();
+        let mut state = self.node.state.borrow_mut();
+        state.retry_budget.request(&self.service, now);
+        if let Some(key) = self.model_key() {
+            state.demand.add(key, cost(&self.facts));
+        }
+    }
+
+    /// The model that the request needs, if its service serves models.
+    fn model_key(&self) -> Option<ModelKey> {
+        let is_engine = self
+            .configuration
+            .service(&self.service)
+            .is_some_and(|service| service.engine.is_some());
+        let model = self.facts.model.clone().filter(|_| is_engine)?;
+        Some(ModelKey {
+            service: self.service.clone(),
+            model,
+            adapter: self.facts.adapter.clone(),
+        })
+    }
+
+    /// A replica that was never reached does not count as one it was sent to,
+    /// but is not tried again.
+    fn exclude(&mut self, replica: ReplicaId) {
+        self.tried.push(replica);
+    }
+
+    /// True if the request may go to another replica after it may have run at this one.
+    fn may_repeat_after(&mut self, replica: &ReplicaId) -> bool {
+        if !self.tried.contains(replica) {
+            self.tried.push(replica.clone());
+        }
+        let within = self.sends < (self.route.max_attempts as usize).min(MOST_SENDS);
+        self.route.is_idempotent() && within && Instant::now() < self.until
+    }
+
+    /// After a replica provably did not run it: true if it may be sent once more,
+    /// to another replica if the route allows, else to the same one after a pause.
+    async fn after_refusal(&mut self, replica: ReplicaId, misdirected: bool) -> bool {
+        if self.sends >= MOST_SENDS {
+            return false;
+        }
+        let sent_to = self.tried.iter().filter(|tried| **tried != replica).count() + 1;
+        let others_allowed = sent_to < self.route.max_attempts as usize;
+        if others_allowed {
+            self.exclude(replica);
+            return true;
+        }
+        if misdirected {
+            return false;
+        }
+        self.refused_by = Some(replica);
+        tokio::time::sleep(SAME_REPLICA_PAUSE).await;
+        Instant::now() + self.first_event_after() < self.arrival + self.route.objective
+    }
+
+    /// Takes a send beyond the first from the budget.
+    fn take_retry(&self, replica: &ReplicaId) -> bool {
+        let now = self.node.clock.now();
+        let mut state = self.node.state.borrow_mut();
+        let nodes = state.members.node_count();
+        let taken = state.retry_budget.take(&self.service, nodes, now);
+        let outcome = if taken { "taken" } else { "refused" };
+        Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
+        tracing::info!(target: "retry", id = self.facts.id, sends = self.sends, replica = &**replica, nodes, outcome);
+        taken
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -0,0 +1,229 @@
+//! One send to a replica, and what its answer means.
+
+use bytes::Bytes;
+use croftrill_scheduler::catalog::RouteKind;
+use croftrill_scheduler::health::SendOutcome;
+use croftrill_scheduler::replica::ReplicaId;
+use http::{header, response, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::{timeout_at, Instant};
+
+use super::forwarding::{end_to_end, origin_form};
+use super::guards::Send;
+use super::RequestRun;
+use crate::connection::{Connection, ExchangeError};
+use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
+
+/// How one send to a replica ended.
+pub(super) enum SendEnd<P: Platform> {
+    /// The head of an answer that can be passed on, with its body to come.
+    Streaming(Box<Streaming<P>>),
+    /// A whole answer.
+    Whole { head: response::Parts, body: Bytes },
+    /// Nothing was sent.
+    NotSent,
+    /// The replica provably did not run it.
+    NotExecuted { misdirected: bool },
+    /// It may have run, and no usable answer came.
+    Broken { cause: &'static str },
+    /// The request's own time is over.
+    OutOfTime,
+}
+
+/// An answer whose body is still coming.
+pub(super) struct Streaming<P: Platform> {
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    /// Held so that the socket closes with the stream.
+    pub(super) _connection: Connection,
+    pub(super) send: Send<P>,
+}
+
+impl<P: Platform> RequestRun<P> {
+    /// Time after which a silent replica is given up for another one.
+    pub(super) fn attempt_limit(&self) -> Option<Instant> {
+        let more = self.sends + 1 < self.route.max_attempts as usize;
+        (self.route.is_idempotent() && more).then(|| Instant::now() + self.route.objective / 2)
+    }
+
+    /// Sends the request to a replica and judges the head of its answer.
+    pub(super) async fn send(
+        &mut self,
+        replica: &ReplicaId,
+        resume_after: Option<&str>,
+        limit: Option<Instant>,
+    ) -> SendEnd<P> {
+        let address = {
+            let state = self.node.state.borrow();
+            state
+                .replicas
+                .get(replica)
+                .and_then(|entry| entry.listing.address.parse().ok())
+        };
+        let Some(address) = address else {
+            return SendEnd::NotSent;
+        };
+        let mut send = Send::begin(&self.node, replica, self.facts.prompt_tokens);
+        let connected = if self.route.is_idempotent() {
+            self.node.pool.connect(address).await
+        } else {
+            self.node.patient_pool.dial(address).await
+        };
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(_) => {
+                send.record(SendOutcome::Unreachable);
+                return SendEnd::NotSent;
+            }
+        };
+        let request = self.engine_request(replica, resume_after);
+        self.sends += 1;
+        self.sent_after.get_or_insert(self.arrival.elapsed());
+        let until = limit.map_or(self.until, |limit| limit.min(self.until));
+        let answer = match timeout_at(until, connection.send(request)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return self.send_failed(&send, &error),
+            Err(_) if Instant::now() >= self.until => return SendEnd::OutOfTime,
+            Err(_) => {
+                send.record(SendOutcome::Failure);
+                return SendEnd::Broken {
+                    cause: "the replica is silent",
+                };
+            }
+        };
+        send.prompt_done();
+        self.answered_after = Some(self.arrival.elapsed());
+        self.judge_answer(replica, answer, connection, send).await
+    }
+
+    pub(super) fn send_failed(&mut self, send: &Send<P>, error: &ExchangeError) -> SendEnd<P> {
+        tracing::info!(target: "send", id = self.facts.id, replica = &*send.replica, %error);
+        if error.nothing_sent() {
+            self.sends -= 1;
+            return SendEnd::NotSent;
+        }
+        send.record(SendOutcome::Failure);
+        SendEnd::Broken {
+            cause: "the replica broke off",
+        }
+    }
+
+    pub(super) async fn judge_answer(
+        &mut self,
+        replica: &ReplicaId,
+        answer: Response<Incoming>,
+        connection: Connection,
+        send: Send<P>,
+    ) -> SendEnd<P> {
+        let (head, body) = answer.into_parts();
+        let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
+        self.take_load(replica, &facts);
+        if facts.execution == Execution::NotExecuted {
+            return self.not_executed(replica, &facts, &head, &send);
+        }
+        let usable = facts.is_ours && (!head.status.is_success() || (facts.is_signed && facts.is_plain));
+        if !usable {
+            send.record(SendOutcome::Failure);
+            return SendEnd::Broken {
+                cause: "the answer is not this request's",
+            };
+        }
+        if self.route.kind == RouteKind::Streaming && head.status.is_success() {
+            return SendEnd::Streaming(Box::new(Streaming {
+                head,
+                body,
+                _connection: connection,
+                send,
+            }));
+        }
+        match timeout_at(self.until, body.collect()).await {
+            Ok(Ok(body)) => {
+                let failed = head.status.is_server_error();
+                if failed {
+                    tracing::info!(target: "send", id = self.facts.id, replica = &**replica,
+                        status = head.status.as_u16(), outcome = "failed there", sends = self.sends);
+                }
+                send.record(if failed {
+                    SendOutcome::Failure
+                } else {
+                    SendOutcome::Success
+                });
+                if self.route.is_idempotent() {
+                    self.node.pool.put_back(connection, &head.headers);
+                }
+                SendEnd::Whole {
+                    head,
+                    body: body.to_bytes(),
+                }
+            }
+            Ok(Err(_)) => {
+                send.record(SendOutcome::Failure);
+                SendEnd::Broken {
+                    cause: "the answer was cut off",
+                }
+            }
+            Err(_) => SendEnd::OutOfTime,
+        }
+    }
+
+    pub(super) fn take_load(&self, replica: &ReplicaId, facts: &AnswerFacts) {
+        if let Some(load) = facts.load {
+            let now = self.node.clock.now();
+            self.node
+                .state
+                .borrow_mut()
+                .replicas
+                .told_load(replica, load, now);
+        }
+    }
+
+    pub(super) fn not_executed(
+        &self,
+        replica: &ReplicaId,
+        facts: &AnswerFacts,
+        head: &response::Parts,
+        send: &Send<P>,
+    ) -> SendEnd<P> {
+        tracing::info!(target: "send", id = self.facts.id, replica = &**replica, status = head.status.as_u16(),
+            outcome = "not executed", misdirected = facts.is_misdirected);
+        if facts.is_misdirected {
+            if let Some(model) = self.facts.model.clone() {
+                let adapter = self.facts.adapter.clone();
+                self.node
+                    .state
+                    .borrow_mut()
+                    .replicas
+                    .mark_absent(replica, model, adapter);
+            }
+        } else {
+            send.record(SendOutcome::Failure);
+        }
+        SendEnd::NotExecuted {
+            misdirected: facts.is_misdirected,
+        }
+    }
+
+    /// The request as a replica gets it.
+    pub(super) fn engine_request(
+        &self,
+        replica: &ReplicaId,
+        resume_after: Option<&str>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = origin_form(&self.head.uri);
+        let mut headers = end_to_end(&self.head.headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let forwarding = Forwarding {
+            replica,
+            time_left: self.until.saturating_duration_since(Instant::now()),
+            priority: self.model_key().map(|_| self.route.priority),
+            resume_after,
+        };
+        self.node.platform.dialect().forward(&mut headers, &forwarding);
+        *request.headers_mut() = headers;
+        request
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -0,0 +1,150 @@
+//! Event streams: passed on as they come, resumed where the route allows.
+
+use std::io;
+
+use bytes::Bytes;
+use croftrill_scheduler::health::SendOutcome;
+use croftrill_scheduler::replica::ReplicaId;
+use http::{header, Response};
+use http_body_util::BodyExt;
+
+use super::cold::NextReplica;
+use super::forwarding::end_to_end;
+use super::sending::{SendEnd, Streaming};
+use super::{Answer, RequestRun};
+use crate::ports::Platform;
+use crate::stream::{AnswerBody, EventCutter};
+
+pub(super) type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, io::Error>>;
+
+/// How a replica's part of a stream ended.
+pub(super) enum PumpEnd {
+    Complete,
+    Broken,
+    CallerGone,
+    OutOfTime,
+}
+
+impl<P: Platform> RequestRun<P> {
+    /// Passes on a stream; a task of its own carries it on.
+    pub(super) fn answer_stream(mut self, streaming: Streaming<P>) -> Answer {
+        let (sender, body) = AnswerBody::stream();
+        let mut answer = Response::new(body);
+        *answer.status_mut() = streaming.head.status;
+        *answer.headers_mut() = end_to_end(&streaming.head.headers);
+        if self.route.resumable {
+            // Its length may change if it goes on at another replica.
+            answer.headers_mut().remove(header::CONTENT_LENGTH);
+        }
+        self.node
+            .metrics
+            .first_byte_seconds
+            .observe(self.arrival.elapsed().as_secs_f64());
+        let (flight, place) = (self.flight.take(), self.place.take());
+        tokio::task::spawn_local(async move {
+            let _held = (flight, place);
+            self.pump(streaming, sender).await;
+        });
+        answer
+    }
+
+    pub(super) async fn pump(mut self, first: Streaming<P>, sender: EventSender) {
+        let mut cutter = EventCutter::after(self.facts.last_event_id.clone());
+        let mut current = first;
+        loop {
+            let replica = current.send.replica.clone();
+            let end = self.pump_one(&mut current, &mut cutter, &sender).await;
+            match end {
+                PumpEnd::Complete => {
+                    current.send.record(SendOutcome::Success);
+                    self.log_end(&replica, "served");
+                    return;
+                }
+                PumpEnd::CallerGone => {
+                    self.log_end(&replica, "caller gone");
+                    return;
+                }
+                PumpEnd::OutOfTime => {
+                    self.log_end(&replica, "stream out of time");
+                    let _ = sender.send(Err(io::ErrorKind::TimedOut.into())).await;
+                    return;
+                }
+                PumpEnd::Broken => {}
+            }
+            current.send.record(SendOutcome::Failure);
+            drop(current);
+            cutter.drop_partial();
+            match self.resume(&replica, &cutter).await {
+                Some(next) => current = next,
+                None => {
+                    self.log_end(&replica, "stream cut off");
+                    let _ = sender.send(Err(io::ErrorKind::ConnectionReset.into())).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn pump_one(
+        &self,
+        streaming: &mut Streaming<P>,
+        cutter: &mut EventCutter,
+        sender: &EventSender,
+    ) -> PumpEnd {
+        loop {
+            let frame = tokio::select! {
+                frame = streaming.body.frame() => frame,
+                () = sender.closed() => return PumpEnd::CallerGone,
+                () = tokio::time::sleep_until(self.until) => return PumpEnd::OutOfTime,
+            };
+            let bytes = match frame {
+                None => return self.pump_rest(cutter, sender).await,
+                Some(Err(_)) => return PumpEnd::Broken,
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    Err(_) => continue,
+                },
+            };
+            let bytes = if self.route.resumable {
+                cutter.push(&bytes)
+            } else {
+                Some(bytes)
+            };
+            if let Some(bytes) = bytes {
+                if sender.send(Ok(bytes)).await.is_err() {
+                    return PumpEnd::CallerGone;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn pump_rest(&self, cutter: &mut EventCutter, sender: &EventSender) -> PumpEnd {
+        let rest = cutter.take_rest();
+        if !rest.is_empty() && sender.send(Ok(rest)).await.is_err() {
+            return PumpEnd::CallerGone;
+        }
+        PumpEnd::Complete
+    }
+
+    /// Goes on with a broken stream at another replica, if the route allows.
+    pub(super) async fn resume(&mut self, broken: &ReplicaId, cutter: &EventCutter) -> Option<Streaming<P>> {
+        if !self.may_repeat_after(broken) {
+            return None;
+        }
+        let after = cutter.last_id().map(str::to_string);
+        loop {
+            let NextReplica::Send(replica) = self.next_replica().await else {
+                return None;
+            };
+            if !self.take_retry(&replica) {
+                return None;
+            }
+            match self.send(&replica, after.as_deref(), None).await {
+                SendEnd::Streaming(streaming) => return Some(*streaming),
+                SendEnd::OutOfTime => return None,
+                _ if !self.may_repeat_after(&replica) => return None,
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/croftrill-scheduler/src/orderer.rs
+++ b/crates/croftrill-scheduler/src/orderer.rs
@@ -57,6 +57,44 @@
     },
 }
 
+/// Why a replica was given a goal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GoalReason {
+    /// Requests wait for the model, and no replica holds it.
+    Waiting,
+    /// The model's demand deserves one more holder.
+    Demand,
+}
+
+/// A decision about placement, for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// A replica is to load a model.
+    Goal {
+        /// The replica.
+        replica: ReplicaId,
+        /// The model.
+        model: ModelName,
+        /// Why.
+        reason: GoalReason,
+        /// Replicas that hold or await it besides.
+        holders: usize,
+        /// Where its weights come from.
+        source: WeightSource,
+    },
+    /// A model is to make way for a replica's goal.
+    MakeWay {
+        /// The replica.
+        replica: ReplicaId,
+        /// The model that makes way.
+        model: ModelName,
+        /// Cost tokens a second that depended on it there.
+        value: f64,
+        /// Replicas that held it.
+        holders: usize,
+    },
+}
+
 /// The state of the node that gives orders.
 #[derive(Debug)]
 pub struct Orderer {
@@ -68,6 +106,7 @@
     changed: BTreeSet<ReplicaId>,
     told: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
+    decisions: Vec<Decision>,
 }
 
 impl Orderer {
@@ -82,6 +121,7 @@
             changed: BTreeSet::new(),
             told: BTreeMap::new(),
             next_balance: Moment::default(),
+            decisions: Vec::new(),
         }
     }
 
@@ -199,6 +239,11 @@
         actions
     }
 
+    /// Decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// What changed since the last call, to be told to all nodes.
     pub fn take_changes(&mut self, now: Moment) -> Vec<Placement> {
         let changed = std::mem::take(&mut self.changed);
@@ -278,7 +323,7 @@
                 continue;
             }
             if let Some((id, _)) = view.best_place(model, &holders, store_allowed) {
-                self.set_goal(&id, model.clone());
+                self.set_goal(&id, model.clone(), GoalReason::Waiting, 0);
             }
         }
     }
@@ -304,12 +349,22 @@
         let place = view.best_place(&model, &holders, store_allowed);
         let least_gain = self.config.placement.least_gain;
         if let Some((id, _)) = place.filter(|(_, displaced)| gain > least_gain * displaced) {
-            self.set_goal(&id, model);
+            let count = holders.get(&model).copied().unwrap_or(0);
+            self.set_goal(&id, model, GoalReason::Demand, count);
         }
     }
 
-    fn set_goal(&mut self, id: &ReplicaId, model: ModelName) {
+    fn set_goal(&mut self, id: &ReplicaId, model: ModelName, reason: GoalReason, holders: usize) {
         if let Some(replica) = self.replicas.get_mut(id) {
+            let source = weight_source(replica.ledger.holdings(), &model);
+            let decision = Decision::Goal {
+                replica: id.clone(),
+                model: model.clone(),
+                reason,
+                holders,
+                source,
+            };
+            self.decisions.push(decision);
             replica.goal = Some(model);
             self.changed.insert(id.clone());
         }
@@ -396,11 +451,20 @@
             return (now.since(*since) >= notice).then(|| Order::UnloadModel(model.clone()));
         }
         let view = self.placement_of(service, engine, now);
-        let victim = view.victim(replica, &view.holders());
-        let Some(victim) = victim else {
+        let holders = view.holders();
+        let Some(victim) = view.victim(replica, &holders) else {
             self.drop_goal(id);
             return None;
         };
+        let count = holders.get(&victim).copied().unwrap_or(0);
+        let value = view.value_of_holder(&victim, count);
+        let decision = Decision::MakeWay {
+            replica: id.clone(),
+            model: victim.clone(),
+            value,
+            holders: count,
+        };
+        self.decisions.push(decision);
         self.replicas.get_mut(id)?.withdrawn = Some((victim, now));
         self.changed.insert(id.clone());
         None
--- /dev/null
+++ b/crates/croftrill-standin/tests/proxy.rs
@@ -0,0 +1,65 @@
+//! The fault proxy.
+
+use std::time::Duration;
+
+use croftrill_standin::http_server::listen;
+use croftrill_standin::proxy::{Fault, Proxy};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::timeout;
+
+const SHORT: Duration = Duration::from_millis(100);
+const LONG: Duration = Duration::from_secs(10);
+
+/// An upstream that repeats what it gets, behind a proxy.
+async fn echo() -> (std::rc::Rc<Proxy>, std::net::SocketAddr) {
+    let (upstream, address) = listen().await.expect("a port");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = upstream.accept().await {
+            spawn_local(async move {
+                let (mut read, mut write) = stream.split();
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+            });
+        }
+    });
+    let (listener, front) = listen().await.expect("a port");
+    (Proxy::start(listener, address), front)
+}
+
+async fn repeats(stream: &mut TcpStream, limit: Duration) -> Option<bool> {
+    stream.write_all(b"x").await.ok()?;
+    let mut byte = [0];
+    timeout(limit, stream.read_exact(&mut byte))
+        .await
+        .ok()
+        .map(|read| read.is_ok())
+}
+
+#[test]
+fn faults_hold_for_present_and_new_connections() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (proxy, front) = echo().await;
+        let mut stream = TcpStream::connect(front).await.expect("a connection");
+        assert_eq!(repeats(&mut stream, LONG).await, Some(true));
+        proxy.set(Fault::Silence);
+        assert_eq!(repeats(&mut stream, SHORT).await, None);
+        proxy.set(Fault::None);
+        let mut byte = [0];
+        timeout(LONG, stream.read_exact(&mut byte))
+            .await
+            .expect("it was held back")
+            .expect("and not lost");
+        proxy.set(Fault::NoAnswers);
+        assert_eq!(repeats(&mut stream, SHORT).await, None);
+        proxy.set(Fault::Reset);
+        assert!(
+            timeout(LONG, stream.read_to_end(&mut Vec::new())).await.is_ok(),
+            "it is closed"
+        );
+    });
+}
--- /dev/null
+++ b/crates/croftrill-standin/tests/store.rs
@@ -0,0 +1,74 @@
+//! The stand-in store's promises.
+
+use std::time::{Duration, Instant};
+
+use croftrill_http::store_wire::{WireExpectation, WireTransaction, WireWrite};
+use croftrill_standin::store_state::{HistoryGone, StoreState, TransactionOutcome};
+
+fn write(key: &str, value: &str, lease: u64, expected: Option<u64>) -> WireTransaction {
+    let conditions = expected.map(|revision| WireExpectation {
+        key: key.to_string(),
+        revision,
+    });
+    let write = WireWrite {
+        key: key.to_string(),
+        value: value.to_string(),
+        lease,
+    };
+    WireTransaction {
+        conditions: conditions.into_iter().collect(),
+        writes: vec![write],
+    }
+}
+
+#[test]
+fn a_condition_that_does_not_hold_changes_nothing() {
+    let mut store = StoreState::new();
+    assert_eq!(
+        store.transact(&write("k", "1", 0, Some(0))),
+        TransactionOutcome::Done(1)
+    );
+    assert_eq!(
+        store.transact(&write("k", "2", 0, Some(0))),
+        TransactionOutcome::Rejected
+    );
+    assert_eq!(store.items("k").items[0].value.as_deref(), Some("1"));
+}
+
+#[test]
+fn keys_go_with_their_lease() {
+    let (mut store, now) = (StoreState::new(), Instant::now());
+    let lease = store.grant(Duration::from_secs(1), now);
+    store.transact(&write("k", "1", lease, None));
+    assert!(store.renew(lease, now + Duration::from_millis(900)));
+    assert!(!store.expire(now + Duration::from_millis(1800)));
+    assert!(store.expire(now + Duration::from_millis(1950)));
+    assert!(store.items("").items.is_empty());
+    assert_eq!(store.changes("", 1).expect("history").items[0].value, None);
+    assert_eq!(
+        store.transact(&write("k", "2", lease, None)),
+        TransactionOutcome::NoSuchLease
+    );
+}
+
+#[test]
+fn a_key_that_was_written_under_another_lease_does_not_go_with_the_first() {
+    let (mut store, now) = (StoreState::new(), Instant::now());
+    let first = store.grant(Duration::from_secs(1), now);
+    let second = store.grant(Duration::from_secs(9), now);
+    store.transact(&write("k", "1", first, None));
+    store.transact(&write("k", "2", second, None));
+    assert!(store.expire(now + Duration::from_secs(2)));
+    assert_eq!(store.items("k").items.len(), 1);
+}
+
+#[test]
+fn forgotten_history_is_told() {
+    let mut store = StoreState::new();
+    store.transact(&write("a", "1", 0, None));
+    store.transact(&write("b", "2", 0, None));
+    assert_eq!(store.changes("b", 0).expect("history").items.len(), 1);
+    store.compact();
+    assert_eq!(store.changes("", 1).map(|_| ()), Err(HistoryGone));
+    assert!(store.changes("", 2).expect("nothing was missed").items.is_empty());
+}
