--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -6,7 +6,7 @@
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{RequestRun, DEFAULT_RETURN};
@@ -26,6 +26,10 @@
 const NO_ORDERER_READY_IN: Duration = Duration::from_millis(3000);
 /// Time between two reminders to the orderer of a waiting request.
 const REMIND_EVERY: Duration = Duration::from_millis(500);
+/// Times that a request goes once more to a replica that was tried already.
+const MOST_REPEATS: u32 = 2;
+/// Pause before that.
+const REPEAT_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time between two looks at the view while a request waits.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Part of the objective for which a request waits for a replica to come back.
@@ -44,7 +48,10 @@
             return NextReplica::Send(replica);
         }
         loop {
-            if let Some(replica) = self.choose() {
+            if let Some(replica) = self.choose(&self.tried) {
+                return NextReplica::Send(replica);
+            }
+            if let Some(replica) = self.choose_again().await {
                 return NextReplica::Send(replica);
             }
             if Instant::now() >= self.until {
@@ -65,14 +72,26 @@
         }
     }
 
-    pub(super) fn choose(&self) -> Option<ReplicaId> {
+    /// A replica that was tried already, after a pause: where no other can take
+    /// a request that may be repeated, the same one is better than waiting.
+    async fn choose_again(&mut self) -> Option<ReplicaId> {
+        let allowed = self.route.is_idempotent() && !self.tried.is_empty();
+        if !allowed || self.repeats >= MOST_REPEATS {
+            return None;
+        }
+        self.repeats += 1;
+        sleep(REPEAT_PAUSE).await;
+        self.choose(&[])
+    }
+
+    pub(super) fn choose(&self, tried: &[ReplicaId]) -> Option<ReplicaId> {
         let now = self.node.clock.now();
         let state = self.node.state.borrow();
         let request = RoutingRequest {
             service: &self.service,
             need: self.model_need(),
             zone: &self.node.settings.identity.zone,
-            tried: &self.tried,
+            tried,
             salt: xxh3_64(self.facts.id.as_bytes()),
         };
         choose(&state.replicas, &request, now)
