Reads of everything get more time with each failure; the soak restarts by process id

Cause: a bulk read had the limit of a plain call (0.9 s); with many nodes that read thousands of entries at once, every try could run into it. The limit now doubles with failures, up to 8 s.

--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -45,6 +45,8 @@
 pub const CONFIRM_PATH: &str = "/v1/confirm";
 /// Largest body that operators may send, in bytes.
 const MOST_BODY: usize = 4 * 1024 * 1024;
+/// Longest wait for the document.
+const READ_LIMIT: Duration = Duration::from_secs(2);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -129,7 +131,7 @@
 }
 
 async fn present(node: &OwnNode) -> Result<Option<(Document, u64)>, StoreError> {
-    let snapshot = node.platform.store().range(DOCUMENT_KEY).await?;
+    let snapshot = node.platform.store().range(DOCUMENT_KEY, READ_LIMIT).await?;
     let item = snapshot.items.into_iter().find(|item| item.key == DOCUMENT_KEY);
     item.map(|item: Item| {
         let document =
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -45,10 +45,12 @@
         let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
     }
 
-    /// Kills the process, or waits for its end after a request to stop, and starts it anew.
+    /// Kills the process, or waits for its end after a request to stop, and
+    /// starts it anew, unless another fault already has.
     pub async fn restart(&self, kindly: bool) {
+        let id = self.child.borrow().id();
         self.signal(if kindly { "TERM" } else { "KILL" });
-        loop {
+        while self.child.borrow().id() == id {
             if self
                 .child
                 .borrow_mut()
@@ -56,11 +58,11 @@
                 .expect("the child is ours")
                 .is_some()
             {
-                break;
+                *self.child.borrow_mut() = spawn(&self.config);
+                return;
             }
             sleep(Duration::from_millis(20)).await;
         }
-        *self.child.borrow_mut() = spawn(&self.config);
     }
 }
 
--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -122,9 +122,9 @@
 }
 
 impl KeyValueStore for StoreClient {
-    async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError> {
         let answer: WireItems = self
-            .get(&format!("{ITEMS_PATH}?prefix={}", query(prefix)), CALL_TIMEOUT)
+            .get(&format!("{ITEMS_PATH}?prefix={}", query(prefix)), limit)
             .await?;
         let mut items = Vec::with_capacity(answer.items.len());
         for wire in answer.items {
--- a/crates/croftrill-node/src/directory.rs
+++ b/crates/croftrill-node/src/directory.rs
@@ -24,6 +24,10 @@
 const AUDIT_EVERY: Duration = Duration::from_millis(700);
 /// Time that a watch has to answer after the store moved on.
 const AUDIT_SLACK: Duration = Duration::from_millis(300);
+/// Longest wait for a part of everything, at the first try.
+const LEAST_READ_LIMIT: Duration = Duration::from_millis(900);
+/// The same after failures.
+const MOST_READ_LIMIT: Duration = Duration::from_secs(8);
 /// Shortest pause after a failed call.
 const LEAST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -33,7 +37,8 @@
 pub async fn follow<P: Platform>(node: Rc<Node<P>>) {
     let mut backoff = Backoff::default();
     loop {
-        let snapshot = match node.platform.store().range(EVERYTHING).await {
+        let read = node.platform.store().range(EVERYTHING, backoff.read_limit());
+        let snapshot = match read.await {
             Ok(snapshot) => snapshot,
             Err(error) => {
                 backoff.pause(&error, "range").await;
@@ -184,6 +189,12 @@
 }
 
 impl Backoff {
+    /// Longest wait for a part of everything: short at first, as the store may
+    /// be silent, and longer with each failure, as many nodes may read at once.
+    fn read_limit(&self) -> Duration {
+        (LEAST_READ_LIMIT * 2u32.pow(self.failures.min(4))).min(MOST_READ_LIMIT)
+    }
+
     fn succeeded(&mut self) {
         if self.failures > 0 {
             tracing::info!(target: "directory", event = "store is back", failures = self.failures);
--- a/crates/croftrill-node/src/orderer_task.rs
+++ b/crates/croftrill-node/src/orderer_task.rs
@@ -80,6 +80,8 @@
 const CHANGE_BACKLOG: usize = 128;
 /// Added to the least gap between two orderers, for clocks that run unevenly.
 const GAP_MARGIN: Duration = Duration::from_millis(250);
+/// Longest wait for the orderer's keys.
+const READ_LIMIT: Duration = Duration::from_millis(900);
 /// Stands for a key without a lease.
 const NO_LEASE: u64 = 0;
 /// Part of the lease given up for imprecise timers.
@@ -184,7 +186,12 @@
 }
 
 async fn read_keys<P: Platform>(node: &Node<P>) -> Option<OrdererKeys> {
-    let snapshot = node.platform.store().range(ORDERER_PREFIX).await.ok()?;
+    let snapshot = node
+        .platform
+        .store()
+        .range(ORDERER_PREFIX, READ_LIMIT)
+        .await
+        .ok()?;
     let mut keys = OrdererKeys::default();
     for item in &snapshot.items {
         let entry = read_entry(item).map(|entry| (entry, item.revision));
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -120,8 +120,9 @@
 
 /// A linearizable key-value store with revisions, leases and watches.
 pub trait KeyValueStore {
-    /// Reads all items whose key begins with `prefix`.
-    async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError>;
+    /// Reads all items whose key begins with `prefix`; no part of the answer may
+    /// take longer than `limit`.
+    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError>;
     /// Waits up to `wait` for changes after a revision.
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
     /// A revision that the store has reached: cheap, and possibly seconds old.
