--- /dev/null
+++ b/crates/croftrill-node/src/orderer_task/decision_log.rs
@@ -0,0 +1,49 @@
+//! How the orderer's decisions stand in the log and in the metrics.
+
+use croftrill_scheduler::orderer::Decision;
+use croftrill_scheduler::replica::{Order, OrderOutcome};
+
+pub(super) fn log_decision(decision: &Decision) {
+    match decision {
+        Decision::Goal {
+            replica,
+            model,
+            reason,
+            holders,
+            source,
+        } => {
+            tracing::info!(target: "placement", decision = "load", replica = &**replica, model = &**model,
+                ?reason, holders, ?source);
+        }
+        Decision::MakeWay {
+            replica,
+            model,
+            value,
+            holders,
+        } => {
+            tracing::info!(target: "placement", decision = "make way", replica = &**replica,
+                model = &**model, tokens_per_second = *value as u64, holders);
+        }
+    }
+}
+
+pub(super) fn order_kind(order: &Order) -> &'static str {
+    match order {
+        Order::LoadModel(_) => "load_model",
+        Order::UnloadModel(_) => "unload_model",
+        Order::LoadAdapter(..) => "load_adapter",
+        Order::UnloadAdapter(..) => "unload_adapter",
+    }
+}
+
+pub(super) fn outcome_name(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Accepted => "accepted",
+        OrderOutcome::AlreadyHolds => "already_holds",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::OtherIncarnation => "other_incarnation",
+        OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -0,0 +1,102 @@
+//! Holds the orderer's lease when it is free, and carries out the orderer's plans.
+//!
+//! [`acquisition`] takes the lease, [`term`] uses it, [`decision_log`] says what
+//! was decided.
+
+mod acquisition;
+mod decision_log;
+mod term;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaReport};
+use croftrill_scheduler::time::Moment;
+use tokio::sync::{broadcast, mpsc, oneshot};
+use tokio::time::sleep;
+
+use self::acquisition::become_orderer;
+use self::term::Term;
+use crate::membership::own_entry;
+use crate::node::{Lifecycle, Node};
+use crate::peer::ToOrderer;
+use crate::ports::{Platform, StoreError};
+
+/// An event for the orderer task.
+#[derive(Debug)]
+pub enum OrdererInput {
+    /// A node's message.
+    FromNode(ToOrderer),
+    /// The list of replicas or the configuration changed.
+    DirectoryChanged,
+    /// A node wants all placements, then every change.
+    Subscribe(oneshot::Sender<Subscription>),
+    /// An order was answered.
+    OrderAnswered {
+        /// The replica.
+        replica: ReplicaId,
+        /// The order.
+        order: Order,
+        /// Its answer.
+        outcome: OrderOutcome,
+    },
+    /// A report came, or did not.
+    Reported {
+        /// The replica.
+        replica: ReplicaId,
+        /// What it reported.
+        report: Option<ReplicaReport>,
+        /// When it was asked.
+        asked_at: Moment,
+    },
+    /// The store was asked to record this machine as the last orderer.
+    Recorded {
+        /// Token of the lease under which it was asked.
+        fencing_token: u64,
+        /// Whether it did.
+        done: bool,
+    },
+    /// A renewal of the lease ended.
+    Renewed {
+        /// When it was sent.
+        asked_at: Moment,
+        /// Its result.
+        result: Result<(), StoreError>,
+    },
+}
+
+/// What a node gets that listens to the orderer: encoded messages, shared by all links.
+#[derive(Debug)]
+pub struct Subscription {
+    /// Everything that is known now.
+    pub first: Bytes,
+    /// What follows.
+    pub changes: broadcast::Receiver<Bytes>,
+}
+
+/// Runs the orderer's part of a node until it stops.
+pub async fn run<P: Platform>(node: Rc<Node<P>>, mut inbox: mpsc::Receiver<OrdererInput>, incarnation: u64) {
+    let entry = own_entry(&node, incarnation);
+    loop {
+        if node.lifecycle() == Lifecycle::Stopping {
+            return;
+        }
+        if let Some(lease) = become_orderer(&node, &entry).await {
+            let mut term = Term::begin(node.clone(), lease, entry.clone());
+            term.serve(&mut inbox).await;
+            term.end().await;
+        }
+        drain(&mut inbox);
+        let wait = sleep(Duration::from_millis(150));
+        tokio::select! {
+            () = wait => {}
+            () = node.view_changed.notified() => {}
+        }
+    }
+}
+
+/// Events that reach a node that does not give orders concern nobody.
+fn drain(inbox: &mut mpsc::Receiver<OrdererInput>) {
+    while inbox.try_recv().is_ok() {}
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/adapters.rs
@@ -0,0 +1,50 @@
+//! Adapters that are waited for, onto replicas that hold their model.
+
+use crate::catalog::{EngineSpec, ServiceName};
+use crate::demand::ModelKey;
+use crate::placement::memory_used;
+use crate::replica::Order;
+use crate::time::Moment;
+
+use super::{Orderer, OrdererAction};
+
+impl Orderer {
+    /// Loads adapters that are waited for onto replicas that hold their model.
+    pub(super) fn place_adapters(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        waiting: &[ModelKey],
+        now: Moment,
+        actions: &mut Vec<OrdererAction>,
+    ) {
+        for key in waiting {
+            let Some(adapter) = key.adapter.clone().filter(|_| key.service == *service) else {
+                continue;
+            };
+            if self.is_held(key) || self.is_ordered(key) {
+                continue;
+            }
+            let view = self.placement_of(service, engine, now);
+            let Some(id) = view.adapter_place(&key.model) else {
+                continue;
+            };
+            let Some(replica) = self.replicas.get(&id) else {
+                continue;
+            };
+            let holdings = replica.ledger.holdings();
+            let spec = engine.models.get(&key.model);
+            let memory = memory_used(engine, holdings) + spec.map_or(0.0, |spec| spec.adapter_mb);
+            let fits = holdings.adapter_count() < engine.adapter_slots && memory <= engine.weights_mb;
+            let order = if fits {
+                Order::LoadAdapter(key.model.clone(), adapter)
+            } else {
+                match view.adapter_victim(replica) {
+                    Some((model, adapter)) => Order::UnloadAdapter(model, adapter),
+                    None => continue,
+                }
+            };
+            actions.push(self.send(&id, order, now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -0,0 +1,191 @@
+//! Which model a replica should load next, and the steps to get there.
+
+use crate::catalog::{EngineSpec, ModelName, ServiceName};
+use crate::demand::ModelKey;
+use crate::placement::{memory_used, weight_source, WeightSource};
+use crate::replica::{Order, ReplicaId};
+use crate::time::Moment;
+
+use super::{Decision, GoalReason, Orderer, OrdererAction};
+
+impl Orderer {
+    /// Sets goals for models that are waited for and held nowhere.
+    pub(super) fn set_goals(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        waiting: &[ModelKey],
+        now: Moment,
+    ) {
+        let mut wanted: Vec<&ModelName> = waiting
+            .iter()
+            .filter(|key| key.service == *service)
+            .map(|key| &key.model)
+            .collect();
+        wanted.dedup();
+        if wanted.is_empty() {
+            return;
+        }
+        let store_allowed = self.store_allowed(service, engine, now);
+        for model in wanted {
+            let view = self.placement_of(service, engine, now);
+            let holders = view.holders();
+            if holders.get(model).copied().unwrap_or(0) > 0 {
+                continue;
+            }
+            if let Some((id, _)) = view.best_place(model, &holders, store_allowed) {
+                self.set_goal(&id, model.clone(), GoalReason::Waiting, 0);
+            }
+        }
+    }
+
+    /// Gives one more holder to the model that deserves it most.
+    pub(super) fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
+        let store_allowed = self.store_allowed(service, engine, now);
+        let view = self.placement_of(service, engine, now);
+        let holders = view.holders();
+        let mut lacking: Vec<(f64, ModelName)> = engine
+            .model_order
+            .iter()
+            .filter_map(|model| {
+                let count = holders.get(model).copied().unwrap_or(0);
+                let lacks = count < view.deserved_holders(model) && (count > 0 || view.is_expected(model));
+                lacks.then(|| (view.value_of_holder(model, count + 1), model.clone()))
+            })
+            .collect();
+        lacking.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let Some((gain, model)) = lacking.into_iter().next() else {
+            return;
+        };
+        let place = view.best_place(&model, &holders, store_allowed);
+        let least_gain = self.config.placement.least_gain;
+        if let Some((id, _)) = place.filter(|(_, displaced)| gain > least_gain * displaced) {
+            let count = holders.get(&model).copied().unwrap_or(0);
+            self.set_goal(&id, model, GoalReason::Demand, count);
+        }
+    }
+
+    pub(super) fn set_goal(&mut self, id: &ReplicaId, model: ModelName, reason: GoalReason, holders: usize) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            let source = weight_source(replica.ledger.holdings(), &model);
+            let decision = Decision::Goal {
+                replica: id.clone(),
+                model: model.clone(),
+                reason,
+                holders,
+                source,
+            };
+            self.decisions.push(decision);
+            replica.goal = Some(model);
+            self.changed.insert(id.clone());
+        }
+    }
+
+    /// The next step of each replica that has a goal: load it, or make room.
+    pub(super) fn step_goals(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+        actions: &mut Vec<OrdererAction>,
+    ) {
+        let ids: Vec<ReplicaId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| replica.service == *service && replica.goal.is_some())
+            .filter(|(_, replica)| replica.ledger.is_idle())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            if let Some(order) = self.next_step(&id, service, engine, now) {
+                actions.push(self.send(&id, order, now));
+            }
+        }
+    }
+
+    pub(super) fn next_step(
+        &mut self,
+        id: &ReplicaId,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> Option<Order> {
+        let replica = self.replicas.get(id)?;
+        let goal = replica.goal.clone()?;
+        let holdings = replica.ledger.holdings();
+        let spec = engine.models.get(&goal);
+        let Some(spec) = spec.filter(|_| !holdings.serves(&goal, None)) else {
+            self.drop_goal(id);
+            return None;
+        };
+        if memory_used(engine, holdings) + spec.weights_mb <= engine.weights_mb {
+            return self.load_step(id, goal, service, engine, now);
+        }
+        self.room_step(id, service, engine, now)
+    }
+
+    pub(super) fn load_step(
+        &mut self,
+        id: &ReplicaId,
+        goal: ModelName,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> Option<Order> {
+        let from_store =
+            weight_source(self.replicas.get(id)?.ledger.holdings(), &goal) == WeightSource::Store;
+        if from_store {
+            if !self.store_allowed(service, engine, now) {
+                return None;
+            }
+            if let Some(ceiling) = self.ceilings.get_mut(service) {
+                ceiling.begin(now);
+            }
+        }
+        Some(Order::LoadModel(goal))
+    }
+
+    pub(super) fn room_step(
+        &mut self,
+        id: &ReplicaId,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> Option<Order> {
+        let notice = self.config.withdraw_notice;
+        let replica = self.replicas.get(id)?;
+        if let Some((model, since)) = &replica.withdrawn {
+            if !replica.ledger.holdings().serves(model, None) {
+                self.replicas.get_mut(id)?.withdrawn = None;
+                return None;
+            }
+            return (now.since(*since) >= notice).then(|| Order::UnloadModel(model.clone()));
+        }
+        let view = self.placement_of(service, engine, now);
+        let holders = view.holders();
+        let Some(victim) = view.victim(replica, &holders) else {
+            self.drop_goal(id);
+            return None;
+        };
+        let count = holders.get(&victim).copied().unwrap_or(0);
+        let value = view.value_of_holder(&victim, count);
+        let decision = Decision::MakeWay {
+            replica: id.clone(),
+            model: victim.clone(),
+            value,
+            holders: count,
+        };
+        self.decisions.push(decision);
+        self.replicas.get_mut(id)?.withdrawn = Some((victim, now));
+        self.changed.insert(id.clone());
+        None
+    }
+
+    pub(super) fn drop_goal(&mut self, id: &ReplicaId) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.goal = None;
+            replica.withdrawn = None;
+            self.changed.insert(id.clone());
+        }
+    }
+}
--- a/crates/croftrill-scheduler/src/orderer.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -1,8 +1,15 @@
 //! The one node that gives orders: from demand and holdings to the next orders.
 //!
+//! [`goals`] choose what replicas load and what makes way, [`adapters`] place
+//! adapters, [`telling`] says what the nodes are told.
+//!
 //! It keeps no lasting state. A new orderer begins with the directory's list,
 //! confirms each replica by a report, and counts the former's loads as just begun.
 
+mod adapters;
+mod goals;
+mod telling;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,12 +17,10 @@
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
 use crate::demand::{Demand, ModelKey};
 use crate::load_ceiling::LoadCeiling;
-use crate::placement::{
-    load_time, memory_used, weight_source, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource,
-};
-use crate::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
+use crate::placement::{load_time, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
+use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
-use crate::replica_table::{Arrival, Placement};
+use crate::replica_table::Placement;
 use crate::time::Moment;
 
 /// Figures of the orderer.
@@ -244,34 +249,6 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// What changed since the last call, to be told to all nodes.
-    pub fn take_changes(&mut self, now: Moment) -> Vec<Placement> {
-        let changed = std::mem::take(&mut self.changed);
-        let placements: Vec<Placement> = changed.iter().filter_map(|id| self.placement(id, now)).collect();
-        placements
-            .into_iter()
-            .filter(|placement| self.is_news(placement))
-            .collect()
-    }
-
-    /// True if the placement tells more than was told before; remembers it.
-    fn is_news(&mut self, placement: &Placement) -> bool {
-        let known = self.told.get(&placement.replica);
-        if known.is_some_and(|known| placement.says_the_same_as(known)) {
-            return false;
-        }
-        self.told.insert(placement.replica.clone(), placement.clone());
-        true
-    }
-
-    /// Everything, for a node that has just connected.
-    pub fn all_placements(&self, now: Moment) -> Vec<Placement> {
-        self.replicas
-            .keys()
-            .filter_map(|id| self.placement(id, now))
-            .collect()
-    }
-
     /// Loads from the weight store that may begin in a window.
     fn ceiling(&self, engine: &EngineSpec) -> usize {
         (engine.loads_per_second * self.config.ceiling_window.as_secs_f64()).floor() as usize
@@ -304,219 +281,6 @@
         }
     }
 
-    /// Sets goals for models that are waited for and held nowhere.
-    fn set_goals(&mut self, service: &ServiceName, engine: &EngineSpec, waiting: &[ModelKey], now: Moment) {
-        let mut wanted: Vec<&ModelName> = waiting
-            .iter()
-            .filter(|key| key.service == *service)
-            .map(|key| &key.model)
-            .collect();
-        wanted.dedup();
-        if wanted.is_empty() {
-            return;
-        }
-        let store_allowed = self.store_allowed(service, engine, now);
-        for model in wanted {
-            let view = self.placement_of(service, engine, now);
-            let holders = view.holders();
-            if holders.get(model).copied().unwrap_or(0) > 0 {
-                continue;
-            }
-            if let Some((id, _)) = view.best_place(model, &holders, store_allowed) {
-                self.set_goal(&id, model.clone(), GoalReason::Waiting, 0);
-            }
-        }
-    }
-
-    /// Gives one more holder to the model that deserves it most.
-    fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
-        let store_allowed = self.store_allowed(service, engine, now);
-        let view = self.placement_of(service, engine, now);
-        let holders = view.holders();
-        let mut lacking: Vec<(f64, ModelName)> = engine
-            .model_order
-            .iter()
-            .filter_map(|model| {
-                let count = holders.get(model).copied().unwrap_or(0);
-                let lacks = count < view.deserved_holders(model) && (count > 0 || view.is_expected(model));
-                lacks.then(|| (view.value_of_holder(model, count + 1), model.clone()))
-            })
-            .collect();
-        lacking.sort_by(|left, right| right.0.total_cmp(&left.0));
-        let Some((gain, model)) = lacking.into_iter().next() else {
-            return;
-        };
-        let place = view.best_place(&model, &holders, store_allowed);
-        let least_gain = self.config.placement.least_gain;
-        if let Some((id, _)) = place.filter(|(_, displaced)| gain > least_gain * displaced) {
-            let count = holders.get(&model).copied().unwrap_or(0);
-            self.set_goal(&id, model, GoalReason::Demand, count);
-        }
-    }
-
-    fn set_goal(&mut self, id: &ReplicaId, model: ModelName, reason: GoalReason, holders: usize) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            let source = weight_source(replica.ledger.holdings(), &model);
-            let decision = Decision::Goal {
-                replica: id.clone(),
-                model: model.clone(),
-                reason,
-                holders,
-                source,
-            };
-            self.decisions.push(decision);
-            replica.goal = Some(model);
-            self.changed.insert(id.clone());
-        }
-    }
-
-    /// The next step of each replica that has a goal: load it, or make room.
-    fn step_goals(
-        &mut self,
-        service: &ServiceName,
-        engine: &EngineSpec,
-        now: Moment,
-        actions: &mut Vec<OrdererAction>,
-    ) {
-        let ids: Vec<ReplicaId> = self
-            .replicas
-            .iter()
-            .filter(|(_, replica)| replica.service == *service && replica.goal.is_some())
-            .filter(|(_, replica)| replica.ledger.is_idle())
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in ids {
-            if let Some(order) = self.next_step(&id, service, engine, now) {
-                actions.push(self.send(&id, order, now));
-            }
-        }
-    }
-
-    fn next_step(
-        &mut self,
-        id: &ReplicaId,
-        service: &ServiceName,
-        engine: &EngineSpec,
-        now: Moment,
-    ) -> Option<Order> {
-        let replica = self.replicas.get(id)?;
-        let goal = replica.goal.clone()?;
-        let holdings = replica.ledger.holdings();
-        let spec = engine.models.get(&goal);
-        let Some(spec) = spec.filter(|_| !holdings.serves(&goal, None)) else {
-            self.drop_goal(id);
-            return None;
-        };
-        if memory_used(engine, holdings) + spec.weights_mb <= engine.weights_mb {
-            return self.load_step(id, goal, service, engine, now);
-        }
-        self.room_step(id, service, engine, now)
-    }
-
-    fn load_step(
-        &mut self,
-        id: &ReplicaId,
-        goal: ModelName,
-        service: &ServiceName,
-        engine: &EngineSpec,
-        now: Moment,
-    ) -> Option<Order> {
-        let from_store =
-            weight_source(self.replicas.get(id)?.ledger.holdings(), &goal) == WeightSource::Store;
-        if from_store {
-            if !self.store_allowed(service, engine, now) {
-                return None;
-            }
-            if let Some(ceiling) = self.ceilings.get_mut(service) {
-                ceiling.begin(now);
-            }
-        }
-        Some(Order::LoadModel(goal))
-    }
-
-    fn room_step(
-        &mut self,
-        id: &ReplicaId,
-        service: &ServiceName,
-        engine: &EngineSpec,
-        now: Moment,
-    ) -> Option<Order> {
-        let notice = self.config.withdraw_notice;
-        let replica = self.replicas.get(id)?;
-        if let Some((model, since)) = &replica.withdrawn {
-            if !replica.ledger.holdings().serves(model, None) {
-                self.replicas.get_mut(id)?.withdrawn = None;
-                return None;
-            }
-            return (now.since(*since) >= notice).then(|| Order::UnloadModel(model.clone()));
-        }
-        let view = self.placement_of(service, engine, now);
-        let holders = view.holders();
-        let Some(victim) = view.victim(replica, &holders) else {
-            self.drop_goal(id);
-            return None;
-        };
-        let count = holders.get(&victim).copied().unwrap_or(0);
-        let value = view.value_of_holder(&victim, count);
-        let decision = Decision::MakeWay {
-            replica: id.clone(),
-            model: victim.clone(),
-            value,
-            holders: count,
-        };
-        self.decisions.push(decision);
-        self.replicas.get_mut(id)?.withdrawn = Some((victim, now));
-        self.changed.insert(id.clone());
-        None
-    }
-
-    fn drop_goal(&mut self, id: &ReplicaId) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.goal = None;
-            replica.withdrawn = None;
-            self.changed.insert(id.clone());
-        }
-    }
-
-    /// Loads adapters that are waited for onto replicas that hold their model.
-    fn place_adapters(
-        &mut self,
-        service: &ServiceName,
-        engine: &EngineSpec,
-        waiting: &[ModelKey],
-        now: Moment,
-        actions: &mut Vec<OrdererAction>,
-    ) {
-        for key in waiting {
-            let Some(adapter) = key.adapter.clone().filter(|_| key.service == *service) else {
-                continue;
-            };
-            if self.is_held(key) || self.is_ordered(key) {
-                continue;
-            }
-            let view = self.placement_of(service, engine, now);
-            let Some(id) = view.adapter_place(&key.model) else {
-                continue;
-            };
-            let Some(replica) = self.replicas.get(&id) else {
-                continue;
-            };
-            let holdings = replica.ledger.holdings();
-            let spec = engine.models.get(&key.model);
-            let memory = memory_used(engine, holdings) + spec.map_or(0.0, |spec| spec.adapter_mb);
-            let fits = holdings.adapter_count() < engine.adapter_slots && memory <= engine.weights_mb;
-            let order = if fits {
-                Order::LoadAdapter(key.model.clone(), adapter)
-            } else {
-                match view.adapter_victim(replica) {
-                    Some((model, adapter)) => Order::UnloadAdapter(model, adapter),
-                    None => continue,
-                }
-            };
-            actions.push(self.send(&id, order, now));
-        }
-    }
-
     fn send(&mut self, id: &ReplicaId, order: Order, now: Moment) -> OrdererAction {
         let replica = self.replicas.get_mut(id).expect("orders go to known replicas");
         let expected_sequence = replica.ledger.send(order.clone(), now);
@@ -615,54 +379,4 @@
             _ => self.config.adapter_load,
         }
     }
-
-    fn placement(&self, id: &ReplicaId, now: Moment) -> Option<Placement> {
-        let replica = self.replicas.get(id)?;
-        let usable = usable_holdings(replica);
-        let mut arriving = Vec::new();
-        if let Some(goal) = &replica.goal {
-            arriving.push(Arrival {
-                model: goal.clone(),
-                ready_at: self.ready_at(replica, goal, now),
-            });
-        }
-        Some(Placement {
-            replica: id.clone(),
-            usable,
-            arriving,
-        })
-    }
-
-    /// When a replica's goal should be ready: its load as told by its account,
-    /// or else making room and loading, both still to come.
-    fn ready_at(&self, replica: &PlacedReplica, goal: &ModelName, now: Moment) -> Moment {
-        let lag = self.config.ledger.poll_every + self.config.ledger.report_lag / 2;
-        if let Some((_, expected_at)) = replica.ledger.loading().filter(|(model, _)| *model == goal) {
-            return expected_at + lag;
-        }
-        let engine = self
-            .configuration
-            .service(&replica.service)
-            .and_then(|service| service.engine.as_ref());
-        let load = engine.and_then(|engine| load_time(engine, replica.ledger.holdings(), goal));
-        now + self.config.unload + lag + load.unwrap_or_default() + lag
-    }
-}
-
-/// Holdings that requests may rely on: without what makes way.
-fn usable_holdings(replica: &PlacedReplica) -> Holdings {
-    let mut usable = replica.ledger.holdings().clone();
-    if let Some((withdrawn, _)) = &replica.withdrawn {
-        usable.models.retain(|held| held.model != *withdrawn);
-    }
-    match replica.ledger.pending() {
-        Some(Order::UnloadModel(model)) => usable.models.retain(|held| held.model != *model),
-        Some(Order::UnloadAdapter(model, adapter)) => {
-            for held in usable.models.iter_mut().filter(|held| held.model == *model) {
-                held.adapters.retain(|present| present != adapter);
-            }
-        }
-        _ => {}
-    }
-    usable
 }
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -0,0 +1,89 @@
+//! What the nodes are told of placement: only what they may rely on, and only news.
+
+use crate::catalog::ModelName;
+use crate::placement::{load_time, PlacedReplica};
+use crate::replica::{Holdings, Order, ReplicaId};
+use crate::replica_table::{Arrival, Placement};
+use crate::time::Moment;
+
+use super::Orderer;
+
+impl Orderer {
+    /// What changed since the last call, to be told to all nodes.
+    pub fn take_changes(&mut self, now: Moment) -> Vec<Placement> {
+        let changed = std::mem::take(&mut self.changed);
+        let placements: Vec<Placement> = changed.iter().filter_map(|id| self.placement(id, now)).collect();
+        placements
+            .into_iter()
+            .filter(|placement| self.is_news(placement))
+            .collect()
+    }
+
+    /// True if the placement tells more than was told before; remembers it.
+    fn is_news(&mut self, placement: &Placement) -> bool {
+        let known = self.told.get(&placement.replica);
+        if known.is_some_and(|known| placement.says_the_same_as(known)) {
+            return false;
+        }
+        self.told.insert(placement.replica.clone(), placement.clone());
+        true
+    }
+
+    /// Everything, for a node that has just connected.
+    pub fn all_placements(&self, now: Moment) -> Vec<Placement> {
+        self.replicas
+            .keys()
+            .filter_map(|id| self.placement(id, now))
+            .collect()
+    }
+
+    fn placement(&self, id: &ReplicaId, now: Moment) -> Option<Placement> {
+        let replica = self.replicas.get(id)?;
+        let usable = usable_holdings(replica);
+        let mut arriving = Vec::new();
+        if let Some(goal) = &replica.goal {
+            arriving.push(Arrival {
+                model: goal.clone(),
+                ready_at: self.ready_at(replica, goal, now),
+            });
+        }
+        Some(Placement {
+            replica: id.clone(),
+            usable,
+            arriving,
+        })
+    }
+
+    /// When a replica's goal should be ready: its load as told by its account,
+    /// or else making room and loading, both still to come.
+    fn ready_at(&self, replica: &PlacedReplica, goal: &ModelName, now: Moment) -> Moment {
+        let lag = self.config.ledger.poll_every + self.config.ledger.report_lag / 2;
+        if let Some((_, expected_at)) = replica.ledger.loading().filter(|(model, _)| *model == goal) {
+            return expected_at + lag;
+        }
+        let engine = self
+            .configuration
+            .service(&replica.service)
+            .and_then(|service| service.engine.as_ref());
+        let load = engine.and_then(|engine| load_time(engine, replica.ledger.holdings(), goal));
+        now + self.config.unload + lag + load.unwrap_or_default() + lag
+    }
+}
+
+/// Holdings that requests may rely on: without what makes way.
+fn usable_holdings(replica: &PlacedReplica) -> Holdings {
+    let mut usable = replica.ledger.holdings().clone();
+    if let Some((withdrawn, _)) = &replica.withdrawn {
+        usable.models.retain(|held| held.model != *withdrawn);
+    }
+    match replica.ledger.pending() {
+        Some(Order::UnloadModel(model)) => usable.models.retain(|held| held.model != *model),
+        Some(Order::UnloadAdapter(model, adapter)) => {
+            for held in usable.models.iter_mut().filter(|held| held.model == *model) {
+                held.adapters.retain(|present| present != adapter);
+            }
+        }
+        _ => {}
+    }
+    usable
+}
