--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -17,15 +17,24 @@
 
 /// Pause after a failed accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time after the request to stop in which resting connections still take a request.
-const STOP_LINGER: Duration = Duration::from_millis(2000);
+/// Time after the request to stop in which new connections and requests are
+/// still taken; by then callers have asked for addresses anew. A request that is
+/// taken much later could not be finished within the grace.
+pub const STOP_LINGER: Duration = Duration::from_millis(2000);
 /// Smallest read buffer that the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8192;
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the process ends, or some time after the node was
+/// asked to stop: whoever comes then still finds the other nodes at once.
 pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    let closing = lingered(&node);
+    tokio::pin!(closing);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.as_mut() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_connection(node.clone(), stream));
             }
@@ -65,15 +74,15 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stopped(&node) => {}
+        () = lingered(&node) => {}
     }
     // Resting connections close now; one that is in use closes after its answer.
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
-/// Ends some time after the node was asked to stop.
-async fn stopped<P: Platform>(node: &Node<P>) {
+/// Ends when the node, asked to stop, takes no new requests any more.
+async fn lingered<P: Platform>(node: &Node<P>) {
     while node.lifecycle() != Lifecycle::Stopping {
         node.stop_requested.notified().await;
     }
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -9,9 +9,11 @@
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use tokio::sync::{mpsc, Notify};
+use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
+use crate::front::STOP_LINGER;
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
@@ -104,6 +106,8 @@
     pub metrics: Metrics,
     /// Requests being served.
     pub in_flight: Cell<usize>,
+    /// When the node was asked to stop.
+    stop_asked: Cell<Option<Instant>>,
     to_orderer: mpsc::Sender<ToOrderer>,
     orderer_inbox: mpsc::Sender<OrdererInput>,
 }
@@ -154,6 +158,7 @@
             patient_pool: ConnectionPool::new(patient),
             metrics: Metrics::new(),
             in_flight: Cell::new(0),
+            stop_asked: Cell::new(None),
             to_orderer,
             orderer_inbox,
         };
@@ -192,6 +197,13 @@
         self.orderer_inbox.clone()
     }
 
+    /// True once the node, asked to stop, takes no new requests any more.
+    pub fn refuses_new(&self) -> bool {
+        self.stop_asked
+            .get()
+            .is_some_and(|asked| asked.elapsed() >= STOP_LINGER)
+    }
+
     /// Begins to stop: not ready any more, gives no orders, takes what still comes.
     pub fn begin_stop(&self) {
         let mut state = self.state.borrow_mut();
@@ -200,6 +212,7 @@
         }
         state.lifecycle = Lifecycle::Stopping;
         drop(state);
+        self.stop_asked.set(Some(Instant::now()));
         tracing::info!(target: "node", event = "stop requested", in_flight = self.in_flight.get());
         self.stop_requested.notify_waiters();
     }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -46,6 +46,8 @@
 const OUTPUT_TOKEN_COST: u64 = 10;
 /// Time to come back after a refusal without a better estimate.
 const DEFAULT_RETURN: Duration = Duration::from_millis(400);
+/// Time to come back for a caller that should go to another node.
+const OTHER_NODE_RETURN: Duration = Duration::from_millis(50);
 /// Pause before a request goes once more to the replica that refused it.
 const SAME_REPLICA_PAUSE: Duration = Duration::from_millis(60);
 /// Sends of one request, at most, whatever the route allows.
@@ -67,6 +69,14 @@
         Ok(facts) => facts,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None),
     };
+    if node.refuses_new() {
+        tracing::info!(target: "request", id = facts.id, outcome = "refused", cause = "the node is about to end");
+        return refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the node is about to end",
+            Some(OTHER_NODE_RETURN),
+        );
+    }
     let Some(configuration) = node.configuration() else {
         return refuse(
             StatusCode::SERVICE_UNAVAILABLE,
