--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -48,15 +48,15 @@
             return NextReplica::Send(replica);
         }
         loop {
+            if Instant::now() >= self.until {
+                return NextReplica::GiveUp("out of time", None);
+            }
             if let Some(replica) = self.choose(&self.tried) {
                 return NextReplica::Send(replica);
             }
             if let Some(replica) = self.choose_again().await {
                 return NextReplica::Send(replica);
             }
-            if Instant::now() >= self.until {
-                return NextReplica::GiveUp("out of time", None);
-            }
             let decision = self.cold_decision();
             if decision.is_some() && self.node.lifecycle() == Lifecycle::Stopping {
                 // Another node can wait for the model; this one may end before it comes.
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -42,6 +42,8 @@
 
 /// Time that a caller without a deadline is taken to wait.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest time that a caller is believed to wait.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3600);
 /// Cost of a generated token, in prompt tokens.
 const OUTPUT_TOKEN_COST: u64 = 10;
 /// Time to come back after a refusal without a better estimate.
@@ -88,7 +90,7 @@
         tracing::info!(target: "request", id = facts.id, outcome = "no route", version = configuration.version);
         return refuse(StatusCode::NOT_FOUND, "no such route", None);
     };
-    let deadline = arrival + facts.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let deadline = arrival + facts.deadline.unwrap_or(DEFAULT_DEADLINE).min(LONGEST_DEADLINE);
     let until = route
         .timeout
         .map_or(deadline, |timeout| deadline.min(arrival + timeout));
