--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::replica::ReplicaReport;
 use nanoserde::SerBin;
 
-use crate::emulator::{at, World};
+use crate::emulator::{at, orderer_config, World};
 
 /// A size to measure.
 #[derive(Debug, Clone, Copy)]
@@ -56,19 +56,7 @@
 
 /// Measures a size.
 pub fn measure(size: Size) -> Cost {
-    let held: Vec<Vec<String>> = (0..size.replicas)
-        .map(|replica| {
-            (0..2)
-                .map(|place| format!("m{}", (replica * 2 + place) % size.models))
-                .collect()
-        })
-        .collect();
-    let names: Vec<Vec<&str>> = held
-        .iter()
-        .map(|models| models.iter().map(String::as_str).collect())
-        .collect();
-    let slices: Vec<&[&str]> = names.iter().map(Vec::as_slice).collect();
-    let mut world = World::new(size.models, &slices);
+    let mut world = World::dealt(size.replicas, size.models, orderer_config());
     confirm(&mut world);
     let now = at(100);
     for model in 0..size.models {
--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -298,6 +298,23 @@
         }
     }
 
+    /// Replicas that hold two models each, dealt in turn.
+    pub fn dealt(replicas: usize, models: usize, config: OrdererConfig) -> Self {
+        let held: Vec<Vec<String>> = (0..replicas)
+            .map(|replica| {
+                (0..2)
+                    .map(|place| format!("m{}", (replica * 2 + place) % models))
+                    .collect()
+            })
+            .collect();
+        let names: Vec<Vec<&str>> = held
+            .iter()
+            .map(|models| models.iter().map(String::as_str).collect())
+            .collect();
+        let slices: Vec<&[&str]> = names.iter().map(Vec::as_slice).collect();
+        Self::with(configuration(models), config, &slices)
+    }
+
     fn spec(&self) -> EngineSpec {
         let service = self.configuration.service("llm").expect("the service exists");
         service.engine.clone().expect("it serves models")
--- a/crates/croftrill-bench/src/experiment.rs
+++ b/crates/croftrill-bench/src/experiment.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::emulator::{configuration, orderer_config, World};
+use crate::emulator::{orderer_config, World};
 
 /// A load: requests for a few busy models, and for each of many others now and then.
 #[derive(Debug, Clone, Copy)]
@@ -113,19 +113,7 @@
         placement: policy.placement,
         ..orderer_config()
     };
-    let held: Vec<Vec<String>> = (0..load.replicas)
-        .map(|replica| {
-            (0..2)
-                .map(|place| format!("m{}", (replica * 2 + place) % load.models))
-                .collect()
-        })
-        .collect();
-    let names: Vec<Vec<&str>> = held
-        .iter()
-        .map(|models| models.iter().map(String::as_str).collect())
-        .collect();
-    let slices: Vec<&[&str]> = names.iter().map(Vec::as_slice).collect();
-    let mut world = World::with(configuration(load.models), config, &slices);
+    let mut world = World::dealt(load.replicas, load.models, config);
     world.run(LEAD_MILLIS);
     let mut arrivals = Arrivals::new(load);
     let mut outcome = Outcome {
--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -5,7 +5,7 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
-use croftrill_node::connection::{ConnectionConfig, ConnectionPool, ExchangeError};
+use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
 use croftrill_node::ports::{
     Changes, ConditionalPut, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
 };
@@ -53,14 +53,7 @@
             .header("host", self.address.to_string())
             .body(Full::new(body))
             .map_err(|error| StoreError::Protocol(error.to_string()))?;
-        let answer = self
-            .pool
-            .exchange(self.address, request, limit)
-            .await
-            .map_err(|error| match error {
-                ExchangeError::Connect(_) | ExchangeError::NotSent => StoreError::Unreachable,
-                ExchangeError::Broken(_) | ExchangeError::TimedOut => StoreError::NoAnswer,
-            })?;
+        let answer = self.pool.exchange(self.address, request, limit).await?;
         match answer.status() {
             StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
             StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -13,6 +13,8 @@
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport};
 use http::{request, response, HeaderMap};
 
+use crate::connection::ExchangeError;
+
 /// One item of the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -118,6 +120,15 @@
     Protocol(String),
 }
 
+impl From<ExchangeError> for StoreError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::Connect(_) | ExchangeError::NotSent => StoreError::Unreachable,
+            ExchangeError::Broken(_) | ExchangeError::TimedOut => StoreError::NoAnswer,
+        }
+    }
+}
+
 /// A linearizable key-value store with revisions, leases and watches.
 pub trait KeyValueStore {
     /// Reads all items whose key begins with `prefix`; no part of the answer may
