Store calls and requests in flight are counted; one place for a document's findings

The metrics were registered but never moved. planner::findings said again what Document::findings says; it went with its test, whose promise is proved by operators.rs findings_of_a_document_are_told_together.

--- /dev/null
+++ b/crates/croftrill-node/src/counted_store.rs
@@ -0,0 +1,64 @@
+//! The store as a node calls it: every call is counted by kind and outcome.
+
+use std::time::Duration;
+
+use crate::metrics::Metrics;
+use crate::ports::{Changes, ConditionalPut, KeyValueStore, PutOutcome, Snapshot, StoreError};
+
+/// A store whose calls are counted.
+pub struct CountedStore<'a, S> {
+    store: &'a S,
+    metrics: &'a Metrics,
+}
+
+impl<'a, S> CountedStore<'a, S> {
+    /// Counts the calls to `store` in `metrics`.
+    pub fn new(store: &'a S, metrics: &'a Metrics) -> Self {
+        CountedStore { store, metrics }
+    }
+
+    fn counted<T>(&self, call: &'static str, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(StoreError::Unreachable) => "unreachable",
+            Err(StoreError::NoAnswer) => "no_answer",
+            Err(StoreError::Unavailable) => "unavailable",
+            Err(StoreError::Throttled) => "throttled",
+            Err(StoreError::HistoryGone) => "history_gone",
+            Err(StoreError::NoSuchLease) => "no_such_lease",
+            Err(StoreError::Protocol(_)) => "protocol",
+        };
+        Metrics::count(&self.metrics.store_calls, call, outcome);
+        result
+    }
+}
+
+impl<S: KeyValueStore> KeyValueStore for CountedStore<'_, S> {
+    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError> {
+        self.counted("range", self.store.range(prefix, limit).await)
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
+        self.counted("watch", self.store.watch(prefix, after, wait).await)
+    }
+
+    async fn reached_revision(&self) -> Result<u64, StoreError> {
+        self.counted("revision", self.store.reached_revision().await)
+    }
+
+    async fn put(&self, put: ConditionalPut) -> Result<PutOutcome, StoreError> {
+        self.counted("put", self.store.put(put).await)
+    }
+
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, StoreError> {
+        self.counted("grant_lease", self.store.grant_lease(time_to_live).await)
+    }
+
+    async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
+        self.counted("renew_lease", self.store.renew_lease(lease).await)
+    }
+
+    async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
+        self.counted("end_lease", self.store.end_lease(lease).await)
+    }
+}
--- a/crates/croftrill-node/src/directory.rs
+++ b/crates/croftrill-node/src/directory.rs
@@ -37,8 +37,7 @@
 pub async fn follow<P: Platform>(node: Rc<Node<P>>) {
     let mut backoff = Backoff::default();
     loop {
-        let read = node.platform.store().range(EVERYTHING, backoff.read_limit());
-        let snapshot = match read.await {
+        let snapshot = match node.store().range(EVERYTHING, backoff.read_limit()).await {
             Ok(snapshot) => snapshot,
             Err(error) => {
                 backoff.pause(&error, "range").await;
@@ -61,7 +60,8 @@
         if !std::mem::take(&mut stalled) {
             sleep(pace.watch_every).await;
         }
-        let watch = node.platform.store().watch(EVERYTHING, after, pace.watch_wait);
+        let store = node.store();
+        let watch = store.watch(EVERYTHING, after, pace.watch_wait);
         let watched = tokio::select! {
             watched = watch => watched,
             () = node.store_path.changed() => Err(StoreError::NoAnswer),
@@ -93,7 +93,7 @@
 async fn overtaken<P: Platform>(node: &Node<P>, after: u64) -> u64 {
     loop {
         sleep(AUDIT_EVERY).await;
-        match node.platform.store().reached_revision().await {
+        match node.store().reached_revision().await {
             Ok(reached) if reached > after => {
                 sleep(AUDIT_SLACK).await;
                 return reached;
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod clock;
 pub mod connection;
+pub mod counted_store;
 pub mod directory;
 pub mod front;
 pub mod logging;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -131,14 +131,14 @@
         }
     }
     if let Some(lease) = lease {
-        let ended = node.platform.store().end_lease(lease).await;
+        let ended = node.store().end_lease(lease).await;
         tracing::info!(target: "membership", event = "left", ended = ended.is_ok());
     }
 }
 
 /// Renews the lease, or writes the entry anew under a new one.
 async fn refresh<P: Platform>(node: &Node<P>, lease: Option<u64>, key: &str, value: &Bytes) -> Option<u64> {
-    let store = node.platform.store();
+    let store = node.store();
     if let Some(lease) = lease {
         let renewed = store.renew_lease(lease).await;
         let is_over = renewed == Err(StoreError::NoSuchLease);
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
+use crate::counted_store::CountedStore;
 use crate::front::STOP_LINGER;
 use crate::membership::Members;
 use crate::metrics::Metrics;
@@ -179,6 +180,11 @@
         self.state.borrow().configuration.clone()
     }
 
+    /// The store; every call is counted.
+    pub fn store(&self) -> CountedStore<'_, P::Store> {
+        CountedStore::new(self.platform.store(), &self.metrics)
+    }
+
     /// A message for the present orderer; left out if too many wait.
     pub fn tell_orderer(&self, message: ToOrderer) {
         if self.to_orderer.try_send(message).is_err() {
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -51,7 +51,7 @@
     let pace = &node.settings.pace;
     let time_to_live = pace.orderer_lease.max(node.settings.bounds.least_lease);
     let asked_at = node.clock.now();
-    let store = node.platform.store();
+    let store = node.store();
     let lease = store.grant_lease(time_to_live).await.ok()?;
     let Some(fencing_token) = claim_key(node, entry, lease, &keys).await else {
         let _ = store.end_lease(lease).await;
@@ -93,12 +93,7 @@
 }
 
 pub(super) async fn read_keys<P: Platform>(node: &Node<P>) -> Option<OrdererKeys> {
-    let snapshot = node
-        .platform
-        .store()
-        .range(ORDERER_PREFIX, READ_LIMIT)
-        .await
-        .ok()?;
+    let snapshot = node.store().range(ORDERER_PREFIX, READ_LIMIT).await.ok()?;
     let mut keys = OrdererKeys::default();
     for item in &snapshot.items {
         let entry = read_entry(item).map(|entry| (entry, item.revision));
@@ -127,7 +122,7 @@
         ],
         writes: vec![write_entry(ORDERER_KEY, entry, lease)],
     };
-    match node.platform.store().put(put).await {
+    match node.store().put(put).await {
         Ok(PutOutcome::Done { revision }) => Some(revision),
         Err(StoreError::NoAnswer) => {
             // It may have been done: the key then carries this very process, at a later revision.
@@ -149,7 +144,7 @@
         conditions: vec![expect(ORDERER_KEY, fencing_token)],
         writes: vec![write_entry(LAST_ORDERER_KEY, entry, NO_LEASE)],
     };
-    matches!(node.platform.store().put(put).await, Ok(PutOutcome::Done { .. }))
+    matches!(node.store().put(put).await, Ok(PutOutcome::Done { .. }))
 }
 
 pub(super) fn revision_of(read: &Option<(MemberEntry, u64)>) -> u64 {
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -121,7 +121,7 @@
         self.last_renewal = now;
         let node = self.node.clone();
         tokio::task::spawn_local(async move {
-            let result = node.platform.store().renew_lease(lease).await;
+            let result = node.store().renew_lease(lease).await;
             let inbox = node.orderer_inbox();
             let _ = inbox
                 .send(OrdererInput::Renewed {
@@ -333,7 +333,7 @@
         self.lease.lost();
         tracing::info!(target: "orderer", event = "term ended", released = lease.is_some());
         if let Some(lease) = lease {
-            let _ = self.node.platform.store().end_lease(lease).await;
+            let _ = self.node.store().end_lease(lease).await;
         }
     }
 }
--- a/crates/croftrill-node/src/request/guards.rs
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -17,6 +17,7 @@
 impl<P: Platform> Flight<P> {
     pub(super) fn begin(node: &Rc<Node<P>>) -> Self {
         node.in_flight.set(node.in_flight.get() + 1);
+        node.metrics.in_flight.inc();
         Flight(node.clone())
     }
 }
@@ -24,6 +25,7 @@
 impl<P: Platform> Drop for Flight<P> {
     fn drop(&mut self) {
         self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.metrics.in_flight.dec();
     }
 }
 
--- a/crates/croftrill-scheduler/src/planner.rs
+++ b/crates/croftrill-scheduler/src/planner.rs
@@ -39,18 +39,6 @@
     },
 }
 
-/// Why a wished configuration cannot come into force.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlanFinding {
-    /// No replica has the memory for the model.
-    TooLarge {
-        /// The service.
-        service: ServiceName,
-        /// The model.
-        model: ModelName,
-    },
-}
-
 /// Steps from the present to the wished configuration, in a fixed order.
 pub fn plan(present: &Configuration, wished: &Configuration, replicas: &ReplicaTable) -> Vec<PlannedStep> {
     let mut steps = BTreeSet::new();
@@ -95,22 +83,6 @@
     steps.into_iter().collect()
 }
 
-/// What stands against a wished configuration.
-pub fn findings(wished: &Configuration) -> Vec<PlanFinding> {
-    let mut findings = Vec::new();
-    for (service, engine) in engines(wished) {
-        for model in engine.model_order.iter() {
-            if engine.models[model].weights_mb > engine.weights_mb {
-                findings.push(PlanFinding::TooLarge {
-                    service: service.clone(),
-                    model: model.clone(),
-                });
-            }
-        }
-    }
-    findings
-}
-
 fn engines(configuration: &Configuration) -> impl Iterator<Item = (&ServiceName, &EngineSpec)> {
     configuration
         .services()
--- a/crates/croftrill-scheduler/tests/shares_and_plans.rs
+++ b/crates/croftrill-scheduler/tests/shares_and_plans.rs
@@ -5,7 +5,7 @@
 
 use croftrill_scheduler::catalog::{CallerLimits, Configuration, EngineSpec, ModelSpec, Service};
 use croftrill_scheduler::fair_queue::FairQueue;
-use croftrill_scheduler::planner::{findings, plan, PlanFinding, PlannedStep};
+use croftrill_scheduler::planner::{plan, PlannedStep};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::ReplicaTable;
 
@@ -133,15 +133,3 @@
     assert_eq!(steps, expected);
     assert!(plan(&present, &present, &replicas).is_empty());
 }
-
-#[test]
-fn a_model_that_fits_no_replica_is_a_finding() {
-    let wished = configuration(&[("large", 300.0)]);
-    assert_eq!(
-        findings(&wished),
-        [PlanFinding::TooLarge {
-            service: "llm".into(),
-            model: "large".into()
-        }]
-    );
-}
