The former's loads count from the takeover, not from the first wish

Cause: while the quiet period ran nothing was planned, so the ceiling began only with the first order, and loads from the weight store waited 5 s more.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -266,6 +266,8 @@
     reports: Vec<(Moment, ReplicaId, Moment)>,
     /// The present moment.
     pub now: Moment,
+    /// Whether the orderer may order, as after its quiet period.
+    pub may_order: bool,
 }
 
 impl World {
@@ -277,7 +279,7 @@
 
     /// The same with a configuration and figures of one's own.
     pub fn with(configuration: Arc<Configuration>, config: OrdererConfig, holdings: &[&[&str]]) -> Self {
-        let mut orderer = Orderer::new(config, configuration.clone());
+        let mut orderer = Orderer::new(config, configuration.clone(), at(0));
         let mut replicas = BTreeMap::new();
         for (index, models) in holdings.iter().enumerate() {
             let id: ReplicaId = format!("r{index}").into();
@@ -295,6 +297,7 @@
             answers: Vec::new(),
             reports: Vec::new(),
             now: at(0),
+            may_order: true,
         }
     }
 
@@ -332,7 +335,7 @@
                 self.store_loads.extend(std::iter::repeat_n(now, loads));
             }
             self.deliver(now);
-            for action in self.orderer.plan(true, now) {
+            for action in self.orderer.plan(self.may_order, now) {
                 self.carry_out(action, &spec);
             }
         }
--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -143,6 +143,19 @@
     }
 }
 
+/// The former's loads counted as just begun when the first load was wished for,
+/// not when the orderer took over: 5 s more without a load from the weight store.
+#[test]
+fn the_formers_loads_count_from_the_takeover() {
+    let mut world = World::new(12, &[&[], &[]]);
+    world.may_order = false;
+    world.run(4000);
+    world.may_order = true;
+    world.orderer.mark_waiting(&key("m1", None), world.now);
+    world.run(1500);
+    assert_eq!(world.store_loads.len(), 1, "orders: {:?}", world.orders);
+}
+
 #[test]
 fn the_first_loads_of_an_orderer_count_the_formers() {
     let mut world = World::new(12, &[&[], &[], &[], &[]]);
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -44,9 +44,9 @@
 impl<P: Platform> Term<P> {
     pub(super) fn begin(node: Rc<Node<P>>, lease: OrdererLease, entry: MemberEntry) -> Self {
         let configuration = node.configuration().unwrap_or_default();
-        let orderer = Orderer::new(orderer_config(&node), configuration);
-        let (changes, _) = broadcast::channel(CHANGE_BACKLOG);
         let now = node.clock.now();
+        let orderer = Orderer::new(orderer_config(&node), configuration, now);
+        let (changes, _) = broadcast::channel(CHANGE_BACKLOG);
         let mut term = Term {
             node,
             lease,
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -112,11 +112,13 @@
     told: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
     decisions: Vec<Decision>,
+    /// Loads of the former orderer count as begun then.
+    took_over: Moment,
 }
 
 impl Orderer {
-    /// An orderer that has just taken over from a former one.
-    pub fn new(config: OrdererConfig, configuration: Arc<Configuration>) -> Self {
+    /// An orderer that took over from a former one at `took_over`.
+    pub fn new(config: OrdererConfig, configuration: Arc<Configuration>, took_over: Moment) -> Self {
         Orderer {
             config,
             configuration,
@@ -127,6 +129,7 @@
             told: BTreeMap::new(),
             next_balance: Moment::default(),
             decisions: Vec::new(),
+            took_over,
         }
     }
 
@@ -256,10 +259,10 @@
 
     fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
         let ceiling = self.ceiling(engine);
-        let window = self.config.ceiling_window;
+        let (window, took_over) = (self.config.ceiling_window, self.took_over);
         let loads = self.ceilings.entry(service.clone()).or_insert_with(|| {
             let mut loads = LoadCeiling::new(window);
-            loads.assume_full(now, ceiling);
+            loads.assume_full(took_over, ceiling);
             loads
         });
         loads.admits(now, ceiling)
