Callers are told the models again

GET /v1/models of the product's own API was lost with the old gateway. A dialect may answer a call by itself; the platform's does not. Test with the daemon.

--- a/crates/croftrill-daemon/tests/operators.rs
+++ b/crates/croftrill-daemon/tests/operators.rs
@@ -164,6 +164,35 @@
     });
 }
 
+#[test]
+fn callers_are_told_the_models() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let address = fixture.daemon.settings.listen;
+        let request = Request::builder()
+            .uri("/v1/models")
+            .header("host", address.to_string())
+            .body(Full::default());
+        let pool = ConnectionPool::new(ConnectionConfig::default());
+        let answer = pool
+            .exchange(address, request.expect("a request"), Duration::from_secs(10))
+            .await;
+        let list: serde_json::Value = read(&answer.expect("an answer"));
+        let names: Vec<&str> = list["data"]
+            .as_array()
+            .expect("a list")
+            .iter()
+            .filter_map(|model| model["id"].as_str())
+            .collect();
+        assert_eq!(
+            names.len(),
+            document().models.len() * 5,
+            "six models with four adapters each"
+        );
+        assert!(names.contains(&"maple") && names.contains(&"maple/a1"));
+    });
+}
+
 /// Every metric that the operators' page names is served.
 #[test]
 fn the_metrics_of_the_page_are_served() {
--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -9,6 +9,7 @@
 use croftrill_node::ports::{
     AnswerFacts, BadRequest, Dialect, Execution, Forwarding, PromptPart, RequestFacts,
 };
+use croftrill_scheduler::catalog::Configuration;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{request, response, StatusCode};
 use serde::Deserialize;
@@ -24,6 +25,8 @@
 pub const GROUP_HEADER: &str = "croftrill-group";
 /// Rank, 0 first.
 pub const PRIORITY_HEADER: &str = "croftrill-priority";
+/// Lists the models.
+const MODELS_PATH: &str = "/v1/models";
 /// Bytes of a prompt that are taken for one token.
 const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes at the start of a prompt by which prompts are taken to share a part.
@@ -48,6 +51,28 @@
     content: String,
 }
 
+/// Models and adapters that callers may name.
+fn model_list(configuration: &Configuration) -> serde_json::Value {
+    let engines = configuration
+        .services()
+        .filter_map(|service| service.engine.as_ref());
+    let mut names: Vec<String> = engines
+        .flat_map(|engine| engine.models.values())
+        .flat_map(|model| {
+            let adapters = (1..=model.adapter_count).map(|number| format!("{}/a{number}", model.name));
+            std::iter::once(model.name.to_string())
+                .chain(adapters)
+                .collect::<Vec<_>>()
+        })
+        .collect();
+    names.sort();
+    let models: Vec<_> = names
+        .into_iter()
+        .map(|id| serde_json::json!({"id": id, "object": "model"}))
+        .collect();
+    serde_json::json!({"object": "list", "data": models})
+}
+
 /// The completions API.
 #[derive(Debug, Default)]
 pub struct Completions;
@@ -111,6 +136,11 @@
         Ok(())
     }
 
+    fn own_answer(&self, head: &request::Parts, configuration: &Configuration) -> Option<String> {
+        let asked = head.method == http::Method::GET && head.uri.path() == MODELS_PATH;
+        asked.then(|| model_list(configuration).to_string())
+    }
+
     fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
         set(headers, INCARNATION_HEADER, forwarding.replica);
         set(
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -293,6 +293,10 @@
     fn read_body(&self, _facts: &mut RequestFacts, _body: &Bytes) -> Result<(), BadRequest> {
         Ok(())
     }
+    /// The JSON answer to a call that the node answers by itself.
+    fn own_answer(&self, _head: &request::Parts, _configuration: &Configuration) -> Option<String> {
+        None
+    }
     /// Sets the system's own headers of a request for a replica.
     fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
     /// Reads the head of a replica's answer to the request with that id.
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -79,6 +79,14 @@
     }
 }
 
+/// A JSON answer of the node's own.
+pub(super) fn json(body: String) -> Answer {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
 /// An answer of the system's own.
 pub fn refuse(status: StatusCode, reason: &str, come_back: Option<Duration>) -> Answer {
     let body = format!("{{\"error\":\"{}\"}}", reason.replace(['"', '\\'], "'"));
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -29,8 +29,8 @@
 use hyper::body::Incoming;
 use tokio::time::{timeout_at, Instant};
 
-use self::answers::kind_name;
 pub use self::answers::refuse;
+use self::answers::{json, kind_name};
 use self::cold::NextReplica;
 use self::forwarding::{find_route, pick_backend, read_body};
 use self::guards::{take_place, Flight, Place};
@@ -67,6 +67,12 @@
     let arrival = Instant::now();
     let flight = Flight::begin(node);
     let (head, body) = request.into_parts();
+    let own = node
+        .configuration()
+        .and_then(|known| node.platform.dialect().own_answer(&head, &known));
+    if let Some(body) = own {
+        return json(body);
+    }
     let facts = match node.platform.dialect().request_facts(&head) {
         Ok(facts) => facts,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None),
