Directory: the orderer's watch serves all nodes

Now the orderer watches every 0.25 s and relays the changes; a node asks the store only when the relay has a gap or proved nothing for 1.1 s (scheduler::followed_view, with a model under a property test: whatever is lost or late, the view is the store's at the revision reached). Ruled out: relaying large values (a configuration to 73 nodes over a 10 Mbit/s link takes seconds): beyond 128 KB for all listeners together the orderer says only that there is something. A process stopped between answer and relay: the proof then counts from the question. Links that delay: LinkDelay.

--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -86,7 +86,10 @@
 
 fn event(wire: WireItem) -> Result<StoreEvent, StoreError> {
     let Some(value) = wire.value else {
-        return Ok(StoreEvent::Removed(wire.key));
+        return Ok(StoreEvent::Removed {
+            key: wire.key,
+            revision: wire.revision,
+        });
     };
     let value = BASE64_STANDARD
         .decode(value)
--- /dev/null
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -0,0 +1,144 @@
+//! What the orderer learns of the store, relayed to the other nodes.
+//!
+//! One watch of the store serves all nodes: calls to the store are what most
+//! nodes would otherwise spend. Each answer of the orderer's watch goes out as
+//! [`DirectoryNews`]; [`FollowedView`] judges whether a node may rely on them.
+//!
+//! [`FollowedView`]: croftrill_scheduler::followed_view::FollowedView
+
+use std::time::Duration;
+
+use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome, RelayedSpan};
+use croftrill_scheduler::time::Moment;
+use tokio::time::sleep;
+
+use super::view;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::orderer_task::OrdererInput;
+use crate::peer::{DirectoryNews, WireChange};
+use crate::ports::{Changes, Platform};
+
+/// Added to the wait of a watch for its answer to count as just given.
+const PROMPT_ANSWER: Duration = Duration::from_millis(150);
+/// Bytes of changes, to all listeners together, that the orderer relays at
+/// once. Of more it says only that there are some: its link is shared with requests.
+const MOST_RELAYED_BYTES: usize = 128 * 1024;
+
+/// What an answer of the orderer's watch means for the other nodes.
+#[derive(Debug)]
+pub struct WatchedSpan {
+    /// The changes, and the revisions that they lie between.
+    pub news: DirectoryNews,
+    /// When the store showed that this is everything.
+    pub proven_at: Moment,
+}
+
+/// The orderer's watch was answered: the answer goes to all nodes.
+pub(super) fn pass_on<P: Platform>(node: &Node<P>, after: u64, changes: &Changes, asked_at: Moment) {
+    if !node.gives_orders() {
+        return;
+    }
+    let now = node.clock.now();
+    let is_prompt = now.since(asked_at) <= node.settings.pace.relay_watch_wait + PROMPT_ANSWER;
+    let span = WatchedSpan {
+        news: DirectoryNews {
+            after,
+            reached: changes.revision,
+            proof_age_ms: 0,
+            sent_at_ms: 0,
+            changes: changes.events.iter().map(WireChange::from_event).collect(),
+        },
+        // An answer that lay unread, as while this process was stopped, proves
+        // nothing later than its question.
+        proven_at: if is_prompt { now } else { asked_at },
+    };
+    node.inform_orderer_task(OrdererInput::Watched(span));
+}
+
+impl WatchedSpan {
+    /// The message to `listeners` nodes.
+    pub fn into_news(self, listeners: usize, now: Moment) -> DirectoryNews {
+        let mut news = self.news;
+        let size_bytes: usize = news.changes.iter().map(WireChange::size_bytes).sum();
+        if size_bytes * listeners > MOST_RELAYED_BYTES {
+            // A span that begins where it ends: a gap to whoever has not got so far.
+            news.after = news.reached;
+            news.changes.clear();
+        }
+        news.proof_age_ms = now.since(self.proven_at).as_millis() as u32;
+        news.sent_at_ms = now.since(Moment::default()).as_millis() as u64;
+        news
+    }
+}
+
+/// Takes in what the orderer relays over a link with `delay`.
+pub fn take_news<P: Platform>(node: &Node<P>, news: DirectoryNews, delay: &mut LinkDelay) {
+    let now = node.clock.now();
+    let age = Duration::from_millis(u64::from(news.proof_age_ms));
+    let late = delay.excess(Duration::from_millis(news.sent_at_ms), now);
+    let span = RelayedSpan {
+        after: news.after,
+        reached: news.reached,
+        proven_at: now - age - late,
+    };
+    let outcome = node.state.borrow_mut().directory.judge(span);
+    Metrics::count(&node.metrics.relayed, "directory", outcome_name(outcome));
+    match outcome {
+        RelayOutcome::Applied { is_regained } => {
+            let events = news.changes.into_iter().map(WireChange::into_event);
+            view::apply_changes(node, events, news.reached);
+            if is_regained {
+                tracing::info!(target: "directory", event = "relay in use", revision = news.reached);
+            }
+        }
+        RelayOutcome::Gap => {
+            tracing::info!(target: "directory", event = "relay has a gap", after = news.after,
+                reached = news.reached);
+        }
+        RelayOutcome::Behind => {}
+    }
+    node.relay_changed.notify_waiters();
+}
+
+fn outcome_name(outcome: RelayOutcome) -> &'static str {
+    match outcome {
+        RelayOutcome::Applied { .. } => "applied",
+        RelayOutcome::Gap => "gap",
+        RelayOutcome::Behind => "behind",
+    }
+}
+
+/// The link to the orderer ended.
+pub fn lost<P: Platform>(node: &Node<P>) {
+    node.state.borrow_mut().directory.relay_lost();
+    node.relay_changed.notify_waiters();
+}
+
+/// True while the relay is believed, so that the store need not be asked.
+pub(super) fn covers<P: Platform>(node: &Node<P>) -> bool {
+    let now = node.clock.now();
+    !node.gives_orders() && node.state.borrow().directory.relay_covers(now)
+}
+
+/// Ends when the relay is not believed any more.
+pub(super) async fn while_covered<P: Platform>(node: &Node<P>) {
+    while covers(node) {
+        let until = node.state.borrow().directory.covered_until().unwrap_or_default();
+        let left = until.since(node.clock.now());
+        tokio::select! {
+            () = sleep(left) => {}
+            () = node.relay_changed.notified() => {}
+        }
+    }
+    let revision = node.state.borrow().directory.reached();
+    tracing::info!(target: "directory", event = "relay lost, asking the store", revision);
+}
+
+/// Ends when the relay is believed, or this node got or lost the orderer's lease.
+pub(super) async fn until_role_changes<P: Platform>(node: &Node<P>) {
+    let gave_orders = node.gives_orders();
+    while !covers(node) && node.gives_orders() == gave_orders {
+        node.relay_changed.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -0,0 +1,112 @@
+//! Takes what the store tells into the node's state.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use croftrill_scheduler::catalog::Configuration;
+
+use crate::membership;
+use crate::node::{Lifecycle, Node};
+use crate::orderer_task::OrdererInput;
+use crate::ports::{Item, Platform, Record, RecordReader, Snapshot, StoreEvent};
+
+/// Takes in all items and forgets replicas and nodes that are not among them.
+pub(super) fn apply_snapshot<P: Platform>(node: &Node<P>, snapshot: Snapshot) {
+    let records = node.platform.records();
+    let listed: HashSet<Arc<str>> = snapshot
+        .items
+        .iter()
+        .filter_map(|item| records.replica_of(&item.key))
+        .collect();
+    {
+        let mut state = node.state.borrow_mut();
+        state.replicas.retain(|id| listed.contains(id));
+        let keys: HashSet<&str> = snapshot.items.iter().map(|item| item.key.as_str()).collect();
+        state.members.retain(|key| keys.contains(key));
+    }
+    for item in &snapshot.items {
+        apply_item(node, item);
+    }
+    node.state.borrow_mut().directory.advance(snapshot.revision);
+    announce(node);
+}
+
+/// Takes in the changes up to the revision `reached`, but for those that the
+/// view contains already.
+pub(super) fn apply_changes<P: Platform>(
+    node: &Node<P>,
+    events: impl IntoIterator<Item = StoreEvent>,
+    reached: u64,
+) {
+    let mut any = false;
+    for event in events {
+        let is_new = node.state.borrow().directory.is_new(event.revision());
+        if is_new {
+            apply_event(node, &event);
+            any = true;
+        }
+    }
+    node.state.borrow_mut().directory.advance(reached);
+    if any {
+        announce(node);
+    }
+}
+
+fn apply_event<P: Platform>(node: &Node<P>, event: &StoreEvent) {
+    match event {
+        StoreEvent::Written(item) => apply_item(node, item),
+        StoreEvent::Removed { key, .. } => {
+            let mut state = node.state.borrow_mut();
+            if let Some(id) = node.platform.records().replica_of(key) {
+                state.replicas.remove(&id);
+                tracing::info!(target: "directory", event = "replica gone", replica = &*id);
+            } else {
+                state.members.removed(key);
+            }
+        }
+    }
+}
+
+fn apply_item<P: Platform>(node: &Node<P>, item: &Item) {
+    match node.platform.records().read(item) {
+        Record::Configuration(configuration) => apply_configuration(node, configuration, item.revision),
+        Record::Replica(listing) => {
+            tracing::debug!(target: "directory", event = "replica listed", replica = &*listing.id,
+                state = ?listing.state, revision = item.revision);
+            node.state.borrow_mut().replicas.apply_listing(listing);
+        }
+        Record::Malformed(reason) => {
+            tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
+        }
+        Record::Other => {
+            if let Some(member) = membership::read_entry(item) {
+                node.state.borrow_mut().members.written(&item.key, member);
+            }
+        }
+    }
+}
+
+fn apply_configuration<P: Platform>(node: &Node<P>, configuration: Arc<Configuration>, revision: u64) {
+    let mut state = node.state.borrow_mut();
+    let present = state.configuration.as_ref().map(|present| present.version);
+    if present.is_some_and(|version| version >= configuration.version) {
+        return;
+    }
+    tracing::info!(target: "directory", event = "configuration in force", version = configuration.version,
+        routes = configuration.route_count(), revision);
+    node.metrics
+        .configuration_version
+        .set(configuration.version as i64);
+    state.configuration = Some(configuration);
+    if state.lifecycle == Lifecycle::Starting {
+        state.lifecycle = Lifecycle::Ready;
+    }
+}
+
+fn announce<P: Platform>(node: &Node<P>) {
+    node.metrics
+        .replicas
+        .set(node.state.borrow().replicas.len() as i64);
+    node.view_changed.notify_waiters();
+    node.inform_orderer_task(OrdererInput::DirectoryChanged);
+}
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -30,6 +30,8 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// Calls to the store by kind and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
+    /// Messages of the orderer by kind and what became of them.
+    pub relayed: Family<OutcomeLabels, Counter>,
     /// Seconds from arrival to the head of the answer.
     pub first_byte_seconds: Histogram,
     /// Version of the configuration in force.
@@ -69,6 +71,12 @@
             "Calls to the store by kind and outcome",
             store_calls.clone(),
         );
+        let relayed = Family::default();
+        registry.register(
+            "relayed",
+            "Messages of the orderer by kind and what became of them",
+            relayed.clone(),
+        );
         let first_byte_seconds = Histogram::new(LATENCY_BUCKETS);
         registry.register(
             "first_byte_seconds",
@@ -109,6 +117,7 @@
             retries,
             orders,
             store_calls,
+            relayed,
             first_byte_seconds,
             configuration_version,
             replicas,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -6,6 +6,7 @@
 
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::fair_queue::FairQueue;
+use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use tokio::sync::{mpsc, Notify};
@@ -51,6 +52,8 @@
     pub fair_queue: FairQueue,
     /// Demand that the orderer has not been told yet.
     pub demand: DemandBatch,
+    /// How far this node knows the store's history.
+    pub directory: FollowedView,
     /// The nodes, and who gives orders.
     pub members: Members,
     /// Where the node is in its life.
@@ -93,6 +96,10 @@
     pub state: RefCell<NodeState>,
     /// Told whenever the view of replicas or the configuration changes.
     pub view_changed: Notify,
+    /// Told whenever what the orderer relays begins or ends to be believed, and
+    /// when this node gets or loses the orderer's lease.
+    pub relay_changed: Notify,
+    gives_orders: Cell<bool>,
     /// Told when the node is asked to stop.
     pub stop_requested: Notify,
     /// Told when a request leaves, so that a waiting one may start.
@@ -139,6 +146,9 @@
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
             demand: DemandBatch::default(),
+            directory: FollowedView::new(FollowConfig {
+                proof_lifetime: settings.pace.relay_lifetime,
+            }),
             members: Members::default(),
             lifecycle: Lifecycle::Starting,
         };
@@ -152,6 +162,8 @@
             clock: Clock::start(),
             state: RefCell::new(state),
             view_changed: Notify::new(),
+            relay_changed: Notify::new(),
+            gives_orders: Cell::new(false),
             stop_requested: Notify::new(),
             place_freed: Notify::new(),
             store_path: StorePath::default(),
@@ -185,6 +197,18 @@
         CountedStore::new(self.platform.store(), &self.metrics)
     }
 
+    /// True while this node holds the orderer's lease.
+    pub fn gives_orders(&self) -> bool {
+        self.gives_orders.get()
+    }
+
+    /// This node got or lost the orderer's lease.
+    pub fn set_gives_orders(&self, gives_orders: bool) {
+        self.gives_orders.set(gives_orders);
+        self.metrics.is_orderer.set(i64::from(gives_orders));
+        self.relay_changed.notify_waiters();
+    }
+
     /// A message for the present orderer; left out if too many wait.
     pub fn tell_orderer(&self, message: ToOrderer) {
         if self.to_orderer.try_send(message).is_err() {
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -18,6 +18,7 @@
 
 use self::acquisition::become_orderer;
 use self::term::Term;
+use crate::directory::relay::WatchedSpan;
 use crate::membership::own_entry;
 use crate::node::{Lifecycle, Node};
 use crate::peer::ToOrderer;
@@ -30,6 +31,8 @@
     FromNode(ToOrderer),
     /// The list of replicas or the configuration changed.
     DirectoryChanged,
+    /// The watch of the store was answered.
+    Watched(WatchedSpan),
     /// A node wants all placements, then every change.
     Subscribe(oneshot::Sender<Subscription>),
     /// An order was answered.
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -17,6 +17,7 @@
 use super::acquisition::record_last;
 use super::decision_log::{log_decision, order_kind, outcome_name};
 use super::{OrdererInput, Subscription};
+use crate::directory::relay::WatchedSpan;
 use crate::membership::MemberEntry;
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
@@ -60,7 +61,7 @@
             recording: false,
         };
         term.sync_directory();
-        term.node.metrics.is_orderer.set(1);
+        term.node.set_gives_orders(true);
         term
     }
 
@@ -237,6 +238,7 @@
         match input {
             OrdererInput::FromNode(message) => self.take_message(message, now),
             OrdererInput::DirectoryChanged => self.sync_directory(),
+            OrdererInput::Watched(span) => self.relay(span, now),
             OrdererInput::Subscribe(reply) => self.subscribe(reply, now),
             OrdererInput::OrderAnswered { replica, outcome, .. } => {
                 if outcome == OrderOutcome::Fenced {
@@ -294,6 +296,14 @@
         let _ = reply.send(subscription);
     }
 
+    /// Tells all nodes what the store told.
+    pub(super) fn relay(&mut self, span: WatchedSpan, now: Moment) {
+        let news = span.into_news(self.changes.receiver_count(), now);
+        let message = FromOrderer::Directory(news).serialize_bin();
+        let _ = self.changes.send(Bytes::from(message));
+        self.last_alive = now;
+    }
+
     /// Brings the orderer's list of replicas in line with the node's.
     pub(super) fn sync_directory(&mut self) {
         let now = self.node.clock.now();
@@ -327,7 +337,7 @@
 
     /// Gives the lease back if it is still held.
     pub(super) async fn end(mut self) {
-        self.node.metrics.is_orderer.set(0);
+        self.node.set_gives_orders(false);
         self.node.state.borrow_mut().replicas.orderer_lost();
         let lease = self.lease.lease();
         self.lease.lost();
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -9,6 +9,8 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
+use crate::ports::{Item, StoreEvent};
+
 /// A model or adapter of a service, on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct WireModel {
@@ -91,15 +93,79 @@
     pub arriving: Vec<WireArrival>,
 }
 
+/// A change of one key of the store, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireChange {
+    /// The key.
+    pub key: String,
+    /// Its new value; `None`: it was removed.
+    pub value: Option<Vec<u8>>,
+    /// Store revision of the change.
+    pub revision: u64,
+}
+
+/// What the orderer relays of the store: all changes of a span of revisions.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct DirectoryNews {
+    /// Revision after which the span begins.
+    pub after: u64,
+    /// Last revision that it covers.
+    pub reached: u64,
+    /// How long ago the store showed that this is everything, in milliseconds.
+    pub proof_age_ms: u32,
+    /// When it was sent, by the sender's steady clock, in milliseconds.
+    pub sent_at_ms: u64,
+    /// The changes, in order.
+    pub changes: Vec<WireChange>,
+}
+
 /// A message from the orderer.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum FromOrderer {
     /// What it knows of some replicas.
     Placements(Vec<WirePlacement>),
+    /// What it learned of the store.
+    Directory(DirectoryNews),
     /// It is alive and holds the lease.
     Alive,
 }
 
+impl WireChange {
+    /// The message form of a change.
+    pub fn from_event(event: &StoreEvent) -> Self {
+        match event {
+            StoreEvent::Written(item) => WireChange {
+                key: item.key.clone(),
+                value: Some(item.value.to_vec()),
+                revision: item.revision,
+            },
+            StoreEvent::Removed { key, revision } => WireChange {
+                key: key.clone(),
+                value: None,
+                revision: *revision,
+            },
+        }
+    }
+
+    /// The change.
+    pub fn into_event(self) -> StoreEvent {
+        let (key, revision) = (self.key, self.revision);
+        match self.value {
+            Some(value) => StoreEvent::Written(Item {
+                key,
+                value: value.into(),
+                revision,
+            }),
+            None => StoreEvent::Removed { key, revision },
+        }
+    }
+
+    /// Bytes that it takes in a message, about.
+    pub fn size_bytes(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 impl WirePlacement {
     /// The message form of a placement.
     pub fn from_placement(placement: &Placement, now: Moment) -> Self {
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::followed_view::LinkDelay;
 use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,9 +14,10 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::directory::relay;
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
-use crate::peer::{FromOrderer, ToOrderer};
+use crate::peer::{FromOrderer, ToOrderer, WirePlacement};
 use crate::ports::Platform;
 
 type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
@@ -105,6 +107,7 @@
                     tracing::warn!(target: "peer", event = "link to the orderer ended", %address, %error);
                 }
                 node.state.borrow_mut().replicas.orderer_lost();
+                relay::lost(&node);
                 sleep(RETRY_PAUSE).await;
             }
             None => {
@@ -150,12 +153,14 @@
     stream.set_nodelay(true)?;
     let mut link = framed(stream);
     let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
+    let mut delay = LinkDelay::default();
     let mut heard = tokio::time::Instant::now();
     while orderer_address(node) == Some(address) {
         tokio::select! {
             frame = link.next() => {
                 let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                apply_message(node, FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?);
+                let message = FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
+                apply_message(node, message, &mut delay);
                 heard = tokio::time::Instant::now();
             }
             message = outgoing.recv() => {
@@ -168,10 +173,15 @@
     Ok(())
 }
 
-fn apply_message<P: Platform>(node: &Node<P>, message: FromOrderer) {
-    let FromOrderer::Placements(placements) = message else {
-        return;
-    };
+fn apply_message<P: Platform>(node: &Node<P>, message: FromOrderer, delay: &mut LinkDelay) {
+    match message {
+        FromOrderer::Placements(placements) => apply_placements(node, placements),
+        FromOrderer::Directory(news) => relay::take_news(node, news, delay),
+        FromOrderer::Alive => {}
+    }
+}
+
+fn apply_placements<P: Platform>(node: &Node<P>, placements: Vec<WirePlacement>) {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
     for placement in placements {
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -31,8 +31,23 @@
 pub enum StoreEvent {
     /// The item was written.
     Written(Item),
-    /// The key was removed.
-    Removed(String),
+    /// A key was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// Store revision of its removal.
+        revision: u64,
+    },
+}
+
+impl StoreEvent {
+    /// Store revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            StoreEvent::Written(item) => item.revision,
+            StoreEvent::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// All items under a prefix.
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -56,6 +56,12 @@
     pub watch_every: Duration,
     /// Longest time that one watch call waits.
     pub watch_wait: Duration,
+    /// Least time between two watch calls of the orderer, whose answers all nodes get.
+    pub relay_watch_every: Duration,
+    /// Longest time that one of these waits.
+    pub relay_watch_wait: Duration,
+    /// Time for which what the orderer relays is believed to be complete.
+    pub relay_lifetime: Duration,
     /// Time to live of the node's own entry.
     pub membership_lease: Duration,
     /// Time between renewals of it.
@@ -77,6 +83,9 @@
         Pace {
             watch_every: Duration::from_millis(600),
             watch_wait: Duration::from_secs(10),
+            relay_watch_every: Duration::from_millis(250),
+            relay_watch_wait: Duration::from_millis(450),
+            relay_lifetime: Duration::from_millis(1100),
             membership_lease: Duration::from_secs(3),
             membership_renewal: Duration::from_millis(900),
             orderer_lease: Duration::from_millis(4500),
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod demand;
 pub mod fair_queue;
+pub mod followed_view;
 pub mod health;
 pub mod lease;
 pub mod load_ceiling;
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/followed_view.rs
@@ -0,0 +1,165 @@
+//! A relayed view is complete, never goes back, and is not believed for long.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use croftrill_scheduler::followed_view::{FollowConfig, FollowedView, RelayOutcome, RelayedSpan};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+
+const LIFETIME: Duration = Duration::from_millis(1100);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(ms))
+}
+
+fn view_at(revision: u64) -> FollowedView {
+    let mut view = FollowedView::new(FollowConfig {
+        proof_lifetime: LIFETIME,
+    });
+    view.advance(revision);
+    view
+}
+
+fn span(after: u64, reached: u64, ms: u64) -> RelayedSpan {
+    RelayedSpan {
+        after,
+        reached,
+        proven_at: at(ms),
+    }
+}
+
+#[test]
+fn judge_contiguous_span_is_believed_for_its_lifetime() {
+    let mut view = view_at(10);
+    assert_eq!(
+        view.judge(span(8, 12, 100)),
+        RelayOutcome::Applied { is_regained: true }
+    );
+    view.advance(12);
+    assert!(view.relay_covers(at(1199)));
+    assert!(!view.relay_covers(at(1200)));
+    assert_eq!(
+        view.judge(span(12, 12, 700)),
+        RelayOutcome::Applied { is_regained: false }
+    );
+    assert!(view.relay_covers(at(1799)));
+}
+
+#[test]
+fn judge_gap_ends_belief() {
+    let mut view = view_at(10);
+    view.judge(span(10, 10, 100));
+    assert_eq!(view.judge(span(11, 12, 200)), RelayOutcome::Gap);
+    assert!(!view.relay_covers(at(200)));
+    assert_eq!(view.reached(), 10);
+}
+
+#[test]
+fn judge_span_behind_the_view_proves_nothing() {
+    let mut view = view_at(10);
+    assert_eq!(view.judge(span(7, 9, 100)), RelayOutcome::Behind);
+    assert!(!view.relay_covers(at(100)));
+}
+
+#[test]
+fn relay_lost_ends_belief() {
+    let mut view = view_at(10);
+    view.judge(span(10, 10, 100));
+    view.relay_lost();
+    assert!(!view.relay_covers(at(100)));
+}
+
+/// What happens to a listener in the model.
+#[derive(Debug, Clone)]
+enum Step {
+    /// The store takes a write of a key.
+    Write(u8),
+    /// The relaying node watches; its message is kept.
+    Watch,
+    /// The oldest message that is kept arrives.
+    Deliver,
+    /// The oldest message that is kept is lost.
+    Lose,
+    /// The listener asks the store.
+    Ask,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (0u8..4).prop_map(Step::Write),
+        Just(Step::Watch),
+        Just(Step::Deliver),
+        Just(Step::Lose),
+        Just(Step::Ask),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+proptest! {
+    /// Whatever is lost, late or asked in between: the listener's view is the
+    /// store's at the revision that it has reached.
+    #[test]
+    fn view_equals_the_store_at_the_revision_reached(steps in steps()) {
+        let mut history: Vec<u8> = Vec::new();
+        let mut relay_reached = 0usize;
+        let mut messages: Vec<(usize, usize)> = Vec::new();
+        let mut view = view_at(0);
+        let mut known: BTreeMap<u8, u64> = BTreeMap::new();
+        for (time_ms, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Write(key) => history.push(key),
+                Step::Watch => {
+                    messages.push((relay_reached, history.len()));
+                    relay_reached = history.len();
+                }
+                Step::Lose => {
+                    if !messages.is_empty() {
+                        messages.remove(0);
+                    }
+                }
+                Step::Deliver => {
+                    if messages.is_empty() {
+                        continue;
+                    }
+                    let (after, reached) = messages.remove(0);
+                    let outcome = view.judge(span(after as u64, reached as u64, time_ms as u64));
+                    if matches!(outcome, RelayOutcome::Applied { .. }) {
+                        apply(&mut view, &mut known, &history, after, reached);
+                    }
+                }
+                Step::Ask => {
+                    let after = view.reached() as usize;
+                    let reached = history.len();
+                    apply(&mut view, &mut known, &history, after, reached);
+                }
+            }
+            let expected = newest_writes(&history[..view.reached() as usize]);
+            prop_assert_eq!(&known, &expected);
+        }
+    }
+}
+
+fn apply(
+    view: &mut FollowedView,
+    known: &mut BTreeMap<u8, u64>,
+    history: &[u8],
+    after: usize,
+    reached: usize,
+) {
+    for index in after..reached {
+        let revision = index as u64 + 1;
+        if view.is_new(revision) {
+            known.insert(history[index], revision);
+        }
+    }
+    view.advance(reached as u64);
+}
+
+fn newest_writes(history: &[u8]) -> BTreeMap<u8, u64> {
+    history
+        .iter()
+        .enumerate()
+        .map(|(index, key)| (*key, index as u64 + 1))
+        .collect()
+}
