--- a/crates/croftrill-scheduler/tests/followed_view.rs
+++ b/crates/croftrill-scheduler/tests/followed_view.rs
@@ -157,10 +157,10 @@
     after: usize,
     reached: usize,
 ) {
-    for index in after..reached {
+    for (index, key) in history.iter().enumerate().take(reached).skip(after) {
         let revision = index as u64 + 1;
         if view.is_new(revision) {
-            known.insert(history[index], revision);
+            known.insert(*key, revision);
         }
     }
     view.advance(reached as u64);
