--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -72,6 +72,7 @@
     OrdererConfig {
         placement: PlacementConfig::default(),
         ledger: LedgerConfig::default(),
+        order_gap: Duration::from_millis(3250),
         ceiling_window: CEILING_WINDOW,
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -102,7 +102,9 @@
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
         }
         Record::Other => {
-            if let Some(member) = membership::read_entry(item) {
+            if let Some(last) = membership::read_last_orderer(item) {
+                node.state.borrow_mut().members.recorded(last);
+            } else if let Some(member) = membership::read_entry(item) {
                 node.state.borrow_mut().members.written(&item.key, member);
             }
         }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -50,9 +50,25 @@
     }
 }
 
+/// The machine that last could order, as the store records it.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct LastOrderer {
+    /// Its entry.
+    pub entry: MemberEntry,
+    /// False while a predecessor's orders counted still at some replicas.
+    pub is_settled: bool,
+}
+
+/// Reads the record of the last orderer.
+pub fn read_last_orderer(item: &Item) -> Option<LastOrderer> {
+    (item.key == LAST_ORDERER_KEY)
+        .then(|| DeBin::deserialize_bin(&item.value).ok())
+        .flatten()
+}
+
 /// Reads an entry of a node or of the orderer.
 pub fn read_entry(item: &Item) -> Option<MemberEntry> {
-    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key.starts_with(ORDERER_PREFIX);
+    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key == ORDERER_KEY;
     ours.then(|| DeBin::deserialize_bin(&item.value).ok()).flatten()
 }
 
@@ -60,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct Members {
     entries: BTreeMap<String, MemberEntry>,
+    last_orderer: Option<LastOrderer>,
 }
 
 impl Members {
@@ -68,6 +85,16 @@
         self.entries.insert(key.to_string(), entry);
     }
 
+    /// The record of the last orderer was written.
+    pub fn recorded(&mut self, last: LastOrderer) {
+        self.last_orderer = Some(last);
+    }
+
+    /// The orderer said that its term is over.
+    pub fn resigned(&mut self) {
+        self.removed(ORDERER_KEY);
+    }
+
     /// A key was removed.
     pub fn removed(&mut self, key: &str) {
         self.entries.remove(key);
@@ -85,7 +112,7 @@
 
     /// The node that last became the orderer.
     pub fn last_orderer(&self) -> Option<&MemberEntry> {
-        self.entries.get(LAST_ORDERER_KEY)
+        self.last_orderer.as_ref().map(|last| &last.entry)
     }
 
     /// The live nodes.
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -7,6 +7,7 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
+use croftrill_scheduler::hand_over::{HeardResignation, Resignation};
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use tokio::sync::{mpsc, Notify};
@@ -56,6 +57,8 @@
     pub directory: FollowedView,
     /// The nodes, and who gives orders.
     pub members: Members,
+    /// What the last orderer left to its successor, if this node heard of it.
+    pub resignation: Option<HeardResignation>,
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
 }
@@ -150,6 +153,7 @@
                 proof_lifetime: settings.pace.relay_lifetime,
             }),
             members: Members::default(),
+            resignation: None,
             lifecycle: Lifecycle::Starting,
         };
         let patient = ConnectionConfig {
@@ -209,6 +213,19 @@
         self.relay_changed.notify_waiters();
     }
 
+    /// The orderer's term is over: what it left is kept for whoever follows.
+    pub fn hear_resignation(&self, resignation: Resignation) {
+        let heard_at = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.members.resigned();
+        state.resignation = Some(HeardResignation {
+            resignation,
+            heard_at,
+        });
+        drop(state);
+        self.view_changed.notify_waiters();
+    }
+
     /// A message for the present orderer; left out if too many wait.
     pub fn tell_orderer(&self, message: ToOrderer) {
         if self.to_orderer.try_send(message).is_err() {
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::lease::{LeaseConfig, OrdererLease};
+use croftrill_scheduler::hand_over::{start_of_term, HeardResignation, LastRecord};
+use croftrill_scheduler::lease::{LeaseConfig, OrdererLease, Record, RecordKind, TermStart};
 use nanoserde::SerBin;
 use tokio::time::sleep;
 
-use crate::membership::{read_entry, MemberEntry, LAST_ORDERER_KEY, ORDERER_KEY, ORDERER_PREFIX};
+use crate::membership::{
+    read_entry, read_last_orderer, LastOrderer, MemberEntry, LAST_ORDERER_KEY, ORDERER_KEY, ORDERER_PREFIX,
+};
 use crate::node::{Lifecycle, Node};
 use crate::ports::{ConditionalPut, Expectation, KeyValueStore, Platform, PutOutcome, StoreError, Write};
 
@@ -22,17 +25,30 @@
 /// Pause of a node that is not first in line for the lease, for each place.
 const CANDIDACY_STEP: Duration = Duration::from_millis(70);
 
+/// An item and its revision.
+#[derive(Debug, Clone)]
+pub(super) struct Revised<T> {
+    value: T,
+    revision: u64,
+}
+
 /// What the store holds about the orderer.
 #[derive(Debug, Default)]
 pub(super) struct OrdererKeys {
-    present: Option<(MemberEntry, u64)>,
-    last: Option<(MemberEntry, u64)>,
+    present: Option<Revised<MemberEntry>>,
+    last: Option<Revised<LastOrderer>>,
+}
+
+/// A lease that was taken, and what the former orderer left, if that is known.
+pub(super) struct Acquired {
+    pub(super) lease: OrdererLease,
+    pub(super) inherited: Option<HeardResignation>,
 }
 
 /// Takes the lease if nobody else holds it.
 ///
-/// Its validity, and whether this machine may order at once, is judged by [`OrdererLease`].
-pub(super) async fn become_orderer<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> Option<OrdererLease> {
+/// Its validity, and how the term begins, is judged by [`OrdererLease`].
+pub(super) async fn become_orderer<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> Option<Acquired> {
     if !may_try(node, entry) {
         return None;
     }
@@ -41,11 +57,8 @@
         return None;
     }
     let keys = read_keys(node).await?;
-    if keys
-        .present
-        .as_ref()
-        .is_some_and(|(holder, _)| holder.name != entry.name)
-    {
+    let heard = node.state.borrow().resignation.clone();
+    if !is_free(&keys, entry, heard.as_ref()) {
         return None;
     }
     let pace = &node.settings.pace;
@@ -53,20 +66,48 @@
     let asked_at = node.clock.now();
     let store = node.store();
     let lease = store.grant_lease(time_to_live).await.ok()?;
-    let Some(fencing_token) = claim_key(node, entry, lease, &keys).await else {
+    let start = start_of_term(last_record(&keys, entry), heard.as_ref(), asked_at);
+    let Some(fencing_token) = claim_key(node, entry, lease, &keys, start).await else {
         let _ = store.end_lease(lease).await;
         return None;
     };
-    let continues = keys.last.is_some_and(|(last, _)| last.name == entry.name);
     let mut held = OrdererLease::new(LeaseConfig {
         time_to_live,
         margin: LEASE_MARGIN,
         renew_every: pace.orderer_renewal,
-        quiet_period: node.settings.bounds.order_gap + GAP_MARGIN,
+        quiet_period: least_gap(node),
     });
-    held.acquired(lease, fencing_token, asked_at, node.clock.now(), continues);
-    tracing::info!(target: "orderer", event = "lease acquired", fencing_token, lease, continues);
-    Some(held)
+    held.acquired(lease, fencing_token, asked_at, node.clock.now(), start);
+    tracing::info!(target: "orderer", event = "lease acquired", fencing_token, lease, ?start);
+    let inherited = heard.filter(|_| matches!(start, TermStart::HandedOver { .. }));
+    Some(Acquired {
+        lease: held,
+        inherited,
+    })
+}
+
+/// Least time between the orders of two machines at one replica, with a margin.
+pub(super) fn least_gap<P: Platform>(node: &Node<P>) -> Duration {
+    node.settings.bounds.order_gap + GAP_MARGIN
+}
+
+/// True if nobody holds the orderer's key, or this machine does, or its holder
+/// said that its term is over.
+fn is_free(keys: &OrdererKeys, entry: &MemberEntry, heard: Option<&HeardResignation>) -> bool {
+    let Some(present) = &keys.present else {
+        return true;
+    };
+    let resigned = heard.is_some_and(|heard| heard.resignation.fencing_token == present.revision);
+    present.value.name == entry.name || resigned
+}
+
+/// The record of the last orderer as [`start_of_term`] judges it.
+fn last_record(keys: &OrdererKeys, entry: &MemberEntry) -> Option<LastRecord> {
+    keys.last.as_ref().map(|last| LastRecord {
+        is_own: last.value.entry.name == entry.name,
+        is_settled: last.value.is_settled,
+        revision: last.revision,
+    })
 }
 
 /// True if this node should try: it takes requests, and no other node is known to hold the lease.
@@ -96,72 +137,95 @@
     let snapshot = node.store().range(ORDERER_PREFIX, READ_LIMIT).await.ok()?;
     let mut keys = OrdererKeys::default();
     for item in &snapshot.items {
-        let entry = read_entry(item).map(|entry| (entry, item.revision));
-        match item.key.as_str() {
-            ORDERER_KEY => keys.present = entry,
-            LAST_ORDERER_KEY => keys.last = entry,
-            _ => {}
+        let revision = item.revision;
+        if let Some(value) = read_last_orderer(item) {
+            keys.last = Some(Revised { value, revision });
+        } else if let Some(value) = read_entry(item) {
+            keys.present = Some(Revised { value, revision });
         }
     }
     Some(keys)
 }
 
 /// Writes the orderer's key, if the keys still stand as they were read; answers
-/// the revision, which is the fencing token.
-pub(super) async fn claim_key<P: Platform>(
+/// the revision, which is the fencing token. A machine that continues writes its
+/// record with it.
+async fn claim_key<P: Platform>(
     node: &Node<P>,
     entry: &MemberEntry,
     lease: u64,
     keys: &OrdererKeys,
+    start: TermStart,
 ) -> Option<u64> {
     let present = revision_of(&keys.present);
+    let mut writes = vec![write_entry(entry, lease)];
+    if start == TermStart::Continues {
+        writes.push(write_record(entry, RecordKind::Settled));
+    }
     let put = ConditionalPut {
         conditions: vec![
             expect(ORDERER_KEY, present),
             expect(LAST_ORDERER_KEY, revision_of(&keys.last)),
         ],
-        writes: vec![write_entry(ORDERER_KEY, entry, lease)],
+        writes,
     };
     match node.store().put(put).await {
         Ok(PutOutcome::Done { revision }) => Some(revision),
         Err(StoreError::NoAnswer) => {
             // It may have been done: the key then carries this very process, at a later revision.
-            let (holder, revision) = read_keys(node).await?.present?;
-            (holder == *entry && revision > present).then_some(revision)
+            let now_present = read_keys(node).await?.present?;
+            let is_ours = now_present.value == *entry && now_present.revision > present;
+            is_ours.then_some(now_present.revision)
         }
         _ => None,
     }
 }
 
 /// Records this machine as the last that could order, if it still holds the key
-/// at the revision `fencing_token`.
+/// at the revision `fencing_token`; answers the record's revision.
 pub(super) async fn record_last<P: Platform>(
     node: &Node<P>,
     entry: &MemberEntry,
     fencing_token: u64,
-) -> bool {
+    kind: RecordKind,
+) -> Option<Record> {
     let put = ConditionalPut {
         conditions: vec![expect(ORDERER_KEY, fencing_token)],
-        writes: vec![write_entry(LAST_ORDERER_KEY, entry, NO_LEASE)],
+        writes: vec![write_record(entry, kind)],
     };
-    matches!(node.store().put(put).await, Ok(PutOutcome::Done { .. }))
+    match node.store().put(put).await {
+        Ok(PutOutcome::Done { revision }) => Some(Record { kind, revision }),
+        _ => None,
+    }
 }
 
-pub(super) fn revision_of(read: &Option<(MemberEntry, u64)>) -> u64 {
-    read.as_ref().map_or(0, |(_, revision)| *revision)
+fn revision_of<T>(read: &Option<Revised<T>>) -> u64 {
+    read.as_ref().map_or(0, |read| read.revision)
 }
 
-pub(super) fn expect(key: &str, revision: u64) -> Expectation {
+fn expect(key: &str, revision: u64) -> Expectation {
     Expectation {
         key: key.into(),
         revision,
     }
 }
 
-pub(super) fn write_entry(key: &str, entry: &MemberEntry, lease: u64) -> Write {
+fn write_entry(entry: &MemberEntry, lease: u64) -> Write {
     Write {
-        key: key.into(),
+        key: ORDERER_KEY.into(),
         value: Bytes::from(SerBin::serialize_bin(entry)),
         lease,
     }
 }
+
+fn write_record(entry: &MemberEntry, kind: RecordKind) -> Write {
+    let last = LastOrderer {
+        entry: entry.clone(),
+        is_settled: kind == RecordKind::Settled,
+    };
+    Write {
+        key: LAST_ORDERER_KEY.into(),
+        value: Bytes::from(SerBin::serialize_bin(&last)),
+        lease: NO_LEASE,
+    }
+}
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::lease::Record;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaReport};
 use croftrill_scheduler::time::Moment;
 use tokio::sync::{broadcast, mpsc, oneshot};
@@ -57,8 +58,8 @@
     Recorded {
         /// Token of the lease under which it was asked.
         fencing_token: u64,
-        /// Whether it did.
-        done: bool,
+        /// The record, if it did.
+        record: Option<Record>,
     },
     /// A renewal of the lease ended.
     Renewed {
@@ -85,8 +86,8 @@
         if node.lifecycle() == Lifecycle::Stopping {
             return;
         }
-        if let Some(lease) = become_orderer(&node, &entry).await {
-            let mut term = Term::begin(node.clone(), lease, entry.clone());
+        if let Some(acquired) = become_orderer(&node, &entry).await {
+            let mut term = Term::begin(node.clone(), acquired, entry.clone());
             term.serve(&mut inbox).await;
             term.end().await;
         }
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::lease::OrdererLease;
+use croftrill_scheduler::hand_over::Resignation;
+use croftrill_scheduler::lease::{OrdererLease, Record};
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
@@ -13,15 +14,16 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
 use tokio::sync::{broadcast, mpsc, oneshot};
+use tokio::task::JoinSet;
 
-use super::acquisition::record_last;
+use super::acquisition::{least_gap, record_last, Acquired};
 use super::decision_log::{log_decision, order_kind, outcome_name};
 use super::{OrdererInput, Subscription};
 use crate::directory::relay::WatchedSpan;
 use crate::membership::MemberEntry;
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
-use crate::peer::{FromOrderer, ToOrderer, WirePlacement};
+use crate::peer::{FromOrderer, ToOrderer, WirePlacement, WireResignation};
 use crate::ports::{EngineAddress, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError};
 
 /// Changes that a slow listener may fall behind before it must begin anew.
@@ -40,17 +42,27 @@
     renewing: bool,
     entry: MemberEntry,
     recording: bool,
+    /// Fencing token, and the record under which this term could order.
+    authority: Option<(u64, Record)>,
+    /// Orders under way. They end with the term: none may leave after it.
+    orders: JoinSet<()>,
 }
 
 impl<P: Platform> Term<P> {
-    pub(super) fn begin(node: Rc<Node<P>>, lease: OrdererLease, entry: MemberEntry) -> Self {
+    pub(super) fn begin(node: Rc<Node<P>>, acquired: Acquired, entry: MemberEntry) -> Self {
         let configuration = node.configuration().unwrap_or_default();
         let now = node.clock.now();
-        let orderer = Orderer::new(orderer_config(&node), configuration, now);
+        let mut orderer = Orderer::new(orderer_config(&node), configuration, now);
+        if let Some(heard) = &acquired.inherited {
+            orderer.inherit(heard);
+        }
+        if acquired.lease.record().is_some() {
+            orderer.continue_own(now);
+        }
         let (changes, _) = broadcast::channel(CHANGE_BACKLOG);
         let mut term = Term {
             node,
-            lease,
+            lease: acquired.lease,
             orderer,
             changes,
             snapshot: None,
@@ -59,7 +71,10 @@
             renewing: false,
             entry,
             recording: false,
+            authority: None,
+            orders: JoinSet::new(),
         };
+        term.note_authority(now);
         term.sync_directory();
         term.node.set_gives_orders(true);
         term
@@ -133,31 +148,40 @@
         });
     }
 
-    /// Records this machine in the store before its first order.
+    /// Records this machine in the store before its first order, and when it is settled.
     pub(super) fn record_if_due(&mut self, now: Moment) {
-        let token = self.lease.token(now).filter(|_| self.lease.needs_record(now));
-        let Some(fencing_token) = token.filter(|_| !self.recording) else {
+        let wanted = self.lease.wanted_record(now).filter(|_| !self.recording);
+        let (Some(kind), Some(fencing_token)) = (wanted, self.lease.token(now)) else {
             return;
         };
         self.recording = true;
         let (node, entry) = (self.node.clone(), self.entry.clone());
         tokio::task::spawn_local(async move {
-            let done = record_last(&node, &entry, fencing_token).await;
-            let _ = node
-                .orderer_inbox()
-                .send(OrdererInput::Recorded { fencing_token, done })
-                .await;
+            let record = record_last(&node, &entry, fencing_token, kind).await;
+            let input = OrdererInput::Recorded {
+                fencing_token,
+                record,
+            };
+            let _ = node.orderer_inbox().send(input).await;
         });
     }
 
-    pub(super) fn take_record(&mut self, fencing_token: u64, done: bool) {
+    pub(super) fn take_record(&mut self, fencing_token: u64, record: Option<Record>) {
         self.recording = false;
-        tracing::info!(target: "orderer", event = "recorded as the last orderer", fencing_token, done);
-        if done && self.lease.token(self.node.clock.now()) == Some(fencing_token) {
-            self.lease.recorded();
+        tracing::info!(target: "orderer", event = "recorded as the last orderer", fencing_token, ?record);
+        let is_ours = self.lease.token(self.node.clock.now()) == Some(fencing_token);
+        if let Some(record) = record.filter(|_| is_ours) {
+            self.lease.recorded(record);
+            self.note_authority(self.node.clock.now());
         }
     }
 
+    /// Keeps what a resignation must name, as the lease may be over by then.
+    fn note_authority(&mut self, now: Moment) {
+        let token = self.lease.token(now);
+        self.authority = token.zip(self.lease.record()).or(self.authority);
+    }
+
     pub(super) fn carry_out(&mut self, action: OrdererAction) {
         match action {
             OrdererAction::Order {
@@ -187,7 +211,8 @@
             expected_sequence,
         };
         let node = self.node.clone();
-        tokio::task::spawn_local(async move {
+        while self.orders.try_join_next().is_some() {}
+        self.orders.spawn_local(async move {
             let outcome = node.platform.engine().order(&target, &fenced).await;
             tracing::info!(target: "order", replica = &*target.replica, order = ?fenced.order,
                 sequence = fenced.expected_sequence, fencing_token = fenced.fencing_token, ?outcome);
@@ -254,7 +279,10 @@
             } => {
                 self.orderer.reported(&replica, report.as_ref(), asked_at, now);
             }
-            OrdererInput::Recorded { fencing_token, done } => self.take_record(fencing_token, done),
+            OrdererInput::Recorded {
+                fencing_token,
+                record,
+            } => self.take_record(fencing_token, record),
             OrdererInput::Renewed { asked_at, result } => self.take_renewal(asked_at, &result),
         }
     }
@@ -335,12 +363,32 @@
         }
     }
 
+    /// Tells all nodes what a successor must know. No order leaves after this.
+    fn resign(&self) {
+        let Some((fencing_token, record)) = self.authority else {
+            return;
+        };
+        let now = self.node.clock.now();
+        let resignation = Resignation {
+            fencing_token,
+            record_revision: record.revision,
+            legacy: self.orderer.resign(now),
+        };
+        let message = FromOrderer::Resigned(WireResignation::from_resignation(&resignation));
+        let _ = self.changes.send(Bytes::from(message.serialize_bin()));
+        tracing::info!(target: "orderer", event = "resigned", fencing_token, record = record.revision,
+            holds = resignation.legacy.holds.len());
+        self.node.hear_resignation(resignation);
+    }
+
     /// Gives the lease back if it is still held.
     pub(super) async fn end(mut self) {
         self.node.set_gives_orders(false);
         self.node.state.borrow_mut().replicas.orderer_lost();
         let lease = self.lease.lease();
         self.lease.lost();
+        self.orders.abort_all();
+        self.resign();
         tracing::info!(target: "orderer", event = "term ended", released = lease.is_some());
         if let Some(lease) = lease {
             let _ = self.node.store().end_lease(lease).await;
@@ -359,6 +407,7 @@
     OrdererConfig {
         placement: PlacementConfig::default(),
         ledger: LedgerConfig::default(),
+        order_gap: least_gap(node),
         ceiling_window: node.settings.bounds.ceiling_window,
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::hand_over::{Hold, Legacy, PastLoad, Resignation};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
 use croftrill_scheduler::time::Moment;
@@ -155,6 +156,82 @@
     pub changes: Vec<RevisedChange>,
 }
 
+/// A replica at which a successor must not order yet, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireHold {
+    /// The replica.
+    pub replica: String,
+    /// Time for which no other machine may order there, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+/// A load from the weight store that counts still, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WirePastLoad {
+    /// The service.
+    pub service: String,
+    /// How long ago it began, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What an orderer leaves to its successor, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireResignation {
+    /// Fencing token of the term.
+    pub fencing_token: u64,
+    /// Store revision of the record under which the term could order.
+    pub record_revision: u64,
+    /// Time for which no other machine may order anywhere, in milliseconds.
+    pub everywhere_ms: u32,
+    /// Replicas at which others must not order yet.
+    pub holds: Vec<WireHold>,
+    /// Loads that count still.
+    pub loads: Vec<WirePastLoad>,
+}
+
+impl WireResignation {
+    /// The message form. Times are rounded to the safe side.
+    pub fn from_resignation(resignation: &Resignation) -> Self {
+        let legacy = &resignation.legacy;
+        let holds = legacy.holds.iter().map(|hold| WireHold {
+            replica: hold.replica.to_string(),
+            remaining_ms: hold.remaining.as_millis() as u32 + 1,
+        });
+        let loads = legacy.loads.iter().map(|load| WirePastLoad {
+            service: load.service.to_string(),
+            age_ms: load.age.as_millis() as u32,
+        });
+        WireResignation {
+            fencing_token: resignation.fencing_token,
+            record_revision: resignation.record_revision,
+            everywhere_ms: legacy.everywhere.as_millis() as u32 + 1,
+            holds: holds.collect(),
+            loads: loads.collect(),
+        }
+    }
+
+    /// The resignation.
+    pub fn into_resignation(self) -> Resignation {
+        let holds = self.holds.into_iter().map(|hold| Hold {
+            replica: hold.replica.into(),
+            remaining: Duration::from_millis(u64::from(hold.remaining_ms)),
+        });
+        let loads = self.loads.into_iter().map(|load| PastLoad {
+            service: load.service.into(),
+            age: Duration::from_millis(u64::from(load.age_ms)),
+        });
+        Resignation {
+            fencing_token: self.fencing_token,
+            record_revision: self.record_revision,
+            legacy: Legacy {
+                everywhere: Duration::from_millis(u64::from(self.everywhere_ms)),
+                holds: holds.collect(),
+                loads: loads.collect(),
+            },
+        }
+    }
+}
+
 /// A message from the orderer.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum FromOrderer {
@@ -164,6 +241,8 @@
     Directory(DirectoryNews),
     /// It is alive and holds the lease.
     Alive,
+    /// Its term is over.
+    Resigned(WireResignation),
 }
 
 impl WireListing {
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -178,6 +178,12 @@
         FromOrderer::Placements(placements) => apply_placements(node, placements),
         FromOrderer::Directory(news) => relay::take_news(node, news, delay),
         FromOrderer::Alive => {}
+        FromOrderer::Resigned(resignation) => {
+            let resignation = resignation.into_resignation();
+            tracing::info!(target: "peer", event = "the orderer resigned",
+                fencing_token = resignation.fencing_token, holds = resignation.legacy.holds.len());
+            node.hear_resignation(resignation);
+        }
     }
 }
 
--- a/crates/croftrill-scheduler/src/lease.rs
+++ b/crates/croftrill-scheduler/src/lease.rs
@@ -5,12 +5,19 @@
 //! the lease from when that call arrived, which is never earlier. So another
 //! node can take the lease only after this one has stopped acting.
 //!
-//! The store also records which machine last had the right to order. A machine
-//! that acquires the lease and finds itself there goes on at once: nobody else
-//! can have ordered since. Any other waits for `quiet_period`, within which the
-//! former's orders may still arrive, and then records itself before its first
-//! order. It must not be recorded earlier: a machine that restarts within its
-//! quiet period would then go on at once.
+//! The store also records which machine last had the right to order; a machine
+//! records itself before its first order. How a term begins ([`TermStart`]):
+//!
+//! - The machine finds itself recorded, and settled: it goes on at once, as
+//!   nobody else can have ordered since. Its record is written anew together
+//!   with the key, so that an earlier resignation of its own is void.
+//! - Its predecessor handed over ([`crate::hand_over`]): it records itself at once
+//!   (or once all of its predecessor's orders are known) and waits at single
+//!   replicas only. Until the last of these is free its record is
+//!   not settled: should it restart, it does not know them any more.
+//! - Otherwise it waits for `quiet_period`, within which the former's orders may
+//!   still arrive, and records itself only then: a machine that restarts within
+//!   its quiet period must not find itself recorded.
 
 use std::time::Duration;
 
@@ -29,6 +36,41 @@
     pub quiet_period: Duration,
 }
 
+/// How a term begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TermStart {
+    /// This machine is recorded as the last that could order, and was recorded
+    /// anew together with the key.
+    Continues,
+    /// All earlier orders are known.
+    HandedOver {
+        /// From when this machine may order where no known order forbids it.
+        free_from: Moment,
+        /// When the last of the predecessors' orders stops counting.
+        settled_from: Moment,
+    },
+    /// Another machine may have ordered until the key was taken.
+    AfterUnknown,
+}
+
+/// The record that the store should hold of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordKind {
+    /// The machine may order, but orders of others count still at some replicas.
+    Unsettled,
+    /// Only this machine's orders count.
+    Settled,
+}
+
+/// A record that the store took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Record {
+    /// What it says.
+    pub kind: RecordKind,
+    /// The store's revision of it.
+    pub revision: u64,
+}
+
 /// A lease that is held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
@@ -36,7 +78,8 @@
     lease: u64,
     valid_until: Moment,
     quiet_until: Moment,
-    is_recorded: bool,
+    settled_from: Moment,
+    record: Option<Record>,
 }
 
 /// Keeps the orderer's lease of one node.
@@ -53,26 +96,35 @@
     }
 
     /// The key was created under `lease`; `asked_at` is when the lease was asked
-    /// for. `continues`: this machine is recorded as the last that could order.
+    /// for. The key's first revision is the fencing token, and that of the record
+    /// if this machine continues.
     pub fn acquired(
         &mut self,
         lease: u64,
         fencing_token: u64,
         asked_at: Moment,
         now: Moment,
-        continues: bool,
+        start: TermStart,
     ) {
-        let quiet = if continues {
-            Duration::ZERO
-        } else {
-            self.config.quiet_period
+        let (quiet_until, settled_from) = match start {
+            TermStart::Continues => (now, now),
+            TermStart::HandedOver {
+                free_from,
+                settled_from,
+            } => (now.max(free_from), settled_from),
+            TermStart::AfterUnknown => (now + self.config.quiet_period, now + self.config.quiet_period),
         };
+        let record = (start == TermStart::Continues).then_some(Record {
+            kind: RecordKind::Settled,
+            revision: fencing_token,
+        });
         self.held = Some(Held {
             fencing_token,
             lease,
             valid_until: asked_at + self.usable(),
-            quiet_until: now + quiet,
-            is_recorded: continues,
+            quiet_until,
+            settled_from,
+            record,
         });
     }
 
@@ -84,20 +136,36 @@
         }
     }
 
-    /// True if the quiet period is over, and this machine must be recorded
-    /// before it may order.
-    pub fn needs_record(&self, now: Moment) -> bool {
-        self.held
-            .is_some_and(|held| !held.is_recorded && now >= held.quiet_until && now < held.valid_until)
+    /// The record that the store should get now, if it lacks one: before the
+    /// first order, and again once only this machine's orders count.
+    pub fn wanted_record(&self, now: Moment) -> Option<RecordKind> {
+        let held = self
+            .held
+            .filter(|held| now >= held.quiet_until && now < held.valid_until)?;
+        let kind = if now >= held.settled_from {
+            RecordKind::Settled
+        } else {
+            RecordKind::Unsettled
+        };
+        let lacks = match held.record.map(|record| record.kind) {
+            None => true,
+            Some(recorded) => recorded == RecordKind::Unsettled && kind == RecordKind::Settled,
+        };
+        lacks.then_some(kind)
     }
 
     /// The store recorded this machine, on the condition that it still held the key.
-    pub fn recorded(&mut self) {
+    pub fn recorded(&mut self, record: Record) {
         if let Some(held) = &mut self.held {
-            held.is_recorded = true;
+            held.record = Some(record);
         }
     }
 
+    /// The record under which this machine may order.
+    pub fn record(&self) -> Option<Record> {
+        self.held.and_then(|held| held.record)
+    }
+
     /// The lease is gone: over at the store, released, or fenced by a successor.
     pub fn lost(&mut self) {
         self.held = None;
@@ -120,7 +188,7 @@
     pub fn order_token(&self, now: Moment) -> Option<u64> {
         let may_order = self
             .held
-            .is_some_and(|held| held.is_recorded && now >= held.quiet_until);
+            .is_some_and(|held| held.record.is_some() && now >= held.quiet_until);
         self.token(now).filter(|_| may_order)
     }
 
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod fair_queue;
 pub mod followed_view;
+pub mod hand_over;
 pub mod health;
 pub mod lease;
 pub mod load_ceiling;
--- a/crates/croftrill-scheduler/src/load_ceiling.rs
+++ b/crates/croftrill-scheduler/src/load_ceiling.rs
@@ -30,6 +30,11 @@
         self.begun.extend(std::iter::repeat_n(now, ceiling));
     }
 
+    /// Loads within the window, by when they began.
+    pub fn begun(&self) -> impl Iterator<Item = Moment> + '_ {
+        self.begun.iter().copied()
+    }
+
     /// True if one more load may begin.
     pub fn admits(&mut self, now: Moment, ceiling: usize) -> bool {
         while self
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -93,7 +93,7 @@
             .replicas
             .iter()
             .filter(|(_, replica)| replica.service == *service && replica.goal.is_some())
-            .filter(|(_, replica)| replica.ledger.is_idle())
+            .filter(|(_, replica)| replica.takes_orders())
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
 use crate::demand::{Demand, ModelKey};
+use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
 use crate::placement::{load_time, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
 use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
@@ -34,6 +35,8 @@
     pub ceiling_window: Duration,
     /// Time between telling the nodes that a model makes way and dropping it.
     pub withdraw_notice: Duration,
+    /// Least time between the orders of two machines at one replica.
+    pub order_gap: Duration,
     /// Time that an adapter takes to load.
     pub adapter_load: Duration,
     /// Time that dropping a model takes.
@@ -112,8 +115,11 @@
     told: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
     decisions: Vec<Decision>,
-    /// Loads of the former orderer count as begun then.
+    /// Loads of the former orderer count as begun then, unless it told of them.
     took_over: Moment,
+    /// Whether the former orderer told of its loads.
+    loads_are_known: bool,
+    history: OrderHistory,
 }
 
 impl Orderer {
@@ -130,6 +136,48 @@
             next_balance: Moment::default(),
             decisions: Vec::new(),
             took_over,
+            loads_are_known: false,
+            history: OrderHistory::new(config.order_gap),
+        }
+    }
+
+    /// The former orderer handed over: what it told replaces what would be
+    /// assumed of its orders and loads.
+    pub fn inherit(&mut self, heard: &HeardResignation) {
+        self.history.inherit(heard.held_until());
+        self.loads_are_known = true;
+        let mut begun: Vec<(Moment, &ServiceName)> = heard
+            .loads_begun()
+            .map(|(service, begun)| (begun, service))
+            .collect();
+        begun.sort();
+        let window = self.config.ceiling_window;
+        for (moment, service) in begun {
+            self.ceilings
+                .entry(service.clone())
+                .or_insert_with(|| LoadCeiling::new(window))
+                .begin(moment);
+        }
+    }
+
+    /// This machine goes on where its own former process or term ended.
+    pub fn continue_own(&mut self, now: Moment) {
+        self.history.continue_own(now);
+    }
+
+    /// The orders and loads that a successor must know of, after the last order.
+    pub fn resign(&self, now: Moment) -> Legacy {
+        let window = self.config.ceiling_window;
+        let loads = self.ceilings.iter().flat_map(|(service, ceiling)| {
+            ceiling.begun().map(move |begun| PastLoad {
+                service: service.clone(),
+                age: now.since(begun),
+            })
+        });
+        Legacy {
+            everywhere: self.history.everywhere(now),
+            holds: self.history.holds(now),
+            loads: loads.filter(|load| load.age <= window).collect(),
         }
     }
 
@@ -159,6 +207,7 @@
                 goal: None,
                 withdrawn: None,
                 loaded_at: Default::default(),
+                is_held: false,
             });
         replica.state = listing.state;
         if listing.state == ReplicaState::Draining {
@@ -199,6 +248,8 @@
 
     /// An order was answered.
     pub fn order_answered(&mut self, id: &str, outcome: OrderOutcome, now: Moment) {
+        let is_answered = outcome != OrderOutcome::Unknown;
+        self.history.ended(&id.into(), is_answered, now);
         let expected_in = self.expected_time(id);
         let Some(replica) = self.replicas.get_mut(id) else {
             return;
@@ -225,7 +276,9 @@
     /// Plans: what should be asked and ordered now. Orders are planned only if `may_order`.
     pub fn plan(&mut self, may_order: bool, now: Moment) -> Vec<OrdererAction> {
         let mut actions = Vec::new();
+        self.history.prune(now);
         for (id, replica) in &mut self.replicas {
+            replica.is_held = !self.history.permits(id, now);
             if replica.ledger.wants_report(now) {
                 actions.push(OrdererAction::Report { replica: id.clone() });
             }
@@ -265,9 +318,12 @@
     fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
         let ceiling = self.ceiling(engine);
         let (window, took_over) = (self.config.ceiling_window, self.took_over);
+        let loads_are_known = self.loads_are_known;
         let loads = self.ceilings.entry(service.clone()).or_insert_with(|| {
             let mut loads = LoadCeiling::new(window);
-            loads.assume_full(took_over, ceiling);
+            if !loads_are_known {
+                loads.assume_full(took_over, ceiling);
+            }
             loads
         });
         loads.admits(now, ceiling)
@@ -292,6 +348,7 @@
     fn send(&mut self, id: &ReplicaId, order: Order, now: Moment) -> OrdererAction {
         let replica = self.replicas.get_mut(id).expect("orders go to known replicas");
         let expected_sequence = replica.ledger.send(order.clone(), now);
+        self.history.sent(id);
         self.changed.insert(id.clone());
         OrdererAction::Order {
             replica: id.clone(),
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -64,6 +64,8 @@
     pub withdrawn: Option<(ModelName, Moment)>,
     /// When models were loaded here.
     pub loaded_at: HashMap<ModelName, Moment>,
+    /// True while a predecessor's orders forbid orders here.
+    pub is_held: bool,
 }
 
 impl PlacedReplica {
@@ -74,6 +76,11 @@
             .is_some_and(|loaded| now.since(*loaded) < residence)
     }
 
+    /// True if an order may be given now.
+    pub fn takes_orders(&self) -> bool {
+        !self.is_held && self.ledger.is_idle()
+    }
+
     /// True if the replica holds the model and will go on holding it.
     pub fn keeps(&self, model: &str) -> bool {
         let withdrawn = self.withdrawn.as_ref().is_some_and(|(name, _)| &**name == model);
@@ -316,7 +323,7 @@
         };
         self.members()
             .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
-            .filter(|(_, replica)| replica.ledger.is_idle() && !replica.ledger.holdings().serves(model, None))
+            .filter(|(_, replica)| replica.takes_orders() && !replica.ledger.holdings().serves(model, None))
             .filter(|(_, replica)| {
                 store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
             })
@@ -329,7 +336,7 @@
     /// and are idle, the one with the fewest adapters.
     pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
         self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.ledger.is_idle())
+            .filter(|(_, replica)| replica.keeps(model) && replica.takes_orders())
             .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
             .map(|(id, _)| id.clone())
     }
--- a/crates/croftrill-scheduler/tests/lease.rs
+++ b/crates/croftrill-scheduler/tests/lease.rs
@@ -1,8 +1,13 @@
 //! The orderer's lease: one machine at a time, with a gap between machines.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use croftrill_scheduler::lease::{LeaseConfig, OrdererLease};
+use croftrill_scheduler::hand_over::{
+    start_of_term, HeardResignation, LastRecord, Legacy, OrderHistory, Resignation,
+};
+use croftrill_scheduler::lease::{LeaseConfig, OrdererLease, Record, RecordKind, TermStart};
+use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -26,21 +31,24 @@
 #[test]
 fn no_order_before_the_quiet_period_is_over() {
     let mut lease = OrdererLease::new(config());
-    lease.acquired(7, 40, at(0), at(5), false);
+    lease.acquired(7, 40, at(0), at(5), TermStart::AfterUnknown);
     assert_eq!(lease.token(at(10)), Some(40));
     assert_eq!(lease.order_token(at(GAP)), None);
-    assert!(!lease.needs_record(at(GAP)));
+    assert_eq!(lease.wanted_record(at(GAP)), None);
     lease.renewed(at(3000));
-    assert!(lease.needs_record(at(GAP + 10)));
+    assert_eq!(lease.wanted_record(at(GAP + 10)), Some(RecordKind::Settled));
     assert_eq!(lease.order_token(at(GAP + 10)), None, "not before it is recorded");
-    lease.recorded();
+    lease.recorded(Record {
+        kind: RecordKind::Settled,
+        revision: 41,
+    });
     assert_eq!(lease.order_token(at(GAP + 10)), Some(40));
 }
 
 #[test]
 fn validity_counts_from_when_a_renewal_was_sent() {
     let mut lease = OrdererLease::new(config());
-    lease.acquired(7, 40, at(0), at(800), true);
+    lease.acquired(7, 40, at(0), at(800), TermStart::Continues);
     assert_eq!(lease.order_token(at(TIME_TO_LIVE - 151)), Some(40));
     assert_eq!(lease.order_token(at(TIME_TO_LIVE - 149)), None);
     assert!(lease.expire(at(TIME_TO_LIVE)));
@@ -50,54 +58,185 @@
 #[test]
 fn an_old_renewal_does_not_shorten_validity() {
     let mut lease = OrdererLease::new(config());
-    lease.acquired(7, 40, at(1000), at(1000), true);
+    lease.acquired(7, 40, at(1000), at(1000), TermStart::Continues);
     lease.renewed(at(2000));
     lease.renewed(at(1500));
     assert_eq!(lease.order_token(at(2000 + TIME_TO_LIVE - 200)), Some(40));
 }
 
-/// A store with one leased key, and machines that hold it, freeze and return.
+#[test]
+fn wanted_record_after_hand_over_is_unsettled_until_the_last_hold_ends() {
+    let mut lease = OrdererLease::new(config());
+    let settled_from = at(2000);
+    lease.acquired(
+        7,
+        40,
+        at(0),
+        at(5),
+        TermStart::HandedOver {
+            free_from: at(0),
+            settled_from,
+        },
+    );
+    assert_eq!(lease.order_token(at(5)), None);
+    assert_eq!(lease.wanted_record(at(5)), Some(RecordKind::Unsettled));
+    lease.recorded(Record {
+        kind: RecordKind::Unsettled,
+        revision: 41,
+    });
+    assert_eq!(lease.order_token(at(10)), Some(40));
+    assert_eq!(lease.wanted_record(at(1999)), None);
+    assert_eq!(lease.wanted_record(at(2000)), Some(RecordKind::Settled));
+}
+
+#[test]
+fn start_of_term_believes_a_resignation_only_under_its_record() {
+    let heard = |record_revision| HeardResignation {
+        resignation: Resignation {
+            record_revision,
+            ..Resignation::default()
+        },
+        heard_at: at(5),
+    };
+    let last = Some(LastRecord {
+        is_own: false,
+        is_settled: true,
+        revision: 41,
+    });
+    let handed_over = TermStart::HandedOver {
+        free_from: at(5),
+        settled_from: at(5),
+    };
+    assert_eq!(start_of_term(last, Some(&heard(41)), at(5)), handed_over);
+    assert_eq!(
+        start_of_term(last, Some(&heard(40)), at(5)),
+        TermStart::AfterUnknown
+    );
+    assert_eq!(start_of_term(last, None, at(5)), TermStart::AfterUnknown);
+    assert_eq!(start_of_term(None, None, at(5)), handed_over);
+}
+
+#[test]
+fn holds_cover_unanswered_and_inherited_orders() {
+    let gap = Duration::from_millis(GAP);
+    let mut history = OrderHistory::new(gap);
+    let (answered, unanswered, old): (ReplicaId, ReplicaId, ReplicaId) = ("a".into(), "u".into(), "o".into());
+    history.inherit([(old.clone(), at(1500))]);
+    history.sent(&answered);
+    history.ended(&answered, true, at(100));
+    history.sent(&unanswered);
+    let remaining: BTreeMap<ReplicaId, u64> = history
+        .holds(at(1000))
+        .into_iter()
+        .map(|hold| (hold.replica, hold.remaining.as_millis() as u64))
+        .collect();
+    assert_eq!(remaining[&answered], GAP - 900);
+    assert_eq!(remaining[&unanswered], GAP + 1000);
+    assert_eq!(remaining[&old], 500);
+    assert!(!history.permits("o", at(1499)) && history.permits("o", at(1500)));
+    history.prune(at(GAP + 100));
+    assert!(history
+        .holds(at(GAP + 100))
+        .iter()
+        .all(|hold| hold.replica == unanswered));
+}
+
+const MACHINES: usize = 3;
+const REPLICAS: [&str; 2] = ["r0", "r1"];
+
+/// The store's record in the model.
+#[derive(Debug, Clone, Copy)]
+struct StoredRecord {
+    machine: usize,
+    is_settled: bool,
+    revision: u64,
+}
+
+/// A store with one leased key and the record of the last orderer.
+#[derive(Default)]
 struct Store {
     holder: Option<(usize, u64)>,
     expires: u64,
-    last: Option<usize>,
+    last: Option<StoredRecord>,
     revision: u64,
 }
 
+/// A machine of the model.
+struct Machine {
+    lease: OrdererLease,
+    history: OrderHistory,
+    heard: Option<HeardResignation>,
+    authority: Option<(u64, Record)>,
+}
+
+impl Machine {
+    fn new() -> Self {
+        Machine {
+            lease: OrdererLease::new(config()),
+            history: OrderHistory::new(Duration::from_millis(GAP)),
+            heard: None,
+            authority: None,
+        }
+    }
+
+    /// Ends the term; what it leaves.
+    fn resign(&mut self, now: u64) -> Option<Resignation> {
+        self.lease.lost();
+        let (fencing_token, record) = self.authority.take()?;
+        Some(Resignation {
+            fencing_token,
+            record_revision: record.revision,
+            legacy: Legacy {
+                everywhere: self.history.everywhere(at(now)),
+                holds: self.history.holds(at(now)),
+                loads: Vec::new(),
+            },
+        })
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    /// The machine tries to acquire, or renews.
+    /// The machine tries to acquire, renews, or records itself.
     Act(usize),
-    /// The machine tries to send an order.
-    Order(usize),
+    /// The machine tries to send an order to a replica.
+    Order(usize, usize, bool),
     /// The machine's process ends and starts anew.
     Restart(usize),
+    /// The machine ends its term in order, and gives its key back if told so.
+    Resign(usize, bool),
+    /// A resignation, one of the latest, reaches the machine.
+    Hear(usize, usize),
 }
 
 fn event() -> impl Strategy<Value = (u64, Event)> {
-    let machine = 0usize..3;
+    let machine = 0..MACHINES;
     let kind = prop_oneof![
-        4 => machine.clone().prop_map(Event::Act),
-        4 => machine.clone().prop_map(Event::Order),
-        1 => machine.prop_map(Event::Restart),
+        6 => machine.clone().prop_map(Event::Act),
+        6 => (machine.clone(), 0..REPLICAS.len(), any::<bool>()).prop_map(|(m, r, a)| Event::Order(m, r, a)),
+        1 => machine.clone().prop_map(Event::Restart),
+        2 => (machine.clone(), any::<bool>()).prop_map(|(m, release)| Event::Resign(m, release)),
+        3 => (machine, 0usize..2).prop_map(|(m, back)| Event::Hear(m, back)),
     ];
     // Long pauses stand for freezes and cuts.
-    (prop_oneof![5 => 1u64..400, 1 => 1000u64..9000], kind)
+    (prop_oneof![6 => 1u64..300, 1 => 1000u64..9000], kind)
 }
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 256,
+        cases: 4096,
         rng_seed: RngSeed::Fixed(12),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
-    /// Two machines never order within the gap of each other, and tokens only rise.
+    /// Two machines never order at a replica within the gap of each other, and
+    /// tokens only rise, whichever resignations are heard, late or not at all.
     #[test]
     fn machines_never_take_turns_within_the_gap(events in prop::collection::vec(event(), 1..200)) {
-        let mut store = Store { holder: None, expires: 0, last: None, revision: 0 };
-        let mut leases: Vec<OrdererLease> = (0..3).map(|_| OrdererLease::new(config())).collect();
-        let mut orders: Vec<(u64, usize, u64)> = Vec::new();
+        let mut store = Store::default();
+        let mut machines: Vec<Machine> = (0..MACHINES).map(|_| Machine::new()).collect();
+        let mut told: Vec<Resignation> = Vec::new();
+        let mut orders: BTreeMap<usize, Vec<(u64, usize, u64)>> = BTreeMap::new();
         let mut now = 0;
         for (pause, event) in events {
             now += pause;
@@ -105,45 +244,127 @@
                 store.holder = None;
             }
             match event {
-                Event::Restart(machine) => leases[machine] = OrdererLease::new(config()),
-                Event::Order(machine) => {
-                    if let Some(token) = leases[machine].order_token(at(now)) {
-                        orders.push((now, machine, token));
+                Event::Restart(machine) => machines[machine] = Machine::new(),
+                Event::Order(machine, replica, is_answered) => {
+                    if let Some(order) = order(&mut machines[machine], replica, is_answered, now) {
+                        orders.entry(replica).or_default().push((now, machine, order));
                     }
                 }
-                Event::Act(machine) => act(&mut store, &mut leases[machine], machine, now),
+                Event::Resign(machine, releases) => {
+                    let held = store.holder.is_some_and(|(holder, _)| holder == machine);
+                    if machines[machine].lease.lease().is_some() && held && releases {
+                        store.holder = None;
+                    }
+                    told.extend(machines[machine].resign(now));
+                }
+                Event::Hear(machine, back) => {
+                    let index = told.len().checked_sub(back + 1);
+                    if let Some(resignation) = index.map(|index| told[index].clone()) {
+                        machines[machine].heard = Some(HeardResignation { resignation, heard_at: at(now) });
+                    }
+                }
+                Event::Act(machine) => {
+                    told.extend(act(&mut store, &mut machines[machine], machine, now));
+                }
             }
         }
-        for pair in orders.windows(2) {
-            let ((first_at, first, first_token), (second_at, second, second_token)) = (pair[0], pair[1]);
-            prop_assert!(second_token >= first_token);
-            prop_assert!(first == second || second_at - first_at >= GAP);
+        for orders in orders.values() {
+            for pair in orders.windows(2) {
+                let ((first_at, first, first_token), (second_at, second, second_token)) = (pair[0], pair[1]);
+                prop_assert!(second_token >= first_token, "{pair:?}");
+                prop_assert!(first == second || second_at - first_at >= GAP, "{pair:?}");
+            }
         }
     }
 }
 
-/// What a node does against the store: renew what it holds, else acquire what is
-/// free or was its own, and record itself once its quiet period is over.
-fn act(store: &mut Store, lease: &mut OrdererLease, machine: usize, now: u64) {
-    lease.expire(at(now));
-    match (lease.lease(), store.holder) {
-        (Some(number), Some((holder, held))) if holder == machine && number == held => {
-            store.expires = now + TIME_TO_LIVE;
-            lease.renewed(at(now));
-            if lease.needs_record(at(now)) {
-                store.last = Some(machine);
-                lease.recorded();
-            }
-        }
-        (Some(_), _) => lease.lost(),
-        (None, Some((holder, _))) if holder != machine => {}
-        (None, _) => {
-            store.revision += 1;
-            store.holder = Some((machine, store.revision));
-            store.expires = now + TIME_TO_LIVE;
-            *lease = OrdererLease::new(config());
-            let continues = store.last == Some(machine);
-            lease.acquired(store.revision, store.revision, at(now), at(now), continues);
-        }
+/// Sends an order if the machine may; answers its token.
+fn order(machine: &mut Machine, replica: usize, is_answered: bool, now: u64) -> Option<u64> {
+    let replica: ReplicaId = REPLICAS[replica].into();
+    let token = machine.lease.order_token(at(now))?;
+    if !machine.history.permits(&replica, at(now)) {
+        return None;
+    }
+    machine.history.sent(&replica);
+    if is_answered {
+        machine.history.ended(&replica, true, at(now));
+    }
+    Some(token)
+}
+
+/// What a node does against the store: renew and record what it holds, else
+/// acquire what is free, was its own, or was resigned. Answers a resignation if
+/// its term had ended.
+fn act(store: &mut Store, machine: &mut Machine, index: usize, now: u64) -> Option<Resignation> {
+    if machine.lease.expire(at(now)) {
+        return machine.resign(now);
+    }
+    let Some(number) = machine.lease.lease() else {
+        acquire(store, machine, index, now);
+        return None;
+    };
+    if store.holder != Some((index, number)) {
+        return machine.resign(now);
+    }
+    store.expires = now + TIME_TO_LIVE;
+    machine.lease.renewed(at(now));
+    machine.history.prune(at(now));
+    if let Some(kind) = machine.lease.wanted_record(at(now)) {
+        store.revision += 1;
+        let revision = store.revision;
+        store.last = Some(StoredRecord {
+            machine: index,
+            is_settled: kind == RecordKind::Settled,
+            revision,
+        });
+        machine.lease.recorded(Record { kind, revision });
+    }
+    note_authority(machine, now);
+    None
+}
+
+fn note_authority(machine: &mut Machine, now: u64) {
+    let token = machine.lease.token(at(now));
+    machine.authority = token.zip(machine.lease.record()).or(machine.authority);
+}
+
+fn acquire(store: &mut Store, machine: &mut Machine, index: usize, now: u64) {
+    let resigned = |token: u64| {
+        let heard = machine.heard.as_ref();
+        heard.is_some_and(|heard| heard.resignation.fencing_token == token)
+    };
+    let is_free = store
+        .holder
+        .is_none_or(|(holder, token)| holder == index || resigned(token));
+    if !is_free {
+        return;
+    }
+    let last = store.last.map(|last| LastRecord {
+        is_own: last.machine == index,
+        is_settled: last.is_settled,
+        revision: last.revision,
+    });
+    let start = start_of_term(last, machine.heard.as_ref(), at(now));
+    store.revision += 1;
+    let token = store.revision;
+    store.holder = Some((index, token));
+    store.expires = now + TIME_TO_LIVE;
+    if start == TermStart::Continues {
+        store.last = Some(StoredRecord {
+            machine: index,
+            is_settled: true,
+            revision: token,
+        });
+    }
+    machine.lease = OrdererLease::new(config());
+    machine.history = OrderHistory::new(Duration::from_millis(GAP));
+    machine.authority = None;
+    if let (TermStart::HandedOver { .. }, Some(heard)) = (start, &machine.heard) {
+        machine.history.inherit(heard.held_until());
+    }
+    if start == TermStart::Continues {
+        machine.history.continue_own(at(now));
     }
+    machine.lease.acquired(token, token, at(now), at(now), start);
+    note_authority(machine, now);
 }
