--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -14,6 +14,7 @@
     HeldModel, Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
 };
 use croftrill_scheduler::replica_ledger::LedgerConfig;
+use croftrill_scheduler::shard::OrderScope;
 use croftrill_scheduler::time::Moment;
 
 /// Age of the reports that replicas give.
@@ -72,6 +73,7 @@
     OrdererConfig {
         placement: PlacementConfig::default(),
         ledger: LedgerConfig::default(),
+        scope: OrderScope::Everything,
         order_gap: Duration::from_millis(3250),
         ceiling_window: CEILING_WINDOW,
         withdraw_notice: Duration::from_millis(30),
--- a/crates/croftrill-cli/src/render.rs
+++ b/crates/croftrill-cli/src/render.rs
@@ -23,7 +23,7 @@
         "configuration  version {}",
         status["configuration_version"]
     );
-    let _ = writeln!(table, "orderer        {}", text("orderer"));
+    let _ = writeln!(table, "orderers       {}", list(&status["orderers"]));
     let _ = writeln!(table, "nodes          {}", list(&status["nodes"]));
     let _ = writeln!(
         table,
--- a/crates/croftrill-cli/tests/commands.rs
+++ b/crates/croftrill-cli/tests/commands.rs
@@ -32,7 +32,7 @@
 #[test]
 fn a_status_is_a_table() {
     let status = json!({
-        "node": "n1", "lifecycle": "ready", "configuration_version": 7, "orderer": "n2", "nodes": ["n1", "n2"],
+        "node": "n1", "lifecycle": "ready", "configuration_version": 7, "orderers": ["n2", "n1", "n2"], "nodes": ["n1", "n2"],
         "in_flight": 3, "waiting": 1,
         "replicas": [{"id": "r1", "ready": false, "models": ["m1", "m1/a1"]}],
     });
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -30,8 +30,8 @@
     pub lifecycle: String,
     /// Version of the configuration in force; 0: none.
     pub configuration_version: u64,
-    /// The node that gives orders.
-    pub orderer: Option<String>,
+    /// The nodes that give orders, one a shard.
+    pub orderers: Vec<String>,
     /// Live nodes.
     pub nodes: Vec<String>,
     /// Requests being served.
@@ -76,7 +76,11 @@
             .configuration
             .as_ref()
             .map_or(0, |configuration| configuration.version),
-        orderer: state.members.orderer().map(|member| member.name.clone()),
+        orderers: state
+            .members
+            .orderers()
+            .map(|(_, member)| member.name.clone())
+            .collect(),
         nodes: state.members.nodes().map(|member| member.name.clone()).collect(),
         in_flight: node.in_flight.get(),
         waiting: state.fair_queue.waiting(),
--- a/crates/croftrill-demo/src/system.rs
+++ b/crates/croftrill-demo/src/system.rs
@@ -10,6 +10,7 @@
 use croftrill_http::records::DOCUMENT_KEY;
 use croftrill_http::store_wire::{WireTransaction, WireWrite};
 use croftrill_node::node::Lifecycle;
+use croftrill_scheduler::shard::Shard;
 use croftrill_standin::engine::{stored_value, EngineIdentity, EngineStandin};
 use croftrill_standin::engine_state::EngineConfig;
 use croftrill_standin::http_server::listen;
@@ -104,14 +105,14 @@
         Ok(system)
     }
 
-    /// Waits until every node is ready, knows every replica, and one gives orders.
+    /// Waits until every node is ready, knows every replica, and all shards have an orderer.
     pub async fn until_ready(&self) {
         loop {
             let ready = self.nodes.iter().all(|daemon| {
                 let state = daemon.node.state.borrow();
                 state.lifecycle == Lifecycle::Ready
                     && state.replicas.len() == self.engines.len()
-                    && state.members.last_orderer().is_some()
+                    && Shard::all().all(|shard| state.members.last_orderer(shard).is_some())
             });
             if ready {
                 return;
--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -27,7 +27,7 @@
 const MOST_RELAYED_BYTES: usize = 128 * 1024;
 
 /// What an answer of the orderer's watch means for the other nodes.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct WatchedSpan {
     /// The changes, and the revisions that they lie between.
     pub news: DirectoryNews,
@@ -58,7 +58,7 @@
         // nothing later than its question.
         proven_at: if is_prompt { now } else { asked_at },
     };
-    node.inform_orderer_task(OrdererInput::Watched(span));
+    node.inform_orderer_tasks(|| OrdererInput::Watched(span.clone()));
 }
 
 /// The message form of a change; `None` if the other nodes need not know it.
@@ -143,7 +143,14 @@
 }
 
 /// Takes in what the orderer relays over a link with `delay`.
+///
+/// A node that relays itself must know of nothing but its own watch's answers:
+/// what it knew from another orderer already, it would leave out of its relay,
+/// and its listeners would never hear of it.
 pub fn take_news<P: Platform>(node: &Node<P>, news: DirectoryNews, delay: &mut LinkDelay) {
+    if node.gives_orders() {
+        return;
+    }
     let now = node.clock.now();
     let age = Duration::from_millis(u64::from(news.proof_age_ms));
     let late = delay.excess(Duration::from_millis(news.sent_at_ms), now);
@@ -179,7 +186,7 @@
     }
 }
 
-/// The link to the orderer ended.
+/// No orderer is linked any more.
 pub fn lost<P: Platform>(node: &Node<P>) {
     node.state.borrow_mut().directory.relay_lost();
     node.relay_changed.notify_waiters();
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -102,10 +102,8 @@
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
         }
         Record::Other => {
-            if let Some(last) = membership::read_last_orderer(item) {
-                node.state.borrow_mut().members.recorded(last);
-            } else if let Some(member) = membership::read_entry(item) {
-                node.state.borrow_mut().members.written(&item.key, member);
+            if let Some(own) = membership::read_own_item(item) {
+                node.state.borrow_mut().members.written(&item.key, own);
             }
         }
     }
@@ -139,5 +137,5 @@
         .replicas
         .set(node.state.borrow().replicas.len() as i64);
     node.view_changed.notify_waiters();
-    node.inform_orderer_task(OrdererInput::DirectoryChanged);
+    node.inform_orderer_tasks(|| OrdererInput::DirectoryChanged);
 }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use croftrill_scheduler::shard::Shard;
 use nanoserde::{DeBin, SerBin};
 use tokio::time::sleep;
 
@@ -16,12 +17,45 @@
 
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
-/// Prefix of the keys about the orderer.
-pub const ORDERER_PREFIX: &str = "croftrill/orderer";
-/// Key of the orderer's entry, which goes with its lease.
-pub const ORDERER_KEY: &str = "croftrill/orderer";
-/// Key of the entry of the node that last became the orderer; it stays.
-pub const LAST_ORDERER_KEY: &str = "croftrill/orderer-last";
+/// Prefix of the keys about the orderers.
+const ORDERER_PREFIX: &str = "croftrill/orderer/";
+
+/// What a key about an orderer holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrdererKeyKind {
+    /// The present orderer; goes with its lease.
+    Present,
+    /// The machine that last could order; stays.
+    Last,
+}
+
+/// Name of a kind of key, at the end of the key.
+fn kind_name(kind: OrdererKeyKind) -> &'static str {
+    match kind {
+        OrdererKeyKind::Present => "present",
+        OrdererKeyKind::Last => "last",
+    }
+}
+
+/// Prefix of the keys about a shard's orderer.
+pub fn orderer_prefix(shard: Shard) -> String {
+    format!("{ORDERER_PREFIX}{}/", shard.index())
+}
+
+/// A key about a shard's orderer.
+pub fn orderer_key(shard: Shard, kind: OrdererKeyKind) -> String {
+    format!("{}{}", orderer_prefix(shard), kind_name(kind))
+}
+
+/// What a key about an orderer stands for.
+pub fn parse_orderer_key(key: &str) -> Option<(Shard, OrdererKeyKind)> {
+    let (index, name) = key.strip_prefix(ORDERER_PREFIX)?.split_once('/')?;
+    let shard = Shard::from_index(index.parse().ok()?)?;
+    [OrdererKeyKind::Present, OrdererKeyKind::Last]
+        .into_iter()
+        .find(|kind| kind_name(*kind) == name)
+        .map(|kind| (shard, kind))
+}
 
 /// A node as its entry describes it.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
@@ -59,68 +93,97 @@
     pub is_settled: bool,
 }
 
-/// Reads the record of the last orderer.
-pub fn read_last_orderer(item: &Item) -> Option<LastOrderer> {
-    (item.key == LAST_ORDERER_KEY)
-        .then(|| DeBin::deserialize_bin(&item.value).ok())
-        .flatten()
+/// An item of the nodes' own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OwnItem {
+    /// A live node.
+    Node(MemberEntry),
+    /// The present orderer of a shard.
+    Orderer(Shard, MemberEntry),
+    /// The machine that last could order at a shard.
+    LastOrderer(Shard, LastOrderer),
 }
 
-/// Reads an entry of a node or of the orderer.
-pub fn read_entry(item: &Item) -> Option<MemberEntry> {
-    let ours = item.key.starts_with(MEMBER_PREFIX) || item.key == ORDERER_KEY;
-    ours.then(|| DeBin::deserialize_bin(&item.value).ok()).flatten()
+/// Reads an item of the nodes' own; `None` if it is none, or cannot be read.
+pub fn read_own_item(item: &Item) -> Option<OwnItem> {
+    let read_entry = || MemberEntry::deserialize_bin(&item.value).ok();
+    if item.key.starts_with(MEMBER_PREFIX) {
+        return read_entry().map(OwnItem::Node);
+    }
+    let (shard, kind) = parse_orderer_key(&item.key)?;
+    match kind {
+        OrdererKeyKind::Present => read_entry().map(|entry| OwnItem::Orderer(shard, entry)),
+        OrdererKeyKind::Last => LastOrderer::deserialize_bin(&item.value)
+            .ok()
+            .map(|last| OwnItem::LastOrderer(shard, last)),
+    }
 }
 
 /// All known entries.
 #[derive(Debug, Default)]
 pub struct Members {
-    entries: BTreeMap<String, MemberEntry>,
-    last_orderer: Option<LastOrderer>,
+    nodes: BTreeMap<String, MemberEntry>,
+    orderers: BTreeMap<Shard, MemberEntry>,
+    last_orderers: BTreeMap<Shard, LastOrderer>,
 }
 
 impl Members {
-    /// An entry was written.
-    pub fn written(&mut self, key: &str, entry: MemberEntry) {
-        self.entries.insert(key.to_string(), entry);
-    }
-
-    /// The record of the last orderer was written.
-    pub fn recorded(&mut self, last: LastOrderer) {
-        self.last_orderer = Some(last);
+    /// An item was written.
+    pub fn written(&mut self, key: &str, item: OwnItem) {
+        match item {
+            OwnItem::Node(entry) => {
+                self.nodes.insert(key.to_string(), entry);
+            }
+            OwnItem::Orderer(shard, entry) => {
+                self.orderers.insert(shard, entry);
+            }
+            OwnItem::LastOrderer(shard, last) => {
+                self.last_orderers.insert(shard, last);
+            }
+        }
     }
 
-    /// The orderer said that its term is over.
-    pub fn resigned(&mut self) {
-        self.removed(ORDERER_KEY);
+    /// The orderer of a shard at the address `peer` said that its term is over.
+    pub fn resigned(&mut self, shard: Shard, peer: SocketAddr) {
+        let is_present = self.orderer(shard).and_then(MemberEntry::peer_address) == Some(peer);
+        if is_present {
+            self.orderers.remove(&shard);
+        }
     }
 
     /// A key was removed.
     pub fn removed(&mut self, key: &str) {
-        self.entries.remove(key);
+        self.nodes.remove(key);
+        if let Some((shard, OrdererKeyKind::Present)) = parse_orderer_key(key) {
+            self.orderers.remove(&shard);
+        }
     }
 
     /// Keeps just the entries for whose key `keep` holds.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.entries.retain(|key, _| keep(key));
+        self.nodes.retain(|key, _| keep(key));
+        self.orderers
+            .retain(|shard, _| keep(&orderer_key(*shard, OrdererKeyKind::Present)));
+    }
+
+    /// The node that holds the key of a shard's orderer.
+    pub fn orderer(&self, shard: Shard) -> Option<&MemberEntry> {
+        self.orderers.get(&shard)
     }
 
-    /// The node that holds the orderer's key.
-    pub fn orderer(&self) -> Option<&MemberEntry> {
-        self.entries.get(ORDERER_KEY)
+    /// The present orderers, by shard.
+    pub fn orderers(&self) -> impl Iterator<Item = (Shard, &MemberEntry)> {
+        self.orderers.iter().map(|(shard, entry)| (*shard, entry))
     }
 
-    /// The node that last became the orderer.
-    pub fn last_orderer(&self) -> Option<&MemberEntry> {
-        self.last_orderer.as_ref().map(|last| &last.entry)
+    /// The node that last could order at a shard.
+    pub fn last_orderer(&self, shard: Shard) -> Option<&MemberEntry> {
+        self.last_orderers.get(&shard).map(|last| &last.entry)
     }
 
     /// The live nodes.
     pub fn nodes(&self) -> impl Iterator<Item = &MemberEntry> {
-        self.entries
-            .iter()
-            .filter(|(key, _)| key.starts_with(MEMBER_PREFIX))
-            .map(|(_, entry)| entry)
+        self.nodes.values()
     }
 
     /// Number of live nodes, at least one.
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -1,6 +1,8 @@
 //! What the parts of one node share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -10,7 +12,8 @@
 use croftrill_scheduler::hand_over::{HeardResignation, Resignation};
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
-use tokio::sync::{mpsc, Notify};
+use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
+use tokio::sync::{mpsc, Mutex, Notify};
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -57,8 +60,10 @@
     pub directory: FollowedView,
     /// The nodes, and who gives orders.
     pub members: Members,
-    /// What the last orderer left to its successor, if this node heard of it.
-    pub resignation: Option<HeardResignation>,
+    /// What the last orderers left to their successors, where this node heard of it.
+    pub resignations: BTreeMap<Shard, HeardResignation>,
+    /// Shards whose orderer is linked, or is this node.
+    pub linked: [bool; SHARD_COUNT],
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
 }
@@ -102,7 +107,7 @@
     /// Told whenever what the orderer relays begins or ends to be believed, and
     /// when this node gets or loses the orderer's lease.
     pub relay_changed: Notify,
-    gives_orders: Cell<bool>,
+    terms_held: Cell<usize>,
     /// Told when the node is asked to stop.
     pub stop_requested: Notify,
     /// Told when a request leaves, so that a waiting one may start.
@@ -119,23 +124,42 @@
     pub in_flight: Cell<usize>,
     /// When the node was asked to stop.
     stop_asked: Cell<Option<Instant>>,
-    to_orderer: mpsc::Sender<ToOrderer>,
-    orderer_inbox: mpsc::Sender<OrdererInput>,
+    /// Held while this node tries to become an orderer: one shard at a time, so
+    /// that it sees what it holds already.
+    pub acquiring: Mutex<()>,
+    to_orderers: Vec<mpsc::Sender<ToOrderer>>,
+    orderer_inboxes: Vec<mpsc::Sender<OrdererInput>>,
 }
 
-/// Receiving ends of a node's queues, for the tasks that drain them.
-pub struct NodeQueues {
-    /// Messages for the present orderer, wherever it is.
+/// Receiving ends of a node's queues for one shard, for the tasks that drain them.
+pub struct ShardQueues {
+    /// The shard.
+    pub shard: Shard,
+    /// Messages for its present orderer, wherever that is.
     pub to_orderer: mpsc::Receiver<ToOrderer>,
     /// Events for this node's own orderer task.
     pub orderer_inbox: mpsc::Receiver<OrdererInput>,
 }
 
+/// Receiving ends of a node's queues, by shard.
+pub type NodeQueues = Vec<ShardQueues>;
+
 impl<P: Platform> Node<P> {
     /// A node without a configuration.
     pub fn new(settings: NodeSettings, platform: P) -> (Rc<Self>, NodeQueues) {
-        let (to_orderer, to_orderer_queue) = mpsc::channel(ORDERER_QUEUE);
-        let (orderer_inbox, orderer_queue) = mpsc::channel(ORDERER_QUEUE);
+        let (mut to_orderers, mut orderer_inboxes) = (Vec::new(), Vec::new());
+        let mut queues = NodeQueues::new();
+        for shard in Shard::all() {
+            let (to_orderer, to_orderer_queue) = mpsc::channel(ORDERER_QUEUE);
+            let (orderer_inbox, orderer_queue) = mpsc::channel(ORDERER_QUEUE);
+            to_orderers.push(to_orderer);
+            orderer_inboxes.push(orderer_inbox);
+            queues.push(ShardQueues {
+                shard,
+                to_orderer: to_orderer_queue,
+                orderer_inbox: orderer_queue,
+            });
+        }
         let bounds = &settings.bounds;
         let retry_budget = RetryBudget::new(RetryBudgetConfig {
             ratio: bounds.retry_ratio,
@@ -153,7 +177,8 @@
                 proof_lifetime: settings.pace.relay_lifetime,
             }),
             members: Members::default(),
-            resignation: None,
+            resignations: BTreeMap::new(),
+            linked: [false; SHARD_COUNT],
             lifecycle: Lifecycle::Starting,
         };
         let patient = ConnectionConfig {
@@ -167,7 +192,8 @@
             state: RefCell::new(state),
             view_changed: Notify::new(),
             relay_changed: Notify::new(),
-            gives_orders: Cell::new(false),
+            terms_held: Cell::new(0),
+            acquiring: Mutex::new(()),
             stop_requested: Notify::new(),
             place_freed: Notify::new(),
             store_path: StorePath::default(),
@@ -176,12 +202,8 @@
             metrics: Metrics::new(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
-            to_orderer,
-            orderer_inbox,
-        };
-        let queues = NodeQueues {
-            to_orderer: to_orderer_queue,
-            orderer_inbox: orderer_queue,
+            to_orderers,
+            orderer_inboxes,
         };
         (Rc::new(node), queues)
     }
@@ -201,47 +223,70 @@
         CountedStore::new(self.platform.store(), &self.metrics)
     }
 
-    /// True while this node holds the orderer's lease.
+    /// True while this node holds an orderer's lease.
     pub fn gives_orders(&self) -> bool {
-        self.gives_orders.get()
+        self.terms_held.get() > 0
+    }
+
+    /// Number of shards whose orderer this node is.
+    pub fn terms_held(&self) -> usize {
+        self.terms_held.get()
+    }
+
+    /// This node became the orderer of one more shard.
+    pub fn term_began(&self) {
+        self.set_terms_held(self.terms_held.get() + 1);
+    }
+
+    /// This node is the orderer of one shard less.
+    pub fn term_ended(&self) {
+        self.set_terms_held(self.terms_held.get() - 1);
     }
 
-    /// This node got or lost the orderer's lease.
-    pub fn set_gives_orders(&self, gives_orders: bool) {
-        self.gives_orders.set(gives_orders);
-        self.metrics.is_orderer.set(i64::from(gives_orders));
+    fn set_terms_held(&self, count: usize) {
+        self.terms_held.set(count);
+        self.metrics.is_orderer.set(count as i64);
         self.relay_changed.notify_waiters();
     }
 
-    /// The orderer's term is over: what it left is kept for whoever follows.
-    pub fn hear_resignation(&self, resignation: Resignation) {
+    /// The term of the orderer at `peer` is over: what it left is kept for
+    /// whoever follows.
+    pub fn hear_resignation(&self, shard: Shard, peer: SocketAddr, resignation: Resignation) {
         let heard_at = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        state.members.resigned();
-        state.resignation = Some(HeardResignation {
+        let heard = HeardResignation {
             resignation,
             heard_at,
-        });
+        };
+        let mut state = self.state.borrow_mut();
+        state.members.resigned(shard, peer);
+        state.resignations.insert(shard, heard);
         drop(state);
         self.view_changed.notify_waiters();
     }
 
-    /// A message for the present orderer; left out if too many wait.
-    pub fn tell_orderer(&self, message: ToOrderer) {
-        if self.to_orderer.try_send(message).is_err() {
-            self.metrics.messages_left_out.inc();
+    /// A message for all present orderers; left out where too many wait.
+    pub fn tell_orderers(&self, message: &ToOrderer) {
+        for queue in &self.to_orderers {
+            if queue.try_send(message.clone()).is_err() {
+                self.metrics.messages_left_out.inc();
+            }
         }
     }
 
-    /// An event for this node's own orderer task.
-    pub fn inform_orderer_task(&self, input: OrdererInput) {
-        // Lost events are made up for: the task reads the whole table on every sync.
-        let _ = self.orderer_inbox.try_send(input);
+    /// An event for all of this node's own orderer tasks.
+    pub fn inform_orderer_tasks(&self, input: impl Fn() -> OrdererInput) {
+        if !self.gives_orders() {
+            return;
+        }
+        for inbox in &self.orderer_inboxes {
+            // Lost events are made up for: the task reads the whole table on every sync.
+            let _ = inbox.try_send(input());
+        }
     }
 
-    /// The queue of this node's own orderer task.
-    pub fn orderer_inbox(&self) -> mpsc::Sender<OrdererInput> {
-        self.orderer_inbox.clone()
+    /// The queue of this node's own orderer task of a shard.
+    pub fn orderer_inbox(&self, shard: Shard) -> mpsc::Sender<OrdererInput> {
+        self.orderer_inboxes[shard.index()].clone()
     }
 
     /// True once the node, asked to stop, takes no new requests any more.
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use croftrill_scheduler::hand_over::{start_of_term, HeardResignation, LastRecord};
 use croftrill_scheduler::lease::{LeaseConfig, OrdererLease, Record, RecordKind, TermStart};
+use croftrill_scheduler::shard::Shard;
 use nanoserde::SerBin;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::membership::{
-    read_entry, read_last_orderer, LastOrderer, MemberEntry, LAST_ORDERER_KEY, ORDERER_KEY, ORDERER_PREFIX,
+    orderer_key, orderer_prefix, read_own_item, LastOrderer, MemberEntry, OrdererKeyKind, OwnItem,
 };
 use crate::node::{Lifecycle, Node};
 use crate::ports::{ConditionalPut, Expectation, KeyValueStore, Platform, PutOutcome, StoreError, Write};
@@ -24,6 +26,10 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 /// Pause of a node that is not first in line for the lease, for each place.
 const CANDIDACY_STEP: Duration = Duration::from_millis(70);
+/// Places that a node lets pass for each shard whose orderer it is already.
+const HOLDER_PLACE: u32 = 8;
+/// Most places that a node lets pass otherwise.
+const MOST_PLACES: u32 = 30;
 
 /// An item and its revision.
 #[derive(Debug, Clone)]
@@ -48,16 +54,21 @@
 /// Takes the lease if nobody else holds it.
 ///
 /// Its validity, and how the term begins, is judged by [`OrdererLease`].
-pub(super) async fn become_orderer<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> Option<Acquired> {
-    if !may_try(node, entry) {
+pub(super) async fn become_orderer<P: Platform>(
+    node: &Node<P>,
+    shard: Shard,
+    entry: &MemberEntry,
+) -> Option<Acquired> {
+    if !may_try(node, shard, entry) {
         return None;
     }
-    sleep(CANDIDACY_STEP * place_in_line(node, &entry.name)).await;
-    if !may_try(node, entry) {
+    let _one_at_a_time = node.acquiring.lock().await;
+    sleep(CANDIDACY_STEP * place_in_line(node, shard, &entry.name)).await;
+    if !may_try(node, shard, entry) {
         return None;
     }
-    let keys = read_keys(node).await?;
-    let heard = node.state.borrow().resignation.clone();
+    let keys = read_keys(node, shard).await?;
+    let heard = node.state.borrow().resignations.get(&shard).cloned();
     if !is_free(&keys, entry, heard.as_ref()) {
         return None;
     }
@@ -67,7 +78,7 @@
     let store = node.store();
     let lease = store.grant_lease(time_to_live).await.ok()?;
     let start = start_of_term(last_record(&keys, entry), heard.as_ref(), asked_at);
-    let Some(fencing_token) = claim_key(node, entry, lease, &keys, start).await else {
+    let Some(fencing_token) = claim_key(node, shard, entry, lease, &keys, start).await else {
         let _ = store.end_lease(lease).await;
         return None;
     };
@@ -78,7 +89,7 @@
         quiet_period: least_gap(node),
     });
     held.acquired(lease, fencing_token, asked_at, node.clock.now(), start);
-    tracing::info!(target: "orderer", event = "lease acquired", fencing_token, lease, ?start);
+    tracing::info!(target: "orderer", event = "lease acquired", shard = shard.index(), fencing_token, lease, ?start);
     let inherited = heard.filter(|_| matches!(start, TermStart::HandedOver { .. }));
     Some(Acquired {
         lease: held,
@@ -111,37 +122,54 @@
 }
 
 /// True if this node should try: it takes requests, and no other node is known to hold the lease.
-pub(super) fn may_try<P: Platform>(node: &Node<P>, entry: &MemberEntry) -> bool {
+pub(super) fn may_try<P: Platform>(node: &Node<P>, shard: Shard, entry: &MemberEntry) -> bool {
     let state = node.state.borrow();
     let free = state
         .members
-        .orderer()
+        .orderer(shard)
         .is_none_or(|holder| holder.name == entry.name);
     state.lifecycle == Lifecycle::Ready && free
 }
 
-/// This node's place in line: the last orderer first, then the live nodes in order.
-pub(super) fn place_in_line<P: Platform>(node: &Node<P>, name: &str) -> u32 {
+/// This node's place in line: the last orderer first, then the live nodes in an
+/// order that differs between shards. A node that is an orderer already comes
+/// last, so that one machine does not hold all shards.
+fn place_in_line<P: Platform>(node: &Node<P>, shard: Shard, name: &str) -> u32 {
+    let terms_held = node.terms_held() as u32;
     let state = node.state.borrow();
-    if state.members.last_orderer().is_some_and(|last| last.name == name) {
+    let is_last = |name: &str| {
+        state
+            .members
+            .last_orderer(shard)
+            .is_some_and(|last| last.name == name)
+    };
+    if terms_held > 0 {
+        return HOLDER_PLACE * terms_held;
+    }
+    if is_last(name) {
         return 0;
     }
-    1 + state
+    let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), shard.index() as u64);
+    let before = state
         .members
         .nodes()
-        .take_while(|member| member.name != name)
-        .count() as u32
+        .filter(|member| rank(&member.name) < rank(name));
+    1 + (before.count() as u32).min(MOST_PLACES)
 }
 
-pub(super) async fn read_keys<P: Platform>(node: &Node<P>) -> Option<OrdererKeys> {
-    let snapshot = node.store().range(ORDERER_PREFIX, READ_LIMIT).await.ok()?;
+pub(super) async fn read_keys<P: Platform>(node: &Node<P>, shard: Shard) -> Option<OrdererKeys> {
+    let snapshot = node
+        .store()
+        .range(&orderer_prefix(shard), READ_LIMIT)
+        .await
+        .ok()?;
     let mut keys = OrdererKeys::default();
     for item in &snapshot.items {
         let revision = item.revision;
-        if let Some(value) = read_last_orderer(item) {
-            keys.last = Some(Revised { value, revision });
-        } else if let Some(value) = read_entry(item) {
-            keys.present = Some(Revised { value, revision });
+        match read_own_item(item) {
+            Some(OwnItem::LastOrderer(_, value)) => keys.last = Some(Revised { value, revision }),
+            Some(OwnItem::Orderer(_, value)) => keys.present = Some(Revised { value, revision }),
+            _ => {}
         }
     }
     Some(keys)
@@ -152,20 +180,21 @@
 /// record with it.
 async fn claim_key<P: Platform>(
     node: &Node<P>,
+    shard: Shard,
     entry: &MemberEntry,
     lease: u64,
     keys: &OrdererKeys,
     start: TermStart,
 ) -> Option<u64> {
     let present = revision_of(&keys.present);
-    let mut writes = vec![write_entry(entry, lease)];
+    let mut writes = vec![write_entry(shard, entry, lease)];
     if start == TermStart::Continues {
-        writes.push(write_record(entry, RecordKind::Settled));
+        writes.push(write_record(shard, entry, RecordKind::Settled));
     }
     let put = ConditionalPut {
         conditions: vec![
-            expect(ORDERER_KEY, present),
-            expect(LAST_ORDERER_KEY, revision_of(&keys.last)),
+            expect(shard, OrdererKeyKind::Present, present),
+            expect(shard, OrdererKeyKind::Last, revision_of(&keys.last)),
         ],
         writes,
     };
@@ -173,7 +202,7 @@
         Ok(PutOutcome::Done { revision }) => Some(revision),
         Err(StoreError::NoAnswer) => {
             // It may have been done: the key then carries this very process, at a later revision.
-            let now_present = read_keys(node).await?.present?;
+            let now_present = read_keys(node, shard).await?.present?;
             let is_ours = now_present.value == *entry && now_present.revision > present;
             is_ours.then_some(now_present.revision)
         }
@@ -185,13 +214,14 @@
 /// at the revision `fencing_token`; answers the record's revision.
 pub(super) async fn record_last<P: Platform>(
     node: &Node<P>,
+    shard: Shard,
     entry: &MemberEntry,
     fencing_token: u64,
     kind: RecordKind,
 ) -> Option<Record> {
     let put = ConditionalPut {
-        conditions: vec![expect(ORDERER_KEY, fencing_token)],
-        writes: vec![write_record(entry, kind)],
+        conditions: vec![expect(shard, OrdererKeyKind::Present, fencing_token)],
+        writes: vec![write_record(shard, entry, kind)],
     };
     match node.store().put(put).await {
         Ok(PutOutcome::Done { revision }) => Some(Record { kind, revision }),
@@ -203,28 +233,28 @@
     read.as_ref().map_or(0, |read| read.revision)
 }
 
-fn expect(key: &str, revision: u64) -> Expectation {
+fn expect(shard: Shard, kind: OrdererKeyKind, revision: u64) -> Expectation {
     Expectation {
-        key: key.into(),
+        key: orderer_key(shard, kind),
         revision,
     }
 }
 
-fn write_entry(entry: &MemberEntry, lease: u64) -> Write {
+fn write_entry(shard: Shard, entry: &MemberEntry, lease: u64) -> Write {
     Write {
-        key: ORDERER_KEY.into(),
+        key: orderer_key(shard, OrdererKeyKind::Present),
         value: Bytes::from(SerBin::serialize_bin(entry)),
         lease,
     }
 }
 
-fn write_record(entry: &MemberEntry, kind: RecordKind) -> Write {
+fn write_record(shard: Shard, entry: &MemberEntry, kind: RecordKind) -> Write {
     let last = LastOrderer {
         entry: entry.clone(),
         is_settled: kind == RecordKind::Settled,
     };
     Write {
-        key: LAST_ORDERER_KEY.into(),
+        key: orderer_key(shard, OrdererKeyKind::Last),
         value: Bytes::from(SerBin::serialize_bin(&last)),
         lease: NO_LEASE,
     }
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use croftrill_scheduler::lease::Record;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaReport};
+use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::time::sleep;
@@ -79,15 +80,20 @@
     pub changes: broadcast::Receiver<Bytes>,
 }
 
-/// Runs the orderer's part of a node until it stops.
-pub async fn run<P: Platform>(node: Rc<Node<P>>, mut inbox: mpsc::Receiver<OrdererInput>, incarnation: u64) {
+/// Runs the orderer's part of a node for one shard until it stops.
+pub async fn run<P: Platform>(
+    node: Rc<Node<P>>,
+    shard: Shard,
+    mut inbox: mpsc::Receiver<OrdererInput>,
+    incarnation: u64,
+) {
     let entry = own_entry(&node, incarnation);
     loop {
         if node.lifecycle() == Lifecycle::Stopping {
             return;
         }
-        if let Some(acquired) = become_orderer(&node, &entry).await {
-            let mut term = Term::begin(node.clone(), acquired, entry.clone());
+        if let Some(acquired) = become_orderer(&node, shard, &entry).await {
+            let mut term = Term::begin(node.clone(), shard, acquired, entry.clone());
             term.serve(&mut inbox).await;
             term.end().await;
         }
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -11,6 +11,7 @@
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::replica_table::Placement;
+use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
 use tokio::sync::{broadcast, mpsc, oneshot};
@@ -32,6 +33,7 @@
 /// The time during which a node holds the lease.
 pub(super) struct Term<P: Platform> {
     node: Rc<Node<P>>,
+    shard: Shard,
     lease: OrdererLease,
     orderer: Orderer,
     changes: broadcast::Sender<Bytes>,
@@ -49,10 +51,10 @@
 }
 
 impl<P: Platform> Term<P> {
-    pub(super) fn begin(node: Rc<Node<P>>, acquired: Acquired, entry: MemberEntry) -> Self {
+    pub(super) fn begin(node: Rc<Node<P>>, shard: Shard, acquired: Acquired, entry: MemberEntry) -> Self {
         let configuration = node.configuration().unwrap_or_default();
         let now = node.clock.now();
-        let mut orderer = Orderer::new(orderer_config(&node), configuration, now);
+        let mut orderer = Orderer::new(orderer_config(&node, shard), configuration, now);
         if let Some(heard) = &acquired.inherited {
             orderer.inherit(heard);
         }
@@ -62,6 +64,7 @@
         let (changes, _) = broadcast::channel(CHANGE_BACKLOG);
         let mut term = Term {
             node,
+            shard,
             lease: acquired.lease,
             orderer,
             changes,
@@ -76,7 +79,7 @@
         };
         term.note_authority(now);
         term.sync_directory();
-        term.node.set_gives_orders(true);
+        term.node.term_began();
         term
     }
 
@@ -118,6 +121,8 @@
         let now = self.node.clock.now();
         self.renew_if_due(now);
         self.record_if_due(now);
+        let reachable = self.node.state.borrow().linked;
+        self.orderer.set_reachable(reachable);
         let may_order = self.lease.order_token(now).is_some();
         for action in self.orderer.plan(may_order, now) {
             self.carry_out(action);
@@ -135,10 +140,10 @@
         let Some(lease) = self.lease.lease() else { return };
         self.renewing = true;
         self.last_renewal = now;
-        let node = self.node.clone();
+        let (node, shard) = (self.node.clone(), self.shard);
         tokio::task::spawn_local(async move {
             let result = node.store().renew_lease(lease).await;
-            let inbox = node.orderer_inbox();
+            let inbox = node.orderer_inbox(shard);
             let _ = inbox
                 .send(OrdererInput::Renewed {
                     asked_at: now,
@@ -155,14 +160,14 @@
             return;
         };
         self.recording = true;
-        let (node, entry) = (self.node.clone(), self.entry.clone());
+        let (node, shard, entry) = (self.node.clone(), self.shard, self.entry.clone());
         tokio::task::spawn_local(async move {
-            let record = record_last(&node, &entry, fencing_token, kind).await;
+            let record = record_last(&node, shard, &entry, fencing_token, kind).await;
             let input = OrdererInput::Recorded {
                 fencing_token,
                 record,
             };
-            let _ = node.orderer_inbox().send(input).await;
+            let _ = node.orderer_inbox(shard).send(input).await;
         });
     }
 
@@ -210,7 +215,7 @@
             fencing_token,
             expected_sequence,
         };
-        let node = self.node.clone();
+        let (node, shard) = (self.node.clone(), self.shard);
         while self.orders.try_join_next().is_some() {}
         self.orders.spawn_local(async move {
             let outcome = node.platform.engine().order(&target, &fenced).await;
@@ -226,7 +231,7 @@
                 order: fenced.order,
                 outcome,
             };
-            let _ = node.orderer_inbox().send(input).await;
+            let _ = node.orderer_inbox(shard).send(input).await;
         });
     }
 
@@ -236,7 +241,7 @@
             self.orderer.reported(&replica, None, asked_at, asked_at);
             return;
         };
-        let node = self.node.clone();
+        let (node, shard) = (self.node.clone(), self.shard);
         tokio::task::spawn_local(async move {
             let report = node.platform.engine().report(&target).await;
             let input = OrdererInput::Reported {
@@ -244,7 +249,7 @@
                 report,
                 asked_at,
             };
-            let _ = node.orderer_inbox().send(input).await;
+            let _ = node.orderer_inbox(shard).send(input).await;
         });
     }
 
@@ -308,6 +313,8 @@
                         .count_demand(&key, f64::from(item.requests), item.tokens as f64, now);
                 }
             }
+            // Only a link's first message.
+            ToOrderer::Listen(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
         }
     }
@@ -341,7 +348,7 @@
         }
         self.orderer.retain(|id| state.replicas.get(id).is_some());
         for entry in state.replicas.iter() {
-            self.orderer.listed(&entry.listing, now);
+            self.orderer.known(entry, now);
         }
     }
 
@@ -378,13 +385,14 @@
         let _ = self.changes.send(Bytes::from(message.serialize_bin()));
         tracing::info!(target: "orderer", event = "resigned", fencing_token, record = record.revision,
             holds = resignation.legacy.holds.len());
-        self.node.hear_resignation(resignation);
+        let peer = self.node.settings.identity.peer;
+        self.node.hear_resignation(self.shard, peer, resignation);
     }
 
     /// Gives the lease back if it is still held.
     pub(super) async fn end(mut self) {
-        self.node.set_gives_orders(false);
-        self.node.state.borrow_mut().replicas.orderer_lost();
+        self.node.term_ended();
+        self.node.state.borrow_mut().replicas.orderer_lost(self.shard);
         let lease = self.lease.lease();
         self.lease.lost();
         self.orders.abort_all();
@@ -403,8 +411,9 @@
     Bytes::from(FromOrderer::Placements(wire.collect()).serialize_bin())
 }
 
-pub(super) fn orderer_config<P: Platform>(node: &Node<P>) -> OrdererConfig {
+pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
     OrdererConfig {
+        scope: OrderScope::One(shard),
         placement: PlacementConfig::default(),
         ledger: LedgerConfig::default(),
         order_gap: least_gap(node),
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -55,6 +55,8 @@
 /// A message to the orderer.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum ToOrderer {
+    /// First of all: the shard, by its number, to whose orderer this link goes.
+    Listen(u8),
     /// Requests that arrived at a node.
     Demand(Vec<DemandItem>),
     /// Requests wait for something that is not held.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::followed_view::LinkDelay;
+use croftrill_scheduler::shard::Shard;
 use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +31,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Heartbeats that may be missed before a link counts as dead.
 const MISSED_HEARTBEATS: u32 = 3;
+/// Longest wait for a link's first message.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Longest wait for the own orderer task to take a subscriber.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -58,15 +61,28 @@
 /// Serves one listening node, as long as this node gives orders.
 async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    let mut link = framed(stream);
+    let Ok(Some(shard)) = timeout(HELLO_TIMEOUT, asked_shard(&mut link)).await else {
+        return;
+    };
     let (reply, subscribed) = oneshot::channel();
-    let inbox = node.orderer_inbox();
+    let inbox = node.orderer_inbox(shard);
     if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
         return;
     }
     let Ok(Ok(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribed).await else {
         return;
     };
-    let _ = exchange_messages(framed(stream), subscription, inbox).await;
+    let _ = exchange_messages(link, subscription, inbox).await;
+}
+
+/// The shard that the listener asks for, in the link's first message.
+async fn asked_shard(link: &mut PeerStream) -> Option<Shard> {
+    let frame = link.next().await?.ok()?;
+    match ToOrderer::deserialize_bin(&frame).ok()? {
+        ToOrderer::Listen(index) => Shard::from_index(usize::from(index)),
+        _ => None,
+    }
 }
 
 /// Passes changes to the listener and its messages to the orderer, until either ends.
@@ -95,19 +111,26 @@
     }
 }
 
-/// Follows the present orderer, wherever it is, until the process ends.
-pub async fn follow_orderer<P: Platform>(node: Rc<Node<P>>, mut outgoing: mpsc::Receiver<ToOrderer>) {
+/// Follows the present orderer of a shard, wherever it is, until the process ends.
+pub async fn follow_orderer<P: Platform>(
+    node: Rc<Node<P>>,
+    shard: Shard,
+    mut outgoing: mpsc::Receiver<ToOrderer>,
+) {
     loop {
-        match orderer_address(&node) {
+        match orderer_address(&node, shard) {
             Some(address) if address == node.settings.identity.peer => {
-                pass_to_own(&node, &mut outgoing).await;
+                set_linked(&node, shard, true);
+                pass_to_own(&node, shard, &mut outgoing).await;
+                set_linked(&node, shard, false);
             }
             Some(address) => {
-                if let Err(error) = listen_to(&node, address, &mut outgoing).await {
-                    tracing::warn!(target: "peer", event = "link to the orderer ended", %address, %error);
+                if let Err(error) = listen_to(&node, shard, address, &mut outgoing).await {
+                    tracing::warn!(target: "peer", event = "link to the orderer ended",
+                        shard = shard.index(), %address, %error);
                 }
-                node.state.borrow_mut().replicas.orderer_lost();
-                relay::lost(&node);
+                node.state.borrow_mut().replicas.orderer_lost(shard);
+                set_linked(&node, shard, false);
                 sleep(RETRY_PAUSE).await;
             }
             None => {
@@ -121,18 +144,29 @@
     }
 }
 
-fn orderer_address<P: Platform>(node: &Node<P>) -> Option<SocketAddr> {
+/// Notes whether the orderer of a shard can be reached.
+fn set_linked<P: Platform>(node: &Node<P>, shard: Shard, is_linked: bool) {
+    let mut state = node.state.borrow_mut();
+    state.linked[shard.index()] = is_linked;
+    let any = state.linked.contains(&true);
+    drop(state);
+    if !any {
+        relay::lost(node);
+    }
+}
+
+fn orderer_address<P: Platform>(node: &Node<P>, shard: Shard) -> Option<SocketAddr> {
     node.state
         .borrow()
         .members
-        .orderer()
+        .orderer(shard)
         .and_then(|member| member.peer_address())
 }
 
 /// This node gives the orders itself.
-async fn pass_to_own<P: Platform>(node: &Node<P>, outgoing: &mut mpsc::Receiver<ToOrderer>) {
-    let inbox = node.orderer_inbox();
-    while orderer_address(node) == Some(node.settings.identity.peer) {
+async fn pass_to_own<P: Platform>(node: &Node<P>, shard: Shard, outgoing: &mut mpsc::Receiver<ToOrderer>) {
+    let inbox = node.orderer_inbox(shard);
+    while orderer_address(node, shard) == Some(node.settings.identity.peer) {
         tokio::select! {
             message = outgoing.recv() => {
                 let Some(message) = message else { return };
@@ -146,6 +180,7 @@
 /// Listens to another node, until it falls silent or is not the orderer any more.
 async fn listen_to<P: Platform>(
     node: &Node<P>,
+    shard: Shard,
     address: SocketAddr,
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
@@ -153,14 +188,17 @@
     stream.set_nodelay(true)?;
     let mut link = framed(stream);
     let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
+    let hello = ToOrderer::Listen(shard.index() as u8).serialize_bin();
+    link.send(Bytes::from(hello)).await?;
     let mut delay = LinkDelay::default();
     let mut heard = tokio::time::Instant::now();
-    while orderer_address(node) == Some(address) {
+    while orderer_address(node, shard) == Some(address) {
         tokio::select! {
             frame = link.next() => {
                 let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
                 let message = FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
-                apply_message(node, message, &mut delay);
+                set_linked(node, shard, true);
+                apply_message(node, shard, address, message, &mut delay);
                 heard = tokio::time::Instant::now();
             }
             message = outgoing.recv() => {
@@ -173,7 +211,13 @@
     Ok(())
 }
 
-fn apply_message<P: Platform>(node: &Node<P>, message: FromOrderer, delay: &mut LinkDelay) {
+fn apply_message<P: Platform>(
+    node: &Node<P>,
+    shard: Shard,
+    address: SocketAddr,
+    message: FromOrderer,
+    delay: &mut LinkDelay,
+) {
     match message {
         FromOrderer::Placements(placements) => apply_placements(node, placements),
         FromOrderer::Directory(news) => relay::take_news(node, news, delay),
@@ -182,7 +226,7 @@
             let resignation = resignation.into_resignation();
             tracing::info!(target: "peer", event = "the orderer resigned",
                 fencing_token = resignation.fencing_token, holds = resignation.legacy.holds.len());
-            node.hear_resignation(resignation);
+            node.hear_resignation(shard, address, resignation);
         }
     }
 }
@@ -195,6 +239,7 @@
     }
     drop(state);
     node.view_changed.notify_waiters();
+    node.inform_orderer_tasks(|| OrdererInput::DirectoryChanged);
 }
 
 /// Tells the orderer of demand at intervals.
@@ -203,7 +248,7 @@
         sleep(node.settings.pace.demand_every).await;
         let message = node.state.borrow_mut().demand.take();
         if let Some(message) = message {
-            node.tell_orderer(message);
+            node.tell_orderers(&message);
         }
     }
 }
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -155,7 +155,7 @@
             ready_in_ms = request.ready_in.as_millis() as u64, objective_ms = request.objective.as_millis() as u64,
             patience_ms = request.patience.as_millis() as u64,
             holders = state.replicas.holders(&self.service, &key.model),
-            orderer = state.members.orderer().map(|member| member.name.as_str()));
+            orderers_linked = state.linked.iter().filter(|linked| **linked).count());
     }
 
     /// Expected time until the model and adapter are there; `None` if the
@@ -171,7 +171,7 @@
         if let Some(ready_at) = state.replicas.arrival(&self.service, &key.model) {
             return Some(ready_at.since(now).max(Duration::from_millis(20)));
         }
-        if state.members.orderer().is_none() {
+        if !state.linked.contains(&true) {
             return Some(NO_ORDERER_READY_IN);
         }
         Some(ORDER_DELAY + spec.disk_load.min(MODEL_READY_IN))
@@ -199,7 +199,7 @@
         }
         self.last_reminder.set(Some(now));
         self.node
-            .tell_orderer(ToOrderer::Waiting(WireModel::from_key(key)));
+            .tell_orderers(&ToOrderer::Waiting(WireModel::from_key(key)));
     }
 
     pub(super) async fn wait_for_view(&self) {
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -19,7 +19,7 @@
 pub struct Running<P: Platform> {
     node: Rc<Node<P>>,
     membership: JoinHandle<()>,
-    orderer: JoinHandle<()>,
+    orderers: Vec<JoinHandle<()>>,
 }
 
 /// Starts a node on two listeners: for callers and for other nodes. Must run
@@ -33,14 +33,20 @@
 ) -> Running<P> {
     spawn_local(front::accept(node.clone(), front_listener));
     spawn_local(peer_link::accept(node.clone(), peer_listener));
-    spawn_local(peer_link::follow_orderer(node.clone(), queues.to_orderer));
     spawn_local(peer_link::tell_demand(node.clone()));
     spawn_local(directory::follow(node.clone()));
     spawn_local(close_old_connections(node.clone()));
+    let mut orderers = Vec::new();
+    for queues in queues {
+        let shard = queues.shard;
+        spawn_local(peer_link::follow_orderer(node.clone(), shard, queues.to_orderer));
+        let orderer = orderer_task::run(node.clone(), shard, queues.orderer_inbox, incarnation);
+        orderers.push(spawn_local(orderer));
+    }
     Running {
         node: node.clone(),
         membership: spawn_local(membership::keep_entry(node.clone(), incarnation)),
-        orderer: spawn_local(orderer_task::run(node.clone(), queues.orderer_inbox, incarnation)),
+        orderers,
     }
 }
 
@@ -51,7 +57,9 @@
         front::finish(&self.node).await;
         let withdrawn = async {
             let _ = self.membership.await;
-            let _ = self.orderer.await;
+            for orderer in self.orderers {
+                let _ = orderer.await;
+            }
         };
         let _ = tokio::time::timeout(WITHDRAWAL, withdrawn).await;
     }
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -83,9 +83,9 @@
         Pace {
             watch_every: Duration::from_millis(600),
             watch_wait: Duration::from_secs(10),
-            relay_watch_every: Duration::from_millis(250),
-            relay_watch_wait: Duration::from_millis(450),
-            relay_lifetime: Duration::from_millis(1100),
+            relay_watch_every: Duration::from_millis(400),
+            relay_watch_wait: Duration::from_millis(600),
+            relay_lifetime: Duration::from_millis(1300),
             membership_lease: Duration::from_secs(3),
             membership_renewal: Duration::from_millis(900),
             orderer_lease: Duration::from_millis(4500),
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -127,6 +127,12 @@
         waiting.into_iter().map(|(_, key)| key.clone()).collect()
     }
 
+    /// How long the model or adapter has been waited for.
+    pub fn waited(&self, key: &ModelKey, now: Moment) -> Duration {
+        let since = self.rates.get(key).and_then(|rate| rate.waiting_since);
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Requests a second.
     pub fn requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
         self.rates
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod replica_table;
 pub mod retry_budget;
 pub mod routing;
+pub mod shard;
 pub mod time;
--- a/crates/croftrill-scheduler/src/orderer/adapters.rs
+++ b/crates/croftrill-scheduler/src/orderer/adapters.rs
@@ -1,13 +1,19 @@
 //! Adapters that are waited for, onto replicas that hold their model.
 
+use std::time::Duration;
+
 use crate::catalog::{EngineSpec, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::memory_used;
+use crate::placement::{memory_used, Place};
 use crate::replica::Order;
 use crate::time::Moment;
 
+use super::goals::own_place;
 use super::{Orderer, OrdererAction};
 
+/// Time for which a waiting adapter is left to the orderer of the best place.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
+
 impl Orderer {
     /// Loads adapters that are waited for onto replicas that hold their model.
     pub(super) fn place_adapters(
@@ -26,7 +32,9 @@
                 continue;
             }
             let view = self.placement_of(service, engine, now);
-            let Some(id) = view.adapter_place(&key.model) else {
+            let others_had_time = self.demand.waited(key, now) >= ADAPTER_PATIENCE;
+            let place = own_place(others_had_time, |among| view.adapter_place(&key.model, among));
+            let Some(Place { replica: id, .. }) = place else {
                 continue;
             };
             let Some(replica) = self.replicas.get(&id) else {
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -1,13 +1,28 @@
 //! Which model a replica should load next, and the steps to get there.
 
+use std::time::Duration;
+
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::{memory_used, weight_source, WeightSource};
+use crate::placement::{memory_used, weight_source, Among, Orders, Place, WeightSource};
 use crate::replica::{Order, ReplicaId};
 use crate::time::Moment;
 
 use super::{Decision, GoalReason, Orderer, OrdererAction};
 
+/// Time for which a waiting model is left to the orderer of the best place.
+const MODEL_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The place at which this orderer should act: the best of all if it is its own;
+/// its own best, if the orderer of the best place has had its time.
+pub(super) fn own_place(others_had_time: bool, choose: impl Fn(Among) -> Option<Place>) -> Option<Place> {
+    let best = choose(Among::All)?;
+    if best.orders == Orders::Own {
+        return Some(best);
+    }
+    others_had_time.then(|| choose(Among::Own)).flatten()
+}
+
 impl Orderer {
     /// Sets goals for models that are waited for and held nowhere.
     pub(super) fn set_goals(
@@ -33,8 +48,17 @@
             if holders.get(model).copied().unwrap_or(0) > 0 {
                 continue;
             }
-            if let Some((id, _)) = view.best_place(model, &holders, store_allowed) {
-                self.set_goal(&id, model.clone(), GoalReason::Waiting, 0);
+            let key = ModelKey {
+                service: service.clone(),
+                model: model.clone(),
+                adapter: None,
+            };
+            let others_had_time = self.demand.waited(&key, now) >= MODEL_PATIENCE;
+            let place = own_place(others_had_time, |among| {
+                view.best_place(model, &holders, store_allowed, among)
+            });
+            if let Some(place) = place {
+                self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
             }
         }
     }
@@ -57,11 +81,14 @@
         let Some((gain, model)) = lacking.into_iter().next() else {
             return;
         };
-        let place = view.best_place(&model, &holders, store_allowed);
+        // Every orderer finds the same best place; the one who orders there acts.
+        let place = view
+            .best_place(&model, &holders, store_allowed, Among::All)
+            .filter(|place| place.orders == Orders::Own);
         let least_gain = self.config.placement.least_gain;
-        if let Some((id, _)) = place.filter(|(_, displaced)| gain > least_gain * displaced) {
+        if let Some(place) = place.filter(|place| gain > least_gain * place.displaced) {
             let count = holders.get(&model).copied().unwrap_or(0);
-            self.set_goal(&id, model, GoalReason::Demand, count);
+            self.set_goal(&place.replica, model, GoalReason::Demand, count);
         }
     }
 
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -18,15 +18,18 @@
 use crate::demand::{Demand, ModelKey};
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
-use crate::placement::{load_time, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
+use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
 use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
-use crate::replica_table::Placement;
+use crate::replica_table::{Placement, ReplicaEntry};
+use crate::shard::{OrderScope, Shard, SHARD_COUNT};
 use crate::time::Moment;
 
 /// Figures of the orderer.
 #[derive(Debug, Clone, Copy)]
 pub struct OrdererConfig {
+    /// The replicas that it orders at; of the others it only knows.
+    pub scope: OrderScope,
     /// Figures of placement.
     pub placement: PlacementConfig,
     /// Timing of the accounts.
@@ -120,6 +123,8 @@
     /// Whether the former orderer told of its loads.
     loads_are_known: bool,
     history: OrderHistory,
+    /// Shards whose orderers can be reached.
+    reachable: [bool; SHARD_COUNT],
 }
 
 impl Orderer {
@@ -138,6 +143,7 @@
             took_over,
             loads_are_known: false,
             history: OrderHistory::new(config.order_gap),
+            reachable: [false; SHARD_COUNT],
         }
     }
 
@@ -186,6 +192,28 @@
         self.configuration = configuration;
     }
 
+    /// Which shards' orderers can be reached: at the others' replicas nobody orders.
+    pub fn set_reachable(&mut self, reachable: [bool; SHARD_COUNT]) {
+        if self.reachable == reachable {
+            return;
+        }
+        self.reachable = reachable;
+        for (id, replica) in &mut self.replicas {
+            replica.orders = orders_at(self.config.scope, &reachable, id);
+        }
+    }
+
+    /// What is known of a replica, by its listing or from the orderer of its shard.
+    pub fn known(&mut self, entry: &ReplicaEntry, now: Moment) {
+        self.listed(&entry.listing, now);
+        if self.config.scope.covers(&entry.listing.id) {
+            return;
+        }
+        if let Some(replica) = self.replicas.get_mut(&entry.listing.id) {
+            replica.goal = entry.arriving.first().map(|arrival| arrival.model.clone());
+        }
+    }
+
     /// A replica is listed.
     pub fn listed(&mut self, listing: &ReplicaListing, now: Moment) {
         let is_engine = self
@@ -196,6 +224,8 @@
             return;
         }
         let ledger_config = self.config.ledger;
+        let is_own = self.config.scope.covers(&listing.id);
+        let orders = orders_at(self.config.scope, &self.reachable, &listing.id);
         let is_new = !self.replicas.contains_key(&listing.id);
         let replica = self
             .replicas
@@ -208,13 +238,14 @@
                 withdrawn: None,
                 loaded_at: Default::default(),
                 is_held: false,
+                orders,
             });
         replica.state = listing.state;
         if listing.state == ReplicaState::Draining {
             replica.goal = None;
         }
         let change = replica.ledger.listed(&listing.holdings);
-        if is_new || change != LedgerChange::None {
+        if is_own && (is_new || change != LedgerChange::None) {
             // The other nodes are told of holdings only by placements.
             self.changed.insert(listing.id.clone());
         }
@@ -277,7 +308,11 @@
     pub fn plan(&mut self, may_order: bool, now: Moment) -> Vec<OrdererAction> {
         let mut actions = Vec::new();
         self.history.prune(now);
-        for (id, replica) in &mut self.replicas {
+        let own = self
+            .replicas
+            .iter_mut()
+            .filter(|(_, replica)| replica.orders == Orders::Own);
+        for (id, replica) in own {
             replica.is_held = !self.history.permits(id, now);
             if replica.ledger.wants_report(now) {
                 actions.push(OrdererAction::Report { replica: id.clone() });
@@ -312,7 +347,8 @@
 
     /// Loads from the weight store that may begin in a window.
     fn ceiling(&self, engine: &EngineSpec) -> usize {
-        (engine.loads_per_second * self.config.ceiling_window.as_secs_f64()).floor() as usize
+        let all = engine.loads_per_second * self.config.ceiling_window.as_secs_f64();
+        (all / self.config.scope.orderers() as f64).floor() as usize
     }
 
     fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
@@ -445,3 +481,14 @@
         }
     }
 }
+
+/// Who orders at a replica.
+fn orders_at(scope: OrderScope, reachable: &[bool; SHARD_COUNT], id: &str) -> Orders {
+    if scope.covers(id) {
+        Orders::Own
+    } else if reachable[Shard::of_replica(id).index()] {
+        Orders::Other
+    } else {
+        Orders::Nobody
+    }
+}
--- a/crates/croftrill-scheduler/src/orderer/telling.rs
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -33,6 +33,7 @@
     pub fn all_placements(&self, now: Moment) -> Vec<Placement> {
         self.replicas
             .keys()
+            .filter(|id| self.config.scope.covers(id))
             .filter_map(|id| self.placement(id, now))
             .collect()
     }
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -49,6 +49,37 @@
     }
 }
 
+/// Who orders at a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Orders {
+    /// This orderer.
+    Own,
+    /// The orderer of another shard, which can be reached.
+    Other,
+    /// Nobody at present: the orderer of its shard is not there.
+    Nobody,
+}
+
+/// A replica that should take a model or an adapter.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Place {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Value of what must make way there.
+    pub displaced: f64,
+    /// Who orders there.
+    pub orders: Orders,
+}
+
+/// The replicas among which a place is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Among {
+    /// All at which some orderer can order.
+    All,
+    /// Those at which this orderer orders.
+    Own,
+}
+
 /// One replica as placement sees it.
 #[derive(Debug)]
 pub struct PlacedReplica {
@@ -66,6 +97,8 @@
     pub loaded_at: HashMap<ModelName, Moment>,
     /// True while a predecessor's orders forbid orders here.
     pub is_held: bool,
+    /// Who orders here.
+    pub orders: Orders,
 }
 
 impl PlacedReplica {
@@ -78,7 +111,16 @@
 
     /// True if an order may be given now.
     pub fn takes_orders(&self) -> bool {
-        !self.is_held && self.ledger.is_idle()
+        self.orders == Orders::Own && !self.is_held && self.ledger.is_idle()
+    }
+
+    /// True if a place may be chosen here.
+    fn is_candidate(&self, among: Among) -> bool {
+        match self.orders {
+            Orders::Own => self.takes_orders(),
+            Orders::Other => among == Among::All,
+            Orders::Nobody => false,
+        }
     }
 
     /// True if the replica holds the model and will go on holding it.
@@ -312,7 +354,8 @@
         model: &ModelName,
         holders: &HashMap<ModelName, usize>,
         store_allowed: bool,
-    ) -> Option<(ReplicaId, f64)> {
+        among: Among,
+    ) -> Option<Place> {
         let cost = |replica: &PlacedReplica| -> Option<(f64, f64)> {
             let holdings = replica.ledger.holdings();
             let displaced = self.displaced_value(replica, model, holders)?;
@@ -323,22 +366,38 @@
         };
         self.members()
             .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
-            .filter(|(_, replica)| replica.takes_orders() && !replica.ledger.holdings().serves(model, None))
+            .filter(|(_, replica)| {
+                replica.is_candidate(among) && !replica.ledger.holdings().serves(model, None)
+            })
             .filter(|(_, replica)| {
                 store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
             })
             .filter_map(|(id, replica)| cost(replica).map(|(cost, displaced)| (cost, displaced, id)))
             .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, displaced, id)| (id.clone(), displaced))
+            .map(|(_, displaced, id)| Place {
+                replica: id.clone(),
+                displaced,
+                orders: self.orders_at(id),
+            })
     }
 
     /// The replica that should load an adapter: of those that keep its model
     /// and are idle, the one with the fewest adapters.
-    pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
+    pub fn adapter_place(&self, model: &ModelName, among: Among) -> Option<Place> {
         self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.takes_orders())
+            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(among))
             .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
-            .map(|(id, _)| id.clone())
+            .map(|(id, _)| Place {
+                replica: id.clone(),
+                displaced: 0.0,
+                orders: self.orders_at(id),
+            })
+    }
+
+    fn orders_at(&self, id: &ReplicaId) -> Orders {
+        self.replicas
+            .get(id)
+            .map_or(Orders::Nobody, |replica| replica.orders)
     }
 
     /// The adapter that makes way first on a replica: the least demanded.
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -7,6 +7,7 @@
 use crate::catalog::{AdapterName, ModelName, ServiceName};
 use crate::health::{ReplicaHealth, SendOutcome};
 use crate::replica::{Holdings, ReplicaId, ReplicaListing, ReplicaState};
+use crate::shard::Shard;
 use crate::time::Moment;
 
 /// A model on its way to a replica.
@@ -138,7 +139,9 @@
             return;
         };
         if entry.from_orderer {
-            let holdings = entry.listing.holdings.clone();
+            // Of copies no orderer tells.
+            let mut holdings = std::mem::take(&mut entry.listing.holdings);
+            holdings.copies = listing.holdings.copies.clone();
             entry.listing = ReplicaListing { holdings, ..listing };
         } else {
             entry.absent.clear();
@@ -170,14 +173,20 @@
         };
         entry.from_orderer = true;
         entry.absent.clear();
-        entry.listing.holdings = placement.usable;
+        let copies = std::mem::take(&mut entry.listing.holdings.copies);
+        entry.listing.holdings = Holdings {
+            copies,
+            ..placement.usable
+        };
         entry.arriving = placement.arriving;
         true
     }
 
-    /// The orderer no longer tells: from now on the list is believed again.
-    pub fn orderer_lost(&mut self) {
-        for entry in self.replicas.values_mut() {
+    /// The orderer of a shard no longer tells: from now on the list is believed again.
+    pub fn orderer_lost(&mut self, shard: Shard) {
+        let entries = self.replicas.iter_mut();
+        let lost = entries.filter(|(id, _)| Shard::of_replica(id) == shard);
+        for (_, entry) in lost {
             entry.from_orderer = false;
             entry.arriving.clear();
         }
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -6,6 +6,7 @@
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
 
 fn now() -> Moment {
@@ -152,7 +153,9 @@
     table.apply_listing(listing("r0", &[("m1", &[])]));
     assert!(choose(&table, &request(Some("m2"), None, 1), now()).is_some());
     assert_eq!(choose(&table, &request(Some("m1"), None, 1), now()), None);
-    table.orderer_lost();
+    for shard in Shard::all() {
+        table.orderer_lost(shard);
+    }
     table.apply_listing(listing("r0", &[("m1", &[])]));
     assert!(choose(&table, &request(Some("m1"), None, 1), now()).is_some());
 }
