--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -129,6 +129,7 @@
     state.configuration = Some(configuration);
     if state.lifecycle == Lifecycle::Starting {
         state.lifecycle = Lifecycle::Ready;
+        state.ready_at = Some(node.clock.now());
     }
 }
 
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -13,6 +13,7 @@
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
+use croftrill_scheduler::time::Moment;
 use tokio::sync::{mpsc, Mutex, Notify};
 use tokio::time::Instant;
 
@@ -66,6 +67,8 @@
     pub linked: [bool; SHARD_COUNT],
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
+    /// When it began to take requests.
+    pub ready_at: Option<Moment>,
 }
 
 /// Whether the store answers. A watch that waits cannot tell a quiet store from
@@ -180,6 +183,7 @@
             resignations: BTreeMap::new(),
             linked: [false; SHARD_COUNT],
             lifecycle: Lifecycle::Starting,
+            ready_at: None,
         };
         let patient = ConnectionConfig {
             silence_limit: None,
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -26,6 +26,8 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 /// Pause of a node that is not first in line for the lease, for each place.
 const CANDIDACY_STEP: Duration = Duration::from_millis(70);
+/// Time from a node's start until it knows what the others did meanwhile.
+const SETTLING: Duration = Duration::from_millis(900);
 /// Places that a node lets pass for each shard whose orderer it is already.
 const HOLDER_PLACE: u32 = 8;
 /// Most places that a node lets pass otherwise.
@@ -63,7 +65,11 @@
         return None;
     }
     let _one_at_a_time = node.acquiring.lock().await;
-    sleep(CANDIDACY_STEP * place_in_line(node, shard, &entry.name)).await;
+    let place = place_in_line(node, shard, &entry.name);
+    if place > 0 {
+        sleep(settling_left(node)).await;
+    }
+    sleep(CANDIDACY_STEP * place).await;
     if !may_try(node, shard, entry) {
         return None;
     }
@@ -97,6 +103,13 @@
     })
 }
 
+/// Time until a node that just started knows the others: when many start
+/// together, most of them need not ask who the orderer is.
+fn settling_left<P: Platform>(node: &Node<P>) -> Duration {
+    let ready_at = node.state.borrow().ready_at.unwrap_or_default();
+    SETTLING.saturating_sub(node.clock.now().since(ready_at))
+}
+
 /// Least time between the orders of two machines at one replica, with a margin.
 pub(super) fn least_gap<P: Platform>(node: &Node<P>) -> Duration {
     node.settings.bounds.order_gap + GAP_MARGIN
