Shards: whose turn it is follows from what all orderers see alike

Now the turn goes by holders alone (adapters: hash; models: best place, idle or not), and the others step in one after the other.

--- a/crates/croftrill-scheduler/src/orderer/adapters.rs
+++ b/crates/croftrill-scheduler/src/orderer/adapters.rs
@@ -4,11 +4,10 @@
 
 use crate::catalog::{EngineSpec, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::{memory_used, Place};
+use crate::placement::memory_used;
 use crate::replica::Order;
 use crate::time::Moment;
 
-use super::goals::own_place;
 use super::{Orderer, OrdererAction};
 
 /// Time for which a waiting adapter is left to the orderer of the best place.
@@ -32,9 +31,12 @@
                 continue;
             }
             let view = self.placement_of(service, engine, now);
-            let others_had_time = self.demand.waited(key, now) >= ADAPTER_PATIENCE;
-            let place = own_place(others_had_time, |among| view.adapter_place(&key.model, among));
-            let Some(Place { replica: id, .. }) = place else {
+            let home = view.adapter_home(&key.model, &adapter);
+            let waited = self.demand.waited(key, now);
+            if !self.config.scope.has_turn(home, waited, ADAPTER_PATIENCE) {
+                continue;
+            }
+            let Some(id) = view.adapter_place(&key.model) else {
                 continue;
             };
             let Some(replica) = self.replicas.get(&id) else {
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -4,7 +4,7 @@
 
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::{memory_used, weight_source, Among, Orders, Place, WeightSource};
+use crate::placement::{memory_used, weight_source, Among, WeightSource};
 use crate::replica::{Order, ReplicaId};
 use crate::time::Moment;
 
@@ -13,16 +13,6 @@
 /// Time for which a waiting model is left to the orderer of the best place.
 const MODEL_PATIENCE: Duration = Duration::from_millis(700);
 
-/// The place at which this orderer should act: the best of all if it is its own;
-/// its own best, if the orderer of the best place has had its time.
-pub(super) fn own_place(others_had_time: bool, choose: impl Fn(Among) -> Option<Place>) -> Option<Place> {
-    let best = choose(Among::All)?;
-    if best.orders == Orders::Own {
-        return Some(best);
-    }
-    others_had_time.then(|| choose(Among::Own)).flatten()
-}
-
 impl Orderer {
     /// Sets goals for models that are waited for and held nowhere.
     pub(super) fn set_goals(
@@ -53,11 +43,13 @@
                 model: model.clone(),
                 adapter: None,
             };
-            let others_had_time = self.demand.waited(&key, now) >= MODEL_PATIENCE;
-            let place = own_place(others_had_time, |among| {
-                view.best_place(model, &holders, store_allowed, among)
-            });
-            if let Some(place) = place {
+            let best = view.best_place(model, &holders, store_allowed, Among::All);
+            let waited = self.demand.waited(&key, now);
+            let home = best.as_ref().map(|place| &place.replica);
+            if !self.config.scope.has_turn(home, waited, MODEL_PATIENCE) {
+                continue;
+            }
+            if let Some(place) = view.best_place(model, &holders, store_allowed, Among::Own) {
                 self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
             }
         }
@@ -82,9 +74,11 @@
             return;
         };
         // Every orderer finds the same best place; the one who orders there acts.
-        let place = view
-            .best_place(&model, &holders, store_allowed, Among::All)
-            .filter(|place| place.orders == Orders::Own);
+        let best = view.best_place(&model, &holders, store_allowed, Among::All);
+        if best.is_none_or(|best| !self.config.scope.covers(&best.replica)) {
+            return;
+        }
+        let place = view.best_place(&model, &holders, store_allowed, Among::Own);
         let least_gain = self.config.placement.least_gain;
         if let Some(place) = place.filter(|place| gain > least_gain * place.displaced) {
             let count = holders.get(&model).copied().unwrap_or(0);
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::replica::{Holdings, ReplicaId, ReplicaState};
 use crate::replica_ledger::ReplicaLedger;
 use crate::time::Moment;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Tunable figures of placement.
 #[derive(Debug, Clone, Copy)]
@@ -67,16 +68,15 @@
     pub replica: ReplicaId,
     /// Value of what must make way there.
     pub displaced: f64,
-    /// Who orders there.
-    pub orders: Orders,
 }
 
 /// The replicas among which a place is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Among {
-    /// All at which some orderer can order.
+    /// All at which some orderer orders, whether or not they are idle: all
+    /// orderers see these alike, and so agree on whose turn it is.
     All,
-    /// Those at which this orderer orders.
+    /// Those that take orders of this orderer now.
     Own,
 }
 
@@ -116,10 +116,9 @@
 
     /// True if a place may be chosen here.
     fn is_candidate(&self, among: Among) -> bool {
-        match self.orders {
-            Orders::Own => self.takes_orders(),
-            Orders::Other => among == Among::All,
-            Orders::Nobody => false,
+        match among {
+            Among::All => self.orders != Orders::Nobody,
+            Among::Own => self.takes_orders(),
         }
     }
 
@@ -377,27 +376,28 @@
             .map(|(_, displaced, id)| Place {
                 replica: id.clone(),
                 displaced,
-                orders: self.orders_at(id),
             })
     }
 
-    /// The replica that should load an adapter: of those that keep its model
-    /// and are idle, the one with the fewest adapters.
-    pub fn adapter_place(&self, model: &ModelName, among: Among) -> Option<Place> {
+    /// The replica whose orderer's turn it is to load an adapter: of those that
+    /// keep its model and have a place free, one by hash.
+    pub fn adapter_home(&self, model: &ModelName, adapter: &AdapterName) -> Option<&ReplicaId> {
+        let seed = xxh3_64(adapter.as_bytes());
+        let is_full =
+            |replica: &PlacedReplica| replica.ledger.holdings().adapter_count() >= self.engine.adapter_slots;
         self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(among))
-            .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
-            .map(|(id, _)| Place {
-                replica: id.clone(),
-                displaced: 0.0,
-                orders: self.orders_at(id),
-            })
+            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::All))
+            .min_by_key(|(id, replica)| (is_full(replica), xxh3_64_with_seed(id.as_bytes(), seed)))
+            .map(|(id, _)| id)
     }
 
-    fn orders_at(&self, id: &ReplicaId) -> Orders {
-        self.replicas
-            .get(id)
-            .map_or(Orders::Nobody, |replica| replica.orders)
+    /// The replica that should load an adapter now: of those that keep its model
+    /// and take orders, the one with the fewest adapters.
+    pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
+        self.members()
+            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::Own))
+            .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
+            .map(|(id, _)| id.clone())
     }
 
     /// The adapter that makes way first on a replica: the least demanded.
--- a/crates/croftrill-scheduler/src/shard.rs
+++ b/crates/croftrill-scheduler/src/shard.rs
@@ -4,8 +4,12 @@
 //! others load what is waited for at theirs. Which shard a replica belongs to
 //! follows from its identity alone, so all nodes agree on it without talking.
 
+use std::time::Duration;
+
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::replica::ReplicaId;
+
 /// Number of shards. More shards lose less with one orderer, and split the
 /// weight store's ceiling into smaller parts.
 pub const SHARD_COUNT: usize = 3;
@@ -54,6 +58,18 @@
         }
     }
 
+    /// True if it is this orderer's turn to act for what waited so long: at once
+    /// if it orders at `home`, the place that all orderers find best; else, as
+    /// the orderer there may be lost, one shard after the other.
+    pub fn has_turn(self, home: Option<&ReplicaId>, waited: Duration, patience: Duration) -> bool {
+        let (OrderScope::One(own), Some(home)) = (self, home) else {
+            return true;
+        };
+        let home = Shard::of_replica(home);
+        let place_in_line = (own.index() + SHARD_COUNT - home.index()) % SHARD_COUNT;
+        waited >= patience * place_in_line as u32
+    }
+
     /// Orderers among which a common allowance is split.
     pub fn orderers(self) -> usize {
         match self {
