Orderers run on the strongest machines, and a plan does less

A node slept for its place in line while it held the lock that lets it try one shard at a time, so others took none; each plan chose places for all waiting models anew; each change of the list was taken in by itself. Now: processor time ranks candidates (scheduler::candidacy); at most six models a plan; changes of the list once a plan; plans every 40 ms; the list of models is indexed once a plan.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -4,6 +4,7 @@
 
 use croftrill_bench::emulator::*;
 use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::orderer::Decision;
 use croftrill_scheduler::replica::Order;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -45,6 +46,29 @@
     assert!(holder.serves("m2", Some("a1")), "orders: {:?}", world.orders);
 }
 
+/// With many waiting models a plan took most of a small machine's processor time.
+#[test]
+fn plan_chooses_places_for_a_few_waiting_models_at_a_time() {
+    let held: Vec<&[&str]> = vec![&[]; 12];
+    let mut world = World::new(40, &held);
+    world.run(6000);
+    let now = world.now;
+    for index in 1..=12 {
+        world.orderer.mark_waiting(&key(&format!("m{index}"), None), now);
+    }
+    let goals = |world: &mut World| {
+        world.orderer.plan(true, now);
+        let decisions = world.orderer.take_decisions();
+        decisions
+            .iter()
+            .filter(|decision| matches!(decision, Decision::Goal { .. }))
+            .count()
+    };
+    let counts: Vec<usize> = (0..4).map(|_| goals(&mut world)).collect();
+    assert!(counts.iter().all(|count| *count <= 6), "{counts:?}");
+    assert_eq!(counts.iter().sum::<usize>(), 12, "{counts:?}");
+}
+
 /// Nodes learn of holdings from placements alone. Replicas that the orderer knew
 /// from listings only were never told: a seventh of the requests of a calm day
 /// were refused as their models seemed absent.
--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -131,6 +131,7 @@
                 zone: self.zone.clone(),
                 front: self.listen,
                 peer: self.peer,
+                processor_millicores: 1000,
             },
             bounds: ClusterBounds {
                 order_gap: Duration::from_millis(self.order_gap_ms),
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use croftrill_scheduler::candidacy::Candidate;
 use croftrill_scheduler::shard::Shard;
 use nanoserde::{DeBin, SerBin};
 use tokio::time::sleep;
@@ -68,6 +69,8 @@
     pub front: String,
     /// Address for other nodes.
     pub peer: String,
+    /// Processor time that it may use, in thousandths of a core.
+    pub processor_millicores: u32,
     /// Tells this process from a former one of the same name.
     pub incarnation: u64,
 }
@@ -78,6 +81,14 @@
         self.front.parse().ok()
     }
 
+    /// The node as it may become an orderer.
+    pub fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            name: &self.name,
+            processor_millicores: self.processor_millicores,
+        }
+    }
+
     /// Address for other nodes.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         self.peer.parse().ok()
@@ -200,6 +211,7 @@
         zone: identity.zone.clone(),
         front: identity.front.to_string(),
         peer: identity.peer.to_string(),
+        processor_millicores: identity.processor_millicores,
         incarnation,
     }
 }
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::candidacy::Candidacy;
 use croftrill_scheduler::hand_over::{start_of_term, HeardResignation, LastRecord};
 use croftrill_scheduler::lease::{LeaseConfig, OrdererLease, Record, RecordKind, TermStart};
 use croftrill_scheduler::shard::Shard;
 use nanoserde::SerBin;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::membership::{
     orderer_key, orderer_prefix, read_own_item, LastOrderer, MemberEntry, OrdererKeyKind, OwnItem,
@@ -30,8 +30,6 @@
 const SETTLING: Duration = Duration::from_millis(900);
 /// Places that a node lets pass for each shard whose orderer it is already.
 const HOLDER_PLACE: u32 = 8;
-/// Most places that a node lets pass otherwise.
-const MOST_PLACES: u32 = 30;
 
 /// An item and its revision.
 #[derive(Debug, Clone)]
@@ -64,13 +62,13 @@
     if !may_try(node, shard, entry) {
         return None;
     }
-    let _one_at_a_time = node.acquiring.lock().await;
-    let place = place_in_line(node, shard, &entry.name);
-    if place > 0 {
+    if place_in_line(node, shard, entry) > 0 {
         sleep(settling_left(node)).await;
     }
-    sleep(CANDIDACY_STEP * place).await;
-    if !may_try(node, shard, entry) {
+    let terms_held = node.terms_held();
+    sleep(CANDIDACY_STEP * place_in_line(node, shard, entry)).await;
+    let _one_at_a_time = node.acquiring.lock().await;
+    if node.terms_held() != terms_held || !may_try(node, shard, entry) {
         return None;
     }
     let keys = read_keys(node, shard).await?;
@@ -144,30 +142,16 @@
     state.lifecycle == Lifecycle::Ready && free
 }
 
-/// This node's place in line: the last orderer first, then the live nodes in an
-/// order that differs between shards. A node that is an orderer already comes
-/// last, so that one machine does not hold all shards.
-fn place_in_line<P: Platform>(node: &Node<P>, shard: Shard, name: &str) -> u32 {
-    let terms_held = node.terms_held() as u32;
+/// This node's place in line for a shard.
+fn place_in_line<P: Platform>(node: &Node<P>, shard: Shard, entry: &MemberEntry) -> u32 {
     let state = node.state.borrow();
-    let is_last = |name: &str| {
-        state
-            .members
-            .last_orderer(shard)
-            .is_some_and(|last| last.name == name)
+    let candidacy = Candidacy {
+        shard,
+        own: entry.candidate(),
+        terms_held: node.terms_held(),
+        last_orderer: state.members.last_orderer(shard).map(|last| &*last.name),
     };
-    if terms_held > 0 {
-        return HOLDER_PLACE * terms_held;
-    }
-    if is_last(name) {
-        return 0;
-    }
-    let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), shard.index() as u64);
-    let before = state
-        .members
-        .nodes()
-        .filter(|member| rank(&member.name) < rank(name));
-    1 + (before.count() as u32).min(MOST_PLACES)
+    candidacy.place_in_line(state.members.nodes().map(MemberEntry::candidate))
 }
 
 pub(super) async fn read_keys<P: Platform>(node: &Node<P>, shard: Shard) -> Option<OrdererKeys> {
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -44,6 +44,8 @@
     renewing: bool,
     entry: MemberEntry,
     recording: bool,
+    /// The list of replicas or what is known of them changed since the last plan.
+    directory_changed: bool,
     /// Fencing token, and the record under which this term could order.
     authority: Option<(u64, Record)>,
     /// Orders under way. They end with the term: none may leave after it.
@@ -74,6 +76,7 @@
             renewing: false,
             entry,
             recording: false,
+            directory_changed: false,
             authority: None,
             orders: JoinSet::new(),
         };
@@ -119,6 +122,9 @@
 
     pub(super) fn act(&mut self) {
         let now = self.node.clock.now();
+        if std::mem::take(&mut self.directory_changed) {
+            self.sync_directory();
+        }
         self.renew_if_due(now);
         self.record_if_due(now);
         let reachable = self.node.state.borrow().linked;
@@ -267,7 +273,7 @@
         let now = self.node.clock.now();
         match input {
             OrdererInput::FromNode(message) => self.take_message(message, now),
-            OrdererInput::DirectoryChanged => self.sync_directory(),
+            OrdererInput::DirectoryChanged => self.directory_changed = true,
             OrdererInput::Watched(span) => self.relay(span, now),
             OrdererInput::Subscribe(reply) => self.subscribe(reply, now),
             OrdererInput::OrderAnswered { replica, outcome, .. } => {
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -14,6 +14,8 @@
     pub front: SocketAddr,
     /// Address at which other nodes reach it.
     pub peer: SocketAddr,
+    /// Processor time that it may use, in thousandths of a core.
+    pub processor_millicores: u32,
 }
 
 /// Bounds that hold for all nodes together.
@@ -90,7 +92,7 @@
             membership_renewal: Duration::from_millis(900),
             orderer_lease: Duration::from_millis(4500),
             orderer_renewal: Duration::from_millis(700),
-            plan_every: Duration::from_millis(20),
+            plan_every: Duration::from_millis(40),
             demand_every: Duration::from_millis(250),
             peer_heartbeat: Duration::from_millis(400),
         }
--- /dev/null
+++ b/crates/croftrill-scheduler/src/candidacy.rs
@@ -0,0 +1,65 @@
+//! Which node should become the orderer of a shard.
+//!
+//! Each node waits for its place in line before it asks the store, so that one
+//! asks and the others learn of it. The store alone decides; this only spares
+//! calls, and puts the orderers where there is processor time: an orderer short of
+//! it serves callers late and takes configurations late.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::shard::Shard;
+
+/// Places that a node lets pass for each shard whose orderer it is already.
+const HOLDER_PLACES: u32 = 8;
+/// Most places that a node lets pass otherwise.
+const MOST_PLACES: u32 = 30;
+
+/// A node that may become an orderer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Processor time that it may use, in thousandths of a core.
+    pub processor_millicores: u32,
+}
+
+impl Candidate<'_> {
+    /// Those with most processor time come first, equals in an order that
+    /// differs between shards.
+    fn rank(&self, shard: Shard) -> (Reverse<u32>, u64) {
+        let salted = xxh3_64_with_seed(self.name.as_bytes(), shard.index() as u64);
+        (Reverse(self.processor_millicores), salted)
+    }
+}
+
+/// What a node knows when it considers becoming a shard's orderer.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidacy<'a> {
+    /// The shard.
+    pub shard: Shard,
+    /// The node itself.
+    pub own: Candidate<'a>,
+    /// Shards whose orderer it is already.
+    pub terms_held: usize,
+    /// The node that last was the shard's orderer.
+    pub last_orderer: Option<&'a str>,
+}
+
+impl Candidacy<'_> {
+    /// The node's place in line; zero goes at once. The last orderer comes first,
+    /// as it need not wait for others' orders; a node that is an orderer already
+    /// comes later, so that one machine does not hold all shards.
+    pub fn place_in_line<'b>(&self, nodes: impl Iterator<Item = Candidate<'b>>) -> u32 {
+        if self.terms_held > 0 {
+            return HOLDER_PLACES * self.terms_held as u32;
+        }
+        if self.last_orderer == Some(self.own.name) {
+            return 0;
+        }
+        let own = self.own.rank(self.shard);
+        let before = nodes.filter(|node| node.rank(self.shard) < own).count();
+        1 + (before as u32).min(MOST_PLACES)
+    }
+}
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 //! time go in, decisions come out. `croftrill-node` applies them.
 
 pub mod admission;
+pub mod candidacy;
 pub mod catalog;
 pub mod demand;
 pub mod fair_queue;
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -10,6 +10,8 @@
 
 use super::{Decision, GoalReason, Orderer, OrdererAction};
 
+/// Waiting models for which a plan chooses places at most.
+const MOST_GOALS_AT_ONCE: usize = 6;
 /// Time for which a waiting model is left to the orderer of the best place.
 const MODEL_PATIENCE: Duration = Duration::from_millis(700);
 
@@ -32,12 +34,15 @@
             return;
         }
         let store_allowed = self.store_allowed(service, engine, now);
+        let mut holders = self.placement_of(service, engine, now).holders();
+        wanted.retain(|model| !holders.contains_key(*model));
+        // Choosing places is costly: the others have their turn in the next plans.
+        let first = self.next_goal.checked_rem(wanted.len()).unwrap_or(0);
+        wanted.rotate_left(first);
+        wanted.truncate(MOST_GOALS_AT_ONCE);
+        self.next_goal = self.next_goal.wrapping_add(wanted.len());
         for model in wanted {
             let view = self.placement_of(service, engine, now);
-            let holders = view.holders();
-            if holders.get(model).copied().unwrap_or(0) > 0 {
-                continue;
-            }
             let key = ModelKey {
                 service: service.clone(),
                 model: model.clone(),
@@ -51,6 +56,7 @@
             }
             if let Some(place) = view.best_place(model, &holders, store_allowed, Among::Own) {
                 self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
+                holders.insert(model.clone(), 1);
             }
         }
     }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -10,6 +10,7 @@
 mod goals;
 mod telling;
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -117,6 +118,8 @@
     changed: BTreeSet<ReplicaId>,
     told: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
+    /// Where the choice of places for waiting models goes on.
+    next_goal: usize,
     decisions: Vec<Decision>,
     /// Loads of the former orderer count as begun then, unless it told of them.
     took_over: Moment,
@@ -139,6 +142,7 @@
             changed: BTreeSet::new(),
             told: BTreeMap::new(),
             next_balance: Moment::default(),
+            next_goal: 0,
             decisions: Vec::new(),
             took_over,
             loads_are_known: false,
@@ -377,6 +381,7 @@
             engine,
             demand: &self.demand,
             replicas: &self.replicas,
+            places: OnceCell::new(),
             now,
         }
     }
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -3,6 +3,7 @@
 //! Pure choices over one service's replicas: how many holders a model deserves,
 //! which replica loads a model next, what makes way for it.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -187,11 +188,21 @@
     pub demand: &'a Demand,
     /// All replicas; those of other services are passed over.
     pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
+    /// Place of each model in the configuration's list, worked out when needed.
+    pub places: OnceCell<HashMap<ModelName, usize>>,
     /// The present time.
     pub now: Moment,
 }
 
 impl ServicePlacement<'_> {
+    fn place_in_list(&self, model: &ModelName) -> Option<usize> {
+        let places = self.places.get_or_init(|| {
+            let order = self.engine.model_order.iter().enumerate();
+            order.map(|(place, name)| (name.clone(), place)).collect()
+        });
+        places.get(model).copied()
+    }
+
     /// The service's replicas.
     pub fn members(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
         self.replicas
@@ -231,7 +242,7 @@
     fn expected_tokens(&self, model: &ModelName) -> f64 {
         let own = self.demand.tokens_per_second(&self.key(model), self.now);
         let order = &self.engine.model_order;
-        let Some(place) = order.iter().position(|name| name == model) else {
+        let Some(place) = self.place_in_list(model) else {
             return own;
         };
         let inherited = self
