--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -28,8 +28,6 @@
 const CANDIDACY_STEP: Duration = Duration::from_millis(70);
 /// Time from a node's start until it knows what the others did meanwhile.
 const SETTLING: Duration = Duration::from_millis(900);
-/// Places that a node lets pass for each shard whose orderer it is already.
-const HOLDER_PLACE: u32 = 8;
 
 /// An item and its revision.
 #[derive(Debug, Clone)]
