Relay: a key that changed twice within one answer is told both times

Cause: found by reading. A replica that was removed and listed again within one answer of the orderer's watch equals what the orderer knew before it, so only its removal was relayed, and all listeners lacked the replica until its next change.

--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -6,6 +6,7 @@
 //!
 //! [`FollowedView`]: croftrill_scheduler::followed_view::FollowedView
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome, RelayedSpan};
@@ -48,11 +49,7 @@
             reached: changes.revision,
             proof_age_ms: 0,
             sent_at_ms: 0,
-            changes: changes
-                .events
-                .iter()
-                .filter_map(|event| told(node, event))
-                .collect(),
+            changes: told_changes(node, &changes.events),
         },
         // An answer that lay unread, as while this process was stopped, proves
         // nothing later than its question.
@@ -61,11 +58,27 @@
     node.inform_orderer_tasks(|| OrdererInput::Watched(span.clone()));
 }
 
+/// The changes of one answer that the other nodes must know.
+fn told_changes<P: Platform>(node: &Node<P>, events: &[StoreEvent]) -> Vec<RevisedChange> {
+    let mut told_keys: HashSet<&str> = HashSet::new();
+    let mut changes = Vec::new();
+    for event in events {
+        // What this node knew before the answer says nothing of a key that
+        // changed earlier in it.
+        let changed_before = told_keys.contains(event.key());
+        if let Some(change) = told(node, event, changed_before) {
+            told_keys.insert(event.key());
+            changes.push(change);
+        }
+    }
+    changes
+}
+
 /// The message form of a change; `None` if the other nodes need not know it.
-fn told<P: Platform>(node: &Node<P>, event: &StoreEvent) -> Option<RevisedChange> {
+fn told<P: Platform>(node: &Node<P>, event: &StoreEvent, changed_before: bool) -> Option<RevisedChange> {
     let change = match event {
         StoreEvent::Written(item) => match listing_of(node, item) {
-            Some(listing) if is_known(node, &listing) => return None,
+            Some(listing) if !changed_before && is_known(node, &listing) => return None,
             Some(listing) => WireChange::Replica(WireListing::from_listing(&listing)),
             None => WireChange::Written {
                 key: item.key.clone(),
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -41,6 +41,14 @@
 }
 
 impl StoreEvent {
+    /// The key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            StoreEvent::Written(item) => &item.key,
+            StoreEvent::Removed { key, .. } => key,
+        }
+    }
+
     /// Store revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
--- a/crates/croftrill-node/tests/parts.rs
+++ b/crates/croftrill-node/tests/parts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use croftrill_node::logging::{subscriber, LineBudget, LogConfig};
+use croftrill_node::metrics::Metrics;
 use croftrill_node::peer::{DemandBatch, FromOrderer, ToOrderer, WireModel, WirePlacement};
 use croftrill_node::stream::EventCutter;
 use croftrill_scheduler::demand::ModelKey;
@@ -130,3 +131,14 @@
     }
     assert!(FromOrderer::deserialize_bin(&[9, 9, 9]).is_err());
 }
+
+/// Operators find every metric on the page.
+#[test]
+fn metrics_are_told_on_the_operations_page() {
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    let text = Metrics::new().text();
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    for name in names.filter_map(|line| line.split(' ').next()) {
+        assert!(page.contains(name), "{name} is not on docs/OPERATIONS.md");
+    }
+}
