Ceiling on loads: split by the shards' parts of the replicas

A small ceiling became none, and a shard with most replicas had no more than one with few. Test ceiling_of_a_shard_goes_by_its_part_of_the_replicas, seen failing with the even split.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -4,8 +4,9 @@
 
 use croftrill_bench::emulator::*;
 use croftrill_scheduler::demand::ModelKey;
-use croftrill_scheduler::orderer::Decision;
+use croftrill_scheduler::orderer::{Decision, OrdererConfig};
 use croftrill_scheduler::replica::Order;
+use croftrill_scheduler::shard::{OrderScope, Shard};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -69,6 +70,22 @@
     assert_eq!(counts.iter().sum::<usize>(), 12, "{counts:?}");
 }
 
+/// A third of a small ceiling is less than one load: split evenly, a shard could
+/// never load anything from the weight store.
+#[test]
+fn ceiling_of_a_shard_goes_by_its_part_of_the_replicas() {
+    let config = OrdererConfig {
+        scope: OrderScope::One(Shard::of_replica("r0")),
+        ceiling_window: Duration::from_secs(1),
+        ..orderer_config()
+    };
+    let mut world = World::with(configuration(8), config, &[&["m1"]]);
+    world.run(3000);
+    world.orderer.mark_waiting(&key("m5", None), world.now);
+    world.run(3500);
+    assert!(holds(&world, "m5"), "orders: {:?}", world.orders);
+}
+
 /// Nodes learn of holdings from placements alone. Replicas that the orderer knew
 /// from listings only were never told: a seventh of the requests of a calm day
 /// were refused as their models seemed absent.
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -349,14 +349,25 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Loads from the weight store that may begin in a window.
-    fn ceiling(&self, engine: &EngineSpec) -> usize {
+    /// Loads from the weight store that may begin in a window: this orderer's
+    /// part, by its part of the service's replicas, and one at least.
+    fn ceiling(&self, service: &ServiceName, engine: &EngineSpec) -> usize {
         let all = engine.loads_per_second * self.config.ceiling_window.as_secs_f64();
-        (all / self.config.scope.orderers() as f64).floor() as usize
+        let members = self
+            .replicas
+            .values()
+            .filter(|replica| replica.service == *service);
+        let (mut total, mut own) = (0.0, 0.0);
+        for replica in members {
+            total += 1.0;
+            own += f64::from(u8::from(replica.orders == Orders::Own));
+        }
+        let part = (all * own / f64::max(total, 1.0)).floor() as usize;
+        part.max(usize::from(all >= 1.0))
     }
 
     fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
-        let ceiling = self.ceiling(engine);
+        let ceiling = self.ceiling(service, engine);
         let (window, took_over) = (self.config.ceiling_window, self.took_over);
         let loads_are_known = self.loads_are_known;
         let loads = self.ceilings.entry(service.clone()).or_insert_with(|| {
--- a/crates/croftrill-scheduler/src/shard.rs
+++ b/crates/croftrill-scheduler/src/shard.rs
@@ -69,12 +69,4 @@
         let place_in_line = (own.index() + SHARD_COUNT - home.index()) % SHARD_COUNT;
         waited >= patience * place_in_line as u32
     }
-
-    /// Orderers among which a common allowance is split.
-    pub fn orderers(self) -> usize {
-        match self {
-            OrderScope::Everything => 1,
-            OrderScope::One(_) => SHARD_COUNT,
-        }
-    }
 }
