Placement: a holder is worth the requests that would miss their objective

Change: one unit for all decisions. A model is worth the requests a second that would miss their objective if it had to be loaded for them: its lasting rate, times a share that follows from the least load time (store, disk or memory of some replica) against the objective of its requests, which nodes now tell. A waiting model is loaded only if that saves more than it loses over 20 s. Rates have a second, longer memory, bounded by the silence since the last request. While demand is unknown, models held nowhere are loaded over spare copies, and those with many holders are taken to be busy. A refusal's time follows the nearest copy. One holder carries 80,000 tokens a second.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -68,10 +68,14 @@
     ))
 }
 
-/// The orderer's figures as a node uses them.
+/// The orderer's figures as a node uses them, but that nothing is loaded before
+/// it is asked for: single decisions can be told apart.
 pub fn orderer_config() -> OrdererConfig {
     OrdererConfig {
-        placement: PlacementConfig::default(),
+        placement: PlacementConfig {
+            prior_until: Duration::ZERO,
+            ..PlacementConfig::default()
+        },
         ledger: LedgerConfig::default(),
         scope: OrderScope::Everything,
         order_gap: Duration::from_millis(3250),
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -315,8 +315,7 @@
             ToOrderer::Demand(items) => {
                 for item in items {
                     let key = item.model.to_key();
-                    self.orderer
-                        .count_demand(&key, f64::from(item.requests), item.tokens as f64, now);
+                    self.orderer.count_demand(&key, &item.asked(), now);
                 }
             }
             // Only a link's first message.
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::hand_over::{Hold, Legacy, PastLoad, Resignation};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
@@ -50,6 +50,19 @@
     pub requests: u32,
     /// Their cost, in tokens.
     pub tokens: u64,
+    /// Sum of their objectives, in milliseconds.
+    pub objectives_ms: u64,
+}
+
+impl DemandItem {
+    /// What was asked for, as the orderer counts it.
+    pub fn asked(&self) -> Asked {
+        Asked {
+            requests: f64::from(self.requests),
+            tokens: self.tokens as f64,
+            objective: Duration::from_millis(self.objectives_ms / u64::from(self.requests.max(1))),
+        }
+    }
 }
 
 /// A message to the orderer.
@@ -340,18 +353,27 @@
     }
 }
 
+/// Requests for one model that were not told yet.
+#[derive(Debug, Default)]
+struct Counted {
+    requests: u32,
+    tokens: u64,
+    objectives_ms: u64,
+}
+
 /// Demand that has not been told yet.
 #[derive(Debug, Default)]
 pub struct DemandBatch {
-    items: BTreeMap<ModelKey, (u32, u64)>,
+    items: BTreeMap<ModelKey, Counted>,
 }
 
 impl DemandBatch {
-    /// Counts a request and its cost.
-    pub fn add(&mut self, key: ModelKey, tokens: u64) {
-        let item = self.items.entry(key).or_default();
-        item.0 += 1;
-        item.1 += tokens;
+    /// Counts a request, its cost, and the time within which it earns full credit.
+    pub fn add(&mut self, key: ModelKey, tokens: u64, objective: Duration) {
+        let counted = self.items.entry(key).or_default();
+        counted.requests += 1;
+        counted.tokens += tokens;
+        counted.objectives_ms += objective.as_millis() as u64;
     }
 
     /// Takes what was counted, as a message; `None` if there is nothing.
@@ -361,10 +383,11 @@
         }
         let items = std::mem::take(&mut self.items)
             .into_iter()
-            .map(|(key, (requests, tokens))| DemandItem {
+            .map(|(key, counted)| DemandItem {
                 model: WireModel::from_key(&key),
-                requests,
-                tokens,
+                requests: counted.requests,
+                tokens: counted.tokens,
+                objectives_ms: counted.objectives_ms,
             });
         Some(ToOrderer::Demand(items.collect()))
     }
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -18,8 +18,6 @@
 const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
 /// Expected time until an adapter is there once it was asked for.
 const ADAPTER_READY_IN: Duration = Duration::from_millis(120);
-/// Expected time until a model of unknown load time is there.
-const MODEL_READY_IN: Duration = Duration::from_millis(1500);
 /// Expected time from the first mention of a model to its order.
 const ORDER_DELAY: Duration = Duration::from_millis(350);
 /// Expected time until a model is there while no node gives orders.
@@ -174,7 +172,7 @@
         if !state.linked.contains(&true) {
             return Some(NO_ORDERER_READY_IN);
         }
-        Some(ORDER_DELAY + spec.disk_load.min(MODEL_READY_IN))
+        Some(ORDER_DELAY + state.replicas.reload_time(&self.service, spec))
     }
 
     /// Time from arrival to when the caller or the route ends the request.
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -216,7 +216,7 @@
         let mut state = self.node.state.borrow_mut();
         state.retry_budget.request(&self.service, now);
         if let Some(key) = self.model_key() {
-            state.demand.add(key, cost(&self.facts));
+            state.demand.add(key, cost(&self.facts), self.route.objective);
         }
     }
 
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -203,6 +203,16 @@
         self.services.values()
     }
 
+    /// The longest objective among the routes to a service; zero if there is none.
+    pub fn longest_objective(&self, service: &str) -> Duration {
+        let routes = self.routes_by_host.values().flatten();
+        routes
+            .filter(|route| route.backends.iter().any(|part| &*part.service == service))
+            .map(|route| route.objective)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// The same configuration with shares for groups of callers.
     pub fn with_group_shares(mut self, group_shares: HashMap<Arc<str>, u32>) -> Self {
         self.group_shares = group_shares;
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -27,8 +27,25 @@
     }
 }
 
-/// Time constant of the fading rate.
+/// Requests that were counted together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Asked {
+    /// Number of requests.
+    pub requests: f64,
+    /// Their cost, in tokens.
+    pub tokens: f64,
+    /// Mean of the times within which their answers earn full credit.
+    pub objective: Duration,
+}
+
+/// Time constant of the rate that follows changes.
 const RATE_MEMORY: Duration = Duration::from_secs(6);
+/// Time constant of the rate that steadies rare demand.
+const LASTING_MEMORY: Duration = Duration::from_secs(20);
+/// Least time over which the lasting rate is averaged.
+const LEAST_OBSERVATION: Duration = Duration::from_secs(3);
+/// Requests that would have been expected by now in a silence that shows a fall of demand.
+const SILENT_REQUESTS: f64 = 2.0;
 /// After this time without a request a waiting mark is over.
 const WAITING_FOR: Duration = Duration::from_millis(4000);
 
@@ -37,16 +54,24 @@
 struct Rate {
     requests: f64,
     tokens: f64,
+    /// Requests that fade with [`LASTING_MEMORY`].
+    lasting: f64,
+    /// Sum of the objectives of `lasting`, in seconds.
+    objectives_s: f64,
     updated: Moment,
+    last_request: Option<Moment>,
     waiting_until: Option<Moment>,
     waiting_since: Option<Moment>,
 }
 
 impl Rate {
-    fn add(&mut self, requests: f64, tokens: f64, now: Moment) {
+    fn add(&mut self, asked: &Asked, now: Moment) {
         self.fade_to(now);
-        self.requests += requests;
-        self.tokens += tokens;
+        self.requests += asked.requests;
+        self.tokens += asked.tokens;
+        self.lasting += asked.requests;
+        self.objectives_s += asked.requests * asked.objective.as_secs_f64();
+        self.last_request = Some(now);
     }
 
     fn requests_per_second(&self, now: Moment) -> f64 {
@@ -57,21 +82,49 @@
         self.tokens * self.fade(now) / RATE_MEMORY.as_secs_f64()
     }
 
+    /// The steadier of the two rates, but no more than the silence since the
+    /// last request allows. `observed` is how long requests have been counted.
+    fn lasting_per_second(&self, observed: Duration, now: Moment) -> f64 {
+        let Some(last) = self.last_request else { return 0.0 };
+        let memory_s = LASTING_MEMORY.as_secs_f64();
+        let observed_s = observed.max(LEAST_OBSERVATION).as_secs_f64();
+        let weight_s = memory_s * (1.0 - (-observed_s / memory_s).exp());
+        let lasting = self.lasting * fade(LASTING_MEMORY, now.since(self.updated)) / weight_s;
+        let silence_s = now.since(last).as_secs_f64().max(f64::EPSILON);
+        lasting
+            .max(self.requests_per_second(now))
+            .min(SILENT_REQUESTS / silence_s)
+    }
+
+    fn objective(&self) -> Option<Duration> {
+        (self.lasting > 0.0).then(|| Duration::from_secs_f64(self.objectives_s / self.lasting))
+    }
+
     fn fade(&self, now: Moment) -> f64 {
-        (-now.since(self.updated).as_secs_f64() / RATE_MEMORY.as_secs_f64()).exp()
+        fade(RATE_MEMORY, now.since(self.updated))
     }
 
     fn fade_to(&mut self, now: Moment) {
-        let fade = self.fade(now);
-        self.requests *= fade;
-        self.tokens *= fade;
+        let short = self.fade(now);
+        let long = fade(LASTING_MEMORY, now.since(self.updated));
+        self.requests *= short;
+        self.tokens *= short;
+        self.lasting *= long;
+        self.objectives_s *= long;
         self.updated = now;
     }
 }
 
+/// What is left of a quantity after `elapsed`.
+fn fade(memory: Duration, elapsed: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
+}
+
 /// Demand of all nodes together.
 #[derive(Debug, Default)]
 pub struct Demand {
+    /// When the first request was counted.
+    began: Option<Moment>,
     rates: HashMap<ModelKey, Rate>,
     /// Demand for all adapters of a model together.
     adapters_of: HashMap<ModelKey, Rate>,
@@ -84,18 +137,18 @@
     }
 
     /// Counts requests; for an adapter its model is counted too.
-    pub fn count(&mut self, key: &ModelKey, requests: f64, tokens: f64, now: Moment) {
+    pub fn count(&mut self, key: &ModelKey, asked: &Asked, now: Moment) {
+        self.began.get_or_insert(now);
         if key.adapter.is_some() {
-            self.count(&key.base(), requests, tokens, now);
-            self.adapters_of
-                .entry(key.base())
-                .or_default()
-                .add(requests, tokens, now);
+            self.count(&key.base(), asked, now);
+            self.adapters_of.entry(key.base()).or_default().add(asked, now);
         }
-        self.rates
-            .entry(key.clone())
-            .or_default()
-            .add(requests, tokens, now);
+        self.rates.entry(key.clone()).or_default().add(asked, now);
+    }
+
+    /// How long requests have been counted.
+    pub fn observed(&self, now: Moment) -> Duration {
+        self.began.map_or(Duration::ZERO, |began| now.since(began))
     }
 
     /// Requests wait for this model or adapter.
@@ -140,6 +193,19 @@
             .map_or(0.0, |rate| rate.requests_per_second(now))
     }
 
+    /// Requests a second that are likely to go on.
+    pub fn lasting_requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
+        let observed = self.observed(now);
+        self.rates
+            .get(key)
+            .map_or(0.0, |rate| rate.lasting_per_second(observed, now))
+    }
+
+    /// Mean objective of the requests; `None` if there were none.
+    pub fn objective(&self, key: &ModelKey) -> Option<Duration> {
+        self.rates.get(key).and_then(Rate::objective)
+    }
+
     /// Requests a second for all adapters of a model.
     pub fn adapter_requests_per_second(&self, model: &ModelKey, now: Moment) -> f64 {
         self.adapters_of
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -54,7 +54,9 @@
             if !self.config.scope.has_turn(home, waited, MODEL_PATIENCE) {
                 continue;
             }
-            if let Some(place) = view.best_place(model, &holders, store_allowed, Among::Own) {
+            let place = view.best_place(model, &holders, store_allowed, Among::Own);
+            let place = place.filter(|place| view.saved_by_load(model, place.load) > place.lost);
+            if let Some(place) = place {
                 self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
                 holders.insert(model.clone(), 1);
             }
@@ -86,7 +88,7 @@
         }
         let place = view.best_place(&model, &holders, store_allowed, Among::Own);
         let least_gain = self.config.placement.least_gain;
-        if let Some(place) = place.filter(|place| gain > least_gain * place.displaced) {
+        if let Some(place) = place.filter(|place| gain * view.stay_s(place.load) > least_gain * place.lost) {
             let count = holders.get(&model).copied().unwrap_or(0);
             self.set_goal(&place.replica, model, GoalReason::Demand, count);
         }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -11,12 +11,12 @@
 mod telling;
 
 use std::cell::OnceCell;
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
-use crate::demand::{Demand, ModelKey};
+use crate::demand::{Asked, Demand, ModelKey};
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
 use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
@@ -47,6 +47,8 @@
     pub unload: Duration,
 }
 
+/// Holders of a service of which nothing was noted.
+static NO_HOLDERS: LazyLock<HashMap<ModelName, usize>> = LazyLock::new(HashMap::new);
 /// Time between two looks at whether a model deserves one more holder.
 const BALANCE_EVERY: Duration = Duration::from_millis(250);
 
@@ -126,6 +128,8 @@
     /// Whether the former orderer told of its loads.
     loads_are_known: bool,
     history: OrderHistory,
+    /// Most holders of each model while little was known of demand.
+    first_holders: HashMap<ServiceName, HashMap<ModelName, usize>>,
     /// Shards whose orderers can be reached.
     reachable: [bool; SHARD_COUNT],
 }
@@ -147,6 +151,7 @@
             took_over,
             loads_are_known: false,
             history: OrderHistory::new(config.order_gap),
+            first_holders: HashMap::new(),
             reachable: [false; SHARD_COUNT],
         }
     }
@@ -270,8 +275,8 @@
     }
 
     /// Nodes count requests.
-    pub fn count_demand(&mut self, key: &ModelKey, requests: f64, tokens: f64, now: Moment) {
-        self.demand.count(key, requests, tokens, now);
+    pub fn count_demand(&mut self, key: &ModelKey, asked: &Asked, now: Moment) {
+        self.demand.count(key, asked, now);
     }
 
     /// Requests wait at a node for a model or adapter.
@@ -335,6 +340,7 @@
             if let Some(engine) = &service.engine {
                 self.set_goals(&service.name, engine, &waiting, now);
                 if balances {
+                    self.note_first_holders(&service.name, engine, now);
                     self.add_holders(&service.name, engine, now);
                 }
                 self.place_adapters(&service.name, engine, &waiting, now, &mut actions);
@@ -344,6 +350,19 @@
         actions
     }
 
+    /// Remembers how many holders models were given before demand tells more.
+    fn note_first_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
+        if self.demand.observed(now) >= self.config.placement.prior_until {
+            return;
+        }
+        let holders = self.placement_of(service, engine, now).holders();
+        let first = self.first_holders.entry(service.clone()).or_default();
+        for (model, count) in holders {
+            let most = first.entry(model).or_default();
+            *most = count.max(*most);
+        }
+    }
+
     /// Decisions since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -393,6 +412,9 @@
             demand: &self.demand,
             replicas: &self.replicas,
             places: OnceCell::new(),
+            reload_times: OnceCell::new(),
+            first_holders: self.first_holders.get(service).unwrap_or(&NO_HOLDERS),
+            usual_objective: self.configuration.longest_objective(service),
             now,
         }
     }
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -19,19 +19,25 @@
 pub struct PlacementConfig {
     /// Cost tokens a second that one holder of a model should carry at most.
     pub tokens_per_holder: f64,
-    /// Requests a second from which a model gets a second holder.
-    pub second_holder_from: f64,
-    /// A further holder must be worth so many times what makes way for it.
+    /// Requests a second from which a model may get a spare holder.
+    pub spare_holder_from: f64,
+    /// Part of a model's value that its spare holder counts for.
+    pub spare_share: f64,
+    /// What comes must be worth so many times what makes way for it.
     pub least_gain: f64,
-    /// Seconds of load time that losing a model with one holder's load of demand counts as.
-    pub displacement_seconds: f64,
-    /// Seconds of load time that holding up one adapter request a second counts as.
-    pub adapter_block_seconds: f64,
+    /// Time for which demand is taken to go on as it is.
+    pub horizon: Duration,
+    /// Requests held up by one adapter request while weights are loaded at its replica.
+    pub adapter_block_share: f64,
     /// Demand that a model is expected to take over from one listed shortly
     /// before it, for each place between them.
     pub succession: [f64; 2],
-    /// Expected cost tokens a second from which a model is loaded before it is asked for.
+    /// Expected requests a second from which a model is loaded before it is asked for.
     pub least_expected: f64,
+    /// Requests a second that a model is taken to have while little is known of demand.
+    pub prior_rate: f64,
+    /// Time of observation after which a model that was not asked for counts as idle.
+    pub prior_until: Duration,
     /// Time for which a model that was just loaded does not make way.
     pub least_residence: Duration,
 }
@@ -39,13 +45,16 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            tokens_per_holder: 50_000.0,
-            second_holder_from: 0.7,
-            least_gain: 2.0,
-            displacement_seconds: 4.0,
-            adapter_block_seconds: 1.0,
+            tokens_per_holder: 80_000.0,
+            spare_holder_from: 0.7,
+            spare_share: 0.02,
+            least_gain: 1.5,
+            horizon: Duration::from_secs(20),
+            adapter_block_share: 0.5,
             succession: [0.15, 0.15],
-            least_expected: 1_500.0,
+            least_expected: 0.3,
+            prior_rate: 0.05,
+            prior_until: Duration::from_secs(15),
             least_residence: Duration::from_millis(3000),
         }
     }
@@ -67,8 +76,10 @@
 pub struct Place {
     /// The replica.
     pub replica: ReplicaId,
-    /// Value of what must make way there.
-    pub displaced: f64,
+    /// Requests expected to miss their objective because of the load.
+    pub lost: f64,
+    /// Time of the load.
+    pub load: Duration,
 }
 
 /// The replicas among which a place is chosen.
@@ -176,6 +187,25 @@
     holdings.models.iter().map(memory_of).sum()
 }
 
+/// Time from the first request for an absent model to when it is served, besides
+/// the load itself: the order, room for the weights, and the news of it.
+const LOAD_OVERHEAD: Duration = Duration::from_millis(700);
+/// Part of the objective up to which waiting for a load costs next to nothing.
+const FREE_WAIT_SHARE: f64 = 0.5;
+/// Least share of requests that miss their objective while their model is loaded.
+const LEAST_MISSED: f64 = 0.1;
+/// Credit of a request that is refused, comes back and is then served in time.
+const LATE_CREDIT: f64 = 0.5;
+
+/// Share of requests that miss their objective when they must wait so long for
+/// their model: next to none up to half of the objective, all from the whole on.
+pub fn missed_share(ready_in: Duration, objective: Duration) -> f64 {
+    let objective_s = objective.as_secs_f64().max(f64::EPSILON);
+    let used = ready_in.as_secs_f64() / objective_s;
+    let missed = (used - FREE_WAIT_SHARE) / (1.0 - FREE_WAIT_SHARE);
+    missed.clamp(LEAST_MISSED, 1.0)
+}
+
 /// The replicas of one service with the demand they face.
 pub struct ServicePlacement<'a> {
     /// Tunable figures.
@@ -190,6 +220,14 @@
     pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
     /// Place of each model in the configuration's list, worked out when needed.
     pub places: OnceCell<HashMap<ModelName, usize>>,
+    /// Least time in which a ready replica can load each model of which a copy
+    /// lies somewhere, worked out when needed.
+    pub reload_times: OnceCell<HashMap<ModelName, Duration>>,
+    /// Most replicas that held each model while little was known of demand: what
+    /// was given many holders is expected to be busy.
+    pub first_holders: &'a HashMap<ModelName, usize>,
+    /// Objective of requests for models that were not asked for yet.
+    pub usual_objective: Duration,
     /// The present time.
     pub now: Moment,
 }
@@ -234,16 +272,22 @@
         }
     }
 
-    /// Cost tokens a second that a model has, or is expected to have soon.
+    /// Requests a second that a model has, or is expected to have soon.
     ///
     /// Demand moves along the configuration's list of models: when the busiest
     /// fall silent, the ones listed next rise. So a model inherits a part of the
     /// demand of the models shortly before it.
-    fn expected_tokens(&self, model: &ModelName) -> f64 {
-        let own = self.demand.tokens_per_second(&self.key(model), self.now);
+    fn expected_rate(&self, model: &ModelName) -> f64 {
+        let own = self
+            .demand
+            .lasting_requests_per_second(&self.key(model), self.now);
+        own.max(self.inherited_rate(model)).max(self.prior_rate(model))
+    }
+
+    fn inherited_rate(&self, model: &ModelName) -> f64 {
         let order = &self.engine.model_order;
         let Some(place) = self.place_in_list(model) else {
-            return own;
+            return 0.0;
         };
         let inherited = self
             .config
@@ -253,40 +297,116 @@
             .map(|(distance, share)| {
                 let before = place.checked_sub(distance + 1).map(|place| &order[place]);
                 before.map_or(0.0, |before| {
-                    share * self.demand.tokens_per_second(&self.key(before), self.now)
+                    share * self.demand.requests_per_second(&self.key(before), self.now)
                 })
             });
-        own.max(inherited.fold(0.0, f64::max))
+        inherited.fold(0.0, f64::max)
+    }
+
+    /// True while little is known of demand.
+    fn is_demand_unknown(&self) -> bool {
+        self.demand.observed(self.now) < self.config.prior_until
     }
 
-    /// True if a model without demand of its own is expected to rise.
+    /// What a model is taken to be asked for while little is known of demand.
+    fn prior_rate(&self, model: &ModelName) -> f64 {
+        if !self.is_demand_unknown() {
+            return 0.0;
+        }
+        let holders = self.first_holders.get(model).copied().unwrap_or(0).max(1);
+        self.config.prior_rate * (holders * holders) as f64
+    }
+
+    /// True if a model that is held nowhere should be loaded before it is asked for.
     pub fn is_expected(&self, model: &ModelName) -> bool {
-        self.expected_tokens(model) >= self.config.least_expected
+        self.is_demand_unknown() || self.inherited_rate(model) >= self.config.least_expected
     }
 
-    /// Holders that a model's demand deserves.
-    pub fn deserved_holders(&self, model: &ModelName) -> usize {
-        let key = self.key(model);
-        let tokens = self.demand.tokens_per_second(&key, self.now);
-        let requests = self.demand.requests_per_second(&key, self.now);
+    /// Least time in which some replica can load the model.
+    fn reload_time(&self, model: &ModelName) -> Duration {
+        let times = self.reload_times.get_or_init(|| self.copy_load_times());
+        let from_store = self.engine.models.get(model).map(|spec| spec.store_load);
+        let from_copy = times.get(model).copied();
+        from_copy.or(from_store).unwrap_or_default()
+    }
+
+    fn copy_load_times(&self) -> HashMap<ModelName, Duration> {
+        let mut times: HashMap<ModelName, Duration> = HashMap::new();
+        for (_, replica) in self.members() {
+            if replica.state != ReplicaState::Ready || replica.orders == Orders::Nobody {
+                continue;
+            }
+            let holdings = replica.ledger.holdings();
+            let copies = holdings.copies.in_memory.iter().chain(&holdings.copies.on_disk);
+            for model in copies {
+                let Some(time) = load_time(self.engine, holdings, model) else {
+                    continue;
+                };
+                let least = times.entry(model.clone()).or_insert(time);
+                *least = time.min(*least);
+            }
+        }
+        times
+    }
+
+    fn objective(&self, model: &ModelName) -> Duration {
+        self.demand
+            .objective(&self.key(model))
+            .unwrap_or(self.usual_objective)
+    }
+
+    /// Share of a model's requests that miss their objective while it must be
+    /// loaded for them.
+    fn missed_share(&self, model: &ModelName) -> f64 {
+        missed_share(self.reload_time(model) + LOAD_OVERHEAD, self.objective(model))
+    }
+
+    /// Requests a second that miss their objective while no replica holds the model.
+    pub fn value_of_model(&self, model: &ModelName) -> f64 {
+        self.expected_rate(model) * self.missed_share(model)
+    }
+
+    /// Requests expected to be saved by loading a model that is held nowhere and
+    /// that a request waits for.
+    pub fn saved_by_load(&self, model: &ModelName, load: Duration) -> f64 {
+        let in_time = load + LOAD_OVERHEAD <= self.objective(model);
+        let waiting = if in_time { 1.0 } else { LATE_CREDIT };
+        waiting + self.value_of_model(model) * self.stay_s(load)
+    }
+
+    /// Seconds for which a model serves once its load is over.
+    pub fn stay_s(&self, load: Duration) -> f64 {
+        self.config.horizon.saturating_sub(load).as_secs_f64()
+    }
+
+    /// Holders that a model's load needs.
+    fn needed_holders(&self, model: &ModelName) -> usize {
+        let tokens = self.demand.tokens_per_second(&self.key(model), self.now);
         let by_load = (tokens / self.config.tokens_per_holder).ceil() as usize;
-        let least = if requests >= self.config.second_holder_from {
-            2
-        } else {
-            1
-        };
-        by_load.max(least).min(self.members().count())
+        by_load.max(1)
     }
 
-    /// Cost tokens a second that depend on one of a model's holders.
-    /// Holders beyond what the demand deserves count little.
+    /// Holders that a model's demand deserves: what its load needs, and a spare one.
+    pub fn deserved_holders(&self, model: &ModelName) -> usize {
+        let requests = self.demand.requests_per_second(&self.key(model), self.now);
+        let spare = usize::from(requests >= self.config.spare_holder_from);
+        let needed = self.needed_holders(model) + spare;
+        needed.min(self.members().count())
+    }
+
+    /// Requests a second that depend on one of a model's holders.
     pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
-        const SURPLUS_SHARE: f64 = 0.05;
-        let each = self.expected_tokens(model) / holders.max(1) as f64;
-        if holders > self.deserved_holders(model) {
-            each * SURPLUS_SHARE
+        const SURPLUS_SHARE: f64 = 0.1;
+        let value = self.value_of_model(model);
+        let needed = self.needed_holders(model);
+        if holders <= needed {
+            return value / holders.max(1) as f64;
+        }
+        let spare = value * self.config.spare_share;
+        if holders <= self.deserved_holders(model) {
+            spare
         } else {
-            each
+            spare * SURPLUS_SHARE
         }
     }
 
@@ -366,13 +486,14 @@
         store_allowed: bool,
         among: Among,
     ) -> Option<Place> {
-        let cost = |replica: &PlacedReplica| -> Option<(f64, f64)> {
+        let rate = self.expected_rate(model);
+        let cost = |replica: &PlacedReplica| -> Option<(f64, Duration)> {
             let holdings = replica.ledger.holdings();
             let displaced = self.displaced_value(replica, model, holders)?;
-            let load = load_time(self.engine, holdings, model)?.as_secs_f64();
-            let displacement = displaced / self.config.tokens_per_holder * self.config.displacement_seconds;
-            let adapters = self.adapter_requests(replica, holders) * self.config.adapter_block_seconds;
-            Some((load + displacement + adapters, displaced))
+            let load = load_time(self.engine, holdings, model)?;
+            let adapters = self.adapter_requests(replica, holders) * self.config.adapter_block_share;
+            let displacement = displaced * self.config.horizon.as_secs_f64();
+            Some((displacement + adapters * load.as_secs_f64(), load))
         };
         self.members()
             .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
@@ -382,11 +503,16 @@
             .filter(|(_, replica)| {
                 store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
             })
-            .filter_map(|(id, replica)| cost(replica).map(|(cost, displaced)| (cost, displaced, id)))
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, displaced, id)| Place {
+            .filter_map(|(id, replica)| cost(replica).map(|(lost, load)| (lost, load, id)))
+            .min_by(|left, right| {
+                let waits = |load: Duration| load.as_secs_f64() * (1.0 + rate);
+                let total = |(lost, load, _): &(f64, Duration, &ReplicaId)| lost + waits(*load);
+                total(left).total_cmp(&total(right))
+            })
+            .map(|(lost, load, id)| Place {
                 replica: id.clone(),
-                displaced,
+                lost,
+                load,
             })
     }
 
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -4,8 +4,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::catalog::{AdapterName, ModelName, ServiceName};
+use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
 use crate::health::{ReplicaHealth, SendOutcome};
+use crate::placement::{weight_source, WeightSource};
 use crate::replica::{Holdings, ReplicaId, ReplicaListing, ReplicaState};
 use crate::shard::Shard;
 use crate::time::Moment;
@@ -281,6 +282,19 @@
             .min()
     }
 
+    /// Least time in which a ready replica of the service could load the model.
+    pub fn reload_time(&self, service: &str, spec: &ModelSpec) -> Duration {
+        self.of_service(service)
+            .filter(|entry| entry.is_ready())
+            .map(|entry| match weight_source(&entry.listing.holdings, &spec.name) {
+                WeightSource::Memory => spec.memory_load,
+                WeightSource::Disk => spec.disk_load,
+                WeightSource::Store => spec.store_load,
+            })
+            .min()
+            .unwrap_or(spec.store_load)
+    }
+
     /// Number of ready replicas that hold the model, with or without an adapter.
     pub fn holders(&self, service: &str, model: &str) -> usize {
         self.of_service(service)
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/demand.rs
@@ -0,0 +1,88 @@
+//! Demand as rates, and what the absence of a model costs.
+
+use std::time::Duration;
+
+use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
+use croftrill_scheduler::placement::missed_share;
+use croftrill_scheduler::time::Moment;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+fn key(model: &str) -> ModelKey {
+    ModelKey {
+        service: "llm".into(),
+        model: model.into(),
+        adapter: None,
+    }
+}
+
+fn asked(objective_ms: u64) -> Asked {
+    Asked {
+        requests: 1.0,
+        tokens: 1000.0,
+        objective: Duration::from_millis(objective_ms),
+    }
+}
+
+/// Counts one request each `every_ms` from `from_ms` to `until_ms`.
+fn ask(demand: &mut Demand, model: &str, every_ms: u64, from_ms: u64, until_ms: u64) {
+    for millis in (from_ms..until_ms).step_by(every_ms as usize) {
+        demand.count(&key(model), &asked(1000), at(millis));
+    }
+}
+
+#[test]
+fn lasting_rate_steady() {
+    for millis in [15_000, 16_500, 29_000] {
+        let mut demand = Demand::new();
+        ask(&mut demand, "rare", 3000, 0, millis);
+        let rate = demand.lasting_requests_per_second(&key("rare"), at(millis));
+        assert!((0.2..0.5).contains(&rate), "{rate} at {millis} ms");
+    }
+}
+
+/// The rate with a short memory swings by half of itself between two requests of
+/// a rare model, so rare models were swapped with each other on noise alone.
+#[test]
+fn lasting_rate_swings_less_than_the_fast_one() {
+    let mut demand = Demand::new();
+    ask(&mut demand, "rare", 6000, 0, 60_001);
+    let late = at(65_900);
+    let fast = demand.requests_per_second(&key("rare"), late);
+    let lasting = demand.lasting_requests_per_second(&key("rare"), late);
+    assert!(lasting > 1.2 * fast, "lasting {lasting}, fast {fast}");
+}
+
+/// A busy model that falls silent must not keep its places by its past.
+#[test]
+fn lasting_rate_busy_falls_silent() {
+    let mut demand = Demand::new();
+    ask(&mut demand, "busy", 50, 0, 20_000);
+    ask(&mut demand, "rare", 3000, 0, 28_000);
+    let busy = demand.lasting_requests_per_second(&key("busy"), at(20_000));
+    assert!(busy > 15.0, "{busy}");
+    let silent = demand.lasting_requests_per_second(&key("busy"), at(28_000));
+    let rare = demand.lasting_requests_per_second(&key("rare"), at(28_000));
+    assert!(silent < rare, "silent {silent}, rare {rare}");
+}
+
+#[test]
+fn objective_is_the_mean() {
+    let mut demand = Demand::new();
+    assert_eq!(demand.objective(&key("m")), None);
+    demand.count(&key("m"), &asked(500), at(0));
+    demand.count(&key("m"), &asked(1500), at(0));
+    assert_eq!(demand.objective(&key("m")), Some(Duration::from_secs(1)));
+}
+
+#[test]
+fn missed_share_by_time_until_ready() {
+    let objective = Duration::from_secs(4);
+    let missed = |millis| missed_share(Duration::from_millis(millis), objective);
+    assert_eq!(missed(1000), missed(2000));
+    assert!(missed(2500) < missed(3500));
+    assert_eq!(missed(4000), 1.0);
+    assert_eq!(missed(9000), 1.0);
+}
