Placement: spare holders by rank; adapter orders in a row; tokens by the hint

Adapter orders waited for a report each (150 to 180 ms); the adapter that made way was the one just brought, and its drop while in transit put the sequence out of step (409, 500 ms lost). The cost of a request counted ten times the most tokens allowed, so busy models got four holders before idle replicas.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -182,6 +182,29 @@
     assert!(holds(&world, "m1"), "orders: {:?}", world.orders);
 }
 
+/// The adapter that made way was the one just brought: nobody had asked for it
+/// again yet.
+#[test]
+fn an_adapter_that_was_just_brought_does_not_make_way() {
+    let mut world = World::new(4, &[&["m1"]]);
+    world.run(1000);
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        let wanted = key("m1", Some(adapter));
+        world
+            .orderer
+            .count_demand(&wanted, &asked(1.0, 1000.0), world.now);
+        world.orderer.mark_waiting(&wanted, world.now);
+        world.run(200);
+    }
+    let held = &world.replicas["r0"].holdings;
+    assert!(held.serves("m1", Some("a4")), "orders: {:?}", world.orders);
+    assert!(held.serves("m1", Some("a3")), "orders: {:?}", world.orders);
+    assert!(
+        !held.serves("m1", Some("a1")),
+        "the one not asked for longest goes"
+    );
+}
+
 /// Replicas with a goal took no adapter orders, so an adapter of a model with
 /// one holder waited for as long as goals followed each other there.
 #[test]
--- a/crates/croftrill-node/src/orderer_task/decision_log.rs
+++ b/crates/croftrill-node/src/orderer_task/decision_log.rs
@@ -22,7 +22,7 @@
             holders,
         } => {
             tracing::info!(target: "placement", decision = "make way", replica = &**replica,
-                model = &**model, tokens_per_second = *value as u64, holders);
+                model = &**model, value_per_second = *value, holders);
         }
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -45,7 +45,7 @@
 /// Longest time that a caller is believed to wait.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3600);
 /// Cost of a generated token, in prompt tokens.
-const OUTPUT_TOKEN_COST: u64 = 10;
+const OUTPUT_TOKEN_COST: u64 = 3;
 /// Time to come back after a refusal without a better estimate.
 const DEFAULT_RETURN: Duration = Duration::from_millis(400);
 /// Time to come back for a caller that should go to another node.
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -201,6 +201,11 @@
             .map_or(0.0, |rate| rate.lasting_per_second(observed, now))
     }
 
+    /// When it was asked for last; `None` if never.
+    pub fn last_request(&self, key: &ModelKey) -> Option<Moment> {
+        self.rates.get(key).and_then(|rate| rate.last_request)
+    }
+
     /// Mean objective of the requests; `None` if there were none.
     pub fn objective(&self, key: &ModelKey) -> Option<Duration> {
         self.rates.get(key).and_then(Rate::objective)
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -4,7 +4,7 @@
 
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::{memory_used, weight_source, Among, WeightSource};
+use crate::placement::{load_time, memory_used, weight_source, Among, WeightSource};
 use crate::replica::{Order, ReplicaId};
 use crate::time::Moment;
 
@@ -191,13 +191,18 @@
             return (now.since(*since) >= notice).then(|| Order::UnloadModel(model.clone()));
         }
         let view = self.placement_of(service, engine, now);
-        let holders = view.holders();
-        let Some(victim) = view.victim(replica, &holders) else {
+        let Some(victim) = view.victim(id, replica) else {
             self.drop_goal(id);
             return None;
         };
-        let count = holders.get(&victim).copied().unwrap_or(0);
-        let value = view.value_of_holder(&victim, count);
+        let count = view.holders().get(&victim).copied().unwrap_or(0);
+        let value = view.value_of_held(&victim, id);
+        let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
+        if !view.is_worth(replica.goal.as_ref()?, load, value) {
+            // Since the goal was set, another holder of the victim went.
+            self.drop_goal(id);
+            return None;
+        }
         let decision = Decision::MakeWay {
             replica: id.clone(),
             model: victim.clone(),
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -102,7 +102,7 @@
         replica: ReplicaId,
         /// The model that makes way.
         model: ModelName,
-        /// Cost tokens a second that depended on it there.
+        /// Requests a second that depended on it there.
         value: f64,
         /// Replicas that held it.
         holders: usize,
@@ -246,6 +246,7 @@
                 goal: None,
                 withdrawn: None,
                 loaded_at: Default::default(),
+                adapters_loaded_at: Default::default(),
                 is_held: false,
                 orders,
             });
@@ -323,6 +324,9 @@
             .filter(|(_, replica)| replica.orders == Orders::Own);
         for (id, replica) in own {
             replica.is_held = !self.history.permits(id, now);
+            if replica.ledger.settle(now) {
+                self.changed.insert(id.clone());
+            }
             if replica.ledger.wants_report(now) {
                 actions.push(OrdererAction::Report { replica: id.clone() });
             }
@@ -412,6 +416,7 @@
             demand: &self.demand,
             replicas: &self.replicas,
             places: OnceCell::new(),
+            keepers: OnceCell::new(),
             reload_times: OnceCell::new(),
             first_holders: self.first_holders.get(service).unwrap_or(&NO_HOLDERS),
             usual_objective: self.configuration.longest_objective(service),
@@ -443,11 +448,13 @@
         })
     }
 
-    /// True if an order under way brings the adapter.
+    /// True if an order under way brings the adapter, or it is on its way.
     fn is_ordered(&self, key: &ModelKey) -> bool {
+        let adapter = key.adapter.as_deref().unwrap_or_default();
         self.replicas
             .values()
             .any(|replica| match replica.ledger.pending() {
+                _ if replica.ledger.is_in_transit(&key.model, adapter) => true,
                 Some(Order::LoadAdapter(model, adapter)) => {
                     *model == key.model && Some(adapter) == key.adapter.as_ref()
                 }
@@ -484,6 +491,10 @@
                 }
             }
             Order::LoadAdapter(model, adapter) => {
+                if let Some(replica) = self.replicas.get_mut(id) {
+                    let loaded = (model.clone(), adapter.clone());
+                    replica.adapters_loaded_at.insert(loaded, now);
+                }
                 let adapter = Some(adapter.clone());
                 let key = ModelKey {
                     service: service.clone(),
--- a/crates/croftrill-scheduler/src/orderer/telling.rs
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -77,6 +77,11 @@
     if let Some((withdrawn, _)) = &replica.withdrawn {
         usable.models.retain(|held| held.model != *withdrawn);
     }
+    for held in &mut usable.models {
+        let model = &held.model;
+        held.adapters
+            .retain(|adapter| !replica.ledger.is_in_transit(model, adapter));
+    }
     match replica.ledger.pending() {
         Some(Order::UnloadModel(model)) => usable.models.retain(|held| held.model != *model),
         Some(Order::UnloadAdapter(model, adapter)) => {
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -45,7 +45,7 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            tokens_per_holder: 80_000.0,
+            tokens_per_holder: 28_000.0,
             spare_holder_from: 0.7,
             spare_share: 0.02,
             least_gain: 1.5,
@@ -107,6 +107,8 @@
     pub withdrawn: Option<(ModelName, Moment)>,
     /// When models were loaded here.
     pub loaded_at: HashMap<ModelName, Moment>,
+    /// When adapters were loaded here.
+    pub adapters_loaded_at: HashMap<(ModelName, AdapterName), Moment>,
     /// True while a predecessor's orders forbid orders here.
     pub is_held: bool,
     /// Who orders here.
@@ -121,6 +123,14 @@
             .is_some_and(|loaded| now.since(*loaded) < residence)
     }
 
+    /// True if the adapter was just loaded: the requests that wait for it may
+    /// still be on their way.
+    fn is_fresh_adapter(&self, adapter: &(ModelName, AdapterName), now: Moment) -> bool {
+        self.adapters_loaded_at
+            .get(adapter)
+            .is_some_and(|loaded| now.since(*loaded) < ADAPTER_RESIDENCE)
+    }
+
     /// True if an order may be given now.
     pub fn takes_orders(&self) -> bool {
         self.orders == Orders::Own && !self.is_held && self.ledger.is_idle()
@@ -187,6 +197,8 @@
     holdings.models.iter().map(memory_of).sum()
 }
 
+/// Least time for which an adapter stays.
+const ADAPTER_RESIDENCE: Duration = Duration::from_millis(400);
 /// Time from the first request for an absent model to when it is served, besides
 /// the load itself: the order, room for the weights, and the news of it.
 const LOAD_OVERHEAD: Duration = Duration::from_millis(700);
@@ -220,6 +232,8 @@
     pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
     /// Place of each model in the configuration's list, worked out when needed.
     pub places: OnceCell<HashMap<ModelName, usize>>,
+    /// The replicas that keep each model, worked out when needed.
+    pub keepers: OnceCell<HashMap<ModelName, Vec<(u64, ReplicaId)>>>,
     /// Least time in which a ready replica can load each model of which a copy
     /// lies somewhere, worked out when needed.
     pub reload_times: OnceCell<HashMap<ModelName, Duration>>,
@@ -374,6 +388,11 @@
         waiting + self.value_of_model(model) * self.stay_s(load)
     }
 
+    /// True if loading a model saves more than is lost with a holder of so much value.
+    pub fn is_worth(&self, model: &ModelName, load: Duration, displaced: f64) -> bool {
+        self.saved_by_load(model, load) > displaced * self.config.horizon.as_secs_f64()
+    }
+
     /// Seconds for which a model serves once its load is over.
     pub fn stay_s(&self, load: Duration) -> f64 {
         self.config.horizon.saturating_sub(load).as_secs_f64()
@@ -394,7 +413,35 @@
         needed.min(self.members().count())
     }
 
-    /// Requests a second that depend on one of a model's holders.
+    /// Requests a second that depend on one holder at a replica.
+    ///
+    /// Holders that are still on their way save no other. Which of several are
+    /// spare follows from a hash, so that no two orderers drop both of two.
+    pub fn value_of_held(&self, model: &ModelName, id: &ReplicaId) -> f64 {
+        let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
+        let ranked = keepers.get(model).map(Vec::as_slice).unwrap_or_default();
+        let rank = ranked.iter().position(|(_, keeper)| keeper == id).unwrap_or(0);
+        self.value_of_holder(model, rank + 1)
+    }
+
+    /// The replicas that keep each model, in an order that all orderers find.
+    fn ranked_keepers(&self) -> HashMap<ModelName, Vec<(u64, ReplicaId)>> {
+        let mut keepers: HashMap<ModelName, Vec<(u64, ReplicaId)>> = HashMap::new();
+        for (id, replica) in self.members() {
+            for held in &replica.ledger.holdings().models {
+                if replica.keeps(&held.model) {
+                    let seed = xxh3_64(held.model.as_bytes());
+                    let hash = xxh3_64_with_seed(id.as_bytes(), seed);
+                    let ranked = keepers.entry(held.model.clone()).or_default();
+                    ranked.push((hash, id.clone()));
+                }
+            }
+        }
+        keepers.values_mut().for_each(|ranked| ranked.sort());
+        keepers
+    }
+
+    /// Requests a second that depend on the last of so many holders of a model.
     pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
         const SURPLUS_SHARE: f64 = 0.1;
         let value = self.value_of_model(model);
@@ -410,33 +457,21 @@
         }
     }
 
-    /// The model that makes way first on a replica: the least valuable, and of
-    /// equals the one with most holders.
-    pub fn victim(&self, replica: &PlacedReplica, holders: &HashMap<ModelName, usize>) -> Option<ModelName> {
+    /// The model that makes way first on a replica: the least valuable.
+    pub fn victim(&self, id: &ReplicaId, replica: &PlacedReplica) -> Option<ModelName> {
         let present = &replica.ledger.holdings().models;
-        let worth = |model: &ModelName| {
-            let count = holders.get(model).copied().unwrap_or(1);
-            (self.value_of_holder(model, count), std::cmp::Reverse(count))
-        };
         present
             .iter()
             .map(|held| &held.model)
             .filter(|model| replica.goal.as_ref() != Some(model))
             .filter(|model| !replica.is_fresh(model, self.config.least_residence, self.now))
-            .min_by(|left, right| {
-                let (left, right) = (worth(left), worth(right));
-                left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
-            })
-            .cloned()
+            .map(|model| (self.value_of_held(model, id), model))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, model)| model.clone())
     }
 
     /// Value of what a replica must drop to make room for a model.
-    fn displaced_value(
-        &self,
-        replica: &PlacedReplica,
-        model: &ModelName,
-        holders: &HashMap<ModelName, usize>,
-    ) -> Option<f64> {
+    fn displaced_value(&self, id: &ReplicaId, replica: &PlacedReplica, model: &ModelName) -> Option<f64> {
         let holdings = replica.ledger.holdings();
         let needed = self.engine.models.get(model)?.weights_mb;
         let mut free = self.engine.weights_mb - memory_used(self.engine, holdings);
@@ -445,13 +480,9 @@
             .iter()
             .filter(|held| !replica.is_fresh(&held.model, self.config.least_residence, self.now))
             .map(|held| {
-                let count = holders.get(&held.model).copied().unwrap_or(1);
-                let memory = self
-                    .engine
-                    .models
-                    .get(&held.model)
-                    .map_or(0.0, |spec| spec.weights_mb);
-                (self.value_of_holder(&held.model, count), memory)
+                let spec = self.engine.models.get(&held.model);
+                let memory = spec.map_or(0.0, |spec| spec.weights_mb);
+                (self.value_of_held(&held.model, id), memory)
             })
             .collect();
         values.sort_by(|left, right| left.0.total_cmp(&right.0));
@@ -487,9 +518,9 @@
         among: Among,
     ) -> Option<Place> {
         let rate = self.expected_rate(model);
-        let cost = |replica: &PlacedReplica| -> Option<(f64, Duration)> {
+        let cost = |id: &ReplicaId, replica: &PlacedReplica| -> Option<(f64, Duration)> {
             let holdings = replica.ledger.holdings();
-            let displaced = self.displaced_value(replica, model, holders)?;
+            let displaced = self.displaced_value(id, replica, model)?;
             let load = load_time(self.engine, holdings, model)?;
             let adapters = self.adapter_requests(replica, holders) * self.config.adapter_block_share;
             let displacement = displaced * self.config.horizon.as_secs_f64();
@@ -503,7 +534,7 @@
             .filter(|(_, replica)| {
                 store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
             })
-            .filter_map(|(id, replica)| cost(replica).map(|(lost, load)| (lost, load, id)))
+            .filter_map(|(id, replica)| cost(id, replica).map(|(lost, load)| (lost, load, id)))
             .min_by(|left, right| {
                 let waits = |load: Duration| load.as_secs_f64() * (1.0 + rate);
                 let total = |(lost, load, _): &(f64, Duration, &ReplicaId)| lost + waits(*load);
@@ -537,7 +568,9 @@
             .map(|(id, _)| id.clone())
     }
 
-    /// The adapter that makes way first on a replica: the least demanded.
+    /// The adapter that makes way first on a replica: the one not asked for
+    /// longest, as it is the least likely to be in use. One that was just
+    /// brought stays until its requests have come.
     pub fn adapter_victim(&self, replica: &PlacedReplica) -> Option<(ModelName, AdapterName)> {
         let held = &replica.ledger.holdings().models;
         let adapters = held.iter().flat_map(|held| {
@@ -545,15 +578,14 @@
                 .iter()
                 .map(move |adapter| (held.model.clone(), adapter.clone()))
         });
-        adapters.min_by(|left, right| {
-            let rate = |(model, adapter): &(ModelName, AdapterName)| {
+        adapters
+            .filter(|adapter| !replica.is_fresh_adapter(adapter, self.now))
+            .min_by_key(|(model, adapter)| {
                 let key = ModelKey {
                     adapter: Some(adapter.clone()),
                     ..self.key(model)
                 };
-                self.demand.requests_per_second(&key, self.now)
-            };
-            rate(left).total_cmp(&rate(right))
-        })
+                self.demand.last_request(&key)
+            })
     }
 }
--- a/crates/croftrill-scheduler/src/replica_ledger.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::catalog::ModelName;
+use crate::catalog::{AdapterName, ModelName};
 use crate::replica::{Holdings, Order, OrderOutcome, ReplicaReport};
 use crate::time::Moment;
 
@@ -23,6 +23,8 @@
     pub idle_poll_every: Duration,
     /// After this time without effect an order counts as failed.
     pub give_up_after: Duration,
+    /// Adapters that may be on their way to a replica at once.
+    pub adapters_in_transit: usize,
 }
 
 impl Default for LedgerConfig {
@@ -32,6 +34,7 @@
             poll_every: Duration::from_millis(60),
             idle_poll_every: Duration::from_millis(2500),
             give_up_after: Duration::from_secs(20),
+            adapters_in_transit: 4,
         }
     }
 }
@@ -54,6 +57,15 @@
     progress: Progress,
 }
 
+/// An adapter whose load was taken, and that should be there by now or soon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct AdapterInTransit {
+    model: ModelName,
+    adapter: AdapterName,
+    expected_at: Moment,
+    has_arrived: bool,
+}
+
 /// The orderer's account of one replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaLedger {
@@ -61,6 +73,10 @@
     holdings: Holdings,
     confirmed: bool,
     pending: Option<Pending>,
+    /// Adapters that count as held since their load was taken, without waiting
+    /// for a report, so that the next order may follow at once. They are kept
+    /// here for as long as reports may lack them.
+    in_transit: Vec<AdapterInTransit>,
     busy: bool,
     asking: bool,
     next_question: Moment,
@@ -88,6 +104,7 @@
             holdings: listed,
             confirmed: false,
             pending: None,
+            in_transit: Vec::new(),
             busy: false,
             asking: false,
             next_question: now,
@@ -101,7 +118,31 @@
 
     /// True if an order may be given now.
     pub fn is_idle(&self) -> bool {
-        self.confirmed && self.pending.is_none() && !self.busy
+        let in_transit = self.in_transit.iter().filter(|adapter| !adapter.has_arrived);
+        let may_send = in_transit.count() < self.config.adapters_in_transit;
+        self.confirmed && self.pending.is_none() && !self.busy && may_send
+    }
+
+    /// True if the adapter is held, but requests may not rely on it yet.
+    pub fn is_in_transit(&self, model: &str, adapter: &str) -> bool {
+        self.in_transit
+            .iter()
+            .filter(|transit| !transit.has_arrived)
+            .any(|transit| &*transit.model == model && &*transit.adapter == adapter)
+    }
+
+    /// Notes which adapters should have arrived by now; true if there are any.
+    pub fn settle(&mut self, now: Moment) -> bool {
+        let mut any = false;
+        for transit in &mut self.in_transit {
+            let arrives = !transit.has_arrived && transit.expected_at <= now;
+            transit.has_arrived |= arrives;
+            any |= arrives;
+        }
+        let kept_for = self.config.report_lag * 2;
+        self.in_transit
+            .retain(|transit| now.since(transit.expected_at) < kept_for);
+        any
     }
 
     /// The order under way.
@@ -133,6 +174,7 @@
 
     /// An order is sent now; answers the sequence that it must name.
     pub fn send(&mut self, order: Order, now: Moment) -> u64 {
+        self.end_transit(&order);
         self.pending = Some(Pending {
             order,
             sent_at: now,
@@ -147,6 +189,11 @@
             return LedgerChange::None;
         };
         match outcome {
+            OrderOutcome::Accepted if matches!(pending.order, Order::LoadAdapter(..)) => {
+                self.holdings.sequence += 1;
+                self.begin_transit(&pending.order, now + expected_in);
+                LedgerChange::Done(pending.order)
+            }
             OrderOutcome::Accepted => {
                 self.holdings.sequence += 1;
                 pending.progress = Progress::Taken {
@@ -208,6 +255,7 @@
         let change = self.judge_pending(report, asked_at, now);
         if self.pending.is_none() {
             self.holdings = report.holdings.clone();
+            self.keep_in_transit();
             self.busy = report.busy;
             self.confirmed = true;
             let pause = if report.busy {
@@ -260,6 +308,38 @@
         LedgerChange::None
     }
 
+    /// The adapter takes its place at once, so that no later order takes it.
+    fn begin_transit(&mut self, order: &Order, expected_at: Moment) {
+        self.apply(order);
+        if let Order::LoadAdapter(model, adapter) = order {
+            self.in_transit.push(AdapterInTransit {
+                model: model.clone(),
+                adapter: adapter.clone(),
+                expected_at,
+                has_arrived: false,
+            });
+        }
+    }
+
+    /// A report of this sequence may be from before an adapter arrived.
+    fn keep_in_transit(&mut self) {
+        for transit in std::mem::take(&mut self.in_transit) {
+            self.apply(&Order::LoadAdapter(
+                transit.model.clone(),
+                transit.adapter.clone(),
+            ));
+            self.in_transit.push(transit);
+        }
+    }
+
+    /// An adapter that is dropped is no longer on its way.
+    fn end_transit(&mut self, order: &Order) {
+        if let Order::UnloadAdapter(model, adapter) = order {
+            self.in_transit
+                .retain(|transit| transit.model != *model || transit.adapter != *adapter);
+        }
+    }
+
     fn is_sent(&self) -> bool {
         matches!(
             &self.pending,
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -0,0 +1,186 @@
+//! What holders of a model are worth, and what makes way for another.
+
+use std::cell::OnceCell;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::{EngineSpec, ModelName, ModelSpec, ServiceName};
+use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
+use croftrill_scheduler::placement::{Orders, PlacedReplica, PlacementConfig, ServicePlacement};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaState, WeightCopies};
+use croftrill_scheduler::replica_ledger::{LedgerConfig, ReplicaLedger};
+use croftrill_scheduler::time::Moment;
+
+const MODELS: usize = 8;
+const STORE_LOAD: Duration = Duration::from_secs(6);
+const DISK_LOAD: Duration = Duration::from_millis(800);
+const OBJECTIVE: Duration = Duration::from_millis(2500);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+fn engine() -> EngineSpec {
+    let specs = (0..MODELS).map(|index| ModelSpec {
+        name: format!("m{index}").into(),
+        weights_mb: 70.0,
+        adapter_mb: 1.0,
+        adapter_count: 0,
+        store_load: STORE_LOAD,
+        disk_load: DISK_LOAD,
+        memory_load: Duration::from_millis(400),
+    });
+    let models: HashMap<ModelName, ModelSpec> = specs.map(|spec| (spec.name.clone(), spec)).collect();
+    EngineSpec {
+        model_order: (0..MODELS).map(|index| format!("m{index}").into()).collect(),
+        models,
+        weights_mb: 220.0,
+        adapter_slots: 8,
+        loads_per_second: 2.0,
+        kv_capacity: 100_000,
+    }
+}
+
+/// One service's replicas and their demand.
+struct Site {
+    service: ServiceName,
+    engine: EngineSpec,
+    config: PlacementConfig,
+    demand: Demand,
+    replicas: BTreeMap<ReplicaId, PlacedReplica>,
+    first_holders: HashMap<ModelName, usize>,
+}
+
+impl Site {
+    fn new(held: &[&[&str]]) -> Self {
+        let replicas = held.iter().enumerate().map(|(index, models)| {
+            let id: ReplicaId = format!("r{index}").into();
+            (id, placed(models, &[]))
+        });
+        Site {
+            service: "llm".into(),
+            engine: engine(),
+            config: PlacementConfig {
+                prior_until: Duration::ZERO,
+                succession: [0.0, 0.0],
+                ..PlacementConfig::default()
+            },
+            demand: Demand::new(),
+            replicas: replicas.collect(),
+            first_holders: HashMap::new(),
+        }
+    }
+
+    /// Counts so many requests a second over 10 s.
+    fn ask(&mut self, model: &str, per_second: u64) {
+        let key = ModelKey {
+            service: "llm".into(),
+            model: model.into(),
+            adapter: None,
+        };
+        let asked = Asked {
+            requests: 1.0,
+            tokens: 100.0,
+            objective: OBJECTIVE,
+        };
+        for millis in (0..10_000).step_by(1000 / per_second as usize) {
+            self.demand.count(&key, &asked, at(millis));
+        }
+    }
+
+    fn view(&self) -> ServicePlacement<'_> {
+        ServicePlacement {
+            config: &self.config,
+            service: &self.service,
+            engine: &self.engine,
+            demand: &self.demand,
+            replicas: &self.replicas,
+            places: OnceCell::new(),
+            keepers: OnceCell::new(),
+            reload_times: OnceCell::new(),
+            first_holders: &self.first_holders,
+            usual_objective: OBJECTIVE,
+            now: at(10_000),
+        }
+    }
+
+    fn values(&self, model: &str) -> Vec<f64> {
+        let view = self.view();
+        let values = self
+            .replicas
+            .keys()
+            .map(|id| view.value_of_held(&model.into(), id));
+        values.collect()
+    }
+}
+
+fn placed(models: &[&str], on_disk: &[&str]) -> PlacedReplica {
+    let held = models.iter().map(|model| HeldModel {
+        model: (*model).into(),
+        adapters: Vec::new(),
+    });
+    let holdings = Holdings {
+        sequence: 1,
+        models: held.collect(),
+        copies: WeightCopies {
+            in_memory: Vec::new(),
+            on_disk: on_disk.iter().map(|model| (*model).into()).collect(),
+        },
+    };
+    PlacedReplica {
+        state: ReplicaState::Ready,
+        service: "llm".into(),
+        ledger: ReplicaLedger::new(LedgerConfig::default(), holdings, at(0)),
+        goal: None,
+        withdrawn: None,
+        loaded_at: HashMap::new(),
+        adapters_loaded_at: HashMap::new(),
+        is_held: false,
+        orders: Orders::Own,
+    }
+}
+
+/// The busiest model lost both of its holders within 10 ms: two orderers each
+/// took the other's for the one that stays.
+#[test]
+fn value_of_held_one_of_two_is_the_last() {
+    let mut site = Site::new(&[&["m1"], &["m1"]]);
+    site.ask("m1", 4);
+    let values = site.values("m1");
+    let most = values.iter().copied().fold(0.0, f64::max);
+    let least = values.iter().copied().fold(f64::MAX, f64::min);
+    assert!(most > 10.0 * least, "{values:?}");
+    assert!(most >= site.view().value_of_model(&"m1".into()));
+}
+
+/// A third holder, still 6 s away, made both that served look spare.
+#[test]
+fn value_of_held_ignores_holders_on_their_way() {
+    let mut site = Site::new(&[&["m1"], &[]]);
+    site.ask("m1", 4);
+    let alone = site.values("m1")[0];
+    site.replicas.get_mut("r1").expect("it exists").goal = Some("m1".into());
+    assert_eq!(site.values("m1")[0], alone);
+}
+
+#[test]
+fn value_of_model_less_with_a_copy_on_a_disk() {
+    let mut site = Site::new(&[&["m1"], &["m2"]]);
+    site.ask("m1", 4);
+    let without = site.view().value_of_model(&"m1".into());
+    site.replicas.insert("r2".into(), placed(&[], &["m1"]));
+    let with = site.view().value_of_model(&"m1".into());
+    assert!(with < 0.5 * without, "without {without}, with {with}");
+}
+
+/// Where a load takes longer than the objective, a swap of equals saves nothing.
+#[test]
+fn is_worth_no_swap_of_equals() {
+    let mut site = Site::new(&[&["m1"]]);
+    site.ask("m1", 1);
+    site.ask("m2", 1);
+    let view = site.view();
+    let held = view.value_of_held(&"m1".into(), &"r0".into());
+    assert!(!view.is_worth(&"m2".into(), STORE_LOAD, held));
+    assert!(view.is_worth(&"m2".into(), STORE_LOAD, 0.3 * held));
+}
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -120,3 +120,62 @@
     assert_eq!(ledger.listed(&holdings(90, &["m9"])), LedgerChange::None);
     assert!(ledger.holdings().serves("m1", None));
 }
+
+/// Takes the load of an adapter, at `now_ms`.
+fn load_adapter(ledger: &mut ReplicaLedger, adapter: &str, now_ms: u64) -> u64 {
+    let order = Order::LoadAdapter("m1".into(), adapter.into());
+    let sequence = ledger.send(order.clone(), at(now_ms));
+    let change = ledger.answered(OrderOutcome::Accepted, Duration::from_millis(30), at(now_ms + 2));
+    assert_eq!(change, LedgerChange::Done(order));
+    sequence
+}
+
+/// Each adapter order waited for a report that showed it: one each 150 to 180 ms
+/// at a replica, although an adapter loads in 10 ms.
+#[test]
+fn adapter_orders_follow_without_a_report() {
+    let mut ledger = confirmed();
+    assert_eq!(load_adapter(&mut ledger, "a1", 100), 5);
+    assert!(ledger.is_idle());
+    assert_eq!(load_adapter(&mut ledger, "a2", 104), 6);
+    assert!(ledger.is_in_transit("m1", "a1"));
+    assert!(ledger.settle(at(140)));
+    assert!(!ledger.is_in_transit("m1", "a1"));
+    assert!(!ledger.settle(at(150)), "each arrives once");
+}
+
+#[test]
+fn adapters_in_transit_are_bounded() {
+    let mut ledger = confirmed();
+    for (index, adapter) in ["a1", "a2", "a3", "a4"].iter().enumerate() {
+        assert!(ledger.is_idle());
+        load_adapter(&mut ledger, adapter, 100 + index as u64);
+    }
+    assert!(!ledger.is_idle());
+    ledger.settle(at(200));
+    assert!(ledger.is_idle());
+}
+
+/// An adapter that a report lacks, as it was on its way, gave up its place to
+/// another: one more than the replica's places.
+#[test]
+fn a_report_without_an_adapter_in_transit_frees_no_place() {
+    let mut ledger = confirmed();
+    load_adapter(&mut ledger, "a1", 100);
+    ledger.settle(at(140));
+    ledger.reported(&report(6, &["m1"], false), at(300), at(310));
+    assert!(ledger.holdings().serves("m1", Some("a1")));
+    ledger.settle(at(900));
+    ledger.reported(&report(6, &["m1"], false), at(900), at(910));
+    assert!(!ledger.holdings().serves("m1", Some("a1")), "it did not come");
+}
+
+#[test]
+fn a_dropped_adapter_is_not_in_transit() {
+    let mut ledger = confirmed();
+    load_adapter(&mut ledger, "a1", 100);
+    ledger.send(Order::UnloadAdapter("m1".into(), "a1".into()), at(110));
+    ledger.answered(OrderOutcome::AlreadyHolds, Duration::ZERO, at(112));
+    ledger.reported(&report(7, &["m1"], false), at(200), at(210));
+    assert!(!ledger.holdings().serves("m1", Some("a1")));
+}
