Loads: how many run at once is learned; goals are planned within it

Cause: the weight store slows all loads once more than some number run at once, and does not say how many (4 on the further sites). The ceiling let 9 begin: each took 13 s instead of 6 s and held its replica for it; on the grown site dozens ran. A victim was dropped, then its place stood empty until the ceiling let the load begin. Change: LoadPace bounds each orderer's loads at once: it starts at two, grows by half a load while loads at the limit take their usual time, and falls to what the store served at full speed when they take 1.3 times as long. A goal that needs the store is planned only if a load is free for it. One holder carries 45,000 tokens.

--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod lease;
 pub mod load_ceiling;
+pub mod load_pace;
 pub mod orderer;
 pub mod placement;
 pub mod planner;
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -33,7 +33,6 @@
         if wanted.is_empty() {
             return;
         }
-        let store_allowed = self.store_allowed(service, engine, now);
         let mut holders = self.placement_of(service, engine, now).holders();
         wanted.retain(|model| !holders.contains_key(*model));
         // Choosing places is costly: the others have their turn in the next plans.
@@ -42,6 +41,7 @@
         wanted.truncate(MOST_GOALS_AT_ONCE);
         self.next_goal = self.next_goal.wrapping_add(wanted.len());
         for model in wanted {
+            let store_allowed = self.store_allowed(service, engine, now);
             let view = self.placement_of(service, engine, now);
             let key = ModelKey {
                 service: service.clone(),
@@ -164,12 +164,14 @@
         let from_store =
             weight_source(self.replicas.get(id)?.ledger.holdings(), &goal) == WeightSource::Store;
         if from_store {
-            if !self.store_allowed(service, engine, now) {
+            let ceiling = self.ceiling(service, engine);
+            if !self.ceiling_admits(service, ceiling, now) {
                 return None;
             }
             if let Some(ceiling) = self.ceilings.get_mut(service) {
                 ceiling.begin(now);
             }
+            self.store_loads.insert(id.clone(), now);
         }
         Some(Order::LoadModel(goal))
     }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -19,7 +19,10 @@
 use crate::demand::{Asked, Demand, ModelKey};
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
-use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
+use crate::load_pace::LoadPace;
+use crate::placement::{
+    load_time, weight_source, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource,
+};
 use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_table::{Placement, ReplicaEntry};
@@ -117,6 +120,9 @@
     replicas: BTreeMap<ReplicaId, PlacedReplica>,
     demand: Demand,
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
+    paces: BTreeMap<ServiceName, LoadPace>,
+    /// Own loads from the weight store that run, and since when.
+    store_loads: BTreeMap<ReplicaId, Moment>,
     changed: BTreeSet<ReplicaId>,
     told: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
@@ -143,6 +149,8 @@
             replicas: BTreeMap::new(),
             demand: Demand::new(),
             ceilings: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            store_loads: BTreeMap::new(),
             changed: BTreeSet::new(),
             told: BTreeMap::new(),
             next_balance: Moment::default(),
@@ -264,6 +272,7 @@
     /// A replica is gone.
     pub fn removed(&mut self, id: &str) {
         self.replicas.remove(id);
+        self.store_loads.remove(id);
         self.changed.remove(id);
         self.told.remove(id);
     }
@@ -271,6 +280,7 @@
     /// Keeps just the replicas for which `keep` holds.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.replicas.retain(|id, _| keep(id));
+        self.store_loads.retain(|id, _| keep(id));
         self.changed.retain(|id| keep(id));
         self.told.retain(|id, _| keep(id));
     }
@@ -389,8 +399,17 @@
         part.max(usize::from(all >= 1.0))
     }
 
+    /// True if one more load from the weight store may be planned: within the
+    /// ceiling and the pace, with what is planned but has not begun.
     fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
         let ceiling = self.ceiling(service, engine);
+        let planned = self.planned_store_loads(service);
+        let limit = self.paces.entry(service.clone()).or_default().limit();
+        let running = self.running_store_loads(service);
+        running + planned < limit && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
+    }
+
+    fn ceiling_admits(&mut self, service: &ServiceName, ceiling: usize, now: Moment) -> bool {
         let (window, took_over) = (self.config.ceiling_window, self.took_over);
         let loads_are_known = self.loads_are_known;
         let loads = self.ceilings.entry(service.clone()).or_insert_with(|| {
@@ -403,6 +422,51 @@
         loads.admits(now, ceiling)
     }
 
+    /// Own goals that will be loaded from the weight store.
+    fn planned_store_loads(&self, service: &ServiceName) -> usize {
+        let planned = |(id, replica): &(&ReplicaId, &PlacedReplica)| {
+            let from_store =
+                |goal: &ModelName| weight_source(replica.ledger.holdings(), goal) == WeightSource::Store;
+            replica.service == *service
+                && replica.orders == Orders::Own
+                && !self.store_loads.contains_key(*id)
+                && replica.goal.as_ref().is_some_and(from_store)
+        };
+        self.replicas.iter().filter(planned).count()
+    }
+
+    fn running_store_loads(&self, service: &ServiceName) -> usize {
+        let of_service = |id: &&ReplicaId| {
+            let replica = self.replicas.get(*id);
+            replica.is_some_and(|replica| replica.service == *service)
+        };
+        self.store_loads.keys().filter(of_service).count()
+    }
+
+    /// A load from the weight store ended; if it is done, its time is learned from.
+    fn store_load_ended(
+        &mut self,
+        id: &ReplicaId,
+        service: &ServiceName,
+        done: Option<&ModelName>,
+        now: Moment,
+    ) {
+        let running = self.running_store_loads(service);
+        let Some(begun) = self.store_loads.remove(id) else {
+            return;
+        };
+        let spec = self
+            .configuration
+            .service(service)
+            .and_then(|service| service.engine.as_ref())
+            .zip(done)
+            .and_then(|(engine, model)| engine.models.get(model));
+        if let Some(spec) = spec {
+            let pace = self.paces.entry(service.clone()).or_default();
+            pace.ended(now.since(begun), spec.store_load, running);
+        }
+    }
+
     fn placement_of<'a>(
         &'a self,
         service: &'a ServiceName,
@@ -471,7 +535,7 @@
             LedgerChange::None => return,
             LedgerChange::Holdings => {}
             LedgerChange::Done(order) => self.order_done(&id, &service, order, now),
-            LedgerChange::Failed(_) => {}
+            LedgerChange::Failed(_) => self.store_load_ended(&id, &service, None, now),
         }
         self.changed.insert(id);
     }
@@ -485,6 +549,7 @@
                     adapter: None,
                 };
                 self.demand.clear_waiting(&key);
+                self.store_load_ended(id, service, Some(model), now);
                 self.drop_goal(id);
                 if let Some(replica) = self.replicas.get_mut(id) {
                     replica.loaded_at.insert(model.clone(), now);
--- a/crates/croftrill-scheduler/src/placement.rs
+++ b/crates/croftrill-scheduler/src/placement.rs
@@ -45,7 +45,7 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            tokens_per_holder: 28_000.0,
+            tokens_per_holder: 45_000.0,
             spare_holder_from: 0.7,
             spare_share: 0.02,
             least_gain: 1.5,
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/load_pace.rs
@@ -0,0 +1,66 @@
+//! How many loads run at once, against a weight store whose speed is not told.
+
+use std::time::Duration;
+
+use croftrill_scheduler::load_pace::LoadPace;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const USUAL: Duration = Duration::from_secs(6);
+
+/// Time of a load while `running` run at a store that serves `full_speed` at once.
+fn takes(running: usize, full_speed: usize) -> Duration {
+    USUAL.mul_f64(f64::max(1.0, running as f64 / full_speed as f64))
+}
+
+/// Runs loads at the limit until it is settled; answers the limits on the way.
+fn play(full_speed: usize, rounds: usize) -> Vec<usize> {
+    let mut pace = LoadPace::default();
+    let limits = (0..rounds).map(|_| {
+        let running = pace.limit();
+        pace.ended(takes(running, full_speed), USUAL, running);
+        pace.limit()
+    });
+    limits.collect()
+}
+
+#[test]
+fn limit_grows_while_loads_are_fast() {
+    let limits = play(100, 40);
+    assert!(limits[39] > 15, "{limits:?}");
+}
+
+/// Nine loads at once took 13 s each instead of 6 s, and held nine replicas.
+#[test]
+fn limit_stays_near_full_speed() {
+    let limits = play(4, 60);
+    let settled = &limits[20..];
+    assert!(settled.iter().all(|limit| (3..=6).contains(limit)), "{limits:?}");
+}
+
+#[test]
+fn limit_does_not_grow_on_idle_time() {
+    let mut pace = LoadPace::default();
+    for _ in 0..20 {
+        pace.ended(USUAL, USUAL, 1);
+    }
+    assert_eq!(pace.limit(), LoadPace::default().limit());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn limit_is_never_zero(times in prop::collection::vec((1u64..100_000, 1usize..40), 0..60)) {
+        let mut pace = LoadPace::default();
+        for (millis, running) in times {
+            pace.ended(Duration::from_millis(millis), USUAL, running);
+            prop_assert!(pace.limit() >= 1);
+        }
+    }
+}
