Directory: what the relay tells of the store ends a watch that says nothing

The store's watches heard nothing for a second, then its history was dropped. Four nodes had lost the relay and asked the store just then; their watches hung, and the audit by stale reads was 3 s and more behind, so they stayed at the older version for 5 s, although the relay told them of later revisions (as gaps) all the while. Ruled out: the backoff of reads; the orderers, which read everything in time. Change: a revision that the relay told of counts for the audit like one that the store told. Test: relayed_gap_ends_a_watch_that_says_nothing fails on the former code (its watch is waited out for 15 s), passes now.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -130,10 +130,15 @@
 }
 
 /// Ends when the store has moved past `after` and a waiting watch has had time
-/// to say so: its answer was lost, or its path is dead.
+/// to say so: its answer was lost, its path is dead, or the store's watches
+/// hear nothing. The relay may know of it while stale reads are behind.
 async fn overtaken<P: Platform>(node: &Node<P>, after: u64) -> u64 {
     loop {
         sleep(AUDIT_EVERY).await;
+        let told = node.state.borrow().directory.told();
+        if told > after {
+            return told;
+        }
         match node.store().reached_revision().await {
             Ok(reached) if reached > after => {
                 sleep(AUDIT_SLACK).await;
--- a/crates/croftrill-scheduler/src/followed_view.rs
+++ b/crates/croftrill-scheduler/src/followed_view.rs
@@ -72,6 +72,8 @@
 pub struct FollowedView {
     config: FollowConfig,
     reached: u64,
+    /// Last revision that any relayed span told of, applied or not.
+    told: u64,
     proven_at: Option<Moment>,
 }
 
@@ -81,6 +83,7 @@
         FollowedView {
             config,
             reached: 0,
+            told: 0,
             proven_at: None,
         }
     }
@@ -90,6 +93,11 @@
         self.reached
     }
 
+    /// Last revision that the store is known to have, by the relay.
+    pub fn told(&self) -> u64 {
+        self.told
+    }
+
     /// True if a change at `revision` is not part of the view yet.
     pub fn is_new(&self, revision: u64) -> bool {
         revision > self.reached
@@ -109,6 +117,7 @@
     /// Judges a relayed span. The caller applies the changes that [`Self::is_new`]
     /// holds for and then calls [`Self::advance`].
     pub fn judge(&mut self, span: RelayedSpan) -> RelayOutcome {
+        self.told = self.told.max(span.reached);
         if span.after > self.reached {
             self.proven_at = None;
             return RelayOutcome::Gap;
