Retry budget: no slack twice after a restart or while entries lapse

A model of the shared budget finds two holes: a process that begins anew has its whole part of the slack again, while its former repeats lie in the same window; and nodes whose fellows' entries lapsed with the store divide the slack by the few they still see. Change: a process uses no slack before a window has passed since it began; the slack is divided by the highest count of nodes in the last window. Test: repeats_stay_within_the_budget_when_machines_restart_and_entries_lapse; it fails with either change taken out.

--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -164,12 +164,14 @@
             });
         }
         let bounds = &settings.bounds;
-        let retry_budget = RetryBudget::new(RetryBudgetConfig {
+        let budget_config = RetryBudgetConfig {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: bounds.retry_window,
             safety: RETRY_SAFETY,
-        });
+        };
+        let clock = Clock::start();
+        let retry_budget = RetryBudget::new(budget_config, clock.now());
         let state = NodeState {
             configuration: None,
             replicas: ReplicaTable::new(),
@@ -192,7 +194,7 @@
         let node = Node {
             settings,
             platform,
-            clock: Clock::start(),
+            clock,
             state: RefCell::new(state),
             view_changed: Notify::new(),
             relay_changed: Notify::new(),
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -214,6 +214,8 @@
     fn count_arrival(&self) {
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
+        let nodes = state.members.node_count();
+        state.retry_budget.count_nodes(nodes, now);
         state.retry_budget.request(&self.service, now);
         if let Some(key) = self.model_key() {
             state.demand.add(key, cost(&self.facts), self.route.objective);
@@ -274,7 +276,7 @@
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
         let nodes = state.members.node_count();
-        let taken = state.retry_budget.take(&self.service, nodes, now);
+        let taken = state.retry_budget.take(&self.service, now);
         let outcome = if taken { "taken" } else { "refused" };
         Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
         tracing::info!(target: "retry", id = self.facts.id, sends = self.sends, replica = &**replica, nodes, outcome);
--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -14,13 +14,63 @@
     Moment::from_start(Duration::from_millis(1_000_000 + millis))
 }
 
-fn budget() -> RetryBudget {
-    RetryBudget::new(RetryBudgetConfig {
-        ratio: 0.2,
-        slack: 10.0,
+const SLACK: f64 = 10.0;
+const RATIO: f64 = 0.2;
+
+/// The budget of a process that began at `begun_ms`.
+fn budget_from(begun_ms: u64) -> RetryBudget {
+    let config = RetryBudgetConfig {
+        ratio: RATIO,
+        slack: SLACK,
         window: WINDOW,
         safety: 1.0,
-    })
+    };
+    RetryBudget::new(config, at(begun_ms))
+}
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(
+        RetryBudgetConfig {
+            ratio: RATIO,
+            slack: SLACK,
+            window: WINDOW,
+            safety: 1.0,
+        },
+        Moment::default(),
+    )
+}
+
+/// What happens to machines that share a budget.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A request arrives at a machine.
+    Request(usize),
+    /// A machine wants to repeat one.
+    Repeat(usize),
+    /// A machine's process ends and begins anew.
+    Restart(usize),
+    /// The store's entries of so many machines lapse.
+    Lapse(usize),
+    /// The entries are back.
+    Return,
+}
+
+const MACHINES: usize = 5;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..MACHINES).prop_map(Step::Request),
+        12 => (0..MACHINES).prop_map(Step::Repeat),
+        1 => (0..MACHINES).prop_map(Step::Restart),
+        1 => (1..MACHINES).prop_map(Step::Lapse),
+        1 => Just(Step::Return),
+    ]
+}
+
+/// Times, in milliseconds, within `window_ms` before `now_ms`.
+fn recent(moments: &[u64], window_ms: u64, now_ms: u64) -> f64 {
+    let within = |moment: &&u64| now_ms - **moment <= window_ms;
+    moments.iter().filter(within).count() as f64
 }
 
 proptest! {
@@ -54,21 +104,65 @@
     ) {
         let service = "llm".into();
         let mut nodes: Vec<RetryBudget> = (0..4).map(|_| budget()).collect();
+        for node in &mut nodes {
+            node.count_nodes(4, at(0));
+        }
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         let mut now = 0;
         for (node, is_request, pause) in steps {
             now += pause;
+            nodes[node].count_nodes(4, at(now));
             if is_request {
                 nodes[node].request(&service, at(now));
                 requests.push(now);
-            } else if nodes[node].take(&service, 4, at(now)) {
+            } else if nodes[node].take(&service, at(now)) {
                 repeats.push(now);
-                let recent = |moments: &[u64], window| {
-                    moments.iter().filter(|moment| now - **moment <= window).count() as f64
-                };
                 // Nodes spend by their own last window, so together by at most two.
-                prop_assert!(recent(&repeats, 5000) <= 0.2 * recent(&requests, 10_000) + 10.0);
+                let allowed = RATIO * recent(&requests, 10_000, now) + SLACK;
+                prop_assert!(recent(&repeats, 5000, now) <= allowed);
+            }
+        }
+    }
+
+    /// A process that began anew had its whole part of the slack again, and nodes
+    /// whose fellows' entries had lapsed each took all of it.
+    #[test]
+    fn repeats_stay_within_the_budget_when_machines_restart_and_entries_lapse(
+        steps in prop::collection::vec((step(), 0u64..120), 1..600),
+    ) {
+        let service = "llm".into();
+        let mut machines: Vec<RetryBudget> = (0..MACHINES).map(|_| budget()).collect();
+        for machine in &mut machines {
+            machine.count_nodes(MACHINES, at(0));
+        }
+        let mut known = MACHINES;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = 0;
+        for (step, pause) in steps {
+            now += pause;
+            for machine in &mut machines {
+                machine.count_nodes(known, at(now));
+            }
+            match step {
+                Step::Request(machine) => {
+                    machines[machine].request(&service, at(now));
+                    requests.push(now);
+                }
+                Step::Repeat(machine) => {
+                    if machines[machine].take(&service, at(now)) {
+                        repeats.push(now);
+                    }
+                }
+                Step::Restart(machine) => machines[machine] = budget_from(now),
+                Step::Lapse(gone) => known = MACHINES - gone,
+                // Entries are back within about two seconds: before the count is forgotten.
+                Step::Return => known = MACHINES,
+            }
+            if now % 4000 > 2000 {
+                known = MACHINES;
             }
+            let allowed = RATIO * recent(&requests, 10_000, now) + SLACK;
+            prop_assert!(recent(&repeats, 5000, now) <= allowed);
         }
     }
 }
