--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -1,13 +1,15 @@
 //! The one node that gives orders: from demand and holdings to the next orders.
 //!
 //! [`goals`] choose what replicas load and what makes way, [`adapters`] place
-//! adapters, [`telling`] says what the nodes are told.
+//! adapters, [`store_loads`] bounds loads from the weight store, [`telling`] says
+//! what the nodes are told.
 //!
 //! It keeps no lasting state. A new orderer begins with the directory's list,
 //! confirms each replica by a report, and counts the former's loads as just begun.
 
 mod adapters;
 mod goals;
+mod store_loads;
 mod telling;
 
 use std::cell::OnceCell;
@@ -20,9 +22,7 @@
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
 use crate::load_pace::LoadPace;
-use crate::placement::{
-    load_time, weight_source, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource,
-};
+use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
 use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_table::{Placement, ReplicaEntry};
@@ -382,91 +382,6 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Loads from the weight store that may begin in a window: this orderer's
-    /// part, by its part of the service's replicas, and one at least.
-    fn ceiling(&self, service: &ServiceName, engine: &EngineSpec) -> usize {
-        let all = engine.loads_per_second * self.config.ceiling_window.as_secs_f64();
-        let members = self
-            .replicas
-            .values()
-            .filter(|replica| replica.service == *service);
-        let (mut total, mut own) = (0.0, 0.0);
-        for replica in members {
-            total += 1.0;
-            own += f64::from(u8::from(replica.orders == Orders::Own));
-        }
-        let part = (all * own / f64::max(total, 1.0)).floor() as usize;
-        part.max(usize::from(all >= 1.0))
-    }
-
-    /// True if one more load from the weight store may be planned: within the
-    /// ceiling and the pace, with what is planned but has not begun.
-    fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
-        let ceiling = self.ceiling(service, engine);
-        let planned = self.planned_store_loads(service);
-        let limit = self.paces.entry(service.clone()).or_default().limit();
-        let running = self.running_store_loads(service);
-        running + planned < limit && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
-    }
-
-    fn ceiling_admits(&mut self, service: &ServiceName, ceiling: usize, now: Moment) -> bool {
-        let (window, took_over) = (self.config.ceiling_window, self.took_over);
-        let loads_are_known = self.loads_are_known;
-        let loads = self.ceilings.entry(service.clone()).or_insert_with(|| {
-            let mut loads = LoadCeiling::new(window);
-            if !loads_are_known {
-                loads.assume_full(took_over, ceiling);
-            }
-            loads
-        });
-        loads.admits(now, ceiling)
-    }
-
-    /// Own goals that will be loaded from the weight store.
-    fn planned_store_loads(&self, service: &ServiceName) -> usize {
-        let planned = |(id, replica): &(&ReplicaId, &PlacedReplica)| {
-            let from_store =
-                |goal: &ModelName| weight_source(replica.ledger.holdings(), goal) == WeightSource::Store;
-            replica.service == *service
-                && replica.orders == Orders::Own
-                && !self.store_loads.contains_key(*id)
-                && replica.goal.as_ref().is_some_and(from_store)
-        };
-        self.replicas.iter().filter(planned).count()
-    }
-
-    fn running_store_loads(&self, service: &ServiceName) -> usize {
-        let of_service = |id: &&ReplicaId| {
-            let replica = self.replicas.get(*id);
-            replica.is_some_and(|replica| replica.service == *service)
-        };
-        self.store_loads.keys().filter(of_service).count()
-    }
-
-    /// A load from the weight store ended; if it is done, its time is learned from.
-    fn store_load_ended(
-        &mut self,
-        id: &ReplicaId,
-        service: &ServiceName,
-        done: Option<&ModelName>,
-        now: Moment,
-    ) {
-        let running = self.running_store_loads(service);
-        let Some(begun) = self.store_loads.remove(id) else {
-            return;
-        };
-        let spec = self
-            .configuration
-            .service(service)
-            .and_then(|service| service.engine.as_ref())
-            .zip(done)
-            .and_then(|(engine, model)| engine.models.get(model));
-        if let Some(spec) = spec {
-            let pace = self.paces.entry(service.clone()).or_default();
-            pace.ended(now.since(begun), spec.store_load, running);
-        }
-    }
-
     fn placement_of<'a>(
         &'a self,
         service: &'a ServiceName,
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement/adapters.rs
@@ -0,0 +1,52 @@
+//! Which replica loads an adapter, and which adapter makes way for it.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{Among, PlacedReplica, ServicePlacement};
+use crate::catalog::{AdapterName, ModelName};
+use crate::demand::ModelKey;
+use crate::replica::ReplicaId;
+
+impl ServicePlacement<'_> {
+    /// The replica whose orderer's turn it is to load an adapter: of those that
+    /// keep its model and have a place free, one by hash.
+    pub fn adapter_home(&self, model: &ModelName, adapter: &AdapterName) -> Option<&ReplicaId> {
+        let seed = xxh3_64(adapter.as_bytes());
+        let is_full =
+            |replica: &PlacedReplica| replica.ledger.holdings().adapter_count() >= self.engine.adapter_slots;
+        self.members()
+            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::All))
+            .min_by_key(|(id, replica)| (is_full(replica), xxh3_64_with_seed(id.as_bytes(), seed)))
+            .map(|(id, _)| id)
+    }
+
+    /// The replica that should load an adapter now: of those that keep its model
+    /// and take orders, the one with the fewest adapters.
+    pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
+        self.members()
+            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::Own))
+            .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
+            .map(|(id, _)| id.clone())
+    }
+
+    /// The adapter that makes way first on a replica: the one not asked for
+    /// longest, as it is the least likely to be in use. One that was just
+    /// brought stays until its requests have come.
+    pub fn adapter_victim(&self, replica: &PlacedReplica) -> Option<(ModelName, AdapterName)> {
+        let held = &replica.ledger.holdings().models;
+        let adapters = held.iter().flat_map(|held| {
+            held.adapters
+                .iter()
+                .map(move |adapter| (held.model.clone(), adapter.clone()))
+        });
+        adapters
+            .filter(|adapter| !replica.is_fresh_adapter(adapter, self.now))
+            .min_by_key(|(model, adapter)| {
+                let key = ModelKey {
+                    adapter: Some(adapter.clone()),
+                    ..self.key(model)
+                };
+                self.demand.last_request(&key)
+            })
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -0,0 +1,139 @@
+//! Which models and adapters should be where.
+//!
+//! Pure choices over one service's replicas. [`value`] says what a model is worth
+//! and how many holders it deserves, [`choice`] which replica loads it and what
+//! makes way, [`adapters`] the same of adapters, [`placed`] what is known of a
+//! replica.
+
+mod adapters;
+mod choice;
+mod placed;
+mod value;
+
+use std::cell::OnceCell;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::catalog::{EngineSpec, ModelName, ServiceName};
+use crate::demand::{Demand, ModelKey};
+use crate::replica::ReplicaId;
+use crate::time::Moment;
+
+pub use self::choice::{Among, Place};
+pub use self::placed::{load_time, memory_used, weight_source, Orders, PlacedReplica, WeightSource};
+pub use self::value::missed_share;
+
+/// Tunable figures of placement.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementConfig {
+    /// Cost tokens a second that one holder of a model should carry at most.
+    pub tokens_per_holder: f64,
+    /// Requests a second from which a model may get a spare holder.
+    pub spare_holder_from: f64,
+    /// Part of a model's value that its spare holder counts for.
+    pub spare_share: f64,
+    /// What comes must be worth so many times what makes way for it.
+    pub least_gain: f64,
+    /// Time for which demand is taken to go on as it is.
+    pub horizon: Duration,
+    /// Requests held up by one adapter request while weights are loaded at its replica.
+    pub adapter_block_share: f64,
+    /// Demand that a model is expected to take over from one listed shortly
+    /// before it, for each place between them.
+    pub succession: [f64; 2],
+    /// Expected requests a second from which a model is loaded before it is asked for.
+    pub least_expected: f64,
+    /// Requests a second that a model is taken to have while little is known of demand.
+    pub prior_rate: f64,
+    /// Time of observation after which a model that was not asked for counts as idle.
+    pub prior_until: Duration,
+    /// Time for which a model that was just loaded does not make way.
+    pub least_residence: Duration,
+}
+
+impl Default for PlacementConfig {
+    fn default() -> Self {
+        PlacementConfig {
+            tokens_per_holder: 45_000.0,
+            spare_holder_from: 0.7,
+            spare_share: 0.02,
+            least_gain: 1.5,
+            horizon: Duration::from_secs(20),
+            adapter_block_share: 0.5,
+            succession: [0.15, 0.15],
+            least_expected: 0.3,
+            prior_rate: 0.05,
+            prior_until: Duration::from_secs(15),
+            least_residence: Duration::from_millis(3000),
+        }
+    }
+}
+
+/// The replicas of one service with the demand they face.
+pub struct ServicePlacement<'a> {
+    /// Tunable figures.
+    pub config: &'a PlacementConfig,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// What its replicas can hold.
+    pub engine: &'a EngineSpec,
+    /// Demand of all nodes.
+    pub demand: &'a Demand,
+    /// All replicas; those of other services are passed over.
+    pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
+    /// Place of each model in the configuration's list, worked out when needed.
+    pub places: OnceCell<HashMap<ModelName, usize>>,
+    /// The replicas that keep each model, worked out when needed.
+    pub keepers: OnceCell<HashMap<ModelName, Vec<(u64, ReplicaId)>>>,
+    /// Least time in which a ready replica can load each model of which a copy
+    /// lies somewhere, worked out when needed.
+    pub reload_times: OnceCell<HashMap<ModelName, Duration>>,
+    /// Most replicas that held each model while little was known of demand: what
+    /// was given many holders is expected to be busy.
+    pub first_holders: &'a HashMap<ModelName, usize>,
+    /// Objective of requests for models that were not asked for yet.
+    pub usual_objective: Duration,
+    /// The present time.
+    pub now: Moment,
+}
+
+impl ServicePlacement<'_> {
+    fn place_in_list(&self, model: &ModelName) -> Option<usize> {
+        let places = self.places.get_or_init(|| {
+            let order = self.engine.model_order.iter().enumerate();
+            order.map(|(place, name)| (name.clone(), place)).collect()
+        });
+        places.get(model).copied()
+    }
+
+    /// The service's replicas.
+    pub fn members(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
+        self.replicas
+            .iter()
+            .filter(|(_, replica)| replica.service == *self.service)
+    }
+
+    /// Replicas that hold each model, and those that await it.
+    pub fn holders(&self) -> HashMap<ModelName, usize> {
+        let mut holders: HashMap<ModelName, usize> = HashMap::new();
+        for (_, replica) in self.members() {
+            for held in &replica.ledger.holdings().models {
+                if replica.keeps(&held.model) {
+                    *holders.entry(held.model.clone()).or_default() += 1;
+                }
+            }
+            if let Some(goal) = replica.goal.as_ref().filter(|goal| !replica.keeps(goal)) {
+                *holders.entry(goal.clone()).or_default() += 1;
+            }
+        }
+        holders
+    }
+
+    fn key(&self, model: &ModelName) -> ModelKey {
+        ModelKey {
+            service: self.service.clone(),
+            model: model.clone(),
+            adapter: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -0,0 +1,203 @@
+//! What models and their holders are worth: requests a second that would miss
+//! their objective without them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{load_time, Orders, ServicePlacement};
+use crate::catalog::ModelName;
+use crate::replica::{ReplicaId, ReplicaState};
+
+/// Time from the first request for an absent model to when it is served, besides
+/// the load itself: the order, room for the weights, and the news of it.
+const LOAD_OVERHEAD: Duration = Duration::from_millis(700);
+/// Part of the objective up to which waiting for a load costs next to nothing.
+const FREE_WAIT_SHARE: f64 = 0.5;
+/// Least share of requests that miss their objective while their model is loaded.
+const LEAST_MISSED: f64 = 0.1;
+/// Credit of a request that is refused, comes back and is then served in time.
+const LATE_CREDIT: f64 = 0.5;
+
+/// Share of requests that miss their objective when they must wait so long for
+/// their model: next to none up to half of the objective, all from the whole on.
+pub fn missed_share(ready_in: Duration, objective: Duration) -> f64 {
+    let objective_s = objective.as_secs_f64().max(f64::EPSILON);
+    let used = ready_in.as_secs_f64() / objective_s;
+    let missed = (used - FREE_WAIT_SHARE) / (1.0 - FREE_WAIT_SHARE);
+    missed.clamp(LEAST_MISSED, 1.0)
+}
+
+impl ServicePlacement<'_> {
+    /// Requests a second that a model has, or is expected to have soon.
+    ///
+    /// Demand moves along the configuration's list of models: when the busiest
+    /// fall silent, the ones listed next rise. So a model inherits a part of the
+    /// demand of the models shortly before it.
+    pub(super) fn expected_rate(&self, model: &ModelName) -> f64 {
+        let own = self
+            .demand
+            .lasting_requests_per_second(&self.key(model), self.now);
+        own.max(self.inherited_rate(model)).max(self.prior_rate(model))
+    }
+
+    fn inherited_rate(&self, model: &ModelName) -> f64 {
+        let order = &self.engine.model_order;
+        let Some(place) = self.place_in_list(model) else {
+            return 0.0;
+        };
+        let inherited = self
+            .config
+            .succession
+            .iter()
+            .enumerate()
+            .map(|(distance, share)| {
+                let before = place.checked_sub(distance + 1).map(|place| &order[place]);
+                before.map_or(0.0, |before| {
+                    share * self.demand.requests_per_second(&self.key(before), self.now)
+                })
+            });
+        inherited.fold(0.0, f64::max)
+    }
+
+    /// True while little is known of demand.
+    fn is_demand_unknown(&self) -> bool {
+        self.demand.observed(self.now) < self.config.prior_until
+    }
+
+    /// What a model is taken to be asked for while little is known of demand.
+    fn prior_rate(&self, model: &ModelName) -> f64 {
+        if !self.is_demand_unknown() {
+            return 0.0;
+        }
+        let holders = self.first_holders.get(model).copied().unwrap_or(0).max(1);
+        self.config.prior_rate * (holders * holders) as f64
+    }
+
+    /// True if a model that is held nowhere should be loaded before it is asked for.
+    pub fn is_expected(&self, model: &ModelName) -> bool {
+        self.is_demand_unknown() || self.inherited_rate(model) >= self.config.least_expected
+    }
+
+    /// Least time in which some replica can load the model.
+    fn reload_time(&self, model: &ModelName) -> Duration {
+        let times = self.reload_times.get_or_init(|| self.copy_load_times());
+        let from_store = self.engine.models.get(model).map(|spec| spec.store_load);
+        let from_copy = times.get(model).copied();
+        from_copy.or(from_store).unwrap_or_default()
+    }
+
+    fn copy_load_times(&self) -> HashMap<ModelName, Duration> {
+        let mut times: HashMap<ModelName, Duration> = HashMap::new();
+        for (_, replica) in self.members() {
+            if replica.state != ReplicaState::Ready || replica.orders == Orders::Nobody {
+                continue;
+            }
+            let holdings = replica.ledger.holdings();
+            let copies = holdings.copies.in_memory.iter().chain(&holdings.copies.on_disk);
+            for model in copies {
+                let Some(time) = load_time(self.engine, holdings, model) else {
+                    continue;
+                };
+                let least = times.entry(model.clone()).or_insert(time);
+                *least = time.min(*least);
+            }
+        }
+        times
+    }
+
+    fn objective(&self, model: &ModelName) -> Duration {
+        self.demand
+            .objective(&self.key(model))
+            .unwrap_or(self.usual_objective)
+    }
+
+    /// Share of a model's requests that miss their objective while it must be
+    /// loaded for them.
+    fn missed_share(&self, model: &ModelName) -> f64 {
+        missed_share(self.reload_time(model) + LOAD_OVERHEAD, self.objective(model))
+    }
+
+    /// Requests a second that miss their objective while no replica holds the model.
+    pub fn value_of_model(&self, model: &ModelName) -> f64 {
+        self.expected_rate(model) * self.missed_share(model)
+    }
+
+    /// Requests expected to be saved by loading a model that is held nowhere and
+    /// that a request waits for.
+    pub fn saved_by_load(&self, model: &ModelName, load: Duration) -> f64 {
+        let in_time = load + LOAD_OVERHEAD <= self.objective(model);
+        let waiting = if in_time { 1.0 } else { LATE_CREDIT };
+        waiting + self.value_of_model(model) * self.stay_s(load)
+    }
+
+    /// True if loading a model saves more than is lost with a holder of so much value.
+    pub fn is_worth(&self, model: &ModelName, load: Duration, displaced: f64) -> bool {
+        self.saved_by_load(model, load) > displaced * self.config.horizon.as_secs_f64()
+    }
+
+    /// Seconds for which a model serves once its load is over.
+    pub fn stay_s(&self, load: Duration) -> f64 {
+        self.config.horizon.saturating_sub(load).as_secs_f64()
+    }
+
+    /// Holders that a model's load needs.
+    fn needed_holders(&self, model: &ModelName) -> usize {
+        let tokens = self.demand.tokens_per_second(&self.key(model), self.now);
+        let by_load = (tokens / self.config.tokens_per_holder).ceil() as usize;
+        by_load.max(1)
+    }
+
+    /// Holders that a model's demand deserves: what its load needs, and a spare one.
+    pub fn deserved_holders(&self, model: &ModelName) -> usize {
+        let requests = self.demand.requests_per_second(&self.key(model), self.now);
+        let spare = usize::from(requests >= self.config.spare_holder_from);
+        let needed = self.needed_holders(model) + spare;
+        needed.min(self.members().count())
+    }
+
+    /// Requests a second that depend on one holder at a replica.
+    ///
+    /// Holders that are still on their way save no other. Which of several are
+    /// spare follows from a hash, so that no two orderers drop both of two.
+    pub fn value_of_held(&self, model: &ModelName, id: &ReplicaId) -> f64 {
+        let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
+        let ranked = keepers.get(model).map(Vec::as_slice).unwrap_or_default();
+        let rank = ranked.iter().position(|(_, keeper)| keeper == id).unwrap_or(0);
+        self.value_of_holder(model, rank + 1)
+    }
+
+    /// The replicas that keep each model, in an order that all orderers find.
+    fn ranked_keepers(&self) -> HashMap<ModelName, Vec<(u64, ReplicaId)>> {
+        let mut keepers: HashMap<ModelName, Vec<(u64, ReplicaId)>> = HashMap::new();
+        for (id, replica) in self.members() {
+            for held in &replica.ledger.holdings().models {
+                if replica.keeps(&held.model) {
+                    let seed = xxh3_64(held.model.as_bytes());
+                    let hash = xxh3_64_with_seed(id.as_bytes(), seed);
+                    let ranked = keepers.entry(held.model.clone()).or_default();
+                    ranked.push((hash, id.clone()));
+                }
+            }
+        }
+        keepers.values_mut().for_each(|ranked| ranked.sort());
+        keepers
+    }
+
+    /// Requests a second that depend on the last of so many holders of a model.
+    pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
+        const SURPLUS_SHARE: f64 = 0.1;
+        let value = self.value_of_model(model);
+        let needed = self.needed_holders(model);
+        if holders <= needed {
+            return value / holders.max(1) as f64;
+        }
+        let spare = value * self.config.spare_share;
+        if holders <= self.deserved_holders(model) {
+            spare
+        } else {
+            spare * SURPLUS_SHARE
+        }
+    }
+}
