--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -147,6 +147,8 @@
                 ..Pace::default()
             },
             most_in_service: (self.most_in_service > 0).then_some(self.most_in_service),
+            // Nothing tells a node; the retry budget is small for a window.
+            is_first_start: false,
         }
     }
 }
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -171,7 +171,12 @@
             safety: RETRY_SAFETY,
         };
         let clock = Clock::start();
-        let retry_budget = RetryBudget::new(budget_config, clock.now());
+        let budget_begun = if settings.is_first_start {
+            Moment::default()
+        } else {
+            clock.now()
+        };
+        let retry_budget = RetryBudget::new(budget_config, budget_begun);
         let state = NodeState {
             configuration: None,
             replicas: ReplicaTable::new(),
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -49,6 +49,9 @@
     /// Most requests that the node serves at the same time; what comes beyond
     /// waits by its group's share. `None`: replicas alone queue and rank.
     pub most_in_service: Option<usize>,
+    /// True at the first start of the whole system: no former process of this
+    /// machine can have used its part of the retry budget.
+    pub is_first_start: bool,
 }
 
 /// Intervals of a node's own work.
