Streams: a whole resumable stream leaves its connection for the next

Ruled out: keeping those of streams that must not run twice, as a late second answer can take the place of the next one (docs/DESIGN.md). Test: a_whole_resumable_stream_leaves_its_connection_for_the_next, seen failing.

--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -35,8 +35,8 @@
 pub(super) struct Streaming<P: Platform> {
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
-    /// Held so that the socket closes with the stream.
-    pub(super) _connection: Connection,
+    /// Its socket closes with the stream, unless that ended whole.
+    pub(super) connection: Connection,
     pub(super) send: Send<P>,
 }
 
@@ -133,7 +133,7 @@
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
-                _connection: connection,
+                connection,
                 send,
             }));
         }
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -57,6 +57,10 @@
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
+                    if self.route.is_idempotent() {
+                        let headers = &current.head.headers;
+                        self.node.pool.put_back(current.connection, headers);
+                    }
                     self.log_end(&replica, "served");
                     return;
                 }
