Placement: loading before demand and succession along the list go

Change: both are gone, with four figures, the notes of first holders and the places in the list. What was just loaded is tested with little demand beside it, as a model with more to lose makes way no more; it fails with the residence switched off.

--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -73,7 +73,7 @@
             .iter()
             .filter_map(|model| {
                 let count = holders.get(model).copied().unwrap_or(0);
-                let lacks = count < view.deserved_holders(model) && (count > 0 || view.is_expected(model));
+                let lacks = count > 0 && count < view.deserved_holders(model);
                 lacks.then(|| (view.value_of_holder(model, count + 1), model.clone()))
             })
             .collect();
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -13,8 +13,8 @@
 mod telling;
 
 use std::cell::OnceCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::{Arc, LazyLock};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
@@ -50,8 +50,6 @@
     pub unload: Duration,
 }
 
-/// Holders of a service of which nothing was noted.
-static NO_HOLDERS: LazyLock<HashMap<ModelName, usize>> = LazyLock::new(HashMap::new);
 /// Time between two looks at whether a model deserves one more holder.
 const BALANCE_EVERY: Duration = Duration::from_millis(250);
 
@@ -134,8 +132,6 @@
     /// Whether the former orderer told of its loads.
     loads_are_known: bool,
     history: OrderHistory,
-    /// Most holders of each model while little was known of demand.
-    first_holders: HashMap<ServiceName, HashMap<ModelName, usize>>,
     /// Shards whose orderers can be reached.
     reachable: [bool; SHARD_COUNT],
 }
@@ -159,7 +155,6 @@
             took_over,
             loads_are_known: false,
             history: OrderHistory::new(config.order_gap),
-            first_holders: HashMap::new(),
             reachable: [false; SHARD_COUNT],
         }
     }
@@ -354,7 +349,6 @@
             if let Some(engine) = &service.engine {
                 self.set_goals(&service.name, engine, &waiting, now);
                 if balances {
-                    self.note_first_holders(&service.name, engine, now);
                     self.add_holders(&service.name, engine, now);
                 }
                 self.place_adapters(&service.name, engine, &waiting, now, &mut actions);
@@ -364,19 +358,6 @@
         actions
     }
 
-    /// Remembers how many holders models were given before demand tells more.
-    fn note_first_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
-        if self.demand.observed(now) >= self.config.placement.prior_until {
-            return;
-        }
-        let holders = self.placement_of(service, engine, now).holders();
-        let first = self.first_holders.entry(service.clone()).or_default();
-        for (model, count) in holders {
-            let most = first.entry(model).or_default();
-            *most = count.max(*most);
-        }
-    }
-
     /// Decisions since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -394,10 +375,8 @@
             engine,
             demand: &self.demand,
             replicas: &self.replicas,
-            places: OnceCell::new(),
             keepers: OnceCell::new(),
             reload_times: OnceCell::new(),
-            first_holders: self.first_holders.get(service).unwrap_or(&NO_HOLDERS),
             usual_objective: self.configuration.longest_objective(service),
             now,
         }
--- a/crates/croftrill-scheduler/src/placement/choice.rs
+++ b/crates/croftrill-scheduler/src/placement/choice.rs
@@ -89,7 +89,7 @@
         store_allowed: bool,
         among: Among,
     ) -> Option<Place> {
-        let rate = self.expected_rate(model);
+        let rate = self.lasting_rate(model);
         let cost = |id: &ReplicaId, replica: &PlacedReplica| -> Option<(f64, Duration)> {
             let holdings = replica.ledger.holdings();
             let displaced = self.displaced_value(id, replica, model)?;
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -38,15 +38,6 @@
     pub horizon: Duration,
     /// Requests held up by one adapter request while weights are loaded at its replica.
     pub adapter_block_share: f64,
-    /// Demand that a model is expected to take over from one listed shortly
-    /// before it, for each place between them.
-    pub succession: [f64; 2],
-    /// Expected requests a second from which a model is loaded before it is asked for.
-    pub least_expected: f64,
-    /// Requests a second that a model is taken to have while little is known of demand.
-    pub prior_rate: f64,
-    /// Time of observation after which a model that was not asked for counts as idle.
-    pub prior_until: Duration,
     /// Time for which a model that was just loaded does not make way.
     pub least_residence: Duration,
 }
@@ -60,10 +51,6 @@
             least_gain: 1.5,
             horizon: Duration::from_secs(20),
             adapter_block_share: 0.5,
-            succession: [0.15, 0.15],
-            least_expected: 0.3,
-            prior_rate: 0.05,
-            prior_until: Duration::from_secs(15),
             least_residence: Duration::from_millis(3000),
         }
     }
@@ -81,16 +68,11 @@
     pub demand: &'a Demand,
     /// All replicas; those of other services are passed over.
     pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
-    /// Place of each model in the configuration's list, worked out when needed.
-    pub places: OnceCell<HashMap<ModelName, usize>>,
     /// The replicas that keep each model, worked out when needed.
     pub keepers: OnceCell<HashMap<ModelName, Vec<(u64, ReplicaId)>>>,
     /// Least time in which a ready replica can load each model of which a copy
     /// lies somewhere, worked out when needed.
     pub reload_times: OnceCell<HashMap<ModelName, Duration>>,
-    /// Most replicas that held each model while little was known of demand: what
-    /// was given many holders is expected to be busy.
-    pub first_holders: &'a HashMap<ModelName, usize>,
     /// Objective of requests for models that were not asked for yet.
     pub usual_objective: Duration,
     /// The present time.
@@ -98,14 +80,6 @@
 }
 
 impl ServicePlacement<'_> {
-    fn place_in_list(&self, model: &ModelName) -> Option<usize> {
-        let places = self.places.get_or_init(|| {
-            let order = self.engine.model_order.iter().enumerate();
-            order.map(|(place, name)| (name.clone(), place)).collect()
-        });
-        places.get(model).copied()
-    }
-
     /// The service's replicas.
     pub fn members(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
         self.replicas
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -30,54 +30,10 @@
 }
 
 impl ServicePlacement<'_> {
-    /// Requests a second that a model has, or is expected to have soon.
-    ///
-    /// Demand moves along the configuration's list of models: when the busiest
-    /// fall silent, the ones listed next rise. So a model inherits a part of the
-    /// demand of the models shortly before it.
-    pub(super) fn expected_rate(&self, model: &ModelName) -> f64 {
-        let own = self
-            .demand
-            .lasting_requests_per_second(&self.key(model), self.now);
-        own.max(self.inherited_rate(model)).max(self.prior_rate(model))
-    }
-
-    fn inherited_rate(&self, model: &ModelName) -> f64 {
-        let order = &self.engine.model_order;
-        let Some(place) = self.place_in_list(model) else {
-            return 0.0;
-        };
-        let inherited = self
-            .config
-            .succession
-            .iter()
-            .enumerate()
-            .map(|(distance, share)| {
-                let before = place.checked_sub(distance + 1).map(|place| &order[place]);
-                before.map_or(0.0, |before| {
-                    share * self.demand.requests_per_second(&self.key(before), self.now)
-                })
-            });
-        inherited.fold(0.0, f64::max)
-    }
-
-    /// True while little is known of demand.
-    fn is_demand_unknown(&self) -> bool {
-        self.demand.observed(self.now) < self.config.prior_until
-    }
-
-    /// What a model is taken to be asked for while little is known of demand.
-    fn prior_rate(&self, model: &ModelName) -> f64 {
-        if !self.is_demand_unknown() {
-            return 0.0;
-        }
-        let holders = self.first_holders.get(model).copied().unwrap_or(0).max(1);
-        self.config.prior_rate * (holders * holders) as f64
-    }
-
-    /// True if a model that is held nowhere should be loaded before it is asked for.
-    pub fn is_expected(&self, model: &ModelName) -> bool {
-        self.is_demand_unknown() || self.inherited_rate(model) >= self.config.least_expected
+    /// Requests a second for a model that are likely to go on.
+    pub(super) fn lasting_rate(&self, model: &ModelName) -> f64 {
+        self.demand
+            .lasting_requests_per_second(&self.key(model), self.now)
     }
 
     /// Least time in which some replica can load the model.
@@ -121,7 +77,7 @@
 
     /// Requests a second that miss their objective while no replica holds the model.
     pub fn value_of_model(&self, model: &ModelName) -> f64 {
-        self.expected_rate(model) * self.missed_share(model)
+        self.lasting_rate(model) * self.missed_share(model)
     }
 
     /// Requests expected to be saved by loading a model that is held nowhere and
