Loads: the lag of reports does not count as slowness

Cause: found by reading. A load's end is seen up to 0.3 s late; where loads take about as long, each seemed slowed down and the pace fell to one load at a time. Change: that lag is taken off before the time is learned from. Test: short_loads_are_not_taken_for_slow_ones, seen failing (one load at a time).

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -1,8 +1,10 @@
 //! The orderer against replicas that lose answers and carry orders out late.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use croftrill_bench::emulator::*;
+use croftrill_scheduler::catalog::{CallerLimits, Configuration, Service};
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
 use croftrill_scheduler::replica::Order;
@@ -118,6 +120,40 @@
     assert!(unloads.count() <= 2, "orders: {:?}", world.orders);
 }
 
+/// The usual configuration with another time of loads from the weight store.
+fn with_store_load(models: usize, store_load: Duration) -> Arc<Configuration> {
+    let usual = configuration(models);
+    let mut service = Service::clone(usual.service("llm").expect("the service exists"));
+    if let Some(engine) = &mut service.engine {
+        for spec in engine.models.values_mut() {
+            spec.store_load = store_load;
+        }
+    }
+    let limits = CallerLimits::default();
+    Arc::new(Configuration::new(1, limits, vec![service], Vec::new()))
+}
+
+/// Loads that take about as long as reports lag seemed slowed down, so that one
+/// at a time was the most that was ever planned.
+#[test]
+fn short_loads_are_not_taken_for_slow_ones() {
+    let configuration = with_store_load(40, Duration::from_millis(250));
+    let held: Vec<&[&str]> = vec![&[]; 12];
+    let mut world = World::with(configuration, orderer_config(), &held);
+    world.run(6000);
+    for index in 1..=30 {
+        world
+            .orderer
+            .mark_waiting(&key(&format!("m{index}"), None), world.now);
+    }
+    world.run(3000);
+    assert!(
+        most_in_window(&world.store_loads, Duration::from_millis(200)) >= 3,
+        "loads began at {:?}",
+        world.store_loads
+    );
+}
+
 /// Nodes learn of holdings from placements alone. Replicas that the orderer knew
 /// from listings only were never told: a seventh of the requests of a calm day
 /// were refused as their models seemed absent.
--- a/crates/croftrill-scheduler/src/orderer/store_loads.rs
+++ b/crates/croftrill-scheduler/src/orderer/store_loads.rs
@@ -82,6 +82,9 @@
         let Some(begun) = self.store_loads.remove(id) else {
             return;
         };
+        // A report tells of the end only that much later.
+        let seen_late_by = self.config.ledger.poll_every + self.config.ledger.report_lag;
+        let took = now.since(begun).saturating_sub(seen_late_by);
         let spec = self
             .configuration
             .service(service)
@@ -90,7 +93,7 @@
             .and_then(|(engine, model)| engine.models.get(model));
         if let Some(spec) = spec {
             let pace = self.paces.entry(service.clone()).or_default();
-            pace.ended(now.since(begun), spec.store_load, running);
+            pace.ended(took, spec.store_load, running);
         }
     }
 }
