--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -17,27 +17,20 @@
 const SLACK: f64 = 10.0;
 const RATIO: f64 = 0.2;
 
-/// The budget of a process that began at `begun_ms`.
-fn budget_from(begun_ms: u64) -> RetryBudget {
+/// The budget of a process that began at `begun`.
+fn budget_from(begun: Moment) -> RetryBudget {
     let config = RetryBudgetConfig {
         ratio: RATIO,
         slack: SLACK,
         window: WINDOW,
         safety: 1.0,
     };
-    RetryBudget::new(config, at(begun_ms))
+    RetryBudget::new(config, begun)
 }
 
+/// The budget of a process that began long ago.
 fn budget() -> RetryBudget {
-    RetryBudget::new(
-        RetryBudgetConfig {
-            ratio: RATIO,
-            slack: SLACK,
-            window: WINDOW,
-            safety: 1.0,
-        },
-        Moment::default(),
-    )
+    budget_from(Moment::default())
 }
 
 /// What happens to machines that share a budget.
@@ -153,7 +146,7 @@
                         repeats.push(now);
                     }
                 }
-                Step::Restart(machine) => machines[machine] = budget_from(now),
+                Step::Restart(machine) => machines[machine] = budget_from(at(now)),
                 Step::Lapse(gone) => known = MACHINES - gone,
                 // Entries are back within about two seconds: before the count is forgotten.
                 Step::Return => known = MACHINES,
