--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -15,7 +15,7 @@
 use croftrill_http::records::DOCUMENT_KEY;
 use croftrill_node::node::{Lifecycle, Node};
 use croftrill_node::ports::{
-    ConditionalPut, Expectation, Item, KeyValueStore, PutOutcome, StoreError, Write,
+    ConditionalPut, Expectation, Freshness, Item, KeyValueStore, PutOutcome, StoreError, Write,
 };
 use croftrill_node::stream::AnswerBody;
 use croftrill_scheduler::planner::{plan, PlannedStep};
@@ -131,7 +131,10 @@
 }
 
 async fn present(node: &OwnNode) -> Result<Option<(Document, u64)>, StoreError> {
-    let snapshot = node.store().range(DOCUMENT_KEY, READ_LIMIT).await?;
+    let snapshot = node
+        .store()
+        .range(DOCUMENT_KEY, Freshness::Latest, READ_LIMIT)
+        .await?;
     let item = snapshot.items.into_iter().find(|item| item.key == DOCUMENT_KEY);
     item.map(|item: Item| {
         let document =
--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -67,6 +67,9 @@
     3000
 }
 
+/// Time within which a document must be in force everywhere: that of the users'
+/// smaller deployments.
+const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(2);
 /// Shortest lease that the store is asked for.
 const LEAST_LEASE: Duration = Duration::from_secs(1);
 /// Sliding window of the ceiling on loads from the weight store.
@@ -140,6 +143,7 @@
                 retry_slack: self.retry.slack,
                 retry_window: Duration::from_secs_f64(self.retry.window_seconds),
                 stop_grace: Duration::from_secs_f64(self.stop_grace_seconds),
+                configuration_deadline: CONFIGURATION_DEADLINE,
                 least_lease: LEAST_LEASE,
             },
             pace: Pace {
--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
 use croftrill_node::ports::{
-    Changes, ConditionalPut, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
+    Changes, ConditionalPut, Freshness, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
 };
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -118,7 +118,13 @@
 }
 
 impl KeyValueStore for StoreClient {
-    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError> {
+    async fn range(
+        &self,
+        prefix: &str,
+        // This store always answers with the latest.
+        _freshness: Freshness,
+        limit: Duration,
+    ) -> Result<Snapshot, StoreError> {
         let answer: WireItems = self
             .get(&format!("{ITEMS_PATH}?prefix={}", query(prefix)), limit)
             .await?;
--- a/crates/croftrill-node/src/counted_store.rs
+++ b/crates/croftrill-node/src/counted_store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::metrics::Metrics;
-use crate::ports::{Changes, ConditionalPut, KeyValueStore, PutOutcome, Snapshot, StoreError};
+use crate::ports::{Changes, ConditionalPut, Freshness, KeyValueStore, PutOutcome, Snapshot, StoreError};
 
 /// A store whose calls are counted.
 pub struct CountedStore<'a, S> {
@@ -34,8 +34,17 @@
 }
 
 impl<S: KeyValueStore> KeyValueStore for CountedStore<'_, S> {
-    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError> {
-        self.counted("range", self.store.range(prefix, limit).await)
+    async fn range(
+        &self,
+        prefix: &str,
+        freshness: Freshness,
+        limit: Duration,
+    ) -> Result<Snapshot, StoreError> {
+        let call = match freshness {
+            Freshness::Latest => "range",
+            Freshness::MayLag => "lagging_range",
+        };
+        self.counted(call, self.store.range(prefix, freshness, limit).await)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
--- a/crates/croftrill-node/src/directory/backoff.rs
+++ b/crates/croftrill-node/src/directory/backoff.rs
@@ -13,8 +13,6 @@
 const MOST_READ_LIMIT: Duration = Duration::from_secs(8);
 /// Shortest pause after a failed call.
 const LEAST_BACKOFF: Duration = Duration::from_millis(100);
-/// Longest pause after failed calls.
-const MOST_BACKOFF: Duration = Duration::from_millis(600);
 
 /// Pauses after failed calls, longer with each, and says when the store is lost and back.
 #[derive(Debug, Default)]
@@ -37,13 +35,13 @@
         self.failures = 0;
     }
 
-    /// A call failed: waits before the next one.
-    pub(super) async fn pause(&mut self, error: &StoreError, call: &'static str) {
+    /// A call failed: waits before the next one, up to `longest`.
+    pub(super) async fn pause(&mut self, error: &StoreError, call: &'static str, longest: Duration) {
         if self.failures == 0 {
             tracing::warn!(target: "directory", event = "store call failed", call, %error);
         }
         self.failures = (self.failures + 1).min(8);
-        let longest = (LEAST_BACKOFF * self.failures).min(MOST_BACKOFF);
+        let longest = (LEAST_BACKOFF * 2u32.pow(self.failures - 1)).min(longest);
         let share = rand::rng().random_range(0.5..1.0);
         sleep(longest.mul_f64(share)).await;
     }
--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -12,39 +12,66 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::time::sleep;
 
 use self::backoff::Backoff;
 use self::view::ViewChange;
+use crate::membership::OWN_PREFIX;
 use crate::node::Node;
-use crate::ports::{Changes, KeyValueStore, Platform, StoreError};
+use crate::ports::{Changes, Freshness, KeyValueStore, Platform, StoreError};
+use crate::tree;
 
 /// The prefix that is followed: all keys.
 const EVERYTHING: &str = "";
+/// Time after a node's start for which it waits for a relay: many may start
+/// together, and no promise about time holds yet.
+const FIRST_PATIENCE: Duration = Duration::from_millis(2500);
+/// Calls a second with which all nodes together ask a store that fails: few
+/// beside the thousands that a fleet's store serves.
+const RETRIES_PER_SECOND: f64 = 100.0;
+/// Longest pause after failed calls in a small fleet.
+const LEAST_LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Longest pause in any fleet: half of the time after which nodes are taken to
+/// be in touch with a store that came back.
+const MOST_LONGEST_PAUSE: Duration = Duration::from_millis(2500);
+/// Longest wait for a part of one of the cheap reads.
+const LOOK_LIMIT: Duration = Duration::from_millis(900);
+/// Time between two cheap reads while a node waits for a relay, on average.
+const LOOK_EVERY: Duration = Duration::from_millis(400);
 /// Time between two looks at whether a waiting watch has been overtaken.
 const AUDIT_EVERY: Duration = Duration::from_millis(700);
 /// Time that a watch has to answer after the store moved on.
 const AUDIT_SLACK: Duration = Duration::from_millis(300);
 
 /// Follows the store until the process ends.
+///
+/// The first read may lag: what it misses comes by the relay or by a watch from
+/// its revision on.
 pub async fn follow<P: Platform>(node: Rc<Node<P>>) {
     let mut backoff = Backoff::default();
+    let mut freshness = Freshness::MayLag;
+    let mut patience = FIRST_PATIENCE;
     loop {
         // The pages of a read are of several moments: what is relayed in
         // between must not count as known.
         node.state.borrow_mut().directory.restart();
-        let snapshot = match node.store().range(EVERYTHING, backoff.read_limit()).await {
+        let limit = backoff.read_limit();
+        let snapshot = match node.store().range(EVERYTHING, freshness, limit).await {
             Ok(snapshot) => snapshot,
             Err(error) => {
-                backoff.pause(&error, "range").await;
+                backoff.pause(&error, "range", longest_pause(&node)).await;
                 continue;
             }
         };
         backoff.succeeded();
         view::apply_snapshot(&node, snapshot);
-        follow_changes(&node, &mut backoff).await;
+        tree::gap_closed(&node);
+        follow_changes(&node, &mut backoff, patience).await;
         let revision = node.state.borrow().directory.reached();
         tracing::warn!(target: "directory", event = "history gone, reading everything", revision);
+        freshness = Freshness::Latest;
+        patience = Duration::ZERO;
     }
 }
 
@@ -61,11 +88,13 @@
 }
 
 /// Follows changes, by the relay or by watching, until history is gone.
-async fn follow_changes<P: Platform>(node: &Node<P>, backoff: &mut Backoff) {
+async fn follow_changes<P: Platform>(node: &Node<P>, backoff: &mut Backoff, first_patience: Duration) {
     let mut at_once = true;
+    await_relay(node, first_patience).await;
     loop {
-        if relay::covers(node) {
+        while relay::covers(node) {
             relay::while_covered(node).await;
+            await_relay(node, node.settings.relay_patience()).await;
             at_once = true;
         }
         if !std::mem::take(&mut at_once) {
@@ -79,18 +108,81 @@
         match watch(node, after).await {
             WatchEnd::Answered(changes) => {
                 backoff.succeeded();
-                relay::pass_on(node, after, &changes, asked_at);
+                relay::pass_on(node, &changes, asked_at);
                 let events = changes.events.into_iter().map(ViewChange::Store);
                 view::apply_changes(node, events, changes.revision);
             }
             WatchEnd::Failed(StoreError::HistoryGone) => return,
-            WatchEnd::Failed(error) => backoff.pause(&error, "watch").await,
+            WatchEnd::Failed(error) => pause_unless_covered(node, backoff, &error).await,
             WatchEnd::Overtaken => at_once = true,
             WatchEnd::RoleChanged => at_once = true,
         }
     }
 }
 
+/// Longest pause of a node after failed calls: all nodes together ask a store
+/// that is away at a bounded rate, but those that others depend on ask often.
+fn longest_pause<P: Platform>(node: &Node<P>) -> Duration {
+    if node.gives_orders() || tree::is_relay(node) {
+        return LEAST_LONGEST_PAUSE;
+    }
+    let nodes = node.state.borrow().members.node_count();
+    let shared = Duration::from_secs_f64(nodes as f64 / RETRIES_PER_SECOND);
+    shared.clamp(LEAST_LONGEST_PAUSE, MOST_LONGEST_PAUSE)
+}
+
+/// A watch failed: pauses, but no longer than until the relay is believed again.
+async fn pause_unless_covered<P: Platform>(node: &Node<P>, backoff: &mut Backoff, error: &StoreError) {
+    let covered = async {
+        while !relay::covers(node) {
+            node.relay_changed.notified().await;
+        }
+    };
+    tokio::select! {
+        () = backoff.pause(error, "watch", longest_pause(node)) => {}
+        () = covered => {}
+    }
+}
+
+/// Waits for what the relay tells to be believed (again), for as long as the
+/// store need not be watched; looks meanwhile for who could tell. An orderer and
+/// a relay wait for nobody: others depend on them.
+async fn await_relay<P: Platform>(node: &Node<P>, patience: Duration) {
+    let until = node.clock.now() + patience;
+    let mut next_look = node.clock.now();
+    loop {
+        let now = node.clock.now();
+        let is_depended_on = node.gives_orders() || tree::is_relay(node);
+        if relay::covers(node) || is_depended_on || tree::is_history_gone(node) || now >= until {
+            return;
+        }
+        if now >= next_look {
+            look_for_peers(node).await;
+            next_look = node.clock.now() + LOOK_EVERY.mul_f64(rand::rng().random_range(0.75..1.25));
+        }
+        let pause = next_look.min(until).since(node.clock.now());
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = node.relay_changed.notified() => {}
+        }
+    }
+}
+
+/// A cheap read of what a node needs to find the relay: the configuration, if it
+/// has none, and the nodes. Nothing is read while a peer is heard.
+async fn look_for_peers<P: Platform>(node: &Node<P>) {
+    let has_configuration = node.configuration().is_some();
+    if has_configuration && node.state.borrow().linked.contains(&true) {
+        return;
+    }
+    let prefix = if has_configuration { OWN_PREFIX } else { EVERYTHING };
+    let read = node.store().range(prefix, Freshness::MayLag, LOOK_LIMIT).await;
+    match read {
+        Ok(snapshot) => view::apply_newer(node, snapshot),
+        Err(error) => tracing::debug!(target: "directory", event = "no peers read", %error),
+    }
+}
+
 /// One watch by the node itself.
 async fn watch<P: Platform>(node: &Node<P>, after: u64) -> WatchEnd {
     let store = node.store();
@@ -108,21 +200,22 @@
     }
 }
 
-/// Pause between two watches. The orderer's are short, as all nodes depend on them.
+/// Pause between two watches. An orderer's and a relay's are short, as other
+/// nodes depend on them.
 fn watch_pause<P: Platform>(node: &Node<P>) -> Duration {
     let pace = &node.settings.pace;
-    if node.gives_orders() {
+    if node.gives_orders() || tree::is_relay(node) {
         pace.relay_watch_every
     } else {
         pace.watch_every
     }
 }
 
-/// Longest wait of one watch. The orderer's end soon: each answer proves that
-/// what it relays is complete.
+/// Longest wait of one watch. An orderer's and a relay's end soon: each answer
+/// proves that what it relays is complete.
 fn watch_wait<P: Platform>(node: &Node<P>) -> Duration {
     let pace = &node.settings.pace;
-    if node.gives_orders() {
+    if node.gives_orders() || tree::is_relay(node) {
         pace.relay_watch_wait
     } else {
         pace.watch_wait
@@ -144,7 +237,12 @@
                 sleep(AUDIT_SLACK).await;
                 return reached;
             }
-            _ => {}
+            Ok(_) => {}
+            // The watch's own path may be as dead.
+            Err(error) => {
+                tracing::debug!(target: "directory", event = "audit of a watch failed", %error);
+                node.store_path.call_ended(false);
+            }
         }
     }
 }
--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -20,13 +20,10 @@
 use crate::orderer_task::OrdererInput;
 use crate::peer::{DirectoryNews, RevisedChange, WireChange, WireListing};
 use crate::ports::{Changes, Item, Platform, Record, RecordReader, StoreEvent};
+use crate::tree;
 
 /// Added to the wait of a watch for its answer to count as just given.
 const PROMPT_ANSWER: Duration = Duration::from_millis(150);
-/// Bytes of changes, to all listeners together, that the orderer relays at
-/// once. Of more it says only that there are some: its link is shared with requests.
-const MOST_RELAYED_BYTES: usize = 128 * 1024;
-
 /// What an answer of the orderer's watch means for the other nodes.
 #[derive(Debug, Clone)]
 pub struct WatchedSpan {
@@ -36,12 +33,19 @@
     pub proven_at: Moment,
 }
 
-/// The orderer's watch was answered: the answer goes to all nodes.
-pub(super) fn pass_on<P: Platform>(node: &Node<P>, after: u64, changes: &Changes, asked_at: Moment) {
-    if !node.gives_orders() {
+/// The watch of an orderer or of a relay was answered: the answer goes to its
+/// listeners.
+pub(super) fn pass_on<P: Platform>(node: &Node<P>, changes: &Changes, asked_at: Moment) {
+    let gives_orders = node.gives_orders();
+    if !gives_orders && !tree::is_relay(node) {
         return;
     }
     let now = node.clock.now();
+    // A relay's view may have gone on by news while its watch waited.
+    let after = node.state.borrow().directory.reached();
+    if changes.revision < after {
+        return;
+    }
     let is_prompt = now.since(asked_at) <= node.settings.pace.relay_watch_wait + PROMPT_ANSWER;
     let span = WatchedSpan {
         news: DirectoryNews {
@@ -49,20 +53,23 @@
             reached: changes.revision,
             proof_age_ms: 0,
             sent_at_ms: 0,
-            changes: told_changes(node, &changes.events),
+            changes: told_changes(node, &changes.events, after),
         },
         // An answer that lay unread, as while this process was stopped, proves
         // nothing later than its question.
         proven_at: if is_prompt { now } else { asked_at },
     };
-    node.inform_orderer_tasks(|| OrdererInput::Watched(span.clone()));
+    tree::pass_on_news(node, span.news.clone(), span.proven_at);
+    if gives_orders {
+        node.inform_orderer_tasks(|| OrdererInput::Watched(span.clone()));
+    }
 }
 
-/// The changes of one answer that the other nodes must know.
-fn told_changes<P: Platform>(node: &Node<P>, events: &[StoreEvent]) -> Vec<RevisedChange> {
+/// The changes of one answer after a revision that the other nodes must know.
+fn told_changes<P: Platform>(node: &Node<P>, events: &[StoreEvent], after: u64) -> Vec<RevisedChange> {
     let mut told_keys: HashSet<&str> = HashSet::new();
     let mut changes = Vec::new();
-    for event in events {
+    for event in events.iter().filter(|event| event.revision() > after) {
         // What this node knew before the answer says nothing of a key that
         // changed earlier in it.
         let changed_before = told_keys.contains(event.key());
@@ -136,46 +143,42 @@
 }
 
 impl WatchedSpan {
-    /// The message to `listeners` nodes.
-    pub fn into_news(self, listeners: usize, now: Moment) -> DirectoryNews {
+    /// The message to each listening node.
+    pub fn into_news(self, now: Moment) -> DirectoryNews {
         let mut news = self.news;
-        let size_bytes: usize = news
-            .changes
-            .iter()
-            .map(|revised| revised.change.size_bytes())
-            .sum();
-        if size_bytes * listeners > MOST_RELAYED_BYTES {
-            // A span that begins where it ends: a gap to whoever has not got so far.
-            news.after = news.reached;
-            news.changes.clear();
-        }
-        news.proof_age_ms = now.since(self.proven_at).as_millis() as u32;
-        news.sent_at_ms = now.since(Moment::default()).as_millis() as u64;
+        news.limit();
+        news.stamp(self.proven_at, now);
         news
     }
 }
 
-/// Takes in what the orderer relays over a link with `delay`.
+/// Takes in what an orderer or a relay tells over a link with `delay`; answers
+/// what it meant for the view, if anything.
 ///
-/// A node that relays itself must know of nothing but its own watch's answers:
-/// what it knew from another orderer already, it would leave out of its relay,
-/// and its listeners would never hear of it.
-pub fn take_news<P: Platform>(node: &Node<P>, news: DirectoryNews, delay: &mut LinkDelay) {
+/// An orderer must know of nothing but its own watch's answers: what it knew
+/// from another orderer already, it would leave out of its relay, and its
+/// listeners would never hear of it.
+pub fn take_news<P: Platform>(
+    node: &Node<P>,
+    news: DirectoryNews,
+    delay: &mut LinkDelay,
+) -> Option<RelayOutcome> {
     if node.gives_orders() {
-        return;
+        return None;
     }
-    let now = node.clock.now();
-    let age = Duration::from_millis(u64::from(news.proof_age_ms));
-    let late = delay.excess(Duration::from_millis(news.sent_at_ms), now);
     let span = RelayedSpan {
         after: news.after,
         reached: news.reached,
-        proven_at: now - age - late,
+        proven_at: proof_of(&news, delay, node.clock.now()),
     };
     let outcome = node.state.borrow_mut().directory.judge(span);
     Metrics::count(&node.metrics.relayed, "directory", outcome_name(outcome));
     match outcome {
         RelayOutcome::Applied { is_regained } => {
+            tree::gap_closed(node);
+            if tree::is_relay(node) {
+                relay_on(node, &news, span.proven_at);
+            }
             let changes = news.changes.into_iter().map(|change| heard(node, change));
             view::apply_changes(node, changes, news.reached);
             if is_regained {
@@ -189,6 +192,49 @@
         RelayOutcome::Behind => {}
     }
     node.relay_changed.notify_waiters();
+    Some(outcome)
+}
+
+/// Takes all that an orderer or a relay knows, as this node misses too much.
+pub fn take_whole<P: Platform>(node: &Node<P>, whole: DirectoryNews, delay: &mut LinkDelay) {
+    if node.gives_orders() {
+        return;
+    }
+    let proven_at = proof_of(&whole, delay, node.clock.now());
+    let reached = whole.reached;
+    let is_taken = node.state.borrow_mut().directory.judge_whole(reached, proven_at);
+    if !is_taken {
+        return;
+    }
+    tracing::info!(target: "directory", event = "taking a peer's whole view", reached);
+    tree::gap_closed(node);
+    let changes: Vec<ViewChange> = whole
+        .changes
+        .into_iter()
+        .map(|change| heard(node, change))
+        .collect();
+    view::apply_whole(node, changes, reached);
+    node.relay_changed.notify_waiters();
+}
+
+/// When the view that news lead to was proven complete, by this node's clock.
+fn proof_of(news: &DirectoryNews, delay: &mut LinkDelay, now: Moment) -> Moment {
+    let age = Duration::from_millis(u64::from(news.proof_age_ms));
+    let late = delay.excess(Duration::from_millis(news.sent_at_ms), now);
+    now - age - late
+}
+
+/// Passes on what of a span goes on from this node's view: of the same span
+/// from several orderers, followers get one.
+fn relay_on<P: Platform>(node: &Node<P>, news: &DirectoryNews, proven_at: Moment) {
+    let after = node.state.borrow().directory.reached();
+    let newer = news.changes.iter().filter(|revised| revised.revision > after);
+    let relayed = DirectoryNews {
+        after,
+        changes: newer.cloned().collect(),
+        ..*news
+    };
+    tree::pass_on_news(node, relayed, proven_at);
 }
 
 fn outcome_name(outcome: RelayOutcome) -> &'static str {
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -41,12 +41,8 @@
         .iter()
         .filter_map(|item| records.replica_of(&item.key))
         .collect();
-    {
-        let mut state = node.state.borrow_mut();
-        state.replicas.retain(|id| listed.contains(id));
-        let keys: HashSet<&str> = snapshot.items.iter().map(|item| item.key.as_str()).collect();
-        state.members.retain(|key| keys.contains(key));
-    }
+    let keys: HashSet<&str> = snapshot.items.iter().map(|item| item.key.as_str()).collect();
+    forget_all_but(node, &listed, &keys);
     for item in &snapshot.items {
         apply_item(node, item);
     }
@@ -54,6 +50,58 @@
     announce(node);
 }
 
+/// Forgets replicas that are not `listed`, and nodes without one of these keys.
+fn forget_all_but<P: Platform>(node: &Node<P>, listed: &HashSet<Arc<str>>, keys: &HashSet<&str>) {
+    let mut state = node.state.borrow_mut();
+    state.replicas.retain(|id| listed.contains(id));
+    state.members.retain(|key| keys.contains(key));
+}
+
+/// Takes in all that a peer knows, and forgets what it does not.
+pub(super) fn apply_whole<P: Platform>(node: &Node<P>, changes: Vec<ViewChange>, reached: u64) {
+    let mut listed: HashSet<Arc<str>> = HashSet::new();
+    let mut keys: HashSet<&str> = HashSet::new();
+    for change in &changes {
+        match change {
+            ViewChange::Store(event) => {
+                keys.insert(event.key());
+            }
+            ViewChange::Replica { listing, .. } => {
+                listed.insert(listing.id.clone());
+            }
+        }
+    }
+    forget_all_but(node, &listed, &keys);
+    for change in changes {
+        apply_change(node, change);
+    }
+    node.state.borrow_mut().directory.advance(reached);
+    announce(node);
+}
+
+fn apply_change<P: Platform>(node: &Node<P>, change: ViewChange) {
+    match change {
+        ViewChange::Store(event) => apply_event(node, &event),
+        ViewChange::Replica { listing, revision } => apply_listing(node, listing, revision),
+    }
+}
+
+/// Takes in the items that were written after the view's revision, which stays:
+/// the changes up to theirs are still to come, their removals among them.
+pub(super) fn apply_newer<P: Platform>(node: &Node<P>, snapshot: Snapshot) {
+    let mut any = false;
+    for item in &snapshot.items {
+        let is_new = node.state.borrow().directory.is_new(item.revision);
+        if is_new {
+            apply_item(node, item);
+            any = true;
+        }
+    }
+    if any {
+        announce(node);
+    }
+}
+
 /// Takes in the changes up to the revision `reached`, but for those that the
 /// view contains already.
 pub(super) fn apply_changes<P: Platform>(
@@ -68,10 +116,7 @@
             continue;
         }
         any = true;
-        match change {
-            ViewChange::Store(event) => apply_event(node, &event),
-            ViewChange::Replica { listing, revision } => apply_listing(node, listing, revision),
-        }
+        apply_change(node, change);
     }
     node.state.borrow_mut().directory.advance(reached);
     if any {
@@ -96,7 +141,7 @@
 
 fn apply_item<P: Platform>(node: &Node<P>, item: &Item) {
     match node.platform.records().read(item) {
-        Record::Configuration(configuration) => apply_configuration(node, configuration, item.revision),
+        Record::Configuration(configuration) => apply_configuration(node, configuration, item),
         Record::Replica(listing) => apply_listing(node, listing, item.revision),
         Record::Malformed(reason) => {
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
@@ -115,18 +160,19 @@
     node.state.borrow_mut().replicas.apply_listing(listing);
 }
 
-fn apply_configuration<P: Platform>(node: &Node<P>, configuration: Arc<Configuration>, revision: u64) {
+fn apply_configuration<P: Platform>(node: &Node<P>, configuration: Arc<Configuration>, item: &Item) {
     let mut state = node.state.borrow_mut();
     let present = state.configuration.as_ref().map(|present| present.version);
     if present.is_some_and(|version| version >= configuration.version) {
         return;
     }
     tracing::info!(target: "directory", event = "configuration in force", version = configuration.version,
-        routes = configuration.route_count(), revision);
+        routes = configuration.route_count(), revision = item.revision);
     node.metrics
         .configuration_version
         .set(configuration.version as i64);
     state.configuration = Some(configuration);
+    state.configuration_item = Some(item.clone());
     if state.lifecycle == Lifecycle::Starting {
         state.lifecycle = Lifecycle::Ready;
         state.ready_at = Some(node.clock.now());
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod runtime;
 pub mod settings;
 pub mod stream;
+pub mod tree;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -16,6 +16,8 @@
 use crate::node::{Lifecycle, Node};
 use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
 
+/// Prefix of all keys of the nodes' own.
+pub const OWN_PREFIX: &str = "croftrill/";
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
 /// Prefix of the keys about the orderers.
@@ -177,6 +179,21 @@
             .retain(|shard, _| keep(&orderer_key(*shard, OrdererKeyKind::Present)));
     }
 
+    /// All of them as items of the store, by key.
+    pub fn items(&self) -> impl Iterator<Item = (String, OwnItem)> + '_ {
+        let nodes = self.nodes.iter();
+        let nodes = nodes.map(|(key, entry)| (key.clone(), OwnItem::Node(entry.clone())));
+        let orderers = self.orderers.iter().map(|(shard, entry)| {
+            let key = orderer_key(*shard, OrdererKeyKind::Present);
+            (key, OwnItem::Orderer(*shard, entry.clone()))
+        });
+        let last = self.last_orderers.iter().map(|(shard, last)| {
+            let key = orderer_key(*shard, OrdererKeyKind::Last);
+            (key, OwnItem::LastOrderer(*shard, last.clone()))
+        });
+        nodes.chain(orderers).chain(last)
+    }
+
     /// The node that holds the key of a shard's orderer.
     pub fn orderer(&self, shard: Shard) -> Option<&MemberEntry> {
         self.orderers.get(&shard)
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
@@ -14,7 +15,7 @@
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
-use tokio::sync::{mpsc, Mutex, Notify};
+use tokio::sync::{broadcast, mpsc, Mutex, Notify};
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -25,8 +26,9 @@
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
 use crate::peer::{DemandBatch, ToOrderer};
-use crate::ports::Platform;
+use crate::ports::{Item, Platform};
 use crate::settings::NodeSettings;
+use crate::tree::{TreeState, Uplink, RELAY_BACKLOG};
 
 /// Where a node is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +51,8 @@
 pub struct NodeState {
     /// The newest configuration.
     pub configuration: Option<Arc<Configuration>>,
+    /// The item that holds it, for nodes that are told everything at once.
+    pub configuration_item: Option<Item>,
     /// All known replicas.
     pub replicas: ReplicaTable,
     /// This node's share of the retry budget.
@@ -65,6 +69,8 @@
     pub resignations: BTreeMap<Shard, HeardResignation>,
     /// Shards whose orderer is linked, or is this node.
     pub linked: [bool; SHARD_COUNT],
+    /// This node's part in the tree of relays.
+    pub tree: TreeState,
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
     /// When it began to take requests.
@@ -130,7 +136,10 @@
     /// Held while this node tries to become an orderer: one shard at a time, so
     /// that it sees what it holds already.
     pub acquiring: Mutex<()>,
+    /// Encoded messages for the nodes that follow this one.
+    pub followers: broadcast::Sender<Bytes>,
     to_orderers: Vec<mpsc::Sender<ToOrderer>>,
+    to_relay: mpsc::Sender<ToOrderer>,
     orderer_inboxes: Vec<mpsc::Sender<OrdererInput>>,
 }
 
@@ -144,25 +153,31 @@
     pub orderer_inbox: mpsc::Receiver<OrdererInput>,
 }
 
-/// Receiving ends of a node's queues, by shard.
-pub type NodeQueues = Vec<ShardQueues>;
+/// Receiving ends of a node's queues.
+pub struct NodeQueues {
+    /// Those of each shard.
+    pub shards: Vec<ShardQueues>,
+    /// Messages for the relay that the node follows.
+    pub to_relay: mpsc::Receiver<ToOrderer>,
+}
 
 impl<P: Platform> Node<P> {
     /// A node without a configuration.
     pub fn new(settings: NodeSettings, platform: P) -> (Rc<Self>, NodeQueues) {
         let (mut to_orderers, mut orderer_inboxes) = (Vec::new(), Vec::new());
-        let mut queues = NodeQueues::new();
+        let mut shards = Vec::new();
         for shard in Shard::all() {
             let (to_orderer, to_orderer_queue) = mpsc::channel(ORDERER_QUEUE);
             let (orderer_inbox, orderer_queue) = mpsc::channel(ORDERER_QUEUE);
             to_orderers.push(to_orderer);
             orderer_inboxes.push(orderer_inbox);
-            queues.push(ShardQueues {
+            shards.push(ShardQueues {
                 shard,
                 to_orderer: to_orderer_queue,
                 orderer_inbox: orderer_queue,
             });
         }
+        let (to_relay, to_relay_queue) = mpsc::channel(ORDERER_QUEUE);
         let bounds = &settings.bounds;
         let budget_config = RetryBudgetConfig {
             ratio: bounds.retry_ratio,
@@ -179,6 +194,7 @@
         let retry_budget = RetryBudget::new(budget_config, budget_begun);
         let state = NodeState {
             configuration: None,
+            configuration_item: None,
             replicas: ReplicaTable::new(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
@@ -189,6 +205,7 @@
             members: Members::default(),
             resignations: BTreeMap::new(),
             linked: [false; SHARD_COUNT],
+            tree: TreeState::default(),
             lifecycle: Lifecycle::Starting,
             ready_at: None,
         };
@@ -213,9 +230,15 @@
             metrics: Metrics::new(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
+            followers: broadcast::channel(RELAY_BACKLOG).0,
             to_orderers,
+            to_relay,
             orderer_inboxes,
         };
+        let queues = NodeQueues {
+            shards,
+            to_relay: to_relay_queue,
+        };
         (Rc::new(node), queues)
     }
 
@@ -277,7 +300,11 @@
 
     /// A message for all present orderers; left out where too many wait.
     pub fn tell_orderers(&self, message: &ToOrderer) {
-        for queue in &self.to_orderers {
+        let queues = match self.state.borrow().tree.uplink {
+            Uplink::Orderers => self.to_orderers.as_slice(),
+            Uplink::Relay(_) => std::slice::from_ref(&self.to_relay),
+        };
+        for queue in queues {
             if queue.try_send(message.clone()).is_err() {
                 self.metrics.messages_left_out.inc();
             }
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -8,13 +8,16 @@
 use croftrill_scheduler::lease::{LeaseConfig, OrdererLease, Record, RecordKind, TermStart};
 use croftrill_scheduler::shard::Shard;
 use nanoserde::SerBin;
+use rand::Rng;
 use tokio::time::sleep;
 
 use crate::membership::{
     orderer_key, orderer_prefix, read_own_item, LastOrderer, MemberEntry, OrdererKeyKind, OwnItem,
 };
 use crate::node::{Lifecycle, Node};
-use crate::ports::{ConditionalPut, Expectation, KeyValueStore, Platform, PutOutcome, StoreError, Write};
+use crate::ports::{
+    ConditionalPut, Expectation, Freshness, KeyValueStore, Platform, PutOutcome, StoreError, Write,
+};
 
 /// Added to the least gap between two orderers, for clocks that run unevenly.
 const GAP_MARGIN: Duration = Duration::from_millis(250);
@@ -26,6 +29,10 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 /// Pause of a node that is not first in line for the lease, for each place.
 const CANDIDACY_STEP: Duration = Duration::from_millis(70);
+/// Longest wait of a node that knows no other, if it has a whole core.
+const LONE_WAIT_OF_A_CORE: Duration = Duration::from_millis(250);
+/// The same of any node: traffic may come ten seconds after the start.
+const LONGEST_LONE_WAIT: Duration = Duration::from_millis(2500);
 /// Time from a node's start until it knows what the others did meanwhile.
 const SETTLING: Duration = Duration::from_millis(900);
 
@@ -63,6 +70,9 @@
     if place_in_line(node, shard, entry) > 0 {
         sleep(settling_left(node)).await;
     }
+    if knows_nobody(node) {
+        sleep(lone_wait(entry.processor_millicores)).await;
+    }
     let terms_held = node.terms_held();
     sleep(CANDIDACY_STEP * place_in_line(node, shard, entry)).await;
     let _one_at_a_time = node.acquiring.lock().await;
@@ -106,6 +116,25 @@
     SETTLING.saturating_sub(node.clock.now().since(ready_at))
 }
 
+/// True if no other node is known: at the first start of all there is nobody
+/// to stand in line with.
+fn knows_nobody<P: Platform>(node: &Node<P>) -> bool {
+    let own = &node.settings.identity.name;
+    let state = node.state.borrow();
+    let mut others = state.members.nodes().filter(|member| member.name != *own);
+    others.next().is_none()
+}
+
+/// A node's wait for others to appear: the longer, the less processor time it
+/// has, so that a strong one is first, and of random length, so that few ask.
+fn lone_wait(processor_millicores: u32) -> Duration {
+    let share = rand::rng().random_range(0.5..1.0);
+    let weakness = 1000.0 / f64::from(processor_millicores.max(1));
+    LONE_WAIT_OF_A_CORE
+        .mul_f64(weakness * share)
+        .min(LONGEST_LONE_WAIT)
+}
+
 /// Least time between the orders of two machines at one replica, with a margin.
 pub(super) fn least_gap<P: Platform>(node: &Node<P>) -> Duration {
     node.settings.bounds.order_gap + GAP_MARGIN
@@ -155,7 +184,7 @@
 pub(super) async fn read_keys<P: Platform>(node: &Node<P>, shard: Shard) -> Option<OrdererKeys> {
     let snapshot = node
         .store()
-        .range(&orderer_prefix(shard), READ_LIMIT)
+        .range(&orderer_prefix(shard), Freshness::Latest, READ_LIMIT)
         .await
         .ok()?;
     let mut keys = OrdererKeys::default();
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -10,7 +10,6 @@
 use croftrill_scheduler::placement::PlacementConfig;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
-use croftrill_scheduler::replica_table::Placement;
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
@@ -24,8 +23,9 @@
 use crate::membership::MemberEntry;
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
-use crate::peer::{FromOrderer, ToOrderer, WirePlacement, WireResignation};
+use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WireResignation};
 use crate::ports::{EngineAddress, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError};
+use crate::tree;
 
 /// Changes that a slow listener may fall behind before it must begin anew.
 const CHANGE_BACKLOG: usize = 128;
@@ -319,7 +319,9 @@
                 }
             }
             // Only a link's first message.
-            ToOrderer::Listen(_) => {}
+            ToOrderer::Listen(_) | ToOrderer::Follow => {}
+            // Answered by the link itself.
+            ToOrderer::Replay(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
         }
     }
@@ -328,7 +330,7 @@
         let orderer = &self.orderer;
         let first = self
             .snapshot
-            .get_or_insert_with(|| encode(&orderer.all_placements(now), now));
+            .get_or_insert_with(|| FromOrderer::encode_placements(&orderer.all_placements(now), now));
         let subscription = Subscription {
             first: first.clone(),
             changes: self.changes.subscribe(),
@@ -338,7 +340,7 @@
 
     /// Tells all nodes what the store told.
     pub(super) fn relay(&mut self, span: WatchedSpan, now: Moment) {
-        let news = span.into_news(self.changes.receiver_count(), now);
+        let news = span.into_news(now);
         let message = FromOrderer::Directory(news).serialize_bin();
         let _ = self.changes.send(Bytes::from(message));
         self.last_alive = now;
@@ -361,7 +363,9 @@
         let placements = self.orderer.take_changes(now);
         if !placements.is_empty() {
             self.snapshot = None;
-            let _ = self.changes.send(encode(&placements, now));
+            let message = FromOrderer::encode_placements(&placements, now);
+            tree::pass_on(&self.node, message.clone());
+            let _ = self.changes.send(message);
             let mut state = self.node.state.borrow_mut();
             for placement in placements {
                 state.replicas.apply_placement(placement);
@@ -386,11 +390,19 @@
             record_revision: record.revision,
             legacy: self.orderer.resign(now),
         };
-        let message = FromOrderer::Resigned(WireResignation::from_resignation(&resignation));
+        let wire = WireResignation::from_resignation(&resignation);
+        let peer = self.node.settings.identity.peer;
+        let relayed = RelayedResignation {
+            shard: self.shard.index() as u8,
+            orderer: peer.to_string(),
+            resignation: wire.clone(),
+        };
+        let to_followers = FromOrderer::RelayedResignation(relayed).serialize_bin();
+        tree::pass_on(&self.node, Bytes::from(to_followers));
+        let message = FromOrderer::Resigned(wire);
         let _ = self.changes.send(Bytes::from(message.serialize_bin()));
         tracing::info!(target: "orderer", event = "resigned", fencing_token, record = record.revision,
             holds = resignation.legacy.holds.len());
-        let peer = self.node.settings.identity.peer;
         self.node.hear_resignation(self.shard, peer, resignation);
     }
 
@@ -409,13 +421,6 @@
     }
 }
 
-pub(super) fn encode(placements: &[Placement], now: Moment) -> Bytes {
-    let wire = placements
-        .iter()
-        .map(|placement| WirePlacement::from_placement(placement, now));
-    Bytes::from(FromOrderer::Placements(wire.collect()).serialize_bin())
-}
-
 pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
     OrdererConfig {
         scope: OrderScope::One(shard),
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::hand_over::{Hold, Legacy, PastLoad, Resignation};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
@@ -10,8 +11,10 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
+use crate::tree::MOST_NEWS_BYTES;
+
 /// A model or adapter of a service, on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub struct WireModel {
     /// Service.
     pub service: String,
@@ -74,6 +77,10 @@
     Demand(Vec<DemandItem>),
     /// Requests wait for something that is not held.
     Waiting(WireModel),
+    /// First of all, on a link to a relay: the node follows all shards there.
+    Follow,
+    /// Wanted: the store's changes after this revision.
+    Replay(u64),
 }
 
 /// A model on its way, on the wire.
@@ -258,6 +265,59 @@
     Alive,
     /// Its term is over.
     Resigned(WireResignation),
+    /// From a relay: which shards' orderers it hears.
+    Linked(Vec<bool>),
+    /// From a relay: the term of an orderer is over.
+    RelayedResignation(RelayedResignation),
+    /// All that the sender knows of the store, as changes from nothing.
+    Whole(DirectoryNews),
+    /// The changes that were asked for are not known, nor is the whole.
+    HistoryGone,
+}
+
+/// A resignation that a relay passes on, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct RelayedResignation {
+    /// Number of the orderer's shard.
+    pub shard: u8,
+    /// Address of the orderer for other nodes.
+    pub orderer: String,
+    /// What it left.
+    pub resignation: WireResignation,
+}
+
+impl FromOrderer {
+    /// The message with placements, encoded.
+    pub fn encode_placements(placements: &[Placement], now: Moment) -> Bytes {
+        let wire = placements
+            .iter()
+            .map(|placement| WirePlacement::from_placement(placement, now));
+        Bytes::from(FromOrderer::Placements(wire.collect()).serialize_bin())
+    }
+}
+
+impl DirectoryNews {
+    /// Sets when the view that the changes lead to was proven complete, and when
+    /// the message leaves.
+    pub fn stamp(&mut self, proven_at: Moment, now: Moment) {
+        self.proof_age_ms = now.since(proven_at).as_millis() as u32;
+        self.sent_at_ms = now.since(Moment::default()).as_millis() as u64;
+    }
+
+    /// Bytes that the changes take in a message, about.
+    pub fn size_bytes(&self) -> usize {
+        let changes = self.changes.iter();
+        changes.map(|revised| revised.change.size_bytes()).sum()
+    }
+
+    /// Leaves out changes that are too large for one message: a span that begins
+    /// where it ends is a gap to whoever has not got so far.
+    pub fn limit(&mut self) {
+        if self.size_bytes() > MOST_NEWS_BYTES {
+            self.after = self.reached;
+            self.changes.clear();
+        }
+    }
 }
 
 impl WireListing {
@@ -376,6 +436,14 @@
         counted.objectives_ms += objective.as_millis() as u64;
     }
 
+    /// Adds what another node counted.
+    pub fn merge(&mut self, item: &DemandItem) {
+        let counted = self.items.entry(item.model.to_key()).or_default();
+        counted.requests += item.requests;
+        counted.tokens += item.tokens;
+        counted.objectives_ms += item.objectives_ms;
+    }
+
     /// Takes what was counted, as a message; `None` if there is nothing.
     pub fn take(&mut self) -> Option<ToOrderer> {
         if self.items.is_empty() {
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::followed_view::LinkDelay;
+use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome};
 use croftrill_scheduler::shard::Shard;
 use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
@@ -18,10 +18,12 @@
 use crate::directory::relay;
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
-use crate::peer::{FromOrderer, ToOrderer, WirePlacement};
+use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
+use crate::tree;
 
-type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
+/// A link between two nodes.
+pub(crate) type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Largest message between nodes, in bytes.
 const MOST_MESSAGE_BYTES: usize = 1024 * 1024;
@@ -30,12 +32,21 @@
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Heartbeats that may be missed before a link counts as dead.
-const MISSED_HEARTBEATS: u32 = 3;
+pub(crate) const MISSED_HEARTBEATS: u32 = 3;
 /// Longest wait for a link's first message.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Time after which another peer is asked for missed changes.
+const REPLAY_PATIENCE: Duration = Duration::from_millis(700);
 /// Longest wait for the own orderer task to take a subscriber.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// A link to the node at an address.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<PeerStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(framed(stream))
+}
+
 fn framed(stream: TcpStream) -> PeerStream {
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MOST_MESSAGE_BYTES)
@@ -58,13 +69,32 @@
     }
 }
 
-/// Serves one listening node, as long as this node gives orders.
+/// Serves one listening node: as an orderer, as long as this node is one, or as
+/// a relay.
 async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(target: "peer", event = "link without TCP_NODELAY", %error);
+    }
     let mut link = framed(stream);
-    let Ok(Some(shard)) = timeout(HELLO_TIMEOUT, asked_shard(&mut link)).await else {
+    let Ok(Some(first)) = timeout(HELLO_TIMEOUT, first_message(&mut link)).await else {
         return;
     };
+    match first {
+        ToOrderer::Follow => {
+            let ended = tree::serve_follower(node, link).await;
+            tracing::debug!(target: "peer", event = "a follower left", ?ended);
+        }
+        ToOrderer::Listen(index) => {
+            if let Some(shard) = Shard::from_index(usize::from(index)) {
+                serve_listener(node, link, shard).await;
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Serves a node that listens to this orderer of a shard.
+async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerStream, shard: Shard) {
     let (reply, subscribed) = oneshot::channel();
     let inbox = node.orderer_inbox(shard);
     if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
@@ -73,20 +103,19 @@
     let Ok(Ok(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribed).await else {
         return;
     };
-    let _ = exchange_messages(link, subscription, inbox).await;
+    let ended = exchange_messages(&node, link, subscription, inbox).await;
+    tracing::debug!(target: "peer", event = "a listener left", shard = shard.index(), ?ended);
 }
 
-/// The shard that the listener asks for, in the link's first message.
-async fn asked_shard(link: &mut PeerStream) -> Option<Shard> {
+/// What the other side is here for.
+async fn first_message(link: &mut PeerStream) -> Option<ToOrderer> {
     let frame = link.next().await?.ok()?;
-    match ToOrderer::deserialize_bin(&frame).ok()? {
-        ToOrderer::Listen(index) => Shard::from_index(usize::from(index)),
-        _ => None,
-    }
+    ToOrderer::deserialize_bin(&frame).ok()
 }
 
 /// Passes changes to the listener and its messages to the orderer, until either ends.
-async fn exchange_messages(
+async fn exchange_messages<P: Platform>(
+    node: &Node<P>,
     mut link: PeerStream,
     subscription: Subscription,
     inbox: mpsc::Sender<OrdererInput>,
@@ -103,7 +132,10 @@
             frame = link.next() => {
                 let Some(frame) = frame else { return Ok(()) };
                 let message = ToOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
-                if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
+                if let ToOrderer::Replay(after) = message {
+                    let reply = tree::replay(node, after).serialize_bin();
+                    link.send(Bytes::from(reply)).await?;
+                } else if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
                     return Ok(());
                 }
             }
@@ -118,6 +150,12 @@
     mut outgoing: mpsc::Receiver<ToOrderer>,
 ) {
     loop {
+        if !tree::is_direct(&node) {
+            // A relay tells what the orderer would, and the queue to it is another.
+            while outgoing.try_recv().is_ok() {}
+            sleep(RETRY_PAUSE).await;
+            continue;
+        }
         match orderer_address(&node, shard) {
             Some(address) if address == node.settings.identity.peer => {
                 set_linked(&node, shard, true);
@@ -129,8 +167,9 @@
                     tracing::warn!(target: "peer", event = "link to the orderer ended",
                         shard = shard.index(), %address, %error);
                 }
-                node.state.borrow_mut().replicas.orderer_lost(shard);
-                set_linked(&node, shard, false);
+                if tree::is_direct(&node) {
+                    set_linked(&node, shard, false);
+                }
                 sleep(RETRY_PAUSE).await;
             }
             None => {
@@ -144,12 +183,18 @@
     }
 }
 
-/// Notes whether the orderer of a shard can be reached.
-fn set_linked<P: Platform>(node: &Node<P>, shard: Shard, is_linked: bool) {
+/// Notes whether the orderer of a shard is heard.
+pub(crate) fn set_linked<P: Platform>(node: &Node<P>, shard: Shard, is_linked: bool) {
     let mut state = node.state.borrow_mut();
-    state.linked[shard.index()] = is_linked;
+    let was_linked = std::mem::replace(&mut state.linked[shard.index()], is_linked);
+    if !is_linked {
+        state.replicas.orderer_lost(shard);
+    }
     let any = state.linked.contains(&true);
     drop(state);
+    if was_linked != is_linked {
+        tree::pass_on_linked(node);
+    }
     if !any {
         relay::lost(node);
     }
@@ -184,21 +229,22 @@
     address: SocketAddr,
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let mut link = framed(stream);
+    let mut link = connect(address).await?;
     let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
     let hello = ToOrderer::Listen(shard.index() as u8).serialize_bin();
     link.send(Bytes::from(hello)).await?;
     let mut delay = LinkDelay::default();
     let mut heard = tokio::time::Instant::now();
-    while orderer_address(node, shard) == Some(address) {
+    while orderer_address(node, shard) == Some(address) && tree::is_direct(node) {
         tokio::select! {
             frame = link.next() => {
                 let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                let message = FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
+                let frame = frame?.freeze();
+                let message = FromOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 set_linked(node, shard, true);
-                apply_message(node, shard, address, message, &mut delay);
+                if let Some(reply) = take_message(node, shard, address, (message, frame), &mut delay) {
+                    link.send(Bytes::from(reply.serialize_bin())).await?;
+                }
                 heard = tokio::time::Instant::now();
             }
             message = outgoing.recv() => {
@@ -211,24 +257,65 @@
     Ok(())
 }
 
-fn apply_message<P: Platform>(
+/// Takes a message of a shard's orderer, which this node's followers hear too;
+/// answers what the orderer should be asked. `frame`: the message as it came.
+fn take_message<P: Platform>(
     node: &Node<P>,
     shard: Shard,
     address: SocketAddr,
+    (message, frame): (FromOrderer, Bytes),
+    delay: &mut LinkDelay,
+) -> Option<ToOrderer> {
+    if let FromOrderer::Resigned(resignation) = message {
+        let relayed = RelayedResignation {
+            shard: shard.index() as u8,
+            orderer: address.to_string(),
+            resignation,
+        };
+        let message = FromOrderer::RelayedResignation(relayed.clone());
+        tree::pass_on(node, Bytes::from(message.serialize_bin()));
+        hear_resignation(node, relayed);
+        return None;
+    }
+    if matches!(message, FromOrderer::Placements(_)) {
+        tree::pass_on(node, frame);
+    }
+    take_common_message(node, message, delay)
+}
+
+/// Takes a message that an orderer or a relay sends; answers what it should be asked.
+pub(crate) fn take_common_message<P: Platform>(
+    node: &Node<P>,
     message: FromOrderer,
     delay: &mut LinkDelay,
-) {
+) -> Option<ToOrderer> {
     match message {
         FromOrderer::Placements(placements) => apply_placements(node, placements),
-        FromOrderer::Directory(news) => relay::take_news(node, news, delay),
-        FromOrderer::Alive => {}
-        FromOrderer::Resigned(resignation) => {
-            let resignation = resignation.into_resignation();
-            tracing::info!(target: "peer", event = "the orderer resigned",
-                fencing_token = resignation.fencing_token, holds = resignation.legacy.holds.len());
-            node.hear_resignation(shard, address, resignation);
+        FromOrderer::Directory(news) => {
+            let outcome = relay::take_news(node, news, delay);
+            if outcome == Some(RelayOutcome::Gap) {
+                return tree::wanted_replay(node, REPLAY_PATIENCE).map(ToOrderer::Replay);
+            }
         }
+        FromOrderer::Whole(whole) => relay::take_whole(node, whole, delay),
+        FromOrderer::HistoryGone => tree::history_gone(node),
+        FromOrderer::RelayedResignation(relayed) => hear_resignation(node, relayed),
+        FromOrderer::Alive | FromOrderer::Linked(_) | FromOrderer::Resigned(_) => {}
     }
+    None
+}
+
+fn hear_resignation<P: Platform>(node: &Node<P>, relayed: RelayedResignation) {
+    let shard = Shard::from_index(usize::from(relayed.shard));
+    let (Some(shard), Ok(orderer)) = (shard, relayed.orderer.parse()) else {
+        tracing::warn!(target: "peer", event = "resignation cannot be read", shard = relayed.shard,
+            orderer = relayed.orderer);
+        return;
+    };
+    let resignation = relayed.resignation.into_resignation();
+    tracing::info!(target: "peer", event = "the orderer resigned", shard = shard.index(),
+        fencing_token = resignation.fencing_token, holds = resignation.legacy.holds.len());
+    node.hear_resignation(shard, orderer, resignation);
 }
 
 fn apply_placements<P: Platform>(node: &Node<P>, placements: Vec<WirePlacement>) {
@@ -253,6 +340,6 @@
     }
 }
 
-fn invalid_message(error: nanoserde::DeBinErr) -> io::Error {
+pub(crate) fn invalid_message(error: nanoserde::DeBinErr) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
 }
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// How new the answer to a read must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// All that was acknowledged before the call.
+    Latest,
+    /// Possibly seconds old; costs the store little.
+    MayLag,
+}
+
 /// All items under a prefix.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
@@ -156,7 +165,12 @@
 pub trait KeyValueStore {
     /// Reads all items whose key begins with `prefix`; no part of the answer may
     /// take longer than `limit`.
-    async fn range(&self, prefix: &str, limit: Duration) -> Result<Snapshot, StoreError>;
+    async fn range(
+        &self,
+        prefix: &str,
+        freshness: Freshness,
+        limit: Duration,
+    ) -> Result<Snapshot, StoreError>;
     /// Waits up to `wait` for changes after a revision.
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
     /// A revision that the store has reached: cheap, and possibly seconds old.
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -8,7 +8,7 @@
 
 use crate::node::{Node, NodeQueues};
 use crate::ports::Platform;
-use crate::{directory, front, membership, orderer_task, peer_link};
+use crate::{directory, front, membership, orderer_task, peer_link, tree};
 
 /// Longest wait for the node's entries in the store to be withdrawn at the end.
 const WITHDRAWAL: Duration = Duration::from_millis(300);
@@ -37,7 +37,8 @@
     spawn_local(directory::follow(node.clone()));
     spawn_local(close_old_connections(node.clone()));
     let mut orderers = Vec::new();
-    for queues in queues {
+    spawn_local(tree::follow_relays(node.clone(), queues.to_relay));
+    for queues in queues.shards {
         let shard = queues.shard;
         spawn_local(peer_link::follow_orderer(node.clone(), shard, queues.to_orderer));
         let orderer = orderer_task::run(node.clone(), shard, queues.orderer_inbox, incarnation);
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -33,6 +33,8 @@
     pub retry_window: Duration,
     /// Time between the request to stop and the end of the process.
     pub stop_grace: Duration,
+    /// Time within which a configuration must be in force everywhere.
+    pub configuration_deadline: Duration,
     /// Shortest lease that the store grants.
     pub least_lease: Duration,
 }
@@ -54,6 +56,19 @@
     pub is_first_start: bool,
 }
 
+/// Time that a call to the store may take once a node asks by itself: its limit
+/// of 0.9 s, and a margin for the answer to be taken in.
+const OWN_CALL: Duration = Duration::from_millis(1000);
+
+impl NodeSettings {
+    /// Time for which a node that lost the relay waits for another one before it
+    /// asks the store: what the configuration's deadline leaves.
+    pub fn relay_patience(&self) -> Duration {
+        let used = self.pace.relay_lifetime + OWN_CALL;
+        self.bounds.configuration_deadline.saturating_sub(used)
+    }
+}
+
 /// Intervals of a node's own work.
 #[derive(Debug, Clone)]
 pub struct Pace {
@@ -91,8 +106,8 @@
             relay_watch_every: Duration::from_millis(400),
             relay_watch_wait: Duration::from_millis(600),
             relay_lifetime: Duration::from_millis(1300),
-            membership_lease: Duration::from_secs(3),
-            membership_renewal: Duration::from_millis(900),
+            membership_lease: Duration::from_secs(6),
+            membership_renewal: Duration::from_millis(2000),
             orderer_lease: Duration::from_millis(4500),
             orderer_renewal: Duration::from_millis(700),
             plan_every: Duration::from_millis(40),
--- /dev/null
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -0,0 +1,252 @@
+//! The tree over which a large fleet hears its orderers.
+//!
+//! [`place`] says who relays to whom. A relay listens to every orderer, as all
+//! nodes of a small fleet do ([`crate::peer_link`]), and passes on what it hears
+//! to its followers ([`serve`]); a follower has one link, to a relay ([`follow`]).
+//! The tree has no third level: a relay serves only while it hears the orderers
+//! itself, so two nodes can never follow each other.
+//!
+//! [`place`]: croftrill_scheduler::relay_tree::place
+
+mod follow;
+mod serve;
+mod whole_view;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::relay_log::{RelayLog, Revised};
+use croftrill_scheduler::relay_tree::{self, TreeNode, TreePlace};
+use croftrill_scheduler::shard::SHARD_COUNT;
+use croftrill_scheduler::time::Moment;
+use nanoserde::SerBin;
+
+pub use self::follow::follow_relays;
+pub(crate) use self::serve::serve_follower;
+use crate::node::Node;
+use crate::peer::{DirectoryNews, FromOrderer, RevisedChange, WireChange, WireModel};
+use crate::ports::Platform;
+
+/// Memory for changes that followers may ask for again, in bytes: some
+/// configurations and the entries of a few hundred nodes.
+const MOST_LOGGED_BYTES: usize = 512 * 1024;
+/// Bytes of changes in one message to a listener; of more it is told only that
+/// there are some. Below the limit of a frame, `MOST_MESSAGE_BYTES`.
+pub(crate) const MOST_NEWS_BYTES: usize = 768 * 1024;
+/// Proofs that nothing changed are passed on this rarely; each is believed for
+/// `relay_lifetime`, three times as long.
+const PROOF_EVERY: Duration = Duration::from_millis(400);
+/// One reminder that a model is waited for serves so long for all followers.
+const REMINDER_SERVES: Duration = Duration::from_millis(200);
+/// Backlog of a slow follower before it must begin anew, in messages.
+pub(crate) const RELAY_BACKLOG: usize = 128;
+
+/// Whom a node hears the orderers through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Uplink {
+    /// Links to the orderers themselves.
+    Orderers,
+    /// A relay at this address.
+    Relay(SocketAddr),
+}
+
+/// What a node keeps as a part of the tree.
+#[derive(Debug)]
+pub struct TreeState {
+    /// Whom it hears the orderers through.
+    pub uplink: Uplink,
+    /// What it passed on of the store's changes.
+    log: RelayLog<WireChange>,
+    /// When the view that the log leads to was last complete.
+    proven_at: Moment,
+    /// When a proof was last passed on.
+    proof_passed_at: Moment,
+    /// When it last asked a peer for changes that it missed.
+    replay_asked_at: Option<Moment>,
+    /// True once a peer did not know the missed changes.
+    is_history_gone: bool,
+    /// When the orderers were last reminded of a model for a follower.
+    reminded: HashMap<WireModel, Moment>,
+}
+
+impl Default for TreeState {
+    fn default() -> Self {
+        TreeState {
+            uplink: Uplink::Orderers,
+            log: RelayLog::new(MOST_LOGGED_BYTES),
+            proven_at: Moment::default(),
+            proof_passed_at: Moment::default(),
+            replay_asked_at: None,
+            is_history_gone: false,
+            reminded: HashMap::new(),
+        }
+    }
+}
+
+impl TreeState {
+    /// True if a reminder of this model should go to the orderers now.
+    fn takes_reminder(&mut self, model: &WireModel, now: Moment) -> bool {
+        self.reminded.retain(|_, at| now.since(*at) < REMINDER_SERVES);
+        if self.reminded.contains_key(model) {
+            return false;
+        }
+        self.reminded.insert(model.clone(), now);
+        true
+    }
+}
+
+/// True while a node hears the orderers by links of its own.
+pub(crate) fn is_direct<P: Platform>(node: &Node<P>) -> bool {
+    node.state.borrow().tree.uplink == Uplink::Orderers
+}
+
+/// Addresses of the relays that a node should follow, the first choice first;
+/// none if it belongs to the orderers' own listeners.
+fn relays_above<P: Platform>(node: &Node<P>) -> Vec<SocketAddr> {
+    let state = node.state.borrow();
+    let TreePlace::Below(relays) = place_of(node, &state.members) else {
+        return Vec::new();
+    };
+    let address_of = |name: &&str| {
+        let member = state.members.nodes().find(|member| member.name == **name);
+        member.and_then(|member| member.peer_address())
+    };
+    relays.iter().filter_map(address_of).collect()
+}
+
+/// True if this node's zone hears the orderers through it.
+pub(crate) fn is_relay<P: Platform>(node: &Node<P>) -> bool {
+    let state = node.state.borrow();
+    state.tree.uplink == Uplink::Orderers && place_of(node, &state.members) == TreePlace::Relay
+}
+
+fn place_of<'a, P: Platform>(node: &'a Node<P>, members: &'a crate::membership::Members) -> TreePlace<'a> {
+    let is_orderer = |name: &str| members.orderers().any(|(_, orderer)| orderer.name == name);
+    let identity = &node.settings.identity;
+    let own = TreeNode {
+        name: &identity.name,
+        zone: &identity.zone,
+        processor_millicores: identity.processor_millicores,
+        is_orderer: node.gives_orders(),
+    };
+    let others = members.nodes().map(|member| TreeNode {
+        name: &member.name,
+        zone: &member.zone,
+        processor_millicores: member.processor_millicores,
+        is_orderer: is_orderer(&member.name),
+    });
+    relay_tree::place(own, others)
+}
+
+/// An encoded message for this node's followers.
+pub(crate) fn pass_on<P: Platform>(node: &Node<P>, message: Bytes) {
+    if node.followers.receiver_count() > 0 {
+        // It fails only once the last follower has left.
+        let _ = node.followers.send(message);
+    }
+}
+
+/// This node's view went on by a span of the store's changes: followers are
+/// told, and it is kept for those that miss it.
+pub(crate) fn pass_on_news<P: Platform>(node: &Node<P>, mut news: DirectoryNews, proven_at: Moment) {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let tree = &mut state.tree;
+    tree.proven_at = tree.proven_at.max(proven_at);
+    let changes = news.changes.iter().map(|revised| Revised {
+        revision: revised.revision,
+        change: revised.change.clone(),
+        size_bytes: revised.change.size_bytes(),
+    });
+    tree.log.push(news.after, news.reached, changes);
+    let says_nothing_new = news.after == news.reached;
+    if says_nothing_new && now.since(tree.proof_passed_at) < PROOF_EVERY {
+        return;
+    }
+    tree.proof_passed_at = now;
+    drop(state);
+    if node.followers.receiver_count() == 0 {
+        return;
+    }
+    news.stamp(proven_at, now);
+    news.limit();
+    pass_on(node, Bytes::from(FromOrderer::Directory(news).serialize_bin()));
+}
+
+/// The answer to a listener that misses the changes after a revision: these
+/// changes, or everything, if either fits into a message.
+pub(crate) fn replay<P: Platform>(node: &Node<P>, after: u64) -> FromOrderer {
+    if let Some(news) = logged_since(node, after) {
+        return FromOrderer::Directory(news);
+    }
+    let proven_at = node.state.borrow().tree.proven_at;
+    match whole_view::whole_view(node, proven_at) {
+        Some(whole) if whole.size_bytes() <= MOST_NEWS_BYTES => FromOrderer::Whole(whole),
+        _ => FromOrderer::HistoryGone,
+    }
+}
+
+/// The changes after a revision, if the log reaches back to it.
+fn logged_since<P: Platform>(node: &Node<P>, after: u64) -> Option<DirectoryNews> {
+    let state = node.state.borrow();
+    let (reached, changes) = state.tree.log.since(after)?;
+    let changes = changes.into_iter().map(|revised| RevisedChange {
+        revision: revised.revision,
+        change: revised.change,
+    });
+    let mut news = DirectoryNews {
+        after,
+        reached,
+        proof_age_ms: 0,
+        sent_at_ms: 0,
+        changes: changes.collect(),
+    };
+    news.stamp(state.tree.proven_at, node.clock.now());
+    (news.size_bytes() <= MOST_NEWS_BYTES).then_some(news)
+}
+
+/// The revision after which a peer should tell the changes again, if one should
+/// be asked now: one at a time, as each sends the same.
+pub(crate) fn wanted_replay<P: Platform>(node: &Node<P>, retry_after: Duration) -> Option<u64> {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let reached = state.directory.reached();
+    let asked = state.tree.replay_asked_at;
+    let is_waiting = asked.is_some_and(|asked| now.since(asked) < retry_after);
+    if reached == 0 || is_waiting || state.tree.is_history_gone {
+        return None;
+    }
+    state.tree.replay_asked_at = Some(now);
+    Some(reached)
+}
+
+/// A peer does not know the missed changes: the store must be asked.
+pub(crate) fn history_gone<P: Platform>(node: &Node<P>) {
+    node.state.borrow_mut().tree.is_history_gone = true;
+    node.relay_changed.notify_waiters();
+}
+
+/// True if no peer can tell what this node misses.
+pub(crate) fn is_history_gone<P: Platform>(node: &Node<P>) -> bool {
+    node.state.borrow().tree.is_history_gone
+}
+
+/// This node's view is complete again.
+pub(crate) fn gap_closed<P: Platform>(node: &Node<P>) {
+    let mut state = node.state.borrow_mut();
+    state.tree.is_history_gone = false;
+    state.tree.replay_asked_at = None;
+}
+
+/// The message that says which shards' orderers this node hears.
+fn linked_message<P: Platform>(node: &Node<P>) -> Bytes {
+    let linked: [bool; SHARD_COUNT] = node.state.borrow().linked;
+    Bytes::from(FromOrderer::Linked(linked.to_vec()).serialize_bin())
+}
+
+/// Followers are told which shards' orderers this node hears.
+pub(crate) fn pass_on_linked<P: Platform>(node: &Node<P>) {
+    pass_on(node, linked_message(node));
+}
--- /dev/null
+++ b/crates/croftrill-node/src/tree/whole_view.rs
@@ -0,0 +1,59 @@
+//! All that a node knows of the store, for a listener that missed too much.
+//!
+//! A relay's view is the store's as of the revision that it reached, so a
+//! listener may take it in place of reading everything itself.
+
+use croftrill_scheduler::time::Moment;
+use nanoserde::SerBin;
+
+use crate::membership::{Members, OwnItem};
+use crate::node::{Node, NodeState};
+use crate::peer::{DirectoryNews, RevisedChange, WireChange, WireListing};
+use crate::ports::Platform;
+
+/// This node's view as changes from nothing; `None` if it has none itself.
+pub(super) fn whole_view<P: Platform>(node: &Node<P>, proven_at: Moment) -> Option<DirectoryNews> {
+    let state = node.state.borrow();
+    let reached = state.directory.reached();
+    let configuration = state.configuration_item.as_ref()?;
+    if reached == 0 {
+        return None;
+    }
+    let written = WireChange::Written {
+        key: configuration.key.clone(),
+        value: configuration.value.to_vec(),
+    };
+    let changes = std::iter::once(written)
+        .chain(replicas(&state))
+        .chain(own_items(&state.members));
+    let mut news = DirectoryNews {
+        after: 0,
+        reached,
+        proof_age_ms: 0,
+        sent_at_ms: 0,
+        changes: changes
+            .map(|change| RevisedChange {
+                revision: reached,
+                change,
+            })
+            .collect(),
+    };
+    news.stamp(proven_at, node.clock.now());
+    Some(news)
+}
+
+fn replicas(state: &NodeState) -> impl Iterator<Item = WireChange> + '_ {
+    let listings = state.replicas.iter().map(|entry| &entry.listing);
+    listings.map(|listing| WireChange::Replica(WireListing::from_listing(listing)))
+}
+
+/// The nodes' own items, as the store holds them.
+fn own_items(members: &Members) -> impl Iterator<Item = WireChange> + '_ {
+    members.items().map(|(key, item)| {
+        let value = match &item {
+            OwnItem::Node(entry) | OwnItem::Orderer(_, entry) => entry.serialize_bin(),
+            OwnItem::LastOrderer(_, last) => last.serialize_bin(),
+        };
+        WireChange::Written { key, value }
+    })
+}
--- a/crates/croftrill-scheduler/src/followed_view.rs
+++ b/crates/croftrill-scheduler/src/followed_view.rs
@@ -132,6 +132,17 @@
         }
     }
 
+    /// Judges a view told whole, complete at `proven_at`; true if it is to be
+    /// taken: it is no older than this one.
+    pub fn judge_whole(&mut self, reached: u64, proven_at: Moment) -> bool {
+        self.told = self.told.max(reached);
+        if reached < self.reached {
+            return false;
+        }
+        self.proven_at = Some(self.proven_at.unwrap_or_default().max(proven_at));
+        true
+    }
+
     /// True while the relay is believed to be complete.
     pub fn relay_covers(&self, now: Moment) -> bool {
         self.covered_until().is_some_and(|until| now < until)
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod orderer;
 pub mod placement;
 pub mod planner;
+pub mod relay_log;
+pub mod relay_tree;
 pub mod replica;
 pub mod replica_ledger;
 pub mod replica_table;
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -183,6 +183,17 @@
         true
     }
 
+    /// What orderers told of replicas, for a node that knows nothing of it yet.
+    pub fn told_placements(&self) -> Vec<Placement> {
+        let told = self.replicas.values().filter(|entry| entry.from_orderer);
+        let placements = told.map(|entry| Placement {
+            replica: entry.listing.id.clone(),
+            usable: entry.listing.holdings.clone(),
+            arriving: entry.arriving.clone(),
+        });
+        placements.collect()
+    }
+
     /// The orderer of a shard no longer tells: from now on the list is believed again.
     pub fn orderer_lost(&mut self, shard: Shard) {
         let entries = self.replicas.iter_mut();
