Placement: holders by what the present ones serve late

The nodes' logs did not show pauses.

Change: nodes tell with the demand how many requests a holder served too late (first event or a pause past its objective). The value of one more holder is the requests that it keeps in time, each holder dividing the late share alike; beyond the share at which one holder tells most it tells no less. Up to six models a round get a holder. Request lines show the longest pause and lateness.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -14,6 +14,7 @@
     requests: 1.0,
     tokens: 5000.0,
     objective: Duration::from_millis(1500),
+    late: 0.0,
 };
 
 /// A size to measure.
--- a/crates/croftrill-bench/src/experiment.rs
+++ b/crates/croftrill-bench/src/experiment.rs
@@ -56,6 +56,7 @@
             requests: 1.0,
             tokens: self.tokens,
             objective: OBJECTIVE,
+            late: 0.0,
         }
     }
 }
@@ -81,7 +82,9 @@
         Policy {
             name: "many-holders",
             placement: PlacementConfig {
-                tokens_per_holder: 9_000.0,
+                // Every model wants a second holder as much as its first.
+                spare_share: 1.0,
+                spare_holder_from: 0.0,
                 ..usual
             },
         },
--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -25,6 +25,7 @@
         requests,
         tokens,
         objective: Duration::from_millis(4000),
+        late: 0.0,
     }
 }
 
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -55,6 +55,8 @@
     pub tokens: u64,
     /// Sum of their objectives, in milliseconds.
     pub objectives_ms: u64,
+    /// Requests that a holder served too late: of these, or of earlier ones.
+    pub late: u32,
 }
 
 impl DemandItem {
@@ -63,6 +65,7 @@
         Asked {
             requests: f64::from(self.requests),
             tokens: self.tokens as f64,
+            late: f64::from(self.late),
             objective: Duration::from_millis(self.objectives_ms / u64::from(self.requests.max(1))),
         }
     }
@@ -419,6 +422,7 @@
     requests: u32,
     tokens: u64,
     objectives_ms: u64,
+    late: u32,
 }
 
 /// Demand that has not been told yet.
@@ -436,12 +440,18 @@
         counted.objectives_ms += objective.as_millis() as u64;
     }
 
+    /// A request was served too late by a replica that held its model.
+    pub fn add_late(&mut self, key: ModelKey) {
+        self.items.entry(key).or_default().late += 1;
+    }
+
     /// Adds what another node counted.
     pub fn merge(&mut self, item: &DemandItem) {
         let counted = self.items.entry(item.model.to_key()).or_default();
         counted.requests += item.requests;
         counted.tokens += item.tokens;
         counted.objectives_ms += item.objectives_ms;
+        counted.late += item.late;
     }
 
     /// Takes what was counted, as a message; `None` if there is nothing.
@@ -456,6 +466,7 @@
                 requests: counted.requests,
                 tokens: counted.tokens,
                 objectives_ms: counted.objectives_ms,
+                late: counted.late,
             });
         Some(ToOrderer::Demand(items.collect()))
     }
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -63,6 +63,7 @@
             replica = &**replica, sends = self.sends, model = self.facts.model.as_deref(),
             adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
             answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
+            longest_pause_ms = self.longest_pause.get().as_millis() as u64, late = self.counted_late.get(),
             elapsed_ms = self.arrival.elapsed().as_millis() as u64, version = self.configuration.version);
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -143,6 +143,8 @@
         last_reminder: Cell::new(None),
         sent_after: None,
         answered_after: None,
+        longest_pause: Cell::new(Duration::ZERO),
+        counted_late: Cell::new(false),
     };
     run.serve().await
 }
@@ -169,6 +171,10 @@
     sent_after: Option<Duration>,
     /// Time from arrival to the head of the answer.
     answered_after: Option<Duration>,
+    /// Longest time between two parts of a stream.
+    longest_pause: Cell<Duration>,
+    /// True once it was counted as served too late.
+    counted_late: Cell<bool>,
 }
 
 impl<P: Platform> RequestRun<P> {
@@ -222,6 +228,26 @@
         }
     }
 
+    /// Counts the request, once, as served too late by a holder of its model; not
+    /// if it was late before it was sent, as then no holder was the cause.
+    fn count_late(&self) {
+        let sent_after = self.sent_after.unwrap_or_default();
+        if self.sends != 1 || sent_after * 2 > self.route.objective || self.counted_late.replace(true) {
+            return;
+        }
+        if let Some(key) = self.model_key() {
+            self.node.state.borrow_mut().demand.add_late(key);
+        }
+    }
+
+    /// A part of a stream came so long after the one before.
+    fn note_pause(&self, pause: Duration) {
+        self.longest_pause.set(self.longest_pause.get().max(pause));
+        if self.route.pause_objective.is_some_and(|longest| pause > longest) {
+            self.count_late();
+        }
+    }
+
     /// The model that the request needs, if its service serves models.
     fn model_key(&self) -> Option<ModelKey> {
         let is_engine = self
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -7,6 +7,7 @@
 use croftrill_scheduler::replica::ReplicaId;
 use http::{header, Response};
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 use super::cold::NextReplica;
 use super::forwarding::end_to_end;
@@ -49,6 +50,9 @@
     }
 
     pub(super) async fn pump(mut self, first: Streaming<P>, sender: EventSender) {
+        if self.arrival.elapsed() > self.route.objective {
+            self.count_late();
+        }
         let mut cutter = EventCutter::after(self.facts.last_event_id.clone());
         let mut current = first;
         loop {
@@ -95,6 +99,7 @@
         cutter: &mut EventCutter,
         sender: &EventSender,
     ) -> PumpEnd {
+        let mut last_event = Instant::now();
         loop {
             let frame = tokio::select! {
                 frame = streaming.body.frame() => frame,
@@ -109,6 +114,7 @@
                     Err(_) => continue,
                 },
             };
+            self.note_pause(std::mem::replace(&mut last_event, Instant::now()).elapsed());
             let bytes = if self.route.resumable {
                 cutter.push(&bytes)
             } else {
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -36,6 +36,8 @@
     pub tokens: f64,
     /// Mean of the times within which their answers earn full credit.
     pub objective: Duration,
+    /// Requests, these or earlier ones, that holders served too late.
+    pub late: f64,
 }
 
 /// Time constant of the rate that follows changes.
@@ -46,6 +48,12 @@
 const LEAST_OBSERVATION: Duration = Duration::from_secs(3);
 /// Requests that would have been expected by now in a silence that shows a fall of demand.
 const SILENT_REQUESTS: f64 = 2.0;
+/// What is known of lateness before it is observed: of so many requests ...
+const PRIOR_REQUESTS: f64 = 4.0;
+/// ... this share is late: what the replicas of the calm days measured serve late.
+const PRIOR_LATE_SHARE: f64 = 0.03;
+/// Late requests can be counted before the requests that they are part of.
+const MOST_LATE_SHARE: f64 = 0.95;
 /// After this time without a request a waiting mark is over.
 const WAITING_FOR: Duration = Duration::from_millis(4000);
 
@@ -54,6 +62,7 @@
 struct Rate {
     requests: f64,
     tokens: f64,
+    late: f64,
     /// Requests that fade with [`LASTING_MEMORY`].
     lasting: f64,
     /// Sum of the objectives of `lasting`, in seconds.
@@ -69,9 +78,12 @@
         self.fade_to(now);
         self.requests += asked.requests;
         self.tokens += asked.tokens;
+        self.late += asked.late;
         self.lasting += asked.requests;
         self.objectives_s += asked.requests * asked.objective.as_secs_f64();
-        self.last_request = Some(now);
+        if asked.requests > 0.0 {
+            self.last_request = Some(now);
+        }
     }
 
     fn requests_per_second(&self, now: Moment) -> f64 {
@@ -96,6 +108,13 @@
             .min(SILENT_REQUESTS / silence_s)
     }
 
+    fn late_share(&self, now: Moment) -> f64 {
+        let fade = self.fade(now);
+        let late = self.late * fade + PRIOR_REQUESTS * PRIOR_LATE_SHARE;
+        let requests = self.requests * fade + PRIOR_REQUESTS;
+        (late / requests).min(MOST_LATE_SHARE)
+    }
+
     fn objective(&self) -> Option<Duration> {
         (self.lasting > 0.0).then(|| Duration::from_secs_f64(self.objectives_s / self.lasting))
     }
@@ -109,6 +128,7 @@
         let long = fade(LASTING_MEMORY, now.since(self.updated));
         self.requests *= short;
         self.tokens *= short;
+        self.late *= short;
         self.lasting *= long;
         self.objectives_s *= long;
         self.updated = now;
@@ -201,6 +221,13 @@
             .map_or(0.0, |rate| rate.lasting_per_second(observed, now))
     }
 
+    /// Share of the requests that its holders serve too late.
+    pub fn late_share(&self, key: &ModelKey, now: Moment) -> f64 {
+        self.rates
+            .get(key)
+            .map_or(PRIOR_LATE_SHARE, |rate| rate.late_share(now))
+    }
+
     /// When it was asked for last; `None` if never.
     pub fn last_request(&self, key: &ModelKey) -> Option<Moment> {
         self.rates.get(key).and_then(|rate| rate.last_request)
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -10,7 +10,7 @@
 
 use super::{Decision, GoalReason, Orderer, OrdererAction};
 
-/// Waiting models for which a plan chooses places at most.
+/// Models for which a plan chooses places at most.
 const MOST_GOALS_AT_ONCE: usize = 6;
 /// Time for which a waiting model is left to the orderer of the best place.
 const MODEL_PATIENCE: Duration = Duration::from_millis(700);
@@ -63,34 +63,59 @@
         }
     }
 
-    /// Gives one more holder to the model that deserves it most.
+    /// Gives one more holder to each of the models that gain most by it.
     pub(super) fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
-        let store_allowed = self.store_allowed(service, engine, now);
+        for (gain, model) in self.lacking_models(service, engine, now) {
+            self.add_holder(service, engine, &model, gain, now);
+        }
+    }
+
+    /// Models that gain most by one more holder, with the requests a second that
+    /// it would keep in time.
+    fn lacking_models(
+        &self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> Vec<(f64, ModelName)> {
+        let config = &self.config.placement;
+        let horizon_s = config.horizon.as_secs_f64();
         let view = self.placement_of(service, engine, now);
         let holders = view.holders();
-        let mut lacking: Vec<(f64, ModelName)> = engine
-            .model_order
-            .iter()
-            .filter_map(|model| {
-                let count = holders.get(model).copied().unwrap_or(0);
-                let lacks = count > 0 && count < view.deserved_holders(model);
-                lacks.then(|| (view.value_of_holder(model, count + 1), model.clone()))
-            })
-            .collect();
-        lacking.sort_by(|left, right| right.0.total_cmp(&left.0));
-        let Some((gain, model)) = lacking.into_iter().next() else {
-            return;
+        let wanted = |model: &ModelName| {
+            let count = holders.get(model).copied().unwrap_or(0);
+            let gain = view.value_of_holder(model, count + 1);
+            let is_wanted = count > 0 && gain * horizon_s > config.least_kept;
+            is_wanted.then(|| (gain, model.clone()))
         };
+        let mut lacking: Vec<(f64, ModelName)> = engine.model_order.iter().filter_map(wanted).collect();
+        lacking.sort_by(|left, right| right.0.total_cmp(&left.0));
+        lacking.truncate(MOST_GOALS_AT_ONCE);
+        lacking
+    }
+
+    /// Chooses a place for one more holder of a model, if that pays.
+    fn add_holder(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        model: &ModelName,
+        gain: f64,
+        now: Moment,
+    ) {
+        let store_allowed = self.store_allowed(service, engine, now);
+        let view = self.placement_of(service, engine, now);
+        let holders = view.holders();
         // Every orderer finds the same best place; the one who orders there acts.
-        let best = view.best_place(&model, &holders, store_allowed, Among::All);
+        let best = view.best_place(model, &holders, store_allowed, Among::All);
         if best.is_none_or(|best| !self.config.scope.covers(&best.replica)) {
             return;
         }
-        let place = view.best_place(&model, &holders, store_allowed, Among::Own);
+        let place = view.best_place(model, &holders, store_allowed, Among::Own);
         let least_gain = self.config.placement.least_gain;
         if let Some(place) = place.filter(|place| gain * view.stay_s(place.load) > least_gain * place.lost) {
-            let count = holders.get(&model).copied().unwrap_or(0);
-            self.set_goal(&place.replica, model, GoalReason::Demand, count);
+            let count = holders.get(model).copied().unwrap_or(0);
+            self.set_goal(&place.replica, model.clone(), GoalReason::Demand, count);
         }
     }
 
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -26,12 +26,12 @@
 /// Tunable figures of placement.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementConfig {
-    /// Cost tokens a second that one holder of a model should carry at most.
-    pub tokens_per_holder: f64,
     /// Requests a second from which a model may get a spare holder.
     pub spare_holder_from: f64,
     /// Part of a model's value that its spare holder counts for.
     pub spare_share: f64,
+    /// Requests that one more holder must keep in time over the horizon.
+    pub least_kept: f64,
     /// What comes must be worth so many times what makes way for it.
     pub least_gain: f64,
     /// Time for which demand is taken to go on as it is.
@@ -45,9 +45,9 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            tokens_per_holder: 45_000.0,
             spare_holder_from: 0.7,
             spare_share: 0.02,
+            least_kept: 0.5,
             least_gain: 1.5,
             horizon: Duration::from_secs(20),
             adapter_block_share: 0.5,
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -98,19 +98,18 @@
         self.config.horizon.saturating_sub(load).as_secs_f64()
     }
 
-    /// Holders that a model's load needs.
-    fn needed_holders(&self, model: &ModelName) -> usize {
-        let tokens = self.demand.tokens_per_second(&self.key(model), self.now);
-        let by_load = (tokens / self.config.tokens_per_holder).ceil() as usize;
-        by_load.max(1)
-    }
-
-    /// Holders that a model's demand deserves: what its load needs, and a spare one.
-    pub fn deserved_holders(&self, model: &ModelName) -> usize {
-        let requests = self.demand.requests_per_second(&self.key(model), self.now);
-        let spare = usize::from(requests >= self.config.spare_holder_from);
-        let needed = self.needed_holders(model) + spare;
-        needed.min(self.members().count())
+    /// Requests a second that are in time because of the last of so many holders,
+    /// from the share that is late with the present ones: each holder is taken to
+    /// divide that share by the same factor. Of models that are late beyond the
+    /// share at which one holder makes the most difference, it makes as much: they
+    /// are short of several.
+    fn kept_in_time(&self, model: &ModelName, holders: usize) -> f64 {
+        let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
+        let present = keepers.get(model).map_or(1, |ranked| ranked.len().max(1)) as f64;
+        let most_telling = (present / (present + 1.0)).powf(present);
+        let late_share = self.demand.late_share(&self.key(model), self.now);
+        let late_with = |count: usize| late_share.min(most_telling).powf(count as f64 / present);
+        self.lasting_rate(model) * (late_with(holders - 1) - late_with(holders))
     }
 
     /// Requests a second that depend on one holder at a replica.
@@ -141,19 +140,18 @@
         keepers
     }
 
-    /// Requests a second that depend on the last of so many holders of a model.
+    /// Requests a second that depend on the last of so many holders of a model:
+    /// on the only one all that miss their objective without it; on one of several
+    /// those that the others would serve too late. The second is a spare, too, for
+    /// when the first fails.
     pub fn value_of_holder(&self, model: &ModelName, holders: usize) -> f64 {
-        const SURPLUS_SHARE: f64 = 0.1;
-        let value = self.value_of_model(model);
-        let needed = self.needed_holders(model);
-        if holders <= needed {
-            return value / holders.max(1) as f64;
-        }
-        let spare = value * self.config.spare_share;
-        if holders <= self.deserved_holders(model) {
-            spare
-        } else {
-            spare * SURPLUS_SHARE
+        if holders <= 1 {
+            return self.value_of_model(model);
         }
+        let requests = self.demand.requests_per_second(&self.key(model), self.now);
+        let is_spare = holders == 2 && requests >= self.config.spare_holder_from;
+        let spare = if is_spare { self.config.spare_share } else { 0.0 };
+        let spare = self.value_of_model(model) * spare;
+        self.kept_in_time(model, holders).max(spare)
     }
 }
--- a/crates/croftrill-scheduler/tests/demand.rs
+++ b/crates/croftrill-scheduler/tests/demand.rs
@@ -23,6 +23,7 @@
         requests: 1.0,
         tokens: 1000.0,
         objective: Duration::from_millis(objective_ms),
+        late: 0.0,
     }
 }
 
@@ -86,3 +87,35 @@
     assert_eq!(missed(4000), 1.0);
     assert_eq!(missed(9000), 1.0);
 }
+
+#[test]
+fn late_share_follows_what_holders_serve_late_and_begins_small() {
+    let mut demand = Demand::new();
+    let untouched = demand.late_share(&key("m1"), at(0));
+    assert!(untouched > 0.0 && untouched < 0.1);
+    ask(&mut demand, "m1", 100, 0, 5000);
+    let calm = demand.late_share(&key("m1"), at(5000));
+    assert!(calm < untouched);
+    let late = Asked {
+        requests: 0.0,
+        late: 25.0,
+        ..asked(1000)
+    };
+    demand.count(&key("m1"), &late, at(5000));
+    let crowded = demand.late_share(&key("m1"), at(5000));
+    assert!((0.4..0.8).contains(&crowded), "{crowded}");
+    assert!(demand.late_share(&key("m1"), at(40_000)) < crowded);
+}
+
+#[test]
+fn count_of_late_requests_alone_is_no_request() {
+    let mut demand = Demand::new();
+    let late = Asked {
+        requests: 0.0,
+        late: 3.0,
+        ..asked(1000)
+    };
+    demand.count(&key("m1"), &late, at(0));
+    assert_eq!(demand.last_request(&key("m1")), None);
+    assert!(demand.late_share(&key("m1"), at(0)) < 1.0);
+}
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -76,6 +76,7 @@
             requests: 1.0,
             tokens: 100.0,
             objective: OBJECTIVE,
+            late: 0.0,
         };
         for millis in (0..10_000).step_by(1000 / per_second as usize) {
             self.demand.count(&key, &asked, at(millis));
@@ -96,6 +97,22 @@
         }
     }
 
+    /// So many of its requests were served late just now.
+    fn serve_late(&mut self, model: &str, late: f64) {
+        let key = ModelKey {
+            service: "llm".into(),
+            model: model.into(),
+            adapter: None,
+        };
+        let asked = Asked {
+            requests: 0.0,
+            tokens: 0.0,
+            objective: OBJECTIVE,
+            late,
+        };
+        self.demand.count(&key, &asked, at(10_000));
+    }
+
     fn values(&self, model: &str) -> Vec<f64> {
         let view = self.view();
         let values = self
@@ -176,3 +193,33 @@
     assert!(!view.is_worth(&"m2".into(), STORE_LOAD, held));
     assert!(view.is_worth(&"m2".into(), STORE_LOAD, 0.3 * held));
 }
+
+/// The late share with which each holder of a busy model was asked for.
+fn value_of_next(site: &Site, model: &str, holders: usize) -> f64 {
+    site.view().value_of_holder(&model.into(), holders + 1)
+}
+
+#[test]
+fn value_of_holder_rises_with_what_the_present_ones_serve_late() {
+    let mut site = Site::new(&[&["m1"], &["m1"], &["m1"]]);
+    site.ask("m1", 10);
+    let calm = value_of_next(&site, "m1", 3);
+    site.serve_late("m1", 10.0);
+    let late = value_of_next(&site, "m1", 3);
+    assert!(late > 3.0 * calm, "{late} {calm}");
+    site.serve_late("m1", 80.0);
+    let crowded = value_of_next(&site, "m1", 3);
+    assert!(
+        crowded >= late,
+        "all are late, so that one more seems to change little: {crowded} {late}"
+    );
+}
+
+#[test]
+fn value_of_holder_falls_with_each_one_more() {
+    let mut site = Site::new(&[&["m1"], &["m1"]]);
+    site.ask("m1", 10);
+    site.serve_late("m1", 15.0);
+    let values: Vec<f64> = (2..8).map(|count| value_of_next(&site, "m1", count)).collect();
+    assert!(values.windows(2).all(|pair| pair[0] > pair[1]), "{values:?}");
+}
