--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -205,10 +205,11 @@
 fn watch_pause<P: Platform>(node: &Node<P>) -> Duration {
     let pace = &node.settings.pace;
     if node.gives_orders() || tree::is_relay(node) {
-        pace.relay_watch_every
-    } else {
-        pace.watch_every
+        return pace.relay_watch_every;
     }
+    // Many nodes may be without a relay at the same time.
+    let shared = longest_pause(node).min(node.settings.relay_patience());
+    shared.max(pace.watch_every)
 }
 
 /// Longest wait of one watch. An orderer's and a relay's end soon: each answer
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -48,10 +48,14 @@
 const LEAST_OBSERVATION: Duration = Duration::from_secs(3);
 /// Requests that would have been expected by now in a silence that shows a fall of demand.
 const SILENT_REQUESTS: f64 = 2.0;
-/// What is known of lateness before it is observed: of so many requests ...
-const PRIOR_REQUESTS: f64 = 4.0;
-/// ... this share is late: what the replicas of the calm days measured serve late.
-const PRIOR_LATE_SHARE: f64 = 0.03;
+/// Late requests that come closer together than this count as one occasion: one
+/// long prompt delays every stream at its replica, whatever the number of holders.
+const LATE_OCCASION: Duration = Duration::from_millis(500);
+/// Requests in time that are assumed besides those that were counted, so that
+/// one late request alone says little.
+const ASSUMED_IN_TIME: f64 = 4.0;
+/// Least share of late requests: of a thousand one may always be.
+const LEAST_LATE_SHARE: f64 = 0.001;
 /// Late requests can be counted before the requests that they are part of.
 const MOST_LATE_SHARE: f64 = 0.95;
 /// After this time without a request a waiting mark is over.
@@ -63,6 +67,9 @@
     requests: f64,
     tokens: f64,
     late: f64,
+    /// Occasions on which requests were late.
+    late_occasions: f64,
+    last_late_occasion: Option<Moment>,
     /// Requests that fade with [`LASTING_MEMORY`].
     lasting: f64,
     /// Sum of the objectives of `lasting`, in seconds.
@@ -79,6 +86,9 @@
         self.requests += asked.requests;
         self.tokens += asked.tokens;
         self.late += asked.late;
+        if asked.late > 0.0 {
+            self.count_late_occasion(now);
+        }
         self.lasting += asked.requests;
         self.objectives_s += asked.requests * asked.objective.as_secs_f64();
         if asked.requests > 0.0 {
@@ -86,6 +96,14 @@
         }
     }
 
+    fn count_late_occasion(&mut self, now: Moment) {
+        let last = self.last_late_occasion;
+        if last.is_none_or(|last| now.since(last) >= LATE_OCCASION) {
+            self.late_occasions += 1.0;
+            self.last_late_occasion = Some(now);
+        }
+    }
+
     fn requests_per_second(&self, now: Moment) -> f64 {
         self.requests * self.fade(now) / RATE_MEMORY.as_secs_f64()
     }
@@ -108,11 +126,15 @@
             .min(SILENT_REQUESTS / silence_s)
     }
 
+    /// The share that is late beyond doubt: less one standard deviation of the
+    /// number of occasions, as a few may be chance.
     fn late_share(&self, now: Moment) -> f64 {
         let fade = self.fade(now);
-        let late = self.late * fade + PRIOR_REQUESTS * PRIOR_LATE_SHARE;
-        let requests = self.requests * fade + PRIOR_REQUESTS;
-        (late / requests).min(MOST_LATE_SHARE)
+        let late = self.late * fade;
+        let occasions = (self.late_occasions * fade).max(1.0);
+        let surely_late = late * (1.0 - 1.0 / occasions.sqrt());
+        let requests = self.requests * fade + ASSUMED_IN_TIME;
+        (surely_late / requests).clamp(LEAST_LATE_SHARE, MOST_LATE_SHARE)
     }
 
     fn objective(&self) -> Option<Duration> {
@@ -129,6 +151,7 @@
         self.requests *= short;
         self.tokens *= short;
         self.late *= short;
+        self.late_occasions *= short;
         self.lasting *= long;
         self.objectives_s *= long;
         self.updated = now;
@@ -225,7 +248,7 @@
     pub fn late_share(&self, key: &ModelKey, now: Moment) -> f64 {
         self.rates
             .get(key)
-            .map_or(PRIOR_LATE_SHARE, |rate| rate.late_share(now))
+            .map_or(LEAST_LATE_SHARE, |rate| rate.late_share(now))
     }
 
     /// When it was asked for last; `None` if never.
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -98,17 +98,14 @@
         self.config.horizon.saturating_sub(load).as_secs_f64()
     }
 
-    /// Requests a second that are in time because of the last of so many holders,
-    /// from the share that is late with the present ones: each holder is taken to
-    /// divide that share by the same factor. Of models that are late beyond the
-    /// share at which one holder makes the most difference, it makes as much: they
-    /// are short of several.
+    /// Requests a second that are in time because of the last of so many holders:
+    /// those that the present ones serve late are taken to grow in proportion to
+    /// the load of each.
     fn kept_in_time(&self, model: &ModelName, holders: usize) -> f64 {
         let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
         let present = keepers.get(model).map_or(1, |ranked| ranked.len().max(1)) as f64;
-        let most_telling = (present / (present + 1.0)).powf(present);
         let late_share = self.demand.late_share(&self.key(model), self.now);
-        let late_with = |count: usize| late_share.min(most_telling).powf(count as f64 / present);
+        let late_with = |count: usize| (late_share * present / count as f64).min(1.0);
         self.lasting_rate(model) * (late_with(holders - 1) - late_with(holders))
     }
 
