Tree: a follower that becomes an orderer leaves its relay at once

Cause: the link to a relay ended only with the next message, so a follower that had just become an orderer served no followers and took no news until then. Found by platform/tests/tree.rs, which failed for it (20 s in the test's pace, 0.4 s in service).

--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -101,6 +101,8 @@
                 let Some(message) = message else { return Ok(()) };
                 link.send(Bytes::from(message.serialize_bin())).await?;
             }
+            // This node may have become an orderer.
+            () = node.relay_changed.notified() => {}
             () = sleep_until(heard + silence_limit) => return Err(io::ErrorKind::TimedOut.into()),
         }
     }
