Directory: a watch that is ended says how much of its answer had arrived

Cause looked for: a node that was away asks the store from one revision again and again. Logs did not tell an answer that is cut off while it arrives from a watch that hears nothing; now each ended watch says its arrived bytes, and a histogram keeps the sizes of answers. No change of logic.

--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -5,7 +5,7 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
-use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_node::connection::{Arrival, ConnectionConfig, ConnectionPool};
 use croftrill_node::ports::{
     Changes, ConditionalPut, Freshness, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
 };
@@ -46,6 +46,7 @@
         target: &str,
         body: Bytes,
         limit: Duration,
+        arrival: &Arrival,
     ) -> Result<Response<Bytes>, StoreError> {
         let request = Request::builder()
             .method(method)
@@ -53,7 +54,10 @@
             .header("host", self.address.to_string())
             .body(Full::new(body))
             .map_err(|error| StoreError::Protocol(error.to_string()))?;
-        let answer = self.pool.exchange(self.address, request, limit).await?;
+        let answer = self
+            .pool
+            .exchange_seen(self.address, request, limit, arrival)
+            .await?;
         match answer.status() {
             StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
             StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
@@ -63,13 +67,29 @@
         }
     }
 
+    /// A call whose answer is short.
+    async fn short_call(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, StoreError> {
+        self.call(method, target, body, CALL_TIMEOUT, &Arrival::default())
+            .await
+    }
+
     async fn get<T: DeserializeOwned>(&self, target: &str, limit: Duration) -> Result<T, StoreError> {
-        parse(&self.call(Method::GET, target, Bytes::new(), limit).await?)
+        let arrival = Arrival::default();
+        parse(
+            &self
+                .call(Method::GET, target, Bytes::new(), limit, &arrival)
+                .await?,
+        )
     }
 
     async fn post<B: Serialize>(&self, target: &str, body: &B) -> Result<Response<Bytes>, StoreError> {
         let body = serde_json::to_vec(body).map_err(|error| StoreError::Protocol(error.to_string()))?;
-        self.call(Method::POST, target, body.into(), CALL_TIMEOUT).await
+        self.short_call(Method::POST, target, body.into()).await
     }
 }
 
@@ -140,13 +160,22 @@
         })
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> Result<Changes, StoreError> {
         let target = format!(
             "{CHANGES_PATH}?prefix={}&after={after}&wait_ms={}",
             query(prefix),
             wait.as_millis()
         );
-        let answer: WireItems = self.get(&target, wait + WATCH_MARGIN).await?;
+        let answer = self
+            .call(Method::GET, &target, Bytes::new(), wait + WATCH_MARGIN, arrival)
+            .await?;
+        let answer: WireItems = parse(&answer)?;
         let events = answer.items.into_iter().map(event).collect::<Result<_, _>>()?;
         Ok(Changes {
             events,
@@ -179,14 +208,14 @@
 
     async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
         let target = format!("{LEASES_PATH}/{lease}");
-        self.call(Method::POST, &target, Bytes::new(), CALL_TIMEOUT)
+        self.short_call(Method::POST, &target, Bytes::new())
             .await
             .map(|_| ())
     }
 
     async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
         let target = format!("{LEASES_PATH}/{lease}");
-        self.call(Method::DELETE, &target, Bytes::new(), CALL_TIMEOUT)
+        self.short_call(Method::DELETE, &target, Bytes::new())
             .await
             .map(|_| ())
     }
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -3,13 +3,13 @@
 //! A dropped [`Connection`] closes its socket at once, which tells the other
 //! side to stop working on the request.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -69,6 +69,23 @@
     }
 }
 
+/// What has arrived of the answer to a call that is still waited for.
+#[derive(Debug, Default)]
+pub struct Arrival {
+    bytes: Cell<u64>,
+}
+
+impl Arrival {
+    /// Bytes of the answer's body that arrived so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+
+    fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes as u64);
+    }
+}
+
 /// One connection; its socket closes when it is dropped.
 pub struct Connection {
     address: SocketAddr,
@@ -200,7 +217,19 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        timeout(limit, self.exchange_unbounded(address, request))
+        self.exchange_seen(address, request, limit, &Arrival::default())
+            .await
+    }
+
+    /// As [`Self::exchange`]; what arrives of the answer shows in `arrival`.
+    pub async fn exchange_seen(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        arrival: &Arrival,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        timeout(limit, self.exchange_unbounded(address, request, arrival))
             .await
             .unwrap_or(Err(ExchangeError::TimedOut))
     }
@@ -209,6 +238,7 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        arrival: &Arrival,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let again = request.clone();
         let mut connection = self.connect(address).await?;
@@ -220,12 +250,26 @@
             other => other?,
         };
         let (head, body) = answer.into_parts();
-        let body = body.collect().await.map_err(ExchangeError::Broken)?.to_bytes();
+        let body = read_body(body, arrival).await?;
         self.put_back(connection, &head.headers);
         Ok(Response::from_parts(head, body))
     }
 }
 
+/// Reads a whole body.
+async fn read_body(mut body: Incoming, arrival: &Arrival) -> Result<Bytes, ExchangeError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(ExchangeError::Broken)?;
+        // Trailers say nothing that a caller of this reads.
+        if let Ok(piece) = frame.into_data() {
+            arrival.add(piece.len());
+            whole.extend_from_slice(&piece);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// Largest buffer of one connection, in bytes.
 const READ_BUFFER: usize = 64 * 1024;
 /// Taken off the rest that the other side allows.
--- a/crates/croftrill-node/src/counted_store.rs
+++ b/crates/croftrill-node/src/counted_store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::connection::Arrival;
 use crate::metrics::Metrics;
 use crate::ports::{Changes, ConditionalPut, Freshness, KeyValueStore, PutOutcome, Snapshot, StoreError};
 
@@ -47,8 +48,14 @@
         self.counted(call, self.store.range(prefix, freshness, limit).await)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
-        self.counted("watch", self.store.watch(prefix, after, wait).await)
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> Result<Changes, StoreError> {
+        self.counted("watch", self.store.watch(prefix, after, wait, arrival).await)
     }
 
     async fn reached_revision(&self) -> Result<u64, StoreError> {
--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -17,6 +17,7 @@
 
 use self::backoff::Backoff;
 use self::view::ViewChange;
+use crate::connection::Arrival;
 use crate::membership::OWN_PREFIX;
 use crate::node::Node;
 use crate::ports::{Changes, Freshness, KeyValueStore, Platform, StoreError};
@@ -186,14 +187,27 @@
 /// One watch by the node itself.
 async fn watch<P: Platform>(node: &Node<P>, after: u64) -> WatchEnd {
     let store = node.store();
+    let arrival = Arrival::default();
     tokio::select! {
-        watched = store.watch(EVERYTHING, after, watch_wait(node)) => match watched {
-            Ok(changes) => WatchEnd::Answered(changes),
-            Err(error) => WatchEnd::Failed(error),
+        watched = store.watch(EVERYTHING, after, watch_wait(node), &arrival) => match watched {
+            Ok(changes) => {
+                node.metrics.watch_answer_bytes.observe(arrival.bytes() as f64);
+                WatchEnd::Answered(changes)
+            }
+            Err(error) => {
+                tracing::debug!(target: "directory", event = "watch failed", after, %error,
+                    arrived_bytes = arrival.bytes());
+                WatchEnd::Failed(error)
+            }
         },
-        () = node.store_path.changed() => WatchEnd::Failed(StoreError::NoAnswer),
+        () = node.store_path.changed() => {
+            tracing::info!(target: "directory", event = "watch ended, the path to the store changed", after,
+                arrived_bytes = arrival.bytes());
+            WatchEnd::Failed(StoreError::NoAnswer)
+        }
         reached = overtaken(node, after) => {
-            tracing::warn!(target: "directory", event = "watch says nothing of a change", after, reached);
+            tracing::warn!(target: "directory", event = "watch says nothing of a change", after, reached,
+                arrived_bytes = arrival.bytes());
             WatchEnd::Overtaken
         }
         () = relay::until_role_changes(node) => WatchEnd::RoleChanged,
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -34,6 +34,8 @@
     pub relayed: Family<OutcomeLabels, Counter>,
     /// Seconds from arrival to the head of the answer.
     pub first_byte_seconds: Histogram,
+    /// Size of the answers to the node's own watches, in bytes.
+    pub watch_answer_bytes: Histogram,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
     /// Replicas known.
@@ -51,6 +53,9 @@
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
+/// Upper bounds of the size buckets, in bytes.
+const SIZE_BUCKETS: [f64; 6] = [1e3, 1e4, 1e5, 3e5, 1e6, 1e7];
+
 impl Metrics {
     /// Metrics at zero.
     pub fn new() -> Self {
@@ -83,6 +88,12 @@
             "Arrival to the answer's head",
             first_byte_seconds.clone(),
         );
+        let watch_answer_bytes = Histogram::new(SIZE_BUCKETS);
+        registry.register(
+            "watch_answer_bytes",
+            "Size of the answers to the node's own watches",
+            watch_answer_bytes.clone(),
+        );
         let configuration_version = Gauge::default();
         registry.register(
             "configuration_version",
@@ -119,6 +130,7 @@
             store_calls,
             relayed,
             first_byte_seconds,
+            watch_answer_bytes,
             configuration_version,
             replicas,
             is_orderer,
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -13,7 +13,7 @@
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport};
 use http::{request, response, HeaderMap};
 
-use crate::connection::ExchangeError;
+use crate::connection::{Arrival, ExchangeError};
 
 /// One item of the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -171,8 +171,15 @@
         freshness: Freshness,
         limit: Duration,
     ) -> Result<Snapshot, StoreError>;
-    /// Waits up to `wait` for changes after a revision.
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
+    /// Waits up to `wait` for changes after a revision; what arrives of the answer
+    /// shows in `arrival`.
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> Result<Changes, StoreError>;
     /// A revision that the store has reached: cheap, and possibly seconds old.
     async fn reached_revision(&self) -> Result<u64, StoreError>;
 
