Links: silence is counted in bytes, and sends have a limit

Sends had no limit at all: a connection that went silent in one direction held up its sender, and with it all reading on that link.

Ruled out: keep-alive alone, as a side that reads nothing still answers probes.

Change: one type for links between nodes (link.rs), which notes each byte; its limits count the time without one, each way. Links have keep-alive and a user time-out as other connections have.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -345,7 +345,9 @@
     })
 }
 
-fn tune(stream: &TcpStream, silence_limit: Option<Duration>) -> io::Result<()> {
+/// Sets a connection up: no delay of small writes, and an end to one whose other
+/// side is gone without a word; `None`: wait as long as the operating system does.
+pub(crate) fn tune(stream: &TcpStream, silence_limit: Option<Duration>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let Some(limit) = silence_limit else { return Ok(()) };
     let socket = SockRef::from(stream);
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod counted_store;
 pub mod directory;
 pub mod front;
+pub mod link;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -8,27 +8,19 @@
 use bytes::Bytes;
 use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome};
 use croftrill_scheduler::shard::Shard;
-use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::directory::relay;
+use crate::link::PeerLink;
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
 use crate::tree;
 
-/// A link between two nodes.
-pub(crate) type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
-
-/// Largest message between nodes, in bytes.
-const MOST_MESSAGE_BYTES: usize = 1024 * 1024;
-/// Longest time for a link to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Heartbeats that may be missed before a link counts as dead.
@@ -40,18 +32,9 @@
 /// Longest wait for the own orderer task to take a subscriber.
 const SUBSCRIBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// A link to the node at an address.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<PeerStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    Ok(framed(stream))
-}
-
-fn framed(stream: TcpStream) -> PeerStream {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MOST_MESSAGE_BYTES)
-        .new_codec();
-    Framed::new(stream, codec)
+/// Time without a byte after which a link counts as dead.
+pub(crate) fn silence_limit<P: Platform>(node: &Node<P>) -> Duration {
+    node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS
 }
 
 /// Accepts links of other nodes.
@@ -72,10 +55,13 @@
 /// Serves one listening node: as an orderer, as long as this node is one, or as
 /// a relay.
 async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(target: "peer", event = "link without TCP_NODELAY", %error);
-    }
-    let mut link = framed(stream);
+    let mut link = match PeerLink::new(stream, silence_limit(&node)) {
+        Ok(link) => link,
+        Err(error) => {
+            tracing::debug!(target: "peer", event = "link cannot be set up", %error);
+            return;
+        }
+    };
     let Ok(Some(first)) = timeout(HELLO_TIMEOUT, first_message(&mut link)).await else {
         return;
     };
@@ -94,7 +80,7 @@
 }
 
 /// Serves a node that listens to this orderer of a shard.
-async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerStream, shard: Shard) {
+async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerLink, shard: Shard) {
     let (reply, subscribed) = oneshot::channel();
     let inbox = node.orderer_inbox(shard);
     if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
@@ -108,15 +94,15 @@
 }
 
 /// What the other side is here for.
-async fn first_message(link: &mut PeerStream) -> Option<ToOrderer> {
-    let frame = link.next().await?.ok()?;
+async fn first_message(link: &mut PeerLink) -> Option<ToOrderer> {
+    let frame = link.next().await.ok()??;
     ToOrderer::deserialize_bin(&frame).ok()
 }
 
 /// Passes changes to the listener and its messages to the orderer, until either ends.
 async fn exchange_messages<P: Platform>(
     node: &Node<P>,
-    mut link: PeerStream,
+    mut link: PeerLink,
     subscription: Subscription,
     inbox: mpsc::Sender<OrdererInput>,
 ) -> io::Result<()> {
@@ -130,8 +116,8 @@
                 Err(broadcast::error::RecvError::Lagged(_) | broadcast::error::RecvError::Closed) => return Ok(()),
             },
             frame = link.next() => {
-                let Some(frame) = frame else { return Ok(()) };
-                let message = ToOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
+                let Some(frame) = frame? else { return Ok(()) };
+                let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 if let ToOrderer::Replay(after) = message {
                     let reply = tree::replay(node, after).serialize_bin();
                     link.send(Bytes::from(reply)).await?;
@@ -229,29 +215,25 @@
     address: SocketAddr,
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
-    let mut link = connect(address).await?;
-    let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
+    let mut link = PeerLink::connect(address, silence_limit(node)).await?;
     let hello = ToOrderer::Listen(shard.index() as u8).serialize_bin();
     link.send(Bytes::from(hello)).await?;
     let mut delay = LinkDelay::default();
-    let mut heard = tokio::time::Instant::now();
     while orderer_address(node, shard) == Some(address) && tree::is_direct(node) {
         tokio::select! {
-            frame = link.next() => {
-                let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                let frame = frame?.freeze();
+            frame = link.hear() => {
+                let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                let frame = frame.freeze();
                 let message = FromOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 set_linked(node, shard, true);
                 if let Some(reply) = take_message(node, shard, address, (message, frame), &mut delay) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
-                heard = tokio::time::Instant::now();
             }
             message = outgoing.recv() => {
                 let Some(message) = message else { return Ok(()) };
                 link.send(Bytes::from(message.serialize_bin())).await?;
             }
-            () = tokio::time::sleep_until(heard + silence_limit) => return Err(io::ErrorKind::TimedOut.into()),
         }
     }
     Ok(())
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -9,15 +9,15 @@
 use bytes::Bytes;
 use croftrill_scheduler::followed_view::LinkDelay;
 use croftrill_scheduler::shard::Shard;
-use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 
 use super::{is_direct, relays_above, Uplink};
+use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer};
-use crate::peer_link::{self, invalid_message, MISSED_HEARTBEATS};
+use crate::peer_link::{self, invalid_message, silence_limit};
 use crate::ports::Platform;
 
 /// Time between two looks at whether there is a relay to follow.
@@ -76,12 +76,10 @@
     address: SocketAddr,
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
-    let mut link = peer_link::connect(address).await?;
+    let mut link = PeerLink::connect(address, silence_limit(node)).await?;
     link.send(Bytes::from(ToOrderer::Follow.serialize_bin())).await?;
-    let silence_limit = node.settings.pace.peer_heartbeat * MISSED_HEARTBEATS;
     let mut delay = LinkDelay::default();
-    let mut heard = Instant::now();
-    let mut useful_at = heard;
+    let mut useful_at = Instant::now();
     while !node.gives_orders() {
         if is_useful(node) {
             useful_at = Instant::now();
@@ -89,10 +87,9 @@
             return Err(io::Error::other("the relay hears nothing itself"));
         }
         tokio::select! {
-            frame = link.next() => {
-                let Some(frame) = frame else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                let message = FromOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
-                heard = Instant::now();
+            frame = link.hear() => {
+                let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                let message = FromOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 if let Some(reply) = take_message(node, address, message, &mut delay) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
@@ -103,7 +100,6 @@
             }
             // This node may have become an orderer.
             () = node.relay_changed.notified() => {}
-            () = sleep_until(heard + silence_limit) => return Err(io::ErrorKind::TimedOut.into()),
         }
     }
     Ok(())
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -4,20 +4,20 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
 use nanoserde::{DeBin, SerBin};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep_until, Instant};
 
 use super::{is_direct, linked_message, replay};
+use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer};
-use crate::peer_link::{invalid_message, PeerStream};
+use crate::peer_link::invalid_message;
 use crate::ports::Platform;
 
 /// Serves a follower until either side ends, or this node does not hear the
 /// orderers by itself any more.
-pub(crate) async fn serve_follower<P: Platform>(node: Rc<Node<P>>, mut link: PeerStream) -> io::Result<()> {
+pub(crate) async fn serve_follower<P: Platform>(node: Rc<Node<P>>, mut link: PeerLink) -> io::Result<()> {
     if !is_direct(&node) {
         return Ok(());
     }
@@ -37,8 +37,8 @@
                 Err(RecvError::Lagged(_) | RecvError::Closed) => return Ok(()),
             },
             frame = link.next() => {
-                let Some(frame) = frame else { return Ok(()) };
-                let message = ToOrderer::deserialize_bin(&frame?).map_err(invalid_message)?;
+                let Some(frame) = frame? else { return Ok(()) };
+                let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 if let Some(reply) = take_message(&node, message) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                     // Of replicas that it did not know it forgot what was told.
--- /dev/null
+++ b/crates/croftrill-node/tests/link.rs
@@ -0,0 +1,80 @@
+//! Links between nodes over connections that are slow, or silent without a reset.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_node::link::PeerLink;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Silence limit of these links.
+const LIMIT: Duration = Duration::from_millis(800);
+
+fn run<F: std::future::Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test);
+}
+
+/// A link, and the other side of its connection.
+async fn link_and_other_side() -> (PeerLink, TcpStream) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let link = PeerLink::connect(address, LIMIT).await.expect("a link");
+    let (other, _) = listener.accept().await.expect("its connection");
+    (link, other)
+}
+
+/// A large message took longer than the limit of silence over a narrow link: the
+/// link was ended, made anew, and the message sent again from its start.
+#[test]
+fn hear_of_a_message_that_arrives_slowly_waits_for_it() {
+    run(async {
+        let (mut link, mut other) = link_and_other_side().await;
+        let message = vec![7; 64 * 1024];
+        let sent = async {
+            let length = message.len() as u32;
+            other.write_all(&length.to_be_bytes()).await.expect("sent");
+            for piece in message.chunks(4 * 1024) {
+                sleep(LIMIT / 8).await;
+                other.write_all(piece).await.expect("sent");
+            }
+        };
+        let (heard, ()) = tokio::join!(link.hear(), sent);
+        let heard = heard.expect("no silence").expect("a message");
+        assert_eq!(heard.len(), message.len());
+    });
+}
+
+#[test]
+fn hear_of_a_message_that_stops_midway_ends() {
+    run(async {
+        let (mut link, mut other) = link_and_other_side().await;
+        other.write_all(&1000u32.to_be_bytes()).await.expect("sent");
+        other.write_all(&[7; 10]).await.expect("sent");
+        let heard = link.hear().await.map(|_| ()).map_err(|error| error.kind());
+        assert_eq!(heard, Err(io::ErrorKind::TimedOut));
+    });
+}
+
+/// A side that reads nothing held up the sender for as long as the connection
+/// stood, and with it all that this side should have read.
+#[test]
+fn send_to_a_side_that_reads_nothing_ends() {
+    run(async {
+        let (mut link, _other) = link_and_other_side().await;
+        let message = Bytes::from(vec![7; 1024 * 1024]);
+        let mut ended = None;
+        for _ in 0..64 {
+            if let Err(error) = link.send(message.clone()).await {
+                ended = Some(error.kind());
+                break;
+            }
+        }
+        assert_eq!(ended, Some(io::ErrorKind::TimedOut));
+    });
+}
