Connections: one that is found silent takes those that rest with it

Cause: connections may go silent without a reset while new ones work. Each resting connection then cost one more call its whole limit, 0.9 s at the store: several lost renewals in a row lose a lease.

Change: a kept connection whose answer does not come in time closes the others that rest at the same address. New ones are dialled, at the price of one each.

Measured: tests/silent_connections.rs with four kept connections: one call fails, before four (seen failing with the change taken out). The fault proxy can now silence the present connections for good.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -120,6 +120,8 @@
     driver: JoinHandle<()>,
     resting_since: Instant,
     longest_rest: Duration,
+    /// True once it rested between two requests.
+    rested: bool,
 }
 
 impl Drop for Connection {
@@ -190,6 +192,7 @@
             driver,
             resting_since: Instant::now(),
             longest_rest,
+            rested: false,
         })
     }
 
@@ -221,6 +224,7 @@
         }
         connection.resting_since = Instant::now();
         connection.longest_rest = self.config.longest_rest.min(keep_alive(headers));
+        connection.rested = true;
         let mut resting = self.resting.borrow_mut();
         let connections = resting.entry(connection.address).or_default();
         connections.retain(|other| other.resting_since.elapsed() < other.longest_rest);
@@ -229,6 +233,18 @@
         }
     }
 
+    /// A request on this connection got no answer in time. If it had rested, the
+    /// others that rest may be as dead: connections can go silent without a reset
+    /// while new ones work, and each would cost another wait.
+    pub fn found_silent(&self, connection: &Connection) {
+        if !connection.rested {
+            return;
+        }
+        let resting = self.resting.borrow_mut().remove(&connection.address);
+        let closed = resting.map_or(0, |connections| connections.len());
+        tracing::debug!(target: "connection", event = "closed with a silent one", address = %connection.address, closed);
+    }
+
     /// Closes resting connections that are too old to be used again.
     pub fn drop_old(&self) {
         self.resting.borrow_mut().retain(|_, connections| {
@@ -259,13 +275,13 @@
         arrival: &Arrival,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let begun = timeout(limits.head, self.begin(address, request)).await;
-        let (connection, answer) = begun.unwrap_or(Err(ExchangeError::TimedOut))?;
+        let (exchange, answer) = begun.unwrap_or(Err(ExchangeError::TimedOut))?;
         let (head, body) = answer.into_parts();
         let reading = read_body(body, limits.bytes, arrival);
         let body = timeout(LONGEST_BODY, reading)
             .await
             .unwrap_or(Err(ExchangeError::TimedOut))?;
-        self.put_back(connection, &head.headers);
+        exchange.finish(&head.headers);
         Ok(Response::from_parts(head, body))
     }
 
@@ -274,10 +290,10 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let (connection, answer) = self.begin(address, request).await?;
+        let (exchange, answer) = self.begin(address, request).await?;
         let (head, body) = answer.into_parts();
         let body = body.collect().await.map_err(ExchangeError::Broken)?.to_bytes();
-        self.put_back(connection, &head.headers);
+        exchange.finish(&head.headers);
         Ok(Response::from_parts(head, body))
     }
 
@@ -286,17 +302,54 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>), ExchangeError> {
+    ) -> Result<(Exchange<'_>, Response<Incoming>), ExchangeError> {
         let again = request.clone();
-        let mut connection = self.connect(address).await?;
-        let answer = match connection.send(request).await {
+        let mut exchange = Exchange::new(self, self.connect(address).await?);
+        let answer = match exchange.send(request).await {
             Err(ExchangeError::NotSent) => {
-                connection = self.dial(address).await?;
-                connection.send(again).await?
+                exchange = Exchange::new(self, self.dial(address).await?);
+                exchange.send(again).await?
             }
             other => other?,
         };
-        Ok((connection, answer))
+        Ok((exchange, answer))
+    }
+}
+
+/// A connection in use by a pool's own exchange, which may be given up midway.
+struct Exchange<'a> {
+    pool: &'a ConnectionPool,
+    connection: Option<Connection>,
+}
+
+impl<'a> Exchange<'a> {
+    fn new(pool: &'a ConnectionPool, connection: Connection) -> Self {
+        Exchange {
+            pool,
+            connection: Some(connection),
+        }
+    }
+
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
+        match &mut self.connection {
+            Some(connection) => connection.send(request).await,
+            None => Err(ExchangeError::NotSent),
+        }
+    }
+
+    /// The answer was read whole.
+    fn finish(mut self, headers: &HeaderMap) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.put_back(connection, headers);
+        }
+    }
+}
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            self.pool.found_silent(connection);
+        }
     }
 }
 
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -84,8 +84,12 @@
         let answer = match timeout_at(until, connection.send(request)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => return self.send_failed(&send, &error),
-            Err(_) if Instant::now() >= self.until => return SendEnd::OutOfTime,
+            Err(_) if Instant::now() >= self.until => {
+                self.node.pool.found_silent(&connection);
+                return SendEnd::OutOfTime;
+            }
             Err(_) => {
+                self.node.pool.found_silent(&connection);
                 send.record(SendOutcome::Failure);
                 return SendEnd::Broken {
                     cause: "the replica is silent",
--- a/crates/croftrill-standin/src/proxy.rs
+++ b/crates/croftrill-standin/src/proxy.rs
@@ -36,6 +36,9 @@
     upstream: SocketAddr,
     fault: Cell<Fault>,
     changed: Notify,
+    accepted: Cell<u64>,
+    /// Connections with a lower number are silent for good.
+    silent_below: Cell<u64>,
 }
 
 /// Direction of a pump.
@@ -52,6 +55,8 @@
             upstream,
             fault: Cell::new(Fault::None),
             changed: Notify::new(),
+            accepted: Cell::new(0),
+            silent_below: Cell::new(0),
         });
         spawn_local(proxy.clone().accept(listener));
         proxy
@@ -63,6 +68,12 @@
         self.changed.notify_waiters();
     }
 
+    /// From now on the present connections pass nothing on and stay open; new ones work.
+    pub fn silence_present(&self) {
+        self.silent_below.set(self.accepted.get());
+        self.changed.notify_waiters();
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         while let Ok((caller, _)) = listener.accept().await {
             if self.fault.get() == Fault::Reset {
@@ -74,6 +85,8 @@
     }
 
     async fn connect(self: Rc<Self>, caller: TcpStream) {
+        let number = self.accepted.get();
+        self.accepted.set(number + 1);
         let Ok(upstream) = TcpStream::connect(self.upstream).await else {
             return;
         };
@@ -82,29 +95,33 @@
         let (caller_read, caller_write) = caller.into_split();
         let (upstream_read, upstream_write) = upstream.into_split();
         tokio::select! {
-            () = self.pump(caller_read, upstream_write, Direction::Request) => {}
-            () = self.pump(upstream_read, caller_write, Direction::Answer) => {}
+            () = self.pump(number, caller_read, upstream_write, Direction::Request) => {}
+            () = self.pump(number, upstream_read, caller_write, Direction::Answer) => {}
         }
     }
 
     /// Passes pieces on until either side closes or the fault cuts it.
-    async fn pump(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) {
+    async fn pump(&self, number: u64, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) {
         let mut piece = vec![0; PIECE];
         loop {
             let read = tokio::select! {
                 read = from.read(&mut piece) => read.unwrap_or(0),
                 () = self.reset() => return,
             };
-            if read == 0 || !self.pass(direction).await || to.write_all(&piece[..read]).await.is_err() {
+            if read == 0 || !self.pass(number, direction).await || to.write_all(&piece[..read]).await.is_err()
+            {
                 return;
             }
         }
     }
 
     /// Waits until a piece may pass; false if the connection is to be cut.
-    async fn pass(&self, direction: Direction) -> bool {
+    async fn pass(&self, number: u64, direction: Direction) -> bool {
         loop {
             let changed = self.changed.notified();
+            if number < self.silent_below.get() {
+                return std::future::pending().await;
+            }
             match (self.fault.get(), direction) {
                 (Fault::None, _) | (Fault::NoAnswers, Direction::Request) => return true,
                 (Fault::Delay(time), _) => {
--- a/crates/croftrill-standin/tests/proxy.rs
+++ b/crates/croftrill-standin/tests/proxy.rs
@@ -63,3 +63,20 @@
         );
     });
 }
+
+#[test]
+fn silence_present_leaves_new_connections_alone() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (proxy, front) = echo().await;
+        let mut present = TcpStream::connect(front).await.expect("a connection");
+        assert_eq!(repeats(&mut present, LONG).await, Some(true));
+        proxy.silence_present();
+        let mut new = TcpStream::connect(front).await.expect("a connection");
+        assert_eq!(repeats(&mut new, LONG).await, Some(true));
+        assert_eq!(repeats(&mut present, SHORT).await, None);
+    });
+}
--- /dev/null
+++ b/crates/croftrill-standin/tests/silent_connections.rs
@@ -0,0 +1,46 @@
+//! Connections that go silent without a reset, while new ones work.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_http::store::StoreClient;
+use croftrill_node::ports::{KeyValueStore, StoreError};
+use croftrill_standin::http_server::listen;
+use croftrill_standin::proxy::Proxy;
+use croftrill_standin::store::StoreStandin;
+use tokio::task::LocalSet;
+
+/// Calls at the same time, and so connections that rest afterwards.
+const CALLS: usize = 4;
+
+async fn client_behind_proxy() -> (Rc<Proxy>, StoreClient) {
+    let (listener, upstream) = listen().await.expect("a port");
+    let _store = StoreStandin::start(listener);
+    let (listener, address) = listen().await.expect("a port");
+    (Proxy::start(listener, upstream), StoreClient::new(address))
+}
+
+async fn call_at_once(client: &StoreClient) {
+    let calls = (0..CALLS).map(|_| client.grant_lease(Duration::from_secs(3)));
+    for answer in futures::future::join_all(calls).await {
+        answer.expect("a lease");
+    }
+}
+
+/// Each connection that rested cost one more call its whole limit: a node could
+/// miss the renewals of a lease one after the other.
+#[test]
+fn call_after_all_resting_connections_went_silent_fails_once() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (proxy, client) = client_behind_proxy().await;
+        call_at_once(&client).await;
+        proxy.silence_present();
+        let first = client.grant_lease(Duration::from_secs(3)).await;
+        assert_eq!(first, Err(StoreError::NoAnswer));
+        call_at_once(&client).await;
+    });
+}
