Streams: a caller that reads nothing is held no longer than its request may last

Cause: parts of a stream were passed on without a limit. A caller whose connection went silent, or that stopped reading, held its replica's slot, its place at the node and a task for as long as the connection stood; the error that should have broken it off waited behind the same queue. Connections of callers had no keep-alive.

Ruled out: the deadline beside reads, which does not run while a part waits to be passed on.

Change: passing on ends at the request's end. A stream whose feeder goes without an explicit end is broken off, so nothing that is left half can look whole. Callers' connections have probes and a user time-out of 20 s.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -404,10 +404,12 @@
     stream.set_nodelay(true)?;
     let Some(limit) = silence_limit else { return Ok(()) };
     let socket = SockRef::from(stream);
-    // Whole seconds are the finest that keep-alive probes have.
+    // A probe after half of the limit, and another a quarter later. Whole seconds
+    // are the finest that keep-alive probes have.
+    let least = Duration::from_secs(1);
     let keep_alive = TcpKeepalive::new()
-        .with_time(Duration::from_secs(1))
-        .with_interval(Duration::from_secs(1))
+        .with_time(least.max(limit / 2))
+        .with_interval(least.max(limit / 4))
         .with_retries(1);
     socket.set_tcp_keepalive(&keep_alive)?;
     socket.set_tcp_user_timeout(Some(limit))
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::connection::tune;
 use crate::node::{Lifecycle, Node};
 use crate::ports::Platform;
 use crate::request;
@@ -21,6 +22,10 @@
 /// still taken; by then callers have asked for addresses anew. A request that is
 /// taken much later could not be finished within the grace.
 pub const STOP_LINGER: Duration = Duration::from_millis(2000);
+/// A caller's connection on which nothing is taken for so long, not even probes,
+/// is closed: longer than callers wait for an answer (15 s on the longest known
+/// route), as a partition that ends sooner loses nothing.
+const CALLER_SILENCE: Duration = Duration::from_secs(20);
 /// Smallest read buffer that the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8192;
 
@@ -48,7 +53,10 @@
 
 /// Serves one caller's connection until either side closes it.
 async fn serve_connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = tune(&stream, Some(CALLER_SILENCE)) {
+        tracing::debug!(target: "front", event = "connection cannot be set up", %error);
+        return;
+    }
     let limits = node
         .configuration()
         .map(|configuration| configuration.limits)
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -1,22 +1,17 @@
 //! Event streams: passed on as they come, resumed where the route allows.
 
-use std::io;
-
-use bytes::Bytes;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::ReplicaId;
 use http::{header, Response};
 use http_body_util::BodyExt;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 use super::cold::NextReplica;
 use super::forwarding::end_to_end;
 use super::sending::{SendEnd, Streaming};
 use super::{Answer, RequestRun};
 use crate::ports::Platform;
-use crate::stream::{AnswerBody, EventCutter};
-
-pub(super) type EventSender = tokio::sync::mpsc::Sender<Result<Bytes, io::Error>>;
+use crate::stream::{AnswerBody, EventCutter, StreamPart, StreamSender};
 
 /// How a replica's part of a stream ended.
 pub(super) enum PumpEnd {
@@ -49,7 +44,7 @@
         answer
     }
 
-    pub(super) async fn pump(mut self, first: Streaming<P>, sender: EventSender) {
+    pub(super) async fn pump(mut self, first: Streaming<P>, sender: StreamSender) {
         if self.arrival.elapsed() > self.route.objective {
             self.count_late();
         }
@@ -73,8 +68,8 @@
                     return;
                 }
                 PumpEnd::OutOfTime => {
+                    // Its sender goes without an end, which breaks the answer off.
                     self.log_end(&replica, "stream out of time");
-                    let _ = sender.send(Err(io::ErrorKind::TimedOut.into())).await;
                     return;
                 }
                 PumpEnd::Broken => {}
@@ -86,7 +81,6 @@
                 Some(next) => current = next,
                 None => {
                     self.log_end(&replica, "stream cut off");
-                    let _ = sender.send(Err(io::ErrorKind::ConnectionReset.into())).await;
                     return;
                 }
             }
@@ -97,7 +91,7 @@
         &self,
         streaming: &mut Streaming<P>,
         cutter: &mut EventCutter,
-        sender: &EventSender,
+        sender: &StreamSender,
     ) -> PumpEnd {
         let mut last_event = Instant::now();
         loop {
@@ -121,19 +115,34 @@
                 Some(bytes)
             };
             if let Some(bytes) = bytes {
-                if sender.send(Ok(bytes)).await.is_err() {
-                    return PumpEnd::CallerGone;
+                if let Err(end) = self.pass(sender, StreamPart::Bytes(bytes)).await {
+                    return end;
                 }
             }
         }
     }
 
-    pub(super) async fn pump_rest(&self, cutter: &mut EventCutter, sender: &EventSender) -> PumpEnd {
+    pub(super) async fn pump_rest(&self, cutter: &mut EventCutter, sender: &StreamSender) -> PumpEnd {
         let rest = cutter.take_rest();
-        if !rest.is_empty() && sender.send(Ok(rest)).await.is_err() {
-            return PumpEnd::CallerGone;
+        if !rest.is_empty() {
+            if let Err(end) = self.pass(sender, StreamPart::Bytes(rest)).await {
+                return end;
+            }
+        }
+        match self.pass(sender, StreamPart::End).await {
+            Ok(()) => PumpEnd::Complete,
+            Err(end) => end,
+        }
+    }
+
+    /// Passes a part on. A caller that stops reading, or whose connection went
+    /// silent, holds its replica up no longer than the request may last.
+    async fn pass(&self, sender: &StreamSender, part: StreamPart) -> Result<(), PumpEnd> {
+        match timeout_at(self.until, sender.send(Ok(part))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(PumpEnd::CallerGone),
+            Err(_) => Err(PumpEnd::OutOfTime),
         }
-        PumpEnd::Complete
     }
 
     /// Goes on with a broken stream at another replica, if the route allows.
--- a/crates/croftrill-node/src/stream.rs
+++ b/crates/croftrill-node/src/stream.rs
@@ -16,12 +16,25 @@
 /// Frames that may wait for a slow reader.
 const FRAMES_AHEAD: usize = 8;
 
+/// A part of a stream.
+#[derive(Debug)]
+pub enum StreamPart {
+    /// Bytes of it.
+    Bytes(Bytes),
+    /// It ends whole.
+    End,
+}
+
+/// The end that feeds a stream; an error breaks the connection off.
+pub type StreamSender = mpsc::Sender<Result<StreamPart, io::Error>>;
+
 /// The body of an answer to a caller.
 pub enum AnswerBody {
     /// Everything at once.
     Whole(Option<Bytes>),
-    /// Frames as they come; an error breaks the connection off.
-    Stream(mpsc::Receiver<Result<Bytes, io::Error>>),
+    /// Parts as they come. A feeder that goes without [`StreamPart::End`] breaks
+    /// the connection off, so that what it left does not look whole.
+    Stream(mpsc::Receiver<Result<StreamPart, io::Error>>),
 }
 
 impl AnswerBody {
@@ -31,7 +44,7 @@
     }
 
     /// A stream, and the end that feeds it.
-    pub fn stream() -> (mpsc::Sender<Result<Bytes, io::Error>>, Self) {
+    pub fn stream() -> (StreamSender, Self) {
         let (sender, receiver) = mpsc::channel(FRAMES_AHEAD);
         (sender, AnswerBody::Stream(receiver))
     }
@@ -50,9 +63,12 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            AnswerBody::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|received| received.map(|result| result.map(Frame::data))),
+            AnswerBody::Stream(receiver) => receiver.poll_recv(context).map(|received| match received {
+                Some(Ok(StreamPart::Bytes(bytes))) => Some(Ok(Frame::data(bytes))),
+                Some(Ok(StreamPart::End)) => None,
+                Some(Err(error)) => Some(Err(error)),
+                None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
+            }),
         }
     }
 
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -1,7 +1,6 @@
 //! The stand-in replica's server. It keeps its own entry in the store.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,7 +15,7 @@
 use croftrill_http::records::REPLICA_PREFIX;
 use croftrill_http::store::StoreClient;
 use croftrill_node::ports::{ConditionalPut, KeyValueStore, StoreError, Write};
-use croftrill_node::stream::AnswerBody;
+use croftrill_node::stream::{AnswerBody, StreamPart};
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -179,11 +178,14 @@
                 let event = format!(
                     "id: {index}\ndata: {{\"attempt\":\"{attempt}\",\"index\":{index},\"of\":{events}}}\n\n"
                 );
-                if sender.send(Ok::<_, io::Error>(event.into())).await.is_err() {
+                if sender.send(Ok(StreamPart::Bytes(event.into()))).await.is_err() {
                     break;
                 }
             }
-            let _ = sender.send(Ok("data: [DONE]\n\n".into())).await;
+            for part in [StreamPart::Bytes("data: [DONE]\n\n".into()), StreamPart::End] {
+                // The reader may have left; the run ends all the same.
+                let _ = sender.send(Ok(part)).await;
+            }
             engine.state.borrow_mut().end();
         });
         let mut answer = Response::new(body);
