Tree: whoever is followed passes news on

Cause: a node counted as a relay by its own list of nodes alone.

Ruled out: refusing such followers, as they may know of no other relay.

Change: a node with followers is a relay.

--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -116,10 +116,12 @@
     relays.iter().filter_map(address_of).collect()
 }
 
-/// True if this node's zone hears the orderers through it.
+/// True if other nodes hear the orderers through this one: its zone does by its own
+/// list of nodes, or somebody follows it by another list.
 pub(crate) fn is_relay<P: Platform>(node: &Node<P>) -> bool {
     let state = node.state.borrow();
-    state.tree.uplink == Uplink::Orderers && place_of(node, &state.members) == TreePlace::Relay
+    let is_chosen = || place_of(node, &state.members) == TreePlace::Relay;
+    state.tree.uplink == Uplink::Orderers && (node.followers.receiver_count() > 0 || is_chosen())
 }
 
 fn place_of<'a, P: Platform>(node: &'a Node<P>, members: &'a crate::membership::Members) -> TreePlace<'a> {
