Soak: kept connections, series of signals, rolls and changes, silent connections, sizes

What it protects: the users play callers that use open connections until the process is gone, and signals, restarts and changes in overlapping series. Every second round draws six to ten such faults; sizes come from the environment. Kept seeds name how their faults were drawn, so an old seed plays as it did.

--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -2,16 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_demo::caller::{call, Call, CallEnd};
+use croftrill_demo::caller::{call, call_over, kept_connections, Call, CallEnd};
+use futures::future::join_all;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use crate::cluster::{status, Cluster, MODELS, NODES};
+use crate::cluster::{status, Cluster, MODELS};
 
 /// Time between two calls.
 const CALL_EVERY: Duration = Duration::from_millis(25);
@@ -27,11 +29,11 @@
     pub end: CallEnd,
 }
 
-fn draw_call(random: &mut SmallRng, seed: u64, number: usize) -> Call {
+fn draw_call(random: &mut SmallRng, attempt: String) -> Call {
     let model = MODELS[random.random_range(0..MODELS.len())];
     let adapter = if random.random_bool(0.2) { "/a1" } else { "" };
     Call {
-        attempt: format!("s{seed}-{number}"),
+        attempt,
         model: format!("{model}{adapter}"),
         events: random.random_range(2..12),
         deadline: DEADLINE,
@@ -39,8 +41,41 @@
     }
 }
 
-/// Calls all nodes in turn for a time; waits for the last answers.
+/// Time between two calls over a kept connection.
+const KEPT_CALL_EVERY: Duration = Duration::from_millis(60);
+/// Nodes that callers with kept connections call, at most.
+const MOST_KEPT: usize = 8;
+
+/// Calls all nodes for a time, over new connections in turn and over connections
+/// that are kept until the node's process is gone; waits for the last answers.
 pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
+    let kept = cluster.nodes.iter().take(MOST_KEPT).enumerate();
+    let kept = kept.map(|(index, node)| call_over_kept(node.front, round, seed, index));
+    let (mut ended, kept) = tokio::join!(call_anew(cluster, round, seed), join_all(kept));
+    ended.extend(kept.into_iter().flatten());
+    ended
+}
+
+/// One call after the other over a connection that is used as long as it stands.
+async fn call_over_kept(front: SocketAddr, round: Duration, seed: u64, index: usize) -> Vec<Ended> {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0xcee9 ^ index as u64);
+    let pool = kept_connections();
+    let until = Instant::now() + round;
+    let mut ended = Vec::new();
+    while Instant::now() < until {
+        let drawn = draw_call(&mut random, format!("k{seed}-{index}-{}", ended.len()));
+        let (end, _) = call_over(&pool, front, &drawn).await;
+        ended.push(Ended {
+            attempt: drawn.attempt,
+            end,
+        });
+        sleep(KEPT_CALL_EVERY).await;
+    }
+    ended
+}
+
+/// Calls all nodes in turn, each time over a new connection.
+async fn call_anew(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
     let mut random = SmallRng::seed_from_u64(seed ^ 0xca11);
     let ended = Rc::new(RefCell::new(Vec::new()));
     let until = Instant::now() + round;
@@ -49,8 +84,8 @@
         if Instant::now() >= until {
             break;
         }
-        let drawn = draw_call(&mut random, seed, number);
-        let (front, ended) = (cluster.nodes[number % NODES].front, ended.clone());
+        let drawn = draw_call(&mut random, format!("s{seed}-{number}"));
+        let (front, ended) = (cluster.nodes[number % cluster.nodes.len()].front, ended.clone());
         tasks.push(spawn_local(async move {
             let (end, _) = call(front, &drawn).await;
             ended.borrow_mut().push(Ended {
@@ -70,7 +105,7 @@
 pub async fn recovery(cluster: &mut Cluster, seed: u64) {
     let until = Instant::now() + RECOVERY;
     let newest = cluster.document.borrow().version;
-    for index in 0..NODES {
+    for index in 0..cluster.nodes.len() {
         for model in MODELS {
             let mut number = 0;
             loop {
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -23,10 +23,17 @@
 
 /// Models; more than the replicas hold at the same time.
 pub const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
-/// Nodes.
-pub const NODES: usize = 3;
-/// Replicas.
-pub const ENGINES: usize = 2;
+/// How many processes a cluster has.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Nodes, each a process.
+    pub nodes: usize,
+    /// Replicas, which the test's own process stands in for.
+    pub engines: usize,
+}
+
+/// The continuous integration's.
+pub const USUAL_SIZE: Size = Size { nodes: 3, engines: 2 };
 /// Longest wait for a cluster to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -45,22 +52,38 @@
         let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
     }
 
+    /// Sends signals one after the other, each followed by its pause, and starts
+    /// the process anew whenever it ended; ends once it runs and is not about to end.
+    pub async fn series(&self, signals: &[(&'static str, Duration)]) {
+        let mut ending = None;
+        for (name, pause) in signals {
+            if matches!(*name, "TERM" | "KILL") {
+                ending = Some(self.child.borrow().id());
+            }
+            self.signal(name);
+            sleep(*pause).await;
+            self.start_if_ended();
+        }
+        while ending == Some(self.child.borrow().id()) {
+            sleep(Duration::from_millis(20)).await;
+            self.start_if_ended();
+        }
+    }
+
+    fn start_if_ended(&self) {
+        let ended = self.child.borrow_mut().try_wait().expect("the child is ours");
+        if ended.is_some() {
+            *self.child.borrow_mut() = spawn(&self.config);
+        }
+    }
+
     /// Kills the process, or waits for its end after a request to stop, and
     /// starts it anew, unless another fault already has.
     pub async fn restart(&self, kindly: bool) {
         let id = self.child.borrow().id();
         self.signal(if kindly { "TERM" } else { "KILL" });
         while self.child.borrow().id() == id {
-            if self
-                .child
-                .borrow_mut()
-                .try_wait()
-                .expect("the child is ours")
-                .is_some()
-            {
-                *self.child.borrow_mut() = spawn(&self.config);
-                return;
-            }
+            self.start_if_ended();
             sleep(Duration::from_millis(20)).await;
         }
     }
@@ -122,7 +145,7 @@
 }
 
 impl Cluster {
-    pub async fn start(name: &str) -> Self {
+    pub async fn start(name: &str, size: Size) -> Self {
         let directory = std::env::temp_dir().join(format!("croftrill-soak-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("a directory");
         let (listener, store_address) = listen().await.expect("a port");
@@ -137,10 +160,10 @@
             directory,
         };
         cluster.write_document();
-        for index in 0..ENGINES {
+        for index in 0..size.engines {
             cluster.add_engine(index, store_address).await;
         }
-        for index in 0..NODES {
+        for index in 0..size.nodes {
             cluster.add_node(index, store_address).await;
         }
         tokio::time::timeout(START_TIMEOUT, cluster.until_ready())
@@ -173,7 +196,7 @@
             address,
             store,
         };
-        let models = vec![MODELS[index].to_string()];
+        let models = vec![MODELS[index % MODELS.len()].to_string()];
         let on_disk = vec![MODELS[2].to_string(), MODELS[3].to_string()];
         let config = EngineConfig::default();
         self.engines.push(EngineStandin::start(
@@ -205,9 +228,9 @@
         for node in &self.nodes {
             loop {
                 let status = status(node).await;
-                if status
-                    .is_some_and(|status| status.lifecycle == "ready" && status.replicas.len() == ENGINES)
-                {
+                if status.is_some_and(|status| {
+                    status.lifecycle == "ready" && status.replicas.len() == self.engines.len()
+                }) {
                     break;
                 }
                 sleep(Duration::from_millis(50)).await;
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -9,10 +9,20 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-use crate::cluster::{Cluster, ENGINES, NODES};
+use crate::cluster::{Cluster, Size};
+
+/// How faults are drawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mix {
+    /// Two to four faults.
+    Few,
+    /// Six to ten, among them series of signals, restarts and changes, which
+    /// overlap, and connections that go silent for good.
+    Series,
+}
 
 /// One fault.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub enum Injection {
     /// A node's way to the store.
     StorePath(usize, Fault),
@@ -34,10 +44,21 @@
     KillAll,
     /// Operators change the document.
     Change,
+    /// A node's present connections to the store go silent for good.
+    SilentStoreConnections(usize),
+    /// The present connections to a replica go silent for good.
+    SilentEngineConnections(usize),
+    /// Signals to a node's process, each with the pause after it.
+    Signals(usize, Vec<(&'static str, Duration)>),
+    /// All nodes are asked to stop and started anew, one after the other, so long
+    /// apart; one may still be stopping when the next one is asked.
+    Roll(Duration),
+    /// The document changes so often, so long apart.
+    Changes(u32, Duration),
 }
 
 /// A fault with its time, both from the start of the round.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Planned {
     pub at: Duration,
     pub lasts: Duration,
@@ -54,9 +75,9 @@
     *faults.choose(random).expect("there are some")
 }
 
-fn injection(random: &mut SmallRng) -> Injection {
-    let node = random.random_range(0..NODES);
-    let engine = random.random_range(0..ENGINES);
+fn injection(random: &mut SmallRng, size: Size) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    let engine = random.random_range(0..size.engines);
     let store = [
         StoreFault::Refusing,
         StoreFault::LosingWriteAnswers,
@@ -76,13 +97,48 @@
     }
 }
 
-/// Two to four faults.
-pub fn draw(random: &mut SmallRng) -> Vec<Planned> {
-    let count = random.random_range(2..=4);
+fn pause(random: &mut SmallRng, longest_ms: u64) -> Duration {
+    Duration::from_millis(random.random_range(10..longest_ms))
+}
+
+/// Signals to one process: reloads, stops of several kinds, and requests to stop
+/// that come while it is stopping.
+fn signals(random: &mut SmallRng) -> Vec<(&'static str, Duration)> {
+    let names = ["HUP", "HUP", "TERM", "TERM", "KILL", "STOP", "CONT"];
+    let count = random.random_range(2..=6);
+    let mut signals: Vec<_> = (0..count)
+        .map(|_| (*names.choose(random).expect("there are some"), pause(random, 600)))
+        .collect();
+    // Nothing that stands still could end.
+    signals.push(("CONT", Duration::ZERO));
+    signals
+}
+
+fn series_injection(random: &mut SmallRng, size: Size) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    match random.random_range(0..8) {
+        0 => Injection::SilentStoreConnections(node),
+        1 => Injection::SilentEngineConnections(random.random_range(0..size.engines)),
+        2 | 3 => Injection::Signals(node, signals(random)),
+        4 => Injection::Roll(pause(random, 900)),
+        5 => Injection::Changes(random.random_range(3..12), pause(random, 300)),
+        _ => injection(random, size),
+    }
+}
+
+/// Draws the faults of a round.
+pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
+    let (count, latest_ms) = match mix {
+        Mix::Few => (random.random_range(2..=4), 3500),
+        Mix::Series => (random.random_range(6..=10), 4500),
+    };
     let planned = (0..count).map(|_| Planned {
-        at: Duration::from_millis(random.random_range(200..3500)),
+        at: Duration::from_millis(random.random_range(200..latest_ms)),
         lasts: Duration::from_millis(random.random_range(300..3000)),
-        injection: injection(random),
+        injection: match mix {
+            Mix::Few => injection(random, size),
+            Mix::Series => series_injection(random, size),
+        },
     });
     planned.collect()
 }
@@ -111,41 +167,64 @@
 }
 
 async fn begin(cluster: &Cluster, planned: &Planned) {
-    match planned.injection {
-        Injection::StorePath(node, fault) => cluster.store_proxies[node].set(fault),
-        Injection::AllStorePaths(fault) => cluster.store_proxies.iter().for_each(|proxy| proxy.set(fault)),
-        Injection::Store(fault) => cluster.store.set_fault(fault),
+    match &planned.injection {
+        Injection::StorePath(node, fault) => cluster.store_proxies[*node].set(*fault),
+        Injection::AllStorePaths(fault) => cluster.store_proxies.iter().for_each(|proxy| proxy.set(*fault)),
+        Injection::Store(fault) => cluster.store.set_fault(*fault),
         Injection::Compaction => cluster.store.with_state(|state| state.compact()),
-        Injection::EnginePath(engine, fault) => cluster.engine_proxies[engine].set(fault),
-        Injection::Pause(node) => cluster.nodes[node].signal("STOP"),
-        Injection::Kill(node) => cluster.nodes[node].restart(false).await,
+        Injection::EnginePath(engine, fault) => cluster.engine_proxies[*engine].set(*fault),
+        Injection::Pause(node) => cluster.nodes[*node].signal("STOP"),
+        Injection::Kill(node) => cluster.nodes[*node].restart(false).await,
         Injection::Stop(node) => {
-            cluster.nodes[node].signal("CONT");
-            cluster.nodes[node].restart(true).await;
+            cluster.nodes[*node].signal("CONT");
+            cluster.nodes[*node].restart(true).await;
         }
         Injection::KillAll => {
             for node in &cluster.nodes {
                 node.restart(false).await;
             }
         }
-        Injection::Change => {
-            cluster.document.borrow_mut().version += 1;
-            cluster.write_document();
+        Injection::Change => change(cluster),
+        Injection::SilentStoreConnections(node) => cluster.store_proxies[*node].silence_present(),
+        Injection::SilentEngineConnections(engine) => cluster.engine_proxies[*engine].silence_present(),
+        Injection::Signals(node, signals) => cluster.nodes[*node].series(signals).await,
+        Injection::Roll(gap) => roll(cluster, *gap).await,
+        Injection::Changes(count, gap) => {
+            for _ in 0..*count {
+                change(cluster);
+                sleep(*gap).await;
+            }
         }
     }
     sleep(planned.lasts).await;
 }
 
+fn change(cluster: &Cluster) {
+    cluster.document.borrow_mut().version += 1;
+    cluster.write_document();
+}
+
+/// Asks all nodes to stop, so long apart, and waits until each runs anew.
+async fn roll(cluster: &Cluster, gap: Duration) {
+    let each = cluster.nodes.iter().enumerate().map(|(index, node)| async move {
+        sleep(gap * index as u32).await;
+        // One that another fault holds still could not end.
+        node.signal("CONT");
+        node.restart(true).await;
+    });
+    futures_join(each).await;
+}
+
 async fn end(cluster: &Cluster, planned: &Planned) {
-    match planned.injection {
-        Injection::StorePath(node, _) => cluster.store_proxies[node].set(Fault::None),
+    match &planned.injection {
+        Injection::StorePath(node, _) => cluster.store_proxies[*node].set(Fault::None),
         Injection::AllStorePaths(_) => cluster
             .store_proxies
             .iter()
             .for_each(|proxy| proxy.set(Fault::None)),
         Injection::Store(_) => cluster.store.set_fault(StoreFault::None),
-        Injection::EnginePath(engine, _) => cluster.engine_proxies[engine].set(Fault::None),
-        Injection::Pause(node) => cluster.nodes[node].signal("CONT"),
+        Injection::EnginePath(engine, _) => cluster.engine_proxies[*engine].set(Fault::None),
+        Injection::Pause(node) => cluster.nodes[*node].signal("CONT"),
         _ => {}
     }
 }
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -9,8 +9,12 @@
 //! - the configuration never goes back, and the newest is in force afterwards;
 //! - afterwards every node serves every model.
 //!
+//! Some callers keep their connections until the process behind them is gone.
+//!
 //! `CROFTRILL_SOAK_ROUNDS` and `CROFTRILL_SOAK_SEED` choose other rounds than the
-//! continuous integration's; seeds that ever failed stand in `seeds.txt`.
+//! continuous integration's, `CROFTRILL_SOAK_NODES` and `CROFTRILL_SOAK_ENGINES`
+//! other sizes. Seeds that ever failed stand in `seeds.txt`, with how their
+//! faults are drawn.
 
 mod checks;
 mod cluster;
@@ -18,12 +22,13 @@
 
 use std::time::Duration;
 
-use cluster::Cluster;
+use cluster::{Cluster, Size, USUAL_SIZE};
+use faults::Mix;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use tokio::task::LocalSet;
 
-/// Rounds of the continuous integration.
+/// Rounds of the continuous integration; every second one plays series.
 const USUAL_ROUNDS: u64 = 2;
 /// Seed of its first round.
 const USUAL_SEED: u64 = 2026;
@@ -37,20 +42,29 @@
         .unwrap_or(usual)
 }
 
-/// Seeds that failed once, with what was wrong.
-fn kept_seeds() -> Vec<u64> {
+/// Seeds that failed once, with how their faults are drawn.
+fn kept_seeds() -> Vec<(u64, Mix)> {
     include_str!("seeds.txt")
         .lines()
         .filter(|line| !line.starts_with('#'))
-        .filter_map(|line| line.split_whitespace().next()?.parse().ok())
+        .map(|line| {
+            let mut words = line.split_whitespace();
+            let seed = words.next().and_then(|seed| seed.parse().ok());
+            let mix = match words.next() {
+                Some("few") => Mix::Few,
+                Some("series") => Mix::Series,
+                other => panic!("seeds.txt: {other:?} is no mix"),
+            };
+            (seed.expect("a seed"), mix)
+        })
         .collect()
 }
 
-async fn round(seed: u64) {
+async fn round(seed: u64, mix: Mix, size: Size) {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut cluster = Cluster::start(&format!("{seed}")).await;
-    let plan = faults::draw(&mut random);
-    println!("seed {seed}: {plan:?}");
+    let mut cluster = Cluster::start(&format!("{seed}"), size).await;
+    let plan = faults::draw(&mut random, mix, size);
+    println!("seed {seed} {mix:?}: {plan:?}");
     let calls = checks::call_for(&cluster, ROUND, seed);
     let (calls, ()) = tokio::join!(calls, faults::play(&cluster, &plan, ROUND));
     cluster.mend().await;
@@ -59,6 +73,15 @@
     cluster.stop().await;
 }
 
+fn size() -> Size {
+    let nodes = number("CROFTRILL_SOAK_NODES", USUAL_SIZE.nodes as u64);
+    let engines = number("CROFTRILL_SOAK_ENGINES", USUAL_SIZE.engines as u64);
+    Size {
+        nodes: nodes as usize,
+        engines: engines as usize,
+    }
+}
+
 #[test]
 fn promises_hold_under_random_faults() {
     let first = number("CROFTRILL_SOAK_SEED", USUAL_SEED);
@@ -67,7 +90,12 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    for seed in kept_seeds().into_iter().chain(first..first + rounds) {
-        LocalSet::new().block_on(&runtime, round(seed));
+    let mix_of = |index: u64| if index % 2 == 0 { Mix::Few } else { Mix::Series };
+    let drawn = (0..rounds).map(|index| (first + index, mix_of(index)));
+    for (seed, mix) in kept_seeds() {
+        LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
+    }
+    for (seed, mix) in drawn {
+        LocalSet::new().block_on(&runtime, round(seed, mix, size()));
     }
 }
--- a/crates/croftrill-demo/src/caller.rs
+++ b/crates/croftrill-demo/src/caller.rs
@@ -44,12 +44,26 @@
     NotSent,
 }
 
-/// Calls a node and checks that the answer is whole and its own.
-pub async fn call(node: SocketAddr, call: &Call) -> (CallEnd, Duration) {
-    let pool = ConnectionPool::new(ConnectionConfig {
+/// Longest rest of a caller's connection: nodes close those that rest, callers do not.
+const CALLER_REST: Duration = Duration::from_secs(3600);
+
+/// The connections of a caller that keeps them for as long as the node does.
+pub fn kept_connections() -> ConnectionPool {
+    ConnectionPool::new(ConnectionConfig {
         silence_limit: None,
+        longest_rest: CALLER_REST,
         ..ConnectionConfig::default()
-    });
+    })
+}
+
+/// Calls a node over a connection of its own, and checks that the answer is whole
+/// and its own.
+pub async fn call(node: SocketAddr, call: &Call) -> (CallEnd, Duration) {
+    call_over(&kept_connections(), node, call).await
+}
+
+/// As [`call`], over a connection that rests in `pool`, if there is one.
+pub async fn call_over(pool: &ConnectionPool, node: SocketAddr, call: &Call) -> (CallEnd, Duration) {
     let started = Instant::now();
     let Some(request) = request(node, call) else {
         return (CallEnd::NotSent, Duration::ZERO);
