Soak: daemons' ports lie below those of outgoing connections

Cause: with 60 nodes a daemon found its port taken ('Address already in use'): the test had let it go, and an outgoing connection had it.

Change: ports from 10000 on, each handed out once a process.

--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -1,6 +1,6 @@
 //! Daemons as processes, with stand-ins of store and replicas behind proxies.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -138,10 +138,29 @@
     }
 }
 
-/// A free port of the loopback address, free again when this returns.
+/// First of the ports that daemons listen on. They lie below those that the
+/// operating system gives to outgoing connections (from 32768 on), which could
+/// take one while its daemon restarts.
+const FIRST_PORT: u16 = 10_000;
+/// Number of these ports.
+const PORTS: u16 = 22_000;
+
+thread_local! {
+    /// Ports handed out; soaks that run side by side begin at different ones.
+    static PORTS_TAKEN: Cell<u32> = Cell::new(std::process::id() * 61);
+}
+
+/// A free port of the loopback address, which this process gives to nobody else.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+    for _ in 0..PORTS {
+        let number = PORTS_TAKEN.get();
+        PORTS_TAKEN.set(number.wrapping_add(1));
+        let port = FIRST_PORT + (number % u32::from(PORTS)) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+    panic!("no free port");
 }
 
 impl Cluster {
