--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -1,8 +1,9 @@
 //! Daemons as processes, with stand-ins of store and replicas behind proxies.
 
 use std::cell::{Cell, RefCell};
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,11 +101,26 @@
     Command::new(env!("CARGO_BIN_EXE_croftrilld"))
         .arg("--config")
         .arg(config)
-        .stdout(Stdio::null())
+        .stdout(log_of(config))
         .spawn()
         .expect("the daemon starts")
 }
 
+/// Where a daemon's log goes: to a file in the directory that
+/// `CROFTRILL_SOAK_LOGS` names, or nowhere.
+fn log_of(config: &Path) -> Stdio {
+    let Some(directory) = std::env::var_os("CROFTRILL_SOAK_LOGS") else {
+        return Stdio::null();
+    };
+    let name = config.with_extension("log");
+    let name = name.file_name().expect("the settings have a name");
+    let file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(PathBuf::from(directory).join(name));
+    file.expect("a log file").into()
+}
+
 pub struct Cluster {
     pub store: Rc<StoreStandin>,
     /// Each node's way to the store.
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -13,7 +13,7 @@
 //!
 //! `CROFTRILL_SOAK_ROUNDS` and `CROFTRILL_SOAK_SEED` choose other rounds than the
 //! continuous integration's, `CROFTRILL_SOAK_NODES` and `CROFTRILL_SOAK_ENGINES`
-//! other sizes. Seeds that ever failed stand in `seeds.txt`, with how their
+//! other sizes, `CROFTRILL_SOAK_LOGS` a directory for the nodes' logs. Seeds that ever failed stand in `seeds.txt`, with how their
 //! faults are drawn.
 
 mod checks;
