Orderer: what nodes forgot of a replica is told again

Ruled out: keeping placements at the listeners past an entry's end, as an orderer that saw the end starts a new account.

Change: an orderer whose own view has lost its word on a replica, though it told it, tells it again; placements follow each replay to a listener, as they did to followers.

--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -190,6 +190,14 @@
     }
 }
 
+/// What the orderers told this node of all replicas. It follows each replay: what
+/// came of a replica before its listener knew it was lost there.
+pub(crate) fn told_placements<P: Platform>(node: &Node<P>) -> Bytes {
+    let now = node.clock.now();
+    let placements = node.state.borrow().replicas.told_placements();
+    FromOrderer::encode_placements(&placements, now)
+}
+
 /// The changes after a revision, if the log reaches back to it.
 fn logged_since<P: Platform>(node: &Node<P>, after: u64) -> Option<DirectoryNews> {
     let state = node.state.borrow();
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -8,7 +8,7 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep_until, Instant};
 
-use super::{is_direct, linked_message, replay};
+use super::{is_direct, linked_message, replay, told_placements};
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer};
@@ -23,7 +23,7 @@
     }
     let mut changes = node.followers.subscribe();
     link.send(linked_message(&node)).await?;
-    link.send(all_placements(&node)).await?;
+    link.send(told_placements(&node)).await?;
     let heartbeat = node.settings.pace.peer_heartbeat;
     let mut next_heartbeat = Instant::now() + heartbeat;
     while is_direct(&node) {
@@ -41,8 +41,7 @@
                 let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 if let Some(reply) = take_message(&node, message) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
-                    // Of replicas that it did not know it forgot what was told.
-                    link.send(all_placements(&node)).await?;
+                    link.send(told_placements(&node)).await?;
                 }
             }
             () = sleep_until(next_heartbeat) => {
@@ -54,13 +53,6 @@
     Ok(())
 }
 
-/// What the orderers told this node of all replicas.
-fn all_placements<P: Platform>(node: &Node<P>) -> Bytes {
-    let now = node.clock.now();
-    let placements = node.state.borrow().replicas.told_placements();
-    FromOrderer::encode_placements(&placements, now)
-}
-
 /// Takes a follower's message: its demand goes up with this node's own.
 fn take_message<P: Platform>(node: &Node<P>, message: ToOrderer) -> Option<FromOrderer> {
     match message {
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -219,6 +219,7 @@
     pub fn known(&mut self, entry: &ReplicaEntry, now: Moment) {
         self.listed(&entry.listing, now);
         if self.config.scope.covers(&entry.listing.id) {
+            self.tell_again_if_forgotten(entry);
             return;
         }
         if let Some(replica) = self.replicas.get_mut(&entry.listing.id) {
@@ -226,6 +227,15 @@
         }
     }
 
+    /// An entry that was gone and came back between two looks seems to have been
+    /// there all the time, but with it all nodes forgot what they had been told.
+    fn tell_again_if_forgotten(&mut self, entry: &ReplicaEntry) {
+        let id = &entry.listing.id;
+        if !entry.is_told() && self.told.remove(id).is_some() {
+            self.changed.insert(id.clone());
+        }
+    }
+
     /// A replica is listed.
     pub fn listed(&mut self, listing: &ReplicaListing, now: Moment) {
         let is_engine = self
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -76,6 +76,11 @@
 }
 
 impl ReplicaEntry {
+    /// True while its orderer's word on what it holds is known.
+    pub fn is_told(&self) -> bool {
+        self.from_orderer
+    }
+
     fn new(listing: ReplicaListing) -> Self {
         ReplicaEntry {
             listing,
