Replicas: an orderer's word is kept for replicas that are not listed

Cause: what orderers tell of replicas and the listings themselves come on different ways (the orderer's link; a relay's own watch, another orderer's span, a replay). A placement that came first was dropped, one that came before an entry lapsed and returned went with it, and nobody told it again.

Change: the table keeps what was told of replicas that are not listed, 1,024 at most, until a listing by relay, the store's own listing, or the orderer's end. Whom a node serves is told all that it knows, its orderer's word or the list's.

--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -82,7 +82,10 @@
 fn apply_change<P: Platform>(node: &Node<P>, change: ViewChange) {
     match change {
         ViewChange::Store(event) => apply_event(node, &event),
-        ViewChange::Replica { listing, revision } => apply_listing(node, listing, revision),
+        ViewChange::Replica { listing, revision } => {
+            log_listing(&listing, revision);
+            node.state.borrow_mut().replicas.apply_relayed_listing(listing);
+        }
     }
 }
 
@@ -142,7 +145,10 @@
 fn apply_item<P: Platform>(node: &Node<P>, item: &Item) {
     match node.platform.records().read(item) {
         Record::Configuration(configuration) => apply_configuration(node, configuration, item),
-        Record::Replica(listing) => apply_listing(node, listing, item.revision),
+        Record::Replica(listing) => {
+            log_listing(&listing, item.revision);
+            node.state.borrow_mut().replicas.apply_listing(listing);
+        }
         Record::Malformed(reason) => {
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
         }
@@ -154,10 +160,9 @@
     }
 }
 
-fn apply_listing<P: Platform>(node: &Node<P>, listing: ReplicaListing, revision: u64) {
+fn log_listing(listing: &ReplicaListing, revision: u64) {
     tracing::debug!(target: "directory", event = "replica listed", replica = &*listing.id,
         state = ?listing.state, revision);
-    node.state.borrow_mut().replicas.apply_listing(listing);
 }
 
 fn apply_configuration<P: Platform>(node: &Node<P>, configuration: Arc<Configuration>, item: &Item) {
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -121,7 +121,7 @@
                 if let ToOrderer::Replay(after) = message {
                     let reply = tree::replay(node, after).serialize_bin();
                     link.send(Bytes::from(reply)).await?;
-                    link.send(tree::told_placements(node)).await?;
+                    link.send(tree::known_placements(node)).await?;
                 } else if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
                     return Ok(());
                 }
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -190,11 +190,11 @@
     }
 }
 
-/// What the orderers told this node of all replicas. It follows each replay: what
-/// came of a replica before its listener knew it was lost there.
-pub(crate) fn told_placements<P: Platform>(node: &Node<P>) -> Bytes {
+/// What this node knows of what replicas hold, for one that listens to it: at first,
+/// and after each replay.
+pub(crate) fn known_placements<P: Platform>(node: &Node<P>) -> Bytes {
     let now = node.clock.now();
-    let placements = node.state.borrow().replicas.told_placements();
+    let placements = node.state.borrow().replicas.placements();
     FromOrderer::encode_placements(&placements, now)
 }
 
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -8,7 +8,7 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep_until, Instant};
 
-use super::{is_direct, linked_message, replay, told_placements};
+use super::{is_direct, known_placements, linked_message, replay};
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer};
@@ -23,7 +23,7 @@
     }
     let mut changes = node.followers.subscribe();
     link.send(linked_message(&node)).await?;
-    link.send(told_placements(&node)).await?;
+    link.send(known_placements(&node)).await?;
     let heartbeat = node.settings.pace.peer_heartbeat;
     let mut next_heartbeat = Instant::now() + heartbeat;
     while is_direct(&node) {
@@ -41,7 +41,7 @@
                 let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
                 if let Some(reply) = take_message(&node, message) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
-                    link.send(told_placements(&node)).await?;
+                    link.send(known_placements(&node)).await?;
                 }
             }
             () = sleep_until(next_heartbeat) => {
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -1,7 +1,7 @@
 //! One node's view of all replicas: the directory's list, what the orderer
 //! tells of placement, and what answers show in between.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
@@ -76,6 +76,14 @@
 }
 
 impl ReplicaEntry {
+    fn placement(&self) -> Placement {
+        Placement {
+            replica: self.listing.id.clone(),
+            usable: self.listing.holdings.clone(),
+            arriving: self.arriving.clone(),
+        }
+    }
+
     /// True while its orderer's word on what it holds is known.
     pub fn is_told(&self) -> bool {
         self.from_orderer
@@ -124,8 +132,15 @@
 pub struct ReplicaTable {
     replicas: BTreeMap<ReplicaId, ReplicaEntry>,
     by_service: HashMap<ServiceName, Vec<ReplicaId>>,
+    /// What orderers told of replicas that are not listed (yet, or any more), the
+    /// oldest first.
+    told_unlisted: VecDeque<Placement>,
 }
 
+/// Most replicas that are not listed of which an orderer's word is kept: as many as
+/// lapse together when the store is away from a large fleet. Some 200 bytes each.
+const MOST_TOLD_UNLISTED: usize = 1024;
+
 impl ReplicaTable {
     /// An empty table.
     pub fn new() -> Self {
@@ -135,6 +150,7 @@
     /// Takes in a listing. Its holdings may be older than an order, so they are
     /// believed only while no orderer tells of this replica.
     pub fn apply_listing(&mut self, listing: ReplicaListing) {
+        self.take_unlisted(&listing.id);
         let Some(entry) = self.replicas.get_mut(&listing.id) else {
             self.by_service
                 .entry(listing.service.clone())
@@ -155,9 +171,37 @@
         }
     }
 
+    /// Takes in a listing that came by a way which tells nothing of what the replica
+    /// holds: what its orderer told while it was not listed holds on.
+    pub fn apply_relayed_listing(&mut self, listing: ReplicaListing) {
+        let told = self.take_unlisted(&listing.id);
+        self.apply_listing(listing);
+        if let Some(told) = told {
+            self.apply_placement(told);
+        }
+    }
+
+    fn take_unlisted(&mut self, id: &str) -> Option<Placement> {
+        let index = self.told_unlisted.iter().position(|told| &*told.replica == id)?;
+        self.told_unlisted.remove(index)
+    }
+
+    /// Keeps what an orderer told of a replica that is not listed: it may come, or
+    /// come back, by a slower way.
+    fn keep_unlisted(&mut self, told: Placement) {
+        self.take_unlisted(&told.replica);
+        if self.told_unlisted.len() == MOST_TOLD_UNLISTED {
+            self.told_unlisted.pop_front();
+        }
+        self.told_unlisted.push_back(told);
+    }
+
     /// Forgets a replica that is gone.
     pub fn remove(&mut self, id: &str) {
         if let Some(entry) = self.replicas.remove(id) {
+            if entry.from_orderer {
+                self.keep_unlisted(entry.placement());
+            }
             if let Some(ids) = self.by_service.get_mut(&entry.listing.service) {
                 ids.retain(|other| &**other != id);
             }
@@ -175,6 +219,7 @@
     /// Takes in what the orderer tells; true if it changes what can be used.
     pub fn apply_placement(&mut self, placement: Placement) -> bool {
         let Some(entry) = self.replicas.get_mut(&placement.replica) else {
+            self.keep_unlisted(placement);
             return false;
         };
         entry.from_orderer = true;
@@ -188,15 +233,13 @@
         true
     }
 
-    /// What orderers told of replicas, for a node that knows nothing of it yet.
-    pub fn told_placements(&self) -> Vec<Placement> {
-        let told = self.replicas.values().filter(|entry| entry.from_orderer);
-        let placements = told.map(|entry| Placement {
-            replica: entry.listing.id.clone(),
-            usable: entry.listing.holdings.clone(),
-            arriving: entry.arriving.clone(),
-        });
-        placements.collect()
+    /// What is known of what replicas hold, for a node that knows nothing of it yet.
+    pub fn placements(&self) -> Vec<Placement> {
+        let known = self
+            .replicas
+            .values()
+            .filter(|entry| entry.from_orderer || !entry.listing.holdings.models.is_empty());
+        known.map(ReplicaEntry::placement).collect()
     }
 
     /// The orderer of a shard no longer tells: from now on the list is believed again.
@@ -207,6 +250,8 @@
             entry.from_orderer = false;
             entry.arriving.clear();
         }
+        self.told_unlisted
+            .retain(|told| Shard::of_replica(&told.replica) != shard);
     }
 
     /// A replica answered that it does not hold a model or adapter.
