Streams: a line in the log when one is taken elsewhere for silence; names and comments

No change of logic: the decision to leave a silent replica now says so with the request's id and the silence; a comment gave 8 MB for what is 10.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -85,7 +85,7 @@
 /// Longest time without a byte within an answer: as long as a whole short call
 /// may take, so a path that is silent for so long is taken for dead.
 const LONGEST_BODY_PAUSE: Duration = Duration::from_millis(900);
-/// Longest time for the body of an answer: 8 MB over 10 Mbit/s, more than any
+/// Longest time for the body of an answer: 10 MB over 10 Mbit/s, more than any
 /// answer of a store has (pages of a read are of 1 MB).
 const LONGEST_BODY: Duration = Duration::from_secs(8);
 
@@ -233,9 +233,9 @@
         }
     }
 
-    /// A request on this connection got no answer in time. If it had rested, the
-    /// others that rest may be as dead: connections can go silent without a reset
-    /// while new ones work, and each would cost another wait.
+    /// A request on this connection got no whole answer, or none in time. If it had
+    /// rested, the others that rest may be as dead: connections can go silent without
+    /// a reset while new ones work, and each would cost another wait.
     pub fn found_silent(&self, connection: &Connection) {
         if !connection.rested {
             return;
--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -43,12 +43,12 @@
 }
 
 /// A stream that notes when bytes pass.
-struct Noted {
+struct NotedStream {
     stream: TcpStream,
     progress: Rc<Progress>,
 }
 
-impl AsyncRead for Noted {
+impl AsyncRead for NotedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -63,7 +63,7 @@
     }
 }
 
-impl AsyncWrite for Noted {
+impl AsyncWrite for NotedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -87,7 +87,7 @@
 
 /// A link to another node.
 pub struct PeerLink {
-    frames: Framed<Noted, LengthDelimitedCodec>,
+    frames: Framed<NotedStream, LengthDelimitedCodec>,
     progress: Rc<Progress>,
     silence_limit: Duration,
 }
@@ -101,7 +101,7 @@
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MOST_MESSAGE_BYTES)
             .new_codec();
-        let noted = Noted {
+        let noted = NotedStream {
             stream,
             progress: progress.clone(),
         };
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -160,7 +160,8 @@
         let state = self.node.state.borrow();
         tracing::info!(target: "cold", id = self.facts.id, model = &*key.model, adapter = key.adapter.as_deref(),
             ?decision, waited_ms = request.waited.as_millis() as u64,
-            ready_in_ms = request.ready_in.as_millis() as u64, overdue_ms = request.overdue.as_millis() as u64, objective_ms = self.route.objective.as_millis() as u64,
+            ready_in_ms = request.ready_in.as_millis() as u64, overdue_ms = request.overdue.as_millis() as u64,
+            objective_ms = self.route.objective.as_millis() as u64,
             patience_ms = request.patience.as_millis() as u64,
             holders = state.replicas.holders(&self.service, &key.model),
             orderers_linked = state.linked.iter().filter(|linked| **linked).count());
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -108,6 +108,8 @@
                 frame = streaming.body.frame() => frame,
                 () = sender.closed() => return PumpEnd::CallerGone,
                 () = self.silent_since(last_event) => {
+                    tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
+                        outcome = "the stream fell silent", silent_ms = last_event.elapsed().as_millis() as u64);
                     self.node.pool.found_silent(&streaming.connection);
                     return PumpEnd::Broken;
                 }
