Logs: whether a replica ended when requests broke, and which had just begun there

Cause: a stream that is cut off looks the same in the log whether its connection was reset, its answer spoiled, or its replica ended; and nothing tells that two requests are the same one come again.

Change: requests that break at one replica are gathered for 10 ms and one connection is tried; a refused one shows that the replica ended. One line each tells the fingerprint (target, caller, body), the caller and the age of the answer's head of those that had just begun. No decision depends on it yet.

--- /dev/null
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -0,0 +1,94 @@
+//! Finds out whether a replica at which requests broke has ended.
+//!
+//! A broken exchange alone says little: its connection may have been reset, or its
+//! answer spoiled. A replica that ended refuses new connections, and all that it
+//! ran breaks at the same moment; so the requests that break at one replica are
+//! gathered, and one connection is tried.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_scheduler::replica::{ReplicaId, ReplicaState};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::node::Node;
+use crate::ports::Platform;
+use crate::request::CallerAddress;
+
+/// Time in which the requests that break with a replica are noticed.
+const GATHER: Duration = Duration::from_millis(10);
+/// Longest wait for the connection that is tried: an ended replica's machine
+/// refuses it within a round trip.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A request that got its answer's head longer ago had been running well, and did
+/// not end its replica by beginning: the longest step of an engine under load.
+const BEGINS_WITHIN: Duration = Duration::from_secs(2);
+
+/// A request that broke at a replica.
+#[derive(Debug, Clone)]
+pub struct BrokenRequest {
+    /// The caller's id of the attempt.
+    pub id: String,
+    /// Identity of its content.
+    pub fingerprint: u128,
+    /// Where it came from.
+    pub caller: Option<CallerAddress>,
+    /// Time since the head of its answer; `None` if there was none yet.
+    pub head_age: Option<Duration>,
+}
+
+impl BrokenRequest {
+    fn had_just_begun(&self) -> bool {
+        self.head_age.is_none_or(|age| age <= BEGINS_WITHIN)
+    }
+}
+
+/// Requests that broke, by replica, until it is known whether that ended.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    broken: BTreeMap<ReplicaId, Vec<BrokenRequest>>,
+}
+
+/// A request broke at a replica: its connection ended before its answer did.
+pub(crate) fn request_broke<P: Platform>(node: &Rc<Node<P>>, replica: &ReplicaId, request: BrokenRequest) {
+    let mut state = node.state.borrow_mut();
+    let entry = state.replicas.get(replica);
+    // The end of a replica that is leaving, or has left, was planned.
+    let ready = entry.filter(|entry| entry.listing.state == ReplicaState::Ready);
+    let Some(address) = ready.and_then(|entry| entry.listing.address.parse().ok()) else {
+        return;
+    };
+    let broken = state.crash_watch.broken.entry(replica.clone()).or_default();
+    broken.push(request);
+    if broken.len() == 1 {
+        spawn_local(judge(node.clone(), replica.clone(), address));
+    }
+}
+
+/// Tries one connection to the replica, and notes what it shows.
+async fn judge<P: Platform>(node: Rc<Node<P>>, replica: ReplicaId, address: SocketAddr) {
+    sleep(GATHER).await;
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let broken = node.state.borrow_mut().crash_watch.broken.remove(&replica);
+    let broken = broken.unwrap_or_default();
+    let refused =
+        matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
+    if !refused {
+        tracing::info!(target: "crash", event = "requests broke, the replica lives", replica = &*replica,
+            requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()));
+        return;
+    }
+    let begun: Vec<&BrokenRequest> = broken.iter().filter(|request| request.had_just_begun()).collect();
+    tracing::warn!(target: "crash", event = "replica ended", replica = &*replica, requests = broken.len(),
+        had_just_begun = begun.len());
+    for request in begun {
+        tracing::info!(target: "crash", event = "had just begun at a replica that ended", id = request.id,
+            fingerprint = format_args!("{:032x}", request.fingerprint), replica = &*replica,
+            caller = request.caller.map(|caller| tracing::field::display(caller.0)),
+            head_age_ms = request.head_age.map(|age| age.as_millis() as u64));
+    }
+}
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use http::header::{HeaderValue, CONNECTION};
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,7 +16,7 @@
 use crate::connection::tune;
 use crate::node::{Lifecycle, Node};
 use crate::ports::Platform;
-use crate::request;
+use crate::request::{self, CallerAddress};
 
 /// Pause after a failed accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -40,8 +42,9 @@
             () = closing.as_mut() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+            Ok((stream, caller)) => {
+                let caller = CallerAddress(caller.ip());
+                tokio::task::spawn_local(serve_connection(node.clone(), stream, caller));
             }
             Err(error) => {
                 tracing::warn!(target: "front", event = "accept failed", %error);
@@ -52,7 +55,7 @@
 }
 
 /// Serves one caller's connection until either side closes it.
-async fn serve_connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
+async fn serve_connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream, caller: CallerAddress) {
     if let Err(error) = tune(&stream, Some(CALLER_SILENCE)) {
         tracing::debug!(target: "front", event = "connection cannot be set up", %error);
         return;
@@ -62,8 +65,9 @@
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
     let service_node = node.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let node = service_node.clone();
+        request.extensions_mut().insert(caller);
         async move {
             let mut response = request::serve(&node, request).await;
             if node.lifecycle() == Lifecycle::Stopping {
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod connection;
 pub mod counted_store;
+pub(crate) mod crash_watch;
 pub mod directory;
 pub mod front;
 pub mod link;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
 use crate::counted_store::CountedStore;
+use crate::crash_watch::CrashWatch;
 use crate::front::STOP_LINGER;
 use crate::membership::Members;
 use crate::metrics::Metrics;
@@ -55,6 +56,8 @@
     pub configuration_item: Option<Item>,
     /// All known replicas.
     pub replicas: ReplicaTable,
+    /// Requests that broke at replicas that may have ended.
+    pub crash_watch: CrashWatch,
     /// This node's share of the retry budget.
     pub retry_budget: RetryBudget,
     /// Requests that wait for a place, by group.
@@ -196,6 +199,7 @@
             configuration: None,
             configuration_item: None,
             replicas: ReplicaTable::new(),
+            crash_watch: CrashWatch::default(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
             demand: DemandBatch::default(),
--- /dev/null
+++ b/crates/croftrill-node/src/request/fingerprint.rs
@@ -0,0 +1,28 @@
+//! What makes a request the same as one that came before, here or at another node.
+
+use std::net::IpAddr;
+
+use sha2::{Digest, Sha256};
+
+/// Address from which a caller's connection comes; the front sets it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
+/// The fingerprint of a request's target, caller and body. SHA-256, as a caller
+/// that found another one's fingerprint could have that request refused: half of
+/// its bits still leave nobody a way to one.
+pub(super) fn fingerprint(target: &str, caller: Option<CallerAddress>, body: &[u8]) -> u128 {
+    let mut hasher = Sha256::new();
+    // Lengths keep the end of one field from passing for the start of the next.
+    hasher.update((target.len() as u64).to_be_bytes());
+    hasher.update(target);
+    let caller = caller.map(|CallerAddress(address)| address.to_string());
+    let caller = caller.unwrap_or_default();
+    hasher.update((caller.len() as u64).to_be_bytes());
+    hasher.update(caller);
+    hasher.update(body);
+    let digest = hasher.finalize();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    u128::from_be_bytes(half)
+}
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -11,12 +11,13 @@
 
 mod answers;
 mod cold;
+mod fingerprint;
 mod forwarding;
 mod guards;
 mod sending;
 mod streaming;
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,9 +33,11 @@
 pub use self::answers::refuse;
 use self::answers::{json, kind_name};
 use self::cold::NextReplica;
+pub use self::fingerprint::CallerAddress;
 use self::forwarding::{find_route, pick_backend, read_body};
 use self::guards::{take_place, Flight, Place};
 use self::sending::SendEnd;
+use crate::crash_watch::{self, BrokenRequest};
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::ports::{Dialect, Platform, RequestFacts};
@@ -145,6 +148,7 @@
         answered_after: None,
         longest_pause: Cell::new(Duration::ZERO),
         counted_late: Cell::new(false),
+        fingerprint: OnceCell::new(),
     };
     run.serve().await
 }
@@ -175,6 +179,8 @@
     longest_pause: Cell<Duration>,
     /// True once it was counted as served too late.
     counted_late: Cell<bool>,
+    /// Identity of its content; computed when it is first wanted.
+    fingerprint: OnceCell<u128>,
 }
 
 impl<P: Platform> RequestRun<P> {
@@ -240,6 +246,33 @@
         }
     }
 
+    /// Identity of the request's content, the same whenever it comes again.
+    fn fingerprint(&self) -> u128 {
+        *self.fingerprint.get_or_init(|| {
+            let target = self
+                .head
+                .uri
+                .path_and_query()
+                .map_or("/", |target| target.as_str());
+            fingerprint::fingerprint(target, self.caller(), &self.body)
+        })
+    }
+
+    fn caller(&self) -> Option<CallerAddress> {
+        self.head.extensions.get::<CallerAddress>().copied()
+    }
+
+    /// The connection to a replica ended before the answer did.
+    fn broke_at(&self, replica: &ReplicaId, head_at: Option<Instant>) {
+        let broken = BrokenRequest {
+            id: self.facts.id.clone(),
+            fingerprint: self.fingerprint(),
+            caller: self.caller(),
+            head_age: head_at.map(|at| at.elapsed()),
+        };
+        crash_watch::request_broke(&self.node, replica, broken);
+    }
+
     /// A part of a stream came so long after the one before.
     fn note_pause(&self, pause: Duration) {
         self.longest_pause.set(self.longest_pause.get().max(pause));
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -40,6 +40,8 @@
 pub(super) struct Streaming<P: Platform> {
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
+    /// When the head came.
+    pub(super) head_at: Instant,
     /// Its socket closes with the stream, unless that ended whole.
     pub(super) connection: Connection,
     pub(super) send: Send<P>,
@@ -113,6 +115,7 @@
             return SendEnd::NotSent;
         }
         send.record(SendOutcome::Failure);
+        self.broke_at(&send.replica, None);
         SendEnd::Broken {
             cause: "the replica broke off",
         }
@@ -125,6 +128,7 @@
         connection: Connection,
         send: Send<P>,
     ) -> SendEnd<P> {
+        let head_at = Instant::now();
         let (head, body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
         self.take_load(replica, &facts);
@@ -142,6 +146,7 @@
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
+                head_at,
                 connection,
                 send,
             }));
@@ -168,6 +173,7 @@
             }
             Ok(Err(_)) => {
                 send.record(SendOutcome::Failure);
+                self.broke_at(replica, Some(head_at));
                 SendEnd::Broken {
                     cause: "the answer was cut off",
                 }
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -117,7 +117,10 @@
             };
             let bytes = match frame {
                 None => return self.pump_rest(cutter, sender).await,
-                Some(Err(_)) => return PumpEnd::Broken,
+                Some(Err(_)) => {
+                    self.broke_at(&streaming.send.replica, Some(streaming.head_at));
+                    return PumpEnd::Broken;
+                }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_) => continue,
