Requests: those under which replicas ended are known to all nodes, and stopped

Cause: nothing was remembered of a request beyond its own run, so one that crashes each replica that begins it was new at every node and at every arrival.

Ruled out: retries of the node's own (one send in each line of the log); another cause of the ends (no such stream was ever served).

Change: a replica that ended (its connections break, and it refuses a new one) is evidence against the requests that had just begun there. Ends are counted by fingerprint and incarnation. Each node keeps its report as an item of the store, from where it reaches all nodes as other changes do, and nodes that start anew; a node that cannot write has the nodes it listens to report. A request with the most ends at two replicas is held back for 10 s, one with three is refused for as long as it comes. A whole answer clears a request of the ends before it, and requests beside one with more ends bear no blame.

--- /dev/null
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -0,0 +1,238 @@
+//! What nodes tell each other of requests that crash replicas.
+//!
+//! Each node keeps one item in the store, its report; the store's changes reach all
+//! nodes over the tree of relays, and nodes that start anew read them with the rest.
+//! So nothing is lost with an orderer, a relay or the node itself. A report goes
+//! with its lease: it is written again whenever its content changes, and while
+//! requests in it still come.
+//!
+//! While a node cannot write to the store itself, the nodes that it listens to
+//! report for it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::crash_ledger::{CrashReport, EndedReplica, Fingerprint, Suspicion, Verdict, KEEP};
+use croftrill_scheduler::time::Moment;
+use nanoserde::{DeBin, SerBin};
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::membership::OWN_PREFIX;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::peer::ToOrderer;
+use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
+
+/// Prefix of the reports' keys.
+const REPORT_PREFIX: &str = "croftrill/crashes/";
+/// Changes within this time go out together: what broke with one rack of replicas
+/// is one write.
+const GATHER: Duration = Duration::from_millis(40);
+/// Pause after a write that failed, on average. With the store's own time to
+/// answer and the relay's, a report is everywhere within a second of its return.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Age from which on a lease is not used for further reports, so that what is
+/// written lives nearly as long as a lease.
+const LEASE_USED_FOR: Duration = Duration::from_secs(60);
+
+/// A request in a report, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireSuspicion {
+    /// Upper and lower half of its fingerprint.
+    fingerprint: [u64; 2],
+    /// Replicas that ended under it.
+    ended: Vec<u64>,
+    /// Those of them of which it was cleared.
+    cleared: Vec<u64>,
+}
+
+/// A node's report, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireCrashReport {
+    suspicions: Vec<WireSuspicion>,
+}
+
+impl WireCrashReport {
+    /// The message form of a report.
+    pub fn from_report(report: &CrashReport) -> Self {
+        let suspicions = report.iter().map(|(fingerprint, suspicion)| WireSuspicion {
+            fingerprint: [(fingerprint.0 >> 64) as u64, fingerprint.0 as u64],
+            ended: suspicion.ended.iter().map(|replica| replica.0).collect(),
+            cleared: suspicion.cleared.iter().map(|replica| replica.0).collect(),
+        });
+        WireCrashReport {
+            suspicions: suspicions.collect(),
+        }
+    }
+
+    /// The report.
+    pub fn into_report(self) -> CrashReport {
+        let suspicions = self.suspicions.into_iter().map(|wire| {
+            let [upper, lower] = wire.fingerprint;
+            let suspicion = Suspicion {
+                ended: wire.ended.into_iter().map(EndedReplica).collect(),
+                cleared: wire.cleared.into_iter().map(EndedReplica).collect(),
+            };
+            (
+                Fingerprint(u128::from(upper) << 64 | u128::from(lower)),
+                suspicion,
+            )
+        });
+        suspicions.collect()
+    }
+}
+
+/// True if a key of the store is a node's report.
+pub(crate) fn is_report(key: &str) -> bool {
+    key.starts_with(REPORT_PREFIX)
+}
+
+/// A node's report was written.
+pub(crate) fn report_written<P: Platform>(node: &Node<P>, item: &Item) {
+    let Ok(report) = WireCrashReport::deserialize_bin(&item.value) else {
+        tracing::warn!(target: "crash", event = "report cannot be read", key = item.key);
+        return;
+    };
+    let now = node.clock.now();
+    let ledger = &mut node.state.borrow_mut().crash_ledger;
+    ledger.take_report(&item.key, report.into_report(), now);
+}
+
+/// Requests of one replica that ended had just begun there.
+pub(crate) fn replica_ended<P: Platform>(
+    node: &Node<P>,
+    replica: &str,
+    begun: impl Iterator<Item = Fingerprint>,
+) {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let replica = EndedReplica::of(replica);
+    let mut count = 0;
+    for fingerprint in begun {
+        state.crash_ledger.record_end(fingerprint, replica, now);
+        count += 1;
+    }
+    drop(state);
+    if count > 0 {
+        Metrics::count(&node.metrics.crashes, "replica", "ended");
+        node.crash_report_changed.notify_one();
+    }
+}
+
+/// What may happen with a request. One that is refused stays in this node's report
+/// for as long as it comes.
+pub(crate) fn verdict<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) -> Verdict {
+    let now = node.clock.now();
+    let ledger = &mut node.state.borrow_mut().crash_ledger;
+    let verdict = ledger.verdict(fingerprint, now);
+    if verdict == Verdict::Refused && ledger.adopt(fingerprint, now) {
+        node.crash_report_changed.notify_one();
+    }
+    verdict
+}
+
+/// A replica answered a request whole.
+pub(crate) fn answered_whole<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) {
+    let now = node.clock.now();
+    let is_cleared = node
+        .state
+        .borrow_mut()
+        .crash_ledger
+        .record_whole(fingerprint, now);
+    if is_cleared {
+        Metrics::count(&node.metrics.crashes, "request", "cleared");
+        node.crash_report_changed.notify_one();
+    }
+}
+
+/// Another node cannot write its report: this one's tells it too.
+pub(crate) fn adopt<P: Platform>(node: &Node<P>, report: WireCrashReport) {
+    let now = node.clock.now();
+    let ledger = &mut node.state.borrow_mut().crash_ledger;
+    if ledger.adopt_report(&report.into_report(), now) {
+        node.crash_report_changed.notify_one();
+    }
+}
+
+/// All reports as items of the store, by key.
+pub(crate) fn items(reports: &croftrill_scheduler::crash_ledger::CrashLedger) -> Vec<(String, Vec<u8>)> {
+    let reports = reports.reports();
+    let items = reports.map(|(key, report)| {
+        let value = WireCrashReport::from_report(report).serialize_bin();
+        (key.clone(), value)
+    });
+    items.collect()
+}
+
+/// The lease under which this node's report stands.
+#[derive(Debug, Clone, Copy)]
+struct ReportLease {
+    number: u64,
+    granted_at: Moment,
+}
+
+/// Writes this node's report whenever it changes, until the process ends.
+/// `incarnation`: a former process's report stands beside it until its lease is over.
+pub async fn publish<P: Platform>(node: Rc<Node<P>>, incarnation: u64) {
+    debug_assert!(REPORT_PREFIX.starts_with(OWN_PREFIX));
+    let key = format!("{REPORT_PREFIX}{}/{incarnation}", node.settings.identity.name);
+    let mut lease = None;
+    loop {
+        node.crash_report_changed.notified().await;
+        sleep(GATHER).await;
+        let mut failures = 0;
+        while let Err(error) = write(&node, &key, &mut lease).await {
+            failures += 1;
+            lease = None;
+            if failures == 1 {
+                tracing::warn!(target: "crash", event = "report not written", %error);
+                hand_over(&node);
+            }
+            let share = rand::rng().random_range(0.5..1.5);
+            sleep(RETRY_PAUSE.mul_f64(share)).await;
+        }
+    }
+}
+
+/// Writes the report as it is now.
+async fn write<P: Platform>(
+    node: &Node<P>,
+    key: &str,
+    lease: &mut Option<ReportLease>,
+) -> Result<(), StoreError> {
+    let store = node.store();
+    let now = node.clock.now();
+    let usable = lease.filter(|lease| now.since(lease.granted_at) < LEASE_USED_FOR);
+    let usable = match usable {
+        Some(lease) => lease,
+        None => ReportLease {
+            number: store.grant_lease(KEEP).await?,
+            granted_at: now,
+        },
+    };
+    *lease = Some(usable);
+    let report = node.state.borrow_mut().crash_ledger.own_report(now);
+    let suspicions = report.len();
+    let write = Write {
+        key: key.to_string(),
+        value: Bytes::from(WireCrashReport::from_report(&report).serialize_bin()),
+        lease: usable.number,
+    };
+    let put = ConditionalPut {
+        conditions: Vec::new(),
+        writes: vec![write],
+    };
+    store.put(put).await?;
+    tracing::info!(target: "crash", event = "report written", suspicions);
+    Ok(())
+}
+
+/// The nodes that this one listens to are asked to tell its report.
+fn hand_over<P: Platform>(node: &Node<P>) {
+    let now = node.clock.now();
+    let report = node.state.borrow_mut().crash_ledger.own_report(now);
+    let wire = WireCrashReport::from_report(&report);
+    node.tell_orderers(&ToOrderer::Crashes(wire));
+}
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -10,11 +10,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::replica::{ReplicaId, ReplicaState};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::crash_reports;
 use crate::node::Node;
 use crate::ports::Platform;
 use crate::request::CallerAddress;
@@ -24,6 +26,9 @@
 /// Longest wait for the connection that is tried: an ended replica's machine
 /// refuses it within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait of a request that could go on elsewhere: some round trips, and
+/// little beside the pauses that callers bear (300 ms at least).
+const LONGEST_WAIT: Duration = Duration::from_millis(60);
 /// A request that got its answer's head longer ago had been running well, and did
 /// not end its replica by beginning: the longest step of an engine under load.
 const BEGINS_WITHIN: Duration = Duration::from_secs(2);
@@ -34,7 +39,7 @@
     /// The caller's id of the attempt.
     pub id: String,
     /// Identity of its content.
-    pub fingerprint: u128,
+    pub fingerprint: Fingerprint,
     /// Where it came from.
     pub caller: Option<CallerAddress>,
     /// Time since the head of its answer; `None` if there was none yet.
@@ -69,25 +74,48 @@
     }
 }
 
+/// Waits until it is known whether a replica at which requests broke has ended.
+pub(crate) async fn until_judged<P: Platform>(node: &Node<P>, replica: &ReplicaId) {
+    let judged = async {
+        loop {
+            let changed = node.crash_judged.notified();
+            if !node.state.borrow().crash_watch.broken.contains_key(replica) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // A replica that does not even refuse is not known to have ended.
+    let _ = timeout(LONGEST_WAIT, judged).await;
+}
+
 /// Tries one connection to the replica, and notes what it shows.
 async fn judge<P: Platform>(node: Rc<Node<P>>, replica: ReplicaId, address: SocketAddr) {
     sleep(GATHER).await;
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let broken = node.state.borrow_mut().crash_watch.broken.remove(&replica);
-    let broken = broken.unwrap_or_default();
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
-    if !refused {
+    let broken = node.state.borrow_mut().crash_watch.broken.remove(&replica);
+    let broken = broken.unwrap_or_default();
+    if refused {
+        note_end(&node, &replica, &broken);
+    } else {
         tracing::info!(target: "crash", event = "requests broke, the replica lives", replica = &*replica,
             requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()));
-        return;
     }
+    node.crash_judged.notify_waiters();
+}
+
+/// A replica ended: each request that had just begun there may be the cause.
+fn note_end<P: Platform>(node: &Node<P>, replica: &ReplicaId, broken: &[BrokenRequest]) {
     let begun: Vec<&BrokenRequest> = broken.iter().filter(|request| request.had_just_begun()).collect();
-    tracing::warn!(target: "crash", event = "replica ended", replica = &*replica, requests = broken.len(),
+    tracing::warn!(target: "crash", event = "replica ended", replica = &**replica, requests = broken.len(),
         had_just_begun = begun.len());
+    let fingerprints = begun.iter().map(|request| request.fingerprint);
+    crash_reports::replica_ended(node, replica, fingerprints);
     for request in begun {
         tracing::info!(target: "crash", event = "had just begun at a replica that ended", id = request.id,
-            fingerprint = format_args!("{:032x}", request.fingerprint), replica = &*replica,
+            fingerprint = %request.fingerprint, replica = &**replica,
             caller = request.caller.map(|caller| tracing::field::display(caller.0)),
             head_age_ms = request.head_age.map(|age| age.as_millis() as u64));
     }
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -6,6 +6,7 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::replica::ReplicaListing;
 
+use crate::crash_reports;
 use crate::membership;
 use crate::node::{Lifecycle, Node};
 use crate::orderer_task::OrdererInput;
@@ -55,6 +56,8 @@
     let mut state = node.state.borrow_mut();
     state.replicas.retain(|id| listed.contains(id));
     state.members.retain(|key| keys.contains(key));
+    let now = node.clock.now();
+    state.crash_ledger.retain_reports(|key| keys.contains(key), now);
 }
 
 /// Takes in all that a peer knows, and forgets what it does not.
@@ -137,6 +140,7 @@
                 tracing::info!(target: "directory", event = "replica gone", replica = &*id);
             } else {
                 state.members.removed(key);
+                state.crash_ledger.forget_report(key, node.clock.now());
             }
         }
     }
@@ -152,6 +156,7 @@
         Record::Malformed(reason) => {
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
         }
+        Record::Other if crash_reports::is_report(&item.key) => crash_reports::report_written(node, item),
         Record::Other => {
             if let Some(own) = membership::read_own_item(item) {
                 node.state.borrow_mut().members.written(&item.key, own);
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -28,6 +28,8 @@
     pub retries: Family<OutcomeLabels, Counter>,
     /// Orders by kind and outcome.
     pub orders: Family<OutcomeLabels, Counter>,
+    /// Requests that crash replicas, and replicas that ended, by outcome.
+    pub crashes: Family<OutcomeLabels, Counter>,
     /// Calls to the store by kind and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// Messages of the orderer by kind and what became of them.
@@ -70,6 +72,12 @@
         );
         let orders = Family::default();
         registry.register("orders", "Orders to replicas by kind and outcome", orders.clone());
+        let crashes = Family::default();
+        registry.register(
+            "crashes",
+            "Requests that crash replicas, and replicas that ended, by outcome",
+            crashes.clone(),
+        );
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -127,6 +135,7 @@
             requests,
             retries,
             orders,
+            crashes,
             store_calls,
             relayed,
             first_byte_seconds,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::Configuration;
+use croftrill_scheduler::crash_ledger::CrashLedger;
 use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{HeardResignation, Resignation};
@@ -56,6 +57,8 @@
     pub configuration_item: Option<Item>,
     /// All known replicas.
     pub replicas: ReplicaTable,
+    /// Requests that crash replicas, as all nodes saw.
+    pub crash_ledger: CrashLedger,
     /// Requests that broke at replicas that may have ended.
     pub crash_watch: CrashWatch,
     /// This node's share of the retry budget.
@@ -120,6 +123,10 @@
     /// when this node gets or loses the orderer's lease.
     pub relay_changed: Notify,
     terms_held: Cell<usize>,
+    /// Told when it is known whether a replica at which requests broke has ended.
+    pub crash_judged: Notify,
+    /// Told when this node's report of requests that crash replicas should be written.
+    pub crash_report_changed: Notify,
     /// Told when the node is asked to stop.
     pub stop_requested: Notify,
     /// Told when a request leaves, so that a waiting one may start.
@@ -199,6 +206,7 @@
             configuration: None,
             configuration_item: None,
             replicas: ReplicaTable::new(),
+            crash_ledger: CrashLedger::default(),
             crash_watch: CrashWatch::default(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
@@ -225,6 +233,8 @@
             view_changed: Notify::new(),
             relay_changed: Notify::new(),
             terms_held: Cell::new(0),
+            crash_judged: Notify::new(),
+            crash_report_changed: Notify::new(),
             acquiring: Mutex::new(()),
             stop_requested: Notify::new(),
             place_freed: Notify::new(),
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -320,8 +320,8 @@
             }
             // Only a link's first message.
             ToOrderer::Listen(_) | ToOrderer::Follow => {}
-            // Answered by the link itself.
-            ToOrderer::Replay(_) => {}
+            // Taken by the link itself.
+            ToOrderer::Replay(_) | ToOrderer::Crashes(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
         }
     }
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -11,6 +11,7 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
+use crate::crash_reports::WireCrashReport;
 use crate::tree::MOST_NEWS_BYTES;
 
 /// A model or adapter of a service, on the wire.
@@ -84,6 +85,8 @@
     Follow,
     /// Wanted: the store's changes after this revision.
     Replay(u64),
+    /// A report that the sender cannot write to the store itself.
+    Crashes(WireCrashReport),
 }
 
 /// A model on its way, on the wire.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::crash_reports;
 use crate::directory::relay;
 use crate::link::PeerLink;
 use crate::node::Node;
@@ -118,12 +119,18 @@
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
                 let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
-                if let ToOrderer::Replay(after) = message {
-                    let reply = tree::replay(node, after).serialize_bin();
-                    link.send(Bytes::from(reply)).await?;
-                    link.send(tree::known_placements(node)).await?;
-                } else if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
-                    return Ok(());
+                match message {
+                    ToOrderer::Replay(after) => {
+                        let reply = tree::replay(node, after).serialize_bin();
+                        link.send(Bytes::from(reply)).await?;
+                        link.send(tree::known_placements(node)).await?;
+                    }
+                    ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
+                    message => {
+                        if inbox.send(OrdererInput::FromNode(message)).await.is_err() {
+                            return Ok(());
+                        }
+                    }
                 }
             }
         }
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::RouteKind;
+use croftrill_scheduler::crash_ledger::Verdict;
 use croftrill_scheduler::replica::ReplicaId;
 use http::header::{self, HeaderValue};
 use http::{response, Method, Response, StatusCode};
@@ -48,6 +49,10 @@
         } else {
             Some(come_back.unwrap_or(DEFAULT_RETURN))
         };
+        self.refuse_finally(status, cause, come_back)
+    }
+
+    fn refuse_finally(&self, status: StatusCode, cause: &'static str, come_back: Option<Duration>) -> Answer {
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), "refused");
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome = "given up",
             cause, status = status.as_u16(), sends = self.sends, model = self.facts.model.as_deref(),
@@ -56,6 +61,29 @@
         refuse(status, cause, come_back)
     }
 
+    /// The final answer to a request under which replicas ended. It says no time to
+    /// come back: nothing promises that such a request is ever served.
+    pub(super) fn turn_away(&self, verdict: Verdict) -> Answer {
+        let fingerprint = self.fingerprint();
+        let outcome = match verdict {
+            Verdict::Held(_) => "held back",
+            Verdict::Refused | Verdict::Free => "refused",
+        };
+        Metrics::count(&self.node.metrics.crashes, "request", outcome);
+        let mut state = self.node.state.borrow_mut();
+        let suspect = state.crash_ledger.suspect(fingerprint);
+        let ends = suspect.map(|suspect| suspect.ends.len());
+        drop(state);
+        tracing::info!(target: "crash", event = "a request that ended replicas came", id = self.facts.id,
+            %fingerprint, outcome, ends, sends = self.sends,
+            caller = self.caller().map(|caller| tracing::field::display(caller.0)));
+        let cause = "replicas ended under this request";
+        if self.may_have_run {
+            return self.give_up(cause, None);
+        }
+        self.refuse_finally(StatusCode::SERVICE_UNAVAILABLE, cause, None)
+    }
+
     pub(super) fn log_end(&self, replica: &ReplicaId, outcome: &'static str) {
         let metric = if outcome == "served" { "served" } else { "failed" };
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
--- a/crates/croftrill-node/src/request/fingerprint.rs
+++ b/crates/croftrill-node/src/request/fingerprint.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 
+use croftrill_scheduler::crash_ledger::Fingerprint;
 use sha2::{Digest, Sha256};
 
 /// Address from which a caller's connection comes; the front sets it.
@@ -11,7 +12,7 @@
 /// The fingerprint of a request's target, caller and body. SHA-256, as a caller
 /// that found another one's fingerprint could have that request refused: half of
 /// its bits still leave nobody a way to one.
-pub(super) fn fingerprint(target: &str, caller: Option<CallerAddress>, body: &[u8]) -> u128 {
+pub(super) fn fingerprint(target: &str, caller: Option<CallerAddress>, body: &[u8]) -> Fingerprint {
     let mut hasher = Sha256::new();
     // Lengths keep the end of one field from passing for the start of the next.
     hasher.update((target.len() as u64).to_be_bytes());
@@ -24,5 +25,5 @@
     let digest = hasher.finalize();
     let mut half = [0; 16];
     half.copy_from_slice(&digest[..16]);
-    u128::from_be_bytes(half)
+    Fingerprint(u128::from_be_bytes(half))
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -24,6 +24,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
+use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::ReplicaId;
 use http::{request, Request, Response, StatusCode};
@@ -37,6 +38,7 @@
 use self::forwarding::{find_route, pick_backend, read_body};
 use self::guards::{take_place, Flight, Place};
 use self::sending::SendEnd;
+use crate::crash_reports;
 use crate::crash_watch::{self, BrokenRequest};
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -180,17 +182,24 @@
     /// True once it was counted as served too late.
     counted_late: Cell<bool>,
     /// Identity of its content; computed when it is first wanted.
-    fingerprint: OnceCell<u128>,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl<P: Platform> RequestRun<P> {
     async fn serve(mut self) -> Answer {
         self.count_arrival();
         loop {
+            if let Some(verdict) = self.barred().await {
+                return self.turn_away(verdict);
+            }
             let replica = match self.next_replica().await {
                 NextReplica::Send(replica) => replica,
                 NextReplica::GiveUp(cause, come_back) => return self.give_up(cause, come_back),
             };
+            // What crashed a replica meanwhile may be known only now.
+            if let Some(verdict) = self.barred().await {
+                return self.turn_away(verdict);
+            }
             if self.sends > 0 && !self.take_retry(&replica) {
                 return self.give_up("retry budget used up", Some(DEFAULT_RETURN));
             }
@@ -247,7 +256,7 @@
     }
 
     /// Identity of the request's content, the same whenever it comes again.
-    fn fingerprint(&self) -> u128 {
+    fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let target = self
                 .head
@@ -258,6 +267,26 @@
         })
     }
 
+    /// Why the request may not be sent (now), if so: replicas ended under it. Waits
+    /// until it is known whether the one at which it broke last has ended.
+    async fn barred(&self) -> Option<Verdict> {
+        if let Some(last) = self.tried.last() {
+            crash_watch::until_judged(&self.node, last).await;
+        }
+        if self.node.state.borrow().crash_ledger.is_empty() {
+            return None;
+        }
+        let verdict = crash_reports::verdict(&self.node, self.fingerprint());
+        (verdict != Verdict::Free).then_some(verdict)
+    }
+
+    /// A replica answered whole, so the request did not crash it.
+    fn answered_whole(&self) {
+        if !self.node.state.borrow().crash_ledger.is_empty() {
+            crash_reports::answered_whole(&self.node, self.fingerprint());
+        }
+    }
+
     fn caller(&self) -> Option<CallerAddress> {
         self.head.extensions.get::<CallerAddress>().copied()
     }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -153,6 +153,7 @@
         }
         match timeout_at(self.until, body.collect()).await {
             Ok(Ok(body)) => {
+                self.answered_whole();
                 let failed = head.status.is_server_error();
                 if failed {
                     tracing::info!(target: "send", id = self.facts.id, replica = &**replica,
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -65,6 +65,7 @@
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
+                    self.answered_whole();
                     if self.route.is_idempotent() {
                         let headers = &current.head.headers;
                         self.node.pool.put_back(current.connection, headers);
@@ -190,7 +191,7 @@
             let NextReplica::Send(replica) = self.next_replica().await else {
                 return None;
             };
-            if !self.take_retry(&replica) {
+            if self.barred().await.is_some() || !self.take_retry(&replica) {
                 return None;
             }
             match self.send(&replica, after.as_deref(), None).await {
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -8,7 +8,7 @@
 
 use crate::node::{Node, NodeQueues};
 use crate::ports::Platform;
-use crate::{directory, front, membership, orderer_task, peer_link, tree};
+use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, tree};
 
 /// Longest wait for the node's entries in the store to be withdrawn at the end.
 const WITHDRAWAL: Duration = Duration::from_millis(300);
@@ -35,6 +35,7 @@
     spawn_local(peer_link::accept(node.clone(), peer_listener));
     spawn_local(peer_link::tell_demand(node.clone()));
     spawn_local(directory::follow(node.clone()));
+    spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(close_old_connections(node.clone()));
     let mut orderers = Vec::new();
     spawn_local(tree::follow_relays(node.clone(), queues.to_relay));
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::{is_direct, known_placements, linked_message, replay};
+use crate::crash_reports;
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer};
@@ -67,6 +68,7 @@
                 node.tell_orderers(&ToOrderer::Waiting(model));
             }
         }
+        ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
         ToOrderer::Replay(after) => return Some(replay(node, after)),
         // Only a link's first message.
         ToOrderer::Listen(_) | ToOrderer::Follow => {}
--- a/crates/croftrill-node/src/tree/whole_view.rs
+++ b/crates/croftrill-node/src/tree/whole_view.rs
@@ -6,6 +6,7 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
 
+use crate::crash_reports;
 use crate::membership::{Members, OwnItem};
 use crate::node::{Node, NodeState};
 use crate::peer::{DirectoryNews, RevisedChange, WireChange, WireListing};
@@ -25,7 +26,8 @@
     };
     let changes = std::iter::once(written)
         .chain(replicas(&state))
-        .chain(own_items(&state.members));
+        .chain(own_items(&state.members))
+        .chain(crash_reports(&state));
     let mut news = DirectoryNews {
         after: 0,
         reached,
@@ -47,6 +49,12 @@
     listings.map(|listing| WireChange::Replica(WireListing::from_listing(listing)))
 }
 
+/// The nodes' reports of requests that crash replicas.
+fn crash_reports(state: &NodeState) -> impl Iterator<Item = WireChange> {
+    let items = crash_reports::items(&state.crash_ledger).into_iter();
+    items.map(|(key, value)| WireChange::Written { key, value })
+}
+
 /// The nodes' own items, as the store holds them.
 fn own_items(members: &Members) -> impl Iterator<Item = WireChange> + '_ {
     members.items().map(|(key, item)| {
--- /dev/null
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -0,0 +1,337 @@
+//! Which requests crash the replicas that begin to run them.
+//!
+//! A replica that ends takes all its requests with it, so one end is evidence
+//! against each request that had just begun there. What tells them apart:
+//!
+//! - a request that was answered whole anywhere is cleared of all ends before;
+//! - of the requests that had begun at a replica, those with the most ends bear
+//!   the blame, and the others were only beside them.
+//!
+//! Ends count by replica incarnation. Reports of several nodes are united as sets,
+//! so doubled and late ones change nothing, and every node comes to the same count.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::time::Moment;
+
+/// Identity of a request's content: its path, caller and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub u128);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+/// Identity of a replica incarnation that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndedReplica(pub u64);
+
+impl EndedReplica {
+    /// The key of the incarnation with this id.
+    pub fn of(id: &str) -> Self {
+        EndedReplica(xxh3_64(id.as_bytes()))
+    }
+}
+
+/// Ends for which a request bears the blame from which on it is not sent any more.
+/// The users allow three replicas to end under one request.
+const ENDS_TO_REFUSE: usize = 3;
+/// Ends from which on it is not sent whoever else was there: two crashing requests
+/// that always come together would shield one another, and the users allow three
+/// sends after the third end.
+const ENDS_TO_REFUSE_IN_COMPANY: usize = 5;
+/// Ends under a request that alone had most of them, from which on it is held
+/// back: a crash costs all of a replica's streams, while two independent ends
+/// within the first seconds of both runs of an innocent request are rare.
+const ENDS_TO_HOLD: usize = 2;
+/// How long such a request is held back, so that an innocent one is served after
+/// all: about the time in which a replica is back and has loaded a model.
+pub const HOLD: Duration = Duration::from_secs(10);
+/// How long a node reports a request after it last crashed a replica or was
+/// refused. As long as the longest lease of a store.
+pub const KEEP: Duration = Duration::from_secs(600);
+/// Most requests in one node's report, at some 100 bytes: those that had just
+/// begun at two full replicas.
+const MOST_REPORTED: usize = 128;
+/// Most ends of one request in a report: more change no verdict.
+const MOST_ENDS: usize = 8;
+
+/// What is reported of one request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Replicas that ended when it had just begun there.
+    pub ended: BTreeSet<EndedReplica>,
+    /// Those of them of which it was cleared.
+    pub cleared: BTreeSet<EndedReplica>,
+}
+
+impl Suspicion {
+    fn unite(&mut self, other: &Suspicion) {
+        self.ended.extend(&other.ended);
+        self.cleared.extend(&other.cleared);
+    }
+
+    fn open(&self) -> impl Iterator<Item = EndedReplica> + '_ {
+        self.ended.difference(&self.cleared).copied()
+    }
+}
+
+/// What one node reports.
+pub type CrashReport = BTreeMap<Fingerprint, Suspicion>;
+
+/// What may happen with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be sent.
+    Free,
+    /// It may be sent after this time.
+    Held(Duration),
+    /// It is not sent any more.
+    Refused,
+}
+
+/// What all reports together say of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Replicas that ended under it, without those of which it was cleared.
+    pub ends: BTreeSet<EndedReplica>,
+    /// Ends at which no other request had more.
+    pub blamed: usize,
+    /// Ends at which every other request had fewer.
+    pub alone: usize,
+    /// When the newest end became known here.
+    pub known_at: Moment,
+}
+
+impl Suspect {
+    /// The verdict on the request.
+    pub fn verdict(&self, now: Moment) -> Verdict {
+        if self.blamed >= ENDS_TO_REFUSE || self.ends.len() >= ENDS_TO_REFUSE_IN_COMPANY {
+            return Verdict::Refused;
+        }
+        let held_for = now.since(self.known_at);
+        if self.alone >= ENDS_TO_HOLD && held_for < HOLD {
+            return Verdict::Held(HOLD - held_for);
+        }
+        Verdict::Free
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Own {
+    suspicion: Suspicion,
+    touched: Moment,
+}
+
+/// All that a node knows of requests that crash replicas.
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    own: BTreeMap<Fingerprint, Own>,
+    reports: BTreeMap<String, CrashReport>,
+    suspects: HashMap<Fingerprint, Suspect>,
+    /// When something changed that `suspects` does not show yet.
+    changed_at: Option<Moment>,
+}
+
+impl CrashLedger {
+    /// True if nothing is suspected, so that requests need not be looked up.
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.reports.is_empty()
+    }
+
+    /// A replica ended when this request had just begun there.
+    pub fn record_end(&mut self, fingerprint: Fingerprint, replica: EndedReplica, now: Moment) {
+        let own = self.touch(fingerprint, now);
+        if own.suspicion.ended.len() < MOST_ENDS {
+            own.suspicion.ended.insert(replica);
+        }
+        self.changed_at = Some(now);
+    }
+
+    /// A replica answered the request whole. True if that clears it of anything,
+    /// which the other nodes must hear: they would count the ends on.
+    pub fn record_whole(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+        let Some(suspect) = self.suspect(fingerprint).cloned() else {
+            return false;
+        };
+        let own = self.touch(fingerprint, now);
+        own.suspicion.ended.extend(&suspect.ends);
+        own.suspicion.cleared.extend(&suspect.ends);
+        self.changed_at = Some(now);
+        true
+    }
+
+    /// What all know of the request becomes part of this node's own report, which
+    /// keeps it alive. True if the report should be told anew.
+    pub fn adopt(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+        let known: Vec<Suspicion> = self
+            .reports
+            .values()
+            .filter_map(|report| report.get(&fingerprint))
+            .cloned()
+            .collect();
+        let touched_before = self.own.get(&fingerprint).map(|own| own.touched);
+        let own = self.touch(fingerprint, now);
+        let before = own.suspicion.clone();
+        known.iter().for_each(|known| own.suspicion.unite(known));
+        let is_old = touched_before.is_none_or(|touched| now.since(touched) > KEEP / 2);
+        is_old || own.suspicion != before
+    }
+
+    /// Another node cannot tell its report itself: this one's tells it too.
+    pub fn adopt_report(&mut self, report: &CrashReport, now: Moment) -> bool {
+        let mut is_changed = false;
+        for (fingerprint, suspicion) in report {
+            let own = self.touch(*fingerprint, now);
+            let before = own.suspicion.clone();
+            own.suspicion.unite(suspicion);
+            is_changed |= own.suspicion != before;
+        }
+        if is_changed {
+            self.changed_at = Some(now);
+        }
+        is_changed
+    }
+
+    /// A node's report, whole, replaces its former one.
+    pub fn take_report(&mut self, source: &str, report: CrashReport, now: Moment) {
+        self.reports.insert(source.to_string(), report);
+        self.changed_at = Some(now);
+    }
+
+    /// A node's report is over.
+    pub fn forget_report(&mut self, source: &str, now: Moment) {
+        if self.reports.remove(source).is_some() {
+            self.changed_at = Some(now);
+        }
+    }
+
+    /// Keeps just the reports for whose source `keep` holds.
+    pub fn retain_reports(&mut self, keep: impl Fn(&str) -> bool, now: Moment) {
+        let count = self.reports.len();
+        self.reports.retain(|source, _| keep(source));
+        if self.reports.len() != count {
+            self.changed_at = Some(now);
+        }
+    }
+
+    /// The other nodes' reports and this one's, by source.
+    pub fn reports(&self) -> impl Iterator<Item = (&String, &CrashReport)> {
+        self.reports.iter()
+    }
+
+    /// This node's own report.
+    pub fn own_report(&mut self, now: Moment) -> CrashReport {
+        self.own.retain(|_, own| now.since(own.touched) <= KEEP);
+        let own = self.own.iter();
+        own.map(|(fingerprint, own)| (*fingerprint, own.suspicion.clone()))
+            .collect()
+    }
+
+    /// What may happen with a request.
+    pub fn verdict(&mut self, fingerprint: Fingerprint, now: Moment) -> Verdict {
+        self.suspect(fingerprint)
+            .map_or(Verdict::Free, |suspect| suspect.verdict(now))
+    }
+
+    /// What is known of a request; `None` if no replica ended under it.
+    pub fn suspect(&mut self, fingerprint: Fingerprint) -> Option<&Suspect> {
+        self.unite();
+        self.suspects.get(&fingerprint)
+    }
+
+    /// All requests under which replicas ended.
+    pub fn suspects(&mut self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        self.unite();
+        self.suspects
+            .iter()
+            .map(|(fingerprint, suspect)| (*fingerprint, suspect))
+    }
+
+    fn touch(&mut self, fingerprint: Fingerprint, now: Moment) -> &mut Own {
+        if self.own.len() >= MOST_REPORTED && !self.own.contains_key(&fingerprint) {
+            self.drop_least();
+        }
+        let own = self.own.entry(fingerprint).or_default();
+        own.touched = now;
+        own
+    }
+
+    /// Forgets the request with the fewest ends, the one that came longest ago
+    /// first. So nobody makes a node forget a request that it refuses, but by as
+    /// many crashes.
+    fn drop_least(&mut self) {
+        let weight = |own: &Own| (own.suspicion.open().count(), own.touched);
+        let least = self.own.iter().min_by_key(|(_, own)| weight(own));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.own.remove(&fingerprint);
+        }
+    }
+
+    /// Unites all reports, if any changed.
+    fn unite(&mut self) {
+        let Some(changed_at) = self.changed_at.take() else {
+            return;
+        };
+        let mut united: CrashReport = BTreeMap::new();
+        let own = self.own.iter().map(|(key, own)| (key, &own.suspicion));
+        for (fingerprint, suspicion) in self.reports.values().flatten().chain(own) {
+            united.entry(*fingerprint).or_default().unite(suspicion);
+        }
+        united.retain(|_, suspicion| suspicion.open().next().is_some());
+        let ranks = rank_by_replica(&united);
+        let former = std::mem::take(&mut self.suspects);
+        for (fingerprint, suspicion) in united {
+            let ends: BTreeSet<EndedReplica> = suspicion.open().collect();
+            let former = former.get(&fingerprint);
+            let known_at = former.filter(|former| former.ends.is_superset(&ends));
+            let suspect = Suspect {
+                blamed: ends.iter().filter(|end| ranks[end].most == ends.len()).count(),
+                alone: ends.iter().filter(|end| ranks[end].is_alone(ends.len())).count(),
+                known_at: known_at.map_or(changed_at, |former| former.known_at),
+                ends,
+            };
+            self.suspects.insert(fingerprint, suspect);
+        }
+    }
+}
+
+/// The most ends of any request that had begun at a replica, and of how many.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rank {
+    most: usize,
+    with_most: usize,
+}
+
+impl Rank {
+    fn is_alone(&self, ends: usize) -> bool {
+        self.most == ends && self.with_most == 1
+    }
+}
+
+fn rank_by_replica(united: &CrashReport) -> HashMap<EndedReplica, Rank> {
+    let mut ranks: HashMap<EndedReplica, Rank> = HashMap::new();
+    for suspicion in united.values() {
+        let count = suspicion.open().count();
+        for replica in suspicion.open() {
+            let rank = ranks.entry(replica).or_default();
+            match count.cmp(&rank.most) {
+                std::cmp::Ordering::Greater => {
+                    *rank = Rank {
+                        most: count,
+                        with_most: 1,
+                    }
+                }
+                std::cmp::Ordering::Equal => rank.with_most += 1,
+                std::cmp::Ordering::Less => {}
+            }
+        }
+    }
+    ranks
+}
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod candidacy;
 pub mod catalog;
+pub mod crash_ledger;
 pub mod demand;
 pub mod fair_queue;
 pub mod followed_view;
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/crash_ledger.rs
@@ -0,0 +1,188 @@
+//! Which requests bear the blame for replicas that ended.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use croftrill_scheduler::crash_ledger::{
+    CrashLedger, CrashReport, EndedReplica, Fingerprint, Suspicion, Verdict, HOLD,
+};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+
+const CRASHER: Fingerprint = Fingerprint(1);
+
+fn at(seconds: u64) -> Moment {
+    Moment::from_start(Duration::from_secs(seconds))
+}
+
+fn replica(number: u64) -> EndedReplica {
+    EndedReplica(number)
+}
+
+fn report(rows: &[(Fingerprint, &[u64])]) -> CrashReport {
+    let rows = rows.iter().map(|(fingerprint, ended)| {
+        let suspicion = Suspicion {
+            ended: ended.iter().copied().map(EndedReplica).collect(),
+            cleared: BTreeSet::new(),
+        };
+        (*fingerprint, suspicion)
+    });
+    rows.collect()
+}
+
+#[test]
+fn verdict_is_free_after_one_end_held_after_two_refused_after_three() {
+    let mut ledger = CrashLedger::default();
+    ledger.record_end(CRASHER, replica(1), at(1));
+    assert_eq!(ledger.verdict(CRASHER, at(1)), Verdict::Free);
+    ledger.record_end(CRASHER, replica(2), at(2));
+    assert_eq!(ledger.verdict(CRASHER, at(2)), Verdict::Held(HOLD));
+    assert_eq!(ledger.verdict(CRASHER, at(2) + HOLD), Verdict::Free);
+    ledger.record_end(CRASHER, replica(3), at(20));
+    assert_eq!(ledger.verdict(CRASHER, at(20)), Verdict::Refused);
+    assert_eq!(ledger.verdict(CRASHER, at(1000)), Verdict::Refused);
+}
+
+#[test]
+fn verdict_counts_ends_of_several_nodes_once_each() {
+    let mut ledger = CrashLedger::default();
+    ledger.take_report("a", report(&[(CRASHER, &[1, 2])]), at(1));
+    ledger.take_report("b", report(&[(CRASHER, &[2])]), at(1));
+    ledger.take_report("b", report(&[(CRASHER, &[2])]), at(2));
+    assert!(matches!(ledger.verdict(CRASHER, at(2)), Verdict::Held(_)));
+    ledger.record_end(CRASHER, replica(2), at(3));
+    assert!(matches!(ledger.verdict(CRASHER, at(3)), Verdict::Held(_)));
+    ledger.take_report("c", report(&[(CRASHER, &[3])]), at(4));
+    assert_eq!(ledger.verdict(CRASHER, at(4)), Verdict::Refused);
+}
+
+#[test]
+fn verdict_spares_requests_beside_the_one_with_most_ends() {
+    let mut ledger = CrashLedger::default();
+    let (once, twice) = (Fingerprint(2), Fingerprint(3));
+    // Each end has other requests beside it; one comes again and is hit again.
+    ledger.take_report("a", report(&[(CRASHER, &[1, 2, 3]), (once, &[1])]), at(1));
+    ledger.take_report("b", report(&[(twice, &[2, 3])]), at(1));
+    assert_eq!(ledger.verdict(CRASHER, at(1)), Verdict::Refused);
+    assert_eq!(ledger.verdict(once, at(1)), Verdict::Free);
+    assert_eq!(ledger.verdict(twice, at(1)), Verdict::Free);
+}
+
+#[test]
+fn verdict_refuses_two_crashing_requests_that_come_together() {
+    let mut ledger = CrashLedger::default();
+    let other = Fingerprint(2);
+    ledger.take_report("a", report(&[(CRASHER, &[1, 2, 3]), (other, &[1, 2, 3])]), at(1));
+    assert_eq!(ledger.verdict(CRASHER, at(1)), Verdict::Refused);
+    assert_eq!(ledger.verdict(other, at(1)), Verdict::Refused);
+    // One that always has fewer ends than its company is refused all the same.
+    let shielded = Fingerprint(3);
+    ledger.take_report("b", report(&[(Fingerprint(4), &[4, 5, 6, 7, 8, 9])]), at(2));
+    ledger.take_report("c", report(&[(shielded, &[4, 5, 6, 7])]), at(2));
+    assert_eq!(ledger.verdict(shielded, at(2)), Verdict::Free);
+    ledger.take_report("c", report(&[(shielded, &[4, 5, 6, 7, 8])]), at(3));
+    assert_eq!(ledger.verdict(shielded, at(3)), Verdict::Refused);
+}
+
+#[test]
+fn record_whole_clears_a_request_everywhere_of_the_ends_so_far() {
+    let mut here = CrashLedger::default();
+    let mut there = CrashLedger::default();
+    let evidence = report(&[(CRASHER, &[1, 2, 3])]);
+    here.take_report("a", evidence.clone(), at(1));
+    there.take_report("a", evidence, at(1));
+    assert!(here.record_whole(CRASHER, at(2)));
+    assert_eq!(here.verdict(CRASHER, at(2)), Verdict::Free);
+    there.take_report("here", here.own_report(at(2)), at(3));
+    assert_eq!(there.verdict(CRASHER, at(3)), Verdict::Free);
+    for number in 4..7 {
+        there.record_end(CRASHER, replica(number), at(4));
+    }
+    assert_eq!(there.verdict(CRASHER, at(4)), Verdict::Refused);
+}
+
+#[test]
+fn forget_report_ends_what_only_it_told() {
+    let mut ledger = CrashLedger::default();
+    ledger.take_report("a", report(&[(CRASHER, &[1, 2, 3])]), at(1));
+    ledger.retain_reports(|source| source == "a", at(2));
+    assert_eq!(ledger.verdict(CRASHER, at(2)), Verdict::Refused);
+    assert!(ledger.adopt(CRASHER, at(2)));
+    assert!(!ledger.adopt(CRASHER, at(3)));
+    ledger.forget_report("a", at(4));
+    assert_eq!(ledger.verdict(CRASHER, at(4)), Verdict::Refused);
+    assert!(ledger.own_report(at(5)).contains_key(&CRASHER));
+    assert!(ledger.own_report(at(2000)).is_empty());
+}
+
+#[test]
+fn own_report_keeps_refused_requests_when_a_caller_fills_it() {
+    let mut ledger = CrashLedger::default();
+    for number in 1..4 {
+        ledger.record_end(CRASHER, replica(number), at(1));
+    }
+    for number in 0..1000 {
+        ledger.record_end(Fingerprint(100 + number), replica(10), at(2));
+    }
+    let report = ledger.own_report(at(3));
+    assert_eq!(report.len(), 128);
+    assert!(report.contains_key(&CRASHER));
+    assert_eq!(ledger.verdict(CRASHER, at(3)), Verdict::Refused);
+}
+
+proptest! {
+    /// Whatever comes twice, late or in another order leads to the same verdicts.
+    #[test]
+    fn take_report_comes_to_the_same_verdicts_in_any_order(
+        rows in prop::collection::vec((0u128..6, 0u64..8, 0usize..4), 1..40),
+        order in prop::collection::vec(0usize..1000, 40),
+    ) {
+        let mut reports: Vec<(String, CrashReport)> = Vec::new();
+        for node in 0..4 {
+            let mut told = CrashReport::new();
+            for (fingerprint, ended, _) in rows.iter().filter(|row| row.2 == node) {
+                told.entry(Fingerprint(*fingerprint)).or_default().ended.insert(replica(*ended));
+            }
+            reports.push((format!("n{node}"), told));
+        }
+        let mut straight = CrashLedger::default();
+        for (source, told) in &reports {
+            straight.take_report(source, told.clone(), at(1));
+        }
+        let mut shuffled = CrashLedger::default();
+        for pick in order {
+            let (source, told) = &reports[pick % reports.len()];
+            shuffled.take_report(source, told.clone(), at(1));
+        }
+        for (source, told) in reports.iter().rev() {
+            shuffled.take_report(source, told.clone(), at(1));
+        }
+        for fingerprint in 0..6 {
+            let fingerprint = Fingerprint(fingerprint);
+            prop_assert_eq!(straight.verdict(fingerprint, at(100)), shuffled.verdict(fingerprint, at(100)));
+        }
+    }
+
+    /// Innocent requests that are beside a crashing one at most twice each, as
+    /// their callers give up or are served, are never refused, and it always is
+    /// by its third end.
+    #[test]
+    fn verdict_never_refuses_requests_that_were_beside_twice(
+        beside in prop::collection::vec((10u128..30, 0u64..3), 0..60),
+    ) {
+        let mut ledger = CrashLedger::default();
+        for end in 0..3 {
+            ledger.record_end(CRASHER, replica(end), at(end));
+            for (innocent, _) in beside.iter().filter(|row| row.1 == end) {
+                let hits = ledger.suspect(Fingerprint(*innocent)).map_or(0, |suspect| suspect.ends.len());
+                if hits < 2 {
+                    ledger.record_end(Fingerprint(*innocent), replica(end), at(end));
+                }
+            }
+        }
+        prop_assert_eq!(ledger.verdict(CRASHER, at(3)), Verdict::Refused);
+        for innocent in 10..30 {
+            prop_assert_eq!(ledger.verdict(Fingerprint(innocent), at(3)), Verdict::Free);
+        }
+    }
+}
