--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod connection;
 pub mod counted_store;
 pub mod crash_reports;
+pub(crate) mod crash_trial;
 pub(crate) mod crash_watch;
 pub mod directory;
 pub mod front;
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -67,6 +67,7 @@
         let fingerprint = self.fingerprint();
         let outcome = match verdict {
             Verdict::Held(_) => "held back",
+            Verdict::OneAtATime => "another copy runs",
             Verdict::Refused | Verdict::Free => "refused",
         };
         Metrics::count(&self.node.metrics.crashes, "request", outcome);
--- a/crates/croftrill-node/src/request/fingerprint.rs
+++ b/crates/croftrill-node/src/request/fingerprint.rs
@@ -9,15 +9,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerAddress(pub IpAddr);
 
-/// The fingerprint of a request's target, caller and body. SHA-256, as a caller
+/// The fingerprint of a request's target, caller and body. A caller is who it says
+/// to be; its address tells nothing, as one caller uses several. SHA-256, as a caller
 /// that found another one's fingerprint could have that request refused: half of
 /// its bits still leave nobody a way to one.
-pub(super) fn fingerprint(target: &str, caller: Option<CallerAddress>, body: &[u8]) -> Fingerprint {
+pub(super) fn fingerprint(target: &str, caller: Option<&str>, body: &[u8]) -> Fingerprint {
     let mut hasher = Sha256::new();
     // Lengths keep the end of one field from passing for the start of the next.
     hasher.update((target.len() as u64).to_be_bytes());
     hasher.update(target);
-    let caller = caller.map(|CallerAddress(address)| address.to_string());
     let caller = caller.unwrap_or_default();
     hasher.update((caller.len() as u64).to_be_bytes());
     hasher.update(caller);
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -39,6 +39,7 @@
 use self::guards::{take_place, Flight, Place};
 use self::sending::SendEnd;
 use crate::crash_reports;
+use crate::crash_trial::{self, Trial, TrialOutcome};
 use crate::crash_watch::{self, BrokenRequest};
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -151,6 +152,7 @@
         longest_pause: Cell::new(Duration::ZERO),
         counted_late: Cell::new(false),
         fingerprint: OnceCell::new(),
+        trial: None,
     };
     run.serve().await
 }
@@ -183,6 +185,8 @@
     counted_late: Cell<bool>,
     /// Identity of its content; computed when it is first wanted.
     fingerprint: OnceCell<Fingerprint>,
+    /// Keeps other copies of it away, if replicas ended under it before.
+    trial: Option<Trial<P>>,
 }
 
 impl<P: Platform> RequestRun<P> {
@@ -196,8 +200,7 @@
                 NextReplica::Send(replica) => replica,
                 NextReplica::GiveUp(cause, come_back) => return self.give_up(cause, come_back),
             };
-            // What crashed a replica meanwhile may be known only now.
-            if let Some(verdict) = self.barred().await {
+            if let Some(verdict) = self.barred_from_sending().await {
                 return self.turn_away(verdict);
             }
             if self.sends > 0 && !self.take_retry(&replica) {
@@ -263,7 +266,7 @@
                 .uri
                 .path_and_query()
                 .map_or("/", |target| target.as_str());
-            fingerprint::fingerprint(target, self.caller(), &self.body)
+            fingerprint::fingerprint(target, self.facts.group.as_deref(), &self.body)
         })
     }
 
@@ -277,7 +280,27 @@
             return None;
         }
         let verdict = crash_reports::verdict(&self.node, self.fingerprint());
-        (verdict != Verdict::Free).then_some(verdict)
+        (!matches!(verdict, Verdict::Free | Verdict::OneAtATime)).then_some(verdict)
+    }
+
+    /// Why the request may not be sent at this moment, if so. What it crashed while it
+    /// waited may be known only now, and other copies of it may have waited with it.
+    async fn barred_from_sending(&mut self) -> Option<Verdict> {
+        if let Some(verdict) = self.barred().await {
+            return Some(verdict);
+        }
+        let fingerprint = self.fingerprint();
+        let verdict = crash_reports::verdict(&self.node, fingerprint);
+        if self.trial.is_some() || verdict != Verdict::OneAtATime {
+            return None;
+        }
+        match crash_trial::begin(&self.node, fingerprint).await {
+            TrialOutcome::Won(trial) => self.trial = Some(trial),
+            TrialOutcome::Lost => return Some(verdict),
+            // It may be innocent, and without the store nobody could tell.
+            TrialOutcome::Unknown => {}
+        }
+        None
     }
 
     /// A replica answered whole, so the request did not crash it.
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -191,7 +191,7 @@
             let NextReplica::Send(replica) = self.next_replica().await else {
                 return None;
             };
-            if self.barred().await.is_some() || !self.take_retry(&replica) {
+            if self.barred_from_sending().await.is_some() || !self.take_retry(&replica) {
                 return None;
             }
             match self.send(&replica, after.as_deref(), None).await {
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -53,6 +53,10 @@
 /// How long such a request is held back, so that an innocent one is served after
 /// all: about the time in which a replica is back and has loaded a model.
 pub const HOLD: Duration = Duration::from_secs(10);
+/// Requests that had just begun at an ended replica, up to which each of them is
+/// sent one at a time. Of more, each is hardly suspect, and the calls to the store
+/// would be many: a rack of full replicas leaves hundreds.
+const MOST_BEGUN_TO_TRY: usize = 8;
 /// How long a node reports a request after it last crashed a replica or was
 /// refused. As long as the longest lease of a store.
 pub const KEEP: Duration = Duration::from_secs(600);
@@ -90,6 +94,8 @@
 pub enum Verdict {
     /// It may be sent.
     Free,
+    /// It may be sent while no other copy of it has just been.
+    OneAtATime,
     /// It may be sent after this time.
     Held(Duration),
     /// It is not sent any more.
@@ -105,6 +111,8 @@
     pub blamed: usize,
     /// Ends at which every other request had fewer.
     pub alone: usize,
+    /// Requests that had just begun at the ended replica, where they were fewest.
+    pub fewest_begun: usize,
     /// When the newest end became known here.
     pub known_at: Moment,
 }
@@ -119,6 +127,9 @@
         if self.alone >= ENDS_TO_HOLD && held_for < HOLD {
             return Verdict::Held(HOLD - held_for);
         }
+        if self.ends.len() >= ENDS_TO_HOLD || self.fewest_begun <= MOST_BEGUN_TO_TRY {
+            return Verdict::OneAtATime;
+        }
         Verdict::Free
     }
 }
@@ -294,6 +305,7 @@
             let suspect = Suspect {
                 blamed: ends.iter().filter(|end| ranks[end].most == ends.len()).count(),
                 alone: ends.iter().filter(|end| ranks[end].is_alone(ends.len())).count(),
+                fewest_begun: ends.iter().map(|end| ranks[end].begun).min().unwrap_or_default(),
                 known_at: known_at.map_or(changed_at, |former| former.known_at),
                 ends,
             };
@@ -305,6 +317,7 @@
 /// The most ends of any request that had begun at a replica, and of how many.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rank {
+    begun: usize,
     most: usize,
     with_most: usize,
 }
@@ -321,12 +334,11 @@
         let count = suspicion.open().count();
         for replica in suspicion.open() {
             let rank = ranks.entry(replica).or_default();
+            rank.begun += 1;
             match count.cmp(&rank.most) {
                 std::cmp::Ordering::Greater => {
-                    *rank = Rank {
-                        most: count,
-                        with_most: 1,
-                    }
+                    rank.most = count;
+                    rank.with_most = 1;
                 }
                 std::cmp::Ordering::Equal => rank.with_most += 1,
                 std::cmp::Ordering::Less => {}
