--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -113,7 +113,7 @@
     pub settings: NodeSettings,
     /// The platform that it runs on.
     pub platform: P,
-    /// Its steady clock.
+    /// Its clock, which goes on in suspensions.
     pub clock: Clock,
     /// State that changes; never borrowed across an await.
     pub state: RefCell<NodeState>,
@@ -174,6 +174,11 @@
 impl<P: Platform> Node<P> {
     /// A node without a configuration.
     pub fn new(settings: NodeSettings, platform: P) -> (Rc<Self>, NodeQueues) {
+        Self::with_clock(settings, platform, Clock::start())
+    }
+
+    /// A node without a configuration, with a clock of its own.
+    pub fn with_clock(settings: NodeSettings, platform: P, clock: Clock) -> (Rc<Self>, NodeQueues) {
         let (mut to_orderers, mut orderer_inboxes) = (Vec::new(), Vec::new());
         let mut shards = Vec::new();
         for shard in Shard::all() {
@@ -195,7 +200,6 @@
             window: bounds.retry_window,
             safety: RETRY_SAFETY,
         };
-        let clock = Clock::start();
         let budget_begun = if settings.is_first_start {
             Moment::default()
         } else {
