Suspensions: requests, renewals and waits go by time that goes on

Cause: what waits, waits by the steady clock. After a suspension of s seconds a request was held s seconds past its deadline, its replica was told s seconds too many, and entries and leases were renewed s seconds late.

Change: arrival, deadline and pauses of a request are moments of the boot clock; waits for them end when a suspension has passed them. An order that was decided 100 ms before it could be sent is not sent.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -245,6 +245,11 @@
         tracing::debug!(target: "connection", event = "closed with a silent one", address = %connection.address, closed);
     }
 
+    /// Closes all resting connections.
+    pub fn close_resting(&self) {
+        self.resting.borrow_mut().clear();
+    }
+
     /// Closes resting connections that are too old to be used again.
     pub fn drop_old(&self) {
         self.resting.borrow_mut().retain(|_, connections| {
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -108,10 +108,11 @@
     /// Time between two looks.
     const LOOK_EVERY: Duration = Duration::from_millis(50);
     let grace = node.settings.bounds.stop_grace.saturating_sub(END_MARGIN);
-    let started = tokio::time::Instant::now();
-    while started.elapsed() < grace {
+    let started = node.clock.now();
+    let elapsed = || node.clock.now().since(started);
+    while elapsed() < grace {
         let idle = node.in_flight.get() == 0;
-        if idle && started.elapsed() >= STOP_LINGER + LOOK_EVERY * 4 {
+        if idle && elapsed() >= STOP_LINGER + LOOK_EVERY * 4 {
             break;
         }
         sleep(LOOK_EVERY).await;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -245,6 +245,8 @@
         }
         tokio::select! {
             () = sleep(node.settings.pace.membership_renewal) => {}
+            // Renewals wait by the steady clock, leases run out by the store's.
+            () = node.clock.resumed() => {}
             () = node.stop_requested.notified() => {}
             () = node.view_changed.notified(), if lease.is_none() => {}
         }
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -30,6 +30,8 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// Requests that crash replicas, and replicas that ended, by outcome.
     pub crashes: Family<OutcomeLabels, Counter>,
+    /// Suspensions of the machine that were noticed.
+    pub suspensions: Counter,
     /// Calls to the store by kind and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// Messages of the orderer by kind and what became of them.
@@ -78,6 +80,12 @@
             "Requests that crash replicas, and replicas that ended, by outcome",
             crashes.clone(),
         );
+        let suspensions = Counter::default();
+        registry.register(
+            "suspensions",
+            "Suspensions of the machine that were noticed",
+            suspensions.clone(),
+        );
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -136,6 +144,7 @@
             retries,
             orders,
             crashes,
+            suspensions,
             store_calls,
             relayed,
             first_byte_seconds,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -17,7 +17,6 @@
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
 use tokio::sync::{broadcast, mpsc, Mutex, Notify};
-use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
@@ -142,7 +141,7 @@
     /// Requests being served.
     pub in_flight: Cell<usize>,
     /// When the node was asked to stop.
-    stop_asked: Cell<Option<Instant>>,
+    stop_asked: Cell<Option<Moment>>,
     /// Held while this node tries to become an orderer: one shard at a time, so
     /// that it sees what it holds already.
     pub acquiring: Mutex<()>,
@@ -349,7 +348,7 @@
     pub fn refuses_new(&self) -> bool {
         self.stop_asked
             .get()
-            .is_some_and(|asked| asked.elapsed() >= STOP_LINGER)
+            .is_some_and(|asked| self.clock.now().since(asked) >= STOP_LINGER)
     }
 
     /// Begins to stop: not ready any more, gives no orders, takes what still comes.
@@ -360,7 +359,7 @@
         }
         state.lifecycle = Lifecycle::Stopping;
         drop(state);
-        self.stop_asked.set(Some(Instant::now()));
+        self.stop_asked.set(Some(self.clock.now()));
         tracing::info!(target: "node", event = "stop requested", in_flight = self.in_flight.get());
         self.stop_requested.notify_waiters();
     }
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -27,6 +27,10 @@
 use crate::ports::{EngineAddress, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError};
 use crate::tree;
 
+/// Time from the decision on an order after which it is not sent any more: less than
+/// the lease's margin, and more than a busy node takes to begin a task.
+const LONGEST_ORDER_DELAY: Duration = Duration::from_millis(100);
+
 /// Changes that a slow listener may fall behind before it must begin anew.
 const CHANGE_BACKLOG: usize = 128;
 
@@ -224,7 +228,13 @@
         let (node, shard) = (self.node.clone(), self.shard);
         while self.orders.try_join_next().is_some() {}
         self.orders.spawn_local(async move {
-            let outcome = node.platform.engine().order(&target, &fenced).await;
+            // The lease may have run out while the process stood still.
+            let is_fresh = node.clock.now().since(now) <= LONGEST_ORDER_DELAY;
+            let outcome = if is_fresh {
+                node.platform.engine().order(&target, &fenced).await
+            } else {
+                OrderOutcome::Conflict
+            };
             tracing::info!(target: "order", replica = &*target.replica, order = ?fenced.order,
                 sequence = fenced.expected_sequence, fencing_token = fenced.fencing_token, ?outcome);
             Metrics::count(
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -8,7 +8,6 @@
 use croftrill_scheduler::replica::ReplicaId;
 use http::header::{self, HeaderValue};
 use http::{response, Method, Response, StatusCode};
-use tokio::time::Instant;
 
 use super::forwarding::end_to_end;
 use super::{Answer, RequestRun, DEFAULT_RETURN};
@@ -39,7 +38,7 @@
 
     /// The final answer to a request that is given up.
     pub(super) fn give_up(&self, cause: &'static str, come_back: Option<Duration>) -> Answer {
-        let status = match (self.may_have_run, Instant::now() >= self.until) {
+        let status = match (self.may_have_run, self.now() >= self.until) {
             (false, _) => StatusCode::SERVICE_UNAVAILABLE,
             (true, true) => StatusCode::GATEWAY_TIMEOUT,
             (true, false) => StatusCode::BAD_GATEWAY,
@@ -56,7 +55,7 @@
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), "refused");
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome = "given up",
             cause, status = status.as_u16(), sends = self.sends, model = self.facts.model.as_deref(),
-            adapter = self.facts.adapter.as_deref(), waited_ms = self.arrival.elapsed().as_millis() as u64,
+            adapter = self.facts.adapter.as_deref(), waited_ms = self.waited().as_millis() as u64,
             come_back_ms = come_back.map(|time| time.as_millis() as u64), version = self.configuration.version);
         refuse(status, cause, come_back)
     }
@@ -93,7 +92,7 @@
             adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
             answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
             longest_pause_ms = self.longest_pause.get().as_millis() as u64, late = self.counted_late.get(),
-            elapsed_ms = self.arrival.elapsed().as_millis() as u64, version = self.configuration.version);
+            elapsed_ms = self.waited().as_millis() as u64, version = self.configuration.version);
     }
 }
 
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -6,7 +6,7 @@
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{RequestRun, DEFAULT_RETURN};
@@ -46,7 +46,7 @@
             return NextReplica::Send(replica);
         }
         loop {
-            if Instant::now() >= self.until {
+            if self.now() >= self.until {
                 return NextReplica::GiveUp("out of time", None);
             }
             if let Some(replica) = self.choose(&self.tried) {
@@ -124,19 +124,19 @@
     pub(super) fn cold_decision(&self) -> Option<ColdDecision> {
         let Some(key) = self.model_key() else {
             // A service without models: a replica may come back soon.
-            let waited = self.arrival.elapsed();
+            let waited = self.waited();
             return (waited < self.route.objective / WAIT_FOR_REPLICA).then_some(ColdDecision::Wait);
         };
         let ready_in = self.ready_in(&key)?;
         let is_first = self.last_reminder.get().is_none();
         self.remind_orderer(&key);
         let request = ColdRequest {
-            waited: self.arrival.elapsed(),
+            waited: self.waited(),
             ready_in,
             first_event_after: self.first_event_after(),
             objective: self.route.objective,
             patience: self.patience(),
-            left: self.until.saturating_duration_since(Instant::now()),
+            left: self.until.since(self.now()),
         };
         let decision = decide_cold(&request);
         if is_first || decision != ColdDecision::Wait {
@@ -177,7 +177,7 @@
 
     /// Time from arrival to when the caller or the route ends the request.
     pub(super) fn patience(&self) -> Duration {
-        let whole = self.until - self.arrival;
+        let whole = self.until.since(self.arrival);
         caller_patience(&self.route).map_or(whole, |patience| patience.min(whole))
     }
 
@@ -187,11 +187,11 @@
     }
 
     pub(super) fn remind_orderer(&self, key: &ModelKey) {
-        let now = Instant::now();
+        let now = self.now();
         if self
             .last_reminder
             .get()
-            .is_some_and(|last| now - last < REMIND_EVERY)
+            .is_some_and(|last| now.since(last) < REMIND_EVERY)
         {
             return;
         }
@@ -201,14 +201,14 @@
     }
 
     pub(super) async fn wait_for_view(&self) {
-        let longest = Instant::now() + LOOK_EVERY;
+        let longest = self.now() + LOOK_EVERY;
         let wake = async {
             tokio::select! {
                 () = self.node.view_changed.notified() => {}
                 () = self.node.stop_requested.notified() => {}
             }
         };
-        let _ = timeout_at(longest.min(self.until), wake).await;
+        let _ = self.node.clock.timeout_at(longest.min(self.until), wake).await;
     }
 
     pub(super) fn first_event_after(&self) -> Duration {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -27,9 +27,9 @@
 use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
 use http::{request, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::{timeout_at, Instant};
 
 pub use self::answers::refuse;
 use self::answers::{json, kind_name};
@@ -70,7 +70,7 @@
 
 /// Serves one request.
 pub async fn serve<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Answer {
-    let arrival = Instant::now();
+    let arrival = node.clock.now();
     let flight = Flight::begin(node);
     let (head, body) = request.into_parts();
     let own = node
@@ -106,7 +106,8 @@
     let until = route
         .timeout
         .map_or(deadline, |timeout| deadline.min(arrival + timeout));
-    let body = match timeout_at(until, read_body(body, &head, configuration.limits.max_body_bytes)).await {
+    let reading = read_body(body, &head, configuration.limits.max_body_bytes);
+    let body = match node.clock.timeout_at(until, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => return refuse(status, "the body cannot be taken", None),
         Err(_) => {
@@ -122,7 +123,10 @@
         return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None);
     }
     let service = pick_backend(&route, &facts.id);
-    let Ok(place) = timeout_at(until, take_place(node, &configuration, &facts)).await else {
+    let placed = node
+        .clock
+        .timeout_at(until, take_place(node, &configuration, &facts));
+    let Ok(place) = placed.await else {
         return refuse(
             StatusCode::SERVICE_UNAVAILABLE,
             "other groups come first",
@@ -165,8 +169,8 @@
     configuration: Arc<Configuration>,
     head: Rc<request::Parts>,
     body: Bytes,
-    arrival: Instant,
-    until: Instant,
+    arrival: Moment,
+    until: Moment,
     flight: Option<Flight<P>>,
     place: Option<Place<P>>,
     sends: usize,
@@ -174,7 +178,7 @@
     repeats: u32,
     refused_by: Option<ReplicaId>,
     may_have_run: bool,
-    last_reminder: Cell<Option<Instant>>,
+    last_reminder: Cell<Option<Moment>>,
     /// Time from arrival to the first send.
     sent_after: Option<Duration>,
     /// Time from arrival to the head of the answer.
@@ -235,6 +239,15 @@
         }
     }
 
+    fn now(&self) -> Moment {
+        self.node.clock.now()
+    }
+
+    /// Time since the request arrived.
+    fn waited(&self) -> Duration {
+        self.now().since(self.arrival)
+    }
+
     fn count_arrival(&self) {
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
@@ -315,12 +328,12 @@
     }
 
     /// The connection to a replica ended before the answer did.
-    fn broke_at(&self, replica: &ReplicaId, head_at: Option<Instant>) {
+    fn broke_at(&self, replica: &ReplicaId, head_at: Option<Moment>) {
         let broken = BrokenRequest {
             id: self.facts.id.clone(),
             fingerprint: self.fingerprint(),
             caller: self.caller(),
-            head_age: head_at.map(|at| at.elapsed()),
+            head_age: head_at.map(|at| self.now().since(at)),
         };
         crash_watch::request_broke(&self.node, replica, broken);
     }
@@ -359,7 +372,7 @@
             self.tried.push(replica.clone());
         }
         let within = self.sends < (self.route.max_attempts as usize).min(MOST_SENDS);
-        self.route.is_idempotent() && within && Instant::now() < self.until
+        self.route.is_idempotent() && within && self.now() < self.until
     }
 
     /// After a replica provably did not run it: true if it may be sent once more,
@@ -379,7 +392,7 @@
         }
         self.refused_by = Some(replica);
         tokio::time::sleep(SAME_REPLICA_PAUSE).await;
-        Instant::now() + self.first_event_after() < self.arrival + self.route.objective
+        self.now() + self.first_event_after() < self.arrival + self.route.objective
     }
 
     /// Takes a send beyond the first from the budget.
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -4,10 +4,10 @@
 use croftrill_scheduler::catalog::RouteKind;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
 use http::{header, response, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{timeout_at, Instant};
 
 use super::forwarding::{end_to_end, origin_form};
 use super::guards::Send;
@@ -41,7 +41,7 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     /// When the head came.
-    pub(super) head_at: Instant,
+    pub(super) head_at: Moment,
     /// Its socket closes with the stream, unless that ended whole.
     pub(super) connection: Connection,
     pub(super) send: Send<P>,
@@ -49,9 +49,9 @@
 
 impl<P: Platform> RequestRun<P> {
     /// Time after which a silent replica is given up for another one.
-    pub(super) fn attempt_limit(&self) -> Option<Instant> {
+    pub(super) fn attempt_limit(&self) -> Option<Moment> {
         let more = self.sends + 1 < self.route.max_attempts as usize;
-        (self.route.is_idempotent() && more).then(|| Instant::now() + self.route.objective / SILENT_PART)
+        (self.route.is_idempotent() && more).then(|| self.now() + self.route.objective / SILENT_PART)
     }
 
     /// Sends the request to a replica and judges the head of its answer.
@@ -59,7 +59,7 @@
         &mut self,
         replica: &ReplicaId,
         resume_after: Option<&str>,
-        limit: Option<Instant>,
+        limit: Option<Moment>,
     ) -> SendEnd<P> {
         let address = {
             let state = self.node.state.borrow();
@@ -86,12 +86,12 @@
         };
         let request = self.engine_request(replica, resume_after);
         self.sends += 1;
-        self.sent_after.get_or_insert(self.arrival.elapsed());
+        self.sent_after.get_or_insert(self.waited());
         let until = limit.map_or(self.until, |limit| limit.min(self.until));
-        let answer = match timeout_at(until, connection.send(request)).await {
+        let answer = match self.node.clock.timeout_at(until, connection.send(request)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => return self.send_failed(&send, &error),
-            Err(_) if Instant::now() >= self.until => {
+            Err(_) if self.now() >= self.until => {
                 self.node.pool.found_silent(&connection);
                 return SendEnd::OutOfTime;
             }
@@ -104,7 +104,7 @@
             }
         };
         send.prompt_done();
-        self.answered_after = Some(self.arrival.elapsed());
+        self.answered_after = Some(self.waited());
         self.judge_answer(replica, answer, connection, send).await
     }
 
@@ -128,7 +128,7 @@
         connection: Connection,
         send: Send<P>,
     ) -> SendEnd<P> {
-        let head_at = Instant::now();
+        let head_at = self.now();
         let (head, body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
         self.take_load(replica, &facts);
@@ -151,7 +151,7 @@
                 send,
             }));
         }
-        match timeout_at(self.until, body.collect()).await {
+        match self.node.clock.timeout_at(self.until, body.collect()).await {
             Ok(Ok(body)) => {
                 self.answered_whole();
                 let failed = head.status.is_server_error();
@@ -234,7 +234,7 @@
         headers.remove(header::EXPECT);
         let forwarding = Forwarding {
             replica,
-            time_left: self.until.saturating_duration_since(Instant::now()),
+            time_left: self.until.since(self.now()),
             priority: self.model_key().map(|_| self.route.priority),
             resume_after,
         };
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -5,9 +5,9 @@
 use croftrill_scheduler::admission::caller_patience;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
 use http::{header, Response};
 use http_body_util::BodyExt;
-use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::cold::NextReplica;
 use super::forwarding::end_to_end;
@@ -44,7 +44,7 @@
         self.node
             .metrics
             .first_byte_seconds
-            .observe(self.arrival.elapsed().as_secs_f64());
+            .observe(self.waited().as_secs_f64());
         let (flight, place) = (self.flight.take(), self.place.take());
         tokio::task::spawn_local(async move {
             let _held = (flight, place);
@@ -54,7 +54,7 @@
     }
 
     pub(super) async fn pump(mut self, first: Streaming<P>, sender: StreamSender) {
-        if self.arrival.elapsed() > self.route.objective {
+        if self.waited() > self.route.objective {
             self.count_late();
         }
         let mut cutter = EventCutter::after(self.facts.last_event_id.clone());
@@ -103,18 +103,18 @@
         cutter: &mut EventCutter,
         sender: &StreamSender,
     ) -> PumpEnd {
-        let mut last_event = Instant::now();
+        let mut last_event = self.now();
         loop {
             let frame = tokio::select! {
                 frame = streaming.body.frame() => frame,
                 () = sender.closed() => return PumpEnd::CallerGone,
                 () = self.silent_since(last_event) => {
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
-                        outcome = "the stream fell silent", silent_ms = last_event.elapsed().as_millis() as u64);
+                        outcome = "the stream fell silent", silent_ms = self.now().since(last_event).as_millis() as u64);
                     self.node.pool.found_silent(&streaming.connection);
                     return PumpEnd::Broken;
                 }
-                () = sleep_until(self.until) => return PumpEnd::OutOfTime,
+                () = self.node.clock.sleep_until(self.until) => return PumpEnd::OutOfTime,
             };
             let bytes = match frame {
                 None => return self.pump_rest(cutter, sender).await,
@@ -127,7 +127,8 @@
                     Err(_) => continue,
                 },
             };
-            self.note_pause(std::mem::replace(&mut last_event, Instant::now()).elapsed());
+            let now = self.now();
+            self.note_pause(now.since(std::mem::replace(&mut last_event, now)));
             let bytes = if self.route.resumable {
                 cutter.push(&bytes)
             } else {
@@ -158,23 +159,31 @@
     /// since `last_event` for as long as can be borne: the latest moment that lets
     /// the next holder's first event reach the caller before it gives up. Until
     /// then the replica may only be slow, and going on elsewhere reads the prompt anew.
-    async fn silent_since(&self, last_event: Instant) {
+    async fn silent_since(&self, last_event: Moment) {
         let patience = caller_patience(&self.route).filter(|_| self.route.resumable);
         let Some(patience) = patience else {
             return std::future::pending().await;
         };
         let next_takes = self.first_event_after() * PROMPT_TIME_MARGIN + RESUME_TIME;
         let caller_leaves = self.until.min(last_event + patience);
-        let latest = caller_leaves.checked_sub(next_takes).unwrap_or(caller_leaves);
+        let latest = caller_leaves - next_takes;
         // A pause within the objective is no silence, however little time is left.
         let bearable = self.route.pause_objective.unwrap_or(patience);
-        sleep_until(latest.max(last_event + bearable)).await;
+        self.node
+            .clock
+            .sleep_until(latest.max(last_event + bearable))
+            .await;
     }
 
     /// Passes a part on. A caller that stops reading, or whose connection went
     /// silent, holds its replica up no longer than the request may last.
     async fn pass(&self, sender: &StreamSender, part: StreamPart) -> Result<(), PumpEnd> {
-        match timeout_at(self.until, sender.send(Ok(part))).await {
+        match self
+            .node
+            .clock
+            .timeout_at(self.until, sender.send(Ok(part)))
+            .await
+        {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(PumpEnd::CallerGone),
             Err(_) => Err(PumpEnd::OutOfTime),
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -37,6 +37,7 @@
     spawn_local(directory::follow(node.clone()));
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(close_old_connections(node.clone()));
+    spawn_local(watch_suspensions(node.clone()));
     let mut orderers = Vec::new();
     spawn_local(tree::follow_relays(node.clone(), queues.to_relay));
     for queues in queues.shards {
@@ -67,6 +68,22 @@
     }
 }
 
+/// After a suspension nothing that rested or waited meanwhile is relied on.
+async fn watch_suspensions<P: Platform>(node: Rc<Node<P>>) {
+    let on_resume = |suspended: Duration| {
+        tracing::warn!(target: "node", event = "resumed", suspended_ms = suspended.as_millis() as u64);
+        node.metrics.suspensions.inc();
+        // The other sides may have closed them; their word may be lost.
+        node.pool.close_resting();
+        node.patient_pool.close_resting();
+        // What the relay told is as old as the suspension is long.
+        node.relay_changed.notify_waiters();
+        // Watches that waited meanwhile may wait for a store that gave them up.
+        node.store_path.call_ended(false);
+    };
+    node.clock.watch(on_resume).await;
+}
+
 async fn close_old_connections<P: Platform>(node: Rc<Node<P>>) {
     loop {
         tokio::time::sleep(CLEANING).await;
