Requests that crash replicas: reports outlive their keys, and are told anew

Cause: the store may take keys away before their leases are over; every node then forgot what another one had reported, and a request with three ends under it was free again.

Change: a report counts for 600 s after it was last told, whatever becomes of its key, and its node writes it again when the key goes. A stream that fell silent tries its replica as one that broke does, and what counts as just begun goes by the last sign of life.

--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -100,6 +100,20 @@
     ledger.take_report(&item.key, report.into_report(), now);
 }
 
+/// A key of the store was removed: if it held this node's report, that is told anew.
+pub(crate) fn key_removed<P: Platform>(node: &Node<P>, key: &str) {
+    let own = key
+        .strip_prefix(REPORT_PREFIX)
+        .and_then(|rest| rest.split('/').next());
+    let has_more = || {
+        let now = node.clock.now();
+        !node.state.borrow_mut().crash_ledger.own_report(now).is_empty()
+    };
+    if own == Some(node.settings.identity.name.as_str()) && has_more() {
+        node.crash_report_changed.notify_one();
+    }
+}
+
 /// Requests of one replica that ended had just begun there.
 pub(crate) fn replica_ended<P: Platform>(
     node: &Node<P>,
@@ -161,7 +175,7 @@
     let reports = reports.reports();
     let items = reports.map(|(key, report)| {
         let value = WireCrashReport::from_report(report).serialize_bin();
-        (key.clone(), value)
+        (key.to_string(), value)
     });
     items.collect()
 }
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -29,8 +29,8 @@
 /// Longest wait of a request that could go on elsewhere: some round trips, and
 /// little beside the pauses that callers bear (300 ms at least).
 const LONGEST_WAIT: Duration = Duration::from_millis(60);
-/// A request that got its answer's head longer ago had been running well, and did
-/// not end its replica by beginning: the longest step of an engine under load.
+/// A request whose answer went on for longer had been running well, and did not end
+/// its replica by beginning: the longest step of an engine under load.
 const BEGINS_WITHIN: Duration = Duration::from_secs(2);
 
 /// A request that broke at a replica.
@@ -42,13 +42,14 @@
     pub fingerprint: Fingerprint,
     /// Where it came from.
     pub caller: Option<CallerAddress>,
-    /// Time since the head of its answer; `None` if there was none yet.
-    pub head_age: Option<Duration>,
+    /// Time from the head of its answer to the last that came of it; `None` if there
+    /// was no head yet.
+    pub went_on_for: Option<Duration>,
 }
 
 impl BrokenRequest {
     fn had_just_begun(&self) -> bool {
-        self.head_age.is_none_or(|age| age <= BEGINS_WITHIN)
+        self.went_on_for.is_none_or(|age| age <= BEGINS_WITHIN)
     }
 }
 
@@ -58,7 +59,8 @@
     broken: BTreeMap<ReplicaId, Vec<BrokenRequest>>,
 }
 
-/// A request broke at a replica: its connection ended before its answer did.
+/// A request broke at a replica: its connection ended, or fell silent, before its
+/// answer did.
 pub(crate) fn request_broke<P: Platform>(node: &Rc<Node<P>>, replica: &ReplicaId, request: BrokenRequest) {
     let mut state = node.state.borrow_mut();
     let entry = state.replicas.get(replica);
@@ -117,6 +119,6 @@
         tracing::info!(target: "crash", event = "had just begun at a replica that ended", id = request.id,
             fingerprint = %request.fingerprint, replica = &**replica,
             caller = request.caller.map(|caller| tracing::field::display(caller.0)),
-            head_age_ms = request.head_age.map(|age| age.as_millis() as u64));
+            went_on_for_ms = request.went_on_for.map(|time| time.as_millis() as u64));
     }
 }
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -56,8 +56,6 @@
     let mut state = node.state.borrow_mut();
     state.replicas.retain(|id| listed.contains(id));
     state.members.retain(|key| keys.contains(key));
-    let now = node.clock.now();
-    state.crash_ledger.retain_reports(|key| keys.contains(key), now);
 }
 
 /// Takes in all that a peer knows, and forgets what it does not.
@@ -140,8 +138,9 @@
                 tracing::info!(target: "directory", event = "replica gone", replica = &*id);
             } else {
                 state.members.removed(key);
-                state.crash_ledger.forget_report(key, node.clock.now());
             }
+            drop(state);
+            crash_reports::key_removed(node, key);
         }
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -327,13 +327,14 @@
         self.head.extensions.get::<CallerAddress>().copied()
     }
 
-    /// The connection to a replica ended before the answer did.
-    fn broke_at(&self, replica: &ReplicaId, head_at: Option<Moment>) {
+    /// The connection to a replica ended, or fell silent, before the answer did. Time
+    /// that the answer went on for: `None` if not even its head came.
+    fn broke_at(&self, replica: &ReplicaId, went_on_for: Option<Duration>) {
         let broken = BrokenRequest {
             id: self.facts.id.clone(),
             fingerprint: self.fingerprint(),
             caller: self.caller(),
-            head_age: head_at.map(|at| self.now().since(at)),
+            went_on_for,
         };
         crash_watch::request_broke(&self.node, replica, broken);
     }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -174,7 +174,7 @@
             }
             Ok(Err(_)) => {
                 send.record(SendOutcome::Failure);
-                self.broke_at(replica, Some(head_at));
+                self.broke_at(replica, Some(self.now().since(head_at)));
                 SendEnd::Broken {
                     cause: "the answer was cut off",
                 }
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -112,6 +112,7 @@
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
                         outcome = "the stream fell silent", silent_ms = self.now().since(last_event).as_millis() as u64);
                     self.node.pool.found_silent(&streaming.connection);
+                    self.stream_broke(streaming, last_event);
                     return PumpEnd::Broken;
                 }
                 () = self.node.clock.sleep_until(self.until) => return PumpEnd::OutOfTime,
@@ -119,7 +120,7 @@
             let bytes = match frame {
                 None => return self.pump_rest(cutter, sender).await,
                 Some(Err(_)) => {
-                    self.broke_at(&streaming.send.replica, Some(streaming.head_at));
+                    self.stream_broke(streaming, last_event);
                     return PumpEnd::Broken;
                 }
                 Some(Ok(frame)) => match frame.into_data() {
@@ -142,6 +143,11 @@
         }
     }
 
+    fn stream_broke(&self, streaming: &Streaming<P>, last_event: Moment) {
+        let went_on_for = last_event.since(streaming.head_at);
+        self.broke_at(&streaming.send.replica, Some(went_on_for));
+    }
+
     pub(super) async fn pump_rest(&self, cutter: &mut EventCutter, sender: &StreamSender) -> PumpEnd {
         let rest = cutter.take_rest();
         if !rest.is_empty() {
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -58,7 +58,8 @@
 /// would be many: a rack of full replicas leaves hundreds.
 const MOST_BEGUN_TO_TRY: usize = 8;
 /// How long a node reports a request after it last crashed a replica or was
-/// refused. As long as the longest lease of a store.
+/// refused, and how long another node's report counts after it was last told. As
+/// long as the longest lease of a store.
 pub const KEEP: Duration = Duration::from_secs(600);
 /// Most requests in one node's report, at some 100 bytes: those that had just
 /// begun at two full replicas.
@@ -140,11 +141,19 @@
     touched: Moment,
 }
 
+/// Another node's report. It outlives its key in the store: the store may drop
+/// keys, and what is known of a request does not change with that.
+#[derive(Debug, Clone)]
+struct Told {
+    report: CrashReport,
+    at: Moment,
+}
+
 /// All that a node knows of requests that crash replicas.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     own: BTreeMap<Fingerprint, Own>,
-    reports: BTreeMap<String, CrashReport>,
+    reports: BTreeMap<String, Told>,
     suspects: HashMap<Fingerprint, Suspect>,
     /// When something changed that `suspects` does not show yet.
     changed_at: Option<Moment>,
@@ -184,7 +193,7 @@
         let known: Vec<Suspicion> = self
             .reports
             .values()
-            .filter_map(|report| report.get(&fingerprint))
+            .filter_map(|told| told.report.get(&fingerprint))
             .cloned()
             .collect();
         let touched_before = self.own.get(&fingerprint).map(|own| own.touched);
@@ -212,29 +221,17 @@
 
     /// A node's report, whole, replaces its former one.
     pub fn take_report(&mut self, source: &str, report: CrashReport, now: Moment) {
-        self.reports.insert(source.to_string(), report);
+        self.reports.retain(|_, told| now.since(told.at) <= KEEP);
+        let told = Told { report, at: now };
+        self.reports.insert(source.to_string(), told);
         self.changed_at = Some(now);
     }
 
-    /// A node's report is over.
-    pub fn forget_report(&mut self, source: &str, now: Moment) {
-        if self.reports.remove(source).is_some() {
-            self.changed_at = Some(now);
-        }
-    }
-
-    /// Keeps just the reports for whose source `keep` holds.
-    pub fn retain_reports(&mut self, keep: impl Fn(&str) -> bool, now: Moment) {
-        let count = self.reports.len();
-        self.reports.retain(|source, _| keep(source));
-        if self.reports.len() != count {
-            self.changed_at = Some(now);
-        }
-    }
-
-    /// The other nodes' reports and this one's, by source.
-    pub fn reports(&self) -> impl Iterator<Item = (&String, &CrashReport)> {
-        self.reports.iter()
+    /// The reports that were told, by source.
+    pub fn reports(&self) -> impl Iterator<Item = (&str, &CrashReport)> {
+        self.reports
+            .iter()
+            .map(|(source, told)| (source.as_str(), &told.report))
     }
 
     /// This node's own report.
@@ -292,7 +289,9 @@
         };
         let mut united: CrashReport = BTreeMap::new();
         let own = self.own.iter().map(|(key, own)| (key, &own.suspicion));
-        for (fingerprint, suspicion) in self.reports.values().flatten().chain(own) {
+        self.reports.retain(|_, told| changed_at.since(told.at) <= KEEP);
+        let told = self.reports.values().flat_map(|told| &told.report);
+        for (fingerprint, suspicion) in told.chain(own) {
             united.entry(*fingerprint).or_default().unite(suspicion);
         }
         united.retain(|_, suspicion| suspicion.open().next().is_some());
--- a/crates/croftrill-scheduler/tests/crash_ledger.rs
+++ b/crates/croftrill-scheduler/tests/crash_ledger.rs
@@ -115,19 +115,29 @@
 }
 
 #[test]
-fn forget_report_ends_what_only_it_told() {
+fn adopt_keeps_what_is_known_of_a_request_while_it_comes() {
     let mut ledger = CrashLedger::default();
     ledger.take_report("a", report(&[(CRASHER, &[1, 2, 3])]), at(1));
-    ledger.retain_reports(|source| source == "a", at(2));
-    assert_eq!(ledger.verdict(CRASHER, at(2)), Verdict::Refused);
     assert!(ledger.adopt(CRASHER, at(2)));
     assert!(!ledger.adopt(CRASHER, at(3)));
-    ledger.forget_report("a", at(4));
-    assert_eq!(ledger.verdict(CRASHER, at(4)), Verdict::Refused);
-    assert!(ledger.own_report(at(5)).contains_key(&CRASHER));
+    assert!(ledger.adopt(CRASHER, at(400)));
+    // The other node's report is over by now, and this one's is not.
+    ledger.take_report("b", CrashReport::new(), at(700));
+    assert_eq!(ledger.verdict(CRASHER, at(700)), Verdict::Refused);
+    assert!(ledger.own_report(at(1000)).contains_key(&CRASHER));
     assert!(ledger.own_report(at(2000)).is_empty());
 }
 
+#[test]
+fn take_report_forgets_reports_that_were_told_long_ago() {
+    let mut ledger = CrashLedger::default();
+    ledger.take_report("a", report(&[(CRASHER, &[1, 2, 3])]), at(1));
+    ledger.take_report("b", CrashReport::new(), at(500));
+    assert_eq!(ledger.verdict(CRASHER, at(500)), Verdict::Refused);
+    ledger.take_report("b", CrashReport::new(), at(700));
+    assert_eq!(ledger.verdict(CRASHER, at(700)), Verdict::Free);
+}
+
 #[test]
 fn own_report_keeps_refused_requests_when_a_caller_fills_it() {
     let mut ledger = CrashLedger::default();
