Soak: requests that crash replicas, and suspensions, in series that overlap

A third mix: crashing requests come ten to 24 times at the nodes in turn, replicas end and are back empty, nodes are killed, stopped, rolled and have their clocks put forward. At most six replicas may end under one request. Suspensions are played as the jump of the clock alone, by a signal to the test's own program run as a node.

--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use croftrill_http::own_platform::OwnPlatform;
+use croftrill_node::clock::Clock;
 use croftrill_node::node::Node;
 use croftrill_node::runtime::{self, Running};
 use tokio::net::TcpListener;
@@ -24,14 +25,20 @@
 
 impl Daemon {
     /// Starts a node; must run within a `LocalSet`. Ports of 0 are replaced by free ones.
-    pub async fn start(mut settings: Settings) -> anyhow::Result<Self> {
+    pub async fn start(settings: Settings) -> anyhow::Result<Self> {
+        Self::start_with_clock(settings, Clock::start()).await
+    }
+
+    /// As [`Daemon::start`], with a clock of its own.
+    pub async fn start_with_clock(mut settings: Settings, clock: Clock) -> anyhow::Result<Self> {
         let front = TcpListener::bind(settings.listen).await.context("listen")?;
         let peer = TcpListener::bind(settings.peer).await.context("peer")?;
         let operator = TcpListener::bind(settings.operator).await.context("operator")?;
         settings.listen = front.local_addr()?;
         settings.peer = peer.local_addr()?;
         settings.operator = operator.local_addr()?;
-        let (node, queues) = Node::new(settings.node_settings(), OwnPlatform::new(settings.store));
+        let platform = OwnPlatform::new(settings.store);
+        let (node, queues) = Node::with_clock(settings.node_settings(), platform, clock);
         tracing::info!(target: "node", event = "start", name = settings.name, listen = %settings.listen,
             operator = %settings.operator, version = env!("CARGO_PKG_VERSION"));
         // Tells this process from a former one of the same name; no order is read from it.
--- a/crates/croftrill-daemon/src/lib.rs
+++ b/crates/croftrill-daemon/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod daemon;
 pub mod operator_api;
+pub mod program;
 pub mod settings;
 pub mod status;
--- a/crates/croftrill-daemon/src/main.rs
+++ b/crates/croftrill-daemon/src/main.rs
@@ -1,14 +1,13 @@
 //! `croftrilld`: one node of the serving system.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use anyhow::{bail, Context};
-use croftrill_daemon::daemon::Daemon;
-use croftrill_daemon::settings::Settings;
+use anyhow::Context;
+use croftrill_daemon::program::{read_settings, run};
+use croftrill_node::clock::Clock;
 use croftrill_node::logging;
 use lexopt::prelude::*;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::LocalSet;
 
 const HELP: &str = "\
 Runs one node of the serving system.
@@ -47,14 +46,6 @@
     Ok(Some(Arguments { config, check }))
 }
 
-fn read_settings(path: &Path) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-    match Settings::parse(&text) {
-        Ok(settings) => Ok(settings),
-        Err(findings) => bail!("{}:\n  {}", path.display(), findings.join("\n  ")),
-    }
-}
-
 fn main() -> anyhow::Result<()> {
     let Some(arguments) = arguments()? else {
         return Ok(());
@@ -68,34 +59,5 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, run(arguments.config, settings, log))
-}
-
-async fn run(path: PathBuf, settings: Settings, log: logging::Log) -> anyhow::Result<()> {
-    let daemon = Daemon::start(settings).await?;
-    spawn_local(log.review(daemon.node.clone()));
-    spawn_local(check_on_hangup(path));
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = stop.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    daemon.stop().await;
-    Ok(())
-}
-
-/// Checks the settings again on SIGHUP. They come into force with a restart.
-async fn check_on_hangup(path: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        return;
-    };
-    while hangup.recv().await.is_some() {
-        match read_settings(&path) {
-            Ok(_) => tracing::info!(target: "node", event = "reload", outcome = "settings are good"),
-            Err(error) => {
-                tracing::warn!(target: "node", event = "reload", outcome = "kept the old settings", %error);
-            }
-        }
-    }
+    LocalSet::new().block_on(&runtime, run(arguments.config, settings, Clock::start(), log))
 }
--- /dev/null
+++ b/crates/croftrill-daemon/src/program.rs
@@ -0,0 +1,53 @@
+//! The daemon as a program: its settings file, its signals.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{bail, Context};
+use croftrill_node::clock::Clock;
+use croftrill_node::logging;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+
+use crate::daemon::Daemon;
+use crate::settings::Settings;
+
+/// Reads the settings file.
+///
+/// Errors: it cannot be read, or all that is wrong in it.
+pub fn read_settings(path: &Path) -> anyhow::Result<Settings> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    match Settings::parse(&text) {
+        Ok(settings) => Ok(settings),
+        Err(findings) => bail!("{}:\n  {}", path.display(), findings.join("\n  ")),
+    }
+}
+
+/// Runs a daemon until it is asked to stop, and stops it within its grace.
+pub async fn run(path: PathBuf, settings: Settings, clock: Clock, log: logging::Log) -> anyhow::Result<()> {
+    let daemon = Daemon::start_with_clock(settings, clock).await?;
+    spawn_local(log.review(daemon.node.clone()));
+    spawn_local(check_on_hangup(path));
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Checks the settings again on SIGHUP. They come into force with a restart.
+async fn check_on_hangup(path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        match read_settings(&path) {
+            Ok(_) => tracing::info!(target: "node", event = "reload", outcome = "settings are good"),
+            Err(error) => {
+                tracing::warn!(target: "node", event = "reload", outcome = "kept the old settings", %error);
+            }
+        }
+    }
+}
--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use croftrill_demo::caller::{call, call_over, kept_connections, Call, CallEnd};
+use croftrill_standin::engine::CRASHING_PROMPT;
 use futures::future::join_all;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,6 +15,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::cluster::{status, Cluster, MODELS};
+use crate::faults::{Crash, Planned};
 
 /// Time between two calls.
 const CALL_EVERY: Duration = Duration::from_millis(25);
@@ -29,12 +31,61 @@
     pub end: CallEnd,
 }
 
+/// What callers ask.
+const USUAL_PROMPT: &str = "a question";
+/// Most replicas that may end under one request: three, and as many retries that are
+/// on their way or come from nodes that were not in touch meanwhile.
+const MOST_ENDS: u32 = 6;
+
+/// The same crashing request, so often, to the nodes in turn.
+pub async fn call_crashing(cluster: &Cluster, crash: &Crash, seed: u64) {
+    let calls = (0..crash.times).map(|number| async move {
+        sleep(crash.gap * number).await;
+        let drawn = Call {
+            attempt: crash.attempt(seed, number),
+            model: MODELS[crash.number % MODELS.len()].to_string(),
+            prompt: format!("{CRASHING_PROMPT}{}", crash.number),
+            events: 8,
+            deadline: DEADLINE,
+            group: None,
+        };
+        let node = &cluster.nodes[(crash.number + number as usize) % cluster.nodes.len()];
+        // Nobody misses its answer.
+        let _ = call(node.front, &drawn).await;
+    });
+    join_all(calls).await;
+}
+
+/// Judges how many replicas ended under each crashing request.
+pub fn crashes_are_bounded(cluster: &Cluster, plan: &[Planned], seed: u64) {
+    let ledgers = cluster.ledgers();
+    for crash in plan.iter().filter_map(Planned::crash) {
+        let mut runs = 0;
+        for number in 0..crash.times {
+            let attempt = crash.attempt(seed, number);
+            runs += ledgers
+                .iter()
+                .filter_map(|ledger| ledger.runs.get(&attempt))
+                .sum::<u32>();
+        }
+        println!(
+            "seed {seed}: crashing request {}: {runs} runs of {} calls",
+            crash.number, crash.times
+        );
+        assert!(
+            runs <= MOST_ENDS,
+            "seed {seed}: {runs} replicas ended under {crash:?}"
+        );
+    }
+}
+
 fn draw_call(random: &mut SmallRng, attempt: String) -> Call {
     let model = MODELS[random.random_range(0..MODELS.len())];
     let adapter = if random.random_bool(0.2) { "/a1" } else { "" };
     Call {
         attempt,
         model: format!("{model}{adapter}"),
+        prompt: USUAL_PROMPT.to_string(),
         events: random.random_range(2..12),
         deadline: DEADLINE,
         group: None,
@@ -102,7 +153,7 @@
 }
 
 /// Waits until every node serves every model, and has the newest document in force.
-pub async fn recovery(cluster: &mut Cluster, seed: u64) {
+pub async fn recovery(cluster: &Cluster, seed: u64) {
     let until = Instant::now() + RECOVERY;
     let newest = cluster.document.borrow().version;
     for index in 0..cluster.nodes.len() {
@@ -113,6 +164,7 @@
                 let request = Call {
                     attempt: format!("r{seed}-{index}-{model}-{number}"),
                     model: model.to_string(),
+                    prompt: USUAL_PROMPT.to_string(),
                     events: 2,
                     deadline: DEADLINE,
                     group: None,
@@ -142,8 +194,7 @@
 /// Judges the promises by what callers and replicas saw.
 pub fn promises(cluster: &Cluster, calls: &[Ended], seed: u64) {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
-    for engine in &cluster.engines {
-        let ledger = engine.ledger();
+    for ledger in cluster.ledgers() {
         assert!(
             ledger.violations.is_empty(),
             "seed {seed}: {:?}",
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -13,15 +13,18 @@
 use croftrill_http::records::DOCUMENT_KEY;
 use croftrill_http::store_wire::{WireTransaction, WireWrite};
 use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
-use croftrill_standin::engine::{stored_value, EngineIdentity, EngineStandin};
+use croftrill_standin::engine::{stored_value, EngineIdentity, EngineStandin, Ledger};
 use croftrill_standin::engine_state::EngineConfig;
 use croftrill_standin::http_server::listen;
 use croftrill_standin::proxy::{Fault, Proxy};
 use croftrill_standin::store::{StoreFault, StoreStandin};
+use futures::future::join_all;
 use http::Request;
 use http_body_util::Full;
 use tokio::time::sleep;
 
+use crate::suspendable;
+
 /// Models; more than the replicas hold at the same time.
 pub const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
 /// How many processes a cluster has.
@@ -43,9 +46,19 @@
     pub front: SocketAddr,
     pub operator: SocketAddr,
     config: PathBuf,
+    program: Program,
     child: RefCell<Child>,
 }
 
+/// Which program a node's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Program {
+    /// The daemon as it is installed.
+    Daemon,
+    /// The daemon on a clock that a signal puts forward ([`crate::suspendable`]).
+    Suspendable,
+}
+
 impl NodeProcess {
     /// Sends a signal by the process's id.
     pub fn signal(&self, name: &str) {
@@ -74,7 +87,7 @@
     fn start_if_ended(&self) {
         let ended = self.child.borrow_mut().try_wait().expect("the child is ours");
         if ended.is_some() {
-            *self.child.borrow_mut() = spawn(&self.config);
+            *self.child.borrow_mut() = spawn(&self.config, self.program);
         }
     }
 
@@ -97,13 +110,16 @@
     }
 }
 
-fn spawn(config: &PathBuf) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_croftrilld"))
-        .arg("--config")
-        .arg(config)
-        .stdout(log_of(config))
-        .spawn()
-        .expect("the daemon starts")
+fn spawn(config: &PathBuf, program: Program) -> Child {
+    let mut command = match program {
+        Program::Daemon => {
+            let mut command = Command::new(env!("CARGO_BIN_EXE_croftrilld"));
+            command.arg("--config").arg(config);
+            command
+        }
+        Program::Suspendable => suspendable::command(config),
+    };
+    command.stdout(log_of(config)).spawn().expect("the daemon starts")
 }
 
 /// Where a daemon's log goes: to a file in the directory that
@@ -123,9 +139,13 @@
 
 pub struct Cluster {
     pub store: Rc<StoreStandin>,
+    store_address: SocketAddr,
     /// Each node's way to the store.
     pub store_proxies: Vec<Rc<Proxy>>,
-    pub engines: Vec<Rc<EngineStandin>>,
+    /// The replicas, each as its present incarnation.
+    pub engines: RefCell<Vec<Rc<EngineStandin>>>,
+    /// Incarnations of replicas that ended.
+    pub ended_engines: RefCell<Vec<Rc<EngineStandin>>>,
     /// The nodes' way to each replica.
     pub engine_proxies: Vec<Rc<Proxy>>,
     pub nodes: Vec<NodeProcess>,
@@ -179,16 +199,38 @@
     panic!("no free port");
 }
 
+/// Time until a replica that crashed is back.
+const ENGINE_BACK_AFTER: Duration = Duration::from_millis(700);
+
+fn engine(
+    listener: tokio::net::TcpListener,
+    id: String,
+    address: SocketAddr,
+    store: SocketAddr,
+    models: &[String],
+) -> Rc<EngineStandin> {
+    let identity = EngineIdentity {
+        id,
+        zone: "z".to_string(),
+        address,
+        store,
+    };
+    let on_disk = vec![MODELS[2].to_string(), MODELS[3].to_string()];
+    EngineStandin::start(listener, identity, EngineConfig::default(), models, &on_disk)
+}
+
 impl Cluster {
-    pub async fn start(name: &str, size: Size) -> Self {
+    pub async fn start(name: &str, size: Size, program: Program) -> Self {
         let directory = std::env::temp_dir().join(format!("croftrill-soak-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("a directory");
         let (listener, store_address) = listen().await.expect("a port");
         let store = StoreStandin::start(listener);
         let mut cluster = Cluster {
             store,
+            store_address,
             store_proxies: Vec::new(),
-            engines: Vec::new(),
+            engines: RefCell::default(),
+            ended_engines: RefCell::default(),
             engine_proxies: Vec::new(),
             nodes: Vec::new(),
             document: RefCell::new(document()),
@@ -199,7 +241,7 @@
             cluster.add_engine(index, store_address).await;
         }
         for index in 0..size.nodes {
-            cluster.add_node(index, store_address).await;
+            cluster.add_node(index, store_address, program).await;
         }
         tokio::time::timeout(START_TIMEOUT, cluster.until_ready())
             .await
@@ -225,22 +267,48 @@
     async fn add_engine(&mut self, index: usize, store: SocketAddr) {
         let (listener, upstream) = listen().await.expect("a port");
         let (proxy_listener, address) = listen().await.expect("a port");
-        let identity = EngineIdentity {
-            id: format!("e{index}"),
-            zone: "z".to_string(),
-            address,
-            store,
-        };
         let models = vec![MODELS[index % MODELS.len()].to_string()];
-        let on_disk = vec![MODELS[2].to_string(), MODELS[3].to_string()];
-        let config = EngineConfig::default();
-        self.engines.push(EngineStandin::start(
-            listener, identity, config, &models, &on_disk,
-        ));
+        let engine = engine(listener, format!("e{index}"), address, store, &models);
+        self.engines.borrow_mut().push(engine);
         self.engine_proxies.push(Proxy::start(proxy_listener, upstream));
     }
 
-    async fn add_node(&mut self, index: usize, store: SocketAddr) {
+    /// Ends replicas at requests that crash them; each is back, empty, at its address
+    /// after a time. Runs until it is dropped.
+    pub async fn crash_engines(&self) {
+        let each = (0..self.engine_proxies.len()).map(|index| async move {
+            loop {
+                let engine = self.engines.borrow()[index].clone();
+                engine.crashed().await;
+                engine.end();
+                let proxy = &self.engine_proxies[index];
+                proxy.end();
+                sleep(ENGINE_BACK_AFTER).await;
+                let (listener, upstream) = listen().await.expect("a port");
+                let ended = self.ended_engines.borrow().len();
+                let id = format!("e{index}.{ended}");
+                let address = proxy.address().expect("a proxy has an address");
+                let anew = self::engine(listener, id, address, self.store_address, &[]);
+                self.engines.borrow_mut()[index] = anew;
+                self.ended_engines.borrow_mut().push(engine);
+                proxy.begin_anew(upstream).await.expect("its address is free");
+            }
+        });
+        join_all(each).await;
+    }
+
+    /// Runs of all replicas and of all that ended, by attempt, and broken promises.
+    pub fn ledgers(&self) -> Vec<Ledger> {
+        let engines = self.engines.borrow();
+        let ended = self.ended_engines.borrow();
+        engines
+            .iter()
+            .chain(ended.iter())
+            .map(|engine| engine.ledger())
+            .collect()
+    }
+
+    async fn add_node(&mut self, index: usize, store: SocketAddr, program: Program) {
         let (proxy_listener, way) = listen().await.expect("a port");
         self.store_proxies.push(Proxy::start(proxy_listener, store));
         let (front, peer, operator) = (free_address(), free_address(), free_address());
@@ -250,11 +318,12 @@
              operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n"
         );
         std::fs::write(&config, text).expect("the settings are written");
-        let child = RefCell::new(spawn(&config));
+        let child = RefCell::new(spawn(&config, program));
         self.nodes.push(NodeProcess {
             front,
             operator,
             config,
+            program,
             child,
         });
     }
@@ -264,7 +333,7 @@
             loop {
                 let status = status(node).await;
                 if status.is_some_and(|status| {
-                    status.lifecycle == "ready" && status.replicas.len() == self.engines.len()
+                    status.lifecycle == "ready" && status.replicas.len() == self.engines.borrow().len()
                 }) {
                     break;
                 }
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -9,7 +9,9 @@
 use rand::Rng;
 use tokio::time::sleep;
 
+use crate::checks;
 use crate::cluster::{Cluster, Size};
+use crate::suspendable;
 
 /// How faults are drawn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +21,9 @@
     /// Six to ten, among them series of signals, restarts and changes, which
     /// overlap, and connections that go silent for good.
     Series,
+    /// Requests that crash replicas come in series, beside suspensions, kills, stops
+    /// and restarts of nodes and connections that go silent; the store serves all.
+    Crashes,
 }
 
 /// One fault.
@@ -55,6 +60,28 @@
     Roll(Duration),
     /// The document changes so often, so long apart.
     Changes(u32, Duration),
+    /// A request that crashes replicas comes.
+    Crash(Crash),
+    /// A node's clock goes on as in suspensions, so often, so long apart.
+    Suspensions(usize, u32, Duration),
+}
+
+/// A request that crashes each replica that begins to run it.
+#[derive(Debug, Clone)]
+pub struct Crash {
+    /// Tells it from others of the round.
+    pub number: usize,
+    /// How often it comes.
+    pub times: u32,
+    /// Time between two arrivals.
+    pub gap: Duration,
+}
+
+impl Crash {
+    /// The id of its so-manieth arrival.
+    pub fn attempt(&self, seed: u64, number: u32) -> String {
+        format!("x{seed}-{}-{number}", self.number)
+    }
 }
 
 /// A fault with its time, both from the start of the round.
@@ -65,6 +92,16 @@
     pub injection: Injection,
 }
 
+impl Planned {
+    /// The crashing request, if it is one.
+    pub fn crash(&self) -> Option<&Crash> {
+        match &self.injection {
+            Injection::Crash(crash) => Some(crash),
+            _ => None,
+        }
+    }
+}
+
 fn fault(random: &mut SmallRng) -> Fault {
     let faults = [
         Fault::Delay(Duration::from_millis(150)),
@@ -126,28 +163,47 @@
     }
 }
 
+fn crashes_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    // There is always one crashing request, and often several.
+    match if index == 0 { 0 } else { random.random_range(0..8) } {
+        0..=2 => Injection::Crash(Crash {
+            number: index,
+            times: random.random_range(10..24),
+            gap: pause(random, 500),
+        }),
+        3 => Injection::Suspensions(node, random.random_range(1..4), pause(random, 800)),
+        4 => Injection::Signals(node, signals(random)),
+        5 => Injection::Kill(node),
+        6 => Injection::Roll(pause(random, 900)),
+        _ => Injection::SilentEngineConnections(random.random_range(0..size.engines)),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
         Mix::Few => (random.random_range(2..=4), 3500),
         Mix::Series => (random.random_range(6..=10), 4500),
+        Mix::Crashes => (random.random_range(4..=8), 3500),
     };
-    let planned = (0..count).map(|_| Planned {
+    let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
         lasts: Duration::from_millis(random.random_range(300..3000)),
         injection: match mix {
             Mix::Few => injection(random, size),
             Mix::Series => series_injection(random, size),
+            Mix::Crashes => crashes_injection(random, size, index),
         },
     });
     planned.collect()
 }
 
 /// Plays the faults; ends when the round's time is over.
-pub async fn play(cluster: &Cluster, plan: &[Planned], round: Duration) {
+pub async fn play(cluster: &Cluster, plan: &[Planned], round: Duration, seed: u64) {
     let each = plan.iter().map(|planned| async move {
         sleep(planned.at).await;
-        begin(cluster, planned).await;
+        begin(cluster, planned, seed).await;
         end(cluster, planned).await;
     });
     tokio::join!(futures_join(each), sleep(round));
@@ -166,7 +222,7 @@
     .await;
 }
 
-async fn begin(cluster: &Cluster, planned: &Planned) {
+async fn begin(cluster: &Cluster, planned: &Planned, seed: u64) {
     match &planned.injection {
         Injection::StorePath(node, fault) => cluster.store_proxies[*node].set(*fault),
         Injection::AllStorePaths(fault) => cluster.store_proxies.iter().for_each(|proxy| proxy.set(*fault)),
@@ -189,6 +245,13 @@
         Injection::SilentEngineConnections(engine) => cluster.engine_proxies[*engine].silence_present(),
         Injection::Signals(node, signals) => cluster.nodes[*node].series(signals).await,
         Injection::Roll(gap) => roll(cluster, *gap).await,
+        Injection::Crash(crash) => checks::call_crashing(cluster, crash, seed).await,
+        Injection::Suspensions(node, count, gap) => {
+            for _ in 0..*count {
+                cluster.nodes[*node].signal(suspendable::SUSPENSION);
+                sleep(*gap).await;
+            }
+        }
         Injection::Changes(count, gap) => {
             for _ in 0..*count {
                 change(cluster);
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! - a success is the whole answer to that very call, from one run;
 //! - no replica gets an older token after a newer one, or a load that does not fit;
 //! - the configuration never goes back, and the newest is in force afterwards;
+//! - a request that crashes replicas reaches no more than it may;
 //! - afterwards every node serves every model.
 //!
 //! Some callers keep their connections until the process behind them is gone.
@@ -19,17 +20,19 @@
 mod checks;
 mod cluster;
 mod faults;
+mod suspendable;
 
 use std::time::Duration;
 
-use cluster::{Cluster, Size, USUAL_SIZE};
+use cluster::{Cluster, Program, Size, USUAL_SIZE};
 use faults::Mix;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use tokio::task::LocalSet;
 
-/// Rounds of the continuous integration; odd seeds play series.
-const USUAL_ROUNDS: u64 = 2;
+/// Rounds of the continuous integration: one of each mix, as the seed divided by
+/// three tells.
+const USUAL_ROUNDS: u64 = 3;
 /// Seed of its first round.
 const USUAL_SEED: u64 = 2026;
 /// Time in which calls and faults meet.
@@ -53,6 +56,7 @@
             let mix = match words.next() {
                 Some("few") => Mix::Few,
                 Some("series") => Mix::Series,
+                Some("crashes") => Mix::Crashes,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -62,14 +66,26 @@
 
 async fn round(seed: u64, mix: Mix, size: Size) {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut cluster = Cluster::start(&format!("{seed}"), size).await;
+    let program = match mix {
+        Mix::Crashes => Program::Suspendable,
+        Mix::Few | Mix::Series => Program::Daemon,
+    };
+    let cluster = Cluster::start(&format!("{seed}"), size, program).await;
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
-    let calls = checks::call_for(&cluster, ROUND, seed);
-    let (calls, ()) = tokio::join!(calls, faults::play(&cluster, &plan, ROUND));
-    cluster.mend().await;
-    checks::recovery(&mut cluster, seed).await;
+    let played = async {
+        let calls = checks::call_for(&cluster, ROUND, seed);
+        let (calls, ()) = tokio::join!(calls, faults::play(&cluster, &plan, ROUND, seed));
+        cluster.mend().await;
+        checks::recovery(&cluster, seed).await;
+        calls
+    };
+    let calls = tokio::select! {
+        calls = played => calls,
+        () = cluster.crash_engines() => unreachable!("it goes on"),
+    };
     checks::promises(&cluster, &calls, seed);
+    checks::crashes_are_bounded(&cluster, &plan, seed);
     cluster.stop().await;
 }
 
@@ -90,7 +106,11 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    let mix_of = |seed: u64| if seed % 2 == 0 { Mix::Few } else { Mix::Series };
+    let mix_of = |seed: u64| match seed % 3 {
+        0 => Mix::Few,
+        1 => Mix::Series,
+        _ => Mix::Crashes,
+    };
     let drawn = (first..first + rounds).map(|seed| (seed, mix_of(seed)));
     for (seed, mix) in kept_seeds() {
         LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
--- a/crates/croftrill-demo/src/caller.rs
+++ b/crates/croftrill-demo/src/caller.rs
@@ -16,6 +16,8 @@
     pub attempt: String,
     /// Model, with an adapter after a slash.
     pub model: String,
+    /// The prompt.
+    pub prompt: String,
     /// Events of the answer.
     pub events: u64,
     /// Time to wait.
@@ -78,8 +80,8 @@
 
 fn request(node: SocketAddr, call: &Call) -> Option<Request<Full<Bytes>>> {
     let body = format!(
-        "{{\"model\":\"{}\",\"prompt\":\"a question\",\"max_tokens\":{},\"stream\":true}}",
-        call.model, call.events
+        "{{\"model\":\"{}\",\"prompt\":\"{}\",\"max_tokens\":{},\"stream\":true}}",
+        call.model, call.prompt, call.events
     );
     let mut request = Request::builder()
         .method(Method::POST)
--- a/crates/croftrill-demo/src/main.rs
+++ b/crates/croftrill-demo/src/main.rs
@@ -44,6 +44,7 @@
         let request = Call {
             attempt: format!("demo-{index}"),
             model: (*model).to_string(),
+            prompt: "a question".to_string(),
             events: 8,
             deadline: Duration::from_secs(10),
             group: Some("tenders".to_string()),
--- a/crates/croftrill-demo/tests/demo.rs
+++ b/crates/croftrill-demo/tests/demo.rs
@@ -19,6 +19,7 @@
             let request = Call {
                 attempt: format!("demo-{index}"),
                 model: (*model).to_string(),
+                prompt: "a question".to_string(),
                 events: 4,
                 deadline: Duration::from_secs(20),
                 group: None,
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -20,7 +20,8 @@
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
 use crate::engine_state::{BeginOutcome, EngineConfig, EngineState, OrderAnswer};
@@ -62,6 +63,9 @@
     identity: EngineIdentity,
     state: RefCell<EngineState>,
     slots: u32,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    /// Told when a crashing request ends it.
+    crashed: Notify,
 }
 
 #[derive(Debug, Deserialize)]
@@ -69,8 +73,15 @@
     model: String,
     #[serde(default)]
     max_tokens: Option<u64>,
+    #[serde(default)]
+    prompt: String,
 }
 
+/// Begins the prompt of a request that ends each replica that begins to run it.
+pub const CRASHING_PROMPT: &str = "crash ";
+/// Time from the beginning of such a request to the replica's end.
+const CRASH_AFTER: Duration = Duration::from_millis(30);
+
 impl EngineStandin {
     /// Starts a replica on a listener; must run within a `LocalSet`.
     pub fn start(
@@ -86,16 +97,30 @@
             identity,
             state,
             slots,
+            tasks: RefCell::default(),
+            crashed: Notify::new(),
         });
         let served = engine.clone();
-        spawn_local(serve(listener, move |request| {
+        let serving = spawn_local(serve(listener, move |request| {
             let engine = served.clone();
             async move { engine.answer(&request) }
         }));
-        spawn_local(engine.clone().keep_entry());
+        let listed = spawn_local(engine.clone().keep_entry());
+        engine.tasks.borrow_mut().extend([serving, listed]);
         engine
     }
 
+    /// Ends after a request that crashes replicas began here.
+    pub async fn crashed(&self) {
+        self.crashed.notified().await;
+    }
+
+    /// Ends the replica: it takes no more connections and keeps its entry no longer.
+    /// Whoever stands before it breaks the present connections.
+    pub fn end(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
     /// What it ran and saw broken.
     pub fn ledger(&self) -> Ledger {
         let state = self.state.borrow();
@@ -161,12 +186,22 @@
                 self.stamped(not_executed(status(StatusCode::SERVICE_UNAVAILABLE)), request)
             }
             BeginOutcome::Running => {
+                if completion.prompt.starts_with(CRASHING_PROMPT) {
+                    self.clone().crash_soon();
+                }
                 let events = completion.max_tokens.unwrap_or(USUAL_EVENTS);
                 self.stamped(self.stream(attempt.to_string(), events), request)
             }
         }
     }
 
+    fn crash_soon(self: Rc<Self>) {
+        spawn_local(async move {
+            sleep(CRASH_AFTER).await;
+            self.crashed.notify_one();
+        });
+    }
+
     /// Streams numbered events, then the end mark.
     fn stream(self: &Rc<Self>, attempt: String, events: u64) -> Answer {
         let (sender, body) = AnswerBody::stream();
--- a/crates/croftrill-standin/src/proxy.rs
+++ b/crates/croftrill-standin/src/proxy.rs
@@ -1,6 +1,6 @@
 //! A TCP proxy that injects faults between two processes.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
 /// What the proxy does to its connections, present and new.
@@ -33,7 +33,9 @@
 
 /// A proxy before one address.
 pub struct Proxy {
-    upstream: SocketAddr,
+    address: Option<SocketAddr>,
+    upstream: Cell<SocketAddr>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
     fault: Cell<Fault>,
     changed: Notify,
     accepted: Cell<u64>,
@@ -52,16 +54,46 @@
     /// Starts a proxy on a listener; must run within a `LocalSet`.
     pub fn start(listener: TcpListener, upstream: SocketAddr) -> Rc<Self> {
         let proxy = Rc::new(Proxy {
-            upstream,
+            address: listener.local_addr().ok(),
+            upstream: Cell::new(upstream),
+            accepting: RefCell::default(),
             fault: Cell::new(Fault::None),
             changed: Notify::new(),
             accepted: Cell::new(0),
             silent_below: Cell::new(0),
         });
-        spawn_local(proxy.clone().accept(listener));
+        let accepting = spawn_local(proxy.clone().accept(listener));
+        proxy.accepting.replace(Some(accepting));
         proxy
     }
 
+    /// As if the process behind it had ended: all connections break, new ones are
+    /// refused.
+    pub fn end(&self) {
+        self.set(Fault::Reset);
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+    }
+
+    /// Another process serves behind it, at its old address.
+    ///
+    /// Errors: the address cannot be listened on.
+    pub async fn begin_anew(self: &Rc<Self>, upstream: SocketAddr) -> std::io::Result<()> {
+        let address = self.address.ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+        let listener = TcpListener::bind(address).await?;
+        self.upstream.set(upstream);
+        self.set(Fault::None);
+        let accepting = spawn_local(self.clone().accept(listener));
+        self.accepting.replace(Some(accepting));
+        Ok(())
+    }
+
+    /// Where it listens, if the operating system told.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address
+    }
+
     /// Sets the fault, for present and new connections.
     pub fn set(&self, fault: Fault) {
         self.fault.set(fault);
@@ -87,7 +119,7 @@
     async fn connect(self: Rc<Self>, caller: TcpStream) {
         let number = self.accepted.get();
         self.accepted.set(number + 1);
-        let Ok(upstream) = TcpStream::connect(self.upstream).await else {
+        let Ok(upstream) = TcpStream::connect(self.upstream.get()).await else {
             return;
         };
         let _ = caller.set_nodelay(true);
