--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -36,6 +36,16 @@
     pub engines: usize,
 }
 
+impl Size {
+    /// The same with so many replicas at least.
+    pub fn with_engines(self, least: usize) -> Self {
+        Size {
+            engines: self.engines.max(least),
+            ..self
+        }
+    }
+}
+
 /// The continuous integration's.
 pub const USUAL_SIZE: Size = Size { nodes: 3, engines: 2 };
 /// Longest wait for a cluster to be ready.
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -51,8 +51,9 @@
 /// within the first seconds of both runs of an innocent request are rare.
 const ENDS_TO_HOLD: usize = 2;
 /// How long such a request is held back, so that an innocent one is served after
-/// all: about the time in which a replica is back and has loaded a model.
-pub const HOLD: Duration = Duration::from_secs(10);
+/// all: twice the longest time that callers of known routes wait (15 s). A crashing
+/// request that its caller sends again and again costs no third replica meanwhile.
+pub const HOLD: Duration = Duration::from_secs(30);
 /// Requests that had just begun at an ended replica, up to which each of them is
 /// sent one at a time. Of more, each is hardly suspect, and the calls to the store
 /// would be many: a rack of full replicas leaves hundreds.
