--- a/crates/croftrill-cli/src/main.rs
+++ b/crates/croftrill-cli/src/main.rs
@@ -15,12 +15,14 @@
 Asks a node what it believes, and changes what the system serves.
 
 Usage: croftrill --node IP:PORT status [--json]
+       croftrill --node IP:PORT lift FINGERPRINT
        croftrill --node IP:PORT document
        croftrill --node IP:PORT plan FILE.toml [--out PLAN.json]
        croftrill --node IP:PORT confirm PLAN.json
 
   --node IP:PORT  operators' address of a node
   --json          the answer as it came
+  lift            lets a request be sent again under which replicas ended
   --out FILE      where the plan is kept for its confirmation; default: plan.json
   --help, --version
 ";
@@ -81,6 +83,11 @@
                 }
             );
         }
+        ["lift", fingerprint] => {
+            let body = serde_json::json!({ "fingerprint": fingerprint }).to_string();
+            ask(node, Method::POST, "/v1/lift", body.into()).await?;
+            println!("lifted: {fingerprint}");
+        }
         ["document"] => {
             let document = ask(node, Method::GET, "/v1/document", Bytes::new()).await?;
             println!("{}", serde_json::to_string_pretty(&document)?);
--- a/crates/croftrill-cli/src/render.rs
+++ b/crates/croftrill-cli/src/render.rs
@@ -39,6 +39,17 @@
         let id = replica["id"].as_str().unwrap_or("-");
         let _ = writeln!(table, "replica        {id} {ready}  {}", list(&replica["models"]));
     }
+    for suspect in status["suspects"].as_array().into_iter().flatten() {
+        let text = |name: &str| suspect[name].as_str().unwrap_or("-");
+        let _ = writeln!(
+            table,
+            "request        {} {}  (replicas ended: {}, blamed for {})",
+            text("fingerprint"),
+            text("verdict"),
+            suspect["ends"],
+            suspect["blamed"]
+        );
+    }
     table
 }
 
--- a/crates/croftrill-cli/tests/commands.rs
+++ b/crates/croftrill-cli/tests/commands.rs
@@ -35,6 +35,7 @@
         "node": "n1", "lifecycle": "ready", "configuration_version": 7, "orderers": ["n2", "n1", "n2"], "nodes": ["n1", "n2"],
         "in_flight": 3, "waiting": 1,
         "replicas": [{"id": "r1", "ready": false, "models": ["m1", "m1/a1"]}],
+        "suspects": [{"fingerprint": "00ff", "ends": 3, "blamed": 2, "verdict": "held"}],
     });
     let table = render::status(&status);
     for part in [
@@ -43,6 +44,7 @@
         "n2",
         "3 (waiting 1)",
         "r1 leaving  m1 m1/a1",
+        "00ff held  (replicas ended: 3, blamed for 2)",
     ] {
         assert!(table.contains(part), "{part}: {table}");
     }
--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -13,11 +13,13 @@
 use croftrill_http::document::Document;
 use croftrill_http::own_platform::OwnPlatform;
 use croftrill_http::records::DOCUMENT_KEY;
+use croftrill_node::crash_reports;
 use croftrill_node::node::{Lifecycle, Node};
 use croftrill_node::ports::{
     ConditionalPut, Expectation, Freshness, Item, KeyValueStore, PutOutcome, StoreError, Write,
 };
 use croftrill_node::stream::AnswerBody;
+use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::planner::{plan, PlannedStep};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -43,6 +45,8 @@
 pub const PLAN_PATH: &str = "/v1/plan";
 /// Confirms a plan.
 pub const CONFIRM_PATH: &str = "/v1/confirm";
+/// Lets a request be sent again under which replicas ended.
+pub const LIFT_PATH: &str = "/v1/lift";
 /// Largest body that operators may send, in bytes.
 const MOST_BODY: usize = 4 * 1024 * 1024;
 /// Longest wait for the document.
@@ -125,11 +129,42 @@
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status(node)),
         (&Method::GET, DOCUMENT_PATH) => document(node).await,
         (&Method::POST, PLAN_PATH) => make_plan(node, &body).await,
+        (&Method::POST, LIFT_PATH) => lift(node, &body),
         (&Method::POST, CONFIRM_PATH) => confirm(node, &body).await,
         _ => failure(StatusCode::NOT_FOUND, "no such call", Vec::new(), None),
     }
 }
 
+/// The request that an operator lets go on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Lift {
+    /// Its fingerprint, as status and log name it.
+    pub fingerprint: String,
+}
+
+fn lift(node: &OwnNode, body: &Bytes) -> Answer {
+    let read = serde_json::from_slice::<Lift>(body).map_err(|error| error.to_string());
+    let fingerprint = read.and_then(|lift| {
+        let parsed = lift.fingerprint.parse::<Fingerprint>();
+        parsed.map_err(|error| format!("fingerprint: {error}"))
+    });
+    match fingerprint {
+        Ok(fingerprint) if crash_reports::lift(node, fingerprint) => text("lifted".to_string()),
+        Ok(_) => failure(
+            StatusCode::NOT_FOUND,
+            "no replica ended under this request",
+            Vec::new(),
+            None,
+        ),
+        Err(finding) => failure(
+            StatusCode::BAD_REQUEST,
+            "the request cannot be read",
+            vec![finding],
+            None,
+        ),
+    }
+}
+
 async fn present(node: &OwnNode) -> Result<Option<(Document, u64)>, StoreError> {
     let snapshot = node
         .store()
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -2,6 +2,7 @@
 
 use croftrill_node::node::{Lifecycle, Node};
 use croftrill_node::ports::Platform;
+use croftrill_scheduler::crash_ledger::Verdict;
 use serde::{Deserialize, Serialize};
 
 /// What a node believes of a replica.
@@ -21,6 +22,19 @@
     pub arriving: Vec<String>,
 }
 
+/// A request under which replicas ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SuspectStatus {
+    /// Identity of its content, as the log names it.
+    pub fingerprint: String,
+    /// Replicas that ended under it.
+    pub ends: usize,
+    /// Those of them for which it bears the blame.
+    pub blamed: usize,
+    /// What becomes of it when it comes: `free`, `one at a time`, `held`, `refused`.
+    pub verdict: String,
+}
+
 /// What a node believes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -40,10 +54,36 @@
     pub waiting: usize,
     /// Replicas.
     pub replicas: Vec<ReplicaStatus>,
+    /// Requests under which replicas ended, as all nodes reported.
+    #[serde(default)]
+    pub suspects: Vec<SuspectStatus>,
+}
+
+fn suspects<P: Platform>(node: &Node<P>) -> Vec<SuspectStatus> {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let suspects = state.crash_ledger.suspects();
+    let suspects = suspects.map(|(fingerprint, suspect)| SuspectStatus {
+        fingerprint: fingerprint.to_string(),
+        ends: suspect.ends.len(),
+        blamed: suspect.blamed,
+        verdict: verdict_name(suspect.verdict(now)).to_string(),
+    });
+    suspects.collect()
+}
+
+fn verdict_name(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Free => "free",
+        Verdict::OneAtATime => "one at a time",
+        Verdict::Held(_) => "held",
+        Verdict::Refused => "refused",
+    }
 }
 
 /// What the node believes now.
 pub fn status<P: Platform>(node: &Node<P>) -> NodeStatus {
+    let suspects = suspects(node);
     let state = node.state.borrow();
     let replicas = state.replicas.iter().map(|entry| {
         let held = entry.listing.holdings.models.iter();
@@ -85,6 +125,7 @@
         in_flight: node.in_flight.get(),
         waiting: state.fair_queue.waiting(),
         replicas: replicas.collect(),
+        suspects,
     }
 }
 
--- a/crates/croftrill-daemon/tests/operators.rs
+++ b/crates/croftrill-daemon/tests/operators.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use croftrill_daemon::daemon::Daemon;
-use croftrill_daemon::operator_api::{Confirmed, Failure, PlanDocument};
+use croftrill_daemon::operator_api::{Confirmed, Failure, Lift, PlanDocument};
 use croftrill_daemon::status::NodeStatus;
 use croftrill_demo::system::{document, node_settings, write_document};
 use croftrill_http::document::{Document, ModelDocument};
 use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_scheduler::crash_ledger::{EndedReplica, Fingerprint, Verdict};
 use croftrill_standin::http_server::listen;
 use croftrill_standin::store::{StoreFault, StoreStandin};
 use http::{Method, Request, Response};
@@ -210,3 +211,36 @@
         }
     });
 }
+
+#[test]
+fn lift_lets_a_refused_request_be_sent_again() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let node = &fixture.daemon.node;
+        let fingerprint = Fingerprint(0xabc);
+        for replica in 0..3 {
+            let now = node.clock.now();
+            let ledger = &mut node.state.borrow_mut().crash_ledger;
+            ledger.record_end(fingerprint, EndedReplica(replica), now);
+        }
+        let status: NodeStatus = read(&fixture.call::<()>(Method::GET, "/v1/status", None).await);
+        assert_eq!(status.suspects.len(), 1);
+        assert_eq!(status.suspects[0].verdict, "refused");
+        let lift = Lift {
+            fingerprint: status.suspects[0].fingerprint.clone(),
+        };
+        let answer = fixture.call(Method::POST, "/v1/lift", Some(&lift)).await;
+        assert_eq!(answer.status(), 200);
+        let now = node.clock.now();
+        let verdict = node.state.borrow_mut().crash_ledger.verdict(fingerprint, now);
+        assert_eq!(verdict, Verdict::Free);
+        let again = fixture.call(Method::POST, "/v1/lift", Some(&lift)).await;
+        assert_eq!(again.status(), 404);
+        let bad = Lift {
+            fingerprint: "no number".to_string(),
+        };
+        let answer = fixture.call(Method::POST, "/v1/lift", Some(&bad)).await;
+        let failure: Failure = read(&answer);
+        assert_eq!((answer.status().as_u16(), failure.findings.len()), (400, 1));
+    });
+}
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -150,17 +150,25 @@
 /// A replica answered a request whole.
 pub(crate) fn answered_whole<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) {
     let now = node.clock.now();
-    let is_cleared = node
-        .state
-        .borrow_mut()
-        .crash_ledger
-        .record_whole(fingerprint, now);
+    let is_cleared = node.state.borrow_mut().crash_ledger.clear(fingerprint, now);
     if is_cleared {
         Metrics::count(&node.metrics.crashes, "request", "cleared");
         node.crash_report_changed.notify_one();
     }
 }
 
+/// An operator lets a request be sent again. False if nothing stands against it.
+pub fn lift<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) -> bool {
+    let now = node.clock.now();
+    let is_cleared = node.state.borrow_mut().crash_ledger.clear(fingerprint, now);
+    tracing::info!(target: "crash", event = "lifted by an operator", %fingerprint, is_cleared);
+    if is_cleared {
+        Metrics::count(&node.metrics.crashes, "request", "lifted");
+        node.crash_report_changed.notify_one();
+    }
+    is_cleared
+}
+
 /// Another node cannot write its report: this one's tells it too.
 pub(crate) fn adopt<P: Platform>(node: &Node<P>, report: WireCrashReport) {
     let now = node.clock.now();
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -28,6 +29,14 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Fingerprint)
+    }
+}
+
 /// Identity of a replica incarnation that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndedReplica(pub u64);
@@ -175,9 +184,10 @@
         self.changed_at = Some(now);
     }
 
-    /// A replica answered the request whole. True if that clears it of anything,
-    /// which the other nodes must hear: they would count the ends on.
-    pub fn record_whole(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+    /// Clears a request of all ends so far: a replica answered it whole, or an
+    /// operator says so. True if there were any, which the other nodes must hear:
+    /// they would count the ends on.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
         let Some(suspect) = self.suspect(fingerprint).cloned() else {
             return false;
         };
--- a/crates/croftrill-scheduler/tests/crash_ledger.rs
+++ b/crates/croftrill-scheduler/tests/crash_ledger.rs
@@ -98,13 +98,13 @@
 }
 
 #[test]
-fn record_whole_clears_a_request_everywhere_of_the_ends_so_far() {
+fn clear_frees_a_request_everywhere_of_the_ends_so_far() {
     let mut here = CrashLedger::default();
     let mut there = CrashLedger::default();
     let evidence = report(&[(CRASHER, &[1, 2, 3])]);
     here.take_report("a", evidence.clone(), at(1));
     there.take_report("a", evidence, at(1));
-    assert!(here.record_whole(CRASHER, at(2)));
+    assert!(here.clear(CRASHER, at(2)));
     assert_eq!(here.verdict(CRASHER, at(2)), Verdict::Free);
     there.take_report("here", here.own_report(at(2)), at(3));
     assert_eq!(there.verdict(CRASHER, at(3)), Verdict::Free);
