Crash reports: a node that cannot write hands over what joins its report later

Cause: the report was handed over at the first failed write only; ends that were seen while the writes went on failing reached nobody until the store was back. Before: the test on the list waits in vain for the second end at another node; after, it passes.

--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -210,8 +210,9 @@
             lease = None;
             if failures == 1 {
                 tracing::warn!(target: "crash", event = "report not written", %error);
-                hand_over(&node);
             }
+            // Each time, as more may have joined it.
+            hand_over(&node);
             let share = rand::rng().random_range(0.5..1.5);
             sleep(RETRY_PAUSE.mul_f64(share)).await;
         }
