Crash trials: a request waits 100 ms for the store at most

Cause: the key of a run was waited for as long as calls to the store may take, 0.9 s each; with the store slow or silent a request that had lost a replica was held so long. Before: the test gets no 200 within 700 ms; after, it does.

--- a/crates/croftrill-node/src/crash_trial.rs
+++ b/crates/croftrill-node/src/crash_trial.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::crash_ledger::Fingerprint;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
 use crate::ports::{ConditionalPut, Expectation, KeyValueStore, Platform, PutOutcome, StoreError, Write};
@@ -22,6 +22,9 @@
 /// Longest time that a run keeps others away: the 2 s within which a request that
 /// begins crashes its replica, and a second until all nodes know of it.
 const LONGEST_TRIAL: Duration = Duration::from_secs(3);
+/// Longest wait for the key: many times what two calls take (10 ms), and little beside
+/// objectives (500 ms). A request does not wait for a store that is slow or away.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
 /// Time until all nodes know that a run crashed its replica: until the node is sure
 /// (10 ms), has written it (50 ms), and a relay has told it.
 const END_IS_KNOWN: Duration = Duration::from_millis(400);
@@ -56,7 +59,8 @@
 
 /// Takes the key of a request's run.
 pub(crate) async fn begin<P: Platform>(node: &Rc<Node<P>>, fingerprint: Fingerprint) -> TrialOutcome<P> {
-    match take_key(node, fingerprint).await {
+    let taken = timeout(LONGEST_WAIT, take_key(node, fingerprint)).await;
+    match taken.unwrap_or(Err(StoreError::NoAnswer)) {
         Ok(Some(lease)) => TrialOutcome::Won(Trial {
             node: node.clone(),
             lease,
