--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -283,10 +283,11 @@
         })
     }
 
-    /// Why the request may not be sent (now), if so: replicas ended under it. Waits
-    /// until it is known whether the one at which it broke last has ended.
+    /// Why the request may not be sent (now), if so: replicas ended under it. From
+    /// its second break on it waits until it is known whether the replica has ended:
+    /// a first one bars nothing.
     async fn barred(&self) -> Option<Verdict> {
-        if let Some(last) = self.tried.last() {
+        if let [_, .., last] = self.tried.as_slice() {
             crash_watch::until_judged(&self.node, last).await;
         }
         if self.node.state.borrow().crash_ledger.is_empty() {
