--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use croftrill_node::crash_reports::WireCrashReport;
+use croftrill_node::crash_wire::WireCrashReport;
 use croftrill_node::peer::{FromOrderer, WirePlacement};
 use croftrill_scheduler::crash_ledger::{CrashLedger, CrashReport, EndedReplica, Fingerprint, Suspicion};
 use croftrill_scheduler::demand::{Asked, ModelKey};
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -13,13 +13,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::crash_ledger::{CrashReport, EndedReplica, Fingerprint, Suspicion, Verdict, KEEP};
+use croftrill_scheduler::crash_ledger::{CrashLedger, EndedReplica, Fingerprint, Verdict, KEEP};
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 use rand::Rng;
 use tokio::time::sleep;
 
-use crate::membership::OWN_PREFIX;
+use crate::crash_wire::WireCrashReport;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::peer::ToOrderer;
@@ -37,53 +37,6 @@
 /// written lives nearly as long as a lease.
 const LEASE_USED_FOR: Duration = Duration::from_secs(60);
 
-/// A request in a report, on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
-pub struct WireSuspicion {
-    /// Upper and lower half of its fingerprint.
-    fingerprint: [u64; 2],
-    /// Replicas that ended under it.
-    ended: Vec<u64>,
-    /// Those of them of which it was cleared.
-    cleared: Vec<u64>,
-}
-
-/// A node's report, on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
-pub struct WireCrashReport {
-    suspicions: Vec<WireSuspicion>,
-}
-
-impl WireCrashReport {
-    /// The message form of a report.
-    pub fn from_report(report: &CrashReport) -> Self {
-        let suspicions = report.iter().map(|(fingerprint, suspicion)| WireSuspicion {
-            fingerprint: [(fingerprint.0 >> 64) as u64, fingerprint.0 as u64],
-            ended: suspicion.ended.iter().map(|replica| replica.0).collect(),
-            cleared: suspicion.cleared.iter().map(|replica| replica.0).collect(),
-        });
-        WireCrashReport {
-            suspicions: suspicions.collect(),
-        }
-    }
-
-    /// The report.
-    pub fn into_report(self) -> CrashReport {
-        let suspicions = self.suspicions.into_iter().map(|wire| {
-            let [upper, lower] = wire.fingerprint;
-            let suspicion = Suspicion {
-                ended: wire.ended.into_iter().map(EndedReplica).collect(),
-                cleared: wire.cleared.into_iter().map(EndedReplica).collect(),
-            };
-            (
-                Fingerprint(u128::from(upper) << 64 | u128::from(lower)),
-                suspicion,
-            )
-        });
-        suspicions.collect()
-    }
-}
-
 /// True if a key of the store is a node's report.
 pub(crate) fn is_report(key: &str) -> bool {
     key.starts_with(REPORT_PREFIX)
@@ -179,8 +132,8 @@
 }
 
 /// All reports as items of the store, by key.
-pub(crate) fn items(reports: &croftrill_scheduler::crash_ledger::CrashLedger) -> Vec<(String, Vec<u8>)> {
-    let reports = reports.reports();
+pub(crate) fn items(ledger: &CrashLedger) -> Vec<(String, Vec<u8>)> {
+    let reports = ledger.reports();
     let items = reports.map(|(key, report)| {
         let value = WireCrashReport::from_report(report).serialize_bin();
         (key.to_string(), value)
@@ -198,7 +151,6 @@
 /// Writes this node's report whenever it changes, until the process ends.
 /// `incarnation`: a former process's report stands beside it until its lease is over.
 pub async fn publish<P: Platform>(node: Rc<Node<P>>, incarnation: u64) {
-    debug_assert!(REPORT_PREFIX.starts_with(OWN_PREFIX));
     let key = format!("{REPORT_PREFIX}{}/{incarnation}", node.settings.identity.name);
     let mut lease = None;
     loop {
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -5,21 +5,19 @@
 //! ran breaks at the same moment; so the requests that break at one replica are
 //! gathered, and one connection is tried.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::replica::{ReplicaId, ReplicaState};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::broken_requests::BrokenRequest;
 use crate::crash_reports;
 use crate::node::Node;
 use crate::ports::Platform;
-use crate::request::CallerAddress;
 
 /// Time in which the requests that break with a replica are noticed.
 const GATHER: Duration = Duration::from_millis(10);
@@ -29,36 +27,6 @@
 /// Longest wait of a request that could go on elsewhere: some round trips, and
 /// little beside the pauses that callers bear (300 ms at least).
 const LONGEST_WAIT: Duration = Duration::from_millis(60);
-/// A request whose answer went on for longer had been running well, and did not end
-/// its replica by beginning: the longest step of an engine under load.
-const BEGINS_WITHIN: Duration = Duration::from_secs(2);
-
-/// A request that broke at a replica.
-#[derive(Debug, Clone)]
-pub struct BrokenRequest {
-    /// The caller's id of the attempt.
-    pub id: String,
-    /// Identity of its content.
-    pub fingerprint: Fingerprint,
-    /// Where it came from.
-    pub caller: Option<CallerAddress>,
-    /// Time from the head of its answer to the last that came of it; `None` if there
-    /// was no head yet.
-    pub went_on_for: Option<Duration>,
-}
-
-impl BrokenRequest {
-    fn had_just_begun(&self) -> bool {
-        self.went_on_for.is_none_or(|age| age <= BEGINS_WITHIN)
-    }
-}
-
-/// Requests that broke, by replica, until it is known whether that ended.
-#[derive(Debug, Default)]
-pub struct CrashWatch {
-    broken: BTreeMap<ReplicaId, Vec<BrokenRequest>>,
-}
-
 /// A request broke at a replica: its connection ended, or fell silent, before its
 /// answer did.
 pub(crate) fn request_broke<P: Platform>(node: &Rc<Node<P>>, replica: &ReplicaId, request: BrokenRequest) {
@@ -69,9 +37,7 @@
     let Some(address) = ready.and_then(|entry| entry.listing.address.parse().ok()) else {
         return;
     };
-    let broken = state.crash_watch.broken.entry(replica.clone()).or_default();
-    broken.push(request);
-    if broken.len() == 1 {
+    if state.broken_requests.add(replica, request) {
         spawn_local(judge(node.clone(), replica.clone(), address));
     }
 }
@@ -81,7 +47,7 @@
     let judged = async {
         loop {
             let changed = node.crash_judged.notified();
-            if !node.state.borrow().crash_watch.broken.contains_key(replica) {
+            if !node.state.borrow().broken_requests.is_awaited(replica) {
                 return;
             }
             changed.await;
@@ -97,8 +63,7 @@
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
-    let broken = node.state.borrow_mut().crash_watch.broken.remove(&replica);
-    let broken = broken.unwrap_or_default();
+    let broken = node.state.borrow_mut().broken_requests.take(&replica);
     if refused {
         note_end(&node, &replica, &broken);
     } else {
--- /dev/null
+++ b/crates/croftrill-node/src/crash_wire.rs
@@ -0,0 +1,51 @@
+//! Reports of requests that crash replicas, on the wire.
+
+use croftrill_scheduler::crash_ledger::{CrashReport, EndedReplica, Fingerprint, Suspicion};
+use nanoserde::{DeBin, SerBin};
+
+/// A request in a report, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireSuspicion {
+    /// Upper and lower half of its fingerprint.
+    fingerprint: [u64; 2],
+    /// Replicas that ended under it.
+    ended: Vec<u64>,
+    /// Those of them of which it was cleared.
+    cleared: Vec<u64>,
+}
+
+/// A node's report, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireCrashReport {
+    suspicions: Vec<WireSuspicion>,
+}
+
+impl WireCrashReport {
+    /// The message form of a report.
+    pub fn from_report(report: &CrashReport) -> Self {
+        let suspicions = report.iter().map(|(fingerprint, suspicion)| WireSuspicion {
+            fingerprint: [(fingerprint.0 >> 64) as u64, fingerprint.0 as u64],
+            ended: suspicion.ended.iter().map(|replica| replica.0).collect(),
+            cleared: suspicion.cleared.iter().map(|replica| replica.0).collect(),
+        });
+        WireCrashReport {
+            suspicions: suspicions.collect(),
+        }
+    }
+
+    /// The report.
+    pub fn into_report(self) -> CrashReport {
+        let suspicions = self.suspicions.into_iter().map(|wire| {
+            let [upper, lower] = wire.fingerprint;
+            let suspicion = Suspicion {
+                ended: wire.ended.into_iter().map(EndedReplica).collect(),
+                cleared: wire.cleared.into_iter().map(EndedReplica).collect(),
+            };
+            (
+                Fingerprint(u128::from(upper) << 64 | u128::from(lower)),
+                suspicion,
+            )
+        });
+        suspicions.collect()
+    }
+}
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -15,8 +15,8 @@
 
 use crate::connection::tune;
 use crate::node::{Lifecycle, Node};
-use crate::ports::Platform;
-use crate::request::{self, CallerAddress};
+use crate::ports::{CallerAddress, Platform};
+use crate::request;
 
 /// Pause after a failed accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -7,12 +7,14 @@
 //!
 //! What the surroundings speak is behind the traits of [`ports`].
 
+pub mod broken_requests;
 pub mod clock;
 pub mod connection;
 pub mod counted_store;
 pub mod crash_reports;
 pub(crate) mod crash_trial;
 pub(crate) mod crash_watch;
+pub mod crash_wire;
 pub mod directory;
 pub mod front;
 pub mod link;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -18,10 +18,10 @@
 use croftrill_scheduler::time::Moment;
 use tokio::sync::{broadcast, mpsc, Mutex, Notify};
 
+use crate::broken_requests::BrokenRequests;
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
 use crate::counted_store::CountedStore;
-use crate::crash_watch::CrashWatch;
 use crate::front::STOP_LINGER;
 use crate::membership::Members;
 use crate::metrics::Metrics;
@@ -59,7 +59,7 @@
     /// Requests that crash replicas, as all nodes saw.
     pub crash_ledger: CrashLedger,
     /// Requests that broke at replicas that may have ended.
-    pub crash_watch: CrashWatch,
+    pub broken_requests: BrokenRequests,
     /// This node's share of the retry budget.
     pub retry_budget: RetryBudget,
     /// Requests that wait for a place, by group.
@@ -210,7 +210,7 @@
             configuration_item: None,
             replicas: ReplicaTable::new(),
             crash_ledger: CrashLedger::default(),
-            crash_watch: CrashWatch::default(),
+            broken_requests: BrokenRequests::default(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
             demand: DemandBatch::default(),
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -11,7 +11,7 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
-use crate::crash_reports::WireCrashReport;
+use crate::crash_wire::WireCrashReport;
 use crate::tree::MOST_NEWS_BYTES;
 
 /// A model or adapter of a service, on the wire.
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -4,7 +4,7 @@
 //! All futures stay on the node's one thread, so none must be `Send`.
 #![allow(async_fn_in_trait)]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -311,6 +311,11 @@
     pub group: Option<String>,
 }
 
+/// Address from which a caller's connection comes; the front sets it as an extension
+/// of each request. For the log: it does not tell who the caller is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Why a request's headers cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum BadRequest {
--- a/crates/croftrill-node/src/request/fingerprint.rs
+++ b/crates/croftrill-node/src/request/fingerprint.rs
@@ -1,14 +1,8 @@
 //! What makes a request the same as one that came before, here or at another node.
 
-use std::net::IpAddr;
-
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use sha2::{Digest, Sha256};
 
-/// Address from which a caller's connection comes; the front sets it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallerAddress(pub IpAddr);
-
 /// The fingerprint of a request's target, caller and body. A caller is who it says
 /// to be; its address tells nothing, as one caller uses several. SHA-256, as a caller
 /// that found another one's fingerprint could have that request refused: half of
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -3,7 +3,8 @@
 //! [`serve`] reads it, finds its route and its place; [`RequestRun`] then sends
 //! it until it is answered or given up. The parts: [`guards`] what it holds,
 //! [`cold`] waiting for models, [`sending`] one send, [`streaming`] event
-//! streams, [`answers`] final answers, [`forwarding`] headers and targets.
+//! streams, [`answers`] final answers, [`forwarding`] headers and targets,
+//! [`crashing`] and [`fingerprint`] requests that crash replicas.
 //!
 //! Safety: a request that must not be repeated goes to a second replica only if
 //! the first provably did not run it; and a refusal that promises "not run" is
@@ -11,6 +12,7 @@
 
 mod answers;
 mod cold;
+mod crashing;
 mod fingerprint;
 mod forwarding;
 mod guards;
@@ -24,7 +26,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
-use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
+use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
@@ -34,13 +36,10 @@
 pub use self::answers::refuse;
 use self::answers::{json, kind_name};
 use self::cold::NextReplica;
-pub use self::fingerprint::CallerAddress;
 use self::forwarding::{find_route, pick_backend, read_body};
 use self::guards::{take_place, Flight, Place};
 use self::sending::SendEnd;
-use crate::crash_reports;
-use crate::crash_trial::{self, Trial, TrialOutcome};
-use crate::crash_watch::{self, BrokenRequest};
+use crate::crash_trial::Trial;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::ports::{Dialect, Platform, RequestFacts};
@@ -271,75 +270,6 @@
         }
     }
 
-    /// Identity of the request's content, the same whenever it comes again.
-    fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let target = self
-                .head
-                .uri
-                .path_and_query()
-                .map_or("/", |target| target.as_str());
-            fingerprint::fingerprint(target, self.facts.group.as_deref(), &self.body)
-        })
-    }
-
-    /// Why the request may not be sent (now), if so: replicas ended under it. From
-    /// its second break on it waits until it is known whether the replica has ended:
-    /// a first one bars nothing.
-    async fn barred(&self) -> Option<Verdict> {
-        if let [_, .., last] = self.tried.as_slice() {
-            crash_watch::until_judged(&self.node, last).await;
-        }
-        if self.node.state.borrow().crash_ledger.is_empty() {
-            return None;
-        }
-        let verdict = crash_reports::verdict(&self.node, self.fingerprint());
-        (!matches!(verdict, Verdict::Free | Verdict::OneAtATime)).then_some(verdict)
-    }
-
-    /// Why the request may not be sent at this moment, if so. What it crashed while it
-    /// waited may be known only now, and other copies of it may have waited with it.
-    async fn barred_from_sending(&mut self) -> Option<Verdict> {
-        if let Some(verdict) = self.barred().await {
-            return Some(verdict);
-        }
-        let fingerprint = self.fingerprint();
-        let verdict = crash_reports::verdict(&self.node, fingerprint);
-        if self.trial.is_some() || verdict != Verdict::OneAtATime {
-            return None;
-        }
-        match crash_trial::begin(&self.node, fingerprint).await {
-            TrialOutcome::Won(trial) => self.trial = Some(trial),
-            TrialOutcome::Lost => return Some(verdict),
-            // It may be innocent, and without the store nobody could tell.
-            TrialOutcome::Unknown => {}
-        }
-        None
-    }
-
-    /// A replica answered whole, so the request did not crash it.
-    fn answered_whole(&self) {
-        if !self.node.state.borrow().crash_ledger.is_empty() {
-            crash_reports::answered_whole(&self.node, self.fingerprint());
-        }
-    }
-
-    fn caller(&self) -> Option<CallerAddress> {
-        self.head.extensions.get::<CallerAddress>().copied()
-    }
-
-    /// The connection to a replica ended, or fell silent, before the answer did. Time
-    /// that the answer went on for: `None` if not even its head came.
-    fn broke_at(&self, replica: &ReplicaId, went_on_for: Option<Duration>) {
-        let broken = BrokenRequest {
-            id: self.facts.id.clone(),
-            fingerprint: self.fingerprint(),
-            caller: self.caller(),
-            went_on_for,
-        };
-        crash_watch::request_broke(&self.node, replica, broken);
-    }
-
     /// A part of a stream came so long after the one before.
     fn note_pause(&self, pause: Duration) {
         self.longest_pause.set(self.longest_pause.get().max(pause));
