Crash ledger: what is over is forgotten also while nothing changes

Cause: entries went only when a report came or was written. On a fleet that was quiet after a crash a request stayed refused beyond its 600 s, and bodies were hashed on. Found by reading. Change: once a minute what is over is dropped when a request asks.

--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -74,6 +74,8 @@
 /// refused, and how long another node's report counts after it was last told. As
 /// long as the longest lease of a store.
 pub const KEEP: Duration = Duration::from_secs(600);
+/// What is over is forgotten this rarely: soon enough beside `KEEP`.
+const FORGET_EVERY: Duration = Duration::from_secs(60);
 /// Most requests in one node's report, at some 100 bytes: those that had just
 /// begun at two full replicas.
 const MOST_REPORTED: usize = 128;
@@ -261,6 +263,9 @@
 
     /// What may happen with a request.
     pub fn verdict(&mut self, fingerprint: Fingerprint, now: Moment) -> Verdict {
+        if now.since(self.united_at) >= FORGET_EVERY {
+            self.changed_at.get_or_insert(now);
+        }
         if self.own_changed || now.since(self.united_at) >= UNITE_EVERY {
             self.unite();
             self.united_at = now;
@@ -314,6 +319,7 @@
             return;
         };
         self.own_changed = false;
+        self.own.retain(|_, own| changed_at.since(own.touched) <= KEEP);
         let mut united: CrashReport = BTreeMap::new();
         let own = self.own.iter().map(|(key, own)| (key, &own.suspicion));
         self.reports.retain(|_, told| changed_at.since(told.at) <= KEEP);
--- a/crates/croftrill-scheduler/src/lease.rs
+++ b/crates/croftrill-scheduler/src/lease.rs
@@ -1,4 +1,4 @@
-//! Who may give orders: a lease on one key, judged by the steady clock.
+//! Who may give orders: a lease on one key, judged by the node's clock.
 //!
 //! Safety: a holder acts only while `now < valid_until`, where `valid_until` is
 //! counted from when its last successful renewal was *sent*. The store counts
--- a/crates/croftrill-scheduler/src/time.rs
+++ b/crates/croftrill-scheduler/src/time.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// A moment of the process's steady clock, in nanoseconds since an arbitrary
+/// A moment of the process's clock, in nanoseconds since an arbitrary
 /// start. Unlike the time of day it never jumps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct Moment(u64);
