--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -25,6 +25,15 @@
 pub const GROUP_HEADER: &str = "croftrill-group";
 /// Rank, 0 first.
 pub const PRIORITY_HEADER: &str = "croftrill-priority";
+/// Headers of a request that only the system may set; a caller's own are dropped.
+const SYSTEM_ONLY: [&str; 3] = [
+    // The incarnation that may run it: another value makes a replica refuse it.
+    INCARNATION_HEADER,
+    // Its rank among the requests of all callers.
+    PRIORITY_HEADER,
+    // The caller's secret is for this system alone.
+    "authorization",
+];
 /// Lists the models.
 const MODELS_PATH: &str = "/v1/models";
 /// Bytes of a prompt that are taken for one token.
@@ -142,13 +151,15 @@
     }
 
     fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
+        for name in SYSTEM_ONLY {
+            headers.remove(name);
+        }
         set(headers, INCARNATION_HEADER, forwarding.replica);
         set(
             headers,
             DEADLINE_HEADER,
             &forwarding.time_left.as_millis().to_string(),
         );
-        headers.remove(PRIORITY_HEADER);
         if let Some(priority) = forwarding.priority {
             set(headers, PRIORITY_HEADER, &priority.to_string());
         }
