--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -100,6 +100,10 @@
 }
 
 impl Dialect for Completions {
+    fn key_scheme(&self) -> &'static str {
+        "Bearer"
+    }
+
     fn request_facts(&self, head: &request::Parts) -> Result<RequestFacts, BadRequest> {
         let id = text(&head.headers, ATTEMPT_HEADER)
             .filter(|id| !id.is_empty())
@@ -138,6 +142,7 @@
         facts.adapter = adapter;
         facts.prompt_tokens = prompt.len() as u64 / BYTES_PER_TOKEN;
         facts.output_tokens = completion.max_tokens.unwrap_or(USUAL_OUTPUT_TOKENS);
+        facts.metered_tokens = Some(facts.prompt_tokens + facts.output_tokens);
         facts.parts = vec![PromptPart {
             hash: xxh3_64(shared),
             tokens: shared.len() as u64 / BYTES_PER_TOKEN,
@@ -163,6 +168,9 @@
         if let Some(priority) = forwarding.priority {
             set(headers, PRIORITY_HEADER, &priority.to_string());
         }
+        if let Some(tenant) = forwarding.tenant {
+            set(headers, GROUP_HEADER, tenant);
+        }
         if let Some(last) = forwarding.resume_after {
             set(headers, "last-event-id", last);
         }
--- a/crates/croftrill-http/src/document.rs
+++ b/crates/croftrill-http/src/document.rs
@@ -146,6 +146,7 @@
             }],
             max_attempts: 2,
             resumable: false,
+            public: false,
         }
     }
 }
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -24,6 +24,8 @@
     registry: Registry,
     /// Requests by route kind and outcome.
     pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests that were denied or refused before they counted, by cause.
+    pub denied: Family<OutcomeLabels, Counter>,
     /// Sends beyond a request's first, by cause.
     pub retries: Family<OutcomeLabels, Counter>,
     /// Orders by kind and outcome.
@@ -66,6 +68,12 @@
         let mut registry = Registry::with_prefix("croftrill");
         let requests = Family::default();
         registry.register("requests", "Requests by route kind and outcome", requests.clone());
+        let denied = Family::default();
+        registry.register(
+            "denied",
+            "Requests without a valid key or beyond a quota, by cause",
+            denied.clone(),
+        );
         let retries = Family::default();
         registry.register(
             "retries",
@@ -141,6 +149,7 @@
         Metrics {
             registry,
             requests,
+            denied,
             retries,
             orders,
             crashes,
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -307,7 +307,10 @@
     pub parts: Vec<PromptPart>,
     /// The event after which a stream goes on.
     pub last_event_id: Option<String>,
-    /// The group of callers that the request counts for.
+    /// Tokens that the request counts for against a quota, if it tells any.
+    pub metered_tokens: Option<u64>,
+    /// The group of callers that the request counts for: the tenant whose key it
+    /// shows, or where no keys are needed the one that it names.
     pub group: Option<String>,
 }
 
@@ -339,6 +342,8 @@
     pub time_left: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// The tenant whose key the caller showed.
+    pub tenant: Option<&'a str>,
     /// The event after which the stream goes on.
     pub resume_after: Option<&'a str>,
 }
@@ -371,6 +376,8 @@
 
 /// How requests and answers are written on the wire.
 pub trait Dialect {
+    /// Word before the key in a caller's `Authorization`.
+    fn key_scheme(&self) -> &'static str;
     /// Reads a request's headers.
     fn request_facts(&self, head: &request::Parts) -> Result<RequestFacts, BadRequest>;
     /// Adds what the body tells, in dialects that put the model there.
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -3,13 +3,15 @@
 //! [`serve`] reads it, finds its route and its place; [`RequestRun`] then sends
 //! it until it is answered or given up. The parts: [`guards`] what it holds,
 //! [`cold`] waiting for models, [`sending`] one send, [`streaming`] event
-//! streams, [`answers`] final answers, [`forwarding`] headers and targets,
+//! streams, [`access`] keys,
+//! [`answers`] final answers, [`forwarding`] headers and targets,
 //! [`crashing`] and [`fingerprint`] requests that crash replicas.
 //!
 //! Safety: a request that must not be repeated goes to a second replica only if
 //! the first provably did not run it; and a refusal that promises "not run" is
 //! given only if every replica it went to provably did not run it.
 
+mod access;
 mod answers;
 mod cold;
 mod crashing;
@@ -33,6 +35,7 @@
 use http::{request, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
+use self::access::{authorize, refuse_access};
 pub use self::answers::refuse;
 use self::answers::{json, kind_name};
 use self::cold::NextReplica;
@@ -101,6 +104,11 @@
         tracing::info!(target: "request", id = facts.id, outcome = "no route", version = configuration.version);
         return refuse(StatusCode::NOT_FOUND, "no such route", None);
     };
+    let scheme = node.platform.dialect().key_scheme();
+    let tenant = match authorize(&configuration, &route, &head.headers, scheme) {
+        Ok(tenant) => tenant,
+        Err(denied) => return refuse_access(node, &facts.id, &configuration, denied),
+    };
     let deadline = arrival + facts.deadline.unwrap_or(DEFAULT_DEADLINE).min(LONGEST_DEADLINE);
     let until = route
         .timeout
@@ -121,6 +129,9 @@
     if let Err(error) = node.platform.dialect().read_body(&mut facts, &body) {
         return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None);
     }
+    if let Some(tenant) = &tenant {
+        facts.group = Some(tenant.to_string());
+    }
     let service = pick_backend(&route, &facts.id);
     let placed = node
         .clock
@@ -135,6 +146,7 @@
     let run = RequestRun {
         node: node.clone(),
         facts,
+        tenant,
         route,
         service,
         configuration,
@@ -163,6 +175,8 @@
 struct RequestRun<P: Platform> {
     node: Rc<Node<P>>,
     facts: RequestFacts,
+    /// The tenant whose key the caller showed.
+    tenant: Option<Arc<str>>,
     route: Arc<Route>,
     service: ServiceName,
     configuration: Arc<Configuration>,
@@ -278,6 +292,14 @@
         }
     }
 
+    /// Rank among all requests at a replica; 0 is the most urgent.
+    fn rank(&self) -> u8 {
+        let tenants = &self.configuration.tenants;
+        let tenant = self.tenant.as_deref().and_then(|name| tenants.named(name));
+        let route = self.route.priority;
+        tenant.map_or(route, |tenant| tenants.rank(tenant, route))
+    }
+
     /// The model that the request needs, if its service serves models.
     fn model_key(&self) -> Option<ModelKey> {
         let is_engine = self
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -235,7 +235,8 @@
         let forwarding = Forwarding {
             replica,
             time_left: self.until.since(self.now()),
-            priority: self.model_key().map(|_| self.route.priority),
+            priority: self.model_key().map(|_| self.rank()),
+            tenant: self.tenant.as_deref(),
             resume_after,
         };
         self.node.platform.dialect().forward(&mut headers, &forwarding);
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::tenants::{Tenant, Tenants};
+
 /// Name of a model.
 pub type ModelName = Arc<str>;
 /// Name of an adapter, unique within its model.
@@ -59,6 +61,8 @@
     pub max_attempts: u32,
     /// True if a broken stream may be continued at another replica.
     pub resumable: bool,
+    /// True if its requests need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -152,6 +156,8 @@
     pub limits: CallerLimits,
     /// Share of each group of callers; a group without one has a share of 1.
     pub group_shares: HashMap<Arc<str>, u32>,
+    /// Who may call, shown by keys; anybody if there are none.
+    pub tenants: Tenants,
     services: HashMap<ServiceName, Arc<Service>>,
     /// Routes of a host, the longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -178,6 +184,7 @@
             version,
             limits,
             group_shares: HashMap::new(),
+            tenants: Tenants::default(),
             services,
             routes_by_host,
         }
@@ -219,6 +226,16 @@
         self
     }
 
+    /// The same configuration for callers that show keys of these tenants.
+    pub fn with_tenants(mut self, tenants: Vec<Tenant>) -> Self {
+        let routes = self.routes_by_host.values().flatten();
+        let mut priorities: Vec<u8> = routes.map(|route| route.priority).collect();
+        priorities.sort_unstable();
+        priorities.dedup();
+        self.tenants = Tenants::new(tenants, priorities.into_iter());
+        self
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes_by_host.values().map(Vec::len).sum()
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod retry_budget;
 pub mod routing;
 pub mod shard;
+pub mod tenants;
 pub mod time;
--- a/crates/croftrill-scheduler/tests/catalog.rs
+++ b/crates/croftrill-scheduler/tests/catalog.rs
@@ -20,6 +20,7 @@
         }],
         max_attempts: 1,
         resumable: false,
+        public: false,
     }
 }
 
