Quotas: kept by all nodes together, by a keeper a part of the tenants

Ruled out: a share of each quota at each node (a request is 9,190 tokens; the smallest quota gives a node of 84 one in 27 s). Change: scheduler::quota: a keeper holds one balance a tenant, refilled at the rate for the part of the listed nodes that listen to it, so that two keepers of one part spend no more than one; a new keeper begins without a balance; debts up to 0.3 of the slack in all. node::quota: each node asks the keeper of the tenant's part over one link, and itself where it reaches none; what did not run goes back; 429 with the time at which the balance pays, 503 where no keeper rules. Keepers are nodes with most processor time.

--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -35,6 +35,28 @@
     /// Bounds on sends beyond a request's first.
     #[serde(default)]
     pub retry: RetrySettings,
+    /// How exactly the quotas of groups are kept.
+    #[serde(default)]
+    pub quota: QuotaSettings,
+}
+
+/// How exactly the quotas of groups are kept, for all nodes together.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuotaSettings {
+    /// Length of the sliding window.
+    pub window_seconds: f64,
+    /// Tokens that a group may be over its quota in a window.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        QuotaSettings {
+            window_seconds: 8.0,
+            slack: 20_000.0,
+        }
+    }
 }
 
 /// Bounds on sends beyond a request's first, for all nodes together.
@@ -96,6 +118,7 @@
         let positive = [
             ("stop_grace_seconds", self.stop_grace_seconds),
             ("retry.window_seconds", self.retry.window_seconds),
+            ("quota.window_seconds", self.quota.window_seconds),
         ];
         for (place, value) in positive {
             if value.is_nan() || value <= 0.0 {
@@ -105,6 +128,7 @@
         for (place, value) in [
             ("retry.ratio", self.retry.ratio),
             ("retry.slack", self.retry.slack),
+            ("quota.slack", self.quota.slack),
         ] {
             if value.is_nan() || value < 0.0 {
                 findings.push(format!("{place}: must not be below zero"));
@@ -142,6 +166,8 @@
                 retry_ratio: self.retry.ratio,
                 retry_slack: self.retry.slack,
                 retry_window: Duration::from_secs_f64(self.retry.window_seconds),
+                quota_window: Duration::from_secs_f64(self.quota.window_seconds),
+                quota_slack: self.quota.slack,
                 stop_grace: Duration::from_secs_f64(self.stop_grace_seconds),
                 configuration_deadline: CONFIGURATION_DEADLINE,
                 least_lease: LEAST_LEASE,
--- a/crates/croftrill-demo/src/system.rs
+++ b/crates/croftrill-demo/src/system.rs
@@ -55,10 +55,12 @@
             GroupDocument {
                 name: "tenders".to_string(),
                 share: 2,
+                ..GroupDocument::default()
             },
             GroupDocument {
                 name: "intake".to_string(),
                 share: 1,
+                ..GroupDocument::default()
             },
         ],
     }
@@ -77,6 +79,7 @@
         stop_grace_seconds: 5.0,
         order_gap_ms: ORDER_GAP.as_millis() as u64,
         most_in_service: 64,
+        quota: Default::default(),
         retry: Default::default(),
     }
 }
--- a/crates/croftrill-http/src/document.rs
+++ b/crates/croftrill-http/src/document.rs
@@ -6,6 +6,7 @@
 use croftrill_scheduler::catalog::{
     Backend, CallerLimits, Configuration, EngineSpec, ModelSpec, Route, RouteKind, Service, ANY_HOST,
 };
+use croftrill_scheduler::tenants::{KeyDigest, Quota, QuotaUnit, Tenant};
 use serde::{Deserialize, Serialize};
 
 /// Service that all models of the document belong to.
@@ -35,13 +36,95 @@
 }
 
 /// A group of callers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GroupDocument {
     /// Name, as callers give it.
     pub name: String,
     /// Share of a node's places under contention, relative to other groups.
     pub share: u32,
+    /// SHA-256 of the keys that its callers show, in hexadecimal. Once any group has
+    /// some, every caller needs a key, and counts for the group that holds it.
+    #[serde(default)]
+    pub key_digests: Vec<String>,
+    /// Rank of its requests, 0 first.
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// Bound on its requests over all nodes; it needs keys.
+    #[serde(default)]
+    pub quota: Option<QuotaDocument>,
+}
+
+/// What a group may ask of all nodes together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaDocument {
+    /// Tokens a second, of prompts and of the longest answers.
+    pub tokens_per_second: f64,
+    /// Tokens above that, gained back at the same rate.
+    pub burst_tokens: f64,
+}
+
+impl GroupDocument {
+    /// The digests of its keys.
+    ///
+    /// Errors: the first that is none.
+    fn digests(&self) -> Result<Vec<KeyDigest>, &str> {
+        let digests = self.key_digests.iter();
+        digests
+            .map(|text| read_digest(text).ok_or(text.as_str()))
+            .collect()
+    }
+
+    /// What is wrong with it.
+    fn findings(&self, place: &str) -> Vec<String> {
+        let mut findings = Vec::new();
+        if self.share == 0 {
+            findings.push(format!("{place}: share must be above zero"));
+        }
+        if self.digests().is_err() {
+            // The text itself is not told: it may be a key put there by mistake.
+            findings.push(format!("{place}: key_digests must be 64 hexadecimal digits each"));
+        }
+        if self.quota.is_some() && self.key_digests.is_empty() {
+            findings.push(format!("{place}: a quota needs key_digests"));
+        }
+        let is_odd = |value: f64| value.is_nan() || value <= 0.0;
+        if let Some(quota) = &self.quota {
+            if is_odd(quota.tokens_per_second) || is_odd(quota.burst_tokens) {
+                findings.push(format!("{place}: the quota's figures must be above zero"));
+            }
+        }
+        findings
+    }
+
+    fn tenant(&self) -> Tenant {
+        let quota = self.quota.as_ref().map(|quota| Quota {
+            unit: QuotaUnit::Tokens { plain: 0 },
+            rate_per_s: quota.tokens_per_second,
+            burst: quota.burst_tokens,
+        });
+        Tenant {
+            name: self.name.as_str().into(),
+            // Documents with other digests are not confirmed.
+            keys: self.digests().unwrap_or_default(),
+            priority: self.priority,
+            quota,
+        }
+    }
+}
+
+/// A digest from its hexadecimal form.
+fn read_digest(text: &str) -> Option<KeyDigest> {
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (byte, digits) in digest.iter_mut().zip(text.as_bytes().chunks(2)) {
+        let digits = std::str::from_utf8(digits).ok()?;
+        *byte = u8::from_str_radix(digits, 16).ok()?;
+    }
+    Some(KeyDigest::from_bytes(digest))
 }
 
 /// The whole document.
@@ -91,12 +174,7 @@
             }
         }
         for (index, group) in self.groups.iter().enumerate() {
-            if group.share == 0 {
-                findings.push(format!(
-                    "groups[{index}] ({}): share must be above zero",
-                    group.name
-                ));
-            }
+            findings.extend(group.findings(&format!("groups[{index}] ({})", group.name)));
         }
         findings
     }
@@ -126,8 +204,11 @@
             .iter()
             .map(|group| (group.name.as_str().into(), group.share))
             .collect();
+        let with_keys = self.groups.iter().filter(|group| !group.key_digests.is_empty());
+        let tenants = with_keys.map(GroupDocument::tenant).collect();
         Configuration::new(self.version, CallerLimits::default(), vec![service], routes)
             .with_group_shares(shares)
+            .with_tenants(tenants)
     }
 
     fn route(&self, path: &str) -> Route {
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer;
 pub mod peer_link;
 pub mod ports;
+pub mod quota;
 pub mod request;
 pub mod runtime;
 pub mod settings;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -6,15 +6,19 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use croftrill_scheduler::candidacy::Candidate;
+use croftrill_scheduler::catalog::Configuration;
+use croftrill_scheduler::quota::keepers::{keeper_order, QuotaPart};
 use croftrill_scheduler::shard::Shard;
 use nanoserde::{DeBin, SerBin};
 use tokio::time::sleep;
 
 use crate::node::{Lifecycle, Node};
 use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
+use crate::quota::Fleet;
 
 /// Prefix of all keys of the nodes' own.
 pub const OWN_PREFIX: &str = "croftrill/";
@@ -220,6 +224,23 @@
     }
 }
 
+impl<P: Platform> Fleet for Node<P> {
+    fn keepers(&self, part: QuotaPart) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let order = keeper_order(part, state.members.nodes(), |member| member.candidate());
+        let addresses = order.into_iter().filter_map(MemberEntry::peer_address);
+        addresses.collect()
+    }
+
+    fn listed(&self) -> usize {
+        self.state.borrow().members.node_count()
+    }
+
+    fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration()
+    }
+}
+
 /// The entry of this node. `incarnation` tells this process from a former one.
 pub fn own_entry<P: Platform>(node: &Node<P>, incarnation: u64) -> MemberEntry {
     let identity = &node.settings.identity;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -28,6 +28,7 @@
 use crate::orderer_task::OrdererInput;
 use crate::peer::{DemandBatch, ToOrderer};
 use crate::ports::{Item, Platform};
+use crate::quota::{QuotaBounds, Quotas};
 use crate::settings::NodeSettings;
 use crate::tree::{TreeState, Uplink, RELAY_BACKLOG};
 
@@ -136,6 +137,8 @@
     pub pool: ConnectionPool,
     /// Connections for requests that must not be ended for mere silence.
     pub patient_pool: ConnectionPool,
+    /// The quotas of tenants, and their keepers.
+    pub quotas: Rc<Quotas>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Requests being served.
@@ -193,6 +196,11 @@
         }
         let (to_relay, to_relay_queue) = mpsc::channel(ORDERER_QUEUE);
         let bounds = &settings.bounds;
+        let quota_bounds = QuotaBounds {
+            window: bounds.quota_window,
+            slack: bounds.quota_slack,
+        };
+        let quotas = Quotas::new(quota_bounds, clock.clone());
         let budget_config = RetryBudgetConfig {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
@@ -244,6 +252,7 @@
             store_path: StorePath::default(),
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
+            quotas,
             metrics: Metrics::new(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -329,7 +329,7 @@
                 }
             }
             // Only a link's first message.
-            ToOrderer::Listen(_) | ToOrderer::Follow => {}
+            ToOrderer::Listen(_) | ToOrderer::Follow | ToOrderer::AskQuotas(_) => {}
             // Taken by the link itself.
             ToOrderer::Replay(_) | ToOrderer::Crashes(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -87,6 +87,8 @@
     Replay(u64),
     /// A report that the sender cannot write to the store itself.
     Crashes(WireCrashReport),
+    /// First of all, on a link to a keeper of quotas: the number of their part.
+    AskQuotas(u8),
 }
 
 /// A model on its way, on the wire.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome};
+use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::shard::Shard;
 use nanoserde::{DeBin, SerBin};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,7 +21,7 @@
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
-use crate::tree;
+use crate::{quota, tree};
 
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -76,6 +77,12 @@
                 serve_listener(node, link, shard).await;
             }
         }
+        ToOrderer::AskQuotas(index) => {
+            if let Some(part) = QuotaPart::from_index(usize::from(index)) {
+                let ended = quota::serve_listener(node.quotas.clone(), link, part).await;
+                tracing::debug!(target: "quota", event = "a listener left", part = part.index(), ?ended);
+            }
+        }
         _ => {}
     }
 }
--- /dev/null
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -0,0 +1,305 @@
+//! Links between nodes and the keepers of quotas.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use croftrill_scheduler::quota::keeper::Ruling;
+use croftrill_scheduler::quota::keepers::QuotaPart;
+use nanoserde::{DeBin, SerBin};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::wire::{FromKeeper, ToKeeper, WireAsk};
+use super::{Fleet, Quotas, Uplink};
+use crate::link::PeerLink;
+use crate::peer::ToOrderer;
+
+/// Time between two looks at the fleet.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// A node that had nothing to ask for so long says that it still listens.
+const ALIVE_EVERY: Duration = Duration::from_millis(1000);
+/// Time without a byte after which a link counts as dead: so long a node that fell
+/// silent may count at two keepers.
+const SILENCE_LIMIT: Duration = Duration::from_millis(3000);
+/// Longest time for a link to come up, with the keeper's first word.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Time for which a keeper that failed is passed over.
+const FAILED_RESTS: Duration = Duration::from_millis(2000);
+/// Keepers that are tried before a node takes just its own part.
+const MOST_TRIED: usize = 3;
+/// Questions that may wait to be sent.
+const MOST_WAITING: usize = 1024;
+
+/// Follows the keeper of a part, whichever node that is, until the process ends.
+pub(crate) async fn follow_keeper(
+    quotas: Rc<Quotas>,
+    fleet: Rc<dyn Fleet>,
+    part: QuotaPart,
+    own: SocketAddr,
+) {
+    let mut failed = Failed::default();
+    let mut next: Option<(SocketAddr, PeerLink)> = None;
+    loop {
+        quotas.look(part, &*fleet);
+        if let Some((address, link)) = next.take() {
+            next = match listen(&quotas, &*fleet, part, (address, link), &mut failed, own).await {
+                Ok(better) => better,
+                Err(error) => {
+                    tracing::info!(target: "quota", event = "keeper lost", part = part.index(), %address, %error);
+                    failed.note(address);
+                    quotas.set_uplink(part, Uplink::Connecting, false);
+                    None
+                }
+            };
+            continue;
+        }
+        match choice(&*fleet, part, &mut failed) {
+            Some(address) if address == own => {
+                keep_here(&quotas, part, true);
+                sleep(LOOK_EVERY).await;
+            }
+            Some(address) => match connect(address, part).await {
+                Ok(link) => next = Some((address, link)),
+                Err(_) => failed.note(address),
+            },
+            None => {
+                keep_here(&quotas, part, false);
+                sleep(LOOK_EVERY).await;
+            }
+        }
+    }
+}
+
+/// Keepers that did not answer lately.
+#[derive(Default)]
+struct Failed(HashMap<SocketAddr, Instant>);
+
+impl Failed {
+    fn note(&mut self, address: SocketAddr) {
+        self.0.insert(address, Instant::now());
+    }
+
+    fn rests(&mut self, address: &SocketAddr) -> bool {
+        self.0.retain(|_, at| at.elapsed() < FAILED_RESTS);
+        self.0.contains_key(address)
+    }
+}
+
+/// The first of the keepers that did not fail lately.
+fn choice(fleet: &dyn Fleet, part: QuotaPart, failed: &mut Failed) -> Option<SocketAddr> {
+    let keepers = fleet.keepers(part).into_iter().take(MOST_TRIED);
+    keepers.into_iter().find(|address| !failed.rests(address))
+}
+
+/// This node asks its own keeper: as the one for all, or as it reaches no other.
+fn keep_here(quotas: &Quotas, part: QuotaPart, is_keeper: bool) {
+    let state = &quotas.parts[part.index()];
+    let is_so = matches!(*state.uplink.borrow(), Uplink::Own) && state.is_keeper.get() == is_keeper;
+    if is_so {
+        return;
+    }
+    tracing::info!(target: "quota", event = "own keeper", part = part.index(), is_keeper,
+        share = state.keeper.borrow().share());
+    quotas.set_uplink(part, Uplink::Own, is_keeper);
+}
+
+async fn connect(address: SocketAddr, part: QuotaPart) -> io::Result<PeerLink> {
+    let connecting = async {
+        let mut link = PeerLink::connect(address, SILENCE_LIMIT).await?;
+        let hello = ToOrderer::AskQuotas(part.index() as u8).serialize_bin();
+        link.send(Bytes::from(hello)).await?;
+        // A machine that stands still takes connections, and says nothing.
+        link.hear().await?.ok_or(io::ErrorKind::ConnectionReset)?;
+        Ok(link)
+    };
+    timeout(CONNECT_LIMIT, connecting).await?
+}
+
+/// Asks a keeper until it is lost (an error), or a better choice has a link (it and
+/// the link) or is this node itself (`None`).
+async fn listen(
+    quotas: &Quotas,
+    fleet: &dyn Fleet,
+    part: QuotaPart,
+    (address, mut link): (SocketAddr, PeerLink),
+    failed: &mut Failed,
+    own: SocketAddr,
+) -> io::Result<Option<(SocketAddr, PeerLink)>> {
+    let (sender, mut questions) = mpsc::channel(MOST_WAITING);
+    quotas.set_uplink(part, Uplink::Linked(sender), false);
+    tracing::info!(target: "quota", event = "keeper found", part = part.index(), %address);
+    let mut look = tokio::time::interval(LOOK_EVERY);
+    let mut sent_at = Instant::now();
+    let mut attempt: Option<Attempt> = None;
+    loop {
+        tokio::select! {
+            frame = link.hear() => {
+                let frame = frame?.ok_or(io::ErrorKind::ConnectionReset)?;
+                take_answer(quotas, part, &frame)?;
+            }
+            question = questions.recv() => {
+                // All who asked gave the link up.
+                let Some(question) = question else { return Err(io::ErrorKind::TimedOut.into()) };
+                sent_at = Instant::now();
+                link.send(Bytes::from(question.serialize_bin())).await?;
+            }
+            (better, ended) = Attempt::end(&mut attempt), if attempt.is_some() => match ended {
+                Ok(link) => return Ok(Some((better, link))),
+                Err(_) => failed.note(better),
+            },
+            _ = look.tick() => {
+                quotas.look(part, fleet);
+                if sent_at.elapsed() >= ALIVE_EVERY {
+                    sent_at = Instant::now();
+                    link.send(Bytes::from(ToKeeper::Alive.serialize_bin())).await?;
+                }
+                match choice(fleet, part, failed) {
+                    Some(better) if better == own => return Ok(None),
+                    Some(better) if better != address && attempt.is_none() => {
+                        attempt = Some(Attempt::begin(better, part));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+/// An attempt to reach a better keeper while another one serves.
+struct Attempt {
+    address: SocketAddr,
+    connecting: Pin<Box<dyn Future<Output = io::Result<PeerLink>>>>,
+}
+
+impl Attempt {
+    fn begin(address: SocketAddr, part: QuotaPart) -> Self {
+        Attempt {
+            address,
+            connecting: Box::pin(connect(address, part)),
+        }
+    }
+
+    /// How the attempt ends; never if there is none.
+    async fn end(attempt: &mut Option<Attempt>) -> (SocketAddr, io::Result<PeerLink>) {
+        let Some(running) = attempt else {
+            return std::future::pending().await;
+        };
+        let ended = running.connecting.as_mut().await;
+        let address = running.address;
+        *attempt = None;
+        (address, ended)
+    }
+}
+
+/// Takes a keeper's answer. What was granted to a request that is gone goes back.
+fn take_answer(quotas: &Quotas, part: QuotaPart, frame: &BytesMut) -> io::Result<()> {
+    let message = FromKeeper::deserialize_bin(frame).map_err(invalid)?;
+    let (id, ruling) = match message {
+        FromKeeper::Alive => return Ok(()),
+        FromKeeper::Granted { id } => (id, Ruling::Granted),
+        FromKeeper::Refused {
+            id,
+            again_after_ms,
+            balance,
+        } => {
+            let again_after = Duration::from_millis(u64::from(again_after_ms));
+            (id, Ruling::Refused { again_after, balance })
+        }
+    };
+    let question = quotas.parts[part.index()].asked.borrow_mut().remove(&id);
+    if let Some(question) = question {
+        let unheard = question.answer.send(ruling);
+        if unheard == Err(Ruling::Granted) {
+            quotas.give_back(part, &question.tenant, question.cost);
+        }
+    }
+    Ok(())
+}
+
+/// Answers a node that listens to this one's keeper, until it leaves or falls silent.
+pub(crate) async fn serve_listener(
+    quotas: Rc<Quotas>,
+    mut link: PeerLink,
+    part: QuotaPart,
+) -> io::Result<()> {
+    let _listener = Listener::begin(&quotas, part);
+    link.send(Bytes::from(FromKeeper::Alive.serialize_bin())).await?;
+    loop {
+        let Some(frame) = link.hear().await? else {
+            return Ok(());
+        };
+        let message = ToKeeper::deserialize_bin(&frame).map_err(invalid)?;
+        if let Some(answer) = answer(&quotas, part, message) {
+            link.send(Bytes::from(answer.serialize_bin())).await?;
+        }
+    }
+}
+
+fn answer(quotas: &Quotas, part: QuotaPart, message: ToKeeper) -> Option<FromKeeper> {
+    let now = quotas.clock.now();
+    let mut keeper = quotas.parts[part.index()].keeper.borrow_mut();
+    match message {
+        ToKeeper::Alive => Some(FromKeeper::Alive),
+        ToKeeper::GiveBack { tenant, cost } => {
+            keeper.give_back(&tenant, cost, now);
+            None
+        }
+        ToKeeper::Ask(WireAsk {
+            id,
+            tenant,
+            cost,
+            quota,
+            version,
+        }) => {
+            keeper.learn(&tenant.as_str().into(), quota.to_quota(), version, now);
+            Some(match keeper.ask(&tenant, cost, now) {
+                Ruling::Granted => FromKeeper::Granted { id },
+                Ruling::Refused { again_after, balance } => FromKeeper::Refused {
+                    id,
+                    again_after_ms: again_after.as_millis() as u32 + 1,
+                    balance,
+                },
+            })
+        }
+    }
+}
+
+/// Counts a node as a listener of this one's keeper while it lives.
+struct Listener {
+    quotas: Rc<Quotas>,
+    part: QuotaPart,
+}
+
+impl Listener {
+    fn begin(quotas: &Rc<Quotas>, part: QuotaPart) -> Self {
+        let listener = Listener {
+            quotas: quotas.clone(),
+            part,
+        };
+        listener.add(1);
+        listener
+    }
+
+    fn add(&self, change: isize) {
+        let part = &self.quotas.parts[self.part.index()];
+        part.listeners
+            .set(part.listeners.get().saturating_add_signed(change));
+        self.quotas.count_listeners(part);
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.add(-1);
+    }
+}
+
+fn invalid(error: nanoserde::DeBinErr) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
+}
--- /dev/null
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -0,0 +1,95 @@
+//! Messages between a node and the keeper of a part of the quotas.
+
+use croftrill_scheduler::tenants::{Quota, QuotaUnit};
+use nanoserde::{DeBin, SerBin};
+
+/// A message to a keeper.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum ToKeeper {
+    /// A request of a tenant wants to run.
+    Ask(WireAsk),
+    /// A request that was granted did not run.
+    GiveBack {
+        /// The tenant.
+        tenant: String,
+        /// Units that were granted.
+        cost: u64,
+    },
+    /// The node still listens.
+    Alive,
+}
+
+/// A question, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireAsk {
+    /// Number of the question, unique on its link.
+    pub id: u64,
+    /// The tenant.
+    pub tenant: String,
+    /// Units that the request counts for.
+    pub cost: u64,
+    /// The quota as the asking node knows it.
+    pub quota: WireQuota,
+    /// Version of the configuration that tells it.
+    pub version: u64,
+}
+
+/// A quota, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireQuota {
+    /// Units in a second.
+    pub rate_per_s: f64,
+    /// Units above that.
+    pub burst: f64,
+    /// Tokens that a request counts for that tells none; `None`: it counts requests.
+    pub plain_tokens: Option<u64>,
+}
+
+/// A message from a keeper.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum FromKeeper {
+    /// The node is listened to; the answer to [`ToKeeper::Alive`] and to the first message.
+    Alive,
+    /// The request may run.
+    Granted {
+        /// Number of the question.
+        id: u64,
+    },
+    /// The request is beyond the quota.
+    Refused {
+        /// Number of the question.
+        id: u64,
+        /// Time until the balance pays for it, in milliseconds.
+        again_after_ms: u32,
+        /// The balance, in units.
+        balance: f64,
+    },
+}
+
+impl WireQuota {
+    /// The message form.
+    pub fn from_quota(quota: Quota) -> Self {
+        let plain_tokens = match quota.unit {
+            QuotaUnit::Requests => None,
+            QuotaUnit::Tokens { plain } => Some(plain),
+        };
+        WireQuota {
+            rate_per_s: quota.rate_per_s,
+            burst: quota.burst,
+            plain_tokens,
+        }
+    }
+
+    /// The quota.
+    pub fn to_quota(&self) -> Quota {
+        let unit = match self.plain_tokens {
+            None => QuotaUnit::Requests,
+            Some(plain) => QuotaUnit::Tokens { plain },
+        };
+        Quota {
+            unit,
+            rate_per_s: self.rate_per_s,
+            burst: self.burst,
+        }
+    }
+}
--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -1,17 +1,19 @@
-//! Whether a caller may send a request, by the key that it shows.
+//! Whether a caller may send a request: by the key that it shows, and by its quota.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
 use croftrill_scheduler::catalog::{Configuration, Route};
+use croftrill_scheduler::time::Moment;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::StatusCode;
 
 use super::answers::refuse;
-use super::Answer;
+use super::{Answer, OTHER_NODE_RETURN};
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::ports::{Dialect, Platform};
+use crate::ports::{Dialect, Platform, RequestFacts};
+use crate::quota::{Credit, QuotaAsk, QuotaVerdict};
 
 /// Longest key that is looked at, in bytes: several times the longest that
 /// operators hand out. A longer one is not hashed.
@@ -91,3 +93,52 @@
     answer.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
     answer
 }
+
+/// Pays for a request from its tenant's quota; nothing if that has none.
+///
+/// Errors: the answer to a request beyond the quota, or that no keeper rules on.
+pub(super) async fn take_credit<P: Platform>(
+    node: &Rc<Node<P>>,
+    facts: &RequestFacts,
+    tenant: Option<&Arc<str>>,
+    configuration: &Configuration,
+    until: Moment,
+) -> Result<Option<Credit>, Box<Answer>> {
+    let tenant = tenant.and_then(|name| configuration.tenants.named(name));
+    let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
+        return Ok(None);
+    };
+    let ask = QuotaAsk {
+        tenant: &tenant.name,
+        quota,
+        version: configuration.version,
+        cost: quota.unit.cost(facts.metered_tokens),
+    };
+    match node.quotas.ask(ask, until).await {
+        QuotaVerdict::Granted(credit) => Ok(Some(credit)),
+        QuotaVerdict::Beyond { again_after, balance } => {
+            Metrics::count(&node.metrics.denied, "quota", "beyond");
+            tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "beyond the quota",
+                tenant = &*tenant.name, cost = ask.cost, balance = balance as i64,
+                rate_per_s = quota.rate_per_s as u64, burst = quota.burst as u64,
+                again_after_ms = again_after.as_millis() as u64, version = configuration.version);
+            let cause = "beyond the tenant's quota";
+            Err(Box::new(refuse(
+                StatusCode::TOO_MANY_REQUESTS,
+                cause,
+                Some(again_after),
+            )))
+        }
+        QuotaVerdict::Unreachable => {
+            Metrics::count(&node.metrics.denied, "quota", "no keeper");
+            tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "no keeper in reach",
+                tenant = &*tenant.name, cost = ask.cost, version = configuration.version);
+            let cause = "the tenant's quota cannot be asked for";
+            Err(Box::new(refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                cause,
+                Some(OTHER_NODE_RETURN),
+            )))
+        }
+    }
+}
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -35,7 +35,7 @@
 use http::{request, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use self::access::{authorize, refuse_access};
+use self::access::{authorize, refuse_access, take_credit};
 pub use self::answers::refuse;
 use self::answers::{json, kind_name};
 use self::cold::NextReplica;
@@ -46,6 +46,7 @@
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::ports::{Dialect, Platform, RequestFacts};
+use crate::quota::Credit;
 use crate::stream::AnswerBody;
 
 /// Time that a caller without a deadline is taken to wait.
@@ -132,6 +133,10 @@
     if let Some(tenant) = &tenant {
         facts.group = Some(tenant.to_string());
     }
+    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, until).await {
+        Ok(credit) => credit,
+        Err(answer) => return *answer,
+    };
     let service = pick_backend(&route, &facts.id);
     let placed = node
         .clock
@@ -147,6 +152,7 @@
         node: node.clone(),
         facts,
         tenant,
+        credit,
         route,
         service,
         configuration,
@@ -177,6 +183,8 @@
     facts: RequestFacts,
     /// The tenant whose key the caller showed.
     tenant: Option<Arc<str>>,
+    /// What it paid of the tenant's quota.
+    credit: Option<Credit>,
     route: Arc<Route>,
     service: ServiceName,
     configuration: Arc<Configuration>,
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -86,6 +86,9 @@
         };
         let request = self.engine_request(replica, resume_after);
         self.sends += 1;
+        if let Some(credit) = &self.credit {
+            credit.spend();
+        }
         self.sent_after.get_or_insert(self.waited());
         let until = limit.map_or(self.until, |limit| limit.min(self.until));
         let answer = match self.node.clock.timeout_at(until, connection.send(request)).await {
@@ -112,6 +115,7 @@
         tracing::info!(target: "send", id = self.facts.id, replica = &*send.replica, %error);
         if error.nothing_sent() {
             self.sends -= 1;
+            self.did_not_run();
             return SendEnd::NotSent;
         }
         send.record(SendOutcome::Failure);
@@ -121,6 +125,14 @@
         }
     }
 
+    /// The last send ran nowhere: what was paid for the request goes back, unless an
+    /// earlier one may have run, or a later one does.
+    fn did_not_run(&self) {
+        if let Some(credit) = self.credit.as_ref().filter(|_| !self.may_have_run) {
+            credit.unspend();
+        }
+    }
+
     pub(super) async fn judge_answer(
         &mut self,
         replica: &ReplicaId,
@@ -215,6 +227,7 @@
         } else {
             send.record(SendOutcome::Failure);
         }
+        self.did_not_run();
         SendEnd::NotExecuted {
             misdirected: facts.is_misdirected,
         }
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use croftrill_scheduler::quota::keepers::QuotaPart;
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::node::{Node, NodeQueues};
 use crate::ports::Platform;
-use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, tree};
+use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, quota, tree};
 
 /// Longest wait for the node's entries in the store to be withdrawn at the end.
 const WITHDRAWAL: Duration = Duration::from_millis(300);
@@ -38,6 +39,10 @@
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
+    for part in QuotaPart::all() {
+        let own = node.settings.identity.peer;
+        spawn_local(quota::follow_keeper(node.quotas.clone(), node.clone(), part, own));
+    }
     let mut orderers = Vec::new();
     spawn_local(tree::follow_relays(node.clone(), queues.to_relay));
     for queues in queues.shards {
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -31,6 +31,10 @@
     pub retry_slack: f64,
     /// Window of the retry budget.
     pub retry_window: Duration,
+    /// Window of the tenants' quotas.
+    pub quota_window: Duration,
+    /// Units that a tenant may be over its quota in a window.
+    pub quota_slack: f64,
     /// Time between the request to stop and the end of the process.
     pub stop_grace: Duration,
     /// Time within which a configuration must be in force everywhere.
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -71,7 +71,7 @@
         ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
         ToOrderer::Replay(after) => return Some(replay(node, after)),
         // Only a link's first message.
-        ToOrderer::Listen(_) | ToOrderer::Follow => {}
+        ToOrderer::Listen(_) | ToOrderer::Follow | ToOrderer::AskQuotas(_) => {}
     }
     None
 }
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod orderer;
 pub mod placement;
 pub mod planner;
+pub mod quota;
 pub mod relay_log;
 pub mod relay_tree;
 pub mod replica;
--- /dev/null
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -0,0 +1,211 @@
+//! The balances of tenants at the node that keeps them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::tenants::{Quota, Tenant};
+use crate::time::Moment;
+
+/// Bounds that hold for all keepers.
+#[derive(Debug, Clone, Copy)]
+pub struct KeeperConfig {
+    /// Sliding window of the quotas.
+    pub window: Duration,
+    /// Units of debt that a tenant may have at all keepers together: a request that
+    /// is larger than the balance passes, and the next ones wait for it.
+    pub debt: f64,
+}
+
+/// What a keeper says to a question.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ruling {
+    /// The request may run; the balance has paid for it.
+    Granted,
+    /// It is beyond what the tenant has here.
+    Refused {
+        /// Time until the balance pays for it, behind those refused before it.
+        again_after: Duration,
+        /// The balance, in units.
+        balance: f64,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Account {
+    quota: Quota,
+    /// Version of the configuration that told the quota.
+    version: u64,
+    /// Units that may be spent; below zero: a debt.
+    balance: f64,
+    /// Units that were refused, less what has come in since.
+    refused: f64,
+}
+
+/// The balances of the tenants of one part.
+///
+/// Invariant: in any time `t` it grants a tenant at most `share` x (`rate` x `t` +
+/// `burst` + `debt`), while `share` holds: the part of the listed nodes that listen
+/// to it. A new keeper begins without a balance. So where `k` keepers begin within
+/// a window, a tenant gets at most `rate` x `window` + `burst` + (`k` + 1) x `debt`
+/// in it, and for a node that fell silent `share` is counted twice until its old
+/// keeper notices.
+#[derive(Debug)]
+pub struct QuotaKeeper {
+    config: KeeperConfig,
+    accounts: HashMap<Arc<str>, Account>,
+    /// Nodes that listen to this keeper.
+    listeners: usize,
+    /// Counts of the listed nodes, with when they were last seen.
+    listed: Vec<(Moment, usize)>,
+    settled_at: Moment,
+    /// When the last listener left.
+    idle_since: Option<Moment>,
+}
+
+impl QuotaKeeper {
+    /// A keeper without listeners.
+    pub fn new(config: KeeperConfig, now: Moment) -> Self {
+        QuotaKeeper {
+            config,
+            accounts: HashMap::new(),
+            listeners: 0,
+            listed: Vec::new(),
+            settled_at: now,
+            idle_since: Some(now),
+        }
+    }
+
+    /// Part of each quota that belongs to the listeners. Of the listed nodes the most
+    /// of the last window count: entries of living nodes lapse while the store is away.
+    pub fn share(&self) -> f64 {
+        let listed = self.listed.iter().map(|(_, count)| *count).max();
+        self.listeners as f64 / listed.unwrap_or(1).max(self.listeners).max(1) as f64
+    }
+
+    /// So many nodes listen now.
+    pub fn set_listeners(&mut self, listeners: usize, now: Moment) {
+        self.settle(now);
+        let had = std::mem::replace(&mut self.listeners, listeners);
+        match (had, listeners) {
+            (1.., 0) => self.idle_since = Some(now),
+            (0, 1..) => self.begin(now),
+            _ => {}
+        }
+    }
+
+    /// The first listener came: what it may have had elsewhere is not given twice,
+    /// so only debts stay, and these for a window.
+    fn begin(&mut self, now: Moment) {
+        let idle = self.idle_since.take().map(|since| now.since(since));
+        let is_forgotten = idle.is_some_and(|idle| idle > self.config.window);
+        for account in self.accounts.values_mut() {
+            account.balance = if is_forgotten {
+                0.0
+            } else {
+                account.balance.min(0.0)
+            };
+            account.refused = 0.0;
+        }
+    }
+
+    /// So many nodes are listed now.
+    pub fn count_listed(&mut self, nodes: usize, now: Moment) {
+        self.settle(now);
+        let window = self.config.window;
+        self.listed.retain(|(seen, _)| now.since(*seen) <= window);
+        match self.listed.last_mut() {
+            Some((seen, count)) if *count == nodes => *seen = now,
+            _ => self.listed.push((now, nodes)),
+        }
+    }
+
+    /// The quota of a tenant as a version of the configuration tells it.
+    pub fn learn(&mut self, name: &Arc<str>, quota: Quota, version: u64, now: Moment) {
+        let is_known = self
+            .accounts
+            .get(name)
+            .is_some_and(|account| account.version >= version || account.quota == quota);
+        if is_known {
+            if let Some(account) = self.accounts.get_mut(name) {
+                account.version = account.version.max(version);
+            }
+            return;
+        }
+        self.settle(now);
+        let share = self.share();
+        let new = Account {
+            quota,
+            version,
+            balance: 0.0,
+            refused: 0.0,
+        };
+        let account = self.accounts.entry(name.clone()).or_insert(new);
+        account.quota = quota;
+        account.version = version;
+        account.balance = account.balance.min(quota.burst * share);
+    }
+
+    /// The quotas of all tenants as a version of the configuration tells them.
+    pub fn learn_all<'a>(&mut self, tenants: impl Iterator<Item = &'a Tenant>, version: u64, now: Moment) {
+        for tenant in tenants {
+            if let Some(quota) = tenant.quota {
+                self.learn(&tenant.name, quota, version, now);
+            }
+        }
+    }
+
+    /// A request of a tenant wants to run.
+    pub fn ask(&mut self, name: &str, cost: u64, now: Moment) -> Ruling {
+        self.settle(now);
+        let share = self.share();
+        let debt = self.config.debt * share;
+        let Some(account) = self.accounts.get_mut(name) else {
+            return Ruling::Granted;
+        };
+        let cost = cost as f64;
+        if account.balance - cost >= -debt {
+            account.balance -= cost;
+            return Ruling::Granted;
+        }
+        let missing = cost - debt - account.balance + account.refused;
+        account.refused += cost;
+        let per_s = (account.quota.rate_per_s * share).max(f64::MIN_POSITIVE);
+        let again_after = Duration::try_from_secs_f64(missing / per_s).unwrap_or(self.config.window);
+        Ruling::Refused {
+            again_after: again_after.min(self.config.window),
+            balance: account.balance,
+        }
+    }
+
+    /// A request that was granted did not run.
+    pub fn give_back(&mut self, name: &str, cost: u64, now: Moment) {
+        self.settle(now);
+        if let Some(account) = self.accounts.get_mut(name) {
+            account.balance += cost as f64;
+        }
+    }
+
+    /// Balance of each tenant, in units.
+    pub fn balances(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        self.accounts
+            .iter()
+            .map(|(name, account)| (name, account.balance))
+    }
+
+    /// Brings all balances up to now. What is above the burst, as of requests that
+    /// did not run, or after a node left, is neither added to nor taken.
+    fn settle(&mut self, now: Moment) {
+        let elapsed_s = now.since(self.settled_at).as_secs_f64();
+        self.settled_at = self.settled_at.max(now);
+        let share = self.share();
+        for account in self.accounts.values_mut() {
+            let income = account.quota.rate_per_s * share * elapsed_s;
+            let most = account.quota.burst * share;
+            if account.balance < most {
+                account.balance = (account.balance + income).min(most);
+            }
+            account.refused = (account.refused - income).max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -0,0 +1,10 @@
+//! Quotas that all nodes keep together.
+//!
+//! A node asks a keeper before it runs a request; the keeper holds one balance a
+//! tenant ([`keeper`]). Tenants are spread over a few parts, each with a keeper of
+//! its own ([`keepers`]). A keeper spends only the part of each quota that belongs
+//! to the nodes that listen to it, so that two keepers of one part, as in a
+//! partition, spend no more together than one that all listen to.
+
+pub mod keeper;
+pub mod keepers;
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/quota.rs
@@ -0,0 +1,322 @@
+//! Quotas kept together: the worst sum of a window, whatever happens to keepers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use croftrill_scheduler::candidacy::Candidate;
+use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling};
+use croftrill_scheduler::quota::keepers::{keeper_order, QuotaPart};
+use croftrill_scheduler::tenants::{Quota, QuotaUnit};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(8);
+const DEBT: f64 = 33_000.0;
+const QUOTA: Quota = Quota {
+    unit: QuotaUnit::Tokens { plain: 200 },
+    rate_per_s: 29_000.0,
+    burst: 29_000.0,
+};
+/// Tokens of a review.
+const COST: u64 = 9_190;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(3_600_000 + millis))
+}
+
+fn keeper(now: Moment) -> QuotaKeeper {
+    let config = KeeperConfig {
+        window: WINDOW,
+        debt: DEBT,
+    };
+    let mut keeper = QuotaKeeper::new(config, now);
+    keeper.learn(&name(), QUOTA, 1, now);
+    keeper
+}
+
+fn name() -> Arc<str> {
+    "t".into()
+}
+
+/// A keeper that all of so many nodes listen to, with a full balance.
+fn full(nodes: usize) -> QuotaKeeper {
+    let mut keeper = keeper(at(0));
+    keeper.count_listed(nodes, at(0));
+    keeper.set_listeners(nodes, at(0));
+    keeper.count_listed(nodes, at(5_000));
+    keeper
+}
+
+fn granted(keeper: &mut QuotaKeeper, cost: u64, now: Moment) -> bool {
+    keeper.ask("t", cost, now) == Ruling::Granted
+}
+
+#[test]
+fn ask_within_the_quota_is_granted_and_beyond_it_refused_with_a_time_that_is_true() {
+    let mut keeper = full(84);
+    let mut spent = 0;
+    let again_after = loop {
+        match keeper.ask("t", COST, at(5_000)) {
+            Ruling::Granted => spent += COST,
+            Ruling::Refused { again_after, .. } => break again_after,
+        }
+    };
+    assert!(spent as f64 <= QUOTA.burst + DEBT);
+    assert!(spent as f64 > QUOTA.burst + DEBT - COST as f64);
+    let then = at(5_000) + again_after + Duration::from_millis(1);
+    assert!(granted(&mut keeper, COST, then));
+    assert!(!granted(&mut keeper, COST, then));
+}
+
+#[test]
+fn ask_refused_in_a_row_are_told_times_one_after_the_other() {
+    let mut keeper = full(1);
+    while granted(&mut keeper, COST, at(5_000)) {}
+    let mut times = Vec::new();
+    for _ in 0..5 {
+        match keeper.ask("t", COST, at(5_000)) {
+            Ruling::Refused { again_after, .. } => times.push(again_after),
+            Ruling::Granted => panic!("beyond the quota"),
+        }
+    }
+    assert!(times.windows(2).all(|pair| pair[0] < pair[1]));
+}
+
+#[test]
+fn credit_that_did_not_run_goes_back() {
+    let mut keeper = full(10);
+    while granted(&mut keeper, COST, at(5_000)) {}
+    keeper.give_back("t", COST, at(5_000));
+    assert!(granted(&mut keeper, COST, at(5_000)));
+}
+
+#[test]
+fn quota_lower_binds_at_once_and_higher_counts_at_once() {
+    let mut keeper = full(10);
+    let lower = Quota {
+        rate_per_s: 1_000.0,
+        burst: 1_000.0,
+        ..QUOTA
+    };
+    keeper.learn(&name(), lower, 2, at(5_000));
+    let mut spent = 0;
+    while granted(&mut keeper, COST, at(5_000)) {
+        spent += COST;
+    }
+    assert!(spent as f64 <= lower.burst + DEBT);
+    // An older version, told by a node that is behind, changes nothing.
+    keeper.learn(&name(), QUOTA, 1, at(5_000));
+    assert!(!granted(&mut keeper, COST, at(6_000)));
+    let higher = Quota {
+        rate_per_s: 900_000.0,
+        burst: 900_000.0,
+        ..QUOTA
+    };
+    keeper.learn(&name(), higher, 3, at(6_000));
+    assert!(granted(&mut keeper, COST, at(6_100)));
+}
+
+#[test]
+fn new_keeper_has_no_balance_and_a_cut_off_node_only_its_part() {
+    let mut alone = keeper(at(0));
+    alone.count_listed(84, at(0));
+    alone.set_listeners(1, at(0));
+    let mut spent = 0;
+    for millis in 0..8_000 {
+        alone.count_listed(84, at(millis));
+        if granted(&mut alone, 100, at(millis)) {
+            spent += 100;
+        }
+    }
+    let part = (QUOTA.rate_per_s * 8.0 + DEBT) / 84.0;
+    assert!(spent as f64 <= part, "{spent} of {part}");
+}
+
+#[test]
+fn keeper_that_its_listeners_left_gives_nothing_twice() {
+    let mut keeper = full(10);
+    keeper.set_listeners(0, at(5_000));
+    keeper.set_listeners(10, at(5_100));
+    let mut spent = 0;
+    while granted(&mut keeper, COST, at(5_100)) {
+        spent += COST;
+    }
+    assert!(spent as f64 <= DEBT);
+}
+
+#[test]
+fn keeper_order_puts_the_strong_first_and_keeps_the_order_without_one() {
+    let nodes: Vec<(String, u32)> = (0..40)
+        .map(|index| (format!("n{index}"), if index % 10 == 0 { 500 } else { 120 }))
+        .collect();
+    fn candidate<'a>(node: &&'a (String, u32)) -> Candidate<'a> {
+        Candidate {
+            name: &node.0,
+            processor_millicores: node.1,
+        }
+    }
+    for part in QuotaPart::all() {
+        let all = keeper_order(part, nodes.iter(), candidate);
+        assert!(all[..4].iter().all(|node| node.1 == 500));
+        let rest = keeper_order(part, nodes.iter().filter(|node| node.0 != all[0].0), candidate);
+        assert_eq!(all[1..], rest[..]);
+    }
+}
+
+/// What may happen to the nodes and keepers of a fleet.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// The node loses its keeper and takes another one, or itself.
+    Moves { node: usize, to: usize },
+    /// As above, and the old keeper notices only later.
+    MovesInSilence { node: usize, to: usize },
+    /// The keeper's process starts anew; its listeners come back.
+    Restarts { keeper: usize },
+}
+
+const NODES: usize = 12;
+/// Keepers that the nodes may choose from; each node may also be its own.
+const KEEPERS: usize = NODES;
+/// Time after which a keeper notices that a listener fell silent.
+const SILENCE: u64 = 3_000;
+
+fn fault() -> impl Strategy<Value = (u64, Fault)> {
+    let place = (0..NODES, 0..KEEPERS);
+    let kind = prop_oneof![
+        place.clone().prop_map(|(node, to)| Fault::Moves { node, to }),
+        place.prop_map(|(node, to)| Fault::MovesInSilence { node, to }),
+        (0..KEEPERS).prop_map(|keeper| Fault::Restarts { keeper }),
+    ];
+    (0u64..20_000, kind)
+}
+
+/// A fleet in which every node asks as often as it can.
+struct Fleet {
+    keepers: Vec<QuotaKeeper>,
+    /// The keeper of each node.
+    choice: Vec<usize>,
+    /// Listeners that a keeper still counts though they left: until when.
+    ghosts: Vec<(usize, u64)>,
+    grants: Vec<(u64, u64)>,
+    /// When keepers began that were not there before.
+    began: Vec<u64>,
+    silences: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Fleet {
+            keepers: (0..KEEPERS).map(|_| keeper(at(0))).collect(),
+            choice: vec![0; NODES],
+            ghosts: Vec::new(),
+            grants: Vec::new(),
+            began: vec![0],
+            silences: Vec::new(),
+        }
+    }
+
+    fn count(&mut self, now: u64) {
+        self.ghosts.retain(|(_, until)| *until > now);
+        for index in 0..KEEPERS {
+            let own = self.choice.iter().filter(|choice| **choice == index).count();
+            let ghosts = self.ghosts.iter().filter(|(keeper, _)| *keeper == index).count();
+            self.keepers[index].count_listed(NODES, at(now));
+            self.keepers[index].set_listeners(own + ghosts, at(now));
+        }
+    }
+
+    fn strike(&mut self, fault: Fault, now: u64) {
+        match fault {
+            Fault::Moves { node, to } => {
+                self.choice[node] = to;
+                self.began.push(now);
+            }
+            Fault::MovesInSilence { node, to } => {
+                self.ghosts.push((self.choice[node], now + SILENCE));
+                self.silences.push(now);
+                self.choice[node] = to;
+                self.began.push(now);
+            }
+            Fault::Restarts { keeper: index } => {
+                self.keepers[index] = keeper(at(now));
+                self.ghosts.retain(|(ghost, _)| *ghost != index);
+                self.began.push(now);
+            }
+        }
+    }
+
+    fn ask_all(&mut self, cost: u64, now: u64) {
+        for node in 0..NODES {
+            let keeper = &mut self.keepers[self.choice[node]];
+            if granted(keeper, cost, at(now)) {
+                self.grants.push((now, cost));
+            }
+        }
+    }
+
+    /// Most units that any window may have, by the keeper's invariant.
+    fn bound(&self, from: u64, to: u64) -> f64 {
+        let within = |moments: &[u64], before: u64| {
+            let relevant = moments.iter().filter(|at| **at + before >= from && **at <= to);
+            relevant.count() as f64
+        };
+        let keepers = within(&self.began, 0).min(KEEPERS as f64 * 3.0);
+        let silent_s = SILENCE as f64 / 1000.0;
+        let twice = within(&self.silences, SILENCE) * silent_s / NODES as f64;
+        QUOTA.rate_per_s * (WINDOW.as_secs_f64() + twice)
+            + QUOTA.burst * (1.0 + twice)
+            + (keepers + 1.0) * DEBT
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+    #[test]
+    fn window_of_a_tenant_that_asks_without_end_stays_within_the_bound(
+        mut faults in prop::collection::vec(fault(), 0..8),
+        cost in prop_oneof![Just(200u64), Just(2_000), Just(COST)],
+    ) {
+        faults.sort_by_key(|(when, _)| *when);
+        let mut fleet = Fleet::new();
+        let mut faults = faults.into_iter().peekable();
+        for now in (0..24_000).step_by(50) {
+            while let Some((_, fault)) = faults.next_if(|(when, _)| *when <= now) {
+                fleet.strike(fault, now);
+            }
+            fleet.count(now);
+            fleet.ask_all(cost, now);
+        }
+        let window = WINDOW.as_millis() as u64;
+        for from in (0..16_000).step_by(500) {
+            let to = from + window;
+            let within = fleet.grants.iter().filter(|(when, _)| (from..=to).contains(when));
+            let sum: u64 = within.map(|(_, cost)| *cost).sum();
+            let bound = fleet.bound(from, to);
+            prop_assert!(sum as f64 <= bound, "{sum} of {bound} from {from}");
+        }
+    }
+
+    #[test]
+    fn window_without_faults_serves_all_that_is_within_the_quota(
+        gaps in prop::collection::vec(1u64..900, 30..120),
+    ) {
+        // Requests at half of the rate in the mean; each one that a plain bucket of
+        // the same rate and burst lets pass is granted.
+        let mut keeper = full(84);
+        let mut balance = QUOTA.burst;
+        let mut now = 5_000;
+        for gap in gaps {
+            now += gap;
+            balance = (balance + QUOTA.rate_per_s * gap as f64 / 1000.0).min(QUOTA.burst);
+            let is_owed = balance >= COST as f64;
+            keeper.count_listed(84, at(now));
+            let is_granted = granted(&mut keeper, COST, at(now));
+            if is_owed {
+                balance -= COST as f64;
+                prop_assert!(is_granted);
+            } else if is_granted {
+                balance -= COST as f64;
+            }
+        }
+    }
+}
