--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -118,6 +118,15 @@
         Self::new(stream, silence_limit)
     }
 
+    /// The link with another limit on silence: for sides that agreed on rarer signs of
+    /// life.
+    pub fn with_silence_limit(self, silence_limit: Duration) -> Self {
+        PeerLink {
+            silence_limit,
+            ..self
+        }
+    }
+
     /// The next message; `None` at the end. It waits as long as it takes: for a
     /// side that hears nothing regular from the other one.
     pub async fn next(&mut self) -> io::Result<Option<BytesMut>> {
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -26,6 +26,8 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Requests that were denied or refused before they counted, by cause.
     pub denied: Family<OutcomeLabels, Counter>,
+    /// Links to keepers of quotas that ended unwanted.
+    pub quota_keepers_lost: Counter,
     /// Sends beyond a request's first, by cause.
     pub retries: Family<OutcomeLabels, Counter>,
     /// Orders by kind and outcome.
@@ -74,6 +76,12 @@
             "Requests without a valid key or beyond a quota, by cause",
             denied.clone(),
         );
+        let quota_keepers_lost = Counter::default();
+        registry.register(
+            "quota_keepers_lost",
+            "Links to keepers of quotas that ended unwanted",
+            quota_keepers_lost.clone(),
+        );
         let retries = Family::default();
         registry.register(
             "retries",
@@ -150,6 +158,7 @@
             registry,
             requests,
             denied,
+            quota_keepers_lost,
             retries,
             orders,
             crashes,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -200,7 +200,8 @@
             window: bounds.quota_window,
             slack: bounds.quota_slack,
         };
-        let quotas = Quotas::new(quota_bounds, clock.clone());
+        let metrics = Metrics::new();
+        let quotas = Quotas::new(quota_bounds, clock.clone(), metrics.quota_keepers_lost.clone());
         let budget_config = RetryBudgetConfig {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
@@ -253,7 +254,7 @@
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
             quotas,
-            metrics: Metrics::new(),
+            metrics,
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
             followers: broadcast::channel(RELAY_BACKLOG).0,
--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -52,6 +52,7 @@
                 Ok(better) => better,
                 Err(error) => {
                     tracing::info!(target: "quota", event = "keeper lost", part = part.index(), %address, %error);
+                    quotas.keepers_lost.inc();
                     failed.note(address);
                     quotas.set_uplink(part, Uplink::Connecting, false);
                     None
@@ -223,11 +224,8 @@
 }
 
 /// Answers a node that listens to this one's keeper, until it leaves or falls silent.
-pub(crate) async fn serve_listener(
-    quotas: Rc<Quotas>,
-    mut link: PeerLink,
-    part: QuotaPart,
-) -> io::Result<()> {
+pub(crate) async fn serve_listener(quotas: Rc<Quotas>, link: PeerLink, part: QuotaPart) -> io::Result<()> {
+    let mut link = link.with_silence_limit(SILENCE_LIMIT);
     let _listener = Listener::begin(&quotas, part);
     link.send(Bytes::from(FromKeeper::Alive.serialize_bin())).await?;
     loop {
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -20,6 +20,7 @@
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::tenants::Quota;
 use croftrill_scheduler::time::Moment;
+use prometheus_client::metrics::counter::Counter;
 use tokio::sync::{mpsc, oneshot, Notify};
 
 pub(crate) use self::link::{follow_keeper, serve_listener};
@@ -122,11 +123,12 @@
 pub struct Quotas {
     parts: Vec<Part>,
     clock: Clock,
+    keepers_lost: Counter,
 }
 
 impl Quotas {
     /// A node that knows no keeper yet.
-    pub fn new(bounds: QuotaBounds, clock: Clock) -> Rc<Self> {
+    pub fn new(bounds: QuotaBounds, clock: Clock, keepers_lost: Counter) -> Rc<Self> {
         let config = KeeperConfig {
             window: bounds.window,
             debt: bounds.slack * DEBT_PER_SLACK,
@@ -143,6 +145,7 @@
         Rc::new(Quotas {
             parts: QuotaPart::all().map(part).collect(),
             clock,
+            keepers_lost,
         })
     }
 
