Copies of weights: nodes hear of them from the orderers

Cause: a node behind a relay knew of copies in memory and on disks only what its first read had told; a model that made way later counted as a load from the weight store (13.2 s instead of 0.4 to 1.2 s), so whoever asked for it was refused at once. Before: the new test fails.

--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::catalog::ModelName;
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::hand_over::{Hold, Legacy, PastLoad, Resignation};
-use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
@@ -120,6 +121,11 @@
     pub models: Vec<WireHeldModel>,
     /// What is on its way.
     pub arriving: Vec<WireArrival>,
+    /// Copies of weights in its main memory. A model that makes way leaves one, which
+    /// decides how long whoever asks for it has to wait.
+    pub in_memory: Vec<String>,
+    /// Copies of weights on its disk.
+    pub on_disk: Vec<String>,
 }
 
 /// A replica as the directory lists it, without what it holds: of that the
@@ -375,6 +381,14 @@
     }
 }
 
+fn strings(names: &[ModelName]) -> Vec<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
+fn names(strings: &[String]) -> Vec<ModelName> {
+    strings.iter().map(|name| name.as_str().into()).collect()
+}
+
 impl WirePlacement {
     /// The message form of a placement.
     pub fn from_placement(placement: &Placement, now: Moment) -> Self {
@@ -391,6 +405,8 @@
             sequence: placement.usable.sequence,
             models: models.collect(),
             arriving: arriving.collect(),
+            in_memory: strings(&placement.usable.copies.in_memory),
+            on_disk: strings(&placement.usable.copies.on_disk),
         }
     }
 
@@ -411,7 +427,10 @@
         let usable = Holdings {
             sequence: self.sequence,
             models: models.collect(),
-            copies: Default::default(),
+            copies: WeightCopies {
+                in_memory: names(&self.in_memory),
+                on_disk: names(&self.on_disk),
+            },
         };
         Placement {
             replica: self.replica.as_str().into(),
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -45,7 +45,9 @@
                     .max(right.ready_at.since(left.ready_at));
                 left.model == right.model && apart < SAME_ARRIVAL
             });
-        same_arrivals && self.usable.models == other.usable.models
+        same_arrivals
+            && self.usable.models == other.usable.models
+            && self.usable.copies == other.usable.copies
     }
 }
 
@@ -161,7 +163,8 @@
             return;
         };
         if entry.from_orderer {
-            // Of copies no orderer tells.
+            // Copies stand in the entry as soon as in a report; a listing that came
+            // by a way which tells nothing of them names the known ones.
             let mut holdings = std::mem::take(&mut entry.listing.holdings);
             holdings.copies = listing.holdings.copies.clone();
             entry.listing = ReplicaListing { holdings, ..listing };
@@ -224,11 +227,7 @@
         };
         entry.from_orderer = true;
         entry.absent.clear();
-        let copies = std::mem::take(&mut entry.listing.holdings.copies);
-        entry.listing.holdings = Holdings {
-            copies,
-            ..placement.usable
-        };
+        entry.listing.holdings = placement.usable;
         entry.arriving = placement.arriving;
         true
     }
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -1,6 +1,9 @@
 //! What orderers tell of replicas and their listings come in any order.
 
-use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::ModelSpec;
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
 use croftrill_scheduler::shard::Shard;
 
@@ -32,6 +35,45 @@
     }
 }
 
+fn spec(model: &str) -> ModelSpec {
+    ModelSpec {
+        name: model.into(),
+        weights_mb: 42_700.0,
+        adapter_mb: 66.0,
+        adapter_count: 0,
+        store_load: Duration::from_millis(13_200),
+        disk_load: Duration::from_millis(680),
+        memory_load: Duration::from_millis(440),
+    }
+}
+
+/// A model made way at the only replica that held it: a copy stays there, and a
+/// caller is told the time of that load, not of one from the weight store.
+#[test]
+fn reload_time_of_a_model_that_made_way_goes_by_the_copy_that_stayed() {
+    let mut table = ReplicaTable::new();
+    table.apply_relayed_listing(listing("r1"));
+    table.apply_placement(told("r1", "m1"));
+    assert_eq!(
+        table.reload_time("llm", &spec("m1")),
+        Duration::from_millis(13_200)
+    );
+    let mut without = told("r1", "m2");
+    without.usable.copies = WeightCopies {
+        in_memory: vec!["m1".into()],
+        on_disk: vec!["m1".into(), "m3".into()],
+    };
+    table.apply_placement(without);
+    assert_eq!(table.reload_time("llm", &spec("m1")), Duration::from_millis(440));
+    assert_eq!(table.reload_time("llm", &spec("m3")), Duration::from_millis(680));
+    // A relayed listing tells nothing of copies.
+    table.apply_relayed_listing(ReplicaListing {
+        holdings: table.get("r1").expect("listed").listing.holdings.clone(),
+        ..listing("r1")
+    });
+    assert_eq!(table.reload_time("llm", &spec("m3")), Duration::from_millis(680));
+}
+
 #[test]
 fn apply_relayed_listing_after_a_placement_keeps_it() {
     let mut table = ReplicaTable::new();
