Quotas: the bounds of the window are used, not only the plain rate

Change: a tenant gains (spent_in_window - saved) / window: 0.8 of the overage and 0.2 of the slack are used, half of the burst can be saved.

--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -46,7 +46,9 @@
 pub struct QuotaSettings {
     /// Length of the sliding window.
     pub window_seconds: f64,
-    /// Tokens that a group may be over its quota in a window.
+    /// Part of its quota that a group may be over it in a window.
+    pub overage: f64,
+    /// Tokens that it may be over that besides.
     pub slack: f64,
 }
 
@@ -54,6 +56,7 @@
     fn default() -> Self {
         QuotaSettings {
             window_seconds: 8.0,
+            overage: 0.1,
             slack: 20_000.0,
         }
     }
@@ -129,6 +132,7 @@
             ("retry.ratio", self.retry.ratio),
             ("retry.slack", self.retry.slack),
             ("quota.slack", self.quota.slack),
+            ("quota.overage", self.quota.overage),
         ] {
             if value.is_nan() || value < 0.0 {
                 findings.push(format!("{place}: must not be below zero"));
@@ -167,6 +171,7 @@
                 retry_slack: self.retry.slack,
                 retry_window: Duration::from_secs_f64(self.retry.window_seconds),
                 quota_window: Duration::from_secs_f64(self.quota.window_seconds),
+                quota_overage: self.quota.overage,
                 quota_slack: self.quota.slack,
                 stop_grace: Duration::from_secs_f64(self.stop_grace_seconds),
                 configuration_deadline: CONFIGURATION_DEADLINE,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -12,6 +12,7 @@
 use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{HeardResignation, Resignation};
+use croftrill_scheduler::quota::keeper::KeeperConfig;
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
@@ -28,7 +29,7 @@
 use crate::orderer_task::OrdererInput;
 use crate::peer::{DemandBatch, ToOrderer};
 use crate::ports::{Item, Platform};
-use crate::quota::{QuotaBounds, Quotas};
+use crate::quota::Quotas;
 use crate::settings::NodeSettings;
 use crate::tree::{TreeState, Uplink, RELAY_BACKLOG};
 
@@ -196,12 +197,13 @@
         }
         let (to_relay, to_relay_queue) = mpsc::channel(ORDERER_QUEUE);
         let bounds = &settings.bounds;
-        let quota_bounds = QuotaBounds {
+        let keeper_config = KeeperConfig {
             window: bounds.quota_window,
+            overage: bounds.quota_overage,
             slack: bounds.quota_slack,
         };
         let metrics = Metrics::new();
-        let quotas = Quotas::new(quota_bounds, clock.clone(), metrics.quota_keepers_lost.clone());
+        let quotas = Quotas::new(keeper_config, clock.clone(), metrics.quota_keepers_lost.clone());
         let budget_config = RetryBudgetConfig {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -34,9 +34,6 @@
 const LINK_PATIENCE: Duration = Duration::from_millis(900);
 /// Keepers that one request asks, at most: after the first the one that takes over.
 const MOST_ASKED: usize = 3;
-/// Part of the common slack up to which tenants may be in debt. Two keepers that
-/// begin within a window, each with the whole of it, stay within the slack.
-const DEBT_PER_SLACK: f64 = 0.3;
 
 /// What the quotas need to know of the fleet.
 pub trait Fleet {
@@ -48,15 +45,6 @@
     fn configuration(&self) -> Option<Arc<Configuration>>;
 }
 
-/// Bounds of the quotas, as they hold for all nodes together.
-#[derive(Debug, Clone, Copy)]
-pub struct QuotaBounds {
-    /// Sliding window.
-    pub window: Duration,
-    /// Units that a window may be over.
-    pub slack: f64,
-}
-
 /// A request that wants to run.
 #[derive(Debug, Clone, Copy)]
 pub struct QuotaAsk<'a> {
@@ -128,11 +116,7 @@
 
 impl Quotas {
     /// A node that knows no keeper yet.
-    pub fn new(bounds: QuotaBounds, clock: Clock, keepers_lost: Counter) -> Rc<Self> {
-        let config = KeeperConfig {
-            window: bounds.window,
-            debt: bounds.slack * DEBT_PER_SLACK,
-        };
+    pub fn new(config: KeeperConfig, clock: Clock, keepers_lost: Counter) -> Rc<Self> {
         let part = |_| Part {
             keeper: RefCell::new(QuotaKeeper::new(config, clock.now())),
             listeners: Cell::new(0),
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -33,7 +33,9 @@
     pub retry_window: Duration,
     /// Window of the tenants' quotas.
     pub quota_window: Duration,
-    /// Units that a tenant may be over its quota in a window.
+    /// Part of its quota that a tenant may be over it in a window.
+    pub quota_overage: f64,
+    /// Units that it may be over that besides.
     pub quota_slack: f64,
     /// Time between the request to stop and the end of the process.
     pub stop_grace: Duration,
--- a/crates/croftrill-scheduler/src/quota/keeper.rs
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -7,14 +7,54 @@
 use crate::tenants::{Quota, Tenant};
 use crate::time::Moment;
 
+/// Part of the overage that is spent. What is left covers requests that wait between
+/// their grant and their replica, so that more of them arrive in a window.
+const OVERAGE_PART: f64 = 0.8;
+/// Part of the slack that is spent in any window.
+const SLACK_PART: f64 = 0.2;
+/// Part of the slack up to which a tenant may be in debt at all keepers together.
+/// Two more keepers that begin within a window, each with the whole of it, stay
+/// within the slack.
+const DEBT_PART: f64 = 0.2;
+/// Part of the burst that can be saved up. The window bounds what is saved and what
+/// comes in together: the less is saved, the more comes in while a tenant asks for
+/// more than it may. Half of it still bears twice the rate for half a second.
+const SAVED_PART: f64 = 0.5;
+
 /// Bounds that hold for all keepers.
 #[derive(Debug, Clone, Copy)]
 pub struct KeeperConfig {
     /// Sliding window of the quotas.
     pub window: Duration,
-    /// Units of debt that a tenant may have at all keepers together: a request that
-    /// is larger than the balance passes, and the next ones wait for it.
-    pub debt: f64,
+    /// Part of a quota that a window may be over it.
+    pub overage: f64,
+    /// Units that a window may be over that besides.
+    pub slack: f64,
+}
+
+impl KeeperConfig {
+    /// Units of debt that a tenant may have: a request that is larger than the
+    /// balance passes, and the next ones wait for it.
+    pub fn debt(&self) -> f64 {
+        self.slack * DEBT_PART
+    }
+
+    /// Units that a tenant may spend in a window, but for its debt: nearly as many as
+    /// the bounds allow, as a request that is refused below them is lost.
+    pub fn spent_in_window(&self, quota: &Quota) -> f64 {
+        let told = quota.rate_per_s * self.window.as_secs_f64() + quota.burst;
+        told * (1.0 + self.overage * OVERAGE_PART) + self.slack * SLACK_PART
+    }
+
+    /// Most units that a tenant can save up.
+    fn most_saved(&self, quota: &Quota) -> f64 {
+        quota.burst * SAVED_PART
+    }
+
+    /// Units that a tenant gains in a second.
+    fn income_per_s(&self, quota: &Quota) -> f64 {
+        (self.spent_in_window(quota) - self.most_saved(quota)) / self.window.as_secs_f64()
+    }
 }
 
 /// What a keeper says to a question.
@@ -44,12 +84,11 @@
 
 /// The balances of the tenants of one part.
 ///
-/// Invariant: in any time `t` it grants a tenant at most `share` x (`rate` x `t` +
-/// `burst` + `debt`), while `share` holds: the part of the listed nodes that listen
+/// Invariant: in any time `t` it grants a tenant at most `share` x (`income` x `t` +
+/// `saved` + `debt`), while `share` holds: the part of the listed nodes that listen
 /// to it. A new keeper begins without a balance. So where `k` keepers begin within
-/// a window, a tenant gets at most `rate` x `window` + `burst` + (`k` + 1) x `debt`
-/// in it, and for a node that fell silent `share` is counted twice until its old
-/// keeper notices.
+/// a window, a tenant gets at most `spent_in_window` + (`k` + 1) x `debt` in it, and
+/// for a node that fell silent `share` is counted twice until its old keeper notices.
 #[derive(Debug)]
 pub struct QuotaKeeper {
     config: KeeperConfig,
@@ -143,7 +182,7 @@
         let account = self.accounts.entry(name.clone()).or_insert(new);
         account.quota = quota;
         account.version = version;
-        account.balance = account.balance.min(quota.burst * share);
+        account.balance = account.balance.min(self.config.most_saved(&quota) * share);
     }
 
     /// The quotas of all tenants as a version of the configuration tells them.
@@ -159,7 +198,7 @@
     pub fn ask(&mut self, name: &str, cost: u64, now: Moment) -> Ruling {
         self.settle(now);
         let share = self.share();
-        let debt = self.config.debt * share;
+        let debt = self.config.debt() * share;
         let Some(account) = self.accounts.get_mut(name) else {
             return Ruling::Granted;
         };
@@ -170,7 +209,7 @@
         }
         let missing = cost - debt - account.balance + account.refused;
         account.refused += cost;
-        let per_s = (account.quota.rate_per_s * share).max(f64::MIN_POSITIVE);
+        let per_s = (self.config.income_per_s(&account.quota) * share).max(f64::MIN_POSITIVE);
         let again_after = Duration::try_from_secs_f64(missing / per_s).unwrap_or(self.config.window);
         Ruling::Refused {
             again_after: again_after.min(self.config.window),
@@ -193,15 +232,15 @@
             .map(|(name, account)| (name, account.balance))
     }
 
-    /// Brings all balances up to now. What is above the burst, as of requests that
+    /// Brings all balances up to now. What is above the most, as of requests that
     /// did not run, or after a node left, is neither added to nor taken.
     fn settle(&mut self, now: Moment) {
         let elapsed_s = now.since(self.settled_at).as_secs_f64();
         self.settled_at = self.settled_at.max(now);
         let share = self.share();
         for account in self.accounts.values_mut() {
-            let income = account.quota.rate_per_s * share * elapsed_s;
-            let most = account.quota.burst * share;
+            let income = self.config.income_per_s(&account.quota) * share * elapsed_s;
+            let most = self.config.most_saved(&account.quota) * share;
             if account.balance < most {
                 account.balance = (account.balance + income).min(most);
             }
