Quotas: a request that its balance will soon pay for waits for its turn

Ruled out: a limit that is too low (the tenants asked for half of it). Change: a question says how long the request can wait and still be in time; the keeper grants ahead, in turn, what the balance will pay for by then. Who cannot wait is refused at once. Under a tenant that asks for several times its quota, requests with more time get what there is.

--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -203,7 +203,10 @@
     let message = FromKeeper::deserialize_bin(frame).map_err(invalid)?;
     let (id, ruling) = match message {
         FromKeeper::Alive => return Ok(()),
-        FromKeeper::Granted { id } => (id, Ruling::Granted),
+        FromKeeper::Granted { id, after_ms } => {
+            let after = Duration::from_millis(u64::from(after_ms));
+            (id, Ruling::Granted { after })
+        }
         FromKeeper::Refused {
             id,
             again_after_ms,
@@ -216,7 +219,7 @@
     let question = quotas.parts[part.index()].asked.borrow_mut().remove(&id);
     if let Some(question) = question {
         let unheard = question.answer.send(ruling);
-        if unheard == Err(Ruling::Granted) {
+        if matches!(unheard, Err(Ruling::Granted { .. })) {
             quotas.give_back(part, &question.tenant, question.cost);
         }
     }
@@ -252,12 +255,17 @@
             id,
             tenant,
             cost,
+            patience_ms,
             quota,
             version,
         }) => {
+            let patience = Duration::from_millis(u64::from(patience_ms));
             keeper.learn(&tenant.as_str().into(), quota.to_quota(), version, now);
-            Some(match keeper.ask(&tenant, cost, now) {
-                Ruling::Granted => FromKeeper::Granted { id },
+            Some(match keeper.ask(&tenant, cost, patience, now) {
+                Ruling::Granted { after } => FromKeeper::Granted {
+                    id,
+                    after_ms: after.as_millis() as u32,
+                },
                 Ruling::Refused { again_after, balance } => FromKeeper::Refused {
                     id,
                     again_after_ms: again_after.as_millis() as u32 + 1,
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -56,13 +56,15 @@
     pub version: u64,
     /// Units that the request counts for.
     pub cost: u64,
+    /// Time for which it can wait for its turn.
+    pub patience: Duration,
 }
 
 /// Whether a request may run.
 #[derive(Debug)]
 pub enum QuotaVerdict {
-    /// It may.
-    Granted(Credit),
+    /// It may, after this time.
+    Granted(Credit, Duration),
     /// It is beyond the tenant's quota.
     Beyond {
         /// Time until the balance pays for it.
@@ -172,7 +174,7 @@
         let now = self.clock.now();
         let mut keeper = self.parts[part.index()].keeper.borrow_mut();
         keeper.learn(ask.tenant, ask.quota, ask.version, now);
-        keeper.ask(ask.tenant, ask.cost, now)
+        keeper.ask(ask.tenant, ask.cost, ask.patience, now)
     }
 
     /// The keeper's ruling; `None` if it did not answer, and is given up.
@@ -196,6 +198,7 @@
             id,
             tenant: ask.tenant.to_string(),
             cost: ask.cost,
+            patience_ms: ask.patience.as_millis() as u32,
             quota: WireQuota::from_quota(ask.quota),
             version: ask.version,
         });
@@ -228,13 +231,16 @@
         let is_own = matches!(*self.parts[part.index()].uplink.borrow(), Uplink::Own);
         let is_alone = is_own && !self.parts[part.index()].is_keeper.get();
         match ruling {
-            Ruling::Granted => QuotaVerdict::Granted(Credit {
-                quotas: self.clone(),
-                part,
-                tenant: ask.tenant.clone(),
-                cost: ask.cost,
-                is_spent: Cell::new(false),
-            }),
+            Ruling::Granted { after } => {
+                let credit = Credit {
+                    quotas: self.clone(),
+                    part,
+                    tenant: ask.tenant.clone(),
+                    cost: ask.cost,
+                    is_spent: Cell::new(false),
+                };
+                QuotaVerdict::Granted(credit, after)
+            }
             // Another node may have what this one's small part lacks.
             Ruling::Refused { .. } if is_alone => QuotaVerdict::Unreachable,
             Ruling::Refused { again_after, balance } => QuotaVerdict::Beyond { again_after, balance },
--- a/crates/croftrill-node/src/quota/wire.rs
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -28,6 +28,8 @@
     pub tenant: String,
     /// Units that the request counts for.
     pub cost: u64,
+    /// Time for which the request can wait for its turn, in milliseconds.
+    pub patience_ms: u32,
     /// The quota as the asking node knows it.
     pub quota: WireQuota,
     /// Version of the configuration that tells it.
@@ -54,6 +56,8 @@
     Granted {
         /// Number of the question.
         id: u64,
+        /// Time after which it may, in milliseconds.
+        after_ms: u32,
     },
     /// The request is beyond the quota.
     Refused {
--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use croftrill_scheduler::catalog::{Configuration, Route};
 use croftrill_scheduler::time::Moment;
@@ -9,6 +10,8 @@
 use http::StatusCode;
 
 use super::answers::refuse;
+use super::cold::first_event_after;
+use super::streaming::PROMPT_TIME_MARGIN;
 use super::{Answer, OTHER_NODE_RETURN};
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -94,6 +97,16 @@
     answer
 }
 
+/// Part of the time that a request has beyond reading its prompt for which it waits
+/// for its turn; the rest is for a queue or a load at its replica.
+const QUOTA_WAIT: u32 = 2;
+
+/// Time for which a request can wait for its turn and still be in time.
+fn quota_patience(facts: &RequestFacts, route: &Route) -> Duration {
+    let reading = first_event_after(facts) * PROMPT_TIME_MARGIN;
+    route.objective.saturating_sub(reading) / QUOTA_WAIT
+}
+
 /// Pays for a request from its tenant's quota; nothing if that has none.
 ///
 /// Errors: the answer to a request beyond the quota, or that no keeper rules on.
@@ -102,6 +115,7 @@
     facts: &RequestFacts,
     tenant: Option<&Arc<str>>,
     configuration: &Configuration,
+    route: &Route,
     until: Moment,
 ) -> Result<Option<Credit>, Box<Answer>> {
     let tenant = tenant.and_then(|name| configuration.tenants.named(name));
@@ -113,9 +127,13 @@
         quota,
         version: configuration.version,
         cost: quota.unit.cost(facts.metered_tokens),
+        patience: quota_patience(facts, route),
     };
     match node.quotas.ask(ask, until).await {
-        QuotaVerdict::Granted(credit) => Ok(Some(credit)),
+        QuotaVerdict::Granted(credit, after) => {
+            node.clock.sleep_until(until.min(node.clock.now() + after)).await;
+            Ok(Some(credit))
+        }
         QuotaVerdict::Beyond { again_after, balance } => {
             Metrics::count(&node.metrics.denied, "quota", "beyond");
             tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "beyond the quota",
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -12,7 +12,7 @@
 use super::{RequestRun, DEFAULT_RETURN};
 use crate::node::Lifecycle;
 use crate::peer::{ToOrderer, WireModel};
-use crate::ports::Platform;
+use crate::ports::{Platform, RequestFacts};
 
 /// Expected time to read one token of a prompt.
 const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
@@ -212,6 +212,11 @@
     }
 
     pub(super) fn first_event_after(&self) -> Duration {
-        TIME_PER_PROMPT_TOKEN * self.facts.prompt_tokens as u32
+        first_event_after(&self.facts)
     }
 }
+
+/// Expected time from a send to the first event.
+pub(super) fn first_event_after(facts: &RequestFacts) -> Duration {
+    TIME_PER_PROMPT_TOKEN * facts.prompt_tokens as u32
+}
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -133,7 +133,7 @@
     if let Some(tenant) = &tenant {
         facts.group = Some(tenant.to_string());
     }
-    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, until).await {
+    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, &route, until).await {
         Ok(credit) => credit,
         Err(answer) => return *answer,
     };
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -20,7 +20,7 @@
 /// handshake each, and as long again for a busy node, rounded up.
 const RESUME_TIME: Duration = Duration::from_millis(100);
 /// Times that reading a prompt is taken to last where the holder is busy with others'.
-const PROMPT_TIME_MARGIN: u32 = 2;
+pub(super) const PROMPT_TIME_MARGIN: u32 = 2;
 
 /// How a replica's part of a stream ended.
 pub(super) enum PumpEnd {
--- a/crates/croftrill-scheduler/src/quota/keeper.rs
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -60,8 +60,11 @@
 /// What a keeper says to a question.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Ruling {
-    /// The request may run; the balance has paid for it.
-    Granted,
+    /// The request may run after this time: then the balance has paid for it.
+    Granted {
+        /// Zero if the balance pays for it now.
+        after: Duration,
+    },
     /// It is beyond what the tenant has here.
     Refused {
         /// Time until the balance pays for it, behind those refused before it.
@@ -89,6 +92,8 @@
 /// to it. A new keeper begins without a balance. So where `k` keepers begin within
 /// a window, a tenant gets at most `spent_in_window` + (`k` + 1) x `debt` in it, and
 /// for a node that fell silent `share` is counted twice until its old keeper notices.
+/// A request granted ahead counts when it may run; if the share falls meanwhile, what
+/// was granted ahead, at most the longest patience's income, stands.
 #[derive(Debug)]
 pub struct QuotaKeeper {
     config: KeeperConfig,
@@ -194,25 +199,35 @@
         }
     }
 
-    /// A request of a tenant wants to run.
-    pub fn ask(&mut self, name: &str, cost: u64, now: Moment) -> Ruling {
+    /// A request of a tenant wants to run within `patience`. One that the balance will
+    /// have paid for by then is granted ahead: a wait of some ten milliseconds serves
+    /// its caller, where a refusal would have it come back to the same balance.
+    pub fn ask(&mut self, name: &str, cost: u64, patience: Duration, now: Moment) -> Ruling {
         self.settle(now);
         let share = self.share();
         let debt = self.config.debt() * share;
         let Some(account) = self.accounts.get_mut(name) else {
-            return Ruling::Granted;
+            return Ruling::Granted {
+                after: Duration::ZERO,
+            };
         };
         let cost = cost as f64;
-        if account.balance - cost >= -debt {
+        let window = self.config.window;
+        let income_per_s = (self.config.income_per_s(&account.quota) * share).max(f64::MIN_POSITIVE);
+        let time_to_gain = |units: f64| {
+            let time = Duration::try_from_secs_f64(units.max(0.0) / income_per_s);
+            time.unwrap_or(window).min(window)
+        };
+        let missing = cost - debt - account.balance;
+        let after = time_to_gain(missing);
+        if after <= patience {
             account.balance -= cost;
-            return Ruling::Granted;
+            return Ruling::Granted { after };
         }
-        let missing = cost - debt - account.balance + account.refused;
+        let again_after = time_to_gain(missing + account.refused);
         account.refused += cost;
-        let per_s = (self.config.income_per_s(&account.quota) * share).max(f64::MIN_POSITIVE);
-        let again_after = Duration::try_from_secs_f64(missing / per_s).unwrap_or(self.config.window);
         Ruling::Refused {
-            again_after: again_after.min(self.config.window),
+            again_after,
             balance: account.balance,
         }
     }
