--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -54,7 +54,7 @@
     fn refuse_finally(&self, status: StatusCode, cause: &'static str, come_back: Option<Duration>) -> Answer {
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), "refused");
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome = "given up",
-            cause, status = status.as_u16(), sends = self.sends, model = self.facts.model.as_deref(),
+            cause, status = status.as_u16(), tenant = self.tenant.as_deref(), sends = self.sends, model = self.facts.model.as_deref(),
             adapter = self.facts.adapter.as_deref(), waited_ms = self.waited().as_millis() as u64,
             come_back_ms = come_back.map(|time| time.as_millis() as u64), version = self.configuration.version);
         refuse(status, cause, come_back)
@@ -88,7 +88,7 @@
         let metric = if outcome == "served" { "served" } else { "failed" };
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome,
-            replica = &**replica, sends = self.sends, model = self.facts.model.as_deref(),
+            replica = &**replica, tenant = self.tenant.as_deref(), sends = self.sends, model = self.facts.model.as_deref(),
             adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
             answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
             longest_pause_ms = self.longest_pause.get().as_millis() as u64, late = self.counted_late.get(),
