--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -8,9 +8,9 @@
 /// Part of the income that is kept for small requests until they have saved enough.
 /// While a tenant asks for more than it may, large patient requests take all that
 /// comes in; small ones cost little and mostly cannot wait.
-const SMALL_PART: f64 = 0.2;
+const SMALL_PART: f64 = 0.05;
 /// A request of at most so many times the mean cost is small.
-const SMALL_COST: f64 = 0.5;
+const SMALL_COST: f64 = 0.1;
 /// Requests over which the mean cost is taken.
 const MEAN_OVER: f64 = 64.0;
 
