--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use croftrill_scheduler::quota::keeper::Ruling;
+use croftrill_scheduler::quota::keeper::{Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use nanoserde::{DeBin, SerBin};
 use tokio::sync::mpsc;
@@ -265,12 +265,17 @@
             tenant,
             cost,
             patience_ms,
+            is_urgent,
             quota,
             version,
         }) => {
-            let patience = Duration::from_millis(u64::from(patience_ms));
+            let want = Want {
+                cost,
+                patience: Duration::from_millis(u64::from(patience_ms)),
+                is_urgent,
+            };
             keeper.learn(&tenant.as_str().into(), quota.to_quota(), version, now);
-            Some(match keeper.ask(&tenant, cost, patience, now) {
+            Some(match keeper.ask(&tenant, want, now) {
                 Ruling::Granted { after } => FromKeeper::Granted {
                     id,
                     after_ms: after.as_millis() as u32,
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::Configuration;
-use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling};
+use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::tenants::Quota;
 use croftrill_scheduler::time::Moment;
@@ -54,10 +54,8 @@
     pub quota: Quota,
     /// Version of the configuration that tells it.
     pub version: u64,
-    /// Units that the request counts for.
-    pub cost: u64,
-    /// Time for which it can wait for its turn.
-    pub patience: Duration,
+    /// What it wants.
+    pub want: Want,
 }
 
 /// Whether a request may run.
@@ -184,7 +182,7 @@
         let now = self.clock.now();
         let mut keeper = self.parts[part.index()].keeper.borrow_mut();
         keeper.learn(ask.tenant, ask.quota, ask.version, now);
-        keeper.ask(ask.tenant, ask.cost, ask.patience, now)
+        keeper.ask(ask.tenant, ask.want, now)
     }
 
     /// The keeper's ruling; `None` if it did not answer, and is given up.
@@ -201,14 +199,15 @@
         let question = Question {
             answer,
             tenant: ask.tenant.clone(),
-            cost: ask.cost,
+            cost: ask.want.cost,
         };
         state.asked.borrow_mut().insert(id, question);
         let message = ToKeeper::Ask(WireAsk {
             id,
             tenant: ask.tenant.to_string(),
-            cost: ask.cost,
-            patience_ms: ask.patience.as_millis() as u32,
+            cost: ask.want.cost,
+            patience_ms: ask.want.patience.as_millis() as u32,
+            is_urgent: ask.want.is_urgent,
             quota: WireQuota::from_quota(ask.quota),
             version: ask.version,
         });
@@ -247,7 +246,7 @@
                     quotas: self.clone(),
                     part,
                     tenant: ask.tenant.clone(),
-                    cost: ask.cost,
+                    cost: ask.want.cost,
                     is_spent: Cell::new(false),
                 };
                 QuotaVerdict::Granted(credit, after)
@@ -268,7 +267,7 @@
         ahead.retain(|grant| grant.runs_at > now);
         ahead.push(GrantAhead {
             tenant: ask.tenant.clone(),
-            cost: ask.cost,
+            cost: ask.want.cost,
             runs_at: now + after,
         });
     }
--- a/crates/croftrill-node/src/quota/wire.rs
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -37,6 +37,8 @@
     pub cost: u64,
     /// Time for which the request can wait for its turn, in milliseconds.
     pub patience_ms: u32,
+    /// True if no route's requests are more urgent.
+    pub is_urgent: bool,
     /// The quota as the asking node knows it.
     pub quota: WireQuota,
     /// Version of the configuration that tells it.
--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::{Configuration, Route};
+use croftrill_scheduler::quota::keeper::Want;
 use croftrill_scheduler::time::Moment;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::StatusCode;
@@ -126,8 +127,11 @@
         tenant: &tenant.name,
         quota,
         version: configuration.version,
-        cost: quota.unit.cost(facts.metered_tokens),
-        patience: quota_patience(facts, route),
+        want: Want {
+            cost: quota.unit.cost(facts.metered_tokens),
+            patience: quota_patience(facts, route),
+            is_urgent: configuration.tenants.is_most_urgent(route.priority),
+        },
     };
     match node.quotas.ask(ask, until).await {
         QuotaVerdict::Granted(credit, after) => {
@@ -137,7 +141,7 @@
         QuotaVerdict::Beyond { again_after, balance } => {
             Metrics::count(&node.metrics.denied, "quota", "beyond");
             tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "beyond the quota",
-                tenant = &*tenant.name, cost = ask.cost, balance = balance as i64,
+                tenant = &*tenant.name, cost = ask.want.cost, balance = balance as i64,
                 rate_per_s = quota.rate_per_s as u64, burst = quota.burst as u64,
                 again_after_ms = again_after.as_millis() as u64, version = configuration.version);
             let cause = "beyond the tenant's quota";
@@ -150,7 +154,7 @@
         QuotaVerdict::Unreachable => {
             Metrics::count(&node.metrics.denied, "quota", "no keeper");
             tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "no keeper in reach",
-                tenant = &*tenant.name, cost = ask.cost, version = configuration.version);
+                tenant = &*tenant.name, cost = ask.want.cost, version = configuration.version);
             let cause = "the tenant's quota cannot be asked for";
             Err(Box::new(refuse(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/croftrill-scheduler/src/quota/keeper.rs
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// What a request wants of its tenant's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Want {
+    /// Units that it counts for.
+    pub cost: u64,
+    /// Time for which it can wait for its turn.
+    pub patience: Duration,
+    /// True if no route's requests are more urgent.
+    pub is_urgent: bool,
+}
+
 /// What a keeper says to a question.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Ruling {
@@ -181,10 +192,10 @@
         }
     }
 
-    /// A request of a tenant wants to run within `patience`. One that the balance will
-    /// have paid for by then is granted ahead: a wait of some ten milliseconds serves
+    /// A request of a tenant wants to run. One that the balance will have paid for within
+    /// its patience is granted ahead: a wait of some ten milliseconds serves
     /// its caller, where a refusal would have it come back to the same balance.
-    pub fn ask(&mut self, name: &str, cost: u64, patience: Duration, now: Moment) -> Ruling {
+    pub fn ask(&mut self, name: &str, want: Want, now: Moment) -> Ruling {
         self.settle(now);
         let share = self.share();
         let Some(account) = self.accounts.get_mut(name) else {
@@ -193,7 +204,7 @@
             };
         };
         let bounds = AccountBounds::new(&self.config, &account.quota, share);
-        account.ask(cost, patience, &bounds)
+        account.ask(want, &bounds)
     }
 
     /// A listener that came has so much granted ahead by another keeper: it runs while
--- a/crates/croftrill-scheduler/src/tenants.rs
+++ b/crates/croftrill-scheduler/src/tenants.rs
@@ -89,6 +89,8 @@
     tenants: Vec<Tenant>,
     by_key: HashMap<KeyDigest, TenantKey>,
     by_name: HashMap<Arc<str>, TenantKey>,
+    /// The most urgent rank of a route.
+    first_route_rank: u8,
     /// All pairs of a tenant's rank and a route's, the most urgent first.
     ranks: Vec<(u8, u8)>,
 }
@@ -106,7 +108,9 @@
             by_key.extend(tenant.keys.iter().map(|digest| (*digest, key)));
         }
         let mut ranks: Vec<(u8, u8)> = Vec::new();
+        let mut first_route_rank = u8::MAX;
         for route in route_priorities {
+            first_route_rank = first_route_rank.min(route);
             ranks.extend(tenants.iter().map(|tenant| rank_pair(tenant, route)));
         }
         ranks.sort_unstable();
@@ -115,6 +119,7 @@
             tenants,
             by_key,
             by_name,
+            first_route_rank,
             ranks,
         }
     }
@@ -141,6 +146,11 @@
         Some(&self.tenants[usize::from(key.0)])
     }
 
+    /// True if no route ranks before one of this rank.
+    pub fn is_most_urgent(&self, route: u8) -> bool {
+        route <= self.first_route_rank
+    }
+
     /// Rank of a tenant's request on a route of rank `route`, 0 first: the tenant's
     /// goes first, and the route's decides among its own requests. Where the pairs
     /// are more than the ranks, neighbours share one.
--- a/crates/croftrill-scheduler/tests/quota.rs
+++ b/crates/croftrill-scheduler/tests/quota.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::candidacy::Candidate;
-use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling};
+use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
 use croftrill_scheduler::quota::keepers::{keeper_order, QuotaPart};
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use croftrill_scheduler::time::Moment;
@@ -47,11 +47,19 @@
     keeper
 }
 
+fn want(cost: u64, patience: Duration) -> Want {
+    Want {
+        cost,
+        patience,
+        is_urgent: false,
+    }
+}
+
 fn granted(keeper: &mut QuotaKeeper, cost: u64, now: Moment) -> bool {
     let at_once = Ruling::Granted {
         after: Duration::ZERO,
     };
-    keeper.ask("t", cost, Duration::ZERO, now) == at_once
+    keeper.ask("t", want(cost, Duration::ZERO), now) == at_once
 }
 
 #[test]
@@ -59,7 +67,7 @@
     let mut keeper = full(84);
     let mut spent = 0;
     let again_after = loop {
-        match keeper.ask("t", COST, Duration::ZERO, at(5_000)) {
+        match keeper.ask("t", want(COST, Duration::ZERO), at(5_000)) {
             Ruling::Granted { .. } => spent += COST,
             Ruling::Refused { again_after, .. } => break again_after,
         }
@@ -77,7 +85,7 @@
     while granted(&mut keeper, COST, at(5_000)) {}
     let mut times = Vec::new();
     for _ in 0..5 {
-        match keeper.ask("t", COST, Duration::ZERO, at(5_000)) {
+        match keeper.ask("t", want(COST, Duration::ZERO), at(5_000)) {
             Ruling::Refused { again_after, .. } => times.push(again_after),
             Ruling::Granted { .. } => panic!("beyond the quota"),
         }
@@ -122,7 +130,7 @@
         // Twice the usual in the first half second.
         let requests = if millis < 500 { 2 } else { 1 };
         for _ in 0..requests {
-            match keeper.ask("t", COST, Duration::from_millis(1_200), at(millis)) {
+            match keeper.ask("t", want(COST, Duration::from_millis(1_200)), at(millis)) {
                 Ruling::Granted { after } => longest = longest.max(after),
                 Ruling::Refused { .. } => panic!("refused at {millis} ms"),
             }
@@ -140,13 +148,13 @@
     let (mut patient, mut hasty) = (0, 0);
     for millis in (5_000..13_000).step_by(20) {
         let now = at(millis);
-        if let Ruling::Granted { after } = keeper.ask("t", COST, Duration::from_millis(1_200), now) {
+        if let Ruling::Granted { after } = keeper.ask("t", want(COST, Duration::from_millis(1_200)), now) {
             patient += 1;
             let runs_at = Duration::from_millis(millis) + after;
             assert!(runs_at >= granted_until, "out of turn");
             granted_until = runs_at;
         }
-        if let Ruling::Granted { .. } = keeper.ask("t", COST, Duration::from_millis(120), now) {
+        if let Ruling::Granted { .. } = keeper.ask("t", want(COST, Duration::from_millis(120)), now) {
             hasty += 1;
         }
     }
@@ -164,7 +172,7 @@
         let now = at(millis);
         // 60 reviews a second, 8 alerts a second: 1,600 tokens of 29,000.
         if millis % 16 == 0 {
-            keeper.ask("t", COST, Duration::from_millis(1_200), now);
+            keeper.ask("t", want(COST, Duration::from_millis(1_200)), now);
         }
         if millis % 125 == 0 {
             alerts += 1;
@@ -181,7 +189,7 @@
     let patience = Duration::from_millis(1_200);
     let mut old = full(84);
     let mut ahead = 0;
-    while let Ruling::Granted { after } = old.ask("t", COST, patience, at(5_000)) {
+    while let Ruling::Granted { after } = old.ask("t", want(COST, patience), at(5_000)) {
         ahead += if after.is_zero() { 0 } else { COST };
     }
     let mut new = keeper(at(5_000));
@@ -201,6 +209,31 @@
     );
 }
 
+/// A tenant at several times its quota in reviews that can wait and questions that are
+/// more urgent, 1,050 tokens each and 40 % of the quota together: the questions pass.
+#[test]
+fn ask_of_urgent_requests_passes_before_patient_ones() {
+    let mut keeper = full(84);
+    let (mut questions, mut passed, mut reviews) = (0, 0, 0);
+    for millis in 5_000..15_000 {
+        let now = at(millis);
+        if millis % 50 == 0 {
+            let review = want(COST, Duration::from_millis(1_200));
+            reviews += usize::from(matches!(keeper.ask("t", review, now), Ruling::Granted { .. }));
+        }
+        if millis % 90 == 0 {
+            let question = Want {
+                is_urgent: true,
+                ..want(1_050, Duration::from_millis(200))
+            };
+            questions += 1;
+            passed += usize::from(matches!(keeper.ask("t", question, now), Ruling::Granted { .. }));
+        }
+    }
+    assert!(passed * 10 >= questions * 9, "{passed} of {questions}");
+    assert!(reviews > 15, "{reviews}");
+}
+
 #[test]
 fn credit_that_did_not_run_goes_back() {
     let mut keeper = full(10);
@@ -384,7 +417,7 @@
     fn ask_all(&mut self, cost: u64, patience: Duration, now: u64) {
         for node in 0..NODES {
             let keeper = &mut self.keepers[self.choice[node]];
-            if let Ruling::Granted { after } = keeper.ask("t", cost, patience, at(now)) {
+            if let Ruling::Granted { after } = keeper.ask("t", want(cost, patience), at(now)) {
                 let runs_at = now + after.as_millis() as u64;
                 self.grants.push((runs_at, cost));
                 self.ahead.push((node, cost, runs_at));
