Loads from the weight store: all orderers share one pace

Cause: three orderers began two loads each at a store that serves one of 13.2 s at full speed: each took 79 s, was given up after 20 s and ordered elsewhere (one model five times). Change: the pace counts the other orderers' loads, as they tell them; a free place at the store is each shard's in turn (300 ms apart); it begins with as many loads as take 24 s one after the other, six at most; a load that is still running is not given up before six times its usual time.

--- a/crates/croftrill-scheduler/src/load_pace.rs
+++ b/crates/croftrill-scheduler/src/load_pace.rs
@@ -7,28 +7,33 @@
 
 use std::time::Duration;
 
-/// Loads that run at once while nothing was learned.
-const FIRST_LIMIT: f64 = 2.0;
+/// Loads run at once while nothing was learned: as many as take this time one after
+/// the other. A wrong guess costs all of them the time of the others, and the longer a
+/// load takes, the later that shows.
+const FIRST_LIMIT_TIME: Duration = Duration::from_secs(24);
+/// Loads that run at once at most while nothing was learned.
+const MOST_AT_FIRST: f64 = 6.0;
 /// A load that takes longer than so many times its usual time was slowed down.
 const SLOWED_FROM: f64 = 1.3;
 /// Added to the limit by a load at full speed while the limit was reached.
 const STEP: f64 = 0.5;
 
-/// Bounds the loads that one orderer runs at once.
-///
-/// Several orderers share one store without talking: each finds its own part.
+/// Bounds the loads that run at once, those of all orderers together: each learns
+/// the bound from its own loads, and counts the others'.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadPace {
     limit: f64,
 }
 
-impl Default for LoadPace {
-    fn default() -> Self {
-        LoadPace { limit: FIRST_LIMIT }
+impl LoadPace {
+    /// Nothing was learned yet of a store from which a load takes `usual` alone.
+    pub fn new(usual: Duration) -> Self {
+        let first = FIRST_LIMIT_TIME.as_secs_f64() / usual.as_secs_f64().max(f64::EPSILON);
+        LoadPace {
+            limit: first.clamp(1.0, MOST_AT_FIRST),
+        }
     }
-}
 
-impl LoadPace {
     /// Loads that may run at once, one at least.
     pub fn limit(&self) -> usize {
         self.limit.max(1.0) as usize
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -119,6 +119,8 @@
     demand: Demand,
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
     paces: BTreeMap<ServiceName, LoadPace>,
+    /// Since when the weight store has had a place free.
+    store_free_since: BTreeMap<ServiceName, Moment>,
     /// Own loads from the weight store that run, and since when.
     store_loads: BTreeMap<ReplicaId, Moment>,
     changed: BTreeSet<ReplicaId>,
@@ -146,6 +148,7 @@
             demand: Demand::new(),
             ceilings: BTreeMap::new(),
             paces: BTreeMap::new(),
+            store_free_since: BTreeMap::new(),
             store_loads: BTreeMap::new(),
             changed: BTreeSet::new(),
             told: BTreeMap::new(),
--- a/crates/croftrill-scheduler/src/orderer/store_loads.rs
+++ b/crates/croftrill-scheduler/src/orderer/store_loads.rs
@@ -1,13 +1,21 @@
 //! Loads from the weight store: within its ceiling, and at a pace it can serve.
 
+use std::time::Duration;
+
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::load_ceiling::LoadCeiling;
+use crate::load_pace::LoadPace;
 use crate::placement::{weight_source, Orders, PlacedReplica, WeightSource};
 use crate::replica::ReplicaId;
+use crate::shard::{OrderScope, Shard};
 use crate::time::Moment;
 
 use super::Orderer;
 
+/// Time for which a free place at the weight store is left to each shard before this
+/// one: twice what an orderer's plan takes to reach the others.
+const STORE_TURN: Duration = Duration::from_millis(300);
+
 impl Orderer {
     /// Loads from the weight store that may begin in a window: this orderer's
     /// part, by its part of the service's replicas, and one at least.
@@ -27,13 +35,49 @@
     }
 
     /// True if one more load from the weight store may be planned: within the
-    /// ceiling and the pace, with what is planned but has not begun.
+    /// ceiling, and the pace that all orderers share, with what is planned but has
+    /// not begun.
     pub(super) fn store_allowed(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) -> bool {
         let ceiling = self.ceiling(service, engine);
         let planned = self.planned_store_loads(service);
-        let limit = self.paces.entry(service.clone()).or_default().limit();
-        let running = self.running_store_loads(service);
-        running + planned < limit && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
+        let at_store = self.running_store_loads(service) + planned + self.others_store_loads(service);
+        let pace = self.pace(service, engine);
+        if at_store >= pace.limit() {
+            self.store_free_since.remove(service);
+            return false;
+        }
+        let free_since = *self.store_free_since.entry(service.clone()).or_insert(now);
+        self.has_store_turn(now.since(free_since))
+            && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
+    }
+
+    /// True if this orderer may use a place at the store that has been free so long.
+    /// One shard after the other, so that what one plans is seen by the next.
+    fn has_store_turn(&self, free_for: Duration) -> bool {
+        let OrderScope::One(own) = self.config.scope else {
+            return true;
+        };
+        let before = Shard::all().take(own.index());
+        let reachable = before.filter(|shard| self.reachable[shard.index()]);
+        free_for >= STORE_TURN * reachable.count() as u32
+    }
+
+    fn pace(&mut self, service: &ServiceName, engine: &EngineSpec) -> &mut LoadPace {
+        let usual = || engine.models.values().map(|model| model.store_load).max();
+        let pace = self.paces.entry(service.clone());
+        pace.or_insert_with(|| LoadPace::new(usual().unwrap_or_default()))
+    }
+
+    /// Loads from the weight store that other orderers run or plan, as they told.
+    fn others_store_loads(&self, service: &ServiceName) -> usize {
+        let loads = |replica: &&PlacedReplica| {
+            let from_store =
+                |goal: &ModelName| weight_source(replica.ledger.holdings(), goal) == WeightSource::Store;
+            replica.service == *service
+                && replica.orders != Orders::Own
+                && replica.goal.as_ref().is_some_and(from_store)
+        };
+        self.replicas.values().filter(loads).count()
     }
 
     pub(super) fn ceiling_admits(&mut self, service: &ServiceName, ceiling: usize, now: Moment) -> bool {
@@ -78,22 +122,22 @@
         done: Option<&ModelName>,
         now: Moment,
     ) {
-        let running = self.running_store_loads(service);
+        let running = self.running_store_loads(service) + self.others_store_loads(service);
         let Some(begun) = self.store_loads.remove(id) else {
             return;
         };
         // A report tells of the end only that much later.
         let seen_late_by = self.config.ledger.poll_every + self.config.ledger.report_lag;
         let took = now.since(begun).saturating_sub(seen_late_by);
-        let spec = self
-            .configuration
+        let configuration = self.configuration.clone();
+        let engine = configuration
             .service(service)
-            .and_then(|service| service.engine.as_ref())
-            .zip(done)
-            .and_then(|(engine, model)| engine.models.get(model));
-        if let Some(spec) = spec {
-            let pace = self.paces.entry(service.clone()).or_default();
-            pace.ended(took, spec.store_load, running);
+            .and_then(|service| service.engine.as_ref());
+        let Some((engine, model)) = engine.zip(done) else {
+            return;
+        };
+        if let Some(spec) = engine.models.get(model) {
+            self.pace(service, engine).ended(took, spec.store_load, running);
         }
     }
 }
--- a/crates/croftrill-scheduler/src/replica_ledger.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger.rs
@@ -39,6 +39,9 @@
     }
 }
 
+/// An order may take so many times what it takes alone before it counts as failed.
+const SLOWEST_ORDER: u32 = 6;
+
 /// Progress of the order under way.
 #[derive(Debug, Clone, PartialEq)]
 enum Progress {
@@ -299,7 +302,7 @@
                 }
                 let reported_after_taken = asked_at.since(pending.sent_at) >= self.config.report_lag * 2;
                 let ended = pending.order.is_weights() && !report.busy && reported_after_taken;
-                if ended || now.since(pending.sent_at) >= self.config.give_up_after {
+                if ended || now.since(pending.sent_at) >= self.longest_order(&pending) {
                     return LedgerChange::Failed(pending.order);
                 }
                 self.pending = Some(pending);
@@ -308,6 +311,16 @@
         LedgerChange::None
     }
 
+    /// Time after which an order that was taken counts as failed: a load that shares the
+    /// weight store takes longer than it would alone.
+    fn longest_order(&self, pending: &Pending) -> Duration {
+        let expected = match pending.progress {
+            Progress::Taken { expected_at } => expected_at.since(pending.sent_at),
+            Progress::Sent | Progress::Unknown { .. } => Duration::ZERO,
+        };
+        self.config.give_up_after.max(expected * SLOWEST_ORDER)
+    }
+
     /// The adapter takes its place at once, so that no later order takes it.
     fn begin_transit(&mut self, order: &Order, expected_at: Moment) {
         self.apply(order);
