Cold requests: a holder that cannot be reached does not count

Ruled out: adapters that were not loaded (no orders for them were due). Change: the expected time goes by holders and copies that can be reached; who cannot be served in time is refused at once with that time. Before: the new test fails to build without the count; after: it passes.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -163,7 +163,7 @@
         let spec = engine.models.get(&key.model)?;
         let now = self.node.clock.now();
         let state = self.node.state.borrow();
-        if state.replicas.holders(&self.service, &key.model) > 0 {
+        if state.replicas.reachable_holders(&self.service, &key.model, now) > 0 {
             return Some(ADAPTER_READY_IN);
         }
         if let Some(ready_at) = state.replicas.arrival(&self.service, &key.model) {
@@ -172,7 +172,7 @@
         if !state.linked.contains(&true) {
             return Some(NO_ORDERER_READY_IN);
         }
-        Some(ORDER_DELAY + state.replicas.reload_time(&self.service, spec))
+        Some(ORDER_DELAY + state.replicas.reload_time(&self.service, spec, now))
     }
 
     /// Time from arrival to when the caller or the route ends the request.
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -342,10 +342,11 @@
             .min()
     }
 
-    /// Least time in which a ready replica of the service could load the model.
-    pub fn reload_time(&self, service: &str, spec: &ModelSpec) -> Duration {
+    /// Least time in which a ready replica of the service that can be reached could load
+    /// the model.
+    pub fn reload_time(&self, service: &str, spec: &ModelSpec, now: Moment) -> Duration {
         self.of_service(service)
-            .filter(|entry| entry.is_ready())
+            .filter(|entry| entry.is_ready() && !entry.health.is_unreachable(now))
             .map(|entry| match weight_source(&entry.listing.holdings, &spec.name) {
                 WeightSource::Memory => spec.memory_load,
                 WeightSource::Disk => spec.disk_load,
@@ -362,6 +363,14 @@
             .count()
     }
 
+    /// Number of those that requests can be sent to, as far as is known.
+    pub fn reachable_holders(&self, service: &str, model: &str, now: Moment) -> usize {
+        self.of_service(service)
+            .filter(|entry| entry.is_ready() && entry.serves(model, None))
+            .filter(|entry| !entry.health.is_unreachable(now))
+            .count()
+    }
+
     /// Number of replicas.
     pub fn len(&self) -> usize {
         self.replicas.len()
--- a/crates/croftrill-scheduler/src/time.rs
+++ b/crates/croftrill-scheduler/src/time.rs
@@ -10,7 +10,7 @@
 
 impl Moment {
     /// The moment that lies `elapsed` after the start of the clock.
-    pub fn from_start(elapsed: Duration) -> Self {
+    pub const fn from_start(elapsed: Duration) -> Self {
         Moment(elapsed.as_nanos() as u64)
     }
 
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::ModelSpec;
+use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
 use croftrill_scheduler::shard::Shard;
+use croftrill_scheduler::time::Moment;
 
 fn listing(id: &str) -> ReplicaListing {
     ReplicaListing {
@@ -35,6 +37,31 @@
     }
 }
 
+const NOW: Moment = Moment::from_start(Duration::from_secs(3600));
+
+/// The only holder of a model crashed and is still listed: whoever asks for the model
+/// waited for 45 % of its patience as if it were there.
+#[test]
+fn reachable_holders_leaves_out_one_that_cannot_be_reached() {
+    let mut table = ReplicaTable::new();
+    table.apply_relayed_listing(listing("r1"));
+    let mut held = told("r1", "m1");
+    held.usable.copies.on_disk = vec!["m1".into()];
+    table.apply_placement(held);
+    assert_eq!(table.reachable_holders("llm", "m1", NOW), 1);
+    for _ in 0..3 {
+        table.record_outcome("r1", SendOutcome::Unreachable, NOW);
+    }
+    assert_eq!(table.holders("llm", "m1"), 1);
+    assert_eq!(table.reachable_holders("llm", "m1", NOW), 0);
+    let reload = table.reload_time("llm", &spec("m1"), NOW);
+    assert_eq!(
+        reload,
+        Duration::from_millis(13_200),
+        "its disk cannot be reached either"
+    );
+}
+
 fn spec(model: &str) -> ModelSpec {
     ModelSpec {
         name: model.into(),
@@ -55,7 +82,7 @@
     table.apply_relayed_listing(listing("r1"));
     table.apply_placement(told("r1", "m1"));
     assert_eq!(
-        table.reload_time("llm", &spec("m1")),
+        table.reload_time("llm", &spec("m1"), NOW),
         Duration::from_millis(13_200)
     );
     let mut without = told("r1", "m2");
@@ -64,14 +91,23 @@
         on_disk: vec!["m1".into(), "m3".into()],
     };
     table.apply_placement(without);
-    assert_eq!(table.reload_time("llm", &spec("m1")), Duration::from_millis(440));
-    assert_eq!(table.reload_time("llm", &spec("m3")), Duration::from_millis(680));
+    assert_eq!(
+        table.reload_time("llm", &spec("m1"), NOW),
+        Duration::from_millis(440)
+    );
+    assert_eq!(
+        table.reload_time("llm", &spec("m3"), NOW),
+        Duration::from_millis(680)
+    );
     // A relayed listing tells nothing of copies.
     table.apply_relayed_listing(ReplicaListing {
         holdings: table.get("r1").expect("listed").listing.holdings.clone(),
         ..listing("r1")
     });
-    assert_eq!(table.reload_time("llm", &spec("m3")), Duration::from_millis(680));
+    assert_eq!(
+        table.reload_time("llm", &spec("m3"), NOW),
+        Duration::from_millis(680)
+    );
 }
 
 #[test]
