Placement: a model that was not asked for yet has a value

Ruled out: lack of memory (wanted are some 17 TB of 28). Change: a model that was never asked for is taken to have had half a request in the time observed. Before: the new test fails.

--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -46,6 +46,11 @@
 const LASTING_MEMORY: Duration = Duration::from_secs(20);
 /// Least time over which the lasting rate is averaged.
 const LEAST_OBSERVATION: Duration = Duration::from_secs(3);
+/// Requests that a model is taken to have had that was never asked for: of a Poisson
+/// rate all that silence tells is that it is about so many in the time observed.
+const UNSEEN_REQUESTS: f64 = 0.5;
+/// Least time over which an unseen model's silence is counted.
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
 /// Requests that would have been expected by now in a silence that shows a fall of demand.
 const SILENT_REQUESTS: f64 = 2.0;
 /// Late requests that come closer together than this count as one occasion: one
@@ -239,9 +244,20 @@
     /// Requests a second that are likely to go on.
     pub fn lasting_requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
         let observed = self.observed(now);
-        self.rates
-            .get(key)
-            .map_or(0.0, |rate| rate.lasting_per_second(observed, now))
+        let seen = self.rates.get(key).filter(|rate| rate.last_request.is_some());
+        match seen {
+            Some(rate) => rate.lasting_per_second(observed, now),
+            None => self.unseen_per_second(observed),
+        }
+    }
+
+    /// Requests a second that are to be expected for a model that was not asked for yet;
+    /// none while nothing at all was.
+    fn unseen_per_second(&self, observed: Duration) -> f64 {
+        match self.began {
+            None => 0.0,
+            Some(_) => UNSEEN_REQUESTS / observed.max(LEAST_SILENCE).as_secs_f64(),
+        }
     }
 
     /// Share of the requests that its holders serve too late.
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -227,3 +227,15 @@
     let values: Vec<f64> = (2..8).map(|count| value_of_next(&site, "m1", count)).collect();
     assert!(values.windows(2).all(|pair| pair[0] > pair[1]), "{values:?}");
 }
+
+/// In the first seconds most rare models have not been asked for yet. They counted for
+/// nothing, and made way for further holders of models that were: of 430 that made way
+/// on a day of 50 s, 287 were loaded again, half of them within 2 s.
+#[test]
+fn value_of_held_never_asked_for_is_above_a_spare_holder() {
+    let mut site = Site::new(&[&["m0"], &["m0"], &["m0", "m1"]]);
+    site.ask("m0", 4);
+    let unseen = site.values("m1")[2];
+    let spare = site.values("m0").into_iter().fold(f64::MAX, f64::min);
+    assert!(unseen > spare, "{unseen} and {spare}");
+}
