Soak: rounds with keys that come and go and a quota; operators see kept quotas

Cause: tenants, revocations and lowered limits were in no soak, and an operator could neither make a digest nor see who keeps a quota. Change: a fourth mix with groups, unknown keys and toggled keys and quotas; replicas note group, tokens and any key that reaches them. status tells the quotas that a node keeps; croftrill digest reads a key from standard input. The check that a fifth of the calls is whole stands apart, as in the new mix it is for calls that are owed an answer.

--- a/crates/croftrill-cli/src/main.rs
+++ b/crates/croftrill-cli/src/main.rs
@@ -6,6 +6,7 @@
 use anyhow::{bail, Context};
 use bytes::Bytes;
 use croftrill_cli::{client, render};
+use croftrill_scheduler::tenants::KeyDigest;
 use http::Method;
 use lexopt::prelude::*;
 use serde_json::Value;
@@ -19,9 +20,11 @@
        croftrill --node IP:PORT document
        croftrill --node IP:PORT plan FILE.toml [--out PLAN.json]
        croftrill --node IP:PORT confirm PLAN.json
+       croftrill digest < KEY
 
   --node IP:PORT  operators' address of a node
   --json          the answer as it came
+  digest          what a document says in place of a key
   lift            lets a request be sent again under which replicas ended
   --out FILE      where the plan is kept for its confirmation; default: plan.json
   --help, --version
@@ -68,7 +71,21 @@
     LocalSet::new().block_on(&runtime, run(arguments))
 }
 
+/// Prints the digest of the key on standard input, without the line's end.
+fn print_digest() -> anyhow::Result<()> {
+    let key = std::io::read_to_string(std::io::stdin())?;
+    let key = key.trim_end_matches(['\r', '\n']);
+    if key.is_empty() {
+        bail!("no key on standard input");
+    }
+    println!("{}", KeyDigest::of(key.as_bytes()).to_hex());
+    Ok(())
+}
+
 async fn run(arguments: Arguments) -> anyhow::Result<()> {
+    if arguments.words == ["digest"] {
+        return print_digest();
+    }
     let node = arguments.node.context("--node IP:PORT is missing; see --help")?;
     let words: Vec<&str> = arguments.words.iter().map(String::as_str).collect();
     match words.as_slice() {
--- a/crates/croftrill-cli/src/render.rs
+++ b/crates/croftrill-cli/src/render.rs
@@ -50,6 +50,14 @@
             suspect["blamed"]
         );
     }
+    for quota in status["quotas"].as_array().into_iter().flatten() {
+        let group = quota["group"].as_str().unwrap_or("-");
+        let _ = writeln!(
+            table,
+            "quota kept     {group}  (left: {} tokens)",
+            quota["balance"]
+        );
+    }
     table
 }
 
--- a/crates/croftrill-cli/tests/commands.rs
+++ b/crates/croftrill-cli/tests/commands.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 
-use std::process::Command;
+use std::io::Write;
+use std::process::{Command, Stdio};
 
 use croftrill_cli::render;
 use serde_json::json;
@@ -36,6 +37,7 @@
         "in_flight": 3, "waiting": 1,
         "replicas": [{"id": "r1", "ready": false, "models": ["m1", "m1/a1"]}],
         "suspects": [{"fingerprint": "00ff", "ends": 3, "blamed": 2, "verdict": "held"}],
+        "quotas": [{"group": "tenders", "balance": -120}],
     });
     let table = render::status(&status);
     for part in [
@@ -45,6 +47,7 @@
         "3 (waiting 1)",
         "r1 leaving  m1 m1/a1",
         "00ff held  (replicas ended: 3, blamed for 2)",
+        "tenders  (left: -120 tokens)",
     ] {
         assert!(table.contains(part), "{part}: {table}");
     }
@@ -60,3 +63,20 @@
     let failure = json!({"error": "bad", "findings": ["models[0]: x", "models[1]: y"]});
     assert_eq!(render::failure(&failure), "bad\n  models[0]: x\n  models[1]: y");
 }
+
+/// A key given as an argument would stand in the list of processes.
+#[test]
+fn digest_of_a_key_on_standard_input() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_croftrill"))
+        .arg("digest")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    let mut input = child.stdin.take().expect("its input");
+    input.write_all(b"abc\n").expect("written");
+    drop(input);
+    let output = child.wait_with_output().expect("it ends");
+    let digest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    assert_eq!(String::from_utf8_lossy(&output.stdout), digest);
+}
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -35,6 +35,15 @@
     pub verdict: String,
 }
 
+/// A quota that a node keeps.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuotaStatus {
+    /// The group.
+    pub group: String,
+    /// What it has left, in tokens; below zero: a debt.
+    pub balance: i64,
+}
+
 /// What a node believes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -57,6 +66,9 @@
     /// Requests under which replicas ended, as all nodes reported.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
+    /// Quotas that this node keeps.
+    #[serde(default)]
+    pub quotas: Vec<QuotaStatus>,
 }
 
 fn suspects<P: Platform>(node: &Node<P>) -> Vec<SuspectStatus> {
@@ -84,6 +96,14 @@
 /// What the node believes now.
 pub fn status<P: Platform>(node: &Node<P>) -> NodeStatus {
     let suspects = suspects(node);
+    let quotas = node
+        .quotas
+        .balances()
+        .into_iter()
+        .map(|(group, balance)| QuotaStatus {
+            group: group.to_string(),
+            balance: balance as i64,
+        });
     let state = node.state.borrow();
     let replicas = state.replicas.iter().map(|entry| {
         let held = entry.listing.holdings.models.iter();
@@ -126,6 +146,7 @@
         waiting: state.fair_queue.waiting(),
         replicas: replicas.collect(),
         suspects,
+        quotas: quotas.collect(),
     }
 }
 
--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -18,11 +18,11 @@
 use crate::faults::{Crash, Planned};
 
 /// Time between two calls.
-const CALL_EVERY: Duration = Duration::from_millis(25);
+pub const CALL_EVERY: Duration = Duration::from_millis(25);
 /// Longest time for a call.
 const DEADLINE: Duration = Duration::from_secs(4);
 /// Longest time after the faults until every node serves every model.
-const RECOVERY: Duration = Duration::from_secs(40);
+pub const RECOVERY: Duration = Duration::from_secs(40);
 
 /// A call and its end.
 #[derive(Debug, Clone)]
@@ -48,6 +48,7 @@
             events: 8,
             deadline: DEADLINE,
             group: None,
+            key: None,
         };
         let node = &cluster.nodes[(crash.number + number as usize) % cluster.nodes.len()];
         // Nobody misses its answer.
@@ -77,7 +78,7 @@
     }
 }
 
-fn draw_call(random: &mut SmallRng, attempt: String) -> Call {
+pub fn draw_call(random: &mut SmallRng, attempt: String) -> Call {
     let model = MODELS[random.random_range(0..MODELS.len())];
     let adapter = if random.random_bool(0.2) { "/a1" } else { "" };
     Call {
@@ -87,6 +88,7 @@
         events: random.random_range(2..12),
         deadline: DEADLINE,
         group: None,
+        key: None,
     }
 }
 
@@ -166,6 +168,7 @@
                     events: 2,
                     deadline: DEADLINE,
                     group: None,
+                    key: None,
                 };
                 let (end, _) = call(cluster.nodes[index].front, &request).await;
                 if end == CallEnd::Whole {
@@ -224,8 +227,14 @@
         }
     }
     println!("seed {seed}: {} calls, {counts:?}", calls.len());
-    assert!(
-        counts.get("whole").copied().unwrap_or(0) * 5 >= calls.len(),
-        "seed {seed}: {counts:?}"
-    );
+}
+
+/// Judges that a fifth of the calls that may be served is, whatever happens.
+pub fn enough_are_whole<'a>(calls: impl Iterator<Item = &'a Ended>, seed: u64) {
+    let (mut all, mut whole) = (0, 0);
+    for ended in calls {
+        all += 1;
+        whole += usize::from(ended.end == CallEnd::Whole);
+    }
+    assert!(whole * 5 >= all, "seed {seed}: {whole} of {all}");
 }
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -27,6 +27,12 @@
 
 /// Models; more than the replicas hold at the same time.
 pub const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
+/// Window of the groups' quotas.
+pub const QUOTA_WINDOW: Duration = Duration::from_secs(3);
+/// Part of a quota that a window may be over it.
+pub const QUOTA_OVERAGE: f64 = 0.1;
+/// Tokens that it may be over that besides.
+pub const QUOTA_SLACK: f64 = 100.0;
 /// How many processes a cluster has.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -325,7 +331,11 @@
         let config = self.directory.join(format!("node-{index}.toml"));
         let text = format!(
             "name = \"n{index}\"\nzone = \"z\"\nlisten = \"{front}\"\npeer = \"{peer}\"\n\
-             operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n"
+             operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n\
+             [quota]\nwindow_seconds = {}\noverage = {}\nslack = {}\n",
+            QUOTA_WINDOW.as_secs_f64(),
+            QUOTA_OVERAGE,
+            QUOTA_SLACK,
         );
         std::fs::write(&config, text).expect("the settings are written");
         let child = RefCell::new(spawn(&config, program));
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -11,7 +11,7 @@
 
 use crate::checks;
 use crate::cluster::{Cluster, Size};
-use crate::suspendable;
+use crate::{suspendable, tenants};
 
 /// How faults are drawn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +24,10 @@
     /// Requests that crash replicas come in series, beside suspensions, kills, stops
     /// and restarts of nodes and connections that go silent; the store serves all.
     Crashes,
+    /// Callers show keys of groups, one of them with a quota; keys are taken away and
+    /// given back and the quota is changed, beside kills, stops, restarts, pauses and a
+    /// store that is away for some nodes.
+    Tenants,
 }
 
 /// One fault.
@@ -62,6 +66,10 @@
     Changes(u32, Duration),
     /// A request that crashes replicas comes.
     Crash(Crash),
+    /// Operators take a key away, or give it back.
+    ToggleKey,
+    /// Operators lower or raise the quota.
+    ToggleQuota,
     /// A node's clock goes on as in suspensions, so often, so long apart.
     Suspensions(usize, u32, Duration),
 }
@@ -180,12 +188,33 @@
     }
 }
 
+fn tenants_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    match index {
+        0 => return Injection::ToggleKey,
+        1 => return Injection::ToggleQuota,
+        _ => {}
+    }
+    match random.random_range(0..9) {
+        0 => Injection::ToggleKey,
+        1 => Injection::ToggleQuota,
+        2 => Injection::Kill(node),
+        3 => Injection::Signals(node, signals(random)),
+        4 => Injection::Roll(pause(random, 900)),
+        5 => Injection::KillAll,
+        6 => Injection::Pause(node),
+        7 => Injection::Changes(random.random_range(3..12), pause(random, 300)),
+        _ => Injection::StorePath(node, fault(random)),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
         Mix::Few => (random.random_range(2..=4), 3500),
         Mix::Series => (random.random_range(6..=10), 4500),
         Mix::Crashes => (random.random_range(4..=8), 3500),
+        Mix::Tenants => (random.random_range(4..=8), 4000),
     };
     let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -194,6 +223,7 @@
             Mix::Few => injection(random, size),
             Mix::Series => series_injection(random, size),
             Mix::Crashes => crashes_injection(random, size, index),
+            Mix::Tenants => tenants_injection(random, size, index),
         },
     });
     planned.collect()
@@ -241,6 +271,8 @@
             }
         }
         Injection::Change => change(cluster),
+        Injection::ToggleKey => tenants::toggle_key(cluster),
+        Injection::ToggleQuota => tenants::toggle_quota(cluster),
         Injection::SilentStoreConnections(node) => cluster.store_proxies[*node].silence_present(),
         Injection::SilentEngineConnections(engine) => cluster.engine_proxies[*engine].silence_present(),
         Injection::Signals(node, signals) => cluster.nodes[*node].series(signals).await,
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -7,6 +7,8 @@
 //! - a success is the whole answer to that very call, from one run;
 //! - no replica gets an older token after a newer one, or a load that does not fit;
 //! - the configuration never goes back, and the newest is in force afterwards;
+//! - no key reaches a replica, nobody without one is served, a group is named rightly,
+//!   and the tokens of a group stay within its quota;
 //! - a request that crashes replicas reaches no more than it may;
 //! - afterwards every node serves every model.
 //!
@@ -21,6 +23,7 @@
 mod cluster;
 mod faults;
 mod suspendable;
+mod tenants;
 
 use std::time::Duration;
 
@@ -31,8 +34,8 @@
 use tokio::task::LocalSet;
 
 /// Rounds of the continuous integration: one of each mix, as the seed divided by
-/// three tells.
-const USUAL_ROUNDS: u64 = 3;
+/// four tells.
+const USUAL_ROUNDS: u64 = 4;
 /// Seed of its first round.
 const USUAL_SEED: u64 = 2026;
 /// Time in which calls and faults meet.
@@ -61,6 +64,7 @@
                 Some("few") => Mix::Few,
                 Some("series") => Mix::Series,
                 Some("crashes") => Mix::Crashes,
+                Some("tenants") => Mix::Tenants,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -72,15 +76,26 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
-        Mix::Few | Mix::Series => (Program::Daemon, size),
+        Mix::Few | Mix::Series | Mix::Tenants => (Program::Daemon, size),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program).await;
+    if mix == Mix::Tenants {
+        tenants::begin(&cluster).await;
+    }
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
     let played = async {
-        let calls = checks::call_for(&cluster, ROUND, seed);
-        let (calls, ()) = tokio::join!(calls, faults::play(&cluster, &plan, ROUND, seed));
+        let faults = faults::play(&cluster, &plan, ROUND, seed);
+        let calls = if mix == Mix::Tenants {
+            tokio::join!(tenants::call_for(&cluster, ROUND, seed), faults).0
+        } else {
+            tokio::join!(checks::call_for(&cluster, ROUND, seed), faults).0
+        };
         cluster.mend().await;
+        if mix == Mix::Tenants {
+            tenants::recovery(&cluster, seed).await;
+            return calls;
+        }
         checks::recovery(&cluster, seed).await;
         calls
     };
@@ -89,6 +104,12 @@
         () = cluster.crash_engines() => unreachable!("it goes on"),
     };
     checks::promises(&cluster, &calls, seed);
+    if mix == Mix::Tenants {
+        tenants::promises(&cluster, &calls, seed);
+        checks::enough_are_whole(tenants::owed(&calls), seed);
+    } else {
+        checks::enough_are_whole(calls.iter(), seed);
+    }
     checks::crashes_are_bounded(&cluster, &plan, seed);
     cluster.stop().await;
 }
@@ -110,10 +131,11 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    let mix_of = |seed: u64| match seed % 3 {
+    let mix_of = |seed: u64| match seed % 4 {
         0 => Mix::Few,
         1 => Mix::Series,
-        _ => Mix::Crashes,
+        2 => Mix::Crashes,
+        _ => Mix::Tenants,
     };
     let drawn = (first..first + rounds).map(|seed| (seed, mix_of(seed)));
     for (seed, mix) in kept_seeds() {
--- /dev/null
+++ b/crates/croftrill-daemon/tests/soak/tenants.rs
@@ -0,0 +1,283 @@
+//! Rounds with groups of callers: keys that come and go, and a quota.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_demo::caller::{call, Call, CallEnd};
+use croftrill_http::document::{GroupDocument, QuotaDocument};
+use croftrill_scheduler::tenants::KeyDigest;
+use croftrill_standin::engine::GroupRun;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::checks::{draw_call, Ended, CALL_EVERY, RECOVERY};
+use crate::cluster::{status, Cluster, QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW};
+
+/// Group without a quota.
+const STEADY: &str = "steady";
+/// Its keys; operators take the second one away and give it back.
+const STEADY_KEYS: [&str; 2] = ["steady-key-1", "steady-key-2"];
+/// Group with a quota.
+const BOUNDED: &str = "bounded";
+const BOUNDED_KEY: &str = "bounded-key";
+/// A key that no document ever has.
+const UNKNOWN_KEY: &str = "nobodys-key";
+/// Its quota, as it begins and as it is lowered: some 7 tokens a call.
+const QUOTAS: [f64; 2] = [60.0, 20.0];
+
+/// Who makes a call, as its attempt's id tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Who {
+    Steady,
+    Toggled,
+    Bounded,
+    Unknown,
+    Keyless,
+}
+
+impl Who {
+    const ALL: [Who; 5] = [
+        Who::Steady,
+        Who::Toggled,
+        Who::Bounded,
+        Who::Unknown,
+        Who::Keyless,
+    ];
+
+    fn draw(random: &mut SmallRng) -> Self {
+        match random.random_range(0..10) {
+            0..4 => Who::Steady,
+            4..6 => Who::Toggled,
+            6..8 => Who::Bounded,
+            8 => Who::Unknown,
+            _ => Who::Keyless,
+        }
+    }
+
+    fn key(self) -> Option<&'static str> {
+        match self {
+            Who::Steady => Some(STEADY_KEYS[0]),
+            Who::Toggled => Some(STEADY_KEYS[1]),
+            Who::Bounded => Some(BOUNDED_KEY),
+            Who::Unknown => Some(UNKNOWN_KEY),
+            Who::Keyless => None,
+        }
+    }
+
+    fn group(self) -> Option<&'static str> {
+        match self {
+            Who::Steady | Who::Toggled => Some(STEADY),
+            Who::Bounded => Some(BOUNDED),
+            Who::Unknown | Who::Keyless => None,
+        }
+    }
+
+    fn of(attempt: &str) -> Self {
+        let name = attempt.rsplit('-').next().unwrap_or_default();
+        let of_name = |who: &Who| format!("{who:?}") == name;
+        Who::ALL.into_iter().find(of_name).expect("attempts end with it")
+    }
+}
+
+fn digest(key: &str) -> String {
+    KeyDigest::of(key.as_bytes()).to_hex()
+}
+
+fn quota(tokens_per_second: f64) -> Option<QuotaDocument> {
+    Some(QuotaDocument {
+        tokens_per_second,
+        burst_tokens: tokens_per_second,
+    })
+}
+
+/// Puts the groups into the document; ends once all nodes have it.
+pub async fn begin(cluster: &Cluster) {
+    let mut document = cluster.document.borrow_mut();
+    document.groups = vec![
+        GroupDocument {
+            name: STEADY.to_string(),
+            share: 1,
+            key_digests: STEADY_KEYS.iter().map(|key| digest(key)).collect(),
+            ..GroupDocument::default()
+        },
+        GroupDocument {
+            name: BOUNDED.to_string(),
+            share: 1,
+            key_digests: vec![digest(BOUNDED_KEY)],
+            quota: quota(QUOTAS[0]),
+            ..GroupDocument::default()
+        },
+    ];
+    drop(document);
+    publish(cluster);
+    until_in_force(cluster, 0).await;
+}
+
+fn publish(cluster: &Cluster) {
+    cluster.document.borrow_mut().version += 1;
+    cluster.write_document();
+}
+
+pub fn toggle_key(cluster: &Cluster) {
+    let key = digest(STEADY_KEYS[1]);
+    let mut document = cluster.document.borrow_mut();
+    let keys = &mut document.groups[0].key_digests;
+    if keys.contains(&key) {
+        keys.retain(|known| *known != key);
+    } else {
+        keys.push(key);
+    }
+    drop(document);
+    publish(cluster);
+}
+
+pub fn toggle_quota(cluster: &Cluster) {
+    let mut document = cluster.document.borrow_mut();
+    let present = document.groups[1]
+        .quota
+        .as_ref()
+        .map(|quota| quota.tokens_per_second);
+    let lowered = present == Some(QUOTAS[0]);
+    document.groups[1].quota = quota(QUOTAS[usize::from(lowered)]);
+    drop(document);
+    publish(cluster);
+}
+
+async fn until_in_force(cluster: &Cluster, seed: u64) {
+    let until = Instant::now() + RECOVERY;
+    let newest = cluster.document.borrow().version;
+    for (index, node) in cluster.nodes.iter().enumerate() {
+        while status(node).await.map(|status| status.configuration_version) != Some(newest) {
+            assert!(
+                Instant::now() < until,
+                "seed {seed}: node {index} has not the newest document"
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn draw(random: &mut SmallRng, seed: u64, number: usize) -> Call {
+    let who = Who::draw(random);
+    Call {
+        key: who.key().map(str::to_string),
+        // What a caller says of itself counts for nothing.
+        group: Some(STEADY.to_string()),
+        ..draw_call(random, format!("t{seed}-{number}-{who:?}"))
+    }
+}
+
+/// Calls all nodes in turn; waits for the last answers.
+pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x7e4a);
+    let ended = Rc::new(RefCell::new(Vec::new()));
+    let until = Instant::now() + round;
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let drawn = draw(&mut random, seed, number);
+        let (front, ended) = (cluster.nodes[number % cluster.nodes.len()].front, ended.clone());
+        tasks.push(spawn_local(async move {
+            let (end, _) = call(front, &drawn).await;
+            ended.borrow_mut().push(Ended {
+                attempt: drawn.attempt,
+                end,
+            });
+        }));
+        sleep(CALL_EVERY).await;
+    }
+    for task in tasks {
+        task.await.expect("a call ends");
+    }
+    ended.take()
+}
+
+/// Waits until every node has the newest document, and serves and denies as it says.
+pub async fn recovery(cluster: &Cluster, seed: u64) {
+    until_in_force(cluster, seed).await;
+    let until = Instant::now() + RECOVERY;
+    let is_known = cluster.document.borrow().groups[0]
+        .key_digests
+        .contains(&digest(STEADY_KEYS[1]));
+    for (index, node) in cluster.nodes.iter().enumerate() {
+        for who in Who::ALL {
+            let is_allowed = who.group().is_some() && (who != Who::Toggled || is_known);
+            let mut number = 0;
+            loop {
+                number += 1;
+                let mut random = SmallRng::seed_from_u64(number);
+                let asked = Call {
+                    key: who.key().map(str::to_string),
+                    ..draw_call(&mut random, format!("r{seed}-{index}-{number}-{who:?}"))
+                };
+                let (end, _) = call(node.front, &asked).await;
+                let is_denied = end == CallEnd::Failed(http::StatusCode::UNAUTHORIZED);
+                assert!(
+                    is_allowed || is_denied,
+                    "seed {seed}: node {index}, {who:?}: {end:?}"
+                );
+                if !is_allowed || end == CallEnd::Whole {
+                    break;
+                }
+                assert!(
+                    Instant::now() < until,
+                    "seed {seed}: node {index} does not serve {who:?}: {end:?}"
+                );
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+/// Judges keys, groups and the quota by what replicas ran.
+pub fn promises(cluster: &Cluster, calls: &[Ended], seed: u64) {
+    let ledgers = cluster.ledgers();
+    let runs: Vec<&GroupRun> = ledgers.iter().flat_map(|ledger| &ledger.group_runs).collect();
+    for run in &runs {
+        let who = Who::of(&run.attempt);
+        assert!(
+            who.group().is_some(),
+            "seed {seed}: {} ran without a key",
+            run.attempt
+        );
+        assert_eq!(run.group.as_deref(), who.group(), "seed {seed}: {}", run.attempt);
+    }
+    for ended in calls
+        .iter()
+        .filter(|ended| Who::of(&ended.attempt).group().is_none())
+    {
+        assert_ne!(ended.end, CallEnd::Whole, "seed {seed}: {}", ended.attempt);
+    }
+    let bounded: Vec<_> = runs
+        .iter()
+        .filter(|run| run.group.as_deref() == Some(BOUNDED))
+        .collect();
+    let allowed = (QUOTAS[0] * QUOTA_WINDOW.as_secs_f64() + QUOTAS[0]) * (1.0 + QUOTA_OVERAGE) + QUOTA_SLACK;
+    let most = bounded.iter().map(|first| {
+        let window = first.at_ms..first.at_ms + QUOTA_WINDOW.as_millis() as u64;
+        let within = bounded.iter().filter(|run| window.contains(&run.at_ms));
+        within.map(|run| run.tokens).sum::<u64>()
+    });
+    let most = most.max().unwrap_or(0);
+    println!(
+        "seed {seed}: {} runs of the bounded group, at most {most} of {allowed} tokens",
+        bounded.len()
+    );
+    assert!(
+        most as f64 <= allowed,
+        "seed {seed}: {most} of {allowed} tokens in a window"
+    );
+}
+
+/// The calls of which each is owed an answer: with a key that is never taken away, and
+/// without a quota.
+pub fn owed(calls: &[Ended]) -> impl Iterator<Item = &Ended> {
+    calls
+        .iter()
+        .filter(|ended| Who::of(&ended.attempt) == Who::Steady)
+}
--- a/crates/croftrill-demo/src/caller.rs
+++ b/crates/croftrill-demo/src/caller.rs
@@ -24,6 +24,8 @@
     pub deadline: Duration,
     /// Group of the caller.
     pub group: Option<String>,
+    /// Key that it shows.
+    pub key: Option<String>,
 }
 
 /// How a call ended.
@@ -92,6 +94,9 @@
     if let Some(group) = &call.group {
         request = request.header(GROUP_HEADER, group);
     }
+    if let Some(key) = &call.key {
+        request = request.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+    }
     request.body(Full::new(Bytes::from(body))).ok()
 }
 
--- a/crates/croftrill-demo/src/main.rs
+++ b/crates/croftrill-demo/src/main.rs
@@ -48,6 +48,7 @@
             events: 8,
             deadline: Duration::from_secs(10),
             group: Some("tenders".to_string()),
+            key: None,
         };
         let (end, took) = call(node, &request).await;
         println!("{model:<14} {:>9}  {end:?}", took.as_millis());
--- a/crates/croftrill-demo/tests/demo.rs
+++ b/crates/croftrill-demo/tests/demo.rs
@@ -23,6 +23,7 @@
                 events: 4,
                 deadline: Duration::from_secs(20),
                 group: None,
+                key: None,
             };
             let mut end = call(node, &request).await.0;
             if let CallEnd::Refused {
--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -37,7 +37,7 @@
 /// Lists the models.
 const MODELS_PATH: &str = "/v1/models";
 /// Bytes of a prompt that are taken for one token.
-const BYTES_PER_TOKEN: u64 = 4;
+pub const BYTES_PER_TOKEN: u64 = 4;
 /// Bytes at the start of a prompt by which prompts are taken to share a part.
 const SHARED_BYTES: usize = 256;
 /// Tokens of an answer without a bound of its own.
--- a/crates/croftrill-scheduler/src/tenants.rs
+++ b/crates/croftrill-scheduler/src/tenants.rs
@@ -20,6 +20,11 @@
         KeyDigest(Sha256::digest(key).into())
     }
 
+    /// Its hexadecimal form, as operators write it into their document.
+    pub fn to_hex(self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
     /// A digest that was written down, in bytes.
     pub fn from_bytes(digest: [u8; 32]) -> Self {
         KeyDigest(digest)
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -3,11 +3,12 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use bytes::Bytes;
-use croftrill_http::dialect::ATTEMPT_HEADER;
+use croftrill_http::dialect::{ATTEMPT_HEADER, BYTES_PER_TOKEN, GROUP_HEADER};
 use croftrill_http::document::{COMPLETION_PATHS, MODEL_SERVICE};
 use croftrill_http::engine_wire::{
     WireOrder, WireReplica, INCARNATION_HEADER, LOAD_HEADER, NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
@@ -33,6 +34,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Time to live of the replica's entry.
 const ENTRY_TIME_TO_LIVE: Duration = Duration::from_millis(1500);
+/// Replicas of one process tell their times from it.
+static PROCESS_START: LazyLock<Instant> = LazyLock::new(Instant::now);
 /// Events of an answer without a bound of its own.
 const USUAL_EVENTS: u64 = 8;
 
@@ -43,6 +46,22 @@
     pub runs: std::collections::BTreeMap<String, u32>,
     /// Broken promises.
     pub violations: Vec<String>,
+    /// Runs with the group that the system named, in order.
+    #[serde(default)]
+    pub group_runs: Vec<GroupRun>,
+}
+
+/// A run as it counts for a group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupRun {
+    /// The attempt.
+    pub attempt: String,
+    /// The group, if one was named.
+    pub group: Option<String>,
+    /// Tokens of the prompt and of the longest answer.
+    pub tokens: u64,
+    /// When it began, in milliseconds of the process's life.
+    pub at_ms: u64,
 }
 
 /// Where a replica stands.
@@ -64,6 +83,8 @@
     state: RefCell<EngineState>,
     slots: u32,
     tasks: RefCell<Vec<JoinHandle<()>>>,
+    group_runs: RefCell<Vec<GroupRun>>,
+    leaks: RefCell<Vec<String>>,
     /// Told when a crashing request ends it.
     crashed: Notify,
 }
@@ -98,6 +119,8 @@
             state,
             slots,
             tasks: RefCell::default(),
+            group_runs: RefCell::default(),
+            leaks: RefCell::default(),
             crashed: Notify::new(),
         });
         let served = engine.clone();
@@ -126,7 +149,8 @@
         let state = self.state.borrow();
         Ledger {
             runs: state.runs().clone(),
-            violations: state.violations().to_vec(),
+            violations: [state.violations(), &self.leaks.borrow()].concat(),
+            group_runs: self.group_runs.borrow().clone(),
         }
     }
 
@@ -186,6 +210,7 @@
                 self.stamped(not_executed(status(StatusCode::SERVICE_UNAVAILABLE)), request)
             }
             BeginOutcome::Running => {
+                self.note_group(request, attempt, &completion);
                 if completion.prompt.starts_with(CRASHING_PROMPT) {
                     self.clone().crash_soon();
                 }
@@ -195,6 +220,21 @@
         }
     }
 
+    /// Notes for whom a request runs. A caller's key must not come so far.
+    fn note_group(&self, request: &Request<Bytes>, attempt: &str, completion: &Completion) {
+        let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+        if request.headers().contains_key(http::header::AUTHORIZATION) {
+            let leak = format!("the key of {attempt} reached a replica");
+            self.leaks.borrow_mut().push(leak);
+        }
+        self.group_runs.borrow_mut().push(GroupRun {
+            attempt: attempt.to_string(),
+            group: header(GROUP_HEADER).map(str::to_string),
+            tokens: completion.prompt.len() as u64 / BYTES_PER_TOKEN + completion.max_tokens.unwrap_or(0),
+            at_ms: PROCESS_START.elapsed().as_millis() as u64,
+        });
+    }
+
     fn crash_soon(self: Rc<Self>) {
         spawn_local(async move {
             sleep(CRASH_AFTER).await;
