Quotas: nodes that the store lost keep their part for 20 s

Change: of the listed nodes the most of the last 20 s count. Before: the new test fails. After: it passes.

--- a/crates/croftrill-scheduler/src/quota/keeper.rs
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -22,6 +22,11 @@
 /// more than it may. Half of it still bears twice the rate for half a second.
 const SAVED_PART: f64 = 0.5;
 
+/// Time for which a node counts as listed after it was: a machine that the store lost
+/// may go on, with a keeper and listeners of its own. Longer than any cut known (12 s)
+/// and the lease that an entry has still.
+const LISTED_MEMORY: Duration = Duration::from_secs(20);
+
 /// Bounds that hold for all keepers.
 #[derive(Debug, Clone, Copy)]
 pub struct KeeperConfig {
@@ -121,8 +126,8 @@
         }
     }
 
-    /// Part of each quota that belongs to the listeners. Of the listed nodes the most
-    /// of the last window count: entries of living nodes lapse while the store is away.
+    /// Part of each quota that belongs to the listeners. Of the listed nodes the most of
+    /// the last time count: entries of living nodes lapse while the store is away.
     pub fn share(&self) -> f64 {
         let listed = self.listed.iter().map(|(_, count)| *count).max();
         self.listeners as f64 / listed.unwrap_or(1).max(self.listeners).max(1) as f64
@@ -156,8 +161,7 @@
     /// So many nodes are listed now.
     pub fn count_listed(&mut self, nodes: usize, now: Moment) {
         self.settle(now);
-        let window = self.config.window;
-        self.listed.retain(|(seen, _)| now.since(*seen) <= window);
+        self.listed.retain(|(seen, _)| now.since(*seen) <= LISTED_MEMORY);
         match self.listed.last_mut() {
             Some((seen, count)) if *count == nodes => *seen = now,
             _ => self.listed.push((now, nodes)),
--- a/crates/croftrill-scheduler/tests/quota.rs
+++ b/crates/croftrill-scheduler/tests/quota.rs
@@ -234,6 +234,21 @@
     assert!(reviews > 15, "{reviews}");
 }
 
+/// A third of the nodes was cut from the store for 12 s and lost its entries; they went
+/// on with a keeper among them, while the other keeper took all of the quota.
+#[test]
+fn share_of_nodes_that_the_store_lost_is_not_taken_over_soon() {
+    let mut keeper = keeper(at(0));
+    keeper.count_listed(84, at(0));
+    keeper.set_listeners(55, at(0));
+    for millis in (500..13_000).step_by(500) {
+        keeper.count_listed(55, at(millis));
+        assert!(keeper.share() < 0.7, "at {millis} ms");
+    }
+    keeper.count_listed(55, at(30_000));
+    assert_eq!(keeper.share(), 1.0);
+}
+
 #[test]
 fn credit_that_did_not_run_goes_back() {
     let mut keeper = full(10);
