Quota links: none where no tenant has a quota, and soon after a start

Cause: by reading: nodes of deployments without quotas linked to keepers and said each second that they listen; a node that starts knew no other node at its first look, and kept its own small part for the next 250 ms. Change: links only while a tenant of the part has a quota; looks are 500 ms apart, and 50 ms while no node is known.

--- a/crates/croftrill-daemon/tests/soak/tenants.rs
+++ b/crates/croftrill-daemon/tests/soak/tenants.rs
@@ -95,8 +95,13 @@
 
 /// Puts the groups into the document; ends once all nodes have it.
 pub async fn begin(cluster: &Cluster) {
-    let mut document = cluster.document.borrow_mut();
-    document.groups = vec![
+    cluster.document.borrow_mut().groups = groups();
+    publish(cluster);
+    until_in_force(cluster, 0).await;
+}
+
+fn groups() -> Vec<GroupDocument> {
+    vec![
         GroupDocument {
             name: STEADY.to_string(),
             share: 1,
@@ -110,10 +115,7 @@
             quota: quota(QUOTAS[0]),
             ..GroupDocument::default()
         },
-    ];
-    drop(document);
-    publish(cluster);
-    until_in_force(cluster, 0).await;
+    ]
 }
 
 fn publish(cluster: &Cluster) {
--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -20,8 +20,10 @@
 use crate::link::PeerLink;
 use crate::peer::ToOrderer;
 
-/// Time between two looks at the fleet.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Time between two looks at the fleet: two wake-ups a second for each part.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Time between two looks of a node that knows no other node yet.
+const FIRST_LOOK_EVERY: Duration = Duration::from_millis(50);
 /// A node that had nothing to ask for so long says that it still listens.
 const ALIVE_EVERY: Duration = Duration::from_millis(1000);
 /// Time without a byte after which a link counts as dead: so long a node that fell
@@ -60,6 +62,11 @@
             };
             continue;
         }
+        if !is_wanted(&*fleet, part) {
+            quotas.set_uplink(part, Uplink::Connecting, false);
+            sleep(LOOK_EVERY).await;
+            continue;
+        }
         match choice(&*fleet, part, &mut failed) {
             Some(address) if address == own => {
                 keep_here(&quotas, part, true);
@@ -71,12 +78,22 @@
             },
             None => {
                 keep_here(&quotas, part, false);
-                sleep(LOOK_EVERY).await;
+                let is_first = fleet.keepers(part).is_empty();
+                sleep(if is_first { FIRST_LOOK_EVERY } else { LOOK_EVERY }).await;
             }
         }
     }
 }
 
+/// True if a tenant of the part has a quota: without any, links to keepers cost every
+/// node bytes and wake-ups for nothing.
+fn is_wanted(fleet: &dyn Fleet, part: QuotaPart) -> bool {
+    fleet.configuration().is_some_and(|configuration| {
+        let mut tenants = configuration.tenants.iter();
+        tenants.any(|tenant| tenant.quota.is_some() && QuotaPart::of_tenant(&tenant.name) == part)
+    })
+}
+
 /// Keepers that did not answer lately.
 #[derive(Default)]
 struct Failed(HashMap<SocketAddr, Instant>);
@@ -165,6 +182,9 @@
                     sent_at = Instant::now();
                     link.send(Bytes::from(ToKeeper::Alive.serialize_bin())).await?;
                 }
+                if !is_wanted(fleet, part) {
+                    return Ok(None);
+                }
                 match choice(fleet, part, failed) {
                     Some(better) if better == own => return Ok(None),
                     Some(better) if better != address && attempt.is_none() => {
