Copies of weights: told only as they change

Change: a placement names copies only where they changed since they were last told; the first ones stand in the replica's listing.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -149,6 +149,7 @@
             replica: other.as_str().into(),
             usable: Holdings::default(),
             arriving,
+            tells_copies: false,
         });
     };
     let arrival = Arrival {
@@ -228,11 +229,18 @@
         replica.holdings.copies.in_memory = vec!["m1".into(), "m3".into()];
         replica.holdings.copies.on_disk = vec!["m1".into(), "m2".into(), "m3".into(), "m4".into()];
     }
-    world.run(3000);
+    world.run(6000);
     let told = world.orderer.all_placements(world.now);
     let copies = &told[0].usable.copies;
     assert_eq!(copies.in_memory, ["m3".into()]);
     assert_eq!(copies.on_disk, ["m4".into()]);
+    // Nor are any told of that did not change.
+    let first = world.orderer.take_changes(world.now);
+    assert!(first.iter().all(|placement| !placement.tells_copies), "{first:?}");
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.run(4000);
+    let later = world.orderer.take_changes(world.now);
+    assert!(later.iter().any(|placement| placement.tells_copies), "{later:?}");
 }
 
 /// A model loaded for one waiting request was dropped on arrival, as it had the
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -121,10 +121,17 @@
     pub models: Vec<WireHeldModel>,
     /// What is on its way.
     pub arriving: Vec<WireArrival>,
-    /// Copies of weights in its main memory. A model that makes way leaves one, which
+    /// Copies of weights, where they changed. A model that makes way leaves one, which
     /// decides how long whoever asks for it has to wait.
+    pub copies: Option<WireCopies>,
+}
+
+/// Copies of weights that a replica does not hold, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireCopies {
+    /// In its main memory.
     pub in_memory: Vec<String>,
-    /// Copies of weights on its disk.
+    /// On its disk.
     pub on_disk: Vec<String>,
 }
 
@@ -405,8 +412,10 @@
             sequence: placement.usable.sequence,
             models: models.collect(),
             arriving: arriving.collect(),
-            in_memory: strings(&placement.usable.copies.in_memory),
-            on_disk: strings(&placement.usable.copies.on_disk),
+            copies: placement.tells_copies.then(|| WireCopies {
+                in_memory: strings(&placement.usable.copies.in_memory),
+                on_disk: strings(&placement.usable.copies.on_disk),
+            }),
         }
     }
 
@@ -424,18 +433,21 @@
             model: arrival.model.as_str().into(),
             ready_at: now + Duration::from_millis(u64::from(arrival.ready_in_ms)),
         });
+        let copies = self.copies.as_ref().map(|copies| WeightCopies {
+            in_memory: names(&copies.in_memory),
+            on_disk: names(&copies.on_disk),
+        });
+        let tells_copies = copies.is_some();
         let usable = Holdings {
             sequence: self.sequence,
             models: models.collect(),
-            copies: WeightCopies {
-                in_memory: names(&self.in_memory),
-                on_disk: names(&self.on_disk),
-            },
+            copies: copies.unwrap_or_default(),
         };
         Placement {
             replica: self.replica.as_str().into(),
             usable,
             arriving: arriving.collect(),
+            tells_copies,
         }
     }
 }
--- a/crates/croftrill-scheduler/src/orderer/telling.rs
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -17,18 +17,24 @@
         let placements: Vec<Placement> = changed.iter().filter_map(|id| self.placement(id, now)).collect();
         placements
             .into_iter()
-            .filter(|placement| self.is_news(placement))
+            .filter_map(|placement| self.news(placement))
             .collect()
     }
 
-    /// True if the placement tells more than was told before; remembers it.
-    fn is_news(&mut self, placement: &Placement) -> bool {
+    /// The placement if it tells more than was told before, which it remembers. Copies
+    /// are told only as they change: the first ones stand in the replica's listing, and
+    /// in a message of all replicas they would take more than all else.
+    fn news(&mut self, placement: Placement) -> Option<Placement> {
         let known = self.told.get(&placement.replica);
         if known.is_some_and(|known| placement.says_the_same_as(known)) {
-            return false;
+            return None;
         }
+        let tells_copies = known.is_some_and(|known| known.usable.copies != placement.usable.copies);
         self.told.insert(placement.replica.clone(), placement.clone());
-        true
+        Some(Placement {
+            tells_copies,
+            ..placement
+        })
     }
 
     /// Everything, for a node that has just connected.
@@ -54,6 +60,7 @@
             replica: id.clone(),
             usable,
             arriving,
+            tells_copies: false,
         })
     }
 
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table.rs
@@ -29,6 +29,8 @@
     pub usable: Holdings,
     /// Models on their way.
     pub arriving: Vec<Arrival>,
+    /// True if the copies in `usable` are told; else what is known of them holds on.
+    pub tells_copies: bool,
 }
 
 /// Expected times that differ by less are the same to the nodes.
@@ -83,6 +85,7 @@
             replica: self.listing.id.clone(),
             usable: self.listing.holdings.clone(),
             arriving: self.arriving.clone(),
+            tells_copies: false,
         }
     }
 
@@ -227,7 +230,10 @@
         };
         entry.from_orderer = true;
         entry.absent.clear();
-        entry.listing.holdings = placement.usable;
+        let known = std::mem::replace(&mut entry.listing.holdings, placement.usable);
+        if !placement.tells_copies {
+            entry.listing.holdings.copies = known.copies;
+        }
         entry.arriving = placement.arriving;
         true
     }
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -34,6 +34,7 @@
             ..Holdings::default()
         },
         arriving: Vec::new(),
+        tells_copies: false,
     }
 }
 
@@ -47,6 +48,7 @@
     table.apply_relayed_listing(listing("r1"));
     let mut held = told("r1", "m1");
     held.usable.copies.on_disk = vec!["m1".into()];
+    held.tells_copies = true;
     table.apply_placement(held);
     assert_eq!(table.reachable_holders("llm", "m1", NOW), 1);
     for _ in 0..3 {
@@ -90,6 +92,7 @@
         in_memory: vec!["m1".into()],
         on_disk: vec!["m1".into(), "m3".into()],
     };
+    without.tells_copies = true;
     table.apply_placement(without);
     assert_eq!(
         table.reload_time("llm", &spec("m1"), NOW),
@@ -99,6 +102,10 @@
         table.reload_time("llm", &spec("m3"), NOW),
         Duration::from_millis(680)
     );
+    // A placement without news of copies changes nothing of them.
+    table.apply_placement(told("r1", "m2"));
+    let reload = table.reload_time("llm", &spec("m3"), NOW);
+    assert_eq!(reload, Duration::from_millis(680));
     // A relayed listing tells nothing of copies.
     table.apply_relayed_listing(ReplicaListing {
         holdings: table.get("r1").expect("listed").listing.holdings.clone(),
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -149,6 +149,7 @@
         replica: "r0".into(),
         usable,
         arriving: Vec::new(),
+        tells_copies: false,
     });
     table.apply_listing(listing("r0", &[("m1", &[])]));
     assert!(choose(&table, &request(Some("m2"), None, 1), now()).is_some());
