--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -224,7 +224,7 @@
 /// and 300 nodes the busiest node sent 5.5 MB a second, and configurations came late.
 #[test]
 fn copies_are_told_only_of_what_is_not_held() {
-    let mut world = World::new(4, &[&["m1", "m2"]]);
+    let mut world = World::new(8, &[&["m1", "m2"]]);
     for replica in world.replicas.values_mut() {
         replica.holdings.copies.in_memory = vec!["m1".into(), "m3".into()];
         replica.holdings.copies.on_disk = vec!["m1".into(), "m2".into(), "m3".into(), "m4".into()];
