Soak: one loop of calls for all mixes

The tenants' rounds had a copy of the loop that calls all nodes in turn; it takes what to call now. Plans and calls of a seed are as before.

--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -18,7 +18,7 @@
 use crate::faults::{Crash, Planned};
 
 /// Time between two calls.
-pub const CALL_EVERY: Duration = Duration::from_millis(25);
+const CALL_EVERY: Duration = Duration::from_millis(25);
 /// Longest time for a call.
 const DEADLINE: Duration = Duration::from_secs(4);
 /// Longest time after the faults until every node serves every model.
@@ -102,7 +102,11 @@
 pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
     let kept = cluster.nodes.iter().take(MOST_KEPT).enumerate();
     let kept = kept.map(|(index, node)| call_over_kept(node.front, round, seed, index));
-    let (mut ended, kept) = tokio::join!(call_anew(cluster, round, seed), join_all(kept));
+    let mut random = SmallRng::seed_from_u64(seed ^ 0xca11);
+    let anew = call_anew(cluster, round, |number| {
+        draw_call(&mut random, format!("s{seed}-{number}"))
+    });
+    let (mut ended, kept) = tokio::join!(anew, join_all(kept));
     ended.extend(kept.into_iter().flatten());
     ended
 }
@@ -125,9 +129,13 @@
     ended
 }
 
-/// Calls all nodes in turn, each time over a new connection.
-async fn call_anew(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
-    let mut random = SmallRng::seed_from_u64(seed ^ 0xca11);
+/// Calls all nodes in turn for a time, each time over a new connection; waits for the
+/// last answers. `draw`: the call of a number.
+pub async fn call_anew(
+    cluster: &Cluster,
+    round: Duration,
+    mut draw: impl FnMut(usize) -> Call,
+) -> Vec<Ended> {
     let ended = Rc::new(RefCell::new(Vec::new()));
     let until = Instant::now() + round;
     let mut tasks = Vec::new();
@@ -135,7 +143,7 @@
         if Instant::now() >= until {
             break;
         }
-        let drawn = draw_call(&mut random, format!("s{seed}-{number}"));
+        let drawn = draw(number);
         let (front, ended) = (cluster.nodes[number % cluster.nodes.len()].front, ended.clone());
         tasks.push(spawn_local(async move {
             let (end, _) = call(front, &drawn).await;
--- a/crates/croftrill-daemon/tests/soak/tenants.rs
+++ b/crates/croftrill-daemon/tests/soak/tenants.rs
@@ -1,7 +1,5 @@
 //! Rounds with groups of callers: keys that come and go, and a quota.
 
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use croftrill_demo::caller::{call, Call, CallEnd};
@@ -10,10 +8,9 @@
 use croftrill_standin::engine::GroupRun;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use crate::checks::{draw_call, Ended, CALL_EVERY, RECOVERY};
+use crate::checks::{call_anew, draw_call, Ended, RECOVERY};
 use crate::cluster::{status, Cluster, QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW};
 
 /// Group without a quota.
@@ -175,28 +172,7 @@
 /// Calls all nodes in turn; waits for the last answers.
 pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
     let mut random = SmallRng::seed_from_u64(seed ^ 0x7e4a);
-    let ended = Rc::new(RefCell::new(Vec::new()));
-    let until = Instant::now() + round;
-    let mut tasks = Vec::new();
-    for number in 0.. {
-        if Instant::now() >= until {
-            break;
-        }
-        let drawn = draw(&mut random, seed, number);
-        let (front, ended) = (cluster.nodes[number % cluster.nodes.len()].front, ended.clone());
-        tasks.push(spawn_local(async move {
-            let (end, _) = call(front, &drawn).await;
-            ended.borrow_mut().push(Ended {
-                attempt: drawn.attempt,
-                end,
-            });
-        }));
-        sleep(CALL_EVERY).await;
-    }
-    for task in tasks {
-        task.await.expect("a call ends");
-    }
-    ended.take()
+    call_anew(cluster, round, |number| draw(&mut random, seed, number)).await
 }
 
 /// Waits until every node has the newest document, and serves and denies as it says.
