Replicas: started again under their identity, and entries of other writers

Cause: a replica may start again under the identity that it had; holdings, account of orders, told placements, health and crash evidence were kept by identity alone, and its reports (fewer orders taken) were passed over for good. Ruled out: a new identity made of both, as the store's keys, orders and requests name the replica by its id alone. Entries without a field that replicas always write, or with another type, name none. The table finds a model's replicas by an index, and tells which replicas changed. Measured: tests only; the faults were found by reading, the tests were not run on the code before.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -103,6 +103,7 @@
                 busy: false,
                 waiting: 0,
                 running: 0,
+                born_ms: None,
             };
             (id.clone(), report)
         })
--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -11,7 +11,7 @@
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
 use croftrill_scheduler::replica::{
-    HeldModel, Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
+    BornMs, HeldModel, Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
 };
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::shard::OrderScope;
@@ -92,6 +92,8 @@
 pub struct SimulatedReplica {
     /// What it holds.
     pub holdings: Holdings,
+    /// When it started, as it reports.
+    pub born_ms: Option<BornMs>,
     running: Vec<Running>,
     late: Vec<(Moment, Order, u64)>,
     history: VecDeque<(Moment, ReplicaReport)>,
@@ -113,6 +115,7 @@
                 models: held.collect(),
                 copies: Default::default(),
             },
+            born_ms: Some(1),
             running: Vec::new(),
             late: Vec::new(),
             history: VecDeque::new(),
@@ -121,6 +124,15 @@
         }
     }
 
+    /// Starts again under its identity: it holds nothing, and counts orders anew.
+    pub fn start_again(&mut self) {
+        let born_ms = self.born_ms.map(|born_ms| born_ms + 1);
+        *self = SimulatedReplica {
+            born_ms,
+            ..SimulatedReplica::new(&[])
+        };
+    }
+
     fn is_busy(&self) -> bool {
         self.running.iter().any(|running| running.order.is_weights())
     }
@@ -227,6 +239,7 @@
             busy: self.is_busy(),
             waiting: 0,
             running: 0,
+            born_ms: self.born_ms,
         };
         self.history.push_back((now, report));
         while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
@@ -410,6 +423,7 @@
         slots: 8,
         state: ReplicaState::Ready,
         leaves_in: None,
+        born_ms: None,
         holdings: holdings.clone(),
     }
 }
--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::catalog::{CallerLimits, Configuration, Service};
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
-use croftrill_scheduler::replica::{Holdings, Order};
+use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome};
 use croftrill_scheduler::replica_table::{Arrival, Placement, ReplicaTable};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use proptest::prelude::*;
@@ -147,6 +147,7 @@
     let tell = |table: &mut ReplicaTable, arriving: Vec<Arrival>| {
         table.apply_placement(Placement {
             replica: other.as_str().into(),
+            born_ms: None,
             usable: Holdings::default(),
             arriving,
             tells_copies: false,
@@ -420,3 +421,40 @@
     );
     assert_eq!(most_in_window(&world.store_loads, Duration::from_secs(5)), 0);
 }
+
+/// A replica started again while its entry stood: its reports tell fewer orders than it
+/// had taken before, and were passed over for good.
+#[test]
+fn a_replica_that_started_again_is_ordered_at_again() {
+    let mut world = World::new(8, &[&["m1"], &["m2"]]);
+    world.run(1000);
+    for model in ["m3", "m4"] {
+        world.orderer.mark_waiting(&key(model, None), world.now);
+        world.run(4000);
+    }
+    for replica in world.replicas.values_mut() {
+        replica.start_again();
+    }
+    world.run(4000);
+    for model in ["m1", "m2"] {
+        world.orderer.mark_waiting(&key(model, None), world.now);
+        world.run(6000);
+        assert!(holds(&world, model), "orders: {:?}", world.orders);
+    }
+}
+
+/// An order's answer came after its replica had started again, and counted for it.
+#[test]
+fn order_answered_by_an_earlier_incarnation_changes_nothing() {
+    let mut world = World::new(8, &[&["m1"], &["m2"]]);
+    world.run(1000);
+    let id: std::sync::Arc<str> = "r0".into();
+    world.replicas.get_mut(&id).expect("it is there").start_again();
+    world.run(4000);
+    assert_eq!(world.orderer.born_ms("r0"), Some(2));
+    let before = format!("{:?}", world.orderer.all_placements(world.now));
+    world
+        .orderer
+        .order_answered_by("r0", Some(1), OrderOutcome::Accepted, world.now);
+    assert_eq!(before, format!("{:?}", world.orderer.all_placements(world.now)));
+}
--- a/crates/croftrill-http/src/engine.rs
+++ b/crates/croftrill-http/src/engine.rs
@@ -99,6 +99,7 @@
             busy: wire.busy,
             waiting: wire.waiting,
             running: wire.running,
+            born_ms: None,
         })
     }
 }
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -70,12 +70,11 @@
 /// Requests of one replica that ended had just begun there.
 pub(crate) fn replica_ended<P: Platform>(
     node: &Node<P>,
-    replica: &str,
+    replica: EndedReplica,
     begun: impl Iterator<Item = Fingerprint>,
 ) {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
-    let replica = EndedReplica::of(replica);
     let mut count = 0;
     for fingerprint in begun {
         state.crash_ledger.record_end(fingerprint, replica, now);
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use croftrill_scheduler::crash_ledger::EndedReplica;
 use croftrill_scheduler::replica::{ReplicaId, ReplicaState};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -34,11 +35,16 @@
     let entry = state.replicas.get(replica);
     // The end of a replica that is leaving, or has left, was planned.
     let ready = entry.filter(|entry| entry.listing.state == ReplicaState::Ready);
-    let Some(address) = ready.and_then(|entry| entry.listing.address.parse().ok()) else {
+    let Some(listing) = ready.map(|entry| &entry.listing) else {
         return;
     };
+    let Ok(address) = listing.address.parse() else {
+        return;
+    };
+    // By the time of the verdict it may be listed as started again.
+    let incarnation = EndedReplica::of(replica, listing.born_ms);
     if state.broken_requests.add(replica, request) {
-        spawn_local(judge(node.clone(), replica.clone(), address));
+        spawn_local(judge(node.clone(), replica.clone(), incarnation, address));
     }
 }
 
@@ -58,14 +64,19 @@
 }
 
 /// Tries one connection to the replica, and notes what it shows.
-async fn judge<P: Platform>(node: Rc<Node<P>>, replica: ReplicaId, address: SocketAddr) {
+async fn judge<P: Platform>(
+    node: Rc<Node<P>>,
+    replica: ReplicaId,
+    incarnation: EndedReplica,
+    address: SocketAddr,
+) {
     sleep(GATHER).await;
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
     let broken = node.state.borrow_mut().broken_requests.take(&replica);
     if refused {
-        note_end(&node, &replica, &broken);
+        note_end(&node, &replica, incarnation, &broken);
     } else {
         tracing::info!(target: "crash", event = "requests broke, the replica lives", replica = &*replica,
             requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()));
@@ -74,12 +85,17 @@
 }
 
 /// A replica ended: each request that had just begun there may be the cause.
-fn note_end<P: Platform>(node: &Node<P>, replica: &ReplicaId, broken: &[BrokenRequest]) {
+fn note_end<P: Platform>(
+    node: &Node<P>,
+    replica: &ReplicaId,
+    incarnation: EndedReplica,
+    broken: &[BrokenRequest],
+) {
     let begun: Vec<&BrokenRequest> = broken.iter().filter(|request| request.had_just_begun()).collect();
     tracing::warn!(target: "crash", event = "replica ended", replica = &**replica, requests = broken.len(),
         had_just_begun = begun.len());
     let fingerprints = begun.iter().map(|request| request.fingerprint);
-    crash_reports::replica_ended(node, replica, fingerprints);
+    crash_reports::replica_ended(node, incarnation, fingerprints);
     for request in begun {
         tracing::info!(target: "crash", event = "had just begun at a replica that ended", id = request.id,
             fingerprint = %request.fingerprint, replica = &**replica,
--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -91,9 +91,13 @@
 fn told<P: Platform>(node: &Node<P>, event: &StoreEvent, changed_before: bool) -> Option<RevisedChange> {
     let change = match event {
         StoreEvent::Written(item) => match listing_of(node, item) {
-            Some(listing) if !changed_before && is_known(node, &listing) => return None,
-            Some(listing) => WireChange::Replica(WireListing::from_listing(&listing)),
-            None => WireChange::Written {
+            Listed::Replica(listing) if !changed_before && is_known(node, &listing) => return None,
+            Listed::Replica(listing) => WireChange::Replica(WireListing::from_listing(&listing)),
+            // Whatever stands there, however large, is no replica.
+            Listed::Nothing => WireChange::Removed {
+                key: item.key.clone(),
+            },
+            Listed::OtherItem => WireChange::Written {
                 key: item.key.clone(),
                 value: item.value.to_vec(),
             },
@@ -104,12 +108,23 @@
     Some(RevisedChange { revision, change })
 }
 
-fn listing_of<P: Platform>(node: &Node<P>, item: &Item) -> Option<ReplicaListing> {
+/// What an item says of a replica.
+enum Listed {
+    Replica(ReplicaListing),
+    /// Its key stands for one, but nothing that can be read stands there.
+    Nothing,
+    /// It is about something else.
+    OtherItem,
+}
+
+fn listing_of<P: Platform>(node: &Node<P>, item: &Item) -> Listed {
     let records = node.platform.records();
-    records.replica_of(&item.key)?;
+    if records.replica_of(&item.key).is_none() {
+        return Listed::OtherItem;
+    }
     match records.read(item) {
-        Record::Replica(listing) => Some(listing),
-        _ => None,
+        Record::Replica(listing) => Listed::Replica(listing),
+        _ => Listed::Nothing,
     }
 }
 
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use croftrill_scheduler::catalog::Configuration;
-use croftrill_scheduler::replica::ReplicaListing;
+use croftrill_scheduler::replica::{ReplicaId, ReplicaListing};
 
 use crate::crash_reports;
 use crate::membership;
@@ -37,7 +37,7 @@
 /// Takes in all items and forgets replicas and nodes that are not among them.
 pub(super) fn apply_snapshot<P: Platform>(node: &Node<P>, snapshot: Snapshot) {
     let records = node.platform.records();
-    let listed: HashSet<Arc<str>> = snapshot
+    let listed: HashSet<ReplicaId> = snapshot
         .items
         .iter()
         .filter_map(|item| records.replica_of(&item.key))
@@ -52,7 +52,7 @@
 }
 
 /// Forgets replicas that are not `listed`, and nodes without one of these keys.
-fn forget_all_but<P: Platform>(node: &Node<P>, listed: &HashSet<Arc<str>>, keys: &HashSet<&str>) {
+fn forget_all_but<P: Platform>(node: &Node<P>, listed: &HashSet<ReplicaId>, keys: &HashSet<&str>) {
     let mut state = node.state.borrow_mut();
     state.replicas.retain(|id| listed.contains(id));
     state.members.retain(|key| keys.contains(key));
@@ -60,7 +60,7 @@
 
 /// Takes in all that a peer knows, and forgets what it does not.
 pub(super) fn apply_whole<P: Platform>(node: &Node<P>, changes: Vec<ViewChange>, reached: u64) {
-    let mut listed: HashSet<Arc<str>> = HashSet::new();
+    let mut listed: HashSet<ReplicaId> = HashSet::new();
     let mut keys: HashSet<&str> = HashSet::new();
     for change in &changes {
         match change {
@@ -154,6 +154,10 @@
         }
         Record::Malformed(reason) => {
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
+            // It names no replica, also where a good entry stood before.
+            if let Some(id) = node.platform.records().replica_of(&item.key) {
+                node.state.borrow_mut().replicas.remove(&id);
+            }
         }
         Record::Other if crash_reports::is_report(&item.key) => crash_reports::report_written(node, item),
         Record::Other => {
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::lease::Record;
-use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaReport};
+use croftrill_scheduler::replica::{BornMs, OrderOutcome, ReplicaId, ReplicaReport};
 use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
 use tokio::sync::{broadcast, mpsc, oneshot};
@@ -41,8 +41,8 @@
     OrderAnswered {
         /// The replica.
         replica: ReplicaId,
-        /// The order.
-        order: Order,
+        /// When the incarnation that was meant started, if it tells.
+        born_ms: Option<BornMs>,
         /// Its answer.
         outcome: OrderOutcome,
     },
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -225,6 +225,7 @@
             fencing_token,
             expected_sequence,
         };
+        let born_ms = self.orderer.born_ms(&replica);
         let (node, shard) = (self.node.clone(), self.shard);
         while self.orders.try_join_next().is_some() {}
         self.orders.spawn_local(async move {
@@ -244,7 +245,7 @@
             );
             let input = OrdererInput::OrderAnswered {
                 replica: target.replica,
-                order: fenced.order,
+                born_ms,
                 outcome,
             };
             let _ = node.orderer_inbox(shard).send(input).await;
@@ -286,12 +287,16 @@
             OrdererInput::DirectoryChanged => self.directory_changed = true,
             OrdererInput::Watched(span) => self.relay(span, now),
             OrdererInput::Subscribe(reply) => self.subscribe(reply, now),
-            OrdererInput::OrderAnswered { replica, outcome, .. } => {
+            OrdererInput::OrderAnswered {
+                replica,
+                born_ms,
+                outcome,
+            } => {
                 if outcome == OrderOutcome::Fenced {
                     tracing::warn!(target: "orderer", event = "a newer token was seen", replica = &*replica);
                     self.lease.lost();
                 }
-                self.orderer.order_answered(&replica, outcome, now);
+                self.orderer.order_answered_by(&replica, born_ms, outcome, now);
             }
             OrdererInput::Reported {
                 replica,
--- a/crates/croftrill-node/src/peer.rs
+++ b/crates/croftrill-node/src/peer.rs
@@ -115,6 +115,8 @@
 pub struct WirePlacement {
     /// The replica.
     pub replica: String,
+    /// When the incarnation that is meant started, in Unix milliseconds.
+    pub born_ms: Option<u64>,
     /// Orders that it has taken.
     pub sequence: u64,
     /// What requests may rely on.
@@ -153,6 +155,8 @@
     pub is_draining: bool,
     /// Time it has left, if it is taken away at short notice, in milliseconds.
     pub leaves_in_ms: Option<u64>,
+    /// When it started, in Unix milliseconds.
+    pub born_ms: Option<u64>,
 }
 
 /// What became of one key of the store, on the wire.
@@ -352,6 +356,7 @@
             slots: listing.slots,
             is_draining: listing.state == ReplicaState::Draining,
             leaves_in_ms: listing.leaves_in.map(|left| left.as_millis() as u64),
+            born_ms: listing.born_ms,
         }
     }
 
@@ -370,6 +375,7 @@
             slots: self.slots,
             state,
             leaves_in: self.leaves_in_ms.map(Duration::from_millis),
+            born_ms: self.born_ms,
             holdings,
         }
     }
@@ -409,6 +415,7 @@
         });
         WirePlacement {
             replica: placement.replica.to_string(),
+            born_ms: placement.born_ms,
             sequence: placement.usable.sequence,
             models: models.collect(),
             arriving: arriving.collect(),
@@ -445,6 +452,7 @@
         };
         Placement {
             replica: self.replica.as_str().into(),
+            born_ms: self.born_ms,
             usable,
             arriving: arriving.collect(),
             tells_copies,
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -15,8 +15,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::replica::BornMs;
 use crate::time::Moment;
 
 /// Identity of a request's content: its path, caller and body.
@@ -42,9 +43,9 @@
 pub struct EndedReplica(pub u64);
 
 impl EndedReplica {
-    /// The key of the incarnation with this id.
-    pub fn of(id: &str) -> Self {
-        EndedReplica(xxh3_64(id.as_bytes()))
+    /// The key of the incarnation with this id that started then.
+    pub fn of(id: &str, born_ms: Option<BornMs>) -> Self {
+        EndedReplica(xxh3_64_with_seed(id.as_bytes(), born_ms.unwrap_or(0)))
     }
 }
 
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -23,7 +23,9 @@
 use crate::load_ceiling::LoadCeiling;
 use crate::load_pace::LoadPace;
 use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
-use crate::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState};
+use crate::replica::{
+    BornMs, Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
+};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_table::{Placement, ReplicaEntry};
 use crate::shard::{OrderScope, Shard, SHARD_COUNT};
@@ -248,6 +250,12 @@
         if !is_engine {
             return;
         }
+        match self.incarnation(&listing.id, listing.born_ms) {
+            Incarnation::Same => {}
+            // An entry that was written late.
+            Incarnation::Earlier => return,
+            Incarnation::Later => self.removed(&listing.id),
+        }
         let ledger_config = self.config.ledger;
         let is_own = self.config.scope.covers(&listing.id);
         let orders = orders_at(self.config.scope, &self.reachable, &listing.id);
@@ -258,6 +266,7 @@
             .or_insert_with(|| PlacedReplica {
                 state: listing.state,
                 service: listing.service.clone(),
+                born_ms: listing.born_ms,
                 ledger: ReplicaLedger::new(ledger_config, listing.holdings.clone(), now),
                 goal: None,
                 withdrawn: None,
@@ -267,6 +276,7 @@
                 orders,
             });
         replica.state = listing.state;
+        replica.born_ms = replica.born_ms.or(listing.born_ms);
         if listing.state == ReplicaState::Draining {
             replica.goal = None;
         }
@@ -317,8 +327,70 @@
         self.after_change(id, change, now);
     }
 
+    /// What an account of a replica is to what is known of it.
+    fn incarnation(&self, id: &str, told: Option<BornMs>) -> Incarnation {
+        let known = self.replicas.get(id);
+        known.map_or(Incarnation::Same, |known| Incarnation::of(told, known.born_ms))
+    }
+
+    /// A replica started again under its identity: it holds nothing that was known of
+    /// it, no order to it counts, and its count of orders began anew.
+    fn started_again(&mut self, id: &str, born_ms: Option<BornMs>, now: Moment) {
+        let Some((id, former)) = self.replicas.remove_entry(id) else {
+            return;
+        };
+        self.store_loads.remove(&id);
+        self.told.remove(&id);
+        self.changed.insert(id.clone());
+        let anew = PlacedReplica {
+            state: former.state,
+            service: former.service,
+            born_ms,
+            ledger: ReplicaLedger::new(self.config.ledger, Default::default(), now),
+            goal: None,
+            withdrawn: None,
+            loaded_at: Default::default(),
+            adapters_loaded_at: Default::default(),
+            is_held: former.is_held,
+            orders: former.orders,
+        };
+        self.replicas.insert(id, anew);
+    }
+
+    /// An order that went to the incarnation born then was answered: the answer says
+    /// nothing of a later one.
+    pub fn order_answered_by(
+        &mut self,
+        id: &str,
+        born_ms: Option<BornMs>,
+        outcome: OrderOutcome,
+        now: Moment,
+    ) {
+        if self.incarnation(id, born_ms) == Incarnation::Same {
+            self.order_answered(id, outcome, now);
+        } else {
+            let is_answered = outcome != OrderOutcome::Unknown;
+            self.history.ended(&id.into(), is_answered, now);
+        }
+    }
+
+    /// When the present incarnation of a replica started, if it tells.
+    pub fn born_ms(&self, id: &str) -> Option<BornMs> {
+        self.replicas.get(id).and_then(|replica| replica.born_ms)
+    }
+
     /// A replica reported, or did not.
     pub fn reported(&mut self, id: &str, report: Option<&ReplicaReport>, asked_at: Moment, now: Moment) {
+        let told = report.and_then(|report| report.born_ms);
+        match self.incarnation(id, told) {
+            Incarnation::Same => {}
+            Incarnation::Earlier => return self.take_report(id, None, asked_at, now),
+            Incarnation::Later => self.started_again(id, told, now),
+        }
+        self.take_report(id, report, asked_at, now);
+    }
+
+    fn take_report(&mut self, id: &str, report: Option<&ReplicaReport>, asked_at: Moment, now: Moment) {
         let Some(replica) = self.replicas.get_mut(id) else {
             return;
         };
--- a/crates/croftrill-scheduler/src/orderer/telling.rs
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -58,6 +58,7 @@
         }
         Some(Placement {
             replica: id.clone(),
+            born_ms: replica.born_ms,
             usable,
             arriving,
             tells_copies: false,
--- a/crates/croftrill-scheduler/src/placement/placed.rs
+++ b/crates/croftrill-scheduler/src/placement/placed.rs
@@ -5,7 +5,7 @@
 
 use super::choice::Among;
 use crate::catalog::{AdapterName, EngineSpec, ModelName, ServiceName};
-use crate::replica::{Holdings, ReplicaState};
+use crate::replica::{BornMs, Holdings, ReplicaState};
 use crate::replica_ledger::ReplicaLedger;
 use crate::time::Moment;
 
@@ -30,6 +30,8 @@
     pub state: ReplicaState,
     /// The service it belongs to.
     pub service: ServiceName,
+    /// When the incarnation that all else here is about started, if it tells.
+    pub born_ms: Option<BornMs>,
     /// Its account.
     pub ledger: ReplicaLedger,
     /// A model that it should load next.
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -5,9 +5,35 @@
 
 use crate::catalog::{AdapterName, ModelName, ServiceName};
 
-/// Identity of one incarnation of a replica.
+/// Identity of a replica. It may start again under the same one; then [`BornMs`] tells
+/// its incarnations apart.
 pub type ReplicaId = Arc<str>;
 
+/// When a replica's incarnation started, by its own clock, in Unix milliseconds.
+pub type BornMs = u64;
+
+/// How two accounts of one replica lie to each other in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Incarnation {
+    /// Of the same start, or one of them does not tell.
+    Same,
+    /// Of an earlier start than the known one: what it says is over.
+    Earlier,
+    /// Of a later start: nothing that is known of the replica holds any more.
+    Later,
+}
+
+impl Incarnation {
+    /// What an account that tells `told` is to one that is known as `known`.
+    pub fn of(told: Option<BornMs>, known: Option<BornMs>) -> Self {
+        match (told, known) {
+            (Some(told), Some(known)) if told < known => Incarnation::Earlier,
+            (Some(told), Some(known)) if told > known => Incarnation::Later,
+            _ => Incarnation::Same,
+        }
+    }
+}
+
 /// Whether a replica takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplicaState {
@@ -83,6 +109,8 @@
     pub state: ReplicaState,
     /// Time it has left, if it is taken away at short notice.
     pub leaves_in: Option<Duration>,
+    /// When it started, if it tells.
+    pub born_ms: Option<BornMs>,
     /// What it holds; empty for services without models.
     pub holdings: Holdings,
 }
@@ -98,6 +126,8 @@
     pub waiting: u32,
     /// Requests running there.
     pub running: u32,
+    /// When it started, if it tells.
+    pub born_ms: Option<BornMs>,
 }
 
 /// An order to a replica.
--- /dev/null
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -0,0 +1,117 @@
+//! One replica as a node's table holds it.
+
+use std::time::Duration;
+
+use super::{Arrival, Placement};
+use crate::catalog::{AdapterName, ModelName};
+use crate::health::ReplicaHealth;
+use crate::replica::{ReplicaListing, ReplicaState};
+use crate::time::Moment;
+
+/// How fast a told load loses its meaning.
+const TOLD_LOAD_MEMORY: Duration = Duration::from_millis(700);
+
+/// Load that a replica told in an answer, with the sends that this node had there.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ToldLoad {
+    pub(super) others: f64,
+    pub(super) at: Moment,
+}
+
+/// One replica in the table.
+#[derive(Debug, Clone)]
+pub struct ReplicaEntry {
+    /// The replica as listed; its holdings are the newest known.
+    pub listing: ReplicaListing,
+    /// Models on their way, as the orderer told.
+    pub arriving: Vec<Arrival>,
+    /// Health as answers showed it.
+    pub health: ReplicaHealth,
+    pub(super) from_orderer: bool,
+    pub(super) absent: Vec<(ModelName, Option<AdapterName>)>,
+    pub(super) own_sends: u32,
+    pub(super) own_tokens: u64,
+    pub(super) told: ToldLoad,
+}
+
+impl ReplicaEntry {
+    pub(super) fn new(listing: ReplicaListing) -> Self {
+        ReplicaEntry {
+            listing,
+            arriving: Vec::new(),
+            health: ReplicaHealth::default(),
+            from_orderer: false,
+            absent: Vec::new(),
+            own_sends: 0,
+            own_tokens: 0,
+            told: ToldLoad::default(),
+        }
+    }
+
+    /// The replica after it started again under its identity: just the requests that
+    /// this node has there go on counting, as each of them ends once.
+    pub(super) fn started_again(&self, listing: ReplicaListing) -> Self {
+        ReplicaEntry {
+            own_sends: self.own_sends,
+            own_tokens: self.own_tokens,
+            ..ReplicaEntry::new(listing)
+        }
+    }
+
+    /// What is known of what it holds.
+    pub fn placement(&self) -> Placement {
+        Placement {
+            replica: self.listing.id.clone(),
+            born_ms: self.listing.born_ms,
+            usable: self.listing.holdings.clone(),
+            arriving: self.arriving.clone(),
+            tells_copies: false,
+        }
+    }
+
+    /// True if it says more of what it holds than its listing does.
+    pub(super) fn tells_holdings(&self) -> bool {
+        self.from_orderer || !self.listing.holdings.models.is_empty()
+    }
+
+    /// True while its orderer's word on what it holds is known.
+    pub fn is_told(&self) -> bool {
+        self.from_orderer
+    }
+
+    /// True if the replica takes new requests.
+    pub fn is_ready(&self) -> bool {
+        self.listing.state == ReplicaState::Ready
+    }
+
+    /// True if the model and adapter are usable there, as far as is known.
+    pub fn serves(&self, model: &str, adapter: Option<&str>) -> bool {
+        let denied = self.absent.iter().any(|(absent_model, absent_adapter)| {
+            &**absent_model == model && (absent_adapter.is_none() || absent_adapter.as_deref() == adapter)
+        });
+        !denied && self.listing.holdings.serves(model, adapter)
+    }
+
+    /// Models that it holds or awaits.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        let held = self.listing.holdings.models.iter().map(|held| &held.model);
+        held.chain(self.arriving.iter().map(|arrival| &arrival.model))
+    }
+
+    /// Models of which it keeps a copy outside its accelerator.
+    pub(super) fn copies(&self) -> impl Iterator<Item = &ModelName> {
+        let copies = &self.listing.holdings.copies;
+        copies.in_memory.iter().chain(&copies.on_disk)
+    }
+
+    /// Requests believed to be there: this node's own and the others'.
+    pub fn load(&self, now: Moment) -> f64 {
+        let age = now.since(self.told.at).as_secs_f64() / TOLD_LOAD_MEMORY.as_secs_f64();
+        f64::from(self.own_sends) + self.told.others * (-age).exp()
+    }
+
+    /// Prompt tokens that this node's unanswered requests have there.
+    pub fn own_tokens(&self) -> u64 {
+        self.own_tokens
+    }
+}
--- a/crates/croftrill-scheduler/src/replica_table.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -1,13 +1,27 @@
-//! One node's view of all replicas: the directory's list, what the orderer
-//! tells of placement, and what answers show in between.
-
-use std::collections::{BTreeMap, HashMap, VecDeque};
+//! One node's view of replicas: the directory's list, what the orderer tells of
+//! placement, and what answers show in between.
+//!
+//! [`entry`] is one replica, [`index`] finds those that hold a model, [`change_log`]
+//! tells which changed, [`unlisted`] keeps what was told of replicas without a listing.
+
+mod change_log;
+mod entry;
+mod index;
+mod unlisted;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use self::change_log::ChangeLog;
+pub use self::change_log::{ChangedReplicas, TableVersion};
+pub use self::entry::ReplicaEntry;
+use self::entry::ToldLoad;
+use self::index::ServiceIndex;
+use self::unlisted::UnlistedPlacements;
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
-use crate::health::{ReplicaHealth, SendOutcome};
+use crate::health::SendOutcome;
 use crate::placement::{weight_source, WeightSource};
-use crate::replica::{Holdings, ReplicaId, ReplicaListing, ReplicaState};
+use crate::replica::{BornMs, Holdings, Incarnation, ReplicaId, ReplicaListing};
 use crate::shard::Shard;
 use crate::time::Moment;
 
@@ -25,6 +39,8 @@
 pub struct Placement {
     /// The replica.
     pub replica: ReplicaId,
+    /// When the incarnation that is meant started, if it tells.
+    pub born_ms: Option<BornMs>,
     /// What requests may rely on: present, and not about to be dropped.
     pub usable: Holdings,
     /// Models on their way.
@@ -53,98 +69,21 @@
     }
 }
 
-/// Load that a replica told in an answer, with the sends that this node had there.
-#[derive(Debug, Clone, Copy, Default)]
-struct ToldLoad {
-    others: f64,
-    at: Moment,
-}
-
-/// How fast a told load loses its meaning.
-const TOLD_LOAD_MEMORY: Duration = Duration::from_millis(700);
-
-/// One replica in the table.
-#[derive(Debug, Clone)]
-pub struct ReplicaEntry {
-    /// The replica as listed; its holdings are the newest known.
-    pub listing: ReplicaListing,
-    /// Models on their way, as the orderer told.
-    pub arriving: Vec<Arrival>,
-    /// Health as answers showed it.
-    pub health: ReplicaHealth,
-    from_orderer: bool,
-    absent: Vec<(ModelName, Option<AdapterName>)>,
-    own_sends: u32,
-    own_tokens: u64,
-    told: ToldLoad,
-}
-
-impl ReplicaEntry {
-    fn placement(&self) -> Placement {
-        Placement {
-            replica: self.listing.id.clone(),
-            usable: self.listing.holdings.clone(),
-            arriving: self.arriving.clone(),
-            tells_copies: false,
-        }
-    }
-
-    /// True while its orderer's word on what it holds is known.
-    pub fn is_told(&self) -> bool {
-        self.from_orderer
-    }
-
-    fn new(listing: ReplicaListing) -> Self {
-        ReplicaEntry {
-            listing,
-            arriving: Vec::new(),
-            health: ReplicaHealth::default(),
-            from_orderer: false,
-            absent: Vec::new(),
-            own_sends: 0,
-            own_tokens: 0,
-            told: ToldLoad::default(),
-        }
-    }
-
-    /// True if the replica takes new requests.
-    pub fn is_ready(&self) -> bool {
-        self.listing.state == ReplicaState::Ready
-    }
-
-    /// True if the model and adapter are usable there, as far as is known.
-    pub fn serves(&self, model: &str, adapter: Option<&str>) -> bool {
-        let denied = self.absent.iter().any(|(absent_model, absent_adapter)| {
-            &**absent_model == model && (absent_adapter.is_none() || absent_adapter.as_deref() == adapter)
-        });
-        !denied && self.listing.holdings.serves(model, adapter)
-    }
-
-    /// Requests believed to be there: this node's own and the others'.
-    pub fn load(&self, now: Moment) -> f64 {
-        let age = now.since(self.told.at).as_secs_f64() / TOLD_LOAD_MEMORY.as_secs_f64();
-        f64::from(self.own_sends) + self.told.others * (-age).exp()
-    }
-
-    /// Prompt tokens that this node's unanswered requests have there.
-    pub fn own_tokens(&self) -> u64 {
-        self.own_tokens
-    }
-}
-
 /// All replicas that this node knows.
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     replicas: BTreeMap<ReplicaId, ReplicaEntry>,
-    by_service: HashMap<ServiceName, Vec<ReplicaId>>,
-    /// What orderers told of replicas that are not listed (yet, or any more), the
-    /// oldest first.
-    told_unlisted: VecDeque<Placement>,
+    services: HashMap<ServiceName, ServiceIndex>,
+    /// Replicas of which outcomes of sends are known.
+    judged: BTreeSet<ReplicaId>,
+    unlisted: UnlistedPlacements,
+    changes: ChangeLog,
+    /// Least times to load a model, from whoever knows all replicas.
+    told_reloads: HashMap<(ServiceName, ModelName), Duration>,
 }
 
-/// Most replicas that are not listed of which an orderer's word is kept: as many as
-/// lapse together when the store is away from a large fleet. Some 200 bytes each.
-const MOST_TOLD_UNLISTED: usize = 1024;
+/// Judged replicas from which on those without a recent outcome are sorted out.
+const MOST_JUDGED: usize = 64;
 
 impl ReplicaTable {
     /// An empty table.
@@ -152,65 +91,70 @@
         Self::default()
     }
 
+    /// How far whoever has read the whole table now has followed it.
+    pub fn version(&self) -> TableVersion {
+        self.changes.version()
+    }
+
+    /// What changed after a version.
+    pub fn changed_since(&self, version: TableVersion) -> ChangedReplicas {
+        self.changes.since(version)
+    }
+
     /// Takes in a listing. Its holdings may be older than an order, so they are
     /// believed only while no orderer tells of this replica.
     pub fn apply_listing(&mut self, listing: ReplicaListing) {
-        self.take_unlisted(&listing.id);
-        let Some(entry) = self.replicas.get_mut(&listing.id) else {
-            self.by_service
-                .entry(listing.service.clone())
-                .or_default()
-                .push(listing.id.clone());
-            self.replicas
-                .insert(listing.id.clone(), ReplicaEntry::new(listing));
-            return;
+        self.unlisted.take(&listing.id);
+        let entry = match self.replicas.get(&listing.id) {
+            None => ReplicaEntry::new(listing),
+            Some(known) => match relisted(known, listing) {
+                Some(entry) => entry,
+                None => return,
+            },
         };
-        if entry.from_orderer {
-            // Copies stand in the entry as soon as in a report; a listing that came
-            // by a way which tells nothing of them names the known ones.
-            let mut holdings = std::mem::take(&mut entry.listing.holdings);
-            holdings.copies = listing.holdings.copies.clone();
-            entry.listing = ReplicaListing { holdings, ..listing };
-        } else {
-            entry.absent.clear();
-            entry.listing = listing;
-        }
+        self.put(entry);
     }
 
     /// Takes in a listing that came by a way which tells nothing of what the replica
     /// holds: what its orderer told while it was not listed holds on.
     pub fn apply_relayed_listing(&mut self, listing: ReplicaListing) {
-        let told = self.take_unlisted(&listing.id);
+        let told = self.unlisted.take(&listing.id);
         self.apply_listing(listing);
         if let Some(told) = told {
             self.apply_placement(told);
         }
     }
 
-    fn take_unlisted(&mut self, id: &str) -> Option<Placement> {
-        let index = self.told_unlisted.iter().position(|told| &*told.replica == id)?;
-        self.told_unlisted.remove(index)
+    /// The one way in which an entry comes into the table or changes what is indexed.
+    fn put(&mut self, entry: ReplicaEntry) {
+        let id = entry.listing.id.clone();
+        self.take_out(&id);
+        self.services
+            .entry(entry.listing.service.clone())
+            .or_default()
+            .add(&entry);
+        self.replicas.insert(id.clone(), entry);
+        self.unlisted.note_listed(self.replicas.len());
+        self.changes.note(&id, self.replicas.len());
     }
 
-    /// Keeps what an orderer told of a replica that is not listed: it may come, or
-    /// come back, by a slower way.
-    fn keep_unlisted(&mut self, told: Placement) {
-        self.take_unlisted(&told.replica);
-        if self.told_unlisted.len() == MOST_TOLD_UNLISTED {
-            self.told_unlisted.pop_front();
+    fn take_out(&mut self, id: &str) -> Option<ReplicaEntry> {
+        let entry = self.replicas.remove(id)?;
+        if let Some(index) = self.services.get_mut(&entry.listing.service) {
+            index.take_out(&entry);
         }
-        self.told_unlisted.push_back(told);
+        Some(entry)
     }
 
     /// Forgets a replica that is gone.
     pub fn remove(&mut self, id: &str) {
-        if let Some(entry) = self.replicas.remove(id) {
-            if entry.from_orderer {
-                self.keep_unlisted(entry.placement());
-            }
-            if let Some(ids) = self.by_service.get_mut(&entry.listing.service) {
-                ids.retain(|other| &**other != id);
-            }
+        let Some(entry) = self.take_out(id) else {
+            return;
+        };
+        self.judged.remove(id);
+        self.changes.note(&entry.listing.id, self.replicas.len());
+        if entry.from_orderer {
+            self.unlisted.keep(entry.placement());
         }
     }
 
@@ -224,39 +168,48 @@
 
     /// Takes in what the orderer tells; true if it changes what can be used.
     pub fn apply_placement(&mut self, placement: Placement) -> bool {
-        let Some(entry) = self.replicas.get_mut(&placement.replica) else {
-            self.keep_unlisted(placement);
+        let Some(known) = self.replicas.get(&placement.replica) else {
+            self.unlisted.keep(placement);
             return false;
         };
+        match Incarnation::of(placement.born_ms, known.listing.born_ms) {
+            Incarnation::Same => {}
+            Incarnation::Earlier => return false,
+            Incarnation::Later => {
+                // Its listing is still to come.
+                self.unlisted.keep(placement);
+                return false;
+            }
+        }
+        let mut entry = known.clone();
         entry.from_orderer = true;
         entry.absent.clear();
-        let known = std::mem::replace(&mut entry.listing.holdings, placement.usable);
+        let former = std::mem::replace(&mut entry.listing.holdings, placement.usable);
         if !placement.tells_copies {
-            entry.listing.holdings.copies = known.copies;
+            entry.listing.holdings.copies = former.copies;
         }
         entry.arriving = placement.arriving;
+        self.put(entry);
         true
     }
 
     /// What is known of what replicas hold, for a node that knows nothing of it yet.
     pub fn placements(&self) -> Vec<Placement> {
-        let known = self
-            .replicas
-            .values()
-            .filter(|entry| entry.from_orderer || !entry.listing.holdings.models.is_empty());
+        let known = self.replicas.values().filter(|entry| entry.tells_holdings());
         known.map(ReplicaEntry::placement).collect()
     }
 
     /// The orderer of a shard no longer tells: from now on the list is believed again.
     pub fn orderer_lost(&mut self, shard: Shard) {
-        let entries = self.replicas.iter_mut();
-        let lost = entries.filter(|(id, _)| Shard::of_replica(id) == shard);
-        for (_, entry) in lost {
+        let told =
+            |entry: &&ReplicaEntry| entry.from_orderer && Shard::of_replica(&entry.listing.id) == shard;
+        let lost: Vec<ReplicaEntry> = self.replicas.values().filter(told).cloned().collect();
+        for mut entry in lost {
             entry.from_orderer = false;
             entry.arriving.clear();
+            self.put(entry);
         }
-        self.told_unlisted
-            .retain(|told| Shard::of_replica(&told.replica) != shard);
+        self.unlisted.forget_shard(shard);
     }
 
     /// A replica answered that it does not hold a model or adapter.
@@ -290,8 +243,18 @@
 
     /// Counts the outcome of a send for the replica's health.
     pub fn record_outcome(&mut self, id: &str, outcome: SendOutcome, now: Moment) {
-        if let Some(entry) = self.replicas.get_mut(id) {
-            entry.health.record(outcome, now);
+        let Some(entry) = self.replicas.get_mut(id) else {
+            return;
+        };
+        entry.health.record(outcome, now);
+        self.judged.insert(entry.listing.id.clone());
+        if self.judged.len() > MOST_JUDGED {
+            let replicas = &self.replicas;
+            let is_recent = |id: &ReplicaId| {
+                let entry = replicas.get(id);
+                entry.is_some_and(|entry| entry.health.failure_rate(now).is_some())
+            };
+            self.judged.retain(is_recent);
         }
     }
 
@@ -319,18 +282,30 @@
     /// The replicas of a service, in no particular order.
     pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a ReplicaEntry> + 'a {
         let ids = self
-            .by_service
+            .services
             .get(service)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
-        ids.iter().filter_map(|id| self.replicas.get(id))
+            .into_iter()
+            .flat_map(|index| &index.ids);
+        ids.filter_map(|id| self.replicas.get(id))
+    }
+
+    /// Those that hold or await a model.
+    pub fn with_model<'a>(
+        &'a self,
+        service: &str,
+        model: &'a str,
+    ) -> impl Iterator<Item = &'a ReplicaEntry> + 'a {
+        let index = self.services.get(service).into_iter();
+        let ids = index.flat_map(move |index| index.with_model(model));
+        ids.filter_map(|id| self.replicas.get(id))
     }
 
     /// Usual share of failures among a service's replicas: their median, the
     /// lower one of two.
     pub fn usual_failure_rate(&self, service: &str, now: Moment) -> f64 {
-        let mut rates: Vec<f64> = self
-            .of_service(service)
+        let judged = self.judged.iter().filter_map(|id| self.replicas.get(id));
+        let mut rates: Vec<f64> = judged
+            .filter(|entry| &*entry.listing.service == service)
             .filter_map(|entry| entry.health.failure_rate(now))
             .collect();
         rates.sort_by(f64::total_cmp);
@@ -340,7 +315,7 @@
 
     /// Earliest moment at which a model on its way to the service should be ready.
     pub fn arrival(&self, service: &str, model: &str) -> Option<Moment> {
-        self.of_service(service)
+        self.with_model(service, model)
             .filter(|entry| entry.is_ready())
             .flat_map(|entry| &entry.arriving)
             .filter(|arrival| &*arrival.model == model)
@@ -349,9 +324,15 @@
     }
 
     /// Least time in which a ready replica of the service that can be reached could load
-    /// the model.
+    /// the model: as told by whoever knows all replicas, else by those known here.
     pub fn reload_time(&self, service: &str, spec: &ModelSpec, now: Moment) -> Duration {
-        self.of_service(service)
+        let key = (ServiceName::from(service), spec.name.clone());
+        if let Some(told) = self.told_reloads.get(&key) {
+            return *told;
+        }
+        let index = self.services.get(service).into_iter();
+        let ids = index.flat_map(|index| index.with_copy(&spec.name));
+        ids.filter_map(|id| self.replicas.get(id))
             .filter(|entry| entry.is_ready() && !entry.health.is_unreachable(now))
             .map(|entry| match weight_source(&entry.listing.holdings, &spec.name) {
                 WeightSource::Memory => spec.memory_load,
@@ -362,16 +343,26 @@
             .unwrap_or(spec.store_load)
     }
 
+    /// Whoever knows all replicas told how soon one of them could load a model.
+    pub fn told_reload(&mut self, service: ServiceName, model: ModelName, reload: Duration) {
+        self.told_reloads.insert((service, model), reload);
+    }
+
+    /// From now on this table knows all replicas itself.
+    pub fn forget_told_reloads(&mut self) {
+        self.told_reloads.clear();
+    }
+
     /// Number of ready replicas that hold the model, with or without an adapter.
     pub fn holders(&self, service: &str, model: &str) -> usize {
-        self.of_service(service)
+        self.with_model(service, model)
             .filter(|entry| entry.is_ready() && entry.serves(model, None))
             .count()
     }
 
     /// Number of those that requests can be sent to, as far as is known.
     pub fn reachable_holders(&self, service: &str, model: &str, now: Moment) -> usize {
-        self.of_service(service)
+        self.with_model(service, model)
             .filter(|entry| entry.is_ready() && entry.serves(model, None))
             .filter(|entry| !entry.health.is_unreachable(now))
             .count()
@@ -387,3 +378,25 @@
         self.replicas.is_empty()
     }
 }
+
+/// A known replica after it was listed anew; `None` if the listing is of an earlier start
+/// than the known one, and so was written late.
+fn relisted(known: &ReplicaEntry, listing: ReplicaListing) -> Option<ReplicaEntry> {
+    match Incarnation::of(listing.born_ms, known.listing.born_ms) {
+        Incarnation::Same => {}
+        Incarnation::Earlier => return None,
+        Incarnation::Later => return Some(known.started_again(listing)),
+    }
+    let mut entry = known.clone();
+    if entry.from_orderer {
+        // Copies stand in the entry as soon as in a report; a listing that came
+        // by a way which tells nothing of them names the known ones.
+        let mut holdings = std::mem::take(&mut entry.listing.holdings);
+        holdings.copies = listing.holdings.copies.clone();
+        entry.listing = ReplicaListing { holdings, ..listing };
+    } else {
+        entry.absent.clear();
+        entry.listing = listing;
+    }
+    Some(entry)
+}
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -52,10 +52,7 @@
 pub fn choose(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Option<ReplicaId> {
     let usual_failures = table.usual_failure_rate(request.service, now);
     let home = request.need.and_then(|need| home_of(table, request, &need, now));
-    let candidates = table
-        .of_service(request.service)
-        .filter(|entry| is_candidate(entry, request));
-    let costed = candidates.map(|entry| {
+    let costed = candidates(table, request).map(|entry| {
         let mut cost = match &request.need {
             Some(need) => model_cost(entry, need, home.as_ref(), request, now),
             None => plain_cost(entry, request, now),
@@ -72,6 +69,19 @@
         .map(|(_, _, entry)| entry.listing.id.clone())
 }
 
+/// The replicas that may take a request: of a model service, only its holders are looked
+/// at.
+fn candidates<'a>(
+    table: &'a ReplicaTable,
+    request: &'a RoutingRequest<'a>,
+) -> Box<dyn Iterator<Item = &'a ReplicaEntry> + 'a> {
+    let fit = |entry: &&ReplicaEntry| is_candidate(entry, request);
+    match &request.need {
+        Some(need) => Box::new(table.with_model(request.service, need.model).filter(fit)),
+        None => Box::new(table.of_service(request.service).filter(fit)),
+    }
+}
+
 fn is_candidate(entry: &ReplicaEntry, request: &RoutingRequest<'_>) -> bool {
     let fits = request
         .need
@@ -120,7 +130,7 @@
 ) -> Option<ReplicaId> {
     let part = need.shared_part?;
     table
-        .of_service(request.service)
+        .with_model(request.service, need.model)
         .filter(|entry| entry.is_ready() && entry.serves(need.model, need.adapter))
         .filter(|entry| !entry.health.is_unreachable(now))
         .max_by_key(|entry| xxh3_64_with_seed(entry.listing.id.as_bytes(), part))
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -143,6 +143,7 @@
     PlacedReplica {
         state: ReplicaState::Ready,
         service: "llm".into(),
+        born_ms: None,
         ledger: ReplicaLedger::new(LedgerConfig::default(), holdings, at(0)),
         goal: None,
         withdrawn: None,
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -5,9 +5,12 @@
 use croftrill_scheduler::catalog::ModelSpec;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState, WeightCopies};
-use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
+use croftrill_scheduler::replica_table::{
+    ChangedReplicas, Placement, ReplicaEntry, ReplicaTable, TableVersion,
+};
 use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
 
 fn listing(id: &str) -> ReplicaListing {
     ReplicaListing {
@@ -18,6 +21,7 @@
         slots: 8,
         state: ReplicaState::Ready,
         leaves_in: None,
+        born_ms: None,
         holdings: Holdings::default(),
     }
 }
@@ -29,6 +33,7 @@
     };
     Placement {
         replica: id.into(),
+        born_ms: None,
         usable: Holdings {
             models: vec![held],
             ..Holdings::default()
@@ -157,3 +162,134 @@
     table.apply_relayed_listing(listing("r1"));
     assert_eq!(table.holders("llm", "m1"), 0);
 }
+
+/// A replica that started again under its identity held nothing of before, and its
+/// former orderer's word, health and absences were taken for the new one's.
+#[test]
+fn apply_listing_of_a_later_start_forgets_what_was_known() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(born("r1", 1000));
+    table.apply_placement(Placement {
+        born_ms: Some(1000),
+        ..told("r1", "m1")
+    });
+    for _ in 0..3 {
+        table.record_outcome("r1", SendOutcome::Unreachable, NOW);
+    }
+    table.begin_send("r1", 100);
+    table.apply_listing(born("r1", 2000));
+    assert_eq!(table.holders("llm", "m1"), 0);
+    let entry = table.get("r1").expect("it is listed");
+    assert!(!entry.is_told() && !entry.health.is_unreachable(NOW));
+    assert_eq!(entry.own_tokens(), 100, "its end is still to be counted");
+}
+
+#[test]
+fn apply_listing_of_an_earlier_start_changes_nothing() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(born("r1", 2000));
+    table.apply_listing(ReplicaListing {
+        state: ReplicaState::Draining,
+        ..born("r1", 1000)
+    });
+    assert!(table.get("r1").is_some_and(|entry| entry.is_ready()));
+}
+
+#[test]
+fn apply_placement_of_another_start_waits_or_is_over() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(born("r1", 2000));
+    let of = |born_ms| Placement {
+        born_ms: Some(born_ms),
+        ..told("r1", "m1")
+    };
+    assert!(!table.apply_placement(of(1000)));
+    assert_eq!(table.holders("llm", "m1"), 0);
+    assert!(!table.apply_placement(of(3000)));
+    assert_eq!(table.holders("llm", "m1"), 0);
+    table.apply_relayed_listing(born("r1", 3000));
+    assert_eq!(table.holders("llm", "m1"), 1);
+}
+
+/// An entry that names another service than before was found under both.
+#[test]
+fn apply_listing_of_another_service_moves_the_replica() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r1"));
+    table.apply_listing(ReplicaListing {
+        service: "app".into(),
+        ..listing("r1")
+    });
+    assert_eq!(table.of_service("llm").count(), 0);
+    assert_eq!(table.of_service("app").count(), 1);
+}
+
+#[test]
+fn changed_since_tells_what_was_listed_placed_or_removed() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r1"));
+    table.apply_listing(listing("r2"));
+    table.apply_listing(listing("r3"));
+    let version = table.version();
+    assert_eq!(table.changed_since(version), ChangedReplicas::These(Vec::new()));
+    table.apply_placement(told("r2", "m1"));
+    table.remove("r1");
+    let changed = ChangedReplicas::These(vec!["r2".into(), "r1".into()]);
+    assert_eq!(table.changed_since(version), changed);
+    assert_eq!(
+        table.changed_since(TableVersion::default()),
+        ChangedReplicas::Everything
+    );
+}
+
+#[test]
+fn changed_since_long_ago_is_everything() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r0"));
+    let version = table.version();
+    for index in 1..3000 {
+        let id = format!("r{index}");
+        table.apply_listing(listing(&id));
+        table.remove(&id);
+    }
+    assert_eq!(table.changed_since(version), ChangedReplicas::Everything);
+}
+
+fn born(id: &str, born_ms: u64) -> ReplicaListing {
+    ReplicaListing {
+        born_ms: Some(born_ms),
+        ..listing(id)
+    }
+}
+
+proptest! {
+    /// The index finds just the replicas that a walk over all of them finds, whatever
+    /// came in which order.
+    #[test]
+    fn with_model_finds_what_a_walk_finds(steps in prop::collection::vec((0u8..6, 0u8..5, 0u8..3, 0u64..3), 1..80)) {
+        let mut table = ReplicaTable::new();
+        for (step, replica, model, born_ms) in steps {
+            let id = format!("r{replica}");
+            let placement = Placement {
+                born_ms: Some(born_ms),
+                ..told(&id, &format!("m{model}"))
+            };
+            match step {
+                0 | 1 => table.apply_listing(born(&id, born_ms)),
+                2 | 3 => {
+                    table.apply_placement(placement);
+                }
+                4 => table.remove(&id),
+                _ => table.orderer_lost(Shard::of_replica(&id)),
+            }
+            for model in ["m0", "m1", "m2"] {
+                let walked: Vec<_> = table.iter().filter(|entry| entry.serves(model, None)).collect();
+                let found: Vec<_> = table.with_model("llm", model).collect();
+                let ids = |entries: &[&ReplicaEntry]| -> Vec<_> {
+                    entries.iter().map(|entry| entry.listing.id.clone()).collect()
+                };
+                prop_assert_eq!(ids(&walked), ids(&found));
+            }
+        }
+    }
+}
--- a/crates/croftrill-scheduler/tests/shares_and_plans.rs
+++ b/crates/croftrill-scheduler/tests/shares_and_plans.rs
@@ -101,6 +101,7 @@
         slots: 1,
         state: ReplicaState::Ready,
         leaves_in: None,
+        born_ms: None,
         holdings: Holdings {
             sequence: 0,
             models: vec![HeldModel {
