--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -383,7 +383,12 @@
     pub fn reported(&mut self, id: &str, report: Option<&ReplicaReport>, asked_at: Moment, now: Moment) {
         let told = report.and_then(|report| report.born_ms);
         match self.incarnation(id, told) {
-            Incarnation::Same => {}
+            Incarnation::Same => {
+                // Its listing may not tell.
+                if let Some(replica) = self.replicas.get_mut(id) {
+                    replica.born_ms = replica.born_ms.or(told);
+                }
+            }
             Incarnation::Earlier => return self.take_report(id, None, asked_at, now),
             Incarnation::Later => self.started_again(id, told, now),
         }
