Placement: an index of what replicas hold follows each change

Cause: holders, keepers by rank, reload times and the counts of loads were worked out over all replicas for each model that was weighed, and each replica was weighed as a place. Ruled out: rarer plans (the same work later). Change: the replicas sit behind a type that notes every change; holders, keepers, copies, goals and counts are read from an index that costs what changed. Of more than 512 replicas those with a copy (256 at most) and 256 that a hash of the model chooses are weighed.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -28,8 +28,8 @@
     pub models: usize,
 }
 
-/// Sizes that are measured; the last is the one to design for.
-pub const SIZES: [Size; 4] = [
+/// Sizes that are measured; the last but one is the one to design for.
+pub const SIZES: [Size; 6] = [
     Size {
         replicas: 18,
         models: 61,
@@ -46,6 +46,14 @@
         replicas: 790,
         models: 730,
     },
+    Size {
+        replicas: 9640,
+        models: 299,
+    },
+    Size {
+        replicas: 20_000,
+        models: 299,
+    },
 ];
 
 /// What a size costs.
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -4,7 +4,7 @@
 
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::demand::ModelKey;
-use crate::placement::{load_time, memory_used, weight_source, Among, WeightSource};
+use crate::placement::{load_time, memory_used, weight_source, Among, PlacedReplica, WeightSource};
 use crate::replica::{Order, ReplicaId};
 use crate::time::Moment;
 
@@ -33,8 +33,8 @@
         if wanted.is_empty() {
             return;
         }
-        let mut holders = self.placement_of(service, engine, now).holders();
-        wanted.retain(|model| !holders.contains_key(*model));
+        let view = self.placement_of(service, engine, now);
+        wanted.retain(|model| view.holders(model) == 0);
         // Choosing places is costly: the others have their turn in the next plans.
         let first = self.next_goal.checked_rem(wanted.len()).unwrap_or(0);
         wanted.rotate_left(first);
@@ -48,20 +48,19 @@
                 model: model.clone(),
                 adapter: None,
             };
-            let best = view.best_place(model, &holders, store_allowed, Among::All);
+            let best = view.best_place(model, store_allowed, Among::All);
             let waited = self.demand.waited(&key, now);
             let home = best.as_ref().map(|place| &place.replica);
             if !self.config.scope.has_turn(home, waited, MODEL_PATIENCE) {
                 continue;
             }
-            let place = view.best_place(model, &holders, store_allowed, Among::Own);
+            let place = view.best_place(model, store_allowed, Among::Own);
             let place = place.filter(|place| view.saved_by_load(model, place.load) > place.lost);
             if let Some(best) = best {
                 self.await_confirmation(&best.replica, now);
             }
             if let Some(place) = place {
                 self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
-                holders.insert(model.clone(), 1);
             }
         }
     }
@@ -84,9 +83,8 @@
         let config = &self.config.placement;
         let horizon_s = config.horizon.as_secs_f64();
         let view = self.placement_of(service, engine, now);
-        let holders = view.holders();
         let wanted = |model: &ModelName| {
-            let count = holders.get(model).copied().unwrap_or(0);
+            let count = view.holders(model);
             let gain = view.value_of_holder(model, count + 1);
             let is_wanted = count > 0 && gain * horizon_s > config.least_kept;
             is_wanted.then(|| (gain, model.clone()))
@@ -108,23 +106,22 @@
     ) {
         let store_allowed = self.store_allowed(service, engine, now);
         let view = self.placement_of(service, engine, now);
-        let holders = view.holders();
         // Every orderer finds the same best place; the one who orders there acts.
-        let best = view.best_place(model, &holders, store_allowed, Among::All);
+        let best = view.best_place(model, store_allowed, Among::All);
         if best
             .as_ref()
             .is_none_or(|best| !self.config.scope.covers(&best.replica))
         {
             return;
         }
-        let place = view.best_place(model, &holders, store_allowed, Among::Own);
+        let place = view.best_place(model, store_allowed, Among::Own);
         let least_gain = self.config.placement.least_gain;
         let place = place.filter(|place| gain * view.stay_s(place.load) > least_gain * place.lost);
         if let Some(best) = best {
             self.await_confirmation(&best.replica, now);
         }
         if let Some(place) = place {
-            let count = holders.get(model).copied().unwrap_or(0);
+            let count = self.placement_of(service, engine, now).holders(model);
             self.set_goal(&place.replica, model.clone(), GoalReason::Demand, count);
         }
     }
@@ -153,13 +150,10 @@
         now: Moment,
         actions: &mut Vec<OrdererAction>,
     ) {
-        let ids: Vec<ReplicaId> = self
-            .replicas
-            .iter()
-            .filter(|(_, replica)| replica.service == *service && replica.goal.is_some())
-            .filter(|(_, replica)| replica.takes_orders())
-            .map(|(id, _)| id.clone())
-            .collect();
+        let takes_orders = |id: &&ReplicaId| self.replicas.get(id).is_some_and(PlacedReplica::takes_orders);
+        let fleet = self.replicas.fleet(service);
+        let ids: Vec<ReplicaId> = fleet.with_goal().filter(takes_orders).cloned().collect();
+        drop(fleet);
         for id in ids {
             if let Some(order) = self.next_step(&id, service, engine, now) {
                 actions.push(self.send(&id, order, now));
@@ -232,7 +226,7 @@
             self.drop_goal(id);
             return None;
         };
-        let count = view.holders().get(&victim).copied().unwrap_or(0);
+        let count = view.holders(&victim);
         let value = view.value_of_held(&victim, id);
         let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
         if !view.is_worth(replica.goal.as_ref()?, load, value) {
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -13,7 +13,6 @@
 mod store_loads;
 mod telling;
 
-use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +23,9 @@
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
 use crate::load_ceiling::LoadCeiling;
 use crate::load_pace::LoadPace;
-use crate::placement::{load_time, Orders, PlacedReplica, PlacementConfig, ServicePlacement, WeightSource};
+use crate::placement::{
+    load_time, Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement, WeightSource,
+};
 use crate::replica::{
     BornMs, Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
 };
@@ -119,7 +120,7 @@
 pub struct Orderer {
     config: OrdererConfig,
     configuration: Arc<Configuration>,
-    replicas: BTreeMap<ReplicaId, PlacedReplica>,
+    replicas: PlacedReplicas,
     demand: Demand,
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
     paces: BTreeMap<ServiceName, LoadPace>,
@@ -149,7 +150,7 @@
         Orderer {
             config,
             configuration,
-            replicas: BTreeMap::new(),
+            replicas: PlacedReplicas::default(),
             demand: Demand::new(),
             ceilings: BTreeMap::new(),
             paces: BTreeMap::new(),
@@ -219,7 +220,7 @@
             return;
         }
         self.reachable = reachable;
-        for (id, replica) in &mut self.replicas {
+        for (id, replica) in self.replicas.iter_mut() {
             replica.orders = orders_at(self.config.scope, &reachable, id);
         }
     }
@@ -264,10 +265,8 @@
         let is_own = self.config.scope.covers(&listing.id);
         let orders = orders_at(self.config.scope, &self.reachable, &listing.id);
         let is_new = !self.replicas.contains_key(&listing.id);
-        let replica = self
-            .replicas
-            .entry(listing.id.clone())
-            .or_insert_with(|| PlacedReplica {
+        if is_new {
+            let anew = PlacedReplica {
                 state: listing.state,
                 service: listing.service.clone(),
                 born_ms: listing.born_ms,
@@ -278,7 +277,12 @@
                 adapters_loaded_at: Default::default(),
                 is_held: false,
                 orders,
-            });
+            };
+            self.replicas.insert(listing.id.clone(), anew);
+        }
+        let Some(replica) = self.replicas.get_mut(&listing.id) else {
+            return;
+        };
         replica.state = listing.state;
         replica.born_ms = replica.born_ms.or(listing.born_ms);
         if listing.state == ReplicaState::Draining {
@@ -301,7 +305,7 @@
 
     /// Keeps just the replicas for which `keep` holds.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.replicas.retain(|id, _| keep(id));
+        self.replicas.retain(&keep);
         self.store_loads.retain(|id, _| keep(id));
         self.changed.retain(|id| keep(id));
         self.told.retain(|id, _| keep(id));
@@ -340,7 +344,7 @@
     /// A replica started again under its identity: it holds nothing that was known of
     /// it, no order to it counts, and its count of orders began anew.
     fn started_again(&mut self, id: &str, born_ms: Option<BornMs>, now: Moment) {
-        let Some((id, former)) = self.replicas.remove_entry(id) else {
+        let Some((id, former)) = self.replicas.remove(id) else {
             return;
         };
         self.store_loads.remove(&id);
@@ -456,8 +460,7 @@
             engine,
             demand: &self.demand,
             replicas: &self.replicas,
-            keepers: OnceCell::new(),
-            reload_times: OnceCell::new(),
+            reload_times: Default::default(),
             usual_objective: self.configuration.longest_objective(service),
             now,
         }
@@ -477,28 +480,24 @@
 
     /// True if a ready replica holds the model, and the adapter if one is named.
     fn is_held(&self, key: &ModelKey) -> bool {
-        self.replicas.values().any(|replica| {
-            replica.service == key.service
-                && replica.keeps(&key.model)
-                && replica
-                    .ledger
-                    .holdings()
-                    .serves(&key.model, key.adapter.as_deref())
-        })
+        let fleet = self.replicas.fleet(&key.service);
+        let mut keepers = fleet.keepers(&key.model).filter_map(|id| self.replicas.get(id));
+        let adapter = key.adapter.as_deref();
+        keepers.any(|replica| replica.ledger.holdings().serves(&key.model, adapter))
     }
 
     /// True if an order under way brings the adapter, or it is on its way.
     fn is_ordered(&self, key: &ModelKey) -> bool {
         let adapter = key.adapter.as_deref().unwrap_or_default();
-        self.replicas
-            .values()
-            .any(|replica| match replica.ledger.pending() {
-                _ if replica.ledger.is_in_transit(&key.model, adapter) => true,
-                Some(Order::LoadAdapter(model, adapter)) => {
-                    *model == key.model && Some(adapter) == key.adapter.as_ref()
-                }
-                _ => false,
-            })
+        let fleet = self.replicas.fleet(&key.service);
+        let mut keepers = fleet.keepers(&key.model).filter_map(|id| self.replicas.get(id));
+        keepers.any(|replica| match replica.ledger.pending() {
+            _ if replica.ledger.is_in_transit(&key.model, adapter) => true,
+            Some(Order::LoadAdapter(model, adapter)) => {
+                *model == key.model && Some(adapter) == key.adapter.as_ref()
+            }
+            _ => false,
+        })
     }
 
     fn after_change(&mut self, id: &str, change: LedgerChange, now: Moment) {
--- a/crates/croftrill-scheduler/src/orderer/reports.rs
+++ b/crates/croftrill-scheduler/src/orderer/reports.rs
@@ -50,7 +50,7 @@
     pub(super) fn ask_reports(&mut self, now: Moment) -> Vec<OrdererAction> {
         let mut asked: Vec<ReplicaId> = Vec::new();
         let mut routine: Vec<(Moment, ReplicaId)> = Vec::new();
-        for (id, replica) in &mut self.replicas {
+        for (id, replica) in self.replicas.iter_mut_unindexed() {
             if replica.orders != Orders::Own {
                 continue;
             }
--- a/crates/croftrill-scheduler/src/orderer/store_loads.rs
+++ b/crates/croftrill-scheduler/src/orderer/store_loads.rs
@@ -21,15 +21,8 @@
     /// part, by its part of the service's replicas, and one at least.
     pub(super) fn ceiling(&self, service: &ServiceName, engine: &EngineSpec) -> usize {
         let all = engine.loads_per_second * self.config.ceiling_window.as_secs_f64();
-        let members = self
-            .replicas
-            .values()
-            .filter(|replica| replica.service == *service);
-        let (mut total, mut own) = (0.0, 0.0);
-        for replica in members {
-            total += 1.0;
-            own += f64::from(u8::from(replica.orders == Orders::Own));
-        }
+        let fleet = self.replicas.fleet(service);
+        let (total, own) = (fleet.len() as f64, fleet.own() as f64);
         let part = (all * own / f64::max(total, 1.0)).floor() as usize;
         part.max(usize::from(all >= 1.0))
     }
@@ -77,7 +70,9 @@
                 && replica.orders != Orders::Own
                 && replica.goal.as_ref().is_some_and(from_store)
         };
-        self.replicas.values().filter(loads).count()
+        let fleet = self.replicas.fleet(service);
+        let with_goal = fleet.with_goal().filter_map(|id| self.replicas.get(id));
+        with_goal.filter(loads).count()
     }
 
     pub(super) fn ceiling_admits(&mut self, service: &ServiceName, ceiling: usize, now: Moment) -> bool {
@@ -103,7 +98,9 @@
                 && !self.store_loads.contains_key(*id)
                 && replica.goal.as_ref().is_some_and(from_store)
         };
-        self.replicas.iter().filter(planned).count()
+        let fleet = self.replicas.fleet(service);
+        let with_goal = fleet.with_goal().filter_map(|id| self.replicas.get_key_value(id));
+        with_goal.filter(planned).count()
     }
 
     fn running_store_loads(&self, service: &ServiceName) -> usize {
--- a/crates/croftrill-scheduler/src/orderer/telling.rs
+++ b/crates/croftrill-scheduler/src/orderer/telling.rs
@@ -40,7 +40,8 @@
     /// Everything, for a node that has just connected.
     pub fn all_placements(&self, now: Moment) -> Vec<Placement> {
         self.replicas
-            .keys()
+            .iter()
+            .map(|(id, _)| id)
             .filter(|id| self.config.scope.covers(id))
             .filter_map(|id| self.placement(id, now))
             .collect()
--- a/crates/croftrill-scheduler/src/placement/adapters.rs
+++ b/crates/croftrill-scheduler/src/placement/adapters.rs
@@ -14,17 +14,23 @@
         let seed = xxh3_64(adapter.as_bytes());
         let is_full =
             |replica: &PlacedReplica| replica.ledger.holdings().adapter_count() >= self.engine.adapter_slots;
-        self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::All))
+        self.keepers(model)
+            .filter(|(_, replica)| replica.is_candidate(Among::All))
             .min_by_key(|(id, replica)| (is_full(replica), xxh3_64_with_seed(id.as_bytes(), seed)))
             .map(|(id, _)| id)
     }
 
+    /// The replicas that keep a model.
+    fn keepers(&self, model: &str) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
+        let ids: Vec<ReplicaId> = self.fleet().keepers(model).cloned().collect();
+        ids.into_iter().filter_map(|id| self.replicas.get_key_value(&id))
+    }
+
     /// The replica that should load an adapter now: of those that keep its model
     /// and take orders, the one with the fewest adapters.
     pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
-        self.members()
-            .filter(|(_, replica)| replica.keeps(model) && replica.is_candidate(Among::Own))
+        self.keepers(model)
+            .filter(|(_, replica)| replica.is_candidate(Among::Own))
             .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
             .map(|(id, _)| id.clone())
     }
--- a/crates/croftrill-scheduler/src/placement/choice.rs
+++ b/crates/croftrill-scheduler/src/placement/choice.rs
@@ -1,6 +1,5 @@
 //! Which replica loads a model, and what makes way for it there.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use super::{load_time, memory_used, weight_source, PlacedReplica, ServicePlacement, WeightSource};
@@ -70,10 +69,10 @@
     }
 
     /// Requests a second for adapters on a replica, which its weights orders hold up.
-    fn adapter_requests(&self, replica: &PlacedReplica, holders: &HashMap<ModelName, usize>) -> f64 {
+    fn adapter_requests(&self, replica: &PlacedReplica) -> f64 {
         let held = replica.ledger.holdings().models.iter();
         let rates = held.map(|held| {
-            let count = holders.get(&held.model).copied().unwrap_or(1).max(1);
+            let count = self.holders(&held.model).max(1);
             self.demand
                 .adapter_requests_per_second(&self.key(&held.model), self.now)
                 / count as f64
@@ -82,23 +81,21 @@
     }
 
     /// The replica that should load a model next, with the value it displaces.
-    pub fn best_place(
-        &self,
-        model: &ModelName,
-        holders: &HashMap<ModelName, usize>,
-        store_allowed: bool,
-        among: Among,
-    ) -> Option<Place> {
+    pub fn best_place(&self, model: &ModelName, store_allowed: bool, among: Among) -> Option<Place> {
         let rate = self.lasting_rate(model);
         let cost = |id: &ReplicaId, replica: &PlacedReplica| -> Option<(f64, Duration)> {
             let holdings = replica.ledger.holdings();
             let displaced = self.displaced_value(id, replica, model)?;
             let load = load_time(self.engine, holdings, model)?;
-            let adapters = self.adapter_requests(replica, holders) * self.config.adapter_block_share;
+            let adapters = self.adapter_requests(replica) * self.config.adapter_block_share;
             let displacement = displaced * self.config.horizon.as_secs_f64();
             Some((displacement + adapters * load.as_secs_f64(), load))
         };
-        self.members()
+        let fleet = self.fleet();
+        let weighed = fleet.weighed_for(model);
+        weighed
+            .into_iter()
+            .filter_map(|id| self.replicas.get_key_value(id))
             .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
             .filter(|(_, replica)| {
                 replica.is_candidate(among) && !replica.ledger.holdings().serves(model, None)
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -8,19 +8,20 @@
 mod adapters;
 mod choice;
 mod placed;
+mod replicas;
 mod value;
 
-use std::cell::OnceCell;
-use std::collections::{BTreeMap, HashMap};
+use std::cell::{Ref, RefCell};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
 use crate::demand::{Demand, ModelKey};
-use crate::replica::ReplicaId;
 use crate::time::Moment;
 
 pub use self::choice::{Among, Place};
 pub use self::placed::{load_time, memory_used, weight_source, Orders, PlacedReplica, WeightSource};
+pub use self::replicas::{PlacedReplicas, ServiceFleet};
 pub use self::value::missed_share;
 
 /// Tunable figures of placement.
@@ -67,12 +68,10 @@
     /// Demand of all nodes.
     pub demand: &'a Demand,
     /// All replicas; those of other services are passed over.
-    pub replicas: &'a BTreeMap<ReplicaId, PlacedReplica>,
-    /// The replicas that keep each model, worked out when needed.
-    pub keepers: OnceCell<HashMap<ModelName, Vec<(u64, ReplicaId)>>>,
-    /// Least time in which a ready replica can load each model of which a copy
-    /// lies somewhere, worked out when needed.
-    pub reload_times: OnceCell<HashMap<ModelName, Duration>>,
+    pub replicas: &'a PlacedReplicas,
+    /// Least times in which a ready replica can load models, as far as they were worked
+    /// out.
+    pub reload_times: RefCell<HashMap<ModelName, Duration>>,
     /// Objective of requests for models that were not asked for yet.
     pub usual_objective: Duration,
     /// The present time.
@@ -80,27 +79,14 @@
 }
 
 impl ServicePlacement<'_> {
-    /// The service's replicas.
-    pub fn members(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
-        self.replicas
-            .iter()
-            .filter(|(_, replica)| replica.service == *self.service)
+    /// The service's replicas by what they hold.
+    pub fn fleet(&self) -> Ref<'_, ServiceFleet> {
+        self.replicas.fleet(self.service)
     }
 
-    /// Replicas that hold each model, and those that await it.
-    pub fn holders(&self) -> HashMap<ModelName, usize> {
-        let mut holders: HashMap<ModelName, usize> = HashMap::new();
-        for (_, replica) in self.members() {
-            for held in &replica.ledger.holdings().models {
-                if replica.keeps(&held.model) {
-                    *holders.entry(held.model.clone()).or_default() += 1;
-                }
-            }
-            if let Some(goal) = replica.goal.as_ref().filter(|goal| !replica.keeps(goal)) {
-                *holders.entry(goal.clone()).or_default() += 1;
-            }
-        }
-        holders
+    /// Replicas that hold a model, and those that await it.
+    pub fn holders(&self, model: &str) -> usize {
+        self.fleet().holders(model)
     }
 
     fn key(&self, model: &ModelName) -> ModelKey {
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement/replicas.rs
@@ -0,0 +1,311 @@
+//! The replicas that an orderer knows, with an index that follows each change.
+//!
+//! Every way to change a replica notes it; the index is brought up to date when it is next
+//! read, at the cost of what changed.
+
+use std::cell::{Ref, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{Orders, PlacedReplica};
+use crate::catalog::{ModelName, ServiceName};
+use crate::replica::{ReplicaId, ReplicaState};
+
+/// Replicas that are weighed for one model besides those with a copy of it. Of thousands
+/// that hold what nobody asks for, a few hundred contain one that is as good as any:
+/// among 256 the chance that none of the best twentieth is left is one in 500,000.
+const MOST_WEIGHED: usize = 256;
+
+/// The replicas, by id.
+#[derive(Debug, Default)]
+pub struct PlacedReplicas {
+    replicas: BTreeMap<ReplicaId, PlacedReplica>,
+    changed: RefCell<BTreeSet<ReplicaId>>,
+    index: RefCell<Index>,
+}
+
+/// What the index holds of one replica.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Indexed {
+    service: ServiceName,
+    keeps: Vec<ModelName>,
+    goal: Option<ModelName>,
+    awaits: Option<ModelName>,
+    copies: Vec<ModelName>,
+    is_own: bool,
+}
+
+#[derive(Debug, Default)]
+struct Index {
+    replicas: HashMap<ReplicaId, Indexed>,
+    services: HashMap<ServiceName, ServiceFleet>,
+}
+
+/// One service's replicas, by what they hold.
+#[derive(Debug, Default)]
+pub struct ServiceFleet {
+    /// All of them, in an order that all orderers find.
+    ring: BTreeSet<(u64, ReplicaId)>,
+    /// The replicas that keep each model, in an order that all orderers find.
+    keepers: HashMap<ModelName, BTreeMap<u64, ReplicaId>>,
+    /// Replicas that are to load each model.
+    awaited: HashMap<ModelName, usize>,
+    /// Ready replicas at which somebody orders, by the copies of weights there.
+    copies: HashMap<ModelName, BTreeSet<ReplicaId>>,
+    with_goal: BTreeSet<ReplicaId>,
+    own: usize,
+}
+
+impl ServiceFleet {
+    /// Number of replicas.
+    pub fn len(&self) -> usize {
+        self.ring.len()
+    }
+
+    /// True if the service has none.
+    pub fn is_empty(&self) -> bool {
+        self.ring.is_empty()
+    }
+
+    /// Number of those at which this orderer orders.
+    pub fn own(&self) -> usize {
+        self.own
+    }
+
+    /// The replicas that keep a model.
+    pub fn keepers(&self, model: &str) -> impl Iterator<Item = &ReplicaId> {
+        self.keepers.get(model).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// Number of those.
+    pub fn keeper_count(&self, model: &str) -> usize {
+        self.keepers.get(model).map_or(0, BTreeMap::len)
+    }
+
+    /// The place of a replica among them; 0 if it is none. Beyond the second the exact
+    /// one hardly matters, and is found by counting up to `MOST_WEIGHED` of them.
+    pub fn keeper_rank(&self, model: &str, id: &ReplicaId) -> usize {
+        let Some(keepers) = self.keepers.get(model) else {
+            return 0;
+        };
+        let rank = keeper_hash(model, id);
+        if keepers.get(&rank) != Some(id) {
+            return 0;
+        }
+        keepers.range(..rank).take(MOST_WEIGHED).count()
+    }
+
+    /// Replicas that keep or await a model.
+    pub fn holders(&self, model: &str) -> usize {
+        self.keeper_count(model) + self.awaited.get(model).copied().unwrap_or(0)
+    }
+
+    /// Ready replicas with a copy of a model's weights.
+    pub fn with_copy(&self, model: &str) -> impl Iterator<Item = &ReplicaId> {
+        self.copies.get(model).into_iter().flatten()
+    }
+
+    /// Replicas with a goal.
+    pub fn with_goal(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.with_goal.iter()
+    }
+
+    /// The replicas that are weighed as places for a model: all in a fleet of a few
+    /// hundred; else some with a copy, and some that a hash of the model chooses, the
+    /// same for all orderers.
+    pub fn weighed_for(&self, model: &str) -> BTreeSet<&ReplicaId> {
+        if self.ring.len() <= 2 * MOST_WEIGHED {
+            return self.ring.iter().map(|(_, id)| id).collect();
+        }
+        let begin = (
+            Bound::Included((xxh3_64(model.as_bytes()), ReplicaId::from(""))),
+            Bound::Unbounded,
+        );
+        let around = self.ring.range(begin).chain(&self.ring).map(|(_, id)| id);
+        let with_copy = self.with_copy(model).take(MOST_WEIGHED);
+        with_copy.chain(around.take(MOST_WEIGHED)).collect()
+    }
+
+    fn add(&mut self, id: &ReplicaId, indexed: &Indexed) {
+        self.ring.insert((xxh3_64(id.as_bytes()), id.clone()));
+        for model in &indexed.keeps {
+            let keepers = self.keepers.entry(model.clone()).or_default();
+            keepers.insert(keeper_hash(model, id), id.clone());
+        }
+        if let Some(model) = &indexed.awaits {
+            *self.awaited.entry(model.clone()).or_default() += 1;
+        }
+        for model in &indexed.copies {
+            self.copies.entry(model.clone()).or_default().insert(id.clone());
+        }
+        if indexed.goal.is_some() {
+            self.with_goal.insert(id.clone());
+        }
+        self.own += usize::from(indexed.is_own);
+    }
+
+    fn take_out(&mut self, id: &ReplicaId, indexed: &Indexed) {
+        self.ring.remove(&(xxh3_64(id.as_bytes()), id.clone()));
+        for model in &indexed.keeps {
+            if let Some(keepers) = self.keepers.get_mut(model) {
+                keepers.remove(&keeper_hash(model, id));
+            }
+        }
+        if let Some(awaited) = indexed
+            .awaits
+            .as_ref()
+            .and_then(|model| self.awaited.get_mut(model))
+        {
+            *awaited -= 1;
+        }
+        for model in &indexed.copies {
+            if let Some(copies) = self.copies.get_mut(model) {
+                copies.remove(id);
+            }
+        }
+        self.with_goal.remove(id);
+        self.own -= usize::from(indexed.is_own);
+    }
+}
+
+fn keeper_hash(model: &str, id: &ReplicaId) -> u64 {
+    xxh3_64_with_seed(id.as_bytes(), xxh3_64(model.as_bytes()))
+}
+
+impl Indexed {
+    fn of(replica: &PlacedReplica) -> Self {
+        let held = replica.ledger.holdings().models.iter().map(|held| &held.model);
+        let keeps = held.filter(|model| replica.keeps(model)).cloned().collect();
+        let awaits = replica.goal.clone().filter(|goal| !replica.keeps(goal));
+        let takes_loads = replica.state == ReplicaState::Ready && replica.orders != Orders::Nobody;
+        let copies = &replica.ledger.holdings().copies;
+        let copies = copies
+            .in_memory
+            .iter()
+            .chain(&copies.on_disk)
+            .filter(|_| takes_loads);
+        Indexed {
+            service: replica.service.clone(),
+            keeps,
+            goal: replica.goal.clone(),
+            awaits,
+            copies: copies.cloned().collect(),
+            is_own: replica.orders == Orders::Own,
+        }
+    }
+}
+
+impl Index {
+    fn update(&mut self, id: &ReplicaId, replica: Option<&PlacedReplica>) {
+        let now = replica.map(Indexed::of);
+        if self.replicas.get(id) == now.as_ref() {
+            return;
+        }
+        if let Some(former) = self.replicas.remove(id) {
+            if let Some(fleet) = self.services.get_mut(&former.service) {
+                fleet.take_out(id, &former);
+            }
+        }
+        if let Some(now) = now {
+            self.services
+                .entry(now.service.clone())
+                .or_default()
+                .add(id, &now);
+            self.replicas.insert(id.clone(), now);
+        }
+    }
+}
+
+impl PlacedReplicas {
+    /// A service's replicas by what they hold now.
+    pub fn fleet(&self, service: &ServiceName) -> Ref<'_, ServiceFleet> {
+        let changed = self.changed.take();
+        if !changed.is_empty() {
+            let mut index = self.index.borrow_mut();
+            for id in &changed {
+                index.update(id, self.replicas.get(id));
+            }
+        }
+        if !self.index.borrow().services.contains_key(service) {
+            let mut index = self.index.borrow_mut();
+            index.services.insert(service.clone(), ServiceFleet::default());
+        }
+        Ref::map(self.index.borrow(), |index| &index.services[service])
+    }
+
+    fn note(&self, id: &str) {
+        if let Some((id, _)) = self.replicas.get_key_value(id) {
+            self.changed.borrow_mut().insert(id.clone());
+        }
+    }
+
+    /// A replica.
+    pub fn get(&self, id: &str) -> Option<&PlacedReplica> {
+        self.replicas.get(id)
+    }
+
+    /// A replica with its id.
+    pub fn get_key_value(&self, id: &str) -> Option<(&ReplicaId, &PlacedReplica)> {
+        self.replicas.get_key_value(id)
+    }
+
+    /// A replica, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut PlacedReplica> {
+        self.note(id);
+        self.replicas.get_mut(id)
+    }
+
+    /// Adds a replica, or puts it in the place of one.
+    pub fn insert(&mut self, id: ReplicaId, replica: PlacedReplica) {
+        self.changed.borrow_mut().insert(id.clone());
+        self.replicas.insert(id, replica);
+    }
+
+    /// Takes a replica out.
+    pub fn remove(&mut self, id: &str) -> Option<(ReplicaId, PlacedReplica)> {
+        self.note(id);
+        self.replicas.remove_entry(id)
+    }
+
+    /// Keeps just the replicas for which `keep` holds.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        let gone: Vec<ReplicaId> = self.replicas.keys().filter(|id| !keep(id)).cloned().collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&ReplicaId, &PlacedReplica)> {
+        self.replicas.iter()
+    }
+
+    /// All of them, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&ReplicaId, &mut PlacedReplica)> {
+        self.changed.borrow_mut().extend(self.replicas.keys().cloned());
+        self.replicas.iter_mut()
+    }
+
+    /// All of them, for changes that do not show in the index: none of what a replica
+    /// keeps, awaits, or has copies of, nor of who orders there.
+    pub fn iter_mut_unindexed(&mut self) -> impl Iterator<Item = (&ReplicaId, &mut PlacedReplica)> {
+        self.replicas.iter_mut()
+    }
+
+    /// True if a replica of this id is there.
+    pub fn contains_key(&self, id: &str) -> bool {
+        self.replicas.contains_key(id)
+    }
+}
+
+impl FromIterator<(ReplicaId, PlacedReplica)> for PlacedReplicas {
+    fn from_iter<T: IntoIterator<Item = (ReplicaId, PlacedReplica)>>(replicas: T) -> Self {
+        let mut placed = PlacedReplicas::default();
+        for (id, replica) in replicas {
+            placed.insert(id, replica);
+        }
+        placed
+    }
+}
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -1,14 +1,11 @@
 //! What models and their holders are worth: requests a second that would miss
 //! their objective without them.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-use super::{load_time, Orders, ServicePlacement};
+use super::{load_time, ServicePlacement};
 use crate::catalog::ModelName;
-use crate::replica::{ReplicaId, ReplicaState};
+use crate::replica::ReplicaId;
 
 /// Time from the first request for an absent model to when it is served, besides
 /// the load itself: the order, room for the weights, and the news of it.
@@ -38,29 +35,21 @@
 
     /// Least time in which some replica can load the model.
     fn reload_time(&self, model: &ModelName) -> Duration {
-        let times = self.reload_times.get_or_init(|| self.copy_load_times());
+        if let Some(time) = self.reload_times.borrow().get(model) {
+            return *time;
+        }
         let from_store = self.engine.models.get(model).map(|spec| spec.store_load);
-        let from_copy = times.get(model).copied();
-        from_copy.or(from_store).unwrap_or_default()
+        let time = self.copy_load_time(model).or(from_store).unwrap_or_default();
+        self.reload_times.borrow_mut().insert(model.clone(), time);
+        time
     }
 
-    fn copy_load_times(&self) -> HashMap<ModelName, Duration> {
-        let mut times: HashMap<ModelName, Duration> = HashMap::new();
-        for (_, replica) in self.members() {
-            if replica.state != ReplicaState::Ready || replica.orders == Orders::Nobody {
-                continue;
-            }
-            let holdings = replica.ledger.holdings();
-            let copies = holdings.copies.in_memory.iter().chain(&holdings.copies.on_disk);
-            for model in copies {
-                let Some(time) = load_time(self.engine, holdings, model) else {
-                    continue;
-                };
-                let least = times.entry(model.clone()).or_insert(time);
-                *least = time.min(*least);
-            }
-        }
-        times
+    /// The same, from a copy of its weights.
+    fn copy_load_time(&self, model: &ModelName) -> Option<Duration> {
+        let fleet = self.fleet();
+        let with_copy = fleet.with_copy(model).filter_map(|id| self.replicas.get(id));
+        let times = with_copy.filter_map(|replica| load_time(self.engine, replica.ledger.holdings(), model));
+        times.min()
     }
 
     fn objective(&self, model: &ModelName) -> Duration {
@@ -102,8 +91,7 @@
     /// those that the present ones serve late are taken to grow in proportion to
     /// the load of each.
     fn kept_in_time(&self, model: &ModelName, holders: usize) -> f64 {
-        let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
-        let present = keepers.get(model).map_or(1, |ranked| ranked.len().max(1)) as f64;
+        let present = self.fleet().keeper_count(model).max(1) as f64;
         let late_share = self.demand.late_share(&self.key(model), self.now);
         let late_with = |count: usize| (late_share * present / count as f64).min(1.0);
         self.lasting_rate(model) * (late_with(holders - 1) - late_with(holders))
@@ -114,29 +102,10 @@
     /// Holders that are still on their way save no other. Which of several are
     /// spare follows from a hash, so that no two orderers drop both of two.
     pub fn value_of_held(&self, model: &ModelName, id: &ReplicaId) -> f64 {
-        let keepers = self.keepers.get_or_init(|| self.ranked_keepers());
-        let ranked = keepers.get(model).map(Vec::as_slice).unwrap_or_default();
-        let rank = ranked.iter().position(|(_, keeper)| keeper == id).unwrap_or(0);
+        let rank = self.fleet().keeper_rank(model, id);
         self.value_of_holder(model, rank + 1)
     }
 
-    /// The replicas that keep each model, in an order that all orderers find.
-    fn ranked_keepers(&self) -> HashMap<ModelName, Vec<(u64, ReplicaId)>> {
-        let mut keepers: HashMap<ModelName, Vec<(u64, ReplicaId)>> = HashMap::new();
-        for (id, replica) in self.members() {
-            for held in &replica.ledger.holdings().models {
-                if replica.keeps(&held.model) {
-                    let seed = xxh3_64(held.model.as_bytes());
-                    let hash = xxh3_64_with_seed(id.as_bytes(), seed);
-                    let ranked = keepers.entry(held.model.clone()).or_default();
-                    ranked.push((hash, id.clone()));
-                }
-            }
-        }
-        keepers.values_mut().for_each(|ranked| ranked.sort());
-        keepers
-    }
-
     /// Requests a second that depend on the last of so many holders of a model:
     /// on the only one all that miss their objective without it; on one of several
     /// those that the others would serve too late. The second is a spare, too, for
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -1,12 +1,13 @@
 //! What holders of a model are worth, and what makes way for another.
 
-use std::cell::OnceCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::{EngineSpec, ModelName, ModelSpec, ServiceName};
 use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
-use croftrill_scheduler::placement::{Orders, PlacedReplica, PlacementConfig, ServicePlacement};
+use croftrill_scheduler::placement::{
+    Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement,
+};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_ledger::{LedgerConfig, ReplicaLedger};
 use croftrill_scheduler::time::Moment;
@@ -49,7 +50,7 @@
     engine: EngineSpec,
     config: PlacementConfig,
     demand: Demand,
-    replicas: BTreeMap<ReplicaId, PlacedReplica>,
+    replicas: PlacedReplicas,
 }
 
 impl Site {
@@ -92,8 +93,7 @@
             engine: &self.engine,
             demand: &self.demand,
             replicas: &self.replicas,
-            keepers: OnceCell::new(),
-            reload_times: OnceCell::new(),
+            reload_times: Default::default(),
             usual_objective: OBJECTIVE,
             now: at(10_000),
         }
@@ -121,8 +121,8 @@
         let view = self.view();
         let values = self
             .replicas
-            .keys()
-            .map(|id| view.value_of_held(&model.into(), id));
+            .iter()
+            .map(|(id, _)| view.value_of_held(&model.into(), id));
         values.collect()
     }
 }
