Interests: a replica whose placement came before its listing is told with both

Cause: found by the property test of followers against their relay: a listing that came after its placement was told to nobody who wants its model; a placement before its listing marked the replica as told. Change: what counts is the replica's entry at the relay. Tests: scheduler/tests/interest.rs (failing before), node/tests/news_parts.rs.

--- a/crates/croftrill-node/src/tree/follower.rs
+++ b/crates/croftrill-node/src/tree/follower.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::interest::{FollowerInterests, Interest, MustHear};
-use croftrill_scheduler::replica::{Holdings, ReplicaId};
+use croftrill_scheduler::replica::ReplicaId;
 
 use super::{known_placements, view_since};
 use crate::node::Node;
@@ -136,29 +136,35 @@
         news: &DirectoryNews,
         message: &Bytes,
     ) -> Vec<Bytes> {
-        let state = node.state.borrow();
-        let records = node.platform.records();
-        let mut left_out = false;
-        let mut hears = |revised: &&RevisedChange| {
-            let hears = match &revised.change {
-                WireChange::Replica(listing) => {
-                    let listing = listing.clone().into_listing(Holdings::default());
-                    self.interests.hears_listing(&state.replicas, &listing) != MustHear::Nothing
-                }
-                WireChange::Removed { key } => match records.replica_of(key) {
-                    Some(id) => self.interests.hears_removal(&id),
-                    None => true,
-                },
-                WireChange::Written { .. } => true,
-            };
-            left_out |= !hears;
-            hears
+        let mut newly_known: Vec<ReplicaId> = Vec::new();
+        let mut changes: Vec<RevisedChange> = Vec::with_capacity(news.changes.len());
+        for revised in &news.changes {
+            match self.hears_change(node, &revised.change) {
+                MustHear::Nothing => {}
+                MustHear::News => changes.push(revised.clone()),
+                MustHear::Everything => newly_known.extend(replica_of(node, &revised.change)),
+            }
+        }
+        let mut messages = if changes.len() == news.changes.len() {
+            vec![message.clone()]
+        } else {
+            vec![FromOrderer::Directory(DirectoryNews { changes, ..*news }).encode()]
+        };
+        if !newly_known.is_empty() {
+            messages.extend(self.replicas_messages(node, &newly_known, &[], false));
+        }
+        messages
+    }
+
+    fn hears_change<P: Platform>(&mut self, node: &Node<P>, change: &WireChange) -> MustHear {
+        let Some(id) = replica_of(node, change) else {
+            return MustHear::News;
         };
-        let changes: Vec<RevisedChange> = news.changes.iter().filter(&mut hears).cloned().collect();
-        if !left_out {
-            return vec![message.clone()];
+        match change {
+            WireChange::Replica(_) => self.interests.hears_listing(&node.state.borrow().replicas, &id),
+            _ if self.interests.hears_removal(&id) => MustHear::News,
+            _ => MustHear::Nothing,
         }
-        vec![FromOrderer::Directory(DirectoryNews { changes, ..*news }).encode()]
     }
 
     fn placement_news<P: Platform>(&mut self, node: &Node<P>, placements: &[WirePlacement]) -> Vec<Bytes> {
@@ -178,7 +184,7 @@
                     copies: None,
                     ..wire.clone()
                 }),
-                MustHear::NewsAndListing => newly_known.push(placement.replica.clone()),
+                MustHear::Everything => newly_known.push(placement.replica.clone()),
             }
             if placement.tells_copies {
                 with_copies.extend(placement.usable.copies.in_memory.iter().cloned());
@@ -240,6 +246,16 @@
     }
 }
 
+/// The replica that a change is about, if it is about one.
+fn replica_of<P: Platform>(node: &Node<P>, change: &WireChange) -> Option<ReplicaId> {
+    match change {
+        WireChange::Replica(listing) => Some(listing.id.as_str().into()),
+        WireChange::Removed { key } | WireChange::Written { key, .. } => {
+            node.platform.records().replica_of(key)
+        }
+    }
+}
+
 fn wire_replicas<P: Platform>(node: &Node<P>, ids: &[ReplicaId]) -> Vec<WireReplica> {
     let now = node.clock.now();
     let state = node.state.borrow();
--- /dev/null
+++ b/crates/croftrill-node/tests/news_parts.rs
@@ -0,0 +1,94 @@
+//! News and views that are longer than a message go in parts.
+
+use croftrill_node::peer::{DirectoryNews, RevisedChange, WholePart, WireChange, WireListing};
+use croftrill_scheduler::followed_view::{FollowConfig, FollowedView, RelayOutcome, RelayedSpan};
+use croftrill_scheduler::time::Moment;
+use nanoserde::SerBin;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Largest frame of a link.
+const FRAME_BYTES: usize = 1024 * 1024;
+
+fn listing(index: usize) -> WireChange {
+    WireChange::Replica(WireListing {
+        id: format!("i-{index:010x}"),
+        service: "tender-llm".to_string(),
+        address: format!("10.1.{}.{}:8080", index / 250, index % 250),
+        zone: "boston-a".to_string(),
+        slots: 64,
+        is_draining: false,
+        leaves_in_ms: None,
+        born_ms: Some(1_790_000_000_000),
+    })
+}
+
+fn news(after: u64, changes: Vec<RevisedChange>) -> DirectoryNews {
+    DirectoryNews {
+        after,
+        reached: changes.last().map_or(after, |last| last.revision) + 3,
+        proof_age_ms: 5,
+        sent_at_ms: 1000,
+        changes,
+    }
+}
+
+/// A view of 10,000 replicas is 1 MB: it did not fit into a message, whose limit counted
+/// names alone, and the listener's link ended.
+#[test]
+fn whole_view_of_twenty_thousand_replicas_fits_into_messages() {
+    let changes = (0..20_000).map(|index| RevisedChange {
+        revision: 7,
+        change: listing(index),
+    });
+    let parts = WholePart::parts_of(news(0, changes.collect()), true).expect("each item fits");
+    let total: usize = parts.iter().map(|part| part.news.changes.len()).sum();
+    assert_eq!(total, 20_000);
+    assert!(parts.iter().all(|part| part.serialize_bin().len() < FRAME_BYTES / 4));
+    assert!(parts[0].is_first && parts.last().is_some_and(|last| last.is_last));
+    assert_eq!(parts.iter().filter(|part| part.is_first || part.is_last).count(), 2);
+}
+
+#[test]
+fn whole_view_with_an_item_beyond_any_message_is_not_told() {
+    let change = WireChange::Written {
+        key: "op/config".to_string(),
+        value: vec![0; FRAME_BYTES],
+    };
+    let changes = vec![RevisedChange { revision: 7, change }];
+    assert!(WholePart::parts_of(news(0, changes), true).is_none());
+}
+
+proptest! {
+    /// Parts of a span lead a view where the span does, each change is applied once, and
+    /// only the last part proves that the view is complete.
+    #[test]
+    fn parts_of_a_span_lead_where_the_span_does(steps in prop::collection::vec((0u64..2, 1usize..60_000), 1..40)) {
+        let mut revision = 10;
+        let mut changes = Vec::new();
+        for (index, (gap, size)) in steps.into_iter().enumerate() {
+            revision += gap;
+            let change = WireChange::Written { key: format!("k{index}"), value: vec![0; size] };
+            changes.push(RevisedChange { revision: revision + 1, change });
+        }
+        let whole = news(10, changes.clone());
+        let reached = whole.reached;
+        let parts = whole.into_parts();
+        let mut view = FollowedView::new(FollowConfig { proof_lifetime: Duration::from_secs(1) });
+        view.advance(10);
+        let now = Moment::from_start(Duration::from_secs(3600));
+        let mut applied = Vec::new();
+        let last = parts.len() - 1;
+        for (index, part) in parts.into_iter().enumerate() {
+            let proven_at = now - Duration::from_millis(u64::from(part.proof_age_ms));
+            let span = RelayedSpan { after: part.after, reached: part.reached, proven_at };
+            let applies = matches!(view.judge(span), RelayOutcome::Applied { .. });
+            prop_assert!(applies);
+            applied.extend(part.changes.into_iter().filter(|change| view.is_new(change.revision)));
+            view.advance(part.reached);
+            prop_assert_eq!(view.relay_covers(now), index == last);
+        }
+        prop_assert_eq!(applied, changes);
+        prop_assert_eq!(view.reached(), reached);
+    }
+}
--- a/crates/croftrill-scheduler/src/interest.rs
+++ b/crates/croftrill-scheduler/src/interest.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::catalog::{AdapterName, ModelName, ServiceName};
-use crate::replica::{ReplicaId, ReplicaListing};
+use crate::replica::ReplicaId;
 use crate::replica_table::{Placement, ReplicaEntry, ReplicaTable};
 
 /// Replicas that are told for one interest at most, some 200 bytes each: 13 KB, 5 ms over
@@ -49,6 +49,15 @@
         adapter.is_none() || entry.listing.holdings.serves(model, adapter)
     }
 
+    /// True if a replica serves it, or awaits what it asks for.
+    fn fits(&self, entry: &ReplicaEntry) -> bool {
+        let of_service = entry.listing.service == self.service;
+        of_service
+            && self.model.as_ref().is_none_or(|model| {
+                entry.models().any(|known| known == model) && self.adapter_fits(entry, model)
+            })
+    }
+
     /// True if a replica's new placement serves it.
     fn fits_placement(&self, placement: &Placement) -> bool {
         let Some(model) = &self.model else {
@@ -77,8 +86,8 @@
     Nothing,
     /// The news.
     News,
-    /// Its listing, too, as it does not know the replica yet.
-    NewsAndListing,
+    /// All that is known of it, as the follower does not know the replica yet.
+    Everything,
 }
 
 impl FollowerInterests {
@@ -134,21 +143,22 @@
         gone
     }
 
-    /// A listing came or changed.
-    pub fn hears_listing(&mut self, table: &ReplicaTable, listing: &ReplicaListing) -> MustHear {
-        if self.known.contains(&listing.id) {
+    /// A replica was listed, or its listing changed. What it holds may have been told
+    /// before, so its entry in the table is what counts.
+    pub fn hears_listing(&mut self, table: &ReplicaTable, id: &ReplicaId) -> MustHear {
+        if self.known.contains(id) {
             return MustHear::News;
         }
-        let interest = Interest {
-            service: listing.service.clone(),
-            model: None,
-            adapter: None,
+        let Some(entry) = table.get(id) else {
+            return MustHear::Nothing;
         };
-        if !self.wanted.contains(&interest) || !self.has_room(table, &interest) {
+        let is_wanted = |interest: &&Interest| interest.fits(entry);
+        let has_room = |interest: &Interest| self.has_room(table, interest);
+        if !self.wanted.iter().filter(is_wanted).any(has_room) {
             return MustHear::Nothing;
         }
-        self.known.insert(listing.id.clone());
-        MustHear::News
+        self.known.insert(id.clone());
+        MustHear::Everything
     }
 
     /// What a replica holds changed.
@@ -156,13 +166,17 @@
         if self.known.contains(&placement.replica) {
             return MustHear::News;
         }
+        if table.get(&placement.replica).is_none() {
+            // It is told with its listing.
+            return MustHear::Nothing;
+        }
         let is_wanted = |interest: &&Interest| interest.fits_placement(placement);
         let has_room = |interest: &Interest| self.has_room(table, interest);
         if !self.wanted.iter().filter(is_wanted).any(has_room) {
             return MustHear::Nothing;
         }
         self.known.insert(placement.replica.clone());
-        MustHear::NewsAndListing
+        MustHear::Everything
     }
 
     /// A replica is gone; true if the follower knew it.
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/interest.rs
@@ -0,0 +1,215 @@
+//! What a follower is told by its interests, against what its relay knows.
+
+use std::collections::BTreeMap;
+
+use croftrill_scheduler::interest::{FollowerInterests, Interest, MustHear, MOST_TOLD};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
+use proptest::prelude::*;
+
+const ZONES: [&str; 2] = ["a", "b"];
+
+fn listing(index: usize, is_ready: bool) -> ReplicaListing {
+    ReplicaListing {
+        id: format!("r{index}").into(),
+        service: if index % 5 == 0 { "app" } else { "llm" }.into(),
+        address: "127.0.0.1:1".into(),
+        zone: ZONES[index % 2].into(),
+        slots: 8,
+        state: if is_ready {
+            ReplicaState::Ready
+        } else {
+            ReplicaState::Draining
+        },
+        leaves_in: None,
+        born_ms: None,
+        holdings: Holdings::default(),
+    }
+}
+
+fn placement(index: usize, models: &[usize]) -> Placement {
+    let held = models.iter().map(|model| HeldModel {
+        model: format!("m{model}").into(),
+        adapters: vec![format!("a{model}").into()],
+    });
+    Placement {
+        replica: format!("r{index}").into(),
+        born_ms: None,
+        usable: Holdings {
+            models: held.collect(),
+            ..Holdings::default()
+        },
+        arriving: Vec::new(),
+        tells_copies: false,
+    }
+}
+
+fn interest(number: usize) -> Interest {
+    let model = |model: usize, adapter: Option<usize>| Interest {
+        service: "llm".into(),
+        model: Some(format!("m{model}").into()),
+        adapter: adapter.map(|adapter| format!("a{adapter}").into()),
+    };
+    match number {
+        0 => Interest {
+            service: "app".into(),
+            model: None,
+            adapter: None,
+        },
+        1 => model(1, None),
+        2 => model(2, None),
+        _ => model(1, Some(1)),
+    }
+}
+
+/// What is told of a replica: whether it is ready, and what it holds.
+type Told = (bool, Vec<String>);
+
+fn told(table: &ReplicaTable, id: &str) -> Option<Told> {
+    let entry = table.get(id)?;
+    let held = &entry.listing.holdings.models;
+    Some((
+        entry.is_ready(),
+        held.iter().map(|held| held.model.to_string()).collect(),
+    ))
+}
+
+/// A relay, one follower, and what it was told.
+struct Pair {
+    table: ReplicaTable,
+    relay: FollowerInterests,
+    follower: BTreeMap<ReplicaId, Told>,
+}
+
+impl Pair {
+    fn new() -> Self {
+        Pair {
+            table: ReplicaTable::new(),
+            relay: FollowerInterests::new("n1", "a"),
+            follower: BTreeMap::new(),
+        }
+    }
+
+    fn tell(&mut self, id: &ReplicaId) {
+        if let Some(told) = told(&self.table, id) {
+            self.follower.insert(id.clone(), told);
+        }
+    }
+
+    fn listed(&mut self, listing: ReplicaListing) {
+        let id = listing.id.clone();
+        self.table.apply_relayed_listing(listing);
+        if self.relay.hears_listing(&self.table, &id) != MustHear::Nothing {
+            self.tell(&id);
+        }
+    }
+
+    fn placed(&mut self, placement: Placement) {
+        self.table.apply_placement(placement.clone());
+        if self.relay.hears_placement(&self.table, &placement) != MustHear::Nothing {
+            self.tell(&placement.replica);
+        }
+    }
+
+    fn removed(&mut self, id: &str) {
+        self.table.remove(id);
+        if self.relay.hears_removal(id) {
+            self.follower.remove(id);
+        }
+    }
+
+    fn wants(&mut self, interest: Interest) {
+        for id in self.relay.want(&self.table, interest) {
+            self.tell(&id);
+        }
+    }
+
+    fn forgets(&mut self, interest: Interest) {
+        for id in self.relay.forget(&self.table, &[interest]) {
+            self.follower.remove(&id);
+        }
+    }
+}
+
+#[test]
+fn want_of_a_model_names_the_same_replicas_to_all_followers() {
+    let mut table = ReplicaTable::new();
+    for index in 1..400 {
+        table.apply_listing(listing(index, true));
+        table.apply_placement(placement(index, &[1]));
+    }
+    let chosen = |name: &str, zone: &str| FollowerInterests::new(name, zone).want(&table, interest(1));
+    let (mut first, mut second) = (chosen("n1", "a"), chosen("n2", "b"));
+    first.sort();
+    second.sort();
+    assert_eq!(first.len(), MOST_TOLD);
+    assert_eq!(first, second);
+}
+
+#[test]
+fn want_of_a_plain_service_names_replicas_of_the_zone_first() {
+    let mut table = ReplicaTable::new();
+    for index in 0..1000 {
+        table.apply_listing(listing(index, true));
+    }
+    let chosen = FollowerInterests::new("n1", "b").want(&table, interest(0));
+    let of_zone = |id: &ReplicaId| table.get(id).is_some_and(|entry| &*entry.listing.zone == "b");
+    assert_eq!(chosen.len(), MOST_TOLD);
+    assert!(chosen.iter().all(of_zone));
+}
+
+/// A replica with an adapter may not be among those that all are told of its model.
+#[test]
+fn want_of_an_adapter_names_its_holder_among_hundreds() {
+    let mut table = ReplicaTable::new();
+    for index in 1..1000 {
+        let mut held = placement(index, &[1]);
+        if index != 501 {
+            held.usable.models[0].adapters.clear();
+        }
+        table.apply_listing(listing(index, true));
+        table.apply_placement(held);
+    }
+    let chosen = FollowerInterests::new("n1", "a").want(&table, interest(3));
+    assert_eq!(chosen, vec![ReplicaId::from("r501")]);
+}
+
+proptest! {
+    /// Whatever changes in whatever order, a follower knows of each replica that it knows
+    /// what its relay knows, and knows something that serves each interest if there is.
+    #[test]
+    fn follower_knows_what_the_relay_knows(steps in prop::collection::vec((0u8..8, 0usize..12, prop::collection::vec(1usize..4, 0..3), any::<bool>()), 1..120)) {
+        let mut pair = Pair::new();
+        let mut wanted: Vec<usize> = Vec::new();
+        for (step, index, models, is_ready) in steps {
+            let number = index % 4;
+            match step {
+                0 | 1 => pair.listed(listing(index, is_ready)),
+                2 | 3 => pair.placed(placement(index, &models)),
+                4 => pair.removed(&format!("r{index}")),
+                5 | 6 => {
+                    pair.wants(interest(number));
+                    wanted.push(number);
+                }
+                _ => {
+                    pair.forgets(interest(number));
+                    wanted.retain(|other| *other != number);
+                }
+            }
+            for (id, known) in &pair.follower {
+                prop_assert_eq!(Some(known.clone()), told(&pair.table, id));
+            }
+            for model in [1usize, 2] {
+                let name = format!("m{model}");
+                let holders = |entry: &&croftrill_scheduler::replica_table::ReplicaEntry| {
+                    &*entry.listing.service == "llm" && entry.listing.holdings.serves(&name, None)
+                };
+                if wanted.contains(&model) {
+                    let there = pair.table.iter().filter(holders).count();
+                    let known = pair.follower.values().filter(|told| told.1.contains(&name)).count();
+                    prop_assert!(known >= there, "{known} of {there} holders of {name}");
+                }
+            }
+        }
+    }
+}
