--- /dev/null
+++ b/crates/croftrill-bench/src/fleet.rs
@@ -0,0 +1,258 @@
+//! What each role of a fleet knows and is sent, worked out from the code's own tables,
+//! tree and messages.
+
+use std::collections::HashMap;
+
+use croftrill_node::membership::MemberEntry;
+use croftrill_node::peer::{
+    DirectoryNews, FromOrderer, RevisedChange, WholePart, WireChange, WireListing, WirePlacement,
+};
+use croftrill_scheduler::interest::{FollowerInterests, Interest};
+use croftrill_scheduler::relay_tree::{place, TreeNode, TreePlace};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
+use nanoserde::SerBin;
+
+use crate::emulator::at;
+
+/// Zones of the fleet.
+const ZONES: usize = 6;
+/// Nodes for each one with several times the processor time of the others.
+const NODES_PER_STRONG: usize = 16;
+/// Models of the fleet.
+const MODELS: usize = 300;
+/// Models that a replica holds.
+const HELD: usize = 2;
+/// Models that the requests of one node ask for.
+const ASKED: usize = 8;
+/// Bytes of a configuration with these models and some hundred routes.
+const CONFIGURATION_BYTES: usize = 80 * 1024;
+/// Bytes that an entry of a replica takes in an answer of the store: its JSON in base64,
+/// and the item around it.
+const STORED_REPLICA_BYTES: usize = 560;
+/// The same of a node's entry.
+const STORED_NODE_BYTES: usize = 260;
+/// Nodes that give orders.
+const ORDERERS: usize = 3;
+
+/// A fleet's size.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSize {
+    /// Nodes.
+    pub nodes: usize,
+    /// Replicas of a service with models.
+    pub replicas: usize,
+}
+
+/// What a fleet costs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetCost {
+    /// Relays.
+    pub relays: usize,
+    /// Most followers of one of them.
+    pub most_followers: usize,
+    /// Links from others to one orderer.
+    pub orderer_links: usize,
+    /// Replicas that a relay or an orderer knows.
+    pub relay_replicas: usize,
+    /// Replicas that a follower knows.
+    pub follower_replicas: usize,
+    /// Bytes that a follower gets before it can serve.
+    pub follower_start_bytes: usize,
+    /// Bytes that it gets for one more model.
+    pub interest_bytes: usize,
+    /// Bytes of the longest message of a view that is told whole.
+    pub longest_message_bytes: usize,
+    /// Bytes of all that a relay is told whole: listings and placements.
+    pub relay_view_bytes: usize,
+    /// Bytes that the store sends as all nodes start together.
+    pub store_start_bytes: usize,
+    /// Bytes that all nodes together are sent for a change of one replica that every
+    /// tenth follower knows.
+    pub replica_change_bytes: usize,
+    /// Bytes that all nodes together are sent for a change of one node.
+    pub node_change_bytes: usize,
+}
+
+/// Works out a fleet.
+pub fn work_out(size: FleetSize) -> FleetCost {
+    let members: Vec<MemberEntry> = (0..size.nodes).map(member).collect();
+    let places: Vec<TreePlace<'_>> = members.iter().map(|own| place_of(own, &members)).collect();
+    let relays = places.iter().filter(|place| **place == TreePlace::Relay).count();
+    let table = table(size.replicas);
+    let mut follower = FollowerInterests::new("n0", "zone-0");
+    let first = follower.want(&table, interest(0));
+    let interest_bytes = replicas_bytes(&table, &first);
+    let asked = (1..ASKED).flat_map(|model| follower.want(&table, interest(model)));
+    let follower_replicas = first.len() + asked.count();
+    let own_items = items_bytes(&members);
+    let whole = whole_parts(&members, &table);
+    let placements = FromOrderer::encode_placements(&table.placements(), at(0));
+    let placements: Vec<usize> = placements.iter().map(|message| message.len()).collect();
+    let longest = whole.iter().chain(&placements).max().copied();
+    let everything =
+        size.replicas * STORED_REPLICA_BYTES + size.nodes * STORED_NODE_BYTES + CONFIGURATION_BYTES;
+    let zone_list = size.nodes.div_ceil(ZONES) * STORED_NODE_BYTES;
+    let change = one_change_bytes(&table);
+    let followers = size.nodes - relays;
+    FleetCost {
+        relays,
+        most_followers: most_followers(&places),
+        orderer_links: relays + ORDERERS - 1,
+        relay_replicas: table.len(),
+        follower_replicas,
+        follower_start_bytes: CONFIGURATION_BYTES + own_items,
+        interest_bytes,
+        longest_message_bytes: longest.unwrap_or_default(),
+        relay_view_bytes: whole.iter().chain(&placements).sum(),
+        store_start_bytes: size.nodes * zone_list + (relays + ORDERERS) * everything,
+        replica_change_bytes: change * (relays * ORDERERS + followers / 10),
+        node_change_bytes: (own_items / size.nodes) * (relays * ORDERERS + followers),
+    }
+}
+
+fn member(index: usize) -> MemberEntry {
+    let is_strong = (index / ZONES) % NODES_PER_STRONG == 0;
+    MemberEntry {
+        name: format!("edge-zone-{}-{index}", index % ZONES),
+        zone: format!("zone-{}", index % ZONES),
+        front: format!("10.{}.{}.1:8149", index / 250, index % 250),
+        peer: format!("10.{}.{}.1:7380", index / 250, index % 250),
+        processor_millicores: if is_strong { 500 } else { 120 },
+        incarnation: 1_790_000_000_000_000_000,
+    }
+}
+
+fn place_of<'a>(own: &'a MemberEntry, members: &'a [MemberEntry]) -> TreePlace<'a> {
+    let node = |member: &'a MemberEntry| TreeNode {
+        name: &member.name,
+        zone: &member.zone,
+        processor_millicores: member.processor_millicores,
+        is_orderer: false,
+    };
+    place(node(own), members.iter().map(node))
+}
+
+/// Most nodes whose first choice is the same relay.
+fn most_followers(places: &[TreePlace<'_>]) -> usize {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for place in places {
+        if let TreePlace::Below(relays) = place {
+            *counts.entry(relays[0]).or_insert(0) += 1;
+        }
+    }
+    counts.into_values().max().unwrap_or(0)
+}
+
+fn table(replicas: usize) -> ReplicaTable {
+    let mut table = ReplicaTable::new();
+    for index in 0..replicas {
+        table.apply_listing(listing(index));
+        table.apply_placement(placement(index));
+    }
+    table
+}
+
+fn listing(index: usize) -> ReplicaListing {
+    ReplicaListing {
+        id: format!("i-{index:010x}").into(),
+        service: "llm".into(),
+        address: format!("10.128.{}.{}:8080", index / 250, index % 250).into(),
+        zone: format!("zone-{}", index % ZONES).into(),
+        slots: 64,
+        state: ReplicaState::Ready,
+        leaves_in: None,
+        born_ms: Some(1_790_000_000_000),
+        holdings: Holdings::default(),
+    }
+}
+
+fn placement(index: usize) -> Placement {
+    let held = (0..HELD).map(|place| HeldModel {
+        model: model(index * HELD + place).into(),
+        adapters: Vec::new(),
+    });
+    Placement {
+        replica: format!("i-{index:010x}").into(),
+        born_ms: Some(1_790_000_000_000),
+        usable: Holdings {
+            sequence: 2,
+            models: held.collect(),
+            copies: Default::default(),
+        },
+        arriving: Vec::new(),
+        tells_copies: false,
+    }
+}
+
+fn model(index: usize) -> String {
+    format!("model{:05x}", index % MODELS)
+}
+
+fn interest(index: usize) -> Interest {
+    Interest {
+        service: "llm".into(),
+        model: Some(model(index).into()),
+        adapter: None,
+    }
+}
+
+/// Bytes of replicas with what they hold.
+fn replicas_bytes(table: &ReplicaTable, ids: &[ReplicaId]) -> usize {
+    let entries = ids.iter().filter_map(|id| table.get(id));
+    let bytes = entries.map(|entry| {
+        let listing = WireListing::from_listing(&entry.listing).serialize_bin().len();
+        listing
+            + WirePlacement::from_placement(&entry.placement(), at(0))
+                .serialize_bin()
+                .len()
+    });
+    bytes.sum()
+}
+
+/// Bytes of all nodes' entries as news.
+fn items_bytes(members: &[MemberEntry]) -> usize {
+    let items = members.iter().map(|member| RevisedChange {
+        revision: 1,
+        change: WireChange::Written {
+            key: format!("croftrill/nodes/{}/{}", member.zone, member.name),
+            value: member.serialize_bin(),
+        },
+    });
+    items.map(|item| item.serialize_bin().len()).sum()
+}
+
+/// Bytes of the messages of a view that is told whole.
+fn whole_parts(members: &[MemberEntry], table: &ReplicaTable) -> Vec<usize> {
+    let nodes = members.iter().map(|member| WireChange::Written {
+        key: format!("croftrill/nodes/{}/{}", member.zone, member.name),
+        value: member.serialize_bin(),
+    });
+    let replicas = table
+        .iter()
+        .map(|entry| WireChange::Replica(WireListing::from_listing(&entry.listing)));
+    let changes = nodes
+        .chain(replicas)
+        .map(|change| RevisedChange { revision: 1, change });
+    let whole = DirectoryNews {
+        after: 0,
+        reached: 1,
+        proof_age_ms: 0,
+        sent_at_ms: 0,
+        changes: changes.collect(),
+    };
+    let parts = WholePart::parts_of(whole, true).unwrap_or_default();
+    parts
+        .into_iter()
+        .map(|part| FromOrderer::Whole(part).encode().len())
+        .collect()
+}
+
+fn one_change_bytes(table: &ReplicaTable) -> usize {
+    let first = table.iter().next().map(|entry| entry.placement());
+    let placements: Vec<Placement> = first.into_iter().collect();
+    FromOrderer::encode_placements(&placements, at(0))
+        .iter()
+        .map(|message| message.len())
+        .sum()
+}
--- a/crates/croftrill-bench/src/lib.rs
+++ b/crates/croftrill-bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod capacity;
 pub mod emulator;
 pub mod experiment;
+pub mod fleet;
--- a/crates/croftrill-bench/src/main.rs
+++ b/crates/croftrill-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use croftrill_bench::capacity::{measure, measure_crash_reports, REPORTED, SIZES};
 use croftrill_bench::experiment::{play, policies, Load};
+use croftrill_bench::fleet::{work_out, FleetSize};
 use lexopt::prelude::*;
 
 const HELP: &str = "\
@@ -10,16 +11,19 @@
 Usage: croftrill-bench experiment [--models N] [--replicas N] [--rare PER_S]
                                   [--busy PER_S] [--seconds N] [--seeds N]
        croftrill-bench capacity
+       croftrill-bench fleet [--nodes N] [--replicas N]
 ";
 
 fn main() -> anyhow::Result<()> {
     let mut load = Load::default();
     let mut seeds = 5;
+    let mut nodes = 985;
     let mut command = String::new();
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Value(word) if command.is_empty() => command = word.string()?,
+            Long("nodes") => nodes = parser.value()?.parse()?,
             Long("models") => load.models = parser.value()?.parse()?,
             Long("replicas") => load.replicas = parser.value()?.parse()?,
             Long("rare") => load.rare_per_second = parser.value()?.parse()?,
@@ -36,6 +40,10 @@
     match command.as_str() {
         "experiment" => experiment(&load, seeds),
         "capacity" => capacity(),
+        "fleet" => fleet(FleetSize {
+            nodes,
+            replicas: load.replicas,
+        }),
         _ => print!("{HELP}"),
     }
     Ok(())
@@ -63,6 +71,37 @@
     }
 }
 
+fn fleet(size: FleetSize) {
+    let cost = work_out(size);
+    println!("{} nodes before {} replicas", size.nodes, size.replicas);
+    let rows = [
+        ("relays", cost.relays),
+        ("followers of one relay, most", cost.most_followers),
+        ("links from others to one orderer", cost.orderer_links),
+        ("replicas that a relay or an orderer knows", cost.relay_replicas),
+        ("replicas that a follower knows", cost.follower_replicas),
+        (
+            "bytes that a follower gets before it serves",
+            cost.follower_start_bytes,
+        ),
+        ("bytes that it gets for one more model", cost.interest_bytes),
+        (
+            "bytes of a view that a relay is told whole",
+            cost.relay_view_bytes,
+        ),
+        ("bytes of the longest message of it", cost.longest_message_bytes),
+        ("bytes from the store as all start", cost.store_start_bytes),
+        (
+            "bytes to all nodes for a replica's change",
+            cost.replica_change_bytes,
+        ),
+        ("bytes to all nodes for a node's change", cost.node_change_bytes),
+    ];
+    for (what, value) in rows {
+        println!("{value:>13}  {what}");
+    }
+}
+
 fn capacity() {
     println!(
         "{:>8} {:>7} {:>13} {:>13} {:>14} {:>12}",
--- a/crates/croftrill-bench/tests/fleet.rs
+++ b/crates/croftrill-bench/tests/fleet.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use croftrill_bench::emulator::*;
+use croftrill_bench::fleet::{work_out, FleetSize};
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::orderer::OrdererAction;
 use croftrill_scheduler::replica::Order;
@@ -69,3 +70,21 @@
         |(_, _, order): &(_, _, Order)| matches!(order, Order::LoadModel(model) if &**model == "m7");
     assert!(world.orders.iter().any(is_load), "orders: {:?}", world.orders);
 }
+
+/// What a follower knows and is sent follows what its requests ask for; twice the fleet
+/// must not be twice of it.
+#[test]
+fn work_out_of_twice_the_fleet_leaves_a_follower_as_it_was() {
+    let size = |nodes, replicas| work_out(FleetSize { nodes, replicas });
+    let (fleet, twice) = (size(1000, 10_000), size(2000, 20_000));
+    assert_eq!(fleet.follower_replicas, twice.follower_replicas);
+    assert_eq!(fleet.interest_bytes, twice.interest_bytes);
+    assert!(twice.most_followers <= fleet.most_followers * 3 / 2);
+    assert!(twice.longest_message_bytes < 256 * 1024, "a quarter of a frame");
+    // The list of nodes is what still grows with the fleet.
+    assert!(twice.follower_start_bytes < 512 * 1024, "{twice:?}");
+    assert!(
+        twice.store_start_bytes < 16 * 125_000_000,
+        "16 s of a link of 1,000 Mbit/s"
+    );
+}
--- a/crates/croftrill-node/tests/news_parts.rs
+++ b/crates/croftrill-node/tests/news_parts.rs
@@ -44,9 +44,14 @@
     let parts = WholePart::parts_of(news(0, changes.collect()), true).expect("each item fits");
     let total: usize = parts.iter().map(|part| part.news.changes.len()).sum();
     assert_eq!(total, 20_000);
-    assert!(parts.iter().all(|part| part.serialize_bin().len() < FRAME_BYTES / 4));
+    assert!(parts
+        .iter()
+        .all(|part| part.serialize_bin().len() < FRAME_BYTES / 4));
     assert!(parts[0].is_first && parts.last().is_some_and(|last| last.is_last));
-    assert_eq!(parts.iter().filter(|part| part.is_first || part.is_last).count(), 2);
+    assert_eq!(
+        parts.iter().filter(|part| part.is_first || part.is_last).count(),
+        2
+    );
 }
 
 #[test]
--- a/crates/croftrill-scheduler/src/orderer/store_loads.rs
+++ b/crates/croftrill-scheduler/src/orderer/store_loads.rs
@@ -105,7 +105,7 @@
 
     fn running_store_loads(&self, service: &ServiceName) -> usize {
         let of_service = |id: &&ReplicaId| {
-            let replica = self.replicas.get(*id);
+            let replica = self.replicas.get(id);
             replica.is_some_and(|replica| replica.service == *service)
         };
         self.store_loads.keys().filter(of_service).count()
