Requests between a replica's listing and the word on what it holds wait for the word

Found while a test that failed once was traced (crashing_requests, send_of_a_request_that_ was_answered...: 503 instead of a broken answer). The fault in the product: listings and placements come over different links; a request between them was refused as if nobody held its model. It now waits as for an adapter while a listed replica's orderer is linked and has not told of it. What a new incarnation holds is no longer taken from the former one where its listing is relayed.

--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome, RelayedSpan};
-use croftrill_scheduler::replica::ReplicaListing;
+use croftrill_scheduler::replica::{Incarnation, ReplicaListing};
+use croftrill_scheduler::replica_table::ReplicaEntry;
 use croftrill_scheduler::time::Moment;
 use tokio::time::sleep;
 
@@ -150,7 +151,10 @@
     match revised.change {
         WireChange::Replica(listing) => {
             let state = node.state.borrow();
-            let known = state.replicas.get(&listing.id);
+            let is_same = |known: &&ReplicaEntry| {
+                Incarnation::of(listing.born_ms, known.listing.born_ms) == Incarnation::Same
+            };
+            let known = state.replicas.get(&listing.id).filter(is_same);
             let holdings = known.map(|entry| entry.listing.holdings.clone());
             let listing = listing.into_listing(holdings.unwrap_or_default());
             ViewChange::Replica { listing, revision }
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -20,6 +20,9 @@
 const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
 /// Expected time until an adapter is there once it was asked for.
 const ADAPTER_READY_IN: Duration = Duration::from_millis(120);
+/// Expected time until an orderer's word on a replica that was just listed: it comes over
+/// another link than the listing, within milliseconds; the same as an adapter.
+const WORD_IN: Duration = ADAPTER_READY_IN;
 /// Expected time from the first mention of a model to its order.
 const ORDER_DELAY: Duration = Duration::from_millis(350);
 /// Expected time until a model is there while no node gives orders.
@@ -190,6 +193,12 @@
         if let Some(ready_at) = state.replicas.arrival(&self.service, &key.model) {
             return Some(ready_at.since(now).max(Duration::from_millis(20)));
         }
+        if state
+            .replicas
+            .awaits_word(&self.service, |shard| state.linked[shard.index()])
+        {
+            return Some(WORD_IN);
+        }
         if !state.linked.contains(&true) {
             return Some(NO_ORDERER_READY_IN);
         }
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -76,6 +76,8 @@
     services: HashMap<ServiceName, ServiceIndex>,
     /// Replicas of which outcomes of sends are known.
     judged: BTreeSet<ReplicaId>,
+    /// Replicas that were listed before their orderer's word came.
+    awaiting_word: BTreeSet<ReplicaId>,
     unlisted: UnlistedPlacements,
     changes: ChangeLog,
     /// Least times to load a model, from whoever knows all replicas.
@@ -119,12 +121,27 @@
     /// holds: what its orderer told while it was not listed holds on.
     pub fn apply_relayed_listing(&mut self, listing: ReplicaListing) {
         let told = self.unlisted.take(&listing.id);
+        let id = listing.id.clone();
+        let known = self.replicas.get(&id);
+        let is_new = known.is_none_or(|known| {
+            Incarnation::of(listing.born_ms, known.listing.born_ms) == Incarnation::Later
+        });
         self.apply_listing(listing);
         if let Some(told) = told {
             self.apply_placement(told);
+        } else if is_new {
+            self.awaiting_word.insert(id);
         }
     }
 
+    /// True if a ready replica of the service was just listed, and the orderer of its
+    /// shard, which is linked, has not told yet what it holds.
+    pub fn awaits_word(&self, service: &str, is_linked: impl Fn(Shard) -> bool) -> bool {
+        let awaiting = self.awaiting_word.iter().filter_map(|id| self.replicas.get(id));
+        let mut awaiting = awaiting.filter(|entry| &*entry.listing.service == service && entry.is_ready());
+        awaiting.any(|entry| is_linked(Shard::of_replica(&entry.listing.id)))
+    }
+
     /// The one way in which an entry comes into the table or changes what is indexed.
     fn put(&mut self, entry: ReplicaEntry) {
         let id = entry.listing.id.clone();
@@ -152,6 +169,7 @@
             return;
         };
         self.judged.remove(id);
+        self.awaiting_word.remove(id);
         self.changes.note(&entry.listing.id, self.replicas.len());
         if entry.from_orderer {
             self.unlisted.keep(entry.placement());
@@ -189,6 +207,7 @@
         }
         let mut entry = known.clone();
         entry.from_orderer = true;
+        self.awaiting_word.remove(&placement.replica);
         entry.absent.clear();
         let former = std::mem::replace(&mut entry.listing.holdings, placement.usable);
         if !placement.tells_copies {
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -293,3 +293,18 @@
         }
     }
 }
+
+#[test]
+fn awaits_word_of_a_replica_listed_without_what_it_holds() {
+    let mut table = ReplicaTable::new();
+    table.apply_relayed_listing(born("r1", 1000));
+    assert!(table.awaits_word("llm", |_| true));
+    assert!(!table.awaits_word("llm", |_| false), "its orderer is away");
+    table.apply_placement(Placement {
+        born_ms: Some(1000),
+        ..told("r1", "m1")
+    });
+    assert!(!table.awaits_word("llm", |_| true));
+    table.apply_relayed_listing(born("r1", 2000));
+    assert!(table.awaits_word("llm", |_| true), "it started again");
+}
