Directory: looks for peers read the configuration first, then the zone, then the orderers

Change: a node without a configuration reads just that; later the zone's nodes, and the orderers where there are no relays.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -18,7 +18,7 @@
 use self::backoff::Backoff;
 use self::view::ViewChange;
 use crate::connection::Arrival;
-use crate::membership::zone_prefix;
+use crate::membership::{zone_prefix, ORDERER_PREFIX};
 use crate::node::Node;
 use crate::ports::{Changes, Freshness, KeyValueStore, Platform, RecordReader, StoreError, WatchCall};
 use crate::tree;
@@ -270,19 +270,26 @@
     }
 }
 
-/// Cheap reads of what a node needs to find its relays, the nodes of its zone, and of the
-/// configuration if it has none: without one it is not listed itself, and nobody can
-/// follow it. In a large fleet relays tell that, unless they are late. Nothing is read
-/// while a peer is heard.
+/// Cheap reads of what a node needs to find whom to hear: the configuration if it has
+/// none, as nobody is listed without one; then the nodes of its zone, and in a fleet
+/// without relays the orderers. In a large fleet relays tell the configuration, unless
+/// they are late. Nothing is read while a peer is heard.
 async fn look_for_peers<P: Platform>(node: &Node<P>, relays_are_late: bool) {
     let has_configuration = node.configuration().is_some();
     if has_configuration && node.state.borrow().linked.contains(&true) {
         return;
     }
-    look_at(node, &zone_prefix(&node.settings.identity.zone)).await;
-    if !has_configuration && (relays_are_late || !tree::is_below_relays(node)) {
+    let is_below = tree::is_below_relays(node);
+    if !has_configuration && (relays_are_late || !is_below) {
         look_at(node, node.platform.records().configuration_key()).await;
     }
+    if node.configuration().is_none() && !is_below {
+        return;
+    }
+    look_at(node, &zone_prefix(&node.settings.identity.zone)).await;
+    if !tree::is_below_relays(node) {
+        look_at(node, ORDERER_PREFIX).await;
+    }
 }
 
 /// Takes in what a cheap read of a prefix finds.
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -20,8 +20,6 @@
 use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
 use crate::quota::Fleet;
 
-/// Prefix of all keys of the nodes' own.
-pub const OWN_PREFIX: &str = "croftrill/";
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
 /// Prefix of the entries of a zone's nodes: all that a node of a large fleet must read
@@ -31,7 +29,7 @@
 }
 
 /// Prefix of the keys about the orderers.
-const ORDERER_PREFIX: &str = "croftrill/orderer/";
+pub const ORDERER_PREFIX: &str = "croftrill/orderer/";
 
 /// What a key about an orderer holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -29,10 +29,10 @@
 /// Longest time at a relay that hears neither orderers nor the store: about the
 /// time for which its news are believed.
 const LONGEST_USELESS: Duration = Duration::from_millis(1300);
-/// Longest time at a relay that has no view to pass on yet: some times what a relay needs
+/// Longest time at a relay that has no view to pass on yet: twice what a relay needs
 /// to read one of ten thousand replicas as many others do (5 MB each, 45 of them over
 /// 1,000 Mbit/s: 1.8 s).
-const LONGEST_PREPARING: Duration = Duration::from_secs(8);
+const LONGEST_PREPARING: Duration = Duration::from_secs(4);
 /// Time between two looks at what requests do not ask for any more.
 const EXPIRE_EVERY: Duration = Duration::from_secs(10);
 
