--- a/crates/croftrill-node/tests/news_parts.rs
+++ b/crates/croftrill-node/tests/news_parts.rs
@@ -57,7 +57,7 @@
 #[test]
 fn whole_view_with_an_item_beyond_any_message_is_not_told() {
     let change = WireChange::Written {
-        key: "op/config".to_string(),
+        key: "configuration".to_string(),
         value: vec![0; FRAME_BYTES],
     };
     let changes = vec![RevisedChange { revision: 7, change }];
