Large fleets: nodes that wait for their relays leave the store to these

Followers found their relays within 0.2 s and waited at them; while they waited each read the list of its zone every 0.4 s, 106 MB a second, 85 % of the store's link, and the relays' reads of 5 MB each did not end. Ruled out: relays that serve nobody until they have a view (followers would ask others). Change: a node that has a link to a relay reads nothing; one below relays without a link looks every 2 s.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -40,6 +40,10 @@
 const LOOK_LIMIT: Duration = Duration::from_millis(900);
 /// Time between two cheap reads while a node waits for a relay, on average.
 const LOOK_EVERY: Duration = Duration::from_millis(400);
+/// The same in a large fleet, where a node knows its relays from its first look. All
+/// nodes of a thousand that look every 0.4 s take 85 % of the store's link, which the
+/// relays need to read what they are waited for.
+const LARGE_FLEET_LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Time between two looks at whether a waiting watch has been overtaken.
 const AUDIT_EVERY: Duration = Duration::from_millis(700);
 /// Bytes of history that a node takes in any case: 0.1 s over 10 Mbit/s.
@@ -58,7 +62,7 @@
 /// the store's link for 40 s; 45 relays have it after two.
 const LARGE_FLEET_PATIENCE: Duration = Duration::from_secs(5);
 /// Time for which a node of a large fleet leaves the configuration to its relays.
-const LATE_CONFIGURATION: Duration = Duration::from_millis(1000);
+const LATE_CONFIGURATION: Duration = Duration::from_millis(4000);
 /// Time that a watch has to answer after the store moved on.
 const AUDIT_SLACK: Duration = Duration::from_millis(300);
 
@@ -93,7 +97,7 @@
     let share = rand::rng().random_range(1.0..2.0);
     let until = node.clock.now() + LARGE_FLEET_PATIENCE.mul_f64(share);
     while tree::is_below_relays(node) && !relay::covers(node) && node.clock.now() < until {
-        await_relay(node, LOOK_EVERY).await;
+        await_relay(node, LARGE_FLEET_LOOK_EVERY).await;
     }
     relay::covers(node)
 }
@@ -251,7 +255,7 @@
 async fn await_relay<P: Platform>(node: &Node<P>, patience: Duration) {
     let begun = node.clock.now();
     let until = begun + patience;
-    let mut next_look = begun;
+    let mut next_look = begun + look_pause(node);
     loop {
         let now = node.clock.now();
         let must_ask = is_depended_on(node) || tree::is_history_gone(node) || tree::lacks_replicas(node);
@@ -260,7 +264,10 @@
         }
         if now >= next_look {
             look_for_peers(node, now.since(begun) >= LATE_CONFIGURATION).await;
-            next_look = node.clock.now() + LOOK_EVERY.mul_f64(rand::rng().random_range(0.75..1.25));
+            next_look = node.clock.now()
+                + LOOK_EVERY
+                    .max(look_pause(node))
+                    .mul_f64(rand::rng().random_range(0.75..1.25));
         }
         let pause = next_look.min(until).since(node.clock.now());
         tokio::select! {
@@ -270,6 +277,15 @@
     }
 }
 
+/// Pause before a waiting node looks for peers: none in a small fleet.
+fn look_pause<P: Platform>(node: &Node<P>) -> Duration {
+    if tree::is_below_relays(node) {
+        LARGE_FLEET_LOOK_EVERY
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Cheap reads of what a node needs to find whom to hear: the configuration if it has
 /// none, as nobody is listed without one; then the nodes of its zone, and in a fleet
 /// without relays the orderers. In a large fleet relays tell the configuration, unless
@@ -280,6 +296,10 @@
         return;
     }
     let is_below = tree::is_below_relays(node);
+    if is_below && tree::follows_relay(node) && !relays_are_late {
+        // It tells all of that as soon as it can.
+        return;
+    }
     if !has_configuration && (relays_are_late || !is_below) {
         look_at(node, node.platform.records().configuration_key()).await;
     }
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -175,6 +175,11 @@
     relay_tree::place(own, others)
 }
 
+/// True while this node has a link to a relay.
+pub(crate) fn follows_relay<P: Platform>(node: &Node<P>) -> bool {
+    matches!(node.state.borrow().tree.uplink, Uplink::Relay(_))
+}
+
 /// True while this node knows only some replicas, and can learn of the others from
 /// nobody but the store.
 pub(crate) fn lacks_replicas<P: Platform>(node: &Node<P>) -> bool {
@@ -218,14 +223,13 @@
         .iter()
         .map(|interest| tree.wants.used(interest, now))
         .collect();
-    let follows = matches!(tree.uplink, Uplink::Relay(_));
     drop(state);
     let asked = interests.iter().zip(&states);
     let asked = asked.filter(|(_, state)| **state == WantState::ToBeAsked);
     let asked: Vec<WireModel> = asked
         .map(|(interest, _)| WireModel::from_interest(interest))
         .collect();
-    if !asked.is_empty() && follows {
+    if !asked.is_empty() && follows_relay(node) {
         node.tell_orderers(&ToOrderer::Want(asked));
     }
     states.iter().all(|state| *state == WantState::Answered)
