Directory: a node that can wait for no relay asks the store at once

Cause: found by reading the change: while the history was gone, or others depended on a node that its list puts below relays, the wait for a relay returned at once and was begun again, without a pause, for 5 to 10 s of a single thread. Change: one predicate says when no relay can be waited for, and ends both loops.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -88,7 +88,7 @@
 
 /// In a large fleet waits for a relay to tell all that it knows; true once one did.
 async fn hears_view_from_relay<P: Platform>(node: &Node<P>) -> bool {
-    if is_depended_on(node) {
+    if must_ask_store(node) {
         return false;
     }
     if !tree::is_below_relays(node) {
@@ -96,12 +96,19 @@
     }
     let share = rand::rng().random_range(1.0..2.0);
     let until = node.clock.now() + LARGE_FLEET_PATIENCE.mul_f64(share);
-    while tree::is_below_relays(node) && !relay::covers(node) && node.clock.now() < until {
+    let may_wait = || tree::is_below_relays(node) && !must_ask_store(node) && node.clock.now() < until;
+    while !relay::covers(node) && may_wait() {
         await_relay(node, LARGE_FLEET_LOOK_EVERY).await;
     }
     relay::covers(node)
 }
 
+/// True if no relay can be waited for: others depend on this node, or no relay can tell
+/// what it lacks.
+fn must_ask_store<P: Platform>(node: &Node<P>) -> bool {
+    is_depended_on(node) || tree::is_history_gone(node) || tree::lacks_replicas(node)
+}
+
 /// Reads all items of the store, until that succeeds.
 async fn read_everything<P: Platform>(node: &Node<P>, backoff: &mut Backoff, freshness: Freshness) {
     loop {
@@ -258,8 +265,7 @@
     let mut next_look = begun + look_pause(node);
     loop {
         let now = node.clock.now();
-        let must_ask = is_depended_on(node) || tree::is_history_gone(node) || tree::lacks_replicas(node);
-        if relay::covers(node) || must_ask || now >= until {
+        if relay::covers(node) || must_ask_store(node) || now >= until {
             return;
         }
         if now >= next_look {
