--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -21,7 +21,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::relay_log::{keep_last_writes, RelayLog, Revised};
 use croftrill_scheduler::relay_tree::{self, TreeNode, TreePlace};
 use croftrill_scheduler::shard::SHARD_COUNT;
@@ -31,10 +30,11 @@
 pub use self::follow::follow_relays;
 pub use self::follower::FollowerNews;
 pub(crate) use self::serve::serve_follower;
-use self::wants::{WantState, Wants};
+pub(crate) use self::wants::know;
+use self::wants::Wants;
 use crate::node::Node;
 use crate::peer::{
-    DirectoryNews, FromOrderer, RevisedChange, ToOrderer, WholePart, WireChange, WireModel, WirePlacement,
+    DirectoryNews, FromOrderer, RevisedChange, WholePart, WireChange, WireModel, WirePlacement,
 };
 use crate::ports::{Platform, RecordReader};
 
@@ -64,10 +64,6 @@
     Nobody,
 }
 
-/// Longest wait of a request for what its relay tells of the replicas that it asks for:
-/// a hundred times the usual one, within a zone.
-const LONGEST_WANT: Duration = Duration::from_millis(250);
-
 /// What a node keeps as a part of the tree.
 #[derive(Debug)]
 pub struct TreeState {
@@ -194,47 +190,6 @@
     state.replicas.forget_told_reloads();
 }
 
-/// A request asks for this: where this node knows only some replicas, it waits until
-/// those are known that serve it.
-pub(crate) async fn know<P: Platform>(node: &Node<P>, interests: &[Interest]) {
-    let until = node.clock.now() + LONGEST_WANT;
-    let wait = async {
-        loop {
-            let changed = node.view_changed.notified();
-            if is_known(node, interests) {
-                return;
-            }
-            changed.await;
-        }
-    };
-    // The relay may be away; what is known already serves meanwhile.
-    let _ = node.clock.timeout_at(until, wait).await;
-}
-
-/// True if nothing is to be waited for; asks the relay where that is due.
-fn is_known<P: Platform>(node: &Node<P>, interests: &[Interest]) -> bool {
-    let now = node.clock.now();
-    let mut state = node.state.borrow_mut();
-    let tree = &mut state.tree;
-    if !tree.is_narrow {
-        return true;
-    }
-    let states: Vec<WantState> = interests
-        .iter()
-        .map(|interest| tree.wants.used(interest, now))
-        .collect();
-    drop(state);
-    let asked = interests.iter().zip(&states);
-    let asked = asked.filter(|(_, state)| **state == WantState::ToBeAsked);
-    let asked: Vec<WireModel> = asked
-        .map(|(interest, _)| WireModel::from_interest(interest))
-        .collect();
-    if !asked.is_empty() && follows_relay(node) {
-        node.tell_orderers(&ToOrderer::Want(asked));
-    }
-    states.iter().all(|state| *state == WantState::Answered)
-}
-
 /// News for this node's followers.
 fn pass_on_to_followers<P: Platform>(node: &Node<P>, news: impl FnOnce() -> FollowerNews) {
     if node.followers.receiver_count() > 0 {
--- a/crates/croftrill-node/src/tree/wants.rs
+++ b/crates/croftrill-node/src/tree/wants.rs
@@ -6,6 +6,15 @@
 use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::time::Moment;
 
+use super::follows_relay;
+use crate::node::Node;
+use crate::peer::{ToOrderer, WireModel};
+use crate::ports::Platform;
+
+/// Longest wait of a request for what its relay tells of the replicas that it asks for:
+/// a hundred times the usual one, within a zone.
+const LONGEST_WANT: Duration = Duration::from_millis(250);
+
 /// Time without a request after which an interest is given up: a few times what callers
 /// wait between two requests for one model, so that news of a model that is still in use
 /// need not be fetched anew, a round trip of about a millisecond in a zone.
@@ -80,3 +89,44 @@
         over
     }
 }
+
+/// A request asks for this: where this node knows only some replicas, it waits until
+/// those are known that serve it.
+pub(crate) async fn know<P: Platform>(node: &Node<P>, interests: &[Interest]) {
+    let until = node.clock.now() + LONGEST_WANT;
+    let wait = async {
+        loop {
+            let changed = node.view_changed.notified();
+            if is_known(node, interests) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // The relay may be away; what is known already serves meanwhile.
+    let _ = node.clock.timeout_at(until, wait).await;
+}
+
+/// True if nothing is to be waited for; asks the relay where that is due.
+fn is_known<P: Platform>(node: &Node<P>, interests: &[Interest]) -> bool {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let tree = &mut state.tree;
+    if !tree.is_narrow {
+        return true;
+    }
+    let states: Vec<WantState> = interests
+        .iter()
+        .map(|interest| tree.wants.used(interest, now))
+        .collect();
+    drop(state);
+    let asked = interests.iter().zip(&states);
+    let asked = asked.filter(|(_, state)| **state == WantState::ToBeAsked);
+    let asked: Vec<WireModel> = asked
+        .map(|(interest, _)| WireModel::from_interest(interest))
+        .collect();
+    if !asked.is_empty() && follows_relay(node) {
+        node.tell_orderers(&ToOrderer::Want(asked));
+    }
+    states.iter().all(|state| *state == WantState::Answered)
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -0,0 +1,78 @@
+//! Replicas that start again under their identity: what is over, and what begins anew.
+
+use crate::placement::PlacedReplica;
+use crate::replica::{BornMs, Incarnation, OrderOutcome, ReplicaReport};
+use crate::replica_ledger::ReplicaLedger;
+use crate::time::Moment;
+
+use super::Orderer;
+
+impl Orderer {
+    /// What an account of a replica is to what is known of it.
+    pub(super) fn incarnation(&self, id: &str, told: Option<BornMs>) -> Incarnation {
+        let known = self.replicas.get(id);
+        known.map_or(Incarnation::Same, |known| Incarnation::of(told, known.born_ms))
+    }
+
+    /// A replica started again under its identity: it holds nothing that was known of
+    /// it, no order to it counts, and its count of orders began anew.
+    fn started_again(&mut self, id: &str, born_ms: Option<BornMs>, now: Moment) {
+        let Some((id, former)) = self.replicas.remove(id) else {
+            return;
+        };
+        self.store_loads.remove(&id);
+        self.told.remove(&id);
+        self.changed.insert(id.clone());
+        let anew = PlacedReplica {
+            state: former.state,
+            service: former.service,
+            born_ms,
+            ledger: ReplicaLedger::new(self.config.ledger, Default::default(), now),
+            goal: None,
+            withdrawn: None,
+            loaded_at: Default::default(),
+            adapters_loaded_at: Default::default(),
+            is_held: former.is_held,
+            orders: former.orders,
+        };
+        self.replicas.insert(id, anew);
+    }
+
+    /// An order that went to the incarnation born then was answered: the answer says
+    /// nothing of a later one.
+    pub fn order_answered_by(
+        &mut self,
+        id: &str,
+        born_ms: Option<BornMs>,
+        outcome: OrderOutcome,
+        now: Moment,
+    ) {
+        if self.incarnation(id, born_ms) == Incarnation::Same {
+            self.order_answered(id, outcome, now);
+        } else {
+            let is_answered = outcome != OrderOutcome::Unknown;
+            self.history.ended(&id.into(), is_answered, now);
+        }
+    }
+
+    /// When the present incarnation of a replica started, if it tells.
+    pub fn born_ms(&self, id: &str) -> Option<BornMs> {
+        self.replicas.get(id).and_then(|replica| replica.born_ms)
+    }
+
+    /// A replica reported, or did not.
+    pub fn reported(&mut self, id: &str, report: Option<&ReplicaReport>, asked_at: Moment, now: Moment) {
+        let told = report.and_then(|report| report.born_ms);
+        match self.incarnation(id, told) {
+            Incarnation::Same => {
+                // Its listing may not tell.
+                if let Some(replica) = self.replicas.get_mut(id) {
+                    replica.born_ms = replica.born_ms.or(told);
+                }
+            }
+            Incarnation::Earlier => return self.take_report(id, None, asked_at, now),
+            Incarnation::Later => self.started_again(id, told, now),
+        }
+        self.take_report(id, report, asked_at, now);
+    }
+}
