--- a/crates/croftrill-bench/src/fleet.rs
+++ b/crates/croftrill-bench/src/fleet.rs
@@ -103,7 +103,7 @@
         follower_replicas,
         follower_start_bytes: CONFIGURATION_BYTES + own_items,
         interest_bytes,
-        longest_message_bytes: longest.unwrap_or_default(),
+        longest_message_bytes: longest.expect("a fleet has nodes"),
         relay_view_bytes: whole.iter().chain(&placements).sum(),
         store_start_bytes: size.nodes * zone_list + (relays + ORDERERS) * everything,
         replica_change_bytes: change * (relays * ORDERERS + followers / 10),
@@ -241,7 +241,7 @@
         sent_at_ms: 0,
         changes: changes.collect(),
     };
-    let parts = WholePart::parts_of(whole, true).unwrap_or_default();
+    let parts = WholePart::parts_of(whole, true).expect("every entry fits into a message");
     parts
         .into_iter()
         .map(|part| FromOrderer::Whole(part).encode().len())
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -362,6 +362,7 @@
     /// Tells all nodes what the store told.
     pub(super) fn relay(&mut self, span: WatchedSpan, now: Moment) {
         for part in span.into_news(now) {
+            // It fails only while nobody listens.
             let _ = self.changes.send(FromOrderer::Directory(part).encode());
         }
         self.last_alive = now;
@@ -418,6 +419,7 @@
         for part in WirePlacement::in_parts(wire.collect()) {
             let message = FromOrderer::Placements(part.clone()).encode();
             tree::pass_on_placements(&self.node, &part, &message);
+            // It fails only while nobody listens.
             let _ = self.changes.send(message);
         }
     }
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -239,6 +239,8 @@
     if told.reached < state.directory.reached() {
         // The relay lags behind what this node heard of the store by itself: changes in
         // between would be told to nobody. Requests ask again.
+        tracing::info!(target: "peer", event = "the relay lags behind", told = told.reached,
+            reached = state.directory.reached(), replaces = told.replaces);
         return;
     }
     if told.replaces {
