Sight: what replicas say of themselves in answers is logged and counted

Change: AnswerFacts carries both words; one line for each answer that has one, with the state that is listed, and a counter. Nothing is decided by them yet.

--- a/crates/croftrill-http/src/engine_wire.rs
+++ b/crates/croftrill-http/src/engine_wire.rs
@@ -14,6 +14,11 @@
 /// Requests running and waiting at the replica.
 pub const LOAD_HEADER: &str = "croftrill-load";
 
+/// Says that the replica is about to leave.
+pub const LEAVING_HEADER: &str = "croftrill-leaving";
+/// Its value.
+pub const LEAVING_VALUE: &str = "1";
+
 /// What an order does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod ports;
 pub mod quota;
 pub mod request;
+pub mod rest_header;
 pub mod runtime;
 pub mod settings;
 pub mod stream;
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -34,6 +34,8 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// Requests that crash replicas, and replicas that ended, by outcome.
     pub crashes: Family<OutcomeLabels, Counter>,
+    /// What replicas say of themselves in their answers, and what was known of it.
+    pub replica_words: Family<OutcomeLabels, Counter>,
     /// Suspensions of the machine that were noticed.
     pub suspensions: Counter,
     /// Calls to the store by kind and outcome.
@@ -96,6 +98,12 @@
             "Requests that crash replicas, and replicas that ended, by outcome",
             crashes.clone(),
         );
+        let replica_words = Family::default();
+        registry.register(
+            "replica_words",
+            "What replicas say of themselves in their answers, and whether it was known",
+            replica_words.clone(),
+        );
         let suspensions = Counter::default();
         registry.register(
             "suspensions",
@@ -162,6 +170,7 @@
             retries,
             orders,
             crashes,
+            replica_words,
             suspensions,
             store_calls,
             relayed,
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use croftrill_scheduler::catalog::{AdapterName, Configuration, ModelName};
 use croftrill_scheduler::relay_log::keep_last_writes;
-use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport};
+use croftrill_scheduler::replica::{
+    Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaWord,
+};
 use http::{request, response, HeaderMap};
 
 use crate::connection::{Arrival, ExchangeError};
@@ -374,6 +376,8 @@
     pub is_misdirected: bool,
     /// Requests running and waiting there, if told.
     pub load: Option<u32>,
+    /// What else the replica says of itself.
+    pub word: ReplicaWord,
 }
 
 /// How requests and answers are written on the wire.
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -9,10 +9,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use super::answers::millis;
 use super::forwarding::{end_to_end, origin_form};
 use super::guards::Send;
 use super::RequestRun;
 use crate::connection::{Connection, ExchangeError};
+use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
 
 /// Part of the objective after which a silent replica is given up for another.
@@ -144,6 +146,7 @@
         let (head, body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
         self.take_load(replica, &facts);
+        self.hear_replica(replica, &facts);
         if facts.execution == Execution::NotExecuted {
             return self.not_executed(replica, &facts, &head, &send);
         }
@@ -206,6 +209,26 @@
         }
     }
 
+    /// Notes what the replica says of itself.
+    fn hear_replica(&self, replica: &ReplicaId, facts: &AnswerFacts) {
+        if facts.word.is_empty() {
+            return;
+        }
+        let state = self.node.state.borrow();
+        let entry = state.replicas.get(replica);
+        let listed = entry.map(|entry| entry.listing.state);
+        for (kind, is_said) in [
+            ("leaving", facts.word.is_leaving),
+            ("rest", facts.word.rest.is_some()),
+        ] {
+            if is_said {
+                Metrics::count(&self.node.metrics.replica_words, kind, "heard");
+            }
+        }
+        tracing::info!(target: "replica", event = "says of itself in an answer", id = self.facts.id, replica = &**replica,
+            is_leaving = facts.word.is_leaving, rest_ms = millis(facts.word.rest), ?listed);
+    }
+
     pub(super) fn not_executed(
         &self,
         replica: &ReplicaId,
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -43,6 +43,22 @@
     Draining,
 }
 
+/// What a replica says of itself in one of its answers to a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ReplicaWord {
+    /// It is about to leave.
+    pub is_leaving: bool,
+    /// Time for which it wants nothing more from that node.
+    pub rest: Option<Duration>,
+}
+
+impl ReplicaWord {
+    /// True if it says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// One model that a replica holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldModel {
