Own word of a replica: its incarnation is kept with it; tests and property

The property test found it: an entry of an earlier start, written late, took the word of the newer one along (Listed 3, rest, lapse, Listed 1, Listed 3).

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::catalog::{CallerLimits, Configuration, Service};
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
-use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome};
+use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaWord};
 use croftrill_scheduler::replica_table::{Arrival, Placement, ReplicaTable};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use proptest::prelude::*;
@@ -424,6 +424,31 @@
 
 /// A replica started again while its entry stood: its reports tell fewer orders than it
 /// had taken before, and were passed over for good.
+/// A replica told its orderer's node that it leaves; its entry says so much later.
+#[test]
+fn known_replica_that_leaves_by_its_own_word_gets_no_load() {
+    let mut world = World::new(6, &[&["m1"], &["m2"]]);
+    world.run(6000);
+    let id: ReplicaId = "r0".into();
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing(&id, &world.replicas["r0"].holdings));
+    let leaving = ReplicaWord {
+        is_leaving: true,
+        rest: None,
+    };
+    let born_ms = table.get("r0").and_then(|entry| entry.listing.born_ms);
+    assert!(table.hear(&id, born_ms, leaving, world.now));
+    let entry = table.get("r0").expect("it is listed").clone();
+    world.orderer.known(&entry, world.now);
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.run(3000);
+    assert!(
+        world.orders.iter().all(|(_, replica, _)| &**replica == "r1"),
+        "{:?}",
+        world.orders
+    );
+}
+
 #[test]
 fn a_replica_that_started_again_is_ordered_at_again() {
     let mut world = World::new(8, &[&["m1"], &["m2"]]);
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -58,6 +58,7 @@
         ReplicaEntry {
             own_sends: self.own_sends,
             own_tokens: self.own_tokens,
+            own_word: self.own_word.of_incarnation(listing.born_ms),
             ..ReplicaEntry::new(listing)
         }
     }
@@ -85,7 +86,7 @@
 
     /// Whether it leaves, by its listing or by its own word.
     pub fn state(&self) -> ReplicaState {
-        if self.own_word.is_leaving {
+        if self.own_word.is_leaving() {
             ReplicaState::Draining
         } else {
             self.listing.state
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -19,7 +19,7 @@
 pub use self::entry::ReplicaEntry;
 use self::entry::ToldLoad;
 use self::index::ServiceIndex;
-use self::own_word::{OwnWord, UnlistedWord};
+use self::own_word::OwnWord;
 use self::unlisted::Unlisted;
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
 use crate::health::SendOutcome;
@@ -84,7 +84,7 @@
     /// What orderers told of replicas that are not listed.
     unlisted: Unlisted<Placement>,
     /// What such replicas told of themselves.
-    unlisted_words: Unlisted<UnlistedWord>,
+    unlisted_words: Unlisted<OwnWord>,
     changes: ChangeLog,
     /// Least times to load a model, from whoever knows all replicas.
     told_reloads: HashMap<(ServiceName, ModelName), Duration>,
@@ -126,10 +126,9 @@
     /// The entry of a replica that was not listed: what it told of itself before holds on,
     /// as its entry may have lapsed while it lives.
     fn newly_listed(&mut self, listing: ReplicaListing) -> ReplicaEntry {
-        let told = self.unlisted_words.take(&listing.id);
-        let own_word = told.map(|told| told.for_listing(listing.born_ms));
+        let told = self.unlisted_words.take(&listing.id).unwrap_or_default();
         ReplicaEntry {
-            own_word: own_word.unwrap_or_default(),
+            own_word: told.of_incarnation(listing.born_ms),
             ..ReplicaEntry::new(listing)
         }
     }
@@ -138,46 +137,28 @@
     /// incarnation that started at `born_ms`; true if it was not known to leave.
     pub fn hear(&mut self, id: &ReplicaId, born_ms: Option<BornMs>, word: ReplicaWord, now: Moment) -> bool {
         let Some(entry) = self.replicas.get_mut(id) else {
-            return self.hear_unlisted(id, born_ms, word, now);
+            let mut told = self.unlisted_words.take(id).unwrap_or_default();
+            let leaves = told.hear(born_ms, word, now);
+            self.unlisted_words.keep(id.clone(), told);
+            return leaves;
         };
         if Incarnation::of(born_ms, entry.listing.born_ms) == Incarnation::Earlier {
             return false;
         }
-        let leaves = entry.own_word.hear(word, now);
+        let leaves = entry.own_word.hear(born_ms, word, now);
         if leaves {
             self.changes.note(id, self.replicas.len());
         }
         leaves
     }
 
-    fn hear_unlisted(
-        &mut self,
-        id: &ReplicaId,
-        born_ms: Option<BornMs>,
-        word: ReplicaWord,
-        now: Moment,
-    ) -> bool {
-        let former = self.unlisted_words.take(id);
-        let mut told = UnlistedWord {
-            born_ms: born_ms.or(former.and_then(|former| former.born_ms)),
-            word: former.map_or(OwnWord::default(), |former| former.for_listing(born_ms)),
-        };
-        let leaves = told.word.hear(word, now);
-        self.unlisted_words.keep(id.clone(), told);
-        leaves
-    }
-
     /// True if the replica told this node not to send it anything (for now).
     pub fn is_turned_away(&self, id: &str, now: Moment) -> bool {
         let told = match self.replicas.get(id) {
             Some(entry) => entry.own_word,
-            None => self
-                .unlisted_words
-                .get(id)
-                .map(|told| told.word)
-                .unwrap_or_default(),
+            None => self.unlisted_words.get(id).copied().unwrap_or_default(),
         };
-        told.is_leaving || told.rests_until(now).is_some()
+        told.is_leaving() || told.rests_until(now).is_some()
     }
 
     /// Takes in a listing that came by a way which tells nothing of what the replica
@@ -236,11 +217,7 @@
         self.awaiting_word.remove(id);
         self.changes.note(&entry.listing.id, self.replicas.len());
         if !entry.own_word.is_empty() {
-            let told = UnlistedWord {
-                born_ms: entry.listing.born_ms,
-                word: entry.own_word,
-            };
-            self.unlisted_words.keep(entry.listing.id.clone(), told);
+            self.unlisted_words.keep(entry.listing.id.clone(), entry.own_word);
         }
         if entry.from_orderer {
             self.unlisted.keep(entry.listing.id.clone(), entry.placement());
--- a/crates/croftrill-scheduler/src/replica_table/own_word.rs
+++ b/crates/croftrill-scheduler/src/replica_table/own_word.rs
@@ -10,23 +10,43 @@
 /// What a replica told this node of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) struct OwnWord {
+    /// When the incarnation started that said it, if it tells. Kept beside the listing's,
+    /// which may be of an earlier one that was written late.
+    born_ms: Option<BornMs>,
     /// It leaves. Whoever has begun to leave does not come back but by a new start.
-    pub(super) is_leaving: bool,
+    is_leaving: bool,
     /// Until then it wants nothing from this node.
     rests_until: Option<Moment>,
 }
 
 impl OwnWord {
-    /// Takes in what an answer says; true if the replica was not known to leave. A later
-    /// answer may ask for less rest than is left of an earlier one, which still holds.
-    pub(super) fn hear(&mut self, word: ReplicaWord, now: Moment) -> bool {
-        let rest = word.rest.map(|rest| now + rest);
-        self.rests_until = self.rests_until.max(rest);
+    /// Takes in what an answer of the incarnation that started at `born_ms` says; true if
+    /// the replica was not known to leave. A later answer may ask for less rest than is
+    /// left of an earlier one, which still holds.
+    pub(super) fn hear(&mut self, born_ms: Option<BornMs>, word: ReplicaWord, now: Moment) -> bool {
+        if Incarnation::of(born_ms, self.born_ms) == Incarnation::Earlier {
+            return false;
+        }
+        *self = self.of_incarnation(born_ms);
+        self.born_ms = born_ms.or(self.born_ms);
+        self.rests_until = self.rests_until.max(word.rest.map(|rest| now + rest));
         let is_news = word.is_leaving && !self.is_leaving;
         self.is_leaving |= word.is_leaving;
         is_news
     }
 
+    /// The word as far as it holds for the incarnation that started at `born_ms`.
+    pub(super) fn of_incarnation(self, born_ms: Option<BornMs>) -> Self {
+        match Incarnation::of(born_ms, self.born_ms) {
+            Incarnation::Later => OwnWord::default(),
+            Incarnation::Same | Incarnation::Earlier => self,
+        }
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// When its rest ends, if that is still to come.
     pub(super) fn rests_until(&self, now: Moment) -> Option<Moment> {
         self.rests_until.filter(|until| now < *until)
@@ -36,20 +56,3 @@
         *self == Self::default()
     }
 }
-
-/// The word of a replica that is not listed, and of which start it was.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct UnlistedWord {
-    pub(super) born_ms: Option<BornMs>,
-    pub(super) word: OwnWord,
-}
-
-impl UnlistedWord {
-    /// The word as far as it holds for a replica that is listed with `born_ms`.
-    pub(super) fn for_listing(self, born_ms: Option<BornMs>) -> OwnWord {
-        match Incarnation::of(born_ms, self.born_ms) {
-            Incarnation::Later => OwnWord::default(),
-            Incarnation::Same | Incarnation::Earlier => self.word,
-        }
-    }
-}
--- a/crates/croftrill-scheduler/tests/admission.rs
+++ b/crates/croftrill-scheduler/tests/admission.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::admission::{decide_cold, ColdDecision, ColdRequest};
+use croftrill_scheduler::admission::{
+    decide_cold, decide_resting, return_after_rest, ColdDecision, ColdRequest,
+};
+use proptest::prelude::*;
 
 fn millis(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -53,3 +56,24 @@
     };
     assert_eq!(come_back_after, millis(300));
 }
+
+/// All holders rest for a moment: a short rest is waited for, a longer one is told.
+#[test]
+fn decide_resting_waits_only_if_the_answer_is_in_time() {
+    assert_eq!(decide_resting(&cold(0, 600), 1, 0.5), ColdDecision::Wait);
+    let ColdDecision::Refuse { come_back_after } = decide_resting(&cold(0, 3000), 1, 0.5) else {
+        panic!("it cannot be in time");
+    };
+    assert!(come_back_after >= millis(3000) && come_back_after <= millis(3750));
+}
+
+proptest! {
+    /// Nobody comes back within the rest, and the less urgent come later on the whole.
+    #[test]
+    fn return_after_rest_keeps_the_rest_and_the_order(rest_ms in 1u64..100_000, rank in 0u8..12, unit in 0.0f64..1.0) {
+        let rest = millis(rest_ms);
+        let returns = return_after_rest(rest, rank, unit);
+        prop_assert!(returns >= rest && returns <= rest + rest / 4);
+        prop_assert!(return_after_rest(rest, rank + 1, unit) >= returns);
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/own_word.rs
@@ -0,0 +1,201 @@
+//! What replicas tell a node of themselves, against listings and lapses in any order.
+
+use std::time::Duration;
+
+use croftrill_scheduler::replica::{
+    BornMs, HeldModel, Holdings, ReplicaId, ReplicaListing, ReplicaState, ReplicaWord,
+};
+use croftrill_scheduler::replica_table::ReplicaTable;
+use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+
+fn listing(id: &str, born_ms: BornMs) -> ReplicaListing {
+    let held = HeldModel {
+        model: "m1".into(),
+        adapters: Vec::new(),
+    };
+    ReplicaListing {
+        id: id.into(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        slots: 8,
+        state: ReplicaState::Ready,
+        leaves_in: None,
+        born_ms: Some(born_ms),
+        holdings: Holdings {
+            models: vec![held],
+            ..Holdings::default()
+        },
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+fn leaving() -> ReplicaWord {
+    ReplicaWord {
+        is_leaving: true,
+        rest: None,
+    }
+}
+
+fn rest(millis: u64) -> ReplicaWord {
+    ReplicaWord {
+        is_leaving: false,
+        rest: Some(Duration::from_millis(millis)),
+    }
+}
+
+fn chosen(table: &ReplicaTable, salt: u64, now: Moment) -> Option<ReplicaId> {
+    let need = ModelNeed {
+        model: "m1",
+        adapter: None,
+        shared_part: Some(7),
+        shared_tokens: 100,
+    };
+    let request = RoutingRequest {
+        service: "llm",
+        need: Some(need),
+        zone: "a",
+        tried: &[],
+        salt,
+    };
+    choose(table, &request, now)
+}
+
+/// What happens to one replica, as a node sees it.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Its entry is read, of this start.
+    Listed(BornMs),
+    /// Its entry lapses.
+    Lapses,
+    /// The node is not told of it any more.
+    Forgotten,
+    /// It says that it leaves, in answer to what went to the incarnation of this start.
+    Leaves(BornMs),
+    /// It asks for so much rest.
+    Rests(BornMs, u64),
+    /// Time goes by.
+    Waits(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let born = 1u64..4;
+    prop_oneof![
+        3 => born.clone().prop_map(Step::Listed),
+        1 => Just(Step::Lapses),
+        1 => Just(Step::Forgotten),
+        1 => born.clone().prop_map(Step::Leaves),
+        3 => (born, 0u64..3000).prop_map(|(born, millis)| Step::Rests(born, millis)),
+        2 => (0u64..1500).prop_map(Step::Waits),
+    ]
+}
+
+proptest! {
+    /// A replica gets nothing after its word of leaving, nor in the longest rest that it
+    /// asked for, unless a later start is known, whatever listings say or lapse.
+    #[test]
+    fn choose_heeds_every_word_of_the_newest_start(steps in prop::collection::vec(step(), 1..60)) {
+        let mut table = ReplicaTable::new();
+        let id: ReplicaId = "r1".into();
+        let (mut now_ms, mut newest) = (0u64, 0);
+        let mut left: Option<BornMs> = None;
+        let mut rests: Vec<(BornMs, u64)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Listed(born) => {
+                    table.apply_listing(listing("r1", born));
+                    newest = newest.max(born);
+                }
+                Step::Lapses => table.remove("r1"),
+                Step::Forgotten => table.forget("r1"),
+                Step::Leaves(born) if born == newest => {
+                    table.hear(&id, Some(born), leaving(), at(now_ms));
+                    left = Some(born);
+                }
+                Step::Rests(born, millis) if born == newest => {
+                    table.hear(&id, Some(born), rest(millis), at(now_ms));
+                    rests.push((born, now_ms + millis));
+                }
+                // An answer of an earlier start than the known one, or of one that was
+                // never listed and so was sent nothing.
+                Step::Leaves(born) | Step::Rests(born, _) if born < newest && table.get("r1").is_some() => {
+                    let listed = table.get("r1").and_then(|entry| entry.listing.born_ms);
+                    if listed > Some(born) {
+                        table.hear(&id, Some(born), leaving(), at(now_ms));
+                    }
+                }
+                Step::Leaves(_) | Step::Rests(..) => {}
+                Step::Waits(millis) => now_ms += millis,
+            }
+            let now = at(now_ms);
+            let in_rest = rests.iter().any(|(born, until)| *born == newest && now_ms < *until);
+            let bars = left == Some(newest) || in_rest;
+            let listed = table.get("r1").map(|entry| entry.listing.born_ms);
+            if listed == Some(Some(newest)) {
+                prop_assert_eq!(table.is_turned_away("r1", now), bars);
+                prop_assert_eq!(chosen(&table, 1, now).is_none(), bars);
+            }
+        }
+    }
+}
+
+#[test]
+fn hear_says_once_that_a_replica_leaves_and_tells_followers_of_the_table() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r1", 1));
+    let version = table.version();
+    let id: ReplicaId = "r1".into();
+    assert!(!table.hear(&id, Some(1), rest(500), at(0)));
+    assert!(table.hear(&id, Some(1), leaving(), at(0)));
+    assert!(!table.hear(&id, Some(1), leaving(), at(10)));
+    assert_ne!(table.version(), version);
+    assert_eq!(
+        table.get("r1").map(|entry| entry.state()),
+        Some(ReplicaState::Draining)
+    );
+    assert_eq!(table.holders("llm", "m1"), 0);
+}
+
+#[test]
+fn hear_of_an_earlier_incarnation_says_nothing_of_the_present_one() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r1", 2));
+    assert!(!table.hear(&"r1".into(), Some(1), leaving(), at(0)));
+    assert!(chosen(&table, 1, at(0)).is_some());
+}
+
+#[test]
+fn holder_rests_until_the_first_end_of_a_rest() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listing("r1", 1));
+    table.apply_listing(listing("r2", 1));
+    table.hear(&"r1".into(), Some(1), rest(900), at(0));
+    table.hear(&"r1".into(), Some(1), rest(100), at(0));
+    table.hear(&"r2".into(), Some(1), rest(700), at(0));
+    assert_eq!(table.holder_rests_until("llm", "m1", at(10)), Some(at(700)));
+    assert_eq!(table.reachable_holders("llm", "m1", at(10)), 0);
+    assert_eq!(table.reachable_holders("llm", "m1", at(700)), 1);
+    assert_eq!(table.holder_rests_until("llm", "m1", at(700)), Some(at(900)));
+    table.hear(&"r1".into(), Some(1), leaving(), at(710));
+    assert_eq!(table.service_rests_until("llm", at(720)), None);
+}
+
+/// The home of a prompt rests: all of its requests go to one other holder meanwhile.
+#[test]
+fn choose_finds_another_home_while_the_home_rests() {
+    let mut table = ReplicaTable::new();
+    for id in ["r1", "r2", "r3"] {
+        table.apply_listing(listing(id, 1));
+    }
+    let home = chosen(&table, 1, at(0)).expect("a holder");
+    table.hear(&home, Some(1), rest(1000), at(0));
+    let others: Vec<_> = (0..20).filter_map(|salt| chosen(&table, salt, at(10))).collect();
+    assert!(others.iter().all(|other| *other != home && *other == others[0]));
+    assert_eq!(others.len(), 20);
+    assert_eq!(chosen(&table, 1, at(1000)), Some(home));
+}
