Soak: replicas that say in answers that they leave, or want rest

A mix of its own (seeds from a million on; the seeds of the other mixes draw as before), with the rule as the replicas saw it, for nodes that ran on.

--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -313,6 +313,11 @@
         join_all(each).await;
     }
 
+    /// The present incarnation of a replica.
+    pub fn engine(&self, index: usize) -> Rc<EngineStandin> {
+        self.engines.borrow()[index].clone()
+    }
+
     /// Runs of all replicas and of all that ended, by attempt, and broken promises.
     pub fn ledgers(&self) -> Vec<Ledger> {
         let engines = self.engines.borrow();
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -28,6 +28,9 @@
     /// given back and the quota is changed, beside kills, stops, restarts, pauses and a
     /// store that is away for some nodes.
     Tenants,
+    /// Replicas say in answers that they leave, or turn requests away and ask for rest,
+    /// while the store is away, nodes restart and connections are reset.
+    Words,
 }
 
 /// One fault.
@@ -72,6 +75,22 @@
     ToggleQuota,
     /// A node's clock goes on as in suspensions, so often, so long apart.
     Suspensions(usize, u32, Duration),
+    /// A replica's answers say that it leaves, its entry does not; then it is gone.
+    Leaving(usize),
+    /// A replica turns requests away and asks for so much rest each time.
+    Rest(usize, Duration),
+}
+
+impl Injection {
+    /// True if it takes a node's memory, or stops it for a while.
+    pub fn interrupts(&self, node: usize) -> bool {
+        match self {
+            Injection::Pause(hit) | Injection::Kill(hit) | Injection::Stop(hit) => *hit == node,
+            Injection::Signals(hit, _) | Injection::Suspensions(hit, ..) => *hit == node,
+            Injection::KillAll | Injection::Roll(_) => true,
+            _ => false,
+        }
+    }
 }
 
 /// A request that crashes each replica that begins to run it.
@@ -208,6 +227,26 @@
     }
 }
 
+fn words_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    let engine = random.random_range(0..size.engines);
+    let rest = Duration::from_millis(random.random_range(700..2500));
+    match index {
+        0 => return Injection::Leaving(engine),
+        1 => return Injection::Rest(engine, rest),
+        2 => return Injection::Store(StoreFault::Refusing),
+        _ => {}
+    }
+    match random.random_range(0..7) {
+        0 => Injection::Leaving(engine),
+        1 | 2 => Injection::Rest(engine, rest),
+        3 => Injection::EnginePath(engine, fault(random)),
+        4 => Injection::Kill(node),
+        5 => Injection::Compaction,
+        _ => Injection::StorePath(node, fault(random)),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
@@ -215,6 +254,7 @@
         Mix::Series => (random.random_range(6..=10), 4500),
         Mix::Crashes => (random.random_range(4..=8), 3500),
         Mix::Tenants => (random.random_range(4..=8), 4000),
+        Mix::Words => (random.random_range(4..=8), 2500),
     };
     let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -224,6 +264,7 @@
             Mix::Series => series_injection(random, size),
             Mix::Crashes => crashes_injection(random, size, index),
             Mix::Tenants => tenants_injection(random, size, index),
+            Mix::Words => words_injection(random, size, index),
         },
     });
     planned.collect()
@@ -284,6 +325,8 @@
                 sleep(*gap).await;
             }
         }
+        Injection::Leaving(engine) => cluster.engine(*engine).begin_to_leave(),
+        Injection::Rest(engine, rest) => cluster.engine(*engine).turn_away(Some(*rest)),
         Injection::Changes(count, gap) => {
             for _ in 0..*count {
                 change(cluster);
@@ -320,6 +363,8 @@
         Injection::Store(_) => cluster.store.set_fault(StoreFault::None),
         Injection::EnginePath(engine, _) => cluster.engine_proxies[*engine].set(Fault::None),
         Injection::Pause(node) => cluster.nodes[*node].signal("CONT"),
+        Injection::Leaving(engine) => cluster.engine(*engine).leave(),
+        Injection::Rest(engine, _) => cluster.engine(*engine).turn_away(None),
         _ => {}
     }
 }
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -10,6 +10,7 @@
 //! - no key reaches a replica, nobody without one is served, a group is named rightly,
 //!   and the tokens of a group stay within its quota;
 //! - a request that crashes replicas reaches no more than it may;
+//! - a replica that told a node that it leaves, or wants rest, gets nothing more from it;
 //! - afterwards every node serves every model.
 //!
 //! Some callers keep their connections until the process behind them is gone.
@@ -24,6 +25,7 @@
 mod faults;
 mod suspendable;
 mod tenants;
+mod words;
 
 use std::time::Duration;
 
@@ -38,6 +40,10 @@
 const USUAL_ROUNDS: u64 = 4;
 /// Seed of its first round.
 const USUAL_SEED: u64 = 2026;
+/// From this seed on all rounds are of the mix of words.
+const FIRST_SEED_OF_WORDS: u64 = 1_000_000;
+/// Seed of the continuous integration's round of that mix.
+const USUAL_SEED_OF_WORDS: u64 = FIRST_SEED_OF_WORDS + USUAL_SEED;
 /// Time in which calls and faults meet.
 const ROUND: Duration = Duration::from_secs(6);
 
@@ -45,6 +51,10 @@
 /// left, and without any bound on them more would end than may.
 const LEAST_CRASHING_ENGINES: usize = 6;
 
+/// Fewest replicas of a round in which some leave or want rest: their models have
+/// holders besides.
+const LEAST_SPEAKING_ENGINES: usize = 4;
+
 fn number(variable: &str, usual: u64) -> u64 {
     std::env::var(variable)
         .ok()
@@ -65,6 +75,7 @@
                 Some("series") => Mix::Series,
                 Some("crashes") => Mix::Crashes,
                 Some("tenants") => Mix::Tenants,
+                Some("words") => Mix::Words,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -76,6 +87,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
+        Mix::Words => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
         Mix::Few | Mix::Series | Mix::Tenants => (Program::Daemon, size),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program).await;
@@ -111,6 +123,7 @@
         checks::enough_are_whole(calls.iter(), seed);
     }
     checks::crashes_are_bounded(&cluster, &plan, seed);
+    words::are_heeded(&cluster, &plan, seed);
     cluster.stop().await;
 }
 
@@ -132,6 +145,7 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_WORDS => Mix::Words,
         0 => Mix::Few,
         1 => Mix::Series,
         2 => Mix::Crashes,
@@ -141,6 +155,7 @@
     for (seed, mix) in kept_seeds() {
         LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
     }
+    LocalSet::new().block_on(&runtime, round(USUAL_SEED_OF_WORDS, Mix::Words, USUAL_SIZE));
     for (seed, mix) in drawn {
         LocalSet::new().block_on(&runtime, round(seed, mix, size()));
     }
--- /dev/null
+++ b/crates/croftrill-daemon/tests/soak/words.rs
@@ -0,0 +1,81 @@
+//! Judges that nodes heed what replicas tell them of themselves in answers.
+
+use std::collections::BTreeMap;
+
+use croftrill_standin::engine::{Arrival, Ledger};
+
+use crate::cluster::Cluster;
+use crate::faults::Planned;
+
+/// Time from an answer to when the node must have taken it in, and what was on its way
+/// to the replica has come there, in milliseconds.
+const ON_ITS_WAY_MS: u64 = 500;
+/// Time after a replica's word that it leaves until nothing more may reach it.
+const LEAVING_BOUND_MS: u64 = 2000;
+/// Requests of one node that may reach a replica in its rest all the same.
+const MOST_IN_REST: usize = 2;
+
+/// The node that an attempt was sent to, as [`crate::checks`] names attempts.
+fn node_of(attempt: &str, nodes: usize) -> Option<usize> {
+    let (kind, rest) = attempt.split_at_checked(1)?;
+    let mut numbers = rest.split('-').skip(1);
+    let first: usize = numbers.next()?.parse().ok()?;
+    match kind {
+        "s" => Some(first % nodes),
+        "k" | "r" => Some(first),
+        _ => None,
+    }
+}
+
+/// Judges all replicas and all nodes whose processes ran on throughout.
+pub fn are_heeded(cluster: &Cluster, plan: &[Planned], seed: u64) {
+    let nodes = cluster.nodes.len();
+    let undisturbed =
+        |node: &usize| -> bool { !plan.iter().any(|planned| planned.injection.interrupts(*node)) };
+    for ledger in cluster.ledgers() {
+        let mut by_node: BTreeMap<usize, Vec<&Arrival>> = BTreeMap::new();
+        for arrival in &ledger.arrivals {
+            if let Some(node) = node_of(&arrival.attempt, nodes).filter(undisturbed) {
+                by_node.entry(node).or_default().push(arrival);
+            }
+        }
+        for (node, arrivals) in by_node {
+            leaving_is_heeded(&arrivals, node, seed);
+            rests_are_heeded(&arrivals, node, seed);
+        }
+    }
+    let words = cluster.ledgers().iter().map(words_of).sum::<usize>();
+    println!("seed {seed}: {words} answers that tell of leaving or rest");
+}
+
+fn words_of(ledger: &Ledger) -> usize {
+    let tells = |arrival: &&Arrival| arrival.says_leaving || arrival.rest_ms.is_some();
+    ledger.arrivals.iter().filter(tells).count()
+}
+
+fn leaving_is_heeded(arrivals: &[&Arrival], node: usize, seed: u64) {
+    let Some(first) = arrivals.iter().find(|arrival| arrival.says_leaving) else {
+        return;
+    };
+    let bound_ms = first.at_ms + LEAVING_BOUND_MS;
+    let late = arrivals.iter().find(|arrival| arrival.at_ms > bound_ms);
+    assert!(
+        late.is_none(),
+        "seed {seed}: {late:?} of node {node} after {first:?}"
+    );
+}
+
+fn rests_are_heeded(arrivals: &[&Arrival], node: usize, seed: u64) {
+    for asked in arrivals {
+        let Some(rest_ms) = asked.rest_ms else { continue };
+        let (begin_ms, end_ms) = (asked.at_ms + ON_ITS_WAY_MS, asked.at_ms + rest_ms);
+        let in_rest = arrivals
+            .iter()
+            .filter(|other| other.at_ms > begin_ms && other.at_ms < end_ms);
+        let count = in_rest.count();
+        assert!(
+            count <= MOST_IN_REST,
+            "seed {seed}: {count} requests of node {node} in the rest of {asked:?}"
+        );
+    }
+}
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -1,6 +1,6 @@
 //! The stand-in replica's server. It keeps its own entry in the store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::LazyLock;
@@ -11,7 +11,8 @@
 use croftrill_http::dialect::{ATTEMPT_HEADER, BYTES_PER_TOKEN, GROUP_HEADER};
 use croftrill_http::document::{COMPLETION_PATHS, MODEL_SERVICE};
 use croftrill_http::engine_wire::{
-    WireOrder, WireReplica, INCARNATION_HEADER, LOAD_HEADER, NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
+    WireOrder, WireReplica, INCARNATION_HEADER, LEAVING_HEADER, LEAVING_VALUE, LOAD_HEADER,
+    NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
 };
 use croftrill_http::records::REPLICA_PREFIX;
 use croftrill_http::store::StoreClient;
@@ -49,6 +50,22 @@
     /// Runs with the group that the system named, in order.
     #[serde(default)]
     pub group_runs: Vec<GroupRun>,
+    /// Requests in order, with what their answers said of the replica.
+    #[serde(default)]
+    pub arrivals: Vec<Arrival>,
+}
+
+/// A request as it reached the replica, run or not.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Arrival {
+    /// The attempt.
+    pub attempt: String,
+    /// When it came, in milliseconds of the process's life.
+    pub at_ms: u64,
+    /// True if its answer says that the replica leaves.
+    pub says_leaving: bool,
+    /// Rest that its answer asks for.
+    pub rest_ms: Option<u64>,
 }
 
 /// A run as it counts for a group.
@@ -85,6 +102,11 @@
     tasks: RefCell<Vec<JoinHandle<()>>>,
     group_runs: RefCell<Vec<GroupRun>>,
     leaks: RefCell<Vec<String>>,
+    arrivals: RefCell<Vec<Arrival>>,
+    /// True once its answers say that it leaves; its entry does not.
+    is_leaving: Cell<bool>,
+    /// While it turns requests away: the rest that it asks for.
+    rest: Cell<Option<Duration>>,
     /// Told when a crashing request ends it.
     crashed: Notify,
 }
@@ -121,6 +143,9 @@
             tasks: RefCell::default(),
             group_runs: RefCell::default(),
             leaks: RefCell::default(),
+            arrivals: RefCell::default(),
+            is_leaving: Cell::new(false),
+            rest: Cell::new(None),
             crashed: Notify::new(),
         });
         let served = engine.clone();
@@ -138,6 +163,21 @@
         self.crashed.notified().await;
     }
 
+    /// From now on its answers say that it leaves.
+    pub fn begin_to_leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// It has left: whoever restarts replicas does so.
+    pub fn leave(&self) {
+        self.crashed.notify_one();
+    }
+
+    /// From now on it turns requests away and asks for so much rest; `None`: no more.
+    pub fn turn_away(&self, rest: Option<Duration>) {
+        self.rest.set(rest);
+    }
+
     /// Ends the replica: it takes no more connections and keeps its entry no longer.
     /// Whoever stands before it breaks the present connections.
     pub fn end(&self) {
@@ -151,10 +191,20 @@
             runs: state.runs().clone(),
             violations: [state.violations(), &self.leaks.borrow()].concat(),
             group_runs: self.group_runs.borrow().clone(),
+            arrivals: self.arrivals.borrow().clone(),
         }
     }
 
     fn answer(self: &Rc<Self>, request: &Request<Bytes>) -> Answer {
+        let mut answer = self.answer_without_word(request);
+        if self.is_leaving.get() {
+            let value = HeaderValue::from_static(LEAVING_VALUE);
+            answer.headers_mut().insert(LEAVING_HEADER, value);
+        }
+        answer
+    }
+
+    fn answer_without_word(self: &Rc<Self>, request: &Request<Bytes>) -> Answer {
         let path = request.uri().path();
         if path == LEDGER_PATH {
             return json(&self.ledger());
@@ -196,6 +246,16 @@
         let (Some(attempt), Ok(completion)) = (attempt, completion) else {
             return not_executed(status(StatusCode::BAD_REQUEST));
         };
+        self.arrivals.borrow_mut().push(Arrival {
+            attempt: attempt.to_string(),
+            at_ms: PROCESS_START.elapsed().as_millis() as u64,
+            says_leaving: self.is_leaving.get(),
+            rest_ms: self.rest.get().map(|rest| rest.as_millis() as u64),
+        });
+        if let Some(rest) = self.rest.get() {
+            let refusal = not_executed(status(StatusCode::SERVICE_UNAVAILABLE));
+            return self.stamped(asking_for_rest(refusal, rest), request);
+        }
         let (model, adapter) = match completion.model.split_once('/') {
             Some((model, adapter)) => (model, Some(adapter)),
             None => (completion.model.as_str(), None),
@@ -331,6 +391,13 @@
     answer
 }
 
+fn asking_for_rest(mut answer: Answer, rest: Duration) -> Answer {
+    if let Ok(value) = HeaderValue::from_str(&rest.as_secs_f64().to_string()) {
+        answer.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    answer
+}
+
 /// A value as the store keeps it, for tools that write it directly.
 pub fn stored_value(value: &[u8]) -> String {
     BASE64_STANDARD.encode(value)
