Store that comes back from an older copy: points in history, tokens that rise

Cause: revisions alone order the views, the relays and the fencing tokens, and a store that is restored gives them out again; leases that it lost are still believed, and a record from the copy names whoever ordered before the last. Change: revisions stand as points, the era in the high bits, so that all that compares goes by history and no message or record changes its form; at a store without eras nothing changes. A watch, condition or resignation of a former era is void. Orderers record the era beside the record; after a restore a new one waits for a whole lease and the gap, a holder ends its term once it knows, entries and crash reports are written anew.

--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -10,6 +10,7 @@
     Changes, ConditionalPut, Freshness, Item, KeyValueStore, PutOutcome, Snapshot, StoreError, StoreEvent,
     WatchCall,
 };
+use croftrill_node::store_era::StoreEra;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
@@ -30,6 +31,8 @@
 pub struct StoreClient {
     address: SocketAddr,
     pool: ConnectionPool,
+    /// This store keeps what it acknowledged: it has one era.
+    era: StoreEra,
 }
 
 impl StoreClient {
@@ -38,6 +41,7 @@
         StoreClient {
             address,
             pool: ConnectionPool::new(ConnectionConfig::default()),
+            era: StoreEra::default(),
         }
     }
 
@@ -135,6 +139,10 @@
 }
 
 impl KeyValueStore for StoreClient {
+    fn era(&self) -> &StoreEra {
+        &self.era
+    }
+
     async fn range(
         &self,
         prefix: &str,
--- a/crates/croftrill-node/src/counted_store.rs
+++ b/crates/croftrill-node/src/counted_store.rs
@@ -6,6 +6,7 @@
 use crate::ports::{
     Changes, ConditionalPut, Freshness, KeyValueStore, PutOutcome, Snapshot, StoreError, WatchCall,
 };
+use crate::store_era::StoreEra;
 
 /// A store whose calls are counted.
 pub struct CountedStore<'a, S> {
@@ -37,6 +38,10 @@
 }
 
 impl<S: KeyValueStore> KeyValueStore for CountedStore<'_, S> {
+    fn era(&self) -> &StoreEra {
+        self.store.era()
+    }
+
     async fn range(
         &self,
         prefix: &str,
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -58,11 +58,16 @@
     let own = key
         .strip_prefix(REPORT_PREFIX)
         .and_then(|rest| rest.split('/').next());
-    let has_more = || {
-        let now = node.clock.now();
-        !node.state.borrow_mut().crash_ledger.own_report(now).is_empty()
-    };
-    if own == Some(node.settings.identity.name.as_str()) && has_more() {
+    if own == Some(node.settings.identity.name.as_str()) {
+        tell_again(node);
+    }
+}
+
+/// The store may have lost this node's report.
+pub(crate) fn tell_again<P: Platform>(node: &Node<P>) {
+    let now = node.clock.now();
+    let has_some = !node.state.borrow_mut().crash_ledger.own_report(now).is_empty();
+    if has_some {
         node.crash_report_changed.notify_one();
     }
 }
--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -255,6 +255,7 @@
 async fn interruption<P: Platform>(node: &Node<P>, after: u64, arrival: &Arrival) -> WatchEnd {
     let end = tokio::select! {
         () = node.store_path.changed() => WatchEnd::Failed(StoreError::NoAnswer),
+        () = node.platform.store().era().risen() => WatchEnd::Failed(StoreError::HistoryGone),
         reached = overtaken(node, after) => WatchEnd::Overtaken { reached },
         () = relay::until_role_changes(node) => WatchEnd::RoleChanged,
     };
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -10,7 +10,7 @@
 use crate::membership;
 use crate::node::{Lifecycle, Node};
 use crate::orderer_task::OrdererInput;
-use crate::ports::{Item, Platform, Record, RecordReader, Snapshot, StoreEvent};
+use crate::ports::{Item, KeyValueStore, Platform, Record, RecordReader, Snapshot, StoreEvent};
 use crate::tree;
 
 /// A change of the view.
@@ -178,6 +178,9 @@
         }
         Record::Other if crash_reports::is_report(&item.key) => crash_reports::report_written(node, item),
         Record::Other => {
+            if let Some(era) = membership::read_record_era(item) {
+                node.platform.store().era().learn_first(era.first);
+            }
             if let Some(own) = membership::read_own_item(item) {
                 node.state.borrow_mut().members.written(&item.key, own);
             }
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod rest_header;
 pub mod runtime;
 pub mod settings;
+pub mod store_era;
 pub mod stream;
 pub mod tree;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use croftrill_scheduler::candidacy::Candidate;
@@ -14,6 +15,7 @@
 use croftrill_scheduler::quota::keepers::{keeper_order, QuotaPart};
 use croftrill_scheduler::shard::Shard;
 use nanoserde::{DeBin, SerBin};
+use rand::Rng;
 use tokio::time::sleep;
 
 use crate::node::{Lifecycle, Node};
@@ -22,6 +24,9 @@
 
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
+/// Time over which the nodes write their entries anew after the store came back from an
+/// older copy: two calls each, 1,000 a second from 985 nodes.
+const REWRITE_SPREAD: Duration = Duration::from_secs(2);
 /// Prefix of the entries of a zone's nodes: all that a node of a large fleet must read
 /// to find its relays, 260 bytes each instead of the whole fleet's.
 pub fn zone_prefix(zone: &str) -> String {
@@ -38,6 +43,8 @@
     Present,
     /// The machine that last could order; stays.
     Last,
+    /// Era of the store in which that was written; stays.
+    Era,
 }
 
 /// Name of a kind of key, at the end of the key.
@@ -45,6 +52,7 @@
     match kind {
         OrdererKeyKind::Present => "present",
         OrdererKeyKind::Last => "last",
+        OrdererKeyKind::Era => "era",
     }
 }
 
@@ -62,7 +70,7 @@
 pub fn parse_orderer_key(key: &str) -> Option<(Shard, OrdererKeyKind)> {
     let (index, name) = key.strip_prefix(ORDERER_PREFIX)?.split_once('/')?;
     let shard = Shard::from_index(index.parse().ok()?)?;
-    [OrdererKeyKind::Present, OrdererKeyKind::Last]
+    [OrdererKeyKind::Present, OrdererKeyKind::Last, OrdererKeyKind::Era]
         .into_iter()
         .find(|kind| kind_name(*kind) == name)
         .map(|kind| (shard, kind))
@@ -114,6 +122,16 @@
     pub is_settled: bool,
 }
 
+/// Era of the store in which the last orderer was recorded. It has a key of its own, as
+/// the record's form is read by older builds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct RecordEra {
+    /// The system's first era.
+    pub first: u64,
+    /// Era of the record.
+    pub recorded: u64,
+}
+
 /// An item of the nodes' own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OwnItem {
@@ -125,6 +143,15 @@
     LastOrderer(Shard, LastOrderer),
 }
 
+/// Reads the era of a record; `None` if the item is none.
+pub fn read_record_era(item: &Item) -> Option<RecordEra> {
+    let (_, kind) = parse_orderer_key(&item.key)?;
+    let is_era = kind == OrdererKeyKind::Era;
+    is_era
+        .then(|| RecordEra::deserialize_bin(&item.value).ok())
+        .flatten()
+}
+
 /// Reads an item of the nodes' own; `None` if it is none, or cannot be read.
 pub fn read_own_item(item: &Item) -> Option<OwnItem> {
     let read_entry = || MemberEntry::deserialize_bin(&item.value).ok();
@@ -137,6 +164,7 @@
         OrdererKeyKind::Last => LastOrderer::deserialize_bin(&item.value)
             .ok()
             .map(|last| OwnItem::LastOrderer(shard, last)),
+        OrdererKeyKind::Era => None,
     }
 }
 
@@ -264,10 +292,19 @@
     let key = format!("{}{}", zone_prefix(&entry.zone), entry.name);
     let value = Bytes::from(SerBin::serialize_bin(&entry));
     let mut lease = None;
+    let mut rises = node.platform.store().era().rises();
     while node.lifecycle() != Lifecycle::Stopping {
         if node.lifecycle() == Lifecycle::Ready {
             lease = refresh(&node, lease, &key, &value).await;
         }
+        let present_rises = node.platform.store().era().rises();
+        if std::mem::replace(&mut rises, present_rises) != present_rises {
+            // The store may have come back with the lease and without the entry.
+            let share = rand::rng().random_range(0.0..1.0);
+            sleep(REWRITE_SPREAD.mul_f64(share)).await;
+            lease = None;
+            continue;
+        }
         tokio::select! {
             () = sleep(node.settings.pace.membership_renewal) => {}
             // Renewals wait by the steady clock, leases run out by the store's.
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -38,6 +38,8 @@
     pub replica_words: Family<OutcomeLabels, Counter>,
     /// Suspensions of the machine that were noticed.
     pub suspensions: Counter,
+    /// Times that the store came back from an older copy.
+    pub store_rises: Counter,
     /// Calls to the store by kind and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// Messages of the orderer by kind and what became of them.
@@ -110,6 +112,12 @@
             "Suspensions of the machine that were noticed",
             suspensions.clone(),
         );
+        let store_rises = Counter::default();
+        registry.register(
+            "store_rises",
+            "Times that the store came back from an older copy",
+            store_rises.clone(),
+        );
         let store_calls = Family::default();
         registry.register(
             "store_calls",
@@ -172,6 +180,7 @@
             crashes,
             replica_words,
             suspensions,
+            store_rises,
             store_calls,
             relayed,
             first_byte_seconds,
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -12,12 +12,14 @@
 use tokio::time::sleep;
 
 use crate::membership::{
-    orderer_key, orderer_prefix, read_own_item, LastOrderer, MemberEntry, OrdererKeyKind, OwnItem,
+    orderer_key, orderer_prefix, read_own_item, read_record_era, LastOrderer, MemberEntry, OrdererKeyKind,
+    OwnItem, RecordEra,
 };
 use crate::node::{Lifecycle, Node};
 use crate::ports::{
     ConditionalPut, Expectation, Freshness, KeyValueStore, Platform, PutOutcome, StoreError, Write,
 };
+use crate::store_era::same_era;
 
 /// Added to the least gap between two orderers, for clocks that run unevenly.
 const GAP_MARGIN: Duration = Duration::from_millis(250);
@@ -48,6 +50,7 @@
 pub(super) struct OrdererKeys {
     present: Option<Revised<MemberEntry>>,
     last: Option<Revised<LastOrderer>>,
+    era: Option<RecordEra>,
 }
 
 /// A lease that was taken, and what the former orderer left, if that is known.
@@ -89,7 +92,9 @@
     let asked_at = node.clock.now();
     let store = node.store();
     let lease = store.grant_lease(time_to_live).await.ok()?;
-    let start = start_of_term(last_record(&keys, entry), heard.as_ref(), asked_at);
+    let heard = heard.filter(|heard| is_of_present_era(node, heard));
+    let is_proven = is_record_proven(node, &keys);
+    let start = start_of_term(last_record(&keys, entry), is_proven, heard.as_ref(), asked_at);
     let Some(fencing_token) = claim_key(node, shard, entry, lease, &keys, start).await else {
         let _ = store.end_lease(lease).await;
         return None;
@@ -150,6 +155,24 @@
     present.value.name == entry.name || resigned
 }
 
+/// True if nobody can have ordered after the record stands as it was read: it was written
+/// since the store last came back from an older copy.
+fn is_record_proven<P: Platform>(node: &Node<P>, keys: &OrdererKeys) -> bool {
+    let present = node.platform.store().era();
+    match keys.era {
+        Some(era) => Some(era.recorded) == present.newest(),
+        // An older build wrote it, or nobody has.
+        None => present.rises() == 0,
+    }
+}
+
+/// True if a resignation is of the store's present era: the revisions that one of a former
+/// era names were given out again.
+fn is_of_present_era<P: Platform>(node: &Node<P>, heard: &HeardResignation) -> bool {
+    let present = node.platform.store().era().point(0);
+    same_era(heard.resignation.fencing_token, present)
+}
+
 /// The record of the last orderer as [`start_of_term`] judges it.
 fn last_record(keys: &OrdererKeys, entry: &MemberEntry) -> Option<LastRecord> {
     keys.last.as_ref().map(|last| LastRecord {
@@ -191,6 +214,10 @@
     let mut keys = OrdererKeys::default();
     for item in &snapshot.items {
         let revision = item.revision;
+        if let Some(era) = read_record_era(item) {
+            node.platform.store().era().learn_first(era.first);
+            keys.era = Some(era);
+        }
         match read_own_item(item) {
             Some(OwnItem::LastOrderer(_, value)) => keys.last = Some(Revised { value, revision }),
             Some(OwnItem::Orderer(_, value)) => keys.present = Some(Revised { value, revision }),
@@ -212,7 +239,11 @@
     start: TermStart,
 ) -> Option<u64> {
     let present = revision_of(&keys.present);
-    let mut writes = vec![write_entry(shard, entry, lease)];
+    // First: the answer names the revision of what is written last.
+    let is_era_wanted = keys.era.is_none() && start != TermStart::AfterRestore;
+    let era = write_record_era(node, shard).filter(|_| is_era_wanted);
+    let mut writes: Vec<Write> = era.into_iter().collect();
+    writes.push(write_entry(shard, entry, lease));
     if start == TermStart::Continues {
         writes.push(write_record(shard, entry, RecordKind::Settled));
     }
@@ -244,9 +275,11 @@
     fencing_token: u64,
     kind: RecordKind,
 ) -> Option<Record> {
+    let mut writes: Vec<Write> = write_record_era(node, shard).into_iter().collect();
+    writes.push(write_record(shard, entry, kind));
     let put = ConditionalPut {
         conditions: vec![expect(shard, OrdererKeyKind::Present, fencing_token)],
-        writes: vec![write_record(shard, entry, kind)],
+        writes,
     };
     match node.store().put(put).await {
         Ok(PutOutcome::Done { revision }) => Some(Record { kind, revision }),
@@ -273,6 +306,20 @@
     }
 }
 
+/// The present era as that of the record; nothing at a store without eras.
+fn write_record_era<P: Platform>(node: &Node<P>, shard: Shard) -> Option<Write> {
+    let present = node.platform.store().era();
+    let era = RecordEra {
+        first: present.first()?,
+        recorded: present.newest()?,
+    };
+    Some(Write {
+        key: orderer_key(shard, OrdererKeyKind::Era),
+        value: Bytes::from(SerBin::serialize_bin(&era)),
+        lease: NO_LEASE,
+    })
+}
+
 fn write_record(shard: Shard, entry: &MemberEntry, kind: RecordKind) -> Write {
     let last = LastOrderer {
         entry: entry.clone(),
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -29,6 +29,7 @@
 use crate::ports::{
     EngineAddress, EngineAnswer, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError,
 };
+use crate::store_era::same_era;
 use crate::tree;
 
 /// Time from the decision on an order after which it is not sent any more: less than
@@ -125,6 +126,16 @@
         if self.node.lifecycle() == Lifecycle::Stopping {
             return false;
         }
+        let present = self.node.platform.store().era().point(0);
+        if self
+            .lease
+            .token(now)
+            .is_some_and(|token| !same_era(token, present))
+        {
+            // What stands in the store now may be of before this lease, or of after it.
+            tracing::warn!(target: "orderer", event = "the lease is of a former era of the store");
+            self.lease.lost();
+        }
         if self.lease.expire(now) {
             tracing::warn!(target: "orderer", event = "lease expired without renewal");
         }
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -17,6 +17,7 @@
 use http::{request, response, HeaderMap};
 
 use crate::connection::{Arrival, ExchangeError};
+use crate::store_era::StoreEra;
 
 /// One item of the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -206,7 +207,12 @@
 }
 
 /// A linearizable key-value store with revisions, leases and watches.
+///
+/// All revisions in calls and answers are points ([`StoreEra`]). An answer of a former
+/// era counts as none.
 pub trait KeyValueStore {
+    /// Era of the store, as its answers told it.
+    fn era(&self) -> &StoreEra;
     /// Reads all items whose key begins with `prefix`; each part of the answer must
     /// begin within `limit`, and is then waited for as long as it arrives.
     async fn range(
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -8,7 +8,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::node::{Node, NodeQueues};
-use crate::ports::Platform;
+use crate::ports::{KeyValueStore, Platform};
 use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, quota, tree};
 
 /// Longest wait for the node's entries in the store to be withdrawn at the end.
@@ -39,6 +39,7 @@
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
+    spawn_local(watch_store_era(node.clone()));
     for part in QuotaPart::all() {
         let own = node.settings.identity.peer;
         spawn_local(quota::follow_keeper(node.quotas.clone(), node.clone(), part, own));
@@ -73,6 +74,19 @@
     }
 }
 
+/// Follows the store's era, until the process ends.
+async fn watch_store_era<P: Platform>(node: Rc<Node<P>>) {
+    let era = node.platform.store().era();
+    loop {
+        era.risen().await;
+        let (newest, first) = (era.newest(), era.first());
+        tracing::warn!(target: "store", event = "a new era: what was written since an older copy is lost", newest, first);
+        node.metrics.store_rises.inc();
+        crash_reports::tell_again(&node);
+        node.relay_changed.notify_waiters();
+    }
+}
+
 /// After a suspension nothing that rested or waited meanwhile is relied on.
 async fn watch_suspensions<P: Platform>(node: Rc<Node<P>>) {
     let on_resume = |suspended: Duration| {
--- a/crates/croftrill-scheduler/src/hand_over.rs
+++ b/crates/croftrill-scheduler/src/hand_over.rs
@@ -204,8 +204,18 @@
 }
 
 /// How a term begins for a candidate that takes the key on the condition that
-/// the record stands as it read it.
-pub fn start_of_term(last: Option<LastRecord>, heard: Option<&HeardResignation>, now: Moment) -> TermStart {
+/// the record stands as it read it. `is_proven`: false if the record may be of before
+/// the store came back from an older copy; then later ones are lost, and so may be the
+/// key of a machine that still holds its lease by its own clock.
+pub fn start_of_term(
+    last: Option<LastRecord>,
+    is_proven: bool,
+    heard: Option<&HeardResignation>,
+    now: Moment,
+) -> TermStart {
+    if !is_proven {
+        return TermStart::AfterRestore;
+    }
     let Some(last) = last else {
         // Whoever orders is recorded before: nobody ever did.
         return TermStart::HandedOver {
--- a/crates/croftrill-scheduler/src/lease.rs
+++ b/crates/croftrill-scheduler/src/lease.rs
@@ -15,6 +15,8 @@
 //!   (or once all of its predecessor's orders are known) and waits at single
 //!   replicas only. Until the last of these is free its record is
 //!   not settled: should it restart, it does not know them any more.
+//! - The store came back from an older copy ([`TermStart::AfterRestore`]): it waits for a
+//!   whole lease and a `quiet_period`.
 //! - Otherwise it waits for `quiet_period`, within which the former's orders may
 //!   still arrive, and records itself only then: a machine that restarts within
 //!   its quiet period must not find itself recorded.
@@ -51,6 +53,9 @@
     },
     /// Another machine may have ordered until the key was taken.
     AfterUnknown,
+    /// The store came back from an older copy: another machine may order for as long as
+    /// it believes in a lease that the store has lost.
+    AfterRestore,
 }
 
 /// The record that the store should hold of a machine.
@@ -113,6 +118,10 @@
                 settled_from,
             } => (now.max(free_from), settled_from),
             TermStart::AfterUnknown => (now + self.config.quiet_period, now + self.config.quiet_period),
+            TermStart::AfterRestore => {
+                let quiet_until = now + self.usable() + self.config.quiet_period;
+                (quiet_until, quiet_until)
+            }
         };
         let record = (start == TermStart::Continues).then_some(Record {
             kind: RecordKind::Settled,
--- a/crates/croftrill-scheduler/tests/lease.rs
+++ b/crates/croftrill-scheduler/tests/lease.rs
@@ -107,13 +107,13 @@
         free_from: at(5),
         settled_from: at(5),
     };
-    assert_eq!(start_of_term(last, Some(&heard(41)), at(5)), handed_over);
+    assert_eq!(start_of_term(last, true, Some(&heard(41)), at(5)), handed_over);
     assert_eq!(
-        start_of_term(last, Some(&heard(40)), at(5)),
+        start_of_term(last, true, Some(&heard(40)), at(5)),
         TermStart::AfterUnknown
     );
-    assert_eq!(start_of_term(last, None, at(5)), TermStart::AfterUnknown);
-    assert_eq!(start_of_term(None, None, at(5)), handed_over);
+    assert_eq!(start_of_term(last, true, None, at(5)), TermStart::AfterUnknown);
+    assert_eq!(start_of_term(None, true, None, at(5)), handed_over);
 }
 
 #[test]
@@ -344,7 +344,7 @@
         is_settled: last.is_settled,
         revision: last.revision,
     });
-    let start = start_of_term(last, machine.heard.as_ref(), at(now));
+    let start = start_of_term(last, true, machine.heard.as_ref(), at(now));
     store.revision += 1;
     let token = store.revision;
     store.holder = Some((index, token));
