--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -62,7 +62,7 @@
     pub front: SocketAddr,
     pub operator: SocketAddr,
     config: PathBuf,
-    program: Program,
+    program: Cell<Program>,
     child: RefCell<Child>,
 }
 
@@ -73,9 +73,21 @@
     Daemon,
     /// The daemon on a clock that a signal puts forward ([`crate::suspendable`]).
     Suspendable,
+    /// Another build of the daemon, which `CROFTRILL_SOAK_OLDER` names.
+    Older,
+}
+
+/// The other build, if one is named.
+pub fn older_build() -> Option<PathBuf> {
+    std::env::var_os("CROFTRILL_SOAK_OLDER").map(PathBuf::from)
 }
 
 impl NodeProcess {
+    /// The program that the next start runs.
+    pub fn set_program(&self, program: Program) {
+        self.program.set(program);
+    }
+
     /// Sends a signal by the process's id.
     pub fn signal(&self, name: &str) {
         let id = self.child.borrow().id().to_string();
@@ -103,7 +115,7 @@
     fn start_if_ended(&self) {
         let ended = self.child.borrow_mut().try_wait().expect("the child is ours");
         if ended.is_some() {
-            *self.child.borrow_mut() = spawn(&self.config, self.program);
+            *self.child.borrow_mut() = spawn(&self.config, self.program.get());
         }
     }
 
@@ -126,18 +138,21 @@
     }
 }
 
-fn spawn(config: &PathBuf, program: Program) -> Child {
+fn spawn(config: &Path, program: Program) -> Child {
     let mut command = match program {
-        Program::Daemon => {
-            let mut command = Command::new(env!("CARGO_BIN_EXE_croftrilld"));
-            command.arg("--config").arg(config);
-            command
-        }
+        Program::Daemon => daemon(Path::new(env!("CARGO_BIN_EXE_croftrilld")), config),
+        Program::Older => daemon(&older_build().expect("another build is named"), config),
         Program::Suspendable => suspendable::command(config),
     };
     command.stdout(log_of(config)).spawn().expect("the daemon starts")
 }
 
+fn daemon(program: &Path, config: &Path) -> Command {
+    let mut command = Command::new(program);
+    command.arg("--config").arg(config);
+    command
+}
+
 /// Where a daemon's log goes: to a file in the directory that
 /// `CROFTRILL_SOAK_LOGS` names, or nowhere.
 fn log_of(config: &Path) -> Stdio {
@@ -348,7 +363,7 @@
             front,
             operator,
             config,
-            program,
+            program: Cell::new(program),
             child,
         });
     }
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::checks;
-use crate::cluster::{Cluster, Size};
+use crate::cluster::{Cluster, Program, Size};
 use crate::{suspendable, tenants};
 
 /// How faults are drawn.
@@ -31,6 +31,9 @@
     /// Replicas say in answers that they leave, or turn requests away and ask for rest,
     /// while the store is away, nodes restart and connections are reset.
     Words,
+    /// Nodes of another build are replaced by this one, one after the other, and some
+    /// of them back, beside kills and cuts.
+    Builds,
 }
 
 /// One fault.
@@ -79,6 +82,8 @@
     Leaving(usize),
     /// A replica turns requests away and asks for so much rest each time.
     Rest(usize, Duration),
+    /// So many nodes, from the first, are stopped and run another program, so long apart.
+    Replace(usize, Program, Duration),
 }
 
 impl Injection {
@@ -87,7 +92,7 @@
         match self {
             Injection::Pause(hit) | Injection::Kill(hit) | Injection::Stop(hit) => *hit == node,
             Injection::Signals(hit, _) | Injection::Suspensions(hit, ..) => *hit == node,
-            Injection::KillAll | Injection::Roll(_) => true,
+            Injection::KillAll | Injection::Roll(_) | Injection::Replace(..) => true,
             _ => false,
         }
     }
@@ -247,6 +252,24 @@
     }
 }
 
+fn builds_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    match index {
+        0 => return Injection::Replace(size.nodes, Program::Daemon, pause(random, 500)),
+        1 => {
+            let back = random.random_range(0..=size.nodes);
+            return Injection::Replace(back, Program::Older, pause(random, 500));
+        }
+        _ => {}
+    }
+    match random.random_range(0..4) {
+        0 => Injection::Kill(node),
+        1 => Injection::StorePath(node, fault(random)),
+        2 => Injection::Change,
+        _ => Injection::EnginePath(random.random_range(0..size.engines), fault(random)),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
@@ -255,6 +278,7 @@
         Mix::Crashes => (random.random_range(4..=8), 3500),
         Mix::Tenants => (random.random_range(4..=8), 4000),
         Mix::Words => (random.random_range(4..=8), 2500),
+        Mix::Builds => (random.random_range(2..=4), 2500),
     };
     let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -265,6 +289,7 @@
             Mix::Crashes => crashes_injection(random, size, index),
             Mix::Tenants => tenants_injection(random, size, index),
             Mix::Words => words_injection(random, size, index),
+            Mix::Builds => builds_injection(random, size, index),
         },
     });
     planned.collect()
@@ -325,6 +350,7 @@
                 sleep(*gap).await;
             }
         }
+        Injection::Replace(nodes, program, gap) => replace(cluster, *nodes, *program, *gap).await,
         Injection::Leaving(engine) => cluster.engine(*engine).begin_to_leave(),
         Injection::Rest(engine, rest) => cluster.engine(*engine).turn_away(Some(*rest)),
         Injection::Changes(count, gap) => {
@@ -353,6 +379,16 @@
     futures_join(each).await;
 }
 
+/// Has nodes run another program, one after the other.
+async fn replace(cluster: &Cluster, nodes: usize, program: Program, gap: Duration) {
+    for node in cluster.nodes.iter().take(nodes) {
+        node.set_program(program);
+        node.signal("CONT");
+        node.restart(true).await;
+        sleep(gap).await;
+    }
+}
+
 async fn end(cluster: &Cluster, planned: &Planned) {
     match &planned.injection {
         Injection::StorePath(node, _) => cluster.store_proxies[*node].set(Fault::None),
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -17,7 +17,8 @@
 //!
 //! `CROFTRILL_SOAK_ROUNDS` and `CROFTRILL_SOAK_SEED` choose other rounds than the
 //! continuous integration's, `CROFTRILL_SOAK_NODES` and `CROFTRILL_SOAK_ENGINES`
-//! other sizes, `CROFTRILL_SOAK_LOGS` a directory for the nodes' logs. Seeds that ever failed stand in `seeds.txt`, with how their
+//! other sizes, `CROFTRILL_SOAK_OLDER` the program of another build, which seeds from two
+//! millions on replace by this one and back, `CROFTRILL_SOAK_LOGS` a directory for the nodes' logs. Seeds that ever failed stand in `seeds.txt`, with how their
 //! faults are drawn.
 
 mod checks;
@@ -42,7 +43,9 @@
 const USUAL_SEED: u64 = 2026;
 /// From this seed on all rounds are of the mix of words.
 const FIRST_SEED_OF_WORDS: u64 = 1_000_000;
-/// Seed of the continuous integration's round of that mix.
+/// From this seed on they are of the mix of builds, which needs another build.
+const FIRST_SEED_OF_BUILDS: u64 = 2_000_000;
+/// Seed of the continuous integration's round of the mix of words.
 const USUAL_SEED_OF_WORDS: u64 = FIRST_SEED_OF_WORDS + USUAL_SEED;
 /// Time in which calls and faults meet.
 const ROUND: Duration = Duration::from_secs(6);
@@ -88,6 +91,7 @@
     let (program, size) = match mix {
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
         Mix::Words => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
+        Mix::Builds => (Program::Older, size),
         Mix::Few | Mix::Series | Mix::Tenants => (Program::Daemon, size),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program).await;
@@ -145,6 +149,7 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_BUILDS => Mix::Builds,
         _ if seed >= FIRST_SEED_OF_WORDS => Mix::Words,
         0 => Mix::Few,
         1 => Mix::Series,
@@ -152,10 +157,18 @@
         _ => Mix::Tenants,
     };
     let drawn = (first..first + rounds).map(|seed| (seed, mix_of(seed)));
-    for (seed, mix) in kept_seeds() {
+    // Rounds of other builds are drawn by hand alone.
+    let kept = if first >= FIRST_SEED_OF_BUILDS {
+        Vec::new()
+    } else {
+        kept_seeds()
+    };
+    for (seed, mix) in kept {
         LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
     }
-    LocalSet::new().block_on(&runtime, round(USUAL_SEED_OF_WORDS, Mix::Words, USUAL_SIZE));
+    if first < FIRST_SEED_OF_BUILDS {
+        LocalSet::new().block_on(&runtime, round(USUAL_SEED_OF_WORDS, Mix::Words, USUAL_SIZE));
+    }
     for (seed, mix) in drawn {
         LocalSet::new().block_on(&runtime, round(seed, mix, size()));
     }
