A follower ahead of its relay ends the link and begins anew

Cause: what a lagging relay told was passed over, and what a former relay had told stayed without anybody telling of its changes.

--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -109,6 +109,8 @@
     whole: WholeInParts,
     /// True once the relay had a view to pass on.
     has_begun: bool,
+    /// True once it told of an older view than this node's.
+    lags_behind: bool,
 }
 
 /// Listens to a relay until it falls silent or hears nothing itself.
@@ -124,6 +126,7 @@
         delay: LinkDelay::default(),
         whole: WholeInParts::default(),
         has_begun: false,
+        lags_behind: false,
     };
     let linked_at = Instant::now();
     let mut useful_at = Instant::now();
@@ -146,6 +149,11 @@
                 if let Some(reply) = take_message(node, address, message, &mut followed) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
+                if followed.lags_behind {
+                    // What it passed over is told to nobody. Begun anew, the relay waits
+                    // until it has caught up, and tells all that this node must know.
+                    return Err(io::Error::other("the relay lags behind"));
+                }
             }
             message = outgoing.recv() => {
                 let Some(message) = message else { return Ok(()) };
@@ -195,7 +203,7 @@
             followed.has_begun = true;
             take_scope(node, scope);
         }
-        FromOrderer::Replicas(replicas) => take_replicas(node, replicas),
+        FromOrderer::Replicas(replicas) => followed.lags_behind |= !take_replicas(node, replicas),
         FromOrderer::Forgotten(ids) => {
             let mut state = node.state.borrow_mut();
             ids.iter().for_each(|id| state.replicas.forget(id));
@@ -232,16 +240,16 @@
     state.tree.is_narrow |= is_narrow;
 }
 
-/// Takes in replicas that this node must know, by its interests.
-fn take_replicas<P: Platform>(node: &Node<P>, told: WireReplicas) {
+/// Takes in replicas that this node must know, by its interests; false if the relay lags
+/// behind what this node heard of the store by itself: changes in between would be told
+/// to nobody.
+fn take_replicas<P: Platform>(node: &Node<P>, told: WireReplicas) -> bool {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
     if told.reached < state.directory.reached() {
-        // The relay lags behind what this node heard of the store by itself: changes in
-        // between would be told to nobody. Requests ask again.
         tracing::info!(target: "peer", event = "the relay lags behind", told = told.reached,
             reached = state.directory.reached(), replaces = told.replaces);
-        return;
+        return false;
     }
     if told.replaces {
         let named = told.replicas.iter().map(|replica| replica.listing.id.as_str());
@@ -267,4 +275,5 @@
     }
     drop(state);
     relay::announce(node);
+    true
 }
