Messages between nodes of another form are errors, and end no process

Cause: the reader of lists reserves memory for as many items as a length says. Change: WireList, the same bytes, believes a length as far as the message is long; decode turns panics of the reader of texts into errors.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -95,7 +95,7 @@
     Cost {
         idle_plan,
         busy_plan,
-        snapshot_bytes: FromOrderer::Placements(placements).serialize_bin().len(),
+        snapshot_bytes: FromOrderer::Placements(placements.into()).serialize_bin().len(),
         change_bytes: FromOrderer::Placements(one).serialize_bin().len(),
     }
 }
--- a/crates/croftrill-bench/src/fleet.rs
+++ b/crates/croftrill-bench/src/fleet.rs
@@ -216,7 +216,7 @@
         revision: 1,
         change: WireChange::Written {
             key: format!("croftrill/nodes/{}/{}", member.zone, member.name),
-            value: member.serialize_bin(),
+            value: member.serialize_bin().into(),
         },
     });
     items.map(|item| item.serialize_bin().len()).sum()
@@ -226,7 +226,7 @@
 fn whole_parts(members: &[MemberEntry], table: &ReplicaTable) -> Vec<usize> {
     let nodes = members.iter().map(|member| WireChange::Written {
         key: format!("croftrill/nodes/{}/{}", member.zone, member.name),
-        value: member.serialize_bin(),
+        value: member.serialize_bin().into(),
     });
     let replicas = table
         .iter()
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use croftrill_scheduler::crash_ledger::{CrashLedger, EndedReplica, Fingerprint, Verdict, KEEP};
 use croftrill_scheduler::time::Moment;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use rand::Rng;
 use tokio::time::sleep;
 
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::peer::ToOrderer;
 use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
+use crate::wire::decode;
 
 /// Prefix of the reports' keys.
 const REPORT_PREFIX: &str = "croftrill/crashes/";
@@ -44,7 +45,7 @@
 
 /// A node's report was written.
 pub(crate) fn report_written<P: Platform>(node: &Node<P>, item: &Item) {
-    let Ok(report) = WireCrashReport::deserialize_bin(&item.value) else {
+    let Ok(report) = decode::<WireCrashReport>(&item.value) else {
         tracing::warn!(target: "crash", event = "report cannot be read", key = item.key);
         return;
     };
--- a/crates/croftrill-node/src/crash_wire.rs
+++ b/crates/croftrill-node/src/crash_wire.rs
@@ -3,21 +3,23 @@
 use croftrill_scheduler::crash_ledger::{CrashReport, EndedReplica, Fingerprint, Suspicion};
 use nanoserde::{DeBin, SerBin};
 
+use crate::wire::WireList;
+
 /// A request in a report, on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct WireSuspicion {
     /// Upper and lower half of its fingerprint.
     fingerprint: [u64; 2],
     /// Replicas that ended under it.
-    ended: Vec<u64>,
+    ended: WireList<u64>,
     /// Those of them of which it was cleared.
-    cleared: Vec<u64>,
+    cleared: WireList<u64>,
 }
 
 /// A node's report, on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct WireCrashReport {
-    suspicions: Vec<WireSuspicion>,
+    suspicions: WireList<WireSuspicion>,
 }
 
 impl WireCrashReport {
--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -54,7 +54,7 @@
             reached: changes.revision,
             proof_age_ms: 0,
             sent_at_ms: 0,
-            changes: told_changes(node, &changes.events, after),
+            changes: told_changes(node, &changes.events, after).into(),
         },
         // An answer that lay unread, as while this process was stopped, proves
         // nothing later than its question.
@@ -101,7 +101,7 @@
             },
             Listed::OtherItem => WireChange::Written {
                 key: item.key.clone(),
-                value: item.value.to_vec(),
+                value: item.value.to_vec().into(),
             },
         },
         StoreEvent::Removed { key, .. } => WireChange::Removed { key: key.clone() },
@@ -161,7 +161,7 @@
         }
         WireChange::Written { key, value } => ViewChange::Store(StoreEvent::Written(Item {
             key,
-            value: value.into(),
+            value: Vec::from(value).into(),
             revision,
         })),
         WireChange::Removed { key } => ViewChange::Store(StoreEvent::Removed { key, revision }),
@@ -233,7 +233,7 @@
         let mut news = part.news;
         self.0.append(&mut news.changes);
         part.is_last.then(|| DirectoryNews {
-            changes: std::mem::take(&mut self.0),
+            changes: std::mem::take(&mut self.0).into(),
             ..news
         })
     }
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod store_era;
 pub mod stream;
 pub mod tree;
+pub mod wire;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -21,6 +21,7 @@
 use crate::node::{Lifecycle, Node};
 use crate::ports::{ConditionalPut, Item, KeyValueStore, Platform, StoreError, Write};
 use crate::quota::Fleet;
+use crate::wire::decode;
 
 /// Prefix of the nodes' entries.
 const MEMBER_PREFIX: &str = "croftrill/nodes/";
@@ -147,21 +148,19 @@
 pub fn read_record_era(item: &Item) -> Option<RecordEra> {
     let (_, kind) = parse_orderer_key(&item.key)?;
     let is_era = kind == OrdererKeyKind::Era;
-    is_era
-        .then(|| RecordEra::deserialize_bin(&item.value).ok())
-        .flatten()
+    is_era.then(|| decode(&item.value).ok()).flatten()
 }
 
 /// Reads an item of the nodes' own; `None` if it is none, or cannot be read.
 pub fn read_own_item(item: &Item) -> Option<OwnItem> {
-    let read_entry = || MemberEntry::deserialize_bin(&item.value).ok();
+    let read_entry = || decode::<MemberEntry>(&item.value).ok();
     if item.key.starts_with(MEMBER_PREFIX) {
         return read_entry().map(OwnItem::Node);
     }
     let (shard, kind) = parse_orderer_key(&item.key)?;
     match kind {
         OrdererKeyKind::Present => read_entry().map(|entry| OwnItem::Orderer(shard, entry)),
-        OrdererKeyKind::Last => LastOrderer::deserialize_bin(&item.value)
+        OrdererKeyKind::Last => decode::<LastOrderer>(&item.value)
             .ok()
             .map(|last| OwnItem::LastOrderer(shard, last)),
         OrdererKeyKind::Era => None,
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -436,7 +436,7 @@
         let wire = placements.iter();
         let wire = wire.map(|placement| WirePlacement::from_placement(placement, now));
         for part in WirePlacement::in_parts(wire.collect()) {
-            let message = FromOrderer::Placements(part.clone()).encode();
+            let message = FromOrderer::Placements(part.clone().into()).encode();
             tree::pass_on_placements(&self.node, &part, &message);
             // It fails only while nobody listens.
             let _ = self.changes.send(message);
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -19,6 +19,7 @@
 pub use self::news::{DirectoryNews, RevisedChange, WholePart, WireChange, WireListing};
 use self::news::{NAME_BYTES, ROW_BYTES};
 use crate::crash_wire::WireCrashReport;
+use crate::wire::WireList;
 
 /// A service, a model or an adapter, on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, SerBin, DeBin)]
@@ -102,15 +103,15 @@
     /// First of all: the shard, by its number, to whose orderer this link goes.
     Listen(u8),
     /// Requests that arrived at a node.
-    Demand(Vec<DemandItem>),
+    Demand(WireList<DemandItem>),
     /// Requests wait for something that is not held.
     Waiting(WireModel),
     /// First of all, on a link to a relay: the node follows all shards there.
     Follow(WireFollow),
     /// To a relay that tells by interests: what the node's requests ask for, too.
-    Want(Vec<WireModel>),
+    Want(WireList<WireModel>),
     /// The same: what they have not asked for for long.
-    Forget(Vec<WireModel>),
+    Forget(WireList<WireModel>),
     /// Wanted: the store's changes after this revision.
     Replay(u64),
     /// A report that the sender cannot write to the store itself.
@@ -131,7 +132,7 @@
     /// True if it knows all replicas.
     pub knows_all: bool,
     /// What its requests asked for lately.
-    pub interests: Vec<WireModel>,
+    pub interests: WireList<WireModel>,
 }
 
 /// A model on its way, on the wire.
@@ -149,7 +150,7 @@
     /// The model.
     pub model: String,
     /// Its adapters that are present.
-    pub adapters: Vec<String>,
+    pub adapters: WireList<String>,
 }
 
 /// What the orderer tells of one replica, on the wire.
@@ -162,9 +163,9 @@
     /// Orders that it has taken.
     pub sequence: u64,
     /// What requests may rely on.
-    pub models: Vec<WireHeldModel>,
+    pub models: WireList<WireHeldModel>,
     /// What is on its way.
-    pub arriving: Vec<WireArrival>,
+    pub arriving: WireList<WireArrival>,
     /// Copies of weights, where they changed. A model that makes way leaves one, which
     /// decides how long whoever asks for it has to wait.
     pub copies: Option<WireCopies>,
@@ -174,9 +175,9 @@
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct WireCopies {
     /// In its main memory.
-    pub in_memory: Vec<String>,
+    pub in_memory: WireList<String>,
     /// On its disk.
-    pub on_disk: Vec<String>,
+    pub on_disk: WireList<String>,
 }
 
 /// A replica at which a successor must not order yet, on the wire.
@@ -207,9 +208,9 @@
     /// Time for which no other machine may order anywhere, in milliseconds.
     pub everywhere_ms: u32,
     /// Replicas at which others must not order yet.
-    pub holds: Vec<WireHold>,
+    pub holds: WireList<WireHold>,
     /// Loads that count still.
-    pub loads: Vec<WirePastLoad>,
+    pub loads: WireList<WirePastLoad>,
 }
 
 impl WireResignation {
@@ -259,7 +260,7 @@
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum FromOrderer {
     /// What it knows of some replicas.
-    Placements(Vec<WirePlacement>),
+    Placements(WireList<WirePlacement>),
     /// What it learned of the store.
     Directory(DirectoryNews),
     /// It is alive and holds the lease.
@@ -267,13 +268,13 @@
     /// Its term is over.
     Resigned(WireResignation),
     /// From a relay: which shards' orderers it hears.
-    Linked(Vec<bool>),
+    Linked(WireList<bool>),
     /// From a relay, first of all: how much of the replicas it tells.
     Scope(WireScope),
     /// From a relay that tells by interests: replicas that the node must know.
     Replicas(WireReplicas),
     /// The same: replicas that it is not told of any more.
-    Forgotten(Vec<String>),
+    Forgotten(WireList<String>),
     /// From a relay: the term of an orderer is over.
     RelayedResignation(RelayedResignation),
     /// All that the sender knows of the store, as changes from nothing.
@@ -317,11 +318,11 @@
     /// Revision of the store that the sender's view reached.
     pub reached: u64,
     /// The replicas.
-    pub replicas: Vec<WireReplica>,
+    pub replicas: WireList<WireReplica>,
     /// Interests that are answered by these and what was told before.
-    pub answers: Vec<WireModel>,
+    pub answers: WireList<WireModel>,
     /// Load times of models that changed.
-    pub reloads: Vec<WireReload>,
+    pub reloads: WireList<WireReload>,
 }
 
 /// A resignation that a relay passes on, on the wire.
@@ -347,7 +348,7 @@
             .iter()
             .map(|placement| WirePlacement::from_placement(placement, now));
         let parts = WirePlacement::in_parts(wire.collect());
-        let messages = parts.into_iter().map(FromOrderer::Placements);
+        let messages = parts.into_iter().map(|part| FromOrderer::Placements(part.into()));
         messages.map(|message| message.encode()).collect()
     }
 }
@@ -410,8 +411,8 @@
             models: models.collect(),
             arriving: arriving.collect(),
             copies: placement.tells_copies.then(|| WireCopies {
-                in_memory: strings(&placement.usable.copies.in_memory),
-                on_disk: strings(&placement.usable.copies.on_disk),
+                in_memory: strings(&placement.usable.copies.in_memory).into(),
+                on_disk: strings(&placement.usable.copies.on_disk).into(),
             }),
         }
     }
--- a/crates/croftrill-node/src/peer/news.rs
+++ b/crates/croftrill-node/src/peer/news.rs
@@ -7,6 +7,7 @@
 use nanoserde::{DeBin, SerBin};
 
 use crate::tree::MOST_NEWS_BYTES;
+use crate::wire::WireList;
 
 /// Bytes of one message of those in which more is told, about: 50 ms over 20 Mbit/s, so
 /// that signs of life and what is urgent get between them.
@@ -50,7 +51,7 @@
         /// Its key.
         key: String,
         /// Its value.
-        value: Vec<u8>,
+        value: WireList<u8>,
     },
     /// A key was removed.
     Removed {
@@ -81,7 +82,7 @@
     /// When it was sent, by the sender's steady clock, in milliseconds.
     pub sent_at_ms: u64,
     /// The changes, in order.
-    pub changes: Vec<RevisedChange>,
+    pub changes: WireList<RevisedChange>,
 }
 
 /// A part of a view that is told whole: one message has a limit, a fleet has none.
@@ -152,7 +153,11 @@
         let rows = std::mem::take(&mut self.changes);
         // What one write of the store changed stays together: a view takes a revision once.
         let may_split = |left: &RevisedChange, right: &RevisedChange| left.revision != right.revision;
-        let parts = in_parts(rows, |revised| revised.change.size_bytes(), may_split);
+        let parts = in_parts(
+            rows.into(),
+            |revised: &RevisedChange| revised.change.size_bytes(),
+            may_split,
+        );
         let last = parts.len() - 1;
         let mut after = self.after;
         let parts = parts.into_iter().enumerate().map(|(index, changes)| {
@@ -160,7 +165,7 @@
             let part = if index == last {
                 DirectoryNews {
                     after,
-                    changes,
+                    changes: changes.into(),
                     ..self
                 }
             } else {
@@ -169,7 +174,7 @@
                     reached: ends_at,
                     proof_age_ms: UNPROVEN_MS,
                     sent_at_ms: self.sent_at_ms,
-                    changes,
+                    changes: changes.into(),
                 }
             };
             after = ends_at;
@@ -193,7 +198,11 @@
             sent_at_ms,
             changes,
         } = whole;
-        let parts = in_parts(changes, |revised| revised.change.size_bytes(), |_, _| true);
+        let parts = in_parts(
+            changes.into(),
+            |revised: &RevisedChange| revised.change.size_bytes(),
+            |_, _| true,
+        );
         let last = parts.len().saturating_sub(1);
         let parts = parts.into_iter().enumerate().map(|(index, changes)| WholePart {
             is_first: index == 0,
@@ -204,7 +213,7 @@
                 reached,
                 proof_age_ms,
                 sent_at_ms,
-                changes,
+                changes: changes.into(),
             },
         });
         Some(parts.collect())
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -9,7 +9,7 @@
 use croftrill_scheduler::followed_view::{LinkDelay, RelayOutcome};
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::shard::Shard;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -21,6 +21,7 @@
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
+use crate::wire::decode;
 use crate::{quota, tree};
 
 /// Pause before a link is tried again.
@@ -104,7 +105,7 @@
 /// What the other side is here for.
 async fn first_message(link: &mut PeerLink) -> Option<ToOrderer> {
     let frame = link.next().await.ok()??;
-    ToOrderer::deserialize_bin(&frame).ok()
+    decode(&frame).ok()
 }
 
 /// Passes changes to the listener and its messages to the orderer, until either ends.
@@ -127,7 +128,7 @@
             },
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
-                let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
+                let message = decode::<ToOrderer>(&frame)?;
                 match message {
                     ToOrderer::Replay(after) => {
                         let mut replies = tree::view_since(node, after, true);
@@ -244,7 +245,7 @@
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
                 let frame = frame.freeze();
-                let message = FromOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
+                let message = decode::<FromOrderer>(&frame)?;
                 set_linked(node, shard, true);
                 if let Some(reply) = take_message(node, shard, address, (message, frame), (&mut delay, &mut whole)) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
@@ -293,7 +294,7 @@
     whole: &mut WholeInParts,
 ) -> Option<ToOrderer> {
     match message {
-        FromOrderer::Placements(placements) => apply_placements(node, placements),
+        FromOrderer::Placements(placements) => apply_placements(node, placements.into()),
         FromOrderer::Directory(news) => {
             let outcome = relay::take_news(node, news, delay);
             if outcome == Some(RelayOutcome::Gap) {
@@ -348,7 +349,3 @@
         }
     }
 }
-
-pub(crate) fn invalid_message(error: nanoserde::DeBinErr) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
-}
--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use croftrill_scheduler::quota::keeper::{Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -19,6 +19,7 @@
 use super::{Fleet, Quotas, Uplink};
 use crate::link::PeerLink;
 use crate::peer::ToOrderer;
+use crate::wire::decode;
 
 /// Time between two looks at the fleet: two wake-ups a second for each part.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -225,7 +226,7 @@
 
 /// Takes a keeper's answer. What was granted to a request that is gone goes back.
 fn take_answer(quotas: &Quotas, part: QuotaPart, frame: &BytesMut) -> io::Result<()> {
-    let message = FromKeeper::deserialize_bin(frame).map_err(invalid)?;
+    let message = decode::<FromKeeper>(frame)?;
     let (id, ruling) = match message {
         FromKeeper::Alive => return Ok(()),
         FromKeeper::Granted { id, after_ms } => {
@@ -260,7 +261,7 @@
         let Some(frame) = link.hear().await? else {
             return Ok(());
         };
-        let message = ToKeeper::deserialize_bin(&frame).map_err(invalid)?;
+        let message = decode::<ToKeeper>(&frame)?;
         if let Some(answer) = answer(&quotas, part, message) {
             link.send(Bytes::from(answer.serialize_bin())).await?;
         }
@@ -339,7 +340,3 @@
         self.add(-1);
     }
 }
-
-fn invalid(error: nanoserde::DeBinErr) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
-}
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -10,7 +10,7 @@
 use croftrill_scheduler::followed_view::LinkDelay;
 use croftrill_scheduler::relay_tree::TreePlace;
 use croftrill_scheduler::shard::Shard;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, Instant};
 
@@ -19,8 +19,9 @@
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer, WireFollow, WireModel, WireReplicas, WireScope};
-use crate::peer_link::{self, invalid_message, silence_limit};
+use crate::peer_link::{self, silence_limit};
 use crate::ports::Platform;
+use crate::wire::decode;
 
 /// Longest time between two looks at whether there is a relay to follow.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -145,7 +146,7 @@
         tokio::select! {
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                let message = FromOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
+                let message = decode::<FromOrderer>(&frame)?;
                 if let Some(reply) = take_message(node, address, message, &mut followed) {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
--- a/crates/croftrill-node/src/tree/follower.rs
+++ b/crates/croftrill-node/src/tree/follower.rs
@@ -13,6 +13,7 @@
     WireReload, WireReplica, WireReplicas, WireScope,
 };
 use crate::ports::{Platform, RecordReader};
+use crate::wire::WireList;
 
 /// News for all followers of a relay. Those that know everything get it as it was
 /// encoded once.
@@ -148,7 +149,11 @@
         let mut messages = if changes.len() == news.changes.len() {
             vec![message.clone()]
         } else {
-            vec![FromOrderer::Directory(DirectoryNews { changes, ..*news }).encode()]
+            vec![FromOrderer::Directory(DirectoryNews {
+                changes: changes.into(),
+                ..*news
+            })
+            .encode()]
         };
         if !newly_known.is_empty() {
             messages.extend(self.replicas_messages(node, &newly_known, &[], false));
@@ -193,15 +198,15 @@
         }
         let mut messages = Vec::new();
         if !told.is_empty() {
-            messages.push(FromOrderer::Placements(told).encode());
+            messages.push(FromOrderer::Placements(told.into()).encode());
         }
         let wanted: Vec<Interest> = self.interests.wanted_of(&with_copies).cloned().collect();
         let reloads = reloads(node, &wanted);
         if !newly_known.is_empty() || !reloads.is_empty() {
             let message = WireReplicas {
                 reached: node.state.borrow().directory.reached(),
-                replicas: wire_replicas(node, &newly_known),
-                reloads,
+                replicas: wire_replicas(node, &newly_known).into(),
+                reloads: reloads.into(),
                 ..WireReplicas::default()
             };
             messages.push(FromOrderer::Replicas(message).encode());
@@ -228,14 +233,14 @@
             let told = WireReplicas {
                 replaces: replaces && index == 0,
                 reached,
-                replicas,
-                answers: Vec::new(),
-                reloads: Vec::new(),
+                replicas: replicas.into(),
+                answers: WireList::default(),
+                reloads: WireList::default(),
             };
             FromOrderer::Replicas(if is_last {
                 WireReplicas {
                     answers: answers.iter().map(WireModel::from_interest).collect(),
-                    reloads: reloads(node, answers),
+                    reloads: reloads(node, answers).into(),
                     ..told
                 }
             } else {
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -292,7 +292,7 @@
         reached,
         proof_age_ms: 0,
         sent_at_ms: 0,
-        changes,
+        changes: changes.into(),
     };
     news.stamp(state.tree.proven_at, node.clock.now());
     Some(news)
@@ -334,7 +334,7 @@
 /// The message that says which shards' orderers this node hears.
 fn linked_message<P: Platform>(node: &Node<P>) -> Bytes {
     let linked: [bool; SHARD_COUNT] = node.state.borrow().linked;
-    Bytes::from(FromOrderer::Linked(linked.to_vec()).serialize_bin())
+    Bytes::from(FromOrderer::Linked(linked.to_vec().into()).serialize_bin())
 }
 
 /// Followers are told which shards' orderers this node hears.
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep_until, Instant};
 
@@ -15,8 +15,8 @@
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer, WireFollow};
-use crate::peer_link::invalid_message;
 use crate::ports::Platform;
+use crate::wire::decode;
 
 /// Time between two looks of a relay at whether it has a view to pass on.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -72,7 +72,7 @@
             },
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
-                let message = ToOrderer::deserialize_bin(&frame).map_err(invalid_message)?;
+                let message = decode::<ToOrderer>(&frame)?;
                 let replies = take_message(&node, follower.as_mut(), message);
                 send_all(&mut link, replies).await?;
             }
--- a/crates/croftrill-node/src/tree/wants.rs
+++ b/crates/croftrill-node/src/tree/wants.rs
@@ -126,7 +126,7 @@
         .map(|(interest, _)| WireModel::from_interest(interest))
         .collect();
     if !asked.is_empty() && follows_relay(node) {
-        node.tell_orderers(&ToOrderer::Want(asked));
+        node.tell_orderers(&ToOrderer::Want(asked.into()));
     }
     states.iter().all(|state| *state == WantState::Answered)
 }
--- a/crates/croftrill-node/src/tree/whole_view.rs
+++ b/crates/croftrill-node/src/tree/whole_view.rs
@@ -27,7 +27,7 @@
     }
     let written = WireChange::Written {
         key: configuration.key.clone(),
-        value: configuration.value.to_vec(),
+        value: configuration.value.to_vec().into(),
     };
     let changes = std::iter::once(written)
         .chain(replicas(&state).filter(|_| with_replicas))
@@ -57,7 +57,10 @@
 /// The nodes' reports of requests that crash replicas.
 fn crash_reports(state: &NodeState) -> impl Iterator<Item = WireChange> {
     let items = crash_reports::items(&state.crash_ledger).into_iter();
-    items.map(|(key, value)| WireChange::Written { key, value })
+    items.map(|(key, value)| WireChange::Written {
+        key,
+        value: value.into(),
+    })
 }
 
 /// The nodes' own items, as the store holds them.
@@ -67,6 +70,9 @@
             OwnItem::Node(entry) | OwnItem::Orderer(_, entry) => entry.serialize_bin(),
             OwnItem::LastOrderer(_, last) => last.serialize_bin(),
         };
-        WireChange::Written { key, value }
+        WireChange::Written {
+            key,
+            value: value.into(),
+        }
     })
 }
--- a/crates/croftrill-node/tests/news_parts.rs
+++ b/crates/croftrill-node/tests/news_parts.rs
@@ -29,7 +29,7 @@
         reached: changes.last().map_or(after, |last| last.revision) + 3,
         proof_age_ms: 5,
         sent_at_ms: 1000,
-        changes,
+        changes: changes.into(),
     }
 }
 
@@ -58,7 +58,7 @@
 fn whole_view_with_an_item_beyond_any_message_is_not_told() {
     let change = WireChange::Written {
         key: "configuration".to_string(),
-        value: vec![0; FRAME_BYTES],
+        value: vec![0; FRAME_BYTES].into(),
     };
     let changes = vec![RevisedChange { revision: 7, change }];
     assert!(WholePart::parts_of(news(0, changes), true).is_none());
@@ -73,7 +73,7 @@
         let mut changes = Vec::new();
         for (index, (gap, size)) in steps.into_iter().enumerate() {
             revision += gap;
-            let change = WireChange::Written { key: format!("k{index}"), value: vec![0; size] };
+            let change = WireChange::Written { key: format!("k{index}"), value: vec![0; size].into() };
             changes.push(RevisedChange { revision: revision + 1, change });
         }
         let whole = news(10, changes.clone());
--- a/crates/croftrill-node/tests/parts.rs
+++ b/crates/croftrill-node/tests/parts.rs
@@ -113,7 +113,7 @@
             ready_at: now + Duration::from_millis(250),
         }],
     };
-    let wire = FromOrderer::Placements(vec![WirePlacement::from_placement(&placement, now)]);
+    let wire = FromOrderer::Placements(vec![WirePlacement::from_placement(&placement, now)].into());
     let decoded = FromOrderer::deserialize_bin(&wire.serialize_bin()).expect("decoded");
     let FromOrderer::Placements(decoded) = decoded else {
         panic!("placements")
--- /dev/null
+++ b/crates/croftrill-node/tests/wire.rs
@@ -0,0 +1,91 @@
+//! Messages between nodes, of whatever bytes.
+//!
+//! Seen: nodes of this build ended by themselves in a fleet of an older one. Its messages
+//! had another form; where this build reads the length of a list, there stood something
+//! else, and the reader reserved memory for as many items.
+
+use croftrill_node::crash_wire::WireCrashReport;
+use croftrill_node::peer::{FromOrderer, ToOrderer, WireModel, WirePlacement};
+use croftrill_node::wire::decode;
+use croftrill_scheduler::replica::{HeldModel, Holdings};
+use croftrill_scheduler::replica_table::{Arrival, Placement};
+use croftrill_scheduler::time::Moment;
+use nanoserde::SerBin;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Numbers that end a reader which believes them: as lengths, they exceed what memory, or
+/// what an address, can hold.
+const LENGTHS: [u64; 5] = [u64::MAX, u64::MAX / 2, 1 << 62, 1 << 40, 1 << 20];
+
+fn message() -> Vec<u8> {
+    let held = HeldModel {
+        model: "m1".into(),
+        adapters: vec!["a1".into()],
+    };
+    let placement = Placement {
+        replica: "r1".into(),
+        born_ms: Some(7),
+        usable: Holdings {
+            models: vec![held],
+            ..Holdings::default()
+        },
+        arriving: vec![Arrival {
+            model: "m2".into(),
+            ready_at: Moment::default() + Duration::from_secs(1),
+        }],
+        tells_copies: true,
+    };
+    let wire = WirePlacement::from_placement(&placement, Moment::default());
+    FromOrderer::Placements(vec![wire].into()).serialize_bin()
+}
+
+fn read_as_all(bytes: &[u8]) {
+    // What it is read as does not matter, only that it ends.
+    let _ = decode::<FromOrderer>(bytes);
+    let _ = decode::<ToOrderer>(bytes);
+    let _ = decode::<WireCrashReport>(bytes);
+}
+
+#[test]
+fn decode_of_a_length_that_nothing_can_hold_is_an_error() {
+    let bytes = message();
+    for length in LENGTHS {
+        for start in 0..bytes.len().saturating_sub(8) {
+            let mut damaged = bytes.clone();
+            damaged[start..start + 8].copy_from_slice(&length.to_le_bytes());
+            read_as_all(&damaged);
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn decode_of_arbitrary_bytes_ends(kind in 0u8..16, bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let with_kind: Vec<u8> = [u32::from(kind).to_le_bytes().as_slice(), &bytes].concat();
+        read_as_all(&with_kind);
+        read_as_all(&bytes);
+    }
+}
+
+/// Bytes as the build cfa4aee wrote them: other builds read them for as long as nodes of
+/// that one may run beside them.
+#[test]
+fn recorded_messages_are_read_as_they_were_meant() {
+    let waiting = ToOrderer::Waiting(WireModel::from_key(&croftrill_scheduler::demand::ModelKey {
+        service: "llm".into(),
+        model: "m1".into(),
+        adapter: Some("a1".into()),
+    }));
+    for (recorded, is) in [
+        (include_str!("recorded/waiting.hex"), waiting.serialize_bin()),
+        (include_str!("recorded/placements.hex"), message()),
+        (
+            include_str!("recorded/forgotten.hex"),
+            FromOrderer::Forgotten(vec!["r1".to_string()].into()).serialize_bin(),
+        ),
+    ] {
+        let is: String = is.iter().map(|byte| format!("{byte:02x}")).collect();
+        assert_eq!(recorded.trim(), is);
+    }
+}
