Eras in one wrapper for both stores; soak with restores

The mapping between revisions and points stood in the users' adapter; it is the node's now (EraStore), and the product's own store counts eras too.

--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -349,14 +349,19 @@
         self.store_proxies.push(Proxy::start(proxy_listener, store));
         let (front, peer, operator) = (free_address(), free_address(), free_address());
         let config = self.directory.join(format!("node-{index}.toml"));
-        let text = format!(
+        let mut text = format!(
             "name = \"n{index}\"\nzone = \"z\"\nlisten = \"{front}\"\npeer = \"{peer}\"\n\
-             operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n\
-             [quota]\nwindow_seconds = {}\noverage = {}\nslack = {}\n",
-            QUOTA_WINDOW.as_secs_f64(),
-            QUOTA_OVERAGE,
-            QUOTA_SLACK,
+             operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n",
         );
+        // An older build may not know quotas.
+        if program != Program::Older {
+            text += &format!(
+                "[quota]\nwindow_seconds = {}\noverage = {}\nslack = {}\n",
+                QUOTA_WINDOW.as_secs_f64(),
+                QUOTA_OVERAGE,
+                QUOTA_SLACK,
+            );
+        }
         std::fs::write(&config, text).expect("the settings are written");
         let child = RefCell::new(spawn(&config, program));
         self.nodes.push(NodeProcess {
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -34,6 +34,8 @@
     /// Nodes of another build are replaced by this one, one after the other, and some
     /// of them back, beside kills and cuts.
     Builds,
+    /// The store comes back from older copies, beside kills, stops, pauses and cuts.
+    Restores,
 }
 
 /// One fault.
@@ -82,6 +84,8 @@
     Leaving(usize),
     /// A replica turns requests away and asks for so much rest each time.
     Rest(usize, Duration),
+    /// The store is away for a time and comes back from a copy that is so old.
+    Restore(Duration, Duration),
     /// So many nodes, from the first, are stopped and run another program, so long apart.
     Replace(usize, Program, Duration),
 }
@@ -270,6 +274,22 @@
     }
 }
 
+fn restores_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    if index == 0 || random.random_range(0..6) == 0 {
+        return Injection::Restore(pause(random, 3000), pause(random, 1200));
+    }
+    match random.random_range(0..7) {
+        0 => Injection::Kill(node),
+        1 => Injection::Stop(node),
+        2 => Injection::Pause(node),
+        3 => Injection::StorePath(node, fault(random)),
+        4 => Injection::KillAll,
+        5 => Injection::Signals(node, signals(random)),
+        _ => Injection::Changes(random.random_range(3..12), pause(random, 300)),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
@@ -279,6 +299,7 @@
         Mix::Tenants => (random.random_range(4..=8), 4000),
         Mix::Words => (random.random_range(4..=8), 2500),
         Mix::Builds => (random.random_range(2..=4), 2500),
+        Mix::Restores => (random.random_range(2..=6), 3000),
     };
     let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -290,6 +311,7 @@
             Mix::Tenants => tenants_injection(random, size, index),
             Mix::Words => words_injection(random, size, index),
             Mix::Builds => builds_injection(random, size, index),
+            Mix::Restores => restores_injection(random, size, index),
         },
     });
     planned.collect()
@@ -350,6 +372,7 @@
                 sleep(*gap).await;
             }
         }
+        Injection::Restore(age, away) => restore(cluster, *age, *away).await,
         Injection::Replace(nodes, program, gap) => replace(cluster, *nodes, *program, *gap).await,
         Injection::Leaving(engine) => cluster.engine(*engine).begin_to_leave(),
         Injection::Rest(engine, rest) => cluster.engine(*engine).turn_away(Some(*rest)),
@@ -379,6 +402,23 @@
     futures_join(each).await;
 }
 
+/// The store goes away, and comes back from the copy of now, `age` later. Operators and
+/// replicas write again what they wrote.
+async fn restore(cluster: &Cluster, age: Duration, away: Duration) {
+    let copy = cluster.store.copy();
+    sleep(age).await;
+    cluster.store.set_fault(StoreFault::Refusing);
+    sleep(away).await;
+    cluster.store.restore(&copy);
+    cluster.store.set_fault(StoreFault::None);
+    cluster.write_document();
+    cluster
+        .engines
+        .borrow()
+        .iter()
+        .for_each(|engine| engine.write_again());
+}
+
 /// Has nodes run another program, one after the other.
 async fn replace(cluster: &Cluster, nodes: usize, program: Program, gap: Duration) {
     for node in cluster.nodes.iter().take(nodes) {
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -45,6 +45,10 @@
 const FIRST_SEED_OF_WORDS: u64 = 1_000_000;
 /// From this seed on they are of the mix of builds, which needs another build.
 const FIRST_SEED_OF_BUILDS: u64 = 2_000_000;
+/// From this seed on they are of the mix of restores.
+const FIRST_SEED_OF_RESTORES: u64 = 3_000_000;
+/// Seed of the continuous integration's round of that mix.
+const USUAL_SEED_OF_RESTORES: u64 = FIRST_SEED_OF_RESTORES + USUAL_SEED;
 /// Seed of the continuous integration's round of the mix of words.
 const USUAL_SEED_OF_WORDS: u64 = FIRST_SEED_OF_WORDS + USUAL_SEED;
 /// Time in which calls and faults meet.
@@ -79,6 +83,7 @@
                 Some("crashes") => Mix::Crashes,
                 Some("tenants") => Mix::Tenants,
                 Some("words") => Mix::Words,
+                Some("restores") => Mix::Restores,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -92,7 +97,7 @@
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
         Mix::Words => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
         Mix::Builds => (Program::Older, size),
-        Mix::Few | Mix::Series | Mix::Tenants => (Program::Daemon, size),
+        Mix::Few | Mix::Series | Mix::Tenants | Mix::Restores => (Program::Daemon, size),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program).await;
     if mix == Mix::Tenants {
@@ -149,6 +154,7 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_RESTORES => Mix::Restores,
         _ if seed >= FIRST_SEED_OF_BUILDS => Mix::Builds,
         _ if seed >= FIRST_SEED_OF_WORDS => Mix::Words,
         0 => Mix::Few,
@@ -157,17 +163,15 @@
         _ => Mix::Tenants,
     };
     let drawn = (first..first + rounds).map(|seed| (seed, mix_of(seed)));
-    // Rounds of other builds are drawn by hand alone.
-    let kept = if first >= FIRST_SEED_OF_BUILDS {
-        Vec::new()
-    } else {
-        kept_seeds()
-    };
-    for (seed, mix) in kept {
-        LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
+    // Rounds of these mixes are drawn by hand, without the usual ones before them.
+    let is_usual = first < FIRST_SEED_OF_WORDS;
+    let mut usual = if is_usual { kept_seeds() } else { Vec::new() };
+    if is_usual {
+        usual.push((USUAL_SEED_OF_WORDS, Mix::Words));
+        usual.push((USUAL_SEED_OF_RESTORES, Mix::Restores));
     }
-    if first < FIRST_SEED_OF_BUILDS {
-        LocalSet::new().block_on(&runtime, round(USUAL_SEED_OF_WORDS, Mix::Words, USUAL_SIZE));
+    for (seed, mix) in usual {
+        LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
     }
     for (seed, mix) in drawn {
         LocalSet::new().block_on(&runtime, round(seed, mix, size()));
--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -19,11 +19,13 @@
 
 use crate::store_wire::{
     WireExpectation, WireItem, WireItems, WireLease, WireLeaseRequest, WireRevision, WireTransaction,
-    WireWrite, CHANGES_PATH, ITEMS_PATH, LEASES_PATH, REVISION_PATH, WRITE_PATH,
+    WireWrite, CHANGES_PATH, ERA_HEADER, ITEMS_PATH, LEASES_PATH, REVISION_PATH, WRITE_PATH,
 };
 
 /// Longest wait for a plain call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Era of a store that never came back from a copy.
+const FIRST_ERA: u64 = 0;
 /// Added to the wait of a watch.
 const WATCH_MARGIN: Duration = Duration::from_secs(1);
 
@@ -31,7 +33,6 @@
 pub struct StoreClient {
     address: SocketAddr,
     pool: ConnectionPool,
-    /// This store keeps what it acknowledged: it has one era.
     era: StoreEra,
 }
 
@@ -41,7 +42,7 @@
         StoreClient {
             address,
             pool: ConnectionPool::new(ConnectionConfig::default()),
-            era: StoreEra::default(),
+            era: StoreEra::counting_from(FIRST_ERA),
         }
     }
 
@@ -58,7 +59,19 @@
     async fn call(&self, method: Method, target: &str, body: Bytes) -> Result<Response<Bytes>, StoreError> {
         let request = self.request(method, target, body)?;
         let answer = self.pool.exchange(self.address, request, CALL_TIMEOUT).await?;
-        accepted(answer)
+        self.accepted(answer)
+    }
+
+    /// The answer, unless its status says that nothing was done, or what it tells is void.
+    fn accepted(&self, answer: Response<Bytes>) -> Result<Response<Bytes>, StoreError> {
+        self.era.note_header(answer.headers(), ERA_HEADER)?;
+        match answer.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            StatusCode::NOT_FOUND => Err(StoreError::NoSuchLease),
+            _ => Ok(answer),
+        }
     }
 
     async fn get<T: DeserializeOwned>(&self, target: &str) -> Result<T, StoreError> {
@@ -74,7 +87,7 @@
     ) -> Result<T, StoreError> {
         let request = self.request(Method::GET, target, Bytes::new())?;
         let exchange = self.pool.exchange_long(self.address, request, limits, arrival);
-        parse(&accepted(exchange.await?)?)
+        parse(&self.accepted(exchange.await?)?)
     }
 
     async fn post<B: Serialize>(&self, target: &str, body: &B) -> Result<Response<Bytes>, StoreError> {
@@ -83,17 +96,6 @@
     }
 }
 
-/// The answer, unless its status says that nothing was done.
-fn accepted(answer: Response<Bytes>) -> Result<Response<Bytes>, StoreError> {
-    match answer.status() {
-        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
-        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
-        StatusCode::GONE => Err(StoreError::HistoryGone),
-        StatusCode::NOT_FOUND => Err(StoreError::NoSuchLease),
-        _ => Ok(answer),
-    }
-}
-
 fn parse<T: DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, StoreError> {
     if !answer.status().is_success() {
         return Err(StoreError::Protocol(answer.status().to_string()));
--- a/crates/croftrill-http/src/store_wire.rs
+++ b/crates/croftrill-http/src/store_wire.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Header of all answers: how often the store has come back from an older copy.
+pub const ERA_HEADER: &str = "croftrill-store-era";
 /// Reads all items under `prefix` (query).
 pub const ITEMS_PATH: &str = "/v1/items";
 /// Waits for changes under `prefix` after `after`, up to `wait_ms` (query).
--- a/crates/croftrill-node/src/counted_store.rs
+++ b/crates/croftrill-node/src/counted_store.rs
@@ -10,13 +10,13 @@
 
 /// A store whose calls are counted.
 pub struct CountedStore<'a, S> {
-    store: &'a S,
+    store: S,
     metrics: &'a Metrics,
 }
 
 impl<'a, S> CountedStore<'a, S> {
     /// Counts the calls to `store` in `metrics`.
-    pub fn new(store: &'a S, metrics: &'a Metrics) -> Self {
+    pub fn new(store: S, metrics: &'a Metrics) -> Self {
         CountedStore { store, metrics }
     }
 
--- /dev/null
+++ b/crates/croftrill-node/src/era_store.rs
@@ -0,0 +1,138 @@
+//! A store whose revisions are points in its history ([`crate::store_era`]).
+//!
+//! The one place where revisions of the store become points and points revisions. What
+//! belongs to another era than the present one does not reach the store, nor its caller.
+
+use std::time::Duration;
+
+use crate::ports::{
+    Changes, ConditionalPut, Expectation, Freshness, Item, KeyValueStore, PutOutcome, Snapshot, StoreError,
+    StoreEvent, WatchCall,
+};
+use crate::store_era::StoreEra;
+
+/// Revision of a key that is absent.
+const ABSENT: u64 = 0;
+
+/// A store as a node calls it: by points.
+pub struct EraStore<'a, S> {
+    store: &'a S,
+}
+
+impl<'a, S: KeyValueStore> EraStore<'a, S> {
+    /// The store `store`, which speaks of its own revisions.
+    pub fn new(store: &'a S) -> Self {
+        EraStore { store }
+    }
+
+    fn item(&self, item: Item) -> Item {
+        Item {
+            revision: self.era().point(item.revision),
+            ..item
+        }
+    }
+
+    fn event(&self, event: StoreEvent) -> StoreEvent {
+        match event {
+            StoreEvent::Written(item) => StoreEvent::Written(self.item(item)),
+            StoreEvent::Removed { key, revision } => StoreEvent::Removed {
+                key,
+                revision: self.era().point(revision),
+            },
+        }
+    }
+
+    /// The condition as the store knows it; `None` if it names a revision of a former era.
+    fn expectation(&self, expectation: Expectation) -> Option<Expectation> {
+        let revision = match expectation.revision {
+            ABSENT => ABSENT,
+            point => self.era().revision(point)?,
+        };
+        Some(Expectation {
+            revision,
+            ..expectation
+        })
+    }
+}
+
+impl<S: KeyValueStore> KeyValueStore for EraStore<'_, S> {
+    fn era(&self) -> &StoreEra {
+        self.store.era()
+    }
+
+    async fn range(
+        &self,
+        prefix: &str,
+        freshness: Freshness,
+        limit: Duration,
+    ) -> Result<Snapshot, StoreError> {
+        let rises = self.era().rises();
+        let snapshot = self.store.range(prefix, freshness, limit).await?;
+        if self.era().rises() != rises {
+            // Its pages may be of both eras.
+            return Err(StoreError::HistoryGone);
+        }
+        Ok(Snapshot {
+            items: snapshot.items.into_iter().map(|item| self.item(item)).collect(),
+            revision: self.era().point(snapshot.revision),
+        })
+    }
+
+    async fn watch(&self, call: WatchCall<'_>) -> Result<Changes, StoreError> {
+        // The store may have a revision of that number all the same, with other contents.
+        let after = self.era().revision(call.after).ok_or(StoreError::HistoryGone)?;
+        let rises = self.era().rises();
+        let changes = self.store.watch(WatchCall { after, ..call }).await?;
+        if self.era().rises() != rises {
+            return Err(StoreError::HistoryGone);
+        }
+        Ok(Changes {
+            events: changes
+                .events
+                .into_iter()
+                .map(|event| self.event(event))
+                .collect(),
+            revision: self.era().point(changes.revision),
+        })
+    }
+
+    async fn reached_revision(&self) -> Result<u64, StoreError> {
+        let revision = self.store.reached_revision().await?;
+        Ok(self.era().point(revision))
+    }
+
+    async fn put(&self, put: ConditionalPut) -> Result<PutOutcome, StoreError> {
+        let rises = self.era().rises();
+        let is_conditional = !put.conditions.is_empty();
+        let conditions = put.conditions.into_iter();
+        let conditions: Option<Vec<Expectation>> =
+            conditions.map(|condition| self.expectation(condition)).collect();
+        let Some(conditions) = conditions else {
+            return Ok(PutOutcome::Rejected);
+        };
+        let put = ConditionalPut { conditions, ..put };
+        let outcome = self.store.put(put).await?;
+        if is_conditional && self.era().rises() != rises {
+            // The conditions may have met revisions that were given out again.
+            return Err(StoreError::NoAnswer);
+        }
+        Ok(match outcome {
+            PutOutcome::Done { revision } => PutOutcome::Done {
+                revision: self.era().point(revision),
+            },
+            PutOutcome::Rejected => PutOutcome::Rejected,
+        })
+    }
+
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, StoreError> {
+        self.store.grant_lease(time_to_live).await
+    }
+
+    async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
+        self.store.renew_lease(lease).await
+    }
+
+    async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
+        self.store.end_lease(lease).await
+    }
+}
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub(crate) mod crash_watch;
 pub mod crash_wire;
 pub mod directory;
+pub mod era_store;
 pub mod front;
 pub mod link;
 pub mod logging;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::clock::Clock;
 use crate::connection::{ConnectionConfig, ConnectionPool};
 use crate::counted_store::CountedStore;
+use crate::era_store::EraStore;
 use crate::front::STOP_LINGER;
 use crate::membership::Members;
 use crate::metrics::Metrics;
@@ -280,9 +281,9 @@
         self.state.borrow().configuration.clone()
     }
 
-    /// The store; every call is counted.
-    pub fn store(&self) -> CountedStore<'_, P::Store> {
-        CountedStore::new(self.platform.store(), &self.metrics)
+    /// The store, by points; every call is counted.
+    pub fn store(&self) -> CountedStore<'_, EraStore<'_, P::Store>> {
+        CountedStore::new(EraStore::new(self.platform.store()), &self.metrics)
     }
 
     /// True while this node holds an orderer's lease.
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -163,7 +163,7 @@
         Some(era) => Some(era.recorded) == present.newest(),
         // An older build wrote it, or nobody has: at a store that counts eras only the
         // processes that were there from the start know that no copy was of before.
-        None => present.newest().is_none() || (node.settings.is_first_start && present.rises() == 0),
+        None => present.is_first() || (node.settings.is_first_start && present.rises() == 0),
     }
 }
 
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -208,8 +208,8 @@
 
 /// A linearizable key-value store with revisions, leases and watches.
 ///
-/// All revisions in calls and answers are points ([`StoreEra`]). An answer of a former
-/// era counts as none.
+/// A store that counts eras notes that of each answer ([`StoreEra::note`]); an answer of a
+/// former one counts as none. Revisions are the store's own.
 pub trait KeyValueStore {
     /// Era of the store, as its answers told it.
     fn era(&self) -> &StoreEra;
--- a/crates/croftrill-node/src/store_era.rs
+++ b/crates/croftrill-node/src/store_era.rs
@@ -10,8 +10,11 @@
 
 use std::cell::Cell;
 
+use http::HeaderMap;
 use tokio::sync::Notify;
 
+use crate::ports::StoreError;
+
 /// Bits of a point that hold the store's revision: 35 years of 1,000 changes a second.
 /// What is left for eras, 8,000 of them, keeps points exact in JSON numbers.
 const REVISION_BITS: u32 = 40;
@@ -33,12 +36,28 @@
     newest: Cell<Option<u64>>,
     /// The system's first era, as far as is known.
     first: Cell<Option<u64>>,
+    /// The era before the store ever came back from a copy, if its protocol says so.
+    counts_from: Option<u64>,
     has_answered: Cell<bool>,
     rises: Cell<u64>,
     risen: Notify,
 }
 
 impl StoreEra {
+    /// Eras of a store whose first one is known.
+    pub fn counting_from(first: u64) -> Self {
+        StoreEra {
+            first: Cell::new(Some(first)),
+            counts_from: Some(first),
+            ..StoreEra::default()
+        }
+    }
+
+    /// True if the store is known never to have come back from a copy.
+    pub fn is_first(&self) -> bool {
+        self.newest.get().is_none() || self.newest.get() == self.counts_from
+    }
+
     /// Takes in the era that an answer tells, if any; one that tells none is believed.
     pub fn note(&self, told: Option<u64>) -> AnswerEra {
         let is_first_answer = !self.has_answered.replace(true);
@@ -63,6 +82,23 @@
         AnswerEra::Risen
     }
 
+    /// As [`Self::note`], of the header `name` of an answer; an error if what that tells is void.
+    pub fn note_header(&self, headers: &HeaderMap, name: &str) -> Result<(), StoreError> {
+        let told = headers.get(name).and_then(|era| era.to_str().ok());
+        let told = told.and_then(|era| era.trim().parse().ok());
+        match self.note(told) {
+            AnswerEra::Current => Ok(()),
+            AnswerEra::Risen => {
+                tracing::warn!(target: "store", event = "came back from an older copy", era = told);
+                Ok(())
+            }
+            AnswerEra::Former => {
+                tracing::warn!(target: "store", event = "answer of a former era", told, newest = self.newest());
+                Err(StoreError::NoAnswer)
+            }
+        }
+    }
+
     /// The newest era, if the store tells any.
     pub fn newest(&self) -> Option<u64> {
         self.newest.get()
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -107,6 +107,8 @@
     is_leaving: Cell<bool>,
     /// While it turns requests away: the rest that it asks for.
     rest: Cell<Option<Duration>>,
+    /// True once the store may have lost its entry.
+    must_write: Cell<bool>,
     /// Told when a crashing request ends it.
     crashed: Notify,
 }
@@ -146,6 +148,7 @@
             arrivals: RefCell::default(),
             is_leaving: Cell::new(false),
             rest: Cell::new(None),
+            must_write: Cell::new(false),
             crashed: Notify::new(),
         });
         let served = engine.clone();
@@ -163,6 +166,11 @@
         self.crashed.notified().await;
     }
 
+    /// The store may have lost its entry, which is to be written again.
+    pub fn write_again(&self) {
+        self.must_write.set(true);
+    }
+
     /// From now on its answers say that it leaves.
     pub fn begin_to_leave(&self) {
         self.is_leaving.set(true);
@@ -348,6 +356,9 @@
         let mut written = None;
         loop {
             let entry = self.entry();
+            if self.must_write.take() {
+                written = None;
+            }
             let known = match lease {
                 Some(lease) if store.renew_lease(lease).await != Err(StoreError::NoSuchLease) => Some(lease),
                 _ => store.grant_lease(ENTRY_TIME_TO_LIVE).await.ok(),
--- a/crates/croftrill-standin/src/store.rs
+++ b/crates/croftrill-standin/src/store.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use croftrill_http::store_wire::{
-    WireLease, WireLeaseRequest, WireRevision, WireTransaction, CHANGES_PATH, ITEMS_PATH, LEASES_PATH,
-    REVISION_PATH, WRITE_PATH,
+    WireLease, WireLeaseRequest, WireRevision, WireTransaction, CHANGES_PATH, ERA_HEADER, ITEMS_PATH,
+    LEASES_PATH, REVISION_PATH, WRITE_PATH,
 };
 use http::{Method, Request, StatusCode};
 use tokio::net::TcpListener;
@@ -43,6 +43,7 @@
     changed: Notify,
     fault: Cell<StoreFault>,
     calls: Cell<u64>,
+    era: Cell<u64>,
 }
 
 impl StoreStandin {
@@ -53,6 +54,7 @@
             changed: Notify::new(),
             fault: Cell::new(StoreFault::None),
             calls: Cell::new(0),
+            era: Cell::new(0),
         });
         let served = store.clone();
         spawn_local(serve(listener, move |request| served.clone().answer(request)));
@@ -78,6 +80,17 @@
         result
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> StoreState {
+        self.state.borrow().clone()
+    }
+
+    /// Comes back from a copy: a new era begins.
+    pub fn restore(&self, copy: &StoreState) {
+        self.era.set(self.era.get() + 1);
+        self.with_state(|state| state.restore(copy, Instant::now()));
+    }
+
     async fn expire_leases(self: Rc<Self>) {
         loop {
             sleep(EXPIRY_EVERY).await;
@@ -88,6 +101,12 @@
     }
 
     async fn answer(self: Rc<Self>, request: Request<Bytes>) -> Answer {
+        let mut answer = self.answer_without_era(request).await;
+        answer.headers_mut().insert(ERA_HEADER, self.era.get().into());
+        answer
+    }
+
+    async fn answer_without_era(&self, request: Request<Bytes>) -> Answer {
         self.calls.set(self.calls.get() + 1);
         match self.fault.get() {
             StoreFault::Refusing => return status(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/croftrill-standin/src/store_state.rs
+++ b/crates/croftrill-standin/src/store_state.rs
@@ -37,7 +37,7 @@
 }
 
 /// Items with revisions and leases.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct StoreState {
     revision: u64,
     items: BTreeMap<String, Stored>,
@@ -53,6 +53,20 @@
         Self::default()
     }
 
+    /// Comes back from a copy of itself: what was done since is gone. Leases of the copy run
+    /// on from now.
+    pub fn restore(&mut self, copy: &StoreState, now: Instant) {
+        *self = StoreState {
+            // Numbers of leases are not given out again.
+            next_lease: self.next_lease,
+            ..copy.clone()
+        };
+        self.compact();
+        for lease in self.leases.values_mut() {
+            lease.expires = now + lease.time_to_live;
+        }
+    }
+
     /// The present revision.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -74,7 +88,7 @@
 
     /// Changes under a prefix after a revision.
     pub fn changes(&self, prefix: &str, after: u64) -> Result<WireItems, HistoryGone> {
-        if after < self.forgotten_up_to {
+        if after < self.forgotten_up_to || after > self.revision {
             return Err(HistoryGone);
         }
         let changes = self
