Sight: answers that name a limit, and questions for reports, are seen

Ruled out: nothing yet; no decision goes by what is read here. Change: the header is decoded once for each wire (decimal requests a second, the least of several; what is no number says nothing), one line and one count for each answer that names it, one count for each question for a report. Before: no line and no metric.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -434,7 +434,7 @@
     table.apply_listing(listing(&id, &world.replicas["r0"].holdings));
     let leaving = ReplicaWord {
         is_leaving: true,
-        rest: None,
+        ..ReplicaWord::default()
     };
     let born_ms = table.get("r0").and_then(|entry| entry.listing.born_ms);
     assert!(table.hear(&id, born_ms, leaving, world.now));
--- a/crates/croftrill-http/src/engine_wire.rs
+++ b/crates/croftrill-http/src/engine_wire.rs
@@ -1,8 +1,9 @@
 //! Messages of model replicas.
 
+use croftrill_node::limit_header::limit_named;
 use croftrill_node::rest_header::rest_asked;
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaWord, WeightCopies};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use serde::{Deserialize, Serialize};
 
 /// Takes an order.
@@ -20,6 +21,8 @@
 pub const LEAVING_HEADER: &str = "croftrill-leaving";
 /// Its value.
 pub const LEAVING_VALUE: &str = "1";
+/// Names the requests a second that the replica takes from all nodes together.
+pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("croftrill-limit");
 
 /// What a replica says of itself in an answer.
 pub fn replica_word(status: StatusCode, headers: &HeaderMap) -> ReplicaWord {
@@ -27,6 +30,7 @@
     ReplicaWord {
         is_leaving: value.map(str::trim) == Some(LEAVING_VALUE),
         rest: rest_asked(status, headers),
+        limit: limit_named(headers, &LIMIT_HEADER),
     }
 }
 
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod era_store;
 pub mod front;
+pub mod limit_header;
 pub mod link;
 pub mod logging;
 pub mod membership;
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -32,6 +32,8 @@
     pub retries: Family<OutcomeLabels, Counter>,
     /// Orders by kind and outcome.
     pub orders: Family<OutcomeLabels, Counter>,
+    /// Questions to replicas for their reports, by outcome.
+    pub reports: Family<OutcomeLabels, Counter>,
     /// Requests that crash replicas, and replicas that ended, by outcome.
     pub crashes: Family<OutcomeLabels, Counter>,
     /// What replicas say of themselves in their answers.
@@ -94,6 +96,12 @@
         );
         let orders = Family::default();
         registry.register("orders", "Orders to replicas by kind and outcome", orders.clone());
+        let reports = Family::default();
+        registry.register(
+            "reports",
+            "Questions to replicas for their reports, by outcome",
+            reports.clone(),
+        );
         let crashes = Family::default();
         registry.register(
             "crashes",
@@ -177,6 +185,7 @@
             quota_keepers_lost,
             retries,
             orders,
+            reports,
             crashes,
             replica_words,
             suspensions,
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -284,6 +284,8 @@
             let answered = node.platform.engine().report(&target).await;
             own_word::hear(&node, &replica, born_ms, answered.word, "report");
             let report = answered.answer;
+            let outcome = if report.is_some() { "answered" } else { "no report" };
+            Metrics::count(&node.metrics.reports, "report", outcome);
             let input = OrdererInput::Reported {
                 replica,
                 report,
--- a/crates/croftrill-node/src/own_word.rs
+++ b/crates/croftrill-node/src/own_word.rs
@@ -1,6 +1,6 @@
 //! Takes in what replicas say of themselves in their answers.
 
-use croftrill_scheduler::replica::{BornMs, ReplicaId, ReplicaWord};
+use croftrill_scheduler::replica::{BornMs, LimitWord, ReplicaId, ReplicaWord};
 
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -17,6 +17,11 @@
     word: ReplicaWord,
     answer_to: &str,
 ) {
+    if let LimitWord::Limited(limit) = word.limit {
+        Metrics::count(&node.metrics.replica_words, "limit", "heard");
+        tracing::info!(target: "replica", event = "names a limit", replica = &**replica, answer_to,
+            limit_per_s = limit.per_s());
+    }
     if word.is_empty() {
         return;
     }
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -43,6 +43,46 @@
     Draining,
 }
 
+/// A rate of requests, in thousandths of a request a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// The rate of so many requests a second, the largest that can be told at most;
+    /// `None` if that is no rate.
+    pub fn from_per_s(per_s: f64) -> Option<Self> {
+        // The conversion to an integer stops at its bounds.
+        (per_s.is_finite() && per_s >= 0.0).then(|| RequestRate((per_s * 1000.0) as u64))
+    }
+
+    /// The rate of so many thousandths of a request a second.
+    pub fn from_millis_per_s(millis_per_s: u64) -> Self {
+        RequestRate(millis_per_s)
+    }
+
+    /// In thousandths of a request a second.
+    pub fn millis_per_s(self) -> u64 {
+        self.0
+    }
+
+    /// In requests a second.
+    pub fn per_s(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+/// What an answer of a replica says of the requests that it takes from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LimitWord {
+    /// Nothing: no answer came, or it cannot be read.
+    #[default]
+    Unsaid,
+    /// It names no limit.
+    Unlimited,
+    /// It takes so many at most, until it says otherwise.
+    Limited(RequestRate),
+}
+
 /// What a replica says of itself in one of its answers to a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReplicaWord {
@@ -50,12 +90,14 @@
     pub is_leaving: bool,
     /// Time for which it wants nothing more from that node.
     pub rest: Option<Duration>,
+    /// Requests that it takes from all nodes together.
+    pub limit: LimitWord,
 }
 
 impl ReplicaWord {
-    /// True if it says nothing.
+    /// True if it says nothing of leaving or rest.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        !self.is_leaving && self.rest.is_none()
     }
 }
 
--- a/crates/croftrill-scheduler/tests/own_word.rs
+++ b/crates/croftrill-scheduler/tests/own_word.rs
@@ -38,14 +38,14 @@
 fn leaving() -> ReplicaWord {
     ReplicaWord {
         is_leaving: true,
-        rest: None,
+        ..ReplicaWord::default()
     }
 }
 
 fn rest(millis: u64) -> ReplicaWord {
     ReplicaWord {
-        is_leaving: false,
         rest: Some(Duration::from_millis(millis)),
+        ..ReplicaWord::default()
     }
 }
 
