--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -8,7 +8,7 @@
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
 use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaWord};
-use croftrill_scheduler::replica_table::{Arrival, Placement, ReplicaTable};
+use croftrill_scheduler::replica_table::{AnsweredCall, Arrival, Placement, ReplicaTable};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -437,7 +437,12 @@
         ..ReplicaWord::default()
     };
     let born_ms = table.get("r0").and_then(|entry| entry.listing.born_ms);
-    assert!(table.hear(&id, born_ms, leaving, world.now));
+    let call = AnsweredCall {
+        born_ms,
+        sent_at: world.now,
+        answered_at: world.now,
+    };
+    assert!(table.hear(&id, call, leaving).leaves);
     let entry = table.get("r0").expect("it is listed").clone();
     world.orderer.known(&entry, world.now);
     world.orderer.mark_waiting(&key("m4", None), world.now);
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -90,10 +90,21 @@
     pub peer: String,
     /// Processor time that it may use, in thousandths of a core.
     pub processor_millicores: u32,
-    /// Tells this process from a former one of the same name.
+    /// Tells this process from a former one of the same name. Its highest bit is
+    /// [`KEEPS_LIMITS`].
     pub incarnation: u64,
 }
 
+/// The bit of an incarnation that tells that the process understands questions about
+/// limits. Builds that do not know of them pass incarnations on as they are, and never set
+/// it: theirs is the time of their start in nanoseconds, which reaches it in 2262.
+const KEEPS_LIMITS: u64 = 1 << 63;
+
+/// The incarnation of a process of this build that began at `started_ns`.
+pub(crate) fn incarnation_of(started_ns: u64) -> u64 {
+    started_ns | KEEPS_LIMITS
+}
+
 impl MemberEntry {
     /// Address for callers.
     pub fn front_address(&self) -> Option<SocketAddr> {
@@ -108,6 +119,11 @@
         }
     }
 
+    /// True if its process answers questions about limits.
+    pub fn keeps_limits(&self) -> bool {
+        self.incarnation & KEEPS_LIMITS != 0
+    }
+
     /// Address for other nodes.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         self.peer.parse().ok()
@@ -258,7 +274,9 @@
 impl<P: Platform> Fleet for Node<P> {
     fn keepers(&self, part: QuotaPart) -> Vec<SocketAddr> {
         let state = self.state.borrow();
-        let order = keeper_order(part, state.members.nodes(), |member| member.candidate());
+        let fit = |member: &&MemberEntry| !part.is_of_replicas() || member.keeps_limits();
+        let nodes = state.members.nodes().filter(fit);
+        let order = keeper_order(part, nodes, |member| member.candidate());
         let addresses = order.into_iter().filter_map(MemberEntry::peer_address);
         addresses.collect()
     }
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -38,6 +38,8 @@
     pub crashes: Family<OutcomeLabels, Counter>,
     /// What replicas say of themselves in their answers.
     pub replica_words: Family<OutcomeLabels, Counter>,
+    /// Calls to replicas that named a limit, by what was said of their turn.
+    pub limited: Family<OutcomeLabels, Counter>,
     /// Suspensions of the machine that were noticed.
     pub suspensions: Counter,
     /// Times that the store came back from an older copy.
@@ -114,6 +116,12 @@
             "What replicas say of themselves in their answers",
             replica_words.clone(),
         );
+        let limited = Family::default();
+        registry.register(
+            "limited",
+            "Calls to replicas that named a limit, by what was said of their turn",
+            limited.clone(),
+        );
         let suspensions = Counter::default();
         registry.register(
             "suspensions",
@@ -188,6 +196,7 @@
             reports,
             crashes,
             replica_words,
+            limited,
             suspensions,
             store_rises,
             store_calls,
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -5,6 +5,7 @@
 
 mod acquisition;
 mod decision_log;
+mod limited;
 mod term;
 
 use std::rc::Rc;
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -10,7 +10,7 @@
 use croftrill_scheduler::placement::PlacementConfig;
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
-use croftrill_scheduler::replica_table::{ChangedReplicas, Placement, TableVersion};
+use croftrill_scheduler::replica_table::{AnsweredCall, ChangedReplicas, Placement, TableVersion};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
@@ -19,6 +19,7 @@
 
 use super::acquisition::{least_gap, record_last, Acquired};
 use super::decision_log::{log_decision, order_kind, outcome_name};
+use super::limited::{take_turn, ControlPace, ControlTurn};
 use super::{OrdererInput, Subscription};
 use crate::directory::relay::WatchedSpan;
 use crate::membership::MemberEntry;
@@ -29,6 +30,7 @@
 use crate::ports::{
     EngineAddress, EngineAnswer, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError,
 };
+use crate::quota::Credit;
 use crate::store_era::same_era;
 use crate::tree;
 
@@ -36,6 +38,10 @@
 /// the lease's margin, and more than a busy node takes to begin a task.
 const LONGEST_ORDER_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest wait of a question for a report for its turn at a replica in need: its answer
+/// must not be taken for much newer than the question.
+const LONGEST_REPORT_DELAY: Duration = Duration::from_millis(200);
+
 /// Changes that a slow listener may fall behind before it must begin anew.
 const CHANGE_BACKLOG: usize = 128;
 
@@ -61,6 +67,8 @@
     authority: Option<(u64, Record)>,
     /// Orders under way. They end with the term: none may leave after it.
     orders: JoinSet<()>,
+    /// The pace of calls to replicas that named a limit.
+    pace: ControlPace,
 }
 
 impl<P: Platform> Term<P> {
@@ -91,6 +99,7 @@
             followed: TableVersion::default(),
             authority: None,
             orders: JoinSet::new(),
+            pace: ControlPace::default(),
         };
         term.note_authority(now);
         term.sync_directory();
@@ -151,6 +160,9 @@
         self.record_if_due(now);
         let reachable = self.node.state.borrow().linked;
         self.orderer.set_reachable(reachable);
+        for replica in self.pace.take_due(now) {
+            self.orderer.pause_calls(&replica, false);
+        }
         let may_order = self.lease.order_token(now).is_some();
         for action in self.orderer.plan(may_order, now) {
             self.carry_out(action);
@@ -222,12 +234,21 @@
                 order,
                 expected_sequence,
             } => {
+                self.note_call(&replica);
                 self.send_order(replica, order, expected_sequence);
             }
-            OrdererAction::Report { replica } => self.ask_report(replica),
+            OrdererAction::Report { replica, is_awaited } => {
+                self.note_call(&replica);
+                self.ask_report(replica, is_awaited);
+            }
         }
     }
 
+    fn note_call(&mut self, replica: &ReplicaId) {
+        self.pace.note_call(&self.node, replica);
+        self.orderer.pause_calls(replica, self.pace.is_paused(replica));
+    }
+
     pub(super) fn send_order(&mut self, replica: ReplicaId, order: Order, expected_sequence: u64) {
         let now = self.node.clock.now();
         let target = self.address(&replica);
@@ -247,15 +268,24 @@
         let (node, shard) = (self.node.clone(), self.shard);
         while self.orders.try_join_next().is_some() {}
         self.orders.spawn_local(async move {
+            let turn = take_turn(&node, &target.replica, "order", LONGEST_ORDER_DELAY / 2, true).await;
+            let sent_at = node.clock.now();
             // The lease may have run out while the process stood still.
-            let is_fresh = node.clock.now().since(now) <= LONGEST_ORDER_DELAY;
-            let answered = if is_fresh {
-                node.platform.engine().order(&target, &fenced).await
-            } else {
-                EngineAnswer::without_word(OrderOutcome::Conflict)
+            let is_fresh = sent_at.since(now) <= LONGEST_ORDER_DELAY;
+            let answered = match turn {
+                ControlTurn::Taken(credit) if is_fresh => {
+                    credit.iter().for_each(Credit::spend);
+                    node.platform.engine().order(&target, &fenced).await
+                }
+                _ => EngineAnswer::without_word(OrderOutcome::Conflict),
             };
             let outcome = answered.answer;
-            own_word::hear(&node, &target.replica, born_ms, answered.word, "order");
+            let call = AnsweredCall {
+                born_ms,
+                sent_at,
+                answered_at: node.clock.now(),
+            };
+            own_word::hear(&node, &target.replica, call, answered.word, "order");
             tracing::info!(target: "order", replica = &*target.replica, order = ?fenced.order,
                 sequence = fenced.expected_sequence, fencing_token = fenced.fencing_token, ?outcome);
             Metrics::count(
@@ -272,7 +302,7 @@
         });
     }
 
-    pub(super) fn ask_report(&mut self, replica: ReplicaId) {
+    pub(super) fn ask_report(&mut self, replica: ReplicaId, is_awaited: bool) {
         let asked_at = self.node.clock.now();
         let Some(target) = self.address(&replica) else {
             self.orderer.reported(&replica, None, asked_at, asked_at);
@@ -281,8 +311,21 @@
         let born_ms = self.orderer.born_ms(&replica);
         let (node, shard) = (self.node.clone(), self.shard);
         tokio::task::spawn_local(async move {
-            let answered = node.platform.engine().report(&target).await;
-            own_word::hear(&node, &replica, born_ms, answered.word, "report");
+            let turn = take_turn(&node, &replica, "report", LONGEST_REPORT_DELAY, is_awaited).await;
+            let sent_at = node.clock.now();
+            let answered = match turn {
+                ControlTurn::Taken(credit) => {
+                    credit.iter().for_each(Credit::spend);
+                    node.platform.engine().report(&target).await
+                }
+                ControlTurn::Refused => EngineAnswer::without_word(None),
+            };
+            let call = AnsweredCall {
+                born_ms,
+                sent_at,
+                answered_at: node.clock.now(),
+            };
+            own_word::hear(&node, &replica, call, answered.word, "report");
             let report = answered.answer;
             let outcome = if report.is_some() { "answered" } else { "no report" };
             Metrics::count(&node.metrics.reports, "report", outcome);
--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -1,4 +1,4 @@
-//! Links between nodes and the keepers of quotas.
+//! Links between nodes and the keepers of quotas and limits.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -9,13 +9,17 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use croftrill_scheduler::quota::keeper::{Ruling, Want};
+use croftrill_scheduler::quota::keeper::{QuotaKeeper, Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
+use croftrill_scheduler::quota::limits::{LimitKeeper, LimitWant, NamedLimit};
+use croftrill_scheduler::replica::RequestRate;
+use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::wire::{FromKeeper, ToKeeper, WireAsk};
+use super::part_keeper::PartKeeper;
+use super::wire::{FromKeeper, ToKeeper, WireAsk, WireLimitAsk};
 use super::{Fleet, Quotas, Uplink};
 use crate::link::PeerLink;
 use crate::peer::ToOrderer;
@@ -34,8 +38,10 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Time for which a keeper that failed is passed over.
 const FAILED_RESTS: Duration = Duration::from_millis(2000);
-/// Keepers that are tried before a node takes just its own part.
+/// Keepers of quotas that are tried before a node takes just its own part.
 const MOST_TRIED: usize = 3;
+/// Keepers of limits: only the first two of the list rule on any part of a limit.
+const MOST_LIMIT_KEEPERS: usize = 2;
 /// Questions that may wait to be sent.
 const MOST_WAITING: usize = 1024;
 
@@ -49,7 +55,7 @@
     let mut failed = Failed::default();
     let mut next: Option<(SocketAddr, PeerLink)> = None;
     loop {
-        quotas.look(part, &*fleet);
+        quotas.look(part, &*fleet, own);
         if let Some((address, link)) = next.take() {
             next = match listen(&quotas, &*fleet, part, (address, link), &mut failed, own).await {
                 Ok(better) => better,
@@ -63,9 +69,9 @@
             };
             continue;
         }
-        if !is_wanted(&*fleet, part) {
+        if !is_wanted(&quotas, &*fleet, part) {
             quotas.set_uplink(part, Uplink::Connecting, false);
-            sleep(LOOK_EVERY).await;
+            rest(&quotas, part).await;
             continue;
         }
         match choice(&*fleet, part, &mut failed) {
@@ -86,9 +92,23 @@
     }
 }
 
-/// True if a tenant of the part has a quota: without any, links to keepers cost every
-/// node bytes and wake-ups for nothing.
-fn is_wanted(fleet: &dyn Fleet, part: QuotaPart) -> bool {
+/// Waits while no keeper is wanted. Limits are rare: a node that neither asks nor is asked
+/// for any is not woken.
+async fn rest(quotas: &Quotas, part: QuotaPart) {
+    let state = &quotas.parts[part.index()];
+    if part.is_of_replicas() && state.listeners.get() == 0 {
+        state.limit_wanted.notified().await;
+    } else {
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// True if a tenant of the part has a quota, or a replica of it was asked for that named a
+/// limit: without any, links to keepers cost every node bytes and wake-ups for nothing.
+fn is_wanted(quotas: &Quotas, fleet: &dyn Fleet, part: QuotaPart) -> bool {
+    if part.is_of_replicas() {
+        return quotas.is_limit_wanted(part);
+    }
     fleet.configuration().is_some_and(|configuration| {
         let mut tenants = configuration.tenants.iter();
         tenants.any(|tenant| tenant.quota.is_some() && QuotaPart::of_tenant(&tenant.name) == part)
@@ -112,7 +132,12 @@
 
 /// The first of the keepers that did not fail lately.
 fn choice(fleet: &dyn Fleet, part: QuotaPart, failed: &mut Failed) -> Option<SocketAddr> {
-    let keepers = fleet.keepers(part).into_iter().take(MOST_TRIED);
+    let most_tried = if part.is_of_replicas() {
+        MOST_LIMIT_KEEPERS
+    } else {
+        MOST_TRIED
+    };
+    let keepers = fleet.keepers(part).into_iter().take(most_tried);
     keepers.into_iter().find(|address| !failed.rests(address))
 }
 
@@ -151,8 +176,8 @@
     own: SocketAddr,
 ) -> io::Result<Option<(SocketAddr, PeerLink)>> {
     let (sender, mut questions) = mpsc::channel(MOST_WAITING);
-    for (tenant, cost) in quotas.granted_ahead(part) {
-        let tenant = tenant.to_string();
+    for (subject, cost) in quotas.granted_ahead(part) {
+        let tenant = subject.to_string();
         let carry = ToKeeper::Carry { tenant, cost };
         link.send(Bytes::from(carry.serialize_bin())).await?;
     }
@@ -178,12 +203,12 @@
                 Err(_) => failed.note(better),
             },
             _ = look.tick() => {
-                quotas.look(part, fleet);
+                quotas.look(part, fleet, own);
                 if sent_at.elapsed() >= ALIVE_EVERY {
                     sent_at = Instant::now();
                     link.send(Bytes::from(ToKeeper::Alive.serialize_bin())).await?;
                 }
-                if !is_wanted(fleet, part) {
+                if !is_wanted(quotas, fleet, part) {
                     return Ok(None);
                 }
                 match choice(fleet, part, failed) {
@@ -242,11 +267,11 @@
             (id, Ruling::Refused { again_after, balance })
         }
     };
-    let question = quotas.parts[part.index()].asked.borrow_mut().remove(&id);
-    if let Some(question) = question {
-        let unheard = question.answer.send(ruling);
+    let asked = quotas.parts[part.index()].asked.borrow_mut().remove(&id);
+    if let Some(asked) = asked {
+        let unheard = asked.answer.send(ruling);
         if matches!(unheard, Err(Ruling::Granted { .. })) {
-            quotas.give_back(part, &question.tenant, question.cost);
+            quotas.give_back(part, &asked.subject, asked.cost);
         }
     }
     Ok(())
@@ -262,53 +287,64 @@
             return Ok(());
         };
         let message = decode::<ToKeeper>(&frame)?;
-        if let Some(answer) = answer(&quotas, part, message) {
+        if let Some(answer) = answer(&quotas, part, message)? {
             link.send(Bytes::from(answer.serialize_bin())).await?;
         }
     }
 }
 
-fn answer(quotas: &Quotas, part: QuotaPart, message: ToKeeper) -> Option<FromKeeper> {
+/// Errors: a question that this part's keeper does not answer.
+fn answer(quotas: &Quotas, part: QuotaPart, message: ToKeeper) -> io::Result<Option<FromKeeper>> {
     let now = quotas.clock.now();
     let mut keeper = quotas.parts[part.index()].keeper.borrow_mut();
-    match message {
-        ToKeeper::Alive => Some(FromKeeper::Alive),
-        ToKeeper::GiveBack { tenant, cost } => {
+    let (id, ruling) = match (message, &mut *keeper) {
+        (ToKeeper::Alive, _) => return Ok(Some(FromKeeper::Alive)),
+        (ToKeeper::GiveBack { tenant, cost }, keeper) => {
             keeper.give_back(&tenant, cost, now);
-            None
+            return Ok(None);
         }
-        ToKeeper::Carry { tenant, cost } => {
+        (ToKeeper::Carry { tenant, cost }, keeper) => {
             keeper.carry(&tenant, cost, now);
-            None
+            return Ok(None);
         }
-        ToKeeper::Ask(WireAsk {
+        (ToKeeper::Ask(ask), PartKeeper::Quotas(keeper)) => (ask.id, rule_on_quota(keeper, ask, now)),
+        (ToKeeper::AskLimit(ask), PartKeeper::Limits(keeper)) => (ask.id, rule_on_limit(keeper, &ask, now)),
+        (ToKeeper::Ask(_) | ToKeeper::AskLimit(_), _) => return Err(io::ErrorKind::InvalidData.into()),
+    };
+    Ok(Some(match ruling {
+        Ruling::Granted { after } => FromKeeper::Granted {
             id,
-            tenant,
-            cost,
-            patience_ms,
-            is_urgent,
-            quota,
-            version,
-        }) => {
-            let want = Want {
-                cost,
-                patience: Duration::from_millis(u64::from(patience_ms)),
-                is_urgent,
-            };
-            keeper.learn(&tenant.as_str().into(), quota.to_quota(), version, now);
-            Some(match keeper.ask(&tenant, want, now) {
-                Ruling::Granted { after } => FromKeeper::Granted {
-                    id,
-                    after_ms: after.as_millis() as u32,
-                },
-                Ruling::Refused { again_after, balance } => FromKeeper::Refused {
-                    id,
-                    again_after_ms: again_after.as_millis() as u32 + 1,
-                    balance,
-                },
-            })
-        }
-    }
+            after_ms: after.as_millis() as u32,
+        },
+        Ruling::Refused { again_after, balance } => FromKeeper::Refused {
+            id,
+            again_after_ms: again_after.as_millis() as u32 + 1,
+            balance,
+        },
+    }))
+}
+
+fn rule_on_quota(keeper: &mut QuotaKeeper, ask: WireAsk, now: Moment) -> Ruling {
+    let want = Want {
+        cost: ask.cost,
+        patience: Duration::from_millis(u64::from(ask.patience_ms)),
+        is_urgent: ask.is_urgent,
+    };
+    let tenant = ask.tenant.as_str();
+    keeper.learn(&tenant.into(), ask.quota.to_quota(), ask.version, now);
+    keeper.ask(tenant, want, now)
+}
+
+fn rule_on_limit(keeper: &mut LimitKeeper, ask: &WireLimitAsk, now: Moment) -> Ruling {
+    let want = LimitWant {
+        patience: Duration::from_millis(u64::from(ask.patience_ms)),
+        is_urgent: ask.is_urgent,
+    };
+    let limit = NamedLimit {
+        rate: RequestRate::from_millis_per_s(ask.limit_millis_per_s),
+        heard_at: now - Duration::from_millis(ask.heard_ms_ago),
+    };
+    keeper.ask(&ask.replica.as_str().into(), ask.born_ms, limit, want, now)
 }
 
 /// Counts a node as a listener of this one's keeper while it lives.
@@ -324,6 +360,7 @@
             part,
         };
         listener.add(1);
+        quotas.parts[part.index()].limit_wanted.notify_one();
         listener
     }
 
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -1,11 +1,14 @@
-//! A node's part in the quotas that all nodes keep together.
+//! A node's part in the quotas and limits that all nodes keep together.
 //!
-//! [`Quotas`] answers whether a request of a tenant may run: it asks the keeper of
-//! the tenant's part over a link ([`link`]), or this node's own [`QuotaKeeper`]
-//! where this node is the keeper, or can reach none. It knows nothing of requests
-//! and of the node around it; what it needs of the fleet comes by [`Fleet`].
+//! [`Quotas`] answers whether a request of a tenant may run, and whether a call may go to
+//! a replica that named a limit ([`limit`]): it asks the keeper of the part over a link
+//! ([`link`]), or this node's own keeper ([`part_keeper`]) where this node is the one, or
+//! can reach none. It knows nothing of requests and of the node around it; what it needs
+//! of the fleet comes by [`Fleet`].
 
+mod limit;
 mod link;
+mod part_keeper;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -16,14 +19,17 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::Configuration;
-use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
+use croftrill_scheduler::quota::keeper::{KeeperConfig, Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
+use croftrill_scheduler::quota::limits::{LoneTurns, Standing};
 use croftrill_scheduler::tenants::Quota;
 use croftrill_scheduler::time::Moment;
 use prometheus_client::metrics::counter::Counter;
 use tokio::sync::{mpsc, oneshot, Notify};
 
+pub use self::limit::{LimitAsk, LimitVerdict};
 pub(crate) use self::link::{follow_keeper, serve_listener};
+use self::part_keeper::PartKeeper;
 use self::wire::{ToKeeper, WireAsk, WireQuota};
 use crate::clock::Clock;
 
@@ -37,7 +43,8 @@
 
 /// What the quotas need to know of the fleet.
 pub trait Fleet {
-    /// Addresses of the nodes that should keep a part, the first choice first.
+    /// Addresses of the nodes that should keep a part, the first choice first. Limits are
+    /// kept by nodes that are known to understand questions about them.
     fn keepers(&self, part: QuotaPart) -> Vec<SocketAddr>;
     /// Number of nodes that are listed.
     fn listed(&self) -> usize;
@@ -58,6 +65,36 @@
     pub want: Want,
 }
 
+impl Question for QuotaAsk<'_> {
+    fn subject(&self) -> &Arc<str> {
+        self.tenant
+    }
+
+    fn cost(&self) -> u64 {
+        self.want.cost
+    }
+
+    fn message(&self, id: u64, _now: Moment) -> ToKeeper {
+        ToKeeper::Ask(WireAsk {
+            id,
+            tenant: self.tenant.to_string(),
+            cost: self.want.cost,
+            patience_ms: self.want.patience.as_millis() as u32,
+            is_urgent: self.want.is_urgent,
+            quota: WireQuota::from_quota(self.quota),
+            version: self.version,
+        })
+    }
+
+    fn ask_here(&self, keeper: &mut PartKeeper, now: Moment) -> Option<Ruling> {
+        let PartKeeper::Quotas(keeper) = keeper else {
+            return None;
+        };
+        keeper.learn(self.tenant, self.quota, self.version, now);
+        Some(keeper.ask(self.tenant, self.want, now))
+    }
+}
+
 /// Whether a request may run.
 #[derive(Debug)]
 pub enum QuotaVerdict {
@@ -85,40 +122,58 @@
     Connecting,
 }
 
+/// What a node asks of the keeper of a part.
+trait Question {
+    /// The tenant or replica that it is about.
+    fn subject(&self) -> &Arc<str>;
+    /// Units that it wants.
+    fn cost(&self) -> u64;
+    /// The message to a keeper elsewhere.
+    fn message(&self, id: u64, now: Moment) -> ToKeeper;
+    /// The ruling of this node's own keeper.
+    fn ask_here(&self, keeper: &mut PartKeeper, now: Moment) -> Option<Ruling>;
+}
+
 /// A node's side of one part.
 struct Part {
-    keeper: RefCell<QuotaKeeper>,
+    keeper: RefCell<PartKeeper>,
     /// Other nodes that listen to this node's keeper.
     listeners: Cell<usize>,
     uplink: RefCell<Uplink>,
     /// True if this node should keep the part, and does not just find no keeper.
     is_keeper: Cell<bool>,
     /// Questions that are not answered yet.
-    asked: RefCell<HashMap<u64, Question>>,
+    asked: RefCell<HashMap<u64, Asked>>,
     next_id: Cell<u64>,
     /// What was granted ahead and is still to run.
     ahead: RefCell<Vec<GrantAhead>>,
     /// Told when the uplink changes.
     changed: Notify,
+    /// When a limit was last asked for.
+    limit_asked_at: Cell<Option<Moment>>,
+    /// Told when a keeper of limits is wanted, here or by a listener.
+    limit_wanted: Notify,
 }
 
 /// A request that waits for its turn.
 struct GrantAhead {
-    tenant: Arc<str>,
+    subject: Arc<str>,
     cost: u64,
     runs_at: Moment,
 }
 
 /// A question on its way to a keeper and back.
-struct Question {
+struct Asked {
     answer: oneshot::Sender<Ruling>,
-    tenant: Arc<str>,
+    subject: Arc<str>,
     cost: u64,
 }
 
 /// The quotas as one node sees them.
 pub struct Quotas {
     parts: Vec<Part>,
+    /// This node's turns where it reaches no keeper of limits.
+    lone_turns: RefCell<LoneTurns>,
     clock: Clock,
     keepers_lost: Counter,
 }
@@ -126,8 +181,8 @@
 impl Quotas {
     /// A node that knows no keeper yet.
     pub fn new(config: KeeperConfig, clock: Clock, keepers_lost: Counter) -> Rc<Self> {
-        let part = |_| Part {
-            keeper: RefCell::new(QuotaKeeper::new(config, clock.now())),
+        let part = |part| Part {
+            keeper: RefCell::new(PartKeeper::new(part, config, clock.now())),
             listeners: Cell::new(0),
             uplink: RefCell::new(Uplink::Connecting),
             is_keeper: Cell::new(false),
@@ -135,9 +190,12 @@
             next_id: Cell::new(0),
             ahead: RefCell::default(),
             changed: Notify::new(),
+            limit_asked_at: Cell::new(None),
+            limit_wanted: Notify::new(),
         };
         Rc::new(Quotas {
             parts: QuotaPart::all().map(part).collect(),
+            lone_turns: RefCell::default(),
             clock,
             keepers_lost,
         })
@@ -147,22 +205,27 @@
     pub async fn ask(self: &Rc<Self>, ask: QuotaAsk<'_>, until: Moment) -> QuotaVerdict {
         let part = QuotaPart::of_tenant(ask.tenant);
         let give_up = until.min(self.clock.now() + LINK_PATIENCE);
+        match self.ask_keeper(part, &ask, give_up).await {
+            Some(ruling) => self.verdict(part, &ask, ruling),
+            None => QuotaVerdict::Unreachable,
+        }
+    }
+
+    /// The ruling of whichever keeper answers by `give_up`.
+    async fn ask_keeper(&self, part: QuotaPart, question: &impl Question, give_up: Moment) -> Option<Ruling> {
         for _ in 0..MOST_ASKED {
-            let Some(uplink) = self.linked_uplink(part, give_up).await else {
-                break;
-            };
-            let ruling = match &uplink {
-                Uplink::Linked(link) => self.ask_linked(part, link, &ask).await,
-                Uplink::Own | Uplink::Connecting => Some(self.ask_own(part, &ask)),
+            let ruling = match self.linked_uplink(part, give_up).await? {
+                Uplink::Linked(link) => self.ask_linked(part, &link, question).await,
+                Uplink::Own | Uplink::Connecting => {
+                    let keeper = &self.parts[part.index()].keeper;
+                    return question.ask_here(&mut keeper.borrow_mut(), self.clock.now());
+                }
             };
-            if let Some(ruling) = ruling {
-                return self.verdict(part, &ask, ruling);
-            }
-            if self.clock.now() >= give_up {
-                break;
+            if ruling.is_some() || self.clock.now() >= give_up {
+                return ruling;
             }
         }
-        QuotaVerdict::Unreachable
+        None
     }
 
     /// The uplink of a part once there is one; `None` if none comes in time.
@@ -178,39 +241,24 @@
         }
     }
 
-    fn ask_own(&self, part: QuotaPart, ask: &QuotaAsk<'_>) -> Ruling {
-        let now = self.clock.now();
-        let mut keeper = self.parts[part.index()].keeper.borrow_mut();
-        keeper.learn(ask.tenant, ask.quota, ask.version, now);
-        keeper.ask(ask.tenant, ask.want, now)
-    }
-
     /// The keeper's ruling; `None` if it did not answer, and is given up.
     async fn ask_linked(
         &self,
         part: QuotaPart,
         link: &mpsc::Sender<ToKeeper>,
-        ask: &QuotaAsk<'_>,
+        question: &impl Question,
     ) -> Option<Ruling> {
         let state = &self.parts[part.index()];
         let id = state.next_id.get();
         state.next_id.set(id + 1);
         let (answer, answered) = oneshot::channel();
-        let question = Question {
+        let asked = Asked {
             answer,
-            tenant: ask.tenant.clone(),
-            cost: ask.want.cost,
+            subject: question.subject().clone(),
+            cost: question.cost(),
         };
-        state.asked.borrow_mut().insert(id, question);
-        let message = ToKeeper::Ask(WireAsk {
-            id,
-            tenant: ask.tenant.to_string(),
-            cost: ask.want.cost,
-            patience_ms: ask.want.patience.as_millis() as u32,
-            is_urgent: ask.want.is_urgent,
-            quota: WireQuota::from_quota(ask.quota),
-            version: ask.version,
-        });
+        state.asked.borrow_mut().insert(id, asked);
+        let message = question.message(id, self.clock.now());
         let limit = self.clock.now() + ANSWER_LIMIT;
         let answer = match link.try_send(message) {
             Ok(()) => self.clock.timeout_at(limit, answered).await.ok(),
@@ -240,25 +288,27 @@
         let is_own = matches!(*self.parts[part.index()].uplink.borrow(), Uplink::Own);
         let is_alone = is_own && !self.parts[part.index()].is_keeper.get();
         match ruling {
-            Ruling::Granted { after } => {
-                self.note_ahead(part, ask, after);
-                let credit = Credit {
-                    quotas: self.clone(),
-                    part,
-                    tenant: ask.tenant.clone(),
-                    cost: ask.want.cost,
-                    is_spent: Cell::new(false),
-                };
-                QuotaVerdict::Granted(credit, after)
-            }
+            Ruling::Granted { after } => QuotaVerdict::Granted(self.granted(part, ask, after), after),
             // Another node may have what this one's small part lacks.
             Ruling::Refused { .. } if is_alone => QuotaVerdict::Unreachable,
             Ruling::Refused { again_after, balance } => QuotaVerdict::Beyond { again_after, balance },
         }
     }
 
+    /// What a granted question holds; it may be used `after` that time.
+    fn granted(self: &Rc<Self>, part: QuotaPart, question: &impl Question, after: Duration) -> Credit {
+        self.note_ahead(part, question, after);
+        Credit {
+            quotas: self.clone(),
+            part,
+            subject: question.subject().clone(),
+            cost: question.cost(),
+            is_spent: Cell::new(false),
+        }
+    }
+
     /// A request waits for its turn: until then it counts wherever this node asks.
-    fn note_ahead(&self, part: QuotaPart, ask: &QuotaAsk<'_>, after: Duration) {
+    fn note_ahead(&self, part: QuotaPart, question: &impl Question, after: Duration) {
         if after.is_zero() {
             return;
         }
@@ -266,19 +316,19 @@
         let mut ahead = self.parts[part.index()].ahead.borrow_mut();
         ahead.retain(|grant| grant.runs_at > now);
         ahead.push(GrantAhead {
-            tenant: ask.tenant.clone(),
-            cost: ask.want.cost,
+            subject: question.subject().clone(),
+            cost: question.cost(),
             runs_at: now + after,
         });
     }
 
-    /// Units of each tenant that were granted ahead and are still to run.
+    /// Units of each tenant or replica that were granted ahead and are still to run.
     fn granted_ahead(&self, part: QuotaPart) -> HashMap<Arc<str>, u64> {
         let now = self.clock.now();
         let mut sums: HashMap<Arc<str>, u64> = HashMap::new();
         let ahead = self.parts[part.index()].ahead.borrow();
         for grant in ahead.iter().filter(|grant| grant.runs_at > now) {
-            *sums.entry(grant.tenant.clone()).or_default() += grant.cost;
+            *sums.entry(grant.subject.clone()).or_default() += grant.cost;
         }
         sums
     }
@@ -288,19 +338,22 @@
         self.set_uplink(part, Uplink::Own, is_keeper);
         let now = self.clock.now();
         let mut keeper = self.parts[part.index()].keeper.borrow_mut();
-        for (tenant, cost) in self.granted_ahead(part) {
-            keeper.carry(&tenant, cost, now);
+        for (subject, cost) in self.granted_ahead(part) {
+            keeper.carry(&subject, cost, now);
         }
     }
 
     /// What was granted goes back.
-    fn give_back(&self, part: QuotaPart, tenant: &Arc<str>, cost: u64) {
+    fn give_back(&self, part: QuotaPart, subject: &Arc<str>, cost: u64) {
         let part = &self.parts[part.index()];
         match &*part.uplink.borrow() {
-            Uplink::Own => part.keeper.borrow_mut().give_back(tenant, cost, self.clock.now()),
+            Uplink::Own => part
+                .keeper
+                .borrow_mut()
+                .give_back(subject, cost, self.clock.now()),
             Uplink::Linked(link) => {
-                let tenant = tenant.to_string();
-                // Left out where too many wait: the tenant has so much less.
+                let tenant = subject.to_string();
+                // Left out where too many wait: the tenant or replica has so much less.
                 if link.try_send(ToKeeper::GiveBack { tenant, cost }).is_err() {
                     tracing::debug!(target: "quota", event = "credit could not go back", cost);
                 }
@@ -327,10 +380,22 @@
             .set_listeners(listeners, self.clock.now());
     }
 
-    /// What the fleet looks like now.
-    fn look(&self, part: QuotaPart, fleet: &dyn Fleet) {
+    /// What the fleet looks like now. `own`: this node's address.
+    fn look(&self, part: QuotaPart, fleet: &dyn Fleet, own: SocketAddr) {
         let now = self.clock.now();
         let mut keeper = self.parts[part.index()].keeper.borrow_mut();
+        let keeper = match &mut *keeper {
+            PartKeeper::Quotas(keeper) => keeper,
+            PartKeeper::Limits(keeper) => {
+                let is_first = fleet.keepers(part).first() == Some(&own);
+                let standing = if is_first {
+                    Standing::First
+                } else {
+                    Standing::Second
+                };
+                return keeper.stand(standing, now);
+            }
+        };
         keeper.count_listed(fleet.listed(), now);
         if let Some(configuration) = fleet.configuration() {
             let of_part = configuration
@@ -346,18 +411,18 @@
         let kept = self.parts.iter().filter(|part| part.is_keeper.get());
         let mut balances = Vec::new();
         for part in kept {
-            let keeper = part.keeper.borrow();
-            balances.extend(keeper.balances().map(|(name, balance)| (name.clone(), balance)));
+            balances.extend(part.keeper.borrow().balances());
         }
         balances
     }
 }
 
-/// What a tenant paid for one request. It goes back unless the request ran, or may have.
+/// What a tenant paid for one request, or one request's place at a replica that named a
+/// limit. It goes back unless the request ran, or may have.
 pub struct Credit {
     quotas: Rc<Quotas>,
     part: QuotaPart,
-    tenant: Arc<str>,
+    subject: Arc<str>,
     cost: u64,
     is_spent: Cell<bool>,
 }
@@ -366,7 +431,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let mut shown = formatter.debug_struct("Credit");
         shown
-            .field("tenant", &self.tenant)
+            .field("subject", &self.subject)
             .field("cost", &self.cost)
             .finish()
     }
@@ -387,7 +452,7 @@
 impl Drop for Credit {
     fn drop(&mut self) {
         if !self.is_spent.get() {
-            self.quotas.give_back(self.part, &self.tenant, self.cost);
+            self.quotas.give_back(self.part, &self.subject, self.cost);
         }
     }
 }
--- a/crates/croftrill-node/src/quota/wire.rs
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -1,4 +1,4 @@
-//! Messages between a node and the keeper of a part of the quotas.
+//! Messages between a node and the keeper of a part of the quotas or limits.
 
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use nanoserde::{DeBin, SerBin};
@@ -10,7 +10,7 @@
     Ask(WireAsk),
     /// A request that was granted did not run.
     GiveBack {
-        /// The tenant.
+        /// The tenant, or the replica on a link to a keeper of limits.
         tenant: String,
         /// Units that were granted.
         cost: u64,
@@ -19,11 +19,33 @@
     Alive,
     /// So much was granted to the node ahead by a former keeper, and is still to run.
     Carry {
-        /// The tenant.
+        /// The tenant, or the replica on a link to a keeper of limits.
         tenant: String,
         /// Units that were granted.
         cost: u64,
     },
+    /// A call wants to go to a replica that named a limit. Only to keepers of limits, whose
+    /// entries tell that they know of it.
+    AskLimit(WireLimitAsk),
+}
+
+/// A question about a replica's limit, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WireLimitAsk {
+    /// Number of the question, unique on its link.
+    pub id: u64,
+    /// The replica.
+    pub replica: String,
+    /// When the incarnation started that named the limit, in Unix milliseconds.
+    pub born_ms: Option<u64>,
+    /// The limit as the asking node heard it, in thousandths of a request a second.
+    pub limit_millis_per_s: u64,
+    /// How long ago it heard that, in milliseconds.
+    pub heard_ms_ago: u64,
+    /// Time for which the call can wait for its turn, in milliseconds.
+    pub patience_ms: u32,
+    /// True if no other calls are more urgent.
+    pub is_urgent: bool,
 }
 
 /// A question, on the wire.
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -48,18 +48,35 @@
     /// The replica that takes the request; waits for its model if that helps.
     pub(super) async fn next_replica(&mut self) -> NextReplica {
         if let Some(replica) = self.refused_by.take() {
-            return NextReplica::Send(replica);
+            if self.take_turn(&replica).await {
+                return NextReplica::Send(replica);
+            }
         }
         tree::know(&self.node, &self.interests()).await;
         loop {
             if self.now() >= self.until {
                 return NextReplica::GiveUp("out of time", None);
             }
-            if let Some(replica) = self.choose(&self.tried) {
-                return NextReplica::Send(replica);
+            let chosen = match self.choose(&self.tried) {
+                Some(replica) => Some(replica),
+                None => self.choose_again().await,
+            };
+            if let Some(replica) = chosen {
+                if self.take_turn(&replica).await {
+                    return NextReplica::Send(replica);
+                }
+                continue;
             }
-            if let Some(replica) = self.choose_again().await {
-                return NextReplica::Send(replica);
+            match self.turn_decision() {
+                Some(ColdDecision::Wait) => {
+                    self.wait_for_turn().await;
+                    continue;
+                }
+                Some(ColdDecision::Refuse { come_back_after }) => {
+                    self.count_turned_away();
+                    return NextReplica::GiveUp("its replicas take no more now", Some(come_back_after));
+                }
+                None => {}
             }
             match self.rest_decision() {
                 Some(ColdDecision::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
@@ -120,11 +137,13 @@
     pub(super) fn choose(&self, tried: &[ReplicaId]) -> Option<ReplicaId> {
         let now = self.node.clock.now();
         let state = self.node.state.borrow();
+        let held_back = self.held_back.iter().map(|held| held.replica.clone());
+        let tried: Vec<ReplicaId> = tried.iter().cloned().chain(held_back).collect();
         let request = RoutingRequest {
             service: &self.service,
             need: self.model_need(),
             zone: &self.node.settings.identity.zone,
-            tried,
+            tried: &tried,
             salt: xxh3_64(self.facts.id.as_bytes()),
         };
         choose(&state.replicas, &request, now)
--- a/crates/croftrill-node/src/request/guards.rs
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -6,6 +6,7 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{BornMs, ReplicaId};
+use croftrill_scheduler::time::Moment;
 
 use super::cost;
 use crate::node::Node;
@@ -87,6 +88,8 @@
     pub(super) replica: ReplicaId,
     /// When the incarnation that it goes to started, if it told.
     pub(super) born_ms: Option<BornMs>,
+    /// Before anything of it is sent.
+    pub(super) begun_at: Moment,
     pub(super) tokens: u64,
     pub(super) reading: bool,
 }
@@ -104,6 +107,7 @@
             node: node.clone(),
             replica: replica.clone(),
             born_ms,
+            begun_at: node.clock.now(),
             tokens,
             reading: true,
         }
--- /dev/null
+++ b/crates/croftrill-node/src/request/limited.rs
@@ -0,0 +1,123 @@
+//! Turns at replicas that take only so many requests from all nodes together.
+
+use std::time::Duration;
+
+use croftrill_scheduler::admission::{decide_resting, return_after_rest, ColdDecision, ColdRequest};
+use croftrill_scheduler::quota::limits::LimitWant;
+use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
+
+use super::RequestRun;
+use crate::metrics::Metrics;
+use crate::node::Lifecycle;
+use crate::ports::Platform;
+use crate::quota::{LimitAsk, LimitVerdict};
+
+/// Times that a request waits to ask for a turn once more: a wait that ends without one
+/// costs its caller more than a refusal at once.
+const MOST_TURN_WAITS: u32 = 1;
+
+/// A replica that takes no more now, and when it would be the request's turn there.
+pub(super) struct HeldBack {
+    pub(super) replica: ReplicaId,
+    again_at: Moment,
+}
+
+impl<P: Platform> RequestRun<P> {
+    /// Takes the request's turn at a replica, and waits for it; false if it would come too
+    /// late. All sends pass here, as the replica counts them all: first ones, repeats,
+    /// streams that go on. A replica that named no limit costs nothing.
+    pub(super) async fn take_turn(&mut self, replica: &ReplicaId) -> bool {
+        self.turn = None;
+        let (limit, nodes) = {
+            let state = self.node.state.borrow();
+            (state.replicas.limit_of(replica), state.members.node_count())
+        };
+        let Some((limit, born_ms)) = limit else {
+            return true;
+        };
+        let ask = LimitAsk {
+            replica,
+            born_ms,
+            limit,
+            want: LimitWant {
+                patience: self.turn_patience(),
+                is_urgent: self
+                    .configuration
+                    .is_most_urgent_of(&self.service, self.route.priority),
+            },
+            nodes,
+        };
+        match self.node.quotas.ask_limit(ask).await {
+            LimitVerdict::Granted(credit, after) => {
+                let outcome = if credit.is_some() { "granted" } else { "own turn" };
+                Metrics::count(&self.node.metrics.limited, "request", outcome);
+                self.turn = credit;
+                let turn_at = self.now() + after;
+                self.node.clock.sleep_until(turn_at.min(self.until)).await;
+                true
+            }
+            LimitVerdict::Refused { again_after } => {
+                Metrics::count(&self.node.metrics.limited, "request", "refused");
+                tracing::info!(target: "limit", id = self.facts.id, replica = &**replica, outcome = "refused",
+                    limit_per_s = limit.rate.per_s(), heard_ms_ago = self.now().since(limit.heard_at).as_millis() as u64,
+                    is_urgent = ask.want.is_urgent, patience_ms = ask.want.patience.as_millis() as u64,
+                    again_after_ms = again_after.as_millis() as u64);
+                self.held_back.push(HeldBack {
+                    replica: replica.clone(),
+                    again_at: self.now() + again_after,
+                });
+                false
+            }
+        }
+    }
+
+    /// Time for which the request can wait for its turn and still be in time; a stream that
+    /// goes on elsewhere, without a pause that its caller notices.
+    fn turn_patience(&self) -> Duration {
+        let spent = self.waited() + self.first_event_after();
+        let left = self.route.objective.saturating_sub(spent);
+        let pause = self.answered_after.and(self.route.pause_objective);
+        left.max(pause.unwrap_or_default())
+    }
+
+    /// What to do while all replicas that could take the request take no more; `None` if
+    /// that is not what is missing. When its turn would come was told by all nodes' calls,
+    /// so it waits once if it is in time then; who waited in vain is refused.
+    pub(super) fn turn_decision(&self) -> Option<ColdDecision> {
+        let turn_at = self.held_back.iter().map(|held| held.again_at).min()?;
+        let arrival = self.model_key().and_then(|key| {
+            let state = self.node.state.borrow();
+            state.replicas.arrival(&self.service, &key.model)
+        });
+        let first_at = arrival.map_or(turn_at, |arrival| arrival.min(turn_at));
+        let ready_in = first_at.since(self.now());
+        let request = ColdRequest {
+            waited: self.waited(),
+            ready_in,
+            first_event_after: self.first_event_after(),
+            objective: self.route.objective,
+            patience: self.patience(),
+            left: self.until.since(self.now()),
+        };
+        let decision = decide_resting(&request, self.rank(), self.unit());
+        let may_wait = self.turn_waits < MOST_TURN_WAITS && self.node.lifecycle() != Lifecycle::Stopping;
+        if decision == ColdDecision::Wait && !may_wait {
+            let come_back_after = return_after_rest(ready_in, self.rank(), self.unit());
+            return Some(ColdDecision::Refuse { come_back_after });
+        }
+        Some(decision)
+    }
+
+    /// Waits until the request may ask for a turn once more.
+    pub(super) async fn wait_for_turn(&mut self) {
+        self.turn_waits += 1;
+        let Some(turn_at) = self.held_back.iter().map(|held| held.again_at).min() else {
+            return;
+        };
+        while self.now() < turn_at.min(self.until) && self.choose(&self.tried).is_none() {
+            self.wait_for_view().await;
+        }
+        self.held_back.clear();
+    }
+}
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`serve`] reads it, finds its route and its place; [`RequestRun`] then sends
 //! it until it is answered or given up. The parts: [`guards`] what it holds,
-//! [`cold`] waiting for models, [`resting`] for replicas that want rest, [`sending`] one send, [`streaming`] event
-//! streams, [`access`] keys,
+//! [`cold`] waiting for models, [`resting`] for replicas that want rest, [`limited`] turns
+//! at replicas that named a limit, [`sending`] one send, [`streaming`] event streams,
+//! [`access`] keys,
 //! [`answers`] final answers, [`forwarding`] headers and targets,
 //! [`crashing`] and [`fingerprint`] requests that crash replicas.
 //!
@@ -18,6 +19,7 @@
 mod fingerprint;
 mod forwarding;
 mod guards;
+mod limited;
 mod resting;
 mod sending;
 mod streaming;
@@ -42,6 +44,7 @@
 use self::cold::NextReplica;
 use self::forwarding::{find_route, pick_backend, read_body};
 use self::guards::{take_place, Flight, Place};
+use self::limited::HeldBack;
 use self::sending::SendEnd;
 use crate::crash_trial::Trial;
 use crate::metrics::Metrics;
@@ -165,6 +168,9 @@
         place,
         sends: 0,
         tried: Vec::new(),
+        held_back: Vec::new(),
+        turn: None,
+        turn_waits: 0,
         repeats: 0,
         refused_by: None,
         may_have_run: false,
@@ -197,6 +203,12 @@
     place: Option<Place<P>>,
     sends: usize,
     tried: Vec<ReplicaId>,
+    /// Replicas that take no more now.
+    held_back: Vec<HeldBack>,
+    /// Its turn at the replica that it goes to next, if that named a limit.
+    turn: Option<Credit>,
+    /// Times that it waited to ask for a turn once more.
+    turn_waits: u32,
     repeats: u32,
     refused_by: Option<ReplicaId>,
     may_have_run: bool,
--- a/crates/croftrill-node/src/request/resting.rs
+++ b/crates/croftrill-node/src/request/resting.rs
@@ -99,7 +99,7 @@
     }
 
     /// Evenly spread over the requests, from 0 to 1.
-    fn unit(&self) -> f64 {
+    pub(super) fn unit(&self) -> f64 {
         xxh3_64(self.facts.id.as_bytes()) as f64 / u64::MAX as f64
     }
 
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use croftrill_scheduler::catalog::RouteKind;
 use croftrill_scheduler::health::SendOutcome;
-use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::replica::{LimitWord, ReplicaId};
+use croftrill_scheduler::replica_table::AnsweredCall;
 use croftrill_scheduler::time::Moment;
 use http::{header, response, Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -62,6 +63,8 @@
         resume_after: Option<&str>,
         limit: Option<Moment>,
     ) -> SendEnd<P> {
+        // It goes back where nothing is sent.
+        let turn = self.turn.take();
         let address = {
             let state = self.node.state.borrow();
             state
@@ -94,11 +97,19 @@
         if let Some(credit) = &self.credit {
             credit.spend();
         }
+        if let Some(turn) = &turn {
+            turn.spend();
+        }
         self.sent_after.get_or_insert(self.waited());
         let until = limit.map_or(self.until, |limit| limit.min(self.until));
         let answer = match self.node.clock.timeout_at(until, connection.send(request)).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => return self.send_failed(&send, &error),
+            Ok(Err(error)) => {
+                if let Some(turn) = turn.filter(|_| error.nothing_sent()) {
+                    turn.unspend();
+                }
+                return self.send_failed(&send, &error);
+            }
             Err(_) if self.now() >= self.until => {
                 self.node.pool.found_silent(&connection);
                 return SendEnd::OutOfTime;
@@ -214,13 +225,17 @@
 
     /// Takes in what the replica says of itself.
     fn hear_replica(&self, send: &Send<P>, facts: &AnswerFacts) {
-        own_word::hear(
-            &self.node,
-            &send.replica,
-            send.born_ms,
-            facts.word,
-            &self.facts.id,
-        );
+        let call = AnsweredCall {
+            born_ms: send.born_ms,
+            sent_at: send.begun_at,
+            answered_at: self.now(),
+        };
+        let mut word = facts.word;
+        if word.limit == LimitWord::Unlimited && (facts.is_misdirected || !facts.is_ours) {
+            // It may be the answer of another replica, or to another request.
+            word.limit = LimitWord::Unsaid;
+        }
+        own_word::hear(&self.node, &send.replica, call, word, &self.facts.id);
     }
 
     /// True if the replica told this node not to send it anything (for now).
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -24,14 +24,16 @@
 }
 
 /// Starts a node on two listeners: for callers and for other nodes. Must run
-/// within a `LocalSet`. `incarnation` tells this process from a former one.
+/// within a `LocalSet`. `started_ns` tells this process from a former one: the time of day
+/// in nanoseconds, of which no order is read.
 pub fn start<P: Platform>(
     node: &Rc<Node<P>>,
     queues: NodeQueues,
     front_listener: TcpListener,
     peer_listener: TcpListener,
-    incarnation: u64,
+    started_ns: u64,
 ) -> Running<P> {
+    let incarnation = membership::incarnation_of(started_ns);
     spawn_local(front::accept(node.clone(), front_listener));
     spawn_local(peer_link::accept(node.clone(), peer_listener));
     spawn_local(peer_link::tell_demand(node.clone()));
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -220,6 +220,15 @@
             .unwrap_or_default()
     }
 
+    /// True if no route to the service ranks before one of this rank.
+    pub fn is_most_urgent_of(&self, service: &str, rank: u8) -> bool {
+        let mut routes = self.routes_by_host.values().flatten();
+        let ranks_before = |route: &Arc<Route>| {
+            route.priority < rank && route.backends.iter().any(|part| &*part.service == service)
+        };
+        !routes.any(ranks_before)
+    }
+
     /// The same configuration with shares for groups of callers.
     pub fn with_group_shares(mut self, group_shares: HashMap<Arc<str>, u32>) -> Self {
         self.group_shares = group_shares;
--- a/crates/croftrill-scheduler/src/orderer/incarnation.rs
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -1,6 +1,6 @@
 //! Replicas that start again under their identity: what is over, and what begins anew.
 
-use crate::placement::PlacedReplica;
+use crate::placement::{ControlCalls, PlacedReplica};
 use crate::replica::{BornMs, Incarnation, OrderOutcome, ReplicaReport};
 use crate::replica_ledger::ReplicaLedger;
 use crate::time::Moment;
@@ -34,6 +34,7 @@
             adapters_loaded_at: Default::default(),
             is_held: former.is_held,
             orders: former.orders,
+            control_calls: ControlCalls::Free,
         };
         self.replicas.insert(id, anew);
     }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -25,7 +25,8 @@
 use crate::load_ceiling::LoadCeiling;
 use crate::load_pace::LoadPace;
 use crate::placement::{
-    load_time, Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement, WeightSource,
+    load_time, ControlCalls, Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement,
+    WeightSource,
 };
 use crate::replica::{
     Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
@@ -75,6 +76,8 @@
     Report {
         /// The replica.
         replica: ReplicaId,
+        /// True if an order depends on it.
+        is_awaited: bool,
     },
 }
 
@@ -238,6 +241,7 @@
             self.listed(&told, now);
         }
         if self.config.scope.covers(&entry.listing.id) {
+            self.note_limit(&entry.listing.id, entry.is_limited());
             self.tell_again_if_forgotten(entry);
             return;
         }
@@ -246,6 +250,30 @@
         }
     }
 
+    /// A replica named a limit on calls of any kind, or names none any more.
+    fn note_limit(&mut self, id: &str, is_limited: bool) {
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return;
+        };
+        replica.control_calls = match replica.control_calls {
+            _ if !is_limited => ControlCalls::Free,
+            ControlCalls::Free => ControlCalls::Sparse,
+            sparse => sparse,
+        };
+    }
+
+    /// Orders and questions for reports at a replica in need pause, or may go on.
+    pub fn pause_calls(&mut self, id: &str, is_paused: bool) {
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return;
+        };
+        replica.control_calls = match replica.control_calls {
+            ControlCalls::Free => ControlCalls::Free,
+            _ if is_paused => ControlCalls::Paused,
+            _ => ControlCalls::Sparse,
+        };
+    }
+
     /// An entry that was gone and came back between two looks seems to have been
     /// there all the time, but with it all nodes forgot what they had been told.
     fn tell_again_if_forgotten(&mut self, entry: &ReplicaEntry) {
@@ -286,6 +314,7 @@
                 adapters_loaded_at: Default::default(),
                 is_held: false,
                 orders,
+                control_calls: ControlCalls::Free,
             };
             self.replicas.insert(listing.id.clone(), anew);
         }
--- a/crates/croftrill-scheduler/src/orderer/reports.rs
+++ b/crates/croftrill-scheduler/src/orderer/reports.rs
@@ -5,7 +5,7 @@
 //! asked for at a bounded rate, those that are due longest first, so that an orderer's
 //! work does not grow with its replicas.
 
-use crate::placement::Orders;
+use crate::placement::{ControlCalls, Orders};
 use crate::replica::ReplicaId;
 use crate::time::Moment;
 
@@ -58,6 +58,9 @@
             if replica.ledger.settle(now) {
                 self.changed.insert(id.clone());
             }
+            if replica.control_calls == ControlCalls::Paused {
+                continue;
+            }
             match replica.ledger.report_due(now) {
                 None => {}
                 Some(_) if replica.ledger.is_report_awaited() => asked.push(id.clone()),
@@ -68,16 +71,20 @@
         routine.sort_unstable();
         routine.truncate(allowed);
         self.routine_reports.asked(allowed);
-        asked.extend(routine.into_iter().map(|(_, id)| id));
-        for id in &asked {
-            if let Some(replica) = self.replicas.get_mut(id) {
-                replica.ledger.report_asked();
+        let awaited = asked.into_iter().map(|id| (id, true));
+        let routine = routine.into_iter().map(|(_, id)| (id, false));
+        let actions: Vec<OrdererAction> = awaited
+            .chain(routine)
+            .map(|(replica, is_awaited)| OrdererAction::Report { replica, is_awaited })
+            .collect();
+        for action in &actions {
+            if let OrdererAction::Report { replica, .. } = action {
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.ledger.report_asked();
+                }
             }
         }
-        asked
-            .into_iter()
-            .map(|replica| OrdererAction::Report { replica })
-            .collect()
+        actions
     }
 
     /// An order would go to this replica, were its account confirmed.
--- a/crates/croftrill-scheduler/src/placement/adapters.rs
+++ b/crates/croftrill-scheduler/src/placement/adapters.rs
@@ -27,11 +27,11 @@
     }
 
     /// The replica that should load an adapter now: of those that keep its model
-    /// and take orders, the one with the fewest adapters.
+    /// and take orders, the one with the fewest adapters, in need the last.
     pub fn adapter_place(&self, model: &ModelName) -> Option<ReplicaId> {
         self.keepers(model)
             .filter(|(_, replica)| replica.is_candidate(Among::Own))
-            .min_by_key(|(_, replica)| replica.ledger.holdings().adapter_count())
+            .min_by_key(|(_, replica)| (replica.control_calls, replica.ledger.holdings().adapter_count()))
             .map(|(id, _)| id.clone())
     }
 
--- a/crates/croftrill-scheduler/src/placement/choice.rs
+++ b/crates/croftrill-scheduler/src/placement/choice.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{load_time, memory_used, weight_source, PlacedReplica, ServicePlacement, WeightSource};
+use super::{
+    load_time, memory_used, weight_source, ControlCalls, PlacedReplica, ServicePlacement, WeightSource,
+};
 use crate::catalog::ModelName;
 use crate::replica::{ReplicaId, ReplicaState};
 
@@ -103,13 +105,19 @@
             .filter(|(_, replica)| {
                 store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
             })
-            .filter_map(|(id, replica)| cost(id, replica).map(|(lost, load)| (lost, load, id)))
+            .filter_map(|(id, replica)| cost(id, replica).map(|(lost, load)| (lost, load, id, replica)))
             .min_by(|left, right| {
                 let waits = |load: Duration| load.as_secs_f64() * (1.0 + rate);
-                let total = |(lost, load, _): &(f64, Duration, &ReplicaId)| lost + waits(*load);
-                total(left).total_cmp(&total(right))
+                let total = |(lost, load, ..): &(f64, Duration, _, _)| lost + waits(*load);
+                let need = |(.., replica): &(f64, Duration, _, &PlacedReplica)| match among {
+                    // Another orderer may not have heard of a need.
+                    Among::All => ControlCalls::Free,
+                    Among::Own => replica.control_calls,
+                };
+                let by_need = need(left).cmp(&need(right));
+                by_need.then(total(left).total_cmp(&total(right)))
             })
-            .map(|(lost, load, id)| Place {
+            .map(|(lost, load, id, _)| Place {
                 replica: id.clone(),
                 lost,
                 load,
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -20,7 +20,9 @@
 use crate::time::Moment;
 
 pub use self::choice::{Among, Place};
-pub use self::placed::{load_time, memory_used, weight_source, Orders, PlacedReplica, WeightSource};
+pub use self::placed::{
+    load_time, memory_used, weight_source, ControlCalls, Orders, PlacedReplica, WeightSource,
+};
 pub use self::replicas::{PlacedReplicas, ServiceFleet};
 pub use self::value::missed_share;
 
--- a/crates/croftrill-scheduler/src/placement/placed.rs
+++ b/crates/croftrill-scheduler/src/placement/placed.rs
@@ -23,6 +23,17 @@
     Nobody,
 }
 
+/// How freely orders and questions for reports go to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ControlCalls {
+    /// As they are wanted.
+    Free,
+    /// It takes only so many calls of any kind: orders go there where no other place is.
+    Sparse,
+    /// It has just had one of those, or none was possible: for now nothing goes there.
+    Paused,
+}
+
 /// One replica as placement sees it.
 #[derive(Debug)]
 pub struct PlacedReplica {
@@ -46,6 +57,8 @@
     pub is_held: bool,
     /// Who orders here.
     pub orders: Orders,
+    /// How freely.
+    pub control_calls: ControlCalls,
 }
 
 impl PlacedReplica {
@@ -66,7 +79,8 @@
 
     /// True if an order may be given now.
     pub fn takes_orders(&self) -> bool {
-        self.orders == Orders::Own && !self.is_held && self.ledger.is_idle()
+        let may_call = self.control_calls != ControlCalls::Paused;
+        self.orders == Orders::Own && may_call && !self.is_held && self.ledger.is_idle()
     }
 
     /// True if a place may be chosen here.
--- a/crates/croftrill-scheduler/src/quota/keepers.rs
+++ b/crates/croftrill-scheduler/src/quota/keepers.rs
@@ -1,4 +1,4 @@
-//! Which node keeps the quotas of which tenants.
+//! Which node keeps the quotas of which tenants, and the limits of which replicas.
 
 use std::cmp::Reverse;
 
@@ -10,20 +10,26 @@
 /// questions, and lose less with one keeper. Two: a keeper at 380 nodes and 3,100
 /// requests a second answers 1,600 questions.
 pub const QUOTA_PART_COUNT: usize = 2;
+/// Number of parts of the replicas. A node links to their keepers only while a replica of
+/// the part names a limit; two for the same reason.
+pub const LIMIT_PART_COUNT: usize = 2;
 
-/// Some of the tenants, whose quotas one node keeps.
+const PART_COUNT: usize = QUOTA_PART_COUNT + LIMIT_PART_COUNT;
+
+/// Some of the tenants, whose quotas one node keeps; or some of the replicas, whose limits
+/// one does. The parts of the replicas follow those of the tenants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QuotaPart(u8);
 
 impl QuotaPart {
     /// All parts.
     pub fn all() -> impl Iterator<Item = QuotaPart> {
-        (0..QUOTA_PART_COUNT as u8).map(QuotaPart)
+        (0..PART_COUNT as u8).map(QuotaPart)
     }
 
     /// The part of a number; `None` beyond the last.
     pub fn from_index(index: usize) -> Option<QuotaPart> {
-        (index < QUOTA_PART_COUNT).then_some(QuotaPart(index as u8))
+        (index < PART_COUNT).then_some(QuotaPart(index as u8))
     }
 
     /// The part that a tenant belongs to.
@@ -31,13 +37,24 @@
         QuotaPart((xxh3_64(name.as_bytes()) % QUOTA_PART_COUNT as u64) as u8)
     }
 
+    /// The part that a replica belongs to.
+    pub fn of_replica(id: &str) -> QuotaPart {
+        let among = (xxh3_64(id.as_bytes()) % LIMIT_PART_COUNT as u64) as u8;
+        QuotaPart(QUOTA_PART_COUNT as u8 + among)
+    }
+
+    /// True if it is a part of the replicas.
+    pub fn is_of_replicas(self) -> bool {
+        self.index() >= QUOTA_PART_COUNT
+    }
+
     /// Its number, from zero.
     pub fn index(self) -> usize {
         usize::from(self.0)
     }
 }
 
-/// The nodes in the order in which they should keep the quotas of a part: those
+/// The nodes in the order in which they should keep a part: those
 /// with most processor time first, equals in an order that differs between parts.
 /// Where one leaves, the others keep their order.
 pub fn keeper_order<'a, T>(
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -52,7 +52,8 @@
     /// `None` if that is no rate.
     pub fn from_per_s(per_s: f64) -> Option<Self> {
         // The conversion to an integer stops at its bounds.
-        (per_s.is_finite() && per_s >= 0.0).then(|| RequestRate((per_s * 1000.0) as u64))
+        let is_rate = per_s.is_finite() && per_s >= 0.0;
+        is_rate.then_some(RequestRate((per_s * 1000.0) as u64))
     }
 
     /// The rate of so many thousandths of a request a second.
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -103,6 +103,11 @@
         self.own_word.rests_until(now)
     }
 
+    /// True if it takes only so many requests from all nodes together.
+    pub fn is_limited(&self) -> bool {
+        self.own_word.limit().is_some()
+    }
+
     /// True if it takes new requests from this node now.
     pub fn takes_requests(&self, now: Moment) -> bool {
         self.is_ready() && self.rests_until(now).is_none()
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -20,10 +20,12 @@
 use self::entry::ToldLoad;
 use self::index::ServiceIndex;
 use self::own_word::OwnWord;
+pub use self::own_word::{AnsweredCall, WordNews};
 use self::unlisted::Unlisted;
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
 use crate::health::SendOutcome;
 use crate::placement::{weight_source, WeightSource};
+use crate::quota::limits::NamedLimit;
 use crate::replica::{BornMs, Holdings, Incarnation, ReplicaId, ReplicaListing, ReplicaWord};
 use crate::shard::Shard;
 use crate::time::Moment;
@@ -133,23 +135,34 @@
         }
     }
 
-    /// A replica told this node of itself, in answer to something that was sent to the
-    /// incarnation that started at `born_ms`; true if it was not known to leave.
-    pub fn hear(&mut self, id: &ReplicaId, born_ms: Option<BornMs>, word: ReplicaWord, now: Moment) -> bool {
+    /// A replica told this node of itself, in answer to a call.
+    pub fn hear(&mut self, id: &ReplicaId, call: AnsweredCall, word: ReplicaWord) -> WordNews {
         let Some(entry) = self.replicas.get_mut(id) else {
             let mut told = self.unlisted_words.take(id).unwrap_or_default();
-            let leaves = told.hear(born_ms, word, now);
-            self.unlisted_words.keep(id.clone(), told);
-            return leaves;
+            let news = told.hear(call, word);
+            if !told.is_empty() {
+                self.unlisted_words.keep(id.clone(), told);
+            }
+            return news;
         };
-        if Incarnation::of(born_ms, entry.listing.born_ms) == Incarnation::Earlier {
-            return false;
+        if Incarnation::of(call.born_ms, entry.listing.born_ms) == Incarnation::Earlier {
+            return WordNews::default();
         }
-        let leaves = entry.own_word.hear(born_ms, word, now);
-        if leaves {
+        let news = entry.own_word.hear(call, word);
+        if news != WordNews::default() {
             self.changes.note(id, self.replicas.len());
         }
-        leaves
+        news
+    }
+
+    /// The limit that a replica named to this node, and the start of the incarnation that
+    /// did, if it told.
+    pub fn limit_of(&self, id: &str) -> Option<(NamedLimit, Option<BornMs>)> {
+        let told = match self.replicas.get(id) {
+            Some(entry) => entry.own_word,
+            None => *self.unlisted_words.get(id)?,
+        };
+        told.limit().map(|limit| (limit, told.born_ms()))
     }
 
     /// True if the replica told this node not to send it anything (for now).
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -45,6 +45,9 @@
 const TOKENS_PER_REQUEST: f64 = 700.0;
 /// Load that another zone counts as, in requests.
 const OTHER_ZONE_COST: f64 = 0.2;
+/// Load that a replica in need counts as, in requests: another holder takes the request
+/// unless it has a fair queue already.
+const LIMITED_COST: f64 = 16.0;
 /// Cost that makes a failing replica the last choice.
 const OUTLIER_COST: f64 = 1e6;
 
@@ -96,7 +99,15 @@
     } else {
         OTHER_ZONE_COST
     };
-    (entry.load(now) + zone) / f64::from(entry.listing.slots.max(1))
+    (entry.load(now) + zone + need_load(entry)) / f64::from(entry.listing.slots.max(1))
+}
+
+fn need_load(entry: &ReplicaEntry) -> f64 {
+    if entry.is_limited() {
+        LIMITED_COST
+    } else {
+        0.0
+    }
 }
 
 /// Prompt tokens ahead of this request, and of its own that must be read.
@@ -112,7 +123,7 @@
     } else {
         OTHER_ZONE_COST * TOKENS_PER_REQUEST
     };
-    let others = entry.load(now) * TOKENS_PER_REQUEST;
+    let others = (entry.load(now) + need_load(entry)) * TOKENS_PER_REQUEST;
     let unshared = if home == Some(&entry.listing.id) {
         0.0
     } else {
--- a/crates/croftrill-scheduler/tests/own_word.rs
+++ b/crates/croftrill-scheduler/tests/own_word.rs
@@ -5,7 +5,7 @@
 use croftrill_scheduler::replica::{
     BornMs, HeldModel, Holdings, ReplicaId, ReplicaListing, ReplicaState, ReplicaWord,
 };
-use croftrill_scheduler::replica_table::ReplicaTable;
+use croftrill_scheduler::replica_table::{AnsweredCall, ReplicaTable};
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -49,6 +49,22 @@
     }
 }
 
+/// True if the replica was not known to leave.
+fn hear(
+    table: &mut ReplicaTable,
+    id: &ReplicaId,
+    born_ms: Option<BornMs>,
+    word: ReplicaWord,
+    now: Moment,
+) -> bool {
+    let call = AnsweredCall {
+        born_ms,
+        sent_at: now,
+        answered_at: now,
+    };
+    table.hear(id, call, word).leaves
+}
+
 fn chosen(table: &ReplicaTable, salt: u64, now: Moment) -> Option<ReplicaId> {
     let need = ModelNeed {
         model: "m1",
@@ -114,11 +130,11 @@
                 Step::Lapses => table.remove("r1"),
                 Step::Forgotten => table.forget("r1"),
                 Step::Leaves(born) if born == newest => {
-                    table.hear(&id, Some(born), leaving(), at(now_ms));
+                    hear(&mut table, &id, Some(born), leaving(), at(now_ms));
                     left = Some(born);
                 }
                 Step::Rests(born, millis) if born == newest => {
-                    table.hear(&id, Some(born), rest(millis), at(now_ms));
+                    hear(&mut table, &id, Some(born), rest(millis), at(now_ms));
                     rests.push((born, now_ms + millis));
                 }
                 // An answer of an earlier start than the known one, or of one that was
@@ -126,7 +142,7 @@
                 Step::Leaves(born) | Step::Rests(born, _) if born < newest && table.get("r1").is_some() => {
                     let listed = table.get("r1").and_then(|entry| entry.listing.born_ms);
                     if listed > Some(born) {
-                        table.hear(&id, Some(born), leaving(), at(now_ms));
+                        hear(&mut table, &id, Some(born), leaving(), at(now_ms));
                     }
                 }
                 Step::Leaves(_) | Step::Rests(..) => {}
@@ -150,9 +166,9 @@
     table.apply_listing(listing("r1", 1));
     let version = table.version();
     let id: ReplicaId = "r1".into();
-    assert!(!table.hear(&id, Some(1), rest(500), at(0)));
-    assert!(table.hear(&id, Some(1), leaving(), at(0)));
-    assert!(!table.hear(&id, Some(1), leaving(), at(10)));
+    assert!(!hear(&mut table, &id, Some(1), rest(500), at(0)));
+    assert!(hear(&mut table, &id, Some(1), leaving(), at(0)));
+    assert!(!hear(&mut table, &id, Some(1), leaving(), at(10)));
     assert_ne!(table.version(), version);
     assert_eq!(
         table.get("r1").map(|entry| entry.state()),
@@ -165,7 +181,7 @@
 fn hear_of_an_earlier_incarnation_says_nothing_of_the_present_one() {
     let mut table = ReplicaTable::new();
     table.apply_listing(listing("r1", 2));
-    assert!(!table.hear(&"r1".into(), Some(1), leaving(), at(0)));
+    assert!(!hear(&mut table, &"r1".into(), Some(1), leaving(), at(0)));
     assert!(chosen(&table, 1, at(0)).is_some());
 }
 
@@ -174,14 +190,14 @@
     let mut table = ReplicaTable::new();
     table.apply_listing(listing("r1", 1));
     table.apply_listing(listing("r2", 1));
-    table.hear(&"r1".into(), Some(1), rest(900), at(0));
-    table.hear(&"r1".into(), Some(1), rest(100), at(0));
-    table.hear(&"r2".into(), Some(1), rest(700), at(0));
+    hear(&mut table, &"r1".into(), Some(1), rest(900), at(0));
+    hear(&mut table, &"r1".into(), Some(1), rest(100), at(0));
+    hear(&mut table, &"r2".into(), Some(1), rest(700), at(0));
     assert_eq!(table.holder_rests_until("llm", "m1", at(10)), Some(at(700)));
     assert_eq!(table.reachable_holders("llm", "m1", at(10)), 0);
     assert_eq!(table.reachable_holders("llm", "m1", at(700)), 1);
     assert_eq!(table.holder_rests_until("llm", "m1", at(700)), Some(at(900)));
-    table.hear(&"r1".into(), Some(1), leaving(), at(710));
+    hear(&mut table, &"r1".into(), Some(1), leaving(), at(710));
     assert_eq!(table.service_rests_until("llm", at(720)), None);
 }
 
@@ -193,7 +209,7 @@
         table.apply_listing(listing(id, 1));
     }
     let home = chosen(&table, 1, at(0)).expect("a holder");
-    table.hear(&home, Some(1), rest(1000), at(0));
+    hear(&mut table, &home, Some(1), rest(1000), at(0));
     let others: Vec<_> = (0..20).filter_map(|salt| chosen(&table, salt, at(10))).collect();
     assert!(others.iter().all(|other| *other != home && *other == others[0]));
     assert_eq!(others.len(), 20);
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -6,7 +6,7 @@
 use croftrill_scheduler::catalog::{EngineSpec, ModelName, ModelSpec, ServiceName};
 use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
 use croftrill_scheduler::placement::{
-    Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement,
+    ControlCalls, Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement,
 };
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_ledger::{LedgerConfig, ReplicaLedger};
@@ -151,6 +151,7 @@
         adapters_loaded_at: HashMap::new(),
         is_held: false,
         orders: Orders::Own,
+        control_calls: ControlCalls::Free,
     }
 }
 
