--- a/crates/croftrill-bench/src/lib.rs
+++ b/crates/croftrill-bench/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod emulator;
 pub mod experiment;
 pub mod fleet;
+pub mod limits;
--- a/crates/croftrill-bench/src/main.rs
+++ b/crates/croftrill-bench/src/main.rs
@@ -3,7 +3,9 @@
 use croftrill_bench::capacity::{measure, measure_crash_reports, REPORTED, SIZES};
 use croftrill_bench::experiment::{play, policies, Load};
 use croftrill_bench::fleet::{work_out, FleetSize};
+use croftrill_bench::limits::{self, LimitRun, Trouble, Way};
 use lexopt::prelude::*;
+use std::time::Duration;
 
 const HELP: &str = "\
 Plays loads against the scheduler's own code in simulated time.
@@ -12,6 +14,7 @@
                                   [--busy PER_S] [--seconds N] [--seeds N]
        croftrill-bench capacity
        croftrill-bench fleet [--nodes N] [--replicas N]
+       croftrill-bench limits [--seeds N]
 ";
 
 fn main() -> anyhow::Result<()> {
@@ -44,11 +47,67 @@
             nodes,
             replicas: load.replicas,
         }),
+        "limits" => compare_limits(seeds),
         _ => print!("{HELP}"),
     }
     Ok(())
 }
 
+/// Ways to keep a replica's limit over all nodes, each over so many seeds: the fullest
+/// window of all, and means of the rest.
+fn compare_limits(seeds: u64) {
+    println!(
+        "{:>5} {:>7} {:<10} {:<8} {:>8} {:>8} {:>6} {:>8} {:>11}",
+        "nodes", "limit/s", "way", "trouble", "allowed", "fullest", "used", "wait ms", "questions/s"
+    );
+    for nodes in [7, 295, 985] {
+        for limit_per_s in [1.0, 10.0] {
+            let chosen = (2.0 * limit_per_s + 5.0) as usize;
+            for way in [Way::EvenShares, Way::Turns, Way::Chosen(chosen), Way::Keeper] {
+                compare_limit(nodes, limit_per_s, way, Trouble::None, seeds);
+            }
+            for trouble in [
+                Trouble::Killed,
+                Trouble::Frozen,
+                Trouble::Cut,
+                Trouble::Doubled,
+                Trouble::Alone,
+            ] {
+                compare_limit(nodes, limit_per_s, Way::Keeper, trouble, seeds);
+            }
+        }
+    }
+}
+
+fn compare_limit(nodes: usize, limit_per_s: f64, way: Way, trouble: Trouble, seeds: u64) {
+    /// Calls that come for each that the limit allows.
+    const PRESSURE: f64 = 4.0;
+    let outcomes: Vec<_> = (1..=seeds)
+        .map(|seed| {
+            limits::play(LimitRun {
+                nodes,
+                limit_per_s,
+                demand_per_s: limit_per_s * PRESSURE,
+                way,
+                trouble,
+                seed,
+                length: Duration::from_secs(60),
+            })
+        })
+        .collect();
+    let fullest = outcomes.iter().map(|outcome| outcome.fullest).max().unwrap_or(0);
+    let mean = |of: fn(&limits::LimitOutcome) -> f64| outcomes.iter().map(of).sum::<f64>() / seeds as f64;
+    println!(
+        "{nodes:>5} {limit_per_s:>7} {:<10} {:<8} {:>8} {fullest:>8} {:>6.2} {:>8.0} {:>11.1}",
+        way.name(),
+        format!("{trouble:?}"),
+        limits::allowed(limit_per_s),
+        mean(|outcome| outcome.used),
+        mean(|outcome| outcome.mean_wait_ms),
+        mean(|outcome| outcome.questions_per_s),
+    );
+}
+
 fn experiment(load: &Load, seeds: u64) {
     println!(
         "{:<14} {:>4} {:>8} {:>7} {:>9} {:>8} {:>8} {:>6}",
--- /dev/null
+++ b/crates/croftrill-bench/tests/limits.rs
@@ -0,0 +1,76 @@
+//! The limit that a replica names, over nodes and keepers in trouble, in simulated time.
+
+use std::time::Duration;
+
+use croftrill_bench::limits::{allowed, play, LimitRun, Trouble, Way};
+use proptest::prelude::*;
+
+/// Least part of the limit that is used where there is demand.
+const LEAST_USE: f64 = 0.8;
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        Just(Trouble::None),
+        Just(Trouble::Killed),
+        Just(Trouble::Frozen),
+        Just(Trouble::Cut),
+        Just(Trouble::Doubled),
+        Just(Trouble::Alone),
+    ]
+}
+
+fn run(nodes: usize, limit_per_s: f64, pressure: f64, trouble: Trouble, seed: u64) -> LimitRun {
+    LimitRun {
+        nodes,
+        limit_per_s,
+        demand_per_s: limit_per_s * pressure,
+        way: Way::Keeper,
+        trouble,
+        seed,
+        length: Duration::from_secs(30),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// However keepers end, stand still, are cut off or doubled: no window holds more than
+    /// the replica bears.
+    #[test]
+    fn play_of_any_trouble_stays_within_what_is_allowed(
+        nodes in prop_oneof![Just(7usize), Just(295), Just(985)],
+        limit_per_s in prop_oneof![0.3f64..3.0, 3.0..60.0],
+        pressure in 0.5f64..12.0,
+        trouble in trouble(),
+        seed in any::<u64>(),
+    ) {
+        let outcome = play(run(nodes, limit_per_s, pressure, trouble, seed));
+        prop_assert!(outcome.fullest <= allowed(limit_per_s), "{outcome:?}");
+    }
+}
+
+/// A bound that is kept by sending nothing serves nobody.
+#[test]
+fn play_without_trouble_uses_the_limit_at_all_sizes() {
+    for nodes in [7, 295, 985] {
+        for limit_per_s in [1.0, 5.0, 50.0] {
+            let runs = (1..=10).map(|seed| play(run(nodes, limit_per_s, 4.0, Trouble::None, seed)).used);
+            let used = runs.sum::<f64>() / 10.0;
+            assert!(
+                used >= LEAST_USE,
+                "{used} of {limit_per_s} a second at {nodes} nodes"
+            );
+        }
+    }
+}
+
+/// What the keeper is weighed against: nodes that keep even parts by themselves waste the
+/// limit as soon as there are many of them.
+#[test]
+fn play_of_even_parts_wastes_the_limit_of_a_large_fleet() {
+    let shares = LimitRun {
+        way: Way::EvenShares,
+        ..run(985, 1.0, 4.0, Trouble::None, 1)
+    };
+    assert!(play(shares).used < 0.1);
+}
