--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -7,7 +7,9 @@
 use croftrill_scheduler::catalog::{CallerLimits, Configuration, Service};
 use croftrill_scheduler::demand::{Asked, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
-use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaWord};
+use croftrill_scheduler::replica::{
+    Holdings, LimitWord, Order, OrderOutcome, ReplicaId, ReplicaWord, RequestRate,
+};
 use croftrill_scheduler::replica_table::{AnsweredCall, Arrival, Placement, ReplicaTable};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use proptest::prelude::*;
@@ -422,8 +424,6 @@
     assert_eq!(most_in_window(&world.store_loads, Duration::from_secs(5)), 0);
 }
 
-/// A replica started again while its entry stood: its reports tell fewer orders than it
-/// had taken before, and were passed over for good.
 /// A replica told its orderer's node that it leaves; its entry says so much later.
 #[test]
 fn known_replica_that_leaves_by_its_own_word_gets_no_load() {
@@ -454,6 +454,70 @@
     );
 }
 
+/// The orderer's node heard from replicas that they take only so many calls.
+fn hear_limits(world: &mut World, ids: &[&str]) {
+    let mut table = ReplicaTable::new();
+    for id in ids {
+        let id: ReplicaId = (*id).into();
+        table.apply_listing(listing(&id, &world.replicas[&id].holdings));
+        let call = AnsweredCall {
+            born_ms: None,
+            sent_at: world.now,
+            answered_at: world.now,
+        };
+        let word = ReplicaWord {
+            limit: LimitWord::Limited(RequestRate::from_millis_per_s(1000)),
+            ..ReplicaWord::default()
+        };
+        assert!(table.hear(&id, call, word).limit);
+        let entry = table.get(&id).expect("it is listed").clone();
+        world.orderer.known(&entry, world.now);
+    }
+}
+
+/// Orders and questions for reports count at a replica in need as its callers' requests do.
+#[test]
+fn known_replica_in_need_gets_a_load_only_where_no_other_place_is() {
+    let mut world = World::new(8, &[&["m1"], &["m2"]]);
+    world.run(6000);
+    hear_limits(&mut world, &["r0"]);
+    for model in ["m4", "m5"] {
+        world.orderer.mark_waiting(&key(model, None), world.now);
+        world.run(4000);
+    }
+    assert!(!world.orders.is_empty());
+    let elsewhere = |(_, replica, _): &(_, ReplicaId, _)| &**replica == "r1";
+    assert!(world.orders.iter().all(elsewhere), "{:?}", world.orders);
+    hear_limits(&mut world, &["r1"]);
+    world.orderer.mark_waiting(&key("m6", None), world.now);
+    world.run(4000);
+    assert!(
+        holds(&world, "m6"),
+        "the need of all ends no load: {:?}",
+        world.orders
+    );
+}
+
+#[test]
+fn plan_sends_nothing_to_a_replica_whose_calls_pause() {
+    let mut world = World::new(8, &[&["m1"]]);
+    world.run(6000);
+    hear_limits(&mut world, &["r0"]);
+    world.orderer.pause_calls("r0", true);
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    for _ in 0..300 {
+        world.now = world.now + Duration::from_millis(20);
+        let actions = world.orderer.plan(true, world.now);
+        assert!(actions.is_empty(), "{actions:?}");
+    }
+    world.orderer.pause_calls("r0", false);
+    world.orderer.mark_waiting(&key("m4", None), world.now);
+    world.run(4000);
+    assert!(holds(&world, "m4"), "orders: {:?}", world.orders);
+}
+
+/// A replica started again while its entry stood: its reports tell fewer orders than it
+/// had taken before, and were passed over for good.
 #[test]
 fn a_replica_that_started_again_is_ordered_at_again() {
     let mut world = World::new(8, &[&["m1"], &["m2"]]);
