Soak: replicas that name limits, over kills, cuts and silences

Cause: nothing in the soak summed calls to a replica over nodes. Change: the stand-in replica names a limit in all its answers and notes every call, orders and reports too; rounds of 14 s in which two replicas at least are in need, beside kills, pauses, signals, cuts, a store that refuses and connections that go silent; judged by the promise, over the nodes whose processes ran on.

--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -13,6 +13,10 @@
 use crate::cluster::{Cluster, Program, Size};
 use crate::{suspendable, tenants};
 
+/// Time for which a replica goes on naming its limit: longer than it takes until the limit
+/// holds (3 s), and a window of its sum (4 s).
+const NEED: Duration = Duration::from_millis(7_500);
+
 /// How faults are drawn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mix {
@@ -34,6 +38,9 @@
     /// Nodes of another build are replaced by this one, one after the other, and some
     /// of them back, beside kills and cuts.
     Builds,
+    /// Replicas name limits on the requests that they take from all nodes together, beside
+    /// kills, pauses, signals, cuts, a store that is away and connections that go silent.
+    Limits,
     /// The store comes back from older copies, beside kills, stops, pauses and cuts.
     Restores,
 }
@@ -84,6 +91,8 @@
     Leaving(usize),
     /// A replica turns requests away and asks for so much rest each time.
     Rest(usize, Duration),
+    /// A replica names a limit, in requests a second.
+    Limit(usize, f64),
     /// The store is away for a time and comes back from a copy that is so old.
     Restore(Duration, Duration),
     /// So many nodes, from the first, are stopped and run another program, so long apart.
@@ -256,6 +265,23 @@
     }
 }
 
+fn limits_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    let engine = random.random_range(0..size.engines);
+    if index < 2 {
+        return Injection::Limit(engine, f64::from(random.random_range(1..20u32)) / 4.0);
+    }
+    match random.random_range(0..8) {
+        0 | 1 => Injection::Kill(node),
+        2 => Injection::Pause(node),
+        3 => Injection::StorePath(node, fault(random)),
+        4 => Injection::Store(StoreFault::Refusing),
+        5 => Injection::EnginePath(engine, fault(random)),
+        6 => Injection::Signals(node, signals(random)),
+        _ => Injection::SilentEngineConnections(engine),
+    }
+}
+
 fn builds_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
     let node = random.random_range(0..size.nodes);
     match index {
@@ -298,6 +324,7 @@
         Mix::Crashes => (random.random_range(4..=8), 3500),
         Mix::Tenants => (random.random_range(4..=8), 4000),
         Mix::Words => (random.random_range(4..=8), 2500),
+        Mix::Limits => (random.random_range(2..=6), 6000),
         Mix::Builds => (random.random_range(2..=4), 2500),
         Mix::Restores => (random.random_range(2..=6), 3000),
     };
@@ -305,6 +332,7 @@
         at: Duration::from_millis(random.random_range(200..latest_ms)),
         lasts: Duration::from_millis(random.random_range(300..3000)),
         injection: match mix {
+            Mix::Limits => limits_injection(random, size, index),
             Mix::Few => injection(random, size),
             Mix::Series => series_injection(random, size),
             Mix::Crashes => crashes_injection(random, size, index),
@@ -374,6 +402,7 @@
         }
         Injection::Restore(age, away) => restore(cluster, *age, *away).await,
         Injection::Replace(nodes, program, gap) => replace(cluster, *nodes, *program, *gap).await,
+        Injection::Limit(engine, per_s) => cluster.engine(*engine).limit(Some(*per_s)),
         Injection::Leaving(engine) => cluster.engine(*engine).begin_to_leave(),
         Injection::Rest(engine, rest) => cluster.engine(*engine).turn_away(Some(*rest)),
         Injection::Changes(count, gap) => {
@@ -439,6 +468,10 @@
         Injection::Store(_) => cluster.store.set_fault(StoreFault::None),
         Injection::EnginePath(engine, _) => cluster.engine_proxies[*engine].set(Fault::None),
         Injection::Pause(node) => cluster.nodes[*node].signal("CONT"),
+        Injection::Limit(engine, _) => {
+            sleep(NEED).await;
+            cluster.engine(*engine).limit(None);
+        }
         Injection::Leaving(engine) => cluster.engine(*engine).leave(),
         Injection::Rest(engine, _) => cluster.engine(*engine).turn_away(None),
         _ => {}
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -11,6 +11,7 @@
 //!   and the tokens of a group stay within its quota;
 //! - a request that crashes replicas reaches no more than it may;
 //! - a replica that told a node that it leaves, or wants rest, gets nothing more from it;
+//! - a replica that named a limit gets no more than it may from the nodes that it told;
 //! - afterwards every node serves every model.
 //!
 //! Some callers keep their connections until the process behind them is gone.
@@ -24,6 +25,7 @@
 mod checks;
 mod cluster;
 mod faults;
+mod limits;
 mod suspendable;
 mod tenants;
 mod words;
@@ -51,15 +53,21 @@
 const USUAL_SEED_OF_RESTORES: u64 = FIRST_SEED_OF_RESTORES + USUAL_SEED;
 /// Seed of the continuous integration's round of the mix of words.
 const USUAL_SEED_OF_WORDS: u64 = FIRST_SEED_OF_WORDS + USUAL_SEED;
+/// From this seed on they are of the mix of limits.
+const FIRST_SEED_OF_LIMITS: u64 = 4_000_000;
+/// Seed of the continuous integration's round of that mix.
+const USUAL_SEED_OF_LIMITS: u64 = FIRST_SEED_OF_LIMITS + USUAL_SEED;
 /// Time in which calls and faults meet.
 const ROUND: Duration = Duration::from_secs(6);
+/// The same where replicas name limits, which hold after 3 s in any 4 s.
+const ROUND_OF_LIMITS: Duration = Duration::from_secs(14);
 
 /// Fewest replicas of a round with requests that crash them: there are always some
 /// left, and without any bound on them more would end than may.
 const LEAST_CRASHING_ENGINES: usize = 6;
 
-/// Fewest replicas of a round in which some leave or want rest: their models have
-/// holders besides.
+/// Fewest replicas of a round in which some leave, want rest or name a limit: their models
+/// have holders besides.
 const LEAST_SPEAKING_ENGINES: usize = 4;
 
 fn number(variable: &str, usual: u64) -> u64 {
@@ -84,6 +92,7 @@
                 Some("tenants") => Mix::Tenants,
                 Some("words") => Mix::Words,
                 Some("restores") => Mix::Restores,
+                Some("limits") => Mix::Limits,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -95,7 +104,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
-        Mix::Words => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
+        Mix::Words | Mix::Limits => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
         Mix::Builds => (Program::Older, size),
         Mix::Few | Mix::Series | Mix::Tenants | Mix::Restores => (Program::Daemon, size),
     };
@@ -105,12 +114,17 @@
     }
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
+    let length = if mix == Mix::Limits {
+        ROUND_OF_LIMITS
+    } else {
+        ROUND
+    };
     let played = async {
-        let faults = faults::play(&cluster, &plan, ROUND, seed);
+        let faults = faults::play(&cluster, &plan, length, seed);
         let calls = if mix == Mix::Tenants {
-            tokio::join!(tenants::call_for(&cluster, ROUND, seed), faults).0
+            tokio::join!(tenants::call_for(&cluster, length, seed), faults).0
         } else {
-            tokio::join!(checks::call_for(&cluster, ROUND, seed), faults).0
+            tokio::join!(checks::call_for(&cluster, length, seed), faults).0
         };
         cluster.mend().await;
         if mix == Mix::Tenants {
@@ -133,6 +147,7 @@
     }
     checks::crashes_are_bounded(&cluster, &plan, seed);
     words::are_heeded(&cluster, &plan, seed);
+    limits::are_kept(&cluster, &plan, seed);
     cluster.stop().await;
 }
 
@@ -154,6 +169,7 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_LIMITS => Mix::Limits,
         _ if seed >= FIRST_SEED_OF_RESTORES => Mix::Restores,
         _ if seed >= FIRST_SEED_OF_BUILDS => Mix::Builds,
         _ if seed >= FIRST_SEED_OF_WORDS => Mix::Words,
@@ -169,6 +185,7 @@
     if is_usual {
         usual.push((USUAL_SEED_OF_WORDS, Mix::Words));
         usual.push((USUAL_SEED_OF_RESTORES, Mix::Restores));
+        usual.push((USUAL_SEED_OF_LIMITS, Mix::Limits));
     }
     for (seed, mix) in usual {
         LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
--- a/crates/croftrill-daemon/tests/soak/words.rs
+++ b/crates/croftrill-daemon/tests/soak/words.rs
@@ -16,7 +16,7 @@
 const MOST_IN_REST: usize = 2;
 
 /// The node that an attempt was sent to, as [`crate::checks`] names attempts.
-fn node_of(attempt: &str, nodes: usize) -> Option<usize> {
+pub(super) fn node_of(attempt: &str, nodes: usize) -> Option<usize> {
     let (kind, rest) = attempt.split_at_checked(1)?;
     let mut numbers = rest.split('-').skip(1);
     let first: usize = numbers.next()?.parse().ok()?;
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -11,7 +11,7 @@
 use croftrill_http::dialect::{ATTEMPT_HEADER, BYTES_PER_TOKEN, GROUP_HEADER};
 use croftrill_http::document::{COMPLETION_PATHS, MODEL_SERVICE};
 use croftrill_http::engine_wire::{
-    WireOrder, WireReplica, INCARNATION_HEADER, LEAVING_HEADER, LEAVING_VALUE, LOAD_HEADER,
+    WireOrder, WireReplica, INCARNATION_HEADER, LEAVING_HEADER, LEAVING_VALUE, LIMIT_HEADER, LOAD_HEADER,
     NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
 };
 use croftrill_http::records::REPLICA_PREFIX;
@@ -55,10 +55,10 @@
     pub arrivals: Vec<Arrival>,
 }
 
-/// A request as it reached the replica, run or not.
+/// A call as it reached the replica, run or not.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Arrival {
-    /// The attempt.
+    /// The attempt; empty for an order or a question for a report.
     pub attempt: String,
     /// When it came, in milliseconds of the process's life.
     pub at_ms: u64,
@@ -66,6 +66,8 @@
     pub says_leaving: bool,
     /// Rest that its answer asks for.
     pub rest_ms: Option<u64>,
+    /// Requests a second that its answer says the replica takes from all nodes together.
+    pub limit_per_s: Option<f64>,
 }
 
 /// A run as it counts for a group.
@@ -107,6 +109,8 @@
     is_leaving: Cell<bool>,
     /// While it turns requests away: the rest that it asks for.
     rest: Cell<Option<Duration>>,
+    /// While it is in need: the limit that its answers name.
+    limit_per_s: Cell<Option<f64>>,
     /// True once the store may have lost its entry.
     must_write: Cell<bool>,
     /// Told when a crashing request ends it.
@@ -148,6 +152,7 @@
             arrivals: RefCell::default(),
             is_leaving: Cell::new(false),
             rest: Cell::new(None),
+            limit_per_s: Cell::new(None),
             must_write: Cell::new(false),
             crashed: Notify::new(),
         });
@@ -186,6 +191,11 @@
         self.rest.set(rest);
     }
 
+    /// From now on its answers name a limit on calls; `None`: no more.
+    pub fn limit(&self, per_s: Option<f64>) {
+        self.limit_per_s.set(per_s);
+    }
+
     /// Ends the replica: it takes no more connections and keeps its entry no longer.
     /// Whoever stands before it breaks the present connections.
     pub fn end(&self) {
@@ -209,9 +219,23 @@
             let value = HeaderValue::from_static(LEAVING_VALUE);
             answer.headers_mut().insert(LEAVING_HEADER, value);
         }
+        let limit = self.limit_per_s.get().map(|per_s| per_s.to_string());
+        if let Some(value) = limit.and_then(|limit| HeaderValue::from_str(&limit).ok()) {
+            answer.headers_mut().insert(LIMIT_HEADER, value);
+        }
         answer
     }
 
+    fn note_arrival(&self, attempt: &str) {
+        self.arrivals.borrow_mut().push(Arrival {
+            attempt: attempt.to_string(),
+            at_ms: PROCESS_START.elapsed().as_millis() as u64,
+            says_leaving: self.is_leaving.get(),
+            rest_ms: self.rest.get().map(|rest| rest.as_millis() as u64),
+            limit_per_s: self.limit_per_s.get(),
+        });
+    }
+
     fn answer_without_word(self: &Rc<Self>, request: &Request<Bytes>) -> Answer {
         let path = request.uri().path();
         if path == LEDGER_PATH {
@@ -225,8 +249,14 @@
             return self.stamped(status(StatusCode::MISDIRECTED_REQUEST), request);
         }
         match path {
-            REPORT_PATH => json(&self.state.borrow_mut().report(Instant::now())),
-            ORDER_PATH => self.order(request),
+            REPORT_PATH => {
+                self.note_arrival("");
+                json(&self.state.borrow_mut().report(Instant::now()))
+            }
+            ORDER_PATH => {
+                self.note_arrival("");
+                self.order(request)
+            }
             path if COMPLETION_PATHS.contains(&path) => self.complete(request),
             _ => status(StatusCode::NOT_FOUND),
         }
@@ -254,12 +284,7 @@
         let (Some(attempt), Ok(completion)) = (attempt, completion) else {
             return not_executed(status(StatusCode::BAD_REQUEST));
         };
-        self.arrivals.borrow_mut().push(Arrival {
-            attempt: attempt.to_string(),
-            at_ms: PROCESS_START.elapsed().as_millis() as u64,
-            says_leaving: self.is_leaving.get(),
-            rest_ms: self.rest.get().map(|rest| rest.as_millis() as u64),
-        });
+        self.note_arrival(attempt);
         if let Some(rest) = self.rest.get() {
             let refusal = not_executed(status(StatusCode::SERVICE_UNAVAILABLE));
             return self.stamped(asking_for_rest(refusal, rest), request);
