Sight: what holds a node's thread up

Change: the steps that grow with the fleet are timed, and one line tells them once the thread came 0.4 s late to a timer of 0.2 s.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -84,7 +84,8 @@
                 backoff.succeeded();
                 tracing::info!(target: "directory", event = "read everything", items = snapshot.items.len(),
                     revision = snapshot.revision);
-                view::apply_snapshot(node, snapshot);
+                node.step_times
+                    .time("read of everything", || view::apply_snapshot(node, snapshot));
                 tree::gap_closed(node);
                 return;
             }
@@ -181,10 +182,12 @@
                 backoff.succeeded();
                 // What took long to arrive is old already.
                 at_once = arrived_for > relay::PROMPT_ANSWER;
-                let changes = changes.without_replaced();
-                relay::pass_on(node, &changes, asked_at);
-                let events = changes.events.into_iter().map(ViewChange::Store);
-                view::apply_changes(node, events, changes.revision);
+                node.step_times.time("answer of a watch", || {
+                    let changes = changes.without_replaced();
+                    relay::pass_on(node, &changes, asked_at);
+                    let events = changes.events.into_iter().map(ViewChange::Store);
+                    view::apply_changes(node, events, changes.revision);
+                });
             }
             WatchEnd::Failed(error @ (StoreError::HistoryGone | StoreError::HistoryTooLong)) => {
                 return ViewGap::History(error);
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod rest_header;
 pub mod runtime;
 pub mod settings;
+pub mod step_times;
 pub mod store_era;
 pub mod stream;
 pub mod tree;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -31,6 +31,7 @@
 use crate::ports::{Item, Platform};
 use crate::quota::Quotas;
 use crate::settings::NodeSettings;
+use crate::step_times::StepTimes;
 use crate::tree::{FollowerNews, TreeState, Uplink, RELAY_BACKLOG};
 
 /// Where a node is in its life.
@@ -142,6 +143,8 @@
     pub quotas: Rc<Quotas>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// What the thread is busy with.
+    pub step_times: StepTimes,
     /// Requests being served.
     pub in_flight: Cell<usize>,
     /// When the node was asked to stop.
@@ -257,6 +260,7 @@
             patient_pool: ConnectionPool::new(patient),
             quotas,
             metrics,
+            step_times: StepTimes::default(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
             followers: broadcast::channel(RELAY_BACKLOG).0,
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -154,7 +154,8 @@
     pub(super) fn act(&mut self) {
         let now = self.node.clock.now();
         if std::mem::take(&mut self.directory_changed) {
-            self.sync_directory();
+            let node = self.node.clone();
+            node.step_times.time("sync", || self.sync_directory());
         }
         self.renew_if_due(now);
         self.record_if_due(now);
@@ -164,13 +165,16 @@
             self.orderer.pause_calls(&replica, false);
         }
         let may_order = self.lease.order_token(now).is_some();
-        for action in self.orderer.plan(may_order, now) {
+        let orderer = &mut self.orderer;
+        let actions = self.node.step_times.time("plan", || orderer.plan(may_order, now));
+        for action in actions {
             self.carry_out(action);
         }
         for decision in self.orderer.take_decisions() {
             log_decision(&decision);
         }
-        self.publish(now);
+        let node = self.node.clone();
+        node.step_times.time("publish", || self.publish(now));
     }
 
     pub(super) fn renew_if_due(&mut self, now: Moment) {
@@ -354,7 +358,10 @@
             OrdererInput::FromNode(message) => self.take_message(message, now),
             OrdererInput::DirectoryChanged => self.directory_changed = true,
             OrdererInput::Watched(span) => self.relay(span, now),
-            OrdererInput::Subscribe(reply) => self.subscribe(reply, now),
+            OrdererInput::Subscribe(reply) => {
+                let node = self.node.clone();
+                node.step_times.time("snapshot", || self.subscribe(reply, now));
+            }
             OrdererInput::OrderAnswered {
                 replica,
                 born_ms,
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -131,8 +131,11 @@
                 let message = decode::<ToOrderer>(&frame)?;
                 match message {
                     ToOrderer::Replay(after) => {
-                        let mut replies = tree::view_since(node, after, true);
-                        replies.extend(tree::known_placements(node));
+                        let replies = node.step_times.time("replay", || {
+                            let mut replies = tree::view_since(node, after, true);
+                            replies.extend(tree::known_placements(node));
+                            replies
+                        });
                         for reply in replies {
                             link.send(reply).await?;
                         }
@@ -194,7 +197,8 @@
     let mut state = node.state.borrow_mut();
     let was_linked = std::mem::replace(&mut state.linked[shard.index()], is_linked);
     if !is_linked {
-        state.replicas.orderer_lost(shard);
+        node.step_times
+            .time("orderer lost", || state.replicas.orderer_lost(shard));
     }
     let any = state.linked.contains(&true);
     drop(state);
@@ -247,7 +251,10 @@
                 let frame = frame.freeze();
                 let message = decode::<FromOrderer>(&frame)?;
                 set_linked(node, shard, true);
-                if let Some(reply) = take_message(node, shard, address, (message, frame), (&mut delay, &mut whole)) {
+                let reply = node.step_times.time("message of an orderer", || {
+                    take_message(node, shard, address, (message, frame), (&mut delay, &mut whole))
+                });
+                if let Some(reply) = reply {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
             }
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -146,7 +146,9 @@
             tried: &tried,
             salt: xxh3_64(self.facts.id.as_bytes()),
         };
-        choose(&state.replicas, &request, now)
+        self.node
+            .step_times
+            .time("choice", || choose(&state.replicas, &request, now))
     }
 
     pub(super) fn model_need(&self) -> Option<ModelNeed<'_>> {
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -9,7 +9,7 @@
 
 use crate::node::{Node, NodeQueues};
 use crate::ports::{KeyValueStore, Platform};
-use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, quota, tree};
+use crate::{crash_reports, directory, front, membership, orderer_task, peer_link, quota, step_times, tree};
 
 /// Longest wait for the node's entries in the store to be withdrawn at the end.
 const WITHDRAWAL: Duration = Duration::from_millis(300);
@@ -42,6 +42,7 @@
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
     spawn_local(watch_store_era(node.clone()));
+    spawn_local(step_times::watch(node.clone()));
     for part in QuotaPart::all() {
         let own = node.settings.identity.peer;
         spawn_local(quota::follow_keeper(node.quotas.clone(), node.clone(), part, own));
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -147,7 +147,10 @@
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
                 let message = decode::<FromOrderer>(&frame)?;
-                if let Some(reply) = take_message(node, address, message, &mut followed) {
+                let reply = node
+                    .step_times
+                    .time("message of a relay", || take_message(node, address, message, &mut followed));
+                if let Some(reply) = reply {
                     link.send(Bytes::from(reply.serialize_bin())).await?;
                 }
                 if followed.lags_behind {
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -57,7 +57,9 @@
             news = news.recv() => match news {
                 Ok(news) => {
                     let messages = match (&mut follower, news) {
-                        (Some(follower), news) => follower.news(&node, &news),
+                        (Some(follower), news) => {
+                            node.step_times.time("news for followers", || follower.news(&node, &news))
+                        }
                         (None, FollowerNews::Common(message)) => vec![message],
                         // It is told all that is known as it begins.
                         (None, _) => Vec::new(),
@@ -73,7 +75,9 @@
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
                 let message = decode::<ToOrderer>(&frame)?;
-                let replies = take_message(&node, follower.as_mut(), message);
+                let replies = node
+                    .step_times
+                    .time("message of a follower", || take_message(&node, follower.as_mut(), message));
                 send_all(&mut link, replies).await?;
             }
             () = sleep_until(next_look) => {
@@ -98,7 +102,9 @@
         return Ok(None);
     }
     link.send(FromOrderer::Scope(follower.scope()).encode()).await?;
-    let beginning = follower.beginning(node);
+    let beginning = node
+        .step_times
+        .time("view for a follower", || follower.beginning(node));
     send_all(link, beginning).await?;
     Ok(Some(follower))
 }
