Tests that fail: a relay's work for a follower grows with replicas squared

Symptom: relays of the whole fleet are held up for up to 2.3 s by what they pass on to followers; links to and from them fall silent and end, and each new one brings all placements once more. The tests count the replicas that are looked at to see whether a follower has room for one more: four times as many for twice the replicas.

--- a/crates/croftrill-scheduler/src/interest.rs
+++ b/crates/croftrill-scheduler/src/interest.rs
@@ -8,6 +8,7 @@
 //! follower hears that it is not any more. So what a follower knows of a replica is never
 //! older than what its relay knows, but for the link between them.
 
+use std::cell::Cell;
 use std::collections::HashSet;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -77,6 +78,8 @@
     salt: u64,
     wanted: HashSet<Interest>,
     known: HashSet<ReplicaId>,
+    /// Replicas looked at to see whether there is room for one more.
+    looked_at: Cell<u64>,
 }
 
 /// What a follower must hear of a replica.
@@ -98,6 +101,7 @@
             salt: xxh3_64(name.as_bytes()),
             wanted: HashSet::new(),
             known: HashSet::new(),
+            looked_at: Cell::new(0),
         }
     }
 
@@ -200,9 +204,16 @@
         self.wanted.iter().filter(is_of)
     }
 
+    /// Replicas looked at so far to see whether there is room for one more: how the work
+    /// grows with the fleet.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at.get()
+    }
+
     fn has_room(&self, table: &ReplicaTable, interest: &Interest) -> bool {
         let told = interest
             .fitting(table)
+            .inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
             .filter(|entry| self.known.contains(&entry.listing.id));
         told.take(MOST_TOLD).count() < MOST_TOLD
     }
--- a/crates/croftrill-scheduler/tests/interest.rs
+++ b/crates/croftrill-scheduler/tests/interest.rs
@@ -213,3 +213,48 @@
         }
     }
 }
+
+/// A relay of a large fleet, and a follower whose requests ask for one busy model: half of
+/// all replicas hold it.
+fn busy_model(replicas: usize) -> (ReplicaTable, FollowerInterests) {
+    let mut table = ReplicaTable::new();
+    for index in 0..replicas {
+        table.apply_listing(listing(index, true));
+        table.apply_placement(placement(index, &[1 + index % 2]));
+    }
+    let mut follower = FollowerInterests::new("f1", "a");
+    follower.want(&table, interest(1));
+    (table, follower)
+}
+
+/// A relay that linked to an orderer anew passed on what that told of all replicas. For each
+/// follower, and for each replica of a model that the follower wants, it looked through all
+/// replicas of the model: that held the relays' threads up for seconds, their links fell
+/// silent for it, and all linked anew.
+#[test]
+fn hears_placement_of_all_replicas_looks_at_no_more_than_grows_with_them() {
+    let looked_at = [2_000, 4_000].map(|replicas| {
+        let (table, mut follower) = busy_model(replicas);
+        let before = follower.looked_at();
+        for index in 0..replicas {
+            follower.hears_placement(&table, &placement(index, &[1 + index % 2]));
+        }
+        follower.looked_at() - before
+    });
+    assert!(looked_at[1] <= 3 * looked_at[0], "{looked_at:?}");
+    assert!(looked_at[1] <= 4_000 * MOST_TOLD as u64, "{looked_at:?}");
+}
+
+#[test]
+fn hears_listing_of_all_replicas_looks_at_no_more_than_grows_with_them() {
+    let looked_at = [2_000, 4_000].map(|replicas| {
+        let (table, mut follower) = busy_model(replicas);
+        let before = follower.looked_at();
+        for index in 0..replicas {
+            follower.hears_listing(&table, &format!("r{index}").into());
+        }
+        follower.looked_at() - before
+    });
+    assert!(looked_at[1] <= 3 * looked_at[0], "{looked_at:?}");
+    assert!(looked_at[1] <= 4_000 * MOST_TOLD as u64, "{looked_at:?}");
+}
