Relays: what a follower must hear costs what it was told, not all replicas

Cause: whether a follower has room for one more replica of a model was counted over all replicas that fit it, for each replica that an orderer told of: replicas of a model squared, for each follower. A relay was held up for up to 2.3 s, its links fell silent (1.2 s), and each link anew brought all placements once more. Ruled out: the store, the network (no cut between these nodes), plans, choices of replicas, whole views (their times stand in the same lines and are a hundredth of it). Change: each interest keeps the replicas that were told for it, 64 at most, and the version of the table at which it was full; placements are read once for all followers. Why it holds: the work for one piece of news is bounded by 64 for an interest, at any size.

--- a/crates/croftrill-node/src/tree/follower.rs
+++ b/crates/croftrill-node/src/tree/follower.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use croftrill_scheduler::interest::{FollowerInterests, Interest, MustHear};
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::replica_table::Placement;
+use croftrill_scheduler::time::Moment;
 
 use super::{known_placements, view_since};
 use crate::node::Node;
@@ -23,8 +25,24 @@
     Common(Bytes),
     /// Changes of the store.
     Directory(Rc<DirectoryNews>, Bytes),
-    /// What replicas hold.
-    Placements(Rc<Vec<WirePlacement>>, Bytes),
+    /// What replicas hold: as it is told, and read once for all followers.
+    Placements(Rc<Vec<ToldPlacement>>, Bytes),
+}
+
+/// What a replica holds, in both forms.
+#[derive(Debug)]
+pub struct ToldPlacement {
+    wire: WirePlacement,
+    placement: Placement,
+}
+
+impl ToldPlacement {
+    pub(super) fn read(wire: &WirePlacement, now: Moment) -> Self {
+        ToldPlacement {
+            wire: wire.clone(),
+            placement: wire.to_placement(now),
+        }
+    }
 }
 
 /// What a relay knows of one follower.
@@ -172,16 +190,14 @@
         }
     }
 
-    fn placement_news<P: Platform>(&mut self, node: &Node<P>, placements: &[WirePlacement]) -> Vec<Bytes> {
-        let now = node.clock.now();
+    fn placement_news<P: Platform>(&mut self, node: &Node<P>, placements: &[ToldPlacement]) -> Vec<Bytes> {
         let mut told = Vec::new();
         let mut newly_known = Vec::new();
         let mut with_copies = Vec::new();
-        for wire in placements {
-            let placement = wire.to_placement(now);
+        for ToldPlacement { wire, placement } in placements {
             let hears = {
                 let state = node.state.borrow();
-                self.interests.hears_placement(&state.replicas, &placement)
+                self.interests.hears_placement(&state.replicas, placement)
             };
             match hears {
                 MustHear::Nothing => {}
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -29,6 +29,7 @@
 
 pub use self::follow::follow_relays;
 pub use self::follower::FollowerNews;
+use self::follower::ToldPlacement;
 pub(crate) use self::serve::serve_follower;
 pub(crate) use self::wants::know;
 use self::wants::Wants;
@@ -206,7 +207,9 @@
 /// What replicas hold, as this node tells its listeners in `message`.
 pub(crate) fn pass_on_placements<P: Platform>(node: &Node<P>, placements: &[WirePlacement], message: &Bytes) {
     pass_on_to_followers(node, || {
-        FollowerNews::Placements(Rc::new(placements.to_vec()), message.clone())
+        let now = node.clock.now();
+        let read = placements.iter().map(|wire| ToldPlacement::read(wire, now));
+        FollowerNews::Placements(Rc::new(read.collect()), message.clone())
     });
 }
 
--- a/crates/croftrill-scheduler/src/interest.rs
+++ b/crates/croftrill-scheduler/src/interest.rs
@@ -8,14 +8,13 @@
 //! follower hears that it is not any more. So what a follower knows of a replica is never
 //! older than what its relay knows, but for the link between them.
 
-use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::catalog::{AdapterName, ModelName, ServiceName};
 use crate::replica::ReplicaId;
-use crate::replica_table::{Placement, ReplicaEntry, ReplicaTable};
+use crate::replica_table::{Placement, ReplicaEntry, ReplicaTable, TableVersion};
 
 /// Replicas that are told for one interest at most, some 200 bytes each: 13 KB, 5 ms over
 /// 20 Mbit/s. All followers get the same of a model, so they bound what its requests can
@@ -69,6 +68,14 @@
     }
 }
 
+/// The replicas that were told for one interest.
+#[derive(Debug, Default)]
+struct ToldReplicas {
+    ids: HashSet<ReplicaId>,
+    /// The table at which there was no room for one more: nor is there while it is the same.
+    full_at: Option<TableVersion>,
+}
+
 /// One follower's interests, and the replicas that it was told of.
 #[derive(Debug)]
 pub struct FollowerInterests {
@@ -76,10 +83,13 @@
     /// Differs between followers, so that they share the replicas of services without
     /// models.
     salt: u64,
-    wanted: HashSet<Interest>,
+    /// What it wants to know of, each with the replicas that were told for it. Whether
+    /// there is room for one more goes by these and not by all replicas that fit: of a busy
+    /// model thousands do, and each of them would be a walk through all for each follower.
+    wanted: HashMap<Interest, ToldReplicas>,
     known: HashSet<ReplicaId>,
     /// Replicas looked at to see whether there is room for one more.
-    looked_at: Cell<u64>,
+    looked_at: u64,
 }
 
 /// What a follower must hear of a replica.
@@ -99,9 +109,9 @@
         FollowerInterests {
             zone: zone.to_string(),
             salt: xxh3_64(name.as_bytes()),
-            wanted: HashSet::new(),
+            wanted: HashMap::new(),
             known: HashSet::new(),
-            looked_at: Cell::new(0),
+            looked_at: 0,
         }
     }
 
@@ -109,7 +119,11 @@
     /// told of now, once more if it knows them already.
     pub fn want(&mut self, table: &ReplicaTable, interest: Interest) -> Vec<ReplicaId> {
         let chosen = self.choose(table, &interest);
-        self.wanted.insert(interest);
+        let told = ToldReplicas {
+            ids: chosen.iter().cloned().collect(),
+            full_at: None,
+        };
+        self.wanted.insert(interest, told);
         self.known.extend(chosen.iter().cloned());
         chosen
     }
@@ -117,7 +131,7 @@
     /// Everything that it must know, from nothing.
     pub fn begin_anew(&mut self, table: &ReplicaTable) -> Vec<ReplicaId> {
         self.known.clear();
-        let wanted: Vec<Interest> = self.wanted.iter().cloned().collect();
+        let wanted: Vec<Interest> = self.wanted.keys().cloned().collect();
         for interest in wanted {
             self.want(table, interest);
         }
@@ -131,7 +145,7 @@
             self.wanted.remove(interest);
         });
         let mut needed: HashSet<&ReplicaId> = HashSet::new();
-        for interest in &self.wanted {
+        for interest in self.wanted.keys() {
             let fitting = interest.fitting(table).map(|entry| &entry.listing.id);
             needed.extend(fitting.filter(|id| self.known.contains(*id)));
         }
@@ -142,7 +156,7 @@
             .cloned()
             .collect();
         gone.iter().for_each(|id| {
-            self.known.remove(id);
+            self.hears_removal(id);
         });
         gone
     }
@@ -156,13 +170,7 @@
         let Some(entry) = table.get(id) else {
             return MustHear::Nothing;
         };
-        let is_wanted = |interest: &&Interest| interest.fits(entry);
-        let has_room = |interest: &Interest| self.has_room(table, interest);
-        if !self.wanted.iter().filter(is_wanted).any(has_room) {
-            return MustHear::Nothing;
-        }
-        self.known.insert(id.clone());
-        MustHear::Everything
+        self.tell_for(table, id, |interest| interest.fits(entry))
     }
 
     /// What a replica holds changed.
@@ -174,23 +182,43 @@
             // It is told with its listing.
             return MustHear::Nothing;
         }
-        let is_wanted = |interest: &&Interest| interest.fits_placement(placement);
-        let has_room = |interest: &Interest| self.has_room(table, interest);
-        if !self.wanted.iter().filter(is_wanted).any(has_room) {
-            return MustHear::Nothing;
+        self.tell_for(table, &placement.replica, |interest| {
+            interest.fits_placement(placement)
+        })
+    }
+
+    /// A replica that the follower does not know fits some interests: it is told for the
+    /// first of them that has room.
+    fn tell_for(
+        &mut self,
+        table: &ReplicaTable,
+        id: &ReplicaId,
+        fits: impl Fn(&Interest) -> bool,
+    ) -> MustHear {
+        let known = &self.known;
+        let fitting = self.wanted.iter_mut().filter(|(interest, _)| fits(interest));
+        for (interest, told) in fitting {
+            if told.has_room(table, interest, known, &mut self.looked_at) {
+                told.ids.insert(id.clone());
+                self.known.insert(id.clone());
+                return MustHear::Everything;
+            }
         }
-        self.known.insert(placement.replica.clone());
-        MustHear::Everything
+        MustHear::Nothing
     }
 
     /// A replica is gone; true if the follower knew it.
     pub fn hears_removal(&mut self, id: &str) -> bool {
-        self.known.remove(id)
+        let was_known = self.known.remove(id);
+        if was_known {
+            self.wanted.values_mut().for_each(|told| told.full_at = None);
+        }
+        was_known
     }
 
     /// All that it wants to know of.
     pub fn wanted(&self) -> impl Iterator<Item = &Interest> {
-        self.wanted.iter()
+        self.wanted.keys()
     }
 
     /// What of that is about one of these models.
@@ -201,21 +229,13 @@
                 .as_ref()
                 .is_some_and(|model| models.contains(model))
         };
-        self.wanted.iter().filter(is_of)
+        self.wanted.keys().filter(is_of)
     }
 
     /// Replicas looked at so far to see whether there is room for one more: how the work
     /// grows with the fleet.
     pub fn looked_at(&self) -> u64 {
-        self.looked_at.get()
-    }
-
-    fn has_room(&self, table: &ReplicaTable, interest: &Interest) -> bool {
-        let told = interest
-            .fitting(table)
-            .inspect(|_| self.looked_at.set(self.looked_at.get() + 1))
-            .filter(|entry| self.known.contains(&entry.listing.id));
-        told.take(MOST_TOLD).count() < MOST_TOLD
+        self.looked_at
     }
 
     /// The replicas for an interest: of a model the same for all followers, as they agree
@@ -242,3 +262,27 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 }
+
+impl ToldReplicas {
+    /// True if one more replica may be told. Those that do not fit the interest any more, or
+    /// that the follower does not know, leave their places.
+    fn has_room(
+        &mut self,
+        table: &ReplicaTable,
+        interest: &Interest,
+        known: &HashSet<ReplicaId>,
+        looked_at: &mut u64,
+    ) -> bool {
+        if self.ids.len() < MOST_TOLD {
+            return true;
+        }
+        if self.full_at == Some(table.version()) {
+            return false;
+        }
+        *looked_at += self.ids.len() as u64;
+        self.ids
+            .retain(|id| known.contains(id) && table.get(id).is_some_and(|entry| interest.fits(entry)));
+        self.full_at = (self.ids.len() >= MOST_TOLD).then(|| table.version());
+        self.full_at.is_none()
+    }
+}
--- a/crates/croftrill-scheduler/tests/interest.rs
+++ b/crates/croftrill-scheduler/tests/interest.rs
@@ -227,10 +227,18 @@
     (table, follower)
 }
 
-/// A relay that linked to an orderer anew passed on what that told of all replicas. For each
-/// follower, and for each replica of a model that the follower wants, it looked through all
-/// replicas of the model: that held the relays' threads up for seconds, their links fell
-/// silent for it, and all linked anew.
+/// Seen: relays of a fleet of 985 nodes before 10,000 replicas stopped speaking for up to 2.3
+/// s; links ended, callers' requests waited for models that were there.
+///
+/// How it came about: a relay that linked to an orderer anew passed on what that told of all
+/// replicas. So long a pause ended more links, and each new one told of all replicas again.
+///
+/// Cause: for each follower, and for each replica of a model that it wants, the relay looked
+/// through all replicas of the model to see whether the follower had room for one more: of a
+/// busy model thousands, squared.
+///
+/// Proof: the line on what held the thread up, 192 pieces of news for followers in 2.3 s; and
+/// this test, which looked at four times as many entries for twice the replicas.
 #[test]
 fn hears_placement_of_all_replicas_looks_at_no_more_than_grows_with_them() {
     let looked_at = [2_000, 4_000].map(|replicas| {
