A weak orderer hands its shard on to a node with much more processor time

What callers saw: on the whole fleet models of one shard were loaded seconds late, and its orderer's links fell silent again and again from the start of traffic on. Cause: processor time decides who asks for a shard first, and nothing after that. Nodes that start together know nobody; of 925 with an eighth of a core one asks before 60 with half. Ruled out: a longer lone wait of weak nodes: traffic may come ten seconds after the start, and the least of hundreds of random waits is near their bound whatever that is. Change: an orderer whose term is 3 s old and who knows a node that is no orderer and has twice its processor time ends its term with a resignation, as at a planned stop; for 60 s it has no precedence as the last orderer and does not try again. Why it holds: the shard goes to whoever stands first in line, by processor time; nodes of one kind never hand on.

--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -143,6 +143,8 @@
     pub quotas: Rc<Quotas>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// When it last handed each shard on to stronger nodes.
+    pub handed_on_at: [Cell<Option<Moment>>; SHARD_COUNT],
     /// What the thread is busy with.
     pub step_times: StepTimes,
     /// Requests being served.
@@ -260,6 +262,7 @@
             patient_pool: ConnectionPool::new(patient),
             quotas,
             metrics,
+            handed_on_at: Default::default(),
             step_times: StepTimes::default(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -35,6 +35,9 @@
 const LONE_WAIT_OF_A_CORE: Duration = Duration::from_millis(250);
 /// The same of any node: traffic may come ten seconds after the start.
 const LONGEST_LONE_WAIT: Duration = Duration::from_millis(2500);
+/// Least time between two attempts to hand a shard on to stronger nodes: many times what a
+/// change of orderers costs (some 0.3 s without orders).
+const HANDS_ON_AGAIN: Duration = Duration::from_secs(60);
 /// Time from a node's start until it knows what the others did meanwhile.
 const SETTLING: Duration = Duration::from_millis(900);
 
@@ -197,15 +200,24 @@
 /// This node's place in line for a shard.
 fn place_in_line<P: Platform>(node: &Node<P>, shard: Shard, entry: &MemberEntry) -> u32 {
     let state = node.state.borrow();
+    let last_orderer = state.members.last_orderer(shard).map(|last| &*last.name);
     let candidacy = Candidacy {
         shard,
         own: entry.candidate(),
         terms_held: node.terms_held(),
-        last_orderer: state.members.last_orderer(shard).map(|last| &*last.name),
+        // Whoever handed it on lets those pass that it was meant for.
+        last_orderer: last_orderer.filter(|_| !handed_on_lately(node, shard)),
     };
     candidacy.place_in_line(state.members.nodes().map(MemberEntry::candidate))
 }
 
+/// True if this node handed the shard on not long ago: either it was taken, or the stronger
+/// nodes cannot take it, and to hand it on again would only cost orders.
+pub(super) fn handed_on_lately<P: Platform>(node: &Node<P>, shard: Shard) -> bool {
+    let handed_on_at = node.handed_on_at[shard.index()].get();
+    handed_on_at.is_some_and(|at| node.clock.now().since(at) < HANDS_ON_AGAIN)
+}
+
 pub(super) async fn read_keys<P: Platform>(node: &Node<P>, shard: Shard) -> Option<OrdererKeys> {
     let snapshot = node
         .store()
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::candidacy::{should_hand_on, Candidate};
 use croftrill_scheduler::hand_over::Resignation;
 use croftrill_scheduler::lease::{OrdererLease, Record};
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
@@ -17,12 +18,12 @@
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::task::JoinSet;
 
-use super::acquisition::{least_gap, record_last, Acquired};
+use super::acquisition::{handed_on_lately, least_gap, record_last, Acquired};
 use super::decision_log::{log_decision, order_kind, outcome_name};
 use super::limited::{take_turn, ControlPace, ControlTurn};
 use super::{OrdererInput, Subscription};
 use crate::directory::relay::WatchedSpan;
-use crate::membership::MemberEntry;
+use crate::membership::{MemberEntry, Members};
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
 use crate::own_word;
@@ -42,6 +43,12 @@
 /// must not be taken for much newer than the question.
 const LONGEST_REPORT_DELAY: Duration = Duration::from_millis(200);
 
+/// Least length of a term that is handed on: in less, nodes that start together may not be
+/// listed, and not know of each other's terms.
+const LEAST_TERM: Duration = Duration::from_secs(3);
+/// Time between two looks for stronger nodes, at the whole list of nodes.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// Changes that a slow listener may fall behind before it must begin anew.
 const CHANGE_BACKLOG: usize = 128;
 
@@ -69,6 +76,8 @@
     orders: JoinSet<()>,
     /// The pace of calls to replicas that named a limit.
     pace: ControlPace,
+    /// When it looks next for stronger nodes.
+    next_look: Moment,
 }
 
 impl<P: Platform> Term<P> {
@@ -100,6 +109,7 @@
             authority: None,
             orders: JoinSet::new(),
             pace: ControlPace::default(),
+            next_look: now + LEAST_TERM,
         };
         term.note_authority(now);
         term.sync_directory();
@@ -148,7 +158,27 @@
         if self.lease.expire(now) {
             tracing::warn!(target: "orderer", event = "lease expired without renewal");
         }
-        self.lease.lease().is_some()
+        self.lease.lease().is_some() && !self.hands_on(now)
+    }
+
+    /// True once the shard is to go to a node with much more processor time.
+    fn hands_on(&mut self, now: Moment) -> bool {
+        if now < self.next_look || self.renewing {
+            return false;
+        }
+        self.next_look = now + LOOK_EVERY;
+        let node = &self.node;
+        if handed_on_lately(node, self.shard) {
+            return false;
+        }
+        let state = node.state.borrow();
+        if !should_hand_on(self.entry.candidate(), idle_nodes(&state.members)) {
+            return false;
+        }
+        tracing::info!(target: "orderer", event = "hands on to a stronger node", shard = self.shard.index(),
+            processor_millicores = self.entry.processor_millicores);
+        node.handed_on_at[self.shard.index()].set(Some(now));
+        true
     }
 
     pub(super) fn act(&mut self) {
@@ -537,6 +567,12 @@
     }
 }
 
+/// Nodes that are no orderers.
+fn idle_nodes(members: &Members) -> impl Iterator<Item = Candidate<'_>> {
+    let is_idle = |node: &&MemberEntry| !members.orderers().any(|(_, orderer)| orderer.name == node.name);
+    members.nodes().filter(is_idle).map(MemberEntry::candidate)
+}
+
 pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
     OrdererConfig {
         scope: OrderScope::One(shard),
--- a/crates/croftrill-scheduler/src/candidacy.rs
+++ b/crates/croftrill-scheduler/src/candidacy.rs
@@ -16,6 +16,18 @@
 /// Most places that a node lets pass otherwise.
 const MOST_PLACES: u32 = 30;
 
+/// An orderer hands its shard on to a node with so many times its processor time. Nodes of
+/// one kind never do: a change of orderers leaves the shard without orders for a moment.
+const MUCH_STRONGER: u32 = 2;
+
+/// True if an orderer had better hand its shard on: one of the nodes that are no orderers
+/// has much more processor time. Whoever asks first becomes the orderer, and of hundreds of
+/// nodes that start together and know nobody yet, that is a weak one now and then.
+pub fn should_hand_on<'a>(own: Candidate<'_>, mut others: impl Iterator<Item = Candidate<'a>>) -> bool {
+    let least = own.processor_millicores.saturating_mul(MUCH_STRONGER);
+    others.any(|other| other.processor_millicores >= least)
+}
+
 /// A node that may become an orderer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate<'a> {
--- a/crates/croftrill-scheduler/tests/candidacy.rs
+++ b/crates/croftrill-scheduler/tests/candidacy.rs
@@ -1,6 +1,6 @@
 //! Who becomes the orderer of a shard.
 
-use croftrill_scheduler::candidacy::{Candidacy, Candidate};
+use croftrill_scheduler::candidacy::{should_hand_on, Candidacy, Candidate};
 use croftrill_scheduler::shard::{OrderScope, Shard, SHARD_COUNT};
 
 fn node(name: &str, processor_millicores: u32) -> Candidate<'_> {
@@ -31,6 +31,15 @@
     }
 }
 
+#[test]
+fn should_hand_on_only_to_a_node_with_much_more_processor_time() {
+    let others = [node("weak", 120), node("strong", 500)];
+    assert!(should_hand_on(node("own", 120), others.into_iter()));
+    assert!(!should_hand_on(node("own", 300), others.into_iter()));
+    assert!(!should_hand_on(node("own", 120), others.into_iter().take(1)));
+    assert!(!should_hand_on(node("own", 0), std::iter::empty()));
+}
+
 #[test]
 fn place_in_line_differs_between_nodes_and_shards() {
     let names: Vec<String> = (0..40).map(|index| format!("n{index}")).collect();
