Circles of store_era and of quotas undone; one place asks for a turn at a replica

Cause: ports and store_era imported each other for one error, account and keeper of the quotas for three types; requests and orderers each asked for turns in their own lines. Change: FormerEra is store_era's own error, ports turn it into theirs; quota::ruling has the types of both; replica_turn asks for both.

--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod peer_link;
 pub mod ports;
 pub mod quota;
+pub(crate) mod replica_turn;
 pub mod request;
 pub mod rest_header;
 pub mod runtime;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -146,7 +146,7 @@
     /// When it last handed each shard on to stronger nodes.
     pub handed_on_at: [Cell<Option<Moment>>; SHARD_COUNT],
     /// What the thread is busy with.
-    pub step_times: StepTimes,
+    pub step_times: Rc<StepTimes>,
     /// Requests being served.
     pub in_flight: Cell<usize>,
     /// When the node was asked to stop.
@@ -263,7 +263,7 @@
             quotas,
             metrics,
             handed_on_at: Default::default(),
-            step_times: StepTimes::default(),
+            step_times: Rc::default(),
             in_flight: Cell::new(0),
             stop_asked: Cell::new(None),
             followers: broadcast::channel(RELAY_BACKLOG).0,
--- a/crates/croftrill-node/src/orderer_task/limited.rs
+++ b/crates/croftrill-node/src/orderer_task/limited.rs
@@ -8,10 +8,10 @@
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
 
-use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::ports::Platform;
-use crate::quota::{Credit, LimitAsk, LimitVerdict};
+use crate::quota::{Credit, LimitVerdict};
+use crate::replica_turn;
 
 /// Part of a limit that an orderer's calls take at most. The rest is its callers': a load
 /// needs an order and a report, and serves many requests.
@@ -66,30 +66,18 @@
     patience: Duration,
     is_urgent: bool,
 ) -> ControlTurn {
-    let (limit, nodes) = {
-        let state = node.state.borrow();
-        (state.replicas.limit_of(replica), state.members.node_count())
-    };
-    let Some((limit, born_ms)) = limit else {
+    let want = LimitWant { patience, is_urgent };
+    let Some(turn) = replica_turn::ask(node, replica, call, want).await else {
         return ControlTurn::Taken(None);
     };
-    let ask = LimitAsk {
-        replica,
-        born_ms,
-        limit,
-        want: LimitWant { patience, is_urgent },
-        nodes,
-    };
-    match node.quotas.ask_limit(ask).await {
+    match turn.verdict {
         LimitVerdict::Granted(credit, after) => {
-            Metrics::count(&node.metrics.limited, call, "granted");
             node.clock.sleep_until(node.clock.now() + after).await;
             ControlTurn::Taken(credit)
         }
         LimitVerdict::Refused { again_after } => {
-            Metrics::count(&node.metrics.limited, call, "refused");
             tracing::info!(target: "limit", call, replica = &**replica, outcome = "refused",
-                limit_per_s = limit.rate.per_s(), again_after_ms = again_after.as_millis() as u64);
+                limit_per_s = turn.limit.rate.per_s(), again_after_ms = again_after.as_millis() as u64);
             ControlTurn::Refused
         }
     }
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -17,7 +17,7 @@
 use http::{request, response, HeaderMap};
 
 use crate::connection::{Arrival, ExchangeError};
-use crate::store_era::StoreEra;
+use crate::store_era::{FormerEra, StoreEra};
 
 /// One item of the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -180,6 +180,12 @@
     Protocol(String),
 }
 
+impl From<FormerEra> for StoreError {
+    fn from(_: FormerEra) -> Self {
+        StoreError::NoAnswer
+    }
+}
+
 impl From<ExchangeError> for StoreError {
     fn from(error: ExchangeError) -> Self {
         match error {
--- /dev/null
+++ b/crates/croftrill-node/src/replica_turn.rs
@@ -0,0 +1,45 @@
+//! Asks whether a call may go to a replica that named a limit.
+
+use croftrill_scheduler::quota::limits::{LimitWant, NamedLimit};
+use croftrill_scheduler::replica::ReplicaId;
+
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::ports::Platform;
+use crate::quota::{LimitAsk, LimitVerdict};
+
+/// What was said of a call's turn at a replica in need, and by which limit.
+pub(crate) struct Turn {
+    pub(crate) limit: NamedLimit,
+    pub(crate) verdict: LimitVerdict,
+}
+
+/// Asks for a call's turn; `None`, at once, if the replica named no limit. `call`: what kind
+/// of call it is.
+pub(crate) async fn ask<P: Platform>(
+    node: &Node<P>,
+    replica: &ReplicaId,
+    call: &'static str,
+    want: LimitWant,
+) -> Option<Turn> {
+    let (known, nodes) = {
+        let state = node.state.borrow();
+        (state.replicas.limit_of(replica), state.members.node_count())
+    };
+    let (limit, born_ms) = known?;
+    let ask = LimitAsk {
+        replica,
+        born_ms,
+        limit,
+        want,
+        nodes,
+    };
+    let verdict = node.quotas.ask_limit(ask).await;
+    let outcome = match &verdict {
+        LimitVerdict::Granted(Some(_), _) => "granted",
+        LimitVerdict::Granted(None, _) => "own turn",
+        LimitVerdict::Refused { .. } => "refused",
+    };
+    Metrics::count(&node.metrics.limited, call, outcome);
+    Some(Turn { limit, verdict })
+}
--- a/crates/croftrill-node/src/request/limited.rs
+++ b/crates/croftrill-node/src/request/limited.rs
@@ -8,10 +8,10 @@
 use croftrill_scheduler::time::Moment;
 
 use super::RequestRun;
-use crate::metrics::Metrics;
 use crate::node::Lifecycle;
 use crate::ports::Platform;
-use crate::quota::{LimitAsk, LimitVerdict};
+use crate::quota::LimitVerdict;
+use crate::replica_turn;
 
 /// Times that a request waits to ask for a turn once more: a wait that ends without one
 /// costs its caller more than a refusal at once.
@@ -29,39 +29,27 @@
     /// streams that go on. A replica that named no limit costs nothing.
     pub(super) async fn take_turn(&mut self, replica: &ReplicaId) -> bool {
         self.turn = None;
-        let (limit, nodes) = {
-            let state = self.node.state.borrow();
-            (state.replicas.limit_of(replica), state.members.node_count())
+        let want = LimitWant {
+            patience: self.turn_patience(),
+            is_urgent: self
+                .configuration
+                .is_most_urgent_of(&self.service, self.route.priority),
         };
-        let Some((limit, born_ms)) = limit else {
+        let Some(turn) = replica_turn::ask(&self.node, replica, "request", want).await else {
             return true;
         };
-        let ask = LimitAsk {
-            replica,
-            born_ms,
-            limit,
-            want: LimitWant {
-                patience: self.turn_patience(),
-                is_urgent: self
-                    .configuration
-                    .is_most_urgent_of(&self.service, self.route.priority),
-            },
-            nodes,
-        };
-        match self.node.quotas.ask_limit(ask).await {
+        match turn.verdict {
             LimitVerdict::Granted(credit, after) => {
-                let outcome = if credit.is_some() { "granted" } else { "own turn" };
-                Metrics::count(&self.node.metrics.limited, "request", outcome);
                 self.turn = credit;
                 let turn_at = self.now() + after;
                 self.node.clock.sleep_until(turn_at.min(self.until)).await;
                 true
             }
             LimitVerdict::Refused { again_after } => {
-                Metrics::count(&self.node.metrics.limited, "request", "refused");
+                let heard_ago = self.now().since(turn.limit.heard_at);
                 tracing::info!(target: "limit", id = self.facts.id, replica = &**replica, outcome = "refused",
-                    limit_per_s = limit.rate.per_s(), heard_ms_ago = self.now().since(limit.heard_at).as_millis() as u64,
-                    is_urgent = ask.want.is_urgent, patience_ms = ask.want.patience.as_millis() as u64,
+                    limit_per_s = turn.limit.rate.per_s(), heard_ms_ago = heard_ago.as_millis() as u64,
+                    is_urgent = want.is_urgent, patience_ms = want.patience.as_millis() as u64,
                     again_after_ms = again_after.as_millis() as u64);
                 self.held_back.push(HeldBack {
                     replica: replica.clone(),
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -42,7 +42,7 @@
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
     spawn_local(watch_store_era(node.clone()));
-    spawn_local(step_times::watch(node.clone()));
+    spawn_local(step_times::watch(node.step_times.clone()));
     for part in QuotaPart::all() {
         let own = node.settings.identity.peer;
         spawn_local(quota::follow_keeper(node.quotas.clone(), node.clone(), part, own));
--- a/crates/croftrill-node/src/step_times.rs
+++ b/crates/croftrill-node/src/step_times.rs
@@ -12,9 +12,6 @@
 
 use tokio::time::sleep;
 
-use crate::node::Node;
-use crate::ports::Platform;
-
 /// Time between two looks; five wake-ups a second.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// A look that comes so late is told: a third of the silence after which links end.
@@ -32,7 +29,7 @@
 pub struct StepTimes(RefCell<BTreeMap<&'static str, Taken>>);
 
 impl StepTimes {
-    /// Carries a step out and counts the time that it takes.
+    /// Carries a step out, which must not wait for anything, and counts the time that it takes.
     pub fn time<T>(&self, step: &'static str, carry_out: impl FnOnce() -> T) -> T {
         let begun = Instant::now();
         let result = carry_out();
@@ -61,14 +58,14 @@
 }
 
 /// Tells of each time for which the thread was held up, until the process ends.
-pub async fn watch<P: Platform>(node: Rc<Node<P>>) {
+pub async fn watch(step_times: Rc<StepTimes>) {
     loop {
-        node.step_times.take();
+        step_times.take();
         let begun = Instant::now();
         sleep(LOOK_EVERY).await;
         let late = begun.elapsed().saturating_sub(LOOK_EVERY);
         if late >= LEAST_LATE {
-            let steps = Told(node.step_times.take());
+            let steps = Told(step_times.take());
             tracing::warn!(target: "node", event = "held up", late_ms = late.as_millis() as u64, %steps);
         }
     }
--- a/crates/croftrill-node/src/store_era.rs
+++ b/crates/croftrill-node/src/store_era.rs
@@ -13,8 +13,6 @@
 use http::HeaderMap;
 use tokio::sync::Notify;
 
-use crate::ports::StoreError;
-
 /// Bits of a point that hold the store's revision: 35 years of 1,000 changes a second.
 /// What is left for eras, 8,000 of them, keeps points exact in JSON numbers.
 const REVISION_BITS: u32 = 40;
@@ -83,7 +81,7 @@
     }
 
     /// As [`Self::note`], of the header `name` of an answer; an error if what that tells is void.
-    pub fn note_header(&self, headers: &HeaderMap, name: &str) -> Result<(), StoreError> {
+    pub fn note_header(&self, headers: &HeaderMap, name: &str) -> Result<(), FormerEra> {
         let told = headers.get(name).and_then(|era| era.to_str().ok());
         let told = told.and_then(|era| era.trim().parse().ok());
         match self.note(told) {
@@ -94,7 +92,7 @@
             }
             AnswerEra::Former => {
                 tracing::warn!(target: "store", event = "answer of a former era", told, newest = self.newest());
-                Err(StoreError::NoAnswer)
+                Err(FormerEra)
             }
         }
     }
@@ -142,6 +140,11 @@
     }
 }
 
+/// An answer is of a former era, and so tells nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an answer of a former era")]
+pub struct FormerEra;
+
 /// True if both points are of one era.
 pub fn same_era(left: u64, right: u64) -> bool {
     left >> REVISION_BITS == right >> REVISION_BITS
--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::keeper::{KeeperConfig, Ruling, Want};
+use super::ruling::{KeeperConfig, Ruling, Want};
 use crate::tenants::Quota;
 
 /// Least part of the income that is kept for urgent requests until they have saved
--- a/crates/croftrill-scheduler/src/quota/limits.rs
+++ b/crates/croftrill-scheduler/src/quota/limits.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::keeper::Ruling;
+use super::ruling::Ruling;
 use crate::replica::{BornMs, Incarnation, RequestRate};
 use crate::time::Moment;
 
--- a/crates/croftrill-scheduler/src/quota/mod.rs
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -11,3 +11,4 @@
 pub mod keeper;
 pub mod keepers;
 pub mod limits;
+mod ruling;
