Relays: a replica that is told counts for every interest that it serves

A replica told for one interest was not counted for the others, and one that did not fit for a moment (its orderer was lost) never counted again, so that a follower could be told of more replicas than 64 for an interest. Change: told replicas count while they fit, and for each interest that they fit.

--- a/crates/croftrill-scheduler/src/interest.rs
+++ b/crates/croftrill-scheduler/src/interest.rs
@@ -195,16 +195,18 @@
         id: &ReplicaId,
         fits: impl Fn(&Interest) -> bool,
     ) -> MustHear {
-        let known = &self.known;
-        let fitting = self.wanted.iter_mut().filter(|(interest, _)| fits(interest));
-        for (interest, told) in fitting {
-            if told.has_room(table, interest, known, &mut self.looked_at) {
-                told.ids.insert(id.clone());
-                self.known.insert(id.clone());
-                return MustHear::Everything;
-            }
+        let (known, looked_at) = (&self.known, &mut self.looked_at);
+        let mut fitting = self.wanted.iter_mut().filter(|(interest, _)| fits(interest));
+        if !fitting.any(|(interest, told)| told.has_room(table, interest, known, looked_at)) {
+            return MustHear::Nothing;
         }
-        MustHear::Nothing
+        self.known.insert(id.clone());
+        // It serves the others, too: they need as many fewer.
+        let fitting = self.wanted.iter_mut().filter(|(interest, _)| fits(interest));
+        fitting.for_each(|(_, told)| {
+            told.ids.insert(id.clone());
+        });
+        MustHear::Everything
     }
 
     /// A replica is gone; true if the follower knew it.
@@ -264,8 +266,8 @@
 }
 
 impl ToldReplicas {
-    /// True if one more replica may be told. Those that do not fit the interest any more, or
-    /// that the follower does not know, leave their places.
+    /// True if one more replica may be told. Those that do not fit the interest now leave
+    /// their places for as long: after an orderer was lost they fit again with its next word.
     fn has_room(
         &mut self,
         table: &ReplicaTable,
@@ -279,10 +281,11 @@
         if self.full_at == Some(table.version()) {
             return false;
         }
+        self.ids.retain(|id| known.contains(id));
         *looked_at += self.ids.len() as u64;
-        self.ids
-            .retain(|id| known.contains(id) && table.get(id).is_some_and(|entry| interest.fits(entry)));
-        self.full_at = (self.ids.len() >= MOST_TOLD).then(|| table.version());
-        self.full_at.is_none()
+        let fits = |id: &&ReplicaId| table.get(id).is_some_and(|entry| interest.fits(entry));
+        let is_full = self.ids.iter().filter(fits).count() >= MOST_TOLD;
+        self.full_at = is_full.then(|| table.version());
+        !is_full
     }
 }
