Capacity of a replica: its load and work time, as answers tell them

Cause: a replica's slots and the time that work takes there (the third and fourth figure of its load) were read nowhere, so all replicas counted as equal. Nodes and orderers now keep what replicas tell (scheduler::capacity): the newest account, and the median of the last work times as the usual speed, so that a short disturbance does not change it.

No decision uses the speed yet; loads count as before.

--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_node::load_header::load_told;
 use croftrill_node::ports::{
     AnswerFacts, BadRequest, Dialect, Execution, Forwarding, PromptPart, RequestFacts,
 };
@@ -190,7 +191,7 @@
                 Execution::Executed
             },
             is_misdirected,
-            load: text(&head.headers, LOAD_HEADER).and_then(|value| value.parse().ok()),
+            load: text(&head.headers, LOAD_HEADER).and_then(load_told),
             word: replica_word(head.status, &head.headers),
         }
     }
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod front;
 pub mod limit_header;
 pub mod link;
+pub mod load_header;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::capacity::ReplicaLoad;
 use croftrill_scheduler::catalog::{AdapterName, Configuration, ModelName};
 use croftrill_scheduler::relay_log::keep_last_writes;
 use croftrill_scheduler::replica::{
@@ -405,8 +406,8 @@
     pub execution: Execution,
     /// True if it tells that the replica is another incarnation or lacks the model.
     pub is_misdirected: bool,
-    /// Requests running and waiting there, if told.
-    pub load: Option<u32>,
+    /// Its load, if told.
+    pub load: Option<ReplicaLoad>,
     /// What else the replica says of itself.
     pub word: ReplicaWord,
 }
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod candidacy;
+pub mod capacity;
 pub mod catalog;
 pub mod crash_ledger;
 pub mod demand;
--- a/crates/croftrill-scheduler/src/orderer/incarnation.rs
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -1,5 +1,6 @@
 //! Replicas that start again under their identity: what is over, and what begins anew.
 
+use crate::capacity::Capacity;
 use crate::placement::{ControlCalls, PlacedReplica};
 use crate::replica::{BornMs, Incarnation, OrderOutcome, ReplicaReport};
 use crate::replica_ledger::ReplicaLedger;
@@ -35,6 +36,7 @@
             is_held: former.is_held,
             orders: former.orders,
             control_calls: ControlCalls::Free,
+            capacity: Capacity::default(),
         };
         self.replicas.insert(id, anew);
     }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use self::reports::RoutineReports;
+use crate::capacity::{Capacity, ReplicaLoad};
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
 use crate::demand::{Asked, Demand, ModelKey};
 use crate::hand_over::{HeardResignation, Legacy, OrderHistory, PastLoad};
@@ -283,6 +284,11 @@
         }
     }
 
+    /// A replica told its load at `at`, in an answer to a node.
+    pub fn told_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
+        self.replicas.told_load(id, load, at);
+    }
+
     /// A replica is listed.
     pub fn listed(&mut self, listing: &ReplicaListing, now: Moment) {
         let is_engine = self
@@ -315,6 +321,7 @@
                 is_held: false,
                 orders,
                 control_calls: ControlCalls::Free,
+                capacity: Capacity::default(),
             };
             self.replicas.insert(listing.id.clone(), anew);
         }
--- a/crates/croftrill-scheduler/src/placement/placed.rs
+++ b/crates/croftrill-scheduler/src/placement/placed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::choice::Among;
+use crate::capacity::Capacity;
 use crate::catalog::{AdapterName, EngineSpec, ModelName, ServiceName};
 use crate::replica::{BornMs, Holdings, ReplicaState};
 use crate::replica_ledger::ReplicaLedger;
@@ -59,6 +60,8 @@
     pub orders: Orders,
     /// How freely.
     pub control_calls: ControlCalls,
+    /// What it can do, as nodes heard of it in its answers.
+    pub capacity: Capacity,
 }
 
 impl PlacedReplica {
--- a/crates/croftrill-scheduler/src/placement/replicas.rs
+++ b/crates/croftrill-scheduler/src/placement/replicas.rs
@@ -10,8 +10,10 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{Orders, PlacedReplica};
+use crate::capacity::ReplicaLoad;
 use crate::catalog::{ModelName, ServiceName};
 use crate::replica::{ReplicaId, ReplicaState};
+use crate::time::Moment;
 
 /// Replicas that are weighed for one model besides those with a copy of it. Of thousands
 /// that hold what nobody asks for, a few hundred contain one that is as good as any:
@@ -257,6 +259,13 @@
         self.replicas.get_mut(id)
     }
 
+    /// A replica told its load at `at`.
+    pub fn told_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.capacity.hear(load, 0, at);
+        }
+    }
+
     /// Adds a replica, or puts it in the place of one.
     pub fn insert(&mut self, id: ReplicaId, replica: PlacedReplica) {
         self.changed.borrow_mut().insert(id.clone());
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -1,24 +1,13 @@
 //! One replica as a node's table holds it.
 
-use std::time::Duration;
-
 use super::own_word::OwnWord;
 use super::{Arrival, Placement};
+use crate::capacity::Capacity;
 use crate::catalog::{AdapterName, ModelName};
 use crate::health::ReplicaHealth;
 use crate::replica::{ReplicaListing, ReplicaState};
 use crate::time::Moment;
 
-/// How fast a told load loses its meaning.
-const TOLD_LOAD_MEMORY: Duration = Duration::from_millis(700);
-
-/// Load that a replica told in an answer, with the sends that this node had there.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct ToldLoad {
-    pub(super) others: f64,
-    pub(super) at: Moment,
-}
-
 /// One replica in the table.
 #[derive(Debug, Clone)]
 pub struct ReplicaEntry {
@@ -34,7 +23,8 @@
     pub(super) absent: Vec<(ModelName, Option<AdapterName>)>,
     pub(super) own_sends: u32,
     pub(super) own_tokens: u64,
-    pub(super) told: ToldLoad,
+    /// What it can do, as it told in answers.
+    pub capacity: Capacity,
 }
 
 impl ReplicaEntry {
@@ -48,7 +38,7 @@
             absent: Vec::new(),
             own_sends: 0,
             own_tokens: 0,
-            told: ToldLoad::default(),
+            capacity: Capacity::default(),
         }
     }
 
@@ -135,8 +125,7 @@
 
     /// Requests believed to be there: this node's own and the others'.
     pub fn load(&self, now: Moment) -> f64 {
-        let age = now.since(self.told.at).as_secs_f64() / TOLD_LOAD_MEMORY.as_secs_f64();
-        f64::from(self.own_sends) + self.told.others * (-age).exp()
+        f64::from(self.own_sends) + self.capacity.others(now)
     }
 
     /// Prompt tokens that this node's unanswered requests have there.
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -17,11 +17,11 @@
 use self::change_log::ChangeLog;
 pub use self::change_log::{ChangedReplicas, TableVersion};
 pub use self::entry::ReplicaEntry;
-use self::entry::ToldLoad;
 use self::index::ServiceIndex;
 use self::own_word::OwnWord;
 pub use self::own_word::{AnsweredCall, WordNews};
 use self::unlisted::Unlisted;
+use crate::capacity::ReplicaLoad;
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
 use crate::health::SendOutcome;
 use crate::placement::{weight_source, WeightSource};
@@ -344,14 +344,10 @@
         }
     }
 
-    /// A replica told how many requests it has, running and waiting.
-    pub fn told_load(&mut self, id: &str, requests: u32, now: Moment) {
+    /// A replica told its load at `at`: to this node, or to another that told of it.
+    pub fn told_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
         if let Some(entry) = self.replicas.get_mut(id) {
-            let others = f64::from(requests) - f64::from(entry.own_sends);
-            entry.told = ToldLoad {
-                others: others.max(0.0),
-                at: now,
-            };
+            entry.capacity.hear(load, entry.own_sends, at);
         }
     }
 
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use croftrill_scheduler::capacity::Capacity;
 use croftrill_scheduler::catalog::{EngineSpec, ModelName, ModelSpec, ServiceName};
 use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
 use croftrill_scheduler::placement::{
@@ -152,6 +153,7 @@
         is_held: false,
         orders: Orders::Own,
         control_calls: ControlCalls::Free,
+        capacity: Capacity::default(),
     }
 }
 
