Request lines tell what a request paid of its tenant's quota, and when

Cause: whether a tenant's quota was kept could be seen only by a caller: no line told what a request counted for, when its turn came, and when it left for a replica. Change: the line at a request's end tells quota_cost, paid_ms and sent_ms; no line more, no key.

--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -438,6 +438,11 @@
 }
 
 impl Credit {
+    /// Units that it counts for.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+
     /// The request was sent: it may run.
     pub fn spend(&self) {
         self.is_spent.set(true);
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -55,7 +55,8 @@
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), "refused");
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome = "given up",
             cause, status = status.as_u16(), tenant = self.tenant.as_deref(), sends = self.sends, model = self.facts.model.as_deref(),
-            adapter = self.facts.adapter.as_deref(), waited_ms = self.waited().as_millis() as u64,
+            adapter = self.facts.adapter.as_deref(), quota_cost = self.quota_cost(), paid_ms = millis(self.paid_after),
+            sent_ms = millis(self.sent_after), waited_ms = self.waited().as_millis() as u64,
             come_back_ms = come_back.map(|time| time.as_millis() as u64), version = self.configuration.version);
         refuse(status, cause, come_back)
     }
@@ -89,7 +90,8 @@
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome,
             replica = &**replica, tenant = self.tenant.as_deref(), sends = self.sends, model = self.facts.model.as_deref(),
-            adapter = self.facts.adapter.as_deref(), sent_ms = millis(self.sent_after),
+            adapter = self.facts.adapter.as_deref(), quota_cost = self.quota_cost(), paid_ms = millis(self.paid_after),
+            sent_ms = millis(self.sent_after),
             answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
             longest_pause_ms = self.longest_pause.get().as_millis() as u64, late = self.counted_late.get(),
             elapsed_ms = self.waited().as_millis() as u64, version = self.configuration.version);
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -141,6 +141,7 @@
         Ok(credit) => credit,
         Err(answer) => return *answer,
     };
+    let paid_after = credit.as_ref().map(|_| node.clock.now().since(arrival));
     let service = pick_backend(&route, &facts.id);
     let placed = node
         .clock
@@ -157,6 +158,7 @@
         facts,
         tenant,
         credit,
+        paid_after,
         route,
         service,
         configuration,
@@ -192,6 +194,8 @@
     tenant: Option<Arc<str>>,
     /// What it paid of the tenant's quota.
     credit: Option<Credit>,
+    /// Time from arrival to its turn in that quota.
+    paid_after: Option<Duration>,
     route: Arc<Route>,
     service: ServiceName,
     configuration: Arc<Configuration>,
@@ -314,6 +318,11 @@
         }
     }
 
+    /// What it counts for in its tenant's quota.
+    fn quota_cost(&self) -> Option<u64> {
+        self.credit.as_ref().map(Credit::cost)
+    }
+
     /// Rank among all requests at a replica; 0 is the most urgent.
     fn rank(&self) -> u8 {
         let tenants = &self.configuration.tenants;
