A tenant's quota holds beside grants ahead, and urgent requests come before patient ones

Load pattern: hot tenants (six times the usual, a third of it requests that can wait for seconds), and a lowered quota.

Cause, by what each request paid: the keeper kept up to 0.6 of the income apart for urgent requests, and promised the others their turn by the whole of it. So what was granted ahead came due sooner than it was paid for: balances fell to -411,000 units (2.1 s of income), and a window had that part of the income twice: 1,794,392 tokens, allowed 1,672,947.

Change: one balance; the time of a grant ahead is that in which it is surely paid. What does not run comes back up to what can be saved. No request is granted ahead further than more urgent ones of its tenant, or those of its rank with less time, can wait: a request that can wait longer asks again, so patient ones no longer reserve the income of the next seconds. A tenth of the income is left to those that are not most urgent. Nothing new on the wire: what was a request's patience there is now how far ahead it may be granted.

--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -314,7 +314,8 @@
     Ok(Some(match ruling {
         Ruling::Granted { after } => FromKeeper::Granted {
             id,
-            after_ms: after.as_millis() as u32,
+            // Rounded up: by then the balance has surely paid.
+            after_ms: after.as_micros().div_ceil(1000) as u32,
         },
         Ruling::Refused { again_after, balance } => FromKeeper::Refused {
             id,
--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use croftrill_scheduler::catalog::{Configuration, Route};
 use croftrill_scheduler::quota::keeper::Want;
+use croftrill_scheduler::quota::turn::{patience, TurnWait};
 use croftrill_scheduler::time::Moment;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::StatusCode;
@@ -98,14 +98,13 @@
     answer
 }
 
-/// Part of the time that a request has beyond reading its prompt for which it waits
-/// for its turn; the rest is for a queue or a load at its replica.
-const QUOTA_WAIT: u32 = 2;
-
-/// Time for which a request can wait for its turn and still be in time.
-fn quota_patience(facts: &RequestFacts, route: &Route) -> Duration {
+/// The wait of a request for its turn, as long as it can still be in time.
+fn turn_wait(facts: &RequestFacts, configuration: &Configuration, route: &Route, now: Moment) -> TurnWait {
     let reading = first_event_after(facts) * PROMPT_TIME_MARGIN;
-    route.objective.saturating_sub(reading) / QUOTA_WAIT
+    let most_ahead = configuration
+        .ahead_limits
+        .most_ahead(route.priority, route.objective);
+    TurnWait::new(now, patience(route.objective, reading), most_ahead)
 }
 
 /// Pays for a request from its tenant's quota; nothing if that has none.
@@ -123,19 +122,30 @@
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
         return Ok(None);
     };
-    let ask = QuotaAsk {
+    let clock = &node.clock;
+    let wait = turn_wait(facts, configuration, route, clock.now());
+    let mut ask = QuotaAsk {
         tenant: &tenant.name,
         quota,
         version: configuration.version,
         want: Want {
             cost: quota.unit.cost(facts.metered_tokens),
-            patience: quota_patience(facts, route),
+            patience: wait.ahead(clock.now()),
             is_urgent: configuration.tenants.is_most_urgent(route.priority),
         },
     };
-    match node.quotas.ask(ask, until).await {
+    let mut verdict = node.quotas.ask(ask, until).await;
+    while let QuotaVerdict::Beyond { again_after, .. } = verdict {
+        let Some(pause) = wait.pause(again_after, clock.now()) else {
+            break;
+        };
+        clock.sleep_until(until.min(clock.now() + pause)).await;
+        ask.want.patience = wait.ahead(clock.now());
+        verdict = node.quotas.ask(ask, until).await;
+    }
+    match verdict {
         QuotaVerdict::Granted(credit, after) => {
-            node.clock.sleep_until(until.min(node.clock.now() + after)).await;
+            clock.sleep_until(until.min(clock.now() + after)).await;
             Ok(Some(credit))
         }
         QuotaVerdict::Beyond { again_after, balance } => {
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::quota::turn::AheadLimits;
 use crate::tenants::{Tenant, Tenants};
 
 /// Name of a model.
@@ -158,6 +159,8 @@
     pub group_shares: HashMap<Arc<str>, u32>,
     /// Who may call, shown by keys; anybody if there are none.
     pub tenants: Tenants,
+    /// For how long requests of tenants with a quota are granted ahead, by their routes.
+    pub ahead_limits: AheadLimits,
     services: HashMap<ServiceName, Arc<Service>>,
     /// Routes of a host, the longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -185,6 +188,7 @@
             limits,
             group_shares: HashMap::new(),
             tenants: Tenants::default(),
+            ahead_limits: AheadLimits::default(),
             services,
             routes_by_host,
         }
@@ -238,6 +242,8 @@
     /// The same configuration for callers that show keys of these tenants.
     pub fn with_tenants(mut self, tenants: Vec<Tenant>) -> Self {
         let routes = self.routes_by_host.values().flatten();
+        let keyed = routes.clone().filter(|route| !route.public);
+        self.ahead_limits = AheadLimits::new(keyed.map(|route| (route.priority, route.objective)));
         let mut priorities: Vec<u8> = routes.map(|route| route.priority).collect();
         priorities.sort_unstable();
         priorities.dedup();
--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -2,23 +2,23 @@
 
 use std::time::Duration;
 
-use super::ruling::{KeeperConfig, Ruling, Want};
+use super::ruling::{KeeperConfig, Ruling, Want, MOST_AHEAD};
 use crate::tenants::Quota;
 
-/// Least part of the income that is kept for urgent requests until they have saved
-/// enough.
-const LEAST_URGENT_PART: f64 = 0.05;
-/// Most of the income that is kept for them: the rest still serves others.
-const MOST_URGENT_PART: f64 = 0.6;
-/// What is kept for urgent requests, in what they asked for: they come unevenly.
-const URGENT_MARGIN: f64 = 1.25;
-/// Time constant of what urgent requests ask for.
-const URGENT_MEMORY_S: f64 = 2.0;
-/// A request of at most so many times the mean cost passes as an urgent one: it takes
-/// next to nothing from others.
-const SMALL_COST: f64 = 0.1;
-/// Requests over which the mean cost is taken.
+/// Part of the income that urgent requests leave to the others, while these ask.
+const KEPT_PART: f64 = 0.1;
+/// Requests of mean cost for which units are kept at most.
+const KEPT_REQUESTS: f64 = 2.0;
+/// Part of what can be saved that is kept for them at most.
+const MOST_KEPT_PART: f64 = 0.5;
+/// Time constant after which units that were refused are no more expected to be asked for
+/// once more: callers come back once or not at all.
+const REFUSED_MEMORY_S: f64 = 2.0;
+/// Requests over which means are taken.
 const MEAN_OVER: f64 = 64.0;
+/// Part of the time that urgent requests can wait for which others are granted ahead at
+/// most: what comes in later is left to the urgent ones until it is there.
+const OTHERS_AHEAD: u32 = 2;
 
 /// Bounds of an account, by the part of the quota that belongs to its keeper.
 #[derive(Debug, Clone, Copy)]
@@ -43,29 +43,39 @@
         }
     }
 
+    /// Time in which so much has surely come in, whatever is kept of the income.
     fn time_to_gain(&self, units: f64) -> Duration {
-        let time = Duration::try_from_secs_f64(units.max(0.0) / self.income_per_s.max(f64::MIN_POSITIVE));
+        let sure_per_s = self.income_per_s * (1.0 - KEPT_PART);
+        let time = Duration::try_from_secs_f64(units.max(0.0) / sure_per_s.max(f64::MIN_POSITIVE));
         time.unwrap_or(self.window).min(self.window)
     }
 }
 
 /// What one tenant may spend.
+///
+/// Invariant: `balance` never falls so low that what surely comes in until a grant's time
+/// leaves it below `-debt` then; `kept` never falls below zero. Both together gain no more
+/// than the income and save no more than the most, so in any time `t` the requests that both
+/// ask and have their turn in it count for at most `income` x `t` + `saved` + `debt`.
 #[derive(Debug, Clone)]
 pub(super) struct Account {
     /// Its quota.
     pub quota: Quota,
     /// Version of the configuration that told the quota.
     pub version: u64,
-    /// Units that may be spent on any request; below zero: a debt.
+    /// Units that may be spent on any request; below zero: a debt, and what was granted
+    /// ahead.
     balance: f64,
-    /// Units that may be spent on urgent requests besides.
-    for_urgent: f64,
-    /// Units that urgent requests asked for, fading with [`URGENT_MEMORY_S`].
-    urgent_asked: f64,
-    /// Units that were refused, less what has come in since.
+    /// Units that only requests may spend that are not urgent.
+    kept: f64,
+    /// Time since one of these asked; `None`: none did.
+    since_others: Option<Duration>,
+    /// Units that were refused and may be asked for once more.
     refused: f64,
     /// Mean cost of the requests.
     mean_cost: f64,
+    /// Mean time for which urgent requests can wait, in seconds; `None`: none asked yet.
+    urgent_patience_s: Option<f64>,
 }
 
 impl Account {
@@ -75,22 +85,23 @@
             quota,
             version,
             balance: 0.0,
-            for_urgent: 0.0,
-            urgent_asked: 0.0,
+            kept: 0.0,
+            since_others: None,
             refused: 0.0,
             mean_cost: 0.0,
+            urgent_patience_s: None,
         }
     }
 
-    /// Units that may be spent, on any request and on urgent ones.
+    /// Units that may be spent, on any request and on those that are not urgent.
     pub(super) fn balance(&self) -> f64 {
-        self.balance + self.for_urgent
+        self.balance + self.kept
     }
 
     /// What is saved is given up; a debt stays.
     pub(super) fn drop_savings(&mut self) {
         self.balance = self.balance.min(0.0);
-        self.for_urgent = 0.0;
+        self.kept = 0.0;
         self.refused = 0.0;
     }
 
@@ -104,44 +115,49 @@
     pub(super) fn set_quota(&mut self, quota: Quota, version: u64, bounds: &AccountBounds) {
         self.quota = quota;
         self.version = version;
-        self.balance = self.balance.min(bounds.most_saved);
-        self.for_urgent = self.for_urgent.min(bounds.most_saved);
+        self.kept = self.kept.min(bounds.most_saved * MOST_KEPT_PART);
+        self.balance = self.balance.min(bounds.most_saved - self.kept);
     }
 
-    /// Part of the income that is kept for urgent requests. Large patient requests of a
-    /// tenant that asks for more than it may would else take all that comes in, as they
-    /// are granted ahead.
-    fn urgent_part(&self, bounds: &AccountBounds) -> f64 {
-        let asked_per_s = self.urgent_asked / URGENT_MEMORY_S;
-        let wanted = URGENT_MARGIN * asked_per_s / bounds.income_per_s.max(f64::MIN_POSITIVE);
-        wanted.clamp(LEAST_URGENT_PART, MOST_URGENT_PART)
+    /// Units that are kept at most for requests that are not urgent.
+    fn most_kept(&self, bounds: &AccountBounds) -> f64 {
+        let is_wanted = self.since_others.is_some_and(|since| since < bounds.window);
+        if !is_wanted {
+            return 0.0;
+        }
+        (self.mean_cost * KEPT_REQUESTS).min(bounds.most_saved * MOST_KEPT_PART)
     }
 
-    /// Time passed. What is above the most, as of requests that did not run, or after
-    /// a node left, is neither added to nor taken.
+    /// Time passed. What is above the most, as after a node left, is neither added to nor
+    /// taken.
     pub(super) fn gain(&mut self, elapsed: Duration, bounds: &AccountBounds) {
         let income = bounds.income_per_s * elapsed.as_secs_f64();
-        let part = self.urgent_part(bounds);
-        let most_for_urgent = bounds.most_saved * part;
-        let for_urgent = (income * part).min((most_for_urgent - self.for_urgent).max(0.0));
-        self.for_urgent += for_urgent;
-        let most = (bounds.most_saved - self.for_urgent).max(0.0);
-        if self.balance < most {
-            self.balance = (self.balance + income - for_urgent).min(most);
-        }
+        self.since_others = self.since_others.map(|since| since + elapsed);
+        let most_kept = self.most_kept(bounds);
+        let unwanted = (self.kept - most_kept).max(0.0);
+        let keeps = (income * KEPT_PART).min((most_kept - self.kept).max(0.0));
+        self.kept += keeps - unwanted;
+        self.save(income - keeps + unwanted, bounds);
         self.refused = (self.refused - income).max(0.0);
-        self.urgent_asked *= (-elapsed.as_secs_f64() / URGENT_MEMORY_S).exp();
+        self.refused *= (-elapsed.as_secs_f64() / REFUSED_MEMORY_S).exp();
+    }
+
+    fn save(&mut self, units: f64, bounds: &AccountBounds) {
+        let most = (bounds.most_saved - self.kept).max(0.0);
+        self.balance = (self.balance + units).min(most.max(self.balance));
     }
 
     /// A request wants to run.
     pub(super) fn ask(&mut self, want: Want, bounds: &AccountBounds) -> Ruling {
         let cost = want.cost as f64;
-        let is_urgent = want.is_urgent || cost <= self.mean_cost * SMALL_COST;
         self.mean_cost += (cost - self.mean_cost) / MEAN_OVER;
-        if is_urgent {
-            self.urgent_asked += cost;
-            if cost <= self.for_urgent {
-                self.for_urgent -= cost;
+        if want.is_urgent {
+            let patience_s = want.patience.min(MOST_AHEAD).as_secs_f64();
+            let mean_s = self.urgent_patience_s.get_or_insert(patience_s);
+            *mean_s += (patience_s - *mean_s) / MEAN_OVER;
+        } else {
+            self.since_others = Some(Duration::ZERO);
+            if self.pay_with_kept(cost, bounds) {
                 return Ruling::Granted {
                     after: Duration::ZERO,
                 };
@@ -149,7 +165,7 @@
         }
         let missing = cost - bounds.debt - self.balance;
         let after = bounds.time_to_gain(missing);
-        if after <= want.patience.min(bounds.window / 2) {
+        if after <= want.patience.min(self.most_ahead(want.is_urgent, bounds)) {
             self.balance -= cost;
             return Ruling::Granted { after };
         }
@@ -161,13 +177,36 @@
         }
     }
 
+    /// Longest time for which such a request is granted ahead.
+    fn most_ahead(&self, is_urgent: bool, bounds: &AccountBounds) -> Duration {
+        let most = MOST_AHEAD.min(bounds.window / 2);
+        match self.urgent_patience_s {
+            Some(patience_s) if !is_urgent => most.min(Duration::from_secs_f64(patience_s) / OTHERS_AHEAD),
+            _ => most,
+        }
+    }
+
+    /// Pays now, with what is kept as far as the balance falls short; false if both do not
+    /// suffice.
+    fn pay_with_kept(&mut self, cost: f64, bounds: &AccountBounds) -> bool {
+        let from_balance = (self.balance + bounds.debt).clamp(0.0, cost);
+        let from_kept = cost - from_balance;
+        if from_kept > self.kept {
+            return false;
+        }
+        self.balance -= from_balance;
+        self.kept -= from_kept;
+        true
+    }
+
     /// So much was granted ahead by another keeper, and runs while this one rules.
     pub(super) fn owe(&mut self, cost: u64) {
         self.balance -= cost as f64;
     }
 
-    /// A request that was granted did not run.
-    pub(super) fn give_back(&mut self, cost: u64) {
-        self.balance += cost as f64;
+    /// A request that was granted did not run. What is more than can be saved is lost: it
+    /// would else be spent together with what came in meanwhile.
+    pub(super) fn give_back(&mut self, cost: u64, bounds: &AccountBounds) {
+        self.save(cost as f64, bounds);
     }
 }
--- a/crates/croftrill-scheduler/src/quota/keeper.rs
+++ b/crates/croftrill-scheduler/src/quota/keeper.rs
@@ -146,8 +146,10 @@
     /// A request that was granted did not run.
     pub fn give_back(&mut self, name: &str, cost: u64, now: Moment) {
         self.settle(now);
+        let share = self.share();
         if let Some(account) = self.accounts.get_mut(name) {
-            account.give_back(cost);
+            let bounds = AccountBounds::new(&self.config, &account.quota, share);
+            account.give_back(cost, &bounds);
         }
     }
 
--- a/crates/croftrill-scheduler/src/quota/mod.rs
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -5,10 +5,12 @@
 //! its own ([`keepers`]). A keeper spends only the part of each quota that belongs
 //! to the nodes that listen to it, so that two keepers of one part, as in a
 //! partition, spend no more together than one that all listen to. The limits that replicas
-//! in need name ([`limits`]) are kept in parts of their own.
+//! in need name ([`limits`]) are kept in parts of their own. How long a request waits for its
+//! turn, and how far ahead it may be granted, its node decides ([`turn`]).
 
 mod account;
 pub mod keeper;
 pub mod keepers;
 pub mod limits;
 mod ruling;
+pub mod turn;
--- a/crates/croftrill-scheduler/src/quota/ruling.rs
+++ b/crates/croftrill-scheduler/src/quota/ruling.rs
@@ -18,6 +18,10 @@
 /// more than it may. Half of it still bears twice the rate for half a second.
 const SAVED_PART: f64 = 0.5;
 
+/// Longest time for which units are granted ahead: what was granted cannot be taken back,
+/// neither for a more urgent request nor by a keeper that follows this one.
+pub(super) const MOST_AHEAD: Duration = Duration::from_millis(500);
+
 /// Bounds that hold for all keepers.
 #[derive(Debug, Clone, Copy)]
 pub struct KeeperConfig {
@@ -59,7 +63,7 @@
 pub struct Want {
     /// Units that it counts for.
     pub cost: u64,
-    /// Time for which it can wait for its turn.
+    /// Time for which it may be granted ahead; one that can wait longer asks again.
     pub patience: Duration,
     /// True if no route's requests are more urgent.
     pub is_urgent: bool,
--- a/crates/croftrill-scheduler/tests/quota.rs
+++ b/crates/croftrill-scheduler/tests/quota.rs
@@ -510,3 +510,70 @@
         }
     }
 }
+
+/// Quotas, bounds and slacks of any size, those without any slack among them.
+fn any_bounds() -> impl Strategy<Value = (KeeperConfig, Quota)> {
+    let overage = prop_oneof![Just(0.0), 0.01f64..0.5];
+    let slack = prop_oneof![Just(0.0), 100.0f64..200_000.0];
+    let burst_s = prop_oneof![Just(0.0), 0.05f64..4.0];
+    (2u64..12, overage, slack, 500.0f64..300_000.0, burst_s).prop_map(
+        |(window_s, overage, slack, rate_per_s, burst_s)| {
+            let config = KeeperConfig {
+                window: Duration::from_secs(window_s),
+                overage,
+                slack,
+            };
+            let quota = Quota {
+                rate_per_s,
+                burst: rate_per_s * burst_s,
+                ..QUOTA
+            };
+            (config, quota)
+        },
+    )
+}
+
+/// A kind of requests: what one costs, the time between two, how long it can wait, and
+/// whether it is urgent.
+fn any_kind() -> impl Strategy<Value = (u64, u64, u64, bool)> {
+    (50u64..4_000, 2u64..60, 0u64..2_500, any::<bool>())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+    /// Hot tenants: urgent requests and patient ones together ask for several times the
+    /// quota, and the patient ones are granted seconds ahead.
+    #[test]
+    fn window_of_urgent_and_patient_requests_stays_within_any_quota(
+        (config, quota) in any_bounds(),
+        kinds in prop::collection::vec(any_kind(), 1..4),
+        quiet_ms in 0u64..6_000,
+    ) {
+        let mut keeper = QuotaKeeper::new(config, at(0));
+        keeper.learn(&name(), quota, 1, at(0));
+        keeper.count_listed(10, at(0));
+        keeper.set_listeners(10, at(0));
+        let mut runs: Vec<(u64, u64, u64)> = Vec::new();
+        for now in quiet_ms..quiet_ms + 16_000 {
+            for (cost, gap_ms, patience_ms, is_urgent) in &kinds {
+                if now % gap_ms != 0 {
+                    continue;
+                }
+                let want = Want { cost: *cost, patience: Duration::from_millis(*patience_ms), is_urgent: *is_urgent };
+                if let Ruling::Granted { after } = keeper.ask("t", want, at(now)) {
+                    runs.push((now, now + after.as_micros().div_ceil(1000) as u64, *cost));
+                }
+            }
+        }
+        let window = config.window.as_millis() as u64;
+        let told = quota.rate_per_s * config.window.as_secs_f64() + quota.burst;
+        // Whole milliseconds are told to a request.
+        let rounding = quota.rate_per_s * 0.002 + 1.0;
+        let allowed = told * (1.0 + config.overage) + config.slack + rounding;
+        for from in (quiet_ms..quiet_ms + 16_000).step_by(100) {
+            let within = runs.iter().filter(|(sent, runs_at, _)| *sent >= from && *runs_at <= from + window);
+            let sum: u64 = within.map(|(_, _, cost)| *cost).sum();
+            prop_assert!(sum as f64 <= allowed, "{} of {} from {}", sum, allowed, from);
+        }
+    }
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/quota_ranks.rs
@@ -0,0 +1,277 @@
+//! A tenant that asks for more than its quota: which of its requests go, wait or are refused.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
+use croftrill_scheduler::quota::turn::{patience, AheadLimits, TurnWait};
+use croftrill_scheduler::tenants::{Quota, QuotaUnit};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+
+const CONFIG: KeeperConfig = KeeperConfig {
+    window: Duration::from_secs(8),
+    overage: 0.1,
+    slack: 7_500.0,
+};
+const RATE_PER_S: f64 = 160_000.0;
+const QUOTA: Quota = Quota {
+    unit: QuotaUnit::Tokens { plain: 200 },
+    rate_per_s: RATE_PER_S,
+    burst: RATE_PER_S,
+};
+
+fn at(micros: u64) -> Moment {
+    Moment::from_start(Duration::from_secs(3_600) + Duration::from_micros(micros))
+}
+
+/// Requests of one route.
+#[derive(Debug, Clone, Copy)]
+struct Kind {
+    rank: u8,
+    objective_ms: u64,
+    cost: u64,
+    per_s: f64,
+}
+
+impl Kind {
+    fn objective(&self) -> Duration {
+        Duration::from_millis(self.objective_ms)
+    }
+
+    fn asked_per_s(&self) -> f64 {
+        self.cost as f64 * self.per_s
+    }
+}
+
+/// What became of the requests of one kind.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcome {
+    asked: u64,
+    granted: u64,
+    refused: u64,
+    most_asks: u64,
+    longest_wait: Duration,
+}
+
+/// One request that asks now, or again.
+struct Waiting {
+    kind: usize,
+    came_at: Moment,
+    asks: u64,
+    wait: TurnWait,
+}
+
+/// What a tenant with such requests gets for `seconds`, at a keeper that all listen to.
+struct Play {
+    outcomes: Vec<Outcome>,
+    /// Tokens with their times, in microseconds.
+    runs: Vec<(Moment, u64)>,
+}
+
+fn play(kinds: &[Kind], quota: Quota, seconds: u64) -> Play {
+    let limits = AheadLimits::new(kinds.iter().map(|kind| (kind.rank, kind.objective())));
+    let most_urgent = kinds.iter().map(|kind| kind.rank).min();
+    let mut keeper = QuotaKeeper::new(CONFIG, at(0));
+    let name: Arc<str> = "t".into();
+    keeper.learn(&name, quota, 1, at(0));
+    keeper.count_listed(60, at(0));
+    keeper.set_listeners(60, at(0));
+    let mut queue: BTreeMap<(Moment, u64), Waiting> = BTreeMap::new();
+    let mut number = 0;
+    for (kind, told) in kinds.iter().enumerate() {
+        let gap_us = (1_000_000.0 / told.per_s) as u64;
+        for micros in (0..seconds * 1_000_000).step_by(gap_us.max(1) as usize) {
+            // Kinds don't come at the same moments.
+            let came_at = at(micros + 137 * kind as u64);
+            let longest = patience(told.objective(), Duration::ZERO);
+            let wait = TurnWait::new(came_at, longest, limits.most_ahead(told.rank, told.objective()));
+            let request = Waiting {
+                kind,
+                came_at,
+                asks: 0,
+                wait,
+            };
+            queue.insert((came_at, number), request);
+            number += 1;
+        }
+    }
+    let mut play = Play {
+        outcomes: vec![Outcome::default(); kinds.len()],
+        runs: Vec::new(),
+    };
+    while let Some(((now, _), mut request)) = queue.pop_first() {
+        let kind = &kinds[request.kind];
+        let outcome = &mut play.outcomes[request.kind];
+        request.asks += 1;
+        outcome.asked += u64::from(request.asks == 1);
+        outcome.most_asks = outcome.most_asks.max(request.asks);
+        let want = Want {
+            cost: kind.cost,
+            patience: request.wait.ahead(now),
+            is_urgent: Some(kind.rank) == most_urgent,
+        };
+        match keeper.ask("t", want, now) {
+            Ruling::Granted { after } => {
+                outcome.granted += 1;
+                outcome.longest_wait = outcome.longest_wait.max((now + after).since(request.came_at));
+                play.runs.push((now + after, kind.cost));
+            }
+            Ruling::Refused { again_after, .. } => match request.wait.pause(again_after, now) {
+                Some(pause) => {
+                    queue.insert((now + pause, number), request);
+                    number += 1;
+                }
+                None => outcome.refused += 1,
+            },
+        }
+    }
+    play
+}
+
+impl Play {
+    /// Tokens between two moments, in seconds.
+    fn used(&self, from_s: u64, to_s: u64) -> f64 {
+        let span = at(from_s * 1_000_000)..at(to_s * 1_000_000);
+        let within = self.runs.iter().filter(|(when, _)| span.contains(when));
+        within.map(|(_, cost)| *cost as f64).sum()
+    }
+}
+
+/// Drafts of the most urgent rank, checks of the next, batches and bookings of the last;
+/// batches can wait for seconds, bookings cannot.
+fn mix(times: f64) -> [Kind; 4] {
+    [
+        Kind {
+            rank: 0,
+            objective_ms: 500,
+            cost: 1_000,
+            per_s: 20.0 * times,
+        },
+        Kind {
+            rank: 1,
+            objective_ms: 500,
+            cost: 430,
+            per_s: 25.0 * times,
+        },
+        Kind {
+            rank: 2,
+            objective_ms: 5_000,
+            cost: 1_000,
+            per_s: 30.0 * times,
+        },
+        Kind {
+            rank: 2,
+            objective_ms: 100,
+            cost: 200,
+            per_s: 20.0 * times,
+        },
+    ]
+}
+
+#[test]
+fn batches_of_a_hot_tenant_wait_or_are_refused_and_no_urgent_request_is() {
+    // Drafts and checks ask for 0.8 of the quota, all together for 1.7 of it.
+    let kinds = mix(4.0);
+    let urgent = kinds[0].asked_per_s() + kinds[1].asked_per_s();
+    assert!(urgent < 0.8 * RATE_PER_S);
+    let [drafts, checks, batches, bookings] = play(&kinds, QUOTA, 12).outcomes[..] else {
+        unreachable!()
+    };
+    assert_eq!(drafts.refused, 0);
+    assert_eq!(checks.refused, 0);
+    assert!(batches.refused > 0);
+    // Bookings have no time to wait, and take a twelfth.
+    assert!(bookings.refused * 20 <= bookings.asked, "{bookings:?}");
+}
+
+#[test]
+fn urgent_requests_beyond_the_quota_leave_a_tenth_to_the_others() {
+    let mut kinds = mix(4.0);
+    kinds[0].per_s = 3.0 * RATE_PER_S / kinds[0].cost as f64;
+    let outcomes = play(&kinds, QUOTA, 16).outcomes;
+    let used = |index: usize| outcomes[index].granted as f64 * kinds[index].cost as f64;
+    let others: f64 = (1..4).map(used).sum();
+    let all = others + used(0);
+    assert!(others >= 0.08 * all, "{others} of {all}");
+    assert!(used(0) >= 0.8 * all, "{} of {all}", used(0));
+}
+
+#[test]
+fn requests_of_one_rank_wait_as_long_as_they_can() {
+    // A second's worth comes in a tenth of one, and nothing after it.
+    let kinds = [Kind {
+        rank: 3,
+        objective_ms: 5_000,
+        cost: 1_000,
+        per_s: 170.0,
+    }];
+    let outcome = play(&kinds, QUOTA, 4).outcomes[0];
+    assert_eq!(outcome.refused, 0);
+    assert!(outcome.most_asks <= 4, "{outcome:?}");
+}
+
+#[test]
+fn window_of_a_tenant_with_enough_demand_uses_four_fifths_of_its_quota() {
+    let told = QUOTA.rate_per_s * 8.0 + QUOTA.burst;
+    for times in [4.0, 8.0, 20.0] {
+        let used = play(&mix(times), QUOTA, 20).used(8, 16);
+        assert!(used >= 0.8 * told, "{used} of {told} at {times}");
+    }
+    let patient_only = [Kind {
+        rank: 2,
+        per_s: 300.0,
+        ..mix(1.0)[2]
+    }];
+    let used = play(&patient_only, QUOTA, 20).used(8, 16);
+    assert!(used >= 0.8 * told, "{used} of {told}");
+}
+
+#[test]
+fn ahead_limits_go_down_with_the_rank_and_with_the_time_that_others_have() {
+    let kinds = mix(1.0);
+    let limits = AheadLimits::new(kinds.iter().map(|kind| (kind.rank, kind.objective())));
+    let most = |kind: &Kind| limits.most_ahead(kind.rank, kind.objective());
+    let millis = Duration::from_millis;
+    assert_eq!(most(&kinds[0]), millis(500));
+    // Half of the 250 ms that drafts can wait.
+    assert_eq!(most(&kinds[1]), millis(125));
+    assert_eq!(most(&kinds[3]), Duration::from_micros(62_500));
+    // Half of the 50 ms that bookings of the same rank can wait.
+    assert_eq!(most(&kinds[2]), millis(25));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+    /// Whatever the others ask for, urgent requests that are within the quota by themselves
+    /// are granted: all of them, in the time that they have.
+    #[test]
+    fn urgent_request_within_the_quota_is_not_refused_for_patient_ones(
+        urgent_part in 0.05f64..0.8,
+        urgent_cost in 100u64..4_000,
+        urgent_objective_ms in 300u64..3_000,
+        others in prop::collection::vec((1u8..4, 20u64..10_000, 50u64..4_000, 0.1f64..4.0), 1..4),
+    ) {
+        let of_part = |part: f64, cost: u64| part * RATE_PER_S / cost as f64;
+        let mut kinds = vec![Kind {
+            rank: 0,
+            objective_ms: urgent_objective_ms,
+            cost: urgent_cost,
+            per_s: of_part(urgent_part, urgent_cost),
+        }];
+        kinds.extend(others.iter().map(|(rank, objective_ms, cost, part)| Kind {
+            rank: *rank,
+            objective_ms: *objective_ms,
+            cost: *cost,
+            per_s: of_part(*part, *cost),
+        }));
+        let play = play(&kinds, QUOTA, 6);
+        prop_assert_eq!(play.outcomes[0].refused, 0, "{:?}", play.outcomes);
+        for (kind, outcome) in kinds.iter().zip(&play.outcomes) {
+            prop_assert_eq!(outcome.granted + outcome.refused, outcome.asked);
+            let longest = patience(kind.objective(), Duration::ZERO);
+            prop_assert!(outcome.longest_wait <= longest, "{:?} of {:?}", outcome.longest_wait, longest);
+        }
+    }
+}
