A relay by the list leaves the relay that it follows once somebody comes to it

What callers saw: nothing measured yet; a follower that lost its link to a relay found both relays of its list refusing, for as long as a test looked (20 s, interests.rs). In a fleet of more than 512 replicas it then hears from nobody but its own watch of the store. Cause: a follower's link ends by silence, or as the node gets an orderer's lease, and not as the list makes it a relay; a node that was a relay while the list was short goes on serving as an orderer. Relays of the full list stay its followers, and may not relay. Ruled out: the relays' views (they refuse before they look at them). Change: a node that somebody comes to follow, and that is a relay by its own list, leaves its relay; it reads what it lacks and is followed from then on. Not as soon as the list says so: a relay of a large fleet reads all that holds, and lists change often at the start.

--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -77,6 +77,7 @@
         return;
     }
     tracing::info!(target: "peer", event = "no relay", ?uplink);
+    node.state.borrow_mut().tree.reset_link();
     for shard in Shard::all() {
         peer_link::set_linked(node, shard, false);
     }
@@ -121,6 +122,7 @@
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
     let mut link = PeerLink::connect(address, silence_limit(node)).await?;
+    node.state.borrow_mut().tree.reset_link();
     link.send(Bytes::from(follow_message(node).serialize_bin()))
         .await?;
     let mut followed = Followed {
@@ -132,7 +134,7 @@
     let linked_at = Instant::now();
     let mut useful_at = Instant::now();
     let mut next_expiry = Instant::now() + EXPIRE_EVERY;
-    while !node.gives_orders() {
+    while !node.gives_orders() && !node.state.borrow().tree.is_called_upon {
         let is_preparing = !followed.has_begun && linked_at.elapsed() < LONGEST_PREPARING;
         if is_useful(node) || is_preparing {
             useful_at = Instant::now();
@@ -163,7 +165,7 @@
                 let Some(message) = message else { return Ok(()) };
                 link.send(Bytes::from(message.serialize_bin())).await?;
             }
-            // This node may have become an orderer.
+            // This node may have become an orderer, or be called upon as a relay.
             () = node.relay_changed.notified() => {}
         }
     }
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -84,6 +84,9 @@
     reminded: HashMap<WireModel, Moment>,
     /// True while this node knows only replicas that it was told by its interests.
     is_narrow: bool,
+    /// True once somebody came to follow this node, a relay by its own list, while it had
+    /// the present link to another.
+    is_called_upon: bool,
     /// What its requests ask for.
     wants: Wants,
 }
@@ -99,6 +102,7 @@
             is_history_gone: false,
             reminded: HashMap::new(),
             is_narrow: false,
+            is_called_upon: false,
             wants: Wants::default(),
         }
     }
@@ -110,6 +114,11 @@
         self.is_narrow
     }
 
+    /// No relay has told anything over the present link yet.
+    fn reset_link(&mut self) {
+        self.is_called_upon = false;
+    }
+
     /// True if a reminder of this model should go to the orderers now.
     fn takes_reminder(&mut self, model: &WireModel, now: Moment) -> bool {
         self.reminded.retain(|_, at| now.since(*at) < REMINDER_SERVES);
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::relay_tree::TreePlace;
 use nanoserde::SerBin;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{sleep_until, Instant};
 
 use super::follower::{Follower, FollowerNews};
-use super::{is_direct, linked_message};
+use super::{is_direct, linked_message, place_of};
 use crate::crash_reports;
 use crate::link::PeerLink;
 use crate::node::Node;
@@ -32,6 +33,7 @@
     follow: WireFollow,
 ) -> io::Result<()> {
     if !is_direct(&node) {
+        called_upon(&node);
         return Ok(());
     }
     let mut news = node.followers.subscribe();
@@ -91,6 +93,20 @@
     Ok(())
 }
 
+/// Somebody takes this node for a relay while it follows one itself. If its own list says
+/// the same, it has to leave that one, and can be followed from then on; until somebody
+/// comes it need not, as a relay reads all that holds.
+fn called_upon<P: Platform>(node: &Node<P>) {
+    let mut state = node.state.borrow_mut();
+    if place_of(node, &state.members) != TreePlace::Relay {
+        return;
+    }
+    tracing::info!(target: "peer", event = "leaving a relay to be one");
+    state.tree.is_called_upon = true;
+    drop(state);
+    node.relay_changed.notify_waiters();
+}
+
 /// Tells a follower all that it needs, if this node can yet.
 async fn begin<P: Platform>(
     node: &Node<P>,
