Followers: no replicas are kept of which nobody tells

Cause: a relay tells a follower of the replicas that it counts as told; what the follower learns elsewhere stays in its table, and it hears of no change. Ways found: - a read of everything that ends while a relay tells by interests (traced); - its own watch of the store, while its relay is not believed but the link stands; - a view without replicas came before the replicas: a link that ended in between left the follower at a revision whose changes of replicas it never heard; - news that waited for a follower as it began: of a removal among them the relay took that the follower did not know the replica, while that passed them over; - a read that ends after a peer's whole view was taken: the content went back, the revision did not (also where all replicas are told); without a test of their own, found by reading: - a last message of an orderer's link after a relay is followed; - a relay whose log reaches back to nothing sent one that has no replicas the log's changes, which it passes over as old. Ruled out: Forgotten and Want crossing on a link (ordered); relays that read everything themselves (their followers see a gap, or are ahead, and begin anew); placements. Change: what a node learns of replicas by itself while it is told by interests ends the link, and the next one replaces what is known; no message is taken in between. Replicas are told before the view; news up to what a follower was last told whole change nothing; a read older than a view taken meanwhile is passed over, and one that fails is not tried again once a peer covers the node. Not mended: a node whose reads fail drops news of its relay as gaps until a read succeeds or the link begins anew.

--- a/crates/croftrill-node/src/directory/await_relay.rs
+++ b/crates/croftrill-node/src/directory/await_relay.rs
@@ -69,7 +69,7 @@
 
 /// True if no relay can be waited for: others depend on this node, or no relay can tell
 /// what it lacks.
-fn must_ask_store<P: Platform>(node: &Node<P>) -> bool {
+pub(super) fn must_ask_store<P: Platform>(node: &Node<P>) -> bool {
     is_depended_on(node) || tree::is_history_gone(node) || tree::lacks_replicas(node)
 }
 
--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -15,7 +15,7 @@
 
 use tokio::time::sleep;
 
-use self::await_relay::{await_relay, hears_view_from_relay};
+use self::await_relay::{await_relay, hears_view_from_relay, must_ask_store};
 use self::backoff::Backoff;
 use self::view::ViewChange;
 use crate::connection::Arrival;
@@ -72,7 +72,7 @@
     }
 }
 
-/// Reads all items of the store, until that succeeds.
+/// Reads all items of the store, until that succeeds or a peer has told them meanwhile.
 async fn read_everything<P: Platform>(node: &Node<P>, backoff: &mut Backoff, freshness: Freshness) {
     loop {
         // The pages of a read are of several moments: what is relayed in
@@ -80,6 +80,14 @@
         node.state.borrow_mut().directory.restart();
         let limit = backoff.read_limit();
         match node.store().range(EVERYTHING, freshness, limit).await {
+            Ok(snapshot) if snapshot.revision < node.state.borrow().directory.reached() => {
+                backoff.succeeded();
+                // A peer told its whole view meanwhile, which is newer: taken in now, what
+                // was read would count as complete up to there.
+                tracing::info!(target: "directory", event = "read is older than what a peer told",
+                    revision = snapshot.revision);
+                return;
+            }
             Ok(snapshot) => {
                 backoff.succeeded();
                 tracing::info!(target: "directory", event = "read everything", items = snapshot.items.len(),
@@ -91,6 +99,9 @@
             }
             Err(error) => backoff.pause(&error, "range", longest_pause(node)).await,
         }
+        if relay::covers(node) && !must_ask_store(node) {
+            return;
+        }
     }
 }
 
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -167,7 +167,11 @@
         Record::Configuration(configuration) => apply_configuration(node, configuration, item),
         Record::Replica(listing) => {
             log_listing(&listing, item.revision);
+            let is_unknown = node.state.borrow().replicas.get(&listing.id).is_none();
             node.state.borrow_mut().replicas.apply_listing(listing);
+            if is_unknown {
+                tree::learned_replicas(node);
+            }
         }
         Record::Malformed(reason) => {
             tracing::warn!(target: "directory", event = "item cannot be read", key = item.key, reason);
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -248,6 +248,10 @@
         tokio::select! {
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                if !tree::is_direct(node) {
+                    // A relay tells from now on, and does not count what is told here.
+                    return Ok(());
+                }
                 let frame = frame.freeze();
                 let message = decode::<FromOrderer>(&frame)?;
                 set_linked(node, shard, true);
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -135,6 +135,13 @@
     let mut useful_at = Instant::now();
     let mut next_expiry = Instant::now() + EXPIRE_EVERY;
     while !node.gives_orders() && !node.state.borrow().tree.is_called_upon {
+        if node.state.borrow().tree.exceeds_told {
+            // Begun anew, the relay tells all that this node must know, and the rest is
+            // forgotten. What it says until then counts on less than this node knows.
+            return Err(io::Error::other(
+                "the node knows replicas that the relay does not tell of",
+            ));
+        }
         let is_preparing = !followed.has_begun && linked_at.elapsed() < LONGEST_PREPARING;
         if is_useful(node) || is_preparing {
             useful_at = Instant::now();
@@ -148,6 +155,9 @@
         tokio::select! {
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                if node.state.borrow().tree.exceeds_told {
+                    continue;
+                }
                 let message = decode::<FromOrderer>(&frame)?;
                 let reply = node
                     .step_times
@@ -242,6 +252,7 @@
     if is_narrow && !state.tree.is_narrow {
         tracing::info!(target: "peer", event = "knows some replicas from now on");
     }
+    state.tree.told_scope = Some(scope);
     // All are known again once they have been told.
     state.tree.is_narrow |= is_narrow;
 }
--- a/crates/croftrill-node/src/tree/follower.rs
+++ b/crates/croftrill-node/src/tree/follower.rs
@@ -52,6 +52,9 @@
     /// Revision that its view reached as it came.
     reached: u64,
     knows_all: bool,
+    /// Revision of this node's view that it was last told whole. News up to it that waited
+    /// meanwhile are part of that: it passes them over.
+    told_up_to: u64,
 }
 
 impl Follower {
@@ -74,6 +77,7 @@
             interests,
             reached: follow.reached,
             knows_all: follow.knows_all,
+            told_up_to: 0,
         }
     }
 
@@ -103,15 +107,18 @@
 
     /// The changes after a revision, or all, and the replicas.
     pub(super) fn view_since<P: Platform>(&mut self, node: &Node<P>, after: u64) -> Vec<Bytes> {
-        let tells_all = self.scope == WireScope::All;
-        let mut messages = view_since(node, after, tells_all);
-        if tells_all {
+        self.told_up_to = node.state.borrow().directory.reached();
+        if self.scope == WireScope::All {
+            let mut messages = view_since(node, after, true);
             messages.extend(known_placements(node));
             return messages;
         }
         let ids = self.interests.begin_anew(&node.state.borrow().replicas);
         let answers: Vec<Interest> = self.interests.wanted().cloned().collect();
-        messages.extend(self.replicas_messages(node, &ids, &answers, true));
+        // The view takes the follower on without the changes of replicas: these come first,
+        // as the link may end in between.
+        let mut messages = self.replicas_messages(node, &ids, &answers, true);
+        messages.extend(view_since(node, after, false));
         messages
     }
 
@@ -157,7 +164,9 @@
     ) -> Vec<Bytes> {
         let mut newly_known: Vec<ReplicaId> = Vec::new();
         let mut changes: Vec<RevisedChange> = Vec::with_capacity(news.changes.len());
-        for revised in &news.changes {
+        let told_up_to = self.told_up_to;
+        let newer = news.changes.iter();
+        for revised in newer.filter(|revised| revised.revision > told_up_to) {
             match self.hears_change(node, &revised.change) {
                 MustHear::Nothing => {}
                 MustHear::News => changes.push(revised.clone()),
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -35,7 +35,7 @@
 use self::wants::Wants;
 use crate::node::Node;
 use crate::peer::{
-    DirectoryNews, FromOrderer, RevisedChange, WholePart, WireChange, WireModel, WirePlacement,
+    DirectoryNews, FromOrderer, RevisedChange, WholePart, WireChange, WireModel, WirePlacement, WireScope,
 };
 use crate::ports::{Platform, RecordReader};
 
@@ -84,6 +84,11 @@
     reminded: HashMap<WireModel, Moment>,
     /// True while this node knows only replicas that it was told by its interests.
     is_narrow: bool,
+    /// How much of the replicas the relay tells over the present link, once it said so.
+    told_scope: Option<WireScope>,
+    /// True once this node learned of replicas, elsewhere than over the present link, that
+    /// its relay does not count as told: it would hear of no change of theirs.
+    exceeds_told: bool,
     /// True once somebody came to follow this node, a relay by its own list, while it had
     /// the present link to another.
     is_called_upon: bool,
@@ -102,6 +107,8 @@
             is_history_gone: false,
             reminded: HashMap::new(),
             is_narrow: false,
+            told_scope: None,
+            exceeds_told: false,
             is_called_upon: false,
             wants: Wants::default(),
         }
@@ -116,9 +123,16 @@
 
     /// No relay has told anything over the present link yet.
     fn reset_link(&mut self) {
+        self.told_scope = None;
+        self.exceeds_told = false;
         self.is_called_upon = false;
     }
 
+    /// True while this node hears of replicas only what a relay tells it by its interests.
+    fn is_told_by_interests(&self) -> bool {
+        self.told_scope == Some(WireScope::ByInterest)
+    }
+
     /// True if a reminder of this model should go to the orderers now.
     fn takes_reminder(&mut self, model: &WireModel, now: Moment) -> bool {
         self.reminded.retain(|_, at| now.since(*at) < REMINDER_SERVES);
@@ -198,6 +212,20 @@
     let mut state = node.state.borrow_mut();
     state.tree.is_narrow = false;
     state.replicas.forget_told_reloads();
+    knows_untold_replicas(node, &mut state.tree);
+}
+
+/// This node learned by itself of replicas that it did not know: if it follows a relay that
+/// tells by interests, the link to it must begin anew.
+pub(crate) fn learned_replicas<P: Platform>(node: &Node<P>) {
+    knows_untold_replicas(node, &mut node.state.borrow_mut().tree);
+}
+
+fn knows_untold_replicas<P: Platform>(node: &Node<P>, tree: &mut TreeState) {
+    if tree.is_told_by_interests() && !tree.exceeds_told {
+        tree.exceeds_told = true;
+        node.relay_changed.notify_waiters();
+    }
 }
 
 /// News for this node's followers.
@@ -255,7 +283,9 @@
 /// The answer to a listener that misses the changes after a revision: these changes, or
 /// everything. `with_replicas`: false for one that is told of replicas by itself.
 pub(crate) fn view_since<P: Platform>(node: &Node<P>, after: u64, with_replicas: bool) -> Vec<Bytes> {
-    if let Some(mut news) = logged_since(node, after) {
+    // One without a view takes no changes as new, however far back the log reaches.
+    let logged = (after > 0).then(|| logged_since(node, after)).flatten();
+    if let Some(mut news) = logged {
         if !with_replicas {
             let records = node.platform.records();
             news.changes.retain(|revised| match &revised.change {
