--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -77,6 +77,7 @@
         return;
     }
     tracing::info!(target: "peer", event = "no relay", ?uplink);
+    node.state.borrow_mut().tree.reset_link();
     for shard in Shard::all() {
         peer_link::set_linked(node, shard, false);
     }
@@ -121,6 +122,7 @@
     outgoing: &mut mpsc::Receiver<ToOrderer>,
 ) -> io::Result<()> {
     let mut link = PeerLink::connect(address, silence_limit(node)).await?;
+    node.state.borrow_mut().tree.reset_link();
     link.send(Bytes::from(follow_message(node).serialize_bin()))
         .await?;
     let mut followed = Followed {
@@ -132,7 +134,14 @@
     let linked_at = Instant::now();
     let mut useful_at = Instant::now();
     let mut next_expiry = Instant::now() + EXPIRE_EVERY;
-    while !node.gives_orders() {
+    while !node.gives_orders() && !node.state.borrow().tree.is_called_upon {
+        if node.state.borrow().tree.exceeds_told {
+            // Begun anew, the relay tells all that this node must know, and the rest is
+            // forgotten. What it says until then counts on less than this node knows.
+            return Err(io::Error::other(
+                "the node knows replicas that the relay does not tell of",
+            ));
+        }
         let is_preparing = !followed.has_begun && linked_at.elapsed() < LONGEST_PREPARING;
         if is_useful(node) || is_preparing {
             useful_at = Instant::now();
@@ -146,6 +155,9 @@
         tokio::select! {
             frame = link.hear() => {
                 let Some(frame) = frame? else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                if node.state.borrow().tree.exceeds_told {
+                    continue;
+                }
                 let message = decode::<FromOrderer>(&frame)?;
                 let reply = node
                     .step_times
@@ -163,7 +175,7 @@
                 let Some(message) = message else { return Ok(()) };
                 link.send(Bytes::from(message.serialize_bin())).await?;
             }
-            // This node may have become an orderer.
+            // This node may have become an orderer, or be called upon as a relay.
             () = node.relay_changed.notified() => {}
         }
     }
@@ -240,6 +252,7 @@
     if is_narrow && !state.tree.is_narrow {
         tracing::info!(target: "peer", event = "knows some replicas from now on");
     }
+    state.tree.told_scope = Some(scope);
     // All are known again once they have been told.
     state.tree.is_narrow |= is_narrow;
 }
