--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -123,14 +123,15 @@
         return Ok(None);
     };
     let clock = &node.clock;
-    let wait = turn_wait(facts, configuration, route, clock.now());
+    let asked_at = clock.now();
+    let wait = turn_wait(facts, configuration, route, asked_at);
     let mut ask = QuotaAsk {
         tenant: &tenant.name,
         quota,
         version: configuration.version,
         want: Want {
             cost: quota.unit.cost(facts.metered_tokens),
-            patience: wait.ahead(clock.now()),
+            patience: wait.ahead(asked_at),
             is_urgent: configuration.tenants.is_most_urgent(route.priority),
         },
     };
@@ -151,7 +152,8 @@
         QuotaVerdict::Beyond { again_after, balance } => {
             Metrics::count(&node.metrics.denied, "quota", "beyond");
             tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "beyond the quota",
-                tenant = &*tenant.name, cost = ask.want.cost, balance = balance as i64,
+                tenant = &*tenant.name, cost = ask.want.cost, balance = balance as i64, is_urgent = ask.want.is_urgent,
+                ahead_ms = ask.want.patience.as_millis() as u64, waited_ms = clock.now().since(asked_at).as_millis() as u64,
                 rate_per_s = quota.rate_per_s as u64, burst = quota.burst as u64,
                 again_after_ms = again_after.as_millis() as u64, version = configuration.version);
             let cause = "beyond the tenant's quota";
--- a/crates/croftrill-scheduler/tests/quota.rs
+++ b/crates/croftrill-scheduler/tests/quota.rs
@@ -249,6 +249,50 @@
     assert_eq!(keeper.share(), 1.0);
 }
 
+/// A tenant asked for six times its quota for seconds, and asks for a fifth of it since:
+/// what it asked for then is not waited for any more.
+#[test]
+fn time_told_after_a_surge_is_that_of_the_balance() {
+    let mut keeper = full(84);
+    for millis in 5_000..11_000 {
+        if millis % 52 == 0 {
+            keeper.ask("t", want(COST, Duration::ZERO), at(millis));
+        }
+    }
+    let mut told = Duration::ZERO;
+    for millis in (14_000..18_000).step_by(20) {
+        let ruling = keeper.ask("t", want(120, Duration::ZERO), at(millis));
+        assert!(matches!(ruling, Ruling::Granted { .. }), "at {millis} ms");
+    }
+    while let Ruling::Granted { .. } = keeper.ask("t", want(COST, Duration::ZERO), at(18_000)) {}
+    if let Ruling::Refused { again_after, .. } = keeper.ask("t", want(COST, Duration::ZERO), at(18_000)) {
+        told = again_after;
+    }
+    // Two such requests at 0.9 of the income, of 32,900 units a second.
+    assert!(told < Duration::from_millis(700), "{told:?}");
+}
+
+/// Many requests were granted, wait for their model, and did not run after all: what they
+/// paid does not come in on top of what came in meanwhile.
+#[test]
+fn credits_that_go_back_together_are_not_more_than_can_be_saved() {
+    let mut keeper = full(84);
+    let mut granted_cost = 0;
+    for millis in 5_000..10_000 {
+        if granted(&mut keeper, COST, at(millis)) {
+            granted_cost += COST;
+        }
+    }
+    for _ in 0..granted_cost / COST {
+        keeper.give_back("t", COST, at(14_000));
+    }
+    let mut spent = 0;
+    while granted(&mut keeper, COST, at(14_000)) {
+        spent += COST;
+    }
+    assert!(spent as f64 <= QUOTA.burst / 2.0 + CONFIG.debt(), "{spent}");
+}
+
 #[test]
 fn credit_that_did_not_run_goes_back() {
     let mut keeper = full(10);
@@ -429,13 +473,13 @@
         }
     }
 
-    fn ask_all(&mut self, cost: u64, patience: Duration, now: u64) {
+    fn ask_all(&mut self, want: Want, now: u64) {
         for node in 0..NODES {
             let keeper = &mut self.keepers[self.choice[node]];
-            if let Ruling::Granted { after } = keeper.ask("t", want(cost, patience), at(now)) {
+            if let Ruling::Granted { after } = keeper.ask("t", want, at(now)) {
                 let runs_at = now + after.as_millis() as u64;
-                self.grants.push((runs_at, cost));
-                self.ahead.push((node, cost, runs_at));
+                self.grants.push((runs_at, want.cost));
+                self.ahead.push((node, want.cost, runs_at));
             }
         }
     }
@@ -464,6 +508,7 @@
         mut faults in prop::collection::vec(fault(), 0..8),
         cost in prop_oneof![Just(200u64), Just(2_000), Just(COST)],
         patience_ms in prop_oneof![Just(0u64), Just(120), Just(1_200)],
+        urgent_cost in prop::option::of(100u64..4_000),
     ) {
         let patience = Duration::from_millis(patience_ms);
         faults.sort_by_key(|(when, _)| *when);
@@ -474,7 +519,11 @@
                 fleet.strike(fault, now);
             }
             fleet.count(now);
-            fleet.ask_all(cost, patience, now);
+            fleet.ask_all(want(cost, patience), now);
+            if let Some(cost) = urgent_cost {
+                let urgent = Want { is_urgent: true, ..want(cost, Duration::from_millis(240)) };
+                fleet.ask_all(urgent, now);
+            }
         }
         let window = WINDOW.as_millis() as u64;
         for from in (0..16_000).step_by(500) {
