Requests that wait for their turn in a quota: bounded at a node, shared among tenants

Load pattern: tenants at several times their usual, whose patient requests ask again. Cause: how many waited at one node was bounded by its connections alone, and one tenant's could take all of them. Change: 512 places a node, of which a tenant takes no more than it leaves free; who finds none is refused at once with the time that the keeper told. Gauge quota_waiting. Tests: places_to_wait_of_a_hot_tenant_leave_others_theirs, a property (bounded, none lost).

--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -60,6 +60,8 @@
     pub is_orderer: Gauge,
     /// Requests being served.
     pub in_flight: Gauge,
+    /// Requests that wait for their turn in a tenant's quota.
+    pub quota_waiting: Gauge,
     /// Messages to the orderer that were left out.
     pub messages_left_out: Counter,
     /// Log lines that were left out.
@@ -174,6 +176,12 @@
         );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests being served", in_flight.clone());
+        let quota_waiting = Gauge::default();
+        registry.register(
+            "quota_waiting",
+            "Requests that wait to ask for their turn in a tenant's quota again",
+            quota_waiting.clone(),
+        );
         let messages_left_out = Counter::default();
         registry.register(
             "messages_left_out",
@@ -207,6 +215,7 @@
             replicas,
             is_orderer,
             in_flight,
+            quota_waiting,
             messages_left_out,
             log_lines_left_out,
         }
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -22,9 +22,11 @@
 use croftrill_scheduler::quota::keeper::{KeeperConfig, Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::quota::limits::{LoneTurns, Standing};
+use croftrill_scheduler::quota::waiting::WaitingRequests;
 use croftrill_scheduler::tenants::Quota;
 use croftrill_scheduler::time::Moment;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::{mpsc, oneshot, Notify};
 
 pub use self::limit::{LimitAsk, LimitVerdict};
@@ -174,6 +176,7 @@
     parts: Vec<Part>,
     /// This node's turns where it reaches no keeper of limits.
     lone_turns: RefCell<LoneTurns>,
+    waiting: RefCell<WaitingRequests>,
     clock: Clock,
     keepers_lost: Counter,
 }
@@ -196,6 +199,7 @@
         Rc::new(Quotas {
             parts: QuotaPart::all().map(part).collect(),
             lone_turns: RefCell::default(),
+            waiting: RefCell::default(),
             clock,
             keepers_lost,
         })
@@ -211,6 +215,20 @@
         }
     }
 
+    /// A place for a request of a tenant that waits to ask again; `None`: too many wait.
+    /// `shown` counts those that wait.
+    pub fn wait_place(self: &Rc<Self>, tenant: &Arc<str>, shown: &Gauge) -> Option<WaitPlace> {
+        if !self.waiting.borrow_mut().enter(tenant) {
+            return None;
+        }
+        shown.inc();
+        Some(WaitPlace {
+            quotas: self.clone(),
+            tenant: tenant.clone(),
+            shown: shown.clone(),
+        })
+    }
+
     /// The ruling of whichever keeper answers by `give_up`.
     async fn ask_keeper(&self, part: QuotaPart, question: &impl Question, give_up: Moment) -> Option<Ruling> {
         for _ in 0..MOST_ASKED {
@@ -417,6 +435,20 @@
     }
 }
 
+/// A place of a request that waits to ask again.
+pub struct WaitPlace {
+    quotas: Rc<Quotas>,
+    tenant: Arc<str>,
+    shown: Gauge,
+}
+
+impl Drop for WaitPlace {
+    fn drop(&mut self) {
+        self.quotas.waiting.borrow_mut().leave(&self.tenant);
+        self.shown.dec();
+    }
+}
+
 /// What a tenant paid for one request, or one request's place at a replica that named a
 /// limit. It goes back unless the request ran, or may have.
 pub struct Credit {
--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -136,14 +136,20 @@
         },
     };
     let mut verdict = node.quotas.ask(ask, until).await;
+    let mut place = None;
     while let QuotaVerdict::Beyond { again_after, .. } = verdict {
         let Some(pause) = wait.pause(again_after, clock.now()) else {
             break;
         };
+        place = place.or_else(|| node.quotas.wait_place(&tenant.name, &node.metrics.quota_waiting));
+        if place.is_none() {
+            break;
+        }
         clock.sleep_until(until.min(clock.now() + pause)).await;
         ask.want.patience = wait.ahead(clock.now());
         verdict = node.quotas.ask(ask, until).await;
     }
+    drop(place);
     match verdict {
         QuotaVerdict::Granted(credit, after) => {
             clock.sleep_until(until.min(clock.now() + after)).await;
--- a/crates/croftrill-scheduler/src/quota/mod.rs
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -14,3 +14,4 @@
 pub mod limits;
 mod ruling;
 pub mod turn;
+pub mod waiting;
--- a/crates/croftrill-scheduler/tests/quota_ranks.rs
+++ b/crates/croftrill-scheduler/tests/quota_ranks.rs
@@ -6,6 +6,7 @@
 
 use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
 use croftrill_scheduler::quota::turn::{patience, AheadLimits, TurnWait};
+use croftrill_scheduler::quota::waiting::WaitingRequests;
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -242,6 +243,51 @@
     assert_eq!(most(&kinds[2]), millis(25));
 }
 
+/// A hot tenant's requests wait as long as they can; another's find a place all the same.
+#[test]
+fn places_to_wait_of_a_hot_tenant_leave_others_theirs() {
+    let mut waiting = WaitingRequests::default();
+    let tenants: Vec<Arc<str>> = (0..16).map(|index| format!("t{index}").into()).collect();
+    let mut taken = Vec::new();
+    for tenant in &tenants[..3] {
+        let mut own = 0;
+        while waiting.enter(tenant) {
+            own += 1;
+        }
+        taken.push(own);
+    }
+    assert!(taken[0] >= 200, "{taken:?}");
+    for tenant in &tenants[3..] {
+        assert!(waiting.enter(tenant));
+    }
+    assert!(waiting.count() <= 512);
+    for _ in 0..taken[0] {
+        waiting.leave(&tenants[0]);
+    }
+    assert!(waiting.enter(&tenants[1]));
+}
+
+proptest! {
+    #[test]
+    fn places_to_wait_are_bounded_and_none_is_lost(
+        steps in prop::collection::vec((0usize..4, prop::bool::weighted(0.7)), 0..3_000),
+    ) {
+        let mut waiting = WaitingRequests::default();
+        let tenants: Vec<Arc<str>> = (0..4).map(|index| format!("t{index}").into()).collect();
+        let mut held = [0usize; 4];
+        for (tenant, enters) in steps {
+            if enters {
+                held[tenant] += usize::from(waiting.enter(&tenants[tenant]));
+            } else if held[tenant] > 0 {
+                waiting.leave(&tenants[tenant]);
+                held[tenant] -= 1;
+            }
+            prop_assert_eq!(waiting.count(), held.iter().sum::<usize>());
+            prop_assert!(waiting.count() <= 512);
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
     /// Whatever the others ask for, urgent requests that are within the quota by themselves
