Quotas: a less urgent request leaves room for a refused one that may ask again

Load pattern: a small tenant beyond its quota, of whose second one request is a third. Cause: limits of tens of milliseconds ahead are less than one request there, so who asked first when the balance sufficed went first, whatever its rank. Change: the keeper leaves room for the costliest refused request that goes further ahead, until it was told to come back. Nothing on the wire.

--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -14,6 +14,8 @@
 /// Time constant after which units that were refused are no more expected to be asked for
 /// once more: callers come back once or not at all.
 const REFUSED_MEMORY_S: f64 = 2.0;
+/// Time after which a request that was told to come back is not expected any more.
+const RETURN_MARGIN: Duration = Duration::from_millis(100);
 /// Requests over which means are taken.
 const MEAN_OVER: f64 = 64.0;
 /// Part of the time that urgent requests can wait for which others are granted ahead at
@@ -74,6 +76,8 @@
     refused: f64,
     /// Mean cost of the requests.
     mean_cost: f64,
+    /// Refused requests that may ask again, the last of each reach.
+    returning: Returning,
     /// Mean time for which urgent requests can wait, in seconds; `None`: none asked yet.
     urgent_patience_s: Option<f64>,
 }
@@ -89,6 +93,7 @@
             since_others: None,
             refused: 0.0,
             mean_cost: 0.0,
+            returning: Returning::default(),
             urgent_patience_s: None,
         }
     }
@@ -103,6 +108,7 @@
         self.balance = self.balance.min(0.0);
         self.kept = 0.0;
         self.refused = 0.0;
+        self.returning = Returning::default();
     }
 
     /// Debts are forgotten, too.
@@ -133,6 +139,7 @@
     pub(super) fn gain(&mut self, elapsed: Duration, bounds: &AccountBounds) {
         let income = bounds.income_per_s * elapsed.as_secs_f64();
         self.since_others = self.since_others.map(|since| since + elapsed);
+        self.returning.pass(elapsed);
         let most_kept = self.most_kept(bounds);
         let unwanted = (self.kept - most_kept).max(0.0);
         let keeps = (income * KEPT_PART).min((most_kept - self.kept).max(0.0));
@@ -155,28 +162,41 @@
             let patience_s = want.patience.min(MOST_AHEAD).as_secs_f64();
             let mean_s = self.urgent_patience_s.get_or_insert(patience_s);
             *mean_s += (patience_s - *mean_s) / MEAN_OVER;
-        } else {
+        }
+        let ahead = want.patience.min(self.most_ahead(want.is_urgent, bounds));
+        let left_to_others = self.returning.most_before(ahead);
+        if !want.is_urgent {
             self.since_others = Some(Duration::ZERO);
-            if self.pay_with_kept(cost, bounds) {
+            if self.pay_with_kept(cost, left_to_others, bounds) {
                 return Ruling::Granted {
                     after: Duration::ZERO,
                 };
             }
         }
+        let left_to_others = self
+            .returning
+            .most_before(ahead)
+            .min(self.most_left(cost, bounds));
         let missing = cost - bounds.debt - self.balance;
         let after = bounds.time_to_gain(missing);
-        if after <= want.patience.min(self.most_ahead(want.is_urgent, bounds)) {
+        if bounds.time_to_gain(missing + left_to_others) <= ahead {
             self.balance -= cost;
             return Ruling::Granted { after };
         }
         let again_after = bounds.time_to_gain(missing + self.refused);
         self.refused += cost;
+        self.returning.note(ahead, cost, again_after);
         Ruling::Refused {
             again_after,
             balance: self.balance(),
         }
     }
 
+    /// Units that a request can leave and still be granted when all is saved.
+    fn most_left(&self, cost: f64, bounds: &AccountBounds) -> f64 {
+        (bounds.most_saved - self.kept + bounds.debt - cost).max(0.0)
+    }
+
     /// Longest time for which such a request is granted ahead.
     fn most_ahead(&self, is_urgent: bool, bounds: &AccountBounds) -> Duration {
         let most = MOST_AHEAD.min(bounds.window / 2);
@@ -186,10 +206,11 @@
         }
     }
 
-    /// Pays now, with what is kept as far as the balance falls short; false if both do not
-    /// suffice.
-    fn pay_with_kept(&mut self, cost: f64, bounds: &AccountBounds) -> bool {
-        let from_balance = (self.balance + bounds.debt).clamp(0.0, cost);
+    /// Pays now, with what is kept as far as the balance falls short that is not left to
+    /// others; false if both do not suffice.
+    fn pay_with_kept(&mut self, cost: f64, left_to_others: f64, bounds: &AccountBounds) -> bool {
+        let free = self.balance + bounds.debt - left_to_others;
+        let from_balance = free.clamp(0.0, cost);
         let from_kept = cost - from_balance;
         if from_kept > self.kept {
             return false;
@@ -210,3 +231,40 @@
         self.save(cost as f64, bounds);
     }
 }
+
+/// Steps of [`Returning`]: limits of ranks halve, so these are more ranks than differ.
+const REACH_STEPS: usize = 10;
+
+/// Requests that were refused and may ask again, by how far ahead they may be granted: what
+/// goes further comes before. Of each step the costliest counts, until it was told to come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Returning {
+    steps: [Option<(f64, Duration)>; REACH_STEPS],
+}
+
+impl Returning {
+    /// Step of requests that are granted so far ahead: each is twice the one before.
+    fn step(ahead: Duration) -> usize {
+        let millis = ahead.as_millis() as u64;
+        (u64::BITS - millis.leading_zeros()).min(REACH_STEPS as u32 - 1) as usize
+    }
+
+    fn note(&mut self, ahead: Duration, cost: f64, again_after: Duration) {
+        let step = &mut self.steps[Self::step(ahead)];
+        let known = step.map_or(0.0, |(cost, _)| cost);
+        *step = Some((cost.max(known), again_after + RETURN_MARGIN));
+    }
+
+    /// Time passed.
+    fn pass(&mut self, elapsed: Duration) {
+        for step in &mut self.steps {
+            *step = step.and_then(|(cost, left)| Some((cost, left.checked_sub(elapsed)?)));
+        }
+    }
+
+    /// Cost of the costliest that comes before a request that is granted so far ahead.
+    fn most_before(&self, ahead: Duration) -> f64 {
+        let before = &self.steps[Self::step(ahead) + 1..];
+        before.iter().flatten().map(|(cost, _)| *cost).fold(0.0, f64::max)
+    }
+}
--- a/crates/croftrill-scheduler/tests/quota_ranks.rs
+++ b/crates/croftrill-scheduler/tests/quota_ranks.rs
@@ -72,9 +72,13 @@
 }
 
 fn play(kinds: &[Kind], quota: Quota, seconds: u64) -> Play {
+    play_with(CONFIG, kinds, quota, seconds)
+}
+
+fn play_with(config: KeeperConfig, kinds: &[Kind], quota: Quota, seconds: u64) -> Play {
     let limits = AheadLimits::new(kinds.iter().map(|kind| (kind.rank, kind.objective())));
     let most_urgent = kinds.iter().map(|kind| kind.rank).min();
-    let mut keeper = QuotaKeeper::new(CONFIG, at(0));
+    let mut keeper = QuotaKeeper::new(config, at(0));
     let name: Arc<str> = "t".into();
     keeper.learn(&name, quota, 1, at(0));
     keeper.count_listed(60, at(0));
@@ -199,9 +203,66 @@
     assert!(used(0) >= 0.8 * all, "{} of {all}", used(0));
 }
 
+/// A small tenant, for which one review is a third of a second of its quota: those of a rank
+/// before the other's are refused no more often.
+#[test]
+fn large_requests_of_a_small_tenant_go_by_rank() {
+    let quota = Quota {
+        rate_per_s: 29_000.0,
+        burst: 29_000.0,
+        ..QUOTA
+    };
+    for (times, slack) in [
+        (1.3, 110_000.0),
+        (2.0, 110_000.0),
+        (4.0, 110_000.0),
+        (1.3, 7_500.0),
+        (2.0, 7_500.0),
+        (4.0, 7_500.0),
+    ] {
+        let config = KeeperConfig { slack, ..CONFIG };
+        let per_s = |part: f64, cost: u64| part * times * quota.rate_per_s / cost as f64;
+        let kinds = [
+            Kind {
+                rank: 0,
+                objective_ms: 500,
+                cost: 1_050,
+                per_s: per_s(0.15, 1_050),
+            },
+            Kind {
+                rank: 1,
+                objective_ms: 3_000,
+                cost: 9_190,
+                per_s: per_s(0.35, 9_190),
+            },
+            Kind {
+                rank: 2,
+                objective_ms: 800,
+                cost: 9_180,
+                per_s: per_s(0.48, 9_180),
+            },
+            Kind {
+                rank: 2,
+                objective_ms: 150,
+                cost: 200,
+                per_s: per_s(0.02, 200),
+            },
+        ];
+        let outcomes = play_with(config, &kinds, quota, 40).outcomes;
+        let refused = |index: usize| outcomes[index].refused as f64 / outcomes[index].asked as f64;
+        let shares = [refused(0), refused(1), refused(2)];
+        assert!(
+            shares[0] <= shares[1] && shares[1] <= shares[2],
+            "{times} {slack} {shares:?}"
+        );
+        // Up to twice the usual, the first two ranks ask for no more than the quota.
+        assert!(times > 2.0 || shares[1] <= 0.1, "{times} {slack} {shares:?}");
+    }
+}
+
 #[test]
 fn requests_of_one_rank_wait_as_long_as_they_can() {
-    // A second's worth comes in a tenth of one, and nothing after it.
+    // Hardly less than the income, and nothing saved at the beginning.
     let kinds = [Kind {
         rank: 3,
         objective_ms: 5_000,
@@ -320,4 +381,29 @@
             prop_assert!(outcome.longest_wait <= longest, "{:?} of {:?}", outcome.longest_wait, longest);
         }
     }
+
+    /// The same for each rank: what it and those before it ask for is within the quota, so
+    /// hardly any of it is refused, however much others ask for.
+    #[test]
+    fn rank_within_the_quota_is_hardly_refused_for_those_behind_it(
+        parts in (0.05f64..0.4, 0.05f64..0.35),
+        costs in (100u64..4_000, 100u64..4_000, 100u64..4_000),
+        objectives_ms in (300u64..3_000, 300u64..3_000, 100u64..6_000),
+        last_part in 0.3f64..5.0,
+    ) {
+        let kind = |rank, part: f64, cost: u64, objective_ms| Kind {
+            rank,
+            objective_ms,
+            cost,
+            per_s: part * RATE_PER_S / cost as f64,
+        };
+        let kinds = [
+            kind(0, parts.0, costs.0, objectives_ms.0),
+            kind(1, parts.1, costs.1, objectives_ms.1),
+            kind(2, last_part, costs.2, objectives_ms.2),
+        ];
+        let outcomes = play(&kinds, QUOTA, 6).outcomes;
+        prop_assert_eq!(outcomes[0].refused, 0, "{:?}", outcomes);
+        prop_assert!(outcomes[1].refused * 20 <= outcomes[1].asked, "{:?}", outcomes);
+    }
 }
