Order of requests that wait at a node for a place

By rank, then the tenant that was let in least, then the objective that ends first; bounded in number and bytes, the last in this order is put out. Properties: bounds hold, and of each model just one request is next.

--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod shard;
 pub mod tenants;
 pub mod time;
+pub mod waiting_requests;
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/waiting_requests.rs
@@ -0,0 +1,120 @@
+//! The order of requests that wait at a node for a place at a full holder.
+
+use std::time::Duration;
+
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::waiting_requests::{WaitingBounds, WaitingId, WaitingRequest, WaitingRequests};
+use proptest::prelude::*;
+
+const BOUNDS: WaitingBounds = WaitingBounds {
+    requests: 8,
+    size_bytes: 10_000,
+};
+
+fn request(model: &str, rank: u8, tenant: &str, due_ms: u64) -> WaitingRequest {
+    WaitingRequest {
+        model: ModelKey {
+            service: "llm".into(),
+            model: model.into(),
+            adapter: None,
+        },
+        rank,
+        tenant: Some(tenant.into()),
+        due: Moment::from_start(Duration::from_millis(due_ms)),
+        size_bytes: 100,
+    }
+}
+
+/// The one that goes next to a holder of the model.
+fn next(waiting: &WaitingRequests, ids: &[WaitingId]) -> Vec<WaitingId> {
+    ids.iter().copied().filter(|id| waiting.is_next(*id)).collect()
+}
+
+/// Batches wait when an interactive request comes.
+#[test]
+fn urgent_request_goes_before_all_that_wait_longer() {
+    let mut waiting = WaitingRequests::new(BOUNDS);
+    let patient = waiting.enter(request("m", 2, "a", 100));
+    let urgent = waiting.enter(request("m", 0, "a", 900));
+    assert_eq!(next(&waiting, &[patient, urgent]), [urgent]);
+    waiting.let_in(urgent);
+    assert_eq!(next(&waiting, &[patient, urgent]), [patient]);
+}
+
+#[test]
+fn requests_for_other_models_do_not_wait_for_each_other() {
+    let mut waiting = WaitingRequests::new(BOUNDS);
+    let one = waiting.enter(request("m", 2, "a", 100));
+    let other = waiting.enter(request("n", 0, "a", 100));
+    assert_eq!(next(&waiting, &[one, other]), [one, other]);
+}
+
+/// One tenant sends several times its usual: another one's single request goes second at
+/// the latest, though all of the first one's are due before it.
+#[test]
+fn busy_tenant_does_not_hold_up_another() {
+    let mut waiting = WaitingRequests::new(BOUNDS);
+    let busy: Vec<WaitingId> = (0..5)
+        .map(|n| waiting.enter(request("m", 1, "busy", n)))
+        .collect();
+    let calm = waiting.enter(request("m", 1, "calm", 800));
+    assert_eq!(next(&waiting, &busy), [busy[0]]);
+    waiting.let_in(busy[0]);
+    assert!(waiting.is_next(calm));
+}
+
+#[test]
+fn within_a_tenant_the_earliest_due_goes_first() {
+    let mut waiting = WaitingRequests::new(BOUNDS);
+    let later = waiting.enter(request("m", 1, "a", 800));
+    let sooner = waiting.enter(request("m", 1, "a", 300));
+    assert_eq!(next(&waiting, &[later, sooner]), [sooner]);
+}
+
+/// A crowd of patient requests fills the node: an urgent one still finds room.
+#[test]
+fn beyond_the_bound_the_least_urgent_is_put_out() {
+    let mut waiting = WaitingRequests::new(BOUNDS);
+    let patient: Vec<WaitingId> = (0..8).map(|n| waiting.enter(request("m", 2, "a", n))).collect();
+    let urgent = waiting.enter(request("m", 0, "a", 50));
+    assert!(waiting.is_next(urgent));
+    assert!(!waiting.is_waiting(patient[7]));
+    assert_eq!(
+        waiting.count_by_rank().into_iter().collect::<Vec<_>>(),
+        [(0, 1), (2, 7)]
+    );
+}
+
+proptest! {
+    /// Whatever comes and goes: bounded, and for each model just one request is next.
+    #[test]
+    fn bounds_hold_and_one_is_next(
+        steps in prop::collection::vec((0..3u8, 0..3usize, 0..4u8, 0..3usize, 0..1000u64, 0..3000usize), 1..60),
+    ) {
+        let mut waiting = WaitingRequests::new(BOUNDS);
+        let mut ids = Vec::new();
+        for (step, model, rank, tenant, due, size_bytes) in steps {
+            match step {
+                0 | 1 => {
+                    let model = ["m", "n", "o"][model];
+                    let tenant = ["a", "b", "c"][tenant];
+                    let entered = WaitingRequest { size_bytes, ..request(model, rank, tenant, due) };
+                    ids.push((waiting.enter(entered), model));
+                }
+                _ => {
+                    if let Some((id, _)) = ids.get(due as usize % ids.len().max(1)) {
+                        waiting.let_in(*id);
+                    }
+                }
+            }
+            prop_assert!(waiting.len() <= BOUNDS.requests);
+            for model in ["m", "n", "o"] {
+                let of_model = ids.iter().filter(|(id, of)| *of == model && waiting.is_waiting(*id));
+                let count = of_model.clone().count();
+                let next = of_model.filter(|(id, _)| waiting.is_next(*id)).count();
+                prop_assert_eq!(next, count.min(1));
+            }
+        }
+    }
+}
