Routing by capacity, first form: what a request can expect at each holder

Cause: holders count as equal and a full replica takes as many requests as an empty one, as neither its places nor its work time enter a choice.

Where a replica of the service tells its work time, or after ReplicaTable::go_by_capacity, the choice goes by an Outlook: expected first event and end by the told work time, unread tokens, the hinted output and a queue where places are taken, and the part of the places. A full replica, or one whose memory would be overfilled, is the last choice. routing::room tells the same of all candidates, for admission. Elsewhere choose decides as before.

An account that another node passed on is older than own requests which began since; they are no longer taken to be counted in it.

Not measured yet.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -5,8 +5,10 @@
 use croftrill_scheduler::admission::{caller_patience, decide_cold, ColdDecision, ColdRequest};
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::interest::Interest;
+use croftrill_scheduler::outlook::TIME_PER_PROMPT_TOKEN;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::work::RequestWork;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,8 +18,6 @@
 use crate::ports::{Platform, RequestFacts};
 use crate::tree;
 
-/// Expected time to read one token of a prompt.
-const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
 /// Expected time until an adapter is there once it was asked for.
 const ADAPTER_READY_IN: Duration = Duration::from_millis(120);
 /// Expected time until an orderer's word on a replica that was just listed: it comes over
@@ -139,16 +139,36 @@
         let state = self.node.state.borrow();
         let held_back = self.held_back.iter().map(|held| held.replica.clone());
         let tried: Vec<ReplicaId> = tried.iter().cloned().chain(held_back).collect();
-        let request = RoutingRequest {
+        let request = self.routing_request(&tried);
+        self.node
+            .step_times
+            .time("choice", || choose(&state.replicas, &request, now))
+    }
+
+    /// The request as routing looks at it, for replicas that were not tried.
+    pub(super) fn routing_request<'a>(&'a self, tried: &'a [ReplicaId]) -> RoutingRequest<'a> {
+        let now = self.now();
+        let engine = self.configuration.service(&self.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        RoutingRequest {
             service: &self.service,
             need: self.model_need(),
             zone: &self.node.settings.identity.zone,
-            tried: &tried,
+            tried,
             salt: xxh3_64(self.facts.id.as_bytes()),
-        };
-        self.node
-            .step_times
-            .time("choice", || choose(&state.replicas, &request, now))
+            work: self.work(),
+            objective_left: (self.arrival + self.route.objective).since(now),
+            deadline_left: self.until.since(now),
+            memory_tokens: engine.map_or(0, |engine| engine.kv_capacity),
+        }
+    }
+
+    /// What the request asks of a replica.
+    pub(super) fn work(&self) -> RequestWork {
+        RequestWork {
+            prompt_tokens: self.facts.prompt_tokens,
+            output_tokens: self.facts.output_tokens,
+        }
     }
 
     pub(super) fn model_need(&self) -> Option<ModelNeed<'_>> {
--- a/crates/croftrill-node/src/request/guards.rs
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -7,6 +7,7 @@
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{BornMs, ReplicaId};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::work::RequestWork;
 
 use super::cost;
 use crate::node::Node;
@@ -90,14 +91,17 @@
     pub(super) born_ms: Option<BornMs>,
     /// Before anything of it is sent.
     pub(super) begun_at: Moment,
-    pub(super) tokens: u64,
+    pub(super) work: RequestWork,
     pub(super) reading: bool,
+    /// When its answer began, if it did.
+    answered_at: Option<Moment>,
 }
 
 impl<P: Platform> Send<P> {
-    pub(super) fn begin(node: &Rc<Node<P>>, replica: &ReplicaId, tokens: u64) -> Self {
+    pub(super) fn begin(node: &Rc<Node<P>>, replica: &ReplicaId, work: RequestWork) -> Self {
+        let begun_at = node.clock.now();
         let mut state = node.state.borrow_mut();
-        state.replicas.begin_send(replica, tokens);
+        state.replicas.begin_send(replica, work, begun_at);
         let born_ms = state
             .replicas
             .get(replica)
@@ -107,9 +111,10 @@
             node: node.clone(),
             replica: replica.clone(),
             born_ms,
-            begun_at: node.clock.now(),
-            tokens,
+            begun_at,
+            work,
             reading: true,
+            answered_at: None,
         }
     }
 
@@ -120,10 +125,15 @@
                 .state
                 .borrow_mut()
                 .replicas
-                .prompt_done(&self.replica, self.tokens);
+                .prompt_done(&self.replica, self.work.prompt_tokens);
         }
     }
 
+    /// The replica runs it: its answer began.
+    pub(super) fn answer_began(&mut self, at: Moment) {
+        self.answered_at = Some(at);
+    }
+
     pub(super) fn record(&self, outcome: SendOutcome) {
         let now = self.node.clock.now();
         self.node
@@ -137,6 +147,11 @@
 impl<P: Platform> Drop for Send<P> {
     fn drop(&mut self) {
         self.prompt_done();
-        self.node.state.borrow_mut().replicas.end_send(&self.replica);
+        let mut state = self.node.state.borrow_mut();
+        state.replicas.end_send(&self.replica);
+        if let Some(answered_at) = self.answered_at {
+            let held = self.node.clock.now().since(answered_at);
+            state.replicas.ran_for(&self.replica, held);
+        }
     }
 }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -75,7 +75,7 @@
         let Some(address) = address else {
             return SendEnd::NotSent;
         };
-        let mut send = Send::begin(&self.node, replica, self.facts.prompt_tokens);
+        let mut send = Send::begin(&self.node, replica, self.work());
         let connected = if self.route.is_idempotent() {
             self.node.pool.connect(address).await
         } else {
@@ -154,7 +154,7 @@
         replica: &ReplicaId,
         answer: Response<Incoming>,
         connection: Connection,
-        send: Send<P>,
+        mut send: Send<P>,
     ) -> SendEnd<P> {
         let head_at = self.now();
         let (head, body) = answer.into_parts();
@@ -171,7 +171,10 @@
                 cause: "the answer is not this request's",
             };
         }
-        if self.route.kind == RouteKind::Streaming && head.status.is_success() {
+        // A whole answer comes when its run is over, a stream's head as it begins.
+        let is_stream = self.route.kind == RouteKind::Streaming && head.status.is_success();
+        send.answer_began(if is_stream { head_at } else { send.begun_at });
+        if is_stream {
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
--- a/crates/croftrill-scheduler/src/capacity.rs
+++ b/crates/croftrill-scheduler/src/capacity.rs
@@ -34,6 +34,9 @@
 const WORK_TIMES_KEPT: usize = 9;
 /// How fast a told load loses its meaning.
 const LOAD_MEMORY: Duration = Duration::from_millis(700);
+/// The same where requests go by capacity: about the time for which a stream runs, as a
+/// replica whose requests all end tells nothing more.
+const RUNS_MEMORY: Duration = Duration::from_secs(2);
 /// Time for which a told work time is taken for the present one.
 const WORK_TIME_HOLDS: Duration = Duration::from_millis(600);
 
@@ -89,11 +92,25 @@
 
     /// Requests of other nodes that are believed to be there.
     pub fn others(&self, now: Moment) -> f64 {
+        self.fading(LOAD_MEMORY, now)
+    }
+
+    /// The same, for as long as they are likely to run.
+    pub fn others_running(&self, now: Moment) -> f64 {
+        self.fading(RUNS_MEMORY, now)
+    }
+
+    fn fading(&self, memory: Duration, now: Moment) -> f64 {
         let Some(account) = self.account else { return 0.0 };
-        let age = now.since(account.at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
+        let age = now.since(account.at).as_secs_f64() / memory.as_secs_f64();
         account.others * (-age).exp()
     }
 
+    /// Requests that it runs at the same time, if told.
+    pub fn slots(&self) -> Option<u32> {
+        self.account.and_then(|account| account.load.slots)
+    }
+
     /// True if the replica tells how long work takes there.
     pub fn tells_work_time(&self) -> bool {
         !self.work_times_pct.is_empty()
--- /dev/null
+++ b/crates/croftrill-scheduler/src/outlook.rs
@@ -0,0 +1,91 @@
+//! What a request can expect at one replica: when it would begin and end there, and how
+//! full the replica is, as far as is known.
+
+use std::time::Duration;
+
+use crate::replica_table::ReplicaEntry;
+use crate::time::Moment;
+use crate::work::{RequestWork, UsualRun};
+
+/// Time to read one token of a prompt at the usual speed.
+pub const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(30);
+/// Time to write one token at the usual speed, with the others of a batch.
+pub const TIME_PER_OUTPUT_TOKEN: Duration = Duration::from_micros(6500);
+
+/// What a request can expect at one replica.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outlook {
+    /// Expected time to the first event.
+    pub first_event_after: Duration,
+    /// Expected time to the end of the answer.
+    pub ends_after: Duration,
+    /// Requests believed to be there, running and waiting.
+    pub requests: f64,
+    /// Requests that it runs at the same time.
+    pub slots: f64,
+    /// True if its memory does not hold one more such request.
+    pub is_overfilled: bool,
+}
+
+impl Outlook {
+    /// True if the request would wait there, or take the place of another.
+    pub fn is_full(&self) -> bool {
+        self.is_overfilled || self.free_slots() < 1.0
+    }
+
+    /// Places that are free; below zero: requests that wait for one.
+    pub fn free_slots(&self) -> f64 {
+        self.slots - self.requests
+    }
+
+    /// Part of its places that is taken; above one if requests wait.
+    pub fn fill(&self) -> f64 {
+        self.requests / self.slots
+    }
+}
+
+/// What is asked about a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct OutlookAsk {
+    /// What the request asks of it.
+    pub work: RequestWork,
+    /// Tokens of the prompt that it has likely kept, and need not read.
+    pub kept_tokens: u64,
+    /// Tokens of prompt memory that it has; zero if not known.
+    pub memory_tokens: u64,
+    /// What requests to the service usually are.
+    pub usual: UsualRun,
+}
+
+impl OutlookAsk {
+    /// What the request can expect there.
+    pub fn at(&self, entry: &ReplicaEntry, now: Moment) -> Outlook {
+        let work_time = 1.0 / entry.capacity.speed();
+        let work_time_now = 1.0 / entry.capacity.speed_now(now);
+        let (requests, slots) = (entry.running_load(now), f64::from(entry.slots()));
+        let queue = (requests + 1.0 - slots).max(0.0);
+        let wait = self.run_time().mul_f64(work_time * queue / slots);
+        let unread = entry.own_tokens() + self.work.prompt_tokens.saturating_sub(self.kept_tokens);
+        let reading = TIME_PER_PROMPT_TOKEN.mul_f64(work_time_now * unread as f64);
+        let first_event_after = wait + reading + TIME_PER_OUTPUT_TOKEN.mul_f64(work_time_now);
+        let writing = TIME_PER_OUTPUT_TOKEN.mul_f64(work_time * self.work.output_tokens as f64);
+        let tokens = requests * self.usual.tokens() + self.own_tokens();
+        Outlook {
+            first_event_after,
+            ends_after: first_event_after + writing,
+            requests,
+            slots,
+            is_overfilled: self.memory_tokens > 0 && tokens > self.memory_tokens as f64,
+        }
+    }
+
+    /// Time for which a request holds a place at the usual speed.
+    fn run_time(&self) -> Duration {
+        let own = TIME_PER_OUTPUT_TOKEN.mul_f64(self.work.output_tokens as f64);
+        self.usual.held().unwrap_or(own)
+    }
+
+    fn own_tokens(&self) -> f64 {
+        (self.work.prompt_tokens + self.work.output_tokens) as f64
+    }
+}
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -1,5 +1,6 @@
 //! One replica as a node's table holds it.
 
+use super::own_begun::OwnBegun;
 use super::own_word::OwnWord;
 use super::{Arrival, Placement};
 use crate::capacity::Capacity;
@@ -23,6 +24,8 @@
     pub(super) absent: Vec<(ModelName, Option<AdapterName>)>,
     pub(super) own_sends: u32,
     pub(super) own_tokens: u64,
+    /// When the last of this node's requests there began.
+    pub(super) own_begun: OwnBegun,
     /// What it can do, as it told in answers.
     pub capacity: Capacity,
 }
@@ -38,6 +41,7 @@
             absent: Vec::new(),
             own_sends: 0,
             own_tokens: 0,
+            own_begun: OwnBegun::default(),
             capacity: Capacity::default(),
         }
     }
@@ -48,6 +52,7 @@
         ReplicaEntry {
             own_sends: self.own_sends,
             own_tokens: self.own_tokens,
+            own_begun: self.own_begun.clone(),
             own_word: self.own_word.of_incarnation(listing.born_ms),
             ..ReplicaEntry::new(listing)
         }
@@ -128,6 +133,21 @@
         f64::from(self.own_sends) + self.capacity.others(now)
     }
 
+    /// The same as far as they are likely to run still, by capacity.
+    pub fn running_load(&self, now: Moment) -> f64 {
+        f64::from(self.own_sends) + self.capacity.others_running(now)
+    }
+
+    /// Requests that it runs at the same time.
+    pub fn slots(&self) -> u32 {
+        self.capacity.slots().unwrap_or(self.listing.slots).max(1)
+    }
+
+    /// Own requests that were there already when the replica told its load at `at`.
+    pub(super) fn own_sends_at(&self, at: Moment) -> u32 {
+        self.own_sends.saturating_sub(self.own_begun.after(at))
+    }
+
     /// Prompt tokens that this node's unanswered requests have there.
     pub fn own_tokens(&self) -> u64 {
         self.own_tokens
--- a/crates/croftrill-scheduler/src/replica_table/index.rs
+++ b/crates/croftrill-scheduler/src/replica_table/index.rs
@@ -19,6 +19,8 @@
     by_model: HashMap<ModelName, BTreeSet<ReplicaId>>,
     /// Those that keep a copy of a model's weights outside their accelerator.
     by_copy: HashMap<ModelName, BTreeSet<ReplicaId>>,
+    /// Those that tell how long work takes there.
+    telling_work_time: BTreeSet<ReplicaId>,
 }
 
 impl ServiceIndex {
@@ -31,11 +33,26 @@
         for model in entry.copies() {
             self.by_copy.entry(model.clone()).or_default().insert(id.clone());
         }
+        self.note_capacity(entry);
+    }
+
+    /// A replica that stands here told its load.
+    pub(super) fn note_capacity(&mut self, entry: &ReplicaEntry) {
+        let id = &entry.listing.id;
+        if entry.capacity.tells_work_time() && !self.telling_work_time.contains(id) {
+            self.telling_work_time.insert(id.clone());
+        }
+    }
+
+    /// True if one of the replicas tells how long work takes there.
+    pub(super) fn tells_work_time(&self) -> bool {
+        !self.telling_work_time.is_empty()
     }
 
     pub(super) fn take_out(&mut self, entry: &ReplicaEntry) {
         let id = &entry.listing.id;
         self.ids.remove(id);
+        self.telling_work_time.remove(id);
         entry
             .models()
             .for_each(|model| take_from(&mut self.by_model, model, id));
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -2,12 +2,13 @@
 //! placement, and what answers show in between.
 //!
 //! [`entry`] is one replica, [`index`] finds those that hold a model, [`change_log`]
-//! tells which changed, [`own_word`] is what replicas told of themselves, [`unlisted`]
+//! tells which changed, [`own_begun`] when own requests began, [`own_word`] is what replicas told of themselves, [`unlisted`]
 //! keeps what was told of replicas without a listing.
 
 mod change_log;
 mod entry;
 mod index;
+mod own_begun;
 mod own_word;
 mod unlisted;
 
@@ -29,6 +30,7 @@
 use crate::replica::{BornMs, Holdings, Incarnation, ReplicaId, ReplicaListing, ReplicaWord};
 use crate::shard::Shard;
 use crate::time::Moment;
+use crate::work::{RequestWork, UsualRun};
 
 /// A model on its way to a replica.
 #[derive(Debug, Clone, PartialEq)]
@@ -90,6 +92,10 @@
     changes: ChangeLog,
     /// Least times to load a model, from whoever knows all replicas.
     told_reloads: HashMap<(ServiceName, ModelName), Duration>,
+    /// Requests to each service, as those of this node usually are.
+    usual_runs: HashMap<ServiceName, UsualRun>,
+    /// True if all services' requests go by capacity.
+    by_capacity: bool,
 }
 
 /// Judged replicas from which on those without a recent outcome are sorted out.
@@ -305,11 +311,14 @@
         }
     }
 
-    /// A request of `tokens` prompt tokens goes to the replica.
-    pub fn begin_send(&mut self, id: &str, tokens: u64) {
+    /// A request goes to the replica.
+    pub fn begin_send(&mut self, id: &str, work: RequestWork, now: Moment) {
         if let Some(entry) = self.replicas.get_mut(id) {
             entry.own_sends += 1;
-            entry.own_tokens += tokens;
+            entry.own_tokens += work.prompt_tokens;
+            entry.own_begun.note(now);
+            let service = entry.listing.service.clone();
+            self.usual_runs.entry(service).or_default().note_work(work);
         }
     }
 
@@ -327,6 +336,32 @@
         }
     }
 
+    /// A request held its place at the replica for so long, to its end.
+    pub fn ran_for(&mut self, id: &str, held: Duration) {
+        if let Some(entry) = self.replicas.get(id) {
+            let service = entry.listing.service.clone();
+            let usual = self.usual_runs.entry(service).or_default();
+            usual.note_held(held, entry.capacity.speed());
+        }
+    }
+
+    /// What the requests to a service usually are.
+    pub fn usual_run(&self, service: &str) -> UsualRun {
+        self.usual_runs.get(service).copied().unwrap_or_default()
+    }
+
+    /// From now on the requests to all services go by what is known of replicas' capacity.
+    pub fn go_by_capacity(&mut self) {
+        self.by_capacity = true;
+    }
+
+    /// True if requests to the service go by capacity: its replicas tell how long work
+    /// takes there, or the node's operators asked for it.
+    pub fn goes_by_capacity(&self, service: &str) -> bool {
+        let tells = |index: &ServiceIndex| index.tells_work_time();
+        self.by_capacity || self.services.get(service).is_some_and(tells)
+    }
+
     /// Counts the outcome of a send for the replica's health.
     pub fn record_outcome(&mut self, id: &str, outcome: SendOutcome, now: Moment) {
         let Some(entry) = self.replicas.get_mut(id) else {
@@ -346,8 +381,12 @@
 
     /// A replica told its load at `at`: to this node, or to another that told of it.
     pub fn told_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
-        if let Some(entry) = self.replicas.get_mut(id) {
-            entry.capacity.hear(load, entry.own_sends, at);
+        let Some(entry) = self.replicas.get_mut(id) else {
+            return;
+        };
+        entry.capacity.hear(load, entry.own_sends_at(at), at);
+        if let Some(index) = self.services.get_mut(&entry.listing.service) {
+            index.note_capacity(entry);
         }
     }
 
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -6,12 +6,20 @@
 //! and the shared part of the prompt that its home replica has likely kept.
 //! The home of a shared part is chosen by rendezvous hashing, so all nodes agree
 //! on it without talking.
+//!
+//! Services whose requests go by capacity: see [`ReplicaTable::goes_by_capacity`]. There a
+//! replica's [`Outlook`] decides: the part of the request's objective, of its deadline and
+//! of the replica's places that it would take. A full one is the last choice.
+
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::outlook::{Outlook, OutlookAsk};
 use crate::replica::ReplicaId;
 use crate::replica_table::{ReplicaEntry, ReplicaTable};
 use crate::time::Moment;
+use crate::work::RequestWork;
 
 /// What a request needs of a model service.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +47,14 @@
     pub tried: &'a [ReplicaId],
     /// Varies between requests, to break ties.
     pub salt: u64,
+    /// What it asks of a replica.
+    pub work: RequestWork,
+    /// Time until its first event should come.
+    pub objective_left: Duration,
+    /// Time until its caller, or the route, ends it.
+    pub deadline_left: Duration,
+    /// Tokens of prompt memory of a replica; zero if not known.
+    pub memory_tokens: u64,
 }
 
 /// Prompt tokens that one request waiting ahead is taken to cost.
@@ -51,12 +67,22 @@
 /// Cost that makes a failing replica the last choice.
 const OUTLIER_COST: f64 = 1e6;
 
+/// Cost that makes a full replica the last choice among those that are well.
+const FULL_COST: f64 = 1e3;
+/// Shortest time that a request is taken to have left.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(1);
+
 /// Chooses the replica for a request; `None` if no replica can take it.
 pub fn choose(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Option<ReplicaId> {
     let usual_failures = table.usual_failure_rate(request.service, now);
     let home = request.need.and_then(|need| home_of(table, request, &need, now));
+    let by_capacity = table.goes_by_capacity(request.service);
     let costed = candidates(table, request, now).map(|entry| {
         let mut cost = match &request.need {
+            _ if by_capacity => {
+                let ask = outlook_ask(table, entry, home.as_ref(), request);
+                capacity_cost(entry, &ask.at(entry, now), request)
+            }
             Some(need) => model_cost(entry, need, home.as_ref(), request, now),
             None => plain_cost(entry, request, now),
         };
@@ -132,6 +158,100 @@
     entry.own_tokens() as f64 + others + unshared + zone
 }
 
+fn outlook_ask(
+    table: &ReplicaTable,
+    entry: &ReplicaEntry,
+    home: Option<&ReplicaId>,
+    request: &RoutingRequest<'_>,
+) -> OutlookAsk {
+    let is_home = home == Some(&entry.listing.id);
+    let kept = request.need.filter(|_| is_home).map(|need| need.shared_tokens);
+    OutlookAsk {
+        work: request.work,
+        kept_tokens: kept.unwrap_or(0),
+        memory_tokens: request.memory_tokens,
+        usual: table.usual_run(request.service),
+    }
+}
+
+/// Parts of the request's time, and of the replica's places, that it would take there.
+fn capacity_cost(entry: &ReplicaEntry, outlook: &Outlook, request: &RoutingRequest<'_>) -> f64 {
+    let part_of =
+        |time: Duration, left: Duration| time.as_secs_f64() / left.max(LEAST_TIME_LEFT).as_secs_f64();
+    let zone = if &*entry.listing.zone == request.zone {
+        0.0
+    } else {
+        OTHER_ZONE_COST
+    };
+    let full = if outlook.is_full() { FULL_COST } else { 0.0 };
+    let taken = (outlook.requests + 1.0 + zone + need_load(entry)) / outlook.slots;
+    let work_time = 1.0 / entry.capacity.speed();
+    part_of(outlook.first_event_after, request.objective_left)
+        + part_of(outlook.ends_after, request.deadline_left)
+        + taken * work_time
+        + full
+}
+
+/// How much room the candidates for a request have, as far as is known.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Room {
+    /// Replicas that may take it.
+    pub candidates: usize,
+    /// Of these, those with a free place.
+    pub free: usize,
+    /// Requests believed to be at them.
+    pub requests: f64,
+    /// Requests that they run at the same time.
+    pub slots: f64,
+    /// Earliest expected time to the first event.
+    pub first_event_after: Option<Duration>,
+    /// Earliest expected time to the end of the answer.
+    pub ends_after: Option<Duration>,
+    /// Age of the newest account of the candidates' loads, if there is one.
+    pub newest_account: Option<Duration>,
+}
+
+impl Room {
+    /// Part of the candidates' places that is taken; above one if requests wait.
+    pub fn fill(&self) -> f64 {
+        self.requests / self.slots.max(1.0)
+    }
+}
+
+/// The room that a request's candidates have. Those that cannot be reached are left out.
+pub fn room(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Room {
+    let home = request.need.and_then(|need| home_of(table, request, &need, now));
+    let mut room = Room::default();
+    for entry in candidates(table, request, now).filter(|entry| !entry.health.is_unreachable(now)) {
+        let outlook = outlook_ask(table, entry, home.as_ref(), request).at(entry, now);
+        room.candidates += 1;
+        room.free += usize::from(!outlook.is_full());
+        room.requests += outlook.requests;
+        room.slots += outlook.slots;
+        room.first_event_after = least(room.first_event_after, Some(outlook.first_event_after));
+        room.ends_after = least(room.ends_after, Some(outlook.ends_after));
+        let age = entry.capacity.newest().map(|(_, at)| now.since(at));
+        room.newest_account = least(room.newest_account, age);
+    }
+    room
+}
+
+fn least(left: Option<Duration>, right: Option<Duration>) -> Option<Duration> {
+    left.into_iter().chain(right).min()
+}
+
+/// Part of the places of a service's ready replicas that is taken, as far as is known.
+pub fn service_fill(table: &ReplicaTable, service: &str, now: Moment) -> f64 {
+    let ready = table.of_service(service).filter(|entry| entry.is_ready());
+    let (requests, slots) = ready.fold((0.0, 0.0), |(requests, slots), entry| {
+        (
+            requests + entry.running_load(now),
+            slots + f64::from(entry.slots()),
+        )
+    });
+    requests / f64::max(slots, 1.0)
+}
+
 /// The replica that keeps a shared part: the highest hash of part and replica
 /// among the replicas that hold the model and are well.
 fn home_of(
--- a/crates/croftrill-scheduler/tests/own_word.rs
+++ b/crates/croftrill-scheduler/tests/own_word.rs
@@ -8,6 +8,7 @@
 use croftrill_scheduler::replica_table::{AnsweredCall, ReplicaTable};
 use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::work::RequestWork;
 use proptest::prelude::*;
 
 fn listing(id: &str, born_ms: BornMs) -> ReplicaListing {
@@ -78,6 +79,10 @@
         zone: "a",
         tried: &[],
         salt,
+        work: RequestWork::default(),
+        objective_left: Duration::from_millis(400),
+        deadline_left: Duration::from_secs(10),
+        memory_tokens: 0,
     };
     choose(table, &request, now)
 }
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -10,6 +10,7 @@
 };
 use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::work::RequestWork;
 use proptest::prelude::*;
 
 fn listing(id: &str) -> ReplicaListing {
@@ -176,7 +177,11 @@
     for _ in 0..3 {
         table.record_outcome("r1", SendOutcome::Unreachable, NOW);
     }
-    table.begin_send("r1", 100);
+    let work = RequestWork {
+        prompt_tokens: 100,
+        output_tokens: 0,
+    };
+    table.begin_send("r1", work, NOW);
     table.apply_listing(born("r1", 2000));
     assert_eq!(table.holders("llm", "m1"), 0);
     let entry = table.get("r1").expect("it is listed");
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use croftrill_scheduler::capacity::ReplicaLoad;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::{Placement, ReplicaTable};
-use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::routing::{choose, room, ModelNeed, RoutingRequest};
 use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::work::RequestWork;
 
 fn now() -> Moment {
     Moment::from_start(Duration::from_secs(1000))
@@ -35,6 +37,13 @@
     }
 }
 
+fn prompt(prompt_tokens: u64) -> RequestWork {
+    RequestWork {
+        prompt_tokens,
+        output_tokens: 0,
+    }
+}
+
 fn table(listings: &[ReplicaListing]) -> ReplicaTable {
     let mut table = ReplicaTable::new();
     for listing in listings {
@@ -56,6 +65,10 @@
         zone: "a",
         tried: &[],
         salt: part,
+        work: RequestWork::default(),
+        objective_left: Duration::from_millis(400),
+        deadline_left: Duration::from_secs(10),
+        memory_tokens: 0,
     }
 }
 
@@ -92,7 +105,7 @@
     let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
     let request = request(Some("m1"), None, 3);
     let home = choose(&table, &request, now()).expect("a replica");
-    table.begin_send(&home, 50_000);
+    table.begin_send(&home, prompt(50_000), now());
     assert_ne!(choose(&table, &request, now()), Some(home));
 }
 
@@ -166,13 +179,13 @@
 #[test]
 fn services_without_models_take_the_least_loaded_replica() {
     let mut table = table(&[listing("r0", &[]), listing("r1", &[])]);
-    table.begin_send("r0", 0);
+    table.begin_send("r0", prompt(0), now());
     assert_eq!(
         choose(&table, &request(None, None, 1), now()).as_deref(),
         Some("r1")
     );
-    table.begin_send("r1", 0);
-    table.begin_send("r1", 0);
+    table.begin_send("r1", prompt(0), now());
+    table.begin_send("r1", prompt(0), now());
     assert_eq!(
         choose(&table, &request(None, None, 1), now()).as_deref(),
         Some("r0")
@@ -186,9 +199,72 @@
         table.record_outcome("r0", SendOutcome::Failure, now());
         table.record_outcome("r1", SendOutcome::Success, now());
     }
-    table.begin_send("r1", 0);
+    table.begin_send("r1", prompt(0), now());
     assert_eq!(
         choose(&table, &request(None, None, 1), now()).as_deref(),
         Some("r1")
     );
 }
+
+fn told(running: u32, waiting: u32, work_time_pct: Option<u32>) -> ReplicaLoad {
+    ReplicaLoad {
+        running,
+        waiting,
+        slots: Some(8),
+        work_time_pct,
+    }
+}
+
+fn stream(salt: u64) -> RoutingRequest<'static> {
+    RoutingRequest {
+        work: RequestWork {
+            prompt_tokens: 700,
+            output_tokens: 280,
+        },
+        ..request(Some("m1"), None, salt)
+    }
+}
+
+/// Streams of which one replica runs 8 at a time, and its peer has room.
+#[test]
+fn full_replica_is_passed_over_while_another_has_room() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    table.told_load("r0", told(8, 0, Some(60)), now());
+    table.told_load("r1", told(6, 0, Some(160)), now());
+    for salt in 0..50 {
+        assert_eq!(choose(&table, &stream(salt), now()).as_deref(), Some("r1"));
+    }
+    let room = room(&table, &stream(1), now());
+    assert_eq!((room.candidates, room.free), (2, 1));
+    assert!((room.fill() - 14.0 / 16.0).abs() < 1e-9);
+}
+
+/// What is expected of a full replica is when one of its places is free.
+#[test]
+fn room_of_full_replicas_tells_when_a_place_is_free() {
+    let mut table = table(&[listing("r0", &[("m1", &[])])]);
+    table.told_load("r0", told(8, 4, Some(100)), now());
+    let full = room(&table, &stream(1), now());
+    table.told_load("r0", told(2, 0, Some(100)), now());
+    let free = room(&table, &stream(1), now());
+    assert_eq!((full.free, free.free), (0, 1));
+    assert!(full.first_event_after.expect("a holder") > Duration::from_millis(500));
+    assert!(free.first_event_after.expect("a holder") < Duration::from_millis(100));
+}
+
+/// Only one replica of two services tells how long work takes there.
+#[test]
+fn goes_by_capacity_only_where_a_replica_tells_its_work_time() {
+    let other = ReplicaListing {
+        service: "app".into(),
+        ..listing("a0", &[])
+    };
+    let mut table = table(&[listing("r0", &[]), other]);
+    table.told_load("r0", told(1, 0, None), now());
+    table.told_load("a0", told(1, 0, Some(100)), now());
+    assert!(table.goes_by_capacity("app") && !table.goes_by_capacity("llm"));
+    table.remove("a0");
+    assert!(!table.goes_by_capacity("app"));
+    table.go_by_capacity();
+    assert!(table.goes_by_capacity("llm"));
+}
