Requests wait at their node, or are refused, while all holders are full

Load pattern: a crowd at the few holders of a model. A request was sent to a full replica, rejected, sent again from the retry budget and given up. Before each choice the node now looks at the room of the request's holders: it goes where a place is free, queues at a replica by rank while that is in time, waits here in the order of waiting_requests, or is refused at its first look with the time at which a place should be free. Waits end as places become free (an answer's end, an account of another), each 0.1 s at the latest, and at a stop of the node. A stream that goes on elsewhere does not wait.

--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -38,6 +38,8 @@
     pub crashes: Family<OutcomeLabels, Counter>,
     /// What replicas say of themselves in their answers.
     pub replica_words: Family<OutcomeLabels, Counter>,
+    /// Requests that found all holders of their model full, by what became of them.
+    pub full_holders: Family<OutcomeLabels, Counter>,
     /// Calls to replicas that named a limit, by what was said of their turn.
     pub limited: Family<OutcomeLabels, Counter>,
     /// Suspensions of the machine that were noticed.
@@ -116,6 +118,12 @@
             "What replicas say of themselves in their answers",
             replica_words.clone(),
         );
+        let full_holders = Family::default();
+        registry.register(
+            "full_holders",
+            "Requests that found all holders of their model full, by what became of them",
+            full_holders.clone(),
+        );
         let limited = Family::default();
         registry.register(
             "limited",
@@ -196,6 +204,7 @@
             reports,
             crashes,
             replica_words,
+            full_holders,
             limited,
             suspensions,
             store_rises,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -16,6 +16,7 @@
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::waiting_requests::{WaitingBounds, WaitingRequests};
 use tokio::sync::{broadcast, mpsc, Mutex, Notify};
 
 use crate::broken_requests::BrokenRequests;
@@ -48,6 +49,13 @@
 /// Part of the common retry budget that is used; the rest covers requests that
 /// the nodes and the platform count differently.
 const RETRY_SAFETY: f64 = 0.8;
+/// Requests that wait at one node for a place at a full holder, at most: a node of the
+/// largest fleet has a few a second, so these are many seconds of a crowd; 8 MB of bodies
+/// are a fifteenth of a small node's memory.
+const WAITING_BOUNDS: WaitingBounds = WaitingBounds {
+    requests: 256,
+    size_bytes: 8 << 20,
+};
 /// Messages to the orderer that may wait to be sent.
 const ORDERER_QUEUE: usize = 1024;
 
@@ -67,6 +75,8 @@
     pub retry_budget: RetryBudget,
     /// Requests that wait for a place, by group.
     pub fair_queue: FairQueue,
+    /// Requests that wait for a place at a full holder of their model.
+    pub waiting_requests: WaitingRequests,
     /// Demand that the orderer has not been told yet.
     pub demand: DemandBatch,
     /// How far this node knows the store's history.
@@ -133,6 +143,8 @@
     pub stop_requested: Notify,
     /// Told when a request leaves, so that a waiting one may start.
     pub place_freed: Notify,
+    /// Told when a place at a replica may have become free.
+    pub room_changed: Notify,
     /// Whether the store answers, as renewals of the node's own lease show.
     pub store_path: StorePath,
     /// Connections for requests that may be repeated, and for orders and reports.
@@ -229,6 +241,7 @@
             broken_requests: BrokenRequests::default(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
+            waiting_requests: WaitingRequests::new(WAITING_BOUNDS),
             demand: DemandBatch::default(),
             directory: FollowedView::new(FollowConfig {
                 proof_lifetime: settings.pace.relay_lifetime,
@@ -257,6 +270,7 @@
             acquiring: Mutex::new(()),
             stop_requested: Notify::new(),
             place_freed: Notify::new(),
+            room_changed: Notify::new(),
             store_path: StorePath::default(),
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -57,6 +57,9 @@
             if self.now() >= self.until {
                 return NextReplica::GiveUp("out of time", None);
             }
+            if let Some(refused) = self.await_place().await {
+                return refused;
+            }
             let chosen = match self.choose(&self.tried) {
                 Some(replica) => Some(replica),
                 None => self.choose_again().await,
--- /dev/null
+++ b/crates/croftrill-node/src/request/full.rs
@@ -0,0 +1,185 @@
+//! Requests whose holders are all full: queue at a replica, wait here, or refuse with a time.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::full_holders::{decide_full, FullDecision, FullRequest};
+use croftrill_scheduler::routing::{room, Room};
+use croftrill_scheduler::waiting_requests::{WaitingId, WaitingRequest};
+
+use super::cold::NextReplica;
+use super::RequestRun;
+use crate::metrics::Metrics;
+use crate::node::{Lifecycle, Node};
+use crate::ports::Platform;
+
+/// Longest time between two looks at the holders while a request waits; news of other
+/// nodes' requests come about as often.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// A request's place among those that wait; given up with it.
+struct WaitTicket<P: Platform> {
+    node: Rc<Node<P>>,
+    id: WaitingId,
+}
+
+impl<P: Platform> WaitTicket<P> {
+    fn enter(node: &Rc<Node<P>>, request: WaitingRequest) -> Self {
+        let id = node.state.borrow_mut().waiting_requests.enter(request);
+        WaitTicket {
+            node: node.clone(),
+            id,
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.node.state.borrow().waiting_requests.is_waiting(self.id)
+    }
+
+    fn is_next(&self) -> bool {
+        self.node.state.borrow().waiting_requests.is_next(self.id)
+    }
+
+    fn let_in(self) {
+        self.node.state.borrow_mut().waiting_requests.let_in(self.id);
+    }
+}
+
+impl<P: Platform> Drop for WaitTicket<P> {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().waiting_requests.leave(self.id);
+        self.node.room_changed.notify_waiters();
+    }
+}
+
+impl<P: Platform> RequestRun<P> {
+    /// Waits until the request may go to one of its holders: at once if that has a free
+    /// place, or where nothing is known of their places. Otherwise the end of the request.
+    pub(super) async fn await_place(&mut self) -> Option<NextReplica> {
+        let key = self.model_key()?;
+        let mut ticket: Option<WaitTicket<P>> = None;
+        loop {
+            let room = self.room()?;
+            if room.free > 0 && self.is_turn_of(ticket.as_ref(), &key) {
+                self.end_wait(ticket, "a place is free");
+                return None;
+            }
+            let request = self.full_request(&room);
+            let decision = decide_full(&request, self.rank(), self.unit());
+            if ticket.is_none() {
+                self.log_full(&room, &request, decision);
+            }
+            match decision {
+                FullDecision::Send => {
+                    self.end_wait(ticket, "queues at a replica");
+                    return None;
+                }
+                FullDecision::Refuse { come_back_after } => {
+                    return self.refuse_full("its replicas are full", come_back_after);
+                }
+                FullDecision::Wait => {}
+            }
+            if self.node.lifecycle() == Lifecycle::Stopping {
+                return self.refuse_full("the node is stopping", super::OTHER_NODE_RETURN);
+            }
+            let waiting =
+                ticket.get_or_insert_with(|| WaitTicket::enter(&self.node, self.waiting_request(&key)));
+            if !waiting.is_waiting() {
+                return self.refuse_full("more urgent requests wait", self.starts_in(&room));
+            }
+            self.wait_for_room().await;
+            if self.now() >= self.until {
+                return None;
+            }
+        }
+    }
+
+    /// What is known of the places of the request's holders; `None` if nothing is, or the
+    /// request was answered already and only goes on.
+    fn room(&self) -> Option<Room> {
+        if self.answered_after.is_some() {
+            return None;
+        }
+        let now = self.now();
+        let replicas = &self.node.state.borrow().replicas;
+        if !replicas.goes_by_capacity(&self.service) {
+            return None;
+        }
+        let room = room(replicas, &self.routing_request(&self.tried), now);
+        room.newest_account.is_some().then_some(room)
+    }
+
+    /// True if no other request of this node goes before it to a holder of its model.
+    fn is_turn_of(&self, ticket: Option<&WaitTicket<P>>, key: &ModelKey) -> bool {
+        match ticket {
+            Some(ticket) => ticket.is_next(),
+            None => !self.node.state.borrow().waiting_requests.waits_for(key),
+        }
+    }
+
+    /// Expected time until a holder begins to run the request, if it goes now.
+    fn starts_in(&self, room: &Room) -> Duration {
+        let first_event = room.first_event_after.unwrap_or_default();
+        first_event.saturating_sub(self.first_event_after())
+    }
+
+    fn full_request(&self, room: &Room) -> FullRequest {
+        FullRequest {
+            waited: self.waited(),
+            starts_in: self.starts_in(room),
+            first_event_after: self.first_event_after(),
+            objective: self.route.objective,
+            patience: self.patience(),
+            left: self.until.since(self.now()),
+            is_most_urgent: self
+                .configuration
+                .is_most_urgent_of(&self.service, self.route.priority),
+        }
+    }
+
+    fn waiting_request(&self, key: &ModelKey) -> WaitingRequest {
+        WaitingRequest {
+            model: key.base(),
+            rank: self.rank(),
+            tenant: self.tenant.clone(),
+            due: self.arrival + self.route.objective,
+            size_bytes: self.body.len(),
+        }
+    }
+
+    fn end_wait(&self, ticket: Option<WaitTicket<P>>, outcome: &'static str) {
+        let Some(ticket) = ticket else { return };
+        ticket.let_in();
+        Metrics::count(&self.node.metrics.full_holders, "wait", outcome);
+        tracing::info!(target: "full", id = self.facts.id, outcome, waited_ms = self.waited().as_millis() as u64);
+    }
+
+    fn refuse_full(&self, cause: &'static str, come_back_after: Duration) -> Option<NextReplica> {
+        self.count_turned_away();
+        Metrics::count(&self.node.metrics.full_holders, "request", cause);
+        Some(NextReplica::GiveUp(cause, Some(come_back_after)))
+    }
+
+    /// One line for the decision, with what it was made from.
+    fn log_full(&self, room: &Room, request: &FullRequest, decision: FullDecision) {
+        tracing::info!(target: "full", id = self.facts.id, model = self.facts.model.as_deref(), ?decision,
+            rank = self.rank(), tenant = self.tenant.as_deref(), waited_ms = request.waited.as_millis() as u64,
+            starts_in_ms = request.starts_in.as_millis() as u64, holders = room.candidates, fill = room.fill(),
+            heard_ms_ago = room.newest_account.map(|age| age.as_millis() as u64),
+            objective_ms = request.objective.as_millis() as u64, patience_ms = request.patience.as_millis() as u64);
+    }
+
+    async fn wait_for_room(&self) {
+        let longest = (self.now() + LOOK_EVERY).min(self.until);
+        let wake = async {
+            tokio::select! {
+                () = self.node.room_changed.notified() => {}
+                () = self.node.view_changed.notified() => {}
+                () = self.node.stop_requested.notified() => {}
+            }
+        };
+        // The time may pass without news.
+        let _ = self.node.clock.timeout_at(longest, wake).await;
+    }
+}
--- a/crates/croftrill-node/src/request/guards.rs
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -153,5 +153,7 @@
             let held = self.node.clock.now().since(answered_at);
             state.replicas.ran_for(&self.replica, held);
         }
+        drop(state);
+        self.node.room_changed.notify_waiters();
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`serve`] reads it, finds its route and its place; [`RequestRun`] then sends
 //! it until it is answered or given up. The parts: [`guards`] what it holds,
-//! [`cold`] waiting for models, [`resting`] for replicas that want rest, [`limited`] turns
+//! [`cold`] waiting for models, [`full`] for places, [`resting`] for replicas that want rest, [`limited`] turns
 //! at replicas that named a limit, [`sending`] one send, [`streaming`] event streams,
 //! [`access`] keys,
 //! [`answers`] final answers, [`forwarding`] headers and targets,
@@ -18,6 +18,7 @@
 mod crashing;
 mod fingerprint;
 mod forwarding;
+mod full;
 mod guards;
 mod limited;
 mod resting;
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -223,6 +223,7 @@
                 .borrow_mut()
                 .replicas
                 .told_load(replica, load, now);
+            self.node.room_changed.notify_waiters();
         }
     }
 
--- a/crates/croftrill-scheduler/src/full_holders.rs
+++ b/crates/croftrill-scheduler/src/full_holders.rs
@@ -28,8 +28,6 @@
     pub left: Duration,
     /// True if no request of the service is more urgent.
     pub is_most_urgent: bool,
-    /// True if it may be sent to a replica at all: its sends are not used up.
-    pub may_be_sent: bool,
 }
 
 /// What to do with it.
@@ -65,7 +63,7 @@
 /// `unit`: of this request, evenly spread from 0 to 1.
 pub fn decide_full(request: &FullRequest, rank: u8, unit: f64) -> FullDecision {
     let is_in_time = request.served_at() <= request.objective;
-    if is_in_time && request.may_be_sent && !request.can_spare_a_wait() {
+    if is_in_time && !request.can_spare_a_wait() {
         return FullDecision::Send;
     }
     let longest_hold = request.patience.mul_f64(LONGEST_HOLD);
--- a/crates/croftrill-scheduler/src/waiting_requests.rs
+++ b/crates/croftrill-scheduler/src/waiting_requests.rs
@@ -97,6 +97,11 @@
         self.waiting.contains_key(&id)
     }
 
+    /// True if a request waits for this model.
+    pub fn waits_for(&self, model: &ModelKey) -> bool {
+        self.waiting.values().any(|request| request.model == *model)
+    }
+
     /// True if no other request goes before it to a holder of its model.
     pub fn is_next(&self, id: WaitingId) -> bool {
         let Some(request) = self.waiting.get(&id) else {
