Replicas' loads told on to all nodes

A node hears a replica seldom, all together often; each knew only its own answers. An account names its incarnation by a hash of identity and start, so that one of a former incarnation stands for nobody. New variants at the end of ToOrderer and FromOrderer go only to nodes whose incarnation shows that they understand them, and only down links on which one came. On while answers tell work times, or where callers compete.

--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -34,6 +34,9 @@
     /// Most requests served at the same time; 0: not bounded.
     #[serde(default)]
     pub most_in_service: usize,
+    /// True where callers compete for too little room at times.
+    #[serde(default)]
+    pub callers_compete: bool,
     /// Bounds on sends beyond a request's first.
     #[serde(default)]
     pub retry: RetrySettings,
@@ -185,6 +188,7 @@
                 ..Pace::default()
             },
             most_replicas_told: MOST_REPLICAS_TOLD,
+            callers_compete: self.callers_compete,
             most_in_service: (self.most_in_service > 0).then_some(self.most_in_service),
             // Nothing tells a node; the retry budget is small for a window.
             is_first_start: false,
--- a/crates/croftrill-daemon/tests/settings.rs
+++ b/crates/croftrill-daemon/tests/settings.rs
@@ -12,6 +12,13 @@
     let settings = Settings::parse(GOOD).expect("good settings");
     assert_eq!(settings.node_settings().bounds.order_gap.as_millis(), 3000);
     assert_eq!(settings.node_settings().most_in_service, None);
+    assert!(!settings.node_settings().callers_compete);
+}
+
+#[test]
+fn callers_compete_where_the_settings_say_so() {
+    let settings = Settings::parse(&format!("{GOOD}callers_compete = true\n")).expect("good settings");
+    assert!(settings.node_settings().callers_compete);
 }
 
 #[test]
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit_header;
 pub mod link;
 pub mod load_header;
+pub mod load_news;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -90,8 +90,8 @@
     pub peer: String,
     /// Processor time that it may use, in thousandths of a core.
     pub processor_millicores: u32,
-    /// Tells this process from a former one of the same name. Its highest bit is
-    /// [`KEEPS_LIMITS`].
+    /// Tells this process from a former one of the same name. Its highest bits are
+    /// [`KEEPS_LIMITS`] and [`TELLS_LOADS`].
     pub incarnation: u64,
 }
 
@@ -99,10 +99,13 @@
 /// limits. Builds that do not know of them pass incarnations on as they are, and never set
 /// it: theirs is the time of their start in nanoseconds, which reaches it in 2262.
 const KEEPS_LIMITS: u64 = 1 << 63;
+/// The bit that tells that the process understands news of replicas' loads, which no build
+/// without them sets: a start in nanoseconds reaches it in 2116.
+const TELLS_LOADS: u64 = 1 << 62;
 
 /// The incarnation of a process of this build that began at `started_ns`.
 pub(crate) fn incarnation_of(started_ns: u64) -> u64 {
-    started_ns | KEEPS_LIMITS
+    started_ns | KEEPS_LIMITS | TELLS_LOADS
 }
 
 impl MemberEntry {
@@ -124,6 +127,11 @@
         self.incarnation & KEEPS_LIMITS != 0
     }
 
+    /// True if its process understands news of replicas' loads.
+    pub fn tells_loads(&self) -> bool {
+        self.incarnation & TELLS_LOADS != 0
+    }
+
     /// Address for other nodes.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         self.peer.parse().ok()
@@ -265,6 +273,15 @@
         self.nodes.values()
     }
 
+    /// True if all that is known of who is at an address for other nodes says that it
+    /// understands news of replicas' loads.
+    pub fn tell_loads_at(&self, peer: SocketAddr) -> bool {
+        let peer = peer.to_string();
+        let known = self.nodes().chain(self.orderers.values());
+        let mut known = known.filter(|member| member.peer == peer).peekable();
+        known.peek().is_some() && known.all(MemberEntry::tells_loads)
+    }
+
     /// Number of live nodes, at least one.
     pub fn node_count(&self) -> usize {
         self.nodes().count().max(1)
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -48,6 +48,10 @@
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// Messages of the orderer by kind and what became of them.
     pub relayed: Family<OutcomeLabels, Counter>,
+    /// Accounts of replicas' loads by where they come from or go to, and what became of them.
+    pub load_news: Family<OutcomeLabels, Counter>,
+    /// Bytes of messages with such accounts that were sent.
+    pub load_news_bytes: Counter,
     /// Seconds from arrival to the head of the answer.
     pub first_byte_seconds: Histogram,
     /// Size of the answers to the node's own watches, in bytes.
@@ -146,6 +150,18 @@
             "Messages of the orderer by kind and what became of them",
             relayed.clone(),
         );
+        let load_news = Family::default();
+        registry.register(
+            "load_news",
+            "Accounts of replicas' loads by kind and what became of them",
+            load_news.clone(),
+        );
+        let load_news_bytes = Counter::default();
+        registry.register(
+            "load_news_bytes",
+            "Bytes of messages with accounts of replicas' loads that were sent",
+            load_news_bytes.clone(),
+        );
         let first_byte_seconds = Histogram::new(LATENCY_BUCKETS);
         registry.register(
             "first_byte_seconds",
@@ -201,6 +217,8 @@
             store_rises,
             store_calls,
             relayed,
+            load_news,
+            load_news_bytes,
             first_byte_seconds,
             watch_answer_bytes,
             configuration_version,
@@ -223,7 +241,19 @@
 
     /// Counts one thing by kind and outcome.
     pub fn count(family: &Family<OutcomeLabels, Counter>, kind: &'static str, outcome: &'static str) {
-        family.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+        Self::count_many(family, kind, outcome, 1);
+    }
+
+    /// Counts things by kind and outcome.
+    pub fn count_many(
+        family: &Family<OutcomeLabels, Counter>,
+        kind: &'static str,
+        outcome: &'static str,
+        count: u64,
+    ) {
+        family
+            .get_or_create(&OutcomeLabels { kind, outcome })
+            .inc_by(count);
     }
 }
 
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::counted_store::CountedStore;
 use crate::era_store::EraStore;
 use crate::front::STOP_LINGER;
+use crate::load_news::LoadNews;
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
@@ -141,6 +142,8 @@
     pub patient_pool: ConnectionPool,
     /// The quotas of tenants, and their keepers.
     pub quotas: Rc<Quotas>,
+    /// What it heard of replicas' loads, and tells on.
+    pub load_news: LoadNews,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// When it last handed each shard on to stronger nodes.
@@ -261,6 +264,7 @@
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
             quotas,
+            load_news: LoadNews::default(),
             metrics,
             handed_on_at: Default::default(),
             step_times: Rc::default(),
@@ -351,6 +355,14 @@
         }
     }
 
+    /// A message for the present orderer of a shard, as long as this node hears the
+    /// orderers by links of its own; left out where too many wait.
+    pub fn tell_orderer(&self, shard: Shard, message: ToOrderer) {
+        if self.to_orderers[shard.index()].try_send(message).is_err() {
+            self.metrics.messages_left_out.inc();
+        }
+    }
+
     /// An event for all of this node's own orderer tasks.
     pub fn inform_orderer_tasks(&self, input: impl Fn() -> OrdererInput) {
         if !self.gives_orders() {
--- /dev/null
+++ b/crates/croftrill-node/src/orderer_task/loads.rs
@@ -0,0 +1,89 @@
+//! What the orderer of a shard tells all nodes of its replicas' loads.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use croftrill_scheduler::load_news::{LoadAccount, LoadTelling, TellingConfig};
+use croftrill_scheduler::orderer::Orderer;
+use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
+use croftrill_scheduler::time::Moment;
+use tokio::sync::broadcast;
+
+use crate::load_news;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::peer::{FromOrderer, WireLoads, WIRE_LOAD_BYTES};
+use crate::ports::Platform;
+
+/// Bytes of accounts a second for each node, from all orderers together: with the rest of
+/// their messages below the 2 KB that a node has for control.
+const BYTES_PER_S: u32 = 1500;
+/// Least time between two tellings.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Tellings that a slow listener may fall behind before it misses the oldest.
+const BACKLOG: usize = 4;
+
+/// The loads of a shard's replicas, and who is told of them.
+pub(super) struct ShardLoads {
+    telling: LoadTelling,
+    listeners: broadcast::Sender<Bytes>,
+    told_at: Moment,
+}
+
+impl ShardLoads {
+    pub(super) fn new(now: Moment) -> Self {
+        let config = TellingConfig {
+            bytes_per_s: BYTES_PER_S / SHARD_COUNT as u32,
+            account_bytes: WIRE_LOAD_BYTES,
+        };
+        ShardLoads {
+            telling: LoadTelling::new(config, now),
+            listeners: broadcast::channel(BACKLOG).0,
+            told_at: now,
+        }
+    }
+
+    /// Where to listen.
+    pub(super) fn listeners(&self) -> broadcast::Sender<Bytes> {
+        self.listeners.clone()
+    }
+
+    /// Nodes heard these.
+    pub(super) fn hear<P: Platform>(
+        &mut self,
+        node: &Node<P>,
+        shard: Shard,
+        orderer: &mut Orderer,
+        accounts: &[LoadAccount],
+    ) {
+        let now = node.clock.now();
+        for (id, account) in load_news::take_in(node, accounts, "node") {
+            if Shard::of_replica(&id) != shard {
+                continue;
+            }
+            orderer.told_load(&id, account.load, account.at);
+            self.telling.hear(account, now);
+        }
+    }
+
+    /// Tells what is due.
+    pub(super) fn tell<P: Platform>(&mut self, node: &Node<P>, now: Moment) {
+        if self.telling.is_empty() || now.since(self.told_at) < TELL_EVERY {
+            return;
+        }
+        self.told_at = now;
+        let due = self.telling.take_due(now);
+        let count = |outcome, count: usize| {
+            Metrics::count_many(&node.metrics.load_news, "orderer", outcome, count as u64);
+        };
+        count("told", due.accounts.len());
+        count("left out", due.left_out);
+        if due.accounts.is_empty() {
+            return;
+        }
+        load_news::pass_on(node, &due.accounts, now);
+        let message = FromOrderer::Loads(WireLoads::from_accounts(&due.accounts, now)).encode();
+        // It fails only while nobody listens.
+        let _ = self.listeners.send(message);
+    }
+}
--- a/crates/croftrill-node/src/orderer_task/mod.rs
+++ b/crates/croftrill-node/src/orderer_task/mod.rs
@@ -6,6 +6,7 @@
 mod acquisition;
 mod decision_log;
 mod limited;
+mod loads;
 mod term;
 
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::lease::Record;
+use croftrill_scheduler::load_news::LoadAccount;
 use croftrill_scheduler::replica::{BornMs, OrderOutcome, ReplicaId, ReplicaReport};
 use croftrill_scheduler::shard::Shard;
 use croftrill_scheduler::time::Moment;
@@ -32,6 +34,8 @@
 pub enum OrdererInput {
     /// A node's message.
     FromNode(ToOrderer),
+    /// Replicas' loads, as nodes heard of them.
+    Loads(Vec<LoadAccount>),
     /// The list of replicas or the configuration changed.
     DirectoryChanged,
     /// The watch of the store was answered.
@@ -79,6 +83,8 @@
     pub first: Vec<Bytes>,
     /// What follows.
     pub changes: broadcast::Receiver<Bytes>,
+    /// News of replicas' loads, for those who understand them.
+    pub loads: broadcast::Sender<Bytes>,
 }
 
 /// Runs the orderer's part of a node for one shard until it stops.
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -21,6 +21,7 @@
 use super::acquisition::{handed_on_lately, least_gap, record_last, Acquired};
 use super::decision_log::{log_decision, order_kind, outcome_name};
 use super::limited::{take_turn, ControlPace, ControlTurn};
+use super::loads::ShardLoads;
 use super::{OrdererInput, Subscription};
 use crate::directory::relay::WatchedSpan;
 use crate::membership::{MemberEntry, Members};
@@ -59,6 +60,8 @@
     lease: OrdererLease,
     orderer: Orderer,
     changes: broadcast::Sender<Bytes>,
+    /// What it tells of replicas' loads.
+    loads: ShardLoads,
     /// All placements, encoded, as long as nothing changed.
     snapshot: Option<Vec<Bytes>>,
     last_renewal: Moment,
@@ -98,6 +101,7 @@
             lease: acquired.lease,
             orderer,
             changes,
+            loads: ShardLoads::new(now),
             snapshot: None,
             last_renewal: now,
             last_alive: now,
@@ -205,6 +209,7 @@
         }
         let node = self.node.clone();
         node.step_times.time("publish", || self.publish(now));
+        self.loads.tell(&node, now);
     }
 
     pub(super) fn renew_if_due(&mut self, now: Moment) {
@@ -386,6 +391,10 @@
         let now = self.node.clock.now();
         match input {
             OrdererInput::FromNode(message) => self.take_message(message, now),
+            OrdererInput::Loads(accounts) => {
+                let (node, orderer) = (&self.node, &mut self.orderer);
+                self.loads.hear(node, self.shard, orderer, &accounts);
+            }
             OrdererInput::DirectoryChanged => self.directory_changed = true,
             OrdererInput::Watched(span) => self.relay(span, now),
             OrdererInput::Subscribe(reply) => {
@@ -443,7 +452,7 @@
             // For relays.
             ToOrderer::Want(_) | ToOrderer::Forget(_) => {}
             // Taken by the link itself.
-            ToOrderer::Replay(_) | ToOrderer::Crashes(_) => {}
+            ToOrderer::Replay(_) | ToOrderer::Crashes(_) | ToOrderer::Loads(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
         }
     }
@@ -456,6 +465,7 @@
         let subscription = Subscription {
             first: first.clone(),
             changes: self.changes.subscribe(),
+            loads: self.loads.listeners(),
         };
         let _ = reply.send(subscription);
     }
--- /dev/null
+++ b/crates/croftrill-node/src/peer/loads.rs
@@ -0,0 +1,138 @@
+//! News of replicas' loads on the wire: small, as they are many.
+
+use std::time::Duration;
+
+use croftrill_scheduler::capacity::ReplicaLoad;
+use croftrill_scheduler::followed_view::LinkDelay;
+use croftrill_scheduler::load_news::{LoadAccount, LoadKey};
+use croftrill_scheduler::time::Moment;
+use nanoserde::{DeBin, DeBinErr, SerBin};
+
+use crate::wire::WireList;
+
+/// Unit of an account's age.
+const AGE_UNIT_MS: u128 = 10;
+/// Bits of a number in each of its bytes; the highest one says that another byte follows.
+const BITS: u32 = 7;
+const MORE: u8 = 1 << BITS;
+/// Most bytes of a number.
+const MOST_BYTES: usize = 3;
+
+/// A small number, which takes a byte below 128 and three at most. Larger ones are told as
+/// the largest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WireCount(pub u16);
+
+impl WireCount {
+    fn of(number: u128) -> Self {
+        WireCount(u16::try_from(number).unwrap_or(u16::MAX))
+    }
+}
+
+impl SerBin for WireCount {
+    fn ser_bin(&self, bytes: &mut Vec<u8>) {
+        let mut rest = self.0;
+        while rest >= u16::from(MORE) {
+            bytes.push(rest as u8 | MORE);
+            rest >>= BITS;
+        }
+        bytes.push(rest as u8);
+    }
+}
+
+impl DeBin for WireCount {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        let mut number = 0u32;
+        for shift in (0..u16::BITS).step_by(BITS as usize) {
+            let byte = u8::de_bin(offset, bytes)?;
+            number |= u32::from(byte & !MORE) << shift;
+            if byte & MORE == 0 {
+                return Ok(WireCount::of(u128::from(number)));
+            }
+        }
+        Err(DeBinErr::new(*offset, MOST_BYTES, MOST_BYTES + 1))
+    }
+}
+
+/// What a replica told of its load, on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct WireLoad {
+    /// The replica's incarnation.
+    pub key: u32,
+    /// How old the account is, in units of ten milliseconds, rounded up.
+    pub age: WireCount,
+    /// Requests running there.
+    pub running: WireCount,
+    /// Requests waiting there.
+    pub waiting: WireCount,
+    /// One more than the requests that it runs at the same time; 0: not told.
+    pub slots: WireCount,
+    /// One more than the time that work takes there, in hundredths of the usual; 0: not
+    /// told.
+    pub work_time_pct: WireCount,
+}
+
+/// Bytes of an account: a key, an age below 1.28 s, numbers below 128 and a work time.
+pub(crate) const WIRE_LOAD_BYTES: u32 = 10;
+
+impl WireLoad {
+    fn from_account(account: &LoadAccount, now: Moment) -> Self {
+        let count = |number: u32| WireCount::of(u128::from(number));
+        let option = |number: Option<u32>| count(number.map_or(0, |number| number.saturating_add(1)));
+        let age_ms = now.since(account.at).as_millis();
+        WireLoad {
+            key: account.key.0,
+            age: WireCount::of(age_ms.div_ceil(AGE_UNIT_MS)),
+            running: count(account.load.running),
+            waiting: count(account.load.waiting),
+            slots: option(account.load.slots),
+            work_time_pct: option(account.load.work_time_pct),
+        }
+    }
+
+    /// The account; `sent_at`: when it was as old as it says, by the reader's clock.
+    fn to_account(self, sent_at: Moment) -> LoadAccount {
+        let option = |told: WireCount| u32::from(told.0).checked_sub(1);
+        let age = Duration::from_millis(u64::from(self.age.0) * AGE_UNIT_MS as u64);
+        LoadAccount {
+            key: LoadKey(self.key),
+            load: ReplicaLoad {
+                running: u32::from(self.running.0),
+                waiting: u32::from(self.waiting.0),
+                slots: option(self.slots),
+                work_time_pct: option(self.work_time_pct),
+            },
+            at: sent_at - age,
+        }
+    }
+}
+
+/// Accounts of replicas' loads, on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Default, SerBin, DeBin)]
+pub struct WireLoads {
+    /// When they were sent, in milliseconds of the sender's steady clock: how late they
+    /// come counts as age.
+    pub sent_at_ms: u64,
+    /// The accounts.
+    pub loads: WireList<WireLoad>,
+}
+
+impl WireLoads {
+    /// The message form of accounts that are sent now.
+    pub fn from_accounts<'a>(accounts: impl IntoIterator<Item = &'a LoadAccount>, now: Moment) -> Self {
+        let loads = accounts.into_iter();
+        WireLoads {
+            sent_at_ms: now.since(Moment::default()).as_millis() as u64,
+            loads: loads
+                .map(|account| WireLoad::from_account(account, now))
+                .collect(),
+        }
+    }
+
+    /// The accounts as they are when they come in over a link of `delay`.
+    pub fn to_accounts(&self, delay: &mut LinkDelay, now: Moment) -> Vec<LoadAccount> {
+        let late = delay.excess(Duration::from_millis(self.sent_at_ms), now);
+        let accounts = self.loads.iter().map(|load| load.to_account(now - late));
+        accounts.collect()
+    }
+}
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes: binary, in frames with a length.
 
+mod loads;
 mod news;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,8 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
+pub(crate) use self::loads::WIRE_LOAD_BYTES;
+pub use self::loads::{WireCount, WireLoad, WireLoads};
 pub(crate) use self::news::in_parts;
 pub use self::news::{DirectoryNews, RevisedChange, WholePart, WireChange, WireListing};
 use self::news::{NAME_BYTES, ROW_BYTES};
@@ -118,6 +121,9 @@
     Crashes(WireCrashReport),
     /// First of all, on a link to a keeper of quotas: the number of their part.
     AskQuotas(u8),
+    /// What replicas told of their loads; empty: whoever sends it listens to such news.
+    /// Only to nodes whose entries say that they understand it.
+    Loads(WireLoads),
 }
 
 /// Who begins to follow a relay, and what it knows and wants.
@@ -281,6 +287,8 @@
     Whole(WholePart),
     /// The changes that were asked for are not known, nor is the whole.
     HistoryGone,
+    /// What replicas told of their loads. Only on links on which such news came.
+    Loads(WireLoads),
 }
 
 /// How much of the replicas a relay tells its followers.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -17,12 +17,13 @@
 use crate::crash_reports;
 use crate::directory::relay::{self, WholeInParts};
 use crate::link::PeerLink;
+use crate::load_news::LoadListener;
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
 use crate::wire::decode;
-use crate::{quota, tree};
+use crate::{load_news, quota, tree};
 
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -116,6 +117,7 @@
     inbox: mpsc::Sender<OrdererInput>,
 ) -> io::Result<()> {
     let mut changes = subscription.changes;
+    let mut loads = LoadListener::default();
     for message in subscription.first {
         link.send(message).await?;
     }
@@ -126,10 +128,19 @@
                 // The listener fell behind: it connects anew and gets everything.
                 Err(broadcast::error::RecvError::Lagged(_) | broadcast::error::RecvError::Closed) => return Ok(()),
             },
+            news = loads.next() => {
+                load_news::note_sent(node, &news);
+                link.send(news).await?;
+            }
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
                 let message = decode::<ToOrderer>(&frame)?;
                 match message {
+                    ToOrderer::Loads(told) => {
+                        let accounts = loads.hear(&told, &subscription.loads, node.clock.now());
+                        // Where too many wait, the next ones say more.
+                        let _ = inbox.try_send(OrdererInput::Loads(accounts));
+                    }
                     ToOrderer::Replay(after) => {
                         let replies = node.step_times.time("replay", || {
                             let mut replies = tree::view_since(node, after, true);
@@ -224,8 +235,12 @@
     while orderer_address(node, shard) == Some(node.settings.identity.peer) {
         tokio::select! {
             message = outgoing.recv() => {
-                let Some(message) = message else { return };
-                let _ = inbox.send(OrdererInput::FromNode(message)).await;
+                let input = match message {
+                    Some(ToOrderer::Loads(told)) => OrdererInput::Loads(load_news::own_accounts(node, &told)),
+                    Some(message) => OrdererInput::FromNode(message),
+                    None => return,
+                };
+                let _ = inbox.send(input).await;
             }
             () = sleep(RETRY_PAUSE) => {}
         }
@@ -260,7 +275,9 @@
             }
             message = outgoing.recv() => {
                 let Some(message) = message else { return Ok(()) };
-                link.send(Bytes::from(message.serialize_bin())).await?;
+                if let Some(message) = load_news::outgoing(node, address, &message) {
+                    link.send(message).await?;
+                }
             }
         }
     }
@@ -311,6 +328,7 @@
         FromOrderer::Whole(part) => relay::take_whole(node, part, whole, delay),
         FromOrderer::HistoryGone => tree::history_gone(node),
         FromOrderer::RelayedResignation(relayed) => hear_resignation(node, relayed),
+        FromOrderer::Loads(told) => load_news::hear_told(node, &told, delay),
         // Taken by the link itself, or not for it.
         FromOrderer::Alive
         | FromOrderer::Linked(_)
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -14,6 +14,7 @@
 use super::guards::Send;
 use super::RequestRun;
 use crate::connection::{Connection, ExchangeError};
+use crate::load_news;
 use crate::own_word;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
 
@@ -159,7 +160,7 @@
         let head_at = self.now();
         let (head, body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
-        self.take_load(replica, &facts);
+        self.take_load(&send, &facts);
         self.hear_replica(&send, &facts);
         if facts.execution == Execution::NotExecuted {
             return self.not_executed(replica, &facts, &head, &send);
@@ -212,14 +213,10 @@
         }
     }
 
-    pub(super) fn take_load(&self, replica: &ReplicaId, facts: &AnswerFacts) {
+    fn take_load(&self, send: &Send<P>, facts: &AnswerFacts) {
         if let Some(load) = facts.load {
-            let now = self.node.clock.now();
-            self.node
-                .state
-                .borrow_mut()
-                .replicas
-                .told_load(replica, load, now);
+            let is_sure = facts.is_ours && !facts.is_misdirected;
+            load_news::hear_answer(&self.node, &send.replica, send.born_ms, load, is_sure);
         }
     }
 
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -65,6 +65,9 @@
     /// Replicas up to which a relay tells its followers of all of them; of more, of those
     /// that their requests ask for.
     pub most_replicas_told: usize,
+    /// True where callers are known to compete for too little room at times: nodes tell
+    /// each other how full replicas are, whether or not these tell how fast they work.
+    pub callers_compete: bool,
     /// True at the first start of the whole system: no former process of this
     /// machine can have used its part of the retry budget.
     pub is_first_start: bool,
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -17,6 +17,7 @@
 use super::{place_of, relays_above, Uplink};
 use crate::directory::relay::{self, WholeInParts};
 use crate::link::PeerLink;
+use crate::load_news;
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer, WireFollow, WireModel, WireReplicas, WireScope};
 use crate::peer_link::{self, silence_limit};
@@ -161,7 +162,9 @@
             }
             message = outgoing.recv() => {
                 let Some(message) = message else { return Ok(()) };
-                link.send(Bytes::from(message.serialize_bin())).await?;
+                if let Some(message) = load_news::outgoing(node, address, &message) {
+                    link.send(message).await?;
+                }
             }
             // This node may have become an orderer.
             () = node.relay_changed.notified() => {}
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -13,6 +13,7 @@
 use super::{is_direct, linked_message};
 use crate::crash_reports;
 use crate::link::PeerLink;
+use crate::load_news::{self, LoadFollower};
 use crate::node::Node;
 use crate::peer::{FromOrderer, ToOrderer, WireFollow};
 use crate::ports::Platform;
@@ -36,7 +37,8 @@
     }
     let mut news = node.followers.subscribe();
     link.send(linked_message(&node)).await?;
-    let mut follower = None;
+    let mut follower: Option<Follower> = None;
+    let mut loads = LoadFollower::default();
     let heartbeat = node.settings.pace.peer_heartbeat;
     let mut next_heartbeat = Instant::now() + heartbeat;
     while is_direct(&node) {
@@ -72,9 +74,18 @@
                 // The follower fell behind: it connects anew and gets everything.
                 Err(RecvError::Lagged(_) | RecvError::Closed) => return Ok(()),
             },
+            told = loads.next() => {
+                if let Some(message) = follower.as_ref().and_then(|follower| follower.loads(&told)) {
+                    load_news::note_sent(&node, &message);
+                    link.send(message).await?;
+                }
+            }
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
                 let message = decode::<ToOrderer>(&frame)?;
+                if let ToOrderer::Loads(told) = &message {
+                    loads.hear(&node, told);
+                }
                 let replies = node
                     .step_times
                     .time("message of a follower", || take_message(&node, follower.as_mut(), message));
@@ -146,6 +157,8 @@
         }
         // Only a link's first message.
         ToOrderer::Listen(_) | ToOrderer::Follow(_) | ToOrderer::AskQuotas(_) => {}
+        // Taken by the link itself.
+        ToOrderer::Loads(_) => {}
     }
     Vec::new()
 }
--- a/crates/croftrill-scheduler/src/interest.rs
+++ b/crates/croftrill-scheduler/src/interest.rs
@@ -209,6 +209,11 @@
         MustHear::Everything
     }
 
+    /// True if the follower is told of a replica.
+    pub fn knows(&self, id: &str) -> bool {
+        self.known.contains(id)
+    }
+
     /// A replica is gone; true if the follower knew it.
     pub fn hears_removal(&mut self, id: &str) -> bool {
         let was_known = self.known.remove(id);
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod interest;
 pub mod lease;
 pub mod load_ceiling;
+pub mod load_news;
 pub mod load_pace;
 pub mod orderer;
 pub mod placement;
