Urgent requests pass the queue of less urgent ones at a full replica

Load pattern: a crowd of patient requests at a model's only holder. The time until a holder begins counted all that wait there, though a replica lets the more urgent in first; so urgent requests waited at their nodes and were refused while patient ones, which may wait longer, went. Now the most urgent go to the replica at once, until a full one has turned them away.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -125,6 +125,9 @@
     }
 
     fn full_request(&self, room: &Room) -> FullRequest {
+        let is_most_urgent = self
+            .configuration
+            .is_most_urgent_of(&self.service, self.route.priority);
         FullRequest {
             waited: self.waited(),
             starts_in: self.starts_in(room),
@@ -132,9 +135,12 @@
             objective: self.route.objective,
             patience: self.patience(),
             left: self.until.since(self.now()),
-            is_most_urgent: self
-                .configuration
-                .is_most_urgent_of(&self.service, self.route.priority),
+            is_most_urgent,
+            passes_others: is_most_urgent
+                && self.sends == 0
+                && self
+                    .configuration
+                    .is_less_urgent_known(&self.service, self.route.priority),
         }
     }
 
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -229,6 +229,13 @@
         !routes.any(ranks_before)
     }
 
+    /// True if a route to the service is less urgent than this rank.
+    pub fn is_less_urgent_known(&self, service: &str, rank: u8) -> bool {
+        let mut routes = self.routes_by_host.values().flatten();
+        routes
+            .any(|route| route.priority > rank && route.backends.iter().any(|part| &*part.service == service))
+    }
+
     /// The same configuration with shares for groups of callers.
     pub fn with_group_shares(mut self, group_shares: HashMap<Arc<str>, u32>) -> Self {
         self.group_shares = group_shares;
--- a/crates/croftrill-scheduler/src/full_holders.rs
+++ b/crates/croftrill-scheduler/src/full_holders.rs
@@ -1,7 +1,8 @@
 //! What happens to a request while every holder of its model is full.
 //!
-//! A replica's own queue ranks what lies in it, whichever node sent it; so an urgent request
-//! goes there as long as it can still be in time. One that has time to spare waits at its
+//! A replica's own queue ranks what lies in it, whichever node sent it; so a request that
+//! ranks before others of its service goes there and passes them, unless a full replica has
+//! turned it away already. Others queue there as long as they can still be in time. One that has time to spare waits at its
 //! node instead: it takes no place before an urgent request of another node, and makes no
 //! running stream give way. One that will be late takes only a place that is free, so that
 //! it makes no other one late. What cannot be served while its caller waits is refused at
@@ -28,6 +29,9 @@
     pub left: Duration,
     /// True if no request of the service is more urgent.
     pub is_most_urgent: bool,
+    /// True if it is, others are less urgent, and no full replica turned it away yet: it
+    /// passes them in a replica's queue.
+    pub passes_others: bool,
 }
 
 /// What to do with it.
@@ -63,7 +67,7 @@
 /// `unit`: of this request, evenly spread from 0 to 1.
 pub fn decide_full(request: &FullRequest, rank: u8, unit: f64) -> FullDecision {
     let is_in_time = request.served_at() <= request.objective;
-    if is_in_time && !request.can_spare_a_wait() {
+    if request.passes_others || (is_in_time && !request.can_spare_a_wait()) {
         return FullDecision::Send;
     }
     let longest_hold = request.patience.mul_f64(LONGEST_HOLD);
