--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -16,6 +16,7 @@
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::waiting_requests::{WaitingBounds, WaitingRequests};
 use tokio::sync::{broadcast, mpsc, Mutex, Notify};
 
 use crate::broken_requests::BrokenRequests;
@@ -24,6 +25,7 @@
 use crate::counted_store::CountedStore;
 use crate::era_store::EraStore;
 use crate::front::STOP_LINGER;
+use crate::load_news::LoadNews;
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
@@ -48,6 +50,13 @@
 /// Part of the common retry budget that is used; the rest covers requests that
 /// the nodes and the platform count differently.
 const RETRY_SAFETY: f64 = 0.8;
+/// Requests that wait at one node for a place at a full holder, at most: a node of the
+/// largest fleet has a few a second, so these are many seconds of a crowd; 8 MB of bodies
+/// are a fifteenth of a small node's memory.
+const WAITING_BOUNDS: WaitingBounds = WaitingBounds {
+    requests: 256,
+    size_bytes: 8 << 20,
+};
 /// Messages to the orderer that may wait to be sent.
 const ORDERER_QUEUE: usize = 1024;
 
@@ -67,6 +76,8 @@
     pub retry_budget: RetryBudget,
     /// Requests that wait for a place, by group.
     pub fair_queue: FairQueue,
+    /// Requests that wait for a place at a full holder of their model.
+    pub waiting_requests: WaitingRequests,
     /// Demand that the orderer has not been told yet.
     pub demand: DemandBatch,
     /// How far this node knows the store's history.
@@ -133,6 +144,8 @@
     pub stop_requested: Notify,
     /// Told when a request leaves, so that a waiting one may start.
     pub place_freed: Notify,
+    /// Told when a place at a replica may have become free.
+    pub room_changed: Notify,
     /// Whether the store answers, as renewals of the node's own lease show.
     pub store_path: StorePath,
     /// Connections for requests that may be repeated, and for orders and reports.
@@ -141,6 +154,8 @@
     pub patient_pool: ConnectionPool,
     /// The quotas of tenants, and their keepers.
     pub quotas: Rc<Quotas>,
+    /// What it heard of replicas' loads, and tells on.
+    pub load_news: LoadNews,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// When it last handed each shard on to stronger nodes.
@@ -221,14 +236,19 @@
             clock.now()
         };
         let retry_budget = RetryBudget::new(budget_config, budget_begun);
+        let mut replicas = ReplicaTable::new();
+        if settings.callers_compete {
+            replicas.go_by_capacity();
+        }
         let state = NodeState {
             configuration: None,
             configuration_item: None,
-            replicas: ReplicaTable::new(),
+            replicas,
             crash_ledger: CrashLedger::default(),
             broken_requests: BrokenRequests::default(),
             retry_budget,
             fair_queue: FairQueue::new(settings.most_in_service.unwrap_or(usize::MAX)),
+            waiting_requests: WaitingRequests::new(WAITING_BOUNDS),
             demand: DemandBatch::default(),
             directory: FollowedView::new(FollowConfig {
                 proof_lifetime: settings.pace.relay_lifetime,
@@ -257,10 +277,12 @@
             acquiring: Mutex::new(()),
             stop_requested: Notify::new(),
             place_freed: Notify::new(),
+            room_changed: Notify::new(),
             store_path: StorePath::default(),
             pool: ConnectionPool::new(ConnectionConfig::default()),
             patient_pool: ConnectionPool::new(patient),
             quotas,
+            load_news: LoadNews::default(),
             metrics,
             handed_on_at: Default::default(),
             step_times: Rc::default(),
@@ -351,6 +373,14 @@
         }
     }
 
+    /// A message for the present orderer of a shard, as long as this node hears the
+    /// orderers by links of its own; left out where too many wait.
+    pub fn tell_orderer(&self, shard: Shard, message: ToOrderer) {
+        if self.to_orderers[shard.index()].try_send(message).is_err() {
+            self.metrics.messages_left_out.inc();
+        }
+    }
+
     /// An event for all of this node's own orderer tasks.
     pub fn inform_orderer_tasks(&self, input: impl Fn() -> OrdererInput) {
         if !self.gives_orders() {
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -14,6 +14,7 @@
 use super::guards::Send;
 use super::RequestRun;
 use crate::connection::{Connection, ExchangeError};
+use crate::load_news;
 use crate::own_word;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
 
@@ -75,7 +76,7 @@
         let Some(address) = address else {
             return SendEnd::NotSent;
         };
-        let mut send = Send::begin(&self.node, replica, self.facts.prompt_tokens);
+        let mut send = Send::begin(&self.node, replica, self.work());
         let connected = if self.route.is_idempotent() {
             self.node.pool.connect(address).await
         } else {
@@ -154,12 +155,12 @@
         replica: &ReplicaId,
         answer: Response<Incoming>,
         connection: Connection,
-        send: Send<P>,
+        mut send: Send<P>,
     ) -> SendEnd<P> {
         let head_at = self.now();
         let (head, body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
-        self.take_load(replica, &facts);
+        self.take_load(&send, &facts);
         self.hear_replica(&send, &facts);
         if facts.execution == Execution::NotExecuted {
             return self.not_executed(replica, &facts, &head, &send);
@@ -171,7 +172,10 @@
                 cause: "the answer is not this request's",
             };
         }
-        if self.route.kind == RouteKind::Streaming && head.status.is_success() {
+        // A whole answer comes when its run is over, a stream's head as it begins.
+        let is_stream = self.route.kind == RouteKind::Streaming && head.status.is_success();
+        send.answer_began(if is_stream { head_at } else { send.begun_at });
+        if is_stream {
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
@@ -212,14 +216,10 @@
         }
     }
 
-    pub(super) fn take_load(&self, replica: &ReplicaId, facts: &AnswerFacts) {
+    fn take_load(&self, send: &Send<P>, facts: &AnswerFacts) {
         if let Some(load) = facts.load {
-            let now = self.node.clock.now();
-            self.node
-                .state
-                .borrow_mut()
-                .replicas
-                .told_load(replica, load, now);
+            let is_sure = facts.is_ours && !facts.is_misdirected;
+            load_news::hear_answer(&self.node, &send.replica, send.born_ms, load, is_sure);
         }
     }
 
