Streams: a stopping node waits for a silent replica that nobody can replace

Cause: a stream without a word for its caller's patience less what the next replica needs (1.89 s there) was given up before it was known whether another could go on: both sends had been made, and the node ended an answer that might still come. Ruled out: the replica's end, draining or not (the rule counts no answer that the replica broke off); the node's own end (it waits for what is in flight for 7.3 s of its 8 s of grace, and nothing else cuts a stream; 1.1 s were used). Change: at a stopping node a silent replica is left only for one that answers. After: croftrill-adapter's requests, crashing_requests and store pass.

--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -13,6 +13,7 @@
 use super::forwarding::end_to_end;
 use super::sending::{SendEnd, Streaming};
 use super::{Answer, RequestRun};
+use crate::node::Lifecycle;
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, EventCutter, StreamPart, StreamSender};
 
@@ -26,6 +27,8 @@
 pub(super) enum PumpEnd {
     Complete,
     Broken,
+    /// Nothing came for long: its replica may be slow, or gone without a word.
+    Silent,
     CallerGone,
     OutOfTime,
 }
@@ -59,9 +62,10 @@
         }
         let mut cutter = EventCutter::after(self.facts.last_event_id.clone());
         let mut current = first;
+        let mut may_leave = true;
         loop {
             let replica = current.send.replica.clone();
-            let end = self.pump_one(&mut current, &mut cutter, &sender).await;
+            let end = self.pump_one(&mut current, &mut cutter, &sender, may_leave).await;
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
@@ -82,13 +86,29 @@
                     self.log_end(&replica, "stream out of time");
                     return;
                 }
-                PumpEnd::Broken => {}
+                // A planned stop ends no answer that may still come: the replica is left
+                // only for another one. Else an early end lets the caller try again.
+                PumpEnd::Silent if self.node.lifecycle() == Lifecycle::Stopping => {
+                    current.send.record(SendOutcome::Failure);
+                    match self.resume(&replica, &cutter).await {
+                        Some(next) => {
+                            cutter.drop_partial();
+                            current = next;
+                        }
+                        None => may_leave = false,
+                    }
+                    continue;
+                }
+                PumpEnd::Silent | PumpEnd::Broken => {}
             }
             current.send.record(SendOutcome::Failure);
             drop(current);
             cutter.drop_partial();
             match self.resume(&replica, &cutter).await {
-                Some(next) => current = next,
+                Some(next) => {
+                    current = next;
+                    may_leave = true;
+                }
                 None => {
                     self.log_end(&replica, "stream cut off");
                     return;
@@ -97,23 +117,25 @@
         }
     }
 
+    /// Passes on what a replica sends. `may_leave`: false once nobody could take its place.
     pub(super) async fn pump_one(
         &self,
         streaming: &mut Streaming<P>,
         cutter: &mut EventCutter,
         sender: &StreamSender,
+        may_leave: bool,
     ) -> PumpEnd {
         let mut last_event = self.now();
         loop {
             let frame = tokio::select! {
                 frame = streaming.body.frame() => frame,
                 () = sender.closed() => return PumpEnd::CallerGone,
-                () = self.silent_since(last_event) => {
+                () = self.silent_since(last_event), if may_leave => {
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
                         outcome = "the stream fell silent", silent_ms = self.now().since(last_event).as_millis() as u64);
                     self.node.pool.found_silent(&streaming.connection);
                     self.stream_broke(streaming, last_event);
-                    return PumpEnd::Broken;
+                    return PumpEnd::Silent;
                 }
                 () = self.node.clock.sleep_until(self.until) => return PumpEnd::OutOfTime,
             };
