--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::returning::Returning;
 use super::ruling::{KeeperConfig, Ruling, Want, MOST_AHEAD};
 use crate::tenants::Quota;
 
@@ -14,8 +15,6 @@
 /// Time constant after which units that were refused are no more expected to be asked for
 /// once more: callers come back once or not at all.
 const REFUSED_MEMORY_S: f64 = 2.0;
-/// Time after which a request that was told to come back is not expected any more.
-const RETURN_MARGIN: Duration = Duration::from_millis(100);
 /// Requests over which means are taken.
 const MEAN_OVER: f64 = 64.0;
 /// Part of the time that urgent requests can wait for which others are granted ahead at
@@ -157,31 +156,21 @@
     /// A request wants to run.
     pub(super) fn ask(&mut self, want: Want, bounds: &AccountBounds) -> Ruling {
         let cost = want.cost as f64;
-        self.mean_cost += (cost - self.mean_cost) / MEAN_OVER;
-        if want.is_urgent {
-            let patience_s = want.patience.min(MOST_AHEAD).as_secs_f64();
-            let mean_s = self.urgent_patience_s.get_or_insert(patience_s);
-            *mean_s += (patience_s - *mean_s) / MEAN_OVER;
-        }
+        self.note_asked(&want);
         let ahead = want.patience.min(self.most_ahead(want.is_urgent, bounds));
         let left_to_others = self.returning.most_before(ahead);
-        if !want.is_urgent {
-            self.since_others = Some(Duration::ZERO);
-            if self.pay_with_kept(cost, left_to_others, bounds) {
-                return Ruling::Granted {
-                    after: Duration::ZERO,
-                };
-            }
+        if !want.is_urgent && self.pay_with_kept(cost, left_to_others, bounds) {
+            return Ruling::Granted {
+                after: Duration::ZERO,
+            };
         }
-        let left_to_others = self
-            .returning
-            .most_before(ahead)
-            .min(self.most_left(cost, bounds));
         let missing = cost - bounds.debt - self.balance;
-        let after = bounds.time_to_gain(missing);
+        let left_to_others = left_to_others.min(self.most_left(cost, bounds));
         if bounds.time_to_gain(missing + left_to_others) <= ahead {
             self.balance -= cost;
-            return Ruling::Granted { after };
+            return Ruling::Granted {
+                after: bounds.time_to_gain(missing),
+            };
         }
         let again_after = bounds.time_to_gain(missing + self.refused);
         self.refused += cost;
@@ -192,6 +181,18 @@
         }
     }
 
+    /// A request came, whatever becomes of it.
+    fn note_asked(&mut self, want: &Want) {
+        self.mean_cost += (want.cost as f64 - self.mean_cost) / MEAN_OVER;
+        if !want.is_urgent {
+            self.since_others = Some(Duration::ZERO);
+            return;
+        }
+        let patience_s = want.patience.min(MOST_AHEAD).as_secs_f64();
+        let mean_s = self.urgent_patience_s.get_or_insert(patience_s);
+        *mean_s += (patience_s - *mean_s) / MEAN_OVER;
+    }
+
     /// Units that a request can leave and still be granted when all is saved.
     fn most_left(&self, cost: f64, bounds: &AccountBounds) -> f64 {
         (bounds.most_saved - self.kept + bounds.debt - cost).max(0.0)
@@ -231,40 +232,3 @@
         self.save(cost as f64, bounds);
     }
 }
-
-/// Steps of [`Returning`]: limits of ranks halve, so these are more ranks than differ.
-const REACH_STEPS: usize = 10;
-
-/// Requests that were refused and may ask again, by how far ahead they may be granted: what
-/// goes further comes before. Of each step the costliest counts, until it was told to come.
-#[derive(Debug, Clone, Copy, Default)]
-struct Returning {
-    steps: [Option<(f64, Duration)>; REACH_STEPS],
-}
-
-impl Returning {
-    /// Step of requests that are granted so far ahead: each is twice the one before.
-    fn step(ahead: Duration) -> usize {
-        let millis = ahead.as_millis() as u64;
-        (u64::BITS - millis.leading_zeros()).min(REACH_STEPS as u32 - 1) as usize
-    }
-
-    fn note(&mut self, ahead: Duration, cost: f64, again_after: Duration) {
-        let step = &mut self.steps[Self::step(ahead)];
-        let known = step.map_or(0.0, |(cost, _)| cost);
-        *step = Some((cost.max(known), again_after + RETURN_MARGIN));
-    }
-
-    /// Time passed.
-    fn pass(&mut self, elapsed: Duration) {
-        for step in &mut self.steps {
-            *step = step.and_then(|(cost, left)| Some((cost, left.checked_sub(elapsed)?)));
-        }
-    }
-
-    /// Cost of the costliest that comes before a request that is granted so far ahead.
-    fn most_before(&self, ahead: Duration) -> f64 {
-        let before = &self.steps[Self::step(ahead) + 1..];
-        before.iter().flatten().map(|(cost, _)| *cost).fold(0.0, f64::max)
-    }
-}
--- a/crates/croftrill-scheduler/src/quota/mod.rs
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -12,6 +12,7 @@
 pub mod keeper;
 pub mod keepers;
 pub mod limits;
+mod returning;
 mod ruling;
 pub mod turn;
 pub mod waiting;
