Loads of replicas at work are told again after half a second

An account loses its meaning within 0.7 s, so a replica of which nothing new was told for a second was taken for one with less to do. A line a second says what an orderer tells.

--- a/crates/croftrill-node/src/orderer_task/loads.rs
+++ b/crates/croftrill-node/src/orderer_task/loads.rs
@@ -20,6 +20,8 @@
 const BYTES_PER_S: u32 = 1500;
 /// Least time between two tellings.
 const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Time between two lines of the log.
+const LOG_EVERY: Duration = Duration::from_secs(1);
 /// Tellings that a slow listener may fall behind before it misses the oldest.
 const BACKLOG: usize = 4;
 
@@ -28,6 +30,15 @@
     telling: LoadTelling,
     listeners: broadcast::Sender<Bytes>,
     told_at: Moment,
+    /// What was told since the last line of the log.
+    told: ToldCounts,
+}
+
+#[derive(Debug, Default)]
+struct ToldCounts {
+    accounts: usize,
+    left_out: usize,
+    since: Moment,
 }
 
 impl ShardLoads {
@@ -40,6 +51,7 @@
             telling: LoadTelling::new(config, now),
             listeners: broadcast::channel(BACKLOG).0,
             told_at: now,
+            told: ToldCounts::default(),
         }
     }
 
@@ -78,6 +90,7 @@
         };
         count("told", due.accounts.len());
         count("left out", due.left_out);
+        self.told.add(due.accounts.len(), due.left_out, now);
         if due.accounts.is_empty() {
             return;
         }
@@ -87,3 +100,18 @@
         let _ = self.listeners.send(message);
     }
 }
+
+impl ToldCounts {
+    fn add(&mut self, accounts: usize, left_out: usize, now: Moment) {
+        self.accounts += accounts;
+        self.left_out += left_out;
+        if now.since(self.since) >= LOG_EVERY {
+            tracing::debug!(target: "load news", event = "accounts told", accounts = self.accounts,
+                left_out = self.left_out);
+            *self = ToldCounts {
+                since: now,
+                ..ToldCounts::default()
+            };
+        }
+    }
+}
--- a/crates/croftrill-scheduler/src/load_news/telling.rs
+++ b/crates/croftrill-scheduler/src/load_news/telling.rs
@@ -8,13 +8,15 @@
 use crate::capacity::ReplicaLoad;
 use crate::time::Moment;
 
-/// Least difference of requests that is told, and the part of its slots.
+/// Requests by which a replica's load must differ to be told, and besides by more than one
+/// part of so many of its slots.
 const LEAST_REQUESTS: u32 = 2;
-const SLOTS_PER_STEP: u32 = 10;
+const SLOT_PARTS: u32 = 10;
 /// Time work takes may change by one part of so many without being told.
 const WORK_TIME_PARTS: u32 = 5;
-/// Time after which a replica at work is told of again, changed or not.
-const TOLD_AGAIN: Duration = Duration::from_secs(1);
+/// Time after which a replica at work is told of again, changed or not: less than what an
+/// account takes to lose its meaning, or it would be taken for one with less to do.
+const TOLD_AGAIN: Duration = Duration::from_millis(500);
 /// Time for which bytes that were not used are kept.
 const BURST: Duration = Duration::from_millis(500);
 
@@ -52,8 +54,9 @@
 
 /// True if what is known of a replica changed so much that others would decide otherwise.
 fn differs(told: ReplicaLoad, load: ReplicaLoad) -> bool {
-    let step = LEAST_REQUESTS.max(load.slots.unwrap_or(0) / SLOTS_PER_STEP);
-    let requests = told.requests().abs_diff(load.requests()) > step;
+    let difference = told.requests().abs_diff(load.requests());
+    let is_of_slots = difference.saturating_mul(SLOT_PARTS) > load.slots.unwrap_or(0);
+    let requests = difference >= LEAST_REQUESTS && is_of_slots;
     let work_time = match (told.work_time_pct, load.work_time_pct) {
         (Some(told), Some(now)) => told.abs_diff(now).saturating_mul(WORK_TIME_PARTS) > told,
         (told, now) => told != now,
