Operators see which replicas are full or slow, and by what evidence

croftrill status tells of each replica its requests, places, usual and present speed and the age of that; metrics by service: replicas heard of, free places, full and slow ones, requests of the busiest in times of the mean. Worked out as they are asked for, only where loads are told on (in metrics).

--- a/crates/croftrill-cli/src/render.rs
+++ b/crates/croftrill-cli/src/render.rs
@@ -37,7 +37,12 @@
             "leaving"
         };
         let id = replica["id"].as_str().unwrap_or("-");
-        let _ = writeln!(table, "replica        {id} {ready}  {}", list(&replica["models"]));
+        let load = load(&replica["load"]);
+        let _ = writeln!(
+            table,
+            "replica        {id} {ready}  {}{load}",
+            list(&replica["models"])
+        );
     }
     for suspect in status["suspects"].as_array().into_iter().flatten() {
         let text = |name: &str| suspect[name].as_str().unwrap_or("-");
@@ -61,6 +66,26 @@
     table
 }
 
+/// What a replica told of its load, and what it counts as by that; nothing if it told none.
+fn load(load: &Value) -> String {
+    if load.is_null() {
+        return String::new();
+    }
+    let words = [("full", "full, "), ("slow", "slow, ")];
+    let words = words.iter().filter(|(name, _)| load[name] == true);
+    let words: String = words.map(|(_, word)| *word).collect();
+    let speed = |name: &str| load[name].as_f64().unwrap_or(1.0);
+    format!(
+        "  ({words}{}+{} of {}, speed {:.2}, now {:.2}, told {} ms ago)",
+        load["running"],
+        load["waiting"],
+        load["slots"],
+        speed("speed"),
+        speed("speed_now"),
+        load["told_ms_ago"]
+    )
+}
+
 /// A plan as a list of steps.
 pub fn plan(plan: &Value) -> String {
     let steps: Vec<&str> = plan["steps"]
--- a/crates/croftrill-cli/tests/commands.rs
+++ b/crates/croftrill-cli/tests/commands.rs
@@ -53,6 +53,23 @@
     }
 }
 
+/// Which replica is full or slow, and by what evidence.
+#[test]
+fn a_status_tells_what_replicas_told_of_their_load() {
+    let load = json!({
+        "running": 24, "waiting": 3, "slots": 24, "speed": 0.625, "speed_now": 0.25,
+        "told_ms_ago": 180, "full": true, "slow": true,
+    });
+    let status = json!({"replicas": [
+        {"id": "r1", "ready": true, "models": ["m1"], "load": load},
+        {"id": "r2", "ready": true, "models": [], "load": null},
+    ]});
+    let table = render::status(&status);
+    let told = "r1 ready  m1  (full, slow, 24+3 of 24, speed 0.62, now 0.25, told 180 ms ago)\n";
+    assert!(table.contains(told), "{table}");
+    assert!(table.contains("r2 ready  \n"), "{table}");
+}
+
 #[test]
 fn plans_and_failures_are_told_whole() {
     assert_eq!(
--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -125,7 +125,7 @@
     match (&head.method, head.uri.path()) {
         (&Method::GET, READY_PATH) if node.lifecycle() == Lifecycle::Ready => text("ready".to_string()),
         (&Method::GET, READY_PATH) => failure(StatusCode::SERVICE_UNAVAILABLE, "not ready", Vec::new(), None),
-        (&Method::GET, METRICS_PATH) => text(node.metrics.text()),
+        (&Method::GET, METRICS_PATH) => text(node.metrics_text()),
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status(node)),
         (&Method::GET, DOCUMENT_PATH) => document(node).await,
         (&Method::POST, PLAN_PATH) => make_plan(node, &body).await,
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -3,6 +3,9 @@
 use croftrill_node::node::{Lifecycle, Node};
 use croftrill_node::ports::Platform;
 use croftrill_scheduler::crash_ledger::Verdict;
+use croftrill_scheduler::load_summary::JudgedLoad;
+use croftrill_scheduler::replica_table::ReplicaEntry;
+use croftrill_scheduler::time::Moment;
 use serde::{Deserialize, Serialize};
 
 /// What a node believes of a replica.
@@ -20,6 +23,46 @@
     pub models: Vec<String>,
     /// Models on their way.
     pub arriving: Vec<String>,
+    /// What it told of its load, to this node or to others.
+    #[serde(default)]
+    pub load: Option<LoadStatus>,
+}
+
+/// What a replica told of its load last, and what it counts as by that.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LoadStatus {
+    /// Requests running there.
+    pub running: u32,
+    /// Requests waiting there.
+    pub waiting: u32,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// How fast it usually works; 1: the usual speed of a replica.
+    pub speed: f64,
+    /// How fast it works now, as far as that was told lately.
+    pub speed_now: f64,
+    /// How long ago it told, in milliseconds.
+    pub told_ms_ago: u64,
+    /// True if it runs all that it can, or requests wait there.
+    pub full: bool,
+    /// True if it works slower than usual.
+    pub slow: bool,
+}
+
+impl LoadStatus {
+    fn of(entry: &ReplicaEntry, now: Moment) -> Option<Self> {
+        let judged = JudgedLoad::of(entry, now)?;
+        Some(LoadStatus {
+            running: judged.load.running,
+            waiting: judged.load.waiting,
+            slots: judged.slots,
+            speed: judged.speed,
+            speed_now: judged.speed_now,
+            told_ms_ago: now.since(judged.at).as_millis() as u64,
+            full: judged.is_full(),
+            slow: judged.is_slow(),
+        })
+    }
 }
 
 /// A request under which replicas ended.
@@ -104,6 +147,7 @@
             group: group.to_string(),
             balance: balance as i64,
         });
+    let now = node.clock.now();
     let state = node.state.borrow();
     let replicas = state.replicas.iter().map(|entry| {
         let held = entry.listing.holdings.models.iter();
@@ -127,6 +171,7 @@
                 .iter()
                 .map(|arrival| arrival.model.to_string())
                 .collect(),
+            load: LoadStatus::of(entry, now),
         }
     });
     NodeStatus {
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -1,7 +1,11 @@
 //! Counters and histograms, in the Prometheus text format.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use croftrill_scheduler::catalog::ServiceName;
+use croftrill_scheduler::load_summary::ServiceLoad;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -19,6 +23,16 @@
     pub outcome: &'static str,
 }
 
+/// Label of a gauge of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
+/// A number for each service.
+pub type ServiceGauge<N, A> = Family<ServiceLabels, Gauge<N, A>>;
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
@@ -52,6 +66,16 @@
     pub load_news: Family<OutcomeLabels, Counter>,
     /// Bytes of messages with such accounts that were sent.
     pub load_news_bytes: Counter,
+    /// Replicas by service of which this node heard lately.
+    pub service_replicas_heard: ServiceGauge<i64, AtomicI64>,
+    /// Free places of these.
+    pub service_room: ServiceGauge<i64, AtomicI64>,
+    /// Those that are full.
+    pub service_full: ServiceGauge<i64, AtomicI64>,
+    /// Those that are slow.
+    pub service_slow: ServiceGauge<i64, AtomicI64>,
+    /// Requests of the busiest of them, in times of the mean.
+    pub service_spread: ServiceGauge<f64, AtomicU64>,
     /// Seconds from arrival to the head of the answer.
     pub first_byte_seconds: Histogram,
     /// Size of the answers to the node's own watches, in bytes.
@@ -162,6 +186,28 @@
             "Bytes of messages with accounts of replicas' loads that were sent",
             load_news_bytes.clone(),
         );
+        let service_replicas_heard = ServiceGauge::default();
+        registry.register(
+            "service_replicas_heard",
+            "Replicas by service of which this node heard lately",
+            service_replicas_heard.clone(),
+        );
+        let service_room = ServiceGauge::default();
+        registry.register(
+            "service_room",
+            "Free places of the replicas of which this node heard lately",
+            service_room.clone(),
+        );
+        let service_full = ServiceGauge::default();
+        registry.register("service_full", "Full replicas of these", service_full.clone());
+        let service_slow = ServiceGauge::default();
+        registry.register("service_slow", "Slow replicas of these", service_slow.clone());
+        let service_spread = ServiceGauge::default();
+        registry.register(
+            "service_spread",
+            "Requests of the busiest of these replicas, in times of the mean",
+            service_spread.clone(),
+        );
         let first_byte_seconds = Histogram::new(LATENCY_BUCKETS);
         registry.register(
             "first_byte_seconds",
@@ -219,6 +265,11 @@
             relayed,
             load_news,
             load_news_bytes,
+            service_replicas_heard,
+            service_room,
+            service_full,
+            service_slow,
+            service_spread,
             first_byte_seconds,
             watch_answer_bytes,
             configuration_version,
@@ -230,6 +281,33 @@
         }
     }
 
+    /// Takes in how full the replicas of each service are.
+    pub fn set_service_loads(&self, services: &BTreeMap<ServiceName, ServiceLoad>) {
+        self.clear_service_loads();
+        for (service, load) in services {
+            let labels = ServiceLabels {
+                service: service.to_string(),
+            };
+            let set = |gauge: &ServiceGauge<i64, AtomicI64>, number: u32| {
+                gauge.get_or_create(&labels).set(i64::from(number));
+            };
+            set(&self.service_replicas_heard, load.replicas);
+            set(&self.service_room, load.free);
+            set(&self.service_full, load.full);
+            set(&self.service_slow, load.slow);
+            self.service_spread.get_or_create(&labels).set(load.spread());
+        }
+    }
+
+    /// Services of which nothing was heard lately have no numbers.
+    fn clear_service_loads(&self) {
+        self.service_replicas_heard.clear();
+        self.service_room.clear();
+        self.service_full.clear();
+        self.service_slow.clear();
+        self.service_spread.clear();
+    }
+
     /// The metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -11,6 +11,7 @@
 use croftrill_scheduler::fair_queue::FairQueue;
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{HeardResignation, Resignation};
+use croftrill_scheduler::load_summary;
 use croftrill_scheduler::quota::keeper::KeeperConfig;
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
@@ -24,7 +25,7 @@
 use crate::counted_store::CountedStore;
 use crate::era_store::EraStore;
 use crate::front::STOP_LINGER;
-use crate::load_news::LoadNews;
+use crate::load_news::{self, LoadNews};
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
@@ -374,6 +375,15 @@
         }
     }
 
+    /// The metrics as text.
+    pub fn metrics_text(&self) -> String {
+        if load_news::is_on(self) {
+            let services = load_summary::by_service(&self.state.borrow().replicas, self.clock.now());
+            self.metrics.set_service_loads(&services);
+        }
+        self.metrics.text()
+    }
+
     /// The queue of this node's own orderer task of a shard.
     pub fn orderer_inbox(&self, shard: Shard) -> mpsc::Sender<OrdererInput> {
         self.orderer_inboxes[shard.index()].clone()
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load_ceiling;
 pub mod load_news;
 pub mod load_pace;
+pub mod load_summary;
 pub mod orderer;
 pub mod placement;
 pub mod planner;
