Streams: the earlier run ends before the request goes elsewhere, also at a stopping node

Cause: a stream whose replica is silent at a stopping node was sent to another one while the first run could still go on, so that two replicas might work on it at a time. The earlier run is now dropped once the other replica is chosen and the retry is paid, before the send; it is given back where nothing is sent. Found by review; the tests of silent streams pass as before.

--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -24,6 +24,7 @@
 pub(super) const PROMPT_TIME_MARGIN: u32 = 2;
 
 /// How a replica's part of a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PumpEnd {
     Complete,
     Broken,
@@ -33,6 +34,14 @@
     OutOfTime,
 }
 
+/// What became of a stream that was to go on at another replica.
+enum Resumed<P: Platform> {
+    /// It goes on there.
+    Elsewhere(Box<Streaming<P>>),
+    /// It does not; the run that it was to leave, if that was not ended.
+    Nowhere(Option<Box<Streaming<P>>>),
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Passes on a stream; a task of its own carries it on.
     pub(super) fn answer_stream(mut self, streaming: Streaming<P>) -> Answer {
@@ -88,28 +97,22 @@
                 }
                 // A planned stop ends no answer that may still come: the replica is left
                 // only for another one. Else an early end lets the caller try again.
-                PumpEnd::Silent if self.node.lifecycle() == Lifecycle::Stopping => {
-                    current.send.record(SendOutcome::Failure);
-                    match self.resume(&replica, &cutter).await {
-                        Some(next) => {
-                            cutter.drop_partial();
-                            current = next;
-                        }
-                        None => may_leave = false,
-                    }
-                    continue;
-                }
                 PumpEnd::Silent | PumpEnd::Broken => {}
             }
             current.send.record(SendOutcome::Failure);
-            drop(current);
-            cutter.drop_partial();
-            match self.resume(&replica, &cutter).await {
-                Some(next) => {
-                    current = next;
+            let is_kept = end == PumpEnd::Silent && self.node.lifecycle() == Lifecycle::Stopping;
+            let earlier = is_kept.then_some(current);
+            match self.resume(&replica, &cutter, earlier).await {
+                Resumed::Elsewhere(next) => {
+                    cutter.drop_partial();
+                    current = *next;
                     may_leave = true;
                 }
-                None => {
+                Resumed::Nowhere(Some(earlier)) => {
+                    current = *earlier;
+                    may_leave = false;
+                }
+                Resumed::Nowhere(None) => {
                     self.log_end(&replica, "stream cut off");
                     return;
                 }
@@ -218,25 +221,30 @@
         }
     }
 
-    /// Goes on with a broken stream at another replica, if the route allows.
-    pub(super) async fn resume(&mut self, broken: &ReplicaId, cutter: &EventCutter) -> Option<Streaming<P>> {
-        if !self.may_repeat_after(broken) {
-            return None;
-        }
+    /// Goes on with a stream at another replica, if the route allows. An `earlier` run that
+    /// may still go on is ended before the request is sent again, and else given back.
+    async fn resume(
+        &mut self,
+        left: &ReplicaId,
+        cutter: &EventCutter,
+        mut earlier: Option<Streaming<P>>,
+    ) -> Resumed<P> {
         let after = cutter.last_id().map(str::to_string);
-        loop {
+        let mut left = left.clone();
+        while self.may_repeat_after(&left) {
             let NextReplica::Send(replica) = self.next_replica().await else {
-                return None;
+                break;
             };
             if self.barred_from_sending().await.is_some() || !self.take_retry(&replica) {
-                return None;
+                break;
             }
+            drop(earlier.take());
             match self.send(&replica, after.as_deref(), None).await {
-                SendEnd::Streaming(streaming) => return Some(*streaming),
-                SendEnd::OutOfTime => return None,
-                _ if !self.may_repeat_after(&replica) => return None,
-                _ => {}
+                SendEnd::Streaming(streaming) => return Resumed::Elsewhere(streaming),
+                SendEnd::OutOfTime => break,
+                _ => left = replica,
             }
         }
+        Resumed::Nowhere(earlier.map(Box::new))
     }
 }
