Time to come back: a copy that a node was not told of may exist

Cause: listings that come over a relay tell nothing of copies, and orderers tell copies only as they change.

Ruled out: telling copies with each listing (their bytes are why they are not told); a copy's replica that is away (all were ready).

Change: the table notes of which replicas it knows no copies. While a copy may exist, a request expects a load from a disk for as long as an order usually takes; by then its orderer has told of the load, or none is there.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -259,6 +259,10 @@
         if !state.linked.contains(&true) {
             return Some(NO_ORDERER_READY_IN);
         }
+        if self.waited() < ORDER_DELAY && state.replicas.may_have_unknown_copy(&self.service, &key.model) {
+            // The orderer knows all copies: it tells of the load that it begins.
+            return Some(ORDER_DELAY + spec.disk_load);
+        }
         Some(ORDER_DELAY + state.replicas.reload_time(&self.service, spec, now))
     }
 
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -28,6 +28,8 @@
     pub(super) own_begun: OwnBegun,
     /// What it can do, as it told in answers.
     pub capacity: Capacity,
+    /// False while this node has heard of it just by ways that tell nothing of copies.
+    pub(super) knows_copies: bool,
 }
 
 impl ReplicaEntry {
@@ -43,6 +45,7 @@
             own_tokens: 0,
             own_begun: OwnBegun::default(),
             capacity: Capacity::default(),
+            knows_copies: true,
         }
     }
 
--- a/crates/croftrill-scheduler/src/replica_table/index.rs
+++ b/crates/croftrill-scheduler/src/replica_table/index.rs
@@ -21,6 +21,8 @@
     by_copy: HashMap<ModelName, BTreeSet<ReplicaId>>,
     /// Those that tell how long work takes there.
     telling_work_time: BTreeSet<ReplicaId>,
+    /// Those of whose copies nothing is known.
+    pub(super) unknown_copies: BTreeSet<ReplicaId>,
 }
 
 impl ServiceIndex {
@@ -33,6 +35,9 @@
         for model in entry.copies() {
             self.by_copy.entry(model.clone()).or_default().insert(id.clone());
         }
+        if !entry.knows_copies {
+            self.unknown_copies.insert(id.clone());
+        }
         self.note_capacity(entry);
     }
 
@@ -53,6 +58,7 @@
         let id = &entry.listing.id;
         self.ids.remove(id);
         self.telling_work_time.remove(id);
+        self.unknown_copies.remove(id);
         entry
             .models()
             .for_each(|model| take_from(&mut self.by_model, model, id));
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -27,7 +27,7 @@
 use crate::health::SendOutcome;
 use crate::placement::{weight_source, WeightSource};
 use crate::quota::limits::NamedLimit;
-use crate::replica::{BornMs, Holdings, Incarnation, ReplicaId, ReplicaListing, ReplicaWord};
+use crate::replica::{BornMs, Holdings, Incarnation, ReplicaId, ReplicaListing, ReplicaWord, WeightCopies};
 use crate::shard::Shard;
 use crate::time::Moment;
 use crate::work::{RequestWork, UsualRun};
@@ -124,7 +124,10 @@
         let entry = match self.replicas.get(&listing.id) {
             None => self.newly_listed(listing),
             Some(known) => match relisted(known, listing) {
-                Some(entry) => entry,
+                Some(entry) => ReplicaEntry {
+                    knows_copies: true,
+                    ..entry
+                },
                 None => return,
             },
         };
@@ -189,7 +192,11 @@
         let is_new = known.is_none_or(|known| {
             Incarnation::of(listing.born_ms, known.listing.born_ms) == Incarnation::Later
         });
+        let knew_copies = known.is_none_or(|known| known.knows_copies);
         self.apply_listing(listing);
+        if is_new || !knew_copies {
+            self.note_unknown_copies(&id);
+        }
         if let Some(told) = told {
             self.apply_placement(told);
         } else if is_new {
@@ -197,6 +204,19 @@
         }
     }
 
+    fn note_unknown_copies(&mut self, id: &str) {
+        let Some(entry) = self.replicas.get(id) else {
+            return;
+        };
+        if entry.listing.holdings.copies == WeightCopies::default() {
+            let entry = ReplicaEntry {
+                knows_copies: false,
+                ..entry.clone()
+            };
+            self.put(entry);
+        }
+    }
+
     /// True if a ready replica of the service was just listed, and the orderer of its
     /// shard, which is linked, has not told yet what it holds.
     pub fn awaits_word(&self, service: &str, is_linked: impl Fn(Shard) -> bool) -> bool {
@@ -277,7 +297,9 @@
         self.awaiting_word.remove(&placement.replica);
         entry.absent.clear();
         let former = std::mem::replace(&mut entry.listing.holdings, placement.usable);
-        if !placement.tells_copies {
+        if placement.tells_copies {
+            entry.knows_copies = true;
+        } else {
             entry.listing.holdings.copies = former.copies;
         }
         entry.arriving = placement.arriving;
@@ -464,6 +486,19 @@
             .unwrap_or(spec.store_load)
     }
 
+    /// True if a copy of the model may lie at a replica of the service without this node
+    /// having heard of it: its time from the weight store is then no more than a bound.
+    pub fn may_have_unknown_copy(&self, service: &str, model: &ModelName) -> bool {
+        let is_told = self
+            .told_reloads
+            .contains_key(&(ServiceName::from(service), model.clone()));
+        let Some(index) = self.services.get(service) else {
+            return false;
+        };
+        let mut unknown = index.unknown_copies.iter().filter_map(|id| self.replicas.get(id));
+        !is_told && index.with_copy(model).next().is_none() && unknown.any(ReplicaEntry::is_ready)
+    }
+
     /// Whoever knows all replicas told how soon one of them could load a model.
     pub fn told_reload(&mut self, service: ServiceName, model: ModelName, reload: Duration) {
         self.told_reloads.insert((service, model), reload);
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::catalog::ModelSpec;
+use croftrill_scheduler::catalog::{ModelName, ModelSpec};
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_table::{
@@ -82,6 +82,32 @@
     }
 }
 
+/// Listings that come over a relay tell nothing of copies: the first request for each model
+/// on a disk 0.76 s away was sent away with the time of a load from the weight store.
+#[test]
+fn may_have_unknown_copy_until_copies_are_told() {
+    let model: ModelName = "m1".into();
+    let mut table = ReplicaTable::new();
+    assert!(!table.may_have_unknown_copy("llm", &model));
+    table.apply_relayed_listing(listing("r1"));
+    assert!(table.may_have_unknown_copy("llm", &model));
+    table.apply_placement(told("r1", "m2"));
+    assert!(table.may_have_unknown_copy("llm", &model), "no word of copies");
+    let mut with_copies = told("r1", "m2");
+    with_copies.usable.copies.on_disk = vec!["m3".into()];
+    with_copies.tells_copies = true;
+    table.apply_placement(with_copies);
+    assert!(!table.may_have_unknown_copy("llm", &model));
+    table.apply_listing(listing("r2"));
+    assert!(
+        !table.may_have_unknown_copy("llm", &model),
+        "a whole listing tells of them"
+    );
+    table.apply_relayed_listing(listing("r3"));
+    table.told_reload("llm".into(), model.clone(), Duration::from_millis(13_200));
+    assert!(!table.may_have_unknown_copy("llm", &model), "it was told");
+}
+
 /// A model made way at the only replica that held it: a copy stays there, and a
 /// caller is told the time of that load, not of one from the weight store.
 #[test]
