--- /dev/null
+++ b/crates/croftrill-bench/tests/holders.rs
@@ -0,0 +1,436 @@
+//! Holders follow the work that models bring, where replicas tell what they can do.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use croftrill_bench::emulator::*;
+use croftrill_scheduler::capacity::ReplicaLoad;
+use croftrill_scheduler::demand::{Asked, ModelKey};
+use croftrill_scheduler::orderer::OrdererConfig;
+use croftrill_scheduler::replica::{Order, ReplicaId};
+use croftrill_scheduler::replica_table::ReplicaTable;
+use croftrill_scheduler::shard::{OrderScope, Shard};
+use croftrill_scheduler::time::Moment;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Time within which callers want a first event.
+const OBJECTIVE: Duration = Duration::from_millis(2500);
+/// Cost of each request, in tokens, and the time that it takes at the usual speed.
+const TOKENS: f64 = 1000.0;
+const TAKES_S: f64 = 1.0;
+/// Requests that a replica runs at once.
+const SLOTS: u32 = 24;
+/// Work times of fast, usual and slow replicas, in hundredths of the usual one.
+const FAST: u32 = 60;
+const USUAL: u32 = 100;
+const SLOW: u32 = 160;
+/// Time between two accounts of requests and loads.
+const TOLD_EVERY_MS: u64 = 100;
+const MODELS: usize = 30;
+
+fn key(model: &str) -> ModelKey {
+    ModelKey {
+        service: "llm".into(),
+        model: model.into(),
+        adapter: None,
+    }
+}
+
+/// Replicas of different speeds that take what is asked, and tell their loads.
+struct Fleet {
+    world: World,
+    /// How long work takes at each replica.
+    work_times_pct: Vec<u32>,
+    /// Requests a second.
+    rates: BTreeMap<&'static str, f64>,
+    /// Requests that were not counted yet.
+    due: BTreeMap<&'static str, f64>,
+    /// Numbers that vary the times between requests; none for even ones.
+    seed: Option<u64>,
+    config: OrdererConfig,
+}
+
+impl Fleet {
+    fn new(held: &[(u32, &[&str])]) -> Self {
+        let holdings: Vec<&[&str]> = held.iter().map(|(_, models)| *models).collect();
+        let config = orderer_config();
+        let mut world = World::with(configuration(MODELS), config, &holdings);
+        for replica in world.replicas.values_mut() {
+            replica.holdings.copies.on_disk = (0..MODELS).map(|index| format!("m{index}").into()).collect();
+        }
+        Fleet {
+            world,
+            work_times_pct: held.iter().map(|(pct, _)| *pct).collect(),
+            rates: BTreeMap::new(),
+            due: BTreeMap::new(),
+            seed: None,
+            config,
+        }
+    }
+
+    fn ask(&mut self, model: &'static str, per_second: f64) {
+        self.rates.insert(model, per_second);
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / TOLD_EVERY_MS {
+            self.count_requests();
+            self.tell_loads();
+            self.world.run(TOLD_EVERY_MS);
+        }
+    }
+
+    /// A number from 0 to 2, of mean 1: requests come in bunches.
+    fn varied(&mut self) -> f64 {
+        let Some(seed) = &mut self.seed else { return 1.0 };
+        *seed = seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (*seed >> 33) as f64 / f64::from(1u32 << 30)
+    }
+
+    fn count_requests(&mut self) {
+        for (model, rate) in self.rates.clone() {
+            let varied = self.varied();
+            let due = self.due.entry(model).or_default();
+            *due += rate * varied * TOLD_EVERY_MS as f64 / 1000.0;
+            let requests = due.floor();
+            *due -= requests;
+            if requests == 0.0 {
+                continue;
+            }
+            let asked = Asked {
+                requests,
+                tokens: requests * TOKENS,
+                objective: OBJECTIVE,
+                late: 0.0,
+            };
+            let now = self.world.now;
+            self.world.orderer.count_demand(&key(model), &asked, now);
+            if self.holders(model).is_empty() {
+                self.world.orderer.mark_waiting(&key(model), now);
+            }
+        }
+    }
+
+    /// Each model's requests are spread over its holders by their speeds.
+    fn tell_loads(&mut self) {
+        let speed = |index: &usize| 100.0 / f64::from(self.work_times_pct[*index]);
+        let mut running = vec![0.0; self.work_times_pct.len()];
+        for (model, rate) in &self.rates {
+            let holders = self.holders(model);
+            let speeds: f64 = holders.iter().map(speed).sum();
+            for holder in &holders {
+                running[*holder] += rate * TAKES_S / speeds;
+            }
+        }
+        for (index, running) in running.into_iter().enumerate() {
+            let load = ReplicaLoad {
+                // The request whose answer tells it is there, too.
+                running: running.round() as u32 + 1,
+                waiting: 0,
+                slots: Some(SLOTS),
+                work_time_pct: Some(self.work_times_pct[index]),
+            };
+            let now = self.world.now;
+            self.world.orderer.told_load(&format!("r{index}"), load, now);
+        }
+    }
+
+    /// The replicas that hold a model, by their numbers.
+    fn holders(&self, model: &str) -> Vec<usize> {
+        let number = |id: &ReplicaId| id[1..].parse().expect("its number");
+        let holders = self.world.replicas.iter();
+        let holders = holders.filter(|(_, replica)| replica.holdings.serves(model, None));
+        holders.map(|(id, _)| number(id)).collect()
+    }
+
+    fn loads(&self) -> Vec<(Moment, ReplicaId, Order)> {
+        let orders = self.world.orders.iter();
+        let loads = orders.filter(|(.., order)| matches!(order, Order::LoadModel(_)));
+        loads.cloned().collect()
+    }
+}
+
+/// A model had one holder the whole day for 667 requests: its holders followed late
+/// requests alone, and were counted as equal.
+#[test]
+fn model_that_becomes_busy_gains_holders_before_it_is_late() {
+    let mut fleet = Fleet::new(&[
+        (USUAL, &["m1", "m2"]),
+        (USUAL, &["m3", "m4"]),
+        (USUAL, &["m5", "m7"]),
+        (USUAL, &["m8", "m10"]),
+    ]);
+    for model in ["m1", "m2", "m3", "m4", "m5", "m7", "m8", "m10"] {
+        fleet.ask(model, 0.3);
+    }
+    fleet.run(8000);
+    assert_eq!(fleet.holders("m1").len(), 1);
+    fleet.ask("m1", 30.0);
+    // What comes beyond the first holder's slots is late after the objective.
+    let filled_ms = 1000 * u64::from(SLOTS) / 30;
+    fleet.run(filled_ms + OBJECTIVE.as_millis() as u64);
+    assert!(fleet.holders("m1").len() >= 2, "orders: {:?}", fleet.world.orders);
+    // Its work fills more than two, without any that was late.
+    fleet.run(OBJECTIVE.as_millis() as u64);
+    assert!(fleet.holders("m1").len() >= 3, "orders: {:?}", fleet.world.orders);
+}
+
+/// Two models were asked alike, and had one holder and ten.
+#[test]
+fn ten_holders_of_a_quiet_model_are_given_back() {
+    const RARE: [&str; 20] = [
+        "m1", "m2", "m4", "m5", "m7", "m8", "m10", "m11", "m13", "m14", "m16", "m17", "m19", "m20", "m22",
+        "m23", "m25", "m26", "m28", "m29",
+    ];
+    const ABSENT: [&str; 6] = ["m3", "m6", "m9", "m12", "m15", "m18"];
+    let held: Vec<[&str; 3]> = RARE.chunks(2).map(|pair| ["m0", pair[0], pair[1]]).collect();
+    let rows: Vec<(u32, &[&str])> = held.iter().map(|models| (USUAL, models.as_slice())).collect();
+    let mut fleet = Fleet::new(&rows);
+    fleet.ask("m0", 3.0);
+    for model in RARE {
+        fleet.ask(model, 0.6);
+    }
+    fleet.run(5000);
+    assert_eq!(fleet.holders("m0").len(), 10);
+    for model in ABSENT {
+        fleet.ask(model, 0.6);
+    }
+    fleet.run(10_000);
+    let quiet = fleet.holders("m0").len();
+    assert!((1..=4).contains(&quiet), "{quiet} holders");
+    for model in RARE.iter().chain(&ABSENT) {
+        assert!(!fleet.holders(model).is_empty(), "{model} is nowhere");
+    }
+}
+
+/// Ten slow replicas of sixty served two thirds of all that was late: busy models were
+/// there as often as elsewhere.
+#[test]
+fn slow_replicas_take_rare_models() {
+    let mut fleet = Fleet::new(&[
+        (FAST, &["m2", "m4"]),
+        (FAST, &["m5", "m7"]),
+        (SLOW, &["m1", "m8"]),
+        (SLOW, &["m10", "m11"]),
+    ]);
+    fleet.ask("m1", 16.0);
+    for model in ["m2", "m4", "m5", "m7", "m8", "m10", "m11"] {
+        // More than a spare holder of the busy one counts for.
+        fleet.ask(model, 1.0);
+    }
+    fleet.run(15_000);
+    let busy = fleet.holders("m1");
+    assert!(
+        busy.iter().any(|holder| *holder < 2),
+        "the busy model is at {busy:?}"
+    );
+    for model in ["m2", "m4", "m5", "m7", "m8", "m10", "m11"] {
+        let holders = fleet.holders(model);
+        assert!(!holders.is_empty(), "{model} is nowhere");
+    }
+}
+
+/// A load takes a place from another model: it pays over the horizon or not at all.
+#[test]
+fn places_change_no_faster_than_loads_pay() {
+    let mut fleet = Fleet::new(&[
+        (FAST, &["m1", "m2"]),
+        (USUAL, &["m4", "m5"]),
+        (USUAL, &["m7", "m8"]),
+        (SLOW, &["m10", "m11"]),
+        (SLOW, &["m13", "m14"]),
+        (FAST, &["m1", "m4"]),
+    ]);
+    fleet.seed = Some(7);
+    for model in ["m1", "m4"] {
+        fleet.ask(model, 15.0);
+    }
+    for model in ["m2", "m5", "m7", "m8", "m10", "m11", "m13", "m14"] {
+        fleet.ask(model, 0.6);
+    }
+    let steady_ms = 60_000;
+    fleet.run(10_000);
+    let before = fleet.loads().len();
+    fleet.run(steady_ms);
+    let loads = fleet.loads();
+    let horizons =
+        Duration::from_millis(steady_ms).as_secs_f64() / fleet.config.placement.horizon.as_secs_f64();
+    let places = 2.0 * fleet.work_times_pct.len() as f64;
+    let count = loads.len() - before;
+    assert!(count as f64 <= places * horizons, "{count} loads");
+    let residence = fleet.config.placement.least_residence;
+    for (at, replica, order) in &loads {
+        let dropped = fleet
+            .world
+            .orders
+            .iter()
+            .find(|(dropped_at, at_replica, dropped)| {
+                at_replica == replica
+                    && dropped_at > at
+                    && matches!(dropped, Order::UnloadModel(model) if model == order.model())
+            });
+        assert!(
+            dropped.is_none_or(|(dropped_at, ..)| dropped_at.since(*at) >= residence),
+            "{order:?} at {replica}"
+        );
+    }
+}
+
+/// Elsewhere nothing changes: where replicas tell no work time, holders follow what is late.
+#[test]
+fn holders_follow_late_requests_where_replicas_tell_no_work_time() {
+    let mut fleet = Fleet::new(&[(USUAL, &["m1", "m2"]), (USUAL, &["m3", "m4"])]);
+    let load = ReplicaLoad {
+        running: 20,
+        waiting: 0,
+        slots: Some(SLOTS),
+        work_time_pct: None,
+    };
+    for step in 0..50 {
+        let now = fleet.world.now;
+        fleet.world.orderer.told_load("r0", load, now);
+        fleet.world.run(TOLD_EVERY_MS);
+        assert!(
+            fleet.world.orderer.work_of_models(&"llm".into(), now).is_empty(),
+            "step {step}"
+        );
+    }
+}
+
+/// Two orderers at one fleet, each with what it was told; a replica of each one's shard.
+struct TwoOrderers {
+    worlds: [World; 2],
+    ids: [ReplicaId; 2],
+    tables: [ReplicaTable; 2],
+}
+
+impl TwoOrderers {
+    /// Both replicas hold a shared model, and one each that is asked for more.
+    fn new(shared: &str, others: [&str; 2]) -> Self {
+        let first = Shard::of_replica("r0");
+        let second = (1..)
+            .find(|index| Shard::of_replica(&format!("r{index}")) != first)
+            .expect("a replica of another shard");
+        let numbers = [0, second];
+        let rows: Vec<Vec<&str>> = (0..=second)
+            .map(|index| match numbers.iter().position(|number| *number == index) {
+                Some(place) => vec![shared, others[place]],
+                None => Vec::new(),
+            })
+            .collect();
+        let held: Vec<&[&str]> = rows.iter().map(Vec::as_slice).collect();
+        let ids = numbers.map(|number| ReplicaId::from(format!("r{number}")));
+        let worlds = [0, 1].map(|place: usize| {
+            let config = OrdererConfig {
+                scope: OrderScope::One(Shard::of_replica(&ids[place])),
+                ..orderer_config()
+            };
+            let mut world = World::with(configuration(MODELS), config, &held);
+            for index in (0..=second).filter(|index| !numbers.contains(index)) {
+                world.orderer.removed(&format!("r{index}"));
+            }
+            for replica in world.replicas.values_mut() {
+                replica.holdings.copies.on_disk =
+                    (0..MODELS).map(|index| format!("m{index}").into()).collect();
+            }
+            let mut reachable = [false; 3];
+            ids.iter()
+                .for_each(|id| reachable[Shard::of_replica(id).index()] = true);
+            world.orderer.set_reachable(reachable);
+            world
+        });
+        let tables = [0, 1].map(|place: usize| {
+            let mut table = ReplicaTable::new();
+            for id in &ids {
+                table.apply_listing(listing(id, &worlds[place].replicas[id].holdings));
+            }
+            table
+        });
+        TwoOrderers { worlds, ids, tables }
+    }
+
+    /// Runs one step; what each orderer changed reaches the other a step later.
+    fn step(&mut self) {
+        let told = [0, 1].map(|place: usize| {
+            let world = &mut self.worlds[place];
+            world.run(20);
+            world.orderer.take_changes(world.now)
+        });
+        for (place, placements) in told.into_iter().enumerate() {
+            let other = 1 - place;
+            for placement in placements {
+                let id = placement.replica.clone();
+                self.tables[other].apply_placement(placement);
+                if let Some(entry) = self.tables[other].get(&id) {
+                    let world = &mut self.worlds[other];
+                    world.orderer.known(entry, world.now);
+                }
+            }
+        }
+    }
+
+    /// Replicas that hold a model.
+    fn holders(&self, model: &str) -> usize {
+        let held = |place: &usize| {
+            self.worlds[*place].replicas[&self.ids[*place]]
+                .holdings
+                .serves(model, None)
+        };
+        [0, 1].iter().filter(|place| held(place)).count()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(52),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Which of several holders is spare goes by their speeds, and each orderer may have been
+    /// told others: still no two drop both, where neither goal is worth the model.
+    #[test]
+    fn no_two_orderers_drop_both_holders(
+        work_times in prop::array::uniform2(prop::array::uniform2(prop::sample::select(vec![FAST, USUAL, SLOW]))),
+        rate in 3u32..7,
+        late_steps in 0u64..10,
+    ) {
+        let mut both = TwoOrderers::new("m1", ["m2", "m4"]);
+        let waiting = ["m5", "m7"];
+        for step in 0..500u64 {
+            for place in 0..2 {
+                let world = &mut both.worlds[place];
+                let now = world.now;
+                if step % 5 == 0 {
+                    for (seen, id) in both.ids.iter().enumerate() {
+                        let load = ReplicaLoad {
+                            running: rate,
+                            waiting: 0,
+                            slots: Some(SLOTS),
+                            work_time_pct: Some(work_times[place][seen]),
+                        };
+                        world.orderer.told_load(id, load, now);
+                    }
+                    for (model, requests) in [("m1", f64::from(rate)), ("m2", 5.0), ("m4", 5.0)] {
+                        let asked = Asked {
+                            requests: requests / 10.0,
+                            tokens: requests / 10.0 * TOKENS,
+                            objective: OBJECTIVE,
+                            late: 0.0,
+                        };
+                        world.orderer.count_demand(&key(model), &asked, now);
+                    }
+                }
+                if step >= 250 + late_steps * place as u64 {
+                    world.orderer.mark_waiting(&key(waiting[place]), now);
+                }
+            }
+            both.step();
+            prop_assert!(both.holders("m1") >= 1, "step {step}");
+        }
+    }
+}
--- a/crates/croftrill-node/src/load_news.rs
+++ b/crates/croftrill-node/src/load_news.rs
@@ -114,7 +114,7 @@
 }
 
 /// True while loads are told on.
-fn is_on<P: Platform>(node: &Node<P>) -> bool {
+pub(crate) fn is_on<P: Platform>(node: &Node<P>) -> bool {
     node.settings.callers_compete || node.clock.now() < node.load_news.on_until.get()
 }
 
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -24,6 +24,7 @@
 use super::loads::ShardLoads;
 use super::{OrdererInput, Subscription};
 use crate::directory::relay::WatchedSpan;
+use crate::load_news;
 use crate::membership::{MemberEntry, Members};
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
@@ -49,6 +50,9 @@
 const LEAST_TERM: Duration = Duration::from_secs(3);
 /// Time between two looks for stronger nodes, at the whole list of nodes.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Time between two looks at the loads that nodes told of: the orderer weighs holders as
+/// often.
+const LOADS_EVERY: Duration = Duration::from_millis(250);
 
 /// Changes that a slow listener may fall behind before it must begin anew.
 const CHANGE_BACKLOG: usize = 128;
@@ -81,6 +85,8 @@
     pace: ControlPace,
     /// When it looks next for stronger nodes.
     next_look: Moment,
+    /// When the orderer is told next of loads.
+    next_loads: Moment,
 }
 
 impl<P: Platform> Term<P> {
@@ -114,6 +120,7 @@
             orders: JoinSet::new(),
             pace: ControlPace::default(),
             next_look: now + LEAST_TERM,
+            next_loads: now,
         };
         term.note_authority(now);
         term.sync_directory();
@@ -191,6 +198,7 @@
             let node = self.node.clone();
             node.step_times.time("sync", || self.sync_directory());
         }
+        self.hear_loads_if_due(now);
         self.renew_if_due(now);
         self.record_if_due(now);
         let reachable = self.node.state.borrow().linked;
@@ -505,6 +513,21 @@
         }
     }
 
+    /// Tells the orderer of the loads that this node knows: of other shards' replicas, too,
+    /// as a place is chosen among all.
+    fn hear_loads_if_due(&mut self, now: Moment) {
+        if now < self.next_loads || !load_news::is_on(&self.node) {
+            return;
+        }
+        self.next_loads = now + LOADS_EVERY;
+        let state = self.node.state.borrow();
+        for entry in state.replicas.iter() {
+            if let Some((load, at)) = entry.capacity.newest() {
+                self.orderer.told_load(&entry.listing.id, load, at);
+            }
+        }
+    }
+
     pub(super) fn publish(&mut self, now: Moment) {
         let placements = self.orderer.take_changes(now);
         if !placements.is_empty() {
@@ -593,5 +616,6 @@
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
         unload: Duration::from_millis(200),
+        callers_compete: node.settings.callers_compete,
     }
 }
--- a/crates/croftrill-scheduler/src/capacity.rs
+++ b/crates/croftrill-scheduler/src/capacity.rs
@@ -32,6 +32,8 @@
 /// Told work times of which the median counts as the replica's own: enough for a short
 /// disturbance not to change it.
 const WORK_TIMES_KEPT: usize = 9;
+/// Told work times from which a replica's usual speed counts as known.
+const WORK_TIMES_NEEDED: usize = 3;
 /// How fast a told load loses its meaning.
 const LOAD_MEMORY: Duration = Duration::from_millis(700);
 /// The same where requests go by capacity: about the time for which a stream runs, as a
@@ -40,6 +42,13 @@
 /// Time for which a told work time is taken for the present one.
 const WORK_TIME_HOLDS: Duration = Duration::from_millis(600);
 
+/// Classes of speed from none to the usual one: what differs by less is the same.
+const CLASSES_PER_SPEED: f64 = 20.0;
+
+/// Replicas that usually work about as fast.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SpeedClass(u32);
+
 /// The newest account of a replica's load.
 #[derive(Debug, Clone, Copy)]
 struct Account {
@@ -124,6 +133,20 @@
         speed_of(median.unwrap_or(USUAL_WORK_TIME_PCT))
     }
 
+    /// How fast it usually works, as all hear it alike: the usual speed of a replica until
+    /// it told often enough.
+    pub fn lasting_speed(&self) -> f64 {
+        if self.work_times_pct.len() < WORK_TIMES_NEEDED {
+            return speed_of(USUAL_WORK_TIME_PCT);
+        }
+        self.speed()
+    }
+
+    /// The class of replicas that usually work about as fast.
+    pub fn speed_class(&self) -> SpeedClass {
+        SpeedClass((self.lasting_speed() * CLASSES_PER_SPEED).round() as u32)
+    }
+
     /// How fast it works at this moment, as far as that was told lately.
     pub fn speed_now(&self, now: Moment) -> f64 {
         let fresh = self
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -42,6 +42,10 @@
 
 /// Time constant of the rate that follows changes.
 const RATE_MEMORY: Duration = Duration::from_secs(6);
+/// Time constant of the rate that shows a rise.
+const BRIEF_MEMORY: Duration = Duration::from_secs(1);
+/// Standard deviations of a brief count by which it may be chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
 /// Time constant of the rate that steadies rare demand.
 const LASTING_MEMORY: Duration = Duration::from_secs(20);
 /// Least time over which the lasting rate is averaged.
@@ -53,6 +57,8 @@
 const LEAST_SILENCE: Duration = Duration::from_secs(1);
 /// Requests that would have been expected by now in a silence that shows a fall of demand.
 const SILENT_REQUESTS: f64 = 2.0;
+/// Longest time between two accounts of requests that go on: so much silence says nothing.
+const TOLD_EVERY: Duration = Duration::from_millis(500);
 /// Late requests that come closer together than this count as one occasion: one
 /// long prompt delays every stream at its replica, whatever the number of holders.
 const LATE_OCCASION: Duration = Duration::from_millis(500);
@@ -71,6 +77,8 @@
 struct Rate {
     requests: f64,
     tokens: f64,
+    /// Requests that fade with [`BRIEF_MEMORY`].
+    brief: f64,
     late: f64,
     /// Occasions on which requests were late.
     late_occasions: f64,
@@ -80,6 +88,7 @@
     /// Sum of the objectives of `lasting`, in seconds.
     objectives_s: f64,
     updated: Moment,
+    first_request: Option<Moment>,
     last_request: Option<Moment>,
     waiting_until: Option<Moment>,
     waiting_since: Option<Moment>,
@@ -90,6 +99,7 @@
         self.fade_to(now);
         self.requests += asked.requests;
         self.tokens += asked.tokens;
+        self.brief += asked.requests;
         self.late += asked.late;
         if asked.late > 0.0 {
             self.count_late_occasion(now);
@@ -97,6 +107,7 @@
         self.lasting += asked.requests;
         self.objectives_s += asked.requests * asked.objective.as_secs_f64();
         if asked.requests > 0.0 {
+            self.first_request.get_or_insert(now);
             self.last_request = Some(now);
         }
     }
@@ -117,6 +128,28 @@
         self.tokens * self.fade(now) / RATE_MEMORY.as_secs_f64()
     }
 
+    /// Requests a second at present: a rise shows as soon as it is no chance, and no more
+    /// than the silence since the last request allows. `observed` is how long requests
+    /// have been counted.
+    fn present_per_second(&self, observed: Duration, now: Moment) -> f64 {
+        let Some(last) = self.last_request else { return 0.0 };
+        let steady = self.requests * self.fade(now) / observed_weight_s(RATE_MEMORY, observed);
+        let brief = self.brief * fade(BRIEF_MEMORY, now.since(self.updated));
+        let surely = (brief - CHANCE_DEVIATIONS * brief.sqrt()).max(0.0);
+        let risen = surely / observed_weight_s(BRIEF_MEMORY, observed);
+        let silence = now.since(last).saturating_sub(TOLD_EVERY).as_secs_f64();
+        steady.max(risen).min(SILENT_REQUESTS / silence.max(f64::EPSILON))
+    }
+
+    /// Mean cost of its requests, in tokens.
+    fn tokens_per_request(&self) -> f64 {
+        if self.requests > 0.0 {
+            self.tokens / self.requests
+        } else {
+            0.0
+        }
+    }
+
     /// The steadier of the two rates, but no more than the silence since the
     /// last request allows. `observed` is how long requests have been counted.
     fn lasting_per_second(&self, observed: Duration, now: Moment) -> f64 {
@@ -155,6 +188,7 @@
         let long = fade(LASTING_MEMORY, now.since(self.updated));
         self.requests *= short;
         self.tokens *= short;
+        self.brief *= fade(BRIEF_MEMORY, now.since(self.updated));
         self.late *= short;
         self.late_occasions *= short;
         self.lasting *= long;
@@ -168,6 +202,13 @@
     (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
 }
 
+/// Seconds that a fading count stands for, of requests counted for `observed`.
+fn observed_weight_s(memory: Duration, observed: Duration) -> f64 {
+    let observed_s = observed.max(LEAST_SILENCE).as_secs_f64();
+    let memory_s = memory.as_secs_f64();
+    memory_s * (1.0 - (-observed_s / memory_s).exp())
+}
+
 /// Demand of all nodes together.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -176,6 +217,8 @@
     rates: HashMap<ModelKey, Rate>,
     /// Demand for all adapters of a model together.
     adapters_of: HashMap<ModelKey, Rate>,
+    /// Demand for all models of a service together.
+    services: HashMap<ServiceName, Rate>,
 }
 
 impl Demand {
@@ -190,6 +233,12 @@
         if key.adapter.is_some() {
             self.count(&key.base(), asked, now);
             self.adapters_of.entry(key.base()).or_default().add(asked, now);
+        } else if let Some(service) = self.services.get_mut(&key.service) {
+            service.add(asked, now);
+        } else {
+            let mut service = Rate::default();
+            service.add(asked, now);
+            self.services.insert(key.service.clone(), service);
         }
         self.rates.entry(key.clone()).or_default().add(asked, now);
     }
@@ -241,6 +290,34 @@
             .map_or(0.0, |rate| rate.requests_per_second(now))
     }
 
+    /// Requests a second at present, of which a rise shows within a second.
+    pub fn present_requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
+        let observed = self.observed(now);
+        self.rates
+            .get(key)
+            .map_or(0.0, |rate| rate.present_per_second(observed, now))
+    }
+
+    /// Cost tokens a second at present, of which a rise shows within a second.
+    pub fn present_tokens_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
+        let observed = self.observed(now);
+        let rate = self.rates.get(key);
+        rate.map_or(0.0, |rate| {
+            rate.present_per_second(observed, now) * rate.tokens_per_request()
+        })
+    }
+
+    /// Cost tokens a second of a service over the last seconds.
+    pub fn service_tokens_per_second(&self, service: &ServiceName, now: Moment) -> f64 {
+        let Some(rate) = self.services.get(service) else {
+            return 0.0;
+        };
+        let observed = rate
+            .first_request
+            .map_or(Duration::ZERO, |first| now.since(first));
+        rate.tokens * rate.fade(now) / observed_weight_s(RATE_MEMORY, observed)
+    }
+
     /// Requests a second that are likely to go on.
     pub fn lasting_requests_per_second(&self, key: &ModelKey, now: Moment) -> f64 {
         let observed = self.observed(now);
@@ -267,6 +344,14 @@
             .map_or(LEAST_LATE_SHARE, |rate| rate.late_share(now))
     }
 
+    /// Requests of the last seconds, and those of them that its holders served too late.
+    pub fn requests_and_late(&self, key: &ModelKey, now: Moment) -> (f64, f64) {
+        self.rates.get(key).map_or((0.0, 0.0), |rate| {
+            let fade = rate.fade(now);
+            (rate.requests * fade, (rate.late * fade).min(rate.requests * fade))
+        })
+    }
+
     /// When it was asked for last; `None` if never.
     pub fn last_request(&self, key: &ModelKey) -> Option<Moment> {
         self.rates.get(key).and_then(|rate| rate.last_request)
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -35,44 +35,119 @@
         }
         let view = self.placement_of(service, engine, now);
         wanted.retain(|model| view.holders(model) == 0);
+        if view.work.is_some() {
+            self.set_goals_by_objective(service, engine, wanted, now);
+            return;
+        }
         // Choosing places is costly: the others have their turn in the next plans.
         let first = self.next_goal.checked_rem(wanted.len()).unwrap_or(0);
         wanted.rotate_left(first);
         wanted.truncate(MOST_GOALS_AT_ONCE);
         self.next_goal = self.next_goal.wrapping_add(wanted.len());
         for model in wanted {
-            let store_allowed = self.store_allowed(service, engine, now);
-            let view = self.placement_of(service, engine, now);
-            let key = ModelKey {
-                service: service.clone(),
-                model: model.clone(),
-                adapter: None,
-            };
-            let best = view.best_place(model, store_allowed, Among::All);
-            let waited = self.demand.waited(&key, now);
-            let home = best.as_ref().map(|place| &place.replica);
-            if !self.config.scope.has_turn(home, waited, MODEL_PATIENCE) {
-                continue;
-            }
-            let place = view.best_place(model, store_allowed, Among::Own);
-            let place = place.filter(|place| view.saved_by_load(model, place.load) > place.lost);
-            if let Some(best) = best {
-                self.await_confirmation(&best.replica, now);
-            }
-            if let Some(place) = place {
-                self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
-            }
+            self.set_waiting_goal(service, engine, model, now);
+        }
+    }
+
+    /// The same in the order of the earliest objective that can still be kept; each model
+    /// has its turn before one is tried again.
+    fn set_goals_by_objective(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        wanted: Vec<&ModelName>,
+        now: Moment,
+    ) {
+        let mut urgent: Vec<(bool, bool, Duration, ModelName)> = wanted
+            .into_iter()
+            .map(|model| {
+                let key = ModelKey {
+                    service: service.clone(),
+                    model: model.clone(),
+                    adapter: None,
+                };
+                let objective = self.demand.objective(&key).unwrap_or_default();
+                let waited = self.demand.waited(&key, now);
+                let left = objective.saturating_sub(waited);
+                let had_turn = self.passed_over.contains(model);
+                (had_turn, left.is_zero(), left, model.clone())
+            })
+            .collect();
+        urgent.sort_unstable();
+        if urgent.first().is_some_and(|(had_turn, ..)| *had_turn) {
+            self.passed_over.clear();
+        }
+        urgent.truncate(MOST_GOALS_AT_ONCE);
+        for (.., model) in urgent {
+            self.passed_over.insert(model.clone());
+            self.set_waiting_goal(service, engine, &model, now);
+        }
+    }
+
+    /// Chooses a place for a model that is waited for and held nowhere.
+    fn set_waiting_goal(
+        &mut self,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        model: &ModelName,
+        now: Moment,
+    ) {
+        let store_allowed = self.store_allowed(service, engine, now);
+        let slots = self.usual_slots(service);
+        let view = self.placement_of(service, engine, now);
+        let key = ModelKey {
+            service: service.clone(),
+            model: model.clone(),
+            adapter: None,
+        };
+        let best = view.best_place(model, store_allowed, Among::All);
+        let waited = self.demand.waited(&key, now);
+        let home = best.as_ref().map(|place| &place.replica);
+        if !self.config.scope.has_turn(home, waited, MODEL_PATIENCE) {
+            return;
+        }
+        let place = view.best_place(model, store_allowed, Among::Own);
+        let place = place.filter(|place| {
+            let saved = view.saved_by_load(model, place.load);
+            let store_load = engine.models.get(model).map(|spec| spec.store_load);
+            let from_store = Some(place.load) == store_load;
+            saved > place.lost && !(from_store && view.store_keeps_more(saved, place.load, slots))
+        });
+        if let Some(best) = best {
+            self.await_confirmation(&best.replica, now);
+        }
+        if let Some(place) = place {
+            self.set_goal(&place.replica, model.clone(), GoalReason::Waiting, 0);
         }
     }
 
     /// Gives one more holder to each of the models that gain most by it.
     pub(super) fn add_holders(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
-        for (gain, model) in self.lacking_models(service, engine, now) {
+        let mut lacking = self.lacking_models(service, engine, now);
+        if self.knows_work(service) {
+            self.take_turns(&mut lacking);
+        }
+        lacking.truncate(MOST_GOALS_AT_ONCE);
+        for (gain, model) in lacking {
             self.add_holder(service, engine, &model, gain, now);
         }
     }
 
-    /// Models that gain most by one more holder, with the requests a second that
+    /// Models for which no place was found lately come after those that had no turn: else
+    /// the neediest, which are held wherever a copy is, would keep all others from theirs.
+    fn take_turns(&mut self, lacking: &mut [(f64, ModelName)]) {
+        if lacking
+            .iter()
+            .all(|(_, model)| self.lacking_tried.contains(model))
+        {
+            self.lacking_tried.clear();
+        }
+        lacking.sort_by_key(|(_, model)| self.lacking_tried.contains(model));
+        let turns = lacking.iter().take(MOST_GOALS_AT_ONCE);
+        self.lacking_tried.extend(turns.map(|(_, model)| model.clone()));
+    }
+
+    /// Models that gain by one more holder, those that gain most first, with the requests a second that
     /// it would keep in time.
     fn lacking_models(
         &self,
@@ -83,15 +158,20 @@
         let config = &self.config.placement;
         let horizon_s = config.horizon.as_secs_f64();
         let view = self.placement_of(service, engine, now);
+        let slots = self.usual_slots(service);
         let wanted = |model: &ModelName| {
             let count = view.holders(model);
-            let gain = view.value_of_holder(model, count + 1);
+            let gain = view.kept_by_next(model, slots);
+            let gain = gain.unwrap_or_else(|| view.value_of_holder(model, count + 1));
             let is_wanted = count > 0 && gain * horizon_s > config.least_kept;
             is_wanted.then(|| (gain, model.clone()))
         };
-        let mut lacking: Vec<(f64, ModelName)> = engine.model_order.iter().filter_map(wanted).collect();
+        let looked_at: Vec<&ModelName> = match &view.work {
+            Some(_) => self.models_looked_at(engine, &view),
+            None => engine.model_order.iter().collect(),
+        };
+        let mut lacking: Vec<(f64, ModelName)> = looked_at.into_iter().filter_map(wanted).collect();
         lacking.sort_by(|left, right| right.0.total_cmp(&left.0));
-        lacking.truncate(MOST_GOALS_AT_ONCE);
         lacking
     }
 
@@ -105,6 +185,8 @@
         now: Moment,
     ) {
         let store_allowed = self.store_allowed(service, engine, now);
+        // Before anything is known of the work, who needs the weight store most is not either.
+        let store_allowed = store_allowed && (!self.follows_work(service) || self.knows_work(service));
         let view = self.placement_of(service, engine, now);
         // Every orderer finds the same best place; the one who orders there acts.
         let best = view.best_place(model, store_allowed, Among::All);
@@ -116,7 +198,10 @@
         }
         let place = view.best_place(model, store_allowed, Among::Own);
         let least_gain = self.config.placement.least_gain;
-        let place = place.filter(|place| gain * view.stay_s(place.load) > least_gain * place.lost);
+        let place = place.filter(|place| {
+            let gain = place.kept.unwrap_or(gain);
+            gain * view.stay_s(place.load) > least_gain * place.lost
+        });
         if let Some(best) = best {
             self.await_confirmation(&best.replica, now);
         }
@@ -219,7 +304,15 @@
                 self.replicas.get_mut(id)?.withdrawn = None;
                 return None;
             }
-            return (now.since(*since) >= notice).then(|| Order::UnloadModel(model.clone()));
+            if now.since(*since) < notice {
+                return None;
+            }
+            let model = model.clone();
+            if self.is_needed_after_all(id, &model, service, engine, now) {
+                self.drop_goal(id);
+                return None;
+            }
+            return Some(Order::UnloadModel(model));
         }
         let view = self.placement_of(service, engine, now);
         let Some(victim) = view.victim(id, replica) else {
@@ -229,7 +322,9 @@
         let count = view.holders(&victim);
         let value = view.value_of_held(&victim, id);
         let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
-        if !view.is_worth(replica.goal.as_ref()?, load, value) {
+        let goal = replica.goal.as_ref()?;
+        let is_worth = view.is_next_worth(goal, replica, load, value);
+        if !is_worth.unwrap_or_else(|| view.is_worth(goal, load, value)) {
             // Since the goal was set, another holder of the victim went.
             self.drop_goal(id);
             return None;
@@ -246,6 +341,31 @@
         None
     }
 
+    /// True if the model that makes way at a replica lost its other holders since, as
+    /// another orderer chose at the same moment, and is worth more than the goal. Which of
+    /// several holders are spare goes by what replicas told, and that is not known alike.
+    fn is_needed_after_all(
+        &self,
+        id: &ReplicaId,
+        withdrawn: &ModelName,
+        service: &ServiceName,
+        engine: &EngineSpec,
+        now: Moment,
+    ) -> bool {
+        let view = self.placement_of(service, engine, now);
+        if view.work.is_none() || view.fleet().keeper_count(withdrawn) > 0 {
+            return false;
+        }
+        let goal = self.replicas.get(id).and_then(|replica| replica.goal.as_ref());
+        let worth = goal.zip(self.replicas.get(id)).and_then(|(goal, replica)| {
+            let load = load_time(engine, replica.ledger.holdings(), goal)?;
+            let value = view.value_of_model(withdrawn);
+            let is_next_worth = view.is_next_worth(goal, replica, load, value);
+            Some(is_next_worth.unwrap_or_else(|| view.is_worth(goal, load, value)))
+        });
+        worth == Some(false)
+    }
+
     pub(super) fn drop_goal(&mut self, id: &ReplicaId) {
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.goal = None;
--- a/crates/croftrill-scheduler/src/orderer/incarnation.rs
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -36,6 +36,7 @@
             is_held: former.is_held,
             orders: former.orders,
             control_calls: ControlCalls::Free,
+            listed_slots: former.listed_slots,
             capacity: Capacity::default(),
         };
         self.replicas.insert(id, anew);
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -13,12 +13,14 @@
 mod reports;
 mod store_loads;
 mod telling;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use self::reports::RoutineReports;
+use self::work::WorkMeter;
 use crate::capacity::{Capacity, ReplicaLoad};
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
 use crate::demand::{Asked, Demand, ModelKey};
@@ -56,6 +58,9 @@
     pub adapter_load: Duration,
     /// Time that dropping a model takes.
     pub unload: Duration,
+    /// True if callers compete for room: holders follow the work also where replicas tell
+    /// just their requests, not how long work takes there.
+    pub callers_compete: bool,
 }
 
 /// Time between two looks at whether a model deserves one more holder.
@@ -127,6 +132,14 @@
     configuration: Arc<Configuration>,
     replicas: PlacedReplicas,
     demand: Demand,
+    /// Work of each service whose replicas tell their load.
+    work: BTreeMap<ServiceName, WorkMeter>,
+    /// Waiting models for which places were chosen since all had their turn.
+    passed_over: BTreeSet<ModelName>,
+    /// Whose turn it is among models that are not busy.
+    next_turn: usize,
+    /// Models for which one more place was chosen since all had their turn.
+    lacking_tried: BTreeSet<ModelName>,
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
     paces: BTreeMap<ServiceName, LoadPace>,
     /// Since when the weight store has had a place free.
@@ -157,6 +170,10 @@
             configuration,
             replicas: PlacedReplicas::default(),
             demand: Demand::new(),
+            work: BTreeMap::new(),
+            passed_over: BTreeSet::new(),
+            next_turn: 0,
+            lacking_tried: BTreeSet::new(),
             ceilings: BTreeMap::new(),
             paces: BTreeMap::new(),
             store_free_since: BTreeMap::new(),
@@ -321,6 +338,7 @@
                 is_held: false,
                 orders,
                 control_calls: ControlCalls::Free,
+                listed_slots: listing.slots,
                 capacity: Capacity::default(),
             };
             self.replicas.insert(listing.id.clone(), anew);
@@ -409,6 +427,9 @@
         let services: Vec<Arc<Service>> = self.configuration.services().cloned().collect();
         for service in services {
             if let Some(engine) = &service.engine {
+                if balances {
+                    self.measure_work(&service.name, now);
+                }
                 self.set_goals(&service.name, engine, &waiting, now);
                 if balances {
                     self.add_holders(&service.name, engine, now);
@@ -438,6 +459,7 @@
             demand: &self.demand,
             replicas: &self.replicas,
             reload_times: Default::default(),
+            work: self.service_work(service),
             usual_objective: self.configuration.longest_objective(service),
             now,
         }
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/work.rs
@@ -0,0 +1,203 @@
+//! What work takes at the replicas of a service, as they tell it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::catalog::{EngineSpec, ModelName, ServiceName};
+use crate::demand::ModelKey;
+use crate::placement::{LateShares, ModelWork, PlacedReplica, ServicePlacement, ServiceWork};
+use crate::time::Moment;
+
+use super::Orderer;
+
+/// Time constant of the mean work, the same as of the rate that it is held against.
+const WORK_MEMORY: Duration = Duration::from_secs(6);
+/// Age from which a told load says nothing: a replica of which nobody heard for so long
+/// has begun next to no request.
+const LOAD_HOLDS: Duration = Duration::from_secs(2);
+/// Time over which work is observed before anything follows from it.
+const LEAST_OBSERVATION: Duration = Duration::from_secs(1);
+
+/// Models that are looked at in one turn besides the busy ones, so that a look costs no more
+/// in a fleet of thousands.
+const MODELS_IN_TURN: usize = 512;
+
+/// Work of one service: requests that run at once, at replicas of usual speed.
+#[derive(Debug)]
+pub(super) struct WorkMeter {
+    /// Fading sum of work times seconds.
+    busy_s: f64,
+    /// Fading sum of seconds.
+    weight_s: f64,
+    began: Moment,
+    measured_at: Moment,
+    /// Seconds of work for each cost token, once observed for long enough.
+    per_token_s: Option<f64>,
+    late_shares: LateShares,
+    /// What follows from these, and for which state of the fleet.
+    known: RefCell<Option<(u64, Rc<ServiceWork>)>>,
+}
+
+impl WorkMeter {
+    fn new(now: Moment) -> Self {
+        WorkMeter {
+            busy_s: 0.0,
+            weight_s: 0.0,
+            began: now,
+            measured_at: now,
+            per_token_s: None,
+            late_shares: LateShares::default(),
+            known: RefCell::default(),
+        }
+    }
+
+    fn measure(&mut self, running: f64, tokens_per_second: f64, now: Moment) {
+        let passed = now.since(self.measured_at).as_secs_f64();
+        let left = (-passed / WORK_MEMORY.as_secs_f64()).exp();
+        self.busy_s = self.busy_s * left + running * passed;
+        self.weight_s = self.weight_s * left + passed;
+        self.measured_at = now;
+        if running <= 0.0 && self.busy_s <= 0.0 {
+            // Nobody asks: the time of observation begins with the first request.
+            *self = WorkMeter::new(now);
+            return;
+        }
+        let is_observed = now.since(self.began) >= LEAST_OBSERVATION;
+        if is_observed && tokens_per_second > 0.0 && self.weight_s > 0.0 {
+            self.per_token_s = Some(self.busy_s / self.weight_s / tokens_per_second);
+        }
+    }
+}
+
+impl Orderer {
+    /// True if holders follow the work of the service.
+    pub(super) fn follows_work(&self, service: &ServiceName) -> bool {
+        let tells_load = self.replicas.tell_load(service);
+        self.replicas.tell_work_time(service) || (self.config.callers_compete && tells_load)
+    }
+
+    /// True if it is known what the work of the service takes.
+    pub(super) fn knows_work(&self, service: &ServiceName) -> bool {
+        self.work
+            .get(service)
+            .is_some_and(|meter| meter.per_token_s.is_some())
+    }
+
+    /// Takes in how much the replicas of a service do at this moment.
+    pub(super) fn measure_work(&mut self, service: &ServiceName, now: Moment) {
+        if !self.follows_work(service) {
+            return;
+        }
+        let running = self.running_work(service, now);
+        let late_shares = self.late_shares(service, now);
+        let tokens = self.demand.service_tokens_per_second(service, now);
+        let meter = self
+            .work
+            .entry(service.clone())
+            .or_insert_with(|| WorkMeter::new(now));
+        meter.measure(running, tokens, now);
+        meter.late_shares = late_shares;
+        meter.known.take();
+        self.next_turn = self.next_turn.wrapping_add(1);
+    }
+
+    /// How many requests replicas of each speed serve too late though they have room: at
+    /// models with one holder, whose room is more than their work.
+    fn late_shares(&self, service: &ServiceName, now: Moment) -> LateShares {
+        let mut shares = LateShares::default();
+        let Some(known) = self.configuration.service(service) else {
+            return shares;
+        };
+        let Some(engine) = &known.engine else {
+            return shares;
+        };
+        let view = self.placement_of(service, engine, now);
+        if view.work.is_none() {
+            return shares;
+        }
+        let turn = self.models_in_turn(engine);
+        for model in engine.model_order.iter().skip(turn.start).take(turn.len()) {
+            let Some(replica) = view.only_holder_with_room(model) else {
+                continue;
+            };
+            let key = ModelKey {
+                service: service.clone(),
+                model: model.clone(),
+                adapter: None,
+            };
+            let (requests, late) = self.demand.requests_and_late(&key, now);
+            shares.count(replica.capacity.speed_class(), requests, late);
+        }
+        shares
+    }
+
+    /// Requests that run at the service's replicas, as they would be at the usual speed.
+    fn running_work(&self, service: &ServiceName, now: Moment) -> f64 {
+        let of_service = |(_, replica): &(_, &PlacedReplica)| replica.service == *service;
+        let running = |(_, replica): (_, &PlacedReplica)| {
+            let told = replica.capacity.newest();
+            let told = told.filter(|(_, at)| now.since(*at) <= LOAD_HOLDS);
+            // The request whose answer tells the load is there besides those that it meets.
+            let met = told.map_or(0, |(load, _)| load.running.saturating_sub(1));
+            f64::from(met) * replica.capacity.lasting_speed()
+        };
+        self.replicas.iter().filter(of_service).map(running).sum()
+    }
+
+    /// The models of which it is asked now whether one more holder is worth it: all busy
+    /// ones, and the others by turns.
+    pub(super) fn models_looked_at<'e>(
+        &self,
+        engine: &'e EngineSpec,
+        view: &ServicePlacement<'_>,
+    ) -> Vec<&'e ModelName> {
+        let turn = self.models_in_turn(engine);
+        let is_busy = |model: &ModelName| view.is_busy(model);
+        let others = engine.model_order.iter().enumerate();
+        let others = others.filter(|(index, model)| turn.contains(index) || is_busy(model));
+        others.map(|(_, model)| model).collect()
+    }
+
+    /// The models whose turn it is, by their place in the configuration.
+    fn models_in_turn(&self, engine: &EngineSpec) -> std::ops::Range<usize> {
+        let turns = engine.model_order.len().div_ceil(MODELS_IN_TURN).max(1);
+        let first = self.next_turn % turns * MODELS_IN_TURN;
+        first..first + MODELS_IN_TURN
+    }
+
+    /// Slots that a replica of the service has, by one of those that are known.
+    pub(super) fn usual_slots(&self, service: &ServiceName) -> u32 {
+        let fleet = self.replicas.fleet(service);
+        let first = fleet.ids().next().and_then(|id| self.replicas.get(id));
+        first.map_or(1, |replica| replica.listed_slots.max(1))
+    }
+
+    /// The work of a service's models and the room of their holders; none where holders do
+    /// not follow the work.
+    pub fn work_of_models(&self, service: &ServiceName, now: Moment) -> Vec<ModelWork> {
+        let service = self.configuration.service(service);
+        let Some((service, engine)) = service.and_then(|service| Some((service, service.engine.as_ref()?)))
+        else {
+            return Vec::new();
+        };
+        let view = self.placement_of(&service.name, engine, now);
+        let models = engine.model_order.iter();
+        models.filter_map(|model| view.model_work(model)).collect()
+    }
+
+    /// What the work of a service takes; `None` where holders do not follow it, or nothing
+    /// is known of it yet.
+    pub(super) fn service_work(&self, service: &ServiceName) -> Option<Rc<ServiceWork>> {
+        let meter = self.work.get(service)?;
+        let per_token_s = meter.per_token_s?;
+        let keeping_changes = self.replicas.fleet(service).keeping_changes();
+        let mut known = meter.known.borrow_mut();
+        if let Some((_, work)) = known.as_ref().filter(|(at, _)| *at == keeping_changes) {
+            return Some(Rc::clone(work));
+        }
+        let work = Rc::new(ServiceWork::new(per_token_s, meter.late_shares.clone()));
+        *known = Some((keeping_changes, Rc::clone(&work)));
+        Some(work)
+    }
+}
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -3,16 +3,18 @@
 //! Pure choices over one service's replicas. [`value`] says what a model is worth
 //! and how many holders it deserves, [`choice`] which replica loads it and what
 //! makes way, [`adapters`] the same of adapters, [`placed`] what is known of a
-//! replica.
+//! replica, [`work`] how much holders can do.
 
 mod adapters;
 mod choice;
 mod placed;
 mod replicas;
 mod value;
+mod work;
 
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::catalog::{EngineSpec, ModelName, ServiceName};
@@ -25,6 +27,7 @@
 };
 pub use self::replicas::{PlacedReplicas, ServiceFleet};
 pub use self::value::missed_share;
+pub use self::work::{LateShares, ModelWork, ServiceWork};
 
 /// Tunable figures of placement.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +77,8 @@
     /// Least times in which a ready replica can load models, as far as they were worked
     /// out.
     pub reload_times: RefCell<HashMap<ModelName, Duration>>,
+    /// What work takes, where replicas tell it: then holders follow the work.
+    pub work: Option<Rc<ServiceWork>>,
     /// Objective of requests for models that were not asked for yet.
     pub usual_objective: Duration,
     /// The present time.
--- a/crates/croftrill-scheduler/src/placement/placed.rs
+++ b/crates/croftrill-scheduler/src/placement/placed.rs
@@ -60,6 +60,8 @@
     pub orders: Orders,
     /// How freely.
     pub control_calls: ControlCalls,
+    /// Requests that it runs at the same time, as it is listed.
+    pub listed_slots: u32,
     /// What it can do, as nodes heard of it in its answers.
     pub capacity: Capacity,
 }
--- a/crates/croftrill-scheduler/src/placement/replicas.rs
+++ b/crates/croftrill-scheduler/src/placement/replicas.rs
@@ -26,6 +26,8 @@
     replicas: BTreeMap<ReplicaId, PlacedReplica>,
     changed: RefCell<BTreeSet<ReplicaId>>,
     index: RefCell<Index>,
+    /// Services whose replicas told their load; `true`: how long work takes there, too.
+    telling: HashMap<ServiceName, bool>,
 }
 
 /// What the index holds of one replica.
@@ -58,6 +60,8 @@
     copies: HashMap<ModelName, BTreeSet<ReplicaId>>,
     with_goal: BTreeSet<ReplicaId>,
     own: usize,
+    /// Changes of who keeps what, counted.
+    keeping_changes: u64,
 }
 
 impl ServiceFleet {
@@ -71,6 +75,16 @@
         self.ring.is_empty()
     }
 
+    /// All of them.
+    pub fn ids(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.ring.iter().map(|(_, id)| id)
+    }
+
+    /// How often it changed which replicas keep which models.
+    pub fn keeping_changes(&self) -> u64 {
+        self.keeping_changes
+    }
+
     /// Number of those at which this orderer orders.
     pub fn own(&self) -> usize {
         self.own
@@ -205,16 +219,20 @@
         if self.replicas.get(id) == now.as_ref() {
             return;
         }
-        if let Some(former) = self.replicas.remove(id) {
+        let former = self.replicas.remove(id);
+        let keeps =
+            |indexed: Option<&Indexed>| indexed.map(|indexed| indexed.keeps.clone()).unwrap_or_default();
+        let keeps_others = keeps(former.as_ref()) != keeps(now.as_ref());
+        if let Some(former) = former {
             if let Some(fleet) = self.services.get_mut(&former.service) {
                 fleet.take_out(id, &former);
+                fleet.keeping_changes += u64::from(keeps_others);
             }
         }
         if let Some(now) = now {
-            self.services
-                .entry(now.service.clone())
-                .or_default()
-                .add(id, &now);
+            let fleet = self.services.entry(now.service.clone()).or_default();
+            fleet.add(id, &now);
+            fleet.keeping_changes += u64::from(keeps_others);
             self.replicas.insert(id.clone(), now);
         }
     }
@@ -262,10 +280,26 @@
     /// A replica told its load at `at`.
     pub fn told_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
         if let Some(replica) = self.replicas.get_mut(id) {
+            if replica.capacity.newest().is_some_and(|(_, known)| at <= known) {
+                // It came before, on another way.
+                return;
+            }
             replica.capacity.hear(load, 0, at);
+            let tells_work_time = self.telling.entry(replica.service.clone()).or_default();
+            *tells_work_time |= load.work_time_pct.is_some();
         }
     }
 
+    /// True if replicas of the service told their load.
+    pub fn tell_load(&self, service: &ServiceName) -> bool {
+        self.telling.contains_key(service)
+    }
+
+    /// True if some told how long work takes there.
+    pub fn tell_work_time(&self, service: &ServiceName) -> bool {
+        self.telling.get(service).is_some_and(|tells| *tells)
+    }
+
     /// Adds a replica, or puts it in the place of one.
     pub fn insert(&mut self, id: ReplicaId, replica: PlacedReplica) {
         self.changed.borrow_mut().insert(id.clone());
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -69,12 +69,25 @@
         self.lasting_rate(model) * self.missed_share(model)
     }
 
+    /// The same of a model that is waited for: the longer it has been, the less it can be
+    /// counted on to be loaded for each request.
+    fn value_of_waiting(&self, model: &ModelName) -> f64 {
+        let waited = self.demand.waited(&self.key(model), self.now);
+        let ready_in = self.reload_time(model) + LOAD_OVERHEAD + waited;
+        self.lasting_rate(model) * missed_share(ready_in, self.objective(model))
+    }
+
     /// Requests expected to be saved by loading a model that is held nowhere and
     /// that a request waits for.
     pub fn saved_by_load(&self, model: &ModelName, load: Duration) -> f64 {
         let in_time = load + LOAD_OVERHEAD <= self.objective(model);
         let waiting = if in_time { 1.0 } else { LATE_CREDIT };
-        waiting + self.value_of_model(model) * self.stay_s(load)
+        let value = if self.work.is_some() {
+            self.value_of_waiting(model)
+        } else {
+            self.value_of_model(model)
+        };
+        waiting + value * self.stay_s(load)
     }
 
     /// True if loading a model saves more than is lost with a holder of so much value.
@@ -102,6 +115,9 @@
     /// Holders that are still on their way save no other. Which of several are
     /// spare follows from a hash, so that no two orderers drop both of two.
     pub fn value_of_held(&self, model: &ModelName, id: &ReplicaId) -> f64 {
+        if let Some(work) = &self.work {
+            return self.value_by_work(model, id, work);
+        }
         let rank = self.fleet().keeper_rank(model, id);
         self.value_of_holder(model, rank + 1)
     }
@@ -114,10 +130,20 @@
         if holders <= 1 {
             return self.value_of_model(model);
         }
-        let requests = self.demand.requests_per_second(&self.key(model), self.now);
-        let is_spare = holders == 2 && requests >= self.config.spare_holder_from;
-        let spare = if is_spare { self.config.spare_share } else { 0.0 };
-        let spare = self.value_of_model(model) * spare;
+        let spare = if holders == 2 {
+            self.spare_value(model)
+        } else {
+            0.0
+        };
         self.kept_in_time(model, holders).max(spare)
     }
+
+    /// Requests a second that the second holder counts for as a spare.
+    pub(super) fn spare_value(&self, model: &ModelName) -> f64 {
+        let requests = self.demand.requests_per_second(&self.key(model), self.now);
+        if requests < self.config.spare_holder_from {
+            return 0.0;
+        }
+        self.value_of_model(model) * self.config.spare_share
+    }
 }
--- /dev/null
+++ b/crates/croftrill-scheduler/src/placement/work.rs
@@ -0,0 +1,415 @@
+//! How much work models bring, and how much of it their holders can do in time.
+//!
+//! Work is counted in requests that run at once at a replica of usual speed: the rate of
+//! requests times the time that each takes (Little's law). The number that run at once
+//! varies as a Poisson number does; what lies beyond the room of the holders is late.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{PlacedReplica, ServicePlacement};
+use crate::capacity::SpeedClass;
+use crate::catalog::ModelName;
+use crate::replica::ReplicaId;
+
+/// Part of a replica's slots that its mean work may take: requests come in bursts of up to
+/// twice their mean, and each prompt that is read delays the streams that run beside it.
+const USABLE_SLOTS: f64 = 0.5;
+
+/// Requests that are assumed to have been in time besides those that were counted.
+const ASSUMED_IN_TIME: f64 = 20.0;
+
+/// How many of their requests replicas serve too late though they have room, by their speed:
+/// a slow one can be too slow for the pauses that a route allows.
+#[derive(Debug, Clone, Default)]
+pub struct LateShares {
+    /// Requests, and those of them that were late.
+    counted: BTreeMap<SpeedClass, (f64, f64)>,
+}
+
+impl LateShares {
+    /// Counts requests at replicas of a class.
+    pub fn count(&mut self, class: SpeedClass, requests: f64, late: f64) {
+        let counted = self.counted.entry(class).or_default();
+        counted.0 += requests;
+        counted.1 += late;
+    }
+
+    /// The share that is late there.
+    pub fn of(&self, class: SpeedClass) -> f64 {
+        let counted = self.counted.get(&class);
+        counted.map_or(0.0, |(requests, late)| late / (requests + ASSUMED_IN_TIME))
+    }
+}
+
+/// What the work of a service takes, as its replicas tell it; what follows from it is kept,
+/// and holds while the same replicas keep the same models.
+#[derive(Debug, Default)]
+pub struct ServiceWork {
+    /// Seconds at a replica of usual speed for each cost token.
+    pub per_token_s: f64,
+    /// Share of requests that replicas of a class serve too late, also with room.
+    pub late_shares: LateShares,
+    /// Work and requests a second of models, as far as they were worked out.
+    asked: RefCell<HashMap<ModelName, (f64, f64)>>,
+    /// Rooms of models over all their holders, as far as they were worked out.
+    rooms: RefCell<HashMap<ModelName, f64>>,
+    /// Holders of models, as far as they were worked out.
+    holders: RefCell<HashMap<ModelName, Rc<Vec<Holder>>>>,
+}
+
+impl ServiceWork {
+    /// Work of which each cost token takes so long at a replica of usual speed.
+    pub fn new(per_token_s: f64, late_shares: LateShares) -> Self {
+        ServiceWork {
+            per_token_s,
+            late_shares,
+            ..ServiceWork::default()
+        }
+    }
+}
+
+/// What a model is asked for, and what its holders can do.
+#[derive(Debug, Clone)]
+pub struct ModelWork {
+    /// The model.
+    pub model: ModelName,
+    /// Requests that run at once, at replicas of usual speed.
+    pub work: f64,
+    /// Such requests that its holders can run in time.
+    pub room: f64,
+    /// Its holders.
+    pub holders: usize,
+    /// Other replicas that keep a copy of its weights.
+    pub copies: usize,
+}
+
+/// One of a model's holders.
+#[derive(Debug, Clone)]
+struct Holder {
+    id: ReplicaId,
+    room: Room,
+    /// Requests a second that depend on it, given those before it.
+    value: f64,
+}
+
+/// Work of a model that a holder can do, and what part of it is late all the same.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    work: f64,
+    late_share: f64,
+}
+
+/// Work that is late where holders have such rooms: what lies beyond all of them, and of the
+/// rest what those are late with that it goes to. The best ones are filled first.
+fn late_work(work: f64, mut rooms: Vec<Room>) -> f64 {
+    rooms.sort_by(|left, right| left.late_share.total_cmp(&right.late_share));
+    let beyond = beyond(work, rooms.iter().map(|room| room.work).sum());
+    let mut left = work - beyond;
+    let mut late = beyond;
+    for room in rooms {
+        let here = left.min(room.work);
+        late += here * room.late_share;
+        left -= here;
+    }
+    late
+}
+
+/// Mean of what lies beyond `room` of a Poisson number of requests of mean `work`.
+fn beyond(work: f64, room: f64) -> f64 {
+    let deviation = work.sqrt().max(f64::EPSILON);
+    let distance = (room - work) / deviation;
+    let density = (-0.5 * distance * distance).exp() / (2.0 * std::f64::consts::PI).sqrt();
+    let tail = 1.0 / (1.0 + (1.5976 * distance + 0.070_56 * distance.powi(3)).exp());
+    (deviation * (density - distance * tail)).clamp(0.0, work)
+}
+
+impl ServicePlacement<'_> {
+    /// Requests of a model that run at once, at replicas of usual speed.
+    fn work(&self, model: &ModelName, work: &ServiceWork) -> f64 {
+        self.work_and_rate(model, work).0
+    }
+
+    /// The same, and its requests a second.
+    fn work_and_rate(&self, model: &ModelName, work: &ServiceWork) -> (f64, f64) {
+        if let Some(known) = work.asked.borrow().get(model) {
+            return *known;
+        }
+        let key = self.key(model);
+        let tokens = self.demand.present_tokens_per_second(&key, self.now);
+        let rate = self.demand.present_requests_per_second(&key, self.now);
+        let asked = (tokens * work.per_token_s, rate);
+        work.asked.borrow_mut().insert(model.clone(), asked);
+        asked
+    }
+
+    /// Requests that a replica runs at once.
+    fn slots(&self, replica: &PlacedReplica) -> u32 {
+        let told = replica.capacity.newest().and_then(|(load, _)| load.slots);
+        told.unwrap_or(replica.listed_slots).max(1)
+    }
+
+    /// Work that a replica can do so that first events and pauses keep to their objectives.
+    /// At half of the usual speed it does half, and of the time that a pause may last
+    /// twice as much is taken by each prompt and step.
+    pub(super) fn room(&self, replica: &PlacedReplica) -> f64 {
+        let slots = f64::from(self.slots(replica));
+        let speed = replica.capacity.lasting_speed();
+        (slots * USABLE_SLOTS * speed * speed).min(slots * speed)
+    }
+
+    /// Rooms of all replicas that keep a model, whatever else they hold.
+    fn keepers_room(&self, model: &ModelName, work: &ServiceWork) -> f64 {
+        if let Some(room) = work.rooms.borrow().get(model) {
+            return *room;
+        }
+        let fleet = self.fleet();
+        let keepers = fleet.keepers(model).filter_map(|id| self.replicas.get(id));
+        let room = keepers.map(|replica| self.room(replica)).sum();
+        work.rooms.borrow_mut().insert(model.clone(), room);
+        room
+    }
+
+    /// Of a replica's room, what a model has there or would have, beside the others.
+    fn room_for(&self, model: &ModelName, replica: &PlacedReplica, work: &ServiceWork) -> f64 {
+        let room = self.room(replica);
+        let part = |name: &ModelName, is_new: bool| {
+            let others = self.keepers_room(name, work) + if is_new { room } else { 0.0 };
+            self.work(name, work) * room / others.max(room)
+        };
+        let own = part(model, !replica.keeps(model));
+        let held = replica.ledger.holdings().models.iter().map(|held| &held.model);
+        let beside: f64 = held
+            .filter(|held| *held != model && replica.keeps(held))
+            .map(|held| part(held, false))
+            .sum();
+        let fair = if own + beside > 0.0 {
+            room * own / (own + beside)
+        } else {
+            room
+        };
+        (room - beside).max(fair)
+    }
+
+    /// Requests a second of a model that are late where its holders have such rooms.
+    fn late_with(&self, model: &ModelName, rooms: Vec<Room>, work: &ServiceWork) -> f64 {
+        let (needed, rate) = self.work_and_rate(model, work);
+        if needed <= 0.0 {
+            return 0.0;
+        }
+        rate * late_work(needed, rooms) / needed
+    }
+
+    /// What a model has or would have of a replica's room, beside the others there.
+    fn room_at(&self, model: &ModelName, replica: &PlacedReplica, work: &ServiceWork) -> Room {
+        Room {
+            work: self.room_for(model, replica, work),
+            late_share: work.late_shares.of(replica.capacity.speed_class()),
+        }
+    }
+
+    /// The holders of a model, those with the most room first: these are the ones that stay.
+    fn model_holders(&self, model: &ModelName, work: &ServiceWork) -> Rc<Vec<Holder>> {
+        if let Some(known) = work.holders.borrow().get(model) {
+            return Rc::clone(known);
+        }
+        let fleet = self.fleet();
+        let keepers = fleet
+            .keepers(model)
+            .filter_map(|id| self.replicas.get_key_value(id));
+        let mut keepers: Vec<(i64, &ReplicaId, &PlacedReplica)> = keepers
+            .map(|(id, replica)| (-(self.room(replica).round() as i64), id, replica))
+            .collect();
+        // Of equals their hash decides, as all orderers find it.
+        keepers.sort_by_key(|(rank, ..)| *rank);
+        let mut rooms = Vec::with_capacity(keepers.len());
+        let mut holders = Vec::with_capacity(keepers.len());
+        let mut late = self.late_with(model, Vec::new(), work);
+        for (index, (_, id, replica)) in keepers.into_iter().enumerate() {
+            let room = self.room_at(model, replica, work);
+            rooms.push(room);
+            let late_before = std::mem::replace(&mut late, self.late_with(model, rooms.clone(), work));
+            let kept = (late_before - late).max(0.0);
+            let value = match index {
+                0 => self.value_of_model(model) * (1.0 - room.late_share),
+                1 => kept.max(self.spare_value(model)),
+                _ => kept,
+            };
+            holders.push(Holder {
+                id: id.clone(),
+                room,
+                value,
+            });
+        }
+        let holders = Rc::new(holders);
+        work.holders
+            .borrow_mut()
+            .insert(model.clone(), Rc::clone(&holders));
+        holders
+    }
+
+    /// Requests a second that depend on a model's holder at a replica.
+    pub(super) fn value_by_work(&self, model: &ModelName, id: &ReplicaId, work: &ServiceWork) -> f64 {
+        let holders = self.model_holders(model, work);
+        let held = holders.iter().find(|holder| holder.id == *id);
+        held.map_or_else(|| self.value_of_model(model), |holder| holder.value)
+    }
+
+    /// Rooms of a model's holders, with those that are to load it.
+    fn rooms_of(&self, model: &ModelName, work: &ServiceWork) -> Vec<Room> {
+        let mut rooms = self.present_rooms(model, work);
+        let fleet = self.fleet();
+        if fleet.holders(model) == fleet.keeper_count(model) {
+            return rooms;
+        }
+        let awaited = fleet.with_goal().filter_map(|id| self.replicas.get(id));
+        let awaited = awaited.filter(|replica| replica.goal.as_ref() == Some(model) && !replica.keeps(model));
+        rooms.extend(awaited.map(|replica| self.room_at(model, replica, work)));
+        rooms
+    }
+
+    fn present_rooms(&self, model: &ModelName, work: &ServiceWork) -> Vec<Room> {
+        let holders = self.model_holders(model, work);
+        holders.iter().map(|holder| holder.room).collect()
+    }
+
+    /// Requests a second that one more holder keeps in time besides such rooms.
+    fn kept_by(&self, model: &ModelName, mut rooms: Vec<Room>, more: Room, work: &ServiceWork) -> f64 {
+        let late = self.late_with(model, rooms.clone(), work);
+        rooms.push(more);
+        late - self.late_with(model, rooms, work)
+    }
+
+    /// A model's work and the room of its holders; `None` where holders do not follow it.
+    pub fn model_work(&self, model: &ModelName) -> Option<ModelWork> {
+        let work = self.work.as_ref()?;
+        let holders = self.model_holders(model, work);
+        Some(ModelWork {
+            model: model.clone(),
+            work: self.work(model, work),
+            room: holders.iter().map(|holder| holder.room.work).sum(),
+            holders: holders.len(),
+            copies: self.free_copies(model),
+        })
+    }
+
+    /// True if more than one request of the model runs at a time.
+    pub fn is_busy(&self, model: &ModelName) -> bool {
+        let work = self.work.as_ref();
+        work.is_some_and(|work| self.work(model, work) > 1.0)
+    }
+
+    /// The only holder of a model, if there the model has room for its work.
+    pub fn only_holder_with_room(&self, model: &ModelName) -> Option<&PlacedReplica> {
+        let work = self.work.as_ref()?;
+        let fleet = self.fleet();
+        let mut keepers = fleet.keepers(model);
+        let only = keepers.next().filter(|_| keepers.next().is_none())?;
+        let replica = self.replicas.get(only)?;
+        (self.work(model, work) < self.room_for(model, replica, work)).then_some(replica)
+    }
+
+    /// Replicas with a copy of a model's weights that do not hold it.
+    fn free_copies(&self, model: &ModelName) -> usize {
+        let fleet = self.fleet();
+        let with_copy = fleet.with_copy(model).filter_map(|id| self.replicas.get(id));
+        with_copy.filter(|replica| !replica.keeps(model)).count()
+    }
+
+    /// Requests a second that one more holder of a model keeps in time at a replica.
+    pub(super) fn kept_by_work_at(
+        &self,
+        model: &ModelName,
+        replica: &PlacedReplica,
+        work: &ServiceWork,
+    ) -> f64 {
+        let more = self.room_at(model, replica, work);
+        let kept = self.kept_by(model, self.rooms_of(model, work), more, work);
+        kept.max(self.spare_of_next(model))
+    }
+
+    /// What a second holder counts for as a spare.
+    fn spare_of_next(&self, model: &ModelName) -> f64 {
+        if self.holders(model) == 1 {
+            self.spare_value(model)
+        } else {
+            0.0
+        }
+    }
+
+    /// The same at a replica of the usual speed with so many slots that holds nothing else;
+    /// `None` where holders do not follow the work.
+    pub fn kept_by_next(&self, model: &ModelName, slots: u32) -> Option<f64> {
+        let work = self.work.as_ref()?;
+        let more = Room {
+            work: f64::from(slots) * USABLE_SLOTS,
+            late_share: 0.0,
+        };
+        let kept = self.kept_by(model, self.rooms_of(model, work), more, work);
+        Some(kept.max(self.spare_of_next(model)))
+    }
+
+    /// True if a load from the weight store of some model without a copy elsewhere keeps more
+    /// requests in time than `saved`, in as long.
+    pub fn store_keeps_more(&self, saved: f64, load: Duration, slots: u32) -> bool {
+        let kept = |model: &ModelName| {
+            if self.holders(model) == 0 || self.free_copies(model) > 0 {
+                return 0.0;
+            }
+            self.kept_by_next(model, slots).unwrap_or(0.0)
+        };
+        let most = self.engine.model_order.iter().map(kept).fold(0.0, f64::max);
+        most * self.stay_s(load) > saved
+    }
+
+    /// True if so many requests a second are worth what makes way, for a model that has
+    /// holders besides the one that is to come.
+    pub fn is_next_worth(
+        &self,
+        model: &ModelName,
+        replica: &PlacedReplica,
+        load: Duration,
+        displaced: f64,
+    ) -> Option<bool> {
+        let work = self.work.as_ref()?;
+        let keepers = self.fleet().keeper_count(model);
+        if keepers == 0 {
+            return None;
+        }
+        let more = self.room_at(model, replica, work);
+        let kept = self.kept_by(model, self.present_rooms(model, work), more, work);
+        let spare = if keepers == 1 {
+            self.spare_value(model)
+        } else {
+            0.0
+        };
+        let horizon_s = self.config.horizon.as_secs_f64();
+        Some(kept.max(spare) * self.stay_s(load) > displaced * horizon_s)
+    }
+
+    /// Requests a second of the models that stay on a replica that become late as another
+    /// model shares it.
+    pub(super) fn late_beside(
+        &self,
+        model: &ModelName,
+        replica: &PlacedReplica,
+        stays: &[&ModelName],
+        work: &ServiceWork,
+    ) -> f64 {
+        let room = self.room(replica);
+        let taken = self.work(model, work) * room / (self.keepers_room(model, work) + room).max(f64::EPSILON);
+        let late = |held: &&ModelName| {
+            let present = self.present_rooms(held, work);
+            let whole: f64 = present.iter().map(|room| room.work).sum();
+            let left = 1.0 - (taken.min(room) / whole.max(f64::EPSILON)).min(1.0);
+            let shared = present.iter().map(|room| Room {
+                work: room.work * left,
+                ..*room
+            });
+            self.late_with(held, shared.collect(), work) - self.late_with(held, present, work)
+        };
+        stays.iter().map(late).sum()
+    }
+}
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -95,6 +95,7 @@
             demand: &self.demand,
             replicas: &self.replicas,
             reload_times: Default::default(),
+            work: None,
             usual_objective: OBJECTIVE,
             now: at(10_000),
         }
@@ -153,6 +154,7 @@
         is_held: false,
         orders: Orders::Own,
         control_calls: ControlCalls::Free,
+        listed_slots: 24,
         capacity: Capacity::default(),
     }
 }
