--- a/crates/croftrill-node/src/load_news.rs
+++ b/crates/croftrill-node/src/load_news.rs
@@ -128,6 +128,11 @@
     Metrics::count(&node.metrics.load_news, kind, outcome);
 }
 
+/// Accounts are passed over, as there are too many.
+pub(crate) fn note_left_out<P: Platform>(node: &Node<P>, kind: &'static str, count: usize) {
+    Metrics::count_many(&node.metrics.load_news, kind, "left out", count as u64);
+}
+
 /// An answer told the load of a replica, of the incarnation that started at `born_ms`.
 /// `is_sure`: false if the answer may be another replica's, of which others are not told.
 pub(crate) fn hear_answer<P: Platform>(
--- a/crates/croftrill-node/src/orderer_task/loads.rs
+++ b/crates/croftrill-node/src/orderer_task/loads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::load_news::{LoadAccount, LoadTelling, TellingConfig};
+use croftrill_scheduler::load_news::{Hearing, LoadAccount, LoadTelling, TellingConfig};
 use croftrill_scheduler::orderer::Orderer;
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
@@ -74,7 +74,9 @@
                 continue;
             }
             orderer.told_load(&id, account.load, account.at);
-            self.telling.hear(account, now);
+            if self.telling.hear(account, now) == Hearing::LeftOut {
+                load_news::note_left_out(node, "node", 1);
+            }
         }
     }
 
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -138,8 +138,11 @@
                 match message {
                     ToOrderer::Loads(told) => {
                         let accounts = loads.hear(&told, &subscription.loads, node.clock.now());
-                        // Where too many wait, the next ones say more.
-                        let _ = inbox.try_send(OrdererInput::Loads(accounts));
+                        let count = accounts.len();
+                        if inbox.try_send(OrdererInput::Loads(accounts)).is_err() {
+                            // The next ones say more.
+                            load_news::note_left_out(node, "node", count);
+                        }
                     }
                     ToOrderer::Replay(after) => {
                         let replies = node.step_times.time("replay", || {
