--- a/crates/croftrill-scheduler/tests/capacity.rs
+++ b/crates/croftrill-scheduler/tests/capacity.rs
@@ -60,3 +60,19 @@
     assert!(capacity.others(at(700)) < 2.3);
     assert!(capacity.others(at(10_000)) < 0.01);
 }
+
+/// Whoever chooses places for models must find the same as others who heard other answers.
+#[test]
+fn lasting_speed_usual_until_told_often() {
+    let mut capacity = Capacity::default();
+    capacity.hear(load(1, Some(150)), 0, at(0));
+    capacity.hear(load(1, Some(60)), 0, at(100));
+    assert_eq!(capacity.lasting_speed(), 1.0);
+    capacity.hear(load(1, Some(60)), 0, at(200));
+    assert!((capacity.lasting_speed() - 1.0 / 0.6).abs() < 1e-9);
+    let mut other = Capacity::default();
+    for ms in 0..3 {
+        other.hear(load(1, Some(61)), 0, at(ms));
+    }
+    assert_eq!(capacity.speed_class(), other.speed_class());
+}
--- a/crates/croftrill-scheduler/tests/demand.rs
+++ b/crates/croftrill-scheduler/tests/demand.rs
@@ -138,3 +138,42 @@
     assert_eq!(demand.last_request(&key("m1")), None);
     assert!(demand.late_share(&key("m1"), at(0)) < 1.0);
 }
+
+/// A model that becomes busy shows it within a second; a few requests more are chance.
+#[test]
+fn present_requests_per_second_shows_a_rise_within_a_second() {
+    let mut demand = Demand::new();
+    ask(&mut demand, "m1", 2000, 0, 20_000);
+    ask(&mut demand, "m2", 2000, 0, 20_000);
+    ask(&mut demand, "m1", 50, 20_000, 21_000);
+    ask(&mut demand, "m2", 300, 20_000, 21_000);
+    let risen = demand.present_requests_per_second(&key("m1"), at(21_000));
+    let memory = demand.requests_per_second(&key("m1"), at(21_000));
+    assert!(risen > 1.5 * memory, "{risen} and {memory}");
+    assert!(risen < 20.0, "{risen}");
+    let chance = demand.present_requests_per_second(&key("m2"), at(21_000));
+    assert!(chance < 2.0, "{chance}");
+    let tokens = demand.present_tokens_per_second(&key("m1"), at(21_000));
+    assert!((tokens / risen - 1000.0).abs() < 1e-6, "{tokens}");
+}
+
+/// Nodes tell what was asked four times a second: the pause between two accounts is no
+/// silence. With it all busy models seemed to be asked 10 times a second.
+#[test]
+fn present_requests_per_second_whole_between_two_accounts() {
+    let mut demand = Demand::new();
+    let batch = Asked {
+        requests: 15.0,
+        tokens: 15_000.0,
+        ..asked(1000)
+    };
+    for millis in (0..20_000).step_by(250) {
+        demand.count(&key("m1"), &batch, at(millis));
+    }
+    let rate = demand.present_requests_per_second(&key("m1"), at(19_990));
+    assert!((50.0..70.0).contains(&rate), "{rate}");
+    let service = demand.service_tokens_per_second(&"llm".into(), at(19_990));
+    assert!((50_000.0..70_000.0).contains(&service), "{service}");
+    let silent = demand.present_requests_per_second(&key("m1"), at(24_750));
+    assert!(silent <= 2.0 / 4.5 + 1e-9, "{silent}");
+}
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -1,13 +1,15 @@
 //! What holders of a model are worth, and what makes way for another.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_scheduler::capacity::Capacity;
+use croftrill_scheduler::capacity::{Capacity, ReplicaLoad};
 use croftrill_scheduler::catalog::{EngineSpec, ModelName, ModelSpec, ServiceName};
 use croftrill_scheduler::demand::{Asked, Demand, ModelKey};
 use croftrill_scheduler::placement::{
-    ControlCalls, Orders, PlacedReplica, PlacedReplicas, PlacementConfig, ServicePlacement,
+    Among, ControlCalls, LateShares, Orders, PlacedReplica, PlacedReplicas, PlacementConfig,
+    ServicePlacement, ServiceWork,
 };
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_ledger::{LedgerConfig, ReplicaLedger};
@@ -245,3 +247,70 @@
     let spare = site.values("m0").into_iter().fold(f64::MAX, f64::min);
     assert!(unseen > spare, "{unseen} and {spare}");
 }
+
+/// The work of a site of which each cost token takes so long.
+fn by_work(site: &Site, per_token_s: f64, late_shares: LateShares) -> ServicePlacement<'_> {
+    ServicePlacement {
+        work: Some(Rc::new(ServiceWork::new(per_token_s, late_shares))),
+        ..site.view()
+    }
+}
+
+fn tell_work_time(site: &mut Site, id: &str, pct: u32) {
+    let load = ReplicaLoad {
+        running: 3,
+        waiting: 0,
+        slots: Some(24),
+        work_time_pct: Some(pct),
+    };
+    for ms in 0..5 {
+        site.replicas.told_load(id, load, at(9000 + ms));
+    }
+}
+
+/// Ten slow replicas served most of what was late, beside fast ones that had room.
+#[test]
+fn value_of_held_slow_holder_is_the_spare_one() {
+    let mut site = Site::new(&[&["m1"], &["m1"], &["m1"]]);
+    site.ask("m1", 10);
+    for (id, pct) in [("r0", 160), ("r1", 60), ("r2", 100)] {
+        tell_work_time(&mut site, id, pct);
+    }
+    let view = by_work(&site, 0.01, LateShares::default());
+    let value = |id: &str| view.value_of_held(&"m1".into(), &id.into());
+    assert!(value("r1") > value("r2"), "{} {}", value("r1"), value("r2"));
+    assert!(value("r2") > value("r0"), "{} {}", value("r2"), value("r0"));
+}
+
+/// Nothing was late yet, but what is asked fills more than the holder can do.
+#[test]
+fn kept_by_next_rises_with_work_beyond_the_room() {
+    let mut site = Site::new(&[&["m1", "m2"]]);
+    site.ask("m1", 20);
+    site.ask("m2", 1);
+    let kept = |per_token_s: f64| {
+        let view = by_work(&site, per_token_s, LateShares::default());
+        view.kept_by_next(&"m1".into(), 24).expect("by work")
+    };
+    // 100 tokens a request: 2 and 20 requests at once, of 12 that a replica can do in time.
+    assert!(kept(0.001) < 1.0, "{}", kept(0.001));
+    assert!(kept(0.01) > 5.0, "{}", kept(0.01));
+}
+
+/// Slow replicas were late with a third of all streams also with room.
+#[test]
+fn best_place_of_a_waiting_model_not_where_streams_are_late() {
+    let mut site = Site::new(&[&["m1"], &["m2"]]);
+    for model in ["m1", "m2", "m3"] {
+        site.ask(model, 1);
+    }
+    tell_work_time(&mut site, "r0", 160);
+    tell_work_time(&mut site, "r1", 100);
+    let mut late_shares = LateShares::default();
+    let class = |id: &str| site.replicas.get(id).expect("it is there").capacity.speed_class();
+    late_shares.count(class("r0"), 100.0, 35.0);
+    late_shares.count(class("r1"), 100.0, 1.0);
+    let view = by_work(&site, 0.01, late_shares);
+    let place = view.best_place(&"m3".into(), true, Among::All).expect("a place");
+    assert_eq!(&*place.replica, "r1");
+}
