--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -13,6 +13,7 @@
 use super::forwarding::end_to_end;
 use super::sending::{SendEnd, Streaming};
 use super::{Answer, RequestRun};
+use crate::node::Lifecycle;
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, EventCutter, StreamPart, StreamSender};
 
@@ -23,13 +24,24 @@
 pub(super) const PROMPT_TIME_MARGIN: u32 = 2;
 
 /// How a replica's part of a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PumpEnd {
     Complete,
     Broken,
+    /// Nothing came for long: its replica may be slow, or gone without a word.
+    Silent,
     CallerGone,
     OutOfTime,
 }
 
+/// What became of a stream that was to go on at another replica.
+enum Resumed<P: Platform> {
+    /// It goes on there.
+    Elsewhere(Box<Streaming<P>>),
+    /// It does not; the run that it was to leave, if that was not ended.
+    Nowhere(Option<Box<Streaming<P>>>),
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Passes on a stream; a task of its own carries it on.
     pub(super) fn answer_stream(mut self, streaming: Streaming<P>) -> Answer {
@@ -59,9 +71,10 @@
         }
         let mut cutter = EventCutter::after(self.facts.last_event_id.clone());
         let mut current = first;
+        let mut may_leave = true;
         loop {
             let replica = current.send.replica.clone();
-            let end = self.pump_one(&mut current, &mut cutter, &sender).await;
+            let end = self.pump_one(&mut current, &mut cutter, &sender, may_leave).await;
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
@@ -82,14 +95,24 @@
                     self.log_end(&replica, "stream out of time");
                     return;
                 }
-                PumpEnd::Broken => {}
+                // A planned stop ends no answer that may still come: the replica is left
+                // only for another one. Else an early end lets the caller try again.
+                PumpEnd::Silent | PumpEnd::Broken => {}
             }
             current.send.record(SendOutcome::Failure);
-            drop(current);
-            cutter.drop_partial();
-            match self.resume(&replica, &cutter).await {
-                Some(next) => current = next,
-                None => {
+            let is_kept = end == PumpEnd::Silent && self.node.lifecycle() == Lifecycle::Stopping;
+            let earlier = is_kept.then_some(current);
+            match self.resume(&replica, &cutter, earlier).await {
+                Resumed::Elsewhere(next) => {
+                    cutter.drop_partial();
+                    current = *next;
+                    may_leave = true;
+                }
+                Resumed::Nowhere(Some(earlier)) => {
+                    current = *earlier;
+                    may_leave = false;
+                }
+                Resumed::Nowhere(None) => {
                     self.log_end(&replica, "stream cut off");
                     return;
                 }
@@ -97,23 +120,25 @@
         }
     }
 
+    /// Passes on what a replica sends. `may_leave`: false once nobody could take its place.
     pub(super) async fn pump_one(
         &self,
         streaming: &mut Streaming<P>,
         cutter: &mut EventCutter,
         sender: &StreamSender,
+        may_leave: bool,
     ) -> PumpEnd {
         let mut last_event = self.now();
         loop {
             let frame = tokio::select! {
                 frame = streaming.body.frame() => frame,
                 () = sender.closed() => return PumpEnd::CallerGone,
-                () = self.silent_since(last_event) => {
+                () = self.silent_since(last_event), if may_leave => {
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
                         outcome = "the stream fell silent", silent_ms = self.now().since(last_event).as_millis() as u64);
                     self.node.pool.found_silent(&streaming.connection);
                     self.stream_broke(streaming, last_event);
-                    return PumpEnd::Broken;
+                    return PumpEnd::Silent;
                 }
                 () = self.node.clock.sleep_until(self.until) => return PumpEnd::OutOfTime,
             };
@@ -196,25 +221,30 @@
         }
     }
 
-    /// Goes on with a broken stream at another replica, if the route allows.
-    pub(super) async fn resume(&mut self, broken: &ReplicaId, cutter: &EventCutter) -> Option<Streaming<P>> {
-        if !self.may_repeat_after(broken) {
-            return None;
-        }
+    /// Goes on with a stream at another replica, if the route allows. An `earlier` run that
+    /// may still go on is ended before the request is sent again, and else given back.
+    async fn resume(
+        &mut self,
+        left: &ReplicaId,
+        cutter: &EventCutter,
+        mut earlier: Option<Streaming<P>>,
+    ) -> Resumed<P> {
         let after = cutter.last_id().map(str::to_string);
-        loop {
+        let mut left = left.clone();
+        while self.may_repeat_after(&left) {
             let NextReplica::Send(replica) = self.next_replica().await else {
-                return None;
+                break;
             };
             if self.barred_from_sending().await.is_some() || !self.take_retry(&replica) {
-                return None;
+                break;
             }
+            drop(earlier.take());
             match self.send(&replica, after.as_deref(), None).await {
-                SendEnd::Streaming(streaming) => return Some(*streaming),
-                SendEnd::OutOfTime => return None,
-                _ if !self.may_repeat_after(&replica) => return None,
-                _ => {}
+                SendEnd::Streaming(streaming) => return Resumed::Elsewhere(streaming),
+                SendEnd::OutOfTime => break,
+                _ => left = replica,
             }
         }
+        Resumed::Nowhere(earlier.map(Box::new))
     }
 }
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load_ceiling;
 pub mod load_news;
 pub mod load_pace;
+pub mod load_summary;
 pub mod orderer;
 pub mod outlook;
 pub mod placement;
