Requests go by capacity: drawn by free places, speed and time left

Change: a holder is drawn by its weight: free places x speed x time left of objective and deadline x the chance that no pause is too long, which a node learns from the longest pauses of its own streams. Full ones are drawn among themselves where no other has room. routing::weigh shows the weights.

--- a/crates/croftrill-bench/src/lib.rs
+++ b/crates/croftrill-bench/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod experiment;
 pub mod fleet;
 pub mod limits;
+pub mod spread;
--- a/crates/croftrill-bench/src/main.rs
+++ b/crates/croftrill-bench/src/main.rs
@@ -4,6 +4,7 @@
 use croftrill_bench::experiment::{play, policies, Load};
 use croftrill_bench::fleet::{work_out, FleetSize};
 use croftrill_bench::limits::{self, LimitRun, Trouble, Way};
+use croftrill_bench::spread::{self, News, SpreadOutcome, SpreadRun};
 use lexopt::prelude::*;
 use std::time::Duration;
 
@@ -15,17 +16,20 @@
        croftrill-bench capacity
        croftrill-bench fleet [--nodes N] [--replicas N]
        croftrill-bench limits [--seeds N]
+       croftrill-bench spread [--seeds N] [--demand PER_S]
 ";
 
 fn main() -> anyhow::Result<()> {
     let mut load = Load::default();
     let mut seeds = 5;
     let mut nodes = 985;
+    let mut demand_per_s = 500.0;
     let mut command = String::new();
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Value(word) if command.is_empty() => command = word.string()?,
+            Long("demand") => demand_per_s = parser.value()?.parse()?,
             Long("nodes") => nodes = parser.value()?.parse()?,
             Long("models") => load.models = parser.value()?.parse()?,
             Long("replicas") => load.replicas = parser.value()?.parse()?,
@@ -48,6 +52,7 @@
             replicas: load.replicas,
         }),
         "limits" => compare_limits(seeds),
+        "spread" => compare_spread(seeds, demand_per_s),
         _ => print!("{HELP}"),
     }
     Ok(())
@@ -108,6 +113,60 @@
     );
 }
 
+/// Ways to choose among uneven replicas; means over the seeds.
+fn compare_spread(seeds: u64, demand_per_s: f64) {
+    println!(
+        "{:>5} {:<16} {:<11} {:>7} {:>9} {:>6} {:>8} {:>7} {:>13}",
+        "nodes", "news", "way", "waited", "rejected", "late", "overdue", "p99 ms", "busiest/mean"
+    );
+    let (soon, late) = (Duration::from_millis(200), Duration::from_secs(1));
+    for nodes in [7, 65, 985] {
+        for news in [
+            News::After(Duration::from_millis(100)),
+            News::After(soon),
+            News::After(late),
+            News::After(2 * late),
+            News::Lost(soon),
+            News::False(soon),
+            News::None,
+        ] {
+            for way in [
+                spread::Way::Alike,
+                spread::Way::LeastCost,
+                spread::Way::TwoChoices,
+                spread::Way::ByRoom,
+                spread::Way::Chosen,
+            ] {
+                let outcomes: Vec<SpreadOutcome> = (1..=seeds)
+                    .map(|seed| {
+                        spread::play(SpreadRun {
+                            nodes,
+                            way,
+                            news,
+                            demand_per_s,
+                            seed,
+                            length: Duration::from_secs(30),
+                        })
+                    })
+                    .collect();
+                let mean =
+                    |of: fn(&SpreadOutcome) -> f64| outcomes.iter().map(of).sum::<f64>() / seeds as f64;
+                println!(
+                    "{nodes:>5} {:<16} {:<11} {:>7.3} {:>9.3} {:>6.3} {:>8.3} {:>7.0} {:>13.2}",
+                    format!("{news:?}"),
+                    format!("{way:?}"),
+                    mean(|outcome| outcome.waited),
+                    mean(|outcome| outcome.rejected),
+                    mean(|outcome| outcome.late),
+                    mean(|outcome| outcome.overdue),
+                    mean(|outcome| outcome.first_event_p99_ms),
+                    mean(|outcome| outcome.busiest_to_mean),
+                );
+            }
+        }
+    }
+}
+
 fn experiment(load: &Load, seeds: u64) {
     println!(
         "{:<14} {:>4} {:>8} {:>7} {:>9} {:>8} {:>8} {:>6}",
--- /dev/null
+++ b/crates/croftrill-bench/src/spread.rs
@@ -0,0 +1,533 @@
+//! Ways in which nodes choose among uneven replicas, in simulated time.
+//!
+//! Streams come at random to nodes, each of which knows the replicas' loads by its own
+//! answers and, as far as news comes, by the others'. What counts: how even the work is
+//! spread, who waits or is rejected, and when first events come.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use croftrill_scheduler::capacity::ReplicaLoad;
+use croftrill_scheduler::outlook::{TIME_PER_OUTPUT_TOKEN, TIME_PER_PROMPT_TOKEN};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica_table::ReplicaTable;
+use croftrill_scheduler::routing::{choose, weigh, ModelNeed, RoutingRequest, Weighed};
+use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::work::RequestWork;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// How a node chooses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Holders count as equal.
+    Alike,
+    /// The least expected cost.
+    LeastCost,
+    /// The better of two that are drawn.
+    TwoChoices,
+    /// Drawn by free room.
+    ByRoom,
+    /// As nodes do.
+    Chosen,
+}
+
+/// How a node hears of the loads that replicas told others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// Not at all.
+    None,
+    /// So long after they were told.
+    After(Duration),
+    /// The same, but half of it does not come.
+    Lost(Duration),
+    /// The same, but every tenth replica tells that it is empty.
+    False(Duration),
+}
+
+/// A run.
+#[derive(Debug, Clone, Copy)]
+pub struct SpreadRun {
+    /// Nodes.
+    pub nodes: usize,
+    /// How they choose.
+    pub way: Way,
+    /// What they hear.
+    pub news: News,
+    /// Streams that come in a second.
+    pub demand_per_s: f64,
+    /// Draws the streams.
+    pub seed: u64,
+    /// Length of the run.
+    pub length: Duration,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SpreadOutcome {
+    /// Most streams of one replica at a time beyond its places, in the mean of replicas.
+    pub waited: f64,
+    /// Part of the streams that a full replica rejected.
+    pub rejected: f64,
+    /// Part whose first event came after the objective.
+    pub late: f64,
+    /// Part that did not end within its deadline.
+    pub overdue: f64,
+    /// Time to the first event of 99 of 100, in milliseconds.
+    pub first_event_p99_ms: f64,
+    /// Part of the places that was taken at the fullest replica, against the mean.
+    pub busiest_to_mean: f64,
+}
+
+/// Replicas; the model of each place follows from its number.
+const REPLICAS: usize = 60;
+/// Models, each held by ten replicas.
+const MODELS: usize = 12;
+/// Models of one replica.
+const MODELS_HELD: usize = 2;
+/// Requests that a replica runs at the same time, and those that may wait there.
+const SLOTS: usize = 24;
+const QUEUE: usize = 72;
+/// Work times of the replicas, in turn, in hundredths of the usual.
+const WORK_TIMES_PCT: [u32; 3] = [60, 100, 160];
+/// A disturbance: how often one may begin, the part that do, and what it does.
+const DISTURBED_EVERY: Duration = Duration::from_millis(600);
+const DISTURBED_PART: f64 = 0.15;
+const DISTURBED_TIMES: f64 = 2.5;
+/// Time within which the first event should come, and the whole.
+const OBJECTIVE: Duration = Duration::from_millis(400);
+const DEADLINE: Duration = Duration::from_secs(12);
+/// Prompt of a stream, and a mean of its output; part of the streams that are short.
+const PROMPT_TOKENS: u64 = 600;
+const LONG_OUTPUT: f64 = 280.0;
+const SHORT_OUTPUT: f64 = 48.0;
+const MOST_OUTPUT: f64 = 952.0;
+const SHORT_PART: f64 = 0.44;
+/// The same for its length as the caller tells it.
+const HINT_ERROR: f64 = 0.5;
+/// Least time between two accounts of one replica that are passed on.
+const NEWS_EVERY: Duration = Duration::from_millis(200);
+/// How much less each model is asked for than the one before.
+const MODEL_SKEW: f64 = 0.4;
+
+/// A stream at a replica.
+#[derive(Debug, Clone, Copy)]
+struct Stream {
+    node: usize,
+    work: RequestWork,
+    came_at: Duration,
+}
+
+/// A replica in the middle of a run.
+#[derive(Debug, Default)]
+struct Engine {
+    running: usize,
+    waiting: VecDeque<Stream>,
+    work_time: f64,
+    disturbed: bool,
+    /// Place-seconds that were taken, and since when so many are.
+    taken_s: f64,
+    since: Duration,
+    told_at: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Event {
+    Arrival,
+    Disturbances,
+    End {
+        replica: usize,
+        node: usize,
+        begun_at: Duration,
+    },
+    News {
+        replica: usize,
+        load: LoadAt,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct LoadAt {
+    load: ReplicaLoad,
+    at: Duration,
+}
+
+struct Play {
+    run: SpreadRun,
+    random: SmallRng,
+    engines: Vec<Engine>,
+    nodes: Vec<ReplicaTable>,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: Vec<Option<Event>>,
+    first_events: Vec<Duration>,
+    streams: u64,
+    waited: u64,
+    rejected: u64,
+    overdue: u64,
+}
+
+fn at(elapsed: Duration) -> Moment {
+    Moment::from_start(Duration::from_secs(3600) + elapsed)
+}
+
+fn replica_id(index: usize) -> String {
+    format!("r{index:02}")
+}
+
+fn model_name(index: usize) -> String {
+    format!("m{index}")
+}
+
+fn listing(index: usize) -> ReplicaListing {
+    let models = (0..MODELS_HELD).map(|place| HeldModel {
+        model: model_name((index + place * (1 + index / MODELS)) % MODELS).into(),
+        adapters: Vec::new(),
+    });
+    ReplicaListing {
+        id: replica_id(index).into(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        slots: SLOTS as u32,
+        state: ReplicaState::Ready,
+        leaves_in: None,
+        born_ms: None,
+        holdings: Holdings {
+            models: models.collect(),
+            ..Holdings::default()
+        },
+    }
+}
+
+/// Plays a run.
+pub fn play(run: SpreadRun) -> SpreadOutcome {
+    let tables = (0..run.nodes).map(|_| {
+        let mut table = ReplicaTable::new();
+        (0..REPLICAS).for_each(|index| table.apply_listing(listing(index)));
+        if run.way != Way::Alike {
+            table.go_by_capacity();
+        }
+        table
+    });
+    let mut play = Play {
+        run,
+        random: SmallRng::seed_from_u64(run.seed),
+        engines: (0..REPLICAS).map(Engine::new).collect(),
+        nodes: tables.collect(),
+        queue: BinaryHeap::new(),
+        events: Vec::new(),
+        first_events: Vec::new(),
+        streams: 0,
+        waited: 0,
+        rejected: 0,
+        overdue: 0,
+    };
+    play.push(Duration::ZERO, Event::Arrival);
+    play.push(Duration::ZERO, Event::Disturbances);
+    while let Some(Reverse((now, number))) = play.queue.pop() {
+        if now >= run.length {
+            break;
+        }
+        let event = play.events[number as usize].take();
+        play.handle(event.expect("each is handled once"), now);
+    }
+    play.outcome()
+}
+
+impl Engine {
+    fn new(index: usize) -> Self {
+        Engine {
+            work_time: f64::from(WORK_TIMES_PCT[index % WORK_TIMES_PCT.len()]) / 100.0,
+            ..Engine::default()
+        }
+    }
+
+    fn work_time_now(&self) -> f64 {
+        if self.disturbed {
+            self.work_time * DISTURBED_TIMES
+        } else {
+            self.work_time
+        }
+    }
+
+    fn load(&self) -> ReplicaLoad {
+        ReplicaLoad {
+            running: self.running as u32,
+            waiting: self.waiting.len() as u32,
+            slots: Some(SLOTS as u32),
+            work_time_pct: Some((self.work_time_now() * 100.0) as u32),
+        }
+    }
+
+    fn count(&mut self, now: Duration) {
+        self.taken_s += self.running as f64 * (now - self.since).as_secs_f64();
+        self.since = now;
+    }
+}
+
+impl Play {
+    fn push(&mut self, at: Duration, event: Event) {
+        self.queue.push(Reverse((at, self.events.len() as u64)));
+        self.events.push(Some(event));
+    }
+
+    fn handle(&mut self, event: Event, now: Duration) {
+        match event {
+            Event::Arrival => self.arrival(now),
+            Event::Disturbances => self.disturb(now),
+            Event::End {
+                replica,
+                node,
+                begun_at,
+            } => self.end(replica, node, begun_at, now),
+            Event::News { replica, load } => self.news(replica, load),
+        }
+    }
+
+    fn disturb(&mut self, now: Duration) {
+        for engine in &mut self.engines {
+            engine.disturbed = self.random.random_bool(DISTURBED_PART);
+        }
+        self.push(now + DISTURBED_EVERY, Event::Disturbances);
+    }
+
+    fn arrival(&mut self, now: Duration) {
+        let pause_s = -self.random.random_range(f64::MIN_POSITIVE..1.0).ln() / self.run.demand_per_s;
+        self.push(now + Duration::from_secs_f64(pause_s), Event::Arrival);
+        let node = self.random.random_range(0..self.run.nodes);
+        let model = self.model();
+        let mean = if self.random.random_bool(SHORT_PART) {
+            SHORT_OUTPUT
+        } else {
+            LONG_OUTPUT
+        };
+        let drawn = -self.random.random_range(f64::MIN_POSITIVE..1.0).ln() * mean;
+        let output = drawn.clamp(1.0, MOST_OUTPUT);
+        let error = self.random.random_range(-1.0..1.0) * HINT_ERROR;
+        let hinted = RequestWork {
+            prompt_tokens: PROMPT_TOKENS,
+            output_tokens: (output * f64::exp(error)) as u64,
+        };
+        let Some(replica) = self.choose(node, &model, hinted, now) else {
+            return;
+        };
+        self.streams += 1;
+        self.nodes[node].begin_send(&replica_id(replica), hinted, at(now));
+        let work = RequestWork {
+            output_tokens: output as u64,
+            ..hinted
+        };
+        self.arrive(
+            replica,
+            Stream {
+                node,
+                work,
+                came_at: now,
+            },
+            now,
+        );
+    }
+
+    fn model(&mut self) -> String {
+        let weight = |index: usize| (index as f64 + 1.0).powf(-MODEL_SKEW);
+        let mut drawn = self.random.random_range(0.0..(0..MODELS).map(weight).sum());
+        let mut chosen = 0;
+        while chosen + 1 < MODELS && drawn >= weight(chosen) {
+            drawn -= weight(chosen);
+            chosen += 1;
+        }
+        model_name(chosen)
+    }
+
+    fn choose(&mut self, node: usize, model: &str, work: RequestWork, now: Duration) -> Option<usize> {
+        let need = ModelNeed {
+            model,
+            adapter: None,
+            shared_part: None,
+            shared_tokens: 0,
+        };
+        let request = RoutingRequest {
+            service: "llm",
+            need: Some(need),
+            zone: "a",
+            tried: &[],
+            salt: self.random.random(),
+            work,
+            objective_left: OBJECTIVE,
+            pause_objective: None,
+            deadline_left: DEADLINE,
+            memory_tokens: 0,
+        };
+        let table = &self.nodes[node];
+        let chosen = match self.run.way {
+            Way::Alike | Way::Chosen => choose(table, &request, at(now)),
+            way => {
+                let weighed: Vec<Weighed> = weigh(table, &request, at(now)).collect();
+                let chosen = pick(way, &weighed, at(now), &mut self.random);
+                chosen.map(|weighed| weighed.entry.listing.id.clone())
+            }
+        };
+        chosen.and_then(|id| id[1..].parse().ok())
+    }
+
+    fn arrive(&mut self, replica: usize, stream: Stream, now: Duration) {
+        let engine = &mut self.engines[replica];
+        if engine.running < SLOTS {
+            self.start(replica, stream, now);
+        } else if engine.waiting.len() < QUEUE {
+            self.waited += 1;
+            engine.waiting.push_back(stream);
+        } else {
+            self.rejected += 1;
+            self.tell(replica, stream.node, now);
+            self.leave(replica, stream.node, stream.work, None);
+        }
+    }
+
+    fn start(&mut self, replica: usize, stream: Stream, now: Duration) {
+        let engine = &mut self.engines[replica];
+        engine.count(now);
+        engine.running += 1;
+        let reading =
+            TIME_PER_PROMPT_TOKEN.mul_f64(stream.work.prompt_tokens as f64 * engine.work_time_now());
+        let disturbed = 1.0 + DISTURBED_PART * (DISTURBED_TIMES - 1.0);
+        let per_token = TIME_PER_OUTPUT_TOKEN.mul_f64(engine.work_time * disturbed);
+        let first_event_at = now + reading;
+        let end_at = first_event_at + per_token * stream.work.output_tokens as u32;
+        self.first_events.push(first_event_at - stream.came_at);
+        if end_at - stream.came_at > DEADLINE {
+            self.overdue += 1;
+        }
+        let node = stream.node;
+        self.nodes[node].prompt_done(&replica_id(replica), stream.work.prompt_tokens);
+        self.push(
+            end_at.min(stream.came_at + DEADLINE).max(now),
+            Event::End {
+                replica,
+                node,
+                begun_at: now,
+            },
+        );
+        self.tell(replica, node, now);
+    }
+
+    fn end(&mut self, replica: usize, node: usize, begun_at: Duration, now: Duration) {
+        let engine = &mut self.engines[replica];
+        engine.count(now);
+        engine.running -= 1;
+        let next = engine.waiting.pop_front();
+        self.nodes[node].end_send(&replica_id(replica));
+        self.nodes[node].ran_for(&replica_id(replica), now - begun_at);
+        if let Some(stream) = next {
+            if now - stream.came_at < DEADLINE {
+                self.start(replica, stream, now);
+            } else {
+                self.overdue += 1;
+                self.leave(replica, stream.node, stream.work, None);
+            }
+        }
+    }
+
+    fn leave(&mut self, replica: usize, node: usize, work: RequestWork, held: Option<Duration>) {
+        let (table, id) = (&mut self.nodes[node], replica_id(replica));
+        table.prompt_done(&id, work.prompt_tokens);
+        table.end_send(&id);
+        if let Some(held) = held {
+            table.ran_for(&id, held);
+        }
+    }
+
+    /// The replica answers a node, which passes on what it told if that is due.
+    fn tell(&mut self, replica: usize, node: usize, now: Duration) {
+        let mut load = self.engines[replica].load();
+        if matches!(self.run.news, News::False(_)) && replica % 10 == 0 {
+            load = ReplicaLoad {
+                running: 0,
+                waiting: 0,
+                ..load
+            };
+        }
+        let heard = self.as_heard(load);
+        self.nodes[node].told_load(&replica_id(replica), heard, at(now));
+        let age = match self.run.news {
+            News::None => return,
+            News::After(age) | News::Lost(age) | News::False(age) => age,
+        };
+        let engine = &mut self.engines[replica];
+        if engine.told_at.is_some_and(|told| now - told < NEWS_EVERY) {
+            return;
+        }
+        engine.told_at = Some(now);
+        let load = LoadAt { load, at: now };
+        self.push(now + age, Event::News { replica, load });
+    }
+
+    fn news(&mut self, replica: usize, told: LoadAt) {
+        let id = replica_id(replica);
+        let load = self.as_heard(told.load);
+        let is_lossy = matches!(self.run.news, News::Lost(_));
+        for table in &mut self.nodes {
+            if !(is_lossy && self.random.random_bool(0.5)) {
+                table.told_load(&id, load, at(told.at));
+            }
+        }
+    }
+
+    /// Where replicas count as equal, nobody reads their work time.
+    fn as_heard(&self, load: ReplicaLoad) -> ReplicaLoad {
+        ReplicaLoad {
+            work_time_pct: load.work_time_pct.filter(|_| self.run.way != Way::Alike),
+            ..load
+        }
+    }
+
+    fn outcome(mut self) -> SpreadOutcome {
+        let end = self.run.length;
+        self.engines.iter_mut().for_each(|engine| engine.count(end));
+        let taken: Vec<f64> = self.engines.iter().map(|engine| engine.taken_s).collect();
+        let mean = taken.iter().sum::<f64>() / taken.len() as f64;
+        let streams = self.streams.max(1) as f64;
+        self.first_events.sort_unstable();
+        let p99 = self.first_events.get(self.first_events.len() * 99 / 100);
+        let late = self.first_events.iter().filter(|time| **time > OBJECTIVE).count();
+        SpreadOutcome {
+            waited: self.waited as f64 / streams,
+            rejected: self.rejected as f64 / streams,
+            late: late as f64 / streams,
+            overdue: self.overdue as f64 / streams,
+            first_event_p99_ms: p99.map_or(0.0, |time| time.as_secs_f64() * 1000.0),
+            busiest_to_mean: taken.iter().copied().fold(0.0, f64::max) / mean,
+        }
+    }
+}
+
+/// The ways that nodes do not go.
+fn pick<'a, 'b>(
+    way: Way,
+    weighed: &'b [Weighed<'a>],
+    now: Moment,
+    random: &mut SmallRng,
+) -> Option<&'b Weighed<'a>> {
+    let cheaper = |left: &&Weighed<'_>, right: &&Weighed<'_>| left.cost.total_cmp(&right.cost);
+    match way {
+        Way::TwoChoices => {
+            let drawn = (0..2).filter_map(|_| weighed.get(random.random_range(0..weighed.len().max(1))));
+            drawn.min_by(cheaper)
+        }
+        Way::ByRoom => {
+            let room = |weighed: &Weighed<'_>| {
+                let entry = weighed.entry;
+                let requests = entry.running_load(now);
+                (f64::from(entry.slots()) - requests).max(0.0) * entry.capacity.speed()
+            };
+            let mut drawn = random.random_range(0.0..weighed.iter().map(room).sum::<f64>().max(1e-9));
+            let hit = weighed.iter().find(|weighed| {
+                drawn -= room(weighed);
+                drawn < 0.0
+            });
+            hit.or_else(|| weighed.iter().min_by(cheaper))
+        }
+        Way::Alike | Way::LeastCost | Way::Chosen => weighed.iter().min_by(cheaper),
+    }
+}
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -158,6 +158,7 @@
             salt: xxh3_64(self.facts.id.as_bytes()),
             work: self.work(),
             objective_left: (self.arrival + self.route.objective).since(now),
+            pause_objective: self.route.pause_objective,
             deadline_left: self.until.since(now),
             memory_tokens: engine.map_or(0, |engine| engine.kv_capacity),
         }
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -61,7 +61,15 @@
         let mut current = first;
         loop {
             let replica = current.send.replica.clone();
-            let end = self.pump_one(&mut current, &mut cutter, &sender).await;
+            let mut longest_pause = Duration::ZERO;
+            let end = self
+                .pump_one(&mut current, &mut cutter, &sender, &mut longest_pause)
+                .await;
+            self.node
+                .state
+                .borrow_mut()
+                .replicas
+                .paused_for(&replica, longest_pause);
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
@@ -102,6 +110,7 @@
         streaming: &mut Streaming<P>,
         cutter: &mut EventCutter,
         sender: &StreamSender,
+        longest_pause: &mut Duration,
     ) -> PumpEnd {
         let mut last_event = self.now();
         loop {
@@ -129,7 +138,9 @@
                 },
             };
             let now = self.now();
-            self.note_pause(now.since(std::mem::replace(&mut last_event, now)));
+            let pause = now.since(std::mem::replace(&mut last_event, now));
+            *longest_pause = pause.max(*longest_pause);
+            self.note_pause(pause);
             let bytes = if self.route.resumable {
                 cutter.push(&bytes)
             } else {
--- a/crates/croftrill-scheduler/src/outlook.rs
+++ b/crates/croftrill-scheduler/src/outlook.rs
@@ -25,6 +25,8 @@
     pub slots: f64,
     /// True if its memory does not hold one more such request.
     pub is_overfilled: bool,
+    /// Chance that no pause of the answer is too long, by the service's last streams.
+    pub steady_chance: f64,
 }
 
 impl Outlook {
@@ -46,18 +48,20 @@
 
 /// What is asked about a replica.
 #[derive(Debug, Clone, Copy)]
-pub struct OutlookAsk {
+pub struct OutlookAsk<'a> {
     /// What the request asks of it.
     pub work: RequestWork,
     /// Tokens of the prompt that it has likely kept, and need not read.
     pub kept_tokens: u64,
     /// Tokens of prompt memory that it has; zero if not known.
     pub memory_tokens: u64,
+    /// Longest pause of an answer that is in time.
+    pub pause_objective: Option<Duration>,
     /// What requests to the service usually are.
-    pub usual: UsualRun,
+    pub usual: Option<&'a UsualRun>,
 }
 
-impl OutlookAsk {
+impl OutlookAsk<'_> {
     /// What the request can expect there.
     pub fn at(&self, entry: &ReplicaEntry, now: Moment) -> Outlook {
         let work_time = 1.0 / entry.capacity.speed();
@@ -69,20 +73,33 @@
         let reading = TIME_PER_PROMPT_TOKEN.mul_f64(work_time_now * unread as f64);
         let first_event_after = wait + reading + TIME_PER_OUTPUT_TOKEN.mul_f64(work_time_now);
         let writing = TIME_PER_OUTPUT_TOKEN.mul_f64(work_time * self.work.output_tokens as f64);
-        let tokens = requests * self.usual.tokens() + self.own_tokens();
+        let usual_tokens = self.usual.map_or(0.0, UsualRun::tokens);
+        let tokens = requests * usual_tokens + self.own_tokens();
         Outlook {
             first_event_after,
             ends_after: first_event_after + writing,
             requests,
             slots,
             is_overfilled: self.memory_tokens > 0 && tokens > self.memory_tokens as f64,
+            steady_chance: self.steady_chance(entry.capacity.speed()),
         }
     }
 
+    /// The longer an answer, the more often it can be held up; less than in proportion, as
+    /// what holds it up lasts.
+    fn steady_chance(&self, speed: f64) -> f64 {
+        let (Some(longest), Some(usual)) = (self.pause_objective, self.usual) else {
+            return 1.0;
+        };
+        let steady = 1.0 - usual.part_pausing(longest, speed);
+        let length = self.work.output_tokens as f64 / usual.output_tokens().max(1.0);
+        steady.powf(length.sqrt())
+    }
+
     /// Time for which a request holds a place at the usual speed.
     fn run_time(&self) -> Duration {
         let own = TIME_PER_OUTPUT_TOKEN.mul_f64(self.work.output_tokens as f64);
-        self.usual.held().unwrap_or(own)
+        self.usual.and_then(UsualRun::held).unwrap_or(own)
     }
 
     fn own_tokens(&self) -> f64 {
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -345,9 +345,18 @@
         }
     }
 
-    /// What the requests to a service usually are.
-    pub fn usual_run(&self, service: &str) -> UsualRun {
-        self.usual_runs.get(service).copied().unwrap_or_default()
+    /// A stream at the replica ended; its longest pause between two events.
+    pub fn paused_for(&mut self, id: &str, longest: Duration) {
+        if let Some(entry) = self.replicas.get(id) {
+            let service = entry.listing.service.clone();
+            let usual = self.usual_runs.entry(service).or_default();
+            usual.note_pause(longest, entry.capacity.speed());
+        }
+    }
+
+    /// What the requests to a service usually are, if this node sent any.
+    pub fn usual_run(&self, service: &str) -> Option<&UsualRun> {
+        self.usual_runs.get(service)
     }
 
     /// From now on the requests to all services go by what is known of replicas' capacity.
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -51,6 +51,8 @@
     pub work: RequestWork,
     /// Time until its first event should come.
     pub objective_left: Duration,
+    /// Longest pause of an answer that is in time.
+    pub pause_objective: Option<Duration>,
     /// Time until its caller, or the route, ends it.
     pub deadline_left: Duration,
     /// Tokens of prompt memory of a replica; zero if not known.
@@ -69,28 +71,34 @@
 
 /// Cost that makes a full replica the last choice among those that are well.
 const FULL_COST: f64 = 1e3;
+/// How much more a chance to pause counts than a part of the places: a stream that pauses is
+/// late, while one more in a batch holds the others up by little.
+const STEADINESS: f64 = 6.0;
+/// Part of a replica's weight that is left in another zone: as much as half its places, since
+/// bytes between zones cost something.
+const OTHER_ZONE_PART: f64 = 0.5;
+/// Weight of a full replica beside one with room: none may be left.
+const FULL_PART: f64 = 1e-9;
+/// Free places that count for one in need, and chance of a request that will be late anyway,
+/// so that they rank before a full one.
+const LEAST_ROOM: f64 = 0.1;
+const LEAST_CHANCE: f64 = 0.01;
 /// Shortest time that a request is taken to have left.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(1);
 
 /// Chooses the replica for a request; `None` if no replica can take it.
 pub fn choose(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Option<ReplicaId> {
+    if table.goes_by_capacity(request.service) {
+        return choose_by_capacity(table, request, now);
+    }
     let usual_failures = table.usual_failure_rate(request.service, now);
     let home = request.need.and_then(|need| home_of(table, request, &need, now));
-    let by_capacity = table.goes_by_capacity(request.service);
     let costed = candidates(table, request, now).map(|entry| {
-        let mut cost = match &request.need {
-            _ if by_capacity => {
-                let ask = outlook_ask(table, entry, home.as_ref(), request);
-                capacity_cost(entry, &ask.at(entry, now), request)
-            }
+        let cost = match &request.need {
             Some(need) => model_cost(entry, need, home.as_ref(), request, now),
             None => plain_cost(entry, request, now),
         };
-        if entry.health.is_unreachable(now) {
-            cost += 2.0 * OUTLIER_COST;
-        } else if entry.health.is_outlier(usual_failures, now) {
-            cost += OUTLIER_COST;
-        }
+        let cost = cost + health_cost(entry, usual_failures, now);
         (cost, tie_break(entry, request.salt), entry)
     });
     costed
@@ -98,6 +106,76 @@
         .map(|(_, _, entry)| entry.listing.id.clone())
 }
 
+/// Draws a replica by its weight. Nodes act on the same accounts, up to a second old: if
+/// each took the replica that is best by them, all would go to the same.
+fn choose_by_capacity(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Option<ReplicaId> {
+    let drawn = weigh(table, request, now).map(|weighed| {
+        let tie = tie_break(weighed.entry, request.salt);
+        let unit = (tie as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        // Of these, the greatest is each one's with a probability like its weight.
+        let place = if weighed.weight > 0.0 {
+            unit.ln() / weighed.weight
+        } else {
+            f64::NEG_INFINITY
+        };
+        (place, weighed.cost, tie, weighed.entry)
+    });
+    let better = |left: &(f64, f64, u64, &ReplicaEntry), right: &(f64, f64, u64, &ReplicaEntry)| {
+        let by_cost = || right.1.total_cmp(&left.1).then(right.2.cmp(&left.2));
+        left.0.total_cmp(&right.0).then_with(by_cost)
+    };
+    drawn
+        .max_by(better)
+        .map(|(_, _, _, entry)| entry.listing.id.clone())
+}
+
+/// A replica that may take a request, as it is weighed where requests go by capacity.
+#[derive(Debug, Clone, Copy)]
+pub struct Weighed<'a> {
+    /// The replica.
+    pub entry: &'a ReplicaEntry,
+    /// What the request would take and cost there.
+    pub cost: f64,
+    /// Its part of such requests, relative to the others': its free places by its speed, the
+    /// less the more of the request's time it would take. Next to none if it is full; none
+    /// if it is not well.
+    pub weight: f64,
+}
+
+/// The replicas that may take a request, weighed by their capacity.
+pub fn weigh<'a>(
+    table: &'a ReplicaTable,
+    request: &'a RoutingRequest<'a>,
+    now: Moment,
+) -> impl Iterator<Item = Weighed<'a>> + 'a {
+    let usual_failures = table.usual_failure_rate(request.service, now);
+    let home = request.need.and_then(|need| home_of(table, request, &need, now));
+    candidates(table, request, now).map(move |entry| {
+        let outlook = outlook_ask(table, entry, home.as_ref(), request).at(entry, now);
+        let health = health_cost(entry, usual_failures, now);
+        Weighed {
+            entry,
+            cost: capacity_cost(entry, &outlook, request, now) + health,
+            weight: if health > 0.0 {
+                0.0
+            } else {
+                weight(entry, &outlook, request, now)
+            },
+        }
+    })
+}
+
+/// What makes a replica that fails, or cannot be reached, the last choice.
+fn health_cost(entry: &ReplicaEntry, usual_failures: f64, now: Moment) -> f64 {
+    if entry.health.is_unreachable(now) {
+        2.0 * OUTLIER_COST
+    } else if entry.health.is_outlier(usual_failures, now) {
+        OUTLIER_COST
+    } else {
+        0.0
+    }
+}
+
 /// The replicas that may take a request: of a model service, only its holders are looked
 /// at.
 fn candidates<'a>(
@@ -158,38 +236,59 @@
     entry.own_tokens() as f64 + others + unshared + zone
 }
 
-fn outlook_ask(
-    table: &ReplicaTable,
+fn outlook_ask<'a>(
+    table: &'a ReplicaTable,
     entry: &ReplicaEntry,
     home: Option<&ReplicaId>,
     request: &RoutingRequest<'_>,
-) -> OutlookAsk {
+) -> OutlookAsk<'a> {
     let is_home = home == Some(&entry.listing.id);
     let kept = request.need.filter(|_| is_home).map(|need| need.shared_tokens);
     OutlookAsk {
         work: request.work,
         kept_tokens: kept.unwrap_or(0),
         memory_tokens: request.memory_tokens,
+        pause_objective: request.pause_objective,
         usual: table.usual_run(request.service),
     }
 }
 
 /// Parts of the request's time, and of the replica's places, that it would take there.
-fn capacity_cost(entry: &ReplicaEntry, outlook: &Outlook, request: &RoutingRequest<'_>) -> f64 {
+fn capacity_cost(entry: &ReplicaEntry, outlook: &Outlook, request: &RoutingRequest<'_>, now: Moment) -> f64 {
+    let full = if outlook.is_full() { FULL_COST } else { 0.0 };
+    let is_near = &*entry.listing.zone == request.zone;
+    let zone = if is_near { 0.0 } else { OTHER_ZONE_COST };
+    let taken = outlook.requests + 1.0 + zone + need_load(entry);
+    let (first_event, end) = parts_of_time(outlook, request);
+    first_event + end + taken / (outlook.slots * entry.capacity.speed_now(now)) + full
+}
+
+fn weight(entry: &ReplicaEntry, outlook: &Outlook, request: &RoutingRequest<'_>, now: Moment) -> f64 {
+    // A stream outlasts a disturbance, another request does not.
+    let speed = match request.need {
+        Some(_) => entry.capacity.speed(),
+        None => entry.capacity.speed_now(now),
+    };
+    if outlook.is_full() {
+        return FULL_PART * speed / outlook.fill().max(1.0);
+    }
+    let room = (outlook.free_slots() - need_load(entry)).max(LEAST_ROOM);
+    let is_near = &*entry.listing.zone == request.zone;
+    let zone = if is_near { 1.0 } else { OTHER_ZONE_PART };
+    let (first_event, end) = parts_of_time(outlook, request);
+    let in_time = (1.0 - first_event).max(LEAST_CHANCE) * (1.0 - end).max(LEAST_CHANCE);
+    let steady = outlook.steady_chance.powf(STEADINESS).max(LEAST_CHANCE);
+    room * speed * zone * in_time * steady
+}
+
+/// Parts of the request's objective and of its deadline that it would take there.
+fn parts_of_time(outlook: &Outlook, request: &RoutingRequest<'_>) -> (f64, f64) {
     let part_of =
         |time: Duration, left: Duration| time.as_secs_f64() / left.max(LEAST_TIME_LEFT).as_secs_f64();
-    let zone = if &*entry.listing.zone == request.zone {
-        0.0
-    } else {
-        OTHER_ZONE_COST
-    };
-    let full = if outlook.is_full() { FULL_COST } else { 0.0 };
-    let taken = (outlook.requests + 1.0 + zone + need_load(entry)) / outlook.slots;
-    let work_time = 1.0 / entry.capacity.speed();
-    part_of(outlook.first_event_after, request.objective_left)
-        + part_of(outlook.ends_after, request.deadline_left)
-        + taken * work_time
-        + full
+    (
+        part_of(outlook.first_event_after, request.objective_left),
+        part_of(outlook.ends_after, request.deadline_left),
+    )
 }
 
 /// How much room the candidates for a request have, as far as is known.
--- a/crates/croftrill-scheduler/tests/own_word.rs
+++ b/crates/croftrill-scheduler/tests/own_word.rs
@@ -81,6 +81,7 @@
         salt,
         work: RequestWork::default(),
         objective_left: Duration::from_millis(400),
+        pause_objective: Some(Duration::from_millis(200)),
         deadline_left: Duration::from_secs(10),
         memory_tokens: 0,
     };
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -67,6 +67,7 @@
         salt: part,
         work: RequestWork::default(),
         objective_left: Duration::from_millis(400),
+        pause_objective: Some(Duration::from_millis(200)),
         deadline_left: Duration::from_secs(10),
         memory_tokens: 0,
     }
@@ -268,3 +269,95 @@
     table.go_by_capacity();
     assert!(table.goes_by_capacity("llm"));
 }
+
+fn times_chosen(
+    table: &ReplicaTable,
+    id: &str,
+    of: u64,
+    request: impl Fn(u64) -> RoutingRequest<'static>,
+) -> u64 {
+    (0..of)
+        .filter(|salt| choose(table, &request(*salt), now()).as_deref() == Some(id))
+        .count() as u64
+}
+
+/// Two idle replicas, one of which takes 2.7 times as long: both are used, by their speeds.
+#[test]
+fn slow_replica_gets_its_part_of_the_work() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    table.told_load("r0", told(2, 0, Some(60)), now());
+    table.told_load("r1", told(2, 0, Some(160)), now());
+    let slow = times_chosen(&table, "r1", 1000, stream);
+    assert!((180..330).contains(&slow), "{slow} of 1000 at a speed of 27 %");
+}
+
+/// Streams at the usual speed pause by 0.15 s: a replica that takes 1.6 times as long would
+/// hold nearly all of them up beyond what callers bear.
+#[test]
+fn streams_go_where_their_pauses_are_borne() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    table.told_load("r0", told(4, 0, Some(100)), now());
+    table.told_load("r1", told(0, 0, Some(160)), now());
+    for _ in 0..10 {
+        table.begin_send("r0", stream(0).work, now());
+        table.paused_for("r0", Duration::from_millis(150));
+        table.end_send("r0");
+    }
+    let held_up = times_chosen(&table, "r1", 1000, stream);
+    assert!(held_up < 50, "{held_up} of 1000");
+    table.told_load("r0", told(8, 0, Some(100)), now());
+    assert_eq!(times_chosen(&table, "r1", 200, stream), 200, "the other is full");
+}
+
+/// All holders are full: the one with the shorter queue takes more, not all.
+#[test]
+fn full_replicas_share_what_is_sent_anyway() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    table.told_load("r0", told(8, 0, Some(100)), now());
+    table.told_load("r1", told(8, 24, Some(100)), now());
+    let fuller = times_chosen(&table, "r1", 1000, stream);
+    assert!((130..270).contains(&fuller), "{fuller} of 1000");
+}
+
+/// A node's own requests count as soon as they are sent, also against an account that was
+/// given before and comes later over another node.
+#[test]
+fn own_sends_count_beside_an_account_that_is_older() {
+    let mut table = table(&[listing("r0", &[("m1", &[])])]);
+    for _ in 0..3 {
+        table.begin_send("r0", stream(0).work, now());
+    }
+    table.told_load("r0", told(5, 0, Some(100)), now() - Duration::from_millis(200));
+    let entry = table.get("r0").expect("it is listed");
+    assert!(entry.running_load(now()) > 7.0);
+}
+
+/// Memory for two such requests, which two others fill: the next one would preempt them.
+#[test]
+fn overfilled_memory_is_passed_over() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    for _ in 0..2 {
+        table.begin_send("r0", stream(0).work, now());
+    }
+    table.told_load("r0", told(2, 0, Some(60)), now());
+    table.told_load("r1", told(0, 0, Some(160)), now());
+    assert!(times_chosen(&table, "r0", 100, stream) > 50);
+    let tight = |salt| RoutingRequest {
+        memory_tokens: 2 * 980,
+        ..stream(salt)
+    };
+    assert_eq!(times_chosen(&table, "r1", 100, tight), 100);
+}
+
+/// Replicas without models, one of which is disturbed at this moment.
+#[test]
+fn services_without_models_go_by_slots_and_speed() {
+    let mut table = table(&[listing("r0", &[]), listing("r1", &[])]);
+    table.told_load("r0", told(7, 1, Some(100)), now());
+    table.told_load("r1", told(3, 0, Some(100)), now());
+    let plain = |salt| request(None, None, salt);
+    assert_eq!(times_chosen(&table, "r0", 100, plain), 0, "it is full");
+    table.told_load("r0", told(0, 0, Some(250)), now());
+    let disturbed = times_chosen(&table, "r0", 1000, plain);
+    assert!(disturbed < 600, "{disturbed} of 1000 though it has more places");
+}
