--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -361,3 +361,28 @@
     let disturbed = times_chosen(&table, "r0", 1000, plain);
     assert!(disturbed < 600, "{disturbed} of 1000 though it has more places");
 }
+
+/// Replicas that tell running, waiting and slots, but no work time: the one with fewer
+/// requests is taken, however many its slots are and whatever is learned of streams.
+#[test]
+fn replicas_that_tell_no_work_time_are_chosen_by_requests_alone() {
+    let mut table = table(&[listing("r0", &[("m1", &[])]), listing("r1", &[("m1", &[])])]);
+    let unshared = |salt| {
+        let mut request = stream(salt);
+        request.need = request.need.map(|need| ModelNeed {
+            shared_part: None,
+            ..need
+        });
+        request
+    };
+    for _ in 0..10 {
+        table.begin_send("r0", stream(0).work, now());
+        table.prompt_done("r0", stream(0).work.prompt_tokens);
+        table.paused_for("r0", Duration::from_secs(1));
+        table.end_send("r0");
+    }
+    table.told_load("r0", told(8, 1, None), now());
+    table.told_load("r1", told(10, 0, None), now());
+    assert!(!table.goes_by_capacity("llm"));
+    assert_eq!(times_chosen(&table, "r0", 200, unshared), 200);
+}
