--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -74,7 +74,15 @@
         let mut may_leave = true;
         loop {
             let replica = current.send.replica.clone();
-            let end = self.pump_one(&mut current, &mut cutter, &sender, may_leave).await;
+            let mut longest_pause = Duration::ZERO;
+            let end = self
+                .pump_one(&mut current, &mut cutter, &sender, may_leave, &mut longest_pause)
+                .await;
+            self.node
+                .state
+                .borrow_mut()
+                .replicas
+                .paused_for(&replica, longest_pause);
             match end {
                 PumpEnd::Complete => {
                     current.send.record(SendOutcome::Success);
@@ -127,6 +135,7 @@
         cutter: &mut EventCutter,
         sender: &StreamSender,
         may_leave: bool,
+        longest_pause: &mut Duration,
     ) -> PumpEnd {
         let mut last_event = self.now();
         loop {
@@ -154,7 +163,9 @@
                 },
             };
             let now = self.now();
-            self.note_pause(now.since(std::mem::replace(&mut last_event, now)));
+            let pause = now.since(std::mem::replace(&mut last_event, now));
+            *longest_pause = pause.max(*longest_pause);
+            self.note_pause(pause);
             let bytes = if self.route.resumable {
                 cutter.push(&bytes)
             } else {
