Requests for adapters come after those that wait for the same model

Cause: who waits at a node for a place at a full holder is kept by model without adapter, and a newcomer asked by model and adapter; so a request for an adapter found nobody before it and took the place that came free. Change: it asks by the model alone.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -114,7 +114,7 @@
     fn is_turn_of(&self, ticket: Option<&WaitTicket<P>>, key: &ModelKey) -> bool {
         match ticket {
             Some(ticket) => ticket.is_next(),
-            None => !self.node.state.borrow().waiting_requests.waits_for(key),
+            None => !self.node.state.borrow().waiting_requests.waits_for(&key.base()),
         }
     }
 
