Models of every service have their turn for one more holder

Cause: whose turn it is was counted on with each service whose work is measured. With two of them, and models of two turns each, a service saw the same turn at every look, and the other half of its models was never looked at unless busy. Change: it is counted on once a look, for all services.

--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -423,6 +423,7 @@
         let balances = now >= self.next_balance;
         if balances {
             self.next_balance = now + BALANCE_EVERY;
+            self.next_turn = self.next_turn.wrapping_add(1);
         }
         let services: Vec<Arc<Service>> = self.configuration.services().cloned().collect();
         for service in services {
--- a/crates/croftrill-scheduler/src/orderer/work.rs
+++ b/crates/croftrill-scheduler/src/orderer/work.rs
@@ -99,7 +99,6 @@
         meter.measure(running, tokens, now);
         meter.late_shares = late_shares;
         meter.known.take();
-        self.next_turn = self.next_turn.wrapping_add(1);
     }
 
     /// How many requests replicas of each speed serve too late though they have room: at
