--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -98,13 +98,21 @@
     answer
 }
 
-/// The wait of a request for its turn, as long as it can still be in time.
-fn turn_wait(facts: &RequestFacts, configuration: &Configuration, route: &Route, now: Moment) -> TurnWait {
+/// The wait of a request that ends at `until` for its turn, as long as it can still be in
+/// time.
+fn turn_wait(
+    facts: &RequestFacts,
+    configuration: &Configuration,
+    route: &Route,
+    now: Moment,
+    until: Moment,
+) -> TurnWait {
     let reading = first_event_after(facts) * PROMPT_TIME_MARGIN;
     let most_ahead = configuration
         .ahead_limits
         .most_ahead(route.priority, route.objective);
-    TurnWait::new(now, patience(route.objective, reading), most_ahead)
+    let patience = patience(route.objective, reading).min(until.since(now));
+    TurnWait::new(now, patience, most_ahead)
 }
 
 /// Pays for a request from its tenant's quota; nothing if that has none.
@@ -124,7 +132,7 @@
     };
     let clock = &node.clock;
     let asked_at = clock.now();
-    let wait = turn_wait(facts, configuration, route, asked_at);
+    let wait = turn_wait(facts, configuration, route, asked_at, until);
     let mut ask = QuotaAsk {
         tenant: &tenant.name,
         quota,
