Expected times at a replica are bounded

Cause: a replica may tell any load and work time; the product of the largest is no Duration, and multiplying panicked the task of each request that looked at it.

--- a/crates/croftrill-scheduler/src/outlook.rs
+++ b/crates/croftrill-scheduler/src/outlook.rs
@@ -12,6 +12,9 @@
 /// Time to write one token at the usual speed, with the others of a batch.
 pub const TIME_PER_OUTPUT_TOKEN: Duration = Duration::from_micros(6500);
 
+/// Longer times count as this: no caller waits for as long, and they can still be added.
+const LONGEST_EXPECTED: Duration = Duration::from_secs(24 * 3600);
+
 /// What a request can expect at one replica.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Outlook {
@@ -64,11 +67,11 @@
         let work_time_now = 1.0 / entry.capacity.speed_now(now);
         let (requests, slots) = (entry.running_load(now), f64::from(entry.slots()));
         let queue = (requests + 1.0 - slots).max(0.0);
-        let wait = self.run_time().mul_f64(work_time * queue / slots);
+        let wait = times(self.run_time(), work_time * queue / slots);
         let unread = entry.own_tokens() + self.work.prompt_tokens.saturating_sub(self.kept_tokens);
-        let reading = TIME_PER_PROMPT_TOKEN.mul_f64(work_time_now * unread as f64);
-        let first_event_after = wait + reading + TIME_PER_OUTPUT_TOKEN.mul_f64(work_time_now);
-        let writing = TIME_PER_OUTPUT_TOKEN.mul_f64(work_time * self.work.output_tokens as f64);
+        let reading = times(TIME_PER_PROMPT_TOKEN, work_time_now * unread as f64);
+        let first_event_after = wait + reading + times(TIME_PER_OUTPUT_TOKEN, work_time_now);
+        let writing = times(TIME_PER_OUTPUT_TOKEN, work_time * self.work.output_tokens as f64);
         let tokens = requests * self.usual.tokens() + self.own_tokens();
         Outlook {
             first_event_after,
@@ -81,7 +84,7 @@
 
     /// Time for which a request holds a place at the usual speed.
     fn run_time(&self) -> Duration {
-        let own = TIME_PER_OUTPUT_TOKEN.mul_f64(self.work.output_tokens as f64);
+        let own = times(TIME_PER_OUTPUT_TOKEN, self.work.output_tokens as f64);
         self.usual.held().unwrap_or(own)
     }
 
@@ -89,3 +92,9 @@
         (self.work.prompt_tokens + self.work.output_tokens) as f64
     }
 }
+
+/// The product, bounded: replicas tell any number as their load and work time.
+fn times(time: Duration, factor: f64) -> Duration {
+    let product = Duration::try_from_secs_f64(time.as_secs_f64() * factor);
+    product.map_or(LONGEST_EXPECTED, |product| product.min(LONGEST_EXPECTED))
+}
