The usual speed of a replica is worked out as it tells its work time

Cause: a choice asks up to three times for the speed of each holder, and each time copied and sorted the told work times; a model with many holders paid for that at each request. Change: the median is kept with them.

--- a/crates/croftrill-scheduler/src/capacity.rs
+++ b/crates/croftrill-scheduler/src/capacity.rs
@@ -65,6 +65,8 @@
     /// The last told work times, in hundredths of the usual; the next one goes to `next`.
     work_times_pct: Vec<u32>,
     next: usize,
+    /// Their median: it is asked for at each choice of a replica, and changes seldom.
+    median_pct: Option<u32>,
 }
 
 impl Capacity {
@@ -88,10 +90,13 @@
     fn keep_work_time(&mut self, pct: u32) {
         if self.work_times_pct.len() < WORK_TIMES_KEPT {
             self.work_times_pct.push(pct);
-            return;
+        } else {
+            self.work_times_pct[self.next] = pct;
+            self.next = (self.next + 1) % WORK_TIMES_KEPT;
         }
-        self.work_times_pct[self.next] = pct;
-        self.next = (self.next + 1) % WORK_TIMES_KEPT;
+        let mut known = self.work_times_pct.clone();
+        known.sort_unstable();
+        self.median_pct = known.get(known.len() / 2).copied();
     }
 
     /// The newest account, and when it was given.
@@ -127,10 +132,7 @@
 
     /// How fast it usually works: 1 is the usual speed of a replica, 2 twice that.
     pub fn speed(&self) -> f64 {
-        let mut known = self.work_times_pct.clone();
-        known.sort_unstable();
-        let median = known.get(known.len() / 2).copied();
-        speed_of(median.unwrap_or(USUAL_WORK_TIME_PCT))
+        speed_of(self.median_pct.unwrap_or(USUAL_WORK_TIME_PCT))
     }
 
     /// How fast it usually works, as all hear it alike: the usual speed of a replica until
