Comments on full holders and on holders by work say what they mean

Cause: one spoke of a number that the function does not take, others ran over the line or described a bound by its begin. Change: comments only.

--- a/crates/croftrill-scheduler/src/full_holders.rs
+++ b/crates/croftrill-scheduler/src/full_holders.rs
@@ -2,11 +2,12 @@
 //!
 //! A replica's own queue ranks what lies in it, whichever node sent it; so a request that
 //! ranks before others of its service goes there and passes them, unless a full replica has
-//! turned it away already. Others queue there as long as they can still be in time. One that has time to spare waits at its
-//! node instead: it takes no place before an urgent request of another node, and makes no
-//! running stream give way. One that will be late takes only a place that is free, so that
-//! it makes no other one late. What cannot be served while its caller waits is refused at
-//! its first look, with the time at which a place should be free.
+//! turned it away already. Others queue there as long as they can still be in time. One
+//! that has time to spare waits at its node instead: it takes no place before an urgent
+//! request of another node, and makes no running stream give way. One that will be late
+//! takes only a place that is free, so that it makes no other one late. What cannot be
+//! served while its caller waits is refused at its first look, with the time at which a
+//! place should be free.
 
 use std::time::Duration;
 
@@ -29,8 +30,8 @@
     pub left: Duration,
     /// True if no request of the service is more urgent.
     pub is_most_urgent: bool,
-    /// True if it is, others are less urgent, and no full replica turned it away yet: it
-    /// passes them in a replica's queue.
+    /// True if it is the most urgent, others of the service are less so, and no replica was
+    /// sent it yet: it passes the others in a replica's queue.
     pub passes_others: bool,
 }
 
@@ -48,7 +49,8 @@
     },
 }
 
-/// Part of its objective before whose begin a waiting request goes to a replica's queue.
+/// One part of so many of its objective is kept for a replica's queue: a request goes there
+/// before it has less time left.
 const KEPT_FOR_QUEUE: u32 = 4;
 
 impl FullRequest {
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -147,8 +147,8 @@
         self.lacking_tried.extend(turns.map(|(_, model)| model.clone()));
     }
 
-    /// Models that gain by one more holder, those that gain most first, with the requests a second that
-    /// it would keep in time.
+    /// Models that gain by one more holder, those that gain most first, with the requests a
+    /// second that it would keep in time.
     fn lacking_models(
         &self,
         service: &ServiceName,
--- a/crates/croftrill-scheduler/src/placement/work.rs
+++ b/crates/croftrill-scheduler/src/placement/work.rs
@@ -364,8 +364,9 @@
         most * self.stay_s(load) > saved
     }
 
-    /// True if so many requests a second are worth what makes way, for a model that has
-    /// holders besides the one that is to come.
+    /// Whether one more holder of a model at a replica keeps more requests in time than are
+    /// lost with a holder that counts for `displaced` requests a second; `None` where holders
+    /// do not follow the work, or the model has no other one.
     pub fn is_next_worth(
         &self,
         model: &ModelName,
