A request that ends while it waits for a place is not sent any more

Cause: past its end the wait returned as if a place were free, and the request was sent to a replica that could only begin it in vain; it then counted as one that may have run. Change: it is given up there, as at any other wait.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -90,7 +90,7 @@
             }
             self.wait_for_room().await;
             if self.now() >= self.until {
-                return None;
+                return Some(NextReplica::GiveUp("out of time", None));
             }
         }
     }
