Models are not compared for the weight store where holders don't follow work

Cause: for each waiting model whose weights would come from the weight store, all models of the service were looked at, also where nothing is known of their work and none can gain. Change: nothing is looked at there; the answer stays the same.

--- a/crates/croftrill-scheduler/src/placement/work.rs
+++ b/crates/croftrill-scheduler/src/placement/work.rs
@@ -354,6 +354,9 @@
     /// True if a load from the weight store of some model without a copy elsewhere keeps more
     /// requests in time than `saved`, in as long.
     pub fn store_keeps_more(&self, saved: f64, load: Duration, slots: u32) -> bool {
+        if self.work.is_none() {
+            return false;
+        }
         let kept = |model: &ModelName| {
             if self.holders(model) == 0 || self.free_copies(model) > 0 {
                 return 0.0;
