Numbers of a service's replicas end when nothing is heard of them any more

Cause: they were worked out only while loads are told on; once that ended, operators read the last ones for ever. Change: there are none then.

--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -395,10 +395,12 @@
 
     /// The metrics as text.
     pub fn metrics_text(&self) -> String {
-        if load_news::is_on(self) {
-            let services = load_summary::by_service(&self.state.borrow().replicas, self.clock.now());
-            self.metrics.set_service_loads(&services);
-        }
+        let services = if load_news::is_on(self) {
+            load_summary::by_service(&self.state.borrow().replicas, self.clock.now())
+        } else {
+            BTreeMap::new()
+        };
+        self.metrics.set_service_loads(&services);
         self.metrics.text()
     }
 
