--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -268,3 +268,27 @@
     table.go_by_capacity();
     assert!(table.goes_by_capacity("llm"));
 }
+
+/// Long answers, while a replica tells the largest numbers that its header can hold.
+#[test]
+fn room_at_a_replica_that_tells_a_boundless_load_is_bounded() {
+    let mut table = table(&[listing("r0", &[("m1", &[])])]);
+    let load = ReplicaLoad {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: Some(1),
+        work_time_pct: Some(u32::MAX),
+    };
+    table.told_load("r0", load, now());
+    let request = RoutingRequest {
+        work: RequestWork {
+            prompt_tokens: 100_000_000,
+            output_tokens: 100_000_000,
+        },
+        ..stream(1)
+    };
+    let room = room(&table, &request, now());
+    assert_eq!((room.candidates, room.free), (1, 0));
+    assert!(room.ends_after.expect("a holder") <= Duration::from_secs(5 * 24 * 3600));
+    assert_eq!(choose(&table, &request, now()).as_deref(), Some("r0"));
+}
