--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -90,7 +90,7 @@
             }
             self.wait_for_room().await;
             if self.now() >= self.until {
-                return None;
+                return Some(NextReplica::GiveUp("out of time", None));
             }
         }
     }
@@ -114,7 +114,7 @@
     fn is_turn_of(&self, ticket: Option<&WaitTicket<P>>, key: &ModelKey) -> bool {
         match ticket {
             Some(ticket) => ticket.is_next(),
-            None => !self.node.state.borrow().waiting_requests.waits_for(key),
+            None => !self.node.state.borrow().waiting_requests.waits_for(&key.base()),
         }
     }
 
--- a/crates/croftrill-scheduler/src/placement/work.rs
+++ b/crates/croftrill-scheduler/src/placement/work.rs
@@ -354,6 +354,9 @@
     /// True if a load from the weight store of some model without a copy elsewhere keeps more
     /// requests in time than `saved`, in as long.
     pub fn store_keeps_more(&self, saved: f64, load: Duration, slots: u32) -> bool {
+        if self.work.is_none() {
+            return false;
+        }
         let kept = |model: &ModelName| {
             if self.holders(model) == 0 || self.free_copies(model) > 0 {
                 return 0.0;
@@ -364,8 +367,9 @@
         most * self.stay_s(load) > saved
     }
 
-    /// True if so many requests a second are worth what makes way, for a model that has
-    /// holders besides the one that is to come.
+    /// Whether one more holder of a model at a replica keeps more requests in time than are
+    /// lost with a holder that counts for `displaced` requests a second; `None` where holders
+    /// do not follow the work, or the model has no other one.
     pub fn is_next_worth(
         &self,
         model: &ModelName,
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -386,3 +386,27 @@
     assert!(!table.goes_by_capacity("llm"));
     assert_eq!(times_chosen(&table, "r0", 200, unshared), 200);
 }
+
+/// Long answers, while a replica tells the largest numbers that its header can hold.
+#[test]
+fn room_at_a_replica_that_tells_a_boundless_load_is_bounded() {
+    let mut table = table(&[listing("r0", &[("m1", &[])])]);
+    let load = ReplicaLoad {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: Some(1),
+        work_time_pct: Some(u32::MAX),
+    };
+    table.told_load("r0", load, now());
+    let request = RoutingRequest {
+        work: RequestWork {
+            prompt_tokens: 100_000_000,
+            output_tokens: 100_000_000,
+        },
+        ..stream(1)
+    };
+    let room = room(&table, &request, now());
+    assert_eq!((room.candidates, room.free), (1, 0));
+    assert!(room.ends_after.expect("a holder") <= Duration::from_secs(5 * 24 * 3600));
+    assert_eq!(choose(&table, &request, now()).as_deref(), Some("r0"));
+}
