Streams: a silent replica is left only for another one

Cause: the same as at stopping nodes. A stream that is silent for its caller's patience less what the next replica needs (1.88 s there) was ended though both sends had been made. A node cannot know that a change is on its way, so it may not end an answer that can still come, whatever its state. Ruled out: an end once seven tenths of the time are used (streams that are silent early would be cut as before).

--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -13,7 +13,6 @@
 use super::forwarding::end_to_end;
 use super::sending::{SendEnd, Streaming};
 use super::{Answer, RequestRun};
-use crate::node::Lifecycle;
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, EventCutter, StreamPart, StreamSender};
 
@@ -103,13 +102,11 @@
                     self.log_end(&replica, "stream out of time");
                     return;
                 }
-                // A planned stop ends no answer that may still come: the replica is left
-                // only for another one. Else an early end lets the caller try again.
+                // Its answer may still come: a silent replica is left only for another one.
                 PumpEnd::Silent | PumpEnd::Broken => {}
             }
             current.send.record(SendOutcome::Failure);
-            let is_kept = end == PumpEnd::Silent && self.node.lifecycle() == Lifecycle::Stopping;
-            let earlier = is_kept.then_some(current);
+            let earlier = (end == PumpEnd::Silent).then_some(current);
             match self.resume(&replica, &cutter, earlier).await {
                 Resumed::Elsewhere(next) => {
                     cutter.drop_partial();
