Holders keep their work while no load is told

Cause: with no account of a load for two seconds the work that runs counted as none while requests went on, so the time that a token takes faded to nothing: within a minute all holders of a busy model beyond the first looked spare, and rare models took their places. It happens where replicas go back to a build that tells no work time, or where accounts are dropped on their way. Found by review; the test failed with one holder left of three. Change: nothing is measured while nothing is heard; what was observed holds on. Open: accounts of a part of the replicas count as if the others were idle.

--- a/crates/croftrill-bench/tests/holders.rs
+++ b/crates/croftrill-bench/tests/holders.rs
@@ -48,6 +48,8 @@
     due: BTreeMap<&'static str, f64>,
     /// Numbers that vary the times between requests; none for even ones.
     seed: Option<u64>,
+    /// False while no load is told.
+    tells_loads: bool,
     config: OrdererConfig,
 }
 
@@ -65,6 +67,7 @@
             rates: BTreeMap::new(),
             due: BTreeMap::new(),
             seed: None,
+            tells_loads: true,
             config,
         }
     }
@@ -76,7 +79,9 @@
     fn run(&mut self, millis: u64) {
         for _ in 0..millis / TOLD_EVERY_MS {
             self.count_requests();
-            self.tell_loads();
+            if self.tells_loads {
+                self.tell_loads();
+            }
             self.world.run(TOLD_EVERY_MS);
         }
     }
@@ -178,6 +183,29 @@
     assert!(fleet.holders("m1").len() >= 3, "orders: {:?}", fleet.world.orders);
 }
 
+/// Loads are told no more, as after replicas went back to a build that tells none: a busy
+/// model must not seem to need one holder for that, beside rare ones that want its places.
+#[test]
+fn holders_of_a_busy_model_stay_while_no_load_is_told() {
+    let mut fleet = Fleet::new(&[
+        (USUAL, &["m1", "m2"]),
+        (USUAL, &["m1", "m3"]),
+        (USUAL, &["m1", "m4"]),
+    ]);
+    fleet.ask("m1", 30.0);
+    for model in ["m2", "m3", "m4"] {
+        fleet.ask(model, 0.3);
+    }
+    fleet.run(10_000);
+    assert_eq!(fleet.holders("m1").len(), 3);
+    fleet.tells_loads = false;
+    for model in ["m5", "m7", "m8", "m10", "m11", "m13"] {
+        fleet.ask(model, 0.6);
+    }
+    fleet.run(60_000);
+    assert_eq!(fleet.holders("m1").len(), 3, "orders: {:?}", fleet.world.orders);
+}
+
 /// Two models were asked alike, and had one holder and ten.
 #[test]
 fn ten_holders_of_a_quiet_model_are_given_back() {
--- a/crates/croftrill-scheduler/src/orderer/work.rs
+++ b/crates/croftrill-scheduler/src/orderer/work.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Nothing is heard of the replicas: what was observed holds on.
+    fn pass_over(&mut self, now: Moment) {
+        self.measured_at = now;
+    }
+
     fn measure(&mut self, running: f64, tokens_per_second: f64, now: Moment) {
         let passed = now.since(self.measured_at).as_secs_f64();
         let left = (-passed / WORK_MEMORY.as_secs_f64()).exp();
@@ -89,7 +94,12 @@
         if !self.follows_work(service) {
             return;
         }
-        let running = self.running_work(service, now);
+        let Some(running) = self.running_work(service, now) else {
+            if let Some(meter) = self.work.get_mut(service) {
+                meter.pass_over(now);
+            }
+            return;
+        };
         let late_shares = self.late_shares(service, now);
         let tokens = self.demand.service_tokens_per_second(service, now);
         let meter = self
@@ -131,17 +141,19 @@
         shares
     }
 
-    /// Requests that run at the service's replicas, as they would be at the usual speed.
-    fn running_work(&self, service: &ServiceName, now: Moment) -> f64 {
+    /// Requests that run at the service's replicas, as they would be at the usual speed;
+    /// `None` if no replica told its load lately.
+    fn running_work(&self, service: &ServiceName, now: Moment) -> Option<f64> {
         let of_service = |(_, replica): &(_, &PlacedReplica)| replica.service == *service;
         let running = |(_, replica): (_, &PlacedReplica)| {
             let told = replica.capacity.newest();
-            let told = told.filter(|(_, at)| now.since(*at) <= LOAD_HOLDS);
+            let (load, _) = told.filter(|(_, at)| now.since(*at) <= LOAD_HOLDS)?;
             // The request whose answer tells the load is there besides those that it meets.
-            let met = told.map_or(0, |(load, _)| load.running.saturating_sub(1));
-            f64::from(met) * replica.capacity.lasting_speed()
+            let met = load.running.saturating_sub(1);
+            Some(f64::from(met) * replica.capacity.lasting_speed())
         };
-        self.replicas.iter().filter(of_service).map(running).sum()
+        let told = self.replicas.iter().filter(of_service).filter_map(running);
+        told.fold(None, |sum, running| Some(sum.unwrap_or(0.0) + running))
     }
 
     /// The models of which it is asked now whether one more holder is worth it: all busy
