Soak: a mix of uneven, slow and full replicas

Cause: what replicas tell of their load, ranks of callers and `callers_compete` were played by no process under faults; the stand-in replicas told the requests that run there, and nothing else.

Change: a stand-in may have a work time; it then tells waiting requests, slots and work time too, and works by it. A request that no replica ran must get its answer at nodes that were neither killed nor paused, also where they were asked to stop.

--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -29,6 +29,7 @@
 pub struct Ended {
     pub attempt: String,
     pub end: CallEnd,
+    pub took: Duration,
 }
 
 /// What callers ask.
@@ -119,10 +120,11 @@
     let mut ended = Vec::new();
     while Instant::now() < until {
         let drawn = draw_call(&mut random, format!("k{seed}-{index}-{}", ended.len()));
-        let (end, _) = call_over(&pool, front, &drawn).await;
+        let (end, took) = call_over(&pool, front, &drawn).await;
         ended.push(Ended {
             attempt: drawn.attempt,
             end,
+            took,
         });
         sleep(KEPT_CALL_EVERY).await;
     }
@@ -146,10 +148,11 @@
         let drawn = draw(number);
         let (front, ended) = (cluster.nodes[number % cluster.nodes.len()].front, ended.clone());
         tasks.push(spawn_local(async move {
-            let (end, _) = call(front, &drawn).await;
+            let (end, took) = call(front, &drawn).await;
             ended.borrow_mut().push(Ended {
                 attempt: drawn.attempt,
                 end,
+                took,
             });
         }));
         sleep(CALL_EVERY).await;
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -52,6 +52,24 @@
     }
 }
 
+/// What a round's replicas and nodes are like.
+#[derive(Debug, Clone, Copy)]
+pub struct Conditions {
+    /// A replica, by its index.
+    pub engine: fn(usize) -> EngineConfig,
+    /// Whether callers compete, as the nodes' settings say.
+    pub callers_compete: bool,
+}
+
+impl Default for Conditions {
+    fn default() -> Self {
+        Conditions {
+            engine: |_| EngineConfig::default(),
+            callers_compete: false,
+        }
+    }
+}
+
 /// The continuous integration's.
 pub const USUAL_SIZE: Size = Size { nodes: 3, engines: 2 };
 /// Longest wait for a cluster to be ready.
@@ -181,6 +199,7 @@
     pub engine_proxies: Vec<Rc<Proxy>>,
     pub nodes: Vec<NodeProcess>,
     pub document: RefCell<Document>,
+    conditions: Conditions,
     directory: PathBuf,
 }
 
@@ -238,6 +257,7 @@
     id: String,
     address: SocketAddr,
     store: SocketAddr,
+    config: EngineConfig,
     models: &[String],
 ) -> Rc<EngineStandin> {
     let identity = EngineIdentity {
@@ -247,11 +267,11 @@
         store,
     };
     let on_disk = vec![MODELS[2].to_string(), MODELS[3].to_string()];
-    EngineStandin::start(listener, identity, EngineConfig::default(), models, &on_disk)
+    EngineStandin::start(listener, identity, config, models, &on_disk)
 }
 
 impl Cluster {
-    pub async fn start(name: &str, size: Size, program: Program) -> Self {
+    pub async fn start(name: &str, size: Size, program: Program, conditions: Conditions) -> Self {
         let directory = std::env::temp_dir().join(format!("croftrill-soak-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("a directory");
         let (listener, store_address) = listen().await.expect("a port");
@@ -265,6 +285,7 @@
             engine_proxies: Vec::new(),
             nodes: Vec::new(),
             document: RefCell::new(document()),
+            conditions,
             directory,
         };
         cluster.write_document();
@@ -299,7 +320,8 @@
         let (listener, upstream) = listen().await.expect("a port");
         let (proxy_listener, address) = listen().await.expect("a port");
         let models = vec![MODELS[index % MODELS.len()].to_string()];
-        let engine = engine(listener, format!("e{index}"), address, store, &models);
+        let config = (self.conditions.engine)(index);
+        let engine = engine(listener, format!("e{index}"), address, store, config, &models);
         self.engines.borrow_mut().push(engine);
         self.engine_proxies.push(Proxy::start(proxy_listener, upstream));
     }
@@ -319,7 +341,8 @@
                 let ended = self.ended_engines.borrow().len();
                 let id = format!("e{index}.{ended}");
                 let address = proxy.address().expect("a proxy has an address");
-                let anew = self::engine(listener, id, address, self.store_address, &[]);
+                let config = (self.conditions.engine)(index);
+                let anew = self::engine(listener, id, address, self.store_address, config, &[]);
                 self.engines.borrow_mut()[index] = anew;
                 self.ended_engines.borrow_mut().push(engine);
                 proxy.begin_anew(upstream).await.expect("its address is free");
@@ -353,6 +376,9 @@
             "name = \"n{index}\"\nzone = \"z\"\nlisten = \"{front}\"\npeer = \"{peer}\"\n\
              operator = \"{operator}\"\nstore = \"{way}\"\nstop_grace_seconds = 3.0\norder_gap_ms = 600\n",
         );
+        if self.conditions.callers_compete {
+            text += "callers_compete = true\n";
+        }
         // An older build may not know quotas.
         if program != Program::Older {
             text += &format!(
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -43,6 +43,9 @@
     Limits,
     /// The store comes back from older copies, beside kills, stops, pauses and cuts.
     Restores,
+    /// Replicas of few slots and several speeds, some slowed for a time, tell their load to
+    /// callers of two ranks, beside stops, kills, pauses, cuts and connections that go silent.
+    Uneven,
 }
 
 /// One fault.
@@ -91,6 +94,8 @@
     Leaving(usize),
     /// A replica turns requests away and asks for so much rest each time.
     Rest(usize, Duration),
+    /// A replica's work takes longer.
+    Slowed(usize),
     /// A replica names a limit, in requests a second.
     Limit(usize, f64),
     /// The store is away for a time and comes back from a copy that is so old.
@@ -316,6 +321,26 @@
     }
 }
 
+fn uneven_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    let engine = random.random_range(0..size.engines);
+    match index {
+        0 => return Injection::Slowed(engine),
+        1 => return Injection::Stop(node),
+        _ => {}
+    }
+    match random.random_range(0..9) {
+        0 | 1 => Injection::Slowed(engine),
+        2 => Injection::Stop(node),
+        3 => Injection::Kill(node),
+        4 => Injection::Pause(node),
+        5 => Injection::Leaving(engine),
+        6 => Injection::EnginePath(engine, fault(random)),
+        7 => Injection::StorePath(node, fault(random)),
+        _ => Injection::SilentEngineConnections(engine),
+    }
+}
+
 /// Draws the faults of a round.
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<Planned> {
     let (count, latest_ms) = match mix {
@@ -327,6 +352,7 @@
         Mix::Limits => (random.random_range(2..=6), 6000),
         Mix::Builds => (random.random_range(2..=4), 2500),
         Mix::Restores => (random.random_range(2..=6), 3000),
+        Mix::Uneven => (random.random_range(3..=8), 3500),
     };
     let planned = (0..count).map(|index| Planned {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -340,6 +366,7 @@
             Mix::Words => words_injection(random, size, index),
             Mix::Builds => builds_injection(random, size, index),
             Mix::Restores => restores_injection(random, size, index),
+            Mix::Uneven => uneven_injection(random, size, index),
         },
     });
     planned.collect()
@@ -402,6 +429,7 @@
         }
         Injection::Restore(age, away) => restore(cluster, *age, *away).await,
         Injection::Replace(nodes, program, gap) => replace(cluster, *nodes, *program, *gap).await,
+        Injection::Slowed(engine) => cluster.engine(*engine).slow_down(true),
         Injection::Limit(engine, per_s) => cluster.engine(*engine).limit(Some(*per_s)),
         Injection::Leaving(engine) => cluster.engine(*engine).begin_to_leave(),
         Injection::Rest(engine, rest) => cluster.engine(*engine).turn_away(Some(*rest)),
@@ -472,6 +500,7 @@
             sleep(NEED).await;
             cluster.engine(*engine).limit(None);
         }
+        Injection::Slowed(engine) => cluster.engine(*engine).slow_down(false),
         Injection::Leaving(engine) => cluster.engine(*engine).leave(),
         Injection::Rest(engine, _) => cluster.engine(*engine).turn_away(None),
         _ => {}
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -12,6 +12,7 @@
 //! - a request that crashes replicas reaches no more than it may;
 //! - a replica that told a node that it leaves, or wants rest, gets nothing more from it;
 //! - a replica that named a limit gets no more than it may from the nodes that it told;
+//! - a request that waits at a node that is asked to stop gets an answer;
 //! - afterwards every node serves every model.
 //!
 //! Some callers keep their connections until the process behind them is gone.
@@ -28,11 +29,12 @@
 mod limits;
 mod suspendable;
 mod tenants;
+mod uneven;
 mod words;
 
 use std::time::Duration;
 
-use cluster::{Cluster, Program, Size, USUAL_SIZE};
+use cluster::{Cluster, Conditions, Program, Size, USUAL_SIZE};
 use faults::Mix;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -57,6 +59,10 @@
 const FIRST_SEED_OF_LIMITS: u64 = 4_000_000;
 /// Seed of the continuous integration's round of that mix.
 const USUAL_SEED_OF_LIMITS: u64 = FIRST_SEED_OF_LIMITS + USUAL_SEED;
+/// From this seed on they are of the mix of uneven replicas.
+const FIRST_SEED_OF_UNEVEN: u64 = 5_000_000;
+/// Seed of the continuous integration's round of that mix.
+const USUAL_SEED_OF_UNEVEN: u64 = FIRST_SEED_OF_UNEVEN + USUAL_SEED;
 /// Time in which calls and faults meet.
 const ROUND: Duration = Duration::from_secs(6);
 /// The same where replicas name limits, which hold after 3 s in any 4 s.
@@ -93,6 +99,7 @@
                 Some("words") => Mix::Words,
                 Some("restores") => Mix::Restores,
                 Some("limits") => Mix::Limits,
+                Some("uneven") => Mix::Uneven,
                 other => panic!("seeds.txt: {other:?} is no mix"),
             };
             (seed.expect("a seed"), mix)
@@ -104,13 +111,21 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
         Mix::Crashes => (Program::Suspendable, size.with_engines(LEAST_CRASHING_ENGINES)),
-        Mix::Words | Mix::Limits => (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES)),
+        Mix::Words | Mix::Limits | Mix::Uneven => {
+            (Program::Daemon, size.with_engines(LEAST_SPEAKING_ENGINES))
+        }
         Mix::Builds => (Program::Older, size),
         Mix::Few | Mix::Series | Mix::Tenants | Mix::Restores => (Program::Daemon, size),
     };
-    let cluster = Cluster::start(&format!("{seed}"), size, program).await;
-    if mix == Mix::Tenants {
-        tenants::begin(&cluster).await;
+    let conditions = match mix {
+        Mix::Uneven => uneven::conditions(seed),
+        _ => Conditions::default(),
+    };
+    let cluster = Cluster::start(&format!("{seed}"), size, program, conditions).await;
+    match mix {
+        Mix::Tenants => tenants::begin(&cluster).await,
+        Mix::Uneven => uneven::begin(&cluster, seed).await,
+        _ => {}
     }
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
@@ -121,10 +136,10 @@
     };
     let played = async {
         let faults = faults::play(&cluster, &plan, length, seed);
-        let calls = if mix == Mix::Tenants {
-            tokio::join!(tenants::call_for(&cluster, length, seed), faults).0
-        } else {
-            tokio::join!(checks::call_for(&cluster, length, seed), faults).0
+        let calls = match mix {
+            Mix::Tenants => tokio::join!(tenants::call_for(&cluster, length, seed), faults).0,
+            Mix::Uneven => tokio::join!(uneven::call_for(&cluster, length, seed), faults).0,
+            _ => tokio::join!(checks::call_for(&cluster, length, seed), faults).0,
         };
         cluster.mend().await;
         if mix == Mix::Tenants {
@@ -148,6 +163,9 @@
     checks::crashes_are_bounded(&cluster, &plan, seed);
     words::are_heeded(&cluster, &plan, seed);
     limits::are_kept(&cluster, &plan, seed);
+    if mix == Mix::Uneven {
+        uneven::promises(&cluster, &plan, &calls, seed);
+    }
     cluster.stop().await;
 }
 
@@ -169,6 +187,7 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_UNEVEN => Mix::Uneven,
         _ if seed >= FIRST_SEED_OF_LIMITS => Mix::Limits,
         _ if seed >= FIRST_SEED_OF_RESTORES => Mix::Restores,
         _ if seed >= FIRST_SEED_OF_BUILDS => Mix::Builds,
@@ -186,6 +205,7 @@
         usual.push((USUAL_SEED_OF_WORDS, Mix::Words));
         usual.push((USUAL_SEED_OF_RESTORES, Mix::Restores));
         usual.push((USUAL_SEED_OF_LIMITS, Mix::Limits));
+        usual.push((USUAL_SEED_OF_UNEVEN, Mix::Uneven));
     }
     for (seed, mix) in usual {
         LocalSet::new().block_on(&runtime, round(seed, mix, USUAL_SIZE));
--- a/crates/croftrill-daemon/tests/soak/tenants.rs
+++ b/crates/croftrill-daemon/tests/soak/tenants.rs
@@ -115,7 +115,7 @@
     ]
 }
 
-fn publish(cluster: &Cluster) {
+pub fn publish(cluster: &Cluster) {
     cluster.document.borrow_mut().version += 1;
     cluster.write_document();
 }
@@ -145,7 +145,7 @@
     publish(cluster);
 }
 
-async fn until_in_force(cluster: &Cluster, seed: u64) {
+pub async fn until_in_force(cluster: &Cluster, seed: u64) {
     let until = Instant::now() + RECOVERY;
     let newest = cluster.document.borrow().version;
     for (index, node) in cluster.nodes.iter().enumerate() {
--- /dev/null
+++ b/crates/croftrill-daemon/tests/soak/uneven.rs
@@ -0,0 +1,94 @@
+//! Rounds with replicas of several speeds and few slots, and callers of two ranks.
+
+use std::time::Duration;
+
+use croftrill_demo::caller::{Call, CallEnd};
+use croftrill_http::document::GroupDocument;
+use croftrill_standin::engine_state::EngineConfig;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::checks::{call_anew, draw_call, Ended};
+use crate::cluster::{Cluster, Conditions, MODELS};
+use crate::faults::{Injection, Planned};
+use crate::tenants::{publish, until_in_force};
+use crate::words::node_of;
+
+/// Work times of the replicas in turn, in percent.
+const WORK_TIMES_PCT: [u32; 3] = [60, 100, 160];
+/// Slots of each, some of them taken most of the time.
+const SLOTS: usize = 3;
+/// Time of an event at the usual work time.
+const EVENT_TIME: Duration = Duration::from_millis(25);
+
+/// Groups with their ranks; the last one asks most, and half of that for one model.
+const GROUPS: [(&str, u8); 3] = [("urgent", 0), ("patient", 2), ("hot", 2)];
+const HOT: usize = 2;
+
+/// From this time on a request counts as taken: none rests so long before a node that runs.
+const TAKEN_AFTER: Duration = Duration::from_millis(500);
+
+pub fn conditions(seed: u64) -> Conditions {
+    Conditions {
+        engine: |index| EngineConfig {
+            slots: SLOTS,
+            event_time: EVENT_TIME,
+            work_time_pct: Some(WORK_TIMES_PCT[index % WORK_TIMES_PCT.len()]),
+            ..EngineConfig::default()
+        },
+        callers_compete: seed % 2 == 0,
+    }
+}
+
+/// Puts the groups into the document; ends once all nodes have it.
+pub async fn begin(cluster: &Cluster, seed: u64) {
+    let groups = GROUPS.iter().map(|(name, rank)| GroupDocument {
+        name: (*name).to_string(),
+        share: 1,
+        priority: Some(*rank),
+        ..GroupDocument::default()
+    });
+    cluster.document.borrow_mut().groups = groups.collect();
+    publish(cluster);
+    until_in_force(cluster, seed).await;
+}
+
+fn draw(random: &mut SmallRng, attempt: String) -> Call {
+    let group = [0, 1, HOT, HOT][random.random_range(0..4)];
+    let mut drawn = draw_call(random, attempt);
+    drawn.group = Some(GROUPS[group].0.to_string());
+    if group == HOT && random.random_bool(0.5) {
+        drawn.model = MODELS[0].to_string();
+    }
+    drawn
+}
+
+/// Calls all nodes in turn; waits for the last answers.
+pub async fn call_for(cluster: &Cluster, round: Duration, seed: u64) -> Vec<Ended> {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x51de);
+    call_anew(cluster, round, |number| {
+        draw(&mut random, format!("s{seed}-{number}"))
+    })
+    .await
+}
+
+/// Judges that no request which no replica ran is left without an answer, where the node
+/// was neither killed nor paused; it may have been asked to stop.
+pub fn promises(cluster: &Cluster, plan: &[Planned], calls: &[Ended], seed: u64) {
+    let ledgers = cluster.ledgers();
+    let turned_away: u32 = ledgers.iter().map(|ledger| ledger.turned_away).sum();
+    println!("seed {seed}: {turned_away} requests found no free slot");
+    let nodes = cluster.nodes.len();
+    let ran_or_ended_well = |node: usize| {
+        let mut cuts = plan.iter().filter(|planned| planned.injection.interrupts(node));
+        cuts.all(|planned| matches!(planned.injection, Injection::Stop(_)))
+    };
+    for ended in calls {
+        let is_judged = node_of(&ended.attempt, nodes).is_some_and(ran_or_ended_well);
+        let ran = ledgers
+            .iter()
+            .any(|ledger| ledger.runs.contains_key(&ended.attempt));
+        let is_lost = ended.end == CallEnd::Broken && ended.took >= TAKEN_AFTER && !ran;
+        assert!(!(is_judged && is_lost), "seed {seed}: {ended:?} was lost");
+    }
+}
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -53,6 +53,9 @@
     /// Requests in order, with what their answers said of the replica.
     #[serde(default)]
     pub arrivals: Vec<Arrival>,
+    /// Requests that found no free slot.
+    #[serde(default)]
+    pub turned_away: u32,
 }
 
 /// A call as it reached the replica, run or not.
@@ -196,6 +199,11 @@
         self.limit_per_s.set(per_s);
     }
 
+    /// From now on its work takes longer than its usual time, or no more.
+    pub fn slow_down(&self, is_slowed: bool) {
+        self.state.borrow_mut().slow_down(is_slowed);
+    }
+
     /// Ends the replica: it takes no more connections and keeps its entry no longer.
     /// Whoever stands before it breaks the present connections.
     pub fn end(&self) {
@@ -210,6 +218,7 @@
             violations: [state.violations(), &self.leaks.borrow()].concat(),
             group_runs: self.group_runs.borrow().clone(),
             arrivals: self.arrivals.borrow().clone(),
+            turned_away: state.turned_away(),
         }
     }
 
@@ -367,10 +376,9 @@
         if let Some(attempt) = request.headers().get(ATTEMPT_HEADER) {
             answer.headers_mut().insert(ATTEMPT_HEADER, attempt.clone());
         }
-        answer.headers_mut().insert(
-            LOAD_HEADER,
-            HeaderValue::from(self.state.borrow().running() as u64),
-        );
+        if let Ok(load) = HeaderValue::from_str(&self.state.borrow().load()) {
+            answer.headers_mut().insert(LOAD_HEADER, load);
+        }
         answer
     }
 
--- a/crates/croftrill-standin/src/engine_state.rs
+++ b/crates/croftrill-standin/src/engine_state.rs
@@ -22,6 +22,9 @@
     pub adapter_load: Duration,
     /// Time of one event of a stream.
     pub event_time: Duration,
+    /// How long its work takes, in percent of the usual time; its answers tell it and its
+    /// slots. `None`: the usual time, and neither is told.
+    pub work_time_pct: Option<u32>,
 }
 
 impl Default for EngineConfig {
@@ -34,10 +37,14 @@
             disk_load: Duration::from_millis(200),
             adapter_load: Duration::from_millis(20),
             event_time: Duration::from_millis(5),
+            work_time_pct: None,
         }
     }
 }
 
+/// Work time of a slowed replica, in percent of its own.
+const SLOWED_PCT: u32 = 250;
+
 /// How an order was taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderAnswer {
@@ -72,6 +79,8 @@
     running: usize,
     runs: BTreeMap<String, u32>,
     violations: Vec<Violation>,
+    is_slowed: bool,
+    turned_away: u32,
 }
 
 impl EngineState {
@@ -94,6 +103,8 @@
             running: 0,
             runs: BTreeMap::new(),
             violations: Vec::new(),
+            is_slowed: false,
+            turned_away: 0,
         }
     }
 
@@ -140,6 +151,7 @@
             return BeginOutcome::Absent;
         }
         if self.running >= self.config.slots || self.is_leaving(model) {
+            self.turned_away += 1;
             return BeginOutcome::Full;
         }
         self.running += 1;
@@ -182,14 +194,36 @@
         &self.violations
     }
 
-    /// Requests running.
-    pub fn running(&self) -> usize {
-        self.running
+    /// Requests that found no free slot.
+    pub fn turned_away(&self) -> u32 {
+        self.turned_away
+    }
+
+    /// From now on its work takes longer than its usual time, or no more.
+    pub fn slow_down(&mut self, is_slowed: bool) {
+        self.is_slowed = is_slowed;
     }
 
     /// Time of one event of a stream.
     pub fn event_time(&self) -> Duration {
-        self.config.event_time
+        self.config.event_time * self.work_time_pct().unwrap_or(100) / 100
+    }
+
+    /// Its load, as its answers tell it.
+    pub fn load(&self) -> String {
+        match self.work_time_pct() {
+            Some(pct) => format!("{},0,{},{pct}", self.running, self.config.slots),
+            None => self.running.to_string(),
+        }
+    }
+
+    fn work_time_pct(&self) -> Option<u32> {
+        let pct = self.config.work_time_pct?;
+        Some(if self.is_slowed {
+            pct * SLOWED_PCT / 100
+        } else {
+            pct
+        })
     }
 
     fn advance(&mut self, now: Instant) {
