Soak: a lost request counts from 100 ms on, not 500

A request rests a moment at most before a node that runs takes it; half a second passed over waiting requests that a stop cuts early.

--- a/crates/croftrill-daemon/tests/soak/uneven.rs
+++ b/crates/croftrill-daemon/tests/soak/uneven.rs
@@ -26,7 +26,7 @@
 const HOT: usize = 2;
 
 /// From this time on a request counts as taken: none rests so long before a node that runs.
-const TAKEN_AFTER: Duration = Duration::from_millis(500);
+const TAKEN_AFTER: Duration = Duration::from_millis(100);
 
 pub fn conditions(seed: u64) -> Conditions {
     Conditions {
