A stopping node answers what has no answer yet before it ends

Cause: at the end of its grace a node closed its connections whatever was in flight: requests at a replica that is silent, or that was turned away late. Ruled out: an earlier end of such requests (a replica's answer may still come). Change: 0.2 s before the end each request without a head of its answer gets a 504, which promises nothing. Streams that have begun go on as before.

--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::header::{HeaderValue, CONNECTION};
-use http::Request;
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,6 +18,10 @@
 use crate::ports::{CallerAddress, Platform};
 use crate::request;
 
+/// Time before the end in which a stopping node gives its last answers: a few round trips
+/// to the farthest callers.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// Pause after a failed accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time after the request to stop in which new connections and requests are
@@ -69,7 +73,12 @@
         let node = service_node.clone();
         request.extensions_mut().insert(caller);
         async move {
-            let mut response = request::serve(&node, request).await;
+            let mut response = tokio::select! {
+                response = request::serve(&node, request) => response,
+                () = last_answers(&node) => {
+                    request::refuse(StatusCode::GATEWAY_TIMEOUT, "the node ends before its answer came", None)
+                }
+            };
             if node.lifecycle() == Lifecycle::Stopping {
                 response
                     .headers_mut()
@@ -101,13 +110,30 @@
     sleep(STOP_LINGER).await;
 }
 
-/// Waits until a stopping node may end: nothing is in flight, or the grace is over.
-pub async fn finish<P: Platform>(node: &Node<P>) {
+/// Ends when a stopping node must answer what has no answer yet, so that its callers learn
+/// of its end by more than a closed connection. Such a request may have run.
+async fn last_answers<P: Platform>(node: &Node<P>) {
+    while node.stop_asked_at().is_none() {
+        node.stop_requested.notified().await;
+    }
+    let Some(asked) = node.stop_asked_at() else { return };
+    let until = time_to_finish(node).saturating_sub(LAST_ANSWERS);
+    node.clock.sleep_until(asked + until).await;
+    tracing::info!(target: "request", event = "answered at the end of the node", in_flight = node.in_flight.get());
+}
+
+/// Time from the request to stop until the node ends, whatever is in flight.
+fn time_to_finish<P: Platform>(node: &Node<P>) -> Duration {
     /// Part of the grace that is left for the end itself.
     const END_MARGIN: Duration = Duration::from_millis(700);
+    node.settings.bounds.stop_grace.saturating_sub(END_MARGIN)
+}
+
+/// Waits until a stopping node may end: nothing is in flight, or the grace is over.
+pub async fn finish<P: Platform>(node: &Node<P>) {
     /// Time between two looks.
     const LOOK_EVERY: Duration = Duration::from_millis(50);
-    let grace = node.settings.bounds.stop_grace.saturating_sub(END_MARGIN);
+    let grace = time_to_finish(node);
     let started = node.clock.now();
     let elapsed = || node.clock.now().since(started);
     while elapsed() < grace {
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -409,6 +409,11 @@
         self.orderer_inboxes[shard.index()].clone()
     }
 
+    /// When the node was asked to stop, if it was.
+    pub fn stop_asked_at(&self) -> Option<Moment> {
+        self.stop_asked.get()
+    }
+
     /// True once the node, asked to stop, takes no new requests any more.
     pub fn refuses_new(&self) -> bool {
         self.stop_asked
