--- a/crates/croftrill-bench/src/spread.rs
+++ b/crates/croftrill-bench/src/spread.rs
@@ -381,7 +381,7 @@
         } else {
             self.rejected += 1;
             self.tell(replica, stream.node, now);
-            self.leave(replica, stream.node, stream.work, None);
+            self.leave(replica, stream.node, stream.work);
         }
     }
 
@@ -424,18 +424,16 @@
                 self.start(replica, stream, now);
             } else {
                 self.overdue += 1;
-                self.leave(replica, stream.node, stream.work, None);
+                self.leave(replica, stream.node, stream.work);
             }
         }
     }
 
-    fn leave(&mut self, replica: usize, node: usize, work: RequestWork, held: Option<Duration>) {
+    /// A stream that never ran is gone from the replica.
+    fn leave(&mut self, replica: usize, node: usize, work: RequestWork) {
         let (table, id) = (&mut self.nodes[node], replica_id(replica));
         table.prompt_done(&id, work.prompt_tokens);
         table.end_send(&id);
-        if let Some(held) = held {
-            table.ran_for(&id, held);
-        }
     }
 
     /// The replica answers a node, which passes on what it told if that is due.
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -339,18 +339,6 @@
     left.into_iter().chain(right).min()
 }
 
-/// Part of the places of a service's ready replicas that is taken, as far as is known.
-pub fn service_fill(table: &ReplicaTable, service: &str, now: Moment) -> f64 {
-    let ready = table.of_service(service).filter(|entry| entry.is_ready());
-    let (requests, slots) = ready.fold((0.0, 0.0), |(requests, slots), entry| {
-        (
-            requests + entry.running_load(now),
-            slots + f64::from(entry.slots()),
-        )
-    });
-    requests / f64::max(slots, 1.0)
-}
-
 /// The replica that keeps a shared part: the highest hash of part and replica
 /// among the replicas that hold the model and are well.
 fn home_of(
