Quota: WaitPlaces, as the other WaitingRequests are another thing

What stopped the reader: quota::waiting::WaitingRequests and waiting_requests::WaitingRequests are two public types of one name, both held by a node, the one for a tenant's turn, the other for a place at a full holder. The first holds places and no requests, and hands out a WaitPlace: it is named so. No change of behaviour.

--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -22,7 +22,7 @@
 use croftrill_scheduler::quota::keeper::{KeeperConfig, Ruling, Want};
 use croftrill_scheduler::quota::keepers::QuotaPart;
 use croftrill_scheduler::quota::limits::{LoneTurns, Standing};
-use croftrill_scheduler::quota::waiting::WaitingRequests;
+use croftrill_scheduler::quota::waiting::WaitPlaces;
 use croftrill_scheduler::tenants::Quota;
 use croftrill_scheduler::time::Moment;
 use prometheus_client::metrics::counter::Counter;
@@ -176,7 +176,7 @@
     parts: Vec<Part>,
     /// This node's turns where it reaches no keeper of limits.
     lone_turns: RefCell<LoneTurns>,
-    waiting: RefCell<WaitingRequests>,
+    wait_places: RefCell<WaitPlaces>,
     clock: Clock,
     keepers_lost: Counter,
 }
@@ -199,7 +199,7 @@
         Rc::new(Quotas {
             parts: QuotaPart::all().map(part).collect(),
             lone_turns: RefCell::default(),
-            waiting: RefCell::default(),
+            wait_places: RefCell::default(),
             clock,
             keepers_lost,
         })
@@ -218,7 +218,7 @@
     /// A place for a request of a tenant that waits to ask again; `None`: too many wait.
     /// `shown` counts those that wait.
     pub fn wait_place(self: &Rc<Self>, tenant: &Arc<str>, shown: &Gauge) -> Option<WaitPlace> {
-        if !self.waiting.borrow_mut().enter(tenant) {
+        if !self.wait_places.borrow_mut().enter(tenant) {
             return None;
         }
         shown.inc();
@@ -444,7 +444,7 @@
 
 impl Drop for WaitPlace {
     fn drop(&mut self) {
-        self.quotas.waiting.borrow_mut().leave(&self.tenant);
+        self.quotas.wait_places.borrow_mut().leave(&self.tenant);
         self.shown.dec();
     }
 }
--- a/crates/croftrill-scheduler/src/quota/waiting.rs
+++ b/crates/croftrill-scheduler/src/quota/waiting.rs
@@ -1,4 +1,4 @@
-//! Requests that wait at one node to ask for their turn again.
+//! Places at one node for requests that wait to ask for their turn again.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,12 +12,12 @@
 /// free when its last one came. So one tenant takes half, `n` of them leave one part of
 /// `n + 1` free, and one that comes later finds a place.
 #[derive(Debug, Default)]
-pub struct WaitingRequests {
+pub struct WaitPlaces {
     by_tenant: HashMap<Arc<str>, usize>,
     waiting: usize,
 }
 
-impl WaitingRequests {
+impl WaitPlaces {
     /// A request of a tenant begins to wait; false if it may not.
     pub fn enter(&mut self, tenant: &Arc<str>) -> bool {
         let free = MOST_WAITING - self.waiting;
@@ -30,7 +30,7 @@
         true
     }
 
-    /// It does not wait any more.
+    /// A request of the tenant does not wait any more.
     pub fn leave(&mut self, tenant: &Arc<str>) {
         let Some(own) = self.by_tenant.get_mut(tenant) else {
             return;
--- a/crates/croftrill-scheduler/tests/quota_ranks.rs
+++ b/crates/croftrill-scheduler/tests/quota_ranks.rs
@@ -6,7 +6,7 @@
 
 use croftrill_scheduler::quota::keeper::{KeeperConfig, QuotaKeeper, Ruling, Want};
 use croftrill_scheduler::quota::turn::{patience, AheadLimits, TurnWait};
-use croftrill_scheduler::quota::waiting::WaitingRequests;
+use croftrill_scheduler::quota::waiting::WaitPlaces;
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -307,7 +307,7 @@
 /// A hot tenant's requests wait as long as they can; another's find a place all the same.
 #[test]
 fn places_to_wait_of_a_hot_tenant_leave_others_theirs() {
-    let mut waiting = WaitingRequests::default();
+    let mut waiting = WaitPlaces::default();
     let tenants: Vec<Arc<str>> = (0..16).map(|index| format!("t{index}").into()).collect();
     let mut taken = Vec::new();
     for tenant in &tenants[..3] {
@@ -333,7 +333,7 @@
     fn places_to_wait_are_bounded_and_none_is_lost(
         steps in prop::collection::vec((0usize..4, prop::bool::weighted(0.7)), 0..3_000),
     ) {
-        let mut waiting = WaitingRequests::default();
+        let mut waiting = WaitPlaces::default();
         let tenants: Vec<Arc<str>> = (0..4).map(|index| format!("t{index}").into()).collect();
         let mut held = [0usize; 4];
         for (tenant, enters) in steps {
