Placement: one place says whether a goal is worth what makes way

What stopped the reader: the orderer asks is_next_worth and, where that says nothing, is_worth, twice in the same words, and the names do not tell which of the two holds when. ServicePlacement::is_worth_at now decides it. No change of behaviour.

--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -323,8 +323,7 @@
         let value = view.value_of_held(&victim, id);
         let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
         let goal = replica.goal.as_ref()?;
-        let is_worth = view.is_next_worth(goal, replica, load, value);
-        if !is_worth.unwrap_or_else(|| view.is_worth(goal, load, value)) {
+        if !view.is_worth_at(goal, replica, load, value) {
             // Since the goal was set, another holder of the victim went.
             self.drop_goal(id);
             return None;
@@ -360,8 +359,7 @@
         let worth = goal.zip(self.replicas.get(id)).and_then(|(goal, replica)| {
             let load = load_time(engine, replica.ledger.holdings(), goal)?;
             let value = view.value_of_model(withdrawn);
-            let is_next_worth = view.is_next_worth(goal, replica, load, value);
-            Some(is_next_worth.unwrap_or_else(|| view.is_worth(goal, load, value)))
+            Some(view.is_worth_at(goal, replica, load, value))
         });
         worth == Some(false)
     }
--- a/crates/croftrill-scheduler/src/placement/work.rs
+++ b/crates/croftrill-scheduler/src/placement/work.rs
@@ -367,10 +367,22 @@
         most * self.stay_s(load) > saved
     }
 
-    /// Whether one more holder of a model at a replica keeps more requests in time than are
-    /// lost with a holder that counts for `displaced` requests a second; `None` where holders
-    /// do not follow the work, or the model has no other one.
-    pub fn is_next_worth(
+    /// True if a holder of a model at a replica saves more requests than are lost with a
+    /// holder that counts for `displaced` requests a second.
+    pub fn is_worth_at(
+        &self,
+        model: &ModelName,
+        replica: &PlacedReplica,
+        load: Duration,
+        displaced: f64,
+    ) -> bool {
+        self.is_next_worth(model, replica, load, displaced)
+            .unwrap_or_else(|| self.is_worth(model, load, displaced))
+    }
+
+    /// The same by the requests that one more holder keeps in time; `None` where holders do
+    /// not follow the work, or the model has no other one.
+    fn is_next_worth(
         &self,
         model: &ModelName,
         replica: &PlacedReplica,
