Catalog: the routes to a service stand once, and a question with a plain name

What stopped the reader: is_less_urgent_known asks for routes and does not say so; known of whom? Which routes lead to a service stood three times, each written otherwise. No change of behaviour.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -140,7 +140,7 @@
                 && self.sends == 0
                 && self
                     .configuration
-                    .is_less_urgent_known(&self.service, self.route.priority),
+                    .has_less_urgent_route(&self.service, self.route.priority),
         }
     }
 
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -216,28 +216,23 @@
 
     /// The longest objective among the routes to a service; zero if there is none.
     pub fn longest_objective(&self, service: &str) -> Duration {
-        let routes = self.routes_by_host.values().flatten();
-        routes
-            .filter(|route| route.backends.iter().any(|part| &*part.service == service))
-            .map(|route| route.objective)
-            .max()
-            .unwrap_or_default()
+        let routes = self.routes_to(service);
+        routes.map(|route| route.objective).max().unwrap_or_default()
     }
 
     /// True if no route to the service ranks before one of this rank.
     pub fn is_most_urgent_of(&self, service: &str, rank: u8) -> bool {
-        let mut routes = self.routes_by_host.values().flatten();
-        let ranks_before = |route: &Arc<Route>| {
-            route.priority < rank && route.backends.iter().any(|part| &*part.service == service)
-        };
-        !routes.any(ranks_before)
+        !self.routes_to(service).any(|route| route.priority < rank)
     }
 
     /// True if a route to the service is less urgent than this rank.
-    pub fn is_less_urgent_known(&self, service: &str, rank: u8) -> bool {
-        let mut routes = self.routes_by_host.values().flatten();
-        routes
-            .any(|route| route.priority > rank && route.backends.iter().any(|part| &*part.service == service))
+    pub fn has_less_urgent_route(&self, service: &str, rank: u8) -> bool {
+        self.routes_to(service).any(|route| route.priority > rank)
+    }
+
+    fn routes_to<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Route>> {
+        let routes = self.routes_by_host.values().flatten();
+        routes.filter(move |route| route.backends.iter().any(|part| &*part.service == service))
     }
 
     /// The same configuration with shares for groups of callers.
