Orderer: names of what had its turn

What stopped the reader: passed_over holds the models that were not passed over, beside lacking_tried, which holds the same of another kind; next_turn is no turn but a count of looks, of which a turn is made. No change of behaviour.

--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -69,17 +69,17 @@
                 let objective = self.demand.objective(&key).unwrap_or_default();
                 let waited = self.demand.waited(&key, now);
                 let left = objective.saturating_sub(waited);
-                let had_turn = self.passed_over.contains(model);
+                let had_turn = self.waiting_tried.contains(model);
                 (had_turn, left.is_zero(), left, model.clone())
             })
             .collect();
         urgent.sort_unstable();
         if urgent.first().is_some_and(|(had_turn, ..)| *had_turn) {
-            self.passed_over.clear();
+            self.waiting_tried.clear();
         }
         urgent.truncate(MOST_GOALS_AT_ONCE);
         for (.., model) in urgent {
-            self.passed_over.insert(model.clone());
+            self.waiting_tried.insert(model.clone());
             self.set_waiting_goal(service, engine, &model, now);
         }
     }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -134,11 +134,12 @@
     demand: Demand,
     /// Work of each service whose replicas tell their load.
     work: BTreeMap<ServiceName, WorkMeter>,
-    /// Waiting models for which places were chosen since all had their turn.
-    passed_over: BTreeSet<ModelName>,
-    /// Whose turn it is among models that are not busy.
-    next_turn: usize,
-    /// Models for which one more place was chosen since all had their turn.
+    /// Waiting models that had their turn, by the order of objectives, since all had theirs.
+    waiting_tried: BTreeSet<ModelName>,
+    /// Looks for one more holder so far: it tells which of the models that are not busy have
+    /// their turn.
+    looks: usize,
+    /// Models that had their turn to get one more holder, since all had theirs.
     lacking_tried: BTreeSet<ModelName>,
     ceilings: BTreeMap<ServiceName, LoadCeiling>,
     paces: BTreeMap<ServiceName, LoadPace>,
@@ -171,8 +172,8 @@
             replicas: PlacedReplicas::default(),
             demand: Demand::new(),
             work: BTreeMap::new(),
-            passed_over: BTreeSet::new(),
-            next_turn: 0,
+            waiting_tried: BTreeSet::new(),
+            looks: 0,
             lacking_tried: BTreeSet::new(),
             ceilings: BTreeMap::new(),
             paces: BTreeMap::new(),
@@ -423,7 +424,7 @@
         let balances = now >= self.next_balance;
         if balances {
             self.next_balance = now + BALANCE_EVERY;
-            self.next_turn = self.next_turn.wrapping_add(1);
+            self.looks = self.looks.wrapping_add(1);
         }
         let services: Vec<Arc<Service>> = self.configuration.services().cloned().collect();
         for service in services {
--- a/crates/croftrill-scheduler/src/orderer/work.rs
+++ b/crates/croftrill-scheduler/src/orderer/work.rs
@@ -161,7 +161,7 @@
     /// The models whose turn it is, by their place in the configuration.
     fn models_in_turn(&self, engine: &EngineSpec) -> std::ops::Range<usize> {
         let turns = engine.model_order.len().div_ceil(MODELS_IN_TURN).max(1);
-        let first = self.next_turn % turns * MODELS_IN_TURN;
+        let first = self.looks % turns * MODELS_IN_TURN;
         first..first + MODELS_IN_TURN
     }
 
