Routing: the draw by weight has names, and its figures say what they multiply

What stopped the reader: a comparison of two tuples of four, two of them numbers; a logarithm divided by a weight with half a sentence on why; STEADINESS is an exponent, which its comment does not say; one comment for LEAST_ROOM and LEAST_CHANCE, which bound different things. No change of behaviour.

--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -11,6 +11,7 @@
 //! replica's [`Outlook`] decides: the part of the request's objective, of its deadline and
 //! of the replica's places that it would take. A full one is the last choice.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -71,17 +72,19 @@
 
 /// Cost that makes a full replica the last choice among those that are well.
 const FULL_COST: f64 = 1e3;
-/// How much more a chance to pause counts than a part of the places: a stream that pauses is
-/// late, while one more in a batch holds the others up by little.
+/// Power to which the chance of no long pause goes into a weight, in which free places count
+/// once: a stream that pauses is late, while one more in a batch holds the others up by
+/// little.
 const STEADINESS: f64 = 6.0;
-/// Part of a replica's weight that is left in another zone: as much as half its places, since
-/// bytes between zones cost something.
+/// Part of a replica's weight that is left in another zone: as if half its places were taken,
+/// since bytes between zones cost something.
 const OTHER_ZONE_PART: f64 = 0.5;
 /// Weight of a full replica beside one with room: none may be left.
 const FULL_PART: f64 = 1e-9;
-/// Free places that count for one in need, and chance of a request that will be late anyway,
-/// so that they rank before a full one.
+/// Free places that a replica in need counts as at least, so that it ranks before a full one.
 const LEAST_ROOM: f64 = 0.1;
+/// Chance to be in time that any request counts as, so that a replica with room ranks before
+/// a full one also for a request that will be late anyway.
 const LEAST_CHANCE: f64 = 0.01;
 /// Shortest time that a request is taken to have left.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(1);
@@ -107,26 +110,46 @@
 }
 
 /// Draws a replica by its weight. Nodes act on the same accounts, up to a second old: if
-/// each took the replica that is best by them, all would go to the same.
+/// each took the replica that is best by them, all would go to the same. Where none has a
+/// weight, the least cost decides.
 fn choose_by_capacity(table: &ReplicaTable, request: &RoutingRequest<'_>, now: Moment) -> Option<ReplicaId> {
     let drawn = weigh(table, request, now).map(|weighed| {
         let tie = tie_break(weighed.entry, request.salt);
-        let unit = (tie as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        // Of these, the greatest is each one's with a probability like its weight.
-        let place = if weighed.weight > 0.0 {
-            unit.ln() / weighed.weight
-        } else {
-            f64::NEG_INFINITY
-        };
-        (place, weighed.cost, tie, weighed.entry)
+        Drawn {
+            lot: lot(tie, weighed.weight),
+            tie,
+            weighed,
+        }
     });
-    let better = |left: &(f64, f64, u64, &ReplicaEntry), right: &(f64, f64, u64, &ReplicaEntry)| {
-        let by_cost = || right.1.total_cmp(&left.1).then(right.2.cmp(&left.2));
-        left.0.total_cmp(&right.0).then_with(by_cost)
-    };
     drawn
-        .max_by(better)
-        .map(|(_, _, _, entry)| entry.listing.id.clone())
+        .max_by(Drawn::cmp)
+        .map(|drawn| drawn.weighed.entry.listing.id.clone())
+}
+
+/// A replica in the draw; the greatest is chosen.
+struct Drawn<'a> {
+    lot: f64,
+    tie: u64,
+    weighed: Weighed<'a>,
+}
+
+impl Drawn<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_cost = || other.weighed.cost.total_cmp(&self.weighed.cost);
+        let by_lot = self.lot.total_cmp(&other.lot);
+        by_lot.then_with(by_cost).then_with(|| other.tie.cmp(&self.tie))
+    }
+}
+
+/// A weighted lot (Efraimidis and Spirakis): with `tie` evenly spread, the greatest of
+/// several is each one's with a probability in proportion to its weight.
+fn lot(tie: u64, weight: f64) -> f64 {
+    let unit = (tie as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    if weight > 0.0 {
+        unit.ln() / weight
+    } else {
+        f64::NEG_INFINITY
+    }
 }
 
 /// A replica that may take a request, as it is weighed where requests go by capacity.
