Bench and status: comments that said something else than the code

What stopped the reader: SpreadOutcome::waited counts streams that waited, its comment tells of streams beyond the places of a replica; HINT_ERROR is 'the same' of a line on short streams; one comment for three to five constants. A replica counts as slow beside the usual speed of all, and its comment reads as if beside its own. No change of behaviour.

--- a/crates/croftrill-bench/src/spread.rs
+++ b/crates/croftrill-bench/src/spread.rs
@@ -66,7 +66,7 @@
 /// What came of it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SpreadOutcome {
-    /// Most streams of one replica at a time beyond its places, in the mean of replicas.
+    /// Part of the streams that waited at a full replica.
     pub waited: f64,
     /// Part of the streams that a full replica rejected.
     pub rejected: f64,
@@ -76,7 +76,7 @@
     pub overdue: f64,
     /// Time to the first event of 99 of 100, in milliseconds.
     pub first_event_p99_ms: f64,
-    /// Part of the places that was taken at the fullest replica, against the mean.
+    /// Place-seconds taken at the busiest replica, in times of the mean.
     pub busiest_to_mean: f64,
 }
 
@@ -86,29 +86,36 @@
 const MODELS: usize = 12;
 /// Models of one replica.
 const MODELS_HELD: usize = 2;
-/// Requests that a replica runs at the same time, and those that may wait there.
+/// Requests that a replica runs at the same time.
 const SLOTS: usize = 24;
+/// Requests that may wait there besides.
 const QUEUE: usize = 72;
 /// Work times of the replicas, in turn, in hundredths of the usual.
 const WORK_TIMES_PCT: [u32; 3] = [60, 100, 160];
-/// A disturbance: how often one may begin, the part that do, and what it does.
+/// How often it is drawn anew which replicas are disturbed.
 const DISTURBED_EVERY: Duration = Duration::from_millis(600);
+/// Part of the replicas that are.
 const DISTURBED_PART: f64 = 0.15;
+/// Work there takes so many times as long.
 const DISTURBED_TIMES: f64 = 2.5;
-/// Time within which the first event should come, and the whole.
+/// Time within which the first event should come.
 const OBJECTIVE: Duration = Duration::from_millis(400);
+/// Time within which a stream must end.
 const DEADLINE: Duration = Duration::from_secs(12);
-/// Prompt of a stream, and a mean of its output; part of the streams that are short.
+/// Tokens of a stream's prompt.
 const PROMPT_TOKENS: u64 = 600;
+/// Mean tokens that a long stream writes, and a short one.
 const LONG_OUTPUT: f64 = 280.0;
 const SHORT_OUTPUT: f64 = 48.0;
+/// Most tokens that one writes.
 const MOST_OUTPUT: f64 = 952.0;
+/// Part of the streams that are short.
 const SHORT_PART: f64 = 0.44;
-/// The same for its length as the caller tells it.
+/// Greatest error of the length that a caller tells: the natural logarithm of the quotient.
 const HINT_ERROR: f64 = 0.5;
 /// Least time between two accounts of one replica that are passed on.
 const NEWS_EVERY: Duration = Duration::from_millis(200);
-/// How much less each model is asked for than the one before.
+/// Exponent by which demand falls with a model's number (Zipf's law).
 const MODEL_SKEW: f64 = 0.4;
 
 /// A stream at a replica.
@@ -500,7 +507,7 @@
     }
 }
 
-/// The ways that nodes do not go.
+/// The ways in which nodes choose only here, for comparison.
 fn pick<'a, 'b>(
     way: Way,
     weighed: &'b [Weighed<'a>],
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -45,7 +45,7 @@
     pub told_ms_ago: u64,
     /// True if it runs all that it can, or requests wait there.
     pub full: bool,
-    /// True if it works slower than usual.
+    /// True if it works at well under the usual speed of replicas now.
     pub slow: bool,
 }
 
--- a/crates/croftrill-scheduler/src/load_summary.rs
+++ b/crates/croftrill-scheduler/src/load_summary.rs
@@ -8,8 +8,9 @@
 use crate::replica_table::{ReplicaEntry, ReplicaTable};
 use crate::time::Moment;
 
-/// A replica that works this much slower than usual counts as slow: by as much as a change
-/// of work time that nodes tell each other.
+/// A replica that works at less than this part of the usual speed of replicas, whatever its
+/// own usual one is, counts as slow: by as much as a change of work time that nodes tell
+/// each other.
 const SLOW_SPEED: f64 = 0.8;
 
 /// The load of one replica, with what it is judged by.
@@ -45,7 +46,7 @@
         self.load.waiting > 0 || self.load.running >= self.slots
     }
 
-    /// True if it works slower than usual now.
+    /// True if it works at well under the usual speed of replicas now.
     pub fn is_slow(&self) -> bool {
         self.speed_now < SLOW_SPEED
     }
