Placement: the two choices of a place share what they ask of a replica

What stopped the reader: which replicas may load a model, and what a replica in need counts as, stand twice in the same words, in functions of fifty lines; the one by work compares tuples within tuples, and its comment on waiting for a place does not say that it answers with none. No change of behaviour.

--- a/crates/croftrill-scheduler/src/placement/choice.rs
+++ b/crates/croftrill-scheduler/src/placement/choice.rs
@@ -113,23 +113,12 @@
         weighed
             .into_iter()
             .filter_map(|id| self.replicas.get_key_value(id))
-            .filter(|(_, replica)| replica.state == ReplicaState::Ready && replica.goal.is_none())
-            .filter(|(_, replica)| {
-                replica.is_candidate(among) && !replica.ledger.holdings().serves(model, None)
-            })
-            .filter(|(_, replica)| {
-                store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
-            })
+            .filter(|(_, replica)| replica.goal.is_none() && may_load(replica, model, store_allowed, among))
             .filter_map(|(id, replica)| cost(id, replica).map(|(lost, load)| (lost, load, id, replica)))
             .min_by(|left, right| {
                 let waits = |load: Duration| load.as_secs_f64() * (1.0 + rate);
                 let total = |(lost, load, ..): &(f64, Duration, _, _)| lost + waits(*load);
-                let need = |(.., replica): &(f64, Duration, _, &PlacedReplica)| match among {
-                    // Another orderer may not have heard of a need.
-                    Among::All => ControlCalls::Free,
-                    Among::Own => replica.control_calls,
-                };
-                let by_need = need(left).cmp(&need(right));
+                let by_need = need(left.3, among).cmp(&need(right.3, among));
                 by_need.then(total(left).total_cmp(&total(right)))
             })
             .map(|(lost, load, id, _)| Place {
@@ -141,8 +130,9 @@
     }
 
     /// The same where holders follow the work: the place counts by what it keeps in time,
-    /// too, and what the others there lose by it. A place that is taken for a moment is
-    /// waited for where none that is free does as well; rather than the weight store.
+    /// too, and what the others there lose by it. Among all, `None` also if the best
+    /// place has another goal at the moment: to wait for it is better than a worse place or
+    /// the weight store.
     fn place_by_work(
         &self,
         model: &ModelName,
@@ -151,51 +141,48 @@
         work: &ServiceWork,
     ) -> Option<Place> {
         let rate = self.lasting_rate(model);
-        let horizon_s = self.config.horizon.as_secs_f64();
-        let weigh = |id: &ReplicaId, replica: &PlacedReplica| -> Option<(f64, Place)> {
-            let holdings = replica.ledger.holdings();
-            let (displaced, stays) = self.displaced(id, replica, model)?;
-            let load = load_time(self.engine, holdings, model)?;
-            let adapters = self.adapter_requests(replica) * self.config.adapter_block_share;
-            let late_beside = self.late_beside(model, replica, &stays, work);
-            let lost = (displaced + late_beside) * horizon_s + adapters * load.as_secs_f64();
-            let kept = self.kept_by_work_at(model, replica, work);
-            let held_up = self.goal_time(replica);
-            let waits = (load + held_up).as_secs_f64() * (1.0 + rate);
-            let total = lost + waits - kept * self.stay_s(load + held_up);
-            let place = Place {
-                replica: id.clone(),
-                lost,
-                load,
-                kept: Some(kept),
-            };
-            Some((total, place))
-        };
         let fleet = self.fleet();
         let places = fleet.weighed_for(model).into_iter();
         let places = places
             .filter_map(|id| self.replicas.get_key_value(id))
-            .filter(|(_, replica)| replica.state == ReplicaState::Ready)
-            .filter(|(_, replica)| {
-                replica.is_candidate(among) && !replica.ledger.holdings().serves(model, None)
-            })
-            .filter(|(_, replica)| {
-                store_allowed || weight_source(replica.ledger.holdings(), model) != WeightSource::Store
-            })
+            .filter(|(_, replica)| may_load(replica, model, store_allowed, among))
             .filter(|(_, replica)| among == Among::All || replica.goal.is_none());
-        let need = |replica: &PlacedReplica| match among {
-            // Another orderer may not have heard of a need.
-            Among::All => ControlCalls::Free,
-            Among::Own => replica.control_calls,
-        };
-        let weighed = places
-            .filter_map(|(id, replica)| weigh(id, replica).map(|weighed| (need(replica), replica, weighed)));
-        let best = weighed.min_by(|left, right| {
-            let by_need = left.0.cmp(&right.0);
-            by_need.then(left.2 .0.total_cmp(&right.2 .0))
+        let weighed = places.filter_map(|(id, replica)| {
+            let (total, place) = self.weigh_by_work(model, id, replica, rate, work)?;
+            Some((need(replica, among), total, replica, place))
         });
-        best.filter(|(_, replica, _)| replica.goal.is_none())
-            .map(|(.., (_, place))| place)
+        let best = weighed.min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
+        best.filter(|(.., replica, _)| replica.goal.is_none())
+            .map(|(.., place)| place)
+    }
+
+    /// A replica as a place for a model of `rate` requests a second, and what it costs: what
+    /// is lost there and by those that wait, less what is kept in time.
+    fn weigh_by_work(
+        &self,
+        model: &ModelName,
+        id: &ReplicaId,
+        replica: &PlacedReplica,
+        rate: f64,
+        work: &ServiceWork,
+    ) -> Option<(f64, Place)> {
+        let (displaced, stays) = self.displaced(id, replica, model)?;
+        let load = load_time(self.engine, replica.ledger.holdings(), model)?;
+        let adapters = self.adapter_requests(replica) * self.config.adapter_block_share;
+        let late_beside = self.late_beside(model, replica, &stays, work);
+        let horizon_s = self.config.horizon.as_secs_f64();
+        let lost = (displaced + late_beside) * horizon_s + adapters * load.as_secs_f64();
+        let kept = self.kept_by_work_at(model, replica, work);
+        let held_up = self.goal_time(replica);
+        let waits = (load + held_up).as_secs_f64() * (1.0 + rate);
+        let total = lost + waits - kept * self.stay_s(load + held_up);
+        let place = Place {
+            replica: id.clone(),
+            lost,
+            load,
+            kept: Some(kept),
+        };
+        Some((total, place))
     }
 
     /// Time until a replica's goal is there, if it has one.
@@ -205,3 +192,22 @@
         load.unwrap_or_default()
     }
 }
+
+/// True if the replica is ready, lacks the model and can be ordered to load it; from the
+/// weight store only if that is allowed.
+fn may_load(replica: &PlacedReplica, model: &ModelName, store_allowed: bool, among: Among) -> bool {
+    let holdings = replica.ledger.holdings();
+    replica.state == ReplicaState::Ready
+        && replica.is_candidate(among)
+        && !holdings.serves(model, None)
+        && (store_allowed || weight_source(holdings, model) != WeightSource::Store)
+}
+
+/// How freely a replica takes orders, as far as all who choose know it alike.
+fn need(replica: &PlacedReplica, among: Among) -> ControlCalls {
+    match among {
+        // Another orderer may not have heard of a need.
+        Among::All => ControlCalls::Free,
+        Among::Own => replica.control_calls,
+    }
+}
