--- a/crates/croftrill-node/src/load_news.rs
+++ b/crates/croftrill-node/src/load_news.rs
@@ -1,9 +1,14 @@
 //! News of replicas' loads between nodes: what this node heard goes up to the orderers,
 //! what these tell comes down, over relays both ways.
 //!
-//! Nothing is kept or sent unless replicas tell how fast they work, or the node's settings
-//! say that callers compete. Whoever listens says so by such a message of its own, which
-//! goes only to nodes whose entries say that they understand it.
+//! Nothing is sent unless replicas tell how fast they work, or the node's settings say that
+//! callers compete. Whoever listens says so by such a message of its own, if only an empty
+//! one, which goes only to nodes whose entries say that they understand it.
+//!
+//! Accounts come from a replica ([`hear_answer`]), from a follower of this relay
+//! ([`LoadFollower`]) and from orderers ([`hear_told`]). [`tell`] sends what the first two
+//! brought to the orderers, and what these told to the followers. What an orderer of this
+//! node makes of them: `orderer_task::loads`.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -32,8 +37,8 @@
 const TELL_EVERY: Duration = Duration::from_millis(100);
 /// A node with nothing to tell says so often that it listens.
 const HELLO_EVERY: Duration = Duration::from_secs(1);
-/// Time after the last told work time for which replicas count as telling it: some times
-/// as long as one node usually goes without an answer of any.
+/// Time after the last told work time for which replicas count as telling it: several times
+/// as long as a node usually goes without an answer of any replica.
 const WORK_TIME_COUNTS: Duration = Duration::from_secs(30);
 /// Messages that a slow follower may fall behind before it misses the oldest.
 const BACKLOG: usize = 4;
@@ -44,14 +49,17 @@
 
 /// What a node heard of replicas' loads, and tells on.
 pub struct LoadNews {
+    /// Until when replicas count as telling their work time.
     on_until: Cell<Moment>,
     keys: RefCell<LoadKeys>,
     /// For the orderers, from this node's answers and its followers.
     to_orderers: RefCell<HeardLoads>,
     /// For the followers, from the orderers.
     to_followers: RefCell<HeardLoads>,
+    /// When the orderers were last told that this node listens.
     said_hello_at: Cell<Moment>,
     followers: broadcast::Sender<Rc<ToldLoads>>,
+    /// Told when there is something to send.
     wanted: Notify,
     arrivals: RefCell<Arrivals>,
 }
@@ -113,7 +121,7 @@
     FromOrderer::Loads(WireLoads::from_accounts(accounts, now)).encode()
 }
 
-/// True while loads are told on.
+/// True while this node tells on what it hears of replicas' loads, of all services.
 pub(crate) fn is_on<P: Platform>(node: &Node<P>) -> bool {
     node.settings.callers_compete || node.clock.now() < node.load_news.on_until.get()
 }
@@ -128,7 +136,7 @@
     Metrics::count(&node.metrics.load_news, kind, outcome);
 }
 
-/// Accounts are passed over, as there are too many.
+/// Counts accounts that are not told on, as there are too many.
 pub(crate) fn note_left_out<P: Platform>(node: &Node<P>, kind: &'static str, count: usize) {
     Metrics::count_many(&node.metrics.load_news, kind, "left out", count as u64);
 }
@@ -178,7 +186,7 @@
     news.wanted.notify_one();
 }
 
-/// Takes accounts of other nodes into this node's table; answers those that are about
+/// Takes accounts of other nodes into this node's table; returns those that are about
 /// replicas that it knows.
 pub(crate) fn take_in<P: Platform>(
     node: &Node<P>,
@@ -236,11 +244,11 @@
     news.wanted.notify_one();
 }
 
-/// What this node's queue holds for its own orderer.
+/// The accounts of a message from this node to its own orderer.
 pub(crate) fn own_accounts<P: Platform>(node: &Node<P>, told: &WireLoads) -> Vec<LoadAccount> {
     let now = node.clock.now();
     let mut delay = LinkDelay::default();
-    // The queue is a link whose least delay is none.
+    // The queue between them is a link whose least delay is zero.
     delay.excess(now.since(Moment::default()), now);
     told.to_accounts(&mut delay, now)
 }
--- a/crates/croftrill-scheduler/src/capacity.rs
+++ b/crates/croftrill-scheduler/src/capacity.rs
@@ -34,7 +34,7 @@
 const WORK_TIMES_KEPT: usize = 9;
 /// Told work times from which a replica's usual speed counts as known.
 const WORK_TIMES_NEEDED: usize = 3;
-/// How fast a told load loses its meaning.
+/// Time constant with which a told load loses its meaning.
 const LOAD_MEMORY: Duration = Duration::from_millis(700);
 /// The same where requests go by capacity: about the time for which a stream runs, as a
 /// replica whose requests all end tells nothing more.
@@ -42,7 +42,8 @@
 /// Time for which a told work time is taken for the present one.
 const WORK_TIME_HOLDS: Duration = Duration::from_millis(600);
 
-/// Classes of speed from none to the usual one: what differs by less is the same.
+/// Classes of speed from zero to the usual one: speeds that differ by less than a class count
+/// as the same.
 const CLASSES_PER_SPEED: f64 = 20.0;
 
 /// Replicas that usually work about as fast.
@@ -104,12 +105,14 @@
         self.account.map(|account| (account.load, account.at))
     }
 
-    /// Requests of other nodes that are believed to be there.
+    /// Requests of other nodes that are believed to be there; for services whose requests
+    /// do not go by capacity.
     pub fn others(&self, now: Moment) -> f64 {
         self.fading(LOAD_MEMORY, now)
     }
 
-    /// The same, for as long as they are likely to run.
+    /// The same where requests go by capacity: they count for as long as they are likely to
+    /// run.
     pub fn others_running(&self, now: Moment) -> f64 {
         self.fading(RUNS_MEMORY, now)
     }
@@ -135,8 +138,8 @@
         speed_of(self.median_pct.unwrap_or(USUAL_WORK_TIME_PCT))
     }
 
-    /// How fast it usually works, as all hear it alike: the usual speed of a replica until
-    /// it told often enough.
+    /// How fast it usually works; 1 until it told often enough, so that all who heard it
+    /// judge it alike.
     pub fn lasting_speed(&self) -> f64 {
         if self.work_times_pct.len() < WORK_TIMES_NEEDED {
             return speed_of(USUAL_WORK_TIME_PCT);
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -2,8 +2,9 @@
 //! placement, and what answers show in between.
 //!
 //! [`entry`] is one replica, [`index`] finds those that hold a model, [`change_log`]
-//! tells which changed, [`own_begun`] when own requests began, [`own_word`] is what replicas told of themselves, [`unlisted`]
-//! keeps what was told of replicas without a listing.
+//! tells which changed, [`own_begun`] when own requests began, [`own_word`] is what
+//! replicas told of themselves, [`unlisted`] keeps what was told of replicas without a
+//! listing.
 
 mod change_log;
 mod entry;
