--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -69,17 +69,17 @@
                 let objective = self.demand.objective(&key).unwrap_or_default();
                 let waited = self.demand.waited(&key, now);
                 let left = objective.saturating_sub(waited);
-                let had_turn = self.passed_over.contains(model);
+                let had_turn = self.waiting_tried.contains(model);
                 (had_turn, left.is_zero(), left, model.clone())
             })
             .collect();
         urgent.sort_unstable();
         if urgent.first().is_some_and(|(had_turn, ..)| *had_turn) {
-            self.passed_over.clear();
+            self.waiting_tried.clear();
         }
         urgent.truncate(MOST_GOALS_AT_ONCE);
         for (.., model) in urgent {
-            self.passed_over.insert(model.clone());
+            self.waiting_tried.insert(model.clone());
             self.set_waiting_goal(service, engine, &model, now);
         }
     }
@@ -323,8 +323,7 @@
         let value = view.value_of_held(&victim, id);
         let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
         let goal = replica.goal.as_ref()?;
-        let is_worth = view.is_next_worth(goal, replica, load, value);
-        if !is_worth.unwrap_or_else(|| view.is_worth(goal, load, value)) {
+        if !view.is_worth_at(goal, replica, load, value) {
             // Since the goal was set, another holder of the victim went.
             self.drop_goal(id);
             return None;
@@ -360,8 +359,7 @@
         let worth = goal.zip(self.replicas.get(id)).and_then(|(goal, replica)| {
             let load = load_time(engine, replica.ledger.holdings(), goal)?;
             let value = view.value_of_model(withdrawn);
-            let is_next_worth = view.is_next_worth(goal, replica, load, value);
-            Some(is_next_worth.unwrap_or_else(|| view.is_worth(goal, load, value)))
+            Some(view.is_worth_at(goal, replica, load, value))
         });
         worth == Some(false)
     }
