What replicas of an unheard orderer hold is read from their entries

Cause: relays leave out listings that changed in holdings alone, as each shard's orderer tells of them. A node that hears one orderer, but not another, counted its view as complete, and went by its last read of everything for the unheard shard's replicas for good.

Why it works: the entries tell what replicas hold whoever gives the orders. A request that lacks a model has them read once the present orderer has not been heard for an orderer's lease; only holdings of unheard shards are taken.

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod await_relay;
 mod backoff;
 pub mod relay;
+mod unheard;
 mod view;
 
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 
 use self::await_relay::{await_relay, hears_view_from_relay, must_ask_store};
 use self::backoff::Backoff;
+pub use self::unheard::read_holdings;
 use self::view::ViewChange;
 use crate::connection::Arrival;
 use crate::node::Node;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -89,6 +89,8 @@
     pub resignations: BTreeMap<Shard, HeardResignation>,
     /// Shards whose orderer is linked, or is this node.
     pub linked: [bool; SHARD_COUNT],
+    /// When the last link to a shard's orderer ended.
+    pub unlinked_at: [Moment; SHARD_COUNT],
     /// This node's part in the tree of relays.
     pub tree: TreeState,
     /// Where the node is in its life.
@@ -136,6 +138,8 @@
     /// Told whenever what the orderer relays begins or ends to be believed, and
     /// when this node gets or loses the orderer's lease.
     pub relay_changed: Notify,
+    /// Told when a request lacks a model, which a replica of an unheard orderer may hold.
+    pub holdings_wanted: Notify,
     terms_held: Cell<usize>,
     /// Told when it is known whether a replica at which requests broke has ended.
     pub crash_judged: Notify,
@@ -257,6 +261,7 @@
             members: Members::default(),
             resignations: BTreeMap::new(),
             linked: [false; SHARD_COUNT],
+            unlinked_at: [clock.now(); SHARD_COUNT],
             tree: TreeState::default(),
             lifecycle: Lifecycle::Starting,
             ready_at: None,
@@ -272,6 +277,7 @@
             state: RefCell::new(state),
             view_changed: Notify::new(),
             relay_changed: Notify::new(),
+            holdings_wanted: Notify::new(),
             terms_held: Cell::new(0),
             crash_judged: Notify::new(),
             crash_report_changed: Notify::new(),
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -210,6 +210,9 @@
 pub(crate) fn set_linked<P: Platform>(node: &Node<P>, shard: Shard, is_linked: bool) {
     let mut state = node.state.borrow_mut();
     let was_linked = std::mem::replace(&mut state.linked[shard.index()], is_linked);
+    if was_linked && !is_linked {
+        state.unlinked_at[shard.index()] = node.clock.now();
+    }
     if !is_linked {
         node.step_times
             .time("orderer lost", || state.replicas.orderer_lost(shard));
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -262,6 +262,8 @@
     fn read(&self, item: &Item) -> Record;
     /// The key of the operators' configuration.
     fn configuration_key(&self) -> &str;
+    /// Prefix of the replicas' keys.
+    fn replica_prefix(&self) -> &str;
     /// The replica that a key stands for.
     fn replica_of(&self, key: &str) -> Option<ReplicaId>;
 }
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -41,6 +41,7 @@
     spawn_local(peer_link::tell_demand(node.clone()));
     spawn_local(load_news::tell(node.clone()));
     spawn_local(directory::follow(node.clone()));
+    spawn_local(directory::read_holdings(node.clone()));
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -23,6 +23,7 @@
 use bytes::Bytes;
 use croftrill_scheduler::relay_log::{keep_last_writes, RelayLog, Revised};
 use croftrill_scheduler::relay_tree::{self, TreeNode, TreePlace};
+use croftrill_scheduler::replica_table::Placement;
 use croftrill_scheduler::shard::SHARD_COUNT;
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
@@ -250,6 +251,18 @@
     });
 }
 
+/// What replicas hold, as this node read it, for followers that hear of it from nobody else.
+pub(crate) fn pass_on_read<P: Platform>(node: &Node<P>, placements: &[Placement]) {
+    let now = node.clock.now();
+    let wire = placements
+        .iter()
+        .map(|placement| WirePlacement::from_placement(placement, now));
+    for part in WirePlacement::in_parts(wire.collect()) {
+        let message = FromOrderer::Placements(part.clone().into()).encode();
+        pass_on_placements(node, &part, &message);
+    }
+}
+
 /// This node's view went on by a span of the store's changes: followers are
 /// told, and it is kept for those that miss it.
 pub(crate) fn pass_on_news<P: Platform>(node: &Node<P>, mut news: DirectoryNews, proven_at: Moment) {
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -155,6 +155,7 @@
             items.iter().for_each(|item| demand.merge(item));
         }
         ToOrderer::Waiting(model) => {
+            node.holdings_wanted.notify_one();
             let now = node.clock.now();
             let is_due = node.state.borrow_mut().tree.takes_reminder(&model, now);
             if is_due {
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -184,6 +184,27 @@
         told.is_leaving() || told.rests_until(now).is_some()
     }
 
+    /// Takes in what a listed replica holds by its listing, unless its orderer tells; answers
+    /// what it holds if that is news.
+    pub fn apply_listed_holdings(&mut self, listing: ReplicaListing) -> Option<Placement> {
+        let known = self.replicas.get(&listing.id)?;
+        let is_same = Incarnation::of(listing.born_ms, known.listing.born_ms) == Incarnation::Same;
+        let is_news = known.listing.holdings != listing.holdings || !known.absent.is_empty();
+        if known.from_orderer || !is_same || !is_news {
+            return None;
+        }
+        let mut entry = known.clone();
+        entry.absent.clear();
+        entry.knows_copies = true;
+        entry.listing.holdings = listing.holdings;
+        let placement = Placement {
+            tells_copies: true,
+            ..entry.placement()
+        };
+        self.put(entry);
+        Some(placement)
+    }
+
     /// Takes in a listing that came by a way which tells nothing of what the replica
     /// holds: what its orderer told while it was not listed holds on.
     pub fn apply_relayed_listing(&mut self, listing: ReplicaListing) {
--- a/crates/croftrill-scheduler/tests/replica_table.rs
+++ b/crates/croftrill-scheduler/tests/replica_table.rs
@@ -339,3 +339,52 @@
     table.apply_relayed_listing(born("r1", 2000));
     assert!(table.awaits_word("llm", |_| true), "it started again");
 }
+
+fn listed_with(id: &str, model: &str) -> ReplicaListing {
+    ReplicaListing {
+        holdings: told(id, model).usable,
+        ..listing(id)
+    }
+}
+
+/// Where no orderer tells, what a replica loaded is known by its listing alone.
+#[test]
+fn apply_listed_holdings_of_an_untold_replica_is_news_once() {
+    let mut table = ReplicaTable::new();
+    table.apply_listing(listed_with("r1", "m1"));
+    let read = listed_with("r1", "m2");
+    let news = table.apply_listed_holdings(read.clone()).expect("news");
+    assert_eq!(news.usable.models, read.holdings.models);
+    assert_eq!((table.holders("llm", "m1"), table.holders("llm", "m2")), (0, 1));
+    assert_eq!(table.apply_listed_holdings(read.clone()), None);
+    // It did not hold the model for a while; what it lists now counts again.
+    table.mark_absent("r1", "m2".into(), None);
+    assert!(table.apply_listed_holdings(read).is_some());
+    assert_eq!(table.holders("llm", "m2"), 1);
+}
+
+#[test]
+fn apply_listed_holdings_leaves_what_the_orderer_told() {
+    let mut table = ReplicaTable::new();
+    table.apply_relayed_listing(listing("r1"));
+    table.apply_placement(told("r1", "m1"));
+    assert_eq!(table.apply_listed_holdings(listed_with("r1", "m2")), None);
+    assert_eq!(table.holders("llm", "m1"), 1);
+    table.orderer_lost(Shard::of_replica("r1"));
+    assert!(table.apply_listed_holdings(listed_with("r1", "m2")).is_some());
+}
+
+#[test]
+fn apply_listed_holdings_of_an_unknown_replica_or_another_start_is_no_news() {
+    let mut table = ReplicaTable::new();
+    assert_eq!(table.apply_listed_holdings(listed_with("r1", "m1")), None);
+    table.apply_listing(born("r2", 2));
+    for born_ms in [1, 3] {
+        let read = ReplicaListing {
+            born_ms: Some(born_ms),
+            ..listed_with("r2", "m1")
+        };
+        assert_eq!(table.apply_listed_holdings(read), None);
+    }
+    assert_eq!(table.holders("llm", "m1"), 0);
+}
