A link goes on past messages of another build's form

Callers waited for models that no orderer was told of, but for what happened to be sent between two tries.

Cause: a message that could not be read was an error of the link. A link carries frames with a length, so the next message is not in doubt.

Change: the message is passed over, counted, and logged once a link, on both sides. A node that could not read an orderer's message counts that orderer as unheard for the rest of the link, so what its replicas hold is read from their entries. An unread first message was dropped without a line; it has one now.

--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -18,6 +18,7 @@
 use crate::directory::relay::{self, WholeInParts};
 use crate::link::PeerLink;
 use crate::load_news::LoadListener;
+use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
@@ -45,8 +46,8 @@
 pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_link(node.clone(), stream));
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(serve_link(node.clone(), stream, peer));
             }
             Err(error) => {
                 tracing::warn!(target: "peer", event = "accept failed", %error);
@@ -58,7 +59,7 @@
 
 /// Serves one listening node: as an orderer, as long as this node is one, or as
 /// a relay.
-async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
+async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream, peer: SocketAddr) {
     let mut link = match PeerLink::new(stream, silence_limit(&node)) {
         Ok(link) => link,
         Err(error) => {
@@ -66,8 +67,13 @@
             return;
         }
     };
-    let Ok(Some(first)) = timeout(HELLO_TIMEOUT, first_message(&mut link)).await else {
-        return;
+    let first = match timeout(HELLO_TIMEOUT, first_message(&mut link)).await {
+        Ok(Ok(Some(first))) => first,
+        Ok(Err(error)) => {
+            tracing::warn!(target: "peer", event = "link of another form", %peer, %error);
+            return;
+        }
+        Ok(Ok(None)) | Err(_) => return,
     };
     match first {
         ToOrderer::Follow(follow) => {
@@ -76,7 +82,7 @@
         }
         ToOrderer::Listen(index) => {
             if let Some(shard) = Shard::from_index(usize::from(index)) {
-                serve_listener(node, link, shard).await;
+                serve_listener(node, link, peer, shard).await;
             }
         }
         ToOrderer::AskQuotas(index) => {
@@ -90,7 +96,7 @@
 }
 
 /// Serves a node that listens to this orderer of a shard.
-async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerLink, shard: Shard) {
+async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerLink, peer: SocketAddr, shard: Shard) {
     let (reply, subscribed) = oneshot::channel();
     let inbox = node.orderer_inbox(shard);
     if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
@@ -99,25 +105,27 @@
     let Ok(Ok(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribed).await else {
         return;
     };
-    let ended = exchange_messages(&node, link, subscription, inbox).await;
+    let ended = exchange_messages(&node, link, peer, subscription, inbox).await;
     tracing::debug!(target: "peer", event = "a listener left", shard = shard.index(), ?ended);
 }
 
 /// What the other side is here for.
-async fn first_message(link: &mut PeerLink) -> Option<ToOrderer> {
-    let frame = link.next().await.ok()??;
-    decode(&frame).ok()
+async fn first_message(link: &mut PeerLink) -> io::Result<Option<ToOrderer>> {
+    let frame = link.next().await?;
+    frame.map(|frame| decode(&frame)).transpose()
 }
 
 /// Passes changes to the listener and its messages to the orderer, until either ends.
 async fn exchange_messages<P: Platform>(
     node: &Node<P>,
     mut link: PeerLink,
+    peer: SocketAddr,
     subscription: Subscription,
     inbox: mpsc::Sender<OrdererInput>,
 ) -> io::Result<()> {
     let mut changes = subscription.changes;
     let mut loads = LoadListener::default();
+    let mut unread = UnreadMessages::default();
     for message in subscription.first {
         link.send(message).await?;
     }
@@ -134,7 +142,13 @@
             }
             frame = link.next() => {
                 let Some(frame) = frame? else { return Ok(()) };
-                let message = decode::<ToOrderer>(&frame)?;
+                let message = match decode::<ToOrderer>(&frame) {
+                    Ok(message) => message,
+                    Err(error) => {
+                        unread.note(node, peer, &error);
+                        continue;
+                    }
+                };
                 match message {
                     ToOrderer::Loads(told) => {
                         let accounts = loads.hear(&told, &subscription.loads, node.clock.now());
@@ -265,6 +279,7 @@
     link.send(Bytes::from(hello)).await?;
     let mut delay = LinkDelay::default();
     let mut whole = WholeInParts::default();
+    let mut unread = UnreadMessages::default();
     while orderer_address(node, shard) == Some(address) && tree::is_direct(node) {
         tokio::select! {
             frame = link.hear() => {
@@ -274,8 +289,17 @@
                     return Ok(());
                 }
                 let frame = frame.freeze();
-                let message = decode::<FromOrderer>(&frame)?;
-                set_linked(node, shard, true);
+                let message = match decode::<FromOrderer>(&frame) {
+                    Ok(message) => message,
+                    Err(error) => {
+                        unread.note(node, address, &error);
+                        set_linked(node, shard, false);
+                        continue;
+                    }
+                };
+                if unread.is_none() {
+                    set_linked(node, shard, true);
+                }
                 let reply = node.step_times.time("message of an orderer", || {
                     take_message(node, shard, address, (message, frame), (&mut delay, &mut whole))
                 });
@@ -294,6 +318,27 @@
     Ok(())
 }
 
+/// Messages of one link that this build cannot read, as another build's form of them differs.
+/// The link goes on for the others: what waits for a model must be told either way.
+#[derive(Debug, Default)]
+struct UnreadMessages {
+    count: u64,
+}
+
+impl UnreadMessages {
+    fn note<P: Platform>(&mut self, node: &Node<P>, address: SocketAddr, error: &io::Error) {
+        if self.is_none() {
+            tracing::warn!(target: "peer", event = "messages of another form", %address, %error);
+        }
+        self.count += 1;
+        Metrics::count(&node.metrics.relayed, "message", "unread");
+    }
+
+    fn is_none(&self) -> bool {
+        self.count == 0
+    }
+}
+
 /// Takes a message of a shard's orderer, which this node's followers hear too;
 /// answers what the orderer should be asked. `frame`: the message as it came.
 fn take_message<P: Platform>(
