A node that lacks replicas believes no relay, and reads them

Callers of a node that left its relay in a large fleet wait 0.25 s for each model that is new to it, and are refused models that replicas hold; a relay in that state turns its followers away. Seen by a test only: relay_by_the_list_serves_whoever_comes_... failed once, 'n27 serves nobody'.

Provoked: 64 copies of the unchanged test at once, 5 of 400, then 7 of 400 of a trial that prints the state. All seven: a relay by its list, linked, its news believed, and narrow: it knows some replicas only. Ruled out with it: a changed list, a relay that it did not leave.

Cause: lacking replicas was looked at only when the news were not believed any more. Where the links to the orderers came first, their news covered the node for good; they bring changes, not the replicas that it lacks.

Why it works: covers(), which every wait for a relay asks, is false while replicas are lacking. The old one, unchanged: 0 of 800, 64 at once.

--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -307,10 +307,12 @@
     node.relay_changed.notify_waiters();
 }
 
-/// True while the relay is believed, so that the store need not be asked.
+/// True while the relay is believed, so that the store need not be asked. Where this node
+/// lacks replicas, no relay tells of them, however complete its news are.
 pub(super) fn covers<P: Platform>(node: &Node<P>) -> bool {
     let now = node.clock.now();
-    !node.gives_orders() && node.state.borrow().directory.relay_covers(now)
+    let is_believed = node.state.borrow().directory.relay_covers(now);
+    is_believed && !node.gives_orders() && !tree::lacks_replicas(node)
 }
 
 /// Ends when the relay is not believed any more.
