--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -15,7 +15,7 @@
 use super::streaming::PROMPT_TIME_MARGIN;
 use super::{Answer, OTHER_NODE_RETURN};
 use crate::metrics::Metrics;
-use crate::node::Node;
+use crate::node::{Lifecycle, Node};
 use crate::ports::{Dialect, Platform, RequestFacts};
 use crate::quota::{Credit, QuotaAsk, QuotaVerdict};
 
@@ -115,6 +115,32 @@
     TurnWait::new(now, patience, most_ahead)
 }
 
+/// Waits until a moment; false if the node is asked to stop before.
+async fn sleep_unless_stopping<P: Platform>(node: &Node<P>, until: Moment) -> bool {
+    if node.lifecycle() == Lifecycle::Stopping {
+        return false;
+    }
+    tokio::select! {
+        () = node.clock.sleep_until(until) => true,
+        () = node.stop_requested.notified() => false,
+    }
+}
+
+/// The answer to a request whose turn has not come as its node is asked to stop: another
+/// node can wait for it, this one may end before.
+fn refuse_at_stop<P: Platform>(
+    node: &Node<P>,
+    facts: &RequestFacts,
+    tenant: &str,
+    asked_at: Moment,
+) -> Answer {
+    Metrics::count(&node.metrics.denied, "quota", "stopping");
+    tracing::info!(target: "quota", id = facts.id, outcome = "refused", cause = "the node is stopping", tenant,
+        waited_ms = node.clock.now().since(asked_at).as_millis() as u64);
+    let cause = "the node is stopping";
+    refuse(StatusCode::SERVICE_UNAVAILABLE, cause, Some(OTHER_NODE_RETURN))
+}
+
 /// Pays for a request from its tenant's quota; nothing if that has none.
 ///
 /// Errors: the answer to a request beyond the quota, or that no keeper rules on.
@@ -153,7 +179,9 @@
         if place.is_none() {
             break;
         }
-        clock.sleep_until(until.min(clock.now() + pause)).await;
+        if !sleep_unless_stopping(node, until.min(clock.now() + pause)).await {
+            return Err(Box::new(refuse_at_stop(node, facts, &tenant.name, asked_at)));
+        }
         ask.want.patience = wait.ahead(clock.now());
         verdict = node.quotas.ask(ask, until).await;
     }
