Entries of nodes and orderers that cannot be read leave a log line

Change: one line with the key and the error. What follows from such an entry is as before: it names nobody. No test: nothing but the line changes.

--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -184,8 +184,7 @@
         Record::Other => {
             if let Some(era) = membership::read_record_era(item) {
                 node.platform.store().era().learn_first(era.first);
-            }
-            if let Some(own) = membership::read_own_item(item) {
+            } else if let Some(own) = membership::read_own_item(item) {
                 node.state.borrow_mut().members.written(&item.key, own);
             }
         }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -172,21 +172,28 @@
 pub fn read_record_era(item: &Item) -> Option<RecordEra> {
     let (_, kind) = parse_orderer_key(&item.key)?;
     let is_era = kind == OrdererKeyKind::Era;
-    is_era.then(|| decode(&item.value).ok()).flatten()
+    is_era.then(|| read_logged(item)).flatten()
+}
+
+/// Reads the value of an item of the nodes' own; one that cannot be read leaves a log line.
+fn read_logged<T: DeBin>(item: &Item) -> Option<T> {
+    let read = decode(&item.value);
+    if let Err(error) = &read {
+        tracing::warn!(target: "membership", event = "item cannot be read", key = item.key, %error);
+    }
+    read.ok()
 }
 
 /// Reads an item of the nodes' own; `None` if it is none, or cannot be read.
 pub fn read_own_item(item: &Item) -> Option<OwnItem> {
-    let read_entry = || decode::<MemberEntry>(&item.value).ok();
+    let read_entry = || read_logged::<MemberEntry>(item);
     if item.key.starts_with(MEMBER_PREFIX) {
         return read_entry().map(OwnItem::Node);
     }
     let (shard, kind) = parse_orderer_key(&item.key)?;
     match kind {
         OrdererKeyKind::Present => read_entry().map(|entry| OwnItem::Orderer(shard, entry)),
-        OrdererKeyKind::Last => decode::<LastOrderer>(&item.value)
-            .ok()
-            .map(|last| OwnItem::LastOrderer(shard, last)),
+        OrdererKeyKind::Last => read_logged(item).map(|last| OwnItem::LastOrderer(shard, last)),
         OrdererKeyKind::Era => None,
     }
 }
