Reading of the change: fewer steps at unread messages and withdrawals

The first unread message of a link ends an orderer's word; each further one went over all its replicas again. The longer notice of a withdrawal is worked out once the usual one is over, not in each plan. Nothing else changes: the tests of unheard orderers, relays, the tree and two orderers pass.

--- a/crates/croftrill-node/src/directory/unheard.rs
+++ b/crates/croftrill-node/src/directory/unheard.rs
@@ -2,7 +2,7 @@
 //!
 //! Each orderer tells what the replicas of its shard hold, so a relay leaves out listings
 //! that changed in that alone. A node that hears the relay, but not the orderer of a shard,
-//! would go by what that shard's replicas held when it last read everything: it refused
+//! would go by what that shard's replicas held when it last read everything, and refuse
 //! models that they have loaded since.
 
 use std::rc::Rc;
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -292,8 +292,10 @@
                 let message = match decode::<FromOrderer>(&frame) {
                     Ok(message) => message,
                     Err(error) => {
+                        if unread.is_none() {
+                            set_linked(node, shard, false);
+                        }
                         unread.note(node, address, &error);
-                        set_linked(node, shard, false);
                         continue;
                     }
                 };
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -306,7 +306,11 @@
                 self.replicas.get_mut(id)?.withdrawn = None;
                 return None;
             }
-            if now.since(*since) < self.notice_before_drop(id, model, service, engine, now) {
+            let withdrawn_for = now.since(*since);
+            if withdrawn_for < self.config.withdraw_notice {
+                return None;
+            }
+            if withdrawn_for < self.notice_before_drop(id, model, service, engine, now) {
                 return None;
             }
             let model = model.clone();
