retries, membership: log the inputs of the retry budget and what happens to nodes' entries

Hypotheses of the incident could not be told apart from logs. A retry line named neither its service nor the inputs of the decision, and its count of nodes was not the one that divides the slack. Lines are left out under load, and the counter had no service. Nothing told when another node's entry went or came, nor why a node's own is not in the store.

Now retry lines carry service, requests, retries, slack, allowed and the number of sharing nodes; croftrill_service_retries_total counts decisions and actual sends after the first by service; membership lines tell of nodes listed, gone, or missing in a full view, of a lease that was not renewed or is over, and of a lease that was not granted. RetryBudget::take returns its decision with the inputs in place of a bool. No decision changes.

--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -57,7 +57,12 @@
 fn retain_only<P: Platform>(node: &Node<P>, listed: &HashSet<ReplicaId>, keys: &HashSet<&str>) {
     let mut state = node.state.borrow_mut();
     state.replicas.retain(|id| listed.contains(id));
+    let before = state.members.node_count();
     state.members.retain(|key| keys.contains(key));
+    let nodes = state.members.node_count();
+    if nodes < before {
+        tracing::info!(target: "membership", event = "nodes missing in a full view", gone = before - nodes, nodes);
+    }
 }
 
 /// Applies a peer's full view and removes what it does not contain. `has_replicas` is
@@ -148,13 +153,18 @@
 fn apply_event<P: Platform>(node: &Node<P>, event: &StoreEvent) {
     match event {
         StoreEvent::Written(item) => apply_item(node, item),
-        StoreEvent::Removed { key, .. } => {
+        StoreEvent::Removed { key, revision } => {
             let mut state = node.state.borrow_mut();
             if let Some(id) = node.platform.records().replica_of(key) {
                 state.replicas.remove(&id);
                 tracing::info!(target: "directory", event = "replica gone", replica = &*id);
             } else {
+                let is_node = state.members.contains_node(key);
                 state.members.apply_removal(key);
+                if is_node {
+                    let nodes = state.members.node_count();
+                    tracing::info!(target: "membership", event = "node gone", key, nodes, revision);
+                }
             }
             drop(state);
             crash_reports::handle_removed_key(node, key);
@@ -185,7 +195,14 @@
             if let Some(era) = membership::read_record_era(item) {
                 node.platform.store().era().record_first(era.first);
             } else if let Some(own) = membership::read_cluster_item(item) {
-                node.state.borrow_mut().members.apply_write(&item.key, own);
+                let mut state = node.state.borrow_mut();
+                let was_listed = state.members.contains_node(&item.key);
+                state.members.apply_write(&item.key, own);
+                let is_listed = state.members.contains_node(&item.key);
+                if is_listed && !was_listed {
+                    let (key, revision, nodes) = (&item.key, item.revision, state.members.node_count());
+                    tracing::info!(target: "membership", event = "node listed", key, nodes, revision);
+                }
             }
         }
     }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -290,6 +290,11 @@
         known.peek().is_some() && known.all(MemberEntry::supports_load_updates)
     }
 
+    /// Returns whether a live node has this key.
+    pub fn contains_node(&self, key: &str) -> bool {
+        self.nodes.contains_key(key)
+    }
+
     /// Returns the number of live nodes, at least one.
     pub fn node_count(&self) -> usize {
         self.nodes().count().max(1)
@@ -374,12 +379,22 @@
         let is_over = renewed == Err(StoreError::NoSuchLease);
         node.store_reachability.record_call(renewed.is_ok() || is_over);
         if !is_over {
+            if let Err(error) = renewed {
+                tracing::warn!(target: "membership", event = "lease not renewed", lease, %error);
+            }
             return Some(lease);
         }
+        tracing::warn!(target: "membership", event = "lease is over", lease);
     }
     let granted = store.grant_lease(node.settings.pace.membership_lease).await;
     node.store_reachability.record_call(granted.is_ok());
-    let lease = granted.ok()?;
+    let lease = match granted {
+        Ok(lease) => lease,
+        Err(error) => {
+            tracing::warn!(target: "membership", event = "no lease granted", %error);
+            return None;
+        }
+    };
     let write = Write {
         key: key.into(),
         value: value.clone(),
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -23,6 +23,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a counter of one service by outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceOutcomeLabels {
+    /// Name of the service.
+    pub service: String,
+    /// Outcome of the event.
+    pub outcome: &'static str,
+}
+
 /// Label of a gauge of one service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -44,6 +53,8 @@
     pub quota_keepers_lost: Counter,
     /// Retries of requests, by route kind and outcome.
     pub retries: Family<OutcomeLabels, Counter>,
+    /// Retries by service: decisions of the retry budget, and sends after a request's first.
+    pub service_retries: Family<ServiceOutcomeLabels, Counter>,
     /// Orders to replicas by kind and outcome.
     pub orders: Family<OutcomeLabels, Counter>,
     /// Report requests to replicas, by outcome.
@@ -128,6 +139,12 @@
             "Retries of requests by route kind and outcome",
             retries.clone(),
         );
+        let service_retries = Family::default();
+        registry.register(
+            "service_retries",
+            "Retries by service and outcome: decisions of the budget, and sends after a request's first",
+            service_retries.clone(),
+        );
         let orders = Family::default();
         registry.register("orders", "Orders to replicas by kind and outcome", orders.clone());
         let reports = Family::default();
@@ -270,6 +287,7 @@
             denied,
             quota_keepers_lost,
             retries,
+            service_retries,
             orders,
             reports,
             crashes,
@@ -340,6 +358,19 @@
         Self::count_many(family, kind, outcome, 1);
     }
 
+    /// Counts one retry of a service's request by outcome.
+    pub fn count_retry(
+        family: &Family<ServiceOutcomeLabels, Counter>,
+        service: &ServiceName,
+        outcome: &'static str,
+    ) {
+        let labels = ServiceOutcomeLabels {
+            service: service.to_string(),
+            outcome,
+        };
+        family.get_or_create(&labels).inc();
+    }
+
     /// Counts several events by kind and outcome.
     pub fn count_many(
         family: &Family<OutcomeLabels, Counter>,
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -392,10 +392,14 @@
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
         let nodes = state.members.node_count();
-        let taken = state.retry_budget.take(&self.service, now);
-        let outcome = if taken { "taken" } else { "refused" };
+        let decision = state.retry_budget.take(&self.service, now);
+        drop(state);
+        let outcome = if decision.is_granted { "taken" } else { "refused" };
         Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
-        tracing::info!(target: "retry", id = self.facts.id, sends = self.sends, replica = &**replica, nodes, outcome);
-        taken
+        Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
+        tracing::info!(target: "retry", id = self.facts.id, service = &*self.service, sends = self.sends,
+            replica = &**replica, nodes, sharing_nodes = decision.sharing_nodes, requests = decision.requests,
+            retries = decision.retries, slack = decision.slack, allowed = decision.allowed, outcome);
+        decision.is_granted
     }
 }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -15,6 +15,7 @@
 use super::RequestRun;
 use crate::connection::{Connection, ExchangeError};
 use crate::load_updates;
+use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
 use crate::replica_signals;
 
@@ -96,6 +97,9 @@
         }
         let request = self.replica_request(replica, resume_after);
         self.sends += 1;
+        if self.sends > 1 {
+            self.count_retry_send("sent");
+        }
         if let Some(credit) = &self.credit {
             credit.spend();
         }
@@ -134,9 +138,17 @@
         self.classify_answer(replica, answer, connection, send).await
     }
 
+    /// Counts a send after the request's first, which the retry budget allowed.
+    fn count_retry_send(&self, outcome: &'static str) {
+        Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
+    }
+
     pub(super) fn handle_send_error(&mut self, send: &SendGuard<P>, error: &ExchangeError) -> SendEnd<P> {
         tracing::info!(target: "send", id = self.facts.id, replica = &*send.replica, %error);
         if error.nothing_sent() {
+            if self.sends > 1 {
+                self.count_retry_send("not sent");
+            }
             self.sends -= 1;
             self.refund_credit();
             return SendEnd::NotSent;
--- a/crates/croftrill-scheduler/src/retry_budget.rs
+++ b/crates/croftrill-scheduler/src/retry_budget.rs
@@ -20,6 +20,23 @@
     pub safety: f64,
 }
 
+/// The answer to a request for a retry, with the inputs that it depends on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry was granted.
+    pub is_granted: bool,
+    /// This node's requests in the last window.
+    pub requests: usize,
+    /// This node's retries in the last window, without this one.
+    pub retries: usize,
+    /// Number of retries that the window allows.
+    pub allowed: f64,
+    /// This node's part of the slack.
+    pub slack: f64,
+    /// Number of nodes that share the slack.
+    pub sharing_nodes: usize,
+}
+
 #[derive(Debug, Default)]
 struct ServiceWindow {
     requests: VecDeque<Moment>,
@@ -66,13 +83,18 @@
         }
     }
 
+    /// Returns the number of nodes that share the slack.
+    fn sharing_nodes(&self) -> usize {
+        let max_nodes = self.node_counts.iter().map(|(_, count)| *count).max();
+        max_nodes.unwrap_or(1).max(1)
+    }
+
     /// Returns this node's share of the slack.
     fn slack(&self, now: Moment) -> f64 {
         if now.since(self.started_at) <= self.config.window {
             return 0.0;
         }
-        let max_nodes = self.node_counts.iter().map(|(_, count)| *count).max();
-        self.config.slack / max_nodes.unwrap_or(1).max(1) as f64
+        self.config.slack / self.sharing_nodes() as f64
     }
 
     /// Records a request to a service.
@@ -82,19 +104,28 @@
         drop_before(&mut window.requests, now, self.config.window);
     }
 
-    /// Takes a retry from the budget; returns false if the budget is used up.
-    pub fn take(&mut self, service: &ServiceName, now: Moment) -> bool {
+    /// Takes a retry from the budget, unless the budget is used up.
+    pub fn take(&mut self, service: &ServiceName, now: Moment) -> RetryDecision {
         let config = self.config;
         let slack = self.slack(now);
+        let sharing_nodes = self.sharing_nodes();
         let window = self.services.entry(service.clone()).or_default();
         drop_before(&mut window.requests, now, config.window);
         drop_before(&mut window.retries, now, config.window);
-        let allowed = config.safety * (config.ratio * window.requests.len() as f64 + slack);
-        if window.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let (requests, retries) = (window.requests.len(), window.retries.len());
+        let allowed = config.safety * (config.ratio * requests as f64 + slack);
+        let is_granted = retries as f64 + 1.0 <= allowed;
+        if is_granted {
+            window.retries.push_back(now);
+        }
+        RetryDecision {
+            is_granted,
+            requests,
+            retries,
+            allowed,
+            slack,
+            sharing_nodes,
         }
-        window.retries.push_back(now);
-        true
     }
 }
 
--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -108,7 +108,7 @@
             if is_request {
                 nodes[node].record_request(&service, at(now));
                 requests.push(now);
-            } else if nodes[node].take(&service, at(now)) {
+            } else if nodes[node].take(&service, at(now)).is_granted {
                 retries.push(now);
                 // Nodes spend by their own last window, so together by at most two windows.
                 let allowed = RATIO * recent(&requests, 10_000, now) + SLACK;
@@ -142,7 +142,7 @@
                     requests.push(now);
                 }
                 Step::Retry(machine) => {
-                    if machines[machine].take(&service, at(now)) {
+                    if machines[machine].take(&service, at(now)).is_granted {
                         retries.push(now);
                     }
                 }
