--- /dev/null
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
@@ -0,0 +1,413 @@
+//! A fleet of nodes that share a retry budget, in simulated time.
+//!
+//! The store lists the nodes under leases. Each node has its own, possibly old, view of that
+//! list. Callers send requests to nodes whether or not the store lists them, and nodes ask for
+//! as many retries as their budgets grant.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
+use croftrill_scheduler::time::Moment;
+
+/// Bounds of the budget, as deployments set them.
+pub const RATIO: f64 = 0.2;
+pub const SLACK: f64 = 54.0;
+pub const WINDOW_MS: u64 = 10_000;
+/// Time to live of a node's entry, and the interval of its renewals.
+const LEASE_MS: u64 = 3_600;
+const RENEWAL_MS: u64 = 1_200;
+/// Interval at which the fleet is simulated.
+pub const TICK_MS: u64 = 50;
+/// Longest time between two updates of a view by a node that can get them.
+const MAX_VIEW_INTERVAL_MS: u64 = 1_500;
+/// Longest time from the grant of a retry until it arrives at the replica.
+const MAX_SEND_DELAY_MS: u64 = 250;
+
+pub fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(3_600_000 + millis))
+}
+
+/// What happens to the fleet.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The process is killed and starts again after a while.
+    Kill { node: usize, down_ms: u64 },
+    /// The process stands still.
+    Freeze { node: usize, for_ms: u64 },
+    /// The process ends its entry and starts again after a while.
+    Restart { node: usize, down_ms: u64 },
+    /// The node ends its entry and does not return.
+    Leave { node: usize },
+    /// A node with a new name is added.
+    Add,
+    /// The store turns some nodes away.
+    RefuseStore {
+        share: f64,
+        for_ms: u64,
+        /// Their entries are removed at once.
+        revoke: bool,
+        /// They get no updates of their views from other nodes either.
+        cut: bool,
+    },
+    /// The store answers nobody.
+    StoreDown { for_ms: u64, leases_run: bool },
+    /// All processes are killed and start again.
+    KillAll { down_ms: u64 },
+    /// Callers move: each node gets another share of the load.
+    MoveLoad,
+    /// The load is multiplied for a while.
+    Burst { factor: f64, for_ms: u64 },
+    /// Replicas fail each request for a while.
+    Fail { for_ms: u64 },
+}
+
+/// Deterministic pseudo-random numbers (SplitMix64).
+pub struct Random(pub u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound.max(1)
+    }
+}
+
+struct Node {
+    name: String,
+    budget: Option<RetryBudget>,
+    /// Time at which the process starts; `None` if it never does.
+    starts_at: Option<u64>,
+    frozen_until: u64,
+    refused_until: u64,
+    cut_until: u64,
+    renew_at: u64,
+    update_at: u64,
+    view: BTreeSet<String>,
+    weight: f64,
+}
+
+/// The simulated fleet.
+pub struct Fleet {
+    now: u64,
+    random: Random,
+    nodes: Vec<Node>,
+    /// Expiry times of the entries in the store, by name.
+    entries: BTreeMap<String, u64>,
+    store_down_until: u64,
+    leases_stopped_until: u64,
+    load_per_s: f64,
+    /// Time at which callers begin.
+    load_from: u64,
+    bursts: Vec<(u64, f64)>,
+    fails_until: u64,
+    requests: Vec<u64>,
+    arrivals: Vec<u64>,
+    /// Number of retries granted.
+    pub granted: usize,
+}
+
+impl Fleet {
+    /// Returns a fleet that starts for the first time, and that callers use from `load_from` on.
+    pub fn new(nodes: usize, load_per_s: f64, load_from: u64, seed: u64) -> Self {
+        let mut fleet = Fleet {
+            now: 0,
+            random: Random(seed),
+            nodes: Vec::new(),
+            entries: BTreeMap::new(),
+            store_down_until: 0,
+            leases_stopped_until: 0,
+            load_per_s,
+            load_from,
+            bursts: Vec::new(),
+            fails_until: 0,
+            requests: Vec::new(),
+            arrivals: Vec::new(),
+            granted: 0,
+        };
+        for _ in 0..nodes {
+            fleet.add_node(true);
+        }
+        fleet
+    }
+
+    fn add_node(&mut self, is_first_start: bool) {
+        let name = format!("zone-{}/node-{}", self.nodes.len() % 3, self.nodes.len());
+        let budget = new_budget(&name, self.now, is_first_start);
+        self.nodes.push(Node {
+            name,
+            budget: Some(budget),
+            starts_at: None,
+            frozen_until: 0,
+            refused_until: 0,
+            cut_until: 0,
+            renew_at: self.now,
+            update_at: self.now,
+            view: BTreeSet::new(),
+            weight: 1.0,
+        });
+    }
+
+    /// Applies an event at the present time.
+    pub fn apply(&mut self, event: &Event) {
+        let now = self.now;
+        let count = self.nodes.len();
+        match *event {
+            Event::Kill { node, down_ms } => self.stop(node % count, Some(down_ms), false),
+            Event::Restart { node, down_ms } => self.stop(node % count, Some(down_ms), true),
+            Event::Leave { node } => self.stop(node % count, None, true),
+            Event::Freeze { node, for_ms } => self.nodes[node % count].frozen_until = now + for_ms,
+            Event::Add => self.add_node(false),
+            Event::KillAll { down_ms } => {
+                for node in 0..count {
+                    if self.nodes[node].budget.is_some() {
+                        self.stop(node, Some(down_ms), false);
+                    }
+                }
+            }
+            Event::RefuseStore {
+                share,
+                for_ms,
+                revoke,
+                cut,
+            } => self.refuse_store(share, for_ms, revoke, cut),
+            Event::StoreDown { for_ms, leases_run } => {
+                self.store_down_until = now + for_ms;
+                if !leases_run {
+                    self.leases_stopped_until = now + for_ms;
+                }
+            }
+            Event::MoveLoad => {
+                for node in &mut self.nodes {
+                    node.weight = self.random.unit().powi(3);
+                }
+            }
+            Event::Burst { factor, for_ms } => self.bursts.push((now + for_ms, factor)),
+            Event::Fail { for_ms } => self.fails_until = self.fails_until.max(now + for_ms),
+        }
+    }
+
+    fn refuse_store(&mut self, share: f64, for_ms: u64, revoke: bool, cut: bool) {
+        for index in 0..self.nodes.len() {
+            if self.random.unit() >= share {
+                continue;
+            }
+            let node = &mut self.nodes[index];
+            node.refused_until = self.now + for_ms;
+            if cut {
+                node.cut_until = self.now + for_ms;
+            }
+            if revoke {
+                self.entries.remove(&node.name);
+            }
+        }
+    }
+
+    fn stop(&mut self, index: usize, down_ms: Option<u64>, ends_entry: bool) {
+        let node = &mut self.nodes[index];
+        if node.budget.take().is_none() {
+            return;
+        }
+        node.starts_at = down_ms.map(|down_ms| self.now + down_ms);
+        node.frozen_until = 0;
+        let reaches_store = node.refused_until <= self.now && self.store_down_until <= self.now;
+        if ends_entry && reaches_store {
+            self.entries.remove(&node.name);
+        }
+    }
+
+    /// Simulates the time until `until` (in milliseconds). Checks the rule at each step.
+    pub fn run(&mut self, until: u64) -> Result<(), String> {
+        while self.now < until {
+            self.step();
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self) {
+        self.now += TICK_MS;
+        let now = self.now;
+        if self.leases_stopped_until > now {
+            for expiry in self.entries.values_mut() {
+                *expiry += TICK_MS;
+            }
+        }
+        self.entries.retain(|_, expiry| *expiry > now);
+        let factor: f64 = self
+            .bursts
+            .iter()
+            .filter(|(until, _)| *until > now)
+            .map(|(_, factor)| factor)
+            .product();
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].starts_at.is_some_and(|start| start <= now) {
+                self.start(index);
+            }
+        }
+        let weights: f64 = self
+            .nodes
+            .iter()
+            .filter(|node| node.is_running(now))
+            .map(|node| node.weight)
+            .sum();
+        for index in 0..self.nodes.len() {
+            if !self.nodes[index].is_running(now) {
+                continue;
+            }
+            self.renew(index);
+            self.update_view(index);
+            if now < self.load_from {
+                continue;
+            }
+            let share = self.nodes[index].weight / weights.max(f64::MIN_POSITIVE);
+            let mean = self.load_per_s * factor * share * TICK_MS as f64 / 1000.0;
+            let requests = mean as usize + usize::from(self.random.unit() < mean.fract());
+            for _ in 0..requests {
+                self.serve(index);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.budget = Some(new_budget(&node.name, self.now, false));
+        node.starts_at = None;
+        node.view.clear();
+        node.renew_at = self.now;
+        node.update_at = self.now;
+    }
+
+    fn renew(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let reaches_store = node.refused_until <= self.now && self.store_down_until <= self.now;
+        if node.renew_at <= self.now {
+            node.renew_at = self.now + RENEWAL_MS;
+            if reaches_store {
+                self.entries.insert(node.name.clone(), self.now + LEASE_MS);
+            }
+        }
+    }
+
+    /// Gives the node the present list, from the store or from another node that reads it.
+    fn update_view(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let is_cut = node.cut_until > now || self.store_down_until > now;
+        if is_cut || node.update_at > now {
+            return;
+        }
+        node.update_at = now + 1 + self.random.below(MAX_VIEW_INTERVAL_MS);
+        let listed: BTreeSet<String> = self.entries.keys().cloned().collect();
+        observe(node, listed, now);
+    }
+
+    /// Serves one request. While replicas fail, it wants all the retries that a route may allow.
+    fn serve(&mut self, index: usize) {
+        let now = self.now;
+        self.requests.push(now);
+        let node = &mut self.nodes[index];
+        record_request(node, now);
+        if now > self.fails_until {
+            return;
+        }
+        for _ in 0..3 {
+            if !take(&mut self.nodes[index], now) {
+                return;
+            }
+            self.granted += 1;
+            let delay = self.random.below(MAX_SEND_DELAY_MS / TICK_MS + 1) * TICK_MS;
+            self.arrivals.push(now + delay);
+        }
+    }
+
+    /// Checks the rule in the window that ends now: arrivals beyond the first of their request
+    /// are at most the ratio of the requests in this window, the one before it or the one half a
+    /// window before it, and the slack.
+    fn check(&self) -> Result<(), String> {
+        let count = |moments: &[u64], ago_ms: u64| {
+            let Some(end) = self.now.checked_sub(ago_ms) else {
+                return 0;
+            };
+            let within = |moment: &&u64| **moment <= end && **moment + WINDOW_MS > end;
+            // Only the last moments can be in the window, and arrivals are nearly in order.
+            moments
+                .iter()
+                .rev()
+                .take_while(|moment| **moment + 2 * WINDOW_MS > end)
+                .filter(within)
+                .count()
+        };
+        let requests = [0, WINDOW_MS / 2, WINDOW_MS].map(|ago_ms| count(&self.requests, ago_ms));
+        let arrivals = count(&self.arrivals, 0);
+        let most = requests.into_iter().max().unwrap_or_default();
+        let allowed = RATIO * most as f64 + SLACK;
+        if arrivals as f64 > allowed {
+            return Err(format!(
+                "{arrivals} arrivals beyond the first in the window until {} ms, for {requests:?} requests; \
+                 allowed {allowed:.1}",
+                self.now
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl Node {
+    fn is_running(&self, now: u64) -> bool {
+        self.budget.is_some() && self.frozen_until <= now
+    }
+}
+
+fn service() -> croftrill_scheduler::catalog::ServiceName {
+    "llm".into()
+}
+
+fn config() -> RetryBudgetConfig {
+    RetryBudgetConfig {
+        ratio: RATIO,
+        slack: SLACK,
+        window: Duration::from_millis(WINDOW_MS),
+        safety: 0.8,
+    }
+}
+
+fn new_budget(_name: &str, now: u64, is_first_start: bool) -> RetryBudget {
+    let started_at = if is_first_start {
+        Moment::default()
+    } else {
+        at(now)
+    };
+    RetryBudget::new(config(), started_at)
+}
+
+fn observe(node: &mut Node, listed: BTreeSet<String>, now: u64) {
+    node.view = listed;
+    if let Some(budget) = &mut node.budget {
+        budget.set_node_count(node.view.len().max(1), at(now));
+    }
+}
+
+fn record_request(node: &mut Node, now: u64) {
+    let nodes = node.view.len().max(1);
+    if let Some(budget) = &mut node.budget {
+        budget.set_node_count(nodes, at(now));
+        budget.record_request(&service(), at(now));
+    }
+}
+
+fn take(node: &mut Node, now: u64) -> bool {
+    node.budget
+        .as_mut()
+        .is_some_and(|budget| budget.take(&service(), at(now)).is_granted)
+}
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -0,0 +1,98 @@
+//! The retry budget of a whole fleet against its rule, under faults and moving load.
+
+mod fleet;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use self::fleet::{Event, Fleet};
+
+/// Length of a run, in milliseconds.
+const RUN_MS: u64 = 90_000;
+/// Time by which the nodes of a new fleet know each other, in milliseconds.
+const FLEET_KNOWN_MS: u64 = 5_000;
+
+fn node_event() -> impl Strategy<Value = Event> {
+    let node = 0usize..64;
+    prop_oneof![
+        3 => (node.clone(), 200u64..8_000).prop_map(|(node, down_ms)| Event::Kill { node, down_ms }),
+        2 => (node.clone(), 500u64..15_000).prop_map(|(node, for_ms)| Event::Freeze { node, for_ms }),
+        2 => (node.clone(), 500u64..5_000).prop_map(|(node, down_ms)| Event::Restart { node, down_ms }),
+        1 => node.prop_map(|node| Event::Leave { node }),
+        2 => Just(Event::Add),
+        1 => (200u64..5_000).prop_map(|down_ms| Event::KillAll { down_ms }),
+    ]
+}
+
+fn store_event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0.2f64..1.0, 3_000u64..45_000, any::<bool>(), any::<bool>()).prop_map(
+            |(share, for_ms, revoke, cut)| Event::RefuseStore { share, for_ms, revoke, cut }
+        ),
+        1 => (2_000u64..30_000, any::<bool>())
+            .prop_map(|(for_ms, leases_run)| Event::StoreDown { for_ms, leases_run }),
+    ]
+}
+
+fn load_event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        1 => Just(Event::MoveLoad),
+        2 => (1.5f64..8.0, 500u64..4_000).prop_map(|(factor, for_ms)| Event::Burst { factor, for_ms }),
+        2 => (500u64..20_000).prop_map(|for_ms| Event::Fail { for_ms }),
+    ]
+}
+
+/// Returns events with their times, in order.
+fn timeline(event: impl Strategy<Value = Event>, count: usize) -> impl Strategy<Value = Vec<(u64, Event)>> {
+    prop::collection::vec((5_000..RUN_MS, event), 0..count).prop_map(|mut events| {
+        events.sort_by_key(|(at_ms, _)| *at_ms);
+        events
+    })
+}
+
+/// Plays the events and checks the rule throughout.
+fn play(mut fleet: Fleet, events: &[(u64, Event)]) -> Result<(), String> {
+    for (at_ms, event) in events {
+        fleet.run(*at_ms)?;
+        fleet.apply(event);
+    }
+    fleet.run(RUN_MS)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(61),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against retries beyond the budget where load moves between nodes and in time: each
+    /// node judged by its own last window, and all together kept to no window of the rule.
+    #[test]
+    fn retry_budget_with_moving_load(
+        nodes in 1usize..16,
+        load_per_s in 5.0f64..120.0,
+        seed in any::<u64>(),
+        events in timeline(load_event(), 40),
+    ) {
+        let fleet = Fleet::new(nodes, load_per_s, FLEET_KNOWN_MS, seed);
+        let played = play(fleet, &events);
+        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+    }
+
+    /// Guards against nodes that use parts of the slack which others still use: the entries of
+    /// nodes that the store turns away were gone, and the remaining nodes divided the slack anew.
+    #[test]
+    fn retry_budget_with_changing_fleet(
+        nodes in 1usize..16,
+        load_per_s in 5.0f64..120.0,
+        seed in any::<u64>(),
+        events in timeline(prop_oneof![3 => node_event(), 2 => store_event(), 3 => load_event()], 32),
+    ) {
+        let fleet = Fleet::new(nodes, load_per_s, 0, seed);
+        let played = play(fleet, &events);
+        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+    }
+}
