retry budget: a node keeps the rule's windows, not its own last one

Callers saw more retries than allowed where load moves: each node granted by its own requests of the last window at that moment. Over two bursts, or over nodes whose load peaks at different times, the grants of all moments follow no window that the rule counts, up to twice its ratio.

A node now grants a retry only if each window that holds it stays within the ratio of the mean of the rule's three counts (that window, the one before, the one half a window before). A mean, as means of nodes add up to a mean of the fleet's counts, which is at most the largest; the largest count of each node does not add up so.

--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -398,8 +398,8 @@
         Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
         Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
         tracing::info!(target: "retry", id = self.facts.id, service = &*self.service, sends = self.sends,
-            replica = &**replica, nodes, sharing_nodes = decision.sharing_nodes, requests = decision.requests,
-            retries = decision.retries, slack = decision.slack, allowed = decision.allowed, outcome);
+            replica = &**replica, nodes, sharing_nodes = decision.sharing_nodes,
+            requests = decision.window.mean_requests, retries = decision.window.retries, slack = decision.slack, allowed = decision.allowed, outcome);
         decision.is_granted
     }
 }
--- a/crates/croftrill-scheduler/src/retry_budget.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/mod.rs
@@ -1,8 +1,13 @@
 //! One node's share of the retry budget: sends beyond a request's first.
 
+mod history;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use self::history::ServiceHistory;
+pub use self::history::WindowCounts;
+
 use crate::catalog::ServiceName;
 use crate::time::Moment;
 
@@ -25,11 +30,10 @@
 pub struct RetryDecision {
     /// Whether the retry was granted.
     pub is_granted: bool,
-    /// This node's requests in the last window.
-    pub requests: usize,
-    /// This node's retries in the last window, without this one.
-    pub retries: usize,
-    /// Number of retries that the window allows.
+    /// This node's requests and retries in the window that has the least room, without the new
+    /// retry.
+    pub window: WindowCounts,
+    /// Number of retries that this window allows.
     pub allowed: f64,
     /// This node's part of the slack.
     pub slack: f64,
@@ -37,18 +41,17 @@
     pub sharing_nodes: usize,
 }
 
-#[derive(Debug, Default)]
-struct ServiceWindow {
-    requests: VecDeque<Moment>,
-    retries: VecDeque<Moment>,
-}
-
 /// Limits one node's retries of each service over a sliding window.
 ///
-/// Invariant: whenever a retry is granted, this node's retries in the last window are at most
-/// `safety` x (`ratio` x its requests in that window + `slack` / nodes). Summed over the nodes,
-/// the retries in any window stay within the slack plus the ratio of the requests in that window
-/// and the one before it. `safety` covers the difference between this and the common bound.
+/// The common bound allows, in each window, the slack and the ratio of the requests in that window,
+/// the one before it or the one half a window before it, whichever holds most. Which of them holds
+/// most is known only over all nodes, so each node uses the mean of its own three counts: the
+/// means of all nodes add up to the mean of the common counts, which is at most the largest.
+///
+/// Invariant: in each window, this node's retries are at most `safety` x (`ratio` x that mean +
+/// `slack` / nodes). So the retries of all nodes keep the common bound, however requests move
+/// between nodes and over time, as long as the parts of the slack add up to at most the slack.
+/// `safety` covers requests that nodes and callers count differently.
 ///
 /// Two rules keep the shares of the slack from adding up to more than the slack. A process uses
 /// no slack until a window has passed since it started, as the previous process on the same
@@ -57,7 +60,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     config: RetryBudgetConfig,
-    services: HashMap<ServiceName, ServiceWindow>,
+    services: HashMap<ServiceName, ServiceHistory>,
     started_at: Moment,
     node_counts: VecDeque<(Moment, usize)>,
 }
@@ -99,38 +102,40 @@
 
     /// Records a request to a service.
     pub fn record_request(&mut self, service: &ServiceName, now: Moment) {
-        let window = self.services.entry(service.clone()).or_default();
-        window.requests.push_back(now);
-        drop_before(&mut window.requests, now, self.config.window);
+        self.history(service, now).record_request(now);
     }
 
-    /// Takes a retry from the budget, unless the budget is used up.
+    /// Takes a retry from the budget, unless a window would exceed its bound.
     pub fn take(&mut self, service: &ServiceName, now: Moment) -> RetryDecision {
         let config = self.config;
         let slack = self.slack(now);
         let sharing_nodes = self.sharing_nodes();
-        let window = self.services.entry(service.clone()).or_default();
-        drop_before(&mut window.requests, now, config.window);
-        drop_before(&mut window.retries, now, config.window);
-        let (requests, retries) = (window.requests.len(), window.retries.len());
-        let allowed = config.safety * (config.ratio * requests as f64 + slack);
-        let is_granted = retries as f64 + 1.0 <= allowed;
+        let history = self.history(service, now);
+        let allowed = |window: &WindowCounts| config.safety * (config.ratio * window.mean_requests + slack);
+        let room = |window: &WindowCounts| allowed(window) - window.retries as f64;
+        let least = history
+            .windows(now)
+            .min_by(|one, other| room(one).total_cmp(&room(other)));
+        let window = least.unwrap_or_default();
+        let is_granted = room(&window) >= 1.0;
         if is_granted {
-            window.retries.push_back(now);
+            history.record_retry(now);
         }
         RetryDecision {
             is_granted,
-            requests,
-            retries,
-            allowed,
+            window,
+            allowed: allowed(&window),
             slack,
             sharing_nodes,
         }
     }
-}
 
-fn drop_before(moments: &mut VecDeque<Moment>, now: Moment, window: Duration) {
-    while moments.front().is_some_and(|moment| now.since(*moment) > window) {
-        moments.pop_front();
+    fn history(&mut self, service: &ServiceName, now: Moment) -> &mut ServiceHistory {
+        if !self.services.contains_key(service) {
+            self.services.retain(|_, history| !history.is_over(now));
+        }
+        let window = self.config.window;
+        let history = self.services.entry(service.clone());
+        history.or_insert_with(|| ServiceHistory::new(window, now))
     }
 }
