retry budget: parts of the slack are handed over by time, not by entries that are gone

Callers saw up to twice the retries that the budget allows while the store turned part of the fleet away: each node divided the slack by the nodes that it saw listed. The same happened for other reasons: a process that began anew waited for a window only, so nodes cut off from the store did not count it yet; and at the first start nodes used parts before they knew each other.

FleetShare hands parts over by time. A node uses its part only for one lease after its view was complete and contained its own entry; the others count it for that and a window longer, measured while they are confirmed themselves; whoever joins, or was unconfirmed for longer than a window, waits as long before it uses a part (at the first start of all: one lease). No message is new: the proof of a complete view is the one that followers of a relay use already. The ratio part never depends on other nodes and goes on without the store. Retry lines tell the divisor and why a part is withheld.

Tests changed: the two older properties of tests/limits.rs use the new interface, checks as they were (restart and expiry go through FleetShare).

--- a/crates/croftrill-node/src/directory/mod.rs
+++ b/crates/croftrill-node/src/directory/mod.rs
@@ -22,6 +22,7 @@
 pub use self::unreachable::read_holdings;
 use self::view::ViewChange;
 use crate::connection::AnswerProgress;
+use crate::membership;
 use crate::node::Node;
 use crate::ports::{Changes, Freshness, KeyValueStore, Platform, StoreError, WatchCall};
 use crate::tree;
@@ -83,6 +84,7 @@
         // in between must not count as known.
         node.state.borrow_mut().directory.reset();
         let timeout = backoff.read_timeout();
+        let requested_at = node.clock.now();
         match node.store().range(ALL_KEYS, freshness, timeout).await {
             Ok(snapshot) if snapshot.revision < node.state.borrow().directory.reached() => {
                 backoff.record_success();
@@ -98,6 +100,9 @@
                     revision = snapshot.revision);
                 node.step_times
                     .time("read of everything", || view::apply_snapshot(node, snapshot));
+                if freshness == Freshness::Latest {
+                    membership::record_complete_view(node, requested_at);
+                }
                 tree::record_gap_closed(node);
                 return;
             }
@@ -203,6 +208,7 @@
                     relay::publish_answer(node, &changes, requested_at);
                     let events = changes.events.into_iter().map(ViewChange::Store);
                     view::apply_changes(node, events, changes.revision);
+                    membership::record_complete_view(node, requested_at);
                 });
             }
             WatchEnd::Failed(error @ (StoreError::HistoryGone | StoreError::HistoryTooLong)) => {
--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -17,6 +17,7 @@
 
 pub(crate) use super::view::notify_view_changed;
 use super::view::{self, ViewChange};
+use crate::membership;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::orderer_task::OrdererInput;
@@ -219,6 +220,7 @@
                 .into_iter()
                 .map(|change| to_view_change(node, change));
             view::apply_changes(node, changes, update.reached);
+            membership::record_complete_view(node, span.proven_at);
             if is_regained {
                 tracing::info!(target: "directory", event = "relay in use", revision = update.reached);
             }
@@ -288,6 +290,7 @@
         .map(|change| to_view_change(node, change))
         .collect();
     view::apply_full_view(node, changes, reached, has_replicas);
+    membership::record_complete_view(node, proven_at);
     node.relay_changed.notify_waiters();
 }
 
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -55,13 +55,16 @@
 
 /// Removes replicas that are not `listed`, and nodes without one of these keys.
 fn retain_only<P: Platform>(node: &Node<P>, listed: &HashSet<ReplicaId>, keys: &HashSet<&str>) {
+    let now = node.clock.now();
     let mut state = node.state.borrow_mut();
     state.replicas.retain(|id| listed.contains(id));
-    let before = state.members.node_count();
-    state.members.retain(|key| keys.contains(key));
-    let nodes = state.members.node_count();
-    if nodes < before {
-        tracing::info!(target: "membership", event = "nodes missing in a full view", gone = before - nodes, nodes);
+    let gone = state.members.retain(|key| keys.contains(key));
+    for key in &gone {
+        state.fleet_share.record_gone(key, now);
+    }
+    if !gone.is_empty() {
+        let nodes = state.members.node_count();
+        tracing::info!(target: "membership", event = "nodes missing in a full view", gone = gone.len(), nodes);
     }
 }
 
@@ -159,9 +162,10 @@
                 state.replicas.remove(&id);
                 tracing::info!(target: "directory", event = "replica gone", replica = &*id);
             } else {
-                let is_node = state.members.contains_node(key);
                 state.members.apply_removal(key);
-                if is_node {
+                if membership::is_member_key(key) {
+                    // Also if it was not listed here: it may have been written and removed since.
+                    state.fleet_share.record_gone(key, node.clock.now());
                     let nodes = state.members.node_count();
                     tracing::info!(target: "membership", event = "node gone", key, nodes, revision);
                 }
@@ -195,11 +199,12 @@
             if let Some(era) = membership::read_record_era(item) {
                 node.platform.store().era().record_first(era.first);
             } else if let Some(own) = membership::read_cluster_item(item) {
-                let mut state = node.state.borrow_mut();
+                let state = &mut *node.state.borrow_mut();
                 let was_listed = state.members.contains_node(&item.key);
                 state.members.apply_write(&item.key, own);
                 let is_listed = state.members.contains_node(&item.key);
                 if is_listed && !was_listed {
+                    state.fleet_share.record_listed(&item.key);
                     let (key, revision, nodes) = (&item.key, item.revision, state.members.node_count());
                     tracing::info!(target: "membership", event = "node listed", key, nodes, revision);
                 }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -14,6 +14,7 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::quota::keepers::{keeper_order, QuotaPartition};
 use croftrill_scheduler::shard::Shard;
+use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 use rand::Rng;
 use tokio::time::sleep;
@@ -28,6 +29,11 @@
 /// Time over which nodes spread the rewriting of their entries after the store was restored
 /// from an older copy. A node needs two calls, so 985 nodes make 1,000 calls a second.
 const REWRITE_SPREAD: Duration = Duration::from_secs(2);
+/// Returns whether a key is that of a node's entry.
+pub(crate) fn is_member_key(key: &str) -> bool {
+    key.starts_with(MEMBER_PREFIX)
+}
+
 /// Returns the prefix of the entries of a zone's nodes. A node of a large fleet finds its relays
 /// by these entries of 260 bytes each, without reading those of the entire fleet.
 pub fn zone_prefix(zone: &str) -> String {
@@ -188,7 +194,7 @@
 /// malformed.
 pub fn read_cluster_item(item: &Item) -> Option<ClusterItem> {
     let read_entry = || decode_or_log::<MemberEntry>(item);
-    if item.key.starts_with(MEMBER_PREFIX) {
+    if is_member_key(&item.key) {
         return read_entry().map(ClusterItem::Node);
     }
     let (shard, kind) = parse_orderer_key(&item.key)?;
@@ -239,11 +245,16 @@
         }
     }
 
-    /// Retains only the nodes and present orderers whose keys satisfy `keep`.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.nodes.retain(|key, _| keep(key));
+    /// Retains only the nodes and present orderers whose keys satisfy `keep`. Returns the keys of
+    /// the nodes that were removed.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) -> Vec<String> {
         self.orderers
             .retain(|shard, _| keep(&orderer_key(*shard, OrdererKeyKind::Present)));
+        let removed: Vec<String> = self.nodes.keys().filter(|key| !keep(key)).cloned().collect();
+        for key in &removed {
+            self.nodes.remove(key);
+        }
+        removed
     }
 
     /// Returns all nodes and orderers as items of the store, with their keys.
@@ -333,10 +344,26 @@
     }
 }
 
+/// Returns the key of the entry of this node.
+fn own_key<P: Platform>(node: &Node<P>) -> String {
+    let identity = &node.settings.identity;
+    format!("{}{}", zone_prefix(&identity.zone), identity.name)
+}
+
+/// Records that the view of the store was complete at `at`. If it contains this node's entry, the
+/// other nodes know this one, and this node knows them.
+pub(crate) fn record_complete_view<P: Platform>(node: &Node<P>, at: Moment) {
+    let key = own_key(node);
+    let state = &mut *node.state.borrow_mut();
+    if state.members.contains_node(&key) {
+        state.fleet_share.record_confirmed(at);
+    }
+}
+
 /// Maintains this node's entry in the store until the node stops.
 pub async fn maintain_entry<P: Platform>(node: Rc<Node<P>>, incarnation: u64) {
     let entry = own_entry(&node, incarnation);
-    let key = format!("{}{}", zone_prefix(&entry.zone), entry.name);
+    let key = own_key(&node);
     let value = Bytes::from(SerBin::serialize_bin(&entry));
     let mut lease = None;
     let mut rises = node.platform.store().era().rises();
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -9,12 +9,13 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::crash_ledger::CrashLedger;
 use croftrill_scheduler::fair_queue::FairQueue;
+use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig};
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{ReceivedResignation, Resignation};
 use croftrill_scheduler::load_summary;
 use croftrill_scheduler::quota::keeper::KeeperConfig;
 use croftrill_scheduler::replica_table::ReplicaTable;
-use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
+use croftrill_scheduler::retry_budget::{self, RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
 use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::waiting_requests::{WaitingBounds, WaitingRequests};
@@ -73,8 +74,10 @@
     pub crash_ledger: CrashLedger,
     /// Requests that failed at replicas that may have ended.
     pub broken_requests: BrokenRequests,
-    /// This node's share of the retry budget.
+    /// This node's retries.
     pub retry_budget: RetryBudget,
+    /// This node's part of the bounds that all nodes share evenly.
+    pub fleet_share: FleetShare,
     /// Requests that wait for a slot at this node, by group.
     pub fair_queue: FairQueue,
     /// Requests that wait for a slot at a full holder of their model.
@@ -237,12 +240,11 @@
             window: bounds.retry_window,
             safety: RETRY_BUDGET_SAFETY_FACTOR,
         };
-        let budget_start = if settings.is_first_start {
-            Moment::default()
-        } else {
-            clock.now()
+        let share_config = FleetShareConfig {
+            confirmation_lifetime: settings.pace.membership_lease,
+            window: bounds.retry_window + retry_budget::SEND_DELAY_ALLOWANCE,
         };
-        let retry_budget = RetryBudget::new(budget_config, budget_start);
+        let fleet_share = FleetShare::new(share_config, settings.is_first_start);
         let mut replicas = ReplicaTable::new();
         if settings.callers_compete {
             replicas.route_all_by_capacity();
@@ -253,7 +255,8 @@
             replicas,
             crash_ledger: CrashLedger::default(),
             broken_requests: BrokenRequests::default(),
-            retry_budget,
+            retry_budget: RetryBudget::new(budget_config),
+            fleet_share,
             fair_queue: FairQueue::new(settings.max_concurrent_requests.unwrap_or(usize::MAX)),
             waiting_requests: WaitingRequests::new(WAITING_BOUNDS),
             demand: DemandBatch::default(),
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -41,6 +41,7 @@
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
+use croftrill_scheduler::fleet_share::WithheldReason;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
 use http::{request, Request, Response, StatusCode};
@@ -298,8 +299,6 @@
     fn count_arrival(&self) {
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
-        let nodes = state.members.node_count();
-        state.retry_budget.set_node_count(nodes, now);
         state.retry_budget.record_request(&self.service, now);
         if let Some(key) = self.model_key() {
             state.demand.add(key, cost(&self.facts), self.route.objective);
@@ -392,14 +391,15 @@
         let now = self.node.clock.now();
         let mut state = self.node.state.borrow_mut();
         let nodes = state.members.node_count();
-        let decision = state.retry_budget.take(&self.service, now);
+        let share = state.fleet_share.share(nodes, now);
+        let decision = state.retry_budget.take(&self.service, share, now);
         drop(state);
         let outcome = if decision.is_granted { "taken" } else { "refused" };
         Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
         Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
         tracing::info!(target: "retry", id = self.facts.id, service = &*self.service, sends = self.sends,
-            replica = &**replica, nodes, sharing_nodes = decision.sharing_nodes,
-            requests = decision.window.mean_requests, retries = decision.window.retries, slack = decision.slack, allowed = decision.allowed, outcome);
+            replica = &**replica, nodes, sharing_nodes = share.nodes,
+            slack_withheld = share.withheld.map(WithheldReason::name), requests = decision.window.mean_requests, retries = decision.window.retries, slack = decision.slack, allowed = decision.allowed, outcome);
         decision.is_granted
     }
 }
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash_ledger;
 pub mod demand;
 pub mod fair_queue;
+pub mod fleet_share;
 pub mod followed_view;
 pub mod full_holders;
 pub mod hand_over;
--- a/crates/croftrill-scheduler/src/retry_budget/history.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/history.rs
@@ -12,7 +12,7 @@
 const RETAINED_INTERVALS: usize = 2 * INTERVALS_PER_WINDOW;
 /// Time by which the arrivals of retries at replicas may be closer together than their grants,
 /// because some take longer to be sent.
-const SEND_DELAY_ALLOWANCE: Duration = Duration::from_millis(300);
+pub const SEND_DELAY_ALLOWANCE: Duration = Duration::from_millis(300);
 
 /// Requests and retries in one window, as far as they are known.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/crates/croftrill-scheduler/src/retry_budget/mod.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/mod.rs
@@ -2,13 +2,13 @@
 
 mod history;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use self::history::ServiceHistory;
-pub use self::history::WindowCounts;
-
+pub use self::history::{WindowCounts, SEND_DELAY_ALLOWANCE};
 use crate::catalog::ServiceName;
+use crate::fleet_share::Share;
 use crate::time::Moment;
 
 /// Bounds of the budget, which apply to all nodes together.
@@ -37,8 +37,8 @@
     pub allowed: f64,
     /// This node's part of the slack.
     pub slack: f64,
-    /// Number of nodes that share the slack.
-    pub sharing_nodes: usize,
+    /// The share by which this part was determined.
+    pub share: Share,
 }
 
 /// Limits one node's retries of each service over a sliding window.
@@ -53,51 +53,20 @@
 /// between nodes and over time, as long as the parts of the slack add up to at most the slack.
 /// `safety` covers requests that nodes and callers count differently.
 ///
-/// Two rules keep the shares of the slack from adding up to more than the slack. A process uses
-/// no slack until a window has passed since it started, as the previous process on the same
-/// machine may have used it. And `nodes` is the highest count of the last window, as entries of
-/// live nodes expire while the store is unavailable.
+/// [`crate::fleet_share`] tells how the parts of the slack are kept from adding up to more.
 #[derive(Debug)]
 pub struct RetryBudget {
     config: RetryBudgetConfig,
     services: HashMap<ServiceName, ServiceHistory>,
-    started_at: Moment,
-    node_counts: VecDeque<(Moment, usize)>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget for a process started at this time.
-    pub fn new(config: RetryBudgetConfig, started_at: Moment) -> Self {
+    /// Creates an unused budget.
+    pub fn new(config: RetryBudgetConfig) -> Self {
         RetryBudget {
             config,
             services: HashMap::new(),
-            started_at,
-            node_counts: VecDeque::new(),
-        }
-    }
-
-    /// Sets the number of nodes that share the budget.
-    pub fn set_node_count(&mut self, nodes: usize, now: Moment) {
-        let window = self.config.window;
-        self.node_counts.retain(|(seen, _)| now.since(*seen) <= window);
-        match self.node_counts.back_mut() {
-            Some((seen, count)) if *count == nodes => *seen = now,
-            _ => self.node_counts.push_back((now, nodes)),
-        }
-    }
-
-    /// Returns the number of nodes that share the slack.
-    fn sharing_nodes(&self) -> usize {
-        let max_nodes = self.node_counts.iter().map(|(_, count)| *count).max();
-        max_nodes.unwrap_or(1).max(1)
-    }
-
-    /// Returns this node's share of the slack.
-    fn slack(&self, now: Moment) -> f64 {
-        if now.since(self.started_at) <= self.config.window {
-            return 0.0;
         }
-        self.config.slack / self.sharing_nodes() as f64
     }
 
     /// Records a request to a service.
@@ -105,11 +74,11 @@
         self.history(service, now).record_request(now);
     }
 
-    /// Takes a retry from the budget, unless a window would exceed its bound.
-    pub fn take(&mut self, service: &ServiceName, now: Moment) -> RetryDecision {
+    /// Takes a retry from the budget, unless a window would exceed its bound. `share` is this
+    /// node's present share of the slack.
+    pub fn take(&mut self, service: &ServiceName, share: Share, now: Moment) -> RetryDecision {
         let config = self.config;
-        let slack = self.slack(now);
-        let sharing_nodes = self.sharing_nodes();
+        let slack = share.of(config.slack);
         let history = self.history(service, now);
         let allowed = |window: &WindowCounts| config.safety * (config.ratio * window.mean_requests + slack);
         let room = |window: &WindowCounts| allowed(window) - window.retries as f64;
@@ -126,7 +95,7 @@
             window,
             allowed: allowed(&window),
             slack,
-            sharing_nodes,
+            share,
         }
     }
 
--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig, Share};
 use croftrill_scheduler::load_ceiling::LoadCeiling;
 use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::time::Moment;
@@ -17,20 +18,45 @@
 const SLACK: f64 = 10.0;
 const RATIO: f64 = 0.2;
 
-/// The budget of a process started at this time.
-fn budget_from(started_at: Moment) -> RetryBudget {
-    let config = RetryBudgetConfig {
+fn budget() -> RetryBudget {
+    RetryBudget::new(RetryBudgetConfig {
         ratio: RATIO,
         slack: SLACK,
         window: WINDOW,
         safety: 1.0,
-    };
-    RetryBudget::new(config, started_at)
+    })
 }
 
-/// The budget of a process that started long ago.
-fn budget() -> RetryBudget {
-    budget_from(Moment::default())
+/// A process with its budget, and what it knows of the others.
+struct Process {
+    budget: RetryBudget,
+    fleet_share: FleetShare,
+}
+
+impl Process {
+    fn start(is_first_start: bool) -> Self {
+        let config = FleetShareConfig {
+            confirmation_lifetime: Duration::from_secs(2),
+            window: WINDOW,
+        };
+        Process {
+            budget: budget(),
+            fleet_share: FleetShare::new(config, is_first_start),
+        }
+    }
+
+    /// Observes that the first `listed` machines are listed, and this one is.
+    fn observe(&mut self, listed: usize, now: Moment) {
+        for machine in 0..MACHINES {
+            let key = machine.to_string();
+            if machine < listed {
+                self.fleet_share.record_listed(&key);
+            } else {
+                self.fleet_share.record_gone(&key, now);
+            }
+        }
+        self.fleet_share.record_confirmed(now);
+    }
 }
 
 /// What happens to machines that share a budget.
@@ -97,18 +123,15 @@
     ) {
         let service = "llm".into();
         let mut nodes: Vec<RetryBudget> = (0..4).map(|_| budget()).collect();
-        for node in &mut nodes {
-            node.set_node_count(4, at(0));
-        }
+        let share = Share { nodes: 4, withheld: None };
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         let mut now = 0;
         for (node, is_request, pause) in steps {
             now += pause;
-            nodes[node].set_node_count(4, at(now));
             if is_request {
                 nodes[node].record_request(&service, at(now));
                 requests.push(now);
-            } else if nodes[node].take(&service, at(now)).is_granted {
+            } else if nodes[node].take(&service, share, at(now)).is_granted {
                 retries.push(now);
                 // Nodes spend by their own last window, so together by at most two windows.
                 let allowed = RATIO * recent(&requests, 10_000, now) + SLACK;
@@ -124,29 +147,28 @@
         steps in prop::collection::vec((step(), 0u64..120), 1..600),
     ) {
         let service = "llm".into();
-        let mut machines: Vec<RetryBudget> = (0..MACHINES).map(|_| budget()).collect();
-        for machine in &mut machines {
-            machine.set_node_count(MACHINES, at(0));
-        }
+        let mut machines: Vec<Process> = (0..MACHINES).map(|_| Process::start(true)).collect();
         let mut known = MACHINES;
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         let mut now = 0;
         for (step, pause) in steps {
             now += pause;
             for machine in &mut machines {
-                machine.set_node_count(known, at(now));
+                machine.observe(known, at(now));
             }
             match step {
                 Step::Request(machine) => {
-                    machines[machine].record_request(&service, at(now));
+                    machines[machine].budget.record_request(&service, at(now));
                     requests.push(now);
                 }
                 Step::Retry(machine) => {
-                    if machines[machine].take(&service, at(now)).is_granted {
+                    let Process { budget, fleet_share } = &mut machines[machine];
+                    let share = fleet_share.share(known, at(now));
+                    if budget.take(&service, share, at(now)).is_granted {
                         retries.push(now);
                     }
                 }
-                Step::Restart(machine) => machines[machine] = budget_from(at(now)),
+                Step::Restart(machine) => machines[machine] = Process::start(false),
                 Step::Expire(expired) => known = MACHINES - expired,
                 // Entries are back within about two seconds, before the higher count expires.
                 Step::Return => known = MACHINES,
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
+use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig};
+use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig, SEND_DELAY_ALLOWANCE};
 use croftrill_scheduler::time::Moment;
 
 /// Bounds of the budget, as deployments set them.
@@ -83,9 +84,40 @@
     }
 }
 
+/// What a node keeps in memory.
+struct Process {
+    budget: RetryBudget,
+    fleet_share: FleetShare,
+}
+
+/// Counts events by tick.
+#[derive(Default)]
+struct RunningCount {
+    /// Number of events in each tick.
+    ticks: Vec<u32>,
+}
+
+impl RunningCount {
+    fn add(&mut self, at_ms: u64) {
+        let tick = (at_ms / TICK_MS) as usize;
+        if self.ticks.len() <= tick {
+            self.ticks.resize(tick + 1, 0);
+        }
+        self.ticks[tick] += 1;
+    }
+
+    /// Returns the number of events in the window whose last tick is at `until_ms`.
+    fn in_window_until(&self, until_ms: u64) -> u32 {
+        let end = (until_ms / TICK_MS + 1) as usize;
+        let first = end.saturating_sub((WINDOW_MS / TICK_MS) as usize);
+        let len = self.ticks.len();
+        self.ticks[first.min(len)..end.min(len)].iter().sum()
+    }
+}
+
 struct Node {
     name: String,
-    budget: Option<RetryBudget>,
+    process: Option<Process>,
     /// Time at which the process starts; `None` if it never does.
     starts_at: Option<u64>,
     frozen_until: u64,
@@ -111,8 +143,10 @@
     load_from: u64,
     bursts: Vec<(u64, f64)>,
     fails_until: u64,
-    requests: Vec<u64>,
-    arrivals: Vec<u64>,
+    /// Requests until each tick.
+    requests: RunningCount,
+    /// Arrivals of retries until each tick.
+    arrivals: RunningCount,
     /// Number of retries granted.
     pub granted: usize,
 }
@@ -131,8 +165,8 @@
             load_from,
             bursts: Vec::new(),
             fails_until: 0,
-            requests: Vec::new(),
-            arrivals: Vec::new(),
+            requests: RunningCount::default(),
+            arrivals: RunningCount::default(),
             granted: 0,
         };
         for _ in 0..nodes {
@@ -143,10 +177,9 @@
 
     fn add_node(&mut self, is_first_start: bool) {
         let name = format!("zone-{}/node-{}", self.nodes.len() % 3, self.nodes.len());
-        let budget = new_budget(&name, self.now, is_first_start);
         self.nodes.push(Node {
             name,
-            budget: Some(budget),
+            process: Some(Process::start(is_first_start)),
             starts_at: None,
             frozen_until: 0,
             refused_until: 0,
@@ -170,7 +203,7 @@
             Event::Add => self.add_node(false),
             Event::KillAll { down_ms } => {
                 for node in 0..count {
-                    if self.nodes[node].budget.is_some() {
+                    if self.nodes[node].process.is_some() {
                         self.stop(node, Some(down_ms), false);
                     }
                 }
@@ -215,7 +248,7 @@
 
     fn stop(&mut self, index: usize, down_ms: Option<u64>, ends_entry: bool) {
         let node = &mut self.nodes[index];
-        if node.budget.take().is_none() {
+        if node.process.take().is_none() {
             return;
         }
         node.starts_at = down_ms.map(|down_ms| self.now + down_ms);
@@ -281,7 +314,7 @@
 
     fn start(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        node.budget = Some(new_budget(&node.name, self.now, false));
+        node.process = Some(Process::start(false));
         node.starts_at = None;
         node.view.clear();
         node.renew_at = self.now;
@@ -315,7 +348,7 @@
     /// Serves one request. While replicas fail, it wants all the retries that a route may allow.
     fn serve(&mut self, index: usize) {
         let now = self.now;
-        self.requests.push(now);
+        self.requests.add(now);
         let node = &mut self.nodes[index];
         record_request(node, now);
         if now > self.fails_until {
@@ -327,7 +360,7 @@
             }
             self.granted += 1;
             let delay = self.random.below(MAX_SEND_DELAY_MS / TICK_MS + 1) * TICK_MS;
-            self.arrivals.push(now + delay);
+            self.arrivals.add(now + delay);
         }
     }
 
@@ -335,24 +368,12 @@
     /// are at most the ratio of the requests in this window, the one before it or the one half a
     /// window before it, and the slack.
     fn check(&self) -> Result<(), String> {
-        let count = |moments: &[u64], ago_ms: u64| {
-            let Some(end) = self.now.checked_sub(ago_ms) else {
-                return 0;
-            };
-            let within = |moment: &&u64| **moment <= end && **moment + WINDOW_MS > end;
-            // Only the last moments can be in the window, and arrivals are nearly in order.
-            moments
-                .iter()
-                .rev()
-                .take_while(|moment| **moment + 2 * WINDOW_MS > end)
-                .filter(within)
-                .count()
-        };
-        let requests = [0, WINDOW_MS / 2, WINDOW_MS].map(|ago_ms| count(&self.requests, ago_ms));
-        let arrivals = count(&self.arrivals, 0);
+        let shifts = [0, WINDOW_MS / 2, WINDOW_MS];
+        let requests = shifts.map(|ago_ms| self.requests.in_window_until(self.now.saturating_sub(ago_ms)));
+        let arrivals = self.arrivals.in_window_until(self.now);
         let most = requests.into_iter().max().unwrap_or_default();
-        let allowed = RATIO * most as f64 + SLACK;
-        if arrivals as f64 > allowed {
+        let allowed = RATIO * f64::from(most) + SLACK;
+        if f64::from(arrivals) > allowed {
             return Err(format!(
                 "{arrivals} arrivals beyond the first in the window until {} ms, for {requests:?} requests; \
                  allowed {allowed:.1}",
@@ -365,7 +386,7 @@
 
 impl Node {
     fn is_running(&self, now: u64) -> bool {
-        self.budget.is_some() && self.frozen_until <= now
+        self.process.is_some() && self.frozen_until <= now
     }
 }
 
@@ -382,32 +403,46 @@
     }
 }
 
-fn new_budget(_name: &str, now: u64, is_first_start: bool) -> RetryBudget {
-    let started_at = if is_first_start {
-        Moment::default()
-    } else {
-        at(now)
-    };
-    RetryBudget::new(config(), started_at)
+impl Process {
+    fn start(is_first_start: bool) -> Self {
+        let share_config = FleetShareConfig {
+            confirmation_lifetime: Duration::from_millis(LEASE_MS),
+            window: Duration::from_millis(WINDOW_MS) + SEND_DELAY_ALLOWANCE,
+        };
+        Process {
+            budget: RetryBudget::new(config()),
+            fleet_share: FleetShare::new(share_config, is_first_start),
+        }
+    }
 }
 
+/// Gives a node a view of the store that is complete at `now`.
 fn observe(node: &mut Node, listed: BTreeSet<String>, now: u64) {
-    node.view = listed;
-    if let Some(budget) = &mut node.budget {
-        budget.set_node_count(node.view.len().max(1), at(now));
+    let Some(process) = &mut node.process else {
+        return;
+    };
+    for gone in node.view.difference(&listed) {
+        process.fleet_share.record_gone(gone, at(now));
+    }
+    for name in listed.difference(&node.view) {
+        process.fleet_share.record_listed(name);
+    }
+    if listed.contains(&node.name) {
+        process.fleet_share.record_confirmed(at(now));
     }
+    node.view = listed;
 }
 
 fn record_request(node: &mut Node, now: u64) {
-    let nodes = node.view.len().max(1);
-    if let Some(budget) = &mut node.budget {
-        budget.set_node_count(nodes, at(now));
-        budget.record_request(&service(), at(now));
+    if let Some(process) = &mut node.process {
+        process.budget.record_request(&service(), at(now));
     }
 }
 
 fn take(node: &mut Node, now: u64) -> bool {
-    node.budget
-        .as_mut()
-        .is_some_and(|budget| budget.take(&service(), at(now)).is_granted)
+    let Some(process) = &mut node.process else {
+        return false;
+    };
+    let share = process.fleet_share.share(node.view.len(), at(now));
+    process.budget.take(&service(), share, at(now)).is_granted
 }
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -59,10 +59,16 @@
     fleet.run(RUN_MS)
 }
 
+/// Returns a number from the environment, for runs by hand with other seeds and more cases.
+fn from_env(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |value| value.parse().expect(name))
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 48,
-        rng_seed: RngSeed::Fixed(61),
+        cases: from_env("CROFTRILL_FLEET_CASES", 48) as u32,
+        rng_seed: RngSeed::Fixed(from_env("CROFTRILL_FLEET_SEED", 61)),
         failure_persistence: None,
         max_shrink_iters: 200,
         ..ProptestConfig::default()
