limits, quotas: divide by the nodes that may still serve, not by the listed ones

The same class as the retry budget. A node that reaches no keeper of a replica's limit uses an even part of it, divided by the nodes that it saw listed at that moment: where the store turns most of a fleet away, each took (nearly) the whole limit. Keepers of quotas divided by the highest count of 20 s, so after a longer outage the listeners of one keeper got the parts of nodes that listen to another one.

Both now divide by FleetShare's count, which keeps a node whose entry is gone for a lease and a window longer, and keeps it for as long as this node itself is not confirmed.

--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -322,8 +322,8 @@
         addresses.collect()
     }
 
-    fn listed_nodes(&self) -> usize {
-        self.state.borrow().members.node_count()
+    fn sharing_nodes(&self) -> usize {
+        self.share().nodes
     }
 
     fn configuration(&self) -> Option<Arc<Configuration>> {
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -9,7 +9,7 @@
 use croftrill_scheduler::catalog::Configuration;
 use croftrill_scheduler::crash_ledger::CrashLedger;
 use croftrill_scheduler::fair_queue::FairQueue;
-use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig};
+use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig, Share};
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{ReceivedResignation, Resignation};
 use croftrill_scheduler::load_summary;
@@ -322,6 +322,13 @@
         self.state.borrow().configuration.clone()
     }
 
+    /// Returns this node's present share of the bounds that all nodes divide evenly.
+    pub fn share(&self) -> Share {
+        let state = self.state.borrow();
+        let listed = state.members.node_count();
+        state.fleet_share.share(listed, self.clock.now())
+    }
+
     /// Returns the store, with revisions as points of its history ([`crate::store_era`]).
     /// Each call is counted in the metrics.
     pub fn store(&self) -> CountedStore<'_, EraStore<'_, P::Store>> {
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -48,8 +48,9 @@
     /// Returns the addresses of the nodes that should keep a partition, in order of
     /// preference. Only nodes known to understand queries about limits keep limits.
     fn keepers(&self, partition: QuotaPartition) -> Vec<SocketAddr>;
-    /// Returns the number of listed nodes.
-    fn listed_nodes(&self) -> usize;
+    /// Returns the number of nodes that share the quotas: the listed ones, and those that may still
+    /// serve although their entries are gone.
+    fn sharing_nodes(&self) -> usize;
     /// Returns the newest configuration.
     fn configuration(&self) -> Option<Arc<Configuration>>;
 }
@@ -438,7 +439,7 @@
                 return keeper.set_role(role, now);
             }
         };
-        keeper.set_listed_nodes(fleet.listed_nodes(), now);
+        keeper.set_listed_nodes(fleet.sharing_nodes(), now);
         if let Some(configuration) = fleet.configuration() {
             let of_partition = configuration
                 .tenants
--- a/crates/croftrill-node/src/replica_reservation.rs
+++ b/crates/croftrill-node/src/replica_reservation.rs
@@ -22,17 +22,13 @@
     call: &'static str,
     want: LimitRequest,
 ) -> Option<Reservation> {
-    let (known, nodes) = {
-        let state = node.state.borrow();
-        (state.replicas.limit_of(replica), state.members.node_count())
-    };
-    let (limit, started_ms) = known?;
+    let (limit, started_ms) = node.state.borrow().replicas.limit_of(replica)?;
     let request = LimitQuery {
         replica,
         started_ms,
         limit,
         request: want,
-        nodes,
+        nodes: node.share().nodes,
     };
     let verdict = node.quotas.reserve_limit(request).await;
     let outcome = match &verdict {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -389,16 +389,14 @@
     /// Takes a send after the first from the retry budget. Returns whether the budget allowed it.
     fn take_retry(&self, replica: &ReplicaId) -> bool {
         let now = self.node.clock.now();
-        let mut state = self.node.state.borrow_mut();
-        let nodes = state.members.node_count();
-        let share = state.fleet_share.share(nodes, now);
-        let decision = state.retry_budget.take(&self.service, share, now);
-        drop(state);
+        let share = self.node.share();
+        let budget = &mut self.node.state.borrow_mut().retry_budget;
+        let decision = budget.take(&self.service, share, now);
         let outcome = if decision.is_granted { "taken" } else { "refused" };
         Metrics::count(&self.node.metrics.retries, kind_name(self.route.kind), outcome);
         Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
         tracing::info!(target: "retry", id = self.facts.id, service = &*self.service, sends = self.sends,
-            replica = &**replica, nodes, sharing_nodes = share.nodes,
+            replica = &**replica, sharing_nodes = share.nodes,
             slack_withheld = share.withheld.map(WithheldReason::name), requests = decision.window.mean_requests, retries = decision.window.retries, slack = decision.slack, allowed = decision.allowed, outcome);
         decision.is_granted
     }
