--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -49,9 +49,6 @@
     Stopping,
 }
 
-/// Fraction of the common retry budget that nodes use. The remainder covers requests that
-/// the nodes and the platform count differently.
-const RETRY_BUDGET_SAFETY_FACTOR: f64 = 0.8;
 /// Bounds on the requests that wait at one node for a slot at a full holder. A node of the
 /// largest fleet sees a few such requests per second, so 256 cover many seconds of overload.
 /// 8 MB of bodies are a fifteenth of a small node's memory.
@@ -238,7 +235,7 @@
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: bounds.retry_window,
-            safety: RETRY_BUDGET_SAFETY_FACTOR,
+            safety: retry_budget::SAFETY_FACTOR,
         };
         let share_config = FleetShareConfig {
             confirmation_lifetime: settings.pace.membership_lease,
--- a/crates/croftrill-scheduler/src/retry_budget/mod.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/mod.rs
@@ -11,6 +11,10 @@
 use crate::fleet_share::Share;
 use crate::time::Moment;
 
+/// Fraction of the common budget that nodes use. The remainder covers requests that nodes and
+/// callers count differently.
+pub const SAFETY_FACTOR: f64 = 0.9;
+
 /// Bounds of the budget, which apply to all nodes together.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryBudgetConfig {
@@ -20,8 +24,7 @@
     pub slack: f64,
     /// Length of the sliding window.
     pub window: Duration,
-    /// Fraction of ratio and slack that is used, to allow for requests that nodes count
-    /// differently.
+    /// Fraction of ratio and slack that is used; see [`SAFETY_FACTOR`].
     pub safety: f64,
 }
 
