retry budget: parts below one retry are rounded at different points

A node of a large fleet has a part of the slack below one (54 / 985), and with few requests the ratio of a window is below one as well. Rounded down, no node grants a retry at all: 0 of 1,010 allowed in a fleet of 1,000 nodes whose nodes each have requests for one retry a window.

Each node adds a fixed number from 0 to 1, by its name and the service, before it rounds down, if its part of the slack is below one: about as many nodes round up as the fractions add up to.

retry_budget_of_large_fleet_grants_parts_below_one: 0 of 1,010 before, at least 400 of them (a half of a window's retries may come at once, less the margin) and at most all now.

--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -252,7 +252,7 @@
             replicas,
             crash_ledger: CrashLedger::default(),
             broken_requests: BrokenRequests::default(),
-            retry_budget: RetryBudget::new(budget_config),
+            retry_budget: RetryBudget::new(budget_config, &settings.identity.name),
             fleet_share,
             fair_queue: FairQueue::new(settings.max_concurrent_requests.unwrap_or(usize::MAX)),
             waiting_requests: WaitingRequests::new(WAITING_BOUNDS),
--- a/crates/croftrill-scheduler/src/retry_budget/mod.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/mod.rs
@@ -5,6 +5,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use self::history::ServiceHistory;
 pub use self::history::{WindowCounts, SEND_DELAY_ALLOWANCE};
 use crate::catalog::ServiceName;
@@ -12,7 +14,7 @@
 use crate::time::Moment;
 
 /// Fraction of the common budget that nodes use. The remainder covers requests that nodes and
-/// callers count differently.
+/// callers count differently, and parts below one retry that are rounded up.
 pub const SAFETY_FACTOR: f64 = 0.9;
 
 /// Bounds of the budget, which apply to all nodes together.
@@ -60,14 +62,17 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     config: RetryBudgetConfig,
+    /// Differs between nodes.
+    rounding_seed: u64,
     services: HashMap<ServiceName, ServiceHistory>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget.
-    pub fn new(config: RetryBudgetConfig) -> Self {
+    /// Creates the unused budget of the node with this name.
+    pub fn new(config: RetryBudgetConfig, node: &str) -> Self {
         RetryBudget {
             config,
+            rounding_seed: xxh3_64_with_seed(node.as_bytes(), 0),
             services: HashMap::new(),
         }
     }
@@ -82,6 +87,7 @@
     pub fn take(&mut self, service: &ServiceName, share: Share, now: Moment) -> RetryDecision {
         let config = self.config;
         let slack = share.of(config.slack);
+        let rounding = self.rounding(service, share);
         let history = self.history(service, now);
         let allowed = |window: &WindowCounts| config.safety * (config.ratio * window.mean_requests + slack);
         let room = |window: &WindowCounts| allowed(window) - window.retries as f64;
@@ -89,7 +95,7 @@
             .windows(now)
             .min_by(|one, other| room(one).total_cmp(&room(other)));
         let window = least.unwrap_or_default();
-        let is_granted = room(&window) >= 1.0;
+        let is_granted = room(&window) + rounding >= 1.0;
         if is_granted {
             history.record_retry(now);
         }
@@ -102,6 +108,20 @@
         }
     }
 
+    /// Returns what is added to this node's part before it is rounded down to whole retries.
+    ///
+    /// In a fleet so large that a part of the slack is below one retry, most nodes would never use
+    /// theirs, nor the fraction of the ratio. So the nodes round at different points, spread evenly
+    /// from 0 to 1: about as many round up as the fractions add up to. The points are fixed, as a
+    /// node that chose anew could round up each time.
+    fn rounding(&self, service: &ServiceName, share: Share) -> f64 {
+        let part = self.config.safety * self.config.slack / share.nodes.max(1) as f64;
+        if part >= 1.0 {
+            return 0.0;
+        }
+        xxh3_64_with_seed(service.as_bytes(), self.rounding_seed) as f64 / u64::MAX as f64
+    }
+
     fn history(&mut self, service: &ServiceName, now: Moment) -> &mut ServiceHistory {
         if !self.services.contains_key(service) {
             self.services.retain(|_, history| !history.is_over(now));
--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig, Share};
 use croftrill_scheduler::load_ceiling::LoadCeiling;
-use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig};
+use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig, SAFETY_FACTOR};
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -19,12 +19,13 @@
 const RATIO: f64 = 0.2;
 
 fn budget() -> RetryBudget {
-    RetryBudget::new(RetryBudgetConfig {
+    let config = RetryBudgetConfig {
         ratio: RATIO,
         slack: SLACK,
         window: WINDOW,
         safety: 1.0,
-    })
+    };
+    RetryBudget::new(config, "n1")
 }
 
 /// A process with its budget, and what it knows of the others.
@@ -189,3 +190,34 @@
     assert!(!ceiling.admits(at(4900), 5));
     assert!(ceiling.admits(at(5100), 5));
 }
+
+/// Guards against a large fleet whose nodes grant no retry at all, because the part of each is
+/// below one.
+#[test]
+fn retry_budget_of_large_fleet_grants_parts_below_one() {
+    const NODES: usize = 1000;
+    const LOW_RATIO: f64 = 0.02;
+    let config = RetryBudgetConfig {
+        ratio: LOW_RATIO,
+        slack: SLACK,
+        window: WINDOW,
+        safety: SAFETY_FACTOR,
+    };
+    let share = Share {
+        nodes: NODES,
+        withheld: None,
+    };
+    let mut granted = 0;
+    for node in 0..NODES {
+        let mut budget = RetryBudget::new(config, &format!("n{node}"));
+        for request in 0..180 {
+            budget.record_request(&"llm".into(), at(request * 100));
+        }
+        granted += usize::from(budget.take(&"llm".into(), share, at(18_000)).is_granted);
+    }
+    // Each node has 50 requests in each window, for which one retry is allowed. Half of it can be
+    // used at once, of which a tenth is the safety margin and 2 % lie at the edges of windows.
+    let allowed = LOW_RATIO * 50.0 * NODES as f64 + SLACK;
+    assert!(granted as f64 >= 0.4 * allowed, "{granted} of {allowed}");
+    assert!(granted as f64 <= allowed, "{granted} of {allowed}");
+}
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
@@ -129,8 +129,22 @@
     weight: f64,
 }
 
+/// A fleet to simulate.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSpec {
+    pub nodes: usize,
+    /// Requests per second of all nodes together.
+    pub load_per_s: f64,
+    /// Time at which callers begin, in milliseconds.
+    pub load_from: u64,
+    /// Fraction of the budget that nodes use.
+    pub safety: f64,
+    pub seed: u64,
+}
+
 /// The simulated fleet.
 pub struct Fleet {
+    spec: FleetSpec,
     now: u64,
     random: Random,
     nodes: Vec<Node>,
@@ -138,38 +152,31 @@
     entries: BTreeMap<String, u64>,
     store_down_until: u64,
     leases_stopped_until: u64,
-    load_per_s: f64,
-    /// Time at which callers begin.
-    load_from: u64,
     bursts: Vec<(u64, f64)>,
     fails_until: u64,
     /// Requests until each tick.
     requests: RunningCount,
     /// Arrivals of retries until each tick.
     arrivals: RunningCount,
-    /// Number of retries granted.
-    pub granted: usize,
 }
 
 impl Fleet {
-    /// Returns a fleet that starts for the first time, and that callers use from `load_from` on.
-    pub fn new(nodes: usize, load_per_s: f64, load_from: u64, seed: u64) -> Self {
+    /// Returns a fleet that starts for the first time.
+    pub fn new(spec: FleetSpec) -> Self {
         let mut fleet = Fleet {
+            spec,
             now: 0,
-            random: Random(seed),
+            random: Random(spec.seed),
             nodes: Vec::new(),
             entries: BTreeMap::new(),
             store_down_until: 0,
             leases_stopped_until: 0,
-            load_per_s,
-            load_from,
             bursts: Vec::new(),
             fails_until: 0,
             requests: RunningCount::default(),
             arrivals: RunningCount::default(),
-            granted: 0,
         };
-        for _ in 0..nodes {
+        for _ in 0..spec.nodes {
             fleet.add_node(true);
         }
         fleet
@@ -178,8 +185,8 @@
     fn add_node(&mut self, is_first_start: bool) {
         let name = format!("zone-{}/node-{}", self.nodes.len() % 3, self.nodes.len());
         self.nodes.push(Node {
+            process: Some(Process::start(&name, self.spec.safety, is_first_start)),
             name,
-            process: Some(Process::start(is_first_start)),
             starts_at: None,
             frozen_until: 0,
             refused_until: 0,
@@ -300,11 +307,11 @@
             }
             self.renew(index);
             self.update_view(index);
-            if now < self.load_from {
+            if now < self.spec.load_from {
                 continue;
             }
             let share = self.nodes[index].weight / weights.max(f64::MIN_POSITIVE);
-            let mean = self.load_per_s * factor * share * TICK_MS as f64 / 1000.0;
+            let mean = self.spec.load_per_s * factor * share * TICK_MS as f64 / 1000.0;
             let requests = mean as usize + usize::from(self.random.unit() < mean.fract());
             for _ in 0..requests {
                 self.serve(index);
@@ -314,7 +321,7 @@
 
     fn start(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        node.process = Some(Process::start(false));
+        node.process = Some(Process::start(&node.name, self.spec.safety, false));
         node.starts_at = None;
         node.view.clear();
         node.renew_at = self.now;
@@ -358,7 +365,6 @@
             if !take(&mut self.nodes[index], now) {
                 return;
             }
-            self.granted += 1;
             let delay = self.random.below(MAX_SEND_DELAY_MS / TICK_MS + 1) * TICK_MS;
             self.arrivals.add(now + delay);
         }
@@ -394,23 +400,23 @@
     "llm".into()
 }
 
-fn config() -> RetryBudgetConfig {
+fn config(safety: f64) -> RetryBudgetConfig {
     RetryBudgetConfig {
         ratio: RATIO,
         slack: SLACK,
         window: Duration::from_millis(WINDOW_MS),
-        safety: 1.0,
+        safety,
     }
 }
 
 impl Process {
-    fn start(is_first_start: bool) -> Self {
+    fn start(name: &str, safety: f64, is_first_start: bool) -> Self {
         let share_config = FleetShareConfig {
             confirmation_lifetime: Duration::from_millis(LEASE_MS),
             window: Duration::from_millis(WINDOW_MS) + SEND_DELAY_ALLOWANCE,
         };
         Process {
-            budget: RetryBudget::new(config()),
+            budget: RetryBudget::new(config(safety), name),
             fleet_share: FleetShare::new(share_config, is_first_start),
         }
     }
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use self::fleet::{Event, Fleet};
+use self::fleet::{Event, Fleet, FleetSpec};
+use croftrill_scheduler::retry_budget::SAFETY_FACTOR;
 
 /// Length of a run, in milliseconds.
 const RUN_MS: u64 = 90_000;
@@ -51,7 +52,8 @@
 }
 
 /// Plays the events and checks the rule throughout.
-fn play(mut fleet: Fleet, events: &[(u64, Event)]) -> Result<(), String> {
+fn play(spec: FleetSpec, events: &[(u64, Event)]) -> Result<(), String> {
+    let mut fleet = Fleet::new(spec);
     for (at_ms, event) in events {
         fleet.run(*at_ms)?;
         fleet.apply(event);
@@ -83,8 +85,8 @@
         seed in any::<u64>(),
         events in timeline(load_event(), 40),
     ) {
-        let fleet = Fleet::new(nodes, load_per_s, FLEET_KNOWN_MS, seed);
-        let played = play(fleet, &events);
+        let spec = FleetSpec { nodes, load_per_s, load_from: FLEET_KNOWN_MS, safety: 1.0, seed };
+        let played = play(spec, &events);
         prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
     }
 
@@ -97,8 +99,32 @@
         seed in any::<u64>(),
         events in timeline(prop_oneof![3 => node_event(), 2 => store_event(), 3 => load_event()], 32),
     ) {
-        let fleet = Fleet::new(nodes, load_per_s, 0, seed);
-        let played = play(fleet, &events);
+        let spec = FleetSpec { nodes, load_per_s, load_from: 0, safety: 1.0, seed };
+        let played = play(spec, &events);
+        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: from_env("CROFTRILL_FLEET_CASES", 48) as u32 / 8,
+        rng_seed: RngSeed::Fixed(from_env("CROFTRILL_FLEET_SEED", 61)),
+        failure_persistence: None,
+        max_shrink_iters: 50,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against parts below one retry that are rounded up at too many nodes.
+    #[test]
+    fn retry_budget_in_large_fleet(
+        nodes in 60usize..300,
+        node_load_per_s in 0.1f64..3.0,
+        seed in any::<u64>(),
+        events in timeline(prop_oneof![2 => node_event(), 1 => store_event(), 4 => load_event()], 24),
+    ) {
+        let load_per_s = nodes as f64 * node_load_per_s;
+        let spec = FleetSpec { nodes, load_per_s, load_from: 0, safety: SAFETY_FACTOR, seed };
+        let played = play(spec, &events);
         prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
     }
 }
