--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -397,7 +397,9 @@
         Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
         tracing::info!(target: "retry", id = self.facts.id, service = &*self.service, sends = self.sends,
             replica = &**replica, sharing_nodes = share.nodes,
-            slack_withheld = share.withheld.map(WithheldReason::name), requests = decision.window.mean_requests, retries = decision.window.retries, slack = decision.slack, allowed = decision.allowed, outcome);
+            slack_withheld = share.withheld.map(WithheldReason::name),
+            requests = decision.window.mean_requests, retries = decision.window.retries,
+            slack = decision.slack, allowed = decision.allowed, outcome);
         decision.is_granted
     }
 }
