--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
@@ -206,7 +206,13 @@
             Event::Kill { node, down_ms } => self.stop(node % count, Some(down_ms), false),
             Event::Restart { node, down_ms } => self.stop(node % count, Some(down_ms), true),
             Event::Leave { node } => self.stop(node % count, None, true),
-            Event::Freeze { node, for_ms } => self.nodes[node % count].frozen_until = now + for_ms,
+            Event::Freeze { node, for_ms } => {
+                let view_delay = self.random.below(MAX_VIEW_INTERVAL_MS);
+                let node = &mut self.nodes[node % count];
+                node.frozen_until = now + for_ms;
+                // It serves before it gets a new view.
+                node.update_at = now + for_ms + view_delay;
+            }
             Event::Add => self.add_node(false),
             Event::KillAll { down_ms } => {
                 for node in 0..count {
@@ -277,41 +283,21 @@
 
     fn step(&mut self) {
         self.now += TICK_MS;
-        let now = self.now;
-        if self.leases_stopped_until > now {
-            for expiry in self.entries.values_mut() {
-                *expiry += TICK_MS;
-            }
-        }
-        self.entries.retain(|_, expiry| *expiry > now);
-        let factor: f64 = self
-            .bursts
-            .iter()
-            .filter(|(until, _)| *until > now)
-            .map(|(_, factor)| factor)
-            .product();
+        self.expire_entries();
         for index in 0..self.nodes.len() {
-            if self.nodes[index].starts_at.is_some_and(|start| start <= now) {
+            if self.nodes[index].starts_at.is_some_and(|start| start <= self.now) {
                 self.start(index);
             }
         }
-        let weights: f64 = self
-            .nodes
-            .iter()
-            .filter(|node| node.is_running(now))
-            .map(|node| node.weight)
-            .sum();
-        for index in 0..self.nodes.len() {
-            if !self.nodes[index].is_running(now) {
-                continue;
-            }
+        let load_per_tick = self.load_per_tick();
+        let is_running = |index: &usize| self.nodes[*index].is_running(self.now);
+        let running: Vec<usize> = (0..self.nodes.len()).filter(is_running).collect();
+        let weights: f64 = running.iter().map(|index| self.nodes[*index].weight).sum();
+        for index in running {
             self.renew(index);
             self.update_view(index);
-            if now < self.spec.load_from {
-                continue;
-            }
             let share = self.nodes[index].weight / weights.max(f64::MIN_POSITIVE);
-            let mean = self.spec.load_per_s * factor * share * TICK_MS as f64 / 1000.0;
+            let mean = load_per_tick * share;
             let requests = mean as usize + usize::from(self.random.unit() < mean.fract());
             for _ in 0..requests {
                 self.serve(index);
@@ -319,13 +305,34 @@
         }
     }
 
+    fn expire_entries(&mut self) {
+        let now = self.now;
+        if self.leases_stopped_until > now {
+            for expiry in self.entries.values_mut() {
+                *expiry += TICK_MS;
+            }
+        }
+        self.entries.retain(|_, expiry| *expiry > now);
+    }
+
+    /// Returns the present number of requests per tick of all nodes together.
+    fn load_per_tick(&self) -> f64 {
+        if self.now < self.spec.load_from {
+            return 0.0;
+        }
+        let present = self.bursts.iter().filter(|(until, _)| *until > self.now);
+        let factor: f64 = present.map(|(_, factor)| factor).product();
+        self.spec.load_per_s * factor * TICK_MS as f64 / 1000.0
+    }
+
     fn start(&mut self, index: usize) {
+        let view_delay = self.random.below(MAX_VIEW_INTERVAL_MS);
         let node = &mut self.nodes[index];
         node.process = Some(Process::start(&node.name, self.spec.safety, false));
         node.starts_at = None;
         node.view.clear();
         node.renew_at = self.now;
-        node.update_at = self.now;
+        node.update_at = self.now + view_delay;
     }
 
     fn renew(&mut self, index: usize) {
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -2,11 +2,11 @@
 
 mod fleet;
 
+use croftrill_scheduler::retry_budget::SAFETY_FACTOR;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 use self::fleet::{Event, Fleet, FleetSpec};
-use croftrill_scheduler::retry_budget::SAFETY_FACTOR;
 
 /// Length of a run, in milliseconds.
 const RUN_MS: u64 = 90_000;
