retry budget: the tightest window is always there, and the code says so

A decision fell back to an empty window if there was none, which would have granted a retry by the slack alone. There is always at least the window that ends now, so this never happened: the case is an error now, not a default. WindowCounts needs no default any more. Ruled out that a history can be without windows by reading ServiceHistory::windows, which yields 101 of them. The model and tests/limits.rs pass as before.

--- a/crates/croftrill-scheduler/src/retry_budget/history.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/history.rs
@@ -15,7 +15,7 @@
 pub const SEND_DELAY_ALLOWANCE: Duration = Duration::from_millis(300);
 
 /// Requests and retries in one window, as far as they are known.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowCounts {
     /// Mean number of requests in the window, in the one before it and in the one half a window
     /// before it.
--- a/crates/croftrill-scheduler/src/retry_budget/mod.rs
+++ b/crates/croftrill-scheduler/src/retry_budget/mod.rs
@@ -91,10 +91,10 @@
         let history = self.history(service, now);
         let allowed = |window: &WindowCounts| config.safety * (config.ratio * window.mean_requests + slack);
         let room = |window: &WindowCounts| allowed(window) - window.retries as f64;
-        let least = history
+        let window = history
             .windows(now)
-            .min_by(|one, other| room(one).total_cmp(&room(other)));
-        let window = least.unwrap_or_default();
+            .min_by(|one, other| room(one).total_cmp(&room(other)))
+            .expect("at least the window that ends now");
         let is_granted = room(&window) + rounding >= 1.0;
         if is_granted {
             history.record_retry(now);
