retry budget: the model of the fleet in two files; nothing of a run's outcome gets lost

The properties compare the outcome of a run with Ok, so a failure can't lose its text; a variable of the environment that isn't text is an error, not the default.

--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/fleet.rs
@@ -5,18 +5,15 @@
 //! as many retries as their budgets grant.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
-use croftrill_scheduler::fleet_share::{FleetShare, FleetShareConfig};
-use croftrill_scheduler::retry_budget::{RetryBudget, RetryBudgetConfig, SEND_DELAY_ALLOWANCE};
-use croftrill_scheduler::time::Moment;
+use super::node::{Node, Process};
 
 /// Bounds of the budget, as deployments set them.
 pub const RATIO: f64 = 0.2;
 pub const SLACK: f64 = 54.0;
 pub const WINDOW_MS: u64 = 10_000;
 /// Time to live of a node's entry, and the interval of its renewals.
-const LEASE_MS: u64 = 3_600;
+pub const LEASE_MS: u64 = 3_600;
 const RENEWAL_MS: u64 = 1_200;
 /// Interval at which the fleet is simulated.
 pub const TICK_MS: u64 = 50;
@@ -25,10 +22,6 @@
 /// Longest time from the grant of a retry until it arrives at the replica.
 const MAX_SEND_DELAY_MS: u64 = 250;
 
-pub fn at(millis: u64) -> Moment {
-    Moment::from_start(Duration::from_millis(3_600_000 + millis))
-}
-
 /// What happens to the fleet.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -84,12 +77,6 @@
     }
 }
 
-/// What a node keeps in memory.
-struct Process {
-    budget: RetryBudget,
-    fleet_share: FleetShare,
-}
-
 /// Counts events by tick.
 #[derive(Default)]
 struct RunningCount {
@@ -115,20 +102,6 @@
     }
 }
 
-struct Node {
-    name: String,
-    process: Option<Process>,
-    /// Time at which the process starts; `None` if it never does.
-    starts_at: Option<u64>,
-    frozen_until: u64,
-    refused_until: u64,
-    cut_until: u64,
-    renew_at: u64,
-    update_at: u64,
-    view: BTreeSet<String>,
-    weight: f64,
-}
-
 /// A fleet to simulate.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetSpec {
@@ -356,7 +329,7 @@
         }
         node.update_at = now + 1 + self.random.below(MAX_VIEW_INTERVAL_MS);
         let listed: BTreeSet<String> = self.entries.keys().cloned().collect();
-        observe(node, listed, now);
+        node.observe(listed, now);
     }
 
     /// Serves one request. While replicas fail, it wants all the retries that a route may allow.
@@ -364,12 +337,12 @@
         let now = self.now;
         self.requests.add(now);
         let node = &mut self.nodes[index];
-        record_request(node, now);
+        node.record_request(now);
         if now > self.fails_until {
             return;
         }
         for _ in 0..3 {
-            if !take(&mut self.nodes[index], now) {
+            if !self.nodes[index].takes_retry(now) {
                 return;
             }
             let delay = self.random.below(MAX_SEND_DELAY_MS / TICK_MS + 1) * TICK_MS;
@@ -384,7 +357,7 @@
         let shifts = [0, WINDOW_MS / 2, WINDOW_MS];
         let requests = shifts.map(|ago_ms| self.requests.in_window_until(self.now.saturating_sub(ago_ms)));
         let arrivals = self.arrivals.in_window_until(self.now);
-        let most = requests.into_iter().max().unwrap_or_default();
+        let most = requests.into_iter().fold(0, u32::max);
         let allowed = RATIO * f64::from(most) + SLACK;
         if f64::from(arrivals) > allowed {
             return Err(format!(
@@ -396,66 +369,3 @@
         Ok(())
     }
 }
-
-impl Node {
-    fn is_running(&self, now: u64) -> bool {
-        self.process.is_some() && self.frozen_until <= now
-    }
-}
-
-fn service() -> croftrill_scheduler::catalog::ServiceName {
-    "llm".into()
-}
-
-fn config(safety: f64) -> RetryBudgetConfig {
-    RetryBudgetConfig {
-        ratio: RATIO,
-        slack: SLACK,
-        window: Duration::from_millis(WINDOW_MS),
-        safety,
-    }
-}
-
-impl Process {
-    fn start(name: &str, safety: f64, is_first_start: bool) -> Self {
-        let share_config = FleetShareConfig {
-            confirmation_lifetime: Duration::from_millis(LEASE_MS),
-            window: Duration::from_millis(WINDOW_MS) + SEND_DELAY_ALLOWANCE,
-        };
-        Process {
-            budget: RetryBudget::new(config(safety), name),
-            fleet_share: FleetShare::new(share_config, is_first_start),
-        }
-    }
-}
-
-/// Gives a node a view of the store that is complete at `now`.
-fn observe(node: &mut Node, listed: BTreeSet<String>, now: u64) {
-    let Some(process) = &mut node.process else {
-        return;
-    };
-    for gone in node.view.difference(&listed) {
-        process.fleet_share.record_gone(gone, at(now));
-    }
-    for name in listed.difference(&node.view) {
-        process.fleet_share.record_listed(name);
-    }
-    if listed.contains(&node.name) {
-        process.fleet_share.record_confirmed(at(now));
-    }
-    node.view = listed;
-}
-
-fn record_request(node: &mut Node, now: u64) {
-    if let Some(process) = &mut node.process {
-        process.budget.record_request(&service(), at(now));
-    }
-}
-
-fn take(node: &mut Node, now: u64) -> bool {
-    let Some(process) = &mut node.process else {
-        return false;
-    };
-    let share = process.fleet_share.share(node.view.len(), at(now));
-    process.budget.take(&service(), share, at(now)).is_granted
-}
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -1,6 +1,9 @@
 //! The retry budget of a whole fleet against its rule, under faults and moving load.
 
 mod fleet;
+mod node;
+
+use std::env::VarError;
 
 use croftrill_scheduler::retry_budget::SAFETY_FACTOR;
 use proptest::prelude::*;
@@ -63,8 +66,11 @@
 
 /// Returns a number from the environment, for runs by hand with other seeds and more cases.
 fn from_env(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |value| value.parse().expect(name))
+    match std::env::var(name) {
+        Ok(value) => value.parse().expect(name),
+        Err(VarError::NotPresent) => default,
+        Err(error) => panic!("{name}: {error}"),
+    }
 }
 
 proptest! {
@@ -87,7 +93,7 @@
     ) {
         let spec = FleetSpec { nodes, load_per_s, load_from: FLEET_KNOWN_MS, safety: 1.0, seed };
         let played = play(spec, &events);
-        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+        prop_assert_eq!(played, Ok(()));
     }
 
     /// Guards against nodes that use parts of the slack which others still use: the entries of
@@ -101,7 +107,7 @@
     ) {
         let spec = FleetSpec { nodes, load_per_s, load_from: 0, safety: 1.0, seed };
         let played = play(spec, &events);
-        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+        prop_assert_eq!(played, Ok(()));
     }
 }
 
@@ -125,6 +131,6 @@
         let load_per_s = nodes as f64 * node_load_per_s;
         let spec = FleetSpec { nodes, load_per_s, load_from: 0, safety: SAFETY_FACTOR, seed };
         let played = play(spec, &events);
-        prop_assert!(played.is_ok(), "{}", played.err().unwrap_or_default());
+        prop_assert_eq!(played, Ok(()));
     }
 }
