--- a/crates/croftrill-scheduler/tests/limits.rs
+++ b/crates/croftrill-scheduler/tests/limits.rs
@@ -191,8 +191,7 @@
     assert!(ceiling.admits(at(5100), 5));
 }
 
-/// Guards against a large fleet whose nodes grant no retry at all, because the part of each is
-/// below one.
+/// Guards against a large fleet that grants no retry at all, as the part of each node is below one.
 #[test]
 fn retry_budget_of_large_fleet_grants_parts_below_one() {
     const NODES: usize = 1000;
--- a/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
+++ b/crates/croftrill-scheduler/tests/retry_budget_fleet/main.rs
@@ -82,8 +82,7 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against retries beyond the budget where load moves between nodes and in time: each
-    /// node judged by its own last window, and all together kept to no window of the rule.
+    /// Guards against nodes that each keep their own last window, and together no window of the rule.
     #[test]
     fn retry_budget_with_moving_load(
         nodes in 1usize..16,
@@ -96,8 +95,7 @@
         prop_assert_eq!(played, Ok(()));
     }
 
-    /// Guards against nodes that use parts of the slack which others still use: the entries of
-    /// nodes that the store turns away were gone, and the remaining nodes divided the slack anew.
+    /// Guards against nodes that divide the slack anew while those whose entries are gone use theirs.
     #[test]
     fn retry_budget_with_changing_fleet(
         nodes in 1usize..16,
