Paths to replicas: a log line and a counter for connections that are not made

Cause: a connection to a replica that could not be made left no line; `sends=0` and "model not loaded" hid it, and `cold` lines told all holders, not those held for reachable. Change: `path` lines with the error and the time spent, croftrill_replica_paths_total, and `reachable` on `cold` lines. No logic changed.

--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -61,6 +61,8 @@
     pub reports: Family<OutcomeLabels, Counter>,
     /// Requests that crash replicas, and replicas that ended, by outcome.
     pub crashes: Family<OutcomeLabels, Counter>,
+    /// Paths to replicas by kind and outcome.
+    pub replica_paths: Family<OutcomeLabels, Counter>,
     /// Signals of replicas in their answers, by kind.
     pub replica_words: Family<OutcomeLabels, Counter>,
     /// Requests that found all holders of their model full, by outcome.
@@ -159,6 +161,12 @@
             "Requests that crash replicas, and replicas that ended, by outcome",
             crashes.clone(),
         );
+        let replica_paths = Family::default();
+        registry.register(
+            "replica_paths",
+            "Paths to replicas by kind and outcome",
+            replica_paths.clone(),
+        );
         let replica_words = Family::default();
         registry.register(
             "replica_words",
@@ -291,6 +299,7 @@
             orders,
             reports,
             crashes,
+            replica_paths,
             replica_words,
             full_holders,
             limited,
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -230,11 +230,14 @@
     /// Logs the decision with the values that it is based on.
     fn log_cold(&self, key: &ModelKey, request: &ColdRequest, decision: ColdDecision) {
         let state = self.node.state.borrow();
+        let reachable = state
+            .replicas
+            .reachable_holders(&self.service, &key.model, self.now());
         tracing::info!(target: "cold", id = self.facts.id, model = &*key.model, adapter = key.adapter.as_deref(),
             ?decision, waited_ms = request.waited.as_millis() as u64,
             ready_in_ms = request.ready_in.as_millis() as u64, objective_ms = request.objective.as_millis() as u64,
             patience_ms = request.patience.as_millis() as u64,
-            holders = state.replicas.holders(&self.service, &key.model),
+            holders = state.replicas.holders(&self.service, &key.model), reachable,
             orderers_linked = state.linked.iter().filter(|linked| **linked).count());
     }
 
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -79,6 +79,7 @@
             return SendEnd::NotSent;
         };
         let mut send = SendGuard::start(&self.node, replica, self.work());
+        let connect_started_at = self.now();
         let connected = if self.route.is_idempotent() {
             self.node.pool.connect(address).await
         } else {
@@ -86,7 +87,11 @@
         };
         let mut connection = match connected {
             Ok(connection) => connection,
-            Err(_) => {
+            Err(error) => {
+                let spent = self.now().since(connect_started_at);
+                tracing::info!(target: "path", event = "no connection to a replica", id = self.facts.id,
+                    replica = &**replica, %error, spent_ms = spent.as_millis() as u64);
+                Metrics::count(&self.node.metrics.replica_paths, "own path", "not connected");
                 send.record(SendOutcome::Unreachable);
                 return SendEnd::NotSent;
             }
