Connections to replicas are opened by a connector that the platform may replace

Cause: a test had no way to cut one node's paths to replicas and leave the others': all nodes of a test read the same addresses. Change: `node::connector`; the platform gives it, request pools, orders and the check of ended replicas use it. Behaviour as before.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -20,6 +21,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
+use crate::connector::{Connector, TcpConnector};
+
 /// Settings of a connection pool.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionConfig {
@@ -153,6 +156,7 @@
 /// Opens connections and retains idle ones for reuse.
 pub struct ConnectionPool {
     config: ConnectionConfig,
+    connector: Rc<dyn Connector>,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     opened: RefCell<u64>,
 }
@@ -160,8 +164,14 @@
 impl ConnectionPool {
     /// Returns a pool without connections.
     pub fn new(config: ConnectionConfig) -> Self {
+        Self::with_connector(config, Rc::new(TcpConnector))
+    }
+
+    /// Returns a pool without connections that opens them with `connector`.
+    pub fn with_connector(config: ConnectionConfig, connector: Rc<dyn Connector>) -> Self {
         ConnectionPool {
             config,
+            connector,
             idle: RefCell::default(),
             opened: RefCell::new(0),
         }
@@ -174,7 +184,7 @@
 
     /// Opens a new connection.
     pub async fn dial(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
-        let connecting = timeout(self.config.connect_timeout, TcpStream::connect(address));
+        let connecting = timeout(self.config.connect_timeout, self.connector.connect(address));
         let stream = match connecting.await {
             Ok(connected) => connected.map_err(ExchangeError::Connect)?,
             Err(_) => return Err(ExchangeError::Connect(io::ErrorKind::TimedOut.into())),
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -11,7 +11,6 @@
 
 use croftrill_scheduler::crash_ledger::EndedReplica;
 use croftrill_scheduler::replica::ReplicaId;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -76,7 +75,7 @@
     address: SocketAddr,
 ) {
     sleep(BATCH_DELAY).await;
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
     let is_refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
     let broken = node.state.borrow_mut().broken_requests.take(&replica);
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod broken_requests;
 pub mod clock;
 pub mod connection;
+pub mod connector;
 pub mod cooldown_header;
 pub mod counted_store;
 pub mod crash_reports;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -272,6 +272,7 @@
             silence_limit: None,
             ..ConnectionConfig::default()
         };
+        let connector = platform.connector();
         let node = Node {
             settings,
             platform,
@@ -288,8 +289,8 @@
             admission_slot_freed: Notify::new(),
             replica_slot_freed: Notify::new(),
             store_reachability: StoreReachability::default(),
-            pool: ConnectionPool::new(ConnectionConfig::default()),
-            patient_pool: ConnectionPool::new(patient),
+            pool: ConnectionPool::with_connector(ConnectionConfig::default(), connector.clone()),
+            patient_pool: ConnectionPool::with_connector(patient, connector),
             quotas,
             load_news: LoadUpdates::default(),
             metrics,
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -5,6 +5,7 @@
 #![allow(async_fn_in_trait)]
 
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use http::{request, response, HeaderMap};
 
 use crate::connection::{AnswerProgress, ExchangeError};
+use crate::connector::{Connector, TcpConnector};
 use crate::store_era::{FormerEra, StoreEra};
 
 /// An item of the key-value store.
@@ -453,4 +455,8 @@
     fn engine(&self) -> &Self::Engine;
     /// Returns the wire format of requests.
     fn dialect(&self) -> &Self::Dialect;
+    /// Returns what opens connections to replicas.
+    fn connector(&self) -> Rc<dyn Connector> {
+        Rc::new(TcpConnector)
+    }
 }
