Requests reach a replica over another node where a node's own path is cut

What callers see: at a node that lost its paths to the replicas requests wait and end in 503 or at their deadline, while the other nodes serve from the same replicas. Cause: a node had only its own path. Each request paid a connect limit for each replica in turn. Change: a node that cannot connect, or not soon, asks other nodes for a connection (scheduler::path_search: staggered attempts, the first connection wins). The other node dials the replica over its own path only, so there is one hop, and passes bytes on; charges, retries, deadline, limits and 'not run' stay with the node that took the request, and closing the tunnel closes the connection to the replica. Frames from the replica mark the end of its bytes, so that a tunnel that breaks is no end of an answer without a length. Who carries tunnels refuses while its thread is late, beyond 256, and when stopping; it says whether the replica is down or it has no path itself. Own paths that are broken are probed in the background. Only nodes whose entries carry a new bit of the incarnation are asked.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
@@ -120,6 +121,24 @@
     }
 }
 
+/// Runs a function when a connection is dropped.
+pub struct CloseHook(Option<Box<dyn FnOnce()>>);
+
+impl CloseHook {
+    /// Returns a hook that runs `on_close`.
+    pub fn new(on_close: impl FnOnce() + 'static) -> Self {
+        CloseHook(Some(Box::new(on_close)))
+    }
+}
+
+impl Drop for CloseHook {
+    fn drop(&mut self) {
+        if let Some(on_close) = self.0.take() {
+            on_close();
+        }
+    }
+}
+
 /// One connection, whose socket closes when it is dropped.
 pub struct Connection {
     address: SocketAddr,
@@ -129,6 +148,8 @@
     max_idle_time: Duration,
     /// True once the connection was idle between two requests.
     was_idle: bool,
+    /// Present if the connection goes over another node.
+    tunnel: Option<CloseHook>,
 }
 
 impl Drop for Connection {
@@ -138,6 +159,11 @@
 }
 
 impl Connection {
+    /// Returns whether the connection goes over another node.
+    pub fn is_tunnel(&self) -> bool {
+        self.tunnel.is_some()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
         if self.sender.ready().await.is_err() {
@@ -190,6 +216,30 @@
             Err(_) => return Err(ExchangeError::Connect(io::ErrorKind::TimedOut.into())),
         };
         configure_socket(&stream, self.config.silence_limit).map_err(ExchangeError::Connect)?;
+        self.handshake(stream, address, None).await
+    }
+
+    /// Returns the limit on the silence of its connections.
+    pub fn silence_limit(&self) -> Option<Duration> {
+        self.config.silence_limit
+    }
+
+    /// Returns a connection over a tunnel to `address`. Runs `on_close` when it is dropped.
+    pub async fn handshake_over(
+        &self,
+        tunnel: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        address: SocketAddr,
+        on_close: CloseHook,
+    ) -> Result<Connection, ExchangeError> {
+        self.handshake(tunnel, address, Some(on_close)).await
+    }
+
+    async fn handshake(
+        &self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        address: SocketAddr,
+        tunnel: Option<CloseHook>,
+    ) -> Result<Connection, ExchangeError> {
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -207,6 +257,7 @@
             idle_since: Instant::now(),
             max_idle_time,
             was_idle: false,
+            tunnel,
         })
     }
 
@@ -234,7 +285,8 @@
     /// Returns a connection to the pool after its answer was read completely. `headers` are
     /// those of the answer.
     pub fn put_back(&self, mut connection: Connection, headers: &HeaderMap) {
-        if connection.sender.is_closed() || is_close_requested(headers) {
+        // A tunnel would occupy the other node while it is idle.
+        if connection.is_tunnel() || connection.sender.is_closed() || is_close_requested(headers) {
             return;
         }
         connection.idle_since = Instant::now();
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -142,7 +142,7 @@
     let started = node.clock.now();
     let elapsed = || node.clock.now().since(started);
     while elapsed() < grace {
-        let idle = node.in_flight.get() == 0;
+        let idle = node.in_flight.get() == 0 && node.carried_tunnels.get() == 0;
         if idle && elapsed() >= STOP_ACCEPT_PERIOD + CHECK_INTERVAL * 4 {
             break;
         }
--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -118,6 +118,12 @@
         Self::new(stream, silence_limit)
     }
 
+    /// Returns the connection of the link, and bytes that followed the last message.
+    pub fn into_stream(self) -> (TcpStream, BytesMut) {
+        let parts = self.frames.into_parts();
+        (parts.io.stream, parts.read_buf)
+    }
+
     /// Returns the link with another silence limit, for peers with a different heartbeat
     /// interval.
     pub fn with_silence_limit(self, silence_limit: Duration) -> Self {
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -97,7 +97,7 @@
     /// Processor time that it may use, in thousandths of a core.
     pub processor_millicores: u32,
     /// Distinguishes this process from earlier ones of the same name. Its highest bits are
-    /// [`SUPPORTS_LIMITS_BIT`] and [`SUPPORTS_LOAD_UPDATES_BIT`].
+    /// [`SUPPORTS_LIMITS_BIT`], [`SUPPORTS_LOAD_UPDATES_BIT`] and [`SUPPORTS_TUNNELS_BIT`].
     pub incarnation: u64,
 }
 
@@ -109,9 +109,13 @@
 /// without them never set it: a start time in nanoseconds reaches this bit in 2116.
 const SUPPORTS_LOAD_UPDATES_BIT: u64 = 1 << 62;
 
+/// Bit of an incarnation that marks a process that connects other nodes to replicas. Builds that do
+/// not never set it: a start time in nanoseconds reaches this bit in 2043.
+const SUPPORTS_TUNNELS_BIT: u64 = 1 << 61;
+
 /// Returns the incarnation of a process of this build that started at `started_ns`.
 pub(crate) fn incarnation_of(started_ns: u64) -> u64 {
-    started_ns | SUPPORTS_LIMITS_BIT | SUPPORTS_LOAD_UPDATES_BIT
+    started_ns | SUPPORTS_LIMITS_BIT | SUPPORTS_LOAD_UPDATES_BIT | SUPPORTS_TUNNELS_BIT
 }
 
 impl MemberEntry {
@@ -138,6 +142,11 @@
         self.incarnation & SUPPORTS_LOAD_UPDATES_BIT != 0
     }
 
+    /// Returns whether the process connects other nodes to replicas.
+    pub fn supports_tunnels(&self) -> bool {
+        self.incarnation & SUPPORTS_TUNNELS_BIT != 0
+    }
+
     /// Returns the address for other nodes, or `None` if it is malformed.
     pub fn peer_address(&self) -> Option<SocketAddr> {
         self.peer.parse().ok()
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -99,6 +99,8 @@
     pub configuration_version: Gauge,
     /// Number of known replicas.
     pub replicas: Gauge,
+    /// Replicas that this node does not reach over its own path.
+    pub replicas_out_of_reach: Gauge,
     /// Number of shards whose orderer this node is.
     pub is_orderer: Gauge,
     /// Requests being served.
@@ -263,6 +265,12 @@
         );
         let replicas = Gauge::default();
         registry.register("replicas", "Known replicas", replicas.clone());
+        let replicas_out_of_reach = Gauge::default();
+        registry.register(
+            "replicas_out_of_reach",
+            "Replicas that this node does not reach over its own path",
+            replicas_out_of_reach.clone(),
+        );
         let is_orderer = Gauge::default();
         registry.register(
             "is_orderer",
@@ -318,6 +326,7 @@
             watch_answer_bytes,
             configuration_version,
             replicas,
+            replicas_out_of_reach,
             is_orderer,
             in_flight,
             quota_waiting,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -13,7 +13,9 @@
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{ReceivedResignation, Resignation};
 use croftrill_scheduler::load_summary;
+use croftrill_scheduler::peer_paths::PeerPaths;
 use croftrill_scheduler::quota::keeper::KeeperConfig;
+use croftrill_scheduler::replica_paths::ReplicaPaths;
 use croftrill_scheduler::replica_table::ReplicaTable;
 use croftrill_scheduler::retry_budget::{self, RetryBudget, RetryBudgetConfig};
 use croftrill_scheduler::shard::{Shard, SHARD_COUNT};
@@ -67,6 +69,10 @@
     pub configuration_item: Option<Item>,
     /// All known replicas.
     pub replicas: ReplicaTable,
+    /// This node's own paths to replicas.
+    pub replica_paths: ReplicaPaths,
+    /// Other nodes, by peer address, that may have a path where this node has none.
+    pub peer_paths: PeerPaths<SocketAddr>,
     /// Requests that crash replicas, as observed by all nodes.
     pub crash_ledger: CrashLedger,
     /// Requests that failed at replicas that may have ended.
@@ -142,6 +148,10 @@
     /// unreachable orderer may hold.
     pub holdings_needed: Notify,
     terms_held: Cell<usize>,
+    /// Notified when an own path to a replica was found broken.
+    pub path_check_needed: Notify,
+    /// Number of other nodes' connections to replicas that this node carries.
+    pub carried_tunnels: Cell<usize>,
     /// Notified when it is known whether a replica at which requests failed has ended.
     pub crash_judged: Notify,
     /// Notified when this node's report of requests that crash replicas should be written.
@@ -250,6 +260,8 @@
             configuration: None,
             configuration_item: None,
             replicas,
+            replica_paths: ReplicaPaths::default(),
+            peer_paths: PeerPaths::default(),
             crash_ledger: CrashLedger::default(),
             broken_requests: BrokenRequests::default(),
             retry_budget: RetryBudget::new(budget_config, &settings.identity.name),
@@ -282,6 +294,8 @@
             relay_changed: Notify::new(),
             holdings_needed: Notify::new(),
             terms_held: Cell::new(0),
+            path_check_needed: Notify::new(),
+            carried_tunnels: Cell::new(0),
             crash_judged: Notify::new(),
             crash_report_changed: Notify::new(),
             acquisition_lock: Mutex::new(()),
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -152,7 +152,7 @@
     }
 
     /// Returns whether the term continues: the lease is valid, the node is not stopping, and the
-    /// shard is not handed over.
+    /// shard is not handed over to a node that reaches more of its replicas, or a stronger one.
     pub(super) fn should_continue(&mut self) -> bool {
         let now = self.node.clock.now();
         if self.node.lifecycle() == Lifecycle::Stopping {
@@ -466,7 +466,10 @@
                 }
             }
             // These only occur as a link's first message.
-            ToOrderer::Listen(_) | ToOrderer::Follow(_) | ToOrderer::ListenToKeeper(_) => {}
+            ToOrderer::Listen(_)
+            | ToOrderer::Follow(_)
+            | ToOrderer::ListenToKeeper(_)
+            | ToOrderer::Connect(_) => {}
             // These are for relays.
             ToOrderer::AddInterests(_) | ToOrderer::RemoveInterests(_) => {}
             // These are handled by the link.
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes: binary, in length-delimited frames.
 
+mod connect;
 mod directory_update;
 mod loads;
 
@@ -16,6 +17,7 @@
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
 
+pub use self::connect::{WireConnect, WireConnectAnswer};
 pub(crate) use self::directory_update::in_chunks;
 pub use self::directory_update::{DirectoryUpdate, FullViewChunk, RevisedChange, WireChange, WireListing};
 use self::directory_update::{MAX_ROW_BYTES, NAME_PREFIX_BYTES};
@@ -124,6 +126,9 @@
     /// Loads that replicas reported. An empty message only subscribes the sender to load
     /// updates. Sent only to nodes whose entries say that they understand it.
     Loads(WireLoads),
+    /// First message on a link for one connection to a replica. Sent only to nodes whose entries
+    /// say that they understand it.
+    Connect(WireConnect),
 }
 
 /// A node that starts to follow a relay, with the state of its view and its interests.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -24,7 +24,7 @@
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
 use crate::ports::Platform;
 use crate::wire::decode;
-use crate::{load_updates, quota, tree};
+use crate::{load_updates, quota, replica_path, tree};
 
 /// Delay before another attempt to connect.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -57,8 +57,8 @@
     }
 }
 
-/// Serves another node's link according to its first message: as an orderer, a relay or a
-/// keeper.
+/// Serves another node's link according to its first message: as an orderer, a relay, a keeper or
+/// the way to a replica.
 async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream, peer: SocketAddr) {
     let mut link = match PeerLink::new(stream, silence_limit(&node)) {
         Ok(link) => link,
@@ -91,6 +91,7 @@
                 tracing::debug!(target: "quota", event = "a listener left", partition = partition.index(), ?ended);
             }
         }
+        ToOrderer::Connect(request) => replica_path::serve::serve(node, link, request).await,
         _ => {}
     }
 }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use croftrill_scheduler::catalog::RouteKind;
 use croftrill_scheduler::health::SendOutcome;
+use croftrill_scheduler::path_search::SearchFailure;
 use croftrill_scheduler::replica::{LimitSignal, ReplicaId};
 use croftrill_scheduler::replica_table::AnsweredCall;
 use croftrill_scheduler::time::Moment;
@@ -17,6 +18,7 @@
 use crate::load_updates;
 use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
+use crate::replica_path::{self, ConnectOptions, PathTarget};
 use crate::replica_signals;
 
 /// A silent replica is abandoned for another one after the objective divided by this. A limit
@@ -79,20 +81,18 @@
             return SendEnd::NotSent;
         };
         let mut send = SendGuard::start(&self.node, replica, self.work());
-        let connect_started_at = self.now();
-        let connected = if self.route.is_idempotent() {
-            self.node.pool.connect(address).await
-        } else {
-            self.node.patient_pool.dial(address).await
+        let target = PathTarget {
+            replica: replica.clone(),
+            address,
         };
-        let mut connection = match connected {
+        let mut connection = match self.connect(&target).await {
             Ok(connection) => connection,
-            Err(error) => {
-                let spent = self.now().since(connect_started_at);
-                tracing::info!(target: "path", event = "no connection to a replica", id = self.facts.id,
-                    replica = &**replica, %error, spent_ms = spent.as_millis() as u64);
-                Metrics::count(&self.node.metrics.replica_paths, "own path", "not connected");
-                send.record(SendOutcome::Unreachable);
+            Err(failure) => {
+                tracing::info!(target: "path", event = "not sent", id = self.facts.id, replica = &**replica,
+                    ?failure, waited_ms = self.waited().as_millis() as u64);
+                if failure != SearchFailure::NoPath {
+                    send.record(SendOutcome::Unreachable);
+                }
                 return SendEnd::NotSent;
             }
         };
@@ -121,16 +121,19 @@
         {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
+                self.record_path_trouble(&connection);
                 if let Some(reservation) = reservation.filter(|_| error.nothing_sent()) {
                     reservation.unspend();
                 }
                 return self.handle_send_error(&send, &error);
             }
             Err(_) if self.now() >= self.deadline => {
+                self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
                 return SendEnd::OutOfTime;
             }
             Err(_) => {
+                self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
                 send.record(SendOutcome::Failure);
                 return SendEnd::Broken {
@@ -138,11 +141,37 @@
                 };
             }
         };
+        if !connection.is_tunnel() {
+            replica_path::record_own_connection(&self.node, &target, None);
+        }
         send.prompt_done();
         self.answered_after = Some(self.waited());
         self.classify_answer(replica, answer, connection, send).await
     }
 
+    /// Connects to a replica. A request that may be repeated may use an idle connection. One that
+    /// was sent before uses a new one, as a path that was cut may have broken the other, too.
+    async fn connect(&self, target: &PathTarget) -> Result<Connection, SearchFailure> {
+        let is_idempotent = self.route.is_idempotent();
+        let options = ConnectOptions {
+            may_reuse: is_idempotent && self.sends == 0,
+            objective: self.route.objective,
+        };
+        let pool = if is_idempotent {
+            &self.node.pool
+        } else {
+            &self.node.patient_pool
+        };
+        replica_path::connect(&self.node, pool, target, options).await
+    }
+
+    /// Records that a connection failed or went silent, which its path may have caused.
+    pub(super) fn record_path_trouble(&self, connection: &Connection) {
+        if !connection.is_tunnel() {
+            self.node.state.borrow_mut().replica_paths.record_trouble();
+        }
+    }
+
     /// Counts a send after the request's first, which the retry budget allowed.
     fn count_retry_send(&self, outcome: &'static str) {
         Metrics::count_retry(&self.node.metrics.service_retries, &self.service, outcome);
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -143,6 +143,7 @@
                 () = self.wait_for_silence(last_event), if may_switch => {
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
                         outcome = "stream silent", silent_ms = self.now().since(last_event).as_millis() as u64);
+                    self.record_path_trouble(&streaming.connection);
                     self.node.pool.handle_unresponsive(&streaming.connection);
                     self.report_broken_stream(streaming, last_event);
                     return PumpEnd::Silent;
@@ -152,6 +153,7 @@
             let bytes = match frame {
                 None => return self.pump_remainder(cutter, sender).await,
                 Some(Err(_)) => {
+                    self.record_path_trouble(&streaming.connection);
                     self.report_broken_stream(streaming, last_event);
                     return PumpEnd::Broken;
                 }
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -10,8 +10,8 @@
 use crate::node::{Node, NodeQueues};
 use crate::ports::{KeyValueStore, Platform};
 use crate::{
-    crash_reports, directory, front, load_updates, membership, orderer_task, peer_link, quota, step_times,
-    tree,
+    crash_reports, directory, front, load_updates, membership, orderer_task, peer_link, quota, replica_path,
+    step_times, tree,
 };
 
 /// Maximum time that a stopping node waits for the removal of its entries from the store.
@@ -48,6 +48,7 @@
     spawn_local(watch_suspensions(node.clone()));
     spawn_local(watch_store_era(node.clone()));
     spawn_local(step_times::watch(node.step_times.clone()));
+    spawn_local(replica_path::monitor::watch(node.clone()));
     for partition in QuotaPartition::all() {
         let own = node.settings.identity.peer;
         spawn_local(quota::follow_keeper(
--- a/crates/croftrill-node/src/step_times.rs
+++ b/crates/croftrill-node/src/step_times.rs
@@ -4,7 +4,7 @@
 //! and its callers wait. The steps whose cost grows with the fleet are timed, and their times
 //! are logged after the thread was blocked for some time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
@@ -26,14 +26,17 @@
 
 /// Count and total time of each kind of step since the last check.
 #[derive(Debug, Default)]
-pub struct StepTimes(RefCell<BTreeMap<&'static str, StepTotal>>);
+pub struct StepTimes {
+    steps: RefCell<BTreeMap<&'static str, StepTotal>>,
+    last_delay: Cell<Duration>,
+}
 
 impl StepTimes {
     /// Runs a step and adds its time. The step must not wait for anything.
     pub fn time<T>(&self, step: &'static str, run: impl FnOnce() -> T) -> T {
         let started = Instant::now();
         let result = run();
-        let mut steps = self.0.borrow_mut();
+        let mut steps = self.steps.borrow_mut();
         let total = steps.entry(step).or_default();
         total.count += 1;
         total.time += started.elapsed();
@@ -41,7 +44,12 @@
     }
 
     fn take(&self) -> BTreeMap<&'static str, StepTotal> {
-        std::mem::take(&mut *self.0.borrow_mut())
+        std::mem::take(&mut *self.steps.borrow_mut())
+    }
+
+    /// Returns the delay of the last check, by which other tasks were delayed, too.
+    pub fn last_delay(&self) -> Duration {
+        self.last_delay.get()
     }
 }
 
@@ -64,6 +72,7 @@
         let started = Instant::now();
         sleep(CHECK_INTERVAL).await;
         let late = started.elapsed().saturating_sub(CHECK_INTERVAL);
+        step_times.last_delay.set(late);
         if late >= MIN_LOGGED_DELAY {
             let steps = FormattedSteps(step_times.take());
             tracing::warn!(target: "node", event = "held up", late_ms = late.as_millis() as u64, %steps);
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -177,7 +177,10 @@
             });
         }
         // Valid only as the first message of a link.
-        ToOrderer::Listen(_) | ToOrderer::Follow(_) | ToOrderer::ListenToKeeper(_) => {}
+        ToOrderer::Listen(_)
+        | ToOrderer::Follow(_)
+        | ToOrderer::ListenToKeeper(_)
+        | ToOrderer::Connect(_) => {}
         // Handled by the caller.
         ToOrderer::Loads(_) => {}
     }
