A replica counts as ended only if another node finds it ended, too

What callers see: requests of innocent callers refused as "replicas ended under this request", at all nodes, while one node's connections are reset. Cause: the node that lost its path took refused connections for the end of a replica and told all. Change: after its own connection is refused it asks another node; one that reaches the replica clears it, one that reaches others but not this one confirms. Without any other node it judges alone, as before.

--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -3,7 +3,8 @@
 //! A broken exchange alone is weak evidence: its connection may have been reset, or its
 //! answer corrupted. A replica that ended refuses new connections, and all of its
 //! requests break at the same moment. So the requests that break at one replica are
-//! collected, and then one connection to it is tried.
+//! collected, and then one connection to it is tried. If that is refused, another node is
+//! asked, as this one's path may be cut.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use crate::crash_reports;
 use crate::node::Node;
 use crate::ports::Platform;
+use crate::replica_path::{self, PathTarget, PeerVerdict};
 
 /// Time within which this node notices all requests that break with a replica.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
@@ -78,12 +80,20 @@
     let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
     let is_refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
+    let target = PathTarget { replica, address };
+    let verdict = if is_refused {
+        Some(replica_path::ask_peers(&node, &target).await)
+    } else {
+        None
+    };
+    let replica = target.replica;
     let broken = node.state.borrow_mut().broken_requests.take(&replica);
-    if is_refused {
+    if matches!(verdict, Some(PeerVerdict::Down | PeerVerdict::NobodyToAsk)) {
         record_end(&node, &replica, incarnation, &broken);
     } else {
         tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
-            replica = &*replica, requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()));
+            replica = &*replica, requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()),
+            other_nodes = ?verdict);
     }
     node.crash_judged.notify_waiters();
 }
