A loaded model that only this node cannot reach is no absent model

What callers see: waits of 1.4 to 2.0 s and then "model not loaded", with a time to come back that is a load's, for models that other nodes serve; orderers get demand for them. Cause: holders that this node did not reach did not count. Change: if all replicas that could take the request are reached by others, it is refused at once with a short time to come back, as another node serves the caller; no orderer is reminded. Result: request_for_loaded_model_without_any_path failed on the code before ("model not loaded") and passes.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -7,12 +7,12 @@
 use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::replica_estimate::TIME_PER_PROMPT_TOKEN;
-use croftrill_scheduler::routing::{choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::routing::{self, choose, ModelNeed, RoutingRequest};
 use croftrill_scheduler::work::RequestWork;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{RequestRun, DEFAULT_RETRY_AFTER};
+use super::{RequestRun, DEFAULT_RETRY_AFTER, OTHER_NODE_RETRY_AFTER};
 use crate::node::Lifecycle;
 use crate::peer::{ToOrderer, WireModel};
 use crate::ports::{Platform, RequestFacts};
@@ -92,6 +92,9 @@
                 }
                 Some(ColdDecision::Wait) | None => {}
             }
+            if self.lacks_only_paths() {
+                return NextReplica::GiveUp("no path to its replicas", Some(OTHER_NODE_RETRY_AFTER));
+            }
             let decision = self.cold_decision();
             if decision.is_some() && self.node.lifecycle() == Lifecycle::Stopping {
                 // Another node can wait for the model; this one may end before it comes.
@@ -200,6 +203,17 @@
         })
     }
 
+    /// Returns whether replicas could take the request that other nodes reach, but this one does not.
+    /// There is nothing to wait for: the model is loaded, and another node serves the caller.
+    fn lacks_only_paths(&self) -> bool {
+        let now = self.now();
+        let state = self.node.state.borrow();
+        let request = self.routing_request(&[]);
+        let mut candidates = routing::candidates(&state.replicas, &request, now).peekable();
+        candidates.peek().is_some()
+            && candidates.all(|entry| state.replica_paths.is_only_path_broken(&entry.listing.id))
+    }
+
     /// Decides what to do while no replica can take the request. Returns `None` if waiting is no
     /// use.
     pub(super) fn cold_decision(&self) -> Option<ColdDecision> {
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -206,7 +206,7 @@
 
 /// Returns the replicas that may take a request. For a model service only replicas indexed
 /// under the model are examined.
-fn candidates<'a>(
+pub fn candidates<'a>(
     table: &'a ReplicaTable,
     request: &'a RoutingRequest<'a>,
     now: Moment,
