An orderer that lost its paths to its replicas hands its shard over

Cause: the lease depends on the store alone, which a node without a path still reaches. Change: an orderer that lost most of its shard's replicas, which others reach, resigns, and does not ask for the lease again before its paths work. Connections of orders are reset when closed: an order that the cut held up must not arrive after its successor's.

--- a/crates/croftrill-http/src/engine.rs
+++ b/crates/croftrill-http/src/engine.rs
@@ -24,7 +24,11 @@
     /// Returns a client with its own connection pool.
     pub fn new() -> Self {
         EngineClient {
-            pool: ConnectionPool::new(ConnectionConfig::default()),
+            // An order that a partition held up must not arrive after another node gives orders.
+            pool: ConnectionPool::new(ConnectionConfig {
+                resets_on_close: true,
+                ..ConnectionConfig::default()
+            }),
         }
     }
 }
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -36,6 +36,9 @@
     pub max_idle_time: Duration,
     /// Maximum number of idle connections to one address.
     pub max_idle_connections: usize,
+    /// Whether connections are reset when they are closed, so that what was written and not
+    /// delivered by then never is.
+    pub resets_on_close: bool,
 }
 
 impl Default for ConnectionConfig {
@@ -45,6 +48,7 @@
             silence_limit: Some(Duration::from_millis(1000)),
             max_idle_time: Duration::from_millis(3000),
             max_idle_connections: 8,
+            resets_on_close: false,
         }
     }
 }
@@ -216,6 +220,9 @@
             Err(_) => return Err(ExchangeError::Connect(io::ErrorKind::TimedOut.into())),
         };
         configure_socket(&stream, self.config.silence_limit).map_err(ExchangeError::Connect)?;
+        if self.config.resets_on_close {
+            stream.set_zero_linger().map_err(ExchangeError::Connect)?;
+        }
         self.handshake(stream, address, None).await
     }
 
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -19,6 +19,7 @@
 use crate::ports::{
     ConditionalPut, Expectation, Freshness, KeyValueStore, Platform, PutOutcome, StoreError, Write,
 };
+use crate::replica_path;
 use crate::store_era::same_era;
 
 /// Margin for differences in clock rates, added to the minimum gap between two orderers.
@@ -196,16 +197,20 @@
     })
 }
 
-/// Returns whether this node may try to acquire the lease: it serves requests, and no other
-/// node is known to hold the lease.
+/// Returns whether this node may try to acquire the lease: it serves requests, reaches the shard's
+/// replicas, and no other node is known to hold the lease.
 pub(super) fn may_acquire<P: Platform>(node: &Node<P>, shard: Shard, entry: &MemberEntry) -> bool {
     let state = node.state.borrow();
     let free = state
         .members
         .orderer(shard)
         .is_none_or(|holder| holder.name == entry.name);
-    // An orderer that knows only part of the replicas would load models that others hold.
-    state.lifecycle == Lifecycle::Ready && free && !state.tree.is_partial()
+    // An orderer that knows only part of the replicas would load models that others hold, and one
+    // that reaches few of them could not give orders.
+    state.lifecycle == Lifecycle::Ready
+        && free
+        && !state.tree.is_partial()
+        && !replica_path::is_cut_off_in(&state, shard)
 }
 
 /// Returns this node's position in line for a shard.
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -33,6 +33,7 @@
     EngineAddress, EngineAnswer, EngineControl, FencedOrder, KeyValueStore, Platform, StoreError,
 };
 use crate::quota::Credit;
+use crate::replica_path;
 use crate::replica_signals;
 use crate::store_era::same_era;
 use crate::tree;
@@ -171,7 +172,18 @@
         if self.lease.expire(now) {
             tracing::warn!(target: "orderer", event = "lease expired before it was renewed");
         }
-        self.lease.lease().is_some() && !self.hand_over_if_due(now)
+        self.lease.lease().is_some() && !self.hand_over_if_cut_off() && !self.hand_over_if_due(now)
+    }
+
+    /// Returns whether the shard should be handed over because this node lost its paths to most of
+    /// the replicas, which other nodes reach.
+    fn hand_over_if_cut_off(&self) -> bool {
+        let is_cut_off = replica_path::is_cut_off(&self.node, self.shard);
+        if is_cut_off {
+            tracing::warn!(target: "orderer", event = "handing over: no path to the replicas, which others reach",
+                shard = self.shard.index());
+        }
+        is_cut_off
     }
 
     /// Checks from time to time for a node with much more processor time. Returns true if the
--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -18,6 +18,7 @@
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::replica_paths::PathChoice;
 use croftrill_scheduler::replica_table::ReplicaEntry;
+use croftrill_scheduler::shard::Shard;
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
@@ -27,7 +28,7 @@
 use crate::connection::{Connection, ConnectionPool};
 use crate::membership::MemberEntry;
 use crate::metrics::Metrics;
-use crate::node::Node;
+use crate::node::{Node, NodeState};
 use crate::ports::Platform;
 
 /// Time for which a search for one connection goes on.
@@ -119,6 +120,25 @@
     }
 }
 
+/// Returns whether this node lost its paths to most of a shard's replicas, while other nodes reach
+/// them.
+pub(crate) fn is_cut_off<P: Platform>(node: &Node<P>, shard: Shard) -> bool {
+    is_cut_off_in(&node.state.borrow(), shard)
+}
+
+/// As [`is_cut_off`], by the node's state.
+pub(crate) fn is_cut_off_in(state: &NodeState, shard: Shard) -> bool {
+    if state.replica_paths.broken_count() == 0 {
+        return false;
+    }
+    let is_of_shard = |id: &str| Shard::of_replica(id) == shard;
+    let of_shard = state
+        .replicas
+        .iter()
+        .filter(|entry| is_of_shard(&entry.listing.id));
+    state.replica_paths.is_cut_off_from(of_shard.count(), is_of_shard)
+}
+
 async fn search<P: Platform>(
     node: &Rc<Node<P>>,
     pool: &ConnectionPool,
