Only a node whose own paths are sound calls a replica down for another

Change: before it calls a replica down it connects to two others of the same service, drawn at random; with any broken path of its own it says that it has no path. What was found down is not tried again for half a second.

--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -7,9 +7,11 @@
 
 use bytes::{Bytes, BytesMut};
 use croftrill_scheduler::replica::ReplicaId;
-use futures::future::select_ok;
+use croftrill_scheduler::replica_table::ReplicaEntry;
+use futures::future::join_all;
 use futures::SinkExt;
 use nanoserde::SerBin;
+use rand::seq::IteratorRandom;
 use tokio::io::{copy, AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -30,8 +32,6 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Number of other replicas that are tried for this.
 const CONTROL_COUNT: usize = 2;
-/// Age up to which a connection to another replica shows the same.
-const MAX_PROOF_AGE: Duration = Duration::from_millis(100);
 /// Maximum number of connections that this node carries: a few megabytes of buffers.
 const MAX_TUNNELS: usize = 256;
 /// Delay of the node's thread above which it carries no further connection: half of the shortest
@@ -91,8 +91,8 @@
         return Err(WireConnectAnswer::Busy);
     }
     let target = target_of(node, request)?;
-    if node.state.borrow().replica_paths.is_broken(&target.replica) {
-        return Err(WireConnectAnswer::NoPath);
+    if let Some(answer) = known_answer(node, &target.replica) {
+        return Err(answer);
     }
     match dial(node, target.address, CONNECT_TIMEOUT).await {
         Ok(stream) => {
@@ -101,15 +101,30 @@
         }
         Err(error) => {
             tracing::debug!(target: "path", event = "no connection for another node", replica = &*target.replica, %error);
-            if reaches_others(node, &target).await {
-                Err(WireConnectAnswer::Down)
-            } else {
-                Err(WireConnectAnswer::NoPath)
+            if !reaches_others(node, &target).await {
+                return Err(WireConnectAnswer::NoPath);
             }
+            let now = node.clock.now();
+            node.state
+                .borrow_mut()
+                .replica_paths
+                .record_down(&target.replica, now);
+            Err(WireConnectAnswer::Down)
         }
     }
 }
 
+/// Returns the answer that needs no attempt to connect.
+fn known_answer<P: Platform>(node: &Node<P>, replica: &ReplicaId) -> Option<WireConnectAnswer> {
+    let paths = &node.state.borrow().replica_paths;
+    if paths.is_broken(replica) {
+        return Some(WireConnectAnswer::NoPath);
+    }
+    paths
+        .is_down(replica, node.clock.now())
+        .then_some(WireConnectAnswer::Down)
+}
+
 /// Returns the replica as this node knows it or, if it does not, as the other node does.
 ///
 /// Errors: the replica is leaving, or its address cannot be read.
@@ -130,42 +145,42 @@
     timeout(limit, connecting).await?
 }
 
-/// Returns whether this node reaches another replica now.
+/// Returns whether this node reaches other replicas now, so that its own path is not the cause.
 async fn reaches_others<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> bool {
-    let others = {
-        let state = node.state.borrow();
-        let paths = &state.replica_paths;
-        let age = paths.last_reached_at().map(|at| node.clock.now().since(at));
-        if paths.broken_count() > 0 {
-            return false;
-        }
-        if age.is_some_and(|age| age <= MAX_PROOF_AGE) {
-            return true;
-        }
-        let latest = paths.latest_reached(CONTROL_COUNT, &target.replica);
-        let latest = latest.iter().filter_map(|id| state.replicas.get(id));
-        let any = state.replicas.iter();
-        let any = any.filter(|entry| entry.listing.id != target.replica);
-        let others = latest.chain(any).take(CONTROL_COUNT);
-        others.filter_map(PathTarget::of).collect::<Vec<_>>()
-    };
-    let dials = others.into_iter().map(|other| {
-        Box::pin(async move {
-            let connected = dial(node, other.address, CONTROL_TIMEOUT).await;
-            connected.map(|_| other)
-        })
-    });
-    let dials: Vec<_> = dials.collect();
-    if dials.is_empty() {
+    let controls = control_targets(node, target);
+    if controls.is_empty() {
         return false;
     }
-    match select_ok(dials).await {
-        Ok((other, _)) => {
-            record_own_connection(node, &other, None);
-            true
+    let dials = controls.iter().map(|control| async {
+        let is_reached = dial(node, control.address, CONTROL_TIMEOUT).await.is_ok();
+        if is_reached {
+            record_own_connection(node, control, None);
         }
-        Err(_) => false,
+        is_reached
+    });
+    join_all(dials).await.iter().all(|is_reached| *is_reached)
+}
+
+/// Returns some replicas to which this node's path should work: of the target's service, as a cut
+/// may affect the replicas of one service only, or of any if it has no others.
+fn control_targets<P: Platform>(node: &Node<P>, target: &PathTarget) -> Vec<PathTarget> {
+    let state = node.state.borrow();
+    if state.replica_paths.broken_count() > 0 {
+        return Vec::new();
+    }
+    let service = state
+        .replicas
+        .get(&target.replica)
+        .map(|entry| &entry.listing.service);
+    let is_other = |entry: &&ReplicaEntry| entry.is_ready() && entry.listing.id != target.replica;
+    let of_service = |entry: &&ReplicaEntry| Some(&entry.listing.service) == service;
+    let others = state.replicas.iter().filter(is_other).filter(of_service);
+    let mut chosen = others.choose_multiple(&mut rand::rng(), CONTROL_COUNT);
+    if chosen.is_empty() {
+        let any = state.replicas.iter().filter(is_other);
+        chosen = any.choose_multiple(&mut rand::rng(), CONTROL_COUNT);
     }
+    chosen.into_iter().filter_map(PathTarget::of).collect()
 }
 
 /// Passes bytes on in both directions until either side ends. Both connections are closed then, so
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -38,6 +38,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum number of confirmed broken paths of a node that counts as cut off.
 const MIN_BROKEN_PATHS: usize = 2;
+/// Time for which a replica that was found down is not tried again for other nodes.
+const DOWN_VALIDITY: Duration = Duration::from_millis(500);
 /// Maximum number of replicas that are stored as reached.
 const MAX_REACHED: usize = 1024;
 
@@ -57,7 +59,8 @@
     broken_since: Option<Moment>,
     /// When replicas were last reached over the own path.
     reached: HashMap<ReplicaId, Moment>,
-    last_reached_at: Option<Moment>,
+    /// When replicas were found down, while others were reached.
+    down: HashMap<ReplicaId, Moment>,
     /// Whether a connection failed or went silent since any replica was last reached.
     is_suspect: bool,
     /// Replicas whose path is being checked.
@@ -102,7 +105,7 @@
     /// Records that a replica was reached over the own path. Returns whether that was broken.
     pub fn record_reached(&mut self, replica: &ReplicaId, now: Moment) -> bool {
         self.is_suspect = false;
-        self.last_reached_at = Some(now);
+        self.down.remove(replica);
         if self.reached.len() >= MAX_REACHED && !self.reached.contains_key(replica) {
             self.reached.clear();
         }
@@ -163,18 +166,16 @@
         self.broken.len()
     }
 
-    /// Returns when any replica was last reached over an own path.
-    pub fn last_reached_at(&self) -> Option<Moment> {
-        self.last_reached_at
+    /// Records that a replica was not reached, and others were.
+    pub fn record_down(&mut self, replica: &ReplicaId, now: Moment) {
+        self.down.retain(|_, at| now.since(*at) < DOWN_VALIDITY);
+        self.down.insert(replica.clone(), now);
     }
 
-    /// Returns the replicas that were reached most recently, without `except`.
-    pub fn latest_reached(&self, count: usize, except: &str) -> Vec<ReplicaId> {
-        let others = self.reached.iter().filter(|(id, _)| &***id != except);
-        let mut others: Vec<_> = others.collect();
-        others.sort_by_key(|(id, at)| (std::cmp::Reverse(**at), (*id).clone()));
-        let latest = others.into_iter().take(count);
-        latest.map(|(id, _)| id.clone()).collect()
+    /// Returns whether a replica was found down a moment ago.
+    pub fn is_down(&self, replica: &str, now: Moment) -> bool {
+        let found_at = self.down.get(replica);
+        found_at.is_some_and(|at| now.since(*at) < DOWN_VALIDITY)
     }
 
     /// Returns up to `max` broken paths to probe now, those first that were not probed for longest.
