--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -5,10 +5,12 @@
 //! passes bytes on: the request, its charges, limits, retries and deadline stay with the node that
 //! took it, and closing the tunnel closes the connection to the replica.
 
+mod control;
 pub(crate) mod monitor;
 pub(crate) mod serve;
 mod tunnel;
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +24,9 @@
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use rand::Rng;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use self::tunnel::Tunnel;
 use crate::connection::{Connection, ConnectionPool};
@@ -100,11 +104,31 @@
         let state = node.state.borrow();
         state.replica_paths.head_start(choice, options.objective)
     };
-    let result = search(node, pool, target, choice, head_start).await;
-    if let Err(failure) = result {
-        record_failure(node, target, failure);
+    match search(node, pool, target, choice, head_start).await {
+        Ok(connection) => Ok(connection),
+        Err(failure) => Err(judge_failure(node, target, choice, failure).await),
     }
-    result
+}
+
+/// Records a failed search. If no other node could tell, this one tries others replicas: if it
+/// reaches them, its own path is not the cause.
+async fn judge_failure<P: Platform>(
+    node: &Rc<Node<P>>,
+    target: &PathTarget,
+    choice: PathChoice,
+    failure: SearchFailure,
+) -> SearchFailure {
+    let is_open = failure == SearchFailure::NoPath && choice != PathChoice::Tunnel;
+    let failure = if is_open && control::reaches_others(node, target).await {
+        SearchFailure::Down
+    } else {
+        failure
+    };
+    tracing::info!(target: "path", event = "no path to a replica", replica = &*target.replica, ?failure);
+    if failure == SearchFailure::NoPath {
+        record_broken(node, target, false);
+    }
+    failure
 }
 
 /// Asks other nodes whether they reach a replica to which this node cannot connect.
@@ -193,6 +217,12 @@
     }
 }
 
+/// Opens a connection over the node's own path.
+async fn dial<P: Platform>(node: &Node<P>, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let connecting = node.platform.connector().connect(address);
+    timeout(limit, connecting).await?
+}
+
 fn start_attempt<'a, P: Platform>(
     node: &'a Rc<Node<P>>,
     pool: &'a ConnectionPool,
@@ -306,11 +336,3 @@
         node.path_check_needed.notify_one();
     }
 }
-
-fn record_failure<P: Platform>(node: &Node<P>, target: &PathTarget, failure: SearchFailure) {
-    tracing::info!(target: "path", event = "no path to a replica", replica = &*target.replica, ?failure);
-    match failure {
-        SearchFailure::NoPath => record_broken(node, target, false),
-        SearchFailure::Down | SearchFailure::OwnPathFailed => {}
-    }
-}
--- a/crates/croftrill-node/src/replica_path/monitor.rs
+++ b/crates/croftrill-node/src/replica_path/monitor.rs
@@ -10,9 +10,9 @@
 use croftrill_scheduler::shard::Shard;
 use futures::future::join_all;
 use rand::seq::IteratorRandom;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::{ask_peers, record_broken, record_own_connection, PathTarget, PeerVerdict};
+use super::{ask_peers, dial, record_broken, record_own_connection, PathTarget, PeerVerdict};
 use crate::node::Node;
 use crate::ports::Platform;
 
@@ -79,8 +79,7 @@
 
 /// Tries to connect to a replica over the own path. Returns whether it is reached.
 async fn probe<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> bool {
-    let connecting = node.platform.connector().connect(target.address);
-    let is_reached = matches!(timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)));
+    let is_reached = dial(node, target.address, PROBE_TIMEOUT).await.is_ok();
     if is_reached {
         record_own_connection(node, target, None);
     }
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -1,24 +1,20 @@
 //! Carries connections of nodes whose own paths to replicas are cut.
 
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use croftrill_scheduler::replica::ReplicaId;
-use croftrill_scheduler::replica_table::ReplicaEntry;
-use futures::future::join_all;
 use futures::SinkExt;
 use nanoserde::SerBin;
-use rand::seq::IteratorRandom;
 use tokio::io::{copy, AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
-use super::{record_own_connection, PathTarget};
+use super::control::reaches_others;
+use super::{dial, record_own_connection, PathTarget};
 use crate::connection::configure_socket;
 use crate::link::PeerLink;
 use crate::metrics::Metrics;
@@ -28,10 +24,6 @@
 
 /// Time to connect to a replica for another node, which waits for twice as long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time to connect to other replicas, to tell a replica that is down from an own path that is cut.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(60);
-/// Number of other replicas that are tried for this.
-const CONTROL_COUNT: usize = 2;
 /// Maximum number of connections that this node carries: a few megabytes of buffers.
 const MAX_TUNNELS: usize = 256;
 /// Delay of the node's thread above which it carries no further connection: half of the shortest
@@ -140,49 +132,6 @@
     Ok(PathTarget { replica, address })
 }
 
-async fn dial<P: Platform>(node: &Node<P>, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let connecting = node.platform.connector().connect(address);
-    timeout(limit, connecting).await?
-}
-
-/// Returns whether this node reaches other replicas now, so that its own path is not the cause.
-async fn reaches_others<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> bool {
-    let controls = control_targets(node, target);
-    if controls.is_empty() {
-        return false;
-    }
-    let dials = controls.iter().map(|control| async {
-        let is_reached = dial(node, control.address, CONTROL_TIMEOUT).await.is_ok();
-        if is_reached {
-            record_own_connection(node, control, None);
-        }
-        is_reached
-    });
-    join_all(dials).await.iter().all(|is_reached| *is_reached)
-}
-
-/// Returns some replicas to which this node's path should work: of the target's service, as a cut
-/// may affect the replicas of one service only, or of any if it has no others.
-fn control_targets<P: Platform>(node: &Node<P>, target: &PathTarget) -> Vec<PathTarget> {
-    let state = node.state.borrow();
-    if state.replica_paths.broken_count() > 0 {
-        return Vec::new();
-    }
-    let service = state
-        .replicas
-        .get(&target.replica)
-        .map(|entry| &entry.listing.service);
-    let is_other = |entry: &&ReplicaEntry| entry.is_ready() && entry.listing.id != target.replica;
-    let of_service = |entry: &&ReplicaEntry| Some(&entry.listing.service) == service;
-    let others = state.replicas.iter().filter(is_other).filter(of_service);
-    let mut chosen = others.choose_multiple(&mut rand::rng(), CONTROL_COUNT);
-    if chosen.is_empty() {
-        let any = state.replicas.iter().filter(is_other);
-        chosen = any.choose_multiple(&mut rand::rng(), CONTROL_COUNT);
-    }
-    chosen.into_iter().filter_map(PathTarget::of).collect()
-}
-
 /// Passes bytes on in both directions until either side ends. Both connections are closed then, so
 /// that a replica stops its work when the other node gives the request up.
 async fn forward(node: TcpStream, received: BytesMut, replica: TcpStream) -> io::Result<()> {
