A search that hung while the path was cut says nothing of the replica afterwards

The replica is tried again beside the others now, and a path that breaks is no longer among those reached. In the model, requests of a killed node end with it (they went on after its restart).

--- a/crates/croftrill-node/src/replica_path/control.rs
+++ b/crates/croftrill-node/src/replica_path/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::replica_table::ReplicaEntry;
-use futures::future::join_all;
+use futures::future::{join, join_all};
 use rand::seq::IteratorRandom;
 
 use super::{dial, record_own_connection, PathTarget};
@@ -32,6 +32,17 @@
     join_all(dials).await.iter().all(|is_reached| *is_reached)
 }
 
+/// Returns whether this node reaches other replicas now, and still not this one. An attempt that hung
+/// while the own path was cut says nothing of the replica once the path works again.
+pub(super) async fn reaches_only_others<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> bool {
+    let again = dial(node, target.address, CONTROL_TIMEOUT);
+    let (again, others) = join(again, reaches_others(node, target)).await;
+    if again.is_ok() {
+        record_own_connection(node, target, None);
+    }
+    others && again.is_err()
+}
+
 /// Returns some replicas to which this node's path should work: of the target's service, as a cut
 /// may affect the replicas of one service only, or of any if it has no others.
 fn control_targets<P: Platform>(node: &Node<P>, target: &PathTarget) -> Vec<PathTarget> {
--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -110,8 +110,8 @@
     }
 }
 
-/// Records a failed search. If no other node could tell, this one tries others replicas: if it
-/// reaches them, its own path is not the cause.
+/// Records a failed search. If no other node could tell, this one tries the replica again and some
+/// others: if it reaches these alone, its own path is not the cause.
 async fn judge_failure<P: Platform>(
     node: &Rc<Node<P>>,
     target: &PathTarget,
@@ -119,7 +119,7 @@
     failure: SearchFailure,
 ) -> SearchFailure {
     let is_open = failure == SearchFailure::NoPath && choice != PathChoice::Tunnel;
-    let failure = if is_open && control::reaches_others(node, target).await {
+    let failure = if is_open && control::reaches_only_others(node, target).await {
         SearchFailure::Down
     } else {
         failure
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -127,6 +127,7 @@
     pub fn record_broken(&mut self, replica: &ReplicaId, is_confirmed: bool, now: Moment) -> bool {
         self.is_suspect = true;
         self.broken_since.get_or_insert(now);
+        self.reached.remove(replica);
         let is_new = !self.broken.contains_key(replica);
         let path = self.broken.entry(replica.clone()).or_insert(BrokenPath {
             is_confirmed,
--- a/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
+++ b/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
@@ -361,6 +361,13 @@
                 .push((node, known.state_since, self.now + SETTLE_MS));
         }
         let cut = known.cut;
+        if state == NodeState::Down {
+            // Its requests end with it.
+            let open = self.requests.iter_mut().filter(|request| request.node == node);
+            open.filter(|request| request.served.is_none())
+                .for_each(|request| request.served = Some(false));
+        }
+        let known = &mut self.nodes[node];
         if state == NodeState::Serving {
             *known = Node::new(self.now);
             known.cut = cut;
@@ -485,7 +492,8 @@
         let now = self.now;
         let is_open =
             failure == SearchFailure::NoPath && !self.nodes[node].paths.is_broken(&self.ids[replica]);
-        let failure = if is_open && self.reaches_others(node, replica) {
+        let is_reached = matches!(self.dial(node, replica), Some((true, _)));
+        let failure = if is_open && !is_reached && self.reaches_others(node, replica) {
             SearchFailure::Down
         } else {
             failure
