A node that lacks one path is not left out as one that has none

Change: the answer tells whether the node reaches other replicas; only one that reaches none is left out for a while.

--- a/crates/croftrill-node/src/peer/connect.rs
+++ b/crates/croftrill-node/src/peer/connect.rs
@@ -20,7 +20,9 @@
     Connected,
     /// The replica cannot be connected or is leaving; others can be.
     Down,
-    /// No replica can be connected, as far as the node knows.
+    /// The replica cannot be connected, and the node cannot tell why. Others may be.
+    NotReached,
+    /// The node reaches no replica itself.
     NoPath,
     /// The node carries no further connections now.
     Busy,
@@ -32,6 +34,7 @@
         match self {
             WireConnectAnswer::Connected => "connected",
             WireConnectAnswer::Down => "down",
+            WireConnectAnswer::NotReached => "not reached",
             WireConnectAnswer::NoPath => "no path",
             WireConnectAnswer::Busy => "busy",
         }
--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -279,6 +279,7 @@
     match answer {
         PeerAnswer::Connected => "connected",
         PeerAnswer::Down => "down",
+        PeerAnswer::NotReached => "not reached",
         PeerAnswer::NoPath => "no path",
         PeerAnswer::Busy => "busy",
         PeerAnswer::Unanswered => "unanswered",
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::replica_paths::ReplicaPaths;
 use futures::SinkExt;
 use nanoserde::SerBin;
 use tokio::io::{copy, AsyncReadExt, AsyncWriteExt};
@@ -94,7 +95,7 @@
         Err(error) => {
             tracing::debug!(target: "path", event = "no connection for another node", replica = &*target.replica, %error);
             if !reaches_others(node, &target).await {
-                return Err(WireConnectAnswer::NoPath);
+                return Err(not_reached(&node.state.borrow().replica_paths));
             }
             let now = node.clock.now();
             node.state
@@ -106,11 +107,20 @@
     }
 }
 
+/// Returns the answer of a node that does not reach a replica and cannot tell why.
+fn not_reached(paths: &ReplicaPaths) -> WireConnectAnswer {
+    if paths.has_paths() {
+        WireConnectAnswer::NotReached
+    } else {
+        WireConnectAnswer::NoPath
+    }
+}
+
 /// Returns the answer that needs no attempt to connect.
 fn known_answer<P: Platform>(node: &Node<P>, replica: &ReplicaId) -> Option<WireConnectAnswer> {
     let paths = &node.state.borrow().replica_paths;
     if paths.is_broken(replica) {
-        return Some(WireConnectAnswer::NoPath);
+        return Some(not_reached(paths));
     }
     paths
         .is_down(replica, node.clock.now())
--- a/crates/croftrill-node/src/replica_path/tunnel.rs
+++ b/crates/croftrill-node/src/replica_path/tunnel.rs
@@ -87,6 +87,7 @@
     match answer {
         WireConnectAnswer::Connected => {}
         WireConnectAnswer::Down => return Err(PeerAnswer::Down),
+        WireConnectAnswer::NotReached => return Err(PeerAnswer::NotReached),
         WireConnectAnswer::NoPath => return Err(PeerAnswer::NoPath),
         WireConnectAnswer::Busy => return Err(PeerAnswer::Busy),
     }
--- a/crates/croftrill-scheduler/src/path_search.rs
+++ b/crates/croftrill-scheduler/src/path_search.rs
@@ -35,7 +35,9 @@
     Connected,
     /// It cannot connect to the replica, and reaches others.
     Down,
-    /// It cannot connect to the replica, and knows none that it reaches.
+    /// It cannot connect to the replica and cannot tell why. It may reach others.
+    NotReached,
+    /// It reaches no replica itself.
     NoPath,
     /// It carries no more connections now.
     Busy,
--- a/crates/croftrill-scheduler/src/peer_paths.rs
+++ b/crates/croftrill-scheduler/src/peer_paths.rs
@@ -14,9 +14,6 @@
 
 /// Time for which a node that had a path is asked before others.
 const REACHED_VALIDITY: Duration = Duration::from_secs(30);
-/// Number of answers in a row after which a node counts as without any path. It may lack the path
-/// to one replica only.
-const MIN_NO_PATHS: u32 = 2;
 /// Time for which a node without a path is not asked again.
 const NO_PATH_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which a node without room for more connections is not asked again.
@@ -29,8 +26,6 @@
 struct PeerPath {
     reached_at: Option<Moment>,
     skip_until: Option<Moment>,
-    /// Number of its last answers, in a row, that it has no path.
-    no_paths: u32,
     /// Connections of this node that it carries.
     tunnels: u32,
 }
@@ -93,14 +88,11 @@
             PeerAnswer::Connected | PeerAnswer::Down => {
                 peer.reached_at = Some(now);
                 peer.skip_until = None;
-                peer.no_paths = 0;
             }
+            PeerAnswer::NotReached => peer.skip_until = None,
             PeerAnswer::NoPath => {
-                peer.no_paths += 1;
-                if peer.no_paths >= MIN_NO_PATHS {
-                    peer.reached_at = None;
-                    peer.skip_until = Some(now + NO_PATH_PAUSE);
-                }
+                peer.reached_at = None;
+                peer.skip_until = Some(now + NO_PATH_PAUSE);
             }
             PeerAnswer::Busy => peer.skip_until = Some(now + BUSY_PAUSE),
             PeerAnswer::Unanswered => {
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -162,6 +162,14 @@
         self.broken.contains_key(replica)
     }
 
+    /// Returns whether some own path works, as far as is known.
+    pub fn has_paths(&self) -> bool {
+        let Some(since) = self.broken_since else {
+            return true;
+        };
+        self.reached.values().any(|at| *at > since)
+    }
+
     /// Returns the number of broken paths.
     pub fn broken_count(&self) -> usize {
         self.broken.len()
--- a/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
+++ b/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
@@ -166,6 +166,7 @@
         PeerAnswer::NoPath => 2,
         PeerAnswer::Busy => 3,
         PeerAnswer::Unanswered => 4,
+        PeerAnswer::NotReached => 5,
     }
 }
 
@@ -175,6 +176,7 @@
         1 => PeerAnswer::Down,
         2 => PeerAnswer::NoPath,
         3 => PeerAnswer::Busy,
+        5 => PeerAnswer::NotReached,
         _ => PeerAnswer::Unanswered,
     }
 }
@@ -553,7 +555,7 @@
         let (answer, after) = match self.nodes[peer].state {
             NodeState::Down => (PeerAnswer::Unanswered, 0),
             NodeState::Stopping => (PeerAnswer::Busy, 0),
-            NodeState::Serving if self.nodes[peer].paths.is_broken(&id) => (PeerAnswer::NoPath, 0),
+            NodeState::Serving if self.nodes[peer].paths.is_broken(&id) => (self.not_reached(peer), 0),
             NodeState::Serving if self.nodes[peer].paths.is_down(&id, moment(now)) => (PeerAnswer::Down, 0),
             NodeState::Serving => self.dial_for_other(peer, replica),
         };
@@ -576,7 +578,15 @@
             self.nodes[peer].paths.record_down(&self.ids[replica], now);
             return (PeerAnswer::Down, spent + ROUND_TRIP_MS);
         }
-        (PeerAnswer::NoPath, spent + CONTROL_LIMIT_MS)
+        (self.not_reached(peer), spent + CONTROL_LIMIT_MS)
+    }
+
+    fn not_reached(&self, peer: usize) -> PeerAnswer {
+        if self.nodes[peer].paths.has_paths() {
+            PeerAnswer::NotReached
+        } else {
+            PeerAnswer::NoPath
+        }
     }
 
     /// Returns whether a node reaches two other replicas, drawn at random.
