A replica that is silent for a second or two keeps its connections

What callers see: requests to a sound replica that acknowledges nothing for a second break ("connection timed out") and are sent again or fail. Cause: connections to replicas had a TCP user timeout of 1 s. On Linux it also decides alone when keep-alive probes give up, whatever their count: one lost probe closed an idle connection. Change: 4 s for connections to replicas; requests have limits of their own (silence before a retry, deadline, patience of streams). Connections to the store keep 1 s, as all its calls do. The count of probes, which had no effect, is gone. Result: request_to_replica_that_is_silent_for_a_while failed on the code before (os error 110 after 1 s) and passes.

--- a/crates/croftrill-http/src/store.rs
+++ b/crates/croftrill-http/src/store.rs
@@ -22,6 +22,9 @@
     WireWrite, CHANGES_PATH, ERA_HEADER, ITEMS_PATH, LEASES_PATH, REVISION_PATH, WRITE_PATH,
 };
 
+/// Time without an acknowledgement after which a connection counts as lost: about as long as a
+/// call may take.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Timeout of a call with a short response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Era of a store that has never been restored from a copy.
@@ -41,7 +44,10 @@
     pub fn new(address: SocketAddr) -> Self {
         StoreClient {
             address,
-            pool: ConnectionPool::new(ConnectionConfig::default()),
+            pool: ConnectionPool::new(ConnectionConfig {
+                silence_limit: Some(SILENCE_LIMIT),
+                ..ConnectionConfig::default()
+            }),
             era: StoreEra::with_initial(FIRST_ERA),
         }
     }
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -30,7 +30,8 @@
     /// Timeout for establishing a connection.
     pub connect_timeout: Duration,
     /// Time without an acknowledgement of data or probes after which the peer counts as
-    /// lost; `None` uses the operating system's default.
+    /// lost; `None` uses the operating system's default. It must exceed the silence of a sound
+    /// peer, as what was sent on the connection breaks with it.
     pub silence_limit: Option<Duration>,
     /// Longest idle time after which a connection is used again.
     pub max_idle_time: Duration,
@@ -45,7 +46,8 @@
     fn default() -> Self {
         ConnectionConfig {
             connect_timeout: Duration::from_millis(400),
-            silence_limit: Some(Duration::from_millis(1000)),
+            // A sound replica may be silent for a second or two.
+            silence_limit: Some(Duration::from_secs(4)),
             max_idle_time: Duration::from_millis(3000),
             max_idle_connections: 8,
             resets_on_close: false,
@@ -488,13 +490,13 @@
     stream.set_nodelay(true)?;
     let Some(limit) = silence_limit else { return Ok(()) };
     let socket = SockRef::from(stream);
-    // Sends a probe after half of the limit and another one a quarter later. Keep-alive
-    // probes have a resolution of one second.
+    // Probes an idle connection after half of the limit and then at intervals, which have a
+    // resolution of one second. The user timeout alone decides when the connection is given up:
+    // at the first probe that is due after the limit, however many were lost before.
     let min_time = Duration::from_secs(1);
     let keep_alive = TcpKeepalive::new()
         .with_time(min_time.max(limit / 2))
-        .with_interval(min_time.max(limit / 4))
-        .with_retries(1);
+        .with_interval(min_time.max(limit / 4));
     socket.set_tcp_keepalive(&keep_alive)?;
     socket.set_tcp_user_timeout(Some(limit))
 }
