Soak: nodes that lose their paths, and replicas that bear few rejections

Cause: the soak drew neither; a proxy before a replica cannot cut one node alone. Change: nodes of the new mix run the test's own program, whose connector a file cuts (connections hang or are refused, open ones live on), beside kills, stops, pauses, silent replicas and connections that go silent; callers of a cut node are compared with those of uncut ones, from a second after the cut. Stand-in replicas fall over beyond the rejections that they name; falls are counted over the round. The native platform opens orders' connections with the node's connector.

--- a/crates/croftrill-daemon/src/daemon.rs
+++ b/crates/croftrill-daemon/src/daemon.rs
@@ -6,6 +6,7 @@
 use anyhow::Context;
 use croftrill_http::native_platform::NativePlatform;
 use croftrill_node::clock::Clock;
+use croftrill_node::connector::{Connector, TcpConnector};
 use croftrill_node::node::Node;
 use croftrill_node::runtime::{self, Running};
 use tokio::net::TcpListener;
@@ -14,6 +15,23 @@
 use crate::operator_api;
 use crate::settings::Settings;
 
+/// What a node uses of its machine, which tests replace.
+pub struct Environment {
+    /// Its clock.
+    pub clock: Clock,
+    /// Opens its connections to replicas.
+    pub connector: Rc<dyn Connector>,
+}
+
+impl Default for Environment {
+    fn default() -> Self {
+        Environment {
+            clock: Clock::start(),
+            connector: Rc::new(TcpConnector),
+        }
+    }
+}
+
 /// A running node and the addresses that it is bound to.
 pub struct Daemon {
     /// The running node.
@@ -26,11 +44,11 @@
 impl Daemon {
     /// Starts a node; must run within a `LocalSet`. A port of 0 binds a free port.
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
-        Self::start_with_clock(settings, Clock::start()).await
+        Self::start_in(settings, Environment::default()).await
     }
 
-    /// Starts a node like [`Daemon::start`], but with the given clock.
-    pub async fn start_with_clock(mut settings: Settings, clock: Clock) -> anyhow::Result<Self> {
+    /// Starts a node like [`Daemon::start`], but in the given environment.
+    pub async fn start_in(mut settings: Settings, environment: Environment) -> anyhow::Result<Self> {
         let front = TcpListener::bind(settings.listen)
             .await
             .context("cannot bind the `listen` address")?;
@@ -43,8 +61,8 @@
         settings.listen = front.local_addr()?;
         settings.peer = peer.local_addr()?;
         settings.operator = operator.local_addr()?;
-        let platform = NativePlatform::new(settings.store);
-        let (node, queues) = Node::with_clock(settings.node_settings(), platform, clock);
+        let platform = NativePlatform::with_connector(settings.store, environment.connector);
+        let (node, queues) = Node::with_clock(settings.node_settings(), platform, environment.clock);
         tracing::info!(target: "node", event = "start", name = settings.name, listen = %settings.listen,
             operator = %settings.operator, version = env!("CARGO_PKG_VERSION"));
         // Distinguishes this process from an earlier one of the same name. Incarnations are not
--- a/crates/croftrill-daemon/src/main.rs
+++ b/crates/croftrill-daemon/src/main.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
+use croftrill_daemon::daemon::Environment;
 use croftrill_daemon::program::{read_settings, run};
-use croftrill_node::clock::Clock;
 use croftrill_node::logging;
 use lexopt::prelude::*;
 use tokio::task::LocalSet;
@@ -59,5 +59,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, run(arguments.config, settings, Clock::start(), log))
+    LocalSet::new().block_on(
+        &runtime,
+        run(arguments.config, settings, Environment::default(), log),
+    )
 }
--- a/crates/croftrill-daemon/src/program.rs
+++ b/crates/croftrill-daemon/src/program.rs
@@ -3,12 +3,11 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::{bail, Context};
-use croftrill_node::clock::Clock;
 use croftrill_node::logging;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
 
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, Environment};
 use crate::settings::Settings;
 
 /// Reads the settings file.
@@ -23,8 +22,13 @@
 }
 
 /// Runs a daemon until SIGTERM or SIGINT, then stops it within its grace period.
-pub async fn run(path: PathBuf, settings: Settings, clock: Clock, log: logging::Log) -> anyhow::Result<()> {
-    let daemon = Daemon::start_with_clock(settings, clock).await?;
+pub async fn run(
+    path: PathBuf,
+    settings: Settings,
+    environment: Environment,
+    log: logging::Log,
+) -> anyhow::Result<()> {
+    let daemon = Daemon::start_in(settings, environment).await?;
     spawn_local(log.report_dropped_lines(daemon.node.clone()));
     spawn_local(validate_on_hangup(path));
     let mut stop = signal(SignalKind::terminate())?;
--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -30,6 +30,8 @@
     pub attempt: String,
     pub outcome: CallOutcome,
     pub elapsed: Duration,
+    /// Time from the start of the round until it was sent.
+    pub started_after: Duration,
 }
 
 const DEFAULT_PROMPT: &str = "a question";
@@ -123,15 +125,18 @@
 ) -> Vec<CallRecord> {
     let mut random = SmallRng::seed_from_u64(seed ^ 0xcee9 ^ index as u64);
     let pool = persistent_connections();
-    let until = Instant::now() + round;
+    let round_started_at = Instant::now();
+    let until = round_started_at + round;
     let mut records = Vec::new();
     while Instant::now() < until {
         let drawn = draw_call(&mut random, format!("k{seed}-{index}-{}", records.len()));
+        let started_after = round_started_at.elapsed();
         let (outcome, elapsed) = call_over(&pool, front, &drawn).await;
         records.push(CallRecord {
             attempt: drawn.attempt,
             outcome,
             elapsed,
+            started_after,
         });
         sleep(PERSISTENT_CALL_INTERVAL).await;
     }
@@ -146,7 +151,8 @@
     mut draw: impl FnMut(usize) -> Call,
 ) -> Vec<CallRecord> {
     let records = Rc::new(RefCell::new(Vec::new()));
-    let until = Instant::now() + round;
+    let round_started_at = Instant::now();
+    let until = round_started_at + round;
     let mut tasks = Vec::new();
     for number in 0.. {
         if Instant::now() >= until {
@@ -154,12 +160,14 @@
         }
         let drawn = draw(number);
         let (front, records) = (cluster.nodes[number % cluster.nodes.len()].front, records.clone());
+        let started_after = round_started_at.elapsed();
         tasks.push(spawn_local(async move {
             let (outcome, elapsed) = call(front, &drawn).await;
             records.borrow_mut().push(CallRecord {
                 attempt: drawn.attempt,
                 outcome,
                 elapsed,
+                started_after,
             });
         }));
         sleep(CALL_INTERVAL).await;
--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -24,7 +24,7 @@
 use http_body_util::Full;
 use tokio::time::sleep;
 
-use crate::suspendable;
+use crate::instrumented::{self, PathCut};
 
 /// Names of the models: more than the replicas can hold at the same time.
 pub const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
@@ -90,8 +90,8 @@
 pub enum Program {
     /// The daemon of this build.
     Daemon,
-    /// The daemon on a clock that a signal advances ([`crate::suspendable`]).
-    Suspendable,
+    /// The daemon whose clock and paths a test changes ([`crate::instrumented`]).
+    Instrumented,
     /// The daemon of another build, at the path in `CROFTRILL_SOAK_OLDER`.
     Older,
 }
@@ -107,6 +107,11 @@
         self.program.set(program);
     }
 
+    /// Cuts the process's paths to replicas, or restores them.
+    pub fn set_path_cut(&self, cut: Option<PathCut>) {
+        instrumented::set_path_cut(&self.config, cut);
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let id = self.child.borrow().id().to_string();
@@ -165,7 +170,7 @@
     let mut command = match program {
         Program::Daemon => daemon(Path::new(env!("CARGO_BIN_EXE_croftrilld")), config),
         Program::Older => daemon(&older_build().expect("CROFTRILL_SOAK_OLDER is set"), config),
-        Program::Suspendable => suspendable::command(config),
+        Program::Instrumented => instrumented::command(config),
     };
     command
         .stdout(log_output(config))
@@ -208,6 +213,8 @@
     pub nodes: Vec<NodeProcess>,
     pub document: RefCell<Document>,
     conditions: Conditions,
+    /// Rejections a second that the replicas bear at present.
+    max_rejections: Cell<Option<u32>>,
     directory: PathBuf,
 }
 
@@ -295,6 +302,7 @@
             nodes: Vec::new(),
             document: RefCell::new(document()),
             conditions,
+            max_rejections: Cell::default(),
             directory,
         };
         cluster.write_document();
@@ -352,6 +360,7 @@
                 let address = proxy.address().expect("a proxy has an address");
                 let config = (self.conditions.engine)(index);
                 let restarted = self::engine(listener, id, address, self.store_address, config, &[]);
+                restarted.set_max_rejections(self.max_rejections.get());
                 self.engines.borrow_mut()[index] = restarted;
                 self.ended_engines.borrow_mut().push(engine);
                 proxy.restart(upstream).await.expect("its address is free");
@@ -360,6 +369,14 @@
         join_all(each).await;
     }
 
+    /// Lets all replicas fall over beyond this number of rejections a second; `None` ends that.
+    pub fn set_max_rejections(&self, per_s: Option<u32>) {
+        self.max_rejections.set(per_s);
+        for engine in self.engines.borrow().iter() {
+            engine.set_max_rejections(per_s);
+        }
+    }
+
     /// Returns the current incarnation of a replica.
     pub fn engine(&self, index: usize) -> Rc<EngineStandin> {
         self.engines.borrow()[index].clone()
@@ -430,6 +447,7 @@
         }
         for node in &self.nodes {
             node.signal("CONT");
+            node.set_path_cut(None);
         }
         tokio::time::timeout(START_TIMEOUT, self.wait_until_ready())
             .await
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -11,7 +11,8 @@
 
 use crate::checks;
 use crate::cluster::{Cluster, Program, Size};
-use crate::{suspendable, tenants};
+use crate::instrumented::{self, PathCut};
+use crate::{paths, tenants};
 
 /// Time for which a replica keeps announcing its limit: longer than the time until the limit
 /// holds (3 s) plus the window in which requests are counted (4 s).
@@ -49,6 +50,12 @@
     /// Callers have two priorities. Stops, kills, pauses, connection faults and connections
     /// that go silent are injected.
     Uneven,
+    /// Nodes lose their paths to replicas, with kills, stops and pauses of other nodes, replicas
+    /// that are silent for a time and connections that go silent for good.
+    Paths,
+    /// Replicas with few slots fall over if they must reject too many requests, with kills, stops
+    /// and pauses of nodes.
+    Brittle,
 }
 
 /// A fault.
@@ -103,6 +110,10 @@
     Slowed(usize),
     /// A replica announces a limit, in requests per second.
     Limit(usize, f64),
+    /// A node's new connections to replicas fail.
+    NodePaths(usize, PathCut),
+    /// Replicas tell how many rejections a second they bear, and fall over beyond.
+    Brittle(u32),
     /// The store is restored from a copy: the age of the copy when the store becomes
     /// unavailable, and the time for which it is unavailable.
     Restore(Duration, Duration),
@@ -333,6 +344,41 @@
     }
 }
 
+fn paths_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    let engine = random.random_range(0..size.engines);
+    if index < 2 {
+        let cut = if random.random_bool(0.5) {
+            PathCut::Hanging
+        } else {
+            PathCut::Refused
+        };
+        return Injection::NodePaths(node, cut);
+    }
+    match random.random_range(0..7) {
+        0 => Injection::Kill(node),
+        1 => Injection::Stop(node),
+        2 => Injection::Pause(node),
+        3 => Injection::EnginePath(engine, Fault::Silence),
+        4 => Injection::Roll(draw_pause(random, 900)),
+        5 => Injection::StorePath(node, draw_fault(random)),
+        _ => Injection::SilentEngineConnections(engine),
+    }
+}
+
+fn brittle_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    if index == 0 {
+        return Injection::Brittle(random.random_range(2..12));
+    }
+    match random.random_range(0..4) {
+        0 => Injection::Kill(node),
+        1 => Injection::Stop(node),
+        2 => Injection::Pause(node),
+        _ => Injection::StorePath(node, draw_fault(random)),
+    }
+}
+
 fn uneven_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
     let node = random.random_range(0..size.nodes);
     let engine = random.random_range(0..size.engines);
@@ -365,6 +411,8 @@
         Mix::Builds => (random.random_range(2..=4), 2500),
         Mix::Restores => (random.random_range(2..=6), 3000),
         Mix::Uneven => (random.random_range(3..=8), 3500),
+        Mix::Paths => (random.random_range(2..=6), 6000),
+        Mix::Brittle => (random.random_range(1..=4), 4000),
     };
     let planned = (0..count).map(|index| PlannedFault {
         at: Duration::from_millis(random.random_range(200..latest_ms)),
@@ -379,6 +427,8 @@
             Mix::Builds => builds_injection(random, size, index),
             Mix::Restores => restores_injection(random, size, index),
             Mix::Uneven => uneven_injection(random, size, index),
+            Mix::Paths => paths_injection(random, size, index),
+            Mix::Brittle => brittle_injection(random, size, index),
         },
     });
     planned.collect()
@@ -435,7 +485,7 @@
         Injection::Crash(crash) => checks::send_crashing_request(cluster, crash, seed).await,
         Injection::Suspensions(node, count, interval) => {
             for _ in 0..*count {
-                cluster.nodes[*node].signal(suspendable::SUSPENSION_SIGNAL);
+                cluster.nodes[*node].signal(instrumented::SUSPENSION_SIGNAL);
                 sleep(*interval).await;
             }
         }
@@ -443,6 +493,8 @@
         Injection::Replace(nodes, program, interval) => {
             replace_programs(cluster, *nodes, *program, *interval).await
         }
+        Injection::NodePaths(node, cut) => cluster.nodes[*node].set_path_cut(Some(*cut)),
+        Injection::Brittle(max_rejections) => cluster.set_max_rejections(Some(*max_rejections)),
         Injection::Slowed(engine) => cluster.engine(*engine).set_slowed(true),
         Injection::Limit(engine, per_s) => cluster.engine(*engine).set_limit(Some(*per_s)),
         Injection::Leaving(engine) => cluster.engine(*engine).announce_leaving(),
@@ -514,6 +566,14 @@
             sleep(LIMIT_DURATION).await;
             cluster.engine(*engine).set_limit(None);
         }
+        Injection::NodePaths(node, _) => {
+            sleep(paths::ADDED_DURATION).await;
+            cluster.nodes[*node].set_path_cut(None);
+        }
+        Injection::Brittle(_) => {
+            sleep(LIMIT_DURATION).await;
+            cluster.set_max_rejections(None);
+        }
         Injection::Slowed(engine) => cluster.engine(*engine).set_slowed(false),
         Injection::Leaving(engine) => cluster.engine(*engine).finish_leaving(),
         Injection::Cooldown(engine, _) => cluster.engine(*engine).set_cooldown(None),
--- a/crates/croftrill-daemon/tests/soak/suspendable.rs
+++ b/crates/croftrill-daemon/tests/soak/instrumented.rs
@@ -1,4 +1,5 @@
-//! A daemon on a clock that a signal advances, as after a suspension.
+//! A daemon whose clock a signal advances, as after a suspension, and whose paths to replicas a file
+//! cuts.
 //!
 //! Only a whole machine can be suspended, so only the clock jump is simulated: the time since
 //! boot advances by some seconds while the monotonic clock and all timers do not. Unlike in
@@ -6,14 +7,20 @@
 //! are drawn separately.
 
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use croftrill_daemon::daemon::Environment;
 use croftrill_daemon::program::{read_settings, run};
 use croftrill_node::clock::{Clock, TimeSource};
+use croftrill_node::connector::Connector;
 use croftrill_node::logging;
+use futures::future::{pending, LocalBoxFuture};
+use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
@@ -37,6 +44,52 @@
     }
 }
 
+/// How a node's new connections to replicas fail. Open ones live on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathCut {
+    /// They are never made.
+    Hanging,
+    /// They are refused.
+    Refused,
+}
+
+/// Content of the file beside a node's settings while its paths are cut.
+const HANGING: &str = "hanging";
+const REFUSED: &str = "refused";
+
+fn cut_file(config: &Path) -> PathBuf {
+    config.with_extension("cut")
+}
+
+/// Cuts the paths of the node with these settings, or restores them.
+pub fn set_path_cut(config: &Path, cut: Option<PathCut>) {
+    let content = match cut {
+        Some(PathCut::Hanging) => HANGING,
+        Some(PathCut::Refused) => REFUSED,
+        None => "",
+    };
+    std::fs::write(cut_file(config), content).expect("a file");
+}
+
+/// Opens connections unless the file says that the paths are cut.
+struct CuttableConnector {
+    file: PathBuf,
+}
+
+impl Connector for CuttableConnector {
+    fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        // There is no file before the first cut.
+        let cut = std::fs::read_to_string(&self.file).unwrap_or_default();
+        Box::pin(async move {
+            match cut.as_str() {
+                HANGING => pending().await,
+                REFUSED => Err(io::ErrorKind::ConnectionRefused.into()),
+                _ => TcpStream::connect(address).await,
+            }
+        })
+    }
+}
+
 /// Returns the command that runs this test program as a node.
 pub fn command(config: &Path) -> Command {
     let program = std::env::current_exe().expect("the test's own program");
@@ -44,7 +97,7 @@
     command
         .args([
             "--exact",
-            "suspendable::run_as_node_with_config_variable",
+            "instrumented::run_as_node_with_config_variable",
             "--nocapture",
         ])
         .env(CONFIG_VARIABLE, config);
@@ -76,10 +129,15 @@
         start: Instant::now(),
         offset: offset.clone(),
     };
-    let clock = Clock::with_source(Box::new(source));
+    let environment = Environment {
+        clock: Clock::with_source(Box::new(source)),
+        connector: Rc::new(CuttableConnector {
+            file: cut_file(&config),
+        }),
+    };
     LocalSet::new().block_on(&runtime, async move {
         spawn_local(advance_on_signal(offset));
-        run(config, settings, clock, log)
+        run(config, settings, environment, log)
             .await
             .expect("the daemon stops without an error");
     });
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -15,6 +15,8 @@
 //!   from that node;
 //! - a replica that announces a limit gets no more than allowed from the nodes that received
 //!   the limit;
+//! - callers of a node that lost its paths to replicas are served as those of the others;
+//! - replicas that bear few rejections seldom fall over;
 //! - a request that waits at a node that is asked to stop gets an answer;
 //! - afterwards every node serves every model.
 //!
@@ -31,12 +33,14 @@
 //!
 //! `seeds.txt` lists seeds that failed, each with its mix of faults.
 
+mod brittle;
 mod checks;
 mod cluster;
 mod faults;
+mod instrumented;
 mod limits;
+mod paths;
 mod replica_signals;
-mod suspendable;
 mod tenants;
 mod uneven;
 
@@ -70,6 +74,14 @@
 const FIRST_SEED_OF_UNEVEN: u64 = 5_000_000;
 /// Seed of the `Mix::Uneven` round in continuous integration.
 const DEFAULT_SEED_OF_UNEVEN: u64 = FIRST_SEED_OF_UNEVEN + DEFAULT_SEED;
+/// Rounds from this seed on use `Mix::Paths`.
+const FIRST_SEED_OF_PATHS: u64 = 6_000_000;
+/// Seed of the `Mix::Paths` round in continuous integration.
+const DEFAULT_SEED_OF_PATHS: u64 = FIRST_SEED_OF_PATHS + DEFAULT_SEED;
+/// Rounds from this seed on use `Mix::Brittle`.
+const FIRST_SEED_OF_BRITTLE: u64 = 7_000_000;
+/// Seed of the `Mix::Brittle` round in continuous integration.
+const DEFAULT_SEED_OF_BRITTLE: u64 = FIRST_SEED_OF_BRITTLE + DEFAULT_SEED;
 /// Time for which requests are sent and faults injected.
 const ROUND_DURATION: Duration = Duration::from_secs(6);
 /// The same for `Mix::Limits`: a limit takes 3 s to hold and is checked in windows of 4 s.
@@ -107,6 +119,8 @@
                 Some("restores") => Mix::Restores,
                 Some("limits") => Mix::Limits,
                 Some("uneven") => Mix::Uneven,
+                Some("paths") => Mix::Paths,
+                Some("brittle") => Mix::Brittle,
                 other => panic!("seeds.txt: unknown mix {other:?}"),
             };
             (seed.expect("a seed"), mix)
@@ -117,8 +131,8 @@
 async fn play_round(seed: u64, mix: Mix, size: Size) {
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
-        Mix::Crashes => (Program::Suspendable, size.with_min_engines(MIN_CRASHING_ENGINES)),
-        Mix::Words | Mix::Limits | Mix::Uneven => {
+        Mix::Crashes | Mix::Paths => (Program::Instrumented, size.with_min_engines(MIN_CRASHING_ENGINES)),
+        Mix::Words | Mix::Limits | Mix::Uneven | Mix::Brittle => {
             (Program::Daemon, size.with_min_engines(MIN_SIGNALING_ENGINES))
         }
         Mix::Builds => (Program::Older, size),
@@ -126,6 +140,7 @@
     };
     let conditions = match mix {
         Mix::Uneven => uneven::conditions(seed),
+        Mix::Brittle => brittle::conditions(),
         _ => Conditions::default(),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program, conditions).await;
@@ -136,7 +151,7 @@
     }
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
-    let length = if mix == Mix::Limits {
+    let length = if matches!(mix, Mix::Limits | Mix::Paths | Mix::Brittle) {
         LIMITS_ROUND_DURATION
     } else {
         ROUND_DURATION
@@ -170,6 +185,11 @@
     checks::check_crashes_are_bounded(&cluster, &plan, seed);
     replica_signals::check_signals_are_respected(&cluster, &plan, seed);
     limits::check_limits_hold(&cluster, &plan, seed);
+    match mix {
+        Mix::Paths => paths::check_callers_are_served(&plan, &calls, cluster.nodes.len(), seed),
+        Mix::Brittle => brittle::check_falls_are_bounded(&cluster, seed),
+        _ => {}
+    }
     if mix == Mix::Uneven {
         uneven::check_guarantees(&cluster, &plan, &calls, seed);
     }
@@ -194,6 +214,8 @@
         .build()
         .expect("a runtime");
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_BRITTLE => Mix::Brittle,
+        _ if seed >= FIRST_SEED_OF_PATHS => Mix::Paths,
         _ if seed >= FIRST_SEED_OF_UNEVEN => Mix::Uneven,
         _ if seed >= FIRST_SEED_OF_LIMITS => Mix::Limits,
         _ if seed >= FIRST_SEED_OF_RESTORES => Mix::Restores,
@@ -217,6 +239,8 @@
         default_rounds.push((DEFAULT_SEED_OF_RESTORES, Mix::Restores));
         default_rounds.push((DEFAULT_SEED_OF_LIMITS, Mix::Limits));
         default_rounds.push((DEFAULT_SEED_OF_UNEVEN, Mix::Uneven));
+        default_rounds.push((DEFAULT_SEED_OF_PATHS, Mix::Paths));
+        default_rounds.push((DEFAULT_SEED_OF_BRITTLE, Mix::Brittle));
     }
     for (seed, mix) in default_rounds {
         LocalSet::new().block_on(&runtime, play_round(seed, mix, DEFAULT_SIZE));
--- a/crates/croftrill-http/src/engine.rs
+++ b/crates/croftrill-http/src/engine.rs
@@ -1,9 +1,11 @@
 //! Client of the model replicas' control API: orders and reports.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use croftrill_node::connection::{ConnectionConfig, ConnectionPool};
+use croftrill_node::connector::Connector;
 use croftrill_node::ports::{EngineAddress, EngineAnswer, EngineControl, FencedOrder};
 use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaReport};
 use http::{Method, Request, Response, StatusCode};
@@ -21,24 +23,19 @@
 }
 
 impl EngineClient {
-    /// Returns a client with its own connection pool.
-    pub fn new() -> Self {
+    /// Returns a client with its own connection pool, whose connections `connector` opens.
+    pub fn new(connector: Rc<dyn Connector>) -> Self {
+        // An order that a partition held up must not arrive after another node gives orders.
+        let config = ConnectionConfig {
+            resets_on_close: true,
+            ..ConnectionConfig::default()
+        };
         EngineClient {
-            // An order that a partition held up must not arrive after another node gives orders.
-            pool: ConnectionPool::new(ConnectionConfig {
-                resets_on_close: true,
-                ..ConnectionConfig::default()
-            }),
+            pool: ConnectionPool::with_connector(config, connector),
         }
     }
 }
 
-impl Default for EngineClient {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn wire_order(fenced: &FencedOrder) -> WireOrder {
     let (operation, adapter) = match &fenced.order {
         Order::LoadModel(_) => (Operation::Load, None),
--- a/crates/croftrill-http/src/native_platform.rs
+++ b/crates/croftrill-http/src/native_platform.rs
@@ -1,7 +1,9 @@
 //! The native platform: one store, model replicas and the completions API.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
+use croftrill_node::connector::{Connector, TcpConnector};
 use croftrill_node::ports::Platform;
 
 use crate::dialect::Completions;
@@ -15,16 +17,24 @@
     records: NativeRecords,
     engine: EngineClient,
     dialect: Completions,
+    connector: Rc<dyn Connector>,
 }
 
 impl NativePlatform {
     /// Returns the platform with the store at the given address.
     pub fn new(store: SocketAddr) -> Self {
+        Self::with_connector(store, Rc::new(TcpConnector))
+    }
+
+    /// Returns the platform with the store at the given address. `connector` opens the connections to
+    /// replicas.
+    pub fn with_connector(store: SocketAddr, connector: Rc<dyn Connector>) -> Self {
         NativePlatform {
             store: StoreClient::new(store),
             records: NativeRecords,
-            engine: EngineClient::new(),
+            engine: EngineClient::new(connector.clone()),
             dialect: Completions,
+            connector,
         }
     }
 }
@@ -50,4 +60,8 @@
     fn dialect(&self) -> &Completions {
         &self.dialect
     }
+
+    fn connector(&self) -> Rc<dyn Connector> {
+        self.connector.clone()
+    }
 }
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -1,6 +1,7 @@
 //! HTTP server of a stand-in replica, which also maintains its own entry in the store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::LazyLock;
@@ -12,7 +13,7 @@
 use croftrill_http::document::{COMPLETION_PATHS, MODEL_SERVICE};
 use croftrill_http::engine_wire::{
     WireOrder, WireReplica, INCARNATION_HEADER, LEAVING_HEADER, LEAVING_VALUE, LIMIT_HEADER, LOAD_HEADER,
-    NOT_EXECUTED_HEADER, ORDER_PATH, REPORT_PATH,
+    NOT_EXECUTED_HEADER, ORDER_PATH, REJECTIONS_HEADER, REPORT_PATH,
 };
 use croftrill_http::records::REPLICA_PREFIX;
 use croftrill_http::store::StoreClient;
@@ -56,6 +57,9 @@
     /// Number of requests that were rejected because no slot was free.
     #[serde(default)]
     pub turned_away: u32,
+    /// Number of times that it fell over as it had to reject too many requests.
+    #[serde(default)]
+    pub falls: u32,
 }
 
 /// A call that reached the replica, whether it was run or not.
@@ -112,6 +116,12 @@
     is_leaving: Cell<bool>,
     /// Cooldown to request while the replica rejects all requests.
     cooldown: Cell<Option<Duration>>,
+    /// Rejections a second that it bears, sent in answers; it ends at one more.
+    max_rejections: Cell<Option<u32>>,
+    /// Times of its rejections in the last second.
+    rejected_at: RefCell<VecDeque<Instant>>,
+    /// Number of times that it fell over.
+    falls: Cell<u32>,
     /// Limit to send in answers while the replica is overloaded.
     limit_per_s: Cell<Option<f64>>,
     /// Whether the entry must be written again because the store may have lost it.
@@ -131,6 +141,8 @@
 
 /// Prefix of prompts that crash any replica that starts to run them.
 pub const CRASH_PROMPT_PREFIX: &str = "crash ";
+/// Time in which a replica counts its rejections.
+const REJECTION_PERIOD: Duration = Duration::from_secs(1);
 /// Time from the start of such a request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
@@ -155,6 +167,9 @@
             arrivals: RefCell::default(),
             is_leaving: Cell::new(false),
             cooldown: Cell::new(None),
+            max_rejections: Cell::new(None),
+            rejected_at: RefCell::default(),
+            falls: Cell::new(0),
             limit_per_s: Cell::new(None),
             must_rewrite_entry: Cell::new(false),
             end_requested: Notify::new(),
@@ -199,6 +214,11 @@
         self.limit_per_s.set(per_s);
     }
 
+    /// Sets the rejections a second that the replica bears; `None` for any number.
+    pub fn set_max_rejections(&self, per_s: Option<u32>) {
+        self.max_rejections.set(per_s);
+    }
+
     /// Sets whether work takes longer than usual from now on.
     pub fn set_slowed(&self, is_slowed: bool) {
         self.state.borrow_mut().set_slowed(is_slowed);
@@ -219,6 +239,7 @@
             group_runs: self.group_runs.borrow().clone(),
             arrivals: self.arrivals.borrow().clone(),
             turned_away: state.rejected_requests(),
+            falls: self.falls.get(),
         }
     }
 
@@ -228,6 +249,10 @@
             let value = HeaderValue::from_static(LEAVING_VALUE);
             answer.headers_mut().insert(LEAVING_HEADER, value);
         }
+        if let Some(max_rejections) = self.max_rejections.get() {
+            let value = HeaderValue::from(max_rejections);
+            answer.headers_mut().insert(REJECTIONS_HEADER, value);
+        }
         let limit = self.limit_per_s.get().map(|per_s| per_s.to_string());
         if let Some(value) = limit.and_then(|limit| HeaderValue::from_str(&limit).ok()) {
             answer.headers_mut().insert(LIMIT_HEADER, value);
@@ -311,6 +336,7 @@
                 self.with_attempt_and_load(status(StatusCode::MISDIRECTED_REQUEST), request)
             }
             StartOutcome::Full => {
+                self.record_rejection();
                 self.with_attempt_and_load(not_executed(status(StatusCode::SERVICE_UNAVAILABLE)), request)
             }
             StartOutcome::Running => {
@@ -339,6 +365,19 @@
         });
     }
 
+    /// Counts a rejection for want of a slot, and ends the replica if it bears no more.
+    fn record_rejection(&self) {
+        let now = Instant::now();
+        let mut rejected_at = self.rejected_at.borrow_mut();
+        rejected_at.retain(|at| now.duration_since(*at) < REJECTION_PERIOD);
+        rejected_at.push_back(now);
+        let max_rejections = self.max_rejections.get();
+        if max_rejections.is_some_and(|max| rejected_at.len() > max as usize) && self.falls.get() == 0 {
+            self.falls.set(1);
+            self.end_requested.notify_one();
+        }
+    }
+
     fn schedule_crash(self: Rc<Self>) {
         spawn_local(async move {
             sleep(CRASH_DELAY).await;
