--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -16,13 +16,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
-use crate::connector::{Connector, TcpConnector};
+use crate::close_hook::CloseHook;
+use crate::connector::{configure_socket, Connector, TcpConnector};
+use crate::keep_alive_header::{is_close_requested, keep_alive_timeout};
 
 /// Settings of a connection pool.
 #[derive(Debug, Clone, Copy)]
@@ -127,24 +127,6 @@
     }
 }
 
-/// Runs a function when a connection is dropped.
-pub struct CloseHook(Option<Box<dyn FnOnce()>>);
-
-impl CloseHook {
-    /// Returns a hook that runs `on_close`.
-    pub fn new(on_close: impl FnOnce() + 'static) -> Self {
-        CloseHook(Some(Box::new(on_close)))
-    }
-}
-
-impl Drop for CloseHook {
-    fn drop(&mut self) {
-        if let Some(on_close) = self.0.take() {
-            on_close();
-        }
-    }
-}
-
 /// One connection, whose socket closes when it is dropped.
 pub struct Connection {
     address: SocketAddr,
@@ -460,43 +442,3 @@
 
 /// Maximum size of a connection's read buffer.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
-/// Margin subtracted from the idle time that the peer allows.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
-
-fn is_close_requested(headers: &HeaderMap) -> bool {
-    let connection = headers
-        .get(http::header::CONNECTION)
-        .and_then(|value| value.to_str().ok());
-    connection.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
-}
-
-/// Returns the idle time that an answer's `Keep-Alive` header allows, less a margin.
-fn keep_alive_timeout(headers: &HeaderMap) -> Duration {
-    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = value.and_then(|value| {
-        let parameter = value
-            .split(',')
-            .find_map(|part| part.trim().strip_prefix("timeout="));
-        parameter.unwrap_or(value).trim().parse::<u64>().ok()
-    });
-    seconds.map_or(Duration::MAX, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN)
-    })
-}
-
-/// Configures a socket: disables the delay of small writes and closes the connection if
-/// the peer is lost without a reset. A limit of `None` uses the operating system's default.
-pub(crate) fn configure_socket(stream: &TcpStream, silence_limit: Option<Duration>) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let Some(limit) = silence_limit else { return Ok(()) };
-    let socket = SockRef::from(stream);
-    // Probes an idle connection after half of the limit and then at intervals, which have a
-    // resolution of one second. The user timeout alone decides when the connection is given up:
-    // at the first probe that is due after the limit, however many were lost before.
-    let min_time = Duration::from_secs(1);
-    let keep_alive = TcpKeepalive::new()
-        .with_time(min_time.max(limit / 2))
-        .with_interval(min_time.max(limit / 4));
-    socket.set_tcp_keepalive(&keep_alive)?;
-    socket.set_tcp_user_timeout(Some(limit))
-}
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::connection::configure_socket;
+use crate::connector::configure_socket;
 use crate::node::{Lifecycle, Node};
 use crate::ports::{CallerAddress, Platform};
 use crate::request;
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod broken_requests;
 pub mod clock;
+pub mod close_hook;
 pub mod connection;
 pub mod connector;
 pub mod cooldown_header;
@@ -20,6 +21,7 @@
 pub mod directory;
 pub mod era_store;
 pub mod front;
+pub(crate) mod keep_alive_header;
 pub mod limit_header;
 pub mod link;
 pub mod load_header;
--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::connection::configure_socket;
+use crate::connector::configure_socket;
 
 /// Maximum size of a message between nodes.
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -16,7 +16,7 @@
 
 use super::control::reaches_others;
 use super::{dial, record_own_connection, PathTarget};
-use crate::connection::configure_socket;
+use crate::connector::configure_socket;
 use crate::link::PeerLink;
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
--- a/crates/croftrill-node/src/replica_path/tunnel.rs
+++ b/crates/croftrill-node/src/replica_path/tunnel.rs
@@ -20,7 +20,9 @@
 use tokio_util::io::StreamReader;
 
 use super::PathTarget;
-use crate::connection::{configure_socket, CloseHook, Connection, ConnectionPool};
+use crate::close_hook::CloseHook;
+use crate::connection::{Connection, ConnectionPool};
+use crate::connector::configure_socket;
 use crate::link::PeerLink;
 use crate::node::Node;
 use crate::peer::{ToOrderer, WireConnect, WireConnectAnswer};
