--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -171,13 +171,17 @@
     head_start: Duration,
 ) -> Result<Connection, SearchFailure> {
     let started_at = node.clock.now();
-    let mut search = PathSearch::new(choice, head_start, peers_to_ask(node), started_at);
+    let mut search = PathSearch::new(choice, head_start, started_at);
     let mut attempts: FuturesUnordered<LocalBoxFuture<'_, Attempted>> = FuturesUnordered::new();
     let mut has_own_failed = choice == PathChoice::Tunnel;
     loop {
         let now = node.clock.now();
         while let Some(attempt) = search.next_attempt(now) {
-            attempts.push(start_attempt(node, pool, target, attempt));
+            match attempt {
+                Attempt::ListPeers => search.offer_peers(peers_to_ask(node)),
+                Attempt::Own => attempts.push(Box::pin(dial_own(node, pool, target))),
+                Attempt::Peer(peer) => attempts.push(Box::pin(dial_over(node, pool, target, peer))),
+            }
         }
         if let Some(failure) = search.failure() {
             return Err(failure);
@@ -223,30 +227,27 @@
     timeout(limit, connecting).await?
 }
 
-fn start_attempt<'a, P: Platform>(
-    node: &'a Rc<Node<P>>,
-    pool: &'a ConnectionPool,
-    target: &'a PathTarget,
-    attempt: Attempt<SocketAddr>,
-) -> LocalBoxFuture<'a, Attempted> {
-    match attempt {
-        Attempt::Own => Box::pin(async move {
-            match pool.dial(target.address).await {
-                Ok(connection) => Attempted::OwnConnected(connection),
-                Err(error) => {
-                    tracing::info!(target: "path", event = "no connection to a replica",
-                        replica = &*target.replica, %error);
-                    Metrics::count(&node.metrics.replica_paths, "own path", "not connected");
-                    Attempted::OwnFailed
-                }
-            }
-        }),
-        Attempt::Peer(peer) => Box::pin(async move {
-            match tunnel::open(node, peer, target, pool.silence_limit()).await {
-                Ok(tunnel) => Attempted::PeerConnected(peer, tunnel),
-                Err(answer) => Attempted::PeerAnswered(peer, answer),
-            }
-        }),
+async fn dial_own<P: Platform>(node: &Node<P>, pool: &ConnectionPool, target: &PathTarget) -> Attempted {
+    match pool.dial(target.address).await {
+        Ok(connection) => Attempted::OwnConnected(connection),
+        Err(error) => {
+            tracing::info!(target: "path", event = "no connection to a replica",
+                replica = &*target.replica, %error);
+            Metrics::count(&node.metrics.replica_paths, "own path", "not connected");
+            Attempted::OwnFailed
+        }
+    }
+}
+
+async fn dial_over<P: Platform>(
+    node: &Rc<Node<P>>,
+    pool: &ConnectionPool,
+    target: &PathTarget,
+    peer: SocketAddr,
+) -> Attempted {
+    match tunnel::open(node, peer, target, pool.silence_limit()).await {
+        Ok(tunnel) => Attempted::PeerConnected(peer, tunnel),
+        Err(answer) => Attempted::PeerAnswered(peer, answer),
     }
 }
 
--- a/crates/croftrill-scheduler/src/path_search.rs
+++ b/crates/croftrill-scheduler/src/path_search.rs
@@ -26,6 +26,9 @@
     Own,
     /// Over another node.
     Peer(K),
+    /// None yet: the caller lists the nodes that may be asked, with [`PathSearch::offer_peers`].
+    /// Most searches end before they need them.
+    ListPeers,
 }
 
 /// Answer of another node to the question for a path.
@@ -69,8 +72,8 @@
 #[derive(Debug)]
 pub struct PathSearch<K> {
     own: OwnAttempt,
-    /// Nodes that were not asked yet.
-    peers: VecDeque<K>,
+    /// Nodes that were not asked yet; `None` before they are listed.
+    peers: Option<VecDeque<K>>,
     pending_peers: usize,
     has_peers: bool,
     /// When the next node may be asked.
@@ -79,16 +82,16 @@
 }
 
 impl<K: Copy> PathSearch<K> {
-    /// Starts a search. `peers` are the nodes that may be asked, in order.
-    pub fn new(choice: PathChoice, head_start: Duration, peers: Vec<K>, now: Moment) -> Self {
+    /// Starts a search.
+    pub fn new(choice: PathChoice, head_start: Duration, now: Moment) -> Self {
         let own = match choice {
             PathChoice::Own | PathChoice::Suspect => OwnAttempt::NotStarted,
             PathChoice::Tunnel => OwnAttempt::Omitted,
         };
         PathSearch {
             own,
-            has_peers: !peers.is_empty(),
-            peers: peers.into_iter().take(MAX_PEERS).collect(),
+            has_peers: false,
+            peers: None,
             pending_peers: 0,
             next_peer_at: now + head_start,
             is_down: false,
@@ -104,15 +107,24 @@
         if now < self.next_peer_at || self.pending_peers >= MAX_PENDING_PEERS || self.is_down {
             return None;
         }
-        let peer = self.peers.pop_front()?;
+        let Some(peers) = &mut self.peers else {
+            return Some(Attempt::ListPeers);
+        };
+        let peer = peers.pop_front()?;
         self.pending_peers += 1;
         self.next_peer_at = now + PEER_HEAD_START;
         Some(Attempt::Peer(peer))
     }
 
+    /// Lists the nodes that may be asked, in order.
+    pub fn offer_peers(&mut self, peers: Vec<K>) {
+        self.has_peers = !peers.is_empty();
+        self.peers = Some(peers.into_iter().take(MAX_PEERS).collect());
+    }
+
     /// Returns when the next attempt is due, if nothing is answered before.
     pub fn next_attempt_at(&self) -> Option<Moment> {
-        let may_ask = !self.peers.is_empty() && self.pending_peers < MAX_PENDING_PEERS;
+        let may_ask = !self.is_exhausted() && self.pending_peers < MAX_PENDING_PEERS;
         may_ask.then_some(self.next_peer_at)
     }
 
@@ -135,12 +147,17 @@
             return Some(SearchFailure::Down);
         }
         let own_pending = matches!(self.own, OwnAttempt::NotStarted | OwnAttempt::Pending);
-        if own_pending || self.pending_peers > 0 || !self.peers.is_empty() {
+        if own_pending || self.pending_peers > 0 || !self.is_exhausted() {
             return None;
         }
         Some(self.failure_at_limit())
     }
 
+    /// Returns whether all nodes were asked.
+    fn is_exhausted(&self) -> bool {
+        self.peers.as_ref().is_some_and(VecDeque::is_empty)
+    }
+
     /// Returns why the search has failed if it ends now, as its time is over.
     pub fn failure_at_limit(&self) -> SearchFailure {
         if self.own == OwnAttempt::Omitted || self.has_peers {
--- a/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
+++ b/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
@@ -427,18 +427,11 @@
         let fresh: Vec<usize> = untried.iter().copied().filter(|id| !is_skipped(id)).collect();
         let candidates = if fresh.is_empty() { untried } else { fresh };
         let replica = candidates[self.random(candidates.len())];
-        let salt = self.rng.next_u64();
         let node = &self.nodes[node_index];
         let choice = node.paths.choose(&self.ids[replica]);
         let head_start = node.paths.head_start(choice, OBJECTIVE);
-        let others = (0..self.nodes.len()).filter(|other| *other != node_index);
-        let others = others.map(|key| PeerCandidate {
-            key,
-            processor_millicores: 250,
-        });
-        let peers = node.peers.order(others, salt, moment(now));
         let request = &mut self.requests[index];
-        request.search = Some(PathSearch::new(choice, head_start, peers, moment(now)));
+        request.search = Some(PathSearch::new(choice, head_start, moment(now)));
         request.round += 1;
         request.replica = replica;
         request.search_started_at = now;
@@ -472,6 +465,7 @@
                     None => {}
                 },
                 Attempt::Peer(peer) => self.after(ROUND_TRIP_MS, Step::Asked(index, round, peer)),
+                Attempt::ListPeers => self.offer_peers(index),
             }
         }
         let search = self.requests[index].search.as_ref().expect("a search");
@@ -489,6 +483,19 @@
         }
     }
 
+    fn offer_peers(&mut self, index: usize) {
+        let own = self.requests[index].node;
+        let salt = self.rng.next_u64();
+        let others = (0..self.nodes.len()).filter(|other| *other != own);
+        let others = others.map(|key| PeerCandidate {
+            key,
+            processor_millicores: 250,
+        });
+        let peers = self.nodes[own].peers.order(others, salt, moment(self.now));
+        let search = self.requests[index].search.as_mut().expect("a search");
+        search.offer_peers(peers);
+    }
+
     fn record_failure(&mut self, index: usize, failure: SearchFailure) {
         let (node, replica) = (self.requests[index].node, self.requests[index].replica);
         let now = self.now;
