A node connects others only to replicas that it knows, and counts a shard only when it must

Cause: found by reading. A node that knows all replicas dialled any address that another named; and an orderer with one broken path counted its shard's replicas at each plan, 10,000 in the largest fleet. Result: tests of paths and the property pass.

--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -152,15 +152,12 @@
 
 /// As [`is_cut_off`], by the node's state.
 pub(crate) fn is_cut_off_in(state: &NodeState, shard: Shard) -> bool {
-    if state.replica_paths.broken_count() == 0 {
-        return false;
-    }
     let is_of_shard = |id: &str| Shard::of_replica(id) == shard;
-    let of_shard = state
-        .replicas
-        .iter()
-        .filter(|entry| is_of_shard(&entry.listing.id));
-    state.replica_paths.is_cut_off_from(of_shard.count(), is_of_shard)
+    let count = || {
+        let entries = state.replicas.iter();
+        entries.filter(|entry| is_of_shard(&entry.listing.id)).count()
+    };
+    state.replica_paths.is_cut_off_from(is_of_shard, count)
 }
 
 async fn search<P: Platform>(
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -129,7 +129,7 @@
 
 /// Returns the replica as this node knows it or, if it does not, as the other node does.
 ///
-/// Errors: the replica is leaving, or its address cannot be read.
+/// Errors: the replica is leaving or unknown to a node that knows all, or its address cannot be read.
 fn target_of<P: Platform>(node: &Node<P>, request: &WireConnect) -> Result<PathTarget, WireConnectAnswer> {
     let state = node.state.borrow();
     let replica: ReplicaId = request.replica.as_str().into();
@@ -137,6 +137,9 @@
     if known.is_some_and(|entry| !entry.is_ready()) {
         return Err(WireConnectAnswer::Down);
     }
+    if known.is_none() && !state.tree.is_partial() {
+        return Err(WireConnectAnswer::NotReached);
+    }
     let address = known.map_or(request.address.as_str(), |entry| &entry.listing.address);
     let address = address.parse().map_err(|_| WireConnectAnswer::Down)?;
     Ok(PathTarget { replica, address })
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -203,9 +203,9 @@
     }
 
     /// Returns whether this node reaches fewer of some replicas than it lost, while another node
-    /// reaches these. `count` is the number of the replicas in question, for which `is_included`
-    /// holds.
-    pub fn is_cut_off_from(&self, count: usize, is_included: impl Fn(&str) -> bool) -> bool {
+    /// reaches these. `is_included` holds for the replicas in question, and `count` returns their
+    /// number.
+    pub fn is_cut_off_from(&self, is_included: impl Fn(&str) -> bool, count: impl FnOnce() -> usize) -> bool {
         let Some(since) = self.broken_since else {
             return false;
         };
@@ -213,7 +213,7 @@
         let lost = confirmed.filter(|(id, _)| is_included(id)).count();
         let reached = self.reached.iter().filter(|(_, at)| **at > since);
         let reached = reached.filter(|(id, _)| is_included(id)).count();
-        lost >= MIN_BROKEN_PATHS.min(count.max(1)) && lost > reached
+        lost > reached && lost >= MIN_BROKEN_PATHS.min(count())
     }
 
     /// Forgets replicas that are not known any more.
--- a/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
+++ b/crates/croftrill-scheduler/tests/path_partitions/fleet.rs
@@ -670,7 +670,7 @@
     fn is_cut_off(&self, node: usize) -> bool {
         self.nodes[node]
             .paths
-            .is_cut_off_from(self.replicas.len(), |_| true)
+            .is_cut_off_from(|_| true, || self.replicas.len())
     }
 
     /// A node whose paths were never cut must not take itself for cut off.
