Only a connection that was used before makes a node doubt its paths when it goes silent

Change: silence and failures count only on connections that were idle in between, which a cut may have broken. Nothing is computed for brittle replicas while none is known.

--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -152,6 +152,11 @@
         self.tunnel.is_some()
     }
 
+    /// Returns whether the connection was idle between two requests.
+    pub fn is_reused(&self) -> bool {
+        self.was_idle
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
         if self.sender.ready().await.is_err() {
--- a/crates/croftrill-node/src/request/rejections.rs
+++ b/crates/croftrill-node/src/request/rejections.rs
@@ -27,6 +27,9 @@
         limit_request: LimitRequest,
     ) -> bool {
         self.rejection_risk = None;
+        if self.node.state.borrow().brittle_replicas.is_empty() {
+            return true;
+        }
         let nodes = self.node.share().nodes;
         let room = self.known_room(replica);
         let risk = {
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -170,9 +170,10 @@
         replica_path::connect(&self.node, pool, target, options).await
     }
 
-    /// Records that a connection failed or went silent, which its path may have caused.
+    /// Records that a connection failed or went silent, which its path may have caused if it was cut
+    /// since the connection was last used. On a new connection the replica is the cause.
     pub(super) fn record_path_trouble(&self, connection: &Connection) {
-        if !connection.is_tunnel() {
+        if connection.is_reused() {
             self.node.state.borrow_mut().replica_paths.record_trouble();
         }
     }
--- a/crates/croftrill-scheduler/src/brittle.rs
+++ b/crates/croftrill-scheduler/src/brittle.rs
@@ -99,6 +99,11 @@
         known.and_then(|known| known.max_per_s) != max_per_s
     }
 
+    /// Returns whether no replica is known to be brittle.
+    pub fn is_empty(&self) -> bool {
+        self.signals.is_empty()
+    }
+
     /// Returns the risk of a request to a replica. `nodes` is the number of nodes that may send
     /// requests there by the same sample of its load.
     pub fn risk(
