A tunnel has the silence limit of its connection, not that of links between nodes

Cause: found by reading. The socket of a tunnel kept the user timeout of links, 1.2 s, for requests that must not end as the peer is silent: a pause of the network between two nodes would have broken them. Change: 20 s there, as towards callers; 4 s for others, as towards replicas, and at the node that carries it. Result: the tests of paths pass; no test pauses a link of two nodes.

--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -31,7 +31,7 @@
 /// objective of callers.
 const MAX_THREAD_DELAY: Duration = Duration::from_millis(50);
 /// Time without an acknowledgement after which the other node counts as lost.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 /// Size of a buffer.
 const BUFFER_BYTES: usize = 8 * 1024;
 
--- a/crates/croftrill-node/src/replica_path/tunnel.rs
+++ b/crates/croftrill-node/src/replica_path/tunnel.rs
@@ -30,6 +30,10 @@
 use crate::ports::Platform;
 use crate::wire::decode;
 
+/// Limit on the silence of a tunnel whose request must not end for that reason alone: longer than
+/// callers wait for an answer.
+const PATIENT_SILENCE_LIMIT: Duration = Duration::from_secs(20);
+
 /// An open tunnel to a replica.
 pub(super) struct Tunnel {
     stream: TcpStream,
@@ -94,7 +98,9 @@
         WireConnectAnswer::Busy => return Err(PeerAnswer::Busy),
     }
     let (stream, received) = link.into_stream();
-    configure_socket(&stream, connection_silence_limit).map_err(|error| {
+    // Replaces the limit of links between nodes, which is shorter.
+    let silence_limit = connection_silence_limit.unwrap_or(PATIENT_SILENCE_LIMIT);
+    configure_socket(&stream, Some(silence_limit)).map_err(|error| {
         tracing::debug!(target: "path", event = "cannot configure the tunnel", %peer, %error);
         PeerAnswer::Unanswered
     })?;
