Log how a replica's body was framed and how it ended

Change: one place (answer_reader) knows framing and end of each answer that is read. Requests log them; croftrill_answer_ends counts them. What is forwarded, counted as served or taken up is as before.

--- /dev/null
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -0,0 +1,209 @@
+//! Bodies of answers as they arrive: how each is framed, and how it ended.
+//!
+//! The end of the bytes is not the end of the answer. A body without a length or chunks ends
+//! with its connection, also if its sender broke off; and a sender that breaks off may frame what
+//! it has as whole. All readers of answers learn from here what is known of the end.
+
+use bytes::{Bytes, BytesMut};
+use http::{header, response, HeaderMap, Method, Response, StatusCode};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::events::EventScanner;
+
+/// What tells where a body ends. Source: RFC 9112, section 6.3.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// The answer has no body.
+    NoBody,
+    /// `Content-Length`.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// Nothing but the end of the connection.
+    Connection,
+}
+
+impl Framing {
+    fn of(method: &Method, head: &response::Parts) -> Self {
+        let has_no_body = *method == Method::HEAD
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if has_no_body {
+            Framing::NoBody
+        } else if is_chunked(&head.headers) {
+            Framing::Chunks
+        } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Connection
+        } else if head.headers.contains_key(header::CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::NoBody => "no body",
+            Framing::Length => "length",
+            Framing::Chunks => "chunks",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
+/// Returns whether `chunked` is the last transfer coding.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    last.and_then(|value| value.to_str().ok())
+        .and_then(|value| value.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// What a body holds, as far as that tells whether it is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// Anything: only the framing tells.
+    Bytes,
+    /// Events.
+    Events,
+}
+
+impl Content {
+    /// Returns the content that the headers tell. Without a type, it is `otherwise`.
+    pub fn of(headers: &HeaderMap, otherwise: Content) -> Self {
+        let Some(value) = headers.get(header::CONTENT_TYPE) else {
+            return otherwise;
+        };
+        let is_events = value
+            .to_str()
+            .ok()
+            .and_then(|value| value.split(';').next())
+            .is_some_and(|kind| kind.trim().eq_ignore_ascii_case("text/event-stream"));
+        if is_events {
+            Content::Events
+        } else {
+            Content::Bytes
+        }
+    }
+}
+
+/// How a body ended.
+#[derive(Debug)]
+pub enum BodyEnd {
+    /// Whole, as its length or its last chunk says.
+    Whole,
+    /// With its connection, which was closed at a place where the body may end. Nothing tells
+    /// whether the sender had more to send.
+    Closed,
+    /// Inside an event, so that the sender broke off, however it framed the body.
+    InsideEvent {
+        /// Bytes after the last complete event.
+        partial_bytes: u64,
+    },
+    /// With a connection that failed, or was closed before the length or the last chunk.
+    Broken(hyper::Error),
+}
+
+impl BodyEnd {
+    /// Returns the name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            BodyEnd::Whole => "whole",
+            BodyEnd::Closed => "closed",
+            BodyEnd::InsideEvent { .. } => "inside an event",
+            BodyEnd::Broken(_) => "broken",
+        }
+    }
+}
+
+/// What arrives of a body.
+#[derive(Debug)]
+pub enum BodyPart {
+    /// Further bytes.
+    Bytes(Bytes),
+    /// The end, after which nothing follows.
+    End(BodyEnd),
+}
+
+/// Reads the body of an answer.
+#[derive(Debug)]
+pub struct AnswerReader<B = Incoming> {
+    body: B,
+    framing: Framing,
+    content: Content,
+    events: EventScanner,
+}
+
+impl AnswerReader {
+    /// Returns an answer to a request of this method with a reader of its body.
+    pub fn wrap(method: &Method, answer: Response<Incoming>) -> Response<Self> {
+        let (head, body) = answer.into_parts();
+        let reader = AnswerReader {
+            body,
+            framing: Framing::of(method, &head),
+            content: Content::of(&head.headers, Content::Bytes),
+            events: EventScanner::default(),
+        };
+        Response::from_parts(head, reader)
+    }
+}
+
+impl<B: Body<Data = Bytes, Error = hyper::Error> + Unpin> AnswerReader<B> {
+    /// Sets what the body holds.
+    pub fn set_content(&mut self, content: Content) {
+        self.content = content;
+    }
+
+    /// Returns how the body is framed.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the number of bytes that arrived after the last complete event.
+    pub fn partial_bytes(&self) -> u64 {
+        self.events.partial_bytes()
+    }
+
+    /// Waits for the next part of the body.
+    pub async fn next(&mut self) -> BodyPart {
+        loop {
+            match self.body.frame().await {
+                None => return BodyPart::End(self.judge_end()),
+                Some(Err(error)) => return BodyPart::End(BodyEnd::Broken(error)),
+                Some(Ok(frame)) => {
+                    // No caller needs trailers.
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    if self.content == Content::Events {
+                        self.events.push(&bytes);
+                    }
+                    return BodyPart::Bytes(bytes);
+                }
+            }
+        }
+    }
+
+    /// Reads the remaining body. Returns what arrived of it, and how it ended.
+    pub async fn read_to_end(&mut self) -> (Bytes, BodyEnd) {
+        let mut received = BytesMut::new();
+        loop {
+            match self.next().await {
+                BodyPart::Bytes(bytes) => received.extend_from_slice(&bytes),
+                BodyPart::End(end) => return (received.freeze(), end),
+            }
+        }
+    }
+
+    /// Returns how the body ended whose bytes came to an end without an error.
+    fn judge_end(&self) -> BodyEnd {
+        let partial_bytes = self.events.partial_bytes();
+        if partial_bytes > 0 {
+            return BodyEnd::InsideEvent { partial_bytes };
+        }
+        match self.framing {
+            Framing::NoBody | Framing::Length | Framing::Chunks => BodyEnd::Whole,
+            Framing::Connection => BodyEnd::Closed,
+        }
+    }
+}
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -12,14 +12,14 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
+use crate::answer_reader::{AnswerReader, BodyEnd, BodyPart};
 use crate::close_hook::CloseHook;
 use crate::connector::{configure_socket, Connector, TcpConnector};
 use crate::keep_alive_header::{is_close_requested, keep_alive_timeout};
@@ -158,17 +158,20 @@
     }
 
     /// Sends a request and waits for the head of the answer.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<AnswerReader>, ExchangeError> {
         if self.sender.ready().await.is_err() {
             return Err(ExchangeError::NotSent);
         }
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => ExchangeError::NotSent,
-                None => ExchangeError::Broken(error.into_error()),
-            })
+        let method = request.method().clone();
+        let sent = self.sender.try_send_request(request).await;
+        let answer = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => ExchangeError::NotSent,
+            None => ExchangeError::Broken(error.into_error()),
+        })?;
+        Ok(AnswerReader::wrap(&method, answer))
     }
 }
 
@@ -359,8 +362,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (exchange, answer) = self.start_exchange(address, request).await?;
-        let (head, body) = answer.into_parts();
-        let body = body.collect().await.map_err(ExchangeError::Broken)?.to_bytes();
+        let (head, mut reader) = answer.into_parts();
+        let (body, end) = reader.read_to_end().await;
+        check_end(end)?;
         exchange.finish(&head.headers);
         Ok(Response::from_parts(head, body))
     }
@@ -371,7 +375,7 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Exchange<'_>, Response<Incoming>), ExchangeError> {
+    ) -> Result<(Exchange<'_>, Response<AnswerReader>), ExchangeError> {
         let retry = request.clone();
         let mut exchange = Exchange::new(self, self.connect(address).await?);
         let answer = match exchange.send(request).await {
@@ -399,7 +403,7 @@
         }
     }
 
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<AnswerReader>, ExchangeError> {
         match &mut self.connection {
             Some(connection) => connection.send(request).await,
             None => Err(ExchangeError::NotSent),
@@ -424,20 +428,22 @@
 
 /// Reads a body of up to `max_bytes` for as long as it keeps arriving.
 async fn read_body(
-    mut body: Incoming,
+    mut body: AnswerReader,
     max_bytes: u64,
     progress: &AnswerProgress,
 ) -> Result<Bytes, ExchangeError> {
     let mut received = BytesMut::new();
     loop {
-        let frame = timeout(MAX_BODY_PAUSE, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| ExchangeError::TimedOut)? else {
-            return Ok(received.freeze());
-        };
-        // No caller needs trailers.
-        if let Ok(piece) = frame.map_err(ExchangeError::Broken)?.into_data() {
-            progress.add(piece.len());
-            received.extend_from_slice(&piece);
+        let part = timeout(MAX_BODY_PAUSE, body.next()).await;
+        match part.map_err(|_| ExchangeError::TimedOut)? {
+            BodyPart::Bytes(bytes) => {
+                progress.add(bytes.len());
+                received.extend_from_slice(&bytes);
+            }
+            BodyPart::End(end) => {
+                check_end(end)?;
+                return Ok(received.freeze());
+            }
         }
         if progress.bytes() > max_bytes {
             return Err(ExchangeError::TooLong);
@@ -445,5 +451,12 @@
     }
 }
 
+fn check_end(end: BodyEnd) -> Result<(), ExchangeError> {
+    match end {
+        BodyEnd::Broken(error) => Err(ExchangeError::Broken(error)),
+        BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. } => Ok(()),
+    }
+}
+
 /// Maximum size of a connection's read buffer.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/croftrill-node/src/events.rs
@@ -0,0 +1,104 @@
+//! Event streams (`text/event-stream`): where their events end.
+//!
+//! A line ends with LF, CR or CRLF, and an empty line ends an event. Source: the HTML standard,
+//! "Server-sent events".
+
+/// A byte order mark, which may precede the first line of a stream.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// What the current line holds so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    /// A comment, which belongs to no event.
+    Comment,
+    Field,
+}
+
+/// Finds the ends of events in a stream that arrives in pieces of any size.
+#[derive(Debug, Clone, Default)]
+pub struct EventScanner {
+    line: Line,
+    /// Whether the event has a complete line.
+    has_line: bool,
+    /// Whether the last byte was a CR, so that an LF belongs to the same line end.
+    after_cr: bool,
+    /// Whether the first line was reached.
+    after_mark: bool,
+    /// Bytes of a byte order mark so far.
+    mark_bytes: usize,
+    partial_bytes: u64,
+    events: u64,
+}
+
+impl EventScanner {
+    /// Takes the next bytes of the stream. Returns how many of them are not part of an event that
+    /// is still incomplete.
+    pub fn push(&mut self, bytes: &[u8]) -> usize {
+        let mut complete_bytes = 0;
+        for (index, &byte) in bytes.iter().enumerate() {
+            self.push_byte(byte);
+            self.partial_bytes += 1;
+            if self.is_between_events() {
+                complete_bytes = index + 1;
+                self.partial_bytes = 0;
+            }
+        }
+        complete_bytes
+    }
+
+    /// Returns the number of bytes after the last complete event; 0 between two events.
+    pub fn partial_bytes(&self) -> u64 {
+        self.partial_bytes
+    }
+
+    /// Returns the number of complete events so far.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    fn is_between_events(&self) -> bool {
+        let is_inside_mark = !self.after_mark && !matches!(self.mark_bytes, 0 | 3);
+        self.line == Line::Empty && !self.has_line && !is_inside_mark
+    }
+
+    fn push_byte(&mut self, byte: u8) {
+        if !self.after_mark && self.push_mark(byte) {
+            return;
+        }
+        let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        match (byte, self.line) {
+            (b'\n', _) if follows_cr => {}
+            (b'\n' | b'\r', _) => self.end_line(),
+            (b':', Line::Empty) => self.line = Line::Comment,
+            (_, Line::Empty) => self.line = Line::Field,
+            _ => {}
+        }
+    }
+
+    /// Returns whether a byte at the start of the stream is part of a byte order mark.
+    fn push_mark(&mut self, byte: u8) -> bool {
+        if BYTE_ORDER_MARK.get(self.mark_bytes) == Some(&byte) {
+            self.mark_bytes += 1;
+            return true;
+        }
+        self.after_mark = true;
+        if self.mark_bytes < BYTE_ORDER_MARK.len() && self.mark_bytes > 0 {
+            // The bytes were the start of a field's name.
+            self.line = Line::Field;
+        }
+        false
+    }
+
+    fn end_line(&mut self) {
+        match std::mem::take(&mut self.line) {
+            Line::Field => self.has_line = true,
+            Line::Comment => {}
+            Line::Empty => {
+                self.events += u64::from(self.has_line);
+                self.has_line = false;
+            }
+        }
+    }
+}
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! The protocols of the platform are implemented behind the traits of [`ports`].
 
+pub mod answer_reader;
 pub mod broken_requests;
 pub mod clock;
 pub mod close_hook;
@@ -21,6 +22,7 @@
 pub mod crash_wire;
 pub mod directory;
 pub mod era_store;
+pub mod events;
 pub mod front;
 pub(crate) mod keep_alive_header;
 pub mod limit_header;
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -51,6 +51,8 @@
     pub denied: Family<OutcomeLabels, Counter>,
     /// Links to keepers of quotas that were lost unexpectedly.
     pub quota_keepers_lost: Counter,
+    /// Answers of replicas, by the framing of their body and how it ended.
+    pub answer_ends: Family<OutcomeLabels, Counter>,
     /// Retries of requests, by route kind and outcome.
     pub retries: Family<OutcomeLabels, Counter>,
     /// Retries by service: decisions of the retry budget, and sends after a request's first.
@@ -143,6 +145,12 @@
             "Links to keepers of quotas that were lost unexpectedly",
             quota_keepers_lost.clone(),
         );
+        let answer_ends = Family::default();
+        registry.register(
+            "answer_ends",
+            "Answers of replicas by the framing of their body and how it ended",
+            answer_ends.clone(),
+        );
         let retries = Family::default();
         registry.register(
             "retries",
@@ -326,6 +334,7 @@
             requests,
             denied,
             quota_keepers_lost,
+            answer_ends,
             retries,
             service_retries,
             orders,
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -11,10 +11,20 @@
 
 use super::forwarding::end_to_end_headers;
 use super::{Answer, RequestRun, DEFAULT_RETRY_AFTER};
+use crate::answer_reader::{AnswerReader, BodyEnd, Framing};
 use crate::metrics::Metrics;
 use crate::ports::Platform;
 use crate::stream::AnswerBody;
 
+/// How the body of a replica's answer ended, for the log.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AnswerEnd {
+    framing: Framing,
+    name: &'static str,
+    /// Bytes after the last complete event.
+    partial_bytes: u64,
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Forwards a complete answer.
     pub(super) fn answer_complete(
@@ -95,15 +105,29 @@
         self.refuse_request(StatusCode::SERVICE_UNAVAILABLE, cause, None)
     }
 
+    /// Records how the body of a replica's answer ended.
+    pub(super) fn record_answer_end(&self, body: &AnswerReader, end: &BodyEnd) {
+        let (framing, name) = (body.framing(), end.name());
+        Metrics::count(&self.node.metrics.answer_ends, framing.name(), name);
+        self.answer_end.set(Some(AnswerEnd {
+            framing,
+            name,
+            partial_bytes: body.partial_bytes(),
+        }));
+    }
+
     pub(super) fn log_end(&self, replica: &ReplicaId, outcome: &'static str) {
         let metric = if outcome == "served" { "served" } else { "failed" };
         Metrics::count(&self.node.metrics.requests, kind_name(self.route.kind), metric);
+        let end = self.answer_end.get();
         tracing::info!(target: "request", id = self.facts.id, route = &*self.route.name, outcome,
             replica = &**replica, tenant = self.tenant.as_deref(), sends = self.sends, model = self.facts.model.as_deref(),
             adapter = self.facts.adapter.as_deref(), quota_cost = self.quota_cost(), paid_ms = millis(self.quota_granted_after),
             sent_ms = millis(self.sent_after),
             answered_ms = millis(self.answered_after), prompt_tokens = self.facts.prompt_tokens,
             longest_pause_ms = self.longest_pause.get().as_millis() as u64, late = self.counted_late.get(),
+            framing = end.map(|end| end.framing.name()), ended = end.map(|end| end.name),
+            partial_bytes = end.map(|end| end.partial_bytes), caller_framing = self.caller_framing.map(Framing::name),
             elapsed_ms = self.waited().as_millis() as u64, version = self.configuration.version);
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -55,7 +55,7 @@
 
 use self::access::{authorize, refuse_access, take_credit};
 pub use self::answers::refuse;
-use self::answers::{json, kind_name};
+use self::answers::{json, kind_name, AnswerEnd};
 use self::cold::NextReplica;
 use self::forwarding::{pick_backend, read_body};
 use self::guards::{acquire_slot, InFlightGuard, ServiceSlot};
@@ -63,6 +63,7 @@
 use self::replica_limits::RateLimitedReplica;
 use self::sending::SendEnd;
 use self::version::StreamVersion;
+use crate::answer_reader::Framing;
 use crate::crash_trial::Trial;
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -198,6 +199,8 @@
         sent_after: None,
         answered_after: None,
         longest_pause: Cell::new(Duration::ZERO),
+        answer_end: Cell::default(),
+        caller_framing: None,
         counted_late: Cell::new(false),
         fingerprint: OnceCell::new(),
         trial: None,
@@ -244,6 +247,10 @@
     answered_after: Option<Duration>,
     /// Longest time between two chunks of the stream.
     longest_pause: Cell<Duration>,
+    /// How the last answer of a replica ended.
+    answer_end: Cell<Option<AnswerEnd>>,
+    /// What tells the caller where its answer ends, if that is a stream.
+    caller_framing: Option<Framing>,
     /// Whether the request was counted as served too late.
     counted_late: Cell<bool>,
     /// Identity of the request's content, computed when it is first needed.
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -8,12 +8,12 @@
 use croftrill_scheduler::replica_table::AnsweredCall;
 use croftrill_scheduler::time::Moment;
 use http::{header, response, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 
 use super::forwarding::{end_to_end_headers, origin_form};
 use super::guards::SendGuard;
 use super::RequestRun;
+use crate::answer_reader::{AnswerReader, BodyEnd, Content};
 use crate::connection::{Connection, ExchangeError};
 use crate::load_updates;
 use crate::metrics::Metrics;
@@ -45,7 +45,7 @@
 /// An answer whose body is still arriving.
 pub(super) struct Streaming<P: Platform> {
     pub(super) head: response::Parts,
-    pub(super) body: Incoming,
+    pub(super) body: AnswerReader,
     /// When the head arrived.
     pub(super) head_received_at: Moment,
     /// Closes when dropped, unless the stream was complete and the connection returned to the pool.
@@ -179,7 +179,7 @@
     }
 
     /// Returns whether a replica rejected the request, possibly for want of room.
-    fn is_rejection(&self, answer: &Response<Incoming>) -> bool {
+    fn is_rejection(&self, answer: &Response<AnswerReader>) -> bool {
         answer.status() == StatusCode::SERVICE_UNAVAILABLE
     }
 
@@ -216,12 +216,12 @@
     pub(super) async fn classify_answer(
         &mut self,
         replica: &ReplicaId,
-        answer: Response<Incoming>,
+        answer: Response<AnswerReader>,
         connection: Connection,
         mut send: SendGuard<P>,
     ) -> SendEnd<P> {
         let head_received_at = self.now();
-        let (head, body) = answer.into_parts();
+        let (head, mut body) = answer.into_parts();
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
         self.record_load(&send, &facts);
         self.apply_signals(&send, &facts);
@@ -239,6 +239,7 @@
         let is_stream = self.route.kind == RouteKind::Streaming && head.status.is_success();
         send.run_started(if is_stream { head_received_at } else { send.sent_at });
         if is_stream {
+            body.set_content(Content::of(&head.headers, Content::Events));
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
@@ -247,8 +248,16 @@
                 send,
             }));
         }
-        match self.node.clock.timeout_at(self.deadline, body.collect()).await {
-            Ok(Ok(body)) => {
+        let read = self
+            .node
+            .clock
+            .timeout_at(self.deadline, body.read_to_end())
+            .await;
+        if let Ok((_, end)) = &read {
+            self.record_answer_end(&body, end);
+        }
+        match read {
+            Ok((received, BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. })) => {
                 self.record_complete_answer();
                 let failed = head.status.is_server_error();
                 if failed {
@@ -263,12 +272,9 @@
                 if self.route.is_idempotent() {
                     self.node.pool.put_back(connection, &head.headers);
                 }
-                SendEnd::Complete {
-                    head,
-                    body: body.to_bytes(),
-                }
+                SendEnd::Complete { head, body: received }
             }
-            Ok(Err(_)) => {
+            Ok((_, BodyEnd::Broken(_))) => {
                 send.record(SendOutcome::Failure);
                 self.report_broken_request(replica, Some(self.now().since(head_received_at)));
                 SendEnd::Broken {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -6,14 +6,14 @@
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
-use http::{header, Response};
-use http_body_util::BodyExt;
+use http::{header, HeaderMap, Response, Version};
 
 use super::cold::NextReplica;
 use super::forwarding::end_to_end_headers;
 use super::sending::{SendEnd, Streaming};
 use super::version::StreamVersion;
 use super::{Answer, RequestRun};
+use crate::answer_reader::{BodyEnd, BodyPart, Framing};
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, EventSplitter, StreamChunk, StreamSender};
 use crate::stream_versions;
@@ -43,6 +43,17 @@
     NotResumed(Option<Box<Streaming<P>>>),
 }
 
+/// Returns what tells the caller where a streamed answer ends.
+fn caller_framing(version: Version, headers: &HeaderMap) -> Framing {
+    if headers.contains_key(header::CONTENT_LENGTH) {
+        Framing::Length
+    } else if version == Version::HTTP_10 {
+        Framing::Connection
+    } else {
+        Framing::Chunks
+    }
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Returns the answer with a stream as its body, which a separate task forwards.
     pub(super) fn answer_stream(mut self, streaming: Streaming<P>) -> Answer {
@@ -54,6 +65,7 @@
             // The length may change if the stream is resumed at another replica.
             answer.headers_mut().remove(header::CONTENT_LENGTH);
         }
+        self.caller_framing = Some(caller_framing(self.head.version, answer.headers()));
         self.node
             .metrics
             .first_byte_seconds
@@ -141,8 +153,8 @@
     ) -> PumpEnd {
         let mut last_event = self.now();
         loop {
-            let frame = tokio::select! {
-                frame = streaming.body.frame() => frame,
+            let part = tokio::select! {
+                part = streaming.body.next() => part,
                 () = sender.closed() => return PumpEnd::CallerDisconnected,
                 () = self.wait_for_silence(last_event), if may_switch => {
                     tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
@@ -154,17 +166,21 @@
                 }
                 () = self.node.clock.sleep_until(self.deadline) => return PumpEnd::OutOfTime,
             };
-            let bytes = match frame {
-                None => return self.pump_remainder(cutter, sender).await,
-                Some(Err(_)) => {
-                    self.record_path_trouble(&streaming.connection);
-                    self.report_broken_stream(streaming, last_event);
-                    return PumpEnd::Broken;
+            let bytes = match part {
+                BodyPart::Bytes(bytes) => bytes,
+                BodyPart::End(end) => {
+                    self.record_answer_end(&streaming.body, &end);
+                    match end {
+                        BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. } => {
+                            return self.pump_remainder(cutter, sender).await
+                        }
+                        BodyEnd::Broken(_) => {
+                            self.record_path_trouble(&streaming.connection);
+                            self.report_broken_stream(streaming, last_event);
+                            return PumpEnd::Broken;
+                        }
+                    }
                 }
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => bytes,
-                    Err(_) => continue,
-                },
             };
             let now = self.now();
             let pause = now.since(std::mem::replace(&mut last_event, now));
