A stream that ends inside an event is broken off, however it is framed

Cause: the end of the bytes was taken for the end of the answer. A body without length or chunks ends with its connection, and one with them may end inside an event; pump_replica passed both on as whole, logged "served", counted a success, cleared the request in the crash ledger and ended the record of its software version.

Change: answer_reader says of each answer that is read how it was framed and how it ended: whole, closed (nothing tells), inside an event, before the first event, inside a document, broken. A stream that is cut off is taken up at another replica where the route allows, else the answer to the caller ends without its last chunk. Events end by the published format (LF, CR, CRLF, a byte order mark), so that whole streams stay whole and none of their events waits for the end. Only a whole answer clears a request in the crash ledger and ends its record; one that was closed clears it if its replica still accepts connections.

--- a/crates/croftrill-demo/src/caller.rs
+++ b/crates/croftrill-demo/src/caller.rs
@@ -75,9 +75,12 @@
     let end = match pool.exchange(node, request, call.deadline).await {
         Ok(answer) => check_answer(call, &answer),
         Err(ExchangeError::Connect(_) | ExchangeError::NotSent) => CallOutcome::NotSent,
-        Err(ExchangeError::Broken(_) | ExchangeError::TimedOut | ExchangeError::TooLong) => {
-            CallOutcome::Broken
-        }
+        Err(
+            ExchangeError::Broken(_)
+            | ExchangeError::CutOff { .. }
+            | ExchangeError::TimedOut
+            | ExchangeError::TooLong,
+        ) => CallOutcome::Broken,
     };
     (end, started.elapsed())
 }
--- a/crates/croftrill-node/src/answer_reader.rs
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -9,6 +9,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use serde::de::IgnoredAny;
 
 use crate::events::EventScanner;
 
@@ -66,8 +67,16 @@
 pub enum Content {
     /// Anything: only the framing tells.
     Bytes,
+    /// A JSON document.
+    Document {
+        /// Whether there may be no body, as the status says all.
+        may_be_empty: bool,
+    },
     /// Events.
-    Events,
+    Events {
+        /// Whether there may be no event, as the stream goes on after the last one.
+        may_be_empty: bool,
+    },
 }
 
 impl Content {
@@ -76,15 +85,11 @@
         let Some(value) = headers.get(header::CONTENT_TYPE) else {
             return otherwise;
         };
-        let is_events = value
-            .to_str()
-            .ok()
-            .and_then(|value| value.split(';').next())
-            .is_some_and(|kind| kind.trim().eq_ignore_ascii_case("text/event-stream"));
-        if is_events {
-            Content::Events
-        } else {
-            Content::Bytes
+        let kind = value.to_str().ok().and_then(|value| value.split(';').next());
+        match kind.map(|kind| kind.trim().to_ascii_lowercase()).as_deref() {
+            Some("text/event-stream") => Content::Events { may_be_empty: true },
+            Some("application/json") => Content::Document { may_be_empty: false },
+            _ => Content::Bytes,
         }
     }
 }
@@ -102,17 +107,34 @@
         /// Bytes after the last complete event.
         partial_bytes: u64,
     },
+    /// With its connection, which was closed before a first event.
+    BeforeFirstEvent,
+    /// With its connection, which was closed inside a document.
+    InsideDocument,
     /// With a connection that failed, or was closed before the length or the last chunk.
     Broken(hyper::Error),
 }
 
 impl BodyEnd {
+    /// Returns whether the sender or the connection broke off before the body was whole.
+    pub fn is_cut_off(&self) -> bool {
+        match self {
+            BodyEnd::Whole | BodyEnd::Closed => false,
+            BodyEnd::InsideEvent { .. }
+            | BodyEnd::BeforeFirstEvent
+            | BodyEnd::InsideDocument
+            | BodyEnd::Broken(_) => true,
+        }
+    }
+
     /// Returns the name in logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
             BodyEnd::Whole => "whole",
             BodyEnd::Closed => "closed",
             BodyEnd::InsideEvent { .. } => "inside an event",
+            BodyEnd::BeforeFirstEvent => "before the first event",
+            BodyEnd::InsideDocument => "inside a document",
             BodyEnd::Broken(_) => "broken",
         }
     }
@@ -156,6 +178,11 @@
         self.content = content;
     }
 
+    /// Returns whether the body holds events.
+    pub fn holds_events(&self) -> bool {
+        matches!(self.content, Content::Events { .. })
+    }
+
     /// Returns how the body is framed.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -175,7 +202,7 @@
                 Some(Ok(frame)) => {
                     // No caller needs trailers.
                     let Ok(bytes) = frame.into_data() else { continue };
-                    if self.content == Content::Events {
+                    if matches!(self.content, Content::Events { .. }) {
                         self.events.push(&bytes);
                     }
                     return BodyPart::Bytes(bytes);
@@ -203,7 +230,25 @@
         }
         match self.framing {
             Framing::NoBody | Framing::Length | Framing::Chunks => BodyEnd::Whole,
+            Framing::Connection if self.lacks_first_event() => BodyEnd::BeforeFirstEvent,
             Framing::Connection => BodyEnd::Closed,
         }
     }
+
+    fn lacks_first_event(&self) -> bool {
+        self.content == Content::Events { may_be_empty: false } && self.events.events() == 0
+    }
+
+    /// Returns how a body ended of which all that arrived is known, and which ended so as far as
+    /// its framing and events tell.
+    pub fn judge_document(&self, received: &[u8], end: BodyEnd) -> BodyEnd {
+        let Content::Document { may_be_empty } = self.content else {
+            return end;
+        };
+        let is_whole = serde_json::from_slice::<IgnoredAny>(received).is_ok();
+        if matches!(end, BodyEnd::Closed) && !is_whole && !(may_be_empty && received.is_empty()) {
+            return BodyEnd::InsideDocument;
+        }
+        end
+    }
 }
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
-use crate::answer_reader::{AnswerReader, BodyEnd, BodyPart};
+use crate::answer_reader::{AnswerReader, BodyEnd, BodyPart, Content};
 use crate::close_hook::CloseHook;
 use crate::connector::{configure_socket, Connector, TcpConnector};
 use crate::keep_alive_header::{is_close_requested, keep_alive_timeout};
@@ -67,6 +67,12 @@
     /// The connection failed after the request may have been written.
     #[error("connection broke: {0}")]
     Broken(hyper::Error),
+    /// The answer ended before it was whole, though the connection did not fail.
+    #[error("the answer was cut off {end}")]
+    CutOff {
+        /// Where it ended.
+        end: &'static str,
+    },
     /// No complete answer arrived in time.
     #[error("no answer in time")]
     TimedOut,
@@ -147,6 +153,11 @@
 }
 
 impl Connection {
+    /// Returns the address of the peer.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns whether the connection goes over another node.
     pub fn is_tunnel(&self) -> bool {
         self.tunnel.is_some()
@@ -364,13 +375,13 @@
         let (exchange, answer) = self.start_exchange(address, request).await?;
         let (head, mut reader) = answer.into_parts();
         let (body, end) = reader.read_to_end().await;
-        check_end(end)?;
+        check_end(reader.judge_document(&body, end))?;
         exchange.finish(&head.headers);
         Ok(Response::from_parts(head, body))
     }
 
-    /// Sends a request on an idle or new connection and returns the head of the answer.
-    /// Sends it again on a new connection if the first one closed before it was written.
+    /// Sends a request on an idle or new connection and returns the head of the answer, which holds
+    /// a JSON document unless its type says otherwise. Sends it again on a new connection if the first one closed before it was written.
     async fn start_exchange(
         &self,
         address: SocketAddr,
@@ -385,7 +396,12 @@
             }
             other => other?,
         };
-        Ok((exchange, answer))
+        let (head, mut body) = answer.into_parts();
+        body.set_content(Content::of(
+            &head.headers,
+            Content::Document { may_be_empty: true },
+        ));
+        Ok((exchange, Response::from_parts(head, body)))
     }
 }
 
@@ -441,7 +457,7 @@
                 received.extend_from_slice(&bytes);
             }
             BodyPart::End(end) => {
-                check_end(end)?;
+                check_end(body.judge_document(&received, end))?;
                 return Ok(received.freeze());
             }
         }
@@ -454,7 +470,8 @@
 fn check_end(end: BodyEnd) -> Result<(), ExchangeError> {
     match end {
         BodyEnd::Broken(error) => Err(ExchangeError::Broken(error)),
-        BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. } => Ok(()),
+        end if end.is_cut_off() => Err(ExchangeError::CutOff { end: end.name() }),
+        _ => Ok(()),
     }
 }
 
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_scheduler::crash_ledger::EndedReplica;
+use croftrill_scheduler::crash_ledger::{EndedReplica, Fingerprint};
 use croftrill_scheduler::replica::ReplicaId;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -69,6 +69,21 @@
     let _ = timeout(MAX_CHECK_WAIT, checked).await;
 }
 
+/// Clears a request of earlier ends of replicas if the replica that answered it still accepts
+/// connections. That tells what the answer can't that ended with its connection: whether the replica
+/// ended, too.
+pub(crate) async fn clear_if_alive<P: Platform>(
+    node: Rc<Node<P>>,
+    address: SocketAddr,
+    fingerprint: Fingerprint,
+) {
+    sleep(BATCH_DELAY).await;
+    let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
+    if matches!(connected, Ok(Ok(_))) {
+        crash_reports::record_complete_answer(&node, fingerprint);
+    }
+}
+
 /// Tries to connect to the replica once and records the result.
 async fn check_replica<P: Platform>(
     node: Rc<Node<P>>,
--- a/crates/croftrill-node/src/events.rs
+++ b/crates/croftrill-node/src/events.rs
@@ -3,9 +3,14 @@
 //! A line ends with LF, CR or CRLF, and an empty line ends an event. Source: the HTML standard,
 //! "Server-sent events".
 
+use bytes::{Bytes, BytesMut};
+
 /// A byte order mark, which may precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// Start of the line that gives an event's id.
+const ID_FIELD: &[u8] = b"id:";
+
 /// What the current line holds so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Line {
@@ -102,3 +107,68 @@
         }
     }
 }
+
+/// Splits a stream into complete events and records the id of the last one.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    scanner: EventScanner,
+    partial: BytesMut,
+    last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Returns a splitter for the start of a stream, or for what follows the event `last_id`.
+    pub fn after(last_id: Option<String>) -> Self {
+        EventSplitter {
+            last_id,
+            ..EventSplitter::default()
+        }
+    }
+
+    /// Adds bytes of the stream. Returns the events that are now complete, with the comments and
+    /// empty lines between them.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let (complete, partial) = bytes.split_at(self.scanner.push(bytes));
+        if complete.is_empty() {
+            self.partial.extend_from_slice(partial);
+            return None;
+        }
+        self.partial.extend_from_slice(complete);
+        let complete = self.partial.split().freeze();
+        self.partial.extend_from_slice(partial);
+        if let Some(id) = last_event_id(&complete) {
+            self.last_id = Some(id);
+        }
+        Some(complete)
+    }
+
+    /// Adds bytes of a body that holds no events. They are whole only with its end.
+    pub fn hold(&mut self, bytes: &[u8]) {
+        self.partial.extend_from_slice(bytes);
+    }
+
+    /// Returns the id of the last complete event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Discards the partial event of a stream that was cut off. Another stream follows.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+        self.scanner = EventScanner::default();
+    }
+
+    /// Removes and returns the bytes after the last complete event.
+    pub fn take_remaining(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+}
+
+fn last_event_id(events: &[u8]) -> Option<String> {
+    let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
+    let id = events
+        .rsplit(|byte| matches!(byte, b'\n' | b'\r'))
+        .find_map(|line| line.strip_prefix(ID_FIELD))?;
+    let id = std::str::from_utf8(id).ok()?;
+    Some(id.trim().to_string())
+}
--- a/crates/croftrill-node/src/ports.rs
+++ b/crates/croftrill-node/src/ports.rs
@@ -193,7 +193,9 @@
     fn from(error: ExchangeError) -> Self {
         match error {
             ExchangeError::Connect(_) | ExchangeError::NotSent => StoreError::Unreachable,
-            ExchangeError::Broken(_) | ExchangeError::TimedOut => StoreError::NoAnswer,
+            ExchangeError::Broken(_) | ExchangeError::CutOff { .. } | ExchangeError::TimedOut => {
+                StoreError::NoAnswer
+            }
             ExchangeError::TooLong => StoreError::HistoryTooLong,
         }
     }
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -1,9 +1,11 @@
 //! Checks of a request against the crash reports of all nodes, and its own reports to them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
 use croftrill_scheduler::replica::ReplicaId;
+use tokio::task::spawn_local;
 
 use super::fingerprint::fingerprint;
 use super::RequestRun;
@@ -73,6 +75,23 @@
         }
     }
 
+    /// Records that an answer ended with its connection, which tells nothing of the request if the
+    /// replica ended at that moment.
+    pub(super) fn record_closed_answer(&self, address: SocketAddr) {
+        if self.node.state.borrow().crash_ledger.is_empty() {
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let mut state = self.node.state.borrow_mut();
+        if state.crash_ledger.suspect(fingerprint).is_some() {
+            spawn_local(crash_watch::clear_if_alive(
+                self.node.clone(),
+                address,
+                fingerprint,
+            ));
+        }
+    }
+
     pub(super) fn caller(&self) -> Option<CallerAddress> {
         self.head.extensions.get::<CallerAddress>().copied()
     }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -53,6 +53,17 @@
     pub(super) send: SendGuard<P>,
 }
 
+/// Returns what the body of a stream's answer holds.
+fn stream_content(head: &response::Parts, is_resumed: bool) -> Content {
+    let events = Content::Events {
+        may_be_empty: is_resumed,
+    };
+    match Content::of(&head.headers, events) {
+        Content::Events { .. } => events,
+        other => other,
+    }
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Returns when a silent replica is abandoned for another one.
     pub(super) fn silence_deadline(&self) -> Option<Moment> {
@@ -151,7 +162,9 @@
         }
         send.prompt_done();
         self.answered_after = Some(self.waited());
-        self.classify_answer(replica, answer, connection, send).await
+        let is_resumed = resume_after.is_some() || self.facts.last_event_id.is_some();
+        self.classify_answer(replica, answer, connection, send, is_resumed)
+            .await
     }
 
     /// Connects to a replica. A request that may be repeated may use an idle connection. One that
@@ -219,6 +232,7 @@
         answer: Response<AnswerReader>,
         connection: Connection,
         mut send: SendGuard<P>,
+        is_resumed: bool,
     ) -> SendEnd<P> {
         let head_received_at = self.now();
         let (head, mut body) = answer.into_parts();
@@ -239,7 +253,7 @@
         let is_stream = self.route.kind == RouteKind::Streaming && head.status.is_success();
         send.run_started(if is_stream { head_received_at } else { send.sent_at });
         if is_stream {
-            body.set_content(Content::of(&head.headers, Content::Events));
+            body.set_content(stream_content(&head, is_resumed));
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
                 body,
@@ -257,8 +271,12 @@
             self.record_answer_end(&body, end);
         }
         match read {
-            Ok((received, BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. })) => {
-                self.record_complete_answer();
+            Ok((received, end)) if !end.is_cut_off() => {
+                if matches!(end, BodyEnd::Whole) {
+                    self.record_complete_answer();
+                } else {
+                    self.record_closed_answer(connection.address());
+                }
                 let failed = head.status.is_server_error();
                 if failed {
                     tracing::info!(target: "send", id = self.facts.id, replica = &**replica,
@@ -274,7 +292,7 @@
                 }
                 SendEnd::Complete { head, body: received }
             }
-            Ok((_, BodyEnd::Broken(_))) => {
+            Ok(_) => {
                 send.record(SendOutcome::Failure);
                 self.report_broken_request(replica, Some(self.now().since(head_received_at)));
                 SendEnd::Broken {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -14,8 +14,9 @@
 use super::version::StreamVersion;
 use super::{Answer, RequestRun};
 use crate::answer_reader::{BodyEnd, BodyPart, Framing};
+use crate::events::EventSplitter;
 use crate::ports::Platform;
-use crate::stream::{AnswerBody, EventSplitter, StreamChunk, StreamSender};
+use crate::stream::{AnswerBody, StreamChunk, StreamSender};
 use crate::stream_versions;
 
 /// Time to choose another holder and connect to it: a handshake over each of two links of 5 ms, and
@@ -28,6 +29,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PumpEnd {
     Complete,
+    /// The replica closed the connection after a complete event, and nothing tells whether more was to
+    /// come. The caller may know that, and go on with the stream.
+    Closed,
     Broken,
     /// Nothing arrived for a long time: the replica may be slow, or lost without a reset.
     Silent,
@@ -61,8 +65,9 @@
         let mut answer = Response::new(body);
         *answer.status_mut() = streaming.head.status;
         *answer.headers_mut() = end_to_end_headers(&streaming.head.headers);
-        if self.route.resumable {
-            // The length may change if the stream is resumed at another replica.
+        if self.route.resumable || streaming.body.holds_events() {
+            // The length may change if the stream is resumed at another replica. And if that of the
+            // replica is no proof that the stream is whole, it must not be one to the caller.
             answer.headers_mut().remove(header::CONTENT_LENGTH);
         }
         self.caller_framing = Some(caller_framing(self.head.version, answer.headers()));
@@ -98,10 +103,14 @@
                 .replicas
                 .record_pause(&replica, longest_pause);
             match end {
-                PumpEnd::Complete => {
-                    stream_versions::end(&self.node, &self.facts.id);
+                PumpEnd::Complete | PumpEnd::Closed => {
                     current.send.record(SendOutcome::Success);
-                    self.record_complete_answer();
+                    if end == PumpEnd::Complete {
+                        stream_versions::end(&self.node, &self.facts.id);
+                        self.record_complete_answer();
+                    } else {
+                        self.record_closed_answer(current.connection.address());
+                    }
                     if self.route.is_idempotent() {
                         let headers = &current.head.headers;
                         self.node.pool.put_back(current.connection, headers);
@@ -169,27 +178,20 @@
             let bytes = match part {
                 BodyPart::Bytes(bytes) => bytes,
                 BodyPart::End(end) => {
-                    self.record_answer_end(&streaming.body, &end);
-                    match end {
-                        BodyEnd::Whole | BodyEnd::Closed | BodyEnd::InsideEvent { .. } => {
-                            return self.pump_remainder(cutter, sender).await
-                        }
-                        BodyEnd::Broken(_) => {
-                            self.record_path_trouble(&streaming.connection);
-                            self.report_broken_stream(streaming, last_event);
-                            return PumpEnd::Broken;
-                        }
-                    }
+                    return self.handle_end(streaming, end, last_event, cutter, sender).await
                 }
             };
             let now = self.now();
             let pause = now.since(std::mem::replace(&mut last_event, now));
             *longest_pause = pause.max(*longest_pause);
             self.record_pause(pause);
-            let bytes = if self.route.resumable {
+            let bytes = if !self.route.resumable {
+                Some(bytes)
+            } else if streaming.body.holds_events() {
                 cutter.push(&bytes)
             } else {
-                Some(bytes)
+                cutter.hold(&bytes);
+                None
             };
             if let Some(bytes) = bytes {
                 if let Err(end) = self.forward(sender, StreamChunk::Bytes(bytes)).await {
@@ -199,22 +201,44 @@
         }
     }
 
+    /// Handles the end of what a replica sends.
+    async fn handle_end(
+        &self,
+        streaming: &Streaming<P>,
+        end: BodyEnd,
+        last_event: Moment,
+        cutter: &mut EventSplitter,
+        sender: &StreamSender,
+    ) -> PumpEnd {
+        self.record_answer_end(&streaming.body, &end);
+        if end.is_cut_off() {
+            tracing::info!(target: "send", id = self.facts.id, replica = &*streaming.send.replica,
+                outcome = "stream broken off", framing = streaming.body.framing().name(), ended = end.name(),
+                partial_bytes = streaming.body.partial_bytes(), last_event_id = cutter.last_id());
+            if matches!(end, BodyEnd::Broken(_)) {
+                self.record_path_trouble(&streaming.connection);
+            }
+            self.report_broken_stream(streaming, last_event);
+            return PumpEnd::Broken;
+        }
+        match self.pump_remainder(cutter, sender).await {
+            Ok(()) if matches!(end, BodyEnd::Whole) => PumpEnd::Complete,
+            Ok(()) => PumpEnd::Closed,
+            Err(end) => end,
+        }
+    }
+
     fn report_broken_stream(&self, streaming: &Streaming<P>, last_event: Moment) {
         let answer_duration = last_event.since(streaming.head_received_at);
         self.report_broken_request(&streaming.send.replica, Some(answer_duration));
     }
 
-    pub(super) async fn pump_remainder(&self, cutter: &mut EventSplitter, sender: &StreamSender) -> PumpEnd {
+    async fn pump_remainder(&self, cutter: &mut EventSplitter, sender: &StreamSender) -> Result<(), PumpEnd> {
         let remainder = cutter.take_remaining();
         if !remainder.is_empty() {
-            if let Err(end) = self.forward(sender, StreamChunk::Bytes(remainder)).await {
-                return end;
-            }
-        }
-        match self.forward(sender, StreamChunk::End).await {
-            Ok(()) => PumpEnd::Complete,
-            Err(end) => end,
+            self.forward(sender, StreamChunk::Bytes(remainder)).await?;
         }
+        self.forward(sender, StreamChunk::End).await
     }
 
     /// Waits until a resumable stream that has been silent since `last_event` must be resumed at
--- a/crates/croftrill-node/src/stream.rs
+++ b/crates/croftrill-node/src/stream.rs
@@ -1,14 +1,13 @@
 //! Bodies of answers: complete ones, and event streams that are forwarded as they arrive.
 //!
 //! A dedicated task forwards each stream. When the reader closes its end, the task ends and
-//! closes the connection to the replica. A stream that may be resumed is split into
-//! complete events, so that another replica can continue it after the last forwarded event.
+//! closes the connection to the replica.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
@@ -84,63 +83,3 @@
         }
     }
 }
-
-/// Splits a stream into complete events and records the id of the last one.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
-    partial: BytesMut,
-    last_id: Option<String>,
-}
-
-/// End of an event.
-const EVENT_END: &[u8] = b"\n\n";
-/// Start of the line that gives an event's id.
-const ID_FIELD: &str = "id:";
-
-impl EventSplitter {
-    /// Returns a splitter for the start of a stream, or for what follows the event `last_id`.
-    pub fn after(last_id: Option<String>) -> Self {
-        EventSplitter {
-            partial: BytesMut::new(),
-            last_id,
-        }
-    }
-
-    /// Adds bytes of the stream. Returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.partial.extend_from_slice(bytes);
-        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
-        let complete = self.partial.split_to(end).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            self.last_id = Some(id);
-        }
-        Some(complete)
-    }
-
-    /// Returns the id of the last complete event.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
-    }
-
-    /// Discards the partial event of a stream that was cut off.
-    pub fn drop_partial(&mut self) {
-        self.partial.clear();
-    }
-
-    /// Removes and returns the bytes after the last complete event.
-    pub fn take_remaining(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-}
-
-fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|window| window == pattern)
-}
-
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    text.lines()
-        .rev()
-        .find_map(|line| line.strip_prefix(ID_FIELD))
-        .map(|id| id.trim().to_string())
-}
--- a/crates/croftrill-node/tests/components.rs
+++ b/crates/croftrill-node/tests/components.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use croftrill_node::events::EventSplitter;
 use croftrill_node::logging::{subscriber, LineBudget, LogConfig};
 use croftrill_node::metrics::Metrics;
 use croftrill_node::peer::{DemandBatch, FromOrderer, ToOrderer, WireModel, WirePlacement};
-use croftrill_node::stream::EventSplitter;
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica::{HeldModel, Holdings};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
