A broken stream is reset where only the connection's end delimits it

What callers saw: callers of HTTP/1.0 took each broken stream for a whole one, also after a reset of the replica's connection. Cause: their answers have no chunks, and a connection is closed alike after a whole answer and after one that is cut off.

Change: such a connection resets on close from the first byte of the answer until it is whole, so that the end of the process cuts it off, too. An answer with chunks is closed as before, and what was written before the break leaves first.

--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::caller_stream::{CallerBody, CallerLink, CallerStream};
 use crate::connector::configure_socket;
 use crate::node::{Lifecycle, Node};
 use crate::ports::{CallerAddress, Platform};
@@ -70,8 +71,12 @@
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
     let service_node = node.clone();
+    let link = Rc::new(CallerLink::default());
+    let answer_link = link.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         let node = service_node.clone();
+        let link = answer_link.clone();
+        let version = request.version();
         request.extensions_mut().insert(caller);
         async move {
             let mut response = tokio::select! {
@@ -85,14 +90,14 @@
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, version, link)))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, link)), service);
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer_reader;
 pub mod broken_requests;
+pub(crate) mod caller_stream;
 pub mod clock;
 pub mod close_hook;
 pub mod configuration;
