Whole answers of a stream's route that hold no events stay whole

Cause: an answer without a type was judged by its events alone, so that one like "done" with its whole length was cut off.

Change: without a type, a body whose length or last chunk arrived and in which no line begins with a field of an event is whole.

--- a/crates/croftrill-node/src/answer_reader.rs
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -76,6 +76,9 @@
     Events {
         /// Whether there may be no event, as the stream goes on after the last one.
         may_be_empty: bool,
+        /// Whether the type of the answer says that it holds events. If not, one whose length or last
+        /// chunk arrived, and in which nothing looks like an event, is whole.
+        is_declared: bool,
     },
 }
 
@@ -87,7 +90,10 @@
         };
         let kind = value.to_str().ok().and_then(|value| value.split(';').next());
         match kind.map(|kind| kind.trim().to_ascii_lowercase()).as_deref() {
-            Some("text/event-stream") => Content::Events { may_be_empty: true },
+            Some("text/event-stream") => Content::Events {
+                may_be_empty: true,
+                is_declared: true,
+            },
             Some("application/json") => Content::Document { may_be_empty: false },
             _ => Content::Bytes,
         }
@@ -225,7 +231,7 @@
     /// Returns how the body ended whose bytes came to an end without an error.
     fn judge_end(&self) -> BodyEnd {
         let partial_bytes = self.events.partial_bytes();
-        if partial_bytes > 0 {
+        if partial_bytes > 0 && self.must_hold_events() {
             return BodyEnd::InsideEvent { partial_bytes };
         }
         match self.framing {
@@ -235,8 +241,26 @@
         }
     }
 
+    fn must_hold_events(&self) -> bool {
+        let is_declared = matches!(
+            self.content,
+            Content::Events {
+                is_declared: true,
+                ..
+            }
+        );
+        is_declared || self.framing == Framing::Connection || self.events.has_field()
+    }
+
     fn lacks_first_event(&self) -> bool {
-        self.content == Content::Events { may_be_empty: false } && self.events.events() == 0
+        let must_have_one = matches!(
+            self.content,
+            Content::Events {
+                may_be_empty: false,
+                ..
+            }
+        );
+        must_have_one && self.events.events() == 0
     }
 
     /// Returns how a body ended of which all that arrived is known, and which ended so as far as
--- a/crates/croftrill-node/src/events.rs
+++ b/crates/croftrill-node/src/events.rs
@@ -11,6 +11,11 @@
 /// Start of the line that gives an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+/// Length of the longest of these names.
+const MAX_FIELD_BYTES: usize = 5;
+
 /// What the current line holds so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Line {
@@ -35,6 +40,9 @@
     mark_bytes: usize,
     partial_bytes: u64,
     events: u64,
+    /// Start of the current line, of at most one byte more than the longest name of a field.
+    line_start: Vec<u8>,
+    has_field: bool,
 }
 
 impl EventScanner {
@@ -58,6 +66,11 @@
         self.partial_bytes
     }
 
+    /// Returns whether a line has begun with the name of an event's field.
+    pub fn has_field(&self) -> bool {
+        self.has_field
+    }
+
     /// Returns the number of complete events so far.
     pub fn events(&self) -> u64 {
         self.events
@@ -73,6 +86,7 @@
             return;
         }
         let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        self.push_name(byte);
         match (byte, self.line) {
             (b'\n', _) if follows_cr => {}
             (b'\n' | b'\r', _) => self.end_line(),
@@ -96,6 +110,19 @@
         false
     }
 
+    /// Takes a byte of the current line as one of the name of its field.
+    fn push_name(&mut self, byte: u8) {
+        match byte {
+            b':' | b'\n' | b'\r' if FIELDS.contains(&self.line_start.as_slice()) => self.has_field = true,
+            _ => {}
+        }
+        match byte {
+            b'\n' | b'\r' => self.line_start.clear(),
+            _ if self.line_start.len() <= MAX_FIELD_BYTES => self.line_start.push(byte),
+            _ => {}
+        }
+    }
+
     fn end_line(&mut self) {
         match std::mem::take(&mut self.line) {
             Line::Field => self.has_line = true,
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -55,11 +55,15 @@
 
 /// Returns what the body of a stream's answer holds.
 fn stream_content(head: &response::Parts, is_resumed: bool) -> Content {
-    let events = Content::Events {
+    let undeclared = Content::Events {
         may_be_empty: is_resumed,
+        is_declared: false,
     };
-    match Content::of(&head.headers, events) {
-        Content::Events { .. } => events,
+    match Content::of(&head.headers, undeclared) {
+        Content::Events { is_declared, .. } => Content::Events {
+            may_be_empty: is_resumed,
+            is_declared,
+        },
         other => other,
     }
 }
--- a/crates/croftrill-node/tests/answer_ends.rs
+++ b/crates/croftrill-node/tests/answer_ends.rs
@@ -289,6 +289,7 @@
     let mut reader = answer.into_body();
     reader.set_content(Content::Events {
         may_be_empty: case.may_be_empty,
+        is_declared: true,
     });
     let mut pieces = Vec::new();
     loop {
