Proxy: resets are passed on as resets

Cause: the proxy of the soak closed its caller's connection where its upstream or its own fault reset one. The caller saw a close, which for an answer without a length is an end.

--- a/crates/croftrill-standin/src/proxy.rs
+++ b/crates/croftrill-standin/src/proxy.rs
@@ -130,33 +130,45 @@
         };
         let _ = caller.set_nodelay(true);
         let _ = upstream.set_nodelay(true);
-        let (caller_read, caller_write) = caller.into_split();
-        let (upstream_read, upstream_write) = upstream.into_split();
-        tokio::select! {
-            () = self.forward(number, caller_read, upstream_write, Direction::Request) => {}
-            () = self.forward(number, upstream_read, caller_write, Direction::Answer) => {}
+        let (mut caller_read, mut caller_write) = caller.into_split();
+        let (mut upstream_read, mut upstream_write) = upstream.into_split();
+        let ended = tokio::select! {
+            ended = self.forward(number, &mut caller_read, &mut upstream_write, Direction::Request) => ended,
+            ended = self.forward(number, &mut upstream_read, &mut caller_write, Direction::Answer) => ended,
+        };
+        if ended == Ended::Reset {
+            let _ = caller_write.as_ref().set_zero_linger();
+            let _ = upstream_write.as_ref().set_zero_linger();
+            // A write half that is dropped closes its direction first.
+            caller_write.forget();
+            upstream_write.forget();
         }
     }
 
-    /// Forwards chunks until either side closes or a fault cuts the connection.
+    /// Forwards chunks until either side ends or a fault cuts the connection.
     async fn forward(
         &self,
         number: u64,
-        mut from: OwnedReadHalf,
-        mut to: OwnedWriteHalf,
+        from: &mut OwnedReadHalf,
+        to: &mut OwnedWriteHalf,
         direction: Direction,
-    ) {
+    ) -> Ended {
         let mut chunk = vec![0; MAX_CHUNK_BYTES];
         loop {
             let read = tokio::select! {
-                read = from.read(&mut chunk) => read.unwrap_or(0),
-                () = self.wait_for_reset() => return,
+                read = from.read(&mut chunk) => read,
+                () = self.wait_for_reset() => return Ended::Reset,
             };
-            if read == 0
-                || !self.may_forward(number, direction).await
-                || to.write_all(&chunk[..read]).await.is_err()
-            {
-                return;
+            let Ok(read) = read else {
+                return Ended::Reset;
+            };
+            if read == 0 {
+                return Ended::Closed;
+            }
+            let is_forwarded =
+                self.may_forward(number, direction).await && to.write_all(&chunk[..read]).await.is_ok();
+            if !is_forwarded {
+                return Ended::Reset;
             }
         }
     }
@@ -191,6 +203,13 @@
     }
 }
 
+/// How a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    Closed,
+    Reset,
+}
+
 /// Answers the first request of a connection with a status and closes it.
 async fn refuse(mut caller: TcpStream, status: u16) {
     let mut request = vec![0; MAX_CHUNK_BYTES];
