Soak: replicas break answers off after any byte, in any framing

The stand-in draws per answer (streams, orders, reports) whether it has a length or chunks, and whether and after how many bytes it is closed or reset. Callers of HTTP/1.0 and 1.1, on connections of their own and on ones that are used until they end, check that an answer that looks complete holds all events. An answer that is closed between two events without a length is told by nobody; the stand-in names it, and it is counted.

--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -59,6 +59,9 @@
     Versions,
     /// The same, without the check of how many of the streams taken up go on.
     MixedVersions,
+    /// Answers of replicas without a length, closed or reset after any byte, beside the faults of
+    /// [`Mix::Series`].
+    BrokenAnswers,
     /// Replicas with few slots fall over if they must reject too many requests, with kills, stops
     /// and pauses of nodes.
     Brittle,
@@ -452,7 +455,7 @@
 pub fn draw(random: &mut SmallRng, mix: Mix, size: Size) -> Vec<PlannedFault> {
     let (count, latest_ms) = match mix {
         Mix::Few => (random.random_range(2..=4), 3500),
-        Mix::Series => (random.random_range(6..=10), 4500),
+        Mix::Series | Mix::BrokenAnswers => (random.random_range(6..=10), 4500),
         Mix::Crashes => (random.random_range(4..=8), 3500),
         Mix::Tenants => (random.random_range(4..=8), 4000),
         Mix::Words => (random.random_range(4..=8), 2500),
@@ -471,7 +474,7 @@
         injection: match mix {
             Mix::Limits => limits_injection(random, size, index),
             Mix::Few => single_injection(random, size),
-            Mix::Series => series_injection(random, size),
+            Mix::Series | Mix::BrokenAnswers => series_injection(random, size),
             Mix::Crashes => crashes_injection(random, size, index),
             Mix::Tenants => tenants_injection(random, size, index),
             Mix::Words => words_injection(random, size, index),
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -20,6 +20,8 @@
 //! - a document that one node has is in force at all others within two seconds, also at those that
 //!   the store refuses;
 //! - a stream goes on only at the software version that began it, also at another node;
+//! - an answer that looks complete holds all events, whether it has chunks or ends with its
+//!   connection, and however its replica broke off;
 //! - a request that waits at a node that is asked to stop gets an answer;
 //! - afterwards every node serves every model.
 //!
@@ -37,6 +39,7 @@
 //! `seeds.txt` lists seeds that failed, each with its mix of faults.
 
 mod brittle;
+mod broken_answers;
 mod checks;
 mod cluster;
 mod faults;
@@ -95,6 +98,10 @@
 const FIRST_SEED_OF_VERSIONS: u64 = 9_000_000;
 /// Seed of the `Mix::Versions` round in continuous integration.
 const DEFAULT_SEED_OF_VERSIONS: u64 = FIRST_SEED_OF_VERSIONS + DEFAULT_SEED;
+/// Rounds from this seed on use `Mix::BrokenAnswers`. Streams may be resumed in those with odd seeds.
+const FIRST_SEED_OF_BROKEN_ANSWERS: u64 = 10_000_000;
+/// Seed of the first `Mix::BrokenAnswers` round in continuous integration.
+const DEFAULT_SEED_OF_BROKEN_ANSWERS: u64 = FIRST_SEED_OF_BROKEN_ANSWERS + DEFAULT_SEED;
 /// Seed of a `Mix::Versions` round in which each model's replicas are replaced before its streams end.
 const SEED_OF_FAST_ROLL: u64 = FIRST_SEED_OF_VERSIONS + 2_029;
 /// Time for which requests are sent and faults injected.
@@ -138,6 +145,7 @@
                 Some("brittle") => Mix::Brittle,
                 Some("refusals") => Mix::Refusals,
                 Some("versions") => Mix::Versions,
+                Some("broken_answers") => Mix::BrokenAnswers,
                 Some("mixed_versions") => Mix::MixedVersions,
                 other => panic!("seeds.txt: unknown mix {other:?}"),
             };
@@ -152,7 +160,7 @@
         Mix::Crashes | Mix::Paths => (Program::Instrumented, size.with_min_engines(MIN_CRASHING_ENGINES)),
         Mix::Versions | Mix::MixedVersions => (Program::Daemon, size.with_min_engines(versions::MIN_ENGINES)),
         Mix::Refusals => (Program::Daemon, size.with_min_nodes(refusals::MIN_NODES)),
-        Mix::Words | Mix::Limits | Mix::Uneven | Mix::Brittle => {
+        Mix::Words | Mix::Limits | Mix::Uneven | Mix::Brittle | Mix::BrokenAnswers => {
             (Program::Daemon, size.with_min_engines(MIN_SIGNALING_ENGINES))
         }
         Mix::Builds => (Program::Older, size),
@@ -162,6 +170,7 @@
         Mix::Uneven => uneven::conditions(seed),
         Mix::Brittle => brittle::conditions(),
         Mix::Versions | Mix::MixedVersions => versions::conditions(),
+        Mix::BrokenAnswers => broken_answers::conditions(seed),
         _ => Conditions::default(),
     };
     let cluster = Cluster::start(&format!("{seed}"), size, program, conditions).await;
@@ -201,6 +210,12 @@
                 refusals::check_versions(&samples, &plan, cluster.nodes.len(), seed);
                 calls
             }
+            Mix::BrokenAnswers => {
+                let calls = broken_answers::call_nodes(&cluster, length, seed);
+                let (answers, ()) = tokio::join!(calls, faults);
+                broken_answers::check_ends(&cluster, &answers, seed);
+                Vec::new()
+            }
             _ => tokio::join!(checks::call_nodes(&cluster, length, seed), faults).0,
         };
         cluster.remove_faults().await;
@@ -215,7 +230,7 @@
         calls = played => calls,
         () = cluster.crash_engines() => unreachable!("runs until dropped"),
     };
-    if rolls_replicas {
+    if rolls_replicas || mix == Mix::BrokenAnswers {
         cluster.stop().await;
         return;
     }
@@ -268,6 +283,7 @@
     let rounds = env_number("CROFTRILL_SOAK_ROUNDS", DEFAULT_ROUNDS);
     let runtime = runtime();
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_BROKEN_ANSWERS => Mix::BrokenAnswers,
         _ if seed >= FIRST_SEED_OF_VERSIONS => Mix::Versions,
         _ if seed >= FIRST_SEED_OF_REFUSALS => Mix::Refusals,
         _ if seed >= FIRST_SEED_OF_BRITTLE => Mix::Brittle,
@@ -299,6 +315,8 @@
         default_rounds.push((DEFAULT_SEED_OF_BRITTLE, Mix::Brittle));
         default_rounds.push((DEFAULT_SEED_OF_REFUSALS, Mix::Refusals));
         default_rounds.push((DEFAULT_SEED_OF_VERSIONS, Mix::MixedVersions));
+        default_rounds.push((DEFAULT_SEED_OF_BROKEN_ANSWERS, Mix::BrokenAnswers));
+        default_rounds.push((DEFAULT_SEED_OF_BROKEN_ANSWERS + 1, Mix::BrokenAnswers));
     }
     for (seed, mix) in default_rounds {
         LocalSet::new().block_on(&runtime, play_round(seed, mix, DEFAULT_SIZE));
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -27,8 +27,9 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
+use crate::answer_ends::ClosedBetweenEvents;
 use crate::engine_state::{EngineConfig, EngineState, OrderAnswer, StartOutcome};
-use crate::http_server::{json, serve, status, Answer};
+use crate::http_server::{json, serve_with_faults, status, Answer};
 
 /// Path that returns the replica's [`Ledger`].
 pub const LEDGER_PATH: &str = "/standin/ledger";
@@ -60,6 +61,10 @@
     /// Number of times that it fell over as it had to reject too many requests.
     #[serde(default)]
     pub falls: u32,
+    /// Attempts whose answer was closed after a whole event, though not whole, without a length or
+    /// chunks, so that nobody can tell.
+    #[serde(default)]
+    pub closed_between_events: Vec<String>,
 }
 
 /// A call that reached the replica, whether it was run or not.
@@ -128,6 +133,8 @@
     limit_per_s: Cell<Option<f64>>,
     /// Whether the entry must be written again because the store may have lost it.
     must_rewrite_entry: Cell<bool>,
+    /// Attempts whose answer was closed after a whole event, though not whole, without a length.
+    closed_between_events: ClosedBetweenEvents,
     /// Notified when the replica is to end: a crashing request ran, or it has left.
     end_requested: Notify,
 }
@@ -158,6 +165,7 @@
         on_disk: &[String],
     ) -> Rc<Self> {
         let slots = config.slots as u32;
+        let faults = config.answer_faults;
         let state = RefCell::new(EngineState::new(config, models, on_disk));
         let engine = Rc::new(EngineStandin {
             identity,
@@ -174,13 +182,16 @@
             falls: Cell::new(0),
             limit_per_s: Cell::new(None),
             must_rewrite_entry: Cell::new(false),
+            closed_between_events: ClosedBetweenEvents::default(),
             end_requested: Notify::new(),
         });
         let served = engine.clone();
-        let serving = spawn_local(serve(listener, move |request| {
+        let answer = move |request: Request<Bytes>| {
             let engine = served.clone();
             async move { engine.answer(&request) }
-        }));
+        };
+        let closed = engine.closed_between_events.clone();
+        let serving = spawn_local(serve_with_faults(listener, answer, faults, closed));
         let listed = spawn_local(engine.clone().maintain_entry());
         engine.tasks.borrow_mut().extend([serving, listed]);
         engine
@@ -242,6 +253,7 @@
             arrivals: self.arrivals.borrow().clone(),
             turned_away: state.rejected_requests(),
             falls: self.falls.get(),
+            closed_between_events: self.closed_between_events.borrow().clone(),
         }
     }
 
--- a/crates/croftrill-standin/src/engine_state.rs
+++ b/crates/croftrill-standin/src/engine_state.rs
@@ -5,6 +5,8 @@
 
 use croftrill_http::engine_wire::{Operation, WireHeldModel, WireHoldings, WireOrder, WireReport};
 
+use crate::answer_ends::AnswerFaults;
+
 /// Sizes and times of a replica.
 #[derive(Debug, Clone)]
 pub struct EngineConfig {
@@ -25,6 +27,8 @@
     /// Duration of work in percent of the usual time, sent in answers along with the slots.
     /// `None` stands for the usual time, and neither is sent.
     pub work_time_pct: Option<u32>,
+    /// How many answers are without a length, and how many break off.
+    pub answer_faults: AnswerFaults,
 }
 
 impl Default for EngineConfig {
@@ -38,6 +42,7 @@
             adapter_load: Duration::from_millis(20),
             event_interval: Duration::from_millis(5),
             work_time_pct: None,
+            answer_faults: AnswerFaults::default(),
         }
     }
 }
--- a/crates/croftrill-standin/src/lib.rs
+++ b/crates/croftrill-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They use Croftrill's own protocols, hold all state in memory, and run either
 //! inside a test process or as separate processes.
 
+pub mod answer_ends;
 pub mod engine;
 pub mod engine_state;
 pub mod http_server;
