A stream's model is loaded at a replica of its software version

What callers saw: a stream whose version had no holder of its model left was refused for good, though replicas of that version could load it. Cause: orderers knew no versions and counted the model as held.

Change: who is asked to go on tells the orderers model and version, and the orderer of the best ready replica of that version loads it there if as many requests wait as are lost by what makes room. The caller waits or returns as for any model that is not loaded. No message while one version serves; none to a node whose generation is older than 2.

Two tests of the orderer; the second fails without the bound.

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -1,5 +1,6 @@
 //! Tests of the orderer with simulated replicas that lose answers or execute orders late.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,57 @@
     assert!(holds(&world, "m5"), "orders: {:?}", world.orders);
 }
 
+fn replicas(ids: &[&str]) -> BTreeSet<ReplicaId> {
+    ids.iter().map(|id| ReplicaId::from(*id)).collect()
+}
+
+/// Guards against streams whose own software version has no holder of their model, though replicas
+/// of that version could load it, as another version holds it.
+#[test]
+fn plan_loads_model_at_version_without_holder() {
+    let mut world = World::new(8, &[&["m1", "m2"], &["m3", "m4"], &["m5", "m6"]]);
+    world.run(6000);
+    for _ in 0..4 {
+        let version = "v1".into();
+        world
+            .orderer
+            .mark_waiting_at(&key("m1", None), &version, replicas(&["r1", "r2"]), world.now);
+        world.run(1000);
+    }
+    let holds_m1 = |id: &str| world.replicas[id].holdings.serves("m1", None);
+    assert!(holds_m1("r1") || holds_m1("r2"), "orders: {:?}", world.orders);
+}
+
+/// Guards against loads for one stream that displace models which many requests need, and against
+/// loads of what the version holds.
+#[test]
+fn plan_does_not_displace_more_than_waits_at_a_version() {
+    let mut world = World::new(
+        8,
+        &[&["m1", "m2", "m6"], &["m3", "m4", "m7"], &["m1", "m5", "m8"]],
+    );
+    for _ in 0..6 {
+        for model in ["m3", "m4", "m7"] {
+            world
+                .orderer
+                .count_demand(&key(model, None), &asked(20.0, 20_000.0), world.now);
+        }
+        for (version, at) in [("v1", &["r1"][..]), ("v2", &["r0", "r2"])] {
+            world
+                .orderer
+                .mark_waiting_at(&key("m1", None), &version.into(), replicas(at), world.now);
+        }
+        world.run(1000);
+    }
+    let loads_m1 = |(_, _, order): &&(_, _, Order)| *order == Order::LoadModel("m1".into());
+    assert_eq!(
+        world.orders.iter().filter(loads_m1).count(),
+        0,
+        "{:?}",
+        world.orders
+    );
+}
+
 #[test]
 fn plan_loads_waiting_adapter_on_holder_of_its_model() {
     let mut world = World::new(4, &[&["m1"], &["m2"]]);
--- a/crates/croftrill-node/src/load_updates.rs
+++ b/crates/croftrill-node/src/load_updates.rs
@@ -266,7 +266,12 @@
     message: &ToOrderer,
 ) -> Option<Bytes> {
     let is_loads = matches!(message, ToOrderer::Loads(_));
-    if is_loads && !node.state.borrow().members.peer_supports_load_updates(peer) {
+    let is_understood = match message {
+        ToOrderer::Loads(_) => node.state.borrow().members.peer_supports_load_updates(peer),
+        ToOrderer::WaitingAt(_) => node.state.borrow().members.peer_supports_version_waits(peer),
+        _ => true,
+    };
+    if !is_understood {
         count(node, "message", "not understood");
         return None;
     }
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -120,9 +120,11 @@
 const GENERATION_SHIFT: u32 = 52;
 /// Generation of this build's messages between nodes. Each generation understands the messages of
 /// those before it.
-const GENERATION: u64 = 1;
+const GENERATION: u64 = 2;
 /// The first generation that exchanges configurations.
 const CONFIGURATION_EXCHANGE_GENERATION: u64 = 1;
+/// The first generation that loads models at replicas of one software version.
+const VERSION_WAITS_GENERATION: u64 = 2;
 
 /// Returns the incarnation of a process of this build that started at `started_ns`, of which it
 /// keeps the lowest bits: they differ for all starts within 52 days.
@@ -163,9 +165,22 @@
 
     /// Returns whether the process exchanges configurations with other nodes.
     pub fn exchanges_configurations(&self) -> bool {
+        self.generation() >= CONFIGURATION_EXCHANGE_GENERATION
+    }
+
+    /// Returns whether the process understands waits for a model at one software version.
+    pub fn supports_version_waits(&self) -> bool {
+        self.generation() >= VERSION_WAITS_GENERATION
+    }
+
+    /// Returns the generation of the process's messages; 0 if it says none.
+    fn generation(&self) -> u64 {
         let says_generation = self.supports_tunnels() && self.incarnation & LACKS_GENERATION_BIT == 0;
-        let generation = (self.incarnation >> GENERATION_SHIFT) & 0xff;
-        says_generation && generation >= CONFIGURATION_EXCHANGE_GENERATION
+        if says_generation {
+            (self.incarnation >> GENERATION_SHIFT) & 0xff
+        } else {
+            0
+        }
     }
 
     /// Returns the address for other nodes, or `None` if it is malformed.
@@ -332,6 +347,12 @@
         self.all_at(peer, MemberEntry::exchanges_configurations)
     }
 
+    /// Returns whether the node at a peer address understands waits for a model at one software
+    /// version.
+    pub fn peer_supports_version_waits(&self, peer: SocketAddr) -> bool {
+        self.all_at(peer, MemberEntry::supports_version_waits)
+    }
+
     /// Returns the live nodes that exchange configurations, without those at whose peer address
     /// another known entry says that an older build may run.
     pub fn exchanging_nodes(&self) -> impl Iterator<Item = &MemberEntry> {
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -493,6 +493,12 @@
             | ToOrderer::Loads(_)
             | ToOrderer::Configuration(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
+            ToOrderer::WaitingAt(wait) => {
+                let key = wait.model.to_key();
+                let version = wait.version.as_str().into();
+                let replicas = replica_versions::ready_replicas(&self.node, &key.service, &version);
+                self.orderer.mark_waiting_at(&key, &version, replicas, now);
+            }
         }
     }
 
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -144,6 +144,18 @@
     /// First message on a link to a keeper of streams' versions. Sent only to nodes whose entries say
     /// that they understand it.
     StreamVersion(WireStreamVersion),
+    /// Requests wait for a model at replicas of one software version, none of which holds it. Sent
+    /// only to nodes whose entries say that they understand it.
+    WaitingAt(WireVersionWait),
+}
+
+/// A model that requests wait for at replicas of one software version.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, SerBin, DeBin)]
+pub struct WireVersionWait {
+    /// The model.
+    pub model: WireModel,
+    /// The version.
+    pub version: String,
 }
 
 /// A node that starts to follow a relay, with the state of its view and its interests.
--- a/crates/croftrill-node/src/replica_versions.rs
+++ b/crates/croftrill-node/src/replica_versions.rs
@@ -1,14 +1,14 @@
 //! Which software versions the replicas run, told from nodes that read their entries to nodes that
 //! receive listings from others.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::ServiceName;
 use croftrill_scheduler::replica::{ReplicaId, StartedMs};
-use croftrill_scheduler::software_versions::{ServiceVersions, SoftwareVersion};
+use croftrill_scheduler::software_versions::{RequiredVersion, ServiceVersions, SoftwareVersion};
 use croftrill_scheduler::time::Moment;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -81,6 +81,25 @@
 
 /// Tells other nodes the versions of this node's streams, whose services have several versions now or
 /// another one.
+/// Returns the ready replicas of a service that are known to run a version.
+pub(crate) fn ready_replicas<P: Platform>(
+    node: &Node<P>,
+    service: &str,
+    version: &SoftwareVersion,
+) -> BTreeSet<ReplicaId> {
+    let state = node.state.borrow();
+    let required = RequiredVersion {
+        version,
+        versions: &state.software_versions,
+    };
+    let ready = state
+        .replicas
+        .of_service(service)
+        .filter(|entry| entry.is_ready());
+    let of_version = ready.filter(|entry| required.is_run_by(&entry.listing.id, entry.listing.started_ms));
+    of_version.map(|entry| entry.listing.id.clone()).collect()
+}
+
 fn publish_own_streams<P: Platform>(node: &Rc<Node<P>>, services: Vec<ServiceName>) {
     for service in services {
         spawn_local(stream_versions::publish_own(node.clone(), service));
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -24,7 +24,9 @@
 /// another link than the listing, within milliseconds; the estimate is the same as for an adapter.
 const PLACEMENT_UPDATE_IN: Duration = ADAPTER_READY_IN;
 /// Expected time from the first reminder about a model to the order to load it.
-const ORDER_DELAY: Duration = Duration::from_millis(350);
+pub(super) const ORDER_DELAY: Duration = Duration::from_millis(350);
+/// Minimum expected time until a model is loaded.
+pub(super) const MIN_READY_IN: Duration = Duration::from_millis(20);
 /// Expected time until a model is loaded while no orderer is linked.
 const NO_ORDERER_READY_IN: Duration = Duration::from_millis(3000);
 /// Minimum time between two reminders to the orderers of the same waiting request.
@@ -95,8 +97,18 @@
             if self.lacks_only_paths() {
                 return NextReplica::GiveUp("no path to its replicas", Some(OTHER_NODE_RETRY_AFTER));
             }
-            if self.is_bound_to_version() {
-                return NextReplica::GiveUp("no replica of its version", Some(DEFAULT_RETRY_AFTER));
+            match self.version_decision() {
+                Some(ColdDecision::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
+                    self.wait_for_view_change().await;
+                    continue;
+                }
+                Some(ColdDecision::Refuse { come_back_after }) => {
+                    return NextReplica::GiveUp("no replica of its version", Some(come_back_after));
+                }
+                Some(ColdDecision::Wait) => {
+                    return NextReplica::GiveUp("the node is stopping", Some(OTHER_NODE_RETRY_AFTER));
+                }
+                None => {}
             }
             let decision = self.cold_decision();
             if decision.is_some() && self.node.lifecycle() == Lifecycle::Stopping {
@@ -232,8 +244,12 @@
         };
         let ready_in = self.ready_in(&key)?;
         self.node.holdings_needed.notify_one();
-        let is_first = self.last_reminder.get().is_none();
-        self.remind_orderer(&key);
+        self.remind_orderer(&ToOrderer::Waiting(WireModel::from_key(&key)));
+        Some(self.decide_cold_in(&key, ready_in))
+    }
+
+    /// Decides on the request if its model is loaded in `ready_in`.
+    pub(super) fn decide_cold_in(&self, key: &ModelKey, ready_in: Duration) -> ColdDecision {
         let request = ColdRequest {
             waited: self.waited(),
             ready_in,
@@ -243,10 +259,11 @@
             left: self.deadline.since(self.now()),
         };
         let decision = decide_cold(&request);
+        let is_first = !self.logged_cold.replace(true);
         if is_first || decision != ColdDecision::Wait {
-            self.log_cold(&key, &request, decision);
+            self.log_cold(key, &request, decision);
         }
-        Some(decision)
+        decision
     }
 
     /// Logs the decision with the values that it is based on.
@@ -278,7 +295,7 @@
             .replicas
             .earliest_holder_cooldown_end(&self.service, &key.model, now);
         if let Some(ready_at) = arrival.into_iter().chain(cooldown_end).min() {
-            return Some(ready_at.since(now).max(Duration::from_millis(20)));
+            return Some(ready_at.since(now).max(MIN_READY_IN));
         }
         if state
             .replicas
@@ -307,7 +324,7 @@
         self.model_key().and_then(|key| self.ready_in(&key))
     }
 
-    pub(super) fn remind_orderer(&self, key: &ModelKey) {
+    pub(super) fn remind_orderer(&self, message: &ToOrderer) {
         let now = self.now();
         if self
             .last_reminder
@@ -317,8 +334,7 @@
             return;
         }
         self.last_reminder.set(Some(now));
-        self.node
-            .send_to_orderers(&ToOrderer::Waiting(WireModel::from_key(key)));
+        self.node.send_to_orderers(message);
     }
 
     pub(super) async fn wait_for_view_change(&self) {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -196,6 +196,7 @@
         refused_by: None,
         may_have_run: false,
         last_reminder: Cell::new(None),
+        logged_cold: Cell::new(false),
         sent_after: None,
         answered_after: None,
         longest_pause: Cell::new(Duration::ZERO),
@@ -241,6 +242,8 @@
     refused_by: Option<ReplicaId>,
     may_have_run: bool,
     last_reminder: Cell<Option<Moment>>,
+    /// Whether the first decision on a missing model was logged.
+    logged_cold: Cell<bool>,
     /// Time from arrival to the first send.
     sent_after: Option<Duration>,
     /// Time from arrival to the head of the answer.
--- a/crates/croftrill-node/src/request/version.rs
+++ b/crates/croftrill-node/src/request/version.rs
@@ -1,15 +1,21 @@
 //! The software version at which a stream goes on, within an answer and over a caller's attempts.
 
+use std::time::Duration;
+
+use croftrill_scheduler::admission::ColdDecision;
 use croftrill_scheduler::catalog::RouteKind;
+use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica_table::ReplicaEntry;
 use croftrill_scheduler::software_versions::{
     OwnStream, RequiredVersion, SoftwareVersion, MAX_STREAM_LIFETIME,
 };
 
-use super::{RequestRun, DEFAULT_DEADLINE};
+use super::cold::{MIN_READY_IN, ORDER_DELAY};
+use super::{RequestRun, DEFAULT_DEADLINE, DEFAULT_RETRY_AFTER};
 use crate::node::NodeState;
+use crate::peer::{ToOrderer, WireModel, WireVersionWait};
 use crate::ports::Platform;
-use crate::stream_versions;
+use crate::{replica_versions, stream_versions};
 
 /// At which software version a request's replica must be.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,9 +95,47 @@
         }
     }
 
-    /// Returns whether the request may only go to replicas of one version. It does not wait for its
-    /// model, which may be loaded at replicas of another one.
-    pub(super) fn is_bound_to_version(&self) -> bool {
-        matches!(self.stream_version, StreamVersion::Only(_))
+    /// Decides what to do while no replica of the version that the request is bound to can take it.
+    /// Tells the orderers of the wait if its model is the cause. Returns `None` if the request is not
+    /// bound.
+    pub(super) fn version_decision(&self) -> Option<ColdDecision> {
+        let StreamVersion::Only(version) = &self.stream_version else {
+            return None;
+        };
+        let refused = ColdDecision::Refuse {
+            come_back_after: DEFAULT_RETRY_AFTER,
+        };
+        let Some(key) = self.model_key() else {
+            return Some(refused);
+        };
+        let Some(ready_in) = self.ready_in_at(&key, version) else {
+            return Some(refused);
+        };
+        self.remind_orderer(&ToOrderer::WaitingAt(WireVersionWait {
+            model: WireModel::from_key(&key),
+            version: version.to_string(),
+        }));
+        Some(self.decide_cold_in(&key, ready_in))
+    }
+
+    /// Returns the expected time until a replica of a version has the model; `None` if no replica of it
+    /// is ready, or one has the model, so that a load changes nothing.
+    fn ready_in_at(&self, key: &ModelKey, version: &SoftwareVersion) -> Option<Duration> {
+        let engine = self.configuration.service(&self.service)?.engine.as_ref()?;
+        let spec = engine.models.get(&key.model)?;
+        let now = self.now();
+        let ready = replica_versions::ready_replicas(&self.node, &self.service, version);
+        let state = self.node.state.borrow();
+        let entries: Vec<&ReplicaEntry> = ready.iter().filter_map(|id| state.replicas.get(id)).collect();
+        // A node that knows only some replicas leaves it to the orderers whether there is one.
+        let may_be_loaded = !entries.is_empty() || state.tree.is_partial();
+        if !may_be_loaded || entries.iter().any(|entry| entry.serves(&key.model, None)) {
+            return None;
+        }
+        let arriving = entries.iter().flat_map(|entry| &entry.arriving);
+        let arrivals = arriving.filter(|arrival| arrival.model == key.model);
+        let ready_at = arrivals.map(|arrival| arrival.ready_at).min();
+        let loaded_in = || ORDER_DELAY + state.replicas.reload_time(&self.service, spec, now);
+        Some(ready_at.map_or_else(loaded_in, |ready_at| ready_at.since(now).max(MIN_READY_IN)))
     }
 }
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -38,7 +38,7 @@
 use crate::node::Node;
 use crate::peer::{
     DirectoryUpdate, FromOrderer, FullViewChunk, RevisedChange, WireChange, WireModel, WirePlacement,
-    WireScope,
+    WireScope, WireVersionWait,
 };
 use crate::ports::{Platform, RecordReader};
 use crate::replica_versions;
@@ -88,6 +88,8 @@
     is_history_lost: bool,
     /// When the orderers were last reminded of each model on behalf of a follower.
     reminded_at: HashMap<WireModel, Moment>,
+    /// The same for waits for a model at one software version.
+    reminded_of_version_at: HashMap<WireVersionWait, Moment>,
     /// True while this node knows only the replicas that match its interests.
     is_partial: bool,
     /// Which replicas the relay publishes over the current link, once it has sent that.
@@ -112,6 +114,7 @@
             replay_requested_at: None,
             is_history_lost: false,
             reminded_at: HashMap::new(),
+            reminded_of_version_at: HashMap::new(),
             is_partial: false,
             published_scope: None,
             exceeds_published: false,
@@ -150,6 +153,17 @@
         self.reminded_at.insert(model.clone(), now);
         true
     }
+
+    /// Returns whether a wait for a model at one software version should be passed on now.
+    fn should_remind_of_version(&mut self, wait: &WireVersionWait, now: Moment) -> bool {
+        self.reminded_of_version_at
+            .retain(|_, at| now.since(*at) < MIN_REMINDER_INTERVAL);
+        if self.reminded_of_version_at.contains_key(wait) {
+            return false;
+        }
+        self.reminded_of_version_at.insert(wait.clone(), now);
+        true
+    }
 }
 
 /// Returns true while a node has its own links to the orderers.
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -183,6 +183,13 @@
                 node.send_to_orderers(&ToOrderer::Waiting(model));
             }
         }
+        ToOrderer::WaitingAt(wait) => {
+            let now = node.clock.now();
+            let is_due = node.state.borrow_mut().tree.should_remind_of_version(&wait, now);
+            if is_due {
+                node.send_to_orderers(&ToOrderer::WaitingAt(wait));
+            }
+        }
         ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
         ToOrderer::Replay(after) => {
             return follower.map_or_else(Vec::new, |follower| follower.view_since(node, after));
--- a/crates/croftrill-node/tests/components.rs
+++ b/crates/croftrill-node/tests/components.rs
@@ -6,6 +6,7 @@
 
 use croftrill_node::events::EventSplitter;
 use croftrill_node::logging::{subscriber, LineBudget, LogConfig};
+use croftrill_node::membership::MemberEntry;
 use croftrill_node::metrics::Metrics;
 use croftrill_node::peer::{DemandBatch, FromOrderer, ToOrderer, WireModel, WirePlacement};
 use croftrill_scheduler::demand::ModelKey;
@@ -145,3 +146,27 @@
         assert!(page.contains(name), "{name} is not on docs/OPERATIONS.md");
     }
 }
+
+/// Guards against messages that a process of an older build cannot decode.
+#[test]
+fn version_waits_are_understood_from_the_second_generation_on() {
+    const SUPPORTS_ALL: u64 = 0b111 << 61;
+    const GENERATION_SHIFT: u32 = 52;
+    let entry = |incarnation| MemberEntry {
+        name: "n1".to_string(),
+        zone: "a".to_string(),
+        front: "127.0.0.1:1".to_string(),
+        peer: "127.0.0.1:2".to_string(),
+        processor_millicores: 250,
+        incarnation,
+    };
+    let understands = |incarnation| {
+        let entry = entry(incarnation);
+        (entry.exchanges_configurations(), entry.supports_version_waits())
+    };
+    // A start time in nanoseconds, and a build that says no generation.
+    assert_eq!(understands(1_800_000_000_000_000_000), (false, false));
+    assert_eq!(understands(SUPPORTS_ALL | 1 << 60), (false, false));
+    assert_eq!(understands(SUPPORTS_ALL | 1 << GENERATION_SHIFT), (true, false));
+    assert_eq!(understands(SUPPORTS_ALL | 2 << GENERATION_SHIFT), (true, true));
+}
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -14,7 +14,7 @@
 const MAX_GOALS_PER_PLAN: usize = 6;
 /// Time for which a waiting model is left to the orderer of the best replica, before another
 /// shard's orderer may load it.
-const MODEL_PATIENCE: Duration = Duration::from_millis(700);
+pub(super) const MODEL_PATIENCE: Duration = Duration::from_millis(700);
 /// Time within which a withdrawal at one of two holders is known to the orderer of the other
 /// one: twice the 240 ms that an update takes to reach all nodes.
 const WITHDRAWAL_PROPAGATION_TIME: Duration = Duration::from_millis(500);
@@ -227,6 +227,7 @@
     /// Sets a replica's goal and records the decision. `holders` is the number of other
     /// replicas that hold the model or are to load it.
     pub(super) fn set_goal(&mut self, id: &ReplicaId, model: ModelName, reason: GoalReason, holders: usize) {
+        self.version_waits.forget_goal(id);
         if let Some(replica) = self.replicas.get_mut(id) {
             let source = weight_source(replica.ledger.holdings(), &model);
             let decision = Decision::Goal {
@@ -346,7 +347,12 @@
         let value = view.value_of_holder_at(&victim, id);
         let load = load_time(engine, replica.ledger.holdings(), replica.goal.as_ref()?)?;
         let goal = replica.goal.as_ref()?;
-        if !view.is_worth_loading_at(goal, replica, load, value) {
+        let horizon_s = self.config.placement.horizon.as_secs_f64();
+        let is_worth_it = match self.version_waits.waiting_for_goal(id) {
+            Some(waiting) => waiting > value * horizon_s,
+            None => view.is_worth_loading_at(goal, replica, load, value),
+        };
+        if !is_worth_it {
             // The victim lost another holder since the goal was set.
             self.drop_goal(id);
             return None;
@@ -411,6 +417,7 @@
 
     /// Removes a replica's goal and cancels the withdrawal made for it.
     pub(super) fn drop_goal(&mut self, id: &ReplicaId) {
+        self.version_waits.forget_goal(id);
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.goal = None;
             replica.withdrawn = None;
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -3,7 +3,8 @@
 //! [`goals`] selects what replicas load and evict, [`adapters`] places adapters,
 //! [`store_loads`] limits loads from the weight store, [`reports`] selects the replicas to
 //! request reports from, [`work`] measures the work at the replicas, [`incarnation`] handles
-//! restarted replicas, and [`placement_updates`] determines what is published to the nodes.
+//! restarted replicas, [`version_waits`] loads models for streams that go on at one software version
+//! only, and [`placement_updates`] determines what is published to the nodes.
 //!
 //! The orderer has no durable state. A new orderer starts with the listed replicas, confirms
 //! each of them by a report, and counts its predecessor's loads as just started.
@@ -14,6 +15,7 @@
 mod placement_updates;
 mod reports;
 mod store_loads;
+mod version_waits;
 mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +23,7 @@
 use std::time::Duration;
 
 use self::reports::RoutineReports;
+use self::version_waits::VersionWaits;
 use self::work::WorkMeter;
 use crate::capacity::{Capacity, ReplicaLoad};
 use crate::catalog::{Configuration, EngineSpec, ModelName, Service, ServiceName};
@@ -95,6 +98,8 @@
     Waiting,
     /// The demand for the model justifies one more holder.
     Demand,
+    /// Streams go on only at replicas of one software version, none of which holds the model.
+    StreamVersion,
 }
 
 /// A placement decision, for the log.
@@ -143,6 +148,7 @@
     balance_rounds: usize,
     /// Models tried for one more holder in the current round, in which each is tried once.
     tried_underprovisioned_models: BTreeSet<ModelName>,
+    version_waits: VersionWaits,
     load_ceilings: BTreeMap<ServiceName, LoadCeiling>,
     load_concurrency: BTreeMap<ServiceName, LoadConcurrency>,
     /// Time since which the weight store has had a free slot.
@@ -178,6 +184,7 @@
             tried_waiting_models: BTreeSet::new(),
             balance_rounds: 0,
             tried_underprovisioned_models: BTreeSet::new(),
+            version_waits: VersionWaits::default(),
             load_ceilings: BTreeMap::new(),
             load_concurrency: BTreeMap::new(),
             store_free_since: BTreeMap::new(),
@@ -368,6 +375,7 @@
     /// Removes a replica.
     pub fn remove_replica(&mut self, id: &str) {
         self.replicas.remove(id);
+        self.version_waits.forget_goal(id);
         self.store_loads.remove(id);
         self.changed.remove(id);
         self.published.remove(id);
@@ -376,6 +384,7 @@
     /// Removes the replicas for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.replicas.retain(&keep);
+        self.version_waits.retain_goals(&keep);
         self.store_loads.retain(|id, _| keep(id));
         self.changed.retain(|id| keep(id));
         self.published.retain(|id, _| keep(id));
@@ -441,6 +450,7 @@
                     self.measure_work(&service.name, now);
                 }
                 self.set_goals(&service.name, engine, &waiting, now);
+                self.set_version_goals(&service.name, engine, now);
                 if is_balance_due {
                     self.add_holders(&service.name, engine, now);
                 }
--- a/crates/croftrill-scheduler/src/placement/target_selection.rs
+++ b/crates/croftrill-scheduler/src/placement/target_selection.rs
@@ -1,5 +1,6 @@
 //! Selection of the replica that loads a model and of the models that are evicted there.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::{
@@ -102,9 +103,31 @@
         model: &ModelName,
         store_allowed: bool,
         scope: CandidateScope,
+    ) -> Option<PlacementTarget> {
+        let fleet = self.fleet();
+        self.best_of(fleet.candidates_for(model), model, store_allowed, scope)
+    }
+
+    /// Returns the same among some replicas only.
+    pub fn best_target_among(
+        &self,
+        replicas: &BTreeSet<ReplicaId>,
+        model: &ModelName,
+        store_allowed: bool,
+        scope: CandidateScope,
+    ) -> Option<PlacementTarget> {
+        self.best_of(replicas.iter().collect(), model, store_allowed, scope)
+    }
+
+    fn best_of(
+        &self,
+        candidates: BTreeSet<&ReplicaId>,
+        model: &ModelName,
+        store_allowed: bool,
+        scope: CandidateScope,
     ) -> Option<PlacementTarget> {
         if let Some(work) = &self.work {
-            return self.best_target_by_work(model, store_allowed, scope, work);
+            return self.best_of_by_work(candidates, model, store_allowed, scope, work);
         }
         let rate = self.lasting_rate(model);
         let cost = |id: &ReplicaId, replica: &TrackedReplica| -> Option<(f64, Duration)> {
@@ -115,8 +138,6 @@
             let displacement = evicted_value * self.config.horizon.as_secs_f64();
             Some((displacement + adapters * load.as_secs_f64(), load))
         };
-        let fleet = self.fleet();
-        let candidates = fleet.candidates_for(model);
         candidates
             .into_iter()
             .filter_map(|id| self.replicas.get_key_value(id))
@@ -143,17 +164,17 @@
     /// it serves on time and by what the other models there lose. If all replicas are in scope,
     /// `None` is returned as well if the best one has another goal at the moment: waiting for it
     /// is better than a worse replica or a load from the weight store.
-    fn best_target_by_work(
+    fn best_of_by_work(
         &self,
+        candidates: BTreeSet<&ReplicaId>,
         model: &ModelName,
         store_allowed: bool,
         scope: CandidateScope,
         work: &ServiceWork,
     ) -> Option<PlacementTarget> {
         let rate = self.lasting_rate(model);
-        let fleet = self.fleet();
-        let candidates = fleet.candidates_for(model).into_iter();
         let candidates = candidates
+            .into_iter()
             .filter_map(|id| self.replicas.get_key_value(id))
             .filter(|(_, replica)| may_load(replica, model, store_allowed, scope))
             .filter(|(_, replica)| scope == CandidateScope::All || replica.goal.is_none());
