--- a/crates/croftrill-standin/src/proxy.rs
+++ b/crates/croftrill-standin/src/proxy.rs
@@ -1,6 +1,7 @@
 //! TCP proxy that injects faults between two processes.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Faults that the proxy injects into existing and new connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -78,12 +79,21 @@
         }
     }
 
-    /// Listens again on the same address, in front of a new upstream.
+    /// Listens again on the same address, in front of a new upstream. Waits for a connection that
+    /// took the port meanwhile.
     ///
-    /// Returns an error if the address cannot be bound.
+    /// Returns an error if the address cannot be bound in time.
     pub async fn restart(self: &Rc<Self>, upstream: SocketAddr) -> std::io::Result<()> {
         let address = self.address.ok_or(std::io::ErrorKind::AddrNotAvailable)?;
-        let listener = TcpListener::bind(address).await?;
+        let bound = timeout(RESTART_TIMEOUT, async {
+            loop {
+                match TcpListener::bind(address).await {
+                    Err(error) if error.kind() == ErrorKind::AddrInUse => sleep(RESTART_INTERVAL).await,
+                    bound => return bound,
+                }
+            }
+        });
+        let listener = bound.await??;
         self.upstream.set(upstream);
         self.set(Fault::None);
         let accept_task = spawn_local(self.clone().accept(listener));
@@ -203,6 +213,11 @@
     }
 }
 
+/// Maximum time to wait for a port that a connection has taken.
+const RESTART_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two attempts to listen on it.
+const RESTART_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Ended {
--- a/crates/croftrill-standin/tests/proxy.rs
+++ b/crates/croftrill-standin/tests/proxy.rs
@@ -5,9 +5,9 @@
 use croftrill_standin::http_server::listen;
 use croftrill_standin::proxy::{Fault, Proxy};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 const SHORT: Duration = Duration::from_millis(100);
 const LONG: Duration = Duration::from_secs(10);
@@ -80,3 +80,35 @@
         assert_eq!(echoes_byte(&mut present, SHORT).await, None);
     });
 }
+
+/// Guards against a soak that ends because the connection of another process took a proxy's port.
+#[test]
+fn restart_while_port_is_taken() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (proxy, front) = echo().await;
+        let (upstream, address) = listen().await.expect("a port");
+        proxy.end();
+        let socket = TcpSocket::new_v4().expect("a socket");
+        while socket.bind(front).is_err() {
+            // The task that listens ends later than it is told to.
+            sleep(SHORT / 10).await;
+        }
+        let connection = socket.connect(address).await.expect("a connection");
+        connection.set_zero_linger().expect("an open socket");
+        let restarted = proxy.restart(address);
+        tokio::pin!(restarted);
+        assert!(
+            timeout(SHORT, restarted.as_mut()).await.is_err(),
+            "the port is taken"
+        );
+        drop((connection, upstream));
+        timeout(LONG, restarted)
+            .await
+            .expect("in time")
+            .expect("the port is free");
+    });
+}
