Soak: tests of one process use ports of their own

Shown by a run of all tests once streams_go_on_at_their_version_under_random_faults was no longer passed over: both tests failed ("the cluster becomes ready").

Change: one count for the process.

--- a/crates/croftrill-daemon/tests/soak/cluster.rs
+++ b/crates/croftrill-daemon/tests/soak/cluster.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use croftrill_daemon::status::NodeStatus;
@@ -260,17 +261,15 @@
 /// Number of these ports.
 const PORT_COUNT: u16 = 22_000;
 
-thread_local! {
-    /// Number of the next port to try. It starts at a different port in each process, so that
-    /// soak tests can run in parallel.
-    static NEXT_PORT_NUMBER: Cell<u32> = Cell::new(std::process::id() * 61);
-}
+/// Number of ports that this process has tried, in all its tests.
+static TRIED_PORTS: AtomicU32 = AtomicU32::new(0);
 
 /// Returns a free port of the loopback address that this process uses only once.
 fn free_address() -> SocketAddr {
+    // Soak tests of several processes may run in parallel, too.
+    let first = std::process::id() * 61;
     for _ in 0..PORT_COUNT {
-        let number = NEXT_PORT_NUMBER.get();
-        NEXT_PORT_NUMBER.set(number.wrapping_add(1));
+        let number = first.wrapping_add(TRIED_PORTS.fetch_add(1, Ordering::Relaxed));
         let port = FIRST_PORT + (number % u32::from(PORT_COUNT)) as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("an address");
