A stream whose replica is only silent does not wait for a load

Cause: while a silent stream waited for its model to be loaded at another replica of its version, nothing of what its own replica might still send was passed on (found by reading the change).

Change: such a stream tells the orderers and goes on listening at once.

--- a/crates/croftrill-node/src/caller_stream.rs
+++ b/crates/croftrill-node/src/caller_stream.rs
@@ -10,6 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Version;
@@ -58,7 +59,7 @@
     fn update_close(&mut self) -> io::Result<()> {
         let resets_on_close = self.link.is_open_ended.get();
         if self.resets_on_close != resets_on_close {
-            let linger = resets_on_close.then_some(std::time::Duration::ZERO);
+            let linger = resets_on_close.then_some(Duration::ZERO);
             SockRef::from(&self.stream).set_linger(linger)?;
             self.resets_on_close = resets_on_close;
         }
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -381,7 +381,8 @@
     }
 
     /// Sends a request on an idle or new connection and returns the head of the answer, which holds
-    /// a JSON document unless its type says otherwise. Sends it again on a new connection if the first one closed before it was written.
+    /// a JSON document unless its type says otherwise. Sends it again on a new connection if the
+    /// first one closed before it was written.
     async fn start_exchange(
         &self,
         address: SocketAddr,
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -206,6 +206,7 @@
         fingerprint: OnceCell::new(),
         trial: None,
         stream_version: StreamVersion::Any,
+        may_await_version: true,
     };
     run.serve().await
 }
@@ -262,6 +263,9 @@
     trial: Option<Trial<P>>,
     /// The software version at which its stream may go on.
     stream_version: StreamVersion,
+    /// Whether it may wait for its model to be loaded at its version. A stream whose replica is only
+    /// silent does not, as that may still go on.
+    may_await_version: bool,
 }
 
 impl<P: Platform> RequestRun<P> {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -291,6 +291,7 @@
                 replica = &**previous);
             return ResumeOutcome::NotResumed(earlier.map(Box::new));
         }
+        self.may_await_version = earlier.is_none();
         let mut previous = previous.clone();
         while self.may_repeat_after(&previous) {
             let NextReplica::Send(replica) = self.next_replica().await else {
--- a/crates/croftrill-node/src/request/version.rs
+++ b/crates/croftrill-node/src/request/version.rs
@@ -115,7 +115,8 @@
             model: WireModel::from_key(&key),
             version: version.to_string(),
         }));
-        Some(self.decide_cold_in(&key, ready_in))
+        let decision = self.decide_cold_in(&key, ready_in);
+        Some(if self.may_await_version { decision } else { refused })
     }
 
     /// Returns the expected time until a replica of a version has the model; `None` if no replica of it
