--- a/crates/croftrill-node/src/answer_reader.rs
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -228,7 +228,7 @@
         }
     }
 
-    /// Returns how the body ended whose bytes came to an end without an error.
+    /// Returns how the body ended after its last byte, if its connection did not fail.
     fn judge_end(&self) -> BodyEnd {
         let partial_bytes = self.events.partial_bytes();
         if partial_bytes > 0 && self.must_hold_events() {
@@ -263,8 +263,8 @@
         must_have_one && self.events.events() == 0
     }
 
-    /// Returns how a body ended of which all that arrived is known, and which ended so as far as
-    /// its framing and events tell.
+    /// Returns how a body ended that was read to its end, given all that arrived of it: one that was
+    /// closed inside a document is cut off. `end` is what its framing tells.
     pub fn judge_document(&self, received: &[u8], end: BodyEnd) -> BodyEnd {
         let Content::Document { may_be_empty } = self.content else {
             return end;
--- a/crates/croftrill-node/src/caller_stream.rs
+++ b/crates/croftrill-node/src/caller_stream.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Makes a close of the socket what the end of the current answer needs.
+    /// Sets whether a close of the socket resets the connection, as the current answer needs it.
     fn update_close(&mut self) -> io::Result<()> {
         let resets_on_close = self.link.is_open_ended.get();
         if self.resets_on_close != resets_on_close {
--- a/crates/croftrill-node/src/events.rs
+++ b/crates/croftrill-node/src/events.rs
@@ -7,10 +7,8 @@
 
 /// A byte order mark, which may precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
-
 /// Start of the line that gives an event's id.
 const ID_FIELD: &[u8] = b"id:";
-
 /// Names of the fields of an event.
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 /// Length of the longest of these names.
@@ -34,14 +32,17 @@
     has_line: bool,
     /// Whether the last byte was a CR, so that an LF belongs to the same line end.
     after_cr: bool,
-    /// Whether the first line was reached.
+    /// Whether the first line was reached, before which there may be a byte order mark.
     after_mark: bool,
-    /// Bytes of a byte order mark so far.
+    /// Bytes of the byte order mark so far.
     mark_bytes: usize,
+    /// Bytes after the last complete event.
     partial_bytes: u64,
+    /// Number of complete events.
     events: u64,
     /// Start of the current line, of at most one byte more than the longest name of a field.
     line_start: Vec<u8>,
+    /// Whether a line has begun with the name of a field.
     has_field: bool,
 }
 
@@ -77,7 +78,7 @@
     }
 
     fn is_between_events(&self) -> bool {
-        let is_inside_mark = !self.after_mark && !matches!(self.mark_bytes, 0 | 3);
+        let is_inside_mark = !self.after_mark && (1..BYTE_ORDER_MARK.len()).contains(&self.mark_bytes);
         self.line == Line::Empty && !self.has_line && !is_inside_mark
     }
 
@@ -103,7 +104,7 @@
             return true;
         }
         self.after_mark = true;
-        if self.mark_bytes < BYTE_ORDER_MARK.len() && self.mark_bytes > 0 {
+        if (1..BYTE_ORDER_MARK.len()).contains(&self.mark_bytes) {
             // The bytes were the start of a field's name.
             self.line = Line::Field;
         }
--- a/crates/croftrill-scheduler/src/orderer/version_waits.rs
+++ b/crates/croftrill-scheduler/src/orderer/version_waits.rs
@@ -31,7 +31,8 @@
 struct Wait {
     since: Moment,
     last_word_at: Moment,
-    /// Words of the last [`WAIT_EXPIRY`]: a request is told of several times.
+    /// Times of the words in the last [`WAIT_EXPIRY`]. They stand for the requests that wait: nodes
+    /// tell of a request at most twice a second, and relays of all requests together.
     words: Vec<Moment>,
     /// The ready replicas of the version.
     replicas: BTreeSet<ReplicaId>,
