--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -14,7 +14,9 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::crash_ledger::{CrashLedger, EndedReplica, Fingerprint, Verdict, REPORT_RETENTION};
+use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
+use http::StatusCode;
 use nanoserde::SerBin;
 use rand::Rng;
 use tokio::time::sleep;
@@ -37,6 +39,19 @@
 /// stored nearly as long as a full lease.
 const MAX_LEASE_REUSE_AGE: Duration = Duration::from_secs(60);
 
+/// An answer that clears a request.
+#[derive(Debug, Clone)]
+pub(crate) struct ClearingAnswer {
+    /// The caller's id of the attempt.
+    pub(crate) id: String,
+    /// The replica that sent it.
+    pub(crate) replica: ReplicaId,
+    /// Its status.
+    pub(crate) status: StatusCode,
+    /// How its body ended.
+    pub(crate) ended: &'static str,
+}
+
 /// Returns whether a key of the store is that of a node's report.
 pub(crate) fn is_report(key: &str) -> bool {
     key.starts_with(REPORT_PREFIX)
@@ -105,11 +120,17 @@
     verdict
 }
 
-/// Clears a request that a replica answered completely.
-pub(crate) fn record_complete_answer<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) {
+/// Clears a request that a replica answered completely. `answer` is the answer, for the log.
+pub(crate) fn record_complete_answer<P: Platform>(
+    node: &Node<P>,
+    fingerprint: Fingerprint,
+    answer: &ClearingAnswer,
+) {
     let now = node.clock.now();
     let is_cleared = node.state.borrow_mut().crash_ledger.clear(fingerprint, now);
     if is_cleared {
+        tracing::info!(target: "crash", event = "cleared by an answer", id = answer.id, %fingerprint,
+            replica = &*answer.replica, status = answer.status.as_u16(), ended = answer.ended);
         Metrics::count(&node.metrics.crashes, "request", "cleared");
         node.crash_report_changed.notify_one();
     }
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::broken_requests::BrokenRequest;
-use crate::crash_reports;
+use crate::crash_reports::{self, ClearingAnswer};
 use crate::node::Node;
 use crate::ports::Platform;
 use crate::replica_path::{self, PathTarget, PeerVerdict};
@@ -30,6 +30,9 @@
 /// and short compared with the pauses that callers accept (at least 300 ms).
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(60);
 
+/// Maximum number of requests that one line of the log names.
+const MAX_LOGGED_IDS: usize = 16;
+
 /// Records that a request broke at a replica: its connection ended, or became silent,
 /// before its answer was complete.
 pub(crate) fn record_broken_request<P: Platform>(
@@ -76,11 +79,15 @@
     node: Rc<Node<P>>,
     address: SocketAddr,
     fingerprint: Fingerprint,
+    answer: ClearingAnswer,
 ) {
     sleep(BATCH_DELAY).await;
     let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
     if matches!(connected, Ok(Ok(_))) {
-        crash_reports::record_complete_answer(&node, fingerprint);
+        crash_reports::record_complete_answer(&node, fingerprint, &answer);
+    } else {
+        tracing::info!(target: "crash", event = "a suspect's answer ended with its connection, and nothing was counted",
+            id = answer.id, %fingerprint, replica = &*answer.replica, status = answer.status.as_u16());
     }
 }
 
@@ -107,12 +114,18 @@
         record_end(&node, &replica, incarnation, &broken);
     } else {
         tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
-            replica = &*replica, requests = broken.len(), connected = ?connected.map(|connected| connected.is_ok()),
+            replica = &*replica, requests = broken.len(), ids = ?ids_of(&broken), connected = ?connected.map(|connected| connected.is_ok()),
             other_nodes = ?verdict);
     }
     node.crash_judged.notify_waiters();
 }
 
+/// Returns the callers' ids of some requests, for the log.
+fn ids_of(broken: &[BrokenRequest]) -> Vec<&str> {
+    let ids = broken.iter().map(|request| request.id.as_str());
+    ids.take(MAX_LOGGED_IDS).collect()
+}
+
 /// Records that a replica ended. Each request that had just started there may be the cause.
 fn record_end<P: Platform>(
     node: &Node<P>,
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -5,11 +5,14 @@
 
 use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
 use croftrill_scheduler::replica::ReplicaId;
+use http::StatusCode;
 use tokio::task::spawn_local;
 
 use super::fingerprint::fingerprint;
 use super::RequestRun;
+use crate::answer_reader::BodyEnd;
 use crate::broken_requests::BrokenRequest;
+use crate::crash_reports::ClearingAnswer;
 use crate::crash_trial::{self, TrialOutcome};
 use crate::ports::{CallerAddress, Platform};
 use crate::{crash_reports, crash_watch};
@@ -69,15 +72,30 @@
     }
 
     /// Records that a replica sent a complete answer, so that the request did not crash it.
-    pub(super) fn record_complete_answer(&self) {
+    pub(super) fn record_complete_answer(&self, replica: &ReplicaId, status: StatusCode) {
         if !self.node.state.borrow().crash_ledger.is_empty() {
-            crash_reports::record_complete_answer(&self.node, self.fingerprint());
+            let answer = self.clearing_answer(replica, status, BodyEnd::Whole.name());
+            crash_reports::record_complete_answer(&self.node, self.fingerprint(), &answer);
+        }
+    }
+
+    fn clearing_answer(
+        &self,
+        replica: &ReplicaId,
+        status: StatusCode,
+        ended: &'static str,
+    ) -> ClearingAnswer {
+        ClearingAnswer {
+            id: self.facts.id.clone(),
+            replica: replica.clone(),
+            status,
+            ended,
         }
     }
 
     /// Records that an answer ended with its connection, which tells nothing of the request if the
     /// replica ended at that moment.
-    pub(super) fn record_closed_answer(&self, address: SocketAddr) {
+    pub(super) fn record_closed_answer(&self, replica: &ReplicaId, address: SocketAddr, status: StatusCode) {
         if self.node.state.borrow().crash_ledger.is_empty() {
             return;
         }
@@ -88,6 +106,7 @@
                 self.node.clone(),
                 address,
                 fingerprint,
+                self.clearing_answer(replica, status, BodyEnd::Closed.name()),
             ));
         }
     }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -277,9 +277,9 @@
         match read {
             Ok((received, end)) if !end.is_cut_off() => {
                 if matches!(end, BodyEnd::Whole) {
-                    self.record_complete_answer();
+                    self.record_complete_answer(replica, head.status);
                 } else {
-                    self.record_closed_answer(connection.address());
+                    self.record_closed_answer(replica, connection.address(), head.status);
                 }
                 let failed = head.status.is_server_error();
                 if failed {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -107,9 +107,13 @@
                     current.send.record(SendOutcome::Success);
                     if end == PumpEnd::Complete {
                         stream_versions::end(&self.node, &self.facts.id);
-                        self.record_complete_answer();
+                        self.record_complete_answer(&replica, current.head.status);
                     } else {
-                        self.record_closed_answer(current.connection.address());
+                        self.record_closed_answer(
+                            &replica,
+                            current.connection.address(),
+                            current.head.status,
+                        );
                     }
                     if self.route.is_idempotent() {
                         let headers = &current.head.headers;
