Only an answer that its run produced clears a request of ends

Callers saw one request end replica after replica where others rejected it in between: any whole answer, also a 400, 413, 429 or 500, cleared the request of all ends before it, so that the count began anew. Such an answer may come before the run, so it tells nothing of it. Only 2xx and 3xx clear now; a 2xx is taken for an answer only with its signature and its whole body (as before).

--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -17,6 +17,12 @@
 use crate::ports::{CallerAddress, Platform};
 use crate::{crash_reports, crash_watch};
 
+/// Returns whether only the run of a request produces an answer of this status. A replica may reject
+/// a request, or fail, before it runs it.
+fn is_of_run(status: StatusCode) -> bool {
+    status.is_success() || status.is_redirection()
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Returns the identity of the request's content, which is the same for each copy of it.
     pub(super) fn fingerprint(&self) -> Fingerprint {
@@ -71,9 +77,10 @@
         None
     }
 
-    /// Records that a replica sent a complete answer, so that the request did not crash it.
+    /// Records that a replica sent a complete answer. If the request's run produced it, the request
+    /// did not crash the replica.
     pub(super) fn record_complete_answer(&self, replica: &ReplicaId, status: StatusCode) {
-        if !self.node.state.borrow().crash_ledger.is_empty() {
+        if is_of_run(status) && !self.node.state.borrow().crash_ledger.is_empty() {
             let answer = self.clearing_answer(replica, status, BodyEnd::Whole.name());
             crash_reports::record_complete_answer(&self.node, self.fingerprint(), &answer);
         }
@@ -96,7 +103,7 @@
     /// Records that an answer ended with its connection, which tells nothing of the request if the
     /// replica ended at that moment.
     pub(super) fn record_closed_answer(&self, replica: &ReplicaId, address: SocketAddr, status: StatusCode) {
-        if self.node.state.borrow().crash_ledger.is_empty() {
+        if !is_of_run(status) || self.node.state.borrow().crash_ledger.is_empty() {
             return;
         }
         let fingerprint = self.fingerprint();
