An end that no peer can confirm counts, until the replica answers again

Callers saw one request end the only replica of a system again and again. The node asked its peers whether the replica was down; a peer tells that only if it reaches another replica, so with one replica, many crashes at once or paths cut beside it the answer is 'unknown', and the evidence was dropped (log: 'requests broke, but the replica is not known to have ended'). The machine of an ended process refuses connections; a refusal that no peer contradicts counts now.

--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::crash_ledger::{CrashLedger, EndedReplica, Fingerprint, Verdict, REPORT_RETENTION};
-use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::replica::{ReplicaId, StartedMs};
 use croftrill_scheduler::time::Moment;
 use http::StatusCode;
 use nanoserde::SerBin;
@@ -136,6 +136,26 @@
     }
 }
 
+/// Withdraws the end of a replica that answered a request which was sent after the end was known. A
+/// replica whose start time is not known may have ended and started again under its name.
+pub(crate) fn withdraw_end<P: Platform>(
+    node: &Node<P>,
+    replica: &ReplicaId,
+    started_ms: Option<StartedMs>,
+    sent_at: Moment,
+) {
+    let now = node.clock.now();
+    let ledger = &mut node.state.borrow_mut().crash_ledger;
+    if ledger.is_empty() || started_ms.is_none() {
+        return;
+    }
+    if ledger.withdraw_end(EndedReplica::of(replica, started_ms), sent_at, now) {
+        tracing::warn!(target: "crash", event = "end withdrawn: the replica answers", replica = &**replica);
+        Metrics::count(&node.metrics.crashes, "replica", "withdrawn");
+        node.crash_report_changed.notify_one();
+    }
+}
+
 /// Clears a request on behalf of an operator. Returns false if there is no evidence
 /// against it.
 pub fn lift<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) -> bool {
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -3,19 +3,23 @@
 //! A broken exchange alone is weak evidence: its connection may have been reset, or its
 //! answer corrupted. A replica that ended refuses new connections, and all of its
 //! requests break at the same moment. So the requests that break at one replica are
-//! collected, and then one connection to it is tried. If that is refused, another node is
-//! asked, as this one's path may be cut.
+//! collected, and then one connection to it is tried. If that fails, other nodes are
+//! asked, as this one's path may be cut. An end that was wrongly taken for one is withdrawn
+//! with the next answer of the replica.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use croftrill_scheduler::crash_ledger::{EndedReplica, Fingerprint};
 use croftrill_scheduler::replica::ReplicaId;
+use http::HeaderMap;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::broken_requests::BrokenRequest;
+use crate::connection::ExchangeError;
 use crate::crash_reports::{self, ClearingAnswer};
 use crate::node::Node;
 use crate::ports::Platform;
@@ -30,6 +34,17 @@
 /// and short compared with the pauses that callers accept (at least 300 ms).
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(60);
 
+/// What is known of a replica at which requests broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finding {
+    /// It accepts connections.
+    Alive,
+    /// It has ended.
+    Ended,
+    /// Nothing tells the replica from the path to it.
+    Unknown,
+}
+
 /// Maximum number of requests that one line of the log names.
 const MAX_LOGGED_IDS: usize = 16;
 
@@ -53,7 +68,11 @@
     // The replica may be listed as restarted by the time the check is done.
     let incarnation = EndedReplica::of(replica, listing.started_ms);
     if state.broken_requests.add(replica, request) {
-        spawn_local(check_replica(node.clone(), replica.clone(), incarnation, address));
+        let target = PathTarget {
+            replica: replica.clone(),
+            address,
+        };
+        spawn_local(check_replica(node.clone(), target, incarnation));
     }
 }
 
@@ -91,35 +110,55 @@
     }
 }
 
-/// Tries to connect to the replica once and records the result.
-async fn check_replica<P: Platform>(
-    node: Rc<Node<P>>,
-    replica: ReplicaId,
-    incarnation: EndedReplica,
-    address: SocketAddr,
-) {
+/// Finds out whether a replica has ended and records the result.
+async fn check_replica<P: Platform>(node: Rc<Node<P>>, target: PathTarget, incarnation: EndedReplica) {
     sleep(BATCH_DELAY).await;
-    let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
-    let is_refused =
-        matches!(&connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused);
-    let target = PathTarget { replica, address };
-    let verdict = if is_refused {
-        Some(replica_path::ask_peers(&node, &target).await)
-    } else {
-        None
-    };
-    let replica = target.replica;
-    let broken = node.state.borrow_mut().broken_requests.take(&replica);
-    if matches!(verdict, Some(PeerVerdict::Down | PeerVerdict::NobodyToAsk)) {
-        record_end(&node, &replica, incarnation, &broken);
-    } else {
-        tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
-            replica = &*replica, requests = broken.len(), ids = ?ids_of(&broken), connected = ?connected.map(|connected| connected.is_ok()),
-            other_nodes = ?verdict);
+    let finding = examine(&node, &target).await;
+    let broken = node.state.borrow_mut().broken_requests.take(&target.replica);
+    match finding {
+        Finding::Ended => record_end(&node, &target.replica, incarnation, &broken),
+        Finding::Alive | Finding::Unknown => {
+            tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
+                replica = &*target.replica, requests = broken.len(), ids = ?ids_of(&broken), ?finding);
+        }
     }
     node.crash_judged.notify_waiters();
 }
 
+/// Tries to connect to a replica and, if that fails, asks other nodes. A connection that comes up
+/// replaces the one that broke.
+async fn examine<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> Finding {
+    let error = match timeout(CONNECT_TIMEOUT, node.pool.dial(target.address)).await {
+        Ok(Ok(connection)) => {
+            node.pool.put_back(connection, &HeaderMap::new());
+            return Finding::Alive;
+        }
+        Ok(Err(ExchangeError::Connect(error))) => error.kind(),
+        Ok(Err(_)) => return Finding::Unknown,
+        Err(_) => ErrorKind::TimedOut,
+    };
+    let other_nodes = replica_path::ask_peers(node, target).await;
+    let finding = judge(error, other_nodes);
+    tracing::info!(target: "crash", event = "no connection to a replica at which requests broke",
+        replica = &*target.replica, ?error, ?other_nodes, ?finding);
+    finding
+}
+
+/// Returns what a failed attempt to connect tells, with the answers of other nodes. Where these cannot
+/// tell, a refusal counts as an end: it is the machine's answer for a process that ended, while a path
+/// that was cut usually gives none. If it was the path all the same, the replica's next answer
+/// withdraws the end.
+fn judge(error: ErrorKind, other_nodes: PeerVerdict) -> Finding {
+    match other_nodes {
+        PeerVerdict::Reached => Finding::Alive,
+        PeerVerdict::Down => Finding::Ended,
+        PeerVerdict::Unknown | PeerVerdict::NobodyToAsk if error == ErrorKind::ConnectionRefused => {
+            Finding::Ended
+        }
+        PeerVerdict::Unknown | PeerVerdict::NobodyToAsk => Finding::Unknown,
+    }
+}
+
 /// Returns the callers' ids of some requests, for the log.
 fn ids_of(broken: &[BrokenRequest]) -> Vec<&str> {
     let ids = broken.iter().map(|request| request.id.as_str());
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -15,6 +15,7 @@
 use super::RequestRun;
 use crate::answer_reader::{AnswerReader, BodyEnd, Content};
 use crate::connection::{Connection, ExchangeError};
+use crate::crash_reports;
 use crate::load_updates;
 use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
@@ -243,6 +244,9 @@
         let facts = self.node.platform.dialect().answer_facts(&self.facts.id, &head);
         self.record_load(&send, &facts);
         self.apply_signals(&send, &facts);
+        if facts.is_ours && !facts.is_misdirected {
+            crash_reports::withdraw_end(&self.node, replica, send.started_ms, send.sent_at);
+        }
         if facts.execution == Execution::NotExecuted {
             return self.handle_not_executed(replica, &facts, &head, &send);
         }
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -10,7 +10,7 @@
 //! Ends are counted per replica incarnation. The reports of the nodes are merged as sets, so
 //! duplicate and delayed reports change nothing and all nodes arrive at the same counts.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -171,6 +171,8 @@
     own: BTreeMap<Fingerprint, OwnEvidence>,
     reports: BTreeMap<String, ReceivedReport>,
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Replicas whose ends count against some suspect.
+    ended: HashSet<EndedReplica>,
     /// Time of the latest change that `suspects` does not include yet.
     changed_at: Option<Moment>,
     /// True if this node's own report changed; such a change takes effect at once.
@@ -207,6 +209,27 @@
         true
     }
 
+    /// Withdraws an end of a replica that answered a request sent after the end was known here, so
+    /// that it had not ended. Returns true if this node's report must be published.
+    pub fn withdraw_end(&mut self, replica: EndedReplica, sent_at: Moment, now: Moment) -> bool {
+        if !self.ended.contains(&replica) {
+            return false;
+        }
+        let is_refuted = |suspect: &Suspect| suspect.known_at < sent_at && suspect.ends.contains(&replica);
+        let suspects = self.suspects.iter();
+        let refuted = suspects.filter(|(_, suspect)| is_refuted(suspect));
+        let refuted: Vec<Fingerprint> = refuted.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in &refuted {
+            let own = self.refresh(*fingerprint, now);
+            own.suspicion.ended.insert(replica);
+            own.suspicion.cleared.insert(replica);
+        }
+        if !refuted.is_empty() {
+            self.own_report_changed(now);
+        }
+        !refuted.is_empty()
+    }
+
     /// Copies all evidence against a request into this node's own report, so that it does not
     /// expire. Returns true if the report should be published again.
     pub fn adopt(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
@@ -335,6 +358,7 @@
         }
         merged.retain(|_, suspicion| suspicion.open().next().is_some());
         let ranks = rank_by_replica(&merged);
+        self.ended = ranks.keys().copied().collect();
         let former = std::mem::take(&mut self.suspects);
         for (fingerprint, suspicion) in merged {
             let ends: BTreeSet<EndedReplica> = suspicion.open().collect();
--- a/crates/croftrill-scheduler/tests/crash_ledger.rs
+++ b/crates/croftrill-scheduler/tests/crash_ledger.rs
@@ -132,6 +132,26 @@
     assert_eq!(there.verdict(CRASHER, at(4)), Verdict::Refused);
 }
 
+// Guards against requests that are held back for a replica that never ended.
+#[test]
+fn withdraw_end_of_replica_that_answers() {
+    let mut here = CrashLedger::default();
+    let mut there = CrashLedger::default();
+    for number in 1..4 {
+        here.record_end(CRASHER, replica(number), at(1));
+    }
+    assert_eq!(here.verdict(CRASHER, at(2)), Verdict::Refused);
+    // What was sent before the end was known proves nothing of the time after.
+    assert!(!here.withdraw_end(replica(2), at(1), at(3)));
+    assert!(!here.withdraw_end(replica(9), at(2), at(3)));
+    assert!(here.withdraw_end(replica(2), at(2), at(3)));
+    assert!(matches!(here.verdict(CRASHER, at(3)), Verdict::Held(_)));
+    there.apply_report("here", here.own_report(at(3)), at(3));
+    assert!(matches!(there.verdict(CRASHER, at(3)), Verdict::Held(_)));
+    here.record_end(CRASHER, replica(4), at(4));
+    assert_eq!(here.verdict(CRASHER, at(4)), Verdict::Refused);
+}
+
 #[test]
 fn adopt_retains_evidence_while_request_is_retried() {
     let mut ledger = CrashLedger::default();
