A replica that goes dark with a request counts against it

A replica that is silent until the request's time is over, and to which no connection comes up any more, was no evidence: only connections that broke were checked, and only a refusal counted.

dark_replica_counts_against_its_request failed before (nothing recorded within 20 s) and passes.

--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -25,6 +25,10 @@
 /// Factor on the time to read a prompt, for a holder that is busy with other prompts.
 pub(super) const PROMPT_TIME_FACTOR: u32 = 2;
 
+/// Pause of a stream after which its replica may have gone dark: longer than callers accept (at least
+/// 300 ms).
+const LONG_SILENCE: Duration = Duration::from_millis(500);
+
 /// How the stream from one replica ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PumpEnd {
@@ -177,7 +181,12 @@
                     self.report_broken_stream(streaming, last_event);
                     return PumpEnd::Silent;
                 }
-                () = self.node.clock.sleep_until(self.deadline) => return PumpEnd::OutOfTime,
+                () = self.node.clock.sleep_until(self.deadline) => {
+                    if self.now().since(last_event) >= LONG_SILENCE {
+                        self.report_broken_stream(streaming, last_event);
+                    }
+                    return PumpEnd::OutOfTime;
+                }
             };
             let bytes = match part {
                 BodyPart::Bytes(bytes) => bytes,
