An answer that ends with its connection counts if its replica ended with it

Callers saw one request end replica after replica whose answers had neither a length nor chunks. Where such an answer ends at a place at which it may end (a stream between two events, any plain answer), nothing tells whether it is whole. It no longer cleared the request while the replica refused connections, but it was no evidence either, as only answers that were cut off were checked. Now all ends that the replica's end would explain go through one check, with how the exchange ended: if the replica lives on, such an answer clears its request; if not, the end counts against it.

--- a/crates/croftrill-node/src/broken_requests.rs
+++ b/crates/croftrill-node/src/broken_requests.rs
@@ -1,10 +1,11 @@
-//! Requests that broke at replicas that may have ended.
+//! Requests whose exchange ended in a way that their replica's end would explain.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::replica::ReplicaId;
+use http::StatusCode;
 
 use crate::ports::CallerAddress;
 
@@ -13,13 +14,27 @@
 /// starting there.
 const MAX_START_DURATION: Duration = Duration::from_secs(2);
 
-/// A request that broke at a replica.
+/// How the exchange of a request with its replica ended, if that does not show that the replica lives on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeEnd {
+    /// Before the answer was whole, or without an answer.
+    CutOff,
+    /// With its connection, at a place where the answer may end. It was whole if the replica lives on.
+    Closed {
+        /// Status of the answer.
+        status: StatusCode,
+    },
+}
+
+/// A request whose exchange may have ended with its replica.
 #[derive(Debug, Clone)]
 pub struct BrokenRequest {
     /// The caller's id of the attempt.
     pub id: String,
     /// Hash of the request's content.
     pub fingerprint: Fingerprint,
+    /// How its exchange ended.
+    pub end: ExchangeEnd,
     /// Address of the caller.
     pub caller: Option<CallerAddress>,
     /// Time from the head of the answer to the last data received; `None` if no head was
--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -44,14 +44,20 @@
 pub(crate) struct ClearingAnswer {
     /// The caller's id of the attempt.
     pub(crate) id: String,
-    /// The replica that sent it.
-    pub(crate) replica: ReplicaId,
+    /// Hash of the request's content.
+    pub(crate) fingerprint: Fingerprint,
     /// Its status.
     pub(crate) status: StatusCode,
     /// How its body ended.
     pub(crate) ended: &'static str,
 }
 
+/// Returns whether only the run of a request produces an answer of this status. A replica may reject
+/// a request, or fail, before it runs it.
+fn is_of_run(status: StatusCode) -> bool {
+    status.is_success() || status.is_redirection()
+}
+
 /// Returns whether a key of the store is that of a node's report.
 pub(crate) fn is_report(key: &str) -> bool {
     key.starts_with(REPORT_PREFIX)
@@ -120,17 +126,21 @@
     verdict
 }
 
-/// Clears a request that a replica answered completely. `answer` is the answer, for the log.
+/// Clears a request that a replica answered completely, if its run produced the answer.
 pub(crate) fn record_complete_answer<P: Platform>(
     node: &Node<P>,
-    fingerprint: Fingerprint,
+    replica: &ReplicaId,
     answer: &ClearingAnswer,
 ) {
+    if !is_of_run(answer.status) {
+        return;
+    }
+    let fingerprint = answer.fingerprint;
     let now = node.clock.now();
     let is_cleared = node.state.borrow_mut().crash_ledger.clear(fingerprint, now);
     if is_cleared {
         tracing::info!(target: "crash", event = "cleared by an answer", id = answer.id, %fingerprint,
-            replica = &*answer.replica, status = answer.status.as_u16(), ended = answer.ended);
+            replica = &**replica, status = answer.status.as_u16(), ended = answer.ended);
         Metrics::count(&node.metrics.crashes, "request", "cleared");
         node.crash_report_changed.notify_one();
     }
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -8,17 +8,17 @@
 //! with the next answer of the replica.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_scheduler::crash_ledger::{EndedReplica, Fingerprint};
+use croftrill_scheduler::crash_ledger::EndedReplica;
 use croftrill_scheduler::replica::ReplicaId;
 use http::HeaderMap;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::broken_requests::BrokenRequest;
+use crate::answer_reader::BodyEnd;
+use crate::broken_requests::{BrokenRequest, ExchangeEnd};
 use crate::connection::ExchangeError;
 use crate::crash_reports::{self, ClearingAnswer};
 use crate::node::Node;
@@ -48,8 +48,8 @@
 /// Maximum number of requests that one line of the log names.
 const MAX_LOGGED_IDS: usize = 16;
 
-/// Records that a request broke at a replica: its connection ended, or became silent,
-/// before its answer was complete.
+/// Records that the exchange of a request with a replica ended in a way that the end of the replica
+/// would explain.
 pub(crate) fn record_broken_request<P: Platform>(
     node: &Rc<Node<P>>,
     replica: &ReplicaId,
@@ -91,25 +91,6 @@
     let _ = timeout(MAX_CHECK_WAIT, checked).await;
 }
 
-/// Clears a request of earlier ends of replicas if the replica that answered it still accepts
-/// connections. That tells what the answer can't that ended with its connection: whether the replica
-/// ended, too.
-pub(crate) async fn clear_if_alive<P: Platform>(
-    node: Rc<Node<P>>,
-    address: SocketAddr,
-    fingerprint: Fingerprint,
-    answer: ClearingAnswer,
-) {
-    sleep(BATCH_DELAY).await;
-    let connected = timeout(CONNECT_TIMEOUT, node.platform.connector().connect(address)).await;
-    if matches!(connected, Ok(Ok(_))) {
-        crash_reports::record_complete_answer(&node, fingerprint, &answer);
-    } else {
-        tracing::info!(target: "crash", event = "a suspect's answer ended with its connection, and nothing was counted",
-            id = answer.id, %fingerprint, replica = &*answer.replica, status = answer.status.as_u16());
-    }
-}
-
 /// Finds out whether a replica has ended and records the result.
 async fn check_replica<P: Platform>(node: Rc<Node<P>>, target: PathTarget, incarnation: EndedReplica) {
     sleep(BATCH_DELAY).await;
@@ -117,7 +98,8 @@
     let broken = node.state.borrow_mut().broken_requests.take(&target.replica);
     match finding {
         Finding::Ended => record_end(&node, &target.replica, incarnation, &broken),
-        Finding::Alive | Finding::Unknown => {
+        Finding::Alive => clear_answered(&node, &target.replica, &broken),
+        Finding::Unknown => {
             tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
                 replica = &*target.replica, requests = broken.len(), ids = ?ids_of(&broken), ?finding);
         }
@@ -125,6 +107,22 @@
     node.crash_judged.notify_waiters();
 }
 
+/// Clears the requests whose answers are known to be whole, as the replica lives on.
+fn clear_answered<P: Platform>(node: &Node<P>, replica: &ReplicaId, broken: &[BrokenRequest]) {
+    for request in broken {
+        let ExchangeEnd::Closed { status } = request.end else {
+            continue;
+        };
+        let answer = ClearingAnswer {
+            id: request.id.clone(),
+            fingerprint: request.fingerprint,
+            status,
+            ended: BodyEnd::Closed.name(),
+        };
+        crash_reports::record_complete_answer(node, replica, &answer);
+    }
+}
+
 /// Tries to connect to a replica and, if that fails, asks other nodes. A connection that comes up
 /// replaces the one that broke.
 async fn examine<P: Platform>(node: &Rc<Node<P>>, target: &PathTarget) -> Finding {
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -1,28 +1,20 @@
 //! Checks of a request against the crash reports of all nodes, and its own reports to them.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
 use croftrill_scheduler::replica::ReplicaId;
 use http::StatusCode;
-use tokio::task::spawn_local;
 
 use super::fingerprint::fingerprint;
 use super::RequestRun;
 use crate::answer_reader::BodyEnd;
-use crate::broken_requests::BrokenRequest;
+use crate::broken_requests::{BrokenRequest, ExchangeEnd};
 use crate::crash_reports::ClearingAnswer;
 use crate::crash_trial::{self, TrialOutcome};
 use crate::ports::{CallerAddress, Platform};
 use crate::{crash_reports, crash_watch};
 
-/// Returns whether only the run of a request produces an answer of this status. A replica may reject
-/// a request, or fail, before it runs it.
-fn is_of_run(status: StatusCode) -> bool {
-    status.is_success() || status.is_redirection()
-}
-
 impl<P: Platform> RequestRun<P> {
     /// Returns the identity of the request's content, which is the same for each copy of it.
     pub(super) fn fingerprint(&self) -> Fingerprint {
@@ -80,42 +72,26 @@
     /// Records that a replica sent a complete answer. If the request's run produced it, the request
     /// did not crash the replica.
     pub(super) fn record_complete_answer(&self, replica: &ReplicaId, status: StatusCode) {
-        if is_of_run(status) && !self.node.state.borrow().crash_ledger.is_empty() {
-            let answer = self.clearing_answer(replica, status, BodyEnd::Whole.name());
-            crash_reports::record_complete_answer(&self.node, self.fingerprint(), &answer);
+        if self.node.state.borrow().crash_ledger.is_empty() {
+            return;
         }
+        let answer = ClearingAnswer {
+            id: self.facts.id.clone(),
+            fingerprint: self.fingerprint(),
+            status,
+            ended: BodyEnd::Whole.name(),
+        };
+        crash_reports::record_complete_answer(&self.node, replica, &answer);
     }
 
-    fn clearing_answer(
+    /// Records that an answer ended with its connection, which may be the end of the replica.
+    pub(super) fn record_closed_answer(
         &self,
         replica: &ReplicaId,
         status: StatusCode,
-        ended: &'static str,
-    ) -> ClearingAnswer {
-        ClearingAnswer {
-            id: self.facts.id.clone(),
-            replica: replica.clone(),
-            status,
-            ended,
-        }
-    }
-
-    /// Records that an answer ended with its connection, which tells nothing of the request if the
-    /// replica ended at that moment.
-    pub(super) fn record_closed_answer(&self, replica: &ReplicaId, address: SocketAddr, status: StatusCode) {
-        if !is_of_run(status) || self.node.state.borrow().crash_ledger.is_empty() {
-            return;
-        }
-        let fingerprint = self.fingerprint();
-        let mut state = self.node.state.borrow_mut();
-        if state.crash_ledger.suspect(fingerprint).is_some() {
-            spawn_local(crash_watch::clear_if_alive(
-                self.node.clone(),
-                address,
-                fingerprint,
-                self.clearing_answer(replica, status, BodyEnd::Closed.name()),
-            ));
-        }
+        answer_duration: Duration,
+    ) {
+        self.report_exchange(replica, ExchangeEnd::Closed { status }, Some(answer_duration));
     }
 
     pub(super) fn caller(&self) -> Option<CallerAddress> {
@@ -125,9 +101,14 @@
     /// Records that the connection to a replica ended, or went silent, before the answer was
     /// complete. `answer_duration` is the time since the answer's head, or `None` if no head arrived.
     pub(super) fn report_broken_request(&self, replica: &ReplicaId, answer_duration: Option<Duration>) {
+        self.report_exchange(replica, ExchangeEnd::CutOff, answer_duration);
+    }
+
+    fn report_exchange(&self, replica: &ReplicaId, end: ExchangeEnd, answer_duration: Option<Duration>) {
         let broken = BrokenRequest {
             id: self.facts.id.clone(),
             fingerprint: self.fingerprint(),
+            end,
             caller: self.caller(),
             answer_duration,
         };
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -285,7 +285,8 @@
                 if matches!(end, BodyEnd::Whole) {
                     self.record_complete_answer(replica, head.status);
                 } else {
-                    self.record_closed_answer(replica, connection.address(), head.status);
+                    let answer_duration = self.now().since(head_received_at);
+                    self.record_closed_answer(replica, head.status, answer_duration);
                 }
                 let failed = head.status.is_server_error();
                 if failed {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -113,11 +113,8 @@
                         stream_versions::end(&self.node, &self.facts.id);
                         self.record_complete_answer(&replica, current.head.status);
                     } else {
-                        self.record_closed_answer(
-                            &replica,
-                            current.connection.address(),
-                            current.head.status,
-                        );
+                        let answer_duration = self.now().since(current.head_received_at);
+                        self.record_closed_answer(&replica, current.head.status, answer_duration);
                     }
                     if self.route.is_idempotent() {
                         let headers = &current.head.headers;
