A replica that ends soon after a malformed answer counts against its request

Callers saw one request end replica after replica whose answers were not well formed: the node broke them off itself, found 10 ms later that the replica still accepted connections, and forgot the request. A replica at which requests were cut off is looked at three times more within a second now (one such watch a replica, however many requests). Answers that are not their request's are cut off in this sense, too.

--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -34,6 +34,14 @@
 /// and short compared with the pauses that callers accept (at least 300 ms).
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(60);
 
+/// Pauses before a replica at which requests were cut off is checked again. Requests that end their
+/// replica do so within a fraction of a second.
+const WATCH_DELAYS: [Duration; 3] = [
+    Duration::from_millis(60),
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+];
+
 /// What is known of a replica at which requests broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Finding {
@@ -98,7 +106,10 @@
     let broken = node.state.borrow_mut().broken_requests.take(&target.replica);
     match finding {
         Finding::Ended => record_end(&node, &target.replica, incarnation, &broken),
-        Finding::Alive => clear_answered(&node, &target.replica, &broken),
+        Finding::Alive => {
+            clear_answered(&node, &target.replica, &broken);
+            watch(&node, target, incarnation, broken);
+        }
         Finding::Unknown => {
             tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
                 replica = &*target.replica, requests = broken.len(), ids = ?ids_of(&broken), ?finding);
@@ -107,6 +118,44 @@
     node.crash_judged.notify_waiters();
 }
 
+/// Checks a replica that lives on a few more times if requests were cut off there. A node may break an
+/// answer off itself, as it is malformed, some time before the request ends the replica.
+fn watch<P: Platform>(
+    node: &Rc<Node<P>>,
+    target: PathTarget,
+    incarnation: EndedReplica,
+    broken: Vec<BrokenRequest>,
+) {
+    let mut is_first = false;
+    for request in broken {
+        if request.end == ExchangeEnd::CutOff {
+            let watched = &mut node.state.borrow_mut().watched_requests;
+            is_first |= watched.add(&target.replica, request);
+        }
+    }
+    if is_first {
+        spawn_local(watch_replica(node.clone(), target, incarnation));
+    }
+}
+
+async fn watch_replica<P: Platform>(node: Rc<Node<P>>, target: PathTarget, incarnation: EndedReplica) {
+    let mut finding = Finding::Alive;
+    for delay in WATCH_DELAYS {
+        sleep(delay).await;
+        finding = examine(&node, &target).await;
+        if finding != Finding::Alive {
+            break;
+        }
+    }
+    let broken = node.state.borrow_mut().watched_requests.take(&target.replica);
+    if finding == Finding::Ended {
+        record_end(&node, &target.replica, incarnation, &broken);
+        return;
+    }
+    tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
+        replica = &*target.replica, requests = broken.len(), ids = ?ids_of(&broken), ?finding);
+}
+
 /// Clears the requests whose answers are known to be whole, as the replica lives on.
 fn clear_answered<P: Platform>(node: &Node<P>, replica: &ReplicaId, broken: &[BrokenRequest]) {
     for request in broken {
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -97,6 +97,8 @@
     pub crash_ledger: CrashLedger,
     /// Requests that failed at replicas that may have ended.
     pub broken_requests: BrokenRequests,
+    /// Requests that were cut off at replicas which lived on, while it is checked whether they still do.
+    pub watched_requests: BrokenRequests,
     /// This node's retries.
     pub retry_budget: RetryBudget,
     /// This node's part of the bounds that all nodes share evenly.
@@ -301,6 +303,7 @@
             peer_paths: PeerPaths::default(),
             crash_ledger: CrashLedger::default(),
             broken_requests: BrokenRequests::default(),
+            watched_requests: BrokenRequests::default(),
             retry_budget: RetryBudget::new(budget_config, &settings.identity.name),
             fleet_share,
             fair_queue: FairQueue::new(settings.max_concurrent_requests.unwrap_or(usize::MAX)),
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -254,6 +254,7 @@
         }
         let usable = facts.is_ours && (!head.status.is_success() || (facts.is_signed && facts.is_plain));
         if !usable {
+            self.report_broken_request(replica, None);
             send.record(SendOutcome::Failure);
             return SendEnd::Broken {
                 cause: "the answer is not this request's",
