The end of a replica counts also against requests that had run for long

Callers saw one request end replica after replica more than 2 s after the head of its answer: only requests that had just started were suspects. Where none had, as far as this node knows, all that ran there are now. Bystanders that ran for long are spared as before where a request had just started; where none had, they collect ends as slowly as replicas end under them, and one whole answer clears them.

--- a/crates/croftrill-node/src/broken_requests.rs
+++ b/crates/croftrill-node/src/broken_requests.rs
@@ -10,8 +10,8 @@
 use crate::ports::CallerAddress;
 
 /// Duration of an answer up to which its request counts as just started: the longest step
-/// of an engine under load. A request that ran for longer did not end its replica by
-/// starting there.
+/// of an engine under load. A request that ran for longer is a suspect only if no other had
+/// just started.
 const MAX_START_DURATION: Duration = Duration::from_secs(2);
 
 /// How the exchange of a request with its replica ended, if that does not show that the replica lives on.
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -212,25 +212,35 @@
     ids.take(MAX_LOGGED_IDS).collect()
 }
 
-/// Records that a replica ended. Each request that had just started there may be the cause.
+/// Records that a replica ended, as evidence against the requests that ran there.
 fn record_end<P: Platform>(
     node: &Node<P>,
     replica: &ReplicaId,
     incarnation: EndedReplica,
     broken: &[BrokenRequest],
 ) {
-    let just_started: Vec<&BrokenRequest> = broken
-        .iter()
-        .filter(|request| request.had_just_started())
-        .collect();
+    let suspects = suspects_of(broken);
+    let had_just_begun = broken.iter().filter(|request| request.had_just_started());
     tracing::warn!(target: "crash", event = "replica ended", replica = &**replica, requests = broken.len(),
-        had_just_begun = just_started.len());
-    let fingerprints = just_started.iter().map(|request| request.fingerprint);
+        had_just_begun = had_just_begun.count(), suspects = suspects.len());
+    let fingerprints = suspects.iter().map(|request| request.fingerprint);
     crash_reports::record_replica_end(node, incarnation, fingerprints);
-    for request in just_started {
-        tracing::info!(target: "crash", event = "had just begun at a replica that ended", id = request.id,
+    for request in suspects {
+        tracing::info!(target: "crash", event = "ran at a replica that ended", id = request.id,
             fingerprint = %request.fingerprint, replica = &**replica,
             caller = request.caller.map(|caller| tracing::field::display(caller.0)),
             went_on_for_ms = request.answer_duration.map(|time| time.as_millis() as u64));
     }
 }
+
+/// Returns the requests that may have ended their replica: those that had just started or, if there
+/// are none, all of them.
+fn suspects_of(broken: &[BrokenRequest]) -> Vec<&BrokenRequest> {
+    let just_started = broken.iter().filter(|request| request.had_just_started());
+    let just_started: Vec<&BrokenRequest> = just_started.collect();
+    if just_started.is_empty() {
+        broken.iter().collect()
+    } else {
+        just_started
+    }
+}
