--- a/crates/croftrill-node/src/broken_requests.rs
+++ b/crates/croftrill-node/src/broken_requests.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::replica::ReplicaId;
 use http::StatusCode;
 
-use crate::ports::CallerAddress;
+use crate::ports::{CallerAddress, PromptPart};
 
 /// Duration of an answer up to which its request counts as just started: the longest step
 /// of an engine under load. A request that ran for longer is a suspect only if no other had
@@ -33,6 +33,8 @@
     pub id: String,
     /// Hash of the request's content.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt, in order.
+    pub parts: Vec<PromptPart>,
     /// How its exchange ended.
     pub end: ExchangeEnd,
     /// Address of the caller.
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -22,7 +22,7 @@
 use crate::connection::ExchangeError;
 use crate::crash_reports::{self, ClearingAnswer};
 use crate::node::Node;
-use crate::ports::Platform;
+use crate::ports::{Platform, PromptPart};
 use crate::replica_path::{self, PathTarget, PeerVerdict};
 
 /// Time within which this node notices all requests that break with a replica.
@@ -55,6 +55,8 @@
 
 /// Maximum number of requests that one line of the log names.
 const MAX_LOGGED_IDS: usize = 16;
+/// Maximum number of parts of a prompt that one line of the log names.
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// Records that the exchange of a request with a replica ended in a way that the end of the replica
 /// would explain.
@@ -227,12 +229,19 @@
     crash_reports::record_replica_end(node, incarnation, fingerprints);
     for request in suspects {
         tracing::info!(target: "crash", event = "ran at a replica that ended", id = request.id,
-            fingerprint = %request.fingerprint, replica = &**replica,
+            fingerprint = %request.fingerprint, parts = parts_text(&request.parts), replica = &**replica,
             caller = request.caller.map(|caller| tracing::field::display(caller.0)),
             went_on_for_ms = request.answer_duration.map(|time| time.as_millis() as u64));
     }
 }
 
+/// Returns hash and tokens of the parts of a prompt, for the log.
+fn parts_text(parts: &[PromptPart]) -> String {
+    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    let parts = parts.map(|part| format!("{:016x}:{}", part.hash, part.tokens));
+    parts.collect::<Vec<_>>().join(",")
+}
+
 /// Returns the requests that may have ended their replica: those that had just started or, if there
 /// are none, all of them.
 fn suspects_of(broken: &[BrokenRequest]) -> Vec<&BrokenRequest> {
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -108,6 +108,7 @@
         let broken = BrokenRequest {
             id: self.facts.id.clone(),
             fingerprint: self.fingerprint(),
+            parts: self.facts.parts.clone(),
             end,
             caller: self.caller(),
             answer_duration,
