--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -162,7 +162,7 @@
                 ended: [replica].into(),
                 ..Suspicion::default()
             };
-            (Fingerprint((node * requests + request) as u128), suspicion)
+            (Fingerprint((node * requests + request) as u128).into(), suspicion)
         });
         rows.collect()
     };
--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -20,7 +20,7 @@
     ConditionalPut, Expectation, Freshness, Item, KeyValueStore, PutOutcome, StoreError, Write,
 };
 use croftrill_node::stream::AnswerBody;
-use croftrill_scheduler::crash_ledger::Fingerprint;
+use croftrill_scheduler::crash_ledger::SuspectId;
 use croftrill_scheduler::planner::{plan, PlannedStep};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -138,24 +138,24 @@
     }
 }
 
-/// The suspect request that an operator clears.
+/// The suspect that an operator clears.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Lift {
-    /// Fingerprint as printed in the status and the log.
+    /// Fingerprint of the request, or identity of the part, as printed in the status and the log.
     pub fingerprint: String,
 }
 
 fn lift(node: &OwnNode, body: &Bytes) -> Answer {
     let read = serde_json::from_slice::<Lift>(body).map_err(|error| error.to_string());
-    let fingerprint = read.and_then(|lift| {
-        let parsed = lift.fingerprint.parse::<Fingerprint>();
+    let suspect = read.and_then(|lift| {
+        let parsed = lift.fingerprint.parse::<SuspectId>();
         parsed.map_err(|error| format!("fingerprint: {error}"))
     });
-    match fingerprint {
-        Ok(fingerprint) if crash_reports::lift(node, fingerprint) => text("lifted".to_string()),
+    match suspect {
+        Ok(suspect) if crash_reports::lift(node, suspect) => text("lifted".to_string()),
         Ok(_) => error_response(
             StatusCode::NOT_FOUND,
-            "no replica ended under this request",
+            "no replica ended under this request or part",
             Vec::new(),
             None,
         ),
--- a/crates/croftrill-daemon/src/status.rs
+++ b/crates/croftrill-daemon/src/status.rs
@@ -106,7 +106,7 @@
     pub waiting: usize,
     /// Replicas that the node knows.
     pub replicas: Vec<ReplicaStatus>,
-    /// Requests under which replicas ended, from the reports of all nodes.
+    /// Requests, and parts of prompts, under which replicas ended, from the reports of all nodes.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
     /// Quotas for which this node is the keeper.
@@ -117,12 +117,12 @@
 fn suspects<P: Platform>(node: &Node<P>) -> Vec<SuspectStatus> {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
-    let suspects = state.crash_ledger.suspects();
-    let suspects = suspects.map(|(fingerprint, suspect)| SuspectStatus {
-        fingerprint: fingerprint.to_string(),
+    let suspects = state.crash_ledger.suspects(now);
+    let suspects = suspects.map(|(id, suspect, verdict)| SuspectStatus {
+        fingerprint: id.to_string(),
         ends: suspect.ends.len(),
         blamed: suspect.blamed,
-        verdict: verdict_name(suspect.verdict(now)).to_string(),
+        verdict: verdict_name(verdict).to_string(),
     });
     suspects.collect()
 }
@@ -131,6 +131,7 @@
     match verdict {
         Verdict::Free => "free",
         Verdict::OneAtATime => "one at a time",
+        Verdict::Retrial => "tried again",
         Verdict::Held(_) => "held",
         Verdict::Refused => "refused",
     }
--- a/crates/croftrill-node/src/broken_requests.rs
+++ b/crates/croftrill-node/src/broken_requests.rs
@@ -5,6 +5,7 @@
 
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
 use http::StatusCode;
 
 use crate::ports::{CallerAddress, PromptPart};
@@ -12,7 +13,7 @@
 /// Duration of an answer up to which its request counts as just started: the longest step
 /// of an engine under load. A request that ran for longer is a suspect only if no other had
 /// just started.
-const MAX_START_DURATION: Duration = Duration::from_secs(2);
+pub const MAX_START_DURATION: Duration = Duration::from_secs(2);
 
 /// How the exchange of a request with its replica ended, if that does not show that the replica lives on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +40,9 @@
     pub end: ExchangeEnd,
     /// Address of the caller.
     pub caller: Option<CallerAddress>,
+    /// When its exchange ended. That is another moment than the end of an earlier exchange of the
+    /// request, however soon it followed.
+    pub broke_at: Moment,
     /// Time from the head of the answer to the last data received; `None` if no head was
     /// received.
     pub answer_duration: Option<Duration>,
--- a/crates/croftrill-node/src/crash_trial.rs
+++ b/crates/croftrill-node/src/crash_trial.rs
@@ -1,4 +1,5 @@
-//! A fleet-wide lock by which a request under which replicas ended runs once at a time.
+//! A fleet-wide lock by which a request under which replicas ended runs once at a time, and of the
+//! requests with a part under which they ended one.
 //!
 //! Callers send such a request to several nodes, and its copies wait together for the
 //! model that was lost with its replica. If they were sent together, they would end as
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::crash_ledger::Fingerprint;
+use croftrill_scheduler::crash_ledger::SuspectId;
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
@@ -29,7 +30,7 @@
 /// it (10 ms) and written it (50 ms), and the relays have published it.
 const RELEASE_DELAY: Duration = Duration::from_millis(400);
 
-/// A run of a request that blocks other copies of the request until it is dropped.
+/// A run of a request that blocks others of its suspect until it is dropped.
 pub(crate) struct Trial<P: Platform> {
     node: Rc<Node<P>>,
     lease: u64,
@@ -52,15 +53,15 @@
 pub(crate) enum TrialOutcome<P: Platform> {
     /// The trial may start.
     Acquired(Trial<P>),
-    /// Another trial of the request is running.
+    /// Another trial of the suspect is running.
     Busy,
     /// The store did not answer or returned an error.
     StoreUnavailable,
 }
 
-/// Acquires the trial key of a request.
-pub(crate) async fn acquire<P: Platform>(node: &Rc<Node<P>>, fingerprint: Fingerprint) -> TrialOutcome<P> {
-    let created = timeout(MAX_STORE_WAIT, create_key(node, fingerprint)).await;
+/// Acquires the trial key of a suspect.
+pub(crate) async fn acquire<P: Platform>(node: &Rc<Node<P>>, suspect: SuspectId) -> TrialOutcome<P> {
+    let created = timeout(MAX_STORE_WAIT, create_key(node, suspect)).await;
     match created.unwrap_or(Err(StoreError::NoAnswer)) {
         Ok(Some(lease)) => TrialOutcome::Acquired(Trial {
             node: node.clone(),
@@ -69,19 +70,16 @@
         Ok(None) => TrialOutcome::Busy,
         Err(error) => {
             tracing::info!(target: "crash",
-                event = "request not limited to one run at a time; store call failed", %fingerprint, %error);
+                event = "not limited to one run at a time; store call failed", %suspect, %error);
             TrialOutcome::StoreUnavailable
         }
     }
 }
 
 /// Creates the key and returns its lease; `None` if another trial holds the key.
-async fn create_key<P: Platform>(
-    node: &Node<P>,
-    fingerprint: Fingerprint,
-) -> Result<Option<u64>, StoreError> {
+async fn create_key<P: Platform>(node: &Node<P>, suspect: SuspectId) -> Result<Option<u64>, StoreError> {
     let store = node.store();
-    let key = format!("{TRIAL_PREFIX}{fingerprint}");
+    let key = format!("{TRIAL_PREFIX}{suspect}");
     let lease = store.grant_lease(MAX_TRIAL_DURATION).await?;
     let absent = Expectation {
         key: key.clone(),
--- a/crates/croftrill-node/src/crash_watch.rs
+++ b/crates/croftrill-node/src/crash_watch.rs
@@ -11,8 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftrill_scheduler::crash_ledger::EndedReplica;
+use croftrill_scheduler::crash_ledger::{EndedReplica, PartHash};
 use croftrill_scheduler::replica::ReplicaId;
+use croftrill_scheduler::time::Moment;
 use http::HeaderMap;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -20,7 +21,7 @@
 use crate::answer_reader::BodyEnd;
 use crate::broken_requests::{BrokenRequest, ExchangeEnd};
 use crate::connection::ExchangeError;
-use crate::crash_reports::{self, ClearingAnswer};
+use crate::crash_reports::{self, ClearingAnswer, RequestAtEnd};
 use crate::node::Node;
 use crate::ports::{Platform, PromptPart};
 use crate::replica_path::{self, PathTarget, PeerVerdict};
@@ -82,7 +83,8 @@
             replica: replica.clone(),
             address,
         };
-        spawn_local(check_replica(node.clone(), target, incarnation));
+        let broke_at = node.clock.now();
+        spawn_local(check_replica(node.clone(), target, incarnation, broke_at));
     }
 }
 
@@ -102,12 +104,17 @@
 }
 
 /// Finds out whether a replica has ended and records the result.
-async fn check_replica<P: Platform>(node: Rc<Node<P>>, target: PathTarget, incarnation: EndedReplica) {
+async fn check_replica<P: Platform>(
+    node: Rc<Node<P>>,
+    target: PathTarget,
+    incarnation: EndedReplica,
+    broke_at: Moment,
+) {
     sleep(BATCH_DELAY).await;
     let finding = examine(&node, &target).await;
     let broken = node.state.borrow_mut().broken_requests.take(&target.replica);
     match finding {
-        Finding::Ended => record_end(&node, &target.replica, incarnation, &broken),
+        Finding::Ended => record_end(&node, &target.replica, incarnation, broke_at, &broken),
         Finding::Alive => {
             clear_answered(&node, &target.replica, &broken);
             watch(&node, target, incarnation, broken);
@@ -151,7 +158,8 @@
     }
     let broken = node.state.borrow_mut().watched_requests.take(&target.replica);
     if finding == Finding::Ended {
-        record_end(&node, &target.replica, incarnation, &broken);
+        let ended_at = node.clock.now();
+        record_end(&node, &target.replica, incarnation, ended_at, &broken);
         return;
     }
     tracing::info!(target: "crash", event = "requests broke, but the replica is not known to have ended",
@@ -159,7 +167,7 @@
 }
 
 /// Clears the requests whose answers are known to be whole, as the replica lives on.
-fn clear_answered<P: Platform>(node: &Node<P>, replica: &ReplicaId, broken: &[BrokenRequest]) {
+fn clear_answered<P: Platform>(node: &Rc<Node<P>>, replica: &ReplicaId, broken: &[BrokenRequest]) {
     for request in broken {
         let ExchangeEnd::Closed { status } = request.end else {
             continue;
@@ -171,6 +179,8 @@
             ended: BodyEnd::Closed.name(),
         };
         crash_reports::record_complete_answer(node, replica, &answer);
+        let parts: Vec<PartHash> = request.parts.iter().map(|part| PartHash(part.hash)).collect();
+        crash_reports::record_answered_parts(node, status, &parts);
     }
 }
 
@@ -219,14 +229,21 @@
     node: &Node<P>,
     replica: &ReplicaId,
     incarnation: EndedReplica,
+    ended_at: Moment,
     broken: &[BrokenRequest],
 ) {
     let suspects = suspects_of(broken);
     let had_just_begun = broken.iter().filter(|request| request.had_just_started());
     tracing::warn!(target: "crash", event = "replica ended", replica = &**replica, requests = broken.len(),
         had_just_begun = had_just_begun.count(), suspects = suspects.len());
-    let fingerprints = suspects.iter().map(|request| request.fingerprint);
-    crash_reports::record_replica_end(node, incarnation, fingerprints);
+    let parts: Vec<Vec<PartHash>> = suspects.iter().map(|request| suspect_parts(request)).collect();
+    let requests = suspects.iter().zip(&parts).map(|(request, parts)| RequestAtEnd {
+        fingerprint: request.fingerprint,
+        parts,
+    });
+    let broke_at = suspects.iter().map(|request| request.broke_at).max();
+    let ended_at = broke_at.map_or(ended_at, |broke_at| broke_at.max(ended_at));
+    crash_reports::record_replica_end(node, incarnation, ended_at, &requests.collect::<Vec<_>>());
     for request in suspects {
         tracing::info!(target: "crash", event = "ran at a replica that ended", id = request.id,
             fingerprint = %request.fingerprint, parts = parts_text(&request.parts), replica = &**replica,
@@ -235,6 +252,15 @@
     }
 }
 
+/// Returns the parts of a request's prompt that may have ended its replica: a part does so as soon as
+/// the answer begins.
+fn suspect_parts(request: &BrokenRequest) -> Vec<PartHash> {
+    if !request.had_just_started() {
+        return Vec::new();
+    }
+    request.parts.iter().map(|part| PartHash(part.hash)).collect()
+}
+
 /// Returns hash and tokens of the parts of a prompt, for the log.
 fn parts_text(parts: &[PromptPart]) -> String {
     let parts = parts.iter().take(MAX_LOGGED_PARTS);
--- a/crates/croftrill-node/src/load_updates.rs
+++ b/crates/croftrill-node/src/load_updates.rs
@@ -269,6 +269,7 @@
     let is_understood = match message {
         ToOrderer::Loads(_) => node.state.borrow().members.peer_supports_load_updates(peer),
         ToOrderer::WaitingAt(_) => node.state.borrow().members.peer_supports_version_waits(peer),
+        ToOrderer::CrashParts(_) => node.state.borrow().members.peer_supports_crash_parts(peer),
         _ => true,
     };
     if !is_understood {
--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -120,11 +120,13 @@
 const GENERATION_SHIFT: u32 = 52;
 /// Generation of this build's messages between nodes. Each generation understands the messages of
 /// those before it.
-const GENERATION: u64 = 2;
+const GENERATION: u64 = 3;
 /// The first generation that exchanges configurations.
 const CONFIGURATION_EXCHANGE_GENERATION: u64 = 1;
 /// The first generation that loads models at replicas of one software version.
 const VERSION_WAITS_GENERATION: u64 = 2;
+/// The first generation that reports parts of prompts that crash replicas.
+const CRASH_PARTS_GENERATION: u64 = 3;
 
 /// Returns the incarnation of a process of this build that started at `started_ns`, of which it
 /// keeps the lowest bits: they differ for all starts within 52 days.
@@ -173,6 +175,11 @@
         self.generation() >= VERSION_WAITS_GENERATION
     }
 
+    /// Returns whether the process understands reports of parts that crash replicas.
+    pub fn supports_crash_parts(&self) -> bool {
+        self.generation() >= CRASH_PARTS_GENERATION
+    }
+
     /// Returns the generation of the process's messages; 0 if it says none.
     fn generation(&self) -> u64 {
         let says_generation = self.supports_tunnels() && self.incarnation & LACKS_GENERATION_BIT == 0;
@@ -353,6 +360,11 @@
         self.all_at(peer, MemberEntry::supports_version_waits)
     }
 
+    /// Returns whether the node at a peer address understands reports of parts that crash replicas.
+    pub fn peer_supports_crash_parts(&self, peer: SocketAddr) -> bool {
+        self.all_at(peer, MemberEntry::supports_crash_parts)
+    }
+
     /// Returns the live nodes that exchange configurations, without those at whose peer address
     /// another known entry says that an older build may run.
     pub fn exchanging_nodes(&self) -> impl Iterator<Item = &MemberEntry> {
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -490,6 +490,7 @@
             // These are handled by the link.
             ToOrderer::Replay(_)
             | ToOrderer::Crashes(_)
+            | ToOrderer::CrashParts(_)
             | ToOrderer::Loads(_)
             | ToOrderer::Configuration(_) => {}
             ToOrderer::Waiting(model) => self.orderer.mark_waiting(&model.to_key(), now),
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -32,7 +32,7 @@
     WireLifetimeVersions, WireReplicaVersion, WireServiceVersions, WireStreamRecord, WireStreamVersion,
     WireStreamVersionAnswer, WireVersions,
 };
-use crate::crash_wire::WireCrashReport;
+use crate::crash_wire::{WireCrashReport, WirePartReport};
 use crate::wire::WireList;
 
 /// A service, a model or an adapter, on the wire.
@@ -147,6 +147,9 @@
     /// Requests wait for a model at replicas of one software version, none of which holds it. Sent
     /// only to nodes whose entries say that they understand it.
     WaitingAt(WireVersionWait),
+    /// The parts of prompts of a crash report that the sender cannot write to the store itself. Sent
+    /// only to nodes whose entries say that they understand it.
+    CrashParts(WirePartReport),
 }
 
 /// A model that requests wait for at replicas of one software version.
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -190,7 +190,8 @@
                             link.send(reply).await?;
                         }
                     }
-                    ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
+                    ToOrderer::Crashes(report) => crash_reports::adopt(node, &report.into_report()),
+        ToOrderer::CrashParts(report) => crash_reports::adopt_parts(node, report),
                     ToOrderer::Configuration(message) => {
                         let was_ready = configurations.is_ready();
                         configurations.receive(message);
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -4,14 +4,16 @@
 
 use bytes::Bytes;
 use croftrill_scheduler::catalog::RouteKind;
-use croftrill_scheduler::crash_ledger::Verdict;
+use croftrill_scheduler::crash_ledger::{SuspectId, Verdict};
 use croftrill_scheduler::replica::ReplicaId;
 use http::header::{self, HeaderValue};
 use http::{response, Method, Response, StatusCode};
 
+use super::crashing::Judgment;
 use super::forwarding::end_to_end_headers;
 use super::{Answer, RequestRun, DEFAULT_RETRY_AFTER};
 use crate::answer_reader::{AnswerReader, BodyEnd, Framing};
+use crate::crash_reports::kind_name as kind_name_of;
 use crate::metrics::Metrics;
 use crate::ports::Platform;
 use crate::stream::AnswerBody;
@@ -81,24 +83,28 @@
         refuse(status, cause, retry_after)
     }
 
-    /// Returns the final answer to a request under which replicas ended. It names no retry
-    /// delay, as such a request may never be served.
-    pub(super) fn refuse_suspect(&self, verdict: Verdict) -> Answer {
-        let fingerprint = self.fingerprint();
+    /// Returns the final answer to a request under which, or under a part of which, replicas ended. It
+    /// names no retry delay, as such a request may never be served.
+    pub(super) fn refuse_suspect(&self, judgment: Judgment) -> Answer {
+        let Judgment { suspect, verdict } = judgment;
         let outcome = match verdict {
             Verdict::Held(_) => "held back",
-            Verdict::OneAtATime => "another copy runs",
+            Verdict::OneAtATime | Verdict::Retrial => "another copy runs",
             Verdict::Refused | Verdict::Free => "refused",
         };
-        Metrics::count(&self.node.metrics.crashes, "request", outcome);
+        Metrics::count(&self.node.metrics.crashes, kind_name_of(suspect), outcome);
         let mut state = self.node.state.borrow_mut();
-        let suspect = state.crash_ledger.suspect(fingerprint);
-        let ends = suspect.map(|suspect| suspect.ends.len());
+        let evidence = state.crash_ledger.suspect(suspect);
+        let ends = evidence.map(|evidence| (evidence.ends.len(), evidence.blamed));
         drop(state);
         tracing::info!(target: "crash", event = "a request that ended replicas came", id = self.facts.id,
-            %fingerprint, outcome, ends, sends = self.sends,
+            fingerprint = %self.fingerprint(), %suspect, outcome, ends = ends.map(|(ends, _)| ends),
+            blamed = ends.map(|(_, blamed)| blamed), sends = self.sends,
             caller = self.caller().map(|caller| tracing::field::display(caller.0)));
-        let cause = "replicas ended under this request";
+        let cause = match suspect {
+            SuspectId::Request(_) => "replicas ended under this request",
+            SuspectId::Part(_) => "replicas ended under a part of this request",
+        };
         if self.may_have_run {
             return self.give_up(cause, None);
         }
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::crash_ledger::{Fingerprint, Verdict};
+use croftrill_scheduler::crash_ledger::{
+    Fingerprint, PartHash, SuspectId, Verdict, MAX_PARTS_OF_REQUEST, SAME_MOMENT,
+};
 use croftrill_scheduler::replica::ReplicaId;
 use http::StatusCode;
 
 use super::fingerprint::fingerprint;
+use super::guards::SendGuard;
 use super::RequestRun;
 use crate::answer_reader::BodyEnd;
 use crate::broken_requests::{BrokenRequest, ExchangeEnd};
@@ -15,6 +18,34 @@
 use crate::ports::{CallerAddress, Platform};
 use crate::{crash_reports, crash_watch};
 
+/// Whether a request may be sent, and by which suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Judgment {
+    pub(super) suspect: SuspectId,
+    pub(super) verdict: Verdict,
+}
+
+impl Judgment {
+    /// Returns the stricter one of two. The earlier one stands among equals.
+    fn stricter(self, other: Self) -> Self {
+        if strictness(other.verdict) > strictness(self.verdict) {
+            other
+        } else {
+            self
+        }
+    }
+}
+
+fn strictness(verdict: Verdict) -> u8 {
+    match verdict {
+        Verdict::Free => 0,
+        Verdict::OneAtATime => 1,
+        Verdict::Retrial => 2,
+        Verdict::Held(_) => 3,
+        Verdict::Refused => 4,
+    }
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Returns the identity of the request's content, which is the same for each copy of it.
     pub(super) fn fingerprint(&self) -> Fingerprint {
@@ -28,41 +59,61 @@
         })
     }
 
-    /// Returns the verdict that keeps the request from being sent now, if replicas ended under it.
-    /// Once two replicas were tried, first waits until it is known whether the last one has ended.
-    /// After the first replica there is no wait, as a single end blocks nothing.
-    pub(super) async fn blocking_verdict(&self) -> Option<Verdict> {
-        if let [_, .., last] = self.tried.as_slice() {
+    /// Returns the judgment that keeps the request from being sent now, if replicas ended under it or
+    /// under a part of its prompt. Where another end might do so, first waits until it is known whether
+    /// the last replica that was tried has ended.
+    pub(super) async fn blocking_judgment(&self) -> Option<Judgment> {
+        if let Some(last) = self.tried.last().filter(|_| self.may_be_blocked_by_an_end()) {
             crash_watch::wait_until_checked(&self.node, last).await;
         }
-        let verdict = self.verdict();
-        (!matches!(verdict, Verdict::Free | Verdict::OneAtATime)).then_some(verdict)
+        let judgment = self.judgment()?;
+        let may_be_sent = matches!(judgment.verdict, Verdict::OneAtATime | Verdict::Retrial);
+        (!may_be_sent).then_some(judgment)
+    }
+
+    /// Returns whether one end more may keep the request from being sent: a single one under a request
+    /// does not, but it may not be the first one under a part.
+    fn may_be_blocked_by_an_end(&self) -> bool {
+        let ledger = &self.node.state.borrow().crash_ledger;
+        let mut parts = self.facts.parts.iter();
+        self.tried.len() > 1 || parts.any(|part| ledger.is_suspect(PartHash(part.hash)))
     }
 
-    /// Returns the verdict on the request by the reports of all nodes. The body is not hashed while
-    /// there are no reports.
-    fn verdict(&self) -> Verdict {
+    /// Returns the strictest judgment on the request, or on a part of its prompt, by the reports of all
+    /// nodes; `None` if it may be sent. The body is not hashed while there are no reports.
+    fn judgment(&self) -> Option<Judgment> {
         if self.node.state.borrow().crash_ledger.is_empty() {
-            return Verdict::Free;
+            return None;
         }
-        crash_reports::verdict(&self.node, self.fingerprint())
+        let shared = &self.facts.parts[..self.facts.parts.len().saturating_sub(1)];
+        let parts = shared.iter().take(MAX_PARTS_OF_REQUEST);
+        let parts = parts.map(|part| SuspectId::Part(PartHash(part.hash)));
+        let suspects = parts.chain(std::iter::once(self.fingerprint().into()));
+        let judgments = suspects.map(|suspect| Judgment {
+            suspect,
+            verdict: crash_reports::verdict(&self.node, suspect),
+        });
+        judgments
+            .filter(|judgment| judgment.verdict != Verdict::Free)
+            .reduce(Judgment::stricter)
     }
 
-    /// Returns the verdict that keeps the request from being sent at this moment. A second check is
+    /// Returns the judgment that keeps the request from being sent at this moment. A second check is
     /// needed after the wait for a replica: crashes may have been reported meanwhile, and other
-    /// copies of the request may have waited as well. Takes the trial of a suspect of which only
-    /// one copy may run at a time.
-    pub(super) async fn blocking_verdict_before_send(&mut self) -> Option<Verdict> {
-        if let Some(verdict) = self.blocking_verdict().await {
-            return Some(verdict);
+    /// requests of the suspect may have waited as well. Takes the trial of a suspect of which only
+    /// one may run at a time.
+    pub(super) async fn blocking_judgment_before_send(&mut self) -> Option<Judgment> {
+        if let Some(judgment) = self.blocking_judgment().await {
+            return Some(judgment);
         }
-        let verdict = self.verdict();
-        if self.trial.is_some() || verdict != Verdict::OneAtATime {
+        let judgment = self.judgment()?;
+        if self.trial.is_some() {
             return None;
         }
-        match crash_trial::acquire(&self.node, self.fingerprint()).await {
+        match crash_trial::acquire(&self.node, judgment.suspect).await {
             TrialOutcome::Acquired(trial) => self.trial = Some(trial),
-            TrialOutcome::Busy => return Some(verdict),
+            TrialOutcome::Busy => return Some(judgment),
+            TrialOutcome::StoreUnavailable if judgment.verdict == Verdict::Retrial => return Some(judgment),
             // The request may be harmless, and without the store no node can find out.
             TrialOutcome::StoreUnavailable => {}
         }
@@ -82,16 +133,25 @@
             ended: BodyEnd::Whole.name(),
         };
         crash_reports::record_complete_answer(&self.node, replica, &answer);
+        self.record_answered_parts(status);
+    }
+
+    /// Records that a replica answered, so that the parts of the prompt did not crash it.
+    pub(super) fn record_answered_parts(&self, status: StatusCode) {
+        if !self.node.state.borrow().crash_ledger.is_empty() {
+            let parts = self.facts.parts.iter().map(|part| PartHash(part.hash));
+            crash_reports::record_answered_parts(&self.node, status, &parts.collect::<Vec<_>>());
+        }
     }
 
     /// Records that an answer ended with its connection, which may be the end of the replica.
     pub(super) fn record_closed_answer(
         &self,
-        replica: &ReplicaId,
+        send: &SendGuard<P>,
         status: StatusCode,
         answer_duration: Duration,
     ) {
-        self.report_exchange(replica, ExchangeEnd::Closed { status }, Some(answer_duration));
+        self.report_exchange(send, ExchangeEnd::Closed { status }, Some(answer_duration));
     }
 
     pub(super) fn caller(&self) -> Option<CallerAddress> {
@@ -100,19 +160,23 @@
 
     /// Records that the connection to a replica ended, or went silent, before the answer was
     /// complete. `answer_duration` is the time since the answer's head, or `None` if no head arrived.
-    pub(super) fn report_broken_request(&self, replica: &ReplicaId, answer_duration: Option<Duration>) {
-        self.report_exchange(replica, ExchangeEnd::CutOff, answer_duration);
+    pub(super) fn report_broken_request(&self, send: &SendGuard<P>, answer_duration: Option<Duration>) {
+        self.report_exchange(send, ExchangeEnd::CutOff, answer_duration);
     }
 
-    fn report_exchange(&self, replica: &ReplicaId, end: ExchangeEnd, answer_duration: Option<Duration>) {
+    fn report_exchange(&self, send: &SendGuard<P>, end: ExchangeEnd, answer_duration: Option<Duration>) {
+        let earliest = self.broke_at.get().map(|earlier| earlier + SAME_MOMENT);
+        let broke_at = earliest.map_or(self.now(), |earliest| earliest.max(self.now()));
+        self.broke_at.set(Some(broke_at));
         let broken = BrokenRequest {
             id: self.facts.id.clone(),
             fingerprint: self.fingerprint(),
             parts: self.facts.parts.clone(),
             end,
             caller: self.caller(),
+            broke_at,
             answer_duration,
         };
-        crash_watch::record_broken_request(&self.node, replica, broken);
+        crash_watch::record_broken_request(&self.node, &send.replica, broken);
     }
 }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -205,6 +205,7 @@
         counted_late: Cell::new(false),
         fingerprint: OnceCell::new(),
         trial: None,
+        broke_at: Cell::new(None),
         stream_version: StreamVersion::Any,
         may_await_version: true,
     };
@@ -259,8 +260,10 @@
     counted_late: Cell<bool>,
     /// Identity of the request's content, computed when it is first needed.
     fingerprint: OnceCell<Fingerprint>,
-    /// Keeps other copies of the request from being sent, if replicas ended under it before.
+    /// Keeps other requests of a suspect from being sent, if replicas ended under it before.
     trial: Option<Trial<P>>,
+    /// When an exchange with a replica last ended in a way that the replica's end would explain.
+    broke_at: Cell<Option<Moment>>,
     /// The software version at which its stream may go on.
     stream_version: StreamVersion,
     /// Whether it may wait for its model to be loaded at its version. A stream whose replica is only
@@ -279,15 +282,15 @@
             );
         }
         loop {
-            if let Some(verdict) = self.blocking_verdict().await {
-                return self.refuse_suspect(verdict);
+            if let Some(judgment) = self.blocking_judgment().await {
+                return self.refuse_suspect(judgment);
             }
             let replica = match self.next_replica().await {
                 NextReplica::Send(replica) => replica,
                 NextReplica::GiveUp(cause, retry_after) => return self.give_up(cause, retry_after),
             };
-            if let Some(verdict) = self.blocking_verdict_before_send().await {
-                return self.refuse_suspect(verdict);
+            if let Some(judgment) = self.blocking_judgment_before_send().await {
+                return self.refuse_suspect(judgment);
             }
             if self.sends > 0 && !self.take_retry(&replica) {
                 return self.give_up("retry budget used up", Some(DEFAULT_RETRY_AFTER));
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -148,13 +148,13 @@
             Err(_) if self.now() >= self.deadline => {
                 self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
-                self.report_broken_request(replica, None);
+                self.report_broken_request(&send, None);
                 return SendEnd::OutOfTime;
             }
             Err(_) => {
                 self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
-                self.report_broken_request(replica, None);
+                self.report_broken_request(&send, None);
                 send.record(SendOutcome::Failure);
                 return SendEnd::Broken {
                     cause: "the replica is silent",
@@ -219,7 +219,7 @@
             return SendEnd::NotSent;
         }
         send.record(SendOutcome::Failure);
-        self.report_broken_request(&send.replica, None);
+        self.report_broken_request(send, None);
         SendEnd::Broken {
             cause: "the replica broke off",
         }
@@ -254,7 +254,7 @@
         }
         let usable = facts.is_ours && (!head.status.is_success() || (facts.is_signed && facts.is_plain));
         if !usable {
-            self.report_broken_request(replica, None);
+            self.report_broken_request(&send, None);
             send.record(SendOutcome::Failure);
             return SendEnd::Broken {
                 cause: "the answer is not this request's",
@@ -287,7 +287,7 @@
                     self.record_complete_answer(replica, head.status);
                 } else {
                     let answer_duration = self.now().since(head_received_at);
-                    self.record_closed_answer(replica, head.status, answer_duration);
+                    self.record_closed_answer(&send, head.status, answer_duration);
                 }
                 let failed = head.status.is_server_error();
                 if failed {
@@ -306,7 +306,7 @@
             }
             Ok(_) => {
                 send.record(SendOutcome::Failure);
-                self.report_broken_request(replica, Some(self.now().since(head_received_at)));
+                self.report_broken_request(&send, Some(self.now().since(head_received_at)));
                 SendEnd::Broken {
                     cause: "the answer was cut off",
                 }
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -14,6 +14,7 @@
 use super::version::StreamVersion;
 use super::{Answer, RequestRun};
 use crate::answer_reader::{BodyEnd, BodyPart, Framing};
+use crate::broken_requests::MAX_START_DURATION;
 use crate::events::EventSplitter;
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, StreamChunk, StreamSender};
@@ -114,7 +115,7 @@
                         self.record_complete_answer(&replica, current.head.status);
                     } else {
                         let answer_duration = self.now().since(current.head_received_at);
-                        self.record_closed_answer(&replica, current.head.status, answer_duration);
+                        self.record_closed_answer(&current.send, current.head.status, answer_duration);
                     }
                     if self.route.is_idempotent() {
                         let headers = &current.head.headers;
@@ -166,6 +167,8 @@
         longest_pause: &mut Duration,
     ) -> PumpEnd {
         let mut last_event = self.now();
+        // Whether the answer went on for longer than a part takes to crash a replica.
+        let mut is_proven = false;
         loop {
             let part = tokio::select! {
                 part = streaming.body.next() => part,
@@ -195,6 +198,10 @@
             let pause = now.since(std::mem::replace(&mut last_event, now));
             *longest_pause = pause.max(*longest_pause);
             self.record_pause(pause);
+            if !is_proven && now.since(streaming.head_received_at) > MAX_START_DURATION {
+                is_proven = true;
+                self.record_answered_parts(streaming.head.status);
+            }
             let bytes = if !self.route.resumable {
                 Some(bytes)
             } else if streaming.body.holds_events() {
@@ -240,7 +247,7 @@
 
     fn report_broken_stream(&self, streaming: &Streaming<P>, last_event: Moment) {
         let answer_duration = last_event.since(streaming.head_received_at);
-        self.report_broken_request(&streaming.send.replica, Some(answer_duration));
+        self.report_broken_request(&streaming.send, Some(answer_duration));
     }
 
     async fn pump_remainder(&self, cutter: &mut EventSplitter, sender: &StreamSender) -> Result<(), PumpEnd> {
@@ -307,7 +314,7 @@
             let NextReplica::Send(replica) = self.next_replica().await else {
                 break;
             };
-            if self.blocking_verdict_before_send().await.is_some() || !self.take_retry(&replica) {
+            if self.blocking_judgment_before_send().await.is_some() || !self.take_retry(&replica) {
                 break;
             }
             drop(earlier.take());
--- a/crates/croftrill-node/src/tree/full_view.rs
+++ b/crates/croftrill-node/src/tree/full_view.rs
@@ -34,7 +34,7 @@
         .filter(|_| contents.configuration)
         .chain(replicas(&state).filter(|_| contents.replicas))
         .chain(own_items(&state.members))
-        .chain(crash_reports(&state));
+        .chain(crash_reports(&state, node.clock.now()));
     let mut view = DirectoryUpdate {
         after: 0,
         reached,
@@ -56,9 +56,9 @@
     listings.map(|listing| WireChange::Replica(WireListing::from_listing(listing)))
 }
 
-/// Returns the nodes' reports of requests that crash replicas.
-fn crash_reports(state: &NodeState) -> impl Iterator<Item = WireChange> {
-    let items = crash_reports::items(&state.crash_ledger).into_iter();
+/// Returns the nodes' reports of requests and parts that crash replicas.
+fn crash_reports(state: &NodeState, now: Moment) -> impl Iterator<Item = WireChange> {
+    let items = crash_reports::items(&state.crash_ledger, now).into_iter();
     items.map(|(key, value)| WireChange::Written {
         key,
         value: value.into(),
--- a/crates/croftrill-node/src/tree/serve.rs
+++ b/crates/croftrill-node/src/tree/serve.rs
@@ -190,7 +190,8 @@
                 node.send_to_orderers(&ToOrderer::WaitingAt(wait));
             }
         }
-        ToOrderer::Crashes(report) => crash_reports::adopt(node, report),
+        ToOrderer::Crashes(report) => crash_reports::adopt(node, &report.into_report()),
+        ToOrderer::CrashParts(report) => crash_reports::adopt_parts(node, report),
         ToOrderer::Replay(after) => {
             return follower.map_or_else(Vec::new, |follower| follower.view_since(node, after));
         }
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -1,15 +1,18 @@
-//! Detection of requests that crash the replicas running them.
+//! Detection of requests, and of parts of prompts, that crash the replicas running them.
 //!
-//! A replica that ends loses all its requests, so its end is evidence against every request
-//! that had just started there. Two rules separate the causes from the bystanders:
+//! A replica that ends loses all its requests, so its end is evidence against every request that had
+//! just started there, and against the parts of their prompts. Two rules separate the causes from the
+//! bystanders:
 //!
-//! - A request that receives a complete answer anywhere is cleared of all earlier ends.
-//! - Of the requests that had just started at a replica, those with the most ends are
-//!   blamed for its end; the others count as bystanders.
+//! - A suspect that receives a complete answer anywhere is cleared of all earlier ends.
+//! - Of the suspects at a replica, those with the most ends are blamed for its end, and of these the
+//!   most specific ones: a request before the parts of its prompt, and a part before those in front of
+//!   it. The others count as bystanders.
 //!
 //! Ends are counted per replica incarnation. The reports of the nodes are merged as sets, so
 //! duplicate and delayed reports change nothing and all nodes arrive at the same counts.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::str::FromStr;
@@ -38,6 +41,66 @@
     }
 }
 
+/// Hash that identifies a part of a prompt by its content, whichever request holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartHash(pub u64);
+
+/// What may have ended a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SuspectId {
+    /// A request.
+    Request(Fingerprint),
+    /// A part of prompts.
+    Part(PartHash),
+}
+
+/// Prefix of the text of a part's identity.
+const PART_PREFIX: &str = "part-";
+
+impl fmt::Display for SuspectId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SuspectId::Request(fingerprint) => fingerprint.fmt(formatter),
+            SuspectId::Part(part) => write!(formatter, "{PART_PREFIX}{:016x}", part.0),
+        }
+    }
+}
+
+impl FromStr for SuspectId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.strip_prefix(PART_PREFIX) {
+            Some(part) => u64::from_str_radix(part, 16).map(|hash| SuspectId::Part(PartHash(hash))),
+            None => text.parse().map(SuspectId::Request),
+        }
+    }
+}
+
+impl From<Fingerprint> for SuspectId {
+    fn from(fingerprint: Fingerprint) -> Self {
+        SuspectId::Request(fingerprint)
+    }
+}
+
+/// A request, or a part, that ran at a replica that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sighting {
+    /// What ran there.
+    pub id: SuspectId,
+    /// Position in the prompt of a part, of which the first is 0.
+    pub position: u32,
+}
+
+impl From<Fingerprint> for Sighting {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Sighting {
+            id: fingerprint.into(),
+            position: 0,
+        }
+    }
+}
+
 /// Hash that identifies a replica incarnation that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndedReplica(pub u64);
@@ -60,6 +123,21 @@
 /// replicas. A crash costs all streams of a replica, while two independent ends within the
 /// first seconds of both runs of an innocent request are rare.
 const ENDS_TO_HOLD: usize = 2;
+/// Number of moments of blamed ends at which the requests with a part are held back.
+const MOMENTS_TO_HOLD_PART: usize = 3;
+/// The same if this node saw requests with the part answered. It may have become the cause since, so
+/// it is only a weaker suspect.
+const MOMENTS_TO_HOLD_ANSWERED_PART: usize = 5;
+/// Time within which ends of replicas count as one moment against a part. A part that many requests
+/// share runs at all replicas that lose their power together.
+pub const SAME_MOMENT: Duration = Duration::from_millis(120);
+/// Number of ends from which on the requests with a part are refused: users accept three sends more
+/// after the fifth end.
+const PART_ENDS_TO_REFUSE: usize = 8;
+/// Time after its newest end until a part that is blamed is tried again by one request.
+const FIRST_RETRIAL_DELAY: Duration = Duration::from_secs(60);
+/// Factor by which each further end lengthens this time.
+const RETRIAL_DELAY_FACTOR: u32 = 4;
 /// How long such a request is held back, so that an innocent one is served eventually. Twice
 /// the longest time that callers of the known routes wait (15 s): a crashing request that its
 /// caller keeps retrying ends no third replica meanwhile.
@@ -80,20 +158,29 @@
 /// Maximum number of requests in a node's report, at about 100 bytes each: those that had
 /// just started at two full replicas.
 const MAX_REPORTED_REQUESTS: usize = 128;
+/// Maximum number of parts in a node's report, at about 60 bytes each.
+const MAX_REPORTED_PARTS: usize = 256;
+/// Maximum number of parts of one request that its replica's end counts against.
+pub const MAX_PARTS_OF_REQUEST: usize = 64;
+/// Maximum number of parts of which a node remembers that they were answered.
+const MAX_ANSWERED_PARTS: usize = 4096;
 /// Maximum number of ends of one request in a report: more would not change a verdict.
 const MAX_ENDS_PER_REQUEST: usize = 8;
 
-/// Evidence against one request.
+/// Evidence against one suspect.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Suspicion {
-    /// Replicas that ended when the request had just started there.
+    /// Replicas that ended when the suspect had just started there.
     pub ended: BTreeSet<EndedReplica>,
-    /// Those of them of which the request was cleared.
+    /// Those of them of which the suspect was cleared.
     pub cleared: BTreeSet<EndedReplica>,
+    /// The last position at which a part stood in a prompt.
+    pub position: u32,
 }
 
 impl Suspicion {
     fn merge(&mut self, other: &Suspicion) {
+        self.position = self.position.max(other.position);
         self.ended.extend(&other.ended);
         self.cleared.extend(&other.cleared);
     }
@@ -104,29 +191,33 @@
 }
 
 /// The evidence that one node reports.
-pub type CrashReport = BTreeMap<Fingerprint, Suspicion>;
+pub type CrashReport = BTreeMap<SuspectId, Suspicion>;
 
-/// Whether a request may be sent.
+/// Whether a request may be sent, by one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// The request may be sent.
     Free,
     /// The request may be sent unless another copy of it has just been sent.
     OneAtATime,
+    /// A request with the part may be sent if it is known that no other one runs.
+    Retrial,
     /// The request may be sent after this time.
     Held(Duration),
     /// The request is not sent any more.
     Refused,
 }
 
-/// Merged evidence of all reports against one request.
+/// Merged evidence of all reports against one suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
-    /// Replicas that ended under the request, without those of which it was cleared.
+    /// Replicas that ended under the suspect, without those of which it was cleared.
     pub ends: BTreeSet<EndedReplica>,
-    /// Number of these replicas at which no other request had more ends.
+    /// Number of these replicas at which no other suspect ranked higher.
     pub blamed: usize,
-    /// Number of these replicas at which every other request had fewer ends.
+    /// Number of moments at which the replicas ended that count as blamed.
+    pub blamed_moments: usize,
+    /// Number of these replicas at which every other suspect ranked lower.
     pub alone: usize,
     /// Minimum over these replicas of the number of requests that had just started there.
     pub fewest_started: usize,
@@ -135,8 +226,8 @@
 }
 
 impl Suspect {
-    /// Returns the verdict on the request.
-    pub fn verdict(&self, now: Moment) -> Verdict {
+    /// Returns the verdict on requests, if the suspect is a request.
+    fn verdict_on_request(&self, now: Moment) -> Verdict {
         if self.blamed >= BLAMED_ENDS_TO_REFUSE || self.ends.len() >= TOTAL_ENDS_TO_REFUSE {
             return Verdict::Refused;
         }
@@ -149,6 +240,32 @@
         }
         Verdict::Free
     }
+
+    /// Returns the verdict on the requests that hold the suspect, if that is a part.
+    fn verdict_on_part(&self, was_answered: bool, now: Moment) -> Verdict {
+        let moments_to_hold = if was_answered {
+            MOMENTS_TO_HOLD_ANSWERED_PART
+        } else {
+            MOMENTS_TO_HOLD_PART
+        };
+        if self.blamed_moments < moments_to_hold {
+            return Verdict::Free;
+        }
+        self.verdict_on_blamed_part(now)
+    }
+
+    fn verdict_on_blamed_part(&self, now: Moment) -> Verdict {
+        if self.ends.len() >= PART_ENDS_TO_REFUSE {
+            return Verdict::Refused;
+        }
+        let further_ends = self.ends.len().saturating_sub(MOMENTS_TO_HOLD_PART) as u32;
+        let delay = FIRST_RETRIAL_DELAY * RETRIAL_DELAY_FACTOR.pow(further_ends);
+        let held_for = now.since(self.known_at);
+        if held_for < delay {
+            return Verdict::Held(delay - held_for);
+        }
+        Verdict::Retrial
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -168,9 +285,13 @@
 /// All evidence known to a node about requests that crash replicas.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
-    own: BTreeMap<Fingerprint, OwnEvidence>,
+    own: BTreeMap<SuspectId, OwnEvidence>,
     reports: BTreeMap<String, ReceivedReport>,
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: HashMap<SuspectId, Suspect>,
+    /// When these replicas ended, as far as this node knows.
+    end_times: HashMap<EndedReplica, Moment>,
+    /// When parts were last answered at this node, since there is any evidence.
+    answered_parts: HashMap<PartHash, Moment>,
     /// Replicas whose ends count against some suspect.
     ended: HashSet<EndedReplica>,
     /// Time of the latest change that `suspects` does not include yet.
@@ -186,23 +307,105 @@
         self.own.is_empty() && self.reports.is_empty()
     }
 
-    /// Records that a replica ended when this request had just started there.
-    pub fn record_end(&mut self, fingerprint: Fingerprint, replica: EndedReplica, now: Moment) {
-        let own = self.refresh(fingerprint, now);
+    /// Notes when a replica ended, before its end is recorded. The earliest note stands, as all others
+    /// include a longer way to this node.
+    pub fn note_end_time(&mut self, replica: EndedReplica, ended_at: Moment) {
+        let noted = self.end_times.entry(replica).or_insert(ended_at);
+        *noted = ended_at.min(*noted);
+    }
+
+    /// Returns how long ago a replica ended, as far as this node knows.
+    pub fn end_age(&self, replica: EndedReplica, now: Moment) -> Duration {
+        let ended_at = self.end_times.get(&replica);
+        ended_at.map_or(Duration::ZERO, |ended_at| now.since(*ended_at))
+    }
+
+    /// Records that a replica ended when this suspect had just started there.
+    pub fn record_end(&mut self, seen: impl Into<Sighting>, replica: EndedReplica, now: Moment) {
+        let seen = seen.into();
+        self.note_end_time(replica, now);
+        let own = self.refresh(seen.id, now);
+        own.suspicion.position = own.suspicion.position.max(seen.position);
         if own.suspicion.ended.len() < MAX_ENDS_PER_REQUEST {
             own.suspicion.ended.insert(replica);
         }
         self.own_report_changed(now);
     }
 
-    /// Clears a request of all ends so far, because a replica answered it completely or an
+    /// Returns the sightings of the parts of a prompt, given in order, at a replica that ended: without
+    /// the last part, which is the request's own. Of more than [`MAX_PARTS_OF_REQUEST`], those that are
+    /// suspects already come first.
+    pub fn sightings_of_parts(&self, parts: &[PartHash]) -> Vec<Sighting> {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let sightings = shared.iter().enumerate().map(|(position, part)| Sighting {
+            id: SuspectId::Part(*part),
+            position: position as u32,
+        });
+        let (known, new): (Vec<Sighting>, Vec<Sighting>) = sightings
+            .partition(|seen| self.own.contains_key(&seen.id) || self.suspects.contains_key(&seen.id));
+        known.into_iter().chain(new).take(MAX_PARTS_OF_REQUEST).collect()
+    }
+
+    /// Clears the parts of a prompt, given in order, of all ends so far, because a request that holds
+    /// them was answered. Returns true if another node's verdict may depend on it, so that this node's
+    /// report should be published.
+    pub fn clear_parts(&mut self, parts: &[PartHash], now: Moment) -> bool {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let mut matters = false;
+        for part in shared.iter().take(MAX_PARTS_OF_REQUEST) {
+            self.record_answered(*part, now);
+            let id = SuspectId::Part(*part);
+            let ends = self.suspect(id).map_or(0, |suspect| suspect.ends.len());
+            matters |= ends >= ENDS_TO_HOLD;
+            if ends > 0 {
+                self.clear(id, now);
+            }
+        }
+        matters
+    }
+
+    fn record_answered(&mut self, part: PartHash, now: Moment) {
+        if self.answered_parts.len() >= MAX_ANSWERED_PARTS && !self.answered_parts.contains_key(&part) {
+            let is_recent = |at: &Moment| now.since(*at) <= REPORT_RETENTION / 2;
+            self.answered_parts.retain(|_, at| is_recent(at));
+        }
+        if self.answered_parts.len() < MAX_ANSWERED_PARTS || self.answered_parts.contains_key(&part) {
+            self.answered_parts.insert(part, now);
+        }
+    }
+
+    /// Returns whether this node has cleared parts of ends of which no other node's report clears them.
+    pub fn has_unshared_clearances(&self) -> bool {
+        let parts = self.own.iter();
+        let mut parts = parts.filter(|(id, _)| matches!(id, SuspectId::Part(_)));
+        parts.any(|(id, own)| {
+            let cleared = own.suspicion.cleared.iter();
+            let mut cleared = cleared.filter(|end| self.ended_elsewhere(*id, **end));
+            cleared.any(|end| !self.is_cleared_elsewhere(*id, *end))
+        })
+    }
+
+    fn ended_elsewhere(&self, id: SuspectId, end: EndedReplica) -> bool {
+        let reports = self.reports.values();
+        let mut suspicions = reports.filter_map(|received| received.report.get(&id));
+        suspicions.any(|suspicion| suspicion.ended.contains(&end))
+    }
+
+    fn is_cleared_elsewhere(&self, id: SuspectId, end: EndedReplica) -> bool {
+        let reports = self.reports.values();
+        let mut suspicions = reports.filter_map(|received| received.report.get(&id));
+        suspicions.any(|suspicion| suspicion.cleared.contains(&end))
+    }
+
+    /// Clears a suspect of all ends so far, because a replica answered it completely or an
     /// operator decided so. Returns true if there were any; then this node's report must be
     /// published, since the other nodes would continue to count the ends.
-    pub fn clear(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
-        let Some(suspect) = self.suspect(fingerprint).cloned() else {
+    pub fn clear(&mut self, id: impl Into<SuspectId>, now: Moment) -> bool {
+        let id = id.into();
+        let Some(suspect) = self.suspect(id).cloned() else {
             return false;
         };
-        let own = self.refresh(fingerprint, now);
+        let own = self.refresh(id, now);
         own.suspicion.ended.extend(&suspect.ends);
         own.suspicion.cleared.extend(&suspect.ends);
         self.own_report_changed(now);
@@ -218,9 +421,9 @@
         let is_refuted = |suspect: &Suspect| suspect.known_at < sent_at && suspect.ends.contains(&replica);
         let suspects = self.suspects.iter();
         let refuted = suspects.filter(|(_, suspect)| is_refuted(suspect));
-        let refuted: Vec<Fingerprint> = refuted.map(|(fingerprint, _)| *fingerprint).collect();
-        for fingerprint in &refuted {
-            let own = self.refresh(*fingerprint, now);
+        let refuted: Vec<SuspectId> = refuted.map(|(id, _)| *id).collect();
+        for id in &refuted {
+            let own = self.refresh(*id, now);
             own.suspicion.ended.insert(replica);
             own.suspicion.cleared.insert(replica);
         }
@@ -230,17 +433,18 @@
         !refuted.is_empty()
     }
 
-    /// Copies all evidence against a request into this node's own report, so that it does not
+    /// Copies all evidence against a suspect into this node's own report, so that it does not
     /// expire. Returns true if the report should be published again.
-    pub fn adopt(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+    pub fn adopt(&mut self, id: impl Into<SuspectId>, now: Moment) -> bool {
+        let id = id.into();
         let known: Vec<Suspicion> = self
             .reports
             .values()
-            .filter_map(|received| received.report.get(&fingerprint))
+            .filter_map(|received| received.report.get(&id))
             .cloned()
             .collect();
-        let refreshed_before = self.own.get(&fingerprint).map(|own| own.refreshed_at);
-        let own = self.refresh(fingerprint, now);
+        let refreshed_before = self.own.get(&id).map(|own| own.refreshed_at);
+        let own = self.refresh(id, now);
         let before = own.suspicion.clone();
         known.iter().for_each(|known| own.suspicion.merge(known));
         let is_old =
@@ -252,8 +456,8 @@
     /// Returns true if the own report changed.
     pub fn adopt_report(&mut self, report: &CrashReport, now: Moment) -> bool {
         let mut is_changed = false;
-        for (fingerprint, suspicion) in report {
-            let own = self.refresh(*fingerprint, now);
+        for (id, suspicion) in report {
+            let own = self.refresh(*id, now);
             let before = own.suspicion.clone();
             own.suspicion.merge(suspicion);
             is_changed |= own.suspicion != before;
@@ -268,6 +472,11 @@
     pub fn apply_report(&mut self, source: &str, report: CrashReport, now: Moment) {
         self.reports
             .retain(|_, received| now.since(received.at) <= REPORT_RETENTION);
+        for suspicion in report.values() {
+            for replica in &suspicion.ended {
+                self.note_end_time(*replica, now);
+            }
+        }
         let received = ReceivedReport { report, at: now };
         self.reports.insert(source.to_string(), received);
         self.changed_at = Some(now);
@@ -285,12 +494,11 @@
         self.own
             .retain(|_, own| now.since(own.refreshed_at) <= REPORT_RETENTION);
         let own = self.own.iter();
-        own.map(|(fingerprint, own)| (*fingerprint, own.suspicion.clone()))
-            .collect()
+        own.map(|(id, own)| (*id, own.suspicion.clone())).collect()
     }
 
-    /// Returns whether a request may be sent.
-    pub fn verdict(&mut self, fingerprint: Fingerprint, now: Moment) -> Verdict {
+    /// Returns whether a request may be sent, as far as this suspect tells.
+    pub fn verdict(&mut self, id: impl Into<SuspectId>, now: Moment) -> Verdict {
         if now.since(self.merged_at) >= EXPIRY_INTERVAL {
             self.changed_at.get_or_insert(now);
         }
@@ -298,22 +506,40 @@
             self.merge();
             self.merged_at = now;
         }
-        let suspect = self.suspects.get(&fingerprint);
-        suspect.map_or(Verdict::Free, |suspect| suspect.verdict(now))
+        self.merged_verdict(id.into(), now)
+    }
+
+    /// Returns the verdict by the reports that are merged.
+    fn merged_verdict(&self, id: SuspectId, now: Moment) -> Verdict {
+        let Some(suspect) = self.suspects.get(&id) else {
+            return Verdict::Free;
+        };
+        match id {
+            SuspectId::Request(_) => suspect.verdict_on_request(now),
+            SuspectId::Part(part) => {
+                let was_answered = self.answered_parts.contains_key(&part);
+                suspect.verdict_on_part(was_answered, now)
+            }
+        }
+    }
+
+    /// Returns whether replicas ended under a part, by the reports merged so far.
+    pub fn is_suspect(&self, part: PartHash) -> bool {
+        self.suspects.contains_key(&SuspectId::Part(part))
     }
 
-    /// Returns the evidence against a request; `None` if no replica ended under it.
-    pub fn suspect(&mut self, fingerprint: Fingerprint) -> Option<&Suspect> {
+    /// Returns the evidence against a suspect; `None` if no replica ended under it.
+    pub fn suspect(&mut self, id: impl Into<SuspectId>) -> Option<&Suspect> {
         self.merge();
-        self.suspects.get(&fingerprint)
+        self.suspects.get(&id.into())
     }
 
-    /// Iterates over all requests under which replicas ended.
-    pub fn suspects(&mut self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+    /// Iterates over all suspects, with the verdicts on them.
+    pub fn suspects(&mut self, now: Moment) -> impl Iterator<Item = (SuspectId, &Suspect, Verdict)> {
         self.merge();
-        self.suspects
-            .iter()
-            .map(|(fingerprint, suspect)| (*fingerprint, suspect))
+        let ledger = &*self;
+        let suspects = ledger.suspects.iter();
+        suspects.map(move |(id, suspect)| (*id, suspect, ledger.merged_verdict(*id, now)))
     }
 
     fn own_report_changed(&mut self, now: Moment) {
@@ -321,22 +547,31 @@
         self.own_changed = true;
     }
 
-    fn refresh(&mut self, fingerprint: Fingerprint, now: Moment) -> &mut OwnEvidence {
-        if self.own.len() >= MAX_REPORTED_REQUESTS && !self.own.contains_key(&fingerprint) {
-            self.evict_least_suspect();
+    fn refresh(&mut self, id: SuspectId, now: Moment) -> &mut OwnEvidence {
+        if !self.own.contains_key(&id) {
+            self.make_room(id);
         }
-        let own = self.own.entry(fingerprint).or_default();
+        let own = self.own.entry(id).or_default();
         own.refreshed_at = now;
         own
     }
 
-    /// Removes the request with the fewest ends, and among equals the least recently seen one.
-    /// A caller can thus displace a refused request only by as many crashes.
-    fn evict_least_suspect(&mut self) {
+    /// Makes room for evidence against a suspect. Requests do not displace parts, nor parts requests.
+    fn make_room(&mut self, id: SuspectId) {
+        let is_alike = |other: &SuspectId| std::mem::discriminant(other) == std::mem::discriminant(&id);
+        let limit = match id {
+            SuspectId::Request(_) => MAX_REPORTED_REQUESTS,
+            SuspectId::Part(_) => MAX_REPORTED_PARTS,
+        };
+        let alike = self.own.iter().filter(|(other, _)| is_alike(other));
+        if alike.clone().count() < limit {
+            return;
+        }
+        // A caller can displace a suspect that is refused only by as many crashes.
         let weight = |own: &OwnEvidence| (own.suspicion.open().count(), own.refreshed_at);
-        let least = self.own.iter().min_by_key(|(_, own)| weight(own));
-        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
-            self.own.remove(&fingerprint);
+        let least = alike.min_by_key(|(_, own)| weight(own));
+        if let Some(least) = least.map(|(other, _)| *other) {
+            self.own.remove(&least);
         }
     }
 
@@ -353,23 +588,24 @@
         self.reports
             .retain(|_, received| changed_at.since(received.at) <= REPORT_RETENTION);
         let received = self.reports.values().flat_map(|received| &received.report);
-        for (fingerprint, suspicion) in received.chain(own) {
-            merged.entry(*fingerprint).or_default().merge(suspicion);
+        for (id, suspicion) in received.chain(own) {
+            merged.entry(*id).or_default().merge(suspicion);
         }
         merged.retain(|_, suspicion| suspicion.open().next().is_some());
         let ranks = rank_by_replica(&merged);
         self.ended = ranks.keys().copied().collect();
+        self.end_times.retain(|replica, _| ranks.contains_key(replica));
         let former = std::mem::take(&mut self.suspects);
-        for (fingerprint, suspicion) in merged {
+        for (id, suspicion) in merged {
             let ends: BTreeSet<EndedReplica> = suspicion.open().collect();
-            let former = former.get(&fingerprint);
+            let weight = Weight::of(id, &suspicion);
+            let former = former.get(&id);
             let known_at = former.filter(|former| former.ends.is_superset(&ends));
+            let blamed = ends.iter().filter(|end| ranks[end].highest == Some(weight));
             let suspect = Suspect {
-                blamed: ends
-                    .iter()
-                    .filter(|end| ranks[end].most_ends == ends.len())
-                    .count(),
-                alone: ends.iter().filter(|end| ranks[end].is_alone(ends.len())).count(),
+                blamed: blamed.clone().count(),
+                blamed_moments: count_moments(blamed.filter_map(|end| self.end_times.get(end)).copied()),
+                alone: ends.iter().filter(|end| ranks[end].is_alone(weight)).count(),
                 fewest_started: ends
                     .iter()
                     .map(|end| ranks[end].started)
@@ -378,43 +614,86 @@
                 known_at: known_at.map_or(changed_at, |former| former.known_at),
                 ends,
             };
-            self.suspects.insert(fingerprint, suspect);
+            self.suspects.insert(id, suspect);
+        }
+        if self.is_empty() {
+            self.answered_parts.clear();
+        }
+    }
+}
+
+/// Returns the number of moments that are [`SAME_MOMENT`] apart or more.
+fn count_moments(moments: impl Iterator<Item = Moment>) -> usize {
+    let mut moments: Vec<Moment> = moments.collect();
+    moments.sort();
+    let mut count = 0;
+    let mut last = None;
+    for moment in moments {
+        if last.is_none_or(|last| moment.since(last) >= SAME_MOMENT) {
+            count += 1;
+            last = Some(moment);
         }
     }
+    count
 }
 
-/// Counts of the requests that had just started at a replica when it ended.
+/// What ranks the suspects of one replica's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Weight {
+    /// Number of ends.
+    ends: usize,
+    /// How few requests the suspect concerns: the request itself, or the part's position.
+    specificity: u32,
+}
+
+impl Weight {
+    fn of(id: SuspectId, suspicion: &Suspicion) -> Self {
+        Weight {
+            ends: suspicion.open().count(),
+            specificity: match id {
+                SuspectId::Request(_) => u32::MAX,
+                SuspectId::Part(_) => suspicion.position.min(u32::MAX - 1),
+            },
+        }
+    }
+}
+
+/// Rank of the suspects that had just started at a replica when it ended.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rank {
-    /// Number of these requests.
+    /// Number of these that are requests.
     started: usize,
-    /// The highest number of ends of any of them.
-    most_ends: usize,
-    /// Number of requests with that many ends.
-    requests_with_most: usize,
+    /// The highest weight of any suspect.
+    highest: Option<Weight>,
+    /// Number of suspects with that weight.
+    suspects_with_highest: usize,
 }
 
 impl Rank {
-    fn is_alone(&self, ends: usize) -> bool {
-        self.most_ends == ends && self.requests_with_most == 1
+    fn add(&mut self, weight: Weight) {
+        match Some(weight).cmp(&self.highest) {
+            Ordering::Greater => {
+                self.highest = Some(weight);
+                self.suspects_with_highest = 1;
+            }
+            Ordering::Equal => self.suspects_with_highest += 1,
+            Ordering::Less => {}
+        }
+    }
+
+    fn is_alone(&self, weight: Weight) -> bool {
+        self.highest == Some(weight) && self.suspects_with_highest == 1
     }
 }
 
 fn rank_by_replica(merged: &CrashReport) -> HashMap<EndedReplica, Rank> {
     let mut ranks: HashMap<EndedReplica, Rank> = HashMap::new();
-    for suspicion in merged.values() {
-        let count = suspicion.open().count();
+    for (id, suspicion) in merged {
+        let weight = Weight::of(*id, suspicion);
         for replica in suspicion.open() {
             let rank = ranks.entry(replica).or_default();
-            rank.started += 1;
-            match count.cmp(&rank.most_ends) {
-                std::cmp::Ordering::Greater => {
-                    rank.most_ends = count;
-                    rank.requests_with_most = 1;
-                }
-                std::cmp::Ordering::Equal => rank.requests_with_most += 1,
-                std::cmp::Ordering::Less => {}
-            }
+            rank.started += usize::from(matches!(id, SuspectId::Request(_)));
+            rank.add(weight);
         }
     }
     ranks
--- a/crates/croftrill-scheduler/tests/crash_ledger.rs
+++ b/crates/croftrill-scheduler/tests/crash_ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::crash_ledger::{
-    CrashLedger, CrashReport, EndedReplica, Fingerprint, Suspicion, Verdict, HOLD_DURATION,
+    CrashLedger, CrashReport, EndedReplica, Fingerprint, SuspectId, Suspicion, Verdict, HOLD_DURATION,
 };
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -24,8 +24,9 @@
         let suspicion = Suspicion {
             ended: ended.iter().copied().map(EndedReplica).collect(),
             cleared: BTreeSet::new(),
+            position: 0,
         };
-        (*fingerprint, suspicion)
+        (SuspectId::from(*fingerprint), suspicion)
     });
     rows.collect()
 }
@@ -162,7 +163,7 @@
     // The other node's report has expired by now; this node's has not.
     ledger.apply_report("b", CrashReport::new(), at(700));
     assert_eq!(ledger.verdict(CRASHER, at(700)), Verdict::Refused);
-    assert!(ledger.own_report(at(1000)).contains_key(&CRASHER));
+    assert!(ledger.own_report(at(1000)).contains_key(&CRASHER.into()));
     assert!(ledger.own_report(at(2000)).is_empty());
 }
 
@@ -187,7 +188,7 @@
     }
     let report = ledger.own_report(at(3));
     assert_eq!(report.len(), 128);
-    assert!(report.contains_key(&CRASHER));
+    assert!(report.contains_key(&CRASHER.into()));
     assert_eq!(ledger.verdict(CRASHER, at(3)), Verdict::Refused);
 }
 
@@ -202,7 +203,7 @@
         for node in 0..4 {
             let mut node_report = CrashReport::new();
             for (fingerprint, ended, _) in rows.iter().filter(|row| row.2 == node) {
-                node_report.entry(Fingerprint(*fingerprint)).or_default().ended.insert(replica(*ended));
+                node_report.entry(Fingerprint(*fingerprint).into()).or_default().ended.insert(replica(*ended));
             }
             reports.push((format!("n{node}"), node_report));
         }
