--- a/crates/croftrill-node/src/crash_reports.rs
+++ b/crates/croftrill-node/src/crash_reports.rs
@@ -157,12 +157,15 @@
     node.crash_report_changed.notify_one();
 }
 
-/// Returns whether a request may be sent, as far as a suspect tells. A suspect that keeps requests
-/// from being sent stays in this node's report while callers send these.
-pub(crate) fn verdict<P: Platform>(node: &Node<P>, id: SuspectId) -> Verdict {
+/// Returns whether a request with these parts in its prompt may be sent, as far as a suspect tells. A
+/// suspect that keeps requests from being sent stays in this node's report while callers send these.
+pub(crate) fn verdict<P: Platform>(node: &Node<P>, id: SuspectId, prompt: &[PartHash]) -> Verdict {
     let now = node.clock.now();
     let ledger = &mut node.state.borrow_mut().crash_ledger;
-    let verdict = ledger.verdict(id, now);
+    let verdict = match id {
+        SuspectId::Request(_) => ledger.verdict(id, now),
+        SuspectId::Part(part) => ledger.verdict_in_prompt(part, prompt, now),
+    };
     let is_lasting = match id {
         SuspectId::Request(_) => verdict == Verdict::Refused,
         SuspectId::Part(_) => matches!(verdict, Verdict::Refused | Verdict::Held(_) | Verdict::Retrial),
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -87,11 +87,12 @@
         }
         let shared = &self.facts.parts[..self.facts.parts.len().saturating_sub(1)];
         let parts = shared.iter().take(MAX_PARTS_OF_REQUEST);
-        let parts = parts.map(|part| SuspectId::Part(PartHash(part.hash)));
-        let suspects = parts.chain(std::iter::once(self.fingerprint().into()));
+        let parts: Vec<PartHash> = parts.map(|part| PartHash(part.hash)).collect();
+        let suspects = parts.iter().map(|part| SuspectId::Part(*part));
+        let suspects = suspects.chain(std::iter::once(self.fingerprint().into()));
         let judgments = suspects.map(|suspect| Judgment {
             suspect,
-            verdict: crash_reports::verdict(&self.node, suspect),
+            verdict: crash_reports::verdict(&self.node, suspect, &parts),
         });
         judgments
             .filter(|judgment| judgment.verdict != Verdict::Free)
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -5,9 +5,9 @@
 //! bystanders:
 //!
 //! - A suspect that receives a complete answer anywhere is cleared of all earlier ends.
-//! - Of the suspects at a replica, those with the most ends are blamed for its end, and of these the
-//!   most specific ones: a request before the parts of its prompt, and a part before those in front of
-//!   it. The others count as bystanders.
+//! - Of the suspects at a replica, those with the most ends are blamed for its end. Of these, parts that
+//!   this node saw answered come last, and the most specific ones first: a request before the parts of
+//!   its prompt, and a part before those in front of it. The others count as bystanders.
 //!
 //! Ends are counted per replica incarnation. The reports of the nodes are merged as sets, so
 //! duplicate and delayed reports change nothing and all nodes arrive at the same counts.
@@ -128,6 +128,9 @@
 /// The same if this node saw requests with the part answered. It may have become the cause since, so
 /// it is only a weaker suspect.
 const MOMENTS_TO_HOLD_ANSWERED_PART: usize = 5;
+/// Number of ends up to which a part is tried to tell it from others that ran at just the same
+/// replicas: users accept three sends more after the fifth end, and one may be under way.
+const ENDS_TO_TELL_APART: usize = 7;
 /// Time within which ends of replicas count as one moment against a part. A part that many requests
 /// share runs at all replicas that lose their power together.
 pub const SAME_MOMENT: Duration = Duration::from_millis(120);
@@ -223,6 +226,8 @@
     pub fewest_started: usize,
     /// When the newest end became known to this node.
     pub known_at: Moment,
+    /// Other parts that ran at just these replicas, so that any of them may be the cause.
+    pub company: Vec<PartHash>,
 }
 
 impl Suspect {
@@ -254,6 +259,12 @@
         self.verdict_on_blamed_part(now)
     }
 
+    /// Returns whether a prompt with these parts tells the suspect, a part, from its company.
+    fn is_told_apart_by(&self, prompt: &[PartHash]) -> bool {
+        let mut company = self.company.iter();
+        self.ends.len() < ENDS_TO_TELL_APART && company.any(|other| !prompt.contains(other))
+    }
+
     fn verdict_on_blamed_part(&self, now: Moment) -> Verdict {
         if self.ends.len() >= PART_ENDS_TO_REFUSE {
             return Verdict::Refused;
@@ -509,6 +520,20 @@
         self.merged_verdict(id.into(), now)
     }
 
+    /// Returns the verdict on a part in a prompt with these parts. A part that is held back may be tried
+    /// in a prompt without some of the parts that ran at just the same replicas, as its answer, or
+    /// another end, tells them apart.
+    pub fn verdict_in_prompt(&mut self, part: PartHash, prompt: &[PartHash], now: Moment) -> Verdict {
+        let verdict = self.verdict(SuspectId::Part(part), now);
+        let suspect = self.suspects.get(&SuspectId::Part(part));
+        match verdict {
+            Verdict::Held(_) if suspect.is_some_and(|suspect| suspect.is_told_apart_by(prompt)) => {
+                Verdict::Retrial
+            }
+            other => other,
+        }
+    }
+
     /// Returns the verdict by the reports that are merged.
     fn merged_verdict(&self, id: SuspectId, now: Moment) -> Verdict {
         let Some(suspect) = self.suspects.get(&id) else {
@@ -592,13 +617,14 @@
             merged.entry(*id).or_default().merge(suspicion);
         }
         merged.retain(|_, suspicion| suspicion.open().next().is_some());
-        let ranks = rank_by_replica(&merged);
+        let ranks = rank_by_replica(&merged, &self.answered_parts);
+        let companies = companies(&merged);
         self.ended = ranks.keys().copied().collect();
         self.end_times.retain(|replica, _| ranks.contains_key(replica));
         let former = std::mem::take(&mut self.suspects);
         for (id, suspicion) in merged {
             let ends: BTreeSet<EndedReplica> = suspicion.open().collect();
-            let weight = Weight::of(id, &suspicion);
+            let weight = Weight::of(id, &suspicion, &self.answered_parts);
             let former = former.get(&id);
             let known_at = former.filter(|former| former.ends.is_superset(&ends));
             let blamed = ends.iter().filter(|end| ranks[end].highest == Some(weight));
@@ -612,6 +638,7 @@
                     .min()
                     .unwrap_or_default(),
                 known_at: known_at.map_or(changed_at, |former| former.known_at),
+                company: company_of(id, &ends, &companies),
                 ends,
             };
             self.suspects.insert(id, suspect);
@@ -637,19 +664,48 @@
     count
 }
 
+/// Parts that ran at just the same replicas, by these.
+type Companies = HashMap<Vec<EndedReplica>, Vec<PartHash>>;
+
+/// Returns the parts that have enough ends to be held back, by their ends.
+fn companies(merged: &CrashReport) -> Companies {
+    let mut companies = Companies::new();
+    for (id, suspicion) in merged {
+        let SuspectId::Part(part) = id else { continue };
+        let ends: Vec<EndedReplica> = suspicion.open().collect();
+        if ends.len() >= MOMENTS_TO_HOLD_PART {
+            companies.entry(ends).or_default().push(*part);
+        }
+    }
+    companies
+}
+
+fn company_of(id: SuspectId, ends: &BTreeSet<EndedReplica>, companies: &Companies) -> Vec<PartHash> {
+    let SuspectId::Part(part) = id else {
+        return Vec::new();
+    };
+    let ends: Vec<EndedReplica> = ends.iter().copied().collect();
+    let company = companies.get(&ends).into_iter().flatten();
+    company.filter(|other| **other != part).copied().collect()
+}
+
 /// What ranks the suspects of one replica's end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Weight {
     /// Number of ends.
     ends: usize,
+    /// Whether this node never saw it answered.
+    is_unanswered: bool,
     /// How few requests the suspect concerns: the request itself, or the part's position.
     specificity: u32,
 }
 
 impl Weight {
-    fn of(id: SuspectId, suspicion: &Suspicion) -> Self {
+    fn of(id: SuspectId, suspicion: &Suspicion, answered_parts: &HashMap<PartHash, Moment>) -> Self {
+        let is_answered = |part: PartHash| answered_parts.contains_key(&part);
         Weight {
             ends: suspicion.open().count(),
+            is_unanswered: !matches!(id, SuspectId::Part(part) if is_answered(part)),
             specificity: match id {
                 SuspectId::Request(_) => u32::MAX,
                 SuspectId::Part(_) => suspicion.position.min(u32::MAX - 1),
@@ -686,10 +742,13 @@
     }
 }
 
-fn rank_by_replica(merged: &CrashReport) -> HashMap<EndedReplica, Rank> {
+fn rank_by_replica(
+    merged: &CrashReport,
+    answered_parts: &HashMap<PartHash, Moment>,
+) -> HashMap<EndedReplica, Rank> {
     let mut ranks: HashMap<EndedReplica, Rank> = HashMap::new();
     for (id, suspicion) in merged {
-        let weight = Weight::of(*id, suspicion);
+        let weight = Weight::of(*id, suspicion, answered_parts);
         for replica in suspicion.open() {
             let rank = ranks.entry(replica).or_default();
             rank.started += usize::from(matches!(id, SuspectId::Request(_)));
