Soak and stand-in: parts of prompts that crash replicas

Messages in front of a completion's prompt are parts of it; the stand-in ends under one that begins with 'crash part ', whatever the prompt is.

--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -12,7 +12,7 @@
 use crate::checks;
 use crate::cluster::{Cluster, Program, Size};
 use crate::instrumented::{self, PathCut};
-use crate::{paths, tenants};
+use crate::{crash_parts, paths, tenants};
 
 /// Time for which a replica keeps announcing its limit: longer than the time until the limit
 /// holds (3 s) plus the window in which requests are counted (4 s).
@@ -62,6 +62,8 @@
     /// Answers of replicas without a length, closed or reset after any byte, beside the faults of
     /// [`Mix::Series`].
     BrokenAnswers,
+    /// Parts of prompts that crash replicas, beside suspensions, kills, stops and restarts.
+    CrashParts,
     /// Replicas with few slots fall over if they must reject too many requests, with kills, stops
     /// and pauses of nodes.
     Brittle,
@@ -103,6 +105,8 @@
     Changes(u32, Duration),
     /// A request that crashes replicas is sent.
     Crash(CrashingRequest),
+    /// Different requests with one part that crashes replicas are sent.
+    CrashPart(CrashingRequest),
     /// An operator removes a key, or restores it.
     ToggleKey,
     /// An operator lowers or raises the quota.
@@ -267,6 +271,18 @@
     }
 }
 
+/// The first two faults are parts, beside one another.
+fn crash_parts_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    if index < 2 {
+        return Injection::CrashPart(CrashingRequest {
+            number: index,
+            times: random.random_range(10..24),
+            interval: draw_pause(random, 400),
+        });
+    }
+    crashes_injection(random, size, index)
+}
+
 fn tenants_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
     let node = random.random_range(0..size.nodes);
     match index {
@@ -456,7 +472,7 @@
     let (count, latest_ms) = match mix {
         Mix::Few => (random.random_range(2..=4), 3500),
         Mix::Series | Mix::BrokenAnswers => (random.random_range(6..=10), 4500),
-        Mix::Crashes => (random.random_range(4..=8), 3500),
+        Mix::Crashes | Mix::CrashParts => (random.random_range(4..=8), 3500),
         Mix::Tenants => (random.random_range(4..=8), 4000),
         Mix::Words => (random.random_range(4..=8), 2500),
         Mix::Limits => (random.random_range(2..=6), 6000),
@@ -476,6 +492,7 @@
             Mix::Few => single_injection(random, size),
             Mix::Series | Mix::BrokenAnswers => series_injection(random, size),
             Mix::Crashes => crashes_injection(random, size, index),
+            Mix::CrashParts => crash_parts_injection(random, size, index),
             Mix::Tenants => tenants_injection(random, size, index),
             Mix::Words => words_injection(random, size, index),
             Mix::Builds => builds_injection(random, size, index),
@@ -539,6 +556,7 @@
         Injection::Signals(node, signals) => cluster.nodes[*node].send_signals(signals).await,
         Injection::Roll(interval) => rolling_restart(cluster, *interval).await,
         Injection::Crash(crash) => checks::send_crashing_request(cluster, crash, seed).await,
+        Injection::CrashPart(crash) => crash_parts::send_requests(cluster, crash, seed).await,
         Injection::Suspensions(node, count, interval) => {
             for _ in 0..*count {
                 cluster.nodes[*node].signal(instrumented::SUSPENSION_SIGNAL);
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -42,6 +42,7 @@
 mod broken_answers;
 mod checks;
 mod cluster;
+mod crash_parts;
 mod faults;
 mod instrumented;
 mod limits;
@@ -102,6 +103,10 @@
 const FIRST_SEED_OF_BROKEN_ANSWERS: u64 = 10_000_000;
 /// Seed of the first `Mix::BrokenAnswers` round in continuous integration.
 const DEFAULT_SEED_OF_BROKEN_ANSWERS: u64 = FIRST_SEED_OF_BROKEN_ANSWERS + DEFAULT_SEED;
+/// Rounds from this seed on use `Mix::CrashParts`.
+const FIRST_SEED_OF_CRASH_PARTS: u64 = 11_000_000;
+/// Seed of the `Mix::CrashParts` round in continuous integration.
+const DEFAULT_SEED_OF_CRASH_PARTS: u64 = FIRST_SEED_OF_CRASH_PARTS + DEFAULT_SEED;
 /// Seed of a `Mix::Versions` round in which each model's replicas are replaced before its streams end.
 const SEED_OF_FAST_ROLL: u64 = FIRST_SEED_OF_VERSIONS + 2_029;
 /// Time for which requests are sent and faults injected.
@@ -146,6 +151,7 @@
                 Some("refusals") => Mix::Refusals,
                 Some("versions") => Mix::Versions,
                 Some("broken_answers") => Mix::BrokenAnswers,
+                Some("crash_parts") => Mix::CrashParts,
                 Some("mixed_versions") => Mix::MixedVersions,
                 other => panic!("seeds.txt: unknown mix {other:?}"),
             };
@@ -157,6 +163,10 @@
 async fn play_round(seed: u64, mix: Mix, size: Size) {
     let mut random = SmallRng::seed_from_u64(seed);
     let (program, size) = match mix {
+        Mix::CrashParts => (
+            Program::Instrumented,
+            size.with_min_engines(crash_parts::MIN_ENGINES),
+        ),
         Mix::Crashes | Mix::Paths => (Program::Instrumented, size.with_min_engines(MIN_CRASHING_ENGINES)),
         Mix::Versions | Mix::MixedVersions => (Program::Daemon, size.with_min_engines(versions::MIN_ENGINES)),
         Mix::Refusals => (Program::Daemon, size.with_min_nodes(refusals::MIN_NODES)),
@@ -242,6 +252,7 @@
         checks::check_enough_are_complete(calls.iter(), seed);
     }
     checks::check_crashes_are_bounded(&cluster, &plan, seed);
+    crash_parts::check_crashes_are_bounded(&cluster, &plan, seed);
     replica_signals::check_signals_are_respected(&cluster, &plan, seed);
     limits::check_limits_hold(&cluster, &plan, seed);
     match mix {
@@ -283,6 +294,7 @@
     let rounds = env_number("CROFTRILL_SOAK_ROUNDS", DEFAULT_ROUNDS);
     let runtime = runtime();
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_CRASH_PARTS => Mix::CrashParts,
         _ if seed >= FIRST_SEED_OF_BROKEN_ANSWERS => Mix::BrokenAnswers,
         _ if seed >= FIRST_SEED_OF_VERSIONS => Mix::Versions,
         _ if seed >= FIRST_SEED_OF_REFUSALS => Mix::Refusals,
@@ -317,6 +329,7 @@
         default_rounds.push((DEFAULT_SEED_OF_VERSIONS, Mix::MixedVersions));
         default_rounds.push((DEFAULT_SEED_OF_BROKEN_ANSWERS, Mix::BrokenAnswers));
         default_rounds.push((DEFAULT_SEED_OF_BROKEN_ANSWERS + 1, Mix::BrokenAnswers));
+        default_rounds.push((DEFAULT_SEED_OF_CRASH_PARTS, Mix::CrashParts));
     }
     for (seed, mix) in default_rounds {
         LocalSet::new().block_on(&runtime, play_round(seed, mix, DEFAULT_SIZE));
--- a/crates/croftrill-http/src/dialect.rs
+++ b/crates/croftrill-http/src/dialect.rs
@@ -65,6 +65,28 @@
     content: String,
 }
 
+/// Returns the parts of a prompt: the messages, and the prompt itself. Of one that is all there is, the
+/// beginning, which other requests may share.
+fn prompt_parts(completion: &CompletionBody) -> Vec<PromptPart> {
+    if completion.messages.is_empty() {
+        let prompt = completion.prompt.as_bytes();
+        return vec![prompt_part(&prompt[..prompt.len().min(SHARED_PREFIX_BYTES)])];
+    }
+    let messages = completion
+        .messages
+        .iter()
+        .map(|message| message.content.as_bytes());
+    let prompt = Some(completion.prompt.as_bytes()).filter(|prompt| !prompt.is_empty());
+    messages.chain(prompt).map(prompt_part).collect()
+}
+
+fn prompt_part(content: &[u8]) -> PromptPart {
+    PromptPart {
+        hash: xxh3_64(content),
+        tokens: content.len() as u64 / BYTES_PER_TOKEN,
+    }
+}
+
 /// Returns the models and adapters that callers may request.
 fn model_list(configuration: &Configuration) -> serde_json::Value {
     let engines = configuration
@@ -138,22 +160,18 @@
             Some((model, adapter)) => (model, Some(adapter.into())),
             None => (completion.model.as_str(), None),
         };
+        facts.parts = prompt_parts(&completion);
         let messages: String = completion
             .messages
             .iter()
             .map(|message| message.content.as_str())
             .collect();
         let prompt = completion.prompt + &messages;
-        let prefix = &prompt.as_bytes()[..prompt.len().min(SHARED_PREFIX_BYTES)];
         facts.model = Some(model.into());
         facts.adapter = adapter;
         facts.prompt_tokens = prompt.len() as u64 / BYTES_PER_TOKEN;
         facts.output_tokens = completion.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
         facts.metered_tokens = Some(facts.prompt_tokens + facts.output_tokens);
-        facts.parts = vec![PromptPart {
-            hash: xxh3_64(prefix),
-            tokens: prefix.len() as u64 / BYTES_PER_TOKEN,
-        }];
         Ok(())
     }
 
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -146,8 +146,26 @@
     max_tokens: Option<u64>,
     #[serde(default)]
     prompt: String,
+    /// Parts in front of the prompt.
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: String,
+}
+
+impl Completion {
+    fn crashes_replica(&self) -> bool {
+        let mut messages = self.messages.iter();
+        self.prompt.starts_with(CRASH_PROMPT_PREFIX)
+            || messages.any(|message| message.content.starts_with(CRASH_PART_PREFIX))
+    }
 }
 
+/// Prefix of messages that crash any replica that begins to answer, whatever the prompt is.
+pub const CRASH_PART_PREFIX: &str = "crash part ";
 /// Prefix of prompts that crash any replica that starts to run them.
 pub const CRASH_PROMPT_PREFIX: &str = "crash ";
 /// Time in which a replica counts its rejections.
@@ -355,7 +373,7 @@
             }
             StartOutcome::Running => {
                 self.record_group_run(request, attempt, &completion);
-                if completion.prompt.starts_with(CRASH_PROMPT_PREFIX) {
+                if completion.crashes_replica() {
                     self.clone().schedule_crash();
                 }
                 let events = completion.max_tokens.unwrap_or(DEFAULT_EVENTS);
