--- a/crates/croftrill-bench/src/main.rs
+++ b/crates/croftrill-bench/src/main.rs
@@ -1,6 +1,8 @@
 //! `croftrill-bench`: compares scheduling policies and measures the cost of the orderer.
 
-use croftrill_bench::capacity::{measure, measure_crash_reports, REPORTED_REQUESTS, SIZES};
+use croftrill_bench::capacity::{
+    measure, measure_crash_reports, measure_part_reports, REPORTED_PARTS, REPORTED_REQUESTS, SIZES,
+};
 use croftrill_bench::experiment::{policies, simulate, Load};
 use croftrill_bench::fleet::{fleet_cost, FleetSize};
 use croftrill_bench::limits::{self, KeeperFailure, LimitPolicy, LimitRun};
@@ -254,4 +256,11 @@
         let verdict_us = cost.verdict.as_secs_f64() * 1e6;
         println!("{requests:13}  {:8}  {verdict_us:25.0}", cost.report_bytes);
     }
+    println!("\nreports of parts of prompts that crash replicas, of 985 nodes");
+    println!("   parts each  report B  verdict after a report us");
+    for parts in REPORTED_PARTS {
+        let cost = measure_part_reports(parts);
+        let verdict_us = cost.verdict.as_secs_f64() * 1e6;
+        println!("{parts:13}  {:8}  {verdict_us:25.0}", cost.report_bytes);
+    }
 }
--- a/crates/croftrill-scheduler/src/crash_ledger.rs
+++ b/crates/croftrill-scheduler/src/crash_ledger.rs
@@ -149,9 +149,12 @@
 /// sent one at a time. Of more requests each is hardly suspect, and they would cause many
 /// store calls: a rack of full replicas leaves hundreds of requests.
 const MAX_STARTED_FOR_ONE_AT_A_TIME: usize = 8;
-/// Minimum interval between two merges of other nodes' reports: merging those of 380 nodes
-/// takes 0.7 ms usually, and 66 ms if all are full (`croftrill-bench capacity`).
+/// Minimum interval between two merges of other nodes' reports.
 const MERGE_INTERVAL: Duration = Duration::from_millis(100);
+/// The same by suspect in each report: about ten times what a merge takes (`croftrill-bench capacity`).
+const MERGE_INTERVAL_PER_ROW: Duration = Duration::from_micros(15);
+/// Longest such interval, so that all nodes know of an end well within the contact time.
+const MAX_MERGE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a node reports a request after it last ended a replica or was refused, and how
 /// long another node's report counts after it was last received. Equals the longest lease of
 /// a store.
@@ -162,7 +165,7 @@
 /// just started at two full replicas.
 const MAX_REPORTED_REQUESTS: usize = 128;
 /// Maximum number of parts in a node's report, at about 60 bytes each.
-const MAX_REPORTED_PARTS: usize = 256;
+const MAX_REPORTED_PARTS: usize = 128;
 /// Maximum number of parts of one request that its replica's end counts against.
 pub const MAX_PARTS_OF_REQUEST: usize = 64;
 /// Maximum number of parts of which a node remembers that they were answered.
@@ -310,6 +313,8 @@
     /// True if this node's own report changed; such a change takes effect at once.
     own_changed: bool,
     merged_at: Moment,
+    /// Number of suspects in the reports at that time, each counted for each report.
+    merged_rows: u32,
 }
 
 impl CrashLedger {
@@ -362,11 +367,13 @@
     /// report should be published.
     pub fn clear_parts(&mut self, parts: &[PartHash], now: Moment) -> bool {
         let shared = &parts[..parts.len().saturating_sub(1)];
+        self.merge_if_due(now);
         let mut matters = false;
         for part in shared.iter().take(MAX_PARTS_OF_REQUEST) {
             self.record_answered(*part, now);
             let id = SuspectId::Part(*part);
-            let ends = self.suspect(id).map_or(0, |suspect| suspect.ends.len());
+            let suspect = self.suspects.get(&id);
+            let ends = suspect.map_or(0, |suspect| suspect.ends.len());
             matters |= ends >= ENDS_TO_HOLD;
             if ends > 0 {
                 self.clear(id, now);
@@ -510,14 +517,18 @@
 
     /// Returns whether a request may be sent, as far as this suspect tells.
     pub fn verdict(&mut self, id: impl Into<SuspectId>, now: Moment) -> Verdict {
+        self.merge_if_due(now);
+        self.merged_verdict(id.into(), now)
+    }
+
+    fn merge_if_due(&mut self, now: Moment) {
         if now.since(self.merged_at) >= EXPIRY_INTERVAL {
             self.changed_at.get_or_insert(now);
         }
-        if self.own_changed || now.since(self.merged_at) >= MERGE_INTERVAL {
+        if self.own_changed || now.since(self.merged_at) >= self.merge_interval() {
             self.merge();
             self.merged_at = now;
         }
-        self.merged_verdict(id.into(), now)
     }
 
     /// Returns the verdict on a part in a prompt with these parts. A part that is held back may be tried
@@ -600,6 +611,11 @@
         }
     }
 
+    fn merge_interval(&self) -> Duration {
+        let by_rows = MERGE_INTERVAL_PER_ROW * self.merged_rows;
+        by_rows.clamp(MERGE_INTERVAL, MAX_MERGE_INTERVAL)
+    }
+
     /// Merges all reports into `suspects` if any has changed.
     fn merge(&mut self) {
         let Some(changed_at) = self.changed_at.take() else {
@@ -609,13 +625,16 @@
         self.own
             .retain(|_, own| changed_at.since(own.refreshed_at) <= REPORT_RETENTION);
         let mut merged: CrashReport = BTreeMap::new();
+        let mut rows = 0;
         let own = self.own.iter().map(|(key, own)| (key, &own.suspicion));
         self.reports
             .retain(|_, received| changed_at.since(received.at) <= REPORT_RETENTION);
         let received = self.reports.values().flat_map(|received| &received.report);
         for (id, suspicion) in received.chain(own) {
+            rows += 1;
             merged.entry(*id).or_default().merge(suspicion);
         }
+        self.merged_rows = rows;
         merged.retain(|_, suspicion| suspicion.open().next().is_some());
         let ranks = rank_by_replica(&merged, &self.answered_parts);
         let companies = companies(&merged);
