--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -171,7 +171,7 @@
 /// half are in all reports.
 pub fn measure_part_reports(parts: usize) -> CrashReportCost {
     let id_of = |node: usize, row: usize| {
-        let is_shared = row.is_multiple_of(2);
+        let is_shared = row % 2 == 0;
         let hash = if is_shared { row } else { node * parts + row };
         SuspectId::Part(PartHash(hash as u64))
     };
--- a/crates/croftrill-node/tests/components.rs
+++ b/crates/croftrill-node/tests/components.rs
@@ -149,7 +149,7 @@
 
 /// Guards against messages that a process of an older build cannot decode.
 #[test]
-fn version_waits_are_understood_from_the_second_generation_on() {
+fn messages_are_understood_from_their_generation_on() {
     const SUPPORTS_ALL: u64 = 0b111 << 61;
     const GENERATION_SHIFT: u32 = 52;
     let entry = |incarnation| MemberEntry {
@@ -162,11 +162,17 @@
     };
     let understands = |incarnation| {
         let entry = entry(incarnation);
-        (entry.exchanges_configurations(), entry.supports_version_waits())
+        (
+            entry.exchanges_configurations(),
+            entry.supports_version_waits(),
+            entry.supports_crash_parts(),
+        )
     };
     // A start time in nanoseconds, and a build that says no generation.
-    assert_eq!(understands(1_800_000_000_000_000_000), (false, false));
-    assert_eq!(understands(SUPPORTS_ALL | 1 << 60), (false, false));
-    assert_eq!(understands(SUPPORTS_ALL | 1 << GENERATION_SHIFT), (true, false));
-    assert_eq!(understands(SUPPORTS_ALL | 2 << GENERATION_SHIFT), (true, true));
+    assert_eq!(understands(1_800_000_000_000_000_000), (false, false, false));
+    assert_eq!(understands(SUPPORTS_ALL | 1 << 60), (false, false, false));
+    let of_generation = |generation: u64| understands(SUPPORTS_ALL | generation << GENERATION_SHIFT);
+    assert_eq!(of_generation(1), (true, false, false));
+    assert_eq!(of_generation(2), (true, true, false));
+    assert_eq!(of_generation(3), (true, true, true));
 }
--- a/crates/croftrill-node/tests/wire.rs
+++ b/crates/croftrill-node/tests/wire.rs
@@ -4,9 +4,12 @@
 //! where the newer build decodes the length of a list, and the decoder reserved memory for that
 //! many items.
 
-use croftrill_node::crash_wire::WireCrashReport;
+use croftrill_node::crash_wire::{WireCrashReport, WirePartReport};
 use croftrill_node::peer::{FromOrderer, ToOrderer, WireModel, WirePlacement};
 use croftrill_node::wire::decode;
+use croftrill_scheduler::crash_ledger::{
+    CrashReport, EndedReplica, Fingerprint, PartHash, SuspectId, Suspicion,
+};
 use croftrill_scheduler::replica::{HeldModel, Holdings};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
 use croftrill_scheduler::time::Moment;
@@ -45,6 +48,7 @@
     let _ = decode::<FromOrderer>(bytes);
     let _ = decode::<ToOrderer>(bytes);
     let _ = decode::<WireCrashReport>(bytes);
+    let _ = decode::<WirePartReport>(bytes);
 }
 
 #[test]
@@ -89,3 +93,23 @@
         assert_eq!(recorded.trim(), encoded);
     }
 }
+
+/// Guards against parts that an older build takes for requests, as it finds them in the same report.
+#[test]
+fn crash_report_keeps_requests_and_parts_apart() {
+    let suspicion = |position| Suspicion {
+        ended: [EndedReplica(4), EndedReplica(5)].into(),
+        cleared: [EndedReplica(5)].into(),
+        position,
+    };
+    let request = (SuspectId::Request(Fingerprint(7)), suspicion(0));
+    let part = (SuspectId::Part(PartHash(7)), suspicion(2));
+    let report = CrashReport::from([request.clone(), part.clone()]);
+    let of_requests = WireCrashReport::from_report(&report);
+    assert_eq!(of_requests.into_report(), CrashReport::from([request]));
+    let of_parts = WirePartReport::from_report(&report, |replica| Duration::from_secs(replica.0));
+    let ages: Vec<_> = of_parts.end_ages().collect();
+    let age = |number| (EndedReplica(number), Duration::from_secs(number));
+    assert_eq!(ages, [age(4), age(5)]);
+    assert_eq!(of_parts.into_report(), CrashReport::from([part]));
+}
