--- a/crates/croftrill-node/src/broken_requests.rs
+++ b/crates/croftrill-node/src/broken_requests.rs
@@ -20,6 +20,8 @@
 pub enum ExchangeEnd {
     /// Before the answer was whole, or without an answer.
     CutOff,
+    /// Not at all: nothing more arrived in time.
+    Silent,
     /// With its connection, at a place where the answer may end. It was whole if the replica lives on.
     Closed {
         /// Status of the answer.
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -159,12 +159,17 @@
         self.head.extensions.get::<CallerAddress>().copied()
     }
 
-    /// Records that the connection to a replica ended, or went silent, before the answer was
-    /// complete. `answer_duration` is the time since the answer's head, or `None` if no head arrived.
+    /// Records that the connection to a replica ended before the answer was complete. `answer_duration` is the time since the answer's head, or `None` if no head arrived.
     pub(super) fn report_broken_request(&self, send: &SendGuard<P>, answer_duration: Option<Duration>) {
         self.report_exchange(send, ExchangeEnd::CutOff, answer_duration);
     }
 
+    /// Records that a replica went silent before the answer was complete. `answer_duration` is the time
+    /// from the answer's head to the last data, or `None` if no head arrived.
+    pub(super) fn report_silent_replica(&self, send: &SendGuard<P>, answer_duration: Option<Duration>) {
+        self.report_exchange(send, ExchangeEnd::Silent, answer_duration);
+    }
+
     fn report_exchange(&self, send: &SendGuard<P>, end: ExchangeEnd, answer_duration: Option<Duration>) {
         let earliest = self.broke_at.get().map(|earlier| earlier + SAME_MOMENT);
         let broke_at = earliest.map_or(self.now(), |earliest| earliest.max(self.now()));
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -148,13 +148,13 @@
             Err(_) if self.now() >= self.deadline => {
                 self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
-                self.report_broken_request(&send, None);
+                self.report_silent_replica(&send, None);
                 return SendEnd::OutOfTime;
             }
             Err(_) => {
                 self.record_path_trouble(&connection);
                 self.node.pool.handle_unresponsive(&connection);
-                self.report_broken_request(&send, None);
+                self.report_silent_replica(&send, None);
                 send.record(SendOutcome::Failure);
                 return SendEnd::Broken {
                     cause: "the replica is silent",
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -178,12 +178,12 @@
                         outcome = "stream silent", silent_ms = self.now().since(last_event).as_millis() as u64);
                     self.record_path_trouble(&streaming.connection);
                     self.node.pool.handle_unresponsive(&streaming.connection);
-                    self.report_broken_stream(streaming, last_event);
+                    self.report_silent_stream(streaming, last_event);
                     return PumpEnd::Silent;
                 }
                 () = self.node.clock.sleep_until(self.deadline) => {
                     if self.now().since(last_event) >= LONG_SILENCE {
-                        self.report_broken_stream(streaming, last_event);
+                        self.report_silent_stream(streaming, last_event);
                     }
                     return PumpEnd::OutOfTime;
                 }
@@ -245,6 +245,11 @@
         }
     }
 
+    fn report_silent_stream(&self, streaming: &Streaming<P>, last_event: Moment) {
+        let answer_duration = last_event.since(streaming.head_received_at);
+        self.report_silent_replica(&streaming.send, Some(answer_duration));
+    }
+
     fn report_broken_stream(&self, streaming: &Streaming<P>, last_event: Moment) {
         let answer_duration = last_event.since(streaming.head_received_at);
         self.report_broken_request(&streaming.send, Some(answer_duration));
