--- /dev/null
+++ b/review/standin/record.rs
@@ -0,0 +1,31 @@
+//! `record.txt`: what was sent, answered and run, with the time since the start of the case.
+
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+#[derive(Clone)]
+pub struct Record(Arc<(Mutex<File>, Instant)>);
+
+impl Record {
+    pub fn create(path: &Path) -> std::io::Result<Record> {
+        Ok(Record(Arc::new((Mutex::new(File::create(path)?), Instant::now()))))
+    }
+
+    pub fn now(&self) -> Duration {
+        self.0 .1.elapsed()
+    }
+
+    pub fn line(&self, who: &str, text: &str) {
+        let mut file = self.0 .0.lock().unwrap();
+        let _ = writeln!(file, "{:9.3} s  {who}: {text}", self.0 .1.elapsed().as_secs_f64());
+    }
+
+    /// Writes a line to the record and to standard output.
+    pub fn say(&self, text: &str) {
+        self.line("result", text);
+        println!("{text}");
+    }
+}
