--- a/review/standin/crash_case.rs
+++ b/review/standin/crash_case.rs
@@ -28,9 +28,9 @@
 const ALLOWED: usize = 3;
 /// How long a replica is away after a crash: under three heartbeats, so that its entry stays.
 const DOWN: Duration = Duration::from_millis(3000);
-/// From when a replica serves again until its first write to the store: half a heartbeat. `FIRST_BEAT_MS`
+/// From when a replica serves again until its first write to the store: a quarter of a heartbeat. `FIRST_BEAT_MS`
 /// sets another time.
-const FIRST_BEAT_MS: u64 = 600;
+const FIRST_BEAT_MS: u64 = 300;
 const DEADLY: &str = "/obs/tile-77";
 const LENGTH: Duration = Duration::from_secs(40);
 
