--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -84,7 +84,7 @@
         std::fs::create_dir_all(&folder).ok()?;
         let mut fleet = Fleet { nodes: Vec::new(), folder };
         for index in 0..count {
-            let node = fleet.start_node(root, &command, network, site, store, (index, index))?;
+            let node = fleet.start_node(root, &command, network, site, store, (index, index, true))?;
             record.line("platform", &format!("starts {} at {}", node.name, node.front));
             fleet.nodes.push(node);
         }
@@ -99,7 +99,7 @@
         Some(fleet)
     }
 
-    fn start_node(&self, root: &Path, command: &[String], network: &Network, site: &Site, store: SocketAddr, (index, place): (u8, u8)) -> Option<Node> {
+    fn start_node(&self, root: &Path, command: &[String], network: &Network, site: &Site, store: SocketAddr, (index, place, is_first_start): (u8, u8, bool)) -> Option<Node> {
         let host = 10 + place;
         let zone = site.zones[index as usize % site.zones.len()];
         let name = format!("edge-{zone}-{}", index + 1);
@@ -114,7 +114,7 @@
 "contracts":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],
 "faultTolerance":{{"machines":1,"zones":0,"regions":0}},"bounds":{},
 "platform":{{"address":"{store}","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,"maxValueBytes":1048576,"minTtlMs":1000}}}}"#,
-            network.ip(host), at(0), at(1), at(2), at(3), first + 15, index == place, site.heartbeat_ms, site.bounds
+            network.ip(host), at(0), at(1), at(2), at(3), first + 15, is_first_start, site.heartbeat_ms, site.bounds
         );
         let settings = self.folder.join(format!("{name}-{place}.json"));
         std::fs::write(&settings, text).ok()?;
@@ -139,11 +139,29 @@
         let _ = node.child.kill();
         let _ = node.child.wait();
         thread::sleep(pause);
-        let node = self.start_node(root, &deployed_command(root)?, network, site, store, (index, index + 30))?;
+        let node = self.start_node(root, &deployed_command(root)?, network, site, store, (index, index + 30, false))?;
         self.nodes.push(node);
         Some(())
     }
 
+    /// Kills all nodes at the same moment and starts them again, each on its machine.
+    pub fn restart_all(&mut self, root: &Path, network: &Network, site: &Site, store: SocketAddr, pause: Duration) -> Option<()> {
+        for node in &mut self.nodes {
+            let _ = node.child.kill();
+        }
+        for node in &mut self.nodes {
+            let _ = node.child.wait();
+        }
+        thread::sleep(pause);
+        let count = self.nodes.len() as u8;
+        self.nodes.clear();
+        for index in 0..count {
+            let node = self.start_node(root, &deployed_command(root)?, network, site, store, (index, index, false))?;
+            self.nodes.push(node);
+        }
+        Some(())
+    }
+
     /// Returns the lines of all nodes' logs that hold one of these words.
     pub fn log_lines(&self, words: &[&str]) -> Vec<String> {
         let mut lines = Vec::new();
--- a/review/standin/lost_case.rs
+++ b/review/standin/lost_case.rs
@@ -14,7 +14,8 @@
 use crate::store::Store;
 use crate::{Stage, Verdict};
 
-const EVENTS: u32 = 13;
+/// Events of a stream.
+pub const EVENTS: u32 = 13;
 const DEADLINE: Duration = Duration::from_millis(15_000);
 /// Rare models, of which the replica that crashes is the only holder.
 const RARE: [&str; 3] = ["m7", "m8", "m9"];
@@ -26,27 +27,40 @@
 const GAP: Duration = Duration::from_millis(290);
 /// From the first stream until the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(3550);
-/// How often a client tries again: the sheet says once, PROTOCOL.md "a few times".
-const TRIES: usize = 3;
-/// Shortest pause before a client tries again.
-const PAUSE: Duration = Duration::from_millis(400);
+/// How a client tries again: the sheet says once, PROTOCOL.md "a few times".
+const TRIES: Tries = Tries { count: 3, first_pause: Duration::ZERO, pause: Duration::from_millis(400), counted_after: None };
 /// Three heartbeats, after which the entry of a silent replica goes.
 const ENTRY_GOES_AFTER: Duration = Duration::from_millis(3600);
 const CRASHING: &str = "i-90c1";
-const IDS: [&str; 18] = [
+/// The replicas.
+pub const IDS: [&str; 18] = [
     CRASHING, "i-90c2", "i-90c3", "i-90c4", "i-90c5", "i-90c6", "i-90c7", "i-90c8", "i-90c9", "i-90ca", "i-90cb", "i-90cc",
     "i-90cd", "i-90ce", "i-90cf", "i-90d0", "i-90d1", "i-90d2",
 ];
 
+/// Counts of streams.
 #[derive(Default)]
-struct Counts {
-    begun: usize,
-    new: usize,
-    taken_up: usize,
-    went_on: usize,
+pub struct Counts {
+    pub new: usize,
+    pub begun: usize,
+    pub taken_up: usize,
+    pub went_on: usize,
 }
 
-fn run(replica: &Arc<Replica>, request: &Request, stream: &mut TcpStream) -> bool {
+/// How a client takes a stream up again.
+#[derive(Clone, Copy)]
+pub struct Tries {
+    pub count: usize,
+    /// Pause before the first one.
+    pub first_pause: Duration,
+    /// Shortest pause before another one.
+    pub pause: Duration,
+    /// From when on those count that are made; all if there is none.
+    pub counted_after: Option<Duration>,
+}
+
+/// Runs a request for a stream.
+pub fn run(replica: &Arc<Replica>, request: &Request, stream: &mut TcpStream) -> bool {
     let id = request.header("x-croftrill-attempt-id").unwrap_or_default().to_string();
     let after = request.header("last-event-id").unwrap_or("none").to_string();
     replica.log(&format!("begins {id}, Last-Event-Id {after}"));
@@ -62,13 +76,13 @@
 }
 
 /// Asks for a stream, and takes it up again after it broke, as a client of PROTOCOL.md does: on a new
-/// connection to another node, at once or after the time in `Retry-After`, a few times within its deadline.
-fn client(number: usize, model: &str, fronts: &[SocketAddr], record: &Record, counts: &Mutex<Counts>) {
+/// connection to another node, no earlier than `Retry-After` says, a few times within its deadline.
+pub fn client(number: usize, model: &str, fronts: &[SocketAddr], record: &Record, counts: &Mutex<Counts>, tries: Tries) {
     let until = Instant::now() + DEADLINE;
     let mut last: Option<u32> = None;
     let mut began: Option<String> = None;
     let (mut taken_up, mut went_on) = (false, false);
-    for attempt in 0..=TRIES {
+    for attempt in 0..=tries.count {
         let id = format!("{model}-{number:03}-{attempt}");
         let left = until.saturating_duration_since(Instant::now());
         let parts = format!("5c1e07a2:6300,{number:x}4402b7:2890");
@@ -77,7 +91,8 @@
             headers.push(("Last-Event-Id", last.to_string()));
             headers.push(("Resumes", began.clone()));
         }
-        if began.is_some() && !taken_up {
+        let is_counted = tries.counted_after.is_none_or(|after| record.now() > after);
+        if began.is_some() && is_counted && !taken_up {
             taken_up = true;
             counts.lock().unwrap().taken_up += 1;
         }
@@ -104,25 +119,31 @@
         if last == Some(EVENTS) && seen.status() == Some(200) {
             return;
         }
-        if let Seen::Answer { headers, .. } = &seen {
+        let longest = until.saturating_duration_since(Instant::now()) / 3;
+        if attempt == 0 {
+            thread::sleep(tries.first_pause);
+        } else if let Seen::Answer { headers, .. } = &seen {
             let again: f64 = find(headers, "retry-after").and_then(|text| text.parse().ok()).unwrap_or(0.0);
-            let longest = until.saturating_duration_since(Instant::now()) / 3;
-            thread::sleep(Duration::from_secs_f64(again).max(PAUSE).min(longest));
+            thread::sleep(Duration::from_secs_f64(again).max(tries.pause).min(longest));
         }
     }
 }
 
-pub fn play(stage: &Stage) -> Option<Verdict> {
-    let network = Network::pick();
-    let store_address = network.address(1, 0);
-    let store = Store::start(store_address).ok()?;
-    let config = format!(
+/// The configuration.
+pub fn config() -> String {
+    format!(
         r#"{{"version":7,"routes":[{{"name":"r-claim","host":"kavu11.example","pathPrefix":"/claim/","routeKind":"streaming","timeoutMs":15000,"targetLatencyMs":5000,"priority":2,"service":"lm-pool","maxAttempts":2,"sessionAffinity":true,"resumable":true,"targetGapMs":300}}],
 "services":[{{"name":"lm-pool","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacity":265792,"models":[{}],"weightsMb":210000.0,"adapterSlots":8,"loadsPerS":4.2}}}}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         models_text(61, 65100, 3.0)
-    );
-    store.write("op/config", &config);
+    )
+}
+
+pub fn play(stage: &Stage) -> Option<Verdict> {
+    let network = Network::pick();
+    let store_address = network.address(1, 0);
+    let store = Store::start(store_address).ok()?;
+    store.write("op/config", &config());
     let mut crashing = None;
     for (index, id) in IDS.into_iter().enumerate() {
         let settings = Settings {
@@ -165,7 +186,7 @@
         counts.lock().unwrap().new += 1;
         let model = if is_rare { RARE[number / 2 % RARE.len()] } else { "m0" };
         let (fronts, record) = (fronts.clone(), stage.record.clone());
-        callers.push(thread::spawn(move || client(number, model, &fronts, &record, &counts)));
+        callers.push(thread::spawn(move || client(number, model, &fronts, &record, &counts, TRIES)));
         thread::sleep(APART / 2);
     }
     callers.into_iter().for_each(|caller| drop(caller.join()));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod engines;
 mod fleet;
 mod gone_case;
+mod herd_case;
 mod http;
 mod json;
 mod lost_case;
@@ -56,6 +57,7 @@
         "drain" => drain_case::play(&stage),
         "gone" => gone_case::play(&stage),
         "one" => one_case::play(&stage),
+        "herd" => herd_case::play(&stage),
         "lost" => lost_case::play(&stage),
         _ => None,
     };
