--- a/review/standin/crash_case.rs
+++ b/review/standin/crash_case.rs
@@ -81,6 +81,7 @@
     for (index, id) in ids.into_iter().enumerate() {
         let settings = Settings {
             id,
+            version: "v1",
             service: "tile-server",
             zone: TSOGT.zones[index],
             slots: 6,
--- a/review/standin/drain_case.rs
+++ b/review/standin/drain_case.rs
@@ -73,6 +73,7 @@
     for (index, id) in std::iter::once(LEAVING).chain(OTHERS).enumerate() {
         let settings = Settings {
             id,
+            version: "v1",
             service: "bulletin-writer",
             zone: TSOGT.zones[index % 3],
             slots: 64,
--- a/review/standin/gone_case.rs
+++ b/review/standin/gone_case.rs
@@ -64,6 +64,7 @@
     for (index, id) in IDS.into_iter().enumerate() {
         let settings = Settings {
             id,
+            version: "v1",
             service: "lm-pool",
             zone: SYT.zones[index % 3],
             slots: 64,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod one_case;
 mod record;
 mod replica;
+mod roll_case;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -58,6 +59,7 @@
         "gone" => gone_case::play(&stage),
         "one" => one_case::play(&stage),
         "herd" => herd_case::play(&stage),
+        "roll" => roll_case::play(&stage),
         "lost" => lost_case::play(&stage),
         _ => None,
     };
--- a/review/standin/one_case.rs
+++ b/review/standin/one_case.rs
@@ -27,6 +27,7 @@
     for (index, id) in ["i-30", "i-31", "i-32"].into_iter().enumerate() {
         let settings = Settings {
             id,
+            version: "v1",
             service: "bulletin-writer",
             zone: TSOGT.zones[index % 3],
             slots: 64,
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -21,6 +21,8 @@
 
 pub struct Settings {
     pub id: &'static str,
+    /// Version of its software.
+    pub version: &'static str,
     pub service: &'static str,
     pub zone: &'static str,
     pub slots: u32,
@@ -139,9 +141,9 @@
         };
         let notice = state.remaining_ms.map_or(String::new(), |left| format!(",\"remainingMs\":{left}"));
         let text = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"{}\",\
              \"coldRemainingMs\":0,\"sequence\":1,\"born\":{}{notice}{held}}}",
-            settings.service, settings.address, settings.zone, settings.slots, state.entry_state, state.born
+            settings.service, settings.address, settings.zone, settings.version, settings.slots, state.entry_state, state.born
         );
         self.store.write(&format!("servers/{}", settings.id), &text);
         let born = state.born;
