Review cases: run.sh names and empties record.txt

The stand-in wrote the record, so nothing in the folders said so, and a case that could not run left the committed record of an earlier run. run.sh now begins the record, and the stand-in appends to it; a case that can't run says so there.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,11 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+# What was sent, answered and run is written to record.txt in this folder.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/standin ] && [ -x target/release/croftrill-adapter ] || exit 2
-exec target/review/standin crash review/2
+record=review/2/record.txt
+echo "begins, TROUBLE=${TROUBLE:-1}" > "$record" || exit 2
+if [ ! -x target/review/standin ] || [ ! -x target/release/croftrill-adapter ]; then
+    echo "could not run: not built" >> "$record"
+    exit 2
+fi
+exec target/review/standin crash "$record"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -43,8 +43,8 @@
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
-    let (Some(case), Some(folder)) = (words.get(1), words.get(2)) else { exit(2) };
-    let Ok(record) = Record::create(&Path::new(folder).join("record.txt")) else { exit(2) };
+    let (Some(case), Some(file)) = (words.get(1), words.get(2)) else { exit(2) };
+    let Ok(record) = Record::append(Path::new(file)) else { exit(2) };
     let root = std::env::current_dir().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let stage = Stage { root, record, trouble };
@@ -66,6 +66,9 @@
     exit(match verdict {
         Some(Verdict::Held) => 0,
         Some(Verdict::Broken) => 1,
-        None => 2,
+        None => {
+            stage.record.say("the case could not run");
+            2
+        }
     })
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -1,6 +1,6 @@
 //! `record.txt`: what was sent, answered and run, with the time since the start of the case.
 
-use std::fs::File;
+use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -10,8 +10,9 @@
 pub struct Record(Arc<(Mutex<File>, Instant)>);
 
 impl Record {
-    pub fn create(path: &Path) -> std::io::Result<Record> {
-        Ok(Record(Arc::new((Mutex::new(File::create(path)?), Instant::now()))))
+    pub fn append(path: &Path) -> std::io::Result<Record> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        Ok(Record(Arc::new((Mutex::new(file), Instant::now()))))
     }
 
     pub fn now(&self) -> Duration {
