Logs: adapters in transit, and the room that a replica's orders were checked against

An order's log line did not say what was counted at its replica, and what a report lists as in transit was read nowhere, so no log could tell whether an order beyond a replica's room was sent because something was not counted, or for another reason.

The report's list of adapters in transit is decoded (both wires) and used for logs only: an order's line names what was counted before it (room_before); a report that shows more at the counted sequence is a line and counts in croftrill_reports_total, kind room. No decision reads any of it.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -110,6 +110,7 @@
         .map(|(id, replica)| {
             let report = ReplicaReport {
                 holdings: replica.holdings.clone(),
+                in_transit: None,
                 busy: false,
                 waiting: 0,
                 running: 0,
--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -249,6 +249,7 @@
         }
         let report = ReplicaReport {
             holdings: self.holdings.clone(),
+            in_transit: None,
             busy: self.is_busy(),
             waiting: 0,
             running: 0,
--- a/crates/croftrill-http/src/engine.rs
+++ b/crates/croftrill-http/src/engine.rs
@@ -79,6 +79,9 @@
     let wire: WireReport = serde_json::from_slice(answer.body()).ok()?;
     Some(ReplicaReport {
         holdings: wire.holdings.into(),
+        in_transit: wire
+            .in_transit
+            .map(|adapters| adapters.into_iter().map(Into::into).collect()),
         busy: wire.busy,
         waiting: wire.waiting,
         running: wire.running,
--- a/crates/croftrill-http/src/engine_wire.rs
+++ b/crates/croftrill-http/src/engine_wire.rs
@@ -3,7 +3,7 @@
 use croftrill_node::cooldown_header::parse_cooldown;
 use croftrill_node::limit_header::parse_limit;
 use croftrill_node::rejection_header::parse_rejections;
-use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaSignals, WeightCopies};
+use croftrill_scheduler::replica::{HeldModel, Holdings, ModelAdapter, ReplicaSignals, WeightCopies};
 use http::{HeaderMap, HeaderName, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -90,11 +90,23 @@
     pub on_disk: Vec<String>,
 }
 
+/// An adapter with its model.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireAdapter {
+    /// The model.
+    pub model: String,
+    /// The adapter.
+    pub adapter: String,
+}
+
 /// A replica's report.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct WireReport {
     /// Models and copies of weights.
     pub holdings: WireHoldings,
+    /// Adapters on their way to the replica, if it tells them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub in_transit: Option<Vec<WireAdapter>>,
     /// True while an order about weights is in progress.
     pub busy: bool,
     /// Number of waiting requests.
@@ -130,6 +142,15 @@
     pub started_ms: Option<u64>,
 }
 
+impl From<WireAdapter> for ModelAdapter {
+    fn from(wire: WireAdapter) -> Self {
+        ModelAdapter {
+            model: wire.model.into(),
+            adapter: wire.adapter.into(),
+        }
+    }
+}
+
 impl From<&Holdings> for WireHoldings {
     fn from(holdings: &Holdings) -> Self {
         let names = |names: &[std::sync::Arc<str>]| names.iter().map(ToString::to_string).collect();
--- a/crates/croftrill-node/src/orderer_task/decision_log.rs
+++ b/crates/croftrill-node/src/orderer_task/decision_log.rs
@@ -3,7 +3,9 @@
 use croftrill_scheduler::orderer::Decision;
 use croftrill_scheduler::replica::{Order, OrderOutcome};
 
-pub(super) fn log_decision(decision: &Decision) {
+use crate::metrics::Metrics;
+
+pub(super) fn log_decision(metrics: &Metrics, decision: &Decision) {
     match decision {
         Decision::Goal {
             replica,
@@ -24,6 +26,17 @@
             tracing::info!(target: "placement", decision = "make way", replica = &**replica,
                 model = &**model, value_per_second = *value, holders);
         }
+        Decision::UncountedRoom {
+            replica,
+            sequence,
+            reported,
+            counted,
+            in_transit,
+        } => {
+            Metrics::count(&metrics.reports, "room", "more_than_counted");
+            tracing::info!(target: "order", event = "a replica reports more than is counted",
+                replica = &**replica, sequence, %reported, %counted, in_transit);
+        }
     }
 }
 
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -235,7 +235,7 @@
             self.execute(action);
         }
         for decision in self.orderer.take_decisions() {
-            log_decision(&decision);
+            log_decision(&self.node.metrics, &decision);
         }
         let node = self.node.clone();
         node.step_times.time("publish", || self.publish(now));
@@ -337,6 +337,7 @@
             expected_sequence,
         };
         let started_ms = self.orderer.started_ms(&replica);
+        let room = self.orderer.room_use(&replica).unwrap_or_default();
         let (node, shard) = (self.node.clone(), self.shard);
         while self.orders.try_join_next().is_some() {}
         self.orders.spawn_local(async move {
@@ -359,7 +360,8 @@
             };
             replica_signals::apply(&node, &target.replica, call, answered.signals, "order");
             tracing::info!(target: "order", replica = &*target.replica, order = ?fenced.order,
-                sequence = fenced.expected_sequence, fencing_token = fenced.fencing_token, ?outcome);
+                sequence = fenced.expected_sequence, fencing_token = fenced.fencing_token, ?outcome,
+                room_before = %room);
             Metrics::count(
                 &node.metrics.orders,
                 order_kind(&fenced.order),
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod replica_estimate;
 pub mod replica_ledger;
 pub mod replica_paths;
+pub mod replica_room;
 pub mod replica_table;
 pub mod retry_budget;
 pub mod routing;
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -39,6 +39,7 @@
     Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
 };
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
+use crate::replica_room::RoomUse;
 use crate::replica_table::{Placement, ReplicaEntry};
 use crate::shard::{OrderScope, Shard, SHARD_COUNT};
 use crate::time::Moment;
@@ -129,6 +130,19 @@
         /// Number of replicas that hold the model or are to load it.
         holders: usize,
     },
+    /// A replica reported that it holds, or has on the way, more than is counted at the same sequence.
+    UncountedRoom {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its sequence.
+        sequence: u64,
+        /// What takes room there according to the report.
+        reported: RoomUse,
+        /// What was counted until then.
+        counted: RoomUse,
+        /// Number of reported adapters in transit.
+        in_transit: usize,
+    },
 }
 
 /// The state of an orderer.
@@ -447,6 +461,9 @@
 
     /// Applies a report that was requested at `requested_at`; `None` if it did not arrive.
     fn apply_report(&mut self, id: &str, report: Option<&ReplicaReport>, requested_at: Moment, now: Moment) {
+        if let Some(report) = report {
+            self.note_uncounted_room(id, report);
+        }
         let Some(replica) = self.replicas.get_mut(id) else {
             return;
         };
@@ -597,6 +614,41 @@
         }
     }
 
+    /// Returns what is counted as taking room at a replica with models.
+    pub fn room_use(&self, id: &str) -> Option<RoomUse> {
+        let replica = self.replicas.get(id)?;
+        let engine = self.configuration.service(&replica.service)?.engine.as_ref()?;
+        let held = RoomUse::of(engine, replica.ledger.holdings(), &[]);
+        let pending = replica.ledger.pending();
+        Some(held + pending.map_or(RoomUse::default(), |order| RoomUse::of_order(engine, order)))
+    }
+
+    /// Records a decision if a report shows more at a replica than is counted there.
+    fn note_uncounted_room(&mut self, id: &str, report: &ReplicaReport) {
+        let (Some(replica), Some(counted)) = (self.replicas.get(id), self.room_use(id)) else {
+            return;
+        };
+        let engine = self.configuration.service(&replica.service);
+        let Some(engine) = engine.and_then(|service| service.engine.as_ref()) else {
+            return;
+        };
+        let in_transit = report.in_transit.as_deref().unwrap_or_default();
+        let reported = RoomUse::of(engine, &report.holdings, in_transit);
+        let is_same_state = report.holdings.sequence == replica.ledger.holdings().sequence;
+        let is_more =
+            reported.adapter_slots > counted.adapter_slots || reported.memory_mb > counted.memory_mb;
+        if replica.ledger.is_confirmed() && is_same_state && is_more {
+            let decision = Decision::UncountedRoom {
+                replica: id.into(),
+                sequence: report.holdings.sequence,
+                reported,
+                counted,
+                in_transit: in_transit.len(),
+            };
+            self.decisions.push(decision);
+        }
+    }
+
     /// Returns the expected duration of the order under way at a replica.
     fn expected_order_duration(&self, id: &str) -> Duration {
         let Some(replica) = self.replicas.get(id) else {
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -191,11 +191,22 @@
     pub holdings: Holdings,
 }
 
+/// An adapter with its model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ModelAdapter {
+    /// The model.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: AdapterName,
+}
+
 /// A replica's report on itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReplicaReport {
     /// What it holds.
     pub holdings: Holdings,
+    /// Adapters on their way to it, which take their room already; `None` if it does not say.
+    pub in_transit: Option<Vec<ModelAdapter>>,
     /// True while an order about weights is in progress.
     pub busy: bool,
     /// Number of waiting requests.
--- a/crates/croftrill-scheduler/src/replica_ledger.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger.rs
@@ -122,6 +122,11 @@
         &self.holdings
     }
 
+    /// Returns true if a report has confirmed the ledger.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// Returns true if an order may be sent now.
     pub fn is_idle(&self) -> bool {
         let in_transit = self.in_transit.iter().filter(|adapter| !adapter.has_arrived);
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -34,6 +34,7 @@
 fn report(sequence: u64, models: &[&str], busy: bool) -> ReplicaReport {
     ReplicaReport {
         holdings: holdings(sequence, models),
+        in_transit: None,
         busy,
         waiting: 0,
         running: 0,
--- a/crates/croftrill-standin/src/engine_state.rs
+++ b/crates/croftrill-standin/src/engine_state.rs
@@ -180,6 +180,7 @@
         self.advance(now);
         WireReport {
             holdings: self.holdings.clone(),
+            in_transit: None,
             busy: self
                 .in_progress
                 .as_ref()
