A model replica as one state machine, with adapters in transit and their room; the emulator uses it

The emulator's replica counted adapters on their way only in its peaks, took any number of them at once, gave them 20 ms always and listed none in its reports, so no test of the orderer could meet an adapter that is slow. Nothing told an order beyond the room from another one.

croftrill-replica-model is that machine, without clock or network: four adapters in transit, which take slots and megabytes and are listed by reports; one order about weights at a time; reports of a past state; a fall at an order beyond the room, with the order, its state and time; a restart under the id. The emulator puts lost and late orders around it. Tests set what a replica holds through edit_holdings; plan_respects_limits_whatever_happens_to_orders also asserts that no replica fell, beside its bounds, which are as they were.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -109,7 +109,7 @@
         .iter()
         .map(|(id, replica)| {
             let report = ReplicaReport {
-                holdings: replica.holdings.clone(),
+                holdings: replica.holdings().clone(),
                 in_transit: None,
                 busy: false,
                 waiting: 0,
--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -7,20 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use croftrill_scheduler::catalog::{CallerLimits, Configuration, EngineSpec, ModelSpec, Service};
+use croftrill_replica_model::{ReplicaModel, ReplicaSpec};
+use croftrill_scheduler::catalog::{
+    CallerLimits, Configuration, EngineSpec, ModelName, ModelSpec, Service, ServiceName,
+};
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
-use croftrill_scheduler::replica::{
-    HeldModel, Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
-    StartedMs,
-};
+use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::shard::OrderScope;
 use croftrill_scheduler::time::Moment;
 
-/// Delay between the state of a replica and the report that shows it.
-const REPORT_LAG: Duration = Duration::from_millis(150);
-
 /// Memory of a replica for models and adapters, in MB.
 pub const WEIGHTS_MB: f64 = 200.0;
 /// Adapter slots of a replica.
@@ -69,6 +66,12 @@
     ))
 }
 
+fn engine_of(configuration: &Configuration) -> &EngineSpec {
+    let service = configuration.service(&ServiceName::from("llm"));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    engine.expect("the service has an engine")
+}
+
 /// Returns the orderer settings of a node.
 pub fn orderer_config() -> OrdererConfig {
     OrdererConfig {
@@ -84,187 +87,51 @@
     }
 }
 
-#[derive(Clone)]
-struct RunningOrder {
-    order: Order,
-    done_at: Moment,
-}
-
-/// A simulated replica that executes orders.
+/// A simulated replica, and the orders that reach it late.
 pub struct SimulatedReplica {
-    /// Models, adapters and disk copies that the replica holds.
-    pub holdings: Holdings,
-    /// Start time that the replica reports.
-    pub started_ms: Option<StartedMs>,
-    running: Vec<RunningOrder>,
+    /// Its state.
+    pub model: ReplicaModel,
     late_orders: Vec<(Moment, Order, u64)>,
-    history: VecDeque<(Moment, ReplicaReport)>,
-    /// Peak memory of held and loading models and adapters, in MB.
-    pub peak_memory_mb: f64,
-    /// Peak number of held and loading adapters.
-    pub peak_adapters: usize,
 }
 
 impl SimulatedReplica {
-    fn new(models: &[&str]) -> Self {
-        let held = models.iter().map(|model| HeldModel {
-            model: (*model).into(),
-            adapters: Vec::new(),
-        });
+    fn new(models: &[&str], spec: ReplicaSpec) -> Self {
+        let models: Vec<ModelName> = models.iter().map(|model| (*model).into()).collect();
         SimulatedReplica {
-            holdings: Holdings {
-                sequence: 0,
-                models: held.collect(),
-                copies: Default::default(),
-            },
-            started_ms: Some(1),
-            running: Vec::new(),
+            model: ReplicaModel::new(spec, &models, Some(1), at(0)),
             late_orders: Vec::new(),
-            history: VecDeque::new(),
-            peak_memory_mb: 0.0,
-            peak_adapters: 0,
         }
     }
 
-    /// Restarts the replica under the same ID, with empty holdings and a reset order sequence.
-    pub fn restart(&mut self) {
-        let started_ms = self.started_ms.map(|started_ms| started_ms + 1);
-        *self = SimulatedReplica {
-            started_ms,
-            ..SimulatedReplica::new(&[])
-        };
+    /// Returns what the replica holds.
+    pub fn holdings(&self) -> &Holdings {
+        self.model.holdings()
     }
 
-    fn is_busy(&self) -> bool {
-        self.running.iter().any(|running| running.order.is_weights())
+    /// Restarts the replica under the same ID, with empty holdings and a reset order sequence.
+    /// Orders that are late still reach it.
+    pub fn restart(&mut self, now: Moment) {
+        self.model.restart(now);
     }
 
     /// Accepts or rejects an order; returns the outcome and whether a load from the weight store starts.
-    fn receive_order(
-        &mut self,
-        order: &Order,
-        expected: u64,
-        now: Moment,
-        spec: &EngineSpec,
-    ) -> (OrderOutcome, bool) {
-        if expected != self.holdings.sequence || self.is_busy() {
-            return (OrderOutcome::Conflict, false);
-        }
-        if let Order::UnloadAdapter(..) = order {
-            self.holdings.sequence += 1;
-            self.apply(order);
-            return (OrderOutcome::AlreadyHolds, false);
-        }
-        if order.holds_in(&self.holdings) {
-            return (OrderOutcome::AlreadyHolds, false);
-        }
-        self.holdings.sequence += 1;
-        let is_on_disk = self.holdings.copies.on_disk.contains(order.model());
-        let duration = match order {
-            Order::LoadModel(model) if is_on_disk => spec.models[model].disk_load,
-            Order::LoadModel(model) => spec.models[model].store_load,
-            Order::UnloadModel(_) => Duration::from_millis(150),
-            _ => Duration::from_millis(20),
-        };
-        self.running.push(RunningOrder {
-            order: order.clone(),
-            done_at: now + duration,
-        });
-        self.update_peaks(spec);
-        (
-            OrderOutcome::Accepted,
-            matches!(order, Order::LoadModel(_)) && !is_on_disk,
-        )
+    fn receive_order(&mut self, order: &Order, expected: u64, now: Moment) -> (OrderOutcome, bool) {
+        let from_store = self.model.loads_from_store(order);
+        let outcome = self.model.order(order, Some(expected), now);
+        (outcome, from_store && outcome == OrderOutcome::Accepted)
     }
 
-    fn apply(&mut self, order: &Order) {
-        match order {
-            Order::LoadModel(model) => {
-                self.holdings.models.push(HeldModel {
-                    model: model.clone(),
-                    adapters: Vec::new(),
-                });
-                if !self.holdings.copies.on_disk.contains(model) {
-                    self.holdings.copies.on_disk.push(model.clone());
-                }
-            }
-            Order::UnloadModel(model) => self.holdings.models.retain(|held| held.model != *model),
-            Order::LoadAdapter(model, adapter) => {
-                if let Some(held) = self.holdings.models.iter_mut().find(|held| held.model == *model) {
-                    held.adapters.push(adapter.clone());
-                }
-            }
-            Order::UnloadAdapter(model, adapter) => {
-                if let Some(held) = self.holdings.models.iter_mut().find(|held| held.model == *model) {
-                    held.adapters.retain(|present| present != adapter);
-                }
-            }
-        }
-    }
-
-    /// Updates the peaks with what is held or loading, as the limits of a replica count it.
-    fn update_peaks(&mut self, spec: &EngineSpec) {
-        let mut memory: f64 = self
-            .holdings
-            .models
-            .iter()
-            .map(|held| spec.models[&held.model].weights_mb + 2.0 * held.adapters.len() as f64)
-            .sum();
-        let mut adapters = self.holdings.adapter_count();
-        for running in &self.running {
-            match &running.order {
-                Order::LoadModel(model) => memory += spec.models[model].weights_mb,
-                Order::LoadAdapter(..) => {
-                    memory += 2.0;
-                    adapters += 1;
-                }
-                _ => {}
-            }
-        }
-        self.peak_memory_mb = self.peak_memory_mb.max(memory);
-        self.peak_adapters = self.peak_adapters.max(adapters);
-    }
-
-    fn step(&mut self, now: Moment, spec: &EngineSpec) -> usize {
-        let done: Vec<RunningOrder> = self
-            .running
-            .iter()
-            .filter(|running| running.done_at <= now)
-            .cloned()
-            .collect();
-        self.running.retain(|running| running.done_at > now);
-        for running in done {
-            self.apply(&running.order);
-        }
-        let due: Vec<(Moment, Order, u64)> = self
-            .late_orders
-            .iter()
-            .filter(|late| late.0 <= now)
-            .cloned()
-            .collect();
-        self.late_orders.retain(|late| late.0 > now);
+    fn step(&mut self, now: Moment) -> usize {
+        self.model.advance(now);
+        let (due, later) = self.late_orders.drain(..).partition(|late| late.0 <= now);
+        self.late_orders = later;
+        let due: Vec<(Moment, Order, u64)> = due;
         let mut store_loads = 0;
         for (_, order, expected) in due {
-            store_loads += usize::from(self.receive_order(&order, expected, now, spec).1);
-        }
-        let report = ReplicaReport {
-            holdings: self.holdings.clone(),
-            in_transit: None,
-            busy: self.is_busy(),
-            waiting: 0,
-            running: 0,
-            started_ms: self.started_ms,
-        };
-        self.history.push_back((now, report));
-        while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
-            self.history.pop_front();
+            store_loads += usize::from(self.receive_order(&order, expected, now).1);
         }
         store_loads
     }
-
-    fn report(&self) -> Option<ReplicaReport> {
-        self.history.front().map(|(_, report)| report.clone())
-    }
 }
 
 /// What happens to an order and its answer.
@@ -314,11 +181,12 @@
         holdings: &[&[&str]],
     ) -> Self {
         let mut orderer = Orderer::new(config, configuration.clone(), at(0));
+        let spec = ReplicaSpec::of_engine(engine_of(&configuration));
         let mut replicas = BTreeMap::new();
         for (index, models) in holdings.iter().enumerate() {
             let id: ReplicaId = format!("r{index}").into();
-            let replica = SimulatedReplica::new(models);
-            orderer.apply_listing(&listing(&id, &replica.holdings), at(0));
+            let replica = SimulatedReplica::new(models, spec.clone());
+            orderer.apply_listing(&listing(&id, replica.holdings()), at(0));
             replicas.insert(id, replica);
         }
         World {
@@ -352,25 +220,19 @@
         Self::with_config(configuration(models), config, &slices)
     }
 
-    fn spec(&self) -> EngineSpec {
-        let service = self.configuration.service("llm").expect("the service exists");
-        service.engine.clone().expect("the service has an engine")
-    }
-
     /// Advances the simulation by the given time in steps of 20 ms.
     pub fn run(&mut self, millis: u64) {
-        let spec = self.spec();
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + Duration::from_millis(20);
             let now = self.now;
             for replica in self.replicas.values_mut() {
-                let loads = replica.step(now, &spec);
+                let loads = replica.step(now);
                 self.store_loads.extend(std::iter::repeat_n(now, loads));
             }
             self.deliver_answers(now);
             for action in self.orderer.plan(self.may_order, now) {
-                self.execute(action, &spec);
+                self.execute(action);
             }
         }
     }
@@ -386,13 +248,14 @@
         self.reports = later;
         let due: Vec<(Moment, ReplicaId, Moment)> = due;
         for (_, id, requested_at) in due {
-            let report = self.replicas.get(&id).and_then(SimulatedReplica::report);
+            let replica = self.replicas.get_mut(&id);
+            let report = replica.and_then(|replica| replica.model.report(now));
             self.orderer
                 .record_report(&id, report.as_ref(), requested_at, now);
         }
     }
 
-    fn execute(&mut self, action: OrdererAction, spec: &EngineSpec) {
+    fn execute(&mut self, action: OrdererAction) {
         let now = self.now;
         match action {
             OrdererAction::RequestReport { replica, .. } => {
@@ -416,8 +279,7 @@
                         None
                     }
                     OrderDelivery::Answered | OrderDelivery::AnswerLost => {
-                        let (outcome, from_store) =
-                            target.receive_order(&order, expected_sequence, now, spec);
+                        let (outcome, from_store) = target.receive_order(&order, expected_sequence, now);
                         if from_store {
                             self.store_loads.push(now);
                         }
--- a/crates/croftrill-bench/src/experiment.rs
+++ b/crates/croftrill-bench/src/experiment.rs
@@ -182,7 +182,7 @@
     world
         .replicas
         .values()
-        .any(|replica| replica.holdings.serves(&key.model, None))
+        .any(|replica| replica.holdings().serves(&key.model, None))
 }
 
 /// Generates the random arrivals of a load.
--- a/crates/croftrill-bench/tests/fleet.rs
+++ b/crates/croftrill-bench/tests/fleet.rs
@@ -53,14 +53,16 @@
     let mut world = World::round_robin(2000, 300, orderer_config());
     world.run(200);
     for replica in world.replicas.values_mut() {
-        replica.holdings.models.retain(|held| &*held.model != "m7");
+        replica.model.edit_holdings(world.now, |holdings| {
+            holdings.models.retain(|held| &*held.model != "m7");
+        });
     }
     // Listings reach the orderer later than reports.
     world.run(1000);
     let holders: Vec<_> = world
         .replicas
         .iter()
-        .map(|(id, replica)| (id.clone(), replica.holdings.clone()))
+        .map(|(id, replica)| (id.clone(), replica.holdings().clone()))
         .collect();
     for (id, holdings) in holders {
         world.orderer.apply_listing(&listing(&id, &holdings), world.now);
--- a/crates/croftrill-bench/tests/holders.rs
+++ b/crates/croftrill-bench/tests/holders.rs
@@ -61,7 +61,9 @@
         let config = orderer_config();
         let mut world = World::with_config(configuration(MODELS), config, &holdings);
         for replica in world.replicas.values_mut() {
-            replica.holdings.copies.on_disk = (0..MODELS).map(|index| format!("m{index}").into()).collect();
+            replica.model.edit_holdings(world.now, |holdings| {
+                holdings.copies.on_disk = (0..MODELS).map(|index| format!("m{index}").into()).collect();
+            });
         }
         Fleet {
             world,
@@ -150,7 +152,7 @@
     fn holders(&self, model: &str) -> Vec<usize> {
         let number = |id: &ReplicaId| id[1..].parse().expect("its number");
         let holders = self.world.replicas.iter();
-        let holders = holders.filter(|(_, replica)| replica.holdings.serves(model, None));
+        let holders = holders.filter(|(_, replica)| replica.holdings().serves(model, None));
         holders.map(|(id, _)| number(id)).collect()
     }
 
@@ -370,8 +372,9 @@
                 world.orderer.remove_replica(&format!("r{number}"));
             }
             for replica in world.replicas.values_mut() {
-                replica.holdings.copies.on_disk =
-                    (0..MODELS).map(|index| format!("m{index}").into()).collect();
+                replica.model.edit_holdings(world.now, |holdings| {
+                    holdings.copies.on_disk = (0..MODELS).map(|index| format!("m{index}").into()).collect();
+                });
             }
             let mut reachable = [false; 3];
             ids.iter()
@@ -382,7 +385,7 @@
         let tables = [0, 1].map(|index: usize| {
             let mut table = ReplicaTable::new();
             for id in &ids {
-                table.apply_listing(listing(id, &worlds[index].replicas[id].holdings));
+                table.apply_listing(listing(id, worlds[index].replicas[id].holdings()));
             }
             table
         });
@@ -425,7 +428,7 @@
     fn holders(&self, model: &str) -> usize {
         let held = |index: &usize| {
             self.worlds[*index].replicas[&self.ids[*index]]
-                .holdings
+                .holdings()
                 .serves(model, None)
         };
         [0, 1].iter().filter(|index| held(index)).count()
--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -37,7 +37,7 @@
     world
         .replicas
         .values()
-        .any(|replica| replica.holdings.serves(model, None))
+        .any(|replica| replica.holdings().serves(model, None))
 }
 
 #[test]
@@ -69,7 +69,7 @@
             .mark_waiting_at(&key("m1", None), &version, replicas(&["r1", "r2"]), world.now);
         world.run(1000);
     }
-    let holds_m1 = |id: &str| world.replicas[id].holdings.serves("m1", None);
+    let holds_m1 = |id: &str| world.replicas[id].holdings().serves("m1", None);
     assert!(holds_m1("r1") || holds_m1("r2"), "orders: {:?}", world.orders);
 }
 
@@ -169,7 +169,7 @@
     world.run(1000);
     world.orderer.mark_waiting(&key("m2", Some("a1")), world.now);
     world.run(600);
-    let holder = &world.replicas["r1"].holdings;
+    let holder = world.replicas["r1"].holdings();
     assert!(holder.serves("m2", Some("a1")), "orders: {:?}", world.orders);
 }
 
@@ -181,7 +181,9 @@
     let mut world = World::new(40, &held);
     // The models are on the disks, as loads from the weight store are limited separately.
     for replica in world.replicas.values_mut() {
-        replica.holdings.copies.on_disk = (1..=12).map(|index| format!("m{index}").into()).collect();
+        replica.model.edit_holdings(world.now, |holdings| {
+            holdings.copies.on_disk = (1..=12).map(|index| format!("m{index}").into()).collect();
+        });
     }
     world.run(6000);
     let now = world.now;
@@ -347,8 +349,10 @@
 fn all_placements_omits_copies_of_held_models() {
     let mut world = World::new(8, &[&["m1", "m2"]]);
     for replica in world.replicas.values_mut() {
-        replica.holdings.copies.in_memory = vec!["m1".into(), "m3".into()];
-        replica.holdings.copies.on_disk = vec!["m1".into(), "m2".into(), "m3".into(), "m4".into()];
+        replica.model.edit_holdings(world.now, |holdings| {
+            holdings.copies.in_memory = vec!["m1".into(), "m3".into()];
+            holdings.copies.on_disk = vec!["m1".into(), "m2".into(), "m3".into(), "m4".into()];
+        });
     }
     world.run(6000);
     let published = world.orderer.all_placements(world.now);
@@ -436,7 +440,7 @@
         world.orderer.mark_waiting(&requested, world.now);
         world.run(200);
     }
-    let held = &world.replicas["r0"].holdings;
+    let held = world.replicas["r0"].holdings();
     assert!(held.serves("m1", Some("a4")), "orders: {:?}", world.orders);
     assert!(held.serves("m1", Some("a3")), "orders: {:?}", world.orders);
     assert!(
@@ -463,7 +467,7 @@
     let mut world = World::new(6, &[&["m1"], &["m2"]]);
     world.run(6000);
     let id = "r0".into();
-    let mut draining = listing(&id, &world.replicas["r0"].holdings);
+    let mut draining = listing(&id, world.replicas["r0"].holdings());
     draining.state = croftrill_scheduler::replica::ReplicaState::Draining;
     world.orderer.apply_listing(&draining, world.now);
     world.orderer.mark_waiting(&key("m4", None), world.now);
@@ -512,8 +516,10 @@
         }
         world.run(12_000);
         for (id, replica) in &world.replicas {
-            prop_assert!(replica.peak_memory_mb <= WEIGHTS_MB, "{id}: {} MB", replica.peak_memory_mb);
-            prop_assert!(replica.peak_adapters <= ADAPTER_SLOTS, "{id}: {} adapters", replica.peak_adapters);
+            let peak = replica.model.peak();
+            prop_assert!(replica.model.violation().is_none(), "{id}: {:?}", replica.model.violation());
+            prop_assert!(peak.memory_mb <= WEIGHTS_MB, "{id}: {peak}");
+            prop_assert!(peak.adapter_slots <= ADAPTER_SLOTS, "{id}: {peak}");
         }
         let ceiling = (LOADS_PER_SECOND * CEILING_WINDOW.as_secs_f64() * 1.1) as usize + 3;
         prop_assert!(max_in_window(&world.store_loads, CEILING_WINDOW) <= ceiling);
@@ -556,7 +562,7 @@
     world.run(6000);
     let id: ReplicaId = "r0".into();
     let mut table = ReplicaTable::new();
-    table.apply_listing(listing(&id, &world.replicas["r0"].holdings));
+    table.apply_listing(listing(&id, world.replicas["r0"].holdings()));
     let leaving = ReplicaSignals {
         is_leaving: true,
         ..ReplicaSignals::default()
@@ -584,7 +590,7 @@
     let mut table = ReplicaTable::new();
     for id in ids {
         let id: ReplicaId = (*id).into();
-        table.apply_listing(listing(&id, &world.replicas[&id].holdings));
+        table.apply_listing(listing(&id, world.replicas[&id].holdings()));
         let call = AnsweredCall {
             started_ms: None,
             sent_at: world.now,
@@ -652,7 +658,7 @@
         world.run(4000);
     }
     for replica in world.replicas.values_mut() {
-        replica.restart();
+        replica.restart(world.now);
     }
     world.run(4000);
     for model in ["m1", "m2"] {
@@ -669,7 +675,8 @@
     let mut world = World::new(8, &[&["m1"], &["m2"]]);
     world.run(1000);
     let id: std::sync::Arc<str> = "r0".into();
-    world.replicas.get_mut(&id).expect("it is there").restart();
+    let now = world.now;
+    world.replicas.get_mut(&id).expect("it is there").restart(now);
     world.run(4000);
     assert_eq!(world.orderer.started_ms("r0"), Some(2));
     let before = format!("{:?}", world.orderer.all_placements(world.now));
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -637,7 +637,9 @@
         let is_same_state = report.holdings.sequence == replica.ledger.holdings().sequence;
         let is_more =
             reported.adapter_slots > counted.adapter_slots || reported.memory_mb > counted.memory_mb;
-        if replica.ledger.is_confirmed() && is_same_state && is_more {
+        // While a predecessor's order is under way, its effect is not known yet, and nothing is ordered.
+        let is_known = replica.ledger.is_confirmed() && !replica.ledger.is_busy();
+        if is_known && is_same_state && is_more {
             let decision = Decision::UncountedRoom {
                 replica: id.into(),
                 sequence: report.holdings.sequence,
--- a/crates/croftrill-scheduler/src/replica_ledger.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger.rs
@@ -127,6 +127,11 @@
         self.confirmed
     }
 
+    /// Returns true if the last report said that an order about weights is in progress.
+    pub fn is_busy(&self) -> bool {
+        self.busy
+    }
+
     /// Returns true if an order may be sent now.
     pub fn is_idle(&self) -> bool {
         let in_transit = self.in_transit.iter().filter(|adapter| !adapter.has_arrived);
--- a/crates/croftrill-scheduler/src/replica_room.rs
+++ b/crates/croftrill-scheduler/src/replica_room.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::iter::Sum;
 use std::ops::Add;
 
 use crate::catalog::EngineSpec;
@@ -46,6 +47,14 @@
         }
     }
 
+    /// Returns the greater of each.
+    pub fn max(self, other: Self) -> Self {
+        RoomUse {
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            adapter_slots: self.adapter_slots.max(other.adapter_slots),
+        }
+    }
+
     /// Returns what an order takes once it is carried out; nothing for an unload.
     pub fn of_order(engine: &EngineSpec, order: &Order) -> Self {
         let spec = engine.models.get(order.model());
@@ -74,6 +83,12 @@
     }
 }
 
+impl Sum for RoomUse {
+    fn sum<I: Iterator<Item = Self>>(items: I) -> Self {
+        items.fold(RoomUse::default(), Add::add)
+    }
+}
+
 impl fmt::Display for RoomUse {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
