--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -220,6 +220,45 @@
         Self::with_config(configuration(models), config, &slices)
     }
 
+    /// Replaces the orderer by one that knows only what the replicas list. Answers to the former
+    /// one are lost; its orders that are late still reach the replicas.
+    pub fn replace_orderer(&mut self, config: OrdererConfig) {
+        self.orderer = Orderer::new(config, self.configuration.clone(), self.now);
+        self.answers.clear();
+        self.reports.clear();
+        for (id, replica) in &self.replicas {
+            let listing = listing_of(id, replica);
+            self.orderer.apply_listing(&listing, self.now);
+        }
+    }
+
+    /// Restarts a replica under its id. Its entry says so at once.
+    pub fn restart(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.restart(self.now);
+            let listing = listing_of(&id.into(), replica);
+            self.orderer.apply_listing(&listing, self.now);
+        }
+    }
+
+    /// Sets the time that adapters take to arrive from now on, in milliseconds.
+    pub fn set_adapter_transit_ms(&mut self, transit_ms: u64) {
+        for replica in self.replicas.values_mut() {
+            replica
+                .model
+                .set_adapter_transit(Duration::from_millis(transit_ms));
+        }
+    }
+
+    /// Returns the orders that were beyond the room of a replica, with the replica.
+    pub fn violations(&self) -> Vec<String> {
+        let of_replica = |(id, replica): (&ReplicaId, &SimulatedReplica)| {
+            let violation = replica.model.violation()?;
+            Some(format!("{id}: {violation}"))
+        };
+        self.replicas.iter().filter_map(of_replica).collect()
+    }
+
     /// Advances the simulation by the given time in steps of 20 ms.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -312,6 +351,14 @@
     }
 }
 
+/// Returns the listing of a replica as it is now.
+fn listing_of(id: &ReplicaId, replica: &SimulatedReplica) -> ReplicaListing {
+    ReplicaListing {
+        started_ms: replica.model.started_ms(),
+        ..listing(id, replica.holdings())
+    }
+}
+
 /// Returns the maximum number of events in any window of the given length.
 pub fn max_in_window(moments: &[Moment], window: Duration) -> usize {
     let mut counts: HashMap<usize, usize> = HashMap::new();
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -195,3 +195,18 @@
     ledger.apply_report(&report(7, &["m1"], false), at(200), at(210));
     assert!(!ledger.holdings().serves("m1", Some("a1")));
 }
+
+/// Guards against a ledger that is ahead of its replica for ever: it counted an order as a step that the
+/// replica did not count, took no report any more, and each order was a conflict.
+#[test]
+fn apply_report_after_conflict_corrects_the_sequence() {
+    let mut ledger = confirmed();
+    ledger.begin_order(Order::UnloadAdapter("m1".into(), "a1".into()), at(100));
+    ledger.record_outcome(OrderOutcome::AlreadyHolds, Duration::ZERO, at(110));
+    ledger.begin_order(Order::LoadModel("m2".into()), at(200));
+    ledger.record_outcome(OrderOutcome::Conflict, Duration::ZERO, at(210));
+    assert!(requests_report(&mut ledger, at(500)));
+    ledger.apply_report(&report(5, &["m1"], false), at(500), at(510));
+    assert!(ledger.is_idle());
+    assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(520)), 5);
+}
