A ledger that is ahead of its replica takes the next report as it is

What callers saw: a replica got no orders any more until its orderer changed; its adapters and models stayed as they were.

Cause: an order that was answered as done already (200) to evict an adapter counts as a step of the sequence. A replica that did not have the adapter counts none. The ledger was ahead then, took each report for an old one, and each order was a conflict.

Change: after a conflict, or an order without an answer, a report counts whatever its sequence, if it was requested when a report could no longer be older than that. A report that is older still does no harm: the next order names its sequence and is a conflict.

--- a/crates/croftrill-scheduler/src/replica_ledger/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/mod.rs
@@ -74,6 +74,9 @@
     /// What is held or in transit.
     holdings: Holdings,
     confirmed: bool,
+    /// Request time from which a report counts even if its sequence is lower than the known one,
+    /// which may be wrong.
+    correctable_from: Option<Moment>,
     pending: Option<Pending>,
     /// Adapters that count as held since their load was accepted, without waiting for
     /// a report, so that the next order may follow at once.
@@ -107,6 +110,7 @@
             config,
             holdings: listed,
             confirmed: false,
+            correctable_from: None,
             pending: None,
             in_transit: Transits::default(),
             busy: false,
@@ -332,7 +336,7 @@
         requested_at: Moment,
         now: Moment,
     ) -> LedgerChange {
-        if report.holdings.sequence < self.holdings.sequence {
+        if report.holdings.sequence < self.holdings.sequence && !self.is_corrected_by(requested_at) {
             self.in_transit.mark_present(report);
             return LedgerChange::None;
         }
@@ -343,6 +347,22 @@
         change
     }
 
+    /// Returns true if a report requested then counts although its sequence is lower. A report that is
+    /// older than it should be does no harm: the next order names its sequence, and is a conflict.
+    fn is_corrected_by(&self, requested_at: Moment) -> bool {
+        let unanswered_since = match &self.pending {
+            Some(Pending {
+                progress: Progress::Unknown { since },
+                ..
+            }) => Some(*since + self.config.report_lag),
+            _ => None,
+        };
+        let correctable_from = self.correctable_from.filter(|_| self.pending.is_none());
+        correctable_from
+            .or(unanswered_since)
+            .is_some_and(|from| requested_at >= from)
+    }
+
     /// Replaces what is known by a report.
     fn adopt(&mut self, report: &ReplicaReport, requested_at: Moment, now: Moment) {
         self.holdings = report.holdings.clone();
@@ -353,6 +373,7 @@
         }
         self.busy = report.busy;
         self.confirmed = true;
+        self.correctable_from = None;
         let pause = if report.busy {
             self.config.poll_interval
         } else if self.in_transit.any_late() {
@@ -484,6 +505,7 @@
 
     fn require_report(&mut self, report_at: Moment) {
         self.confirmed = false;
+        self.correctable_from = Some(report_at);
         self.next_report_at = report_at;
     }
 
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -305,3 +305,19 @@
     assert!(ledger.is_idle());
     assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(520)), 5);
 }
+
+/// The same, where the next order got no answer.
+#[test]
+fn apply_report_after_unanswered_order_corrects_the_sequence() {
+    let mut ledger = confirmed();
+    ledger.begin_order(Order::UnloadAdapter("m1".into(), "a1".into()), at(100));
+    ledger.record_outcome(OrderOutcome::AlreadyHolds, Duration::ZERO, at(110));
+    let order = Order::LoadModel("m2".into());
+    ledger.begin_order(order.clone(), at(200));
+    ledger.record_outcome(OrderOutcome::Unknown, Duration::ZERO, at(700));
+    let early = ledger.apply_report(&report(5, &["m1"], false), at(800), at(810));
+    assert_eq!(early, LedgerChange::None, "the report may be older than the order");
+    let settled = ledger.apply_report(&report(5, &["m1"], false), at(1000), at(1010));
+    assert_eq!(settled, LedgerChange::Failed(order));
+    assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(1020)), 5);
+}
