Orders without an answer take room in the next life of their replica

What callers saw: nothing yet; found while looking for the cause elsewhere. A replica that is back under its id gets an order that does not fit, and falls again.

Cause: an order without an answer may be carried out seconds later, if the replica is at the sequence that it names. In the life in which it was checked that is the state against which it was checked. A replica that starts again under its id counts from the start: the same sequence is another state there, and orders name the id, which stays.

Change: what an order without an answer would take counts as taken in later lives, until the sequence has passed the one that it names, its answer has come, or 30 s are over (replicas are seconds late). Of several for one sequence only the largest counts, as one alone can be carried out. It stays known while the replica is not listed. A new orderer does not know its predecessors' orders: where a life began after they may have been sent, it keeps room for the largest possible one for 30 s; not where nobody ever ordered before. What is known is freed by evidence, what is not by time: no report tells of it.

Five tests of the orders' bookkeeping are new.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -13,7 +13,9 @@
 };
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
-use croftrill_scheduler::replica::{Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaState};
+use croftrill_scheduler::replica::{
+    Holdings, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaState, StartedMs,
+};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::shard::OrderScope;
 use croftrill_scheduler::time::Moment;
@@ -24,6 +26,8 @@
 pub const ADAPTER_SLOTS: usize = 3;
 /// Ceiling on loads from the weight store, per second.
 pub const LOADS_PER_SECOND: f64 = 2.0;
+/// Start time that replicas report in their first life; it rises by one with each restart.
+pub const FIRST_START_MS: StartedMs = 1;
 /// Window over which the ceiling on loads from the weight store is enforced.
 pub const CEILING_WINDOW: Duration = Duration::from_secs(5);
 
@@ -83,6 +87,7 @@
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
         unload: Duration::from_millis(200),
+        unknown_orders_since: None,
         callers_compete: false,
     }
 }
@@ -98,7 +103,7 @@
     fn new(models: &[&str], spec: ReplicaSpec) -> Self {
         let models: Vec<ModelName> = models.iter().map(|model| (*model).into()).collect();
         SimulatedReplica {
-            model: ReplicaModel::new(spec, &models, Some(1), at(0)),
+            model: ReplicaModel::new(spec, &models, Some(FIRST_START_MS), at(0)),
             late_orders: Vec::new(),
         }
     }
@@ -145,6 +150,13 @@
     Late(u64),
 }
 
+/// The outcome of an order, with the life of the replica that it was sent to.
+struct OrderAnswer {
+    replica: ReplicaId,
+    started_ms: Option<StartedMs>,
+    outcome: OrderOutcome,
+}
+
 /// An orderer and its replicas in simulated time.
 pub struct World {
     /// The configuration in force.
@@ -159,7 +171,7 @@
     pub store_loads: Vec<Moment>,
     /// What happens to the next orders; orders beyond the queue are answered.
     pub deliveries: VecDeque<OrderDelivery>,
-    answers: Vec<(Moment, ReplicaId, OrderOutcome)>,
+    answers: Vec<(Moment, OrderAnswer)>,
     reports: Vec<(Moment, ReplicaId, Moment)>,
     /// The current simulated time.
     pub now: Moment,
@@ -279,9 +291,15 @@
     fn deliver_answers(&mut self, now: Moment) {
         let (due, later) = self.answers.drain(..).partition(|answer| answer.0 <= now);
         self.answers = later;
-        let due: Vec<(Moment, ReplicaId, OrderOutcome)> = due;
-        for (_, id, outcome) in due {
-            self.orderer.record_order_outcome(&id, outcome, now);
+        let due: Vec<(Moment, OrderAnswer)> = due;
+        for (_, answer) in due {
+            let OrderAnswer {
+                replica,
+                started_ms,
+                outcome,
+            } = answer;
+            self.orderer
+                .record_order_outcome_from(&replica, started_ms, outcome, now);
         }
         let (due, later) = self.reports.drain(..).partition(|report| report.0 <= now);
         self.reports = later;
@@ -329,8 +347,12 @@
                     Some(outcome) => (20, outcome),
                     None => (500, OrderOutcome::Unknown),
                 };
-                self.answers
-                    .push((now + Duration::from_millis(delay), replica, outcome));
+                let answer = OrderAnswer {
+                    started_ms: self.orderer.started_ms(&replica),
+                    replica,
+                    outcome,
+                };
+                self.answers.push((now + Duration::from_millis(delay), answer));
             }
         }
     }
--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use croftrill_bench::emulator::{orderer_config, OrderDelivery, World, ADAPTER_SLOTS};
+use croftrill_bench::emulator::{orderer_config, OrderDelivery, World, ADAPTER_SLOTS, FIRST_START_MS};
 use croftrill_scheduler::catalog::AdapterName;
 use croftrill_scheduler::demand::{DemandSample, ModelKey};
+use croftrill_scheduler::orderer::OrdererConfig;
 use croftrill_scheduler::replica::Order;
+use croftrill_scheduler::unanswered_orders::UNANSWERED_ORDER_LIFETIME;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -180,7 +182,8 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against orders beyond the room of a replica, whatever is slow, late, lost or restarted.
+    /// Guards against orders beyond the room of a replica, whatever is slow, late, lost or restarted, and
+    /// against room that is not used again once all that is over.
     #[test]
     fn plan_never_exceeds_room(
         deliveries in prop::collection::vec(delivery(), 0..120),
@@ -197,11 +200,26 @@
                 }
                 Event::Transit(transit_ms) => world.set_adapter_transit_ms(transit_ms),
                 Event::Restart(replica) => world.restart(&format!("r{replica}")),
-                Event::Replace => world.replace_orderer(orderer_config()),
+                Event::Replace => world.replace_orderer(OrdererConfig {
+                    unknown_orders_since: Some(FIRST_START_MS + 1),
+                    ..orderer_config()
+                }),
             }
             world.run(pause);
         }
-        world.run(Duration::from_secs(14).as_millis() as u64);
+        world.set_adapter_transit_ms(10);
+        world.deliveries.clear();
+        world.run(UNANSWERED_ORDER_LIFETIME.as_millis() as u64);
+        prop_assert_eq!(world.violations(), Vec::<String>::new());
+        for (model, adapter) in [("m2", "a8"), ("m5", "a9")] {
+            ask(&mut world, model, Some(adapter));
+            world.run(6000);
+            ask(&mut world, model, Some(adapter));
+            world.run(3000);
+            let mut replicas = world.replicas.values();
+            let is_held = replicas.any(|replica| replica.holdings().serves(model, Some(adapter)));
+            prop_assert!(is_held, "{model}/{adapter}: {:?}", world.orders);
+        }
         prop_assert_eq!(world.violations(), Vec::<String>::new());
     }
 }
--- a/crates/croftrill-node/src/clock.rs
+++ b/crates/croftrill-node/src/clock.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use croftrill_scheduler::time::Moment;
 use tokio::sync::Notify;
@@ -76,6 +76,13 @@
         }))
     }
 
+    /// Returns the time of day, since the Unix epoch. It may differ by seconds between machines, and
+    /// jump.
+    pub fn unix_time(&self) -> Duration {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        now.unwrap_or_default()
+    }
+
     /// Returns the current moment. Clocks start well above zero, so that moments before
     /// the start can be represented.
     pub fn now(&self) -> Moment {
--- a/crates/croftrill-node/src/orderer_task/acquisition.rs
+++ b/crates/croftrill-node/src/orderer_task/acquisition.rs
@@ -62,6 +62,8 @@
 pub(super) struct Acquired {
     pub(super) lease: OrdererLease,
     pub(super) inherited: Option<ReceivedResignation>,
+    /// True unless nobody ever ordered before.
+    pub(super) has_predecessor: bool,
 }
 
 /// Acquires the lease if no other machine holds it.
@@ -99,12 +101,8 @@
     let lease = store.grant_lease(time_to_live).await.ok()?;
     let received = received.filter(|received| is_of_present_era(node, received));
     let is_current = is_record_current(node, &keys);
-    let start = term_start(
-        last_record(&keys, entry),
-        is_current,
-        received.as_ref(),
-        requested_at,
-    );
+    let last = last_record(&keys, entry);
+    let start = term_start(last, is_current, received.as_ref(), requested_at);
     let Some(fencing_token) = claim_key(node, shard, entry, lease, &keys, start).await else {
         let _ = store.end_lease(lease).await;
         return None;
@@ -122,6 +120,7 @@
     Some(Acquired {
         lease: held,
         inherited,
+        has_predecessor: last.is_some() || !is_current,
     })
 }
 
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -10,11 +10,12 @@
 use croftrill_scheduler::lease::{OrdererLease, Record};
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
-use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
+use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, StartedMs};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::replica_table::{AnsweredCall, ChangedReplicas, Placement, TableVersion};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::unanswered_orders::UNANSWERED_ORDER_LIFETIME;
 use nanoserde::SerBin;
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -100,7 +101,9 @@
     pub(super) fn begin(node: Rc<Node<P>>, shard: Shard, acquired: Acquired, entry: MemberEntry) -> Self {
         let configuration = node.configuration().unwrap_or_default();
         let now = node.clock.now();
-        let mut orderer = Orderer::new(orderer_config(&node, shard), configuration, now);
+        let mut config = orderer_config(&node, shard);
+        config.unknown_orders_since = acquired.has_predecessor.then(|| former_orders_since(&node));
+        let mut orderer = Orderer::new(config, configuration, now);
         if let Some(received) = &acquired.inherited {
             orderer.inherit(received);
         }
@@ -671,6 +674,13 @@
     members.nodes().filter(is_idle).map(MemberEntry::candidate)
 }
 
+/// Returns the start time of a replica's life, in Unix milliseconds, from which on orders of former terms
+/// may have been sent to the life before.
+fn former_orders_since<P: Platform>(node: &Node<P>) -> StartedMs {
+    let since = node.clock.unix_time().saturating_sub(UNANSWERED_ORDER_LIFETIME);
+    since.as_millis() as StartedMs
+}
+
 pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
     OrdererConfig {
         scope: OrderScope::One(shard),
@@ -681,6 +691,7 @@
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
         unload: Duration::from_millis(200),
+        unknown_orders_since: None,
         callers_compete: node.settings.callers_compete,
     }
 }
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod stored_versions;
 pub mod tenants;
 pub mod time;
+pub mod unanswered_orders;
 pub mod waiting_requests;
 pub mod work;
--- /dev/null
+++ b/crates/croftrill-scheduler/src/orderer/former_lives.rs
@@ -0,0 +1,53 @@
+//! Orders to former lives of replicas, which may be carried out in the present one.
+
+use crate::replica::{OrderOutcome, ReplicaId};
+use crate::time::Moment;
+use crate::unanswered_orders::{Life, UnansweredOrders, UNANSWERED_ORDER_LIFETIME};
+
+use super::Orderer;
+
+impl Orderer {
+    /// Keeps the orders of a replica that is not listed any more, as it may be listed again.
+    pub(super) fn keep_unanswered(&mut self, id: ReplicaId, unanswered: UnansweredOrders) {
+        if !unanswered.is_empty() {
+            self.absent_orders.insert(id, unanswered);
+        }
+    }
+
+    /// Records the outcome of an order that was sent to a life of a replica.
+    pub(super) fn record_answer(&mut self, id: &str, life: Life, outcome: OrderOutcome) {
+        let unanswered = match self.replicas.get_mut(id) {
+            Some(replica) => Some(&mut replica.unanswered),
+            None => self.absent_orders.get_mut(id),
+        };
+        if let Some(unanswered) = unanswered {
+            unanswered.record_outcome(life, outcome);
+        }
+    }
+
+    /// Assumes orders of other machines to former lives of a replica, if it started after such orders may
+    /// have been sent: this orderer knows only its own.
+    pub(super) fn assume_unknown_orders(&mut self, id: &str) {
+        let Some(since) = self.config.unknown_orders_since else {
+            return;
+        };
+        let until = self.took_over_at + UNANSWERED_ORDER_LIFETIME;
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return;
+        };
+        if replica.started_ms.is_some_and(|started_ms| started_ms >= since) {
+            replica.unanswered.assume_unknown_until(until);
+        }
+    }
+
+    /// Forgets orders that can have no effect any more.
+    pub(super) fn prune_unanswered(&mut self, now: Moment) {
+        for (_, replica) in self.replicas.iter_mut_unindexed() {
+            replica.unanswered.prune(now);
+        }
+        self.absent_orders.retain(|_, unanswered| {
+            unanswered.prune(now);
+            !unanswered.is_empty()
+        });
+    }
+}
--- a/crates/croftrill-scheduler/src/orderer/incarnation.rs
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -31,6 +31,7 @@
             service: former.service,
             started_ms,
             ledger: ReplicaLedger::new(self.config.ledger, Default::default(), now),
+            unanswered: former.unanswered,
             goal: None,
             withdrawn: None,
             loaded_at: Default::default(),
@@ -43,7 +44,8 @@
             listed_slots: former.listed_slots,
             capacity: Capacity::default(),
         };
-        self.replicas.insert(id, replica);
+        self.replicas.insert(id.clone(), replica);
+        self.assume_unknown_orders(&id);
     }
 
     /// Records the outcome of an order that was sent to the incarnation started at
@@ -55,11 +57,11 @@
         outcome: OrderOutcome,
         now: Moment,
     ) {
+        let is_answered = outcome != OrderOutcome::Unknown;
+        self.history.record_ended(&id.into(), is_answered, now);
+        self.record_answer(id, started_ms, outcome);
         if self.incarnation(id, started_ms) == Incarnation::Same {
-            self.record_order_outcome(id, outcome, now);
-        } else {
-            let is_answered = outcome != OrderOutcome::Unknown;
-            self.history.record_ended(&id.into(), is_answered, now);
+            self.apply_order_outcome(id, outcome, now);
         }
     }
 
@@ -82,7 +84,11 @@
             Incarnation::Same => {
                 // The listing may lack the start time.
                 if let Some(replica) = self.replicas.get_mut(id) {
+                    let is_start_new = replica.started_ms.is_none();
                     replica.started_ms = replica.started_ms.or(reported);
+                    if is_start_new {
+                        self.assume_unknown_orders(id);
+                    }
                 }
             }
             Incarnation::Earlier => return self.apply_report(id, None, requested_at, now),
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -3,13 +3,14 @@
 //! [`goals`] selects what replicas load and evict, [`adapters`] places adapters,
 //! [`store_loads`] limits loads from the weight store, [`reports`] selects the replicas to
 //! request reports from, [`work`] measures the work at the replicas, [`incarnation`] handles
-//! restarted replicas, [`version_waits`] loads models for streams that go on at one software version
+//! restarted replicas and [`former_lives`] orders that may still reach them, [`version_waits`] loads models for streams that go on at one software version
 //! only, and [`placement_updates`] determines what is published to the nodes.
 //!
 //! The orderer has no durable state. A new orderer starts with the listed replicas, confirms
 //! each of them by a report, and counts its predecessor's loads as just started.
 
 mod adapters;
+mod former_lives;
 mod goals;
 mod incarnation;
 mod placement_updates;
@@ -36,13 +37,14 @@
     WeightSource,
 };
 use crate::replica::{
-    Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
+    Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState, StartedMs,
 };
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_room::RoomUse;
 use crate::replica_table::{Placement, ReplicaEntry};
 use crate::shard::{OrderScope, Shard, SHARD_COUNT};
 use crate::time::Moment;
+use crate::unanswered_orders::UnansweredOrders;
 
 /// Parameters of the orderer.
 #[derive(Debug, Clone, Copy)]
@@ -63,6 +65,9 @@
     pub adapter_load: Duration,
     /// Expected time to unload a model.
     pub unload: Duration,
+    /// Start time in Unix milliseconds from which on a replica's life may get orders that other machines
+    /// sent to its former lives; `None` if no other machine has ever ordered.
+    pub unknown_orders_since: Option<StartedMs>,
     /// True if callers compete for capacity: the number of holders then follows the work even
     /// where replicas report only their requests, but not their work time.
     pub callers_compete: bool,
@@ -171,6 +176,8 @@
     store_free_since: BTreeMap<ServiceName, Moment>,
     /// Start times of this orderer's running loads from the weight store.
     store_loads: BTreeMap<ReplicaId, Moment>,
+    /// Orders without an answer to replicas that are not listed at the moment.
+    absent_orders: BTreeMap<ReplicaId, UnansweredOrders>,
     changed: BTreeSet<ReplicaId>,
     published: BTreeMap<ReplicaId, Placement>,
     next_balance: Moment,
@@ -206,6 +213,7 @@
             store_free_since: BTreeMap::new(),
             out_of_reach: BTreeSet::new(),
             store_loads: BTreeMap::new(),
+            absent_orders: BTreeMap::new(),
             changed: BTreeSet::new(),
             published: BTreeMap::new(),
             next_balance: Moment::default(),
@@ -391,6 +399,7 @@
                 ledger: ReplicaLedger::new(ledger_config, listing.holdings.clone(), now),
                 goal: None,
                 withdrawn: None,
+                unanswered: self.absent_orders.remove(&listing.id).unwrap_or_default(),
                 loaded_at: Default::default(),
                 adapters_loaded_at: Default::default(),
                 is_blocked_by_predecessor: false,
@@ -406,6 +415,7 @@
             return;
         };
         replica.state = listing.state;
+        let is_start_new = is_new || replica.started_ms.is_none();
         replica.started_ms = replica.started_ms.or(listing.started_ms);
         if listing.state == ReplicaState::Draining {
             replica.goal = None;
@@ -415,11 +425,16 @@
             // The other nodes learn of holdings only from placements.
             self.changed.insert(listing.id.clone());
         }
+        if is_start_new {
+            self.assume_unknown_orders(&listing.id);
+        }
     }
 
     /// Removes a replica.
     pub fn remove_replica(&mut self, id: &str) {
-        self.replicas.remove(id);
+        if let Some((id, replica)) = self.replicas.remove(id) {
+            self.keep_unanswered(id, replica.unanswered);
+        }
         self.version_waits.forget_goal(id);
         self.store_loads.remove(id);
         self.changed.remove(id);
@@ -428,7 +443,17 @@
 
     /// Removes the replicas for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.replicas.retain(&keep);
+        let is_removed = |id: &&ReplicaId| !keep(id);
+        let removed: Vec<ReplicaId> = self
+            .replicas
+            .iter()
+            .map(|(id, _)| id)
+            .filter(is_removed)
+            .cloned()
+            .collect();
+        for id in removed {
+            self.remove_replica(&id);
+        }
         self.version_waits.retain_goals(&keep);
         self.store_loads.retain(|id, _| keep(id));
         self.changed.retain(|id| keep(id));
@@ -449,8 +474,11 @@
 
     /// Records the outcome of the order under way at a replica.
     pub fn record_order_outcome(&mut self, id: &str, outcome: OrderOutcome, now: Moment) {
-        let is_answered = outcome != OrderOutcome::Unknown;
-        self.history.record_ended(&id.into(), is_answered, now);
+        self.record_order_outcome_from(id, self.started_ms(id), outcome, now);
+    }
+
+    /// Applies the outcome of the order under way to the replica's ledger.
+    fn apply_order_outcome(&mut self, id: &str, outcome: OrderOutcome, now: Moment) {
         let expected_in = self.expected_order_duration(id);
         let Some(replica) = self.replicas.get_mut(id) else {
             return;
@@ -481,6 +509,7 @@
     /// `may_order` is true.
     pub fn plan(&mut self, may_order: bool, now: Moment) -> Vec<OrdererAction> {
         self.history.prune(now);
+        self.prune_unanswered(now);
         let mut actions = self.request_reports(now);
         if !may_order {
             return actions;
@@ -537,6 +566,10 @@
     fn send(&mut self, id: &ReplicaId, order: Order, now: Moment) -> OrdererAction {
         let replica = self.replicas.get_mut(id).expect("orders go to known replicas");
         let expected_sequence = replica.ledger.begin_order(order.clone(), now);
+        let life = replica.started_ms;
+        replica
+            .unanswered
+            .record_sent(order.clone(), expected_sequence, life, now);
         self.history.record_sent(id);
         self.changed.insert(id.clone());
         OrdererAction::Order {
--- a/crates/croftrill-scheduler/src/placement/tracked_replica.rs
+++ b/crates/croftrill-scheduler/src/placement/tracked_replica.rs
@@ -10,6 +10,7 @@
 use crate::replica_ledger::ReplicaLedger;
 use crate::replica_room::RoomUse;
 use crate::time::Moment;
+use crate::unanswered_orders::UnansweredOrders;
 
 /// Time for which an adapter is not evicted after its load.
 const MIN_ADAPTER_RESIDENCE: Duration = Duration::from_millis(400);
@@ -48,6 +49,8 @@
     pub started_ms: Option<StartedMs>,
     /// Its holdings and the order under way.
     pub ledger: ReplicaLedger,
+    /// Orders that got no answer.
+    pub unanswered: UnansweredOrders,
     /// The model that it should load next.
     pub goal: Option<ModelName>,
     /// A model that is to be evicted, and the time since which it gets no more requests.
@@ -86,9 +89,11 @@
             .is_some_and(|loaded| now.since(*loaded) < MIN_ADAPTER_RESIDENCE)
     }
 
-    /// Returns what is known to take room.
+    /// Returns what is known to take room, or may take it by an order that can still be carried out.
     pub fn room_use(&self, engine: &EngineSpec) -> RoomUse {
-        self.ledger.room_use(engine)
+        let sequence = self.ledger.holdings().sequence;
+        let unanswered = self.unanswered.room_use(engine, self.started_ms, sequence);
+        self.ledger.room_use(engine) + unanswered
     }
 
     /// Returns true if the effect of the order fits whatever else may take room.
--- a/crates/croftrill-scheduler/src/replica_ledger/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/mod.rs
@@ -4,7 +4,8 @@
 //! expects. An unanswered order may still be executed, but only while the replica is
 //! at that sequence, that is, in the state against which the order was checked; any
 //! later order that is accepted invalidates it. So an order that was checked to fit
-//! the replica's memory fits whenever it is executed.
+//! the replica's memory fits whenever it is executed in the same incarnation. Those
+//! that may reach a later one are kept in [`crate::unanswered_orders`].
 //!
 //! What is in transit takes room from its acceptance until a report shows otherwise,
 //! however long that takes: only requests rely on the time at which it should arrive.
--- a/crates/croftrill-scheduler/src/replica_room.rs
+++ b/crates/croftrill-scheduler/src/replica_room.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Returns the most that any order can take.
+    pub fn of_largest_order(engine: &EngineSpec) -> Self {
+        let models = engine.models.values();
+        let largest = models.map(|spec| RoomUse {
+            memory_mb: spec.weights_mb.max(spec.adapter_mb),
+            adapter_slots: usize::from(spec.adapter_count > 0),
+        });
+        largest.fold(RoomUse::default(), RoomUse::max)
+    }
+
     /// Returns whether it is within the room of a replica.
     pub fn fits(self, engine: &EngineSpec) -> bool {
         self.memory_mb <= engine.weights_mb && self.adapter_slots <= engine.adapter_slots
--- a/crates/croftrill-scheduler/tests/placement.rs
+++ b/crates/croftrill-scheduler/tests/placement.rs
@@ -14,6 +14,7 @@
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaId, ReplicaState, WeightCopies};
 use croftrill_scheduler::replica_ledger::{LedgerConfig, ReplicaLedger};
 use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::unanswered_orders::UnansweredOrders;
 
 const MODELS: usize = 8;
 const STORE_LOAD: Duration = Duration::from_secs(6);
@@ -149,6 +150,7 @@
         service: "llm".into(),
         started_ms: None,
         ledger: ReplicaLedger::new(LedgerConfig::default(), holdings, at(0)),
+        unanswered: UnansweredOrders::default(),
         goal: None,
         withdrawn: None,
         is_out_of_reach: false,
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -316,7 +316,11 @@
     ledger.begin_order(order.clone(), at(200));
     ledger.record_outcome(OrderOutcome::Unknown, Duration::ZERO, at(700));
     let early = ledger.apply_report(&report(5, &["m1"], false), at(800), at(810));
-    assert_eq!(early, LedgerChange::None, "the report may be older than the order");
+    assert_eq!(
+        early,
+        LedgerChange::None,
+        "the report may be older than the order"
+    );
     let settled = ledger.apply_report(&report(5, &["m1"], false), at(1000), at(1010));
     assert_eq!(settled, LedgerChange::Failed(order));
     assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(1020)), 5);
--- /dev/null
+++ b/crates/croftrill-scheduler/tests/unanswered_orders.rs
@@ -0,0 +1,118 @@
+//! Tests what orders without an answer may take in a later life of their replica.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use croftrill_scheduler::catalog::{EngineSpec, ModelSpec};
+use croftrill_scheduler::replica::{Order, OrderOutcome};
+use croftrill_scheduler::replica_room::RoomUse;
+use croftrill_scheduler::time::Moment;
+use croftrill_scheduler::unanswered_orders::{UnansweredOrders, UNANSWERED_ORDER_LIFETIME};
+
+const FORMER: Option<u64> = Some(1);
+const PRESENT: Option<u64> = Some(2);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(1_000_000 + millis))
+}
+
+/// Returns an engine with models of 70 and 40 MB, whose adapters take 2 MB.
+fn engine() -> EngineSpec {
+    let model = |name: &str, weights_mb: f64| ModelSpec {
+        name: name.into(),
+        weights_mb,
+        adapter_mb: 2.0,
+        adapter_count: 4,
+        store_load: Duration::from_secs(2),
+        disk_load: Duration::from_secs(1),
+        memory_load: Duration::from_millis(500),
+    };
+    let models = [model("large", 70.0), model("small", 40.0)];
+    EngineSpec {
+        model_order: models.iter().map(|spec| spec.name.clone()).collect(),
+        models: HashMap::from(models.map(|spec| (spec.name.clone(), spec))),
+        weights_mb: 200.0,
+        adapter_slots: 4,
+        loads_per_second: 2.0,
+        kv_capacity: 1000,
+    }
+}
+
+fn load(model: &str) -> Order {
+    Order::LoadModel(model.into())
+}
+
+/// Records an order to the former life that got no answer.
+fn unanswered(orders: &mut UnansweredOrders, order: Order, expected_sequence: u64) {
+    orders.record_sent(order, expected_sequence, FORMER, at(0));
+    orders.record_outcome(FORMER, OrderOutcome::Unknown);
+}
+
+fn memory(memory_mb: f64) -> RoomUse {
+    RoomUse {
+        memory_mb,
+        adapter_slots: 0,
+    }
+}
+
+/// Guards against room that is taken twice: in the life in which an order was checked it fits.
+#[test]
+fn room_use_in_the_life_of_the_order_is_empty() {
+    let mut orders = UnansweredOrders::default();
+    unanswered(&mut orders, load("large"), 3);
+    assert_eq!(orders.room_use(&engine(), FORMER, 3), RoomUse::default());
+    assert_eq!(orders.room_use(&engine(), PRESENT, 3), memory(70.0));
+}
+
+/// Guards against room that stays taken: an order cannot be carried out once its sequence has passed, and
+/// of several for one sequence only one can.
+#[test]
+fn room_use_follows_the_sequence() {
+    let mut orders = UnansweredOrders::default();
+    unanswered(&mut orders, load("large"), 3);
+    unanswered(&mut orders, load("small"), 3);
+    unanswered(&mut orders, load("small"), 5);
+    unanswered(&mut orders, Order::UnloadModel("large".into()), 6);
+    assert_eq!(orders.room_use(&engine(), PRESENT, 0), memory(110.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, 3), memory(110.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, 4), memory(40.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, 6), RoomUse::default());
+}
+
+/// Guards against an order that is on its way when its replica restarts.
+#[test]
+fn room_use_counts_orders_in_flight_until_their_answer() {
+    let mut orders = UnansweredOrders::default();
+    let adapter = Order::LoadAdapter("small".into(), "a1".into());
+    orders.record_sent(adapter, 2, FORMER, at(0));
+    let taken = orders.room_use(&engine(), PRESENT, 0);
+    assert_eq!((taken.adapter_slots, taken.memory_mb), (1, 2.0));
+    orders.record_sent(load("large"), 0, PRESENT, at(100));
+    orders.record_outcome(FORMER, OrderOutcome::Conflict);
+    assert_eq!(orders.room_use(&engine(), PRESENT, 0), RoomUse::default());
+    orders.record_outcome(PRESENT, OrderOutcome::Accepted);
+    assert!(orders.is_empty());
+}
+
+#[test]
+fn prune_forgets_orders_that_are_too_old() {
+    let mut orders = UnansweredOrders::default();
+    unanswered(&mut orders, load("large"), 3);
+    orders.prune(at(0) + UNANSWERED_ORDER_LIFETIME - Duration::from_millis(1));
+    assert_eq!(orders.room_use(&engine(), PRESENT, 0), memory(70.0));
+    orders.prune(at(0) + UNANSWERED_ORDER_LIFETIME);
+    assert!(orders.is_empty());
+}
+
+/// Guards against orders of others that are not known: the largest of them is assumed, for a time.
+#[test]
+fn room_use_assumes_largest_unknown_order() {
+    let mut orders = UnansweredOrders::default();
+    orders.assume_unknown_until(at(5000));
+    let taken = orders.room_use(&engine(), PRESENT, 9);
+    assert_eq!((taken.adapter_slots, taken.memory_mb), (1, 70.0));
+    orders.prune(at(4999));
+    assert!(!orders.is_empty());
+    orders.prune(at(5000));
+    assert_eq!(orders.room_use(&engine(), PRESENT, 9), RoomUse::default());
+}
