While adapters are late, requests rely on what reports show

What callers saw: requests for an adapter that takes longer than usual were sent to its replica at the usual time, turned away as misdirected (421) and sent again.

Cause: the time after which requests rely on an adapter is fixed. Nobody looked again until the next routine report, and the next adapter began with the same time.

Change: a report that lists an adapter as in transit after its expected time makes requests wait until one shows it as present; so do the next ones at that replica, until one has arrived in the usual time. A node whose requests wait for an adapter that should have arrived makes the orderer ask for a report.

--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -223,3 +223,24 @@
         prop_assert_eq!(world.violations(), Vec::<String>::new());
     }
 }
+
+/// Guards against requests that wait for an adapter that should have arrived: no report showed that it had
+/// not, and they were sent to it again and again.
+#[test]
+fn mark_waiting_for_adapter_in_transit_requests_report() {
+    let mut world = World::new(3, &[&["m1", "m2"]]);
+    world.set_adapter_transit_ms(900);
+    world.run(6000);
+    ask(&mut world, "m1", Some("a1"));
+    world.run(400);
+    let usable = |world: &World| {
+        let placements = world.orderer.all_placements(world.now);
+        placements[0].usable.serves("m1", Some("a1"))
+    };
+    assert!(usable(&world), "it should have arrived");
+    world.orderer.mark_waiting(&key("m1", Some("a1")), world.now);
+    world.run(100);
+    assert!(!usable(&world));
+    world.run(1000);
+    assert!(usable(&world));
+}
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -465,9 +465,12 @@
         self.demand.count(key, asked, now);
     }
 
-    /// Records that requests wait at a node for a model or adapter, unless a replica holds it.
+    /// Records that requests wait at a node for a model or adapter, unless a replica holds it. If it is
+    /// an adapter that should have arrived, a report shows whether it has.
     pub fn mark_waiting(&mut self, key: &ModelKey, now: Moment) {
-        if !self.is_held(key) {
+        if self.is_held(key) {
+            self.await_arrivals_of(key);
+        } else {
             self.demand.mark_waiting(key, now);
         }
     }
--- a/crates/croftrill-scheduler/src/orderer/reports.rs
+++ b/crates/croftrill-scheduler/src/orderer/reports.rs
@@ -5,6 +5,7 @@
 //! requested at a limited rate, the longest overdue first, so that an orderer's work does not
 //! grow with the number of its replicas.
 
+use crate::demand::ModelKey;
 use crate::placement::{ControlCalls, OrderedBy};
 use crate::replica::ReplicaId;
 use crate::time::Moment;
@@ -95,6 +96,28 @@
         }
     }
 
+    /// Requests reports from the replicas to which the adapter is in transit.
+    pub(super) fn await_arrivals_of(&mut self, key: &ModelKey) {
+        let Some(adapter) = &key.adapter else {
+            return;
+        };
+        let fleet = self.replicas.fleet(&key.service);
+        let holders: Vec<ReplicaId> = fleet.current_holders(&key.model).cloned().collect();
+        drop(fleet);
+        for id in holders {
+            if let Some(replica) = self.replicas.get_mut(&id) {
+                let ledger = &mut replica.ledger;
+                let is_own = replica.ordered_by == OrderedBy::ThisOrderer;
+                if is_own
+                    && ledger.holdings().serves(&key.model, Some(adapter))
+                    && !ledger.is_present(&key.model, adapter)
+                {
+                    ledger.await_arrivals();
+                }
+            }
+        }
+    }
+
     /// Notes that an order will be sent to this replica once a report confirms its ledger.
     pub(super) fn await_confirmation(&mut self, id: &str, now: Moment) {
         if let Some(replica) = self.replicas.get_mut(id) {
--- a/crates/croftrill-scheduler/src/replica_ledger/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/mod.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use self::transit::Transits;
+use self::transit::{RequestedReport, Transits};
 use crate::catalog::{EngineSpec, ModelName};
 use crate::replica::{Holdings, ModelAdapter, Order, OrderOutcome, ReplicaReport};
 use crate::replica_room::RoomUse;
@@ -283,7 +283,7 @@
         let Some(arrives_at) = self.in_transit.first_arrival() else {
             return;
         };
-        let interval = if self.in_transit.any_late() {
+        let interval = if self.in_transit.any_awaits_report() {
             self.config.report_lag
         } else {
             self.config.poll_interval
@@ -320,9 +320,7 @@
         }
         let before = (self.holdings.clone(), self.in_transit.unusable());
         let change = self.apply_settled_report(report, requested_at, now);
-        if !self.may_load_adapter() {
-            self.await_arrivals();
-        }
+        self.await_arrivals_if_needed();
         match change {
             LedgerChange::None if before != (self.holdings.clone(), self.in_transit.unusable()) => {
                 LedgerChange::Holdings
@@ -338,7 +336,8 @@
         now: Moment,
     ) -> LedgerChange {
         if report.holdings.sequence < self.holdings.sequence && !self.is_corrected_by(requested_at) {
-            self.in_transit.mark_present(report);
+            self.in_transit
+                .mark_present(self.requested_report(report, requested_at));
             return LedgerChange::None;
         }
         let change = self.update_pending(report, requested_at, now);
@@ -364,11 +363,26 @@
             .is_some_and(|from| requested_at >= from)
     }
 
+    fn requested_report<'r>(&self, report: &'r ReplicaReport, requested_at: Moment) -> RequestedReport<'r> {
+        RequestedReport {
+            report,
+            requested_at,
+            lag: self.config.report_lag,
+        }
+    }
+
+    /// Asks for a report if an order or requests wait for adapters in transit.
+    fn await_arrivals_if_needed(&mut self) {
+        if !self.may_load_adapter() || self.in_transit.any_awaits_report() {
+            self.await_arrivals();
+        }
+    }
+
     /// Replaces what is known by a report.
     fn adopt(&mut self, report: &ReplicaReport, requested_at: Moment, now: Moment) {
         self.holdings = report.holdings.clone();
-        let is_recent = |at: Moment| requested_at.since(at) < self.config.report_lag;
-        self.in_transit.update(report, is_recent, now, &self.config);
+        let requested = self.requested_report(report, requested_at);
+        self.in_transit.update(requested, now, &self.config);
         for ModelAdapter { model, adapter } in self.in_transit.to_adapters() {
             self.apply(&Order::LoadAdapter(model, adapter));
         }
@@ -377,8 +391,6 @@
         self.correctable_from = None;
         let pause = if report.busy {
             self.config.poll_interval
-        } else if self.in_transit.any_late() {
-            self.config.report_lag
         } else {
             self.config.idle_poll_interval
         };
@@ -471,9 +483,7 @@
             self.in_transit
                 .begin(adapter, self.holdings.sequence, expected_at, now);
         }
-        if !self.may_load_adapter() {
-            self.await_arrivals();
-        }
+        self.await_arrivals_if_needed();
     }
 
     /// Applies an order whose effect the replica had or reached at once.
--- a/crates/croftrill-scheduler/src/replica_ledger/transit.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/transit.rs
@@ -1,22 +1,21 @@
 //! Adapters in transit to one replica: they take room until a report shows what became of them.
 
+use std::time::Duration;
+
 use crate::replica::{ModelAdapter, ReplicaReport};
 use crate::time::Moment;
 
 use super::LedgerConfig;
 
-/// When an adapter in transit arrives.
+/// Whether requests may rely on an adapter in transit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Arrival {
-    /// At this time.
-    ExpectedAt(Moment),
-    /// It should have arrived, but no report has shown it yet.
-    Assumed {
-        /// Time at which it should have arrived.
-        since: Moment,
-    },
-    /// A report from after the expected time did not show it as present.
-    Late,
+    /// Not before the expected time.
+    Expected,
+    /// Yes: the expected time has passed, and no report has shown otherwise.
+    Assumed,
+    /// Not before a report shows it as present.
+    AwaitsReport,
 }
 
 /// An adapter whose load was accepted, and that no report has shown as present.
@@ -26,6 +25,7 @@
     /// Sequence of the replica once it had accepted the load.
     sequence: u64,
     accepted_at: Moment,
+    expected_at: Moment,
     arrival: Arrival,
     /// Sequence of the replica if it counted an order to unload the adapter.
     unloaded_at_sequence: Option<u64>,
@@ -34,55 +34,104 @@
 impl Transit {
     /// Returns true if requests may rely on the adapter.
     pub(super) fn is_usable(&self) -> bool {
-        matches!(self.arrival, Arrival::Assumed { .. })
+        self.arrival == Arrival::Assumed
+    }
+
+    fn is_of(&self, model: &str, adapter: &str) -> bool {
+        &*self.adapter.model == model && &*self.adapter.adapter == adapter
+    }
+
+    /// Returns true if the report shows the adapter as present. It may be older than what is known, but
+    /// not than the load.
+    fn is_present_in(&self, report: &ReplicaReport) -> bool {
+        let ModelAdapter { model, adapter } = &self.adapter;
+        report.holdings.sequence >= self.sequence && report.holdings.serves(model, Some(adapter))
+    }
+
+    /// Returns true if a report of the newest sequence shows that the adapter will not arrive.
+    fn is_gone_in(&self, report: &ReplicaReport, now: Moment, config: &LedgerConfig) -> bool {
+        match &report.in_transit {
+            Some(told) => !told.contains(&self.adapter),
+            None => {
+                let is_unloaded = |sequence| report.holdings.sequence >= sequence;
+                self.unloaded_at_sequence.is_some_and(is_unloaded)
+                    || now.since(self.accepted_at) >= config.min_order_timeout
+            }
+        }
     }
+}
+
+/// A report with the time at which it was requested.
+#[derive(Clone, Copy)]
+pub(super) struct RequestedReport<'a> {
+    pub(super) report: &'a ReplicaReport,
+    pub(super) requested_at: Moment,
+    /// Maximum age of the report at that time.
+    pub(super) lag: Duration,
+}
 
-    /// Returns true if a report that does not say what is in transit shows that the adapter is gone.
-    fn is_gone_by_silence(&self, report: &ReplicaReport, now: Moment, config: &LedgerConfig) -> bool {
-        let is_unloaded = |sequence| report.holdings.sequence >= sequence;
-        self.unloaded_at_sequence.is_some_and(is_unloaded)
-            || now.since(self.accepted_at) >= config.min_order_timeout
+impl RequestedReport<'_> {
+    /// Returns true if the report surely shows the state of `moment` or later.
+    fn is_from_after(&self, moment: Moment) -> bool {
+        self.requested_at.since(moment) >= self.lag
     }
 }
 
 /// The adapters in transit to a replica.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Transits(Vec<Transit>);
+pub(super) struct Transits {
+    transits: Vec<Transit>,
+    /// True while adapters take longer than expected: requests then rely on reports alone.
+    are_slow: bool,
+}
 
 impl Transits {
     pub(super) fn len(&self) -> usize {
-        self.0.len()
+        self.transits.len()
     }
 
     pub(super) fn get(&self, model: &str, adapter: &str) -> Option<&Transit> {
-        let is_same =
-            |transit: &&Transit| &*transit.adapter.model == model && &*transit.adapter.adapter == adapter;
-        self.0.iter().find(is_same)
+        self.transits.iter().find(|transit| transit.is_of(model, adapter))
     }
 
     pub(super) fn to_adapters(&self) -> Vec<ModelAdapter> {
-        self.0.iter().map(|transit| transit.adapter.clone()).collect()
+        self.transits
+            .iter()
+            .map(|transit| transit.adapter.clone())
+            .collect()
     }
 
     /// Returns those that requests may not rely on yet.
     pub(super) fn unusable(&self) -> Vec<ModelAdapter> {
-        let unusable = self.0.iter().filter(|transit| !transit.is_usable());
+        let unusable = self.transits.iter().filter(|transit| !transit.is_usable());
         unusable.map(|transit| transit.adapter.clone()).collect()
     }
 
-    /// Returns true if one of them takes longer than expected.
-    pub(super) fn any_late(&self) -> bool {
-        self.0.iter().any(|transit| transit.arrival == Arrival::Late)
+    /// Returns true if requests rely on one of them only once a report shows it as present.
+    pub(super) fn any_awaits_report(&self) -> bool {
+        let mut transits = self.transits.iter();
+        transits.any(|transit| transit.arrival == Arrival::AwaitsReport)
+    }
+
+    /// Returns when the first of them should arrive or have arrived, if there are any.
+    pub(super) fn first_arrival(&self) -> Option<Moment> {
+        self.transits.iter().map(|transit| transit.expected_at).min()
     }
 
     /// Records that the load of an adapter was accepted, after which the replica was at `sequence`.
     pub(super) fn begin(&mut self, adapter: ModelAdapter, sequence: u64, expected_at: Moment, now: Moment) {
-        self.0.retain(|transit| transit.adapter != adapter);
-        self.0.push(Transit {
+        self.transits.retain(|transit| transit.adapter != adapter);
+        let arrival = if self.are_slow {
+            Arrival::AwaitsReport
+        } else {
+            Arrival::Expected
+        };
+        self.transits.push(Transit {
             adapter,
             sequence,
             accepted_at: now,
-            arrival: Arrival::ExpectedAt(expected_at),
+            expected_at,
+            arrival,
             unloaded_at_sequence: None,
         });
     }
@@ -90,84 +139,50 @@
     /// Notes that the replica answered an order to unload the adapter, after which it is at `sequence`
     /// if it had the adapter. Returns true if the adapter is in transit.
     pub(super) fn note_unload(&mut self, model: &str, adapter: &str, sequence: u64) -> bool {
-        let mut transits = self.0.iter_mut();
-        let transit =
-            transits.find(|transit| &*transit.adapter.model == model && &*transit.adapter.adapter == adapter);
-        match transit {
-            Some(transit) => {
-                transit.unloaded_at_sequence = Some(sequence);
-                true
-            }
-            None => false,
-        }
+        let mut transits = self.transits.iter_mut();
+        let Some(transit) = transits.find(|transit| transit.is_of(model, adapter)) else {
+            return false;
+        };
+        transit.unloaded_at_sequence = Some(sequence);
+        true
     }
 
     /// Marks those that should have arrived by now. Returns true if there are any.
     pub(super) fn mark_arrivals(&mut self, now: Moment) -> bool {
-        let mut any = false;
-        for transit in &mut self.0 {
-            if let Arrival::ExpectedAt(at) = transit.arrival {
-                if at <= now {
-                    transit.arrival = Arrival::Assumed { since: at };
-                    any = true;
-                }
-            }
-        }
-        any
+        let is_due =
+            |transit: &&mut Transit| transit.arrival == Arrival::Expected && transit.expected_at <= now;
+        let due = self.transits.iter_mut().filter(is_due);
+        let marked = due.map(|transit| transit.arrival = Arrival::Assumed);
+        marked.count() > 0
     }
 
-    /// Removes those that a report shows as present. It may be older than what is known, but not than
-    /// their loads.
-    pub(super) fn mark_present(&mut self, report: &ReplicaReport) {
-        self.0.retain(|transit| {
-            let ModelAdapter { model, adapter } = &transit.adapter;
-            let is_newer = report.holdings.sequence >= transit.sequence;
-            !(is_newer && report.holdings.serves(model, Some(adapter)))
-        });
+    /// Removes those that a report shows as present.
+    pub(super) fn mark_present(&mut self, requested: RequestedReport<'_>) {
+        let is_present = |transit: &Transit| transit.is_present_in(requested.report);
+        let mut present = self.transits.iter().filter(|transit| is_present(transit));
+        if present.any(|transit| !requested.is_from_after(transit.expected_at)) {
+            self.are_slow = false;
+        }
+        self.transits.retain(|transit| !is_present(transit));
     }
 
-    /// Applies a report of the newest known sequence. `is_recent` tells of a moment whether the report
-    /// may be older.
-    pub(super) fn update(
-        &mut self,
-        report: &ReplicaReport,
-        is_recent: impl Fn(Moment) -> bool,
-        now: Moment,
-        config: &LedgerConfig,
-    ) {
-        let served = |adapter: &ModelAdapter| report.holdings.serves(&adapter.model, Some(&adapter.adapter));
-        self.0.retain(|transit| !served(&transit.adapter));
-        match &report.in_transit {
-            Some(told) => {
-                self.0.retain(|transit| told.contains(&transit.adapter));
-                self.add_unknown(told, report.holdings.sequence, now, config);
+    /// Applies a report of the newest sequence.
+    pub(super) fn update(&mut self, requested: RequestedReport<'_>, now: Moment, config: &LedgerConfig) {
+        let report = requested.report;
+        self.mark_present(requested);
+        self.transits
+            .retain(|transit| !transit.is_gone_in(report, now, config));
+        for transit in &mut self.transits {
+            if requested.is_from_after(transit.expected_at) {
+                transit.arrival = Arrival::AwaitsReport;
+                self.are_slow = true;
             }
-            None => self
-                .0
-                .retain(|transit| !transit.is_gone_by_silence(report, now, config)),
         }
-        for transit in &mut self.0 {
-            match transit.arrival {
-                Arrival::Assumed { since } if !is_recent(since) => transit.arrival = Arrival::Late,
-                _ => {}
-            }
-        }
-    }
-
-    /// Returns when the first of them arrives or should have arrived, if there are any.
-    pub(super) fn first_arrival(&self) -> Option<Moment> {
-        let arrivals = self.0.iter().map(|transit| match transit.arrival {
-            Arrival::ExpectedAt(at) | Arrival::Assumed { since: at } => at,
-            Arrival::Late => transit.accepted_at,
-        });
-        arrivals.min()
-    }
-
-    /// Adds those of a report that are not known, as another orderer ordered them.
-    fn add_unknown(&mut self, told: &[ModelAdapter], sequence: u64, now: Moment, config: &LedgerConfig) {
-        for adapter in told {
-            if self.0.iter().all(|transit| transit.adapter != *adapter) {
-                self.begin(adapter.clone(), sequence, now + config.poll_interval, now);
+        // Another orderer ordered those that are not known.
+        for adapter in report.in_transit.iter().flatten() {
+            if self.get(&adapter.model, &adapter.adapter).is_none() {
+                let expected_at = now + config.poll_interval;
+                self.begin(adapter.clone(), report.holdings.sequence, expected_at, now);
             }
         }
     }
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -325,3 +325,26 @@
     assert_eq!(settled, LedgerChange::Failed(order));
     assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(1020)), 5);
 }
+
+/// Guards against requests that are sent to each of several slow adapters in turn: while adapters are late,
+/// requests rely on reports alone, until one shows an adapter in the usual time.
+#[test]
+fn load_after_late_adapter_awaits_report() {
+    let mut ledger = confirmed();
+    load_adapter(&mut ledger, "a1", 100);
+    ledger.mark_arrivals(at(140));
+    ledger.apply_report(
+        &with_transit(report(6, &["m1"], false), &["a1"]),
+        at(500),
+        at(510),
+    );
+    load_adapter(&mut ledger, "a2", 600);
+    assert!(!ledger.mark_arrivals(at(700)));
+    assert!(ledger.is_in_transit("m1", "a2"));
+    assert!(requests_report(&mut ledger, at(900)), "it is awaited");
+    let mut arrived = with_transit(report(7, &["m1"], false), &[]);
+    arrived.holdings.models[0].adapters = vec!["a1".into(), "a2".into()];
+    ledger.apply_report(&arrived, at(800), at(910));
+    load_adapter(&mut ledger, "a3", 1000);
+    assert!(ledger.mark_arrivals(at(1040)), "a2 took no longer than usual");
+}
