Room for unknown orders is kept only where a former life may have got them

A new orderer kept room for the largest order for 30 s at each replica that had started after such orders may have been sent. At the start of a fleet these are all replicas.

Change: only at a replica that started again under its id, as far as the node saw, or that had started before the node saw all replicas; for 15 s, which is longer than replicas are late (2 to 12 s are known); and never so much that no model fits beside it. An order whose effect is there already takes no room. A property of 4,000 cases passes; two tests are new.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -87,7 +87,7 @@
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
         unload: Duration::from_millis(200),
-        unknown_orders_since: None,
+        others_orders: None,
         callers_compete: false,
     }
 }
--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::demand::{DemandSample, ModelKey};
 use croftrill_scheduler::orderer::OrdererConfig;
 use croftrill_scheduler::replica::Order;
-use croftrill_scheduler::unanswered_orders::UNANSWERED_ORDER_LIFETIME;
+use croftrill_scheduler::unanswered_orders::{OthersOrders, UNANSWERED_ORDER_LIFETIME};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -201,7 +201,10 @@
                 Event::Transit(transit_ms) => world.set_adapter_transit_ms(transit_ms),
                 Event::Restart(replica) => world.restart(&format!("r{replica}")),
                 Event::Replace => world.replace_orderer(OrdererConfig {
-                    unknown_orders_since: Some(FIRST_START_MS + 1),
+                    others_orders: Some(OthersOrders {
+                        sent_since_ms: FIRST_START_MS + 1,
+                        lives_known_since_ms: u64::MAX,
+                    }),
                     ..orderer_config()
                 }),
             }
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -10,12 +10,12 @@
 use croftrill_scheduler::lease::{OrdererLease, Record};
 use croftrill_scheduler::orderer::{Orderer, OrdererAction, OrdererConfig};
 use croftrill_scheduler::placement::PlacementConfig;
-use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId, StartedMs};
+use croftrill_scheduler::replica::{Order, OrderOutcome, ReplicaId};
 use croftrill_scheduler::replica_ledger::LedgerConfig;
 use croftrill_scheduler::replica_table::{AnsweredCall, ChangedReplicas, Placement, TableVersion};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
-use croftrill_scheduler::unanswered_orders::UNANSWERED_ORDER_LIFETIME;
+use croftrill_scheduler::unanswered_orders::{OthersOrders, UNANSWERED_ORDER_LIFETIME};
 use nanoserde::SerBin;
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -102,7 +102,7 @@
         let configuration = node.configuration().unwrap_or_default();
         let now = node.clock.now();
         let mut config = orderer_config(&node, shard);
-        config.unknown_orders_since = acquired.has_predecessor.then(|| former_orders_since(&node));
+        config.others_orders = acquired.has_predecessor.then(|| others_orders(&node));
         let mut orderer = Orderer::new(config, configuration, now);
         if let Some(received) = &acquired.inherited {
             orderer.inherit(received);
@@ -674,11 +674,15 @@
     members.nodes().filter(is_idle).map(MemberEntry::candidate)
 }
 
-/// Returns the start time of a replica's life, in Unix milliseconds, from which on orders of former terms
-/// may have been sent to the life before.
-fn former_orders_since<P: Platform>(node: &Node<P>) -> StartedMs {
-    let since = node.clock.unix_time().saturating_sub(UNANSWERED_ORDER_LIFETIME);
-    since.as_millis() as StartedMs
+/// Returns what this node knows of the orders of former terms.
+fn others_orders<P: Platform>(node: &Node<P>) -> OthersOrders {
+    let unix_time = node.clock.unix_time();
+    let ready_at = node.state.borrow().ready_at;
+    let watched_for = ready_at.map_or(Duration::ZERO, |ready_at| node.clock.now().since(ready_at));
+    OthersOrders {
+        sent_since_ms: unix_time.saturating_sub(UNANSWERED_ORDER_LIFETIME).as_millis() as u64,
+        lives_known_since_ms: unix_time.saturating_sub(watched_for).as_millis() as u64,
+    }
 }
 
 pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
@@ -691,7 +695,7 @@
         withdraw_notice: Duration::from_millis(30),
         adapter_load: Duration::from_millis(30),
         unload: Duration::from_millis(200),
-        unknown_orders_since: None,
+        others_orders: None,
         callers_compete: node.settings.callers_compete,
     }
 }
--- a/crates/croftrill-scheduler/src/orderer/former_lives.rs
+++ b/crates/croftrill-scheduler/src/orderer/former_lives.rs
@@ -25,17 +25,18 @@
         }
     }
 
-    /// Assumes orders of other machines to former lives of a replica, if it started after such orders may
-    /// have been sent: this orderer knows only its own.
-    pub(super) fn assume_unknown_orders(&mut self, id: &str) {
-        let Some(since) = self.config.unknown_orders_since else {
+    /// Assumes orders of other machines to a former life of a replica, if they may reach the present one:
+    /// this orderer knows only its own. `has_former_life` is true if one is known.
+    pub(super) fn assume_unknown_orders(&mut self, id: &str, has_former_life: bool) {
+        let Some(others) = self.config.others_orders else {
             return;
         };
         let until = self.took_over_at + UNANSWERED_ORDER_LIFETIME;
         let Some(replica) = self.replicas.get_mut(id) else {
             return;
         };
-        if replica.started_ms.is_some_and(|started_ms| started_ms >= since) {
+        let started_ms = replica.started_ms;
+        if started_ms.is_some_and(|started_ms| others.may_reach(started_ms, has_former_life)) {
             replica.unanswered.assume_unknown_until(until);
         }
     }
--- a/crates/croftrill-scheduler/src/orderer/incarnation.rs
+++ b/crates/croftrill-scheduler/src/orderer/incarnation.rs
@@ -45,7 +45,7 @@
             capacity: Capacity::default(),
         };
         self.replicas.insert(id.clone(), replica);
-        self.assume_unknown_orders(&id);
+        self.assume_unknown_orders(&id, true);
     }
 
     /// Records the outcome of an order that was sent to the incarnation started at
@@ -87,7 +87,7 @@
                     let is_start_new = replica.started_ms.is_none();
                     replica.started_ms = replica.started_ms.or(reported);
                     if is_start_new {
-                        self.assume_unknown_orders(id);
+                        self.assume_unknown_orders(id, false);
                     }
                 }
             }
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -37,14 +37,14 @@
     WeightSource,
 };
 use crate::replica::{
-    Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState, StartedMs,
+    Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
 };
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_room::RoomUse;
 use crate::replica_table::{Placement, ReplicaEntry};
 use crate::shard::{OrderScope, Shard, SHARD_COUNT};
 use crate::time::Moment;
-use crate::unanswered_orders::UnansweredOrders;
+use crate::unanswered_orders::{OthersOrders, UnansweredOrders};
 
 /// Parameters of the orderer.
 #[derive(Debug, Clone, Copy)]
@@ -65,9 +65,8 @@
     pub adapter_load: Duration,
     /// Expected time to unload a model.
     pub unload: Duration,
-    /// Start time in Unix milliseconds from which on a replica's life may get orders that other machines
-    /// sent to its former lives; `None` if no other machine has ever ordered.
-    pub unknown_orders_since: Option<StartedMs>,
+    /// What is known of orders of other machines; `None` if no other one has ever ordered.
+    pub others_orders: Option<OthersOrders>,
     /// True if callers compete for capacity: the number of holders then follows the work even
     /// where replicas report only their requests, but not their work time.
     pub callers_compete: bool,
@@ -325,6 +324,9 @@
         }
         if self.config.scope.covers(&entry.listing.id) {
             self.set_limited(&entry.listing.id, entry.is_limited());
+            if entry.has_former_life() {
+                self.assume_unknown_orders(&entry.listing.id, true);
+            }
             self.republish_if_lost(entry);
             return;
         }
@@ -381,12 +383,14 @@
         if !is_engine {
             return;
         }
-        match self.incarnation(&listing.id, listing.started_ms) {
+        let incarnation = self.incarnation(&listing.id, listing.started_ms);
+        match incarnation {
             Incarnation::Same => {}
             // The entry was written late.
             Incarnation::Earlier => return,
             Incarnation::Later => self.remove_replica(&listing.id),
         }
+        let has_former_life = incarnation == Incarnation::Later;
         let ledger_config = self.config.ledger;
         let is_own = self.config.scope.covers(&listing.id);
         let ordered_by = responsible_orderer(self.config.scope, &self.reachable, &listing.id);
@@ -426,7 +430,7 @@
             self.changed.insert(listing.id.clone());
         }
         if is_start_new {
-            self.assume_unknown_orders(&listing.id);
+            self.assume_unknown_orders(&listing.id, has_former_life);
         }
     }
 
--- a/crates/croftrill-scheduler/src/placement/tracked_replica.rs
+++ b/crates/croftrill-scheduler/src/placement/tracked_replica.rs
@@ -91,14 +91,18 @@
 
     /// Returns what is known to take room, or may take it by an order that can still be carried out.
     pub fn room_use(&self, engine: &EngineSpec) -> RoomUse {
-        let sequence = self.ledger.holdings().sequence;
-        let unanswered = self.unanswered.room_use(engine, self.started_ms, sequence);
-        self.ledger.room_use(engine) + unanswered
+        self.ledger.room_use(engine) + self.reserve(engine, self.ledger.holdings())
     }
 
     /// Returns true if the effect of the order fits whatever else may take room.
     pub fn has_room_for(&self, engine: &EngineSpec, order: &Order) -> bool {
-        (self.room_use(engine) + RoomUse::of_order(engine, order)).fits(engine)
+        let taken = self.ledger.room_use(engine) + RoomUse::of_order(engine, order);
+        let holdings_then = order.applied_to(self.ledger.holdings());
+        (taken + self.reserve(engine, &holdings_then)).fits(engine)
+    }
+
+    fn reserve(&self, engine: &EngineSpec, holdings: &Holdings) -> RoomUse {
+        self.unanswered.room_use(engine, self.started_ms, holdings)
     }
 
     /// Returns true if this orderer may send an order now.
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -249,6 +249,42 @@
         }
     }
 
+    /// Applies the effect of the order. An adapter of a model that is not held has none.
+    pub fn apply_to(&self, holdings: &mut Holdings) {
+        let held = holdings
+            .models
+            .iter_mut()
+            .find(|held| held.model == *self.model());
+        match self {
+            Order::LoadModel(model) => {
+                if held.is_none() {
+                    holdings.models.push(HeldModel {
+                        model: model.clone(),
+                        adapters: Vec::new(),
+                    });
+                }
+            }
+            Order::UnloadModel(model) => holdings.models.retain(|held| held.model != *model),
+            Order::LoadAdapter(_, adapter) => {
+                if let Some(held) = held.filter(|held| !held.adapters.contains(adapter)) {
+                    held.adapters.push(adapter.clone());
+                }
+            }
+            Order::UnloadAdapter(_, adapter) => {
+                if let Some(held) = held {
+                    held.adapters.retain(|present| present != adapter);
+                }
+            }
+        }
+    }
+
+    /// Returns `holdings` with the effect of the order.
+    pub fn applied_to(&self, holdings: &Holdings) -> Holdings {
+        let mut applied = holdings.clone();
+        self.apply_to(&mut applied);
+        applied
+    }
+
     /// Returns whether the order loads or unloads weights. A replica executes one such order at a
     /// time.
     pub fn is_weights(&self) -> bool {
--- a/crates/croftrill-scheduler/src/replica_ledger/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/mod.rs
@@ -167,7 +167,7 @@
     /// Returns what is known to take room: what is held or in transit, and the pending order.
     pub fn room_use(&self, engine: &EngineSpec) -> RoomUse {
         let pending = self.pending().map(|order| RoomUse::of_order(engine, order));
-        RoomUse::of(engine, &self.holdings, &self.in_transit.to_adapters()) + pending.unwrap_or_default()
+        RoomUse::of(engine, &self.holdings, self.in_transit.adapters()) + pending.unwrap_or_default()
     }
 
     /// Returns the pending order.
@@ -383,8 +383,8 @@
         self.holdings = report.holdings.clone();
         let requested = self.requested_report(report, requested_at);
         self.in_transit.update(requested, now, &self.config);
-        for ModelAdapter { model, adapter } in self.in_transit.to_adapters() {
-            self.apply(&Order::LoadAdapter(model, adapter));
+        for ModelAdapter { model, adapter } in self.in_transit.adapters() {
+            Order::LoadAdapter(model.clone(), adapter.clone()).apply_to(&mut self.holdings);
         }
         self.busy = report.busy;
         self.confirmed = true;
@@ -521,29 +521,7 @@
     }
 
     fn apply(&mut self, order: &Order) {
-        match order {
-            Order::LoadModel(model) => {
-                if self.holdings.model(model).is_none() {
-                    let held = crate::replica::HeldModel {
-                        model: model.clone(),
-                        adapters: Vec::new(),
-                    };
-                    self.holdings.models.push(held);
-                }
-            }
-            Order::UnloadModel(model) => self.holdings.models.retain(|held| held.model != *model),
-            Order::LoadAdapter(model, adapter) => {
-                let held = self.holdings.models.iter_mut().find(|held| held.model == *model);
-                if let Some(held) = held.filter(|held| !held.adapters.contains(adapter)) {
-                    held.adapters.push(adapter.clone());
-                }
-            }
-            Order::UnloadAdapter(model, adapter) => {
-                if let Some(held) = self.holdings.models.iter_mut().find(|held| held.model == *model) {
-                    held.adapters.retain(|present| present != adapter);
-                }
-            }
-        }
+        order.apply_to(&mut self.holdings);
     }
 }
 
--- a/crates/croftrill-scheduler/src/replica_ledger/transit.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/transit.rs
@@ -94,11 +94,8 @@
         self.transits.iter().find(|transit| transit.is_of(model, adapter))
     }
 
-    pub(super) fn to_adapters(&self) -> Vec<ModelAdapter> {
-        self.transits
-            .iter()
-            .map(|transit| transit.adapter.clone())
-            .collect()
+    pub(super) fn adapters(&self) -> impl Iterator<Item = &ModelAdapter> {
+        self.transits.iter().map(|transit| &transit.adapter)
     }
 
     /// Returns those that requests may not rely on yet.
--- a/crates/croftrill-scheduler/src/replica_room.rs
+++ b/crates/croftrill-scheduler/src/replica_room.rs
@@ -1,6 +1,5 @@
 //! Room of a replica: its memory for weights and adapters, and its adapter slots.
 
-use std::collections::BTreeSet;
 use std::fmt;
 use std::iter::Sum;
 use std::ops::Add;
@@ -21,29 +20,37 @@
     /// Returns what models and adapters take that a replica holds, and adapters on their way to it. An
     /// adapter that is in both counts once. A model that is not in the configuration is assumed to fill
     /// the replica.
-    pub fn of(engine: &EngineSpec, holdings: &Holdings, in_transit: &[ModelAdapter]) -> Self {
-        let weights = holdings
-            .models
-            .iter()
-            .map(|held| match engine.models.get(&held.model) {
-                Some(spec) => spec.weights_mb,
-                None => engine.weights_mb,
-            });
-        let held = holdings.models.iter().flat_map(|held| {
-            let model = &held.model;
-            held.adapters.iter().map(move |adapter| (model, adapter))
+    pub fn of<'a>(
+        engine: &EngineSpec,
+        holdings: &Holdings,
+        in_transit: impl IntoIterator<Item = &'a ModelAdapter>,
+    ) -> Self {
+        let held = holdings.models.iter().map(|held| RoomUse {
+            memory_mb: weights_mb(engine, &held.model)
+                + adapter_mb(engine, &held.model) * held.adapters.len() as f64,
+            adapter_slots: held.adapters.len(),
         });
-        let in_transit = in_transit
-            .iter()
-            .map(|transit| (&transit.model, &transit.adapter));
-        let adapters: BTreeSet<_> = held.chain(in_transit).collect();
-        let adapter_memory = adapters.iter().map(|(model, _)| {
-            let spec = engine.models.get(*model);
-            spec.map_or(0.0, |spec| spec.adapter_mb)
+        let is_held = |adapter: &&ModelAdapter| holdings.serves(&adapter.model, Some(&adapter.adapter));
+        let others = in_transit.into_iter().filter(|adapter| !is_held(adapter));
+        let others = others.map(|adapter| RoomUse {
+            memory_mb: adapter_mb(engine, &adapter.model),
+            adapter_slots: 1,
         });
-        RoomUse {
-            memory_mb: weights.sum::<f64>() + adapter_memory.sum::<f64>(),
-            adapter_slots: adapters.len(),
+        held.chain(others).sum()
+    }
+
+    /// Returns what an order takes once it is carried out; nothing for an unload.
+    pub fn of_order(engine: &EngineSpec, order: &Order) -> Self {
+        match order {
+            Order::LoadModel(model) => RoomUse {
+                memory_mb: weights_mb(engine, model),
+                adapter_slots: 0,
+            },
+            Order::LoadAdapter(model, _) => RoomUse {
+                memory_mb: adapter_mb(engine, model),
+                adapter_slots: 1,
+            },
+            Order::UnloadModel(_) | Order::UnloadAdapter(..) => RoomUse::default(),
         }
     }
 
@@ -57,11 +64,27 @@
         largest.fold(RoomUse::default(), RoomUse::max)
     }
 
-    /// Returns whether it is within the room of a replica.
+    /// Returns what an empty replica has left beside this.
+    pub fn left_beside(self, engine: &EngineSpec) -> Self {
+        RoomUse {
+            memory_mb: (engine.weights_mb - self.memory_mb).max(0.0),
+            adapter_slots: engine.adapter_slots.saturating_sub(self.adapter_slots),
+        }
+    }
+
+    /// Returns true if it is within the room of a replica.
     pub fn fits(self, engine: &EngineSpec) -> bool {
         self.memory_mb <= engine.weights_mb && self.adapter_slots <= engine.adapter_slots
     }
 
+    /// Returns the smaller of each.
+    pub fn min(self, other: Self) -> Self {
+        RoomUse {
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            adapter_slots: self.adapter_slots.min(other.adapter_slots),
+        }
+    }
+
     /// Returns the greater of each.
     pub fn max(self, other: Self) -> Self {
         RoomUse {
@@ -69,22 +92,15 @@
             adapter_slots: self.adapter_slots.max(other.adapter_slots),
         }
     }
+}
 
-    /// Returns what an order takes once it is carried out; nothing for an unload.
-    pub fn of_order(engine: &EngineSpec, order: &Order) -> Self {
-        let spec = engine.models.get(order.model());
-        match order {
-            Order::LoadModel(_) => RoomUse {
-                memory_mb: spec.map_or(engine.weights_mb, |spec| spec.weights_mb),
-                adapter_slots: 0,
-            },
-            Order::LoadAdapter(..) => RoomUse {
-                memory_mb: spec.map_or(0.0, |spec| spec.adapter_mb),
-                adapter_slots: 1,
-            },
-            Order::UnloadModel(_) | Order::UnloadAdapter(..) => RoomUse::default(),
-        }
-    }
+fn weights_mb(engine: &EngineSpec, model: &str) -> f64 {
+    let spec = engine.models.get(model);
+    spec.map_or(engine.weights_mb, |spec| spec.weights_mb)
+}
+
+fn adapter_mb(engine: &EngineSpec, model: &str) -> f64 {
+    engine.models.get(model).map_or(0.0, |spec| spec.adapter_mb)
 }
 
 impl Add for RoomUse {
--- a/crates/croftrill-scheduler/src/replica_table/entry.rs
+++ b/crates/croftrill-scheduler/src/replica_table/entry.rs
@@ -28,6 +28,8 @@
     pub(super) send_times: SendTimes,
     /// Capacity and load, as reported in responses.
     pub capacity: Capacity,
+    /// Whether it was listed before with an earlier start.
+    pub(super) has_former_life: bool,
     /// False while all sources that this node has for the replica carry no weight copies.
     pub(super) knows_copies: bool,
 }
@@ -45,6 +47,7 @@
             own_tokens: 0,
             send_times: SendTimes::default(),
             capacity: Capacity::default(),
+            has_former_life: false,
             knows_copies: true,
         }
     }
@@ -58,10 +61,16 @@
             own_tokens: self.own_tokens,
             send_times: self.send_times.clone(),
             signals: self.signals.of_incarnation(listing.started_ms),
+            has_former_life: true,
             ..ReplicaEntry::new(listing)
         }
     }
 
+    /// Returns whether the replica started again under its id, as far as this node knows.
+    pub fn has_former_life(&self) -> bool {
+        self.has_former_life
+    }
+
     /// Returns what is known of the replica's holdings.
     pub fn placement(&self) -> Placement {
         Placement {
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -95,6 +95,7 @@
     unlisted: Unlisted<Placement>,
     /// Signals of replicas that are not listed.
     unlisted_signals: Unlisted<KnownSignals>,
+    unlisted_starts: Unlisted<Option<StartedMs>>,
     changes: ChangeLog,
     /// Shortest times to load a model, received from nodes that know all replicas.
     received_reload_times: HashMap<(ServiceName, ModelName), Duration>,
@@ -145,8 +146,11 @@
     /// its directory entry may have lapsed while it kept running.
     fn newly_listed(&mut self, listing: ReplicaListing) -> ReplicaEntry {
         let signals = self.unlisted_signals.remove(&listing.id).unwrap_or_default();
+        let former_start = self.unlisted_starts.remove(&listing.id);
+        let is_later = |former| Incarnation::of(listing.started_ms, former) == Incarnation::Later;
         ReplicaEntry {
             signals: signals.of_incarnation(listing.started_ms),
+            has_former_life: former_start.is_some_and(is_later),
             ..ReplicaEntry::new(listing)
         }
     }
@@ -293,6 +297,7 @@
         self.replicas.insert(id.clone(), entry);
         self.unlisted.note_listed(self.replicas.len());
         self.unlisted_signals.note_listed(self.replicas.len());
+        self.unlisted_starts.note_listed(self.replicas.len());
         self.changes.note(&id, self.replicas.len());
     }
 
@@ -320,6 +325,8 @@
         if entry.from_orderer {
             self.unlisted.insert(entry.listing.id.clone(), entry.placement());
         }
+        self.unlisted_starts
+            .insert(entry.listing.id.clone(), entry.listing.started_ms);
     }
 
     /// Removes a replica about which this node receives no more updates. It may still be
--- a/crates/croftrill-scheduler/src/unanswered_orders.rs
+++ b/crates/croftrill-scheduler/src/unanswered_orders.rs
@@ -10,17 +10,36 @@
 use std::time::Duration;
 
 use crate::catalog::EngineSpec;
-use crate::replica::{Incarnation, Order, OrderOutcome, StartedMs};
+use crate::replica::{Holdings, Incarnation, Order, OrderOutcome, StartedMs};
 use crate::replica_room::RoomUse;
 use crate::time::Moment;
 
 /// Time after which an order without an answer is not carried out any more: replicas do so seconds
 /// late.
-pub const UNANSWERED_ORDER_LIFETIME: Duration = Duration::from_secs(30);
+pub const UNANSWERED_ORDER_LIFETIME: Duration = Duration::from_secs(15);
 
 /// The life of a replica that an order was sent to, by its start.
 pub type Life = Option<StartedMs>;
 
+/// What is known of orders that other machines sent before this orderer took over, in Unix
+/// milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OthersOrders {
+    /// Time since which such orders may still be carried out.
+    pub sent_since_ms: StartedMs,
+    /// Time since which this node knows of all lives of all replicas.
+    pub lives_known_since_ms: StartedMs,
+}
+
+impl OthersOrders {
+    /// Returns true if such orders to a former life may be carried out in the life that started at
+    /// `started_ms`. `has_former_life` is true if one is known.
+    pub fn may_reach(&self, started_ms: StartedMs, has_former_life: bool) -> bool {
+        let may_have_former_life = has_former_life || started_ms <= self.lives_known_since_ms;
+        started_ms >= self.sent_since_ms && may_have_former_life
+    }
+}
+
 #[derive(Debug, Clone)]
 struct UnansweredOrder {
     order: Order,
@@ -81,19 +100,27 @@
         self.orders.is_empty() && self.unknown_until.is_none()
     }
 
-    /// Returns the room that orders to former lives may take in the life `life`, which is at
-    /// `sequence`. Of several that expect the same sequence only one can be carried out. Of those that
-    /// are not known, the largest possible one is assumed.
-    pub fn room_use(&self, engine: &EngineSpec, life: Life, sequence: u64) -> RoomUse {
+    /// Returns the room that orders to former lives may take beside `holdings` in the life `life`. Of
+    /// several that expect the same sequence only one can be carried out, and one whose effect is there
+    /// already takes nothing. Of those that are not known, one of the largest is assumed, as far as the
+    /// replica can load any model beside it.
+    pub fn room_use(&self, engine: &EngineSpec, life: Life, holdings: &Holdings) -> RoomUse {
+        if self.is_empty() {
+            return RoomUse::default();
+        }
         let mut by_sequence: BTreeMap<u64, RoomUse> = BTreeMap::new();
         for order in &self.orders {
             let is_of_former_life = Incarnation::of(life, order.life) == Incarnation::Later;
-            if is_of_former_life && order.expected_sequence >= sequence {
+            let is_possible = is_of_former_life && order.expected_sequence >= holdings.sequence;
+            if is_possible && !order.order.holds_in(holdings) {
                 let taken = by_sequence.entry(order.expected_sequence).or_default();
                 *taken = taken.max(RoomUse::of_order(engine, &order.order));
             }
         }
-        let unknown = self.unknown_until.map(|_| RoomUse::of_largest_order(engine));
+        let unknown = self.unknown_until.map(|_| {
+            let largest = RoomUse::of_largest_order(engine);
+            largest.min(largest.left_beside(engine))
+        });
         by_sequence.into_values().chain(unknown).sum()
     }
 }
--- a/crates/croftrill-scheduler/tests/unanswered_orders.rs
+++ b/crates/croftrill-scheduler/tests/unanswered_orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::{EngineSpec, ModelSpec};
-use croftrill_scheduler::replica::{Order, OrderOutcome};
+use croftrill_scheduler::replica::{HeldModel, Holdings, Order, OrderOutcome};
 use croftrill_scheduler::replica_room::RoomUse;
 use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::unanswered_orders::{UnansweredOrders, UNANSWERED_ORDER_LIFETIME};
@@ -48,6 +48,14 @@
     orders.record_outcome(FORMER, OrderOutcome::Unknown);
 }
 
+/// Returns the holdings of a replica that holds nothing.
+fn empty_at(sequence: u64) -> Holdings {
+    Holdings {
+        sequence,
+        ..Holdings::default()
+    }
+}
+
 fn memory(memory_mb: f64) -> RoomUse {
     RoomUse {
         memory_mb,
@@ -60,8 +68,11 @@
 fn room_use_in_the_life_of_the_order_is_empty() {
     let mut orders = UnansweredOrders::default();
     unanswered(&mut orders, load("large"), 3);
-    assert_eq!(orders.room_use(&engine(), FORMER, 3), RoomUse::default());
-    assert_eq!(orders.room_use(&engine(), PRESENT, 3), memory(70.0));
+    assert_eq!(
+        orders.room_use(&engine(), FORMER, &empty_at(3)),
+        RoomUse::default()
+    );
+    assert_eq!(orders.room_use(&engine(), PRESENT, &empty_at(3)), memory(70.0));
 }
 
 /// Guards against room that stays taken: an order cannot be carried out once its sequence has passed, and
@@ -73,10 +84,13 @@
     unanswered(&mut orders, load("small"), 3);
     unanswered(&mut orders, load("small"), 5);
     unanswered(&mut orders, Order::UnloadModel("large".into()), 6);
-    assert_eq!(orders.room_use(&engine(), PRESENT, 0), memory(110.0));
-    assert_eq!(orders.room_use(&engine(), PRESENT, 3), memory(110.0));
-    assert_eq!(orders.room_use(&engine(), PRESENT, 4), memory(40.0));
-    assert_eq!(orders.room_use(&engine(), PRESENT, 6), RoomUse::default());
+    assert_eq!(orders.room_use(&engine(), PRESENT, &empty_at(0)), memory(110.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, &empty_at(3)), memory(110.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, &empty_at(4)), memory(40.0));
+    assert_eq!(
+        orders.room_use(&engine(), PRESENT, &empty_at(6)),
+        RoomUse::default()
+    );
 }
 
 /// Guards against an order that is on its way when its replica restarts.
@@ -85,11 +99,14 @@
     let mut orders = UnansweredOrders::default();
     let adapter = Order::LoadAdapter("small".into(), "a1".into());
     orders.record_sent(adapter, 2, FORMER, at(0));
-    let taken = orders.room_use(&engine(), PRESENT, 0);
+    let taken = orders.room_use(&engine(), PRESENT, &empty_at(0));
     assert_eq!((taken.adapter_slots, taken.memory_mb), (1, 2.0));
     orders.record_sent(load("large"), 0, PRESENT, at(100));
     orders.record_outcome(FORMER, OrderOutcome::Conflict);
-    assert_eq!(orders.room_use(&engine(), PRESENT, 0), RoomUse::default());
+    assert_eq!(
+        orders.room_use(&engine(), PRESENT, &empty_at(0)),
+        RoomUse::default()
+    );
     orders.record_outcome(PRESENT, OrderOutcome::Accepted);
     assert!(orders.is_empty());
 }
@@ -99,7 +116,7 @@
     let mut orders = UnansweredOrders::default();
     unanswered(&mut orders, load("large"), 3);
     orders.prune(at(0) + UNANSWERED_ORDER_LIFETIME - Duration::from_millis(1));
-    assert_eq!(orders.room_use(&engine(), PRESENT, 0), memory(70.0));
+    assert_eq!(orders.room_use(&engine(), PRESENT, &empty_at(0)), memory(70.0));
     orders.prune(at(0) + UNANSWERED_ORDER_LIFETIME);
     assert!(orders.is_empty());
 }
@@ -109,10 +126,39 @@
 fn room_use_assumes_largest_unknown_order() {
     let mut orders = UnansweredOrders::default();
     orders.assume_unknown_until(at(5000));
-    let taken = orders.room_use(&engine(), PRESENT, 9);
+    let taken = orders.room_use(&engine(), PRESENT, &empty_at(9));
     assert_eq!((taken.adapter_slots, taken.memory_mb), (1, 70.0));
     orders.prune(at(4999));
     assert!(!orders.is_empty());
     orders.prune(at(5000));
-    assert_eq!(orders.room_use(&engine(), PRESENT, 9), RoomUse::default());
+    assert_eq!(
+        orders.room_use(&engine(), PRESENT, &empty_at(9)),
+        RoomUse::default()
+    );
+}
+
+/// Guards against a replica that gets no orders at all: with room for one model, nothing is assumed.
+#[test]
+fn room_use_leaves_room_for_one_model() {
+    let mut orders = UnansweredOrders::default();
+    orders.assume_unknown_until(at(5000));
+    let small = EngineSpec {
+        weights_mb: 90.0,
+        adapter_slots: 1,
+        ..engine()
+    };
+    assert_eq!(orders.room_use(&small, PRESENT, &empty_at(0)), memory(20.0));
+}
+
+/// Guards against room for a model twice: an order to load what is there already takes nothing.
+#[test]
+fn room_use_of_effect_that_holds_is_empty() {
+    let mut orders = UnansweredOrders::default();
+    unanswered(&mut orders, load("large"), 3);
+    let mut holdings = empty_at(1);
+    holdings.models.push(HeldModel {
+        model: "large".into(),
+        adapters: Vec::new(),
+    });
+    assert_eq!(orders.room_use(&engine(), PRESENT, &holdings), RoomUse::default());
 }
