--- a/crates/croftrill-scheduler/tests/stored_versions.rs
+++ b/crates/croftrill-scheduler/tests/stored_versions.rs
@@ -37,8 +37,9 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    /// Replaces all replicas, one after the other.
+    /// Replaces the first replicas, one after the other.
     Roll {
+        replicas: u32,
         gap_ms: u64,
         keeps_ids: bool,
     },
@@ -200,6 +201,7 @@
 
 struct Stream {
     version: SoftwareVersion,
+    began_ms: u64,
     resumed_at_ms: u64,
 }
 
@@ -208,6 +210,11 @@
     mixed: usize,
     went_on: usize,
     refused_in_touch: usize,
+    /// Begun before all nodes ended, and taken up later at a node in touch while two replicas of the
+    /// stream's version served.
+    outlasting: usize,
+    /// Those of them that went on.
+    outlasting_went_on: usize,
 }
 
 struct Fleet {
@@ -217,6 +224,7 @@
     streams: Vec<Stream>,
     rng: TestRng,
     counts: Counts,
+    all_ended_ms: u64,
     rolls: u64,
     next_replacements: Vec<(u64, u32, bool, SoftwareVersion)>,
     next_removals: Vec<(u64, String)>,
@@ -247,6 +255,7 @@
             streams: Vec::new(),
             rng: TestRng::from_seed(RngAlgorithm::ChaCha, &seed_bytes),
             counts: Counts::default(),
+            all_ended_ms: 0,
             rolls: 0,
             next_replacements: Vec::new(),
             next_removals: Vec::new(),
@@ -267,10 +276,14 @@
 
     fn begin(&mut self, event: &Event, now_ms: u64) {
         match event {
-            Event::Roll { gap_ms, keeps_ids } => {
+            Event::Roll {
+                replicas,
+                gap_ms,
+                keeps_ids,
+            } => {
                 self.rolls += 1;
                 let version: SoftwareVersion = format!("v{}", self.rolls).into();
-                for index in 0..REPLICAS {
+                for index in 0..*replicas {
                     let at_ms = now_ms + gap_ms * u64::from(index);
                     self.next_replacements
                         .push((at_ms, index, *keeps_ids, version.clone()));
@@ -286,7 +299,10 @@
                 self.replicas.insert(id.clone(), listing);
                 self.next_removals.push((now_ms + for_ms, id));
             }
-            Event::KillAll { down_ms } => (0..NODES).for_each(|node| self.kill(node, now_ms + down_ms)),
+            Event::KillAll { down_ms } => {
+                self.all_ended_ms = now_ms;
+                (0..NODES).for_each(|node| self.kill(node, now_ms + down_ms));
+            }
             Event::Kill { node, down_ms } => self.kill(*node, now_ms + down_ms),
             Event::StoreAway { for_ms } => self.store.away_until_ms = now_ms + for_ms,
             Event::Restore { age_ms } => {
@@ -460,6 +476,7 @@
         }
         self.streams.push(Stream {
             version,
+            began_ms: now_ms,
             resumed_at_ms: now_ms + resumed_in_ms,
         });
     }
@@ -488,6 +505,13 @@
             }),
         };
         let is_in_touch = node.up_since_ms.is_some_and(|since| now_ms >= since + CONTACT_MS);
+        let serving = self.replicas.values();
+        let serving = serving.filter(|listing| listing.version == self.streams[stream].version);
+        let is_outlasting = self.streams[stream].began_ms < self.all_ended_ms;
+        if is_in_touch && is_outlasting && serving.count() >= 2 {
+            self.counts.outlasting += 1;
+            self.counts.outlasting_went_on += usize::from(found.is_some());
+        }
         match found {
             Some(version) if version != self.streams[stream].version => self.counts.mixed += 1,
             Some(_) => self.counts.went_on += 1,
@@ -511,7 +535,11 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        3 => (20_u64..3_000, any::<bool>()).prop_map(|(gap_ms, keeps_ids)| Event::Roll { gap_ms, keeps_ids }),
+        3 => (20_u64..3_000, any::<bool>()).prop_map(|(gap_ms, keeps_ids)| Event::Roll {
+            replicas: REPLICAS,
+            gap_ms,
+            keeps_ids,
+        }),
         3 => (200_u64..3_000).prop_map(|down_ms| Event::KillAll { down_ms }),
         2 => (0..NODES, 200_u64..3_000).prop_map(|(node, down_ms)| Event::Kill { node, down_ms }),
         4 => (100_u64..3_000).prop_map(|for_ms| Event::Canary { for_ms }),
@@ -563,6 +591,34 @@
     }
 }
 
+/// Returns the counts of streams in a fleet of which half is rolled, while all nodes end.
+fn roll_half_and_kill_all(seed: u64) -> Counts {
+    let kill_ms = 20_000 + seed * 37 % 6_000;
+    let roll = Event::Roll {
+        replicas: REPLICAS / 2,
+        gap_ms: 400,
+        keeps_ids: false,
+    };
+    play(
+        seed,
+        vec![(20_000, roll), (kill_ms, Event::KillAll { down_ms: 1_000 })],
+    )
+}
+
+/// Guards against streams that nobody takes up after all nodes ended in a roll, though replicas of their
+/// version serve: as many of them should go on as half of the new ones begin.
+#[test]
+fn half_of_the_streams_of_a_roll_go_on_after_all_nodes_ended() {
+    let (mut outlasting, mut went_on) = (0, 0);
+    for seed in 0..40 {
+        let counts = roll_half_and_kill_all(seed);
+        assert_eq!(counts.mixed, 0, "seed {seed}: {counts:?}");
+        outlasting += counts.outlasting;
+        went_on += counts.outlasting_went_on;
+    }
+    assert!(went_on * 2 >= outlasting, "{went_on} of {outlasting}");
+}
+
 /// Guards against a record that proves something beyond the era in which it was written.
 #[test]
 fn sole_version_is_unknown_in_another_era() {
