--- a/crates/croftrill-scheduler/src/orderer/former_lives.rs
+++ b/crates/croftrill-scheduler/src/orderer/former_lives.rs
@@ -16,7 +16,7 @@
 
     /// Records the outcome of an order that was sent to a life of a replica.
     pub(super) fn record_answer(&mut self, id: &str, life: Life, outcome: OrderOutcome) {
-        let unanswered = match self.replicas.get_mut(id) {
+        let unanswered = match self.replicas.get_mut_unindexed(id) {
             Some(replica) => Some(&mut replica.unanswered),
             None => self.absent_orders.get_mut(id),
         };
@@ -32,20 +32,26 @@
             return;
         };
         let until = self.took_over_at + UNANSWERED_ORDER_LIFETIME;
-        let Some(replica) = self.replicas.get_mut(id) else {
+        let Some(replica) = self.replicas.get_mut_unindexed(id) else {
             return;
         };
         let started_ms = replica.started_ms;
         if started_ms.is_some_and(|started_ms| others.may_reach(started_ms, has_former_life)) {
             replica.unanswered.assume_unknown_until(until);
+            self.with_unanswered.insert(id.into());
         }
     }
 
     /// Forgets orders that can have no effect any more.
     pub(super) fn prune_unanswered(&mut self, now: Moment) {
-        for (_, replica) in self.replicas.iter_mut_unindexed() {
+        let replicas = &mut self.replicas;
+        self.with_unanswered.retain(|id| {
+            let Some(replica) = replicas.get_mut_unindexed(id) else {
+                return false;
+            };
             replica.unanswered.prune(now);
-        }
+            !replica.unanswered.is_empty()
+        });
         self.absent_orders.retain(|_, unanswered| {
             unanswered.prune(now);
             !unanswered.is_empty()
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -175,6 +175,8 @@
     store_free_since: BTreeMap<ServiceName, Moment>,
     /// Start times of this orderer's running loads from the weight store.
     store_loads: BTreeMap<ReplicaId, Moment>,
+    /// Replicas with orders that got no answer yet.
+    with_unanswered: BTreeSet<ReplicaId>,
     /// Orders without an answer to replicas that are not listed at the moment.
     absent_orders: BTreeMap<ReplicaId, UnansweredOrders>,
     changed: BTreeSet<ReplicaId>,
@@ -212,6 +214,7 @@
             store_free_since: BTreeMap::new(),
             out_of_reach: BTreeSet::new(),
             store_loads: BTreeMap::new(),
+            with_unanswered: BTreeSet::new(),
             absent_orders: BTreeMap::new(),
             changed: BTreeSet::new(),
             published: BTreeMap::new(),
@@ -429,6 +432,9 @@
             // The other nodes learn of holdings only from placements.
             self.changed.insert(listing.id.clone());
         }
+        if is_new && !replica.unanswered.is_empty() {
+            self.with_unanswered.insert(listing.id.clone());
+        }
         if is_start_new {
             self.assume_unknown_orders(&listing.id, has_former_life);
         }
@@ -577,6 +583,7 @@
         replica
             .unanswered
             .record_sent(order.clone(), expected_sequence, life, now);
+        self.with_unanswered.insert(id.clone());
         self.history.record_sent(id);
         self.changed.insert(id.clone());
         OrdererAction::Order {
--- a/crates/croftrill-scheduler/src/orderer/reports.rs
+++ b/crates/croftrill-scheduler/src/orderer/reports.rs
@@ -91,7 +91,7 @@
     /// Notes that an order will be sent to this replica once a report shows an adapter in transit there
     /// as present.
     pub(super) fn await_arrivals(&mut self, id: &str) {
-        if let Some(replica) = self.replicas.get_mut(id) {
+        if let Some(replica) = self.replicas.get_mut_unindexed(id) {
             replica.ledger.await_arrivals();
         }
     }
@@ -105,7 +105,7 @@
         let holders: Vec<ReplicaId> = fleet.current_holders(&key.model).cloned().collect();
         drop(fleet);
         for id in holders {
-            if let Some(replica) = self.replicas.get_mut(&id) {
+            if let Some(replica) = self.replicas.get_mut_unindexed(&id) {
                 let ledger = &mut replica.ledger;
                 let is_own = replica.ordered_by == OrderedBy::ThisOrderer;
                 if is_own
--- a/crates/croftrill-scheduler/src/placement/replicas.rs
+++ b/crates/croftrill-scheduler/src/placement/replicas.rs
@@ -293,6 +293,11 @@
         self.replicas.get_mut(id)
     }
 
+    /// Returns a replica to change what no index depends on.
+    pub fn get_mut_unindexed(&mut self, id: &str) -> Option<&mut TrackedReplica> {
+        self.replicas.get_mut(id)
+    }
+
     /// Records a load that a replica reported at `at`.
     pub fn record_load(&mut self, id: &str, load: ReplicaLoad, at: Moment) {
         if let Some(replica) = self.replicas.get_mut(id) {
