Model replica: the models that it begins with are on its disk, as its reports and listing say

The replicas of the test start again each 1.5 s, empty, and had no model on disk to load from, so little was ordered for most of the 8 s.

--- a/crates/croftrill-replica-model/src/lib.rs
+++ b/crates/croftrill-replica-model/src/lib.rs
@@ -49,12 +49,15 @@
 }
 
 impl ReplicaModel {
-    /// Creates a replica that holds `models`.
+    /// Creates a replica that holds `models`, with copies of them on its disk.
     pub fn new(spec: ReplicaSpec, models: &[ModelName], started_ms: Option<StartedMs>, now: Moment) -> Self {
         let holdings = Holdings {
             sequence: 0,
             models: held_models(models),
-            copies: WeightCopies::default(),
+            copies: WeightCopies {
+                on_disk: models.to_vec(),
+                ..WeightCopies::default()
+            },
         };
         let mut replica = ReplicaModel {
             adapter_transit: spec.adapter_transit,
