Room for orders of a former life: none for those that name the present sequence

What callers saw: nothing; found by reading while the room tests were traced. A replica that is back under its id kept room for an order of its former life beside the next order, though both name the same sequence and only one of them can be carried out. On a small replica one model less fitted for up to 15 s.

Change: only orders that name a later sequence than the present one take room beside the next order. That is enough: one that names the present sequence was counted when the order before it was checked, and in an empty replica any one order fits.

Seen: room_use_leaves_out_orders_at_present_sequence failed before (70 MB kept).

--- a/crates/croftrill-scheduler/src/unanswered_orders.rs
+++ b/crates/croftrill-scheduler/src/unanswered_orders.rs
@@ -3,8 +3,9 @@
 //! An order names the sequence that it expects. In the life in which it was checked, that is the state
 //! against which it was checked, so it fits. A replica that starts again under its id counts from the
 //! start: in that life the same sequence is another state. What such an order would take counts as
-//! taken there, until the sequence has passed it, its answer has come, or it is too old to be carried
-//! out.
+//! taken there, until the sequence has reached it, its answer has come, or it is too old to be carried
+//! out. One that expects the present sequence was counted by the order that led there, and the next
+//! order, which names the same, can only be carried out in its place.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -100,8 +101,8 @@
         self.orders.is_empty() && self.unknown_until.is_none()
     }
 
-    /// Returns the room that orders to former lives may take beside `holdings` in the life `life`. Of
-    /// several that expect the same sequence only one can be carried out, and one whose effect is there
+    /// Returns the room that orders to former lives may take beside `holdings` and the next order in the
+    /// life `life`. Of several that expect the same sequence only one can be carried out, and one whose effect is there
     /// already takes nothing. Of those that are not known, one of the largest is assumed, as far as the
     /// replica can load any model beside it.
     pub fn room_use(&self, engine: &EngineSpec, life: Life, holdings: &Holdings) -> RoomUse {
@@ -111,7 +112,7 @@
         let mut by_sequence: BTreeMap<u64, RoomUse> = BTreeMap::new();
         for order in &self.orders {
             let is_of_former_life = Incarnation::of(life, order.life) == Incarnation::Later;
-            let is_possible = is_of_former_life && order.expected_sequence >= holdings.sequence;
+            let is_possible = is_of_former_life && order.expected_sequence > holdings.sequence;
             if is_possible && !order.order.holds_in(holdings) {
                 let taken = by_sequence.entry(order.expected_sequence).or_default();
                 *taken = taken.max(RoomUse::of_order(engine, &order.order));
