--- a/crates/croftrill-replica-model/src/lib.rs
+++ b/crates/croftrill-replica-model/src/lib.rs
@@ -186,8 +186,7 @@
             return None;
         }
         let lag = self.spec.report_lag;
-        let is_outdated = |(_, since): (&_, &(Moment, ReplicaReport))| since.0 + lag <= now;
-        while self.reports.get(1).is_some_and(|next| is_outdated((&(), next))) {
+        while self.reports.get(1).is_some_and(|(since, _)| *since + lag <= now) {
             self.reports.pop_front();
         }
         self.reports.front().map(|(_, report)| report.clone())
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -3,8 +3,9 @@
 //! [`goals`] selects what replicas load and evict, [`adapters`] places adapters,
 //! [`store_loads`] limits loads from the weight store, [`reports`] selects the replicas to
 //! request reports from, [`work`] measures the work at the replicas, [`incarnation`] handles
-//! restarted replicas and [`former_lives`] orders that may still reach them, [`version_waits`] loads models for streams that go on at one software version
-//! only, and [`placement_updates`] determines what is published to the nodes.
+//! restarted replicas and [`former_lives`] orders that may still reach them, [`version_waits`]
+//! loads models for streams that go on at one software version only, and
+//! [`placement_updates`] determines what is published to the nodes.
 //!
 //! The orderer has no durable state. A new orderer starts with the listed replicas, confirms
 //! each of them by a report, and counts its predecessor's loads as just started.
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -95,6 +95,7 @@
     unlisted: Unlisted<Placement>,
     /// Signals of replicas that are not listed.
     unlisted_signals: Unlisted<KnownSignals>,
+    /// Start times of replicas that are not listed.
     unlisted_starts: Unlisted<Option<StartedMs>>,
     changes: ChangeLog,
     /// Shortest times to load a model, received from nodes that know all replicas.
