Unknown orders of former lives: clocks may differ, and a follower does not know all lives

What callers saw: nothing; found by reading the change once more. Whether orders of others may reach the present life of a replica is judged by its start, told by its own clock, and by the orderer's. And a node that knew some replicas only, by its interests, was taken to have known all lives since it was ready.

Change: 5 s between the two clocks are allowed for, both ways. A node notes since when it knows all replicas, anew each time that it was partial.

--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::demand::{DemandSample, ModelKey};
 use croftrill_scheduler::orderer::OrdererConfig;
 use croftrill_scheduler::replica::Order;
-use croftrill_scheduler::unanswered_orders::{OthersOrders, UNANSWERED_ORDER_LIFETIME};
+use croftrill_scheduler::unanswered_orders::{OthersOrders, MAX_CLOCK_DIFFERENCE, UNANSWERED_ORDER_LIFETIME};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -166,6 +166,13 @@
     ]
 }
 
+/// Returns what a new orderer knows of others' orders: they may reach any life but the first.
+fn others_orders() -> OthersOrders {
+    let first_life_over = Duration::from_millis(FIRST_START_MS + 1);
+    let time_of_day = first_life_over + UNANSWERED_ORDER_LIFETIME + MAX_CLOCK_DIFFERENCE;
+    OthersOrders::before(time_of_day, Duration::ZERO)
+}
+
 fn delivery() -> impl Strategy<Value = OrderDelivery> {
     prop_oneof![
         5 => Just(OrderDelivery::Answered),
@@ -201,10 +208,7 @@
                 Event::Transit(transit_ms) => world.set_adapter_transit_ms(transit_ms),
                 Event::Restart(replica) => world.restart(&format!("r{replica}")),
                 Event::Replace => world.replace_orderer(OrdererConfig {
-                    others_orders: Some(OthersOrders {
-                        sent_since_ms: FIRST_START_MS + 1,
-                        lives_known_since_ms: u64::MAX,
-                    }),
+                    others_orders: Some(others_orders()),
                     ..orderer_config()
                 }),
             }
--- a/crates/croftrill-node/src/orderer_task/term.rs
+++ b/crates/croftrill-node/src/orderer_task/term.rs
@@ -15,7 +15,7 @@
 use croftrill_scheduler::replica_table::{AnsweredCall, ChangedReplicas, Placement, TableVersion};
 use croftrill_scheduler::shard::{OrderScope, Shard};
 use croftrill_scheduler::time::Moment;
-use croftrill_scheduler::unanswered_orders::{OthersOrders, UNANSWERED_ORDER_LIFETIME};
+use croftrill_scheduler::unanswered_orders::OthersOrders;
 use nanoserde::SerBin;
 use tokio::sync::{broadcast, mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -676,13 +676,9 @@
 
 /// Returns what this node knows of the orders of former terms.
 fn others_orders<P: Platform>(node: &Node<P>) -> OthersOrders {
-    let unix_time = node.clock.unix_time();
-    let ready_at = node.state.borrow().ready_at;
-    let watched_for = ready_at.map_or(Duration::ZERO, |ready_at| node.clock.now().since(ready_at));
-    OthersOrders {
-        sent_since_ms: unix_time.saturating_sub(UNANSWERED_ORDER_LIFETIME).as_millis() as u64,
-        lives_known_since_ms: unix_time.saturating_sub(watched_for).as_millis() as u64,
-    }
+    let known_since = node.state.borrow().tree.all_known_since();
+    let known_for = known_since.map_or(Duration::ZERO, |since| node.clock.now().since(since));
+    OthersOrders::before(node.clock.unix_time(), known_for)
 }
 
 pub(super) fn orderer_config<P: Platform>(node: &Node<P>, shard: Shard) -> OrdererConfig {
--- a/crates/croftrill-node/src/tree/follow.rs
+++ b/crates/croftrill-node/src/tree/follow.rs
@@ -283,8 +283,10 @@
         tracing::info!(target: "peer", event = "knows some replicas from now on");
     }
     state.tree.published_scope = Some(scope);
-    // Reset only once all replicas have been received.
-    state.tree.is_partial |= is_partial;
+    // It is complete again only once all replicas have been received.
+    if is_partial {
+        state.tree.become_partial();
+    }
 }
 
 /// Applies replicas that match this node's interests. Returns false if the relay's view is
--- a/crates/croftrill-node/src/tree/mod.rs
+++ b/crates/croftrill-node/src/tree/mod.rs
@@ -92,6 +92,8 @@
     reminded_of_version_at: HashMap<WireVersionWait, Moment>,
     /// True while this node knows only the replicas that match its interests.
     is_partial: bool,
+    /// Since when this node has known all replicas, if it does.
+    all_known_since: Option<Moment>,
     /// Which replicas the relay publishes over the current link, once it has sent that.
     published_scope: Option<WireScope>,
     /// True once this node knows replicas from another source than the current link that
@@ -116,6 +118,7 @@
             reminded_at: HashMap::new(),
             reminded_of_version_at: HashMap::new(),
             is_partial: false,
+            all_known_since: None,
             published_scope: None,
             exceeds_published: false,
             is_relay_requested: false,
@@ -130,6 +133,22 @@
         self.is_partial
     }
 
+    /// Returns since when the node has known all replicas; `None` before its first full view, and
+    /// while it knows only some of them.
+    pub fn all_known_since(&self) -> Option<Moment> {
+        self.all_known_since
+    }
+
+    fn become_partial(&mut self) {
+        self.is_partial = true;
+        self.all_known_since = None;
+    }
+
+    fn become_complete(&mut self, now: Moment) {
+        self.is_partial = false;
+        self.all_known_since.get_or_insert(now);
+    }
+
     /// Resets what the relay has published over the current link.
     fn reset_link(&mut self) {
         self.published_scope = None;
@@ -231,8 +250,9 @@
 
 /// Records that this node knows all replicas.
 pub(crate) fn record_all_replicas_known<P: Platform>(node: &Node<P>) {
+    let now = node.clock.now();
     let mut state = node.state.borrow_mut();
-    state.tree.is_partial = false;
+    state.tree.become_complete(now);
     state.replicas.clear_received_reload_times();
     record_unpublished_replicas(node, &mut state.tree);
 }
--- a/crates/croftrill-scheduler/src/unanswered_orders.rs
+++ b/crates/croftrill-scheduler/src/unanswered_orders.rs
@@ -19,20 +19,34 @@
 /// late.
 pub const UNANSWERED_ORDER_LIFETIME: Duration = Duration::from_secs(15);
 
+/// Difference that is allowed for between the times of day of a replica and of a node.
+pub const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
+
 /// The life of a replica that an order was sent to, by its start.
 pub type Life = Option<StartedMs>;
 
 /// What is known of orders that other machines sent before this orderer took over, in Unix
-/// milliseconds.
+/// milliseconds of the replicas' clocks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OthersOrders {
-    /// Time since which such orders may still be carried out.
-    pub sent_since_ms: StartedMs,
-    /// Time since which this node knows of all lives of all replicas.
-    pub lives_known_since_ms: StartedMs,
+    /// Time since which such orders may have been sent that can still be carried out.
+    sent_since_ms: StartedMs,
+    /// Time since which this node surely knows of all lives of all replicas.
+    lives_known_since_ms: StartedMs,
 }
 
 impl OthersOrders {
+    /// Creates what is known at a node whose time of day is `unix_time`, and which has known all replicas
+    /// for `known_for`.
+    pub fn before(unix_time: Duration, known_for: Duration) -> Self {
+        let sent_since = unix_time.saturating_sub(UNANSWERED_ORDER_LIFETIME + MAX_CLOCK_DIFFERENCE);
+        let lives_known_since = unix_time.saturating_sub(known_for) + MAX_CLOCK_DIFFERENCE;
+        OthersOrders {
+            sent_since_ms: sent_since.as_millis() as u64,
+            lives_known_since_ms: lives_known_since.as_millis() as u64,
+        }
+    }
+
     /// Returns true if such orders to a former life may be carried out in the life that started at
     /// `started_ms`. `has_former_life` is true if one is known.
     pub fn may_reach(&self, started_ms: StartedMs, has_former_life: bool) -> bool {
--- a/crates/croftrill-scheduler/tests/unanswered_orders.rs
+++ b/crates/croftrill-scheduler/tests/unanswered_orders.rs
@@ -7,7 +7,7 @@
 use croftrill_scheduler::replica::{HeldModel, Holdings, Order, OrderOutcome};
 use croftrill_scheduler::replica_room::RoomUse;
 use croftrill_scheduler::time::Moment;
-use croftrill_scheduler::unanswered_orders::{UnansweredOrders, UNANSWERED_ORDER_LIFETIME};
+use croftrill_scheduler::unanswered_orders::{OthersOrders, UnansweredOrders, UNANSWERED_ORDER_LIFETIME};
 
 const FORMER: Option<u64> = Some(1);
 const PRESENT: Option<u64> = Some(2);
@@ -176,3 +176,29 @@
         RoomUse::default()
     );
 }
+
+/// Guards against clocks that differ: the start of a life is told by the replica's clock, and compared with
+/// that of a node, which may be some seconds ahead or behind.
+#[test]
+fn may_reach_allows_for_clocks_that_differ() {
+    let secs = Duration::from_secs;
+    let start_ms = |time: Duration| time.as_millis() as u64;
+    let now = secs(1_000_000);
+    let lifetime = UNANSWERED_ORDER_LIFETIME;
+    // A life that began as the oldest order that can have an effect was sent.
+    let start = now - lifetime;
+    for ahead in [0, 2, 4] {
+        let others = OthersOrders::before(now + secs(ahead), secs(600));
+        assert!(others.may_reach(start_ms(start), true), "{ahead} s ahead");
+    }
+    assert!(!OthersOrders::before(now, secs(600)).may_reach(start_ms(start - secs(10)), true));
+    // A life that began before the node knew all replicas may be a second one.
+    for behind in [0, 2, 4] {
+        let others = OthersOrders::before(now - secs(behind), secs(8));
+        assert!(
+            others.may_reach(start_ms(now - secs(9)), false),
+            "{behind} s behind"
+        );
+    }
+    assert!(!OthersOrders::before(now, secs(14)).may_reach(start_ms(now - secs(2)), false));
+}
