--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -3,17 +3,19 @@
 //! [`goals`] selects what replicas load and evict, [`adapters`] places adapters,
 //! [`store_loads`] limits loads from the weight store, [`reports`] selects the replicas to
 //! request reports from, [`work`] measures the work at the replicas, [`incarnation`] handles
-//! restarted replicas and [`former_lives`] orders that may still reach them, [`version_waits`]
-//! loads models for streams that go on at one software version only, and
-//! [`placement_updates`] determines what is published to the nodes.
+//! restarted replicas and [`former_lives`] orders that may still reach them, [`outcomes`] what
+//! orders and reports change, [`version_waits`] loads models for streams that go on at one
+//! software version only, and [`placement_updates`] determines what is published to the nodes.
 //!
 //! The orderer has no durable state. A new orderer starts with the listed replicas, confirms
 //! each of them by a report, and counts its predecessor's loads as just started.
 
 mod adapters;
+mod decision;
 mod former_lives;
 mod goals;
 mod incarnation;
+mod outcomes;
 mod placement_updates;
 mod reports;
 mod store_loads;
@@ -24,6 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use self::decision::{Decision, GoalReason};
 use self::reports::RoutineReports;
 use self::version_waits::VersionWaits;
 use self::work::WorkMeter;
@@ -34,12 +37,9 @@
 use crate::load_ceiling::LoadCeiling;
 use crate::load_concurrency::LoadConcurrency;
 use crate::placement::{
-    load_time, ControlCalls, OrderedBy, PlacementConfig, ServicePlacement, TrackedReplica, TrackedReplicas,
-    WeightSource,
-};
-use crate::replica::{
-    Incarnation, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaReport, ReplicaState,
+    ControlCalls, OrderedBy, PlacementConfig, ServicePlacement, TrackedReplica, TrackedReplicas,
 };
+use crate::replica::{Incarnation, Order, ReplicaId, ReplicaListing, ReplicaState};
 use crate::replica_ledger::{LedgerChange, LedgerConfig, ReplicaLedger};
 use crate::replica_room::RoomUse;
 use crate::replica_table::{Placement, ReplicaEntry};
@@ -97,59 +97,6 @@
     },
 }
 
-/// The reason for which a replica got a goal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GoalReason {
-    /// Requests wait for the model and no replica holds it.
-    Waiting,
-    /// The demand for the model justifies one more holder.
-    Demand,
-    /// Streams go on only at replicas of one software version, none of which holds the model.
-    StreamVersion,
-}
-
-/// A placement decision, for the log.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Decision {
-    /// A replica is to load a model.
-    Goal {
-        /// The replica.
-        replica: ReplicaId,
-        /// The model.
-        model: ModelName,
-        /// The reason.
-        reason: GoalReason,
-        /// Number of other replicas that hold the model or are to load it.
-        holders: usize,
-        /// The source of its weights.
-        source: WeightSource,
-    },
-    /// A model is to be evicted for a replica's goal.
-    Evict {
-        /// The replica.
-        replica: ReplicaId,
-        /// The model to evict.
-        model: ModelName,
-        /// Requests per second that depend on this holder.
-        value: f64,
-        /// Number of replicas that hold the model or are to load it.
-        holders: usize,
-    },
-    /// A replica reported that it holds, or has on the way, more than is counted at the same sequence.
-    UncountedRoom {
-        /// The replica.
-        replica: ReplicaId,
-        /// Its sequence.
-        sequence: u64,
-        /// What takes room there according to the report.
-        reported: RoomUse,
-        /// What was counted until then.
-        counted: RoomUse,
-        /// Number of reported adapters in transit.
-        in_transit: usize,
-    },
-}
-
 /// The state of an orderer.
 #[derive(Debug)]
 pub struct Orderer {
@@ -486,39 +433,6 @@
         }
     }
 
-    /// Records the outcome of the order under way at a replica.
-    pub fn record_order_outcome(&mut self, id: &str, outcome: OrderOutcome, now: Moment) {
-        self.record_order_outcome_from(id, self.started_ms(id), outcome, now);
-    }
-
-    /// Applies the outcome of the order under way to the replica's ledger.
-    fn apply_order_outcome(&mut self, id: &str, outcome: OrderOutcome, now: Moment) {
-        let expected_in = self.expected_order_duration(id);
-        let Some(replica) = self.replicas.get_mut(id) else {
-            return;
-        };
-        let change = replica.ledger.record_outcome(outcome, expected_in, now);
-        self.apply_ledger_change(id, change, now);
-    }
-
-    /// Applies a report that was requested at `requested_at`; `None` if it did not arrive.
-    fn apply_report(&mut self, id: &str, report: Option<&ReplicaReport>, requested_at: Moment, now: Moment) {
-        if let Some(report) = report {
-            self.note_uncounted_room(id, report);
-        }
-        let Some(replica) = self.replicas.get_mut(id) else {
-            return;
-        };
-        let change = match report {
-            Some(report) => replica.ledger.apply_report(report, requested_at, now),
-            None => {
-                replica.ledger.record_report_failure(now);
-                LedgerChange::None
-            }
-        };
-        self.apply_ledger_change(id, change, now);
-    }
-
     /// Returns the report requests and orders to send now. There are no orders unless
     /// `may_order` is true.
     pub fn plan(&mut self, may_order: bool, now: Moment) -> Vec<OrdererAction> {
@@ -610,110 +524,12 @@
         })
     }
 
-    /// Updates the orderer's state after a replica's ledger changed.
-    fn apply_ledger_change(&mut self, id: &str, change: LedgerChange, now: Moment) {
-        let Some((id, replica)) = self.replicas.get_key_value(id) else {
-            return;
-        };
-        let (id, service) = (id.clone(), replica.service.clone());
-        match &change {
-            LedgerChange::None => return,
-            LedgerChange::Holdings => {}
-            LedgerChange::Done(order) => self.record_order_done(&id, &service, order, now),
-            LedgerChange::Failed(_) => self.record_store_load_ended(&id, &service, None, now),
-        }
-        self.changed.insert(id);
-    }
-
-    fn record_order_done(&mut self, id: &ReplicaId, service: &ServiceName, order: &Order, now: Moment) {
-        match order {
-            Order::LoadModel(model) => {
-                let key = ModelKey {
-                    service: service.clone(),
-                    model: model.clone(),
-                    adapter: None,
-                };
-                self.demand.clear_waiting(&key);
-                self.record_store_load_ended(id, service, Some(model), now);
-                self.drop_goal(id);
-                if let Some(replica) = self.replicas.get_mut(id) {
-                    replica.loaded_at.insert(model.clone(), now);
-                }
-            }
-            Order::LoadAdapter(model, adapter) => {
-                if let Some(replica) = self.replicas.get_mut(id) {
-                    let loaded = (model.clone(), adapter.clone());
-                    replica.adapters_loaded_at.insert(loaded, now);
-                }
-                let adapter = Some(adapter.clone());
-                let key = ModelKey {
-                    service: service.clone(),
-                    model: model.clone(),
-                    adapter,
-                };
-                self.demand.clear_waiting(&key);
-            }
-            Order::UnloadModel(_) => {
-                if let Some(replica) = self.replicas.get_mut(id) {
-                    replica.withdrawn = None;
-                }
-            }
-            Order::UnloadAdapter(..) => {}
-        }
-    }
-
     /// Returns what is counted as taking room at a replica with models.
     pub fn room_use(&self, id: &str) -> Option<RoomUse> {
         let replica = self.replicas.get(id)?;
         let engine = self.configuration.service(&replica.service)?.engine.as_ref()?;
         Some(replica.room_use(engine))
     }
-
-    /// Records a decision if a report shows more at a replica than is counted there.
-    fn note_uncounted_room(&mut self, id: &str, report: &ReplicaReport) {
-        let (Some(replica), Some(counted)) = (self.replicas.get(id), self.room_use(id)) else {
-            return;
-        };
-        let engine = self.configuration.service(&replica.service);
-        let Some(engine) = engine.and_then(|service| service.engine.as_ref()) else {
-            return;
-        };
-        let in_transit = report.in_transit.as_deref().unwrap_or_default();
-        let reported = RoomUse::of(engine, &report.holdings, in_transit);
-        let is_same_state = report.holdings.sequence == replica.ledger.holdings().sequence;
-        let is_more =
-            reported.adapter_slots > counted.adapter_slots || reported.memory_mb > counted.memory_mb;
-        // While a predecessor's order is under way, its effect is not known yet, and nothing is ordered.
-        let is_known = replica.ledger.is_confirmed() && !replica.ledger.is_busy();
-        if is_known && is_same_state && is_more {
-            let decision = Decision::UncountedRoom {
-                replica: id.into(),
-                sequence: report.holdings.sequence,
-                reported,
-                counted,
-                in_transit: in_transit.len(),
-            };
-            self.decisions.push(decision);
-        }
-    }
-
-    /// Returns the expected duration of the order under way at a replica.
-    fn expected_order_duration(&self, id: &str) -> Duration {
-        let Some(replica) = self.replicas.get(id) else {
-            return Duration::ZERO;
-        };
-        let engine = self
-            .configuration
-            .service(&replica.service)
-            .and_then(|service| service.engine.as_ref());
-        match (replica.ledger.pending(), engine) {
-            (Some(Order::LoadModel(model)), Some(engine)) => {
-                load_time(engine, replica.ledger.holdings(), model).unwrap_or(self.config.unload)
-            }
-            (Some(Order::UnloadModel(_)), _) => self.config.unload,
-            _ => self.config.adapter_load,
-        }
-    }
 }
 
 /// Returns the orderer that sends orders to a replica.
