Streams of a roll go on at their versions after all nodes ended: one node writes them to the store

Cause: the versions of streams were in the keepers' memory alone, and the keepers are nodes. The store's item names both versions, so it proves nothing of a single stream.

Change: while a service has several versions, the orderer of the first shard also writes the versions of streams to the store, a segment a second at most, 9 bytes a stream, into 64 slots in turn under a lease. It is told with the message that keepers get, so no message changes its form. A node reads the segments only if it is asked for a stream that no keeper knows. Why this is safe: the version of a stream never changes, so a segment is true however old; a late write, a read that lags and a restored store can only leave streams out. Segments that contradict each other prove nothing. Relays leave segments out.

Weighed, not taken: a write a stream; a write a second by each keeper; counting an unrecorded stream as of the old version (docs/design/software-versions.md).

--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -25,7 +25,7 @@
 use crate::orderer_task::OrdererInput;
 use crate::peer::{Audience, DirectoryUpdate, FullViewChunk, RevisedChange, WireChange, WireListing};
 use crate::ports::{Changes, Item, Platform, Record, RecordReader, StoreEvent};
-use crate::{stored_versions, tree};
+use crate::{stored_streams, stored_versions, tree};
 
 /// Time by which an answer may exceed the wait of its watch and still count as current.
 pub(super) const MAX_ANSWER_DELAY: Duration = Duration::from_millis(150);
@@ -102,6 +102,9 @@
     event: &StoreEvent,
     changed_before: bool,
 ) -> Option<RevisedChange> {
+    if stored_streams::is_segment(event.key()) {
+        return None;
+    }
     let change = match event {
         StoreEvent::Written(item) => match item_content(node, item) {
             ItemContent::Replica(listing) if !changed_before && is_known_except_holdings(node, &listing) => {
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod settings;
 pub mod step_times;
 pub mod store_era;
+pub mod stored_streams;
 pub mod stored_versions;
 pub mod stream;
 pub(crate) mod stream_versions;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -45,6 +45,7 @@
 use crate::quota::Quotas;
 use crate::settings::NodeSettings;
 use crate::step_times::StepTimes;
+use crate::stored_streams::StreamSegments;
 use crate::stored_versions::RecordLeases;
 use crate::tree::{RelayedUpdate, TreeState, Uplink, FOLLOWER_BACKLOG};
 
@@ -234,6 +235,8 @@
     pub(crate) answer_budget: AnswerBudget,
     /// Leases of the records of software versions.
     pub(crate) record_leases: RecordLeases,
+    /// Versions of streams at the store.
+    pub(crate) stream_segments: StreamSegments,
 }
 
 /// Receiving ends of a node's queues for one shard, for the tasks that drain them.
@@ -374,6 +377,7 @@
             orderer_inboxes,
             answer_budget: AnswerBudget::default(),
             record_leases: RecordLeases::default(),
+            stream_segments: StreamSegments::default(),
         };
         let queues = NodeQueues {
             shards,
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -11,7 +11,7 @@
 use crate::ports::{KeyValueStore, Platform};
 use crate::{
     configuration, crash_reports, directory, front, load_updates, membership, orderer_task, peer_link, quota,
-    replica_path, replica_versions, step_times, stored_versions, tree,
+    replica_path, replica_versions, step_times, stored_streams, stored_versions, tree,
 };
 
 /// Maximum time that a stopping node waits for the removal of its entries from the store.
@@ -45,6 +45,7 @@
     spawn_local(directory::read_holdings(node.clone()));
     spawn_local(replica_versions::observe(node.clone()));
     spawn_local(stored_versions::maintain(node.clone()));
+    spawn_local(stored_streams::maintain(node.clone(), incarnation));
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(configuration::probes::probe_others(node.clone()));
     spawn_local(close_old_connections(node.clone()));
--- a/crates/croftrill-node/src/stream_versions.rs
+++ b/crates/croftrill-node/src/stream_versions.rs
@@ -2,7 +2,8 @@
 //!
 //! The version of a stream is written to the first [`KEEPERS`] nodes of an order that all nodes
 //! compute from the attempt's id: before its first event if its service has several versions, or
-//! else once it has. Each call has a connection of its own, as they are rare.
+//! else once it has. The node that writes such versions to the store ([`stored_streams`]) is told, too,
+//! for a time when all keepers have ended. Each call has a connection of its own, as they are rare.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -19,6 +20,7 @@
 };
 use futures::future::join_all;
 use nanoserde::SerBin;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::link::PeerLink;
@@ -30,6 +32,7 @@
 };
 use crate::peer_link::silence_limit;
 use crate::ports::Platform;
+use crate::stored_streams;
 use crate::wire::decode;
 
 /// Maximum delay of a stream's first event for its record: half of the shortest time in which an
@@ -71,6 +74,10 @@
     let records = vec![wire_record(attempt, version, lifetime)];
     let message = WireStreamVersion::Record(records.into());
     let keepers = keepers(node, attempt);
+    stored_streams::record(node, attempt, version);
+    if let Some(writer) = other_writer(node, &keepers) {
+        spawn_local(tell_writer(node.clone(), writer, message.clone()));
+    }
     let mut others = keepers.iter();
     let mut recorded = 0;
     let writing = async {
@@ -93,6 +100,26 @@
     tracing::debug!(target: "stream version", event = "record", attempt, version = &**version, recorded, in_time);
 }
 
+/// Returns the address of the node that writes the versions of streams to the store, if it is another
+/// one that is not told as a keeper.
+fn other_writer<P: Platform>(node: &Node<P>, keepers: &[SocketAddr]) -> Option<SocketAddr> {
+    let own = &node.settings.identity.name;
+    let state = node.state.borrow();
+    let writer = stored_streams::writer(&state).filter(|writer| writer.name != *own)?;
+    let address = writer.peer_address()?;
+    let is_told = keepers.iter().take(KEEPERS).any(|keeper| *keeper == address);
+    (!is_told).then_some(address)
+}
+
+/// Tells the node that writes the versions of streams to the store of some.
+async fn tell_writer<P: Platform>(node: Rc<Node<P>>, writer: SocketAddr, message: WireStreamVersion) {
+    let told = timeout(PUBLISH_TIMEOUT, call(&node, writer, &message)).await;
+    if !matches!(told, Ok(Ok(_))) {
+        Metrics::count(&node.metrics.stream_versions, "record", "writer not told");
+        tracing::debug!(target: "stream version", event = "the writer was not told", %writer);
+    }
+}
+
 fn wire_record(attempt: &str, version: &SoftwareVersion, lifetime: Duration) -> WireStreamRecord {
     WireStreamRecord {
         attempt: attempt.to_string(),
@@ -101,8 +128,8 @@
     }
 }
 
-/// Tells the keepers the versions of this node's streams of a service that began while it had only
-/// one version. Each keeper gets one message.
+/// Tells the versions of this node's streams of a service that began while it had only one version to
+/// their keepers, and to the node that writes them to the store. Each gets one message.
 pub(crate) async fn publish_own<P: Platform>(node: Rc<Node<P>>, service: ServiceName) {
     let now = node.clock.now();
     let streams = node.state.borrow_mut().own_streams.take(&service, now);
@@ -110,8 +137,11 @@
     let mut by_keeper: BTreeMap<SocketAddr, Vec<WireStreamRecord>> = BTreeMap::new();
     for (attempt, stream) in streams {
         let record = wire_record(&attempt, &stream.version, stream.expires_at.since(now));
-        for keeper in keepers(&node, &attempt).into_iter().take(KEEPERS) {
-            by_keeper.entry(keeper).or_default().push(record.clone());
+        let keepers = keepers(&node, &attempt);
+        stored_streams::record(&node, &attempt, &stream.version);
+        let writer = other_writer(&node, &keepers);
+        for told in keepers.into_iter().take(KEEPERS).chain(writer) {
+            by_keeper.entry(told).or_default().push(record.clone());
         }
     }
     let calls = by_keeper.into_iter().map(|(address, records)| {
@@ -156,7 +186,13 @@
     };
     let keepers = keepers(node, attempt);
     let answers = join_all(keepers.iter().map(|address| ask(node, *address, &message))).await;
-    let decision = decide(own, &answers);
+    let is_known = answers
+        .iter()
+        .any(|answer| matches!(answer, KeeperAnswer::Found(_)));
+    let decision = match decide(own, &answers) {
+        None if !is_known => stored_streams::find(node, attempt).await,
+        decision => decision,
+    };
     let outcome = if decision.is_some() { "found" } else { "unknown" };
     Metrics::count(&node.metrics.stream_versions, "find", outcome);
     tracing::info!(target: "stream version", event = "asked for a stream", attempt, service, ?answers,
@@ -242,6 +278,7 @@
             for record in records {
                 let lifetime = Duration::from_millis(u64::from(record.lifetime_ms));
                 let version: Arc<str> = record.version.into();
+                stored_streams::record(node, &record.attempt, &version);
                 insert(node, &record.attempt, version, lifetime.min(MAX_STREAM_LIFETIME));
             }
             WireStreamVersionAnswer::Recorded
--- a/crates/croftrill-node/tests/wire.rs
+++ b/crates/croftrill-node/tests/wire.rs
@@ -6,12 +6,15 @@
 
 use croftrill_node::crash_wire::{WireCrashReport, WirePartReport};
 use croftrill_node::peer::{FromOrderer, ToOrderer, WireModel, WirePlacement};
+use croftrill_node::stored_streams::{decode_segment, encode_segment};
 use croftrill_node::wire::decode;
 use croftrill_scheduler::crash_ledger::{
     CrashReport, EndedReplica, Fingerprint, PartHash, SuspectId, Suspicion,
 };
 use croftrill_scheduler::replica::{HeldModel, Holdings};
 use croftrill_scheduler::replica_table::{Arrival, Placement};
+use croftrill_scheduler::software_versions::SoftwareVersion;
+use croftrill_scheduler::stored_streams::{AttemptHash, StoredStream};
 use croftrill_scheduler::time::Moment;
 use nanoserde::SerBin;
 use proptest::prelude::*;
@@ -49,6 +52,7 @@
     let _ = decode::<ToOrderer>(bytes);
     let _ = decode::<WireCrashReport>(bytes);
     let _ = decode::<WirePartReport>(bytes);
+    let _ = decode_segment(bytes);
 }
 
 #[test]
@@ -113,3 +117,23 @@
     assert_eq!(ages, [age(4), age(5)]);
     assert_eq!(of_parts.into_report(), CrashReport::from([part]));
 }
+
+/// Guards against versions of streams that a start of all nodes reads otherwise than they were written.
+#[test]
+fn decode_segment_returns_what_was_encoded() {
+    let versions: Vec<SoftwareVersion> = (0..300).map(|number| format!("v{number}").into()).collect();
+    let streams: Vec<StoredStream> = (0..900)
+        .map(|number| {
+            (
+                AttemptHash(number),
+                versions[number as usize % versions.len()].clone(),
+            )
+        })
+        .collect();
+    let decoded = decode_segment(&encode_segment(&streams)).expect("a segment");
+    let of_first_versions = streams.iter().filter(|(attempt, _)| attempt.0 % 300 < 256);
+    let expected: Vec<StoredStream> = of_first_versions.cloned().collect();
+    assert_eq!(decoded, expected);
+    let bytes_per_stream = encode_segment(&streams[..256]).len() / 256;
+    assert!(bytes_per_stream < 24, "{bytes_per_stream}");
+}
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod routing;
 pub mod shard;
 pub mod software_versions;
+pub mod stored_streams;
 pub mod stored_versions;
 pub mod tenants;
 pub mod time;
--- a/crates/croftrill-scheduler/tests/stored_versions.rs
+++ b/crates/croftrill-scheduler/tests/stored_versions.rs
@@ -8,6 +8,7 @@
 use croftrill_scheduler::software_versions::{
     decide, KeeperAnswer, LifetimeVersions, ServiceVersions, SoftwareVersion, SoftwareVersions, KEEPERS,
 };
+use croftrill_scheduler::stored_streams::{SegmentQueue, StoredStream, StoredStreams, SEGMENT_INTERVAL};
 use croftrill_scheduler::stored_versions::{
     NeededChange, RecordedVersions, SeenVersions, StoredVersions, VersionsRecord,
 };
@@ -75,6 +76,17 @@
     record_revision: u64,
     revision: u64,
     listings: BTreeMap<String, Listing>,
+    /// Versions of streams, by the node that wrote them, its start and the slot.
+    segments: BTreeMap<SegmentKey, Vec<StoredStream>>,
+}
+
+type SegmentKey = (usize, u64, u32);
+
+/// A write of a segment, which has no condition.
+struct SegmentWrite {
+    due_ms: u64,
+    key: SegmentKey,
+    streams: Vec<StoredStream>,
 }
 
 /// A write that the store may execute later.
@@ -91,6 +103,7 @@
     away_until_ms: u64,
     copies: Vec<(u64, Contents)>,
     writes: Vec<Write>,
+    segment_writes: Vec<SegmentWrite>,
 }
 
 impl Store {
@@ -111,6 +124,19 @@
                 self.contents.record = Some(write.record);
             }
         }
+        let writes = std::mem::take(&mut self.segment_writes);
+        let (due, later) = writes.into_iter().partition(|write| write.due_ms <= now_ms);
+        self.segment_writes = later;
+        let due: Vec<SegmentWrite> = due;
+        let due = due.into_iter().map(|write| (write.key, write.streams));
+        self.contents.segments.extend(due);
+    }
+
+    /// Returns the versions of streams by a read that may be up to a second old.
+    fn read_streams(&self, age: usize) -> StoredStreams {
+        let past = self.copies.iter().rev().nth(age).map(|(_, copy)| copy);
+        let segments = &past.unwrap_or(&self.contents).segments;
+        segments.values().flatten().cloned().collect()
     }
 }
 
@@ -127,6 +153,8 @@
     /// Streams of others, which it keeps, and its own.
     records: HashMap<usize, SoftwareVersion>,
     own: HashMap<usize, SoftwareVersion>,
+    segments: SegmentQueue,
+    next_segment_ms: u64,
 }
 
 impl Node {
@@ -143,6 +171,8 @@
             next_change_ms: 0,
             records: HashMap::new(),
             own: HashMap::new(),
+            segments: SegmentQueue::default(),
+            next_segment_ms: 0,
         }
     }
 
@@ -249,6 +279,7 @@
                 away_until_ms: 0,
                 copies: Vec::new(),
                 writes: Vec::new(),
+                segment_writes: Vec::new(),
             },
             replicas,
             nodes: (0..NODES).map(|_| Node::new(true, STEP_MS)).collect(),
@@ -394,6 +425,30 @@
                 .for_each(|(stream, version)| self.record(index, stream, &version));
         }
         self.change_record(index, now_ms);
+        self.write_segment(index, now_ms);
+    }
+
+    fn write_segment(&mut self, index: usize, now_ms: u64) {
+        let node = &mut self.nodes[index];
+        if now_ms < node.next_segment_ms {
+            return;
+        }
+        let Some(segment) = node.segments.take_segment() else {
+            return;
+        };
+        node.next_segment_ms = now_ms + SEGMENT_INTERVAL.as_millis() as u64;
+        let key = (index, node.starts_ms, segment.slot);
+        let is_answered = self.random(10) > 0;
+        let max_delay_ms = if is_answered { 60 } else { 3_000 };
+        let due_ms = now_ms + self.random(max_delay_ms);
+        self.store.segment_writes.push(SegmentWrite {
+            due_ms,
+            key,
+            streams: segment.streams.clone(),
+        });
+        if !is_answered {
+            self.nodes[index].segments.put_back(segment);
+        }
     }
 
     fn change_record(&mut self, index: usize, now_ms: u64) {
@@ -434,8 +489,12 @@
         }));
     }
 
-    /// Writes the version of a stream to its keepers.
+    /// Writes the version of a stream to its keepers, and tells it to the node that writes to the store.
     fn record(&mut self, node: usize, stream: usize, version: &SoftwareVersion) {
+        if let Some(writer) = self.up().first() {
+            let segments = &mut self.nodes[*writer].segments;
+            segments.push(&stream.to_string(), version.clone());
+        }
         let others: Vec<usize> = self.up().into_iter().filter(|other| *other != node).collect();
         for keeper in others.into_iter().take(KEEPERS) {
             self.nodes[keeper].records.insert(stream, version.clone());
@@ -487,6 +546,7 @@
             return;
         }
         let index = up[self.random(up.len() as u64) as usize];
+        let read_age = self.random(3) as usize;
         let now = moment(now_ms);
         let node = &self.nodes[index];
         let own = node.answer(stream, now);
@@ -501,7 +561,12 @@
                 let answers: Vec<KeeperAnswer> = others
                     .map(|other| self.nodes[*other].answer(stream, now))
                     .collect();
-                decide(own.clone(), &answers)
+                let is_known = answers
+                    .iter()
+                    .any(|answer| matches!(answer, KeeperAnswer::Found(_)));
+                let is_readable = !is_known && now_ms >= self.store.away_until_ms;
+                let stored = is_readable.then(|| self.store.read_streams(read_age));
+                decide(own.clone(), &answers).or_else(|| stored?.find(&stream.to_string()))
             }),
         };
         let is_in_touch = node.up_since_ms.is_some_and(|since| now_ms >= since + CONTACT_MS);
