Model replica: what requests use stays until they have ended, adapters and models

The stand-ins were kinder: each unload of an adapter was done at once.

An unload of an adapter in use is taken (202) and counts a step; the adapter keeps its room and is listed until its last request has ended, and leaves without a further step. Requests for it get 503 meanwhile. The soak's stand-in counts the requests that run; the emulator and the raw replicas set a time.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -262,6 +262,15 @@
         }
     }
 
+    /// Sets for how long requests still use what is to be unloaded from now on, in milliseconds.
+    pub fn set_use_ms(&mut self, use_ms: u64) {
+        let in_use = Duration::from_millis(use_ms);
+        let unload = ReplicaSpec::default().unload;
+        for replica in self.replicas.values_mut() {
+            replica.model.set_unload(unload.max(in_use), in_use);
+        }
+    }
+
     /// Returns the orders that were beyond the room of a replica, with the replica.
     pub fn violations(&self) -> Vec<String> {
         let of_replica = |(id, replica): (&ReplicaId, &SimulatedReplica)| {
--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -153,6 +153,8 @@
 enum Event {
     Ask(u64, u64),
     Transit(u64),
+    /// Requests still use adapters, and models, that are to be unloaded for so long.
+    Use(u64),
     Restart(usize),
     Replace,
 }
@@ -161,6 +163,7 @@
     prop_oneof![
         30 => (0u64..10, 0u64..6).prop_map(|(model, adapter)| Event::Ask(model, adapter)),
         2 => prop_oneof![Just(10u64), 10u64..400, 400u64..4000].prop_map(Event::Transit),
+        2 => prop_oneof![Just(0u64), 10u64..600, 600u64..8000].prop_map(Event::Use),
         1 => (0usize..3).prop_map(Event::Restart),
         1 => Just(Event::Replace),
     ]
@@ -206,6 +209,7 @@
                     ask(&mut world, &format!("m{model}"), (number > 0).then_some(&*name));
                 }
                 Event::Transit(transit_ms) => world.set_adapter_transit_ms(transit_ms),
+                Event::Use(use_ms) => world.set_use_ms(use_ms),
                 Event::Restart(replica) => world.restart(&format!("r{replica}")),
                 Event::Replace => world.replace_orderer(OrdererConfig {
                     others_orders: Some(others_orders()),
@@ -215,6 +219,7 @@
             world.run(pause);
         }
         world.set_adapter_transit_ms(10);
+        world.set_use_ms(0);
         world.deliveries.clear();
         world.run(UNANSWERED_ORDER_LIFETIME.as_millis() as u64);
         prop_assert_eq!(world.violations(), Vec::<String>::new());
--- a/crates/croftrill-replica-model/src/lib.rs
+++ b/crates/croftrill-replica-model/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod holdings;
 mod room;
+mod uses;
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 
 use crate::holdings::{apply, held_models};
 pub use crate::room::{ModelCost, ReplicaSpec, RoomViolation};
+use crate::uses::Uses;
 
 /// The order about weights in progress.
 #[derive(Debug, Clone)]
@@ -32,6 +34,13 @@
     arrives_at: Moment,
 }
 
+/// An adapter that is unloaded once the requests that use it have ended, `ends_at` at the earliest.
+#[derive(Debug, Clone)]
+struct Departure {
+    adapter: ModelAdapter,
+    ends_at: Moment,
+}
+
 /// A replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaModel {
@@ -40,8 +49,14 @@
     holdings: Holdings,
     in_progress: Option<InProgress>,
     in_transit: Vec<Transit>,
+    /// Adapters that take their room until their unload is done.
+    departing: Vec<Departure>,
     /// Time that an adapter whose load begins now takes to arrive.
     adapter_transit: Duration,
+    /// Minimum time that the unload of an adapter takes.
+    adapter_unload: Duration,
+    /// What running requests use.
+    uses: Uses,
     /// Past reports with the time from which each was true, oldest first.
     reports: VecDeque<(Moment, ReplicaReport)>,
     violation: Option<RoomViolation>,
@@ -66,6 +81,9 @@
             holdings,
             in_progress: None,
             in_transit: Vec::new(),
+            departing: Vec::new(),
+            adapter_unload: Duration::ZERO,
+            uses: Uses::default(),
             reports: VecDeque::new(),
             violation: None,
             peak: RoomUse::default(),
@@ -83,6 +101,7 @@
         let mut next = ReplicaModel::new(self.spec.clone(), &[], started_ms, now);
         next.holdings.copies.on_disk = on_disk;
         next.adapter_transit = self.adapter_transit;
+        next.adapter_unload = self.adapter_unload;
         next.reports.clear();
         next.record(now);
         *self = next;
@@ -98,6 +117,25 @@
         self.adapter_transit = adapter_transit;
     }
 
+    /// Sets the minimum time that unloads of models and of adapters take from now on, as if requests used
+    /// them for so long.
+    pub fn set_unload(&mut self, model: Duration, adapter: Duration) {
+        self.spec.unload = model;
+        self.adapter_unload = adapter;
+    }
+
+    /// Records that a request begins to run. What it uses stays until it ends.
+    pub fn begin_request(&mut self, model: &str, adapter: Option<&str>) {
+        self.uses.begin(model, adapter);
+    }
+
+    /// Records the end of a request.
+    pub fn end_request(&mut self, model: &str, adapter: Option<&str>, now: Moment) {
+        self.advance(now);
+        self.uses.end(model, adapter);
+        self.advance(now);
+    }
+
     /// Returns what the replica holds.
     pub fn holdings(&self) -> &Holdings {
         &self.holdings
@@ -130,10 +168,14 @@
         self.in_progress.is_some()
     }
 
-    /// Returns true while it unloads the model.
-    pub fn is_unloading(&self, model: &str) -> bool {
+    /// Returns true while it unloads the model or the adapter.
+    pub fn is_unloading(&self, model: &str, adapter: Option<&str>) -> bool {
         let order = self.in_progress.as_ref().map(|progress| &progress.order);
+        let is_adapter = |departure: &Departure| {
+            &*departure.adapter.model == model && Some(&*departure.adapter.adapter) == adapter
+        };
         matches!(order, Some(Order::UnloadModel(unloading)) if &**unloading == model)
+            || self.departing.iter().any(is_adapter)
     }
 
     /// Takes an order, or answers why not. `expected_sequence` is compared if it is given.
@@ -148,10 +190,13 @@
         }
         match order {
             Order::UnloadAdapter(model, adapter) if self.holdings.serves(model, Some(adapter)) => {
-                self.holdings.sequence += 1;
-                apply(&mut self.holdings, order);
-                self.record(now);
-                return OrderOutcome::AlreadyHolds;
+                return self.unload_adapter(
+                    ModelAdapter {
+                        model: model.clone(),
+                        adapter: adapter.clone(),
+                    },
+                    now,
+                );
             }
             Order::LoadAdapter(model, _) if !self.holdings.serves(model, None) => {
                 return OrderOutcome::Rejected;
@@ -172,6 +217,28 @@
         OrderOutcome::Accepted
     }
 
+    /// Unloads an adapter, at once if no request uses it.
+    fn unload_adapter(&mut self, adapter: ModelAdapter, now: Moment) -> OrderOutcome {
+        if self
+            .departing
+            .iter()
+            .any(|departure| departure.adapter == adapter)
+        {
+            return OrderOutcome::Conflict;
+        }
+        self.holdings.sequence += 1;
+        let outcome = if self.adapter_unload.is_zero() && !self.uses.uses_adapter(&adapter) {
+            apply(&mut self.holdings, &unload(&adapter));
+            OrderOutcome::AlreadyHolds
+        } else {
+            let ends_at = now + self.adapter_unload;
+            self.departing.push(Departure { adapter, ends_at });
+            OrderOutcome::Accepted
+        };
+        self.record(now);
+        outcome
+    }
+
     /// Returns true if the load of the model would come from the weight store.
     pub fn loads_from_store(&self, order: &Order) -> bool {
         let copies = &self.holdings.copies;
@@ -200,13 +267,23 @@
                     if let Some(progress) = self.in_progress.take() {
                         apply(&mut self.holdings, &progress.order);
                     }
+                    let holdings = &self.holdings;
+                    self.departing.retain(|departure| {
+                        holdings.serves(&departure.adapter.model, Some(&departure.adapter.adapter))
+                    });
                 }
                 Event::Arrived(index) => {
                     let ModelAdapter { model, adapter } = self.in_transit.remove(index).adapter;
                     apply(&mut self.holdings, &Order::LoadAdapter(model, adapter));
                 }
+                Event::Departed(index) => {
+                    let departure = self.departing.remove(index);
+                    apply(&mut self.holdings, &unload(&departure.adapter));
+                }
             }
-            self.record(at);
+            // What requests used may be gone later than it should be.
+            let recorded_at = self.reports.back().map_or(at, |(since, _)| at.max(*since));
+            self.record(recorded_at);
         }
     }
 
@@ -278,13 +355,18 @@
     }
 
     fn next_event(&self) -> Option<(Moment, Event)> {
-        let done = self
-            .in_progress
-            .iter()
-            .map(|progress| (progress.done_at, Event::Done));
+        let is_free = |progress: &&InProgress| match &progress.order {
+            Order::UnloadModel(model) => !self.uses.uses_model(model),
+            _ => true,
+        };
+        let done = self.in_progress.iter().filter(is_free);
+        let done = done.map(|progress| (progress.done_at, Event::Done));
         let transits = self.in_transit.iter().enumerate();
         let arrived = transits.map(|(index, transit)| (transit.arrives_at, Event::Arrived(index)));
-        done.chain(arrived).min_by_key(|(at, _)| *at)
+        let departing = self.departing.iter().enumerate();
+        let departing = departing.filter(|(_, departure)| !self.uses.uses_adapter(&departure.adapter));
+        let departed = departing.map(|(index, departure)| (departure.ends_at, Event::Departed(index)));
+        done.chain(arrived).chain(departed).min_by_key(|(at, _)| *at)
     }
 
     fn record(&mut self, since: Moment) {
@@ -312,4 +394,10 @@
     Done,
     /// The adapter with this index arrives.
     Arrived(usize),
+    /// The adapter with this index is not used any more.
+    Departed(usize),
+}
+
+fn unload(ModelAdapter { model, adapter }: &ModelAdapter) -> Order {
+    Order::UnloadAdapter(model.clone(), adapter.clone())
 }
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -455,10 +455,7 @@
             let refusal = not_executed(status(StatusCode::SERVICE_UNAVAILABLE));
             return self.with_attempt_and_load(with_retry_after(refusal, cooldown), request);
         }
-        let (model, adapter) = match completion.model.split_once('/') {
-            Some((model, adapter)) => (model, Some(adapter)),
-            None => (completion.model.as_str(), None),
-        };
+        let (model, adapter) = model_and_adapter(&completion.model);
         let outcome = self
             .state
             .borrow_mut()
@@ -478,7 +475,8 @@
                 }
                 let events = completion.max_tokens.unwrap_or(DEFAULT_EVENTS);
                 let first = first_event(request);
-                self.with_attempt_and_load(self.stream(attempt.to_string(), first, events), request)
+                let stream = self.stream(attempt.to_string(), completion.model, first, events);
+                self.with_attempt_and_load(stream, request)
             }
         }
     }
@@ -519,7 +517,7 @@
     }
 
     /// Streams numbered events, from the number `first` on, followed by the end marker.
-    fn stream(self: &Rc<Self>, attempt: String, first: u64, events: u64) -> Answer {
+    fn stream(self: &Rc<Self>, attempt: String, requested: String, first: u64, events: u64) -> Answer {
         let (sender, body) = AnswerBody::stream();
         let engine = self.clone();
         let pause = self.state.borrow().event_interval();
@@ -539,7 +537,9 @@
                 // The receiver may be closed already; the run ends in any case.
                 let _ = sender.send(Ok(part)).await;
             }
-            engine.state.borrow_mut().end_run();
+            let (model, adapter) = model_and_adapter(&requested);
+            let mut state = engine.state.borrow_mut();
+            state.end_run(model, adapter, Instant::now());
         });
         let mut answer = Response::new(body);
         let kind = HeaderValue::from_static("text/event-stream");
@@ -614,6 +614,14 @@
     }
 }
 
+/// Splits what a request asks for into the model and its adapter.
+fn model_and_adapter(requested: &str) -> (&str, Option<&str>) {
+    match requested.split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (requested, None),
+    }
+}
+
 /// Returns the number of the first event of an answer: after the one that the request names.
 fn first_event(request: &Request<Bytes>) -> u64 {
     let last = request.headers().get(LAST_EVENT_HEADER);
--- a/crates/croftrill-standin/src/engine_state.rs
+++ b/crates/croftrill-standin/src/engine_state.rs
@@ -155,18 +155,20 @@
         if !self.replica.holdings().serves(model, adapter) {
             return StartOutcome::Absent;
         }
-        if self.running >= self.config.slots || self.replica.is_unloading(model) {
+        if self.running >= self.config.slots || self.replica.is_unloading(model, adapter) {
             self.rejected_requests += 1;
             return StartOutcome::Full;
         }
         self.running += 1;
+        self.replica.begin_request(model, adapter);
         *self.runs.entry(attempt.to_string()).or_default() += 1;
         StartOutcome::Running
     }
 
-    /// Records the end of a run.
-    pub fn end_run(&mut self) {
+    /// Records the end of a run. What it used may be unloaded then.
+    pub fn end_run(&mut self, model: &str, adapter: Option<&str>, now: Instant) {
         self.running = self.running.saturating_sub(1);
+        self.replica.end_request(model, adapter, self.moment(now));
     }
 
     /// Returns the replica's report; `None` once it has fallen.
@@ -254,6 +256,6 @@
     Running,
     /// The replica does not hold the model or adapter.
     Absent,
-    /// No slot is free, or the model is being unloaded.
+    /// No slot is free, or the model or adapter is being unloaded.
     Full,
 }
