An order never names a sequence that its replica may not have reached

What callers saw: a replica with all adapter slots taken got an order to load one more, and fell (LIMIT).

Cause: an unload of an adapter that is done at once is answered 200, and so is one of an adapter that is not there any more; only the first counts a step. The ledger counted one in both cases. A former orderer's unload of an adapter that requests still used ends later, without a step, so a new orderer takes the adapter for present, evicts it again and is one step ahead. Its next order names a sequence that the replica has yet to reach. If that order comes late, and another orderer's step leads to that sequence first, it is carried out in a state against which it was not checked.

Change: the ledger counts the step only for an adapter whose load it saw accepted itself, that a report has shown as present, and for which it sent no unload since: that one ends by an order only. After any other unload that is done at once a report comes first. So each order names a sequence that was reached, and an unanswered one can be carried out only in the state against which it was checked, as the ledger's account says.

--- a/crates/croftrill-bench/tests/room.rs
+++ b/crates/croftrill-bench/tests/room.rs
@@ -148,6 +148,45 @@
     );
 }
 
+/// Guards against a late order that names a sequence which its replica had not reached when it was sent: the
+/// orderer had counted a step that the replica had not, and another step led to that sequence.
+#[test]
+fn plan_names_no_sequence_ahead_of_replica() {
+    let mut world = World::new(9, &[&["m1", "m2"]]);
+    world.run(6000);
+    for number in 1..=ADAPTER_SLOTS as u64 {
+        ask(&mut world, "m1", Some(&adapter(number)));
+        world.run(600);
+    }
+    // A predecessor evicts an adapter that requests still use.
+    world.set_use_ms(600);
+    ask(&mut world, "m1", Some("a8"));
+    while !matches!(world.orders.last(), Some((.., Order::UnloadAdapter(..)))) {
+        world.run(20);
+    }
+    world.replace_orderer(orderer_config());
+    world.run(1000);
+    world.set_use_ms(0);
+    world.deliveries = vec![OrderDelivery::Answered, OrderDelivery::Late(1500)].into();
+    ask(&mut world, "m2", Some("a7"));
+    world.run(600);
+    world.replace_orderer(orderer_config());
+    ask(&mut world, "m1", Some("a9"));
+    world.run(6000);
+    assert_eq!(
+        world.violations(),
+        Vec::<String>::new(),
+        "orders: {:?}",
+        world.orders
+    );
+    let replica = &world.replicas["r0"];
+    assert!(
+        replica.holdings().serves("m1", Some("a9")),
+        "orders: {:?}",
+        world.orders
+    );
+}
+
 /// An event of a run with faults.
 #[derive(Debug, Clone)]
 enum Event {
--- a/crates/croftrill-scheduler/src/replica.rs
+++ b/crates/croftrill-scheduler/src/replica.rs
@@ -249,6 +249,17 @@
         }
     }
 
+    /// Returns the adapter that the order is about, if it is about one.
+    pub fn model_adapter(&self) -> Option<ModelAdapter> {
+        match self {
+            Order::LoadAdapter(model, adapter) | Order::UnloadAdapter(model, adapter) => Some(ModelAdapter {
+                model: model.clone(),
+                adapter: adapter.clone(),
+            }),
+            Order::LoadModel(_) | Order::UnloadModel(_) => None,
+        }
+    }
+
     /// Applies the effect of the order. An adapter of a model that is not held has none.
     pub fn apply_to(&self, holdings: &mut Holdings) {
         let held = holdings
--- a/crates/croftrill-scheduler/src/replica_ledger/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/mod.rs
@@ -12,6 +12,7 @@
 
 mod transit;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use self::transit::{RequestedReport, Transits};
@@ -82,6 +83,10 @@
     /// Adapters that count as held since their load was accepted, without waiting for
     /// a report, so that the next order may follow at once.
     in_transit: Transits,
+    /// Adapters whose load this ledger saw accepted, and for which no unload was sent since. Nothing but an
+    /// order ends them. Of others an earlier unload may be under way, which ends without a step of the
+    /// sequence once no request uses them.
+    own_adapters: BTreeSet<ModelAdapter>,
     busy: bool,
     is_report_requested: bool,
     next_report_at: Moment,
@@ -114,6 +119,7 @@
             correctable_from: None,
             pending: None,
             in_transit: Transits::default(),
+            own_adapters: BTreeSet::new(),
             busy: false,
             is_report_requested: false,
             next_report_at: now,
@@ -225,11 +231,13 @@
         match outcome {
             OrderOutcome::Accepted if matches!(pending.order, Order::LoadAdapter(..)) => {
                 self.holdings.sequence += 1;
+                self.own_adapters.extend(pending.order.model_adapter());
                 self.begin_transit(&pending.order, now + expected_in, now);
                 LedgerChange::Done(pending.order)
             }
             OrderOutcome::Accepted => {
                 self.holdings.sequence += 1;
+                self.forget_own_adapter(&pending.order);
                 pending.progress = Progress::Accepted {
                     expected_at: now + expected_in,
                 };
@@ -242,6 +250,7 @@
                 LedgerChange::Done(pending.order)
             }
             OrderOutcome::Unknown => {
+                self.forget_own_adapter(&pending.order);
                 pending.progress = Progress::Unknown { since: now };
                 self.next_report_at = now + self.config.report_lag;
                 self.pending = Some(pending);
@@ -386,6 +395,9 @@
         for ModelAdapter { model, adapter } in self.in_transit.adapters() {
             Order::LoadAdapter(model.clone(), adapter.clone()).apply_to(&mut self.holdings);
         }
+        let holdings = &self.holdings;
+        self.own_adapters
+            .retain(|adapter| holdings.serves(&adapter.model, Some(&adapter.adapter)));
         self.busy = report.busy;
         self.confirmed = true;
         self.correctable_from = None;
@@ -475,11 +487,7 @@
     /// Counts the adapter at once, so that no later order uses its room.
     fn begin_transit(&mut self, order: &Order, expected_at: Moment, now: Moment) {
         self.apply(order);
-        if let Order::LoadAdapter(model, adapter) = order {
-            let adapter = ModelAdapter {
-                model: model.clone(),
-                adapter: adapter.clone(),
-            };
+        if let Some(adapter) = order.model_adapter() {
             self.in_transit
                 .begin(adapter, self.holdings.sequence, expected_at, now);
         }
@@ -489,21 +497,43 @@
     /// Applies an order whose effect the replica had or reached at once.
     fn complete_at_once(&mut self, order: &Order, now: Moment) {
         match order {
-            Order::UnloadAdapter(model, adapter) => {
-                // The replica counts it, unless it did not have the adapter.
-                self.holdings.sequence += 1;
-                let is_in_transit = self
-                    .in_transit
-                    .note_unload(model, adapter, self.holdings.sequence);
-                if !is_in_transit {
-                    self.apply(order);
-                }
-            }
+            Order::UnloadAdapter(..) => self.complete_adapter_unload(order, now),
             Order::LoadAdapter(..) => self.begin_transit(order, now, now),
             Order::LoadModel(_) | Order::UnloadModel(_) => self.apply(order),
         }
     }
 
+    /// Applies an unload of an adapter that was done at once. The replica counts a step of the sequence only
+    /// if it had the adapter, and the sequence must never be ahead of the replica's: an order that names a
+    /// later one could be carried out in a state against which it was not checked.
+    fn complete_adapter_unload(&mut self, order: &Order, now: Moment) {
+        let next_sequence = self.holdings.sequence + 1;
+        let is_in_transit = self.in_transit.note_unload(order, next_sequence);
+        let was_present = self.forget_own_adapter(order) && !is_in_transit;
+        if was_present {
+            self.holdings.sequence = next_sequence;
+        } else {
+            self.require_report(now + self.config.report_lag);
+        }
+        if !is_in_transit {
+            self.apply(order);
+        }
+    }
+
+    /// Forgets that the adapter of an unload is one of this ledger's own. Returns true if it was.
+    fn forget_own_adapter(&mut self, order: &Order) -> bool {
+        match order {
+            Order::UnloadAdapter(..) => order
+                .model_adapter()
+                .is_some_and(|adapter| self.own_adapters.remove(&adapter)),
+            Order::UnloadModel(model) => {
+                self.own_adapters.retain(|adapter| adapter.model != *model);
+                false
+            }
+            Order::LoadModel(_) | Order::LoadAdapter(..) => false,
+        }
+    }
+
     fn awaits_answer(&self) -> bool {
         matches!(
             &self.pending,
--- a/crates/croftrill-scheduler/src/replica_ledger/transit.rs
+++ b/crates/croftrill-scheduler/src/replica_ledger/transit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::replica::{ModelAdapter, ReplicaReport};
+use crate::replica::{ModelAdapter, Order, ReplicaReport};
 use crate::time::Moment;
 
 use super::LedgerConfig;
@@ -135,9 +135,10 @@
 
     /// Notes that the replica answered an order to unload the adapter, after which it is at `sequence`
     /// if it had the adapter. Returns true if the adapter is in transit.
-    pub(super) fn note_unload(&mut self, model: &str, adapter: &str, sequence: u64) -> bool {
+    pub(super) fn note_unload(&mut self, order: &Order, sequence: u64) -> bool {
+        let unloaded = order.model_adapter();
         let mut transits = self.transits.iter_mut();
-        let Some(transit) = transits.find(|transit| transit.is_of(model, adapter)) else {
+        let Some(transit) = transits.find(|transit| Some(&transit.adapter) == unloaded.as_ref()) else {
             return false;
         };
         transit.unloaded_at_sequence = Some(sequence);
--- a/crates/croftrill-scheduler/tests/replica_ledger.rs
+++ b/crates/croftrill-scheduler/tests/replica_ledger.rs
@@ -291,6 +291,40 @@
     assert!(!ledger.holdings().serves("m1", Some("a1")));
 }
 
+/// Guards against an order that names a sequence which the replica has not reached: requests used an adapter
+/// that a predecessor had evicted, and it left without a step. A late order then fitted another state.
+#[test]
+fn record_outcome_of_unload_of_inherited_adapter_counts_no_step() {
+    let mut ledger = confirmed();
+    let mut inherited = report(5, &["m1"], false);
+    inherited.holdings.models[0].adapters = vec!["a1".into()];
+    ledger.apply_report(&inherited, at(400), at(410));
+    ledger.begin_order(Order::UnloadAdapter("m1".into(), "a1".into()), at(500));
+    ledger.record_outcome(OrderOutcome::AlreadyHolds, Duration::ZERO, at(510));
+    assert!(!ledger.holdings().serves("m1", Some("a1")));
+    assert!(
+        !ledger.is_idle(),
+        "a report shows whether the replica counted a step"
+    );
+    assert!(requests_report(&mut ledger, at(800)));
+    ledger.apply_report(&report(5, &["m1"], false), at(800), at(810));
+    assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(820)), 5);
+}
+
+/// Guards against a wait for a report at each eviction: an adapter that this orderer loaded is surely there.
+#[test]
+fn record_outcome_of_unload_of_own_adapter_counts_a_step() {
+    let mut ledger = confirmed();
+    load_adapter(&mut ledger, "a1", 100);
+    let mut arrived = report(6, &["m1"], false);
+    arrived.holdings.models[0].adapters = vec!["a1".into()];
+    ledger.apply_report(&arrived, at(400), at(410));
+    ledger.begin_order(Order::UnloadAdapter("m1".into(), "a1".into()), at(500));
+    ledger.record_outcome(OrderOutcome::AlreadyHolds, Duration::ZERO, at(510));
+    assert!(ledger.is_idle());
+    assert_eq!(ledger.begin_order(Order::LoadModel("m2".into()), at(520)), 7);
+}
+
 /// Guards against a ledger that is ahead of its replica for ever: it counted an order as a step that the
 /// replica did not count, took no report any more, and each order was a conflict.
 #[test]
