A store slot that has long been free is used at once, also by the orderers of later shards

What callers saw: a request for a model that no replica holds waited 0.3 s longer for replicas of the second shard and 0.6 s longer for those of the third, on a store with no load.

Cause: each shard leaves a free slot at the weight store to the shards before it for 0.3 s each, so that it knows their plans. The time for which the slot had been free was counted from the first need for it, not from when it became free.

Change: an orderer notes with each look at the balance (0.25 s) whether a slot is free.

Seen: plan_uses_store_slot_at_once_that_has_been_free failed before (no order after 0.2 s).

--- a/crates/croftrill-bench/tests/orderer.rs
+++ b/crates/croftrill-bench/tests/orderer.rs
@@ -9,10 +9,11 @@
 use croftrill_scheduler::demand::{DemandSample, ModelKey};
 use croftrill_scheduler::orderer::{Decision, OrdererConfig};
 use croftrill_scheduler::replica::{
-    Holdings, LimitSignal, Order, OrderOutcome, ReplicaId, ReplicaSignals, RequestRate,
+    Holdings, LimitSignal, Order, OrderOutcome, ReplicaId, ReplicaListing, ReplicaSignals, ReplicaState,
+    RequestRate,
 };
 use croftrill_scheduler::replica_table::{AnsweredCall, Arrival, Placement, ReplicaTable};
-use croftrill_scheduler::shard::{OrderScope, Shard};
+use croftrill_scheduler::shard::{OrderScope, Shard, SHARD_COUNT};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -289,6 +290,32 @@
     assert_eq!(world.orders.len(), 1, "orders: {:?}", world.orders);
 }
 
+/// Guards against a load that begins 0.3 or 0.6 s later than it could at the replicas of the second and third
+/// shard: the time for which the store had a free slot was counted from the first need for it.
+#[test]
+fn plan_uses_store_slot_at_once_that_has_been_free() {
+    let last = (0..).find(|index| Shard::of_replica(&format!("r{index}")).index() + 1 == SHARD_COUNT);
+    let last = last.expect("a replica of the last shard");
+    let config = OrdererConfig {
+        scope: OrderScope::One(Shard::of_replica(&format!("r{last}"))),
+        ..orderer_config()
+    };
+    let held: Vec<&[&str]> = vec![&["m1"]; last + 1];
+    let mut world = World::with_config(configuration(8), config, &held);
+    world.orderer.set_reachable([true; SHARD_COUNT]);
+    for index in 0..last {
+        let leaving = ReplicaListing {
+            state: ReplicaState::Draining,
+            ..listing(&format!("r{index}").as_str().into(), &Holdings::default())
+        };
+        world.orderer.apply_listing(&leaving, world.now);
+    }
+    world.run(6000);
+    world.orderer.mark_waiting(&key("m5", None), world.now);
+    world.run(200);
+    assert_eq!(world.orders.len(), 1, "orders: {:?}", world.orders);
+}
+
 /// Returns the usual configuration with the given duration of loads from the weight store.
 fn with_store_load(models: usize, store_load: Duration) -> Arc<Configuration> {
     let usual = configuration(models);
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -453,6 +453,7 @@
             if let Some(engine) = &service.engine {
                 if is_balance_due {
                     self.measure_work(&service.name, now);
+                    self.observe_store_slots(&service.name, engine, now);
                 }
                 self.set_goals(&service.name, engine, &waiting, now);
                 self.set_version_goals(&service.name, engine, now);
--- a/crates/croftrill-scheduler/src/orderer/store_loads.rs
+++ b/crates/croftrill-scheduler/src/orderer/store_loads.rs
@@ -38,17 +38,25 @@
         engine: &EngineSpec,
         now: Moment,
     ) -> bool {
+        self.observe_store_slots(service, engine, now);
+        let Some(free_since) = self.store_free_since.get(service).copied() else {
+            return false;
+        };
         let ceiling = self.own_ceiling(service, engine);
+        let planned = self.planned_store_loads(service);
+        self.may_use_store_slot(now.since(free_since))
+            && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
+    }
+
+    /// Records since when the weight store has had a free slot, also while no load needs it.
+    pub(super) fn observe_store_slots(&mut self, service: &ServiceName, engine: &EngineSpec, now: Moment) {
         let planned = self.planned_store_loads(service);
         let at_store = self.running_store_loads(service) + planned + self.others_store_loads(service);
-        let concurrency = self.load_concurrency(service, engine);
-        if at_store >= concurrency.limit() {
+        if at_store >= self.load_concurrency(service, engine).limit() {
             self.store_free_since.remove(service);
-            return false;
+        } else {
+            self.store_free_since.entry(service.clone()).or_insert(now);
         }
-        let free_since = *self.store_free_since.entry(service.clone()).or_insert(now);
-        self.may_use_store_slot(now.since(free_since))
-            && self.ceiling_admits(service, ceiling.saturating_sub(planned), now)
     }
 
     /// Returns true if this orderer may use a slot at the store that has been free for
