Versions of streams at the store: all orderers write them, soon after they begin

Cause: one orderer wrote, a segment a second.

Change: each orderer writes all streams; a segment is due a second after the last one or once six streams wait, 0.1 s apart at least; streams that begin while no orderer is known are told with the next one. 640 slots, so that one stays for longer than streams live.

--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -65,6 +65,9 @@
     Versions,
     /// The same, without the check of how many of the streams taken up go on.
     MixedVersions,
+    /// The software of half of the replicas is rolled while all nodes are killed at once, with kills of
+    /// single nodes.
+    JoinedVersions,
     /// Answers of replicas without a length, closed or reset after any byte, beside the faults of
     /// [`Mix::Series`].
     BrokenAnswers,
@@ -143,9 +146,9 @@
     NodePaths(usize, PathCut),
     /// The store refuses these nodes.
     Refusal(Vec<usize>, Fault),
-    /// The replicas are replaced by ones of the next software version, one after the other at this
-    /// interval.
-    RollReplicas(Duration),
+    /// This number of replicas are replaced by ones of the next software version, one after the other at
+    /// this interval.
+    RollReplicas(Duration, usize),
     /// Replicas tell how many rejections a second they bear, and fall over beyond.
     Brittle(u32),
     /// Adapters take this long to arrive.
@@ -478,7 +481,7 @@
     let node = random.random_range(0..size.nodes);
     let engine = random.random_range(0..size.engines);
     if index == 0 {
-        return Injection::RollReplicas(draw_pause(random, 1_200));
+        return Injection::RollReplicas(draw_pause(random, 1_200), size.engines);
     }
     match random.random_range(0..6) {
         0 | 1 => Injection::Kill(node),
@@ -488,6 +491,23 @@
     }
 }
 
+fn joined_versions_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
+    let node = random.random_range(0..size.nodes);
+    match index {
+        0 => {
+            let interval = Duration::from_millis(random.random_range(300..900));
+            return Injection::RollReplicas(interval, size.engines / 2);
+        }
+        1 => return Injection::KillAllAtOnce(draw_pause(random, 1_200)),
+        _ => {}
+    }
+    match random.random_range(0..3) {
+        0 => Injection::KillAllAtOnce(draw_pause(random, 1_200)),
+        1 => Injection::StorePath(node, draw_fault(random)),
+        _ => Injection::Kill(node),
+    }
+}
+
 fn lost_state_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
     let node = random.random_range(0..size.nodes);
     let engine = random.random_range(0..size.engines);
@@ -526,6 +546,7 @@
         Mix::Brittle => (random.random_range(1..=4), 4000),
         Mix::Refusals => (random.random_range(3..=8), 3500),
         Mix::Versions | Mix::MixedVersions => (random.random_range(3..=8), 4000),
+        Mix::JoinedVersions => (random.random_range(2..=4), 5000),
         Mix::LostState => (random.random_range(3..=6), 8000),
         Mix::Room => (random.random_range(5..=9), 8000),
     };
@@ -547,6 +568,7 @@
             Mix::Brittle => brittle_injection(random, size, index),
             Mix::Refusals => refusals_injection(random, size, index),
             Mix::Versions | Mix::MixedVersions => versions_injection(random, size, index),
+            Mix::JoinedVersions => joined_versions_injection(random, size, index),
             Mix::LostState => lost_state_injection(random, size, index),
             Mix::Room => room::injection(random, size, index),
         },
@@ -624,7 +646,7 @@
             let refused = nodes.iter().map(|node| &cluster.store_proxies[*node]);
             refused.for_each(|proxy| proxy.set(*fault));
         }
-        Injection::RollReplicas(interval) => roll_replicas(cluster, *interval).await,
+        Injection::RollReplicas(interval, count) => roll_replicas(cluster, *interval, *count).await,
         Injection::Slowed(engine) => cluster.engine(*engine).set_slowed(true),
         Injection::Limit(engine, per_s) => cluster.engine(*engine).set_limit(Some(*per_s)),
         Injection::Leaving(engine) => cluster.engine(*engine).announce_leaving(),
@@ -640,9 +662,9 @@
 }
 
 /// Replaces the replicas by ones of the next software version, one after the other.
-async fn roll_replicas(cluster: &Cluster, interval: Duration) {
+async fn roll_replicas(cluster: &Cluster, interval: Duration, count: usize) {
     cluster.begin_next_version();
-    for index in 0..cluster.engine_proxies.len() {
+    for index in 0..count {
         let engine = cluster.engine(index);
         engine.announce_leaving();
         sleep(interval).await;
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -118,6 +118,10 @@
 const FIRST_SEED_OF_ROOM: u64 = 13_000_000;
 /// Seed of the `Mix::Room` round in continuous integration.
 const DEFAULT_SEED_OF_ROOM: u64 = FIRST_SEED_OF_ROOM + DEFAULT_SEED;
+/// Rounds from this seed on use `Mix::JoinedVersions`.
+const FIRST_SEED_OF_JOINED_VERSIONS: u64 = 14_000_000;
+/// Seed of the `Mix::JoinedVersions` round in continuous integration.
+const DEFAULT_SEED_OF_JOINED_VERSIONS: u64 = FIRST_SEED_OF_JOINED_VERSIONS + DEFAULT_SEED;
 /// Seed of a `Mix::Versions` round in which each model's replicas are replaced before its streams end.
 const SEED_OF_FAST_ROLL: u64 = FIRST_SEED_OF_VERSIONS + 2_029;
 /// Time for which requests are sent and faults injected.
@@ -164,6 +168,7 @@
                 Some("broken_answers") => Mix::BrokenAnswers,
                 Some("crash_parts") => Mix::CrashParts,
                 Some("mixed_versions") => Mix::MixedVersions,
+                Some("joined_versions") => Mix::JoinedVersions,
                 Some("lost_state") => Mix::LostState,
                 Some("room") => Mix::Room,
                 other => panic!("seeds.txt: unknown mix {other:?}"),
@@ -181,7 +186,9 @@
             size.with_min_engines(crash_parts::MIN_ENGINES),
         ),
         Mix::Crashes | Mix::Paths => (Program::Instrumented, size.with_min_engines(MIN_CRASHING_ENGINES)),
-        Mix::Versions | Mix::MixedVersions => (Program::Daemon, size.with_min_engines(versions::MIN_ENGINES)),
+        Mix::Versions | Mix::MixedVersions | Mix::JoinedVersions => {
+            (Program::Daemon, size.with_min_engines(versions::MIN_ENGINES))
+        }
         Mix::LostState => (
             Program::Daemon,
             size.with_min_engines(versions::MIN_ENGINES_FOR_SOLE_HOLDERS),
@@ -197,6 +204,7 @@
         Mix::Uneven => uneven::conditions(seed),
         Mix::Brittle => brittle::conditions(),
         Mix::Versions | Mix::MixedVersions => versions::conditions(),
+        Mix::JoinedVersions => versions::conditions_with_long_streams(),
         Mix::LostState => versions::conditions_with_restarts(),
         Mix::Room => room::conditions(),
         Mix::BrokenAnswers => broken_answers::conditions(seed),
@@ -210,7 +218,10 @@
     }
     let plan = faults::draw(&mut random, mix, size);
     println!("seed {seed} {mix:?}: {plan:?}");
-    let checks_streams = matches!(mix, Mix::Versions | Mix::MixedVersions | Mix::LostState);
+    let checks_streams = matches!(
+        mix,
+        Mix::Versions | Mix::MixedVersions | Mix::JoinedVersions | Mix::LostState
+    );
     let is_long = matches!(
         mix,
         Mix::Limits | Mix::Paths | Mix::Brittle | Mix::CrashParts | Mix::Room
@@ -226,7 +237,7 @@
             Mix::Tenants => tokio::join!(tenants::call_nodes(&cluster, length, seed), faults).0,
             Mix::Uneven => tokio::join!(uneven::call_nodes(&cluster, length, seed), faults).0,
             Mix::Room => tokio::join!(room::call_nodes(&cluster, length, seed), faults).0,
-            Mix::Versions | Mix::MixedVersions | Mix::LostState => {
+            Mix::Versions | Mix::MixedVersions | Mix::JoinedVersions | Mix::LostState => {
                 let streams = tokio::join!(versions::call_nodes(&cluster, length, seed), faults).0;
                 versions::check_order(&streams, seed);
                 let share = versions::resumed_share(&streams, &plan, size.engines, seed);
@@ -329,6 +340,7 @@
     let rounds = env_number("CROFTRILL_SOAK_ROUNDS", DEFAULT_ROUNDS);
     let runtime = runtime();
     let mix_of = |seed: u64| match seed % 4 {
+        _ if seed >= FIRST_SEED_OF_JOINED_VERSIONS => Mix::JoinedVersions,
         _ if seed >= FIRST_SEED_OF_ROOM => Mix::Room,
         _ if seed >= FIRST_SEED_OF_LOST_STATE => Mix::LostState,
         _ if seed >= FIRST_SEED_OF_CRASH_PARTS => Mix::CrashParts,
@@ -368,6 +380,7 @@
         default_rounds.push((DEFAULT_SEED_OF_CRASH_PARTS, Mix::CrashParts));
         default_rounds.push((DEFAULT_SEED_OF_LOST_STATE, Mix::LostState));
         default_rounds.push((DEFAULT_SEED_OF_ROOM, Mix::Room));
+        default_rounds.push((DEFAULT_SEED_OF_JOINED_VERSIONS, Mix::JoinedVersions));
     }
     for (seed, mix) in default_rounds {
         LocalSet::new().block_on(&runtime, play_round(seed, mix, DEFAULT_SIZE));
--- a/crates/croftrill-daemon/tests/soak/versions.rs
+++ b/crates/croftrill-daemon/tests/soak/versions.rs
@@ -62,7 +62,18 @@
     }
 }
 
-/// The same, with replicas that start again under their ids.
+/// The same, with streams that take 3 s, as long as a few lines of text.
+pub fn conditions_with_long_streams() -> Conditions {
+    Conditions {
+        engine: |_| EngineConfig {
+            event_interval: Duration::from_millis(100),
+            ..EngineConfig::default()
+        },
+        ..conditions()
+    }
+}
+
+/// As [`conditions`], with replicas that start again under their ids.
 pub fn conditions_with_restarts() -> Conditions {
     Conditions {
         keeps_ids: true,
@@ -194,18 +205,18 @@
 /// Returns whether two replicas of a version serve at a time of a round.
 fn has_two_replicas(plan: &[PlannedFault], engines: usize, version: &str, at: Duration) -> bool {
     let roll = plan.iter().find_map(|planned| match planned.injection {
-        Injection::RollReplicas(interval) => Some((planned.at, interval)),
+        Injection::RollReplicas(interval, count) => Some((planned.at, interval, count)),
         _ => None,
     });
-    let Some((start, interval)) = roll else {
+    let Some((start, interval, count)) = roll else {
         return true;
     };
     // The replica that is next to end accepts nothing more.
     let replaced = (at.saturating_sub(start).as_secs_f64() / interval.as_secs_f64()) as usize;
     let serving = match version {
         "v0" if at < start => engines,
-        "v0" => engines.saturating_sub(replaced + 1),
-        _ => replaced.min(engines),
+        "v0" => engines.saturating_sub((replaced + 1).min(count)),
+        _ => replaced.min(count),
     };
     // A replica without a path may be of either version.
     let cut = plan.iter().filter(|planned| {
--- a/crates/croftrill-node/src/stored_streams.rs
+++ b/crates/croftrill-node/src/stored_streams.rs
@@ -1,6 +1,6 @@
 //! Keeps the versions of streams at the store while a service has several, and finds them there.
 //!
-//! Nodes tell them to the orderer of the first shard, which writes them ([`SegmentQueue`]). A node reads
+//! Nodes tell them to the orderers, each of which writes them ([`SegmentQueue`]). A node reads
 //! them only if it is asked for a stream that no keeper knows.
 
 use std::cell::RefCell;
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use croftrill_scheduler::software_versions::SoftwareVersion;
 use croftrill_scheduler::stored_streams::{
-    AttemptHash, Segment, SegmentQueue, StoredStream, StoredStreams, SEGMENT_INTERVAL,
+    AttemptHash, Segment, SegmentQueue, StoredStream, StoredStreams, SEGMENT_INTERVAL, WRITERS,
 };
 use croftrill_scheduler::time::Moment;
 use nanoserde::{DeBin, SerBin};
@@ -21,6 +21,7 @@
 use crate::membership::MemberEntry;
 use crate::metrics::Metrics;
 use crate::node::{Node, NodeState};
+use crate::peer::WireStreamRecord;
 use crate::ports::{ConditionalPut, Freshness, KeyValueStore, Platform, StoreError, Write};
 use crate::wire::{decode, WireList};
 
@@ -33,6 +34,8 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(30);
 /// Time from the first stream until a segment is written, as many come together when a roll begins.
 const GATHER_TIME: Duration = Duration::from_millis(100);
+/// Maximum number of streams that are kept until a writer is known.
+const MAX_UNTOLD: usize = 1024;
 /// Minimum time between two reads by this node.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time for which a caller that takes a stream up waits for a read.
@@ -96,6 +99,23 @@
     queue: RefCell<SegmentQueue>,
     pushed: Notify,
     read: Mutex<LastRead>,
+    /// This node's streams that began while no writer was known.
+    untold: RefCell<Vec<WireStreamRecord>>,
+}
+
+impl StreamSegments {
+    /// Keeps streams until a writer is known; the oldest give way.
+    pub(crate) fn keep_untold(&self, records: Vec<WireStreamRecord>) {
+        let mut untold = self.untold.borrow_mut();
+        untold.extend(records);
+        let excess = untold.len().saturating_sub(MAX_UNTOLD);
+        untold.drain(..excess);
+    }
+
+    /// Takes the streams that no writer was told of.
+    pub(crate) fn take_untold(&self) -> Vec<WireStreamRecord> {
+        self.untold.take()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -109,38 +129,52 @@
     key.starts_with(SEGMENT_PREFIX)
 }
 
-/// Returns the node that writes the versions of streams.
-pub(crate) fn writer(state: &NodeState) -> Option<&MemberEntry> {
-    let (_, first) = state.members.orderers().next()?;
-    Some(first).filter(|first| first.exchanges_configurations())
+/// Returns the nodes that write the versions of streams, at most [`WRITERS`].
+pub(crate) fn writers(state: &NodeState) -> Vec<&MemberEntry> {
+    let mut writers: Vec<&MemberEntry> = Vec::new();
+    for (_, orderer) in state.members.orderers() {
+        let is_known = writers.iter().any(|known| known.name == orderer.name);
+        if !is_known && orderer.exchanges_configurations() {
+            writers.push(orderer);
+        }
+    }
+    writers
 }
 
-/// Returns whether this node is the one that writes the versions of streams.
-fn is_writer<P: Platform>(node: &Node<P>) -> bool {
+/// Returns this node's position among the writers, if it is one.
+fn own_position<P: Platform>(node: &Node<P>) -> Option<usize> {
+    let own = &node.settings.identity.name;
     let state = node.state.borrow();
-    writer(&state).is_some_and(|writer| writer.name == node.settings.identity.name)
+    let position = writers(&state).iter().position(|writer| writer.name == *own);
+    position
 }
 
 /// Takes the version of a stream into the next segment, if this node writes them.
 pub(crate) fn record<P: Platform>(node: &Node<P>, attempt: &str, version: &SoftwareVersion) {
-    if !is_writer(node) {
+    if own_position(node).is_none() {
         return;
     }
     let segments = &node.stream_segments;
-    segments.queue.borrow_mut().push(attempt, version.clone());
+    let now = node.clock.now();
+    segments.queue.borrow_mut().push(attempt, version.clone(), now);
     segments.pushed.notify_one();
 }
 
+/// Returns the time for which a first stream waits for others. It keeps the writers' segments apart while
+/// few streams begin.
+fn gather_time<P: Platform>(node: &Node<P>) -> Duration {
+    let position = own_position(node).unwrap_or_default();
+    GATHER_TIME + SEGMENT_INTERVAL * position as u32 / WRITERS as u32
+}
+
 /// Writes segments while there are streams to write, until the process ends.
 pub(crate) async fn maintain<P: Platform>(node: Rc<Node<P>>, life: u64) {
     let segments = &node.stream_segments;
     let mut lease: Option<SegmentLease> = None;
     loop {
-        if segments.queue.borrow().is_empty() {
-            segments.pushed.notified().await;
-            sleep(GATHER_TIME).await;
-        }
-        let Some(segment) = segments.queue.borrow_mut().take_segment() else {
+        wait_until_due(&node).await;
+        let taken = segments.queue.borrow_mut().take_segment(node.clock.now());
+        let Some(segment) = taken else {
             continue;
         };
         let written = write(&node, life, &segment, &mut lease).await;
@@ -153,10 +187,29 @@
             }
             Err(error) => {
                 tracing::warn!(target: "stream version", event = "segment not written", slot, streams, %error);
-                segments.queue.borrow_mut().put_back(segment);
+                sleep(SEGMENT_INTERVAL).await;
+                let now = node.clock.now();
+                segments.queue.borrow_mut().put_back(segment, now);
             }
         }
-        sleep(SEGMENT_INTERVAL).await;
+    }
+}
+
+async fn wait_until_due<P: Platform>(node: &Node<P>) {
+    let segments = &node.stream_segments;
+    loop {
+        let due_at = segments.queue.borrow().due_at(gather_time(node));
+        let Some(due_at) = due_at else {
+            segments.pushed.notified().await;
+            continue;
+        };
+        if due_at <= node.clock.now() {
+            return;
+        }
+        tokio::select! {
+            () = node.clock.sleep_until(due_at) => {}
+            () = segments.pushed.notified() => {}
+        }
     }
 }
 
--- a/crates/croftrill-node/src/stream_versions.rs
+++ b/crates/croftrill-node/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! The version of a stream is written to the first [`KEEPERS`] nodes of an order that all nodes
 //! compute from the attempt's id: before its first event if its service has several versions, or
-//! else once it has. The node that writes such versions to the store ([`stored_streams`]) is told, too,
+//! else once it has. The nodes that write such versions to the store ([`stored_streams`]) are told, too,
 //! for a time when all keepers have ended. Each call has a connection of its own, as they are rare.
 
 use std::collections::BTreeMap;
@@ -72,12 +72,9 @@
     lifetime: Duration,
 ) {
     let records = vec![wire_record(attempt, version, lifetime)];
-    let message = WireStreamVersion::Record(records.into());
+    let message = WireStreamVersion::Record(records.clone().into());
     let keepers = keepers(node, attempt);
-    stored_streams::record(node, attempt, version);
-    if let Some(writer) = other_writer(node, &keepers) {
-        spawn_local(tell_writer(node.clone(), writer, message.clone()));
-    }
+    tell_writers(node, records, &keepers);
     let mut others = keepers.iter();
     let mut recorded = 0;
     let writing = async {
@@ -100,18 +97,35 @@
     tracing::debug!(target: "stream version", event = "record", attempt, version = &**version, recorded, in_time);
 }
 
-/// Returns the address of the node that writes the versions of streams to the store, if it is another
-/// one that is not told as a keeper.
-fn other_writer<P: Platform>(node: &Node<P>, keepers: &[SocketAddr]) -> Option<SocketAddr> {
+/// Tells the nodes that write the versions of streams to the store of some, and of those for which there was
+/// no writer before. Nodes that are told as keepers of the streams are left out.
+fn tell_writers<P: Platform>(node: &Rc<Node<P>>, records: Vec<WireStreamRecord>, keepers: &[SocketAddr]) {
     let own = &node.settings.identity.name;
-    let state = node.state.borrow();
-    let writer = stored_streams::writer(&state).filter(|writer| writer.name != *own)?;
-    let address = writer.peer_address()?;
-    let is_told = keepers.iter().take(KEEPERS).any(|keeper| *keeper == address);
-    (!is_told).then_some(address)
+    let others = {
+        let state = node.state.borrow();
+        let writers = stored_streams::writers(&state);
+        if writers.is_empty() {
+            node.stream_segments.keep_untold(records);
+            return;
+        }
+        let others = writers.into_iter().filter(|writer| writer.name != *own);
+        let others: Vec<SocketAddr> = others.filter_map(MemberEntry::peer_address).collect();
+        others
+    };
+    let mut told = node.stream_segments.take_untold();
+    let keepers = if told.is_empty() { keepers } else { &[] };
+    told.extend(records);
+    for record in &told {
+        stored_streams::record(node, &record.attempt, &record.version.as_str().into());
+    }
+    let is_keeper = |address: &SocketAddr| keepers.iter().take(KEEPERS).any(|keeper| keeper == address);
+    for writer in others.into_iter().filter(|address| !is_keeper(address)) {
+        let message = WireStreamVersion::Record(told.clone().into());
+        spawn_local(tell_writer(node.clone(), writer, message));
+    }
 }
 
-/// Tells the node that writes the versions of streams to the store of some.
+/// Tells a node that writes the versions of streams to the store of some.
 async fn tell_writer<P: Platform>(node: Rc<Node<P>>, writer: SocketAddr, message: WireStreamVersion) {
     let told = timeout(PUBLISH_TIMEOUT, call(&node, writer, &message)).await;
     if !matches!(told, Ok(Ok(_))) {
@@ -129,20 +143,22 @@
 }
 
 /// Tells the versions of this node's streams of a service that began while it had only one version to
-/// their keepers, and to the node that writes them to the store. Each gets one message.
+/// their keepers, and to the nodes that write them to the store. Each gets one message.
 pub(crate) async fn publish_own<P: Platform>(node: Rc<Node<P>>, service: ServiceName) {
     let now = node.clock.now();
     let streams = node.state.borrow_mut().own_streams.take(&service, now);
     let count = streams.len();
     let mut by_keeper: BTreeMap<SocketAddr, Vec<WireStreamRecord>> = BTreeMap::new();
+    let mut records = Vec::new();
     for (attempt, stream) in streams {
         let record = wire_record(&attempt, &stream.version, stream.expires_at.since(now));
-        let keepers = keepers(&node, &attempt);
-        stored_streams::record(&node, &attempt, &stream.version);
-        let writer = other_writer(&node, &keepers);
-        for told in keepers.into_iter().take(KEEPERS).chain(writer) {
-            by_keeper.entry(told).or_default().push(record.clone());
+        for keeper in keepers(&node, &attempt).into_iter().take(KEEPERS) {
+            by_keeper.entry(keeper).or_default().push(record.clone());
         }
+        records.push(record);
+    }
+    if !records.is_empty() {
+        tell_writers(&node, records, &[]);
     }
     let calls = by_keeper.into_iter().map(|(address, records)| {
         let node = &node;
--- a/crates/croftrill-scheduler/src/stored_streams.rs
+++ b/crates/croftrill-scheduler/src/stored_streams.rs
@@ -1,8 +1,8 @@
 //! Versions of streams, as the store keeps them while a service has several.
 //!
-//! The keepers of streams' versions lose them if all nodes end at once. One node therefore writes those
-//! that it is told to the store as well: a segment at a time, into a fixed number of slots that are
-//! overwritten in turn.
+//! The keepers of streams' versions lose them if all nodes end at once. [`WRITERS`] nodes therefore write
+//! those that they are told to the store as well: a segment at a time, into a fixed number of slots that
+//! are overwritten in turn.
 //!
 //! Safety: the version of a stream never changes, so a segment stays true whatever its age. It needs no
 //! condition and may be read from a copy that lags behind. If it is lost or overwritten, its streams go on
@@ -13,14 +13,22 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::shard::SHARD_COUNT;
 use crate::software_versions::SoftwareVersion;
+use crate::time::Moment;
 
-/// Minimum time between two segments of a node. What began within it before all nodes end goes on nowhere,
-/// a part of even the shortest streams that callers take up.
+/// Number of nodes that write all streams, as some of them may not reach the store.
+pub const WRITERS: usize = SHARD_COUNT;
+/// Time between two segments of a node while few streams begin.
 pub const SEGMENT_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of slots that a node writes in turn. With the interval between two segments, one stays for longer
-/// than a stream lives.
-pub const SEGMENT_SLOTS: u32 = 64;
+/// Minimum time between two segments of a node, however many streams begin.
+pub const MIN_SEGMENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of slots that a node writes in turn. With the minimum time between two segments, one stays for
+/// longer than a stream lives.
+pub const SEGMENT_SLOTS: u32 = 640;
+/// Number of streams that are written before [`SEGMENT_INTERVAL`] is over: those that wait when all nodes
+/// end go on nowhere.
+const PROMPT_STREAMS: usize = 6;
 /// Maximum number of streams in a segment, about 9 KB.
 const MAX_SEGMENT_STREAMS: usize = 1024;
 /// Maximum number of streams that wait to be written; the oldest give way.
@@ -53,41 +61,58 @@
 #[derive(Debug, Default)]
 pub struct SegmentQueue {
     waiting: VecDeque<StoredStream>,
+    /// When the first one that waits was added.
+    waiting_since: Moment,
+    /// When the last segment was taken.
+    taken_at: Option<Moment>,
     next_slot: u32,
 }
 
 impl SegmentQueue {
     /// Adds a stream.
-    pub fn push(&mut self, attempt: &str, version: SoftwareVersion) {
-        self.push_all([(AttemptHash::of(attempt), version)]);
+    pub fn push(&mut self, attempt: &str, version: SoftwareVersion, now: Moment) {
+        self.push_all([(AttemptHash::of(attempt), version)], now);
     }
 
     /// Adds the streams of a segment that may not have been written. They go into a later slot: the write may
     /// still be executed, and would replace a newer segment in the same one.
-    pub fn put_back(&mut self, segment: Segment) {
-        self.push_all(segment.streams);
+    pub fn put_back(&mut self, segment: Segment, now: Moment) {
+        self.push_all(segment.streams, now);
     }
 
-    fn push_all(&mut self, streams: impl IntoIterator<Item = StoredStream>) {
+    fn push_all(&mut self, streams: impl IntoIterator<Item = StoredStream>, now: Moment) {
+        if self.waiting.is_empty() {
+            self.waiting_since = now;
+        }
         self.waiting.extend(streams);
         let excess = self.waiting.len().saturating_sub(MAX_WAITING);
         self.waiting.drain(..excess);
     }
 
-    /// Returns whether there is nothing to write.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+    /// Returns when the next segment is due, if there is something to write. `gather` is the time for which
+    /// the first stream waits for others.
+    pub fn due_at(&self, gather: Duration) -> Option<Moment> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let after_last = |interval| self.taken_at.map_or(Moment::default(), |at| at + interval);
+        if self.waiting.len() >= PROMPT_STREAMS {
+            return Some(after_last(MIN_SEGMENT_INTERVAL));
+        }
+        let gathered_at = self.waiting_since + gather;
+        Some(gathered_at.max(after_last(SEGMENT_INTERVAL)))
     }
 
-    /// Takes the next segment, if there is something to write. Must not be called more often than each
-    /// [`SEGMENT_INTERVAL`].
-    pub fn take_segment(&mut self) -> Option<Segment> {
+    /// Takes the next segment, if there is something to write. Must not be called before it is due.
+    pub fn take_segment(&mut self, now: Moment) -> Option<Segment> {
         if self.waiting.is_empty() {
             return None;
         }
         let count = self.waiting.len().min(MAX_SEGMENT_STREAMS);
         let slot = self.next_slot;
         self.next_slot = (slot + 1) % SEGMENT_SLOTS;
+        self.taken_at = Some(now);
+        self.waiting_since = now;
         Some(Segment {
             slot,
             streams: self.waiting.drain(..count).collect(),
--- a/crates/croftrill-scheduler/tests/stored_streams.rs
+++ b/crates/croftrill-scheduler/tests/stored_streams.rs
@@ -1,47 +1,69 @@
 //! Segments of streams' versions: what is written when, and what is read.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use croftrill_scheduler::software_versions::{SoftwareVersion, MAX_STREAM_LIFETIME};
-use croftrill_scheduler::stored_streams::{
-    AttemptHash, SegmentQueue, StoredStream, StoredStreams, SEGMENT_INTERVAL, SEGMENT_SLOTS,
-};
+use croftrill_scheduler::stored_streams::{AttemptHash, SegmentQueue, StoredStream, StoredStreams};
+use croftrill_scheduler::time::Moment;
 
 fn stream(attempt: &str, version: &str) -> StoredStream {
     (AttemptHash::of(attempt), version.into())
 }
 
-/// Guards against a segment that is overwritten while its streams live.
+fn at(ms: u64) -> Moment {
+    Moment::from_start(Duration::from_millis(ms))
+}
+
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Guards against a segment that is overwritten while its streams live, however many begin.
 #[test]
 fn take_segment_returns_to_a_slot_after_the_lifetime_of_streams() {
     let mut queue = SegmentQueue::default();
-    let mut slots = HashSet::new();
-    let mut taken = 0;
+    let (mut slots, mut now) = (HashSet::new(), at(0));
     loop {
-        queue.push(&format!("a{taken}"), "v1".into());
-        let segment = queue.take_segment().expect("a segment");
+        for number in 0..20 {
+            queue.push(&format!("{now:?}-{number}"), "v1".into(), now);
+        }
+        now = queue.due_at(GATHER).expect("it is due").max(now);
+        let segment = queue.take_segment(now).expect("a segment");
         if !slots.insert(segment.slot) {
             break;
         }
-        taken += 1;
     }
-    assert_eq!(slots.len(), SEGMENT_SLOTS as usize);
-    assert!(SEGMENT_INTERVAL * taken >= MAX_STREAM_LIFETIME);
+    assert!(now.since(at(0)) >= MAX_STREAM_LIFETIME);
+}
+
+/// Guards against a write for each stream, and against many streams that wait for the next segment.
+#[test]
+fn due_at_is_earlier_while_many_streams_begin() {
+    let mut queue = SegmentQueue::default();
+    assert_eq!(queue.due_at(GATHER), None);
+    queue.push("a1", "v1".into(), at(5000));
+    assert_eq!(queue.due_at(GATHER), Some(at(5100)));
+    assert!(queue.take_segment(at(5100)).is_some());
+    queue.push("a2", "v1".into(), at(5150));
+    assert_eq!(queue.due_at(GATHER), Some(at(6100)));
+    for number in 0..5 {
+        queue.push(&format!("b{number}"), "v1".into(), at(5160));
+    }
+    assert_eq!(queue.due_at(GATHER), Some(at(5200)));
 }
 
 /// Guards against a late write that replaces the segment in which its streams were written again.
 #[test]
 fn put_back_writes_streams_into_another_slot() {
     let mut queue = SegmentQueue::default();
-    queue.push("a1", "v1".into());
-    let unanswered = queue.take_segment().expect("a segment");
-    assert!(queue.is_empty());
-    queue.put_back(unanswered.clone());
-    queue.push("a2", "v2".into());
-    let next = queue.take_segment().expect("a segment");
+    queue.push("a1", "v1".into(), at(0));
+    let unanswered = queue.take_segment(at(100)).expect("a segment");
+    assert_eq!(queue.due_at(GATHER), None);
+    queue.put_back(unanswered.clone(), at(1100));
+    queue.push("a2", "v2".into(), at(1150));
+    let next = queue.take_segment(at(1200)).expect("a segment");
     assert_ne!(next.slot, unanswered.slot);
     assert_eq!(next.streams, [stream("a1", "v1"), stream("a2", "v2")]);
-    assert_eq!(queue.take_segment(), None);
+    assert_eq!(queue.take_segment(at(2200)), None);
 }
 
 /// Guards against a queue that grows for as long as the store refuses writes.
@@ -49,9 +71,9 @@
 fn push_keeps_the_newest_of_too_many() {
     let mut queue = SegmentQueue::default();
     for number in 0..20_000 {
-        queue.push(&number.to_string(), "v1".into());
+        queue.push(&number.to_string(), "v1".into(), at(0));
     }
-    let segments = std::iter::from_fn(|| queue.take_segment());
+    let segments = std::iter::from_fn(|| queue.take_segment(at(100)));
     let kept: StoredStreams = segments.flat_map(|segment| segment.streams).collect();
     assert_eq!(kept.len(), 16 * 1024);
     assert_eq!(kept.find("0"), None);
--- a/crates/croftrill-scheduler/tests/stored_versions.rs
+++ b/crates/croftrill-scheduler/tests/stored_versions.rs
@@ -8,7 +8,7 @@
 use croftrill_scheduler::software_versions::{
     decide, KeeperAnswer, LifetimeVersions, ServiceVersions, SoftwareVersion, SoftwareVersions, KEEPERS,
 };
-use croftrill_scheduler::stored_streams::{SegmentQueue, StoredStream, StoredStreams, SEGMENT_INTERVAL};
+use croftrill_scheduler::stored_streams::{SegmentQueue, StoredStream, StoredStreams, WRITERS};
 use croftrill_scheduler::stored_versions::{
     NeededChange, RecordedVersions, SeenVersions, StoredVersions, VersionsRecord,
 };
@@ -154,7 +154,6 @@
     records: HashMap<usize, SoftwareVersion>,
     own: HashMap<usize, SoftwareVersion>,
     segments: SegmentQueue,
-    next_segment_ms: u64,
 }
 
 impl Node {
@@ -172,7 +171,6 @@
             records: HashMap::new(),
             own: HashMap::new(),
             segments: SegmentQueue::default(),
-            next_segment_ms: 0,
         }
     }
 
@@ -422,21 +420,21 @@
         if self.nodes[index].read(&self.store, now_ms) {
             let own: Vec<(usize, SoftwareVersion)> = self.nodes[index].own.drain().collect();
             own.into_iter()
-                .for_each(|(stream, version)| self.record(index, stream, &version));
+                .for_each(|(stream, version)| self.record(index, stream, &version, now_ms));
         }
         self.change_record(index, now_ms);
         self.write_segment(index, now_ms);
     }
 
     fn write_segment(&mut self, index: usize, now_ms: u64) {
-        let node = &mut self.nodes[index];
-        if now_ms < node.next_segment_ms {
+        let (node, now) = (&mut self.nodes[index], moment(now_ms));
+        let due_at = node.segments.due_at(Duration::from_millis(100));
+        if due_at.is_none_or(|due_at| due_at > now) {
             return;
         }
-        let Some(segment) = node.segments.take_segment() else {
+        let Some(segment) = node.segments.take_segment(now) else {
             return;
         };
-        node.next_segment_ms = now_ms + SEGMENT_INTERVAL.as_millis() as u64;
         let key = (index, node.starts_ms, segment.slot);
         let is_answered = self.random(10) > 0;
         let max_delay_ms = if is_answered { 60 } else { 3_000 };
@@ -447,7 +445,7 @@
             streams: segment.streams.clone(),
         });
         if !is_answered {
-            self.nodes[index].segments.put_back(segment);
+            self.nodes[index].segments.put_back(segment, now);
         }
     }
 
@@ -489,11 +487,11 @@
         }));
     }
 
-    /// Writes the version of a stream to its keepers, and tells it to the node that writes to the store.
-    fn record(&mut self, node: usize, stream: usize, version: &SoftwareVersion) {
-        if let Some(writer) = self.up().first() {
-            let segments = &mut self.nodes[*writer].segments;
-            segments.push(&stream.to_string(), version.clone());
+    /// Writes the version of a stream to its keepers, and tells it to the nodes that write to the store.
+    fn record(&mut self, node: usize, stream: usize, version: &SoftwareVersion, now_ms: u64) {
+        for writer in self.up().into_iter().take(WRITERS) {
+            let segments = &mut self.nodes[writer].segments;
+            segments.push(&stream.to_string(), version.clone(), moment(now_ms));
         }
         let others: Vec<usize> = self.up().into_iter().filter(|other| *other != node).collect();
         for keeper in others.into_iter().take(KEEPERS) {
@@ -531,7 +529,7 @@
         if is_sole {
             self.nodes[index].own.insert(stream, version.clone());
         } else {
-            self.record(index, stream, &version);
+            self.record(index, stream, &version, now_ms);
         }
         self.streams.push(Stream {
             version,
