Log what a rejected request was sent on

A rejection by a replica that falls over after some of them left one line that told neither whether its request had a reservation nor what was known of the replica's room.

--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -62,6 +62,7 @@
 use self::forwarding::{pick_backend, read_body};
 use self::guards::{acquire_slot, InFlightGuard, ServiceSlot};
 use self::missing_route::{find_newest_route, refuse_without_route};
+use self::rejections::RiskBasis;
 use self::replica_limits::RateLimitedReplica;
 use self::sending::{SendEnd, Streaming};
 use self::version::StreamVersion;
@@ -195,6 +196,7 @@
         rate_limited: Vec::new(),
         reservation: None,
         rejection_risk: None,
+        risk_basis: None,
         reservation_waits: 0,
         repeats: 0,
         refused_by: None,
@@ -246,6 +248,8 @@
     reservation: Option<Credit>,
     /// The reservation of a rejection, if the next replica falls over after some of them.
     rejection_risk: Option<Credit>,
+    /// What the last send was based on, if its replica may fall over after some rejections.
+    risk_basis: Option<RiskBasis>,
     /// Number of waits before another request for a reservation.
     reservation_waits: u32,
     repeats: u32,
--- a/crates/croftrill-node/src/request/rejections.rs
+++ b/crates/croftrill-node/src/request/rejections.rs
@@ -18,6 +18,14 @@
 /// Period in which this node's sends to a replica are counted.
 const RATE_PERIOD: Duration = Duration::from_secs(1);
 
+/// What a send to a replica that bears few rejections was based on, for the log of a rejection.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RiskBasis {
+    room: Option<KnownRoom>,
+    nodes: usize,
+    is_reserved: bool,
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Takes a reservation at a replica that may have to reject the request and falls over after some
     /// rejections. Returns false if there is none in time. Returns immediately for others.
@@ -27,6 +35,7 @@
         limit_request: LimitRequest,
     ) -> bool {
         self.rejection_risk = None;
+        self.risk_basis = None;
         if self.node.state.borrow().brittle_replicas.is_empty() {
             return true;
         }
@@ -38,6 +47,11 @@
             brittle.risk(&self.service, replica, room, nodes, self.now())
         };
         let RejectionRisk::Limited(limit) = risk else {
+            self.risk_basis = Some(RiskBasis {
+                room,
+                nodes,
+                is_reserved: false,
+            });
             return true;
         };
         let query = LimitQuery {
@@ -51,6 +65,11 @@
             LimitVerdict::Granted(credit, after) => {
                 Metrics::count(&self.node.metrics.limited, "rejections", "at risk");
                 self.rejection_risk = credit;
+                self.risk_basis = Some(RiskBasis {
+                    room,
+                    nodes,
+                    is_reserved: true,
+                });
                 let risk_at = self.now() + after;
                 self.node.clock.sleep_until(risk_at.min(self.deadline)).await;
                 true
@@ -69,6 +88,19 @@
         }
     }
 
+    /// Logs a rejection by a replica that may bear few of them, and what the send was based on.
+    pub(super) fn log_rejection(&self, replica: &ReplicaId) {
+        let Some(basis) = self.risk_basis else { return };
+        let outcome = if basis.is_reserved {
+            "rejected with a reservation"
+        } else {
+            "rejected without a reservation"
+        };
+        Metrics::count(&self.node.metrics.limited, "rejections", outcome);
+        tracing::info!(target: "limit", id = self.facts.id, replica = &**replica, outcome,
+            room = ?basis.room, nodes = basis.nodes);
+    }
+
     /// Returns the room of a replica as it was told a short time ago.
     fn known_room(&self, replica: &ReplicaId) -> Option<KnownRoom> {
         let state = self.node.state.borrow();
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -178,8 +178,11 @@
         if !connection.is_tunnel() {
             replica_path::record_own_connection(&self.node, &target, None);
         }
-        if let Some(risk) = rejection_risk.filter(|_| self.is_rejection(&answer)) {
-            risk.spend();
+        if self.is_rejection(&answer) {
+            self.log_rejection(replica);
+            if let Some(risk) = &rejection_risk {
+                risk.spend();
+            }
         }
         send.prompt_done();
         self.answered_after = Some(self.waited());
