Permits for requests to replicas that bear few rejections

Callers saw replicas fall over more often than they bear (LIMIT). Cause: a request that might be rejected took a reservation, which was given back unless it was rejected. That bounds no rejections: any number of requests can be under way beside each other once reservations come back, and one may begin half a second after it was granted.

Now one node, the keeper of the replica's limits, grants a permit for each request, never more than the replica has slots. What no permit accounts for counts as taken, is lowered by the loads that answers tell (less the permits that certainly were part of them), and is the whole replica again after a rejection, a second without an answer, and in a new keeper. Requests beyond the slots known to be free are probes; those under way and the rejections of the last second together are at most half of what the replica bears. A request whose replica is full asks a second one, waits a quarter of a second at most for a slot, and is refused with the time to come back.

Permits go only to keepers whose entry says generation 4; with an older keeper requests are sent as before. A node that reaches no keeper uses its own share of the bearable rejections only, without asking a keeper that it may reach later. A node whose keeper is itself no longer takes up to half a second to find that out.

The property over nodes, messages of any delay, requests that are abandoned and keepers that are replaced holds (300 cases, N from 1). Still red beside load: a node that has not heard of it sends without a permit.

--- a/crates/croftrill-node/src/membership.rs
+++ b/crates/croftrill-node/src/membership.rs
@@ -120,13 +120,15 @@
 const GENERATION_SHIFT: u32 = 52;
 /// Generation of this build's messages between nodes. Each generation understands the messages of
 /// those before it.
-const GENERATION: u64 = 3;
+const GENERATION: u64 = 4;
 /// The first generation that exchanges configurations.
 const CONFIGURATION_EXCHANGE_GENERATION: u64 = 1;
 /// The first generation that loads models at replicas of one software version.
 const VERSION_WAITS_GENERATION: u64 = 2;
 /// The first generation that reports parts of prompts that crash replicas.
 const CRASH_PARTS_GENERATION: u64 = 3;
+/// The first generation that keeps permits.
+const PERMITS_GENERATION: u64 = 4;
 
 /// Returns the incarnation of a process of this build that started at `started_ns`, of which it
 /// keeps the lowest bits: they differ for all starts within 52 days.
@@ -180,6 +182,11 @@
         self.generation() >= CRASH_PARTS_GENERATION
     }
 
+    /// Returns whether the process keeps permits for replicas that bear few rejections.
+    pub fn supports_permits(&self) -> bool {
+        self.generation() >= PERMITS_GENERATION
+    }
+
     /// Returns the generation of the process's messages; 0 if it says none.
     fn generation(&self) -> u64 {
         let says_generation = self.supports_tunnels() && self.incarnation & LACKS_GENERATION_BIT == 0;
@@ -405,6 +412,11 @@
         addresses.collect()
     }
 
+    fn keeps_permits(&self, keeper: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        state.members.all_at(keeper, MemberEntry::supports_permits)
+    }
+
     fn sharing_nodes(&self) -> usize {
         self.share().nodes
     }
--- a/crates/croftrill-node/src/quota/limit.rs
+++ b/crates/croftrill-node/src/quota/limit.rs
@@ -81,11 +81,8 @@
     /// in the time that the call has, this node's standalone reservations decide.
     pub async fn reserve_limit(self: &Rc<Self>, query: LimitQuery<'_>) -> LimitVerdict {
         let partition = QuotaPartition::of_replica(query.replica);
-        let now = self.clock.now();
-        let state = &self.partitions[partition.index()];
-        state.limit_needed_at.set(Some(now));
-        state.limit_needed.notify_one();
-        let deadline = now + query.request.patience.clamp(ANSWER_TIMEOUT, LINK_TIMEOUT);
+        self.need_limits(partition);
+        let deadline = self.clock.now() + query.request.patience.clamp(ANSWER_TIMEOUT, LINK_TIMEOUT);
         let decision = if self.is_standalone(partition) {
             None
         } else {
@@ -102,13 +99,21 @@
         }
     }
 
+    /// Records that this node needs a keeper of limits now.
+    pub(super) fn need_limits(&self, partition: QuotaPartition) {
+        let state = &self.partitions[partition.index()];
+        state.limit_needed_at.set(Some(self.clock.now()));
+        state.limit_needed.notify_one();
+    }
+
     /// Returns true if this node reaches no keeper of the partition and is not its keeper.
     fn is_standalone(&self, partition: QuotaPartition) -> bool {
         let state = &self.partitions[partition.index()];
         matches!(*state.uplink.borrow(), Uplink::Own) && !state.is_keeper.get()
     }
 
-    fn standalone_verdict(&self, query: &LimitQuery<'_>) -> LimitVerdict {
+    /// Returns whether this node's standalone reservations admit a call, without asking a keeper.
+    pub fn standalone_verdict(&self, query: &LimitQuery<'_>) -> LimitVerdict {
         let unit = rand::rng().random_range(0.0..1.0);
         let mut reservations = self.standalone_reservations.borrow_mut();
         let now = self.clock.now();
--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -19,8 +19,9 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::partition_keeper::PartitionKeeper;
+use super::permit::PermitRequester;
 use super::wire::{FromKeeper, ToKeeper, WireLimitQuery, WireQuotaQuery};
-use super::{Fleet, Quotas, Uplink};
+use super::{Fleet, KeeperLink, Quotas, Uplink};
 use crate::link::PeerLink;
 use crate::peer::ToOrderer;
 use crate::wire::decode;
@@ -102,10 +103,10 @@
 /// queries about any is not woken.
 async fn wait_until_needed(quotas: &Quotas, partition: QuotaPartition) {
     let state = &quotas.partitions[partition.index()];
-    if partition.covers_replicas() && state.listeners.get() == 0 {
-        state.limit_needed.notified().await;
-    } else {
-        sleep(POLL_INTERVAL).await;
+    let is_idle = partition.covers_replicas() && state.listeners.get() == 0;
+    tokio::select! {
+        () = state.limit_needed.notified() => {}
+        () = sleep(POLL_INTERVAL), if !is_idle => {}
     }
 }
 
@@ -198,7 +199,11 @@
         let carry = ToKeeper::Carry { subject, cost };
         link.send(Bytes::from(carry.serialize_bin())).await?;
     }
-    quotas.set_uplink(partition, Uplink::Linked(sender), false);
+    let keeper_link = KeeperLink {
+        messages: sender,
+        keeps_permits: fleet.keeps_permits(address),
+    };
+    quotas.set_uplink(partition, Uplink::Linked(keeper_link), false);
     tracing::info!(target: "quota", event = "keeper found", partition = partition.index(), %address);
     let mut poll = tokio::time::interval(POLL_INTERVAL);
     let mut sent_at = Instant::now();
@@ -284,16 +289,7 @@
             (id, ReservationDecision::Refused { retry_after, balance })
         }
     };
-    let pending = quotas.partitions[partition.index()]
-        .pending
-        .borrow_mut()
-        .remove(&id);
-    if let Some(pending) = pending {
-        let undelivered = pending.answer.send(decision);
-        if matches!(undelivered, Err(ReservationDecision::Granted { .. })) {
-            quotas.refund(partition, &pending.subject, pending.cost);
-        }
-    }
+    quotas.complete_query(partition, id, decision);
     Ok(())
 }
 
@@ -305,13 +301,21 @@
 ) -> io::Result<()> {
     let mut link = link.with_silence_limit(SILENCE_LIMIT);
     let _listener = Listener::register(&quotas, partition);
+    let mut permits = PermitRequester::register(&quotas, partition);
     link.send(Bytes::from(FromKeeper::Alive.serialize_bin())).await?;
     loop {
-        let Some(frame) = link.next_or_timeout().await? else {
-            return Ok(());
+        let answer = tokio::select! {
+            frame = link.next_or_timeout() => {
+                let Some(frame) = frame? else { return Ok(()) };
+                let message = decode::<ToKeeper>(&frame)?;
+                match permits.answer(message) {
+                    Ok(answer) => answer,
+                    Err(message) => answer(&quotas, partition, *message)?,
+                }
+            }
+            granted = permits.granted() => Some(granted),
         };
-        let message = decode::<ToKeeper>(&frame)?;
-        if let Some(answer) = answer(&quotas, partition, message)? {
+        if let Some(answer) = answer {
             link.send(Bytes::from(answer.serialize_bin())).await?;
         }
     }
@@ -339,22 +343,16 @@
         (ToKeeper::ReserveLimit(query), PartitionKeeper::Limits(keeper)) => {
             (query.id, reserve_limit(keeper, &query, now))
         }
-        (ToKeeper::ReserveQuota(_) | ToKeeper::ReserveLimit(_), _) => {
-            return Err(io::ErrorKind::InvalidData.into())
-        }
+        (
+            ToKeeper::ReserveQuota(_)
+            | ToKeeper::ReserveLimit(_)
+            | ToKeeper::RequestPermit(_)
+            | ToKeeper::PermitStarted(_)
+            | ToKeeper::PermitEnded(_),
+            _,
+        ) => return Err(io::ErrorKind::InvalidData.into()),
     };
-    Ok(Some(match decision {
-        ReservationDecision::Granted { after } => FromKeeper::Granted {
-            id,
-            // Rounded up, so that the balance covers the request by then.
-            after_ms: after.as_micros().div_ceil(1000) as u32,
-        },
-        ReservationDecision::Refused { retry_after, balance } => FromKeeper::Refused {
-            id,
-            retry_after_ms: retry_after.as_millis() as u32 + 1,
-            balance,
-        },
-    }))
+    Ok(Some(FromKeeper::decision(id, decision)))
 }
 
 fn reserve_quota(keeper: &mut QuotaKeeper, query: WireQuotaQuery, now: Moment) -> ReservationDecision {
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -3,12 +3,13 @@
 //! [`Quotas`] decides whether a request of a tenant may run, and whether a call may go to
 //! a replica that reported a limit ([`limit`]). It queries the keeper of the partition over a
 //! link ([`link`]), or this node's own keeper ([`partition_keeper`]) if this node is the keeper or
-//! reaches none. It does not depend on requests or the node; what it needs of the fleet comes
+//! reaches none. Permits for replicas that bear few rejections go the same way ([`permit`]). It does not depend on requests or the node; what it needs of the fleet comes
 //! through [`Fleet`].
 
 mod limit;
 mod link;
 mod partition_keeper;
+mod permit;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,8 @@
 pub use self::limit::{LimitQuery, LimitVerdict};
 pub(crate) use self::link::{follow_keeper, serve_listener};
 use self::partition_keeper::PartitionKeeper;
+use self::permit::Permits;
+pub use self::permit::{Permit, PermitQuery, PermitVerdict};
 use self::wire::{ToKeeper, WireQuota, WireQuotaQuery};
 use crate::clock::Clock;
 
@@ -48,6 +51,8 @@
     /// Returns the addresses of the nodes that should keep a partition, in order of
     /// preference. Only nodes known to understand queries about limits keep limits.
     fn keepers(&self, partition: QuotaPartition) -> Vec<SocketAddr>;
+    /// Returns whether the node at a peer address keeps permits.
+    fn keeps_permits(&self, keeper: SocketAddr) -> bool;
     /// Returns the number of nodes that share the quotas: the listed ones, and those that may still
     /// serve although their entries are gone.
     fn sharing_nodes(&self) -> usize;
@@ -120,11 +125,18 @@
     /// The node's own keeper.
     Own,
     /// The keeper at the other end of a link.
-    Linked(mpsc::Sender<ToKeeper>),
+    Linked(KeeperLink),
     /// No keeper yet.
     Connecting,
 }
 
+/// A link to a keeper.
+#[derive(Debug, Clone)]
+struct KeeperLink {
+    messages: mpsc::Sender<ToKeeper>,
+    keeps_permits: bool,
+}
+
 /// A query to the keeper of a partition.
 trait KeeperQuery {
     /// Returns the tenant or replica that the query is about.
@@ -141,6 +153,7 @@
 /// A node's state for one partition.
 struct PartitionState {
     keeper: RefCell<PartitionKeeper>,
+    permits: Permits,
     /// Number of other nodes that listen to this node's keeper.
     listeners: Cell<usize>,
     uplink: RefCell<Uplink>,
@@ -170,7 +183,13 @@
 struct PendingQuery {
     answer: oneshot::Sender<ReservationDecision>,
     subject: Arc<str>,
-    cost: u64,
+    kind: PendingKind,
+}
+
+/// What is returned if a query is granted after its request has ended.
+enum PendingKind {
+    Units(u64),
+    Permit,
 }
 
 /// A node's side of all partitions.
@@ -188,6 +207,7 @@
     pub fn new(config: KeeperConfig, clock: Clock, keepers_lost: Counter) -> Rc<Self> {
         let partition = |partition| PartitionState {
             keeper: RefCell::new(PartitionKeeper::new(partition, config, clock.now())),
+            permits: Permits::default(),
             listeners: Cell::new(0),
             uplink: RefCell::new(Uplink::Connecting),
             is_keeper: Cell::new(false),
@@ -271,7 +291,7 @@
     async fn query_linked(
         &self,
         partition: QuotaPartition,
-        link: &mpsc::Sender<ToKeeper>,
+        link: &KeeperLink,
         query: &impl KeeperQuery,
     ) -> Option<ReservationDecision> {
         let state = &self.partitions[partition.index()];
@@ -281,12 +301,12 @@
         let pending = PendingQuery {
             answer,
             subject: query.subject().clone(),
-            cost: query.cost(),
+            kind: PendingKind::Units(query.cost()),
         };
         state.pending.borrow_mut().insert(id, pending);
         let message = query.message(id, self.clock.now());
         let deadline = self.clock.now() + ANSWER_TIMEOUT;
-        let answer = match link.try_send(message) {
+        let answer = match link.messages.try_send(message) {
             Ok(()) => self.clock.timeout_at(deadline, answered).await.ok(),
             Err(_) => None,
         };
@@ -303,9 +323,9 @@
 
     /// Gives up a link whose keeper does not answer. The link's task ends once all senders of
     /// queries are dropped.
-    fn give_up_link(&self, partition: QuotaPartition, link: &mpsc::Sender<ToKeeper>) {
+    fn give_up_link(&self, partition: QuotaPartition, link: &KeeperLink) {
         let uplink = self.partitions[partition.index()].uplink.borrow().clone();
-        if matches!(uplink, Uplink::Linked(present) if present.same_channel(link)) {
+        if matches!(uplink, Uplink::Linked(present) if present.messages.same_channel(&link.messages)) {
             self.set_uplink(partition, Uplink::Connecting, false);
         }
     }
@@ -395,7 +415,11 @@
             Uplink::Linked(link) => {
                 let subject = subject.to_string();
                 // Dropped if the queue is full: the tenant or replica loses these units.
-                if link.try_send(ToKeeper::Refund { subject, cost }).is_err() {
+                if link
+                    .messages
+                    .try_send(ToKeeper::Refund { subject, cost })
+                    .is_err()
+                {
                     tracing::debug!(target: "quota", event = "credit could not be refunded", cost);
                 }
             }
@@ -426,7 +450,8 @@
     /// Updates this node's keeper from the fleet. `own` is this node's address.
     fn update_keeper(&self, partition: QuotaPartition, fleet: &dyn Fleet, own: SocketAddr) {
         let now = self.clock.now();
-        let mut keeper = self.partitions[partition.index()].keeper.borrow_mut();
+        let state = &self.partitions[partition.index()];
+        let mut keeper = state.keeper.borrow_mut();
         let keeper = match &mut *keeper {
             PartitionKeeper::Quotas(keeper) => keeper,
             PartitionKeeper::Limits(keeper) => {
@@ -436,6 +461,7 @@
                 } else {
                     KeeperRole::Secondary
                 };
+                state.permits.set_role(role);
                 return keeper.set_role(role, now);
             }
         };
--- a/crates/croftrill-node/src/quota/wire.rs
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -1,5 +1,9 @@
 //! Messages between a node and the keeper of a partition of the quotas or limits.
 
+use std::time::Duration;
+
+use croftrill_scheduler::quota::keeper::ReservationDecision;
+use croftrill_scheduler::quota::permits::{PermitAnswer, PermitEnd};
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use nanoserde::{DeBin, SerBin};
 
@@ -27,6 +31,118 @@
     /// Requests a reservation for a call to a replica that reported a limit. Sent only to
     /// keepers of limits, whose entries say that they understand it.
     ReserveLimit(WireLimitQuery),
+    /// Requests a permit for a request to a replica that bears few rejections. This and the next
+    /// two are sent only to keepers whose entries say that they understand them.
+    RequestPermit(WirePermitQuery),
+    /// The answer to a permit's request has started.
+    PermitStarted(WirePermitStart),
+    /// The request of a permit has ended, or no permit is needed any more.
+    PermitEnded(WirePermitEnded),
+}
+
+/// A request for a permit, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WirePermitQuery {
+    /// Id of the query, unique on its link.
+    pub id: u64,
+    /// The replica.
+    pub replica: String,
+    /// When its incarnation started, in Unix milliseconds, if known.
+    pub started_ms: Option<u64>,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Rejections a second that it bears.
+    pub max_rejections_per_s: u32,
+    /// Time for which the request can wait, in milliseconds.
+    pub patience_ms: u32,
+    /// Time after which the replica stops to work on the request, in milliseconds.
+    pub lifetime_ms: u32,
+    /// True if no other requests are more urgent.
+    pub is_urgent: bool,
+}
+
+/// The start of the answer to a permit's request, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WirePermitStart {
+    /// Id of the query that the permit was granted to.
+    pub id: u64,
+    /// The replica.
+    pub replica: String,
+    /// What the answer shows.
+    pub answer: WirePermitAnswer,
+}
+
+/// The end of a permit's request, on the wire.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct WirePermitEnded {
+    /// Id of the query that the permit was granted to.
+    pub id: u64,
+    /// The replica.
+    pub replica: String,
+    /// How the request ended.
+    pub end: WirePermitEnd,
+}
+
+/// What an answer shows, on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct WirePermitAnswer {
+    /// Time from the send to the answer, in milliseconds.
+    pub elapsed_ms: u32,
+    /// Requests at the replica, if it tells them.
+    pub requests: Option<u32>,
+}
+
+/// How the request of a permit ended, on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub enum WirePermitEnd {
+    /// It was not sent.
+    NotSent,
+    /// The replica answered it to the end.
+    Complete(WirePermitAnswer),
+    /// The replica rejected it.
+    Rejected,
+    /// It may still run.
+    Unknown,
+}
+
+impl WirePermitAnswer {
+    /// Converts an answer into its wire form.
+    pub fn from_answer(answer: PermitAnswer) -> Self {
+        WirePermitAnswer {
+            elapsed_ms: answer.elapsed.as_millis() as u32,
+            requests: answer.requests,
+        }
+    }
+
+    /// Returns the answer.
+    pub fn to_answer(self) -> PermitAnswer {
+        PermitAnswer {
+            elapsed: Duration::from_millis(u64::from(self.elapsed_ms)),
+            requests: self.requests,
+        }
+    }
+}
+
+impl WirePermitEnd {
+    /// Converts an end into its wire form.
+    pub fn from_end(end: PermitEnd) -> Self {
+        match end {
+            PermitEnd::NotSent => WirePermitEnd::NotSent,
+            PermitEnd::Complete(answer) => WirePermitEnd::Complete(WirePermitAnswer::from_answer(answer)),
+            PermitEnd::Rejected => WirePermitEnd::Rejected,
+            PermitEnd::Unknown => WirePermitEnd::Unknown,
+        }
+    }
+
+    /// Returns the end.
+    pub fn to_end(self) -> PermitEnd {
+        match self {
+            WirePermitEnd::NotSent => PermitEnd::NotSent,
+            WirePermitEnd::Complete(answer) => PermitEnd::Complete(answer.to_answer()),
+            WirePermitEnd::Rejected => PermitEnd::Rejected,
+            WirePermitEnd::Unknown => PermitEnd::Unknown,
+        }
+    }
 }
 
 /// A query about a replica's limit, on the wire.
@@ -102,6 +218,24 @@
     },
 }
 
+impl FromKeeper {
+    /// Returns the message of a decision on the query `id`.
+    pub fn decision(id: u64, decision: ReservationDecision) -> Self {
+        match decision {
+            ReservationDecision::Granted { after } => FromKeeper::Granted {
+                id,
+                // Rounded up, so that the balance covers the request by then.
+                after_ms: after.as_micros().div_ceil(1000) as u32,
+            },
+            ReservationDecision::Refused { retry_after, balance } => FromKeeper::Refused {
+                id,
+                retry_after_ms: retry_after.as_millis() as u32 + 1,
+                balance,
+            },
+        }
+    }
+}
+
 impl WireQuota {
     /// Converts a quota into its wire form.
     pub fn from_quota(quota: Quota) -> Self {
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -67,6 +67,7 @@
                 return refused;
             }
             let chosen = match self.choose(&self.tried) {
+                _ if self.has_searched_enough() => None,
                 Some(replica) => Some(replica),
                 None => self.choose_again().await,
             };
--- a/crates/croftrill-node/src/request/guards.rs
+++ b/crates/croftrill-node/src/request/guards.rs
@@ -13,6 +13,7 @@
 use super::cost;
 use crate::node::Node;
 use crate::ports::{Platform, RequestFacts};
+use crate::quota::Permit;
 
 /// Counts a request as in flight until dropped.
 pub(super) struct InFlightGuard<P: Platform>(Rc<Node<P>>);
@@ -98,10 +99,17 @@
     pub(super) is_reading_prompt: bool,
     /// When the replica started to run the request, if it did.
     run_started_at: Option<Moment>,
+    /// Accounts for the request at a replica that bears few rejections.
+    permit: Option<Permit>,
 }
 
 impl<P: Platform> SendGuard<P> {
-    pub(super) fn start(node: &Rc<Node<P>>, replica: &ReplicaId, work: RequestWork) -> Self {
+    pub(super) fn start(
+        node: &Rc<Node<P>>,
+        replica: &ReplicaId,
+        work: RequestWork,
+        permit: Option<Permit>,
+    ) -> Self {
         let sent_at = node.clock.now();
         let mut state = node.state.borrow_mut();
         state.replicas.begin_send(replica, work, sent_at);
@@ -123,6 +131,14 @@
             work,
             is_reading_prompt: true,
             run_started_at: None,
+            permit,
+        }
+    }
+
+    /// Applies to the permit, if the replica needs one.
+    pub(super) fn report_permit(&self, report: impl FnOnce(&Permit)) {
+        if let Some(permit) = &self.permit {
+            report(permit);
         }
     }
 
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -71,7 +71,7 @@
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::ports::{Dialect, Platform, RequestFacts};
-use crate::quota::Credit;
+use crate::quota::{Credit, Permit};
 use crate::stream::AnswerBody;
 use crate::stream_versions;
 
@@ -195,6 +195,8 @@
         unreached: Vec::new(),
         rate_limited: Vec::new(),
         reservation: None,
+        permit: None,
+        permit_refusals: 0,
         rejection_risk: None,
         risk_basis: None,
         reservation_waits: 0,
@@ -246,7 +248,11 @@
     rate_limited: Vec<RateLimitedReplica>,
     /// The reservation at the next replica, if that announced a rate limit.
     reservation: Option<Credit>,
-    /// The reservation of a rejection, if the next replica falls over after some of them.
+    /// The permit for the next replica, if that bears few rejections.
+    permit: Option<Permit>,
+    /// Number of replicas that had no permit left since the last wait.
+    permit_refusals: u32,
+    /// The reservation of a rejection, if no keeper of permits is reached and the next replica falls over after some of them.
     rejection_risk: Option<Credit>,
     /// What the last send was based on, if its replica may fall over after some rejections.
     risk_basis: Option<RiskBasis>,
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -71,7 +71,7 @@
 
     /// Returns the time for which the request can wait for its reservation and still meet its
     /// objective. A resumed stream can wait as long as a pause within its pause objective.
-    fn reservation_patience(&self) -> Duration {
+    pub(super) fn reservation_patience(&self) -> Duration {
         let spent = self.waited() + self.first_event_after();
         let left = self.route.objective.saturating_sub(spent);
         let pause = self.answered_after.and(self.route.pause_objective);
@@ -118,5 +118,6 @@
             self.wait_for_view_change().await;
         }
         self.rate_limited.clear();
+        self.permit_refusals = 0;
     }
 }
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -21,6 +21,7 @@
 use crate::load_updates;
 use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
+use crate::quota::Permit;
 use crate::replica_path::{self, ConnectOptions, PathTarget};
 use crate::replica_signals;
 
@@ -102,7 +103,7 @@
         let Some(address) = address else {
             return SendEnd::NotSent;
         };
-        let mut send = SendGuard::start(&self.node, replica, self.work());
+        let mut send = SendGuard::start(&self.node, replica, self.work(), self.permit.take());
         let target = PathTarget {
             replica: replica.clone(),
             address,
@@ -139,6 +140,7 @@
         if let Some(reservation) = &reservation {
             reservation.spend();
         }
+        send.report_permit(Permit::sent);
         self.sent_after.get_or_insert(self.waited());
         let had_run = self.mark_trial_run();
         let attempt_deadline = silence_deadline.map_or(self.deadline, |limit| limit.min(self.deadline));
@@ -154,6 +156,9 @@
                 if let Some(reservation) = reservation.filter(|_| error.nothing_sent()) {
                     reservation.unspend();
                 }
+                if error.nothing_sent() {
+                    send.report_permit(Permit::not_sent);
+                }
                 if error.nothing_sent() && !had_run {
                     self.trial = None;
                 }
@@ -178,8 +183,9 @@
         if !connection.is_tunnel() {
             replica_path::record_own_connection(&self.node, &target, None);
         }
-        if self.is_rejection(&answer) {
+        if Self::is_rejection(answer.status()) {
             self.log_rejection(replica);
+            send.report_permit(Permit::rejected);
             if let Some(risk) = &rejection_risk {
                 risk.spend();
             }
@@ -216,8 +222,8 @@
     }
 
     /// Returns whether a replica rejected the request, possibly for want of room.
-    fn is_rejection(&self, answer: &Response<AnswerReader>) -> bool {
-        answer.status() == StatusCode::SERVICE_UNAVAILABLE
+    fn is_rejection(status: StatusCode) -> bool {
+        status == StatusCode::SERVICE_UNAVAILABLE
     }
 
     /// Counts a send after the request's first, which the retry budget allowed.
@@ -269,7 +275,11 @@
             };
             crash_reports::withdraw_end(&self.node, replica, send.started_ms, proof, send.sent_at);
         }
+        let load = facts.load.filter(|_| facts.is_ours).map(|load| load.requests());
         if facts.execution == Execution::NotExecuted {
+            if !Self::is_rejection(head.status) {
+                send.report_permit(Permit::not_sent);
+            }
             return self.handle_not_executed(replica, &facts, &head, &send);
         }
         let usable = facts.is_ours && (!head.status.is_success() || (facts.is_signed && facts.is_plain));
@@ -284,6 +294,7 @@
         let is_stream = self.route.kind == RouteKind::Streaming && head.status.is_success();
         send.run_started(if is_stream { head_received_at } else { send.sent_at });
         if is_stream {
+            send.report_permit(|permit| permit.started(load));
             body.set_content(stream_content(&head, is_resumed));
             return SendEnd::Streaming(Box::new(Streaming {
                 head,
@@ -305,6 +316,7 @@
         }
         match read {
             Ok((received, end)) if !end.is_cut_off() => {
+                send.report_permit(|permit| permit.completed(load));
                 if matches!(end, BodyEnd::Whole) {
                     self.record_complete_answer(replica, head.status);
                 } else {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -110,6 +110,7 @@
             match end {
                 PumpEnd::Complete | PumpEnd::Closed => {
                     current.send.record(SendOutcome::Success);
+                    current.send.report_permit(|permit| permit.completed(None));
                     if end == PumpEnd::Complete {
                         stream_versions::end(&self.node, &self.facts.id);
                         self.record_complete_answer(&replica, current.head.status);
--- a/crates/croftrill-scheduler/src/brittle.rs
+++ b/crates/croftrill-scheduler/src/brittle.rs
@@ -1,9 +1,10 @@
 //! Replicas that fall over if they must reject too many requests for want of room.
 //!
 //! Such a replica tells how many rejections a second it bears, from all nodes together. A request
-//! that it surely has room for is sent freely. Any other one is a risk: it takes a reservation from
-//! the keeper of the replica's rejections ([`crate::quota::limits`]), which is given back unless the
-//! request is rejected.
+//! there needs a permit ([`crate::quota::permits`]). Where no keeper of permits is reached, one that
+//! the replica seems to have room for is sent freely. Any other one is a risk: it takes a reservation
+//! from the keeper of the replica's rejections ([`crate::quota::limits`]), which is given back unless
+//! the request is rejected.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -126,6 +127,12 @@
         })
     }
 
+    /// Returns the number of rejections a second that a replica bears; `None` if it bears any.
+    pub fn max_rejections_per_s(&self, service: &str, replica: &str, now: Moment) -> Option<u32> {
+        self.signal_of(service, replica, now)
+            .map(|(max_per_s, _)| max_per_s)
+    }
+
     /// Returns the number of rejections a second that a replica bears, and when that was heard; `None`
     /// if it bears any. A replica that was not heard is as brittle as any of its service that was
     /// heard recently.
--- a/crates/croftrill-scheduler/src/quota/mod.rs
+++ b/crates/croftrill-scheduler/src/quota/mod.rs
@@ -14,5 +14,6 @@
 pub mod keeper;
 pub mod keepers;
 pub mod limits;
+pub mod permits;
 pub mod reservation;
 pub mod wait_slots;
