Soak of brittle replicas: slots that others take, callers that move, any number of rejections

The round had replicas whose room came and went with its own callers only, callers at all nodes in turn, and at least two bearable rejections. Slots that others take are told in no answer.

--- a/crates/croftrill-daemon/tests/soak/checks.rs
+++ b/crates/croftrill-daemon/tests/soak/checks.rs
@@ -148,6 +148,17 @@
 pub async fn call_over_new_connections(
     cluster: &Cluster,
     round: Duration,
+    draw: impl FnMut(usize) -> Call,
+) -> Vec<CallRecord> {
+    call_chosen_nodes(cluster, round, |number, _| number, draw).await
+}
+
+/// As [`call_over_new_connections`], to the nodes that `node_of` returns for the number of a request
+/// and the time from the start; the nodes are counted on from the last to the first.
+pub async fn call_chosen_nodes(
+    cluster: &Cluster,
+    round: Duration,
+    node_of: impl Fn(usize, Duration) -> usize,
     mut draw: impl FnMut(usize) -> Call,
 ) -> Vec<CallRecord> {
     let records = Rc::new(RefCell::new(Vec::new()));
@@ -159,8 +170,9 @@
             break;
         }
         let drawn = draw(number);
-        let (front, records) = (cluster.nodes[number % cluster.nodes.len()].front, records.clone());
         let started_after = round_started_at.elapsed();
+        let node = node_of(number, started_after) % cluster.nodes.len();
+        let (front, records) = (cluster.nodes[node].front, records.clone());
         tasks.push(spawn_local(async move {
             let (outcome, elapsed) = call(front, &drawn).await;
             records.borrow_mut().push(CallRecord {
--- a/crates/croftrill-daemon/tests/soak/faults.rs
+++ b/crates/croftrill-daemon/tests/soak/faults.rs
@@ -13,7 +13,7 @@
 use crate::checks;
 use crate::cluster::{Cluster, Program, Size};
 use crate::instrumented::{self, PathCut};
-use crate::{crash_parts, paths, room, tenants};
+use crate::{brittle, crash_parts, paths, room, tenants};
 
 /// Time for which a replica keeps announcing its limit: longer than the time until the limit
 /// holds (3 s) plus the window in which requests are counted (4 s).
@@ -151,6 +151,8 @@
     RollReplicas(Duration, usize),
     /// Replicas tell how many rejections a second they bear, and fall over beyond.
     Brittle(u32),
+    /// Slots of a replica are taken by others.
+    TakenSlots(usize, usize),
     /// Adapters take this long to arrive.
     AdapterTransit(Duration),
     /// Some orders to a replica get no answer and are carried out late.
@@ -423,12 +425,16 @@
 fn brittle_injection(random: &mut SmallRng, size: Size, index: usize) -> Injection {
     let node = random.random_range(0..size.nodes);
     if index == 0 {
-        return Injection::Brittle(random.random_range(2..12));
+        return Injection::Brittle(random.random_range(1..12));
     }
-    match random.random_range(0..4) {
+    match random.random_range(0..6) {
         0 => Injection::Kill(node),
         1 => Injection::Stop(node),
         2 => Injection::Pause(node),
+        3 | 4 => Injection::TakenSlots(
+            random.random_range(0..size.engines),
+            random.random_range(1..=brittle::SLOTS),
+        ),
         _ => Injection::StorePath(node, draw_fault(random)),
     }
 }
@@ -639,6 +645,7 @@
             replace_programs(cluster, *nodes, *program, *interval).await
         }
         Injection::NodePaths(node, cut) => cluster.nodes[*node].set_path_cut(Some(*cut)),
+        Injection::TakenSlots(engine, slots) => cluster.engine(*engine).set_taken_slots(*slots),
         Injection::Brittle(max_rejections) => cluster.set_max_rejections(Some(*max_rejections)),
         Injection::AdapterTransit(transit) => cluster.set_adapter_transit(*transit),
         Injection::LateOrders(engine, late) => cluster.engine(*engine).set_late_orders(Some(*late)),
@@ -737,6 +744,7 @@
             sleep(paths::ADDED_DURATION).await;
             cluster.nodes[*node].set_path_cut(None);
         }
+        Injection::TakenSlots(engine, _) => cluster.engine(*engine).set_taken_slots(0),
         Injection::Brittle(_) => {
             sleep(LIMIT_DURATION).await;
             cluster.set_max_rejections(None);
--- a/crates/croftrill-daemon/tests/soak/main.rs
+++ b/crates/croftrill-daemon/tests/soak/main.rs
@@ -255,6 +255,7 @@
                 refusals::check_versions(&samples, &plan, cluster.nodes.len(), seed);
                 calls
             }
+            Mix::Brittle => tokio::join!(brittle::call_nodes(&cluster, length, seed), faults).0,
             Mix::BrokenAnswers => {
                 let calls = broken_answers::call_nodes(&cluster, length, seed);
                 let (answers, ()) = tokio::join!(calls, faults);
--- a/crates/croftrill-standin/src/engine.rs
+++ b/crates/croftrill-standin/src/engine.rs
@@ -281,6 +281,11 @@
         self.max_rejections.set(per_s);
     }
 
+    /// Sets how many slots are taken by others from now on. Answers don't tell of them.
+    pub fn set_taken_slots(&self, slots: usize) {
+        self.state.borrow_mut().set_taken_slots(slots);
+    }
+
     /// Sets whether work takes longer than usual from now on.
     pub fn set_slowed(&self, is_slowed: bool) {
         self.state.borrow_mut().set_slowed(is_slowed);
--- a/crates/croftrill-standin/src/engine_state.rs
+++ b/crates/croftrill-standin/src/engine_state.rs
@@ -69,6 +69,8 @@
     runs: BTreeMap<String, u32>,
     violations: Vec<Violation>,
     is_slowed: bool,
+    /// Slots that are taken by others.
+    taken_slots: usize,
     rejected_requests: u32,
 }
 
@@ -90,6 +92,7 @@
             runs: BTreeMap::new(),
             violations: Vec::new(),
             is_slowed: false,
+            taken_slots: 0,
             rejected_requests: 0,
         }
     }
@@ -155,7 +158,7 @@
         if !self.replica.holdings().serves(model, adapter) {
             return StartOutcome::Absent;
         }
-        if self.running >= self.config.slots || self.replica.is_unloading(model, adapter) {
+        if self.running + self.taken_slots >= self.config.slots || self.replica.is_unloading(model, adapter) {
             self.rejected_requests += 1;
             return StartOutcome::Full;
         }
@@ -210,6 +213,11 @@
         self.rejected_requests
     }
 
+    /// Sets how many slots are taken by others from now on.
+    pub fn set_taken_slots(&mut self, slots: usize) {
+        self.taken_slots = slots;
+    }
+
     /// Sets whether work takes longer than usual from now on.
     pub fn set_slowed(&mut self, is_slowed: bool) {
         self.is_slowed = is_slowed;
