A service whose replicas bear few rejections is reported to all nodes

Callers saw replicas fall over though each request had a permit. Cause: a node to which callers come only now has heard no replica, knows of nothing and sends its first requests without a permit, as many as come before the first answer; the permits of the others are then rejected.

While replicas say it, one node writes it to the store every three seconds, after a random delay; the change reaches all nodes over the tree of relays, and holds for ten seconds or until an own answer says otherwise.

--- a/crates/croftrill-node/src/directory/relay.rs
+++ b/crates/croftrill-node/src/directory/relay.rs
@@ -17,6 +17,7 @@
 
 pub(crate) use super::view::notify_view_changed;
 use super::view::{self, ViewChange};
+use crate::brittle_reports;
 use crate::configuration::{self, Source};
 use crate::crash_reports;
 use crate::membership;
@@ -292,6 +293,10 @@
                 stored_versions::apply(node, &item());
                 return true;
             }
+            if brittle_reports::is_report(key) {
+                brittle_reports::apply(node, &item());
+                return true;
+            }
             false
         }
         WireChange::Replica(_) | WireChange::Removed { .. } => false,
--- a/crates/croftrill-node/src/directory/view.rs
+++ b/crates/croftrill-node/src/directory/view.rs
@@ -4,6 +4,7 @@
 
 use croftrill_scheduler::replica::{ReplicaId, ReplicaListing};
 
+use crate::brittle_reports;
 use crate::configuration::{self, Source};
 use crate::crash_reports;
 use crate::membership;
@@ -205,6 +206,7 @@
         }
         Record::Other if crash_reports::is_report(&item.key) => crash_reports::apply_report(node, item),
         Record::Other if stored_versions::is_record(&item.key) => stored_versions::apply(node, item),
+        Record::Other if brittle_reports::is_report(&item.key) => brittle_reports::apply(node, item),
         Record::Other => {
             if let Some(era) = membership::read_record_era(item) {
                 node.platform.store().era().record_first(era.first);
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer_budget;
 pub mod answer_reader;
+mod brittle_reports;
 pub mod broken_requests;
 pub(crate) mod caller_stream;
 pub mod clock;
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -196,6 +196,8 @@
     pub crash_judged: Notify,
     /// Notified when this node's report of requests that crash replicas should be written.
     pub crash_report_changed: Notify,
+    /// Notified when a replica says that it bears few rejections.
+    pub rejections_heard: Notify,
     /// Notified when the node is asked to stop.
     pub stop_requested: Notify,
     /// Notified when a request ends, so that a waiting one may start.
@@ -357,6 +359,7 @@
             carried_tunnels: Cell::new(0),
             crash_judged: Notify::new(),
             crash_report_changed: Notify::new(),
+            rejections_heard: Notify::new(),
             acquisition_lock: Mutex::new(()),
             stop_requested: Notify::new(),
             admission_slot_freed: Notify::new(),
--- a/crates/croftrill-node/src/replica_signals.rs
+++ b/crates/croftrill-node/src/replica_signals.rs
@@ -1,6 +1,6 @@
 //! Applies the signals that replicas send in their answers.
 
-use croftrill_scheduler::replica::{ReplicaId, ReplicaSignals};
+use croftrill_scheduler::replica::{RejectionSignal, ReplicaId, ReplicaSignals};
 use croftrill_scheduler::replica_table::{AnsweredCall, SignalChanges};
 
 use crate::metrics::Metrics;
@@ -30,6 +30,9 @@
         known.record_signal(&service, replica, signals.rejections, call.answered_at)
     });
     drop(state);
+    if matches!(signals.rejections, RejectionSignal::Limited { .. }) {
+        node.rejections_heard.notify_one();
+    }
     if rejections_changed {
         Metrics::count(&node.metrics.replica_words, "rejections", "heard");
         tracing::info!(target: "replica", event = "names the rejections that it bears", replica = &**replica,
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -10,8 +10,8 @@
 use crate::node::{Node, NodeQueues};
 use crate::ports::{KeyValueStore, Platform};
 use crate::{
-    configuration, crash_reports, directory, front, load_updates, membership, orderer_task, peer_link, quota,
-    replica_path, replica_versions, step_times, stored_streams, stored_versions, tree,
+    brittle_reports, configuration, crash_reports, directory, front, load_updates, membership, orderer_task,
+    peer_link, quota, replica_path, replica_versions, step_times, stored_streams, stored_versions, tree,
 };
 
 /// Maximum time that a stopping node waits for the removal of its entries from the store.
@@ -47,6 +47,7 @@
     spawn_local(stored_versions::maintain(node.clone()));
     spawn_local(stored_streams::maintain(node.clone(), incarnation));
     spawn_local(crash_reports::publish(node.clone(), incarnation));
+    spawn_local(brittle_reports::publish(node.clone()));
     spawn_local(configuration::probes::probe_others(node.clone()));
     spawn_local(close_old_connections(node.clone()));
     spawn_local(watch_suspensions(node.clone()));
--- a/crates/croftrill-scheduler/src/brittle.rs
+++ b/crates/croftrill-scheduler/src/brittle.rs
@@ -14,8 +14,9 @@
 use crate::replica::{RejectionSignal, ReplicaId, RequestRate};
 use crate::time::Moment;
 
-/// Time for which one replica's signal holds for others of its service that were not heard.
-const SERVICE_VALIDITY: Duration = Duration::from_secs(10);
+/// Time for which one replica's signal holds for others of its service that were not heard, and for
+/// which another node's report of a service holds.
+pub const SERVICE_VALIDITY: Duration = Duration::from_secs(10);
 /// Time for which a replica's signal holds without another answer of it.
 const REPLICA_VALIDITY: Duration = Duration::from_secs(60);
 /// What two keepers together grant at once beyond their rate: their savings.
@@ -71,6 +72,15 @@
 #[derive(Debug, Default)]
 pub struct BrittleReplicas {
     signals: HashMap<ServiceName, HashMap<ReplicaId, HeardSignal>>,
+    /// What nodes reported of services, this one included.
+    reports: HashMap<ServiceName, ServiceReport>,
+}
+
+/// What a node reported of a service's replicas.
+#[derive(Debug, Clone, Copy)]
+struct ServiceReport {
+    max_per_s: u32,
+    at: Moment,
 }
 
 impl BrittleReplicas {
@@ -87,8 +97,12 @@
             RejectionSignal::Unlimited => None,
             RejectionSignal::Limited { max_per_s } => Some(max_per_s),
         };
-        if max_per_s.is_none() && !self.signals.contains_key(service) {
-            return false;
+        if max_per_s.is_none() {
+            // This answer is newer than what any node reported.
+            self.reports.remove(service);
+            if !self.signals.contains_key(service) {
+                return false;
+            }
         }
         let replicas = self.signals.entry(service.clone()).or_default();
         let heard = HeardSignal { max_per_s, at: now };
@@ -100,9 +114,35 @@
         known.and_then(|known| known.max_per_s) != max_per_s
     }
 
+    /// Records that a node reported the rejections that a service's replicas bear.
+    pub fn record_report(&mut self, service: &ServiceName, max_per_s: u32, now: Moment) {
+        self.reports
+            .retain(|_, report| now.since(report.at) < SERVICE_VALIDITY);
+        let report = ServiceReport { max_per_s, at: now };
+        self.reports.insert(service.clone(), report);
+    }
+
+    /// Returns the services whose replicas told this node recently that they are brittle, of which no
+    /// node reported it within `report_interval`, and the rejections that they bear.
+    pub fn unreported(&self, report_interval: Duration, now: Moment) -> Vec<(ServiceName, u32)> {
+        let is_reported = |service: &ServiceName| {
+            let report = self.reports.get(service);
+            report.is_some_and(|report| now.since(report.at) < report_interval)
+        };
+        let services = self.signals.iter().filter(|(service, _)| !is_reported(service));
+        let heard = services.filter_map(|(service, replicas)| {
+            let recent = replicas
+                .values()
+                .filter(|heard| now.since(heard.at) < report_interval);
+            let max_per_s = recent.filter_map(|heard| heard.max_per_s).min()?;
+            Some((service.clone(), max_per_s))
+        });
+        heard.collect()
+    }
+
     /// Returns whether no replica is known to be brittle.
     pub fn is_empty(&self) -> bool {
-        self.signals.is_empty()
+        self.signals.is_empty() && self.reports.is_empty()
     }
 
     /// Returns the risk of a request to a replica. `nodes` is the number of nodes that may send
@@ -135,18 +175,23 @@
 
     /// Returns the number of rejections a second that a replica bears, and when that was heard; `None`
     /// if it bears any. A replica that was not heard is as brittle as any of its service that was
-    /// heard recently.
+    /// heard recently, here or at another node.
     fn signal_of(&self, service: &str, replica: &str, now: Moment) -> Option<(u32, Moment)> {
-        let replicas = self.signals.get(service)?;
         let limit_of = |heard: &HeardSignal| heard.max_per_s.map(|max_per_s| (max_per_s, heard.at));
-        let own = replicas.get(replica);
+        let report = self.reports.get(service);
+        let report = report.filter(|report| now.since(report.at) < SERVICE_VALIDITY);
+        let replicas = self.signals.get(service);
+        let own = replicas.and_then(|replicas| replicas.get(replica));
         if let Some(heard) = own.filter(|heard| now.since(heard.at) < REPLICA_VALIDITY) {
-            return limit_of(heard);
+            let is_outdated = heard.max_per_s.is_none() && report.is_some_and(|report| report.at > heard.at);
+            if !is_outdated {
+                return limit_of(heard);
+            }
         }
-        let recent = replicas
-            .values()
-            .filter(|heard| now.since(heard.at) < SERVICE_VALIDITY);
-        recent.filter_map(limit_of).min()
+        let heard = replicas.into_iter().flat_map(HashMap::values);
+        let recent = heard.filter(|heard| now.since(heard.at) < SERVICE_VALIDITY);
+        let reported = report.map(|report| (report.max_per_s, report.at));
+        recent.filter_map(limit_of).chain(reported).min()
     }
 }
 
--- a/crates/croftrill-scheduler/tests/brittle.rs
+++ b/crates/croftrill-scheduler/tests/brittle.rs
@@ -135,3 +135,36 @@
         }
     }
 }
+
+// Guards against a node that sends without permits as it has not heard a replica itself.
+#[test]
+fn report_of_another_node_holds_until_own_answer() {
+    let mut replicas = BrittleReplicas::default();
+    replicas.record_report(&service(), 9, at(0));
+    assert!(is_limited(&replicas, "r1", None, 9_000));
+    assert!(!is_limited(&replicas, "r1", None, 11_000));
+    replicas.record_report(&service(), 9, at(12_000));
+    hear(&mut replicas, "r1", RejectionSignal::Unlimited, 12_001);
+    assert!(!is_limited(&replicas, "r1", None, 12_002));
+    // One that answered before the report may be brittle by now.
+    hear(&mut replicas, "r2", limited(9), 13_000);
+    hear(&mut replicas, "r1", RejectionSignal::Unlimited, 13_001);
+    assert!(!is_limited(&replicas, "r1", None, 13_002));
+    replicas.record_report(&service(), 9, at(14_000));
+    assert!(is_limited(&replicas, "r1", None, 14_001));
+}
+
+#[test]
+fn heard_signal_is_reported_once_an_interval() {
+    const INTERVAL: Duration = Duration::from_secs(3);
+    let mut replicas = BrittleReplicas::default();
+    hear(&mut replicas, "r1", limited(9), 0);
+    hear(&mut replicas, "r2", limited(7), 1);
+    assert_eq!(replicas.unreported(INTERVAL, at(2)), [(service(), 7)]);
+    replicas.record_report(&service(), 7, at(3));
+    assert_eq!(replicas.unreported(INTERVAL, at(2_000)), []);
+    // Not heard again in the meantime.
+    assert_eq!(replicas.unreported(INTERVAL, at(3_100)), []);
+    hear(&mut replicas, "r1", limited(9), 3_100);
+    assert_eq!(replicas.unreported(INTERVAL, at(3_101)), [(service(), 9)]);
+}
