A view that is not proven tells no sole version, and an added version begins once none that counts is older

Reported by others, and so here: a node that was cut off from the others while replicas of a new software version joined took up streams of that version and let them go on at the old one (ORDER). The belief that a service has one version only has an age, and two of its uses did not look at it:

- As keeper, and as the one that asks: a node without a record answered that it has seen one version only, however long ago its view was proven.
One such answer, its own where it knows no other node, was enough.
An answer by a view without a recent proof is no proof of a sole version now.
So that streams still go on while the store is away, a node tells its streams' versions to their keepers as its proof lapses, and records those that begin then.
- A view counts for 1.3 s after its proof, and streams began at an added version at once.
They begin now 1.3 s after the addition became known: then each view that counts has it.
A process that finds a version in the record does not wait.

A process that stood still knows it by its clock, which counts that time. Cost: in a roll the first replicas of a version get no streams that may go on elsewhere for 1.3 s longer; replicas start empty and load for as long.

--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -399,6 +399,13 @@
         self.state.borrow().configuration.clone()
     }
 
+    /// Returns whether this node's view was proven to be complete a short time ago. What changed since an
+    /// older proof is not known, though other nodes may act on it.
+    pub(crate) fn has_proven_view(&self, state: &NodeState) -> bool {
+        let proven_at = state.view_proven_at.unwrap_or_default();
+        self.clock.now().since(proven_at) <= self.settings.pace.relay_lifetime
+    }
+
     /// Returns this node's present share of the bounds that all nodes divide evenly.
     pub fn share(&self) -> Share {
         let state = self.state.borrow();
--- a/crates/croftrill-node/src/request/version.rs
+++ b/crates/croftrill-node/src/request/version.rs
@@ -10,7 +10,7 @@
     OwnStream, RequiredVersion, SoftwareVersion, MAX_STREAM_LIFETIME,
 };
 
-use croftrill_scheduler::stored_versions::RecordedVersions;
+use croftrill_scheduler::stored_versions::{BeginTime, RecordedVersions};
 
 use super::cold::{MIN_READY_IN, ORDER_DELAY};
 use super::{RequestRun, DEFAULT_DEADLINE, DEFAULT_RETRY_AFTER};
@@ -106,6 +106,10 @@
             service: &self.service,
             stored: &state.stored_versions,
             versions: &state.software_versions,
+            at: BeginTime {
+                now: self.now(),
+                proof_lifetime: self.node.settings.pace.relay_lifetime,
+            },
         })
     }
 
--- a/crates/croftrill-node/src/runtime.rs
+++ b/crates/croftrill-node/src/runtime.rs
@@ -11,7 +11,8 @@
 use crate::ports::{KeyValueStore, Platform};
 use crate::{
     brittle_reports, configuration, crash_reports, directory, front, load_updates, membership, orderer_task,
-    peer_link, quota, replica_path, replica_versions, step_times, stored_streams, stored_versions, tree,
+    peer_link, quota, replica_path, replica_versions, step_times, stored_streams, stored_versions,
+    stream_versions, tree,
 };
 
 /// Maximum time that a stopping node waits for the removal of its entries from the store.
@@ -45,6 +46,7 @@
     spawn_local(directory::read_holdings(node.clone()));
     spawn_local(replica_versions::observe(node.clone()));
     spawn_local(stored_versions::maintain(node.clone()));
+    spawn_local(stream_versions::publish_as_proof_lapses(node.clone()));
     spawn_local(stored_streams::maintain(node.clone(), incarnation));
     spawn_local(crash_reports::publish(node.clone(), incarnation));
     spawn_local(brittle_reports::publish(node.clone()));
--- a/crates/croftrill-node/src/stored_versions.rs
+++ b/crates/croftrill-node/src/stored_versions.rs
@@ -258,11 +258,11 @@
 fn seen_versions<P: Platform>(node: &Node<P>, state: &NodeState, service: &str) -> SeenVersions {
     let now = node.clock.now();
     let versions = &state.software_versions;
-    let proven_at = state.view_proven_at.unwrap_or_default();
-    let is_view_proven = now.since(proven_at) <= node.settings.pace.relay_lifetime;
     SeenVersions {
         listed: listed_versions(state, service),
-        observed: is_view_proven.then(|| versions.observed_within_lifetime(service, now)),
+        observed: node
+            .has_proven_view(state)
+            .then(|| versions.observed_within_lifetime(service, now)),
         is_first_start: versions.is_first_start(),
     }
 }
--- a/crates/croftrill-node/src/stream_versions.rs
+++ b/crates/croftrill-node/src/stream_versions.rs
@@ -21,7 +21,7 @@
 use futures::future::join_all;
 use nanoserde::SerBin;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::link::PeerLink;
 use crate::membership::MemberEntry;
@@ -40,6 +40,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// Maximum time to tell the versions of streams that began before the service had several.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which the age of the view's proof is looked at.
+const PROOF_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time to ask the keepers: a fifth of a second of a caller that is resuming anyway.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -49,10 +51,7 @@
     let now = node.clock.now();
     let lifetime = stream.expires_at.since(now);
     insert(node, attempt, stream.version.clone(), lifetime);
-    let sole = {
-        let state = node.state.borrow();
-        state.software_versions.sole_version(&stream.service, now)
-    };
+    let sole = sole_version_by_proven_view(node, &stream.service);
     if sole.as_ref() == Some(&stream.version) {
         node.state.borrow_mut().own_streams.insert(attempt, stream, now);
         return;
@@ -142,6 +141,23 @@
     }
 }
 
+/// Tells the versions of this node's streams to their keepers whenever its view is no longer proven, until
+/// the process ends. Without a proof no node can tell that a service has one version only, so that
+/// streams go on by these records alone.
+pub(crate) async fn publish_as_proof_lapses<P: Platform>(node: Rc<Node<P>>) {
+    let mut was_proven = false;
+    loop {
+        sleep(PROOF_CHECK_INTERVAL).await;
+        let is_proven = node.has_proven_view(&node.state.borrow());
+        if std::mem::replace(&mut was_proven, is_proven) && !is_proven {
+            let services = node.state.borrow().own_streams.services();
+            for service in services {
+                spawn_local(publish_own(node.clone(), service));
+            }
+        }
+    }
+}
+
 /// Tells the versions of this node's streams of a service that began while it had only one version to
 /// their keepers, and to the nodes that write them to the store. Each gets one message.
 pub(crate) async fn publish_own<P: Platform>(node: Rc<Node<P>>, service: ServiceName) {
@@ -230,12 +246,17 @@
 }
 
 /// Returns the only version of a service as long as streams live, if this node's view is proven.
+fn sole_version_by_proven_view<P: Platform>(node: &Node<P>, service: &str) -> Option<SoftwareVersion> {
+    let state = node.state.borrow();
+    let sole = || state.software_versions.sole_version(service, node.clock.now());
+    node.has_proven_view(&state).then(sole).flatten()
+}
+
+/// Returns the same without asking other nodes, which may have records that the store has forgotten.
 fn sole_version_by_trusted_view<P: Platform>(node: &Node<P>, service: &str) -> Option<SoftwareVersion> {
     let now = node.clock.now();
     let state = node.state.borrow();
-    let proven_at = state.view_proven_at.unwrap_or_default();
-    let is_trusted = now.since(proven_at) <= node.settings.pace.relay_lifetime;
-    is_trusted
+    node.has_proven_view(&state)
         .then(|| state.software_versions.sole_version_without_asking(service, now))
         .flatten()
 }
@@ -246,7 +267,13 @@
     let found = attempt.and_then(|attempt| state.stream_versions.find(attempt, now));
     match found {
         Some(version) => KeeperAnswer::Found(version),
-        None => KeeperAnswer::NotFound(state.software_versions.within_lifetime(service, now)),
+        None => KeeperAnswer::NotFound(match state.software_versions.within_lifetime(service, now) {
+            // Others may have begun streams at another version since.
+            LifetimeVersions::Sole(version) if !node.has_proven_view(&state) => {
+                LifetimeVersions::Unclear(Some(version))
+            }
+            versions => versions,
+        }),
     }
 }
 
--- a/crates/croftrill-scheduler/src/software_versions.rs
+++ b/crates/croftrill-scheduler/src/software_versions.rs
@@ -409,6 +409,14 @@
         self.streams.remove(attempt);
     }
 
+    /// Returns the services of the streams.
+    pub fn services(&self) -> BTreeSet<ServiceName> {
+        self.streams
+            .values()
+            .map(|stream| stream.service.clone())
+            .collect()
+    }
+
     /// Takes the streams of a service, to tell their versions to their keepers.
     pub fn take(&mut self, service: &str, now: Moment) -> Vec<(Arc<str>, OwnStream)> {
         let streams = std::mem::take(&mut self.streams);
--- a/crates/croftrill-scheduler/src/stored_versions.rs
+++ b/crates/croftrill-scheduler/src/stored_versions.rs
@@ -8,7 +8,8 @@
 //! Safety: a record proves something only in the era of the store in which it was written, and a
 //! change is written on the condition that the record did not change since it was read.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use crate::catalog::ServiceName;
 use crate::replica::StartedMs;
@@ -40,6 +41,28 @@
     revision: u64,
     /// Since when the node knows it as it is.
     since: Moment,
+    /// When versions were added to it, of which the node saw that.
+    added_at: BTreeMap<SoftwareVersion, Moment>,
+}
+
+impl KnownRecord {
+    /// Returns when the versions were added that this record did not name before.
+    fn additions(&self, next: &Known, now: Moment) -> BTreeMap<SoftwareVersion, Moment> {
+        let (Known::Present(former), Known::Present(next)) = (&self.known, next) else {
+            return BTreeMap::new();
+        };
+        let added_at = |version: &SoftwareVersion| {
+            if former.versions.contains(version) {
+                self.added_at.get(version).copied()
+            } else {
+                Some(now)
+            }
+        };
+        let versions = next.versions.iter();
+        versions
+            .filter_map(|version| Some((version.clone(), added_at(version)?)))
+            .collect()
+    }
 }
 
 /// The records of all services, as a node knows them.
@@ -93,12 +116,14 @@
         }
         let is_same = former.is_some_and(|former| former.known == known);
         let since = former.filter(|_| is_same).map_or(now, |former| former.since);
+        let added_at = former.map(|former| former.additions(&known, now));
         self.records.insert(
             service.clone(),
             KnownRecord {
                 known,
                 revision,
                 since,
+                added_at: added_at.unwrap_or_default(),
             },
         );
     }
@@ -138,13 +163,27 @@
 
     /// Returns whether a stream of a service may begin at a version. Without a record it may, as then
     /// no process relies on one. While it is not known whether there is a record, it may if the
-    /// service has only that version.
-    pub fn may_begin(&self, service: &str, version: &SoftwareVersion, is_only_one: bool) -> bool {
+    /// service has only that version. A version that was added may be unknown to nodes whose views were
+    /// proven before that, for as long as such a view counts.
+    pub fn may_begin(
+        &self,
+        service: &str,
+        version: &SoftwareVersion,
+        is_only_one: bool,
+        at: BeginTime,
+    ) -> bool {
         if !self.is_known(service) {
             return is_only_one;
         }
-        let record = self.current(service);
-        record.is_none_or(|record| record.versions.contains(version))
+        let Some(record) = self.current(service) else {
+            return true;
+        };
+        let added_at = self
+            .records
+            .get(service)
+            .and_then(|known| known.added_at.get(version));
+        let is_known_to_all = added_at.is_none_or(|added_at| at.now.since(*added_at) >= at.proof_lifetime);
+        record.versions.contains(version) && is_known_to_all
     }
 
     /// Returns the change that a service's record needs by what a node knows of its replicas.
@@ -232,6 +271,17 @@
     pub stored: &'a StoredVersions,
     /// The versions of replicas.
     pub versions: &'a SoftwareVersions,
+    /// When the stream begins.
+    pub at: BeginTime,
+}
+
+/// When a stream begins, and how old the views of nodes may be that tell at which version it runs.
+#[derive(Debug, Clone, Copy)]
+pub struct BeginTime {
+    /// The time.
+    pub now: Moment,
+    /// Maximum age of the proof of such a view.
+    pub proof_lifetime: Duration,
 }
 
 impl RecordedVersions<'_> {
@@ -241,7 +291,7 @@
         let version = self.versions.version_of(id, started_ms);
         version.is_none_or(|version| {
             let is_only_one = self.versions.is_sole(self.service, version);
-            self.stored.may_begin(self.service, version, is_only_one)
+            self.stored.may_begin(self.service, version, is_only_one, self.at)
         })
     }
 }
--- a/crates/croftrill-scheduler/tests/stored_versions.rs
+++ b/crates/croftrill-scheduler/tests/stored_versions.rs
@@ -10,7 +10,7 @@
 };
 use croftrill_scheduler::stored_streams::{SegmentQueue, StoredStream, StoredStreams, WRITERS};
 use croftrill_scheduler::stored_versions::{
-    NeededChange, RecordedVersions, SeenVersions, StoredVersions, VersionsRecord,
+    BeginTime, NeededChange, RecordedVersions, SeenVersions, StoredVersions, VersionsRecord,
 };
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -28,6 +28,14 @@
 const MAX_RESUME_MS: u64 = 12_000;
 const ERA_BITS: u32 = 40;
 
+/// A stream that begins at a time, with views that count for as long as nodes have it by default.
+fn begin_at(now_ms: u64) -> BeginTime {
+    BeginTime {
+        now: moment(now_ms),
+        proof_lifetime: Duration::from_millis(1_300),
+    }
+}
+
 fn moment(at_ms: u64) -> Moment {
     Moment::from_start(Duration::from_millis(at_ms))
 }
@@ -511,6 +519,7 @@
             service: "llm",
             stored: &node.stored,
             versions: &node.versions,
+            at: begin_at(now_ms),
         };
         let lives = |(id, listing): &(&String, &Listing)| self.replicas.get(*id) == Some(*listing);
         let permitted = node
@@ -682,6 +691,31 @@
     assert!(went_on * 2 >= outlasting, "{went_on} of {outlasting}");
 }
 
+// Guards against streams at a version of which nodes that trust their views don't know yet.
+#[test]
+fn added_version_begins_once_no_older_view_counts() {
+    let mut stored = StoredVersions::default();
+    let record = |versions: &[&str]| VersionsRecord {
+        versions: versions.iter().map(|version| (*version).into()).collect(),
+        is_complete: true,
+        era: None,
+    };
+    let may_begin = |stored: &StoredVersions, version: &str, now_ms: u64| {
+        stored.may_begin("llm", &version.into(), false, begin_at(now_ms))
+    };
+    stored.apply(&service(), Some(record(&["v0"])), 5, moment(0));
+    assert!(may_begin(&stored, "v0", 0));
+    stored.apply(&service(), Some(record(&["v0", "v1"])), 6, moment(1_000));
+    stored.apply(&service(), Some(record(&["v0", "v1"])), 7, moment(2_000));
+    assert!(may_begin(&stored, "v0", 1_000));
+    assert!(!may_begin(&stored, "v1", 2_299));
+    assert!(may_begin(&stored, "v1", 2_300));
+    // A process that starts finds both.
+    let mut read = StoredVersions::default();
+    read.apply(&service(), Some(record(&["v0", "v1"])), 7, moment(2_000));
+    assert!(may_begin(&read, "v0", 2_000) && may_begin(&read, "v1", 2_000));
+}
+
 /// Guards against a record that proves something beyond the era in which it was written.
 #[test]
 fn sole_version_is_unknown_in_another_era() {
@@ -694,7 +728,7 @@
     stored.record_era(Some(1));
     stored.apply(&service(), Some(record), 5, moment(0));
     assert!(stored.current("llm").is_some());
-    assert!(!stored.may_begin("llm", &"v1".into(), true));
+    assert!(!stored.may_begin("llm", &"v1".into(), true, begin_at(0)));
     stored.record_era(Some(2));
     assert_eq!(stored.current("llm"), None);
     let mut versions = SoftwareVersions::new(false);
