--- a/crates/croftrill-node/src/quota/link.rs
+++ b/crates/croftrill-node/src/quota/link.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::partition_keeper::PartitionKeeper;
-use super::permit::PermitRequester;
+use super::permit_keeper::PermitRequester;
 use super::wire::{FromKeeper, ToKeeper, WireLimitQuery, WireQuotaQuery};
 use super::{Fleet, KeeperLink, Quotas, Uplink};
 use crate::link::PeerLink;
@@ -273,23 +273,9 @@
 
 /// Applies a keeper's answer. Refunds a grant whose request has ended.
 fn apply_answer(quotas: &Quotas, partition: QuotaPartition, frame: &BytesMut) -> io::Result<()> {
-    let message = decode::<FromKeeper>(frame)?;
-    let (id, decision) = match message {
-        FromKeeper::Alive => return Ok(()),
-        FromKeeper::Granted { id, after_ms } => {
-            let after = Duration::from_millis(u64::from(after_ms));
-            (id, ReservationDecision::Granted { after })
-        }
-        FromKeeper::Refused {
-            id,
-            retry_after_ms,
-            balance,
-        } => {
-            let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-            (id, ReservationDecision::Refused { retry_after, balance })
-        }
-    };
-    quotas.complete_query(partition, id, decision);
+    if let Some((id, decision)) = decode::<FromKeeper>(frame)?.to_decision() {
+        quotas.complete_query(partition, id, decision);
+    }
     Ok(())
 }
 
--- a/crates/croftrill-node/src/quota/mod.rs
+++ b/crates/croftrill-node/src/quota/mod.rs
@@ -3,13 +3,15 @@
 //! [`Quotas`] decides whether a request of a tenant may run, and whether a call may go to
 //! a replica that reported a limit ([`limit`]). It queries the keeper of the partition over a
 //! link ([`link`]), or this node's own keeper ([`partition_keeper`]) if this node is the keeper or
-//! reaches none. Permits for replicas that bear few rejections go the same way ([`permit`]). It does not depend on requests or the node; what it needs of the fleet comes
+//! reaches none. Permits for replicas that bear few rejections go the same way ([`permit`],
+//! [`permit_keeper`]). It does not depend on requests or the node; what it needs of the fleet comes
 //! through [`Fleet`].
 
 mod limit;
 mod link;
 mod partition_keeper;
 mod permit;
+mod permit_keeper;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -33,8 +35,8 @@
 pub use self::limit::{LimitQuery, LimitVerdict};
 pub(crate) use self::link::{follow_keeper, serve_listener};
 use self::partition_keeper::PartitionKeeper;
-use self::permit::Permits;
 pub use self::permit::{Permit, PermitQuery, PermitVerdict};
+use self::permit_keeper::Permits;
 use self::wire::{ToKeeper, WireQuota, WireQuotaQuery};
 use crate::clock::Clock;
 
--- a/crates/croftrill-node/src/quota/wire.rs
+++ b/crates/croftrill-node/src/quota/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::quota::keeper::ReservationDecision;
-use croftrill_scheduler::quota::permits::{PermitAnswer, PermitEnd};
+use croftrill_scheduler::quota::permits::{PermitAnswer, PermitEnd, PermitRequest};
 use croftrill_scheduler::tenants::{Quota, QuotaUnit};
 use nanoserde::{DeBin, SerBin};
 
@@ -105,6 +105,34 @@
     Unknown,
 }
 
+impl WirePermitQuery {
+    /// Converts a request into its wire form.
+    pub fn from_request(id: u64, replica: &str, request: &PermitRequest) -> Self {
+        WirePermitQuery {
+            id,
+            replica: replica.to_string(),
+            started_ms: request.started_ms,
+            slots: request.slots,
+            max_rejections_per_s: request.max_rejections_per_s,
+            patience_ms: request.patience.as_millis() as u32,
+            lifetime_ms: request.lifetime.as_millis() as u32,
+            is_urgent: request.is_urgent,
+        }
+    }
+
+    /// Returns the request.
+    pub fn to_request(&self) -> PermitRequest {
+        PermitRequest {
+            started_ms: self.started_ms,
+            slots: self.slots,
+            max_rejections_per_s: self.max_rejections_per_s,
+            patience: Duration::from_millis(u64::from(self.patience_ms)),
+            lifetime: Duration::from_millis(u64::from(self.lifetime_ms)),
+            is_urgent: self.is_urgent,
+        }
+    }
+}
+
 impl WirePermitAnswer {
     /// Converts an answer into its wire form.
     pub fn from_answer(answer: PermitAnswer) -> Self {
@@ -219,6 +247,26 @@
 }
 
 impl FromKeeper {
+    /// Returns the decision, and the id of the query that it is about; `None` for a heartbeat.
+    pub fn to_decision(&self) -> Option<(u64, ReservationDecision)> {
+        let millis = |millis: u32| Duration::from_millis(u64::from(millis));
+        match *self {
+            FromKeeper::Alive => None,
+            FromKeeper::Granted { id, after_ms } => {
+                let after = millis(after_ms);
+                Some((id, ReservationDecision::Granted { after }))
+            }
+            FromKeeper::Refused {
+                id,
+                retry_after_ms,
+                balance,
+            } => {
+                let retry_after = millis(retry_after_ms);
+                Some((id, ReservationDecision::Refused { retry_after, balance }))
+            }
+        }
+    }
+
     /// Returns the message of a decision on the query `id`.
     pub fn decision(id: u64, decision: ReservationDecision) -> Self {
         match decision {
--- a/crates/croftrill-scheduler/src/quota/permits.rs
+++ b/crates/croftrill-scheduler/src/quota/permits/replica_permits.rs
@@ -1,23 +1,11 @@
-//! Permits for requests to replicas that fall over if they must reject too many requests.
-//!
-//! One node keeps the permits of a replica ([`PermitKeeper`]), and the others request one before
-//! each send and report how it ended. No more permits are out than the replica has slots. Requests
-//! there that no permit accounts for are bounded by evidence: everything counts as taken until an
-//! answer tells a lower load, again when no answer has come for a while, and after each rejection.
-//!
-//! A request beyond the slots that are known to be free is a probe, which the replica may reject.
-//! Probes under way and rejections in the last second together are at most half of what the replica
-//! bears. The other half is left for what the evidence missed: requests that are late on their way,
-//! and nodes that reach no keeper.
-//!
-//! A keeper that replaces another one knows nothing of the permits granted before, which count as
-//! taken like all else.
+//! The permits of one replica, and what is known of its slots.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
 use std::time::Duration;
 
-use super::limits::KeeperRole;
+use super::load_sample::{HeldPermit, LoadSample, StartedRun, REPORT_DELAY};
+use super::{PermitAnswer, PermitDecision, PermitEnd, PermitId, PermitRequest, RequesterId};
+use crate::quota::limits::KeeperRole;
 use crate::replica::{Incarnation, StartedMs};
 use crate::time::Moment;
 
@@ -31,142 +19,20 @@
 const SECONDARY_PROBE_FRACTION: f64 = 0.25;
 /// Time for which an answer tells of the requests that no permit accounts for.
 const EVIDENCE_VALIDITY: Duration = Duration::from_secs(1);
-/// Time by which a report usually comes later than what it tells of.
-const REPORT_DELAY: Duration = Duration::from_millis(50);
 /// Time that a request or an answer is on its way between a node and a replica.
 const TRANSIT_TIME: Duration = Duration::from_millis(5);
 /// Number of samples that are kept. A low load within so many answers shows free slots.
 const MAX_SAMPLES: usize = 32;
 /// Time after which a permit ends that nobody returned, beyond the time that its request may run.
 const RETURN_DELAY: Duration = Duration::from_secs(1);
-/// Weight of the newest run in the mean run time.
-const RUN_TIME_WEIGHT: f64 = 0.1;
-/// Part of the free slots that a secondary keeper uses, as the primary may still serve other nodes.
-const SECONDARY_FRACTION: f64 = 0.5;
 /// Minimum time to retry after.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Time without requests after which a replica's permits are dropped.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// A node that requests permits. Unique at a keeper.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequesterId(pub u64);
-
-/// A permit, or the request for one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct PermitId {
-    /// The node that requests it.
-    pub requester: RequesterId,
-    /// Number that the node gave it.
-    pub number: u64,
-}
-
-/// A request for a permit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PermitRequest {
-    /// When the incarnation of the replica started, if known.
-    pub started_ms: Option<StartedMs>,
-    /// Requests that the replica runs at the same time.
-    pub slots: u32,
-    /// Rejections a second that the replica bears.
-    pub max_rejections_per_s: u32,
-    /// Time for which the request can wait for its permit.
-    pub patience: Duration,
-    /// Time after which the replica stops to work on the request.
-    pub lifetime: Duration,
-    /// True if no other requests are more urgent.
-    pub is_urgent: bool,
-}
-
-/// The decision on a request for a permit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PermitDecision {
-    /// The request may be sent.
-    Granted,
-    /// It waits; a later decision follows unless it is cancelled.
-    Queued,
-    /// No slot is free in time.
-    Refused {
-        /// Expected time until one is.
-        retry_after: Duration,
-    },
-}
-
-/// How the request of a permit ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PermitEnd {
-    /// It was not sent.
-    NotSent,
-    /// The replica answered it to the end.
-    Complete(PermitAnswer),
-    /// The replica rejected it.
-    Rejected,
-    /// It may still run.
-    Unknown,
-}
-
-/// What an answer shows, or its head if more of it is to come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PermitAnswer {
-    /// Time from the send to the answer, by the node's clock.
-    pub elapsed: Duration,
-    /// Requests at the replica, running and waiting, if it tells them.
-    pub requests: Option<u32>,
-}
-
-/// A permit that is out.
-#[derive(Debug, Clone, Copy)]
-struct HeldPermit {
-    granted_at: Moment,
-    /// When the replica certainly has ended the request.
-    ends_by: Moment,
-    /// When the start of its answer was reported, and when at the latest it ran.
-    started: Option<StartedRun>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct StartedRun {
-    reported_at: Moment,
-    runs_from: Moment,
-}
-
-/// A load that a replica told, with the permits whose requests certainly were part of it.
-#[derive(Debug, Clone, Copy)]
-struct LoadSample {
-    /// The replica told it between these two.
-    after: Moment,
-    before: Moment,
-    requests: u32,
-    accounted: u32,
-    /// When the started requests were counted that were still out.
-    counted_at: Option<Moment>,
-}
-
-impl LoadSample {
-    /// Returns whether a request that ran for all of this time was part of the load.
-    fn is_within(&self, runs_from: Moment, runs_until: Moment) -> bool {
-        runs_from <= self.after && self.before <= runs_until
-    }
-
-    /// Counts the requests that had started and are still out.
-    fn count_started(&mut self, held: &HashMap<PermitId, HeldPermit>, now: Moment) {
-        if self.counted_at.is_some() || now.since(self.before) < REPORT_DELAY {
-            return;
-        }
-        self.counted_at = Some(now);
-        let started = held.values().filter_map(|permit| permit.started);
-        self.accounted += started.filter(|run| run.runs_from <= self.after).count() as u32;
-    }
-
-    /// Counts a request that has ended, unless it was counted.
-    fn count_ended(&mut self, permit: &HeldPermit, runs_from: Moment, runs_until: Moment) {
-        let is_counted = permit.started.zip(self.counted_at);
-        let is_counted = is_counted.is_some_and(|(run, counted_at)| run.reported_at <= counted_at);
-        if !is_counted && self.is_within(runs_from, runs_until) {
-            self.accounted += 1;
-        }
-    }
-}
+/// Weight of the newest run in the mean run time.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Part of the free slots that a secondary keeper uses, as the primary may still serve other nodes.
+const SECONDARY_FRACTION: f64 = 0.5;
 
 /// A request that waits for a permit.
 #[derive(Debug, Clone, Copy)]
@@ -177,7 +43,7 @@
 
 /// The permits of one replica.
 #[derive(Debug)]
-struct ReplicaPermits {
+pub(super) struct ReplicaPermits {
     started_ms: Option<StartedMs>,
     slots: u32,
     max_rejections_per_s: u32,
@@ -199,7 +65,7 @@
 
 impl ReplicaPermits {
     /// Returns the permits of a replica of which nothing is known.
-    fn new(request: &PermitRequest, now: Moment) -> Self {
+    pub(super) fn new(request: &PermitRequest, now: Moment) -> Self {
         ReplicaPermits {
             started_ms: request.started_ms,
             slots: request.slots,
@@ -217,6 +83,57 @@
         }
     }
 
+    /// Returns whether nobody has requested a permit for long.
+    pub(super) fn is_idle(&self, now: Moment) -> bool {
+        now.since(self.last_request_at) >= IDLE_TIMEOUT
+    }
+
+    /// Decides on a request for a permit.
+    pub(super) fn request(
+        &mut self,
+        id: PermitId,
+        request: &PermitRequest,
+        role: KeeperRole,
+        now: Moment,
+    ) -> PermitDecision {
+        self.update(request, now);
+        self.settle(role, now);
+        let is_first = self.urgent_waiters.is_empty() && (request.is_urgent || self.waiters.is_empty());
+        if is_first && self.has_room(role) {
+            self.grant(id, request.lifetime, now);
+            return PermitDecision::Granted;
+        }
+        match self.free_in(request.is_urgent) {
+            Some(free_in) if free_in < request.patience => {
+                self.enqueue(id, request);
+                PermitDecision::Queued
+            }
+            free_in => {
+                let free_in = free_in.unwrap_or(self.probe_in(role, now));
+                let retry_after = free_in.max(MIN_RETRY_AFTER);
+                PermitDecision::Refused { retry_after }
+            }
+        }
+    }
+
+    fn enqueue(&mut self, id: PermitId, request: &PermitRequest) {
+        let waiter = Waiter {
+            id,
+            lifetime: request.lifetime,
+        };
+        if request.is_urgent {
+            self.urgent_waiters.push_back(waiter);
+        } else {
+            self.waiters.push_back(waiter);
+        }
+    }
+
+    /// Returns whether a request for a permit waits.
+    pub(super) fn is_waiting(&self, id: PermitId) -> bool {
+        let mut waiters = self.urgent_waiters.iter().chain(&self.waiters);
+        waiters.any(|waiter| waiter.id == id)
+    }
+
     /// Applies what a request tells of the replica. Nothing is known of a later incarnation.
     fn update(&mut self, request: &PermitRequest, now: Moment) {
         self.last_request_at = now;
@@ -239,7 +156,7 @@
     }
 
     /// Drops what has lapsed. What is not known any more counts as taken.
-    fn settle(&mut self, role: KeeperRole, now: Moment) {
+    pub(super) fn settle(&mut self, role: KeeperRole, now: Moment) {
         self.held.retain(|_, permit| permit.ends_by > now);
         drop_older_than(&mut self.returned_at, REPORT_DELAY, now);
         let rejection_period = self.rejection_period(role);
@@ -271,7 +188,7 @@
     }
 
     /// Lowers that bound by what the samples show.
-    fn apply_samples(&mut self, now: Moment) {
+    pub(super) fn apply_samples(&mut self, now: Moment) {
         for sample in &mut self.samples {
             sample.count_started(&self.held, now);
             let most = sample.requests.saturating_sub(sample.accounted);
@@ -346,7 +263,7 @@
     }
 
     /// Grants permits to those that wait, as long as there is room.
-    fn grant_waiting(&mut self, role: KeeperRole, now: Moment) -> Vec<PermitId> {
+    pub(super) fn grant_waiting(&mut self, role: KeeperRole, now: Moment) -> Vec<PermitId> {
         let mut granted = Vec::new();
         while self.has_room(role) {
             let next = self.urgent_waiters.pop_front();
@@ -387,7 +304,7 @@
     }
 
     /// Records that the answer to a permit's request has started.
-    fn start(&mut self, id: PermitId, answer: PermitAnswer, now: Moment) {
+    pub(super) fn start(&mut self, id: PermitId, answer: PermitAnswer, now: Moment) {
         let Some(permit) = self.held.get_mut(&id) else {
             return;
         };
@@ -399,7 +316,7 @@
         self.apply_answer(&permit, answer, now);
     }
 
-    fn end(&mut self, id: PermitId, end: PermitEnd, now: Moment) {
+    pub(super) fn end(&mut self, id: PermitId, end: PermitEnd, now: Moment) {
         self.cancel_waiting(|waiting| waiting == id);
         let Some(permit) = self.held.remove(&id) else {
             return;
@@ -440,7 +357,7 @@
     }
 
     /// Handles the loss of the link to a node: its requests may still run.
-    fn lose_requester(&mut self, requester: RequesterId) {
+    pub(super) fn lose_requester(&mut self, requester: RequesterId) {
         self.cancel_waiting(|waiting| waiting.requester == requester);
         let before = self.held.len();
         self.held.retain(|id, _| id.requester != requester);
@@ -454,109 +371,3 @@
         moments.pop_front();
     }
 }
-
-/// The permits that one node keeps for all nodes.
-#[derive(Debug)]
-pub struct PermitKeeper {
-    role: KeeperRole,
-    replicas: HashMap<Arc<str>, ReplicaPermits>,
-}
-
-impl Default for PermitKeeper {
-    fn default() -> Self {
-        PermitKeeper {
-            role: KeeperRole::Secondary,
-            replicas: HashMap::new(),
-        }
-    }
-}
-
-impl PermitKeeper {
-    /// Sets this keeper's role.
-    pub fn set_role(&mut self, role: KeeperRole) {
-        self.role = role;
-    }
-
-    /// Decides on a request for a permit.
-    pub fn request(
-        &mut self,
-        replica: &Arc<str>,
-        id: PermitId,
-        request: &PermitRequest,
-        now: Moment,
-    ) -> PermitDecision {
-        if !self.replicas.contains_key(replica) {
-            self.replicas
-                .retain(|_, permits| now.since(permits.last_request_at) < IDLE_TIMEOUT);
-        }
-        let permits = self.replicas.entry(replica.clone());
-        let permits = permits.or_insert_with(|| ReplicaPermits::new(request, now));
-        permits.update(request, now);
-        permits.settle(self.role, now);
-        let is_first = permits.urgent_waiters.is_empty() && (request.is_urgent || permits.waiters.is_empty());
-        if is_first && permits.has_room(self.role) {
-            permits.grant(id, request.lifetime, now);
-            return PermitDecision::Granted;
-        }
-        let free_in = permits.free_in(request.is_urgent);
-        let Some(_) = free_in.filter(|free_in| *free_in < request.patience) else {
-            let retry_after = free_in
-                .unwrap_or(permits.probe_in(self.role, now))
-                .max(MIN_RETRY_AFTER);
-            return PermitDecision::Refused { retry_after };
-        };
-        let waiter = Waiter {
-            id,
-            lifetime: request.lifetime,
-        };
-        if request.is_urgent {
-            permits.urgent_waiters.push_back(waiter);
-        } else {
-            permits.waiters.push_back(waiter);
-        }
-        PermitDecision::Queued
-    }
-
-    /// Returns whether a request for a permit waits.
-    pub fn is_waiting(&self, replica: &str, id: PermitId) -> bool {
-        let permits = self.replicas.get(replica);
-        permits.is_some_and(|permits| {
-            let mut waiters = permits.urgent_waiters.iter().chain(&permits.waiters);
-            waiters.any(|waiter| waiter.id == id)
-        })
-    }
-
-    /// Records that the answer to a permit's request has started. Returns the permits that are
-    /// granted by it.
-    pub fn start(&mut self, replica: &str, id: PermitId, answer: PermitAnswer, now: Moment) -> Vec<PermitId> {
-        self.change(replica, now, |permits| permits.start(id, answer, now))
-    }
-
-    /// Records how a permit's request ended, or that a request for a permit was given up. Returns the
-    /// permits that are granted by it.
-    pub fn end(&mut self, replica: &str, id: PermitId, end: PermitEnd, now: Moment) -> Vec<PermitId> {
-        self.change(replica, now, |permits| permits.end(id, end, now))
-    }
-
-    fn change(
-        &mut self,
-        replica: &str,
-        now: Moment,
-        apply: impl FnOnce(&mut ReplicaPermits),
-    ) -> Vec<PermitId> {
-        let Some(permits) = self.replicas.get_mut(replica) else {
-            return Vec::new();
-        };
-        permits.settle(self.role, now);
-        apply(permits);
-        permits.apply_samples(now);
-        permits.grant_waiting(self.role, now)
-    }
-
-    /// Handles the loss of the link to a node.
-    pub fn lose_requester(&mut self, requester: RequesterId) {
-        for permits in self.replicas.values_mut() {
-            permits.lose_requester(requester);
-        }
-    }
-}
