What is absent is waited for while its caller waits, else refused at once

Seen by callers: with an objective of 100 to 500 ms a request for an absent model got 503 at once, though the model came 0.15 s later and streams' callers wait for two seconds; at 8 s the same request was served. A service without a replica refused after a quarter of the objective, so 0.1 s or 2 s.

Cause: admission compared the time to be served with the objective, held for 0.45 of the patience, and refused within a quarter of the objective; a service without models waited for a quarter of it.

Now one rule: a request waits if it can be served while its caller waits, else it is refused at once, to come back within the third of their time that callers heed. It is decided once more before the caller leaves. Where nothing tells when a replica is listed, it waits for as long as its caller then has time for another attempt. A request that every replica in reach has been sent waits for nothing. The same for streams that go on, cooldowns, resends and reservations, which shared the comparison. The stream's own rule (decide_cold_resumption) was the same and is gone.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -2,16 +2,13 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::admission::{
-    caller_patience, decide_cold, decide_cold_resumption, ColdDecision, ColdRequest,
-};
+use croftrill_scheduler::admission::{decide, decide_unknown, Admission, CallerTime, RemainingWork};
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::replica_estimate::TIME_PER_PROMPT_TOKEN;
 use croftrill_scheduler::replica_table::Availability;
 use croftrill_scheduler::routing::{self, choose, ModelNeed, RoutingRequest};
-use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::work::RequestWork;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,8 +38,6 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(80);
 /// Maximum time between two checks of the view while a request waits.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// A request to a service without models waits for a replica for the objective divided by this.
-const REPLICA_WAIT_DIVISOR: u32 = 4;
 
 /// The next step of a request.
 pub(super) enum NextReplica {
@@ -78,26 +73,26 @@
                 continue;
             }
             match self.reservation_decision() {
-                Some(ColdDecision::Wait) => {
+                Some(Admission::Wait) => {
                     self.wait_for_reservation().await;
                     continue;
                 }
-                Some(ColdDecision::Refuse { come_back_after }) => {
+                Some(Admission::Refuse { come_back_after }) => {
                     self.count_rejected();
                     return NextReplica::GiveUp("its replicas take no more now", Some(come_back_after));
                 }
                 None => {}
             }
             match self.cooldown_decision() {
-                Some(ColdDecision::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
+                Some(Admission::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
                     self.wait_for_view_change().await;
                     continue;
                 }
-                Some(ColdDecision::Refuse { come_back_after }) => {
+                Some(Admission::Refuse { come_back_after }) => {
                     self.count_rejected();
                     return NextReplica::GiveUp("its replicas want rest", Some(come_back_after));
                 }
-                Some(ColdDecision::Wait) | None => {}
+                Some(Admission::Wait) | None => {}
             }
             if self.reaches_lost_replica().await {
                 continue;
@@ -106,14 +101,14 @@
                 return NextReplica::GiveUp("no path to its replicas", Some(OTHER_NODE_RETRY_AFTER));
             }
             match self.version_decision() {
-                Some(ColdDecision::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
+                Some(Admission::Wait) if self.node.lifecycle() != Lifecycle::Stopping => {
                     self.wait_for_view_change().await;
                     continue;
                 }
-                Some(ColdDecision::Refuse { come_back_after }) => {
+                Some(Admission::Refuse { come_back_after }) => {
                     return NextReplica::GiveUp("no replica of its version", Some(come_back_after));
                 }
-                Some(ColdDecision::Wait) => {
+                Some(Admission::Wait) => {
                     return NextReplica::GiveUp("the node is stopping", Some(OTHER_NODE_RETRY_AFTER));
                 }
                 None => {}
@@ -125,10 +120,10 @@
             }
             match decision {
                 None => return NextReplica::GiveUp("no replica", Some(DEFAULT_RETRY_AFTER)),
-                Some(ColdDecision::Refuse { come_back_after }) => {
-                    return NextReplica::GiveUp("model not loaded", Some(come_back_after));
+                Some(Admission::Refuse { come_back_after }) => {
+                    return NextReplica::GiveUp(self.absence(), Some(come_back_after));
                 }
-                Some(ColdDecision::Wait) => self.wait_for_view_change().await,
+                Some(Admission::Wait) => self.wait_for_view_change().await,
             }
         }
     }
@@ -246,66 +241,74 @@
 
     /// Decides what to do while no replica can take the request. Returns `None` if waiting is no
     /// use.
-    pub(super) fn cold_decision(&self) -> Option<ColdDecision> {
+    pub(super) fn cold_decision(&self) -> Option<Admission> {
+        if self.answered_after.is_none() && self.was_rejected_by_all() {
+            return None;
+        }
         let Some(key) = self.model_key() else {
-            // A replica of a service without models may recover soon.
-            let waited = self.waited();
-            return (waited < self.route.objective / REPLICA_WAIT_DIVISOR).then_some(ColdDecision::Wait);
+            return Some(self.decide_without_replica());
         };
         let ready_in = self.ready_in(&key)?;
         self.node.holdings_needed.notify_one();
         self.remind_orderer(&ToOrderer::Waiting(WireModel::from_key(&key)));
-        Some(self.decide_cold_in(&key, ready_in))
+        Some(self.decide_in(&key, ready_in))
     }
 
-    /// Decides on the request if its model is loaded in `ready_in`.
-    fn decide_cold_in(&self, key: &ModelKey, ready_in: Duration) -> ColdDecision {
-        let request = self.cold_request(ready_in, self.arrival);
-        let decision = decide_cold(&request);
-        self.log_cold_once(key, &request, decision);
-        decision
+    /// Returns what the request waits for in vain, as a cause.
+    fn absence(&self) -> &'static str {
+        match self.model_key() {
+            Some(_) => "model not loaded",
+            None => "no replica",
+        }
     }
 
-    /// Decides on a request that goes on with a stream, if its model is loaded in `ready_in` where it
-    /// may go on.
-    pub(super) fn decide_cold_resumption_in(&self, key: &ModelKey, ready_in: Duration) -> ColdDecision {
-        let silent_since = self.stream_broke_at.unwrap_or(self.arrival);
-        let request = self.cold_request(ready_in, silent_since);
-        let decision = decide_cold_resumption(&request);
-        self.log_cold_once(key, &request, decision);
-        decision
+    /// Returns whether the request was sent to every replica in reach that could take it. Waiting
+    /// brings no other one.
+    fn was_rejected_by_all(&self) -> bool {
+        let now = self.now();
+        let state = self.node.state.borrow();
+        let request = self.routing_request(&[], &state);
+        let candidates = routing::candidates(&state.replicas, &request, now);
+        let mut in_reach = candidates.filter(|entry| entry.is_in_reach(now)).peekable();
+        in_reach.peek().is_some() && in_reach.all(|entry| self.tried.contains(&entry.listing.id))
     }
 
-    /// Returns what is known about a request whose model is loaded in `ready_in`, and whose caller has
-    /// waited since `since`.
-    fn cold_request(&self, ready_in: Duration, since: Moment) -> ColdRequest {
-        ColdRequest {
-            waited: self.now().since(since),
-            ready_in,
-            first_event_after: self.first_event_after(),
-            objective: self.route.objective,
-            patience: self.patience(),
-            left: self.deadline.since(self.now()),
-        }
+    /// Decides on a request to a service without models of which no replica is listed. Nothing tells
+    /// when one is.
+    fn decide_without_replica(&self) -> Admission {
+        let attempt = self.attempt_end().since(self.arrival);
+        decide_unknown(&self.caller_time(), attempt, Duration::ZERO, DEFAULT_RETRY_AFTER)
     }
 
-    fn log_cold_once(&self, key: &ModelKey, request: &ColdRequest, decision: ColdDecision) {
+    /// Decides on the request if its model is loaded in `ready_in`.
+    pub(super) fn decide_in(&self, key: &ModelKey, ready_in: Duration) -> Admission {
+        let (time, work) = (self.caller_time(), self.remaining_work(ready_in));
+        let decision = decide(&time, &work);
         let is_first = !self.logged_cold.replace(true);
-        if is_first || decision != ColdDecision::Wait {
-            self.log_cold(key, request, decision);
+        if is_first || decision != Admission::Wait {
+            self.log_cold(key, &time, &work, decision);
+        }
+        decision
+    }
+
+    /// Returns what is left to do if what the request waits for is ready in `ready_in`.
+    pub(super) fn remaining_work(&self, ready_in: Duration) -> RemainingWork {
+        RemainingWork {
+            ready_in,
+            run: self.first_event_after(),
         }
     }
 
     /// Logs the decision with the values that it is based on.
-    fn log_cold(&self, key: &ModelKey, request: &ColdRequest, decision: ColdDecision) {
+    fn log_cold(&self, key: &ModelKey, time: &CallerTime, work: &RemainingWork, decision: Admission) {
         let state = self.node.state.borrow();
         let reachable = state
             .replicas
             .reachable_holders(&self.service, &key.model, self.now());
         tracing::info!(target: "cold", id = self.facts.id, model = &*key.model, adapter = key.adapter.as_deref(),
-            ?decision, waited_ms = request.waited.as_millis() as u64,
-            ready_in_ms = request.ready_in.as_millis() as u64, objective_ms = request.objective.as_millis() as u64,
-            patience_ms = request.patience.as_millis() as u64,
+            ?decision, waited_ms = self.waited().as_millis() as u64,
+            ready_in_ms = work.ready_in.as_millis() as u64, run_ms = work.run.as_millis() as u64,
+            attempt_left_ms = time.attempt_left.as_millis() as u64, caller_left_ms = time.caller_left.as_millis() as u64,
             holders = state.replicas.holders(&self.service, &key.model), reachable,
             orderers_linked = state.linked.iter().filter(|linked| **linked).count());
     }
@@ -338,12 +341,6 @@
         Some(ORDER_DELAY + state.replicas.reload_time(&self.service, spec, now))
     }
 
-    /// Returns the time from arrival until the caller or the route ends the request.
-    pub(super) fn patience(&self) -> Duration {
-        let total = self.deadline.since(self.arrival);
-        caller_patience(&self.route).map_or(total, |patience| patience.min(total))
-    }
-
     /// Returns the time after which a refused caller should find the model loaded.
     pub(super) fn retry_after(&self) -> Option<Duration> {
         self.model_key().and_then(|key| self.ready_in(&key))
@@ -362,8 +359,16 @@
         self.node.send_to_orderers(message);
     }
 
+    /// Waits until the decision on the request may change. It is made once more while a refusal can
+    /// still reach the caller.
     pub(super) async fn wait_for_view_change(&self) {
-        let latest = self.now() + MAX_CHECK_INTERVAL;
+        let last_decision_at = self.attempt_end() - MIN_READY_IN;
+        let next_check_at = self.now() + MAX_CHECK_INTERVAL;
+        let latest = if self.now() < last_decision_at {
+            next_check_at.min(last_decision_at)
+        } else {
+            next_check_at
+        };
         let wake = async {
             tokio::select! {
                 () = self.node.view_changed.notified() => {}
--- a/crates/croftrill-node/src/request/cooldown.rs
+++ b/crates/croftrill-node/src/request/cooldown.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::admission::{decide_in_cooldown, retry_after_cooldown, ColdDecision, ColdRequest};
+use croftrill_scheduler::admission::{decide_in_cooldown, retry_after_cooldown, Admission};
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,17 +18,16 @@
 impl<P: Platform> RequestRun<P> {
     /// Decides what to do while all replicas that could take the request are in cooldown. Returns
     /// `None` if one of them is not, or if another replica will have loaded the model sooner.
-    pub(super) fn cooldown_decision(&self) -> Option<ColdDecision> {
+    pub(super) fn cooldown_decision(&self) -> Option<Admission> {
         let cooldown_end = self.cooldown_end()?;
-        let request = ColdRequest {
-            waited: self.waited(),
-            ready_in: cooldown_end.since(self.now()),
-            first_event_after: self.first_event_after(),
-            objective: self.route.objective,
-            patience: self.patience(),
-            left: self.deadline.since(self.now()),
-        };
-        Some(decide_in_cooldown(&request, self.rank(), self.uniform_sample()))
+        let work = self.remaining_work(cooldown_end.since(self.now()));
+        let sample = self.uniform_sample();
+        Some(decide_in_cooldown(
+            &self.caller_time(),
+            &work,
+            self.rank(),
+            sample,
+        ))
     }
 
     /// Returns the earliest end of the replicas' cooldowns, if those are what blocks the request.
@@ -62,9 +61,7 @@
     pub(super) async fn pause_before_resend(&self, replica: &ReplicaId) -> bool {
         let now = self.now();
         let pause = match self.resend_delay(replica) {
-            Some(pause) if now + pause + self.first_event_after() < self.arrival + self.route.objective => {
-                pause
-            }
+            Some(pause) if self.caller_time().allows(pause + self.first_event_after()) => pause,
             _ => return false,
         };
         self.node.clock.sleep_until(now + pause).await;
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -136,7 +136,7 @@
             starts_in: self.starts_in(free_capacity),
             first_event_after: self.first_event_after(),
             objective: self.route.objective,
-            patience: self.patience(),
+            patience: self.attempt_end().since(self.arrival),
             left: self.deadline.since(self.now()),
             is_most_urgent,
             overtakes_others: is_most_urgent
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -46,6 +46,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::admission::{caller_patience, CallerTime};
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
@@ -188,6 +189,7 @@
         body,
         arrival,
         deadline,
+        caller_deadline,
         in_flight: Some(in_flight),
         slot,
         sends: 0,
@@ -237,7 +239,10 @@
     head: Rc<request::Parts>,
     body: Bytes,
     arrival: Moment,
+    /// When the caller or the route ends the request.
     deadline: Moment,
+    /// When the caller ends the request and all its attempts.
+    caller_deadline: Moment,
     in_flight: Option<InFlightGuard<P>>,
     slot: Option<ServiceSlot<P>>,
     sends: usize,
@@ -349,6 +354,23 @@
         self.node.clock.now()
     }
 
+    /// Returns when the caller abandons this attempt, or the route ends it. The caller of a stream
+    /// waits for its next event since the last one.
+    fn attempt_end(&self) -> Moment {
+        let silent_since = self.stream_broke_at.unwrap_or(self.arrival);
+        let abandoned_at = caller_patience(&self.route).map(|patience| silent_since + patience);
+        abandoned_at.map_or(self.deadline, |at| at.min(self.deadline))
+    }
+
+    /// Returns the time that the caller has left.
+    fn caller_time(&self) -> CallerTime {
+        let now = self.now();
+        CallerTime {
+            attempt_left: self.attempt_end().since(now),
+            caller_left: self.caller_deadline.since(now),
+        }
+    }
+
     /// Returns the time since the request arrived.
     fn waited(&self) -> Duration {
         self.now().since(self.arrival)
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::admission::{decide_in_cooldown, retry_after_cooldown, ColdDecision, ColdRequest};
+use croftrill_scheduler::admission::{decide_in_cooldown, retry_after_cooldown, Admission};
 use croftrill_scheduler::quota::limits::LimitRequest;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::time::Moment;
@@ -82,7 +82,7 @@
     /// no reservation. Returns `None` if rate limits are not the cause. The expected time of the
     /// reservation accounts for the calls of all nodes, so a request that would then be in time
     /// waits, but only once. After a wait in vain it is refused.
-    pub(super) fn reservation_decision(&self) -> Option<ColdDecision> {
+    pub(super) fn reservation_decision(&self) -> Option<Admission> {
         let reservation_at = self.rate_limited.iter().map(|limited| limited.retry_at).min()?;
         let arrival = self.model_key().and_then(|key| {
             let state = self.node.state.borrow();
@@ -90,20 +90,13 @@
         });
         let first_at = arrival.map_or(reservation_at, |arrival| arrival.min(reservation_at));
         let ready_in = first_at.since(self.now());
-        let request = ColdRequest {
-            waited: self.waited(),
-            ready_in,
-            first_event_after: self.first_event_after(),
-            objective: self.route.objective,
-            patience: self.patience(),
-            left: self.deadline.since(self.now()),
-        };
-        let decision = decide_in_cooldown(&request, self.rank(), self.uniform_sample());
+        let work = self.remaining_work(ready_in);
+        let decision = decide_in_cooldown(&self.caller_time(), &work, self.rank(), self.uniform_sample());
         let may_wait =
             self.reservation_waits < MAX_RESERVATION_WAITS && self.node.lifecycle() != Lifecycle::Stopping;
-        if decision == ColdDecision::Wait && !may_wait {
+        if decision == Admission::Wait && !may_wait {
             let come_back_after = retry_after_cooldown(ready_in, self.rank(), self.uniform_sample());
-            return Some(ColdDecision::Refuse { come_back_after });
+            return Some(Admission::Refuse { come_back_after });
         }
         Some(decision)
     }
--- a/crates/croftrill-node/src/request/version.rs
+++ b/crates/croftrill-node/src/request/version.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::admission::ColdDecision;
+use croftrill_scheduler::admission::Admission;
 use croftrill_scheduler::catalog::RouteKind;
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::replica_table::{Availability, ReplicaEntry};
@@ -116,11 +116,11 @@
     /// Decides what to do while no replica of the version that the request is bound to can take it.
     /// Tells the orderers of the wait if its model is the cause. Returns `None` if the request is not
     /// bound.
-    pub(super) fn version_decision(&self) -> Option<ColdDecision> {
+    pub(super) fn version_decision(&self) -> Option<Admission> {
         let StreamVersion::Only(version) = &self.stream_version else {
             return None;
         };
-        let refused = ColdDecision::Refuse {
+        let refused = Admission::Refuse {
             come_back_after: DEFAULT_RETRY_AFTER,
         };
         let Some(key) = self.model_key() else {
@@ -134,7 +134,7 @@
             model: WireModel::from_key(&key),
             version: version.to_string(),
         }));
-        let decision = self.decide_cold_resumption_in(&key, ready_in);
+        let decision = self.decide_in(&key, ready_in);
         Some(if self.may_await_version { decision } else { refused })
     }
 
--- a/crates/croftrill-scheduler/src/admission.rs
+++ b/crates/croftrill-scheduler/src/admission.rs
@@ -1,51 +1,57 @@
-//! Admission of requests whose model or adapter is not loaded yet.
+//! Admission: whether a request that cannot be sent yet waits, or is refused.
 //!
-//! A request that can be served within its objective waits. A request that cannot, but could if
-//! it were retried once the model is loaded, is refused immediately with that time, as it has not
-//! run. A request whose caller cannot retry in time waits and is served late, but waits at most
-//! for the fraction of the caller's patience that leaves time for another attempt.
+//! One rule decides, whatever the request waits for: it waits if it can be served while its caller
+//! still waits, and is refused at once otherwise, with the time to retry after. So a request is
+//! served if it can be, and one that cannot be served loses none of its caller's time. Callers
+//! with the same time and the same work are treated alike: neither the route's objective nor the
+//! number of attempts is an input.
 
 use std::time::Duration;
 
 use crate::catalog::{Route, RouteKind};
 
-/// What is known about a request whose model is not loaded.
-#[derive(Debug, Clone, Copy)]
-pub struct ColdRequest {
-    /// Time since the request arrived.
-    pub waited: Duration,
-    /// Expected time until the model and adapter are ready.
+/// The time that a request's caller has left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerTime {
+    /// Time until the caller abandons this attempt or the route ends it.
+    pub attempt_left: Duration,
+    /// Time until the caller's own deadline, which also bounds later attempts.
+    pub caller_left: Duration,
+}
+
+/// What is left to do until a request is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RemainingWork {
+    /// Expected time until what the request waits for is ready.
     pub ready_in: Duration,
-    /// Expected time from then to the first event.
-    pub first_event_after: Duration,
-    /// The route's objective.
-    pub objective: Duration,
-    /// Time from arrival until the caller or the route ends the request.
-    pub patience: Duration,
-    /// Time left until the caller's deadline.
-    pub left: Duration,
+    /// Expected time from then to the first byte of the answer.
+    pub run: Duration,
 }
 
 /// The decision on a request that cannot be sent yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ColdDecision {
-    /// Wait for the model.
+pub enum Admission {
+    /// Wait: the request can be served while its caller waits.
     Wait,
     /// Refuse now; the caller should retry after this time.
     Refuse {
-        /// Time after which the model should be loaded.
+        /// Time after which the request should find what it waits for.
         come_back_after: Duration,
     },
 }
 
-/// Callers retry within the time that they have left, divided by this.
+/// Callers heed a retry delay of at most the time that they have left, divided by this.
 pub(crate) const RETRY_DIVISOR: u32 = 3;
 /// Added to the expected time so that the model is loaded when the caller retries.
 const RETRY_MARGIN: Duration = Duration::from_millis(120);
-/// A refusal is prompt, and still earns credit, within the objective divided by this.
-const PROMPT_REFUSAL_DIVISOR: u32 = 4;
-/// Maximum fraction of the caller's patience for which a request is held.
-pub(crate) const MAX_HOLD_FRACTION: f64 = 0.45;
+
+/// Maximum time that a caller gives an attempt to get under way.
+const MAX_ATTEMPT_START: Duration = Duration::from_secs(1);
+/// Callers that have little time left give an attempt that time, divided by this.
+const ATTEMPT_START_DIVISOR: u32 = 3;
+
+/// Time for which a sound replica may be silent.
+const MAX_SOUND_SILENCE: Duration = Duration::from_secs(1);
 
 /// Minimum time after which a caller abandons a silent stream.
 const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
@@ -54,7 +60,26 @@
 /// Number of pause objectives after which a caller abandons a silent stream.
 const PATIENCE_PAUSES: u32 = 8;
 
-/// Returns the time that a caller of the route waits for the first byte, deadline permitting.
+impl CallerTime {
+    /// Returns whether a request that is served after `served_in` still finds its caller.
+    pub fn allows(&self, served_in: Duration) -> bool {
+        served_in <= self.attempt_left
+    }
+
+    /// Returns the maximum retry delay that the caller heeds.
+    pub fn max_retry_after(&self) -> Duration {
+        self.caller_left / RETRY_DIVISOR
+    }
+}
+
+impl RemainingWork {
+    /// Returns the expected time to the first byte of the answer.
+    pub fn served_in(&self) -> Duration {
+        self.ready_in + self.run
+    }
+}
+
+/// Returns the time that a caller of the route waits for the next byte, deadline permitting.
 pub fn caller_patience(route: &Route) -> Option<Duration> {
     if route.kind != RouteKind::Streaming {
         return None;
@@ -64,40 +89,53 @@
     Some(MIN_STREAM_PATIENCE.max(by_objective).max(by_pause))
 }
 
-/// Decides on a request whose model is not loaded yet.
-pub fn decide_cold(request: &ColdRequest) -> ColdDecision {
-    let served_at = request.waited + request.ready_in + request.first_event_after;
-    let max_hold = request.patience.mul_f64(MAX_HOLD_FRACTION);
-    let is_within_hold = request.waited + request.ready_in <= max_hold;
-    if served_at <= request.objective && is_within_hold {
-        return ColdDecision::Wait;
+/// Decides on a request whose model or adapter is not loaded yet.
+pub fn decide(time: &CallerTime, work: &RemainingWork) -> Admission {
+    decide_with(time, work, work.ready_in + RETRY_MARGIN)
+}
+
+fn decide_with(time: &CallerTime, work: &RemainingWork, retry_after: Duration) -> Admission {
+    if time.allows(work.served_in()) {
+        return Admission::Wait;
     }
-    let max_retry_after = request.left / RETRY_DIVISOR;
-    let retry_after = request.ready_in + RETRY_MARGIN;
-    let can_retry = retry_after <= max_retry_after;
-    let is_prompt = request.waited < request.objective / PROMPT_REFUSAL_DIVISOR;
-    if (can_retry && is_prompt) || request.waited >= max_hold || (is_prompt && !is_within_hold) {
-        return ColdDecision::Refuse {
-            come_back_after: retry_after.min(max_retry_after),
-        };
+    Admission::Refuse {
+        come_back_after: retry_after.min(time.max_retry_after()),
     }
-    ColdDecision::Wait
 }
 
-/// Decides on a request that goes on with a stream whose model is not loaded where it may go on. Its
-/// caller has the first events already, so the objective to the first one no longer counts: the
-/// request waits if its next event can reach the caller before that gives up.
-pub fn decide_cold_resumption(request: &ColdRequest) -> ColdDecision {
-    let served_in = request.ready_in + request.first_event_after;
-    if request.waited + served_in <= request.patience && served_in <= request.left {
-        return ColdDecision::Wait;
+/// Returns the time that a caller with this time left needs for another attempt.
+fn another_attempt(time_left: Duration) -> Duration {
+    MAX_ATTEMPT_START.min(time_left / ATTEMPT_START_DIVISOR)
+}
+
+/// Decides on a request of which nothing tells when it can be sent. Another node may know more, so
+/// the request waits for as long as its caller then has time for another attempt. `attempt` is the
+/// whole time of this one. `retry_after` is the retry delay once that time is over.
+pub fn decide_unknown(
+    time: &CallerTime,
+    attempt: Duration,
+    run: Duration,
+    retry_after: Duration,
+) -> Admission {
+    if time.allows(another_attempt(attempt) + run) {
+        return Admission::Wait;
     }
-    let max_retry_after = request.left / RETRY_DIVISOR;
-    ColdDecision::Refuse {
-        come_back_after: (request.ready_in + RETRY_MARGIN).min(max_retry_after),
+    Admission::Refuse {
+        come_back_after: retry_after.min(time.max_retry_after()),
     }
 }
 
+/// Returns how long a replica that was just sent a request may be silent before another one is
+/// tried. `usual` is a time within which its service usually answers. That time is over, and the
+/// one for which a sound replica may be silent; or the caller has only the time for another attempt
+/// left.
+pub fn silence_limit(time: &CallerTime, usual: Duration) -> Duration {
+    let another_attempt = another_attempt(time.attempt_left);
+    usual
+        .max(MAX_SOUND_SILENCE)
+        .min(time.attempt_left.saturating_sub(another_attempt))
+}
+
 /// Retries of refused callers are spread over the time left of a cooldown, divided by this.
 const RETRY_SPREAD_DIVISOR: u32 = 4;
 /// The least urgent rank.
@@ -105,14 +143,8 @@
 
 /// Decides on a request while all replicas that could take it are in cooldown. `rank` 0 is the
 /// most urgent; `unit` is the request's uniform sample from 0 to 1.
-pub fn decide_in_cooldown(request: &ColdRequest, rank: u8, unit: f64) -> ColdDecision {
-    let served_at = request.waited + request.ready_in + request.first_event_after;
-    if served_at <= request.objective {
-        return ColdDecision::Wait;
-    }
-    ColdDecision::Refuse {
-        come_back_after: retry_after_cooldown(request.ready_in, rank, unit),
-    }
+pub fn decide_in_cooldown(time: &CallerTime, work: &RemainingWork, rank: u8, unit: f64) -> Admission {
+    decide_with(time, work, retry_after_cooldown(work.ready_in, rank, unit))
 }
 
 /// Returns when a caller should retry at replicas that are in cooldown for `cooldown_left`. Never
--- a/crates/croftrill-scheduler/src/full_holders.rs
+++ b/crates/croftrill-scheduler/src/full_holders.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use crate::admission::{retry_after_cooldown, MAX_HOLD_FRACTION, RETRY_DIVISOR};
+use crate::admission::{retry_after_cooldown, RETRY_DIVISOR};
 
 /// What is known about a request whose holders are all full.
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +49,8 @@
     },
 }
 
+/// Maximum fraction of the caller's patience for which a request is held.
+const MAX_HOLD_FRACTION: f64 = 0.45;
 /// A request is sent before the time left of its objective falls below the objective divided by
 /// this, which leaves that time for a replica's queue.
 const QUEUE_MARGIN_DIVISOR: u32 = 4;
