A request whose holders are full waits or queues while its caller waits

Seen by callers: the holder says that 200 requests wait, which it can run within 0.15 s. With an objective of 300 or 500 ms a request was served after 8 ms, with 100 ms it was held for 0.8 to 0.9 s and refused.

Cause: a request was sent only if it met the objective, held for 0.45 of the patience, and sent a quarter of the objective before that ended. A resend was not sent to a queue whatever ended the first send. What waited ahead at the node was not counted, so a wait in vain was found out at its end.

Now it is refused at the first decision if it cannot be served while its caller waits, and else served: the most urgent queue at a replica until one has rejected them, the others wait for a slot at the node and are sent when the queue, or one twice as long, leaves no more time. The time until a request's turn at the node follows from how often requests were admitted while others waited, which accounts for other nodes as well. A request that the only holder rejected waits for a slot there in place of one that is never listed.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -27,7 +27,8 @@
 
 impl<P: Platform> WaitTicket<P> {
     fn enter(node: &Rc<Node<P>>, request: WaitingRequest) -> Self {
-        let id = node.state.borrow_mut().waiting_requests.enter(request);
+        let now = node.clock.now();
+        let id = node.state.borrow_mut().waiting_requests.enter(request, now);
         WaitTicket {
             node: node.clone(),
             id,
@@ -43,7 +44,8 @@
     }
 
     fn admit(self) {
-        self.node.state.borrow_mut().waiting_requests.admit(self.id);
+        let now = self.node.clock.now();
+        self.node.state.borrow_mut().waiting_requests.admit(self.id, now);
     }
 }
 
@@ -67,7 +69,7 @@
                 self.end_wait(ticket, "a place is free");
                 return None;
             }
-            let request = self.full_request(&free_capacity);
+            let request = self.full_request(&free_capacity, &key);
             let decision = decide_full(&request, self.rank(), self.uniform_sample());
             if ticket.is_none() {
                 self.log_full(&free_capacity, &request, decision);
@@ -88,7 +90,7 @@
             let waiting =
                 ticket.get_or_insert_with(|| WaitTicket::enter(&self.node, self.waiting_request(&key)));
             if !waiting.is_waiting() {
-                return self.refuse_full("more urgent requests wait", self.starts_in(&free_capacity));
+                return self.refuse_full("more urgent requests wait", request.starts_in);
             }
             self.wait_for_capacity().await;
             if self.now() >= self.deadline {
@@ -121,29 +123,25 @@
         }
     }
 
-    /// Returns the expected time until a holder starts to run the request if it is sent now.
-    fn starts_in(&self, free_capacity: &FreeCapacity) -> Duration {
+    /// Returns the expected time until a holder starts to run the request: until its turn among those
+    /// that wait at this node, or until a holder's queue is done if that is later.
+    fn starts_in(&self, free_capacity: &FreeCapacity, key: &ModelKey) -> Duration {
         let first_event = free_capacity.first_event_after.unwrap_or_default();
-        first_event.saturating_sub(self.first_event_after())
+        let holder_free_in = first_event.saturating_sub(self.first_event_after());
+        let waiting = &self.node.state.borrow().waiting_requests;
+        let turn_in = waiting.turn_in(&self.waiting_request(key), self.now());
+        holder_free_in.max(turn_in)
     }
 
-    fn full_request(&self, free_capacity: &FreeCapacity) -> FullRequest {
-        let is_most_urgent = self
-            .configuration
-            .is_most_urgent_of(&self.service, self.route.priority);
+    fn full_request(&self, free_capacity: &FreeCapacity, key: &ModelKey) -> FullRequest {
+        let (configuration, rank) = (&self.configuration, self.route.priority);
         FullRequest {
-            waited: self.waited(),
-            starts_in: self.starts_in(free_capacity),
-            first_event_after: self.first_event_after(),
-            objective: self.route.objective,
-            patience: self.attempt_end().since(self.arrival),
-            left: self.deadline.since(self.now()),
-            is_most_urgent,
-            overtakes_others: is_most_urgent
-                && self.sends == 0
-                && self
-                    .configuration
-                    .has_less_urgent_route(&self.service, self.route.priority),
+            time: self.caller_time(),
+            starts_in: self.starts_in(free_capacity, key),
+            run: self.first_event_after(),
+            is_most_urgent: configuration.is_most_urgent_of(&self.service, rank),
+            has_less_urgent: configuration.has_less_urgent_route(&self.service, rank),
+            was_rejected: self.was_rejected,
         }
     }
 
@@ -173,10 +171,10 @@
     /// Logs the decision with the values that it is based on.
     fn log_full(&self, free_capacity: &FreeCapacity, request: &FullRequest, decision: FullDecision) {
         tracing::info!(target: "full", id = self.facts.id, model = self.facts.model.as_deref(), ?decision,
-            rank = self.rank(), tenant = self.tenant.as_deref(), waited_ms = request.waited.as_millis() as u64,
+            rank = self.rank(), tenant = self.tenant.as_deref(), waited_ms = self.waited().as_millis() as u64,
             starts_in_ms = request.starts_in.as_millis() as u64, holders = free_capacity.candidates, fill = free_capacity.fill(),
             heard_ms_ago = free_capacity.newest_sample_age.map(|age| age.as_millis() as u64),
-            objective_ms = request.objective.as_millis() as u64, patience_ms = request.patience.as_millis() as u64);
+            attempt_left_ms = request.time.attempt_left.as_millis() as u64);
     }
 
     async fn wait_for_capacity(&self) {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -204,6 +204,7 @@
         reservation_waits: 0,
         repeats: 0,
         refused_by: None,
+        was_rejected: false,
         may_have_run: false,
         last_reminder: Cell::new(None),
         logged_cold: Cell::new(false),
@@ -265,6 +266,8 @@
     reservation_waits: u32,
     repeats: u32,
     refused_by: Option<ReplicaId>,
+    /// Whether a replica rejected it, possibly for want of room.
+    was_rejected: bool,
     may_have_run: bool,
     last_reminder: Cell<Option<Moment>>,
     /// Whether the first decision on a missing model was logged.
@@ -450,6 +453,7 @@
     /// Returns whether the request may be resent after a replica provably did not run it: to
     /// another replica if the route allows more attempts, otherwise to the same one after a pause.
     async fn prepare_resend(&mut self, replica: &ReplicaId, misdirected: bool) -> bool {
+        self.was_rejected |= !misdirected;
         if self.sends >= MAX_SENDS {
             return false;
         }
@@ -457,6 +461,9 @@
         let others_allowed = sent_to < self.route.max_attempts as usize;
         if others_allowed {
             self.exclude(replica.clone());
+            if !misdirected && self.may_get_slot_at_none_else() && self.pause_before_resend(replica).await {
+                self.tried.retain(|tried| tried != replica);
+            }
             return true;
         }
         if misdirected || !self.pause_before_resend(replica).await {
@@ -466,6 +473,16 @@
         true
     }
 
+    /// Returns whether only replicas that were tried can take the request, and tell when they have a
+    /// free slot.
+    fn may_get_slot_at_none_else(&self) -> bool {
+        let waits_for_slots = {
+            let state = self.node.state.borrow();
+            state.replicas.routes_by_capacity(&self.service)
+        };
+        waits_for_slots && self.model_key().is_some() && self.choose(&self.tried).is_none()
+    }
+
     /// Takes a send after the first from the retry budget. Returns whether the budget allowed it.
     fn take_retry(&self, replica: &ReplicaId) -> bool {
         let now = self.node.clock.now();
--- a/crates/croftrill-scheduler/src/admission.rs
+++ b/crates/croftrill-scheduler/src/admission.rs
@@ -41,7 +41,7 @@
 }
 
 /// Callers heed a retry delay of at most the time that they have left, divided by this.
-pub(crate) const RETRY_DIVISOR: u32 = 3;
+const RETRY_DIVISOR: u32 = 3;
 /// Added to the expected time so that the model is loaded when the caller retries.
 const RETRY_MARGIN: Duration = Duration::from_millis(120);
 
@@ -91,16 +91,15 @@
 
 /// Decides on a request whose model or adapter is not loaded yet.
 pub fn decide(time: &CallerTime, work: &RemainingWork) -> Admission {
-    decide_with(time, work, work.ready_in + RETRY_MARGIN)
+    let retry_after = work.ready_in + RETRY_MARGIN;
+    decide_with(time, work, retry_after.min(time.max_retry_after()))
 }
 
-fn decide_with(time: &CallerTime, work: &RemainingWork, retry_after: Duration) -> Admission {
+fn decide_with(time: &CallerTime, work: &RemainingWork, come_back_after: Duration) -> Admission {
     if time.allows(work.served_in()) {
         return Admission::Wait;
     }
-    Admission::Refuse {
-        come_back_after: retry_after.min(time.max_retry_after()),
-    }
+    Admission::Refuse { come_back_after }
 }
 
 /// Returns the time that a caller with this time left needs for another attempt.
@@ -142,7 +141,8 @@
 const LEAST_URGENT_RANK: u8 = 9;
 
 /// Decides on a request while all replicas that could take it are in cooldown. `rank` 0 is the
-/// most urgent; `unit` is the request's uniform sample from 0 to 1.
+/// most urgent; `unit` is the request's uniform sample from 0 to 1. The retry delay is told even if
+/// it is longer than callers heed, as an earlier retry is refused again.
 pub fn decide_in_cooldown(time: &CallerTime, work: &RemainingWork, rank: u8, unit: f64) -> Admission {
     decide_with(time, work, retry_after_cooldown(work.ready_in, rank, unit))
 }
