Of the requests that wait at a node the one whose caller leaves first goes first

Seen by callers: of two that waited for a slot, one with a short objective and five seconds left went before one with a long objective that was about to leave.

Cause: within a tenant requests were ordered by the end of the objective.

Evidence: full_holder_serves_first_who_leaves_first failed twice with the older order (short before long) and passed three times with the caller's time.

--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -150,7 +150,7 @@
             model: key.base(),
             rank: self.rank(),
             tenant: self.tenant.clone(),
-            due: self.arrival + self.route.objective,
+            due: self.attempt_end(),
             size_bytes: self.body.len(),
         }
     }
