A silent replica is left by evidence and while there is time for another one

Seen by callers: one of two replicas was silent, the deadline 3 s. With an objective of 100 ms a repeatable request went on after 0.05 s, before a sound replica's pause of a second is over; with 8 s it got 504 after 3 s, and the sound replica was never asked.

Cause: a replica was left after half of the objective. What shows that it is silent is that it takes longer than the service's answers usually do, and than the second for which a sound replica may say nothing.

Now the limit is the larger of these two (mean and four deviations of the times until answers begin, RFC 6298; before the first answer the request's own work), and at most what leaves the caller the time of another attempt: a second, or a third of its time. The limit of an answer that goes on without end is the same, from its head on.

Evidence: silent_replica_is_left_for_a_sound_one failed on (200 after 0.05, 0.20, 1.00 s, 504 after 3.0 s) and passes, each after about 1 s; tests/answer_times.rs, silence_limit_* in tests/admission.rs.

--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -1,11 +1,15 @@
 //! Sends a request to a replica and classifies the answer.
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use croftrill_scheduler::admission::silence_limit;
 use croftrill_scheduler::catalog::RouteKind;
 use croftrill_scheduler::crash_ledger::LifeProof;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::path_search::SearchFailure;
 use croftrill_scheduler::replica::{LimitSignal, RejectionSignal, ReplicaId};
+use croftrill_scheduler::replica_estimate::TIME_PER_OUTPUT_TOKEN;
 use croftrill_scheduler::replica_table::AnsweredCall;
 use croftrill_scheduler::time::Moment;
 use http::{header, response, Request, Response, StatusCode};
@@ -25,11 +29,6 @@
 use crate::replica_path::{self, ConnectOptions, PathTarget};
 use crate::replica_signals;
 
-/// A silent replica is abandoned for another one after the objective divided by this. A limit
-/// derived from the service's answer times, like TCP's retransmission timer, lowered the mean worth
-/// over 30 days by 0.008.
-const SILENCE_DIVISOR: u32 = 2;
-
 /// How one send to a replica ended.
 pub(super) enum SendEnd<P: Platform> {
     /// The head of an answer that can be forwarded while its body arrives.
@@ -75,11 +74,30 @@
 }
 
 impl<P: Platform> RequestRun<P> {
-    /// Returns when a silent replica is abandoned for another one.
+    /// Returns when a replica that is sent the request now is abandoned for another one if it is
+    /// silent.
     pub(super) fn silence_deadline(&self) -> Option<Moment> {
         let has_attempts_left = self.sends + 1 < self.route.max_attempts as usize;
-        (self.route.is_idempotent() && has_attempts_left)
-            .then(|| self.now() + self.route.objective / SILENCE_DIVISOR)
+        let may_repeat = self.route.is_idempotent() && has_attempts_left;
+        may_repeat.then(|| self.now() + silence_limit(&self.caller_time(), self.usual_answer_time()))
+    }
+
+    /// Returns a time within which the request's answer usually begins.
+    fn usual_answer_time(&self) -> Duration {
+        let state = self.node.state.borrow();
+        let usual = state.replicas.usual_answer_time(&self.service);
+        usual.unwrap_or_else(|| self.expected_answer_time())
+    }
+
+    /// Returns the time until the answer begins by the request's work alone: a stream begins with its
+    /// first token, any other answer once it is complete.
+    fn expected_answer_time(&self) -> Duration {
+        let output_tokens = match self.route.kind {
+            RouteKind::Streaming => 1,
+            RouteKind::Safe | RouteKind::Unsafe => self.facts.output_tokens,
+        };
+        let output_tokens = u32::try_from(output_tokens).unwrap_or(u32::MAX);
+        self.first_event_after() + TIME_PER_OUTPUT_TOKEN.saturating_mul(output_tokens)
     }
 
     /// Sends the request to a replica and classifies the answer by its head.
@@ -191,6 +209,7 @@
             }
         }
         send.prompt_done();
+        self.record_answer_time(&send);
         self.answered_after = Some(self.waited());
         let is_resumed = resume_after.is_some() || self.facts.last_event_id.is_some();
         self.classify_answer(replica, answer, connection, send, is_resumed)
@@ -213,6 +232,13 @@
         replica_path::connect(&self.node, pool, target, options).await
     }
 
+    /// Records how long the replica took until its answer began.
+    fn record_answer_time(&self, send: &SendGuard<P>) {
+        let time = self.now().since(send.sent_at);
+        let replicas = &mut self.node.state.borrow_mut().replicas;
+        replicas.record_answer_time(&self.service, time);
+    }
+
     /// Records that a connection failed or went silent, which its path may have caused if it was cut
     /// since the connection was last used. On a new connection the replica is the cause.
     pub(super) fn record_path_trouble(&self, connection: &Connection) {
@@ -307,7 +333,8 @@
         // Another replica may still answer then, and a sound one rarely sends as much.
         let has_attempts_left = self.sends < self.route.max_attempts as usize;
         let may_repeat = self.route.is_idempotent() && has_attempts_left;
-        let late_at = self.arrival + self.route.objective;
+        let silence = silence_limit(&self.caller_time(), self.usual_answer_time());
+        let late_at = head_received_at + silence;
         let is_late = || may_repeat && self.now() >= late_at;
         let reading = body.read_to_end(&self.node.answer_budget, is_late);
         let read = self.node.clock.timeout_at(self.deadline, reading).await;
--- a/crates/croftrill-scheduler/src/lib.rs
+++ b/crates/croftrill-scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 //! current time and returns decisions. `croftrill-node` carries them out.
 
 pub mod admission;
+pub mod answer_times;
 pub mod brittle;
 pub mod candidacy;
 pub mod capacity;
--- a/crates/croftrill-scheduler/src/replica_table/mod.rs
+++ b/crates/croftrill-scheduler/src/replica_table/mod.rs
@@ -25,6 +25,7 @@
 use self::replica_signals::KnownSignals;
 pub use self::replica_signals::{AnsweredCall, SignalChanges};
 use self::unlisted::Unlisted;
+use crate::answer_times::AnswerTimes;
 use crate::capacity::ReplicaLoad;
 use crate::catalog::{AdapterName, ModelName, ModelSpec, ServiceName};
 use crate::health::SendOutcome;
@@ -102,6 +103,8 @@
     received_reload_times: HashMap<(ServiceName, ModelName), Duration>,
     /// Typical requests to each service, by this node's own requests.
     usual_runs: HashMap<ServiceName, RequestProfile>,
+    /// Times until answers of each service began, by this node's own requests.
+    answer_times: HashMap<ServiceName, AnswerTimes>,
     /// True if the requests of all services are routed by capacity.
     all_by_capacity: bool,
 }
@@ -437,6 +440,16 @@
         }
     }
 
+    /// Records how long a service's replica took until its answer began.
+    pub fn record_answer_time(&mut self, service: &ServiceName, time: Duration) {
+        self.answer_times.entry(service.clone()).or_default().record(time);
+    }
+
+    /// Returns a time within which answers of a service usually begin, if this node has seen any.
+    pub fn usual_answer_time(&self, service: &str) -> Option<Duration> {
+        self.answer_times.get(service)?.usual()
+    }
+
     /// Records the longest pause between two events of a completed stream.
     pub fn record_pause(&mut self, id: &str, longest: Duration) {
         if let Some(entry) = self.replicas.get(id) {
