Other nodes are asked for a path by how long connections usually take

Seen by callers: with an objective of 8 s a request whose node lost its path gave that path 100 ms before another node was asked, with 100 ms it gave it 12.

Cause: the own path had an eighth of the objective.

Now four times the usual time to connect, between 40 and 100 ms, for all. A check of holders needs no time that stands for an objective.

--- a/crates/croftrill-node/src/orderer_task/holder_checks.rs
+++ b/crates/croftrill-node/src/orderer_task/holder_checks.rs
@@ -24,8 +24,6 @@
 const MAX_CHECKED: usize = 4;
 /// Minimum time between two checks of a replica: that between two reminders of one request.
 const MIN_INTERVAL: Duration = Duration::from_millis(500);
-/// Stands for the objective of a request in the choice of a path.
-const CHECK_TIME: Duration = Duration::from_millis(400);
 
 /// Checks the holders that the list names of the model in a message about a wait. If one is out of
 /// reach, gives the message to this node's orderers once more.
@@ -64,10 +62,7 @@
 
 /// Connects to a replica and records it as out of reach if it is down.
 async fn check_holder<P: Platform>(node: Rc<Node<P>>, target: PathTarget, message: ToOrderer) {
-    let options = ConnectOptions {
-        may_reuse: true,
-        objective: CHECK_TIME,
-    };
+    let options = ConnectOptions { may_reuse: true };
     match replica_path::connect(&node, &node.pool, &target, options).await {
         Ok(connection) => node.pool.put_back(connection, &http::HeaderMap::new()),
         Err(SearchFailure::NoPath) => {}
--- a/crates/croftrill-node/src/replica_path/mod.rs
+++ b/crates/croftrill-node/src/replica_path/mod.rs
@@ -62,8 +62,6 @@
 pub(crate) struct ConnectOptions {
     /// Whether a connection that was used before may be used.
     pub(crate) may_reuse: bool,
-    /// The request's objective.
-    pub(crate) objective: Duration,
 }
 
 /// How another node judges a replica that this node does not reach.
@@ -102,7 +100,7 @@
     }
     let head_start = {
         let state = node.state.borrow();
-        state.replica_paths.head_start(choice, options.objective)
+        state.replica_paths.head_start(choice)
     };
     match search(node, pool, target, choice, head_start).await {
         Ok(connection) => Ok(connection),
--- a/crates/croftrill-node/src/request/reach.rs
+++ b/crates/croftrill-node/src/request/reach.rs
@@ -28,10 +28,7 @@
     pub(super) async fn reaches_lost_replica(&mut self) -> bool {
         let mut reaches_one = false;
         for target in self.unknown_reach() {
-            let options = ConnectOptions {
-                may_reuse: true,
-                objective: self.route.objective,
-            };
+            let options = ConnectOptions { may_reuse: true };
             match replica_path::connect(&self.node, &self.node.pool, &target, options).await {
                 Ok(connection) => {
                     self.node.pool.put_back(connection, &HeaderMap::new());
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -222,7 +222,6 @@
         let is_idempotent = self.route.is_idempotent();
         let options = ConnectOptions {
             may_reuse: is_idempotent && self.sends == 0,
-            objective: self.route.objective,
         };
         let pool = if is_idempotent {
             &self.node.pool
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -27,9 +27,6 @@
 const MIN_HEAD_START: Duration = Duration::from_millis(10);
 /// Maximum of the same.
 const MAX_HEAD_START: Duration = Duration::from_millis(100);
-/// The own path gets the request's objective divided by this, so that the detour takes little of
-/// the caller's time.
-const HEAD_START_DIVISOR: u32 = 8;
 /// Factor on the usual time to connect, above which a connection takes long.
 const LONG_CONNECT_FACTOR: u32 = 4;
 /// Weight of a new connection in the usual time to connect.
@@ -82,15 +79,13 @@
     }
 
     /// Returns the time that the own path gets before other nodes are asked.
-    pub fn head_start(&self, choice: PathChoice, objective: Duration) -> Duration {
+    pub fn head_start(&self, choice: PathChoice) -> Duration {
         match choice {
             PathChoice::Tunnel => Duration::ZERO,
             PathChoice::Suspect => MIN_HEAD_START,
             PathChoice::Own => {
-                let usual = self.connect_time.unwrap_or(MIN_HEAD_START) * LONG_CONNECT_FACTOR;
-                usual
-                    .max(objective / HEAD_START_DIVISOR)
-                    .clamp(MIN_HEAD_START, MAX_HEAD_START)
+                let usual = self.connect_time.unwrap_or_default().max(MIN_HEAD_START);
+                (usual * LONG_CONNECT_FACTOR).min(MAX_HEAD_START)
             }
         }
     }
--- a/crates/croftrill-scheduler/tests/path_partitions/fleet/searches.rs
+++ b/crates/croftrill-scheduler/tests/path_partitions/fleet/searches.rs
@@ -12,8 +12,6 @@
     SETTLE_MS,
 };
 
-/// Objective of a request.
-const OBJECTIVE: Duration = Duration::from_millis(100);
 /// Limit of a search.
 const SEARCH_LIMIT_MS: u64 = 400;
 /// Limit of a connection for another node, and of its control connections.
@@ -67,7 +65,7 @@
         let replica = candidates[self.random(candidates.len())];
         let node = &self.nodes[node_index];
         let choice = node.paths.choose(&self.ids[replica]);
-        let head_start = node.paths.head_start(choice, OBJECTIVE);
+        let head_start = node.paths.head_start(choice);
         let request = &mut self.requests[index];
         request.search = Some(PathSearch::new(choice, head_start, moment(now)));
         request.round += 1;
