An urgent call that a limit refuses comes back when either part of it has room

Seen by callers: of three urgent ones at a replica that takes two a second two were refused at once, told to come back after more than two seconds, though all could be sent within 1.5 s.

Cause: the time to retry after counted only the part that is set aside for urgent calls, while these may use the other one, too.

--- a/crates/croftrill-scheduler/src/quota/limits.rs
+++ b/crates/croftrill-scheduler/src/quota/limits.rs
@@ -99,6 +99,11 @@
         (tokens - free_capacity).max(0.0)
     }
 
+    /// Returns the time until a refused call can be sent, behind those that were refused before.
+    fn retry_after(&self, income_per_s: f64) -> Duration {
+        self.available_in(income_per_s, self.refused)
+    }
+
     /// Returns the time until a call can be sent, behind `ahead` others.
     fn available_in(&self, income_per_s: f64, ahead: f64) -> Duration {
         let missing = (1.0 + ahead - self.balance).max(0.0);
@@ -192,12 +197,14 @@
             self.non_urgent.balance -= 1.0;
             return ReservationDecision::Granted { after };
         }
-        let (bucket, bucket_per_s) = if request.is_urgent {
-            (&mut self.urgent, urgent_per_s)
-        } else {
-            (&mut self.non_urgent, non_urgent_per_s)
-        };
-        let retry_after = bucket.available_in(bucket_per_s, bucket.refused);
+        let mut retry_after = self.non_urgent.retry_after(non_urgent_per_s);
+        let mut bucket = &mut self.non_urgent;
+        // An urgent call may use either bucket.
+        let by_urgent = self.urgent.retry_after(urgent_per_s);
+        if request.is_urgent && by_urgent <= retry_after {
+            retry_after = by_urgent;
+            bucket = &mut self.urgent;
+        }
         bucket.refused += 1.0;
         ReservationDecision::Refused {
             retry_after,
--- a/crates/croftrill-scheduler/tests/replica_limits.rs
+++ b/crates/croftrill-scheduler/tests/replica_limits.rs
@@ -333,3 +333,27 @@
     }
     assert_eq!(grants_at(&mut keeper, 20_000), most);
 }
+
+/// Three urgent calls come at once where two a second may be sent, no others come, and none is granted
+/// yet. They were told to come back after the time in which the part that is set aside for urgent calls
+/// serves them all, more than two seconds.
+#[test]
+fn refused_urgent_calls_come_back_by_whole_limit() {
+    let mut keeper = LimitKeeper::new();
+    keeper.set_role(KeeperRole::Primary, at(0));
+    let limit = ReportedLimit {
+        rate: rate(2.0),
+        received_at: at(0),
+    };
+    let request = LimitRequest {
+        patience: Duration::ZERO,
+        is_urgent: true,
+    };
+    for _ in 0..3 {
+        let decision = keeper.reserve(&replica(), Some(1), limit, request, at(0));
+        let ReservationDecision::Refused { retry_after, .. } = decision else {
+            panic!("{decision:?}")
+        };
+        assert!(retry_after <= Duration::from_secs(2), "{retry_after:?}");
+    }
+}
