A request waits for its reservation or permit as long as it can be served

Seen by callers: with objectives of 100 to 500 ms the second of three callers at a replica that takes two requests a second got 503 at once, though it waits for two seconds; one that had waited once without a reservation was refused.

Cause: the wait was what is left of the objective, half of that for a permit, and one wait only, as one in vain is counted as dearer than a refusal.

Now the time left of the attempt less the prompt.

--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -201,7 +201,6 @@
         permit_refusals: 0,
         rejection_risk: None,
         risk_basis: None,
-        reservation_waits: 0,
         repeats: 0,
         refused_by: None,
         was_rejected: false,
@@ -262,8 +261,6 @@
     rejection_risk: Option<Credit>,
     /// What the last send was based on, if its replica may fall over after some rejections.
     risk_basis: Option<RiskBasis>,
-    /// Number of waits before another request for a reservation.
-    reservation_waits: u32,
     repeats: u32,
     refused_by: Option<ReplicaId>,
     /// Whether a replica rejected it, possibly for want of room.
--- a/crates/croftrill-node/src/request/rejections.rs
+++ b/crates/croftrill-node/src/request/rejections.rs
@@ -19,9 +19,6 @@
 /// Period in which this node's sends to a replica are counted.
 const RATE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Maximum part of the time that a request has left for which it waits for a permit. The replica
-/// needs the rest to run it.
-const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Number of replicas whose keepers refused a permit after which a request asks no other one: each
 /// costs a round trip and a keeper's time, and routing has chosen those that are likely to have room.
 const MAX_PERMIT_REFUSALS: u32 = 2;
@@ -109,7 +106,7 @@
         let patience = if self.has_alternative_to(replica) {
             Duration::ZERO
         } else {
-            limit_request.patience.mul_f64(MAX_WAIT_FRACTION)
+            limit_request.patience
         };
         Some(PermitRequest {
             started_ms,
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -13,10 +13,6 @@
 use crate::quota::LimitVerdict;
 use crate::replica_reservation;
 
-/// Maximum number of times that a request waits before it requests another reservation. A wait that
-/// ends without one costs the caller more than an immediate refusal.
-const MAX_RESERVATION_WAITS: u32 = 1;
-
 /// A replica whose rate limit leaves no reservation in time.
 pub(super) struct RateLimitedReplica {
     pub(super) replica: ReplicaId,
@@ -69,19 +65,15 @@
         }
     }
 
-    /// Returns the time for which the request can wait for its reservation and still meet its
-    /// objective. A resumed stream can wait as long as a pause within its pause objective.
+    /// Returns the time for which the request can wait for its reservation and still be served.
     pub(super) fn reservation_patience(&self) -> Duration {
-        let spent = self.waited() + self.first_event_after();
-        let left = self.route.objective.saturating_sub(spent);
-        let pause = self.answered_after.and(self.route.pause_objective);
-        left.max(pause.unwrap_or_default())
+        let time = self.caller_time();
+        time.attempt_left.saturating_sub(self.first_event_after())
     }
 
     /// Decides what to do while the rate limits of all replicas that could take the request leave
     /// no reservation. Returns `None` if rate limits are not the cause. The expected time of the
-    /// reservation accounts for the calls of all nodes, so a request that would then be in time
-    /// waits, but only once. After a wait in vain it is refused.
+    /// reservation accounts for the calls of all nodes.
     pub(super) fn reservation_decision(&self) -> Option<Admission> {
         let reservation_at = self.rate_limited.iter().map(|limited| limited.retry_at).min()?;
         let arrival = self.model_key().and_then(|key| {
@@ -92,9 +84,7 @@
         let ready_in = first_at.since(self.now());
         let work = self.remaining_work(ready_in);
         let decision = decide_in_cooldown(&self.caller_time(), &work, self.rank(), self.uniform_sample());
-        let may_wait =
-            self.reservation_waits < MAX_RESERVATION_WAITS && self.node.lifecycle() != Lifecycle::Stopping;
-        if decision == Admission::Wait && !may_wait {
+        if decision == Admission::Wait && self.node.lifecycle() == Lifecycle::Stopping {
             let come_back_after = retry_after_cooldown(ready_in, self.rank(), self.uniform_sample());
             return Some(Admission::Refuse { come_back_after });
         }
@@ -103,7 +93,6 @@
 
     /// Waits until another reservation may be requested.
     pub(super) async fn wait_for_reservation(&mut self) {
-        self.reservation_waits += 1;
         let Some(reservation_at) = self.rate_limited.iter().map(|limited| limited.retry_at).min() else {
             return;
         };
