A request beyond its tenant's quota waits as long as it can be served

Seen by callers: a tenant's quota pays for two requests a second, four come at once with four seconds left. With an objective of 100 ms the second got 429 at once, with 8 s all were served.

Cause: the wait for a reservation was half of the objective less the prompt, and how far ahead a request is granted followed from the objectives of the routes.

Now it waits while its caller does, less the time to read its prompt.

--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -5,7 +5,7 @@
 
 use croftrill_scheduler::catalog::{Configuration, Route};
 use croftrill_scheduler::quota::keeper::QuotaRequest;
-use croftrill_scheduler::quota::reservation::{patience, ReservationWait};
+use croftrill_scheduler::quota::reservation::ReservationWait;
 use croftrill_scheduler::time::Moment;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::StatusCode;
@@ -99,20 +99,18 @@
     answer
 }
 
-/// Returns the schedule on which a request waits for its quota reservation. The wait leaves the
-/// request time to meet its objective, and ends at `deadline` at the latest.
+/// Returns the schedule on which a request waits for its quota reservation. The wait leaves time to
+/// serve the request.
 fn reservation_wait(
     facts: &RequestFacts,
     configuration: &Configuration,
     route: &Route,
     now: Moment,
-    deadline: Moment,
+    attempt_end: Moment,
 ) -> ReservationWait {
     let reading_time = first_event_after(facts) * PROMPT_TIME_FACTOR;
-    let max_ahead = configuration
-        .ahead_limits
-        .max_ahead(route.priority, route.objective);
-    let patience = patience(route.objective, reading_time).min(deadline.since(now));
+    let max_ahead = configuration.ahead_limits.max_ahead(route.priority);
+    let patience = attempt_end.since(now).saturating_sub(reading_time);
     ReservationWait::new(now, patience, max_ahead)
 }
 
@@ -146,7 +144,8 @@
     )
 }
 
-/// Charges a request to its tenant's quota. Returns `None` if there is no quota.
+/// Charges a request to its tenant's quota, if its caller, which leaves at `attempt_end`, can still be
+/// served then. Returns `None` if there is no quota.
 ///
 /// # Errors
 ///
@@ -157,7 +156,7 @@
     tenant: Option<&Arc<str>>,
     configuration: &Configuration,
     route: &Route,
-    deadline: Moment,
+    attempt_end: Moment,
 ) -> Result<Option<Credit>, Box<Answer>> {
     let tenant = tenant.and_then(|name| configuration.tenants.find_by_name(name));
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
@@ -165,7 +164,7 @@
     };
     let clock = &node.clock;
     let requested_at = clock.now();
-    let wait = reservation_wait(facts, configuration, route, requested_at, deadline);
+    let wait = reservation_wait(facts, configuration, route, requested_at, attempt_end);
     let mut request = QuotaQuery {
         tenant: &tenant.name,
         quota,
@@ -176,7 +175,7 @@
             is_urgent: configuration.tenants.is_most_urgent(route.priority),
         },
     };
-    let mut verdict = node.quotas.reserve(request, deadline).await;
+    let mut verdict = node.quotas.reserve(request, attempt_end).await;
     let mut waiting_slot = None;
     while let QuotaVerdict::Exceeded { retry_after, .. } = verdict {
         let Some(pause) = wait.pause(retry_after, clock.now()) else {
@@ -187,7 +186,7 @@
         if waiting_slot.is_none() {
             break;
         }
-        if !sleep_unless_stopping(node, deadline.min(clock.now() + pause)).await {
+        if !sleep_unless_stopping(node, attempt_end.min(clock.now() + pause)).await {
             return Err(Box::new(refuse_while_stopping(
                 node,
                 facts,
@@ -196,12 +195,12 @@
             )));
         }
         request.request.patience = wait.ahead(clock.now());
-        verdict = node.quotas.reserve(request, deadline).await;
+        verdict = node.quotas.reserve(request, attempt_end).await;
     }
     drop(waiting_slot);
     match verdict {
         QuotaVerdict::Granted(credit, after) => {
-            clock.sleep_until(deadline.min(clock.now() + after)).await;
+            clock.sleep_until(attempt_end.min(clock.now() + after)).await;
             Ok(Some(credit))
         }
         QuotaVerdict::Exceeded { retry_after, balance } => {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -160,7 +160,8 @@
     if let Some(tenant) = &tenant {
         facts.group = Some(tenant.to_string());
     }
-    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, &route, deadline).await {
+    let attempt_end = attempt_end(&route, arrival, deadline);
+    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, &route, attempt_end).await {
         Ok(credit) => credit,
         Err(answer) => return *answer,
     };
@@ -224,6 +225,13 @@
     run.serve().await
 }
 
+/// Returns when the caller abandons an attempt, or the route ends it. The caller of a stream waits
+/// for its next event since `silent_since`.
+fn attempt_end(route: &Route, silent_since: Moment, deadline: Moment) -> Moment {
+    let abandoned_at = caller_patience(route).map(|patience| silent_since + patience);
+    abandoned_at.map_or(deadline, |at| at.min(deadline))
+}
+
 struct RequestRun<P: Platform> {
     node: Rc<Node<P>>,
     facts: RequestFacts,
@@ -354,12 +362,10 @@
         self.node.clock.now()
     }
 
-    /// Returns when the caller abandons this attempt, or the route ends it. The caller of a stream
-    /// waits for its next event since the last one.
+    /// Returns when the caller abandons this attempt, or the route ends it.
     fn attempt_end(&self) -> Moment {
         let silent_since = self.stream_broke_at.unwrap_or(self.arrival);
-        let abandoned_at = caller_patience(&self.route).map(|patience| silent_since + patience);
-        abandoned_at.map_or(self.deadline, |at| at.min(self.deadline))
+        attempt_end(&self.route, silent_since, self.deadline)
     }
 
     /// Returns the time that the caller has left.
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -159,7 +159,7 @@
     pub group_shares: HashMap<Arc<str>, u32>,
     /// Tenants, identified by API keys; if there are none, anyone may call.
     pub tenants: Tenants,
-    /// How far ahead the quota grants a reservation, by the rank and objective of a route.
+    /// How far ahead the quota grants a reservation, by the rank of a route.
     pub ahead_limits: AheadLimits,
     services: HashMap<ServiceName, Arc<Service>>,
     /// Routes of each host, the longest prefix first.
@@ -245,7 +245,7 @@
     pub fn with_tenants(mut self, tenants: Vec<Tenant>) -> Self {
         let routes = self.routes_by_host.values().flatten();
         let keyed = routes.clone().filter(|route| !route.public);
-        self.ahead_limits = AheadLimits::new(keyed.map(|route| (route.priority, route.objective)));
+        self.ahead_limits = AheadLimits::new(keyed.map(|route| route.priority));
         let mut priorities: Vec<u8> = routes.map(|route| route.priority).collect();
         priorities.sort_unstable();
         priorities.dedup();
--- a/crates/croftrill-scheduler/src/quota/reservation.rs
+++ b/crates/croftrill-scheduler/src/quota/reservation.rs
@@ -1,9 +1,10 @@
 //! Limits how long a request waits for its quota reservation, and how far ahead it may be
 //! granted.
 //!
-//! A grant ahead of time cannot be revoked. So a request is granted ahead for less time than more
-//! urgent requests of its tenant can wait: later income stays available to those until it
-//! arrives. A request that can wait longer retries.
+//! A request waits as long as it can be served while its caller waits. A grant ahead of time cannot
+//! be revoked. So a request is granted ahead for less time than more urgent requests of its tenant,
+//! and for less while it has the time to request again: later income stays available to those that
+//! are more urgent or have less time until it arrives.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,70 +12,37 @@
 use super::decision::MAX_AHEAD;
 use crate::time::Moment;
 
-/// A request waits for its reservation for the time left after reading its prompt, divided by
-/// this. The rest covers a queue or a model load at its replica.
-const WAIT_DIVISOR: u32 = 2;
-/// A request is granted ahead for the time that requests of higher precedence can wait, divided
-/// by this.
-const AHEAD_DIVISOR: u32 = 2;
+/// A request that has time to request again is granted ahead for the maximum of its rank, divided by
+/// this.
+const PATIENT_AHEAD_DIVISOR: u32 = 2;
+/// Requests of a rank are granted ahead for less time than patient ones of the rank before: for that
+/// of the rank before, divided by this.
+const RANK_AHEAD_DIVISOR: u32 = 4;
 /// Minimum time before a retry: large compared with the round trip to a keeper and its work.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(25);
 
-/// Returns the time that a request can wait for its reservation and still meet its objective.
-pub fn patience(objective: Duration, reading: Duration) -> Duration {
-    objective.saturating_sub(reading) / WAIT_DIVISOR
-}
-
 /// Maximum time for which requests of each rank are granted ahead.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AheadLimits {
-    ranks: BTreeMap<u8, RankLimits>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct RankLimits {
-    /// Maximum time for any request of the rank.
-    max_ahead: Duration,
-    /// Shortest objective of the rank's routes.
-    min_objective: Duration,
-}
-
-impl RankLimits {
-    /// Returns the time that the rank's requests with the shortest objective can wait.
-    fn min_patience(&self) -> Duration {
-        patience(self.min_objective, Duration::ZERO).min(self.max_ahead)
-    }
+    ranks: BTreeMap<u8, Duration>,
 }
 
 impl AheadLimits {
-    /// Derives the limits from the ranks (0 is the most urgent) and objectives of routes.
-    pub fn new(routes: impl Iterator<Item = (u8, Duration)>) -> Self {
-        let mut min_objectives: BTreeMap<u8, Duration> = BTreeMap::new();
-        for (rank, objective) in routes.filter(|(_, objective)| !objective.is_zero()) {
-            let known = min_objectives.entry(rank).or_insert(objective);
-            *known = objective.min(*known);
-        }
-        let mut ranks = BTreeMap::new();
+    /// Derives the limits from the ranks of routes; 0 is the most urgent.
+    pub fn new(ranks: impl Iterator<Item = u8>) -> Self {
+        let mut limits: BTreeMap<u8, Duration> = ranks.map(|rank| (rank, MAX_AHEAD)).collect();
         let mut max_ahead = MAX_AHEAD;
-        for (rank, min_objective) in min_objectives {
-            let limits = RankLimits {
-                max_ahead,
-                min_objective,
-            };
-            max_ahead = limits.min_patience() / AHEAD_DIVISOR;
-            ranks.insert(rank, limits);
+        for limit in limits.values_mut() {
+            *limit = max_ahead;
+            max_ahead /= RANK_AHEAD_DIVISOR;
         }
-        AheadLimits { ranks }
+        AheadLimits { ranks: limits }
     }
 
-    /// Returns the maximum time for which a request is granted ahead. It is shorter than more
-    /// urgent requests can wait, and than requests of the same rank with shorter objectives can.
-    pub fn max_ahead(&self, rank: u8, objective: Duration) -> Duration {
-        match self.ranks.get(&rank) {
-            Some(limits) if objective > limits.min_objective => limits.min_patience() / AHEAD_DIVISOR,
-            Some(limits) => limits.max_ahead,
-            None => MAX_AHEAD,
-        }
+    /// Returns the maximum time for which requests of a rank are granted ahead. It is shorter than
+    /// that of any more urgent request.
+    pub fn max_ahead(&self, rank: u8) -> Duration {
+        self.ranks.get(&rank).copied().unwrap_or(MAX_AHEAD)
     }
 }
 
@@ -98,7 +66,12 @@
     /// Returns the time for which the request may be granted ahead now.
     pub fn ahead(&self, now: Moment) -> Duration {
         let left = self.deadline.since(now);
-        left.min(self.max_ahead)
+        let may_request_again = left > MAX_AHEAD;
+        if may_request_again {
+            self.max_ahead / PATIENT_AHEAD_DIVISOR
+        } else {
+            left.min(self.max_ahead)
+        }
     }
 
     /// Returns how long to pause before a retry, given the `retry_after` of a refusal, or `None`
