What a model's absence costs follows from its callers' time

Seen by callers: which model is loaded first, and which makes way, followed from the objectives of routes: a load that took longer cost every request, one of less than half of it next to nothing, and a caller that was to come back counted half.

Cause: value.rs had shares of the objective, and half a credit for requests that are refused and served later, as answers are counted.

Now a model's absence costs the part of their time that its callers lose while it is loaded (lost_share, no constant); the request that waits counts whole, as the load serves it now or as it comes back. Loads that requests wait for go by the time that their callers have left.

--- a/crates/croftrill-bench/src/capacity.rs
+++ b/crates/croftrill-bench/src/capacity.rs
@@ -17,7 +17,7 @@
 const ONE_REQUEST: DemandSample = DemandSample {
     requests: 1.0,
     tokens: 5000.0,
-    objective: Duration::from_millis(1500),
+    caller_time: Duration::from_millis(1500),
     late: 0.0,
 };
 
--- a/crates/croftrill-bench/src/experiment.rs
+++ b/crates/croftrill-bench/src/experiment.rs
@@ -55,7 +55,7 @@
         DemandSample {
             requests: 1.0,
             tokens: self.tokens,
-            objective: OBJECTIVE,
+            caller_time: OBJECTIVE,
             late: 0.0,
         }
     }
--- a/crates/croftrill-node/src/peer/mod.rs
+++ b/crates/croftrill-node/src/peer/mod.rs
@@ -93,8 +93,8 @@
     pub requests: u32,
     /// Cost of the requests, in tokens.
     pub tokens: u64,
-    /// Sum of the requests' objectives, in milliseconds.
-    pub objectives_ms: u64,
+    /// Sum of the times for which the requests' callers wait, in milliseconds.
+    pub caller_times_ms: u64,
     /// Number of requests, of this or earlier messages, that a holder served too late.
     pub late: u32,
 }
@@ -106,7 +106,7 @@
             requests: f64::from(self.requests),
             tokens: self.tokens as f64,
             late: f64::from(self.late),
-            objective: Duration::from_millis(self.objectives_ms / u64::from(self.requests.max(1))),
+            caller_time: Duration::from_millis(self.caller_times_ms / u64::from(self.requests.max(1))),
         }
     }
 }
@@ -509,7 +509,7 @@
 struct DemandCounts {
     requests: u32,
     tokens: u64,
-    objectives_ms: u64,
+    caller_times_ms: u64,
     late: u32,
 }
 
@@ -520,12 +520,12 @@
 }
 
 impl DemandBatch {
-    /// Counts a request, its cost, and its objective, within which it earns full credit.
-    pub fn add(&mut self, key: ModelKey, tokens: u64, objective: Duration) {
+    /// Counts a request, its cost, and the time for which its caller waits.
+    pub fn add(&mut self, key: ModelKey, tokens: u64, caller_time: Duration) {
         let counts = self.items.entry(key).or_default();
         counts.requests += 1;
         counts.tokens += tokens;
-        counts.objectives_ms += objective.as_millis() as u64;
+        counts.caller_times_ms += caller_time.as_millis() as u64;
     }
 
     /// Counts a request that a replica holding its model served too late.
@@ -538,7 +538,7 @@
         let counts = self.items.entry(item.model.to_key()).or_default();
         counts.requests += item.requests;
         counts.tokens += item.tokens;
-        counts.objectives_ms += item.objectives_ms;
+        counts.caller_times_ms += item.caller_times_ms;
         counts.late += item.late;
     }
 
@@ -553,7 +553,7 @@
                 model: WireModel::from_key(&key),
                 requests: counts.requests,
                 tokens: counts.tokens,
-                objectives_ms: counts.objectives_ms,
+                caller_times_ms: counts.caller_times_ms,
                 late: counts.late,
             });
         Some(ToOrderer::Demand(items.collect()))
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -384,10 +384,11 @@
 
     fn count_arrival(&self) {
         let now = self.node.clock.now();
+        let caller_time = self.attempt_end().since(self.arrival);
         let mut state = self.node.state.borrow_mut();
         state.retry_budget.record_request(&self.service, now);
         if let Some(key) = self.model_key() {
-            state.demand.add(key, cost(&self.facts), self.route.objective);
+            state.demand.add(key, cost(&self.facts), caller_time);
         }
     }
 
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::admission::caller_patience;
 use crate::quota::reservation::AheadLimits;
 use crate::tenants::{Tenant, Tenants};
 
@@ -214,10 +215,14 @@
         self.services.values()
     }
 
-    /// Returns the longest objective among the routes to a service; zero without a route.
-    pub fn longest_objective(&self, service: &str) -> Duration {
-        let routes = self.routes_to(service);
-        routes.map(|route| route.objective).max().unwrap_or_default()
+    /// Returns the longest time after which callers of a service or its routes end an attempt; zero
+    /// if they do not say.
+    pub fn longest_attempt(&self, service: &str) -> Duration {
+        let ends = self.routes_to(service).filter_map(|route| {
+            let abandoned_after = caller_patience(route);
+            abandoned_after.into_iter().chain(route.timeout).min()
+        });
+        ends.max().unwrap_or_default()
     }
 
     /// Returns true if no route to the service is more urgent than this rank.
--- a/crates/croftrill-scheduler/src/demand.rs
+++ b/crates/croftrill-scheduler/src/demand.rs
@@ -34,8 +34,8 @@
     pub requests: f64,
     /// Their cost, in tokens.
     pub tokens: f64,
-    /// Mean time within which their answers earn full credit.
-    pub objective: Duration,
+    /// Mean time for which their callers wait.
+    pub caller_time: Duration,
     /// Requests that holders served too late, out of these or earlier ones.
     pub late: f64,
 }
@@ -89,8 +89,8 @@
     last_late_occasion: Option<Moment>,
     /// Requests, decaying with [`SUSTAINED_TIME_CONSTANT`].
     sustained_requests: f64,
-    /// Sum of the objectives of the requests in `sustained_requests`, in seconds.
-    objectives_s: f64,
+    /// Sum of the callers' times of the requests in `sustained_requests`, in seconds.
+    caller_times_s: f64,
     updated: Moment,
     first_request: Option<Moment>,
     last_request: Option<Moment>,
@@ -109,7 +109,7 @@
             self.count_late_occasion(now);
         }
         self.sustained_requests += sample.requests;
-        self.objectives_s += sample.requests * sample.objective.as_secs_f64();
+        self.caller_times_s += sample.requests * sample.caller_time.as_secs_f64();
         if sample.requests > 0.0 {
             self.first_request.get_or_insert(now);
             self.last_request = Some(now);
@@ -182,9 +182,9 @@
         (significant_late / requests).clamp(MIN_LATE_SHARE, MAX_LATE_SHARE)
     }
 
-    fn objective(&self) -> Option<Duration> {
+    fn caller_time(&self) -> Option<Duration> {
         (self.sustained_requests > 0.0)
-            .then(|| Duration::from_secs_f64(self.objectives_s / self.sustained_requests))
+            .then(|| Duration::from_secs_f64(self.caller_times_s / self.sustained_requests))
     }
 
     fn decay(&self, now: Moment) -> f64 {
@@ -200,7 +200,7 @@
         self.late *= short;
         self.late_occasions *= short;
         self.sustained_requests *= long;
-        self.objectives_s *= long;
+        self.caller_times_s *= long;
         self.updated = now;
     }
 }
@@ -369,9 +369,9 @@
         self.rates.get(key).and_then(|rate| rate.last_request)
     }
 
-    /// Returns the mean objective of the requests, if there were any.
-    pub fn objective(&self, key: &ModelKey) -> Option<Duration> {
-        self.rates.get(key).and_then(Rate::objective)
+    /// Returns the mean time for which the callers of the requests wait, if there were any.
+    pub fn caller_time(&self, key: &ModelKey) -> Option<Duration> {
+        self.rates.get(key).and_then(Rate::caller_time)
     }
 
     /// Returns the requests per second for all adapters of a model.
--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -40,7 +40,7 @@
         let view = self.placement_of(service, engine, now);
         requested.retain(|model| view.expected_holder_count(model) == 0);
         if view.work.is_some() {
-            self.set_goals_by_objective(service, engine, requested, now);
+            self.set_goals_by_time_left(service, engine, requested, now);
             return;
         }
         // Target selection is expensive, so the other models follow in the next plans.
@@ -56,9 +56,9 @@
         }
     }
 
-    /// Sets such goals in the order of the earliest objective that can still be met. Each
-    /// model is tried once before any is tried again.
-    fn set_goals_by_objective(
+    /// Sets such goals in the order of the time that the models' callers have left. Each model is
+    /// tried once before any is tried again.
+    fn set_goals_by_time_left(
         &mut self,
         service: &ServiceName,
         engine: &EngineSpec,
@@ -73,9 +73,9 @@
                     model: model.clone(),
                     adapter: None,
                 };
-                let objective = self.demand.objective(&key).unwrap_or_default();
+                let caller_time = self.demand.caller_time(&key).unwrap_or_default();
                 let waited = self.demand.wait_time(&key, now);
-                let remaining = objective.saturating_sub(waited);
+                let remaining = caller_time.saturating_sub(waited);
                 let was_tried = self.tried_waiting_models.contains(model);
                 (was_tried, remaining.is_zero(), remaining, model.clone())
             })
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -108,7 +108,7 @@
     /// Measured work of each service whose replicas report their load.
     work: BTreeMap<ServiceName, WorkMeter>,
     /// Waiting models tried in the current round, in which each is tried once, the one with
-    /// the earliest objective first.
+    /// the one whose callers have the least time left first.
     tried_waiting_models: BTreeSet<ModelName>,
     /// Number of checks for additional holders so far. It determines which of the models that
     /// are not busy are considered next.
@@ -328,7 +328,7 @@
             replicas: &self.replicas,
             reload_times: Default::default(),
             work: self.service_work(service),
-            default_objective: self.configuration.longest_objective(service),
+            default_caller_time: self.configuration.longest_attempt(service),
             now,
         }
     }
--- a/crates/croftrill-scheduler/src/placement/mod.rs
+++ b/crates/croftrill-scheduler/src/placement/mod.rs
@@ -27,7 +27,7 @@
 pub use self::tracked_replica::{
     load_time, weight_source, ControlCalls, OrderedBy, TrackedReplica, WeightSource,
 };
-pub use self::value::missed_share;
+pub use self::value::lost_share;
 pub use self::work::{LateShares, ModelWork, ServiceWork};
 
 /// Tunable parameters of placement.
@@ -82,7 +82,7 @@
     /// follows the work.
     pub work: Option<Rc<ServiceWork>>,
     /// Objective assumed for models that have not been requested yet.
-    pub default_objective: Duration,
+    pub default_caller_time: Duration,
     /// The current time.
     pub now: Moment,
 }
--- a/crates/croftrill-scheduler/src/placement/target_selection.rs
+++ b/crates/croftrill-scheduler/src/placement/target_selection.rs
@@ -14,7 +14,7 @@
 pub struct PlacementTarget {
     /// The replica.
     pub replica: ReplicaId,
-    /// Requests that are expected to miss their objective because of the load.
+    /// Requests that are expected to be lost because of the load.
     pub missed_requests: f64,
     /// Expected time of the load.
     pub load_time: Duration,
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -1,5 +1,5 @@
-//! Values of models and of their holders: the requests per second that would miss their
-//! objective without them.
+//! Values of models and of their holders: the requests per second that would be lost without them.
+//! A request whose caller waits for a part of its time counts as that part of a lost one.
 
 use std::time::Duration;
 
@@ -10,21 +10,19 @@
 /// Time until the first request for an absent model is served, besides the load itself:
 /// sending the order, freeing memory for the weights, and publishing the new holder.
 const LOAD_OVERHEAD: Duration = Duration::from_millis(700);
-/// Fraction of the objective up to which waiting for a load costs next to nothing.
-const FREE_WAIT_SHARE: f64 = 0.5;
-/// Minimum share of requests that miss their objective while their model is loaded.
-const MIN_MISSED_SHARE: f64 = 0.1;
-/// Credit for a request that is refused, retried and then served on time, relative to one
-/// that is served at once.
-const LATE_CREDIT: f64 = 0.5;
-
-/// Returns the share of requests that miss their objective if their model is ready after
-/// `ready_in`: next to none up to half of the objective, all of them from the full objective.
-pub fn missed_share(ready_in: Duration, objective: Duration) -> f64 {
-    let objective_s = objective.as_secs_f64().max(f64::EPSILON);
-    let used = ready_in.as_secs_f64() / objective_s;
-    let missed = (used - FREE_WAIT_SHARE) / (1.0 - FREE_WAIT_SHARE);
-    missed.clamp(MIN_MISSED_SHARE, 1.0)
+/// Returns the share of their time that callers lose if their model is ready after `ready_in` and
+/// they wait for `caller_time`. They arrive evenly until then; each loses the time that is left, at
+/// most all that it has.
+pub fn lost_share(ready_in: Duration, caller_time: Duration) -> f64 {
+    let ready_s = ready_in.as_secs_f64();
+    let caller_s = caller_time.as_secs_f64();
+    if ready_s == 0.0 {
+        0.0
+    } else if ready_s <= caller_s {
+        ready_s / (2.0 * caller_s)
+    } else {
+        1.0 - caller_s / (2.0 * ready_s)
+    }
 }
 
 impl ServicePlacement<'_> {
@@ -53,22 +51,20 @@
         times.min()
     }
 
-    fn objective(&self, model: &ModelName) -> Duration {
+    fn caller_time(&self, model: &ModelName) -> Duration {
         self.demand
-            .objective(&self.key(model))
-            .unwrap_or(self.default_objective)
+            .caller_time(&self.key(model))
+            .unwrap_or(self.default_caller_time)
     }
 
-    /// Returns the share of a model's requests that miss their objective if it has to be
-    /// loaded for them.
-    fn missed_share(&self, model: &ModelName) -> f64 {
-        missed_share(self.reload_time(model) + LOAD_OVERHEAD, self.objective(model))
+    /// Returns the share of its callers' time that is lost if a model has to be loaded for them.
+    fn lost_share(&self, model: &ModelName) -> f64 {
+        lost_share(self.reload_time(model) + LOAD_OVERHEAD, self.caller_time(model))
     }
 
-    /// Returns the requests per second that miss their objective while no replica holds the
-    /// model.
+    /// Returns the requests per second that are lost while no replica holds the model.
     pub fn value_of_model(&self, model: &ModelName) -> f64 {
-        self.lasting_rate(model) * self.missed_share(model)
+        self.lasting_rate(model) * self.lost_share(model)
     }
 
     /// Returns the same for a model that requests wait for. The longer they have waited, the
@@ -76,20 +72,18 @@
     fn value_of_waiting(&self, model: &ModelName) -> f64 {
         let waited = self.demand.wait_time(&self.key(model), self.now);
         let ready_in = self.reload_time(model) + LOAD_OVERHEAD + waited;
-        self.lasting_rate(model) * missed_share(ready_in, self.objective(model))
+        self.lasting_rate(model) * lost_share(ready_in, self.caller_time(model))
     }
 
     /// Returns the requests expected to be saved by loading a model that no replica holds
-    /// and that a request waits for.
+    /// and that a request waits for: that one, now or as its caller retries, and later ones.
     pub fn saved_by_load(&self, model: &ModelName, load: Duration) -> f64 {
-        let on_time = load + LOAD_OVERHEAD <= self.objective(model);
-        let waiting = if on_time { 1.0 } else { LATE_CREDIT };
         let value = if self.work.is_some() {
             self.value_of_waiting(model)
         } else {
             self.value_of_model(model)
         };
-        waiting + value * self.serving_seconds(load)
+        1.0 + value * self.serving_seconds(load)
     }
 
     /// Returns true if loading a model saves more requests than the eviction of a holder
@@ -126,8 +120,8 @@
     }
 
     /// Returns the requests per second that depend on the last of `holders` holders: for a
-    /// sole holder all that miss their objective without it, for one of several those that
-    /// the others would serve late. The second one also counts as a spare in case the first
+    /// sole holder all that are lost without it, for one of several those that the others
+    /// would serve late. The second one also counts as a spare in case the first
     /// fails.
     pub fn value_of_nth_holder(&self, model: &ModelName, holders: usize) -> f64 {
         if holders <= 1 {
