A request counts as late by the time for which its holders alone make it wait

Seen by callers: a model whose requests are served late gets no further holder if they were sent more than once, or waited for more than half of the objective before they were sent, as they do now at a full holder.

Cause: count_late left out repeats, and what had waited for half of the objective, to tell waits for the holders from those for a load.

Now the time counts from when the quota was granted and the model was there. The objective stays: it decides no wait or refusal, but how many holders operators want. The count of refused requests was the same but for this, and is gone.

No test of its own: the count goes to orderers at once, and no test sees it.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -78,7 +78,7 @@
                     continue;
                 }
                 Some(Admission::Refuse { come_back_after }) => {
-                    self.count_rejected();
+                    self.count_late();
                     return NextReplica::GiveUp("its replicas take no more now", Some(come_back_after));
                 }
                 None => {}
@@ -89,7 +89,7 @@
                     continue;
                 }
                 Some(Admission::Refuse { come_back_after }) => {
-                    self.count_rejected();
+                    self.count_late();
                     return NextReplica::GiveUp("its replicas want rest", Some(come_back_after));
                 }
                 Some(Admission::Wait) | None => {}
@@ -123,7 +123,10 @@
                 Some(Admission::Refuse { come_back_after }) => {
                     return NextReplica::GiveUp(self.absence(), Some(come_back_after));
                 }
-                Some(Admission::Wait) => self.wait_for_view_change().await,
+                Some(Admission::Wait) => {
+                    self.wait_for_view_change().await;
+                    self.holders_due_since = self.now();
+                }
             }
         }
     }
--- a/crates/croftrill-node/src/request/cooldown.rs
+++ b/crates/croftrill-node/src/request/cooldown.rs
@@ -109,15 +109,4 @@
     pub(super) fn uniform_sample(&self) -> f64 {
         xxh3_64(self.facts.id.as_bytes()) as f64 / u64::MAX as f64
     }
-
-    /// Counts the request, once, as one that the holders of its model could not serve in time. The
-    /// count is demand for another holder.
-    pub(super) fn count_rejected(&self) {
-        if self.counted_late.replace(true) {
-            return;
-        }
-        if let Some(key) = self.model_key() {
-            self.node.state.borrow_mut().demand.add_late(key);
-        }
-    }
 }
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -163,7 +163,7 @@
     }
 
     fn refuse_full(&self, cause: &'static str, retry_after: Duration) -> Option<NextReplica> {
-        self.count_rejected();
+        self.count_late();
         Metrics::count(&self.node.metrics.full_holders, "request", cause);
         Some(NextReplica::GiveUp(cause, Some(retry_after)))
     }
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -177,6 +177,7 @@
             Some(DEFAULT_RETRY_AFTER),
         );
     };
+    let admitted_at = node.clock.now();
     let run = RequestRun {
         node: node.clone(),
         facts,
@@ -208,6 +209,7 @@
         may_have_run: false,
         last_reminder: Cell::new(None),
         logged_cold: Cell::new(false),
+        holders_due_since: admitted_at,
         sent_after: None,
         answered_after: None,
         longest_pause: Cell::new(Duration::ZERO),
@@ -277,6 +279,8 @@
     last_reminder: Cell<Option<Moment>>,
     /// Whether the first decision on a missing model was logged.
     logged_cold: Cell<bool>,
+    /// Since when its holders alone make it wait: neither its quota nor the load of its model.
+    holders_due_since: Moment,
     /// Time from arrival to the first send.
     sent_after: Option<Duration>,
     /// Time from arrival to the head of the answer.
@@ -392,11 +396,10 @@
         }
     }
 
-    /// Counts the request, once, as served too late by a holder of its model. A request that was
-    /// sent late, or more than once, does not count, as then its holder was not the cause.
+    /// Counts the request, once, as one that the holders of its model served too late or not at all. The
+    /// count is demand for another holder.
     fn count_late(&self) {
-        let sent_after = self.sent_after.unwrap_or_default();
-        if self.sends != 1 || sent_after * 2 > self.route.objective || self.counted_late.replace(true) {
+        if self.counted_late.replace(true) {
             return;
         }
         if let Some(key) = self.model_key() {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -89,7 +89,7 @@
     }
 
     pub(super) async fn pump(mut self, first: Streaming<P>, sender: StreamSender) {
-        if self.waited() > self.route.objective {
+        if first.head_received_at.since(self.holders_due_since) > self.route.objective {
             self.count_late();
         }
         self.bind_stream(first.send.software_version.clone()).await;
