A load saves the time that the request which waits for it has left

Where no request was seen, callers wait for what their routes allow, or the default deadline; it was zero without a time-out (longest_attempt_ends_with_route_or_callers).

--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -46,7 +46,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::admission::{caller_patience, CallerTime};
+use croftrill_scheduler::admission::{caller_patience, CallerTime, DEFAULT_DEADLINE};
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
@@ -76,8 +76,6 @@
 use crate::stream::AnswerBody;
 use crate::stream_versions;
 
-/// Deadline of a caller that names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Maximum deadline of a caller. Later ones are shortened to this.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 /// Cost of a generated token, in prompt tokens.
--- a/crates/croftrill-scheduler/src/admission.rs
+++ b/crates/croftrill-scheduler/src/admission.rs
@@ -40,6 +40,9 @@
     },
 }
 
+/// Deadline of a caller that names none.
+pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
 /// Callers heed a retry delay of at most the time that they have left, divided by this.
 const RETRY_DIVISOR: u32 = 3;
 /// Added to the expected time so that the model is loaded when the caller retries.
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::admission::caller_patience;
+use crate::admission::{caller_patience, DEFAULT_DEADLINE};
 use crate::quota::reservation::AheadLimits;
 use crate::tenants::{Tenant, Tenants};
 
@@ -215,14 +215,14 @@
         self.services.values()
     }
 
-    /// Returns the longest time after which callers of a service or its routes end an attempt; zero
-    /// if they do not say.
+    /// Returns the longest time after which a route to a service or its callers, if they name no
+    /// deadline, end an attempt.
     pub fn longest_attempt(&self, service: &str) -> Duration {
-        let ends = self.routes_to(service).filter_map(|route| {
-            let abandoned_after = caller_patience(route);
-            abandoned_after.into_iter().chain(route.timeout).min()
+        let ends = self.routes_to(service).map(|route| {
+            let limits = caller_patience(route).into_iter().chain(route.timeout);
+            limits.fold(DEFAULT_DEADLINE, Duration::min)
         });
-        ends.max().unwrap_or_default()
+        ends.max().unwrap_or(DEFAULT_DEADLINE)
     }
 
     /// Returns true if no route to the service is more urgent than this rank.
--- a/crates/croftrill-scheduler/src/placement/value.rs
+++ b/crates/croftrill-scheduler/src/placement/value.rs
@@ -76,14 +76,24 @@
     }
 
     /// Returns the requests expected to be saved by loading a model that no replica holds
-    /// and that a request waits for: that one, now or as its caller retries, and later ones.
+    /// and that a request waits for: the part of that one's time which is left then, and later
+    /// ones.
     pub fn saved_by_load(&self, model: &ModelName, load: Duration) -> f64 {
         let value = if self.work.is_some() {
             self.value_of_waiting(model)
         } else {
             self.value_of_model(model)
         };
-        1.0 + value * self.serving_seconds(load)
+        self.time_left_after(model, load) + value * self.serving_seconds(load)
+    }
+
+    /// Returns the share of its time that a request which waits for the model has left once it is
+    /// loaded.
+    fn time_left_after(&self, model: &ModelName, load: Duration) -> f64 {
+        let ready_s =
+            (load + LOAD_OVERHEAD + self.demand.wait_time(&self.key(model), self.now)).as_secs_f64();
+        let caller_s = self.caller_time(model).as_secs_f64();
+        (1.0 - ready_s / caller_s.max(f64::EPSILON)).max(0.0)
     }
 
     /// Returns true if loading a model saves more requests than the eviction of a holder
--- a/crates/croftrill-scheduler/tests/catalog.rs
+++ b/crates/croftrill-scheduler/tests/catalog.rs
@@ -53,3 +53,25 @@
     stream.kind = RouteKind::Unsafe;
     assert!(!stream.is_idempotent());
 }
+
+/// Whatever the objectives are, an attempt ends with the route, with its callers' patience, or with the
+/// deadline of callers that name none.
+#[test]
+fn longest_attempt_ends_with_route_or_callers() {
+    let longest = |route: Route| {
+        let configuration = Configuration::new(1, CallerLimits::default(), Vec::new(), vec![route]);
+        configuration.longest_attempt("app")
+    };
+    let plain = route("plain", "a", "/");
+    assert_eq!(longest(plain.clone()), Duration::from_secs(30));
+    let ended = Route {
+        timeout: Some(Duration::from_secs(9)),
+        ..plain.clone()
+    };
+    assert_eq!(longest(ended.clone()), Duration::from_secs(9));
+    let stream = Route {
+        kind: RouteKind::Streaming,
+        ..ended
+    };
+    assert_eq!(longest(stream), Duration::from_secs(2));
+}
