The choice among replicas goes by the time that the caller has left

Seen by callers: with the same time and work, a request with a short objective was drawn to other replicas than one with a long one.

Cause: the weight of a replica counted the fraction of the objective until the first event.

Now it is the fraction of the time for which the caller waits for it, as for the end of the answer.

Evidence: tests of routing pass with the same bounds.

--- a/crates/croftrill-bench/src/spread.rs
+++ b/crates/croftrill-bench/src/spread.rs
@@ -366,7 +366,7 @@
             tried: &[],
             salt: self.random.random(),
             work,
-            objective_left: OBJECTIVE,
+            attempt_left: OBJECTIVE,
             pause_objective: None,
             deadline_left: DEADLINE,
             kv_cache_tokens: 0,
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -190,7 +190,7 @@
             begins_at: self.permitted_versions(state),
             salt: xxh3_64(self.facts.id.as_bytes()),
             work: self.work(),
-            objective_left: (self.arrival + self.route.objective).since(now),
+            attempt_left: self.attempt_end().since(now),
             pause_objective: self.route.pause_objective,
             deadline_left: self.deadline.since(now),
             kv_cache_tokens: engine.map_or(0, |engine| engine.kv_capacity),
--- a/crates/croftrill-scheduler/src/routing.rs
+++ b/crates/croftrill-scheduler/src/routing.rs
@@ -8,8 +8,8 @@
 //! without communicating.
 //!
 //! Services that are routed by capacity (see [`ReplicaTable::routes_by_capacity`]) use the
-//! replica's [`ReplicaEstimate`] instead: the fractions of the request's objective, of its deadline
-//! and of the replica's slots that the request would take. A full replica is the last choice.
+//! replica's [`ReplicaEstimate`] instead: the fractions of the time for which the request's caller
+//! waits for the first event and for the end, and of the replica's slots, that the request would take. A full replica is the last choice.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -56,8 +56,8 @@
     pub salt: u64,
     /// Expected work of the request.
     pub work: RequestWork,
-    /// Time left until the first event is due.
-    pub objective_left: Duration,
+    /// Time left until the caller gives up waiting for the first event.
+    pub attempt_left: Duration,
     /// Maximum pause between two events of an answer that is in time.
     pub pause_objective: Option<Duration>,
     /// Time left until the caller or the route ends the request.
@@ -82,8 +82,8 @@
 /// proportional to the free slots: a stream that pauses too long is late, while one more
 /// request in a batch delays the others only a little.
 const STALL_FREE_EXPONENT: f64 = 6.0;
-/// Weight factor for a replica in another zone: as if half of its slots were taken, since
-/// traffic between zones has a price.
+/// Weight factor for a replica in another zone: as if half of its slots were taken. Traffic between
+/// zones costs operators, and passes over links that may fail.
 const OTHER_ZONE_WEIGHT_FACTOR: f64 = 0.5;
 /// Weight factor for a full replica: next to nothing beside a replica with free slots, but
 /// not zero, as there may be no other replica.
@@ -303,8 +303,8 @@
     }
 }
 
-/// Returns the sum of the fractions of the request's objective, of its deadline and of the
-/// replica's slots that it would take, plus a penalty for a full replica.
+/// Returns the sum of the fractions of its caller's time and of the replica's slots that the request
+/// would take, plus a penalty for a full replica.
 fn capacity_cost(
     entry: &ReplicaEntry,
     estimate: &ReplicaEstimate,
@@ -345,12 +345,12 @@
     free_slots * speed * zone * in_time * stall_free
 }
 
-/// Returns the fractions of the request's objective and of its deadline that it would take.
+/// Returns the fractions of the time for its first event and of that for its end that it would take.
 fn time_fractions(estimate: &ReplicaEstimate, request: &RoutingRequest<'_>) -> (f64, f64) {
     let fraction_of =
         |time: Duration, left: Duration| time.as_secs_f64() / left.max(MIN_TIME_LEFT).as_secs_f64();
     (
-        fraction_of(estimate.first_event_after, request.objective_left),
+        fraction_of(estimate.first_event_after, request.attempt_left),
         fraction_of(estimate.ends_after, request.deadline_left),
     )
 }
--- a/crates/croftrill-scheduler/tests/availability.rs
+++ b/crates/croftrill-scheduler/tests/availability.rs
@@ -120,7 +120,7 @@
         tried: &[],
         salt: 1,
         work: RequestWork::default(),
-        objective_left: Duration::from_millis(400),
+        attempt_left: Duration::from_millis(400),
         pause_objective: None,
         deadline_left: Duration::from_secs(10),
         kv_cache_tokens: 0,
--- a/crates/croftrill-scheduler/tests/replica_signals.rs
+++ b/crates/croftrill-scheduler/tests/replica_signals.rs
@@ -82,7 +82,7 @@
         tried: &[],
         salt,
         work: RequestWork::default(),
-        objective_left: Duration::from_millis(400),
+        attempt_left: Duration::from_millis(400),
         pause_objective: Some(Duration::from_millis(200)),
         deadline_left: Duration::from_secs(10),
         kv_cache_tokens: 0,
--- a/crates/croftrill-scheduler/tests/routing.rs
+++ b/crates/croftrill-scheduler/tests/routing.rs
@@ -68,7 +68,7 @@
         tried: &[],
         salt: prefix_hash,
         work: RequestWork::default(),
-        objective_left: Duration::from_millis(400),
+        attempt_left: Duration::from_millis(400),
         pause_objective: Some(Duration::from_millis(200)),
         deadline_left: Duration::from_secs(10),
         kv_cache_tokens: 0,
