A request that waits for a slot is decided on once more before its caller leaves

Seen by callers: nothing, the caller of a stream had left: its request was neither sent nor refused in time.

Cause: the checks of a waiting request are up to 100 ms apart, so the last one could come after the caller had left. Requests for absent models were decided on once more already; those at full holders are now, in time to be queued.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -9,6 +9,7 @@
 use croftrill_scheduler::replica_estimate::TIME_PER_PROMPT_TOKEN;
 use croftrill_scheduler::replica_table::Availability;
 use croftrill_scheduler::routing::{self, choose, ModelNeed, RoutingRequest};
+use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::work::RequestWork;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,7 +37,8 @@
 const MAX_REPEATS: u32 = 2;
 /// Pause before such a resend.
 const REPEAT_PAUSE: Duration = Duration::from_millis(80);
-/// Maximum time between two checks of the view while a request waits.
+/// Maximum time between two checks of the view while a request waits. Updates on other nodes'
+/// requests arrive about as often.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The next step of a request.
@@ -362,23 +364,29 @@
         self.node.send_to_orderers(message);
     }
 
-    /// Waits until the decision on the request may change. It is made once more while a refusal can
-    /// still reach the caller.
-    pub(super) async fn wait_for_view_change(&self) {
-        let last_decision_at = self.attempt_end() - MIN_READY_IN;
-        let next_check_at = self.now() + MAX_CHECK_INTERVAL;
-        let latest = if self.now() < last_decision_at {
+    /// Returns when a decision is made again if nothing changes: after a check interval, and at
+    /// `last_decision_at`.
+    pub(super) fn next_check_at(&self, last_decision_at: Moment) -> Moment {
+        let now = self.now();
+        let next_check_at = (now + MAX_CHECK_INTERVAL).min(self.deadline);
+        if now < last_decision_at {
             next_check_at.min(last_decision_at)
         } else {
             next_check_at
-        };
+        }
+    }
+
+    /// Waits until the decision on the request may change. It is made once more while a refusal can
+    /// still reach the caller.
+    pub(super) async fn wait_for_view_change(&self) {
+        let latest = self.next_check_at(self.attempt_end() - MIN_READY_IN);
         let wake = async {
             tokio::select! {
                 () = self.node.view_changed.notified() => {}
                 () = self.node.stop_requested.notified() => {}
             }
         };
-        let _ = self.node.clock.timeout_at(latest.min(self.deadline), wake).await;
+        let _ = self.node.clock.timeout_at(latest, wake).await;
     }
 
     pub(super) fn first_event_after(&self) -> Duration {
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -9,16 +9,12 @@
 use croftrill_scheduler::routing::{free_capacity, FreeCapacity};
 use croftrill_scheduler::waiting_requests::{WaitingId, WaitingRequest};
 
-use super::cold::NextReplica;
+use super::cold::{NextReplica, MIN_READY_IN};
 use super::RequestRun;
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
 use crate::ports::Platform;
 
-/// Maximum time between two checks of the holders while a request waits. Updates on other nodes'
-/// requests arrive about as often.
-const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// A request's entry among the waiting ones. Removed when dropped.
 struct WaitTicket<P: Platform> {
     node: Rc<Node<P>>,
@@ -130,7 +126,7 @@
         let holder_free_in = first_event.saturating_sub(self.first_event_after());
         let waiting = &self.node.state.borrow().waiting_requests;
         let turn_in = waiting.turn_in(&self.waiting_request(key), self.now());
-        holder_free_in.max(turn_in)
+        holder_free_in.max(turn_in).max(MIN_READY_IN)
     }
 
     fn full_request(&self, free_capacity: &FreeCapacity, key: &ModelKey) -> FullRequest {
@@ -178,7 +174,9 @@
     }
 
     async fn wait_for_capacity(&self) {
-        let latest = (self.now() + MAX_CHECK_INTERVAL).min(self.deadline);
+        // In time to queue at a replica, or to tell the caller before it leaves.
+        let last_decision_at = self.attempt_end() - MIN_READY_IN - self.first_event_after();
+        let latest = self.next_check_at(last_decision_at);
         let wake = async {
             tokio::select! {
                 () = self.node.replica_slot_freed.notified() => {}
