A request is chosen a replica again after its lost holder was tried once more

Seen by callers: a stream that is taken up got 503 "no replica of its version" though its model had just been loaded (stream_taken_up_waits_for_its_model_to_replace_a_lost_holder, KNOWN-RED).

Cause, as traced there: the model comes while the request tries its lost holder once more; what follows counts the model as held and decides without choosing again. Now it chooses again.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -96,7 +96,7 @@
                 }
                 Some(Admission::Wait) | None => {}
             }
-            if self.reaches_lost_replica().await {
+            if self.reaches_lost_replica().await || self.has_choice() {
                 continue;
             }
             if self.lacks_only_paths() {
@@ -259,6 +259,12 @@
         Some(self.decide_in(&key, ready_in))
     }
 
+    /// Returns whether a replica can take the request now. One may have loaded its model since the last
+    /// choice.
+    fn has_choice(&self) -> bool {
+        !self.has_searched_enough() && self.choose(&self.tried).is_some()
+    }
+
     /// Returns what the request waits for in vain, as a cause.
     fn absence(&self) -> &'static str {
         match self.model_key() {
