--- a/crates/croftrill-node/src/crash_trial.rs
+++ b/crates/croftrill-node/src/crash_trial.rs
@@ -23,8 +23,8 @@
 /// Maximum time for which a trial blocks others: the 2 s within which a request crashes its
 /// replica after it starts, and a second until all nodes know of the end.
 const MAX_TRIAL_DURATION: Duration = Duration::from_secs(3);
-/// Maximum wait for the key: much longer than two store calls take (10 ms), and short
-/// compared with objectives (500 ms). A request does not wait for a slow or unreachable store.
+/// Maximum wait for the key: much longer than two store calls take (10 ms). A request does not wait
+/// for a slow or unreachable store.
 const MAX_STORE_WAIT: Duration = Duration::from_millis(100);
 /// Time until all nodes know that a trial crashed its replica: until the node has detected
 /// it (10 ms) and written it (50 ms), and the relays have published it.
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -27,8 +27,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of connections that this node carries: a few megabytes of buffers.
 const MAX_TUNNELS: usize = 256;
-/// Delay of the node's thread above which it carries no further connection: half of the shortest
-/// objective of callers.
+/// Delay of the node's thread above which it carries no further connection, as each piece that passes
+/// has this delay.
 const MAX_THREAD_DELAY: Duration = Duration::from_millis(50);
 /// Time without an acknowledgement after which the other node counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -26,8 +26,7 @@
 /// Factor on the time to read a prompt, for a holder that is busy with other prompts.
 pub(super) const PROMPT_TIME_FACTOR: u32 = 2;
 
-/// Pause of a stream after which its replica may have gone dark: longer than callers accept (at least
-/// 300 ms).
+/// Pause of a stream after which its replica may have gone dark.
 const LONG_SILENCE: Duration = Duration::from_millis(500);
 
 /// How the stream from one replica ended.
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -51,7 +51,8 @@
     pub kind: RouteKind,
     /// Maximum time for a request; `None`: as long as its caller waits.
     pub timeout: Option<Duration>,
-    /// Time within which the answer (its first event) earns its full credit.
+    /// Time within which operators want the answer (its first event) to reach callers. Holders of
+    /// models are added by it; no request waits or is refused by it.
     pub objective: Duration,
     /// Maximum pause between two events of an answer that is in time.
     pub pause_objective: Option<Duration>,
--- a/crates/croftrill-scheduler/src/quota/account.rs
+++ b/crates/croftrill-scheduler/src/quota/account.rs
@@ -12,8 +12,8 @@
 const MAX_NON_URGENT_REQUESTS: f64 = 2.0;
 /// Maximum balance set aside for non-urgent requests, as a fraction of the maximum savings.
 const MAX_NON_URGENT_FRACTION: f64 = 0.5;
-/// Time constant with which refused units stop being expected again: callers retry once or not at
-/// all.
+/// Time constant with which refused units stop being expected again: callers retry a few times, and
+/// within their deadline.
 const REFUSED_DECAY_S: f64 = 2.0;
 /// Number of requests over which moving averages are taken.
 const MEAN_REQUESTS: f64 = 64.0;
