A refused permit is told a time behind those that were refused before

Cause: the keeper told each refused request the time of the next free permit, however many were to come back then. At 200 requests a second before slots for 133 all of them came back each 20 ms, and no node had time for anything else.

Now refused requests that can come back within their time count as ahead, less the runs that have ended since; the others are refused at once by their nodes.

--- a/crates/croftrill-scheduler/src/quota/permits/replica_permits.rs
+++ b/crates/croftrill-scheduler/src/quota/permits/replica_permits.rs
@@ -60,6 +60,9 @@
     returned_at: VecDeque<Moment>,
     rejected_at: VecDeque<Moment>,
     mean_run_time: Option<Duration>,
+    /// Requests that were refused and may come back, less the runs that have ended since.
+    refused: f64,
+    settled_at: Moment,
     last_request_at: Moment,
 }
 
@@ -79,6 +82,8 @@
             returned_at: VecDeque::new(),
             rejected_at: VecDeque::new(),
             mean_run_time: None,
+            refused: 0.0,
+            settled_at: now,
             last_request_at: now,
         }
     }
@@ -110,7 +115,10 @@
             }
             free_in => {
                 let free_in = free_in.unwrap_or(self.probe_in(role, now));
-                let retry_after = free_in.max(MIN_RETRY_AFTER);
+                let retry_after = free_in.max(MIN_RETRY_AFTER) + self.time_for_refused();
+                if retry_after < request.lifetime {
+                    self.refused += 1.0;
+                }
                 PermitDecision::Refused { retry_after }
             }
         }
@@ -149,6 +157,7 @@
     fn forget_incarnation(&mut self, request: &PermitRequest) {
         self.started_ms = request.started_ms;
         self.held.clear();
+        self.refused = 0.0;
         self.rejected_at.clear();
         self.returned_at.clear();
         self.samples.clear();
@@ -157,6 +166,9 @@
 
     /// Drops what has lapsed. What is not known any more counts as taken.
     pub(super) fn settle(&mut self, role: KeeperRole, now: Moment) {
+        let elapsed_s = now.since(self.settled_at).as_secs_f64();
+        self.settled_at = self.settled_at.max(now);
+        self.refused = (self.refused - self.ends_per_s() * elapsed_s).max(0.0);
         self.held.retain(|_, permit| permit.ends_by > now);
         drop_older_than(&mut self.returned_at, REPORT_DELAY, now);
         let rejection_period = self.rejection_period(role);
@@ -254,6 +266,18 @@
         Some(run_time.mul_f64(ahead as f64 / self.held.len() as f64))
     }
 
+    /// Returns the number of runs that end in a second.
+    fn ends_per_s(&self) -> f64 {
+        let run_time = self.mean_run_time.filter(|run_time| !run_time.is_zero());
+        run_time.map_or(0.0, |run_time| self.held.len() as f64 / run_time.as_secs_f64())
+    }
+
+    /// Returns the time in which the runs that are out end for those that were refused before.
+    fn time_for_refused(&self) -> Duration {
+        let time = Duration::try_from_secs_f64(self.refused / self.ends_per_s());
+        time.unwrap_or_default()
+    }
+
     /// Returns the time until a probe may be sent again.
     fn probe_in(&self, role: KeeperRole, now: Moment) -> Duration {
         let first = self.rejected_at.front();
