A request waits only if its answer ends while its caller waits

Cause: what is left was taken to end with the first byte.

Now the usual run of the service's requests, in proportion to the output and twice as long for a busy replica, has to fit the time until the caller or the route ends the answer, too.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -6,8 +6,8 @@
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::replica::ReplicaId;
-use croftrill_scheduler::replica_estimate::TIME_PER_PROMPT_TOKEN;
-use croftrill_scheduler::replica_table::Availability;
+use croftrill_scheduler::replica_estimate::{TIME_PER_OUTPUT_TOKEN, TIME_PER_PROMPT_TOKEN};
+use croftrill_scheduler::replica_table::{Availability, ReplicaTable};
 use croftrill_scheduler::routing::{self, choose, ModelNeed, RoutingRequest};
 use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::work::RequestWork;
@@ -37,6 +37,9 @@
 const MAX_REPEATS: u32 = 2;
 /// Pause before such a resend.
 const REPEAT_PAUSE: Duration = Duration::from_millis(80);
+/// Factor on the usual time of a run, for a replica that others keep busy: an answer that is cut off
+/// helps its caller less than a refusal.
+const RUN_TIME_FACTOR: u32 = 2;
 /// Maximum time between two checks of the view while a request waits. Updates on other nodes'
 /// requests arrive about as often.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -288,7 +291,7 @@
     /// when one is.
     fn decide_without_replica(&self) -> Admission {
         let attempt = self.attempt_end().since(self.arrival);
-        decide_unknown(&self.caller_time(), attempt, Duration::ZERO, DEFAULT_RETRY_AFTER)
+        decide_unknown(&self.caller_time(), attempt, DEFAULT_RETRY_AFTER)
     }
 
     /// Decides on the request if its model is loaded in `ready_in`.
@@ -307,9 +310,22 @@
         RemainingWork {
             ready_in,
             run: self.first_event_after(),
+            answer: self.answer_time(),
         }
     }
 
+    /// Returns when the request must start at the latest to be served.
+    pub(super) fn last_start(&self) -> Moment {
+        let max_wait = self.caller_time().max_wait(&self.remaining_work(Duration::ZERO));
+        self.now() + max_wait.unwrap_or_default()
+    }
+
+    /// Returns the time that is left to the request's answer from its start on.
+    fn answer_time(&self) -> Duration {
+        let state = self.node.state.borrow();
+        expected_run(&state.replicas, &self.service, &self.facts) * RUN_TIME_FACTOR
+    }
+
     /// Logs the decision with the values that it is based on.
     fn log_cold(&self, key: &ModelKey, time: &CallerTime, work: &RemainingWork, decision: Admission) {
         let state = self.node.state.borrow();
@@ -319,6 +335,7 @@
         tracing::info!(target: "cold", id = self.facts.id, model = &*key.model, adapter = key.adapter.as_deref(),
             ?decision, waited_ms = self.waited().as_millis() as u64,
             ready_in_ms = work.ready_in.as_millis() as u64, run_ms = work.run.as_millis() as u64,
+            answer_ms = work.answer.as_millis() as u64, answer_left_ms = time.answer_left.as_millis() as u64,
             attempt_left_ms = time.attempt_left.as_millis() as u64, caller_left_ms = time.caller_left.as_millis() as u64,
             holders = state.replicas.holders(&self.service, &key.model), reachable,
             orderers_linked = state.linked.iter().filter(|linked| **linked).count());
@@ -385,7 +402,7 @@
     /// Waits until the decision on the request may change. It is made once more while a refusal can
     /// still reach the caller.
     pub(super) async fn wait_for_view_change(&self) {
-        let latest = self.next_check_at(self.attempt_end() - MIN_READY_IN);
+        let latest = self.next_check_at(self.last_start() - MIN_READY_IN);
         let wake = async {
             tokio::select! {
                 () = self.node.view_changed.notified() => {}
@@ -404,3 +421,15 @@
 pub(super) fn first_event_after(facts: &RequestFacts) -> Duration {
     TIME_PER_PROMPT_TOKEN * facts.prompt_tokens as u32
 }
+
+/// Returns the expected time from a request's start to the end of its answer: as long as requests to its
+/// service usually run, in proportion to its output.
+fn expected_run(replicas: &ReplicaTable, service: &str, facts: &RequestFacts) -> Duration {
+    let profile = replicas.usual_run(service);
+    let usual = profile.and_then(|profile| Some((profile.slot_time()?, profile.output_tokens())));
+    match usual {
+        Some((run, tokens)) if tokens > 0.0 => run.mul_f64(facts.output_tokens as f64 / tokens),
+        Some((run, _)) => run,
+        None => first_event_after(facts) + TIME_PER_OUTPUT_TOKEN * facts.output_tokens as u32,
+    }
+}
--- a/crates/croftrill-node/src/request/cooldown.rs
+++ b/crates/croftrill-node/src/request/cooldown.rs
@@ -61,7 +61,7 @@
     pub(super) async fn pause_before_resend(&self, replica: &ReplicaId) -> bool {
         let now = self.now();
         let pause = match self.resend_delay(replica) {
-            Some(pause) if self.caller_time().allows(pause + self.first_event_after()) => pause,
+            Some(pause) if self.caller_time().allows(&self.remaining_work(pause)) => pause,
             _ => return false,
         };
         self.node.clock.sleep_until(now + pause).await;
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -86,7 +86,7 @@
             let waiting =
                 ticket.get_or_insert_with(|| WaitTicket::enter(&self.node, self.waiting_request(&key)));
             if !waiting.is_waiting() {
-                return self.refuse_full("more urgent requests wait", request.starts_in);
+                return self.refuse_full("more urgent requests wait", request.work.ready_in);
             }
             self.wait_for_capacity().await;
             if self.now() >= self.deadline {
@@ -133,8 +133,7 @@
         let (configuration, rank) = (&self.configuration, self.route.priority);
         FullRequest {
             time: self.caller_time(),
-            starts_in: self.starts_in(free_capacity, key),
-            run: self.first_event_after(),
+            work: self.remaining_work(self.starts_in(free_capacity, key)),
             is_most_urgent: configuration.is_most_urgent_of(&self.service, rank),
             has_less_urgent: configuration.has_less_urgent_route(&self.service, rank),
             was_rejected: self.was_rejected,
@@ -168,14 +167,14 @@
     fn log_full(&self, free_capacity: &FreeCapacity, request: &FullRequest, decision: FullDecision) {
         tracing::info!(target: "full", id = self.facts.id, model = self.facts.model.as_deref(), ?decision,
             rank = self.rank(), tenant = self.tenant.as_deref(), waited_ms = self.waited().as_millis() as u64,
-            starts_in_ms = request.starts_in.as_millis() as u64, holders = free_capacity.candidates, fill = free_capacity.fill(),
+            starts_in_ms = request.work.ready_in.as_millis() as u64, holders = free_capacity.candidates, fill = free_capacity.fill(),
             heard_ms_ago = free_capacity.newest_sample_age.map(|age| age.as_millis() as u64),
             attempt_left_ms = request.time.attempt_left.as_millis() as u64);
     }
 
     async fn wait_for_capacity(&self) {
         // In time to queue at a replica, or to tell the caller before it leaves.
-        let last_decision_at = self.attempt_end() - MIN_READY_IN - self.first_event_after();
+        let last_decision_at = self.last_start() - MIN_READY_IN;
         let latest = self.next_check_at(last_decision_at);
         let wake = async {
             tokio::select! {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -375,6 +375,7 @@
         let now = self.now();
         CallerTime {
             attempt_left: self.attempt_end().since(now),
+            answer_left: self.deadline.since(now),
             caller_left: self.caller_deadline.since(now),
         }
     }
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -67,8 +67,8 @@
 
     /// Returns the time for which the request can wait for its reservation and still be served.
     pub(super) fn reservation_patience(&self) -> Duration {
-        let time = self.caller_time();
-        time.attempt_left.saturating_sub(self.first_event_after())
+        let work = self.remaining_work(Duration::ZERO);
+        self.caller_time().max_wait(&work).unwrap_or_default()
     }
 
     /// Decides what to do while the rate limits of all replicas that could take the request leave
--- a/crates/croftrill-scheduler/src/admission.rs
+++ b/crates/croftrill-scheduler/src/admission.rs
@@ -13,8 +13,11 @@
 /// The time that a request's caller has left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerTime {
-    /// Time until the caller abandons this attempt or the route ends it.
+    /// Time until the caller abandons this attempt or the route ends it, if no byte of the answer
+    /// arrives.
     pub attempt_left: Duration,
+    /// Time until the caller or the route ends the attempt, even while its answer arrives.
+    pub answer_left: Duration,
     /// Time until the caller's own deadline, which also bounds later attempts.
     pub caller_left: Duration,
 }
@@ -26,6 +29,8 @@
     pub ready_in: Duration,
     /// Expected time from then to the first byte of the answer.
     pub run: Duration,
+    /// Expected time from then to the end of the answer.
+    pub answer: Duration,
 }
 
 /// The decision on a request that cannot be sent yet.
@@ -64,9 +69,18 @@
 const PATIENCE_PAUSES: u32 = 8;
 
 impl CallerTime {
-    /// Returns whether a request that is served after `served_in` still finds its caller.
-    pub fn allows(&self, served_in: Duration) -> bool {
-        served_in <= self.attempt_left
+    /// Returns whether the answer to a request with this work left begins and ends while its caller
+    /// waits.
+    pub fn allows(&self, work: &RemainingWork) -> bool {
+        self.max_wait(work) >= Some(work.ready_in)
+    }
+
+    /// Returns the longest time for which a request can wait and still be served; `None` if it cannot
+    /// be served even now.
+    pub fn max_wait(&self, work: &RemainingWork) -> Option<Duration> {
+        let until_begin = self.attempt_left.checked_sub(work.run)?;
+        let until_end = self.answer_left.checked_sub(work.answer)?;
+        Some(until_begin.min(until_end))
     }
 
     /// Returns the maximum retry delay that the caller heeds.
@@ -75,13 +89,6 @@
     }
 }
 
-impl RemainingWork {
-    /// Returns the expected time to the first byte of the answer.
-    pub fn served_in(&self) -> Duration {
-        self.ready_in + self.run
-    }
-}
-
 /// Returns the time that a caller of the route waits for the next byte, deadline permitting.
 pub fn caller_patience(route: &Route) -> Option<Duration> {
     if route.kind != RouteKind::Streaming {
@@ -99,7 +106,7 @@
 }
 
 fn decide_with(time: &CallerTime, work: &RemainingWork, come_back_after: Duration) -> Admission {
-    if time.allows(work.served_in()) {
+    if time.allows(work) {
         return Admission::Wait;
     }
     Admission::Refuse { come_back_after }
@@ -113,13 +120,8 @@
 /// Decides on a request of which nothing tells when it can be sent. Another node may know more, so
 /// the request waits for as long as its caller then has time for another attempt. `attempt` is the
 /// whole time of this one. `retry_after` is the retry delay once that time is over.
-pub fn decide_unknown(
-    time: &CallerTime,
-    attempt: Duration,
-    run: Duration,
-    retry_after: Duration,
-) -> Admission {
-    if time.allows(another_attempt(attempt) + run) {
+pub fn decide_unknown(time: &CallerTime, attempt: Duration, retry_after: Duration) -> Admission {
+    if time.attempt_left >= another_attempt(attempt) {
         return Admission::Wait;
     }
     Admission::Refuse {
--- a/crates/croftrill-scheduler/src/full_holders.rs
+++ b/crates/croftrill-scheduler/src/full_holders.rs
@@ -10,17 +10,15 @@
 
 use std::time::Duration;
 
-use crate::admission::{retry_after_cooldown, CallerTime};
+use crate::admission::{retry_after_cooldown, CallerTime, RemainingWork};
 
 /// What is known about a request whose holders are all full.
 #[derive(Debug, Clone, Copy)]
 pub struct FullRequest {
     /// The time that its caller has left.
     pub time: CallerTime,
-    /// Expected time until a holder starts a request that is sent now.
-    pub starts_in: Duration,
-    /// Expected time from then to the first event.
-    pub run: Duration,
+    /// What is left to do; it is ready when a holder starts a request that is sent now.
+    pub work: RemainingWork,
     /// True if no request of the service is more urgent.
     pub is_most_urgent: bool,
     /// True if other requests of the service are less urgent.
@@ -55,7 +53,10 @@
     /// Returns whether the request will still be served if it waits, even if the queue then takes
     /// longer than expected.
     fn can_wait_longer(&self) -> bool {
-        self.time.allows(self.starts_in * QUEUE_TIME_FACTOR + self.run)
+        self.time.allows(&RemainingWork {
+            ready_in: self.work.ready_in * QUEUE_TIME_FACTOR,
+            ..self.work
+        })
     }
 }
 
@@ -66,8 +67,8 @@
     if request.may_queue() && request.has_less_urgent {
         return FullDecision::Send;
     }
-    if !request.time.allows(request.starts_in + request.run) {
-        let retry_after = retry_after_cooldown(request.starts_in, rank, unit);
+    if !request.time.allows(&request.work) {
+        let retry_after = retry_after_cooldown(request.work.ready_in, rank, unit);
         return FullDecision::Refuse {
             come_back_after: retry_after.min(request.time.max_retry_after()),
         };
