--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -11,8 +11,6 @@
 use http::StatusCode;
 
 use super::answers::refuse;
-use super::cold::first_event_after;
-use super::streaming::PROMPT_TIME_FACTOR;
 use super::{Answer, OTHER_NODE_RETRY_AFTER};
 use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
@@ -99,21 +97,6 @@
     answer
 }
 
-/// Returns the schedule on which a request waits for its quota reservation. The wait leaves time to
-/// serve the request.
-fn reservation_wait(
-    facts: &RequestFacts,
-    configuration: &Configuration,
-    route: &Route,
-    now: Moment,
-    attempt_end: Moment,
-) -> ReservationWait {
-    let reading_time = first_event_after(facts) * PROMPT_TIME_FACTOR;
-    let max_ahead = configuration.ahead_limits.max_ahead(route.priority);
-    let patience = attempt_end.since(now).saturating_sub(reading_time);
-    ReservationWait::new(now, patience, max_ahead)
-}
-
 /// Waits until a moment. Returns false as soon as the node is stopping.
 async fn sleep_unless_stopping<P: Platform>(node: &Node<P>, until: Moment) -> bool {
     if node.lifecycle() == Lifecycle::Stopping {
@@ -144,8 +127,7 @@
     )
 }
 
-/// Charges a request to its tenant's quota, if its caller, which leaves at `attempt_end`, can still be
-/// served then. Returns `None` if there is no quota.
+/// Charges a request to its tenant's quota, if it can start at `last_start` or before. Returns `None` if there is no quota.
 ///
 /// # Errors
 ///
@@ -156,7 +138,7 @@
     tenant: Option<&Arc<str>>,
     configuration: &Configuration,
     route: &Route,
-    attempt_end: Moment,
+    last_start: Moment,
 ) -> Result<Option<Credit>, Box<Answer>> {
     let tenant = tenant.and_then(|name| configuration.tenants.find_by_name(name));
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
@@ -164,7 +146,8 @@
     };
     let clock = &node.clock;
     let requested_at = clock.now();
-    let wait = reservation_wait(facts, configuration, route, requested_at, attempt_end);
+    let max_ahead = configuration.ahead_limits.max_ahead(route.priority);
+    let wait = ReservationWait::new(requested_at, last_start.since(requested_at), max_ahead);
     let mut request = QuotaQuery {
         tenant: &tenant.name,
         quota,
@@ -175,7 +158,7 @@
             is_urgent: configuration.tenants.is_most_urgent(route.priority),
         },
     };
-    let mut verdict = node.quotas.reserve(request, attempt_end).await;
+    let mut verdict = node.quotas.reserve(request, last_start).await;
     let mut waiting_slot = None;
     while let QuotaVerdict::Exceeded { retry_after, .. } = verdict {
         let Some(pause) = wait.pause(retry_after, clock.now()) else {
@@ -186,7 +169,7 @@
         if waiting_slot.is_none() {
             break;
         }
-        if !sleep_unless_stopping(node, attempt_end.min(clock.now() + pause)).await {
+        if !sleep_unless_stopping(node, last_start.min(clock.now() + pause)).await {
             return Err(Box::new(refuse_while_stopping(
                 node,
                 facts,
@@ -195,12 +178,12 @@
             )));
         }
         request.request.patience = wait.ahead(clock.now());
-        verdict = node.quotas.reserve(request, attempt_end).await;
+        verdict = node.quotas.reserve(request, last_start).await;
     }
     drop(waiting_slot);
     match verdict {
         QuotaVerdict::Granted(credit, after) => {
-            clock.sleep_until(attempt_end.min(clock.now() + after)).await;
+            clock.sleep_until(last_start.min(clock.now() + after)).await;
             Ok(Some(credit))
         }
         QuotaVerdict::Exceeded { retry_after, balance } => {
--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -322,8 +322,7 @@
 
     /// Returns the time that is left to the request's answer from its start on.
     fn answer_time(&self) -> Duration {
-        let state = self.node.state.borrow();
-        expected_run(&state.replicas, &self.service, &self.facts) * RUN_TIME_FACTOR
+        answer_time(&self.node.state.borrow().replicas, &self.service, &self.facts)
     }
 
     /// Logs the decision with the values that it is based on.
@@ -422,6 +421,11 @@
     TIME_PER_PROMPT_TOKEN * facts.prompt_tokens as u32
 }
 
+/// Returns the time that is left to a request's answer from its start on.
+pub(super) fn answer_time(replicas: &ReplicaTable, service: &str, facts: &RequestFacts) -> Duration {
+    expected_run(replicas, service, facts) * RUN_TIME_FACTOR
+}
+
 /// Returns the expected time from a request's start to the end of its answer: as long as requests to its
 /// service usually run, in proportion to its output.
 fn expected_run(replicas: &ReplicaTable, service: &str, facts: &RequestFacts) -> Duration {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -59,13 +59,14 @@
 use self::access::{authorize, refuse_access, take_credit};
 pub use self::answers::refuse;
 use self::answers::{json, kind_name, AnswerEnd};
-use self::cold::NextReplica;
+use self::cold::{answer_time, first_event_after, NextReplica};
 use self::forwarding::{pick_backend, read_body};
 use self::guards::{acquire_slot, InFlightGuard, ServiceSlot};
 use self::missing_route::{find_newest_route, refuse_without_route};
 use self::rejections::RiskBasis;
 use self::replica_limits::RateLimitedReplica;
 use self::sending::{SendEnd, Streaming};
+use self::streaming::PROMPT_TIME_FACTOR;
 use self::version::StreamVersion;
 use crate::answer_reader::Framing;
 use crate::crash_trial::Trial;
@@ -158,13 +159,15 @@
     if let Some(tenant) = &tenant {
         facts.group = Some(tenant.to_string());
     }
+    let service = pick_backend(&route, &facts.id);
     let attempt_end = attempt_end(&route, arrival, deadline);
-    let credit = match take_credit(node, &facts, tenant.as_ref(), &configuration, &route, attempt_end).await {
+    let last_start = last_start(node, &service, &facts, attempt_end, deadline);
+    let credit = take_credit(node, &facts, tenant.as_ref(), &configuration, &route, last_start);
+    let credit = match credit.await {
         Ok(credit) => credit,
         Err(answer) => return *answer,
     };
     let quota_granted_after = credit.as_ref().map(|_| node.clock.now().since(arrival));
-    let service = pick_backend(&route, &facts.id);
     let slot_wait = node
         .clock
         .timeout_at(deadline, acquire_slot(node, &configuration, &facts));
@@ -232,6 +235,19 @@
     abandoned_at.map_or(deadline, |at| at.min(deadline))
 }
 
+/// Returns when a request must start at the latest to be served while its caller waits.
+fn last_start<P: Platform>(
+    node: &Node<P>,
+    service: &ServiceName,
+    facts: &RequestFacts,
+    attempt_end: Moment,
+    deadline: Moment,
+) -> Moment {
+    let begins_by = attempt_end - first_event_after(facts) * PROMPT_TIME_FACTOR;
+    let ends_by = deadline - answer_time(&node.state.borrow().replicas, service, facts);
+    begins_by.min(ends_by)
+}
+
 struct RequestRun<P: Platform> {
     node: Rc<Node<P>>,
     facts: RequestFacts,
