--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -202,6 +202,7 @@
         reservation: None,
         permit: None,
         permit_refusals: 0,
+        reservation_waits: 0,
         rejection_risk: None,
         risk_basis: None,
         repeats: 0,
@@ -279,6 +280,8 @@
     reservation: Option<Credit>,
     /// The permit for the next replica, if that bears few rejections.
     permit: Option<Permit>,
+    /// Number of waits before another request for a reservation.
+    reservation_waits: u32,
     /// Number of replicas that had no permit left since the last wait.
     permit_refusals: u32,
     /// The reservation of a rejection, if no keeper of permits is reached and the next replica falls over after some of them.
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -13,6 +13,11 @@
 use crate::quota::LimitVerdict;
 use crate::replica_reservation;
 
+/// Maximum number of times that a request waits before it requests another reservation. A wait in
+/// vain shows that more callers wait than the time that was told accounts for, and each further
+/// request costs the keeper and this node time that others need.
+const MAX_RESERVATION_WAITS: u32 = 1;
+
 /// A replica whose rate limit leaves no reservation in time.
 pub(super) struct RateLimitedReplica {
     pub(super) replica: ReplicaId,
@@ -84,7 +89,9 @@
         let ready_in = first_at.since(self.now());
         let work = self.remaining_work(ready_in);
         let decision = decide_in_cooldown(&self.caller_time(), &work, self.rank(), self.uniform_sample());
-        if decision == Admission::Wait && self.node.lifecycle() == Lifecycle::Stopping {
+        let may_wait =
+            self.reservation_waits < MAX_RESERVATION_WAITS && self.node.lifecycle() != Lifecycle::Stopping;
+        if decision == Admission::Wait && !may_wait {
             let come_back_after = retry_after_cooldown(ready_in, self.rank(), self.uniform_sample());
             return Some(Admission::Refuse { come_back_after });
         }
@@ -93,6 +100,7 @@
 
     /// Waits until another reservation may be requested.
     pub(super) async fn wait_for_reservation(&mut self) {
+        self.reservation_waits += 1;
         let Some(reservation_at) = self.rate_limited.iter().map(|limited| limited.retry_at).min() else {
             return;
         };
