A request whose quota pays for it now is sent, whatever its answer is expected to take

Seen by callers: 503 after 0.3 s where the quota was free, if the answer was expected to take longer than the caller waits.

--- a/crates/croftrill-node/src/request/access.rs
+++ b/crates/croftrill-node/src/request/access.rs
@@ -127,7 +127,7 @@
     )
 }
 
-/// Charges a request to its tenant's quota, if it can start at `last_start` or before. Returns `None` if there is no quota.
+/// Charges a request to its tenant's quota, if that pays for it now, or by `last_start`. Returns `None` if there is no quota.
 ///
 /// # Errors
 ///
@@ -139,6 +139,7 @@
     configuration: &Configuration,
     route: &Route,
     last_start: Moment,
+    attempt_end: Moment,
 ) -> Result<Option<Credit>, Box<Answer>> {
     let tenant = tenant.and_then(|name| configuration.tenants.find_by_name(name));
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
@@ -158,7 +159,7 @@
             is_urgent: configuration.tenants.is_most_urgent(route.priority),
         },
     };
-    let mut verdict = node.quotas.reserve(request, last_start).await;
+    let mut verdict = node.quotas.reserve(request, attempt_end).await;
     let mut waiting_slot = None;
     while let QuotaVerdict::Exceeded { retry_after, .. } = verdict {
         let Some(pause) = wait.pause(retry_after, clock.now()) else {
@@ -169,7 +170,7 @@
         if waiting_slot.is_none() {
             break;
         }
-        if !sleep_unless_stopping(node, last_start.min(clock.now() + pause)).await {
+        if !sleep_unless_stopping(node, attempt_end.min(clock.now() + pause)).await {
             return Err(Box::new(refuse_while_stopping(
                 node,
                 facts,
@@ -178,12 +179,12 @@
             )));
         }
         request.request.patience = wait.ahead(clock.now());
-        verdict = node.quotas.reserve(request, last_start).await;
+        verdict = node.quotas.reserve(request, attempt_end).await;
     }
     drop(waiting_slot);
     match verdict {
         QuotaVerdict::Granted(credit, after) => {
-            clock.sleep_until(last_start.min(clock.now() + after)).await;
+            clock.sleep_until(attempt_end.min(clock.now() + after)).await;
             Ok(Some(credit))
         }
         QuotaVerdict::Exceeded { retry_after, balance } => {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -162,7 +162,16 @@
     let service = pick_backend(&route, &facts.id);
     let attempt_end = attempt_end(&route, arrival, deadline);
     let last_start = last_start(node, &service, &facts, attempt_end, deadline);
-    let credit = take_credit(node, &facts, tenant.as_ref(), &configuration, &route, last_start);
+    let tenant_name = tenant.as_ref();
+    let credit = take_credit(
+        node,
+        &facts,
+        tenant_name,
+        &configuration,
+        &route,
+        last_start,
+        attempt_end,
+    );
     let credit = match credit.await {
         Ok(credit) => credit,
         Err(answer) => return *answer,
