A service without models is not estimated by tokens, and the time left is one module

Seen by callers: a request with a deadline of 1.2 s to a service without models, which names 900 and 100 tokens, got 503 while the only replica wanted rest for 0.3 s. It can be served after 0.3 s.

Cause: before the first run was known, the end of an answer was estimated by the tokens that a request names, whatever its service. Found while reading the change again. The estimate stood twice as well, in cold.rs and sending.rs.

Ruled out: leaving the estimate away before the first run, as streams would then begin too late to end in time again (brittle_fleet).

Now services without models have no tokens to read or write; the estimate is run_time in the scheduler, pure, and what a request has left is in request/time_left.rs, moved there from three files.

Evidence: plain_service_is_not_estimated_by_tokens failed before (503 for 200) and passes with the other seven of caller_time; tests/run_time.rs.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -6,8 +6,7 @@
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::interest::Interest;
 use croftrill_scheduler::replica::ReplicaId;
-use croftrill_scheduler::replica_estimate::{TIME_PER_OUTPUT_TOKEN, TIME_PER_PROMPT_TOKEN};
-use croftrill_scheduler::replica_table::{Availability, ReplicaTable};
+use croftrill_scheduler::replica_table::Availability;
 use croftrill_scheduler::routing::{self, choose, ModelNeed, RoutingRequest};
 use croftrill_scheduler::time::Moment;
 use croftrill_scheduler::work::RequestWork;
@@ -17,7 +16,7 @@
 use super::{RequestRun, DEFAULT_RETRY_AFTER, OTHER_NODE_RETRY_AFTER};
 use crate::node::{Lifecycle, NodeState};
 use crate::peer::{ToOrderer, WireModel};
-use crate::ports::{Platform, RequestFacts};
+use crate::ports::Platform;
 use crate::tree;
 
 /// Expected time from the request for an adapter until it is loaded.
@@ -37,9 +36,6 @@
 const MAX_REPEATS: u32 = 2;
 /// Pause before such a resend.
 const REPEAT_PAUSE: Duration = Duration::from_millis(80);
-/// Factor on the usual time of a run, for a replica that others keep busy: an answer that is cut off
-/// helps its caller less than a refusal.
-const RUN_TIME_FACTOR: u32 = 2;
 /// Maximum time between two checks of the view while a request waits. Updates on other nodes'
 /// requests arrive about as often.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -305,26 +301,6 @@
         decision
     }
 
-    /// Returns what is left to do if what the request waits for is ready in `ready_in`.
-    pub(super) fn remaining_work(&self, ready_in: Duration) -> RemainingWork {
-        RemainingWork {
-            ready_in,
-            run: self.first_event_after(),
-            answer: self.answer_time(),
-        }
-    }
-
-    /// Returns when the request must start at the latest to be served.
-    pub(super) fn last_start(&self) -> Moment {
-        let max_wait = self.caller_time().max_wait(&self.remaining_work(Duration::ZERO));
-        self.now() + max_wait.unwrap_or_default()
-    }
-
-    /// Returns the time that is left to the request's answer from its start on.
-    fn answer_time(&self) -> Duration {
-        answer_time(&self.node.state.borrow().replicas, &self.service, &self.facts)
-    }
-
     /// Logs the decision with the values that it is based on.
     fn log_cold(&self, key: &ModelKey, time: &CallerTime, work: &RemainingWork, decision: Admission) {
         let state = self.node.state.borrow();
@@ -401,39 +377,14 @@
     /// Waits until the decision on the request may change. It is made once more while a refusal can
     /// still reach the caller.
     pub(super) async fn wait_for_view_change(&self) {
-        let latest = self.next_check_at(self.last_start() - MIN_READY_IN);
+        let latest = self.next_check_at(self.now() + self.max_wait().saturating_sub(MIN_READY_IN));
         let wake = async {
             tokio::select! {
                 () = self.node.view_changed.notified() => {}
                 () = self.node.stop_requested.notified() => {}
             }
         };
+        // A timeout is expected: the decision is made again either way.
         let _ = self.node.clock.timeout_at(latest, wake).await;
     }
-
-    pub(super) fn first_event_after(&self) -> Duration {
-        first_event_after(&self.facts)
-    }
-}
-
-/// Returns the expected time from a send to the first event.
-pub(super) fn first_event_after(facts: &RequestFacts) -> Duration {
-    TIME_PER_PROMPT_TOKEN * facts.prompt_tokens as u32
-}
-
-/// Returns the time that is left to a request's answer from its start on.
-pub(super) fn answer_time(replicas: &ReplicaTable, service: &str, facts: &RequestFacts) -> Duration {
-    expected_run(replicas, service, facts) * RUN_TIME_FACTOR
-}
-
-/// Returns the expected time from a request's start to the end of its answer: as long as requests to its
-/// service usually run, in proportion to its output.
-fn expected_run(replicas: &ReplicaTable, service: &str, facts: &RequestFacts) -> Duration {
-    let profile = replicas.usual_run(service);
-    let usual = profile.and_then(|profile| Some((profile.slot_time()?, profile.output_tokens())));
-    match usual {
-        Some((run, tokens)) if tokens > 0.0 => run.mul_f64(facts.output_tokens as f64 / tokens),
-        Some((run, _)) => run,
-        None => first_event_after(facts) + TIME_PER_OUTPUT_TOKEN * facts.output_tokens as u32,
-    }
 }
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -174,7 +174,7 @@
 
     async fn wait_for_capacity(&self) {
         // In time to queue at a replica, or to tell the caller before it leaves.
-        let last_decision_at = self.last_start() - MIN_READY_IN;
+        let last_decision_at = self.now() + self.max_wait().saturating_sub(MIN_READY_IN);
         let latest = self.next_check_at(last_decision_at);
         let wake = async {
             tokio::select! {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -4,6 +4,7 @@
 //! node. [`RequestRun`] then sends it until it is answered or given up. The modules:
 //!
 //! - [`access`]: API keys and quotas.
+//! - [`time_left`]: the caller's time and the work left.
 //! - [`guards`]: resources that a request holds.
 //! - [`cold`]: waits for models that are not loaded.
 //! - [`reach`]: replicas out of reach.
@@ -38,6 +39,7 @@
 mod replica_limits;
 mod sending;
 mod streaming;
+mod time_left;
 mod version;
 
 use std::cell::{Cell, OnceCell};
@@ -46,7 +48,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::admission::{caller_patience, CallerTime, DEFAULT_DEADLINE};
+use croftrill_scheduler::admission::DEFAULT_DEADLINE;
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
@@ -59,14 +61,14 @@
 use self::access::{authorize, refuse_access, take_credit};
 pub use self::answers::refuse;
 use self::answers::{json, kind_name, AnswerEnd};
-use self::cold::{answer_time, first_event_after, NextReplica};
+use self::cold::NextReplica;
 use self::forwarding::{pick_backend, read_body};
 use self::guards::{acquire_slot, InFlightGuard, ServiceSlot};
 use self::missing_route::{find_newest_route, refuse_without_route};
 use self::rejections::RiskBasis;
 use self::replica_limits::RateLimitedReplica;
 use self::sending::{SendEnd, Streaming};
-use self::streaming::PROMPT_TIME_FACTOR;
+use self::time_left::{attempt_end, last_start, model_work};
 use self::version::StreamVersion;
 use crate::answer_reader::Framing;
 use crate::crash_trial::Trial;
@@ -161,7 +163,11 @@
     }
     let service = pick_backend(&route, &facts.id);
     let attempt_end = attempt_end(&route, arrival, deadline);
-    let last_start = last_start(node, &service, &facts, attempt_end, deadline);
+    let work = model_work(&configuration, &service, &facts);
+    let last_start = {
+        let replicas = &node.state.borrow().replicas;
+        last_start(replicas, &service, work, attempt_end, deadline)
+    };
     let tenant_name = tenant.as_ref();
     let credit = take_credit(
         node,
@@ -238,26 +244,6 @@
     run.serve().await
 }
 
-/// Returns when the caller abandons an attempt, or the route ends it. The caller of a stream waits
-/// for its next event since `silent_since`.
-fn attempt_end(route: &Route, silent_since: Moment, deadline: Moment) -> Moment {
-    let abandoned_at = caller_patience(route).map(|patience| silent_since + patience);
-    abandoned_at.map_or(deadline, |at| at.min(deadline))
-}
-
-/// Returns when a request must start at the latest to be served while its caller waits.
-fn last_start<P: Platform>(
-    node: &Node<P>,
-    service: &ServiceName,
-    facts: &RequestFacts,
-    attempt_end: Moment,
-    deadline: Moment,
-) -> Moment {
-    let begins_by = attempt_end - first_event_after(facts) * PROMPT_TIME_FACTOR;
-    let ends_by = deadline - answer_time(&node.state.borrow().replicas, service, facts);
-    begins_by.min(ends_by)
-}
-
 struct RequestRun<P: Platform> {
     node: Rc<Node<P>>,
     facts: RequestFacts,
@@ -392,22 +378,6 @@
         self.node.clock.now()
     }
 
-    /// Returns when the caller abandons this attempt, or the route ends it.
-    fn attempt_end(&self) -> Moment {
-        let silent_since = self.stream_broke_at.unwrap_or(self.arrival);
-        attempt_end(&self.route, silent_since, self.deadline)
-    }
-
-    /// Returns the time that the caller has left.
-    fn caller_time(&self) -> CallerTime {
-        let now = self.now();
-        CallerTime {
-            attempt_left: self.attempt_end().since(now),
-            answer_left: self.deadline.since(now),
-            caller_left: self.caller_deadline.since(now),
-        }
-    }
-
     /// Returns the time since the request arrived.
     fn waited(&self) -> Duration {
         self.now().since(self.arrival)
@@ -495,7 +465,10 @@
         let others_allowed = sent_to < self.route.max_attempts as usize;
         if others_allowed {
             self.exclude(replica.clone());
-            if !misdirected && self.may_get_slot_at_none_else() && self.pause_before_resend(replica).await {
+            if !misdirected
+                && self.only_tried_replicas_have_slots()
+                && self.pause_before_resend(replica).await
+            {
                 self.tried.retain(|tried| tried != replica);
             }
             return true;
@@ -509,7 +482,7 @@
 
     /// Returns whether only replicas that were tried can take the request, and tell when they have a
     /// free slot.
-    fn may_get_slot_at_none_else(&self) -> bool {
+    fn only_tried_replicas_have_slots(&self) -> bool {
         let waits_for_slots = {
             let state = self.node.state.borrow();
             state.replicas.routes_by_capacity(&self.service)
--- a/crates/croftrill-node/src/request/replica_limits.rs
+++ b/crates/croftrill-node/src/request/replica_limits.rs
@@ -1,7 +1,5 @@
 //! Reservations at replicas that limit the request rate of all nodes together.
 
-use std::time::Duration;
-
 use croftrill_scheduler::admission::{decide_in_cooldown, retry_after_cooldown, Admission};
 use croftrill_scheduler::quota::limits::LimitRequest;
 use croftrill_scheduler::replica::ReplicaId;
@@ -32,7 +30,7 @@
     pub(super) async fn take_reservation(&mut self, replica: &ReplicaId) -> bool {
         self.reservation = None;
         let limit_request = LimitRequest {
-            patience: self.reservation_patience(),
+            patience: self.max_wait(),
             is_urgent: self
                 .configuration
                 .is_most_urgent_of(&self.service, self.route.priority),
@@ -70,12 +68,6 @@
         }
     }
 
-    /// Returns the time for which the request can wait for its reservation and still be served.
-    pub(super) fn reservation_patience(&self) -> Duration {
-        let work = self.remaining_work(Duration::ZERO);
-        self.caller_time().max_wait(&work).unwrap_or_default()
-    }
-
     /// Decides what to do while the rate limits of all replicas that could take the request leave
     /// no reservation. Returns `None` if rate limits are not the cause. The expected time of the
     /// reservation accounts for the calls of all nodes.
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -9,7 +9,6 @@
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::path_search::SearchFailure;
 use croftrill_scheduler::replica::{LimitSignal, RejectionSignal, ReplicaId};
-use croftrill_scheduler::replica_estimate::TIME_PER_OUTPUT_TOKEN;
 use croftrill_scheduler::replica_table::AnsweredCall;
 use croftrill_scheduler::time::Moment;
 use http::{header, response, Request, Response, StatusCode};
@@ -89,17 +88,6 @@
         usual.unwrap_or_else(|| self.expected_answer_time())
     }
 
-    /// Returns the time until the answer begins by the request's work alone: a stream begins with its
-    /// first token, any other answer once it is complete.
-    fn expected_answer_time(&self) -> Duration {
-        let output_tokens = match self.route.kind {
-            RouteKind::Streaming => 1,
-            RouteKind::Safe | RouteKind::Unsafe => self.facts.output_tokens,
-        };
-        let output_tokens = u32::try_from(output_tokens).unwrap_or(u32::MAX);
-        self.first_event_after() + TIME_PER_OUTPUT_TOKEN.saturating_mul(output_tokens)
-    }
-
     /// Sends the request to a replica and classifies the answer by its head.
     pub(super) async fn send(
         &mut self,
--- a/crates/croftrill-scheduler/src/replica_estimate.rs
+++ b/crates/croftrill-scheduler/src/replica_estimate.rs
@@ -15,6 +15,25 @@
 /// Cap for estimated times: no caller waits for as long, and sums of them do not overflow.
 const MAX_ESTIMATE: Duration = Duration::from_secs(24 * 3600);
 
+/// Returns the time to read a request's prompt at the usual speed.
+pub fn reading_time(work: RequestWork) -> Duration {
+    capped_product(TIME_PER_PROMPT_TOKEN, work.prompt_tokens as f64)
+}
+
+/// Returns the expected time from the start of a request's run to its end: as long as requests of its
+/// service usually run, in proportion to its output; before the first one is known, by its tokens.
+pub fn run_time(work: RequestWork, profile: Option<&RequestProfile>) -> Duration {
+    let usual = profile.and_then(|profile| Some((profile.slot_time()?, profile.output_tokens())));
+    let Some((run, usual_tokens)) = usual else {
+        let writing = capped_product(TIME_PER_OUTPUT_TOKEN, work.output_tokens as f64);
+        return reading_time(work) + writing;
+    };
+    if work.output_tokens == 0 || usual_tokens == 0.0 {
+        return run;
+    }
+    capped_product(run, work.output_tokens as f64 / usual_tokens)
+}
+
 /// The estimate for one request at one replica.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReplicaEstimate {
