Estimates that are missing are named, none becomes zero unseen

Seen by callers: a model that requests wait for and of which an orderer had counted no request was taken for one whose callers had left, and was loaded last.

Cause: unwrap_or_default where nothing is known. For that model the time is now what its routes allow, as placement has it. A time for refused permits beyond what a Duration holds became zero; it is at most a minute. Elsewhere (usual time to connect) the default is named.

Evidence: tests of permits, placement, paths, orderer and holders pass; no test of its own, as both need a count that is lost or 585 years.

--- a/crates/croftrill-scheduler/src/orderer/goals.rs
+++ b/crates/croftrill-scheduler/src/orderer/goals.rs
@@ -65,6 +65,7 @@
         requested: Vec<&ModelName>,
         now: Moment,
     ) {
+        let default_caller_time = self.configuration.longest_attempt(service);
         let mut by_urgency: Vec<(bool, bool, Duration, ModelName)> = requested
             .into_iter()
             .map(|model| {
@@ -73,7 +74,7 @@
                     model: model.clone(),
                     adapter: None,
                 };
-                let caller_time = self.demand.caller_time(&key).unwrap_or_default();
+                let caller_time = self.demand.caller_time(&key).unwrap_or(default_caller_time);
                 let waited = self.demand.wait_time(&key, now);
                 let remaining = caller_time.saturating_sub(waited);
                 let was_tried = self.tried_waiting_models.contains(model);
--- a/crates/croftrill-scheduler/src/quota/permits/replica_permits.rs
+++ b/crates/croftrill-scheduler/src/quota/permits/replica_permits.rs
@@ -27,6 +27,8 @@
 const RETURN_DELAY: Duration = Duration::from_secs(1);
 /// Minimum time to retry after.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Maximum time to retry after for those that were refused before.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Time without requests after which a replica's permits are dropped.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Weight of the newest run in the mean run time.
@@ -272,10 +274,15 @@
         run_time.map_or(0.0, |run_time| self.held.len() as f64 / run_time.as_secs_f64())
     }
 
-    /// Returns the time in which the runs that are out end for those that were refused before.
+    /// Returns the time in which the runs that are out end for those that were refused before; zero
+    /// while no run tells.
     fn time_for_refused(&self) -> Duration {
-        let time = Duration::try_from_secs_f64(self.refused / self.ends_per_s());
-        time.unwrap_or_default()
+        let ends_per_s = self.ends_per_s();
+        if ends_per_s == 0.0 {
+            return Duration::ZERO;
+        }
+        let time_s = self.refused / ends_per_s;
+        Duration::from_secs_f64(time_s.min(MAX_RETRY_AFTER.as_secs_f64()))
     }
 
     /// Returns the time until a probe may be sent again.
--- a/crates/croftrill-scheduler/src/replica_paths.rs
+++ b/crates/croftrill-scheduler/src/replica_paths.rs
@@ -84,7 +84,9 @@
             PathChoice::Tunnel => Duration::ZERO,
             PathChoice::Suspect => MIN_HEAD_START,
             PathChoice::Own => {
-                let usual = self.connect_time.unwrap_or_default().max(MIN_HEAD_START);
+                let usual = self
+                    .connect_time
+                    .map_or(MIN_HEAD_START, |time| time.max(MIN_HEAD_START));
                 (usual * LONG_CONNECT_FACTOR).min(MAX_HEAD_START)
             }
         }
