Bound what callers can make a process hold, by the limits of its machine

Cause: nothing was derived from memoryMb and maxFds. Each body had a limit, their sum none; a chunk kept the buffer that it was read into (13 bytes a byte); answers had a constant of their own and were not counted once read; connections were accepted without a bound, a head block could take the idle time, and the other ports had no timer.

Now: bodies, answers and streams hold memory of one account; bodies are copied out of the read buffers; what does not move gives way under pressure (408 or a close), what finds no room within a second is refused with 503, not run. Ports have places: an idle or stalled connection closes for a new one; one service takes half of them at most. A head block has its own time from its first byte. The kernel's buffers of callers' sockets are bounded. Bytes behind a running request no longer hide that its caller left. The operators' port, readiness, and links before their first message are bounded alike.

--- a/crates/croftrill-daemon/src/operator_api.rs
+++ b/crates/croftrill-daemon/src/operator_api.rs
@@ -6,7 +6,6 @@
 //! conditional write at that revision; if the document has changed since, the
 //! confirmation is rejected and answered with a new plan.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use croftrill_http::document::Document;
 use croftrill_http::native_platform::NativePlatform;
 use croftrill_http::records::DOCUMENT_KEY;
+use croftrill_node::auxiliary_server;
 use croftrill_node::crash_reports;
 use croftrill_node::node::{Lifecycle, Node};
 use croftrill_node::ports::{
@@ -23,14 +23,9 @@
 use croftrill_scheduler::crash_ledger::SuspectId;
 use croftrill_scheduler::planner::{plan, PlannedStep};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
 use crate::status::status;
 
@@ -49,11 +44,9 @@
 /// Allows a request to be sent again although replicas ended while running it.
 pub const LIFT_PATH: &str = "/v1/lift";
 /// Maximum size of a request body.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// Maximum time to read the document from the store.
 const DOCUMENT_READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// Delay after a failed accept, so that a persistent error does not spin.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The steps to a desired document, and the revision that they are based on.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -93,36 +86,21 @@
 
 /// Serves operators until the process ends.
 pub async fn serve(node: OwnNode, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let node = node.clone();
-        spawn_local(async move {
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                async move { Ok::<_, Infallible>(handle_request(&node, request).await) }
-            });
-            // An error ends only this caller's connection.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    let served_node = node.clone();
+    let handler = move |request| {
+        let node = served_node.clone();
+        async move { handle_request(&node, request).await }
+    };
+    auxiliary_server::serve(node, listener, "operators", handler).await;
 }
 
 async fn handle_request(node: &OwnNode, request: Request<Incoming>) -> Answer {
     let (head, body) = request.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return error_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body cannot be taken",
-            Vec::new(),
-            None,
-        );
+    let held = match auxiliary_server::read_body(node, body, MAX_BODY_BYTES).await {
+        Ok(held) => held,
+        Err(error) => return error_response(error.status(), &error.to_string(), Vec::new(), None),
     };
-    let body = body.to_bytes();
+    let body = &held.bytes;
     match (&head.method, head.uri.path()) {
         (&Method::GET, READY_PATH) if node.lifecycle() == Lifecycle::Ready => text("ready".to_string()),
         (&Method::GET, READY_PATH) => {
@@ -131,9 +109,9 @@
         (&Method::GET, METRICS_PATH) => text(node.metrics_text()),
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status(node)),
         (&Method::GET, DOCUMENT_PATH) => get_document(node).await,
-        (&Method::POST, PLAN_PATH) => make_plan(node, &body).await,
-        (&Method::POST, LIFT_PATH) => lift(node, &body),
-        (&Method::POST, CONFIRM_PATH) => confirm(node, &body).await,
+        (&Method::POST, PLAN_PATH) => make_plan(node, body).await,
+        (&Method::POST, LIFT_PATH) => lift(node, body),
+        (&Method::POST, CONFIRM_PATH) => confirm(node, body).await,
         _ => error_response(StatusCode::NOT_FOUND, "no such call", Vec::new(), None),
     }
 }
--- a/crates/croftrill-daemon/src/settings.rs
+++ b/crates/croftrill-daemon/src/settings.rs
@@ -7,6 +7,10 @@
     ClusterBounds, NodeIdentity, NodeSettings, Pace, DEFAULT_LINK_BYTES_PER_S,
     DEFAULT_MAX_REPLICAS_IN_FULL_VIEW,
 };
+use croftrill_scheduler::process_limits::{
+    ProcessLimits, DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB, MIN_DESCRIPTORS, MIN_MEMORY_MB,
+};
+use nix::sys::resource::{getrlimit, Resource};
 use serde::Deserialize;
 
 /// Settings of one node.
@@ -35,6 +39,9 @@
     /// Maximum number of requests in service at the same time; 0 for no limit.
     #[serde(default)]
     pub most_in_service: usize,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Whether callers compete for scarce capacity at times.
     #[serde(default)]
     pub callers_compete: bool,
@@ -46,6 +53,26 @@
     pub quota: QuotaSettings,
 }
 
+/// Limits of the process, from which those on what callers can make it hold follow.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Memory that the process may take, in MB.
+    pub memory_mb: u64,
+    /// Number of files and sockets that the process may have open; by default the operating system's
+    /// limit.
+    pub max_descriptors: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        LimitSettings {
+            memory_mb: DEFAULT_MEMORY_MB,
+            max_descriptors: system_descriptor_limit(),
+        }
+    }
+}
+
 /// Precision with which group quotas are enforced, over all nodes together.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -90,6 +117,17 @@
     }
 }
 
+/// Returns the operating system's limit on the descriptors of this process.
+fn system_descriptor_limit() -> usize {
+    match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft_limit, _)) => soft_limit.try_into().unwrap_or(usize::MAX),
+        Err(error) => {
+            tracing::warn!(target: "node", event = "the limit on descriptors is not known", %error);
+            DEFAULT_MAX_DESCRIPTORS
+        }
+    }
+}
+
 fn default_stop_grace_seconds() -> f64 {
     8.0
 }
@@ -144,6 +182,14 @@
                 findings.push(format!("{key}: must not be below zero"));
             }
         }
+        if self.limits.memory_mb < MIN_MEMORY_MB {
+            findings.push(format!("limits.memory_mb: must be at least {MIN_MEMORY_MB}"));
+        }
+        if self.limits.max_descriptors < MIN_DESCRIPTORS {
+            findings.push(format!(
+                "limits.max_descriptors: must be at least {MIN_DESCRIPTORS}"
+            ));
+        }
         let addresses = [
             ("listen", self.listen),
             ("peer", self.peer),
@@ -184,6 +230,7 @@
                 configuration_deadline: CONFIGURATION_DEADLINE,
                 min_lease: MIN_LEASE,
             },
+            limits: ProcessLimits::new(self.limits.memory_mb, self.limits.max_descriptors),
             pace: Pace {
                 watch_interval: Duration::from_millis(100),
                 ..Pace::default()
--- a/crates/croftrill-demo/src/system.rs
+++ b/crates/croftrill-demo/src/system.rs
@@ -80,6 +80,7 @@
         stop_grace_seconds: 5.0,
         order_gap_ms: ORDER_GAP.as_millis() as u64,
         most_in_service: 64,
+        limits: Default::default(),
         callers_compete: false,
         quota: Default::default(),
         retry: Default::default(),
--- a/crates/croftrill-node/src/answer_reader.rs
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use serde::de::IgnoredAny;
 
-use crate::answer_budget::AnswerBudget;
+use crate::answer_budget::{AnswerBudget, HeldAnswer};
 use crate::events::EventScanner;
 
 /// What tells where a body ends. Source: RFC 9112, section 6.3.
@@ -165,6 +165,24 @@
     End(BodyEnd),
 }
 
+/// What arrived of a body that was read to its end.
+pub(crate) struct ReadAnswer {
+    pub(crate) body: Bytes,
+    pub(crate) end: BodyEnd,
+    /// The memory that the body holds.
+    pub(crate) held: HeldAnswer,
+}
+
+impl ReadAnswer {
+    fn new(received: BytesMut, end: BodyEnd, held: HeldAnswer) -> Self {
+        ReadAnswer {
+            body: received.freeze(),
+            end,
+            held,
+        }
+    }
+}
+
 /// Reads the body of an answer.
 #[derive(Debug)]
 pub struct AnswerReader<B = Incoming> {
@@ -232,26 +250,27 @@
 
     /// Reads the remaining body, for as long as `budget` admits what arrives. A large one is given up if
     /// `is_late` then. Returns what arrived of it, and how it ended.
-    pub async fn read_to_end(
+    pub(crate) async fn read_to_end(
         &mut self,
         budget: &AnswerBudget,
         is_late: impl Fn() -> bool,
-    ) -> (Bytes, BodyEnd) {
-        let mut held = budget.hold();
-        if self.body.size_hint().lower() > budget.max_answer_bytes() {
-            return (Bytes::new(), BodyEnd::TooLong);
-        }
+    ) -> ReadAnswer {
+        let announced = self.body.size_hint();
+        let mut held = budget.hold(announced.exact());
         let mut received = BytesMut::new();
+        if announced.lower() > budget.max_answer_bytes() {
+            return ReadAnswer::new(received, BodyEnd::TooLong, held);
+        }
         loop {
             match self.next().await {
                 BodyPart::Bytes(bytes) => {
-                    let is_admitted = held.admit(bytes.len() as u64);
+                    let is_admitted = held.admit(bytes.len() as u64).await;
                     if !is_admitted || held.is_large() && is_late() {
-                        return (received.freeze(), BodyEnd::TooLong);
+                        return ReadAnswer::new(received, BodyEnd::TooLong, held);
                     }
                     received.extend_from_slice(&bytes);
                 }
-                BodyPart::End(end) => return (received.freeze(), end),
+                BodyPart::End(end) => return ReadAnswer::new(received, end, held),
             }
         }
     }
--- a/crates/croftrill-node/src/caller_stream.rs
+++ b/crates/croftrill-node/src/caller_stream.rs
@@ -13,17 +13,31 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use croftrill_scheduler::connection_slots::ConnectionPhase;
 use http::Version;
 use http_body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::eviction::Eviction;
+use crate::port_connections::PortConnection;
 use crate::stream::AnswerBody;
 
+/// The socket of a connection, which the connection reads and writes, and its task watches.
+pub(crate) type SharedStream = Rc<RefCell<TcpStream>>;
+
 /// What a connection and the body of its current answer know of each other.
-#[derive(Default)]
 pub(crate) struct CallerLink {
+    connection: Rc<PortConnection>,
+    /// Whether the current answer has left the body, so that it is over once it is written.
+    is_body_over: Cell<bool>,
+    /// Whether the connection waits for bytes of its caller.
+    waits_for_bytes: Cell<bool>,
+    /// Whether the current request is the last one of the connection.
+    has_ended_requests: Cell<bool>,
+    /// Tells that others need the memory of the current answer.
+    answer_eviction: RefCell<Option<Rc<Eviction>>>,
     /// Whether the answer ends with its connection and is not whole yet.
     is_open_ended: Cell<bool>,
     /// Present while the body waits until all written bytes were passed to the socket.
@@ -31,23 +45,71 @@
 }
 
 impl CallerLink {
+    pub(crate) fn new(connection: Rc<PortConnection>) -> Self {
+        CallerLink {
+            connection,
+            is_body_over: Cell::new(false),
+            waits_for_bytes: Cell::new(false),
+            has_ended_requests: Cell::new(false),
+            answer_eviction: RefCell::default(),
+            is_open_ended: Cell::new(false),
+            waits_for_flush: RefCell::default(),
+        }
+    }
+
+    /// Returns the connection.
+    pub(crate) fn connection(&self) -> &PortConnection {
+        &self.connection
+    }
+
+    /// Records that the header block of a request has arrived.
+    pub(crate) fn record_request(&self) {
+        self.is_body_over.set(false);
+        self.connection.set_phase(ConnectionPhase::Body);
+    }
+
     fn record_flushed(&self) {
         if let Some(waker) = self.waits_for_flush.take() {
             waker.wake();
         }
+        if self.is_body_over.take() {
+            self.connection.set_phase(ConnectionPhase::Idle);
+        }
+    }
+
+    /// Makes the current request the last one of the connection, which reads nothing more.
+    pub(crate) fn end_requests(&self) {
+        self.has_ended_requests.set(true);
+    }
+
+    /// Returns whether the connection reads no further for now, so that it does not see that its caller
+    /// closes it.
+    pub(crate) fn has_stopped_reading(&self) -> bool {
+        !self.waits_for_bytes.get()
+    }
+
+    /// Polls whether the connection has to close, for another one or as others need the memory of its
+    /// answer.
+    pub(crate) fn poll_evicted(&self, context: &mut Context<'_>) -> Poll<()> {
+        let answer = self.answer_eviction.borrow();
+        let answer = answer.as_ref().map(|eviction| eviction.poll_requested(context));
+        if matches!(answer, Some(Poll::Ready(()))) {
+            return Poll::Ready(());
+        }
+        self.connection.eviction().poll_requested(context)
     }
 }
 
 /// The caller's end of a connection.
 pub(crate) struct CallerStream {
-    stream: TcpStream,
+    stream: SharedStream,
     link: Rc<CallerLink>,
     /// Whether closing the socket resets the connection.
     resets_on_close: bool,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, link: Rc<CallerLink>) -> Self {
+    pub(crate) fn new(stream: SharedStream, link: Rc<CallerLink>) -> Self {
         CallerStream {
             stream,
             link,
@@ -60,7 +122,7 @@
         let resets_on_close = self.link.is_open_ended.get();
         if self.resets_on_close != resets_on_close {
             let linger = resets_on_close.then_some(Duration::ZERO);
-            SockRef::from(&self.stream).set_linger(linger)?;
+            SockRef::from(&*self.stream.borrow()).set_linger(linger)?;
             self.resets_on_close = resets_on_close;
         }
         Ok(())
@@ -69,11 +131,20 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        if self.link.has_ended_requests.get() {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
+        self.link.waits_for_bytes.set(polled.is_pending());
+        if buffer.filled().len() > before {
+            self.link.connection.record_read();
+        }
+        polled
     }
 }
 
@@ -84,7 +155,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.update_close()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -93,16 +164,16 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.update_close()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.link.record_flushed();
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -111,7 +182,7 @@
             return Poll::Ready(Ok(()));
         }
         self.update_close()?;
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(context)
     }
 }
 
@@ -128,6 +199,8 @@
     pub(crate) fn new(body: AnswerBody, version: Version, link: Rc<CallerLink>) -> Self {
         let is_open_ended = version == Version::HTTP_10 && matches!(body, AnswerBody::Stream(_));
         link.is_open_ended.set(is_open_ended);
+        link.answer_eviction.replace(body.eviction());
+        link.connection.set_phase(ConnectionPhase::Running);
         CallerBody {
             body,
             link,
@@ -136,6 +209,13 @@
     }
 }
 
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        self.link.answer_eviction.replace(None);
+        self.link.is_body_over.set(true);
+    }
+}
+
 impl Body for CallerBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/croftrill-node/src/connection.rs
+++ b/crates/croftrill-node/src/connection.rs
@@ -41,6 +41,10 @@
     pub max_idle_time: Duration,
     /// Maximum number of idle connections to one address.
     pub max_idle_connections: usize,
+    /// Maximum number of idle connections to all addresses.
+    pub max_idle_total: usize,
+    /// Maximum size of a connection's read buffer, which bounds the head of an answer. In bytes.
+    pub max_read_buffer_bytes: usize,
     /// Whether connections are reset when they are closed, so that what was written and not
     /// delivered by then never is.
     pub resets_on_close: bool,
@@ -54,6 +58,8 @@
             silence_limit: Some(Duration::from_secs(4)),
             max_idle_time: Duration::from_millis(3000),
             max_idle_connections: 8,
+            max_idle_total: usize::MAX,
+            max_read_buffer_bytes: 64 * 1024,
             resets_on_close: false,
         }
     }
@@ -284,7 +290,7 @@
         tunnel: Option<CloseHook>,
     ) -> Result<Connection, ExchangeError> {
         let handshake = http1::Builder::new()
-            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .max_buf_size(self.config.max_read_buffer_bytes)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| ExchangeError::NotSent)?;
         *self.opened.borrow_mut() += 1;
@@ -337,6 +343,9 @@
         connection.max_idle_time = self.config.max_idle_time.min(keep_alive_timeout(headers));
         connection.was_idle = true;
         let mut idle = self.idle.borrow_mut();
+        if idle.values().map(Vec::len).sum::<usize>() >= self.config.max_idle_total {
+            return;
+        }
         let connections = idle.entry(connection.address).or_default();
         connections.retain(|other| other.idle_since.elapsed() < other.max_idle_time);
         if connections.len() < self.config.max_idle_connections {
@@ -408,10 +417,10 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (exchange, answer) = self.start_exchange(address, request).await?;
         let (head, mut reader) = answer.into_parts();
-        let (body, end) = reader.read_to_end(&AnswerBudget::default(), || false).await;
-        check_end(reader.judge_document(&body, end))?;
+        let answer = reader.read_to_end(&AnswerBudget::default(), || false).await;
+        check_end(reader.judge_document(&answer.body, answer.end))?;
         exchange.finish(&head.headers);
-        Ok(Response::from_parts(head, body))
+        Ok(Response::from_parts(head, answer.body))
     }
 
     /// Sends a request on an idle or new connection and returns the head of the answer, which holds
@@ -510,6 +519,3 @@
         _ => Ok(()),
     }
 }
-
-/// Maximum size of a connection's read buffer.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -1,6 +1,9 @@
 //! The listener for callers' requests.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,12 +13,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 use crate::caller_stream::{CallerBody, CallerLink, CallerStream};
+use crate::connection_guard::ConnectionGuard;
 use crate::connector::configure_socket;
+use crate::metrics::Metrics;
 use crate::node::{Lifecycle, Node};
+use crate::port_connections::{ConnectionPlace, PortConnections};
 use crate::ports::{CallerAddress, Platform};
 use crate::request;
 
@@ -33,6 +40,8 @@
 /// closed. It is longer than callers wait for an answer (15 s on the longest known route),
 /// so a shorter network partition loses no answers.
 const CALLER_SILENCE_LIMIT: Duration = Duration::from_secs(20);
+/// Size of the kernel's buffers for each direction of a caller's connection. The kernel doubles it.
+pub(crate) const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 
@@ -40,6 +49,11 @@
 /// [`STOP_ACCEPT_PERIOD`] has passed. A caller that connects later is refused at once and
 /// can turn to another node.
 pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    if let Err(error) = bound_socket_buffers(&listener) {
+        tracing::warn!(target: "front", event = "cannot bound the sockets' buffers", %error);
+    }
+    let max_connections = node.settings.limits.max_caller_connections();
+    let connections = PortConnections::new("callers", max_connections, node.clock.clone());
     let closing = wait_until_closed(&node);
     tokio::pin!(closing);
     loop {
@@ -49,8 +63,11 @@
         };
         match accepted {
             Ok((stream, caller)) => {
+                let Some(place) = connections.admit(&node.metrics).await else {
+                    continue;
+                };
                 let caller = CallerAddress(caller.ip());
-                tokio::task::spawn_local(serve_connection(node.clone(), stream, caller));
+                tokio::task::spawn_local(serve_connection(node.clone(), stream, caller, place));
             }
             Err(error) => {
                 tracing::warn!(target: "front", event = "accept failed", %error);
@@ -60,8 +77,20 @@
     }
 }
 
+/// Bounds what the kernel holds of each connection that the listener accepts from now on.
+fn bound_socket_buffers(listener: &TcpListener) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)
+}
+
 /// Serves one caller's connection until either side closes it.
-async fn serve_connection<P: Platform>(node: Rc<Node<P>>, stream: TcpStream, caller: CallerAddress) {
+async fn serve_connection<P: Platform>(
+    node: Rc<Node<P>>,
+    stream: TcpStream,
+    caller: CallerAddress,
+    place: ConnectionPlace,
+) {
     if let Err(error) = configure_socket(&stream, Some(CALLER_SILENCE_LIMIT)) {
         tracing::debug!(target: "front", event = "cannot configure the connection", %error);
         return;
@@ -71,16 +100,17 @@
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
     let service_node = node.clone();
-    let link = Rc::new(CallerLink::default());
+    let link = Rc::new(CallerLink::new(place.connection().clone()));
     let answer_link = link.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         let node = service_node.clone();
         let link = answer_link.clone();
         let version = request.version();
         request.extensions_mut().insert(caller);
+        link.record_request();
         async move {
             let mut response = tokio::select! {
-                response = request::serve(&node, request) => response,
+                response = request::serve(&node, request, link.connection()) => response,
                 () = wait_for_last_answers(&node) => {
                     request::refuse(StatusCode::GATEWAY_TIMEOUT, "the node ends before its answer came", None)
                 }
@@ -93,14 +123,26 @@
             Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, version, link)))
         }
     });
+    let stream = Rc::new(RefCell::new(stream));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(CallerStream::new(stream, link)), service);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream.clone(), link.clone())),
+            service,
+        );
     tokio::pin!(connection);
+    let mut guard = ConnectionGuard::new(stream, link, place, limits.header_timeout);
+    let overdue = poll_fn(|context| guard.poll_overdue(context));
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
+        cause = overdue => {
+            tracing::info!(target: "front", event = "closed a connection", cause, caller = %caller.0);
+            Metrics::count(&node.metrics.closed_for_room, "callers", cause);
+            return;
+        }
         () = wait_until_closed(&node) => {}
     }
     // Closes an idle connection now, and one in use after its answer.
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -111,6 +111,12 @@
     pub replicas_out_of_reach: Gauge,
     /// Number of shards whose orderer this node is.
     pub is_orderer: Gauge,
+    /// Connections that were closed or refused as a port had no place left, by port and outcome.
+    pub closed_for_room: Family<OutcomeLabels, Counter>,
+    /// Requests refused before they ran, for their body or the node's limits, by kind and cause.
+    pub refused_for_room: Family<OutcomeLabels, Counter>,
+    /// Bytes that large bodies, answers and streams hold.
+    pub in_flight_bytes: Gauge,
     /// Requests being served.
     pub in_flight: Gauge,
     /// Requests that wait for a reservation in a tenant's quota.
@@ -309,6 +315,24 @@
             "Number of shards whose orderer this node is",
             is_orderer.clone(),
         );
+        let closed_for_room = Family::default();
+        registry.register(
+            "closed_for_room",
+            "Connections closed or refused as a port had no place left, by port and outcome",
+            closed_for_room.clone(),
+        );
+        let refused_for_room = Family::default();
+        registry.register(
+            "refused_for_room",
+            "Requests refused before they ran, for their body or the node's limits, by kind and cause",
+            refused_for_room.clone(),
+        );
+        let in_flight_bytes = Gauge::default();
+        registry.register(
+            "in_flight_bytes",
+            "Bytes that large bodies, answers and streams hold",
+            in_flight_bytes.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests being served", in_flight.clone());
         let quota_waiting = Gauge::default();
@@ -364,6 +388,9 @@
             replicas,
             replicas_out_of_reach,
             is_orderer,
+            closed_for_room,
+            refused_for_room,
+            in_flight_bytes,
             in_flight,
             quota_waiting,
             messages_left_out,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -38,11 +38,13 @@
 use crate::front::STOP_ACCEPT_PERIOD;
 use crate::load_updates::{self, LoadUpdates};
 use crate::membership::Members;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::orderer_task::OrdererInput;
 use crate::peer::{DemandBatch, ToOrderer};
 use crate::ports::{Item, Platform};
 use crate::quota::Quotas;
+use crate::service_places::ServicePlaces;
 use crate::settings::NodeSettings;
 use crate::step_times::StepTimes;
 use crate::stored_streams::StreamSegments;
@@ -69,6 +71,9 @@
 };
 /// Capacity of each queue of messages to an orderer, to the relay or to an orderer task.
 const ORDERER_QUEUE_CAPACITY: usize = 1024;
+/// Maximum size of the read buffer of a connection to a replica, and so of the pieces of a stream and of the
+/// head of an answer.
+const REPLICA_READ_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Mutable state of a node.
 pub struct NodeState {
@@ -235,6 +240,10 @@
     orderer_inboxes: Vec<mpsc::Sender<OrdererInput>>,
     /// How much the answers may hold that are read whole.
     pub(crate) answer_budget: AnswerBudget,
+    /// What bodies, answers and streams hold.
+    pub(crate) memory: Memory,
+    /// The requests of each service.
+    pub(crate) service_places: ServicePlaces,
     /// Leases of the records of software versions.
     pub(crate) record_leases: RecordLeases,
     /// Versions of streams at the store.
@@ -339,9 +348,17 @@
             lifecycle: Lifecycle::Starting,
             ready_at: None,
         };
+        let limits = settings.limits;
+        let memory = Memory::new(limits, clock.clone(), metrics.in_flight_bytes.clone());
+        let service_places = ServicePlaces::new(limits.max_requests_of_service());
+        let to_replicas = ConnectionConfig {
+            max_idle_total: limits.max_idle_replica_connections(),
+            max_read_buffer_bytes: REPLICA_READ_BUFFER_BYTES,
+            ..ConnectionConfig::default()
+        };
         let patient = ConnectionConfig {
             silence_limit: None,
-            ..ConnectionConfig::default()
+            ..to_replicas
         };
         let connector = platform.connector();
         let node = Node {
@@ -365,7 +382,7 @@
             admission_slot_freed: Notify::new(),
             replica_slot_freed: Notify::new(),
             store_reachability: StoreReachability::default(),
-            pool: ConnectionPool::with_connector(ConnectionConfig::default(), connector.clone()),
+            pool: ConnectionPool::with_connector(to_replicas, connector.clone()),
             patient_pool: ConnectionPool::with_connector(patient, connector),
             quotas,
             load_news: LoadUpdates::default(),
@@ -378,7 +395,9 @@
             to_orderers,
             to_relay,
             orderer_inboxes,
-            answer_budget: AnswerBudget::default(),
+            answer_budget: AnswerBudget::shared(memory.clone()),
+            memory,
+            service_places,
             record_leases: RecordLeases::default(),
             stream_segments: StreamSegments::default(),
         };
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::orderer_task::{OrdererInput, Subscription};
 use crate::peer::{FromOrderer, RelayedResignation, ToOrderer, WirePlacement};
+use crate::port_connections::{ConnectionPlace, PortConnections};
 use crate::ports::Platform;
 use crate::tree::ViewContents;
 use crate::wire::decode;
@@ -46,10 +47,14 @@
 
 /// Accepts links of other nodes.
 pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    let max_unknown = node.settings.limits.max_unknown_links();
+    let unknown = PortConnections::new("nodes", max_unknown, node.clock.clone());
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::task::spawn_local(serve_link(node.clone(), stream, peer));
+                if let Some(place) = unknown.admit(&node.metrics).await {
+                    tokio::task::spawn_local(serve_link(node.clone(), stream, peer, place));
+                }
             }
             Err(error) => {
                 tracing::warn!(target: "peer", event = "accept failed", %error);
@@ -61,15 +66,26 @@
 
 /// Serves another node's link according to its first message: as an orderer, a relay, a keeper or
 /// the way to a replica.
-async fn serve_link<P: Platform>(node: Rc<Node<P>>, stream: TcpStream, peer: SocketAddr) {
-    let mut link = match PeerLink::new(stream, silence_limit(&node)) {
+async fn serve_link<P: Platform>(
+    node: Rc<Node<P>>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    place: ConnectionPlace,
+) {
+    let mut link = match PeerLink::accept(stream, silence_limit(&node)) {
         Ok(link) => link,
         Err(error) => {
             tracing::debug!(target: "peer", event = "link cannot be set up", %error);
             return;
         }
     };
-    let first = match timeout(HELLO_TIMEOUT, first_message(&mut link)).await {
+    let received = tokio::select! {
+        received = timeout(HELLO_TIMEOUT, first_message(&mut link)) => received,
+        () = place.connection().eviction().requested() => return,
+    };
+    drop(place);
+    link.set_known();
+    let first = match received {
         Ok(Ok(Some(first))) => first,
         Ok(Err(error)) => {
             tracing::warn!(target: "peer", event = "link of another form", %peer, %error);
--- a/crates/croftrill-node/src/replica_path/serve.rs
+++ b/crates/croftrill-node/src/replica_path/serve.rs
@@ -78,7 +78,7 @@
     request: &WireConnect,
 ) -> Result<TcpStream, WireConnectAnswer> {
     let is_busy = node.lifecycle() != Lifecycle::Ready
-        || node.carried_tunnels.get() >= MAX_TUNNELS
+        || node.carried_tunnels.get() >= MAX_TUNNELS.min(node.settings.limits.max_tunnels())
         || node.step_times.last_delay() > MAX_THREAD_DELAY;
     if is_busy {
         return Err(WireConnectAnswer::Busy);
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use croftrill_scheduler::catalog::RouteKind;
+use croftrill_scheduler::catalog::{RouteKind, ServiceName};
 use croftrill_scheduler::crash_ledger::{SuspectId, Verdict};
 use croftrill_scheduler::replica::ReplicaId;
 use http::header::{self, HeaderValue};
@@ -13,8 +13,11 @@
 use super::forwarding::end_to_end_headers;
 use super::{Answer, RequestRun, DEFAULT_RETRY_AFTER};
 use crate::answer_reader::{AnswerReader, BodyEnd, Framing};
+use crate::body_reader::BodyError;
 use crate::crash_reports::kind_name as kind_name_of;
+use crate::memory::HeldMemory;
 use crate::metrics::Metrics;
+use crate::node::Node;
 use crate::ports::Platform;
 use crate::stream::AnswerBody;
 
@@ -34,6 +37,7 @@
         replica: &ReplicaId,
         mut head: response::Parts,
         body: Bytes,
+        held: Option<HeldMemory>,
     ) -> Answer {
         head.headers = end_to_end_headers(&head.headers);
         if self.head.method != Method::HEAD {
@@ -47,7 +51,7 @@
                 "failed at the replica"
             },
         );
-        let mut answer = Response::new(AnswerBody::full(body));
+        let mut answer = Response::new(AnswerBody::held(body, held));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = head.headers;
         answer
@@ -152,6 +156,25 @@
     }
 }
 
+/// Refuses a request whose body was not read to its end, so that it has not run.
+pub(super) fn refuse_body<P: Platform>(node: &Node<P>, id: &str, error: BodyError) -> Answer {
+    Metrics::count(&node.metrics.refused_for_room, "body", error.name());
+    tracing::info!(target: "request", id, outcome = "refused", cause = %error);
+    let retry_after = (error == BodyError::NoRoom).then_some(DEFAULT_RETRY_AFTER);
+    refuse(error.status(), &error.to_string(), retry_after)
+}
+
+/// Refuses a request whose service has as many requests at this node as one service may have.
+pub(super) fn refuse_for_service<P: Platform>(node: &Node<P>, id: &str, service: &ServiceName) -> Answer {
+    Metrics::count(&node.metrics.refused_for_room, "service", "no place");
+    tracing::info!(target: "request", id, outcome = "refused", cause = "too many requests of its service", service = &**service);
+    refuse(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "too many requests of this service are in flight",
+        Some(DEFAULT_RETRY_AFTER),
+    )
+}
+
 /// Returns a JSON answer that the node itself gives.
 pub(super) fn json(body: String) -> Answer {
     let mut answer = Response::new(AnswerBody::full(body));
--- a/crates/croftrill-node/src/request/crashing.rs
+++ b/crates/croftrill-node/src/request/crashing.rs
@@ -55,7 +55,7 @@
                 .uri
                 .path_and_query()
                 .map_or("/", |target| target.as_str());
-            fingerprint(target, self.facts.group.as_deref(), &self.body)
+            fingerprint(target, self.facts.group.as_deref(), &self.body.bytes)
         })
     }
 
--- a/crates/croftrill-node/src/request/forwarding.rs
+++ b/crates/croftrill-node/src/request/forwarding.rs
@@ -2,12 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
 use http::header::{self, HeaderMap, HeaderName};
-use http::{request, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http::{request, Uri};
 use xxhash_rust::xxh3::xxh3_64;
 
 pub(super) fn find_route(configuration: &Configuration, head: &request::Parts) -> Option<Arc<Route>> {
@@ -44,29 +41,6 @@
         .unwrap_or_else(|| "".into())
 }
 
-/// Reads a complete body within the size limit.
-pub(super) async fn read_body(
-    body: Incoming,
-    head: &request::Parts,
-    max_bytes: usize,
-) -> Result<Bytes, StatusCode> {
-    let content_length = head
-        .headers
-        .get(header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok());
-    if content_length
-        .and_then(|value| value.parse::<usize>().ok())
-        .is_some_and(|length| length > max_bytes)
-    {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 /// Returns the target to send to a replica: path and query, unchanged.
 pub(super) fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query()
--- a/crates/croftrill-node/src/request/full.rs
+++ b/crates/croftrill-node/src/request/full.rs
@@ -146,7 +146,7 @@
             rank: self.rank(),
             tenant: self.tenant.clone(),
             due: self.attempt_end(),
-            size_bytes: self.body.len(),
+            size_bytes: self.body.bytes.len(),
         }
     }
 
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -47,9 +47,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use croftrill_scheduler::admission::DEFAULT_DEADLINE;
 use croftrill_scheduler::catalog::{Configuration, Route, ServiceName};
+use croftrill_scheduler::connection_slots::ConnectionPhase;
 use croftrill_scheduler::crash_ledger::Fingerprint;
 use croftrill_scheduler::demand::ModelKey;
 use croftrill_scheduler::fleet_share::WithheldReason;
@@ -60,9 +60,9 @@
 
 use self::access::{authorize, refuse_access, take_credit};
 pub use self::answers::refuse;
-use self::answers::{json, kind_name, AnswerEnd};
+use self::answers::{json, kind_name, refuse_body, refuse_for_service, AnswerEnd};
 use self::cold::NextReplica;
-use self::forwarding::{pick_backend, read_body};
+use self::forwarding::pick_backend;
 use self::guards::{acquire_slot, InFlightGuard, ServiceSlot};
 use self::missing_route::{find_newest_route, refuse_without_route};
 use self::rejections::RiskBasis;
@@ -71,11 +71,15 @@
 use self::time_left::{attempt_end, last_start, model_work};
 use self::version::StreamVersion;
 use crate::answer_reader::Framing;
+use crate::body_reader::{self, BodyError, BodyLimits, HeldBody};
 use crate::crash_trial::Trial;
+use crate::memory::HeldMemory;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::port_connections::PortConnection;
 use crate::ports::{Dialect, Platform, RequestFacts};
 use crate::quota::{Credit, Permit};
+use crate::service_places::ServicePlace;
 use crate::stream::AnswerBody;
 use crate::stream_versions;
 
@@ -89,6 +93,9 @@
 const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Pause before a request is resent to the replica that refused it.
 const SAME_REPLICA_PAUSE: Duration = Duration::from_millis(60);
+/// Maximum time that a body waits for memory. A caller whose request is not read for as long, or for a third
+/// of its time, turns to another node.
+const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of sends of one request, even if the route allows more.
 const MAX_SENDS: usize = 4;
 
@@ -99,8 +106,21 @@
     facts.prompt_tokens + OUTPUT_TOKEN_COST * facts.output_tokens
 }
 
-/// Serves one request.
-pub async fn serve<P: Platform>(node: &Rc<Node<P>>, request: Request<Incoming>) -> Answer {
+/// Returns the limits of a body whose request has this much time.
+fn body_limits(configuration: &Configuration, time: Duration) -> BodyLimits {
+    BodyLimits {
+        max_bytes: configuration.limits.max_body_bytes as u64,
+        max_pause: configuration.limits.idle_timeout,
+        max_wait: MAX_ROOM_WAIT.min(time / 3),
+    }
+}
+
+/// Serves one request, which arrived over `connection`.
+pub(crate) async fn serve<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: Request<Incoming>,
+    connection: &PortConnection,
+) -> Answer {
     let arrival = node.clock.now();
     let in_flight = InFlightGuard::start(node);
     let (head, body) = request.into_parts();
@@ -142,26 +162,25 @@
     let deadline = route
         .timeout
         .map_or(caller_deadline, |timeout| caller_deadline.min(arrival + timeout));
-    let reading = read_body(body, &head, configuration.limits.max_body_bytes);
+    let body_limits = body_limits(&configuration, deadline.since(arrival));
+    let reading = body_reader::read(body, body_limits, &node.memory);
     let body = match node.clock.timeout_at(deadline, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(status)) => return refuse(status, "the body cannot be taken", None),
-        Err(_) => {
-            return refuse(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-                None,
-            )
-        }
+        Ok(Err(error)) => return refuse_body(node, &facts.id, error),
+        Err(_) => return refuse_body(node, &facts.id, BodyError::Stalled),
     };
+    connection.set_phase(ConnectionPhase::Running);
     let mut facts = facts;
-    if let Err(error) = node.platform.dialect().read_body(&mut facts, &body) {
+    if let Err(error) = node.platform.dialect().read_body(&mut facts, &body.bytes) {
         return refuse(StatusCode::BAD_REQUEST, &error.to_string(), None);
     }
     if let Some(tenant) = &tenant {
         facts.group = Some(tenant.to_string());
     }
     let service = pick_backend(&route, &facts.id);
+    let Some(place) = node.service_places.take(&service) else {
+        return refuse_for_service(node, &facts.id, &service);
+    };
     let attempt_end = attempt_end(&route, arrival, deadline);
     let work = model_work(&configuration, &service, &facts);
     let last_start = {
@@ -210,6 +229,7 @@
         caller_deadline,
         in_flight: Some(in_flight),
         slot,
+        _place: place,
         sends: 0,
         tried: Vec::new(),
         unreached: Vec::new(),
@@ -240,6 +260,7 @@
         may_await_version: true,
         stream_broke_at: None,
         earlier_run: None,
+        stream_memory: None,
     };
     run.serve().await
 }
@@ -257,7 +278,7 @@
     service: ServiceName,
     configuration: Arc<Configuration>,
     head: Rc<request::Parts>,
-    body: Bytes,
+    body: HeldBody,
     arrival: Moment,
     /// When the caller or the route ends the request.
     deadline: Moment,
@@ -265,6 +286,8 @@
     caller_deadline: Moment,
     in_flight: Option<InFlightGuard<P>>,
     slot: Option<ServiceSlot<P>>,
+    /// Its place among the requests of its service.
+    _place: ServicePlace,
     sends: usize,
     tried: Vec<ReplicaId>,
     /// Those of `tried` to which no connection came up.
@@ -320,6 +343,8 @@
     stream_broke_at: Option<Moment>,
     /// A run of its stream at a silent replica, which ends before the stream goes on at another one.
     earlier_run: Option<Streaming<P>>,
+    /// The memory of what its caller has not read of a stream.
+    stream_memory: Option<HeldMemory>,
 }
 
 impl<P: Platform> RequestRun<P> {
@@ -346,10 +371,10 @@
             let end = self.send(&replica, None, self.silence_deadline()).await;
             match end {
                 SendEnd::Streaming(streaming) => return self.answer_stream(*streaming),
-                SendEnd::Complete { head, body } => {
+                SendEnd::Complete { head, body, held } => {
                     let failed = head.status.is_server_error();
                     if !failed || !self.may_repeat_after(&replica) {
-                        return self.answer_complete(&replica, head, body);
+                        return self.answer_complete(&replica, head, body, held);
                     }
                 }
                 SendEnd::Suspected(judgment) => return self.refuse_suspect(judgment),
--- a/crates/croftrill-node/src/request/sending.rs
+++ b/crates/croftrill-node/src/request/sending.rs
@@ -22,6 +22,7 @@
 use crate::connection::{Connection, ExchangeError};
 use crate::crash_reports;
 use crate::load_updates;
+use crate::memory::HeldMemory;
 use crate::metrics::Metrics;
 use crate::ports::{AnswerFacts, Dialect, Execution, Forwarding, Platform};
 use crate::quota::Permit;
@@ -33,7 +34,12 @@
     /// The head of an answer that can be forwarded while its body arrives.
     Streaming(Box<Streaming<P>>),
     /// A complete answer.
-    Complete { head: response::Parts, body: Bytes },
+    Complete {
+        head: response::Parts,
+        body: Bytes,
+        /// The memory that the body holds.
+        held: Option<HeldMemory>,
+    },
     /// Nothing was sent.
     NotSent,
     /// Nothing was sent, as replicas ended under the request.
@@ -325,13 +331,13 @@
         let is_late = || may_repeat && self.now() >= late_at;
         let reading = body.read_to_end(&self.node.answer_budget, is_late);
         let read = self.node.clock.timeout_at(self.deadline, reading).await;
-        if let Ok((_, end)) = &read {
-            self.record_answer_end(&body, end);
+        if let Ok(answer) = &read {
+            self.record_answer_end(&body, &answer.end);
         }
         match read {
-            Ok((received, end)) if !end.is_cut_off() => {
+            Ok(answer) if !answer.end.is_cut_off() => {
                 send.report_permit(|permit| permit.completed(load));
-                if matches!(end, BodyEnd::Whole) {
+                if matches!(answer.end, BodyEnd::Whole) {
                     self.record_complete_answer(replica, head.status);
                 } else {
                     let answer_duration = self.now().since(head_received_at);
@@ -350,12 +356,16 @@
                 if self.route.is_idempotent() {
                     self.node.pool.put_back(connection, &head.headers);
                 }
-                SendEnd::Complete { head, body: received }
+                SendEnd::Complete {
+                    head,
+                    body: answer.body,
+                    held: answer.held.into_held(),
+                }
             }
-            Ok((received, end)) => {
-                if matches!(end, BodyEnd::TooLong) {
+            Ok(answer) => {
+                if matches!(answer.end, BodyEnd::TooLong) {
                     tracing::info!(target: "send", id = self.facts.id, replica = &**replica,
-                        outcome = "answer too long", received_bytes = received.len());
+                        outcome = "answer too long", received_bytes = answer.body.len());
                 }
                 send.record(SendOutcome::Failure);
                 self.report_broken_request(&send, Some(self.now().since(head_received_at)));
@@ -431,7 +441,7 @@
         replica: &ReplicaId,
         resume_after: Option<&str>,
     ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = origin_form(&self.head.uri);
         let mut headers = end_to_end_headers(&self.head.headers);
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use croftrill_scheduler::admission::caller_patience;
 use croftrill_scheduler::health::SendOutcome;
 use croftrill_scheduler::replica::ReplicaId;
@@ -17,7 +18,7 @@
 use crate::broken_requests::MAX_START_DURATION;
 use crate::events::EventSplitter;
 use crate::ports::Platform;
-use crate::stream::{AnswerBody, StreamChunk, StreamSender};
+use crate::stream::{AnswerBody, ReaderGone, StreamChunk, StreamSender};
 use crate::stream_versions;
 
 /// Time to choose another holder and connect to it: a handshake over each of two links of 5 ms, and
@@ -29,6 +30,11 @@
 /// Pause of a stream after which its replica may have gone dark.
 const LONG_SILENCE: Duration = Duration::from_millis(500);
 
+/// Memory of a stream whose caller does not read: the waiting chunks and the buffers of both connections.
+const UNREAD_STREAM_BYTES: u64 = 128 * 1024;
+/// Size of a piece up to which it is copied, so that it does not keep the buffer that it was read into.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
+
 /// How the stream from one replica ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PumpEnd {
@@ -62,10 +68,21 @@
     }
 }
 
+/// Returns the same bytes, which keep about as much memory as they hold.
+fn compact(bytes: Bytes) -> Bytes {
+    if bytes.len() <= MAX_COPIED_BYTES {
+        Bytes::copy_from_slice(&bytes)
+    } else {
+        bytes
+    }
+}
+
 impl<P: Platform> RequestRun<P> {
     /// Returns the answer with a stream as its body, which a separate task forwards.
     pub(super) fn answer_stream(mut self, streaming: Streaming<P>) -> Answer {
-        let (sender, body) = AnswerBody::stream();
+        let held = self.node.memory.hold("stream");
+        let (sender, body) = AnswerBody::evictable_stream(held.eviction().clone());
+        self.stream_memory = Some(held);
         let mut answer = Response::new(body);
         *answer.status_mut() = streaming.head.status;
         *answer.headers_mut() = end_to_end_headers(&streaming.head.headers);
@@ -214,7 +231,7 @@
                 return self.handle_end(streaming, end, last_event, cutter, sender).await;
             }
             let bytes = if !self.route.resumable {
-                Some(bytes)
+                Some(compact(bytes))
             } else if streaming.body.holds_events() {
                 cutter.push(&bytes)
             } else {
@@ -297,18 +314,36 @@
     /// Forwards a chunk. The deadline bounds how long a caller that stops reading, or whose
     /// connection went silent, holds up the replica.
     async fn forward(&self, sender: &StreamSender, chunk: StreamChunk) -> Result<(), PumpEnd> {
-        match self
-            .node
-            .clock
-            .timeout_at(self.deadline, sender.send(Ok(chunk)))
-            .await
-        {
+        let sending = async {
+            tokio::select! {
+                sent = self.send_held(sender, chunk) => sent,
+                () = sender.closed() => Err(ReaderGone),
+            }
+        };
+        match self.node.clock.timeout_at(self.deadline, sending).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(PumpEnd::CallerDisconnected),
+            Ok(Err(ReaderGone)) => Err(PumpEnd::CallerDisconnected),
             Err(_) => Err(PumpEnd::OutOfTime),
         }
     }
 
+    /// Sends a chunk. If the caller has not read the earlier ones, waits for memory to hold them.
+    async fn send_held(&self, sender: &StreamSender, chunk: StreamChunk) -> Result<(), ReaderGone> {
+        let Some(held) = &self.stream_memory else {
+            return sender.send(Ok(chunk)).await;
+        };
+        let size_bytes = chunk.size_bytes();
+        if !sender.has_waiting() {
+            held.shrink(0);
+        } else if held.grow(UNREAD_STREAM_BYTES).await.is_err() {
+            tracing::info!(target: "send", id = self.facts.id, outcome = "no memory for an unread stream");
+            return Err(ReaderGone);
+        }
+        sender.send(Ok(chunk)).await?;
+        held.record_moved(size_bytes);
+        Ok(())
+    }
+
     /// Resumes a stream at another replica, if the route allows. An `earlier` run that may still
     /// continue is ended before the request is sent again. If it is not sent again, the run is
     /// returned.
--- a/crates/croftrill-node/src/settings.rs
+++ b/crates/croftrill-node/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use croftrill_scheduler::process_limits::ProcessLimits;
+
 /// Name and addresses of a node, and the resources of its machine.
 #[derive(Debug, Clone)]
 pub struct NodeIdentity {
@@ -57,6 +59,8 @@
     pub identity: NodeIdentity,
     /// Bounds that apply to all nodes together.
     pub bounds: ClusterBounds,
+    /// Limits of the process on its machine.
+    pub limits: ProcessLimits,
     /// Intervals of the node's own work.
     pub pace: Pace,
     /// Maximum number of requests that the node serves concurrently. Further requests wait and
