The rest of a body that was not read begins no header block

The HTTP library then reads the rest of such a body once, which looked like the first bytes of the next header block.

A request without a body runs at once, as nothing of it can be missing.

--- a/crates/croftrill-node/src/caller_stream.rs
+++ b/crates/croftrill-node/src/caller_stream.rs
@@ -34,6 +34,8 @@
     is_body_over: Cell<bool>,
     /// Whether the connection waits for bytes of its caller.
     waits_for_bytes: Cell<bool>,
+    /// Whether the next read may take the rest of a body whose request was answered without it.
+    drains_body: Cell<bool>,
     /// Whether the current request is the last one of the connection.
     has_ended_requests: Cell<bool>,
     /// Tells that others need the memory of the current answer.
@@ -50,6 +52,7 @@
             connection,
             is_body_over: Cell::new(false),
             waits_for_bytes: Cell::new(false),
+            drains_body: Cell::new(false),
             has_ended_requests: Cell::new(false),
             answer_eviction: RefCell::default(),
             is_open_ended: Cell::new(false),
@@ -63,9 +66,27 @@
     }
 
     /// Records that the header block of a request has arrived.
-    pub(crate) fn record_request(&self) {
+    pub(crate) fn record_request(&self, has_body: bool) {
         self.is_body_over.set(false);
-        self.connection.set_phase(ConnectionPhase::Body);
+        self.connection.set_phase(if has_body {
+            ConnectionPhase::Body
+        } else {
+            ConnectionPhase::Running
+        });
+    }
+
+    fn record_read(&self) {
+        if !self.drains_body.take() {
+            self.connection.record_read();
+        }
+    }
+
+    /// Records that the answer to the current request begins.
+    fn record_answer(&self, eviction: Option<Rc<Eviction>>) {
+        let is_body_unread = self.connection.phase() == ConnectionPhase::Body;
+        self.drains_body.set(is_body_unread);
+        self.answer_eviction.replace(eviction);
+        self.connection.set_phase(ConnectionPhase::Running);
     }
 
     fn record_flushed(&self) {
@@ -142,7 +163,7 @@
         let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
         self.link.waits_for_bytes.set(polled.is_pending());
         if buffer.filled().len() > before {
-            self.link.connection.record_read();
+            self.link.record_read();
         }
         polled
     }
@@ -199,8 +220,7 @@
     pub(crate) fn new(body: AnswerBody, version: Version, link: Rc<CallerLink>) -> Self {
         let is_open_ended = version == Version::HTTP_10 && matches!(body, AnswerBody::Stream(_));
         link.is_open_ended.set(is_open_ended);
-        link.answer_eviction.replace(body.eviction());
-        link.connection.set_phase(ConnectionPhase::Running);
+        link.record_answer(body.eviction());
         CallerBody {
             body,
             link,
--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -9,6 +9,7 @@
 
 use http::header::{HeaderValue, CONNECTION};
 use http::{Request, StatusCode};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -107,7 +108,7 @@
         let link = answer_link.clone();
         let version = request.version();
         request.extensions_mut().insert(caller);
-        link.record_request();
+        link.record_request(!request.body().is_end_stream());
         async move {
             let mut response = tokio::select! {
                 response = request::serve(&node, request, link.connection()) => response,
