Docs: memory and descriptors under callers; shares of the sockets; names of two metrics

A first message between nodes may be as long as others again (1 MiB), with fewer links that are not known yet: a cap of 256 KiB could have kept a node with many interests from ever following. A place is asked back only after the others have read what has arrived. Tunnels keep their 256 at 4,100 descriptors (a thirty-second of the sockets had halved them); callers' connections take a third of the sockets, the other ports a thirty-second each.

--- a/crates/croftrill-node/src/front.rs
+++ b/crates/croftrill-node/src/front.rs
@@ -141,7 +141,7 @@
         _ = connection.as_mut() => return,
         cause = overdue => {
             tracing::info!(target: "front", event = "closed a connection", cause, caller = %caller.0);
-            Metrics::count(&node.metrics.closed_for_room, "callers", cause);
+            Metrics::count(&node.metrics.closed_connections, "callers", cause);
             return;
         }
         () = wait_until_closed(&node) => {}
--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use croftrill_scheduler::process_limits::MAX_FIRST_MESSAGE_BYTES;
+use croftrill_scheduler::process_limits::MAX_MESSAGE_BYTES;
 use futures::{SinkExt, StreamExt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -22,8 +22,6 @@
 
 use crate::connector::configure_socket;
 
-/// Maximum size of a message between nodes.
-const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Maximum time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -113,21 +111,6 @@
         })
     }
 
-    /// Creates a link over a connection that another peer opened, which need not be a node. Its first
-    /// message is shorter than others may be.
-    pub fn accept(stream: TcpStream, silence_limit: Duration) -> io::Result<Self> {
-        let mut link = Self::new(stream, silence_limit)?;
-        link.frames
-            .codec_mut()
-            .set_max_frame_length(MAX_FIRST_MESSAGE_BYTES);
-        Ok(link)
-    }
-
-    /// Accepts messages of full size, once the peer is known as a node.
-    pub fn set_known(&mut self) {
-        self.frames.codec_mut().set_max_frame_length(MAX_MESSAGE_BYTES);
-    }
-
     /// Connects to the node at an address.
     pub async fn connect(address: SocketAddr, silence_limit: Duration) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -111,10 +111,10 @@
     pub replicas_out_of_reach: Gauge,
     /// Number of shards whose orderer this node is.
     pub is_orderer: Gauge,
-    /// Connections that were closed or refused as a port had no place left, by port and outcome.
-    pub closed_for_room: Family<OutcomeLabels, Counter>,
-    /// Requests refused before they ran, for their body or the node's limits, by kind and cause.
-    pub refused_for_room: Family<OutcomeLabels, Counter>,
+    /// Connections that the node closed before their callers did, or refused, by port and cause.
+    pub closed_connections: Family<OutcomeLabels, Counter>,
+    /// Requests refused before they ran, for their body or for want of a place, by kind and cause.
+    pub refused_before_run: Family<OutcomeLabels, Counter>,
     /// Bytes that large bodies, answers and streams hold.
     pub in_flight_bytes: Gauge,
     /// Requests being served.
@@ -315,17 +315,17 @@
             "Number of shards whose orderer this node is",
             is_orderer.clone(),
         );
-        let closed_for_room = Family::default();
+        let closed_connections = Family::default();
         registry.register(
-            "closed_for_room",
-            "Connections closed or refused as a port had no place left, by port and outcome",
-            closed_for_room.clone(),
+            "closed_connections",
+            "Connections that the node closed before their callers did, or refused, by port and cause",
+            closed_connections.clone(),
         );
-        let refused_for_room = Family::default();
+        let refused_before_run = Family::default();
         registry.register(
-            "refused_for_room",
-            "Requests refused before they ran, for their body or the node's limits, by kind and cause",
-            refused_for_room.clone(),
+            "refused_before_run",
+            "Requests refused before they ran, for their body or for want of a place, by kind and cause",
+            refused_before_run.clone(),
         );
         let in_flight_bytes = Gauge::default();
         registry.register(
@@ -388,8 +388,8 @@
             replicas,
             replicas_out_of_reach,
             is_orderer,
-            closed_for_room,
-            refused_for_room,
+            closed_connections,
+            refused_before_run,
             in_flight_bytes,
             in_flight,
             quota_waiting,
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -72,7 +72,7 @@
     peer: SocketAddr,
     place: ConnectionPlace,
 ) {
-    let mut link = match PeerLink::accept(stream, silence_limit(&node)) {
+    let mut link = match PeerLink::new(stream, silence_limit(&node)) {
         Ok(link) => link,
         Err(error) => {
             tracing::debug!(target: "peer", event = "link cannot be set up", %error);
@@ -84,7 +84,6 @@
         () = place.connection().eviction().requested() => return,
     };
     drop(place);
-    link.set_known();
     let first = match received {
         Ok(Ok(Some(first))) => first,
         Ok(Err(error)) => {
--- a/crates/croftrill-node/src/port_connections.rs
+++ b/crates/croftrill-node/src/port_connections.rs
@@ -5,6 +5,7 @@
 
 use croftrill_scheduler::connection_slots::{connection_to_close, ConnectionFacts, ConnectionPhase};
 use croftrill_scheduler::time::Moment;
+use tokio::task::yield_now;
 
 use crate::clock::Clock;
 use crate::eviction::Eviction;
@@ -47,15 +48,19 @@
     /// Takes a place for a new connection. If none is free, asks another connection to close, or returns
     /// `None` if all are needed.
     pub(crate) async fn admit(&self, metrics: &Metrics) -> Option<ConnectionPlace> {
-        if self.open.borrow().len() >= self.max {
+        if self.is_full() {
+            // Lets the others read what has arrived, which may free a place.
+            yield_now().await;
+        }
+        if self.is_full() {
             if !self.close_one() {
-                Metrics::count(&metrics.closed_for_room, self.name, "refused");
+                Metrics::count(&metrics.closed_connections, self.name, "refused");
                 tracing::info!(target: "front", event = "refused a connection: none is free", port = self.name, max = self.max);
                 return None;
             }
-            Metrics::count(&metrics.closed_for_room, self.name, "closed");
+            Metrics::count(&metrics.closed_connections, self.name, "closed");
             // Lets the other connection close first.
-            tokio::task::yield_now().await;
+            yield_now().await;
         }
         let connection = Rc::new(PortConnection {
             phase: Cell::new(ConnectionPhase::Idle),
@@ -71,6 +76,10 @@
         })
     }
 
+    fn is_full(&self) -> bool {
+        self.open.borrow().len() >= self.max
+    }
+
     /// Asks the connection that is needed least to close. Returns whether there is one.
     fn close_one(&self) -> bool {
         let open = self.open.borrow();
--- a/crates/croftrill-node/src/request/answers.rs
+++ b/crates/croftrill-node/src/request/answers.rs
@@ -158,7 +158,7 @@
 
 /// Refuses a request whose body was not read to its end, so that it has not run.
 pub(super) fn refuse_body<P: Platform>(node: &Node<P>, id: &str, error: BodyError) -> Answer {
-    Metrics::count(&node.metrics.refused_for_room, "body", error.name());
+    Metrics::count(&node.metrics.refused_before_run, "body", error.name());
     tracing::info!(target: "request", id, outcome = "refused", cause = %error);
     let retry_after = (error == BodyError::NoRoom).then_some(DEFAULT_RETRY_AFTER);
     refuse(error.status(), &error.to_string(), retry_after)
@@ -166,7 +166,7 @@
 
 /// Refuses a request whose service has as many requests at this node as one service may have.
 pub(super) fn refuse_for_service<P: Platform>(node: &Node<P>, id: &str, service: &ServiceName) -> Answer {
-    Metrics::count(&node.metrics.refused_for_room, "service", "no place");
+    Metrics::count(&node.metrics.refused_before_run, "service", "no place");
     tracing::info!(target: "request", id, outcome = "refused", cause = "too many requests of its service", service = &**service);
     refuse(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/croftrill-scheduler/src/process_limits.rs
+++ b/crates/croftrill-scheduler/src/process_limits.rs
@@ -10,8 +10,8 @@
 /// Memory of an open connection of a caller: a header block, what the kernel holds unread, and the
 /// connection to a replica. In bytes.
 const CONNECTION_BYTES: u64 = 48 * 1024;
-/// Memory that a node may send in its first message before it is known as one, in bytes.
-pub const MAX_FIRST_MESSAGE_BYTES: usize = 256 * 1024;
+/// Maximum size of a message between nodes, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Descriptors that the machine reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
 
@@ -71,10 +71,10 @@
     }
 
     /// Returns the maximum number of connections of callers. Each may need another one to a replica, and a
-    /// fifth of the sockets remains for the store, other nodes and the other ports.
+    /// third of the sockets remains for the store, other nodes and the other ports.
     pub fn max_caller_connections(&self) -> usize {
         let by_memory = self.traffic_bytes() / 5 / CONNECTION_BYTES;
-        (self.sockets() * 2 / 5).min(by_memory as usize).max(1)
+        (self.sockets() / 3).min(by_memory as usize).max(1)
     }
 
     /// Returns the maximum number of requests for one service at the same time, so that one that does not
@@ -90,18 +90,19 @@
 
     /// Returns the maximum number of connections to a port that serves operators or health checks.
     pub fn max_auxiliary_connections(&self) -> usize {
-        (self.sockets() / 16).max(1)
+        (self.sockets() / 32).max(1)
     }
 
-    /// Returns the maximum number of links whose first message has not arrived.
+    /// Returns the maximum number of links whose first message has not arrived, so that their peers are not
+    /// known as nodes.
     pub fn max_unknown_links(&self) -> usize {
-        let by_memory = self.traffic_bytes() / 10 / MAX_FIRST_MESSAGE_BYTES as u64;
-        (self.sockets() / 8).min(by_memory as usize).max(1)
+        let by_memory = self.traffic_bytes() * 3 / 20 / MAX_MESSAGE_BYTES as u64;
+        (self.sockets() / 32).min(by_memory as usize).max(1)
     }
 
     /// Returns the maximum number of other nodes' connections to replicas that this node carries. Each
     /// takes two descriptors.
     pub fn max_tunnels(&self) -> usize {
-        self.sockets() / 32
+        self.sockets() / 15
     }
 }
