Names that no configuration has are not kept as demand

What callers did: each request named another model, or another adapter of a model, of 12 kB.

Cause: nodes counted each name as demand and told orderers, which keep demand for good; followers also told it as an interest. A name was checked against the configuration only where the time of a load is estimated, and an adapter nowhere.

Now: `EngineSpec::find_model` says which models and adapters there are. Nodes count, tell and keep others nowhere beyond their request, and orderers pass over what nodes of older builds still tell. A request for an adapter that does not exist is refused at once, as one for such a model is, in place of waiting.

--- a/crates/croftrill-node/src/request/cold.rs
+++ b/crates/croftrill-node/src/request/cold.rs
@@ -143,6 +143,9 @@
         let Some(key) = key else {
             return vec![interest(None, None)];
         };
+        if self.configured_model_key().is_none() {
+            return Vec::new();
+        }
         let mut interests = vec![interest(Some(key.model.clone()), None)];
         if key.adapter.is_some() {
             interests.push(interest(Some(key.model.clone()), key.adapter.clone()));
@@ -317,10 +320,10 @@
     }
 
     /// Returns the expected time until the model and adapter are loaded, or `None` if the
-    /// configuration does not have the model.
+    /// configuration does not have them.
     pub(super) fn ready_in(&self, key: &ModelKey) -> Option<Duration> {
         let engine = self.configuration.service(&self.service)?.engine.as_ref()?;
-        let spec = engine.models.get(&key.model)?;
+        let spec = engine.find_model(&key.model, key.adapter.as_deref())?;
         let now = self.node.clock.now();
         let state = self.node.state.borrow();
         match state.replicas.availability(&self.service, &key.model, None, now) {
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -413,7 +413,7 @@
         let caller_time = self.attempt_end().since(self.arrival);
         let mut state = self.node.state.borrow_mut();
         state.retry_budget.record_request(&self.service, now);
-        if let Some(key) = self.model_key() {
+        if let Some(key) = self.configured_model_key() {
             state.demand.add(key, cost(&self.facts), caller_time);
         }
     }
@@ -424,7 +424,7 @@
         if self.counted_late.replace(true) {
             return;
         }
-        if let Some(key) = self.model_key() {
+        if let Some(key) = self.configured_model_key() {
             self.node.state.borrow_mut().demand.add_late(key);
         }
     }
@@ -464,6 +464,15 @@
         })
     }
 
+    /// Returns the model that the request needs, if the configuration has it. Of others nothing is kept
+    /// beyond the request, as callers may make up any number of names.
+    fn configured_model_key(&self) -> Option<ModelKey> {
+        let key = self.model_key()?;
+        let engine = self.configuration.service(&self.service)?.engine.as_ref()?;
+        engine.find_model(&key.model, key.adapter.as_deref())?;
+        Some(key)
+    }
+
     /// Excludes a replica from further choices. This counts no send, as the replica may not have
     /// been reached.
     fn exclude(&mut self, replica: ReplicaId) {
--- a/crates/croftrill-node/src/request/version.rs
+++ b/crates/croftrill-node/src/request/version.rs
@@ -139,10 +139,10 @@
     }
 
     /// Returns the expected time until a replica of a version has the model; `None` if no replica of it
-    /// is in reach, or one has the model, so that a load changes nothing.
+    /// is in reach, one has the model, so that a load changes nothing, or the configuration lacks it.
     fn ready_in_at(&self, key: &ModelKey, version: &SoftwareVersion) -> Option<Duration> {
         let engine = self.configuration.service(&self.service)?.engine.as_ref()?;
-        let spec = engine.models.get(&key.model)?;
+        let spec = engine.find_model(&key.model, key.adapter.as_deref())?;
         let now = self.now();
         let ready = replica_versions::ready_replicas(&self.node, &self.service, version);
         let state = self.node.state.borrow();
--- a/crates/croftrill-scheduler/src/catalog.rs
+++ b/crates/croftrill-scheduler/src/catalog.rs
@@ -98,6 +98,17 @@
     pub memory_load: Duration,
 }
 
+impl ModelSpec {
+    /// Returns whether the model has an adapter of this name. They are named `a1`, `a2` and so on.
+    pub fn has_adapter(&self, name: &str) -> bool {
+        let number = name
+            .strip_prefix('a')
+            .and_then(|number| number.parse::<u32>().ok());
+        number
+            .is_some_and(|number| (1..=self.adapter_count).contains(&number) && name == format!("a{number}"))
+    }
+}
+
 /// Models of a model service, and the capacity of its replicas.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
@@ -115,6 +126,16 @@
     pub kv_capacity: u64,
 }
 
+impl EngineSpec {
+    /// Returns a model, if it and its adapter, if one is named, are configured.
+    pub fn find_model(&self, model: &str, adapter: Option<&str>) -> Option<&ModelSpec> {
+        let spec = self.models.get(model)?;
+        adapter
+            .is_none_or(|adapter| spec.has_adapter(adapter))
+            .then_some(spec)
+    }
+}
+
 /// A group of interchangeable replicas.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
--- a/crates/croftrill-scheduler/src/orderer/mod.rs
+++ b/crates/croftrill-scheduler/src/orderer/mod.rs
@@ -260,9 +260,18 @@
         replicas.any(|replica| replica.retains(model))
     }
 
-    /// Counts requests that nodes received.
+    /// Counts requests that nodes received. Those for a model or adapter that the configuration lacks are
+    /// passed over, as callers may make up any number of names.
     pub fn count_demand(&mut self, key: &ModelKey, asked: &DemandSample, now: Moment) {
-        self.demand.count(key, asked, now);
+        if self.is_configured(key) {
+            self.demand.count(key, asked, now);
+        }
+    }
+
+    fn is_configured(&self, key: &ModelKey) -> bool {
+        let service = self.configuration.service(&key.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.find_model(&key.model, key.adapter.as_deref()).is_some())
     }
 
     /// Records that requests wait at a node for a model or adapter, unless a replica holds it. If it is
@@ -270,7 +279,7 @@
     pub fn mark_waiting(&mut self, key: &ModelKey, now: Moment) {
         if self.is_held(key) {
             self.await_arrivals_of(key);
-        } else {
+        } else if self.is_configured(key) {
             self.demand.mark_waiting(key, now);
         }
     }
--- a/crates/croftrill-scheduler/tests/catalog.rs
+++ b/crates/croftrill-scheduler/tests/catalog.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use croftrill_scheduler::catalog::{Backend, CallerLimits, Configuration, Route, RouteKind};
+use croftrill_scheduler::catalog::{Backend, CallerLimits, Configuration, ModelSpec, Route, RouteKind};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -75,3 +75,22 @@
     };
     assert_eq!(longest(stream), Duration::from_secs(2));
 }
+
+#[test]
+fn has_adapter_of_configured_number_only() {
+    let spec = ModelSpec {
+        name: "m".into(),
+        weights_mb: 1.0,
+        adapter_mb: 1.0,
+        adapter_count: 12,
+        store_load: Duration::ZERO,
+        disk_load: Duration::ZERO,
+        memory_load: Duration::ZERO,
+    };
+    for name in ["a1", "a9", "a12"] {
+        assert!(spec.has_adapter(name), "{name}");
+    }
+    for name in ["a0", "a13", "a01", "a+1", "a", "1", "b1", "a1 ", "a99999999999"] {
+        assert!(!spec.has_adapter(name), "{name}");
+    }
+}
