Records of streams hold a hash of an attempt's id that is longer than usual

What callers did: 5,000 resumable streams with attempt ids of 12 kB; the process took 72 MB of 48. Cause: versions of streams are kept under the attempt's id, up to 16,384 records, bounded in number and not in bytes (a megabyte of records could hold 260 MB), at the node and its keepers; one message with all of a node's streams could pass the limit of a message.

Ids of more than 64 bytes are kept and told as a hash of 32 characters, which is what keepers look for, too.

--- a/crates/croftrill-node/src/stream_versions.rs
+++ b/crates/croftrill-node/src/stream_versions.rs
@@ -15,8 +15,8 @@
 use bytes::Bytes;
 use croftrill_scheduler::catalog::ServiceName;
 use croftrill_scheduler::software_versions::{
-    decide, keeper_order, KeeperAnswer, LifetimeVersions, OwnStream, SoftwareVersion, KEEPERS, KEEPERS_ASKED,
-    MAX_STREAM_LIFETIME,
+    attempt_key, decide, keeper_order, KeeperAnswer, LifetimeVersions, OwnStream, SoftwareVersion, KEEPERS,
+    KEEPERS_ASKED, MAX_STREAM_LIFETIME,
 };
 use futures::future::join_all;
 use nanoserde::SerBin;
@@ -48,6 +48,7 @@
 /// Keeps the version of a stream that an attempt began, and tells it to its keepers if its service
 /// has several versions. Returns after two of them have answered, or at a limit.
 pub(crate) async fn begin<P: Platform>(node: &Rc<Node<P>>, attempt: &str, stream: OwnStream) {
+    let attempt = &*attempt_key(attempt);
     let now = node.clock.now();
     let lifetime = stream.expires_at.since(now);
     insert(node, attempt, stream.version.clone(), lifetime);
@@ -61,7 +62,7 @@
 
 /// Forgets a stream that was answered completely.
 pub(crate) fn end<P: Platform>(node: &Node<P>, attempt: &str) {
-    node.state.borrow_mut().own_streams.remove(attempt);
+    node.state.borrow_mut().own_streams.remove(&attempt_key(attempt));
 }
 
 async fn record<P: Platform>(
@@ -204,6 +205,8 @@
     attempt: Option<&str>,
     service: &str,
 ) -> Option<SoftwareVersion> {
+    let attempt = attempt.map(attempt_key);
+    let attempt = attempt.as_deref();
     let own = own_answer(node, attempt, service);
     if let KeeperAnswer::Found(version) = own {
         return Some(version);
@@ -321,20 +324,24 @@
             for record in records {
                 let lifetime = Duration::from_millis(u64::from(record.lifetime_ms));
                 let version: Arc<str> = record.version.into();
-                stored_streams::record(node, &record.attempt, &version);
-                insert(node, &record.attempt, version, lifetime.min(MAX_STREAM_LIFETIME));
+                // Nodes of older builds tell long ids as they are.
+                let attempt = attempt_key(&record.attempt);
+                stored_streams::record(node, &attempt, &version);
+                insert(node, &attempt, version, lifetime.min(MAX_STREAM_LIFETIME));
             }
             WireStreamVersionAnswer::Recorded
         }
-        WireStreamVersion::Find { attempt, service } => match own_answer(node, Some(&attempt), &service) {
-            KeeperAnswer::Found(version) => WireStreamVersionAnswer::Found(version.to_string()),
-            KeeperAnswer::NotFound(versions) => {
-                WireStreamVersionAnswer::NotFound(WireLifetimeVersions::from_versions(&versions))
+        WireStreamVersion::Find { attempt, service } => {
+            match own_answer(node, Some(&attempt_key(&attempt)), &service) {
+                KeeperAnswer::Found(version) => WireStreamVersionAnswer::Found(version.to_string()),
+                KeeperAnswer::NotFound(versions) => {
+                    WireStreamVersionAnswer::NotFound(WireLifetimeVersions::from_versions(&versions))
+                }
+                KeeperAnswer::Unanswered => {
+                    WireStreamVersionAnswer::NotFound(WireLifetimeVersions::Unclear(None))
+                }
             }
-            KeeperAnswer::Unanswered => {
-                WireStreamVersionAnswer::NotFound(WireLifetimeVersions::Unclear(None))
-            }
-        },
+        }
     };
     link.send(Bytes::from(answer.serialize_bin())).await
 }
--- a/crates/croftrill-scheduler/src/software_versions.rs
+++ b/crates/croftrill-scheduler/src/software_versions.rs
@@ -8,12 +8,13 @@
 //! Safety: a version is known for one incarnation of a replica only, and an unknown version never
 //! counts as equal to another one.
 
+use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_128, xxh3_64_with_seed};
 
 use crate::catalog::ServiceName;
 use crate::crash_ledger::CrashLedger;
@@ -34,6 +35,8 @@
 const MAX_UNLISTED: usize = 1024;
 /// Maximum number of own streams whose versions nobody else knows: more than a node can run.
 const MAX_OWN_STREAMS: usize = 4096;
+/// Maximum size of the name of an attempt that nodes keep or tell each other, in bytes.
+const MAX_ATTEMPT_KEY_BYTES: usize = 64;
 /// Maximum number of records, about 2 MB.
 const MAX_RECORDS: usize = 16 * 1024;
 
@@ -323,6 +326,15 @@
     }
 }
 
+/// Returns the name under which nodes keep the version of an attempt's stream: the attempt's id, or a hash
+/// of an id that is longer than usual ones.
+pub fn attempt_key(attempt: &str) -> Cow<'_, str> {
+    if attempt.len() <= MAX_ATTEMPT_KEY_BYTES {
+        return Cow::Borrowed(attempt);
+    }
+    Cow::Owned(format!("{:032x}", xxh3_128(attempt.as_bytes())))
+}
+
 /// Versions of streams by the attempt that brought their first event.
 #[derive(Debug, Default)]
 pub struct VersionRecords {
--- a/crates/croftrill-scheduler/tests/software_versions.rs
+++ b/crates/croftrill-scheduler/tests/software_versions.rs
@@ -8,9 +8,9 @@
 use croftrill_scheduler::crash_ledger::CrashLedger;
 use croftrill_scheduler::replica::ReplicaId;
 use croftrill_scheduler::software_versions::{
-    decide, keeper_order, KeeperAnswer, LifetimeVersions, OwnStream, OwnStreams, RequiredVersion,
-    ServiceVersions, SoftwareVersion, SoftwareVersions, VersionRecords, KEEPERS, KEEPERS_ASKED,
-    MAX_STREAM_LIFETIME,
+    attempt_key, decide, keeper_order, KeeperAnswer, LifetimeVersions, OwnStream, OwnStreams,
+    RequiredVersion, ServiceVersions, SoftwareVersion, SoftwareVersions, VersionRecords, KEEPERS,
+    KEEPERS_ASKED, MAX_STREAM_LIFETIME,
 };
 use croftrill_scheduler::time::Moment;
 use proptest::prelude::*;
@@ -531,3 +531,13 @@
         LifetimeVersions::Unclear(Some(version("v1")))
     );
 }
+
+#[test]
+fn attempt_key_of_long_id_is_short_and_stays() {
+    assert_eq!(attempt_key("9c41d07be2a35f68"), "9c41d07be2a35f68");
+    let long = "n".repeat(16_000);
+    let key = attempt_key(&long).into_owned();
+    assert!(key.len() <= 64);
+    assert_eq!(attempt_key(&key), key);
+    assert_ne!(attempt_key(&format!("{long}n")), key);
+}
