Links that peers opened share memory for large messages, and places

What a peer could do: state a purpose on a link, then announce a message of 1 MiB and stop before its end: 160 of them took 98 MB and 5 MB unread, of 96. And 700 links with a first message took 497 of 400 descriptors (seen on the code before, with links that come one after the other; at once they had closed each other).

Cause: only links before their first message were bounded.

Now a message above 64 KiB asks for room in an account of its own (3/20 of the memory for traffic, so callers take none of it) before its bytes are read, and gives way when it stalls, as bodies do. Links have places: what the other shares of the sockets leave; the one that was heard longest ago closes for a new one. Tunnels keep their own bound. A connection that was asked to close is not asked again while it does, at any port: one that closes late was chosen again and again, and each new one came on top (454 descriptors with places alone). A subscription to an orderer whose queue is full has the same limit as its answer.

--- a/crates/croftrill-node/src/eviction.rs
+++ b/crates/croftrill-node/src/eviction.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Returns whether the task was asked.
+    pub(crate) fn is_requested(&self) -> bool {
+        self.is_requested.get()
+    }
+
     /// Polls whether the task was asked. Only the last task that polled is woken.
     pub(crate) fn poll_requested(&self, context: &mut Context<'_>) -> Poll<()> {
         if self.is_requested.get() {
--- a/crates/croftrill-node/src/lib.rs
+++ b/crates/croftrill-node/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod logging;
 pub mod membership;
 pub(crate) mod memory;
+mod message_room;
 pub mod metrics;
 pub mod node;
 pub mod orderer_task;
--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -9,18 +9,21 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use croftrill_scheduler::process_limits::MAX_MESSAGE_BYTES;
+use croftrill_scheduler::connection_slots::ConnectionPhase;
 use futures::{SinkExt, StreamExt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout, Instant};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 use crate::connector::configure_socket;
+use crate::memory::Memory;
+use crate::message_room::{MessageCodec, MessageRoom};
+use crate::port_connections::ConnectionPlace;
 
 /// Maximum time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -45,6 +48,37 @@
 struct TrackedStream {
     stream: TcpStream,
     progress: Rc<Progress>,
+    /// Bounds what a peer that connected here can make this node hold.
+    room: Option<Rc<MessageRoom>>,
+    /// The place of such a link, once its purpose is known.
+    place: Option<ConnectionPlace>,
+}
+
+impl TrackedStream {
+    /// Polls whether it may read further.
+    ///
+    /// Errors: others need what the link takes.
+    fn poll_permission(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let place = self.place.as_ref();
+        if place.is_some_and(|place| place.connection().eviction().poll_requested(context).is_ready()) {
+            let reason = "another link needs its place";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, reason)));
+        }
+        match &self.room {
+            Some(room) => room.poll_room(context),
+            None => Poll::Ready(Ok(())),
+        }
+    }
+
+    fn record_read(&self, bytes: usize) {
+        self.progress.read_at.set(Instant::now());
+        if let Some(room) = &self.room {
+            room.record_read(bytes);
+        }
+        if let Some(place) = &self.place {
+            place.connection().set_phase(ConnectionPhase::Idle);
+        }
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -53,10 +87,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.poll_permission(context))?;
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.progress.read_at.set(Instant::now());
+        let read_bytes = buffer.filled().len() - before;
+        if read_bytes > 0 {
+            self.record_read(read_bytes);
         }
         polled
     }
@@ -86,31 +122,51 @@
 
 /// A link to another node.
 pub struct PeerLink {
-    frames: Framed<TrackedStream, LengthDelimitedCodec>,
+    frames: Framed<TrackedStream, MessageCodec>,
     progress: Rc<Progress>,
     silence_limit: Duration,
 }
 
 impl PeerLink {
-    /// Creates a link over an open connection. The link counts as dead if no byte passes for
-    /// `silence_limit` while one side expects some.
+    /// Creates a link over a connection that this node opened. The link counts as dead if no byte passes
+    /// for `silence_limit` while one side expects some.
     pub fn new(stream: TcpStream, silence_limit: Duration) -> io::Result<Self> {
+        Self::with_room(stream, silence_limit, None)
+    }
+
+    /// Creates a link over a connection that a peer opened, whose large messages hold memory of an account
+    /// while they arrive.
+    pub(crate) fn accepted(stream: TcpStream, silence_limit: Duration, memory: Memory) -> io::Result<Self> {
+        Self::with_room(stream, silence_limit, Some(MessageRoom::new(memory)))
+    }
+
+    fn with_room(
+        stream: TcpStream,
+        silence_limit: Duration,
+        room: Option<Rc<MessageRoom>>,
+    ) -> io::Result<Self> {
         configure_socket(&stream, Some(silence_limit))?;
         let progress = Progress::new();
-        let codec = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_MESSAGE_BYTES)
-            .new_codec();
         let tracked = TrackedStream {
             stream,
             progress: progress.clone(),
+            room: room.clone(),
+            place: None,
         };
         Ok(PeerLink {
-            frames: Framed::new(tracked, codec),
+            frames: Framed::new(tracked, MessageCodec::new(room)),
             progress,
             silence_limit,
         })
     }
 
+    /// Gives the link a place among those that peers opened, until it ends. It fails when another link
+    /// needs the place.
+    pub(crate) fn take_place(&mut self, place: ConnectionPlace) {
+        place.connection().set_phase(ConnectionPhase::Idle);
+        self.frames.get_mut().place = Some(place);
+    }
+
     /// Connects to the node at an address.
     pub async fn connect(address: SocketAddr, silence_limit: Duration) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
--- a/crates/croftrill-node/src/memory.rs
+++ b/crates/croftrill-node/src/memory.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use croftrill_scheduler::memory_account::{HolderId, MemoryAccount, Room};
-use croftrill_scheduler::process_limits::ProcessLimits;
 use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -39,10 +38,10 @@
 }
 
 impl Memory {
-    /// Returns an empty account. Its size is shown by `in_flight_bytes`.
-    pub(crate) fn new(limits: ProcessLimits, clock: Clock, in_flight_bytes: Gauge) -> Self {
+    /// Wraps an account. Its size is shown by `in_flight_bytes`.
+    pub(crate) fn new(account: MemoryAccount, clock: Clock, in_flight_bytes: Gauge) -> Self {
         Memory(Rc::new(Inner {
-            account: RefCell::new(MemoryAccount::new(limits)),
+            account: RefCell::new(account),
             evictions: RefCell::default(),
             freed: Notify::new(),
             clock,
--- a/crates/croftrill-node/src/metrics.rs
+++ b/crates/croftrill-node/src/metrics.rs
@@ -117,6 +117,8 @@
     pub refused_before_run: Family<OutcomeLabels, Counter>,
     /// Bytes that large bodies, answers and streams hold.
     pub in_flight_bytes: Gauge,
+    /// Bytes that large messages of other nodes hold while they arrive.
+    pub message_bytes: Gauge,
     /// Requests being served.
     pub in_flight: Gauge,
     /// Requests that wait for a reservation in a tenant's quota.
@@ -333,6 +335,12 @@
             "Bytes that large bodies, answers and streams hold",
             in_flight_bytes.clone(),
         );
+        let message_bytes = Gauge::default();
+        registry.register(
+            "message_bytes",
+            "Bytes that large messages of other nodes hold while they arrive",
+            message_bytes.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests being served", in_flight.clone());
         let quota_waiting = Gauge::default();
@@ -391,6 +399,7 @@
             closed_connections,
             refused_before_run,
             in_flight_bytes,
+            message_bytes,
             in_flight,
             quota_waiting,
             messages_left_out,
--- a/crates/croftrill-node/src/node.rs
+++ b/crates/croftrill-node/src/node.rs
@@ -15,6 +15,7 @@
 use croftrill_scheduler::followed_view::{FollowConfig, FollowedView};
 use croftrill_scheduler::hand_over::{ReceivedResignation, Resignation};
 use croftrill_scheduler::load_summary;
+use croftrill_scheduler::memory_account::MemoryAccount;
 use croftrill_scheduler::peer_paths::PeerPaths;
 use croftrill_scheduler::quota::keeper::KeeperConfig;
 use croftrill_scheduler::replica::ReplicaId;
@@ -242,6 +243,8 @@
     pub(crate) answer_budget: AnswerBudget,
     /// What bodies, answers and streams hold.
     pub(crate) memory: Memory,
+    /// The memory of large messages of other nodes while they arrive.
+    pub(crate) message_memory: Memory,
     /// The requests of each service.
     pub(crate) service_places: ServicePlaces,
     /// Leases of the records of software versions.
@@ -349,7 +352,10 @@
             ready_at: None,
         };
         let limits = settings.limits;
-        let memory = Memory::new(limits, clock.clone(), metrics.in_flight_bytes.clone());
+        let in_flight_bytes = metrics.in_flight_bytes.clone();
+        let memory = Memory::new(MemoryAccount::new(limits), clock.clone(), in_flight_bytes);
+        let message_bytes = metrics.message_bytes.clone();
+        let message_memory = Memory::new(MemoryAccount::for_messages(limits), clock.clone(), message_bytes);
         let service_places = ServicePlaces::new(limits.max_requests_of_service());
         let to_replicas = ConnectionConfig {
             max_idle_total: limits.max_idle_replica_connections(),
@@ -397,6 +403,7 @@
             orderer_inboxes,
             answer_budget: AnswerBudget::shared(memory.clone()),
             memory,
+            message_memory,
             service_places,
             record_leases: RecordLeases::default(),
             stream_segments: StreamSegments::default(),
--- a/crates/croftrill-node/src/peer_link.rs
+++ b/crates/croftrill-node/src/peer_link.rs
@@ -47,13 +47,15 @@
 
 /// Accepts links of other nodes.
 pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
-    let max_unknown = node.settings.limits.max_unknown_links();
-    let unknown = PortConnections::new("nodes", max_unknown, node.clock.clone());
+    let limits = node.settings.limits;
+    let connections = |max| PortConnections::new("nodes", max, node.clock.clone());
+    let unknown = connections(limits.max_unknown_links());
+    let known = Rc::new(connections(limits.max_peer_links()));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 if let Some(place) = unknown.admit(&node.metrics).await {
-                    tokio::task::spawn_local(serve_link(node.clone(), stream, peer, place));
+                    tokio::task::spawn_local(serve_link(node.clone(), stream, peer, place, known.clone()));
                 }
             }
             Err(error) => {
@@ -71,8 +73,9 @@
     stream: TcpStream,
     peer: SocketAddr,
     place: ConnectionPlace,
+    known: Rc<PortConnections>,
 ) {
-    let mut link = match PeerLink::new(stream, silence_limit(&node)) {
+    let mut link = match PeerLink::accepted(stream, silence_limit(&node), node.message_memory.clone()) {
         Ok(link) => link,
         Err(error) => {
             tracing::debug!(target: "peer", event = "link cannot be set up", %error);
@@ -92,6 +95,13 @@
         }
         Ok(Ok(None)) | Err(_) => return,
     };
+    // Tunnels have a bound of their own, and none is cut for another link.
+    if !matches!(first, ToOrderer::Connect(_)) {
+        match known.admit(&node.metrics).await {
+            Some(place) => link.take_place(place),
+            None => return,
+        }
+    }
     match first {
         ToOrderer::Follow(follow) => {
             let ended = tree::serve_follower(node, link, follow).await;
@@ -125,12 +135,13 @@
 
 /// Serves a node that listens to this orderer of a shard.
 async fn serve_listener<P: Platform>(node: Rc<Node<P>>, link: PeerLink, peer: SocketAddr, shard: Shard) {
-    let (reply, subscribed) = oneshot::channel();
     let inbox = node.orderer_inbox(shard);
-    if inbox.send(OrdererInput::Subscribe(reply)).await.is_err() {
-        return;
-    }
-    let Ok(Ok(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribed).await else {
+    let subscribing = async {
+        let (reply, subscribed) = oneshot::channel();
+        inbox.send(OrdererInput::Subscribe(reply)).await.ok()?;
+        subscribed.await.ok()
+    };
+    let Ok(Some(subscription)) = timeout(SUBSCRIBE_TIMEOUT, subscribing).await else {
         return;
     };
     let ended = exchange_messages(&node, link, peer, subscription, inbox).await;
--- a/crates/croftrill-node/src/port_connections.rs
+++ b/crates/croftrill-node/src/port_connections.rs
@@ -84,11 +84,14 @@
     fn close_one(&self) -> bool {
         let open = self.open.borrow();
         let now = self.clock.now();
-        let facts = open.iter().map(|connection| connection.facts());
+        // Those that were asked before may need a moment to close.
+        let asked = |connection: &&Rc<PortConnection>| connection.eviction.is_requested();
+        let others: Vec<&Rc<PortConnection>> = open.iter().filter(|other| !asked(other)).collect();
+        let facts = others.iter().map(|connection| connection.facts());
         let Some(index) = connection_to_close(facts, now) else {
             return false;
         };
-        let connection = &open[index];
+        let connection = others[index];
         tracing::info!(target: "front", event = "closed a connection for a new one", port = self.name,
             phase = ?connection.phase.get(), age_ms = now.since(connection.since.get()).as_millis() as u64);
         connection.eviction.request();
--- a/crates/croftrill-scheduler/src/memory_account.rs
+++ b/crates/croftrill-scheduler/src/memory_account.rs
@@ -68,11 +68,20 @@
 }
 
 impl MemoryAccount {
-    /// Returns an empty account.
+    /// Returns an empty account for bodies, answers and streams.
     pub fn new(limits: ProcessLimits) -> Self {
+        Self::with_shares(limits.large_bytes(), limits.small_reserve_bytes())
+    }
+
+    /// Returns an empty account for messages of other nodes, so that no caller takes their room.
+    pub fn for_messages(limits: ProcessLimits) -> Self {
+        Self::with_shares(limits.message_bytes(), 0)
+    }
+
+    fn with_shares(large_bytes: u64, reserve_bytes: u64) -> Self {
         MemoryAccount {
-            large_bytes: limits.large_bytes(),
-            reserve_bytes: limits.small_reserve_bytes(),
+            large_bytes,
+            reserve_bytes,
             held_bytes: 0,
             next_id: 0,
             holders: BTreeMap::new(),
--- a/crates/croftrill-scheduler/src/process_limits.rs
+++ b/crates/croftrill-scheduler/src/process_limits.rs
@@ -15,6 +15,13 @@
 /// Descriptors that the machine reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
 
+/// Number of ports that serve operators or health checks.
+const AUXILIARY_PORTS: usize = 3;
+/// Sockets for listeners, the store, and the links that the node itself opens.
+const OWN_SOCKETS: usize = 32;
+/// Links that other nodes may open on the smallest machine.
+const MIN_PEER_LINKS: usize = 16;
+
 /// Limits of a process on its machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -93,11 +100,27 @@
         (self.sockets() / 32).max(1)
     }
 
+    /// Returns how much large messages of other nodes may hold together while they arrive, in bytes.
+    pub fn message_bytes(&self) -> u64 {
+        (self.traffic_bytes() * 3 / 20).max(MAX_MESSAGE_BYTES as u64)
+    }
+
     /// Returns the maximum number of links whose first message has not arrived, so that their peers are not
     /// known as nodes.
     pub fn max_unknown_links(&self) -> usize {
-        let by_memory = self.traffic_bytes() * 3 / 20 / MAX_MESSAGE_BYTES as u64;
-        (self.sockets() / 32).min(by_memory as usize).max(1)
+        (self.sockets() / 32).max(1)
+    }
+
+    /// Returns the maximum number of links that other nodes opened: what the other shares leave.
+    pub fn max_peer_links(&self) -> usize {
+        let to_replicas = self.max_caller_connections() + self.max_idle_replica_connections();
+        let others = self.max_caller_connections()
+            + to_replicas
+            + 2 * self.max_tunnels()
+            + AUXILIARY_PORTS * self.max_auxiliary_connections()
+            + self.max_unknown_links()
+            + OWN_SOCKETS;
+        self.sockets().saturating_sub(others).max(MIN_PEER_LINKS)
     }
 
     /// Returns the maximum number of other nodes' connections to replicas that this node carries. Each
