The emulator's models have the adapters that its tests ask for

room.rs asks for a1 to a9 of models with four adapters. Since orderers pass over adapters that no configuration has, plan_uses_slots_of_slow_adapters_again and plan_never_exceeds_room failed (bench tests of the commit on made-up names); the number of adapters is read nowhere else but as above zero.

--- a/crates/croftrill-bench/src/emulator.rs
+++ b/crates/croftrill-bench/src/emulator.rs
@@ -26,6 +26,8 @@
 pub const ADAPTER_SLOTS: usize = 3;
 /// Ceiling on loads from the weight store, per second.
 pub const LOADS_PER_SECOND: f64 = 2.0;
+/// Number of adapters of each model.
+const ADAPTERS_OF_MODEL: u32 = 9;
 /// Start time that replicas report in their first life; it rises by one with each restart.
 pub const FIRST_START_MS: StartedMs = 1;
 /// Window over which the ceiling on loads from the weight store is enforced.
@@ -43,7 +45,7 @@
             name: format!("m{index}").into(),
             weights_mb: if index % 3 == 0 { 45.0 } else { 72.0 },
             adapter_mb: 2.0,
-            adapter_count: 4,
+            adapter_count: ADAPTERS_OF_MODEL,
             store_load: Duration::from_millis(2000),
             disk_load: Duration::from_millis(800),
             memory_load: Duration::from_millis(400),
