The fair queue keeps no names of groups, and a bounded number of them

Where no keys are required, callers of the native program name their group, of up to a head's size, and each name stayed in the fair queue for good. Groups are kept by a hash of their name, 4,096 at most; those that are least ahead are forgotten first, and start at the current virtual time as a new one does.

enter_keeps_group_ahead_among_made_up_ones: by reading 20,481 groups were kept before; 4,096 at most now, and the one that is ahead stays known.

--- a/crates/croftrill-scheduler/src/fair_queue.rs
+++ b/crates/croftrill-scheduler/src/fair_queue.rs
@@ -5,7 +5,11 @@
 //! the current virtual time, so it neither accumulates nor loses its share.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Maximum number of groups whose virtual times are kept. Callers may name any number of them.
+pub const MAX_GROUPS: usize = 4096;
 
 /// A waiting request.
 #[derive(Debug, Clone)]
@@ -21,7 +25,8 @@
     slots: usize,
     started: usize,
     virtual_time: f64,
-    finish_tags: HashMap<Arc<str>, f64>,
+    /// By the hash of the group's name.
+    finish_tags: HashMap<u64, f64>,
     waiting: BTreeMap<u64, Waiting>,
     next_number: u64,
 }
@@ -40,8 +45,12 @@
     }
 
     /// Adds a request of a group, with its cost in tokens, and returns its number.
-    pub fn enter(&mut self, group: &Arc<str>, share: u32, cost: u64) -> u64 {
-        let finish_tag = self.finish_tags.entry(group.clone()).or_insert(0.0);
+    pub fn enter(&mut self, group: &str, share: u32, cost: u64) -> u64 {
+        let group = xxh3_64(group.as_bytes());
+        if self.finish_tags.len() >= MAX_GROUPS && !self.finish_tags.contains_key(&group) {
+            self.forget_groups();
+        }
+        let finish_tag = self.finish_tags.entry(group).or_insert(0.0);
         let start_tag = finish_tag.max(self.virtual_time);
         *finish_tag = start_tag + cost.max(1) as f64 / f64::from(share.max(1));
         self.next_number += 1;
@@ -49,6 +58,14 @@
         self.next_number
     }
 
+    /// Forgets the groups that are least ahead, which start at the current virtual time again.
+    fn forget_groups(&mut self) {
+        let mut tags: Vec<f64> = self.finish_tags.values().copied().collect();
+        tags.sort_by(f64::total_cmp);
+        let kept_above = tags[tags.len() / 2].max(self.virtual_time);
+        self.finish_tags.retain(|_, tag| *tag > kept_above);
+    }
+
     /// Starts a request if a slot is free and the request is first in the queue.
     pub fn try_start(&mut self, number: u64) -> bool {
         if self.started >= self.slots || self.first() != Some(number) {
@@ -76,6 +93,11 @@
         self.waiting.len()
     }
 
+    /// Returns the number of groups whose virtual times are kept.
+    pub fn known_groups(&self) -> usize {
+        self.finish_tags.len()
+    }
+
     fn first(&self) -> Option<u64> {
         let lowest = self
             .waiting
--- a/crates/croftrill-scheduler/tests/shares_and_plans.rs
+++ b/crates/croftrill-scheduler/tests/shares_and_plans.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use croftrill_scheduler::catalog::{CallerLimits, Configuration, EngineSpec, ModelSpec, Service};
-use croftrill_scheduler::fair_queue::FairQueue;
+use croftrill_scheduler::fair_queue::{FairQueue, MAX_GROUPS};
 use croftrill_scheduler::planner::{plan, PlannedStep};
 use croftrill_scheduler::replica::{HeldModel, Holdings, ReplicaListing, ReplicaState};
 use croftrill_scheduler::replica_table::ReplicaTable;
@@ -62,6 +62,24 @@
     assert_eq!(queue.waiting(), 0);
 }
 
+// Guards against groups that callers make up, each of which is kept.
+#[test]
+fn enter_keeps_group_ahead_among_made_up_ones() {
+    let mut queue = FairQueue::new(1);
+    let ahead = queue.enter("ahead", 1, 1000);
+    assert!(queue.try_start(ahead));
+    for number in 0..5 * MAX_GROUPS {
+        let ticket = queue.enter(&format!("made-up-{number}"), 1, 1);
+        queue.leave(ticket);
+    }
+    assert!(queue.known_groups() <= MAX_GROUPS);
+    let next_of_ahead = queue.enter("ahead", 1, 1);
+    let other = queue.enter("other", 1, 1);
+    queue.release();
+    assert!(!queue.try_start(next_of_ahead));
+    assert!(queue.try_start(other));
+}
+
 fn configuration(models: &[(&str, f64)]) -> Configuration {
     let specs: Vec<ModelSpec> = models
         .iter()
