What a stream's answer keeps until it can be passed on holds memory of the account

What callers saw: 80 plain answers of 2 MiB to requests of a resumable stream's route made a process take 220 MB of 96, and 80 streams that stop inside an event of 900 KiB 66 MB of 48.

Cause: a part that cannot be passed on yet (an event without its end, or a body that holds no events) was bounded for each stream, 1 and 8 MiB, and in no sum; and a plain answer left as one piece, which nothing counted until its caller had read it.

Now the stream's memory covers that part above 8 KiB: all that is announced at once, else in powers of two. It waits for room while its replica is held up, and until its caller leaves or its time is over. What was kept leaves in copies of 32 KiB, so that a caller who does not read it gives way as others do.

--- a/crates/croftrill-node/src/answer_reader.rs
+++ b/crates/croftrill-node/src/answer_reader.rs
@@ -222,6 +222,11 @@
         self.framing
     }
 
+    /// Returns the number of bytes that are still to come, if the framing tells it.
+    pub fn remaining_bytes(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// Returns the number of bytes that arrived after the last complete event.
     pub fn partial_bytes(&self) -> u64 {
         self.events.partial_bytes()
--- a/crates/croftrill-node/src/request/mod.rs
+++ b/crates/croftrill-node/src/request/mod.rs
@@ -261,6 +261,7 @@
         stream_broke_at: None,
         earlier_run: None,
         stream_memory: None,
+        held_part_bytes: Cell::new(0),
     };
     run.serve().await
 }
@@ -345,6 +346,8 @@
     earlier_run: Option<Streaming<P>>,
     /// The memory of what its caller has not read of a stream.
     stream_memory: Option<HeldMemory>,
+    /// Room in that for the part of a stream that cannot be passed on yet.
+    held_part_bytes: Cell<u64>,
 }
 
 impl<P: Platform> RequestRun<P> {
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -17,6 +17,7 @@
 use crate::answer_reader::{BodyEnd, BodyPart, Framing};
 use crate::broken_requests::MAX_START_DURATION;
 use crate::events::EventSplitter;
+use crate::memory::FREE_BYTES;
 use crate::ports::Platform;
 use crate::stream::{AnswerBody, ReaderGone, StreamChunk, StreamSender};
 use crate::stream_versions;
@@ -32,6 +33,8 @@
 
 /// Memory of a stream whose caller does not read: the waiting chunks and the buffers of both connections.
 const UNREAD_STREAM_BYTES: u64 = 128 * 1024;
+/// Size of the pieces in which a part that was held back leaves.
+const REMAINDER_PART_BYTES: usize = 32 * 1024;
 /// Size of a piece up to which it is copied, so that it does not keep the buffer that it was read into.
 const MAX_COPIED_BYTES: usize = 4 * 1024;
 
@@ -226,10 +229,17 @@
                 is_proven = true;
                 self.record_answered_parts(streaming.head.status);
             }
-            if cutter.held_bytes() > self.node.answer_budget.max_answer_bytes() {
+            let part_bytes = cutter.held_bytes() + bytes.len() as u64;
+            if part_bytes > self.node.answer_budget.max_answer_bytes() {
                 let end = BodyEnd::TooLong;
                 return self.handle_end(streaming, end, last_event, cutter, sender).await;
             }
+            if self.route.resumable {
+                let announced = streaming.body.remaining_bytes().map(|left| part_bytes + left);
+                if let Err(end) = self.hold_part(part_bytes, announced, sender).await {
+                    return end;
+                }
+            }
             let bytes = if !self.route.resumable {
                 Some(compact(bytes))
             } else if streaming.body.holds_events() {
@@ -239,6 +249,7 @@
                 None
             };
             if let Some(bytes) = bytes {
+                self.held_part_bytes.set(0);
                 if let Err(end) = self.forward(sender, StreamChunk::Bytes(bytes)).await {
                     return end;
                 }
@@ -285,9 +296,13 @@
 
     async fn pump_remainder(&self, cutter: &mut EventSplitter, sender: &StreamSender) -> Result<(), PumpEnd> {
         let remainder = cutter.take_remaining();
-        if !remainder.is_empty() {
-            self.forward(sender, StreamChunk::Bytes(remainder)).await?;
+        // Copies, so that the last part does not keep the others.
+        for part in remainder.chunks(REMAINDER_PART_BYTES) {
+            let part = StreamChunk::Bytes(Bytes::copy_from_slice(part));
+            self.forward(sender, part).await?;
         }
+        drop(remainder);
+        self.held_part_bytes.set(0);
         self.forward(sender, StreamChunk::End).await
     }
 
@@ -327,15 +342,47 @@
         }
     }
 
+    /// Waits for memory for the part of a stream that cannot be passed on yet: `part_bytes` so far, and
+    /// `announced` in all, if that is known.
+    async fn hold_part(
+        &self,
+        part_bytes: u64,
+        announced: Option<u64>,
+        sender: &StreamSender,
+    ) -> Result<(), PumpEnd> {
+        let Some(held) = &self.stream_memory else {
+            return Ok(());
+        };
+        if part_bytes <= FREE_BYTES.max(self.held_part_bytes.get()) {
+            return Ok(());
+        }
+        let step = part_bytes.next_power_of_two();
+        let part_bytes = announced.unwrap_or(step).max(part_bytes);
+        let growing = async {
+            tokio::select! {
+                grown = held.grow(part_bytes + UNREAD_STREAM_BYTES) => grown.map_err(|_| PumpEnd::Broken),
+                () = sender.closed() => Err(PumpEnd::CallerDisconnected),
+            }
+        };
+        let grown = self.node.clock.timeout_at(self.deadline, growing).await;
+        grown.unwrap_or(Err(PumpEnd::OutOfTime))?;
+        self.held_part_bytes.set(part_bytes);
+        // The replica sends it, so the caller is not to blame for a pause.
+        held.set_waits_for_caller(sender.has_waiting());
+        Ok(())
+    }
+
     /// Sends a chunk. If the caller has not read the earlier ones, waits for memory to hold them.
     async fn send_held(&self, sender: &StreamSender, chunk: StreamChunk) -> Result<(), ReaderGone> {
         let Some(held) = &self.stream_memory else {
             return sender.send(Ok(chunk)).await;
         };
         let size_bytes = chunk.size_bytes();
+        let part_bytes = self.held_part_bytes.get();
+        held.set_waits_for_caller(true);
         if !sender.has_waiting() {
-            held.shrink(0);
-        } else if held.grow(UNREAD_STREAM_BYTES).await.is_err() {
+            held.shrink(part_bytes);
+        } else if held.grow(part_bytes + UNREAD_STREAM_BYTES).await.is_err() {
             tracing::info!(target: "send", id = self.facts.id, outcome = "no memory for an unread stream");
             return Err(ReaderGone);
         }
--- a/crates/croftrill-scheduler/src/memory_account.rs
+++ b/crates/croftrill-scheduler/src/memory_account.rs
@@ -136,7 +136,8 @@
 
     /// Sets whether a holder waits for its caller.
     pub fn set_waits_for_caller(&mut self, id: HolderId, waits_for_caller: bool, now: Moment) {
-        if let Some(holder) = self.holders.get_mut(&id) {
+        let holder = self.holders.get_mut(&id);
+        if let Some(holder) = holder.filter(|holder| holder.waits_for_caller != waits_for_caller) {
             holder.waits_for_caller = waits_for_caller;
             holder.moved_at = now;
             holder.moved_bytes = 0;
