A stream of events asks for memory by the part that waits, not by its length

plain_answers_ and streams_inside_large_events_stay_within_memory, broken_streams, broken_answers, endless_answers and requests pass.

--- a/crates/croftrill-node/src/link.rs
+++ b/crates/croftrill-node/src/link.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use croftrill_scheduler::connection_slots::ConnectionPhase;
 use futures::{SinkExt, StreamExt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -76,7 +75,7 @@
             room.record_read(bytes);
         }
         if let Some(place) = &self.place {
-            place.connection().set_phase(ConnectionPhase::Idle);
+            place.connection().record_heard();
         }
     }
 }
@@ -163,7 +162,7 @@
     /// Gives the link a place among those that peers opened, until it ends. It fails when another link
     /// needs the place.
     pub(crate) fn take_place(&mut self, place: ConnectionPlace) {
-        place.connection().set_phase(ConnectionPhase::Idle);
+        place.connection().record_heard();
         self.frames.get_mut().place = Some(place);
     }
 
--- a/crates/croftrill-node/src/port_connections.rs
+++ b/crates/croftrill-node/src/port_connections.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Records that something arrived on a connection that has no requests, such as a link of another node.
+    pub(crate) fn record_heard(&self) {
+        self.set_phase(ConnectionPhase::Idle);
+    }
+
     /// Returns what tells that it has to close.
     pub(crate) fn eviction(&self) -> &Eviction {
         &self.eviction
--- a/crates/croftrill-node/src/request/streaming.rs
+++ b/crates/croftrill-node/src/request/streaming.rs
@@ -14,7 +14,7 @@
 use super::sending::{SendEnd, Streaming};
 use super::version::StreamVersion;
 use super::{Answer, RequestRun};
-use crate::answer_reader::{BodyEnd, BodyPart, Framing};
+use crate::answer_reader::{AnswerReader, BodyEnd, BodyPart, Framing};
 use crate::broken_requests::MAX_START_DURATION;
 use crate::events::EventSplitter;
 use crate::memory::FREE_BYTES;
@@ -229,17 +229,10 @@
                 is_proven = true;
                 self.record_answered_parts(streaming.head.status);
             }
-            let part_bytes = cutter.held_bytes() + bytes.len() as u64;
-            if part_bytes > self.node.answer_budget.max_answer_bytes() {
+            if cutter.held_bytes() > self.node.answer_budget.max_answer_bytes() {
                 let end = BodyEnd::TooLong;
                 return self.handle_end(streaming, end, last_event, cutter, sender).await;
             }
-            if self.route.resumable {
-                let announced = streaming.body.remaining_bytes().map(|left| part_bytes + left);
-                if let Err(end) = self.hold_part(part_bytes, announced, sender).await {
-                    return end;
-                }
-            }
             let bytes = if !self.route.resumable {
                 Some(compact(bytes))
             } else if streaming.body.holds_events() {
@@ -254,6 +247,9 @@
                     return end;
                 }
             }
+            if let Err(end) = self.hold_part(cutter.held_bytes(), &streaming.body, sender).await {
+                return end;
+            }
         }
     }
 
@@ -342,12 +338,12 @@
         }
     }
 
-    /// Waits for memory for the part of a stream that cannot be passed on yet: `part_bytes` so far, and
-    /// `announced` in all, if that is known.
+    /// Waits for memory for the part of a stream that cannot be passed on yet, of `part_bytes` so far. A
+    /// body without events is such a part as a whole.
     async fn hold_part(
         &self,
         part_bytes: u64,
-        announced: Option<u64>,
+        body: &AnswerReader,
         sender: &StreamSender,
     ) -> Result<(), PumpEnd> {
         let Some(held) = &self.stream_memory else {
@@ -356,8 +352,10 @@
         if part_bytes <= FREE_BYTES.max(self.held_part_bytes.get()) {
             return Ok(());
         }
-        let step = part_bytes.next_power_of_two();
-        let part_bytes = announced.unwrap_or(step).max(part_bytes);
+        let remaining_bytes = body.remaining_bytes().filter(|_| !body.holds_events());
+        let whole_bytes = remaining_bytes.map(|remaining| part_bytes + remaining);
+        let max_bytes = self.node.answer_budget.max_answer_bytes();
+        let part_bytes = whole_bytes.map_or(part_bytes.next_power_of_two(), |whole| whole.min(max_bytes));
         let growing = async {
             tokio::select! {
                 grown = held.grow(part_bytes + UNREAD_STREAM_BYTES) => grown.map_err(|_| PumpEnd::Broken),
