Places for links of other nodes on machines with few descriptors

At 1,024 descriptors, the default of croftrilld on many systems, the shares of callers, replicas and tunnels left nothing for links of other nodes but the 16 that the smallest machine has: with more nodes than that an orderer would have closed one link for another all the time. Found on reading the diff; the sites' machines have 3,075 descriptors and more.

A quarter of the sockets for callers' connections in place of a third, a twentieth for tunnels in place of a fifteenth: 157 links at 1,024. Callers' connections are bounded by memory on all sites' machines, so they stay as they were there (390, 553, 960, 1,985). shares_fit_into_limits (property) and max_peer_links_on_machine_with_usual_descriptors (fails before: 16).

--- a/crates/croftrill-scheduler/src/process_limits.rs
+++ b/crates/croftrill-scheduler/src/process_limits.rs
@@ -77,11 +77,11 @@
         self.max_descriptors - files
     }
 
-    /// Returns the maximum number of connections of callers. Each may need another one to a replica, and a
-    /// third of the sockets remains for the store, other nodes and the other ports.
+    /// Returns the maximum number of connections of callers. Each may need another one to a replica, and
+    /// half of the sockets remains for the store, other nodes and the other ports.
     pub fn max_caller_connections(&self) -> usize {
         let by_memory = self.traffic_bytes() / 5 / CONNECTION_BYTES;
-        (self.sockets() / 3).min(by_memory as usize).max(1)
+        (self.sockets() / 4).min(by_memory as usize).max(1)
     }
 
     /// Returns the maximum number of requests for one service at the same time, so that one that does not
@@ -126,6 +126,6 @@
     /// Returns the maximum number of other nodes' connections to replicas that this node carries. Each
     /// takes two descriptors.
     pub fn max_tunnels(&self) -> usize {
-        self.sockets() / 15
+        self.sockets() / 20
     }
 }
