Review: two nodes order at one replica after lost answers (case 4)

Tried: a leader that is killed and started again while the store loses the answers to its first claim of a shard's key, to the end of that claim's lease and to its second claim, all done late; 3 of 11 writes in 4.5 s. Seen: the node takes the key, which is bound to the first lease, for held under the second, which it renews for ever. With TROUBLE=0 and with the kill alone it held.

Nothing of the product was changed.

--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -197,3 +197,17 @@
     }
     text
 }
+
+/// Returns the bytes of a text in base64; signs of other alphabets are left out.
+pub fn unbase64(text: &str) -> Vec<u8> {
+    let places = text.bytes().filter_map(|sign| SIGNS.iter().position(|known| *known == sign));
+    let places: Vec<u32> = places.map(|place| place as u32).collect();
+    let mut bytes = Vec::new();
+    for group in places.chunks(4) {
+        let bits = group.iter().enumerate().fold(0, |bits, (index, place)| bits | place << (18 - 6 * index));
+        for index in 0..group.len().saturating_sub(1) {
+            bytes.push((bits >> (16 - 8 * index)) as u8);
+        }
+    }
+    bytes
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! Plays the scripts of the second review.
 
+mod holder_case;
 mod http;
 mod json;
 mod node;
@@ -37,6 +38,7 @@
     }
     let played = match case.as_str() {
         "part" => part_case::play(&scratch, &record, has_trouble),
+        "holder" => holder_case::play(&scratch, &record, has_trouble),
         "stop" => stop_case::play(&scratch, &record, has_trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
     };
--- a/review/standin-2/part_case.rs
+++ b/review/standin-2/part_case.rs
@@ -66,7 +66,8 @@
     for number in 1..=REPLICAS {
         let spec = Spec {
             service: "lm-pool",
-            models: vec!["m1"],
+            models: vec!["m1".to_string()],
+            copies: Vec::new(),
             deadly_part: has_trouble.then(|| DEADLY.to_string()),
             back_after: Duration::from_millis(2000),
         };
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -18,11 +18,30 @@
 /// Time after which the platform removes the entry of a replica that is silent: three heartbeats.
 const LAPSE: Duration = Duration::from_millis(3600);
 
+/// Models that a replica can hold, and models of which its disk has copies.
+const MAX_HELD: usize = 2;
+const MAX_COPIES: usize = 6;
+/// Time to load a model from the store, and from the replica's disk.
+const LOAD: Duration = Duration::from_millis(3200);
+const LOAD_AGAIN: Duration = Duration::from_millis(1300);
+
+/// An order that arrived at a replica.
+#[derive(Debug, Clone)]
+pub struct SeenOrder {
+    pub at: f64,
+    pub replica: String,
+    pub holder: String,
+    pub token: u64,
+    pub text: String,
+}
+
 /// What a replica does beside serving.
 #[derive(Debug, Clone)]
 pub struct Spec {
     pub service: &'static str,
-    pub models: Vec<&'static str>,
+    pub models: Vec<String>,
+    /// Other models of which its disk has copies.
+    pub copies: Vec<String>,
     /// The part of a prompt under which it ends, if it does.
     pub deadly_part: Option<String>,
     /// Time from an end until it is back, under another id.
@@ -36,14 +55,18 @@
     models: Vec<String>,
     sequence: u64,
     busy_until: Option<(Instant, String)>,
+    /// Models of which its disk has copies, the one used last at the end.
+    on_disk: Vec<String>,
     running: u32,
     links: BTreeMap<u64, TcpStream>,
     next_link: u64,
 }
 
-/// The end of a replica under the part, and the arrivals of requests with it.
+/// Ends of replicas, the arrivals of requests with the part, and orders.
 #[derive(Debug, Default)]
 pub struct Seen {
+    pub orders: Vec<SeenOrder>,
+    pub served: u32,
     pub ends: Vec<f64>,
     pub deadly_arrivals: Vec<f64>,
 }
@@ -66,14 +89,16 @@
 impl Replica {
     pub fn start(name: &str, spec: Spec, store: &Store, record: &Record, seen: &Arc<Mutex<Seen>>) -> io::Result<Replica> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let models = spec.models.iter().map(|model| model.to_string()).collect();
+        let models = spec.models.clone();
         let life = Life {
             number: 0,
             is_up: true,
-            born: unix_ms(),
+            // It has run for a minute.
+            born: unix_ms() - 60_000,
             models,
             sequence: 0,
             busy_until: None,
+            on_disk: [spec.copies.clone(), spec.models.clone()].concat(),
             running: 0,
             links: BTreeMap::new(),
             next_link: 0,
@@ -103,13 +128,19 @@
         format!("[{}]", models.collect::<Vec<_>>().join(","))
     }
 
+    fn copies_json(&self) -> String {
+        let life = self.life.lock().unwrap();
+        let copies: Vec<String> = life.on_disk.iter().map(|copy| format!("\"{copy}\"")).collect();
+        format!("{{\"resident\":[],\"cachedOnDisk\":[{}]}}", copies.join(","))
+    }
+
     fn write_entry(&self) {
-        let (id, models) = (self.id(), self.models_json());
+        let (id, models, copies) = (self.id(), self.models_json(), self.copies_json());
         let born = self.life.lock().unwrap().born;
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"kochi-a\",\"version\":\"v1\",\"slots\":64,\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{born},\"stage\":\"unified\",\
-             \"models\":{models}}}",
+             \"models\":{models},\"available\":{copies}}}",
             self.spec.service, self.address
         );
         self.store.write(&format!("servers/{id}"), &entry);
@@ -180,7 +211,7 @@
             life.busy_until = None;
             life.running = 0;
             // The platform gives a new replica its models before it lists it.
-            life.models = self.spec.models.iter().map(|model| model.to_string()).collect();
+            life.models = self.spec.models.clone();
         }
         self.record.line(&format!("replica {} starts", self.id()));
         self.listen(listener);
@@ -213,11 +244,11 @@
         let id = self.id();
         match request.path() {
             "/v1/report" => {
-                let models = self.models_json();
+                let (models, copies) = (self.models_json(), self.copies_json());
                 let life = self.life.lock().unwrap();
                 let body = format!(
                     "{{\"stage\":\"unified\",\"models\":{models},\"busy\":{},\"sequence\":{},\"queued\":0,\
-                     \"running\":{},\"kvUsed\":0,\"kvTotal\":244881,\"handles\":0,\"born\":{}}}",
+                     \"available\":{copies},\"running\":{},\"kvUsed\":0,\"kvTotal\":244881,\"handles\":0,\"born\":{}}}",
                     life.busy_until.is_some(),
                     life.sequence,
                     life.running,
@@ -240,6 +271,11 @@
         let is_over = life.busy_until.as_ref().is_some_and(|(at, _)| Instant::now() >= *at);
         if is_over {
             if let Some((_, model)) = life.busy_until.take() {
+                life.on_disk.retain(|copy| *copy != model);
+                life.on_disk.push(model.clone());
+                if life.on_disk.len() > MAX_COPIES {
+                    life.on_disk.remove(0);
+                }
                 life.models.push(model);
             }
             drop(life);
@@ -253,9 +289,16 @@
         }
         let Some(order) = Json::parse(&request.body) else { return 400 };
         let (operation, model) = (order.get("operation").text(), order.get("model").text().to_string());
-        let holder = order.get("holder").text();
+        let (holder, token) = (order.get("holder").text(), order.get("fencingToken").number().unwrap_or(0));
+        self.record.line(&format!("order at {id}: {operation} {model} by {holder}, fencing token {token}"));
+        self.seen.lock().unwrap().orders.push(SeenOrder {
+            at: self.record.seconds(),
+            replica: id.to_string(),
+            holder: holder.to_string(),
+            token,
+            text: format!("{operation} {model}"),
+        });
         let mut life = self.life.lock().unwrap();
-        self.record.line(&format!("order at {id}: {operation} {model} by {holder}"));
         let expected = order.get("expectedRevision").number();
         if life.busy_until.is_some() || expected.is_some_and(|expected| expected != life.sequence) {
             return 409;
@@ -265,7 +308,14 @@
             "load" if holds => 200,
             "load" => {
                 life.sequence += 1;
-                life.busy_until = Some((Instant::now() + Duration::from_secs(3), model));
+                let takes = if life.on_disk.contains(&model) { LOAD_AGAIN } else { LOAD };
+                if life.models.len() >= MAX_HELD {
+                    drop(life);
+                    self.record.line(&format!("order at {id}: more than the replica can hold"));
+                    self.end();
+                    return 500;
+                }
+                life.busy_until = Some((Instant::now() + takes, model));
                 202
             }
             "unload" => {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Link, Message};
-use crate::json::{base64, Json};
+use crate::json::{base64, unbase64, Json};
 
 /// Items of one page.
 const PAGE: usize = 500;
@@ -42,8 +42,21 @@
 struct Shared {
     state: Mutex<State>,
     changed: Condvar,
+    judge: Mutex<Option<Judge>>,
 }
 
+/// What becomes of a write.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fate {
+    /// It is done and answered.
+    Answered,
+    /// It gets no answer, and is done after this time if its condition still holds.
+    LostAndLate(Duration),
+}
+
+/// Decides what becomes of each write, given its path and body.
+pub type Judge = Box<dyn FnMut(&str, &[u8]) -> Fate + Send>;
+
 /// The store. Clones are the same store.
 #[derive(Clone)]
 pub struct Store {
@@ -140,6 +153,16 @@
     fn serve(&self, stream: TcpStream) {
         let mut link = Link::new(stream);
         while let Ok(Some(request)) = link.read() {
+            if let Fate::LostAndLate(delay) = self.fate(&request) {
+                let store = self.clone();
+                thread::spawn(move || {
+                    thread::sleep(delay);
+                    store.execute(&request);
+                });
+                // Nothing more is said on this connection.
+                while let Ok(Some(_)) = link.read() {}
+                return;
+            }
             let (status, body) = self.execute(&request);
             let era = self.shared.state.lock().unwrap().era.map(|era| era.to_string());
             let mut headers = vec![("content-type", "application/json")];
@@ -152,6 +175,28 @@
         }
     }
 
+    /// Lets `judge` decide what becomes of writes from now on.
+    pub fn set_judge(&self, judge: Option<Judge>) {
+        *self.shared.judge.lock().unwrap() = judge;
+    }
+
+    /// Renewals of leases count as reads.
+    fn fate(&self, request: &Message) -> Fate {
+        let path = request.path();
+        let is_write = path == "/v1/kv-txn" || path == "/v1/kv-lease" || path.starts_with("/v1/kv-lease-end/");
+        let mut judge = self.shared.judge.lock().unwrap();
+        match &mut *judge {
+            Some(judge) if is_write => judge(path, &request.body),
+            _ => Fate::Answered,
+        }
+    }
+
+    /// Returns the value of a key, decoded.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.state.lock().unwrap();
+        state.items.get(key).map(|item| unbase64(&item.value))
+    }
+
     fn execute(&self, request: &Message) -> (u16, String) {
         let path = request.path();
         match path {
