Review: the scripts of cases 4, 6 and 8 name their record

A check of form did not find what writes record.txt: run.sh handed over the folder alone, and the stand-in wrote record.txt there. Tried: each record was removed and its script run once; each was written and each case failed as before. The check itself is unchanged.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -24,12 +24,12 @@
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: cases CASE FOLDER");
+    let (Some(case), Some(file)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: cases CASE RECORD");
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let Ok(record) = Record::create(&PathBuf::from(folder).join("record.txt")) else {
+    let Ok(record) = Record::create(&PathBuf::from(file)) else {
         return ExitCode::from(2);
     };
     let scratch = std::env::temp_dir().join(format!("croftrill-review-2-{}", std::process::id()));
